build: module interfaces, build and checks

Cause: the parts are to be built side by side, so that their interfaces have to stand first. Measured: one test program passes; formatter and linter are clean. Conclusion: the parts can be written against the headers.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,34 @@
+# `make demo` and `make check` do all the set-up that they need, packages included.
+BUILD ?= build
+
+.PHONY: all setup demo check check-sanitized lint format clean
+
+all: $(BUILD)/build.ninja
+	ninja -C $(BUILD)
+
+setup:
+	script/setup
+
+$(BUILD)/build.ninja: | setup
+	meson setup $(BUILD)
+
+demo: all
+	script/demo $(BUILD)
+
+check: all
+	meson test -C $(BUILD) --print-errorlogs
+	script/known-red
+
+check-sanitized: | setup
+	test -e build-asan/build.ninja || meson setup build-asan -Db_sanitize=address,undefined -Dbuildtype=debug
+	ninja -C build-asan
+	meson test -C build-asan --print-errorlogs
+
+lint: all
+	script/lint $(BUILD)
+
+format:
+	git ls-files '*.c' '*.h' | grep -v '\.pb-c\.[ch]$$' | xargs clang-format -i
+
+clean:
+	rm -rf build build-asan
--- /dev/null
+++ b/include/common/log.h
@@ -0,0 +1,46 @@
+#ifndef DFF_COMMON_LOG_H
+#define DFF_COMMON_LOG_H
+
+#include <glib.h>
+#include <stdbool.h>
+
+#include "common/str.h"
+
+/* Logs through log4c: one category for each part, whose name is the fixed prefix of its lines. A
+ * message is one short sentence; values follow as key=value pairs. */
+
+enum dff_log_part {
+	DFF_LOG_CORE,
+	DFF_LOG_CELL,
+	DFF_LOG_ENTRY,
+	DFF_LOG_PEER,
+	DFF_LOG_PLATFORM,
+	DFF_LOG_POOL,
+	DFF_LOG_RECORD,
+	DFF_LOG_SERVE,
+	DFF_LOG_UPSTREAM,
+	DFF_LOG_STANDIN,
+	DFF_LOG_N_PARTS,
+};
+
+enum dff_log_level {
+	DFF_LOG_DEBUG,
+	DFF_LOG_INFO,
+	DFF_LOG_WARNING,
+	DFF_LOG_ERROR,
+};
+
+/** Starts logging to standard error; before it, and in tests that do not call it, nothing is
+ * written. */
+void dff_log_init (enum dff_log_level level);
+
+/** Changes the lowest level that is written. */
+void dff_log_set_level (enum dff_log_level level);
+
+/** Reads "debug", "info", "warning" or "error". Returns: false when it is none. */
+bool dff_log_level_parse (struct dff_str text, enum dff_log_level *level);
+
+void dff_log (enum dff_log_part part, enum dff_log_level level, const char *format, ...)
+	G_GNUC_PRINTF (3, 4);
+
+#endif
--- /dev/null
+++ b/include/core/core.h
@@ -0,0 +1,207 @@
+#ifndef DFF_CORE_CORE_H
+#define DFF_CORE_CORE_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "common/cleanup.h"
+#include "core/job.h"
+#include "pool/pool.h"
+
+/*
+ * The decision core of one cell: tables of entities and systems that run over them each tick. Pure:
+ * input is events and a time, output is commands. No I/O, no global state, no wall clock, no
+ * unseeded random number. The only part that may decide who runs where.
+ *
+ * Life of an attempt, with the commands (>) and the events (<) that answer them:
+ *
+ *   > RECORD_START      the start intent, with every placement, is to be made durable
+ *   < ATTEMPT_RECORDED  it is (or < ATTEMPT_REFUSED: it was not and will not be)
+ *   > START_TASK        one for each member; gangs are started held (throttled to nothing)
+ *   < TASK_STARTED      the worker holds the member (or < TASK_START_FAILED: proven not started)
+ *   > RELEASE_TASK      gangs only, once every member is held: from here on the job may have run
+ *   < TASK_COMPLETED / TASK_FAILED / TASK_LOST
+ *   > CHECKPOINT_TASK   preemption: < TASK_CHECKPOINTED, then
+ *   > STOP_TASK         < TASK_STOPPED: stopped, or never seen and refused from now on (tombstone)
+ *   > RECORD_END        the outcome is to be made durable; < OUTCOME_RECORDED frees the entry
+ *
+ * Because held members have not run, a gang that fails before RELEASE_TASK is proven not run.
+ */
+
+struct dff_core;
+
+struct dff_core_options {
+	/** Seed of every random choice. */
+	uint64_t seed;
+	/** A member not confirmed this long after START_TASK fails its attempt, ms. */
+	int32_t start_timeout_ms;
+	/** Time from CHECKPOINT_TASK until STOP_TASK is sent regardless, ms. */
+	int32_t checkpoint_grace_ms;
+};
+
+/** Fills in the defaults that docs/decisions/ gives reasons for. */
+void dff_core_options_init (struct dff_core_options *options);
+
+struct dff_core *dff_core_new (const struct dff_core_options *options);
+
+void dff_core_free (struct dff_core *core);
+
+DFF_DEFINE_CLEANUP (dff_core, dff_core_free);
+
+enum dff_worker_state {
+	DFF_WORKER_DOWN,
+	DFF_WORKER_UP,
+	/** Runs what it has; gets nothing new. */
+	DFF_WORKER_LEAVING,
+};
+
+/** Where one member of a gang runs. */
+struct dff_placement {
+	struct dff_name worker;
+	/** Bit i: accelerator i of the worker is leased to the member. */
+	uint64_t accelerators;
+};
+
+enum dff_event_type {
+	DFF_EVENT_JOB_SUBMITTED, /**< A job's row is committed. @spec. */
+	DFF_EVENT_JOB_RECOVERED, /**< A row found at take-over. @spec, @recovered. */
+	DFF_EVENT_JOB_CANCELLED, /**< @job. */
+	DFF_EVENT_ATTEMPT_RECORDED,
+	DFF_EVENT_ATTEMPT_REFUSED,
+	DFF_EVENT_OUTCOME_RECORDED,
+	DFF_EVENT_TASK_STARTED,
+	DFF_EVENT_TASK_START_FAILED, /**< Proven not started, now or later. */
+	DFF_EVENT_TASK_CHECKPOINTED,
+	DFF_EVENT_TASK_COMPLETED,
+	DFF_EVENT_TASK_FAILED,
+	DFF_EVENT_TASK_STOPPED, /**< Proven stopped; @ran tells whether it ever ran. */
+	DFF_EVENT_TASK_LOST,    /**< Its lease has lapsed: it no longer runs, and may have run. */
+	DFF_EVENT_WORKER_STATE, /**< @worker, @worker_state. */
+};
+
+/** State of an attempt found on record at take-over. */
+struct dff_recovered {
+	/** Last attempt whose start intent is durable; 0: never. */
+	int32_t attempt;
+	/** Whether that attempt is still open (intent durable, no end durable). */
+	bool open;
+	/** Whether a cancellation is on record. */
+	bool cancelled;
+	/** Elements: struct dff_placement, one a member, of the open attempt. */
+	const GArray *placements;
+	/** Elements: bool: whether the worker said that it runs the member. */
+	const GArray *running;
+	/** How long ago the attempt was recorded, ms. */
+	int64_t age_ms;
+};
+
+/** An input. Members that its type does not name are ignored. */
+struct dff_event {
+	enum dff_event_type type;
+	struct dff_name job;
+	int32_t attempt;
+	/** Index of the member in its gang. */
+	int32_t member;
+	const struct dff_job_spec *spec;
+	const struct dff_recovered *recovered;
+	struct dff_name worker;
+	enum dff_worker_state worker_state;
+	bool ran;
+};
+
+enum dff_command_type {
+	DFF_COMMAND_RECORD_START, /**< @job, @attempt, @placements. */
+	DFF_COMMAND_START_TASK,   /**< @job, @attempt, @member, @placement, @held. */
+	DFF_COMMAND_RELEASE_TASK,
+	DFF_COMMAND_CHECKPOINT_TASK,
+	DFF_COMMAND_STOP_TASK,
+	DFF_COMMAND_RECORD_END,   /**< @job, @attempt, @outcome, @reason. */
+	DFF_COMMAND_RECORD_RETRY, /**< The attempt is over and may be followed by another. */
+};
+
+/** An output. Members that its type does not name are zero. */
+struct dff_command {
+	enum dff_command_type type;
+	struct dff_name job;
+	int32_t attempt;
+	int32_t member;
+	struct dff_placement placement;
+	bool held;
+	/** Elements: struct dff_placement, one a member. Owned by the core, valid until its next
+	 * call. */
+	const GArray *placements;
+	enum dff_outcome outcome;
+	/** Stable code of why ("never_runnable", "attempts_exhausted", ...). Static. */
+	const char *reason;
+};
+
+/**
+ * dff_core_set_pool:
+ * @pool: borrowed for the call only; the core copies what it needs
+ *
+ * Puts a pool in force. Running work stays; witnesses are packed again.
+ */
+void dff_core_set_pool (struct dff_core *core, const struct dff_pool *pool, int64_t now_ms);
+
+/** Whether a job can ever run under the pool in force. */
+struct dff_admission {
+	bool admitted;
+	/** Stable code when not: "never_runnable", "unknown_team", "unknown_region", "quota".
+	 * Static. */
+	const char *reason;
+};
+
+/** Judges a job at submission, before anything is recorded. */
+struct dff_admission dff_core_admit (const struct dff_core *core, const struct dff_job_spec *spec);
+
+/** Takes one event in. Events about jobs or attempts that are not current are ignored. */
+void dff_core_handle_event (struct dff_core *core, const struct dff_event *event, int64_t now_ms);
+
+/**
+ * dff_core_tick:
+ * @commands: elements: struct dff_command; emptied, then filled in the order to be carried out
+ *
+ * Runs every system once.
+ */
+void dff_core_tick (struct dff_core *core, int64_t now_ms, GArray *commands);
+
+/** Time of the next tick that may have something to do without a new event; INT64_MAX: none. */
+int64_t dff_core_next_wake_ms (const struct dff_core *core);
+
+struct dff_core_stats {
+	int64_t queued, starting, running, stopping, ended;
+	int64_t reclaims, preemptions, moves, start_failures, retries;
+	int64_t workers_up, workers_quarantined;
+	int64_t accelerators_total, accelerators_free;
+	/** Guaranteed shapes that no longer fit on the workers that are up. */
+	int64_t witnesses_missing;
+	/** Share of free accelerators that the largest adjacent shape cannot use, 0 to 1. */
+	double fragmentation;
+};
+
+void dff_core_get_stats (const struct dff_core *core, struct dff_core_stats *stats);
+
+enum dff_job_phase {
+	DFF_JOB_UNKNOWN,
+	DFF_JOB_QUEUED,
+	DFF_JOB_STARTING,
+	DFF_JOB_RUNNING,
+	DFF_JOB_STOPPING,
+	DFF_JOB_ENDED,
+};
+
+/** Returns: the phase of @job, DFF_JOB_UNKNOWN when the core does not hold it. */
+enum dff_job_phase dff_core_job_phase (const struct dff_core *core, const struct dff_name *job);
+
+/**
+ * dff_core_check:
+ *
+ * Verifies the invariants: no accelerator leased twice, capacity never exceeded, a witness packing
+ * for every unclaimed guarantee that can be packed, every job in one phase.
+ *
+ * Returns: (nullable): the first broken one in words, to be freed with g_free().
+ */
+char *dff_core_check (const struct dff_core *core);
+
+#endif
--- /dev/null
+++ b/include/platform/instance_list.h
@@ -0,0 +1,47 @@
+#ifndef DFF_PLATFORM_INSTANCE_LIST_H
+#define DFF_PLATFORM_INSTANCE_LIST_H
+
+#include <stdbool.h>
+#include <stddef.h>
+
+#include "common/str.h"
+
+/* The platform's list of live and leaving instances. It lags behind reality by seconds. */
+
+enum dff_instance_role {
+	DFF_INSTANCE_WORKER,
+	DFF_INSTANCE_ENTRY,
+};
+
+struct dff_instance {
+	struct dff_name id;
+	enum dff_instance_role role;
+	bool leaving;
+	/** "IP:PORT" of its HTTP endpoint. */
+	struct dff_name address;
+	struct dff_name rack;
+	struct dff_name data_centre;
+	struct dff_name region;
+	/** Entry instances: "IP:PORT" of the peer endpoint; else empty. */
+	struct dff_name peer_address;
+	/** Entry instances: CURVE public key, base64url without padding, 43 characters; else empty.
+	 */
+	struct dff_name peer_key;
+};
+
+struct dff_instance_list_result {
+	/** false: the list could not be read; the last one read goes on being used. */
+	bool ok;
+	/** Valid in the callback only. */
+	const struct dff_instance *instances;
+	size_t n_instances;
+};
+
+typedef void (*dff_instance_list_func) (void *user, const struct dff_instance_list_result *result);
+
+struct dff_instance_list {
+	void (*list) (void *ctx, dff_instance_list_func done, void *user);
+	void *ctx;
+};
+
+#endif
--- /dev/null
+++ b/include/pool/pool.h
@@ -0,0 +1,144 @@
+#ifndef DFF_POOL_POOL_H
+#define DFF_POOL_POOL_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "common/cleanup.h"
+#include "common/str.h"
+
+/*
+ * The pool file: teams, guaranteed shapes, services, racks and weights. It is applied as a whole
+ * and is immutable once parsed. Format: docs/SESSIONS.md and dragonflyfold-pool(5).
+ */
+
+/** A capacity vector. All members count whole units; memory is in GiB. */
+struct dff_resources {
+	int32_t slots;
+	int32_t cores;
+	int32_t memory_gb;
+	int32_t accelerators;
+};
+
+/** n gangs of k adjacent accelerators that a team may claim at any time. */
+struct dff_guarantee {
+	int32_t gangs;
+	int32_t accelerators;
+	/** Region the shapes are in; empty: any one region. */
+	struct dff_name region;
+};
+
+struct dff_team {
+	struct dff_name name;
+	/** SHA-256 digests of the bearer tokens, 32 bytes each. */
+	GArray *token_digests;
+	/** Elements: struct dff_guarantee. */
+	GArray *guarantees;
+	/** Upper bound on accelerators in use at once, guarantee included; 0: none. */
+	int32_t quota_accelerators;
+	/** Jobs admitted and not ended, at the most. */
+	int32_t max_queued;
+	/** Share of what is borrowed, relative to other teams; at least 1. */
+	int32_t weight;
+};
+
+struct dff_service {
+	struct dff_name name;
+	/** Teams that may use the service; empty: every team. Elements: struct dff_name. */
+	GArray *teams;
+	/** Slots set aside for short requests on every worker. */
+	int32_t request_slots;
+	/** Longest time a short request may take, ms. */
+	int32_t request_timeout_ms;
+};
+
+struct dff_rack {
+	struct dff_name name;
+	struct dff_name data_centre;
+	struct dff_name region;
+	/** Names of the workers. Elements: struct dff_name. */
+	GArray *workers;
+	/** Capacity of each worker. */
+	struct dff_resources per_worker;
+};
+
+struct dff_operator {
+	struct dff_name name;
+	GArray *token_digests;
+};
+
+struct dff_weights {
+	/** Relative weights, each 0 to 1. */
+	double completion;
+	double fragmentation;
+};
+
+struct dff_pool {
+	/** Count of accepted applications so far; 0 for a file that was never applied. */
+	int64_t generation;
+	struct dff_weights weights;
+	GArray *teams;     /**< Elements: struct dff_team. */
+	GArray *services;  /**< Elements: struct dff_service. */
+	GArray *racks;     /**< Elements: struct dff_rack, neighbours next to each other. */
+	GArray *operators; /**< Elements: struct dff_operator. */
+};
+
+#define DFF_POOL_ERROR (dff_pool_error_quark ())
+
+enum dff_pool_error {
+	DFF_POOL_ERROR_SYNTAX,
+	DFF_POOL_ERROR_FIELD,
+	DFF_POOL_ERROR_DOES_NOT_FIT,
+};
+
+GQuark dff_pool_error_quark (void);
+
+/**
+ * dff_pool_parse:
+ * @text: the JSON file
+ * @source: name of the file, for messages
+ * @errors: (nullable): every fault found, one message each ("FILE:LINE: field: what was expected");
+ *   elements: char *
+ * @error: the first fault
+ *
+ * Checks syntax, unknown keys, types, ranges, references between entries, and that all guaranteed
+ * shapes can be packed into the racks at the same time.
+ *
+ * Returns: (transfer full) (nullable): the pool, to be freed with dff_pool_free().
+ */
+struct dff_pool *
+dff_pool_parse (struct dff_str text, const char *source, GPtrArray *errors, GError **error);
+
+void dff_pool_free (struct dff_pool *pool);
+
+DFF_DEFINE_CLEANUP (dff_pool, dff_pool_free);
+
+/** Returns: (nullable): the team called @name. */
+const struct dff_team *dff_pool_find_team (const struct dff_pool *pool,
+					   const struct dff_name *name);
+
+/** Returns: (nullable): the service called @name. */
+const struct dff_service *dff_pool_find_service (const struct dff_pool *pool,
+						 const struct dff_name *name);
+
+/** Who a bearer token belongs to. */
+struct dff_principal {
+	bool known;
+	bool is_operator;
+	/** The team, or the operator's name. */
+	struct dff_name name;
+};
+
+/**
+ * dff_pool_authenticate:
+ *
+ * Compares the token's digest with every stored digest in constant time.
+ */
+struct dff_principal dff_pool_authenticate (const struct dff_pool *pool, struct dff_str token);
+
+/** Returns: accelerators of the largest guaranteed shape that fits one rack; 8 where there is none.
+ */
+int32_t dff_pool_adjacent_unit (const struct dff_pool *pool);
+
+#endif
--- /dev/null
+++ b/include/record/recorder.h
@@ -0,0 +1,106 @@
+#ifndef DFF_RECORD_RECORDER_H
+#define DFF_RECORD_RECORDER_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "common/cleanup.h"
+#include "common/clock.h"
+#include "common/metrics.h"
+#include "platform/table.h"
+
+/*
+ * Durable writes to the table: group commit, a budget of transactions a second, a circuit breaker
+ * with jittered back-off, and resolution of lost answers by reading back the write id. A writer is
+ * never told "not recorded" unless it is proven.
+ */
+
+struct dff_recorder;
+
+struct dff_recorder_options {
+	const struct dff_table *table;
+	const struct dff_clock *clock;
+	struct dff_metrics *metrics;
+	/** Prefix of write ids; unique for each process and start. */
+	struct dff_name writer;
+	uint64_t seed;
+	/** Transactions a second at the most, and rows in one transaction at the most. */
+	int32_t max_commits_per_s;
+	int32_t max_rows_per_commit;
+	/** Longest wait of a write for company, ms. */
+	int32_t linger_ms;
+	/** Writes waiting at the most; beyond it writes are refused at once as not recorded. */
+	int32_t max_waiting;
+	/** A commit without answer this long is uncertain, ms. */
+	int32_t answer_timeout_ms;
+};
+
+void dff_recorder_options_init (struct dff_recorder_options *options);
+
+struct dff_recorder *dff_recorder_new (const struct dff_recorder_options *options);
+
+/** Drops waiting writes without calling back. */
+void dff_recorder_free (struct dff_recorder *recorder);
+
+DFF_DEFINE_CLEANUP (dff_recorder, dff_recorder_free);
+
+enum dff_record_outcome {
+	DFF_RECORD_DONE,
+	/** A condition did not hold. Proven not written. */
+	DFF_RECORD_CONFLICT,
+	/** Proven not written: refused, never sent, or found absent and barred by its write id. */
+	DFF_RECORD_NOT_DONE,
+};
+
+/** @revision: of the commit, for the next condition. */
+typedef void (*dff_record_func) (void *user, enum dff_record_outcome outcome, int64_t revision);
+
+/**
+ * struct dff_record_write:
+ * One atomic unit, at most 4 writes. Units are grouped into transactions; a unit whose condition
+ * fails does not fail the others of its group. Copied.
+ */
+struct dff_record_write {
+	const struct dff_table_condition *conditions;
+	size_t n_conditions;
+	const struct dff_table_write *writes;
+	size_t n_writes;
+	/** Not sent when it has waited this long: NOT_DONE; 0: waits as long as it takes, ms. */
+	int32_t give_up_ms;
+};
+
+/**
+ * dff_recorder_write:
+ *
+ * @done is called once, never before this call returns. While the store keeps silent about a commit
+ * that was sent, it is not called; dff_recorder_abandon() is for callers who cannot wait.
+ *
+ * Returns: ticket for dff_recorder_abandon().
+ */
+uint64_t dff_recorder_write (struct dff_recorder *recorder,
+			     const struct dff_record_write *write,
+			     dff_record_func done,
+			     void *user);
+
+enum dff_abandon {
+	/** It was still waiting and is dropped: proven not written. */
+	DFF_ABANDON_NOT_DONE,
+	/** It has been sent: its effect stays unknown to this caller. @done is not called any more.
+	 */
+	DFF_ABANDON_UNKNOWN,
+};
+
+/** Gives up on a write whose callback has not come yet. */
+enum dff_abandon dff_recorder_abandon (struct dff_recorder *recorder, uint64_t ticket);
+
+/** Sends what is due and times out what is overdue. To be called every few milliseconds. */
+void dff_recorder_tick (struct dff_recorder *recorder);
+
+/** Whether the breaker is open: new work that needs a record should be refused at once. */
+bool dff_recorder_is_open (const struct dff_recorder *recorder);
+
+/** When a refused caller should come back, seconds, jittered, at least 1. */
+int32_t dff_recorder_retry_after_s (struct dff_recorder *recorder);
+
+#endif
