--- /dev/null
+++ b/common/log.c
@@ -0,0 +1,108 @@
+#include "common/log.h"
+
+#include <log4c.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <time.h>
+
+/* log4c_init() would look for a log4crc in the working and the home directory and let it override
+ * the settings. It is not called: categories and the one appender are set up here. */
+
+#define ROOT_CATEGORY "dragonflyfold"
+
+static const char *const part_names[DFF_LOG_N_PARTS] = {
+	[DFF_LOG_CORE] = "core",         [DFF_LOG_CELL] = "cell",
+	[DFF_LOG_ENTRY] = "entry",       [DFF_LOG_PEER] = "peer",
+	[DFF_LOG_PLATFORM] = "platform", [DFF_LOG_POOL] = "pool",
+	[DFF_LOG_RECORD] = "record",     [DFF_LOG_SERVE] = "serve",
+	[DFF_LOG_UPSTREAM] = "upstream", [DFF_LOG_STANDIN] = "standin",
+};
+
+static const int priorities[] = {
+	[DFF_LOG_DEBUG] = LOG4C_PRIORITY_DEBUG,
+	[DFF_LOG_INFO] = LOG4C_PRIORITY_INFO,
+	[DFF_LOG_WARNING] = LOG4C_PRIORITY_WARN,
+	[DFF_LOG_ERROR] = LOG4C_PRIORITY_ERROR,
+};
+
+static const char *const level_names[] = {
+	[DFF_LOG_DEBUG] = "debug",
+	[DFF_LOG_INFO] = "info",
+	[DFF_LOG_WARNING] = "warning",
+	[DFF_LOG_ERROR] = "error",
+};
+
+static log4c_category_t *categories[DFF_LOG_N_PARTS];
+
+static const char *
+priority_name (int priority)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS (priorities); i++) {
+		if (priorities[i] == priority)
+			return level_names[i];
+	}
+	return "error";
+}
+
+static int
+append_to_stderr (log4c_appender_t *appender, const log4c_logging_event_t *event)
+{
+	(void)appender;
+	struct tm utc;
+	char date[sizeof "2026-01-01T00:00:00"];
+	gmtime_r (&event->evt_timestamp.tv_sec, &utc);
+	strftime (date, sizeof (date), "%Y-%m-%dT%H:%M:%S", &utc);
+	const char *part = event->evt_category + strlen (ROOT_CATEGORY ".");
+	return fprintf (stderr, "%s.%03ldZ %s %s: %s\n", date,
+			(long)event->evt_timestamp.tv_usec / 1000,
+			priority_name (event->evt_priority), part, event->evt_msg);
+}
+
+static const log4c_appender_type_t stderr_appender_type = {
+	.name = "dragonflyfold-stderr",
+	.append = append_to_stderr,
+};
+
+void
+dff_log_init (enum dff_log_level level)
+{
+	log4c_appender_t *appender = log4c_appender_get ("stderr-lines");
+	log4c_appender_set_type (appender, &stderr_appender_type);
+	log4c_category_set_appender (log4c_category_get (ROOT_CATEGORY), appender);
+	for (size_t i = 0; i < DFF_LOG_N_PARTS; i++) {
+		char name[64];
+		g_snprintf (name, sizeof (name), ROOT_CATEGORY ".%s", part_names[i]);
+		categories[i] = log4c_category_get (name);
+	}
+	dff_log_set_level (level);
+}
+
+void
+dff_log_set_level (enum dff_log_level level)
+{
+	log4c_category_set_priority (log4c_category_get (ROOT_CATEGORY), priorities[level]);
+}
+
+bool
+dff_log_level_parse (struct dff_str text, enum dff_log_level *level)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS (level_names); i++) {
+		if (!dff_str_equal (text, dff_str_from (level_names[i])))
+			continue;
+		*level = (enum dff_log_level)i;
+		return true;
+	}
+	return false;
+}
+
+void
+dff_log (enum dff_log_part part, enum dff_log_level level, const char *format, ...)
+{
+	const log4c_category_t *category = categories[part];
+	if (category == NULL || !log4c_category_is_priority_enabled (category, priorities[level]))
+		return;
+	va_list args;
+	va_start (args, format);
+	log4c_category_vlog (category, priorities[level], format, args);
+	va_end (args);
+}
