--- a/include/daemon/settings.h
+++ b/include/daemon/settings.h
@@ -30,6 +30,8 @@
 	/** Paths of the callers' TLS certificate and key, PEM; empty: plain HTTP. */
 	GString *tls_certificate;
 	GString *tls_key;
+	/** "sha256:HEX" of the token that may apply the first pool; empty: none may. */
+	GString *bootstrap_token_digest;
 	enum dff_log_level log_level; /**< Reloadable. */
 	/** Path that spans are appended to, "-" for standard output; empty: none. */
 	GString *trace_path;
@@ -72,7 +74,7 @@
 struct dff_settings *
 dff_settings_parse (struct dff_str text, const char *source, GPtrArray *errors, GError **error);
 
-/** Reads and parses a file. */
+/** Reads and parses a file, of 1 MiB at the most. */
 struct dff_settings *dff_settings_load (const char *path, GPtrArray *errors, GError **error);
 
 void dff_settings_free (struct dff_settings *settings);
@@ -89,4 +91,7 @@
 			  const struct dff_settings *fresh,
 			  GPtrArray *fixed);
 
+/** Appends the reference of every key in scdoc, as dragonflyfold-settings(5) holds it. */
+void dff_settings_describe (GString *out);
+
 #endif
