upstream: tell a worker that started anew

A worker process that crashes and comes back answers renewals as if nothing had happened, with no tasks and a sequence that starts again: the holder would believe in its tasks for ever.

--- a/include/upstream/worker_client.h
+++ b/include/upstream/worker_client.h
@@ -80,6 +80,8 @@
 	size_t n_reports;
 	/** Sequence of the last report, to be passed to the next renewal. */
 	int64_t sequence;
+	/** Changes when the worker starts anew: its tasks, tombstones and sequence are gone. */
+	int64_t incarnation;
 };
 
 typedef void (*dff_worker_func) (void *user, const struct dff_worker_result *result);
