--- a/include/platform/table.h
+++ b/include/platform/table.h
@@ -69,10 +69,13 @@
  * struct dff_table:
  * @get: reads the rows under @keys that exist
  * @scan: reads rows whose key starts with @prefix and whose revision is above @after, in order of
- *   revision, at most @limit; further rows are read by another scan after the last one's revision
+ *   revision, at most @limit, but rows of one commit are never split between two answers (a commit
+ *   larger than @limit comes whole); further rows are read by another scan after the last one's
+ *   revision
  * @commit: applies a transaction
  * @lookup: tells whether the transaction with @write_id took effect: OK with its revision, or
- *   CONFLICT when it has not and, from now on, will not (the table refuses that id afterwards)
+ *   CONFLICT when it has not and, from now on, will not (the table refuses that id afterwards);
+ *   UNAVAILABLE and UNCERTAIN tell nothing: ask again
  * @ctx: passed to each
  */
 struct dff_table {
