upstream: workers over HTTP and JSON

The cell and the entry need to reach workers through the callbacks of struct dff_worker_client. The bodies are one module, shared with the stand-in worker, so that both sides read the same format.

--- /dev/null
+++ b/include/upstream/http_worker.h
@@ -0,0 +1,38 @@
+#ifndef DFF_UPSTREAM_HTTP_WORKER_H
+#define DFF_UPSTREAM_HTTP_WORKER_H
+
+#include <glib.h>
+
+#include "common/cleanup.h"
+#include "common/http_client.h"
+#include "common/metrics.h"
+#include "upstream/worker_client.h"
+
+/* Workers met over HTTP and JSON (docs/PLATFORM.md, "Worker"). */
+
+struct dff_http_worker;
+
+struct dff_http_worker_options {
+	/** Owned by the caller; outlives the worker client. */
+	struct dff_http_client *http;
+	struct dff_metrics *metrics;
+	/** Time a worker may take to answer a command, ms. */
+	int32_t command_timeout_ms;
+	/** Time it may take to answer a renewal or query, ms. */
+	int32_t renew_timeout_ms;
+};
+
+void dff_http_worker_options_init (struct dff_http_worker_options *options);
+
+struct dff_http_worker *dff_http_worker_new (const struct dff_http_worker_options *options);
+
+/** The HTTP client must have been freed, or must have no call of this in progress. */
+void dff_http_worker_free (struct dff_http_worker *worker);
+
+DFF_DEFINE_CLEANUP (dff_http_worker, dff_http_worker_free);
+
+/** Returns: the interface; valid as long as @worker. Its callbacks never run before a call returns.
+ */
+const struct dff_worker_client *dff_http_worker_client (struct dff_http_worker *worker);
+
+#endif
--- /dev/null
+++ b/include/upstream/worker_wire.h
@@ -0,0 +1,76 @@
+#ifndef DFF_UPSTREAM_WORKER_WIRE_H
+#define DFF_UPSTREAM_WORKER_WIRE_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "common/cleanup.h"
+#include "upstream/worker_client.h"
+
+/* The JSON bodies of the conversation with workers, both ways, as docs/PLATFORM.md states them. */
+
+#define DFF_WORKER_PATH_START "/v1/tasks/start"
+#define DFF_WORKER_PATH_RELEASE "/v1/tasks/release"
+#define DFF_WORKER_PATH_CHECKPOINT "/v1/tasks/checkpoint"
+#define DFF_WORKER_PATH_THROTTLE "/v1/tasks/throttle"
+#define DFF_WORKER_PATH_STOP "/v1/tasks/stop"
+#define DFF_WORKER_PATH_QUERY "/v1/tasks"
+#define DFF_WORKER_PATH_RENEW "/v1/renew"
+#define DFF_WORKER_PATH_SERVICES "/v1/services/"
+
+/** Header of an answer to a short request: the worker says that it is leaving. */
+#define DFF_WORKER_HEADER_LEAVING "Worker-Leaving"
+
+/** A command about one task that exists or may exist. */
+struct dff_worker_command {
+	struct dff_task_id task;
+	int64_t epoch;
+	/** Throttle only. */
+	int32_t percent;
+};
+
+struct dff_worker_renewal {
+	int32_t lease_ms;
+	int64_t after_sequence;
+};
+
+/** Returns: a state's name on the wire. */
+const char *dff_task_state_name (enum dff_task_state state);
+
+/** Appends a start. A payload that is not JSON gives a body that every worker refuses. */
+void dff_worker_wire_append_start (GString *out, const struct dff_task_start *start);
+
+/**
+ * dff_worker_wire_parse_start:
+ * @payload: receives the payload, which @start borrows
+ *
+ * The traceparent travels in a header and is left empty. Returns: false when malformed.
+ */
+bool
+dff_worker_wire_parse_start (struct dff_str body, struct dff_task_start *start, GString *payload);
+
+void dff_worker_wire_append_command (GString *out, const struct dff_worker_command *command);
+
+/** Returns: false when malformed. */
+bool dff_worker_wire_parse_command (struct dff_str body, struct dff_worker_command *command);
+
+void dff_worker_wire_append_renewal (GString *out, const struct dff_worker_renewal *renewal);
+
+/** Returns: false when malformed. */
+bool dff_worker_wire_parse_renewal (struct dff_str body, struct dff_worker_renewal *renewal);
+
+/** Appends an answer; its outcome travels as the HTTP status. */
+void dff_worker_wire_append_answer (GString *out, const struct dff_worker_result *result);
+
+/**
+ * dff_worker_wire_parse_answer:
+ * @reports: elements: struct dff_task_report; emptied, then filled; @result borrows them
+ *
+ * Leaves the outcome alone. Returns: false when malformed; @result is then without reports.
+ */
+bool dff_worker_wire_parse_answer (struct dff_str body,
+				   struct dff_worker_result *result,
+				   GArray *reports);
+
+#endif
