--- /dev/null
+++ b/pool/pool.c
@@ -0,0 +1,152 @@
+#include "pool/pool.h"
+
+#include <sodium.h>
+
+#include "pool/private.h"
+
+/* Where no shape fits a rack, fragmentation is counted in units of this many accelerators. */
+#define DFF_ADJACENT_UNIT_DEFAULT 8
+
+G_DEFINE_QUARK (dff_pool_error, dff_pool_error)
+
+static void
+team_clear (gpointer data)
+{
+	struct dff_team *team = data;
+	g_array_unref (team->token_digests);
+	g_array_unref (team->guarantees);
+}
+
+static void
+service_clear (gpointer data)
+{
+	g_array_unref (((struct dff_service *)data)->teams);
+}
+
+static void
+rack_clear (gpointer data)
+{
+	g_array_unref (((struct dff_rack *)data)->workers);
+}
+
+static void
+operator_clear (gpointer data)
+{
+	g_array_unref (((struct dff_operator *)data)->token_digests);
+}
+
+static GArray *
+table_new (guint size, GDestroyNotify clear)
+{
+	GArray *table = g_array_new (FALSE, TRUE, size);
+	g_array_set_clear_func (table, clear);
+	return table;
+}
+
+struct dff_pool *
+dff_pool_new (void)
+{
+	struct dff_pool *pool = g_new0 (struct dff_pool, 1);
+	pool->teams = table_new (sizeof (struct dff_team), team_clear);
+	pool->services = table_new (sizeof (struct dff_service), service_clear);
+	pool->racks = table_new (sizeof (struct dff_rack), rack_clear);
+	pool->operators = table_new (sizeof (struct dff_operator), operator_clear);
+	return pool;
+}
+
+void
+dff_pool_free (struct dff_pool *pool)
+{
+	if (pool == NULL)
+		return;
+	g_array_unref (pool->teams);
+	g_array_unref (pool->services);
+	g_array_unref (pool->racks);
+	g_array_unref (pool->operators);
+	g_free (pool);
+}
+
+const struct dff_team *
+dff_pool_find_team (const struct dff_pool *pool, const struct dff_name *name)
+{
+	for (guint i = 0; i < pool->teams->len; i++) {
+		const struct dff_team *team = &g_array_index (pool->teams, struct dff_team, i);
+		if (dff_name_equal (&team->name, name))
+			return team;
+	}
+	return NULL;
+}
+
+const struct dff_service *
+dff_pool_find_service (const struct dff_pool *pool, const struct dff_name *name)
+{
+	for (guint i = 0; i < pool->services->len; i++) {
+		const struct dff_service *service =
+			&g_array_index (pool->services, struct dff_service, i);
+		if (dff_name_equal (&service->name, name))
+			return service;
+	}
+	return NULL;
+}
+
+/* Compares with every digest of the list, whether or not one was equal before: the time taken
+ * would otherwise tell a caller how far a guessed token got. */
+static bool
+digests_hold (const GArray *digests, const uint8_t *digest)
+{
+	bool found = false;
+	for (guint i = 0; i < digests->len; i++) {
+		const char *stored = digests->data + (size_t)i * DFF_POOL_DIGEST_SIZE;
+		found |= sodium_memcmp (stored, digest, DFF_POOL_DIGEST_SIZE) == 0;
+	}
+	return found;
+}
+
+struct dff_principal
+dff_pool_authenticate (const struct dff_pool *pool, struct dff_str token)
+{
+	struct dff_principal principal = {0};
+	uint8_t digest[DFF_POOL_DIGEST_SIZE];
+	crypto_hash_sha256 (digest, (const unsigned char *)token.data, token.len);
+	for (guint i = 0; i < pool->teams->len; i++) {
+		const struct dff_team *team = &g_array_index (pool->teams, struct dff_team, i);
+		if (digests_hold (team->token_digests, digest))
+			principal = (struct dff_principal){true, false, team->name};
+	}
+	for (guint i = 0; i < pool->operators->len; i++) {
+		const struct dff_operator *entry =
+			&g_array_index (pool->operators, struct dff_operator, i);
+		if (digests_hold (entry->token_digests, digest))
+			principal = (struct dff_principal){true, true, entry->name};
+	}
+	return principal;
+}
+
+static int32_t
+pool_largest_rack (const struct dff_pool *pool)
+{
+	int32_t largest = 0;
+	for (guint i = 0; i < pool->racks->len; i++) {
+		const struct dff_rack *rack = &g_array_index (pool->racks, struct dff_rack, i);
+		int32_t size = (int32_t)rack->workers->len * rack->per_worker.accelerators;
+		largest = MAX (largest, size);
+	}
+	return largest;
+}
+
+int32_t
+dff_pool_adjacent_unit (const struct dff_pool *pool)
+{
+	int32_t largest_rack = pool_largest_rack (pool);
+	int32_t unit = 0;
+	for (guint i = 0; i < pool->teams->len; i++) {
+		const struct dff_team *team = &g_array_index (pool->teams, struct dff_team, i);
+		for (guint j = 0; j < team->guarantees->len; j++) {
+			int32_t size = g_array_index (team->guarantees, struct dff_guarantee, j)
+					       .accelerators;
+			if (size <= largest_rack)
+				unit = MAX (unit, size);
+		}
+	}
+	return unit > 0 ? unit : DFF_ADJACENT_UNIT_DEFAULT;
+}
