--- /dev/null
+++ b/core/core.c
@@ -0,0 +1,354 @@
+#include "core/core_private.h"
+
+/* The core's outside: construction, the pool, events in, commands out. */
+
+#define DEFAULT_START_TIMEOUT_MS 15000
+/* 4.3 s for urgent work, less deciding, recording, stopping and starting. */
+#define DEFAULT_CHECKPOINT_GRACE_MS 2500
+/** Accelerators that count as a whole piece where no team has a guarantee. */
+#define DEFAULT_ADJACENT_UNIT 8
+
+void
+dff_core_options_init (struct dff_core_options *options)
+{
+	options->seed = 1;
+	options->start_timeout_ms = DEFAULT_START_TIMEOUT_MS;
+	options->checkpoint_grace_ms = DEFAULT_CHECKPOINT_GRACE_MS;
+}
+
+static GArray *
+array_new (guint element_size, GDestroyNotify clear)
+{
+	GArray *array = g_array_new (FALSE, TRUE, element_size);
+	if (clear != NULL)
+		g_array_set_clear_func (array, clear);
+	return array;
+}
+
+struct dff_core *
+dff_core_new (const struct dff_core_options *options)
+{
+	struct dff_core *core = g_new0 (struct dff_core, 1);
+	core->options = *options;
+	core->workers = array_new (sizeof (struct dff_core_worker), dff_core_worker_clear);
+	core->racks = array_new (sizeof (struct dff_core_rack), dff_core_rack_clear);
+	core->teams = array_new (sizeof (struct dff_core_team), NULL);
+	core->regions = array_new (sizeof (struct dff_name), NULL);
+	core->worker_index =
+		g_hash_table_new_full (dff_name_hash, dff_name_equal_func, g_free, NULL);
+	core->team_index = g_hash_table_new_full (dff_name_hash, dff_name_equal_func, g_free, NULL);
+	core->jobs = g_hash_table_new (dff_name_hash, dff_name_equal_func);
+	core->classes = dff_core_classes_new ();
+	core->pending = array_new (sizeof (struct dff_command), NULL);
+	core->adjacent_unit = DEFAULT_ADJACENT_UNIT;
+	return core;
+}
+
+static void
+free_job (G_GNUC_UNUSED gpointer key, gpointer value, G_GNUC_UNUSED gpointer user)
+{
+	struct dff_core_job *job = value;
+	dff_core_job_clear_attempt (job);
+	g_free (job);
+}
+
+void
+dff_core_free (struct dff_core *core)
+{
+	g_hash_table_foreach (core->jobs, free_job, NULL);
+	g_hash_table_unref (core->jobs);
+	g_hash_table_unref (core->classes);
+	g_hash_table_unref (core->worker_index);
+	g_hash_table_unref (core->team_index);
+	g_array_unref (core->workers);
+	g_array_unref (core->racks);
+	g_array_unref (core->teams);
+	g_array_unref (core->regions);
+	g_array_unref (core->pending);
+	g_free (core);
+}
+
+static int32_t
+worker_index_or_add (struct dff_core *core, const struct dff_name *name)
+{
+	int32_t index = dff_core_find_worker (core, name);
+	if (index != DFF_CORE_NONE)
+		return index;
+	index = (int32_t)core->workers->len;
+	g_array_set_size (core->workers, core->workers->len + 1);
+	struct dff_core_worker *worker = dff_core_worker_at (core, index);
+	worker->name = *name;
+	worker->rack = DFF_CORE_NONE;
+	worker->tenants = g_ptr_array_new ();
+	g_hash_table_insert (core->worker_index, dff_name_dup (name), GINT_TO_POINTER (index));
+	return index;
+}
+
+static int32_t
+region_index_or_add (struct dff_core *core, const struct dff_name *name)
+{
+	int32_t index = dff_core_find_region (core, name);
+	if (index != DFF_CORE_NONE)
+		return index;
+	g_array_append_val (core->regions, *name);
+	return (int32_t)core->regions->len - 1;
+}
+
+static void
+add_rack (struct dff_core *core, const struct dff_rack *declared)
+{
+	int32_t index = (int32_t)core->racks->len;
+	g_array_set_size (core->racks, core->racks->len + 1);
+	struct dff_core_rack *rack = dff_core_rack_at (core, index);
+	rack->name = declared->name;
+	rack->region = region_index_or_add (core, &declared->region);
+	rack->workers = g_array_new (FALSE, FALSE, sizeof (int32_t));
+	for (guint i = 0; i < declared->workers->len; i++) {
+		int32_t worker_index = worker_index_or_add (
+			core, &g_array_index (declared->workers, struct dff_name, i));
+		struct dff_core_worker *worker = dff_core_worker_at (core, worker_index);
+		worker->rack = index;
+		worker->capacity = declared->per_worker;
+		dff_core_worker_note_overload (worker);
+		g_array_append_val (rack->workers, worker_index);
+	}
+	dff_core_rack_summarise (core, index);
+}
+
+static void
+set_racks (struct dff_core *core, const GArray *racks)
+{
+	for (guint i = 0; i < core->workers->len; i++)
+		dff_core_worker_at (core, (int32_t)i)->rack = DFF_CORE_NONE;
+	g_array_set_size (core->racks, 0);
+	for (guint i = 0; i < racks->len; i++)
+		add_rack (core, &g_array_index (racks, struct dff_rack, i));
+}
+
+static void
+set_team (struct dff_core *core, const struct dff_team *declared)
+{
+	int32_t index = dff_core_find_team (core, &declared->name);
+	if (index == DFF_CORE_NONE) {
+		index = (int32_t)core->teams->len;
+		g_array_set_size (core->teams, core->teams->len + 1);
+		dff_core_team_at (core, index)->name = declared->name;
+		g_hash_table_insert (core->team_index, dff_name_dup (&declared->name),
+				     GINT_TO_POINTER (index));
+	}
+	struct dff_core_team *team = dff_core_team_at (core, index);
+	team->declared = true;
+	team->quota_accelerators = declared->quota_accelerators;
+	team->max_queued = declared->max_queued;
+	team->weight = MAX (declared->weight, 1);
+}
+
+static const char *
+refusal (const struct dff_core *core, const struct dff_core_job *job)
+{
+	if (job->team == DFF_CORE_NONE || !dff_core_team_at (core, job->team)->declared)
+		return "unknown_team";
+	if (job->gang < 1 || job->gang > DFF_GANG_MAX)
+		return "never_runnable";
+	const struct dff_core_team *team = dff_core_team_at (core, job->team);
+	int64_t asked = (int64_t)job->gang * job->per_task.accelerators;
+	if (team->quota_accelerators > 0 && asked > team->quota_accelerators)
+		return "never_runnable";
+	return dff_core_place_ever (core, job) ? NULL : "never_runnable";
+}
+
+/* A new pool may make queued jobs impossible: they end now instead of waiting for ever. */
+static void
+refuse_queued (struct dff_core *core)
+{
+	g_autoptr (GPtrArray) jobs = g_ptr_array_new ();
+	GHashTableIter iter;
+	gpointer value;
+	g_hash_table_iter_init (&iter, core->jobs);
+	while (g_hash_table_iter_next (&iter, NULL, &value)) {
+		const struct dff_core_job *job = value;
+		if (job->state == DFF_CORE_QUEUED || job->state == DFF_CORE_DELAYED)
+			g_ptr_array_add (jobs, value);
+	}
+	for (guint i = 0; i < jobs->len; i++) {
+		struct dff_core_job *job = g_ptr_array_index (jobs, i);
+		const char *reason = refusal (core, job);
+		if (reason != NULL)
+			dff_core_job_give_up (core, job, reason);
+	}
+}
+
+static int32_t
+adjacent_unit (const struct dff_pool *pool)
+{
+	int32_t largest_rack = 0;
+	int32_t unit = 0;
+	for (guint i = 0; i < pool->racks->len; i++) {
+		const struct dff_rack *rack = &g_array_index (pool->racks, struct dff_rack, i);
+		largest_rack = MAX (largest_rack,
+				    (int32_t)rack->workers->len * rack->per_worker.accelerators);
+	}
+	for (guint i = 0; i < pool->teams->len; i++) {
+		const GArray *guarantees =
+			g_array_index (pool->teams, struct dff_team, i).guarantees;
+		for (guint j = 0; j < guarantees->len; j++) {
+			int32_t size =
+				g_array_index (guarantees, struct dff_guarantee, j).accelerators;
+			if (size <= largest_rack)
+				unit = MAX (unit, size);
+		}
+	}
+	return unit > 0 ? unit : DEFAULT_ADJACENT_UNIT;
+}
+
+void
+dff_core_set_pool (struct dff_core *core, const struct dff_pool *pool, int64_t now_ms)
+{
+	core->now_ms = now_ms;
+	set_racks (core, pool->racks);
+	for (guint i = 0; i < core->teams->len; i++)
+		dff_core_team_at (core, (int32_t)i)->declared = false;
+	for (guint i = 0; i < pool->teams->len; i++)
+		set_team (core, &g_array_index (pool->teams, struct dff_team, i));
+	core->adjacent_unit = adjacent_unit (pool);
+	core->dirty = true;
+	refuse_queued (core);
+}
+
+struct dff_admission
+dff_core_admit (const struct dff_core *core, const struct dff_job_spec *spec)
+{
+	struct dff_core_job job = {
+		.team = dff_core_find_team (core, &spec->team),
+		.region = dff_core_find_region (core, &spec->region),
+		.gang = spec->gang,
+		.per_task = spec->per_task,
+		.adjacency = spec->adjacency,
+	};
+	if (!dff_name_is_empty (&spec->region) && job.region == DFF_CORE_NONE)
+		return (struct dff_admission){.reason = "unknown_region"};
+	const char *reason = refusal (core, &job);
+	if (reason != NULL)
+		return (struct dff_admission){.reason = reason};
+	const struct dff_core_team *team = dff_core_team_at (core, job.team);
+	if (team->max_queued > 0 && team->n_jobs >= team->max_queued)
+		return (struct dff_admission){.reason = "quota"};
+	return (struct dff_admission){.admitted = true};
+}
+
+void
+dff_core_job_queue_or_refuse (struct dff_core *core,
+			      struct dff_core_job *job,
+			      const struct dff_job_spec *spec)
+{
+	const char *reason = refusal (core, job);
+	if (!dff_name_is_empty (&spec->region) && job->region == DFF_CORE_NONE)
+		reason = "unknown_region";
+	if (reason != NULL)
+		dff_core_job_give_up (core, job, reason);
+	else
+		dff_core_enqueue (core, job);
+}
+
+static void
+handle_job_event (struct dff_core *core, const struct dff_event *event)
+{
+	if (event->type == DFF_EVENT_JOB_CANCELLED) {
+		struct dff_core_job *job = dff_core_find_job (core, &event->job);
+		if (job != NULL)
+			dff_core_job_cancel (core, job);
+		return;
+	}
+	if (dff_core_find_job (core, &event->spec->id) != NULL)
+		return;
+	if (event->type == DFF_EVENT_JOB_RECOVERED) {
+		dff_core_job_recover (core, event->spec, event->recovered);
+		return;
+	}
+	dff_core_job_queue_or_refuse (core, dff_core_job_add (core, event->spec), event->spec);
+}
+
+static void
+handle_worker_event (struct dff_core *core, const struct dff_event *event)
+{
+	int32_t index = dff_core_find_worker (core, &event->worker);
+	if (index != DFF_CORE_NONE)
+		dff_core_worker_set_state (core, index, event->worker_state);
+}
+
+static void
+handle_attempt_event (struct dff_core *core, const struct dff_event *event)
+{
+	struct dff_core_job *job = dff_core_find_job (core, &event->job);
+	if (job == NULL || job->attempt != event->attempt)
+		return;
+	switch (event->type) {
+	case DFF_EVENT_ATTEMPT_RECORDED:
+		dff_core_attempt_recorded (core, job);
+		return;
+	case DFF_EVENT_ATTEMPT_REFUSED:
+		dff_core_attempt_refused (core, job);
+		return;
+	case DFF_EVENT_OUTCOME_RECORDED:
+		if (job->state == DFF_CORE_ENDING)
+			dff_core_job_remove (core, job);
+		return;
+	default:
+		if (job->members != NULL && event->member >= 0 && event->member < job->gang)
+			dff_core_member_event (core, job, event);
+		return;
+	}
+}
+
+void
+dff_core_handle_event (struct dff_core *core, const struct dff_event *event, int64_t now_ms)
+{
+	core->now_ms = now_ms;
+	switch (event->type) {
+	case DFF_EVENT_JOB_SUBMITTED:
+	case DFF_EVENT_JOB_RECOVERED:
+	case DFF_EVENT_JOB_CANCELLED:
+		handle_job_event (core, event);
+		return;
+	case DFF_EVENT_WORKER_STATE:
+		handle_worker_event (core, event);
+		return;
+	default:
+		handle_attempt_event (core, event);
+		return;
+	}
+}
+
+void
+dff_core_tick (struct dff_core *core, int64_t now_ms, GArray *commands)
+{
+	core->now_ms = now_ms;
+	dff_core_run_deadlines (core);
+	dff_core_run_delayed (core);
+	dff_core_run_queue (core);
+	g_array_set_size (commands, 0);
+	if (core->pending->len > 0)
+		g_array_append_vals (commands, core->pending->data, core->pending->len);
+	g_array_set_size (core->pending, 0);
+}
+
+static int64_t
+head_deadline (const GQueue *queue)
+{
+	if (queue->head == NULL)
+		return INT64_MAX;
+	return ((const struct dff_core_job *)queue->head->data)->deadline_ms;
+}
+
+int64_t
+dff_core_next_wake_ms (const struct dff_core *core)
+{
+	if (core->dirty || core->pending->len > 0)
+		return core->now_ms;
+	int64_t wake_ms = head_deadline (&core->starting);
+	wake_ms = MIN (wake_ms, head_deadline (&core->checkpointing));
+	wake_ms = MIN (wake_ms, head_deadline (&core->stopping));
+	for (const GList *link = core->delayed.head; link != NULL; link = link->next)
+		wake_ms = MIN (wake_ms, ((const struct dff_core_job *)link->data)->deadline_ms);
+	return wake_ms;
+}
--- /dev/null
+++ b/core/lifecycle.c
@@ -0,0 +1,538 @@
+#include "core/core_private.h"
+
+#include <string.h>
+
+/* The state machine of attempts. Commands go to core->pending and leave with the next tick. */
+
+static struct dff_command *
+emit (struct dff_core *core, enum dff_command_type type, const struct dff_core_job *job)
+{
+	g_array_set_size (core->pending, core->pending->len + 1);
+	struct dff_command *command =
+		&g_array_index (core->pending, struct dff_command, core->pending->len - 1);
+	memset (command, 0, sizeof (*command));
+	command->type = type;
+	command->job = job->id;
+	command->attempt = job->attempt;
+	return command;
+}
+
+static void
+emit_member (struct dff_core *core,
+	     enum dff_command_type type,
+	     const struct dff_core_job *job,
+	     int32_t member)
+{
+	struct dff_command *command = emit (core, type, job);
+	command->member = member;
+	command->placement = g_array_index (job->placements, struct dff_placement, member);
+	command->held = type == DFF_COMMAND_START_TASK && job->gang > 1;
+}
+
+static int64_t *
+state_count (struct dff_core *core, enum dff_core_state state)
+{
+	switch (state) {
+	case DFF_CORE_QUEUED:
+	case DFF_CORE_DELAYED:
+		return &core->stats.queued;
+	case DFF_CORE_RECORDING:
+	case DFF_CORE_STARTING:
+		return &core->stats.starting;
+	case DFF_CORE_RUNNING:
+		return &core->stats.running;
+	case DFF_CORE_CHECKPOINTING:
+	case DFF_CORE_STOPPING:
+		return &core->stats.stopping;
+	case DFF_CORE_ENDING:
+	default:
+		return &core->stats.ended;
+	}
+}
+
+static GQueue *
+state_queue (struct dff_core *core, enum dff_core_state state)
+{
+	switch (state) {
+	case DFF_CORE_STARTING:
+		return &core->starting;
+	case DFF_CORE_CHECKPOINTING:
+		return &core->checkpointing;
+	case DFF_CORE_STOPPING:
+		return &core->stopping;
+	case DFF_CORE_DELAYED:
+		return &core->delayed;
+	default:
+		return NULL;
+	}
+}
+
+/* Every change of state goes through here, so that counters and queues can't drift apart. */
+static void
+set_state (struct dff_core *core,
+	   struct dff_core_job *job,
+	   enum dff_core_state state,
+	   int64_t deadline_ms)
+{
+	dff_core_dequeue (core, job);
+	GQueue *old_queue = state_queue (core, job->state);
+	if (old_queue != NULL)
+		g_queue_unlink (old_queue, &job->link);
+	(*state_count (core, job->state))--;
+	job->state = state;
+	job->deadline_ms = deadline_ms;
+	(*state_count (core, state))++;
+	GQueue *queue = state_queue (core, state);
+	if (queue != NULL)
+		g_queue_push_tail_link (queue, &job->link);
+}
+
+static bool
+member_is_open (const struct dff_core_member *member)
+{
+	return member->state < DFF_CORE_MEMBER_COMPLETED;
+}
+
+void
+dff_core_attempt_begin (struct dff_core *core, struct dff_core_job *job)
+{
+	set_state (core, job, DFF_CORE_RECORDING, INT64_MAX);
+	job->attempt++;
+	job->n_open = job->gang;
+	job->placements =
+		g_array_sized_new (FALSE, TRUE, sizeof (struct dff_placement), (guint)job->gang);
+	g_array_set_size (job->placements, (guint)job->gang);
+	for (int32_t i = 0; i < job->gang; i++) {
+		struct dff_core_worker *worker = dff_core_worker_at (core, job->members[i].worker);
+		struct dff_placement *placement =
+			&g_array_index (job->placements, struct dff_placement, i);
+		placement->worker = worker->name;
+		placement->accelerators =
+			dff_core_pick_accelerators (worker, job->per_task.accelerators);
+		dff_core_lease (core, job, job->members[i].worker, placement->accelerators);
+	}
+	emit (core, DFF_COMMAND_RECORD_START, job)->placements = job->placements;
+}
+
+void
+dff_core_attempt_resume (struct dff_core *core, struct dff_core_job *job, int64_t age_ms)
+{
+	set_state (core, job, DFF_CORE_RUNNING, INT64_MAX);
+	job->started_ms = core->now_ms - age_ms;
+	job->submitted_ms = job->started_ms;
+}
+
+static void
+member_close (struct dff_core *core,
+	      struct dff_core_job *job,
+	      int32_t index,
+	      enum dff_core_member_state state)
+{
+	struct dff_core_member *member = &job->members[index];
+	g_assert (member_is_open (member));
+	member->state = state;
+	dff_core_unlease (core, job, index);
+	job->n_open--;
+	if (member->ran)
+		job->ever_ran = true;
+}
+
+static void
+close_unsent (struct dff_core *core, struct dff_core_job *job)
+{
+	for (int32_t i = 0; i < job->gang; i++) {
+		if (job->members[i].state == DFF_CORE_MEMBER_IDLE)
+			member_close (core, job, i, DFF_CORE_MEMBER_START_FAILED);
+	}
+}
+
+static bool
+every_worker_usable (const struct dff_core *core, const struct dff_core_job *job)
+{
+	for (int32_t i = 0; i < job->gang; i++) {
+		if (!dff_core_worker_usable (dff_core_worker_at (core, job->members[i].worker)))
+			return false;
+	}
+	return true;
+}
+
+void
+dff_core_attempt_recorded (struct dff_core *core, struct dff_core_job *job)
+{
+	if (job->state != DFF_CORE_RECORDING)
+		return;
+	job->refusals = 0;
+	/* A worker may have gone between decision and record. Nothing was sent yet, so no member
+	 * is sent at all and the attempt is proven not run. */
+	if (job->cancelled || job->preempted || !every_worker_usable (core, job)) {
+		close_unsent (core, job);
+		dff_core_attempt_over (core, job);
+		return;
+	}
+	set_state (core, job, DFF_CORE_STARTING, core->now_ms + core->options.start_timeout_ms);
+	for (int32_t i = 0; i < job->gang; i++) {
+		job->members[i].state = DFF_CORE_MEMBER_SENT;
+		emit_member (core, DFF_COMMAND_START_TASK, job, i);
+	}
+}
+
+void
+dff_core_attempt_refused (struct dff_core *core, struct dff_core_job *job)
+{
+	if (job->state != DFF_CORE_RECORDING)
+		return;
+	close_unsent (core, job);
+	dff_core_job_clear_attempt (job);
+	if (job->cancelled) {
+		dff_core_job_end (core, job, DFF_OUTCOME_CANCELLED, "cancelled");
+		return;
+	}
+	/* A store that refuses one record refuses the next: without a back-off the same job would
+	 * be placed and refused at every tick and keep its workers from others. */
+	int64_t wait_ms = (int64_t)DFF_CORE_RETRY_MIN_MS << MIN (job->refusals, 6);
+	job->refusals++;
+	dff_core_delay (core, job, MIN (wait_ms, DFF_CORE_RETRY_MAX_MS));
+}
+
+void
+dff_core_attempt_stop (struct dff_core *core,
+		       struct dff_core_job *job,
+		       enum dff_core_stop_cause cause)
+{
+	if (job->stop_cause == DFF_CORE_STOP_NONE)
+		job->stop_cause = cause;
+	set_state (core, job, DFF_CORE_STOPPING, core->now_ms + DFF_CORE_STOP_REPEAT_MS);
+	for (int32_t i = 0; i < job->gang; i++) {
+		if (member_is_open (&job->members[i]))
+			emit_member (core, DFF_COMMAND_STOP_TASK, job, i);
+	}
+}
+
+static void
+member_started (struct dff_core *core, struct dff_core_job *job, struct dff_core_member *member)
+{
+	if (member->state != DFF_CORE_MEMBER_SENT)
+		return;
+	member->state = DFF_CORE_MEMBER_STARTED;
+	member->ran = job->gang == 1;
+	job->n_started++;
+	if (job->state != DFF_CORE_STARTING || job->n_started < job->gang)
+		return;
+	set_state (core, job, DFF_CORE_RUNNING, INT64_MAX);
+	job->started_ms = core->now_ms;
+	job->released = true;
+	if (job->gang == 1)
+		return;
+	for (int32_t i = 0; i < job->gang; i++) {
+		job->members[i].ran = true;
+		emit_member (core, DFF_COMMAND_RELEASE_TASK, job, i);
+	}
+}
+
+static void
+member_checkpointed (struct dff_core *core,
+		     struct dff_core_job *job,
+		     struct dff_core_member *member)
+{
+	if (member->state != DFF_CORE_MEMBER_STARTED || job->state != DFF_CORE_CHECKPOINTING)
+		return;
+	member->state = DFF_CORE_MEMBER_CHECKPOINTED;
+	for (int32_t i = 0; i < job->gang; i++) {
+		if (job->members[i].state == DFF_CORE_MEMBER_STARTED)
+			return;
+	}
+	dff_core_attempt_stop (core, job, DFF_CORE_STOP_PREEMPTED);
+}
+
+/* What a worker says about an end, and whether the member may have run by then. */
+static bool
+member_end_of_event (const struct dff_core_job *job,
+		     const struct dff_core_member *member,
+		     const struct dff_event *event,
+		     enum dff_core_member_state *state,
+		     bool *ran)
+{
+	switch (event->type) {
+	case DFF_EVENT_TASK_COMPLETED:
+		*state = DFF_CORE_MEMBER_COMPLETED;
+		*ran = true;
+		return true;
+	case DFF_EVENT_TASK_FAILED:
+		*state = DFF_CORE_MEMBER_FAILED;
+		*ran = job->gang == 1 || job->released;
+		return true;
+	case DFF_EVENT_TASK_STOPPED:
+		*state = DFF_CORE_MEMBER_STOPPED;
+		*ran = event->ran;
+		return true;
+	case DFF_EVENT_TASK_START_FAILED:
+		*state = DFF_CORE_MEMBER_START_FAILED;
+		*ran = false;
+		return true;
+	case DFF_EVENT_TASK_LOST:
+		*state = DFF_CORE_MEMBER_LOST;
+		*ran = member->state != DFF_CORE_MEMBER_IDLE && (job->gang == 1 || job->released);
+		return true;
+	default:
+		return false;
+	}
+}
+
+/* One member's end decides about the others: a gang runs whole or not at all. */
+static void
+after_member_end (struct dff_core *core, struct dff_core_job *job, bool completed)
+{
+	if (job->n_open == 0) {
+		dff_core_attempt_over (core, job);
+		return;
+	}
+	if (!completed && job->state != DFF_CORE_STOPPING)
+		dff_core_attempt_stop (core, job, DFF_CORE_STOP_MEMBER);
+}
+
+void
+dff_core_member_event (struct dff_core *core,
+		       struct dff_core_job *job,
+		       const struct dff_event *event)
+{
+	struct dff_core_member *member = &job->members[event->member];
+	/* A late or repeated event about a member that is over must not change its end. */
+	if (!member_is_open (member) || member->state == DFF_CORE_MEMBER_IDLE)
+		return;
+	if (event->type == DFF_EVENT_TASK_STARTED) {
+		member_started (core, job, member);
+		return;
+	}
+	if (event->type == DFF_EVENT_TASK_CHECKPOINTED) {
+		member_checkpointed (core, job, member);
+		return;
+	}
+	enum dff_core_member_state state;
+	bool ran;
+	if (!member_end_of_event (job, member, event, &state, &ran))
+		return;
+	/* A worker that says "not started" after it said "started" contradicts itself: what may
+	 * have run stays so, or the job could run twice. A stop's own word on @ran counts, because
+	 * a release that was sent may not have arrived. */
+	if (state == DFF_CORE_MEMBER_START_FAILED && member->ran)
+		ran = true;
+	if (state == DFF_CORE_MEMBER_STOPPED && member->ran && job->gang == 1)
+		ran = true;
+	if (member->state == DFF_CORE_MEMBER_SENT && state == DFF_CORE_MEMBER_COMPLETED)
+		job->n_started++;
+	member->ran = ran;
+	member_close (core, job, event->member, state);
+	after_member_end (core, job, state == DFF_CORE_MEMBER_COMPLETED);
+}
+
+void
+dff_core_job_cancel (struct dff_core *core, struct dff_core_job *job)
+{
+	if (job->cancelled || job->state == DFF_CORE_ENDING)
+		return;
+	job->cancelled = true;
+	switch (job->state) {
+	case DFF_CORE_QUEUED:
+	case DFF_CORE_DELAYED:
+		dff_core_job_end (core, job, DFF_OUTCOME_CANCELLED, "cancelled");
+		return;
+	case DFF_CORE_STARTING:
+	case DFF_CORE_RUNNING:
+	case DFF_CORE_CHECKPOINTING:
+		dff_core_attempt_stop (core, job, DFF_CORE_STOP_CANCELLED);
+		return;
+	default:
+		/* Recording: decided when the record is answered. Stopping: decided at its end. */
+		return;
+	}
+}
+
+void
+dff_core_job_preempt (struct dff_core *core, struct dff_core_job *job)
+{
+	if (job->preempted || job->cancelled)
+		return;
+	job->preempted = true;
+	core->stats.preemptions++;
+	if (job->state == DFF_CORE_STARTING || (job->state == DFF_CORE_RUNNING && !job->checkpoint))
+		dff_core_attempt_stop (core, job, DFF_CORE_STOP_PREEMPTED);
+	if (job->state != DFF_CORE_RUNNING)
+		return;
+	set_state (core, job, DFF_CORE_CHECKPOINTING,
+		   core->now_ms + core->options.checkpoint_grace_ms);
+	for (int32_t i = 0; i < job->gang; i++) {
+		if (member_is_open (&job->members[i]))
+			emit_member (core, DFF_COMMAND_CHECKPOINT_TASK, job, i);
+	}
+}
+
+void
+dff_core_job_end (struct dff_core *core,
+		  struct dff_core_job *job,
+		  enum dff_outcome outcome,
+		  const char *reason)
+{
+	set_state (core, job, DFF_CORE_ENDING, INT64_MAX);
+	struct dff_command *command = emit (core, DFF_COMMAND_RECORD_END, job);
+	command->outcome = outcome;
+	command->reason = reason;
+}
+
+void
+dff_core_job_give_up (struct dff_core *core, struct dff_core_job *job, const char *reason)
+{
+	enum dff_outcome outcome = job->ever_ran ? DFF_OUTCOME_FAILED : DFF_OUTCOME_NOT_RUN;
+	dff_core_job_end (core, job, outcome, reason);
+}
+
+struct attempt_summary {
+	int32_t completed, failed, lost, start_failed;
+	bool any_ran;
+	bool lost_ran;
+};
+
+static struct attempt_summary
+summarise (const struct dff_core_job *job)
+{
+	struct attempt_summary sum = {0};
+	for (int32_t i = 0; i < job->gang; i++) {
+		const struct dff_core_member *member = &job->members[i];
+		sum.completed += member->state == DFF_CORE_MEMBER_COMPLETED;
+		sum.failed += member->state == DFF_CORE_MEMBER_FAILED;
+		sum.lost += member->state == DFF_CORE_MEMBER_LOST;
+		sum.start_failed += member->state == DFF_CORE_MEMBER_START_FAILED;
+		sum.any_ran |= member->ran;
+		sum.lost_ran |= member->state == DFF_CORE_MEMBER_LOST && member->ran;
+	}
+	return sum;
+}
+
+static void
+retry (struct dff_core *core, struct dff_core_job *job, int64_t wait_ms)
+{
+	core->stats.retries++;
+	emit (core, DFF_COMMAND_RECORD_RETRY, job);
+	dff_core_job_clear_attempt (job);
+	if (wait_ms > 0) {
+		dff_core_delay (core, job, wait_ms);
+		return;
+	}
+	set_state (core, job, DFF_CORE_QUEUED, INT64_MAX);
+	dff_core_enqueue (core, job);
+}
+
+/* An attempt of which nothing ran may be followed by another, whatever the job is. */
+static void
+over_unrun (struct dff_core *core, struct dff_core_job *job, const struct attempt_summary *sum)
+{
+	bool charged = sum->start_failed + sum->failed + sum->lost > 0 ||
+		       job->stop_cause == DFF_CORE_STOP_START_TIMEOUT;
+	bool sent = job->state != DFF_CORE_RECORDING;
+	if (!charged || !sent) {
+		retry (core, job, 0);
+		return;
+	}
+	job->start_failures++;
+	core->stats.start_failures++;
+	if (job->start_failures >= DFF_CORE_START_FAILURES_MAX) {
+		dff_core_job_give_up (core, job, "start_failed");
+		return;
+	}
+	retry (core, job, DFF_CORE_RETRY_MIN_MS);
+}
+
+/* Work that is not idempotent and may have run is never started again. */
+static void
+over_once (struct dff_core *core, struct dff_core_job *job, const struct attempt_summary *sum)
+{
+	if (sum->lost_ran)
+		dff_core_job_end (core, job, DFF_OUTCOME_UNKNOWN, "worker_lost");
+	else if (job->cancelled)
+		dff_core_job_end (core, job, DFF_OUTCOME_CANCELLED, "cancelled");
+	else if (job->stop_cause == DFF_CORE_STOP_START_TIMEOUT)
+		dff_core_job_end (core, job, DFF_OUTCOME_FAILED, "start_timeout");
+	else
+		dff_core_job_end (core, job, DFF_OUTCOME_FAILED, "task_failed");
+}
+
+static void
+over_repeatable (struct dff_core *core, struct dff_core_job *job, const struct attempt_summary *sum)
+{
+	job->failures += sum->failed > 0;
+	job->losses += sum->failed == 0 && sum->lost > 0;
+	if (job->failures >= job->max_attempts) {
+		dff_core_job_end (core, job, DFF_OUTCOME_FAILED, "attempts_exhausted");
+		return;
+	}
+	if (job->losses >= job->max_attempts + DFF_CORE_LOSSES_MAX) {
+		dff_core_job_end (core, job, DFF_OUTCOME_FAILED, "workers_lost");
+		return;
+	}
+	int64_t wait_ms =
+		sum->failed > 0 ? (int64_t)DFF_CORE_RETRY_MIN_MS << MIN (job->failures, 6) : 0;
+	retry (core, job, wait_ms);
+}
+
+void
+dff_core_attempt_over (struct dff_core *core, struct dff_core_job *job)
+{
+	struct attempt_summary sum = summarise (job);
+	if (sum.completed == job->gang) {
+		dff_core_job_end (core, job, DFF_OUTCOME_COMPLETED, "completed");
+		return;
+	}
+	if (sum.any_ran && !job->idempotent) {
+		over_once (core, job, &sum);
+		return;
+	}
+	if (job->cancelled) {
+		dff_core_job_end (core, job, DFF_OUTCOME_CANCELLED, "cancelled");
+		return;
+	}
+	if (!sum.any_ran)
+		over_unrun (core, job, &sum);
+	else
+		over_repeatable (core, job, &sum);
+}
+
+static bool
+head_is_due (const struct dff_core *core, const GQueue *queue)
+{
+	const struct dff_core_job *job = queue->head != NULL ? queue->head->data : NULL;
+	return job != NULL && job->deadline_ms <= core->now_ms;
+}
+
+void
+dff_core_run_deadlines (struct dff_core *core)
+{
+	while (head_is_due (core, &core->starting))
+		dff_core_attempt_stop (core, core->starting.head->data,
+				       DFF_CORE_STOP_START_TIMEOUT);
+	while (head_is_due (core, &core->checkpointing))
+		dff_core_attempt_stop (core, core->checkpointing.head->data,
+				       DFF_CORE_STOP_PREEMPTED);
+	while (head_is_due (core, &core->stopping)) {
+		struct dff_core_job *job = core->stopping.head->data;
+		dff_core_attempt_stop (core, job, job->stop_cause);
+	}
+}
+
+void
+dff_core_delay (struct dff_core *core, struct dff_core_job *job, int64_t wait_ms)
+{
+	set_state (core, job, DFF_CORE_DELAYED, core->now_ms + wait_ms);
+}
+
+void
+dff_core_run_delayed (struct dff_core *core)
+{
+	GList *next = NULL;
+	for (GList *link = core->delayed.head; link != NULL; link = next) {
+		next = link->next;
+		struct dff_core_job *job = link->data;
+		if (job->deadline_ms > core->now_ms)
+			continue;
+		set_state (core, job, DFF_CORE_QUEUED, INT64_MAX);
+		dff_core_enqueue (core, job);
+	}
+}
--- /dev/null
+++ b/core/place.c
@@ -0,0 +1,290 @@
+#include "core/core_private.h"
+
+/* Best fit: within what is allowed, the racks and workers that are left with least. */
+
+/** How many times the fewest racks a gang may spread over. */
+#define SPREAD_MAX 2
+
+static int32_t
+fits_in (const struct dff_resources *room, const struct dff_resources *need, int32_t limit)
+{
+	int32_t count = limit;
+	if (need->slots > 0)
+		count = MIN (count, room->slots / need->slots);
+	if (need->cores > 0)
+		count = MIN (count, room->cores / need->cores);
+	if (need->memory_gb > 0)
+		count = MIN (count, room->memory_gb / need->memory_gb);
+	if (need->accelerators > 0)
+		count = MIN (count, room->accelerators / need->accelerators);
+	return MAX (count, 0);
+}
+
+/* What a placement may use of a worker. */
+struct view {
+	/** Every declared worker counts as up and empty. */
+	bool empty;
+};
+
+static struct dff_resources
+worker_room (const struct dff_core_worker *worker, const struct view *view)
+{
+	struct dff_resources room = worker->capacity;
+	if (view->empty)
+		return room;
+	room.slots -= worker->used.slots;
+	room.cores -= worker->used.cores;
+	room.memory_gb -= worker->used.memory_gb;
+	room.accelerators -= worker->used.accelerators;
+	return room;
+}
+
+static int32_t
+worker_fits (const struct dff_core_worker *worker,
+	     const struct dff_core_job *job,
+	     const struct view *view,
+	     int32_t limit)
+{
+	if (!view->empty && !dff_core_worker_usable (worker))
+		return 0;
+	struct dff_resources room = worker_room (worker, view);
+	return fits_in (&room, &job->per_task, limit);
+}
+
+struct candidate {
+	int32_t worker;
+	int32_t fits;
+	int32_t left;
+};
+
+static int
+compare_candidates (gconstpointer a, gconstpointer b)
+{
+	const struct candidate *one = a;
+	const struct candidate *other = b;
+	if (one->left != other->left)
+		return one->left < other->left ? -1 : 1;
+	return one->worker < other->worker ? -1 : one->worker > other->worker;
+}
+
+static void
+rack_candidates (const struct dff_core *core,
+		 const struct dff_core_rack *rack,
+		 const struct dff_core_job *job,
+		 const struct view *view,
+		 GArray *out)
+{
+	for (guint i = 0; i < rack->workers->len; i++) {
+		int32_t index = g_array_index (rack->workers, int32_t, i);
+		const struct dff_core_worker *worker = dff_core_worker_at (core, index);
+		int32_t fits = worker_fits (worker, job, view, job->gang);
+		if (fits == 0)
+			continue;
+		struct dff_resources room = worker_room (worker, view);
+		/* Accelerators first: a task without any keeps off workers that have some left. */
+		struct candidate candidate = {.worker = index,
+					      .fits = fits,
+					      .left = room.accelerators * 4096 + room.slots};
+		g_array_append_val (out, candidate);
+	}
+}
+
+static int32_t
+rack_fits (const struct dff_core *core,
+	   const struct dff_core_rack *rack,
+	   const struct dff_core_job *job,
+	   const struct view *view)
+{
+	int64_t asked = job->per_task.accelerators;
+	if (!view->empty && asked > rack->free_accelerators)
+		return 0;
+	int32_t count = 0;
+	for (guint i = 0; i < rack->workers->len && count < job->gang; i++) {
+		int32_t index = g_array_index (rack->workers, int32_t, i);
+		count += worker_fits (dff_core_worker_at (core, index), job, view, job->gang);
+	}
+	return MIN (count, job->gang);
+}
+
+static int32_t
+fill (GArray *candidates, int32_t *workers, int32_t placed, int32_t gang)
+{
+	g_array_sort (candidates, compare_candidates);
+	for (guint i = 0; i < candidates->len && placed < gang; i++) {
+		const struct candidate *at = &g_array_index (candidates, struct candidate, i);
+		for (int32_t j = 0; j < at->fits && placed < gang; j++)
+			workers[placed++] = at->worker;
+	}
+	return placed;
+}
+
+static bool
+region_matches (const struct dff_core_job *job, const struct dff_core_rack *rack)
+{
+	return job->region == DFF_CORE_NONE || job->region == rack->region;
+}
+
+/* The rack with the fewest free accelerators that holds the whole gang. */
+static bool
+place_in_rack (const struct dff_core *core,
+	       const struct dff_core_job *job,
+	       const struct view *view,
+	       int32_t *workers)
+{
+	int32_t best = DFF_CORE_NONE;
+	for (guint i = 0; i < core->racks->len; i++) {
+		const struct dff_core_rack *rack = dff_core_rack_at (core, (int32_t)i);
+		if (!region_matches (job, rack))
+			continue;
+		if (best != DFF_CORE_NONE &&
+		    rack->free_accelerators >= dff_core_rack_at (core, best)->free_accelerators)
+			continue;
+		if (rack_fits (core, rack, job, view) >= job->gang)
+			best = (int32_t)i;
+	}
+	if (best == DFF_CORE_NONE)
+		return false;
+	g_autoptr (GArray) candidates = g_array_new (FALSE, FALSE, sizeof (struct candidate));
+	rack_candidates (core, dff_core_rack_at (core, best), job, view, candidates);
+	return fill (candidates, workers, 0, job->gang) == job->gang;
+}
+
+/* Racks @first to @last hold the gang: fills them in order. */
+static bool
+fill_window (const struct dff_core *core,
+	     const struct dff_core_job *job,
+	     const struct view *view,
+	     int32_t first,
+	     int32_t last,
+	     int32_t *workers)
+{
+	int32_t placed = 0;
+	g_autoptr (GArray) candidates = g_array_new (FALSE, FALSE, sizeof (struct candidate));
+	for (int32_t i = first; i <= last && placed < job->gang; i++) {
+		g_array_set_size (candidates, 0);
+		rack_candidates (core, dff_core_rack_at (core, i), job, view, candidates);
+		placed = fill (candidates, workers, placed, job->gang);
+	}
+	return placed == job->gang;
+}
+
+/* The shortest run of neighbouring racks of one region that holds the gang. */
+static bool
+place_in_neighbours (const struct dff_core *core,
+		     const struct dff_core_job *job,
+		     const struct view *view,
+		     int32_t *workers)
+{
+	g_autofree int32_t *fits = g_new (int32_t, core->racks->len);
+	int32_t best_first = DFF_CORE_NONE, best_last = 0, first = 0;
+	int64_t sum = 0;
+	for (int32_t last = 0; last < (int32_t)core->racks->len; last++) {
+		const struct dff_core_rack *rack = dff_core_rack_at (core, last);
+		fits[last] = region_matches (job, rack) ? rack_fits (core, rack, job, view) : 0;
+		if (rack->region != dff_core_rack_at (core, first)->region) {
+			first = last;
+			sum = 0;
+		}
+		sum += fits[last];
+		while (first < last && sum - fits[first] >= job->gang)
+			sum -= fits[first++];
+		if (sum < job->gang)
+			continue;
+		if (best_first == DFF_CORE_NONE || last - first < best_last - best_first) {
+			best_first = first;
+			best_last = last;
+		}
+	}
+	return best_first != DFF_CORE_NONE &&
+	       fill_window (core, job, view, best_first, best_last, workers);
+}
+
+/* Anywhere in one region: splintered racks first. */
+static bool
+place_in_region (const struct dff_core *core,
+		 const struct dff_core_job *job,
+		 const struct view *view,
+		 int32_t region,
+		 int32_t *workers)
+{
+	g_autoptr (GArray) candidates = g_array_new (FALSE, FALSE, sizeof (struct candidate));
+	for (guint i = 0; i < core->racks->len; i++) {
+		const struct dff_core_rack *rack = dff_core_rack_at (core, (int32_t)i);
+		if (rack->region != region)
+			continue;
+		guint before = candidates->len;
+		rack_candidates (core, rack, job, view, candidates);
+		for (guint j = before; j < candidates->len; j++)
+			g_array_index (candidates, struct candidate, j).left +=
+				rack->free_accelerators << 20;
+	}
+	return fill (candidates, workers, 0, job->gang) == job->gang;
+}
+
+static bool
+place_anywhere (const struct dff_core *core,
+		const struct dff_core_job *job,
+		const struct view *view,
+		int32_t *workers)
+{
+	if (place_in_rack (core, job, view, workers))
+		return true;
+	if (job->gang == 1)
+		return false;
+	for (guint i = 0; i < core->regions->len; i++) {
+		if (job->region != DFF_CORE_NONE && job->region != (int32_t)i)
+			continue;
+		if (place_in_region (core, job, view, (int32_t)i, workers))
+			return true;
+	}
+	return false;
+}
+
+static bool
+place (const struct dff_core *core,
+       const struct dff_core_job *job,
+       const struct view *view,
+       int32_t *workers)
+{
+	if (job->adjacency == DFF_ADJACENCY_NONE)
+		return place_anywhere (core, job, view, workers);
+	if (place_in_rack (core, job, view, workers))
+		return true;
+	if (job->adjacency == DFF_ADJACENCY_RACK)
+		return false;
+	/* A gang that fits a rack waits for a whole one; only larger ones spread. */
+	struct view empty = {.empty = true};
+	if (!view->empty && place_in_rack (core, job, &empty, workers))
+		return false;
+	return place_in_neighbours (core, job, view, workers);
+}
+
+bool
+dff_core_place (const struct dff_core *core, const struct dff_core_job *job, int32_t *workers)
+{
+	struct view view = {.empty = false};
+	return place (core, job, &view, workers);
+}
+
+bool
+dff_core_place_ever (const struct dff_core *core, const struct dff_core_job *job)
+{
+	struct view view = {.empty = true};
+	int32_t workers[DFF_GANG_MAX];
+	return place (core, job, &view, workers);
+}
+
+uint64_t
+dff_core_pick_accelerators (const struct dff_core_worker *worker, int32_t count)
+{
+	uint64_t picked = 0;
+	for (int32_t bit = 0; bit < worker->capacity.accelerators && count > 0; bit++) {
+		uint64_t mask = UINT64_C (1) << bit;
+		if ((worker->leased & mask) != 0)
+			continue;
+		picked |= mask;
+		count--;
+	}
+	g_assert (count == 0);
+	return picked;
+}
--- /dev/null
+++ b/core/recover.c
@@ -0,0 +1,84 @@
+#include "core/core_private.h"
+
+/* A row found at take-over. What runs on goes on; what cannot be proven to run is stopped, and the
+ * workers' answers decide its end. */
+
+static void
+adopt_member (struct dff_core *core,
+	      struct dff_core_job *job,
+	      int32_t index,
+	      const struct dff_placement *placement,
+	      bool running)
+{
+	struct dff_core_member *member = &job->members[index];
+	g_array_append_val (job->placements, *placement);
+	member->worker = dff_core_find_worker (core, &placement->worker);
+	member->state = running ? DFF_CORE_MEMBER_STARTED : DFF_CORE_MEMBER_SENT;
+	member->ran = running;
+	job->n_started += running;
+	if (member->worker == DFF_CORE_NONE)
+		return;
+	/* Two rows that claim one accelerator: the first one read keeps it. The other is followed
+	 * without a lease, so that its end is still learned. */
+	if ((dff_core_worker_at (core, member->worker)->leased & placement->accelerators) != 0) {
+		member->worker = DFF_CORE_NONE;
+		return;
+	}
+	dff_core_lease (core, job, member->worker, placement->accelerators);
+	dff_core_worker_note_overload (dff_core_worker_at (core, member->worker));
+}
+
+static bool
+recovered_is_whole (const struct dff_core_job *job, const struct dff_recovered *recovered)
+{
+	return recovered->placements != NULL && recovered->running != NULL &&
+	       recovered->placements->len == (guint)job->gang &&
+	       recovered->running->len == (guint)job->gang;
+}
+
+static void
+resume_attempt (struct dff_core *core,
+		struct dff_core_job *job,
+		const struct dff_recovered *recovered)
+{
+	job->members = g_new0 (struct dff_core_member, (gsize)job->gang);
+	job->placements = g_array_new (FALSE, TRUE, sizeof (struct dff_placement));
+	job->n_open = job->gang;
+	/* The former holder may have released the gang just before it went. */
+	job->released = true;
+	for (int32_t i = 0; i < job->gang; i++) {
+		adopt_member (core, job, i,
+			      &g_array_index (recovered->placements, struct dff_placement, i),
+			      g_array_index (recovered->running, bool, i));
+	}
+	dff_core_attempt_resume (core, job, recovered->age_ms);
+	if (job->cancelled)
+		dff_core_attempt_stop (core, job, DFF_CORE_STOP_CANCELLED);
+	else if (job->n_started < job->gang)
+		dff_core_attempt_stop (core, job, DFF_CORE_STOP_RECOVERY);
+}
+
+void
+dff_core_job_recover (struct dff_core *core,
+		      const struct dff_job_spec *spec,
+		      const struct dff_recovered *recovered)
+{
+	struct dff_core_job *job = dff_core_job_add (core, spec);
+	job->attempt = recovered->attempt;
+	job->cancelled = recovered->cancelled;
+	/* An earlier attempt of idempotent work may have run: it can no longer be "not run". */
+	job->ever_ran = recovered->attempt > 0 && job->idempotent;
+	if (recovered->open && recovered_is_whole (job, recovered)) {
+		resume_attempt (core, job, recovered);
+		return;
+	}
+	if (recovered->open && !job->idempotent) {
+		dff_core_job_end (core, job, DFF_OUTCOME_UNKNOWN, "placement_unknown");
+		return;
+	}
+	if (job->cancelled) {
+		dff_core_job_end (core, job, DFF_OUTCOME_CANCELLED, "cancelled");
+		return;
+	}
+	dff_core_job_queue_or_refuse (core, job, spec);
+}
--- /dev/null
+++ b/core/stats.c
@@ -0,0 +1,41 @@
+#include "core/core_private.h"
+
+void
+dff_core_get_stats (const struct dff_core *core, struct dff_core_stats *stats)
+{
+	*stats = core->stats;
+	int64_t whole = 0;
+	for (guint i = 0; i < core->racks->len; i++) {
+		const struct dff_core_rack *rack = dff_core_rack_at (core, (int32_t)i);
+		int32_t unit = core->adjacent_unit;
+		stats->accelerators_total += rack->accelerators;
+		stats->accelerators_free += rack->free_accelerators;
+		whole += rack->free_accelerators / unit * unit;
+	}
+	if (stats->accelerators_free > 0)
+		stats->fragmentation = 1.0 - (double)whole / (double)stats->accelerators_free;
+}
+
+enum dff_job_phase
+dff_core_job_phase (const struct dff_core *core, const struct dff_name *id)
+{
+	const struct dff_core_job *job = dff_core_find_job (core, id);
+	if (job == NULL)
+		return DFF_JOB_UNKNOWN;
+	switch (job->state) {
+	case DFF_CORE_QUEUED:
+	case DFF_CORE_DELAYED:
+		return DFF_JOB_QUEUED;
+	case DFF_CORE_RECORDING:
+	case DFF_CORE_STARTING:
+		return DFF_JOB_STARTING;
+	case DFF_CORE_RUNNING:
+		return DFF_JOB_RUNNING;
+	case DFF_CORE_CHECKPOINTING:
+	case DFF_CORE_STOPPING:
+		return DFF_JOB_STOPPING;
+	case DFF_CORE_ENDING:
+	default:
+		return DFF_JOB_ENDED;
+	}
+}
--- /dev/null
+++ b/core/tables.c
@@ -0,0 +1,203 @@
+#include "core/core_private.h"
+
+#include <string.h>
+
+static int32_t
+index_lookup (GHashTable *index, const struct dff_name *name)
+{
+	gpointer value = NULL;
+	if (!g_hash_table_lookup_extended (index, name, NULL, &value))
+		return DFF_CORE_NONE;
+	return GPOINTER_TO_INT (value);
+}
+
+int32_t
+dff_core_find_worker (const struct dff_core *core, const struct dff_name *name)
+{
+	return index_lookup (core->worker_index, name);
+}
+
+int32_t
+dff_core_find_team (const struct dff_core *core, const struct dff_name *name)
+{
+	return index_lookup (core->team_index, name);
+}
+
+int32_t
+dff_core_find_region (const struct dff_core *core, const struct dff_name *name)
+{
+	for (guint i = 0; i < core->regions->len; i++) {
+		if (dff_name_equal (&g_array_index (core->regions, struct dff_name, i), name))
+			return (int32_t)i;
+	}
+	return DFF_CORE_NONE;
+}
+
+struct dff_core_job *
+dff_core_find_job (const struct dff_core *core, const struct dff_name *id)
+{
+	return g_hash_table_lookup (core->jobs, id);
+}
+
+struct dff_core_job *
+dff_core_job_add (struct dff_core *core, const struct dff_job_spec *spec)
+{
+	struct dff_core_job *job = g_new0 (struct dff_core_job, 1);
+	job->id = spec->id;
+	job->team = dff_core_find_team (core, &spec->team);
+	job->region = dff_core_find_region (core, &spec->region);
+	job->gang = spec->gang;
+	job->per_task = spec->per_task;
+	job->adjacency = spec->adjacency;
+	job->urgent = spec->urgent;
+	job->guaranteed = spec->guaranteed;
+	job->checkpoint = spec->checkpoint;
+	job->idempotent = spec->idempotent;
+	job->declared_ms = MAX (spec->declared_ms, 1);
+	job->max_attempts = spec->idempotent ? MAX (spec->max_attempts, 1) : 1;
+	job->submitted_ms = core->now_ms;
+	job->state = DFF_CORE_QUEUED;
+	job->link.data = job;
+	g_hash_table_insert (core->jobs, &job->id, job);
+	core->stats.queued++;
+	if (job->team != DFF_CORE_NONE)
+		dff_core_team_at (core, job->team)->n_jobs++;
+	return job;
+}
+
+void
+dff_core_job_clear_attempt (struct dff_core_job *job)
+{
+	g_clear_pointer (&job->members, g_free);
+	g_clear_pointer (&job->placements, g_array_unref);
+	job->n_open = 0;
+	job->n_started = 0;
+	job->released = false;
+	job->preempted = false;
+	job->stop_cause = DFF_CORE_STOP_NONE;
+}
+
+void
+dff_core_job_remove (struct dff_core *core, struct dff_core_job *job)
+{
+	if (job->team != DFF_CORE_NONE)
+		dff_core_team_at (core, job->team)->n_jobs--;
+	g_hash_table_remove (core->jobs, &job->id);
+	dff_core_job_clear_attempt (job);
+	g_free (job);
+}
+
+bool
+dff_core_worker_usable (const struct dff_core_worker *worker)
+{
+	return worker->rack != DFF_CORE_NONE && worker->state == DFF_WORKER_UP;
+}
+
+void
+dff_core_rack_summarise (struct dff_core *core, int32_t index)
+{
+	struct dff_core_rack *rack = dff_core_rack_at (core, index);
+	rack->free_accelerators = 0;
+	rack->accelerators = 0;
+	for (guint i = 0; i < rack->workers->len; i++) {
+		const struct dff_core_worker *worker =
+			dff_core_worker_at (core, g_array_index (rack->workers, int32_t, i));
+		if (!dff_core_worker_usable (worker))
+			continue;
+		rack->accelerators += worker->capacity.accelerators;
+		rack->free_accelerators +=
+			MAX (worker->capacity.accelerators - worker->used.accelerators, 0);
+	}
+}
+
+void
+dff_core_worker_set_state (struct dff_core *core, int32_t index, enum dff_worker_state state)
+{
+	struct dff_core_worker *worker = dff_core_worker_at (core, index);
+	if (worker->state == state)
+		return;
+	if (worker->state == DFF_WORKER_UP)
+		core->stats.workers_up--;
+	if (state == DFF_WORKER_UP)
+		core->stats.workers_up++;
+	worker->state = state;
+	core->dirty = true;
+	if (worker->rack != DFF_CORE_NONE)
+		dff_core_rack_summarise (core, worker->rack);
+}
+
+static void
+resources_add (struct dff_resources *sum, const struct dff_resources *term, int32_t sign)
+{
+	sum->slots += sign * term->slots;
+	sum->cores += sign * term->cores;
+	sum->memory_gb += sign * term->memory_gb;
+	sum->accelerators += sign * term->accelerators;
+}
+
+void
+dff_core_worker_note_overload (struct dff_core_worker *worker)
+{
+	worker->overloaded = worker->used.slots > worker->capacity.slots ||
+			     worker->used.cores > worker->capacity.cores ||
+			     worker->used.memory_gb > worker->capacity.memory_gb ||
+			     worker->used.accelerators > worker->capacity.accelerators;
+}
+
+static void
+rack_free_add (struct dff_core *core, const struct dff_core_worker *worker, int32_t accelerators)
+{
+	if (dff_core_worker_usable (worker))
+		dff_core_rack_at (core, worker->rack)->free_accelerators += accelerators;
+}
+
+void
+dff_core_lease (struct dff_core *core,
+		struct dff_core_job *job,
+		int32_t worker_index,
+		uint64_t accelerators)
+{
+	struct dff_core_worker *worker = dff_core_worker_at (core, worker_index);
+	g_assert ((worker->leased & accelerators) == 0);
+	worker->leased |= accelerators;
+	resources_add (&worker->used, &job->per_task, 1);
+	rack_free_add (core, worker, -job->per_task.accelerators);
+	g_ptr_array_add (worker->tenants, job);
+	if (job->team != DFF_CORE_NONE)
+		dff_core_team_at (core, job->team)->accelerators += job->per_task.accelerators;
+}
+
+void
+dff_core_unlease (struct dff_core *core, struct dff_core_job *job, int32_t member)
+{
+	int32_t index = job->members[member].worker;
+	if (index == DFF_CORE_NONE)
+		return;
+	struct dff_core_worker *worker = dff_core_worker_at (core, index);
+	const struct dff_placement *placement =
+		&g_array_index (job->placements, struct dff_placement, member);
+	g_assert ((worker->leased & placement->accelerators) == placement->accelerators);
+	worker->leased &= ~placement->accelerators;
+	resources_add (&worker->used, &job->per_task, -1);
+	rack_free_add (core, worker, job->per_task.accelerators);
+	g_ptr_array_remove_fast (worker->tenants, job);
+	if (worker->overloaded)
+		dff_core_worker_note_overload (worker);
+	if (job->team != DFF_CORE_NONE)
+		dff_core_team_at (core, job->team)->accelerators -= job->per_task.accelerators;
+	core->dirty = true;
+}
+
+void
+dff_core_worker_clear (gpointer data)
+{
+	struct dff_core_worker *worker = data;
+	g_ptr_array_unref (worker->tenants);
+}
+
+void
+dff_core_rack_clear (gpointer data)
+{
+	struct dff_core_rack *rack = data;
+	g_array_unref (rack->workers);
+}
