--- a/include/common/http_client.h
+++ b/include/common/http_client.h
@@ -35,7 +35,7 @@
 
 struct dff_http_client *dff_http_client_new (const struct dff_http_client_options *options);
 
-/** Drops requests in progress without calling back. */
+/** Drops requests in progress without calling back. Not to be called from a callback. */
 void dff_http_client_free (struct dff_http_client *client);
 
 DFF_DEFINE_CLEANUP (dff_http_client, dff_http_client_free);
