client: the one binary with its commands

This adds the program, a sorted table of commands, and apply, cancel, check, diff, drain, result, status, submit and trace over a synchronous caller that runs the event loop until the whole answer is there. An unsent call goes to the next server, an uncertain one only when it is idempotent; an apply whose answer was lost is read back instead of being sent again, because it would lose against itself. Submissions always carry an Idempotency-Key. Results are checked against their digest and written whole. Golden files hold the command line's answers, a scripted server in the caller's loop the repeat rules.

--- /dev/null
+++ b/client/connection.c
@@ -0,0 +1,130 @@
+#include "client/connection.h"
+
+#include <math.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "client/command.h"
+#include "common/str.h"
+
+#define DEFAULT_TIMEOUT_MS 30000
+#define MAX_SECONDS 86400.0
+
+static bool
+add_server (struct dff_connection *connection, const char *text)
+{
+	struct dff_name server;
+	if (!dff_name_parse (dff_str_from (text), &server)) {
+		fprintf (stderr, "dragonflyfold: '%s': expected IP:PORT\n", text);
+		return false;
+	}
+	g_array_append_val (connection->servers, server);
+	return true;
+}
+
+static void
+add_servers_of_environment (struct dff_connection *connection)
+{
+	const char *text = g_getenv ("DRAGONFLYFOLD_SERVER");
+	if (text == NULL)
+		return;
+	g_auto (GStrv) parts = g_strsplit (text, ",", -1);
+	for (char **part = parts; *part != NULL; part++) {
+		g_strstrip (*part);
+		if (**part != '\0')
+			add_server (connection, *part);
+	}
+}
+
+struct dff_connection *
+dff_connection_new (void)
+{
+	struct dff_connection *connection = g_new0 (struct dff_connection, 1);
+	connection->servers = g_array_new (FALSE, FALSE, sizeof (struct dff_name));
+	connection->token = g_string_new (g_getenv ("DRAGONFLYFOLD_TOKEN"));
+	connection->timeout_ms = DEFAULT_TIMEOUT_MS;
+	return connection;
+}
+
+void
+dff_connection_free (struct dff_connection *connection)
+{
+	if (connection == NULL)
+		return;
+	g_array_unref (connection->servers);
+	g_string_free (connection->token, TRUE);
+	g_free (connection);
+}
+
+bool
+dff_parse_seconds (const char *text, int64_t *ms)
+{
+	char *end = NULL;
+	double seconds = g_ascii_strtod (text, &end);
+	if (end == text || *end != '\0' || !isfinite (seconds))
+		return false;
+	if (seconds < 0 || seconds > MAX_SECONDS)
+		return false;
+	*ms = (int64_t)(seconds * 1000);
+	return true;
+}
+
+static bool
+read_token (struct dff_connection *connection, const char *path)
+{
+	g_autoptr (GError) error = NULL;
+	g_autofree char *text = NULL;
+	if (!g_file_get_contents (path, &text, NULL, &error)) {
+		fprintf (stderr, "dragonflyfold: %s\n", error->message);
+		return false;
+	}
+	g_string_assign (connection->token, g_strstrip (text));
+	return true;
+}
+
+static bool
+set_timeout (struct dff_connection *connection, const char *text)
+{
+	if (dff_parse_seconds (text, &connection->timeout_ms))
+		return true;
+	fprintf (stderr, "dragonflyfold: --timeout '%s': expected seconds\n", text);
+	return false;
+}
+
+bool
+dff_connection_option (struct dff_connection *connection,
+		       int option,
+		       const char *usage,
+		       int *exit_code)
+{
+	*exit_code = DFF_EXIT_USAGE;
+	switch (option) {
+	case DFF_OPTION_HELP:
+		fputs (usage, stdout);
+		*exit_code = DFF_EXIT_OK;
+		return false;
+	case DFF_OPTION_SERVER:
+		return add_server (connection, optarg);
+	case DFF_OPTION_TOKEN:
+		g_string_assign (connection->token, optarg);
+		return true;
+	case DFF_OPTION_TOKEN_FILE:
+		return read_token (connection, optarg);
+	case DFF_OPTION_TIMEOUT:
+		return set_timeout (connection, optarg);
+	default:
+		/* getopt_long() has said what is wrong. */
+		return false;
+	}
+}
+
+bool
+dff_connection_complete (struct dff_connection *connection)
+{
+	if (connection->servers->len == 0)
+		add_servers_of_environment (connection);
+	if (connection->servers->len > 0)
+		return true;
+	fputs ("dragonflyfold: no server; give --server or set DRAGONFLYFOLD_SERVER\n", stderr);
+	return false;
+}
--- /dev/null
+++ b/include/client/connection.h
@@ -0,0 +1,79 @@
+#ifndef DFF_CLIENT_CONNECTION_H
+#define DFF_CLIENT_CONNECTION_H
+
+#include <getopt.h>
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "common/cleanup.h"
+
+/* Options that every command which talks to a server takes. */
+
+/** Values of the long options; a command's own start at DFF_OPTION_OWN. */
+enum dff_option {
+	DFF_OPTION_HELP = 'h',
+	DFF_OPTION_SERVER = 's',
+	DFF_OPTION_TOKEN = 256,
+	DFF_OPTION_TOKEN_FILE,
+	DFF_OPTION_TIMEOUT,
+	DFF_OPTION_OWN,
+};
+
+/* clang-format off */
+#define DFF_CONNECTION_OPTIONS                                                                     \
+	{"help", no_argument, NULL, DFF_OPTION_HELP},                                              \
+	{"server", required_argument, NULL, DFF_OPTION_SERVER},                                    \
+	{"token", required_argument, NULL, DFF_OPTION_TOKEN},                                      \
+	{"token-file", required_argument, NULL, DFF_OPTION_TOKEN_FILE},                            \
+	{"timeout", required_argument, NULL, DFF_OPTION_TIMEOUT}
+/* clang-format on */
+
+#define DFF_CONNECTION_SHORT "hs:"
+
+/** Lines for --help. */
+#define DFF_CONNECTION_USAGE                                                                       \
+	"  -s, --server IP:PORT   ask this process; may be given again for others to try\n"        \
+	"                         (default: DRAGONFLYFOLD_SERVER, separated by commas)\n"          \
+	"      --token TOKEN      bearer token (default: DRAGONFLYFOLD_TOKEN)\n"                   \
+	"      --token-file FILE  file that holds the bearer token\n"                              \
+	"      --timeout SECONDS  give up after this time (default 30)\n"                          \
+	"  -h, --help             print this text\n"
+
+struct dff_connection {
+	/** Elements: struct dff_name. */
+	GArray *servers;
+	GString *token;
+	int64_t timeout_ms;
+};
+
+/** Returns: (transfer full): options as the environment sets them. */
+struct dff_connection *dff_connection_new (void);
+
+void dff_connection_free (struct dff_connection *connection);
+
+DFF_DEFINE_CLEANUP (dff_connection, dff_connection_free);
+
+/**
+ * dff_connection_option:
+ * @option: what getopt_long() returned
+ * @usage: text for --help
+ * @exit_code: (out): set when the command is to end
+ *
+ * Takes one option of DFF_CONNECTION_OPTIONS, or any that is not known.
+ *
+ * Returns: false when the command is to end with @exit_code.
+ */
+bool dff_connection_option (struct dff_connection *connection,
+			    int option,
+			    const char *usage,
+			    int *exit_code);
+
+/** Takes the servers from the environment when none were given. Returns: false, and says so, when
+ * there is none. */
+bool dff_connection_complete (struct dff_connection *connection);
+
+/** Reads a count of seconds, fractions allowed, into ms. Returns: false when it is none. */
+bool dff_parse_seconds (const char *text, int64_t *ms);
+
+#endif
--- /dev/null
+++ b/include/client/job_options.h
@@ -0,0 +1,41 @@
+#ifndef DFF_CLIENT_JOB_OPTIONS_H
+#define DFF_CLIENT_JOB_OPTIONS_H
+
+#include <getopt.h>
+#include <jansson.h>
+#include <stdbool.h>
+
+/* Command-line options that describe one job, put into its JSON form. */
+
+/** Value of the first job option; the others follow it. */
+#define DFF_JOB_OPTION_FIRST 1000
+
+/** Appends the long options of a job to @options, which has room for DFF_JOB_OPTIONS_MAX more.
+ * Returns: how many. */
+#define DFF_JOB_OPTIONS_MAX 20
+size_t dff_job_options_append (struct option *options);
+
+/** Whether @option is one of a job's. */
+bool dff_job_option_is (int option);
+
+/** Puts the value of one option into @job. Returns: false, and says on standard error what was
+ * expected, when the value is wrong. */
+bool dff_job_option_set (json_t *job, int option, const char *value);
+
+/** Lines for --help. */
+#define DFF_JOB_OPTIONS_USAGE                                                                      \
+	"      --service NAME     service that the job belongs to\n"                               \
+	"      --region NAME      region that runs it\n"                                           \
+	"      --gang N           number of tasks; what follows is for each task\n"                \
+	"      --accelerators N, --slots N, --cores N, --memory-gb N\n"                            \
+	"      --adjacent[=rack]  neighbouring racks at the most, or one rack only\n"              \
+	"      --urgent           ahead of all borrowing work\n"                                   \
+	"      --guaranteed       claims the team's guaranteed shapes\n"                           \
+	"      --checkpoint       can be checkpointed and resumed\n"                               \
+	"      --idempotent, --not-idempotent\n"                                                   \
+	"                         may, or must never, be started again\n"                          \
+	"      --declared-s N     run time that is expected\n"                                     \
+	"      --max-attempts N   attempts at the most\n"                                          \
+	"      --payload JSON     what to do; @FILE reads it from a file\n"
+
+#endif
--- /dev/null
+++ b/tests/client/test-call.c
@@ -0,0 +1,306 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <string.h>
+
+#include <cmocka.h>
+#include <event2/buffer.h>
+#include <event2/event.h>
+#include <event2/http.h>
+
+#include "client/batch.h"
+#include "client/call.h"
+#include "client/command.h"
+#include "client/result.h"
+
+#define MAX_STEPS 8
+#define TIMEOUT_MS 20000
+
+/* One answer of the scripted server. */
+struct step {
+	int status;
+	/* Close the connection instead, after the request was read. */
+	bool cut;
+	const char *body;
+	const char *header;
+	const char *value;
+};
+
+/* A server in the caller's own loop that answers step by step, and notes what it was asked. */
+struct server {
+	struct evhttp *http;
+	struct dff_name address;
+	const struct step *steps;
+	size_t n_steps;
+	size_t n_asked;
+	GString *asked;
+};
+
+static void
+on_request (struct evhttp_request *request, void *user)
+{
+	struct server *server = user;
+	const char *key =
+		evhttp_find_header (evhttp_request_get_input_headers (request), "Idempotency-Key");
+	g_string_append_printf (server->asked, "%s%s%s\n", evhttp_request_get_uri (request),
+				key != NULL ? " " : "", key != NULL ? key : "");
+	assert_true (server->n_asked < server->n_steps);
+	const struct step *step = &server->steps[server->n_asked++];
+	if (step->cut) {
+		evhttp_connection_free (evhttp_request_get_connection (request));
+		return;
+	}
+	if (step->header != NULL)
+		evhttp_add_header (evhttp_request_get_output_headers (request), step->header,
+				   step->value);
+	struct evbuffer *body = evbuffer_new ();
+	evbuffer_add (body, step->body, strlen (step->body));
+	evhttp_send_reply (request, step->status, "Scripted", body);
+	evbuffer_free (body);
+}
+
+static void
+server_start (struct server *server, struct event_base *base, const struct step *steps)
+{
+	memset (server, 0, sizeof (*server));
+	server->http = evhttp_new (base);
+	server->asked = g_string_new (NULL);
+	server->steps = steps;
+	while (server->n_steps < MAX_STEPS &&
+	       (steps[server->n_steps].status != 0 || steps[server->n_steps].cut))
+		server->n_steps++;
+	evhttp_set_allowed_methods (server->http, EVHTTP_REQ_GET | EVHTTP_REQ_POST |
+							  EVHTTP_REQ_PUT | EVHTTP_REQ_DELETE);
+	evhttp_set_gencb (server->http, on_request, server);
+	struct evhttp_bound_socket *bound =
+		evhttp_bind_socket_with_handle (server->http, "127.0.0.1", 0);
+	assert_non_null (bound);
+	struct sockaddr_in address = {0};
+	socklen_t len = sizeof (address);
+	getsockname (evhttp_bound_socket_get_fd (bound), (struct sockaddr *)&address, &len);
+	server->address = dff_name_printf ("127.0.0.1:%d", ntohs (address.sin_port));
+}
+
+static void
+server_stop (struct server *server)
+{
+	evhttp_free (server->http);
+	g_string_free (server->asked, TRUE);
+}
+
+static struct dff_caller *
+caller_on (struct event_base *base, const struct server *servers, size_t n_servers)
+{
+	DFF_AUTO (dff_connection) connection = dff_connection_new ();
+	connection->timeout_ms = TIMEOUT_MS;
+	for (size_t i = 0; i < n_servers; i++)
+		g_array_append_val (connection->servers, servers[i].address);
+	return dff_caller_new_on (connection, base);
+}
+
+struct call_case {
+	const char *name;
+	struct step first[MAX_STEPS];
+	struct step second[MAX_STEPS];
+	size_t first_asked;
+	size_t second_asked;
+	int status;
+	bool idempotent;
+	bool uncertain;
+};
+
+static const struct call_case call_cases[] = {
+	{"an answer is final",
+	 {{.status = 404, .body = "{}"}},
+	 {{0}},
+	 .idempotent = true,
+	 .status = 404,
+	 .first_asked = 1},
+	{"a process that says to come back is left for another",
+	 {{.status = 503, .body = "{}", .header = "Retry-After", .value = "1"}},
+	 {{.status = 200, .body = "{}"}},
+	 .idempotent = true,
+	 .status = 200,
+	 .first_asked = 1,
+	 .second_asked = 1},
+	{"a server that cut the connection may have acted: an idempotent call is repeated",
+	 {{.cut = true}},
+	 {{.status = 200, .body = "{}"}},
+	 .idempotent = true,
+	 .status = 200,
+	 .first_asked = 1,
+	 .second_asked = 1},
+	{"a server that cut the connection may have acted: any other call is not repeated",
+	 {{.cut = true}},
+	 {{0}},
+	 .uncertain = true,
+	 .first_asked = 1},
+	{"a refusal for now is the answer to a call that is not idempotent",
+	 {{.status = 503, .body = "{}"}},
+	 {{0}},
+	 .status = 503,
+	 .first_asked = 1},
+};
+
+/* Symptom: an apply or a submission takes effect twice, or is given up while another process would
+ * answer. Sequence: a process dies or is overloaded while it answers; the client asks the next.
+ * Cause: no difference made between a request that was not sent, one that may have taken effect,
+ * and one that was refused. */
+static void
+test_which_calls_are_repeated (void **state)
+{
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS (call_cases); i++) {
+		const struct call_case *test = &call_cases[i];
+		struct event_base *base = event_base_new ();
+		struct server servers[2];
+		server_start (&servers[0], base, test->first);
+		server_start (&servers[1], base, test->second);
+		struct dff_caller *caller = caller_on (base, servers, 2);
+		struct dff_call_request request = {
+			.method = EVHTTP_REQ_POST,
+			.path = "/v1/jobs",
+			.body = dff_str_from ("{}"),
+			.idempotency_key = "key-1",
+			.idempotent = test->idempotent,
+		};
+		DFF_AUTO (dff_call_response) response = dff_call (caller, &request);
+		assert_int_equal (response->status, test->status);
+		assert_int_equal (response->uncertain, test->uncertain);
+		assert_int_equal (servers[0].n_asked, test->first_asked);
+		assert_int_equal (servers[1].n_asked, test->second_asked);
+		if (test->second_asked > 0)
+			assert_string_equal (servers[1].asked->str, "/v1/jobs key-1\n");
+		server_stop (&servers[0]);
+		server_stop (&servers[1]);
+		dff_caller_free (caller);
+	}
+}
+
+/* Symptom: every call fails while one of two processes is up. Sequence: the first address given is
+ * that of a process that was replaced. Cause: a refused connection taken for an answer. */
+static void
+test_unreachable_server_is_passed_over (void **state)
+{
+	(void)state;
+	static const struct step steps[MAX_STEPS] = {{.status = 200, .body = "{}"}};
+	struct event_base *base = event_base_new ();
+	struct server servers[2];
+	server_start (&servers[0], base, steps);
+	server_start (&servers[1], base, steps);
+	struct dff_caller *caller = caller_on (base, servers, 2);
+	server_stop (&servers[0]);
+	struct dff_call_request request = {.method = EVHTTP_REQ_PUT, .path = "/v1/pool"};
+	DFF_AUTO (dff_call_response) response = dff_call (caller, &request);
+	assert_int_equal (response->status, 200);
+	assert_int_equal (servers[1].n_asked, 1);
+	server_stop (&servers[1]);
+	dff_caller_free (caller);
+}
+
+struct result_case {
+	struct step steps[MAX_STEPS];
+	bool wait;
+	int status;
+	int exit_code;
+};
+
+/* SHA-256 of "hello". */
+#define HELLO_DIGEST "sha-256=LPJNul+wow4m6DsqxbninhsWHlwfp0JecwQzYpOLmCQ="
+
+static const struct result_case result_cases[] = {
+	{{{.status = 200, .body = "hello", .header = "Digest", .value = HELLO_DIGEST}},
+	 .status = 200,
+	 .exit_code = DFF_EXIT_OK},
+	{{{.status = 200, .body = "hell", .header = "Digest", .value = HELLO_DIGEST}},
+	 .status = 0,
+	 .exit_code = DFF_EXIT_FAILED},
+	{{{.status = 202, .body = "{}"}}, .status = 202, .exit_code = DFF_EXIT_PENDING},
+	{{{.status = 202, .body = "{}"},
+	  {.status = 200, .body = "hello", .header = "Digest", .value = HELLO_DIGEST}},
+	 .wait = true,
+	 .status = 200,
+	 .exit_code = DFF_EXIT_OK},
+	{{{.status = 410, .body = "{\"outcome\":\"not_run\"}"}},
+	 .status = 410,
+	 .exit_code = DFF_EXIT_NOT_COMPLETED},
+};
+
+static void
+test_result (void **state)
+{
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS (result_cases); i++) {
+		const struct result_case *test = &result_cases[i];
+		struct event_base *base = event_base_new ();
+		struct server server;
+		server_start (&server, base, test->steps);
+		struct dff_caller *caller = caller_on (base, &server, 1);
+		struct dff_name job = dff_name_from ("demo.1");
+		DFF_AUTO (dff_call_response)
+		response = dff_result_fetch (caller, &job, test->wait);
+		assert_int_equal (response->status, test->status);
+		assert_int_equal (dff_result_report (response, &job), test->exit_code);
+		assert_int_equal (server.n_asked, server.n_steps);
+		server_stop (&server);
+		dff_caller_free (caller);
+	}
+}
+
+#define COUNTS(completed, failed, running)                                                         \
+	"{\"batch\":\"b\",\"manifest\":3,\"accepted\":3,\"completed\":" completed                  \
+	",\"failed\":" failed ",\"cancelled\":0,\"not_run\":0,\"unknown\":0,\"running\":" running  \
+	",\"queued\":0}"
+
+struct batch_case {
+	struct step steps[MAX_STEPS];
+	int exit_code;
+};
+
+static const struct batch_case batch_cases[] = {
+	{{{.status = 200, .body = COUNTS ("1", "0", "2")},
+	  {.status = 200, .body = COUNTS ("3", "0", "0")}},
+	 DFF_EXIT_OK},
+	{{{.status = 200, .body = COUNTS ("2", "1", "0")}}, DFF_EXIT_NOT_COMPLETED},
+	{{{.status = 404, .body = "{}"}}, DFF_EXIT_REFUSED},
+	{{{.status = 200, .body = "{\"batch\":\"b\"}"}}, DFF_EXIT_FAILED},
+};
+
+static void
+test_batch_wait (void **state)
+{
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS (batch_cases); i++) {
+		struct event_base *base = event_base_new ();
+		struct server server;
+		server_start (&server, base, batch_cases[i].steps);
+		struct dff_caller *caller = caller_on (base, &server, 1);
+		struct dff_name batch = dff_name_from ("demo.b");
+		assert_int_equal (dff_batch_wait (caller, &batch), batch_cases[i].exit_code);
+		assert_int_equal (server.n_asked, server.n_steps);
+		server_stop (&server);
+		dff_caller_free (caller);
+	}
+}
+
+static void
+test_count_lines (void **state)
+{
+	(void)state;
+	assert_int_equal (dff_batch_count_lines (dff_str_from ("")), 0);
+	assert_int_equal (dff_batch_count_lines (dff_str_from ("{}\n\n  \n{}\r\n{}")), 3);
+}
+
+int
+main (void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test (test_which_calls_are_repeated),
+		cmocka_unit_test (test_unreachable_server_is_passed_over),
+		cmocka_unit_test (test_result),
+		cmocka_unit_test (test_batch_wait),
+		cmocka_unit_test (test_count_lines),
+	};
+	return cmocka_run_group_tests (tests, NULL, NULL);
+}
