standin: worker tasks as a state machine, and workers in memory

The stand-in worker and the tests of other parts need the same worker. Sessions as tables cover tombstones, lapsed leases, held starts, throttling, epochs and results while the store is down.

--- /dev/null
+++ b/standin/worker.c
@@ -0,0 +1,317 @@
+#include "standin/worker.h"
+
+#include <string.h>
+
+#include "common/log.h"
+#include "standin/worker_objects.h"
+#include "standin/worker_payload.h"
+
+#define STATUS_OK 200
+#define STATUS_BAD_REQUEST 400
+#define STATUS_TOO_MANY 429
+#define STATUS_FAILED 500
+#define STATUS_LEAVING 503
+
+struct dff_standin_worker {
+	struct dff_standin_worker_options options;
+	struct dff_worker_tasks *tasks;
+	struct dff_worker_objects *objects;
+	/** Elements: struct work, in order of due time. */
+	GQueue requests;
+	/** Reused. Elements: struct dff_task_report. */
+	GArray *reports;
+};
+
+/** A short request being worked on. */
+struct work {
+	int64_t due_ms;
+	int64_t answer_bytes;
+	struct dff_name id;
+	dff_request_func done;
+	void *user;
+};
+
+static void
+write_result (void *ctx, const struct dff_task_id *task, int64_t result_bytes)
+{
+	struct dff_standin_worker *worker = ctx;
+	dff_worker_objects_write_result (worker->objects, task, result_bytes);
+}
+
+static void
+load_checkpoint (void *ctx, const struct dff_task_id *task)
+{
+	struct dff_standin_worker *worker = ctx;
+	dff_worker_objects_load (worker->objects, task);
+}
+
+struct dff_standin_worker *
+dff_standin_worker_new (const struct dff_standin_worker_options *options)
+{
+	struct dff_standin_worker *worker = g_new0 (struct dff_standin_worker, 1);
+	worker->options = *options;
+	struct dff_worker_tasks_options tasks_options = {
+		.clock = options->clock,
+		.capacity = options->capacity,
+		.check_epochs = options->check_epochs,
+		.incarnation = options->incarnation,
+		.callbacks = {write_result, load_checkpoint, worker},
+	};
+	worker->tasks = dff_worker_tasks_new (&tasks_options);
+	worker->objects = dff_worker_objects_new (options->store, options->clock, worker->tasks);
+	worker->reports = g_array_new (FALSE, TRUE, sizeof (struct dff_task_report));
+	return worker;
+}
+
+void
+dff_standin_worker_free (struct dff_standin_worker *worker)
+{
+	g_queue_clear_full (&worker->requests, g_free);
+	g_array_unref (worker->reports);
+	dff_worker_objects_free (worker->objects);
+	dff_worker_tasks_free (worker->tasks);
+	g_free (worker);
+}
+
+struct dff_worker_tasks *
+dff_standin_worker_tasks (struct dff_standin_worker *worker)
+{
+	return worker->tasks;
+}
+
+static void
+answer_call (struct dff_standin_worker *worker,
+	     enum dff_worker_outcome outcome,
+	     const struct dff_task_report *reports,
+	     size_t n_reports,
+	     dff_worker_func done,
+	     void *user)
+{
+	struct dff_worker_result result = {
+		.outcome = outcome,
+		.leaving = dff_worker_tasks_is_leaving (worker->tasks),
+		.reports = reports,
+		.n_reports = n_reports,
+		.sequence = dff_worker_tasks_sequence (worker->tasks),
+		.incarnation = dff_worker_tasks_incarnation (worker->tasks),
+	};
+	done (user, &result);
+}
+
+/** A checkpoint being written. */
+struct checkpoint {
+	struct dff_standin_worker *worker;
+	struct dff_task_id task;
+	dff_worker_func done;
+	void *user;
+};
+
+static void
+checkpoint_saved (void *user, bool saved)
+{
+	struct checkpoint checkpoint = *(struct checkpoint *)user;
+	g_free (user);
+	struct dff_standin_worker *worker = checkpoint.worker;
+	struct dff_task_report report = {.task = checkpoint.task};
+	if (saved)
+		dff_worker_tasks_checkpointed (worker->tasks, &checkpoint.task, &report);
+	answer_call (worker, saved ? DFF_WORKER_OK : DFF_WORKER_REFUSED, &report, saved ? 1 : 0,
+		     checkpoint.done, checkpoint.user);
+}
+
+static void
+take_checkpoint (struct dff_standin_worker *worker,
+		 const struct dff_worker_command *command,
+		 dff_worker_func done,
+		 void *user)
+{
+	int64_t done_ms = 0;
+	struct dff_task_report report;
+	enum dff_worker_outcome outcome = dff_worker_tasks_checkpoint (
+		worker->tasks, &command->task, command->epoch, &done_ms, &report);
+	if (outcome != DFF_WORKER_OK) {
+		answer_call (worker, outcome, &report, 1, done, user);
+		return;
+	}
+	struct checkpoint *checkpoint = g_new (struct checkpoint, 1);
+	*checkpoint = (struct checkpoint){worker, command->task, done, user};
+	dff_worker_objects_save (worker->objects, &command->task, report.checkpoints + 1, done_ms,
+				 checkpoint_saved, checkpoint);
+}
+
+static enum dff_worker_outcome
+carry_out (struct dff_standin_worker *worker,
+	   const struct dff_worker_call *call,
+	   struct dff_task_report *report)
+{
+	const struct dff_worker_command *command = &call->command;
+	struct dff_worker_tasks *tasks = worker->tasks;
+	switch (call->type) {
+	case DFF_WORKER_CALL_START:
+		return dff_worker_tasks_start (tasks, &call->start, report);
+	case DFF_WORKER_CALL_RELEASE:
+		return dff_worker_tasks_release (tasks, &command->task, command->epoch, report);
+	case DFF_WORKER_CALL_THROTTLE:
+		return dff_worker_tasks_throttle (tasks, &command->task, command->epoch,
+						  command->percent, report);
+	default:
+		return dff_worker_tasks_stop (tasks, &command->task, command->epoch, report);
+	}
+}
+
+static void
+answer_reports (struct dff_standin_worker *worker,
+		const struct dff_worker_call *call,
+		dff_worker_func done,
+		void *user)
+{
+	g_array_set_size (worker->reports, 0);
+	if (call->type == DFF_WORKER_CALL_QUERY)
+		dff_worker_tasks_query (worker->tasks, worker->reports);
+	else
+		dff_worker_tasks_renew (worker->tasks, call->renewal.lease_ms,
+					call->renewal.after_sequence, worker->reports);
+	answer_call (worker, DFF_WORKER_OK, (const struct dff_task_report *)worker->reports->data,
+		     worker->reports->len, done, user);
+}
+
+void
+dff_standin_worker_call (struct dff_standin_worker *worker,
+			 const struct dff_worker_call *call,
+			 dff_worker_func done,
+			 void *user)
+{
+	struct dff_task_report report;
+	enum dff_worker_outcome outcome;
+	switch (call->type) {
+	case DFF_WORKER_CALL_QUERY:
+	case DFF_WORKER_CALL_RENEW:
+		answer_reports (worker, call, done, user);
+		return;
+	case DFF_WORKER_CALL_CHECKPOINT:
+		take_checkpoint (worker, &call->command, done, user);
+		return;
+	default:
+		outcome = carry_out (worker, call, &report);
+		answer_call (worker, outcome, &report, 1, done, user);
+		return;
+	}
+}
+
+static void
+answer_request (struct dff_standin_worker *worker,
+		int status,
+		struct dff_str body,
+		dff_request_func done,
+		void *user)
+{
+	bool refused = status == STATUS_TOO_MANY || status == STATUS_LEAVING;
+	struct dff_request_result result = {
+		.outcome = refused ? DFF_WORKER_REFUSED : DFF_WORKER_OK,
+		.status = status,
+		.body = body,
+		.leaving = dff_worker_tasks_is_leaving (worker->tasks),
+	};
+	done (user, &result);
+}
+
+/** The answer: the request's id and filler, so that an answer given to the wrong caller shows. */
+static void
+finish_request (struct dff_standin_worker *worker, const struct work *work)
+{
+	dff_worker_tasks_end_request (worker->tasks);
+	g_autoptr (GString) body = g_string_new (work->id.data);
+	g_string_append_c (body, '\n');
+	gsize length = MAX (body->len, (gsize)work->answer_bytes);
+	gsize filled = body->len;
+	g_string_set_size (body, length);
+	memset (body->str + filled, '.', length - filled);
+	answer_request (worker, STATUS_OK, (struct dff_str){body->str, body->len}, work->done,
+			work->user);
+}
+
+static int
+compare_due (gconstpointer a, gconstpointer b, gpointer user_data)
+{
+	(void)user_data;
+	const struct work *left = a;
+	const struct work *right = b;
+	return left->due_ms < right->due_ms ? -1 : left->due_ms > right->due_ms;
+}
+
+static void
+begin_request (struct dff_standin_worker *worker, const struct work *work)
+{
+	dff_log (DFF_LOG_STANDIN, DFF_LOG_DEBUG, "Request runs. id=%s", work->id.data);
+	if (work->due_ms <= dff_clock_now_ms (worker->options.clock)) {
+		finish_request (worker, work);
+		return;
+	}
+	g_queue_insert_sorted (&worker->requests, g_memdup2 (work, sizeof (*work)), compare_due,
+			       NULL);
+}
+
+void
+dff_standin_worker_request (struct dff_standin_worker *worker,
+			    const struct dff_name *request_id,
+			    struct dff_str payload,
+			    dff_request_func done,
+			    void *user)
+{
+	static const struct dff_str none = {"", 0};
+	struct dff_request_payload work;
+	if (!dff_request_payload_parse (payload, &work)) {
+		answer_request (worker, STATUS_BAD_REQUEST, none, done, user);
+		return;
+	}
+	if (!dff_worker_tasks_begin_request (worker->tasks)) {
+		bool leaving = dff_worker_tasks_is_leaving (worker->tasks);
+		answer_request (worker, leaving ? STATUS_LEAVING : STATUS_TOO_MANY, none, done,
+				user);
+		return;
+	}
+	if (dff_worker_tasks_fails_everything (worker->tasks)) {
+		dff_worker_tasks_end_request (worker->tasks);
+		answer_request (worker, STATUS_FAILED, none, done, user);
+		return;
+	}
+	struct work begun = {
+		.due_ms = dff_clock_now_ms (worker->options.clock) + work.work_ms,
+		.answer_bytes = work.answer_bytes,
+		.id = *request_id,
+		.done = done,
+		.user = user,
+	};
+	begin_request (worker, &begun);
+}
+
+void
+dff_standin_worker_tick (struct dff_standin_worker *worker)
+{
+	int64_t now_ms = dff_clock_now_ms (worker->options.clock);
+	dff_worker_tasks_tick (worker->tasks);
+	dff_worker_objects_tick (worker->objects);
+	while (!g_queue_is_empty (&worker->requests)) {
+		struct work *work = worker->requests.head->data;
+		if (work->due_ms > now_ms)
+			return;
+		g_queue_pop_head (&worker->requests);
+		finish_request (worker, work);
+		g_free (work);
+	}
+}
+
+int64_t
+dff_standin_worker_next_due_ms (const struct dff_standin_worker *worker)
+{
+	int64_t due_ms = dff_worker_tasks_next_due_ms (worker->tasks);
+	const struct work *first = g_queue_peek_head ((GQueue *)&worker->requests);
+	return first == NULL ? due_ms : MIN (due_ms, first->due_ms);
+}
+
+bool
+dff_standin_worker_is_busy (const struct dff_standin_worker *worker)
+{
+	return dff_worker_tasks_busy (worker->tasks) > 0 ||
+	       dff_worker_objects_busy (worker->objects);
+}
--- /dev/null
+++ b/tests/upstream/test-worker-tasks.c
@@ -0,0 +1,445 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+
+#include "platform/memory.h"
+#include "standin/worker.h"
+
+/* The stand-in worker's tasks as sessions: each step happens at its time and states the task as it
+ * is afterwards. */
+
+enum op {
+	DFF_OP_START,
+	DFF_OP_START_HELD,
+	DFF_OP_RESUME,
+	DFF_OP_RELEASE,
+	DFF_OP_CHECKPOINT,
+	DFF_OP_THROTTLE,
+	DFF_OP_STOP,
+	DFF_OP_RENEW,
+	DFF_OP_LOOK,
+	DFF_OP_LEAVE,
+	DFF_OP_FAIL_EVERYTHING,
+	DFF_OP_STORE_DOWN,
+	DFF_OP_STORE_UP,
+	DFF_OP_END,
+};
+
+struct step {
+	int64_t at_ms;
+	enum op op;
+	int32_t attempt;
+	int32_t member;
+	/** Percent, epoch or lease, by @op. */
+	int32_t argument;
+	enum dff_worker_outcome outcome;
+	enum dff_task_state state;
+	bool ran;
+};
+
+#define MAX_STEPS 12
+
+struct session {
+	const char *name;
+	const char *payload;
+	bool check_epochs;
+	struct step steps[MAX_STEPS];
+};
+
+#define OK DFF_WORKER_OK
+#define REFUSED DFF_WORKER_REFUSED
+#define LEASE_MS 1000
+#define FIRST_EPOCH 5
+
+static const struct session sessions[] = {
+	{"a held task does not run until it is released, then to its end",
+	 "{\"run_ms\":100,\"result_bytes\":10}",
+	 false,
+	 {
+		 {0, DFF_OP_START_HELD, 1, 0, 0, OK, DFF_TASK_HELD, false},
+		 {500, DFF_OP_LOOK, 1, 0, 0, OK, DFF_TASK_HELD, false},
+		 {500, DFF_OP_RELEASE, 1, 0, 0, OK, DFF_TASK_RUNNING, true},
+		 {599, DFF_OP_LOOK, 1, 0, 0, OK, DFF_TASK_RUNNING, true},
+		 {600, DFF_OP_LOOK, 1, 0, 0, OK, DFF_TASK_COMPLETED, true},
+		 {600, DFF_OP_RELEASE, 1, 0, 0, OK, DFF_TASK_COMPLETED, true},
+		 {600, DFF_OP_STOP, 1, 0, 0, OK, DFF_TASK_COMPLETED, true},
+		 {600, DFF_OP_END},
+	 }},
+	/* Symptom: a job reported as not run runs. Sequence: a start is delayed in the network, the
+	 * holder gives up and stops the task, the caller is told, the start arrives. Cause: a stop
+	 * of a task that is not there leaves no trace. */
+	{"a stop of an unseen task refuses its start from then on",
+	 "{\"run_ms\":100}",
+	 false,
+	 {
+		 {0, DFF_OP_STOP, 1, 0, 0, OK, DFF_TASK_REFUSED, false},
+		 {5, DFF_OP_START, 1, 0, 0, REFUSED, DFF_TASK_REFUSED, false},
+		 {5, DFF_OP_START_HELD, 1, 0, 0, REFUSED, DFF_TASK_REFUSED, false},
+		 {6, DFF_OP_RELEASE, 1, 0, 0, REFUSED, DFF_TASK_REFUSED, false},
+		 {7, DFF_OP_START, 2, 0, 0, OK, DFF_TASK_RUNNING, true},
+		 {8, DFF_OP_END},
+	 }},
+	/* Symptom: one member of a gang runs alone. Sequence: a gang is held, its holder dies, the
+	 * leases lapse, the members that were stopped are reported as not run, and a release that
+	 * was delayed arrives. Cause: a lapsed task was only forgotten. */
+	{"a held task whose lease has lapsed never runs",
+	 "{\"run_ms\":100}",
+	 false,
+	 {
+		 {0, DFF_OP_START_HELD, 1, 0, 0, OK, DFF_TASK_HELD, false},
+		 {LEASE_MS, DFF_OP_RELEASE, 1, 0, 0, REFUSED, DFF_TASK_REFUSED, false},
+		 {LEASE_MS, DFF_OP_START, 1, 0, 0, REFUSED, DFF_TASK_REFUSED, false},
+		 {LEASE_MS, DFF_OP_END},
+	 }},
+	{"a running task whose lease has lapsed is stopped",
+	 "{\"run_ms\":9000}",
+	 false,
+	 {
+		 {0, DFF_OP_START, 1, 0, 0, OK, DFF_TASK_RUNNING, true},
+		 {LEASE_MS - 1, DFF_OP_RENEW, 1, 0, LEASE_MS, OK, DFF_TASK_RUNNING, true},
+		 {2 * LEASE_MS - 2, DFF_OP_LOOK, 1, 0, 0, OK, DFF_TASK_RUNNING, true},
+		 {2 * LEASE_MS - 1, DFF_OP_RENEW, 1, 0, LEASE_MS, OK, DFF_TASK_STOPPED, true},
+		 {2 * LEASE_MS, DFF_OP_START, 1, 0, 0, OK, DFF_TASK_STOPPED, true},
+		 {2 * LEASE_MS, DFF_OP_END},
+	 }},
+	/* Symptom: a task completes after its holder was told that it was lost. Sequence: the
+	 * worker is paused past the lease and the work's end, then ticks. Cause: the end was looked
+	 * at before the lease. */
+	{"work past the lease does not count when the tick comes late",
+	 "{\"run_ms\":1500}",
+	 false,
+	 {
+		 {0, DFF_OP_START, 1, 0, 0, OK, DFF_TASK_RUNNING, true},
+		 {4000, DFF_OP_LOOK, 1, 0, 0, OK, DFF_TASK_STOPPED, true},
+		 {4000, DFF_OP_END},
+	 }},
+	{"work before the lease lapsed counts when the tick comes late",
+	 "{\"run_ms\":900}",
+	 false,
+	 {
+		 {0, DFF_OP_START, 1, 0, 0, OK, DFF_TASK_RUNNING, true},
+		 {4000, DFF_OP_LOOK, 1, 0, 0, OK, DFF_TASK_COMPLETED, true},
+		 {4000, DFF_OP_END},
+	 }},
+	{"throttling slows the work down or stops it",
+	 "{\"run_ms\":200}",
+	 false,
+	 {
+		 {0, DFF_OP_START, 1, 0, 0, OK, DFF_TASK_RUNNING, true},
+		 {100, DFF_OP_THROTTLE, 1, 0, 0, OK, DFF_TASK_RUNNING, true},
+		 {400, DFF_OP_THROTTLE, 1, 0, 50, OK, DFF_TASK_RUNNING, true},
+		 {599, DFF_OP_LOOK, 1, 0, 0, OK, DFF_TASK_RUNNING, true},
+		 {600, DFF_OP_LOOK, 1, 0, 0, OK, DFF_TASK_COMPLETED, true},
+		 {600, DFF_OP_THROTTLE, 1, 0, 50, REFUSED, DFF_TASK_COMPLETED, true},
+		 {600, DFF_OP_END},
+	 }},
+	/* Symptom: a task runs twice on one worker. Sequence: the answer to a start is lost, the
+	 * start is sent again, also after the task has ended. Cause: a repeated start was new. */
+	{"a repeated start is the same start",
+	 "{\"run_ms\":100}",
+	 false,
+	 {
+		 {0, DFF_OP_START, 1, 0, 0, OK, DFF_TASK_RUNNING, true},
+		 {50, DFF_OP_START, 1, 0, 0, OK, DFF_TASK_RUNNING, true},
+		 {100, DFF_OP_START, 1, 0, 0, OK, DFF_TASK_COMPLETED, true},
+		 {100, DFF_OP_STOP, 1, 0, 0, OK, DFF_TASK_COMPLETED, true},
+		 {100, DFF_OP_END},
+	 }},
+	{"accelerators in use are refused, and are free again after the end",
+	 "{\"run_ms\":100}",
+	 false,
+	 {
+		 {0, DFF_OP_START, 1, 0, 0, OK, DFF_TASK_RUNNING, true},
+		 {0, DFF_OP_START, 1, 1, 0, REFUSED, DFF_TASK_UNSEEN, false},
+		 {1, DFF_OP_STOP, 1, 0, 0, OK, DFF_TASK_STOPPED, true},
+		 {1, DFF_OP_START, 1, 1, 0, OK, DFF_TASK_RUNNING, true},
+		 {1, DFF_OP_END},
+	 }},
+	/* Symptom: a process that was paused stops a task that its successor started. Sequence:
+	 * epoch 6 commands the worker, then a command of epoch 5 arrives. Cause: nothing told old
+	 * epochs from new ones. */
+	{"a worker that checks epochs refuses an older one",
+	 "{\"run_ms\":100}",
+	 true,
+	 {
+		 {0, DFF_OP_START, 1, 0, 6, OK, DFF_TASK_RUNNING, true},
+		 {0, DFF_OP_STOP, 1, 0, 5, REFUSED, DFF_TASK_RUNNING, true},
+		 {0, DFF_OP_START, 2, 0, 5, REFUSED, DFF_TASK_UNSEEN, false},
+		 {0, DFF_OP_STOP, 1, 0, 7, OK, DFF_TASK_STOPPED, true},
+		 {0, DFF_OP_END},
+	 }},
+	{"a worker that does not check epochs obeys",
+	 "{\"run_ms\":100}",
+	 false,
+	 {
+		 {0, DFF_OP_START, 1, 0, 6, OK, DFF_TASK_RUNNING, true},
+		 {0, DFF_OP_STOP, 1, 0, 5, OK, DFF_TASK_STOPPED, true},
+		 {0, DFF_OP_END},
+	 }},
+	{"a leaving worker starts nothing new and ends what runs",
+	 "{\"run_ms\":100}",
+	 false,
+	 {
+		 {0, DFF_OP_START, 1, 0, 0, OK, DFF_TASK_RUNNING, true},
+		 {1, DFF_OP_LEAVE, 1, 0, 0, OK, DFF_TASK_RUNNING, true},
+		 {1, DFF_OP_START, 2, 0, 0, REFUSED, DFF_TASK_UNSEEN, false},
+		 {1, DFF_OP_START, 1, 0, 0, OK, DFF_TASK_RUNNING, true},
+		 {100, DFF_OP_LOOK, 1, 0, 0, OK, DFF_TASK_COMPLETED, true},
+		 {100, DFF_OP_END},
+	 }},
+	{"a resumed task does not repeat what its checkpoint holds",
+	 "{\"run_ms\":500}",
+	 false,
+	 {
+		 {0, DFF_OP_START, 1, 0, 0, OK, DFF_TASK_RUNNING, true},
+		 {300, DFF_OP_CHECKPOINT, 1, 0, 0, OK, DFF_TASK_RUNNING, true},
+		 {400, DFF_OP_STOP, 1, 0, 0, OK, DFF_TASK_STOPPED, true},
+		 {400, DFF_OP_CHECKPOINT, 1, 0, 0, REFUSED, DFF_TASK_STOPPED, true},
+		 {500, DFF_OP_RESUME, 2, 0, 0, OK, DFF_TASK_RUNNING, true},
+		 {699, DFF_OP_LOOK, 2, 0, 0, OK, DFF_TASK_RUNNING, true},
+		 {700, DFF_OP_LOOK, 2, 0, 0, OK, DFF_TASK_COMPLETED, true},
+		 {700, DFF_OP_END},
+	 }},
+	/* Symptom: a caller is told "completed" and finds no result. Sequence: the work ends while
+	 * the object store is down. Cause: completion was reported before the result was durable.
+	 */
+	{"a task completes only once its result is written",
+	 "{\"run_ms\":100,\"result_bytes\":600000}",
+	 false,
+	 {
+		 {0, DFF_OP_START, 1, 0, 0, OK, DFF_TASK_RUNNING, true},
+		 {50, DFF_OP_STORE_DOWN, 1, 0, 0, OK, DFF_TASK_RUNNING, true},
+		 {50, DFF_OP_CHECKPOINT, 1, 0, 0, REFUSED, DFF_TASK_RUNNING, true},
+		 {100, DFF_OP_LOOK, 1, 0, 0, OK, DFF_TASK_RUNNING, true},
+		 {150, DFF_OP_STORE_UP, 1, 0, 0, OK, DFF_TASK_RUNNING, true},
+		 {299, DFF_OP_LOOK, 1, 0, 0, OK, DFF_TASK_RUNNING, true},
+		 {300, DFF_OP_LOOK, 1, 0, 0, OK, DFF_TASK_COMPLETED, true},
+		 {300, DFF_OP_END},
+	 }},
+	{"a task that is to fail fails, and so does every task of a faulty worker",
+	 "{\"run_ms\":100,\"fail\":true}",
+	 false,
+	 {
+		 {0, DFF_OP_START, 1, 0, 0, OK, DFF_TASK_RUNNING, true},
+		 {100, DFF_OP_LOOK, 1, 0, 0, OK, DFF_TASK_FAILED, true},
+		 {100, DFF_OP_FAIL_EVERYTHING, 1, 0, 0, OK, DFF_TASK_FAILED, true},
+		 {100, DFF_OP_START_HELD, 2, 0, 0, OK, DFF_TASK_HELD, false},
+		 {100, DFF_OP_RELEASE, 2, 0, 0, OK, DFF_TASK_FAILED, true},
+		 {100, DFF_OP_END},
+	 }},
+	{"a payload that cannot be read fails its task",
+	 "{\"run_ms\":-1}",
+	 false,
+	 {
+		 {0, DFF_OP_START, 1, 0, 0, OK, DFF_TASK_RUNNING, true},
+		 {0, DFF_OP_LOOK, 1, 0, 0, OK, DFF_TASK_FAILED, true},
+		 {0, DFF_OP_END},
+	 }},
+};
+
+struct fixture {
+	struct dff_clock_virtual clock;
+	struct dff_memory *memory;
+	struct dff_memory_caller *caller;
+	struct dff_standin_worker *worker;
+	enum dff_worker_outcome outcome;
+};
+
+static void
+fixture_init (struct fixture *fixture, bool check_epochs)
+{
+	dff_clock_virtual_init (&fixture->clock, 0);
+	struct dff_memory_options options = {.clock = &fixture->clock.clock, .seed = 1};
+	fixture->memory = dff_memory_new (&options);
+	fixture->caller = dff_memory_open (fixture->memory);
+	struct dff_standin_worker_options worker = {
+		.clock = &fixture->clock.clock,
+		.store = &fixture->caller->objects,
+		.capacity = {.slots = 8, .cores = 32, .memory_gb = 64, .accelerators = 8},
+		.check_epochs = check_epochs,
+		.incarnation = 1,
+	};
+	fixture->worker = dff_standin_worker_new (&worker);
+}
+
+static void
+fixture_clear (struct fixture *fixture)
+{
+	dff_memory_close (fixture->caller);
+	dff_standin_worker_free (fixture->worker);
+	dff_memory_free (fixture->memory);
+}
+
+static void
+keep_outcome (void *user, const struct dff_worker_result *result)
+{
+	*(enum dff_worker_outcome *)user = result->outcome;
+}
+
+static struct dff_worker_call
+step_call (const struct step *step, struct dff_str payload)
+{
+	struct dff_task_id task = {dff_name_from ("sk.job"), step->attempt, step->member};
+	int64_t epoch = step->argument != 0 ? step->argument : FIRST_EPOCH;
+	struct dff_worker_call call = {
+		.start = {.task = task,
+			  .epoch = epoch,
+			  .accelerators = 0xff,
+			  .resources = {.slots = 1, .cores = 4, .memory_gb = 8, .accelerators = 8},
+			  .held = step->op == DFF_OP_START_HELD,
+			  .resume = step->op == DFF_OP_RESUME,
+			  .lease_ms = LEASE_MS,
+			  .payload = payload},
+		.command = {.task = task, .epoch = FIRST_EPOCH, .percent = step->argument},
+		.renewal = {.lease_ms = step->argument},
+	};
+	if (step->op == DFF_OP_STOP)
+		call.command.epoch = epoch;
+	return call;
+}
+
+static void
+do_step (struct fixture *fixture, const struct step *step, struct dff_str payload)
+{
+	static const enum dff_worker_call_type types[] = {
+		[DFF_OP_START] = DFF_WORKER_CALL_START,
+		[DFF_OP_START_HELD] = DFF_WORKER_CALL_START,
+		[DFF_OP_RESUME] = DFF_WORKER_CALL_START,
+		[DFF_OP_RELEASE] = DFF_WORKER_CALL_RELEASE,
+		[DFF_OP_CHECKPOINT] = DFF_WORKER_CALL_CHECKPOINT,
+		[DFF_OP_THROTTLE] = DFF_WORKER_CALL_THROTTLE,
+		[DFF_OP_STOP] = DFF_WORKER_CALL_STOP,
+		[DFF_OP_RENEW] = DFF_WORKER_CALL_RENEW,
+	};
+	struct dff_worker_tasks *tasks = dff_standin_worker_tasks (fixture->worker);
+	struct dff_worker_call call = step_call (step, payload);
+	fixture->outcome = DFF_WORKER_OK;
+	switch (step->op) {
+	case DFF_OP_LOOK:
+		dff_standin_worker_tick (fixture->worker);
+		break;
+	case DFF_OP_LEAVE:
+		dff_worker_tasks_leave (tasks);
+		break;
+	case DFF_OP_FAIL_EVERYTHING:
+		dff_worker_tasks_set_fail_everything (tasks, true);
+		break;
+	case DFF_OP_STORE_DOWN:
+		fixture->caller->faults.outage_until_ms = DFF_MEMORY_FOREVER;
+		break;
+	case DFF_OP_STORE_UP:
+		fixture->caller->faults.outage_until_ms = 0;
+		break;
+	default:
+		call.type = types[step->op];
+		dff_standin_worker_call (fixture->worker, &call, keep_outcome, &fixture->outcome);
+		break;
+	}
+}
+
+/** Returns: what the worker says about a task. */
+static struct dff_task_report
+look_at (struct fixture *fixture, int32_t attempt, int32_t member)
+{
+	struct dff_task_report found = {.state = DFF_TASK_UNSEEN};
+	g_autoptr (GArray) reports = g_array_new (FALSE, TRUE, sizeof (struct dff_task_report));
+	dff_worker_tasks_query (dff_standin_worker_tasks (fixture->worker), reports);
+	for (guint i = 0; i < reports->len; i++) {
+		const struct dff_task_report *report =
+			&g_array_index (reports, struct dff_task_report, i);
+		if (report->task.attempt == attempt && report->task.member == member)
+			found = *report;
+	}
+	return found;
+}
+
+static void
+test_sessions (void **state)
+{
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS (sessions); i++) {
+		const struct session *session = &sessions[i];
+		struct fixture fixture;
+		fixture_init (&fixture, session->check_epochs);
+		for (const struct step *step = session->steps; step->op != DFF_OP_END; step++) {
+			fixture.clock.now_ms = step->at_ms;
+			do_step (&fixture, step, dff_str_from (session->payload));
+			struct dff_task_report report =
+				look_at (&fixture, step->attempt, step->member);
+			if (fixture.outcome != step->outcome || report.state != step->state ||
+			    report.ran != step->ran)
+				fail_msg ("%s: step %d: outcome %d state %s ran %d", session->name,
+					  (int)(step - session->steps), fixture.outcome,
+					  dff_task_state_name (report.state), report.ran);
+		}
+		fixture_clear (&fixture);
+	}
+}
+
+static void
+test_renew_reports_changes_only (void **state)
+{
+	(void)state;
+	struct fixture fixture;
+	fixture_init (&fixture, false);
+	struct dff_worker_tasks *tasks = dff_standin_worker_tasks (fixture.worker);
+	g_autoptr (GArray) reports = g_array_new (FALSE, TRUE, sizeof (struct dff_task_report));
+	struct step stop = {0, DFF_OP_STOP, 1, 0, 0, OK, DFF_TASK_REFUSED, false};
+	for (stop.attempt = 1; stop.attempt <= 3; stop.attempt++)
+		do_step (&fixture, &stop, dff_str_from ("{}"));
+	static const struct {
+		int64_t after;
+		guint n_reports;
+	} cases[] = {{0, 3}, {1, 2}, {2, 1}, {3, 0}, {9, 0}};
+	for (size_t i = 0; i < G_N_ELEMENTS (cases); i++) {
+		g_array_set_size (reports, 0);
+		dff_worker_tasks_renew (tasks, LEASE_MS, cases[i].after, reports);
+		assert_int_equal (reports->len, cases[i].n_reports);
+	}
+	assert_int_equal (dff_worker_tasks_sequence (tasks), 3);
+	fixture_clear (&fixture);
+}
+
+static void
+count_status (void *user, const struct dff_request_result *result)
+{
+	int *counts = user;
+	counts[result->status]++;
+}
+
+static void
+test_requests_have_bounded_slots (void **state)
+{
+	(void)state;
+	struct fixture fixture;
+	fixture_init (&fixture, false);
+	struct dff_name id = dff_name_from ("r1");
+	struct dff_str payload = dff_str_from ("{\"work_ms\":10,\"answer_bytes\":200}");
+	int counts[600] = {0};
+	for (int i = 0; i < 10; i++)
+		dff_standin_worker_request (fixture.worker, &id, payload, count_status, counts);
+	assert_int_equal (counts[429], 2);
+	assert_int_equal (dff_standin_worker_next_due_ms (fixture.worker), 10);
+	fixture.clock.now_ms = 10;
+	dff_standin_worker_tick (fixture.worker);
+	assert_int_equal (counts[200], 8);
+	assert_false (dff_standin_worker_is_busy (fixture.worker));
+	dff_worker_tasks_leave (dff_standin_worker_tasks (fixture.worker));
+	dff_standin_worker_request (fixture.worker, &id, payload, count_status, counts);
+	assert_int_equal (counts[503], 1);
+	fixture_clear (&fixture);
+}
+
+int
+main (void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test (test_sessions),
+		cmocka_unit_test (test_renew_reports_changes_only),
+		cmocka_unit_test (test_requests_have_bounded_slots),
+	};
+	return cmocka_run_group_tests (tests, NULL, NULL);
+}
