--- /dev/null
+++ b/cell/calls.c
@@ -0,0 +1,320 @@
+#include "cell/cell_private.h"
+
+#include "common/log.h"
+
+/* Calls to workers. A stop is repeated until the worker has proven that the task is over; a start
+ * until it is answered, proven unsent, or superseded by a stop. */
+
+/** Tries of stopping a task that nobody owns; its lease ends it otherwise. */
+#define ORPHAN_TRIES 5
+
+static const struct dff_name *
+find_address (const struct dff_cell *cell, const struct dff_name *name)
+{
+	const struct dff_cell_worker *worker = dff_cell_worker_find (cell, name);
+	if (worker == NULL || dff_name_is_empty (&worker->address))
+		return NULL;
+	return &worker->address;
+}
+
+static const struct dff_task_report *
+find_report (const struct dff_worker_result *result, const struct dff_task_id *task)
+{
+	for (size_t i = 0; i < result->n_reports; i++) {
+		const struct dff_task_id *id = &result->reports[i].task;
+		if (id->attempt == task->attempt && id->member == task->member &&
+		    dff_name_equal (&id->job, &task->job))
+			return &result->reports[i];
+	}
+	return NULL;
+}
+
+static void
+repeat (struct dff_cell *cell, struct dff_cell_job *job, struct dff_cell_member *member, int32_t i)
+{
+	*cell->metrics.retries += 1;
+	struct dff_cell_due due = {
+		.due_ms = dff_cell_now_ms (cell) + dff_cell_backoff_ms (cell, member->tries++),
+		.type = DFF_CELL_DUE_TASK,
+		.worker = member->placement.worker,
+		.task = {job->row->spec.id, job->row->attempt, i},
+		.wanted_seq = member->wanted_seq,
+	};
+	dff_cell_agenda_add (cell, &due);
+}
+
+static void
+settle_start (struct dff_cell *cell,
+	      struct dff_cell_job *job,
+	      const struct dff_task_id *task,
+	      enum dff_worker_outcome outcome)
+{
+	struct dff_cell_member *member = dff_cell_job_member (job, task);
+	bool unsent = outcome == DFF_WORKER_UNSENT;
+	bool hopeless = outcome == DFF_WORKER_REFUSED ||
+			(unsent && member->tries + 1 >= DFF_CELL_START_TRIES);
+	if (outcome == DFF_WORKER_OK) {
+		member->wanted = DFF_CELL_WANT_NOTHING;
+		dff_cell_member_started (cell, job, member);
+		return;
+	}
+	if (unsent && !member->in_doubt) {
+		member->sent = false;
+		member->released = false;
+	}
+	/* A refusal of a repeated start proves nothing about the first, whose answer was lost: it
+	 * stays open until a stop is answered. */
+	if (hopeless && !member->in_doubt) {
+		dff_cell_member_over (cell, job, member, DFF_EVENT_TASK_START_FAILED, false);
+		return;
+	}
+	member->in_doubt = member->in_doubt || outcome == DFF_WORKER_UNCERTAIN;
+	repeat (cell, job, member, task->member);
+}
+
+static void
+settle_release (struct dff_cell *cell,
+		struct dff_cell_job *job,
+		const struct dff_task_id *task,
+		enum dff_worker_outcome outcome)
+{
+	struct dff_cell_member *member = dff_cell_job_member (job, task);
+	if (outcome == DFF_WORKER_OK) {
+		member->wanted = DFF_CELL_WANT_NOTHING;
+		return;
+	}
+	/* The worker does not know the task any more: its whole answer tells what became of it. */
+	if (outcome == DFF_WORKER_REFUSED)
+		dff_cell_worker_query (cell, &member->placement.worker, dff_cell_now_ms (cell));
+	repeat (cell, job, member, task->member);
+}
+
+static void
+settle_checkpoint (struct dff_cell *cell,
+		   struct dff_cell_job *job,
+		   const struct dff_task_id *task,
+		   enum dff_worker_outcome outcome)
+{
+	struct dff_cell_member *member = dff_cell_job_member (job, task);
+	if (outcome == DFF_WORKER_UNSENT || outcome == DFF_WORKER_UNCERTAIN) {
+		repeat (cell, job, member, task->member);
+		return;
+	}
+	member->wanted = DFF_CELL_WANT_NOTHING;
+	if (outcome == DFF_WORKER_REFUSED)
+		return;
+	struct dff_event event = {
+		.type = DFF_EVENT_TASK_CHECKPOINTED,
+		.job = task->job,
+		.attempt = task->attempt,
+		.member = task->member,
+	};
+	dff_cell_event (cell, &event);
+}
+
+static void
+settle (struct dff_cell *cell, const struct dff_cell_call *call, enum dff_worker_outcome outcome)
+{
+	struct dff_cell_job *job = dff_cell_job_find (cell, &call->task.job);
+	struct dff_cell_member *member =
+		job != NULL ? dff_cell_job_member (job, &call->task) : NULL;
+	if (member == NULL || member->over || member->wanted_seq != call->wanted_seq)
+		return;
+	switch (member->wanted) {
+	case DFF_CELL_WANT_NOTHING:
+		break;
+	case DFF_CELL_WANT_START:
+		settle_start (cell, job, &call->task, outcome);
+		break;
+	case DFF_CELL_WANT_RELEASE:
+		settle_release (cell, job, &call->task, outcome);
+		break;
+	case DFF_CELL_WANT_CHECKPOINT:
+		settle_checkpoint (cell, job, &call->task, outcome);
+		break;
+	case DFF_CELL_WANT_STOP:
+		/* A refused stop may mean that a newer holder is known there. */
+		if (outcome == DFF_WORKER_REFUSED)
+			dff_lease_verify (cell->lease);
+		repeat (cell, job, member, call->task.member);
+		break;
+	}
+}
+
+/* The start that was refused or lost is in doubt even when a stop has superseded it meanwhile. */
+static void
+note_doubt (struct dff_cell *cell, const struct dff_cell_call *call)
+{
+	struct dff_cell_job *job = dff_cell_job_find (cell, &call->task.job);
+	struct dff_cell_member *member =
+		job != NULL ? dff_cell_job_member (job, &call->task) : NULL;
+	if (member != NULL)
+		member->in_doubt = true;
+}
+
+static void
+on_task (void *user, const struct dff_worker_result *result)
+{
+	struct dff_cell_call call;
+	if (!dff_cell_call_end (user, &call))
+		return;
+	struct dff_cell *cell = call.cell;
+	bool answered = result->outcome == DFF_WORKER_OK || result->outcome == DFF_WORKER_REFUSED;
+	if (answered)
+		dff_cell_worker_answered (cell, &call.worker, result);
+	else if (result->outcome == DFF_WORKER_UNCERTAIN)
+		note_doubt (cell, &call);
+	const struct dff_task_report *report = find_report (result, &call.task);
+	if (answered && report != NULL)
+		dff_cell_take_report (cell, &call.worker, result->incarnation, report);
+	settle (cell, &call, result->outcome);
+}
+
+static void
+send_start (struct dff_cell *cell,
+	    const struct dff_cell_job *job,
+	    struct dff_cell_member *member,
+	    const struct dff_name *address,
+	    struct dff_cell_call *call)
+{
+	const struct dff_job_row *row = job->row;
+	const struct dff_task_start start = {
+		.task = call->task,
+		.epoch = cell->epoch,
+		.accelerators = member->placement.accelerators,
+		.resources = row->spec.per_task,
+		.held = member->held,
+		.resume = row->spec.checkpoint && row->attempt > 1,
+		.lease_ms = cell->options.task_lease_ms,
+		.payload = {row->payload->str, row->payload->len},
+		.traceparent = {row->traceparent->str, row->traceparent->len},
+	};
+	member->sent = true;
+	if (!member->held)
+		member->released = true;
+	const struct dff_worker_client *workers = cell->options.workers;
+	workers->start (workers->ctx, address, &start, on_task, call);
+}
+
+static void
+send_wanted (struct dff_cell *cell,
+	     const struct dff_cell_job *job,
+	     struct dff_cell_member *member,
+	     const struct dff_name *address,
+	     struct dff_cell_call *call)
+{
+	const struct dff_worker_client *workers = cell->options.workers;
+	const struct dff_task_id task = call->task;
+	switch (member->wanted) {
+	case DFF_CELL_WANT_NOTHING:
+		break;
+	case DFF_CELL_WANT_START:
+		send_start (cell, job, member, address, call);
+		break;
+	case DFF_CELL_WANT_RELEASE:
+		member->released = true;
+		workers->release (workers->ctx, address, &task, cell->epoch, on_task, call);
+		break;
+	case DFF_CELL_WANT_CHECKPOINT:
+		workers->checkpoint (workers->ctx, address, &task, cell->epoch, on_task, call);
+		break;
+	case DFF_CELL_WANT_STOP:
+		workers->stop (workers->ctx, address, &task, cell->epoch, on_task, call);
+		break;
+	}
+}
+
+void
+dff_cell_send_task (struct dff_cell *cell, const struct dff_cell_due *due)
+{
+	struct dff_cell_job *job = dff_cell_job_find (cell, &due->task.job);
+	struct dff_cell_member *member = job != NULL ? dff_cell_job_member (job, &due->task) : NULL;
+	if (member == NULL || member->over || member->wanted_seq != due->wanted_seq ||
+	    member->wanted == DFF_CELL_WANT_NOTHING)
+		return;
+	struct dff_cell_call *call = dff_cell_call_begin (cell, DFF_CELL_CALL_TASK);
+	call->worker = due->worker;
+	call->task = due->task;
+	call->wanted_seq = due->wanted_seq;
+	const struct dff_name *address = find_address (cell, &due->worker);
+	if (address == NULL) {
+		const struct dff_worker_result unsent = {.outcome = DFF_WORKER_UNSENT};
+		on_task (call, &unsent);
+		return;
+	}
+	struct dff_name copy = *address;
+	send_wanted (cell, job, member, &copy, call);
+}
+
+static void
+on_query (void *user, const struct dff_worker_result *result)
+{
+	struct dff_cell_call call;
+	if (!dff_cell_call_end (user, &call))
+		return;
+	struct dff_cell *cell = call.cell;
+	struct dff_cell_worker *worker = dff_cell_worker_find (cell, &call.worker);
+	if (worker == NULL)
+		return;
+	worker->querying = false;
+	bool answered = result->outcome == DFF_WORKER_OK;
+	if (answered)
+		dff_cell_worker_answered (cell, &call.worker, result);
+	if (cell->phase == DFF_CELL_QUERYING)
+		dff_cell_recovery_answer (cell, &call.worker, result);
+	else if (answered)
+		dff_cell_take_whole (cell, &call.worker, result, call.sent_ms);
+	else
+		dff_cell_worker_unanswered (cell, &call.worker);
+}
+
+void
+dff_cell_send_query (struct dff_cell *cell, const struct dff_cell_due *due)
+{
+	struct dff_cell_call *call = dff_cell_call_begin (cell, DFF_CELL_CALL_QUERY);
+	call->worker = due->worker;
+	const struct dff_name *address = find_address (cell, &due->worker);
+	if (address == NULL) {
+		const struct dff_worker_result unsent = {.outcome = DFF_WORKER_UNSENT};
+		on_query (call, &unsent);
+		return;
+	}
+	struct dff_name copy = *address;
+	const struct dff_worker_client *workers = cell->options.workers;
+	workers->query (workers->ctx, &copy, on_query, call);
+}
+
+static void
+on_orphan (void *user, const struct dff_worker_result *result)
+{
+	struct dff_cell_call call;
+	if (!dff_cell_call_end (user, &call))
+		return;
+	if (result->outcome == DFF_WORKER_OK || call.tries + 1 >= ORPHAN_TRIES)
+		return;
+	struct dff_cell_due due = {
+		.due_ms = dff_cell_now_ms (call.cell) + dff_cell_backoff_ms (call.cell, call.tries),
+		.type = DFF_CELL_DUE_ORPHAN,
+		.worker = call.worker,
+		.task = call.task,
+		.tries = call.tries + 1,
+	};
+	dff_cell_agenda_add (call.cell, &due);
+}
+
+void
+dff_cell_send_orphan_stop (struct dff_cell *cell, const struct dff_cell_due *due)
+{
+	const struct dff_name *address = find_address (cell, &due->worker);
+	if (address == NULL)
+		return;
+	if (due->tries == 0)
+		*cell->metrics.orphans += 1;
+	struct dff_cell_call *call = dff_cell_call_begin (cell, DFF_CELL_CALL_ORPHAN);
+	call->worker = due->worker;
+	call->task = due->task;
+	call->tries = due->tries;
+	struct dff_name copy = *address;
+	const struct dff_worker_client *workers = cell->options.workers;
+	workers->stop (workers->ctx, &copy, &due->task, cell->epoch, on_orphan, call);
+}
--- /dev/null
+++ b/cell/cell_private.h
@@ -0,0 +1,396 @@
+#ifndef DFF_CELL_CELL_PRIVATE_H
+#define DFF_CELL_CELL_PRIVATE_H
+
+#include "cell/cell.h"
+#include "cell/job_row.h"
+#include "cell/lease.h"
+
+/*
+ * The holder's tables and the parts that work on them. Callbacks of the table and of workers only
+ * take in what they learn; whatever is sent is sent by the tick, after the lease was compared with
+ * the clock. That keeps a process that resumes after a pause from acting on what it believed.
+ */
+
+/** Shortest and longest wait before a call or write is repeated, ms; doubled in between. */
+#define DFF_CELL_RETRY_MIN_MS 50
+#define DFF_CELL_RETRY_MAX_MS 1000
+/** A start that was proven unsent this often fails its attempt: another worker may answer. */
+#define DFF_CELL_START_TRIES 3
+/** On top of the tasks' lease before a silent worker's tasks count as lost, ms: clocks differ. */
+#define DFF_CELL_SILENCE_MARGIN_MS 2000
+/** Rows read by one scan. */
+#define DFF_CELL_PAGE_ROWS 256
+
+/** What a member's worker is to be brought to do; the latest command supersedes earlier ones. */
+enum dff_cell_wanted {
+	DFF_CELL_WANT_NOTHING,
+	DFF_CELL_WANT_START,
+	DFF_CELL_WANT_RELEASE,
+	DFF_CELL_WANT_CHECKPOINT,
+	DFF_CELL_WANT_STOP,
+};
+
+struct dff_cell_member {
+	struct dff_placement placement;
+	/** Incarnation of the worker when the intent was recorded; 0: not known. */
+	int64_t incarnation;
+	enum dff_cell_wanted wanted;
+	/** Grows with each change of @wanted, so that answers to earlier calls are told apart. */
+	uint32_t wanted_seq;
+	int32_t tries;
+	bool held;
+	/** A start may have reached the worker. */
+	bool sent;
+	/** A start was sent whose answer is not known. */
+	bool in_doubt;
+	/** It was, or may have been, let go to run. */
+	bool released;
+	bool started;
+	int64_t started_ms;
+	/** The core knows how it ended. */
+	bool over;
+	/** Take-over: what its worker said; DFF_TASK_UNSEEN also for no answer. */
+	enum dff_task_state found;
+};
+
+enum dff_cell_write_type {
+	DFF_CELL_WRITE_START,
+	DFF_CELL_WRITE_RETRY,
+	DFF_CELL_WRITE_END,
+};
+
+/** A change of a job's row that the core asked for. */
+struct dff_cell_write {
+	enum dff_cell_write_type type;
+	int32_t attempt;
+	/** Elements: struct dff_placement, and int64_t; NULL but for starts. */
+	GArray *placements;
+	GArray *incarnations;
+	enum dff_outcome outcome;
+	struct dff_name reason;
+};
+
+struct dff_cell_job {
+	/** As known to be durable. */
+	struct dff_job_row *row;
+	/** Elements: struct dff_cell_member, of the open attempt. */
+	GArray *members;
+	/** The attempt was opened by a former holder. */
+	bool recovered;
+	/** struct dff_cell_write, in order; the head is the one being written. */
+	GQueue writes;
+	/** The head is with the recorder, or its conflict is being looked into. */
+	bool writing;
+	int32_t write_tries;
+	bool cancel_told;
+	/** Somebody else ended it, or its row is gone: it only has to leave the core. */
+	bool gone;
+	struct dff_result_ref result;
+};
+
+struct dff_cell_worker {
+	struct dff_name name;
+	/** Empty: never listed. */
+	struct dff_name address;
+	bool listed;
+	bool list_leaving;
+	bool said_leaving;
+	bool reachable;
+	bool told;
+	enum dff_worker_state told_state;
+	/** Of its last answer; 0: none yet. */
+	int64_t incarnation;
+	/** When it entered this table. */
+	int64_t since_ms;
+	/** Latest time at which it is known to have answered a renewal; 0: no sighting yet. */
+	int64_t answered_ms;
+	bool querying;
+};
+
+enum dff_cell_call_type {
+	DFF_CELL_CALL_TASK,
+	DFF_CELL_CALL_QUERY,
+	DFF_CELL_CALL_ORPHAN,
+	DFF_CELL_CALL_WRITE,
+	DFF_CELL_CALL_READ,
+	DFF_CELL_CALL_SCAN,
+};
+
+/** A call to a worker, to the table or to the recorder whose answer is awaited. */
+struct dff_cell_call {
+	struct dff_cell *cell;
+	enum dff_cell_call_type type;
+	/** The cell's term when it was made; an answer of an earlier term is ignored. */
+	uint64_t term;
+	struct dff_name worker;
+	struct dff_task_id task;
+	uint32_t wanted_seq;
+	int32_t tries;
+	int64_t sent_ms;
+	uint64_t ticket;
+};
+
+enum dff_cell_due_type {
+	DFF_CELL_DUE_TASK,
+	DFF_CELL_DUE_WRITE,
+	DFF_CELL_DUE_QUERY,
+	DFF_CELL_DUE_ORPHAN,
+};
+
+/** Something to be sent at a time. */
+struct dff_cell_due {
+	int64_t due_ms;
+	enum dff_cell_due_type type;
+	struct dff_name worker;
+	struct dff_task_id task;
+	uint32_t wanted_seq;
+	int32_t tries;
+};
+
+enum dff_cell_phase {
+	DFF_CELL_STANDBY,
+	/** Take-over: reading the rows, */
+	DFF_CELL_SCANNING,
+	/** then asking the workers. */
+	DFF_CELL_QUERYING,
+	DFF_CELL_ACTIVE,
+};
+
+/** The reading of job rows in order of revision. */
+struct dff_cell_feed {
+	int64_t cursor;
+	int64_t due_ms;
+	bool reading;
+	bool hinted;
+	int32_t tries;
+};
+
+struct dff_cell_recovery {
+	int64_t begun_ms;
+	int64_t query_until_ms;
+	int32_t n_queries;
+	/** Elements: struct dff_cell_found. */
+	GArray *found;
+};
+
+/** A report that came while taking over, kept until the core is rebuilt. */
+struct dff_cell_found {
+	struct dff_name worker;
+	int64_t incarnation;
+	struct dff_task_report report;
+};
+
+struct dff_cell_metrics {
+	int64_t *recoveries;
+	int64_t *recovery_ms;
+	int64_t *starts;
+	int64_t *retries;
+	int64_t *conflicts;
+	int64_t *orphans;
+	int64_t *lost;
+	int64_t *bad_rows;
+};
+
+struct dff_cell {
+	struct dff_cell_options options;
+	struct dff_lease *lease;
+	GRand *rand;
+	GString *prefix;
+	struct dff_pool *pool;
+	enum dff_cell_phase phase;
+	bool draining;
+	/** A drained cell has given its lease up. */
+	bool released;
+	/** Grows when the cell is dropped. */
+	uint64_t term;
+	/** Epoch of this term. */
+	int64_t epoch;
+	struct dff_core *core;
+	/** Elements: struct dff_event, to be told to the core by the next tick. */
+	GArray *events;
+	GArray *commands;
+	/** struct dff_name to struct dff_cell_job. */
+	GHashTable *jobs;
+	/** struct dff_name to struct dff_cell_worker. */
+	GHashTable *workers;
+	bool instances_known;
+	int64_t workers_due_ms;
+	/** struct dff_cell_due, in order of time. */
+	GSequence *agenda;
+	/** Set of struct dff_cell_call. */
+	GHashTable *calls;
+	struct dff_cell_feed feed;
+	struct dff_cell_recovery recovery;
+	/** Rows that were found or became ended, by outcome. */
+	int64_t ended[DFF_OUTCOME_UNKNOWN + 1];
+	struct dff_cell_metrics metrics;
+};
+
+/* cell.c */
+
+int64_t dff_cell_now_ms (const struct dff_cell *cell);
+
+/** Wait before the next try, doubled with each and jittered, ms. */
+int64_t dff_cell_backoff_ms (struct dff_cell *cell, int32_t tries);
+
+/** Keeps an event for the core until the next tick. */
+void dff_cell_event (struct dff_cell *cell, const struct dff_event *event);
+
+/** Tells the core what was kept. */
+void dff_cell_deliver (struct dff_cell *cell);
+
+struct dff_cell_call *dff_cell_call_begin (struct dff_cell *cell, enum dff_cell_call_type type);
+
+/** Takes a call out of the books; @call is a copy from then on. Returns: whether its answer still
+ * counts. */
+bool dff_cell_call_end (struct dff_cell_call *call, struct dff_cell_call *copy);
+
+/* agenda.c */
+
+void dff_cell_agenda_add (struct dff_cell *cell, const struct dff_cell_due *due);
+
+/** Sends what is due, as long as the lease holds. */
+void dff_cell_agenda_run (struct dff_cell *cell);
+
+/* jobs.c */
+
+/** Adds a job; takes @row over. */
+struct dff_cell_job *dff_cell_job_add (struct dff_cell *cell, struct dff_job_row *row);
+
+struct dff_cell_job *dff_cell_job_find (const struct dff_cell *cell, const struct dff_name *id);
+
+void dff_cell_job_remove (struct dff_cell *cell, const struct dff_name *id);
+
+/** GDestroyNotify. */
+void dff_cell_job_free (gpointer job);
+
+/** Fills in the members from the row's placements. */
+void dff_cell_job_open (struct dff_cell_job *job);
+
+/** Returns: (nullable): the member, when @task is of the open attempt. */
+struct dff_cell_member *dff_cell_job_member (struct dff_cell_job *job,
+					     const struct dff_task_id *task);
+
+/** Tells the core that a cancellation is on record, once. */
+void dff_cell_job_cancelled (struct dff_cell *cell, struct dff_cell_job *job);
+
+/* feed.c */
+
+void dff_cell_feed_start (struct dff_cell *cell);
+
+void dff_cell_feed_tick (struct dff_cell *cell);
+
+/* records.c */
+
+/** Queues a change of a job's row; takes @write over. */
+void
+dff_cell_record (struct dff_cell *cell, struct dff_cell_job *job, struct dff_cell_write *write);
+
+void dff_cell_write_free (gpointer write);
+
+/** Sends the head of a job's queue. */
+void dff_cell_record_send (struct dff_cell *cell, struct dff_cell_job *job);
+
+/* executor.c */
+
+/** Carries the core's commands out. */
+void dff_cell_execute (struct dff_cell *cell, const GArray *commands);
+
+/** Sets what a member is to be brought to do, and has it sent. */
+void dff_cell_want (struct dff_cell *cell,
+		    struct dff_cell_job *job,
+		    int32_t member,
+		    enum dff_cell_wanted wanted);
+
+/* calls.c */
+
+void dff_cell_send_task (struct dff_cell *cell, const struct dff_cell_due *due);
+
+void dff_cell_send_query (struct dff_cell *cell, const struct dff_cell_due *due);
+
+void dff_cell_send_orphan_stop (struct dff_cell *cell, const struct dff_cell_due *due);
+
+/* reports.c */
+
+/**
+ * dff_cell_take_report:
+ * @incarnation: of the worker that answered; 0: not known
+ *
+ * Takes in what a worker says about one task.
+ */
+void dff_cell_take_report (struct dff_cell *cell,
+			   const struct dff_name *worker,
+			   int64_t incarnation,
+			   const struct dff_task_report *report);
+
+/** Tells the core how a member ended, once. */
+void dff_cell_member_over (struct dff_cell *cell,
+			   struct dff_cell_job *job,
+			   struct dff_cell_member *member,
+			   enum dff_event_type type,
+			   bool ran);
+
+/** Tells the core that a member has started, once. */
+void dff_cell_member_started (struct dff_cell *cell,
+			      struct dff_cell_job *job,
+			      struct dff_cell_member *member);
+
+/** Every task that is placed on @worker and not over is lost. */
+void dff_cell_lose_tasks (struct dff_cell *cell, const struct dff_name *worker);
+
+/** A whole answer of @worker to a query sent at @asked_ms: what it does not know any more is lost.
+ */
+void dff_cell_take_whole (struct dff_cell *cell,
+			  const struct dff_name *worker,
+			  const struct dff_worker_result *result,
+			  int64_t asked_ms);
+
+/* workers.c */
+
+struct dff_cell_worker *dff_cell_worker_find (const struct dff_cell *cell,
+					      const struct dff_name *name);
+
+struct dff_cell_worker *dff_cell_worker_add (struct dff_cell *cell, const struct dff_name *name);
+
+/** A worker answered a call of this process. */
+void dff_cell_worker_answered (struct dff_cell *cell,
+			       const struct dff_name *name,
+			       const struct dff_worker_result *result);
+
+/** Has a worker asked for its tasks. */
+void dff_cell_worker_query (struct dff_cell *cell, const struct dff_name *name, int64_t due_ms);
+
+/** A query got no answer. */
+void dff_cell_worker_unanswered (struct dff_cell *cell, const struct dff_name *name);
+
+/** Tells the core which workers may be used, and finds those that are silent too long. */
+void dff_cell_workers_tick (struct dff_cell *cell);
+
+/** Tells a new core about every worker. */
+void dff_cell_workers_tell (struct dff_cell *cell, bool again);
+
+/* recovery.c */
+
+void dff_cell_recovery_begin (struct dff_cell *cell);
+
+/** Takes in a row while taking over; takes @row over. */
+void dff_cell_recovery_take_row (struct dff_cell *cell, struct dff_job_row *row);
+
+/** Every row has been read. */
+void dff_cell_recovery_scanned (struct dff_cell *cell);
+
+void dff_cell_recovery_tick (struct dff_cell *cell);
+
+/** A worker's answer, or its absence, while taking over. */
+void dff_cell_recovery_answer (struct dff_cell *cell,
+			       const struct dff_name *worker,
+			       const struct dff_worker_result *result);
+
+/* pool_copy.c */
+
+/** Returns: (transfer full): the parts of @pool that the core reads, without secrets. */
+struct dff_pool *dff_cell_pool_copy (const struct dff_pool *pool);
+
+void dff_cell_pool_free (struct dff_pool *pool);
+
+#endif
--- /dev/null
+++ b/cell/reports.c
@@ -0,0 +1,251 @@
+#include "cell/cell_private.h"
+
+#include "common/log.h"
+
+/* What workers say about tasks becomes events for the core, each at most once. */
+
+static int32_t
+member_index (const struct dff_cell_job *job, const struct dff_cell_member *member)
+{
+	return (int32_t)(member - (const struct dff_cell_member *)(const void *)job->members->data);
+}
+
+static void
+tell (struct dff_cell *cell,
+      const struct dff_cell_job *job,
+      const struct dff_cell_member *member,
+      enum dff_event_type type,
+      bool ran)
+{
+	struct dff_event event = {
+		.type = type,
+		.job = job->row->spec.id,
+		.attempt = job->row->attempt,
+		.member = member_index (job, member),
+		.ran = ran,
+	};
+	dff_cell_event (cell, &event);
+}
+
+void
+dff_cell_member_over (struct dff_cell *cell,
+		      struct dff_cell_job *job,
+		      struct dff_cell_member *member,
+		      enum dff_event_type type,
+		      bool ran)
+{
+	if (member->over)
+		return;
+	member->over = true;
+	member->wanted = DFF_CELL_WANT_NOTHING;
+	member->wanted_seq++;
+	if (type == DFF_EVENT_TASK_LOST)
+		*cell->metrics.lost += 1;
+	tell (cell, job, member, type, ran);
+}
+
+void
+dff_cell_member_started (struct dff_cell *cell,
+			 struct dff_cell_job *job,
+			 struct dff_cell_member *member)
+{
+	if (member->over || member->started)
+		return;
+	member->started = true;
+	member->started_ms = dff_cell_now_ms (cell);
+	tell (cell, job, member, DFF_EVENT_TASK_STARTED, false);
+}
+
+static void
+take_result (struct dff_cell_job *job, const struct dff_task_report *report)
+{
+	if (report->task.member != 0)
+		return;
+	job->result.manifest_key = report->result_key;
+	job->result.length = report->result_length;
+	g_strlcpy (job->result.digest, report->result_digest, sizeof (job->result.digest));
+}
+
+/* A worker that started anew has forgotten what it ran and leaves tombstones for it all the same.
+ * Symptom: a job that ran is reported as not run, or runs again. A tombstone counts as "never ran"
+ * only from the incarnation that was there when the intent was recorded, or for a member that was
+ * held and that nobody can have let go. */
+static void
+take_tombstone (struct dff_cell *cell,
+		struct dff_cell_job *job,
+		struct dff_cell_member *member,
+		int64_t incarnation)
+{
+	bool vouched = incarnation != 0 && incarnation == member->incarnation;
+	bool never_let_go = !job->recovered && !member->released;
+	if (vouched || never_let_go)
+		dff_cell_member_over (cell, job, member, DFF_EVENT_TASK_STOPPED, false);
+	else if (incarnation == 0)
+		dff_cell_worker_query (cell, &member->placement.worker, dff_cell_now_ms (cell));
+	else
+		dff_cell_member_over (cell, job, member, DFF_EVENT_TASK_LOST, true);
+}
+
+static void
+take_current (struct dff_cell *cell,
+	      struct dff_cell_job *job,
+	      struct dff_cell_member *member,
+	      int64_t incarnation,
+	      const struct dff_task_report *report)
+{
+	if (member->over)
+		return;
+	member->released = member->released || report->ran;
+	switch (report->state) {
+	case DFF_TASK_UNSEEN:
+		break;
+	case DFF_TASK_HELD:
+	case DFF_TASK_RUNNING:
+		dff_cell_member_started (cell, job, member);
+		break;
+	case DFF_TASK_COMPLETED:
+		take_result (job, report);
+		dff_cell_member_over (cell, job, member, DFF_EVENT_TASK_COMPLETED, true);
+		break;
+	case DFF_TASK_FAILED:
+		dff_cell_member_over (cell, job, member, DFF_EVENT_TASK_FAILED, report->ran);
+		break;
+	case DFF_TASK_STOPPED:
+		dff_cell_member_over (cell, job, member, DFF_EVENT_TASK_STOPPED, report->ran);
+		break;
+	case DFF_TASK_REFUSED:
+		take_tombstone (cell, job, member, incarnation);
+		break;
+	}
+}
+
+/* A start that was delayed in the network can arrive after its job has ended or gone on to another
+ * attempt. Symptom: one member of a gang runs alone, on accelerators that are leased to others. */
+static void
+stop_orphan (struct dff_cell *cell,
+	     const struct dff_name *worker,
+	     const struct dff_task_report *report)
+{
+	bool active = report->state == DFF_TASK_HELD || report->state == DFF_TASK_RUNNING;
+	struct dff_name region = dff_job_id_region (&report->task.job);
+	if (!active || !dff_name_equal (&region, &cell->options.region))
+		return;
+	dff_log (DFF_LOG_CELL, DFF_LOG_WARNING,
+		 "Stopping a task that no open attempt owns. worker=%s job=%s attempt=%d",
+		 worker->data, report->task.job.data, report->task.attempt);
+	struct dff_cell_due due = {
+		.due_ms = dff_cell_now_ms (cell),
+		.type = DFF_CELL_DUE_ORPHAN,
+		.worker = *worker,
+		.task = report->task,
+	};
+	dff_cell_agenda_add (cell, &due);
+}
+
+void
+dff_cell_take_report (struct dff_cell *cell,
+		      const struct dff_name *worker,
+		      int64_t incarnation,
+		      const struct dff_task_report *report)
+{
+	struct dff_cell_job *job = dff_cell_job_find (cell, &report->task.job);
+	struct dff_cell_member *member =
+		job != NULL ? dff_cell_job_member (job, &report->task) : NULL;
+	if (member != NULL && dff_name_equal (&member->placement.worker, worker)) {
+		take_current (cell, job, member, incarnation, report);
+		return;
+	}
+	/* An attempt that is newer than the row known here belongs to a later holder. */
+	if (job == NULL || report->task.attempt <= job->row->attempt)
+		stop_orphan (cell, worker, report);
+}
+
+typedef void (*member_func) (struct dff_cell *cell,
+			     struct dff_cell_job *job,
+			     struct dff_cell_member *member,
+			     const void *user);
+
+static void
+for_each_member_at (struct dff_cell *cell,
+		    const struct dff_name *worker,
+		    member_func visit,
+		    const void *user)
+{
+	GHashTableIter iter;
+	gpointer value;
+	g_hash_table_iter_init (&iter, cell->jobs);
+	while (g_hash_table_iter_next (&iter, NULL, &value)) {
+		struct dff_cell_job *job = value;
+		for (guint i = 0; i < job->members->len; i++) {
+			struct dff_cell_member *member =
+				&g_array_index (job->members, struct dff_cell_member, i);
+			if (!member->over && dff_name_equal (&member->placement.worker, worker))
+				visit (cell, job, member, user);
+		}
+	}
+}
+
+static void
+lose (struct dff_cell *cell,
+      struct dff_cell_job *job,
+      struct dff_cell_member *member,
+      G_GNUC_UNUSED const void *user)
+{
+	if (member->sent || job->recovered)
+		dff_cell_member_over (cell, job, member, DFF_EVENT_TASK_LOST, member->released);
+}
+
+void
+dff_cell_lose_tasks (struct dff_cell *cell, const struct dff_name *worker)
+{
+	for_each_member_at (cell, worker, lose, NULL);
+}
+
+struct whole_answer {
+	const struct dff_worker_result *result;
+	int64_t asked_ms;
+};
+
+static bool
+knows (const struct dff_worker_result *result, const struct dff_task_id *task)
+{
+	for (size_t i = 0; i < result->n_reports; i++) {
+		const struct dff_task_id *id = &result->reports[i].task;
+		if (id->attempt == task->attempt && id->member == task->member &&
+		    dff_name_equal (&id->job, &task->job))
+			return true;
+	}
+	return false;
+}
+
+/* Only a member that had started before the worker was asked can be missed: a start that is still
+ * on its way is not lost. */
+static void
+lose_if_unknown (struct dff_cell *cell,
+		 struct dff_cell_job *job,
+		 struct dff_cell_member *member,
+		 const void *user)
+{
+	const struct whole_answer *answer = user;
+	const struct dff_task_id task = {
+		job->row->spec.id,
+		job->row->attempt,
+		member_index (job, member),
+	};
+	if (!member->started || member->started_ms >= answer->asked_ms ||
+	    knows (answer->result, &task))
+		return;
+	dff_cell_member_over (cell, job, member, DFF_EVENT_TASK_LOST, member->released);
+}
+
+void
+dff_cell_take_whole (struct dff_cell *cell,
+		     const struct dff_name *worker,
+		     const struct dff_worker_result *result,
+		     int64_t asked_ms)
+{
+	for (size_t i = 0; i < result->n_reports; i++)
+		dff_cell_take_report (cell, worker, result->incarnation, &result->reports[i]);
+	struct whole_answer answer = {.result = result, .asked_ms = asked_ms};
+	for_each_member_at (cell, worker, lose_if_unknown, &answer);
+}
--- /dev/null
+++ b/cell/workers.c
@@ -0,0 +1,234 @@
+#include "cell/cell_private.h"
+
+#include <inttypes.h>
+
+#include "common/log.h"
+
+/* The workers of the region as far as a holder needs them: where they answer, whether they may be
+ * given work, and how long they have been silent. Watchers renew the leases of their tasks. */
+
+/** Interval at which states and silences are looked at, ms. */
+#define WORKERS_INTERVAL_MS 100
+/** Interval of queries of a worker that stays silent or unlisted, ms. */
+#define SUSPECT_INTERVAL_MS 1000
+
+struct dff_cell_worker *
+dff_cell_worker_find (const struct dff_cell *cell, const struct dff_name *name)
+{
+	return g_hash_table_lookup (cell->workers, name);
+}
+
+struct dff_cell_worker *
+dff_cell_worker_add (struct dff_cell *cell, const struct dff_name *name)
+{
+	struct dff_cell_worker *worker = dff_cell_worker_find (cell, name);
+	if (worker != NULL)
+		return worker;
+	worker = g_new0 (struct dff_cell_worker, 1);
+	worker->name = *name;
+	worker->reachable = true;
+	worker->since_ms = dff_cell_now_ms (cell);
+	g_hash_table_insert (cell->workers, &worker->name, worker);
+	return worker;
+}
+
+void
+dff_cell_worker_answered (struct dff_cell *cell,
+			  const struct dff_name *name,
+			  const struct dff_worker_result *result)
+{
+	struct dff_cell_worker *worker = dff_cell_worker_find (cell, name);
+	if (worker == NULL)
+		return;
+	worker->reachable = true;
+	worker->said_leaving = result->leaving;
+	if (result->incarnation == 0 || result->incarnation == worker->incarnation)
+		return;
+	bool anew = worker->incarnation != 0;
+	worker->incarnation = result->incarnation;
+	if (!anew)
+		return;
+	dff_log (DFF_LOG_CELL, DFF_LOG_WARNING,
+		 "Worker started anew. worker=%s incarnation=%" PRId64, name->data,
+		 result->incarnation);
+	dff_cell_worker_query (cell, name, dff_cell_now_ms (cell));
+}
+
+void
+dff_cell_worker_query (struct dff_cell *cell, const struct dff_name *name, int64_t due_ms)
+{
+	struct dff_cell_worker *worker = dff_cell_worker_find (cell, name);
+	if (worker == NULL || worker->querying)
+		return;
+	worker->querying = true;
+	struct dff_cell_due due = {
+		.due_ms = due_ms,
+		.type = DFF_CELL_DUE_QUERY,
+		.worker = *name,
+	};
+	dff_cell_agenda_add (cell, &due);
+}
+
+/** Time since the worker's lease on its tasks was last renewed, as far as is known, ms. */
+static int64_t
+silent_ms (const struct dff_cell *cell, const struct dff_cell_worker *worker)
+{
+	int64_t last_ms = worker->answered_ms != 0 ? worker->answered_ms : worker->since_ms;
+	return dff_cell_now_ms (cell) - last_ms;
+}
+
+/** Whether tasks there must have ended: their lease has lapsed and the worker has stopped them. */
+static bool
+lease_lapsed (const struct dff_cell *cell, const struct dff_cell_worker *worker)
+{
+	int64_t limit_ms = (int64_t)cell->options.task_lease_ms + DFF_CELL_SILENCE_MARGIN_MS;
+	return silent_ms (cell, worker) > limit_ms;
+}
+
+/* A watcher that is cut off from a worker sees it silent while others renew its leases. Its word
+ * alone would make a running task lost; the holder asks the worker itself as well. */
+void
+dff_cell_worker_unanswered (struct dff_cell *cell, const struct dff_name *name)
+{
+	struct dff_cell_worker *worker = dff_cell_worker_find (cell, name);
+	worker->reachable = false;
+	if (!lease_lapsed (cell, worker))
+		return;
+	dff_cell_lose_tasks (cell, name);
+	if (!worker->listed)
+		g_hash_table_remove (cell->workers, name);
+}
+
+static enum dff_worker_state
+state_of (const struct dff_cell_worker *worker)
+{
+	if (!worker->listed || !worker->reachable)
+		return DFF_WORKER_DOWN;
+	if (worker->list_leaving || worker->said_leaving)
+		return DFF_WORKER_LEAVING;
+	return DFF_WORKER_UP;
+}
+
+static void
+tell_state (struct dff_cell *cell, struct dff_cell_worker *worker)
+{
+	enum dff_worker_state state = state_of (worker);
+	if (worker->told && worker->told_state == state)
+		return;
+	worker->told = true;
+	worker->told_state = state;
+	struct dff_event event = {
+		.type = DFF_EVENT_WORKER_STATE,
+		.worker = worker->name,
+		.worker_state = state,
+	};
+	dff_cell_event (cell, &event);
+}
+
+void
+dff_cell_workers_tell (struct dff_cell *cell, bool again)
+{
+	GHashTableIter iter;
+	gpointer value;
+	g_hash_table_iter_init (&iter, cell->workers);
+	while (g_hash_table_iter_next (&iter, NULL, &value)) {
+		struct dff_cell_worker *worker = value;
+		worker->told = worker->told && !again;
+		tell_state (cell, worker);
+	}
+}
+
+static void
+suspect (struct dff_cell *cell, struct dff_cell_worker *worker)
+{
+	bool quiet = !worker->reachable || !worker->listed;
+	if (!quiet || worker->querying)
+		return;
+	/* Before its lease has lapsed it is asked now and then, so that it is soon of use again. */
+	int64_t now_ms = dff_cell_now_ms (cell);
+	dff_cell_worker_query (cell, &worker->name, now_ms + SUSPECT_INTERVAL_MS);
+}
+
+void
+dff_cell_workers_tick (struct dff_cell *cell)
+{
+	if (dff_cell_now_ms (cell) < cell->workers_due_ms)
+		return;
+	cell->workers_due_ms = dff_cell_now_ms (cell) + WORKERS_INTERVAL_MS;
+	dff_cell_workers_tell (cell, false);
+	GHashTableIter iter;
+	gpointer value;
+	g_hash_table_iter_init (&iter, cell->workers);
+	while (g_hash_table_iter_next (&iter, NULL, &value))
+		suspect (cell, value);
+}
+
+void
+dff_cell_set_instances (struct dff_cell *cell,
+			const struct dff_instance *instances,
+			size_t n_instances)
+{
+	GHashTableIter iter;
+	gpointer value;
+	g_hash_table_iter_init (&iter, cell->workers);
+	while (g_hash_table_iter_next (&iter, NULL, &value))
+		((struct dff_cell_worker *)value)->listed = false;
+	for (size_t i = 0; i < n_instances; i++) {
+		const struct dff_instance *instance = &instances[i];
+		if (instance->role != DFF_INSTANCE_WORKER ||
+		    !dff_name_equal (&instance->region, &cell->options.region))
+			continue;
+		struct dff_cell_worker *worker = dff_cell_worker_add (cell, &instance->id);
+		worker->listed = true;
+		worker->list_leaving = instance->leaving;
+		worker->address = instance->address;
+		if (worker->incarnation == 0 && cell->phase == DFF_CELL_ACTIVE)
+			dff_cell_worker_query (cell, &worker->name, dff_cell_now_ms (cell));
+	}
+	cell->instances_known = true;
+	cell->workers_due_ms = 0;
+}
+
+static bool
+misses_a_task (const struct dff_cell *cell, const struct dff_worker_sighting *sighting)
+{
+	GHashTableIter iter;
+	gpointer value;
+	int32_t placed = 0;
+	g_hash_table_iter_init (&iter, cell->jobs);
+	while (g_hash_table_iter_next (&iter, NULL, &value)) {
+		const struct dff_cell_job *job = value;
+		for (guint i = 0; i < job->members->len; i++) {
+			const struct dff_cell_member *member =
+				&g_array_index (job->members, struct dff_cell_member, i);
+			placed += member->started && !member->over &&
+				  dff_name_equal (&member->placement.worker, &sighting->worker);
+		}
+	}
+	for (size_t i = 0; i < sighting->n_reports; i++) {
+		const struct dff_task_report *report = &sighting->reports[i];
+		struct dff_cell_job *job = dff_cell_job_find (cell, &report->task.job);
+		const struct dff_cell_member *member =
+			job != NULL ? dff_cell_job_member (job, &report->task) : NULL;
+		placed -= member != NULL && member->started && !member->over;
+	}
+	return placed > 0;
+}
+
+void
+dff_cell_sighting (struct dff_cell *cell, const struct dff_worker_sighting *sighting)
+{
+	struct dff_cell_worker *worker = dff_cell_worker_find (cell, &sighting->worker);
+	if (worker == NULL || !dff_cell_is_holder (cell))
+		return;
+	int64_t now_ms = dff_cell_now_ms (cell);
+	worker->answered_ms = MAX (worker->answered_ms, now_ms - sighting->silent_ms);
+	worker->reachable = sighting->reachable;
+	if (sighting->reachable)
+		worker->said_leaving = sighting->leaving;
+	cell->workers_due_ms = 0;
+	if (sighting->whole && misses_a_task (cell, sighting))
+		dff_cell_worker_query (cell, &sighting->worker, now_ms);
+	for (size_t i = 0; i < sighting->n_reports; i++)
+		dff_cell_take_report (cell, &sighting->worker, 0, &sighting->reports[i]);
+}
--- a/include/cell/job_row.h
+++ b/include/cell/job_row.h
@@ -47,6 +47,10 @@
 	int32_t attempt;
 	/** Elements: struct dff_placement; of the open attempt. */
 	GArray *placements;
+	/** Elements: int64_t, parallel to @placements: the worker's incarnation as known when the
+	 * intent was recorded, 0: not known. Only the same incarnation can vouch that it has never
+	 * seen the attempt. */
+	GArray *incarnations;
 	bool cancel_requested;
 	enum dff_outcome outcome;
 	struct dff_name reason;
