client: speak TLS to processes that have a certificate

A process with tls_certificate in its settings could not be asked by the command line at all, as the HTTP client spoke plain HTTP only. The certificate has to name the IP number that is asked. No change for plain HTTP.

--- a/client/call.c
+++ b/client/call.c
@@ -1,6 +1,7 @@
 #include "client/call.h"
 
 #include <event2/event.h>
+#include <openssl/ssl.h>
 #include <sodium.h>
 #include <stdio.h>
 #include <string.h>
@@ -19,6 +20,7 @@
 	struct event_base *base;
 	struct dff_metrics *metrics;
 	struct dff_http_client *http;
+	SSL_CTX *tls;
 	GArray *servers;
 	GString *authorization;
 	guint next_server;
@@ -49,6 +51,10 @@
 	options.base = caller->base;
 	options.metrics = caller->metrics;
 	options.max_body_bytes = MAX_ANSWER_BYTES;
+	options.tls = connection->tls;
+	if (connection->tls != NULL)
+		SSL_CTX_up_ref (connection->tls);
+	caller->tls = connection->tls;
 	caller->http = dff_http_client_new (&options);
 	caller->servers = g_array_copy (connection->servers);
 	caller->authorization = g_string_new (NULL);
@@ -72,6 +78,7 @@
 	dff_http_client_free (caller->http);
 	dff_metrics_free (caller->metrics);
 	event_base_free (caller->base);
+	SSL_CTX_free (caller->tls);
 	g_array_unref (caller->servers);
 	g_string_free (caller->authorization, TRUE);
 	g_free (caller);
--- a/client/connection.c
+++ b/client/connection.c
@@ -1,6 +1,7 @@
 #include "client/connection.h"
 
 #include <math.h>
+#include <openssl/ssl.h>
 #include <stdio.h>
 #include <stdlib.h>
 
@@ -53,6 +54,7 @@
 		return;
 	g_array_unref (connection->servers);
 	g_string_free (connection->token, TRUE);
+	SSL_CTX_free (connection->tls);
 	g_free (connection);
 }
 
@@ -91,6 +93,19 @@
 	return false;
 }
 
+bool
+dff_connection_set_tls (struct dff_connection *connection, const char *path)
+{
+	SSL_CTX_free (connection->tls);
+	connection->tls = SSL_CTX_new (TLS_client_method ());
+	SSL_CTX_set_min_proto_version (connection->tls, TLS1_2_VERSION);
+	SSL_CTX_set_verify (connection->tls, SSL_VERIFY_PEER, NULL);
+	if (SSL_CTX_load_verify_locations (connection->tls, path, NULL) == 1)
+		return true;
+	fprintf (stderr, "dragonflyfold: %s: expected certificates, PEM\n", path);
+	return false;
+}
+
 bool
 dff_connection_option (struct dff_connection *connection,
 		       int option,
@@ -112,6 +127,8 @@
 		return read_token (connection, optarg);
 	case DFF_OPTION_TIMEOUT:
 		return set_timeout (connection, optarg);
+	case DFF_OPTION_TLS_CA:
+		return dff_connection_set_tls (connection, optarg);
 	default:
 		/* getopt_long() has said what is wrong. */
 		return false;
@@ -121,6 +138,10 @@
 bool
 dff_connection_complete (struct dff_connection *connection)
 {
+	const char *tls_ca = g_getenv ("DRAGONFLYFOLD_TLS_CA");
+	if (connection->tls == NULL && tls_ca != NULL &&
+	    !dff_connection_set_tls (connection, tls_ca))
+		return false;
 	if (connection->servers->len == 0)
 		add_servers_of_environment (connection);
 	if (connection->servers->len > 0)
--- a/common/http_client.c
+++ b/common/http_client.c
@@ -223,7 +223,7 @@
 	struct dff_http_client *client = endpoint->client;
 	struct dff_http_connection *connection =
 		dff_http_connection_new (client->options.base, endpoint->host, endpoint->port,
-					 client->options.max_body_bytes);
+					 client->options.max_body_bytes, client->options.tls);
 	g_ptr_array_add (endpoint->connections, connection);
 	(*client->counters.opened)++;
 	(*client->counters.connections)++;
--- a/common/http_connection.c
+++ b/common/http_connection.c
@@ -2,7 +2,10 @@
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
+#include <event2/bufferevent_ssl.h>
 #include <glib.h>
+#include <openssl/ssl.h>
+#include <openssl/x509v3.h>
 
 #include "common/clock.h"
 
@@ -45,14 +48,27 @@
 		connection->sent = true;
 }
 
+/* Without the address check any certificate of the same issuer would do, another process's too. */
+static struct bufferevent *
+new_tls_bufferevent (struct event_base *base, const char *host, SSL_CTX *tls)
+{
+	SSL *ssl = SSL_new (tls);
+	X509_VERIFY_PARAM_set1_ip_asc (SSL_get0_param (ssl), host);
+	return bufferevent_openssl_socket_new (base, -1, ssl, BUFFEREVENT_SSL_CONNECTING,
+					       BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
+}
+
 struct dff_http_connection *
 dff_http_connection_new (struct event_base *base,
 			 const char *host,
 			 uint16_t port,
-			 size_t max_body_bytes)
+			 size_t max_body_bytes,
+			 struct ssl_ctx_st *tls)
 {
 	struct dff_http_connection *connection = g_new0 (struct dff_http_connection, 1);
-	connection->evcon = evhttp_connection_base_new (base, NULL, host, port);
+	struct bufferevent *tls_bev = tls != NULL ? new_tls_bufferevent (base, host, tls) : NULL;
+	connection->evcon =
+		evhttp_connection_base_bufferevent_new (base, NULL, tls_bev, host, port);
 	/* evhttp would send a failed request again by itself; whether that is safe is only known to
 	 * the caller. Symptom otherwise: a worker sees one non-idempotent request twice. */
 	evhttp_connection_set_retries (connection->evcon, 0);
--- a/common/http_connection.h
+++ b/common/http_connection.h
@@ -9,16 +9,25 @@
 /* One keep-alive connection of the HTTP client, with what evhttp does not tell: whether a byte of
  * the current request has left the process. */
 
+/* OpenSSL's SSL_CTX. */
+struct ssl_ctx_st;
+
 struct dff_http_connection;
 
 /** Returns: @ms as libevent wants it. */
 struct timeval dff_timeval_from_ms (int32_t ms);
 
-/** Returns: a connection that is made when it is first used. */
+/**
+ * dff_http_connection_new:
+ * @tls: (nullable): speak TLS
+ *
+ * Returns: a connection that is made when it is first used.
+ */
 struct dff_http_connection *dff_http_connection_new (struct event_base *base,
 						     const char *host,
 						     uint16_t port,
-						     size_t max_body_bytes);
+						     size_t max_body_bytes,
+						     struct ssl_ctx_st *tls);
 
 /** Closes it; no callback of its request comes. Not to be called from one. */
 void dff_http_connection_free (struct dff_http_connection *connection);
--- a/completions/dragonflyfold.bash
+++ b/completions/dragonflyfold.bash
@@ -1,7 +1,7 @@
 # Bash completion of dragonflyfold.
 
 _dragonflyfold_commands='apply cancel check diff drain keygen result serve status submit trace'
-_dragonflyfold_connection='--help --server --token --token-file --timeout'
+_dragonflyfold_connection='--help --server --token --token-file --timeout --tls-ca'
 
 _dragonflyfold_options()
 {
@@ -35,7 +35,7 @@
 		return
 	fi
 	case $previous in
-	--settings | --pool | --file | --output | --token-file | -f | -o | -c | -p)
+	--settings | --pool | --file | --output | --token-file | --tls-ca | -f | -o | -c | -p)
 		mapfile -t COMPREPLY < <(compgen -f -- "$current")
 		return
 		;;
--- a/include/client/connection.h
+++ b/include/client/connection.h
@@ -17,6 +17,7 @@
 	DFF_OPTION_TOKEN = 256,
 	DFF_OPTION_TOKEN_FILE,
 	DFF_OPTION_TIMEOUT,
+	DFF_OPTION_TLS_CA,
 	DFF_OPTION_OWN,
 };
 
@@ -26,7 +27,8 @@
 	{"server", required_argument, NULL, DFF_OPTION_SERVER},                                    \
 	{"token", required_argument, NULL, DFF_OPTION_TOKEN},                                      \
 	{"token-file", required_argument, NULL, DFF_OPTION_TOKEN_FILE},                            \
-	{"timeout", required_argument, NULL, DFF_OPTION_TIMEOUT}
+	{"timeout", required_argument, NULL, DFF_OPTION_TIMEOUT},                                  \
+	{"tls-ca", required_argument, NULL, DFF_OPTION_TLS_CA}
 /* clang-format on */
 
 #define DFF_CONNECTION_SHORT "hs:"
@@ -38,13 +40,20 @@
 	"      --token TOKEN      bearer token (default: DRAGONFLYFOLD_TOKEN)\n"                   \
 	"      --token-file FILE  file that holds the bearer token\n"                              \
 	"      --timeout SECONDS  give up after this time (default 30)\n"                          \
+	"      --tls-ca FILE      speak TLS and trust the certificates in FILE, PEM\n"             \
+	"                         (default: DRAGONFLYFOLD_TLS_CA; none: plain HTTP)\n"             \
 	"  -h, --help             print this text\n"
 
+/* OpenSSL's SSL_CTX. */
+struct ssl_ctx_st;
+
 struct dff_connection {
 	/** Elements: struct dff_name. */
 	GArray *servers;
 	GString *token;
 	int64_t timeout_ms;
+	/** (nullable): NULL speaks plain HTTP. */
+	struct ssl_ctx_st *tls;
 };
 
 /** Returns: (transfer full): options as the environment sets them. */
@@ -69,10 +78,13 @@
 			    const char *usage,
 			    int *exit_code);
 
-/** Takes the servers from the environment when none were given. Returns: false, and says so, when
- * there is none. */
+/** Takes from the environment what the command line did not give. Returns: false, and says so, when
+ * there is no server. */
 bool dff_connection_complete (struct dff_connection *connection);
 
+/** Sets up TLS that trusts the certificates in a PEM file; says on standard error why it cannot. */
+bool dff_connection_set_tls (struct dff_connection *connection, const char *path);
+
 /** Reads a count of seconds, fractions allowed, into ms. Returns: false when it is none. */
 bool dff_parse_seconds (const char *text, int64_t *ms);
 
--- a/include/common/http_client.h
+++ b/include/common/http_client.h
@@ -16,6 +16,9 @@
  * twice.
  */
 
+/* OpenSSL's SSL_CTX. */
+struct ssl_ctx_st;
+
 struct dff_http_client;
 
 struct dff_http_client_options {
@@ -29,6 +32,9 @@
 	 * forgotten it without telling. */
 	int32_t max_idle_ms;
 	size_t max_body_bytes;
+	/** (nullable): speak TLS; the peer's certificate has to name the IP that is connected to.
+	 */
+	struct ssl_ctx_st *tls;
 };
 
 void dff_http_client_options_init (struct dff_http_client_options *options);
