--- a/common/http_client.c
+++ b/common/http_client.c
@@ -98,6 +98,18 @@
 	dff_http_connection_free (connection);
 }
 
+/* Closes connections that have been idle for @min_idle_ms or longer. */
+static void
+close_idle_connections (struct endpoint *endpoint, int64_t min_idle_ms)
+{
+	for (guint i = endpoint->connections->len; i > 0; i--) {
+		struct dff_http_connection *connection = endpoint->connections->pdata[i - 1];
+		if (!dff_http_connection_is_busy (connection) &&
+		    dff_http_connection_idle_ms (connection) >= min_idle_ms)
+			close_connection (endpoint, connection);
+	}
+}
+
 static void
 endpoint_free (gpointer data)
 {
@@ -210,10 +222,12 @@
 		fail_later (exchange, DFF_HTTP_UNSENT);
 		return;
 	}
-	/* A connection that did not answer in time may have gone silent for good: it is not used
-	 * again. */
+	/* A connection that did not answer in time may have gone silent for good, and what forgot
+	 * it may have forgotten the others to the address. Symptom otherwise: after a middlebox
+	 * restarted, as many requests time out as there are connections. */
 	enum dff_http_outcome outcome = failure_outcome (exchange);
 	retire_connection (exchange);
+	close_idle_connections (exchange->endpoint, 0);
 	fail_later (exchange, outcome);
 }
 
@@ -230,17 +244,6 @@
 	return connection;
 }
 
-static void
-close_aged_connections (struct endpoint *endpoint)
-{
-	for (guint i = endpoint->connections->len; i > 0; i--) {
-		struct dff_http_connection *connection = endpoint->connections->pdata[i - 1];
-		if (dff_http_connection_idle_ms (connection) >
-		    endpoint->client->options.max_idle_ms)
-			close_connection (endpoint, connection);
-	}
-}
-
 /* Returns: (nullable): the idle connection that was used last, else a new one if one is allowed. */
 static struct dff_http_connection *
 find_connection (struct endpoint *endpoint)
@@ -265,7 +268,7 @@
 pump (struct endpoint *endpoint)
 {
 	while (!g_queue_is_empty (&endpoint->waiting)) {
-		close_aged_connections (endpoint);
+		close_idle_connections (endpoint, endpoint->client->options.max_idle_ms);
 		struct dff_http_connection *connection = find_connection (endpoint);
 		if (connection == NULL)
 			return;
@@ -322,7 +325,7 @@
 {
 	(void)key;
 	struct endpoint *endpoint = value;
-	close_aged_connections (endpoint);
+	close_idle_connections (endpoint, endpoint->client->options.max_idle_ms);
 	if (endpoint->connections->len > 0 || !g_queue_is_empty (&endpoint->waiting))
 		return FALSE;
 	/* An exchange whose callback is due still points to its endpoint. */
--- a/include/platform/instance_list.h
+++ b/include/platform/instance_list.h
@@ -3,6 +3,7 @@
 
 #include <stdbool.h>
 #include <stddef.h>
+#include <stdint.h>
 
 #include "common/str.h"
 
@@ -39,8 +40,15 @@
 
 typedef void (*dff_instance_list_func) (void *user, const struct dff_instance_list_result *result);
 
+/**
+ * struct dff_instance_list:
+ * @list: reads the list
+ * @announce: (nullable): tells the list about this process, for platforms that do not know their
+ *   instances by themselves. The entry lapses after @ttl_ms, so it is repeated; without answer.
+ */
 struct dff_instance_list {
 	void (*list) (void *ctx, dff_instance_list_func done, void *user);
+	void (*announce) (void *ctx, const struct dff_instance *instance, int32_t ttl_ms);
 	void *ctx;
 };
 
