peer: heartbeats, pool file, notices and grants over ZeroMQ

The processes of a fleet could not talk to each other. This adds the messages (protobuf, generated code committed), membership by heartbeats with incarnations and suspicion, the pool file on its way to every process, notices to the holder, grants dated by their receiver's own clock, and the CURVE transport: one ROUTER, a DEALER for each member in use, keys checked against the instance list. A refused key is told to come back, because the list lags; ZeroMQ gives up for good after a final refusal.

--- a/include/peer/zmq_transport.h
+++ b/include/peer/zmq_transport.h
@@ -8,21 +8,40 @@
 #include "common/metrics.h"
 #include "peer/peer.h"
 
-/* The peer transport over ZeroMQ with CURVE: one ROUTER socket bound, one DEALER for each member. A
- * peer whose public key is not in the instance list is refused at the handshake. */
+/*
+ * The peer transport over ZeroMQ with CURVE: one ROUTER socket bound, one DEALER for each member
+ * that something is sent to. A peer whose public key is not in the instance list is refused at the
+ * handshake. Queues are bounded and what does not fit is dropped. ZeroMQ moves bytes on a thread of
+ * its own; all of this module runs on the loop's thread.
+ */
 
 struct dff_zmq_transport;
 
+#define DFF_ZMQ_TRANSPORT_ERROR (dff_zmq_transport_error_quark ())
+
+enum dff_zmq_transport_error {
+	/** A key of this process is not 43 characters of base64url. */
+	DFF_ZMQ_TRANSPORT_ERROR_KEY,
+	/** A socket could not be set up or bound. */
+	DFF_ZMQ_TRANSPORT_ERROR_SOCKET,
+};
+
+GQuark dff_zmq_transport_error_quark (void);
+
 typedef void (*dff_peer_receive_func) (void *ctx, const uint8_t *data, size_t len);
 
 struct dff_zmq_transport_options {
 	struct event_base *base;
 	struct dff_metrics *metrics;
-	/** "IP:PORT" to bind. */
+	/** "IP:PORT" to bind; port 0: any free one. */
 	struct dff_name listen;
 	/** base64url without padding, 43 characters each. */
 	struct dff_name public_key;
 	struct dff_name secret_key;
+	/** Interval of probes on each connection, and how long an answer may take, before the
+	 * connection counts as silent and is replaced, ms; 0: the default, 2000 each. */
+	int32_t probe_interval_ms;
+	int32_t probe_timeout_ms;
 	dff_peer_receive_func receive;
 	void *receive_ctx;
 };
@@ -37,6 +56,9 @@
 /** Returns: the interface that dff_peer_options takes. */
 struct dff_peer_transport dff_zmq_transport_interface (struct dff_zmq_transport *transport);
 
+/** Returns: "IP:PORT" that the transport is bound to, with the port that was chosen. */
+struct dff_name dff_zmq_transport_endpoint (const struct dff_zmq_transport *transport);
+
 /** Replaces the set of known peers: connections to others are closed, their keys refused. */
 void dff_zmq_transport_set_instances (struct dff_zmq_transport *transport,
 				      const struct dff_instance *instances,
--- /dev/null
+++ b/peer/member_table.c
@@ -0,0 +1,132 @@
+#include "peer/member_table.h"
+
+#include "common/rendezvous.h"
+
+static int
+compare_entries (gconstpointer a, gconstpointer b)
+{
+	const struct dff_member_entry *const *left = a;
+	const struct dff_member_entry *const *right = b;
+	return dff_name_compare (&(*left)->instance.id, &(*right)->instance.id);
+}
+
+static int
+compare_positions (gconstpointer a, gconstpointer b)
+{
+	const struct dff_member_entry *const *left = a;
+	const struct dff_member_entry *const *right = b;
+	if ((*left)->position != (*right)->position)
+		return (*left)->position < (*right)->position ? -1 : 1;
+	return compare_entries (a, b);
+}
+
+struct dff_member_table *
+dff_member_table_new (const struct dff_instance *self)
+{
+	struct dff_member_table *table = g_new0 (struct dff_member_table, 1);
+	table->entries = g_ptr_array_new_with_free_func (g_free);
+	table->ring = g_ptr_array_new ();
+	table->self = dff_member_table_add (table, self, 0);
+	table->self->known.life = DFF_LIFE_ALIVE;
+	table->self->known.incarnation = 1;
+	return table;
+}
+
+void
+dff_member_table_free (struct dff_member_table *table)
+{
+	g_ptr_array_free (table->ring, TRUE);
+	g_ptr_array_free (table->entries, TRUE);
+	g_free (table);
+}
+
+struct dff_member_entry *
+dff_member_table_find (const struct dff_member_table *table, const struct dff_name *id)
+{
+	guint low = 0;
+	guint high = table->entries->len;
+	while (low < high) {
+		guint middle = low + (high - low) / 2;
+		struct dff_member_entry *entry = table->entries->pdata[middle];
+		int order = dff_name_compare (id, &entry->instance.id);
+		if (order == 0)
+			return entry;
+		if (order < 0)
+			high = middle;
+		else
+			low = middle + 1;
+	}
+	return NULL;
+}
+
+struct dff_member_entry *
+dff_member_table_add (struct dff_member_table *table,
+		      const struct dff_instance *instance,
+		      int64_t now_ms)
+{
+	struct dff_member_entry *entry = g_new0 (struct dff_member_entry, 1);
+	entry->instance = *instance;
+	entry->known.id = instance->id;
+	entry->known.life = DFF_LIFE_SUSPECT;
+	entry->heard_ms = now_ms;
+	entry->direct_ms = DFF_TIME_NEVER;
+	entry->replied_ms = DFF_TIME_NEVER;
+	entry->life_since_ms = now_ms;
+	entry->position = dff_rendezvous_weight (dff_str_from ("ring"), &instance->id);
+	g_ptr_array_add (table->entries, entry);
+	g_ptr_array_sort (table->entries, compare_entries);
+	return entry;
+}
+
+void
+dff_member_table_remove (struct dff_member_table *table, guint index)
+{
+	g_ptr_array_remove (table->ring, table->entries->pdata[index]);
+	g_ptr_array_remove_index (table->entries, index);
+}
+
+static guint
+ring_place_of_self (const struct dff_member_table *table)
+{
+	guint place = 0;
+	bool found = g_ptr_array_find (table->ring, table->self, &place);
+	g_assert (found);
+	return place;
+}
+
+static void
+set_observed (struct dff_member_entry *entry, bool observed, int64_t now_ms)
+{
+	if (observed && !entry->observed)
+		entry->heard_ms = now_ms;
+	entry->observed = observed;
+}
+
+void
+dff_member_table_arrange (struct dff_member_table *table, int32_t n_observers, int64_t now_ms)
+{
+	g_ptr_array_set_size (table->ring, 0);
+	for (guint i = 0; i < table->entries->len; i++) {
+		struct dff_member_entry *entry = table->entries->pdata[i];
+		if (entry->known.life != DFF_LIFE_DEAD)
+			g_ptr_array_add (table->ring, entry);
+		else
+			entry->observed = false;
+	}
+	g_ptr_array_sort (table->ring, compare_positions);
+	guint place = ring_place_of_self (table);
+	guint n = table->ring->len;
+	for (guint step = 1; step < n; step++) {
+		struct dff_member_entry *predecessor = table->ring->pdata[(place + n - step) % n];
+		set_observed (predecessor, step <= (guint)n_observers, now_ms);
+	}
+}
+
+struct dff_member_entry *
+dff_member_table_successor (const struct dff_member_table *table, int32_t step)
+{
+	guint n = table->ring->len;
+	if (step <= 0 || (guint)step >= n)
+		return NULL;
+	return table->ring->pdata[(ring_place_of_self (table) + (guint)step) % n];
+}
--- /dev/null
+++ b/peer/membership_internal.h
@@ -0,0 +1,50 @@
+#ifndef DFF_PEER_MEMBERSHIP_INTERNAL_H
+#define DFF_PEER_MEMBERSHIP_INTERNAL_H
+
+#include "peer/member_table.h"
+#include "peer/membership.h"
+
+/* Shared by membership.c (time, list, sending) and membership_merge.c (what others say). */
+
+struct dff_membership {
+	struct dff_membership_options options;
+	struct dff_member_table *table;
+	GRand *random;
+	/** The random sample; elements: struct dff_name. */
+	GArray *partners;
+	int32_t partner_rounds;
+	/** Index of the entry whose state the next heartbeat carries though nothing changed. */
+	guint refresh_cursor;
+	int64_t last_tick_ms;
+	int64_t next_heartbeat_ms;
+	int64_t last_heartbeat_ms;
+	bool announce;
+	bool ring_changed;
+	bool region_changed;
+	int64_t *n_suspected;
+	int64_t *n_died;
+	int64_t *n_refuted;
+	int64_t *n_corrected;
+};
+
+/** Returns: whether there are more members than every one can send to. */
+bool dff_membership_is_sampled (const struct dff_membership *membership);
+
+/** Changes what is known of whether @entry runs; passes the change on. */
+void dff_membership_set_life (struct dff_membership *membership,
+			      struct dff_member_entry *entry,
+			      enum dff_life life);
+
+/** Lets the next heartbeats carry the state of @entry. */
+void dff_membership_relay (struct dff_membership *membership, struct dff_member_entry *entry);
+
+/** Notes a change of @entry that the callers of this region may have to act on. */
+void dff_membership_note_change (struct dff_membership *membership,
+				 const struct dff_member_entry *entry);
+
+/** Sends @entry what is said about it, so that it can refute; at a bounded rate. */
+void dff_membership_correct (struct dff_membership *membership,
+			     struct dff_member_entry *entry,
+			     const struct dff_member_report *about_it);
+
+#endif
--- /dev/null
+++ b/peer/membership_merge.c
@@ -0,0 +1,168 @@
+#include "peer/membership_internal.h"
+
+#include "common/log.h"
+
+/* What others say about members, in order of (incarnation, sequence). */
+
+static bool
+report_is_newer (const struct dff_member_report *a, const struct dff_member_report *b)
+{
+	if (a->incarnation != b->incarnation)
+		return a->incarnation > b->incarnation;
+	return a->sequence > b->sequence;
+}
+
+static bool
+report_is_same_age (const struct dff_member_report *a, const struct dff_member_report *b)
+{
+	return a->incarnation == b->incarnation && a->sequence == b->sequence;
+}
+
+static void
+adopt_values (struct dff_membership *membership,
+	      struct dff_member_entry *entry,
+	      const struct dff_member_report *report)
+{
+	struct dff_member_report *known = &entry->known;
+	bool relay = known->incarnation != report->incarnation ||
+		     known->leaving != report->leaving ||
+		     known->holder_epoch != report->holder_epoch;
+	bool differs = relay || known->ready != report->ready;
+	/* Few members hear from each other directly: they learn from others which generation is in
+	 * force everywhere. Where everybody hears everybody that would be repetition. */
+	if (dff_membership_is_sampled (membership))
+		relay = relay || known->pool_generation != report->pool_generation;
+	known->incarnation = report->incarnation;
+	known->sequence = report->sequence;
+	known->leaving = report->leaving;
+	known->ready = report->ready;
+	known->pool_generation = report->pool_generation;
+	known->holder_epoch = report->holder_epoch;
+	if (relay)
+		dff_membership_relay (membership, entry);
+	if (differs)
+		dff_membership_note_change (membership, entry);
+}
+
+/* A process that was restarted with its old name begins at incarnation 1 again: it has no disk to
+ * remember the last one, and clocks of two machines cannot be compared. Symptom: its heartbeats are
+ * older than what the others know and are dropped, so that it stays dead for them. The others tell
+ * it what they know of it, and it goes on from there. The same way a paused process that was taken
+ * for dead learns of it. */
+static void
+merge_about_self (struct dff_membership *membership, const struct dff_member_report *report)
+{
+	struct dff_member_report *self = &membership->table->self->known;
+	bool earlier_run = report_is_newer (report, self);
+	bool accused = report->life != DFF_LIFE_ALIVE && report->incarnation >= self->incarnation;
+	if (!earlier_run && !accused)
+		return;
+	self->incarnation = MAX (self->incarnation, report->incarnation) + 1;
+	self->sequence = MAX (self->sequence, report->sequence);
+	membership->announce = true;
+	*membership->n_refuted += 1;
+	dff_log (DFF_LOG_PEER, DFF_LOG_INFO, "Incarnation raised. incarnation=%" G_GUINT64_FORMAT,
+		 self->incarnation);
+}
+
+static void
+merge_sign_of_life (struct dff_membership *membership,
+		    struct dff_member_entry *entry,
+		    const struct dff_member_report *report)
+{
+	if (!report_is_newer (report, &entry->known))
+		return;
+	/* Only the member itself can end its death, by a higher incarnation: a sign of life that
+	 * was long on its way must not bring back one that is gone. */
+	bool same_incarnation = report->incarnation == entry->known.incarnation;
+	if (entry->known.life == DFF_LIFE_DEAD && same_incarnation)
+		return;
+	entry->heard_ms = dff_clock_now_ms (membership->options.clock);
+	adopt_values (membership, entry, report);
+	dff_membership_set_life (membership, entry, DFF_LIFE_ALIVE);
+}
+
+static bool
+heard_lately (const struct dff_membership *membership, const struct dff_member_entry *entry)
+{
+	int64_t now_ms = dff_clock_now_ms (membership->options.clock);
+	return now_ms - entry->direct_ms <= membership->options.suspect_ms;
+}
+
+static void
+merge_accusation (struct dff_membership *membership,
+		  struct dff_member_entry *entry,
+		  const struct dff_member_report *report)
+{
+	const struct dff_member_report *known = &entry->known;
+	if (report->incarnation < known->incarnation || known->incarnation == 0)
+		return;
+	/* The accuser does not hear a member that this process does hear: a cut between those two,
+	 * or messages lost. The member is told, so that it can refute towards everybody. */
+	if (heard_lately (membership, entry)) {
+		dff_membership_correct (membership, entry, report);
+		return;
+	}
+	enum dff_life life = report->life;
+	if (report_is_newer (known, report)) {
+		/* This process has the later sign of life: for it the silence began later. */
+		if (life == DFF_LIFE_SUSPECT)
+			return;
+		life = DFF_LIFE_SUSPECT;
+	}
+	if (report_is_newer (report, known))
+		adopt_values (membership, entry, report);
+	if (life > known->life)
+		dff_membership_set_life (membership, entry, life);
+}
+
+static void
+merge_report (struct dff_membership *membership, const struct dff_member_report *report)
+{
+	if (report->incarnation == 0)
+		return;
+	struct dff_member_entry *entry = dff_member_table_find (membership->table, &report->id);
+	if (entry == NULL)
+		return;
+	if (entry == membership->table->self)
+		merge_about_self (membership, report);
+	else if (report->life == DFF_LIFE_ALIVE)
+		merge_sign_of_life (membership, entry, report);
+	else
+		merge_accusation (membership, entry, report);
+}
+
+static void
+merge_from_itself (struct dff_membership *membership,
+		   struct dff_member_entry *entry,
+		   const struct dff_heartbeat *heartbeat)
+{
+	const struct dff_member_report *report = &heartbeat->self;
+	if (!report_is_newer (report, &entry->known)) {
+		if (!report_is_same_age (report, &entry->known))
+			dff_membership_correct (membership, entry, &entry->known);
+		return;
+	}
+	struct dff_member_report before = entry->known;
+	entry->heard_ms = dff_clock_now_ms (membership->options.clock);
+	entry->direct_ms = entry->heard_ms;
+	entry->sent_ms = heartbeat->sent_ms;
+	adopt_values (membership, entry, report);
+	dff_membership_set_life (membership, entry, DFF_LIFE_ALIVE);
+	/* It lives, but others still hold it for dead in this incarnation. */
+	if (before.life != DFF_LIFE_ALIVE && before.incarnation == report->incarnation)
+		dff_membership_correct (membership, entry, &before);
+}
+
+bool
+dff_membership_receive (struct dff_membership *membership, const struct dff_heartbeat *heartbeat)
+{
+	struct dff_member_entry *entry =
+		dff_member_table_find (membership->table, &heartbeat->self.id);
+	if (entry == NULL || entry == membership->table->self)
+		return false;
+	merge_from_itself (membership, entry, heartbeat);
+	for (size_t i = 0; i < heartbeat->n_others; i++)
+		merge_report (membership, &heartbeat->others[i]);
+	return true;
+}
--- /dev/null
+++ b/peer/message.h
@@ -0,0 +1,122 @@
+#ifndef DFF_PEER_MESSAGE_H
+#define DFF_PEER_MESSAGE_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "common/cleanup.h"
+#include "core/job.h"
+#include "peer/peer.h"
+
+/* Messages between processes as typed structs; the wire format is peer/peer.proto. */
+
+/** Longest message that is taken in, in bytes: a pool file of 1 MiB and its frame. */
+#define DFF_MESSAGE_MAX ((1 << 20) + 1024)
+
+/** States of other members in one heartbeat, at the most. */
+#define DFF_HEARTBEAT_OTHERS_MAX 16
+
+/** Grants or task reports in one message, at the most. */
+#define DFF_MESSAGE_ELEMENTS_MAX 8192
+
+/** Whether a member is taken to run. Values are those of the wire. */
+enum dff_life {
+	DFF_LIFE_ALIVE,
+	DFF_LIFE_SUSPECT,
+	DFF_LIFE_DEAD,
+};
+
+/** What a process says about one member, itself included. (incarnation, sequence) orders them. */
+struct dff_member_report {
+	struct dff_name id;
+	/** Raised by the member alone, to refute that it is dead; 0: never heard of. */
+	uint64_t incarnation;
+	/** Heartbeats that the member has sent in this incarnation or an earlier one. */
+	uint64_t sequence;
+	enum dff_life life;
+	bool leaving;
+	bool ready;
+	int64_t pool_generation;
+	int64_t holder_epoch;
+};
+
+struct dff_heartbeat {
+	struct dff_member_report self;
+	/** The sender's monotonic clock. */
+	int64_t sent_ms;
+	const struct dff_member_report *others;
+	size_t n_others;
+};
+
+struct dff_pool_file {
+	int64_t generation;
+	struct dff_str text;
+};
+
+struct dff_job_end {
+	struct dff_name job;
+	enum dff_outcome outcome;
+};
+
+struct dff_grant_set {
+	int64_t epoch;
+	/** Orders the sets of one holder. */
+	uint64_t sequence;
+	int32_t valid_ms;
+	/** The receiver's own clock, as in the last heartbeat that the holder has from it. */
+	int64_t heard_sent_ms;
+	/** Time from that heartbeat's arrival to this set's sending. */
+	int64_t heard_age_ms;
+	const struct dff_grant *grants;
+	size_t n_grants;
+};
+
+enum dff_message_kind {
+	DFF_MESSAGE_HEARTBEAT,
+	DFF_MESSAGE_POOL_REQUEST,
+	DFF_MESSAGE_POOL_FILE,
+	DFF_MESSAGE_JOB_HINT,
+	DFF_MESSAGE_JOB_WATCH,
+	DFF_MESSAGE_JOB_ENDED,
+	DFF_MESSAGE_SIGHTING,
+	DFF_MESSAGE_GRANTS,
+};
+
+struct dff_message {
+	struct dff_name sender;
+	enum dff_message_kind kind;
+	union {
+		struct dff_heartbeat heartbeat;
+		/** Generation that is asked for, at least. */
+		int64_t pool_request;
+		struct dff_pool_file pool_file;
+		/** Job of a hint or watch. */
+		struct dff_name job;
+		struct dff_job_end job_ended;
+		struct dff_worker_sighting sighting;
+		struct dff_grant_set grants;
+	};
+	/** Decoded messages: owns what the members above point to. */
+	gpointer elements;
+	gpointer envelope;
+};
+
+/** Returns: (transfer full): the message on the wire. */
+GByteArray *dff_message_encode (const struct dff_message *message);
+
+/**
+ * dff_message_decode:
+ *
+ * Reads a message from outside: every name, number and count is checked.
+ *
+ * Returns: (transfer full) (nullable): NULL when it is malformed.
+ */
+struct dff_message *dff_message_decode (const uint8_t *data, size_t len);
+
+/** Frees a decoded message. */
+void dff_message_free (struct dff_message *message);
+
+DFF_DEFINE_CLEANUP (dff_message, dff_message_free);
+
+#endif
--- /dev/null
+++ b/peer/notices.h
@@ -0,0 +1,29 @@
+#ifndef DFF_PEER_NOTICES_H
+#define DFF_PEER_NOTICES_H
+
+#include <glib.h>
+
+#include "peer/message.h"
+
+/*
+ * Notices for the holder of the region's cell: hints, watches and sightings. While no holder is
+ * known they are held, a bounded number for a bounded time, and then dropped: each has a fallback
+ * (the holder reads the table, the entry reads the job's row, the next sighting follows).
+ */
+
+struct dff_peer;
+
+struct dff_notices {
+	/** Elements: struct held_notice *, oldest first. */
+	GQueue held;
+};
+
+void dff_notices_clear (struct dff_notices *notices);
+
+/** Sends a notice to the holder, which may be this process. */
+void dff_notices_send (struct dff_peer *peer, struct dff_message *message);
+
+/** Sends what was held once a holder is known; drops what was held too long. */
+void dff_notices_tick (struct dff_peer *peer);
+
+#endif
--- /dev/null
+++ b/peer/peer_internal.h
@@ -0,0 +1,48 @@
+#ifndef DFF_PEER_PEER_INTERNAL_H
+#define DFF_PEER_PEER_INTERNAL_H
+
+#include "peer/membership.h"
+#include "peer/message.h"
+#include "peer/notices.h"
+#include "peer/peer.h"
+#include "peer/pool_push.h"
+
+/* Shared by the files of this directory that send and take in messages. */
+
+struct dff_peer {
+	struct dff_peer_options options;
+	struct dff_membership *membership;
+	struct dff_pool_push pool_push;
+	struct dff_notices notices;
+	/** What dff_peer_members() last returned. */
+	GArray *members;
+	/** Orders the grant sets that this process sends. */
+	uint64_t grants_sent;
+	/** Newest grant set taken in. */
+	int64_t grants_epoch;
+	uint64_t grants_sequence;
+	int64_t *n_malformed;
+	int64_t *n_unknown_sender;
+	int64_t *n_stale_grants;
+	int64_t *n_notices_dropped;
+	int64_t *n_sent;
+	int64_t *n_sent_bytes;
+	int64_t *n_received;
+	int64_t *n_received_bytes;
+};
+
+/** Returns: this process's monotonic milliseconds. */
+int64_t dff_peer_now_ms (const struct dff_peer *peer);
+
+/** Sends @message, whose sender is filled in, to @member. */
+void dff_peer_send (struct dff_peer *peer,
+		    const struct dff_instance *member,
+		    struct dff_message *message);
+
+/** Hands a message to the callbacks of this process. */
+void dff_peer_deliver (struct dff_peer *peer, const struct dff_message *message);
+
+/** Returns: whether @id is this process. */
+bool dff_peer_is_self (const struct dff_peer *peer, const struct dff_name *id);
+
+#endif
--- /dev/null
+++ b/tests/peer/test-peer.c
@@ -0,0 +1,212 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+
+#include "fake_transport.h"
+
+static struct fake_network *
+started (int32_t n_nodes)
+{
+	struct fake_network *network = fake_network_new (1, n_nodes, 3);
+	for (int32_t i = 0; i < n_nodes; i++)
+		fake_node_start (&network->nodes[i]);
+	fake_network_list (network, 0);
+	fake_network_run (network, 2000);
+	return network;
+}
+
+static void
+make_holder (struct fake_node *node, int64_t epoch)
+{
+	dff_peer_set_state (node->peer, true, false, epoch);
+}
+
+static void
+test_members_hear_each_other (void **state)
+{
+	(void)state;
+	DFF_AUTO (fake_network) network = started (9);
+	for (int32_t i = 0; i < 9; i++) {
+		assert_int_equal (dff_peer_members (network->nodes[i].peer)->len, 9);
+		for (int32_t j = 0; j < 9; j++) {
+			enum dff_member_state member =
+				fake_node_state_of (&network->nodes[i], &network->nodes[j]);
+			assert_int_equal (member, DFF_MEMBER_ALIVE);
+		}
+	}
+}
+
+static void
+test_holder_is_the_highest_epoch (void **state)
+{
+	(void)state;
+	DFF_AUTO (fake_network) network = started (3);
+	assert_null (dff_peer_holder (network->nodes[2].peer));
+	make_holder (&network->nodes[0], 4);
+	make_holder (&network->nodes[1], 5);
+	fake_network_run (network, 200);
+	const struct dff_member *holder = dff_peer_holder (network->nodes[2].peer);
+	assert_non_null (holder);
+	assert_string_equal (holder->instance.id.data, "entry-1");
+	assert_int_equal (holder->holder_epoch, 5);
+}
+
+static void
+test_leaving_is_told (void **state)
+{
+	(void)state;
+	DFF_AUTO (fake_network) network = started (3);
+	int64_t before = network->nodes[1].members_changed;
+	dff_peer_set_state (network->nodes[0].peer, false, true, 0);
+	fake_network_run (network, 200);
+	assert_int_equal (fake_node_state_of (&network->nodes[1], &network->nodes[0]),
+			  DFF_MEMBER_LEAVING);
+	assert_true (network->nodes[1].members_changed > before);
+}
+
+static void
+test_pool_reaches_everybody (void **state)
+{
+	(void)state;
+	DFF_AUTO (fake_network) network = started (9);
+	fake_node_apply (&network->nodes[3], 7);
+	fake_network_run (network, 300);
+	for (int32_t i = 0; i < 9; i++)
+		assert_int_equal (network->nodes[i].generation, 7);
+}
+
+static void
+test_notices_reach_the_holder (void **state)
+{
+	(void)state;
+	DFF_AUTO (fake_network) network = started (3);
+	struct fake_node *holder = &network->nodes[0];
+	struct fake_node *entry = &network->nodes[1];
+	struct dff_name job = dff_name_from ("job-1");
+	struct dff_task_report reports[2] = {{.state = DFF_TASK_RUNNING, .ran = true}};
+	reports[0].task.job = job;
+	reports[1].task.job = job;
+	struct dff_worker_sighting sighting = {.reachable = true, .reports = reports};
+	sighting.worker = dff_name_from ("worker-1");
+	sighting.n_reports = 2;
+	make_holder (holder, 1);
+	fake_network_run (network, 200);
+	dff_peer_send_hint (entry->peer, &job);
+	dff_peer_send_watch (entry->peer, &job);
+	dff_peer_send_sighting (entry->peer, &sighting);
+	dff_peer_send_hint (holder->peer, &job);
+	fake_network_run (network, 200);
+	assert_int_equal (holder->hints, 2);
+	assert_int_equal (holder->watches, 1);
+	assert_int_equal (holder->sightings, 1);
+	assert_int_equal (holder->task_reports, 2);
+	assert_int_equal (entry->ended, 1);
+	assert_int_equal (entry->ended_outcome, DFF_OUTCOME_COMPLETED);
+}
+
+/* Symptom: a hint sent during a take-over is lost, and the job waits for the next reading of the
+ * table. Sequence: no holder is known, an entry accepts a job, a process takes the cell. Cause: the
+ * hint had nowhere to go. A bounded number is held, and dropped when no holder appears. */
+static void
+test_notices_wait_for_a_holder (void **state)
+{
+	(void)state;
+	DFF_AUTO (fake_network) network = started (3);
+	struct dff_name job = dff_name_from ("job-1");
+	for (int i = 0; i < 300; i++)
+		dff_peer_send_hint (network->nodes[1].peer, &job);
+	fake_network_run (network, 1000);
+	make_holder (&network->nodes[1], 1);
+	fake_network_run (network, 200);
+	assert_int_equal (network->nodes[1].hints, 256);
+	dff_peer_set_state (network->nodes[1].peer, true, false, 0);
+	dff_peer_send_hint (network->nodes[1].peer, &job);
+	fake_network_run (network, 6000);
+	make_holder (&network->nodes[0], 2);
+	fake_network_run (network, 1000);
+	assert_int_equal (network->nodes[0].hints, 0);
+}
+
+static void
+test_grants_arrive_and_expire (void **state)
+{
+	(void)state;
+	DFF_AUTO (fake_network) network = started (3);
+	struct fake_node *holder = &network->nodes[0];
+	struct fake_node *entry = &network->nodes[1];
+	struct dff_grant grants[2] = {{.slots = 3}, {.slots = 2}};
+	grants[0].worker = dff_name_from ("worker-1");
+	grants[1].worker = dff_name_from ("worker-2");
+	make_holder (holder, 4);
+	fake_network_run (network, 200);
+	int64_t sent_ms = network->clock.now_ms;
+	dff_peer_send_grants (holder->peer, &entry->instance.id, 4, grants, 2, 10000);
+	dff_peer_send_grants (holder->peer, &holder->instance.id, 4, grants, 1, 10000);
+	fake_network_run (network, 100);
+	assert_int_equal (entry->granted_slots, 5);
+	assert_int_equal (holder->granted_slots, 3);
+	assert_true (entry->grants_expire_ms <= sent_ms + 10000);
+	assert_true (entry->grants_expire_ms > sent_ms + 9900);
+}
+
+/* Symptom: two processes use the same slots of a worker. Sequence: grants are long on their way;
+ * the holder counts them as expired and grants the slots to another; then they arrive. Cause: their
+ * time was counted from arrival. */
+static void
+test_late_grants_are_not_used (void **state)
+{
+	(void)state;
+	DFF_AUTO (fake_network) network = started (3);
+	struct fake_node *entry = &network->nodes[1];
+	struct dff_grant grant = {.worker = dff_name_from ("worker-1"), .slots = 3};
+	make_holder (&network->nodes[0], 4);
+	fake_network_run (network, 200);
+	network->min_delay_ms = 2500;
+	network->max_delay_ms = 2500;
+	dff_peer_send_grants (network->nodes[0].peer, &entry->instance.id, 4, &grant, 1, 2400);
+	fake_network_run (network, 3000);
+	assert_int_equal (entry->grant_sets, 0);
+}
+
+/* Symptom: a holder that was paused past its lease hands out slots that the new holder hands out
+ * too. Sequence: pause, take-over, resume, send. Cause: the set carries an epoch that is over. */
+static void
+test_grants_of_an_old_epoch_are_refused (void **state)
+{
+	(void)state;
+	DFF_AUTO (fake_network) network = started (3);
+	struct fake_node *entry = &network->nodes[2];
+	struct dff_grant grant = {.worker = dff_name_from ("worker-1"), .slots = 3};
+	make_holder (&network->nodes[0], 4);
+	fake_network_run (network, 200);
+	network->nodes[0].paused = true;
+	make_holder (&network->nodes[1], 5);
+	fake_network_run (network, 200);
+	fake_node_resume (&network->nodes[0]);
+	dff_peer_send_grants (network->nodes[0].peer, &entry->instance.id, 4, &grant, 1, 9000);
+	fake_network_run (network, 200);
+	assert_int_equal (entry->grant_sets, 0);
+	dff_peer_send_grants (network->nodes[1].peer, &entry->instance.id, 5, &grant, 1, 9000);
+	fake_network_run (network, 200);
+	assert_int_equal (entry->grants_epoch, 5);
+}
+
+int
+main (void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test (test_members_hear_each_other),
+		cmocka_unit_test (test_holder_is_the_highest_epoch),
+		cmocka_unit_test (test_leaving_is_told),
+		cmocka_unit_test (test_pool_reaches_everybody),
+		cmocka_unit_test (test_notices_reach_the_holder),
+		cmocka_unit_test (test_notices_wait_for_a_holder),
+		cmocka_unit_test (test_grants_arrive_and_expire),
+		cmocka_unit_test (test_late_grants_are_not_used),
+		cmocka_unit_test (test_grants_of_an_old_epoch_are_refused),
+	};
+	return cmocka_run_group_tests (tests, NULL, NULL);
+}
