--- a/core/check.c
+++ b/core/check.c
@@ -1,9 +1,13 @@
 #include "core/core_private.h"
 
+#include <inttypes.h>
+
 /* The invariants, computed anew from the attempts and compared with the tables. */
 
 struct tally {
 	struct dff_resources used;
+	struct dff_resources reserved;
+	struct dff_resources bound;
 	uint64_t leased;
 };
 
@@ -21,36 +25,27 @@
 		struct tally *tally = &tallies[member->worker];
 		uint64_t mask =
 			g_array_index (job->placements, struct dff_placement, i).accelerators;
-		if ((tally->leased & mask) != 0)
+		if ((tally->leased & mask) != 0 &&
+		    !dff_core_worker_at (core, member->worker)->overlapping)
 			return g_strdup_printf (
 				"accelerator leased twice: worker=%s job=%s member=%d",
 				dff_core_worker_at (core, member->worker)->name.data, job->id.data,
 				i);
 		tally->leased |= mask;
-		tally->used.slots += job->per_task.slots;
-		tally->used.cores += job->per_task.cores;
-		tally->used.memory_gb += job->per_task.memory_gb;
-		tally->used.accelerators += job->per_task.accelerators;
+		dff_resources_add (&tally->used, &job->per_task, 1);
 	}
 	if (open != job->n_open)
 		return g_strdup_printf ("open members miscounted: job=%s", job->id.data);
 	return NULL;
 }
 
-static bool
-resources_equal (const struct dff_resources *a, const struct dff_resources *b)
-{
-	return a->slots == b->slots && a->cores == b->cores && a->memory_gb == b->memory_gb &&
-	       a->accelerators == b->accelerators;
-}
-
 static char *
 check_worker (const struct dff_core_worker *worker, const struct tally *tally)
 {
-	if (worker->leased != tally->leased || !resources_equal (&worker->used, &tally->used))
+	if (worker->leased != tally->leased || !dff_resources_equal (&worker->used, &tally->used))
 		return g_strdup_printf ("leases differ from attempts: worker=%s",
 					worker->name.data);
-	if (worker->used.accelerators > 0 &&
+	if (!worker->overlapping &&
 	    __builtin_popcountll (worker->leased) != worker->used.accelerators)
 		return g_strdup_printf ("accelerators miscounted: worker=%s", worker->name.data);
 	return NULL;
@@ -62,10 +57,8 @@
 	/* A pool that shrank may leave running work over the new capacity until it ends. */
 	if (worker->rack == DFF_CORE_NONE || worker->overloaded)
 		return NULL;
-	if (worker->used.slots > worker->capacity.slots ||
-	    worker->used.cores > worker->capacity.cores ||
-	    worker->used.memory_gb > worker->capacity.memory_gb ||
-	    worker->used.accelerators > worker->capacity.accelerators)
+	struct dff_resources room = dff_resources_less (&worker->capacity, &worker->used);
+	if (!dff_resources_covered (&room))
 		return g_strdup_printf ("capacity exceeded: worker=%s", worker->name.data);
 	return NULL;
 }
@@ -76,6 +69,8 @@
 	bool queued = job->queue_class != NULL;
 	if (queued != (job->state == DFF_CORE_QUEUED))
 		return g_strdup_printf ("queue and state differ: job=%s", job->id.data);
+	if (job->state == DFF_CORE_RESERVED)
+		return NULL;
 	bool has_attempt = job->state >= DFF_CORE_RECORDING && job->state < DFF_CORE_ENDING;
 	if (has_attempt != (job->n_open > 0))
 		return g_strdup_printf ("attempt and state differ: job=%s", job->id.data);
@@ -84,6 +79,81 @@
 	return NULL;
 }
 
+/* What a job holds beside its leases: reservations, and what may not be preempted. */
+static void
+tally_holds (const struct dff_core *core, const struct dff_core_job *job, struct tally *tallies)
+{
+	for (int32_t i = 0; job->members != NULL && i < job->gang; i++) {
+		const struct dff_core_member *member = &job->members[i];
+		if (member->worker == DFF_CORE_NONE)
+			continue;
+		struct tally *tally = &tallies[member->worker];
+		if (job->state == DFF_CORE_RESERVED)
+			dff_resources_add (&tally->reserved, &job->per_task, 1);
+		if (!member->bound)
+			continue;
+		struct dff_resources bound = job->per_task;
+		if (job->hold == DFF_CORE_HOLD_CLAIM)
+			bound = dff_core_beyond_units (dff_core_worker_at (core, member->worker),
+						       job);
+		dff_resources_add (&tally->bound, &bound, 1);
+	}
+}
+
+/* Homes are disjoint because what they bind adds up, and whole because their parts do. */
+static char *
+check_shape (const struct dff_core *core, const struct dff_core_shape *shape, struct tally *tallies)
+{
+	int32_t packed = 0;
+	int32_t claimed = 0;
+	for (guint i = 0; i < shape->parts->len; i++) {
+		const struct dff_core_part *part =
+			&g_array_index (shape->parts, struct dff_core_part, i);
+		struct dff_resources unit =
+			dff_core_worker_unit (dff_core_worker_at (core, part->worker));
+		dff_resources_add (&tallies[part->worker].bound, &unit, part->count);
+		packed += part->count;
+		claimed += part->claimed;
+		if (part->claimed < 0 || part->claimed > part->count)
+			return g_strdup ("a shape is claimed beyond its home");
+	}
+	if (packed != shape->packed || claimed != shape->claimed)
+		return g_strdup ("a shape's parts do not add up");
+	return NULL;
+}
+
+static char *
+check_shapes (const struct dff_core *core, struct tally *tallies)
+{
+	int64_t missing = 0;
+	char *broken = NULL;
+	for (int32_t i = 0; broken == NULL && i < (int32_t)core->shapes->len; i++) {
+		const struct dff_core_shape *shape = dff_core_shape_at (core, i);
+		missing += shape->packed < shape->size;
+		broken = check_shape (core, shape, tallies);
+	}
+	if (broken == NULL && !core->witness_dirty && missing != core->stats.witnesses_missing)
+		return g_strdup_printf ("witnesses missing: %" PRId64, missing);
+	return broken;
+}
+
+/* Nothing that can't be preempted stands where a shape has its home. */
+static char *
+check_bound (const struct dff_core *core,
+	     const struct dff_core_worker *worker,
+	     const struct tally *tally)
+{
+	if (!dff_resources_equal (&worker->bound, &tally->bound))
+		return g_strdup_printf ("bound resources miscounted: worker=%s", worker->name.data);
+	if (!dff_resources_equal (&worker->reserved, &tally->reserved))
+		return g_strdup_printf ("reservations miscounted: worker=%s", worker->name.data);
+	struct dff_resources room = dff_resources_less (&worker->capacity, &worker->bound);
+	if (!core->witness_dirty && dff_core_worker_usable (worker) && !worker->overloaded &&
+	    !dff_resources_covered (&room))
+		return g_strdup_printf ("bound beyond capacity: worker=%s", worker->name.data);
+	return NULL;
+}
+
 static char *
 check_jobs (const struct dff_core *core, struct tally *tallies)
 {
@@ -94,7 +164,8 @@
 	while (broken == NULL && g_hash_table_iter_next (&iter, NULL, &value)) {
 		const struct dff_core_job *job = value;
 		broken = check_phase (job);
-		if (broken == NULL && job->members != NULL)
+		tally_holds (core, job, tallies);
+		if (broken == NULL && job->placements != NULL)
 			broken = tally_job (core, job, tallies);
 	}
 	return broken;
@@ -105,11 +176,15 @@
 {
 	g_autofree struct tally *tallies = g_new0 (struct tally, core->workers->len + 1);
 	char *broken = check_jobs (core, tallies);
+	if (broken == NULL)
+		broken = check_shapes (core, tallies);
 	for (guint i = 0; broken == NULL && i < core->workers->len; i++) {
 		const struct dff_core_worker *worker = dff_core_worker_at (core, (int32_t)i);
 		broken = check_worker (worker, &tallies[i]);
 		if (broken == NULL)
 			broken = check_capacity (worker);
+		if (broken == NULL)
+			broken = check_bound (core, worker, &tallies[i]);
 	}
 	return broken;
 }
--- a/core/core.c
+++ b/core/core.c
@@ -34,6 +34,7 @@
 	core->racks = array_new (sizeof (struct dff_core_rack), dff_core_rack_clear);
 	core->teams = array_new (sizeof (struct dff_core_team), NULL);
 	core->regions = array_new (sizeof (struct dff_name), NULL);
+	core->shapes = array_new (sizeof (struct dff_core_shape), dff_core_shape_clear);
 	core->worker_index =
 		g_hash_table_new_full (dff_name_hash, dff_name_equal_func, g_free, NULL);
 	core->team_index = g_hash_table_new_full (dff_name_hash, dff_name_equal_func, g_free, NULL);
@@ -64,26 +65,11 @@
 	g_array_unref (core->racks);
 	g_array_unref (core->teams);
 	g_array_unref (core->regions);
+	g_array_unref (core->shapes);
 	g_array_unref (core->pending);
 	g_free (core);
 }
 
-static int32_t
-worker_index_or_add (struct dff_core *core, const struct dff_name *name)
-{
-	int32_t index = dff_core_find_worker (core, name);
-	if (index != DFF_CORE_NONE)
-		return index;
-	index = (int32_t)core->workers->len;
-	g_array_set_size (core->workers, core->workers->len + 1);
-	struct dff_core_worker *worker = dff_core_worker_at (core, index);
-	worker->name = *name;
-	worker->rack = DFF_CORE_NONE;
-	worker->tenants = g_ptr_array_new ();
-	g_hash_table_insert (core->worker_index, dff_name_dup (name), GINT_TO_POINTER (index));
-	return index;
-}
-
 static int32_t
 region_index_or_add (struct dff_core *core, const struct dff_name *name)
 {
@@ -104,7 +90,7 @@
 	rack->region = region_index_or_add (core, &declared->region);
 	rack->workers = g_array_new (FALSE, FALSE, sizeof (int32_t));
 	for (guint i = 0; i < declared->workers->len; i++) {
-		int32_t worker_index = worker_index_or_add (
+		int32_t worker_index = dff_core_intern_worker (
 			core, &g_array_index (declared->workers, struct dff_name, i));
 		struct dff_core_worker *worker = dff_core_worker_at (core, worker_index);
 		worker->rack = index;
@@ -148,13 +134,14 @@
 {
 	if (job->team == DFF_CORE_NONE || !dff_core_team_at (core, job->team)->declared)
 		return "unknown_team";
+	int32_t workers[DFF_GANG_MAX];
 	if (job->gang < 1 || job->gang > DFF_GANG_MAX)
 		return "never_runnable";
 	const struct dff_core_team *team = dff_core_team_at (core, job->team);
 	int64_t asked = (int64_t)job->gang * job->per_task.accelerators;
 	if (team->quota_accelerators > 0 && asked > team->quota_accelerators)
 		return "never_runnable";
-	return dff_core_place_ever (core, job) ? NULL : "never_runnable";
+	return dff_core_place (core, job, DFF_CORE_VIEW_EMPTY, workers) ? NULL : "never_runnable";
 }
 
 /* A new pool may make queued jobs impossible: they end now instead of waiting for ever. */
@@ -211,6 +198,8 @@
 	for (guint i = 0; i < pool->teams->len; i++)
 		set_team (core, &g_array_index (pool->teams, struct dff_team, i));
 	core->adjacent_unit = adjacent_unit (pool);
+	dff_core_set_shapes (core, pool);
+	dff_core_rebind_all (core);
 	core->dirty = true;
 	refuse_queued (core);
 }
@@ -325,6 +314,8 @@
 	core->now_ms = now_ms;
 	dff_core_run_deadlines (core);
 	dff_core_run_delayed (core);
+	dff_core_run_witnesses (core);
+	dff_core_run_reserved (core);
 	dff_core_run_queue (core);
 	g_array_set_size (commands, 0);
 	if (core->pending->len > 0)
@@ -343,9 +334,10 @@
 int64_t
 dff_core_next_wake_ms (const struct dff_core *core)
 {
-	if (core->dirty || core->pending->len > 0)
+	if (core->dirty || core->witness_dirty || core->pending->len > 0)
 		return core->now_ms;
 	int64_t wake_ms = head_deadline (&core->starting);
+	wake_ms = MIN (wake_ms, head_deadline (&core->reserved));
 	wake_ms = MIN (wake_ms, head_deadline (&core->checkpointing));
 	wake_ms = MIN (wake_ms, head_deadline (&core->stopping));
 	for (const GList *link = core->delayed.head; link != NULL; link = link->next)
--- a/core/core_private.h
+++ b/core/core_private.h
@@ -16,6 +16,8 @@
 #define DFF_CORE_RETRY_MAX_MS 15000
 /** Attempts that end proven not started before the job is given up. */
 #define DFF_CORE_START_FAILURES_MAX 8
+/** A reservation whose victims have not gone after this long is given up, ms. */
+#define DFF_CORE_RESERVE_MAX_MS 15000
 /** Attempts lost with their worker before the job is given up, on top of its own attempts. */
 #define DFF_CORE_LOSSES_MAX 5
 
@@ -27,10 +29,17 @@
 	struct dff_resources capacity;
 	/** Leased to members of attempts. */
 	struct dff_resources used;
+	/** Held for jobs that wait until their victims are gone. */
+	struct dff_resources reserved;
+	/** What work that may not be preempted holds, plus what witnesses need. Never more than
+	 * @capacity on a usable worker, so that a claim always finds its place. */
+	struct dff_resources bound;
 	/** Bit i: accelerator i is leased. */
 	uint64_t leased;
 	/** Whether more is in use than the capacity: the pool shrank, or rows claimed too much. */
 	bool overloaded;
+	/** Whether recovered rows claim the same accelerators. */
+	bool overlapping;
 	/** Elements: struct dff_core_job *, one for each member that holds a lease here. */
 	GPtrArray *tenants;
 };
@@ -46,6 +55,27 @@
 	int32_t accelerators;
 };
 
+/** Accelerators of one worker in a shape's home. */
+struct dff_core_part {
+	int32_t worker;
+	int32_t count;
+	/** Of @count, held by jobs that claim the shape. */
+	int32_t claimed;
+};
+
+/** One guaranteed gang and its witness: the place where it can be claimed now. */
+struct dff_core_shape {
+	int32_t team;
+	/** Region it has to be in; DFF_CORE_NONE: any one. */
+	int32_t region;
+	int32_t size;
+	/** Sum of the parts: less than @size when the shape fits nowhere. */
+	int32_t packed;
+	int32_t claimed;
+	/** Elements: struct dff_core_part. */
+	GArray *parts;
+};
+
 struct dff_core_team {
 	struct dff_name name;
 	bool declared;
@@ -62,6 +92,8 @@
 	DFF_CORE_QUEUED,
 	/** Waits for its back-off to pass. */
 	DFF_CORE_DELAYED,
+	/** Has its workers, and waits until the victims on them are gone. */
+	DFF_CORE_RESERVED,
 	/** Leases are held; the start intent is on its way to the store. */
 	DFF_CORE_RECORDING,
 	DFF_CORE_STARTING,
@@ -88,6 +120,8 @@
 struct dff_core_member {
 	int32_t worker;
 	enum dff_core_member_state state;
+	/** Whether it counts in the worker's bound resources, or in a part of the claimed shape. */
+	bool bound;
 	/** Whether it may have run. */
 	bool ran;
 };
@@ -102,6 +136,16 @@
 	DFF_CORE_STOP_RECOVERY,
 };
 
+/** How a job holds what it was given. */
+enum dff_core_hold {
+	/** Borrows, and may be preempted. */
+	DFF_CORE_HOLD_SOFT,
+	/** Borrows what no witness needs, and may not be preempted. */
+	DFF_CORE_HOLD_HARD,
+	/** Holds part of a guaranteed shape of its team. */
+	DFF_CORE_HOLD_CLAIM,
+};
+
 struct dff_core_class;
 
 struct dff_core_job {
@@ -127,7 +171,12 @@
 	/** Whether members of the attempt were let go to run. */
 	bool released;
 	enum dff_core_stop_cause stop_cause;
+	enum dff_core_hold hold;
+	/** Shape that is claimed, with DFF_CORE_HOLD_CLAIM. */
+	int32_t shape;
 	int32_t attempt;
+	/** Times that it was preempted after it may have run. */
+	int32_t preemptions;
 	int32_t failures;
 	int32_t losses;
 	int32_t start_failures;
@@ -157,6 +206,7 @@
 	int32_t adjacency;
 	int32_t urgent;
 	int32_t guaranteed;
+	int32_t idempotent;
 };
 
 /** Queued jobs of one key, oldest first: only the head needs to be looked at. */
@@ -172,6 +222,7 @@
 	GArray *racks;   /**< Elements: struct dff_core_rack. */
 	GArray *teams;   /**< Elements: struct dff_core_team. */
 	GArray *regions; /**< Elements: struct dff_name. */
+	GArray *shapes;  /**< Elements: struct dff_core_shape, largest first. */
 	GHashTable *worker_index;
 	GHashTable *team_index;
 	/** struct dff_name * (in the job) to struct dff_core_job *. */
@@ -179,6 +230,7 @@
 	/** struct dff_core_class_key * to struct dff_core_class *. */
 	GHashTable *classes;
 	/** Queues by state; deadlines rise along each but @delayed. */
+	GQueue reserved;
 	GQueue starting;
 	GQueue checkpointing;
 	GQueue stopping;
@@ -187,6 +239,8 @@
 	GArray *pending;
 	/** Whether something may be placed that could not be before. */
 	bool dirty;
+	/** Whether shapes may have lost their place, or may find one that they had not. */
+	bool witness_dirty;
 	/** Accelerators of the largest guaranteed shape that fits a rack. */
 	int32_t adjacent_unit;
 	struct dff_core_stats stats;
@@ -210,11 +264,56 @@
 	return &g_array_index (core->teams, struct dff_core_team, index);
 }
 
+static inline struct dff_core_shape *
+dff_core_shape_at (const struct dff_core *core, int32_t index)
+{
+	return &g_array_index (core->shapes, struct dff_core_shape, index);
+}
+
+static inline int32_t
+dff_core_job_accelerators (const struct dff_core_job *job)
+{
+	return job->gang * job->per_task.accelerators;
+}
+
+/** Work that may be started again may be preempted. A checkpoint alone is not enough: the task runs
+ * on between its checkpoint and its stop, and a resumed job would repeat what it did in between. */
+static inline bool
+dff_core_job_preemptible (const struct dff_core_job *job)
+{
+	return job->idempotent;
+}
+
+/* resources.c */
+
+void dff_resources_add (struct dff_resources *sum, const struct dff_resources *term, int32_t times);
+
+/** Returns: @a less @b, member by member; may be negative. */
+struct dff_resources dff_resources_less (const struct dff_resources *a,
+					 const struct dff_resources *b);
+
+/** Returns: the smaller of each member. */
+struct dff_resources dff_resources_min (const struct dff_resources *a,
+					const struct dff_resources *b);
+
+/** Returns: how many times @need goes into @room, at most @limit, 0 when not once. */
+int32_t dff_resources_fits (const struct dff_resources *room,
+			    const struct dff_resources *need,
+			    int32_t limit);
+
+/** Whether no member of @room is negative. */
+bool dff_resources_covered (const struct dff_resources *room);
+
+bool dff_resources_equal (const struct dff_resources *a, const struct dff_resources *b);
+
 /* tables.c */
 
 /** Returns: the index of the worker called @name, DFF_CORE_NONE when there is none. */
 int32_t dff_core_find_worker (const struct dff_core *core, const struct dff_name *name);
 
+/** Returns: the index of the worker called @name, which is added, undeclared, when it is new. */
+int32_t dff_core_intern_worker (struct dff_core *core, const struct dff_name *name);
+
 int32_t dff_core_find_team (const struct dff_core *core, const struct dff_name *name);
 
 /** Returns: the index of a region, DFF_CORE_NONE when no rack is in it. */
@@ -254,6 +353,12 @@
 
 /* lifecycle.c */
 
+/** Moves a job to DFF_CORE_RESERVED. */
+void dff_core_attempt_reserve (struct dff_core *core, struct dff_core_job *job);
+
+/** Puts a job that holds nothing back into its queue. */
+void dff_core_job_requeue (struct dff_core *core, struct dff_core_job *job);
+
 /** Leases the workers in job->members and asks for the attempt to be recorded. */
 void dff_core_attempt_begin (struct dff_core *core, struct dff_core_job *job);
 
@@ -327,18 +432,146 @@
 
 /* place.c */
 
+/** What a placement may use. */
+enum dff_core_view {
+	/** What is free. */
+	DFF_CORE_VIEW_FREE,
+	/** What is free and no witness needs. */
+	DFF_CORE_VIEW_UNBOUND,
+	/** Also what victims would give up. */
+	DFF_CORE_VIEW_EVICT,
+	/** The same, as far as no witness needs it. */
+	DFF_CORE_VIEW_EVICT_UNBOUND,
+	/** Every declared worker as if it were up and empty. */
+	DFF_CORE_VIEW_EMPTY,
+};
+
 /**
  * dff_core_place:
  * @workers: (out): room for job->gang indices
  *
- * Returns: whether every member fits on what is free; @workers then tells where.
+ * Returns: whether every member fits; @workers then tells where.
  */
-bool dff_core_place (const struct dff_core *core, const struct dff_core_job *job, int32_t *workers);
+bool dff_core_place (const struct dff_core *core,
+		     const struct dff_core_job *job,
+		     enum dff_core_view view,
+		     int32_t *workers);
+
+/** Returns: what @view leaves of a worker for @job. */
+struct dff_resources dff_core_worker_room (const struct dff_core_worker *worker,
+					   const struct dff_core_job *job,
+					   enum dff_core_view view);
 
 /** Returns: accelerators to lease on a worker for one member: the lowest free ones. */
 uint64_t dff_core_pick_accelerators (const struct dff_core_worker *worker, int32_t count);
 
-/** Whether the job would fit if every declared worker were up and empty. */
-bool dff_core_place_ever (const struct dff_core *core, const struct dff_core_job *job);
+/* witness.c */
+
+/** Returns: what goes with one guaranteed accelerator of a worker. */
+struct dff_resources dff_core_worker_unit (const struct dff_core_worker *worker);
+
+/** Makes the shapes of the pool's guarantees. Nothing claims the former ones any more. */
+void dff_core_set_shapes (struct dff_core *core, const struct dff_pool *pool);
+
+void dff_core_shape_clear (gpointer shape);
+
+/** System: packs again the shapes that lost their place or have none. */
+void dff_core_run_witnesses (struct dff_core *core);
+
+/** Moves unclaimed shapes off workers that are bound beyond their capacity.
+ * Returns: false, with nothing moved, when some shape would not fit any more. */
+bool dff_core_witness_make_room (struct dff_core *core);
+
+/** Gives a shape's parts back. */
+void dff_core_shape_unpack (struct dff_core *core, struct dff_core_shape *shape);
+
+/** Makes @parts the shape's home. */
+void
+dff_core_shape_settle (struct dff_core *core, struct dff_core_shape *shape, const GArray *parts);
+
+/** Orders a rack's workers for packing: lower first. */
+typedef int64_t (*dff_core_worker_cost_func) (const struct dff_core_worker *worker,
+					      const void *user);
+
+/** Packs @size accelerators into one rack's unbound room. @parts: (out). */
+bool dff_core_pack_rack (const struct dff_core *core,
+			 int32_t rack,
+			 int32_t size,
+			 dff_core_worker_cost_func cost,
+			 const void *user,
+			 GArray *parts);
+
+/* claim.c */
+
+/** Returns: what a member needs beyond the units that its shape has bound for it already. */
+struct dff_resources dff_core_beyond_units (const struct dff_core_worker *worker,
+					    const struct dff_core_job *job);
+
+/** Binds the members of a job that is about to hold its workers, by job->hold. */
+void dff_core_job_bind (struct dff_core *core, struct dff_core_job *job);
+
+void dff_core_member_unbind (struct dff_core *core, struct dff_core_job *job, int32_t member);
+
+/**
+ * dff_core_claim:
+ *
+ * Finds a shape of the job's team that holds it, and the place in it that costs least. The shape's
+ * home moves where that avoids victims.
+ *
+ * Returns: whether there is one; @workers tells where, @shape which.
+ */
+bool dff_core_claim (struct dff_core *core,
+		     const struct dff_core_job *job,
+		     int32_t *workers,
+		     int32_t *shape);
+
+/** Makes a recovered job the holder of a shape of its team, if one is left. */
+bool dff_core_claim_adopt (struct dff_core *core, struct dff_core_job *job);
+
+/** Counts anew what may not be preempted, after the shapes or the workers were declared anew. */
+void dff_core_rebind_all (struct dff_core *core);
+
+/* reclaim.c */
+
+/** A worker that may hold members of a job. */
+struct dff_core_candidate {
+	int32_t worker;
+	/** Members it may hold. */
+	int32_t fits;
+	/** Work lost when it holds that many. */
+	int64_t cost;
+};
+
+/** Spreads a job's members over @candidates, cheapest first. Reorders them.
+ * Returns: work lost, or -1 when they do not all fit. */
+int64_t dff_core_choose (const struct dff_core *core,
+			 const struct dff_core_job *job,
+			 GArray *candidates,
+			 int32_t *workers);
+
+/** Whether @job may take the place of @tenant. */
+bool dff_core_may_evict (const struct dff_core_job *job, const struct dff_core_job *tenant);
+
+/** Returns: work lost by preempting a job, accelerator-ms. */
+int64_t dff_core_lost_work (const struct dff_core *core, const struct dff_core_job *job);
+
+/** Returns: least work lost to make @times members of @job fit on a worker; INT64_MAX: never. */
+int64_t dff_core_evict_cost (const struct dff_core *core,
+			     const struct dff_core_worker *worker,
+			     const struct dff_core_job *job,
+			     int32_t times);
+
+/** Gives a job its workers: starts it when they are free, else preempts and reserves. */
+void dff_core_take (struct dff_core *core,
+		    struct dff_core_job *job,
+		    const int32_t *workers,
+		    enum dff_core_hold hold,
+		    int32_t shape);
+
+/** Gives up a reservation; the job holds nothing then. */
+void dff_core_unreserve (struct dff_core *core, struct dff_core_job *job);
+
+/** System: starts reserved jobs whose victims are gone. */
+void dff_core_run_reserved (struct dff_core *core);
 
 #endif
--- a/core/lifecycle.c
+++ b/core/lifecycle.c
@@ -35,6 +35,7 @@
 	switch (state) {
 	case DFF_CORE_QUEUED:
 	case DFF_CORE_DELAYED:
+	case DFF_CORE_RESERVED:
 		return &core->stats.queued;
 	case DFF_CORE_RECORDING:
 	case DFF_CORE_STARTING:
@@ -54,6 +55,8 @@
 state_queue (struct dff_core *core, enum dff_core_state state)
 {
 	switch (state) {
+	case DFF_CORE_RESERVED:
+		return &core->reserved;
 	case DFF_CORE_STARTING:
 		return &core->starting;
 	case DFF_CORE_CHECKPOINTING:
@@ -93,6 +96,19 @@
 	return member->state < DFF_CORE_MEMBER_COMPLETED;
 }
 
+void
+dff_core_attempt_reserve (struct dff_core *core, struct dff_core_job *job)
+{
+	set_state (core, job, DFF_CORE_RESERVED, core->now_ms + DFF_CORE_RESERVE_MAX_MS);
+}
+
+void
+dff_core_job_requeue (struct dff_core *core, struct dff_core_job *job)
+{
+	set_state (core, job, DFF_CORE_QUEUED, INT64_MAX);
+	dff_core_enqueue (core, job);
+}
+
 void
 dff_core_attempt_begin (struct dff_core *core, struct dff_core_job *job)
 {
@@ -132,6 +148,7 @@
 	g_assert (member_is_open (member));
 	member->state = state;
 	dff_core_unlease (core, job, index);
+	dff_core_member_unbind (core, job, index);
 	job->n_open--;
 	if (member->ran)
 		job->ever_ran = true;
@@ -336,6 +353,10 @@
 	case DFF_CORE_DELAYED:
 		dff_core_job_end (core, job, DFF_OUTCOME_CANCELLED, "cancelled");
 		return;
+	case DFF_CORE_RESERVED:
+		dff_core_unreserve (core, job);
+		dff_core_job_end (core, job, DFF_OUTCOME_CANCELLED, "cancelled");
+		return;
 	case DFF_CORE_STARTING:
 	case DFF_CORE_RUNNING:
 	case DFF_CORE_CHECKPOINTING:
@@ -354,6 +375,7 @@
 		return;
 	job->preempted = true;
 	core->stats.preemptions++;
+	job->preemptions += job->state == DFF_CORE_RUNNING;
 	if (job->state == DFF_CORE_STARTING || (job->state == DFF_CORE_RUNNING && !job->checkpoint))
 		dff_core_attempt_stop (core, job, DFF_CORE_STOP_PREEMPTED);
 	if (job->state != DFF_CORE_RUNNING)
@@ -417,8 +439,7 @@
 		dff_core_delay (core, job, wait_ms);
 		return;
 	}
-	set_state (core, job, DFF_CORE_QUEUED, INT64_MAX);
-	dff_core_enqueue (core, job);
+	dff_core_job_requeue (core, job);
 }
 
 /* An attempt of which nothing ran may be followed by another, whatever the job is. */
@@ -532,7 +553,6 @@
 		struct dff_core_job *job = link->data;
 		if (job->deadline_ms > core->now_ms)
 			continue;
-		set_state (core, job, DFF_CORE_QUEUED, INT64_MAX);
-		dff_core_enqueue (core, job);
+		dff_core_job_requeue (core, job);
 	}
 }
--- a/core/order.c
+++ b/core/order.c
@@ -33,6 +33,7 @@
 	key.adjacency = job->adjacency;
 	key.urgent = job->urgent;
 	key.guaranteed = job->guaranteed;
+	key.idempotent = job->idempotent;
 	struct dff_core_class *found = g_hash_table_lookup (core->classes, &key);
 	if (found != NULL)
 		return found;
@@ -119,18 +120,78 @@
 }
 
 static bool
-try_start (struct dff_core *core, struct dff_core_job *job)
+start_claim (struct dff_core *core, struct dff_core_job *job)
+{
+	int32_t workers[DFF_GANG_MAX];
+	int32_t shape;
+	job->hold = DFF_CORE_HOLD_CLAIM;
+	if (!dff_core_claim (core, job, workers, &shape))
+		return false;
+	dff_core_take (core, job, workers, DFF_CORE_HOLD_CLAIM, shape);
+	return true;
+}
+
+static bool
+start_soft (struct dff_core *core, struct dff_core_job *job)
 {
 	int32_t workers[DFF_GANG_MAX];
-	if (!within_quota (core, job) || !dff_core_place (core, job, workers))
+	job->hold = DFF_CORE_HOLD_SOFT;
+	if (!dff_core_place (core, job, DFF_CORE_VIEW_FREE, workers) &&
+	    !(job->urgent && dff_core_place (core, job, DFF_CORE_VIEW_EVICT, workers)))
 		return false;
-	job->members = g_new0 (struct dff_core_member, (gsize)job->gang);
+	dff_core_take (core, job, workers, DFF_CORE_HOLD_SOFT, DFF_CORE_NONE);
+	return true;
+}
+
+static void
+bind_workers (struct dff_core *core,
+	      const struct dff_core_job *job,
+	      const int32_t *workers,
+	      int32_t sign)
+{
 	for (int32_t i = 0; i < job->gang; i++)
-		job->members[i].worker = workers[i];
-	dff_core_attempt_begin (core, job);
+		dff_resources_add (&dff_core_worker_at (core, workers[i])->bound, &job->per_task,
+				   sign);
+}
+
+/* Free accelerators that are some shape's home can serve when the shape finds another one. */
+static bool
+place_hard_displacing (struct dff_core *core, struct dff_core_job *job, int32_t *workers)
+{
+	if (!dff_core_place (core, job, DFF_CORE_VIEW_FREE, workers))
+		return false;
+	bind_workers (core, job, workers, 1);
+	bool fits = dff_core_witness_make_room (core);
+	bind_workers (core, job, workers, -1);
+	return fits;
+}
+
+/* Work that may not be preempted: only where no witness needs the place. */
+static bool
+start_hard (struct dff_core *core, struct dff_core_job *job)
+{
+	int32_t workers[DFF_GANG_MAX];
+	job->hold = DFF_CORE_HOLD_HARD;
+	if (!dff_core_place (core, job, DFF_CORE_VIEW_UNBOUND, workers) &&
+	    !place_hard_displacing (core, job, workers) &&
+	    !(job->urgent && dff_core_place (core, job, DFF_CORE_VIEW_EVICT_UNBOUND, workers)))
+		return start_claim (core, job);
+	dff_core_take (core, job, workers, DFF_CORE_HOLD_HARD, DFF_CORE_NONE);
 	return true;
 }
 
+static bool
+try_start (struct dff_core *core, struct dff_core_job *job)
+{
+	if (!within_quota (core, job))
+		return false;
+	if (job->guaranteed && start_claim (core, job))
+		return true;
+	if (dff_core_job_preemptible (job))
+		return start_soft (core, job);
+	return start_hard (core, job);
+}
+
 void
 dff_core_run_queue (struct dff_core *core)
 {
--- a/core/place.c
+++ b/core/place.c
@@ -1,54 +1,45 @@
 #include "core/core_private.h"
 
-/* Best fit: within what is allowed, the racks and workers that are left with least. */
+#include <string.h>
 
-/** How many times the fewest racks a gang may spread over. */
-#define SPREAD_MAX 2
+/* Best fit: within what is allowed, the racks and workers that are left with least. */
 
-static int32_t
-fits_in (const struct dff_resources *room, const struct dff_resources *need, int32_t limit)
+static bool
+is_evicting (enum dff_core_view view)
 {
-	int32_t count = limit;
-	if (need->slots > 0)
-		count = MIN (count, room->slots / need->slots);
-	if (need->cores > 0)
-		count = MIN (count, room->cores / need->cores);
-	if (need->memory_gb > 0)
-		count = MIN (count, room->memory_gb / need->memory_gb);
-	if (need->accelerators > 0)
-		count = MIN (count, room->accelerators / need->accelerators);
-	return MAX (count, 0);
+	return view == DFF_CORE_VIEW_EVICT || view == DFF_CORE_VIEW_EVICT_UNBOUND;
 }
 
-/* What a placement may use of a worker. */
-struct view {
-	/** Every declared worker counts as up and empty. */
-	bool empty;
-};
-
-static struct dff_resources
-worker_room (const struct dff_core_worker *worker, const struct view *view)
+struct dff_resources
+dff_core_worker_room (const struct dff_core_worker *worker,
+		      const struct dff_core_job *job,
+		      enum dff_core_view view)
 {
-	struct dff_resources room = worker->capacity;
-	if (view->empty)
+	if (view == DFF_CORE_VIEW_EMPTY)
+		return worker->capacity;
+	struct dff_resources room = dff_resources_less (&worker->capacity, &worker->used);
+	room = dff_resources_less (&room, &worker->reserved);
+	for (guint i = 0; is_evicting (view) && i < worker->tenants->len; i++) {
+		const struct dff_core_job *tenant = g_ptr_array_index (worker->tenants, i);
+		if (dff_core_may_evict (job, tenant))
+			dff_resources_add (&room, &tenant->per_task, 1);
+	}
+	if (view != DFF_CORE_VIEW_UNBOUND && view != DFF_CORE_VIEW_EVICT_UNBOUND)
 		return room;
-	room.slots -= worker->used.slots;
-	room.cores -= worker->used.cores;
-	room.memory_gb -= worker->used.memory_gb;
-	room.accelerators -= worker->used.accelerators;
-	return room;
+	struct dff_resources free_of_bound = dff_resources_less (&worker->capacity, &worker->bound);
+	return dff_resources_min (&room, &free_of_bound);
 }
 
 static int32_t
 worker_fits (const struct dff_core_worker *worker,
 	     const struct dff_core_job *job,
-	     const struct view *view,
+	     enum dff_core_view view,
 	     int32_t limit)
 {
-	if (!view->empty && !dff_core_worker_usable (worker))
+	if (view != DFF_CORE_VIEW_EMPTY && !dff_core_worker_usable (worker))
 		return 0;
-	struct dff_resources room = worker_room (worker, view);
-	return fits_in (&room, &job->per_task, limit);
+	struct dff_resources room = dff_core_worker_room (worker, job, view);
+	return dff_resources_fits (&room, &job->per_task, limit);
 }
 
 struct candidate {
@@ -71,7 +62,7 @@
 rack_candidates (const struct dff_core *core,
 		 const struct dff_core_rack *rack,
 		 const struct dff_core_job *job,
-		 const struct view *view,
+		 enum dff_core_view view,
 		 GArray *out)
 {
 	for (guint i = 0; i < rack->workers->len; i++) {
@@ -80,7 +71,7 @@
 		int32_t fits = worker_fits (worker, job, view, job->gang);
 		if (fits == 0)
 			continue;
-		struct dff_resources room = worker_room (worker, view);
+		struct dff_resources room = dff_core_worker_room (worker, job, view);
 		/* Accelerators first: a task without any keeps off workers that have some left. */
 		struct candidate candidate = {.worker = index,
 					      .fits = fits,
@@ -93,10 +84,11 @@
 rack_fits (const struct dff_core *core,
 	   const struct dff_core_rack *rack,
 	   const struct dff_core_job *job,
-	   const struct view *view)
+	   enum dff_core_view view)
 {
 	int64_t asked = job->per_task.accelerators;
-	if (!view->empty && asked > rack->free_accelerators)
+	if ((view == DFF_CORE_VIEW_FREE || view == DFF_CORE_VIEW_UNBOUND) &&
+	    asked > rack->free_accelerators)
 		return 0;
 	int32_t count = 0;
 	for (guint i = 0; i < rack->workers->len && count < job->gang; i++) {
@@ -106,16 +98,34 @@
 	return MIN (count, job->gang);
 }
 
-static int32_t
-fill (GArray *candidates, int32_t *workers, int32_t placed, int32_t gang)
+/* Fills from the workers that are left with least. */
+static bool
+fill (GArray *candidates, int32_t *workers, int32_t gang)
 {
+	int32_t placed = 0;
 	g_array_sort (candidates, compare_candidates);
 	for (guint i = 0; i < candidates->len && placed < gang; i++) {
 		const struct candidate *at = &g_array_index (candidates, struct candidate, i);
 		for (int32_t j = 0; j < at->fits && placed < gang; j++)
 			workers[placed++] = at->worker;
 	}
-	return placed;
+	return placed == gang;
+}
+
+/* Fills where least work is lost. Returns: the work lost, -1 when there is no room. */
+static int64_t
+fill_evicting (const struct dff_core *core,
+	       const struct dff_core_job *job,
+	       const GArray *candidates,
+	       int32_t *workers)
+{
+	g_autoptr (GArray) costed = g_array_new (FALSE, FALSE, sizeof (struct dff_core_candidate));
+	for (guint i = 0; i < candidates->len; i++) {
+		const struct candidate *at = &g_array_index (candidates, struct candidate, i);
+		struct dff_core_candidate one = {.worker = at->worker, .fits = at->fits};
+		g_array_append_val (costed, one);
+	}
+	return dff_core_choose (core, job, costed, workers);
 }
 
 static bool
@@ -128,7 +138,7 @@
 static bool
 place_in_rack (const struct dff_core *core,
 	       const struct dff_core_job *job,
-	       const struct view *view,
+	       enum dff_core_view view,
 	       int32_t *workers)
 {
 	int32_t best = DFF_CORE_NONE;
@@ -146,33 +156,67 @@
 		return false;
 	g_autoptr (GArray) candidates = g_array_new (FALSE, FALSE, sizeof (struct candidate));
 	rack_candidates (core, dff_core_rack_at (core, best), job, view, candidates);
-	return fill (candidates, workers, 0, job->gang) == job->gang;
+	return fill (candidates, workers, job->gang);
 }
 
-/* Racks @first to @last hold the gang: fills them in order. */
+/* The rack where least work is lost. */
+static bool
+evict_in_rack (const struct dff_core *core,
+	       const struct dff_core_job *job,
+	       enum dff_core_view view,
+	       int32_t *workers)
+{
+	int64_t best_cost = -1;
+	g_autoptr (GArray) candidates = g_array_new (FALSE, FALSE, sizeof (struct candidate));
+	for (guint i = 0; i < core->racks->len && best_cost != 0; i++) {
+		const struct dff_core_rack *rack = dff_core_rack_at (core, (int32_t)i);
+		int32_t trial[DFF_GANG_MAX];
+		if (!region_matches (job, rack) || rack_fits (core, rack, job, view) < job->gang)
+			continue;
+		g_array_set_size (candidates, 0);
+		rack_candidates (core, rack, job, view, candidates);
+		int64_t cost = fill_evicting (core, job, candidates, trial);
+		if (cost < 0 || (best_cost >= 0 && cost >= best_cost))
+			continue;
+		best_cost = cost;
+		memcpy (workers, trial, sizeof (int32_t) * (gsize)job->gang);
+	}
+	return best_cost >= 0;
+}
+
+static bool
+place_in_one_rack (const struct dff_core *core,
+		   const struct dff_core_job *job,
+		   enum dff_core_view view,
+		   int32_t *workers)
+{
+	if (is_evicting (view))
+		return evict_in_rack (core, job, view, workers);
+	return place_in_rack (core, job, view, workers);
+}
+
+/* Racks @first to @last, as one. */
 static bool
 fill_window (const struct dff_core *core,
 	     const struct dff_core_job *job,
-	     const struct view *view,
+	     enum dff_core_view view,
 	     int32_t first,
 	     int32_t last,
 	     int32_t *workers)
 {
-	int32_t placed = 0;
 	g_autoptr (GArray) candidates = g_array_new (FALSE, FALSE, sizeof (struct candidate));
-	for (int32_t i = first; i <= last && placed < job->gang; i++) {
-		g_array_set_size (candidates, 0);
+	for (int32_t i = first; i <= last; i++)
 		rack_candidates (core, dff_core_rack_at (core, i), job, view, candidates);
-		placed = fill (candidates, workers, placed, job->gang);
-	}
-	return placed == job->gang;
+	if (is_evicting (view))
+		return fill_evicting (core, job, candidates, workers) >= 0;
+	return fill (candidates, workers, job->gang);
 }
 
 /* The shortest run of neighbouring racks of one region that holds the gang. */
 static bool
 place_in_neighbours (const struct dff_core *core,
 		     const struct dff_core_job *job,
-		     const struct view *view,
+		     enum dff_core_view view,
 		     int32_t *workers)
 {
 	g_autofree int32_t *fits = g_new (int32_t, core->racks->len);
@@ -203,7 +247,7 @@
 static bool
 place_in_region (const struct dff_core *core,
 		 const struct dff_core_job *job,
-		 const struct view *view,
+		 enum dff_core_view view,
 		 int32_t region,
 		 int32_t *workers)
 {
@@ -218,16 +262,18 @@
 			g_array_index (candidates, struct candidate, j).left +=
 				rack->free_accelerators << 20;
 	}
-	return fill (candidates, workers, 0, job->gang) == job->gang;
+	if (is_evicting (view))
+		return fill_evicting (core, job, candidates, workers) >= 0;
+	return fill (candidates, workers, job->gang);
 }
 
 static bool
 place_anywhere (const struct dff_core *core,
 		const struct dff_core_job *job,
-		const struct view *view,
+		enum dff_core_view view,
 		int32_t *workers)
 {
-	if (place_in_rack (core, job, view, workers))
+	if (place_in_one_rack (core, job, view, workers))
 		return true;
 	if (job->gang == 1)
 		return false;
@@ -240,40 +286,24 @@
 	return false;
 }
 
-static bool
-place (const struct dff_core *core,
-       const struct dff_core_job *job,
-       const struct view *view,
-       int32_t *workers)
+bool
+dff_core_place (const struct dff_core *core,
+		const struct dff_core_job *job,
+		enum dff_core_view view,
+		int32_t *workers)
 {
 	if (job->adjacency == DFF_ADJACENCY_NONE)
 		return place_anywhere (core, job, view, workers);
-	if (place_in_rack (core, job, view, workers))
+	if (place_in_one_rack (core, job, view, workers))
 		return true;
 	if (job->adjacency == DFF_ADJACENCY_RACK)
 		return false;
 	/* A gang that fits a rack waits for a whole one; only larger ones spread. */
-	struct view empty = {.empty = true};
-	if (!view->empty && place_in_rack (core, job, &empty, workers))
+	if (view != DFF_CORE_VIEW_EMPTY && place_in_rack (core, job, DFF_CORE_VIEW_EMPTY, workers))
 		return false;
 	return place_in_neighbours (core, job, view, workers);
 }
 
-bool
-dff_core_place (const struct dff_core *core, const struct dff_core_job *job, int32_t *workers)
-{
-	struct view view = {.empty = false};
-	return place (core, job, &view, workers);
-}
-
-bool
-dff_core_place_ever (const struct dff_core *core, const struct dff_core_job *job)
-{
-	struct view view = {.empty = true};
-	int32_t workers[DFF_GANG_MAX];
-	return place (core, job, &view, workers);
-}
-
 uint64_t
 dff_core_pick_accelerators (const struct dff_core_worker *worker, int32_t count)
 {
--- /dev/null
+++ b/core/reclaim.c
@@ -0,0 +1,290 @@
+#include "core/core_private.h"
+
+/* Reclaim: which borrowing work gives way, and jobs that wait until it has. */
+
+/** Part of a checkpointable task's run that is lost all the same: it is taken again from its
+ * checkpoint, after grace and restart, ms. */
+#define CHECKPOINT_LOSS_MS 5000
+/** Weight of a task without accelerators against one accelerator: a slot of a worker. */
+#define ACCELERATOR_SLOTS 8
+
+bool
+dff_core_may_evict (const struct dff_core_job *job, const struct dff_core_job *tenant)
+{
+	if (tenant->hold != DFF_CORE_HOLD_SOFT)
+		return false;
+	if (job->hold == DFF_CORE_HOLD_CLAIM)
+		return true;
+	return job->urgent && !tenant->urgent;
+}
+
+static bool
+is_leaving (const struct dff_core_job *job)
+{
+	return job->preempted || job->cancelled || job->state == DFF_CORE_STOPPING;
+}
+
+int64_t
+dff_core_lost_work (const struct dff_core *core, const struct dff_core_job *job)
+{
+	if (is_leaving (job))
+		return 0;
+	int64_t weight = (int64_t)dff_core_job_accelerators (job) * ACCELERATOR_SLOTS + job->gang;
+	int64_t age_ms = job->state == DFF_CORE_RUNNING ? core->now_ms - job->started_ms : 0;
+	if (job->checkpoint)
+		age_ms = MIN (age_ms, CHECKPOINT_LOSS_MS);
+	/* What was preempted before is dearer, or the same job would give way for ever. */
+	return weight * (age_ms + 1000) * (1 + job->preemptions);
+}
+
+static bool
+helps (const struct dff_resources *lack, const struct dff_core_job *tenant)
+{
+	return (lack->slots < 0 && tenant->per_task.slots > 0) ||
+	       (lack->cores < 0 && tenant->per_task.cores > 0) ||
+	       (lack->memory_gb < 0 && tenant->per_task.memory_gb > 0) ||
+	       (lack->accelerators < 0 && tenant->per_task.accelerators > 0);
+}
+
+/* The cheapest tenant, not yet in @victims, whose end brings the worker nearer to having room. */
+static struct dff_core_job *
+next_victim (const struct dff_core *core,
+	     const struct dff_core_worker *worker,
+	     const struct dff_core_job *job,
+	     const struct dff_resources *room,
+	     const GPtrArray *victims)
+{
+	struct dff_core_job *best = NULL;
+	int64_t best_cost = INT64_MAX;
+	for (guint i = 0; i < worker->tenants->len; i++) {
+		struct dff_core_job *tenant = g_ptr_array_index (worker->tenants, i);
+		if (!is_leaving (tenant) && !dff_core_may_evict (job, tenant))
+			continue;
+		int64_t cost = dff_core_lost_work (core, tenant);
+		if (cost >= best_cost || !helps (room, tenant) ||
+		    g_ptr_array_find ((GPtrArray *)victims, tenant, NULL))
+			continue;
+		best = tenant;
+		best_cost = cost;
+	}
+	return best;
+}
+
+static void
+give_up_tenant (const struct dff_core_worker *worker,
+		const struct dff_core_job *tenant,
+		struct dff_resources *room)
+{
+	for (guint i = 0; i < worker->tenants->len; i++) {
+		if (g_ptr_array_index (worker->tenants, i) == tenant)
+			dff_resources_add (room, &tenant->per_task, 1);
+	}
+}
+
+/* Fills @victims until @times members fit. Returns: work lost; INT64_MAX: they never fit. */
+static int64_t
+find_victims (const struct dff_core *core,
+	      const struct dff_core_worker *worker,
+	      const struct dff_core_job *job,
+	      int32_t times,
+	      GPtrArray *victims)
+{
+	struct dff_resources room = dff_core_worker_room (worker, job, DFF_CORE_VIEW_FREE);
+	dff_resources_add (&room, &job->per_task, -times);
+	int64_t cost = 0;
+	while (!dff_resources_covered (&room)) {
+		struct dff_core_job *victim = next_victim (core, worker, job, &room, victims);
+		if (victim == NULL)
+			return INT64_MAX;
+		cost += dff_core_lost_work (core, victim);
+		g_ptr_array_add (victims, victim);
+		give_up_tenant (worker, victim, &room);
+	}
+	return cost;
+}
+
+int64_t
+dff_core_evict_cost (const struct dff_core *core,
+		     const struct dff_core_worker *worker,
+		     const struct dff_core_job *job,
+		     int32_t times)
+{
+	struct dff_resources room = dff_core_worker_room (worker, job, DFF_CORE_VIEW_FREE);
+	if (dff_resources_fits (&room, &job->per_task, times) == times)
+		return 0;
+	g_autoptr (GPtrArray) victims = g_ptr_array_new ();
+	return find_victims (core, worker, job, times, victims);
+}
+
+static int
+compare_candidates (gconstpointer a, gconstpointer b)
+{
+	const struct dff_core_candidate *one = a;
+	const struct dff_core_candidate *other = b;
+	int64_t left = one->cost / one->fits;
+	int64_t right = other->cost / other->fits;
+	if (left != right)
+		return left < right ? -1 : 1;
+	return one->worker < other->worker ? -1 : one->worker > other->worker;
+}
+
+int64_t
+dff_core_choose (const struct dff_core *core,
+		 const struct dff_core_job *job,
+		 GArray *candidates,
+		 int32_t *workers)
+{
+	for (guint i = 0; i < candidates->len; i++) {
+		struct dff_core_candidate *at =
+			&g_array_index (candidates, struct dff_core_candidate, i);
+		at->cost = dff_core_evict_cost (core, dff_core_worker_at (core, at->worker), job,
+						at->fits);
+		while (at->cost == INT64_MAX && --at->fits > 0)
+			at->cost = dff_core_evict_cost (core, dff_core_worker_at (core, at->worker),
+							job, at->fits);
+		at->fits = MAX (at->fits, 1);
+	}
+	g_array_sort (candidates, compare_candidates);
+	int64_t cost = 0;
+	int32_t placed = 0;
+	for (guint i = 0; i < candidates->len && placed < job->gang; i++) {
+		const struct dff_core_candidate *at =
+			&g_array_index (candidates, struct dff_core_candidate, i);
+		if (at->cost == INT64_MAX)
+			continue;
+		int32_t times = MIN (at->fits, job->gang - placed);
+		cost += times == at->fits
+				? at->cost
+				: dff_core_evict_cost (core, dff_core_worker_at (core, at->worker),
+						       job, times);
+		for (int32_t j = 0; j < times; j++)
+			workers[placed++] = at->worker;
+	}
+	return placed == job->gang ? cost : -1;
+}
+
+static int32_t
+members_on (const struct dff_core_job *job, int32_t worker)
+{
+	int32_t count = 0;
+	for (int32_t i = 0; i < job->gang; i++)
+		count += job->members[i].worker == worker;
+	return count;
+}
+
+/* Whether every member fits on what is not leased, reservations aside. */
+static bool
+fits_now (const struct dff_core *core, const struct dff_core_job *job, bool mind_reserved)
+{
+	for (int32_t i = 0; i < job->gang; i++) {
+		const struct dff_core_worker *worker =
+			dff_core_worker_at (core, job->members[i].worker);
+		struct dff_resources room = dff_resources_less (&worker->capacity, &worker->used);
+		if (mind_reserved)
+			room = dff_resources_less (&room, &worker->reserved);
+		int32_t times = members_on (job, job->members[i].worker);
+		if (dff_resources_fits (&room, &job->per_task, times) < times)
+			return false;
+	}
+	return true;
+}
+
+static void
+preempt_on (struct dff_core *core, const struct dff_core_job *job, int32_t worker_index)
+{
+	const struct dff_core_worker *worker = dff_core_worker_at (core, worker_index);
+	g_autoptr (GPtrArray) victims = g_ptr_array_new ();
+	find_victims (core, worker, job, members_on (job, worker_index), victims);
+	for (guint i = 0; i < victims->len; i++) {
+		struct dff_core_job *victim = g_ptr_array_index (victims, i);
+		if (!is_leaving (victim))
+			dff_core_job_preempt (core, victim);
+	}
+}
+
+static void
+reserve (struct dff_core *core, struct dff_core_job *job)
+{
+	core->stats.reclaims += job->hold == DFF_CORE_HOLD_CLAIM;
+	for (int32_t i = 0; i < job->gang; i++) {
+		int32_t worker = job->members[i].worker;
+		if (i == 0 || job->members[i - 1].worker != worker)
+			preempt_on (core, job, worker);
+	}
+	for (int32_t i = 0; i < job->gang; i++)
+		dff_resources_add (&dff_core_worker_at (core, job->members[i].worker)->reserved,
+				   &job->per_task, 1);
+	dff_core_attempt_reserve (core, job);
+}
+
+void
+dff_core_take (struct dff_core *core,
+	       struct dff_core_job *job,
+	       const int32_t *workers,
+	       enum dff_core_hold hold,
+	       int32_t shape)
+{
+	job->hold = hold;
+	job->shape = shape;
+	job->members = g_new0 (struct dff_core_member, (gsize)job->gang);
+	for (int32_t i = 0; i < job->gang; i++)
+		job->members[i].worker = workers[i];
+	dff_core_job_bind (core, job);
+	if (fits_now (core, job, true))
+		dff_core_attempt_begin (core, job);
+	else
+		reserve (core, job);
+}
+
+static void
+drop_reserved (struct dff_core *core, const struct dff_core_job *job)
+{
+	for (int32_t i = 0; i < job->gang; i++)
+		dff_resources_add (&dff_core_worker_at (core, job->members[i].worker)->reserved,
+				   &job->per_task, -1);
+	core->dirty = true;
+}
+
+void
+dff_core_unreserve (struct dff_core *core, struct dff_core_job *job)
+{
+	drop_reserved (core, job);
+	for (int32_t i = 0; i < job->gang; i++)
+		dff_core_member_unbind (core, job, i);
+	dff_core_job_clear_attempt (job);
+}
+
+static bool
+workers_stand (const struct dff_core *core, const struct dff_core_job *job)
+{
+	for (int32_t i = 0; i < job->gang; i++) {
+		if (!dff_core_worker_usable (dff_core_worker_at (core, job->members[i].worker)))
+			return false;
+	}
+	return true;
+}
+
+void
+dff_core_run_reserved (struct dff_core *core)
+{
+	if (!core->dirty &&
+	    (core->reserved.head == NULL ||
+	     ((struct dff_core_job *)core->reserved.head->data)->deadline_ms > core->now_ms))
+		return;
+	GList *next = NULL;
+	for (GList *link = core->reserved.head; link != NULL; link = next) {
+		next = link->next;
+		struct dff_core_job *job = link->data;
+		/* A victim may not answer, or a worker may go: the job looks for another place
+		 * instead of waiting on this one for ever. */
+		if (job->deadline_ms <= core->now_ms || !workers_stand (core, job)) {
+			dff_core_unreserve (core, job);
+			dff_core_job_requeue (core, job);
+			continue;
+		}
+		if (!fits_now (core, job, false))
+			continue;
+		drop_reserved (core, job);
+		dff_core_attempt_begin (core, job);
+	}
+}
--- a/core/recover.c
+++ b/core/recover.c
@@ -12,20 +12,18 @@
 {
 	struct dff_core_member *member = &job->members[index];
 	g_array_append_val (job->placements, *placement);
-	member->worker = dff_core_find_worker (core, &placement->worker);
+	/* A worker that the pool does not declare any more may be declared again while the task
+	 * still runs there: its accelerators must not look free then. */
+	member->worker = dff_core_intern_worker (core, &placement->worker);
 	member->state = running ? DFF_CORE_MEMBER_STARTED : DFF_CORE_MEMBER_SENT;
 	member->ran = running;
 	job->n_started += running;
-	if (member->worker == DFF_CORE_NONE)
-		return;
-	/* Two rows that claim one accelerator: the first one read keeps it. The other is followed
-	 * without a lease, so that its end is still learned. */
-	if ((dff_core_worker_at (core, member->worker)->leased & placement->accelerators) != 0) {
-		member->worker = DFF_CORE_NONE;
-		return;
-	}
+	/* A member that is over leaves its accelerators to others while its gang's row still names
+	 * them. Until the workers' answers tell which row holds them, both do, and nobody else. */
+	struct dff_core_worker *worker = dff_core_worker_at (core, member->worker);
+	if ((worker->leased & placement->accelerators) != 0)
+		worker->overlapping = true;
 	dff_core_lease (core, job, member->worker, placement->accelerators);
-	dff_core_worker_note_overload (dff_core_worker_at (core, member->worker));
 }
 
 static bool
@@ -51,6 +49,16 @@
 			      &g_array_index (recovered->placements, struct dff_placement, i),
 			      g_array_index (recovered->running, bool, i));
 	}
+	job->hold = dff_core_job_preemptible (job) ? DFF_CORE_HOLD_SOFT : DFF_CORE_HOLD_HARD;
+	if (job->guaranteed && dff_core_claim_adopt (core, job))
+		job->hold = DFF_CORE_HOLD_CLAIM;
+	dff_core_job_bind (core, job);
+	for (int32_t i = 0; i < job->gang; i++) {
+		if (job->members[i].worker != DFF_CORE_NONE)
+			dff_core_worker_note_overload (
+				dff_core_worker_at (core, job->members[i].worker));
+	}
+	core->witness_dirty = true;
 	dff_core_attempt_resume (core, job, recovered->age_ms);
 	if (job->cancelled)
 		dff_core_attempt_stop (core, job, DFF_CORE_STOP_CANCELLED);
--- a/core/stats.c
+++ b/core/stats.c
@@ -25,6 +25,7 @@
 	switch (job->state) {
 	case DFF_CORE_QUEUED:
 	case DFF_CORE_DELAYED:
+	case DFF_CORE_RESERVED:
 		return DFF_JOB_QUEUED;
 	case DFF_CORE_RECORDING:
 	case DFF_CORE_STARTING:
--- a/core/tables.c
+++ b/core/tables.c
@@ -17,6 +17,22 @@
 	return index_lookup (core->worker_index, name);
 }
 
+int32_t
+dff_core_intern_worker (struct dff_core *core, const struct dff_name *name)
+{
+	int32_t index = dff_core_find_worker (core, name);
+	if (index != DFF_CORE_NONE)
+		return index;
+	index = (int32_t)core->workers->len;
+	g_array_set_size (core->workers, core->workers->len + 1);
+	struct dff_core_worker *worker = dff_core_worker_at (core, index);
+	worker->name = *name;
+	worker->rack = DFF_CORE_NONE;
+	worker->tenants = g_ptr_array_new ();
+	g_hash_table_insert (core->worker_index, dff_name_dup (name), GINT_TO_POINTER (index));
+	return index;
+}
+
 int32_t
 dff_core_find_team (const struct dff_core *core, const struct dff_name *name)
 {
@@ -56,6 +72,7 @@
 	job->declared_ms = MAX (spec->declared_ms, 1);
 	job->max_attempts = spec->idempotent ? MAX (spec->max_attempts, 1) : 1;
 	job->submitted_ms = core->now_ms;
+	job->shape = DFF_CORE_NONE;
 	job->state = DFF_CORE_QUEUED;
 	job->link.data = job;
 	g_hash_table_insert (core->jobs, &job->id, job);
@@ -122,26 +139,17 @@
 		core->stats.workers_up++;
 	worker->state = state;
 	core->dirty = true;
+	core->witness_dirty = true;
 	if (worker->rack != DFF_CORE_NONE)
 		dff_core_rack_summarise (core, worker->rack);
 }
 
-static void
-resources_add (struct dff_resources *sum, const struct dff_resources *term, int32_t sign)
-{
-	sum->slots += sign * term->slots;
-	sum->cores += sign * term->cores;
-	sum->memory_gb += sign * term->memory_gb;
-	sum->accelerators += sign * term->accelerators;
-}
-
 void
 dff_core_worker_note_overload (struct dff_core_worker *worker)
 {
-	worker->overloaded = worker->used.slots > worker->capacity.slots ||
-			     worker->used.cores > worker->capacity.cores ||
-			     worker->used.memory_gb > worker->capacity.memory_gb ||
-			     worker->used.accelerators > worker->capacity.accelerators;
+	struct dff_resources unused = dff_resources_less (&worker->capacity, &worker->used);
+	struct dff_resources unbound = dff_resources_less (&worker->capacity, &worker->bound);
+	worker->overloaded = !dff_resources_covered (&unused) || !dff_resources_covered (&unbound);
 }
 
 static void
@@ -158,15 +166,48 @@
 		uint64_t accelerators)
 {
 	struct dff_core_worker *worker = dff_core_worker_at (core, worker_index);
-	g_assert ((worker->leased & accelerators) == 0);
+	g_assert (worker->overlapping || (worker->leased & accelerators) == 0);
 	worker->leased |= accelerators;
-	resources_add (&worker->used, &job->per_task, 1);
+	dff_resources_add (&worker->used, &job->per_task, 1);
 	rack_free_add (core, worker, -job->per_task.accelerators);
 	g_ptr_array_add (worker->tenants, job);
 	if (job->team != DFF_CORE_NONE)
 		dff_core_team_at (core, job->team)->accelerators += job->per_task.accelerators;
 }
 
+/* Counts the leases of one tenant anew. Returns: whether they are not disjoint from @leased. */
+static bool
+gather_leases (const struct dff_core_job *job, int32_t worker, uint64_t *leased)
+{
+	bool overlap = false;
+	for (int32_t i = 0; i < job->gang; i++) {
+		if (job->members[i].worker != worker ||
+		    job->members[i].state >= DFF_CORE_MEMBER_COMPLETED)
+			continue;
+		uint64_t mask =
+			g_array_index (job->placements, struct dff_placement, i).accelerators;
+		overlap |= (*leased & mask) != 0;
+		*leased |= mask;
+	}
+	return overlap;
+}
+
+static void
+resolve_overlap (struct dff_core *core, int32_t index)
+{
+	struct dff_core_worker *worker = dff_core_worker_at (core, index);
+	worker->leased = 0;
+	worker->overlapping = false;
+	for (guint i = 0; i < worker->tenants->len; i++) {
+		const struct dff_core_job *tenant = g_ptr_array_index (worker->tenants, i);
+		bool seen = false;
+		for (guint j = 0; j < i && !seen; j++)
+			seen = g_ptr_array_index (worker->tenants, j) == tenant;
+		if (!seen && gather_leases (tenant, index, &worker->leased))
+			worker->overlapping = true;
+	}
+}
+
 void
 dff_core_unlease (struct dff_core *core, struct dff_core_job *job, int32_t member)
 {
@@ -178,11 +219,13 @@
 		&g_array_index (job->placements, struct dff_placement, member);
 	g_assert ((worker->leased & placement->accelerators) == placement->accelerators);
 	worker->leased &= ~placement->accelerators;
-	resources_add (&worker->used, &job->per_task, -1);
+	dff_resources_add (&worker->used, &job->per_task, -1);
 	rack_free_add (core, worker, job->per_task.accelerators);
 	g_ptr_array_remove_fast (worker->tenants, job);
 	if (worker->overloaded)
 		dff_core_worker_note_overload (worker);
+	if (worker->overlapping)
+		resolve_overlap (core, index);
 	if (job->team != DFF_CORE_NONE)
 		dff_core_team_at (core, job->team)->accelerators -= job->per_task.accelerators;
 	core->dirty = true;
--- /dev/null
+++ b/core/witness.c
@@ -0,0 +1,420 @@
+#include "core/core_private.h"
+
+#include <string.h>
+
+/* Witness packing: every guaranteed shape has a home, a concrete set of accelerators that are free
+ * or held by work that may be preempted. Homes are disjoint and count as bound, so that no work
+ * that can't be preempted is placed on them. "A team can always reclaim its shape" is then a
+ * property of the tables that dff_core_check() verifies, not a hope. */
+
+struct dff_resources
+dff_core_worker_unit (const struct dff_core_worker *worker)
+{
+	int32_t shares = MAX (MAX (worker->capacity.accelerators, worker->capacity.slots), 1);
+	return (struct dff_resources){
+		.slots = worker->capacity.slots > 0,
+		.cores = worker->capacity.cores / shares,
+		.memory_gb = worker->capacity.memory_gb / shares,
+		.accelerators = 1,
+	};
+}
+
+static void
+bind_part (struct dff_core *core, const struct dff_core_part *part, int32_t sign)
+{
+	struct dff_core_worker *worker = dff_core_worker_at (core, part->worker);
+	struct dff_resources unit = dff_core_worker_unit (worker);
+	dff_resources_add (&worker->bound, &unit, sign * part->count);
+}
+
+/* Accelerators of a worker that a shape's home may still take. */
+static int32_t
+unbound (const struct dff_core_worker *worker)
+{
+	if (!dff_core_worker_usable (worker))
+		return 0;
+	struct dff_resources room = dff_resources_less (&worker->capacity, &worker->bound);
+	struct dff_resources unit = dff_core_worker_unit (worker);
+	return dff_resources_fits (&room, &unit, worker->capacity.accelerators);
+}
+
+void
+dff_core_shape_unpack (struct dff_core *core, struct dff_core_shape *shape)
+{
+	for (guint i = 0; i < shape->parts->len; i++)
+		bind_part (core, &g_array_index (shape->parts, struct dff_core_part, i), -1);
+	g_array_set_size (shape->parts, 0);
+	shape->packed = 0;
+}
+
+void
+dff_core_shape_settle (struct dff_core *core, struct dff_core_shape *shape, const GArray *parts)
+{
+	dff_core_shape_unpack (core, shape);
+	for (guint i = 0; i < parts->len; i++) {
+		struct dff_core_part part = g_array_index (parts, struct dff_core_part, i);
+		g_array_append_val (shape->parts, part);
+		bind_part (core, &part, 1);
+		shape->packed += part.count;
+	}
+}
+
+struct room {
+	int32_t worker;
+	int32_t unbound;
+	bool whole;
+	int64_t cost;
+};
+
+static int
+compare_cost (gconstpointer a, gconstpointer b)
+{
+	const struct room *one = a;
+	const struct room *other = b;
+	if (one->cost != other->cost)
+		return one->cost < other->cost ? -1 : 1;
+	return one->worker < other->worker ? -1 : one->worker > other->worker;
+}
+
+static int
+compare_least (gconstpointer a, gconstpointer b)
+{
+	const struct room *one = a;
+	const struct room *other = b;
+	if (one->unbound != other->unbound)
+		return one->unbound < other->unbound ? -1 : 1;
+	return compare_cost (a, b);
+}
+
+static void
+rack_rooms (const struct dff_core *core,
+	    int32_t rack_index,
+	    dff_core_worker_cost_func cost,
+	    const void *user,
+	    GArray *rooms)
+{
+	const struct dff_core_rack *rack = dff_core_rack_at (core, rack_index);
+	for (guint i = 0; i < rack->workers->len; i++) {
+		int32_t index = g_array_index (rack->workers, int32_t, i);
+		const struct dff_core_worker *worker = dff_core_worker_at (core, index);
+		struct room room = {.worker = index, .unbound = unbound (worker)};
+		if (room.unbound == 0)
+			continue;
+		room.whole = room.unbound == worker->capacity.accelerators;
+		room.cost = cost != NULL ? cost (worker, user) : 0;
+		g_array_append_val (rooms, room);
+	}
+}
+
+static void
+take_room (struct room *room, int32_t count, GArray *parts)
+{
+	struct dff_core_part part = {.worker = room->worker, .count = count};
+	g_array_append_val (parts, part);
+	room->unbound = 0;
+}
+
+/* Whole workers first: a home made of crumbs on many workers could not hold a task that needs
+ * several accelerators of one worker. Returns: what is left of @size. */
+static int32_t
+take_whole (GArray *rooms, int32_t size, GArray *parts)
+{
+	g_array_sort (rooms, compare_cost);
+	for (guint i = 0; i < rooms->len; i++) {
+		struct room *room = &g_array_index (rooms, struct room, i);
+		if (!room->whole || room->unbound > size)
+			continue;
+		size -= room->unbound;
+		take_room (room, room->unbound, parts);
+	}
+	return size;
+}
+
+static int32_t
+take_remainder (GArray *rooms, int32_t size, GArray *parts)
+{
+	if (size == 0)
+		return 0;
+	g_array_sort (rooms, compare_least);
+	for (guint i = 0; i < rooms->len; i++) {
+		struct room *room = &g_array_index (rooms, struct room, i);
+		if (room->unbound < size)
+			continue;
+		take_room (room, size, parts);
+		return 0;
+	}
+	return size;
+}
+
+bool
+dff_core_pack_rack (const struct dff_core *core,
+		    int32_t rack,
+		    int32_t size,
+		    dff_core_worker_cost_func cost,
+		    const void *user,
+		    GArray *parts)
+{
+	g_array_set_size (parts, 0);
+	if (dff_core_rack_at (core, rack)->accelerators < size)
+		return false;
+	g_autoptr (GArray) rooms = g_array_new (FALSE, TRUE, sizeof (struct room));
+	rack_rooms (core, rack, cost, user, rooms);
+	int32_t left = take_whole (rooms, size, parts);
+	return take_remainder (rooms, left, parts) == 0;
+}
+
+static int32_t
+rack_unbound (const struct dff_core *core, int32_t index)
+{
+	const struct dff_core_rack *rack = dff_core_rack_at (core, index);
+	int32_t sum = 0;
+	for (guint i = 0; i < rack->workers->len; i++)
+		sum += unbound (
+			dff_core_worker_at (core, g_array_index (rack->workers, int32_t, i)));
+	return sum;
+}
+
+static bool
+region_allows (const struct dff_core_shape *shape, const struct dff_core_rack *rack)
+{
+	return shape->region == DFF_CORE_NONE || shape->region == rack->region;
+}
+
+static bool
+pack_in_best_rack (const struct dff_core *core, const struct dff_core_shape *shape, GArray *parts)
+{
+	g_autoptr (GArray) trial = g_array_new (FALSE, TRUE, sizeof (struct dff_core_part));
+	int32_t best_room = INT32_MAX;
+	for (guint i = 0; i < core->racks->len; i++) {
+		if (!region_allows (shape, dff_core_rack_at (core, (int32_t)i)))
+			continue;
+		int32_t room = rack_unbound (core, (int32_t)i);
+		if (room < shape->size || room >= best_room)
+			continue;
+		if (!dff_core_pack_rack (core, (int32_t)i, shape->size, NULL, NULL, trial))
+			continue;
+		best_room = room;
+		g_array_set_size (parts, 0);
+		g_array_append_vals (parts, trial->data, trial->len);
+	}
+	return best_room < INT32_MAX;
+}
+
+/* Crumbs count here: neighbouring racks from @first on until the shape is whole. */
+static bool
+pack_window (const struct dff_core *core,
+	     const struct dff_core_shape *shape,
+	     int32_t first,
+	     int32_t last,
+	     GArray *parts)
+{
+	g_array_set_size (parts, 0);
+	g_autoptr (GArray) rooms = g_array_new (FALSE, TRUE, sizeof (struct room));
+	for (int32_t i = first; i <= last; i++)
+		rack_rooms (core, i, NULL, NULL, rooms);
+	int32_t left = take_whole (rooms, shape->size, parts);
+	left = take_remainder (rooms, left, parts);
+	for (guint i = 0; i < rooms->len && left > 0; i++) {
+		struct room *room = &g_array_index (rooms, struct room, i);
+		int32_t count = MIN (room->unbound, left);
+		if (count == 0)
+			continue;
+		left -= count;
+		take_room (room, count, parts);
+	}
+	return left == 0;
+}
+
+/* The shortest run of neighbouring racks with room for the shape. */
+static bool
+pack_in_neighbours (const struct dff_core *core, const struct dff_core_shape *shape, GArray *parts)
+{
+	int32_t first = 0, best_first = DFF_CORE_NONE, best_last = 0, sum = 0;
+	g_autofree int32_t *rooms = g_new0 (int32_t, core->racks->len + 1);
+	for (int32_t last = 0; last < (int32_t)core->racks->len; last++) {
+		const struct dff_core_rack *rack = dff_core_rack_at (core, last);
+		if (rack->region != dff_core_rack_at (core, first)->region) {
+			first = last;
+			sum = 0;
+		}
+		rooms[last] = region_allows (shape, rack) ? rack_unbound (core, last) : 0;
+		sum += rooms[last];
+		while (first < last && sum - rooms[first] >= shape->size)
+			sum -= rooms[first++];
+		if (sum < shape->size ||
+		    (best_first != DFF_CORE_NONE && last - first >= best_last - best_first))
+			continue;
+		best_first = first;
+		best_last = last;
+	}
+	return best_first != DFF_CORE_NONE &&
+	       pack_window (core, shape, best_first, best_last, parts);
+}
+
+static bool
+pack (struct dff_core *core, struct dff_core_shape *shape)
+{
+	g_autoptr (GArray) parts = g_array_new (FALSE, TRUE, sizeof (struct dff_core_part));
+	if (!pack_in_best_rack (core, shape, parts) && !pack_in_neighbours (core, shape, parts))
+		return false;
+	dff_core_shape_settle (core, shape, parts);
+	return true;
+}
+
+static bool
+is_over_bound (const struct dff_core_worker *worker)
+{
+	struct dff_resources room = dff_resources_less (&worker->capacity, &worker->bound);
+	return !dff_core_worker_usable (worker) || !dff_resources_covered (&room);
+}
+
+static bool
+shape_is_displaced (const struct dff_core *core, const struct dff_core_shape *shape)
+{
+	for (guint i = 0; i < shape->parts->len; i++) {
+		const struct dff_core_part *part =
+			&g_array_index (shape->parts, struct dff_core_part, i);
+		if (is_over_bound (dff_core_worker_at (core, part->worker)))
+			return true;
+	}
+	return false;
+}
+
+static GArray *
+copy_parts (const struct dff_core_shape *shape)
+{
+	GArray *copy = g_array_new (FALSE, TRUE, sizeof (struct dff_core_part));
+	g_array_append_vals (copy, shape->parts->data, shape->parts->len);
+	return copy;
+}
+
+/* Packs the shapes in @displaced, largest first. Returns: false when one has no place. */
+static bool
+pack_displaced (struct dff_core *core, const GArray *displaced)
+{
+	for (guint i = 0; i < displaced->len; i++) {
+		int32_t index = g_array_index (displaced, int32_t, i);
+		if (!pack (core, dff_core_shape_at (core, index)))
+			return false;
+	}
+	return true;
+}
+
+bool
+dff_core_witness_make_room (struct dff_core *core)
+{
+	g_autoptr (GArray) displaced = g_array_new (FALSE, FALSE, sizeof (int32_t));
+	g_autoptr (GPtrArray) saved =
+		g_ptr_array_new_with_free_func ((GDestroyNotify)g_array_unref);
+	for (int32_t i = 0; i < (int32_t)core->shapes->len; i++) {
+		struct dff_core_shape *shape = dff_core_shape_at (core, i);
+		if (shape->claimed > 0 || !shape_is_displaced (core, shape))
+			continue;
+		g_array_append_val (displaced, i);
+		g_ptr_array_add (saved, copy_parts (shape));
+		dff_core_shape_unpack (core, shape);
+	}
+	bool claims_stand = true;
+	for (guint i = 0; i < core->workers->len && claims_stand; i++) {
+		const struct dff_core_worker *worker = dff_core_worker_at (core, (int32_t)i);
+		claims_stand = !dff_core_worker_usable (worker) || !is_over_bound (worker);
+	}
+	if (claims_stand && pack_displaced (core, displaced))
+		return true;
+	for (guint i = 0; i < displaced->len; i++)
+		dff_core_shape_unpack (
+			core, dff_core_shape_at (core, g_array_index (displaced, int32_t, i)));
+	for (guint i = 0; i < displaced->len; i++)
+		dff_core_shape_settle (
+			core, dff_core_shape_at (core, g_array_index (displaced, int32_t, i)),
+			g_ptr_array_index (saved, i));
+	return false;
+}
+
+/* A claimed shape stays where its jobs are; only parts that nobody claims and that lie on workers
+ * which take no new work are given up. */
+static void
+prune_claimed (struct dff_core *core, struct dff_core_shape *shape)
+{
+	for (guint i = shape->parts->len; i-- > 0;) {
+		struct dff_core_part *part = &g_array_index (shape->parts, struct dff_core_part, i);
+		if (!is_over_bound (dff_core_worker_at (core, part->worker)))
+			continue;
+		bind_part (core, part, -1);
+		shape->packed -= part->count - part->claimed;
+		part->count = part->claimed;
+		bind_part (core, part, 1);
+		if (part->count == 0)
+			g_array_remove_index_fast (shape->parts, i);
+	}
+}
+
+void
+dff_core_run_witnesses (struct dff_core *core)
+{
+	if (!core->witness_dirty)
+		return;
+	core->witness_dirty = false;
+	for (int32_t i = 0; i < (int32_t)core->shapes->len; i++) {
+		struct dff_core_shape *shape = dff_core_shape_at (core, i);
+		if (shape->claimed > 0)
+			prune_claimed (core, shape);
+		else
+			dff_core_shape_unpack (core, shape);
+	}
+	core->stats.witnesses_missing = 0;
+	for (int32_t i = 0; i < (int32_t)core->shapes->len; i++) {
+		struct dff_core_shape *shape = dff_core_shape_at (core, i);
+		if (shape->claimed == 0)
+			pack (core, shape);
+		core->stats.witnesses_missing += shape->packed < shape->size;
+	}
+}
+
+void
+dff_core_shape_clear (gpointer data)
+{
+	struct dff_core_shape *shape = data;
+	g_array_unref (shape->parts);
+}
+
+static int
+compare_size (gconstpointer a, gconstpointer b)
+{
+	const struct dff_core_shape *one = a;
+	const struct dff_core_shape *other = b;
+	if (one->size != other->size)
+		return one->size > other->size ? -1 : 1;
+	return one->team < other->team ? -1 : one->team > other->team;
+}
+
+static void
+add_shapes (struct dff_core *core, int32_t team, const struct dff_guarantee *guarantee)
+{
+	for (int32_t i = 0; i < guarantee->gangs; i++) {
+		struct dff_core_shape shape = {
+			.team = team,
+			.region = dff_core_find_region (core, &guarantee->region),
+			.size = guarantee->accelerators,
+			.parts = g_array_new (FALSE, TRUE, sizeof (struct dff_core_part)),
+		};
+		g_array_append_val (core->shapes, shape);
+	}
+}
+
+void
+dff_core_set_shapes (struct dff_core *core, const struct dff_pool *pool)
+{
+	for (int32_t i = 0; i < (int32_t)core->shapes->len; i++)
+		dff_core_shape_unpack (core, dff_core_shape_at (core, i));
+	g_array_set_size (core->shapes, 0);
+	for (guint i = 0; i < pool->teams->len; i++) {
+		const struct dff_team *team = &g_array_index (pool->teams, struct dff_team, i);
+		int32_t index = dff_core_find_team (core, &team->name);
+		for (guint j = 0; j < team->guarantees->len; j++)
+			add_shapes (core, index,
+				    &g_array_index (team->guarantees, struct dff_guarantee, j));
+	}
+	g_array_sort (core->shapes, compare_size);
+	core->witness_dirty = true;
+}
--- a/include/core/core.h
+++ b/include/core/core.h
@@ -170,6 +170,8 @@
 int64_t dff_core_next_wake_ms (const struct dff_core *core);
 
 struct dff_core_stats {
+	/** Jobs by phase; @ended counts all since the core was made, so that the sum is what it was
+	 * given. */
 	int64_t queued, starting, running, stopping, ended;
 	int64_t reclaims, preemptions, moves, start_failures, retries;
 	int64_t workers_up, workers_quarantined;
