--- /dev/null
+++ b/peer/watch_share.c
@@ -0,0 +1,33 @@
+#include "peer/watch_share.h"
+
+#include "common/rendezvous.h"
+#include "peer/peer.h"
+
+void
+dff_watch_share_members (const GArray *members, const struct dff_name *region, GArray *out)
+{
+	for (guint i = 0; i < members->len; i++) {
+		const struct dff_member *member = &g_array_index (members, struct dff_member, i);
+		bool counts =
+			member->state == DFF_MEMBER_ALIVE || member->state == DFF_MEMBER_SUSPECT;
+		if (counts && dff_name_equal (&member->instance.region, region))
+			g_array_append_val (out, member->instance.id);
+	}
+}
+
+void
+dff_watch_share (const struct dff_name *self,
+		 const struct dff_name *members,
+		 size_t n_members,
+		 const struct dff_name *workers,
+		 size_t n_workers,
+		 GArray *out)
+{
+	for (size_t i = 0; i < n_workers; i++) {
+		struct dff_str key = {.data = workers[i].data, .len = workers[i].len};
+		int owner = dff_rendezvous_owner (key, members, n_members);
+		guint index = (guint)i;
+		if (owner >= 0 && dff_name_equal (&members[owner], self))
+			g_array_append_val (out, index);
+	}
+}
