--- a/tests/client/test-command-line.c
+++ b/tests/client/test-command-line.c
@@ -38,6 +38,7 @@
 	{"check-nothing", "check"},
 	{"drain-two-servers", "drain -s 127.0.0.1:1 -s 127.0.0.1:2"},
 	{"drain-unreachable", "drain -s 127.0.0.1:1 --timeout 0"},
+	{"keygen-unknown", "keygen certificate"},
 	{"result-malformed-id", "result a/b -s 127.0.0.1:1"},
 	{"status-unknown-topic", "status weather -s 127.0.0.1:1"},
 	{"status-batch-without-id", "status batches -s 127.0.0.1:1"},
