--- /dev/null
+++ b/entry/admission.c
@@ -0,0 +1,129 @@
+#include "entry/admission.h"
+
+#include <string.h>
+
+#include "entry/private.h"
+#include "entry/reply.h"
+
+/** Bytes of an Idempotency-Key at the most. */
+#define KEY_MAX 255
+/** Hex digits of a SHA-256 that identify a submission. */
+#define HASH_DIGITS 32
+/** When a caller beyond the team's bound should come back at the earliest, s. */
+#define BUSY_RETRY_S 5
+
+static bool
+refuse (struct dff_job_fault *fault, int status, const char *code, char *detail)
+{
+	fault->status = status;
+	fault->code = code;
+	fault->detail = detail;
+	return false;
+}
+
+bool
+dff_admission_may_use (const struct dff_service *service, const struct dff_name *team)
+{
+	for (guint i = 0; i < service->teams->len; i++) {
+		const struct dff_name *allowed =
+			&g_array_index (service->teams, struct dff_name, i);
+		if (dff_name_equal (allowed, team))
+			return true;
+	}
+	return service->teams->len == 0;
+}
+
+bool
+dff_admission_check (struct dff_entry *entry,
+		     const struct dff_job_row *row,
+		     struct dff_job_fault *fault)
+{
+	const struct dff_job_spec *spec = &row->spec;
+	const struct dff_service *service = dff_pool_find_service (entry->pool, &spec->service);
+	if (service == NULL) {
+		return refuse (fault, 422, "unknown_service",
+			       g_strdup_printf ("service: %s is not in the pool file",
+						spec->service.data));
+	}
+	if (!dff_admission_may_use (service, &spec->team)) {
+		return refuse (fault, 403, "service_not_allowed",
+			       g_strdup_printf ("service: %s is not open to team %s",
+						spec->service.data, spec->team.data));
+	}
+	struct dff_admission admission = dff_core_admit (entry->admission, spec);
+	if (admission.admitted)
+		return true;
+	return refuse (
+		fault, 422, admission.reason,
+		g_strdup_printf ("The pool in force can never run the job: %s", admission.reason));
+}
+
+bool
+dff_admission_has_room (struct dff_call *call, int32_t n)
+{
+	struct dff_entry *entry = call->entry;
+	const struct dff_team *team = dff_pool_find_team (entry->pool, &call->principal.name);
+	int32_t max = team == NULL ? 0 : team->max_queued;
+	int32_t count = dff_team_quota_count (entry->quota, &call->principal.name);
+	struct dff_problem never = {
+		.status = 422,
+		.code = "over_max_queued",
+		.outcome = DFF_OUTCOME_NOT_RUN,
+		.detail = "The batch is larger than what the team may have queued.",
+	};
+	struct dff_problem later = {
+		.status = 429,
+		.code = "team_queue_full",
+		.outcome = DFF_OUTCOME_NOT_RUN,
+		.detail = "The team has as many jobs queued as it may have.",
+		.retry_after_s = BUSY_RETRY_S + g_rand_int_range (entry->rng, 0, BUSY_RETRY_S),
+	};
+	if (n <= max - count)
+		return true;
+	(*entry->counters.refused_busy)++;
+	dff_reply_problem (call, n > max ? &never : &later);
+	return false;
+}
+
+void
+dff_reply_job_fault (struct dff_call *call, struct dff_job_fault *fault)
+{
+	struct dff_problem problem = {
+		.status = fault->status,
+		.code = fault->code,
+		.outcome = DFF_OUTCOME_NOT_RUN,
+		.detail = fault->detail,
+	};
+	(*call->entry->counters.refused_input)++;
+	dff_reply_problem (call, &problem);
+	dff_job_fault_clear (fault);
+}
+
+static bool
+is_printable (const char *text)
+{
+	for (const char *byte = text; *byte != '\0'; byte++) {
+		if (!g_ascii_isgraph (*byte))
+			return false;
+	}
+	return true;
+}
+
+enum dff_key_state
+dff_idempotency_hash (const struct dff_call *call, const char *scope, struct dff_name *hash)
+{
+	const char *key = dff_call_header (call, "Idempotency-Key");
+	const struct dff_name *team = &call->principal.name;
+	memset (hash, 0, sizeof (*hash));
+	if (key == NULL)
+		return DFF_KEY_NONE;
+	size_t len = strlen (key);
+	if (len == 0 || len > KEY_MAX || !is_printable (key))
+		return DFF_KEY_INVALID;
+	g_autoptr (GChecksum) checksum = g_checksum_new (G_CHECKSUM_SHA256);
+	g_checksum_update (checksum, (const guchar *)scope, (gssize)strlen (scope));
+	g_checksum_update (checksum, (const guchar *)team->data, team->len + 1);
+	g_checksum_update (checksum, (const guchar *)key, (gssize)len);
+	*hash = dff_name_printf ("%.*s", HASH_DIGITS, g_checksum_get_string (checksum));
+	return DFF_KEY_VALID;
+}
--- /dev/null
+++ b/entry/admission.h
@@ -0,0 +1,40 @@
+#ifndef DFF_ENTRY_ADMISSION_H
+#define DFF_ENTRY_ADMISSION_H
+
+#include "cell/job_row.h"
+#include "entry/call.h"
+#include "entry/job_json.h"
+
+/* What a submission must pass before anything is recorded. */
+
+/** Whether @team may use @service. */
+bool dff_admission_may_use (const struct dff_service *service, const struct dff_name *team);
+
+/** Whether the pool in force lets @row's team submit it. @fault: (out): why not. */
+bool dff_admission_check (struct dff_entry *entry,
+			  const struct dff_job_row *row,
+			  struct dff_job_fault *fault);
+
+/** Whether the team may have @n more jobs; else the call is answered with 429 or 422. */
+bool dff_admission_has_room (struct dff_call *call, int32_t n);
+
+/** Answers a call whose submission has a fault, and clears the fault. */
+void dff_reply_job_fault (struct dff_call *call, struct dff_job_fault *fault);
+
+enum dff_key_state {
+	DFF_KEY_NONE,
+	DFF_KEY_VALID,
+	DFF_KEY_INVALID,
+};
+
+/**
+ * dff_idempotency_hash:
+ * @scope: keeps the keys of different kinds of work apart; "" for jobs and batches
+ * @hash: (out): 32 hex digits of the SHA-256 of scope, team and key
+ *
+ * Reads the Idempotency-Key header.
+ */
+enum dff_key_state
+dff_idempotency_hash (const struct dff_call *call, const char *scope, struct dff_name *hash);
+
+#endif
--- /dev/null
+++ b/entry/connection.c
@@ -0,0 +1,260 @@
+#include "entry/connection.h"
+
+#include <event2/buffer.h>
+#include <glib.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+/** An idle keep-alive connection is closed after this long, ms. */
+#define IDLE_LIMIT_MS 75000
+/** An answer that makes no progress for this long is cut, s. */
+#define WRITE_STALL_S 30
+/** Bytes a client may send ahead while its request is worked on. */
+#define READ_AHEAD_BYTES 65536
+/** Connections accepted beyond the limit, to be closed at once, before accepting pauses. */
+#define OVERFLOW_MAX 32
+
+/** Dead peers are found after IDLE + INTERVAL * COUNT seconds of silence. */
+#define KEEPALIVE_IDLE_S 15
+#define KEEPALIVE_INTERVAL_S 5
+#define KEEPALIVE_COUNT 3
+
+enum connection_state {
+	DFF_CONNECTION_IDLE,
+	DFF_CONNECTION_RECEIVING,
+	DFF_CONNECTION_HANDLING,
+};
+
+struct connection {
+	struct dff_connections *owner;
+	/** A reference of its own: evhttp frees its one without telling, and the address must not
+	 * be used again while it is a key here. */
+	struct bufferevent *bev;
+	enum connection_state state;
+	int64_t since_ms;
+	bool probed;
+	bool over_limit;
+	bool closing;
+};
+
+struct dff_connections {
+	const struct dff_clock *clock;
+	/** struct bufferevent * -> struct connection *, owned. */
+	GHashTable *by_bev;
+	int32_t max_connections;
+	int32_t n_over_limit;
+	struct evconnlistener *listener;
+};
+
+static void
+connection_free (gpointer data)
+{
+	struct connection *connection = data;
+	bufferevent_decref (connection->bev);
+	g_free (connection);
+}
+
+struct dff_connections *
+dff_connections_new (const struct dff_clock *clock)
+{
+	struct dff_connections *connections = g_new0 (struct dff_connections, 1);
+	connections->clock = clock;
+	connections->max_connections = INT32_MAX;
+	connections->by_bev =
+		g_hash_table_new_full (g_direct_hash, g_direct_equal, NULL, connection_free);
+	return connections;
+}
+
+static void
+bytes_received (struct evbuffer *buffer, const struct evbuffer_cb_info *info, void *ctx);
+
+static void
+forget_input (gpointer key, gpointer value, gpointer data)
+{
+	(void)key;
+	(void)data;
+	struct connection *connection = value;
+	evbuffer_remove_cb (bufferevent_get_input (connection->bev), bytes_received, connection);
+}
+
+void
+dff_connections_free (struct dff_connections *connections)
+{
+	g_hash_table_foreach (connections->by_bev, forget_input, NULL);
+	g_hash_table_destroy (connections->by_bev);
+	g_free (connections);
+}
+
+static void
+set_state (struct connection *connection, enum connection_state state)
+{
+	connection->state = state;
+	connection->since_ms = dff_clock_now_ms (connection->owner->clock);
+}
+
+static void
+bytes_received (struct evbuffer *buffer, const struct evbuffer_cb_info *info, void *ctx)
+{
+	(void)buffer;
+	struct connection *connection = ctx;
+	if (info->n_added > 0 && connection->state == DFF_CONNECTION_IDLE)
+		set_state (connection, DFF_CONNECTION_RECEIVING);
+}
+
+void
+dff_connections_add (struct dff_connections *connections, struct bufferevent *bev)
+{
+	static const struct timeval write_stall = {.tv_sec = WRITE_STALL_S};
+	struct connection *connection = g_new0 (struct connection, 1);
+	connection->owner = connections;
+	connection->bev = bev;
+	bufferevent_incref (bev);
+	set_state (connection, DFF_CONNECTION_IDLE);
+	bufferevent_setwatermark (bev, EV_READ, 0, READ_AHEAD_BYTES);
+	bufferevent_set_timeouts (bev, NULL, &write_stall);
+	evbuffer_add_cb (bufferevent_get_input (bev), bytes_received, connection);
+	g_hash_table_insert (connections->by_bev, bev, connection);
+	if (dff_connections_count (connections) <= connections->max_connections)
+		return;
+	connection->over_limit = true;
+	connections->n_over_limit++;
+	if (connections->n_over_limit >= OVERFLOW_MAX && connections->listener != NULL)
+		evconnlistener_disable (connections->listener);
+}
+
+/* A caller that vanished without a word (power, a middlebox that forgot the connection) would hold
+ * its place for as long as it waits for a result. The kernel's probes find it. */
+static void
+probe (struct connection *connection)
+{
+	static const int on = 1;
+	static const int idle = KEEPALIVE_IDLE_S;
+	static const int interval = KEEPALIVE_INTERVAL_S;
+	static const int count = KEEPALIVE_COUNT;
+	evutil_socket_t fd = bufferevent_getfd (connection->bev);
+	connection->probed = true;
+	setsockopt (fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof (on));
+	setsockopt (fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle, sizeof (idle));
+	setsockopt (fd, IPPROTO_TCP, TCP_KEEPINTVL, &interval, sizeof (interval));
+	setsockopt (fd, IPPROTO_TCP, TCP_KEEPCNT, &count, sizeof (count));
+	setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof (on));
+}
+
+void
+dff_connections_handling (struct dff_connections *connections, struct bufferevent *bev)
+{
+	struct connection *connection = g_hash_table_lookup (connections->by_bev, bev);
+	if (connection == NULL)
+		return;
+	set_state (connection, DFF_CONNECTION_HANDLING);
+	if (!connection->probed)
+		probe (connection);
+}
+
+void
+dff_connections_answered (struct dff_connections *connections, struct bufferevent *bev)
+{
+	struct connection *connection = g_hash_table_lookup (connections->by_bev, bev);
+	if (connection == NULL)
+		return;
+	bool more = evbuffer_get_length (bufferevent_get_input (bev)) > 0;
+	set_state (connection, more ? DFF_CONNECTION_RECEIVING : DFF_CONNECTION_IDLE);
+}
+
+/* bufferevent_free() clears the callbacks; a live connection always has evhttp's. */
+static bool
+is_gone (const struct connection *connection)
+{
+	bufferevent_event_cb event_cb = NULL;
+	bufferevent_getcb (connection->bev, NULL, NULL, &event_cb, NULL);
+	return event_cb == NULL;
+}
+
+static bool
+is_past_limit (const struct connection *connection,
+	       const struct dff_connection_limits *limits,
+	       int64_t now_ms)
+{
+	int64_t age_ms = now_ms - connection->since_ms;
+	if (connection->over_limit)
+		return true;
+	if (connection->state == DFF_CONNECTION_RECEIVING)
+		return age_ms >= limits->request_timeout_ms;
+	return connection->state == DFF_CONNECTION_IDLE && age_ms >= IDLE_LIMIT_MS;
+}
+
+/* evhttp owns the connection and gives no handle to one that has sent no request yet. After the
+ * shutdown it reads the end of the stream and frees the connection by itself. */
+static void
+close_connection (const struct connection *connection)
+{
+	evutil_socket_t fd = bufferevent_getfd (connection->bev);
+	if (fd >= 0)
+		shutdown (fd, SHUT_RDWR);
+}
+
+int32_t
+dff_connections_tick (struct dff_connections *connections,
+		      const struct dff_connection_limits *limits,
+		      struct evconnlistener *listener)
+{
+	int64_t now_ms = dff_clock_now_ms (connections->clock);
+	int32_t n_closed = 0;
+	GHashTableIter iter;
+	gpointer value;
+	connections->max_connections = limits->max_connections;
+	connections->listener = listener;
+	g_hash_table_iter_init (&iter, connections->by_bev);
+	while (g_hash_table_iter_next (&iter, NULL, &value)) {
+		struct connection *connection = value;
+		if (is_gone (connection)) {
+			forget_input (NULL, connection, NULL);
+			g_hash_table_iter_remove (&iter);
+			continue;
+		}
+		if (connection->closing || !is_past_limit (connection, limits, now_ms))
+			continue;
+		connection->closing = true;
+		close_connection (connection);
+		n_closed++;
+	}
+	connections->n_over_limit = 0;
+	if (listener != NULL)
+		evconnlistener_enable (listener);
+	return n_closed;
+}
+
+void
+dff_connections_close_idle (struct dff_connections *connections)
+{
+	GHashTableIter iter;
+	gpointer value;
+	g_hash_table_iter_init (&iter, connections->by_bev);
+	while (g_hash_table_iter_next (&iter, NULL, &value)) {
+		const struct connection *connection = value;
+		if (connection->state == DFF_CONNECTION_IDLE && !is_gone (connection))
+			close_connection (connection);
+	}
+}
+
+int32_t
+dff_connections_count (const struct dff_connections *connections)
+{
+	return (int32_t)g_hash_table_size (connections->by_bev);
+}
+
+int32_t
+dff_connections_busy (const struct dff_connections *connections)
+{
+	int32_t n_busy = 0;
+	GHashTableIter iter;
+	gpointer value;
+	g_hash_table_iter_init (&iter, connections->by_bev);
+	while (g_hash_table_iter_next (&iter, NULL, &value)) {
+		const struct connection *connection = value;
+		if (connection->state != DFF_CONNECTION_IDLE && !is_gone (connection))
+			n_busy++;
+	}
+	return n_busy;
+}
--- /dev/null
+++ b/entry/connection.h
@@ -0,0 +1,62 @@
+#ifndef DFF_ENTRY_CONNECTION_H
+#define DFF_ENTRY_CONNECTION_H
+
+#include <event2/bufferevent.h>
+#include <event2/http.h>
+#include <event2/listener.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "common/cleanup.h"
+#include "common/clock.h"
+
+/*
+ * Callers' connections: how many there are, and what each one is doing, so that slow, idle and
+ * half-open clients are closed in bounded time and memory.
+ */
+
+struct dff_connections;
+
+struct dff_connection_limits {
+	int32_t max_connections;
+	/** Time from the first byte of a request to its last, ms. */
+	int32_t request_timeout_ms;
+};
+
+struct dff_connections *dff_connections_new (const struct dff_clock *clock);
+
+/** To be called after the HTTP server is freed. */
+void dff_connections_free (struct dff_connections *connections);
+
+DFF_DEFINE_CLEANUP (dff_connections, dff_connections_free);
+
+/** Takes over the accounting of a connection that was just accepted. */
+void dff_connections_add (struct dff_connections *connections, struct bufferevent *bev);
+
+/** A request is whole and is being worked on. */
+void dff_connections_handling (struct dff_connections *connections, struct bufferevent *bev);
+
+/** The answer to the request is out. */
+void dff_connections_answered (struct dff_connections *connections, struct bufferevent *bev);
+
+/**
+ * dff_connections_tick:
+ * @listener: paused while there are too many connections
+ *
+ * Forgets the connections that are gone and closes those past a limit.
+ *
+ * Returns: how many were closed.
+ */
+int32_t dff_connections_tick (struct dff_connections *connections,
+			      const struct dff_connection_limits *limits,
+			      struct evconnlistener *listener);
+
+/** Closes connections that wait for a next request. */
+void dff_connections_close_idle (struct dff_connections *connections);
+
+/** Returns: connections in the middle of a request or its answer. */
+int32_t dff_connections_busy (const struct dff_connections *connections);
+
+int32_t dff_connections_count (const struct dff_connections *connections);
+
+#endif
--- /dev/null
+++ b/entry/delivery.h
@@ -0,0 +1,10 @@
+#ifndef DFF_ENTRY_DELIVERY_H
+#define DFF_ENTRY_DELIVERY_H
+
+#include "cell/job_row.h"
+#include "entry/call.h"
+
+/** Answers @call with the result of a job that has ended: whole, or not at all. */
+void dff_delivery_begin (struct dff_call *call, const struct dff_job_row *row);
+
+#endif
--- /dev/null
+++ b/entry/dispatch.c
@@ -0,0 +1,246 @@
+#include <math.h>
+
+#include "common/log.h"
+#include "entry/request_private.h"
+
+/** Workers that one request is sent to at the most. */
+#define SENT_MAX 4
+/** A worker that could not be reached, or refused, is avoided for so long, ms. */
+#define AVOID_UNREACHABLE_MS 1000
+#define AVOID_REFUSED_MS 200
+/** Range of the first back-off, ms; doubled with each retry. */
+#define BACKOFF_MS 20
+/** Less than this is not worth sending, ms. */
+#define DEADLINE_MIN_MS 2
+/** Weight of the newest sample in the average of service times. */
+#define AVERAGE_WEIGHT 0.1
+
+static int64_t
+now_ms (const struct dff_request *request)
+{
+	return dff_entry_now_ms (request->owner->entry);
+}
+
+static int64_t
+remaining_ms (const struct dff_request *request)
+{
+	return request->deadline_ms - now_ms (request);
+}
+
+/* Seconds until a caller who found no worker should come back. */
+static int32_t
+come_back_s (struct dff_request *request)
+{
+	return 1 + g_rand_int_range (request->owner->entry->rng, 0, 2);
+}
+
+static void
+count_service_time (struct dff_request *request)
+{
+	struct dff_requests *requests = request->owner;
+	double taken_ms = (double)(now_ms (request) - request->sent_ms);
+	if (requests->service_ms == 0)
+		requests->service_ms = taken_ms;
+	requests->service_ms += AVERAGE_WEIGHT * (taken_ms - requests->service_ms);
+}
+
+static void
+finish_answered (struct dff_request *request, const struct dff_request_result *result)
+{
+	struct dff_problem failed = {
+		.status = 502,
+		.code = "worker_failed",
+		.outcome = DFF_OUTCOME_FAILED,
+		.detail = "The worker ran the request and failed.",
+	};
+	count_service_time (request);
+	dff_retry_budget_deposit (&request->owner->budget);
+	if (result->status >= 500)
+		dff_request_fail (request, &failed);
+	else
+		dff_request_finish (request, dff_answer_new (result->status, result->body,
+							     DFF_OUTCOME_COMPLETED));
+}
+
+static void
+backoff_over (void *user)
+{
+	struct dff_request *request = user;
+	request->timer = NULL;
+	dff_request_ref (request);
+	dff_request_dispatch (request);
+	dff_request_unref (request);
+}
+
+static void
+back_off (struct dff_request *request)
+{
+	double range_ms = BACKOFF_MS * pow (2, request->n_sent - 1);
+	double wait_ms = g_rand_double_range (request->owner->entry->rng, range_ms / 2, range_ms);
+	request->state = DFF_REQUEST_BACKING_OFF;
+	dff_request_set_timer (request, now_ms (request) + (int64_t)wait_ms, backoff_over);
+}
+
+/* The request is known not to have run, or may run twice: it goes on to another worker while there
+ * is time and the budget allows. What cannot go on is answered now; waiting would not help it. */
+static void
+move_on (struct dff_request *request)
+{
+	struct dff_requests *requests = request->owner;
+	if (remaining_ms (request) < DEADLINE_MIN_MS || request->n_sent >= SENT_MAX) {
+		dff_request_give_up (request, "upstream_unavailable", come_back_s (request));
+		return;
+	}
+	if (!dff_retry_budget_take (&requests->budget)) {
+		(*requests->counters.retries_denied)++;
+		dff_request_give_up (request, "upstream_unavailable", come_back_s (request));
+		return;
+	}
+	(*requests->counters.retries)++;
+	back_off (request);
+}
+
+static void
+note_worker (struct dff_request *request, const struct dff_request_result *result)
+{
+	struct dff_slots *slots = request->owner->slots;
+	if (result->leaving)
+		dff_slots_worker_leaving (slots, &request->worker);
+	if (result->outcome == DFF_WORKER_REFUSED)
+		dff_slots_avoid (slots, &request->worker, now_ms (request) + AVOID_REFUSED_MS);
+	else if (result->outcome != DFF_WORKER_OK)
+		dff_slots_avoid (slots, &request->worker, now_ms (request) + AVOID_UNREACHABLE_MS);
+}
+
+static void
+handle_result (struct dff_request *request, const struct dff_request_result *result)
+{
+	if (result->outcome == DFF_WORKER_OK) {
+		finish_answered (request, result);
+		return;
+	}
+	dff_log (DFF_LOG_ENTRY, DFF_LOG_INFO,
+		 "Request not answered. request=%s worker=%s outcome=%d", request->upstream_id.data,
+		 request->worker.data, result->outcome);
+	if (result->outcome == DFF_WORKER_UNCERTAIN)
+		request->maybe_ran = true;
+	/* A second start of a request that may have run is what its caller forbade. Symptom: a
+	 * client is billed twice. */
+	if (request->maybe_ran && !request->idempotent)
+		dff_request_give_up (request, "upstream_lost", come_back_s (request));
+	else
+		move_on (request);
+}
+
+static void
+answered (void *user, const struct dff_request_result *result)
+{
+	struct dff_request *request = user;
+	struct dff_entry *entry = request->owner == NULL ? NULL : request->owner->entry;
+	if (entry != NULL) {
+		struct dff_requests *requests = request->owner;
+		dff_slots_release (requests->slots, &request->worker);
+		note_worker (request, result);
+		handle_result (request, result);
+		dff_requests_pump (requests);
+	}
+	dff_request_unref (request);
+}
+
+static void
+send_to (struct dff_request *request, const struct dff_slot *slot)
+{
+	const struct dff_worker_client *workers = request->owner->entry->options.workers;
+	struct dff_str body = {request->body->str, request->body->len};
+	char traceparent[DFF_TRACEPARENT_LEN + 1];
+	dff_trace_context_format (&request->span.context, traceparent);
+	request->state = DFF_REQUEST_SENT;
+	request->worker = slot->worker;
+	request->sent_ms = now_ms (request);
+	request->n_sent++;
+	dff_deadlines_clear (request->owner->entry->deadlines, &request->timer);
+	workers->request (workers->ctx, &slot->address, &request->service, &request->upstream_id,
+			  body, dff_str_from (traceparent), (int32_t)remaining_ms (request),
+			  answered, dff_request_ref (request));
+}
+
+/* Time until a request that joins the queue now can be answered, by what requests took lately. */
+static int64_t
+expected_wait_ms (const struct dff_requests *requests)
+{
+	int32_t granted = dff_slots_granted (requests->slots, dff_entry_now_ms (requests->entry));
+	double rounds = (double)(requests->waiting.length + 1) / MAX (1, granted);
+	return (int64_t)((rounds + 1) * requests->service_ms);
+}
+
+static void
+wait_over (void *user)
+{
+	struct dff_request *request = user;
+	request->timer = NULL;
+	dff_request_ref (request);
+	dff_request_give_up (request, "overloaded", come_back_s (request));
+	dff_request_unref (request);
+}
+
+/* A request that cannot be answered in time is told so at once, rather than after a wait that only
+ * keeps others from their slots. */
+static void
+wait_for_slot (struct dff_request *request)
+{
+	struct dff_requests *requests = request->owner;
+	int64_t wait_ms = expected_wait_ms (requests);
+	if (wait_ms > remaining_ms (request)) {
+		int32_t retry_after_s = (int32_t)MIN (60, 1 + wait_ms / 1000);
+		dff_request_give_up (request, "overloaded", retry_after_s);
+		return;
+	}
+	request->state = DFF_REQUEST_WAITING;
+	g_queue_push_tail (&requests->waiting, request);
+	dff_request_set_timer (request, request->deadline_ms - DEADLINE_MIN_MS, wait_over);
+}
+
+void
+dff_request_dispatch (struct dff_request *request)
+{
+	struct dff_requests *requests = request->owner;
+	struct dff_slot slot;
+	if (remaining_ms (request) < DEADLINE_MIN_MS || requests->entry->closed) {
+		dff_request_give_up (request, "overloaded", come_back_s (request));
+		return;
+	}
+	if (!g_queue_is_empty (&requests->waiting)) {
+		wait_for_slot (request);
+		return;
+	}
+	switch (dff_slots_take (requests->slots, now_ms (request), &slot)) {
+	case DFF_SLOT_TAKEN:
+		send_to (request, &slot);
+		return;
+	case DFF_SLOT_BUSY:
+		wait_for_slot (request);
+		return;
+	case DFF_SLOT_NO_GRANT:
+	default:
+		dff_request_give_up (request, "no_worker", come_back_s (request));
+	}
+}
+
+void
+dff_requests_pump (struct dff_requests *requests)
+{
+	struct dff_slot slot;
+	while (!g_queue_is_empty (&requests->waiting)) {
+		struct dff_request *request = g_queue_peek_head (&requests->waiting);
+		enum dff_slot_outcome outcome =
+			dff_slots_take (requests->slots, now_ms (request), &slot);
+		if (outcome == DFF_SLOT_BUSY)
+			return;
+		if (outcome == DFF_SLOT_NO_GRANT) {
+			dff_request_give_up (request, "no_worker", come_back_s (request));
+			continue;
+		}
+		g_queue_pop_head (&requests->waiting);
+		send_to (request, &slot);
+	}
+}
--- /dev/null
+++ b/entry/entry.c
@@ -0,0 +1,345 @@
+#include "entry/entry.h"
+
+#include <event2/bufferevent_ssl.h>
+#include <event2/http.h>
+#include <event2/listener.h>
+#include <netinet/in.h>
+#include <string.h>
+
+#include "entry/private.h"
+#include "entry/reply.h"
+#include "entry/route.h"
+
+/** Bytes of a request's line and headers at the most. */
+#define MAX_HEADER_BYTES 16384
+
+static GQuark
+entry_error_quark (void)
+{
+	return g_quark_from_static_string ("dff-entry-error");
+}
+
+struct dff_entry *
+dff_entry_ref (struct dff_entry *entry)
+{
+	entry->refs++;
+	return entry;
+}
+
+void
+dff_entry_unref (struct dff_entry *entry)
+{
+	entry->refs--;
+	if (entry->refs > 0)
+		return;
+	g_rand_free (entry->rng);
+	g_string_free (entry->pool_text, TRUE);
+	dff_deadlines_free (entry->deadlines);
+	g_free (entry);
+}
+
+int64_t
+dff_entry_now_ms (const struct dff_entry *entry)
+{
+	return dff_clock_now_ms (entry->options.clock);
+}
+
+int32_t
+dff_entry_retry_after_s (struct dff_entry *entry)
+{
+	if (entry->closed)
+		return 1;
+	return MAX (1, dff_recorder_retry_after_s (entry->options.recorder));
+}
+
+struct dff_name
+dff_entry_random_hash (struct dff_entry *entry)
+{
+	return dff_name_printf ("%08x%08x%08x%08x", g_rand_int (entry->rng),
+				g_rand_int (entry->rng), g_rand_int (entry->rng),
+				g_rand_int (entry->rng));
+}
+
+static void
+refuse_route (struct dff_call *call, enum dff_route_match match)
+{
+	if (match == DFF_ROUTE_NO_METHOD) {
+		dff_reply_error (call, 405, "method_not_allowed", "The path has other methods.");
+		return;
+	}
+	dff_reply_error (call, 404, "not_found", "There is nothing under this path.");
+}
+
+static char *
+decoded_path (struct evhttp_request *request)
+{
+	const struct evhttp_uri *uri = evhttp_request_get_evhttp_uri (request);
+	const char *path = uri == NULL ? NULL : evhttp_uri_get_path (uri);
+	if (path == NULL)
+		return g_strdup ("");
+	char *unescaped = g_uri_unescape_string (path, NULL);
+	return unescaped == NULL ? g_strdup ("") : unescaped;
+}
+
+static void
+handle_request (struct evhttp_request *request, void *ctx)
+{
+	struct dff_entry *entry = ctx;
+	const struct dff_route *route = NULL;
+	g_autofree char *path = decoded_path (request);
+	struct dff_call *call = dff_call_new (entry, request);
+	enum dff_route_match match =
+		dff_route_find (evhttp_request_get_command (request), path, &route, &call->subject);
+	(*entry->counters.calls)++;
+	if (match != DFF_ROUTE_FOUND)
+		refuse_route (call, match);
+	else if (dff_auth_check (call, route->audience))
+		route->handle (call);
+	dff_call_watch_loss (call);
+	dff_call_unref (call);
+}
+
+static struct bufferevent *
+accept_connection (struct event_base *base, void *ctx)
+{
+	struct dff_entry *entry = ctx;
+	struct bufferevent *bev = NULL;
+	if (entry->tls == NULL) {
+		bev = bufferevent_socket_new (base, -1, BEV_OPT_CLOSE_ON_FREE);
+	} else {
+		bev = bufferevent_openssl_socket_new (base, -1, SSL_new (entry->tls),
+						      BUFFEREVENT_SSL_ACCEPTING,
+						      BEV_OPT_CLOSE_ON_FREE);
+		bufferevent_openssl_set_allow_dirty_shutdown (bev, 1);
+	}
+	dff_connections_add (entry->connections, bev);
+	return bev;
+}
+
+static bool
+load_tls (struct dff_entry *entry, GError **error)
+{
+	const struct dff_settings *settings = entry->options.settings;
+	if (settings->tls_certificate == NULL || settings->tls_certificate->len == 0)
+		return true;
+	entry->tls = SSL_CTX_new (TLS_server_method ());
+	SSL_CTX_set_min_proto_version (entry->tls, TLS1_2_VERSION);
+	const char *certificate = settings->tls_certificate->str;
+	const char *key = settings->tls_key == NULL ? "" : settings->tls_key->str;
+	if (SSL_CTX_use_certificate_chain_file (entry->tls, certificate) == 1 &&
+	    SSL_CTX_use_PrivateKey_file (entry->tls, key, SSL_FILETYPE_PEM) == 1 &&
+	    SSL_CTX_check_private_key (entry->tls) == 1)
+		return true;
+	g_set_error (error, entry_error_quark (), 0,
+		     "The TLS certificate %s or its key cannot be used.", certificate);
+	return false;
+}
+
+static bool
+bind_server (struct dff_entry *entry, GError **error)
+{
+	const struct dff_name *listen = &entry->options.settings->listen;
+	const char *colon = strrchr (listen->data, ':');
+	g_autofree char *address =
+		colon == NULL ? g_strdup ("") : g_strndup (listen->data, colon - listen->data);
+	guint64 port = 0;
+	if (colon != NULL && g_ascii_string_to_unsigned (colon + 1, 10, 0, 65535, &port, NULL))
+		entry->socket =
+			evhttp_bind_socket_with_handle (entry->http, address, (ev_uint16_t)port);
+	if (entry->socket != NULL)
+		return true;
+	g_set_error (error, entry_error_quark (), 0, "Cannot listen on %s.", listen->data);
+	return false;
+}
+
+static void
+create_server (struct dff_entry *entry)
+{
+	entry->http = evhttp_new (entry->options.base);
+	evhttp_set_bevcb (entry->http, accept_connection, entry);
+	evhttp_set_gencb (entry->http, handle_request, entry);
+	evhttp_set_max_headers_size (entry->http, MAX_HEADER_BYTES);
+	evhttp_set_max_body_size (entry->http, entry->options.settings->max_body_bytes);
+	evhttp_set_allowed_methods (entry->http, EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_PUT |
+							 EVHTTP_REQ_DELETE);
+	evhttp_set_default_content_type (entry->http, NULL);
+}
+
+static void
+create_counters (struct dff_entry *entry)
+{
+	static const char refused[] = "Calls refused, by reason.";
+	struct dff_metrics *metrics = entry->options.metrics;
+	struct dff_entry_counters *counters = &entry->counters;
+	counters->calls =
+		dff_metrics_counter (metrics, "dff_entry_calls_total", "HTTP calls received.");
+	counters->refused_auth =
+		dff_metrics_counter (metrics, "dff_entry_refused_total{reason=\"auth\"}", refused);
+	counters->refused_input =
+		dff_metrics_counter (metrics, "dff_entry_refused_total{reason=\"input\"}", refused);
+	counters->refused_busy =
+		dff_metrics_counter (metrics, "dff_entry_refused_total{reason=\"busy\"}", refused);
+	counters->refused_store =
+		dff_metrics_counter (metrics, "dff_entry_refused_total{reason=\"store\"}", refused);
+	counters->refused_draining = dff_metrics_counter (
+		metrics, "dff_entry_refused_total{reason=\"draining\"}", refused);
+	counters->jobs_accepted = dff_metrics_counter (metrics, "dff_entry_jobs_accepted_total",
+						       "Jobs put on record by this process.");
+	counters->jobs_repeated = dff_metrics_counter (
+		metrics, "dff_entry_jobs_repeated_total",
+		"Submissions answered from the record by their Idempotency-Key.");
+	counters->record_unknown =
+		dff_metrics_counter (metrics, "dff_entry_record_unknown_total",
+				     "Callers told that the effect of a write is unknown.");
+	counters->callers_lost = dff_metrics_counter (metrics, "dff_entry_callers_lost_total",
+						      "Connections that broke before the answer.");
+	counters->connections_closed =
+		dff_metrics_counter (metrics, "dff_entry_connections_closed_total",
+				     "Connections closed for being slow, idle or too many.");
+	counters->connections_open =
+		dff_metrics_gauge (metrics, "dff_entry_connections_open", "Callers' connections.");
+}
+
+struct dff_entry *
+dff_entry_new (const struct dff_entry_options *options, GError **error)
+{
+	struct dff_entry *entry = g_new0 (struct dff_entry, 1);
+	struct dff_core_options core;
+	entry->options = *options;
+	entry->refs = 1;
+	entry->rng = g_rand_new_with_seed ((guint32)(options->seed ^ (options->seed >> 32)));
+	entry->pool_text = g_string_new (NULL);
+	entry->connections = dff_connections_new (options->clock);
+	entry->deadlines = dff_deadlines_new ();
+	entry->quota = dff_team_quota_new ();
+	dff_core_options_init (&core);
+	entry->admission = dff_core_new (&core);
+	create_counters (entry);
+	entry->requests = dff_requests_new (entry);
+	entry->results = dff_results_new (entry);
+	create_server (entry);
+	if (load_tls (entry, error) && bind_server (entry, error))
+		return entry;
+	dff_entry_free (entry);
+	return NULL;
+}
+
+void
+dff_entry_free (struct dff_entry *entry)
+{
+	entry->closed = true;
+	evhttp_free (entry->http);
+	/* Nobody is left to wait: whatever has a deadline gives up now, and frees what it holds. */
+	dff_deadlines_run (entry->deadlines, INT64_MAX);
+	dff_connections_free (entry->connections);
+	dff_requests_free (entry->requests);
+	dff_results_free (entry->results);
+	dff_core_free (entry->admission);
+	dff_team_quota_free (entry->quota);
+	SSL_CTX_free (entry->tls);
+	dff_entry_unref (entry);
+}
+
+uint16_t
+dff_entry_port (const struct dff_entry *entry)
+{
+	struct sockaddr_in address;
+	ev_socklen_t len = sizeof (address);
+	memset (&address, 0, sizeof (address));
+	getsockname (evhttp_bound_socket_get_fd (entry->socket), (struct sockaddr *)&address, &len);
+	return ntohs (address.sin_port);
+}
+
+void
+dff_entry_tick (struct dff_entry *entry)
+{
+	const struct dff_settings *settings = entry->options.settings;
+	struct dff_connection_limits limits = {
+		.max_connections = settings->max_connections,
+		.request_timeout_ms = settings->request_timeout_ms,
+	};
+	struct evconnlistener *listener = evhttp_bound_socket_get_listener (entry->socket);
+	*entry->counters.connections_closed +=
+		dff_connections_tick (entry->connections, &limits, listener);
+	*entry->counters.connections_open = dff_connections_count (entry->connections);
+	evhttp_set_max_body_size (entry->http, settings->max_body_bytes);
+	if (entry->draining)
+		dff_connections_close_idle (entry->connections);
+	dff_deadlines_run (entry->deadlines, dff_entry_now_ms (entry));
+	dff_requests_tick (entry->requests);
+	dff_results_tick (entry->results);
+}
+
+void
+dff_entry_set_pool (struct dff_entry *entry, const struct dff_pool *pool, struct dff_str text)
+{
+	entry->pool = pool;
+	g_string_truncate (entry->pool_text, 0);
+	g_string_append_len (entry->pool_text, text.data, (gssize)text.len);
+	if (pool != NULL)
+		dff_core_set_pool (entry->admission, pool, dff_entry_now_ms (entry));
+}
+
+void
+dff_entry_set_instances (struct dff_entry *entry,
+			 const struct dff_instance *instances,
+			 size_t n_instances)
+{
+	dff_requests_set_instances (entry->requests, instances, n_instances);
+}
+
+void
+dff_entry_worker_leaving (struct dff_entry *entry, const struct dff_name *worker)
+{
+	dff_requests_worker_leaving (entry->requests, worker);
+}
+
+void
+dff_entry_set_grants (struct dff_entry *entry,
+		      int64_t epoch,
+		      const struct dff_grant *grants,
+		      size_t n_grants,
+		      int32_t valid_ms)
+{
+	dff_requests_set_grants (entry->requests, epoch, grants, n_grants, valid_ms);
+}
+
+void
+dff_entry_job_ended (struct dff_entry *entry, const struct dff_name *job, enum dff_outcome outcome)
+{
+	(void)outcome;
+	dff_team_quota_remove (entry->quota, job);
+	dff_results_job_ended (entry->results, job);
+}
+
+void
+dff_entry_set_isolated (struct dff_entry *entry, bool isolated)
+{
+	entry->isolated = isolated;
+}
+
+void
+dff_entry_drain (struct dff_entry *entry)
+{
+	entry->draining = true;
+}
+
+bool
+dff_entry_is_drained (const struct dff_entry *entry)
+{
+	return entry->draining && entry->n_calls == 0 &&
+	       dff_connections_busy (entry->connections) == 0 &&
+	       dff_requests_is_idle (entry->requests);
+}
+
+bool
+dff_entry_is_ready (const struct dff_entry *entry)
+{
+	return entry->pool != NULL && !entry->isolated && !entry->draining;
+}
+
+bool
+dff_entry_drain_requested (const struct dff_entry *entry)
+{
+	return entry->drain_requested;
+}
--- /dev/null
+++ b/entry/job_json.h
@@ -0,0 +1,49 @@
+#ifndef DFF_ENTRY_JOB_JSON_H
+#define DFF_ENTRY_JOB_JSON_H
+
+#include <jansson.h>
+
+#include "cell/job_row.h"
+#include "common/str.h"
+#include "pool/pool.h"
+
+/* A job as callers write and read it (docs/API.md). */
+
+/** Why a submission was refused. */
+struct dff_job_fault {
+	/** HTTP status; 0: none. */
+	int status;
+	/** Stable code. Static. */
+	const char *code;
+	/** For people; owned by the fault, see dff_job_fault_clear(). */
+	char *detail;
+};
+
+void dff_job_fault_clear (struct dff_job_fault *fault);
+
+/**
+ * dff_job_parse:
+ * @text: one JSON object
+ * @team: the team that submits
+ * @default_region: region where the object names none
+ * @fault: (out): what is wrong
+ *
+ * Checks syntax, unknown members, types and ranges; the id is left empty.
+ *
+ * Returns: (transfer full) (nullable): the row to be recorded.
+ */
+struct dff_job_row *dff_job_parse (struct dff_str text,
+				   const struct dff_name *team,
+				   const struct dff_name *default_region,
+				   struct dff_job_fault *fault);
+
+/** Writes the job as callers read it. */
+json_t *dff_job_to_json (const struct dff_job_row *row);
+
+/** Whether both rows were submitted with the same content. */
+bool dff_job_same_submission (const struct dff_job_row *a, const struct dff_job_row *b);
+
+/** Returns: the state's name on the wire. */
+const char *dff_job_row_state_name (enum dff_job_row_state state);
+
+#endif
--- /dev/null
+++ b/entry/pool_admin.c
@@ -0,0 +1,261 @@
+#include <string.h>
+
+#include "common/log.h"
+#include "entry/job_fetch.h"
+#include "entry/private.h"
+#include "entry/record.h"
+#include "entry/reply.h"
+#include "entry/route.h"
+
+/* The pool file as operators read and apply it: whole, and only on top of the generation that it
+ * was based on. */
+
+#define POOL_KEY "pool"
+/** Faults of a file that are listed at the most. */
+#define ERRORS_MAX 50
+
+struct application {
+	struct dff_call *call;
+	/** Generation it is based on. */
+	int64_t base;
+	GString *text;
+};
+
+static void read_current (struct application *application);
+
+static void
+application_free (struct application *application)
+{
+	g_string_free (application->text, TRUE);
+	dff_call_unref (application->call);
+	g_free (application);
+}
+
+static void
+set_etag (struct dff_call *call, int64_t generation)
+{
+	g_autofree char *etag = g_strdup_printf ("\"%" PRId64 "\"", generation);
+	dff_call_set_header (call, "ETag", etag);
+}
+
+void
+dff_pool_read (struct dff_call *call)
+{
+	const struct dff_entry *entry = call->entry;
+	struct dff_str text = {entry->pool_text->str, entry->pool_text->len};
+	set_etag (call, entry->pool->generation);
+	dff_reply_body (call, 200, "application/json", text);
+}
+
+static void
+reply_other_generation (struct application *application, int64_t generation)
+{
+	g_autofree char *detail = g_strdup_printf (
+		"Generation %" PRId64 " is on record, the file is based on %" PRId64 ".",
+		generation, application->base);
+	json_t *extra = json_pack ("{s:I}", "generation", (json_int_t)generation);
+	struct dff_problem problem = {
+		.status = 412,
+		.code = "generation_changed",
+		.detail = detail,
+		.extra = extra,
+	};
+	set_etag (application->call, generation);
+	dff_reply_problem (application->call, &problem);
+	json_decref (extra);
+	application_free (application);
+}
+
+static void
+reply_applied (struct application *application, int64_t generation)
+{
+	struct dff_call *call = application->call;
+	struct dff_entry *entry = call->entry;
+	struct dff_str text = {application->text->str, application->text->len};
+	if (entry->options.pool_committed != NULL && !entry->closed)
+		entry->options.pool_committed (entry->options.ctx, generation, text);
+	set_etag (call, generation);
+	dff_reply_json (call, 200, json_pack ("{s:I}", "generation", (json_int_t)generation));
+	application_free (application);
+}
+
+static void
+pool_recorded (void *user, enum dff_entry_record_outcome outcome, int64_t revision)
+{
+	(void)revision;
+	struct application *application = user;
+	struct dff_call *call = application->call;
+	if (outcome == DFF_ENTRY_RECORD_DONE) {
+		dff_log (DFF_LOG_ENTRY, DFF_LOG_INFO,
+			 "Pool file committed. generation=%" PRId64 " operator=%s",
+			 application->base + 1, call->principal.name.data);
+		reply_applied (application, application->base + 1);
+		return;
+	}
+	if (outcome == DFF_ENTRY_RECORD_CONFLICT && !call->entry->closed) {
+		read_current (application);
+		return;
+	}
+	struct dff_problem unknown = {
+		.status = 504,
+		.code = "record_unknown",
+		.detail = "The store does not say whether the file is on record. Apply it again "
+			  "with the same If-Match.",
+		.retry_after_s = dff_entry_retry_after_s (call->entry),
+	};
+	if (outcome == DFF_ENTRY_RECORD_UNKNOWN)
+		dff_reply_problem (call, &unknown);
+	else
+		dff_reply_store_unavailable (call);
+	application_free (application);
+}
+
+static void
+record_pool (struct application *application, int64_t revision)
+{
+	struct dff_call *call = application->call;
+	json_t *json = json_pack ("{s:I, s:s%}", "generation", (json_int_t)application->base + 1,
+				  "text", application->text->str, application->text->len);
+	g_autofree char *value = json_dumps (json, JSON_COMPACT);
+	json_decref (json);
+	struct dff_table_condition condition = {dff_str_from (POOL_KEY), revision};
+	struct dff_table_write change = {dff_str_from (POOL_KEY), dff_str_from (value)};
+	struct dff_record_write write = {
+		.conditions = &condition,
+		.n_conditions = 1,
+		.writes = &change,
+		.n_writes = 1,
+	};
+	dff_entry_record (call->entry, &call->span.context, &write, DFF_ENTRY_RECORD_PATIENCE_MS,
+			  pool_recorded, application);
+}
+
+struct current_pool {
+	json_int_t generation;
+	const char *text;
+	size_t text_len;
+};
+
+static json_t *
+read_pool_row (struct dff_str value, struct current_pool *current)
+{
+	json_t *json = json_loadb (value.data, value.len, 0, NULL);
+	if (json != NULL && json_unpack (json, "{s:I, s:s%}", "generation", &current->generation,
+					 "text", &current->text, &current->text_len) == 0)
+		return json;
+	json_decref (json);
+	return NULL;
+}
+
+static bool
+is_same_text (const struct application *application, const struct current_pool *current)
+{
+	struct dff_str applied = {application->text->str, application->text->len};
+	struct dff_str recorded = {current->text, current->text_len};
+	return dff_str_equal (applied, recorded);
+}
+
+static void
+compare_current (struct application *application, struct dff_str value, int64_t revision)
+{
+	struct current_pool current;
+	json_t *json = read_pool_row (value, &current);
+	if (json == NULL) {
+		dff_reply_store_unavailable (application->call);
+		application_free (application);
+		return;
+	}
+	/* The answer to an earlier sending of this very application may have been lost. */
+	bool repeated =
+		current.generation == application->base + 1 && is_same_text (application, &current);
+	if (repeated)
+		reply_applied (application, current.generation);
+	else if (current.generation != application->base)
+		reply_other_generation (application, current.generation);
+	else
+		record_pool (application, revision);
+	json_decref (json);
+}
+
+static void
+current_read (struct dff_call *call,
+	      enum dff_fetch_outcome outcome,
+	      struct dff_str value,
+	      int64_t revision,
+	      void *user)
+{
+	struct application *application = user;
+	if (outcome == DFF_FETCH_FOUND) {
+		compare_current (application, value, revision);
+	} else if (outcome == DFF_FETCH_UNAVAILABLE) {
+		dff_reply_store_unavailable (call);
+		application_free (application);
+	} else if (application->base == 0) {
+		record_pool (application, 0);
+	} else {
+		reply_other_generation (application, 0);
+	}
+}
+
+static void
+read_current (struct application *application)
+{
+	dff_value_fetch (application->call, dff_str_from (POOL_KEY), current_read, application);
+}
+
+static void
+reply_faults (struct dff_call *call, const GPtrArray *errors)
+{
+	json_t *list = json_array ();
+	for (guint i = 0; i < errors->len && i < ERRORS_MAX; i++)
+		json_array_append_new (list, json_string (errors->pdata[i]));
+	json_t *extra = json_pack ("{s:o}", "errors", list);
+	struct dff_problem problem = {
+		.status = 422,
+		.code = "invalid_pool",
+		.detail = errors->len > 0 ? errors->pdata[0] : "The pool file has a fault.",
+		.extra = extra,
+	};
+	(*call->entry->counters.refused_input)++;
+	dff_reply_problem (call, &problem);
+	json_decref (extra);
+}
+
+/* Reads If-Match: "GENERATION". */
+static bool
+read_base (const struct dff_call *call, int64_t *base)
+{
+	const char *text = dff_call_header (call, "If-Match");
+	size_t len = text == NULL ? 0 : strlen (text);
+	if (len < 3 || text[0] != '"' || text[len - 1] != '"')
+		return false;
+	g_autofree char *digits = g_strndup (text + 1, len - 2);
+	return g_ascii_string_to_signed (digits, 10, 0, INT64_MAX - 1, base, NULL);
+}
+
+void
+dff_pool_write (struct dff_call *call)
+{
+	int64_t base = 0;
+	struct dff_str text = dff_call_body (call);
+	g_autoptr (GError) error = NULL;
+	g_autoptr (GPtrArray) errors = g_ptr_array_new_with_free_func (g_free);
+	if (dff_call_header (call, "If-Match") == NULL) {
+		dff_reply_error (call, 428, "if_match_required", "If-Match: \"GENERATION\"");
+		return;
+	}
+	if (!read_base (call, &base)) {
+		dff_reply_error (call, 400, "invalid_if_match", "If-Match: \"GENERATION\"");
+		return;
+	}
+	DFF_AUTO (dff_pool) pool = dff_pool_parse (text, "pool", errors, &error);
+	if (pool == NULL) {
+		reply_faults (call, errors);
+		return;
+	}
+	struct application *application = g_new0 (struct application, 1);
+	application->call = dff_call_ref (call);
+	application->base = base;
+	application->text = g_string_new_len (text.data, (gssize)text.len);
+	read_current (application);
+}
--- /dev/null
+++ b/entry/record.c
@@ -0,0 +1,140 @@
+#include "entry/record.h"
+
+#include "entry/private.h"
+#include "entry/reply.h"
+
+struct pending_write {
+	struct dff_entry *entry;
+	struct dff_span span;
+	uint64_t ticket;
+	struct dff_deadline *patience;
+	dff_entry_record_func done;
+	void *user;
+};
+
+static const char *
+outcome_word (enum dff_entry_record_outcome outcome)
+{
+	static const char *const words[] = {
+		[DFF_ENTRY_RECORD_DONE] = "done",
+		[DFF_ENTRY_RECORD_CONFLICT] = "conflict",
+		[DFF_ENTRY_RECORD_NOT_DONE] = "not_done",
+		[DFF_ENTRY_RECORD_UNKNOWN] = "unknown",
+	};
+	return words[outcome];
+}
+
+static void
+finish (struct pending_write *pending, enum dff_entry_record_outcome outcome, int64_t revision)
+{
+	struct dff_entry *entry = pending->entry;
+	struct dff_name none = {.len = 0};
+	dff_deadlines_clear (entry->deadlines, &pending->patience);
+	if (!entry->closed) {
+		const char *word = outcome_word (outcome);
+		dff_span_end (entry->options.tracer, &pending->span, &none, word);
+	}
+	if (outcome == DFF_ENTRY_RECORD_UNKNOWN)
+		(*entry->counters.record_unknown)++;
+	pending->done (pending->user, outcome, revision);
+	g_free (pending);
+	dff_entry_unref (entry);
+}
+
+static void
+recorded (void *user, enum dff_record_outcome outcome, int64_t revision)
+{
+	static const enum dff_entry_record_outcome outcomes[] = {
+		[DFF_RECORD_DONE] = DFF_ENTRY_RECORD_DONE,
+		[DFF_RECORD_CONFLICT] = DFF_ENTRY_RECORD_CONFLICT,
+		[DFF_RECORD_NOT_DONE] = DFF_ENTRY_RECORD_NOT_DONE,
+	};
+	finish (user, outcomes[outcome], revision);
+}
+
+/* The store may keep silent about a commit for as long as it is down. Symptom: a caller waits for
+ * minutes and is told nothing. What can be proven is asked of the recorder; the rest is unknown,
+ * and said to be. */
+static void
+patience_over (void *user)
+{
+	struct pending_write *pending = user;
+	pending->patience = NULL;
+	enum dff_abandon abandon =
+		dff_recorder_abandon (pending->entry->options.recorder, pending->ticket);
+	finish (pending,
+		abandon == DFF_ABANDON_NOT_DONE ? DFF_ENTRY_RECORD_NOT_DONE
+						: DFF_ENTRY_RECORD_UNKNOWN,
+		0);
+}
+
+void
+dff_entry_record (struct dff_entry *entry,
+		  const struct dff_trace_context *parent,
+		  const struct dff_record_write *write,
+		  int32_t patience_ms,
+		  dff_entry_record_func done,
+		  void *user)
+{
+	struct pending_write *pending = g_new0 (struct pending_write, 1);
+	struct dff_record_write bounded = *write;
+	bounded.give_up_ms = patience_ms;
+	pending->entry = dff_entry_ref (entry);
+	pending->done = done;
+	pending->user = user;
+	pending->span = dff_span_begin (entry->options.tracer, parent, "record");
+	pending->patience = dff_deadlines_add (
+		entry->deadlines, dff_entry_now_ms (entry) + patience_ms, patience_over, pending);
+	pending->ticket = dff_recorder_write (entry->options.recorder, &bounded, recorded, pending);
+}
+
+void
+dff_reply_record_failed (struct dff_call *call, enum dff_entry_record_outcome outcome)
+{
+	struct dff_problem not_done = {
+		.status = 503,
+		.code = "store_unavailable",
+		.outcome = DFF_OUTCOME_NOT_RUN,
+		.detail = "It could not be put on record and was not run.",
+		.retry_after_s = dff_entry_retry_after_s (call->entry),
+	};
+	struct dff_problem unknown = {
+		.status = 504,
+		.code = "record_unknown",
+		.outcome = DFF_OUTCOME_UNKNOWN,
+		.detail = "The store does not say whether it is on record. Retry with the same "
+			  "Idempotency-Key.",
+		.retry_after_s = dff_entry_retry_after_s (call->entry),
+	};
+	(*call->entry->counters.refused_store)++;
+	dff_reply_problem (call, outcome == DFF_ENTRY_RECORD_UNKNOWN ? &unknown : &not_done);
+}
+
+bool
+dff_refuse_draining (struct dff_call *call)
+{
+	struct dff_entry *entry = call->entry;
+	struct dff_problem problem = {
+		.status = 503,
+		.code = "draining",
+		.outcome = DFF_OUTCOME_NOT_RUN,
+		.detail = "This process is stopping; another one will take it.",
+		.retry_after_s = 1,
+	};
+	if (!entry->draining)
+		return false;
+	(*entry->counters.refused_draining)++;
+	dff_reply_problem (call, &problem);
+	return true;
+}
+
+bool
+dff_refuse_new_work (struct dff_call *call)
+{
+	if (dff_refuse_draining (call))
+		return true;
+	if (!dff_recorder_is_open (call->entry->options.recorder))
+		return false;
+	dff_reply_record_failed (call, DFF_ENTRY_RECORD_NOT_DONE);
+	return true;
+}
--- /dev/null
+++ b/entry/record.h
@@ -0,0 +1,54 @@
+#ifndef DFF_ENTRY_RECORD_H
+#define DFF_ENTRY_RECORD_H
+
+#include <stdint.h>
+
+#include "common/trace.h"
+#include "entry/call.h"
+#include "record/recorder.h"
+
+/* Durable writes on behalf of a caller, who waits for them for a limited time only. */
+
+/** How long a caller waits for a write, ms. */
+#define DFF_ENTRY_RECORD_PATIENCE_MS 5000
+
+enum dff_entry_record_outcome {
+	DFF_ENTRY_RECORD_DONE,
+	/** A condition did not hold. Proven not written. */
+	DFF_ENTRY_RECORD_CONFLICT,
+	/** Proven not written, and never will be. */
+	DFF_ENTRY_RECORD_NOT_DONE,
+	/** It was sent, and the store keeps silent: written or not. */
+	DFF_ENTRY_RECORD_UNKNOWN,
+};
+
+typedef void (*dff_entry_record_func) (void *user,
+				       enum dff_entry_record_outcome outcome,
+				       int64_t revision);
+
+/**
+ * dff_entry_record:
+ * @parent: span that the write is part of
+ * @patience_ms: after it the outcome is NOT_DONE or UNKNOWN
+ *
+ * @done is called once, after this call has returned, unless the entry is freed first.
+ */
+void dff_entry_record (struct dff_entry *entry,
+		       const struct dff_trace_context *parent,
+		       const struct dff_record_write *write,
+		       int32_t patience_ms,
+		       dff_entry_record_func done,
+		       void *user);
+
+/** Answers that the write of a job or request was not done (503, not_run) or may have been (504,
+ * unknown). */
+void dff_reply_record_failed (struct dff_call *call, enum dff_entry_record_outcome outcome);
+
+/** Refuses new work at once while this process stops. Returns: whether it was refused. */
+bool dff_refuse_draining (struct dff_call *call);
+
+/** Refuses new work that needs a record, at once, while the store is down or this process stops.
+ * Returns: whether it was refused. */
+bool dff_refuse_new_work (struct dff_call *call);
+
+#endif
--- /dev/null
+++ b/entry/reply.c
@@ -0,0 +1,168 @@
+#include "entry/reply.h"
+
+#include "entry/private.h"
+
+static const char *
+status_title (int status)
+{
+	switch (status) {
+	case 200:
+		return "OK";
+	case 201:
+		return "Created";
+	case 202:
+		return "Accepted";
+	case 400:
+		return "Bad Request";
+	case 401:
+		return "Unauthorized";
+	case 403:
+		return "Forbidden";
+	case 404:
+		return "Not Found";
+	case 405:
+		return "Method Not Allowed";
+	case 409:
+		return "Conflict";
+	case 410:
+		return "Gone";
+	case 411:
+		return "Length Required";
+	case 412:
+		return "Precondition Failed";
+	case 413:
+		return "Content Too Large";
+	case 415:
+		return "Unsupported Media Type";
+	case 422:
+		return "Unprocessable Content";
+	case 428:
+		return "Precondition Required";
+	case 429:
+		return "Too Many Requests";
+	case 502:
+		return "Bad Gateway";
+	case 503:
+		return "Service Unavailable";
+	case 504:
+		return "Gateway Timeout";
+	default:
+		return status >= 500 ? "Server Error" : "Answer";
+	}
+}
+
+static const char *
+span_outcome (int status)
+{
+	if (status < 400)
+		return "ok";
+	return status < 500 ? "refused" : "error";
+}
+
+static void
+answer_sent (struct evhttp_request *request, void *ctx)
+{
+	struct dff_entry *entry = ctx;
+	struct evhttp_connection *connection = evhttp_request_get_connection (request);
+	if (connection == NULL)
+		return;
+	dff_connections_answered (entry->connections,
+				  evhttp_connection_get_bufferevent (connection));
+}
+
+void
+dff_reply_body (struct dff_call *call, int status, const char *content_type, struct dff_str body)
+{
+	struct evhttp_request *request = call->request;
+	if (request == NULL)
+		return;
+	char traceparent[DFF_TRACEPARENT_LEN + 1];
+	struct evbuffer *buffer = evbuffer_new ();
+	dff_trace_context_format (&call->span.context, traceparent);
+	dff_call_set_header (call, "traceparent", traceparent);
+	dff_call_set_header (call, "Content-Type", content_type);
+	if (call->entry->draining)
+		dff_call_set_header (call, "Connection", "close");
+	evbuffer_add (buffer, body.data, body.len);
+	evhttp_request_set_on_complete_cb (request, answer_sent, call->entry);
+	dff_span_end (call->entry->options.tracer, &call->span, &call->subject,
+		      span_outcome (status));
+	dff_call_unwatch_loss (call);
+	call->request = NULL;
+	evhttp_send_reply (request, status, status_title (status), buffer);
+	evbuffer_free (buffer);
+}
+
+void
+dff_reply_json (struct dff_call *call, int status, json_t *json)
+{
+	g_autofree char *text = json_dumps (json, JSON_COMPACT);
+	json_decref (json);
+	dff_reply_body (call, status, "application/json", dff_str_from (text));
+}
+
+GString *
+dff_problem_body (const struct dff_problem *problem)
+{
+	json_t *json = json_pack ("{s:s, s:s, s:i, s:s}", "type", "about:blank", "title",
+				  status_title (problem->status), "status", problem->status, "code",
+				  problem->code);
+	if (problem->detail != NULL)
+		json_object_set_new (json, "detail", json_string (problem->detail));
+	if (problem->outcome != DFF_OUTCOME_NONE) {
+		const char *outcome = dff_outcome_name (problem->outcome);
+		json_object_set_new (json, "outcome", json_string (outcome));
+	}
+	if (problem->extra != NULL)
+		json_object_update_missing (json, problem->extra);
+	g_autofree char *text = json_dumps (json, JSON_COMPACT);
+	json_decref (json);
+	return g_string_new (text);
+}
+
+void
+dff_reply_problem (struct dff_call *call, const struct dff_problem *problem)
+{
+	g_autoptr (GString) body = dff_problem_body (problem);
+	if (problem->retry_after_s > 0) {
+		char seconds[16];
+		g_snprintf (seconds, sizeof (seconds), "%d", problem->retry_after_s);
+		dff_call_set_header (call, "Retry-After", seconds);
+	}
+	struct dff_str text = {body->str, body->len};
+	dff_reply_body (call, problem->status, "application/problem+json", text);
+}
+
+void
+dff_reply_error (struct dff_call *call, int status, const char *code, const char *detail)
+{
+	struct dff_problem problem = {.status = status, .code = code, .detail = detail};
+	if (status >= 400 && status < 500)
+		(*call->entry->counters.refused_input)++;
+	dff_reply_problem (call, &problem);
+}
+
+void
+dff_reply_store_unavailable (struct dff_call *call)
+{
+	struct dff_problem problem = {
+		.status = 503,
+		.code = "store_unavailable",
+		.detail = "The store does not answer.",
+		.retry_after_s = dff_entry_retry_after_s (call->entry),
+	};
+	(*call->entry->counters.refused_store)++;
+	dff_reply_problem (call, &problem);
+}
+
+char *
+dff_digest_header (struct dff_str body)
+{
+	guint8 digest[32];
+	gsize len = sizeof (digest);
+	g_autoptr (GChecksum) checksum = g_checksum_new (G_CHECKSUM_SHA256);
+	g_checksum_update (checksum, (const guchar *)body.data, (gssize)body.len);
+	g_checksum_get_digest (checksum, digest, &len);
+	g_autofree char *base64 = g_base64_encode (digest, len);
+	return g_strconcat ("sha-256=", base64, NULL);
+}
--- /dev/null
+++ b/entry/request_read.c
@@ -0,0 +1,113 @@
+#include <string.h>
+
+#include "entry/reply.h"
+#include "entry/request_private.h"
+#include "entry/route.h"
+
+/** Digits behind the instance in an id that a process made. */
+#define ID_DIGITS 16
+
+static void
+reply_in_progress (struct dff_call *call)
+{
+	dff_call_set_header (call, "Retry-After", "1");
+	dff_reply_json (
+		call, 202,
+		json_pack ("{s:s, s:s}", "request", call->subject.data, "state", "in_progress"));
+}
+
+static void
+reply_unknown (struct dff_call *call)
+{
+	struct dff_problem problem = {
+		.status = 410,
+		.code = "no_answer",
+		.outcome = DFF_OUTCOME_UNKNOWN,
+		.detail = "The process that had the request is gone, and no answer was kept.",
+	};
+	dff_reply_problem (call, &problem);
+}
+
+/* Reads the instance's part of an id that a process made. Returns false for other ids. */
+static bool
+instance_part (const struct dff_name *id, struct dff_str *instance)
+{
+	const char *dot = strrchr (id->data, '.');
+	if (dot == NULL || strlen (dot + 1) != ID_DIGITS)
+		return false;
+	instance->data = id->data;
+	instance->len = (size_t)(dot - id->data);
+	return true;
+}
+
+/* Ids hold the beginning of the instance's name. */
+static bool
+is_instance (const struct dff_name *name, struct dff_str part)
+{
+	return name->len >= part.len && memcmp (name->data, part.data, part.len) == 0;
+}
+
+static bool
+is_alive (struct dff_entry *entry, struct dff_str instance)
+{
+	const GArray *members = dff_peer_members (entry->options.peer);
+	for (guint i = 0; i < members->len; i++) {
+		const struct dff_member *member = &g_array_index (members, struct dff_member, i);
+		if (member->state != DFF_MEMBER_DEAD &&
+		    is_instance (&member->instance.id, instance))
+			return true;
+	}
+	return false;
+}
+
+/* No answer is kept: the request is in progress elsewhere, or lost, or was never there. */
+static void
+reply_without_answer (struct dff_call *call)
+{
+	struct dff_entry *entry = call->entry;
+	struct dff_str instance;
+	if (!instance_part (&call->subject, &instance) ||
+	    is_instance (&entry->options.settings->instance, instance))
+		dff_reply_error (call, 404, "not_found", "No answer is kept under this id.");
+	else if (is_alive (entry, instance))
+		reply_in_progress (call);
+	else
+		reply_unknown (call);
+}
+
+static void
+answer_read (void *user, const struct dff_object_result *result)
+{
+	struct dff_call *call = user;
+	DFF_AUTO (dff_answer) answer = NULL;
+	if (result->outcome == DFF_OBJECT_OK)
+		answer = dff_answer_decode (result->data);
+	if (answer != NULL)
+		dff_reply_kept_answer (call, answer, &call->subject);
+	else if (result->outcome == DFF_OBJECT_NOT_FOUND)
+		reply_without_answer (call);
+	else
+		dff_reply_store_unavailable (call);
+	dff_call_unref (call);
+}
+
+void
+dff_request_read (struct dff_call *call)
+{
+	struct dff_entry *entry = call->entry;
+	const struct dff_object_store *objects = entry->options.objects;
+	g_autofree char *id =
+		g_strdup_printf ("%s/%s", call->principal.name.data, call->subject.data);
+	const struct dff_request *request = g_hash_table_lookup (entry->requests->by_id, id);
+	if (request != NULL && request->state == DFF_REQUEST_ENDED) {
+		dff_reply_kept_answer (call, request->answer, &request->id);
+		return;
+	}
+	if (request != NULL) {
+		reply_in_progress (call);
+		return;
+	}
+	g_autoptr (GString) key = dff_answer_key (&call->principal.name, &call->subject);
+	struct dff_str text = {key->str, key->len};
+	objects->get (objects->ctx, text, answer_read, dff_call_ref (call));
+}
--- /dev/null
+++ b/entry/result.c
@@ -0,0 +1,270 @@
+#include "entry/result.h"
+
+#include "cell/job_row.h"
+#include "entry/delivery.h"
+#include "entry/job_fetch.h"
+#include "entry/private.h"
+#include "entry/reply.h"
+#include "entry/route.h"
+
+/** Longest long poll, ms. */
+#define WAIT_MAX_MS 60000
+/** Interval at which the rows of waiting jobs are read again, ms. */
+#define REREAD_MS 2000
+/** Waiting jobs, and counted jobs, in one such reading. */
+#define REREAD_MAX 200
+/** When the caller of an unfinished job should come back, s. */
+#define POLL_AGAIN_S 1
+
+struct waiter {
+	struct dff_results *results;
+	struct dff_call *call;
+	struct dff_name job;
+	struct dff_deadline *patience;
+	/** Its row is being read. */
+	bool reading;
+	bool gone;
+};
+
+struct dff_results {
+	struct dff_entry *entry;
+	/** Elements: struct waiter *. */
+	GPtrArray *waiters;
+	int64_t next_reread_ms;
+	bool rereading;
+};
+
+static void
+waiter_free (struct waiter *waiter)
+{
+	dff_call_unref (waiter->call);
+	g_free (waiter);
+}
+
+/* The waiter is off the list; it is freed once its row is not being read any more. */
+static void
+release_waiter (struct waiter *waiter)
+{
+	struct dff_entry *entry = waiter->call->entry;
+	dff_deadlines_clear (entry->deadlines, &waiter->patience);
+	waiter->call->on_lost = NULL;
+	waiter->gone = true;
+	if (!waiter->reading)
+		waiter_free (waiter);
+}
+
+static void
+remove_waiter (struct waiter *waiter)
+{
+	g_ptr_array_remove_fast (waiter->results->waiters, waiter);
+	release_waiter (waiter);
+}
+
+static struct waiter *
+take_waiter (struct dff_results *results)
+{
+	guint n = results->waiters->len;
+	return n == 0 ? NULL : g_ptr_array_steal_index_fast (results->waiters, n - 1);
+}
+
+static void
+reply_not_ended (struct dff_call *call)
+{
+	char seconds[8];
+	g_snprintf (seconds, sizeof (seconds), "%d", POLL_AGAIN_S);
+	dff_call_set_header (call, "Retry-After", seconds);
+	dff_reply_json (call, 202,
+			json_pack ("{s:s, s:s}", "id", call->subject.data, "state", "not_ended"));
+}
+
+static void
+patience_over (void *user)
+{
+	struct waiter *waiter = user;
+	waiter->patience = NULL;
+	reply_not_ended (waiter->call);
+	remove_waiter (waiter);
+}
+
+static void
+caller_lost (struct dff_call *call, void *user)
+{
+	(void)call;
+	remove_waiter (user);
+}
+
+static void
+row_reread (struct dff_call *call,
+	    enum dff_fetch_outcome outcome,
+	    struct dff_job_row *row,
+	    void *user)
+{
+	struct waiter *waiter = user;
+	waiter->reading = false;
+	if (waiter->gone) {
+		waiter_free (waiter);
+		return;
+	}
+	if (outcome != DFF_FETCH_FOUND || row->state != DFF_JOB_ROW_ENDED)
+		return;
+	call->on_lost = NULL;
+	dff_delivery_begin (call, row);
+	remove_waiter (waiter);
+}
+
+static void
+wake (struct waiter *waiter)
+{
+	if (waiter->reading)
+		return;
+	waiter->reading = true;
+	dff_job_fetch (waiter->call, &waiter->job, row_reread, waiter);
+}
+
+static void
+add_waiter (struct dff_call *call, int64_t wait_ms)
+{
+	struct dff_entry *entry = call->entry;
+	struct waiter *waiter = g_new0 (struct waiter, 1);
+	waiter->results = entry->results;
+	waiter->call = dff_call_ref (call);
+	waiter->job = call->subject;
+	waiter->patience = dff_deadlines_add (entry->deadlines, dff_entry_now_ms (entry) + wait_ms,
+					      patience_over, waiter);
+	call->on_lost = caller_lost;
+	call->on_lost_user = waiter;
+	g_ptr_array_add (entry->results->waiters, waiter);
+	dff_peer_send_watch (entry->options.peer, &waiter->job);
+}
+
+static void
+row_fetched (struct dff_call *call,
+	     enum dff_fetch_outcome outcome,
+	     struct dff_job_row *row,
+	     void *user)
+{
+	int64_t wait_ms = GPOINTER_TO_INT (user);
+	if (outcome == DFF_FETCH_FOUND && !dff_auth_sees_team (call, &row->spec.team))
+		outcome = DFF_FETCH_MISSING;
+	if (outcome != DFF_FETCH_FOUND)
+		dff_reply_fetch_failed (call, outcome);
+	else if (row->state == DFF_JOB_ROW_ENDED)
+		dff_delivery_begin (call, row);
+	else if (wait_ms == 0 || call->entry->draining)
+		reply_not_ended (call);
+	else if (dff_call_is_open (call))
+		add_waiter (call, wait_ms);
+}
+
+void
+dff_result_read (struct dff_call *call)
+{
+	const char *text = dff_call_query (call, "wait_ms");
+	gint64 wait_ms = 0;
+	if (text != NULL && !g_ascii_string_to_signed (text, 10, 0, WAIT_MAX_MS, &wait_ms, NULL)) {
+		dff_reply_error (call, 400, "invalid_query", "wait_ms: 0 to 60000 is expected");
+		return;
+	}
+	dff_job_fetch (call, &call->subject, row_fetched, GINT_TO_POINTER ((gint)wait_ms));
+}
+
+struct dff_results *
+dff_results_new (struct dff_entry *entry)
+{
+	struct dff_results *results = g_new0 (struct dff_results, 1);
+	results->entry = entry;
+	results->waiters = g_ptr_array_new ();
+	return results;
+}
+
+void
+dff_results_free (struct dff_results *results)
+{
+	struct waiter *waiter;
+	while ((waiter = take_waiter (results)) != NULL)
+		release_waiter (waiter);
+	g_ptr_array_unref (results->waiters);
+	g_free (results);
+}
+
+void
+dff_results_job_ended (struct dff_results *results, const struct dff_name *job)
+{
+	for (guint i = results->waiters->len; i > 0; i--) {
+		struct waiter *waiter = results->waiters->pdata[i - 1];
+		if (dff_name_equal (&waiter->job, job))
+			wake (waiter);
+	}
+}
+
+static void
+send_away (struct dff_results *results)
+{
+	struct waiter *waiter;
+	while ((waiter = take_waiter (results)) != NULL) {
+		reply_not_ended (waiter->call);
+		release_waiter (waiter);
+	}
+}
+
+static void
+rows_reread (void *user, const struct dff_table_result *result)
+{
+	struct dff_entry *entry = user;
+	if (!entry->closed)
+		entry->results->rereading = false;
+	for (size_t i = 0; i < result->n_rows && !entry->closed; i++) {
+		const struct dff_table_row *read = &result->rows[i];
+		DFF_AUTO (dff_job_row)
+		row = dff_job_row_decode (read->value, read->revision, NULL);
+		if (row != NULL && row->state == DFF_JOB_ROW_ENDED)
+			dff_entry_job_ended (entry, &row->spec.id, row->outcome);
+	}
+	dff_entry_unref (entry);
+}
+
+static GArray *
+jobs_to_reread (struct dff_results *results)
+{
+	GArray *jobs = dff_team_quota_sample (results->entry->quota, REREAD_MAX);
+	guint n = MIN (results->waiters->len, (guint)REREAD_MAX);
+	for (guint i = 0; i < n; i++) {
+		const struct waiter *waiter = results->waiters->pdata[i];
+		g_array_append_val (jobs, waiter->job);
+	}
+	return jobs;
+}
+
+/* A notice that a job has ended may be lost on its way from the holder, or the holder may have
+ * died. Symptom: a technician's long poll runs out although the result is there. */
+static void
+reread (struct dff_results *results)
+{
+	struct dff_entry *entry = results->entry;
+	const struct dff_table *table = entry->options.table;
+	g_autoptr (GArray) jobs = jobs_to_reread (results);
+	if (jobs->len == 0)
+		return;
+	g_autofree struct dff_str *keys = g_new0 (struct dff_str, jobs->len);
+	g_autoptr (GPtrArray) texts = g_ptr_array_new_with_free_func (g_free);
+	for (guint i = 0; i < jobs->len; i++) {
+		GString *key = dff_job_row_key (&g_array_index (jobs, struct dff_name, i));
+		keys[i].len = key->len;
+		keys[i].data = g_string_free (key, FALSE);
+		g_ptr_array_add (texts, (gpointer)keys[i].data);
+	}
+	results->rereading = true;
+	table->get (table->ctx, keys, jobs->len, rows_reread, dff_entry_ref (entry));
+}
+
+void
+dff_results_tick (struct dff_results *results)
+{
+	int64_t now_ms = dff_entry_now_ms (results->entry);
+	if (results->entry->draining)
+		send_away (results);
+	if (results->rereading || now_ms < results->next_reread_ms)
+		return;
+	results->next_reread_ms = now_ms + REREAD_MS;
+	reread (results);
+}
--- a/include/entry/entry.h
+++ b/include/entry/entry.h
@@ -52,6 +52,9 @@
 
 DFF_DEFINE_CLEANUP (dff_entry, dff_entry_free);
 
+/** Returns: the port that it listens on, also where the settings say 0. */
+uint16_t dff_entry_port (const struct dff_entry *entry);
+
 void dff_entry_tick (struct dff_entry *entry);
 
 /** The pool in force, borrowed until the next call; NULL: none yet, the process is unready. @text
