--- a/standin/platform_handlers.c
+++ b/standin/platform_handlers.c
@@ -95,19 +95,28 @@
 	end_call (call);
 }
 
+static bool
+is_string_array (const json_t *array)
+{
+	for (size_t i = 0; i < json_array_size (array); i++) {
+		if (!json_is_string (json_array_get (array, i)))
+			return false;
+	}
+	return json_is_array (array);
+}
+
 static void
 handle_get (struct dff_platform_context *context)
 {
 	const json_t *array = json_object_get (context->root, "keys");
 	size_t n_keys = json_array_size (array);
+	if (!is_string_array (array)) {
+		dff_platform_reply_error (context->request, 400, "keys: expected strings");
+		return;
+	}
 	g_autofree struct dff_str *keys = g_new (struct dff_str, n_keys + 1);
-	for (size_t i = 0; i < n_keys; i++) {
+	for (size_t i = 0; i < n_keys; i++)
 		keys[i] = dff_wire_str (json_array_get (array, i));
-		if (keys[i].data == NULL) {
-			dff_platform_reply_error (context->request, 400, "keys: expected strings");
-			return;
-		}
-	}
 	const struct dff_table *table = &context->caller->table;
 	table->get (table->ctx, keys, n_keys, answer_table, begin_call (context));
 }
--- a/standin/platform_server.c
+++ b/standin/platform_server.c
@@ -143,7 +143,7 @@
 		evhttp_bind_socket_with_handle (server->http, ip, port);
 	if (handle == NULL)
 		return false;
-	struct sockaddr_in bound;
+	struct sockaddr_in bound = {0};
 	socklen_t len = sizeof (bound);
 	getsockname (evhttp_bound_socket_get_fd (handle), (struct sockaddr *)&bound, &len);
 	server->address = dff_name_printf ("%s:%d", ip, ntohs (bound.sin_port));
@@ -173,9 +173,10 @@
 	server->http = evhttp_new (options->base);
 	evhttp_set_max_body_size (server->http, MAX_BODY_BYTES);
 	evhttp_set_gencb (server->http, take_request, server);
-	if (!listen_on (server, &options->listen))
-		g_clear_pointer (&server, dff_platform_server_free);
-	return server;
+	if (listen_on (server, &options->listen))
+		return server;
+	dff_platform_server_free (server);
+	return NULL;
 }
 
 void
