--- a/include/standin/worker_tasks.h
+++ b/include/standin/worker_tasks.h
@@ -9,6 +9,7 @@
 #include "common/clock.h"
 #include "pool/pool.h"
 #include "upstream/worker_client.h"
+#include "upstream/worker_wire.h"
 
 /* The tasks of one stand-in worker as a state machine under a clock: what a worker must do
  * (docs/PLATFORM.md) without sockets, so that tests use the same in memory. */
@@ -90,10 +91,14 @@
 /** Appends every task. Elements of @reports: struct dff_task_report. */
 void dff_worker_tasks_query (const struct dff_worker_tasks *tasks, GArray *reports);
 
-/** Renews every lease and appends what changed after @after_sequence, in order of change. */
+/**
+ * dff_worker_tasks_renew:
+ * @renewal: leases end at its from_ms plus its lease_ms, and never sooner than before
+ *
+ * Renews every lease and appends what changed after its sequence, in order of change.
+ */
 void dff_worker_tasks_renew (struct dff_worker_tasks *tasks,
-			     int32_t lease_ms,
-			     int64_t after_sequence,
+			     const struct dff_worker_renewal *renewal,
 			     GArray *reports);
 
 /** Returns: sequence of the last change. */
--- a/include/upstream/worker_client.h
+++ b/include/upstream/worker_client.h
@@ -82,6 +82,8 @@
 	int64_t sequence;
 	/** Changes when the worker starts anew: its tasks, tombstones and sequence are gone. */
 	int64_t incarnation;
+	/** The worker's monotonic clock when it answered, ms; 0: unknown. */
+	int64_t worker_ms;
 };
 
 typedef void (*dff_worker_func) (void *user, const struct dff_worker_result *result);
@@ -104,8 +106,11 @@
  * @throttle: sets the share of its resources a task may use, 0 to 100 percent
  * @stop: stops a task, or leaves a tombstone when it was never seen
  * @query: reports every task of the worker
- * @renew: renews the leases of all tasks of the worker for @lease_ms and reports what changed after
- *   @after_sequence; with nothing changed the answer is a few bytes
+ * @renew: renews the leases of all tasks of the worker and reports what changed after
+ *   @after_sequence; with nothing changed the answer is a few bytes. The leases end @lease_ms after
+ *   the worker's last answer to this process before the call, however late the call arrives: silent
+ *   for @lease_ms, the worker runs nothing that it was known to run. The first renewal after a
+ *   hand-over only learns the worker's time, so @lease_ms spans several renewals.
  * @request: one short request; @deadline_ms is the time it may take from now
  * @ctx: passed to each
  *
--- a/include/upstream/worker_wire.h
+++ b/include/upstream/worker_wire.h
@@ -33,6 +33,8 @@
 struct dff_worker_renewal {
 	int32_t lease_ms;
 	int64_t after_sequence;
+	/** The worker's own clock in its last answer to the sender: leases count from then. */
+	int64_t from_ms;
 };
 
 /** Returns: a state's name on the wire. */
--- a/standin/memory_workers.c
+++ b/standin/memory_workers.c
@@ -15,6 +15,8 @@
 	struct dff_memory_worker_faults faults;
 	struct dff_standin_worker_options options;
 	struct dff_standin_worker *worker;
+	/** Its clock in the last answer that came through. */
+	int64_t heard_ms;
 };
 
 /** A call on its way; a short request when @request_done is set. */
@@ -210,7 +212,8 @@
 	    void *user)
 {
 	struct memory_call *call = task_call (ctx, address, DFF_WORKER_CALL_RENEW, done, user);
-	call->call.renewal = (struct dff_worker_renewal){lease_ms, after_sequence};
+	int64_t heard_ms = call->at == NULL ? 0 : call->at->heard_ms;
+	call->call.renewal = (struct dff_worker_renewal){lease_ms, after_sequence, heard_ms};
 }
 
 static void
@@ -262,8 +265,10 @@
 task_answered (void *user, const struct dff_worker_result *result)
 {
 	struct memory_call *call = user;
-	if (end_work (call))
-		call->done (call->user, result);
+	if (!end_work (call))
+		return;
+	call->at->heard_ms = MAX (call->at->heard_ms, result->worker_ms);
+	call->done (call->user, result);
 }
 
 static void
@@ -386,6 +391,7 @@
 	}
 	dff_standin_worker_free (worker->worker);
 	worker->options.incarnation++;
+	worker->heard_ms = 0;
 	worker->worker = dff_standin_worker_new (&worker->options);
 }
 
--- a/standin/worker.c
+++ b/standin/worker.c
@@ -94,6 +94,7 @@
 		.n_reports = n_reports,
 		.sequence = dff_worker_tasks_sequence (worker->tasks),
 		.incarnation = dff_worker_tasks_incarnation (worker->tasks),
+		.worker_ms = dff_clock_now_ms (worker->options.clock),
 	};
 	done (user, &result);
 }
@@ -169,8 +170,7 @@
 	if (call->type == DFF_WORKER_CALL_QUERY)
 		dff_worker_tasks_query (worker->tasks, worker->reports);
 	else
-		dff_worker_tasks_renew (worker->tasks, call->renewal.lease_ms,
-					call->renewal.after_sequence, worker->reports);
+		dff_worker_tasks_renew (worker->tasks, &call->renewal, worker->reports);
 	answer_call (worker, DFF_WORKER_OK, (const struct dff_task_report *)worker->reports->data,
 		     worker->reports->len, done, user);
 }
--- a/standin/worker_tasks.c
+++ b/standin/worker_tasks.c
@@ -256,18 +256,22 @@
 
 void
 dff_worker_tasks_renew (struct dff_worker_tasks *tasks,
-			int32_t lease_ms,
-			int64_t after_sequence,
+			const struct dff_worker_renewal *renewal,
 			GArray *reports)
 {
 	/* What has lapsed stays lapsed: the holder may have counted on it. */
 	dff_worker_tasks_tick (tasks);
-	int64_t until_ms = now_ms (tasks) + lease_ms;
+	/* Counted from now, a renewal whose answer is lost, or that was delayed, would keep tasks
+	 * alive past the time after which their holder takes them for lost. A time to come is from
+	 * another machine's clock. */
+	int64_t until_ms = renewal->from_ms + renewal->lease_ms;
+	if (renewal->from_ms > now_ms (tasks))
+		until_ms = 0;
 	for (guint i = 0; i < tasks->active->len; i++) {
 		struct dff_task *task = g_ptr_array_index (tasks->active, i);
 		task->lease_until_ms = MAX (task->lease_until_ms, until_ms);
 	}
-	append_changes (tasks, after_sequence, reports);
+	append_changes (tasks, renewal->after_sequence, reports);
 }
 
 int64_t
--- a/tests/upstream/test-worker-tasks.c
+++ b/tests/upstream/test-worker-tasks.c
@@ -51,7 +51,7 @@
 
 #define OK DFF_WORKER_OK
 #define REFUSED DFF_WORKER_REFUSED
-#define LEASE_MS 1000
+#define LEASE_MS INT64_C (1000)
 #define FIRST_EPOCH 5
 
 static const struct session sessions[] = {
@@ -99,12 +99,35 @@
 	 false,
 	 {
 		 {0, DFF_OP_START, 1, 0, 0, OK, DFF_TASK_RUNNING, true},
-		 {LEASE_MS - 1, DFF_OP_RENEW, 1, 0, LEASE_MS, OK, DFF_TASK_RUNNING, true},
-		 {2 * LEASE_MS - 2, DFF_OP_LOOK, 1, 0, 0, OK, DFF_TASK_RUNNING, true},
-		 {2 * LEASE_MS - 1, DFF_OP_RENEW, 1, 0, LEASE_MS, OK, DFF_TASK_STOPPED, true},
+		 {LEASE_MS - 1, DFF_OP_RENEW, 1, 0, 600, OK, DFF_TASK_RUNNING, true},
+		 {LEASE_MS + 599, DFF_OP_LOOK, 1, 0, 0, OK, DFF_TASK_RUNNING, true},
+		 {LEASE_MS + 600, DFF_OP_RENEW, 1, 0, LEASE_MS, OK, DFF_TASK_STOPPED, true},
 		 {2 * LEASE_MS, DFF_OP_START, 1, 0, 0, OK, DFF_TASK_STOPPED, true},
 		 {2 * LEASE_MS, DFF_OP_END},
 	 }},
+	/* Symptom: a task runs on after its holder took it for lost. Sequence: the worker answers
+	 * at 200, then renewals reach it and their answers are lost; the holder counts the lease
+	 * from 200. Cause: the worker counted it from the arrival of each renewal. */
+	{"renewals whose answers are lost do not prolong a lease",
+	 "{\"run_ms\":9000}",
+	 false,
+	 {
+		 {0, DFF_OP_START, 1, 0, 0, OK, DFF_TASK_RUNNING, true},
+		 {300, DFF_OP_RENEW, 1, 0, 200, OK, DFF_TASK_RUNNING, true},
+		 {800, DFF_OP_RENEW, 1, 0, 200, OK, DFF_TASK_RUNNING, true},
+		 {1100, DFF_OP_RENEW, 1, 0, 200, OK, DFF_TASK_RUNNING, true},
+		 {1200, DFF_OP_LOOK, 1, 0, 0, OK, DFF_TASK_STOPPED, true},
+		 {1200, DFF_OP_END},
+	 }},
+	{"a time to come does not prolong a lease",
+	 "{\"run_ms\":9000}",
+	 false,
+	 {
+		 {0, DFF_OP_START, 1, 0, 0, OK, DFF_TASK_RUNNING, true},
+		 {300, DFF_OP_RENEW, 1, 0, 301, OK, DFF_TASK_RUNNING, true},
+		 {LEASE_MS, DFF_OP_LOOK, 1, 0, 0, OK, DFF_TASK_STOPPED, true},
+		 {LEASE_MS, DFF_OP_END},
+	 }},
 	/* Symptom: a task completes after its holder was told that it was lost. Sequence: the
 	 * worker is paused past the lease and the work's end, then ticks. Cause: the end was looked
 	 * at before the lease. */
@@ -294,7 +317,7 @@
 			  .lease_ms = LEASE_MS,
 			  .payload = payload},
 		.command = {.task = task, .epoch = FIRST_EPOCH, .percent = step->argument},
-		.renewal = {.lease_ms = step->argument},
+		.renewal = {.lease_ms = LEASE_MS, .from_ms = step->argument},
 	};
 	if (step->op == DFF_OP_STOP)
 		call.command.epoch = epoch;
@@ -369,11 +392,13 @@
 			do_step (&fixture, step, dff_str_from (session->payload));
 			struct dff_task_report report =
 				look_at (&fixture, step->attempt, step->member);
-			if (fixture.outcome != step->outcome || report.state != step->state ||
-			    report.ran != step->ran)
-				fail_msg ("%s: step %d: outcome %d state %s ran %d", session->name,
-					  (int)(step - session->steps), fixture.outcome,
-					  dff_task_state_name (report.state), report.ran);
+			bool as_stated = fixture.outcome == step->outcome &&
+					 report.state == step->state && report.ran == step->ran;
+			if (as_stated)
+				continue;
+			fail_msg ("%s: step %d: outcome %d state %s ran %d", session->name,
+				  (int)(step - session->steps), fixture.outcome,
+				  dff_task_state_name (report.state), report.ran);
 		}
 		fixture_clear (&fixture);
 	}
@@ -396,7 +421,8 @@
 	} cases[] = {{0, 3}, {1, 2}, {2, 1}, {3, 0}, {9, 0}};
 	for (size_t i = 0; i < G_N_ELEMENTS (cases); i++) {
 		g_array_set_size (reports, 0);
-		dff_worker_tasks_renew (tasks, LEASE_MS, cases[i].after, reports);
+		struct dff_worker_renewal renewal = {LEASE_MS, cases[i].after, 0};
+		dff_worker_tasks_renew (tasks, &renewal, reports);
 		assert_int_equal (reports->len, cases[i].n_reports);
 	}
 	assert_int_equal (dff_worker_tasks_sequence (tasks), 3);
--- a/tests/upstream/test-worker-wire.c
+++ b/tests/upstream/test-worker-wire.c
@@ -90,7 +90,7 @@
 }
 
 #define DIGEST "e3b0c44298fc1c149afbf4c8996fb92427ae41e4649b934ca495991b7852b855"
-#define HEAD "{\"leaving\":false,\"sequence\":7,\"incarnation\":2"
+#define HEAD "{\"leaving\":false,\"sequence\":7,\"incarnation\":2,\"now_ms\":40"
 #define REPORT "{" TASK ",\"state\":\"completed\",\"ran\":true,\"checkpoints\":0"
 
 static void
@@ -107,7 +107,7 @@
 		      "\"digest\":\"short\"}}]}",
 		 false},
 		{HEAD ",\"reports\":[" REPORT "},{\"state\":\"flying\"}]}", false},
-		{"{\"leaving\":0,\"sequence\":7,\"incarnation\":2}", false},
+		{"{\"leaving\":0,\"sequence\":7,\"incarnation\":2,\"now_ms\":40}", false},
 		{"{\"sequence\":7}", false},
 		{"", false},
 	};
--- a/upstream/http_worker.c
+++ b/upstream/http_worker.c
@@ -10,6 +10,8 @@
 #define HTTP_UNAVAILABLE 503
 /** Time for the answer to travel, past the worker's own deadline, ms. */
 #define ANSWER_TRAVEL_MS 50
+/** Workers whose time is remembered; beyond it all are forgotten, which costs one renewal each. */
+#define MAX_HEARD 4096
 
 struct dff_http_worker {
 	struct dff_http_client *http;
@@ -23,6 +25,8 @@
 	/** Elements: struct worker_call: the HTTP client drops calls in progress when it is freed.
 	 */
 	GQueue calls;
+	/** struct dff_name, address, to int64_t, the worker's clock in its last answer. */
+	GHashTable *heard;
 	int64_t *uncertain;
 	int64_t *malformed;
 };
@@ -32,6 +36,7 @@
 	/** Its place in the worker's calls; data is the call itself. */
 	GList link;
 	struct dff_http_worker *worker;
+	struct dff_name address;
 	/** One of the two. */
 	dff_worker_func done;
 	dff_request_func request_done;
@@ -87,12 +92,29 @@
 	return taken;
 }
 
+static void
+note_time (struct dff_http_worker *worker, const struct dff_name *address, int64_t worker_ms)
+{
+	int64_t *heard_ms = g_hash_table_lookup (worker->heard, address);
+	if (heard_ms != NULL) {
+		*heard_ms = worker_ms;
+		return;
+	}
+	if (g_hash_table_size (worker->heard) >= MAX_HEARD)
+		g_hash_table_remove_all (worker->heard);
+	heard_ms = g_new (int64_t, 1);
+	*heard_ms = worker_ms;
+	g_hash_table_insert (worker->heard, dff_name_dup (address), heard_ms);
+}
+
 static void
 command_answered (void *user, const struct dff_http_response *response)
 {
 	struct worker_call call = call_take (user);
 	struct dff_worker_result result = {0};
 	result.outcome = command_outcome (call.worker, response, &result);
+	if (result.outcome == DFF_WORKER_OK)
+		note_time (call.worker, &call.address, result.worker_ms);
 	call.done (call.user, &result);
 }
 
@@ -105,6 +127,7 @@
 {
 	struct worker_call *call = call_new (worker, user);
 	call->done = done;
+	call->address = *address;
 	request->address = *address;
 	dff_http_client_send (worker->http, request, command_answered, call);
 }
@@ -231,7 +254,9 @@
 	    void *user)
 {
 	struct dff_http_worker *worker = ctx;
-	struct dff_worker_renewal renewal = {lease_ms, after_sequence};
+	const int64_t *heard_ms = g_hash_table_lookup (worker->heard, address);
+	struct dff_worker_renewal renewal = {lease_ms, after_sequence,
+					     heard_ms == NULL ? 0 : *heard_ms};
 	g_string_truncate (worker->body, 0);
 	dff_worker_wire_append_renewal (worker->body, &renewal);
 	send_body (worker, address, DFF_WORKER_PATH_RENEW, worker->renew_timeout_ms, done, user);
@@ -334,6 +359,7 @@
 	worker->client.ctx = worker;
 	worker->reports = g_array_new (FALSE, TRUE, sizeof (struct dff_task_report));
 	worker->body = g_string_new (NULL);
+	worker->heard = g_hash_table_new_full (dff_name_hash, dff_name_equal_func, g_free, g_free);
 	worker->uncertain = dff_metrics_counter (options->metrics, "dff_upstream_uncertain_total",
 						 "Calls to workers without a whole answer.");
 	worker->malformed = dff_metrics_counter (options->metrics, "dff_upstream_malformed_total",
@@ -346,6 +372,7 @@
 {
 	while (!g_queue_is_empty (&worker->calls))
 		call_take (worker->calls.head->data);
+	g_hash_table_unref (worker->heard);
 	g_array_unref (worker->reports);
 	g_string_free (worker->body, TRUE);
 	g_free (worker);
--- a/upstream/worker_wire.c
+++ b/upstream/worker_wire.c
@@ -203,8 +203,9 @@
 void
 dff_worker_wire_append_renewal (GString *out, const struct dff_worker_renewal *renewal)
 {
-	g_string_append_printf (out, "{\"lease_ms\":%" PRId32 ",\"after\":%" PRId64 "}",
-				renewal->lease_ms, renewal->after_sequence);
+	g_string_append_printf (
+		out, "{\"lease_ms\":%" PRId32 ",\"after\":%" PRId64 ",\"from_ms\":%" PRId64 "}",
+		renewal->lease_ms, renewal->after_sequence, renewal->from_ms);
 }
 
 bool
@@ -213,7 +214,8 @@
 	memset (renewal, 0, sizeof (*renewal));
 	g_autoptr (json_t) root = parse_object (body);
 	return root != NULL && get_int32 (root, "lease_ms", 1, INT32_MAX, &renewal->lease_ms) &&
-	       get_int64 (root, "after", 0, INT64_MAX, &renewal->after_sequence);
+	       get_int64 (root, "after", 0, INT64_MAX, &renewal->after_sequence) &&
+	       get_int64 (root, "from_ms", 0, INT64_MAX, &renewal->from_ms);
 }
 
 static void
@@ -237,8 +239,10 @@
 dff_worker_wire_append_answer (GString *out, const struct dff_worker_result *result)
 {
 	g_string_append_printf (out,
-				"{\"leaving\":%s,\"sequence\":%" PRId64 ",\"incarnation\":%" PRId64,
-				bool_word (result->leaving), result->sequence, result->incarnation);
+				"{\"leaving\":%s,\"sequence\":%" PRId64 ",\"incarnation\":%" PRId64
+				",\"now_ms\":%" PRId64,
+				bool_word (result->leaving), result->sequence, result->incarnation,
+				result->worker_ms);
 	if (result->n_reports > 0)
 		g_string_append (out, ",\"reports\":[");
 	for (size_t i = 0; i < result->n_reports; i++) {
@@ -302,6 +306,7 @@
 	return root != NULL && get_bool (root, "leaving", &result->leaving) &&
 	       get_int64 (root, "sequence", 0, INT64_MAX, &result->sequence) &&
 	       get_int64 (root, "incarnation", 0, INT64_MAX, &result->incarnation) &&
+	       get_int64 (root, "now_ms", 0, INT64_MAX, &result->worker_ms) &&
 	       get_reports (json_object_get (root, "reports"), reports);
 }
 
