core: learned run times, order by what is left, quarantine

Cause: declared run times are far off, long jobs kept short ones waiting, and a worker that fails everything drew one job after another because best fit found it free. Change: two predictors a team and service, mixed by how well each has done; classes ordered by remaining time and width, with ageing and a share of the pool; jobs that outlive their estimate sink; borrowing work gives way to much shorter work when a checkpoint makes that cheap; two different jobs failing on a worker in a row put it in quarantine until a probe succeeds. The file of the life cycle is split at the decision about ended attempts.

--- a/core/check.c
+++ b/core/check.c
@@ -174,7 +174,9 @@
 char *
 dff_core_check (const struct dff_core *core)
 {
-	g_autofree struct tally *tallies = g_new0 (struct tally, core->workers->len + 1);
+	g_autoptr (GArray) table = g_array_new (FALSE, TRUE, sizeof (struct tally));
+	g_array_set_size (table, core->workers->len + 1);
+	struct tally *tallies = (struct tally *)(void *)table->data;
 	char *broken = check_jobs (core, tallies);
 	if (broken == NULL)
 		broken = check_shapes (core, tallies);
--- a/core/core.c
+++ b/core/core.c
@@ -40,6 +40,7 @@
 	core->team_index = g_hash_table_new_full (dff_name_hash, dff_name_equal_func, g_free, NULL);
 	core->jobs = g_hash_table_new (dff_name_hash, dff_name_equal_func);
 	core->classes = dff_core_classes_new ();
+	core->estimators = dff_core_estimators_new ();
 	core->pending = array_new (sizeof (struct dff_command), NULL);
 	core->adjacent_unit = DEFAULT_ADJACENT_UNIT;
 	return core;
@@ -59,6 +60,7 @@
 	g_hash_table_foreach (core->jobs, free_job, NULL);
 	g_hash_table_unref (core->jobs);
 	g_hash_table_unref (core->classes);
+	g_hash_table_unref (core->estimators);
 	g_hash_table_unref (core->worker_index);
 	g_hash_table_unref (core->team_index);
 	g_array_unref (core->workers);
@@ -96,6 +98,7 @@
 		worker->rack = index;
 		worker->capacity = declared->per_worker;
 		dff_core_worker_note_overload (worker);
+		dff_resources_add (&core->total, &worker->capacity, 1);
 		g_array_append_val (rack->workers, worker_index);
 	}
 	dff_core_rack_summarise (core, index);
@@ -107,6 +110,7 @@
 	for (guint i = 0; i < core->workers->len; i++)
 		dff_core_worker_at (core, (int32_t)i)->rack = DFF_CORE_NONE;
 	g_array_set_size (core->racks, 0);
+	core->total = (struct dff_resources){0};
 	for (guint i = 0; i < racks->len; i++)
 		add_rack (core, &g_array_index (racks, struct dff_rack, i));
 }
@@ -165,29 +169,6 @@
 	}
 }
 
-static int32_t
-adjacent_unit (const struct dff_pool *pool)
-{
-	int32_t largest_rack = 0;
-	int32_t unit = 0;
-	for (guint i = 0; i < pool->racks->len; i++) {
-		const struct dff_rack *rack = &g_array_index (pool->racks, struct dff_rack, i);
-		largest_rack = MAX (largest_rack,
-				    (int32_t)rack->workers->len * rack->per_worker.accelerators);
-	}
-	for (guint i = 0; i < pool->teams->len; i++) {
-		const GArray *guarantees =
-			g_array_index (pool->teams, struct dff_team, i).guarantees;
-		for (guint j = 0; j < guarantees->len; j++) {
-			int32_t size =
-				g_array_index (guarantees, struct dff_guarantee, j).accelerators;
-			if (size <= largest_rack)
-				unit = MAX (unit, size);
-		}
-	}
-	return unit > 0 ? unit : DEFAULT_ADJACENT_UNIT;
-}
-
 void
 dff_core_set_pool (struct dff_core *core, const struct dff_pool *pool, int64_t now_ms)
 {
@@ -197,7 +178,7 @@
 		dff_core_team_at (core, (int32_t)i)->declared = false;
 	for (guint i = 0; i < pool->teams->len; i++)
 		set_team (core, &g_array_index (pool->teams, struct dff_team, i));
-	core->adjacent_unit = adjacent_unit (pool);
+	core->adjacent_unit = dff_pool_adjacent_unit (pool);
 	dff_core_set_shapes (core, pool);
 	dff_core_rebind_all (core);
 	core->dirty = true;
@@ -313,6 +294,7 @@
 {
 	core->now_ms = now_ms;
 	dff_core_run_deadlines (core);
+	dff_core_run_quarantine (core);
 	dff_core_run_delayed (core);
 	dff_core_run_witnesses (core);
 	dff_core_run_reserved (core);
@@ -340,6 +322,9 @@
 	wake_ms = MIN (wake_ms, head_deadline (&core->reserved));
 	wake_ms = MIN (wake_ms, head_deadline (&core->checkpointing));
 	wake_ms = MIN (wake_ms, head_deadline (&core->stopping));
+	wake_ms = MIN (wake_ms, dff_core_quarantine_wake_ms (core));
+	if (g_hash_table_size (core->classes) > 0)
+		wake_ms = MIN (wake_ms, core->review_ms);
 	for (const GList *link = core->delayed.head; link != NULL; link = link->next)
 		wake_ms = MIN (wake_ms, ((const struct dff_core_job *)link->data)->deadline_ms);
 	return wake_ms;
--- a/core/core_private.h
+++ b/core/core_private.h
@@ -21,6 +21,20 @@
 /** Attempts lost with their worker before the job is given up, on top of its own attempts. */
 #define DFF_CORE_LOSSES_MAX 5
 
+/** Placement decisions that may look for victims in one tick, urgent ones aside. */
+#define DFF_CORE_EVICTIONS_A_TICK 8
+/** Interval at which the queue is looked at again though nothing came free, ms. */
+#define DFF_CORE_REVIEW_MS 1000
+/** Workers on which a job has failed that it remembers. */
+#define DFF_CORE_AVOIDED_MAX 4
+
+enum dff_core_health {
+	DFF_CORE_HEALTHY,
+	DFF_CORE_QUARANTINED,
+	/** May get one job, to see whether it fails again. */
+	DFF_CORE_PROBING,
+};
+
 struct dff_core_worker {
 	struct dff_name name;
 	/** Index of its rack; DFF_CORE_NONE once the pool no longer declares it. */
@@ -38,6 +52,14 @@
 	uint64_t leased;
 	/** Whether more is in use than the capacity: the pool shrank, or rows claimed too much. */
 	bool overloaded;
+	enum dff_core_health health;
+	/** Different jobs that failed here since the last success. */
+	int32_t streak;
+	/** Hash of the last of them; 0: none. */
+	guint last_failed;
+	/** Times in quarantine since it last was healthy. */
+	int32_t quarantines;
+	int64_t quarantined_until_ms;
 	/** Whether recovered rows claim the same accelerators. */
 	bool overlapping;
 	/** Elements: struct dff_core_job *, one for each member that holds a lease here. */
@@ -84,10 +106,12 @@
 	int32_t weight;
 	/** Jobs that have not ended. */
 	int32_t n_jobs;
-	/** Accelerators leased. */
-	int32_t accelerators;
+	/** Leased. */
+	struct dff_resources used;
 };
 
+struct dff_core_estimator;
+
 enum dff_core_state {
 	DFF_CORE_QUEUED,
 	/** Waits for its back-off to pass. */
@@ -181,6 +205,19 @@
 	int32_t losses;
 	int32_t start_failures;
 	int32_t refusals;
+	/** Workers it has failed on, the last of them. */
+	int32_t avoided[DFF_CORE_AVOIDED_MAX];
+	int32_t n_avoided;
+	struct dff_core_estimator *estimator;
+	/** Run time expected when it was queued last. */
+	int64_t estimate_ms;
+	/** Run time that earlier attempts have saved. */
+	int64_t run_ms;
+	/** Time spent in queues before, and since when it is in one. */
+	int64_t waited_ms;
+	int64_t queued_ms;
+	/** Of the moment it is being placed: what it may take from others. */
+	double score;
 	int64_t submitted_ms;
 	int64_t started_ms;
 	/** When the state's time is up: start, grace, repeat of stop, back-off. */
@@ -207,12 +244,15 @@
 	int32_t urgent;
 	int32_t guaranteed;
 	int32_t idempotent;
+	int32_t level;
 };
 
 /** Queued jobs of one key, oldest first: only the head needs to be looked at. */
 struct dff_core_class {
 	struct dff_core_class_key key;
 	GQueue jobs;
+	/** Of its head, when last ranked. */
+	double score;
 };
 
 struct dff_core {
@@ -229,6 +269,8 @@
 	GHashTable *jobs;
 	/** struct dff_core_class_key * to struct dff_core_class *. */
 	GHashTable *classes;
+	/** Learned run times by team and service. */
+	GHashTable *estimators;
 	/** Queues by state; deadlines rise along each but @delayed. */
 	GQueue reserved;
 	GQueue starting;
@@ -241,6 +283,11 @@
 	bool dirty;
 	/** Whether shapes may have lost their place, or may find one that they had not. */
 	bool witness_dirty;
+	/** When the queue is looked at again in any case. */
+	int64_t review_ms;
+	int32_t evictions_left;
+	/** Capacity declared. */
+	struct dff_resources total;
 	/** Accelerators of the largest guaranteed shape that fits a rack. */
 	int32_t adjacent_unit;
 	struct dff_core_stats stats;
@@ -353,6 +400,16 @@
 
 /* lifecycle.c */
 
+/** Appends a command about a job's attempt, to leave with the next tick. */
+struct dff_command *
+dff_core_emit (struct dff_core *core, enum dff_command_type type, const struct dff_core_job *job);
+
+/** Every change of state goes through here, so that counters and queues can't drift apart. */
+void dff_core_set_state (struct dff_core *core,
+			 struct dff_core_job *job,
+			 enum dff_core_state state,
+			 int64_t deadline_ms);
+
 /** Moves a job to DFF_CORE_RESERVED. */
 void dff_core_attempt_reserve (struct dff_core *core, struct dff_core_job *job);
 
@@ -381,6 +438,20 @@
 			    struct dff_core_job *job,
 			    enum dff_core_stop_cause cause);
 
+/** System: start time-outs, checkpoint grace, repeated stops. */
+void dff_core_run_deadlines (struct dff_core *core);
+
+/** Queues a job once @wait_ms have passed. */
+void dff_core_delay (struct dff_core *core, struct dff_core_job *job, int64_t wait_ms);
+
+/** System: queues the jobs whose back-off has passed. */
+void dff_core_run_delayed (struct dff_core *core);
+
+/** Lets an attempt that was found running go on; its members are filled in. */
+void dff_core_attempt_resume (struct dff_core *core, struct dff_core_job *job, int64_t age_ms);
+
+/* outcome.c */
+
 /** Decides what becomes of a job whose attempt has no open member. */
 void dff_core_attempt_over (struct dff_core *core, struct dff_core_job *job);
 
@@ -392,12 +463,6 @@
 /** Ends a job that holds no attempt: not_run when nothing of it ever ran, else failed. */
 void dff_core_job_give_up (struct dff_core *core, struct dff_core_job *job, const char *reason);
 
-/** System: start time-outs, checkpoint grace, repeated stops. */
-void dff_core_run_deadlines (struct dff_core *core);
-
-/** Lets an attempt that was found running go on; its members are filled in. */
-void dff_core_attempt_resume (struct dff_core *core, struct dff_core_job *job, int64_t age_ms);
-
 /* core.c */
 
 /** Queues a new job, or ends it at once when it can never run. */
@@ -411,25 +476,71 @@
 			   const struct dff_job_spec *spec,
 			   const struct dff_recovered *recovered);
 
-/* order.c */
+/* queue.c */
 
 GHashTable *dff_core_classes_new (void);
 
+guint dff_core_class_key_hash (gconstpointer key);
+
+/** Orders jobs by submission, for qsort-like use. */
+int dff_core_compare_age (const struct dff_core_job *one, const struct dff_core_job *other);
+
 /** Puts a job into the queue of its class. */
 void dff_core_enqueue (struct dff_core *core, struct dff_core_job *job);
 
-/** Takes a job out of whichever queue it is in. */
+/** Takes a job out of its class, if it is in one. */
 void dff_core_dequeue (struct dff_core *core, struct dff_core_job *job);
 
-/** Queues a job once @wait_ms have passed. */
-void dff_core_delay (struct dff_core *core, struct dff_core_job *job, int64_t wait_ms);
+/* order.c */
 
-/** System: queues the jobs whose back-off has passed. */
-void dff_core_run_delayed (struct dff_core *core);
+/** Returns: a job's rank among borrowing work, lower first: what is left of it, less its wait. */
+double dff_core_score (const struct dff_core *core, const struct dff_core_job *job);
 
 /** System: places queued jobs in order. */
 void dff_core_run_queue (struct dff_core *core);
 
+/* start.c */
+
+bool dff_core_within_quota (const struct dff_core *core, const struct dff_core_job *job);
+
+/** Gives a queued job a place if there is one now. */
+bool dff_core_try_start (struct dff_core *core, struct dff_core_job *job);
+
+/* estimate.c */
+
+GHashTable *dff_core_estimators_new (void);
+
+/** Returns: (transfer none): what is learned about jobs like @spec. */
+struct dff_core_estimator *dff_core_estimator_for (struct dff_core *core,
+						   const struct dff_job_spec *spec);
+
+/** Takes in how long a completed job ran. */
+void dff_core_estimate_learn (struct dff_core_job *job, int64_t run_ms);
+
+/** Returns: the run time expected of a job. */
+int64_t dff_core_estimate_ms (const struct dff_core_job *job);
+
+/** Returns: the run time expected to be left. */
+int64_t dff_core_remaining_ms (const struct dff_core *core, const struct dff_core_job *job);
+
+/* quarantine.c */
+
+void dff_core_note_failure (struct dff_core *core, struct dff_core_job *job, int32_t worker);
+
+void dff_core_note_success (struct dff_core *core, int32_t worker);
+
+/** Whether a job has failed on a worker and should try another. */
+bool dff_core_job_avoids (const struct dff_core_job *job, int32_t worker);
+
+/** System: lets workers whose quarantine is over have a probe. */
+void dff_core_run_quarantine (struct dff_core *core);
+
+int64_t dff_core_quarantine_wake_ms (const struct dff_core *core);
+
+/** Whether a job may probe a worker that was in quarantine, and which. */
+bool
+dff_core_place_probe (const struct dff_core *core, const struct dff_core_job *job, int32_t *worker);
+
 /* place.c */
 
 /** What a placement may use. */
@@ -458,7 +569,8 @@
 		     int32_t *workers);
 
 /** Returns: what @view leaves of a worker for @job. */
-struct dff_resources dff_core_worker_room (const struct dff_core_worker *worker,
+struct dff_resources dff_core_worker_room (const struct dff_core *core,
+					   const struct dff_core_worker *worker,
 					   const struct dff_core_job *job,
 					   enum dff_core_view view);
 
@@ -550,7 +662,9 @@
 			 int32_t *workers);
 
 /** Whether @job may take the place of @tenant. */
-bool dff_core_may_evict (const struct dff_core_job *job, const struct dff_core_job *tenant);
+bool dff_core_may_evict (const struct dff_core *core,
+			 const struct dff_core_job *job,
+			 const struct dff_core_job *tenant);
 
 /** Returns: work lost by preempting a job, accelerator-ms. */
 int64_t dff_core_lost_work (const struct dff_core *core, const struct dff_core_job *job);
--- a/core/lifecycle.c
+++ b/core/lifecycle.c
@@ -4,8 +4,8 @@
 
 /* The state machine of attempts. Commands go to core->pending and leave with the next tick. */
 
-static struct dff_command *
-emit (struct dff_core *core, enum dff_command_type type, const struct dff_core_job *job)
+struct dff_command *
+dff_core_emit (struct dff_core *core, enum dff_command_type type, const struct dff_core_job *job)
 {
 	g_array_set_size (core->pending, core->pending->len + 1);
 	struct dff_command *command =
@@ -23,7 +23,7 @@
 	     const struct dff_core_job *job,
 	     int32_t member)
 {
-	struct dff_command *command = emit (core, type, job);
+	struct dff_command *command = dff_core_emit (core, type, job);
 	command->member = member;
 	command->placement = g_array_index (job->placements, struct dff_placement, member);
 	command->held = type == DFF_COMMAND_START_TASK && job->gang > 1;
@@ -70,12 +70,11 @@
 	}
 }
 
-/* Every change of state goes through here, so that counters and queues can't drift apart. */
-static void
-set_state (struct dff_core *core,
-	   struct dff_core_job *job,
-	   enum dff_core_state state,
-	   int64_t deadline_ms)
+void
+dff_core_set_state (struct dff_core *core,
+		    struct dff_core_job *job,
+		    enum dff_core_state state,
+		    int64_t deadline_ms)
 {
 	dff_core_dequeue (core, job);
 	GQueue *old_queue = state_queue (core, job->state);
@@ -99,20 +98,20 @@
 void
 dff_core_attempt_reserve (struct dff_core *core, struct dff_core_job *job)
 {
-	set_state (core, job, DFF_CORE_RESERVED, core->now_ms + DFF_CORE_RESERVE_MAX_MS);
+	dff_core_set_state (core, job, DFF_CORE_RESERVED, core->now_ms + DFF_CORE_RESERVE_MAX_MS);
 }
 
 void
 dff_core_job_requeue (struct dff_core *core, struct dff_core_job *job)
 {
-	set_state (core, job, DFF_CORE_QUEUED, INT64_MAX);
+	dff_core_set_state (core, job, DFF_CORE_QUEUED, INT64_MAX);
 	dff_core_enqueue (core, job);
 }
 
 void
 dff_core_attempt_begin (struct dff_core *core, struct dff_core_job *job)
 {
-	set_state (core, job, DFF_CORE_RECORDING, INT64_MAX);
+	dff_core_set_state (core, job, DFF_CORE_RECORDING, INT64_MAX);
 	job->attempt++;
 	job->n_open = job->gang;
 	job->placements =
@@ -127,13 +126,13 @@
 			dff_core_pick_accelerators (worker, job->per_task.accelerators);
 		dff_core_lease (core, job, job->members[i].worker, placement->accelerators);
 	}
-	emit (core, DFF_COMMAND_RECORD_START, job)->placements = job->placements;
+	dff_core_emit (core, DFF_COMMAND_RECORD_START, job)->placements = job->placements;
 }
 
 void
 dff_core_attempt_resume (struct dff_core *core, struct dff_core_job *job, int64_t age_ms)
 {
-	set_state (core, job, DFF_CORE_RUNNING, INT64_MAX);
+	dff_core_set_state (core, job, DFF_CORE_RUNNING, INT64_MAX);
 	job->started_ms = core->now_ms - age_ms;
 	job->submitted_ms = job->started_ms;
 }
@@ -186,7 +185,8 @@
 		dff_core_attempt_over (core, job);
 		return;
 	}
-	set_state (core, job, DFF_CORE_STARTING, core->now_ms + core->options.start_timeout_ms);
+	dff_core_set_state (core, job, DFF_CORE_STARTING,
+			    core->now_ms + core->options.start_timeout_ms);
 	for (int32_t i = 0; i < job->gang; i++) {
 		job->members[i].state = DFF_CORE_MEMBER_SENT;
 		emit_member (core, DFF_COMMAND_START_TASK, job, i);
@@ -218,7 +218,7 @@
 {
 	if (job->stop_cause == DFF_CORE_STOP_NONE)
 		job->stop_cause = cause;
-	set_state (core, job, DFF_CORE_STOPPING, core->now_ms + DFF_CORE_STOP_REPEAT_MS);
+	dff_core_set_state (core, job, DFF_CORE_STOPPING, core->now_ms + DFF_CORE_STOP_REPEAT_MS);
 	for (int32_t i = 0; i < job->gang; i++) {
 		if (member_is_open (&job->members[i]))
 			emit_member (core, DFF_COMMAND_STOP_TASK, job, i);
@@ -235,7 +235,7 @@
 	job->n_started++;
 	if (job->state != DFF_CORE_STARTING || job->n_started < job->gang)
 		return;
-	set_state (core, job, DFF_CORE_RUNNING, INT64_MAX);
+	dff_core_set_state (core, job, DFF_CORE_RUNNING, INT64_MAX);
 	job->started_ms = core->now_ms;
 	job->released = true;
 	if (job->gang == 1)
@@ -258,6 +258,7 @@
 		if (job->members[i].state == DFF_CORE_MEMBER_STARTED)
 			return;
 	}
+	job->run_ms += core->now_ms - job->started_ms;
 	dff_core_attempt_stop (core, job, DFF_CORE_STOP_PREEMPTED);
 }
 
@@ -307,6 +308,18 @@
 		dff_core_attempt_stop (core, job, DFF_CORE_STOP_MEMBER);
 }
 
+static void
+note_health (struct dff_core *core,
+	     struct dff_core_job *job,
+	     int32_t worker,
+	     enum dff_core_member_state state)
+{
+	if (state == DFF_CORE_MEMBER_COMPLETED)
+		dff_core_note_success (core, worker);
+	if (state == DFF_CORE_MEMBER_FAILED || state == DFF_CORE_MEMBER_START_FAILED)
+		dff_core_note_failure (core, job, worker);
+}
+
 void
 dff_core_member_event (struct dff_core *core,
 		       struct dff_core_job *job,
@@ -338,6 +351,7 @@
 	if (member->state == DFF_CORE_MEMBER_SENT && state == DFF_CORE_MEMBER_COMPLETED)
 		job->n_started++;
 	member->ran = ran;
+	note_health (core, job, member->worker, state);
 	member_close (core, job, event->member, state);
 	after_member_end (core, job, state == DFF_CORE_MEMBER_COMPLETED);
 }
@@ -380,142 +394,14 @@
 		dff_core_attempt_stop (core, job, DFF_CORE_STOP_PREEMPTED);
 	if (job->state != DFF_CORE_RUNNING)
 		return;
-	set_state (core, job, DFF_CORE_CHECKPOINTING,
-		   core->now_ms + core->options.checkpoint_grace_ms);
+	dff_core_set_state (core, job, DFF_CORE_CHECKPOINTING,
+			    core->now_ms + core->options.checkpoint_grace_ms);
 	for (int32_t i = 0; i < job->gang; i++) {
 		if (member_is_open (&job->members[i]))
 			emit_member (core, DFF_COMMAND_CHECKPOINT_TASK, job, i);
 	}
 }
 
-void
-dff_core_job_end (struct dff_core *core,
-		  struct dff_core_job *job,
-		  enum dff_outcome outcome,
-		  const char *reason)
-{
-	set_state (core, job, DFF_CORE_ENDING, INT64_MAX);
-	struct dff_command *command = emit (core, DFF_COMMAND_RECORD_END, job);
-	command->outcome = outcome;
-	command->reason = reason;
-}
-
-void
-dff_core_job_give_up (struct dff_core *core, struct dff_core_job *job, const char *reason)
-{
-	enum dff_outcome outcome = job->ever_ran ? DFF_OUTCOME_FAILED : DFF_OUTCOME_NOT_RUN;
-	dff_core_job_end (core, job, outcome, reason);
-}
-
-struct attempt_summary {
-	int32_t completed, failed, lost, start_failed;
-	bool any_ran;
-	bool lost_ran;
-};
-
-static struct attempt_summary
-summarise (const struct dff_core_job *job)
-{
-	struct attempt_summary sum = {0};
-	for (int32_t i = 0; i < job->gang; i++) {
-		const struct dff_core_member *member = &job->members[i];
-		sum.completed += member->state == DFF_CORE_MEMBER_COMPLETED;
-		sum.failed += member->state == DFF_CORE_MEMBER_FAILED;
-		sum.lost += member->state == DFF_CORE_MEMBER_LOST;
-		sum.start_failed += member->state == DFF_CORE_MEMBER_START_FAILED;
-		sum.any_ran |= member->ran;
-		sum.lost_ran |= member->state == DFF_CORE_MEMBER_LOST && member->ran;
-	}
-	return sum;
-}
-
-static void
-retry (struct dff_core *core, struct dff_core_job *job, int64_t wait_ms)
-{
-	core->stats.retries++;
-	emit (core, DFF_COMMAND_RECORD_RETRY, job);
-	dff_core_job_clear_attempt (job);
-	if (wait_ms > 0) {
-		dff_core_delay (core, job, wait_ms);
-		return;
-	}
-	dff_core_job_requeue (core, job);
-}
-
-/* An attempt of which nothing ran may be followed by another, whatever the job is. */
-static void
-over_unrun (struct dff_core *core, struct dff_core_job *job, const struct attempt_summary *sum)
-{
-	bool charged = sum->start_failed + sum->failed + sum->lost > 0 ||
-		       job->stop_cause == DFF_CORE_STOP_START_TIMEOUT;
-	bool sent = job->state != DFF_CORE_RECORDING;
-	if (!charged || !sent) {
-		retry (core, job, 0);
-		return;
-	}
-	job->start_failures++;
-	core->stats.start_failures++;
-	if (job->start_failures >= DFF_CORE_START_FAILURES_MAX) {
-		dff_core_job_give_up (core, job, "start_failed");
-		return;
-	}
-	retry (core, job, DFF_CORE_RETRY_MIN_MS);
-}
-
-/* Work that is not idempotent and may have run is never started again. */
-static void
-over_once (struct dff_core *core, struct dff_core_job *job, const struct attempt_summary *sum)
-{
-	if (sum->lost_ran)
-		dff_core_job_end (core, job, DFF_OUTCOME_UNKNOWN, "worker_lost");
-	else if (job->cancelled)
-		dff_core_job_end (core, job, DFF_OUTCOME_CANCELLED, "cancelled");
-	else if (job->stop_cause == DFF_CORE_STOP_START_TIMEOUT)
-		dff_core_job_end (core, job, DFF_OUTCOME_FAILED, "start_timeout");
-	else
-		dff_core_job_end (core, job, DFF_OUTCOME_FAILED, "task_failed");
-}
-
-static void
-over_repeatable (struct dff_core *core, struct dff_core_job *job, const struct attempt_summary *sum)
-{
-	job->failures += sum->failed > 0;
-	job->losses += sum->failed == 0 && sum->lost > 0;
-	if (job->failures >= job->max_attempts) {
-		dff_core_job_end (core, job, DFF_OUTCOME_FAILED, "attempts_exhausted");
-		return;
-	}
-	if (job->losses >= job->max_attempts + DFF_CORE_LOSSES_MAX) {
-		dff_core_job_end (core, job, DFF_OUTCOME_FAILED, "workers_lost");
-		return;
-	}
-	int64_t wait_ms =
-		sum->failed > 0 ? (int64_t)DFF_CORE_RETRY_MIN_MS << MIN (job->failures, 6) : 0;
-	retry (core, job, wait_ms);
-}
-
-void
-dff_core_attempt_over (struct dff_core *core, struct dff_core_job *job)
-{
-	struct attempt_summary sum = summarise (job);
-	if (sum.completed == job->gang) {
-		dff_core_job_end (core, job, DFF_OUTCOME_COMPLETED, "completed");
-		return;
-	}
-	if (sum.any_ran && !job->idempotent) {
-		over_once (core, job, &sum);
-		return;
-	}
-	if (job->cancelled) {
-		dff_core_job_end (core, job, DFF_OUTCOME_CANCELLED, "cancelled");
-		return;
-	}
-	if (!sum.any_ran)
-		over_unrun (core, job, &sum);
-	else
-		over_repeatable (core, job, &sum);
-}
-
 static bool
 head_is_due (const struct dff_core *core, const GQueue *queue)
 {
@@ -541,7 +427,7 @@
 void
 dff_core_delay (struct dff_core *core, struct dff_core_job *job, int64_t wait_ms)
 {
-	set_state (core, job, DFF_CORE_DELAYED, core->now_ms + wait_ms);
+	dff_core_set_state (core, job, DFF_CORE_DELAYED, core->now_ms + wait_ms);
 }
 
 void
--- a/core/place.c
+++ b/core/place.c
@@ -11,7 +11,8 @@
 }
 
 struct dff_resources
-dff_core_worker_room (const struct dff_core_worker *worker,
+dff_core_worker_room (const struct dff_core *core,
+		      const struct dff_core_worker *worker,
 		      const struct dff_core_job *job,
 		      enum dff_core_view view)
 {
@@ -21,7 +22,7 @@
 	room = dff_resources_less (&room, &worker->reserved);
 	for (guint i = 0; is_evicting (view) && i < worker->tenants->len; i++) {
 		const struct dff_core_job *tenant = g_ptr_array_index (worker->tenants, i);
-		if (dff_core_may_evict (job, tenant))
+		if (dff_core_may_evict (core, job, tenant))
 			dff_resources_add (&room, &tenant->per_task, 1);
 	}
 	if (view != DFF_CORE_VIEW_UNBOUND && view != DFF_CORE_VIEW_EVICT_UNBOUND)
@@ -31,14 +32,17 @@
 }
 
 static int32_t
-worker_fits (const struct dff_core_worker *worker,
+worker_fits (const struct dff_core *core,
+	     int32_t index,
 	     const struct dff_core_job *job,
 	     enum dff_core_view view,
 	     int32_t limit)
 {
-	if (view != DFF_CORE_VIEW_EMPTY && !dff_core_worker_usable (worker))
+	const struct dff_core_worker *worker = dff_core_worker_at (core, index);
+	if (view != DFF_CORE_VIEW_EMPTY &&
+	    (!dff_core_worker_usable (worker) || dff_core_job_avoids (job, index)))
 		return 0;
-	struct dff_resources room = dff_core_worker_room (worker, job, view);
+	struct dff_resources room = dff_core_worker_room (core, worker, job, view);
 	return dff_resources_fits (&room, &job->per_task, limit);
 }
 
@@ -68,10 +72,10 @@
 	for (guint i = 0; i < rack->workers->len; i++) {
 		int32_t index = g_array_index (rack->workers, int32_t, i);
 		const struct dff_core_worker *worker = dff_core_worker_at (core, index);
-		int32_t fits = worker_fits (worker, job, view, job->gang);
+		int32_t fits = worker_fits (core, index, job, view, job->gang);
 		if (fits == 0)
 			continue;
-		struct dff_resources room = dff_core_worker_room (worker, job, view);
+		struct dff_resources room = dff_core_worker_room (core, worker, job, view);
 		/* Accelerators first: a task without any keeps off workers that have some left. */
 		struct candidate candidate = {.worker = index,
 					      .fits = fits,
@@ -93,7 +97,7 @@
 	int32_t count = 0;
 	for (guint i = 0; i < rack->workers->len && count < job->gang; i++) {
 		int32_t index = g_array_index (rack->workers, int32_t, i);
-		count += worker_fits (dff_core_worker_at (core, index), job, view, job->gang);
+		count += worker_fits (core, index, job, view, job->gang);
 	}
 	return MIN (count, job->gang);
 }
@@ -219,7 +223,9 @@
 		     enum dff_core_view view,
 		     int32_t *workers)
 {
-	g_autofree int32_t *fits = g_new (int32_t, core->racks->len);
+	g_autoptr (GArray) table = g_array_new (FALSE, TRUE, sizeof (int32_t));
+	g_array_set_size (table, core->racks->len + 1);
+	int32_t *fits = (int32_t *)(void *)table->data;
 	int32_t best_first = DFF_CORE_NONE, best_last = 0, first = 0;
 	int64_t sum = 0;
 	for (int32_t last = 0; last < (int32_t)core->racks->len; last++) {
@@ -286,11 +292,11 @@
 	return false;
 }
 
-bool
-dff_core_place (const struct dff_core *core,
-		const struct dff_core_job *job,
-		enum dff_core_view view,
-		int32_t *workers)
+static bool
+place (const struct dff_core *core,
+       const struct dff_core_job *job,
+       enum dff_core_view view,
+       int32_t *workers)
 {
 	if (job->adjacency == DFF_ADJACENCY_NONE)
 		return place_anywhere (core, job, view, workers);
@@ -304,6 +310,22 @@
 	return place_in_neighbours (core, job, view, workers);
 }
 
+bool
+dff_core_place (const struct dff_core *core,
+		const struct dff_core_job *job,
+		enum dff_core_view view,
+		int32_t *workers)
+{
+	if (place (core, job, view, workers))
+		return true;
+	if (job->n_avoided == 0 || view == DFF_CORE_VIEW_EMPTY)
+		return false;
+	/* Better a worker on which it failed once than none: the failure may not recur. */
+	struct dff_core_job unbiased = *job;
+	unbiased.n_avoided = 0;
+	return place (core, &unbiased, view, workers);
+}
+
 uint64_t
 dff_core_pick_accelerators (const struct dff_core_worker *worker, int32_t count)
 {
--- /dev/null
+++ b/core/quarantine.c
@@ -0,0 +1,133 @@
+#include "core/core_private.h"
+
+/* Workers that fail everything, told apart from jobs that fail everywhere. A failure counts against
+ * a worker unless the job has failed on other workers before; different jobs failing on one worker
+ * with no success between them put it in quarantine. After a while it gets one job as a probe. */
+
+/** Different jobs in a row that have to fail on a worker. */
+#define STREAK_LIMIT 2
+/** Failures on other workers after which a job's failures tell nothing about a worker. */
+#define JOB_BLAME_LIMIT 2
+#define QUARANTINE_MIN_MS 60000
+#define QUARANTINE_MAX_MS 1800000
+
+static void
+set_health (struct dff_core *core, struct dff_core_worker *worker, enum dff_core_health health)
+{
+	core->stats.workers_quarantined += (health != DFF_CORE_HEALTHY);
+	core->stats.workers_quarantined -= (worker->health != DFF_CORE_HEALTHY);
+	worker->health = health;
+	core->dirty = true;
+	core->witness_dirty = true;
+	if (worker->rack != DFF_CORE_NONE)
+		dff_core_rack_summarise (core, worker->rack);
+}
+
+static void
+quarantine (struct dff_core *core, struct dff_core_worker *worker)
+{
+	int64_t wait_ms = (int64_t)QUARANTINE_MIN_MS << MIN (worker->quarantines, 10);
+	worker->quarantines++;
+	worker->quarantined_until_ms = core->now_ms + MIN (wait_ms, QUARANTINE_MAX_MS);
+	set_health (core, worker, DFF_CORE_QUARANTINED);
+}
+
+static bool
+has_failed_on (const struct dff_core_job *job, int32_t worker)
+{
+	for (int32_t i = 0; i < DFF_CORE_AVOIDED_MAX; i++) {
+		if (job->avoided[i] == worker)
+			return true;
+	}
+	return false;
+}
+
+bool
+dff_core_job_avoids (const struct dff_core_job *job, int32_t worker)
+{
+	return job->n_avoided > 0 && has_failed_on (job, worker);
+}
+
+void
+dff_core_note_failure (struct dff_core *core, struct dff_core_job *job, int32_t worker_index)
+{
+	struct dff_core_worker *worker = dff_core_worker_at (core, worker_index);
+	bool blamed = job->n_avoided < JOB_BLAME_LIMIT;
+	if (!has_failed_on (job, worker_index)) {
+		job->avoided[job->n_avoided % DFF_CORE_AVOIDED_MAX] = worker_index;
+		job->n_avoided++;
+	}
+	if (worker->health == DFF_CORE_PROBING) {
+		quarantine (core, worker);
+		return;
+	}
+	guint failed = dff_name_hash (&job->id);
+	if (!blamed || worker->health != DFF_CORE_HEALTHY || worker->last_failed == failed)
+		return;
+	worker->last_failed = failed;
+	worker->streak++;
+	if (worker->streak >= STREAK_LIMIT)
+		quarantine (core, worker);
+}
+
+void
+dff_core_note_success (struct dff_core *core, int32_t worker_index)
+{
+	struct dff_core_worker *worker = dff_core_worker_at (core, worker_index);
+	worker->streak = 0;
+	worker->last_failed = 0;
+	if (worker->health == DFF_CORE_HEALTHY)
+		return;
+	worker->quarantines = 0;
+	set_health (core, worker, DFF_CORE_HEALTHY);
+}
+
+void
+dff_core_run_quarantine (struct dff_core *core)
+{
+	if (core->stats.workers_quarantined == 0)
+		return;
+	for (guint i = 0; i < core->workers->len; i++) {
+		struct dff_core_worker *worker = dff_core_worker_at (core, (int32_t)i);
+		if (worker->health == DFF_CORE_QUARANTINED &&
+		    worker->quarantined_until_ms <= core->now_ms)
+			set_health (core, worker, DFF_CORE_PROBING);
+	}
+}
+
+int64_t
+dff_core_quarantine_wake_ms (const struct dff_core *core)
+{
+	int64_t wake_ms = INT64_MAX;
+	for (guint i = 0; core->stats.workers_quarantined > 0 && i < core->workers->len; i++) {
+		const struct dff_core_worker *worker = dff_core_worker_at (core, (int32_t)i);
+		if (worker->health == DFF_CORE_QUARANTINED)
+			wake_ms = MIN (wake_ms, worker->quarantined_until_ms);
+	}
+	return wake_ms;
+}
+
+/* A probe may fail through no fault of its job: only a job that can be tried again is one. */
+bool
+dff_core_place_probe (const struct dff_core *core, const struct dff_core_job *job, int32_t *worker)
+{
+	if (core->stats.workers_quarantined == 0 || job->gang > 1 || !job->idempotent ||
+	    job->failures > 0 || job->max_attempts < 2 || job->urgent)
+		return false;
+	for (guint i = 0; i < core->workers->len; i++) {
+		const struct dff_core_worker *at = dff_core_worker_at (core, (int32_t)i);
+		if (at->health != DFF_CORE_PROBING || at->state != DFF_WORKER_UP ||
+		    at->rack == DFF_CORE_NONE || at->tenants->len > 0)
+			continue;
+		if (job->region != DFF_CORE_NONE &&
+		    dff_core_rack_at (core, at->rack)->region != job->region)
+			continue;
+		struct dff_resources room =
+			dff_core_worker_room (core, at, job, DFF_CORE_VIEW_FREE);
+		if (dff_resources_fits (&room, &job->per_task, 1) == 0)
+			continue;
+		*worker = (int32_t)i;
+		return true;
+	}
+	return false;
+}
--- a/core/reclaim.c
+++ b/core/reclaim.c
@@ -5,17 +5,40 @@
 /** Part of a checkpointable task's run that is lost all the same: it is taken again from its
  * checkpoint, after grace and restart, ms. */
 #define CHECKPOINT_LOSS_MS 5000
+/** How much lower a job's score has to be to take a borrower's place, and how long the borrower
+ * has run at least since its last start, ms. */
+#define OVERTAKE_MARGIN 3.0
+#define OVERTAKE_AFTER_MS 30000
 /** Weight of a task without accelerators against one accelerator: a slot of a worker. */
 #define ACCELERATOR_SLOTS 8
 
+/* Borrowing work gives way to other borrowing work only when that is much shorter, and when little
+ * of what it did is lost. */
+static bool
+may_overtake (const struct dff_core *core,
+	      const struct dff_core_job *job,
+	      const struct dff_core_job *tenant)
+{
+	if (tenant->state != DFF_CORE_RUNNING || !tenant->checkpoint)
+		return false;
+	int64_t ran_ms = core->now_ms - tenant->started_ms;
+	if (ran_ms < OVERTAKE_AFTER_MS * (1 + tenant->preemptions))
+		return false;
+	return job->score * OVERTAKE_MARGIN < dff_core_score (core, tenant);
+}
+
 bool
-dff_core_may_evict (const struct dff_core_job *job, const struct dff_core_job *tenant)
+dff_core_may_evict (const struct dff_core *core,
+		    const struct dff_core_job *job,
+		    const struct dff_core_job *tenant)
 {
 	if (tenant->hold != DFF_CORE_HOLD_SOFT)
 		return false;
 	if (job->hold == DFF_CORE_HOLD_CLAIM)
 		return true;
-	return job->urgent && !tenant->urgent;
+	if (tenant->urgent)
+		return false;
+	return job->urgent || may_overtake (core, job, tenant);
 }
 
 static bool
@@ -58,7 +81,7 @@
 	int64_t best_cost = INT64_MAX;
 	for (guint i = 0; i < worker->tenants->len; i++) {
 		struct dff_core_job *tenant = g_ptr_array_index (worker->tenants, i);
-		if (!is_leaving (tenant) && !dff_core_may_evict (job, tenant))
+		if (!is_leaving (tenant) && !dff_core_may_evict (core, job, tenant))
 			continue;
 		int64_t cost = dff_core_lost_work (core, tenant);
 		if (cost >= best_cost || !helps (room, tenant) ||
@@ -89,7 +112,7 @@
 	      int32_t times,
 	      GPtrArray *victims)
 {
-	struct dff_resources room = dff_core_worker_room (worker, job, DFF_CORE_VIEW_FREE);
+	struct dff_resources room = dff_core_worker_room (core, worker, job, DFF_CORE_VIEW_FREE);
 	dff_resources_add (&room, &job->per_task, -times);
 	int64_t cost = 0;
 	while (!dff_resources_covered (&room)) {
@@ -109,7 +132,7 @@
 		     const struct dff_core_job *job,
 		     int32_t times)
 {
-	struct dff_resources room = dff_core_worker_room (worker, job, DFF_CORE_VIEW_FREE);
+	struct dff_resources room = dff_core_worker_room (core, worker, job, DFF_CORE_VIEW_FREE);
 	if (dff_resources_fits (&room, &job->per_task, times) == times)
 		return 0;
 	g_autoptr (GPtrArray) victims = g_ptr_array_new ();
--- /dev/null
+++ b/core/start.c
@@ -0,0 +1,108 @@
+#include "core/core_private.h"
+
+/* Ways in which a queued job may get its place. */
+
+/** Wait after which work that may not be preempted uses its own team's guarantee, ms. */
+#define OWN_GUARANTEE_AFTER_MS 1800000
+
+bool
+dff_core_within_quota (const struct dff_core *core, const struct dff_core_job *job)
+{
+	const struct dff_core_team *team = dff_core_team_at (core, job->team);
+	return team->quota_accelerators == 0 ||
+	       team->used.accelerators + dff_core_job_accelerators (job) <=
+		       team->quota_accelerators;
+}
+
+static bool
+start_claim (struct dff_core *core, struct dff_core_job *job)
+{
+	int32_t workers[DFF_GANG_MAX];
+	int32_t shape;
+	job->hold = DFF_CORE_HOLD_CLAIM;
+	if (!dff_core_claim (core, job, workers, &shape))
+		return false;
+	dff_core_take (core, job, workers, DFF_CORE_HOLD_CLAIM, shape);
+	return true;
+}
+
+/* Preemption for borrowing work looks at every tenant, so that a tick tries it for a few only. */
+static bool
+place_evicting (struct dff_core *core,
+		struct dff_core_job *job,
+		enum dff_core_view view,
+		int32_t *workers)
+{
+	if (!job->urgent && core->evictions_left <= 0)
+		return false;
+	core->evictions_left--;
+	job->score = dff_core_score (core, job);
+	return dff_core_place (core, job, view, workers);
+}
+
+static bool
+start_soft (struct dff_core *core, struct dff_core_job *job)
+{
+	int32_t workers[DFF_GANG_MAX];
+	job->hold = DFF_CORE_HOLD_SOFT;
+	if (!dff_core_place_probe (core, job, workers) &&
+	    !dff_core_place (core, job, DFF_CORE_VIEW_FREE, workers) &&
+	    !place_evicting (core, job, DFF_CORE_VIEW_EVICT, workers))
+		return false;
+	dff_core_take (core, job, workers, DFF_CORE_HOLD_SOFT, DFF_CORE_NONE);
+	return true;
+}
+
+static void
+bind_workers (struct dff_core *core,
+	      const struct dff_core_job *job,
+	      const int32_t *workers,
+	      int32_t sign)
+{
+	for (int32_t i = 0; i < job->gang; i++)
+		dff_resources_add (&dff_core_worker_at (core, workers[i])->bound, &job->per_task,
+				   sign);
+}
+
+/* Free accelerators that are some shape's home can serve when the shape finds another one. */
+static bool
+place_displacing (struct dff_core *core, struct dff_core_job *job, int32_t *workers)
+{
+	if (!dff_core_place (core, job, DFF_CORE_VIEW_FREE, workers))
+		return false;
+	bind_workers (core, job, workers, 1);
+	bool fits = dff_core_witness_make_room (core);
+	bind_workers (core, job, workers, -1);
+	return fits;
+}
+
+/* Work that may not be preempted: only where no witness needs the place. */
+static bool
+start_hard (struct dff_core *core, struct dff_core_job *job)
+{
+	int32_t workers[DFF_GANG_MAX];
+	job->hold = DFF_CORE_HOLD_HARD;
+	if (!dff_core_place (core, job, DFF_CORE_VIEW_UNBOUND, workers) &&
+	    !place_displacing (core, job, workers) &&
+	    !place_evicting (core, job, DFF_CORE_VIEW_EVICT_UNBOUND, workers)) {
+		/* Its team's guaranteed jobs may come any moment: only when somebody waits, or has
+		 * waited long. */
+		bool waits =
+			job->urgent || core->now_ms - job->submitted_ms > OWN_GUARANTEE_AFTER_MS;
+		return waits && start_claim (core, job);
+	}
+	dff_core_take (core, job, workers, DFF_CORE_HOLD_HARD, DFF_CORE_NONE);
+	return true;
+}
+
+bool
+dff_core_try_start (struct dff_core *core, struct dff_core_job *job)
+{
+	if (!dff_core_within_quota (core, job))
+		return false;
+	if (job->guaranteed && start_claim (core, job))
+		return true;
+	if (dff_core_job_preemptible (job))
+		return start_soft (core, job);
+	return start_hard (core, job);
+}
--- a/core/stats.c
+++ b/core/stats.c
@@ -10,7 +10,7 @@
 		int32_t unit = core->adjacent_unit;
 		stats->accelerators_total += rack->accelerators;
 		stats->accelerators_free += rack->free_accelerators;
-		whole += rack->free_accelerators / unit * unit;
+		whole += (int64_t)(rack->free_accelerators / unit) * unit;
 	}
 	if (stats->accelerators_free > 0)
 		stats->fragmentation = 1.0 - (double)whole / (double)stats->accelerators_free;
--- a/core/tables.c
+++ b/core/tables.c
@@ -72,6 +72,9 @@
 	job->declared_ms = MAX (spec->declared_ms, 1);
 	job->max_attempts = spec->idempotent ? MAX (spec->max_attempts, 1) : 1;
 	job->submitted_ms = core->now_ms;
+	job->estimator = dff_core_estimator_for (core, spec);
+	for (int32_t i = 0; i < DFF_CORE_AVOIDED_MAX; i++)
+		job->avoided[i] = DFF_CORE_NONE;
 	job->shape = DFF_CORE_NONE;
 	job->state = DFF_CORE_QUEUED;
 	job->link.data = job;
@@ -107,7 +110,8 @@
 bool
 dff_core_worker_usable (const struct dff_core_worker *worker)
 {
-	return worker->rack != DFF_CORE_NONE && worker->state == DFF_WORKER_UP;
+	return worker->rack != DFF_CORE_NONE && worker->state == DFF_WORKER_UP &&
+	       worker->health == DFF_CORE_HEALTHY;
 }
 
 void
@@ -172,7 +176,7 @@
 	rack_free_add (core, worker, -job->per_task.accelerators);
 	g_ptr_array_add (worker->tenants, job);
 	if (job->team != DFF_CORE_NONE)
-		dff_core_team_at (core, job->team)->accelerators += job->per_task.accelerators;
+		dff_resources_add (&dff_core_team_at (core, job->team)->used, &job->per_task, 1);
 }
 
 /* Counts the leases of one tenant anew. Returns: whether they are not disjoint from @leased. */
@@ -227,7 +231,7 @@
 	if (worker->overlapping)
 		resolve_overlap (core, index);
 	if (job->team != DFF_CORE_NONE)
-		dff_core_team_at (core, job->team)->accelerators -= job->per_task.accelerators;
+		dff_resources_add (&dff_core_team_at (core, job->team)->used, &job->per_task, -1);
 	core->dirty = true;
 }
 
--- a/core/witness.c
+++ b/core/witness.c
@@ -230,7 +230,9 @@
 pack_in_neighbours (const struct dff_core *core, const struct dff_core_shape *shape, GArray *parts)
 {
 	int32_t first = 0, best_first = DFF_CORE_NONE, best_last = 0, sum = 0;
-	g_autofree int32_t *rooms = g_new0 (int32_t, core->racks->len + 1);
+	g_autoptr (GArray) table = g_array_new (FALSE, TRUE, sizeof (int32_t));
+	g_array_set_size (table, core->racks->len + 1);
+	int32_t *rooms = (int32_t *)(void *)table->data;
 	for (int32_t last = 0; last < (int32_t)core->racks->len; last++) {
 		const struct dff_core_rack *rack = dff_core_rack_at (core, last);
 		if (rack->region != dff_core_rack_at (core, first)->region) {
