--- a/entry/auth.c
+++ b/entry/auth.c
@@ -8,6 +8,7 @@
 
 #define BEARER "Bearer "
 #define DIGEST_BYTES 32
+#define DIGEST_PREFIX "sha256:"
 
 static struct dff_str
 bearer_token (const struct dff_call *call)
@@ -22,13 +23,14 @@
 static bool
 is_bootstrap_token (const struct dff_entry *entry, struct dff_str token)
 {
-	const GString *hex = entry->options.settings->bootstrap_token_digest;
+	const GString *digest = entry->options.settings->bootstrap_token_digest;
 	unsigned char expected[DIGEST_BYTES];
 	unsigned char actual[DIGEST_BYTES];
 	size_t len = 0;
-	if (hex == NULL || hex->len != 2 * (gsize)DIGEST_BYTES)
+	if (digest == NULL || !g_str_has_prefix (digest->str, DIGEST_PREFIX))
 		return false;
-	if (sodium_hex2bin (expected, sizeof (expected), hex->str, hex->len, NULL, &len, NULL) != 0)
+	const char *hex = digest->str + strlen (DIGEST_PREFIX);
+	if (sodium_hex2bin (expected, sizeof (expected), hex, strlen (hex), NULL, &len, NULL) != 0)
 		return false;
 	crypto_hash_sha256 (actual, (const unsigned char *)token.data, token.len);
 	return len == DIGEST_BYTES && sodium_memcmp (expected, actual, DIGEST_BYTES) == 0;
--- /dev/null
+++ b/tests/entry/test-slots.c
@@ -0,0 +1,179 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+
+#include "entry/retry_budget.h"
+#include "entry/slots.h"
+
+#define EXPIRES_MS 1000
+
+static struct dff_instance
+worker (const char *id, const char *data_centre, bool leaving)
+{
+	struct dff_instance instance = {
+		.id = dff_name_from (id),
+		.role = DFF_INSTANCE_WORKER,
+		.leaving = leaving,
+		.address = dff_name_from ("127.0.0.1:1"),
+		.data_centre = dff_name_from (data_centre),
+	};
+	return instance;
+}
+
+static struct dff_grant
+grant (const char *id, int32_t n_slots)
+{
+	struct dff_grant grant = {.worker = dff_name_from (id), .slots = n_slots};
+	return grant;
+}
+
+/* Two workers in data centre "a", one in "b", two slots each. */
+static struct dff_slots *
+three_workers (void)
+{
+	struct dff_name here = dff_name_from ("a");
+	struct dff_instance instances[] = {worker ("w1", "a", false), worker ("w2", "a", false),
+					   worker ("w3", "b", false)};
+	struct dff_grant grants[] = {grant ("w1", 2), grant ("w2", 2), grant ("w3", 2)};
+	struct dff_slots *slots = dff_slots_new (&here, 1);
+	dff_slots_set_instances (slots, instances, 3);
+	dff_slots_set_grants (slots, 5, grants, 3, EXPIRES_MS);
+	return slots;
+}
+
+static const char *
+take (struct dff_slots *slots, int64_t now_ms)
+{
+	static struct dff_slot slot;
+	switch (dff_slots_take (slots, now_ms, &slot)) {
+	case DFF_SLOT_TAKEN:
+		return slot.worker.data;
+	case DFF_SLOT_BUSY:
+		return "busy";
+	case DFF_SLOT_NO_GRANT:
+	default:
+		return "no grant";
+	}
+}
+
+static void
+test_same_data_centre_first_and_bounded (void **state)
+{
+	(void)state;
+	DFF_AUTO (dff_slots) slots = three_workers ();
+	for (int i = 0; i < 4; i++)
+		assert_string_not_equal (take (slots, 0), "w3");
+	assert_string_equal (take (slots, 0), "w3");
+	assert_string_equal (take (slots, 0), "w3");
+	assert_string_equal (take (slots, 0), "busy");
+	assert_int_equal (dff_slots_in_use (slots), 6);
+	struct dff_name w2 = dff_name_from ("w2");
+	dff_slots_release (slots, &w2);
+	assert_string_equal (take (slots, 0), "w2");
+}
+
+static void
+test_less_loaded_of_two (void **state)
+{
+	(void)state;
+	DFF_AUTO (dff_slots) slots = three_workers ();
+	g_autofree char *first = g_strdup (take (slots, 0));
+	assert_string_not_equal (take (slots, 0), first);
+}
+
+/* Symptom: a worker gets requests long after the holder gave its slots to another process.
+ * Sequence: the holder dies or is cut off, its grants are not renewed. Cause: grants without end.
+ */
+static void
+test_grants_expire (void **state)
+{
+	(void)state;
+	DFF_AUTO (dff_slots) slots = three_workers ();
+	assert_string_not_equal (take (slots, EXPIRES_MS - 1), "no grant");
+	assert_string_equal (take (slots, EXPIRES_MS), "no grant");
+	assert_int_equal (dff_slots_granted (slots, EXPIRES_MS), 0);
+}
+
+/* Symptom: a worker gets more requests than it has slots. Sequence: a holder is paused, another one
+ * takes over and grants, the first one resumes and sends its grants. Cause: grants without epoch.
+ */
+static void
+test_grants_of_an_older_epoch_are_ignored (void **state)
+{
+	(void)state;
+	DFF_AUTO (dff_slots) slots = three_workers ();
+	struct dff_grant old[] = {grant ("w1", 8)};
+	dff_slots_set_grants (slots, 4, old, 1, 10 * EXPIRES_MS);
+	assert_int_equal (dff_slots_granted (slots, 0), 6);
+	dff_slots_set_grants (slots, 6, old, 1, EXPIRES_MS);
+	assert_int_equal (dff_slots_granted (slots, 0), 8);
+}
+
+/* Symptom: a worker that is shutting down fails new requests. Sequence: it says that it is leaving,
+ * the instance list lags and still calls it live. Cause: the list alone is believed. */
+static void
+test_leaving_by_either_signal (void **state)
+{
+	(void)state;
+	DFF_AUTO (dff_slots) slots = three_workers ();
+	struct dff_name w1 = dff_name_from ("w1");
+	struct dff_instance listed[] = {worker ("w1", "a", false), worker ("w2", "a", true),
+					worker ("w3", "b", false)};
+	dff_slots_worker_leaving (slots, &w1);
+	dff_slots_set_instances (slots, listed, 3);
+	for (int i = 0; i < 2; i++)
+		assert_string_equal (take (slots, 0), "w3");
+	assert_string_equal (take (slots, 0), "busy");
+	dff_slots_set_instances (slots, listed + 1, 1);
+	assert_string_equal (take (slots, 0), "no grant");
+	dff_slots_set_instances (slots, listed, 1);
+	assert_string_equal (take (slots, 0), "w1");
+}
+
+static void
+test_avoided_worker_is_the_last_choice (void **state)
+{
+	(void)state;
+	DFF_AUTO (dff_slots) slots = three_workers ();
+	struct dff_name w1 = dff_name_from ("w1");
+	dff_slots_avoid (slots, &w1, 100);
+	assert_string_equal (take (slots, 0), "w2");
+	assert_string_equal (take (slots, 0), "w2");
+	assert_string_equal (take (slots, 0), "w3");
+	assert_string_equal (take (slots, 0), "w3");
+	assert_string_equal (take (slots, 0), "w1");
+}
+
+static void
+test_retry_budget_is_a_share_of_successes (void **state)
+{
+	(void)state;
+	struct dff_retry_budget budget;
+	dff_retry_budget_init (&budget);
+	while (dff_retry_budget_take (&budget)) {
+	}
+	for (int i = 0; i < 9; i++)
+		dff_retry_budget_deposit (&budget);
+	assert_false (dff_retry_budget_take (&budget));
+	dff_retry_budget_deposit (&budget);
+	assert_true (dff_retry_budget_take (&budget));
+	assert_false (dff_retry_budget_take (&budget));
+}
+
+int
+main (void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test (test_same_data_centre_first_and_bounded),
+		cmocka_unit_test (test_less_loaded_of_two),
+		cmocka_unit_test (test_grants_expire),
+		cmocka_unit_test (test_grants_of_an_older_epoch_are_ignored),
+		cmocka_unit_test (test_leaving_by_either_signal),
+		cmocka_unit_test (test_avoided_worker_is_the_last_choice),
+		cmocka_unit_test (test_retry_budget_is_a_share_of_successes),
+	};
+	return cmocka_run_group_tests (tests, NULL, NULL);
+}
