--- /dev/null
+++ b/tests/platform/test-instance-watch.c
@@ -0,0 +1,139 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+
+#include "platform/instance_watch.h"
+#include "platform/memory.h"
+
+#define POLL_MS 1000
+
+struct fixture {
+	struct dff_clock_virtual time;
+	struct dff_memory *memory;
+	struct dff_memory_caller *caller;
+	struct dff_metrics *metrics;
+	struct dff_instance_watch *watch;
+	int n_told;
+	size_t n_instances;
+	bool leaving;
+};
+
+static void
+handle_changed (void *ctx, const struct dff_instance *instances, size_t n_instances)
+{
+	struct fixture *fixture = ctx;
+	fixture->n_told++;
+	fixture->n_instances = n_instances;
+	fixture->leaving = n_instances > 0 && instances[0].leaving;
+}
+
+static int
+set_up (void **state)
+{
+	struct fixture *fixture = g_new0 (struct fixture, 1);
+	dff_clock_virtual_init (&fixture->time, 1000);
+	struct dff_memory_options memory = {.clock = &fixture->time.clock, .seed = 1};
+	fixture->memory = dff_memory_new (&memory);
+	fixture->caller = dff_memory_open (fixture->memory);
+	fixture->metrics = dff_metrics_new ();
+	struct dff_instance_watch_options options = {
+		.list = &fixture->caller->instances,
+		.clock = &fixture->time.clock,
+		.metrics = fixture->metrics,
+		.self = {.id = dff_name_from ("entry-1"), .role = DFF_INSTANCE_ENTRY},
+		.seed = 1,
+		.poll_ms = POLL_MS,
+		.ttl_ms = 5000,
+		.changed = handle_changed,
+		.ctx = fixture,
+	};
+	fixture->watch = dff_instance_watch_new (&options);
+	*state = fixture;
+	return 0;
+}
+
+static int
+tear_down (void **state)
+{
+	struct fixture *fixture = *state;
+	dff_memory_close (fixture->caller);
+	dff_instance_watch_free (fixture->watch);
+	dff_memory_free (fixture->memory);
+	dff_metrics_free (fixture->metrics);
+	g_free (fixture);
+	return 0;
+}
+
+static void
+run_for (struct fixture *fixture, int64_t length_ms)
+{
+	for (int64_t end_ms = fixture->time.now_ms + length_ms; fixture->time.now_ms < end_ms;
+	     fixture->time.now_ms += 50) {
+		dff_memory_tick (fixture->memory);
+		dff_instance_watch_tick (fixture->watch);
+	}
+}
+
+static void
+test_announces_itself_and_tells_changes_only (void **state)
+{
+	struct fixture *fixture = *state;
+	run_for (fixture, 10 * POLL_MS);
+	assert_int_equal (fixture->n_instances, 1);
+	int told = fixture->n_told;
+	run_for (fixture, 10 * POLL_MS);
+	assert_int_equal (fixture->n_told, told);
+	dff_instance_watch_set_leaving (fixture->watch);
+	run_for (fixture, 2 * POLL_MS);
+	assert_true (fixture->leaving);
+}
+
+/* Symptom: every worker counts as gone. Sequence: the instance list has an outage. Cause: a list
+ * that could not be read was taken for an empty one. */
+static void
+test_keeps_the_last_list_through_an_outage (void **state)
+{
+	struct fixture *fixture = *state;
+	struct dff_instance worker = {.id = dff_name_from ("w1"), .role = DFF_INSTANCE_WORKER};
+	dff_memory_announce (fixture->memory, &worker, 0);
+	run_for (fixture, 3 * POLL_MS);
+	assert_int_equal (fixture->n_instances, 2);
+	int told = fixture->n_told;
+	fixture->caller->faults.outage_until_ms = fixture->time.now_ms + 60000;
+	run_for (fixture, 60000);
+	assert_int_equal (fixture->n_told, told);
+	run_for (fixture, 3 * POLL_MS);
+	assert_int_equal (fixture->n_instances, 2);
+}
+
+/* Symptom: a process sees no change for ever. Sequence: a poll is never answered. Cause: the next
+ * poll waited for it. */
+static void
+test_goes_on_after_a_poll_without_answer (void **state)
+{
+	struct fixture *fixture = *state;
+	run_for (fixture, 2 * POLL_MS);
+	fixture->caller->faults.silent_until_ms = fixture->time.now_ms + 30000;
+	run_for (fixture, 30000);
+	struct dff_instance worker = {.id = dff_name_from ("w1"), .role = DFF_INSTANCE_WORKER};
+	dff_memory_announce (fixture->memory, &worker, 0);
+	run_for (fixture, 20000);
+	assert_int_equal (fixture->n_instances, 2);
+}
+
+int
+main (void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test_setup_teardown (test_announces_itself_and_tells_changes_only,
+						 set_up, tear_down),
+		cmocka_unit_test_setup_teardown (test_keeps_the_last_list_through_an_outage, set_up,
+						 tear_down),
+		cmocka_unit_test_setup_teardown (test_goes_on_after_a_poll_without_answer, set_up,
+						 tear_down),
+	};
+	return cmocka_run_group_tests (tests, NULL, NULL);
+}
