daemon: keep the newest accepted pool in force

Cause: pool files reach a process from the table, from peers and from its own operators, late and out of order; none may ever replace a newer one. Measured: the failure tests pass: nine offers out of order, a lost push found by the next poll, a poll without answer. Conclusion: never reverts is a property of one small module.

--- /dev/null
+++ b/include/daemon/pool_follower.h
@@ -0,0 +1,55 @@
+#ifndef DFF_DAEMON_POOL_FOLLOWER_H
+#define DFF_DAEMON_POOL_FOLLOWER_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "common/cleanup.h"
+#include "common/clock.h"
+#include "common/metrics.h"
+#include "platform/table.h"
+#include "pool/pool.h"
+
+/*
+ * Keeps the newest accepted pool file in force in this process. It hears of one from the table
+ * (polled), from peers (pushed) and from an operator's request committed here, in any order, and
+ * never goes back to an older generation.
+ */
+
+struct dff_pool_follower;
+
+/** A newer pool is in force. @pool and @text stay valid until the next call. */
+typedef void (*dff_pool_in_force_func) (void *ctx,
+					const struct dff_pool *pool,
+					struct dff_str text);
+
+struct dff_pool_follower_options {
+	const struct dff_table *table;
+	const struct dff_clock *clock;
+	struct dff_metrics *metrics;
+	int32_t poll_ms;
+	dff_pool_in_force_func in_force;
+	void *ctx;
+};
+
+struct dff_pool_follower *dff_pool_follower_new (const struct dff_pool_follower_options *options);
+
+void dff_pool_follower_free (struct dff_pool_follower *follower);
+
+DFF_DEFINE_CLEANUP (dff_pool_follower, dff_pool_follower_free);
+
+void dff_pool_follower_tick (struct dff_pool_follower *follower);
+
+/** Takes a file in from a peer or an operator. Returns: whether it is now in force. */
+bool dff_pool_follower_offer (struct dff_pool_follower *follower,
+			      int64_t generation,
+			      struct dff_str text);
+
+/** Returns: the generation in force, 0: none. */
+int64_t dff_pool_follower_generation (const struct dff_pool_follower *follower);
+
+/** Returns: when the table last answered a poll, monotonic ms; 0: never. */
+int64_t dff_pool_follower_answered_ms (const struct dff_pool_follower *follower);
+
+#endif
--- /dev/null
+++ b/tests/daemon/test-pool-follower.c
@@ -0,0 +1,176 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+
+#include "daemon/pool_follower.h"
+#include "platform/memory.h"
+#include "pool/pool_row.h"
+
+#define POLL_MS 1000
+
+#define POOL                                                                                       \
+	"{\"racks\":[{\"name\":\"r1\",\"data_centre\":\"dc1\",\"region\":\"demo\",\"workers\":1,"  \
+	"\"slots\":8,\"cores\":32,\"memory_gb\":64,\"accelerators\":8}],"                          \
+	"\"teams\":[],\"services\":[],\"operators\":[]}"
+
+struct fixture {
+	struct dff_clock_virtual time;
+	struct dff_memory *memory;
+	struct dff_memory_caller *caller;
+	struct dff_metrics *metrics;
+	struct dff_pool_follower *follower;
+	int64_t in_force;
+	bool went_back;
+};
+
+static void
+handle_in_force (void *ctx, const struct dff_pool *pool, struct dff_str text)
+{
+	struct fixture *fixture = ctx;
+	assert_true (text.len > 0);
+	if (pool->generation <= fixture->in_force)
+		fixture->went_back = true;
+	fixture->in_force = pool->generation;
+}
+
+static int
+set_up (void **state)
+{
+	struct fixture *fixture = g_new0 (struct fixture, 1);
+	dff_clock_virtual_init (&fixture->time, 1000);
+	struct dff_memory_options memory = {.clock = &fixture->time.clock, .seed = 1};
+	fixture->memory = dff_memory_new (&memory);
+	fixture->caller = dff_memory_open (fixture->memory);
+	fixture->metrics = dff_metrics_new ();
+	struct dff_pool_follower_options options = {
+		.table = &fixture->caller->table,
+		.clock = &fixture->time.clock,
+		.metrics = fixture->metrics,
+		.poll_ms = POLL_MS,
+		.in_force = handle_in_force,
+		.ctx = fixture,
+	};
+	fixture->follower = dff_pool_follower_new (&options);
+	*state = fixture;
+	return 0;
+}
+
+static int
+tear_down (void **state)
+{
+	struct fixture *fixture = *state;
+	dff_memory_close (fixture->caller);
+	dff_pool_follower_free (fixture->follower);
+	dff_memory_free (fixture->memory);
+	dff_metrics_free (fixture->metrics);
+	g_free (fixture);
+	return 0;
+}
+
+static void
+run_for (struct fixture *fixture, int64_t length_ms)
+{
+	for (int64_t end_ms = fixture->time.now_ms + length_ms; fixture->time.now_ms < end_ms;
+	     fixture->time.now_ms += 50) {
+		dff_memory_tick (fixture->memory);
+		dff_pool_follower_tick (fixture->follower);
+	}
+}
+
+static void
+ignore_result (void *user, const struct dff_table_result *result)
+{
+	(void)user;
+	assert_int_equal (result->outcome, DFF_TABLE_OK);
+}
+
+static void
+commit_pool (struct fixture *fixture, int64_t generation)
+{
+	struct dff_memory_caller *operator= dff_memory_open (fixture->memory);
+	g_autoptr (GString) value = dff_pool_row_encode (generation, dff_str_from (POOL));
+	struct dff_table_write write = {.key = dff_str_from (DFF_POOL_ROW_KEY),
+					.value = {value->str, value->len}};
+	struct dff_table_txn txn = {.write_id = dff_name_printf ("w-%d", (int)generation),
+				    .writes = &write,
+				    .n_writes = 1};
+	operator->table.commit (operator->table.ctx, &txn, ignore_result, NULL);
+	dff_memory_close (operator);
+}
+
+struct offer_case {
+	int64_t generation;
+	const char *text;
+	bool taken;
+	int64_t in_force;
+};
+
+/* Symptom: a revoked token works again. Sequence: files arrive late and out of order. Cause: the
+ * last one to arrive was taken for the newest. */
+static void
+test_never_goes_back (void **state)
+{
+	struct fixture *fixture = *state;
+	static const struct offer_case cases[] = {
+		{3, POOL, true, 3},  {2, POOL, false, 3},  {3, POOL, false, 3},
+		{4, "{", false, 3},  {5, POOL, true, 5},   {4, POOL, false, 5},
+		{0, POOL, false, 5}, {-1, POOL, false, 5}, {6, POOL, true, 6},
+	};
+	for (size_t i = 0; i < G_N_ELEMENTS (cases); i++) {
+		bool taken = dff_pool_follower_offer (fixture->follower, cases[i].generation,
+						      dff_str_from (cases[i].text));
+		assert_int_equal (taken, cases[i].taken);
+		assert_int_equal (dff_pool_follower_generation (fixture->follower),
+				  cases[i].in_force);
+	}
+	commit_pool (fixture, 4);
+	run_for (fixture, 5 * POLL_MS);
+	assert_int_equal (fixture->in_force, 6);
+	assert_false (fixture->went_back);
+}
+
+/* Symptom: a process keeps an old file for good. Sequence: the push of the new one is lost. Cause:
+ * there was no other way for it to arrive. */
+static void
+test_polls_when_the_push_is_lost (void **state)
+{
+	struct fixture *fixture = *state;
+	commit_pool (fixture, 1);
+	run_for (fixture, POLL_MS);
+	assert_int_equal (fixture->in_force, 1);
+	commit_pool (fixture, 2);
+	run_for (fixture, POLL_MS + 50);
+	assert_int_equal (fixture->in_force, 2);
+}
+
+/* Symptom: the same. Sequence: a poll is never answered. Cause: the next one waited for it. */
+static void
+test_polls_on_after_a_poll_without_answer (void **state)
+{
+	struct fixture *fixture = *state;
+	run_for (fixture, POLL_MS);
+	fixture->caller->faults.silent_until_ms = fixture->time.now_ms + 40000;
+	run_for (fixture, 5000);
+	commit_pool (fixture, 7);
+	run_for (fixture, 5000);
+	assert_int_equal (fixture->in_force, 0);
+	run_for (fixture, 45000);
+	assert_int_equal (fixture->in_force, 7);
+	assert_false (fixture->went_back);
+}
+
+int
+main (void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test_setup_teardown (test_never_goes_back, set_up, tear_down),
+		cmocka_unit_test_setup_teardown (test_polls_when_the_push_is_lost, set_up,
+						 tear_down),
+		cmocka_unit_test_setup_teardown (test_polls_on_after_a_poll_without_answer, set_up,
+						 tear_down),
+	};
+	return cmocka_run_group_tests (tests, NULL, NULL);
+}
