--- a/client/apply.c
+++ b/client/apply.c
@@ -33,37 +33,21 @@
 	return true;
 }
 
-/* Whether the pool in force is the very file, after an answer that was lost. */
-static bool
-is_in_force (struct dff_caller *caller, struct dff_str file, int64_t *generation)
-{
-	struct dff_call_request request = {
-		.method = EVHTTP_REQ_GET, .path = "/v1/pool", .idempotent = true};
-	DFF_AUTO (dff_call_response) response = dff_call (caller, &request);
-	struct dff_str body = {response->body->str, response->body->len};
-	if (response->status != 200 || !dff_str_equal (body, file))
-		return false;
-	const char *etag = response->etag->str;
-	*generation = g_ascii_strtoll (*etag == '"' ? etag + 1 : etag, NULL, 10);
-	return true;
-}
-
 static int
 put_pool (struct dff_caller *caller, struct dff_str file, int64_t base, int64_t *generation)
 {
 	g_autofree char *if_match = g_strdup_printf ("\"%" G_GINT64_FORMAT "\"", base);
-	/* An apply whose answer was lost may have taken effect. Sent again it would lose against
-	 * itself, with an error that names its own generation; so the pool is read back instead. */
+	/* The same file on the same base is the same application, so that it may be sent again when
+	 * its answer was lost. */
 	struct dff_call_request request = {
 		.method = EVHTTP_REQ_PUT,
 		.path = "/v1/pool",
 		.body = file,
 		.content_type = "application/json",
 		.if_match = if_match,
+		.idempotent = true,
 	};
 	DFF_AUTO (dff_call_response) response = dff_call (caller, &request);
-	if (response->uncertain && is_in_force (caller, file, generation))
-		return DFF_EXIT_OK;
 	if (!dff_call_response_is_success (response))
 		return dff_call_response_fail (response);
 	json_t *answer = dff_call_response_json (response);
@@ -108,6 +92,10 @@
 		.method = EVHTTP_REQ_GET, .path = "/v1/status", .idempotent = true};
 	do {
 		DFF_AUTO (dff_call_response) response = dff_call (caller, &request);
+		if (response->status == 401)
+			fputs ("dragonflyfold: the bootstrap token ends with the first pool; to "
+			       "wait, apply again with an operator's token\n",
+			       stderr);
 		if (!dff_call_response_is_success (response))
 			return dff_call_response_fail (response);
 		json_t *status = dff_call_response_json (response);
--- a/client/call.c
+++ b/client/call.c
@@ -202,11 +202,12 @@
 	return exchange.outcome;
 }
 
-/* Whether the answer asks to come back: nothing was done, by the contract of docs/API.md. */
+/* Whether the answer asks to come back. With 429 and 503 nothing was done; with 504 it is not
+ * known, and the same call again finds out. */
 static bool
 asks_to_return (const struct dff_call_response *response)
 {
-	return response->status == 429 || response->status == 503;
+	return response->status == 429 || response->status == 503 || response->status == 504;
 }
 
 /* Whether another server, or the same one later, may be asked. */
--- a/client/status.c
+++ b/client/status.c
@@ -6,8 +6,10 @@
 #include "client/command.h"
 
 static const char usage[] =
-	"Usage: dragonflyfold status [jobs [ID] | batches ID | teams | racks | instances]\n"
-	"Shows how things stand. Jobs, teams and racks come from the process that holds the\n"
+	"Usage: dragonflyfold status [jobs [ID] | batches ID | teams | racks | capacity |\n"
+	"                            instances]\n"
+	"Shows how things stand. Jobs, teams, racks and capacity come from the process that holds "
+	"the\n"
 	"region's cell; give every --server, and the one that holds it is asked.\n"
 	"  -j, --json  print the answer as JSON\n" DFF_CONNECTION_USAGE;
 
@@ -27,7 +29,7 @@
 
 static const struct topic topics[] = {
 	{"jobs", "/v1/jobs/", true}, {"batches", "/v1/batches/", false}, {"teams", NULL, true},
-	{"racks", NULL, true},       {"instances", NULL, false},
+	{"racks", NULL, true},       {"instances", NULL, false},         {"capacity", NULL, true},
 };
 
 static const struct topic *
@@ -130,8 +132,9 @@
 	bool needs_id = takes_id && !topic->in_cell;
 	if ((name != NULL && topic == NULL) || (id != NULL && !takes_id) ||
 	    (id == NULL && needs_id))
-		return dff_usage_fail ("status",
-				       "expected jobs [ID], batches ID, teams, racks or instances");
+		return dff_usage_fail (
+			"status",
+			"expected jobs [ID], batches ID, teams, racks, capacity or instances");
 	DFF_AUTO (dff_caller) caller = dff_caller_new (connection);
 	return id != NULL ? show_one (caller, topic, id, as_json)
 			  : show_status (caller, topic, as_json);
--- a/completions/dragonflyfold.bash
+++ b/completions/dragonflyfold.bash
@@ -13,7 +13,7 @@
 	keygen) echo 'peer token --help' ;;
 	result) echo "--wait --output $_dragonflyfold_connection" ;;
 	serve) echo '--settings --help' ;;
-	status) echo "jobs batches teams racks instances --json $_dragonflyfold_connection" ;;
+	status) echo "jobs batches teams racks capacity instances --json $_dragonflyfold_connection" ;;
 	submit)
 		echo "--file --batch --key --wait --output --service --region --gang --accelerators
 			--slots --cores --memory-gb --adjacent --urgent --guaranteed --checkpoint
--- a/include/client/call.h
+++ b/include/client/call.h
@@ -70,8 +70,8 @@
  * dff_call:
  *
  * Sends @request to each server in turn until one answers for good: a request that was not sent, or
- * is idempotent, goes to the next server; 429 and 503 are obeyed: it comes back after the time that
- * the server named. Gives up when the connection's time is over.
+ * is idempotent, goes to the next server; 429, 503 and 504 to an idempotent one are obeyed: it
+ * comes back after the time that the server named. Gives up when the connection's time is over.
  */
 struct dff_call_response *dff_call (struct dff_caller *caller,
 				    const struct dff_call_request *request);
