upstream: watcher that renews leases and tells only changes

Watching is shared out over the processes, and only what changed may travel to the holder. The watcher renews each worker once an interval, spread and jittered, and tells of reports, of leaving, of the first answer, of silence in steps, and of a worker that started anew as a whole list. Nine tests under a virtual clock cover silence, lost answers, leaving within 3 s, hand-over, restart and a new holder; in the first, 40 workers kept every 100 ms window under a third of them.

--- a/common/http_listen.c
+++ b/common/http_listen.c
@@ -25,13 +25,13 @@
 dff_http_listen (struct evhttp *http, const struct dff_name *address, struct dff_name *bound)
 {
 	char ip[INET_ADDRSTRLEN];
-	uint16_t port;
+	uint16_t port = 0;
 	if (!split_address (address, ip, &port))
 		return false;
 	struct evhttp_bound_socket *socket = evhttp_bind_socket_with_handle (http, ip, port);
 	if (socket == NULL)
 		return false;
-	struct sockaddr_in actual;
+	struct sockaddr_in actual = {0};
 	socklen_t length = sizeof (actual);
 	if (getsockname (evhttp_bound_socket_get_fd (socket), (struct sockaddr *)&actual,
 			 &length) != 0)
--- /dev/null
+++ b/tests/upstream/test-watcher.c
@@ -0,0 +1,377 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+
+#include "platform/memory.h"
+#include "standin/memory_workers.h"
+#include "upstream/watcher.h"
+
+#define START_MS 100000
+#define TICK_MS 5
+#define TIMEOUT_MS INT64_C (1000)
+#define INTERVAL_MS INT64_C (1000)
+#define LEASE_MS INT64_C (9000)
+#define MAX_WORKERS 40
+
+/** What is known of one worker from the sightings. */
+struct seen {
+	int32_t sightings;
+	int32_t reachable_sightings;
+	bool reachable;
+	bool leaving;
+	bool whole;
+	int64_t silent_ms;
+	int64_t at_ms;
+	/** State of the last report of the task, UNSEEN without one or after a whole list without
+	 * it. */
+	enum dff_task_state task;
+};
+
+struct fixture {
+	struct dff_clock_virtual clock;
+	struct dff_memory *memory;
+	struct dff_memory_caller *caller;
+	struct dff_memory_workers *workers;
+	struct dff_metrics *metrics;
+	struct dff_watcher *watcher;
+	struct dff_watched_worker share[MAX_WORKERS];
+	size_t n_workers;
+	struct seen seen[MAX_WORKERS];
+};
+
+static void
+sighted (void *ctx, const struct dff_worker_sighting *sighting)
+{
+	struct fixture *fixture = ctx;
+	size_t at = 0;
+	while (!dff_name_equal (&fixture->share[at].name, &sighting->worker))
+		at++;
+	struct seen *seen = &fixture->seen[at];
+	seen->sightings++;
+	seen->reachable_sightings += sighting->reachable;
+	seen->reachable = sighting->reachable;
+	seen->leaving = sighting->leaving;
+	seen->whole = sighting->whole;
+	seen->silent_ms = sighting->silent_ms;
+	seen->at_ms = fixture->clock.now_ms;
+	if (sighting->whole)
+		seen->task = DFF_TASK_UNSEEN;
+	for (size_t i = 0; i < sighting->n_reports; i++)
+		seen->task = sighting->reports[i].state;
+}
+
+static struct dff_watcher *
+new_watcher (struct fixture *fixture, uint64_t seed)
+{
+	struct dff_watcher_options options;
+	dff_watcher_options_init (&options);
+	options.workers = dff_memory_workers_client (fixture->workers);
+	options.clock = &fixture->clock.clock;
+	options.metrics = fixture->metrics;
+	options.seed = seed;
+	options.interval_ms = INTERVAL_MS;
+	options.lease_ms = LEASE_MS;
+	options.sighted = sighted;
+	options.ctx = fixture;
+	return dff_watcher_new (&options);
+}
+
+static void
+fixture_init (struct fixture *fixture, size_t n_workers)
+{
+	*fixture = (struct fixture){.n_workers = n_workers};
+	dff_clock_virtual_init (&fixture->clock, START_MS);
+	struct dff_memory_options memory = {.clock = &fixture->clock.clock, .seed = 1};
+	fixture->memory = dff_memory_new (&memory);
+	fixture->caller = dff_memory_open (fixture->memory);
+	fixture->workers = dff_memory_workers_new (&fixture->clock.clock, TIMEOUT_MS);
+	fixture->metrics = dff_metrics_new ();
+	for (size_t i = 0; i < n_workers; i++) {
+		struct dff_standin_worker_options worker = {
+			.store = &fixture->caller->objects,
+			.capacity = {.slots = 8, .cores = 32, .memory_gb = 64, .accelerators = 8},
+		};
+		fixture->share[i].name = dff_name_printf ("w%d", (int)i);
+		fixture->share[i].address = dff_name_printf ("10.0.0.%d:80", (int)i);
+		dff_memory_workers_add (fixture->workers, &fixture->share[i].address, &worker);
+	}
+	fixture->watcher = new_watcher (fixture, 1);
+	dff_watcher_set_workers (fixture->watcher, fixture->share, n_workers);
+}
+
+static void
+fixture_clear (struct fixture *fixture)
+{
+	dff_memory_workers_free (fixture->workers);
+	dff_watcher_free (fixture->watcher);
+	dff_memory_close (fixture->caller);
+	dff_memory_free (fixture->memory);
+	dff_metrics_free (fixture->metrics);
+}
+
+static void
+run (struct fixture *fixture, int64_t duration_ms)
+{
+	int64_t until_ms = fixture->clock.now_ms + duration_ms;
+	for (; fixture->clock.now_ms < until_ms; fixture->clock.now_ms += TICK_MS) {
+		dff_memory_workers_tick (fixture->workers);
+		dff_watcher_tick (fixture->watcher);
+	}
+}
+
+static int64_t
+renewals (struct fixture *fixture)
+{
+	return *dff_metrics_counter (fixture->metrics, "dff_watch_renewals_total", "");
+}
+
+static void
+start_task (struct fixture *fixture)
+{
+	struct dff_task_start start = {
+		.task = {dff_name_from ("sk.a"), 1, 0},
+		.epoch = 1,
+		.lease_ms = LEASE_MS,
+		.payload = dff_str_from ("{\"run_ms\":600000}"),
+	};
+	struct dff_task_report report;
+	struct dff_worker_tasks *tasks =
+		dff_memory_workers_tasks (fixture->workers, &fixture->share[0].address);
+	assert_int_equal (dff_worker_tasks_start (tasks, &start, &report), DFF_WORKER_OK);
+}
+
+/** Returns: the state of the task at its worker. */
+static enum dff_task_state
+task_state (struct fixture *fixture)
+{
+	g_autoptr (GArray) reports = g_array_new (FALSE, TRUE, sizeof (struct dff_task_report));
+	dff_worker_tasks_query (
+		dff_memory_workers_tasks (fixture->workers, &fixture->share[0].address), reports);
+	return reports->len == 0 ? DFF_TASK_UNSEEN
+				 : g_array_index (reports, struct dff_task_report, 0).state;
+}
+
+static struct dff_memory_worker_faults *
+faults (struct fixture *fixture)
+{
+	return dff_memory_workers_faults (fixture->workers, &fixture->share[0].address);
+}
+
+static void
+test_renewals_are_spread_and_only_changes_told (void **state)
+{
+	(void)state;
+	struct fixture fixture;
+	fixture_init (&fixture, MAX_WORKERS);
+	start_task (&fixture);
+	run (&fixture, 2 * INTERVAL_MS);
+	int64_t busiest = 0;
+	for (int window = 0; window < 100; window++) {
+		int64_t before = renewals (&fixture);
+		run (&fixture, INTERVAL_MS / 10);
+		busiest = MAX (busiest, renewals (&fixture) - before);
+	}
+	assert_in_range (renewals (&fixture), 11 * MAX_WORKERS, 13 * MAX_WORKERS);
+	assert_in_range (busiest, 1, MAX_WORKERS / 3);
+	for (size_t i = 0; i < MAX_WORKERS; i++)
+		assert_int_equal (fixture.seen[i].sightings, 1);
+	assert_int_equal (task_state (&fixture), DFF_TASK_RUNNING);
+	assert_int_equal (fixture.seen[0].task, DFF_TASK_RUNNING);
+	fixture_clear (&fixture);
+}
+
+/* Symptom: a worker that hangs keeps its place in the tables. Sequence: its connections stay open
+ * and nothing is answered, for longer than the lease; then it answers again. Cause: an open
+ * connection was taken for a live worker. */
+static void
+test_silent_worker_is_told_in_time (void **state)
+{
+	(void)state;
+	struct fixture fixture;
+	fixture_init (&fixture, 1);
+	run (&fixture, 3 * INTERVAL_MS);
+	start_task (&fixture);
+	run (&fixture, 2 * INTERVAL_MS);
+	faults (&fixture)->silent = true;
+	run (&fixture, INTERVAL_MS + 2 * TIMEOUT_MS + 500);
+	assert_false (fixture.seen[0].reachable);
+	while (fixture.seen[0].silent_ms < LEASE_MS)
+		run (&fixture, TICK_MS);
+	assert_in_range (fixture.seen[0].silent_ms, LEASE_MS, LEASE_MS + INTERVAL_MS + TIMEOUT_MS);
+	assert_int_equal (task_state (&fixture), DFF_TASK_STOPPED);
+	faults (&fixture)->silent = false;
+	run (&fixture, 3 * INTERVAL_MS);
+	assert_true (fixture.seen[0].reachable);
+	assert_int_equal (fixture.seen[0].task, DFF_TASK_STOPPED);
+	fixture_clear (&fixture);
+}
+
+/* Symptom: a task runs on at a worker whose holder has given it up. Sequence: renewals arrive and
+ * their answers are lost; the watcher tells of silence past the lease. Cause: the worker prolonged
+ * the lease with each renewal. */
+static void
+test_lost_answers_end_the_lease (void **state)
+{
+	(void)state;
+	struct fixture fixture;
+	fixture_init (&fixture, 1);
+	run (&fixture, 3 * INTERVAL_MS);
+	start_task (&fixture);
+	run (&fixture, 2 * INTERVAL_MS);
+	faults (&fixture)->lose_answers = G_MAXINT32;
+	while (fixture.seen[0].silent_ms < LEASE_MS) {
+		run (&fixture, TICK_MS);
+		assert_true (fixture.clock.now_ms < START_MS + 10 * LEASE_MS);
+	}
+	assert_int_equal (task_state (&fixture), DFF_TASK_STOPPED);
+	fixture_clear (&fixture);
+}
+
+/* Symptom: the end of a task is never heard of. Sequence: the answer that reports it is lost.
+ * Cause: the worker, or the watcher, took what was sent for what had arrived. */
+static void
+test_lost_answer_is_reported_again (void **state)
+{
+	(void)state;
+	struct fixture fixture;
+	fixture_init (&fixture, 1);
+	run (&fixture, 3 * INTERVAL_MS);
+	faults (&fixture)->lose_answers = 1;
+	start_task (&fixture);
+	run (&fixture, 4 * INTERVAL_MS);
+	assert_int_equal (fixture.seen[0].task, DFF_TASK_RUNNING);
+	assert_true (fixture.seen[0].reachable);
+	fixture_clear (&fixture);
+}
+
+static void
+test_leaving_is_told_within_three_seconds (void **state)
+{
+	(void)state;
+	for (int64_t offset_ms = 0; offset_ms < INTERVAL_MS; offset_ms += 50) {
+		struct fixture fixture;
+		fixture_init (&fixture, 1);
+		run (&fixture, 3 * INTERVAL_MS + offset_ms);
+		dff_worker_tasks_leave (
+			dff_memory_workers_tasks (fixture.workers, &fixture.share[0].address));
+		int64_t left_ms = fixture.clock.now_ms;
+		run (&fixture, 3000);
+		assert_true (fixture.seen[0].leaving);
+		assert_true (fixture.seen[0].at_ms - left_ms <= 3000);
+		fixture_clear (&fixture);
+	}
+}
+
+/* Symptom: running tasks are stopped when a process dies. Sequence: the watcher's process dies, its
+ * share goes to another, which has seen nothing. Cause: leases were tied to one process, or the new
+ * watcher asked only for what came after what it had not seen. */
+static void
+test_hand_over_keeps_tasks_and_tells_all (void **state)
+{
+	(void)state;
+	struct fixture fixture;
+	fixture_init (&fixture, 2);
+	start_task (&fixture);
+	run (&fixture, 5 * INTERVAL_MS);
+	dff_watcher_set_workers (fixture.watcher, fixture.share, 0);
+	run (&fixture, 2 * INTERVAL_MS);
+	struct dff_watcher *old = fixture.watcher;
+	fixture.watcher = new_watcher (&fixture, 2);
+	dff_watcher_set_workers (fixture.watcher, fixture.share, 2);
+	fixture.seen[0] = (struct seen){0};
+	run (&fixture, 20 * INTERVAL_MS);
+	assert_int_equal (task_state (&fixture), DFF_TASK_RUNNING);
+	assert_int_equal (fixture.seen[0].sightings, 1);
+	assert_true (fixture.seen[0].whole);
+	assert_int_equal (fixture.seen[0].task, DFF_TASK_RUNNING);
+	dff_watcher_free (old);
+	fixture_clear (&fixture);
+}
+
+/* Symptom: the tables hold a task for ever that no worker runs. Sequence: a worker's process
+ * crashes and comes back between two renewals. Cause: it answers as before, with nothing to report,
+ * and nothing tells that it is not the same. */
+static void
+test_restart_is_told_as_a_whole_list (void **state)
+{
+	(void)state;
+	static const int64_t watched_before_ms[] = {0, 20, 2 * INTERVAL_MS};
+	for (size_t i = 0; i < G_N_ELEMENTS (watched_before_ms); i++) {
+		struct fixture fixture;
+		fixture_init (&fixture, 1);
+		run (&fixture, 3 * INTERVAL_MS);
+		start_task (&fixture);
+		run (&fixture, watched_before_ms[i]);
+		int32_t told = fixture.seen[0].sightings;
+		dff_memory_workers_restart (fixture.workers, &fixture.share[0].address);
+		run (&fixture, 2 * INTERVAL_MS);
+		assert_true (fixture.seen[0].sightings > told);
+		assert_true (fixture.seen[0].whole);
+		assert_int_equal (fixture.seen[0].task, DFF_TASK_UNSEEN);
+		fixture_clear (&fixture);
+	}
+}
+
+/* Symptom: a new holder misses a task that ended just before it took over. Sequence: a renewal is
+ * on its way when the holder changes; its answer, asked for by the old sequence, is taken for the
+ * whole list. Cause: "tell everything" did not wait for a renewal sent after it. */
+static void
+test_new_holder_is_told_everything (void **state)
+{
+	(void)state;
+	for (int64_t offset_ms = 0; offset_ms < INTERVAL_MS; offset_ms += 20) {
+		struct fixture fixture;
+		fixture_init (&fixture, 1);
+		start_task (&fixture);
+		faults (&fixture)->delay_ms = 300;
+		run (&fixture, 4 * INTERVAL_MS + offset_ms);
+		fixture.seen[0] = (struct seen){0};
+		dff_watcher_tell_all (fixture.watcher);
+		run (&fixture, 3 * INTERVAL_MS);
+		assert_int_equal (fixture.seen[0].sightings, 1);
+		assert_true (fixture.seen[0].whole);
+		assert_int_equal (fixture.seen[0].task, DFF_TASK_RUNNING);
+		fixture_clear (&fixture);
+	}
+}
+
+/* Symptom: a crash, or a sighting of a worker that is watched elsewhere. Sequence: a worker leaves
+ * the share while its renewal is on its way, and comes back at another address. Cause: the answer
+ * was taken for the new entry's. */
+static void
+test_answers_after_leaving_the_share_are_dropped (void **state)
+{
+	(void)state;
+	struct fixture fixture;
+	fixture_init (&fixture, 1);
+	faults (&fixture)->delay_ms = 500;
+	run (&fixture, INTERVAL_MS + 100);
+	fixture.seen[0] = (struct seen){0};
+	struct dff_watched_worker moved = fixture.share[0];
+	moved.address = dff_name_from ("10.0.0.99:80");
+	dff_watcher_set_workers (fixture.watcher, &moved, 1);
+	run (&fixture, 4 * INTERVAL_MS);
+	assert_int_not_equal (fixture.seen[0].sightings, 0);
+	assert_int_equal (fixture.seen[0].reachable_sightings, 0);
+	fixture_clear (&fixture);
+}
+
+int
+main (void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test (test_renewals_are_spread_and_only_changes_told),
+		cmocka_unit_test (test_silent_worker_is_told_in_time),
+		cmocka_unit_test (test_lost_answers_end_the_lease),
+		cmocka_unit_test (test_lost_answer_is_reported_again),
+		cmocka_unit_test (test_leaving_is_told_within_three_seconds),
+		cmocka_unit_test (test_hand_over_keeps_tasks_and_tells_all),
+		cmocka_unit_test (test_restart_is_told_as_a_whole_list),
+		cmocka_unit_test (test_new_holder_is_told_everything),
+		cmocka_unit_test (test_answers_after_leaving_the_share_are_dropped),
+	};
+	return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- /dev/null
+++ b/upstream/watcher.c
@@ -0,0 +1,318 @@
+#include "upstream/watcher.h"
+
+#include <string.h>
+
+#define INTERVAL_MS 1000
+#define RETRY_MS 250
+#define LEASE_MS 9000
+#define FAILURES_UNREACHABLE 2
+#define JITTER_DIVISOR 8
+#define MAX_RETRY_DOUBLINGS 6
+
+struct dff_watcher {
+	struct dff_watcher_options options;
+	/** struct dff_name, the worker's name, to struct watched. */
+	GHashTable *workers;
+	/** Elements: struct watched, in the order they were added. */
+	GPtrArray *order;
+	/** Elements: struct watched, left the share while a renewal was in progress. */
+	GPtrArray *gone;
+	GRand *random;
+	int64_t *renewals;
+	int64_t *failures;
+	int64_t *sightings;
+	int64_t *restarts;
+};
+
+struct watched {
+	struct dff_watcher *watcher;
+	struct dff_name name;
+	struct dff_name address;
+	/** When it is renewed next. */
+	int64_t due_ms;
+	int64_t sent_ms;
+	bool in_progress;
+	/** It left the share: the answer is dropped. */
+	bool gone;
+	/** Sequence the renewal in progress asked for, and the one that was reported last. */
+	int64_t asked_sequence;
+	int64_t sequence;
+	int64_t incarnation;
+	/** Last answer, or when watching began. */
+	int64_t heard_ms;
+	int32_t failures;
+	/** What was told last. */
+	bool told;
+	bool told_reachable;
+	bool told_leaving;
+	int64_t told_silent_ms;
+	/** The renewal in progress was sent before everything was to be told again. */
+	bool asked_before;
+};
+
+void
+dff_watcher_options_init (struct dff_watcher_options *options)
+{
+	memset (options, 0, sizeof (*options));
+	options->interval_ms = INTERVAL_MS;
+	options->retry_ms = RETRY_MS;
+	options->lease_ms = LEASE_MS;
+	options->failures_unreachable = FAILURES_UNREACHABLE;
+}
+
+struct dff_watcher *
+dff_watcher_new (const struct dff_watcher_options *options)
+{
+	struct dff_watcher *watcher = g_new0 (struct dff_watcher, 1);
+	struct dff_metrics *metrics = options->metrics;
+	watcher->options = *options;
+	watcher->workers = g_hash_table_new (dff_name_hash, dff_name_equal_func);
+	watcher->order = g_ptr_array_new_with_free_func (g_free);
+	watcher->gone = g_ptr_array_new_with_free_func (g_free);
+	watcher->random = g_rand_new_with_seed ((guint32)options->seed);
+	watcher->renewals = dff_metrics_counter (metrics, "dff_watch_renewals_total",
+						 "Renewals sent to workers.");
+	watcher->failures = dff_metrics_counter (metrics, "dff_watch_failures_total",
+						 "Renewals without a proper answer.");
+	watcher->sightings = dff_metrics_counter (metrics, "dff_watch_sightings_total",
+						  "Changes told to the holder.");
+	watcher->restarts = dff_metrics_counter (metrics, "dff_watch_restarts_total",
+						 "Workers found to have started anew.");
+	return watcher;
+}
+
+void
+dff_watcher_free (struct dff_watcher *watcher)
+{
+	g_hash_table_unref (watcher->workers);
+	g_ptr_array_unref (watcher->order);
+	g_ptr_array_unref (watcher->gone);
+	g_rand_free (watcher->random);
+	g_free (watcher);
+}
+
+static int64_t
+now_ms (const struct dff_watcher *watcher)
+{
+	return dff_clock_now_ms (watcher->options.clock);
+}
+
+/** An interval, jittered: after an outage all workers would else be renewed at the same moment, in
+ * every process, from then on. */
+static int32_t
+jittered (struct dff_watcher *watcher, int32_t interval_ms)
+{
+	int32_t spread = MAX (interval_ms / JITTER_DIVISOR, 1);
+	return interval_ms + g_rand_int_range (watcher->random, -spread, spread + 1);
+}
+
+static void
+tell (struct watched *worker, struct dff_worker_sighting *sighting)
+{
+	struct dff_watcher *watcher = worker->watcher;
+	worker->told = true;
+	worker->told_reachable = sighting->reachable;
+	worker->told_leaving = sighting->leaving;
+	worker->told_silent_ms = sighting->silent_ms;
+	sighting->worker = worker->name;
+	(*watcher->sightings)++;
+	watcher->options.sighted (watcher->options.ctx, sighting);
+}
+
+/** Asks for all tasks, now. */
+static void
+ask_all (struct watched *worker)
+{
+	worker->sequence = 0;
+	worker->due_ms = now_ms (worker->watcher);
+}
+
+static bool
+has_news (const struct watched *worker, const struct dff_worker_result *result)
+{
+	return !worker->told || !worker->told_reachable || result->n_reports > 0 ||
+	       result->leaving != worker->told_leaving;
+}
+
+static void
+take_answer (struct watched *worker, const struct dff_worker_result *result)
+{
+	/* A worker that started anew has forgotten its tasks and counts its changes from the
+	 * beginning: asked for what came after the old sequence, it would hide both. */
+	bool anew = worker->incarnation != 0 && worker->incarnation != result->incarnation;
+	bool whole = worker->asked_sequence == 0 && !worker->asked_before;
+	bool news = anew || has_news (worker, result);
+	worker->heard_ms = now_ms (worker->watcher);
+	worker->failures = 0;
+	if (!whole && (anew || worker->asked_before)) {
+		worker->asked_before = false;
+		ask_all (worker);
+		return;
+	}
+	*worker->watcher->restarts += anew;
+	worker->incarnation = result->incarnation;
+	worker->sequence = result->sequence;
+	if (!news)
+		return;
+	struct dff_worker_sighting sighting = {
+		.reachable = true,
+		.leaving = result->leaving,
+		.reports = result->reports,
+		.n_reports = result->n_reports,
+		.whole = whole,
+	};
+	tell (worker, &sighting);
+}
+
+/** Steps in which silence is told: each interval until well past the lease, so that the holder
+ * learns in time that it has lapsed, then ever longer ones. */
+static int64_t
+silence_step_ms (const struct watched *worker)
+{
+	const struct dff_watcher_options *options = &worker->watcher->options;
+	if (worker->told_silent_ms < 2 * (int64_t)options->lease_ms)
+		return options->interval_ms;
+	return worker->told_silent_ms / 2;
+}
+
+/** Soon at first, as one connection may have gone silent; then back to the interval, counted from
+ * the sending, as the time-out has been waited for already. */
+static int64_t
+retry_at_ms (const struct watched *worker)
+{
+	struct dff_watcher *watcher = worker->watcher;
+	const struct dff_watcher_options *options = &watcher->options;
+	int32_t doublings = MIN (worker->failures - 1, MAX_RETRY_DOUBLINGS);
+	int32_t after_ms = MIN (options->retry_ms << doublings, options->interval_ms);
+	int64_t soonest_ms = now_ms (watcher) + jittered (watcher, options->retry_ms);
+	return MAX (worker->sent_ms + jittered (watcher, after_ms), soonest_ms);
+}
+
+static void
+take_failure (struct watched *worker)
+{
+	struct dff_watcher *watcher = worker->watcher;
+	int64_t silent_ms = now_ms (watcher) - worker->heard_ms;
+	(*watcher->failures)++;
+	worker->failures++;
+	worker->asked_before = false;
+	worker->due_ms = retry_at_ms (worker);
+	if (worker->failures < watcher->options.failures_unreachable)
+		return;
+	bool flipped = !worker->told || worker->told_reachable;
+	if (!flipped && silent_ms < worker->told_silent_ms + silence_step_ms (worker))
+		return;
+	struct dff_worker_sighting sighting = {
+		.reachable = false,
+		.leaving = worker->told_leaving,
+		.silent_ms = silent_ms,
+	};
+	tell (worker, &sighting);
+}
+
+static void
+renewed (void *user, const struct dff_worker_result *result)
+{
+	struct watched *worker = user;
+	worker->in_progress = false;
+	if (worker->gone) {
+		g_ptr_array_remove_fast (worker->watcher->gone, worker);
+		return;
+	}
+	if (result->outcome == DFF_WORKER_OK)
+		take_answer (worker, result);
+	else
+		take_failure (worker);
+}
+
+static void
+renew (struct watched *worker)
+{
+	struct dff_watcher *watcher = worker->watcher;
+	const struct dff_worker_client *workers = watcher->options.workers;
+	worker->in_progress = true;
+	worker->sent_ms = now_ms (watcher);
+	worker->asked_sequence = worker->sequence;
+	worker->due_ms = worker->sent_ms + jittered (watcher, watcher->options.interval_ms);
+	(*watcher->renewals)++;
+	workers->renew (workers->ctx, &worker->address, watcher->options.lease_ms, worker->sequence,
+			renewed, worker);
+}
+
+void
+dff_watcher_tick (struct dff_watcher *watcher)
+{
+	int64_t now = now_ms (watcher);
+	for (guint i = 0; i < watcher->order->len; i++) {
+		struct watched *worker = g_ptr_array_index (watcher->order, i);
+		if (!worker->in_progress && worker->due_ms <= now)
+			renew (worker);
+	}
+}
+
+static void
+add_worker (struct dff_watcher *watcher, const struct dff_watched_worker *added)
+{
+	struct watched *worker = g_new0 (struct watched, 1);
+	worker->watcher = watcher;
+	worker->name = added->name;
+	worker->address = added->address;
+	worker->heard_ms = now_ms (watcher);
+	worker->due_ms = worker->heard_ms +
+			 g_rand_int_range (watcher->random, 0, watcher->options.interval_ms);
+	g_hash_table_insert (watcher->workers, &worker->name, worker);
+	g_ptr_array_add (watcher->order, worker);
+}
+
+static void
+remove_worker (struct dff_watcher *watcher, guint at)
+{
+	struct watched *worker = g_ptr_array_index (watcher->order, at);
+	g_hash_table_remove (watcher->workers, &worker->name);
+	g_ptr_array_steal_index (watcher->order, at);
+	worker->gone = true;
+	if (worker->in_progress) {
+		g_ptr_array_add (watcher->gone, worker);
+		return;
+	}
+	g_free (worker);
+}
+
+static GHashTable *
+index_workers (const struct dff_watched_worker *workers, size_t n_workers)
+{
+	GHashTable *index = g_hash_table_new (dff_name_hash, dff_name_equal_func);
+	for (size_t i = 0; i < n_workers; i++)
+		g_hash_table_insert (index, (gpointer)&workers[i].name, (gpointer)&workers[i]);
+	return index;
+}
+
+void
+dff_watcher_set_workers (struct dff_watcher *watcher,
+			 const struct dff_watched_worker *workers,
+			 size_t n_workers)
+{
+	g_autoptr (GHashTable) wanted = index_workers (workers, n_workers);
+	for (guint at = watcher->order->len; at > 0; at--) {
+		const struct watched *worker = g_ptr_array_index (watcher->order, at - 1);
+		const struct dff_watched_worker *kept = g_hash_table_lookup (wanted, &worker->name);
+		/* At another address it is another worker. */
+		if (kept == NULL || !dff_name_equal (&kept->address, &worker->address))
+			remove_worker (watcher, at - 1);
+	}
+	for (size_t i = 0; i < n_workers; i++) {
+		if (!g_hash_table_contains (watcher->workers, &workers[i].name))
+			add_worker (watcher, &workers[i]);
+	}
+}
+
+void
+dff_watcher_tell_all (struct dff_watcher *watcher)
+{
+	for (guint i = 0; i < watcher->order->len; i++) {
+		struct watched *worker = g_ptr_array_index (watcher->order, i);
+		worker->asked_before = worker->in_progress;
+		worker->sequence = 0;
+		worker->told = false;
+	}
+}
