--- a/include/record/recorder.h
+++ b/include/record/recorder.h
@@ -16,6 +16,9 @@
  * never told "not recorded" unless it is proven.
  */
 
+/* Writes with a key in common (of a row written by one of them) take effect in the order in which
+ * they were given, also when the answer of one is lost; others may pass each other. */
+
 struct dff_recorder;
 
 struct dff_recorder_options {
@@ -40,7 +43,8 @@
 
 struct dff_recorder *dff_recorder_new (const struct dff_recorder_options *options);
 
-/** Drops waiting writes without calling back. */
+/** Drops waiting writes without calling back. The table must call back no more: close or free it
+ * first. Not to be called from a callback. */
 void dff_recorder_free (struct dff_recorder *recorder);
 
 DFF_DEFINE_CLEANUP (dff_recorder, dff_recorder_free);
@@ -66,7 +70,8 @@
 	size_t n_conditions;
 	const struct dff_table_write *writes;
 	size_t n_writes;
-	/** Not sent when it has waited this long: NOT_DONE; 0: waits as long as it takes, ms. */
+	/** Somebody waits for it: not sent when it has waited this long, and refused at once while
+	 * the breaker is open, both NOT_DONE; 0: waits as long as it takes, ms. */
 	int32_t give_up_ms;
 };
 
--- /dev/null
+++ b/record/resolve.c
@@ -0,0 +1,270 @@
+#include <inttypes.h>
+
+#include "common/log.h"
+#include "record/recorder_state.h"
+
+#define LOOKUP_BACKOFF_FIRST_MS 50
+#define LOOKUP_BACKOFF_MAX_MS 2000
+
+static void
+note_success (struct dff_recorder *recorder)
+{
+	if (recorder->breaker.state != DFF_BREAKER_CLOSED)
+		dff_log (DFF_LOG_RECORD, DFF_LOG_INFO, "Table answers again.");
+	dff_breaker_succeed (&recorder->breaker);
+}
+
+static void
+note_failure (struct dff_recorder *recorder)
+{
+	bool was_closed = recorder->breaker.state == DFF_BREAKER_CLOSED;
+	if (!dff_breaker_fail (&recorder->breaker, dff_recorder_now_ms (recorder)) || !was_closed)
+		return;
+	(*recorder->counters.breaker_opened)++;
+	dff_log (DFF_LOG_RECORD, DFF_LOG_WARNING,
+		 "Table fails, breaker opened. waiting=%u unresolved=%u", recorder->waiting.length,
+		 recorder->groups->len);
+	/* The answer "not recorded" is already true: kept back until the give-up time, it would
+	 * only keep callers from coming back later. */
+	dff_recorder_refuse_waiting (recorder);
+}
+
+/* Takes the group off the keys; its units are the caller's. */
+static void
+end_group (struct dff_recorder *recorder, struct dff_record_group *group)
+{
+	dff_recorder_forget_calls (recorder, group);
+	g_ptr_array_remove (recorder->groups, group);
+	for (guint i = 0; i < group->units->len; i++) {
+		struct dff_record_unit *unit = group->units->pdata[i];
+		dff_key_locks_remove (&recorder->locks, unit->txn);
+		unit->group = NULL;
+	}
+}
+
+static void
+finish_group (struct dff_recorder *recorder,
+	      struct dff_record_group *group,
+	      enum dff_record_outcome outcome,
+	      int64_t revision)
+{
+	end_group (recorder, group);
+	for (guint i = 0; i < group->units->len; i++)
+		dff_recorder_finish (recorder, group->units->pdata[i], outcome, revision);
+	dff_record_group_free (group);
+}
+
+/* The group is proven not written and never will be. */
+static void
+requeue_group (struct dff_recorder *recorder, struct dff_record_group *group)
+{
+	end_group (recorder, group);
+	for (guint i = 0; i < group->units->len; i++)
+		dff_recorder_requeue (recorder, group->units->pdata[i]);
+	dff_record_group_free (group);
+}
+
+static void
+wait_for_answer (struct dff_recorder *recorder,
+		 struct dff_record_group *group,
+		 enum dff_record_group_state state)
+{
+	group->state = state;
+	group->due_ms = dff_recorder_now_ms (recorder) + recorder->options.answer_timeout_ms;
+}
+
+static void
+become_uncertain (struct dff_recorder *recorder, struct dff_record_group *group)
+{
+	int32_t backoff_ms = LOOKUP_BACKOFF_FIRST_MS;
+	for (int32_t i = 0; i < group->lookups && backoff_ms < LOOKUP_BACKOFF_MAX_MS; i++)
+		backoff_ms = MIN (2 * backoff_ms, LOOKUP_BACKOFF_MAX_MS);
+	if (group->state == DFF_GROUP_SENT)
+		(*recorder->counters.uncertain)++;
+	group->state = DFF_GROUP_UNCERTAIN;
+	group->due_ms = dff_recorder_now_ms (recorder) + dff_jitter_ms (recorder->rand, backoff_ms);
+}
+
+/* One failed condition fails the whole transaction. Which one is found by a single read: halving
+ * the group again and again would cost two commits for each unit when all of them fail, as they do
+ * for a holder that has lost its epoch. */
+static void
+take_conflict (struct dff_recorder *recorder, struct dff_record_group *group, int64_t revision)
+{
+	if (group->units->len == 1) {
+		finish_group (recorder, group, DFF_RECORD_CONFLICT, revision);
+		return;
+	}
+	wait_for_answer (recorder, group, DFF_GROUP_READING);
+	dff_recorder_call_read (recorder, group);
+}
+
+static void
+take_commit_answer (struct dff_recorder *recorder, const struct dff_record_call *call)
+{
+	struct dff_record_group *group = call->group;
+	switch (call->outcome) {
+	case DFF_TABLE_OK:
+		finish_group (recorder, group, DFF_RECORD_DONE, call->revision);
+		break;
+	case DFF_TABLE_CONFLICT:
+		/* After a lookup, the conflict may be the lookup's refusal of the write id, and no
+		 * condition may have failed. Symptom: a writer is told of a race that never was. */
+		if (group->lookups > 0)
+			requeue_group (recorder, group);
+		else
+			take_conflict (recorder, group, call->revision);
+		break;
+	case DFF_TABLE_UNAVAILABLE:
+		requeue_group (recorder, group);
+		break;
+	case DFF_TABLE_UNCERTAIN:
+		if (group->state == DFF_GROUP_SENT)
+			become_uncertain (recorder, group);
+		break;
+	}
+}
+
+static void
+take_lookup_answer (struct dff_recorder *recorder, const struct dff_record_call *call)
+{
+	struct dff_record_group *group = call->group;
+	switch (call->outcome) {
+	case DFF_TABLE_OK:
+		(*recorder->counters.resolved_written)++;
+		finish_group (recorder, group, DFF_RECORD_DONE, call->revision);
+		break;
+	case DFF_TABLE_CONFLICT:
+		(*recorder->counters.resolved_absent)++;
+		requeue_group (recorder, group);
+		break;
+	case DFF_TABLE_UNAVAILABLE:
+	case DFF_TABLE_UNCERTAIN:
+		if (group->state == DFF_GROUP_LOOKUP)
+			become_uncertain (recorder, group);
+		break;
+	}
+}
+
+static bool
+any_conflicts (const struct dff_record_group *group)
+{
+	for (guint i = 0; i < group->units->len; i++) {
+		const struct dff_record_unit *unit = group->units->pdata[i];
+		if (unit->conflicts)
+			return true;
+	}
+	return false;
+}
+
+/* A unit whose condition fails by the read is not written and ends here; the others go again. When
+ * the row has changed back in between, none fails: they go one by one, so that the next conflict
+ * names its unit. */
+static void
+take_read_answer (struct dff_recorder *recorder, const struct dff_record_call *call)
+{
+	struct dff_record_group *group = call->group;
+	if (call->outcome != DFF_TABLE_OK) {
+		requeue_group (recorder, group);
+		return;
+	}
+	bool one_by_one = !any_conflicts (group);
+	end_group (recorder, group);
+	for (guint i = 0; i < group->units->len; i++) {
+		struct dff_record_unit *unit = group->units->pdata[i];
+		unit->alone = one_by_one;
+		if (unit->conflicts)
+			dff_recorder_finish (recorder, unit, DFF_RECORD_CONFLICT, call->revision);
+		else
+			dff_recorder_requeue (recorder, unit);
+	}
+	dff_record_group_free (group);
+}
+
+static void
+take_answer (struct dff_recorder *recorder, const struct dff_record_call *call)
+{
+	if (call->outcome == DFF_TABLE_OK || call->outcome == DFF_TABLE_CONFLICT)
+		note_success (recorder);
+	else if (call->group != NULL || call->kind == DFF_RECORD_CALL_PROBE)
+		note_failure (recorder);
+	if (call->group == NULL)
+		return;
+	switch (call->kind) {
+	case DFF_RECORD_CALL_COMMIT:
+		take_commit_answer (recorder, call);
+		break;
+	case DFF_RECORD_CALL_LOOKUP:
+		take_lookup_answer (recorder, call);
+		break;
+	case DFF_RECORD_CALL_READ:
+		take_read_answer (recorder, call);
+		break;
+	case DFF_RECORD_CALL_PROBE:
+		break;
+	}
+}
+
+void
+dff_recorder_take_answers (struct dff_recorder *recorder)
+{
+	struct dff_record_call *call;
+	while ((call = g_queue_pop_head (&recorder->answers)) != NULL) {
+		take_answer (recorder, call);
+		g_hash_table_remove (recorder->calls, call);
+	}
+}
+
+static void
+time_out (struct dff_recorder *recorder, struct dff_record_group *group)
+{
+	note_failure (recorder);
+	/* A conflict was answered, so that nothing is written whatever the read would say. */
+	if (group->state == DFF_GROUP_READING)
+		requeue_group (recorder, group);
+	else
+		become_uncertain (recorder, group);
+}
+
+void
+dff_recorder_check_timeouts (struct dff_recorder *recorder)
+{
+	int64_t now_ms = dff_recorder_now_ms (recorder);
+	for (guint i = recorder->groups->len; i > 0; i--) {
+		struct dff_record_group *group = recorder->groups->pdata[i - 1];
+		if (group->state != DFF_GROUP_UNCERTAIN && now_ms >= group->due_ms)
+			time_out (recorder, group);
+	}
+	if (recorder->breaker.state == DFF_BREAKER_HALF_OPEN && now_ms >= recorder->probe_due_ms)
+		note_failure (recorder);
+}
+
+void
+dff_recorder_send_lookups (struct dff_recorder *recorder)
+{
+	int64_t now_ms = dff_recorder_now_ms (recorder);
+	for (guint i = 0; i < recorder->groups->len; i++) {
+		struct dff_record_group *group = recorder->groups->pdata[i];
+		if (recorder->breaker.state != DFF_BREAKER_CLOSED)
+			return;
+		if (group->state != DFF_GROUP_UNCERTAIN || now_ms < group->due_ms)
+			continue;
+		if (!dff_budget_take (&recorder->budget, now_ms))
+			return;
+		group->lookups++;
+		wait_for_answer (recorder, group, DFF_GROUP_LOOKUP);
+		dff_recorder_call_lookup (recorder, group);
+	}
+}
+
+void
+dff_recorder_probe (struct dff_recorder *recorder)
+{
+	int64_t now_ms = dff_recorder_now_ms (recorder);
+	if (!dff_budget_has (&recorder->budget, now_ms) ||
+	    !dff_breaker_begin_probe (&recorder->breaker, now_ms))
+		return;
+	dff_budget_take (&recorder->budget, now_ms);
+	recorder->probe_due_ms = now_ms + recorder->options.answer_timeout_ms;
+	dff_recorder_call_probe (recorder);
+}
