--- a/entry/connection.c
+++ b/entry/connection.c
@@ -181,7 +181,10 @@
 		return true;
 	if (connection->state == DFF_CONNECTION_RECEIVING)
 		return age_ms >= limits->request_timeout_ms;
-	return connection->state == DFF_CONNECTION_IDLE && age_ms >= IDLE_LIMIT_MS;
+	/* Idle connections must not keep new callers out. */
+	bool full = dff_connections_count (connection->owner) >= limits->max_connections;
+	int64_t idle_limit_ms = full ? limits->request_timeout_ms : IDLE_LIMIT_MS;
+	return connection->state == DFF_CONNECTION_IDLE && age_ms >= idle_limit_ms;
 }
 
 /* evhttp owns the connection and gives no handle to one that has sent no request yet. After the
--- a/entry/delivery.c
+++ b/entry/delivery.c
@@ -7,6 +7,8 @@
 
 /** A result is put together in memory before its first byte goes out; bytes at the most. */
 #define RESULT_MAX_BYTES (INT64_C (32) << 20)
+/** Bytes of all results that are being put together or sent, at the most. */
+#define DELIVERY_MAX_BYTES (INT64_C (64) << 20)
 /** Chunks of one result being read at once. */
 #define CHUNKS_AT_ONCE 4
 /** Times that an object is read before it is given up. */
@@ -23,6 +25,15 @@
 	struct dff_assembly *assembly;
 	size_t next_chunk;
 	bool over;
+	/** The bytes belong to the answer now. */
+	bool handed_on;
+};
+
+/* A result on its way out: its bytes count until the last one is with the kernel. */
+struct outgoing {
+	struct dff_entry *entry;
+	struct dff_assembly *assembly;
+	int64_t length;
 };
 
 struct object_read {
@@ -44,6 +55,8 @@
 		return;
 	if (delivery->assembly != NULL)
 		dff_assembly_free (delivery->assembly);
+	if (!delivery->handed_on)
+		delivery->call->entry->delivery_bytes -= delivery->result.length;
 	dff_call_unref (delivery->call);
 	g_free (delivery);
 }
@@ -87,6 +100,27 @@
 	dff_reply_problem (delivery->call, &problem);
 }
 
+static void
+outgoing_free (gpointer data)
+{
+	struct outgoing *outgoing = data;
+	dff_assembly_free (outgoing->assembly);
+	outgoing->entry->delivery_bytes -= outgoing->length;
+	dff_entry_unref (outgoing->entry);
+	g_free (outgoing);
+}
+
+static GBytes *
+hand_on (struct delivery *delivery, struct dff_str whole)
+{
+	struct outgoing *outgoing = g_new0 (struct outgoing, 1);
+	outgoing->entry = dff_entry_ref (delivery->call->entry);
+	outgoing->assembly = g_steal_pointer (&delivery->assembly);
+	outgoing->length = delivery->result.length;
+	delivery->handed_on = true;
+	return g_bytes_new_with_free_func (whole.data, whole.len, outgoing_free, outgoing);
+}
+
 static void
 succeed (struct delivery *delivery)
 {
@@ -99,7 +133,8 @@
 	end_span (delivery, "ok");
 	dff_call_set_header (delivery->call, "Digest", digest);
 	dff_call_set_header (delivery->call, "Outcome", dff_outcome_name (delivery->outcome));
-	dff_reply_body (delivery->call, 200, "application/octet-stream", whole);
+	g_autoptr (GBytes) bytes = hand_on (delivery, whole);
+	dff_reply_bytes (delivery->call, 200, "application/octet-stream", bytes);
 }
 
 static void
@@ -243,6 +278,26 @@
 	json_decref (extra);
 }
 
+/* Results are held in memory whole, so that none goes out in part; together they are bounded. */
+static bool
+refuse_no_room (struct dff_call *call, int64_t length)
+{
+	struct dff_entry *entry = call->entry;
+	struct dff_problem problem = {
+		.status = 503,
+		.code = "busy",
+		.detail = "As many results as fit in memory are being sent.",
+		.retry_after_s = 1 + g_rand_int_range (entry->rng, 0, 2),
+	};
+	if (entry->delivery_bytes + length > DELIVERY_MAX_BYTES) {
+		(*entry->counters.refused_busy)++;
+		dff_reply_problem (call, &problem);
+		return true;
+	}
+	entry->delivery_bytes += length;
+	return false;
+}
+
 void
 dff_delivery_begin (struct dff_call *call, const struct dff_job_row *row)
 {
@@ -256,6 +311,8 @@
 		dff_reply_error (call, 502, "result_too_large", "The result is over 32 MiB.");
 		return;
 	}
+	if (refuse_no_room (call, row->result.length))
+		return;
 	struct delivery *delivery = g_new0 (struct delivery, 1);
 	delivery->call = dff_call_ref (call);
 	/* The reads hold the references. */
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -205,9 +205,10 @@
 {
 	struct dff_entry *entry = g_new0 (struct dff_entry, 1);
 	struct dff_core_options core;
+	const guint32 seed[] = {(guint32)options->seed, (guint32)(options->seed >> 32)};
 	entry->options = *options;
 	entry->refs = 1;
-	entry->rng = g_rand_new_with_seed ((guint32)(options->seed ^ (options->seed >> 32)));
+	entry->rng = g_rand_new_with_seed_array (seed, G_N_ELEMENTS (seed));
 	entry->pool_text = g_string_new (NULL);
 	entry->connections = dff_connections_new (options->clock);
 	entry->deadlines = dff_deadlines_new ();
--- a/entry/private.h
+++ b/entry/private.h
@@ -54,6 +54,8 @@
 	struct dff_requests *requests;
 	struct dff_results *results;
 	GRand *rng;
+	/** Bytes of results that are being put together or sent. */
+	int64_t delivery_bytes;
 	bool isolated;
 	bool draining;
 	bool drain_requested;
--- a/entry/reply.c
+++ b/entry/reply.c
@@ -70,20 +70,17 @@
 				  evhttp_connection_get_bufferevent (connection));
 }
 
-void
-dff_reply_body (struct dff_call *call, int status, const char *content_type, struct dff_str body)
+/* Sends @buffer, which is taken over. */
+static void
+send_buffer (struct dff_call *call, int status, const char *content_type, struct evbuffer *buffer)
 {
 	struct evhttp_request *request = call->request;
-	if (request == NULL)
-		return;
 	char traceparent[DFF_TRACEPARENT_LEN + 1];
-	struct evbuffer *buffer = evbuffer_new ();
 	dff_trace_context_format (&call->span.context, traceparent);
 	dff_call_set_header (call, "traceparent", traceparent);
 	dff_call_set_header (call, "Content-Type", content_type);
 	if (call->entry->draining)
 		dff_call_set_header (call, "Connection", "close");
-	evbuffer_add (buffer, body.data, body.len);
 	evhttp_request_set_on_complete_cb (request, answer_sent, call->entry);
 	dff_span_end (call->entry->options.tracer, &call->span, &call->subject,
 		      span_outcome (status));
@@ -93,6 +90,36 @@
 	evbuffer_free (buffer);
 }
 
+void
+dff_reply_body (struct dff_call *call, int status, const char *content_type, struct dff_str body)
+{
+	if (!dff_call_is_open (call))
+		return;
+	struct evbuffer *buffer = evbuffer_new ();
+	evbuffer_add (buffer, body.data, body.len);
+	send_buffer (call, status, content_type, buffer);
+}
+
+static void
+release_bytes (const void *data, size_t len, void *bytes)
+{
+	(void)data;
+	(void)len;
+	g_bytes_unref (bytes);
+}
+
+void
+dff_reply_bytes (struct dff_call *call, int status, const char *content_type, GBytes *bytes)
+{
+	gsize len = 0;
+	const void *data = g_bytes_get_data (bytes, &len);
+	if (!dff_call_is_open (call))
+		return;
+	struct evbuffer *buffer = evbuffer_new ();
+	evbuffer_add_reference (buffer, data, len, release_bytes, g_bytes_ref (bytes));
+	send_buffer (call, status, content_type, buffer);
+}
+
 void
 dff_reply_json (struct dff_call *call, int status, json_t *json)
 {
--- a/entry/reply.h
+++ b/entry/reply.h
@@ -30,6 +30,9 @@
 void
 dff_reply_body (struct dff_call *call, int status, const char *content_type, struct dff_str body);
 
+/** Sends a body without copying it; takes its own reference. */
+void dff_reply_bytes (struct dff_call *call, int status, const char *content_type, GBytes *bytes);
+
 /** Sends @json, whose reference is taken over. */
 void dff_reply_json (struct dff_call *call, int status, json_t *json);
 
--- a/entry/result.c
+++ b/entry/result.c
@@ -9,10 +9,12 @@
 
 /** Longest long poll, ms. */
 #define WAIT_MAX_MS 60000
-/** Interval at which the rows of waiting jobs are read again, ms. */
-#define REREAD_MS 2000
-/** Waiting jobs, and counted jobs, in one such reading. */
-#define REREAD_MAX 200
+/** Interval at which rows of waiting jobs are read again, in turns, ms. */
+#define REREAD_MS 3000
+/** Waiting jobs, and jobs that count for their team, in one such reading: for nine processes with
+ * many callers this is 450 rows a second, of the 2,000 that everybody shares. */
+#define REREAD_WAITING_MAX 100
+#define REREAD_COUNTED_MAX 50
 /** When the caller of an unfinished job should come back, s. */
 #define POLL_AGAIN_S 1
 
@@ -30,6 +32,8 @@
 	struct dff_entry *entry;
 	/** Elements: struct waiter *. */
 	GPtrArray *waiters;
+	/** Where the next reading goes on, modulo the number of waiters. */
+	guint next_waiter;
 	int64_t next_reread_ms;
 	bool rereading;
 };
@@ -226,10 +230,12 @@
 static GArray *
 jobs_to_reread (struct dff_results *results)
 {
-	GArray *jobs = dff_team_quota_sample (results->entry->quota, REREAD_MAX);
-	guint n = MIN (results->waiters->len, (guint)REREAD_MAX);
+	GArray *jobs = dff_team_quota_sample (results->entry->quota, REREAD_COUNTED_MAX);
+	guint n_waiters = results->waiters->len;
+	guint n = MIN (n_waiters, (guint)REREAD_WAITING_MAX);
 	for (guint i = 0; i < n; i++) {
-		const struct waiter *waiter = results->waiters->pdata[i];
+		const struct waiter *waiter =
+			results->waiters->pdata[results->next_waiter++ % n_waiters];
 		g_array_append_val (jobs, waiter->job);
 	}
 	return jobs;
--- /dev/null
+++ b/tests/entry/test-failures.c
@@ -0,0 +1,190 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+#include <glib/gstdio.h>
+#include <openssl/evp.h>
+#include <openssl/pem.h>
+#include <openssl/x509.h>
+#include <signal.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "harness.h"
+
+/* Failures that need more than a script: at an exact moment, or over TLS. */
+
+#define BATCH_JOBS 4
+
+static void
+send_text (struct harness_client *client, const char *text)
+{
+	harness_client_send (client, text, strlen (text));
+}
+
+static struct harness_client *
+send_batch (struct harness *harness, int process)
+{
+	g_autoptr (GString) body = g_string_new (NULL);
+	for (int i = 0; i < BATCH_JOBS; i++)
+		g_string_append_printf (body,
+					"{\"service\":\"archive\",\"payload\":{\"case\":%d}}\n", i);
+	g_autofree char *head =
+		g_strdup_printf ("POST /v1/jobs HTTP/1.1\r\nAuthorization: Bearer fleet-token\r\n"
+				 "Content-Type: application/jsonl\r\nIdempotency-Key: night\r\n"
+				 "Batch-Count: %d\r\nContent-Length: %zu\r\n\r\n",
+				 BATCH_JOBS, body->len);
+	struct harness_client *client = harness_connect (harness, process);
+	send_text (client, head);
+	send_text (client, body->str);
+	return client;
+}
+
+/* Steps until the platform has taken @n commits in, counted from the harness's start. */
+static void
+run_until_commits (struct harness *harness, int64_t n)
+{
+	for (int i = 0; i < 1000 && dff_memory_counts (harness->memory).commits < n; i++)
+		harness_step (harness);
+	assert_int_equal (dff_memory_counts (harness->memory).commits, n);
+}
+
+/* Symptom: part of an overnight batch is missing, and nobody notices before a citizen calls.
+ * Sequence: the batch's row is written, the store goes down before its jobs are, the caller sends
+ * the batch again to another process. Cause: a batch is taken for whole because its row is there.
+ */
+static void
+test_batch_recorded_in_part_is_completed (void **state)
+{
+	(void)state;
+	struct harness *harness = harness_new ();
+	struct dff_memory_faults *faults = &harness->processes[0].platform->faults;
+	harness_set_pool (harness);
+	int64_t before = dff_memory_counts (harness->memory).commits;
+	faults->delay_min_ms = 20;
+	faults->delay_max_ms = 20;
+	struct harness_client *first = send_batch (harness, 0);
+	run_until_commits (harness, before + 1);
+	faults->outage_until_ms = DFF_MEMORY_FOREVER;
+	assert_true (harness_client_wait (first));
+	assert_int_equal (harness_client_status (first), 503);
+	assert_non_null (strstr (first->received->str, "\"code\":\"batch_incomplete\""));
+	assert_non_null (strstr (first->received->str, "\"recorded\":0"));
+	assert_non_null (strstr (first->received->str, "\"outcome\":\"unknown\""));
+	struct harness_client *second = send_batch (harness, 1);
+	assert_true (harness_client_wait (second));
+	assert_int_equal (harness_client_status (second), 200);
+	assert_non_null (strstr (second->received->str, "\"accepted\":4"));
+	harness_client_free (first);
+	harness_client_free (second);
+	harness_free (harness);
+}
+
+/* Symptom: a process that is told to end at once crashes instead, or hangs. Sequence: it ends while
+ * a job waits for the store, a request for its record, another for a worker, and a caller for a
+ * result. Cause: answers come to what is already freed. */
+static void
+test_end_with_everything_in_flight (void **state)
+{
+	(void)state;
+	static const char *const requests[] = {
+		"POST /v1/jobs HTTP/1.1\r\nAuthorization: Bearer casework-token\r\n"
+		"Content-Length: 21\r\n\r\n{\"service\":\"archive\"}",
+		"POST /v1/services/drafting/requests HTTP/1.1\r\nIdempotent: false\r\n"
+		"Idempotency-Key: k\r\nAuthorization: Bearer casework-token\r\n"
+		"Content-Length: 2\r\n\r\n{}",
+		"POST /v1/services/drafting/requests HTTP/1.1\r\n"
+		"Authorization: Bearer casework-token\r\nContent-Length: 2\r\n\r\n{}",
+		"GET /v1/jobs/demo.00000000000000000000000000000000/result?wait_ms=9999 "
+		"HTTP/1.1\r\nAuthorization: Bearer casework-token\r\n\r\n",
+	};
+	struct harness *harness = harness_new ();
+	struct harness_client *clients[G_N_ELEMENTS (requests)];
+	struct harness_answer held = {.outcome = DFF_WORKER_OK, .held = true};
+	harness_set_pool (harness);
+	harness_grant (harness, 1, 600000);
+	harness_next_answer (harness, &held);
+	harness->processes[0].platform->faults.silent_until_ms = DFF_MEMORY_FOREVER;
+	for (size_t i = 0; i < G_N_ELEMENTS (requests); i++) {
+		clients[i] = harness_connect (harness, 0);
+		send_text (clients[i], requests[i]);
+		harness_run (harness, 50);
+		assert_int_equal (clients[i]->received->len, 0);
+	}
+	harness_kill (harness, 0);
+	harness_run (harness, 20000);
+	for (size_t i = 0; i < G_N_ELEMENTS (requests); i++) {
+		assert_true (clients[i]->closed);
+		harness_client_free (clients[i]);
+	}
+	harness_free (harness);
+}
+
+static char *
+write_pem (EVP_PKEY *key, X509 *certificate)
+{
+	char *path = NULL;
+	int fd = g_file_open_tmp ("dff-test-XXXXXX.pem", &path, NULL);
+	FILE *file = fdopen (fd, "w");
+	if (certificate != NULL)
+		PEM_write_X509 (file, certificate);
+	else
+		PEM_write_PrivateKey (file, key, NULL, NULL, 0, NULL, NULL);
+	(void)fclose (file);
+	return path;
+}
+
+static X509 *
+certificate_of (EVP_PKEY *key)
+{
+	X509 *certificate = X509_new ();
+	X509_gmtime_adj (X509_getm_notBefore (certificate), -3600);
+	X509_gmtime_adj (X509_getm_notAfter (certificate), 3600);
+	X509_set_pubkey (certificate, key);
+	X509_sign (certificate, key, EVP_sha256 ());
+	return certificate;
+}
+
+static void
+test_calls_over_tls (void **state)
+{
+	(void)state;
+	EVP_PKEY *key = EVP_EC_gen ("P-256");
+	X509 *certificate = certificate_of (key);
+	g_autofree char *certificate_path = write_pem (key, certificate);
+	g_autofree char *key_path = write_pem (key, NULL);
+	SSL_CTX *tls = SSL_CTX_new (TLS_client_method ());
+	struct harness *harness = harness_new_tls (certificate_path, key_path);
+	struct harness_client *client = harness_connect_tls (harness, 0, tls);
+	for (int i = 0; i < 2; i++) {
+		g_string_truncate (client->received, 0);
+		send_text (client, "GET /healthz HTTP/1.1\r\nHost: entry\r\n\r\n");
+		assert_true (harness_client_wait (client));
+		assert_int_equal (harness_client_status (client), 200);
+	}
+	struct harness_client *plain = harness_connect (harness, 0);
+	send_text (plain, "GET /healthz HTTP/1.1\r\nHost: entry\r\n\r\n");
+	assert_false (harness_client_wait (plain));
+	harness_client_free (plain);
+	harness_client_free (client);
+	harness_free (harness);
+	SSL_CTX_free (tls);
+	EVP_PKEY_free (key);
+	X509_free (certificate);
+	g_unlink (certificate_path);
+	g_unlink (key_path);
+}
+
+int
+main (void)
+{
+	signal (SIGPIPE, SIG_IGN);
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test (test_batch_recorded_in_part_is_completed),
+		cmocka_unit_test (test_end_with_everything_in_flight),
+		cmocka_unit_test (test_calls_over_tls),
+	};
+	return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/entry/test-limits.c
@@ -0,0 +1,244 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+#include <signal.h>
+#include <string.h>
+
+#include "harness.h"
+
+/* Clients that are slow, silent, too many, or send what they should not. */
+
+#define OK_REQUEST "GET /healthz HTTP/1.1\r\nHost: entry\r\n\r\n"
+#define LONG_POLL                                                                                  \
+	"GET /v1/jobs/%s/result?wait_ms=60000 HTTP/1.1\r\nHost: entry\r\n"                         \
+	"Authorization: Bearer casework-token\r\n\r\n"
+
+static void
+send_text (struct harness_client *client, const char *text)
+{
+	harness_client_send (client, text, strlen (text));
+}
+
+static int32_t
+n_connections (struct harness *harness)
+{
+	int64_t *open = dff_metrics_gauge (harness->processes[0].metrics,
+					   "dff_entry_connections_open", "Callers' connections.");
+	return (int32_t)*open;
+}
+
+struct raw_case {
+	const char *what;
+	const char *bytes;
+	/** 0: the connection is closed. */
+	int status;
+};
+
+static void
+test_malformed_requests (void **state)
+{
+	(void)state;
+	static const struct raw_case cases[] = {
+		{"good", OK_REQUEST, 200},
+		{"no HTTP", "hello\r\n\r\n", 400},
+		{"unknown method", "BREW /healthz HTTP/1.1\r\n\r\n", 501},
+		{"method that is not taken", "PATCH /v1/jobs HTTP/1.1\r\n\r\n", 501},
+		{"bad header", "GET /healthz HTTP/1.1\r\nno colon\r\n\r\n", 400},
+		{"negative length", "POST /v1/jobs HTTP/1.1\r\nContent-Length: -5\r\n\r\n", 400},
+		{"huge length", "POST /v1/jobs HTTP/1.1\r\nContent-Length: 99999999\r\n\r\n", 413},
+		{"no path", "GET  HTTP/1.1\r\n\r\n", 400},
+	};
+	for (size_t i = 0; i < G_N_ELEMENTS (cases); i++) {
+		struct harness *harness = harness_new ();
+		struct harness_client *client = harness_connect (harness, 0);
+		send_text (client, cases[i].bytes);
+		harness_client_wait (client);
+		if (harness_client_status (client) != cases[i].status)
+			fail_msg ("%s: %s", cases[i].what, client->received->str);
+		harness_client_free (client);
+		harness_free (harness);
+	}
+}
+
+/* Symptom: memory grows with what a client cares to send. Sequence: a body without announced length
+ * that goes on past the limit, or a header without end. Cause: bytes kept until the request is
+ * whole.
+ */
+static void
+test_oversized_requests_are_cut (void **state)
+{
+	(void)state;
+	static const char *const heads[] = {
+		"POST /v1/jobs HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n10000\r\n",
+		"GET /healthz HTTP/1.1\r\nX-Long: ",
+	};
+	g_autofree char *filler = g_strnfill (65536, 'x');
+	for (size_t i = 0; i < G_N_ELEMENTS (heads); i++) {
+		struct harness *harness = harness_new ();
+		struct harness_client *client = harness_connect (harness, 0);
+		send_text (client, heads[i]);
+		send_text (client, filler);
+		harness_client_wait (client);
+		int status = harness_client_status (client);
+		assert_true (status == 0 || status == 400 || status == 413);
+		harness_client_free (client);
+		harness_free (harness);
+	}
+}
+
+/* Symptom: an entry has no connection left for callers. Sequence: clients send a byte now and then,
+ * each too soon for a read timeout, and never a whole request. Cause: time is counted from the last
+ * byte instead of the first. */
+static void
+test_slow_client_is_closed (void **state)
+{
+	(void)state;
+	struct harness *harness = harness_new ();
+	struct harness_client *client = harness_connect (harness, 0);
+	int64_t limit_ms = harness->processes[0].settings->request_timeout_ms;
+	for (int64_t passed_ms = 0; passed_ms < limit_ms - 200; passed_ms += 100) {
+		harness_client_send (client, "G", 1);
+		harness_run (harness, 100);
+	}
+	assert_false (client->closed);
+	harness_client_send (client, "E", 1);
+	harness_run (harness, 400);
+	assert_true (client->closed);
+	assert_int_equal (n_connections (harness), 0);
+	harness_client_free (client);
+	harness_free (harness);
+}
+
+/* An idle connection stays while there is room, and makes room when there is none. */
+static void
+test_idle_connections_make_room (void **state)
+{
+	(void)state;
+	struct harness *harness = harness_new ();
+	struct harness_client *idle[8];
+	for (int i = 0; i < 8; i++) {
+		idle[i] = harness_connect (harness, 0);
+		harness_run (harness, 5);
+	}
+	struct harness_client *refused = harness_connect (harness, 0);
+	send_text (refused, OK_REQUEST);
+	harness_run (harness, 50);
+	assert_true (refused->closed);
+	assert_false (idle[0]->closed);
+	harness_run (harness, harness->processes[0].settings->request_timeout_ms);
+	assert_true (idle[0]->closed);
+	struct harness_client *served = harness_connect (harness, 0);
+	send_text (served, OK_REQUEST);
+	assert_true (harness_client_wait (served));
+	for (int i = 0; i < 8; i++)
+		harness_client_free (idle[i]);
+	harness_client_free (refused);
+	harness_client_free (served);
+	harness_free (harness);
+}
+
+static struct dff_name
+submit (struct harness *harness)
+{
+	struct dff_name job = {.len = 0};
+	struct harness_client *client = harness_connect (harness, 0);
+	send_text (client, "POST /v1/jobs HTTP/1.1\r\nAuthorization: Bearer casework-token\r\n"
+			   "Content-Length: 21\r\n\r\n{\"service\":\"archive\"}");
+	assert_true (harness_client_wait (client));
+	const char *location = strstr (client->received->str, "/v1/jobs/");
+	assert_non_null (location);
+	location += strlen ("/v1/jobs/");
+	struct dff_str text = {location, strcspn (location, "\r")};
+	assert_true (dff_name_parse (text, &job));
+	harness_client_free (client);
+	return job;
+}
+
+/* Symptom: the process ends itself. Sequence: a client sends a second request while the first one
+ * is worked on. Cause: evhttp takes bytes in that state for a broken invariant. */
+static void
+test_requests_sent_ahead (void **state)
+{
+	(void)state;
+	struct harness *harness = harness_new ();
+	harness_set_pool (harness);
+	struct dff_name job = submit (harness);
+	g_autofree char *poll = g_strdup_printf (LONG_POLL, job.data);
+	struct harness_client *client = harness_connect (harness, 0);
+	send_text (client, poll);
+	harness_run (harness, 20);
+	send_text (client, OK_REQUEST);
+	harness_run (harness, 20);
+	assert_int_equal (client->received->len, 0);
+	harness_end_job (harness, &job, DFF_OUTCOME_COMPLETED, "summary");
+	assert_true (harness_client_wait (client));
+	harness_run (harness, 50);
+	assert_non_null (strstr (client->received->str, "summary"));
+	assert_non_null (strstr (client->received->str, "healthy"));
+	harness_client_free (client);
+	harness_free (harness);
+}
+
+/* Symptom: places of callers who left are held until their long poll runs out. Sequence: the caller
+ * closes its connection while it waits. Cause: nobody looks at a connection that waits. */
+static void
+test_caller_that_hangs_up_frees_its_place (void **state)
+{
+	(void)state;
+	struct harness *harness = harness_new ();
+	harness_set_pool (harness);
+	struct dff_name job = submit (harness);
+	g_autofree char *poll = g_strdup_printf (LONG_POLL, job.data);
+	struct harness_client *client = harness_connect (harness, 0);
+	send_text (client, poll);
+	harness_run (harness, 20);
+	assert_int_equal (n_connections (harness), 1);
+	harness_client_free (client);
+	harness_run (harness, 20);
+	assert_int_equal (n_connections (harness), 0);
+	harness_free (harness);
+}
+
+static void
+test_requests_in_progress_are_bounded (void **state)
+{
+	(void)state;
+	struct harness *harness = harness_new ();
+	struct harness_client *clients[5];
+	struct harness_answer held = {.outcome = DFF_WORKER_OK, .status = 200, .held = true};
+	harness_set_pool (harness);
+	harness_grant (harness, 4, 600000);
+	for (int i = 0; i < 5; i++) {
+		harness_next_answer (harness, &held);
+		clients[i] = harness_connect (harness, 0);
+		send_text (clients[i], "POST /v1/services/drafting/requests HTTP/1.1\r\n"
+				       "Authorization: Bearer casework-token\r\n"
+				       "Content-Length: 2\r\n\r\n{}");
+		harness_run (harness, 10);
+	}
+	assert_true (harness_client_wait (clients[4]));
+	assert_int_equal (harness_client_status (clients[4]), 429);
+	assert_non_null (strstr (clients[4]->received->str, "Retry-After: "));
+	for (int i = 0; i < 5; i++)
+		harness_client_free (clients[i]);
+	harness_free (harness);
+}
+
+int
+main (void)
+{
+	signal (SIGPIPE, SIG_IGN);
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test (test_malformed_requests),
+		cmocka_unit_test (test_oversized_requests_are_cut),
+		cmocka_unit_test (test_slow_client_is_closed),
+		cmocka_unit_test (test_idle_connections_make_room),
+		cmocka_unit_test (test_requests_sent_ahead),
+		cmocka_unit_test (test_caller_that_hangs_up_frees_its_place),
+		cmocka_unit_test (test_requests_in_progress_are_bounded),
+	};
+	return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- a/tests/entry/test-slots.c
+++ b/tests/entry/test-slots.c
@@ -106,7 +106,7 @@
 	(void)state;
 	DFF_AUTO (dff_slots) slots = three_workers ();
 	struct dff_grant old[] = {grant ("w1", 8)};
-	dff_slots_set_grants (slots, 4, old, 1, 10 * EXPIRES_MS);
+	dff_slots_set_grants (slots, 4, old, 1, INT64_C (10) * EXPIRES_MS);
 	assert_int_equal (dff_slots_granted (slots, 0), 6);
 	dff_slots_set_grants (slots, 6, old, 1, EXPIRES_MS);
 	assert_int_equal (dff_slots_granted (slots, 0), 8);
