bench: replay of sessions through policies, and a generator

The policy had nothing to be measured by. Add build/bench/policy, which replays a session under a virtual clock through the decision core and two baselines behind the same commands and answers: strict first fit (fifo) and EASY (backfill).

--- /dev/null
+++ b/bench/measure.h
@@ -0,0 +1,31 @@
+#ifndef DFF_BENCH_MEASURE_H
+#define DFF_BENCH_MEASURE_H
+
+#include <glib.h>
+#include <jansson.h>
+
+#include "bench/job_run.h"
+
+/* What a replay is judged by. docs/SESSIONS.md defines every figure. */
+
+struct dff_measure_input {
+	const GArray *jobs; /**< Elements: struct dff_job_run. */
+	/** Accelerators declared in the pool. */
+	int64_t accelerators;
+	/** Mean fragmentation over the time in which a whole unit was free. */
+	double fragmentation;
+	/** Work done and thrown away, accelerator-milliseconds. */
+	int64_t lost_work_ms;
+	int64_t guarantee_wait_max_ms;
+	int64_t guarantee_violations;
+	/** Accelerators leased twice, members run alone: broken rules of the policy. */
+	int64_t rule_violations;
+	const GArray *tick_us; /**< Elements: double. */
+	int64_t decisions;
+	double policy_seconds;
+};
+
+/** Returns: (transfer full): the JSON object that bench/policy prints. */
+json_t *dff_measure_report (const struct dff_measure_input *input);
+
+#endif
