daemon: one process, its parts wired to one loop

Cause: the parts stand and have to act as one process: listeners, platform and worker clients, recorder, peers, cell, watcher, entry.

--- a/client/commands.c
+++ b/client/commands.c
@@ -14,6 +14,7 @@
 	{"drain", "stop a process gracefully", dff_command_drain},
 	{"keygen", "make a peer key pair or a bearer token", dff_command_keygen},
 	{"result", "fetch the whole result of a job", dff_command_result},
+	{"serve", "run one process of the system", dff_command_serve},
 	{"status", "show jobs, batches, teams, racks or instances", dff_command_status},
 	{"submit", "submit a job or a batch", dff_command_submit},
 	{"trace", "print the spans of one request as a tree", dff_command_trace},
--- /dev/null
+++ b/daemon/daemon_private.h
@@ -0,0 +1,91 @@
+#ifndef DFF_DAEMON_DAEMON_PRIVATE_H
+#define DFF_DAEMON_DAEMON_PRIVATE_H
+
+#include <event2/event.h>
+#include <stdio.h>
+
+#include "cell/cell.h"
+#include "common/clock.h"
+#include "common/http_client.h"
+#include "common/metrics.h"
+#include "common/trace.h"
+#include "daemon/daemon.h"
+#include "daemon/pool_follower.h"
+#include "entry/entry.h"
+#include "peer/peer.h"
+#include "peer/zmq_transport.h"
+#include "platform/http.h"
+#include "platform/instance_watch.h"
+#include "record/recorder.h"
+#include "upstream/http_worker.h"
+#include "upstream/watcher.h"
+
+/* The parts of one process, in the order in which they are made. */
+struct dff_daemon {
+	struct event_base *base;
+	struct dff_settings *settings;
+	const struct dff_clock *clock;
+	struct dff_metrics *metrics;
+	struct dff_tracer *tracer;
+	FILE *spans; /**< (nullable) */
+	struct event *ticker;
+	struct event *grant_timer;
+
+	struct dff_http_client *platform_http;
+	struct dff_http_client *worker_http;
+	struct dff_http_table *table;
+	struct dff_http_object_store *objects;
+	struct dff_http_instance_list *list;
+	struct dff_http_worker *workers;
+
+	struct dff_recorder *recorder;
+	struct dff_zmq_transport *transport;
+	struct dff_peer *peer;
+	struct dff_cell *cell;
+	struct dff_watcher *watcher;
+	struct dff_entry *entry;
+	struct dff_pool_follower *follower;
+	struct dff_instance_watch *instance_watch;
+
+	/** Instances as last read. Elements: struct dff_instance. */
+	GArray *instances;
+	const struct dff_pool *pool; /**< (nullable): in force, owned by the follower. */
+	/** Workers that said themselves that they are leaving. Key: struct dff_name *. */
+	GHashTable *leaving_workers;
+	/** Ended job ids and the peers that wait for them. Key: struct dff_name *, value: GArray of
+	 * struct dff_name. */
+	GHashTable *job_watchers;
+	int64_t started_ms;
+	int64_t heard_peer_ms;
+	int64_t next_share_ms;
+	int64_t next_grants_ms;
+	bool draining;
+	int64_t drain_started_ms;
+};
+
+/** Splits the request slots of the region's workers over the live processes, when holder. */
+void dff_daemon_share_grants (struct dff_daemon *daemon);
+
+/** Chooses the workers that this process watches. */
+void dff_daemon_share_watching (struct dff_daemon *daemon);
+
+/** Tells the cell how many candidates go before this process. */
+void dff_daemon_rank (struct dff_daemon *daemon);
+
+/** Notes that @watcher wants to know when @job ends. */
+void dff_daemon_add_job_watcher (struct dff_daemon *daemon,
+				 const struct dff_name *watcher,
+				 const struct dff_name *job);
+
+/** Tells everybody who waits for @job. */
+void dff_daemon_tell_job_ended (struct dff_daemon *daemon,
+				const struct dff_name *job,
+				enum dff_outcome outcome);
+
+/** Watches whether neither store nor peers answer, and tells the entry. */
+void dff_daemon_check_isolation (struct dff_daemon *daemon, int64_t now_ms);
+
+/** Goes one step on in a graceful stop. */
+void dff_daemon_continue_drain (struct dff_daemon *daemon, int64_t now_ms);
+
+#endif
--- /dev/null
+++ b/daemon/drain.c
@@ -0,0 +1,57 @@
+#include <event2/event.h>
+#include <inttypes.h>
+
+#include "common/log.h"
+#include "daemon/daemon_private.h"
+
+void
+dff_daemon_drain (struct dff_daemon *daemon)
+{
+	if (daemon->draining)
+		return;
+	daemon->draining = true;
+	daemon->drain_started_ms = dff_clock_now_ms (daemon->clock);
+	dff_entry_set_leaving (daemon->entry);
+	dff_cell_drain (daemon->cell);
+	dff_peer_set_state (daemon->peer, false, true, 0);
+	dff_instance_watch_set_leaving (daemon->instance_watch);
+}
+
+bool
+dff_daemon_is_draining (const struct dff_daemon *daemon)
+{
+	return daemon->draining;
+}
+
+void
+dff_daemon_stop_now (struct dff_daemon *daemon)
+{
+	event_base_loopexit (daemon->base, NULL);
+}
+
+/* The balancer learns from /readyz, a while late, that this process is going. What it still sends
+ * in that while is served: refusing it at once would cost callers a retry at every planned stop.
+ * After the grace new work is refused, and the loop ends when the last request in flight has its
+ * whole answer and the cell has been given back. */
+void
+dff_daemon_continue_drain (struct dff_daemon *daemon, int64_t now_ms)
+{
+	if (!daemon->draining)
+		return;
+	int64_t elapsed_ms = now_ms - daemon->drain_started_ms;
+	if (elapsed_ms < daemon->settings->drain_grace_ms)
+		return;
+	dff_entry_drain (daemon->entry);
+	bool done = dff_entry_is_drained (daemon->entry) && dff_cell_is_drained (daemon->cell);
+	if (done) {
+		dff_log (DFF_LOG_SERVE, DFF_LOG_INFO, "Drained. after_ms=%" PRId64, elapsed_ms);
+		dff_daemon_stop_now (daemon);
+		return;
+	}
+	int32_t limit_ms = daemon->settings->drain_timeout_ms;
+	if (limit_ms > 0 && elapsed_ms > limit_ms) {
+		dff_log (DFF_LOG_SERVE, DFF_LOG_WARNING,
+			 "Drain given up, work is cut off. after_ms=%" PRId64, elapsed_ms);
+		dff_daemon_stop_now (daemon);
+	}
+}
--- a/daemon/settings_keys.c
+++ b/daemon/settings_keys.c
@@ -70,6 +70,8 @@
 	 .help = "A peer suspected this long is taken for dead."},
 	{INTEGER (isolated_after_ms, 100, HOUR_MS, 5000), .unit = "ms",
 	 .help = "Neither store nor peers for this long: unready."},
+	{INTEGER (drain_grace_ms, 0, MINUTE_MS, 2000), .unit = "ms", .reloadable = true,
+	 .help = "At a graceful stop: unready for this long before new work is refused."},
 	{INTEGER (drain_timeout_ms, 0, 86400000, 0), .unit = "ms",
 	 .help = "A graceful stop that takes longer is given up; 0: never."},
 };
--- /dev/null
+++ b/daemon/shares.c
@@ -0,0 +1,136 @@
+#include <inttypes.h>
+
+#include "common/rendezvous.h"
+#include "daemon/daemon_private.h"
+#include "peer/grant.h"
+#include "peer/watch_share.h"
+
+/* A grant outlives several rounds of renewal, so that a lost message or a change of holder costs
+ * nobody its slots. */
+#define GRANT_VALID_MS 10000
+
+/* What this process derives from the live members: the workers that it watches, its rank among the
+ * candidates for the cell and, when holder, everybody's slot grants. */
+
+static bool
+is_worker_of_region (const struct dff_daemon *daemon, const struct dff_instance *instance)
+{
+	return instance->role == DFF_INSTANCE_WORKER &&
+	       dff_name_equal (&instance->region, &daemon->settings->region);
+}
+
+static GArray *
+live_members (const struct dff_daemon *daemon)
+{
+	GArray *names = g_array_new (FALSE, FALSE, sizeof (struct dff_name));
+	dff_watch_share_members (dff_peer_members (daemon->peer), &daemon->settings->region, names);
+	return names;
+}
+
+void
+dff_daemon_share_watching (struct dff_daemon *daemon)
+{
+	g_autoptr (GArray) members = live_members (daemon);
+	g_autoptr (GArray) workers = g_array_new (FALSE, FALSE, sizeof (struct dff_watched_worker));
+	g_autoptr (GArray) names = g_array_new (FALSE, FALSE, sizeof (struct dff_name));
+	for (guint i = 0; i < daemon->instances->len; i++) {
+		const struct dff_instance *instance =
+			&g_array_index (daemon->instances, struct dff_instance, i);
+		if (!is_worker_of_region (daemon, instance))
+			continue;
+		struct dff_watched_worker worker = {instance->id, instance->address};
+		g_array_append_val (workers, worker);
+		g_array_append_val (names, instance->id);
+	}
+	g_autoptr (GArray) mine = g_array_new (FALSE, FALSE, sizeof (guint));
+	dff_watch_share (&daemon->settings->instance,
+			 (const struct dff_name *)(void *)members->data, members->len,
+			 (const struct dff_name *)(void *)names->data, names->len, mine);
+	g_autoptr (GArray) share = g_array_new (FALSE, FALSE, sizeof (struct dff_watched_worker));
+	for (guint i = 0; i < mine->len; i++) {
+		guint index = g_array_index (mine, guint, i);
+		g_array_append_val (share,
+				    g_array_index (workers, struct dff_watched_worker, index));
+	}
+	dff_watcher_set_workers (daemon->watcher,
+				 (const struct dff_watched_worker *)(void *)share->data,
+				 share->len);
+}
+
+void
+dff_daemon_rank (struct dff_daemon *daemon)
+{
+	g_autoptr (GArray) members = live_members (daemon);
+	struct dff_str region = {daemon->settings->region.data, daemon->settings->region.len};
+	uint64_t own = dff_rendezvous_weight (region, &daemon->settings->instance);
+	int32_t rank = 0;
+	for (guint i = 0; i < members->len; i++) {
+		const struct dff_name *member = &g_array_index (members, struct dff_name, i);
+		if (dff_rendezvous_weight (region, member) > own)
+			rank++;
+	}
+	dff_cell_set_rank (daemon->cell, rank);
+}
+
+static int32_t
+request_slots (const struct dff_pool *pool)
+{
+	int32_t slots = 0;
+	for (guint i = 0; i < pool->services->len; i++)
+		slots += g_array_index (pool->services, struct dff_service, i).request_slots;
+	return slots;
+}
+
+static GArray *
+grant_workers (const struct dff_daemon *daemon)
+{
+	GArray *workers = g_array_new (FALSE, FALSE, sizeof (struct dff_grant_worker));
+	int32_t slots = request_slots (daemon->pool);
+	for (guint i = 0; i < daemon->instances->len; i++) {
+		const struct dff_instance *instance =
+			&g_array_index (daemon->instances, struct dff_instance, i);
+		if (!is_worker_of_region (daemon, instance) || instance->leaving ||
+		    g_hash_table_contains (daemon->leaving_workers, &instance->id))
+			continue;
+		struct dff_grant_worker worker = {instance->id, instance->data_centre, slots};
+		g_array_append_val (workers, worker);
+	}
+	return workers;
+}
+
+static GArray *
+grant_members (const struct dff_daemon *daemon)
+{
+	GArray *granted = g_array_new (FALSE, FALSE, sizeof (struct dff_grant_member));
+	const GArray *members = dff_peer_members (daemon->peer);
+	for (guint i = 0; i < members->len; i++) {
+		const struct dff_member *member = &g_array_index (members, struct dff_member, i);
+		bool live =
+			member->state == DFF_MEMBER_ALIVE || member->state == DFF_MEMBER_SUSPECT;
+		if (!live || !dff_name_equal (&member->instance.region, &daemon->settings->region))
+			continue;
+		struct dff_grant_member entry = {member->instance.id, member->instance.data_centre};
+		g_array_append_val (granted, entry);
+	}
+	return granted;
+}
+
+void
+dff_daemon_share_grants (struct dff_daemon *daemon)
+{
+	if (!dff_cell_is_holder (daemon->cell) || daemon->pool == NULL)
+		return;
+	g_autoptr (GArray) workers = grant_workers (daemon);
+	g_autoptr (GArray) members = grant_members (daemon);
+	g_autoptr (GPtrArray) shares = dff_grants_share (
+		(const struct dff_grant_worker *)(void *)workers->data, workers->len,
+		(const struct dff_grant_member *)(void *)members->data, members->len);
+	for (guint i = 0; i < members->len; i++) {
+		const struct dff_grant_member *member =
+			&g_array_index (members, struct dff_grant_member, i);
+		const GArray *share = g_ptr_array_index (shares, i);
+		dff_peer_send_grants (daemon->peer, &member->id, dff_cell_epoch (daemon->cell),
+				      (const struct dff_grant *)(void *)share->data, share->len,
+				      GRANT_VALID_MS);
+	}
+}
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -319,9 +319,16 @@
 	entry->isolated = isolated;
 }
 
+void
+dff_entry_set_leaving (struct dff_entry *entry)
+{
+	entry->leaving = true;
+}
+
 void
 dff_entry_drain (struct dff_entry *entry)
 {
+	entry->leaving = true;
 	entry->draining = true;
 }
 
@@ -336,7 +343,7 @@
 bool
 dff_entry_is_ready (const struct dff_entry *entry)
 {
-	return entry->pool != NULL && !entry->isolated && !entry->draining;
+	return entry->pool != NULL && !entry->isolated && !entry->leaving;
 }
 
 bool
--- a/entry/private.h
+++ b/entry/private.h
@@ -57,6 +57,8 @@
 	/** Bytes of results that are being put together or sent. */
 	int64_t delivery_bytes;
 	bool isolated;
+	/** Unready, and still taking what the balancer sends. */
+	bool leaving;
 	bool draining;
 	bool drain_requested;
 	struct dff_entry_counters counters;
--- a/entry/status.c
+++ b/entry/status.c
@@ -116,7 +116,7 @@
 {
 	const struct dff_entry *entry = call->entry;
 	const char *reason = "ready";
-	if (entry->draining)
+	if (entry->leaving)
 		reason = "draining";
 	else if (entry->isolated)
 		reason = "isolated";
--- a/include/daemon/settings.h
+++ b/include/daemon/settings.h
@@ -51,6 +51,8 @@
 	int32_t suspect_ms;
 	int32_t dead_ms;
 	int32_t isolated_after_ms; /**< Neither store nor peers for this long: unready. */
+	int32_t drain_grace_ms;    /**< Unready but taking work for this long at a graceful stop.
+				      Reloadable. */
 	int32_t drain_timeout_ms;  /**< A graceful stop that takes longer is given up; 0: never. */
 };
 
--- a/include/entry/entry.h
+++ b/include/entry/entry.h
@@ -81,7 +81,11 @@
 /** Neither store nor peers answer: /readyz says no until it is called with false. */
 void dff_entry_set_isolated (struct dff_entry *entry, bool isolated);
 
-/** Graceful stop: /readyz says no, new work is refused with 503 and not_run, what is in flight goes
+/** First step of a graceful stop: /readyz says no, so that the balancer sends nothing more; what
+ * still arrives is taken. */
+void dff_entry_set_leaving (struct dff_entry *entry);
+
+/** Second step: /readyz says no, new work is refused with 503 and not_run, what is in flight goes
  * on to its end. */
 void dff_entry_drain (struct dff_entry *entry);
 
