--- a/tests/platform/test-http-platform.c
+++ b/tests/platform/test-http-platform.c
@@ -129,10 +129,13 @@
 	answer->calls++;
 	answer->outcome = (int)result->outcome;
 	answer->revision = result->revision;
-	for (size_t i = 0; i < result->n_rows; i++)
-		g_string_append_printf (answer->text, "%.*s=%.*s@%d;", (int)result->rows[i].key.len,
-					result->rows[i].key.data, (int)result->rows[i].value.len,
-					result->rows[i].value.data, (int)result->rows[i].revision);
+	for (size_t i = 0; i < result->n_rows; i++) {
+		const struct dff_table_row *row = &result->rows[i];
+		g_string_append_len (answer->text, row->key.data, (gssize)row->key.len);
+		g_string_append_c (answer->text, '=');
+		g_string_append_len (answer->text, row->value.data, (gssize)row->value.len);
+		g_string_append_printf (answer->text, "@%d;", (int)row->revision);
+	}
 }
 
 static struct answer
@@ -369,25 +372,26 @@
 {
 	struct fixture *fixture = *state;
 	static const struct {
-		enum evhttp_cmd_type method;
 		const char *path;
 		const char *body;
+		enum evhttp_cmd_type method;
 		int status;
 	} cases[] = {
-		{EVHTTP_REQ_GET, "/nothing", "", 404},
-		{EVHTTP_REQ_GET, "/v1/table/get", "", 404},
-		{EVHTTP_REQ_POST, "/v1/table/get", "{\"keys\":[1]}", 400},
-		{EVHTTP_REQ_POST, "/v1/table/scan", "{\"prefix\":\"a\"}", 400},
-		{EVHTTP_REQ_POST, "/v1/table/commit", "{", 400},
-		{EVHTTP_REQ_POST, "/v1/table/commit", "[]", 400},
-		{EVHTTP_REQ_POST, "/v1/table/commit",
-		 "{\"write_id\":\"w\",\"conditions\":[],\"writes\":[{\"key\":\"k\"}]}", 400},
-		{EVHTTP_REQ_POST, "/v1/table/lookup", "{\"write_id\":\"a b\"}", 400},
-		{EVHTTP_REQ_POST, "/v1/instances", "{\"id\":\"w\",\"role\":\"cook\"}", 400},
-		{EVHTTP_REQ_POST, "/admin/faults", "{\"nonsense\":1}", 400},
-		{EVHTTP_REQ_POST, "/admin/faults", "{\"lose_permille\":1001}", 400},
-		{EVHTTP_REQ_POST, "/admin/faults", "{\"delay_ms\":-1}", 400},
-		{EVHTTP_REQ_GET, "/admin/counters", "", 200},
+		{"/nothing", "", EVHTTP_REQ_GET, 404},
+		{"/v1/table/get", "", EVHTTP_REQ_GET, 404},
+		{"/v1/table/get", "{\"keys\":[1]}", EVHTTP_REQ_POST, 400},
+		{"/v1/table/scan", "{\"prefix\":\"a\"}", EVHTTP_REQ_POST, 400},
+		{"/v1/table/commit", "{", EVHTTP_REQ_POST, 400},
+		{"/v1/table/commit", "[]", EVHTTP_REQ_POST, 400},
+		{"/v1/table/commit",
+		 "{\"write_id\":\"w\",\"conditions\":[],\"writes\":[{\"key\":\"k\"}]}",
+		 EVHTTP_REQ_POST, 400},
+		{"/v1/table/lookup", "{\"write_id\":\"a b\"}", EVHTTP_REQ_POST, 400},
+		{"/v1/instances", "{\"id\":\"w\",\"role\":\"cook\"}", EVHTTP_REQ_POST, 400},
+		{"/admin/faults", "{\"nonsense\":1}", EVHTTP_REQ_POST, 400},
+		{"/admin/faults", "{\"lose_permille\":1001}", EVHTTP_REQ_POST, 400},
+		{"/admin/faults", "{\"delay_ms\":-1}", EVHTTP_REQ_POST, 400},
+		{"/admin/counters", "", EVHTTP_REQ_GET, 200},
 	};
 	for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
 		assert_int_equal (exchange (fixture, cases[i].method, cases[i].path, cases[i].body),
--- a/tests/platform/test-instance-watch.c
+++ b/tests/platform/test-instance-watch.c
@@ -8,7 +8,7 @@
 #include "platform/instance_watch.h"
 #include "platform/memory.h"
 
-#define POLL_MS 1000
+#define POLL_MS 1000L
 
 struct fixture {
 	struct dff_clock_virtual time;
