daemon: request slots without a holder, and everybody hears of a leaving worker

Change: a process is ready once it has grants; when none come it works out its own by the same pure function; a sighting that says leaving goes to all members; the mark is part of the message. Conclusion: short requests need neither store nor holder.

--- a/daemon/daemon.c
+++ b/daemon/daemon.c
@@ -12,6 +12,9 @@
 #define PLATFORM_CONNECTIONS 8
 #define SHARE_INTERVAL_MS 1000
 #define GRANT_INTERVAL_MS 2000
+/* Time for the members to hear of each other and for a holder to send grants, before a new process
+ * works out its own. */
+#define FIRST_GRANTS_MS 3000
 
 static void
 handle_span (void *ctx, struct dff_str line)
@@ -72,6 +75,8 @@
 	void *ctx, int64_t epoch, const struct dff_grant *grants, size_t n_grants, int32_t valid_ms)
 {
 	struct dff_daemon *daemon = ctx;
+	daemon->grant_epoch = MAX (daemon->grant_epoch, epoch);
+	daemon->grants_until_ms = dff_clock_now_ms (daemon->clock) + valid_ms / 2;
 	dff_entry_set_grants (daemon->entry, epoch, grants, n_grants, valid_ms);
 }
 
@@ -370,6 +375,7 @@
 	if (now_ms >= daemon->next_grants_ms) {
 		daemon->next_grants_ms = now_ms + GRANT_INTERVAL_MS;
 		dff_daemon_share_grants (daemon);
+		dff_daemon_share_without_holder (daemon, now_ms);
 	}
 }
 
@@ -459,6 +465,7 @@
 	daemon->settings = settings;
 	daemon->clock = dff_clock_system ();
 	daemon->started_ms = dff_clock_now_ms (daemon->clock);
+	daemon->grants_until_ms = daemon->started_ms + FIRST_GRANTS_MS;
 	daemon->metrics = dff_metrics_new ();
 	daemon->instances = g_array_new (FALSE, TRUE, sizeof (struct dff_instance));
 	daemon->leaving_workers =
--- a/daemon/daemon_private.h
+++ b/daemon/daemon_private.h
@@ -59,6 +59,10 @@
 	int64_t heard_peer_ms;
 	int64_t next_share_ms;
 	int64_t next_grants_ms;
+	/** Until when a holder's grants are waited for. */
+	int64_t grants_until_ms;
+	/** Of the last grants received. */
+	int64_t grant_epoch;
 	bool draining;
 	int64_t drain_started_ms;
 };
@@ -66,6 +70,9 @@
 /** Splits the request slots of the region's workers over the live processes, when holder. */
 void dff_daemon_share_grants (struct dff_daemon *daemon);
 
+/** Works out this process's own grants when no holder has sent any for a while. */
+void dff_daemon_share_without_holder (struct dff_daemon *daemon, int64_t now_ms);
+
 /** Chooses the workers that this process watches. */
 void dff_daemon_share_watching (struct dff_daemon *daemon);
 
--- a/daemon/shares.c
+++ b/daemon/shares.c
@@ -115,16 +115,22 @@
 	return granted;
 }
 
+static GPtrArray *
+share_out (const struct dff_daemon *daemon, const GArray *members)
+{
+	g_autoptr (GArray) workers = grant_workers (daemon);
+	return dff_grants_share (
+		(const struct dff_grant_worker *)(void *)workers->data, workers->len,
+		(const struct dff_grant_member *)(void *)members->data, members->len);
+}
+
 void
 dff_daemon_share_grants (struct dff_daemon *daemon)
 {
 	if (!dff_cell_is_holder (daemon->cell) || daemon->pool == NULL)
 		return;
-	g_autoptr (GArray) workers = grant_workers (daemon);
 	g_autoptr (GArray) members = grant_members (daemon);
-	g_autoptr (GPtrArray) shares = dff_grants_share (
-		(const struct dff_grant_worker *)(void *)workers->data, workers->len,
-		(const struct dff_grant_member *)(void *)members->data, members->len);
+	g_autoptr (GPtrArray) shares = share_out (daemon, members);
 	for (guint i = 0; i < members->len; i++) {
 		const struct dff_grant_member *member =
 			&g_array_index (members, struct dff_grant_member, i);
@@ -134,3 +140,28 @@
 				      GRANT_VALID_MS);
 	}
 }
+
+/* While the store is down nobody can renew the cell's lease, and grants lapse. Symptom: short
+ * requests, which need no store, are refused for the length of the outage. The share-out is a pure
+ * function of members and workers, so each process works out its own as the holder would have;
+ * where views differ for a moment, a worker that has no slot left refuses and the request moves on.
+ */
+void
+dff_daemon_share_without_holder (struct dff_daemon *daemon, int64_t now_ms)
+{
+	bool patient = now_ms < daemon->grants_until_ms;
+	if (patient || daemon->pool == NULL || dff_cell_is_holder (daemon->cell))
+		return;
+	g_autoptr (GArray) members = grant_members (daemon);
+	g_autoptr (GPtrArray) shares = share_out (daemon, members);
+	for (guint i = 0; i < members->len; i++) {
+		const struct dff_grant_member *member =
+			&g_array_index (members, struct dff_grant_member, i);
+		if (!dff_name_equal (&member->id, &daemon->settings->instance))
+			continue;
+		const GArray *share = g_ptr_array_index (shares, i);
+		dff_entry_set_grants (daemon->entry, daemon->grant_epoch,
+				      (const struct dff_grant *)(void *)share->data, share->len,
+				      GRANT_VALID_MS);
+	}
+}
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -302,6 +302,7 @@
 		      size_t n_grants,
 		      int32_t valid_ms)
 {
+	entry->has_grants = true;
 	dff_requests_set_grants (entry->requests, epoch, grants, n_grants, valid_ms);
 }
 
@@ -343,7 +344,7 @@
 bool
 dff_entry_is_ready (const struct dff_entry *entry)
 {
-	return entry->pool != NULL && !entry->isolated && !entry->leaving;
+	return entry->pool != NULL && entry->has_grants && !entry->isolated && !entry->leaving;
 }
 
 bool
--- a/entry/private.h
+++ b/entry/private.h
@@ -57,6 +57,8 @@
 	/** Bytes of results that are being put together or sent. */
 	int64_t delivery_bytes;
 	bool isolated;
+	/** Grants have come at least once: without, every short request would be refused. */
+	bool has_grants;
 	/** Unready, and still taking what the balancer sends. */
 	bool leaving;
 	bool draining;
--- a/entry/status.c
+++ b/entry/status.c
@@ -122,6 +122,8 @@
 		reason = "isolated";
 	else if (entry->pool == NULL)
 		reason = "no_pool";
+	else if (!entry->has_grants)
+		reason = "no_grants";
 	bool ready = dff_entry_is_ready (entry);
 	dff_reply_json (call, ready ? 200 : 503,
 			json_pack ("{s:b, s:s}", "ready", ready, "reason", reason));
--- a/include/peer/peer.h
+++ b/include/peer/peer.h
@@ -133,7 +133,8 @@
 			  const struct dff_name *job,
 			  enum dff_outcome outcome);
 
-/** Sends a sighting to the holder. */
+/** Sends a sighting to the holder; one that says leaving also, without reports, to every member of
+ * the region. */
 void dff_peer_send_sighting (struct dff_peer *peer, const struct dff_worker_sighting *sighting);
 
 /** Holder: replaces the grants of @member. */
--- a/peer/message_decode.c
+++ b/peer/message_decode.c
@@ -124,6 +124,7 @@
 	sighting->reachable = wire->reachable;
 	sighting->leaving = wire->leaving;
 	sighting->silent_ms = wire->silent_ms;
+	sighting->whole = wire->whole;
 	sighting->reports = reports;
 	sighting->n_reports = wire->n_reports;
 	return true;
--- a/peer/message_encode.c
+++ b/peer/message_encode.c
@@ -130,6 +130,7 @@
 	wire.reachable = sighting->reachable;
 	wire.leaving = sighting->leaving;
 	wire.silent_ms = sighting->silent_ms;
+	wire.whole = sighting->whole && n == sighting->n_reports;
 	wire.n_reports = n;
 	wire.reports = pointers;
 	envelope.body_case = DFF__PEER__ENVELOPE__BODY_SIGHTING;
--- a/peer/peer.c
+++ b/peer/peer.c
@@ -284,11 +284,37 @@
 	dff_notices_send (peer, &message);
 }
 
+/* Every process sends requests to the workers of its grants. Symptom: a leaving worker still gets
+ * new requests while the cell has no holder. Cause: only the holder was told, and it alone takes
+ * the worker out of the grants. So all members are told, without the reports, which are the
+ * holder's. */
+static void
+tell_leaving (struct dff_peer *peer, const struct dff_worker_sighting *sighting)
+{
+	struct dff_message message = {.kind = DFF_MESSAGE_SIGHTING, .sighting = *sighting};
+	message.sender = peer->options.self.id;
+	message.sighting.reports = NULL;
+	message.sighting.n_reports = 0;
+	message.sighting.whole = false;
+	const GArray *members = dff_peer_members (peer);
+	for (guint i = 0; i < members->len; i++) {
+		const struct dff_member *member = &g_array_index (members, struct dff_member, i);
+		bool gone = member->state == DFF_MEMBER_DEAD;
+		bool same_region =
+			dff_name_equal (&member->instance.region, &peer->options.self.region);
+		if (gone || !same_region || dff_peer_is_self (peer, &member->instance.id))
+			continue;
+		dff_peer_send (peer, &member->instance, &message);
+	}
+}
+
 void
 dff_peer_send_sighting (struct dff_peer *peer, const struct dff_worker_sighting *sighting)
 {
 	struct dff_message message = {.kind = DFF_MESSAGE_SIGHTING, .sighting = *sighting};
 	dff_notices_send (peer, &message);
+	if (sighting->leaving)
+		tell_leaving (peer, sighting);
 }
 
 void
--- a/peer/peer.pb-c.c
+++ b/peer/peer.pb-c.c
@@ -1015,7 +1015,7 @@
   (ProtobufCMessageInit) dff__peer__task_report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dff__peer__sighting__field_descriptors[5] =
+static const ProtobufCFieldDescriptor dff__peer__sighting__field_descriptors[6] =
 {
   {
     "worker",
@@ -1077,18 +1077,31 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "whole",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Dff__Peer__Sighting, whole),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned dff__peer__sighting__field_indices_by_name[] = {
   2,   /* field[2] = leaving */
   1,   /* field[1] = reachable */
   4,   /* field[4] = reports */
   3,   /* field[3] = silent_ms */
+  5,   /* field[5] = whole */
   0,   /* field[0] = worker */
 };
 static const ProtobufCIntRange dff__peer__sighting__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor dff__peer__sighting__descriptor =
 {
@@ -1098,7 +1111,7 @@
   "Dff__Peer__Sighting",
   "dff.peer",
   sizeof(Dff__Peer__Sighting),
-  5,
+  6,
   dff__peer__sighting__field_descriptors,
   dff__peer__sighting__field_indices_by_name,
   1,  dff__peer__sighting__number_ranges,
--- a/peer/peer.pb-c.h
+++ b/peer/peer.pb-c.h
@@ -144,10 +144,11 @@
   int64_t silent_ms;
   size_t n_reports;
   Dff__Peer__TaskReport **reports;
+  protobuf_c_boolean whole;
 };
 #define DFF__PEER__SIGHTING__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&dff__peer__sighting__descriptor) \
-    , {0,NULL}, 0, 0, 0, 0,NULL }
+    , {0,NULL}, 0, 0, 0, 0,NULL, 0 }
 
 
 struct  Dff__Peer__Grant
--- a/tests/peer/fake_transport.c
+++ b/tests/peer/fake_transport.c
@@ -102,6 +102,8 @@
 sighting (void *ctx, const struct dff_worker_sighting *sighting)
 {
 	((struct fake_node *)ctx)->sightings++;
+	((struct fake_node *)ctx)->whole_sightings += sighting->whole;
+	((struct fake_node *)ctx)->leaving_sightings += sighting->leaving;
 	((struct fake_node *)ctx)->task_reports += (int64_t)sighting->n_reports;
 }
 
--- a/tests/peer/fake_transport.h
+++ b/tests/peer/fake_transport.h
@@ -27,6 +27,8 @@
 	int64_t members_changed;
 	int64_t hints;
 	int64_t sightings;
+	int64_t whole_sightings;
+	int64_t leaving_sightings;
 	int64_t task_reports;
 	int64_t watches;
 	int64_t ended;
--- a/tests/peer/test-peer.c
+++ b/tests/peer/test-peer.c
@@ -107,6 +107,37 @@
 	assert_int_equal (entry->ended_outcome, DFF_OUTCOME_COMPLETED);
 }
 
+/* Symptom: a worker that starts anew stays in the holder's tables with its old tasks. Sequence: its
+ * watcher is not the holder. Cause: the peers' message left out that the reports were whole. */
+static void
+test_a_whole_sighting_stays_whole (void **state)
+{
+	(void)state;
+	DFF_AUTO (fake_network) network = started (2);
+	make_holder (&network->nodes[0], 1);
+	fake_network_run (network, 200);
+	struct dff_worker_sighting sighting = {
+		.worker = dff_name_from ("worker-1"), .reachable = true, .whole = true};
+	dff_peer_send_sighting (network->nodes[1].peer, &sighting);
+	fake_network_run (network, 200);
+	assert_int_equal (network->nodes[0].whole_sightings, 1);
+}
+
+/* Symptom: a leaving worker still gets new requests while the cell has no holder. Sequence: the
+ * store is down, a worker says that it is leaving. Cause: only the holder was told. */
+static void
+test_everybody_hears_of_a_leaving_worker (void **state)
+{
+	(void)state;
+	DFF_AUTO (fake_network) network = started (9);
+	struct dff_worker_sighting sighting = {
+		.worker = dff_name_from ("worker-1"), .reachable = true, .leaving = true};
+	dff_peer_send_sighting (network->nodes[4].peer, &sighting);
+	fake_network_run (network, 200);
+	for (int i = 0; i < 9; i++)
+		assert_int_equal (network->nodes[i].leaving_sightings, i == 4 ? 0 : 1);
+}
+
 /* Symptom: a hint sent during a take-over is lost, and the job waits for the next reading of the
  * table. Sequence: no holder is known, an entry accepts a job, a process takes the cell. Cause: the
  * hint had nowhere to go. A bounded number is held, and dropped when no holder appears. */
@@ -202,6 +233,8 @@
 		cmocka_unit_test (test_holder_is_the_highest_epoch),
 		cmocka_unit_test (test_leaving_is_told),
 		cmocka_unit_test (test_pool_reaches_everybody),
+		cmocka_unit_test (test_a_whole_sighting_stays_whole),
+		cmocka_unit_test (test_everybody_hears_of_a_leaving_worker),
 		cmocka_unit_test (test_notices_reach_the_holder),
 		cmocka_unit_test (test_notices_wait_for_a_holder),
 		cmocka_unit_test (test_grants_arrive_and_expire),
