platform: a scan says whether there is more

A scan that left out a commit that did not fit answered fewer rows than its limit, which the holder's feed took for the end: with a limit of 3 and commits of 1, 3 and 1 rows it answered 1 row, so that a recovery could end with jobs unread. And a page of large rows could outgrow the 4 MiB that the client takes, for ever. Answers now carry a flag, end with a whole commit, and are limited in bytes; the feed goes by the flag.

--- a/cell/feed.c
+++ b/cell/feed.c
@@ -98,7 +98,7 @@
 		take_row (cell, &result->rows[i]);
 		feed->cursor = result->rows[i].revision;
 	}
-	bool more = result->n_rows >= DFF_CELL_PAGE_ROWS;
+	bool more = result->more;
 	feed->due_ms = more || feed->hinted ? now_ms : now_ms + FEED_INTERVAL_MS;
 	feed->hinted = false;
 	if (!more && cell->phase == DFF_CELL_SCANNING)
--- a/include/platform/memory.h
+++ b/include/platform/memory.h
@@ -23,6 +23,8 @@
 struct dff_memory_limits {
 	size_t max_rows;
 	size_t max_row_bytes;
+	/** A scan ends once it has read this much. */
+	size_t max_scan_bytes;
 	/** Write ids remembered; the oldest are forgotten. */
 	size_t max_write_ids;
 	size_t max_object_bytes; /**< Of all objects together. */
--- a/include/platform/table.h
+++ b/include/platform/table.h
@@ -2,6 +2,7 @@
 #define DFF_PLATFORM_TABLE_H
 
 #include <glib.h>
+#include <stdbool.h>
 #include <stdint.h>
 
 #include "common/str.h"
@@ -61,6 +62,8 @@
 	/** Rows read, valid in the callback only; for a commit that conflicted: none. */
 	const struct dff_table_row *rows;
 	size_t n_rows;
+	/** A scan ended before the last row; go on after the revision of rows[n_rows - 1]. */
+	bool more;
 };
 
 typedef void (*dff_table_func) (void *user, const struct dff_table_result *result);
@@ -69,9 +72,8 @@
  * struct dff_table:
  * @get: reads the rows under @keys that exist
  * @scan: reads rows whose key starts with @prefix and whose revision is above @after, in order of
- *   revision, at most @limit, but rows of one commit are never split between two answers (a commit
- *   larger than @limit comes whole); further rows are read by another scan after the last one's
- *   revision
+ *   revision; ends after @limit rows or earlier, with more set, but never within a commit, as its
+ *   rows share one revision: the last commit comes whole
  * @commit: applies a transaction
  * @lookup: tells whether the transaction with @write_id took effect: OK with its revision, or
  *   CONFLICT when it has not and, from now on, will not (the table refuses that id afterwards);
--- a/standin/platform_server.c
+++ b/standin/platform_server.c
@@ -13,6 +13,7 @@
 #define MAX_BODY_BYTES (16 << 20)
 #define MAX_ROWS 1000000
 #define MAX_ROW_BYTES (1 << 20)
+#define MAX_SCAN_BYTES (1 << 20)
 #define MAX_WRITE_IDS 200000
 #define MAX_OBJECT_BYTES (256UL << 20)
 /** Callers with faults of their own; further ones share a handle. */
@@ -160,6 +161,7 @@
 		.instance_lag_ms = options->instance_lag_ms,
 		.limits = {.max_rows = MAX_ROWS,
 			   .max_row_bytes = MAX_ROW_BYTES,
+			   .max_scan_bytes = MAX_SCAN_BYTES,
 			   .max_write_ids = MAX_WRITE_IDS,
 			   .max_object_bytes = MAX_OBJECT_BYTES},
 	};
--- a/tests/platform/test-memory.c
+++ b/tests/platform/test-memory.c
@@ -20,7 +20,7 @@
 	enum dff_table_outcome outcome;
 	int64_t revision;
 	size_t n_rows;
-	int64_t last_row_revision;
+	bool more;
 };
 
 static int
@@ -55,8 +55,7 @@
 	answer->outcome = result->outcome;
 	answer->revision = result->revision;
 	answer->n_rows = result->n_rows;
-	if (result->n_rows > 0)
-		answer->last_row_revision = result->rows[result->n_rows - 1].revision;
+	answer->more = result->more;
 }
 
 static void
@@ -144,18 +143,49 @@
 	struct dff_table_txn txn = {
 		.write_id = dff_name_from ("w2"), .writes = writes, .n_writes = 3};
 	table->commit (table->ctx, &txn, take_answer, &answer);
+	commit (fixture, "w3", "j/4", 0, &answer);
 	static const struct {
 		int64_t after;
 		size_t limit;
 		size_t n_rows;
-	} cases[] = {{0, 10, 4}, {0, 4, 4}, {0, 3, 1}, {0, 1, 1}, {1, 2, 3}, {1, 1, 3}, {2, 5, 0}};
+		bool more;
+	} cases[] = {
+		{0, 10, 5, false}, {0, 5, 5, false}, {0, 4, 4, true},  {0, 3, 4, true},
+		{0, 1, 1, true},   {1, 2, 3, true},  {1, 4, 4, false}, {3, 5, 0, false},
+	};
 	for (size_t i = 0; i < G_N_ELEMENTS (cases); i++) {
 		table->scan (table->ctx, dff_str_from ("j/"), cases[i].after, cases[i].limit,
 			     take_answer, &answer);
 		assert_int_equal (answer.n_rows, cases[i].n_rows);
+		assert_int_equal (answer.more, cases[i].more);
 	}
 }
 
+/* Symptom: a new holder never gets beyond its first page. Sequence: rows are large, a page of them
+ * is larger than what the client takes. Cause: only the number of rows was limited. */
+static void
+test_scan_is_limited_in_bytes (void **state)
+{
+	struct fixture *fixture = *state;
+	struct dff_memory_options options = {.clock = &fixture->clock.clock,
+					     .limits = {.max_scan_bytes = 6}};
+	dff_memory_close (fixture->caller);
+	dff_memory_free (fixture->memory);
+	fixture->memory = dff_memory_new (&options);
+	fixture->caller = dff_memory_open (fixture->memory);
+	const struct dff_table *table = &fixture->caller->table;
+	struct answer answer = {0};
+	static const char *const keys[] = {"j/0", "j/1", "j/2"};
+	for (size_t i = 0; i < G_N_ELEMENTS (keys); i++)
+		commit (fixture, keys[i] + 2, keys[i], 0, &answer);
+	table->scan (table->ctx, dff_str_from ("j/"), 0, 10, take_answer, &answer);
+	assert_int_equal (answer.n_rows, 2);
+	assert_true (answer.more);
+	table->scan (table->ctx, dff_str_from ("j/"), 2, 10, take_answer, &answer);
+	assert_int_equal (answer.n_rows, 1);
+	assert_false (answer.more);
+}
+
 static void
 test_delay (void **state)
 {
@@ -340,6 +370,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test_setup_teardown (test_conditions_and_repeats, setup, teardown),
 		cmocka_unit_test_setup_teardown (test_scan_keeps_commits_whole, setup, teardown),
+		cmocka_unit_test_setup_teardown (test_scan_is_limited_in_bytes, setup, teardown),
 		cmocka_unit_test_setup_teardown (test_delay, setup, teardown),
 		cmocka_unit_test_setup_teardown (test_outage, setup, teardown),
 		cmocka_unit_test_setup_teardown (test_silence, setup, teardown),
