client: clean under the linter

The texts moved into constants beside the usage text, and what they say is unchanged, so the golden files stay as they were.

--- a/client/apply.c
+++ b/client/apply.c
@@ -21,6 +21,10 @@
 	{NULL, 0, NULL, 0},
 };
 
+static const char bootstrap_ended[] =
+	"dragonflyfold: the bootstrap token ends with the first pool; to wait, apply again with an "
+	"operator's token\n";
+
 static bool
 parse_generation (const char *text, int64_t *generation)
 {
@@ -93,9 +97,7 @@
 	do {
 		DFF_AUTO (dff_call_response) response = dff_call (caller, &request);
 		if (response->status == 401)
-			fputs ("dragonflyfold: the bootstrap token ends with the first pool; to "
-			       "wait, apply again with an operator's token\n",
-			       stderr);
+			fputs (bootstrap_ended, stderr);
 		if (!dff_call_response_is_success (response))
 			return dff_call_response_fail (response);
 		json_t *status = dff_call_response_json (response);
--- a/client/status.c
+++ b/client/status.c
@@ -13,6 +13,9 @@
 	"region's cell; give every --server, and the one that holds it is asked.\n"
 	"  -j, --json  print the answer as JSON\n" DFF_CONNECTION_USAGE;
 
+static const char expected[] =
+	"expected jobs [ID], batches ID, teams, racks, capacity or instances";
+
 static const struct option options[] = {
 	{"json", no_argument, NULL, 'j'},
 	DFF_CONNECTION_OPTIONS,
@@ -130,11 +133,9 @@
 	const struct topic *topic = name != NULL ? find_topic (name) : NULL;
 	bool takes_id = topic != NULL && topic->path_with_id != NULL;
 	bool needs_id = takes_id && !topic->in_cell;
-	if ((name != NULL && topic == NULL) || (id != NULL && !takes_id) ||
-	    (id == NULL && needs_id))
-		return dff_usage_fail (
-			"status",
-			"expected jobs [ID], batches ID, teams, racks, capacity or instances");
+	bool is_known = name == NULL || topic != NULL;
+	if (!is_known || (id != NULL && !takes_id) || (id == NULL && needs_id))
+		return dff_usage_fail ("status", expected);
 	DFF_AUTO (dff_caller) caller = dff_caller_new (connection);
 	return id != NULL ? show_one (caller, topic, id, as_json)
 			  : show_status (caller, topic, as_json);
