--- a/client/apply.c
+++ b/client/apply.c
@@ -1,9 +1,9 @@
 #include <stdio.h>
-#include <string.h>
 
 #include "client/call.h"
 #include "client/command.h"
 #include "client/file.h"
+#include "client/pool_progress.h"
 
 #define POLL_MS 100
 
@@ -60,52 +60,45 @@
 	return DFF_EXIT_OK;
 }
 
-static bool
-instance_counts (const json_t *instance)
-{
-	const char *state = json_string_value (json_object_get (instance, "state"));
-	return state != NULL && strcmp (state, "dead") != 0 && strcmp (state, "leaving") != 0;
-}
-
-/* Returns: how many live instances of @status are behind @generation; -1: unreadable. */
-static int
-count_behind (const json_t *status, int64_t generation, size_t *n_live)
+/* Asks every server once. Returns: the last answer that was no success; NULL: none. */
+static struct dff_call_response *
+ask_all (struct dff_caller *caller, struct dff_pool_progress *progress)
 {
-	const json_t *instances = json_object_get (status, "instances");
-	if (!json_is_array (instances))
-		return -1;
-	int behind = 0;
-	size_t index;
-	json_t *instance;
-	*n_live = 0;
-	json_array_foreach (instances, index, instance)
-	{
-		if (!instance_counts (instance))
+	struct dff_call_request request = {
+		.method = EVHTTP_REQ_GET, .path = "/v1/status", .once = true};
+	struct dff_call_response *failure = NULL;
+	for (guint i = 0; i < dff_caller_n_servers (caller); i++) {
+		request.only_server = i + 1;
+		struct dff_call_response *response = dff_call (caller, &request);
+		if (dff_call_response_is_success (response)) {
+			json_t *status = dff_call_response_json (response);
+			dff_pool_progress_add_status (progress, status);
+			json_decref (status);
+			dff_call_response_free (response);
 			continue;
-		json_t *value = json_object_get (instance, "generation");
-		behind += json_integer_value (value) < generation;
-		(*n_live)++;
+		}
+		/* One that cannot be reached is not live; the others' answers tell if it is. */
+		if (response->status != 0)
+			dff_pool_progress_add_refusal (progress);
+		dff_call_response_free (failure);
+		failure = response;
 	}
-	return behind;
+	return failure;
 }
 
 static int
 wait_in_force (struct dff_caller *caller, int64_t generation)
 {
-	struct dff_call_request request = {
-		.method = EVHTTP_REQ_GET, .path = "/v1/status", .idempotent = true};
 	do {
-		DFF_AUTO (dff_call_response) response = dff_call (caller, &request);
-		if (response->status == 401)
+		DFF_AUTO (dff_pool_progress) progress = dff_pool_progress_new (generation);
+		DFF_AUTO (dff_call_response) failure = ask_all (caller, progress);
+		guint n_live = dff_pool_progress_n_live (progress);
+		if (n_live == 0 && failure != NULL && failure->status == 401) {
 			fputs (bootstrap_ended, stderr);
-		if (!dff_call_response_is_success (response))
-			return dff_call_response_fail (response);
-		json_t *status = dff_call_response_json (response);
-		size_t n_live = 0;
-		int behind = count_behind (status, generation, &n_live);
-		json_decref (status);
-		if (behind == 0 && n_live > 0) {
-			printf ("in force on %zu processes\n", n_live);
+			return dff_call_response_fail (failure);
+		}
+		if (n_live > 0 && dff_pool_progress_n_behind (progress) == 0) {
+			printf ("in force on %u processes\n", n_live);
 			return DFF_EXIT_OK;
 		}
 		dff_caller_pause (caller, POLL_MS);
--- a/client/call.c
+++ b/client/call.c
@@ -242,7 +242,7 @@
 		const struct dff_name *server =
 			&g_array_index (caller->servers, struct dff_name, index);
 		enum dff_http_outcome outcome = exchange_with (caller, server, request, response);
-		if (!may_repeat (request, response, outcome))
+		if (request->once || !may_repeat (request, response, outcome))
 			return response;
 		if (asks_to_return (response))
 			come_back_ms = MAX (come_back_ms, response->retry_after_s * 1000);
--- a/include/client/call.h
+++ b/include/client/call.h
@@ -40,6 +40,8 @@
 	const char *batch_count;
 	/** May be sent again when it is not known whether it took effect. */
 	bool idempotent;
+	/** Send once and take what comes. */
+	bool once;
 	/** Time to wait for one answer, ms; 0: 10 seconds. */
 	int32_t answer_timeout_ms;
 	/** Index of the only server to ask, plus 1; 0: any. */
