daemon: write spans out at every tick

Cause: spans stood in stdio's buffer until the process ended; trace showed half a line of them. Change: one flush at each tick in which the loop wakes, not one for each span. Conclusion: spans are there within a tick.

--- a/daemon/daemon.c
+++ b/daemon/daemon.c
@@ -403,6 +403,8 @@
 	dff_entry_tick (daemon->entry);
 	dff_recorder_tick (daemon->recorder);
 	tell_state (daemon);
+	if (daemon->spans != NULL)
+		fflush (daemon->spans);
 	if (dff_entry_drain_requested (daemon->entry))
 		dff_daemon_drain (daemon);
 	dff_daemon_continue_drain (daemon, now_ms);
