record: a refused unit does not hold up the others

A unit that the table refuses for good had its whole transaction refused, went again with the same company, and tripped the breaker each time, so that one oversized row stopped all recording. It is now set apart after two refusals with a success in between, tried at growing intervals, and its refusals do not count for the breaker; units above 512 KiB are refused at once and a transaction holds 256 KiB.

--- a/include/record/recorder.h
+++ b/include/record/recorder.h
@@ -31,6 +31,8 @@
 	/** Transactions a second at the most, and rows in one transaction at the most. */
 	int32_t max_commits_per_s;
 	int32_t max_rows_per_commit;
+	/** Bytes in one transaction at the most, unless a single unit is larger. */
+	int32_t max_bytes_per_commit;
 	/** Longest wait of a write for company, ms. */
 	int32_t linger_ms;
 	/** Writes waiting at the most; beyond it writes are refused at once as not recorded. */
@@ -39,6 +41,9 @@
 	int32_t answer_timeout_ms;
 };
 
+/** Keys and values of one unit at the most; a larger one is refused at once as not recorded. */
+#define DFF_RECORD_MAX_UNIT_BYTES (512 << 10)
+
 void dff_recorder_options_init (struct dff_recorder_options *options);
 
 struct dff_recorder *dff_recorder_new (const struct dff_recorder_options *options);
--- a/record/group.c
+++ b/record/group.c
@@ -2,6 +2,15 @@
 
 #include "platform/table_txn.h"
 
+static size_t
+count_bytes (const struct dff_table_txn *txn)
+{
+	size_t n_bytes = 0;
+	for (size_t i = 0; i < txn->n_writes; i++)
+		n_bytes += txn->writes[i].key.len + txn->writes[i].value.len;
+	return n_bytes;
+}
+
 struct dff_record_unit *
 dff_record_unit_new (const struct dff_record_write *write,
 		     uint64_t ticket,
@@ -19,6 +28,7 @@
 	unit->ticket = ticket;
 	unit->txn = dff_table_txn_copy (&txn);
 	unit->queued_ms = now_ms;
+	unit->n_bytes = count_bytes (unit->txn);
 	unit->has_give_up = write->give_up_ms > 0;
 	unit->give_up_at_ms = unit->has_give_up ? now_ms + write->give_up_ms : INT64_MAX;
 	unit->done = done;
@@ -56,15 +66,31 @@
 	g_ptr_array_add (group->units, unit);
 }
 
-size_t
-dff_record_group_n_rows (const struct dff_record_group *group)
+bool
+dff_record_group_fits (const struct dff_record_group *group,
+		       const struct dff_record_unit *unit,
+		       size_t max_rows,
+		       size_t max_bytes)
 {
-	size_t n_rows = 0;
+	if (group->units->len == 0)
+		return true;
+	size_t n_rows = unit->txn->n_writes;
+	size_t n_bytes = unit->n_bytes;
 	for (guint i = 0; i < group->units->len; i++) {
-		const struct dff_record_unit *unit = group->units->pdata[i];
-		n_rows += unit->txn->n_writes;
+		const struct dff_record_unit *member = group->units->pdata[i];
+		if (member->alone)
+			return false;
+		n_rows += member->txn->n_writes;
+		n_bytes += member->n_bytes;
 	}
-	return n_rows;
+	return !unit->alone && n_rows <= max_rows && n_bytes <= max_bytes;
+}
+
+bool
+dff_record_group_is_suspect (const struct dff_record_group *group)
+{
+	const struct dff_record_unit *first = group->units->pdata[0];
+	return group->units->len == 1 && first->refusals >= DFF_RECORD_SUSPECT_REFUSALS;
 }
 
 static void
--- a/record/group.h
+++ b/record/group.h
@@ -15,6 +15,14 @@
 	/** Conditions and writes; without write id. */
 	struct dff_table_txn *txn;
 	int64_t queued_ms;
+	/** Of its keys and values. */
+	size_t n_bytes;
+	/** Times that the table refused it although it had taken something else meanwhile, and the
+	 * recorder's count of successes at the last refusal. */
+	int32_t refusals;
+	uint64_t refused_at;
+	/** Not to be sent before this, monotonic ms. */
+	int64_t not_before_ms;
 	/** Monotonic ms after which it is not sent any more; INT64_MAX: never. */
 	int64_t give_up_at_ms;
 	/** A caller waits for it, who is to be refused at once while the table is down. */
@@ -54,6 +62,9 @@
 	DFF_GROUP_READING,
 };
 
+/** Refusals from which on a unit is sent by itself and at growing intervals. */
+#define DFF_RECORD_SUSPECT_REFUSALS 2
+
 struct dff_record_group {
 	enum dff_record_group_state state;
 	struct dff_name write_id;
@@ -71,8 +82,16 @@
 
 void dff_record_group_add (struct dff_record_group *group, struct dff_record_unit *unit);
 
-/** Returns: the rows that the group writes. */
-size_t dff_record_group_n_rows (const struct dff_record_group *group);
+/** Returns: whether @unit may join the group: neither is to go alone, and both stay within the
+ * limits together. Any unit may join an empty group. */
+bool dff_record_group_fits (const struct dff_record_group *group,
+			    const struct dff_record_unit *unit,
+			    size_t max_rows,
+			    size_t max_bytes);
+
+/** Returns: whether the group is one unit that the table has refused before while it took others:
+ * its failures say nothing about the table. */
+bool dff_record_group_is_suspect (const struct dff_record_group *group);
 
 /** A group's transaction; it borrows from the units. */
 struct dff_record_group_txn {
--- a/record/recorder.c
+++ b/record/recorder.c
@@ -7,6 +7,7 @@
 
 #define MAX_COMMITS_PER_S_DEFAULT 30
 #define MAX_ROWS_DEFAULT 64
+#define MAX_BYTES_DEFAULT (256 << 10)
 #define LINGER_MS_DEFAULT 5
 #define MAX_WAITING_DEFAULT 4096
 #define ANSWER_TIMEOUT_MS_DEFAULT 1500
@@ -23,6 +24,7 @@
 	memset (options, 0, sizeof (*options));
 	options->max_commits_per_s = MAX_COMMITS_PER_S_DEFAULT;
 	options->max_rows_per_commit = MAX_ROWS_DEFAULT;
+	options->max_bytes_per_commit = MAX_BYTES_DEFAULT;
 	options->linger_ms = LINGER_MS_DEFAULT;
 	options->max_waiting = MAX_WAITING_DEFAULT;
 	options->answer_timeout_ms = ANSWER_TIMEOUT_MS_DEFAULT;
@@ -213,7 +215,7 @@
 	(*recorder->counters.writes)++;
 	bool full = recorder->waiting.length >= (guint)recorder->options.max_waiting;
 	bool refused = unit->has_give_up && dff_recorder_is_open (recorder);
-	if (full || refused) {
+	if (full || refused || unit->n_bytes > DFF_RECORD_MAX_UNIT_BYTES) {
 		(*recorder->counters.refused)++;
 		dff_recorder_finish (recorder, unit, DFF_RECORD_NOT_DONE, 0);
 		return unit->ticket;
@@ -267,15 +269,15 @@
 	return dff_recorder_now_ms (recorder) - oldest->queued_ms >= recorder->options.linger_ms;
 }
 
+/* Whether @unit must stay behind: a key of it is in use, or it was refused a moment ago. */
 static bool
-fits (const struct dff_recorder *recorder,
-      const struct dff_record_group *group,
-      const struct dff_record_unit *unit)
+must_stay (const struct dff_recorder *recorder,
+	   const struct dff_key_locks *passed_over,
+	   const struct dff_record_unit *unit)
 {
-	if (group->units->len == 0)
-		return true;
-	size_t n_rows = dff_record_group_n_rows (group) + unit->txn->n_writes;
-	return !unit->alone && n_rows <= (size_t)recorder->options.max_rows_per_commit;
+	return dff_recorder_now_ms (recorder) < unit->not_before_ms ||
+	       dff_key_locks_conflict (&recorder->locks, unit->txn) ||
+	       dff_key_locks_conflict (passed_over, unit->txn);
 }
 
 /* Moves waiting units into @group in order. One that shares a key with a group on its way, or with
@@ -284,23 +286,22 @@
 fill_group (struct dff_recorder *recorder, struct dff_record_group *group)
 {
 	struct dff_key_locks passed_over;
+	size_t max_rows = (size_t)recorder->options.max_rows_per_commit;
+	size_t max_bytes = (size_t)recorder->options.max_bytes_per_commit;
 	dff_key_locks_init (&passed_over);
 	GList *next = NULL;
 	for (GList *link = recorder->waiting.head; link != NULL; link = next) {
 		struct dff_record_unit *unit = link->data;
 		next = link->next;
-		if (!fits (recorder, group, unit))
-			break;
-		if (dff_key_locks_conflict (&recorder->locks, unit->txn) ||
-		    dff_key_locks_conflict (&passed_over, unit->txn)) {
+		if (must_stay (recorder, &passed_over, unit)) {
 			dff_key_locks_add (&passed_over, unit->txn);
 			continue;
 		}
+		if (!dff_record_group_fits (group, unit, max_rows, max_bytes))
+			break;
 		unlink_waiting (recorder, link);
 		dff_key_locks_add (&recorder->locks, unit->txn);
 		dff_record_group_add (group, unit);
-		if (unit->alone)
-			break;
 	}
 	dff_key_locks_clear (&passed_over);
 }
--- a/record/recorder_state.h
+++ b/record/recorder_state.h
@@ -37,6 +37,8 @@
 	GRand *rand;
 	struct dff_budget budget;
 	struct dff_breaker breaker;
+	/** Definite answers of the table. */
+	uint64_t n_successes;
 	struct dff_name write_id_prefix;
 	uint64_t next_write_id;
 	uint64_t next_ticket;
--- a/record/resolve.c
+++ b/record/resolve.c
@@ -5,6 +5,18 @@
 
 #define LOOKUP_BACKOFF_FIRST_MS 50
 #define LOOKUP_BACKOFF_MAX_MS 2000
+#define REFUSED_BACKOFF_FIRST_MS 100
+#define REFUSED_BACKOFF_MAX_MS 10000
+
+/* Returns: @first_ms doubled @times times, at most @max_ms. */
+static int32_t
+doubled_ms (int32_t first_ms, int32_t max_ms, int32_t times)
+{
+	int32_t ms = first_ms;
+	for (int32_t i = 0; i < times && ms < max_ms; i++)
+		ms = MIN (2 * ms, max_ms);
+	return ms;
+}
 
 static void
 note_success (struct dff_recorder *recorder)
@@ -12,6 +24,7 @@
 	if (recorder->breaker.state != DFF_BREAKER_CLOSED)
 		dff_log (DFF_LOG_RECORD, DFF_LOG_INFO, "Table answers again.");
 	dff_breaker_succeed (&recorder->breaker);
+	recorder->n_successes++;
 }
 
 static void
@@ -64,6 +77,36 @@
 	dff_record_group_free (group);
 }
 
+/* A unit that the table refuses for good (too large for it, say) would take the others of its group
+ * down with it, again and again, and trip the breaker for everybody. Symptom: nothing is recorded
+ * any more although the table works. A unit refused twice, with something else taken in between,
+ * is sent by itself from then on, at growing intervals, and does not count for the breaker. */
+static void
+note_refusal (struct dff_recorder *recorder, struct dff_record_unit *unit)
+{
+	bool was_suspect = unit->refusals >= DFF_RECORD_SUSPECT_REFUSALS;
+	bool took_others = unit->refusals == 0 || unit->refused_at != recorder->n_successes;
+	if (!took_others && !was_suspect)
+		return;
+	unit->refusals++;
+	unit->refused_at = recorder->n_successes;
+	if (unit->refusals < DFF_RECORD_SUSPECT_REFUSALS)
+		return;
+	int32_t backoff_ms = doubled_ms (REFUSED_BACKOFF_FIRST_MS, REFUSED_BACKOFF_MAX_MS,
+					 unit->refusals - DFF_RECORD_SUSPECT_REFUSALS);
+	unit->alone = true;
+	unit->not_before_ms =
+		dff_recorder_now_ms (recorder) + dff_jitter_ms (recorder->rand, backoff_ms);
+}
+
+static void
+refuse_group (struct dff_recorder *recorder, struct dff_record_group *group)
+{
+	for (guint i = 0; i < group->units->len; i++)
+		note_refusal (recorder, group->units->pdata[i]);
+	requeue_group (recorder, group);
+}
+
 static void
 wait_for_answer (struct dff_recorder *recorder,
 		 struct dff_record_group *group,
@@ -76,9 +119,8 @@
 static void
 become_uncertain (struct dff_recorder *recorder, struct dff_record_group *group)
 {
-	int32_t backoff_ms = LOOKUP_BACKOFF_FIRST_MS;
-	for (int32_t i = 0; i < group->lookups && backoff_ms < LOOKUP_BACKOFF_MAX_MS; i++)
-		backoff_ms = MIN (2 * backoff_ms, LOOKUP_BACKOFF_MAX_MS);
+	int32_t backoff_ms =
+		doubled_ms (LOOKUP_BACKOFF_FIRST_MS, LOOKUP_BACKOFF_MAX_MS, group->lookups);
 	if (group->state == DFF_GROUP_SENT)
 		(*recorder->counters.uncertain)++;
 	group->state = DFF_GROUP_UNCERTAIN;
@@ -116,7 +158,7 @@
 			take_conflict (recorder, group, call->revision);
 		break;
 	case DFF_TABLE_UNAVAILABLE:
-		requeue_group (recorder, group);
+		refuse_group (recorder, group);
 		break;
 	case DFF_TABLE_UNCERTAIN:
 		if (group->state == DFF_GROUP_SENT)
@@ -181,12 +223,22 @@
 	dff_record_group_free (group);
 }
 
+static bool
+counts_as_failure (const struct dff_record_call *call)
+{
+	if (call->kind == DFF_RECORD_CALL_PROBE)
+		return true;
+	if (call->group == NULL)
+		return false;
+	return call->outcome == DFF_TABLE_UNCERTAIN || !dff_record_group_is_suspect (call->group);
+}
+
 static void
 take_answer (struct dff_recorder *recorder, const struct dff_record_call *call)
 {
 	if (call->outcome == DFF_TABLE_OK || call->outcome == DFF_TABLE_CONFLICT)
 		note_success (recorder);
-	else if (call->group != NULL || call->kind == DFF_RECORD_CALL_PROBE)
+	else if (counts_as_failure (call))
 		note_failure (recorder);
 	if (call->group == NULL)
 		return;
--- a/tests/record/test-recorder.c
+++ b/tests/record/test-recorder.c
@@ -14,6 +14,7 @@
 #define MAX_COMMITS_PER_S 50
 #define MAX_ROWS 8
 #define MAX_WAITING 40
+#define MAX_ROW_BYTES (200 << 10)
 
 struct fixture {
 	struct dff_clock_virtual clock;
@@ -40,7 +41,11 @@
 {
 	struct fixture *fixture = g_new0 (struct fixture, 1);
 	dff_clock_virtual_init (&fixture->clock, 1000);
-	struct dff_memory_options memory_options = {.clock = &fixture->clock.clock, .seed = 1};
+	struct dff_memory_options memory_options = {
+		.clock = &fixture->clock.clock,
+		.seed = 1,
+		.limits = {.max_row_bytes = MAX_ROW_BYTES},
+	};
 	fixture->memory = dff_memory_new (&memory_options);
 	fixture->caller = dff_memory_open (fixture->memory);
 	fixture->metrics = dff_metrics_new ();
@@ -371,6 +376,62 @@
 		assert_int_equal (writers[i].calls, 0);
 }
 
+/* Symptom: nothing is recorded any more although the table works. Sequence: one row is larger than
+ * the table takes, its transaction is refused, and goes again with the same company. Cause: the
+ * refusal of one unit was taken for the table's failure. */
+static void
+test_refused_unit_does_not_hold_up_others (void **state)
+{
+	struct fixture *fixture = *state;
+	struct writer refused;
+	struct writer writers[4];
+	static const char *const keys[] = {"a", "b", "c", "d"};
+	g_autofree char *large = g_strnfill (MAX_ROW_BYTES + 1, 'x');
+	write_row (fixture, &refused, "large", large, NULL, 0, 0);
+	for (int i = 0; i < 3; i++)
+		write_row (fixture, &writers[i], keys[i], "v", NULL, 0, 0);
+	run (fixture, 2000);
+	for (int i = 0; i < 3; i++)
+		assert_int_equal (writers[i].outcome, DFF_RECORD_DONE);
+	int64_t opened =
+		*dff_metrics_counter (fixture->metrics, "dff_record_breaker_opened_total", "");
+	int64_t commits = dff_memory_counts (fixture->memory).commits;
+	for (int i = 0; i < 20; i++) {
+		write_row (fixture, &writers[3], keys[3], "v", NULL, 0, 100);
+		run (fixture, 1000);
+		assert_int_equal (writers[3].outcome, DFF_RECORD_DONE);
+	}
+	assert_int_equal (
+		*dff_metrics_counter (fixture->metrics, "dff_record_breaker_opened_total", ""),
+		opened);
+	assert_in_range (dff_memory_counts (fixture->memory).commits - commits, 22, 30);
+	assert_int_equal (refused.calls, 0);
+	assert_int_equal (dff_recorder_abandon (fixture->recorder, refused.ticket),
+			  DFF_ABANDON_NOT_DONE);
+}
+
+static void
+test_limits_in_bytes (void **state)
+{
+	struct fixture *fixture = *state;
+	struct writer too_large;
+	struct writer writers[5];
+	static const char *const keys[] = {"a", "b", "c", "d", "e"};
+	g_autofree char *huge = g_strnfill (DFF_RECORD_MAX_UNIT_BYTES + 1, 'x');
+	g_autofree char *large = g_strnfill (100 << 10, 'x');
+	write_row (fixture, &too_large, "huge", huge, NULL, 0, 0);
+	dff_recorder_tick (fixture->recorder);
+	assert_int_equal (too_large.calls, 1);
+	assert_int_equal (too_large.outcome, DFF_RECORD_NOT_DONE);
+	for (int i = 0; i < 5; i++)
+		write_row (fixture, &writers[i], keys[i], large, NULL, 0, 0);
+	run (fixture, 200);
+	for (int i = 0; i < 5; i++)
+		assert_int_equal (writers[i].outcome, DFF_RECORD_DONE);
+	/* 256 KiB a transaction hold two of them. */
+	assert_int_equal (dff_memory_counts (fixture->memory).commits, 3);
+}
+
 /* Symptom: a caller is told "not run", and the job runs. Sequence: the caller's time is over while
  * the commit is on its way; the commit takes effect. Cause: giving up was taken for undoing. */
 static void
@@ -448,6 +509,9 @@
 		cmocka_unit_test_setup_teardown (test_silence, setup, teardown),
 		cmocka_unit_test_setup_teardown (test_budget_is_kept, setup, teardown),
 		cmocka_unit_test_setup_teardown (test_full_queue_refuses_at_once, setup, teardown),
+		cmocka_unit_test_setup_teardown (test_refused_unit_does_not_hold_up_others, setup,
+						 teardown),
+		cmocka_unit_test_setup_teardown (test_limits_in_bytes, setup, teardown),
 		cmocka_unit_test_setup_teardown (test_abandon_is_truthful, setup, teardown),
 		cmocka_unit_test_setup_teardown (test_abandon_of_a_confirmed_write, setup,
 						 teardown),
