record: tests tell no callback from done

The outcome of a writer in the tests began as zero, which is DONE, so that a check of the outcome alone passed although no callback had come. It begins as no outcome now; all fourteen tests still pass.

--- a/tests/record/test-recorder.c
+++ b/tests/record/test-recorder.c
@@ -26,6 +26,9 @@
 	GString *done_order;
 };
 
+/** No callback has come yet. */
+#define NO_OUTCOME ((enum dff_record_outcome)99)
+
 /** One write and what became of it. */
 struct writer {
 	struct fixture *fixture;
@@ -112,6 +115,7 @@
 	memset (writer, 0, sizeof (*writer));
 	writer->fixture = fixture;
 	writer->key = key;
+	writer->outcome = NO_OUTCOME;
 	struct dff_table_write row = {dff_str_from (key), dff_str_from (value)};
 	struct dff_table_condition condition = {.revision = expected};
 	if (condition_key != NULL)
