peer: bounded traffic beyond the direct fanout, and suspects are asked

With fewer observers, four processes cut off from thirty-six took each other for dead and stayed so; suspects are now passed over on the ring and asked themselves, and one dead member is tried each round.

--- a/include/peer/peer.h
+++ b/include/peer/peer.h
@@ -87,7 +87,7 @@
 	int32_t heartbeat_ms; /**< Interval of heartbeats to each direct peer. */
 	int32_t suspect_ms;   /**< Silent this long: suspect. */
 	int32_t dead_ms;      /**< Suspect this long: dead. */
-	int32_t fanout;       /**< Direct peers at the most; beyond it a sample each round. */
+	int32_t fanout; /**< Everybody hears everybody up to this many others; beyond, a sample. */
 };
 
 void dff_peer_options_init (struct dff_peer_options *options);
--- a/peer/member_table.c
+++ b/peer/member_table.c
@@ -94,6 +94,15 @@
 	return place;
 }
 
+/* Suspects are passed over: when many members are lost at once, their neighbours on the ring would
+ * be lost with them, and each group of dead ones would have to be removed before the next could be
+ * judged. One never heard of counts, or nobody would send to anybody at the start. */
+static bool
+counts_on_ring (const struct dff_member_entry *entry)
+{
+	return entry->known.life == DFF_LIFE_ALIVE || entry->known.incarnation == 0;
+}
+
 static void
 set_observed (struct dff_member_entry *entry, bool observed, int64_t now_ms)
 {
@@ -116,17 +125,24 @@
 	g_ptr_array_sort (table->ring, compare_positions);
 	guint place = ring_place_of_self (table);
 	guint n = table->ring->len;
+	int32_t n_counted = 0;
 	for (guint step = 1; step < n; step++) {
 		struct dff_member_entry *predecessor = table->ring->pdata[(place + n - step) % n];
-		set_observed (predecessor, step <= (guint)n_observers, now_ms);
+		set_observed (predecessor, n_counted < n_observers, now_ms);
+		n_counted += counts_on_ring (predecessor);
 	}
 }
 
-struct dff_member_entry *
-dff_member_table_successor (const struct dff_member_table *table, int32_t step)
+void
+dff_member_table_successors (const struct dff_member_table *table, int32_t n_wanted, GPtrArray *out)
 {
+	guint place = ring_place_of_self (table);
 	guint n = table->ring->len;
-	if (step <= 0 || (guint)step >= n)
-		return NULL;
-	return table->ring->pdata[(ring_place_of_self (table) + (guint)step) % n];
+	for (guint step = 1; step < n && n_wanted > 0; step++) {
+		struct dff_member_entry *successor = table->ring->pdata[(place + step) % n];
+		if (!counts_on_ring (successor))
+			continue;
+		g_ptr_array_add (out, successor);
+		n_wanted--;
+	}
 }
--- a/peer/member_table.h
+++ b/peer/member_table.h
@@ -67,13 +67,16 @@
  * dff_member_table_arrange:
  * @n_observers: how many successors judge a member; at least the number of others: everybody does
  *
- * Orders the ring anew and sets which entries self observes. One that it begins to observe counts
+ * Orders the ring anew and sets which entries self observes: the nearest predecessors, and the
+ * suspects between them. One that it begins to observe counts
  * as heard @now_ms, so that it has its full time to be heard.
  */
 void dff_member_table_arrange (struct dff_member_table *table, int32_t n_observers, int64_t now_ms);
 
-/** Returns: (nullable): the @step-th successor of self on the ring, NULL past the last. */
-struct dff_member_entry *dff_member_table_successor (const struct dff_member_table *table,
-						     int32_t step);
+/** Appends the @n_wanted successors of self on the ring that are not suspect, its observers.
+ * @out: elements: struct dff_member_entry * */
+void dff_member_table_successors (const struct dff_member_table *table,
+				  int32_t n_wanted,
+				  GPtrArray *out);
 
 #endif
--- a/peer/membership.c
+++ b/peer/membership.c
@@ -9,6 +9,10 @@
 /** A change is carried by this many heartbeats for each doubling of the members. */
 #define RELAYS_PER_DOUBLING 3
 
+/** Beyond the fanout, the fanout divided by this is the number of observers of a member, and that
+ * of the partners in the random sample. */
+#define OBSERVERS_SHARE 3
+
 /** Rounds of heartbeats after which one partner of the random sample is drawn anew. A new
  * partner costs a connection and its handshake. */
 #define PARTNER_ROUNDS 10
@@ -72,7 +76,7 @@
 {
 	if (!dff_membership_is_sampled (membership))
 		return INT32_MAX;
-	return MAX (membership->options.fanout / 2, 1);
+	return MAX (membership->options.fanout / OBSERVERS_SHARE, 1);
 }
 
 void
@@ -178,13 +182,8 @@
 }
 
 static void
-choose_others (struct dff_membership *membership,
-	       struct dff_member_entry *target,
-	       GPtrArray *chosen)
+choose_others (struct dff_membership *membership, GPtrArray *chosen)
 {
-	/* One that is held for dead must learn of it: only it can refute. */
-	if (target->known.life != DFF_LIFE_ALIVE && worth_telling (membership, target))
-		g_ptr_array_add (chosen, target);
 	while (chosen->len < CHANGES_PER_HEARTBEAT) {
 		struct dff_member_entry *entry = next_to_relay (membership, chosen);
 		if (entry == NULL)
@@ -195,11 +194,11 @@
 	choose_refresh (membership, chosen);
 }
 
-static void
-send_heartbeat (struct dff_membership *membership, struct dff_member_entry *target)
+void
+dff_membership_send_heartbeat (struct dff_membership *membership, struct dff_member_entry *target)
 {
 	g_autoptr (GPtrArray) chosen = g_ptr_array_new ();
-	choose_others (membership, target, chosen);
+	choose_others (membership, chosen);
 	struct dff_member_report others[DFF_HEARTBEAT_OTHERS_MAX];
 	for (guint i = 0; i < chosen->len; i++) {
 		const struct dff_member_entry *entry = chosen->pdata[i];
@@ -220,12 +219,11 @@
 						: entry;
 }
 
-/* The sample may hold dead members: two sides of a cut that has healed find each other by it. */
 static void
 renew_partners (struct dff_membership *membership)
 {
 	GArray *partners = membership->partners;
-	guint wanted = (guint)(membership->options.fanout - n_observers (membership));
+	guint wanted = (guint)n_observers (membership);
 	if (partners->len >= wanted && membership->partner_rounds++ >= PARTNER_ROUNDS) {
 		membership->partner_rounds = 0;
 		g_array_remove_index (partners, 0);
@@ -246,28 +244,48 @@
 		g_ptr_array_add (targets, entry);
 }
 
+/* The holder dates grants by what it hears from each member of its region. How long ago that was
+ * does not matter, so that they take turns: a holder must not hear from more members than others
+ * do. */
 static void
-send_to_sample (struct dff_membership *membership)
+add_holder (struct dff_membership *membership, GPtrArray *targets)
 {
-	renew_partners (membership);
-	g_autoptr (GPtrArray) targets = g_ptr_array_new ();
-	/* The holder dates grants by what it hears from each member of its region. */
+	uint64_t turns = membership->table->entries->len / (guint)membership->options.fanout + 1;
 	int64_t epoch;
 	const struct dff_instance *holder = dff_membership_holder (membership, &epoch);
-	if (holder != NULL)
+	if (holder != NULL && membership->table->self->known.sequence % turns == 0)
 		add_target (membership, targets, &holder->id);
-	for (int32_t step = 1; step <= n_observers (membership); step++) {
-		struct dff_member_entry *observer =
-			dff_member_table_successor (membership->table, step);
-		if (observer != NULL)
-			add_target (membership, targets, &observer->instance.id);
+}
+
+/* One dead member in turn: the two sides of a cut that has healed find each other by it. */
+static void
+add_dead (struct dff_membership *membership, GPtrArray *targets)
+{
+	const GPtrArray *entries = membership->table->entries;
+	for (guint tries = 0; tries < entries->len; tries++) {
+		membership->dead_cursor = (membership->dead_cursor + 1) % entries->len;
+		struct dff_member_entry *entry = entries->pdata[membership->dead_cursor];
+		if (entry->known.life != DFF_LIFE_DEAD)
+			continue;
+		add_target (membership, targets, &entry->instance.id);
+		return;
 	}
+}
+
+static void
+send_to_sample (struct dff_membership *membership)
+{
+	renew_partners (membership);
+	g_autoptr (GPtrArray) targets = g_ptr_array_new ();
+	dff_member_table_successors (membership->table, n_observers (membership), targets);
+	add_holder (membership, targets);
+	add_dead (membership, targets);
 	for (guint i = 0; i < membership->partners->len; i++) {
 		struct dff_name *id = &g_array_index (membership->partners, struct dff_name, i);
 		add_target (membership, targets, id);
 	}
 	for (guint i = 0; i < targets->len; i++)
-		send_heartbeat (membership, targets->pdata[i]);
+		dff_membership_send_heartbeat (membership, targets->pdata[i]);
 }
 
 static void
@@ -276,7 +294,24 @@
 	const GPtrArray *entries = membership->table->entries;
 	for (guint i = 0; i < entries->len; i++) {
 		if (entries->pdata[i] != membership->table->self)
-			send_heartbeat (membership, entries->pdata[i]);
+			dff_membership_send_heartbeat (membership, entries->pdata[i]);
+	}
+}
+
+/* A suspect is asked itself before it counts as dead. It may well run and send to others: members
+ * that see the ring differently for a moment do not agree on who observes whom. */
+static void
+ask_suspects (struct dff_membership *membership)
+{
+	const GPtrArray *entries = membership->table->entries;
+	guint start = (guint)g_rand_int_range (membership->random, 0, (gint32)entries->len);
+	int32_t n_asked = 0;
+	for (guint i = 0; i < entries->len && n_asked < membership->options.fanout; i++) {
+		struct dff_member_entry *entry = entries->pdata[(start + i) % entries->len];
+		if (!entry->observed || entry->known.life != DFF_LIFE_SUSPECT)
+			continue;
+		dff_membership_correct (membership, entry, &entry->known);
+		n_asked++;
 	}
 }
 
@@ -294,6 +329,7 @@
 	membership->last_heartbeat_ms = now_ms;
 	membership->announce = false;
 	membership->table->self->known.sequence++;
+	ask_suspects (membership);
 	if (dff_membership_is_sampled (membership))
 		send_to_sample (membership);
 	else
--- a/peer/membership.h
+++ b/peer/membership.h
@@ -12,9 +12,9 @@
 
 /*
  * Who is alive: heartbeats, suspicion before removal, refutation by incarnation, and states passed
- * on with heartbeats. Up to @fanout other members everybody sends to everybody. Beyond it half of
- * the heartbeats go to the successors on a hash ring, who judge this member's silence, and half to
- * a slowly changing random sample, who spread states. docs/decisions/membership.md.
+ * on with heartbeats. Up to @fanout other members everybody sends to everybody. Beyond it a
+ * third as many successors on a hash ring judge this member's silence, and as many in a slowly
+ * changing random sample spread states. docs/decisions/membership.md.
  */
 
 struct dff_membership;
--- a/peer/membership_internal.h
+++ b/peer/membership_internal.h
@@ -15,6 +15,8 @@
 	int32_t partner_rounds;
 	/** Index of the entry whose state the next heartbeat carries though nothing changed. */
 	guint refresh_cursor;
+	/** Index of the dead entry that was last sent a heartbeat. */
+	guint dead_cursor;
 	int64_t last_tick_ms;
 	int64_t next_heartbeat_ms;
 	int64_t last_heartbeat_ms;
@@ -42,6 +44,10 @@
 void dff_membership_note_change (struct dff_membership *membership,
 				 const struct dff_member_entry *entry);
 
+/** Sends a heartbeat with what others should know. */
+void dff_membership_send_heartbeat (struct dff_membership *membership,
+				    struct dff_member_entry *target);
+
 /** Sends @entry what is said about it, so that it can refute; at a bounded rate. */
 void dff_membership_correct (struct dff_membership *membership,
 			     struct dff_member_entry *entry,
--- a/peer/membership_merge.c
+++ b/peer/membership_merge.c
@@ -28,10 +28,6 @@
 		     known->leaving != report->leaving ||
 		     known->holder_epoch != report->holder_epoch;
 	bool differs = relay || known->ready != report->ready;
-	/* Few members hear from each other directly: they learn from others which generation is in
-	 * force everywhere. Where everybody hears everybody that would be repetition. */
-	if (dff_membership_is_sampled (membership))
-		relay = relay || known->pool_generation != report->pool_generation;
 	known->incarnation = report->incarnation;
 	known->sequence = report->sequence;
 	known->leaving = report->leaving;
@@ -50,7 +46,9 @@
  * it what they know of it, and it goes on from there. The same way a paused process that was taken
  * for dead learns of it. */
 static void
-merge_about_self (struct dff_membership *membership, const struct dff_member_report *report)
+merge_about_self (struct dff_membership *membership,
+		  struct dff_member_entry *sender,
+		  const struct dff_member_report *report)
 {
 	struct dff_member_report *self = &membership->table->self->known;
 	bool earlier_run = report_is_newer (report, self);
@@ -60,6 +58,8 @@
 	self->incarnation = MAX (self->incarnation, report->incarnation) + 1;
 	self->sequence = MAX (self->sequence, report->sequence);
 	membership->announce = true;
+	self->sequence++;
+	dff_membership_send_heartbeat (membership, sender);
 	*membership->n_refuted += 1;
 	dff_log (DFF_LOG_PEER, DFF_LOG_INFO, "Incarnation raised. incarnation=%" G_GUINT64_FORMAT,
 		 self->incarnation);
@@ -89,12 +89,19 @@
 	return now_ms - entry->direct_ms <= membership->options.suspect_ms;
 }
 
+/* Whether this process has a sign of life from so much later that the accuser's judgement says
+ * nothing about it. A heartbeat or two that the accuser lost are no contradiction: it judged after
+ * a longer silence. How late a sign of life was when it came here cannot be told from its arrival,
+ * so the member's own count of heartbeats decides. */
 static bool
-silent_past_removal (const struct dff_membership *membership, const struct dff_member_entry *entry)
+contradicts (const struct dff_membership *membership,
+	     const struct dff_member_report *known,
+	     const struct dff_member_report *accusation)
 {
-	int64_t now_ms = dff_clock_now_ms (membership->options.clock);
-	int64_t removal_ms = (int64_t)membership->options.suspect_ms + membership->options.dead_ms;
-	return now_ms - entry->heard_ms > removal_ms;
+	const struct dff_membership_options *options = &membership->options;
+	uint64_t tolerated = (uint64_t)(options->suspect_ms / options->heartbeat_ms);
+	return known->incarnation == accusation->incarnation &&
+	       known->sequence > accusation->sequence + tolerated;
 }
 
 static void
@@ -112,12 +119,10 @@
 		return;
 	}
 	enum dff_life life = report->life;
-	if (report_is_newer (known, report) && !silent_past_removal (membership, entry)) {
-		/* This process has the later sign of life: for it the silence began later. */
-		if (life == DFF_LIFE_SUSPECT)
-			return;
+	if (report_is_newer (known, report) && life == DFF_LIFE_SUSPECT)
+		return;
+	if (contradicts (membership, known, report))
 		life = DFF_LIFE_SUSPECT;
-	}
 	if (report_is_newer (report, known))
 		adopt_values (membership, entry, report);
 	if (life > known->life)
@@ -125,7 +130,9 @@
 }
 
 static void
-merge_report (struct dff_membership *membership, const struct dff_member_report *report)
+merge_report (struct dff_membership *membership,
+	      struct dff_member_entry *sender,
+	      const struct dff_member_report *report)
 {
 	if (report->incarnation == 0)
 		return;
@@ -133,7 +140,7 @@
 	if (entry == NULL)
 		return;
 	if (entry == membership->table->self)
-		merge_about_self (membership, report);
+		merge_about_self (membership, sender, report);
 	else if (report->life == DFF_LIFE_ALIVE)
 		merge_sign_of_life (membership, entry, report);
 	else
@@ -171,6 +178,6 @@
 		return false;
 	merge_from_itself (membership, entry, heartbeat);
 	for (size_t i = 0; i < heartbeat->n_others; i++)
-		merge_report (membership, &heartbeat->others[i]);
+		merge_report (membership, entry, &heartbeat->others[i]);
 	return true;
 }
