core: racks kept for waiting gangs, claims that keep shapes whole

Change: the tightest shape first; pieces that fit no further job are made up for elsewhere; own guarantees are used only where nothing else exists; racks are kept for waiting gangs with backfill; a start needs a worker that answers.

--- a/core/claim.c
+++ b/core/claim.c
@@ -106,7 +106,8 @@
 		struct dff_resources room = dff_resources_less (&worker->capacity, &worker->bound);
 		int32_t fits = (part->count - part->claimed) / job->per_task.accelerators;
 		fits = dff_resources_fits (&room, &rest, MIN (fits, job->gang));
-		struct dff_core_candidate candidate = {.worker = part->worker, .fits = fits};
+		struct dff_core_candidate candidate = {
+			.worker = part->worker, .fits = fits, .room = part->count - part->claimed};
 		if (fits > 0)
 			g_array_append_val (candidates, candidate);
 	}
@@ -142,7 +143,8 @@
 	return true;
 }
 
-/* Takes a home as the best so far when it costs less, or the same with less of the shape left. */
+/* Takes a home as the best so far when it leaves less of the shape unclaimed, or the same at less
+ * cost: small claims spread over several shapes would leave none whole for the team's gangs. */
 static bool
 consider (struct claim_search *search, int32_t shape_index, const GArray *parts)
 {
@@ -152,7 +154,7 @@
 	if (!home_in_region (search, parts))
 		return false;
 	int64_t cost = home_cost (search->core, search->job, parts, workers);
-	if (cost < 0 || cost > search->cost || (cost == search->cost && slack >= search->slack))
+	if (cost < 0 || slack > search->slack || (slack == search->slack && cost >= search->cost))
 		return false;
 	search->cost = cost;
 	search->slack = slack;
@@ -164,6 +166,13 @@
 	return true;
 }
 
+/* Whether the best so far is in this shape and costs nothing: there is none better. */
+static bool
+is_settled (const struct claim_search *search, int32_t shape_index)
+{
+	return search->shape == shape_index && search->cost == 0;
+}
+
 static int64_t
 pack_cost (const struct dff_core_worker *worker, const void *user)
 {
@@ -182,7 +191,7 @@
 	g_autoptr (GArray) trial = g_array_new (FALSE, TRUE, sizeof (struct dff_core_part));
 	g_array_append_vals (home, shape->parts->data, shape->parts->len);
 	dff_core_shape_unpack (search->core, shape);
-	for (guint i = 0; i < search->core->racks->len && search->cost > 0; i++) {
+	for (guint i = 0; i < search->core->racks->len && !is_settled (search, shape_index); i++) {
 		const struct dff_core_rack *rack = dff_core_rack_at (search->core, (int32_t)i);
 		if (shape->region != DFF_CORE_NONE && shape->region != rack->region)
 			continue;
@@ -203,7 +212,8 @@
 consider_swaps (struct claim_search *search, int32_t shape_index)
 {
 	const struct dff_core_shape *shape = dff_core_shape_at (search->core, shape_index);
-	for (int32_t i = 0; i < (int32_t)search->core->shapes->len && search->cost > 0; i++) {
+	for (int32_t i = 0;
+	     i < (int32_t)search->core->shapes->len && !is_settled (search, shape_index); i++) {
 		const struct dff_core_shape *other = dff_core_shape_at (search->core, i);
 		if (i == shape_index || other->size != shape->size || other->claimed > 0 ||
 		    other->region != shape->region || other->packed < other->size)
@@ -217,9 +227,12 @@
 consider_shape (struct claim_search *search, int32_t index, int32_t *last_size)
 {
 	const struct dff_core_shape *shape = dff_core_shape_at (search->core, index);
+	int32_t slack = shape->size - shape->claimed - dff_core_job_accelerators (search->job);
+	if (slack > search->slack)
+		return;
 	if (shape->packed == shape->size)
 		consider (search, index, shape->parts);
-	if (shape->claimed > 0 || shape->size == *last_size || search->cost == 0)
+	if (shape->claimed > 0 || shape->size == *last_size)
 		return;
 	/* One shape of each size stands for its equals. */
 	*last_size = shape->size;
@@ -275,7 +288,21 @@
 	return true;
 }
 
-/* Parts where a recovered job's members are; false when two of them can't be told apart. */
+bool
+dff_core_is_entitled (const struct dff_core *core, const struct dff_core_job *job)
+{
+	int32_t asked = dff_core_job_accelerators (job);
+	for (int32_t i = 0; asked > 0 && i < (int32_t)core->shapes->len; i++) {
+		const struct dff_core_shape *shape = dff_core_shape_at (core, i);
+		if (shape->team == job->team && shape->size - shape->claimed >= asked &&
+		    (job->region == DFF_CORE_NONE || shape->region == DFF_CORE_NONE ||
+		     job->region == shape->region))
+			return true;
+	}
+	return false;
+}
+
+/* Parts where a recovered job's members are. */
 static void
 parts_of_job (const struct dff_core_job *job, GArray *parts)
 {
@@ -333,8 +360,10 @@
 void
 dff_core_rebind_all (struct dff_core *core)
 {
-	for (guint i = 0; i < core->workers->len; i++)
+	for (guint i = 0; i < core->workers->len; i++) {
 		dff_core_worker_at (core, (int32_t)i)->bound = (struct dff_resources){0};
+		dff_core_worker_at (core, (int32_t)i)->homes = (struct dff_resources){0};
+	}
 	GHashTableIter iter;
 	gpointer value;
 	g_hash_table_iter_init (&iter, core->jobs);
--- a/core/core.c
+++ b/core/core.c
@@ -5,6 +5,8 @@
 #define DEFAULT_START_TIMEOUT_MS 15000
 /* 4.3 s for urgent work, less deciding, recording, stopping and starting. */
 #define DEFAULT_CHECKPOINT_GRACE_MS 2500
+/** Gangs at once for which racks are kept. */
+#define MAX_GUARDS 1
 /** Accelerators that count as a whole piece where no team has a guarantee. */
 #define DEFAULT_ADJACENT_UNIT 8
 
@@ -43,6 +45,7 @@
 	core->estimators = dff_core_estimators_new ();
 	core->pending = array_new (sizeof (struct dff_command), NULL);
 	core->adjacent_unit = DEFAULT_ADJACENT_UNIT;
+	core->max_guards = MAX_GUARDS;
 	return core;
 }
 
@@ -110,6 +113,7 @@
 	for (guint i = 0; i < core->workers->len; i++)
 		dff_core_worker_at (core, (int32_t)i)->rack = DFF_CORE_NONE;
 	g_array_set_size (core->racks, 0);
+	core->n_guards = 0;
 	core->total = (struct dff_resources){0};
 	for (guint i = 0; i < racks->len; i++)
 		add_rack (core, &g_array_index (racks, struct dff_rack, i));
@@ -298,6 +302,7 @@
 	dff_core_run_delayed (core);
 	dff_core_run_witnesses (core);
 	dff_core_run_reserved (core);
+	dff_core_run_guards (core);
 	dff_core_run_queue (core);
 	g_array_set_size (commands, 0);
 	if (core->pending->len > 0)
--- a/core/core_private.h
+++ b/core/core_private.h
@@ -48,6 +48,8 @@
 	/** What work that may not be preempted holds, plus what witnesses need. Never more than
 	 * @capacity on a usable worker, so that a claim always finds its place. */
 	struct dff_resources bound;
+	/** Of @bound, the homes of shapes. */
+	struct dff_resources homes;
 	/** Bit i: accelerator i is leased. */
 	uint64_t leased;
 	/** Whether more is in use than the capacity: the pool shrank, or rows claimed too much. */
@@ -69,6 +71,9 @@
 struct dff_core_rack {
 	struct dff_name name;
 	int32_t region;
+	/** (nullable): the waiting gang that is to have this rack next, and when it may. */
+	const struct dff_core_job *guard;
+	int64_t guard_ms;
 	/** Elements: int32_t, indices of workers. */
 	GArray *workers;
 	/** Free accelerators on workers that take new work. */
@@ -190,6 +195,9 @@
 	enum dff_core_state state;
 	bool cancelled;
 	bool preempted;
+	/** Whether it is placed beside a shape of its team that would hold it but for its pieces.
+	 */
+	bool entitled;
 	/** Whether any attempt may have run. */
 	bool ever_ran;
 	/** Whether members of the attempt were let go to run. */
@@ -286,6 +294,8 @@
 	/** When the queue is looked at again in any case. */
 	int64_t review_ms;
 	int32_t evictions_left;
+	int32_t n_guards;
+	int32_t max_guards;
 	/** Capacity declared. */
 	struct dff_resources total;
 	/** Accelerators of the largest guaranteed shape that fits a rack. */
@@ -376,6 +386,9 @@
 /** Forgets the members and placements of the last attempt. */
 void dff_core_job_clear_attempt (struct dff_core_job *job);
 
+/** Whether a worker takes starts: it is up, if only for a probe. */
+bool dff_core_worker_answers (const struct dff_core_worker *worker);
+
 /** Whether a worker may be given new work. */
 bool dff_core_worker_usable (const struct dff_core_worker *worker);
 
@@ -499,6 +512,22 @@
 /** System: places queued jobs in order. */
 void dff_core_run_queue (struct dff_core *core);
 
+/* guard.c */
+
+/** Keeps racks for a gang that waits: the ones that come free first. */
+void dff_core_guard (struct dff_core *core, const struct dff_core_job *job);
+
+/** Lets go of the racks kept for gangs that wait no longer. */
+void dff_core_run_guards (struct dff_core *core);
+
+/** Lets go of the racks kept for @job. */
+void dff_core_unguard (struct dff_core *core, const struct dff_core_job *job);
+
+/** Whether a rack is kept for another job that @job would hold up. */
+bool dff_core_rack_is_kept (const struct dff_core *core,
+			    const struct dff_core_rack *rack,
+			    const struct dff_core_job *job);
+
 /* start.c */
 
 bool dff_core_within_quota (const struct dff_core *core, const struct dff_core_job *job);
@@ -555,6 +584,8 @@
 	DFF_CORE_VIEW_EVICT_UNBOUND,
 	/** Every declared worker as if it were up and empty. */
 	DFF_CORE_VIEW_EMPTY,
+	/** The same, less the homes of shapes. */
+	DFF_CORE_VIEW_HOMELESS,
 };
 
 /**
@@ -637,6 +668,9 @@
 		     int32_t *workers,
 		     int32_t *shape);
 
+/** Whether a shape of the job's team has enough unclaimed accelerators, in one piece or not. */
+bool dff_core_is_entitled (const struct dff_core *core, const struct dff_core_job *job);
+
 /** Makes a recovered job the holder of a shape of its team, if one is left. */
 bool dff_core_claim_adopt (struct dff_core *core, struct dff_core_job *job);
 
@@ -650,6 +684,8 @@
 	int32_t worker;
 	/** Members it may hold. */
 	int32_t fits;
+	/** Accelerators left for more: of equal workers, the one with fewest is filled first. */
+	int32_t room;
 	/** Work lost when it holds that many. */
 	int64_t cost;
 };
--- a/core/lifecycle.c
+++ b/core/lifecycle.c
@@ -163,10 +163,10 @@
 }
 
 static bool
-every_worker_usable (const struct dff_core *core, const struct dff_core_job *job)
+every_worker_answers (const struct dff_core *core, const struct dff_core_job *job)
 {
 	for (int32_t i = 0; i < job->gang; i++) {
-		if (!dff_core_worker_usable (dff_core_worker_at (core, job->members[i].worker)))
+		if (!dff_core_worker_answers (dff_core_worker_at (core, job->members[i].worker)))
 			return false;
 	}
 	return true;
@@ -180,7 +180,7 @@
 	job->refusals = 0;
 	/* A worker may have gone between decision and record. Nothing was sent yet, so no member
 	 * is sent at all and the attempt is proven not run. */
-	if (job->cancelled || job->preempted || !every_worker_usable (core, job)) {
+	if (job->cancelled || job->preempted || !every_worker_answers (core, job)) {
 		close_unsent (core, job);
 		dff_core_attempt_over (core, job);
 		return;
--- a/core/order.c
+++ b/core/order.c
@@ -10,6 +10,8 @@
 #define WIDTH_POWER 0.5
 /** Wait after which a job's score is halved, on top of its own estimate, ms. */
 #define AGEING_MS 1800000.0
+/** Wait after which racks are kept for a gang, ms. */
+#define GUARD_AFTER_MS 60000
 /** How much a team's share of the pool raises its scores. */
 #define FAIRNESS 1.0
 
@@ -90,6 +92,15 @@
 	return true;
 }
 
+/* Only gangs that need about a rack whole: smaller ones find a place sooner or later. */
+static bool
+wants_guard (const struct dff_core *core, const struct dff_core_job *job)
+{
+	return job->gang > 1 && job->adjacency != DFF_ADJACENCY_NONE &&
+	       dff_core_job_accelerators (job) >= core->adjacent_unit / 2 &&
+	       core->now_ms - job->submitted_ms > GUARD_AFTER_MS;
+}
+
 void
 dff_core_run_queue (struct dff_core *core)
 {
@@ -110,7 +121,10 @@
 			continue;
 		if (!dff_core_within_quota (core, queue_class->jobs.head->data))
 			continue;
-		if (!drain_class (core, queue_class))
-			g_hash_table_add (full, shape);
+		if (drain_class (core, queue_class))
+			continue;
+		g_hash_table_add (full, shape);
+		if (wants_guard (core, queue_class->jobs.head->data))
+			dff_core_guard (core, queue_class->jobs.head->data);
 	}
 }
--- a/core/place.c
+++ b/core/place.c
@@ -10,6 +10,12 @@
 	return view == DFF_CORE_VIEW_EVICT || view == DFF_CORE_VIEW_EVICT_UNBOUND;
 }
 
+static bool
+is_hypothetical (enum dff_core_view view)
+{
+	return view == DFF_CORE_VIEW_EMPTY || view == DFF_CORE_VIEW_HOMELESS;
+}
+
 struct dff_resources
 dff_core_worker_room (const struct dff_core *core,
 		      const struct dff_core_worker *worker,
@@ -18,6 +24,8 @@
 {
 	if (view == DFF_CORE_VIEW_EMPTY)
 		return worker->capacity;
+	if (view == DFF_CORE_VIEW_HOMELESS)
+		return dff_resources_less (&worker->capacity, &worker->homes);
 	struct dff_resources room = dff_resources_less (&worker->capacity, &worker->used);
 	room = dff_resources_less (&room, &worker->reserved);
 	for (guint i = 0; is_evicting (view) && i < worker->tenants->len; i++) {
@@ -39,7 +47,7 @@
 	     int32_t limit)
 {
 	const struct dff_core_worker *worker = dff_core_worker_at (core, index);
-	if (view != DFF_CORE_VIEW_EMPTY &&
+	if (!is_hypothetical (view) &&
 	    (!dff_core_worker_usable (worker) || dff_core_job_avoids (job, index)))
 		return 0;
 	struct dff_resources room = dff_core_worker_room (core, worker, job, view);
@@ -133,9 +141,32 @@
 }
 
 static bool
-region_matches (const struct dff_core_job *job, const struct dff_core_rack *rack)
+rack_allows (const struct dff_core *core,
+	     const struct dff_core_job *job,
+	     const struct dff_core_rack *rack,
+	     enum dff_core_view view)
+{
+	if (job->region != DFF_CORE_NONE && job->region != rack->region)
+		return false;
+	return is_hypothetical (view) || !dff_core_rack_is_kept (core, rack, job);
+}
+
+/* What a rack is chosen by, least first. Work that may not be preempted goes where such work is
+ * already: one such task keeps a whole rack from the gangs that need it whole. */
+static int32_t
+rack_order (const struct dff_core *core,
+	    const struct dff_core_rack *rack,
+	    const struct dff_core_job *job)
 {
-	return job->region == DFF_CORE_NONE || job->region == rack->region;
+	if (job->hold != DFF_CORE_HOLD_HARD)
+		return rack->free_accelerators;
+	int32_t unbound = 0;
+	for (guint i = 0; i < rack->workers->len; i++) {
+		const struct dff_core_worker *worker =
+			dff_core_worker_at (core, g_array_index (rack->workers, int32_t, i));
+		unbound += worker->capacity.accelerators - worker->bound.accelerators;
+	}
+	return unbound;
 }
 
 /* The rack with the fewest free accelerators that holds the whole gang. */
@@ -146,15 +177,16 @@
 	       int32_t *workers)
 {
 	int32_t best = DFF_CORE_NONE;
+	int32_t best_order = INT32_MAX;
 	for (guint i = 0; i < core->racks->len; i++) {
 		const struct dff_core_rack *rack = dff_core_rack_at (core, (int32_t)i);
-		if (!region_matches (job, rack))
+		if (!rack_allows (core, job, rack, view))
 			continue;
-		if (best != DFF_CORE_NONE &&
-		    rack->free_accelerators >= dff_core_rack_at (core, best)->free_accelerators)
+		int32_t order = rack_order (core, rack, job);
+		if (order >= best_order || rack_fits (core, rack, job, view) < job->gang)
 			continue;
-		if (rack_fits (core, rack, job, view) >= job->gang)
-			best = (int32_t)i;
+		best = (int32_t)i;
+		best_order = order;
 	}
 	if (best == DFF_CORE_NONE)
 		return false;
@@ -175,7 +207,8 @@
 	for (guint i = 0; i < core->racks->len && best_cost != 0; i++) {
 		const struct dff_core_rack *rack = dff_core_rack_at (core, (int32_t)i);
 		int32_t trial[DFF_GANG_MAX];
-		if (!region_matches (job, rack) || rack_fits (core, rack, job, view) < job->gang)
+		if (!rack_allows (core, job, rack, view) ||
+		    rack_fits (core, rack, job, view) < job->gang)
 			continue;
 		g_array_set_size (candidates, 0);
 		rack_candidates (core, rack, job, view, candidates);
@@ -230,7 +263,8 @@
 	int64_t sum = 0;
 	for (int32_t last = 0; last < (int32_t)core->racks->len; last++) {
 		const struct dff_core_rack *rack = dff_core_rack_at (core, last);
-		fits[last] = region_matches (job, rack) ? rack_fits (core, rack, job, view) : 0;
+		fits[last] =
+			rack_allows (core, job, rack, view) ? rack_fits (core, rack, job, view) : 0;
 		if (rack->region != dff_core_rack_at (core, first)->region) {
 			first = last;
 			sum = 0;
@@ -260,7 +294,7 @@
 	g_autoptr (GArray) candidates = g_array_new (FALSE, FALSE, sizeof (struct candidate));
 	for (guint i = 0; i < core->racks->len; i++) {
 		const struct dff_core_rack *rack = dff_core_rack_at (core, (int32_t)i);
-		if (rack->region != region)
+		if (rack->region != region || !rack_allows (core, job, rack, view))
 			continue;
 		guint before = candidates->len;
 		rack_candidates (core, rack, job, view, candidates);
@@ -318,7 +352,7 @@
 {
 	if (place (core, job, view, workers))
 		return true;
-	if (job->n_avoided == 0 || view == DFF_CORE_VIEW_EMPTY)
+	if (job->n_avoided == 0 || is_hypothetical (view))
 		return false;
 	/* Better a worker on which it failed once than none: the failure may not recur. */
 	struct dff_core_job unbiased = *job;
--- a/core/queue.c
+++ b/core/queue.c
@@ -92,6 +92,7 @@
 	g_queue_unlink (&queue_class->jobs, &job->link);
 	job->queue_class = NULL;
 	job->waited_ms += core->now_ms - job->queued_ms;
+	dff_core_unguard (core, job);
 	if (g_queue_is_empty (&queue_class->jobs))
 		g_hash_table_remove (core->classes, &queue_class->key);
 }
--- a/core/reclaim.c
+++ b/core/reclaim.c
@@ -34,7 +34,7 @@
 {
 	if (tenant->hold != DFF_CORE_HOLD_SOFT)
 		return false;
-	if (job->hold == DFF_CORE_HOLD_CLAIM)
+	if (job->hold == DFF_CORE_HOLD_CLAIM || job->entitled)
 		return true;
 	if (tenant->urgent)
 		return false;
@@ -148,6 +148,8 @@
 	int64_t right = other->cost / other->fits;
 	if (left != right)
 		return left < right ? -1 : 1;
+	if (one->room != other->room)
+		return one->room < other->room ? -1 : 1;
 	return one->worker < other->worker ? -1 : one->worker > other->worker;
 }
 
--- a/core/start.c
+++ b/core/start.c
@@ -2,8 +2,8 @@
 
 /* Ways in which a queued job may get its place. */
 
-/** Wait after which work that may not be preempted uses its own team's guarantee, ms. */
-#define OWN_GUARANTEE_AFTER_MS 1800000
+/** Wait after which urgent work that may not be preempted uses its own team's guarantee, ms. */
+#define OWN_GUARANTEE_AFTER_MS 2000
 
 bool
 dff_core_within_quota (const struct dff_core *core, const struct dff_core_job *job)
@@ -76,6 +76,17 @@
 	return fits;
 }
 
+/* Its team's guaranteed jobs may come at any moment, so that work which may not be preempted uses
+ * the guarantee only when there is no other place for it in the whole pool, or somebody waits. */
+static bool
+may_use_guarantee (const struct dff_core *core, const struct dff_core_job *job)
+{
+	int32_t workers[DFF_GANG_MAX];
+	if (job->urgent && core->now_ms - job->submitted_ms >= OWN_GUARANTEE_AFTER_MS)
+		return true;
+	return !dff_core_place (core, job, DFF_CORE_VIEW_HOMELESS, workers);
+}
+
 /* Work that may not be preempted: only where no witness needs the place. */
 static bool
 start_hard (struct dff_core *core, struct dff_core_job *job)
@@ -84,23 +95,36 @@
 	job->hold = DFF_CORE_HOLD_HARD;
 	if (!dff_core_place (core, job, DFF_CORE_VIEW_UNBOUND, workers) &&
 	    !place_displacing (core, job, workers) &&
-	    !place_evicting (core, job, DFF_CORE_VIEW_EVICT_UNBOUND, workers)) {
-		/* Its team's guaranteed jobs may come any moment: only when somebody waits, or has
-		 * waited long. */
-		bool waits =
-			job->urgent || core->now_ms - job->submitted_ms > OWN_GUARANTEE_AFTER_MS;
-		return waits && start_claim (core, job);
-	}
+	    !place_evicting (core, job, DFF_CORE_VIEW_EVICT_UNBOUND, workers))
+		return may_use_guarantee (core, job) && start_claim (core, job);
 	dff_core_take (core, job, workers, DFF_CORE_HOLD_HARD, DFF_CORE_NONE);
 	return true;
 }
 
+/* Jobs of one team that claim pieces of a shape may leave pieces on several workers that no further
+ * job fits. The team has a right to them, so that the job gets other accelerators instead. */
+static bool
+start_entitled (struct dff_core *core, struct dff_core_job *job)
+{
+	int32_t workers[DFF_GANG_MAX];
+	if (!dff_core_is_entitled (core, job))
+		return false;
+	job->hold = DFF_CORE_HOLD_HARD;
+	job->entitled = true;
+	bool placed = dff_core_place (core, job, DFF_CORE_VIEW_UNBOUND, workers) ||
+		      dff_core_place (core, job, DFF_CORE_VIEW_EVICT_UNBOUND, workers);
+	if (placed)
+		dff_core_take (core, job, workers, DFF_CORE_HOLD_HARD, DFF_CORE_NONE);
+	job->entitled = false;
+	return placed;
+}
+
 bool
 dff_core_try_start (struct dff_core *core, struct dff_core_job *job)
 {
 	if (!dff_core_within_quota (core, job))
 		return false;
-	if (job->guaranteed && start_claim (core, job))
+	if (job->guaranteed && (start_claim (core, job) || start_entitled (core, job)))
 		return true;
 	if (dff_core_job_preemptible (job))
 		return start_soft (core, job);
--- a/core/tables.c
+++ b/core/tables.c
@@ -108,10 +108,16 @@
 }
 
 bool
-dff_core_worker_usable (const struct dff_core_worker *worker)
+dff_core_worker_answers (const struct dff_core_worker *worker)
 {
 	return worker->rack != DFF_CORE_NONE && worker->state == DFF_WORKER_UP &&
-	       worker->health == DFF_CORE_HEALTHY;
+	       worker->health != DFF_CORE_QUARANTINED;
+}
+
+bool
+dff_core_worker_usable (const struct dff_core_worker *worker)
+{
+	return dff_core_worker_answers (worker) && worker->health == DFF_CORE_HEALTHY;
 }
 
 void
--- a/core/witness.c
+++ b/core/witness.c
@@ -25,6 +25,7 @@
 	struct dff_core_worker *worker = dff_core_worker_at (core, part->worker);
 	struct dff_resources unit = dff_core_worker_unit (worker);
 	dff_resources_add (&worker->bound, &unit, sign * part->count);
+	dff_resources_add (&worker->homes, &unit, sign * part->count);
 }
 
 /* Accelerators of a worker that a shape's home may still take. */
