client: status prints members of members by name

status without a topic printed the cell and the instances as one long JSON text each, which no operator reads on a terminal.

--- a/client/columns.c
+++ b/client/columns.c
@@ -1,6 +1,7 @@
 #include "client/columns.h"
 
 #define GAP 2
+#define MAX_DEPTH 3
 #define DUMP_FLAGS (JSON_COMPACT | JSON_ENCODE_ANY)
 
 static char *
@@ -73,21 +74,62 @@
 	}
 }
 
-void
-dff_fields_print (const json_t *object, GString *out)
+struct field {
+	char *name;
+	char *text;
+};
+
+static void
+field_clear (gpointer data)
+{
+	struct field *field = data;
+	g_free (field->name);
+	g_free (field->text);
+}
+
+static char *
+field_text (const json_t *value)
+{
+	if (json_is_array (value))
+		return g_strdup_printf ("%zu entries", json_array_size (value));
+	return cell_text (value);
+}
+
+/* Members of members get a name with a dot, to @depth levels. */
+static void
+collect_fields (const json_t *object, const char *prefix, int depth, GArray *fields)
 {
-	int width = 0;
 	const char *key;
 	json_t *value;
 	json_object_foreach ((json_t *)object, key, value)
 	{
-		width = MAX (width, (int)g_utf8_strlen (key, -1) + GAP);
+		g_autofree char *name = g_strconcat (prefix, key, NULL);
+		if (json_is_object (value) && depth > 1) {
+			g_autofree char *deeper = g_strconcat (name, ".", NULL);
+			collect_fields (value, deeper, depth - 1, fields);
+			continue;
+		}
+		struct field field = {.text = field_text (value)};
+		field.name = g_steal_pointer (&name);
+		g_array_append_val (fields, field);
 	}
-	json_object_foreach ((json_t *)object, key, value)
-	{
-		g_autofree char *text = cell_text (value);
-		append_padded (out, key, width);
-		g_string_append (out, text);
+}
+
+void
+dff_fields_print (const json_t *object, GString *out)
+{
+	g_autoptr (GArray) fields = g_array_new (FALSE, FALSE, sizeof (struct field));
+	g_array_set_clear_func (fields, field_clear);
+	collect_fields (object, "", MAX_DEPTH, fields);
+	int width = 0;
+	for (guint i = 0; i < fields->len; i++) {
+		const struct field *field = &g_array_index (fields, struct field, i);
+		width = MAX (width, (int)g_utf8_strlen (field->name, -1) + GAP);
+	}
+	for (guint i = 0; i < fields->len; i++) {
+		const struct field *field = &g_array_index (fields, struct field, i);
+		append_padded (out, field->name, width);
+		g_string_append (out, field->text);
 		end_line (out);
 	}
 }
--- a/include/client/columns.h
+++ b/include/client/columns.h
@@ -8,7 +8,8 @@
  */
 void dff_columns_print (const json_t *rows, GString *out);
 
-/** Appends an object as "key  value" lines. */
+/** Appends an object as "key  value" lines; members of members as "key.key", arrays as their size.
+ */
 void dff_fields_print (const json_t *object, GString *out);
 
 #endif
--- a/tests/client/test-command-line.c
+++ b/tests/client/test-command-line.c
@@ -137,6 +137,32 @@
 	assert_null (dff_cli_command_find ("none"));
 }
 
+/* Symptom: completion does not know an option. Sequence: an option is added to a command, the
+ * completion file is forgotten. Cause: two places that list the same. */
+static void
+test_completion_knows_every_option (void **state)
+{
+	(void)state;
+	g_autofree char *completion = NULL;
+	assert_true (
+		g_file_get_contents ("completions/dragonflyfold.bash", &completion, NULL, NULL));
+	g_autoptr (GRegex) regex = g_regex_new ("--[a-z][a-z-]*", 0, 0, NULL);
+	size_t n_commands;
+	const struct dff_cli_command *commands = dff_cli_commands (&n_commands);
+	for (size_t i = 0; i < n_commands; i++) {
+		g_autofree char *line = g_strconcat (commands[i].name, " --help", NULL);
+		g_autoptr (GString) help = run_line (line);
+		g_autoptr (GMatchInfo) match = NULL;
+		assert_non_null (strstr (completion, commands[i].name));
+		g_regex_match (regex, help->str, 0, &match);
+		for (; g_match_info_matches (match); g_match_info_next (match, NULL)) {
+			g_autofree char *option = g_match_info_fetch (match, 0);
+			if (strstr (completion, option) == NULL)
+				fail_msg ("%s: %s", commands[i].name, option);
+		}
+	}
+}
+
 int
 main (void)
 {
@@ -145,6 +171,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test (test_golden_lines),
 		cmocka_unit_test (test_every_command_has_help),
+		cmocka_unit_test (test_completion_knows_every_option),
 	};
 	return cmocka_run_group_tests (tests, NULL, NULL);
 }
