peer: what one member makes of another's report, as a table of cases

A table now states each: who is believed about a member that is heard here, silent here, or dead. Writing it showed that a report about a later incarnation of a dead member, as suspect, left it dead in the later incarnation, which only that member could undo again; it is suspect now. Eleven cases pass, one of them failed before this change.

--- a/peer/membership_merge.c
+++ b/peer/membership_merge.c
@@ -123,9 +123,11 @@
 		return;
 	if (contradicts (membership, known, report))
 		life = DFF_LIFE_SUSPECT;
+	/* A later incarnation ran after whatever this process holds it for. */
+	bool outdated = report->incarnation > known->incarnation;
 	if (report_is_newer (report, known))
 		adopt_values (membership, entry, report);
-	if (life > known->life)
+	if (outdated || life > known->life)
 		dff_membership_set_life (membership, entry, life);
 }
 
--- /dev/null
+++ b/tests/peer/test-reports.c
@@ -0,0 +1,96 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+
+#include "fake_transport.h"
+#include "peer/message.h"
+
+/* What entry-0 makes of what entry-1 says about entry-2. */
+
+/** Longer than entry-2 has sent heartbeats for. */
+#define MUCH_LATER 1000
+
+struct report_case {
+	const char *what;
+	/** Time that entry-2 has been silent for when the report comes, ms; 0: it runs. */
+	int64_t silent_ms;
+	int32_t incarnation;
+	/** Added to the number of heartbeats that entry-0 knows of. */
+	int32_t later;
+	enum dff_life life;
+	enum dff_member_state state;
+};
+
+static const struct report_case cases[] = {
+	{"accused, but heard here", 0, 1, 0, DFF_LIFE_DEAD, DFF_MEMBER_ALIVE},
+	{"suspected, but heard here", 0, 1, 5, DFF_LIFE_SUSPECT, DFF_MEMBER_ALIVE},
+	{"accused by one that never heard it", 5000, 0, 0, DFF_LIFE_DEAD, DFF_MEMBER_SUSPECT},
+	{"silent, and still suspect", 5000, 1, -2, DFF_LIFE_ALIVE, DFF_MEMBER_SUSPECT},
+	{"silent here, heard elsewhere", 5000, 1, 3, DFF_LIFE_ALIVE, DFF_MEMBER_ALIVE},
+	{"silent here, and dead elsewhere", 5000, 1, 0, DFF_LIFE_DEAD, DFF_MEMBER_DEAD},
+	{"dead for one that lost two heartbeats", 5000, 1, -2, DFF_LIFE_DEAD, DFF_MEMBER_DEAD},
+	{"dead for one that lost many", 5000, 1, -5, DFF_LIFE_DEAD, DFF_MEMBER_SUSPECT},
+	{"dead, a late sign of life", 9000, 1, MUCH_LATER, DFF_LIFE_ALIVE, DFF_MEMBER_DEAD},
+	{"dead, refuted", 9000, 2, 1, DFF_LIFE_ALIVE, DFF_MEMBER_ALIVE},
+	{"dead, suspect in a later incarnation", 9000, 2, 1, DFF_LIFE_SUSPECT, DFF_MEMBER_SUSPECT},
+};
+
+/* Heartbeats that the others have from entry-2: one a second, and one when it was asked to start.
+ */
+static uint64_t
+heartbeats_of (struct fake_node *node)
+{
+	return (uint64_t)*dff_metrics_counter (node->metrics, "dff_peer_sent_total", "") / 2;
+}
+
+static void
+tell (struct fake_network *network, const struct report_case *report, uint64_t sequence)
+{
+	struct dff_member_report about = {
+		.id = network->nodes[2].instance.id,
+		.incarnation = (uint64_t)report->incarnation,
+		.sequence = sequence + (uint64_t)report->later,
+		.life = report->life,
+	};
+	struct dff_message message = {.kind = DFF_MESSAGE_HEARTBEAT};
+	message.sender = network->nodes[1].instance.id;
+	message.heartbeat.self.id = message.sender;
+	message.heartbeat.self.incarnation = 1;
+	message.heartbeat.self.sequence = MUCH_LATER;
+	message.heartbeat.others = &about;
+	message.heartbeat.n_others = 1;
+	g_autoptr (GByteArray) bytes = dff_message_encode (&message);
+	dff_peer_receive (network->nodes[0].peer, bytes->data, bytes->len);
+}
+
+static void
+test_reports (void **state)
+{
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS (cases); i++) {
+		DFF_AUTO (fake_network) network = fake_network_new (1, 3, 1);
+		for (int32_t j = 0; j < 3; j++)
+			fake_node_start (&network->nodes[j]);
+		fake_network_list (network, 0);
+		fake_network_run (network, 20000);
+		uint64_t sequence = heartbeats_of (&network->nodes[2]);
+		network->nodes[1].paused = true;
+		network->nodes[2].paused = cases[i].silent_ms > 0;
+		fake_network_run (network, cases[i].silent_ms);
+		tell (network, &cases[i], sequence);
+		if (fake_node_state_of (&network->nodes[0], &network->nodes[2]) != cases[i].state)
+			fail_msg ("%s", cases[i].what);
+	}
+}
+
+int
+main (void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test (test_reports),
+	};
+	return cmocka_run_group_tests (tests, NULL, NULL);
+}
