--- a/entry/slots.c
+++ b/entry/slots.c
@@ -21,6 +21,10 @@
 	GPtrArray *workers;
 	/** struct dff_name * (the worker's own) -> struct slot_worker *. */
 	GHashTable *by_id;
+	/** Elements: struct slot_worker *: those that may be used in the same data centre; stale
+	 * when @changed. */
+	GPtrArray *near;
+	bool changed;
 	/** Scratch space of dff_slots_take(): struct slot_worker *. */
 	GPtrArray *candidates;
 	int64_t epoch;
@@ -35,6 +39,7 @@
 	slots->rng = g_rand_new_with_seed ((guint32)(seed ^ (seed >> 32)));
 	slots->workers = g_ptr_array_new_with_free_func (g_free);
 	slots->by_id = g_hash_table_new (dff_name_hash, dff_name_equal_func);
+	slots->near = g_ptr_array_new ();
 	slots->candidates = g_ptr_array_new ();
 	return slots;
 }
@@ -45,6 +50,7 @@
 	g_rand_free (slots->rng);
 	g_hash_table_destroy (slots->by_id);
 	g_ptr_array_unref (slots->workers);
+	g_ptr_array_unref (slots->near);
 	g_ptr_array_unref (slots->candidates);
 	g_free (slots);
 }
@@ -103,6 +109,7 @@
 			dff_name_equal (&instance->data_centre, &slots->data_centre);
 	}
 	forget_unlisted (slots);
+	slots->changed = true;
 }
 
 void
@@ -118,6 +125,7 @@
 		return;
 	slots->epoch = epoch;
 	slots->expires_ms = expires_ms;
+	slots->changed = true;
 	for (guint i = 0; i < slots->workers->len; i++) {
 		struct slot_worker *worker = slots->workers->pdata[i];
 		worker->granted = 0;
@@ -130,6 +138,7 @@
 dff_slots_worker_leaving (struct dff_slots *slots, const struct dff_name *worker)
 {
 	ensure_worker (slots, worker)->said_leaving = true;
+	slots->changed = true;
 }
 
 void
@@ -183,29 +192,57 @@
 }
 
 static struct slot_worker *
-choose (struct dff_slots *slots)
+less_loaded_of_two (struct dff_slots *slots, const GPtrArray *workers)
 {
-	gint32 n = (gint32)slots->candidates->len;
-	struct slot_worker *first = slots->candidates->pdata[0];
+	gint32 n = (gint32)workers->len;
 	if (n == 1)
-		return first;
+		return workers->pdata[0];
 	gint32 one = g_rand_int_range (slots->rng, 0, n);
 	gint32 other = g_rand_int_range (slots->rng, 0, n - 1);
 	if (other >= one)
 		other++;
-	struct slot_worker *a = slots->candidates->pdata[one];
-	struct slot_worker *b = slots->candidates->pdata[other];
+	struct slot_worker *a = workers->pdata[one];
+	struct slot_worker *b = workers->pdata[other];
 	return is_less_loaded (b, a) ? b : a;
 }
 
+static void
+collect_near (struct dff_slots *slots)
+{
+	slots->changed = false;
+	g_ptr_array_set_size (slots->near, 0);
+	for (guint i = 0; i < slots->workers->len; i++) {
+		struct slot_worker *worker = slots->workers->pdata[i];
+		if (is_usable (worker) && worker->same_data_centre)
+			g_ptr_array_add (slots->near, worker);
+	}
+}
+
+/* The usual case, without a look at every worker. Returns NULL when it has no answer. */
+static struct slot_worker *
+choose_near (struct dff_slots *slots, int64_t now_ms)
+{
+	if (slots->changed)
+		collect_near (slots);
+	if (slots->near->len == 0)
+		return NULL;
+	struct slot_worker *worker = less_loaded_of_two (slots, slots->near);
+	bool free = worker->in_use < worker->granted;
+	return free && worker->avoid_until_ms <= now_ms ? worker : NULL;
+}
+
 enum dff_slot_outcome
 dff_slots_take (struct dff_slots *slots, int64_t now_ms, struct dff_slot *slot)
 {
-	if (now_ms >= slots->expires_ms || !collect_candidates (slots, now_ms))
+	if (now_ms >= slots->expires_ms)
+		return DFF_SLOT_NO_GRANT;
+	struct slot_worker *worker = choose_near (slots, now_ms);
+	if (worker == NULL && !collect_candidates (slots, now_ms))
 		return DFF_SLOT_NO_GRANT;
-	if (slots->candidates->len == 0)
+	if (worker == NULL && slots->candidates->len == 0)
 		return DFF_SLOT_BUSY;
-	struct slot_worker *worker = choose (slots);
+	if (worker == NULL)
+		worker = less_loaded_of_two (slots, slots->candidates);
 	worker->in_use++;
 	slot->worker = worker->id;
 	slot->address = worker->address;
