client: a submission under a new key says so; serve: exit status of a cut-off stop

Cause: a refusal of a submission with a key is 'unknown' unless the caller says that no earlier call carried the key, and the command line never said it, so a user in an outage was told less than is known. And serve ended with 0 when a drain was given up or a second signal cut work off. Change: Attempt: 1 as long as every earlier call under the key was unsent or refused; exit status 1 where work was cut off. Measured: five cases of what the second call may claim pass; without the tracking the 504 and the cut connection claim to be first and the test fails. Conclusion: the caller is told not_run where that is proven, and only there.

--- a/client/call.c
+++ b/client/call.c
@@ -14,7 +14,7 @@
 #define MAX_ANSWER_BYTES ((size_t)256 * 1024 * 1024)
 #define FIRST_BACKOFF_MS 200
 #define MAX_BACKOFF_MS 2000
-#define MAX_HEADERS 6
+#define MAX_HEADERS 7
 
 struct dff_caller {
 	struct event_base *base;
@@ -177,12 +177,14 @@
 exchange_with (struct dff_caller *caller,
 	       const struct dff_name *server,
 	       const struct dff_call_request *request,
+	       bool first,
 	       struct dff_call_response *response)
 {
 	struct dff_http_header headers[MAX_HEADERS];
 	size_t n = add_header (headers, 0, "Authorization", caller->authorization->str);
 	n = add_header (headers, n, "Content-Type", request->content_type);
 	n = add_header (headers, n, "Idempotency-Key", request->idempotency_key);
+	n = add_header (headers, n, "Attempt", first ? "1" : NULL);
 	n = add_header (headers, n, "If-Match", request->if_match);
 	n = add_header (headers, n, "Batch-Count", request->batch_count);
 	int64_t limit = request->answer_timeout_ms > 0 ? request->answer_timeout_ms
@@ -223,6 +225,13 @@
 	return asks_to_return (response) && request->idempotent;
 }
 
+/* Whether it is proven that a call with "Attempt: 1" left nothing on record. */
+static bool
+left_nothing (const struct dff_call_response *response, enum dff_http_outcome outcome)
+{
+	return outcome == DFF_HTTP_UNSENT || response->status == 429 || response->status == 503;
+}
+
 static int64_t
 jittered (int64_t ms)
 {
@@ -236,12 +245,15 @@
 	guint n_candidates = request->only_server > 0 ? 1 : caller->servers->len;
 	int64_t backoff_ms = FIRST_BACKOFF_MS;
 	int64_t come_back_ms = 0;
+	bool first = request->key_is_new;
 	for (guint attempt = 1;; attempt++) {
 		guint index =
 			request->only_server > 0 ? request->only_server - 1 : caller->next_server;
 		const struct dff_name *server =
 			&g_array_index (caller->servers, struct dff_name, index);
-		enum dff_http_outcome outcome = exchange_with (caller, server, request, response);
+		enum dff_http_outcome outcome =
+			exchange_with (caller, server, request, first, response);
+		first = first && left_nothing (response, outcome);
 		if (request->once || !may_repeat (request, response, outcome))
 			return response;
 		if (asks_to_return (response))
--- a/client/submit.c
+++ b/client/submit.c
@@ -113,6 +113,7 @@
 		.content_type = batch_count != NULL ? "application/jsonl" : "application/json",
 		.batch_count = batch_count,
 		.idempotency_key = key,
+		.key_is_new = submission->key == NULL,
 		.idempotent = true,
 	};
 	DFF_AUTO (dff_call_response) response = dff_call (caller, &request);
--- a/daemon/daemon_private.h
+++ b/daemon/daemon_private.h
@@ -65,6 +65,7 @@
 	int64_t grant_epoch;
 	bool draining;
 	int64_t drain_started_ms;
+	bool cut_off;
 };
 
 /** Splits the request slots of the region's workers over the live processes, when holder. */
--- a/daemon/drain.c
+++ b/daemon/drain.c
@@ -26,9 +26,16 @@
 void
 dff_daemon_stop_now (struct dff_daemon *daemon)
 {
+	daemon->cut_off = true;
 	event_base_loopexit (daemon->base, NULL);
 }
 
+bool
+dff_daemon_was_cut_off (const struct dff_daemon *daemon)
+{
+	return daemon->cut_off;
+}
+
 /* The balancer learns from /readyz, a while late, that this process is going. What it still sends
  * in that while is served: refusing it at once would cost callers a retry at every planned stop.
  * After the grace new work is refused, and the loop ends when the last request in flight has its
@@ -45,7 +52,7 @@
 	bool done = dff_entry_is_drained (daemon->entry) && dff_cell_is_drained (daemon->cell);
 	if (done) {
 		dff_log (DFF_LOG_SERVE, DFF_LOG_INFO, "Drained. after_ms=%" PRId64, elapsed_ms);
-		dff_daemon_stop_now (daemon);
+		event_base_loopexit (daemon->base, NULL);
 		return;
 	}
 	int32_t limit_ms = daemon->settings->drain_timeout_ms;
--- a/daemon/serve.c
+++ b/daemon/serve.c
@@ -18,15 +18,17 @@
 	const char *settings_path;
 };
 
-static const char usage[] = "Usage: dragonflyfold serve --settings FILE\n"
-			    "\n"
-			    "Runs one process of the system.\n"
-			    "\n"
-			    "  -s, --settings FILE  settings of this process, JSON\n"
-			    "  -h, --help           prints this text\n"
-			    "\n"
-			    "SIGTERM and SIGINT stop gracefully; a second one stops at once.\n"
-			    "SIGHUP reads the settings again.\n";
+static const char usage[] =
+	"Usage: dragonflyfold serve --settings FILE\n"
+	"\n"
+	"Runs one process of the system.\n"
+	"\n"
+	"  -s, --settings FILE  settings of this process, JSON\n"
+	"  -h, --help           prints this text\n"
+	"\n"
+	"SIGTERM and SIGINT stop gracefully; a second one stops at once and\n"
+	"the exit status is 1, as when a stop takes longer than drain_timeout_ms.\n"
+	"SIGHUP reads the settings again.\n";
 
 static void
 handle_stop_signal (evutil_socket_t signal_number, short events, void *ctx)
@@ -102,7 +104,7 @@
 	for (size_t i = 0; i < G_N_ELEMENTS (signals); i++)
 		event_free (signals[i]);
 	dff_log (DFF_LOG_SERVE, DFF_LOG_INFO, "Stopped.");
-	return DFF_EXIT_OK;
+	return dff_daemon_was_cut_off (serve->daemon) ? DFF_EXIT_FAILED : DFF_EXIT_OK;
 }
 
 static int
--- a/include/client/call.h
+++ b/include/client/call.h
@@ -38,6 +38,8 @@
 	const char *idempotency_key;
 	const char *if_match;
 	const char *batch_count;
+	/** No earlier call carried @idempotency_key: a refusal then proves that nothing ran. */
+	bool key_is_new;
 	/** May be sent again when it is not known whether it took effect. */
 	bool idempotent;
 	/** Send once and take what comes. */
--- a/tests/client/test-call.c
+++ b/tests/client/test-call.c
@@ -35,6 +35,8 @@
 	size_t n_steps;
 	size_t n_asked;
 	GString *asked;
+	/* The last request said that no earlier one carried its key. */
+	bool said_first;
 };
 
 static void
@@ -45,6 +47,8 @@
 		evhttp_find_header (evhttp_request_get_input_headers (request), "Idempotency-Key");
 	g_string_append_printf (server->asked, "%s%s%s\n", evhttp_request_get_uri (request),
 				key != NULL ? " " : "", key != NULL ? key : "");
+	server->said_first =
+		evhttp_find_header (evhttp_request_get_input_headers (request), "Attempt") != NULL;
 	assert_true (server->n_asked < server->n_steps);
 	const struct step *step = &server->steps[server->n_asked++];
 	if (step->cut) {
@@ -185,6 +189,53 @@
 	}
 }
 
+struct first_case {
+	struct step first;
+	bool key_is_new;
+	/** What the call to the second server says. */
+	bool said_first;
+};
+
+/* Symptom: a caller is told that its job was not run, and it runs. Sequence: the first process
+ * takes the submission and its answer is lost; the second refuses. Cause: the second call claimed
+ * to be the first. */
+static void
+test_only_a_clean_key_is_called_first (void **state)
+{
+	(void)state;
+	static const struct first_case cases[] = {
+		{{.status = 503, .body = "{}"}, true, true},
+		{{.status = 429, .body = "{}"}, true, true},
+		{{.status = 504, .body = "{}"}, true, false},
+		{{.cut = true}, true, false},
+		{{.status = 503, .body = "{}"}, false, false},
+	};
+	for (size_t i = 0; i < G_N_ELEMENTS (cases); i++) {
+		struct step first[MAX_STEPS] = {cases[i].first};
+		struct step second[MAX_STEPS] = {{.status = 200, .body = "{}"}};
+		struct event_base *base = event_base_new ();
+		struct server servers[2];
+		server_start (&servers[0], base, first);
+		server_start (&servers[1], base, second);
+		struct dff_caller *caller = caller_on (base, servers, 2);
+		struct dff_call_request request = {
+			.method = EVHTTP_REQ_POST,
+			.path = "/v1/jobs",
+			.body = dff_str_from ("{}"),
+			.idempotency_key = "key-1",
+			.key_is_new = cases[i].key_is_new,
+			.idempotent = true,
+		};
+		DFF_AUTO (dff_call_response) response = dff_call (caller, &request);
+		assert_int_equal (response->status, 200);
+		assert_int_equal (servers[0].said_first, cases[i].key_is_new);
+		assert_int_equal (servers[1].said_first, cases[i].said_first);
+		server_stop (&servers[0]);
+		server_stop (&servers[1]);
+		dff_caller_free (caller);
+	}
+}
+
 /* Symptom: every call fails while one of two processes is up. Sequence: the first address given is
  * that of a process that was replaced. Cause: a refused connection taken for an answer. */
 static void
@@ -304,6 +355,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test (test_which_calls_are_repeated),
+		cmocka_unit_test (test_only_a_clean_key_is_called_first),
 		cmocka_unit_test (test_unreachable_server_is_passed_over),
 		cmocka_unit_test (test_result),
 		cmocka_unit_test (test_batch_wait),
