entry: every digest by the common module, and connections looked at every 50 ms

Connections were walked at every tick, which costs most when nothing happens; they are walked every 50 ms, freed ones are also dropped before one more would be over the limit, and a caller that hangs up is dropped at once.

--- a/entry/admission.c
+++ b/entry/admission.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "common/digest.h"
 #include "entry/private.h"
 #include "entry/reply.h"
 
@@ -121,10 +122,11 @@
 	size_t len = strlen (key);
 	if (len == 0 || len > KEY_MAX || !is_printable (key))
 		return DFF_KEY_INVALID;
-	g_autoptr (GChecksum) checksum = g_checksum_new (G_CHECKSUM_SHA256);
-	g_checksum_update (checksum, (const guchar *)scope, (gssize)strlen (scope));
-	g_checksum_update (checksum, (const guchar *)team->data, team->len + 1);
-	g_checksum_update (checksum, (const guchar *)key, (gssize)len);
-	*hash = dff_name_printf ("%.*s", HASH_DIGITS, g_checksum_get_string (checksum));
+	g_autoptr (GString) text = g_string_new (scope);
+	g_string_append_len (text, team->data, team->len + 1);
+	g_string_append (text, key);
+	char digest[DFF_DIGEST_HEX_LEN + 1];
+	dff_digest_hex ((struct dff_str){text->str, text->len}, digest);
+	*hash = dff_name_printf ("%.*s", HASH_DIGITS, digest);
 	return DFF_KEY_VALID;
 }
--- a/entry/answer.c
+++ b/entry/answer.c
@@ -3,6 +3,7 @@
 #include <jansson.h>
 #include <string.h>
 
+#include "common/digest.h"
 #include "entry/private.h"
 
 #define PROBLEM_TYPE "application/problem+json"
@@ -85,8 +86,9 @@
 GString *
 dff_answer_encode (const struct dff_answer *answer)
 {
-	g_autofree char *digest = g_compute_checksum_for_data (
-		G_CHECKSUM_SHA256, (const guchar *)answer->body->str, answer->body->len);
+	struct dff_str body = {answer->body->str, answer->body->len};
+	char digest[DFF_DIGEST_HEX_LEN + 1];
+	dff_digest_hex (body, digest);
 	json_t *json =
 		json_pack ("{s:i, s:s, s:s, s:I, s:s}", "status", answer->status, "content_type",
 			   answer->content_type, "outcome", dff_outcome_name (answer->outcome),
@@ -112,8 +114,8 @@
 			 &type, "outcome", &outcome_name, "length", &length, "digest",
 			 &digest) != 0)
 		return NULL;
-	g_autofree char *actual = g_compute_checksum_for_data (G_CHECKSUM_SHA256,
-							       (const guchar *)body.data, body.len);
+	char actual[DFF_DIGEST_HEX_LEN + 1];
+	dff_digest_hex (body, actual);
 	if (length != (json_int_t)body.len || !g_str_equal (actual, digest) ||
 	    !dff_outcome_parse (dff_str_from (outcome_name), &outcome))
 		return NULL;
--- a/entry/batch_submit.c
+++ b/entry/batch_submit.c
@@ -1,5 +1,6 @@
 #include <string.h>
 
+#include "common/digest.h"
 #include "common/log.h"
 #include "entry/admission.h"
 #include "entry/batch.h"
@@ -361,8 +362,6 @@
 	struct dff_str body = dff_call_body (call);
 	const struct dff_job_row *first = jobs->pdata[0];
 	struct dff_name unique = dff_name_is_empty (hash) ? dff_entry_random_hash (entry) : *hash;
-	g_autofree char *digest = g_compute_checksum_for_data (G_CHECKSUM_SHA256,
-							       (const guchar *)body.data, body.len);
 	struct batch *batch = g_new0 (struct batch, 1);
 	batch->call = dff_call_ref (call);
 	batch->id = dff_name_printf ("%s.%s", first->spec.region.data, unique.data);
@@ -371,7 +370,7 @@
 	batch->row.team = call->principal.name;
 	batch->row.manifest = (int32_t)manifest;
 	batch->row.accepted = -1;
-	g_strlcpy (batch->row.digest, digest, sizeof (batch->row.digest));
+	dff_digest_hex (body, batch->row.digest);
 	call->subject = batch->id;
 	name_jobs (batch);
 	record_batch (batch);
--- a/entry/call.c
+++ b/entry/call.c
@@ -63,8 +63,9 @@
 static void
 connection_closed (struct evhttp_connection *connection, void *ctx)
 {
-	(void)connection;
 	struct dff_call *call = ctx;
+	dff_connections_forget (call->entry->connections,
+				evhttp_connection_get_bufferevent (connection));
 	struct evhttp_request *request = call->request;
 	call->watched = false;
 	if (request != NULL) {
--- a/entry/connection.c
+++ b/entry/connection.c
@@ -6,6 +6,8 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+/** Interval at which connections are looked at, ms. */
+#define SCAN_MS 50
 /** An idle keep-alive connection is closed after this long, ms. */
 #define IDLE_LIMIT_MS 75000
 /** An answer that makes no progress for this long is cut, s. */
@@ -44,6 +46,7 @@
 	GHashTable *by_bev;
 	int32_t max_connections;
 	int32_t n_over_limit;
+	int64_t next_scan_ms;
 	struct evconnlistener *listener;
 };
 
@@ -102,10 +105,38 @@
 		set_state (connection, DFF_CONNECTION_RECEIVING);
 }
 
+/* bufferevent_free() clears the callbacks; a live connection always has evhttp's. */
+static bool
+is_gone (const struct connection *connection)
+{
+	bufferevent_event_cb event_cb = NULL;
+	bufferevent_getcb (connection->bev, NULL, NULL, &event_cb, NULL);
+	return event_cb == NULL;
+}
+
+/* Forgets the connections that evhttp has freed. */
+static void
+purge (struct dff_connections *connections)
+{
+	GHashTableIter iter;
+	gpointer value;
+	g_hash_table_iter_init (&iter, connections->by_bev);
+	while (g_hash_table_iter_next (&iter, NULL, &value)) {
+		struct connection *connection = value;
+		if (!is_gone (connection))
+			continue;
+		forget_input (NULL, connection, NULL);
+		g_hash_table_iter_remove (&iter);
+	}
+}
+
 void
 dff_connections_add (struct dff_connections *connections, struct bufferevent *bev)
 {
 	static const struct timeval write_stall = {.tv_sec = WRITE_STALL_S};
+	/* The new connection has no callbacks yet and would be taken for one that is gone. */
+	if (dff_connections_count (connections) >= connections->max_connections)
+		purge (connections);
 	struct connection *connection = g_new0 (struct connection, 1);
 	connection->owner = connections;
 	connection->bev = bev;
@@ -152,6 +183,16 @@
 		probe (connection);
 }
 
+void
+dff_connections_forget (struct dff_connections *connections, struct bufferevent *bev)
+{
+	struct connection *connection = g_hash_table_lookup (connections->by_bev, bev);
+	if (connection == NULL)
+		return;
+	forget_input (NULL, connection, NULL);
+	g_hash_table_remove (connections->by_bev, bev);
+}
+
 void
 dff_connections_answered (struct dff_connections *connections, struct bufferevent *bev)
 {
@@ -165,15 +206,6 @@
 	set_state (connection, more ? DFF_CONNECTION_RECEIVING : DFF_CONNECTION_IDLE);
 }
 
-/* bufferevent_free() clears the callbacks; a live connection always has evhttp's. */
-static bool
-is_gone (const struct connection *connection)
-{
-	bufferevent_event_cb event_cb = NULL;
-	bufferevent_getcb (connection->bev, NULL, NULL, &event_cb, NULL);
-	return event_cb == NULL;
-}
-
 static bool
 is_past_limit (const struct connection *connection,
 	       const struct dff_connection_limits *limits,
@@ -211,14 +243,13 @@
 	gpointer value;
 	connections->max_connections = limits->max_connections;
 	connections->listener = listener;
+	if (now_ms < connections->next_scan_ms)
+		return 0;
+	connections->next_scan_ms = now_ms + SCAN_MS;
+	purge (connections);
 	g_hash_table_iter_init (&iter, connections->by_bev);
 	while (g_hash_table_iter_next (&iter, NULL, &value)) {
 		struct connection *connection = value;
-		if (is_gone (connection)) {
-			forget_input (NULL, connection, NULL);
-			g_hash_table_iter_remove (&iter);
-			continue;
-		}
 		if (connection->closing || !is_past_limit (connection, limits, now_ms))
 			continue;
 		connection->closing = true;
--- a/entry/connection.h
+++ b/entry/connection.h
@@ -36,6 +36,9 @@
 /** A request is whole and is being worked on. */
 void dff_connections_handling (struct dff_connections *connections, struct bufferevent *bev);
 
+/** evhttp is about to free the connection. */
+void dff_connections_forget (struct dff_connections *connections, struct bufferevent *bev);
+
 /** The answer to the request is out. */
 void dff_connections_answered (struct dff_connections *connections, struct bufferevent *bev);
 
--- a/entry/request.c
+++ b/entry/request.c
@@ -365,9 +365,7 @@
 	request->span = dff_span_begin (entry->options.tracer, &call->span.context, "request");
 	request->calls = g_ptr_array_new_with_free_func (drop_call);
 	if (!parsed->idempotent) {
-		g_autofree char *digest = g_compute_checksum_for_data (
-			G_CHECKSUM_SHA256, (const guchar *)body.data, body.len);
-		g_strlcpy (request->digest, digest, sizeof (request->digest));
+		dff_digest_hex (body, request->digest);
 		request->hash = parsed->hash;
 	}
 	return request;
--- a/entry/request_private.h
+++ b/entry/request_private.h
@@ -5,6 +5,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "common/digest.h"
 #include "entry/answer.h"
 #include "entry/private.h"
 #include "entry/retry_budget.h"
@@ -61,8 +62,8 @@
 	/* Not idempotent only. */
 	/** Hash of the Idempotency-Key. */
 	struct dff_name hash;
-	/** SHA-256 of the body, hex. */
-	char digest[65];
+	/** SHA-256 of the body. */
+	char digest[DFF_DIGEST_HEX_LEN + 1];
 	/** The write of the attempt's row is under way; holds a reference. */
 	bool recording;
 	uint64_t ticket;
--- a/tests/entry/test-limits.c
+++ b/tests/entry/test-limits.c
@@ -192,6 +192,8 @@
 	harness_set_pool (harness);
 	struct dff_name job = submit (harness);
 	g_autofree char *poll = g_strdup_printf (LONG_POLL, job.data);
+	/* The submitter's connection is gone by then. */
+	harness_run (harness, 60);
 	struct harness_client *client = harness_connect (harness, 0);
 	send_text (client, poll);
 	harness_run (harness, 20);
