core: an account of which guaranteed jobs a team's shapes cover

Cause: a guaranteed job that ran as a borrower because the shapes were used up was forgotten when they came free; a later job took the room and the older one, once preempted, waited (7 violations at Tatrinvest, load 0.9). Change: jobs are covered oldest first wherever they run, and only covered ones claim. Run times are predicted by mean residual life, gangs that racks are kept for displace narrow jobs, and jobs that never ran rise.

--- a/core/check.c
+++ b/core/check.c
@@ -117,6 +117,8 @@
 		if (part->claimed < 0 || part->claimed > part->count)
 			return g_strdup ("a shape is claimed beyond its home");
 	}
+	if (shape->covered < 0 || shape->covered > shape->size)
+		return g_strdup ("a shape covers more than its size");
 	if (packed != shape->packed || claimed != shape->claimed)
 		return g_strdup ("a shape's parts do not add up");
 	return NULL;
--- a/core/claim.c
+++ b/core/claim.c
@@ -278,7 +278,9 @@
 	int32_t last_size = 0;
 	for (int32_t i = 0; i < (int32_t)core->shapes->len; i++) {
 		const struct dff_core_shape *at = dff_core_shape_at (core, i);
-		if (at->team == job->team && at->size - at->claimed >= asked)
+		if (at->team != job->team || (job->guaranteed && job->cover != i))
+			continue;
+		if (at->size - at->claimed >= asked)
 			consider_shape (&search, i, &last_size);
 	}
 	if (search.shape == DFF_CORE_NONE)
@@ -288,20 +290,6 @@
 	return true;
 }
 
-bool
-dff_core_is_entitled (const struct dff_core *core, const struct dff_core_job *job)
-{
-	int32_t asked = dff_core_job_accelerators (job);
-	for (int32_t i = 0; asked > 0 && i < (int32_t)core->shapes->len; i++) {
-		const struct dff_core_shape *shape = dff_core_shape_at (core, i);
-		if (shape->team == job->team && shape->size - shape->claimed >= asked &&
-		    (job->region == DFF_CORE_NONE || shape->region == DFF_CORE_NONE ||
-		     job->region == shape->region))
-			return true;
-	}
-	return false;
-}
-
 /* Parts where a recovered job's members are. */
 static void
 parts_of_job (const struct dff_core_job *job, GArray *parts)
--- a/core/core.c
+++ b/core/core.c
@@ -185,6 +185,7 @@
 	core->adjacent_unit = dff_pool_adjacent_unit (pool);
 	dff_core_set_shapes (core, pool);
 	dff_core_rebind_all (core);
+	dff_core_cover_all (core);
 	core->dirty = true;
 	refuse_queued (core);
 }
--- a/core/core_private.h
+++ b/core/core_private.h
@@ -72,7 +72,7 @@
 	struct dff_name name;
 	int32_t region;
 	/** (nullable): the waiting gang that is to have this rack next, and when it may. */
-	const struct dff_core_job *guard;
+	struct dff_core_job *guard;
 	int64_t guard_ms;
 	/** Elements: int32_t, indices of workers. */
 	GArray *workers;
@@ -99,6 +99,8 @@
 	/** Sum of the parts: less than @size when the shape fits nowhere. */
 	int32_t packed;
 	int32_t claimed;
+	/** Accelerators of the guaranteed jobs that it covers, wherever they run. */
+	int32_t covered;
 	/** Elements: struct dff_core_part. */
 	GArray *parts;
 };
@@ -113,6 +115,8 @@
 	int32_t n_jobs;
 	/** Leased. */
 	struct dff_resources used;
+	/** Guaranteed jobs that no shape covers, oldest first. */
+	GQueue uncovered;
 };
 
 struct dff_core_estimator;
@@ -198,6 +202,8 @@
 	/** Whether it is placed beside a shape of its team that would hold it but for its pieces.
 	 */
 	bool entitled;
+	/** Whether racks are kept for it. */
+	bool guarded;
 	/** Whether any attempt may have run. */
 	bool ever_ran;
 	/** Whether members of the attempt were let go to run. */
@@ -206,6 +212,11 @@
 	enum dff_core_hold hold;
 	/** Shape that is claimed, with DFF_CORE_HOLD_CLAIM. */
 	int32_t shape;
+	/** Shape that covers it, if any, and its place among those that wait for one. */
+	int32_t cover;
+	GList cover_link;
+	/** Whether it is in the account of covers. */
+	bool wants_cover;
 	int32_t attempt;
 	/** Times that it was preempted after it may have run. */
 	int32_t preemptions;
@@ -217,8 +228,11 @@
 	int32_t avoided[DFF_CORE_AVOIDED_MAX];
 	int32_t n_avoided;
 	struct dff_core_estimator *estimator;
-	/** Run time expected when it was queued last. */
+	/** Predicted when it was queued last: median run time, and its logarithm's mean and
+	 * deviation. */
 	int64_t estimate_ms;
+	double log_mean;
+	double log_deviation;
 	/** Run time that earlier attempts have saved. */
 	int64_t run_ms;
 	/** Time spent in queues before, and since when it is in one. */
@@ -261,6 +275,8 @@
 	GQueue jobs;
 	/** Of its head, when last ranked. */
 	double score;
+	/** Whether its head found no shape in this tick. */
+	bool unclaimable;
 };
 
 struct dff_core {
@@ -514,14 +530,15 @@
 
 /* guard.c */
 
-/** Keeps racks for a gang that waits: the ones that come free first. */
-void dff_core_guard (struct dff_core *core, const struct dff_core_job *job);
+/** Keeps racks for a gang that waits: the ones that come free first.
+ * Returns: whether they were not kept before. */
+bool dff_core_guard (struct dff_core *core, struct dff_core_job *job);
 
 /** Lets go of the racks kept for gangs that wait no longer. */
 void dff_core_run_guards (struct dff_core *core);
 
 /** Lets go of the racks kept for @job. */
-void dff_core_unguard (struct dff_core *core, const struct dff_core_job *job);
+void dff_core_unguard (struct dff_core *core, struct dff_core_job *job);
 
 /** Whether a rack is kept for another job that @job would hold up. */
 bool dff_core_rack_is_kept (const struct dff_core *core,
@@ -532,8 +549,11 @@
 
 bool dff_core_within_quota (const struct dff_core *core, const struct dff_core_job *job);
 
-/** Gives a queued job a place if there is one now. */
-bool dff_core_try_start (struct dff_core *core, struct dff_core_job *job);
+/** Starts a queued job in a guaranteed shape of its team, whoever has to give way. */
+bool dff_core_try_claim (struct dff_core *core, struct dff_core_job *job);
+
+/** Starts a queued job beside the guarantees, if there is a place now. */
+bool dff_core_try_borrow (struct dff_core *core, struct dff_core_job *job);
 
 /* estimate.c */
 
@@ -546,8 +566,8 @@
 /** Takes in how long a completed job ran. */
 void dff_core_estimate_learn (struct dff_core_job *job, int64_t run_ms);
 
-/** Returns: the run time expected of a job. */
-int64_t dff_core_estimate_ms (const struct dff_core_job *job);
+/** Predicts how long a job runs from what is known now. */
+void dff_core_estimate (struct dff_core_job *job);
 
 /** Returns: the run time expected to be left. */
 int64_t dff_core_remaining_ms (const struct dff_core *core, const struct dff_core_job *job);
@@ -644,6 +664,17 @@
 			 const void *user,
 			 GArray *parts);
 
+/* cover.c */
+
+/** Takes a guaranteed job into the account of covers. */
+void dff_core_cover (struct dff_core *core, struct dff_core_job *job);
+
+/** Takes it out; the oldest jobs that fit are covered instead. */
+void dff_core_uncover (struct dff_core *core, struct dff_core_job *job);
+
+/** Covers all jobs anew, after the shapes were declared anew. */
+void dff_core_cover_all (struct dff_core *core);
+
 /* claim.c */
 
 /** Returns: what a member needs beyond the units that its shape has bound for it already. */
@@ -668,9 +699,6 @@
 		     int32_t *workers,
 		     int32_t *shape);
 
-/** Whether a shape of the job's team has enough unclaimed accelerators, in one piece or not. */
-bool dff_core_is_entitled (const struct dff_core *core, const struct dff_core_job *job);
-
 /** Makes a recovered job the holder of a shape of its team, if one is left. */
 bool dff_core_claim_adopt (struct dff_core *core, struct dff_core_job *job);
 
--- /dev/null
+++ b/core/cover.c
@@ -0,0 +1,100 @@
+#include "core/core_private.h"
+
+/* Which guaranteed jobs a team's shapes cover, wherever they run. A guaranteed job that finds its
+ * team's shapes used up runs as a borrower if it can; when a shape has room again the oldest such
+ * job is covered, also one that runs already. Without this account a later job would take the room,
+ * and the older one, once preempted, would wait for what was its own. */
+
+static bool
+region_agrees (const struct dff_core_job *job, const struct dff_core_shape *shape)
+{
+	return job->region == DFF_CORE_NONE || shape->region == DFF_CORE_NONE ||
+	       job->region == shape->region;
+}
+
+/* The tightest shape that has room. */
+static bool
+cover (struct dff_core *core, struct dff_core_job *job)
+{
+	int32_t asked = dff_core_job_accelerators (job);
+	struct dff_core_shape *best = NULL;
+	for (int32_t i = 0; i < (int32_t)core->shapes->len; i++) {
+		struct dff_core_shape *shape = dff_core_shape_at (core, i);
+		int32_t room = shape->size - shape->covered;
+		if (shape->team != job->team || room < asked || !region_agrees (job, shape) ||
+		    (best != NULL && room >= best->size - best->covered))
+			continue;
+		best = shape;
+		job->cover = i;
+	}
+	if (best != NULL)
+		best->covered += asked;
+	return best != NULL;
+}
+
+void
+dff_core_cover (struct dff_core *core, struct dff_core_job *job)
+{
+	if (!job->guaranteed || job->team == DFF_CORE_NONE || dff_core_job_accelerators (job) == 0)
+		return;
+	if (!cover (core, job))
+		g_queue_push_tail_link (&dff_core_team_at (core, job->team)->uncovered,
+					&job->cover_link);
+	job->wants_cover = true;
+}
+
+static void
+cover_waiting (struct dff_core *core, struct dff_core_team *team)
+{
+	GList *next = NULL;
+	for (GList *link = team->uncovered.head; link != NULL; link = next) {
+		next = link->next;
+		if (cover (core, link->data))
+			g_queue_unlink (&team->uncovered, link);
+	}
+}
+
+void
+dff_core_uncover (struct dff_core *core, struct dff_core_job *job)
+{
+	if (!job->wants_cover)
+		return;
+	job->wants_cover = false;
+	struct dff_core_team *team = dff_core_team_at (core, job->team);
+	if (job->cover == DFF_CORE_NONE) {
+		g_queue_unlink (&team->uncovered, &job->cover_link);
+		return;
+	}
+	dff_core_shape_at (core, job->cover)->covered -= dff_core_job_accelerators (job);
+	job->cover = DFF_CORE_NONE;
+	cover_waiting (core, team);
+}
+
+static int
+compare_jobs (gconstpointer a, gconstpointer b)
+{
+	return dff_core_compare_age (*(struct dff_core_job *const *)a,
+				     *(struct dff_core_job *const *)b);
+}
+
+void
+dff_core_cover_all (struct dff_core *core)
+{
+	g_autoptr (GPtrArray) jobs = g_ptr_array_new ();
+	GHashTableIter iter;
+	gpointer value;
+	g_hash_table_iter_init (&iter, core->jobs);
+	while (g_hash_table_iter_next (&iter, NULL, &value)) {
+		struct dff_core_job *job = value;
+		if (!job->wants_cover)
+			continue;
+		if (job->cover == DFF_CORE_NONE)
+			g_queue_unlink (&dff_core_team_at (core, job->team)->uncovered,
+					&job->cover_link);
+		job->cover = DFF_CORE_NONE;
+		g_ptr_array_add (jobs, job);
+	}
+	g_ptr_array_sort (jobs, compare_jobs);
+	for (guint i = 0; i < jobs->len; i++)
+		dff_core_cover (core, g_ptr_array_index (jobs, i));
+}
--- a/core/estimate.c
+++ b/core/estimate.c
@@ -14,6 +14,8 @@
 #define PRIOR_VARIANCE 1.0
 #define VARIANCE_MIN 0.01
 #define MIN_RUN_MS 1000
+/** Below this probability of having run so long, the mean residual life is not computed. */
+#define SURVIVAL_MIN 1e-4
 
 /** Running mean and variance. */
 struct dff_core_predictor {
@@ -89,17 +91,37 @@
 	predictor_learn (&estimator->actual, actual, rate);
 }
 
-int64_t
-dff_core_estimate_ms (const struct dff_core_job *job)
+/* Mixes the predictors. Run times are taken as log-normal around the mix. */
+static void
+posterior (const struct dff_core_job *job, double *mean, double *deviation)
 {
 	const struct dff_core_estimator *estimator = job->estimator;
-	double declared = log ((double)MAX (job->declared_ms, MIN_RUN_MS)) + estimator->ratio.mean;
-	if (estimator->observations == 0)
-		return (int64_t)exp (declared);
-	double trust = estimator->actual.variance /
-		       (estimator->actual.variance + estimator->ratio.variance);
-	double mixed = trust * declared + (1.0 - trust) * estimator->actual.mean;
-	return (int64_t)exp (mixed);
+	const struct dff_core_predictor *ratio = &estimator->ratio;
+	const struct dff_core_predictor *actual = &estimator->actual;
+	double declared = log ((double)MAX (job->declared_ms, MIN_RUN_MS)) + ratio->mean;
+	double trust = estimator->observations == 0
+			       ? 1.0
+			       : actual->variance / (actual->variance + ratio->variance);
+	*mean = trust * declared + (1.0 - trust) * actual->mean;
+	double variance = ratio->variance;
+	if (estimator->observations > 0)
+		variance =
+			ratio->variance * actual->variance / (ratio->variance + actual->variance);
+	*deviation = sqrt (variance);
+}
+
+void
+dff_core_estimate (struct dff_core_job *job)
+{
+	posterior (job, &job->log_mean, &job->log_deviation);
+	job->estimate_ms = (int64_t)exp (job->log_mean);
+}
+
+/* Upper tail of the normal distribution. */
+static double
+tail (double x)
+{
+	return 0.5 * erfc (x / G_SQRT2);
 }
 
 int64_t
@@ -108,10 +130,16 @@
 	int64_t ran_ms = job->run_ms;
 	if (job->state == DFF_CORE_RUNNING || job->state == DFF_CORE_CHECKPOINTING)
 		ran_ms += core->now_ms - job->started_ms;
-	/* A job that outlived its estimate sinks, one level each time its run time doubles: it is
-	 * expected to run as long again as it has. */
-	int64_t remaining_ms = job->estimate_ms - ran_ms;
-	if (remaining_ms < ran_ms && job->estimate_ms < 2 * ran_ms)
-		remaining_ms = MAX (remaining_ms, ran_ms);
-	return MAX (remaining_ms, MIN_RUN_MS);
+	double deviation = job->log_deviation;
+	double whole = exp (job->log_mean + deviation * deviation / 2.0);
+	if (ran_ms <= 0)
+		return (int64_t)whole;
+	/* Mean residual life: a job that outlives its estimate sinks, because the longer it has run
+	 * the longer it is expected to run still. */
+	double z = (log ((double)ran_ms) - job->log_mean) / deviation;
+	double survives = tail (z);
+	if (survives < SURVIVAL_MIN)
+		return MAX (ran_ms, MIN_RUN_MS);
+	double remaining = whole * tail (z - deviation) / survives - (double)ran_ms;
+	return MAX ((int64_t)remaining, MIN_RUN_MS);
 }
--- a/core/guard.c
+++ b/core/guard.c
@@ -4,6 +4,9 @@
  * free, and a gang that needs a rack whole would wait for ever. The racks that come free first are
  * kept: other work may be placed there only when it is gone by then (backfill), or more urgent. */
 
+/** Time past the expected one that racks are kept, ms. */
+#define GUARD_GRACE_MS 600000
+
 static int64_t
 rack_clear_ms (const struct dff_core *core,
 	       const struct dff_core_rack *rack,
@@ -85,12 +88,13 @@
 	return one->clear_ms < other->clear_ms;
 }
 
-void
-dff_core_guard (struct dff_core *core, const struct dff_core_job *job)
+bool
+dff_core_guard (struct dff_core *core, struct dff_core_job *job)
 {
-	if (core->n_guards >= core->max_guards)
-		return;
+	if (job->guarded || core->n_guards >= core->max_guards)
+		return false;
 	struct window best = {.first = DFF_CORE_NONE};
+	job->guarded = true;
 	for (int32_t i = 0; i < (int32_t)core->racks->len; i++) {
 		struct window window;
 		if (!window_at (core, job, i, &window))
@@ -98,26 +102,27 @@
 		if (best.first == DFF_CORE_NONE || is_better (&window, &best))
 			best = window;
 	}
-	if (best.first == DFF_CORE_NONE)
-		return;
-	core->n_guards++;
-	for (int32_t i = best.first; i <= best.last; i++) {
+	job->guarded = best.first != DFF_CORE_NONE;
+	core->n_guards += job->guarded;
+	for (int32_t i = best.first; job->guarded && i <= best.last; i++) {
 		dff_core_rack_at (core, i)->guard = job;
 		dff_core_rack_at (core, i)->guard_ms = best.clear_ms;
 	}
+	return job->guarded;
 }
 
 void
-dff_core_unguard (struct dff_core *core, const struct dff_core_job *job)
+dff_core_unguard (struct dff_core *core, struct dff_core_job *job)
 {
-	bool held = false;
-	for (guint i = 0; core->n_guards > 0 && i < core->racks->len; i++) {
+	if (!job->guarded)
+		return;
+	job->guarded = false;
+	core->n_guards--;
+	for (guint i = 0; i < core->racks->len; i++) {
 		struct dff_core_rack *rack = dff_core_rack_at (core, (int32_t)i);
-		held |= rack->guard == job;
 		if (rack->guard == job)
 			rack->guard = NULL;
 	}
-	core->n_guards -= held;
 }
 
 void
@@ -125,8 +130,8 @@
 {
 	for (guint i = 0; core->n_guards > 0 && i < core->racks->len; i++) {
 		const struct dff_core_rack *rack = dff_core_rack_at (core, (int32_t)i);
-		/* The estimates that it was chosen by may have been wrong: choose again. */
-		if (rack->guard != NULL && rack->guard_ms < core->now_ms)
+		/* The estimates that it was chosen by were far off: choose again. */
+		if (rack->guard != NULL && rack->guard_ms + GUARD_GRACE_MS < core->now_ms)
 			dff_core_unguard (core, rack->guard);
 	}
 }
--- a/core/order.c
+++ b/core/order.c
@@ -3,8 +3,8 @@
 #include <math.h>
 #include <string.h>
 
-/* Who goes first. Jobs that are alike queue in classes of which only the head is looked at; heads
- * are ordered by claim, urgency and score. */
+/* Who goes first. Jobs that are alike queue in classes of which only the head is looked at; claims
+ * go by age, the others by urgency and score. */
 
 /** Exponent of a job's accelerators in its score: 1 orders by area, 0 by time alone. */
 #define WIDTH_POWER 0.5
@@ -12,6 +12,8 @@
 #define AGEING_MS 1800000.0
 /** Wait after which racks are kept for a gang, ms. */
 #define GUARD_AFTER_MS 60000
+/** Wait after which a job that never ran counts as twice as urgent, ms. */
+#define FIRST_TURN_MS 3600000.0
 /** How much a team's share of the pool raises its scores. */
 #define FAIRNESS 1.0
 
@@ -24,6 +26,9 @@
 	if (job->state == DFF_CORE_QUEUED)
 		waited_ms += (double)(core->now_ms - job->queued_ms);
 	double age = 1.0 + waited_ms / (AGEING_MS + (double)job->estimate_ms);
+	/* What has not run at all yet goes up until it gets its first turn. */
+	if (!job->ever_ran && job->state == DFF_CORE_QUEUED)
+		age += waited_ms / FIRST_TURN_MS;
 	return remaining_ms * pow (width, WIDTH_POWER) / (age * age);
 }
 
@@ -41,8 +46,6 @@
 {
 	const struct dff_core_class *one = *(struct dff_core_class *const *)a;
 	const struct dff_core_class *other = *(struct dff_core_class *const *)b;
-	if (one->key.guaranteed != other->key.guaranteed)
-		return one->key.guaranteed ? -1 : 1;
 	if (one->key.urgent != other->key.urgent)
 		return one->key.urgent ? -1 : 1;
 	if (one->score != other->score)
@@ -68,6 +71,53 @@
 	return ranked;
 }
 
+static struct dff_core_class *
+oldest_claim (struct dff_core *core)
+{
+	struct dff_core_class *oldest = NULL;
+	GHashTableIter iter;
+	gpointer value;
+	g_hash_table_iter_init (&iter, core->classes);
+	while (g_hash_table_iter_next (&iter, NULL, &value)) {
+		struct dff_core_class *at = value;
+		if (!at->key.guaranteed || at->unclaimable)
+			continue;
+		if (oldest == NULL ||
+		    dff_core_compare_age (at->jobs.head->data, oldest->jobs.head->data) < 0)
+			oldest = at;
+	}
+	return oldest;
+}
+
+/* Covered jobs are the older ones of a class: it is done at the first that is not. */
+static void
+claim_class (struct dff_core *core, struct dff_core_class *queue_class)
+{
+	bool last = false;
+	while (!last) {
+		last = queue_class->jobs.length == 1;
+		if (!dff_core_try_claim (core, queue_class->jobs.head->data))
+			return;
+	}
+}
+
+/* A team's shapes go to its guaranteed jobs in the order in which they came: a later one that fits
+ * better must not make an earlier one wait for what it has a right to. */
+static void
+run_claims (struct dff_core *core)
+{
+	GHashTableIter iter;
+	gpointer value;
+	g_hash_table_iter_init (&iter, core->classes);
+	while (g_hash_table_iter_next (&iter, NULL, &value))
+		((struct dff_core_class *)value)->unclaimable = false;
+	struct dff_core_class *at;
+	while ((at = oldest_claim (core)) != NULL) {
+		at->unclaimable = true;
+		claim_class (core, at);
+	}
+}
+
 /* What decides whether a job fits, beside its team. */
 static guint
 shape_hash (const struct dff_core_class_key *key)
@@ -75,6 +125,7 @@
 	struct dff_core_class_key shape = *key;
 	shape.team = 0;
 	shape.level = 0;
+	shape.guaranteed = 0;
 	return dff_core_class_key_hash (&shape);
 }
 
@@ -86,7 +137,7 @@
 	bool last = false;
 	while (!last) {
 		last = queue_class->jobs.length == 1;
-		if (!dff_core_try_start (core, queue_class->jobs.head->data))
+		if (!dff_core_try_borrow (core, queue_class->jobs.head->data))
 			return false;
 	}
 	return true;
@@ -110,21 +161,22 @@
 	core->dirty = false;
 	core->evictions_left = DFF_CORE_EVICTIONS_A_TICK;
 	core->review_ms = core->now_ms + DFF_CORE_REVIEW_MS;
+	run_claims (core);
 	g_autoptr (GPtrArray) ranked = ranked_classes (core);
 	g_autoptr (GHashTable) full = g_hash_table_new (NULL, NULL);
 	for (guint i = 0; i < ranked->len; i++) {
 		struct dff_core_class *queue_class = g_ptr_array_index (ranked, i);
 		struct dff_core_class_key key = queue_class->key;
 		gpointer shape = GUINT_TO_POINTER (shape_hash (&key));
-		/* A guaranteed job's place depends on its team's shapes. */
-		if (!key.guaranteed && g_hash_table_contains (full, shape))
+		if (g_hash_table_contains (full, shape))
 			continue;
 		if (!dff_core_within_quota (core, queue_class->jobs.head->data))
 			continue;
 		if (drain_class (core, queue_class))
 			continue;
 		g_hash_table_add (full, shape);
-		if (wants_guard (core, queue_class->jobs.head->data))
-			dff_core_guard (core, queue_class->jobs.head->data);
+		struct dff_core_job *head = queue_class->jobs.head->data;
+		if (wants_guard (core, head) && dff_core_guard (core, head))
+			dff_core_try_borrow (core, head);
 	}
 }
--- a/core/queue.c
+++ b/core/queue.c
@@ -65,7 +65,7 @@
 dff_core_enqueue (struct dff_core *core, struct dff_core_job *job)
 {
 	g_assert (job->state == DFF_CORE_QUEUED && job->queue_class == NULL);
-	job->estimate_ms = dff_core_estimate_ms (job);
+	dff_core_estimate (job);
 	job->queued_ms = core->now_ms;
 	struct dff_core_class *queue_class = class_for (core, job);
 	job->queue_class = queue_class;
--- a/core/reclaim.c
+++ b/core/reclaim.c
@@ -9,9 +9,27 @@
  * has run at least since its last start, ms. */
 #define OVERTAKE_MARGIN 3.0
 #define OVERTAKE_AFTER_MS 30000
+/** Preemptions after which that time grows no more. */
+#define OVERTAKE_STEPS 10
+/** A gang that racks are kept for displaces jobs this many times narrower than it; those that
+ * cannot be checkpointed only when they have run no longer than this, ms. */
+#define DISPLACE_WIDTHS 4
+#define DISPLACE_LOSS_MAX_MS 300000
 /** Weight of a task without accelerators against one accelerator: a slot of a worker. */
 #define ACCELERATOR_SLOTS 8
 
+/* Small jobs in the racks kept for a gang move elsewhere rather than hold the gang up. */
+static bool
+may_displace (const struct dff_core *core,
+	      const struct dff_core_job *job,
+	      const struct dff_core_job *tenant)
+{
+	int32_t width = dff_core_job_accelerators (job);
+	if (!job->guarded || dff_core_job_accelerators (tenant) * DISPLACE_WIDTHS > width)
+		return false;
+	return tenant->checkpoint || core->now_ms - tenant->started_ms < DISPLACE_LOSS_MAX_MS;
+}
+
 /* Borrowing work gives way to other borrowing work only when that is much shorter, and when little
  * of what it did is lost. */
 static bool
@@ -19,12 +37,14 @@
 	      const struct dff_core_job *job,
 	      const struct dff_core_job *tenant)
 {
-	if (tenant->state != DFF_CORE_RUNNING || !tenant->checkpoint)
+	if (tenant->state != DFF_CORE_RUNNING)
 		return false;
 	int64_t ran_ms = core->now_ms - tenant->started_ms;
-	if (ran_ms < OVERTAKE_AFTER_MS * (1 + tenant->preemptions))
+	if (ran_ms < OVERTAKE_AFTER_MS * (1 + MIN (tenant->preemptions, OVERTAKE_STEPS)))
 		return false;
-	return job->score * OVERTAKE_MARGIN < dff_core_score (core, tenant);
+	if (may_displace (core, job, tenant))
+		return true;
+	return tenant->checkpoint && job->score * OVERTAKE_MARGIN < dff_core_score (core, tenant);
 }
 
 bool
--- a/core/recover.c
+++ b/core/recover.c
@@ -49,6 +49,7 @@
 			      &g_array_index (recovered->placements, struct dff_placement, i),
 			      g_array_index (recovered->running, bool, i));
 	}
+	dff_core_estimate (job);
 	job->hold = dff_core_job_preemptible (job) ? DFF_CORE_HOLD_SOFT : DFF_CORE_HOLD_HARD;
 	if (job->guaranteed && dff_core_claim_adopt (core, job))
 		job->hold = DFF_CORE_HOLD_CLAIM;
--- a/core/start.c
+++ b/core/start.c
@@ -107,8 +107,6 @@
 start_entitled (struct dff_core *core, struct dff_core_job *job)
 {
 	int32_t workers[DFF_GANG_MAX];
-	if (!dff_core_is_entitled (core, job))
-		return false;
 	job->hold = DFF_CORE_HOLD_HARD;
 	job->entitled = true;
 	bool placed = dff_core_place (core, job, DFF_CORE_VIEW_UNBOUND, workers) ||
@@ -120,12 +118,17 @@
 }
 
 bool
-dff_core_try_start (struct dff_core *core, struct dff_core_job *job)
+dff_core_try_claim (struct dff_core *core, struct dff_core_job *job)
+{
+	return job->cover != DFF_CORE_NONE && dff_core_within_quota (core, job) &&
+	       (start_claim (core, job) || start_entitled (core, job));
+}
+
+bool
+dff_core_try_borrow (struct dff_core *core, struct dff_core_job *job)
 {
 	if (!dff_core_within_quota (core, job))
 		return false;
-	if (job->guaranteed && (start_claim (core, job) || start_entitled (core, job)))
-		return true;
 	if (dff_core_job_preemptible (job))
 		return start_soft (core, job);
 	return start_hard (core, job);
--- a/core/tables.c
+++ b/core/tables.c
@@ -76,12 +76,15 @@
 	for (int32_t i = 0; i < DFF_CORE_AVOIDED_MAX; i++)
 		job->avoided[i] = DFF_CORE_NONE;
 	job->shape = DFF_CORE_NONE;
+	job->cover = DFF_CORE_NONE;
+	job->cover_link.data = job;
 	job->state = DFF_CORE_QUEUED;
 	job->link.data = job;
 	g_hash_table_insert (core->jobs, &job->id, job);
 	core->stats.queued++;
 	if (job->team != DFF_CORE_NONE)
 		dff_core_team_at (core, job->team)->n_jobs++;
+	dff_core_cover (core, job);
 	return job;
 }
 
