bench: fleet, a driver beside nine real processes, and a run log of the workers

Nothing measured the processes together. bench/fleet.sh starts nine of them, a stand-in platform and 24 stand-in workers; build/bench/fleet sends callers, asks the script for signals and new starts, and measures take-over, the pool file and a rolling restart. Workers append what they run to a file, so that executions can be counted also of workers that died.

--- /dev/null
+++ b/bench/fleet/fleet.h
@@ -0,0 +1,178 @@
+#ifndef DFF_BENCH_FLEET_H
+#define DFF_BENCH_FLEET_H
+
+#include <event2/event.h>
+#include <glib.h>
+#include <jansson.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "common/clock.h"
+#include "common/http_client.h"
+#include "common/str.h"
+
+/*
+ * Nine real processes, a stand-in platform and stand-in workers as the driver sees them: addresses,
+ * what each said last, and calls. The driver starts and signals nothing: it prints "!signal NAME
+ * SIGNAL" and "!start NAME" for the script that started it (bench/fleet.sh).
+ */
+
+#define FLEET_PROCESSES_MAX 16
+#define FLEET_WORKERS_MAX 64
+
+/** A process under measurement. */
+struct fleet_process {
+	struct dff_name name;
+	struct dff_name address;
+	/** As polled last: it answered; then what it said. */
+	bool answers;
+	bool ready;
+	bool holder;
+	int64_t epoch;
+	int64_t generation;
+	/** A poll is on its way. */
+	bool polling;
+	int64_t polled_ms;
+	/** The balancer sends to it, and when it looked last. */
+	bool balanced;
+	bool checking;
+	int64_t checked_ms;
+	/** It is stopped, paused or starting by the driver's doing. */
+	bool disturbed;
+};
+
+struct fleet_worker {
+	struct dff_name name;
+	struct dff_name address;
+	bool disturbed;
+};
+
+struct fleet_options {
+	struct dff_name platform;
+	/** Directory with NAME.pid for each process. */
+	const char *directory;
+	const char *pool_path;
+	const char *run_log;
+	uint32_t seed;
+	bool quick;
+};
+
+struct fleet_load;
+
+struct fleet {
+	struct fleet_options options;
+	struct event_base *base;
+	const struct dff_clock *clock;
+	struct dff_metrics *metrics;
+	struct dff_http_client *http;
+	struct event *tick;
+	GRand *rng;
+	struct fleet_process processes[FLEET_PROCESSES_MAX];
+	int n_processes;
+	struct fleet_worker workers[FLEET_WORKERS_MAX];
+	int n_workers;
+	/** Interval of polls of each process, ms; 0: none. */
+	int64_t poll_ms;
+	struct fleet_load *load;
+	/** Elements: struct fleet_repair. */
+	GArray *repairs;
+	/** Elements: struct fleet_row. */
+	GArray *rows;
+};
+
+/** Undoes a fault once its time has come. */
+struct fleet_repair {
+	int64_t due_ms;
+	void (*func) (struct fleet *fleet, int index);
+	int index;
+};
+
+/** One line of the table at the end. */
+struct fleet_row {
+	const char *phase;
+	const char *what;
+	double value;
+	/** Highest value that passes; negative: no bar. */
+	double bar;
+};
+
+struct fleet *fleet_new (const struct fleet_options *options);
+
+void fleet_free (struct fleet *fleet);
+
+int64_t fleet_now_ms (const struct fleet *fleet);
+
+/** Lets the loop run for @ms. */
+void fleet_sleep (struct fleet *fleet, int64_t ms);
+
+/** Lets the loop run until @condition holds. Returns: false when it did not within @timeout_ms. */
+bool fleet_wait (struct fleet *fleet,
+		 bool (*condition) (struct fleet *fleet, int64_t argument),
+		 int64_t argument,
+		 int64_t timeout_ms);
+
+/** Repairs what is due in @delay_ms. */
+void fleet_repair_later (struct fleet *fleet,
+			 int64_t delay_ms,
+			 void (*func) (struct fleet *fleet, int index),
+			 int index);
+
+/** Asks the script to send a signal ("KILL", "STOP", "CONT", "TERM"). */
+void fleet_signal (const struct dff_name *name, const char *signal);
+
+/** Asks the script to wait for the end of a process and to start it anew. */
+void fleet_start (const struct dff_name *name);
+
+/** A whole answer, or none. */
+struct fleet_answer {
+	enum dff_http_outcome outcome;
+	int status;
+	GString *body;
+};
+
+/** Calls and lets the loop run until the answer; not to be used in callbacks. */
+struct fleet_answer fleet_call (struct fleet *fleet,
+				const struct dff_name *address,
+				enum evhttp_cmd_type method,
+				const char *path,
+				const char *body,
+				int64_t base_generation);
+
+void fleet_answer_clear (struct fleet_answer *answer);
+
+/** Sends faults to a stand-in and does not wait. */
+void fleet_post_faults (struct fleet *fleet, const struct dff_name *address, const char *faults);
+
+/** Returns: the index of the one process that holds the cell, as polled last; -1: none. */
+int fleet_holder (const struct fleet *fleet);
+
+/** Conditions for fleet_wait(). */
+bool fleet_all_ready (struct fleet *fleet, int64_t unused);
+bool fleet_in_force (struct fleet *fleet, int64_t generation);
+bool fleet_process_ready (struct fleet *fleet, int64_t index);
+bool fleet_process_gone (struct fleet *fleet, int64_t index);
+
+/** Polls due processes and the balancer's looks; called by the loop. */
+void fleet_watch_tick (struct fleet *fleet);
+
+/** Adds a line to the table. */
+void
+fleet_report (struct fleet *fleet, const char *phase, const char *what, double value, double bar);
+
+/** Prints a phase's lines as one JSON object. */
+void fleet_print_phase (const struct fleet *fleet, const char *phase);
+
+/** Prints the table. Returns: whether every bar was met. */
+bool fleet_print_table (const struct fleet *fleet);
+
+/** Returns: the value below which @share of @values (double) lie. Sorts them. */
+double fleet_quantile (GArray *values, double share);
+
+/* The phases. */
+void fleet_measure_takeover (struct fleet *fleet);
+void fleet_measure_pool (struct fleet *fleet);
+void fleet_measure_restart (struct fleet *fleet);
+void fleet_measure_faults (struct fleet *fleet);
+void fleet_measure_cost (struct fleet *fleet);
+
+#endif
--- a/include/standin/worker.h
+++ b/include/standin/worker.h
@@ -8,6 +8,7 @@
 #include "common/cleanup.h"
 #include "common/clock.h"
 #include "platform/object_store.h"
+#include "standin/run_log.h"
 #include "standin/worker_tasks.h"
 #include "upstream/worker_wire.h"
 
@@ -21,6 +22,8 @@
 	struct dff_resources capacity;
 	bool check_epochs;
 	int64_t incarnation;
+	/** (nullable): told of everything that begins to run. */
+	struct dff_run_log *run_log;
 };
 
 struct dff_standin_worker *
--- a/include/standin/worker_tasks.h
+++ b/include/standin/worker_tasks.h
@@ -28,6 +28,8 @@
 	 * called. */
 	void (*load) (void *ctx, const struct dff_task_id *task);
 	void *ctx;
+	/** (nullable): a task begins to run; @tag is its payload's. */
+	void (*ran) (void *ctx, const struct dff_task_id *task, const struct dff_name *tag);
 };
 
 struct dff_worker_tasks_options {
--- a/standin/worker.c
+++ b/standin/worker.c
@@ -45,6 +45,14 @@
 	dff_worker_objects_load (worker->objects, task);
 }
 
+static void
+task_ran (void *ctx, const struct dff_task_id *task, const struct dff_name *tag)
+{
+	const struct dff_standin_worker *worker = ctx;
+	if (worker->options.run_log != NULL)
+		dff_run_log_task (worker->options.run_log, task, tag);
+}
+
 struct dff_standin_worker *
 dff_standin_worker_new (const struct dff_standin_worker_options *options)
 {
@@ -55,7 +63,7 @@
 		.capacity = options->capacity,
 		.check_epochs = options->check_epochs,
 		.incarnation = options->incarnation,
-		.callbacks = {write_result, load_checkpoint, worker},
+		.callbacks = {write_result, load_checkpoint, worker, task_ran},
 	};
 	worker->tasks = dff_worker_tasks_new (&tasks_options);
 	worker->objects = dff_worker_objects_new (options->store, options->clock, worker->tasks);
@@ -282,6 +290,8 @@
 		.done = done,
 		.user = user,
 	};
+	if (worker->options.run_log != NULL)
+		dff_run_log_request (worker->options.run_log, request_id, &work.tag);
 	begin_request (worker, &begun);
 }
 
--- a/standin/worker_main.c
+++ b/standin/worker_main.c
@@ -28,6 +28,8 @@
 	struct dff_resources capacity;
 	bool check_epochs;
 	int64_t leave_after_ms;
+	/** (nullable) */
+	const char *run_log;
 };
 
 struct worker_process {
@@ -37,6 +39,7 @@
 	struct dff_http_client *http;
 	struct dff_http_object_store *store;
 	struct dff_http_instance_list *instances;
+	struct dff_run_log *run_log;
 	struct dff_standin_worker *worker;
 	struct dff_worker_server *server;
 	struct event *announce;
@@ -105,6 +108,7 @@
 	DFF_OPTION_ACCELERATORS,
 	DFF_OPTION_CHECK_EPOCHS,
 	DFF_OPTION_LEAVE_AFTER,
+	DFF_OPTION_RUN_LOG,
 };
 
 static const struct option long_options[] = {
@@ -120,6 +124,7 @@
 	{"accelerators", required_argument, NULL, DFF_OPTION_ACCELERATORS},
 	{"check-epochs", no_argument, NULL, DFF_OPTION_CHECK_EPOCHS},
 	{"leave-after-ms", required_argument, NULL, DFF_OPTION_LEAVE_AFTER},
+	{"run-log", required_argument, NULL, DFF_OPTION_RUN_LOG},
 	{NULL, 0, NULL, 0},
 };
 
@@ -127,7 +132,7 @@
 	"Usage: dragonflyfold-standin-worker --platform IP:PORT --id ID --rack R\n"
 	"         --data-centre D --region G [--slots N] [--cores N] [--memory-gb N]\n"
 	"         [--accelerators N] [--listen IP:PORT] [--check-epochs]\n"
-	"         [--leave-after-ms N]\n"
+	"         [--leave-after-ms N] [--run-log FILE]\n"
 	"Prints \"listening IP:PORT\" once it listens.\n";
 
 static bool
@@ -182,6 +187,9 @@
 		return take_amount (optarg, &options->capacity.accelerators);
 	case DFF_OPTION_LEAVE_AFTER:
 		return take_ms (optarg, &options->leave_after_ms);
+	case DFF_OPTION_RUN_LOG:
+		options->run_log = optarg;
+		return true;
 	case DFF_OPTION_CHECK_EPOCHS:
 		options->check_epochs = true;
 		return true;
@@ -237,12 +245,17 @@
 open_worker (struct worker_process *process, GError **error)
 {
 	const struct dff_clock *clock = dff_clock_system ();
+	if (process->options.run_log != NULL)
+		process->run_log = dff_run_log_open (process->options.run_log, error);
+	if (process->options.run_log != NULL && process->run_log == NULL)
+		return false;
 	struct dff_standin_worker_options worker = {
 		.clock = clock,
 		.store = dff_http_object_store_interface (process->store),
 		.capacity = process->options.capacity,
 		.check_epochs = process->options.check_epochs,
 		.incarnation = dff_clock_wall_ms (clock),
+		.run_log = process->run_log,
 	};
 	process->worker = dff_standin_worker_new (&worker);
 	struct dff_worker_server_options server = {
@@ -288,6 +301,7 @@
 	g_clear_pointer (&process->instances, dff_http_instance_list_free);
 	g_clear_pointer (&process->store, dff_http_object_store_free);
 	g_clear_pointer (&process->worker, dff_standin_worker_free);
+	g_clear_pointer (&process->run_log, dff_run_log_close);
 	g_clear_pointer (&process->metrics, dff_metrics_free);
 	g_clear_pointer (&process->base, event_base_free);
 }
--- a/standin/worker_tasks.c
+++ b/standin/worker_tasks.c
@@ -125,6 +125,9 @@
 	dff_worker_tasks_changed (tasks, task);
 	dff_log (DFF_LOG_STANDIN, DFF_LOG_INFO, "Task runs. job=%s attempt=%d member=%d",
 		 task->report.task.job.data, task->report.task.attempt, task->report.task.member);
+	const struct dff_worker_tasks_callbacks *callbacks = &tasks->options.callbacks;
+	if (callbacks->ran != NULL)
+		callbacks->ran (callbacks->ctx, &task->report.task, &task->payload.tag);
 	if (tasks->fail_everything)
 		end_task (tasks, task, DFF_TASK_FAILED);
 }
