--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # `make demo` and `make check` do all the set-up that they need, packages included.
 BUILD ?= build
 
-.PHONY: all setup demo check check-sanitized lint format clean
+.PHONY: all setup demo check check-sanitized lint format measures clean
 
 all: $(BUILD)/build.ninja
 	ninja -C $(BUILD)
@@ -30,5 +30,10 @@
 format:
 	git ls-files '*.c' '*.h' | grep -v '\.pb-c\.[ch]$$' | xargs clang-format -i
 
+# Replays generated sessions through every policy; writes docs/measures.csv and the plots.
+measures: all
+	script/setup gnuplot-nox
+	bench/measures $(BUILD)
+
 clean:
 	rm -rf build build-asan
--- a/bench/baseline.c
+++ b/bench/baseline.c
@@ -275,6 +275,7 @@
 	struct dff_baseline *baseline = ctx;
 	g_hash_table_unref (baseline->jobs);
 	g_hash_table_unref (baseline->classes);
+	g_ptr_array_unref (baseline->open_classes);
 	g_array_unref (baseline->pending);
 	dff_cluster_clear (&baseline->cluster);
 	g_free (baseline);
@@ -292,6 +293,7 @@
 	baseline->jobs = g_hash_table_new_full (dff_name_hash, dff_name_equal_func, NULL, job_free);
 	baseline->classes = g_hash_table_new_full (g_bytes_hash, g_bytes_equal,
 						   (GDestroyNotify)g_bytes_unref, g_free);
+	baseline->open_classes = g_ptr_array_new ();
 	baseline->pending = g_array_new (FALSE, TRUE, sizeof (struct dff_command));
 	*policy = (struct dff_policy){
 		.admit = baseline_admit,
--- a/bench/baseline.h
+++ b/bench/baseline.h
@@ -65,6 +65,8 @@
 	GHashTable *jobs;
 	/** GBytes * to struct dff_baseline_class *. */
 	GHashTable *classes;
+	/** Classes that the pass in progress has not done with. */
+	GPtrArray *open_classes;
 	GArray *pending; /**< Elements: struct dff_command. */
 	bool dirty;
 	int64_t last_sequence;
--- a/bench/baseline_queue.c
+++ b/bench/baseline_queue.c
@@ -65,14 +65,18 @@
 void
 dff_baseline_pass_begin (struct dff_baseline *baseline)
 {
+	g_ptr_array_set_size (baseline->open_classes, 0);
 	GHashTableIter iter;
 	gpointer value;
 	g_hash_table_iter_init (&iter, baseline->classes);
 	while (g_hash_table_iter_next (&iter, NULL, &value)) {
 		struct dff_baseline_class *queue = value;
+		if (g_queue_is_empty (&queue->jobs))
+			continue;
 		queue->closed = false;
 		queue->limited = false;
 		queue->next = queue->jobs.head;
+		g_ptr_array_add (baseline->open_classes, queue);
 	}
 }
 
@@ -93,12 +97,15 @@
 {
 	struct dff_baseline_class *from = NULL;
 	struct dff_baseline_job *best = NULL;
-	GHashTableIter iter;
-	gpointer value;
-	g_hash_table_iter_init (&iter, baseline->classes);
-	while (g_hash_table_iter_next (&iter, NULL, &value)) {
-		struct dff_baseline_class *queue = value;
-		if (queue->closed || queue->next == NULL || !comes_before (queue->next->data, best))
+	guint i = 0;
+	while (i < baseline->open_classes->len) {
+		struct dff_baseline_class *queue = g_ptr_array_index (baseline->open_classes, i);
+		if (queue->closed || queue->next == NULL) {
+			g_ptr_array_remove_index_fast (baseline->open_classes, i);
+			continue;
+		}
+		i++;
+		if (!comes_before (queue->next->data, best))
 			continue;
 		from = queue;
 		best = queue->next->data;
--- a/bench/replay.c
+++ b/bench/replay.c
@@ -4,23 +4,10 @@
 #include <time.h>
 
 #include "bench/measure.h"
-#include "bench/runner.h"
 
 /* Jobs that have not ended this long after the session's last line count as unfinished. */
 #define DFF_REPLAY_TAIL_MS (INT64_C (30) * 24 * 3600 * 1000)
 
-struct replay {
-	const struct dff_replay_options *options;
-	struct dff_runner runner;
-	GArray *commands;
-	GArray *tick_us;
-	/** Index of the next line of the session. */
-	guint next_event;
-	int64_t last_tick_ms;
-	int64_t last_line_ms;
-	double policy_seconds;
-};
-
 static double
 now_seconds (void)
 {
@@ -30,7 +17,7 @@
 }
 
 static const struct dff_session_event *
-next_line (const struct replay *replay)
+next_line (const struct dff_replay *replay)
 {
 	const GArray *events = replay->options->session->events;
 	if (replay->next_event >= events->len)
@@ -40,7 +27,7 @@
 
 /* Lets everything up to @until_ms happen, answers before lines of the same time. */
 static void
-deliver (struct replay *replay, int64_t until_ms)
+deliver (struct dff_replay *replay, int64_t until_ms)
 {
 	for (;;) {
 		const struct dff_session_event *line = next_line (replay);
@@ -58,7 +45,7 @@
 }
 
 static int64_t
-next_tick_ms (const struct replay *replay)
+next_tick_ms (const struct dff_replay *replay)
 {
 	const struct dff_policy *policy = replay->options->policy;
 	const struct dff_session_event *line = next_line (replay);
@@ -73,8 +60,8 @@
 	return MAX (tick_ms, replay->last_tick_ms + DFF_TICK_MS);
 }
 
-static void
-tick (struct replay *replay, int64_t now_ms)
+void
+dff_replay_tick (struct dff_replay *replay, int64_t now_ms)
 {
 	struct dff_policy *policy = replay->options->policy;
 	double before = now_seconds ();
@@ -94,7 +81,7 @@
 }
 
 static bool
-check (const struct replay *replay, GError **error)
+check (const struct dff_replay *replay, GError **error)
 {
 	const struct dff_policy *policy = replay->options->policy;
 	if (!replay->options->check || policy->check == NULL)
@@ -107,25 +94,23 @@
 	return false;
 }
 
-static bool
-run (struct replay *replay, GError **error)
+bool
+dff_replay_advance (struct dff_replay *replay, int64_t until_ms, GError **error)
 {
 	for (;;) {
 		int64_t tick_ms = next_tick_ms (replay);
-		if (tick_ms == INT64_MAX)
-			return true;
-		if (tick_ms > replay->last_line_ms + DFF_REPLAY_TAIL_MS)
+		if (tick_ms == INT64_MAX || tick_ms > until_ms)
 			return true;
 		if (next_line (replay) == NULL && replay->runner.n_open == 0)
 			return true;
-		tick (replay, tick_ms);
+		dff_replay_tick (replay, tick_ms);
 		if (!check (replay, error))
 			return false;
 	}
 }
 
 static json_t *
-report (const struct replay *replay)
+report (const struct dff_replay *replay)
 {
 	const struct dff_runner *runner = &replay->runner;
 	struct dff_claims_verdict verdict =
@@ -148,7 +133,7 @@
 }
 
 static void
-print_jobs (const struct replay *replay, FILE *file)
+print_jobs (const struct dff_replay *replay, FILE *file)
 {
 	if (file == NULL)
 		return;
@@ -181,27 +166,41 @@
 	return last_ms;
 }
 
-json_t *
-dff_replay_run (const struct dff_replay_options *options, GError **error)
+void
+dff_replay_init (struct dff_replay *replay, const struct dff_replay_options *options)
 {
-	g_autoptr (GArray) commands = g_array_new (FALSE, TRUE, sizeof (struct dff_command));
-	g_autoptr (GArray) tick_us = g_array_new (FALSE, FALSE, sizeof (double));
 	const GArray *events = options->session->events;
-	struct replay replay = {
+	*replay = (struct dff_replay){
 		.options = options,
-		.commands = commands,
-		.tick_us = tick_us,
+		.commands = g_array_new (FALSE, TRUE, sizeof (struct dff_command)),
+		.tick_us = g_array_new (FALSE, FALSE, sizeof (double)),
 		.last_tick_ms = -DFF_TICK_MS,
 	};
 	if (events->len > 0)
-		replay.last_line_ms =
+		replay->last_line_ms =
 			g_array_index (events, struct dff_session_event, events->len - 1).time_ms;
-	dff_runner_init (&replay.runner, options->policy, options->pool,
+	dff_runner_init (&replay->runner, options->policy, options->pool,
 			 last_submit_ms (options->session));
-	dff_runner_start (&replay.runner, 0);
-	bool sound = run (&replay, error);
+	dff_runner_start (&replay->runner, 0);
+}
+
+void
+dff_replay_clear (struct dff_replay *replay)
+{
+	dff_runner_clear (&replay->runner);
+	g_array_unref (replay->commands);
+	g_array_unref (replay->tick_us);
+}
+
+json_t *
+dff_replay_run (const struct dff_replay_options *options, GError **error)
+{
+	struct dff_replay replay;
+	dff_replay_init (&replay, options);
+	int64_t until_ms = replay.last_line_ms + DFF_REPLAY_TAIL_MS;
+	bool sound = dff_replay_advance (&replay, until_ms, error);
 	json_t *figures = sound ? report (&replay) : NULL;
 	print_jobs (&replay, options->jobs_file);
-	dff_runner_clear (&replay.runner);
+	dff_replay_clear (&replay);
 	return figures;
 }
--- a/bench/replay.h
+++ b/bench/replay.h
@@ -4,6 +4,7 @@
 #include <jansson.h>
 
 #include "bench/policy.h"
+#include "bench/runner.h"
 #include "bench/session.h"
 
 /** Ticks happen at whole multiples of this, when there is something to do, ms. */
@@ -19,6 +20,36 @@
 	FILE *jobs_file;
 };
 
+/** A replay in progress. */
+struct dff_replay {
+	const struct dff_replay_options *options;
+	struct dff_runner runner;
+	GArray *commands; /**< Elements: struct dff_command, of the last tick. */
+	GArray *tick_us;  /**< Elements: double, processor time. */
+	/** Index of the next line of the session. */
+	guint next_event;
+	int64_t last_tick_ms;
+	int64_t last_line_ms;
+	double policy_seconds;
+};
+
+/** @options: borrowed until dff_replay_clear(). */
+void dff_replay_init (struct dff_replay *replay, const struct dff_replay_options *options);
+
+void dff_replay_clear (struct dff_replay *replay);
+
+/** Lets everything up to @now_ms happen, ticks once and carries the commands out. */
+void dff_replay_tick (struct dff_replay *replay, int64_t now_ms);
+
+/**
+ * dff_replay_advance:
+ *
+ * Replays up to @until_ms, or until every accepted job has ended or nothing happens any more.
+ *
+ * Returns: false with @error when an invariant of the policy broke.
+ */
+bool dff_replay_advance (struct dff_replay *replay, int64_t until_ms, GError **error);
+
 /**
  * dff_replay_run:
  *
