--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,8 @@
 # `make demo` and `make check` do all the set-up that they need, packages included.
 BUILD ?= build
 
-.PHONY: all setup demo check check-sanitized lint format measures clean
+# `make slopes` measures what docs/CAPACITY.md is worked out from.
+.PHONY: all setup demo slopes check check-sanitized lint format measures clean
 
 all: $(BUILD)/build.ninja
 	ninja -C $(BUILD)
@@ -15,6 +16,12 @@
 demo: all
 	script/demo $(BUILD)
 
+slopes: all
+	script/setup-bench
+	mkdir -p docs/capacity
+	$(BUILD)/bench/slopes --out docs/capacity
+	cd docs/capacity && gnuplot plots.gp
+
 check: all
 	meson test -C $(BUILD) --print-errorlogs
 	script/known-red
--- /dev/null
+++ b/bench/slopes/core.c
@@ -0,0 +1,176 @@
+#include "bench/slopes/fleet.h"
+#include "bench/slopes/slopes.h"
+
+/* The decision core: bytes of state and time of a tick against each of its tables. A quiet tick is
+ * one in which nothing happened; an event tick is one after a job was submitted that can be placed
+ * nowhere; a review is the look at the whole queue that each second brings. */
+
+#define QUIET_TICKS 2000
+#define EVENTS 40
+#define BASE_WORKERS 360
+#define BASE_TASKS 2000
+#define BASE_TEAMS 120
+#define BASE_QUEUED 100
+#define DESIGN_WORKERS 1800
+#define QUEUED_GANG 8
+#define REVIEW_MS 1100
+
+struct core_axes {
+	struct slope_axes bytes;
+	struct slope_axes quiet;
+	struct slope_axes event;
+	struct slope_axes review;
+};
+
+#define AXES(dimension, label)                                                                     \
+	{                                                                                          \
+		{"core_bytes_by_" dimension, label, "bytes of state"},                             \
+			{"core_quiet_tick_us_by_" dimension, label, "us a quiet tick"},            \
+			{"core_event_tick_us_by_" dimension, label, "us a tick with an event"},    \
+			{"core_review_us_by_" dimension, label, "us a review of the queue"},       \
+	}
+
+static double
+quiet_tick_us (struct fleet *fleet)
+{
+	double before = slopes_cpu_us ();
+	for (int i = 0; i < QUIET_TICKS; i++)
+		dff_core_tick (fleet->core, fleet->now_ms, fleet->commands);
+	return (slopes_cpu_us () - before) / QUIET_TICKS;
+}
+
+static double
+event_tick_us (struct fleet *fleet)
+{
+	double spent = 0;
+	for (int i = 0; i < EVENTS; i++) {
+		struct dff_job_spec spec = fleet_job (fleet, QUEUED_GANG, 1);
+		double before = slopes_cpu_us ();
+		fleet_submit (fleet, &spec);
+		dff_core_tick (fleet->core, fleet->now_ms, fleet->commands);
+		spent += slopes_cpu_us () - before;
+		fleet_settle (fleet);
+	}
+	return spent / EVENTS;
+}
+
+static double
+review_us (struct fleet *fleet)
+{
+	double spent = 0;
+	for (int i = 0; i < EVENTS; i++) {
+		fleet->now_ms += REVIEW_MS;
+		double before = slopes_cpu_us ();
+		dff_core_tick (fleet->core, fleet->now_ms, fleet->commands);
+		spent += slopes_cpu_us () - before;
+		fleet_settle (fleet);
+	}
+	return spent / EVENTS;
+}
+
+static void
+queue_jobs (struct fleet *fleet, int n_jobs)
+{
+	for (int i = 0; i < n_jobs; i++) {
+		struct dff_job_spec spec = fleet_job (fleet, QUEUED_GANG, 1);
+		fleet_submit (fleet, &spec);
+	}
+	fleet_settle (fleet);
+}
+
+/** Every accelerator is leased to work of the teams' own, so that queued jobs stay queued. */
+static void
+take_accelerators (struct fleet *fleet)
+{
+	int n_gangs = (int)fleet->pool->racks->len * 2;
+	for (int i = 0; i < n_gangs; i++) {
+		struct dff_job_spec spec = fleet_job (fleet, QUEUED_GANG, 1);
+		fleet_submit (fleet, &spec);
+	}
+	fleet_settle (fleet);
+}
+
+static void
+add_times (struct slopes *slopes, const struct core_axes *axes, struct fleet *fleet, double x)
+{
+	slopes_add (slopes, &axes->quiet, x, quiet_tick_us (fleet));
+	slopes_add (slopes, &axes->event, x, event_tick_us (fleet));
+	slopes_add (slopes, &axes->review, x, review_us (fleet));
+}
+
+static void
+by_workers (struct slopes *slopes)
+{
+	static const struct core_axes axes = AXES ("workers", "workers");
+	static const int sizes[] = {50, 200, 360, 900, 1800};
+	for (size_t i = 0; i < G_N_ELEMENTS (sizes); i++) {
+		struct fleet_size size = {sizes[i], BASE_TEAMS, 1};
+		int64_t before = slopes_heap_bytes ();
+		DFF_AUTO (fleet) fleet = fleet_new (&size);
+		dff_pool_free (fleet->pool);
+		slopes_add (slopes, &axes.bytes, sizes[i], (double)(slopes_heap_bytes () - before));
+		fleet->pool = fleet_pool (&size);
+		take_accelerators (fleet);
+		queue_jobs (fleet, BASE_QUEUED);
+		add_times (slopes, &axes, fleet, sizes[i]);
+	}
+}
+
+static void
+by_tasks (struct slopes *slopes)
+{
+	static const struct core_axes axes = AXES ("tasks", "running tasks");
+	static const int sizes[] = {400, 1600, 3200, 6400, 10000};
+	for (size_t i = 0; i < G_N_ELEMENTS (sizes); i++) {
+		struct fleet_size size = {DESIGN_WORKERS, BASE_TEAMS, 1};
+		DFF_AUTO (fleet) fleet = fleet_new (&size);
+		int64_t before = slopes_heap_bytes ();
+		int n_tasks = fleet_run_tasks (fleet, sizes[i]);
+		slopes_add (slopes, &axes.bytes, n_tasks, (double)(slopes_heap_bytes () - before));
+		take_accelerators (fleet);
+		queue_jobs (fleet, BASE_QUEUED);
+		add_times (slopes, &axes, fleet, n_tasks);
+	}
+}
+
+static void
+by_teams (struct slopes *slopes)
+{
+	static const struct core_axes axes = AXES ("teams", "teams");
+	static const int sizes[] = {4, 15, 30, 60, 120};
+	for (size_t i = 0; i < G_N_ELEMENTS (sizes); i++) {
+		struct fleet_size size = {BASE_WORKERS, sizes[i], 1};
+		int64_t before = slopes_heap_bytes ();
+		DFF_AUTO (fleet) fleet = fleet_new (&size);
+		slopes_add (slopes, &axes.bytes, sizes[i], (double)(slopes_heap_bytes () - before));
+		take_accelerators (fleet);
+		queue_jobs (fleet, BASE_QUEUED);
+		add_times (slopes, &axes, fleet, sizes[i]);
+	}
+}
+
+static void
+by_queue (struct slopes *slopes)
+{
+	static const struct core_axes axes = AXES ("queued", "queued jobs");
+	static const int sizes[] = {100, 1000, 5000, 20000, 50000, 100000};
+	for (size_t i = 0; i < G_N_ELEMENTS (sizes); i++) {
+		struct fleet_size size = {BASE_WORKERS, BASE_TEAMS, 1};
+		DFF_AUTO (fleet) fleet = fleet_new (&size);
+		fleet_run_tasks (fleet, BASE_TASKS);
+		take_accelerators (fleet);
+		int64_t before = slopes_heap_bytes ();
+		queue_jobs (fleet, sizes[i]);
+		slopes_add (slopes, &axes.bytes, sizes[i], (double)(slopes_heap_bytes () - before));
+		add_times (slopes, &axes, fleet, sizes[i]);
+	}
+}
+
+void
+slopes_core (struct slopes *slopes)
+{
+	by_workers (slopes);
+	by_tasks (slopes);
+	by_teams (slopes);
+	by_queue (slopes);
+}
--- /dev/null
+++ b/bench/slopes/fleet.c
@@ -0,0 +1,232 @@
+#include "bench/slopes/fleet.h"
+
+#define WORKERS_A_RACK 8
+#define RICH_RACK_EVERY 18
+#define LARGEST_GUARANTEE 8
+#define GANG 8
+#define ACCELERATED_EVERY 8
+#define SETTLE_ROUNDS 64
+
+static int
+accelerators_of_rack (int rack)
+{
+	return rack % RICH_RACK_EVERY == 0 ? 2 : 1;
+}
+
+static int
+append_racks (GString *text, const struct fleet_size *size)
+{
+	int n_racks = (size->workers + WORKERS_A_RACK - 1) / WORKERS_A_RACK;
+	int accelerators = 0;
+	for (int i = 0; i < n_racks; i++) {
+		int workers = MIN (WORKERS_A_RACK, size->workers - i * WORKERS_A_RACK);
+		int region = i * size->regions / n_racks + 1;
+		accelerators += workers * accelerators_of_rack (i);
+		g_string_append_printf (
+			text,
+			"%s\n{\"name\": \"r%d\", \"data_centre\": \"dc%d\", \"region\": "
+			"\"region-%d\", \"workers\": %d, \"slots\": 8, \"cores\": 32, "
+			"\"memory_gb\": 64, \"accelerators\": %d}",
+			i == 0 ? "" : ",", i + 1, i * 18 / n_racks + 1, region, workers,
+			accelerators_of_rack (i));
+	}
+	return accelerators;
+}
+
+static void
+append_teams (GString *text, const struct fleet_size *size, int accelerators)
+{
+	int left = accelerators * 6 / 10;
+	int each = CLAMP (left / size->teams, 1, LARGEST_GUARANTEE);
+	for (int i = 0; i < size->teams; i++) {
+		g_autofree char *name = g_strdup_printf ("team-%d", i + 1);
+		g_autofree char *digest =
+			g_compute_checksum_for_string (G_CHECKSUM_SHA256, name, -1);
+		g_string_append_printf (text,
+					"%s\n{\"name\": \"%s\", \"token_digests\": [\"sha256:%s\"]",
+					i == 0 ? "" : ",", name, digest);
+		if (left >= each) {
+			g_string_append_printf (text,
+						", \"guarantees\": [{\"gangs\": 1, "
+						"\"accelerators\": %d, \"region\": \"region-%d\"}]",
+						each, i % size->regions + 1);
+		}
+		left -= each;
+		g_string_append (text, "}");
+	}
+}
+
+GString *
+fleet_pool_text (const struct fleet_size *size)
+{
+	GString *text = g_string_new ("{\"preset\": \"completion\", \"racks\": [");
+	int accelerators = append_racks (text, size);
+	g_string_append (text, "],\n\"teams\": [");
+	append_teams (text, size, accelerators);
+	g_string_append (text, "],\n\"services\": [{\"name\": \"batch\", \"request_slots\": 1, "
+			       "\"request_timeout_ms\": 30000}],\n\"operators\": []}\n");
+	return text;
+}
+
+struct dff_pool *
+fleet_pool (const struct fleet_size *size)
+{
+	g_autoptr (GString) text = fleet_pool_text (size);
+	struct dff_str file = {text->str, text->len};
+	g_autoptr (GError) error = NULL;
+	struct dff_pool *pool = dff_pool_parse (file, "pool", NULL, &error);
+	if (pool == NULL)
+		g_error ("%s", error->message);
+	return pool;
+}
+
+static void
+tell_workers (struct fleet *fleet)
+{
+	for (guint i = 0; i < fleet->pool->racks->len; i++) {
+		const struct dff_rack *rack =
+			&g_array_index (fleet->pool->racks, struct dff_rack, i);
+		for (guint j = 0; j < rack->workers->len; j++) {
+			struct dff_event event = {
+				.type = DFF_EVENT_WORKER_STATE,
+				.worker = g_array_index (rack->workers, struct dff_name, j),
+				.worker_state = DFF_WORKER_UP,
+			};
+			dff_core_handle_event (fleet->core, &event, fleet->now_ms);
+		}
+	}
+}
+
+struct fleet *
+fleet_new (const struct fleet_size *size)
+{
+	struct fleet *fleet = g_new0 (struct fleet, 1);
+	fleet->pool = fleet_pool (size);
+	fleet->n_teams = size->teams;
+	fleet->now_ms = 1000;
+	fleet->commands = g_array_new (FALSE, TRUE, sizeof (struct dff_command));
+	struct dff_core_options options;
+	dff_core_options_init (&options);
+	fleet->core = dff_core_new (&options);
+	dff_core_set_pool (fleet->core, fleet->pool, fleet->now_ms);
+	tell_workers (fleet);
+	fleet_settle (fleet);
+	return fleet;
+}
+
+void
+fleet_free (struct fleet *fleet)
+{
+	dff_core_free (fleet->core);
+	dff_pool_free (fleet->pool);
+	g_array_unref (fleet->commands);
+	g_free (fleet);
+}
+
+struct dff_job_spec
+fleet_job (struct fleet *fleet, int gang, int accelerators)
+{
+	int index = fleet->n_jobs++;
+	return (struct dff_job_spec){
+		.id = dff_name_printf ("region-1.0123456789abcdef0123456789abcdef.%d", index),
+		.team = dff_name_printf ("team-%d", index % fleet->n_teams + 1),
+		.service = dff_name_from ("batch"),
+		.gang = gang,
+		.per_task = {.slots = 1, .cores = 2, .memory_gb = 4, .accelerators = accelerators},
+		.adjacency = accelerators > 0 ? DFF_ADJACENCY_NEIGHBOURS : DFF_ADJACENCY_NONE,
+		.checkpoint = true,
+		.idempotent = true,
+		.declared_ms = 3600000,
+		.max_attempts = 3,
+	};
+}
+
+void
+fleet_submit (struct fleet *fleet, const struct dff_job_spec *spec)
+{
+	struct dff_event event = {.type = DFF_EVENT_JOB_SUBMITTED, .job = spec->id, .spec = spec};
+	dff_core_handle_event (fleet->core, &event, fleet->now_ms);
+}
+
+/** Returns: false for a command that waits for no answer. */
+static bool
+answer_type (enum dff_command_type command, enum dff_event_type *event)
+{
+	switch (command) {
+	case DFF_COMMAND_RECORD_START:
+		*event = DFF_EVENT_ATTEMPT_RECORDED;
+		return true;
+	case DFF_COMMAND_START_TASK:
+		*event = DFF_EVENT_TASK_STARTED;
+		return true;
+	case DFF_COMMAND_CHECKPOINT_TASK:
+		*event = DFF_EVENT_TASK_CHECKPOINTED;
+		return true;
+	case DFF_COMMAND_STOP_TASK:
+		*event = DFF_EVENT_TASK_STOPPED;
+		return true;
+	case DFF_COMMAND_RECORD_END:
+		*event = DFF_EVENT_OUTCOME_RECORDED;
+		return true;
+	default:
+		return false;
+	}
+}
+
+static void
+answer (struct fleet *fleet)
+{
+	for (guint i = 0; i < fleet->commands->len; i++) {
+		const struct dff_command *command =
+			&g_array_index (fleet->commands, struct dff_command, i);
+		struct dff_event event = {
+			.job = command->job,
+			.attempt = command->attempt,
+			.member = command->member,
+			.ran = true,
+		};
+		if (answer_type (command->type, &event.type))
+			dff_core_handle_event (fleet->core, &event, fleet->now_ms);
+	}
+}
+
+void
+fleet_settle (struct fleet *fleet)
+{
+	for (int i = 0; i < SETTLE_ROUNDS; i++) {
+		fleet->now_ms++;
+		dff_core_tick (fleet->core, fleet->now_ms, fleet->commands);
+		if (fleet->commands->len == 0)
+			return;
+		answer (fleet);
+	}
+}
+
+int
+fleet_run_tasks (struct fleet *fleet, int n_tasks)
+{
+	int n_running = 0;
+	for (int i = 0; i < n_tasks / GANG; i++) {
+		struct dff_job_spec spec = fleet_job (fleet, GANG, i % ACCELERATED_EVERY == 0);
+		fleet_submit (fleet, &spec);
+		fleet_settle (fleet);
+		if (dff_core_job_phase (fleet->core, &spec.id) == DFF_JOB_RUNNING)
+			n_running += GANG;
+	}
+	return n_running;
+}
+
+void
+fleet_complete (struct fleet *fleet, const struct dff_name *job, int gang)
+{
+	for (int32_t member = 0; member < gang; member++) {
+		struct dff_event event = {
+			.type = DFF_EVENT_TASK_COMPLETED,
+			.job = *job,
+			.attempt = 1,
+			.member = member,
+			.ran = true,
+		};
+		dff_core_handle_event (fleet->core, &event, fleet->now_ms);
+	}
+}
