entry: a result belongs to its job's trace, and refusals say why in words

The result span was a child of whoever fetched the result, so that the tree of a job ended at its record; it is now a child of the submission. A job that can never run was refused with its code in place of a reason.

--- a/entry/admission.c
+++ b/entry/admission.c
@@ -34,6 +34,27 @@
 	return service->teams->len == 0;
 }
 
+struct reason {
+	const char *code;
+	const char *detail;
+};
+
+static const char *
+reason_detail (const char *code)
+{
+	static const struct reason reasons[] = {
+		{"never_runnable", "No rack or region of the pool file can ever hold the job."},
+		{"unknown_region", "region: it is not in the pool file"},
+		{"unknown_team", "The team is not in the pool file."},
+		{"quota", "The team may never use as many accelerators as the job needs."},
+	};
+	for (size_t i = 0; i < G_N_ELEMENTS (reasons); i++) {
+		if (g_str_equal (reasons[i].code, code))
+			return reasons[i].detail;
+	}
+	return "The pool in force can never run the job.";
+}
+
 bool
 dff_admission_check (struct dff_entry *entry,
 		     const struct dff_job_row *row,
@@ -54,9 +75,7 @@
 	struct dff_admission admission = dff_core_admit (entry->admission, spec);
 	if (admission.admitted)
 		return true;
-	return refuse (
-		fault, 422, admission.reason,
-		g_strdup_printf ("The pool in force can never run the job: %s", admission.reason));
+	return refuse (fault, 422, admission.reason, g_strdup (reason_detail (admission.reason)));
 }
 
 bool
--- a/entry/delivery.c
+++ b/entry/delivery.c
@@ -298,6 +298,19 @@
 	return false;
 }
 
+/* A result belongs to the trace of its job, whoever fetches it, so that one tree shows the whole
+ * way.
+ */
+static struct dff_span
+begin_span (const struct dff_call *call, const struct dff_job_row *row)
+{
+	struct dff_trace_context parent;
+	struct dff_str traceparent = {row->traceparent->str, row->traceparent->len};
+	if (!dff_trace_context_parse (traceparent, &parent))
+		parent = call->span.context;
+	return dff_span_begin (call->entry->options.tracer, &parent, "result");
+}
+
 void
 dff_delivery_begin (struct dff_call *call, const struct dff_job_row *row)
 {
@@ -318,8 +331,7 @@
 	/* The reads hold the references. */
 	delivery->outcome = row->outcome;
 	delivery->result = row->result;
-	delivery->span =
-		dff_span_begin (call->entry->options.tracer, &call->span.context, "result");
+	delivery->span = begin_span (call, row);
 	struct object_read *read = object_read_new (delivery, row->result.manifest_key.data);
 	read->is_manifest = true;
 	read_object (read);
--- a/tests/entry/harness.c
+++ b/tests/entry/harness.c
@@ -63,8 +63,9 @@
 	(void)address;
 	(void)service;
 	(void)request_id;
-	(void)traceparent;
 	struct harness *harness = ctx;
+	g_snprintf (harness->traceparent, sizeof (harness->traceparent), "%.*s",
+		    (int)traceparent.len, traceparent.data);
 	struct harness_sent *sent = g_new0 (struct harness_sent, 1);
 	struct harness_answer *scripted = g_queue_pop_head (&harness->answers);
 	if (scripted != NULL) {
@@ -337,6 +338,14 @@
 		fail_msg ("%s", error->message);
 }
 
+static void
+keep_span (void *ctx, struct dff_str line)
+{
+	struct harness *harness = ctx;
+	g_string_append_len (harness->spans, line.data, (gssize)line.len);
+	g_string_append_c (harness->spans, '\n');
+}
+
 static void
 start_process (struct harness *harness, int index)
 {
@@ -350,8 +359,8 @@
 		g_string_assign (process->settings->tls_key, harness->key);
 	}
 	process->metrics = dff_metrics_new ();
-	process->tracer =
-		dff_tracer_new (&harness->clock.clock, &process->name, 1 + index, NULL, NULL);
+	process->tracer = dff_tracer_new (&harness->clock.clock, &process->name, 1 + index,
+					  keep_span, harness);
 	process->platform = dff_memory_open (harness->memory);
 	dff_recorder_options_init (&recorder);
 	recorder.table = &process->platform->table;
@@ -390,6 +399,7 @@
 	harness->certificate = certificate;
 	harness->key = key;
 	harness->base = event_base_new ();
+	harness->spans = g_string_new (NULL);
 	dff_clock_virtual_init (&harness->clock, 1000000);
 	struct dff_memory_options memory = {.clock = &harness->clock.clock, .seed = 1};
 	harness->memory = dff_memory_new (&memory);
@@ -443,6 +453,7 @@
 	dff_memory_close (harness->holder);
 	dff_memory_free (harness->memory);
 	event_base_free (harness->base);
+	g_string_free (harness->spans, TRUE);
 	g_free (harness);
 }
 
--- a/tests/entry/harness.h
+++ b/tests/entry/harness.h
@@ -67,6 +67,10 @@
 	struct dff_instance instances[4];
 	size_t n_instances;
 	uint64_t n_writes;
+	/** Spans that ended, one JSON object a line. */
+	GString *spans;
+	/** What the last request at a worker carried. */
+	char traceparent[DFF_TRACEPARENT_LEN + 1];
 	/** Paths; NULL: plain HTTP. */
 	const char *certificate, *key;
 	/** Parts of results at this offset are not written; -1: all are. */
