core: a first turn comes sooner

Gangs that had not run yet rose too slowly against short jobs. The time after which a first turn counts twice goes from 1 h to 10 min.

--- a/core/order.c
+++ b/core/order.c
@@ -13,7 +13,7 @@
 /** Wait after which racks are kept for a gang, ms. */
 #define GUARD_AFTER_MS 60000
 /** Wait after which a job that never ran counts as twice as urgent, ms. */
-#define FIRST_TURN_MS 3600000.0
+#define FIRST_TURN_MS 600000.0
 /** How much a team's share of the pool raises its scores. */
 #define FAIRNESS 1.0
 
