--- a/cell/cell.c
+++ b/cell/cell.c
@@ -246,6 +246,7 @@
 	/* An idle tick of a large region costs; without an event or a deadline it is left out. */
 	if (cell->events->len == 0 && now_ms < dff_core_next_wake_ms (cell->core))
 		return;
+	cell->decide_ms = now_ms;
 	dff_cell_deliver (cell);
 	dff_core_tick (cell->core, now_ms, cell->commands);
 	dff_cell_execute (cell, cell->commands);
--- a/cell/cell_private.h
+++ b/cell/cell_private.h
@@ -88,6 +88,8 @@
 	/** Somebody else ended it, or its row is gone: it only has to leave the core. */
 	bool gone;
 	struct dff_result_ref result;
+	/** The hop that the job is in; its name is NULL: none. */
+	struct dff_span span;
 };
 
 struct dff_cell_worker {
@@ -208,6 +210,8 @@
 	/** Epoch of this term. */
 	int64_t epoch;
 	struct dff_core *core;
+	/** When the decision under way began. */
+	int64_t decide_ms;
 	/** Elements: struct dff_event, to be told to the core by the next tick. */
 	GArray *events;
 	GArray *commands;
@@ -388,6 +392,23 @@
 			       const struct dff_name *worker,
 			       const struct dff_worker_result *result);
 
+/* spans.c */
+
+/** Ends the hop that the job is in. @outcome: static word. */
+void dff_cell_span_end (struct dff_cell *cell, struct dff_cell_job *job, const char *outcome);
+
+/** Ends the hop that the job is in with @outcome and begins @name. */
+void dff_cell_span_next (struct dff_cell *cell,
+			 struct dff_cell_job *job,
+			 const char *outcome,
+			 const char *name);
+
+/** The core has placed the job: from queue through decide to record. */
+void dff_cell_span_decided (struct dff_cell *cell, struct dff_cell_job *job);
+
+/** A member has started: with the last one the job runs. */
+void dff_cell_span_started (struct dff_cell *cell, struct dff_cell_job *job);
+
 /* pool_copy.c */
 
 /** Returns: (transfer full): the parts of @pool that the core reads, without secrets. */
--- a/cell/executor.c
+++ b/cell/executor.c
@@ -52,6 +52,7 @@
 		int64_t incarnation = worker != NULL ? worker->incarnation : 0;
 		g_array_append_val (write->incarnations, incarnation);
 	}
+	dff_cell_span_decided (cell, job);
 	dff_cell_record (cell, job, write);
 }
 
@@ -112,9 +113,11 @@
 		record_start (cell, job, command);
 		break;
 	case DFF_COMMAND_RECORD_RETRY:
+		dff_cell_span_next (cell, job, "retry", "queue");
 		dff_cell_record (cell, job, write_new (command, DFF_CELL_WRITE_RETRY));
 		break;
 	case DFF_COMMAND_RECORD_END:
+		dff_cell_span_next (cell, job, dff_outcome_name (command->outcome), "record");
 		dff_cell_record (cell, job, write_new (command, DFF_CELL_WRITE_END));
 		break;
 	default:
--- a/cell/feed.c
+++ b/cell/feed.c
@@ -38,6 +38,7 @@
 		return;
 	}
 	struct dff_cell_job *job = dff_cell_job_add (cell, row);
+	dff_cell_span_next (cell, job, "ok", "queue");
 	struct dff_event event = {
 		.type = DFF_EVENT_JOB_SUBMITTED,
 		.job = row->spec.id,
--- a/cell/records.c
+++ b/cell/records.c
@@ -138,6 +138,7 @@
 	enum dff_outcome outcome = job->row->outcome;
 	bool gone = job->gone;
 	tell_attempt (cell, job, DFF_EVENT_OUTCOME_RECORDED);
+	dff_cell_span_end (cell, job, gone ? "gone" : "ok");
 	dff_cell_job_remove (cell, &id);
 	if (gone)
 		return;
@@ -156,8 +157,10 @@
 		end_job (cell, job);
 		return;
 	}
-	if (type == DFF_CELL_WRITE_START)
+	if (type == DFF_CELL_WRITE_START) {
+		dff_cell_span_next (cell, job, "ok", "start");
 		tell_attempt (cell, job, DFF_EVENT_ATTEMPT_RECORDED);
+	}
 	if (cell->options.callbacks.job_changed != NULL)
 		cell->options.callbacks.job_changed (cell->options.callbacks.ctx,
 						     &job->row->spec.id, DFF_OUTCOME_NONE);
@@ -167,6 +170,7 @@
 static void
 refuse_start (struct dff_cell *cell, struct dff_cell_job *job)
 {
+	dff_cell_span_next (cell, job, "refused", "queue");
 	tell_attempt (cell, job, DFF_EVENT_ATTEMPT_REFUSED);
 	next_write (cell, job);
 }
--- a/cell/recovery.c
+++ b/cell/recovery.c
@@ -178,6 +178,8 @@
 	bool whole = open && is_whole (job);
 	g_autoptr (GArray) running = find_running (cell, job, whole);
 	job->recovered = open;
+	if (whole || !open)
+		dff_cell_span_next (cell, job, "ok", whole ? "run" : "queue");
 	job->cancel_told = row->cancel_requested;
 	const struct dff_recovered recovered = {
 		.attempt = row->attempt,
--- a/cell/reports.c
+++ b/cell/reports.c
@@ -54,6 +54,7 @@
 	member->started = true;
 	member->started_ms = dff_cell_now_ms (cell);
 	tell (cell, job, member, DFF_EVENT_TASK_STARTED, false);
+	dff_cell_span_started (cell, job);
 }
 
 static void
--- a/tests/cell/cell_harness.h
+++ b/tests/cell/cell_harness.h
@@ -30,6 +30,8 @@
 	struct dff_memory *memory;
 	struct dff_metrics *metrics;
 	struct dff_tracer *tracer;
+	/** Lines of the spans that ended. */
+	GString *spans;
 	struct dff_pool pool;
 	struct fake_fleet fleet;
 	struct harness_process processes[HARNESS_PROCESSES];
@@ -135,6 +137,13 @@
 	process->caller->faults.silent_until_ms = paused ? DFF_MEMORY_FOREVER : 0;
 }
 
+static inline void
+harness_take_span (void *ctx, struct dff_str line)
+{
+	g_string_append_len (ctx, line.data, (gssize)line.len);
+	g_string_append_c (ctx, '\n');
+}
+
 static inline void
 harness_init (struct harness *harness, uint64_t seed)
 {
@@ -145,7 +154,9 @@
 	harness->memory = dff_memory_new (&options);
 	harness->metrics = dff_metrics_new ();
 	const struct dff_name instance = dff_name_from ("test");
-	harness->tracer = dff_tracer_new (&harness->clock.clock, &instance, seed, NULL, NULL);
+	harness->spans = g_string_new (NULL);
+	harness->tracer = dff_tracer_new (&harness->clock.clock, &instance, seed, harness_take_span,
+					  harness->spans);
 	fixture_pool_init (&harness->pool, 2, HARNESS_WORKERS / 2, 8);
 	fixture_pool_add_team (&harness->pool, "a", 0, 0);
 	fake_fleet_init (&harness->fleet, &harness->clock.clock, HARNESS_WORKERS, (guint32)seed);
@@ -170,6 +181,7 @@
 	fixture_pool_clear (&harness->pool);
 	g_ptr_array_unref (harness->links);
 	dff_tracer_free (harness->tracer);
+	g_string_free (harness->spans, TRUE);
 	dff_metrics_free (harness->metrics);
 }
 
--- a/tests/cell/fake_worker.h
+++ b/tests/cell/fake_worker.h
@@ -86,6 +86,8 @@
 	int64_t epoch;
 	bool held;
 	int32_t lease_ms;
+	/** Cut off before anything was sent, and the sender knows. */
+	bool unsent;
 	/** INT64_MAX: does not arrive, or is not answered. */
 	int64_t arrives_ms;
 	int64_t answered_ms;
@@ -292,7 +294,9 @@
 	g_hash_table_replace (fleet->epochs, epoch_key, link);
 	int32_t delay_ms = link->delay_max_ms;
 	m->arrives_ms = now_ms + (delay_ms > 0 ? g_rand_int_range (fleet->rand, 1, delay_ms) : 0);
-	if (fake_chance (fleet, link->double_permille)) {
+	bool cut = (link->cut >> m->worker & 1) != 0;
+	m->unsent = cut && fake_chance (fleet, 500);
+	if (!m->unsent && fake_chance (fleet, link->double_permille)) {
 		struct fake_message *twin = fake_message_add (fleet, m);
 		twin->arrives_ms += g_rand_int_range (fleet->rand, 0, 4 * FAKE_CALL_TIMEOUT_MS);
 		twin->answered_ms = INT64_MAX;
@@ -300,7 +304,6 @@
 	}
 	m->answered_ms =
 		m->arrives_ms + (delay_ms > 0 ? g_rand_int_range (fleet->rand, 1, delay_ms) : 0);
-	bool cut = (link->cut >> m->worker & 1) != 0;
 	if (cut || fake_chance (fleet, link->lose_permille))
 		m->arrives_ms = INT64_MAX;
 	bool lost = link->lose_answers > 0 || fake_chance (fleet, link->lose_permille);
@@ -320,12 +323,9 @@
 		return;
 	if (now_ms < m->answered_ms && now_ms < m->gives_up_ms)
 		return;
-	struct dff_worker_result timed_out = {.outcome = DFF_WORKER_UNCERTAIN};
-	if (now_ms < m->answered_ms && (m->link->cut >> m->worker & 1) != 0)
-		timed_out.outcome = m->arrives_ms == INT64_MAX && m->reports->len == 0 &&
-						    fake_chance (m->link->fleet, 500)
-					    ? DFF_WORKER_UNSENT
-					    : DFF_WORKER_UNCERTAIN;
+	struct dff_worker_result timed_out = {
+		.outcome = m->unsent ? DFF_WORKER_UNSENT : DFF_WORKER_UNCERTAIN,
+	};
 	dff_worker_func done = m->done;
 	m->done = NULL;
 	if (!m->link->closed)
--- a/tests/cell/test-cell.c
+++ b/tests/cell/test-cell.c
@@ -50,6 +50,21 @@
 	harness_clear (harness);
 }
 
+/** Checks that spans called @names ended in this order. */
+static void
+check_spans (const struct harness *harness, const char *const *names, size_t n_names)
+{
+	const char *at = harness->spans->str;
+	for (size_t i = 0; i < n_names; i++) {
+		g_autofree char *quoted = g_strdup_printf ("\"%s\"", names[i]);
+		at = strstr (at, quoted);
+		if (at == NULL)
+			fail_msg ("no span %s in place %zu of %s", names[i], i,
+				  harness->spans->str);
+		at = strchr (at, '\n');
+	}
+}
+
 static void
 test_jobs_complete (void **state)
 {
@@ -67,6 +82,9 @@
 		dff_cell_status (harness.processes[0].cell, status);
 		assert_non_null (strstr (status->str, "\"accepted\":1"));
 		assert_non_null (strstr (status->str, "\"completed\":1"));
+		static const char *const hops[] = {"queue", "decide", "record",
+						   "start", "run",    "record"};
+		check_spans (&harness, hops, G_N_ELEMENTS (hops));
 		harness_clear (&harness);
 	}
 }
