bench: fleet injects faults and compares what was told with what ran

Duplicates of work that must run at most once, and a false not_run, were checked by tests in one process only. The phase faults kills, pauses, cuts and slows processes, store and workers at random under a mix of work, then compares callers' verdicts and jobs' outcomes with the workers' run log; the comparison has its own table of cases.

--- a/bench/fleet/fleet.c
+++ b/bench/fleet/fleet.c
@@ -7,7 +7,7 @@
 #include "bench/fleet/load.h"
 #include "common/event_loop.h"
 
-#define TICK_MS 5
+#define TICK_US 5000
 #define CALL_TIMEOUT_MS 3000
 #define CONNECTIONS_MAX 512
 #define WAITING_MAX 4096
@@ -42,7 +42,7 @@
 fleet_new (const struct fleet_options *options)
 {
 	struct fleet *fleet = g_new0 (struct fleet, 1);
-	struct timeval interval = {.tv_usec = TICK_MS * 1000};
+	struct timeval interval = {.tv_usec = TICK_US};
 	struct dff_http_client_options http;
 	fleet->options = *options;
 	fleet->base = dff_event_base_new ();
--- a/bench/fleet/follow.c
+++ b/bench/fleet/follow.c
@@ -1,3 +1,5 @@
+#include <stdio.h>
+
 #include "bench/fleet/load.h"
 
 /* What becomes of accepted jobs. */
@@ -78,6 +80,17 @@
 	return open;
 }
 
+static void
+print_open (const struct fleet *fleet)
+{
+	for (guint i = 0; i < fleet->load->callers->len; i++) {
+		const struct fleet_caller *caller = fleet->load->callers->pdata[i];
+		if (is_followed (caller))
+			fprintf (stderr, "fleet: %s: job %s has not ended\n", caller->tag.data,
+				 caller->job.data);
+	}
+}
+
 int64_t
 fleet_load_follow_jobs (struct fleet *fleet, int64_t timeout_ms)
 {
@@ -87,5 +100,6 @@
 		fleet_sleep (fleet, ROUND_PAUSE_MS);
 		open = ask_round (fleet);
 	}
+	print_open (fleet);
 	return open;
 }
--- a/bench/fleet/load.c
+++ b/bench/fleet/load.c
@@ -128,12 +128,16 @@
 }
 
 static char *
-body_of (struct fleet_caller *caller)
+request_body (const struct fleet_caller *caller)
+{
+	guint work_ms = g_str_hash (caller->tag.data) % WORK_MAX_MS;
+	return g_strdup_printf ("{\"work_ms\":%u,\"answer_bytes\":%d,\"tag\":\"%s\"}", work_ms,
+				ANSWER_BYTES, caller->tag.data);
+}
+
+static char *
+job_body (const struct fleet_caller *caller)
 {
-	if (!is_job (caller->kind))
-		return g_strdup_printf ("{\"work_ms\":%u,\"answer_bytes\":%d,\"tag\":\"%s\"}",
-					g_str_hash (caller->tag.data) % WORK_MAX_MS, ANSWER_BYTES,
-					caller->tag.data);
 	bool once = caller->kind == FLEET_JOB_ONCE;
 	guint hash = g_str_hash (caller->tag.data);
 	return g_strdup_printf (
@@ -150,8 +154,8 @@
 {
 	struct fleet *fleet = caller->load->fleet;
 	char attempt[16];
-	g_autofree char *body = body_of (caller);
 	bool job = is_job (caller->kind);
+	g_autofree char *body = job ? job_body (caller) : request_body (caller);
 	caller->next_ms = 0;
 	caller->process = choose_process (fleet, caller->tries == 0 ? -1 : caller->process);
 	g_snprintf (attempt, sizeof (attempt), "%" PRId32, ++caller->tries);
--- a/bench/fleet/main.c
+++ b/bench/fleet/main.c
@@ -24,6 +24,7 @@
 	{"takeover", fleet_measure_takeover},
 	{"pool", fleet_measure_pool},
 	{"restart", fleet_measure_restart},
+	{"faults", fleet_measure_faults},
 };
 
 static const struct option long_options[] = {
