peer: fixed places on the ring in place of a random sample, half the probes

The worst process of 160 was at 5,599 bytes a second, because a random sample sends to some members far more often than to others and the holder heard twelve more; every new partner also cost a connection.

--- a/include/peer/zmq_transport.h
+++ b/include/peer/zmq_transport.h
@@ -39,7 +39,7 @@
 	struct dff_name public_key;
 	struct dff_name secret_key;
 	/** Interval of probes on each connection, and how long an answer may take, before the
-	 * connection counts as silent and is replaced, ms; 0: the default, 2000 each. */
+	 * connection counts as silent and is replaced, ms; 0: the defaults, 3000 and 2000. */
 	int32_t probe_interval_ms;
 	int32_t probe_timeout_ms;
 	dff_peer_receive_func receive;
--- a/peer/member_table.c
+++ b/peer/member_table.c
@@ -133,16 +133,38 @@
 	}
 }
 
-void
-dff_member_table_successors (const struct dff_member_table *table, int32_t n_wanted, GPtrArray *out)
+static GPtrArray *
+counted_successors (const struct dff_member_table *table)
 {
+	GPtrArray *successors = g_ptr_array_new ();
 	guint place = ring_place_of_self (table);
 	guint n = table->ring->len;
-	for (guint step = 1; step < n && n_wanted > 0; step++) {
+	for (guint step = 1; step < n; step++) {
 		struct dff_member_entry *successor = table->ring->pdata[(place + step) % n];
-		if (!counts_on_ring (successor))
-			continue;
-		g_ptr_array_add (out, successor);
-		n_wanted--;
+		if (counts_on_ring (successor))
+			g_ptr_array_add (successors, successor);
 	}
+	return successors;
+}
+
+static void
+add_new (GPtrArray *out, gpointer entry)
+{
+	if (!g_ptr_array_find (out, entry, NULL))
+		g_ptr_array_add (out, entry);
+}
+
+void
+dff_member_table_targets (const struct dff_member_table *table, int32_t n_observers, GPtrArray *out)
+{
+	g_autoptr (GPtrArray) successors = counted_successors (table);
+	guint n_near = MIN ((guint)n_observers, successors->len);
+	guint n_wanted = MIN (2 * n_near, successors->len);
+	for (guint i = 0; i < n_near; i++)
+		g_ptr_array_add (out, successors->pdata[i]);
+	guint n_members = successors->len + 1;
+	for (guint distance = n_members / 2; distance > 0 && out->len < n_wanted; distance /= 2)
+		add_new (out, successors->pdata[distance - 1]);
+	for (guint i = n_near; i < successors->len && out->len < n_wanted; i++)
+		add_new (out, successors->pdata[i]);
 }
--- a/peer/member_table.h
+++ b/peer/member_table.h
@@ -73,10 +73,16 @@
  */
 void dff_member_table_arrange (struct dff_member_table *table, int32_t n_observers, int64_t now_ms);
 
-/** Appends the @n_wanted successors of self on the ring that are not suspect, its observers.
- * @out: elements: struct dff_member_entry * */
-void dff_member_table_successors (const struct dff_member_table *table,
-				  int32_t n_wanted,
-				  GPtrArray *out);
+/**
+ * dff_member_table_targets:
+ * @out: elements: struct dff_member_entry *
+ *
+ * Appends whom self sends to where not everybody sends to everybody: the successors on the ring
+ * that observe it, and as many at half, a quarter, an eighth ... of the ring's length. From one to
+ * any other it takes few steps, and as many send to a member as it sends to. Suspects are left out.
+ */
+void dff_member_table_targets (const struct dff_member_table *table,
+			       int32_t n_observers,
+			       GPtrArray *out);
 
 #endif
--- a/peer/membership.c
+++ b/peer/membership.c
@@ -3,27 +3,9 @@
 #include "common/log.h"
 #include "peer/membership_internal.h"
 
-/** Changed states in one heartbeat, at the most; one more is sent though nothing changed. */
-#define CHANGES_PER_HEARTBEAT 7
-
 /** A change is carried by this many heartbeats for each doubling of the members. */
 #define RELAYS_PER_DOUBLING 3
 
-/** Beyond the fanout, the fanout divided by this is the number of observers of a member, and that
- * of the partners in the random sample. */
-#define OBSERVERS_SHARE 3
-
-/** Rounds of heartbeats after which one partner of the random sample is drawn anew. A new
- * partner costs a connection and its handshake. */
-#define PARTNER_ROUNDS 10
-
-/** Least time between announcements, and between corrections to one member, ms. */
-#define ANNOUNCE_INTERVAL_MS 100
-#define CORRECT_INTERVAL_MS 100
-
-/** Heartbeat intervals vary by this share, in percent, so that processes do not send in step. */
-#define JITTER_PERCENT 10
-
 /** Members that this process does not observe and that have left the list are dropped when nothing
  * was heard of them for this many times the time that observers take. */
 #define UNOBSERVED_PATIENCE 4
@@ -41,7 +23,6 @@
 	membership->options = *options;
 	membership->table = dff_member_table_new (&options->self);
 	membership->random = g_rand_new_with_seed ((guint32)(options->seed ^ options->seed >> 32));
-	membership->partners = g_array_new (FALSE, FALSE, sizeof (struct dff_name));
 	membership->last_tick_ms = dff_clock_now_ms (options->clock);
 	membership->last_heartbeat_ms = DFF_TIME_NEVER;
 	membership->ring_changed = true;
@@ -59,26 +40,11 @@
 void
 dff_membership_free (struct dff_membership *membership)
 {
-	g_array_free (membership->partners, TRUE);
 	g_rand_free (membership->random);
 	dff_member_table_free (membership->table);
 	g_free (membership);
 }
 
-bool
-dff_membership_is_sampled (const struct dff_membership *membership)
-{
-	return membership->table->entries->len - 1 > (guint)membership->options.fanout;
-}
-
-static int32_t
-n_observers (const struct dff_membership *membership)
-{
-	if (!dff_membership_is_sampled (membership))
-		return INT32_MAX;
-	return MAX (membership->options.fanout / OBSERVERS_SHARE, 1);
-}
-
 void
 dff_membership_relay (struct dff_membership *membership, struct dff_member_entry *entry)
 {
@@ -119,223 +85,6 @@
 		 entry->instance.id.data, names[life]);
 }
 
-static void
-fill_heartbeat (const struct dff_membership *membership, struct dff_heartbeat *heartbeat)
-{
-	heartbeat->self = membership->table->self->known;
-	heartbeat->sent_ms = now_of (membership);
-}
-
-void
-dff_membership_correct (struct dff_membership *membership,
-			struct dff_member_entry *entry,
-			const struct dff_member_report *about_it)
-{
-	int64_t now_ms = now_of (membership);
-	if (now_ms - entry->replied_ms < CORRECT_INTERVAL_MS)
-		return;
-	entry->replied_ms = now_ms;
-	*membership->n_corrected += 1;
-	struct dff_heartbeat heartbeat = {.others = about_it, .n_others = 1};
-	fill_heartbeat (membership, &heartbeat);
-	membership->options.send (membership->options.ctx, &entry->instance, &heartbeat);
-}
-
-/* The entry whose change has been carried least often so far, among those not chosen yet. */
-static struct dff_member_entry *
-next_to_relay (const struct dff_membership *membership, const GPtrArray *chosen)
-{
-	struct dff_member_entry *best = NULL;
-	const GPtrArray *entries = membership->table->entries;
-	for (guint i = 0; i < entries->len; i++) {
-		struct dff_member_entry *entry = entries->pdata[i];
-		if (entry->relays_left <= 0 || entry == membership->table->self)
-			continue;
-		if (best != NULL && entry->relays_left <= best->relays_left)
-			continue;
-		if (!g_ptr_array_find ((GPtrArray *)chosen, entry, NULL))
-			best = entry;
-	}
-	return best;
-}
-
-static bool
-worth_telling (const struct dff_membership *membership, const struct dff_member_entry *entry)
-{
-	return entry != membership->table->self && entry->known.incarnation > 0;
-}
-
-/* States of members in turn, changed or not: what was lost on the way is told again, and a member
- * that this process cannot hear, but others can, is known to live. */
-static void
-choose_refresh (struct dff_membership *membership, GPtrArray *chosen)
-{
-	const GPtrArray *entries = membership->table->entries;
-	for (guint tries = 0; tries < entries->len; tries++) {
-		membership->refresh_cursor = (membership->refresh_cursor + 1) % entries->len;
-		struct dff_member_entry *entry = entries->pdata[membership->refresh_cursor];
-		if (!worth_telling (membership, entry) || g_ptr_array_find (chosen, entry, NULL))
-			continue;
-		g_ptr_array_add (chosen, entry);
-		return;
-	}
-}
-
-static void
-choose_others (struct dff_membership *membership, GPtrArray *chosen)
-{
-	while (chosen->len < CHANGES_PER_HEARTBEAT) {
-		struct dff_member_entry *entry = next_to_relay (membership, chosen);
-		if (entry == NULL)
-			break;
-		entry->relays_left--;
-		g_ptr_array_add (chosen, entry);
-	}
-	choose_refresh (membership, chosen);
-}
-
-void
-dff_membership_send_heartbeat (struct dff_membership *membership, struct dff_member_entry *target)
-{
-	g_autoptr (GPtrArray) chosen = g_ptr_array_new ();
-	choose_others (membership, chosen);
-	struct dff_member_report others[DFF_HEARTBEAT_OTHERS_MAX];
-	for (guint i = 0; i < chosen->len; i++) {
-		const struct dff_member_entry *entry = chosen->pdata[i];
-		others[i] = entry->known;
-	}
-	struct dff_heartbeat heartbeat = {.others = others, .n_others = chosen->len};
-	fill_heartbeat (membership, &heartbeat);
-	membership->options.send (membership->options.ctx, &target->instance, &heartbeat);
-}
-
-static struct dff_member_entry *
-draw_partner (struct dff_membership *membership)
-{
-	const GPtrArray *entries = membership->table->entries;
-	guint index = (guint)g_rand_int_range (membership->random, 0, (gint32)entries->len);
-	struct dff_member_entry *entry = entries->pdata[index];
-	return entry == membership->table->self ? entries->pdata[(index + 1) % entries->len]
-						: entry;
-}
-
-static void
-renew_partners (struct dff_membership *membership)
-{
-	GArray *partners = membership->partners;
-	guint wanted = (guint)n_observers (membership);
-	if (partners->len >= wanted && membership->partner_rounds++ >= PARTNER_ROUNDS) {
-		membership->partner_rounds = 0;
-		g_array_remove_index (partners, 0);
-	}
-	while (partners->len < wanted) {
-		struct dff_member_entry *partner = draw_partner (membership);
-		g_array_append_val (partners, partner->instance.id);
-	}
-}
-
-static void
-add_target (const struct dff_membership *membership, GPtrArray *targets, const struct dff_name *id)
-{
-	struct dff_member_entry *entry = dff_member_table_find (membership->table, id);
-	if (entry == NULL || entry == membership->table->self)
-		return;
-	if (!g_ptr_array_find (targets, entry, NULL))
-		g_ptr_array_add (targets, entry);
-}
-
-/* The holder dates grants by what it hears from each member of its region. How long ago that was
- * does not matter, so that they take turns: a holder must not hear from more members than others
- * do. */
-static void
-add_holder (struct dff_membership *membership, GPtrArray *targets)
-{
-	uint64_t turns = membership->table->entries->len / (guint)membership->options.fanout + 1;
-	int64_t epoch;
-	const struct dff_instance *holder = dff_membership_holder (membership, &epoch);
-	if (holder != NULL && membership->table->self->known.sequence % turns == 0)
-		add_target (membership, targets, &holder->id);
-}
-
-/* One dead member in turn: the two sides of a cut that has healed find each other by it. */
-static void
-add_dead (struct dff_membership *membership, GPtrArray *targets)
-{
-	const GPtrArray *entries = membership->table->entries;
-	for (guint tries = 0; tries < entries->len; tries++) {
-		membership->dead_cursor = (membership->dead_cursor + 1) % entries->len;
-		struct dff_member_entry *entry = entries->pdata[membership->dead_cursor];
-		if (entry->known.life != DFF_LIFE_DEAD)
-			continue;
-		add_target (membership, targets, &entry->instance.id);
-		return;
-	}
-}
-
-static void
-send_to_sample (struct dff_membership *membership)
-{
-	renew_partners (membership);
-	g_autoptr (GPtrArray) targets = g_ptr_array_new ();
-	dff_member_table_successors (membership->table, n_observers (membership), targets);
-	add_holder (membership, targets);
-	add_dead (membership, targets);
-	for (guint i = 0; i < membership->partners->len; i++) {
-		struct dff_name *id = &g_array_index (membership->partners, struct dff_name, i);
-		add_target (membership, targets, id);
-	}
-	for (guint i = 0; i < targets->len; i++)
-		dff_membership_send_heartbeat (membership, targets->pdata[i]);
-}
-
-static void
-send_to_all (struct dff_membership *membership)
-{
-	const GPtrArray *entries = membership->table->entries;
-	for (guint i = 0; i < entries->len; i++) {
-		if (entries->pdata[i] != membership->table->self)
-			dff_membership_send_heartbeat (membership, entries->pdata[i]);
-	}
-}
-
-/* A suspect is asked itself before it counts as dead. It may well run and send to others: members
- * that see the ring differently for a moment do not agree on who observes whom. */
-static void
-ask_suspects (struct dff_membership *membership)
-{
-	const GPtrArray *entries = membership->table->entries;
-	guint start = (guint)g_rand_int_range (membership->random, 0, (gint32)entries->len);
-	int32_t n_asked = 0;
-	for (guint i = 0; i < entries->len && n_asked < membership->options.fanout; i++) {
-		struct dff_member_entry *entry = entries->pdata[(start + i) % entries->len];
-		if (!entry->observed || entry->known.life != DFF_LIFE_SUSPECT)
-			continue;
-		dff_membership_correct (membership, entry, &entry->known);
-		n_asked++;
-	}
-}
-
-static void
-send_heartbeats (struct dff_membership *membership, int64_t now_ms)
-{
-	bool announce = membership->announce &&
-			now_ms - membership->last_heartbeat_ms >= ANNOUNCE_INTERVAL_MS;
-	if (now_ms < membership->next_heartbeat_ms && !announce)
-		return;
-	int32_t interval_ms = membership->options.heartbeat_ms;
-	int32_t jitter_ms = interval_ms * JITTER_PERCENT / 100;
-	membership->next_heartbeat_ms =
-		now_ms + interval_ms - g_rand_int_range (membership->random, 0, jitter_ms + 1);
-	membership->last_heartbeat_ms = now_ms;
-	membership->announce = false;
-	membership->table->self->known.sequence++;
-	ask_suspects (membership);
-	if (dff_membership_is_sampled (membership))
-		send_to_sample (membership);
-	else
-		send_to_all (membership);
-}
-
 static void
 judge_unobserved (struct dff_membership *membership, struct dff_member_entry *entry, int64_t now_ms)
 {
@@ -419,7 +168,8 @@
 	if (!membership->ring_changed)
 		return;
 	membership->ring_changed = false;
-	dff_member_table_arrange (membership->table, n_observers (membership), now_ms);
+	dff_member_table_arrange (membership->table, dff_membership_n_observers (membership),
+				  now_ms);
 }
 
 static void
@@ -440,7 +190,7 @@
 	judge_silence (membership, now_ms);
 	remove_gone (membership);
 	rearrange (membership, now_ms);
-	send_heartbeats (membership, now_ms);
+	dff_membership_send_due (membership);
 	tell_region_changed (membership);
 }
 
--- a/peer/membership.h
+++ b/peer/membership.h
@@ -13,8 +13,8 @@
 /*
  * Who is alive: heartbeats, suspicion before removal, refutation by incarnation, and states passed
  * on with heartbeats. Up to @fanout other members everybody sends to everybody. Beyond it a
- * third as many successors on a hash ring judge this member's silence, and as many in a slowly
- * changing random sample spread states. docs/decisions/membership.md.
+ * third as many successors on a hash ring judge this member's silence, and as many members further
+ * along the ring spread states. docs/decisions/membership.md.
  */
 
 struct dff_membership;
--- a/peer/membership_internal.h
+++ b/peer/membership_internal.h
@@ -4,19 +4,19 @@
 #include "peer/member_table.h"
 #include "peer/membership.h"
 
-/* Shared by membership.c (time, list, sending) and membership_merge.c (what others say). */
+/* Shared by membership.c (time and the list), membership_send.c (heartbeats), membership_merge.c
+ * (what others say) and membership_query.c. */
 
 struct dff_membership {
 	struct dff_membership_options options;
 	struct dff_member_table *table;
 	GRand *random;
-	/** The random sample; elements: struct dff_name. */
-	GArray *partners;
-	int32_t partner_rounds;
 	/** Index of the entry whose state the next heartbeat carries though nothing changed. */
 	guint refresh_cursor;
 	/** Index of the dead entry that was last sent a heartbeat. */
 	guint dead_cursor;
+	/** Epoch of the holder that was last sent a heartbeat as such. */
+	int64_t told_epoch;
 	int64_t last_tick_ms;
 	int64_t next_heartbeat_ms;
 	int64_t last_heartbeat_ms;
@@ -32,6 +32,12 @@
 /** Returns: whether there are more members than every one can send to. */
 bool dff_membership_is_sampled (const struct dff_membership *membership);
 
+/** Returns: how many members judge one member's silence. */
+int32_t dff_membership_n_observers (const struct dff_membership *membership);
+
+/** Sends the heartbeats that are due. */
+void dff_membership_send_due (struct dff_membership *membership);
+
 /** Changes what is known of whether @entry runs; passes the change on. */
 void dff_membership_set_life (struct dff_membership *membership,
 			      struct dff_member_entry *entry,
--- a/peer/membership_merge.c
+++ b/peer/membership_merge.c
@@ -27,6 +27,9 @@
 	bool relay = known->incarnation != report->incarnation ||
 		     known->leaving != report->leaving ||
 		     known->holder_epoch != report->holder_epoch;
+	/* Until a new holder is known everywhere in its region, notices to it wait. */
+	if (known->holder_epoch < report->holder_epoch && dff_membership_is_sampled (membership))
+		membership->announce = true;
 	bool differs = relay || known->ready != report->ready;
 	known->incarnation = report->incarnation;
 	known->sequence = report->sequence;
--- /dev/null
+++ b/peer/membership_send.c
@@ -0,0 +1,229 @@
+#include "peer/membership_internal.h"
+
+/* Heartbeats: when, to whom, and which states of others they carry. */
+
+/** Changed states in one heartbeat, at the most; one more is sent though nothing changed. */
+#define CHANGES_PER_HEARTBEAT 7
+
+/** Beyond the fanout, the fanout divided by this is the number of observers of a member; it sends
+ * to as many others besides. */
+#define OBSERVERS_SHARE 3
+
+/** Least time between announcements, and between corrections to one member, ms. */
+#define ANNOUNCE_INTERVAL_MS 100
+#define CORRECT_INTERVAL_MS 100
+
+/** Heartbeat intervals vary by this share, in percent, so that processes do not send in step. */
+#define JITTER_PERCENT 10
+
+static int64_t
+now_of (const struct dff_membership *membership)
+{
+	return dff_clock_now_ms (membership->options.clock);
+}
+
+bool
+dff_membership_is_sampled (const struct dff_membership *membership)
+{
+	return membership->table->entries->len - 1 > (guint)membership->options.fanout;
+}
+
+int32_t
+dff_membership_n_observers (const struct dff_membership *membership)
+{
+	if (!dff_membership_is_sampled (membership))
+		return INT32_MAX;
+	return MAX (membership->options.fanout / OBSERVERS_SHARE, 1);
+}
+
+static void
+fill_heartbeat (const struct dff_membership *membership, struct dff_heartbeat *heartbeat)
+{
+	heartbeat->self = membership->table->self->known;
+	heartbeat->sent_ms = now_of (membership);
+}
+
+void
+dff_membership_correct (struct dff_membership *membership,
+			struct dff_member_entry *entry,
+			const struct dff_member_report *about_it)
+{
+	int64_t now_ms = now_of (membership);
+	if (now_ms - entry->replied_ms < CORRECT_INTERVAL_MS)
+		return;
+	entry->replied_ms = now_ms;
+	*membership->n_corrected += 1;
+	struct dff_heartbeat heartbeat = {.others = about_it, .n_others = 1};
+	fill_heartbeat (membership, &heartbeat);
+	membership->options.send (membership->options.ctx, &entry->instance, &heartbeat);
+}
+
+/* The entry whose change has been carried least often so far, among those not chosen yet. */
+static struct dff_member_entry *
+next_to_relay (const struct dff_membership *membership, const GPtrArray *chosen)
+{
+	struct dff_member_entry *best = NULL;
+	const GPtrArray *entries = membership->table->entries;
+	for (guint i = 0; i < entries->len; i++) {
+		struct dff_member_entry *entry = entries->pdata[i];
+		if (entry->relays_left <= 0 || entry == membership->table->self)
+			continue;
+		if (best != NULL && entry->relays_left <= best->relays_left)
+			continue;
+		if (!g_ptr_array_find ((GPtrArray *)chosen, entry, NULL))
+			best = entry;
+	}
+	return best;
+}
+
+static bool
+worth_telling (const struct dff_membership *membership, const struct dff_member_entry *entry)
+{
+	return entry != membership->table->self && entry->known.incarnation > 0;
+}
+
+/* States of members in turn, changed or not: what was lost on the way is told again, and a member
+ * that this process cannot hear, but others can, is known to live. */
+static void
+choose_refresh (struct dff_membership *membership, GPtrArray *chosen)
+{
+	const GPtrArray *entries = membership->table->entries;
+	for (guint tries = 0; tries < entries->len; tries++) {
+		membership->refresh_cursor = (membership->refresh_cursor + 1) % entries->len;
+		struct dff_member_entry *entry = entries->pdata[membership->refresh_cursor];
+		if (!worth_telling (membership, entry) || g_ptr_array_find (chosen, entry, NULL))
+			continue;
+		g_ptr_array_add (chosen, entry);
+		return;
+	}
+}
+
+static void
+choose_others (struct dff_membership *membership, GPtrArray *chosen)
+{
+	while (chosen->len < CHANGES_PER_HEARTBEAT) {
+		struct dff_member_entry *entry = next_to_relay (membership, chosen);
+		if (entry == NULL)
+			break;
+		entry->relays_left--;
+		g_ptr_array_add (chosen, entry);
+	}
+	choose_refresh (membership, chosen);
+}
+
+void
+dff_membership_send_heartbeat (struct dff_membership *membership, struct dff_member_entry *target)
+{
+	g_autoptr (GPtrArray) chosen = g_ptr_array_new ();
+	choose_others (membership, chosen);
+	struct dff_member_report others[DFF_HEARTBEAT_OTHERS_MAX];
+	for (guint i = 0; i < chosen->len; i++) {
+		const struct dff_member_entry *entry = chosen->pdata[i];
+		others[i] = entry->known;
+	}
+	struct dff_heartbeat heartbeat = {.others = others, .n_others = chosen->len};
+	fill_heartbeat (membership, &heartbeat);
+	membership->options.send (membership->options.ctx, &target->instance, &heartbeat);
+}
+
+static void
+add_target (const struct dff_membership *membership, GPtrArray *targets, const struct dff_name *id)
+{
+	struct dff_member_entry *entry = dff_member_table_find (membership->table, id);
+	if (entry == NULL || entry == membership->table->self)
+		return;
+	if (!g_ptr_array_find (targets, entry, NULL))
+		g_ptr_array_add (targets, entry);
+}
+
+/* The holder dates grants by what it hears from each member of its region. How long ago that was
+ * does not matter, so a new holder hears from each at once and then in turns: it must not hear from
+ * more members than others do. */
+static void
+add_holder (struct dff_membership *membership, GPtrArray *targets)
+{
+	int64_t epoch;
+	const struct dff_instance *holder = dff_membership_holder (membership, &epoch);
+	if (holder == NULL)
+		return;
+	uint64_t turns =
+		membership->table->entries->len / (guint)dff_membership_n_observers (membership) +
+		1;
+	bool is_new = epoch != membership->told_epoch;
+	membership->told_epoch = epoch;
+	if (is_new || membership->table->self->known.sequence % turns == 0)
+		add_target (membership, targets, &holder->id);
+}
+
+/* One dead member in turn: the two sides of a cut that has healed find each other by it. */
+static void
+add_dead (struct dff_membership *membership, GPtrArray *targets)
+{
+	const GPtrArray *entries = membership->table->entries;
+	for (guint tries = 0; tries < entries->len; tries++) {
+		membership->dead_cursor = (membership->dead_cursor + 1) % entries->len;
+		struct dff_member_entry *entry = entries->pdata[membership->dead_cursor];
+		if (entry->known.life != DFF_LIFE_DEAD)
+			continue;
+		add_target (membership, targets, &entry->instance.id);
+		return;
+	}
+}
+
+static void
+send_to_sample (struct dff_membership *membership)
+{
+	g_autoptr (GPtrArray) targets = g_ptr_array_new ();
+	dff_member_table_targets (membership->table, dff_membership_n_observers (membership),
+				  targets);
+	add_holder (membership, targets);
+	add_dead (membership, targets);
+	for (guint i = 0; i < targets->len; i++)
+		dff_membership_send_heartbeat (membership, targets->pdata[i]);
+}
+
+static void
+send_to_all (struct dff_membership *membership)
+{
+	const GPtrArray *entries = membership->table->entries;
+	for (guint i = 0; i < entries->len; i++) {
+		if (entries->pdata[i] != membership->table->self)
+			dff_membership_send_heartbeat (membership, entries->pdata[i]);
+	}
+}
+
+/* A suspect is asked itself before it counts as dead. It may well run and send to others: members
+ * that see the ring differently for a moment do not agree on who observes whom. A process that is
+ * cut off from most others asks all of them for as long as they are suspect. */
+static void
+ask_suspects (struct dff_membership *membership)
+{
+	const GPtrArray *entries = membership->table->entries;
+	for (guint i = 0; i < entries->len; i++) {
+		struct dff_member_entry *entry = entries->pdata[i];
+		if (entry->observed && entry->known.life == DFF_LIFE_SUSPECT)
+			dff_membership_correct (membership, entry, &entry->known);
+	}
+}
+
+void
+dff_membership_send_due (struct dff_membership *membership)
+{
+	int64_t now_ms = now_of (membership);
+	bool announce = membership->announce &&
+			now_ms - membership->last_heartbeat_ms >= ANNOUNCE_INTERVAL_MS;
+	if (now_ms < membership->next_heartbeat_ms && !announce)
+		return;
+	int32_t interval_ms = membership->options.heartbeat_ms;
+	int32_t jitter_ms = interval_ms * JITTER_PERCENT / 100;
+	membership->next_heartbeat_ms =
+		now_ms + interval_ms - g_rand_int_range (membership->random, 0, jitter_ms + 1);
+	membership->last_heartbeat_ms = now_ms;
+	membership->announce = false;
+	membership->table->self->known.sequence++;
+	ask_suspects (membership);
+	if (dff_membership_is_sampled (membership))
+		send_to_sample (membership);
+	else
+		send_to_all (membership);
+}
--- a/peer/zmq_transport.c
+++ b/peer/zmq_transport.c
@@ -21,10 +21,11 @@
 #define CONNECT_TIMEOUT_MS 2000
 /** A refused peer hears nothing and tries again after this time. */
 #define HANDSHAKE_TIMEOUT_MS 1000
-#define PROBE_MS 2000
+#define PROBE_INTERVAL_MS 3000
+#define PROBE_TIMEOUT_MS 2000
 
 /** A connection that nothing was sent on for this long is closed, s. */
-#define IDLE_S 60
+#define IDLE_S 20
 
 struct zmq_peer {
 	struct dff_instance instance;
@@ -66,14 +67,7 @@
 static bool
 set_common_options (const struct dff_zmq_transport *transport, void *socket)
 {
-	int interval_ms = transport->options.probe_interval_ms;
-	int timeout_ms = transport->options.probe_timeout_ms;
-	/* Something between the two ends may lose track of an open connection: nothing comes back
-	 * any more, and no error either. ZeroMQ's probes notice it and connect anew. */
-	return set_int (socket, ZMQ_HEARTBEAT_IVL, interval_ms) &&
-	       set_int (socket, ZMQ_HEARTBEAT_TIMEOUT, timeout_ms) &&
-	       set_int (socket, ZMQ_HEARTBEAT_TTL, interval_ms + timeout_ms) &&
-	       set_int (socket, ZMQ_LINGER, 0) && set_int (socket, ZMQ_SNDHWM, QUEUE_MAX) &&
+	return set_int (socket, ZMQ_LINGER, 0) && set_int (socket, ZMQ_SNDHWM, QUEUE_MAX) &&
 	       set_int (socket, ZMQ_RCVHWM, QUEUE_MAX) &&
 	       set_int (socket, ZMQ_HANDSHAKE_IVL, HANDSHAKE_TIMEOUT_MS) &&
 	       zmq_setsockopt (socket, ZMQ_CURVE_SECRETKEY, transport->secret_key,
@@ -92,11 +86,25 @@
 			       strlen (DFF_ZMQ_ZAP_DOMAIN)) == 0;
 }
 
+/* Something between the two ends may lose track of an open connection: nothing comes back any more,
+ * and no error either. ZeroMQ's probes notice it and connect anew. The end that connects probes and
+ * tells the other how long to wait for the next probe; probes from both ends would cost twice as
+ * much and tell nothing more. */
+static bool
+set_probe_options (const struct dff_zmq_transport *transport, void *dealer)
+{
+	int interval_ms = transport->options.probe_interval_ms;
+	int timeout_ms = transport->options.probe_timeout_ms;
+	return set_int (dealer, ZMQ_HEARTBEAT_IVL, interval_ms) &&
+	       set_int (dealer, ZMQ_HEARTBEAT_TIMEOUT, timeout_ms) &&
+	       set_int (dealer, ZMQ_HEARTBEAT_TTL, interval_ms + timeout_ms);
+}
+
 static bool
 set_dealer_options (const struct dff_zmq_transport *transport, const struct zmq_peer *peer)
 {
 	void *dealer = peer->dealer;
-	return set_common_options (transport, dealer) &&
+	return set_common_options (transport, dealer) && set_probe_options (transport, dealer) &&
 	       set_int (dealer, ZMQ_RECONNECT_IVL, RECONNECT_MS) &&
 	       set_int (dealer, ZMQ_RECONNECT_IVL_MAX, RECONNECT_MAX_MS) &&
 	       set_int (dealer, ZMQ_CONNECT_TIMEOUT, CONNECT_TIMEOUT_MS) &&
@@ -295,9 +303,9 @@
 {
 	transport->options = *options;
 	if (transport->options.probe_interval_ms == 0)
-		transport->options.probe_interval_ms = PROBE_MS;
+		transport->options.probe_interval_ms = PROBE_INTERVAL_MS;
 	if (transport->options.probe_timeout_ms == 0)
-		transport->options.probe_timeout_ms = PROBE_MS;
+		transport->options.probe_timeout_ms = PROBE_TIMEOUT_MS;
 	transport->peers =
 		g_hash_table_new_full (dff_name_hash, dff_name_equal_func, NULL, peer_free);
 	transport->n_dropped =
--- a/tests/peer/test-peer.c
+++ b/tests/peer/test-peer.c
@@ -183,6 +183,24 @@
 	assert_true (entry->grants_expire_ms > sent_ms + 9900);
 }
 
+/* Symptom: a new holder's grants do not reach all. Sequence: many members, a take-over, grants at
+ * once. Cause: the holder has not heard from each of them and cannot date their grants. */
+static void
+test_new_holder_can_grant_to_many (void **state)
+{
+	(void)state;
+	DFF_AUTO (fake_network) network = started (40);
+	struct dff_grant grant = {.worker = dff_name_from ("worker-1"), .slots = 1};
+	make_holder (&network->nodes[7], 3);
+	fake_network_run (network, 1000);
+	for (int32_t i = 0; i < 40; i++)
+		dff_peer_send_grants (network->nodes[7].peer, &network->nodes[i].instance.id, 3,
+				      &grant, 1, 5000);
+	fake_network_run (network, 100);
+	for (int32_t i = 0; i < 40; i++)
+		assert_int_equal (network->nodes[i].granted_slots, 1);
+}
+
 /* Symptom: two processes use the same slots of a worker. Sequence: grants are long on their way;
  * the holder counts them as expired and grants the slots to another; then they arrive. Cause: their
  * time was counted from arrival. */
@@ -238,6 +256,7 @@
 		cmocka_unit_test (test_notices_reach_the_holder),
 		cmocka_unit_test (test_notices_wait_for_a_holder),
 		cmocka_unit_test (test_grants_arrive_and_expire),
+		cmocka_unit_test (test_new_holder_can_grant_to_many),
 		cmocka_unit_test (test_late_grants_are_not_used),
 		cmocka_unit_test (test_grants_of_an_old_epoch_are_refused),
 	};
