upstream: a change is told twice, and everything to a new holder

A sighting that was lost between two processes, or that reached a holder that was just going, was the only word of a task's end: the job counted as running until its worker was asked for another reason. And a worker with thousands of ended tasks made a list that peers drop for its length. The watcher now tells each change once more after 5 s, tells long lists in pieces of 512 reports, and the daemon has it tell everything when it hears of a holder with a newer epoch, not only when it is that holder itself. Two widening multiplications that the linter named are mended.

--- a/daemon/daemon.c
+++ b/daemon/daemon.c
@@ -15,7 +15,7 @@
 /* Time for the members to hear of each other and for a holder to send grants, before a new process
  * works out its own. */
 #define FIRST_GRANTS_MS 3000
-#define SPANS_BUFFER_BYTES (64 * 1024)
+#define SPANS_BUFFER_BYTES ((size_t)64 * 1024)
 
 static void
 handle_span (void *ctx, struct dff_str line)
@@ -81,12 +81,26 @@
 	dff_entry_set_grants (daemon->entry, epoch, grants, n_grants, valid_ms);
 }
 
+/* A new holder elsewhere has not heard what this process's watcher told the one before it. */
+static void
+tell_new_holder (struct dff_daemon *daemon)
+{
+	if (daemon->peer == NULL || daemon->watcher == NULL)
+		return;
+	const struct dff_member *holder = dff_peer_holder (daemon->peer);
+	if (holder == NULL || holder->holder_epoch <= daemon->told_epoch)
+		return;
+	daemon->told_epoch = holder->holder_epoch;
+	dff_watcher_tell_all (daemon->watcher);
+}
+
 static void
 handle_members_changed (void *ctx)
 {
 	struct dff_daemon *daemon = ctx;
 	daemon->next_share_ms = 0;
 	daemon->next_grants_ms = 0;
+	tell_new_holder (daemon);
 }
 
 static void
@@ -415,7 +429,7 @@
 start_ticking (struct dff_daemon *daemon)
 {
 	int32_t tick_ms = daemon->settings->tick_ms;
-	struct timeval interval = {tick_ms / 1000, (tick_ms % 1000) * 1000};
+	struct timeval interval = {tick_ms / 1000, (tick_ms % 1000) * 1000L};
 	daemon->ticker = event_new (daemon->base, -1, EV_PERSIST, handle_tick, daemon);
 	event_add (daemon->ticker, &interval);
 }
--- a/daemon/daemon_private.h
+++ b/daemon/daemon_private.h
@@ -63,6 +63,8 @@
 	int64_t grants_until_ms;
 	/** Of the last grants received. */
 	int64_t grant_epoch;
+	/** Of the last holder that the watcher told everything to. */
+	int64_t told_epoch;
 	bool draining;
 	int64_t drain_started_ms;
 	bool cut_off;
--- a/include/upstream/watcher.h
+++ b/include/upstream/watcher.h
@@ -12,8 +12,9 @@
 
 /*
  * Watches this process's share of the workers: renews the leases of their tasks, takes their
- * reports, and tells of a worker only when something changed. Leases are renewed whatever happens
- * to the holder of the cell, so that a take-over costs no running task.
+ * reports, and tells of a worker only when something changed, and once more later, as what is told
+ * may be lost on its way to the holder. Leases are renewed whatever happens to the holder of the
+ * cell, so that a take-over costs no running task.
  *
  * A worker whose connection has gone silent is noticed within @interval_ms plus the client's
  * timeout, and tried again after @retry_ms on another connection.
@@ -35,11 +36,14 @@
 	int32_t interval_ms;
 	/** Until a renewal that failed is tried again, ms. */
 	int32_t retry_ms;
+	/** Until a change is told once more, ms. */
+	int32_t retell_ms;
 	/** Lease of tasks; at least three times @interval_ms. */
 	int32_t lease_ms;
 	/** Renewals that fail in a row until a worker is told to be unreachable. */
 	int32_t failures_unreachable;
-	/** Takes a sighting, borrowed for the call. */
+	/** Takes a sighting, borrowed for the call. A long list of reports comes in pieces, none of
+	 * which is whole. */
 	void (*sighted) (void *ctx, const struct dff_worker_sighting *sighting);
 	void *ctx;
 };
--- a/upstream/watcher.c
+++ b/upstream/watcher.c
@@ -6,7 +6,10 @@
 #define RETRY_MS 250
 #define LEASE_MS 9000
 #define FAILURES_UNREACHABLE 2
+#define RETELL_MS 5000
 #define JITTER_DIVISOR 8
+/** Reports in one sighting at the most: peers bound the length of a message. */
+#define MAX_REPORTS 512
 #define MAX_RETRY_DOUBLINGS 6
 
 struct dff_watcher {
@@ -48,6 +51,11 @@
 	int64_t told_silent_ms;
 	/** The renewal in progress was sent before everything was to be told again. */
 	bool asked_before;
+	/** When what came after @retell_sequence is told again; 0: nothing is to be. */
+	int64_t retell_at_ms;
+	int64_t retell_sequence;
+	/** The renewal in progress asks for it. */
+	bool retelling;
 };
 
 void
@@ -56,6 +64,7 @@
 	memset (options, 0, sizeof (*options));
 	options->interval_ms = INTERVAL_MS;
 	options->retry_ms = RETRY_MS;
+	options->retell_ms = RETELL_MS;
 	options->lease_ms = LEASE_MS;
 	options->failures_unreachable = FAILURES_UNREACHABLE;
 }
@@ -130,38 +139,67 @@
 static bool
 has_news (const struct watched *worker, const struct dff_worker_result *result)
 {
-	return !worker->told || !worker->told_reachable || result->n_reports > 0 ||
+	return !worker->told || !worker->told_reachable || result->sequence != worker->sequence ||
 	       result->leaving != worker->told_leaving;
 }
 
+/* A sighting that is lost on its way, or that reaches a holder that is just going, would be the
+ * only word of a task's end. Symptom: a job that has completed counts as running until its worker
+ * is asked for another reason. */
+static void
+plan_retelling (struct watched *worker, int64_t after_sequence)
+{
+	struct dff_watcher *watcher = worker->watcher;
+	if (worker->retell_at_ms != 0) {
+		worker->retell_sequence = MIN (worker->retell_sequence, after_sequence);
+		return;
+	}
+	worker->retell_at_ms = now_ms (watcher) + jittered (watcher, watcher->options.retell_ms);
+	worker->retell_sequence = after_sequence;
+}
+
+static void
+tell_answer (struct watched *worker, const struct dff_worker_result *result)
+{
+	size_t n_left = result->n_reports;
+	struct dff_worker_sighting piece = {
+		.reachable = true,
+		.leaving = result->leaving,
+		.reports = result->reports,
+		.whole = worker->asked_sequence == 0 && n_left <= MAX_REPORTS,
+	};
+	do {
+		piece.n_reports = MIN (n_left, MAX_REPORTS);
+		n_left -= piece.n_reports;
+		tell (worker, &piece);
+		piece.reports += piece.n_reports;
+	} while (n_left > 0);
+}
+
 static void
 take_answer (struct watched *worker, const struct dff_worker_result *result)
 {
 	/* A worker that started anew has forgotten its tasks and counts its changes from the
 	 * beginning: asked for what came after the old sequence, it would hide both. */
 	bool anew = worker->incarnation != 0 && worker->incarnation != result->incarnation;
-	bool whole = worker->asked_sequence == 0 && !worker->asked_before;
-	bool news = anew || has_news (worker, result);
 	worker->heard_ms = now_ms (worker->watcher);
 	worker->failures = 0;
-	if (!whole && (anew || worker->asked_before)) {
+	if (worker->asked_before || (anew && worker->asked_sequence != 0)) {
 		worker->asked_before = false;
 		ask_all (worker);
 		return;
 	}
+	bool again = worker->retelling;
+	bool news = anew || has_news (worker, result);
+	if (again)
+		worker->retell_at_ms = 0;
+	if (news)
+		plan_retelling (worker, anew ? 0 : worker->sequence);
 	*worker->watcher->restarts += anew;
 	worker->incarnation = result->incarnation;
 	worker->sequence = result->sequence;
-	if (!news)
-		return;
-	struct dff_worker_sighting sighting = {
-		.reachable = true,
-		.leaving = result->leaving,
-		.reports = result->reports,
-		.n_reports = result->n_reports,
-		.whole = whole,
-	};
-	tell (worker, &sighting);
+	if (news || again)
+		tell_answer (worker, result);
 }
 
 /** Steps in which silence is told: each interval until well past the lease, so that the holder
@@ -232,11 +270,14 @@
 	const struct dff_worker_client *workers = watcher->options.workers;
 	worker->in_progress = true;
 	worker->sent_ms = now_ms (watcher);
+	worker->retelling = worker->retell_at_ms != 0 && worker->retell_at_ms <= worker->sent_ms;
 	worker->asked_sequence = worker->sequence;
+	if (worker->retelling)
+		worker->asked_sequence = MIN (worker->sequence, worker->retell_sequence);
 	worker->due_ms = worker->sent_ms + jittered (watcher, watcher->options.interval_ms);
 	(*watcher->renewals)++;
-	workers->renew (workers->ctx, &worker->address, watcher->options.lease_ms, worker->sequence,
-			renewed, worker);
+	workers->renew (workers->ctx, &worker->address, watcher->options.lease_ms,
+			worker->asked_sequence, renewed, worker);
 }
 
 void
