peer: a heard process stays connected when the list forgets it

The instance list lags, and membership believes a heartbeat over it, but the transport did not: once a list left a running process out, the connection to it was closed and it could not answer any more. A peer that was heard within the last 20 to 40 s is kept without the list now. Keys were checked only when a connection was made; each message now carries the key it came with, and one whose key is not a peer's any more is dropped.

--- a/include/peer/zmq_transport.h
+++ b/include/peer/zmq_transport.h
@@ -59,7 +59,9 @@
 /** Returns: "IP:PORT" that the transport is bound to, with the port that was chosen. */
 struct dff_name dff_zmq_transport_endpoint (const struct dff_zmq_transport *transport);
 
-/** Replaces the set of known peers: connections to others are closed, their keys refused. */
+/** Replaces the set of known peers: connections to others are closed, their keys refused and their
+ * messages dropped. The list lags, so one that is still heard stays a peer until it is silent for
+ * 20 to 40 s. */
 void dff_zmq_transport_set_instances (struct dff_zmq_transport *transport,
 				      const struct dff_instance *instances,
 				      size_t n_instances);
--- a/peer/zmq_keys.c
+++ b/peer/zmq_keys.c
@@ -13,8 +13,8 @@
 	return result == 0 && size == DFF_ZMQ_KEY_SIZE;
 }
 
-static struct dff_name
-key_format (const uint8_t key[DFF_ZMQ_KEY_SIZE])
+struct dff_name
+dff_zmq_key_format (const uint8_t key[DFF_ZMQ_KEY_SIZE])
 {
 	char text[sodium_base64_ENCODED_LEN (DFF_ZMQ_KEY_SIZE,
 					     sodium_base64_VARIANT_URLSAFE_NO_PADDING)];
@@ -30,7 +30,7 @@
 	uint8_t secret_bytes[DFF_ZMQ_KEY_SIZE];
 	/* Curve25519, the same pair that CURVE uses. */
 	crypto_box_keypair (public_bytes, secret_bytes);
-	*public_key = key_format (public_bytes);
-	*secret_key = key_format (secret_bytes);
+	*public_key = dff_zmq_key_format (public_bytes);
+	*secret_key = dff_zmq_key_format (secret_bytes);
 	sodium_memzero (secret_bytes, sizeof (secret_bytes));
 }
--- a/peer/zmq_transport.c
+++ b/peer/zmq_transport.c
@@ -27,12 +27,19 @@
 /** A connection that nothing was sent on for this long is closed, s. */
 #define IDLE_S 20
 
+/** A peer that is not listed any more is dropped after this many such times without a message. */
+#define QUIET_CHECKS 2
+
 struct zmq_peer {
 	struct dff_instance instance;
 	uint8_t key[DFF_ZMQ_KEY_SIZE];
 	/** NULL: not connected. */
 	void *dealer;
+	/** Whether something was sent to it since the last idle check. */
 	bool used;
+	/** Idle checks since something came from it; QUIET_CHECKS: nothing did lately. */
+	int32_t quiet_checks;
+	bool listed;
 };
 
 struct dff_zmq_transport {
@@ -179,6 +186,35 @@
 	return interface;
 }
 
+static struct zmq_peer *
+find_key (const struct dff_zmq_transport *transport, const char *key)
+{
+	GHashTableIter iter;
+	gpointer value;
+	g_hash_table_iter_init (&iter, transport->peers);
+	while (g_hash_table_iter_next (&iter, NULL, &value)) {
+		struct zmq_peer *peer = value;
+		if (g_str_equal (peer->instance.peer_key.data, key))
+			return peer;
+	}
+	return NULL;
+}
+
+/* A connection outlives its key's place on the list; its messages do not. */
+static void
+take (struct dff_zmq_transport *transport, zmq_msg_t *payload)
+{
+	const char *key = zmq_msg_gets (payload, "User-Id");
+	struct zmq_peer *peer = key != NULL ? find_key (transport, key) : NULL;
+	if (peer == NULL) {
+		*transport->n_dropped += 1;
+		return;
+	}
+	peer->quiet_checks = 0;
+	transport->options.receive (transport->options.receive_ctx, zmq_msg_data (payload),
+				    zmq_msg_size (payload));
+}
+
 /* One message is two frames: the identity that ROUTER puts before it, and the payload. Returns:
  * false when there is none. */
 static bool
@@ -196,12 +232,10 @@
 			break;
 		n_frames++;
 	}
-	if (n_frames == 2) {
-		transport->options.receive (transport->options.receive_ctx, zmq_msg_data (&frame),
-					    zmq_msg_size (&frame));
-	} else {
+	if (n_frames == 2)
+		take (transport, &frame);
+	else
 		*transport->n_dropped += 1;
-	}
 	zmq_msg_close (&frame);
 	return true;
 }
@@ -236,6 +270,9 @@
 		if (!peer->used)
 			disconnect_peer (peer);
 		peer->used = false;
+		peer->quiet_checks = MIN (peer->quiet_checks + 1, QUIET_CHECKS);
+		if (!peer->listed && peer->quiet_checks == QUIET_CHECKS)
+			g_hash_table_iter_remove (&iter);
 	}
 }
 
@@ -243,14 +280,9 @@
 key_is_known (void *ctx, const uint8_t *key)
 {
 	struct dff_zmq_transport *transport = ctx;
-	GHashTableIter iter;
-	gpointer value;
-	g_hash_table_iter_init (&iter, transport->peers);
-	while (g_hash_table_iter_next (&iter, NULL, &value)) {
-		const struct zmq_peer *peer = value;
-		if (memcmp (peer->key, key, sizeof (peer->key)) == 0)
-			return true;
-	}
+	struct dff_name text = dff_zmq_key_format (key);
+	if (find_key (transport, text.data) != NULL)
+		return true;
 	*transport->n_refused += 1;
 	return false;
 }
@@ -380,12 +412,26 @@
 	} else {
 		peer = g_new0 (struct zmq_peer, 1);
 		peer->instance = *instance;
+		peer->quiet_checks = QUIET_CHECKS;
 		if (!dff_zmq_key_parse (&instance->peer_key, peer->key)) {
 			g_free (peer);
 			return;
 		}
 	}
+	peer->listed = true;
+	g_hash_table_replace (fresh, &peer->instance.id, peer);
+}
+
+/* The list lags: one that is heard though the list does not name it goes on being a peer. */
+static gboolean
+keep_heard_peer (gpointer key, gpointer value, gpointer fresh)
+{
+	struct zmq_peer *peer = value;
+	if (peer->quiet_checks == QUIET_CHECKS || g_hash_table_contains (fresh, key))
+		return FALSE;
+	peer->listed = false;
 	g_hash_table_replace (fresh, &peer->instance.id, peer);
+	return TRUE;
 }
 
 void
@@ -400,6 +446,7 @@
 		if (instances[i].role == DFF_INSTANCE_ENTRY)
 			keep_or_add_peer (old, fresh, &instances[i]);
 	}
+	g_hash_table_foreach_steal (old, keep_heard_peer, fresh);
 	transport->peers = fresh;
 	g_hash_table_destroy (old);
 }
--- a/peer/zmq_zap.c
+++ b/peer/zmq_zap.c
@@ -94,7 +94,11 @@
 	 * two processes would stay cut off from each other. */
 	send_text (zap->socket, known ? "200" : "300", ZMQ_SNDMORE);
 	send_text (zap->socket, known ? "OK" : "Unknown key", ZMQ_SNDMORE);
-	send_text (zap->socket, "", ZMQ_SNDMORE);
+	/* The user id of the connection's messages: whose they are is asked for each. */
+	struct dff_name key = {0};
+	if (known)
+		key = dff_zmq_key_format (request->frames[6].data);
+	send_text (zap->socket, key.data, ZMQ_SNDMORE);
 	send_text (zap->socket, "", 0);
 }
 
--- a/tests/peer/test-zmq-transport.c
+++ b/tests/peer/test-zmq-transport.c
@@ -163,6 +163,60 @@
 	event_base_free (base);
 }
 
+/* Symptom: two running processes lose each other. Sequence: the instance list leaves one out for a
+ * while. Cause: the list lags, and its word was taken over what is heard. */
+static void
+test_heard_peer_stays_without_the_list (void **state)
+{
+	(void)state;
+	struct event_base *base = event_base_new ();
+	struct end a;
+	struct end b;
+	open_end (base, &a, "a");
+	open_end (base, &b, "b");
+	dff_zmq_transport_set_instances (a.transport, &b.instance, 1);
+	dff_zmq_transport_set_instances (b.transport, &a.instance, 1);
+	send_text (&a, &b.instance, "first");
+	wait_for (base, &b, "first");
+	dff_zmq_transport_set_instances (b.transport, NULL, 0);
+	send_text (&a, &b.instance, "second");
+	wait_for (base, &b, "second");
+	send_text (&b, &a.instance, "back");
+	wait_for (base, &a, "back");
+	close_end (&a);
+	close_end (&b);
+	event_base_free (base);
+}
+
+/* Symptom: a process whose key was withdrawn goes on being heard. Sequence: it connects, its key is
+ * replaced on the list, it sends. Cause: keys are checked when a connection is made, not after. */
+static void
+test_replaced_key_is_not_heard (void **state)
+{
+	(void)state;
+	struct event_base *base = event_base_new ();
+	struct end a;
+	struct end b;
+	open_end (base, &a, "a");
+	open_end (base, &b, "b");
+	dff_zmq_transport_set_instances (a.transport, &b.instance, 1);
+	dff_zmq_transport_set_instances (b.transport, &a.instance, 1);
+	send_text (&a, &b.instance, "first");
+	wait_for (base, &b, "first");
+	struct dff_instance replaced = a.instance;
+	struct dff_name secret;
+	dff_zmq_keypair (&replaced.peer_key, &secret);
+	dff_zmq_transport_set_instances (b.transport, &replaced, 1);
+	int64_t *dropped = dff_metrics_counter (b.metrics, "dff_peer_transport_dropped_total", "");
+	send_text (&a, &b.instance, "second");
+	while (*dropped == 0)
+		event_base_loop (base, EVLOOP_ONCE);
+	assert_string_equal (b.last, "first");
+	close_end (&a);
+	close_end (&b);
+	event_base_free (base);
+}
+
 static void
 test_bad_settings_are_errors (void **state)
 {
@@ -311,6 +365,8 @@
 		cmocka_unit_test (test_both_ways),
 		cmocka_unit_test (test_many_at_once),
 		cmocka_unit_test (test_unknown_key_is_refused_until_listed),
+		cmocka_unit_test (test_heard_peer_stays_without_the_list),
+		cmocka_unit_test (test_replaced_key_is_not_heard),
 		cmocka_unit_test (test_bad_settings_are_errors),
 		cmocka_unit_test (test_silent_connection_is_replaced),
 	};
