http client: counts the bytes of its connections; bench: fleet measures cost

The bar of 6 KB/s of control traffic could not be measured, as only the transport between the processes counted bytes. The HTTP client now counts what it sends and receives; a test compares both counters with what a server saw. The new phase cost reads them.

--- a/bench/fleet/main.c
+++ b/bench/fleet/main.c
@@ -21,10 +21,9 @@
 };
 
 static const struct phase phases[] = {
-	{"takeover", fleet_measure_takeover},
-	{"pool", fleet_measure_pool},
-	{"restart", fleet_measure_restart},
-	{"faults", fleet_measure_faults},
+	{"takeover", fleet_measure_takeover}, {"pool", fleet_measure_pool},
+	{"restart", fleet_measure_restart},   {"faults", fleet_measure_faults},
+	{"cost", fleet_measure_cost},
 };
 
 static const struct option long_options[] = {
--- a/common/http_client.c
+++ b/common/http_client.c
@@ -25,6 +25,7 @@
 	int64_t *refused;
 	int64_t *opened;
 	int64_t *connections;
+	struct dff_http_traffic traffic;
 };
 
 struct dff_http_client {
@@ -237,9 +238,9 @@
 open_connection (struct endpoint *endpoint)
 {
 	struct dff_http_client *client = endpoint->client;
-	struct dff_http_connection *connection =
-		dff_http_connection_new (client->options.base, endpoint->host, endpoint->port,
-					 client->options.max_body_bytes, client->options.tls);
+	struct dff_http_connection *connection = dff_http_connection_new (
+		client->options.base, endpoint->host, endpoint->port,
+		client->options.max_body_bytes, &client->counters.traffic, client->options.tls);
 	g_ptr_array_add (endpoint->connections, connection);
 	(*client->counters.opened)++;
 	(*client->counters.connections)++;
@@ -361,6 +362,12 @@
 						"Connections opened by the HTTP client");
 	counters->connections = dff_metrics_gauge (metrics, "dff_http_client_connections",
 						   "Connections held by the HTTP client");
+	counters->traffic.sent_bytes =
+		dff_metrics_counter (metrics, "dff_http_client_sent_bytes_total",
+				     "Bytes sent to workers, store and list, without TCP and IP.");
+	counters->traffic.received_bytes = dff_metrics_counter (
+		metrics, "dff_http_client_received_bytes_total",
+		"Bytes received from workers, store and list, without TCP and IP.");
 }
 
 struct dff_http_client *
--- a/common/http_connection.c
+++ b/common/http_connection.c
@@ -17,6 +17,9 @@
 	struct evhttp_connection *evcon;
 	struct evbuffer *output;
 	struct evbuffer_cb_entry *output_callback;
+	struct evbuffer *input;
+	struct evbuffer_cb_entry *input_callback;
+	struct dff_http_traffic traffic;
 	bool busy;
 	bool sent;
 	int64_t idle_since_ms;
@@ -46,6 +49,15 @@
 	struct dff_http_connection *connection = ctx;
 	if (info->n_deleted > 0)
 		connection->sent = true;
+	*connection->traffic.sent_bytes += (int64_t)info->n_deleted;
+}
+
+static void
+input_changed (struct evbuffer *buffer, const struct evbuffer_cb_info *info, void *ctx)
+{
+	(void)buffer;
+	const struct dff_http_connection *connection = ctx;
+	*connection->traffic.received_bytes += (int64_t)info->n_added;
 }
 
 /* Without the address check any certificate of the same issuer would do, another process's too. */
@@ -63,6 +75,7 @@
 			 const char *host,
 			 uint16_t port,
 			 size_t max_body_bytes,
+			 const struct dff_http_traffic *traffic,
 			 struct ssl_ctx_st *tls)
 {
 	struct dff_http_connection *connection = g_new0 (struct dff_http_connection, 1);
@@ -78,6 +91,9 @@
 	connection->output = bufferevent_get_output (bev);
 	connection->output_callback =
 		evbuffer_add_cb (connection->output, output_changed, connection);
+	connection->input = bufferevent_get_input (bev);
+	connection->input_callback = evbuffer_add_cb (connection->input, input_changed, connection);
+	connection->traffic = *traffic;
 	connection->idle_since_ms = now_ms ();
 	return connection;
 }
@@ -86,6 +102,7 @@
 dff_http_connection_free (struct dff_http_connection *connection)
 {
 	evbuffer_remove_cb_entry (connection->output, connection->output_callback);
+	evbuffer_remove_cb_entry (connection->input, connection->input_callback);
 	evhttp_connection_free (connection->evcon);
 	g_free (connection);
 }
--- a/common/http_connection.h
+++ b/common/http_connection.h
@@ -14,6 +14,12 @@
 
 struct dff_http_connection;
 
+/** Counters that a connection adds to: bytes of HTTP, without TLS, TCP and IP. */
+struct dff_http_traffic {
+	int64_t *sent_bytes;
+	int64_t *received_bytes;
+};
+
 /** Returns: @ms as libevent wants it. */
 struct timeval dff_timeval_from_ms (int32_t ms);
 
@@ -27,6 +33,7 @@
 						     const char *host,
 						     uint16_t port,
 						     size_t max_body_bytes,
+						     const struct dff_http_traffic *traffic,
 						     struct ssl_ctx_st *tls);
 
 /** Closes it; no callback of its request comes. Not to be called from one. */
--- a/tests/common/test-http-client.c
+++ b/tests/common/test-http-client.c
@@ -32,6 +32,8 @@
 	size_t n_actions;
 	int accepted;
 	int requests;
+	/** Bytes read. */
+	size_t received;
 	GPtrArray *open;
 	struct dff_metrics *metrics;
 	struct dff_http_client *client;
@@ -73,6 +75,7 @@
 	struct evbuffer_ptr end = evbuffer_search (input, "\r\n\r\n", 4, NULL);
 	if (end.pos < 0)
 		return;
+	fixture->received += evbuffer_get_length (input);
 	evbuffer_drain (input, evbuffer_get_length (input));
 	size_t index = MIN ((size_t)fixture->requests, fixture->n_actions - 1);
 	const struct action *action = &fixture->actions[index];
@@ -363,6 +366,26 @@
 	assert_int_equal (answers[0].calls, 0);
 }
 
+/* The bar for control traffic is measured by these counters: they must say what the server saw. */
+static void
+test_bytes_are_counted (void **state)
+{
+	struct fixture *fixture = *state;
+	static const struct action action = {ANSWER, false};
+	const int64_t *sent =
+		dff_metrics_counter (fixture->metrics, "dff_http_client_sent_bytes_total", "");
+	const int64_t *received =
+		dff_metrics_counter (fixture->metrics, "dff_http_client_received_bytes_total", "");
+	play (fixture, &action, 1);
+	for (int i = 1; i <= 3; i++) {
+		struct answer answer;
+		send_request (fixture, 5000, &answer);
+		wait_for (&answer);
+		assert_int_equal (*sent, fixture->received);
+		assert_int_equal (*received, (size_t)i * strlen (ANSWER));
+	}
+}
+
 int
 main (void)
 {
@@ -378,6 +401,7 @@
 		cmocka_unit_test_setup_teardown (test_silent_connection_is_replaced, setup,
 						 teardown),
 		cmocka_unit_test_setup_teardown (test_waiting_is_bounded, setup, teardown),
+		cmocka_unit_test_setup_teardown (test_bytes_are_counted, setup, teardown),
 		cmocka_unit_test_setup_teardown (test_free_drops_requests, setup, teardown),
 	};
 	return cmocka_run_group_tests (tests, NULL, NULL);
