--- a/tests/cell/test-cell.c
+++ b/tests/cell/test-cell.c
@@ -57,11 +57,10 @@
 	const char *at = harness->spans->str;
 	for (size_t i = 0; i < n_names; i++) {
 		g_autofree char *quoted = g_strdup_printf ("\"%s\"", names[i]);
-		at = strstr (at, quoted);
-		if (at == NULL)
-			fail_msg ("no span %s in place %zu of %s", names[i], i,
-				  harness->spans->str);
-		at = strchr (at, '\n');
+		const char *found = strstr (at, quoted);
+		assert_non_null (found);
+		at = strchr (found, '\n');
+		assert_non_null (at);
 	}
 }
 
