--- /dev/null
+++ b/cell/batches.c
@@ -0,0 +1,89 @@
+#include "cell/cell_private.h"
+
+#include <inttypes.h>
+
+#include "common/log.h"
+
+/* Batches whose jobs neither start nor end. An overnight batch that is stuck makes no error and no
+ * noise; without this nobody notices before somebody asks for its results. */
+
+/** Interval at which batches are looked at, ms. */
+#define BATCHES_INTERVAL_MS 1000
+/** Times the longest declared run time of a batch's jobs without a change that are in order. */
+#define DECLARED_FACTOR 3
+
+void
+dff_cell_batch_join (struct dff_cell *cell, const struct dff_job_row *row)
+{
+	if (dff_name_is_empty (&row->batch))
+		return;
+	struct dff_cell_batch *batch = g_hash_table_lookup (cell->batches, &row->batch);
+	if (batch == NULL) {
+		batch = g_new0 (struct dff_cell_batch, 1);
+		batch->name = row->batch;
+		g_hash_table_insert (cell->batches, &batch->name, batch);
+	}
+	batch->remaining += 1;
+	batch->declared_ms = MAX (batch->declared_ms, row->spec.declared_ms);
+	batch->changed_ms = dff_cell_now_ms (cell);
+}
+
+void
+dff_cell_batch_progress (struct dff_cell *cell, const struct dff_job_row *row)
+{
+	struct dff_cell_batch *batch = g_hash_table_lookup (cell->batches, &row->batch);
+	if (batch == NULL)
+		return;
+	batch->changed_ms = dff_cell_now_ms (cell);
+	if (!batch->stalled)
+		return;
+	batch->stalled = false;
+	*cell->metrics.batches_stalled -= 1;
+}
+
+void
+dff_cell_batch_leave (struct dff_cell *cell, const struct dff_job_row *row)
+{
+	struct dff_cell_batch *batch = g_hash_table_lookup (cell->batches, &row->batch);
+	if (batch == NULL)
+		return;
+	dff_cell_batch_progress (cell, row);
+	batch->remaining -= 1;
+	if (batch->remaining == 0)
+		g_hash_table_remove (cell->batches, &row->batch);
+}
+
+void
+dff_cell_batches_clear (struct dff_cell *cell)
+{
+	g_hash_table_remove_all (cell->batches);
+	*cell->metrics.batches_stalled = 0;
+}
+
+static void
+look_at (struct dff_cell *cell, struct dff_cell_batch *batch)
+{
+	int64_t limit_ms = cell->options.batch_stall_ms + DECLARED_FACTOR * batch->declared_ms;
+	int64_t still_ms = dff_cell_now_ms (cell) - batch->changed_ms;
+	if (batch->stalled || still_ms < limit_ms)
+		return;
+	batch->stalled = true;
+	*cell->metrics.batches_stalled += 1;
+	*cell->metrics.batch_stalls += 1;
+	dff_log (DFF_LOG_CELL, DFF_LOG_WARNING,
+		 "Batch makes no progress. batch=%s jobs=%d ms=%" PRId64, batch->name.data,
+		 batch->remaining, still_ms);
+}
+
+void
+dff_cell_batches_tick (struct dff_cell *cell)
+{
+	if (dff_cell_now_ms (cell) < cell->batches_due_ms)
+		return;
+	cell->batches_due_ms = dff_cell_now_ms (cell) + BATCHES_INTERVAL_MS;
+	GHashTableIter iter;
+	gpointer value;
+	g_hash_table_iter_init (&iter, cell->batches);
+	while (g_hash_table_iter_next (&iter, NULL, &value))
+		look_at (cell, value);
+}
--- a/cell/cell.c
+++ b/cell/cell.c
@@ -11,6 +11,7 @@
 #define DEFAULT_RENEW_MS 1000
 #define DEFAULT_MARGIN_MS 500
 #define DEFAULT_TASK_LEASE_MS 10000
+#define DEFAULT_BATCH_STALL_MS 600000
 
 void
 dff_cell_options_init (struct dff_cell_options *options)
@@ -20,6 +21,7 @@
 	options->renew_ms = DEFAULT_RENEW_MS;
 	options->lease_margin_ms = DEFAULT_MARGIN_MS;
 	options->task_lease_ms = DEFAULT_TASK_LEASE_MS;
+	options->batch_stall_ms = DEFAULT_BATCH_STALL_MS;
 	dff_core_options_init (&options->core);
 }
 
@@ -54,6 +56,10 @@
 					  "Tasks found running that no open attempt owns.");
 	m->lost = dff_metrics_counter (metrics, "dff_cell_tasks_lost_total",
 				       "Tasks whose lease lapsed.");
+	m->batch_stalls = dff_metrics_counter (metrics, "dff_cell_batch_stalls_total",
+					       "Times a batch was without progress.");
+	m->batches_stalled = dff_metrics_gauge (metrics, "dff_cell_batches_stalled",
+						"Batches without progress now.");
 	m->bad_rows = dff_metrics_counter (metrics, "dff_cell_bad_rows_total",
 					   "Job rows that could not be read.");
 }
@@ -89,6 +95,7 @@
 	cell->jobs =
 		g_hash_table_new_full (dff_name_hash, dff_name_equal_func, NULL, dff_cell_job_free);
 	cell->workers = g_hash_table_new_full (dff_name_hash, dff_name_equal_func, NULL, g_free);
+	cell->batches = g_hash_table_new_full (dff_name_hash, dff_name_equal_func, NULL, g_free);
 	cell->agenda = g_sequence_new (g_free);
 	cell->calls = g_hash_table_new_full (NULL, NULL, g_free, NULL);
 	cell->recovery.found = g_array_new (FALSE, TRUE, sizeof (struct dff_cell_found));
@@ -120,6 +127,7 @@
 	abandon_writes (cell);
 	g_array_set_size (cell->events, 0);
 	g_hash_table_remove_all (cell->jobs);
+	dff_cell_batches_clear (cell);
 	g_sequence_remove_range (g_sequence_get_begin_iter (cell->agenda),
 				 g_sequence_get_end_iter (cell->agenda));
 	memset (cell->ended, 0, sizeof (cell->ended));
@@ -141,6 +149,7 @@
 	g_array_unref (cell->recovery.found);
 	g_hash_table_unref (cell->jobs);
 	g_hash_table_unref (cell->workers);
+	g_hash_table_unref (cell->batches);
 	g_hash_table_unref (cell->calls);
 	g_sequence_free (cell->agenda);
 	g_free (cell);
@@ -268,6 +277,7 @@
 		return;
 	dff_cell_feed_tick (cell);
 	dff_cell_workers_tick (cell);
+	dff_cell_batches_tick (cell);
 	decide (cell);
 	dff_cell_agenda_run (cell);
 }
--- a/cell/cell_private.h
+++ b/cell/cell_private.h
@@ -111,6 +111,17 @@
 	bool querying;
 };
 
+/** A batch that has jobs which have not ended. */
+struct dff_cell_batch {
+	struct dff_name name;
+	int32_t remaining;
+	/** Longest run time that its jobs declare. */
+	int64_t declared_ms;
+	/** When a job of it last started or ended. */
+	int64_t changed_ms;
+	bool stalled;
+};
+
 enum dff_cell_call_type {
 	DFF_CELL_CALL_TASK,
 	DFF_CELL_CALL_QUERY,
@@ -193,6 +204,8 @@
 	int64_t *orphans;
 	int64_t *lost;
 	int64_t *bad_rows;
+	int64_t *batch_stalls;
+	int64_t *batches_stalled;
 };
 
 struct dff_cell {
@@ -219,6 +232,9 @@
 	GHashTable *jobs;
 	/** struct dff_name to struct dff_cell_worker. */
 	GHashTable *workers;
+	/** struct dff_name to struct dff_cell_batch. */
+	GHashTable *batches;
+	int64_t batches_due_ms;
 	bool instances_known;
 	int64_t workers_due_ms;
 	/** struct dff_cell_due, in order of time. */
@@ -280,6 +296,22 @@
 /** Tells the core that a cancellation is on record, once. */
 void dff_cell_job_cancelled (struct dff_cell *cell, struct dff_cell_job *job);
 
+/* batches.c */
+
+/** Counts a job into its batch, if it has one. */
+void dff_cell_batch_join (struct dff_cell *cell, const struct dff_job_row *row);
+
+/** A job of the batch has started, or may start again. */
+void dff_cell_batch_progress (struct dff_cell *cell, const struct dff_job_row *row);
+
+/** A job of the batch is no longer on the table. */
+void dff_cell_batch_leave (struct dff_cell *cell, const struct dff_job_row *row);
+
+void dff_cell_batches_clear (struct dff_cell *cell);
+
+/** Reports batches without progress. */
+void dff_cell_batches_tick (struct dff_cell *cell);
+
 /* feed.c */
 
 void dff_cell_feed_start (struct dff_cell *cell);
--- a/cell/jobs.c
+++ b/cell/jobs.c
@@ -8,6 +8,7 @@
 	job->members = g_array_new (FALSE, TRUE, sizeof (struct dff_cell_member));
 	g_queue_init (&job->writes);
 	g_hash_table_replace (cell->jobs, &row->spec.id, job);
+	dff_cell_batch_join (cell, row);
 	return job;
 }
 
@@ -30,6 +31,10 @@
 void
 dff_cell_job_remove (struct dff_cell *cell, const struct dff_name *id)
 {
+	const struct dff_cell_job *job = dff_cell_job_find (cell, id);
+	if (job == NULL)
+		return;
+	dff_cell_batch_leave (cell, job->row);
 	g_hash_table_remove (cell->jobs, id);
 }
 
--- a/cell/records.c
+++ b/cell/records.c
@@ -157,6 +157,7 @@
 		end_job (cell, job);
 		return;
 	}
+	dff_cell_batch_progress (cell, job->row);
 	if (type == DFF_CELL_WRITE_START) {
 		dff_cell_span_next (cell, job, "ok", "start");
 		tell_attempt (cell, job, DFF_EVENT_ATTEMPT_RECORDED);
--- a/cell/status.c
+++ b/cell/status.c
@@ -102,6 +102,25 @@
 	return racks;
 }
 
+static json_t *
+stalled_batches_status (const struct dff_cell *cell)
+{
+	json_t *batches = json_array ();
+	GHashTableIter iter;
+	gpointer value;
+	g_hash_table_iter_init (&iter, cell->batches);
+	while (g_hash_table_iter_next (&iter, NULL, &value)) {
+		const struct dff_cell_batch *batch = value;
+		if (!batch->stalled)
+			continue;
+		json_int_t still_ms = dff_cell_now_ms (cell) - batch->changed_ms;
+		json_t *entry = json_pack ("{s:s,s:i,s:I}", "batch", batch->name.data, "jobs",
+					   (int)batch->remaining, "still_ms", still_ms);
+		json_array_append_new (batches, entry);
+	}
+	return batches;
+}
+
 static json_t *
 pool_status (const struct dff_cell *cell)
 {
@@ -126,6 +145,8 @@
 		json_object_set_new (status, "jobs", jobs_status (cell));
 		json_object_set_new (status, "teams", teams_status (cell));
 		json_object_set_new (status, "racks", racks_status (cell));
+		json_object_set_new (status, "batches_without_progress",
+				     stalled_batches_status (cell));
 		json_object_set_new (status, "capacity", pool_status (cell));
 	}
 	char *text = json_dumps (status, JSON_COMPACT);
--- a/include/cell/cell.h
+++ b/include/cell/cell.h
@@ -51,6 +51,9 @@
 	int32_t renew_ms;        /**< Interval of renewals. */
 	int32_t lease_margin_ms; /**< The holder stops acting this long before its lease lapses. */
 	int32_t task_lease_ms;   /**< Lease of tasks at workers. */
+	/** A batch is reported when none of its jobs has started or ended for this long and three
+	 * times the longest run time that its jobs declare. */
+	int32_t batch_stall_ms;
 	struct dff_core_options core;
 };
 
--- a/tests/cell/cell_harness.h
+++ b/tests/cell/cell_harness.h
@@ -41,6 +41,8 @@
 	/** Of the cells to be born; 0: the default. */
 	int32_t lease_ms;
 	int n_births;
+	/** Of the jobs to be submitted; empty: none. */
+	struct dff_name batch;
 	int n_jobs;
 	/** Rows as read last; NULL: not yet. */
 	struct dff_job_row *rows[HARNESS_MAX_JOBS];
@@ -236,6 +238,7 @@
 	struct dff_name id = harness_job_id (index);
 	DFF_AUTO (dff_job_row) row = dff_job_row_new ();
 	row->spec = fixture_spec (id.data, gang, 8);
+	row->batch = harness->batch;
 	row->spec.region = dff_name_from (HARNESS_REGION);
 	row->spec.idempotent = idempotent;
 	row->spec.max_attempts = idempotent ? 3 : 1;
--- a/tests/cell/test-cell.c
+++ b/tests/cell/test-cell.c
@@ -248,6 +248,33 @@
 	harness_clear (&harness);
 }
 
+/* Symptom: an overnight batch is lost and a citizen notices first. Sequence: a worker that its jobs
+ * need stays away; nothing fails, nothing moves. Cause: nobody looks at what does not happen. */
+static void
+test_batch_without_progress_is_reported (void **state)
+{
+	(void)state;
+	struct harness harness;
+	begin (&harness, 13);
+	harness.fleet.workers[0].down = true;
+	harness_run (&harness, 2000);
+	harness.batch = dff_name_from (HARNESS_REGION "." HARNESS_HASH);
+	int job = harness_submit (&harness, HARNESS_WORKERS, true);
+	harness_run (&harness, 700000);
+	const int64_t *stalled =
+		dff_metrics_gauge (harness.metrics, "dff_cell_batches_stalled", "");
+	assert_int_equal (*stalled, 0);
+	harness_run (&harness, 100000);
+	assert_int_equal (*stalled, 1);
+	g_autoptr (GString) status = g_string_new (NULL);
+	dff_cell_status (harness.processes[0].cell, status);
+	assert_non_null (strstr (status->str, "\"batch\":\"" HARNESS_REGION "." HARNESS_HASH));
+	fake_worker_restart (&harness.fleet.workers[0]);
+	assert_int_equal (harness_run_job (&harness, job, JOB_LIMIT_MS), DFF_OUTCOME_COMPLETED);
+	assert_int_equal (*stalled, 0);
+	harness_clear (&harness);
+}
+
 static gint
 compare_ms (gconstpointer a, gconstpointer b)
 {
@@ -443,6 +470,7 @@
 		cmocka_unit_test (test_cancelled_at_every_step),
 		cmocka_unit_test (test_tasks_outlive_a_store_outage),
 		cmocka_unit_test (test_drain_hands_over_without_a_wait),
+		cmocka_unit_test (test_batch_without_progress_is_reported),
 		cmocka_unit_test (test_take_over_time_follows_the_lease),
 		cmocka_unit_test (test_worker_is_lost),
 		cmocka_unit_test (test_refused_start_runs_elsewhere_once),
