upstream: a renewal waits for something to report

The end of a task was heard of half a second late on average, as each worker is renewed once a second and answered at once: completion times, failures and reclaims all waited for it. The worker now holds the answer up to one interval until a task changes or it leaves, so that idle workers cost as many messages as before, and after a change the next renewal follows within 50 ms.

--- a/daemon/daemon.c
+++ b/daemon/daemon.c
@@ -248,6 +248,7 @@
 	dff_http_worker_options_init (&workers);
 	workers.http = daemon->worker_http;
 	workers.metrics = daemon->metrics;
+	workers.renew_wait_ms = settings->watch_interval_ms;
 	daemon->workers = dff_http_worker_new (&workers);
 	struct dff_watcher_options watcher;
 	dff_watcher_options_init (&watcher);
--- a/include/standin/worker_tasks.h
+++ b/include/standin/worker_tasks.h
@@ -19,7 +19,7 @@
 /** Writes the object key of a task's result, "JOB:ATTEMPT:MEMBER". Returns: false: too long. */
 bool dff_task_result_key (const struct dff_task_id *id, struct dff_name *key);
 
-/** Either may be answered before it returns. */
+/** The first two may be answered before they return. */
 struct dff_worker_tasks_callbacks {
 	/** A task's work is done: its result is to be written, then
 	 * dff_worker_tasks_result_written() called. */
@@ -27,6 +27,8 @@
 	/** A task resumes: its last checkpoint is to be read, then dff_worker_tasks_loaded()
 	 * called. */
 	void (*load) (void *ctx, const struct dff_task_id *task);
+	/** Something is there to be reported. Not to be answered before it returns. */
+	void (*changed) (void *ctx);
 	void *ctx;
 	/** (nullable): a task begins to run; @tag is its payload's. */
 	void (*ran) (void *ctx, const struct dff_task_id *task, const struct dff_name *tag);
--- a/include/upstream/http_worker.h
+++ b/include/upstream/http_worker.h
@@ -20,6 +20,8 @@
 	int32_t command_timeout_ms;
 	/** Time it may take to answer a renewal or query, ms. */
 	int32_t renew_timeout_ms;
+	/** How much longer it may wait with the answer to a renewal for something to report, ms. */
+	int32_t renew_wait_ms;
 };
 
 void dff_http_worker_options_init (struct dff_http_worker_options *options);
--- a/include/upstream/worker_wire.h
+++ b/include/upstream/worker_wire.h
@@ -35,6 +35,8 @@
 	int64_t after_sequence;
 	/** The worker's own clock in its last answer to the sender: leases count from then. */
 	int64_t from_ms;
+	/** With nothing to report, the answer may wait this long for something to. */
+	int32_t wait_ms;
 };
 
 /** Returns: a state's name on the wire. */
--- a/standin/worker_main.c
+++ b/standin/worker_main.c
@@ -89,7 +89,7 @@
 	struct timeval interval = timeval_of (LEAVE_CHECK_MS);
 	process->options.instance.leaving = true;
 	announce (-1, 0, process);
-	dff_worker_tasks_leave (dff_standin_worker_tasks (process->worker));
+	dff_standin_worker_leave (process->worker);
 	event_add (process->finish, &interval);
 	dff_log (DFF_LOG_STANDIN, DFF_LOG_INFO, "Worker is leaving. id=%s",
 		 process->options.instance.id.data);
--- a/standin/worker_server.c
+++ b/standin/worker_server.c
@@ -118,6 +118,15 @@
 	evtimer_add (server->tick, &wait);
 }
 
+/* Not in the callback itself: the task that changed is still being worked on. */
+static void
+tick_soon (void *ctx)
+{
+	struct dff_worker_server *server = ctx;
+	struct timeval at_once = {0};
+	evtimer_add (server->tick, &at_once);
+}
+
 static void
 tick (evutil_socket_t fd, short events, void *user)
 {
@@ -328,6 +337,7 @@
 		dff_worker_server_free (server);
 		return NULL;
 	}
+	dff_standin_worker_on_change (options->worker, tick_soon, server);
 	schedule_tick (server);
 	return server;
 }
@@ -335,6 +345,7 @@
 void
 dff_worker_server_free (struct dff_worker_server *server)
 {
+	dff_standin_worker_on_change (server->options.worker, NULL, NULL);
 	while (!g_queue_is_empty (&server->exchanges))
 		exchange_free (server->exchanges.head->data);
 	evhttp_free (server->http);
--- a/standin/worker_tasks.c
+++ b/standin/worker_tasks.c
@@ -75,6 +75,7 @@
 		g_queue_unlink (&tasks->changes, &task->link);
 	task->sequence = ++tasks->sequence;
 	g_queue_push_tail_link (&tasks->changes, &task->link);
+	tasks->options.callbacks.changed (tasks->options.callbacks.ctx);
 }
 
 struct dff_task *
--- a/tests/upstream/test-worker-tasks.c
+++ b/tests/upstream/test-worker-tasks.c
@@ -429,6 +429,63 @@
 	fixture_clear (&fixture);
 }
 
+static void
+count_answer (void *user, const struct dff_worker_result *result)
+{
+	assert_int_equal (result->outcome, DFF_WORKER_OK);
+	(*(int *)user)++;
+}
+
+/** Renews with a wait of 1000 ms. Returns: how many answers have come, at once. */
+static int
+renew_waiting (struct fixture *fixture, int64_t after, int *answers)
+{
+	struct dff_worker_call call = {
+		.type = DFF_WORKER_CALL_RENEW,
+		.renewal = {.lease_ms = LEASE_MS, .after_sequence = after, .wait_ms = 1000},
+	};
+	*answers = 0;
+	dff_standin_worker_call (fixture->worker, &call, count_answer, answers);
+	return *answers;
+}
+
+/* Symptom: the end of a task is heard of a second late, and each job's completion with it.
+ * Sequence: a task ends just after a renewal was answered. Cause: renewals were answered at once.
+ */
+static void
+test_renewal_waits_for_something_to_report (void **state)
+{
+	(void)state;
+	struct fixture fixture;
+	int answers;
+	fixture_init (&fixture, false);
+	struct step start = {0, DFF_OP_START, 1, 0, 0, OK, DFF_TASK_RUNNING, true};
+	do_step (&fixture, &start, dff_str_from ("{\"run_ms\":300}"));
+	int64_t known = dff_worker_tasks_sequence (dff_standin_worker_tasks (fixture.worker));
+	assert_int_equal (renew_waiting (&fixture, known - 1, &answers), 1);
+	assert_int_equal (renew_waiting (&fixture, known, &answers), 0);
+	assert_int_equal (dff_standin_worker_next_due_ms (fixture.worker), 300);
+	fixture.clock.now_ms = 299;
+	dff_standin_worker_tick (fixture.worker);
+	assert_int_equal (answers, 0);
+	fixture.clock.now_ms = 300;
+	dff_standin_worker_tick (fixture.worker);
+	assert_int_equal (answers, 1);
+	assert_int_equal (renew_waiting (&fixture, known + 1, &answers), 0);
+	fixture.clock.now_ms = 1299;
+	dff_standin_worker_tick (fixture.worker);
+	assert_int_equal (answers, 0);
+	fixture.clock.now_ms = 1300;
+	dff_standin_worker_tick (fixture.worker);
+	assert_int_equal (answers, 1);
+	assert_int_equal (renew_waiting (&fixture, known + 1, &answers), 0);
+	dff_standin_worker_leave (fixture.worker);
+	dff_standin_worker_tick (fixture.worker);
+	assert_int_equal (answers, 1);
+	assert_int_equal (renew_waiting (&fixture, known + 1, &answers), 1);
+	fixture_clear (&fixture);
+}
+
 static void
 count_status (void *user, const struct dff_request_result *result)
 {
@@ -465,6 +522,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test (test_sessions),
 		cmocka_unit_test (test_renew_reports_changes_only),
+		cmocka_unit_test (test_renewal_waits_for_something_to_report),
 		cmocka_unit_test (test_requests_have_bounded_slots),
 	};
 	return cmocka_run_group_tests (tests, NULL, NULL);
--- a/tests/upstream/test-worker-wire.c
+++ b/tests/upstream/test-worker-wire.c
@@ -89,6 +89,31 @@
 	}
 }
 
+static void
+test_renewal_parse (void **state)
+{
+	(void)state;
+	static const struct text_case cases[] = {
+		{"{\"lease_ms\":9000,\"after\":3,\"from_ms\":8,\"wait_ms\":0}", true},
+		{"{\"lease_ms\":9000,\"after\":3,\"from_ms\":8,\"wait_ms\":60001}", false},
+		{"{\"lease_ms\":0,\"after\":3,\"from_ms\":8,\"wait_ms\":0}", false},
+		{"{\"lease_ms\":9000,\"after\":-1,\"from_ms\":8,\"wait_ms\":0}", false},
+		{"{\"lease_ms\":9000,\"after\":3,\"wait_ms\":0}", false},
+		{"{\"lease_ms\":9000,\"after\":3,\"from_ms\":8}", false},
+	};
+	for (size_t i = 0; i < G_N_ELEMENTS (cases); i++) {
+		struct dff_worker_renewal renewal;
+		struct dff_str text = dff_str_from (cases[i].text);
+		bool valid = dff_worker_wire_parse_renewal (text, &renewal);
+		assert_int_equal (valid, cases[i].valid);
+		if (!valid)
+			continue;
+		g_autoptr (GString) out = g_string_new (NULL);
+		dff_worker_wire_append_renewal (out, &renewal);
+		assert_string_equal (out->str, cases[i].text);
+	}
+}
+
 #define DIGEST "e3b0c44298fc1c149afbf4c8996fb92427ae41e4649b934ca495991b7852b855"
 #define HEAD "{\"leaving\":false,\"sequence\":7,\"incarnation\":2,\"now_ms\":40"
 #define REPORT "{" TASK ",\"state\":\"completed\",\"ran\":true,\"checkpoints\":0"
@@ -135,6 +160,7 @@
 		cmocka_unit_test (test_start_parse),
 		cmocka_unit_test (test_payload_cannot_add_keys),
 		cmocka_unit_test (test_command_parse),
+		cmocka_unit_test (test_renewal_parse),
 		cmocka_unit_test (test_answer_parse),
 	};
 	return cmocka_run_group_tests (tests, NULL, NULL);
--- a/upstream/http_worker.c
+++ b/upstream/http_worker.c
@@ -5,7 +5,7 @@
 #include "upstream/worker_wire.h"
 
 #define COMMAND_TIMEOUT_MS 500
-#define RENEW_TIMEOUT_MS 1000
+#define RENEW_TIMEOUT_MS 500
 #define HTTP_TOO_MANY_REQUESTS 429
 #define HTTP_UNAVAILABLE 503
 /** Time for the answer to travel, past the worker's own deadline, ms. */
@@ -17,6 +17,7 @@
 	struct dff_http_client *http;
 	int32_t command_timeout_ms;
 	int32_t renew_timeout_ms;
+	int32_t renew_wait_ms;
 	struct dff_worker_client client;
 	/** Reused for each answer. Elements: struct dff_task_report. */
 	GArray *reports;
@@ -255,11 +256,12 @@
 {
 	struct dff_http_worker *worker = ctx;
 	const int64_t *heard_ms = g_hash_table_lookup (worker->heard, address);
-	struct dff_worker_renewal renewal = {lease_ms, after_sequence,
-					     heard_ms == NULL ? 0 : *heard_ms};
+	struct dff_worker_renewal renewal = {
+		lease_ms, after_sequence, heard_ms == NULL ? 0 : *heard_ms, worker->renew_wait_ms};
 	g_string_truncate (worker->body, 0);
 	dff_worker_wire_append_renewal (worker->body, &renewal);
-	send_body (worker, address, DFF_WORKER_PATH_RENEW, worker->renew_timeout_ms, done, user);
+	send_body (worker, address, DFF_WORKER_PATH_RENEW,
+		   worker->renew_timeout_ms + worker->renew_wait_ms, done, user);
 }
 
 static bool
@@ -355,6 +357,7 @@
 	worker->http = options->http;
 	worker->command_timeout_ms = options->command_timeout_ms;
 	worker->renew_timeout_ms = options->renew_timeout_ms;
+	worker->renew_wait_ms = options->renew_wait_ms;
 	worker->client = http_calls;
 	worker->client.ctx = worker;
 	worker->reports = g_array_new (FALSE, TRUE, sizeof (struct dff_task_report));
--- a/upstream/watcher.c
+++ b/upstream/watcher.c
@@ -7,6 +7,8 @@
 #define LEASE_MS 9000
 #define FAILURES_UNREACHABLE 2
 #define RETELL_MS 5000
+/** What happens within this time after a change is told together. */
+#define AFTER_NEWS_MS 50
 #define JITTER_DIVISOR 8
 /** Reports in one sighting at the most: peers bound the length of a message. */
 #define MAX_REPORTS 512
@@ -200,6 +202,8 @@
 	worker->sequence = result->sequence;
 	if (news || again)
 		tell_answer (worker, result);
+	if (news)
+		worker->due_ms = worker->heard_ms + AFTER_NEWS_MS;
 }
 
 /** Steps in which silence is told: each interval until well past the lease, so that the holder
--- a/upstream/worker_wire.c
+++ b/upstream/worker_wire.c
@@ -7,6 +7,7 @@
 #define DIGEST_LEN 64
 #define MAX_ATTEMPT 1000000
 #define MAX_AMOUNT 1000000
+#define MAX_WAIT_MS 60000
 
 static const char *const state_names[] = {
 	[DFF_TASK_UNSEEN] = "unseen",   [DFF_TASK_HELD] = "held",
@@ -203,9 +204,11 @@
 void
 dff_worker_wire_append_renewal (GString *out, const struct dff_worker_renewal *renewal)
 {
-	g_string_append_printf (
-		out, "{\"lease_ms\":%" PRId32 ",\"after\":%" PRId64 ",\"from_ms\":%" PRId64 "}",
-		renewal->lease_ms, renewal->after_sequence, renewal->from_ms);
+	g_string_append_printf (out,
+				"{\"lease_ms\":%" PRId32 ",\"after\":%" PRId64
+				",\"from_ms\":%" PRId64 ",\"wait_ms\":%" PRId32 "}",
+				renewal->lease_ms, renewal->after_sequence, renewal->from_ms,
+				renewal->wait_ms);
 }
 
 bool
@@ -215,7 +218,8 @@
 	g_autoptr (json_t) root = parse_object (body);
 	return root != NULL && get_int32 (root, "lease_ms", 1, INT32_MAX, &renewal->lease_ms) &&
 	       get_int64 (root, "after", 0, INT64_MAX, &renewal->after_sequence) &&
-	       get_int64 (root, "from_ms", 0, INT64_MAX, &renewal->from_ms);
+	       get_int64 (root, "from_ms", 0, INT64_MAX, &renewal->from_ms) &&
+	       get_int32 (root, "wait_ms", 0, MAX_WAIT_MS, &renewal->wait_ms);
 }
 
 static void
