core: look for victims at a bounded rate

Change: a running job's score is kept for 5 s, victims are looked for at most a few times a second, a review places nothing that did not fit before, and full workers are told from two numbers.

--- a/core/core_private.h
+++ b/core/core_private.h
@@ -21,8 +21,10 @@
 /** Attempts lost with their worker before the job is given up, on top of its own attempts. */
 #define DFF_CORE_LOSSES_MAX 5
 
-/** Placement decisions that may look for victims in one tick, urgent ones aside. */
-#define DFF_CORE_EVICTIONS_A_TICK 8
+/** Workers that may be looked at for victims between two reviews, urgent work aside, and placement
+ * decisions that may do so. */
+#define DFF_CORE_EVICTION_LOOKS 4000
+#define DFF_CORE_EVICTIONS_MAX 8
 /** Interval at which the queue is looked at again though nothing came free, ms. */
 #define DFF_CORE_REVIEW_MS 1000
 /** Workers on which a job has failed that it remembers. */
@@ -78,8 +80,9 @@
 	GArray *workers;
 	/** Free accelerators on workers that take new work. */
 	int32_t free_accelerators;
-	/** Accelerators on workers that take new work. */
+	/** Accelerators and slots on workers that take new work. */
 	int32_t accelerators;
+	int32_t slots;
 };
 
 /** Accelerators of one worker in a shape's home. */
@@ -238,8 +241,10 @@
 	/** Time spent in queues before, and since when it is in one. */
 	int64_t waited_ms;
 	int64_t queued_ms;
-	/** Of the moment it is being placed: what it may take from others. */
+	/** Of the moment it is being placed: what it may take from others. While it runs: what
+	 * others have to undercut, of @score_ms. */
 	double score;
+	int64_t score_ms;
 	int64_t submitted_ms;
 	int64_t started_ms;
 	/** When the state's time is up: start, grace, repeat of stop, back-off. */
@@ -310,6 +315,8 @@
 	/** When the queue is looked at again in any case. */
 	int64_t review_ms;
 	int32_t evictions_left;
+	/** Whether the queue is run because something came free, not only to look for victims. */
+	bool fresh;
 	int32_t n_guards;
 	int32_t max_guards;
 	/** Capacity declared. */
@@ -525,6 +532,9 @@
 /** Returns: a job's rank among borrowing work, lower first: what is left of it, less its wait. */
 double dff_core_score (const struct dff_core *core, const struct dff_core_job *job);
 
+/** Returns: the score of a job that runs, a few seconds old at the most. */
+double dff_core_running_score (const struct dff_core *core, struct dff_core_job *job);
+
 /** System: places queued jobs in order. */
 void dff_core_run_queue (struct dff_core *core);
 
@@ -728,7 +738,7 @@
 /** Whether @job may take the place of @tenant. */
 bool dff_core_may_evict (const struct dff_core *core,
 			 const struct dff_core_job *job,
-			 const struct dff_core_job *tenant);
+			 struct dff_core_job *tenant);
 
 /** Returns: work lost by preempting a job, accelerator-ms. */
 int64_t dff_core_lost_work (const struct dff_core *core, const struct dff_core_job *job);
--- a/core/guard.c
+++ b/core/guard.c
@@ -17,7 +17,7 @@
 		const struct dff_core_worker *worker =
 			dff_core_worker_at (core, g_array_index (rack->workers, int32_t, i));
 		for (guint j = 0; j < worker->tenants->len; j++) {
-			const struct dff_core_job *tenant = g_ptr_array_index (worker->tenants, j);
+			struct dff_core_job *tenant = g_ptr_array_index (worker->tenants, j);
 			if (tenant->per_task.accelerators == 0 ||
 			    dff_core_may_evict (core, job, tenant))
 				continue;
@@ -117,6 +117,7 @@
 	if (!job->guarded)
 		return;
 	job->guarded = false;
+	core->dirty = true;
 	core->n_guards--;
 	for (guint i = 0; i < core->racks->len; i++) {
 		struct dff_core_rack *rack = dff_core_rack_at (core, (int32_t)i);
--- a/core/order.c
+++ b/core/order.c
@@ -14,6 +14,9 @@
 #define GUARD_AFTER_MS 60000
 /** Wait after which a job that never ran counts as twice as urgent, ms. */
 #define FIRST_TURN_MS 600000.0
+/** Age at which the score of a running job is computed anew, ms: thousands are compared when a
+ * place is looked for, and the logarithms took three quarters of the time at the design size. */
+#define SCORE_AGE_MS 5000
 /** How much a team's share of the pool raises its scores. */
 #define FAIRNESS 1.0
 
@@ -32,6 +35,16 @@
 	return remaining_ms * pow (width, WIDTH_POWER) / (age * age);
 }
 
+double
+dff_core_running_score (const struct dff_core *core, struct dff_core_job *job)
+{
+	if (job->score_ms + SCORE_AGE_MS > core->now_ms && job->score_ms >= job->started_ms)
+		return job->score;
+	job->score = dff_core_score (core, job);
+	job->score_ms = core->now_ms;
+	return job->score;
+}
+
 /* Dominant resource fairness in a mild form: what a team holds of the scarcest thing it uses. */
 static double
 team_share (const struct dff_core *core, const struct dff_core_team *team)
@@ -158,9 +171,13 @@
 	bool review = core->now_ms >= core->review_ms && g_hash_table_size (core->classes) > 0;
 	if (!core->dirty && !review)
 		return;
+	core->fresh = core->dirty;
 	core->dirty = false;
-	core->evictions_left = DFF_CORE_EVICTIONS_A_TICK;
-	core->review_ms = core->now_ms + DFF_CORE_REVIEW_MS;
+	if (review) {
+		int32_t budget = DFF_CORE_EVICTION_LOOKS / (int32_t)(core->workers->len + 1);
+		core->evictions_left = CLAMP (budget, 1, DFF_CORE_EVICTIONS_MAX);
+		core->review_ms = core->now_ms + DFF_CORE_REVIEW_MS;
+	}
 	run_claims (core);
 	g_autoptr (GPtrArray) ranked = ranked_classes (core);
 	g_autoptr (GHashTable) full = g_hash_table_new (NULL, NULL);
--- a/core/place.c
+++ b/core/place.c
@@ -29,7 +29,7 @@
 	struct dff_resources room = dff_resources_less (&worker->capacity, &worker->used);
 	room = dff_resources_less (&room, &worker->reserved);
 	for (guint i = 0; is_evicting (view) && i < worker->tenants->len; i++) {
-		const struct dff_core_job *tenant = g_ptr_array_index (worker->tenants, i);
+		struct dff_core_job *tenant = g_ptr_array_index (worker->tenants, i);
 		if (dff_core_may_evict (core, job, tenant))
 			dff_resources_add (&room, &tenant->per_task, 1);
 	}
@@ -50,6 +50,12 @@
 	if (!is_hypothetical (view) &&
 	    (!dff_core_worker_usable (worker) || dff_core_job_avoids (job, index)))
 		return 0;
+	/* Most workers are full: told from two numbers instead of whole vectors. */
+	if ((view == DFF_CORE_VIEW_FREE || view == DFF_CORE_VIEW_UNBOUND) &&
+	    (worker->capacity.accelerators - worker->used.accelerators <
+		     job->per_task.accelerators ||
+	     worker->capacity.slots - worker->used.slots < job->per_task.slots))
+		return 0;
 	struct dff_resources room = dff_core_worker_room (core, worker, job, view);
 	return dff_resources_fits (&room, &job->per_task, limit);
 }
@@ -151,6 +157,19 @@
 	return is_hypothetical (view) || !dff_core_rack_is_kept (core, rack, job);
 }
 
+/* Whether the whole gang could be in one rack, by sums alone. */
+static bool
+rack_may_hold (const struct dff_core_rack *rack,
+	       const struct dff_core_job *job,
+	       enum dff_core_view view)
+{
+	if (is_hypothetical (view))
+		return true;
+	int32_t accelerators = is_evicting (view) ? rack->accelerators : rack->free_accelerators;
+	return dff_core_job_accelerators (job) <= accelerators &&
+	       job->gang * job->per_task.slots <= rack->slots;
+}
+
 /* What a rack is chosen by, least first. Work that may not be preempted goes where such work is
  * already: one such task keeps a whole rack from the gangs that need it whole. */
 static int32_t
@@ -180,7 +199,7 @@
 	int32_t best_order = INT32_MAX;
 	for (guint i = 0; i < core->racks->len; i++) {
 		const struct dff_core_rack *rack = dff_core_rack_at (core, (int32_t)i);
-		if (!rack_allows (core, job, rack, view))
+		if (!rack_allows (core, job, rack, view) || !rack_may_hold (rack, job, view))
 			continue;
 		int32_t order = rack_order (core, rack, job);
 		if (order >= best_order || rack_fits (core, rack, job, view) < job->gang)
@@ -207,7 +226,7 @@
 	for (guint i = 0; i < core->racks->len && best_cost != 0; i++) {
 		const struct dff_core_rack *rack = dff_core_rack_at (core, (int32_t)i);
 		int32_t trial[DFF_GANG_MAX];
-		if (!rack_allows (core, job, rack, view) ||
+		if (!rack_allows (core, job, rack, view) || !rack_may_hold (rack, job, view) ||
 		    rack_fits (core, rack, job, view) < job->gang)
 			continue;
 		g_array_set_size (candidates, 0);
--- a/core/reclaim.c
+++ b/core/reclaim.c
@@ -35,7 +35,7 @@
 static bool
 may_overtake (const struct dff_core *core,
 	      const struct dff_core_job *job,
-	      const struct dff_core_job *tenant)
+	      struct dff_core_job *tenant)
 {
 	if (tenant->state != DFF_CORE_RUNNING)
 		return false;
@@ -44,13 +44,14 @@
 		return false;
 	if (may_displace (core, job, tenant))
 		return true;
-	return tenant->checkpoint && job->score * OVERTAKE_MARGIN < dff_core_score (core, tenant);
+	return tenant->checkpoint &&
+	       job->score * OVERTAKE_MARGIN < dff_core_running_score (core, tenant);
 }
 
 bool
 dff_core_may_evict (const struct dff_core *core,
 		    const struct dff_core_job *job,
-		    const struct dff_core_job *tenant)
+		    struct dff_core_job *tenant)
 {
 	if (tenant->hold != DFF_CORE_HOLD_SOFT)
 		return false;
--- a/core/start.c
+++ b/core/start.c
@@ -26,27 +26,40 @@
 	return true;
 }
 
-/* Preemption for borrowing work looks at every tenant, so that a tick tries it for a few only. */
+/* Preemption for borrowing work looks at every tenant, so that it is tried for a few
+ * only, and not for work without accelerators. */
 static bool
 place_evicting (struct dff_core *core,
 		struct dff_core_job *job,
 		enum dff_core_view view,
 		int32_t *workers)
 {
-	if (!job->urgent && core->evictions_left <= 0)
+	bool slots_only = dff_core_job_accelerators (job) == 0;
+	if (!job->urgent && (core->evictions_left <= 0 || slots_only))
 		return false;
-	core->evictions_left--;
+	core->evictions_left -= !job->urgent;
 	job->score = dff_core_score (core, job);
+	job->score_ms = INT64_MIN / 2;
 	return dff_core_place (core, job, view, workers);
 }
 
+/* What did not fit before fits now only if something came free. */
+static bool
+place_fresh (struct dff_core *core,
+	     const struct dff_core_job *job,
+	     enum dff_core_view view,
+	     int32_t *workers)
+{
+	return (core->fresh || job->guarded) && dff_core_place (core, job, view, workers);
+}
+
 static bool
 start_soft (struct dff_core *core, struct dff_core_job *job)
 {
 	int32_t workers[DFF_GANG_MAX];
 	job->hold = DFF_CORE_HOLD_SOFT;
 	if (!dff_core_place_probe (core, job, workers) &&
-	    !dff_core_place (core, job, DFF_CORE_VIEW_FREE, workers) &&
+	    !place_fresh (core, job, DFF_CORE_VIEW_FREE, workers) &&
 	    !place_evicting (core, job, DFF_CORE_VIEW_EVICT, workers))
 		return false;
 	dff_core_take (core, job, workers, DFF_CORE_HOLD_SOFT, DFF_CORE_NONE);
@@ -68,7 +81,7 @@
 static bool
 place_displacing (struct dff_core *core, struct dff_core_job *job, int32_t *workers)
 {
-	if (!dff_core_place (core, job, DFF_CORE_VIEW_FREE, workers))
+	if (!place_fresh (core, job, DFF_CORE_VIEW_FREE, workers))
 		return false;
 	bind_workers (core, job, workers, 1);
 	bool fits = dff_core_witness_make_room (core);
@@ -93,7 +106,7 @@
 {
 	int32_t workers[DFF_GANG_MAX];
 	job->hold = DFF_CORE_HOLD_HARD;
-	if (!dff_core_place (core, job, DFF_CORE_VIEW_UNBOUND, workers) &&
+	if (!place_fresh (core, job, DFF_CORE_VIEW_UNBOUND, workers) &&
 	    !place_displacing (core, job, workers) &&
 	    !place_evicting (core, job, DFF_CORE_VIEW_EVICT_UNBOUND, workers))
 		return may_use_guarantee (core, job) && start_claim (core, job);
--- a/core/tables.c
+++ b/core/tables.c
@@ -129,12 +129,14 @@
 	struct dff_core_rack *rack = dff_core_rack_at (core, index);
 	rack->free_accelerators = 0;
 	rack->accelerators = 0;
+	rack->slots = 0;
 	for (guint i = 0; i < rack->workers->len; i++) {
 		const struct dff_core_worker *worker =
 			dff_core_worker_at (core, g_array_index (rack->workers, int32_t, i));
 		if (!dff_core_worker_usable (worker))
 			continue;
 		rack->accelerators += worker->capacity.accelerators;
+		rack->slots += worker->capacity.slots;
 		rack->free_accelerators +=
 			MAX (worker->capacity.accelerators - worker->used.accelerators, 0);
 	}
