entry: a silent worker does not cost an idempotent request its deadline

One that is not idempotent ran once and ends unknown, as before. Late answers find the entry through a reference of their own.

--- a/entry/dispatch.c
+++ b/entry/dispatch.c
@@ -12,9 +12,24 @@
 #define BACKOFF_MS 20
 /** Less than this is not worth sending, ms. */
 #define DEADLINE_MIN_MS 2
+/** An idempotent request without an answer for this long, ms, or for this many times what requests
+ * took lately, goes to a second worker as well; at the latest when half of its time is over. */
+#define HEDGE_MIN_MS 500
+#define HEDGE_FACTOR 5
 /** Weight of the newest sample in the average of service times. */
 #define AVERAGE_WEIGHT 0.1
 
+/** One sending of a request to a worker. */
+struct sending {
+	struct dff_request *request;
+	/** Outlives the requests, whose state may be gone when a late answer comes. */
+	struct dff_entry *entry;
+	struct dff_name worker;
+	int64_t sent_ms;
+};
+
+static void arm_hedge (struct dff_request *request);
+
 static int64_t
 now_ms (const struct dff_request *request)
 {
@@ -35,10 +50,10 @@
 }
 
 static void
-count_service_time (struct dff_request *request)
+count_service_time (const struct sending *sending)
 {
-	struct dff_requests *requests = request->owner;
-	double taken_ms = (double)(now_ms (request) - request->sent_ms);
+	struct dff_requests *requests = sending->entry->requests;
+	double taken_ms = (double)(dff_entry_now_ms (sending->entry) - sending->sent_ms);
 	if (requests->service_ms == 0)
 		requests->service_ms = taken_ms;
 	requests->service_ms += AVERAGE_WEIGHT * (taken_ms - requests->service_ms);
@@ -53,7 +68,6 @@
 		.outcome = DFF_OUTCOME_FAILED,
 		.detail = "The worker ran the request and failed.",
 	};
-	count_service_time (request);
 	dff_retry_budget_deposit (&request->owner->budget);
 	if (result->status >= 500)
 		dff_request_fail (request, &failed);
@@ -101,15 +115,19 @@
 }
 
 static void
-note_worker (struct dff_request *request, const struct dff_request_result *result)
+note_worker (const struct sending *sending, const struct dff_request_result *result)
 {
-	struct dff_slots *slots = request->owner->slots;
+	struct dff_slots *slots = sending->entry->requests->slots;
+	int64_t now = dff_entry_now_ms (sending->entry);
+	dff_slots_release (slots, &sending->worker);
 	if (result->leaving)
-		dff_slots_worker_leaving (slots, &request->worker);
-	if (result->outcome == DFF_WORKER_REFUSED)
-		dff_slots_avoid (slots, &request->worker, now_ms (request) + AVOID_REFUSED_MS);
-	else if (result->outcome != DFF_WORKER_OK)
-		dff_slots_avoid (slots, &request->worker, now_ms (request) + AVOID_UNREACHABLE_MS);
+		dff_slots_worker_leaving (slots, &sending->worker);
+	if (result->outcome == DFF_WORKER_OK)
+		count_service_time (sending);
+	else if (result->outcome == DFF_WORKER_REFUSED)
+		dff_slots_avoid (slots, &sending->worker, now + AVOID_REFUSED_MS);
+	else
+		dff_slots_avoid (slots, &sending->worker, now + AVOID_UNREACHABLE_MS);
 }
 
 static void
@@ -119,11 +137,11 @@
 		finish_answered (request, result);
 		return;
 	}
-	dff_log (DFF_LOG_ENTRY, DFF_LOG_INFO,
-		 "Request not answered. request=%s worker=%s outcome=%d", request->upstream_id.data,
-		 request->worker.data, result->outcome);
 	if (result->outcome == DFF_WORKER_UNCERTAIN)
 		request->maybe_ran = true;
+	/* Another worker still has it. */
+	if (request->n_open > 0)
+		return;
 	/* A second start of a request that may have run is what its caller forbade. Symptom: a
 	 * client is billed twice. */
 	if (request->maybe_ran && !request->idempotent)
@@ -135,33 +153,79 @@
 static void
 answered (void *user, const struct dff_request_result *result)
 {
-	struct dff_request *request = user;
-	struct dff_entry *entry = request->owner == NULL ? NULL : request->owner->entry;
-	if (entry != NULL) {
-		struct dff_requests *requests = request->owner;
-		dff_slots_release (requests->slots, &request->worker);
-		note_worker (request, result);
-		handle_result (request, result);
-		dff_requests_pump (requests);
+	struct sending *sending = user;
+	struct dff_request *request = sending->request;
+	struct dff_entry *entry = sending->entry;
+	request->n_open--;
+	if (!entry->closed) {
+		note_worker (sending, result);
+		if (request->state != DFF_REQUEST_ENDED)
+			handle_result (request, result);
+		dff_requests_pump (entry->requests);
 	}
 	dff_request_unref (request);
+	dff_entry_unref (entry);
+	g_free (sending);
 }
 
 static void
 send_to (struct dff_request *request, const struct dff_slot *slot)
 {
-	const struct dff_worker_client *workers = request->owner->entry->options.workers;
+	struct dff_entry *entry = request->owner->entry;
+	const struct dff_worker_client *workers = entry->options.workers;
 	struct dff_str body = {request->body->str, request->body->len};
 	char traceparent[DFF_TRACEPARENT_LEN + 1];
+	struct sending *sending = g_new0 (struct sending, 1);
+	sending->request = dff_request_ref (request);
+	sending->entry = dff_entry_ref (entry);
+	sending->worker = slot->worker;
+	sending->sent_ms = now_ms (request);
 	dff_trace_context_format (&request->span.context, traceparent);
 	request->state = DFF_REQUEST_SENT;
 	request->worker = slot->worker;
-	request->sent_ms = now_ms (request);
 	request->n_sent++;
-	dff_deadlines_clear (request->owner->entry->deadlines, &request->timer);
+	request->n_open++;
+	dff_deadlines_clear (entry->deadlines, &request->timer);
+	if (request->idempotent)
+		arm_hedge (request);
 	workers->request (workers->ctx, &slot->address, &request->service, &request->upstream_id,
 			  body, dff_str_from (traceparent), (int32_t)remaining_ms (request),
-			  answered, dff_request_ref (request));
+			  answered, sending);
+}
+
+/* Symptom: an assistant waits until the deadline for a request that every other worker would have
+ * answered. Sequence: something between here and the worker has lost track of the connection; what
+ * is sent on it vanishes, while new connections work. Cause: only the deadline ends the wait. The
+ * first answer counts; the budget of retries bounds what is sent twice. */
+static void
+hedge_due (void *user)
+{
+	struct dff_request *request = user;
+	struct dff_requests *requests = request->owner;
+	struct dff_slots *slots = requests->slots;
+	struct dff_slot slot;
+	request->timer = NULL;
+	if (requests->entry->closed || request->n_sent >= SENT_MAX)
+		return;
+	dff_slots_avoid (slots, &request->worker, now_ms (request) + AVOID_UNREACHABLE_MS);
+	if (!dff_retry_budget_take (&requests->budget)) {
+		(*requests->counters.retries_denied)++;
+		return;
+	}
+	if (dff_slots_take (slots, now_ms (request), &slot) != DFF_SLOT_TAKEN)
+		return;
+	(*requests->counters.hedges)++;
+	send_to (request, &slot);
+}
+
+static void
+arm_hedge (struct dff_request *request)
+{
+	double usual_ms = HEDGE_FACTOR * request->owner->service_ms;
+	double wait_ms = MAX (usual_ms, HEDGE_MIN_MS);
+	int64_t half_ms = remaining_ms (request) / 2;
+	dff_request_set_timer (request, now_ms (request) + MIN ((int64_t)wait_ms, half_ms),
+			       hedge_due);
 }
 
 /* Time until a request that joins the queue now can be answered, by what requests took lately. */
--- a/entry/request.c
+++ b/entry/request.c
@@ -24,6 +24,9 @@
 		metrics, "dff_requests_ended_total{outcome=\"unknown\"}", ended);
 	counters->retries = dff_metrics_counter (metrics, "dff_requests_retries_total",
 						 "Times a request moved to another worker.");
+	counters->hedges = dff_metrics_counter (
+		metrics, "dff_requests_hedges_total",
+		"Idempotent requests sent to a second worker, as the first kept silent.");
 	counters->retries_denied =
 		dff_metrics_counter (metrics, "dff_requests_retries_denied_total",
 				     "Retries that the retry budget did not allow.");
--- a/entry/request_private.h
+++ b/entry/request_private.h
@@ -41,8 +41,10 @@
 	GString *body;
 	bool idempotent;
 	int64_t deadline_ms;
-	int64_t sent_ms;
 	int32_t n_sent;
+	/** Workers that have it and have not answered. */
+	int32_t n_open;
+	/** Where it was sent last. */
 	struct dff_name worker;
 	/** It was sent, and it is not known what became of it. */
 	bool maybe_ran;
@@ -86,6 +88,7 @@
 	int64_t *unknown;
 	int64_t *retries;
 	int64_t *retries_denied;
+	int64_t *hedges;
 	int64_t *attached;
 	int64_t *answers_kept;
 	int64_t *answers_dropped;
