--- a/standin/worker_server.c
+++ b/standin/worker_server.c
@@ -75,6 +75,7 @@
 {
 	struct evhttp_request *request = exchange->request;
 	struct evkeyvalq *headers = evhttp_request_get_output_headers (request);
+	evhttp_add_header (headers, "Content-Type", "application/json");
 	if (exchange->leaving)
 		evhttp_add_header (headers, DFF_WORKER_HEADER_LEAVING, "1");
 	struct evbuffer *body = evhttp_request_get_output_buffer (request);
