core: the pool's weights decide how borrowing work is ordered

The weights of the pool file were read and not used. Completion first now orders by area, ages over 8 h and preempts at half the score; fragmentation first keeps the square root, 30 min and a third.

--- a/core/core.c
+++ b/core/core.c
@@ -183,6 +183,7 @@
 	for (guint i = 0; i < pool->teams->len; i++)
 		set_team (core, &g_array_index (pool->teams, struct dff_team, i));
 	core->adjacent_unit = dff_pool_adjacent_unit (pool);
+	dff_core_set_weights (core, &pool->weights);
 	dff_core_set_shapes (core, pool);
 	dff_core_rebind_all (core);
 	dff_core_cover_all (core);
--- a/core/core_private.h
+++ b/core/core_private.h
@@ -284,6 +284,16 @@
 	bool unclaimable;
 };
 
+/** Settings of the order, from the pool's weights. */
+struct dff_core_order {
+	/** Exponent of a job's accelerators in its score: 1 orders by area, 0 by time alone. */
+	double width_power;
+	/** Wait after which a job's score is quartered, on top of its own estimate, ms. */
+	double ageing_ms;
+	/** How much lower a job's score has to be to take a borrower's place. */
+	double overtake_margin;
+};
+
 struct dff_core {
 	struct dff_core_options options;
 	int64_t now_ms;
@@ -323,6 +333,8 @@
 	struct dff_resources total;
 	/** Accelerators of the largest guaranteed shape that fits a rack. */
 	int32_t adjacent_unit;
+	/** What the pool's weights make of the order of borrowing work. */
+	struct dff_core_order order;
 	struct dff_core_stats stats;
 };
 
@@ -529,6 +541,9 @@
 
 /* order.c */
 
+/** Puts the pool's weights in force. */
+void dff_core_set_weights (struct dff_core *core, const struct dff_weights *weights);
+
 /** Returns: a job's rank among borrowing work, lower first: what is left of it, less its wait. */
 double dff_core_score (const struct dff_core *core, const struct dff_core_job *job);
 
--- a/core/reclaim.c
+++ b/core/reclaim.c
@@ -5,10 +5,8 @@
 /** Part of a checkpointable task's run that is lost all the same: it is taken again from its
  * checkpoint, after grace and restart, ms. */
 #define CHECKPOINT_LOSS_MS 5000
-/** How much lower a job's score has to be to take a borrower's place, and how long the borrower
- * has run at least since its last start, ms. */
-#define OVERTAKE_MARGIN 3.0
-#define OVERTAKE_AFTER_MS 30000
+/** How long a borrower has run at least since its last start before another takes its place, ms. */
+#define OVERTAKE_AFTER_MS INT64_C (30000)
 /** Preemptions after which that time grows no more. */
 #define OVERTAKE_STEPS 10
 /** A gang that racks are kept for displaces jobs this many times narrower than it; those that
@@ -45,7 +43,7 @@
 	if (may_displace (core, job, tenant))
 		return true;
 	return tenant->checkpoint &&
-	       job->score * OVERTAKE_MARGIN < dff_core_running_score (core, tenant);
+	       job->score * core->order.overtake_margin < dff_core_running_score (core, tenant);
 }
 
 bool
