--- a/bench/slopes/core.c
+++ b/bench/slopes/core.c
@@ -1,4 +1,4 @@
-#include "bench/slopes/fleet.h"
+#include "bench/slopes/core_load.h"
 #include "bench/slopes/slopes.h"
 
 /* The decision core: bytes of state and time of a tick against each of its tables. A quiet tick is
@@ -31,71 +31,71 @@
 	}
 
 static double
-quiet_tick_us (struct fleet *fleet)
+quiet_tick_us (struct core_load *load)
 {
 	double before = slopes_cpu_us ();
 	for (int i = 0; i < QUIET_TICKS; i++)
-		dff_core_tick (fleet->core, fleet->now_ms, fleet->commands);
+		dff_core_tick (load->core, load->now_ms, load->commands);
 	return (slopes_cpu_us () - before) / QUIET_TICKS;
 }
 
 static double
-event_tick_us (struct fleet *fleet)
+event_tick_us (struct core_load *load)
 {
 	double spent = 0;
 	for (int i = 0; i < EVENTS; i++) {
-		struct dff_job_spec spec = fleet_job (fleet, QUEUED_GANG, 1);
+		struct dff_job_spec spec = core_load_job (load, QUEUED_GANG, 1);
 		double before = slopes_cpu_us ();
-		fleet_submit (fleet, &spec);
-		dff_core_tick (fleet->core, fleet->now_ms, fleet->commands);
+		core_load_submit (load, &spec);
+		dff_core_tick (load->core, load->now_ms, load->commands);
 		spent += slopes_cpu_us () - before;
-		fleet_settle (fleet);
+		core_load_settle (load);
 	}
 	return spent / EVENTS;
 }
 
 static double
-review_us (struct fleet *fleet)
+review_us (struct core_load *load)
 {
 	double spent = 0;
 	for (int i = 0; i < EVENTS; i++) {
-		fleet->now_ms += REVIEW_MS;
+		load->now_ms += REVIEW_MS;
 		double before = slopes_cpu_us ();
-		dff_core_tick (fleet->core, fleet->now_ms, fleet->commands);
+		dff_core_tick (load->core, load->now_ms, load->commands);
 		spent += slopes_cpu_us () - before;
-		fleet_settle (fleet);
+		core_load_settle (load);
 	}
 	return spent / EVENTS;
 }
 
 static void
-queue_jobs (struct fleet *fleet, int n_jobs)
+queue_jobs (struct core_load *load, int n_jobs)
 {
 	for (int i = 0; i < n_jobs; i++) {
-		struct dff_job_spec spec = fleet_job (fleet, QUEUED_GANG, 1);
-		fleet_submit (fleet, &spec);
+		struct dff_job_spec spec = core_load_job (load, QUEUED_GANG, 1);
+		core_load_submit (load, &spec);
 	}
-	fleet_settle (fleet);
+	core_load_settle (load);
 }
 
 /** Every accelerator is leased to work of the teams' own, so that queued jobs stay queued. */
 static void
-take_accelerators (struct fleet *fleet)
+take_accelerators (struct core_load *load)
 {
-	int n_gangs = (int)fleet->pool->racks->len * 2;
+	int n_gangs = (int)load->pool->racks->len * 2;
 	for (int i = 0; i < n_gangs; i++) {
-		struct dff_job_spec spec = fleet_job (fleet, QUEUED_GANG, 1);
-		fleet_submit (fleet, &spec);
+		struct dff_job_spec spec = core_load_job (load, QUEUED_GANG, 1);
+		core_load_submit (load, &spec);
 	}
-	fleet_settle (fleet);
+	core_load_settle (load);
 }
 
 static void
-add_times (struct slopes *slopes, const struct core_axes *axes, struct fleet *fleet, double x)
+add_times (struct slopes *slopes, const struct core_axes *axes, struct core_load *load, double x)
 {
-	slopes_add (slopes, &axes->quiet, x, quiet_tick_us (fleet));
-	slopes_add (slopes, &axes->event, x, event_tick_us (fleet));
-	slopes_add (slopes, &axes->review, x, review_us (fleet));
+	slopes_add (slopes, &axes->quiet, x, quiet_tick_us (load));
+	slopes_add (slopes, &axes->event, x, event_tick_us (load));
+	slopes_add (slopes, &axes->review, x, review_us (load));
 }
 
 static void
@@ -104,15 +104,15 @@
 	static const struct core_axes axes = AXES ("workers", "workers");
 	static const int sizes[] = {50, 200, 360, 900, 1800};
 	for (size_t i = 0; i < G_N_ELEMENTS (sizes); i++) {
-		struct fleet_size size = {sizes[i], BASE_TEAMS, 1};
+		struct core_load_size size = {sizes[i], BASE_TEAMS, 1};
 		int64_t before = slopes_heap_bytes ();
-		DFF_AUTO (fleet) fleet = fleet_new (&size);
-		dff_pool_free (fleet->pool);
+		DFF_AUTO (core_load) load = core_load_new (&size);
+		dff_pool_free (load->pool);
 		slopes_add (slopes, &axes.bytes, sizes[i], (double)(slopes_heap_bytes () - before));
-		fleet->pool = fleet_pool (&size);
-		take_accelerators (fleet);
-		queue_jobs (fleet, BASE_QUEUED);
-		add_times (slopes, &axes, fleet, sizes[i]);
+		load->pool = core_load_pool (&size);
+		take_accelerators (load);
+		queue_jobs (load, BASE_QUEUED);
+		add_times (slopes, &axes, load, sizes[i]);
 	}
 }
 
@@ -122,14 +122,14 @@
 	static const struct core_axes axes = AXES ("tasks", "running tasks");
 	static const int sizes[] = {400, 1600, 3200, 6400, 10000};
 	for (size_t i = 0; i < G_N_ELEMENTS (sizes); i++) {
-		struct fleet_size size = {DESIGN_WORKERS, BASE_TEAMS, 1};
-		DFF_AUTO (fleet) fleet = fleet_new (&size);
+		struct core_load_size size = {DESIGN_WORKERS, BASE_TEAMS, 1};
+		DFF_AUTO (core_load) load = core_load_new (&size);
 		int64_t before = slopes_heap_bytes ();
-		int n_tasks = fleet_run_tasks (fleet, sizes[i]);
+		int n_tasks = core_load_run_tasks (load, sizes[i]);
 		slopes_add (slopes, &axes.bytes, n_tasks, (double)(slopes_heap_bytes () - before));
-		take_accelerators (fleet);
-		queue_jobs (fleet, BASE_QUEUED);
-		add_times (slopes, &axes, fleet, n_tasks);
+		take_accelerators (load);
+		queue_jobs (load, BASE_QUEUED);
+		add_times (slopes, &axes, load, n_tasks);
 	}
 }
 
@@ -139,13 +139,13 @@
 	static const struct core_axes axes = AXES ("teams", "teams");
 	static const int sizes[] = {4, 15, 30, 60, 120};
 	for (size_t i = 0; i < G_N_ELEMENTS (sizes); i++) {
-		struct fleet_size size = {BASE_WORKERS, sizes[i], 1};
+		struct core_load_size size = {BASE_WORKERS, sizes[i], 1};
 		int64_t before = slopes_heap_bytes ();
-		DFF_AUTO (fleet) fleet = fleet_new (&size);
+		DFF_AUTO (core_load) load = core_load_new (&size);
 		slopes_add (slopes, &axes.bytes, sizes[i], (double)(slopes_heap_bytes () - before));
-		take_accelerators (fleet);
-		queue_jobs (fleet, BASE_QUEUED);
-		add_times (slopes, &axes, fleet, sizes[i]);
+		take_accelerators (load);
+		queue_jobs (load, BASE_QUEUED);
+		add_times (slopes, &axes, load, sizes[i]);
 	}
 }
 
@@ -155,14 +155,14 @@
 	static const struct core_axes axes = AXES ("queued", "queued jobs");
 	static const int sizes[] = {100, 1000, 5000, 20000, 50000, 100000};
 	for (size_t i = 0; i < G_N_ELEMENTS (sizes); i++) {
-		struct fleet_size size = {BASE_WORKERS, BASE_TEAMS, 1};
-		DFF_AUTO (fleet) fleet = fleet_new (&size);
-		fleet_run_tasks (fleet, BASE_TASKS);
-		take_accelerators (fleet);
+		struct core_load_size size = {BASE_WORKERS, BASE_TEAMS, 1};
+		DFF_AUTO (core_load) load = core_load_new (&size);
+		core_load_run_tasks (load, BASE_TASKS);
+		take_accelerators (load);
 		int64_t before = slopes_heap_bytes ();
-		queue_jobs (fleet, sizes[i]);
+		queue_jobs (load, sizes[i]);
 		slopes_add (slopes, &axes.bytes, sizes[i], (double)(slopes_heap_bytes () - before));
-		add_times (slopes, &axes, fleet, sizes[i]);
+		add_times (slopes, &axes, load, sizes[i]);
 	}
 }
 
--- a/bench/slopes/fleet.h
+++ b/bench/slopes/core_load.h
@@ -1,5 +1,5 @@
-#ifndef DFF_BENCH_SLOPES_FLEET_H
-#define DFF_BENCH_SLOPES_FLEET_H
+#ifndef DFF_BENCH_SLOPES_CORE_LOAD_H
+#define DFF_BENCH_SLOPES_CORE_LOAD_H
 
 #include "core/core.h"
 
@@ -8,13 +8,13 @@
  * took no time: what is measured is the core alone.
  */
 
-struct fleet_size {
+struct core_load_size {
 	int workers;
 	int teams;
 	int regions;
 };
 
-struct fleet {
+struct core_load {
 	struct dff_pool *pool;
 	struct dff_core *core;
 	GArray *commands;
@@ -24,7 +24,7 @@
 };
 
 /**
- * fleet_pool_text:
+ * core_load_pool_text:
  *
  * Racks of 8 workers with 8 slots; one rack in 18 has two accelerators a worker, the others one, so
  * that 1,800 workers have 1,900. Each team is guaranteed a gang of up to 8, as far as six tenths of
@@ -32,30 +32,30 @@
  *
  * Returns: (transfer full): the pool file.
  */
-GString *fleet_pool_text (const struct fleet_size *size);
+GString *core_load_pool_text (const struct core_load_size *size);
 
 /** Returns: (transfer full): the file, parsed. */
-struct dff_pool *fleet_pool (const struct fleet_size *size);
+struct dff_pool *core_load_pool (const struct core_load_size *size);
 
-struct fleet *fleet_new (const struct fleet_size *size);
+struct core_load *core_load_new (const struct core_load_size *size);
 
-void fleet_free (struct fleet *fleet);
+void core_load_free (struct core_load *load);
 
-DFF_DEFINE_CLEANUP (fleet, fleet_free);
+DFF_DEFINE_CLEANUP (core_load, core_load_free);
 
 /** Returns: a job of the next team in turn: idempotent, not urgent, beyond guarantees. */
-struct dff_job_spec fleet_job (struct fleet *fleet, int gang, int accelerators);
+struct dff_job_spec core_load_job (struct core_load *load, int gang, int accelerators);
 
-void fleet_submit (struct fleet *fleet, const struct dff_job_spec *spec);
+void core_load_submit (struct core_load *load, const struct dff_job_spec *spec);
 
 /** Ticks and answers until nothing is left to do at this moment. */
-void fleet_settle (struct fleet *fleet);
+void core_load_settle (struct core_load *load);
 
 /** Fills the fleet with gangs of 8 tasks that hold slots, one gang in eight also accelerators.
  * Returns: the number of tasks that run. */
-int fleet_run_tasks (struct fleet *fleet, int n_tasks);
+int core_load_run_tasks (struct core_load *load, int n_tasks);
 
 /** Every member of @job completes. */
-void fleet_complete (struct fleet *fleet, const struct dff_name *job, int gang);
+void core_load_complete (struct core_load *load, const struct dff_name *job, int gang);
 
 #endif
--- a/bench/slopes/slopes.c
+++ b/bench/slopes/slopes.c
@@ -273,6 +273,14 @@
 	return (int64_t)(info.uordblks + info.hblkhd);
 }
 
+void
+slopes_run_loop (struct event_base *base, int ms)
+{
+	struct timeval wait = {.tv_sec = ms / 1000, .tv_usec = (suseconds_t)(ms % 1000) * 1000};
+	event_base_loopexit (base, &wait);
+	event_base_dispatch (base);
+}
+
 double
 slopes_cpu_us (void)
 {
--- a/bench/slopes/slopes.h
+++ b/bench/slopes/slopes.h
@@ -1,6 +1,7 @@
 #ifndef DFF_BENCH_SLOPES_H
 #define DFF_BENCH_SLOPES_H
 
+#include <event2/event.h>
 #include <glib.h>
 #include <stdint.h>
 
@@ -40,6 +41,9 @@
 /** Returns: bytes that malloc has handed out and that were not freed. */
 int64_t slopes_heap_bytes (void);
 
+/** Lets a loop run for @ms. */
+void slopes_run_loop (struct event_base *base, int ms);
+
 /** Returns: processor time of this process, in microseconds. */
 double slopes_cpu_us (void);
 
