daemon: 30 table writes a second for each process by default; bench: fleet overloads the table

Nine processes with the former default of 60 could write 540 times a second, where the table takes 300. The phase cost of bench/fleet now also sends more than the budget lets through.

--- a/bench/fleet/cost.c
+++ b/bench/fleet/cost.c
@@ -13,6 +13,7 @@
 
 #define LOADED_MS 30000
 #define LOADED_MS_QUICK 15000
+#define OVERLOAD_S 8
 #define IDLE_MS 20000
 #define IDLE_MS_QUICK 10000
 #define SETTLE_MS 3000
@@ -33,6 +34,8 @@
 struct store_calls {
 	double writes;
 	double reads;
+	/** What the processes' budgets of writes count. */
+	double budgeted;
 };
 
 static double
@@ -48,12 +51,14 @@
 read_store (struct fleet *fleet)
 {
 	static const char *const writes[] = {"commits", "puts", NULL};
+	static const char *const budgeted[] = {"commits", "lookups", NULL};
 	static const char *const reads[] = {"gets",        "scans", "lookups",
 					    "object_gets", "lists", NULL};
 	struct fleet_answer answer = fleet_call (fleet, &fleet->options.platform, EVHTTP_REQ_GET,
 						 "/admin/counters", "", 0);
 	json_t *counters = json_loadb (answer.body->str, answer.body->len, 0, NULL);
-	struct store_calls calls = {sum_of (counters, writes), sum_of (counters, reads)};
+	struct store_calls calls = {sum_of (counters, writes), sum_of (counters, reads),
+				    sum_of (counters, budgeted)};
 	json_decref (counters);
 	fleet_answer_clear (&answer);
 	return calls;
@@ -165,6 +170,37 @@
 	fleet_load_drop (fleet);
 }
 
+/* More work than the budget of writes lets through: what is too much is refused, and the table must
+ * not notice. */
+static void
+measure_overload (struct fleet *fleet)
+{
+	struct fleet_rates rates = {.once = 500, .jobs = 60};
+	double highest = 0;
+	fleet_load_begin (fleet, "overload", &rates, PATIENCE_MS);
+	for (int second = 0; second < OVERLOAD_S; second++) {
+		double before = read_store (fleet).budgeted;
+		int64_t begun_ms = fleet_now_ms (fleet);
+		fleet_sleep (fleet, 1000);
+		double after = read_store (fleet).budgeted;
+		double seconds = (double)(fleet_now_ms (fleet) - begun_ms) / 1000;
+		highest = fmax (highest, (after - before) / seconds);
+	}
+	fleet_load_end (fleet);
+	int64_t open = fleet_load_follow_jobs (fleet, JOBS_TIMEOUT_MS);
+	const struct fleet_load *load = fleet->load;
+	fleet_report (fleet, phase, "overload, at most once requests/s", rates.once, -1);
+	fleet_report (fleet, phase, "overload, jobs/s", rates.jobs, -1);
+	fleet_report (fleet, phase, "overload, requests answered",
+		      (double)fleet_load_count (load, FLEET_ONCE, FLEET_ANSWERED), -1);
+	fleet_report (fleet, phase, "overload, requests refused as not_run",
+		      (double)fleet_load_count (load, FLEET_ONCE, FLEET_NOT_RUN), -1);
+	fleet_report (fleet, phase, "overload, table writes in the worst second", highest,
+		      BAR_WRITES);
+	fleet_report (fleet, phase, "overload, accepted jobs not ended", (double)open, 0);
+	fleet_load_drop (fleet);
+}
+
 /* The highest of all processes: the holder is one of them. */
 static void
 report_idle (struct fleet *fleet,
@@ -218,6 +254,7 @@
 	fleet->poll_ms = 1000;
 	fleet_wait (fleet, fleet_all_ready, 0, READY_TIMEOUT_MS);
 	measure_store (fleet);
+	measure_overload (fleet);
 	measure_idle (fleet);
 	fleet_print_phase (fleet, phase);
 }
--- a/daemon/settings_keys.c
+++ b/daemon/settings_keys.c
@@ -49,7 +49,7 @@
 	{INTEGER (max_requests, 1, 100000, 1024), .reloadable = true,
 	 .help = "Short requests in progress at once."},
 	{INTEGER (upstream_connections, 1, 1024, 64), .help = "Connections to each worker."},
-	{INTEGER (table_writes_per_s, 1, 10000, 60), .reloadable = true, .unit = "a second",
+	{INTEGER (table_writes_per_s, 1, 10000, 30), .reloadable = true, .unit = "a second",
 	 .help = "This process's share of the table's writes."},
 	{INTEGER (tick_ms, 1, 1000, 10), .unit = "ms", .help = "Interval of the loop's tick."},
 	{INTEGER (cell_lease_ms, 500, MINUTE_MS, 3000), .unit = "ms",
--- a/tests/daemon/test-settings.c
+++ b/tests/daemon/test-settings.c
@@ -139,6 +139,8 @@
 	assert_int_equal (settings->cell_lease_ms, 3000);
 	assert_int_equal (settings->max_body_bytes, 1048576);
 	assert_int_equal (settings->drain_timeout_ms, 0);
+	/* Nine processes stay within 270 of the 300 writes a second that the table takes. */
+	assert_int_equal (settings->table_writes_per_s, 270 / 9);
 	assert_int_equal (settings->log_level, DFF_LOG_INFO);
 	assert_int_equal (settings->bootstrap_token_digest->len, 0);
 	assert_string_equal (settings->listen.data, "127.0.0.1:0");
