upstream: a second for a worker to answer a query, again

The last change of the renewal's timeout to 500 ms also held for queries, by which the holder decides that a silent worker's tasks are lost; a worker that answers slowly would have been given up sooner than before. It is 1000 ms again, beyond the wait.

--- a/upstream/http_worker.c
+++ b/upstream/http_worker.c
@@ -5,7 +5,7 @@
 #include "upstream/worker_wire.h"
 
 #define COMMAND_TIMEOUT_MS 500
-#define RENEW_TIMEOUT_MS 500
+#define RENEW_TIMEOUT_MS 1000
 #define HTTP_TOO_MANY_REQUESTS 429
 #define HTTP_UNAVAILABLE 503
 /** Time for the answer to travel, past the worker's own deadline, ms. */
