daemon: parts, events and the loop in files of their own; announcements independent of polls

An instance list that never answers held the announcement back for 10 s, twice its time to live. And 9 processes of 64 connections each are far above the 64 that a worker takes. Change: three files; the announcement has its own schedule; 7 connections to each worker by default, 63 for nine processes. Conclusion: structure follows the jobs; a live process stays listed.

--- a/daemon/daemon_private.h
+++ b/daemon/daemon_private.h
@@ -70,6 +70,33 @@
 	bool cut_off;
 };
 
+/** Makes every part and binds the listeners. */
+bool dff_daemon_start_parts (struct dff_daemon *daemon, GError **error);
+
+/** Frees what dff_daemon_start_parts() made, as far as it came. */
+void dff_daemon_free_parts (struct dff_daemon *daemon);
+
+/** What peers and the cell tell this process, to be passed on to the parts concerned. */
+struct dff_peer_callbacks dff_daemon_peer_callbacks (struct dff_daemon *daemon);
+
+struct dff_cell_callbacks dff_daemon_cell_callbacks (struct dff_daemon *daemon);
+
+/** A newer pool is in force: dff_pool_in_force_func. */
+void dff_daemon_handle_pool_in_force (void *ctx, const struct dff_pool *pool, struct dff_str text);
+
+/** A pool file that is committed, told by an operator's request here or by a peer. */
+void dff_daemon_handle_pool_committed (void *ctx, int64_t generation, struct dff_str text);
+
+/** The instance list changed: dff_instances_changed_func. */
+void
+dff_daemon_handle_instances (void *ctx, const struct dff_instance *instances, size_t n_instances);
+
+/** A message of a peer: dff_peer_receive_func. */
+void dff_daemon_handle_message (void *ctx, const uint8_t *data, size_t len);
+
+/** This process's watcher saw something. */
+void dff_daemon_handle_own_sighting (void *ctx, const struct dff_worker_sighting *sighting);
+
 /** Splits the request slots of the region's workers over the live processes, when holder. */
 void dff_daemon_share_grants (struct dff_daemon *daemon);
 
--- a/daemon/settings_keys.c
+++ b/daemon/settings_keys.c
@@ -48,7 +48,7 @@
 	 .help = "Time a caller may take to send a request."},
 	{INTEGER (max_requests, 1, 100000, 1024), .reloadable = true,
 	 .help = "Short requests in progress at once."},
-	{INTEGER (upstream_connections, 1, 1024, 64), .help = "Connections to each worker."},
+	{INTEGER (upstream_connections, 1, 1024, 7), .help = "Connections to each worker."},
 	{INTEGER (table_writes_per_s, 1, 10000, 30), .reloadable = true, .unit = "a second",
 	 .help = "This process's share of the table's writes."},
 	{INTEGER (tick_ms, 1, 1000, 10), .unit = "ms", .help = "Interval of the loop's tick."},
--- a/include/platform/instance_watch.h
+++ b/include/platform/instance_watch.h
@@ -26,7 +26,7 @@
 	const struct dff_instance_list *list;
 	const struct dff_clock *clock;
 	struct dff_metrics *metrics;
-	/** This process, announced at each poll. */
+	/** This process, announced every @poll_ms. */
 	struct dff_instance self;
 	uint64_t seed;
 	/** Mean interval of polls, ms; each varies by a quarter, so that processes spread out. */
@@ -47,7 +47,7 @@
 
 void dff_instance_watch_tick (struct dff_instance_watch *watch);
 
-/** From now on this process is announced as leaving, at once and at each poll. */
+/** From now on this process is announced as leaving, at once and from then on. */
 void dff_instance_watch_set_leaving (struct dff_instance_watch *watch);
 
 /** Returns: when the list was last read, monotonic ms; 0: never. */
--- a/tests/platform/test-instance-watch.c
+++ b/tests/platform/test-instance-watch.c
@@ -124,10 +124,65 @@
 	assert_int_equal (fixture->n_instances, 2);
 }
 
+/* A list that keeps its answer back. */
+struct silent_list {
+	dff_instance_list_func done;
+	void *user;
+	int n_announced;
+};
+
+static void
+keep_answer (void *ctx, dff_instance_list_func done, void *user)
+{
+	struct silent_list *silent = ctx;
+	silent->done = done;
+	silent->user = user;
+}
+
+static void
+count_announcement (void *ctx, const struct dff_instance *instance, int32_t ttl_ms)
+{
+	(void)instance;
+	(void)ttl_ms;
+	struct silent_list *silent = ctx;
+	silent->n_announced++;
+}
+
+/* Symptom: a live process drops out of the instance list, and its peers refuse its key. Sequence: a
+ * poll of the list is never answered. Cause: it was announced only together with the next poll,
+ * later than its time to live. */
+static void
+test_announces_while_a_poll_is_open (void **state)
+{
+	(void)state;
+	struct dff_clock_virtual time;
+	dff_clock_virtual_init (&time, 1000);
+	struct silent_list silent = {0};
+	struct dff_instance_list list = {keep_answer, count_announcement, &silent};
+	DFF_AUTO (dff_metrics) metrics = dff_metrics_new ();
+	struct dff_instance_watch_options options = {
+		.list = &list,
+		.clock = &time.clock,
+		.metrics = metrics,
+		.self = {.id = dff_name_from ("entry-1"), .role = DFF_INSTANCE_ENTRY},
+		.seed = 1,
+		.poll_ms = POLL_MS,
+		.ttl_ms = 5000,
+	};
+	struct dff_instance_watch *watch = dff_instance_watch_new (&options);
+	for (; time.now_ms < 1000 + 9 * POLL_MS; time.now_ms += 50)
+		dff_instance_watch_tick (watch);
+	assert_int_equal (silent.n_announced, 9);
+	dff_instance_watch_free (watch);
+	struct dff_instance_list_result lost = {.ok = false};
+	silent.done (silent.user, &lost);
+}
+
 int
 main (void)
 {
 	const struct CMUnitTest tests[] = {
+		cmocka_unit_test (test_announces_while_a_poll_is_open),
 		cmocka_unit_test_setup_teardown (test_announces_itself_and_tells_changes_only,
 						 set_up, tear_down),
 		cmocka_unit_test_setup_teardown (test_keeps_the_last_list_through_an_outage, set_up,
