upstream: renew less often where a process watches many workers

Cause: at the size to design for a process watches 40 workers of its region, and one renewal a second at each is 19.1 KB/s with TCP's headers, where 6 KB/s is the bar for all control traffic. Change: the interval grows with the share, five renewals a second in all, as far as a quarter of the tasks' lease; a renewal waits for something to report, so changes still travel at once. Conclusion: what is paid is that a worker gone silent is noticed after up to 3.75 s and its timeout in place of 1 s.

--- a/bench/slopes/watching.c
+++ b/bench/slopes/watching.c
@@ -5,6 +5,7 @@
 #include "bench/slopes/slopes.h"
 #include "common/event_loop.h"
 #include "peer/message.h"
+#include "peer/watch_share.h"
 #include "platform/memory.h"
 #include "standin/worker_server.h"
 #include "upstream/http_worker.h"
@@ -16,8 +17,10 @@
  * all, and its time and the relay's count as the watcher's: an upper bound. */
 
 #define SETTLE_MS 1500
-#define MEASURE_MS 3000
-#define CONNECTIONS 16
+#define MEASURE_MS 3750
+#define INTERVAL_MS 1000
+#define LEASE_MS 15000
+#define CONNECTIONS 200
 #define TICK_US 10000
 
 struct watch {
@@ -146,31 +149,38 @@
 				 (const struct dff_watched_worker *)(void *)list->data, list->len);
 }
 
+struct watch_axes {
+	struct slope_axes messages;
+	struct slope_axes bytes;
+	struct slope_axes cpu;
+};
+
+#define AXES(kind)                                                                                 \
+	{                                                                                          \
+		{"watching_messages_per_s" kind, "workers watched", "messages/s, in and out"},     \
+			{"watching_wire_bytes_per_s" kind, "workers watched",                      \
+			 "wire bytes/s, in and out"},                                              \
+			{"watching_cpu_percent" kind, "workers watched", "% of a core"},           \
+	}
+
 static void
-by_workers (struct slopes *slopes)
+by_workers (struct slopes *slopes, const struct watch_axes *axes, int n, int32_t interval_ms)
 {
-	static const struct slope_axes messages = {"watching_messages_per_s", "workers watched",
-						   "messages/s, in and out"};
-	static const struct slope_axes bytes = {"watching_wire_bytes_per_s", "workers watched",
-						"wire bytes/s, in and out"};
-	static const struct slope_axes cpu = {"watching_cpu_percent", "workers watched",
-					      "% of a core"};
-	static const int sizes[] = {10, 20, 40, 80, 160};
-	for (size_t i = 0; i < G_N_ELEMENTS (sizes); i++) {
-		DFF_AUTO (watch) watch = watch_new ();
-		set_workers (watch, sizes[i]);
-		slopes_run_loop (watch->base, SETTLE_MS);
-		struct relay_counts before = relay_counts (watch->relay);
-		double start_us = slopes_cpu_us ();
-		slopes_run_loop (watch->base, MEASURE_MS);
-		double spent_us = slopes_cpu_us () - start_us;
-		struct relay_counts after = relay_counts (watch->relay);
-		slopes_add (slopes, &messages, sizes[i],
-			    (double)(after.messages - before.messages) * 1000 / MEASURE_MS);
-		slopes_add (slopes, &bytes, sizes[i],
-			    (double)(after.wire_bytes - before.wire_bytes) * 1000 / MEASURE_MS);
-		slopes_add (slopes, &cpu, sizes[i], spent_us / (MEASURE_MS * 1e3) * 100);
-	}
+	DFF_AUTO (watch) watch = watch_new ();
+	dff_http_worker_set_renew_wait (watch->workers, interval_ms);
+	dff_watcher_set_interval (watch->watcher, interval_ms);
+	set_workers (watch, n);
+	slopes_run_loop (watch->base, SETTLE_MS);
+	struct relay_counts before = relay_counts (watch->relay);
+	double start_us = slopes_cpu_us ();
+	slopes_run_loop (watch->base, MEASURE_MS);
+	double spent_us = slopes_cpu_us () - start_us;
+	struct relay_counts after = relay_counts (watch->relay);
+	slopes_add (slopes, &axes->messages, n,
+		    (double)(after.messages - before.messages) * 1000 / MEASURE_MS);
+	slopes_add (slopes, &axes->bytes, n,
+		    (double)(after.wire_bytes - before.wire_bytes) * 1000 / MEASURE_MS);
+	slopes_add (slopes, &axes->cpu, n, spent_us / (MEASURE_MS * 1e3) * 100);
 }
 
 /** Tasks that completed, with everything a report can say. */
@@ -247,9 +257,17 @@
 void
 slopes_watching (struct slopes *slopes)
 {
+	static const struct watch_axes fixed = AXES ("");
+	static const struct watch_axes spread = AXES ("_as_wired");
+	static const int workers[] = {10, 20, 40, 80, 160};
 	static const int reports[] = {0, 1, 4, 16, 64, 128};
 	static const int grants[] = {10, 40, 90, 200, 360};
-	by_workers (slopes);
+	for (size_t i = 0; i < G_N_ELEMENTS (workers); i++) {
+		size_t n = (size_t)workers[i];
+		by_workers (slopes, &fixed, workers[i], INTERVAL_MS);
+		by_workers (slopes, &spread, workers[i],
+			    dff_watch_interval_ms (n, INTERVAL_MS, LEASE_MS));
+	}
 	for (size_t i = 0; i < G_N_ELEMENTS (reports); i++)
 		by_reports (slopes, reports[i]);
 	for (size_t i = 0; i < G_N_ELEMENTS (grants); i++)
--- a/daemon/settings_keys.c
+++ b/daemon/settings_keys.c
@@ -61,7 +61,8 @@
 	{INTEGER (task_lease_ms, 1000, HOUR_MS, 15000), .unit = "ms",
 	 .help = "Lease of tasks at workers."},
 	{INTEGER (watch_interval_ms, 50, MINUTE_MS, 1000), .unit = "ms",
-	 .help = "Interval of renewals at each watched worker."},
+	 .help = "Least interval of renewals at each watched worker; longer for a process that "
+		 "watches many, as far as a quarter of *task_lease_ms*."},
 	{INTEGER (heartbeat_ms, 20, MINUTE_MS, 500), .unit = "ms",
 	 .help = "Interval of heartbeats to each direct peer."},
 	{INTEGER (suspect_ms, 50, MINUTE_MS, 2000), .unit = "ms",
--- a/daemon/shares.c
+++ b/daemon/shares.c
@@ -52,6 +52,10 @@
 		g_array_append_val (share,
 				    g_array_index (workers, struct dff_watched_worker, index));
 	}
+	int32_t interval_ms = dff_watch_interval_ms (
+		share->len, daemon->settings->watch_interval_ms, daemon->settings->task_lease_ms);
+	dff_http_worker_set_renew_wait (daemon->workers, interval_ms);
+	dff_watcher_set_interval (daemon->watcher, interval_ms);
 	dff_watcher_set_workers (daemon->watcher,
 				 (const struct dff_watched_worker *)(void *)share->data,
 				 share->len);
--- a/include/peer/watch_share.h
+++ b/include/peer/watch_share.h
@@ -40,4 +40,16 @@
 		      size_t n_workers,
 		      GArray *out);
 
+/**
+ * dff_watch_interval_ms:
+ * @n_workers: size of this process's share
+ * @least_ms: the interval that is set
+ * @lease_ms: of tasks
+ *
+ * Interval of renewals that keeps a large share's traffic bounded: five renewals a second, as far
+ * as a quarter of the lease allows. As a renewal waits for something to report, changes travel as
+ * fast; what takes longer is to notice that a worker has gone silent.
+ */
+int32_t dff_watch_interval_ms (size_t n_workers, int32_t least_ms, int32_t lease_ms);
+
 #endif
--- a/include/upstream/http_worker.h
+++ b/include/upstream/http_worker.h
@@ -33,6 +33,9 @@
 
 DFF_DEFINE_CLEANUP (dff_http_worker, dff_http_worker_free);
 
+/** Changes how long a worker may wait for something to report, ms. */
+void dff_http_worker_set_renew_wait (struct dff_http_worker *worker, int32_t renew_wait_ms);
+
 /** Returns: the interface; valid as long as @worker. Its callbacks never run before a call returns.
  */
 const struct dff_worker_client *dff_http_worker_client (struct dff_http_worker *worker);
--- a/include/upstream/watcher.h
+++ b/include/upstream/watcher.h
@@ -67,6 +67,9 @@
 			      const struct dff_watched_worker *workers,
 			      size_t n_workers);
 
+/** Changes the interval of renewals, from each worker's next one on. */
+void dff_watcher_set_interval (struct dff_watcher *watcher, int32_t interval_ms);
+
 /** Sends what is due. To be called every few milliseconds. */
 void dff_watcher_tick (struct dff_watcher *watcher);
 
--- a/peer/watch_share.c
+++ b/peer/watch_share.c
@@ -3,6 +3,10 @@
 #include "common/rendezvous.h"
 #include "peer/peer.h"
 
+#define RENEWALS_A_SECOND 5
+/** Renewals that may be lost in a row without a lease lapsing: one less than this. */
+#define INTERVALS_A_LEASE 4
+
 void
 dff_watch_share_members (const GArray *members, const struct dff_name *region, GArray *out)
 {
@@ -31,3 +35,11 @@
 			g_array_append_val (out, index);
 	}
 }
+
+int32_t
+dff_watch_interval_ms (size_t n_workers, int32_t least_ms, int32_t lease_ms)
+{
+	int64_t spread_ms = (int64_t)n_workers * 1000 / RENEWALS_A_SECOND;
+	int32_t most_ms = MAX (lease_ms / INTERVALS_A_LEASE, least_ms);
+	return (int32_t)CLAMP (spread_ms, least_ms, most_ms);
+}
--- a/upstream/http_worker.c
+++ b/upstream/http_worker.c
@@ -381,6 +381,12 @@
 	g_free (worker);
 }
 
+void
+dff_http_worker_set_renew_wait (struct dff_http_worker *worker, int32_t renew_wait_ms)
+{
+	worker->renew_wait_ms = renew_wait_ms;
+}
+
 const struct dff_worker_client *
 dff_http_worker_client (struct dff_http_worker *worker)
 {
--- a/upstream/watcher.c
+++ b/upstream/watcher.c
@@ -284,6 +284,12 @@
 			worker->asked_sequence, renewed, worker);
 }
 
+void
+dff_watcher_set_interval (struct dff_watcher *watcher, int32_t interval_ms)
+{
+	watcher->options.interval_ms = interval_ms;
+}
+
 void
 dff_watcher_tick (struct dff_watcher *watcher)
 {
