core: weights from the pool, best fit on pieces, checkpoint-and-move

Cause: both deployments were ordered alike, and splinters were left while whole pieces were broken. Change: the pool's weights set how much width counts, how fast jobs rise that never ran, and when racks are kept; small jobs use up pieces smaller than the largest adjacent shape first; where a few narrow jobs keep a piece from being whole they are checkpointed and moved.

--- a/core/core.c
+++ b/core/core.c
@@ -183,7 +183,7 @@
 	for (guint i = 0; i < pool->teams->len; i++)
 		set_team (core, &g_array_index (pool->teams, struct dff_team, i));
 	core->adjacent_unit = dff_pool_adjacent_unit (pool);
-	dff_core_set_weights (core, &pool->weights);
+	core->policy = dff_core_policy_from (&pool->weights);
 	dff_core_set_shapes (core, pool);
 	dff_core_rebind_all (core);
 	dff_core_cover_all (core);
@@ -306,6 +306,7 @@
 	dff_core_run_reserved (core);
 	dff_core_run_guards (core);
 	dff_core_run_queue (core);
+	dff_core_run_defrag (core);
 	g_array_set_size (commands, 0);
 	if (core->pending->len > 0)
 		g_array_append_vals (commands, core->pending->data, core->pending->len);
@@ -330,6 +331,7 @@
 	wake_ms = MIN (wake_ms, head_deadline (&core->checkpointing));
 	wake_ms = MIN (wake_ms, head_deadline (&core->stopping));
 	wake_ms = MIN (wake_ms, dff_core_quarantine_wake_ms (core));
+	wake_ms = MIN (wake_ms, dff_core_defrag_wake_ms (core));
 	if (g_hash_table_size (core->classes) > 0)
 		wake_ms = MIN (wake_ms, core->review_ms);
 	for (const GList *link = core->delayed.head; link != NULL; link = link->next)
--- a/core/core_private.h
+++ b/core/core_private.h
@@ -284,18 +284,27 @@
 	bool unclaimable;
 };
 
-/** Settings of the order, from the pool's weights. */
-struct dff_core_order {
-	/** Exponent of a job's accelerators in its score: 1 orders by area, 0 by time alone. */
+/** What the pool's weights come to. */
+struct dff_core_policy {
+	/** Exponent of a job's accelerators in its score. */
 	double width_power;
-	/** Wait after which a job's score is quartered, on top of its own estimate, ms. */
+	/** Wait after which a job's score is divided by four, on top of its own estimate, ms. */
 	double ageing_ms;
-	/** How much lower a job's score has to be to take a borrower's place. */
-	double overtake_margin;
+	/** Wait after which a job that never ran rises as much again, ms. */
+	double first_turn_ms;
+	/** Work that a job without checkpoint may lose to a gang that racks are kept for, ms. */
+	double displace_loss_ms;
+	/** Wait after which racks are kept for a gang, ms. */
+	double guard_after_ms;
+	/** Whether jobs are moved to make whole pieces. */
+	bool moves;
 };
 
 struct dff_core {
 	struct dff_core_options options;
+	struct dff_core_policy policy;
+	/** When moves are looked for next. */
+	int64_t defrag_ms;
 	int64_t now_ms;
 	GArray *workers; /**< Elements: struct dff_core_worker. */
 	GArray *racks;   /**< Elements: struct dff_core_rack. */
@@ -333,8 +342,6 @@
 	struct dff_resources total;
 	/** Accelerators of the largest guaranteed shape that fits a rack. */
 	int32_t adjacent_unit;
-	/** What the pool's weights make of the order of borrowing work. */
-	struct dff_core_order order;
 	struct dff_core_stats stats;
 };
 
@@ -541,9 +548,6 @@
 
 /* order.c */
 
-/** Puts the pool's weights in force. */
-void dff_core_set_weights (struct dff_core *core, const struct dff_weights *weights);
-
 /** Returns: a job's rank among borrowing work, lower first: what is left of it, less its wait. */
 double dff_core_score (const struct dff_core *core, const struct dff_core_job *job);
 
@@ -553,6 +557,17 @@
 /** System: places queued jobs in order. */
 void dff_core_run_queue (struct dff_core *core);
 
+/* policy.c */
+
+struct dff_core_policy dff_core_policy_from (const struct dff_weights *weights);
+
+/* defrag.c */
+
+/** System: moves narrow jobs where that makes a whole piece free. */
+void dff_core_run_defrag (struct dff_core *core);
+
+int64_t dff_core_defrag_wake_ms (const struct dff_core *core);
+
 /* guard.c */
 
 /** Keeps racks for a gang that waits: the ones that come free first.
--- a/core/order.c
+++ b/core/order.c
@@ -6,45 +6,11 @@
 /* Who goes first. Jobs that are alike queue in classes of which only the head is looked at; claims
  * go by age, the others by urgency and score. */
 
-/* The order for the two presets, fragmentation first: a pool's weights give what lies between. The
- * mean completion is least by area, with hardly any ageing and ready preemption; each preemption
- * and each small job let through leaves splinters, so where racks count more, all three are held
- * back. */
-#define WIDTH_POWER_WHOLE 0.5
-#define WIDTH_POWER_FAST 1.0
-#define AGEING_WHOLE_MS 1800000.0
-#define AGEING_FAST_MS 28800000.0
-#define OVERTAKE_MARGIN_WHOLE 3.0
-#define OVERTAKE_MARGIN_FAST 1.5
-/** Shares of completion in the weights of the presets. */
-#define SHARE_WHOLE 0.3
-#define SHARE_FAST 0.7
-/** Wait after which racks are kept for a gang, ms. */
-#define GUARD_AFTER_MS 60000
-/** Wait after which a job that never ran counts as twice as urgent, ms. */
-#define FIRST_TURN_MS 600000.0
 /** Age at which the score of a running job is computed anew, ms: thousands are compared when a
  * place is looked for, and the logarithms took three quarters of the time at the design size. */
 #define SCORE_AGE_MS 5000
 /** How much a team's share of the pool raises its scores. */
-#define FAIRNESS 1.0
-
-static double
-between (double whole, double fast, double part)
-{
-	return whole + (fast - whole) * part;
-}
-
-void
-dff_core_set_weights (struct dff_core *core, const struct dff_weights *weights)
-{
-	double sum = weights->completion + weights->fragmentation;
-	double share = sum > 0.0 ? weights->completion / sum : 0.5;
-	double part = CLAMP ((share - SHARE_WHOLE) / (SHARE_FAST - SHARE_WHOLE), 0.0, 1.0);
-	core->order.width_power = between (WIDTH_POWER_WHOLE, WIDTH_POWER_FAST, part);
-	core->order.ageing_ms = between (AGEING_WHOLE_MS, AGEING_FAST_MS, part);
-	core->order.overtake_margin = between (OVERTAKE_MARGIN_WHOLE, OVERTAKE_MARGIN_FAST, part);
-}
+#define FAIRNESS 0.5
 
 double
 dff_core_score (const struct dff_core *core, const struct dff_core_job *job)
@@ -54,11 +20,11 @@
 	double waited_ms = (double)job->waited_ms;
 	if (job->state == DFF_CORE_QUEUED)
 		waited_ms += (double)(core->now_ms - job->queued_ms);
-	double age = 1.0 + waited_ms / (core->order.ageing_ms + (double)job->estimate_ms);
+	double age = 1.0 + waited_ms / (core->policy.ageing_ms + (double)job->estimate_ms);
 	/* What has not run at all yet goes up until it gets its first turn. */
 	if (!job->ever_ran && job->state == DFF_CORE_QUEUED)
-		age += waited_ms / FIRST_TURN_MS;
-	return remaining_ms * pow (width, core->order.width_power) / (age * age);
+		age += waited_ms / core->policy.first_turn_ms;
+	return remaining_ms * pow (width, core->policy.width_power) / (age * age);
 }
 
 double
@@ -188,7 +154,7 @@
 {
 	return job->gang > 1 && job->adjacency != DFF_ADJACENCY_NONE &&
 	       dff_core_job_accelerators (job) >= core->adjacent_unit / 2 &&
-	       core->now_ms - job->submitted_ms > GUARD_AFTER_MS;
+	       core->now_ms - job->submitted_ms > (int64_t)core->policy.guard_after_ms;
 }
 
 void
--- a/core/place.c
+++ b/core/place.c
@@ -4,6 +4,9 @@
 
 /* Best fit: within what is allowed, the racks and workers that are left with least. */
 
+/** Puts racks whose last whole piece a job would break behind all others. */
+#define WHOLE_BROKEN 1000000
+
 static bool
 is_evicting (enum dff_core_view view)
 {
@@ -170,22 +173,28 @@
 	       job->gang * job->per_task.slots <= rack->slots;
 }
 
-/* What a rack is chosen by, least first. Work that may not be preempted goes where such work is
- * already: one such task keeps a whole rack from the gangs that need it whole. */
+/* What a rack is chosen by, least first. Best fit on what is splintered already: pieces smaller
+ * than the largest adjacent shape serve no large gang, so they are used up before a whole one is
+ * broken. Work that may not be preempted goes where such work is: one such task keeps a rack from
+ * gangs. */
 static int32_t
 rack_order (const struct dff_core *core,
 	    const struct dff_core_rack *rack,
 	    const struct dff_core_job *job)
 {
-	if (job->hold != DFF_CORE_HOLD_HARD)
-		return rack->free_accelerators;
-	int32_t unbound = 0;
-	for (guint i = 0; i < rack->workers->len; i++) {
-		const struct dff_core_worker *worker =
-			dff_core_worker_at (core, g_array_index (rack->workers, int32_t, i));
-		unbound += worker->capacity.accelerators - worker->bound.accelerators;
+	int32_t room = rack->free_accelerators;
+	if (job->hold == DFF_CORE_HOLD_HARD) {
+		room = 0;
+		for (guint i = 0; i < rack->workers->len; i++) {
+			const struct dff_core_worker *worker = dff_core_worker_at (
+				core, g_array_index (rack->workers, int32_t, i));
+			room += worker->capacity.accelerators - worker->bound.accelerators;
+		}
+		return room;
 	}
-	return unbound;
+	int32_t piece = room % core->adjacent_unit;
+	bool breaks = piece < dff_core_job_accelerators (job);
+	return breaks ? WHOLE_BROKEN + room : piece;
 }
 
 /* The rack with the fewest free accelerators that holds the whole gang. */
--- /dev/null
+++ b/core/policy.c
@@ -0,0 +1,48 @@
+#include "core/core_private.h"
+
+#include <math.h>
+
+/* What the pool's weights mean. Between the two presets the settings change gradually; those that
+ * are times or factors, by equal ratios. The values were measured, see
+ * docs/decisions/core-order.md.
+ */
+
+/** Share of the fragmentation weight in the two presets. */
+#define COMPLETION_SHARE 0.3
+#define FRAGMENTATION_SHARE 0.7
+
+/** Exponent of a job's accelerators in its score: 1 orders by area, less favours wide jobs. */
+#define WIDTH_POWER_RANGE 0.75
+/** Settings for completion (C) and fragmentation (F), ms: see struct dff_core_policy. */
+#define AGEING_C 28800000.0
+#define AGEING_F 1800000.0
+#define FIRST_TURN_C 14400000.0
+#define FIRST_TURN_F 300000.0
+#define DISPLACE_LOSS_C 300000.0
+#define DISPLACE_LOSS_F 1200000.0
+#define GUARD_AFTER_C 3600000.0
+#define GUARD_AFTER_F 1000.0
+
+static double
+between (double completion, double fragmentation, double share)
+{
+	return completion * pow (fragmentation / completion, share);
+}
+
+struct dff_core_policy
+dff_core_policy_from (const struct dff_weights *weights)
+{
+	double sum = weights->completion + weights->fragmentation;
+	double fragmentation = sum > 0.0 ? weights->fragmentation / sum : 0.5;
+	double share =
+		(fragmentation - COMPLETION_SHARE) / (FRAGMENTATION_SHARE - COMPLETION_SHARE);
+	share = CLAMP (share, 0.0, 1.0);
+	return (struct dff_core_policy){
+		.width_power = 1.0 - WIDTH_POWER_RANGE * share,
+		.ageing_ms = between (AGEING_C, AGEING_F, share),
+		.first_turn_ms = between (FIRST_TURN_C, FIRST_TURN_F, share),
+		.displace_loss_ms = between (DISPLACE_LOSS_C, DISPLACE_LOSS_F, share),
+		.guard_after_ms = between (GUARD_AFTER_C, GUARD_AFTER_F, share),
+		.moves = share >= 0.5,
+	};
+}
--- a/core/reclaim.c
+++ b/core/reclaim.c
@@ -5,14 +5,14 @@
 /** Part of a checkpointable task's run that is lost all the same: it is taken again from its
  * checkpoint, after grace and restart, ms. */
 #define CHECKPOINT_LOSS_MS 5000
-/** How long a borrower has run at least since its last start before another takes its place, ms. */
+/** How much lower a job's score has to be to take a borrower's place, and how long the borrower
+ * has run at least since its last start, ms. */
+#define OVERTAKE_MARGIN 1.5
 #define OVERTAKE_AFTER_MS INT64_C (30000)
 /** Preemptions after which that time grows no more. */
 #define OVERTAKE_STEPS 10
-/** A gang that racks are kept for displaces jobs this many times narrower than it; those that
- * cannot be checkpointed only when they have run no longer than this, ms. */
+/** A gang that racks are kept for displaces jobs this many times narrower than it. */
 #define DISPLACE_WIDTHS 4
-#define DISPLACE_LOSS_MAX_MS 300000
 /** Weight of a task without accelerators against one accelerator: a slot of a worker. */
 #define ACCELERATOR_SLOTS 8
 
@@ -25,7 +25,8 @@
 	int32_t width = dff_core_job_accelerators (job);
 	if (!job->guarded || dff_core_job_accelerators (tenant) * DISPLACE_WIDTHS > width)
 		return false;
-	return tenant->checkpoint || core->now_ms - tenant->started_ms < DISPLACE_LOSS_MAX_MS;
+	return tenant->checkpoint ||
+	       core->now_ms - tenant->started_ms < (int64_t)core->policy.displace_loss_ms;
 }
 
 /* Borrowing work gives way to other borrowing work only when that is much shorter, and when little
@@ -43,7 +44,7 @@
 	if (may_displace (core, job, tenant))
 		return true;
 	return tenant->checkpoint &&
-	       job->score * core->order.overtake_margin < dff_core_running_score (core, tenant);
+	       job->score * OVERTAKE_MARGIN < dff_core_running_score (core, tenant);
 }
 
 bool
