--- a/core/check.c
+++ b/core/check.c
@@ -25,12 +25,10 @@
 		struct tally *tally = &tallies[member->worker];
 		uint64_t mask =
 			g_array_index (job->placements, struct dff_placement, i).accelerators;
-		if ((tally->leased & mask) != 0 &&
-		    !dff_core_worker_at (core, member->worker)->overlapping)
-			return g_strdup_printf (
-				"accelerator leased twice: worker=%s job=%s member=%d",
-				dff_core_worker_at (core, member->worker)->name.data, job->id.data,
-				i);
+		const struct dff_core_worker *worker = dff_core_worker_at (core, member->worker);
+		if ((tally->leased & mask) != 0 && !worker->overlapping)
+			return g_strdup_printf ("accelerator leased twice: worker=%s job=%s",
+						worker->name.data, job->id.data);
 		tally->leased |= mask;
 		dff_resources_add (&tally->used, &job->per_task, 1);
 	}
--- a/core/core_private.h
+++ b/core/core_private.h
@@ -294,8 +294,6 @@
 	double first_turn_ms;
 	/** Work that a job without checkpoint may lose to a gang that racks are kept for, ms. */
 	double displace_loss_ms;
-	/** Wait after which racks are kept for a gang, ms. */
-	double guard_after_ms;
 	/** Whether jobs are moved to make whole pieces. */
 	bool moves;
 };
--- a/core/defrag.c
+++ b/core/defrag.c
@@ -17,7 +17,7 @@
 	int32_t width = dff_core_job_accelerators (job);
 	return job->hold == DFF_CORE_HOLD_SOFT && job->state == DFF_CORE_RUNNING &&
 	       job->checkpoint && !job->urgent && width > 0 && width <= missing &&
-	       core->now_ms - job->started_ms > MOVE_AFTER_MS * (1 + job->preemptions);
+	       core->now_ms - job->started_ms > (int64_t)MOVE_AFTER_MS * (1 + job->preemptions);
 }
 
 /* Collects jobs of a rack that together hold at least @missing accelerators. */
--- a/core/policy.c
+++ b/core/policy.c
@@ -20,8 +20,6 @@
 #define FIRST_TURN_F 300000.0
 #define DISPLACE_LOSS_C 300000.0
 #define DISPLACE_LOSS_F 1200000.0
-#define GUARD_AFTER_C 3600000.0
-#define GUARD_AFTER_F 1000.0
 
 static double
 between (double completion, double fragmentation, double share)
@@ -42,7 +40,6 @@
 		.ageing_ms = between (AGEING_C, AGEING_F, share),
 		.first_turn_ms = between (FIRST_TURN_C, FIRST_TURN_F, share),
 		.displace_loss_ms = between (DISPLACE_LOSS_C, DISPLACE_LOSS_F, share),
-		.guard_after_ms = between (GUARD_AFTER_C, GUARD_AFTER_F, share),
 		.moves = share >= 0.5,
 	};
 }
--- a/core/reclaim.c
+++ b/core/reclaim.c
@@ -8,7 +8,7 @@
 /** How much lower a job's score has to be to take a borrower's place, and how long the borrower
  * has run at least since its last start, ms. */
 #define OVERTAKE_MARGIN 1.5
-#define OVERTAKE_AFTER_MS INT64_C (30000)
+#define OVERTAKE_AFTER_MS 30000
 /** Preemptions after which that time grows no more. */
 #define OVERTAKE_STEPS 10
 /** A gang that racks are kept for displaces jobs this many times narrower than it. */
@@ -39,7 +39,7 @@
 	if (tenant->state != DFF_CORE_RUNNING)
 		return false;
 	int64_t ran_ms = core->now_ms - tenant->started_ms;
-	if (ran_ms < OVERTAKE_AFTER_MS * (1 + MIN (tenant->preemptions, OVERTAKE_STEPS)))
+	if (ran_ms < (int64_t)OVERTAKE_AFTER_MS * (1 + MIN (tenant->preemptions, OVERTAKE_STEPS)))
 		return false;
 	if (may_displace (core, job, tenant))
 		return true;
--- a/core/witness.c
+++ b/core/witness.c
@@ -303,6 +303,19 @@
 	return true;
 }
 
+/* All give their new places up before any takes its old one back. */
+static void
+restore_displaced (struct dff_core *core, const GArray *displaced, const GPtrArray *saved)
+{
+	const int32_t *indices = (const int32_t *)(const void *)displaced->data;
+	for (guint i = 0; i < displaced->len; i++)
+		dff_core_shape_unpack (core, dff_core_shape_at (core, indices[i]));
+	for (guint i = 0; i < displaced->len; i++) {
+		struct dff_core_shape *shape = dff_core_shape_at (core, indices[i]);
+		dff_core_shape_settle (core, shape, g_ptr_array_index (saved, i));
+	}
+}
+
 bool
 dff_core_witness_make_room (struct dff_core *core)
 {
@@ -324,13 +337,7 @@
 	}
 	if (claims_stand && pack_displaced (core, displaced))
 		return true;
-	for (guint i = 0; i < displaced->len; i++)
-		dff_core_shape_unpack (
-			core, dff_core_shape_at (core, g_array_index (displaced, int32_t, i)));
-	for (guint i = 0; i < displaced->len; i++)
-		dff_core_shape_settle (
-			core, dff_core_shape_at (core, g_array_index (displaced, int32_t, i)),
-			g_ptr_array_index (saved, i));
+	restore_displaced (core, displaced, saved);
 	return false;
 }
 
--- a/tests/core/test-lifecycle.c
+++ b/tests/core/test-lifecycle.c
@@ -4,12 +4,12 @@
  * next tick must give, written as letters. */
 
 enum step_kind {
-	STEP_END,
-	STEP_EVENT,
-	STEP_EXPECT,
-	STEP_OUTCOME,
-	STEP_WAIT,
-	STEP_WORKER_DOWN,
+	DFF_STEP_END,
+	DFF_STEP_EVENT,
+	DFF_STEP_EXPECT,
+	DFF_STEP_OUTCOME,
+	DFF_STEP_WAIT,
+	DFF_STEP_WORKER_DOWN,
 };
 
 struct step {
@@ -33,20 +33,20 @@
 
 #define EVENT(type, index)                                                                         \
 	{                                                                                          \
-		.kind = STEP_EVENT, .event = DFF_EVENT_##type, .member = index                     \
+		.kind = DFF_STEP_EVENT, .event = DFF_EVENT_##type, .member = (index)               \
 	}
 #define EXPECT(letters)                                                                            \
 	{                                                                                          \
-		.kind = STEP_EXPECT, .commands = letters                                           \
+		.kind = DFF_STEP_EXPECT, .commands = (letters)                                     \
 	}
 #define OUTCOME(name)                                                                              \
 	{                                                                                          \
-		.kind = STEP_OUTCOME, .outcome = DFF_OUTCOME_##name                                \
+		.kind = DFF_STEP_OUTCOME, .outcome = DFF_OUTCOME_##name                            \
 	}
 #define STOPPED(index, did_run)                                                                    \
 	{                                                                                          \
-		.kind = STEP_EVENT, .event = DFF_EVENT_TASK_STOPPED, .member = index,              \
-		.ran = did_run                                                                     \
+		.kind = DFF_STEP_EVENT, .event = DFF_EVENT_TASK_STOPPED, .member = (index),        \
+		.ran = (did_run)                                                                   \
 	}
 
 static const struct script scripts[] = {
@@ -72,7 +72,7 @@
 		   EXPECT ("T"),
 		   STOPPED (1, false),
 		   EXPECT ("Y"),
-		   {.kind = STEP_WAIT, .wait_ms = 1000},
+		   {.kind = DFF_STEP_WAIT, .wait_ms = 1000},
 		   EXPECT ("R")}},
 	/* Symptom: a letter is drafted twice. Sequence: the worker of a started task dies. Cause: a
 	 * lost task was taken for one that never ran. */
@@ -100,7 +100,7 @@
 	 .steps = {EXPECT ("R"),
 		   EVENT (ATTEMPT_RECORDED, 0),
 		   EXPECT ("S"),
-		   {.kind = STEP_WAIT, .wait_ms = 15000},
+		   {.kind = DFF_STEP_WAIT, .wait_ms = 15000},
 		   EXPECT ("T"),
 		   STOPPED (0, false),
 		   EXPECT ("Y")}},
@@ -109,7 +109,7 @@
 	 .steps = {EXPECT ("R"),
 		   EVENT (ATTEMPT_REFUSED, 0),
 		   EXPECT (""),
-		   {.kind = STEP_WAIT, .wait_ms = 250},
+		   {.kind = DFF_STEP_WAIT, .wait_ms = 250},
 		   EXPECT ("R")}},
 	{.name = "cancelled while queued for its record",
 	 .gang = 1,
@@ -133,14 +133,14 @@
 		   EXPECT ("S"),
 		   EVENT (JOB_CANCELLED, 0),
 		   EXPECT ("T"),
-		   {.kind = STEP_WAIT, .wait_ms = 5000},
+		   {.kind = DFF_STEP_WAIT, .wait_ms = 5000},
 		   EXPECT ("T")}},
 	/* Symptom: a start reaches a worker that is gone. Sequence: the worker goes down between
 	 * the decision and its record. Cause: the placement was not looked at again. */
 	{.name = "a worker that went away before the start",
 	 .gang = 2,
 	 .steps = {EXPECT ("R"),
-		   {.kind = STEP_WORKER_DOWN},
+		   {.kind = DFF_STEP_WORKER_DOWN},
 		   EVENT (ATTEMPT_RECORDED, 0),
 		   EXPECT ("Y")}},
 	{.name = "a failed non-idempotent task is not tried again",
@@ -206,19 +206,19 @@
 				  .member = step->member,
 				  .ran = step->ran};
 	switch (step->kind) {
-	case STEP_EVENT:
+	case DFF_STEP_EVENT:
 		dff_core_handle_event (run->core, &event, run->now_ms);
 		break;
-	case STEP_EXPECT:
+	case DFF_STEP_EXPECT:
 		expect_commands (run, script, step->commands);
 		break;
-	case STEP_OUTCOME:
+	case DFF_STEP_OUTCOME:
 		expect_outcome (run, script, step->outcome);
 		break;
-	case STEP_WAIT:
+	case DFF_STEP_WAIT:
 		run->now_ms += step->wait_ms;
 		break;
-	case STEP_WORKER_DOWN:
+	case DFF_STEP_WORKER_DOWN:
 		fixture_worker_state (run->core, "w0", DFF_WORKER_DOWN);
 		fixture_worker_state (run->core, "w1", DFF_WORKER_DOWN);
 		break;
@@ -248,7 +248,7 @@
 	dff_core_handle_event (core, &submitted, 0);
 	g_autoptr (GArray) commands = g_array_new (FALSE, TRUE, sizeof (struct dff_command));
 	struct run run = {.core = core, .commands = commands};
-	for (const struct step *step = script->steps; step->kind != STEP_END; step++)
+	for (const struct step *step = script->steps; step->kind != DFF_STEP_END; step++)
 		run_step (&run, script, step);
 	fixture_pool_clear (&pool);
 }
--- a/tests/core/test-property.c
+++ b/tests/core/test-property.c
@@ -41,9 +41,9 @@
 };
 
 enum arrival_kind {
-	ARRIVAL_EVENT,
-	ARRIVAL_START,
-	ARRIVAL_FINISH,
+	DFF_ARRIVAL_EVENT,
+	DFF_ARRIVAL_START,
+	DFF_ARRIVAL_FINISH,
 };
 
 struct arrival {
@@ -131,7 +131,7 @@
 	struct row *row = g_hash_table_lookup (world->rows, &task->job);
 	task->ran = true;
 	row->ever_ran = true;
-	struct arrival finish = {.kind = ARRIVAL_FINISH, .task = task};
+	struct arrival finish = {.kind = DFF_ARRIVAL_FINISH, .task = task};
 	arrive (world, &finish, 40000);
 }
 
@@ -224,7 +224,7 @@
 			      .accelerators = command->placement.accelerators,
 			      .held = command->held};
 	g_ptr_array_add (world->tasks, task);
-	struct arrival start = {.kind = ARRIVAL_START, .task = task};
+	struct arrival start = {.kind = DFF_ARRIVAL_START, .task = task};
 	arrive (world, &start, chance (world, 0.02) ? 30000 : 200);
 }
 
@@ -509,13 +509,13 @@
 {
 	world->events++;
 	switch (arrival->kind) {
-	case ARRIVAL_START:
+	case DFF_ARRIVAL_START:
 		on_start (world, arrival->task);
 		return;
-	case ARRIVAL_FINISH:
+	case DFF_ARRIVAL_FINISH:
 		on_finish (world, arrival->task);
 		return;
-	case ARRIVAL_EVENT:
+	case DFF_ARRIVAL_EVENT:
 		dff_core_handle_event (world->core, &arrival->event, world->now_ms);
 		return;
 	}
