--- a/include/cell/cell.h
+++ b/include/cell/cell.h
@@ -61,6 +61,8 @@
 
 struct dff_cell *dff_cell_new (const struct dff_cell_options *options);
 
+/** To be called when no callback of the table or of the workers can come any more, and before the
+ * recorder is freed. */
 void dff_cell_free (struct dff_cell *cell);
 
 DFF_DEFINE_CLEANUP (dff_cell, dff_cell_free);
--- a/tests/cell/cell_faults.h
+++ b/tests/cell/cell_faults.h
@@ -1,7 +1,7 @@
 #ifndef DFF_TESTS_CELL_FAULTS_H
 #define DFF_TESTS_CELL_FAULTS_H
 
-#include "tests/cell/cell_harness.h"
+#include "tests/cell/cell_promises.h"
 
 /* What the tests of one fault at a time share. */
 
--- a/tests/cell/fake_link.h
+++ b/tests/cell/fake_link.h
@@ -99,6 +99,8 @@
 	m->link = link;
 	m->worker = fake_worker_index (address);
 	m->incarnation = fleet->workers[m->worker].incarnation;
+	if (m->command.verb == FAKE_START)
+		fleet->check_start (fleet->check_ctx, &m->command.task);
 	int64_t *epoch_key = g_memdup2 (&m->command.epoch, sizeof (m->command.epoch));
 	void *user_of_epoch = g_hash_table_lookup (fleet->epochs, &m->command.epoch);
 	assert_true (m->command.epoch == 0 || user_of_epoch == NULL || user_of_epoch == link);
--- a/tests/cell/fake_worker.h
+++ b/tests/cell/fake_worker.h
@@ -50,6 +50,9 @@
 	GHashTable *held;
 	/** Epoch to the link that used it. */
 	GHashTable *epochs;
+	/** A start is being sent. */
+	void (*check_start) (void *ctx, const struct dff_task_id *task);
+	void *check_ctx;
 };
 
 enum fake_verb {
--- a/tests/cell/test-schedules.c
+++ b/tests/cell/test-schedules.c
@@ -1,4 +1,4 @@
-#include "tests/cell/cell_harness.h"
+#include "tests/cell/cell_promises.h"
 
 /*
  * Seeded schedules of faults: three cells, four workers, one table. Each seed submits and cancels
