peer: pool files travel compressed

Change: the file is deflated with zlib, whose length claim is bounded before memory is taken; the old field is still read.

--- a/bench/slopes/pool.c
+++ b/bench/slopes/pool.c
@@ -1,5 +1,6 @@
 #include "bench/slopes/core_load.h"
 #include "bench/slopes/slopes.h"
+#include "peer/message.h"
 
 /* The pool file of the whole fleet: its size, and the time to check and parse it and to put it in
  * force in a core, against teams and against workers. */
@@ -11,6 +12,7 @@
 
 struct pool_axes {
 	struct slope_axes size;
+	struct slope_axes message;
 	struct slope_axes parse;
 	struct slope_axes apply;
 	struct slope_axes state;
@@ -19,11 +21,24 @@
 #define AXES(dimension)                                                                            \
 	{                                                                                          \
 		{"pool_file_bytes_by_" dimension, dimension, "bytes of the file"},                 \
+			{"pool_message_bytes_by_" dimension, dimension, "bytes to a member"},      \
 			{"pool_parse_us_by_" dimension, dimension, "us to parse and check"},       \
 			{"pool_apply_us_by_" dimension, dimension, "us to put in force"},          \
 			{"pool_state_bytes_by_" dimension, dimension, "bytes of the parsed file"}, \
 	}
 
+static double
+message_bytes (struct dff_str file)
+{
+	struct dff_message message = {
+		.sender = dff_name_from ("entry-1"),
+		.kind = DFF_MESSAGE_POOL_FILE,
+		.pool_file = {1, file},
+	};
+	g_autoptr (GByteArray) bytes = dff_message_encode (&message);
+	return bytes->len;
+}
+
 static void
 measure (struct slopes *slopes,
 	 const struct pool_axes *axes,
@@ -47,6 +62,7 @@
 		parse_us += (parsed - start) / REPEATS;
 	}
 	slopes_add (slopes, &axes->size, x, (double)text->len);
+	slopes_add (slopes, &axes->message, x, message_bytes (file));
 	slopes_add (slopes, &axes->parse, x, parse_us);
 	slopes_add (slopes, &axes->apply, x, apply_us);
 	slopes_add (slopes, &axes->state, x, state_bytes);
--- a/peer/message_decode.c
+++ b/peer/message_decode.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "peer/deflate.h"
 #include "peer/peer.pb-c.h"
 
 static bool
@@ -63,12 +64,28 @@
 	return true;
 }
 
+/* The length is bounded before anything is allocated: a few bytes can claim to become gigabytes. */
+static bool
+decode_deflated_pool_file (const Dff__Peer__PoolFile *wire, struct dff_message *message)
+{
+	if (wire->length == 0 || wire->length > DFF_MESSAGE_MAX)
+		return false;
+	message->elements = dff_inflate (wire->deflated.data, wire->deflated.len, wire->length);
+	message->pool_file.text.data = message->elements;
+	message->pool_file.text.len = wire->length;
+	return message->elements != NULL;
+}
+
 static bool
 decode_pool_file (const Dff__Peer__PoolFile *wire, struct dff_message *message)
 {
-	if (wire->generation <= 0 || wire->text.len == 0)
+	if (wire->generation <= 0)
 		return false;
 	message->pool_file.generation = wire->generation;
+	if (wire->deflated.len > 0)
+		return decode_deflated_pool_file (wire, message);
+	if (wire->text.len == 0)
+		return false;
 	message->pool_file.text.data = (const char *)wire->text.data;
 	message->pool_file.text.len = wire->text.len;
 	return true;
--- a/peer/message_encode.c
+++ b/peer/message_encode.c
@@ -1,5 +1,6 @@
 #include "peer/message.h"
 
+#include "peer/deflate.h"
 #include "peer/peer.pb-c.h"
 
 static ProtobufCBinaryData
@@ -69,8 +70,10 @@
 {
 	Dff__Peer__PoolFile wire = DFF__PEER__POOL_FILE__INIT;
 	wire.generation = file->generation;
-	wire.text.data = (uint8_t *)file->text.data;
-	wire.text.len = file->text.len;
+	g_autoptr (GByteArray) deflated = dff_deflate (file->text);
+	wire.deflated.data = deflated->data;
+	wire.deflated.len = deflated->len;
+	wire.length = (uint32_t)file->text.len;
 	envelope.body_case = DFF__PEER__ENVELOPE__BODY_POOL_FILE;
 	envelope.pool_file = &wire;
 	return pack (&envelope);
--- a/peer/peer.pb-c.c
+++ b/peer/peer.pb-c.c
@@ -733,7 +733,7 @@
   (ProtobufCMessageInit) dff__peer__pool_request__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dff__peer__pool_file__field_descriptors[2] =
+static const ProtobufCFieldDescriptor dff__peer__pool_file__field_descriptors[4] =
 {
   {
     "generation",
@@ -759,15 +759,41 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "deflated",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Dff__Peer__PoolFile, deflated),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "length",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Dff__Peer__PoolFile, length),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned dff__peer__pool_file__field_indices_by_name[] = {
+  2,   /* field[2] = deflated */
   0,   /* field[0] = generation */
+  3,   /* field[3] = length */
   1,   /* field[1] = text */
 };
 static const ProtobufCIntRange dff__peer__pool_file__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor dff__peer__pool_file__descriptor =
 {
@@ -777,7 +803,7 @@
   "Dff__Peer__PoolFile",
   "dff.peer",
   sizeof(Dff__Peer__PoolFile),
-  2,
+  4,
   dff__peer__pool_file__field_descriptors,
   dff__peer__pool_file__field_indices_by_name,
   1,  dff__peer__pool_file__number_ranges,
--- a/peer/peer.pb-c.h
+++ b/peer/peer.pb-c.h
@@ -89,11 +89,22 @@
 {
   ProtobufCMessage base;
   int64_t generation;
+  /*
+   * As it is, from processes before there was the next.
+   */
   ProtobufCBinaryData text;
+  /*
+   * zlib's format.
+   */
+  ProtobufCBinaryData deflated;
+  /*
+   * Of the file as it is, in bytes.
+   */
+  uint32_t length;
 };
 #define DFF__PEER__POOL_FILE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&dff__peer__pool_file__descriptor) \
-    , 0, {0,NULL} }
+    , 0, {0,NULL}, {0,NULL}, 0 }
 
 
 struct  Dff__Peer__JobNotice
