--- a/bench/tick.c
+++ b/bench/tick.c
@@ -113,6 +113,19 @@
 	return placed;
 }
 
+static int64_t
+running_tasks (const struct dff_replay *replay)
+{
+	int64_t tasks = 0;
+	for (guint i = 0; i < replay->runner.jobs->len; i++) {
+		const struct dff_job_run *job =
+			&g_array_index (replay->runner.jobs, struct dff_job_run, i);
+		if (job->members != NULL)
+			tasks += job->spec.gang;
+	}
+	return tasks;
+}
+
 static void
 run (struct dff_replay *replay)
 {
@@ -120,6 +133,7 @@
 	g_autoptr (GArray) idle = time_idle_ticks (replay->options->policy, replay->last_tick_ms);
 	g_autoptr (GArray) placed = g_array_new (FALSE, FALSE, sizeof (double));
 	g_autoptr (GArray) waited = g_array_new (FALSE, FALSE, sizeof (double));
+	int64_t tasks = running_tasks (replay);
 	struct dff_core_stats stats;
 	dff_core_get_stats (policy->ctx, &stats);
 	for (int i = 0; i < DFF_PLACEMENTS; i++) {
@@ -128,12 +142,13 @@
 		g_array_append_val (started ? placed : waited, took_us);
 	}
 	printf ("{\"workers\": %" PRId64 ", \"accelerators\": %" PRId64 ", \"free\": %" PRId64
-		", \"running_jobs\": %" PRId64 ", \"queued_jobs\": %" PRId64
+		", \"running_jobs\": %" PRId64 ", \"running_tasks\": %" PRId64
+		", \"queued_jobs\": %" PRId64
 		", \"idle_tick_p50_us\": %.1f, \"idle_tick_p99_us\": %.1f, \"placed\": %u, "
 		"\"placed_p50_us\": %.1f, \"placed_p99_us\": %.1f, \"waited\": %u, "
 		"\"waited_p99_us\": %.1f}\n",
 		stats.workers_up, stats.accelerators_total, stats.accelerators_free, stats.running,
-		stats.queued, percentile (idle, 0.5), percentile (idle, 0.99), placed->len,
+		tasks, stats.queued, percentile (idle, 0.5), percentile (idle, 0.99), placed->len,
 		percentile (placed, 0.5), percentile (placed, 0.99), waited->len,
 		percentile (waited, 0.99));
 }
