cell: clocks that run at different rates

The margin of the lease was argued and not tested. A holder whose clock runs at 95% is cut off from the store while the others' run at 105%, at 100 phases.

--- a/tests/cell/test-lease.c
+++ b/tests/cell/test-lease.c
@@ -13,7 +13,22 @@
 #define STEP_MS 10
 #define LEASE_MS 4000
 
+/** A clock that runs at a rate of its own. */
+struct skewed_clock {
+	struct dff_clock clock;
+	const struct dff_clock_virtual *base;
+	int percent;
+};
+
+static int64_t
+skewed_ms (void *ctx)
+{
+	const struct skewed_clock *skewed = ctx;
+	return skewed->base->now_ms * skewed->percent / 100;
+}
+
 struct process {
+	struct skewed_clock clock;
 	struct dff_memory_caller *caller;
 	struct dff_lease *lease;
 };
@@ -29,7 +44,7 @@
 };
 
 static void
-fixture_init (struct fixture *fixture)
+fixture_init_skewed (struct fixture *fixture, const int *percents)
 {
 	memset (fixture, 0, sizeof (*fixture));
 	dff_clock_virtual_init (&fixture->clock, 1000);
@@ -39,11 +54,16 @@
 	for (int i = 0; i < N_PROCESSES; i++) {
 		struct process *process = &fixture->processes[i];
 		process->caller = dff_memory_open (fixture->memory);
+		process->clock = (struct skewed_clock){
+			.clock = {.monotonic_ms = skewed_ms, .ctx = &process->clock},
+			.base = &fixture->clock,
+			.percent = percents[i],
+		};
 		const struct dff_lease_options lease_options = {
 			.instance = dff_name_printf ("entry-%d", i),
 			.region = dff_name_from ("north"),
 			.table = &process->caller->table,
-			.clock = &fixture->clock.clock,
+			.clock = &process->clock.clock,
 			.metrics = fixture->metrics,
 			.seed = 100 + (uint64_t)i,
 			.lease_ms = LEASE_MS,
@@ -56,6 +76,13 @@
 	}
 }
 
+static void
+fixture_init (struct fixture *fixture)
+{
+	static const int exact[N_PROCESSES] = {100, 100, 100};
+	fixture_init_skewed (fixture, exact);
+}
+
 static void
 fixture_clear (struct fixture *fixture)
 {
@@ -208,6 +235,25 @@
 	}
 }
 
+/* Symptom: two holders for a moment. Sequence: the store is gone for a holder whose clock is slow;
+ * the others' clocks are fast. Cause: a lease without a margin for the rate of clocks. */
+static void
+test_clocks_run_at_different_rates (void **state)
+{
+	(void)state;
+	static const int percents[N_PROCESSES] = {95, 105, 105};
+	for (int64_t phase_ms = 0; phase_ms < 2000; phase_ms += 20) {
+		struct fixture fixture;
+		fixture_init_skewed (&fixture, percents);
+		run_until_holder (&fixture, 0, 1000);
+		run (&fixture, phase_ms);
+		fixture.processes[0].caller->faults.outage_until_ms = DFF_MEMORY_FOREVER;
+		run (&fixture, 10000);
+		assert_in_range (holder (&fixture), 1, N_PROCESSES - 1);
+		fixture_clear (&fixture);
+	}
+}
+
 /* Symptom: the lease is given up, or a cell stays without a holder, after one lost answer.
  * Sequence: a commit takes effect (at once, late, or never) and its answer is lost. Cause: a lost
  * answer was taken for a failed write. */
@@ -276,6 +322,7 @@
 		cmocka_unit_test (test_released_cell_is_taken_at_once),
 		cmocka_unit_test (test_holder_cut_off_from_the_store_stops_before_the_next_starts),
 		cmocka_unit_test (test_renewal_counts_from_when_it_was_sent),
+		cmocka_unit_test (test_clocks_run_at_different_rates),
 		cmocka_unit_test (test_lost_answers_neither_lose_nor_split_the_lease),
 		cmocka_unit_test (test_malformed_epoch_row_is_left_alone),
 	};
