entry: answers that come after its end touch nothing that is freed

The test that ends a process with everything in flight now lets the platform answer for as long as it likes after the entry, and what it was given, are freed. Under AddressSanitizer that was a use after free in the counters of a refusal; reads and writes that such an answer would have begun went to a table and a recorder that may be gone. A closed entry counts into itself, and begins neither.

--- a/entry/job_fetch.c
+++ b/entry/job_fetch.c
@@ -30,6 +30,11 @@
 dff_value_fetch (struct dff_call *call, struct dff_str key, dff_value_fetch_func done, void *user)
 {
 	const struct dff_table *table = call->entry->options.table;
+	if (call->entry->closed) {
+		struct dff_str none = {"", 0};
+		done (call, DFF_FETCH_UNAVAILABLE, none, 0, user);
+		return;
+	}
 	struct value_fetch *fetch = g_new0 (struct value_fetch, 1);
 	fetch->call = dff_call_ref (call);
 	fetch->done = done;
@@ -73,6 +78,10 @@
 		done (call, DFF_FETCH_MISSING, NULL, user);
 		return;
 	}
+	if (call->entry->closed) {
+		done (call, DFF_FETCH_UNAVAILABLE, NULL, user);
+		return;
+	}
 	g_autoptr (GString) key = dff_job_row_key (id);
 	struct dff_str text = {key->str, key->len};
 	struct job_fetch *fetch = g_new0 (struct job_fetch, 1);
--- a/entry/private.h
+++ b/entry/private.h
@@ -64,6 +64,8 @@
 	bool draining;
 	bool drain_requested;
 	struct dff_entry_counters counters;
+	/** What @counters point to once the entry is closed. */
+	int64_t uncounted;
 };
 
 struct dff_entry *dff_entry_ref (struct dff_entry *entry);
--- a/entry/record.c
+++ b/entry/record.c
@@ -76,6 +76,10 @@
 		  dff_entry_record_func done,
 		  void *user)
 {
+	if (entry->closed) {
+		done (user, DFF_ENTRY_RECORD_NOT_DONE, 0);
+		return;
+	}
 	struct pending_write *pending = g_new0 (struct pending_write, 1);
 	struct dff_record_write bounded = *write;
 	bounded.give_up_ms = patience_ms;
--- a/entry/record.h
+++ b/entry/record.h
@@ -31,7 +31,7 @@
  * @parent: span that the write is part of
  * @patience_ms: after it the outcome is NOT_DONE or UNKNOWN
  *
- * @done is called once, after this call has returned, unless the entry is freed first.
+ * @done is called once, after this call has returned; at once when the entry is closed.
  */
 void dff_entry_record (struct dff_entry *entry,
 		       const struct dff_trace_context *parent,
--- a/entry/request_read.c
+++ b/entry/request_read.c
@@ -80,6 +80,10 @@
 {
 	struct dff_call *call = user;
 	DFF_AUTO (dff_answer) answer = NULL;
+	if (!dff_call_is_open (call)) {
+		dff_call_unref (call);
+		return;
+	}
 	if (result->outcome == DFF_OBJECT_OK)
 		answer = dff_answer_decode (result->data);
 	if (answer != NULL)
--- a/tests/entry/harness.c
+++ b/tests/entry/harness.c
@@ -273,8 +273,8 @@
 		.clock = &harness->clock.clock,
 		.metrics = process->metrics,
 		.tracer = process->tracer,
-		.table = &process->platform->table,
-		.objects = &process->platform->objects,
+		.table = &process->reads->table,
+		.objects = &process->reads->objects,
 		.recorder = process->recorder,
 		.workers = &harness->workers,
 		.peer = process->peer,
@@ -312,6 +312,7 @@
 	process->tracer = dff_tracer_new (&harness->clock.clock, &process->name, 1 + index,
 					  keep_span, harness);
 	process->platform = dff_memory_open (harness->memory);
+	process->reads = dff_memory_open (harness->memory);
 	dff_recorder_options_init (&recorder);
 	recorder.table = &process->platform->table;
 	recorder.clock = &harness->clock.clock;
@@ -378,9 +379,7 @@
 	if (process->entry == NULL)
 		return;
 	dff_entry_free (process->entry);
-	/* What the platform still had to say comes to an entry that is gone. */
-	memset (&process->platform->faults, 0, sizeof (process->platform->faults));
-	dff_memory_tick (harness->memory);
+	memset (&process->reads->faults, 0, sizeof (process->reads->faults));
 	dff_memory_close (process->platform);
 	dff_cell_free (process->cell);
 	dff_peer_free (process->peer);
@@ -400,6 +399,13 @@
 	struct harness_sent *sent;
 	while ((sent = g_queue_pop_head (&harness->sent)) != NULL)
 		answer_sent (sent);
+	dff_memory_tick (harness->memory);
+	for (int64_t due_ms; (due_ms = dff_memory_next_due_ms (harness->memory)) != INT64_MAX;) {
+		harness->clock.now_ms = MAX (due_ms, harness->clock.now_ms);
+		dff_memory_tick (harness->memory);
+	}
+	for (int i = 0; i < HARNESS_PROCESSES; i++)
+		dff_memory_close (harness->processes[i].reads);
 	dff_memory_close (harness->holder);
 	dff_memory_free (harness->memory);
 	event_base_free (harness->base);
@@ -410,6 +416,11 @@
 void
 harness_step (struct harness *harness)
 {
+	for (int i = 0; i < HARNESS_PROCESSES; i++) {
+		const struct harness_process *process = &harness->processes[i];
+		if (process->entry != NULL)
+			process->reads->faults = process->platform->faults;
+	}
 	event_base_loop (harness->base, EVLOOP_NONBLOCK);
 	harness->clock.now_ms++;
 	dff_memory_tick (harness->memory);
--- a/tests/entry/harness.h
+++ b/tests/entry/harness.h
@@ -34,6 +34,9 @@
 	struct dff_metrics *metrics;
 	struct dff_tracer *tracer;
 	struct dff_memory_caller *platform;
+	/** What the entry itself reads and keeps; has the faults of @platform, and outlives a
+	 * killed process, so that late answers come to an entry that is gone. */
+	struct dff_memory_caller *reads;
 	struct dff_recorder *recorder;
 	struct dff_peer *peer;
 	struct dff_cell *cell;
