--- a/tests/core/test-property.c
+++ b/tests/core/test-property.c
@@ -68,6 +68,8 @@
 	int64_t events;
 	/** Jobs that the core of the moment was given. */
 	int64_t accepted;
+	/** What the cores came across, so that sessions which test nothing are noticed. */
+	struct dff_core_stats seen;
 };
 
 static int
@@ -424,6 +426,18 @@
 	world->accepted++;
 }
 
+static void
+gather (struct world *world)
+{
+	struct dff_core_stats stats;
+	dff_core_get_stats (world->core, &stats);
+	world->seen.reclaims += stats.reclaims;
+	world->seen.preemptions += stats.preemptions;
+	world->seen.moves += stats.moves;
+	world->seen.start_failures += stats.start_failures;
+	world->seen.retries += stats.retries;
+}
+
 static struct dff_core *
 new_core (void)
 {
@@ -437,6 +451,7 @@
 static void
 take_over (struct world *world)
 {
+	gather (world);
 	dff_core_free (world->core);
 	world->core = new_core ();
 	world->accepted = 0;
@@ -553,6 +568,7 @@
 	fixture_pool_add_team (&world->pools[0], "a", 2, 12);
 	fixture_pool_add_team (&world->pools[0], "b", 2, 8);
 	fixture_pool_init (&world->pools[1], N_RACKS - 1, PER_RACK, ACCELERATORS);
+	world->pools[1].weights = (struct dff_weights){.completion = 0.3, .fragmentation = 0.7};
 	fixture_pool_add_team (&world->pools[1], "a", 3, 6);
 	fixture_pool_add_team (&world->pools[1], "b", 1, 24);
 	world->core = new_core ();
@@ -580,7 +596,7 @@
 }
 
 static int64_t
-run_session (uint32_t seed)
+run_session (uint32_t seed, struct dff_core_stats *totals)
 {
 	struct world world;
 	world_init (&world, seed);
@@ -606,6 +622,10 @@
 		if (!row->ended)
 			fail_msg ("seed %u: job without end: %s", seed, row->spec.id.data);
 	}
+	gather (&world);
+	assert_true (world.seen.preemptions > 0 && world.seen.retries > 0);
+	totals->reclaims += world.seen.reclaims;
+	totals->start_failures += world.seen.start_failures;
 	int64_t events = world.events;
 	world_clear (&world);
 	return events;
@@ -616,8 +636,11 @@
 {
 	(void)state;
 	int64_t events = 0;
+	struct dff_core_stats totals = {0};
 	for (uint32_t seed = 1; seed <= SEEDS; seed++)
-		events += run_session (seed);
+		events += run_session (seed, &totals);
+	assert_true (totals.reclaims > 0);
+	assert_true (totals.start_failures > 0);
 	print_message ("events and ticks: %" G_GINT64_FORMAT "\n", events);
 }
 
