daemon: isolation and the steps of a graceful stop as pure functions, with tests

No test looked at when a process calls itself isolated, at the steps of a drain, or at the slots that a process takes for itself while the cell has no holder.

--- a/daemon/drain.c
+++ b/daemon/drain.c
@@ -3,6 +3,7 @@
 
 #include "common/log.h"
 #include "daemon/daemon_private.h"
+#include "daemon/drain_step.h"
 
 void
 dff_daemon_drain (struct dff_daemon *daemon)
@@ -36,6 +37,12 @@
 	return daemon->cut_off;
 }
 
+static bool
+is_idle (const struct dff_daemon *daemon)
+{
+	return dff_entry_is_drained (daemon->entry) && dff_cell_is_drained (daemon->cell);
+}
+
 /* The balancer learns from /readyz, a while late, that this process is going. What it still sends
  * in that while is served: refusing it at once would cost callers a retry at every planned stop.
  * After the grace new work is refused, and the loop ends when the last request in flight has its
@@ -45,20 +52,25 @@
 {
 	if (!daemon->draining)
 		return;
-	int64_t elapsed_ms = now_ms - daemon->drain_started_ms;
-	if (elapsed_ms < daemon->settings->drain_grace_ms)
-		return;
-	dff_entry_drain (daemon->entry);
-	bool done = dff_entry_is_drained (daemon->entry) && dff_cell_is_drained (daemon->cell);
-	if (done) {
-		dff_log (DFF_LOG_SERVE, DFF_LOG_INFO, "Drained. after_ms=%" PRId64, elapsed_ms);
+	const struct dff_drain_times times = {
+		.elapsed_ms = now_ms - daemon->drain_started_ms,
+		.grace_ms = daemon->settings->drain_grace_ms,
+		.timeout_ms = daemon->settings->drain_timeout_ms,
+	};
+	if (dff_drain_refuses (&times))
+		dff_entry_drain (daemon->entry);
+	switch (dff_drain_next (&times, is_idle (daemon))) {
+	case DFF_DRAIN_WAIT:
+		break;
+	case DFF_DRAIN_END:
+		dff_log (DFF_LOG_SERVE, DFF_LOG_INFO, "Drained. after_ms=%" PRId64,
+			 times.elapsed_ms);
 		event_base_loopexit (daemon->base, NULL);
-		return;
-	}
-	int32_t limit_ms = daemon->settings->drain_timeout_ms;
-	if (limit_ms > 0 && elapsed_ms > limit_ms) {
+		break;
+	case DFF_DRAIN_CUT_OFF:
 		dff_log (DFF_LOG_SERVE, DFF_LOG_WARNING,
-			 "Drain given up, work is cut off. after_ms=%" PRId64, elapsed_ms);
+			 "Drain given up, work is cut off. after_ms=%" PRId64, times.elapsed_ms);
 		dff_daemon_stop_now (daemon);
+		break;
 	}
 }
--- /dev/null
+++ b/daemon/watch_isolation.c
@@ -0,0 +1,32 @@
+#include "daemon/daemon_private.h"
+#include "daemon/isolation.h"
+
+/* Returns: when a live peer other than this process was last heard of, monotonic ms; 0: never. */
+static int64_t
+last_peer_ms (const struct dff_daemon *daemon)
+{
+	int64_t last_ms = 0;
+	const GArray *members = dff_peer_members (daemon->peer);
+	for (guint i = 0; i < members->len; i++) {
+		const struct dff_member *member = &g_array_index (members, struct dff_member, i);
+		if (!dff_name_equal (&member->instance.id, &daemon->settings->instance))
+			last_ms = MAX (last_ms, member->heard_ms);
+	}
+	return last_ms;
+}
+
+/* A process that hears neither the store nor its peers may miss a new pool file for as long as it
+ * is cut off. Symptom: it goes on accepting a token that was revoked. It says it is not ready, so
+ * that the balancer sends callers elsewhere. */
+void
+dff_daemon_check_isolation (struct dff_daemon *daemon, int64_t now_ms)
+{
+	const struct dff_isolation isolation = {
+		.started_ms = daemon->started_ms,
+		.store_ms = dff_pool_follower_answered_ms (daemon->follower),
+		.has_peers = dff_peer_members (daemon->peer)->len > 1,
+		.peer_ms = last_peer_ms (daemon),
+		.patience_ms = daemon->settings->isolated_after_ms,
+	};
+	dff_entry_set_isolated (daemon->entry, dff_is_isolated (&isolation, now_ms));
+}
--- /dev/null
+++ b/tests/daemon/test-daemon-steps.c
@@ -0,0 +1,251 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+#include <signal.h>
+#include <string.h>
+
+#include "daemon/daemon_private.h"
+#include "entry/private.h"
+#include "tests/entry/harness.h"
+
+/* Steps of the daemon on the parts of the entry's harness: two processes, two workers with three
+ * request slots each (two of one service, one of the other), nobody is holder. */
+
+#define WORKER_SLOTS 3
+#define ALL_SLOTS (2 * WORKER_SLOTS)
+#define GRACE_MS 3000
+#define LIMIT_MS 6000
+
+struct fixture {
+	struct harness *harness;
+	struct dff_daemon daemons[HARNESS_PROCESSES];
+	struct dff_metrics *metrics;
+};
+
+static void
+never_list (void *ctx, dff_instance_list_func done, void *user)
+{
+	(void)ctx;
+	(void)done;
+	(void)user;
+}
+
+static const struct dff_instance_list silent_list = {.list = never_list};
+
+static struct dff_instance_watch *
+instance_watch_new (struct fixture *fixture)
+{
+	const struct dff_instance_watch_options options = {
+		.list = &silent_list,
+		.clock = &fixture->harness->clock.clock,
+		.metrics = fixture->metrics,
+		.poll_ms = 1000,
+	};
+	return dff_instance_watch_new (&options);
+}
+
+static void
+set_up_daemon (struct fixture *fixture, int index)
+{
+	struct harness *harness = fixture->harness;
+	const struct harness_process *process = &harness->processes[index];
+	struct dff_daemon *daemon = &fixture->daemons[index];
+	*daemon = (struct dff_daemon){
+		.base = harness->base,
+		.settings = process->settings,
+		.clock = &harness->clock.clock,
+		.peer = process->peer,
+		.cell = process->cell,
+		.entry = process->entry,
+		.pool = process->pool,
+		.instance_watch = instance_watch_new (fixture),
+		.instances = g_array_new (FALSE, TRUE, sizeof (struct dff_instance)),
+		.leaving_workers =
+			g_hash_table_new_full (dff_name_hash, dff_name_equal_func, g_free, NULL),
+	};
+	g_array_append_vals (daemon->instances, harness->instances, (guint)harness->n_instances);
+}
+
+static void
+begin (struct fixture *fixture)
+{
+	fixture->harness = harness_new ();
+	fixture->metrics = dff_metrics_new ();
+	harness_set_pool (fixture->harness);
+	/* Until the two have heard of each other. */
+	harness_run (fixture->harness, 2000);
+	for (int i = 0; i < HARNESS_PROCESSES; i++)
+		set_up_daemon (fixture, i);
+}
+
+static void
+end (struct fixture *fixture)
+{
+	for (int i = 0; i < HARNESS_PROCESSES; i++) {
+		struct dff_daemon *daemon = &fixture->daemons[i];
+		dff_instance_watch_free (daemon->instance_watch);
+		g_array_unref (daemon->instances);
+		g_hash_table_unref (daemon->leaving_workers);
+	}
+	harness_free (fixture->harness);
+	dff_metrics_free (fixture->metrics);
+}
+
+static int32_t
+granted_slots (const struct dff_daemon *daemon)
+{
+	struct dff_requests_stats stats;
+	dff_requests_get_stats (daemon->entry->requests, &stats);
+	return stats.slots_granted;
+}
+
+static struct harness_client *
+send_request (struct harness *harness, int process)
+{
+	static const char text[] = "POST /v1/services/drafting/requests HTTP/1.1\r\n"
+				   "Authorization: Bearer casework-token\r\n"
+				   "Content-Length: 2\r\n\r\n{}";
+	struct harness_client *client = harness_connect (harness, process);
+	harness_client_send (client, text, strlen (text));
+	return client;
+}
+
+static void
+expect_status (struct harness_client *client, int status)
+{
+	assert_true (harness_client_wait (client));
+	assert_int_equal (harness_client_status (client), status);
+	harness_client_free (client);
+}
+
+/* Symptom: short requests, which need no store, are refused for the length of a store outage, or
+ * workers get more of them than they have slots. Sequence: the store is down, the holder's lease
+ * lapses, its grants lapse, nobody is there to send new ones. Cause: only a holder could share the
+ * slots out; or each process took all of them. */
+static void
+test_slots_without_a_holder (void **state)
+{
+	(void)state;
+	struct fixture fixture;
+	begin (&fixture);
+	struct dff_daemon *daemons = fixture.daemons;
+	int64_t now_ms = fixture.harness->clock.now_ms;
+	daemons[0].grants_until_ms = now_ms + 1;
+	dff_daemon_share_without_holder (&daemons[0], now_ms);
+	assert_int_equal (granted_slots (&daemons[0]), 0);
+	expect_status (send_request (fixture.harness, 0), 503);
+
+	now_ms = fixture.harness->clock.now_ms;
+	daemons[0].grants_until_ms = now_ms;
+	for (int i = 0; i < HARNESS_PROCESSES; i++)
+		dff_daemon_share_without_holder (&daemons[i], now_ms);
+	int32_t granted = granted_slots (&daemons[0]) + granted_slots (&daemons[1]);
+	assert_int_equal (granted, ALL_SLOTS);
+	assert_in_range (granted_slots (&daemons[0]), 1, ALL_SLOTS - 1);
+	expect_status (send_request (fixture.harness, 0), 200);
+	expect_status (send_request (fixture.harness, 1), 200);
+	end (&fixture);
+}
+
+/* Symptom: a worker that is shutting down gets new requests for the length of an outage. Sequence:
+ * it says that it is leaving, the list does not yet, a process works out its own grants. Cause: the
+ * share-out looked at the list alone. */
+static void
+test_leaving_worker_is_not_granted (void **state)
+{
+	(void)state;
+	struct fixture fixture;
+	begin (&fixture);
+	const struct dff_name leaving = dff_name_from ("w1");
+	for (int i = 0; i < HARNESS_PROCESSES; i++) {
+		struct dff_daemon *daemon = &fixture.daemons[i];
+		g_hash_table_add (daemon->leaving_workers, dff_name_dup (&leaving));
+		dff_daemon_share_without_holder (daemon, fixture.harness->clock.now_ms);
+	}
+	int32_t granted = granted_slots (&fixture.daemons[0]) + granted_slots (&fixture.daemons[1]);
+	assert_int_equal (granted, WORKER_SLOTS);
+	end (&fixture);
+}
+
+/* Symptom: callers lose requests at a planned stop. Sequence: a request is in flight, the process
+ * is told to stop, the balancer goes on sending for a while. Cause: the process refused before the
+ * balancer could know, or ended before the request had its answer. */
+static void
+test_drain_waits_for_what_is_in_flight (void **state)
+{
+	(void)state;
+	struct fixture fixture;
+	begin (&fixture);
+	struct harness *harness = fixture.harness;
+	struct dff_daemon *daemon = &fixture.daemons[0];
+	struct harness_answer held = {.outcome = DFF_WORKER_OK, .status = 200, .held = true};
+	daemon->settings->drain_grace_ms = GRACE_MS;
+	harness_grant (harness, WORKER_SLOTS, 600000);
+	harness_next_answer (harness, &held);
+	struct harness_client *in_flight = send_request (harness, 0);
+	harness_run (harness, 20);
+
+	dff_daemon_drain (daemon);
+	assert_false (dff_entry_is_ready (daemon->entry));
+	int64_t began_ms = harness->clock.now_ms;
+	dff_daemon_continue_drain (daemon, began_ms + GRACE_MS - 1);
+	expect_status (send_request (harness, 0), 200);
+	dff_daemon_continue_drain (daemon, began_ms + GRACE_MS);
+	expect_status (send_request (harness, 0), 503);
+	dff_cell_tick (daemon->cell);
+	dff_daemon_continue_drain (daemon, began_ms + GRACE_MS + 1);
+	harness_step (harness);
+	assert_false (event_base_got_exit (harness->base));
+
+	harness_release (harness, 200, "{}");
+	expect_status (in_flight, 200);
+	/* An idle connection is closed a while after its last answer. */
+	harness_run (harness, 1000);
+	dff_daemon_continue_drain (daemon, began_ms + GRACE_MS + 2);
+	event_base_loop (harness->base, EVLOOP_NONBLOCK);
+	assert_true (event_base_got_exit (harness->base));
+	assert_false (dff_daemon_was_cut_off (daemon));
+	end (&fixture);
+}
+
+/* Symptom: a planned stop never ends, though a time limit is set. Sequence: a worker keeps a
+ * request for ever. Cause: the limit was looked at only with nothing in flight. */
+static void
+test_drain_ends_at_its_limit (void **state)
+{
+	(void)state;
+	struct fixture fixture;
+	begin (&fixture);
+	struct harness *harness = fixture.harness;
+	struct dff_daemon *daemon = &fixture.daemons[0];
+	struct harness_answer held = {.outcome = DFF_WORKER_OK, .status = 200, .held = true};
+	daemon->settings->drain_timeout_ms = LIMIT_MS;
+	harness_grant (harness, WORKER_SLOTS, 600000);
+	harness_next_answer (harness, &held);
+	struct harness_client *in_flight = send_request (harness, 0);
+	harness_run (harness, 20);
+	dff_daemon_drain (daemon);
+	int64_t began_ms = harness->clock.now_ms;
+	dff_daemon_continue_drain (daemon, began_ms + LIMIT_MS);
+	assert_false (dff_daemon_was_cut_off (daemon));
+	dff_daemon_continue_drain (daemon, began_ms + LIMIT_MS + 1);
+	assert_true (dff_daemon_was_cut_off (daemon));
+	harness_client_free (in_flight);
+	end (&fixture);
+}
+
+int
+main (void)
+{
+	signal (SIGPIPE, SIG_IGN);
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test (test_slots_without_a_holder),
+		cmocka_unit_test (test_leaving_worker_is_not_granted),
+		cmocka_unit_test (test_drain_waits_for_what_is_in_flight),
+		cmocka_unit_test (test_drain_ends_at_its_limit),
+	};
+	return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/daemon/test-isolation.c
@@ -0,0 +1,59 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+
+#include "daemon/isolation.h"
+
+#define STARTED_MS 1000
+#define PATIENCE_MS 10000
+#define NOW_MS 60000
+/** The last moment at which somebody was heard and that is no silence yet. */
+#define RECENT_MS (NOW_MS - PATIENCE_MS)
+#define OLD_MS (RECENT_MS - 1)
+
+struct isolation_case {
+	const char *what;
+	int64_t store_ms;
+	bool has_peers;
+	int64_t peer_ms;
+	int64_t now_ms;
+	bool isolated;
+};
+
+/* Symptom: a revoked token goes on working at one process, or, the other way round, all processes
+ * go unready at once because the store is down. Sequence: a process is cut off from the store, from
+ * its peers, or from both. Cause: one of the two counted for both. */
+static void
+test_isolation (void **state)
+{
+	(void)state;
+	static const struct isolation_case cases[] = {
+		{"both answer", RECENT_MS, true, RECENT_MS, NOW_MS, false},
+		{"store down", OLD_MS, true, RECENT_MS, NOW_MS, false},
+		{"cut off from peers", RECENT_MS, true, OLD_MS, NOW_MS, false},
+		{"cut off from both", OLD_MS, true, OLD_MS, NOW_MS, true},
+		{"alone, store answers", RECENT_MS, false, 0, NOW_MS, false},
+		{"alone, store down", OLD_MS, false, 0, NOW_MS, true},
+		{"never heard anybody", 0, true, 0, NOW_MS, true},
+		{"just started in an outage", 0, true, 0, STARTED_MS + PATIENCE_MS, false},
+		{"started in an outage, alone", 0, false, 0, STARTED_MS + PATIENCE_MS, false},
+		{"a moment later", 0, false, 0, STARTED_MS + PATIENCE_MS + 1, true},
+	};
+	for (size_t i = 0; i < sizeof (cases) / sizeof (cases[0]); i++) {
+		const struct isolation_case *at = &cases[i];
+		const struct dff_isolation isolation = {STARTED_MS, at->store_ms, at->has_peers,
+							at->peer_ms, PATIENCE_MS};
+		if (dff_is_isolated (&isolation, at->now_ms) != at->isolated)
+			fail_msg ("%s: expected %d", at->what, at->isolated);
+	}
+}
+
+int
+main (void)
+{
+	const struct CMUnitTest tests[] = {cmocka_unit_test (test_isolation)};
+	return cmocka_run_group_tests (tests, NULL, NULL);
+}
