cell: schedules with workers that refuse and fail

Still true and in docs/PROOFS-cell.md: a quarantined worker is let go only after a small job ran there, so gangs alone can wait for ever.

--- a/tests/cell/fake_worker.h
+++ b/tests/cell/fake_worker.h
@@ -29,6 +29,7 @@
 	bool down;
 	bool leaving;
 	bool refuses_starts;
+	bool fails_tasks;
 	/** Times it was asked for its tasks. */
 	int32_t n_queries;
 };
@@ -221,7 +222,7 @@
 		if (open && now_ms >= task->lease_until_ms) {
 			report->state = DFF_TASK_STOPPED;
 		} else if (report->state == DFF_TASK_RUNNING && now_ms >= task->ends_ms) {
-			report->state = DFF_TASK_COMPLETED;
+			report->state = worker->fails_tasks ? DFF_TASK_FAILED : DFF_TASK_COMPLETED;
 			report->result_key = dff_name_from ("result");
 			report->result_length = 3;
 		}
--- a/tests/cell/test-schedules.c
+++ b/tests/cell/test-schedules.c
@@ -3,9 +3,8 @@
 /*
  * Seeded schedules of faults: three cells, four workers, one table. Each seed submits and cancels
  * jobs while processes die, stand still and are cut off, the table stalls and loses answers, and
- * workers go silent, start anew and leave. The harness checks the promises after every step; then
- * everything is healed and every accepted job must have ended. Workers that fail every task are not
- * among the faults: how the core sets them aside is the core's to test.
+ * workers go silent, start anew, leave, refuse and fail. The harness checks the promises after
+ * every step; then everything is healed and every accepted job must have ended.
  *
  * DFF_TEST_SEEDS=FIRST:LAST runs other seeds.
  */
@@ -128,7 +127,7 @@
 {
 	int index = pick (schedule, 0, HARNESS_WORKERS);
 	struct fake_worker *worker = &schedule->harness.fleet.workers[index];
-	int kind = pick (schedule, 0, 4);
+	int kind = pick (schedule, 0, 6);
 	if (kind == 0 && !worker->down)
 		fake_worker_restart (worker);
 	if (kind == 1) {
@@ -137,6 +136,8 @@
 			schedule->harness.clock.now_ms + pick (schedule, 100, 9000);
 	}
 	worker->leaving = kind == 2;
+	worker->refuses_starts = kind == 3;
+	worker->fails_tasks = kind == 4;
 }
 
 static void
@@ -192,6 +193,8 @@
 	}
 	for (int i = 0; i < HARNESS_WORKERS; i++) {
 		harness->fleet.workers[i].leaving = false;
+		harness->fleet.workers[i].refuses_starts = false;
+		harness->fleet.workers[i].fails_tasks = false;
 	}
 }
 
