entry: who asks for an attempt of a dead process is told at once

When that process is dead, or this one has taken its name, the answer is now given at once: unknown, attempt_lost, and no time to come back. Not covered: another process that took the dead one's name. The new test held the repeat for good before; it is answered within 100 ms of virtual time now.

--- a/bench/fleet/load.c
+++ b/bench/fleet/load.c
@@ -89,7 +89,8 @@
 			 (int)response->body.len, response->body.data);
 	if (at_most_once && g_strcmp0 (outcome, "not_run") == 0)
 		end_caller (caller, FLEET_NOT_RUN);
-	else if (caller->kind == FLEET_ONCE && g_strcmp0 (code, "upstream_lost") == 0)
+	else if (caller->kind == FLEET_ONCE &&
+		 (g_strcmp0 (code, "upstream_lost") == 0 || g_strcmp0 (code, "attempt_lost") == 0))
 		end_caller (caller, FLEET_UNKNOWN);
 	else if (response->status >= 429 && response->status != 501)
 		come_back (caller, retry_after_ms (response));
--- a/entry/attempt.c
+++ b/entry/attempt.c
@@ -157,11 +157,18 @@
 }
 
 /* Another process has the attempt, or had it and died. It is waited for as long as it may still
- * end by itself. */
+ * end by itself, and not longer: a caller who is held although nobody will ever answer repeats its
+ * call until it gives up without an outcome. */
 static void
 wait_for_other (struct dff_request *request, const struct attempt_row *row)
 {
 	int64_t now = now_ms (request);
+	struct dff_problem lost = {
+		.status = 504,
+		.code = "attempt_lost",
+		.outcome = DFF_OUTCOME_UNKNOWN,
+		.detail = "The process that had the request is gone.",
+	};
 	struct dff_problem open = {
 		.status = 504,
 		.code = "attempt_open",
@@ -170,6 +177,10 @@
 			  "process is gone.",
 		.retry_after_s = 1,
 	};
+	if (dff_request_owner_is_gone (request->owner->entry, &row->request)) {
+		dff_request_fail (request, &lost);
+		return;
+	}
 	if (request->open_since_ms == 0)
 		request->open_since_ms = now;
 	bool late = now - request->open_since_ms > row->deadline_ms + OPEN_GRACE_MS;
--- a/entry/request_private.h
+++ b/entry/request_private.h
@@ -149,6 +149,15 @@
 /** Puts the attempt on record, then dispatches; or answers from the record. */
 void dff_attempt_begin (struct dff_request *request);
 
+/**
+ * dff_request_owner_is_gone:
+ * @id: of a request that this process does not have
+ *
+ * Returns: whether the process that made @id is known to be dead, or to have been replaced by this
+ * one. Not known of ids that callers chose, nor of a process that another one replaced by name.
+ */
+bool dff_request_owner_is_gone (struct dff_entry *entry, const struct dff_name *id);
+
 /** Stores the outcome of an ended request where it must outlive this process, then forgets it. */
 void dff_request_store (struct dff_request *request);
 
--- a/entry/request_read.c
+++ b/entry/request_read.c
@@ -60,6 +60,18 @@
 	return false;
 }
 
+bool
+dff_request_owner_is_gone (struct dff_entry *entry, const struct dff_name *id)
+{
+	struct dff_str instance;
+	if (!instance_part (id, &instance))
+		return false;
+	/* A request of this process's own predecessor. */
+	if (is_instance (&entry->options.settings->instance, instance))
+		return true;
+	return !is_alive (entry, instance);
+}
+
 /* No answer is kept: the request is in progress elsewhere, or lost, or was never there. */
 static void
 reply_without_answer (struct dff_call *call)
--- a/tests/entry/test-failures.c
+++ b/tests/entry/test-failures.c
@@ -240,6 +240,52 @@
 	g_unlink (key_path);
 }
 
+static struct harness_client *
+send_once (struct harness *harness, int process)
+{
+	struct harness_client *client = harness_connect (harness, process);
+	send_text (client, "POST /v1/services/drafting/requests HTTP/1.1\r\n"
+			   "Authorization: Bearer casework-token\r\nIdempotent: false\r\n"
+			   "Idempotency-Key: bill\r\nContent-Length: 2\r\n\r\n{}");
+	return client;
+}
+
+/* Symptom: after a process died, callers of its requests that run at most once are held, time out,
+ * ask again and give up without an outcome. Sequence: the process dies with the request at a
+ * worker; the caller repeats it elsewhere. Cause: an open attempt was waited for until the caller's
+ * deadline, also when nobody was left to end it. */
+static void
+test_attempt_of_a_dead_process_is_answered_at_once (void **state)
+{
+	(void)state;
+	struct harness *harness = harness_new ();
+	struct harness_answer held = {.outcome = DFF_WORKER_OK, .held = true};
+	harness_set_pool (harness);
+	harness_grant (harness, 1, 600000);
+	harness_next_answer (harness, &held);
+	struct harness_client *first = send_once (harness, 0);
+	harness_run (harness, 100);
+	assert_int_equal (harness->n_run, 1);
+	harness_kill (harness, 0);
+	struct harness_client *early = send_once (harness, 1);
+	harness_run (harness, 1000);
+	assert_false (harness_client_is_whole (early));
+	harness_run (harness, 9000);
+	struct harness_client *late = send_once (harness, 1);
+	harness_run (harness, 100);
+	assert_true (harness_client_is_whole (early));
+	assert_true (harness_client_is_whole (late));
+	assert_int_equal (harness_client_status (late), 504);
+	assert_non_null (strstr (late->received->str, "\"code\":\"attempt_lost\""));
+	assert_non_null (strstr (late->received->str, "\"outcome\":\"unknown\""));
+	assert_null (strstr (late->received->str, "Retry-After"));
+	assert_int_equal (harness->n_run, 1);
+	harness_client_free (first);
+	harness_client_free (early);
+	harness_client_free (late);
+	harness_free (harness);
+}
+
 int
 main (void)
 {
@@ -249,6 +295,7 @@
 		cmocka_unit_test (test_cancellation_does_not_undo_an_end),
 		cmocka_unit_test (test_end_with_everything_in_flight),
 		cmocka_unit_test (test_calls_over_tls),
+		cmocka_unit_test (test_attempt_of_a_dead_process_is_answered_at_once),
 	};
 	return cmocka_run_group_tests (tests, NULL, NULL);
 }
