--- a/bench/fleet.sh
+++ b/bench/fleet.sh
@@ -26,6 +26,7 @@
 	wait 2>/dev/null || true
 }
 trap stop_all EXIT
+trap 'exit 143' TERM INT
 
 # Starts a program under a name; its output is appended, as it may be the second start.
 start()
