--- /dev/null
+++ b/bench/load_pool.h
@@ -0,0 +1,10 @@
+#ifndef DFF_BENCH_LOAD_POOL_H
+#define DFF_BENCH_LOAD_POOL_H
+
+#include "pool/pool.h"
+
+/** Reads a pool file; faults go to standard error. Returns: (transfer full) (nullable): the pool.
+ */
+struct dff_pool *dff_load_pool (const char *path);
+
+#endif
--- a/bench/measure.c
+++ b/bench/measure.c
@@ -2,6 +2,8 @@
 
 #include <math.h>
 
+#include "bench/percentile.h"
+
 /* Jobs shorter than this count as this long in slowdown, so that tiny jobs do not rule it. */
 #define DFF_SLOWDOWN_MIN_MS 10000
 
@@ -11,25 +13,6 @@
 	return (int64_t)job->spec.gang * job->spec.per_task.accelerators;
 }
 
-static int
-compare_doubles (gconstpointer a, gconstpointer b)
-{
-	double left = *(const double *)a;
-	double right = *(const double *)b;
-	return left < right ? -1 : left > right;
-}
-
-/* Nearest rank; sorts @values. */
-static double
-percentile (GArray *values, double share)
-{
-	if (values->len == 0)
-		return 0.0;
-	g_array_sort (values, compare_doubles);
-	guint rank = (guint)ceil (share * values->len);
-	return g_array_index (values, double, MAX (rank, 1) - 1);
-}
-
 static double
 mean (const GArray *values)
 {
@@ -103,13 +86,13 @@
 {
 	json_object_set_new (report, "completion_mean_s", seconds (mean (samples->completion)));
 	json_object_set_new (report, "completion_p99_s",
-			     seconds (percentile (samples->completion, 0.99)));
+			     seconds (dff_percentile (samples->completion, 0.99)));
 	json_object_set_new (report, "slowdown_mean", seconds (mean (samples->slowdown)));
 	json_object_set_new (report, "actual_mean_s", seconds (mean (samples->actual)));
 	json_object_set_new (report, "gang_wait_p95_s",
-			     seconds (percentile (samples->gang_wait, 0.95)));
+			     seconds (dff_percentile (samples->gang_wait, 0.95)));
 	json_object_set_new (report, "urgent_start_p99_s",
-			     seconds (percentile (samples->urgent_wait, 0.99)));
+			     seconds (dff_percentile (samples->urgent_wait, 0.99)));
 }
 
 static void
@@ -145,7 +128,7 @@
 			     json_integer (input->guarantee_violations));
 	json_object_set_new (report, "rule_violations", json_integer (input->rule_violations));
 	json_object_set_new (report, "lost_work_s", seconds ((double)input->lost_work_ms / 1000.0));
-	json_object_set_new (report, "tick_p99_us", seconds (percentile (ticks, 0.99)));
+	json_object_set_new (report, "tick_p99_us", seconds (dff_percentile (ticks, 0.99)));
 	json_object_set_new (report, "decisions_per_s", seconds (rate));
 }
 
--- a/bench/policy.c
+++ b/bench/policy.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "bench/load_pool.h"
 #include "bench/policy.h"
 #include "bench/replay.h"
 
@@ -89,23 +90,6 @@
 	       optind == argc;
 }
 
-static struct dff_pool *
-load_pool (const char *path)
-{
-	g_autoptr (GError) error = NULL;
-	g_autofree char *data = NULL;
-	gsize len = 0;
-	if (!g_file_get_contents (path, &data, &len, &error)) {
-		fprintf (stderr, "%s\n", error->message);
-		return NULL;
-	}
-	g_autoptr (GPtrArray) errors = g_ptr_array_new_with_free_func (g_free);
-	struct dff_pool *pool = dff_pool_parse ((struct dff_str){data, len}, path, errors, NULL);
-	for (guint i = 0; i < errors->len; i++)
-		fprintf (stderr, "%s\n", (const char *)g_ptr_array_index (errors, i));
-	return pool;
-}
-
 static int
 replay (const struct arguments *arguments, const struct dff_replay_options *options)
 {
@@ -125,7 +109,7 @@
 run (const struct arguments *arguments)
 {
 	g_autoptr (GError) error = NULL;
-	DFF_AUTO (dff_pool) pool = load_pool (arguments->pool);
+	DFF_AUTO (dff_pool) pool = dff_load_pool (arguments->pool);
 	if (pool == NULL)
 		return EXIT_FAILURE;
 	DFF_AUTO (dff_session) session = dff_session_load (arguments->session, &error);
--- a/bench/tick.c
+++ b/bench/tick.c
@@ -1,9 +1,10 @@
 #include <inttypes.h>
-#include <math.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <time.h>
 
+#include "bench/load_pool.h"
+#include "bench/percentile.h"
 #include "bench/policy.h"
 #include "bench/replay.h"
 
@@ -27,25 +28,6 @@
 	return (double)time.tv_sec * 1e6 + (double)time.tv_nsec / 1e3;
 }
 
-static int
-compare_doubles (gconstpointer a, gconstpointer b)
-{
-	double left = *(const double *)a;
-	double right = *(const double *)b;
-	return left < right ? -1 : left > right;
-}
-
-/* Nearest rank; sorts @values. */
-static double
-percentile (GArray *values, double share)
-{
-	if (values->len == 0)
-		return 0.0;
-	g_array_sort (values, compare_doubles);
-	guint rank = (guint)ceil (share * values->len);
-	return g_array_index (values, double, MAX (rank, 1) - 1);
-}
-
 /* Ticks at times between those of the replay, when nothing is due. */
 static GArray *
 time_idle_ticks (struct dff_policy *policy, int64_t now_ms)
@@ -148,23 +130,9 @@
 		"\"placed_p50_us\": %.1f, \"placed_p99_us\": %.1f, \"waited\": %u, "
 		"\"waited_p99_us\": %.1f}\n",
 		stats.workers_up, stats.accelerators_total, stats.accelerators_free, stats.running,
-		tasks, stats.queued, percentile (idle, 0.5), percentile (idle, 0.99), placed->len,
-		percentile (placed, 0.5), percentile (placed, 0.99), waited->len,
-		percentile (waited, 0.99));
-}
-
-static struct dff_pool *
-load_pool (const char *path)
-{
-	g_autofree char *data = NULL;
-	gsize len = 0;
-	g_autoptr (GError) error = NULL;
-	struct dff_pool *pool = NULL;
-	if (g_file_get_contents (path, &data, &len, &error))
-		pool = dff_pool_parse ((struct dff_str){data, len}, path, NULL, &error);
-	if (pool == NULL)
-		fprintf (stderr, "%s\n", error->message);
-	return pool;
+		tasks, stats.queued, dff_percentile (idle, 0.5), dff_percentile (idle, 0.99),
+		placed->len, dff_percentile (placed, 0.5), dff_percentile (placed, 0.99),
+		waited->len, dff_percentile (waited, 0.99));
 }
 
 static int
@@ -192,7 +160,7 @@
 		return DFF_EXIT_USAGE;
 	}
 	g_autoptr (GError) error = NULL;
-	DFF_AUTO (dff_pool) pool = load_pool (argv[1]);
+	DFF_AUTO (dff_pool) pool = dff_load_pool (argv[1]);
 	DFF_AUTO (dff_session) session = dff_session_load (argv[2], &error);
 	if (session == NULL)
 		fprintf (stderr, "%s\n", error->message);
