pool: one deep copy in place of the cell's own

cell/pool_copy.c repeated the tables and clean-up functions of pool/pool.c to keep a pool past the call that lends it, and pool/ computed digests around common/digest. dff_pool_copy copies every table, the cell uses it, and the stored digest has one name for its length. The copy now holds the token digests too, which are no secrets. A test reads the copy after the original is freed.

--- a/cell/cell.c
+++ b/cell/cell.c
@@ -141,7 +141,7 @@
 {
 	clear_tables (cell);
 	dff_lease_free (cell->lease);
-	dff_cell_pool_free (cell->pool);
+	dff_pool_free (cell->pool);
 	g_rand_free (cell->rand);
 	g_string_free (cell->prefix, TRUE);
 	g_array_unref (cell->events);
@@ -285,8 +285,9 @@
 void
 dff_cell_set_pool (struct dff_cell *cell, const struct dff_pool *pool)
 {
-	dff_cell_pool_free (cell->pool);
-	cell->pool = dff_cell_pool_copy (pool);
+	dff_pool_free (cell->pool);
+	/* The pool is lent for this call, but every take-over starts a new core that needs it. */
+	cell->pool = dff_pool_copy (pool);
 	if (cell->core != NULL)
 		dff_core_set_pool (cell->core, cell->pool, dff_cell_now_ms (cell));
 	/* Workers that the new pool declares are unknown to the core until it is told of them. */
--- a/cell/cell_private.h
+++ b/cell/cell_private.h
@@ -444,11 +444,4 @@
 /** A member has started: with the last one the job runs. */
 void dff_cell_span_started (struct dff_cell *cell, struct dff_cell_job *job);
 
-/* pool_copy.c */
-
-/** Returns: (transfer full): the parts of @pool that the core reads, without secrets. */
-struct dff_pool *dff_cell_pool_copy (const struct dff_pool *pool);
-
-void dff_cell_pool_free (struct dff_pool *pool);
-
 #endif
--- a/include/pool/pool.h
+++ b/include/pool/pool.h
@@ -110,6 +110,9 @@
 struct dff_pool *
 dff_pool_parse (struct dff_str text, const char *source, GPtrArray *errors, GError **error);
 
+/** Returns: (transfer full): a deep copy, for whoever keeps a pool past the call that lent it. */
+struct dff_pool *dff_pool_copy (const struct dff_pool *pool);
+
 void dff_pool_free (struct dff_pool *pool);
 
 DFF_DEFINE_CLEANUP (dff_pool, dff_pool_free);
--- a/pool/check.c
+++ b/pool/check.c
@@ -1,7 +1,7 @@
 #include "pool/check.h"
 
+#include "common/digest.h"
 #include "pool/packing.h"
-#include "pool/private.h"
 
 static const struct dff_rack *
 pool_rack (const struct dff_pool *pool, guint index)
@@ -105,8 +105,8 @@
 	       guint index)
 {
 	for (guint i = 0; i < digests->len; i++) {
-		const char *digest = digests->data + (size_t)i * DFF_POOL_DIGEST_SIZE;
-		GBytes *bytes = g_bytes_new_static (digest, DFF_POOL_DIGEST_SIZE);
+		const char *digest = digests->data + (size_t)i * DFF_DIGEST_BYTES;
+		GBytes *bytes = g_bytes_new_static (digest, DFF_DIGEST_BYTES);
 		if (!g_hash_table_add (seen, bytes))
 			fault_at (reader, "expected a token digest used once",
 				  "%s[%u].token_digests", key, index);
--- a/pool/entries.c
+++ b/pool/entries.c
@@ -3,7 +3,7 @@
 #include <sodium.h>
 #include <string.h>
 
-#include "pool/private.h"
+#include "common/digest.h"
 
 /* A region's name is part of every job id, which has to stay under DFF_NAME_MAX. */
 #define DFF_REGION_NAME_MAX 16
@@ -30,18 +30,18 @@
 		return false;
 	const char *hex = text + strlen (digest_prefix);
 	size_t len = 0;
-	if (strlen (hex) != (size_t)2 * DFF_POOL_DIGEST_SIZE)
+	if (strlen (hex) != (size_t)2 * DFF_DIGEST_BYTES)
 		return false;
-	if (sodium_hex2bin (digest, DFF_POOL_DIGEST_SIZE, hex, strlen (hex), NULL, &len, NULL) != 0)
+	if (sodium_hex2bin (digest, DFF_DIGEST_BYTES, hex, strlen (hex), NULL, &len, NULL) != 0)
 		return false;
-	return len == DFF_POOL_DIGEST_SIZE;
+	return len == DFF_DIGEST_BYTES;
 }
 
 static void
 read_digest (struct dff_pool_reader *reader, const json_t *value, void *user)
 {
 	GArray *digests = user;
-	uint8_t digest[DFF_POOL_DIGEST_SIZE];
+	uint8_t digest[DFF_DIGEST_BYTES];
 	if (digest_parse (value, digest))
 		g_array_append_vals (digests, digest, 1);
 	else
@@ -52,7 +52,7 @@
 static GArray *
 read_digests (struct dff_pool_reader *reader, const json_t *object)
 {
-	GArray *digests = g_array_new (FALSE, FALSE, DFF_POOL_DIGEST_SIZE);
+	GArray *digests = g_array_new (FALSE, FALSE, DFF_DIGEST_BYTES);
 	dff_pool_reader_array (reader, object, "token_digests", false, read_digest, digests);
 	return digests;
 }
--- a/pool/pool.c
+++ b/pool/pool.c
@@ -2,6 +2,7 @@
 
 #include <sodium.h>
 
+#include "common/digest.h"
 #include "pool/private.h"
 
 /* Where no shape fits a rack, fragmentation is counted in units of this many accelerators. */
@@ -66,6 +67,42 @@
 	g_free (pool);
 }
 
+static GArray *
+copy_array (const GArray *array)
+{
+	return g_array_copy ((GArray *)array);
+}
+
+struct dff_pool *
+dff_pool_copy (const struct dff_pool *pool)
+{
+	struct dff_pool *copy = dff_pool_new ();
+	copy->generation = pool->generation;
+	copy->weights = pool->weights;
+	for (guint i = 0; i < pool->teams->len; i++) {
+		struct dff_team team = g_array_index (pool->teams, struct dff_team, i);
+		team.token_digests = copy_array (team.token_digests);
+		team.guarantees = copy_array (team.guarantees);
+		g_array_append_val (copy->teams, team);
+	}
+	for (guint i = 0; i < pool->services->len; i++) {
+		struct dff_service service = g_array_index (pool->services, struct dff_service, i);
+		service.teams = copy_array (service.teams);
+		g_array_append_val (copy->services, service);
+	}
+	for (guint i = 0; i < pool->racks->len; i++) {
+		struct dff_rack rack = g_array_index (pool->racks, struct dff_rack, i);
+		rack.workers = copy_array (rack.workers);
+		g_array_append_val (copy->racks, rack);
+	}
+	for (guint i = 0; i < pool->operators->len; i++) {
+		struct dff_operator entry = g_array_index (pool->operators, struct dff_operator, i);
+		entry.token_digests = copy_array (entry.token_digests);
+		g_array_append_val (copy->operators, entry);
+	}
+	return copy;
+}
+
 const struct dff_team *
 dff_pool_find_team (const struct dff_pool *pool, const struct dff_name *name)
 {
@@ -96,8 +133,8 @@
 {
 	bool found = false;
 	for (guint i = 0; i < digests->len; i++) {
-		const char *stored = digests->data + (size_t)i * DFF_POOL_DIGEST_SIZE;
-		found |= sodium_memcmp (stored, digest, DFF_POOL_DIGEST_SIZE) == 0;
+		const char *stored = digests->data + (size_t)i * DFF_DIGEST_BYTES;
+		found |= sodium_memcmp (stored, digest, DFF_DIGEST_BYTES) == 0;
 	}
 	return found;
 }
@@ -106,8 +143,8 @@
 dff_pool_authenticate (const struct dff_pool *pool, struct dff_str token)
 {
 	struct dff_principal principal = {0};
-	uint8_t digest[DFF_POOL_DIGEST_SIZE];
-	crypto_hash_sha256 (digest, (const unsigned char *)token.data, token.len);
+	uint8_t digest[DFF_DIGEST_BYTES];
+	dff_digest (token, digest);
 	for (guint i = 0; i < pool->teams->len; i++) {
 		const struct dff_team *team = &g_array_index (pool->teams, struct dff_team, i);
 		if (digests_hold (team->token_digests, digest))
--- a/tests/pool/test-pool.c
+++ b/tests/pool/test-pool.c
@@ -254,6 +254,29 @@
 	assert_false (dff_pool_authenticate (pool, dff_str_from ("")).known);
 }
 
+/* Symptom: a cell's core reads freed memory after a pool file is replaced. Sequence: a pool is
+ * copied and freed, then the copy is read. Cause: a table of the copy is shared with the original.
+ */
+static void
+test_copy_outlives_original (void **state)
+{
+	(void)state;
+	static const char text[] = POOL (TWO_RACKS, TEAM ("t", SHAPE (1, 12)));
+	struct dff_pool *pool = dff_pool_parse (dff_str_from (text), "p", NULL, NULL);
+	assert_non_null (pool);
+	pool->generation = 7;
+	struct dff_pool *copy = dff_pool_copy (pool);
+	dff_pool_free (pool);
+	const struct dff_rack *rack = &g_array_index (copy->racks, struct dff_rack, 1);
+	struct dff_name name = dff_name_from ("t");
+	assert_int_equal (copy->generation, 7);
+	assert_int_equal (copy->racks->len, 2);
+	assert_true (rack->workers->len > 0);
+	assert_non_null (dff_pool_find_team (copy, &name));
+	assert_int_equal (dff_pool_adjacent_unit (copy), 12);
+	dff_pool_free (copy);
+}
+
 static void
 test_adjacent_unit (void **state)
 {
@@ -284,6 +307,7 @@
 		cmocka_unit_test (test_every_fault_with_its_line),
 		cmocka_unit_test (test_truncated_text),
 		cmocka_unit_test (test_authenticate),
+		cmocka_unit_test (test_copy_outlives_original),
 		cmocka_unit_test (test_adjacent_unit),
 	};
 	return cmocka_run_group_tests (tests, NULL, NULL);
