--- a/client/call.c
+++ b/client/call.c
@@ -8,6 +8,7 @@
 
 #include "client/command.h"
 #include "common/clock.h"
+#include "common/digest.h"
 #include "common/http_client.h"
 
 #define DEFAULT_ANSWER_TIMEOUT_MS 10000
@@ -353,9 +354,8 @@
 		return true;
 	if (!g_str_has_prefix (response->digest->str, prefix))
 		return false;
-	unsigned char digest[crypto_hash_sha256_BYTES];
-	crypto_hash_sha256 (digest, (const unsigned char *)response->body->str,
-			    response->body->len);
+	uint8_t digest[DFF_DIGEST_BYTES];
+	dff_digest ((struct dff_str){response->body->str, response->body->len}, digest);
 	char text[sodium_base64_ENCODED_LEN (sizeof (digest), sodium_base64_VARIANT_ORIGINAL)];
 	sodium_bin2base64 (text, sizeof (text), digest, sizeof (digest),
 			   sodium_base64_VARIANT_ORIGINAL);
--- a/client/keygen.c
+++ b/client/keygen.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "client/command.h"
+#include "common/digest.h"
 #include "peer/zmq_transport.h"
 
 #define TOKEN_BYTES 32
@@ -34,15 +35,13 @@
 print_token (void)
 {
 	unsigned char random[TOKEN_BYTES];
-	unsigned char digest[crypto_hash_sha256_BYTES];
 	char token[sodium_base64_ENCODED_LEN (TOKEN_BYTES,
 					      sodium_base64_VARIANT_URLSAFE_NO_PADDING)];
-	char hex[crypto_hash_sha256_BYTES * 2 + 1];
+	char hex[DFF_DIGEST_HEX_LEN + 1];
 	randombytes_buf (random, sizeof (random));
 	sodium_bin2base64 (token, sizeof (token), random, sizeof (random),
 			   sodium_base64_VARIANT_URLSAFE_NO_PADDING);
-	crypto_hash_sha256 (digest, (const unsigned char *)token, strlen (token));
-	sodium_bin2hex (hex, sizeof (hex), digest, sizeof (digest));
+	dff_digest_hex (dff_str_from (token), hex);
 	printf ("token:  %s\ndigest: sha256:%s\n", token, hex);
 	return DFF_EXIT_OK;
 }
--- a/entry/auth.c
+++ b/entry/auth.c
@@ -3,11 +3,11 @@
 #include <sodium.h>
 #include <string.h>
 
+#include "common/digest.h"
 #include "entry/private.h"
 #include "entry/reply.h"
 
 #define BEARER "Bearer "
-#define DIGEST_BYTES 32
 #define DIGEST_PREFIX "sha256:"
 
 static struct dff_str
@@ -24,16 +24,16 @@
 is_bootstrap_token (const struct dff_entry *entry, struct dff_str token)
 {
 	const GString *digest = entry->options.settings->bootstrap_token_digest;
-	unsigned char expected[DIGEST_BYTES];
-	unsigned char actual[DIGEST_BYTES];
+	uint8_t expected[DFF_DIGEST_BYTES];
+	uint8_t actual[DFF_DIGEST_BYTES];
 	size_t len = 0;
 	if (digest == NULL || !g_str_has_prefix (digest->str, DIGEST_PREFIX))
 		return false;
 	const char *hex = digest->str + strlen (DIGEST_PREFIX);
 	if (sodium_hex2bin (expected, sizeof (expected), hex, strlen (hex), NULL, &len, NULL) != 0)
 		return false;
-	crypto_hash_sha256 (actual, (const unsigned char *)token.data, token.len);
-	return len == DIGEST_BYTES && sodium_memcmp (expected, actual, DIGEST_BYTES) == 0;
+	dff_digest (token, actual);
+	return len == DFF_DIGEST_BYTES && sodium_memcmp (expected, actual, len) == 0;
 }
 
 static struct dff_principal
--- a/standin/platform_handlers.c
+++ b/standin/platform_handlers.c
@@ -6,6 +6,7 @@
 #include <string.h>
 #include <sys/socket.h>
 
+#include "common/digest.h"
 #include "common/log.h"
 #include "platform/instance_wire.h"
 #include "platform/table_wire.h"
@@ -205,7 +206,8 @@
 {
 	g_autofree char *text = json_dumps (list, JSON_COMPACT);
 	json_decref (list);
-	g_autofree char *digest = g_compute_checksum_for_string (G_CHECKSUM_SHA256, text, -1);
+	char digest[DFF_DIGEST_HEX_LEN + 1];
+	dff_digest_hex (dff_str_from (text), digest);
 	g_autofree char *tag = g_strdup_printf ("\"%.*s\"", ETAG_DIGITS, digest);
 	const char *known =
 		evhttp_find_header (evhttp_request_get_input_headers (request), "If-None-Match");
--- a/standin/worker_objects.c
+++ b/standin/worker_objects.c
@@ -4,6 +4,8 @@
 #include <jansson.h>
 #include <sodium.h>
 
+#include "common/digest.h"
+
 #define RETRY_MS 200
 
 struct dff_worker_objects {
@@ -78,20 +80,14 @@
 				task->member);
 }
 
-static void
-hex_of (const unsigned char digest[crypto_hash_sha256_BYTES], char out[65])
-{
-	sodium_bin2hex (out, 65, digest, crypto_hash_sha256_BYTES);
-}
-
 /** Digest of the bytes written so far, which go on being added to. */
 static void
-hex_of_whole (const struct object_job *job, char out[65])
+hex_of_whole (const struct object_job *job, char out[DFF_DIGEST_HEX_LEN + 1])
 {
 	unsigned char digest[crypto_hash_sha256_BYTES];
 	crypto_hash_sha256_state state = job->digest;
 	crypto_hash_sha256_final (&state, digest);
-	hex_of (digest, out);
+	sodium_bin2hex (out, DFF_DIGEST_HEX_LEN + 1, digest, sizeof (digest));
 }
 
 /** The bytes of a result: the task's name, over and over, so that a wrong chunk shows. */
@@ -115,7 +111,7 @@
 		retry_later (job);
 		return;
 	}
-	char hex[65];
+	char hex[DFF_DIGEST_HEX_LEN + 1];
 	struct dff_name key;
 	hex_of_whole (job, hex);
 	bool fits = dff_task_result_key (&job->task, &key);
@@ -127,7 +123,7 @@
 static void
 write_manifest (struct object_job *job)
 {
-	char hex[65];
+	char hex[DFF_DIGEST_HEX_LEN + 1];
 	hex_of_whole (job, hex);
 	g_autoptr (GString) text = g_string_new (NULL);
 	g_string_append_printf (text, "{\"length\":%" PRId64 ",\"digest\":\"%s\",\"chunks\":[%s]}",
@@ -142,10 +138,8 @@
 static void
 list_chunk (struct object_job *job, const GString *chunk)
 {
-	unsigned char digest[crypto_hash_sha256_BYTES];
-	char hex[65];
-	crypto_hash_sha256 (digest, (const unsigned char *)chunk->str, chunk->len);
-	hex_of (digest, hex);
+	char hex[DFF_DIGEST_HEX_LEN + 1];
+	dff_digest_hex ((struct dff_str){chunk->str, chunk->len}, hex);
 	crypto_hash_sha256_update (&job->digest, (const unsigned char *)chunk->str, chunk->len);
 	g_string_append_printf (job->manifest,
 				"%s{\"offset\":%" PRId64 ",\"length\":%" G_GSIZE_FORMAT
