standin: the platform listens through common/http_listen

standin/platform_server.c had a copy of the address parsing and port look-up of dff_http_listen, so that a fault in one had to be mended in both. It calls dff_http_listen now.

--- a/standin/platform_server.c
+++ b/standin/platform_server.c
@@ -1,13 +1,12 @@
 #include "standin/platform_server.h"
 
-#include <arpa/inet.h>
 #include <event2/buffer.h>
 #include <event2/http.h>
 #include <event2/util.h>
 #include <stdlib.h>
 #include <string.h>
-#include <sys/socket.h>
 
+#include "common/http_listen.h"
 #include "standin/platform_handlers.h"
 
 #define MAX_BODY_BYTES (16 << 20)
@@ -116,41 +115,6 @@
 	advance (server);
 }
 
-/* libevent's own parser refuses port 0. */
-static bool
-parse_address (const struct dff_name *address, char ip[INET_ADDRSTRLEN], uint16_t *port)
-{
-	const char *colon = strrchr (address->data, ':');
-	struct in_addr parsed;
-	guint64 number;
-	if (colon == NULL || colon - address->data >= INET_ADDRSTRLEN)
-		return false;
-	g_strlcpy (ip, address->data, (gsize)(colon - address->data) + 1);
-	if (inet_pton (AF_INET, ip, &parsed) != 1 ||
-	    !g_ascii_string_to_unsigned (colon + 1, 10, 0, UINT16_MAX, &number, NULL))
-		return false;
-	*port = (uint16_t)number;
-	return true;
-}
-
-static bool
-listen_on (struct dff_platform_server *server, const struct dff_name *address)
-{
-	char ip[INET_ADDRSTRLEN];
-	uint16_t port;
-	if (!parse_address (address, ip, &port))
-		return false;
-	struct evhttp_bound_socket *handle =
-		evhttp_bind_socket_with_handle (server->http, ip, port);
-	if (handle == NULL)
-		return false;
-	struct sockaddr_in bound = {0};
-	socklen_t len = sizeof (bound);
-	getsockname (evhttp_bound_socket_get_fd (handle), (struct sockaddr *)&bound, &len);
-	server->address = dff_name_printf ("%s:%d", ip, ntohs (bound.sin_port));
-	return true;
-}
-
 struct dff_platform_server *
 dff_platform_server_new (const struct dff_platform_server_options *options)
 {
@@ -175,7 +139,7 @@
 	server->http = evhttp_new (options->base);
 	evhttp_set_max_body_size (server->http, MAX_BODY_BYTES);
 	evhttp_set_gencb (server->http, take_request, server);
-	if (listen_on (server, &options->listen))
+	if (dff_http_listen (server->http, &options->listen, &server->address))
 		return server;
 	dff_platform_server_free (server);
 	return NULL;
