common: one JSON locator for settings and pool files

daemon/settings.c and pool/locate.c each walked the text to find the line of a fault, with their own string skipping. The walker stands in common/json_locate now: lines by path, and lines of the keys of the outermost object. A case with escapes, dots and nested values pins the lines of settings keys.

--- a/pool/locate.c
+++ b/common/json_locate.c
@@ -1,4 +1,4 @@
-#include "pool/locate.h"
+#include "common/json_locate.h"
 
 #include <string.h>
 
@@ -120,7 +120,7 @@
 }
 
 int
-dff_pool_locate (struct dff_str text, const char *path)
+dff_json_locate (struct dff_str text, const char *path)
 {
 	struct scanner scanner = {.text = text, .line = 1};
 	scanner_next (&scanner);
@@ -132,3 +132,19 @@
 	}
 	return line;
 }
+
+GArray *
+dff_json_key_lines (struct dff_str text)
+{
+	struct scanner scanner = {.text = text, .line = 1};
+	GArray *lines = g_array_new (FALSE, FALSE, sizeof (int));
+	if (scanner_next (&scanner) != '{')
+		return lines;
+	scanner_advance (&scanner);
+	while (scanner_next (&scanner) == '"') {
+		g_array_append_val (lines, scanner.line);
+		scanner_skip_string (&scanner);
+		scanner_skip_value (&scanner);
+	}
+	return lines;
+}
--- a/daemon/settings.c
+++ b/daemon/settings.c
@@ -3,6 +3,7 @@
 #include <jansson.h>
 #include <string.h>
 
+#include "common/json_locate.h"
 #include "daemon/settings_keys.h"
 
 #define MAX_FILE_BYTES 1048576
@@ -54,50 +55,6 @@
 		g_ptr_array_add (parse->errors, g_steal_pointer (&full));
 }
 
-/* Returns: the offset behind the string that begins at @start, in text that jansson accepted. */
-static size_t
-skip_string (struct dff_str text, size_t start)
-{
-	size_t i = start + 1;
-	while (i < text.len && text.data[i] != '"')
-		i += text.data[i] == '\\' ? 2 : 1;
-	return i + 1;
-}
-
-static bool
-is_key (struct dff_str text, size_t after_string)
-{
-	size_t i = after_string;
-	while (i < text.len && g_ascii_isspace (text.data[i]))
-		i++;
-	return i < text.len && text.data[i] == ':';
-}
-
-/* jansson keeps no positions of values. The nth key in its insertion order is the nth key of the
- * text, because duplicates are refused. */
-static GArray *
-find_key_lines (struct dff_str text)
-{
-	GArray *lines = g_array_new (FALSE, FALSE, sizeof (int));
-	int line = 1;
-	int depth = 0;
-	size_t i = 0;
-	while (i < text.len) {
-		char byte = text.data[i];
-		if (byte == '"') {
-			size_t end = skip_string (text, i);
-			if (depth == 1 && is_key (text, end))
-				g_array_append_val (lines, line);
-			i = end;
-			continue;
-		}
-		line += byte == '\n';
-		depth += (byte == '{' || byte == '[') - (byte == '}' || byte == ']');
-		i++;
-	}
-	return lines;
-}
-
 static int
 line_of_key (const struct parse *parse, const char *key)
 {
@@ -207,7 +164,9 @@
 		report (parse, DFF_SETTINGS_ERROR_SYNTAX, 1, "syntax: expected an object");
 		return;
 	}
-	parse->key_lines = find_key_lines (parse->text);
+	/* The nth key in jansson's insertion order is the nth key of the text, because duplicates
+	 * are refused. */
+	parse->key_lines = dff_json_key_lines (parse->text);
 	read_keys (parse, settings);
 	check_required (parse);
 	check_tls (parse, settings);
--- /dev/null
+++ b/include/common/json_locate.h
@@ -0,0 +1,31 @@
+#ifndef DFF_COMMON_JSON_LOCATE_H
+#define DFF_COMMON_JSON_LOCATE_H
+
+#include <glib.h>
+
+#include "common/str.h"
+
+/* Lines of values in a JSON text, for messages about faults. jansson keeps positions for syntax
+ * errors only, so the text is walked once more. */
+
+/**
+ * dff_json_locate:
+ * @text: valid JSON
+ * @path: "teams[2].guarantees[0].accelerators"; empty: the whole text
+ *
+ * Returns: the line, from 1, of the deepest entry of @path that exists.
+ */
+int dff_json_locate (struct dff_str text, const char *path);
+
+/**
+ * dff_json_key_lines:
+ * @text: valid JSON
+ *
+ * Unlike a path, the place of a key in its object also finds keys that hold '.', '[' or escapes.
+ *
+ * Returns: (transfer full): the line, from 1, of each key of the outermost object, in the order of
+ * the text; nothing when it is no object. Elements: int.
+ */
+GArray *dff_json_key_lines (struct dff_str text);
+
+#endif
--- a/pool/reader.c
+++ b/pool/reader.c
@@ -2,7 +2,7 @@
 
 #include <string.h>
 
-#include "pool/locate.h"
+#include "common/json_locate.h"
 
 /* Keys come from outside and go to a terminal: control bytes are escaped and the length bounded. */
 #define DFF_KEY_SHOWN_MAX 64
@@ -28,7 +28,7 @@
 	va_start (args, format);
 	g_autofree char *expected = g_strdup_vprintf (format, args);
 	va_end (args);
-	int line = dff_pool_locate (reader->text, reader->path->str);
+	int line = dff_json_locate (reader->text, reader->path->str);
 	const char *path = reader->path->len > 0 ? reader->path->str : "file";
 	reader_report (reader, code,
 		       g_strdup_printf ("%s:%d: %s: %s", reader->source, line, path, expected));
--- a/tests/daemon/test-settings.c
+++ b/tests/daemon/test-settings.c
@@ -46,6 +46,9 @@
 	 "f:14: max_requests: expected an integer from 1 to 100000\n"},
 	{REQUIRED ",\n\"trace_path\": \"a\\\"{\",\n\"tick_ms\": 9223372036854775807}",
 	 "f:13: tick_ms: expected an integer from 1 to 1000 (ms)\n"},
+	{REQUIRED ",\n\"trace_path\": [[], {\"a\": [true, \"}\"]}, 1],\n\"ti\\u0063k.x[0]\": 1}",
+	 "f:12: trace_path: expected a string\n"
+	 "f:13: tick.x[0]: unknown key; expected one of dragonflyfold-settings(5)\n"},
 	{REQUIRED ",\n\"log_level\": \"loud\"}",
 	 "f:12: log_level: expected \"debug\", \"info\", \"warning\" or \"error\"\n"},
 	{REQUIRED ",\n\"tls_key\": \"key.pem\"}",
--- a/tests/pool/test-pool.c
+++ b/tests/pool/test-pool.c
@@ -7,7 +7,7 @@
 
 #include <string.h>
 
-#include "pool/locate.h"
+#include "common/json_locate.h"
 #include "pool/pool.h"
 
 #define ALPHA_DIGEST "sha256:48d40cd93e9b8aec3d8c3d26e1fbd58d2c5d2dab9a4ac8ef7fd8a82d9e2eaa1f"
@@ -229,7 +229,7 @@
 		struct dff_str cut = {copy, len};
 		DFF_AUTO (dff_pool) pool = dff_pool_parse (cut, "p", NULL, NULL);
 		assert_null (pool);
-		assert_true (dff_pool_locate (cut, "teams[0].guarantees[0].gangs") >= 1);
+		assert_true (dff_json_locate (cut, "teams[0].guarantees[0].gangs") >= 1);
 	}
 }
 
