core: free accelerators of overloaded workers, a new pool judged by class

Cause: UBSan found a negative count of a rack's free accelerators shifted left in the property test: where recovered rows overload a worker, leases were taken off the sum that counted the worker as full, and given back on top of it. A new pool judged each queued job alone, which is a placement a job. Change: one function moves a worker's use and its rack's sum together, dff_core_check() counts racks anew, queued jobs are judged once a class.

--- a/core/check.c
+++ b/core/check.c
@@ -171,6 +171,22 @@
 	return broken;
 }
 
+static char *
+check_rack (const struct dff_core *core, const struct dff_core_rack *rack)
+{
+	int32_t unused = 0;
+	for (guint i = 0; i < rack->workers->len; i++) {
+		const struct dff_core_worker *worker =
+			dff_core_worker_at (core, g_array_index (rack->workers, int32_t, i));
+		if (dff_core_worker_usable (worker))
+			unused +=
+				MAX (worker->capacity.accelerators - worker->used.accelerators, 0);
+	}
+	if (unused == rack->free_accelerators)
+		return NULL;
+	return g_strdup_printf ("free accelerators miscounted: rack=%s", rack->name.data);
+}
+
 char *
 dff_core_check (const struct dff_core *core)
 {
@@ -188,5 +204,7 @@
 		if (broken == NULL)
 			broken = check_bound (core, worker, &tallies[i]);
 	}
+	for (guint i = 0; broken == NULL && i < core->racks->len; i++)
+		broken = check_rack (core, dff_core_rack_at (core, (int32_t)i));
 	return broken;
 }
--- a/core/core.c
+++ b/core/core.c
@@ -152,24 +152,34 @@
 	return dff_core_place (core, job, DFF_CORE_VIEW_EMPTY, workers) ? NULL : "never_runnable";
 }
 
-/* A new pool may make queued jobs impossible: they end now instead of waiting for ever. */
 static void
-refuse_queued (struct dff_core *core)
+refuse_class (struct dff_core *core, struct dff_core_class *queue_class)
 {
-	g_autoptr (GPtrArray) jobs = g_ptr_array_new ();
-	GHashTableIter iter;
-	gpointer value;
-	g_hash_table_iter_init (&iter, core->jobs);
-	while (g_hash_table_iter_next (&iter, NULL, &value)) {
-		const struct dff_core_job *job = value;
-		if (job->state == DFF_CORE_QUEUED || job->state == DFF_CORE_DELAYED)
-			g_ptr_array_add (jobs, value);
+	const char *reason = refusal (core, queue_class->jobs.head->data);
+	if (reason == NULL)
+		return;
+	/* The class goes with its last job. */
+	bool last = false;
+	while (!last) {
+		last = queue_class->jobs.length == 1;
+		dff_core_job_give_up (core, queue_class->jobs.head->data, reason);
 	}
-	for (guint i = 0; i < jobs->len; i++) {
-		struct dff_core_job *job = g_ptr_array_index (jobs, i);
-		const char *reason = refusal (core, job);
+}
+
+/* A new pool may make queued jobs impossible: they end now instead of waiting for ever. Judged once
+ * for all that are alike, because a hundred thousand may wait when a pool file is applied. */
+static void
+refuse_queued (struct dff_core *core)
+{
+	g_autoptr (GList) classes = g_hash_table_get_values (core->classes);
+	for (GList *link = classes; link != NULL; link = link->next)
+		refuse_class (core, link->data);
+	GList *next = NULL;
+	for (GList *link = core->delayed.head; link != NULL; link = next) {
+		next = link->next;
+		const char *reason = refusal (core, link->data);
 		if (reason != NULL)
-			dff_core_job_give_up (core, job, reason);
+			dff_core_job_give_up (core, link->data, reason);
 	}
 }
 
--- a/core/place.c
+++ b/core/place.c
@@ -4,6 +4,10 @@
 
 /* Best fit: within what is allowed, the racks and workers that are left with least. */
 
+/** Lets free accelerators count before free slots. */
+#define ACCELERATOR_FIRST (1 << 12)
+/** Lets the racks' order count before that of the workers in them. */
+#define RACK_FIRST (1 << 20)
 /** Puts racks whose last whole piece a job would break behind all others. */
 #define WHOLE_BROKEN 1000000
 
@@ -96,7 +100,8 @@
 		/* Accelerators first: a task without any keeps off workers that have some left. */
 		struct candidate candidate = {.worker = index,
 					      .fits = fits,
-					      .left = room.accelerators * 4096 + room.slots};
+					      .left = room.accelerators * ACCELERATOR_FIRST +
+						      room.slots};
 		g_array_append_val (out, candidate);
 	}
 }
@@ -328,7 +333,7 @@
 		rack_candidates (core, rack, job, view, candidates);
 		for (guint j = before; j < candidates->len; j++)
 			g_array_index (candidates, struct candidate, j).left +=
-				rack->free_accelerators << 20;
+				rack->free_accelerators * RACK_FIRST;
 	}
 	if (is_evicting (view))
 		return fill_evicting (core, job, candidates, workers) >= 0;
--- a/core/queue.c
+++ b/core/queue.c
@@ -70,12 +70,13 @@
 	struct dff_core_class *queue_class = class_for (core, job);
 	job->queue_class = queue_class;
 	core->dirty = true;
-	/* Nearly always the newest; a job that comes back after an attempt goes before younger. */
-	GList *before = NULL;
-	for (GList *at = queue_class->jobs.tail; at != NULL; at = at->prev) {
-		if (dff_core_compare_age (at->data, job) <= 0)
-			break;
-		before = at;
+	/* Nearly always the newest; a job that comes back after an attempt is mostly the oldest. */
+	GList *before = queue_class->jobs.head;
+	if (before != NULL && dff_core_compare_age (before->data, job) <= 0) {
+		GList *after = queue_class->jobs.tail;
+		while (dff_core_compare_age (after->data, job) > 0)
+			after = after->prev;
+		before = after->next;
 	}
 	if (before == NULL)
 		g_queue_push_tail_link (&queue_class->jobs, &job->link);
--- a/core/tables.c
+++ b/core/tables.c
@@ -167,11 +167,26 @@
 	worker->overloaded = !dff_resources_covered (&unused) || !dff_resources_covered (&unbound);
 }
 
+/* Accelerators that a worker adds to what its rack has free. */
+static int32_t
+free_accelerators (const struct dff_core_worker *worker)
+{
+	if (!dff_core_worker_usable (worker))
+		return 0;
+	return MAX (worker->capacity.accelerators - worker->used.accelerators, 0);
+}
+
 static void
-rack_free_add (struct dff_core *core, const struct dff_core_worker *worker, int32_t accelerators)
+worker_use (struct dff_core *core,
+	    struct dff_core_worker *worker,
+	    const struct dff_resources *resources,
+	    int32_t times)
 {
-	if (dff_core_worker_usable (worker))
-		dff_core_rack_at (core, worker->rack)->free_accelerators += accelerators;
+	int32_t before = free_accelerators (worker);
+	dff_resources_add (&worker->used, resources, times);
+	if (worker->rack != DFF_CORE_NONE)
+		dff_core_rack_at (core, worker->rack)->free_accelerators +=
+			free_accelerators (worker) - before;
 }
 
 void
@@ -183,8 +198,7 @@
 	struct dff_core_worker *worker = dff_core_worker_at (core, worker_index);
 	g_assert (worker->overlapping || (worker->leased & accelerators) == 0);
 	worker->leased |= accelerators;
-	dff_resources_add (&worker->used, &job->per_task, 1);
-	rack_free_add (core, worker, -job->per_task.accelerators);
+	worker_use (core, worker, &job->per_task, 1);
 	g_ptr_array_add (worker->tenants, job);
 	if (job->team != DFF_CORE_NONE)
 		dff_resources_add (&dff_core_team_at (core, job->team)->used, &job->per_task, 1);
@@ -234,8 +248,7 @@
 		&g_array_index (job->placements, struct dff_placement, member);
 	g_assert ((worker->leased & placement->accelerators) == placement->accelerators);
 	worker->leased &= ~placement->accelerators;
-	dff_resources_add (&worker->used, &job->per_task, -1);
-	rack_free_add (core, worker, job->per_task.accelerators);
+	worker_use (core, worker, &job->per_task, -1);
 	g_ptr_array_remove_fast (worker->tenants, job);
 	if (worker->overloaded)
 		dff_core_worker_note_overload (worker);
