core: a worker in quarantine takes part again when no small job comes to probe it

A worker was let out of quarantine only after a small repeatable job had run there, so that gangs which need it waited for ever when nothing else waited. Now, 30 s after the quarantine's end and with no probe running, it takes part again for one attempt at a time of any job; one failure of such an attempt is enough for the next quarantine, which is twice as long (up to 30 min), and a success clears it. Jobs that cannot be repeated may be that attempt: otherwise a cell in which only such gangs wait would still wait for ever. Claims of a guarantee use their shape's home there without the limit to one attempt.

--- a/core/core_private.h
+++ b/core/core_private.h
@@ -63,7 +63,8 @@
 	guint last_failed;
 	/** Times in quarantine since it last was healthy. */
 	int32_t quarantines;
-	int64_t quarantined_until_ms;
+	/** When its quarantine, or the wait for a probe, is over. */
+	int64_t health_due_ms;
 	/** Whether recovered rows claim the same accelerators. */
 	bool overlapping;
 	/** Elements: struct dff_core_job *, one for each member that holds a lease here. */
@@ -619,7 +620,11 @@
 /** Whether a job has failed on a worker and should try another. */
 bool dff_core_job_avoids (const struct dff_core_job *job, int32_t worker);
 
-/** System: lets workers whose quarantine is over have a probe. */
+/** Whether a worker takes part again with no success since its quarantine: one attempt at a time.
+ */
+bool dff_core_worker_on_trial (const struct dff_core_worker *worker);
+
+/** System: lets workers whose quarantine is over have a probe, or take part again without one. */
 void dff_core_run_quarantine (struct dff_core *core);
 
 int64_t dff_core_quarantine_wake_ms (const struct dff_core *core);
--- a/core/place.c
+++ b/core/place.c
@@ -57,6 +57,9 @@
 	if (!is_hypothetical (view) &&
 	    (!dff_core_worker_usable (worker) || dff_core_job_avoids (job, index)))
 		return 0;
+	if (!is_hypothetical (view) && dff_core_worker_on_trial (worker) &&
+	    worker->tenants->len > 0)
+		return 0;
 	/* Most workers are full: told from two numbers instead of whole vectors. */
 	if ((view == DFF_CORE_VIEW_FREE || view == DFF_CORE_VIEW_UNBOUND) &&
 	    (worker->capacity.accelerators - worker->used.accelerators <
--- a/core/quarantine.c
+++ b/core/quarantine.c
@@ -2,7 +2,9 @@
 
 /* Workers that fail everything, told apart from jobs that fail everywhere. A failure counts against
  * a worker unless the job has failed on other workers before; different jobs failing on one worker
- * with no success between them put it in quarantine. After a while it gets one job as a probe. */
+ * with no success between them put it in quarantine. After a while it gets one job as a probe: a
+ * small one that can be repeated, or, when none comes, any one attempt. A failure of it doubles the
+ * time in quarantine. */
 
 /** Different jobs in a row that have to fail on a worker. */
 #define STREAK_LIMIT 2
@@ -10,6 +12,8 @@
 #define JOB_BLAME_LIMIT 2
 #define QUARANTINE_MIN_MS 60000
 #define QUARANTINE_MAX_MS 1800000
+/** Wait for a small job that can be repeated, before any attempt may be the probe. */
+#define PROBE_WAIT_MS 30000
 
 static void
 set_health (struct dff_core *core, struct dff_core_worker *worker, enum dff_core_health health)
@@ -28,10 +32,42 @@
 {
 	int64_t wait_ms = (int64_t)QUARANTINE_MIN_MS << MIN (worker->quarantines, 10);
 	worker->quarantines++;
-	worker->quarantined_until_ms = core->now_ms + MIN (wait_ms, QUARANTINE_MAX_MS);
+	worker->health_due_ms = core->now_ms + MIN (wait_ms, QUARANTINE_MAX_MS);
 	set_health (core, worker, DFF_CORE_QUARANTINED);
 }
 
+bool
+dff_core_worker_on_trial (const struct dff_core_worker *worker)
+{
+	return worker->health == DFF_CORE_HEALTHY && worker->quarantines > 0;
+}
+
+static void
+probe (struct dff_core *core, struct dff_core_worker *worker)
+{
+	worker->health_due_ms = core->now_ms + PROBE_WAIT_MS;
+	set_health (core, worker, DFF_CORE_PROBING);
+}
+
+/* Where gangs alone wait, no small job comes to probe a worker. Symptom: the gangs that need it
+ * wait for ever, though the worker has long been mended. So it takes part again without a probe,
+ * for one attempt at a time, and one failure of it is enough for the next, longer quarantine. */
+static void
+put_on_trial (struct dff_core *core, struct dff_core_worker *worker)
+{
+	worker->streak = STREAK_LIMIT - 1;
+	worker->last_failed = 0;
+	set_health (core, worker, DFF_CORE_HEALTHY);
+}
+
+/* Returns: whether @worker waits for a time and not for the end of its probe. */
+static bool
+health_is_timed (const struct dff_core_worker *worker)
+{
+	return worker->health == DFF_CORE_QUARANTINED ||
+	       (worker->health == DFF_CORE_PROBING && worker->tenants->len == 0);
+}
+
 static bool
 has_failed_on (const struct dff_core_job *job, int32_t worker)
 {
@@ -76,9 +112,10 @@
 	struct dff_core_worker *worker = dff_core_worker_at (core, worker_index);
 	worker->streak = 0;
 	worker->last_failed = 0;
-	if (worker->health == DFF_CORE_HEALTHY)
-		return;
+	bool suspect = worker->health != DFF_CORE_HEALTHY || worker->quarantines > 0;
 	worker->quarantines = 0;
+	if (!suspect)
+		return;
 	set_health (core, worker, DFF_CORE_HEALTHY);
 }
 
@@ -89,9 +126,12 @@
 		return;
 	for (guint i = 0; i < core->workers->len; i++) {
 		struct dff_core_worker *worker = dff_core_worker_at (core, (int32_t)i);
-		if (worker->health == DFF_CORE_QUARANTINED &&
-		    worker->quarantined_until_ms <= core->now_ms)
-			set_health (core, worker, DFF_CORE_PROBING);
+		if (!health_is_timed (worker) || worker->health_due_ms > core->now_ms)
+			continue;
+		if (worker->health == DFF_CORE_QUARANTINED)
+			probe (core, worker);
+		else
+			put_on_trial (core, worker);
 	}
 }
 
@@ -101,8 +141,8 @@
 	int64_t wake_ms = INT64_MAX;
 	for (guint i = 0; core->stats.workers_quarantined > 0 && i < core->workers->len; i++) {
 		const struct dff_core_worker *worker = dff_core_worker_at (core, (int32_t)i);
-		if (worker->health == DFF_CORE_QUARANTINED)
-			wake_ms = MIN (wake_ms, worker->quarantined_until_ms);
+		if (health_is_timed (worker))
+			wake_ms = MIN (wake_ms, worker->health_due_ms);
 	}
 	return wake_ms;
 }
--- a/tests/cell/test-schedules.c
+++ b/tests/cell/test-schedules.c
@@ -16,8 +16,6 @@
 #define MAX_DELAY_MS 300
 /** Shortest silence and pause: may end while a call is on its way. */
 #define MIN_SILENCE_MS 50
-/** While healing, a small repeatable job is submitted this often. */
-#define PROBE_INTERVAL_S 10
 /** Chance of an action at each step. */
 #define ACTION_PERMILLE 120
 
@@ -249,12 +247,8 @@
 	}
 	heal (&schedule);
 	int64_t until_ms = harness->clock.now_ms + HEAL_LIMIT_MS;
-	while (count_open (&schedule) > 0 && harness->clock.now_ms < until_ms) {
+	while (count_open (&schedule) > 0 && harness->clock.now_ms < until_ms)
 		harness_run (harness, 1000);
-		/* The core lets a worker out of quarantine only after a small job has run there. */
-		if (harness->clock.now_ms / 1000 % PROBE_INTERVAL_S == 0)
-			harness_submit (harness, 1, true);
-	}
 	assert_true (harness_run_holder (harness, HEAL_LIMIT_MS) < HEAL_LIMIT_MS);
 	/* What is late comes in, and what nobody owns is stopped. */
 	harness_run (harness, 3000);
