--- a/entry/batch_submit.c
+++ b/entry/batch_submit.c
@@ -87,18 +87,6 @@
 	batch_free (batch);
 }
 
-static struct dff_record_write
-single_write (struct dff_table_condition *condition, struct dff_table_write *change)
-{
-	struct dff_record_write write = {
-		.conditions = condition,
-		.n_conditions = 1,
-		.writes = change,
-		.n_writes = 1,
-	};
-	return write;
-}
-
 /* Whatever becomes of this write, the jobs are on record. */
 static void
 count_recorded (void *user, enum dff_entry_record_outcome outcome, int64_t revision)
@@ -112,15 +100,12 @@
 static void
 record_count (struct batch *batch)
 {
-	struct dff_call *call = batch->call;
 	batch->row.accepted = (int32_t)batch->jobs->len;
 	g_autoptr (GString) key = dff_batch_row_key (&batch->id);
 	g_autoptr (GString) value = dff_batch_row_encode (&batch->row);
-	struct dff_table_condition condition = {{key->str, key->len}, batch->revision};
-	struct dff_table_write change = {{key->str, key->len}, {value->str, value->len}};
-	struct dff_record_write write = single_write (&condition, &change);
-	dff_entry_record (call->entry, &call->span.context, &write, DFF_ENTRY_RECORD_PATIENCE_MS,
-			  count_recorded, batch);
+	dff_call_record_row (batch->call, (struct dff_str){key->str, key->len},
+			     (struct dff_str){value->str, value->len}, batch->revision,
+			     count_recorded, batch);
 }
 
 struct job_write {
@@ -159,18 +144,11 @@
 static void
 record_job (struct batch *batch, const struct dff_job_row *job)
 {
-	struct dff_call *call = batch->call;
-	g_autoptr (GString) key = dff_job_row_key (&job->spec.id);
-	g_autoptr (GString) value = dff_job_row_encode (job);
-	struct dff_table_condition condition = {{key->str, key->len}, 0};
-	struct dff_table_write change = {{key->str, key->len}, {value->str, value->len}};
-	struct dff_record_write write = single_write (&condition, &change);
 	struct job_write *pending = g_new0 (struct job_write, 1);
 	pending->batch = batch;
 	pending->job = job;
 	batch->in_progress++;
-	dff_entry_record (call->entry, &call->span.context, &write, DFF_ENTRY_RECORD_PATIENCE_MS,
-			  job_recorded, pending);
+	dff_call_record_job (batch->call, job, job_recorded, pending);
 }
 
 static void
@@ -205,8 +183,7 @@
 	if (outcome == DFF_FETCH_MISSING || !dff_batch_row_decode (value, &row) ||
 	    !g_str_equal (row.digest, batch->row.digest) ||
 	    !dff_name_equal (&row.team, &batch->row.team)) {
-		dff_reply_error (call, 422, "idempotency_key_reused",
-				 "The Idempotency-Key was used for other content before.");
+		dff_reply_key_reused (call);
 		batch_free (batch);
 		return;
 	}
@@ -245,27 +222,11 @@
 static void
 record_batch (struct batch *batch)
 {
-	struct dff_call *call = batch->call;
 	g_autoptr (GString) key = dff_batch_row_key (&batch->id);
 	g_autoptr (GString) value = dff_batch_row_encode (&batch->row);
-	g_autofree char *idem = g_strconcat ("idem/", batch->hash.data, NULL);
-	struct dff_table_condition conditions[] = {
-		{.key = {key->str, key->len}},
-		{.key = dff_str_from (idem)},
-	};
-	struct dff_table_write writes[] = {
-		{.key = {key->str, key->len}, .value = {value->str, value->len}},
-		{.key = dff_str_from (idem), .value = {batch->id.data, batch->id.len}},
-	};
-	size_t n = dff_name_is_empty (&batch->hash) ? 1 : 2;
-	struct dff_record_write write = {
-		.conditions = conditions,
-		.n_conditions = n,
-		.writes = writes,
-		.n_writes = n,
-	};
-	dff_entry_record (call->entry, &call->span.context, &write, DFF_ENTRY_RECORD_PATIENCE_MS,
-			  batch_recorded, batch);
+	dff_call_record_submission (batch->call, (struct dff_str){key->str, key->len},
+				    (struct dff_str){value->str, value->len}, &batch->hash,
+				    &batch->id, batch_recorded, batch);
 }
 
 static bool
--- a/entry/cancel_wave.c
+++ b/entry/cancel_wave.c
@@ -108,24 +108,12 @@
 static void
 cancel_row (struct wave *wave, struct dff_job_row *row)
 {
-	struct dff_call *call = wave->call;
 	row->cancel_requested = true;
-	g_autoptr (GString) key = dff_job_row_key (&row->spec.id);
-	g_autoptr (GString) value = dff_job_row_encode (row);
-	struct dff_table_condition condition = {{key->str, key->len}, row->revision};
-	struct dff_table_write change = {{key->str, key->len}, {value->str, value->len}};
-	struct dff_record_write write = {
-		.conditions = &condition,
-		.n_conditions = 1,
-		.writes = &change,
-		.n_writes = 1,
-	};
 	struct wave_write *pending = g_new0 (struct wave_write, 1);
 	pending->wave = wave;
 	pending->job = row->spec.id;
 	wave->in_progress++;
-	dff_entry_record (call->entry, &call->span.context, &write, DFF_ENTRY_RECORD_PATIENCE_MS,
-			  cancel_recorded, pending);
+	dff_call_record_job (wave->call, row, cancel_recorded, pending);
 }
 
 static bool
--- a/entry/job_cancel.c
+++ b/entry/job_cancel.c
@@ -76,25 +76,6 @@
 	cancellation_free (cancellation);
 }
 
-static void
-record_cancel (struct cancellation *cancellation)
-{
-	struct dff_call *call = cancellation->call;
-	struct dff_job_row *row = cancellation->row;
-	g_autoptr (GString) key = dff_job_row_key (&row->spec.id);
-	g_autoptr (GString) value = dff_job_row_encode (row);
-	struct dff_table_condition condition = {{key->str, key->len}, row->revision};
-	struct dff_table_write change = {{key->str, key->len}, {value->str, value->len}};
-	struct dff_record_write write = {
-		.conditions = &condition,
-		.n_conditions = 1,
-		.writes = &change,
-		.n_writes = 1,
-	};
-	dff_entry_record (call->entry, &call->span.context, &write, DFF_ENTRY_RECORD_PATIENCE_MS,
-			  cancel_recorded, cancellation);
-}
-
 static struct dff_job_row *
 copy_row (const struct dff_job_row *row)
 {
@@ -125,7 +106,7 @@
 	cancellation->row = copy_row (row);
 	cancellation->row->cancel_requested = true;
 	cancellation->tries = GPOINTER_TO_INT (user);
-	record_cancel (cancellation);
+	dff_call_record_job (call, cancellation->row, cancel_recorded, cancellation);
 }
 
 static void
--- a/entry/job_submit.c
+++ b/entry/job_submit.c
@@ -39,8 +39,7 @@
 static void
 reply_key_reused (struct submission *submission)
 {
-	dff_reply_error (submission->call, 422, "idempotency_key_reused",
-			 "The Idempotency-Key was used for other content before.");
+	dff_reply_key_reused (submission->call);
 	submission_free (submission);
 }
 
@@ -86,8 +85,9 @@
 static void
 find_first (struct submission *submission)
 {
-	g_autofree char *key = g_strconcat ("idem/", submission->hash.data, NULL);
-	dff_value_fetch (submission->call, dff_str_from (key), first_id_read, submission);
+	g_autoptr (GString) key = dff_idempotency_row_key (&submission->hash);
+	struct dff_str text = {key->str, key->len};
+	dff_value_fetch (submission->call, text, first_id_read, submission);
 }
 
 static void
@@ -128,28 +128,12 @@
 static void
 record_job (struct submission *submission)
 {
-	struct dff_call *call = submission->call;
-	g_autoptr (GString) key = dff_job_row_key (&submission->row->spec.id);
-	g_autoptr (GString) value = dff_job_row_encode (submission->row);
-	g_autofree char *idem = g_strconcat ("idem/", submission->hash.data, NULL);
 	const struct dff_name *id = &submission->row->spec.id;
-	struct dff_table_condition conditions[] = {
-		{.key = {key->str, key->len}},
-		{.key = dff_str_from (idem)},
-	};
-	struct dff_table_write writes[] = {
-		{.key = {key->str, key->len}, .value = {value->str, value->len}},
-		{.key = dff_str_from (idem), .value = {id->data, id->len}},
-	};
-	size_t n = dff_name_is_empty (&submission->hash) ? 1 : 2;
-	struct dff_record_write write = {
-		.conditions = conditions,
-		.n_conditions = n,
-		.writes = writes,
-		.n_writes = n,
-	};
-	dff_entry_record (call->entry, &call->span.context, &write, DFF_ENTRY_RECORD_PATIENCE_MS,
-			  job_recorded, submission);
+	g_autoptr (GString) key = dff_job_row_key (id);
+	g_autoptr (GString) value = dff_job_row_encode (submission->row);
+	dff_call_record_submission (submission->call, (struct dff_str){key->str, key->len},
+				    (struct dff_str){value->str, value->len}, &submission->hash, id,
+				    job_recorded, submission);
 }
 
 static void
--- a/entry/record.c
+++ b/entry/record.c
@@ -92,6 +92,87 @@
 	pending->ticket = dff_recorder_write (entry->options.recorder, &bounded, recorded, pending);
 }
 
+static void
+record_for_call (struct dff_call *call,
+		 const struct dff_record_write *write,
+		 dff_entry_record_func done,
+		 void *user)
+{
+	dff_entry_record (call->entry, &call->span.context, write, DFF_ENTRY_RECORD_PATIENCE_MS,
+			  done, user);
+}
+
+void
+dff_call_record_row (struct dff_call *call,
+		     struct dff_str key,
+		     struct dff_str value,
+		     int64_t revision,
+		     dff_entry_record_func done,
+		     void *user)
+{
+	struct dff_table_condition condition = {key, revision};
+	struct dff_table_write change = {key, value};
+	struct dff_record_write write = {
+		.conditions = &condition,
+		.n_conditions = 1,
+		.writes = &change,
+		.n_writes = 1,
+	};
+	record_for_call (call, &write, done, user);
+}
+
+void
+dff_call_record_job (struct dff_call *call,
+		     const struct dff_job_row *job,
+		     dff_entry_record_func done,
+		     void *user)
+{
+	g_autoptr (GString) key = dff_job_row_key (&job->spec.id);
+	g_autoptr (GString) value = dff_job_row_encode (job);
+	dff_call_record_row (call, (struct dff_str){key->str, key->len},
+			     (struct dff_str){value->str, value->len}, job->revision, done, user);
+}
+
+void
+dff_call_record_submission (struct dff_call *call,
+			    struct dff_str key,
+			    struct dff_str value,
+			    const struct dff_name *hash,
+			    const struct dff_name *id,
+			    dff_entry_record_func done,
+			    void *user)
+{
+	g_autoptr (GString) idempotency = dff_idempotency_row_key (hash);
+	struct dff_str idempotency_key = {idempotency->str, idempotency->len};
+	struct dff_table_condition conditions[] = {{.key = key}, {.key = idempotency_key}};
+	struct dff_table_write writes[] = {
+		{.key = key, .value = value},
+		{.key = idempotency_key, .value = {id->data, id->len}},
+	};
+	size_t n = dff_name_is_empty (hash) ? 1 : 2;
+	struct dff_record_write write = {
+		.conditions = conditions,
+		.n_conditions = n,
+		.writes = writes,
+		.n_writes = n,
+	};
+	record_for_call (call, &write, done, user);
+}
+
+GString *
+dff_idempotency_row_key (const struct dff_name *hash)
+{
+	GString *key = g_string_new ("idem/");
+	return g_string_append_len (key, hash->data, (gssize)hash->len);
+}
+
+void
+dff_reply_key_reused (struct dff_call *call)
+{
+	dff_reply_error (call, 422, "idempotency_key_reused",
+			 "The Idempotency-Key was used for other content before.");
+}
+
 void
 dff_reply_record_failed (struct dff_call *call, enum dff_entry_record_outcome outcome)
 {
--- a/entry/request_submit.c
+++ b/entry/request_submit.c
@@ -195,8 +195,7 @@
 		return false;
 	struct dff_str first_body = {first->body->str, first->body->len};
 	if (!dff_str_equal (body, first_body)) {
-		dff_reply_error (call, 422, "idempotency_key_reused",
-				 "The Idempotency-Key was used for other content before.");
+		dff_reply_key_reused (call);
 		return true;
 	}
 	(*requests->counters.attached)++;
