entry: the pool row through pool/pool_row

entry/pool_admin.c encoded and decoded the row of the pool file by itself, with its own name for the key, beside dff_pool_row_encode and dff_pool_row_decode that all other parts use; a change of one would have left the other behind. It uses them now.

--- a/entry/pool_admin.c
+++ b/entry/pool_admin.c
@@ -6,11 +6,11 @@
 #include "entry/record.h"
 #include "entry/reply.h"
 #include "entry/route.h"
+#include "pool/pool_row.h"
 
 /* The pool file as operators read and apply it: whole, and only on top of the generation that it
  * was based on. */
 
-#define POOL_KEY "pool"
 /** Faults of a file that are listed at the most. */
 #define ERRORS_MAX 50
 
@@ -113,68 +113,32 @@
 static void
 record_pool (struct application *application, int64_t revision)
 {
-	struct dff_call *call = application->call;
-	json_t *json = json_pack ("{s:I, s:s%}", "generation", (json_int_t)application->base + 1,
-				  "text", application->text->str, application->text->len);
-	g_autofree char *value = json_dumps (json, JSON_COMPACT);
-	json_decref (json);
-	struct dff_table_condition condition = {dff_str_from (POOL_KEY), revision};
-	struct dff_table_write change = {dff_str_from (POOL_KEY), dff_str_from (value)};
-	struct dff_record_write write = {
-		.conditions = &condition,
-		.n_conditions = 1,
-		.writes = &change,
-		.n_writes = 1,
-	};
-	dff_entry_record (call->entry, &call->span.context, &write, DFF_ENTRY_RECORD_PATIENCE_MS,
-			  pool_recorded, application);
-}
-
-struct current_pool {
-	json_int_t generation;
-	const char *text;
-	size_t text_len;
-};
-
-static json_t *
-read_pool_row (struct dff_str value, struct current_pool *current)
-{
-	json_t *json = json_loadb (value.data, value.len, 0, NULL);
-	if (json != NULL && json_unpack (json, "{s:I, s:s%}", "generation", &current->generation,
-					 "text", &current->text, &current->text_len) == 0)
-		return json;
-	json_decref (json);
-	return NULL;
-}
-
-static bool
-is_same_text (const struct application *application, const struct current_pool *current)
-{
-	struct dff_str applied = {application->text->str, application->text->len};
-	struct dff_str recorded = {current->text, current->text_len};
-	return dff_str_equal (applied, recorded);
+	struct dff_str text = {application->text->str, application->text->len};
+	g_autoptr (GString) value = dff_pool_row_encode (application->base + 1, text);
+	dff_call_record_row (application->call, dff_str_from (DFF_POOL_ROW_KEY),
+			     (struct dff_str){value->str, value->len}, revision, pool_recorded,
+			     application);
 }
 
 static void
 compare_current (struct application *application, struct dff_str value, int64_t revision)
 {
-	struct current_pool current;
-	json_t *json = read_pool_row (value, &current);
-	if (json == NULL) {
+	int64_t generation = 0;
+	g_autoptr (GString) recorded = dff_pool_row_decode (value, &generation, NULL);
+	if (recorded == NULL) {
 		dff_reply_store_unavailable (application->call);
 		application_free (application);
 		return;
 	}
 	/* The answer to an earlier sending of this very application may have been lost. */
 	bool repeated =
-		current.generation == application->base + 1 && is_same_text (application, &current);
+		generation == application->base + 1 && g_string_equal (application->text, recorded);
 	if (repeated)
-		reply_applied (application, current.generation);
-	else if (current.generation != application->base)
-		reply_other_generation (application, current.generation);
+		reply_applied (application, generation);
+	else if (generation != application->base)
+		reply_other_generation (application, generation);
 	else
 		record_pool (application, revision);
-	json_decref (json);
 }
 
 static void
@@ -200,7 +164,8 @@
 static void
 read_current (struct application *application)
 {
-	dff_value_fetch (application->call, dff_str_from (POOL_KEY), current_read, application);
+	dff_value_fetch (application->call, dff_str_from (DFF_POOL_ROW_KEY), current_read,
+			 application);
 }
 
 static void
