--- /dev/null
+++ b/tests/core/test-bad-workers.c
@@ -0,0 +1,233 @@
+#include "core_fixture.h"
+
+/* Workers that fail everything, and jobs that fail everywhere: four workers with one accelerator
+ * each, whose commands are answered at once. */
+
+#define N_WORKERS 4
+/** Jobs whose name begins so fail wherever they start. */
+#define BAD_PREFIX "bad"
+#define SECOND_MS INT64_C (1000)
+#define MINUTE_MS (60 * SECOND_MS)
+/** Different jobs that fail on a worker before it is set aside. */
+#define FAILURES_TO_QUARANTINE 2
+
+struct run {
+	struct dff_core *core;
+	struct dff_pool pool;
+	int64_t now_ms;
+	int n_jobs;
+	/** Fails all that starts there; NULL: none does. */
+	const char *bad_worker;
+	/** Worker of each job's attempt that is on its way. Key: job, value: worker. */
+	GHashTable *placed;
+	/** Starts, by worker; and by those of them that were of bad jobs. */
+	GHashTable *starts;
+	GHashTable *bad_starts;
+	int n_completed;
+	int n_failed;
+};
+
+static void
+begin (struct run *run)
+{
+	struct dff_core_options options;
+	dff_core_options_init (&options);
+	*run = (struct run){.core = dff_core_new (&options)};
+	run->placed = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+	run->starts = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+	run->bad_starts = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+	fixture_pool_init (&run->pool, 1, N_WORKERS, 1);
+	fixture_pool_add_team (&run->pool, "a", 0, 0);
+	dff_core_set_pool (run->core, &run->pool, 0);
+	for (int i = 0; i < N_WORKERS; i++) {
+		g_autofree char *worker = g_strdup_printf ("w%d", i);
+		fixture_worker_state (run->core, worker, DFF_WORKER_UP);
+	}
+}
+
+static void
+end (struct run *run)
+{
+	g_hash_table_unref (run->placed);
+	g_hash_table_unref (run->starts);
+	g_hash_table_unref (run->bad_starts);
+	dff_core_free (run->core);
+	fixture_pool_clear (&run->pool);
+}
+
+static int
+count (GHashTable *table, const char *worker)
+{
+	return GPOINTER_TO_INT (g_hash_table_lookup (table, worker));
+}
+
+static void
+note (GHashTable *table, const char *worker)
+{
+	int n = count (table, worker) + 1;
+	g_hash_table_replace (table, g_strdup (worker), GINT_TO_POINTER (n));
+}
+
+static void
+tell (struct run *run, enum dff_event_type type, const struct dff_command *command)
+{
+	struct dff_event event = {.type = type, .job = command->job, .attempt = command->attempt};
+	dff_core_handle_event (run->core, &event, run->now_ms);
+}
+
+static void
+start (struct run *run, const struct dff_command *command)
+{
+	const char *worker = g_hash_table_lookup (run->placed, command->job.data);
+	bool bad_job = g_str_has_prefix (command->job.data, BAD_PREFIX);
+	bool fails = bad_job || g_strcmp0 (worker, run->bad_worker) == 0;
+	note (run->starts, worker);
+	if (bad_job)
+		note (run->bad_starts, worker);
+	tell (run, DFF_EVENT_TASK_STARTED, command);
+	tell (run, fails ? DFF_EVENT_TASK_FAILED : DFF_EVENT_TASK_COMPLETED, command);
+}
+
+static void
+answer (struct run *run, const struct dff_command *command)
+{
+	switch (command->type) {
+	case DFF_COMMAND_RECORD_START:
+		g_hash_table_replace (
+			run->placed, g_strdup (command->job.data),
+			g_strdup (g_array_index (command->placements, struct dff_placement, 0)
+					  .worker.data));
+		tell (run, DFF_EVENT_ATTEMPT_RECORDED, command);
+		break;
+	case DFF_COMMAND_START_TASK:
+		start (run, command);
+		break;
+	case DFF_COMMAND_RECORD_END:
+		run->n_completed += command->outcome == DFF_OUTCOME_COMPLETED;
+		run->n_failed += command->outcome == DFF_OUTCOME_FAILED;
+		tell (run, DFF_EVENT_OUTCOME_RECORDED, command);
+		break;
+	default:
+		break;
+	}
+}
+
+/* Ticks until nothing is commanded any more at this moment. */
+static void
+settle (struct run *run)
+{
+	g_autoptr (GArray) commands = g_array_new (FALSE, TRUE, sizeof (struct dff_command));
+	do {
+		dff_core_tick (run->core, run->now_ms, commands);
+		for (guint i = 0; i < commands->len; i++)
+			answer (run, &g_array_index (commands, struct dff_command, i));
+	} while (commands->len > 0);
+}
+
+static void
+submit (struct run *run, const char *id, int max_attempts)
+{
+	struct dff_job_spec spec = fixture_spec (id, 1, 1);
+	spec.max_attempts = max_attempts;
+	struct dff_event event = {.type = DFF_EVENT_JOB_SUBMITTED, .spec = &spec};
+	dff_core_handle_event (run->core, &event, run->now_ms);
+}
+
+/* A job each second, for as long. */
+static void
+let_jobs_come (struct run *run, int64_t duration_ms)
+{
+	for (int64_t end_ms = run->now_ms + duration_ms; run->now_ms < end_ms;
+	     run->now_ms += SECOND_MS) {
+		g_autofree char *id = g_strdup_printf ("j%d", run->n_jobs++);
+		submit (run, id, 3);
+		settle (run);
+	}
+}
+
+/* Symptom: half of the jobs fail, because a worker that fails at once is always free again first.
+ * Sequence: a worker fails everything for ten minutes, then it is mended. Cause: nobody counted
+ * failures by worker; or the worker was never tried again. */
+static void
+test_worker_that_fails_everything (void **state)
+{
+	(void)state;
+	struct run run;
+	begin (&run);
+	run.bad_worker = "w0";
+	let_jobs_come (&run, MINUTE_MS / 2);
+	assert_int_equal (count (run.starts, "w0"), FAILURES_TO_QUARANTINE);
+	let_jobs_come (&run, 10 * MINUTE_MS);
+	/* One probe after one, two and four minutes more. */
+	assert_in_range (count (run.starts, "w0"), FAILURES_TO_QUARANTINE + 1,
+			 FAILURES_TO_QUARANTINE + 4);
+	assert_int_equal (run.n_failed, 0);
+	run.bad_worker = NULL;
+	let_jobs_come (&run, 20 * MINUTE_MS);
+	assert_true (count (run.starts, "w0") > 100);
+	end (&run);
+}
+
+static void
+pass_time (struct run *run, int64_t duration_ms)
+{
+	for (int64_t end_ms = run->now_ms + duration_ms; run->now_ms < end_ms;
+	     run->now_ms += SECOND_MS)
+		settle (run);
+}
+
+static int64_t
+workers_quarantined (const struct run *run)
+{
+	struct dff_core_stats stats;
+	dff_core_get_stats (run->core, &stats);
+	return stats.workers_quarantined;
+}
+
+/* Symptom: healthy workers are set aside one after the other. Sequence: a job fails wherever it is
+ * started, other jobs run well in between. Cause: each of its failures was blamed on a worker. */
+static void
+test_job_that_fails_everywhere (void **state)
+{
+	(void)state;
+	struct run run;
+	begin (&run);
+	submit (&run, "bad", N_WORKERS);
+	let_jobs_come (&run, 5 * MINUTE_MS);
+	assert_int_equal (run.n_failed, 1);
+	assert_int_equal (run.n_completed, run.n_jobs);
+	assert_int_equal (g_hash_table_size (run.bad_starts), N_WORKERS);
+	assert_int_equal (workers_quarantined (&run), 0);
+	end (&run);
+}
+
+/* Symptom: a pool is closed by two bad jobs. Sequence: at night both fail on every worker, and
+ * nothing else runs that would clear a worker. Cause: the failures of a job count against every
+ * worker it comes to, also when it has failed on others before. */
+static void
+test_two_jobs_that_fail_everywhere (void **state)
+{
+	(void)state;
+	struct run run;
+	begin (&run);
+	submit (&run, "bad0", N_WORKERS);
+	submit (&run, "bad1", N_WORKERS);
+	pass_time (&run, MINUTE_MS / 2);
+	assert_in_range (workers_quarantined (&run), 0, N_WORKERS / 2);
+	let_jobs_come (&run, 10 * MINUTE_MS);
+	assert_int_equal (run.n_failed, 2);
+	assert_int_equal (run.n_completed, run.n_jobs);
+	assert_int_equal (workers_quarantined (&run), 0);
+	end (&run);
+}
+
+int
+main (void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test (test_worker_that_fails_everything),
+		cmocka_unit_test (test_job_that_fails_everywhere),
+		cmocka_unit_test (test_two_jobs_that_fail_everywhere),
+	};
+	return cmocka_run_group_tests_name ("core-bad-workers", tests, NULL, NULL);
+}
