--- a/tests/common/test-http-client.c
+++ b/tests/common/test-http-client.c
@@ -328,6 +328,39 @@
 	assert_int_equal (fixture->accepted, 2);
 }
 
+/* Symptom: after a middlebox restarted, as many requests time out as there were connections.
+ * Sequence: several connections are kept, something between the two ends forgets all of them, new
+ * ones work. Cause: only the connection that kept silent was replaced. */
+static void
+test_connections_forgotten_together_are_replaced_together (void **state)
+{
+	struct fixture *fixture = *state;
+	static const struct action action = {ANSWER, false};
+	struct dff_http_client_options options;
+	dff_http_client_options_init (&options);
+	options.base = fixture->base;
+	options.metrics = fixture->metrics;
+	dff_http_client_free (fixture->client);
+	fixture->client = dff_http_client_new (&options);
+	play (fixture, &action, 1);
+	struct answer answers[3];
+	for (int i = 0; i < 3; i++)
+		send_request (fixture, 5000, &answers[i]);
+	for (int i = 0; i < 3; i++)
+		wait_for (&answers[i]);
+	assert_int_equal (fixture->accepted, 3);
+	for (guint i = 0; i < fixture->open->len; i++)
+		bufferevent_disable (fixture->open->pdata[i], EV_READ);
+	struct answer answer;
+	send_request (fixture, 30, &answer);
+	wait_for (&answer);
+	assert_int_equal (answer.outcome, DFF_HTTP_UNCERTAIN);
+	send_request (fixture, 300, &answer);
+	wait_for (&answer);
+	assert_int_equal (answer.outcome, DFF_HTTP_ANSWERED);
+	assert_int_equal (fixture->accepted, 4);
+}
+
 /* One connection, silent: the first request is sent, two wait until their deadline and are proven
  * unsent, a fourth is refused at once. */
 static void
@@ -400,6 +433,8 @@
 						 teardown),
 		cmocka_unit_test_setup_teardown (test_silent_connection_is_replaced, setup,
 						 teardown),
+		cmocka_unit_test_setup_teardown (
+			test_connections_forgotten_together_are_replaced_together, setup, teardown),
 		cmocka_unit_test_setup_teardown (test_waiting_is_bounded, setup, teardown),
 		cmocka_unit_test_setup_teardown (test_bytes_are_counted, setup, teardown),
 		cmocka_unit_test_setup_teardown (test_free_drops_requests, setup, teardown),
--- a/tests/entry/test-assembly.c
+++ b/tests/entry/test-assembly.c
@@ -135,6 +135,31 @@
 	assert_memory_equal (result.data, whole, WHOLE_LEN);
 }
 
+/* Symptom: a caller gets another answer's bytes as its own. Sequence: two attempts of a job wrote
+ * their chunks under the same keys; each chunk has the digest that the manifest gives it, the whole
+ * does not have the digest on record. Cause: chunks were checked, the answer was not. */
+static void
+test_whole_answer_has_its_digest (void **state)
+{
+	(void)state;
+	static const char other[] = "another answer!!";
+	const struct span halves[] = {{0, 8}, {8, 8}};
+	g_autoptr (GString) manifest = manifest_of (halves, G_N_ELEMENTS (halves));
+	g_autofree char *own = digest_of (whole + 8, 8);
+	g_autofree char *others = digest_of (other + 8, 8);
+	assert_int_equal (g_string_replace (manifest, own, others, 0), 1);
+	g_autofree char *digest = digest_of (whole, WHOLE_LEN);
+	struct dff_str text = {manifest->str, manifest->len};
+	DFF_AUTO (dff_assembly) assembly = dff_assembly_new (text, WHOLE_LEN, digest);
+	assert_non_null (assembly);
+	struct dff_str result;
+	struct dff_str second = {other + 8, 8};
+	assert_int_equal (add (assembly, 0, 0, false), DFF_CHUNK_TAKEN);
+	assert_int_equal (dff_assembly_add (assembly, 1, second), DFF_CHUNK_TAKEN);
+	assert_true (dff_assembly_is_complete (assembly));
+	assert_false (dff_assembly_finish (assembly, &result));
+}
+
 int
 main (void)
 {
@@ -142,6 +167,7 @@
 		cmocka_unit_test (test_manifests),
 		cmocka_unit_test (test_manifest_that_disagrees_with_the_record),
 		cmocka_unit_test (test_chunks_in_any_order_twice_cut_and_damaged),
+		cmocka_unit_test (test_whole_answer_has_its_digest),
 	};
 	return cmocka_run_group_tests (tests, NULL, NULL);
 }
