--- a/bench/fleet.sh
+++ b/bench/fleet.sh
@@ -10,67 +10,14 @@
 shift || true
 program=$build/dragonflyfold
 out=fleet.out
-declare -A pid_of=()
+bootstrap_token=bootstrap-token
 targets=()
+. script/loopback.sh
 
-readonly N_PROCESSES=9 RACKS_PER_CENTRE=1 WORKERS_PER_RACK=8 READY_TIMEOUT_S=30
+readonly N_PROCESSES=9 RACKS_PER_CENTRE=1 WORKERS_PER_RACK=8
 readonly CENTRES='dc1 dc2 dc3'
 
-# Ends what this script started and nothing else.
-stop_all()
-{
-	local name
-	for name in "${!pid_of[@]}"; do
-		kill -KILL "${pid_of[$name]}" 2>/dev/null || true
-	done
-	wait 2>/dev/null || true
-}
-trap stop_all EXIT
-trap 'exit 143' TERM INT
-
-# Starts a program under a name; its output is appended, as it may be the second start.
-start()
-{
-	local name=$1
-	shift
-	"$@" >> "$out/$name.out" 2>> "$out/$name.log" &
-	pid_of[$name]=$!
-	echo "$!" > "$out/$name.pid"
-}
-
-wait_until()
-{
-	local process=$1 deadline=$((SECONDS + READY_TIMEOUT_S))
-	shift
-	until "$@" > /dev/null 2>&1; do
-		if [ "$SECONDS" -ge "$deadline" ] || ! kill -0 "${pid_of[$process]}"; then
-			tail -n 20 "$out/$process.log" >&2
-			exit 1
-		fi
-		sleep 0.05
-	done
-}
-
-address_of()
-{
-	grep -m 1 -oE '127\.0\.0\.1:[0-9]+' "$out/$1.out"
-}
-
-# Below the ports that outgoing connections get.
-declare -i last_port=$((20000 + $$ % 10000))
-
-choose_port()
-{
-	last_port+=1
-	while (exec 3<> "/dev/tcp/127.0.0.1/$last_port") 2>/dev/null; do
-		last_port+=1
-	done
-}
-
-digest()
-{
-	echo "sha256:$(printf %s "$1" | sha256sum | cut -d ' ' -f 1)"
-}
+trap 'end_all KILL' EXIT
 
 write_pool()
 {
@@ -96,26 +43,6 @@
 	END
 }
 
-write_settings()
-{
-	local name=$1 centre=$2 listen=$3 peer=$4
-	cat > "$out/$name.json" <<-END
-	{
-		"instance": "$name",
-		"region": "fleet",
-		"data_centre": "$centre",
-		"listen": "127.0.0.1:$listen",
-		"peer_listen": "127.0.0.1:$peer",
-		$("$program" keygen peer),
-		"table_address": "$platform",
-		"object_store_address": "$platform",
-		"instance_list_address": "$platform",
-		"bootstrap_token_digest": "$(digest bootstrap-token)",
-		"trace_path": "$out/$name.spans"
-	}
-	END
-}
-
 start_worker()
 {
 	local name=$1
@@ -156,8 +83,7 @@
 rm -rf "$out"
 mkdir "$out"
 declare -A port_of=()
-start platform "$build/standin/dragonflyfold-standin-platform" --listen 127.0.0.1:0
-wait_until platform address_of platform
+start_platform
 platform=$(address_of platform)
 for centre in $CENTRES; do
 	for ((rack = 1; rack <= RACKS_PER_CENTRE; rack++)); do
@@ -175,15 +101,15 @@
 	choose_port
 	listen=$last_port
 	choose_port
-	write_settings "entry-$i" "${centres[i % 3]}" "$listen" "$last_port"
+	write_settings "entry-$i" fleet "${centres[i % 3]}" "$platform" "$listen" "$last_port"
 	targets+=(--process "entry-$i=127.0.0.1:$listen")
 	start_process "entry-$i"
-	wait_until "entry-$i" curl -fsS "http://127.0.0.1:$listen/healthz"
+	wait_until "entry-$i" "entry-$i" curl -fsS "http://127.0.0.1:$listen/healthz"
 done
 write_pool
-DRAGONFLYFOLD_TOKEN=bootstrap-token "$program" apply --server "127.0.0.1:$listen" "$out/pool.json" \
+DRAGONFLYFOLD_TOKEN=$bootstrap_token "$program" apply --server "127.0.0.1:$listen" "$out/pool.json" \
 	--base 0 > /dev/null
-wait_until "entry-$N_PROCESSES" curl -fsS "http://127.0.0.1:$listen/readyz"
+wait_until "entry-$N_PROCESSES ready" "entry-$N_PROCESSES" curl -fsS "http://127.0.0.1:$listen/readyz"
 
 mkfifo "$out/orders"
 "$build/bench/fleet" --platform "$platform" --directory "$out" --pool "$out/pool.json" \
--- a/bench/hop.sh
+++ b/bench/hop.sh
@@ -7,64 +7,19 @@
 build=${1:-build}
 shift || true
 program=$build/dragonflyfold
+bootstrap_token=bootstrap-token
 out=$(mktemp -d)
-declare -A pid_of=()
+. script/loopback.sh
 
-readonly N_WORKERS=4 SLOTS=32 READY_TIMEOUT_S=30
+readonly N_WORKERS=4 SLOTS=32
 
-# Ends what this script started and nothing else.
 stop_all()
 {
-	local name
-	for name in "${!pid_of[@]}"; do
-		kill -TERM "${pid_of[$name]}" 2>/dev/null || true
-	done
-	wait || true
+	end_all TERM
 	rm -rf "$out"
 }
 trap stop_all EXIT
 
-start()
-{
-	local name=$1
-	shift
-	"$@" > "$out/$name.out" 2> "$out/$name.log" &
-	pid_of[$name]=$!
-}
-
-# Runs a command until it succeeds.
-wait_until()
-{
-	local process=$1 deadline=$((SECONDS + READY_TIMEOUT_S))
-	shift
-	until "$@" > /dev/null 2>&1; do
-		if [ "$SECONDS" -ge "$deadline" ] || ! kill -0 "${pid_of[$process]}"; then
-			tail -n 20 "$out/$process.log" >&2
-			exit 1
-		fi
-		sleep 0.05
-	done
-}
-
-address_of()
-{
-	grep -m 1 -oE '127\.0\.0\.1:[0-9]+' "$out/$1.out"
-}
-
-free_port()
-{
-	local port=$((12000 + RANDOM % 18000))
-	while (exec 3<> "/dev/tcp/127.0.0.1/$port") 2>/dev/null; do
-		port=$((port + 1))
-	done
-	echo "$port"
-}
-
-digest()
-{
-	echo "sha256:$(printf %s "$1" | sha256sum | cut -d ' ' -f 1)"
-}
-
 write_pool()
 {
 	cat > "$out/pool.json" <<-END
@@ -79,26 +34,6 @@
 	END
 }
 
-write_settings()
-{
-	cat > "$out/entry.json" <<-END
-	{
-		"instance": "entry",
-		"region": "bench",
-		"data_centre": "dc1",
-		"listen": "127.0.0.1:$2",
-		"peer_listen": "127.0.0.1:$3",
-		$("$program" keygen peer),
-		"table_address": "$1",
-		"object_store_address": "$1",
-		"instance_list_address": "$1",
-		"bootstrap_token_digest": "$(digest bootstrap-token)",
-		"log_level": "warning",
-		"trace_path": "$out/spans"
-	}
-	END
-}
-
 start_workers()
 {
 	local i
@@ -107,7 +42,7 @@
 			--rack r1 --data-centre dc1 --region bench --slots "$SLOTS"
 	done
 	for ((i = 1; i <= N_WORKERS; i++)); do
-		wait_until "r1-w$i" address_of "r1-w$i"
+		wait_until "worker r1-w$i" "r1-w$i" address_of "r1-w$i"
 	done
 }
 
@@ -119,20 +54,21 @@
 }
 
 start bare "$build/bench/hop" bare
-start platform "$build/standin/dragonflyfold-standin-platform" --listen 127.0.0.1:0
-wait_until bare address_of bare
-wait_until platform address_of platform
+start_platform
+wait_until 'bare server' bare address_of bare
 platform=$(address_of platform)
 start_workers "$platform"
-entry=127.0.0.1:$(free_port)
 write_pool
-write_settings "$platform" "${entry#*:}" "$(free_port)"
+choose_port
+entry=127.0.0.1:$last_port
+choose_port
+write_settings entry bench dc1 "$platform" "${entry#*:}" "$last_port" warning
 start entry "$program" serve --settings "$out/entry.json"
-wait_until entry curl -fsS "http://$entry/healthz"
-DRAGONFLYFOLD_TOKEN=bootstrap-token "$program" apply --server "$entry" "$out/pool.json" --base 0 > /dev/null
-wait_until entry first_request "$entry"
+wait_until entry entry curl -fsS "http://$entry/healthz"
+DRAGONFLYFOLD_TOKEN=$bootstrap_token "$program" apply --server "$entry" "$out/pool.json" --base 0 > /dev/null
+wait_until "first request" entry first_request "$entry"
 
 "$build/bench/hop" load --bare "$(address_of bare)" --bare-pid "${pid_of[bare]}" \
 	--product "$entry" --product-pid "${pid_of[entry]}" \
 	--path /v1/services/hop/requests --token bench-token "$@"
-echo "spans written: $(wc -l < "$out/spans")"
+echo "spans written: $(wc -l < "$out/entry.spans")"
