entry: refuse jobs whose row has no room to grow

Cause: the recorder refuses a unit over 512 KiB, but only the row as submitted was measured against it. A job just under that limit was accepted, its start intent (placements) was refused for good and it neither started nor ended; a larger one was told 503 with Retry-After, so that its caller came back for ever. Change: a job whose row would be over 492 KiB is refused at submission with 413 job_too_large, which leaves room for the placements of 128 members, a result and the row's key.

--- a/cell/job_row.c
+++ b/cell/job_row.c
@@ -217,6 +217,19 @@
 	return value;
 }
 
+/* A recorder refuses a row that is too long, and goes on refusing it. Symptom: an accepted job
+ * never starts. The row grows when it is started and ended, so that a job is measured with room to
+ * spare before it is taken. */
+bool
+dff_job_row_fits (const struct dff_job_row *row)
+{
+	/* The encoding doubles a payload at the most: most need not be encoded for this. */
+	if (row->payload->len < DFF_JOB_ROW_MAX_BYTES / 4)
+		return true;
+	g_autoptr (GString) value = dff_job_row_encode (row);
+	return value->len <= DFF_JOB_ROW_MAX_BYTES;
+}
+
 /** Reads an optional name; absent is empty. Returns: false when it is there and malformed. */
 static bool
 get_name (const json_t *object, const char *key, struct dff_name *name)
--- a/entry/admission.c
+++ b/entry/admission.c
@@ -61,6 +61,11 @@
 		     struct dff_job_fault *fault)
 {
 	const struct dff_job_spec *spec = &row->spec;
+	if (!dff_job_row_fits (row)) {
+		return refuse (fault, 413, "job_too_large",
+			       g_strdup_printf ("The job takes more than %d bytes in the store.",
+						DFF_JOB_ROW_MAX_BYTES));
+	}
 	const struct dff_service *service = dff_pool_find_service (entry->pool, &spec->service);
 	if (service == NULL) {
 		return refuse (fault, 422, "unknown_service",
--- a/include/cell/job_row.h
+++ b/include/cell/job_row.h
@@ -8,6 +8,7 @@
 #include "common/cleanup.h"
 #include "core/core.h"
 #include "core/job.h"
+#include "record/recorder.h"
 #include "upstream/worker_client.h"
 
 /*
@@ -83,6 +84,16 @@
 /** Encodes the row's value as compact JSON. */
 GString *dff_job_row_encode (const struct dff_job_row *row);
 
+/** What the placements of the largest gang, a result and the row's key may add to a row later,
+ * bytes.
+ */
+#define DFF_JOB_ROW_GROWTH_BYTES (20 << 10)
+/** A job whose row is longer as it is submitted is not taken, bytes. */
+#define DFF_JOB_ROW_MAX_BYTES (DFF_RECORD_MAX_UNIT_BYTES - DFF_JOB_ROW_GROWTH_BYTES)
+
+/** Returns: whether the row of a job that was not started yet can be recorded, now and later. */
+bool dff_job_row_fits (const struct dff_job_row *row);
+
 /** Decodes a row's value. Returns: (transfer full) (nullable): the row. */
 struct dff_job_row *dff_job_row_decode (struct dff_str value, int64_t revision, GError **error);
 
--- a/tests/cell/test-job-row.c
+++ b/tests/cell/test-job-row.c
@@ -4,8 +4,10 @@
 #include <stdint.h>
 
 #include <cmocka.h>
+#include <string.h>
 
 #include "cell/job_row.h"
+#include "record/recorder.h"
 
 #define HASH "0123456789abcdef0123456789abcdef"
 
@@ -126,6 +128,49 @@
 	assert_non_null (row);
 }
 
+/* Symptom: an accepted job can never be started, or its end never be recorded. Sequence: a gang's
+ * row is as large as is taken; the start intent, the result and the reason are added. Cause: too
+ * little room was left for them. */
+static void
+test_largest_row_has_room_to_grow (void **state)
+{
+	(void)state;
+	g_autofree char *longest = g_strnfill (DFF_NAME_MAX, 'n');
+	DFF_AUTO (dff_job_row) row = full_row ();
+	g_array_set_size (row->placements, 0);
+	g_array_set_size (row->incarnations, 0);
+	row->spec.gang = DFF_GANG_MAX;
+	row->state = DFF_JOB_ROW_QUEUED;
+	row->cancel_requested = false;
+	row->result.manifest_key.len = 0;
+	row->reason.len = 0;
+	g_string_set_size (row->payload, 0);
+	g_autoptr (GString) empty = dff_job_row_encode (row);
+	size_t payload_len = DFF_JOB_ROW_MAX_BYTES - empty->len - sizeof (",\"payload\":\"\"") + 1;
+	g_autofree char *payload = g_strnfill (payload_len, 'x');
+	g_string_assign (row->payload, payload);
+	assert_true (dff_job_row_fits (row));
+	g_string_append_c (row->payload, 'x');
+	assert_false (dff_job_row_fits (row));
+	row->state = DFF_JOB_ROW_OPEN;
+	row->attempt = INT32_MAX;
+	row->epoch = row->submitted_wall_ms = row->ended_wall_ms = INT64_MAX;
+	row->cancel_requested = true;
+	row->reason = row->result.manifest_key = row->batch = dff_name_from (longest);
+	row->result.length = INT64_MAX;
+	memset (row->result.digest, 'f', sizeof (row->result.digest) - 1);
+	for (int i = 0; i < DFF_GANG_MAX; i++) {
+		struct dff_placement placement = {dff_name_from (longest), INT64_MAX};
+		int64_t incarnation = INT64_MAX;
+		g_array_append_val (row->placements, placement);
+		g_array_append_val (row->incarnations, incarnation);
+	}
+	g_autoptr (GString) grown = dff_job_row_encode (row);
+	/* Its key, and the row of an Idempotency-Key that is recorded with it. */
+	size_t keys = (size_t)4 * DFF_NAME_MAX;
+	assert_true (grown->len + keys <= DFF_RECORD_MAX_UNIT_BYTES);
+}
+
 int
 main (void)
 {
@@ -133,6 +178,7 @@
 		cmocka_unit_test (test_region_of_id),
 		cmocka_unit_test (test_round_trip),
 		cmocka_unit_test (test_malformed_rows_are_refused),
+		cmocka_unit_test (test_largest_row_has_room_to_grow),
 	};
 	return cmocka_run_group_tests (tests, NULL, NULL);
 }
--- a/tests/entry/test-limits.c
+++ b/tests/entry/test-limits.c
@@ -278,6 +278,54 @@
 	harness_free (harness);
 }
 
+struct size_case {
+	/** What the payload's string is made of, and how often. */
+	const char *unit;
+	int n_units;
+	int status;
+};
+
+/* Symptom: an accepted job never starts and never ends, and its cancellation is refused as if the
+ * store were down. Sequence: a job is recorded in a row just under the recorder's limit; the start
+ * intent adds placements, and the recorder refuses the row from then on. Cause: only the row as
+ * submitted was measured, and a larger one was answered with "come back later". */
+static void
+test_jobs_too_large_for_a_row_are_refused (void **state)
+{
+	(void)state;
+	static const struct size_case cases[] = {
+		{"x", 480000, 201},
+		{"x", 520000, 413},
+		{"x", 800000, 413},
+		{"\\\"", 200000, 413},
+	};
+	for (size_t i = 0; i < G_N_ELEMENTS (cases); i++) {
+		struct harness *harness = harness_new ();
+		harness_set_pool (harness);
+		harness->processes[0].settings->max_body_bytes = 1 << 20;
+		harness_run (harness, 2);
+		g_autoptr (GString) body =
+			g_string_new ("{\"service\":\"archive\",\"payload\":{\"text\":\"");
+		for (int j = 0; j < cases[i].n_units; j++)
+			g_string_append (body, cases[i].unit);
+		g_string_append (body, "\"}}");
+		g_autofree char *head = g_strdup_printf (
+			"POST /v1/jobs HTTP/1.1\r\nAuthorization: Bearer fleet-token\r\n"
+			"Content-Length: %zu\r\n\r\n",
+			body->len);
+		struct harness_client *client = harness_connect (harness, 0);
+		send_text (client, head);
+		send_text (client, body->str);
+		assert_true (harness_client_wait (client));
+		if (harness_client_status (client) != cases[i].status)
+			fail_msg ("case %zu: %.600s", i, client->received->str);
+		bool told = strstr (client->received->str, "\"code\":\"job_too_large\"") != NULL;
+		assert_int_equal (told, cases[i].status == 413);
+		harness_client_free (client);
+		harness_free (harness);
+	}
+}
+
 int
 main (void)
 {
@@ -291,6 +339,7 @@
 		cmocka_unit_test (test_caller_that_hangs_up_frees_its_place),
 		cmocka_unit_test (test_requests_in_progress_are_bounded),
 		cmocka_unit_test (test_batch_of_thousands),
+		cmocka_unit_test (test_jobs_too_large_for_a_row_are_refused),
 	};
 	return cmocka_run_group_tests (tests, NULL, NULL);
 }
