entry: a worker that comes back under its id is used again

Cause: an entry that heard that a worker is leaving kept that until the instance list forgot the worker. One that starts anew under its id within the list's time to live is never forgotten, and nobody tells entries that it is back, so that a rolling restart of the workers left short requests with no worker at all until every entry process was restarted too. Change: a grant of the holder, which grants nothing of a worker that it knows to be leaving, ends the mark 20 s after the last word. Before: test-slots, "no grant" for the worker that came back; after: it is taken, and not before the 20 s are over nor without a grant.

--- a/bench/routing.c
+++ b/bench/routing.c
@@ -84,7 +84,7 @@
 		grants[i].slots = SLOTS_EACH;
 	}
 	dff_slots_set_instances (slots, instances, (size_t)n_workers);
-	dff_slots_set_grants (slots, 1, grants, (size_t)n_workers, NEVER_MS);
+	dff_slots_set_grants (slots, 1, grants, (size_t)n_workers, 0, NEVER_MS);
 	g_free (instances);
 	g_free (grants);
 	return slots;
--- a/entry/dispatch.c
+++ b/entry/dispatch.c
@@ -121,7 +121,7 @@
 	int64_t now = dff_entry_now_ms (sending->entry);
 	dff_slots_release (slots, &sending->worker);
 	if (result->leaving)
-		dff_slots_worker_leaving (slots, &sending->worker);
+		dff_slots_worker_leaving (slots, &sending->worker, now);
 	if (result->outcome == DFF_WORKER_OK)
 		count_service_time (sending);
 	else if (result->outcome == DFF_WORKER_REFUSED)
--- a/entry/request.c
+++ b/entry/request.c
@@ -260,7 +260,7 @@
 void
 dff_requests_worker_leaving (struct dff_requests *requests, const struct dff_name *worker)
 {
-	dff_slots_worker_leaving (requests->slots, worker);
+	dff_slots_worker_leaving (requests->slots, worker, dff_entry_now_ms (requests->entry));
 }
 
 void
@@ -270,8 +270,8 @@
 			 size_t n_grants,
 			 int32_t valid_ms)
 {
-	int64_t expires_ms = dff_entry_now_ms (requests->entry) + valid_ms;
-	dff_slots_set_grants (requests->slots, epoch, grants, n_grants, expires_ms);
+	int64_t now_ms = dff_entry_now_ms (requests->entry);
+	dff_slots_set_grants (requests->slots, epoch, grants, n_grants, now_ms, now_ms + valid_ms);
 }
 
 bool
--- a/entry/slots.c
+++ b/entry/slots.c
@@ -7,8 +7,10 @@
 	struct dff_name address; /**< Empty: not in the instance list. */
 	bool same_data_centre;
 	bool listed_leaving;
-	/** Said so itself; stands until the list forgets the worker. */
+	/** Said so itself; stands until the list forgets the worker or it is granted anew. */
 	bool said_leaving;
+	/** When it was last told so. */
+	int64_t said_leaving_ms;
 	int32_t granted;
 	int32_t in_use;
 	int64_t avoid_until_ms;
@@ -112,11 +114,25 @@
 	slots->changed = true;
 }
 
+/* Symptom: a worker that was restarted under its id gets no requests any more. Cause: nobody tells
+ * an entry that a worker is back, as only the holder hears of it; and the list, which lags, may
+ * never have forgotten the worker. The holder grants no slots of one that it knows to be leaving.
+ */
+static void
+take_grant (struct dff_slots *slots, const struct dff_grant *grant, int64_t now_ms)
+{
+	struct slot_worker *worker = ensure_worker (slots, &grant->worker);
+	worker->granted = MAX (0, grant->slots);
+	if (now_ms >= worker->said_leaving_ms + DFF_SLOTS_LEAVING_STANDS_MS)
+		worker->said_leaving = false;
+}
+
 void
 dff_slots_set_grants (struct dff_slots *slots,
 		      int64_t epoch,
 		      const struct dff_grant *grants,
 		      size_t n_grants,
+		      int64_t now_ms,
 		      int64_t expires_ms)
 {
 	/* A holder that was paused past its lease may still send grants when it resumes. Symptom: a
@@ -131,13 +147,15 @@
 		worker->granted = 0;
 	}
 	for (size_t i = 0; i < n_grants; i++)
-		ensure_worker (slots, &grants[i].worker)->granted = MAX (0, grants[i].slots);
+		take_grant (slots, &grants[i], now_ms);
 }
 
 void
-dff_slots_worker_leaving (struct dff_slots *slots, const struct dff_name *worker)
+dff_slots_worker_leaving (struct dff_slots *slots, const struct dff_name *name, int64_t now_ms)
 {
-	ensure_worker (slots, worker)->said_leaving = true;
+	struct slot_worker *worker = ensure_worker (slots, name);
+	worker->said_leaving = true;
+	worker->said_leaving_ms = now_ms;
 	slots->changed = true;
 }
 
--- a/entry/slots.h
+++ b/entry/slots.h
@@ -30,15 +30,23 @@
 			      const struct dff_instance *instances,
 			      size_t n_instances);
 
+/** After this time, ms, the holder knows that a worker said that it is leaving, also when the first
+ * word of it was lost; grants that it sent before have expired. A later grant means that the worker
+ * is back. */
+#define DFF_SLOTS_LEAVING_STANDS_MS 20000
+
 /** Replaces every grant. One of an older epoch than the last is ignored. */
 void dff_slots_set_grants (struct dff_slots *slots,
 			   int64_t epoch,
 			   const struct dff_grant *grants,
 			   size_t n_grants,
+			   int64_t now_ms,
 			   int64_t expires_ms);
 
-/** The worker said that it is leaving: nothing new goes there, whatever the list says. */
-void dff_slots_worker_leaving (struct dff_slots *slots, const struct dff_name *worker);
+/** The worker said that it is leaving: nothing new goes there, whatever the list says, until the
+ * list forgets it or it is granted anew after DFF_SLOTS_LEAVING_STANDS_MS. */
+void
+dff_slots_worker_leaving (struct dff_slots *slots, const struct dff_name *worker, int64_t now_ms);
 
 /** Nothing goes to the worker before @until_ms while another one has a free slot. */
 void dff_slots_avoid (struct dff_slots *slots, const struct dff_name *worker, int64_t until_ms);
--- a/tests/entry/test-slots.c
+++ b/tests/entry/test-slots.c
@@ -40,7 +40,7 @@
 	struct dff_grant grants[] = {grant ("w1", 2), grant ("w2", 2), grant ("w3", 2)};
 	struct dff_slots *slots = dff_slots_new (&here, 1);
 	dff_slots_set_instances (slots, instances, 3);
-	dff_slots_set_grants (slots, 5, grants, 3, EXPIRES_MS);
+	dff_slots_set_grants (slots, 5, grants, 3, 0, EXPIRES_MS);
 	return slots;
 }
 
@@ -106,9 +106,9 @@
 	(void)state;
 	DFF_AUTO (dff_slots) slots = three_workers ();
 	struct dff_grant old[] = {grant ("w1", 8)};
-	dff_slots_set_grants (slots, 4, old, 1, INT64_C (10) * EXPIRES_MS);
+	dff_slots_set_grants (slots, 4, old, 1, 0, INT64_C (10) * EXPIRES_MS);
 	assert_int_equal (dff_slots_granted (slots, 0), 6);
-	dff_slots_set_grants (slots, 6, old, 1, EXPIRES_MS);
+	dff_slots_set_grants (slots, 6, old, 1, 0, EXPIRES_MS);
 	assert_int_equal (dff_slots_granted (slots, 0), 8);
 }
 
@@ -122,7 +122,7 @@
 	struct dff_name w1 = dff_name_from ("w1");
 	struct dff_instance listed[] = {worker ("w1", "a", false), worker ("w2", "a", true),
 					worker ("w3", "b", false)};
-	dff_slots_worker_leaving (slots, &w1);
+	dff_slots_worker_leaving (slots, &w1, 0);
 	dff_slots_set_instances (slots, listed, 3);
 	for (int i = 0; i < 2; i++)
 		assert_string_equal (take (slots, 0), "w3");
@@ -133,6 +133,31 @@
 	assert_string_equal (take (slots, 0), "w1");
 }
 
+/* Symptom: a worker that was restarted gets no short requests until every entry process has been
+ * restarted too. Sequence: it says that it is leaving, stops, and starts anew under its id before
+ * the instance list forgets it; the holder learns that and grants its slots again. Cause: its word
+ * stood for as long as the list named it. */
+static void
+test_worker_that_comes_back_is_used_again (void **state)
+{
+	(void)state;
+	DFF_AUTO (dff_slots) slots = three_workers ();
+	struct dff_name w1 = dff_name_from ("w1");
+	struct dff_instance listed[] = {worker ("w1", "a", false)};
+	struct dff_grant grants[] = {grant ("w1", 2)};
+	int64_t said_ms = 100;
+	int64_t late_ms = said_ms + DFF_SLOTS_LEAVING_STANDS_MS;
+	dff_slots_worker_leaving (slots, &w1, said_ms);
+	dff_slots_set_instances (slots, listed, 1);
+	/* Sent before the holder heard of it. */
+	dff_slots_set_grants (slots, 5, grants, 1, late_ms - 1, late_ms + EXPIRES_MS);
+	assert_string_equal (take (slots, late_ms - 1), "no grant");
+	dff_slots_set_grants (slots, 5, NULL, 0, late_ms, late_ms + EXPIRES_MS);
+	assert_string_equal (take (slots, late_ms), "no grant");
+	dff_slots_set_grants (slots, 5, grants, 1, late_ms, late_ms + EXPIRES_MS);
+	assert_string_equal (take (slots, late_ms), "w1");
+}
+
 static void
 test_avoided_worker_is_the_last_choice (void **state)
 {
@@ -172,6 +197,7 @@
 		cmocka_unit_test (test_grants_expire),
 		cmocka_unit_test (test_grants_of_an_older_epoch_are_ignored),
 		cmocka_unit_test (test_leaving_by_either_signal),
+		cmocka_unit_test (test_worker_that_comes_back_is_used_again),
 		cmocka_unit_test (test_avoided_worker_is_the_last_choice),
 		cmocka_unit_test (test_retry_budget_is_a_share_of_successes),
 	};
