--- a/include/platform/instance_watch.h
+++ b/include/platform/instance_watch.h
@@ -26,7 +26,7 @@
 	const struct dff_instance_list *list;
 	const struct dff_clock *clock;
 	struct dff_metrics *metrics;
-	/** This process, announced every @poll_ms. */
+	/** This process, announced three times within @ttl_ms. */
 	struct dff_instance self;
 	uint64_t seed;
 	/** Mean interval of polls, ms; each varies by a quarter, so that processes spread out. */
