entry, daemon: time-outs are called so

Names spoke of patience where the field says time-out, and status_title was a switch of 44 lines. The names are timeout_ms, write_timed_out and wait_timed_out now, the titles a table. No behaviour changes.

--- a/daemon/isolation.c
+++ b/daemon/isolation.c
@@ -6,7 +6,7 @@
 is_silent (const struct dff_isolation *isolation, int64_t heard_ms, int64_t now_ms)
 {
 	int64_t since_ms = MAX (heard_ms, isolation->started_ms);
-	return now_ms - since_ms > isolation->patience_ms;
+	return now_ms - since_ms > isolation->timeout_ms;
 }
 
 bool
--- a/daemon/isolation.h
+++ b/daemon/isolation.h
@@ -15,8 +15,8 @@
 	bool has_peers;
 	/** When another process was heard last; 0: none since the start. */
 	int64_t peer_ms;
-	/** Silence that is in order, ms. */
-	int64_t patience_ms;
+	/** Longest silence that is in order, ms. */
+	int64_t timeout_ms;
 };
 
 /**
--- a/daemon/shares.c
+++ b/daemon/shares.c
@@ -153,8 +153,8 @@
 void
 dff_daemon_share_without_holder (struct dff_daemon *daemon, int64_t now_ms)
 {
-	bool patient = now_ms < daemon->grants_until_ms;
-	if (patient || daemon->pool == NULL || dff_cell_is_holder (daemon->cell))
+	bool granted = now_ms < daemon->grants_until_ms;
+	if (granted || daemon->pool == NULL || dff_cell_is_holder (daemon->cell))
 		return;
 	g_autoptr (GArray) members = grant_members (daemon);
 	g_autoptr (GPtrArray) shares = share_out (daemon, members);
--- a/daemon/watch_isolation.c
+++ b/daemon/watch_isolation.c
@@ -26,7 +26,7 @@
 		.store_ms = dff_pool_follower_answered_ms (daemon->follower),
 		.has_peers = dff_peer_members (daemon->peer)->len > 1,
 		.peer_ms = last_peer_ms (daemon),
-		.patience_ms = daemon->settings->isolated_after_ms,
+		.timeout_ms = daemon->settings->isolated_after_ms,
 	};
 	dff_entry_set_isolated (daemon->entry, dff_is_isolated (&isolation, now_ms));
 }
--- a/entry/attempt.c
+++ b/entry/attempt.c
@@ -289,7 +289,7 @@
 /* The store keeps silent about the row. Whatever becomes of it, nothing was sent and nothing will
  * be; if it turns out to be written it is deleted again, so that the key can be used. */
 static void
-patience_over (void *user)
+record_timed_out (void *user)
 {
 	struct dff_request *request = user;
 	request->timer = NULL;
@@ -304,20 +304,20 @@
 	g_autofree char *value = row_value (request);
 	struct dff_table_condition condition = {dff_str_from (key), 0};
 	struct dff_table_write change = {dff_str_from (key), dff_str_from (value)};
-	int64_t patience_ms = MIN (request->deadline_ms - now_ms (request),
-				   (int64_t)DFF_ENTRY_RECORD_PATIENCE_MS);
+	int64_t timeout_ms =
+		MIN (request->deadline_ms - now_ms (request), (int64_t)DFF_ENTRY_RECORD_TIMEOUT_MS);
 	struct dff_record_write write = {
 		.conditions = &condition,
 		.n_conditions = 1,
 		.writes = &change,
 		.n_writes = 1,
-		.give_up_ms = (int32_t)MAX (1, patience_ms),
+		.give_up_ms = (int32_t)MAX (1, timeout_ms),
 	};
 	request->state = DFF_REQUEST_RECORDING;
 	request->recording = true;
 	request->record_span =
 		dff_span_begin (entry->options.tracer, &request->span.context, "record");
-	dff_request_set_timer (request, now_ms (request) + patience_ms, patience_over);
+	dff_request_set_timer (request, now_ms (request) + timeout_ms, record_timed_out);
 	request->ticket = dff_recorder_write (entry->options.recorder, &write, row_recorded,
 					      dff_request_ref (request));
 }
@@ -370,8 +370,7 @@
 		.n_writes = 1,
 	};
 	dff_entry_record (request->owner->entry, &request->span.context, &write,
-			  DFF_ENTRY_RECORD_PATIENCE_MS, outcome_recorded,
-			  dff_request_ref (request));
+			  DFF_ENTRY_RECORD_TIMEOUT_MS, outcome_recorded, dff_request_ref (request));
 }
 
 static void
--- a/entry/record.c
+++ b/entry/record.c
@@ -7,7 +7,7 @@
 	struct dff_entry *entry;
 	struct dff_span span;
 	uint64_t ticket;
-	struct dff_deadline *patience;
+	struct dff_deadline *timeout;
 	dff_entry_record_func done;
 	void *user;
 };
@@ -29,7 +29,7 @@
 {
 	struct dff_entry *entry = pending->entry;
 	struct dff_name none = {.len = 0};
-	dff_deadlines_clear (entry->deadlines, &pending->patience);
+	dff_deadlines_clear (entry->deadlines, &pending->timeout);
 	if (!entry->closed) {
 		const char *word = outcome_word (outcome);
 		dff_span_end (entry->options.tracer, &pending->span, &none, word);
@@ -56,10 +56,10 @@
  * minutes and is told nothing. What can be proven is asked of the recorder; the rest is unknown,
  * and said to be. */
 static void
-patience_over (void *user)
+write_timed_out (void *user)
 {
 	struct pending_write *pending = user;
-	pending->patience = NULL;
+	pending->timeout = NULL;
 	enum dff_abandon abandon =
 		dff_recorder_abandon (pending->entry->options.recorder, pending->ticket);
 	finish (pending,
@@ -72,7 +72,7 @@
 dff_entry_record (struct dff_entry *entry,
 		  const struct dff_trace_context *parent,
 		  const struct dff_record_write *write,
-		  int32_t patience_ms,
+		  int32_t timeout_ms,
 		  dff_entry_record_func done,
 		  void *user)
 {
@@ -82,13 +82,13 @@
 	}
 	struct pending_write *pending = g_new0 (struct pending_write, 1);
 	struct dff_record_write bounded = *write;
-	bounded.give_up_ms = patience_ms;
+	bounded.give_up_ms = timeout_ms;
 	pending->entry = dff_entry_ref (entry);
 	pending->done = done;
 	pending->user = user;
 	pending->span = dff_span_begin (entry->options.tracer, parent, "record");
-	pending->patience = dff_deadlines_add (
-		entry->deadlines, dff_entry_now_ms (entry) + patience_ms, patience_over, pending);
+	pending->timeout = dff_deadlines_add (
+		entry->deadlines, dff_entry_now_ms (entry) + timeout_ms, write_timed_out, pending);
 	pending->ticket = dff_recorder_write (entry->options.recorder, &bounded, recorded, pending);
 }
 
@@ -98,7 +98,7 @@
 		 dff_entry_record_func done,
 		 void *user)
 {
-	dff_entry_record (call->entry, &call->span.context, write, DFF_ENTRY_RECORD_PATIENCE_MS,
+	dff_entry_record (call->entry, &call->span.context, write, DFF_ENTRY_RECORD_TIMEOUT_MS,
 			  done, user);
 }
 
--- a/entry/record.h
+++ b/entry/record.h
@@ -11,7 +11,7 @@
 /* Durable writes on behalf of a caller, who waits for them for a limited time only. */
 
 /** How long a caller waits for a write, ms. */
-#define DFF_ENTRY_RECORD_PATIENCE_MS 5000
+#define DFF_ENTRY_RECORD_TIMEOUT_MS 5000
 
 enum dff_entry_record_outcome {
 	DFF_ENTRY_RECORD_DONE,
@@ -30,14 +30,14 @@
 /**
  * dff_entry_record:
  * @parent: span that the write is part of
- * @patience_ms: after it the outcome is NOT_DONE or UNKNOWN
+ * @timeout_ms: after it the outcome is NOT_DONE or UNKNOWN
  *
  * @done is called once, after this call has returned; at once when the entry is closed.
  */
 void dff_entry_record (struct dff_entry *entry,
 		       const struct dff_trace_context *parent,
 		       const struct dff_record_write *write,
-		       int32_t patience_ms,
+		       int32_t timeout_ms,
 		       dff_entry_record_func done,
 		       void *user);
 
--- a/entry/reply.c
+++ b/entry/reply.c
@@ -3,53 +3,42 @@
 #include "common/digest.h"
 #include "entry/private.h"
 
+struct status {
+	int code;
+	const char *title;
+};
+
+static const struct status statuses[] = {
+	{200, "OK"},
+	{201, "Created"},
+	{202, "Accepted"},
+	{400, "Bad Request"},
+	{401, "Unauthorized"},
+	{403, "Forbidden"},
+	{404, "Not Found"},
+	{405, "Method Not Allowed"},
+	{409, "Conflict"},
+	{410, "Gone"},
+	{411, "Length Required"},
+	{412, "Precondition Failed"},
+	{413, "Content Too Large"},
+	{415, "Unsupported Media Type"},
+	{422, "Unprocessable Content"},
+	{428, "Precondition Required"},
+	{429, "Too Many Requests"},
+	{502, "Bad Gateway"},
+	{503, "Service Unavailable"},
+	{504, "Gateway Timeout"},
+};
+
 static const char *
 status_title (int status)
 {
-	switch (status) {
-	case 200:
-		return "OK";
-	case 201:
-		return "Created";
-	case 202:
-		return "Accepted";
-	case 400:
-		return "Bad Request";
-	case 401:
-		return "Unauthorized";
-	case 403:
-		return "Forbidden";
-	case 404:
-		return "Not Found";
-	case 405:
-		return "Method Not Allowed";
-	case 409:
-		return "Conflict";
-	case 410:
-		return "Gone";
-	case 411:
-		return "Length Required";
-	case 412:
-		return "Precondition Failed";
-	case 413:
-		return "Content Too Large";
-	case 415:
-		return "Unsupported Media Type";
-	case 422:
-		return "Unprocessable Content";
-	case 428:
-		return "Precondition Required";
-	case 429:
-		return "Too Many Requests";
-	case 502:
-		return "Bad Gateway";
-	case 503:
-		return "Service Unavailable";
-	case 504:
-		return "Gateway Timeout";
-	default:
-		return status >= 500 ? "Server Error" : "Answer";
+	for (size_t i = 0; i < G_N_ELEMENTS (statuses); i++) {
+		if (statuses[i].code == status)
+			return statuses[i].title;
 	}
+	return status >= 500 ? "Server Error" : "Answer";
 }
 
 static const char *
--- a/entry/result.c
+++ b/entry/result.c
@@ -22,7 +22,7 @@
 	struct dff_results *results;
 	struct dff_call *call;
 	struct dff_name job;
-	struct dff_deadline *patience;
+	struct dff_deadline *timeout;
 	/** Its row is being read. */
 	bool reading;
 	bool gone;
@@ -50,7 +50,7 @@
 release_waiter (struct waiter *waiter)
 {
 	struct dff_entry *entry = waiter->call->entry;
-	dff_deadlines_clear (entry->deadlines, &waiter->patience);
+	dff_deadlines_clear (entry->deadlines, &waiter->timeout);
 	waiter->call->on_lost = NULL;
 	waiter->gone = true;
 	if (!waiter->reading)
@@ -82,10 +82,10 @@
 }
 
 static void
-patience_over (void *user)
+wait_timed_out (void *user)
 {
 	struct waiter *waiter = user;
-	waiter->patience = NULL;
+	waiter->timeout = NULL;
 	reply_not_ended (waiter->call);
 	remove_waiter (waiter);
 }
@@ -133,8 +133,8 @@
 	waiter->results = entry->results;
 	waiter->call = dff_call_ref (call);
 	waiter->job = call->subject;
-	waiter->patience = dff_deadlines_add (entry->deadlines, dff_entry_now_ms (entry) + wait_ms,
-					      patience_over, waiter);
+	waiter->timeout = dff_deadlines_add (entry->deadlines, dff_entry_now_ms (entry) + wait_ms,
+					     wait_timed_out, waiter);
 	call->on_lost = caller_lost;
 	call->on_lost_user = waiter;
 	g_ptr_array_add (entry->results->waiters, waiter);
--- a/tests/daemon/test-isolation.c
+++ b/tests/daemon/test-isolation.c
@@ -8,10 +8,10 @@
 #include "daemon/isolation.h"
 
 #define STARTED_MS 1000
-#define PATIENCE_MS 10000
+#define TIMEOUT_MS 10000
 #define NOW_MS 60000
 /** The last moment at which somebody was heard and that is no silence yet. */
-#define RECENT_MS (NOW_MS - PATIENCE_MS)
+#define RECENT_MS (NOW_MS - TIMEOUT_MS)
 #define OLD_MS (RECENT_MS - 1)
 
 struct isolation_case {
@@ -38,14 +38,14 @@
 		{"alone, store answers", RECENT_MS, false, 0, NOW_MS, false},
 		{"alone, store down", OLD_MS, false, 0, NOW_MS, true},
 		{"never heard anybody", 0, true, 0, NOW_MS, true},
-		{"just started in an outage", 0, true, 0, STARTED_MS + PATIENCE_MS, false},
-		{"started in an outage, alone", 0, false, 0, STARTED_MS + PATIENCE_MS, false},
-		{"a moment later", 0, false, 0, STARTED_MS + PATIENCE_MS + 1, true},
+		{"just started in an outage", 0, true, 0, STARTED_MS + TIMEOUT_MS, false},
+		{"started in an outage, alone", 0, false, 0, STARTED_MS + TIMEOUT_MS, false},
+		{"a moment later", 0, false, 0, STARTED_MS + TIMEOUT_MS + 1, true},
 	};
 	for (size_t i = 0; i < sizeof (cases) / sizeof (cases[0]); i++) {
 		const struct isolation_case *at = &cases[i];
 		const struct dff_isolation isolation = {STARTED_MS, at->store_ms, at->has_peers,
-							at->peer_ms, PATIENCE_MS};
+							at->peer_ms, TIMEOUT_MS};
 		if (dff_is_isolated (&isolation, at->now_ms) != at->isolated)
 			fail_msg ("%s: expected %d", at->what, at->isolated);
 	}
--- a/tests/entry/harness.c
+++ b/tests/entry/harness.c
@@ -637,7 +637,7 @@
 bool
 harness_client_wait (struct harness_client *client)
 {
-	for (int64_t i = 0; i < HARNESS_PATIENCE_MS; i++) {
+	for (int64_t i = 0; i < HARNESS_TIMEOUT_MS; i++) {
 		if (harness_client_is_whole (client))
 			return true;
 		if (client->closed)
--- a/tests/entry/harness.h
+++ b/tests/entry/harness.h
@@ -23,7 +23,7 @@
 
 #define HARNESS_PROCESSES 2
 /** Virtual ms after which a wait for a socket has failed. */
-#define HARNESS_PATIENCE_MS 120000
+#define HARNESS_TIMEOUT_MS 120000
 
 struct harness;
 
