cell: a take-over asks every worker, at an address, before it decides

Cause: two ways in which a take-over took silence for an answer and stopped what ran. A worker that had started anew since this process last held the cell was asked twice, and its second answer counted for another worker that had not answered; and a process that had read no instance list yet took the cell, could ask nobody and rebuilt the tables after 3 s. Change: no second query while taking over; a process that knows no instance list is no candidate, so that the wait for it goes.

--- a/cell/cell.c
+++ b/cell/cell.c
@@ -261,10 +261,20 @@
 	dff_cell_execute (cell, cell->commands);
 }
 
+/* A process that knows no worker's address can ask none of them for its tasks. Symptom: it takes
+ * the cell and stops whatever runs, as nobody has told it of it. One that has heard of the instance
+ * list takes the cell instead, or it stays without a holder, who could do nothing, until one has.
+ */
+static bool
+may_hold (const struct dff_cell *cell)
+{
+	return cell->pool != NULL && cell->instances_known && !cell->draining;
+}
+
 void
 dff_cell_tick (struct dff_cell *cell)
 {
-	dff_lease_set_candidate (cell->lease, cell->pool != NULL && !cell->draining);
+	dff_lease_set_candidate (cell->lease, may_hold (cell));
 	dff_lease_tick (cell->lease);
 	follow_lease (cell);
 	if (cell->draining) {
--- a/cell/recovery.c
+++ b/cell/recovery.c
@@ -12,8 +12,6 @@
 
 /** Longest wait for the workers' answers: a worker that is down must not hold up the others. */
 #define QUERY_LIMIT_MS 1500
-/** Longest wait for the instance list, which gives the workers' addresses. */
-#define INSTANCES_LIMIT_MS 3000
 
 void
 dff_cell_recovery_begin (struct dff_cell *cell)
@@ -268,12 +266,8 @@
 	}
 	int64_t now_ms = dff_cell_now_ms (cell);
 	struct dff_cell_recovery *recovery = &cell->recovery;
-	if (recovery->query_until_ms == 0) {
-		bool waited = now_ms >= recovery->begun_ms + INSTANCES_LIMIT_MS;
-		if (!cell->instances_known && !waited)
-			return;
+	if (recovery->query_until_ms == 0)
 		query_workers (cell);
-	}
 	dff_cell_agenda_run (cell);
 	if (recovery->n_queries <= 0 || now_ms >= recovery->query_until_ms)
 		rebuild (cell);
--- a/cell/workers.c
+++ b/cell/workers.c
@@ -54,7 +54,9 @@
 	dff_log (DFF_LOG_CELL, DFF_LOG_WARNING,
 		 "Worker started anew. worker=%s incarnation=%" PRId64, name->data,
 		 result->incarnation);
-	dff_cell_worker_query (cell, name, dff_cell_now_ms (cell));
+	/* A take-over is asking each worker already, and counts the answers. */
+	if (cell->phase == DFF_CELL_ACTIVE)
+		dff_cell_worker_query (cell, name, dff_cell_now_ms (cell));
 }
 
 void
--- a/tests/cell/cell_harness.h
+++ b/tests/cell/cell_harness.h
@@ -41,6 +41,8 @@
 	/** Of the cells to be born; 0: the default. */
 	int32_t lease_ms;
 	int n_births;
+	/** The cells to be born have not heard of any instance. */
+	bool list_unknown;
 	/** Of the jobs to be submitted; empty: none. */
 	struct dff_name batch;
 	int n_jobs;
@@ -115,7 +117,8 @@
 	process->cell = dff_cell_new (&options);
 	dff_cell_set_rank (process->cell, index);
 	dff_cell_set_pool (process->cell, &harness->pool);
-	harness_set_instances (harness, process->cell);
+	if (!harness->list_unknown)
+		harness_set_instances (harness, process->cell);
 }
 
 /** The process dies: what it sent is still on its way, nothing comes back to it. */
--- /dev/null
+++ b/tests/cell/test-recovery.c
@@ -0,0 +1,87 @@
+#include "tests/cell/cell_faults.h"
+
+/* What a take-over makes of what runs. The harness checks the promises after every step. */
+
+/** Submits a job of one task that runs for long. Returns: the index of its worker. */
+static int
+run_long_job (struct harness *harness, int *job)
+{
+	harness->fleet.run_ms = 60000;
+	*job = harness_submit (harness, 1, true);
+	harness_run (harness, 1000);
+	const struct dff_job_row *row = harness_row (harness, *job);
+	assert_int_equal (row->state, DFF_JOB_ROW_OPEN);
+	return g_array_index (row->placements, struct dff_placement, 0).worker.data[1] - '0';
+}
+
+static void
+check_runs_on (struct harness *harness, int job)
+{
+	assert_int_equal (harness_row (harness, job)->attempt, 1);
+	assert_int_equal (harness_run_job (harness, job, 100000), DFF_OUTCOME_COMPLETED);
+	assert_int_equal (harness_runs (harness, job), 1);
+}
+
+/* Symptom: a job that runs is stopped and started anew by a take-over. Sequence: a process that
+ * held the cell before takes it again; workers have started anew meanwhile, and each of them is
+ * asked a second time as soon as it has answered. Cause: the second answer counted for that of a
+ * worker that had not answered yet, so that the tables were rebuilt without what it runs. */
+static void
+test_every_worker_is_heard_before_the_rebuild (void **state)
+{
+	(void)state;
+	for (int seed = 0; seed < FAULT_STEPS; seed++) {
+		struct harness harness;
+		int job;
+		begin (&harness, 300 + (uint64_t)seed);
+		int placed = run_long_job (&harness, &job);
+		harness_pause (&harness, 0, true);
+		harness_run (&harness, 8000);
+		for (int i = 0; i < HARNESS_WORKERS; i++) {
+			if (i != placed)
+				fake_worker_restart (&harness.fleet.workers[i]);
+		}
+		harness_pause (&harness, 0, false);
+		harness_run (&harness, 1000);
+		harness.processes[0].link->delay_max_ms = 200;
+		harness_kill (&harness, 1);
+		harness_kill (&harness, 2);
+		harness_run_holder (&harness, 20000);
+		harness_run (&harness, 3000);
+		check_runs_on (&harness, job);
+		harness_clear (&harness);
+	}
+}
+
+/* Symptom: every running job is stopped. Sequence: all processes are replaced while the instance
+ * list is down and the table is not. Cause: a process that knew no worker's address took the cell
+ * and asked nobody, and took the silence for an answer. */
+static void
+test_no_take_over_without_the_instance_list (void **state)
+{
+	(void)state;
+	struct harness harness;
+	int job;
+	begin (&harness, 17);
+	run_long_job (&harness, &job);
+	for (int i = 0; i < HARNESS_PROCESSES; i++)
+		harness_kill (&harness, i);
+	harness.list_unknown = true;
+	for (int i = 0; i < HARNESS_PROCESSES; i++)
+		harness_birth (&harness, i);
+	harness_run (&harness, 10000);
+	for (int i = 0; i < HARNESS_PROCESSES; i++)
+		harness_set_instances (&harness, harness.processes[i].cell);
+	check_runs_on (&harness, job);
+	harness_clear (&harness);
+}
+
+int
+main (void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test (test_every_worker_is_heard_before_the_rebuild),
+		cmocka_unit_test (test_no_take_over_without_the_instance_list),
+	};
+	return cmocka_run_group_tests (tests, NULL, NULL);
+}
