daemon: table_writes_per_s changes with SIGHUP, as the page says

Cause: the setting is listed as reloadable, and SIGHUP said "Settings read again", but the recorder had copied the number when it was made, so that a process kept its old rate of writes until it was started anew. Change: the recorder's budget takes a new maximum while it runs; what was sent lately still counts. Before: test-recorder, with the call doing nothing, 20 or more transactions in a second for a maximum of half of that; after: within the new maximum and above 80% of it.

--- a/daemon/daemon.c
+++ b/daemon/daemon.c
@@ -94,6 +94,7 @@
 dff_daemon_settings_changed (struct dff_daemon *daemon)
 {
 	dff_log_set_level (daemon->settings->log_level);
+	dff_recorder_set_max_commits (daemon->recorder, daemon->settings->table_writes_per_s);
 }
 
 void
--- a/include/record/recorder.h
+++ b/include/record/recorder.h
@@ -104,6 +104,9 @@
 /** Gives up on a write whose callback has not come yet. */
 enum dff_abandon dff_recorder_abandon (struct dff_recorder *recorder, uint64_t ticket);
 
+/** Changes the maximum of transactions a second, from now on. */
+void dff_recorder_set_max_commits (struct dff_recorder *recorder, int32_t max_commits_per_s);
+
 /** Sends what is due and times out what is overdue. To be called every few milliseconds. */
 void dff_recorder_tick (struct dff_recorder *recorder);
 
--- a/record/budget.c
+++ b/record/budget.c
@@ -8,13 +8,20 @@
 
 /* Burst and refill together make up one second's maximum, so that no second holds more. */
 void
-dff_budget_init (struct dff_budget *budget, int32_t max_per_s, int64_t now_ms)
+dff_budget_set_max (struct dff_budget *budget, int32_t max_per_s)
 {
 	int64_t burst = MAX (1, max_per_s / BURST_DIVISOR);
 	budget->capacity_milli = burst * MILLI;
-	budget->tokens_milli = budget->capacity_milli;
+	budget->tokens_milli = MIN (budget->tokens_milli, budget->capacity_milli);
 	budget->refill_per_s = MAX (1, max_per_s - burst);
+}
+
+void
+dff_budget_init (struct dff_budget *budget, int32_t max_per_s, int64_t now_ms)
+{
+	budget->tokens_milli = INT64_MAX;
 	budget->refilled_ms = now_ms;
+	dff_budget_set_max (budget, max_per_s);
 }
 
 bool
--- a/record/budget.h
+++ b/record/budget.h
@@ -16,6 +16,9 @@
 
 void dff_budget_init (struct dff_budget *budget, int32_t max_per_s, int64_t now_ms);
 
+/** Changes the maximum; what was sent lately still counts. */
+void dff_budget_set_max (struct dff_budget *budget, int32_t max_per_s);
+
 /** Returns: whether one transaction may be sent now. */
 bool dff_budget_has (struct dff_budget *budget, int64_t now_ms);
 
--- a/record/recorder.c
+++ b/record/recorder.c
@@ -366,6 +366,12 @@
 	call_back_finished (recorder);
 }
 
+void
+dff_recorder_set_max_commits (struct dff_recorder *recorder, int32_t max_commits_per_s)
+{
+	dff_budget_set_max (&recorder->budget, max_commits_per_s);
+}
+
 bool
 dff_recorder_is_open (const struct dff_recorder *recorder)
 {
--- a/tests/record/test-recorder.c
+++ b/tests/record/test-recorder.c
@@ -340,10 +340,11 @@
 	assert_false (dff_recorder_is_open (fixture->recorder));
 }
 
-static void
-test_budget_is_kept (void **state)
+/** Returns: the most transactions of any second, while far more are asked for. The recorder is not
+ * to be ticked after it. */
+static int64_t
+most_in_a_second (struct fixture *fixture)
 {
-	struct fixture *fixture = *state;
 	struct writer writers[20];
 	g_autoptr (GArray) sent = g_array_new (FALSE, FALSE, sizeof (int64_t));
 	/* Each write waits for the one before it, so that each is a commit of its own; twice as
@@ -363,7 +364,25 @@
 				    g_array_index (sent, int64_t, i - window);
 		most = MAX (most, in_window);
 	}
-	assert_in_range (most, MAX_COMMITS_PER_S * 8 / 10, MAX_COMMITS_PER_S);
+	return most;
+}
+
+static void
+test_budget_is_kept (void **state)
+{
+	assert_in_range (most_in_a_second (*state), MAX_COMMITS_PER_S * 8 / 10, MAX_COMMITS_PER_S);
+}
+
+/* Symptom: an operator lowers the writes a second of a process with SIGHUP, is told that the
+ * settings are read, and the table is as busy as before. Cause: the recorder had copied the number
+ * when it was made. */
+static void
+test_budget_can_be_changed (void **state)
+{
+	struct fixture *fixture = *state;
+	dff_recorder_set_max_commits (fixture->recorder, MAX_COMMITS_PER_S / 2);
+	assert_in_range (most_in_a_second (fixture), MAX_COMMITS_PER_S * 4 / 10,
+			 MAX_COMMITS_PER_S / 2);
 }
 
 static void
@@ -512,6 +531,7 @@
 		cmocka_unit_test_setup_teardown (test_outage_and_return, setup, teardown),
 		cmocka_unit_test_setup_teardown (test_silence, setup, teardown),
 		cmocka_unit_test_setup_teardown (test_budget_is_kept, setup, teardown),
+		cmocka_unit_test_setup_teardown (test_budget_can_be_changed, setup, teardown),
 		cmocka_unit_test_setup_teardown (test_full_queue_refuses_at_once, setup, teardown),
 		cmocka_unit_test_setup_teardown (test_refused_unit_does_not_hold_up_others, setup,
 						 teardown),
