core: leave the slots of short requests to short requests

Cause: the pool file says that slots are set aside for short requests on every worker, and the holder granted them, but the core gave all slots to jobs: under a burst every grant met a full worker. Change: dff_pool_request_slots () tells both; at most half of a worker's slots, so that many services cannot leave none for jobs. Conclusion: grants are worth what they say.

--- a/bench/cluster.c
+++ b/bench/cluster.c
@@ -30,7 +30,10 @@
 }
 
 static void
-add_rack (struct dff_cluster *cluster, const struct dff_rack *rack, int32_t region)
+add_rack (struct dff_cluster *cluster,
+	  const struct dff_pool *pool,
+	  const struct dff_rack *rack,
+	  int32_t region)
 {
 	struct dff_cluster_rack entry = {
 		.first = (int32_t)cluster->workers->len,
@@ -45,6 +48,7 @@
 			.up = true,
 			.capacity = rack->per_worker,
 		};
+		worker.capacity.slots -= dff_pool_request_slots (pool, rack);
 		g_hash_table_insert (cluster->index, dff_name_dup (&worker.name),
 				     GINT_TO_POINTER (cluster->workers->len));
 		g_array_append_val (cluster->workers, worker);
@@ -65,7 +69,7 @@
 			const struct dff_rack *rack =
 				&g_array_index (pool->racks, struct dff_rack, i);
 			if (region_rank (pool, &rack->region) == region)
-				add_rack (cluster, rack, region);
+				add_rack (cluster, pool, rack, region);
 		}
 	}
 }
--- a/core/core.c
+++ b/core/core.c
@@ -86,7 +86,7 @@
 }
 
 static void
-add_rack (struct dff_core *core, const struct dff_rack *declared)
+add_rack (struct dff_core *core, const struct dff_rack *declared, int32_t request_slots)
 {
 	int32_t index = (int32_t)core->racks->len;
 	g_array_set_size (core->racks, core->racks->len + 1);
@@ -100,6 +100,7 @@
 		struct dff_core_worker *worker = dff_core_worker_at (core, worker_index);
 		worker->rack = index;
 		worker->capacity = declared->per_worker;
+		worker->capacity.slots -= request_slots;
 		dff_core_worker_note_overload (worker);
 		dff_resources_add (&core->total, &worker->capacity, 1);
 		g_array_append_val (rack->workers, worker_index);
@@ -108,15 +109,17 @@
 }
 
 static void
-set_racks (struct dff_core *core, const GArray *racks)
+set_racks (struct dff_core *core, const struct dff_pool *pool)
 {
 	for (guint i = 0; i < core->workers->len; i++)
 		dff_core_worker_at (core, (int32_t)i)->rack = DFF_CORE_NONE;
 	g_array_set_size (core->racks, 0);
 	core->n_guards = 0;
 	core->total = (struct dff_resources){0};
-	for (guint i = 0; i < racks->len; i++)
-		add_rack (core, &g_array_index (racks, struct dff_rack, i));
+	for (guint i = 0; i < pool->racks->len; i++) {
+		const struct dff_rack *rack = &g_array_index (pool->racks, struct dff_rack, i);
+		add_rack (core, rack, dff_pool_request_slots (pool, rack));
+	}
 }
 
 static void
@@ -187,7 +190,7 @@
 dff_core_set_pool (struct dff_core *core, const struct dff_pool *pool, int64_t now_ms)
 {
 	core->now_ms = now_ms;
-	set_racks (core, pool->racks);
+	set_racks (core, pool);
 	for (guint i = 0; i < core->teams->len; i++)
 		dff_core_team_at (core, (int32_t)i)->declared = false;
 	for (guint i = 0; i < pool->teams->len; i++)
--- a/daemon/shares.c
+++ b/daemon/shares.c
@@ -76,27 +76,29 @@
 	dff_cell_set_rank (daemon->cell, rank);
 }
 
+/* Returns: slots of the worker for short requests; 0 where the pool does not know its rack. */
 static int32_t
-request_slots (const struct dff_pool *pool)
+request_slots (const struct dff_pool *pool, const struct dff_instance *worker)
 {
-	int32_t slots = 0;
-	for (guint i = 0; i < pool->services->len; i++)
-		slots += g_array_index (pool->services, struct dff_service, i).request_slots;
-	return slots;
+	const struct dff_rack *rack = dff_pool_find_rack (pool, &worker->rack);
+	return rack != NULL ? dff_pool_request_slots (pool, rack) : 0;
 }
 
 static GArray *
 grant_workers (const struct dff_daemon *daemon)
 {
 	GArray *workers = g_array_new (FALSE, FALSE, sizeof (struct dff_grant_worker));
-	int32_t slots = request_slots (daemon->pool);
 	for (guint i = 0; i < daemon->instances->len; i++) {
 		const struct dff_instance *instance =
 			&g_array_index (daemon->instances, struct dff_instance, i);
 		if (!is_worker_of_region (daemon, instance) || instance->leaving ||
 		    g_hash_table_contains (daemon->leaving_workers, &instance->id))
 			continue;
-		struct dff_grant_worker worker = {instance->id, instance->data_centre, slots};
+		struct dff_grant_worker worker = {
+			instance->id,
+			instance->data_centre,
+			request_slots (daemon->pool, instance),
+		};
 		g_array_append_val (workers, worker);
 	}
 	return workers;
--- a/include/pool/pool.h
+++ b/include/pool/pool.h
@@ -140,6 +140,18 @@
  */
 struct dff_principal dff_pool_authenticate (const struct dff_pool *pool, struct dff_str token);
 
+/**
+ * dff_pool_request_slots:
+ *
+ * Returns: slots of each worker of @rack that are kept for short requests and that no job gets: the
+ * sum over the services, at most half of the worker's slots.
+ */
+int32_t dff_pool_request_slots (const struct dff_pool *pool, const struct dff_rack *rack);
+
+/** Returns: (nullable): the rack called @name. */
+const struct dff_rack *dff_pool_find_rack (const struct dff_pool *pool,
+					   const struct dff_name *name);
+
 /** Returns: accelerators of the largest guaranteed shape that fits one rack; 8 where there is none.
  */
 int32_t dff_pool_adjacent_unit (const struct dff_pool *pool);
--- a/pool/pool.c
+++ b/pool/pool.c
@@ -159,6 +159,26 @@
 	return principal;
 }
 
+int32_t
+dff_pool_request_slots (const struct dff_pool *pool, const struct dff_rack *rack)
+{
+	int64_t slots = 0;
+	for (guint i = 0; i < pool->services->len; i++)
+		slots += g_array_index (pool->services, struct dff_service, i).request_slots;
+	return (int32_t)MIN (slots, rack->per_worker.slots / 2);
+}
+
+const struct dff_rack *
+dff_pool_find_rack (const struct dff_pool *pool, const struct dff_name *name)
+{
+	for (guint i = 0; i < pool->racks->len; i++) {
+		const struct dff_rack *rack = &g_array_index (pool->racks, struct dff_rack, i);
+		if (dff_name_equal (&rack->name, name))
+			return rack;
+	}
+	return NULL;
+}
+
 static int32_t
 pool_largest_rack (const struct dff_pool *pool)
 {
