--- a/bench/slopes/connections.c
+++ b/bench/slopes/connections.c
@@ -68,6 +68,9 @@
 						"bytes of the daemon"};
 	static const struct slope_axes cpu = {"connections_caller_cpu_percent", "open callers",
 					      "% of a core"};
+	static const struct slope_axes arrival = {"connections_arrival_cpu_ms",
+						  "callers that connect and ask once",
+						  "ms of processor time with that of the callers"};
 	static const guint sizes[] = {100, 500, 1000, 2000, 4000};
 	struct site_options options = {1, 1, 0, 1};
 	DFF_AUTO (site) site = site_new (&options);
@@ -75,7 +78,11 @@
 	site_run (site, MEASURE_MS);
 	int64_t before = slopes_heap_bytes ();
 	for (size_t i = 0; i < G_N_ELEMENTS (sizes); i++) {
+		guint n_before = fds->len;
+		double arrival_us = slopes_cpu_us ();
 		open_callers (site, fds, sizes[i]);
+		slopes_add (slopes, &arrival, fds->len - n_before,
+			    (slopes_cpu_us () - arrival_us) / 1e3);
 		slopes_add (slopes, &bytes, sizes[i], (double)(slopes_heap_bytes () - before));
 		double start_us = slopes_cpu_us ();
 		site_run (site, MEASURE_MS);
--- a/bench/slopes/core.c
+++ b/bench/slopes/core.c
@@ -166,6 +166,47 @@
 	}
 }
 
+/** A gang of whole accelerators is submitted to an empty region and placed. */
+static void
+by_gang (struct slopes *slopes)
+{
+	static const struct slope_axes axes = {"core_place_us_by_gang", "tasks of the gang",
+					       "us until it is placed"};
+	static const int sizes[] = {1, 8, 32, 64, 96, 128};
+	for (size_t i = 0; i < G_N_ELEMENTS (sizes); i++) {
+		struct core_load_size size = {BASE_WORKERS, BASE_TEAMS, 1};
+		double spent = 0;
+		for (int j = 0; j < EVENTS; j++) {
+			DFF_AUTO (core_load) load = core_load_new (&size);
+			struct dff_job_spec spec = core_load_job (load, sizes[i], 1);
+			double before = slopes_cpu_us ();
+			core_load_submit (load, &spec);
+			dff_core_tick (load->core, load->now_ms, load->commands);
+			spent += slopes_cpu_us () - before;
+		}
+		slopes_add (slopes, &axes, sizes[i], spent / EVENTS);
+	}
+}
+
+/** Workers of a full region go down at once: a data centre has about 100. */
+static void
+by_lost_workers (struct slopes *slopes)
+{
+	static const struct slope_axes axes = {"core_lost_us_by_workers", "workers lost at once",
+					       "us until shapes have their places again"};
+	static const int sizes[] = {8, 25, 50, 75, 100};
+	for (size_t i = 0; i < G_N_ELEMENTS (sizes); i++) {
+		struct core_load_size size = {BASE_WORKERS, BASE_TEAMS, 1};
+		DFF_AUTO (core_load) load = core_load_new (&size);
+		core_load_run_tasks (load, BASE_TASKS);
+		take_accelerators (load);
+		double before = slopes_cpu_us ();
+		core_load_lose_workers (load, sizes[i]);
+		core_load_settle (load);
+		slopes_add (slopes, &axes, sizes[i], slopes_cpu_us () - before);
+	}
+}
+
 void
 slopes_core (struct slopes *slopes)
 {
@@ -173,4 +214,6 @@
 	by_tasks (slopes);
 	by_teams (slopes);
 	by_queue (slopes);
+	by_gang (slopes);
+	by_lost_workers (slopes);
 }
--- a/bench/slopes/core_load.c
+++ b/bench/slopes/core_load.c
@@ -88,23 +88,30 @@
 	return pool;
 }
 
+/** Tells the core about the first @n workers. */
 static void
-tell_workers (struct core_load *load)
+tell_workers (struct core_load *load, int n, enum dff_worker_state state)
 {
 	for (guint i = 0; i < load->pool->racks->len; i++) {
 		const struct dff_rack *rack =
 			&g_array_index (load->pool->racks, struct dff_rack, i);
-		for (guint j = 0; j < rack->workers->len; j++) {
+		for (guint j = 0; j < rack->workers->len && n > 0; j++, n--) {
 			struct dff_event event = {
 				.type = DFF_EVENT_WORKER_STATE,
 				.worker = g_array_index (rack->workers, struct dff_name, j),
-				.worker_state = DFF_WORKER_UP,
+				.worker_state = state,
 			};
 			dff_core_handle_event (load->core, &event, load->now_ms);
 		}
 	}
 }
 
+void
+core_load_lose_workers (struct core_load *load, int n)
+{
+	tell_workers (load, n, DFF_WORKER_DOWN);
+}
+
 struct core_load *
 core_load_new (const struct core_load_size *size)
 {
@@ -117,7 +124,7 @@
 	dff_core_options_init (&options);
 	load->core = dff_core_new (&options);
 	dff_core_set_pool (load->core, load->pool, load->now_ms);
-	tell_workers (load);
+	tell_workers (load, size->workers, DFF_WORKER_UP);
 	core_load_settle (load);
 	return load;
 }
@@ -223,18 +230,3 @@
 	}
 	return n_running;
 }
-
-void
-core_load_complete (struct core_load *load, const struct dff_name *job, int gang)
-{
-	for (int32_t member = 0; member < gang; member++) {
-		struct dff_event event = {
-			.type = DFF_EVENT_TASK_COMPLETED,
-			.job = *job,
-			.attempt = 1,
-			.member = member,
-			.ran = true,
-		};
-		dff_core_handle_event (load->core, &event, load->now_ms);
-	}
-}
--- a/bench/slopes/core_load.h
+++ b/bench/slopes/core_load.h
@@ -55,7 +55,7 @@
  * Returns: the number of tasks that run. */
 int core_load_run_tasks (struct core_load *load, int n_tasks);
 
-/** Every member of @job completes. */
-void core_load_complete (struct core_load *load, const struct dff_name *job, int gang);
+/** The first @n workers go down. */
+void core_load_lose_workers (struct core_load *load, int n);
 
 #endif
--- a/bench/slopes/members.c
+++ b/bench/slopes/members.c
@@ -11,9 +11,11 @@
 by_members (struct slopes *slopes)
 {
 	static const struct slope_axes messages = {"members_messages_per_s", "members",
-						   "messages/s, in and out"};
+						   "messages/s in and out"};
 	static const struct slope_axes bytes = {"members_wire_bytes_per_s", "members",
-						"wire bytes/s, in and out"};
+						"wire bytes/s in and out"};
+	static const struct slope_axes payload = {"members_payload_bytes_per_s", "members",
+						  "bytes/s without CURVE and TCP"};
 	static const struct slope_axes worst = {"members_wire_bytes_per_s_worst", "members",
 						"wire bytes/s of the busiest"};
 	static const struct slope_axes cpu = {"members_cpu_us_per_s", "members",
@@ -26,6 +28,7 @@
 		double spent_us = slopes_cpu_us () - start_us;
 		slopes_add (slopes, &messages, sizes[i], idle.messages);
 		slopes_add (slopes, &bytes, sizes[i], idle.wire_bytes);
+		slopes_add (slopes, &payload, sizes[i], idle.bytes);
 		slopes_add (slopes, &worst, sizes[i], idle.wire_bytes_worst);
 		slopes_add (slopes, &cpu, sizes[i], spent_us / MEASURE_S / sizes[i]);
 	}
@@ -35,8 +38,8 @@
 by_changes (struct slopes *slopes)
 {
 	static const struct slope_axes messages = {"members_messages_by_changes",
-						   "pool changes in a minute, 45 members",
-						   "messages/s, in and out"};
+						   "pool changes a minute (45 members)",
+						   "messages/s in and out"};
 	static const int32_t changes[] = {0, 1, 3, 10, 30, 60};
 	for (size_t i = 0; i < G_N_ELEMENTS (changes); i++) {
 		DFF_AUTO (fake_network) network = peer_traffic_network (45);
--- a/bench/slopes/recovery.c
+++ b/bench/slopes/recovery.c
@@ -34,12 +34,10 @@
 	g_assert (result->outcome == DFF_TABLE_OK);
 }
 
-static void
-write_row (struct takeover *takeover, int index, bool ended)
+static struct dff_job_spec
+job_spec (int index)
 {
-	const struct dff_table *table = &takeover->caller->table;
-	DFF_AUTO (dff_job_row) row = dff_job_row_new ();
-	row->spec = (struct dff_job_spec){
+	return (struct dff_job_spec){
 		.id = dff_name_printf (REGION ".0123456789abcdef0123456789abcdef.%d", index),
 		.team = dff_name_printf ("team-%d", index % TEAMS + 1),
 		.service = dff_name_from ("batch"),
@@ -50,6 +48,14 @@
 		.declared_ms = 3600000,
 		.max_attempts = 3,
 	};
+}
+
+static void
+write_row (struct takeover *takeover, int index, bool ended)
+{
+	const struct dff_table *table = &takeover->caller->table;
+	DFF_AUTO (dff_job_row) row = dff_job_row_new ();
+	row->spec = job_spec (index);
 	row->state = ended ? DFF_JOB_ROW_ENDED : DFF_JOB_ROW_QUEUED;
 	row->outcome = ended ? DFF_OUTCOME_COMPLETED : DFF_OUTCOME_NONE;
 	g_autoptr (GString) key = dff_job_row_key (&row->spec.id);
@@ -195,6 +201,30 @@
 	slopes_add (slopes, &axes->bytes, n_rows, (double)(slopes_heap_bytes () - heap));
 }
 
+/** Size of a job's row with an open attempt. */
+static void
+row_bytes (struct slopes *slopes, int gang)
+{
+	static const struct slope_axes axes = {"recovery_row_bytes_by_gang", "tasks of the gang",
+					       "bytes of the job's row"};
+	DFF_AUTO (dff_job_row) row = dff_job_row_new ();
+	row->spec = job_spec (1);
+	row->spec.gang = gang;
+	row->state = DFF_JOB_ROW_OPEN;
+	row->attempt = 1;
+	for (int i = 0; i < gang; i++) {
+		struct dff_placement placement = {
+			.worker = dff_name_printf ("r%d-w%d", i / 8 + 1, i % 8 + 1),
+			.accelerators = 1,
+		};
+		int64_t incarnation = 1234567890123;
+		g_array_append_val (row->placements, placement);
+		g_array_append_val (row->incarnations, incarnation);
+	}
+	g_autoptr (GString) value = dff_job_row_encode (row);
+	slopes_add (slopes, &axes, gang, (double)value->len);
+}
+
 void
 slopes_recovery (struct slopes *slopes)
 {
@@ -202,8 +232,11 @@
 		AXES ("live", "jobs on record that have not ended");
 	static const struct recovery_axes ended = AXES ("ended", "ended jobs on record");
 	static const int sizes[] = {100, 500, 1000, 2000, 5000, 10000};
+	static const int gangs[] = {1, 8, 32, 64, 128};
 	for (size_t i = 0; i < G_N_ELEMENTS (sizes); i++) {
 		measure (slopes, &live, sizes[i], false);
 		measure (slopes, &ended, sizes[i], true);
 	}
+	for (size_t i = 0; i < G_N_ELEMENTS (gangs); i++)
+		row_bytes (slopes, gangs[i]);
 }
--- a/bench/slopes/slopes.c
+++ b/bench/slopes/slopes.c
@@ -230,7 +230,7 @@
 static void
 write_plot (const struct series *series, const struct fit *fit, FILE *out)
 {
-	fprintf (out, "set title '%s' noenhanced\nset xlabel '%s'\nset ylabel '%s'\n",
+	fprintf (out, "set title '%s' noenhanced\nset xlabel \"%s\"\nset ylabel \"%s\"\n",
 		 series->axes.name, series->axes.x, series->axes.y);
 	fprintf (out,
 		 "plot '< grep ^%s, points.csv' using 3:4 with points pt 7 ps 0.4 notitle, "
--- a/bench/slopes/store.c
+++ b/bench/slopes/store.c
@@ -18,7 +18,9 @@
 	double reads;
 	double commits;
 	double rows;
+	/** With TCP and IP headers, and without. */
 	double wire_bytes;
+	double payload_bytes;
 };
 
 static struct usage
@@ -31,6 +33,7 @@
 		.commits = (double)(counts.commits + counts.puts),
 		.rows = (double)counts.rows_written,
 		.wire_bytes = (double)site_platform_traffic (site).wire_bytes,
+		.payload_bytes = (double)site_platform_traffic (site).bytes,
 	};
 	return usage;
 }
@@ -43,6 +46,7 @@
 		.commits = (after->commits - before->commits) * share,
 		.rows = (after->rows - before->rows) * share,
 		.wire_bytes = (after->wire_bytes - before->wire_bytes) * share,
+		.payload_bytes = (after->payload_bytes - before->payload_bytes) * share,
 	};
 }
 
@@ -63,6 +67,8 @@
 	static const struct slope_axes writes = {"store_idle_commits_per_s", "daemons",
 						 "commits/s"};
 	static const struct slope_axes bytes = {"store_idle_bytes_per_s", "daemons", "bytes/s"};
+	static const struct slope_axes payload = {"store_idle_payload_bytes_per_s", "daemons",
+						  "bytes/s without TCP"};
 	static const struct slope_axes cpu = {"store_idle_cpu_percent", "daemons", "% of a core"};
 	static const int sizes[] = {1, 3, 5, 7, 9};
 	for (size_t i = 0; i < G_N_ELEMENTS (sizes); i++) {
@@ -75,6 +81,7 @@
 		slopes_add (slopes, &reads, sizes[i], idle.reads);
 		slopes_add (slopes, &writes, sizes[i], idle.commits);
 		slopes_add (slopes, &bytes, sizes[i], idle.wire_bytes);
+		slopes_add (slopes, &payload, sizes[i], idle.payload_bytes);
 		slopes_add (slopes, &cpu, sizes[i], spent_us / (IDLE_MS * 1e3) * 100);
 	}
 }
--- a/bench/slopes/watching.c
+++ b/bench/slopes/watching.c
@@ -152,14 +152,17 @@
 struct watch_axes {
 	struct slope_axes messages;
 	struct slope_axes bytes;
+	struct slope_axes payload;
 	struct slope_axes cpu;
 };
 
 #define AXES(kind)                                                                                 \
 	{                                                                                          \
-		{"watching_messages_per_s" kind, "workers watched", "messages/s, in and out"},     \
+		{"watching_messages_per_s" kind, "workers watched", "messages/s in and out"},      \
 			{"watching_wire_bytes_per_s" kind, "workers watched",                      \
-			 "wire bytes/s, in and out"},                                              \
+			 "wire bytes/s in and out"},                                               \
+			{"watching_payload_bytes_per_s" kind, "workers watched",                   \
+			 "bytes/s without TCP"},                                                   \
 			{"watching_cpu_percent" kind, "workers watched", "% of a core"},           \
 	}
 
@@ -180,6 +183,8 @@
 		    (double)(after.messages - before.messages) * 1000 / MEASURE_MS);
 	slopes_add (slopes, &axes->bytes, n,
 		    (double)(after.wire_bytes - before.wire_bytes) * 1000 / MEASURE_MS);
+	slopes_add (slopes, &axes->payload, n,
+		    (double)(after.bytes - before.bytes) * 1000 / MEASURE_MS);
 	slopes_add (slopes, &axes->cpu, n, spent_us / (MEASURE_MS * 1e3) * 100);
 }
 
