entry: rows of waiting jobs are read in smaller shares when the answer is too long

Cause: the fallback for lost notices reads up to 150 rows at once, the client of the table drops an answer over 4 MiB, and rows may have up to 492 KiB. With payloads of 30 KB and more every such reading failed, the same number was asked for again, long polls ran out although results were there, and jobs that had ended counted for their team for good. Change: after a reading that failed half as many rows are read, and more again after one that worked.

--- a/entry/result.c
+++ b/entry/result.c
@@ -15,6 +15,8 @@
  * many callers this is 450 rows a second, of the 2,000 that everybody shares. */
 #define REREAD_WAITING_MAX 100
 #define REREAD_COUNTED_MAX 50
+/** Down to one row of each kind. */
+#define HALVINGS_MAX 6
 /** When the caller of an unfinished job should come back, s. */
 #define POLL_AGAIN_S 1
 
@@ -36,6 +38,8 @@
 	guint next_waiter;
 	int64_t next_reread_ms;
 	bool rereading;
+	/** How often the number of rows in one reading is halved for now. */
+	int32_t n_halvings;
 };
 
 static void
@@ -211,12 +215,24 @@
 	}
 }
 
+/* Rows may have up to half a MB, and an answer of the table that is too long is dropped. Symptom:
+ * no row is ever read again, callers whose notice was lost wait in vain, and ended jobs count for
+ * their team for good. Fewer rows are read the next time, and more again when that worked. */
+static void
+adapt_share (struct dff_results *results, enum dff_table_outcome outcome)
+{
+	int32_t change = outcome == DFF_TABLE_OK ? -1 : 1;
+	results->n_halvings = CLAMP (results->n_halvings + change, 0, HALVINGS_MAX);
+}
+
 static void
 rows_reread (void *user, const struct dff_table_result *result)
 {
 	struct dff_entry *entry = user;
-	if (!entry->closed)
+	if (!entry->closed) {
 		entry->results->rereading = false;
+		adapt_share (entry->results, result->outcome);
+	}
 	for (size_t i = 0; i < result->n_rows && !entry->closed; i++) {
 		const struct dff_table_row *read = &result->rows[i];
 		DFF_AUTO (dff_job_row)
@@ -227,12 +243,19 @@
 	dff_entry_unref (entry);
 }
 
+static guint
+halved (const struct dff_results *results, guint n)
+{
+	return MAX (1, n >> results->n_halvings);
+}
+
 static GArray *
 jobs_to_reread (struct dff_results *results)
 {
-	GArray *jobs = dff_team_quota_sample (results->entry->quota, REREAD_COUNTED_MAX);
+	GArray *jobs =
+		dff_team_quota_sample (results->entry->quota, halved (results, REREAD_COUNTED_MAX));
 	guint n_waiters = results->waiters->len;
-	guint n = MIN (n_waiters, (guint)REREAD_WAITING_MAX);
+	guint n = MIN (n_waiters, halved (results, REREAD_WAITING_MAX));
 	for (guint i = 0; i < n; i++) {
 		const struct waiter *waiter =
 			results->waiters->pdata[results->next_waiter++ % n_waiters];
--- a/tests/entry/test-limits.c
+++ b/tests/entry/test-limits.c
@@ -278,6 +278,53 @@
 	harness_free (harness);
 }
 
+/** Rows that an answer of the table holds at the most. */
+#define FEW_ROWS 2
+
+static void (*get_all) (void *, const struct dff_str *, size_t, dff_table_func, void *);
+
+/* A table whose rows are so long that the answer for more than a few is dropped. */
+static void
+get_few (void *ctx, const struct dff_str *keys, size_t n_keys, dff_table_func done, void *user)
+{
+	const struct dff_table_result dropped = {.outcome = DFF_TABLE_UNAVAILABLE};
+	if (n_keys > FEW_ROWS)
+		done (user, &dropped);
+	else
+		get_all (ctx, keys, n_keys, done, user);
+}
+
+/* Symptom: long polls run out although the results are there. Sequence: the notices of the ends are
+ * lost; the waiting jobs' rows are read again, but they are large, and the answer with all of them
+ * is longer than a client of the table takes. Cause: as many rows were asked for again the next
+ * time. */
+static void
+test_large_rows_are_read_again_in_smaller_shares (void **state)
+{
+	(void)state;
+	struct harness *harness = harness_new ();
+	struct dff_name jobs[4];
+	struct harness_client *clients[G_N_ELEMENTS (jobs)];
+	harness_set_pool (harness);
+	get_all = harness->processes[0].reads->table.get;
+	harness->processes[0].reads->table.get = get_few;
+	for (size_t i = 0; i < G_N_ELEMENTS (jobs); i++) {
+		jobs[i] = submit (harness);
+		g_autofree char *poll = g_strdup_printf (LONG_POLL, jobs[i].data);
+		clients[i] = harness_connect (harness, 0);
+		send_text (clients[i], poll);
+	}
+	harness_run (harness, 100);
+	for (size_t i = 0; i < G_N_ELEMENTS (jobs); i++)
+		harness_end_job (harness, &jobs[i], DFF_OUTCOME_COMPLETED, "whole");
+	for (size_t i = 0; i < G_N_ELEMENTS (jobs); i++) {
+		assert_true (harness_client_wait (clients[i]));
+		assert_int_equal (harness_client_status (clients[i]), 200);
+		harness_client_free (clients[i]);
+	}
+	harness_free (harness);
+}
+
 struct size_case {
 	/** What the payload's string is made of, and how often. */
 	const char *unit;
@@ -339,6 +386,7 @@
 		cmocka_unit_test (test_caller_that_hangs_up_frees_its_place),
 		cmocka_unit_test (test_requests_in_progress_are_bounded),
 		cmocka_unit_test (test_batch_of_thousands),
+		cmocka_unit_test (test_large_rows_are_read_again_in_smaller_shares),
 		cmocka_unit_test (test_jobs_too_large_for_a_row_are_refused),
 	};
 	return cmocka_run_group_tests (tests, NULL, NULL);
