daemon: watches that nobody takes up make room for new ones

Cause: a watch for a job that had ended before the watch came, for one of another region, or told to a process that is not holder any more is never taken up, and stayed for good. At 65536 of them new ones were dropped, so that every result reached its caller by the slow reading of rows alone, until the process was started anew. Change: two tables of 32768; a full one becomes the older one, and the one before it goes. Before: test-daemon-steps, with the old bound, none of the newest 32768 watches is kept after four times as many; after: all of them, and both tables are empty once all jobs have ended.

--- a/daemon/daemon.c
+++ b/daemon/daemon.c
@@ -78,8 +78,8 @@
 	daemon->instances = g_array_new (FALSE, TRUE, sizeof (struct dff_instance));
 	daemon->leaving_workers =
 		g_hash_table_new_full (dff_name_hash, dff_name_equal_func, g_free, NULL);
-	daemon->job_watchers = g_hash_table_new_full (dff_name_hash, dff_name_equal_func, g_free,
-						      (GDestroyNotify)g_array_unref);
+	daemon->job_watchers = dff_daemon_job_watchers_new ();
+	daemon->older_job_watchers = dff_daemon_job_watchers_new ();
 	if (!dff_daemon_start_parts (daemon, error)) {
 		dff_daemon_free (daemon);
 		return NULL;
@@ -102,6 +102,7 @@
 {
 	dff_daemon_free_parts (daemon);
 	g_hash_table_unref (daemon->job_watchers);
+	g_hash_table_unref (daemon->older_job_watchers);
 	g_hash_table_unref (daemon->leaving_workers);
 	g_array_unref (daemon->instances);
 	dff_metrics_free (daemon->metrics);
--- a/daemon/daemon_private.h
+++ b/daemon/daemon_private.h
@@ -52,9 +52,11 @@
 	const struct dff_pool *pool; /**< (nullable): in force, owned by the follower. */
 	/** Workers that said themselves that they are leaving. Key: struct dff_name *. */
 	GHashTable *leaving_workers;
-	/** Ended job ids and the peers that wait for them. Key: struct dff_name *, value: GArray of
+	/** Jobs and the peers that wait for their ends. Key: struct dff_name *, value: GArray of
 	 * struct dff_name. */
 	GHashTable *job_watchers;
+	/** The same, told before those in @job_watchers; dropped first. */
+	GHashTable *older_job_watchers;
 	int64_t started_ms;
 	int64_t heard_peer_ms;
 	int64_t next_share_ms;
@@ -109,6 +111,13 @@
 /** Tells the cell how many candidates go before this process. */
 void dff_daemon_rank (struct dff_daemon *daemon);
 
+/** Jobs in each of the two tables of watchers at the most. A watch is a hint: a process that is not
+ * told reads the row itself after a while, so that dropping one costs time, not answers. */
+#define DFF_DAEMON_WATCHED_JOBS_MAX 32768
+
+/** Returns: (transfer full): an empty table of jobs and their watchers. */
+GHashTable *dff_daemon_job_watchers_new (void);
+
 /** Notes that @watcher wants to know when @job ends. */
 void dff_daemon_add_job_watcher (struct dff_daemon *daemon,
 				 const struct dff_name *watcher,
--- a/daemon/job_watchers.c
+++ b/daemon/job_watchers.c
@@ -1,8 +1,24 @@
 #include "daemon/daemon_private.h"
 
-/* Watches kept at the most. One is a hint: a process that is not told reads the row itself after a
- * while, so dropping the rest costs time, not answers. */
-#define JOB_WATCHERS_MAX 65536
+GHashTable *
+dff_daemon_job_watchers_new (void)
+{
+	return g_hash_table_new_full (dff_name_hash, dff_name_equal_func, g_free,
+				      (GDestroyNotify)g_array_unref);
+}
+
+/* Watches are left behind: by a job that ended before the watch came, by one of another region, by
+ * a process that was holder for a while. Symptom of refusing new ones once the table is full:
+ * callers get every result seconds late from then on. The older half goes instead. */
+static void
+make_room (struct dff_daemon *daemon)
+{
+	if (g_hash_table_size (daemon->job_watchers) < DFF_DAEMON_WATCHED_JOBS_MAX)
+		return;
+	g_hash_table_unref (daemon->older_job_watchers);
+	daemon->older_job_watchers = daemon->job_watchers;
+	daemon->job_watchers = dff_daemon_job_watchers_new ();
+}
 
 void
 dff_daemon_add_job_watcher (struct dff_daemon *daemon,
@@ -11,8 +27,7 @@
 {
 	GArray *watchers = g_hash_table_lookup (daemon->job_watchers, job);
 	if (watchers == NULL) {
-		if (g_hash_table_size (daemon->job_watchers) >= JOB_WATCHERS_MAX)
-			return;
+		make_room (daemon);
 		watchers = g_array_new (FALSE, FALSE, sizeof (struct dff_name));
 		g_hash_table_insert (daemon->job_watchers, dff_name_dup (job), watchers);
 	}
@@ -23,18 +38,28 @@
 	g_array_append_val (watchers, *watcher);
 }
 
-void
-dff_daemon_tell_job_ended (struct dff_daemon *daemon,
-			   const struct dff_name *job,
-			   enum dff_outcome outcome)
+static void
+tell_watchers (struct dff_daemon *daemon,
+	       GHashTable *jobs,
+	       const struct dff_name *job,
+	       enum dff_outcome outcome)
 {
-	dff_entry_job_ended (daemon->entry, job, outcome);
-	const GArray *watchers = g_hash_table_lookup (daemon->job_watchers, job);
+	const GArray *watchers = g_hash_table_lookup (jobs, job);
 	if (watchers == NULL)
 		return;
 	for (guint i = 0; i < watchers->len; i++) {
 		const struct dff_name *watcher = &g_array_index (watchers, struct dff_name, i);
 		dff_peer_send_ended (daemon->peer, watcher, job, outcome);
 	}
-	g_hash_table_remove (daemon->job_watchers, job);
+	g_hash_table_remove (jobs, job);
+}
+
+void
+dff_daemon_tell_job_ended (struct dff_daemon *daemon,
+			   const struct dff_name *job,
+			   enum dff_outcome outcome)
+{
+	dff_entry_job_ended (daemon->entry, job, outcome);
+	tell_watchers (daemon, daemon->job_watchers, job, outcome);
+	tell_watchers (daemon, daemon->older_job_watchers, job, outcome);
 }
--- a/tests/daemon/test-daemon-steps.c
+++ b/tests/daemon/test-daemon-steps.c
@@ -65,6 +65,8 @@
 		.instances = g_array_new (FALSE, TRUE, sizeof (struct dff_instance)),
 		.leaving_workers =
 			g_hash_table_new_full (dff_name_hash, dff_name_equal_func, g_free, NULL),
+		.job_watchers = dff_daemon_job_watchers_new (),
+		.older_job_watchers = dff_daemon_job_watchers_new (),
 	};
 	g_array_append_vals (daemon->instances, harness->instances, (guint)harness->n_instances);
 }
@@ -89,6 +91,8 @@
 		dff_instance_watch_free (daemon->instance_watch);
 		g_array_unref (daemon->instances);
 		g_hash_table_unref (daemon->leaving_workers);
+		g_hash_table_unref (daemon->job_watchers);
+		g_hash_table_unref (daemon->older_job_watchers);
 	}
 	harness_free (fixture->harness);
 	dff_metrics_free (fixture->metrics);
@@ -237,11 +241,55 @@
 	end (&fixture);
 }
 
+static void
+add_watch (struct dff_daemon *daemon, int number)
+{
+	const struct dff_name watcher = dff_name_from ("entry-1");
+	const struct dff_name job = dff_name_printf ("job.%d", number);
+	dff_daemon_add_job_watcher (daemon, &watcher, &job);
+}
+
+static bool
+is_watched (const struct dff_daemon *daemon, int number)
+{
+	const struct dff_name job = dff_name_printf ("job.%d", number);
+	return g_hash_table_contains (daemon->job_watchers, &job) ||
+	       g_hash_table_contains (daemon->older_job_watchers, &job);
+}
+
+/* Symptom: after some weeks every result reaches its caller seconds late. Sequence: watches of jobs
+ * that had ended, or are of another region, are left behind in a holder until its table is full.
+ * Cause: from then on new watches were dropped, and nothing ever made room. */
+static void
+test_forgotten_watches_make_room (void **state)
+{
+	(void)state;
+	static const int n_jobs = 4 * DFF_DAEMON_WATCHED_JOBS_MAX;
+	struct fixture fixture;
+	begin (&fixture);
+	struct dff_daemon *daemon = &fixture.daemons[0];
+	for (int i = 0; i < n_jobs; i++)
+		add_watch (daemon, i);
+	for (int i = n_jobs - DFF_DAEMON_WATCHED_JOBS_MAX; i < n_jobs; i++)
+		assert_true (is_watched (daemon, i));
+	assert_in_range (g_hash_table_size (daemon->job_watchers) +
+				 g_hash_table_size (daemon->older_job_watchers),
+			 1, 2 * DFF_DAEMON_WATCHED_JOBS_MAX);
+	for (int i = 0; i < n_jobs; i++) {
+		const struct dff_name job = dff_name_printf ("job.%d", i);
+		dff_daemon_tell_job_ended (daemon, &job, DFF_OUTCOME_COMPLETED);
+	}
+	assert_int_equal (g_hash_table_size (daemon->job_watchers), 0);
+	assert_int_equal (g_hash_table_size (daemon->older_job_watchers), 0);
+	end (&fixture);
+}
+
 int
 main (void)
 {
 	signal (SIGPIPE, SIG_IGN);
 	const struct CMUnitTest tests[] = {
+		cmocka_unit_test (test_forgotten_watches_make_room),
 		cmocka_unit_test (test_slots_without_a_holder),
 		cmocka_unit_test (test_leaving_worker_is_not_granted),
 		cmocka_unit_test (test_drain_waits_for_what_is_in_flight),
