core: a guaranteed shape's home is not displaced into pieces

Cause: work that may not be preempted was admitted where a shape had its home as soon as the shape found as many accelerators elsewhere, in pieces over several racks. The witness stood, and the team's gang, which needs its rack or its workers whole, waited for that work to end. Change: a displaced home must be found in one rack, or, when larger than any, in whole workers and one rest; only when workers go are pieces better than none.

--- a/core/witness.c
+++ b/core/witness.c
@@ -201,12 +201,14 @@
 	return best_room < INT32_MAX;
 }
 
-/* Crumbs count here: neighbouring racks from @first on until the shape is whole. */
+/* Neighbouring racks from @first on until the shape is whole. @crumbs: pieces smaller than a worker
+ * count. */
 static bool
 pack_window (const struct dff_core *core,
 	     const struct dff_core_shape *shape,
 	     int32_t first,
 	     int32_t last,
+	     bool crumbs,
 	     GArray *parts)
 {
 	g_array_set_size (parts, 0);
@@ -215,7 +217,7 @@
 		rack_rooms (core, i, NULL, NULL, rooms);
 	int32_t left = take_whole (rooms, shape->size, parts);
 	left = take_remainder (rooms, left, parts);
-	for (guint i = 0; i < rooms->len && left > 0; i++) {
+	for (guint i = 0; crumbs && i < rooms->len && left > 0; i++) {
 		struct room *room = &g_array_index (rooms, struct room, i);
 		int32_t count = MIN (room->unbound, left);
 		if (count == 0)
@@ -228,7 +230,10 @@
 
 /* The shortest run of neighbouring racks with room for the shape. */
 static bool
-pack_in_neighbours (const struct dff_core *core, const struct dff_core_shape *shape, GArray *parts)
+pack_in_neighbours (const struct dff_core *core,
+		    const struct dff_core_shape *shape,
+		    bool crumbs,
+		    GArray *parts)
 {
 	int32_t first = 0, best_first = DFF_CORE_NONE, best_last = 0, sum = 0;
 	g_autoptr (GArray) table = g_array_new (FALSE, TRUE, sizeof (int32_t));
@@ -251,15 +256,31 @@
 		best_last = last;
 	}
 	return best_first != DFF_CORE_NONE &&
-	       pack_window (core, shape, best_first, best_last, parts);
+	       pack_window (core, shape, best_first, best_last, crumbs, parts);
 }
 
 static bool
-pack (struct dff_core *core, struct dff_core_shape *shape)
+fits_some_rack (const struct dff_core *core, const struct dff_core_shape *shape)
+{
+	for (guint i = 0; i < core->racks->len; i++) {
+		const struct dff_core_rack *rack = dff_core_rack_at (core, (int32_t)i);
+		if (rack->accelerators >= shape->size && region_allows (shape, rack))
+			return true;
+	}
+	return false;
+}
+
+/* @crumbs: better a home in pieces, over several racks, than none. */
+static bool
+pack (struct dff_core *core, struct dff_core_shape *shape, bool crumbs)
 {
 	g_autoptr (GArray) parts = g_array_new (FALSE, TRUE, sizeof (struct dff_core_part));
-	if (!pack_in_best_rack (core, shape, parts) && !pack_in_neighbours (core, shape, parts))
-		return false;
+	if (!pack_in_best_rack (core, shape, parts)) {
+		if (!crumbs && fits_some_rack (core, shape))
+			return false;
+		if (!pack_in_neighbours (core, shape, crumbs, parts))
+			return false;
+	}
 	dff_core_shape_settle (core, shape, parts);
 	return true;
 }
@@ -291,13 +312,15 @@
 	return copy;
 }
 
-/* Packs the shapes in @displaced, largest first. Returns: false when one has no place. */
+/* Packs the shapes in @displaced, largest first. Returns: false when one has no place. A home in
+ * pieces is none here: work that may not be preempted would take a rack from a team bit by bit, and
+ * the team's gang, which needs it whole, would wait for that work to end. */
 static bool
 pack_displaced (struct dff_core *core, const GArray *displaced)
 {
 	for (guint i = 0; i < displaced->len; i++) {
 		int32_t index = g_array_index (displaced, int32_t, i);
-		if (!pack (core, dff_core_shape_at (core, index)))
+		if (!pack (core, dff_core_shape_at (core, index), false))
 			return false;
 	}
 	return true;
@@ -376,7 +399,7 @@
 	for (int32_t i = 0; i < (int32_t)core->shapes->len; i++) {
 		struct dff_core_shape *shape = dff_core_shape_at (core, i);
 		if (shape->claimed == 0)
-			pack (core, shape);
+			pack (core, shape, true);
 		core->stats.witnesses_missing += shape->packed < shape->size;
 	}
 }
