lint: four structs without needless padding

script/lint failed on dff_instance, dff_task_report and the tables of two tests, whose fields left padding in arrays. They are in the order that clang-tidy names, the cases of the tests with them, unchanged in what they test.

--- a/include/platform/instance_list.h
+++ b/include/platform/instance_list.h
@@ -15,9 +15,9 @@
 };
 
 struct dff_instance {
-	struct dff_name id;
 	enum dff_instance_role role;
 	bool leaving;
+	struct dff_name id;
 	/** "IP:PORT" of its HTTP endpoint. */
 	struct dff_name address;
 	struct dff_name rack;
--- a/include/upstream/worker_client.h
+++ b/include/upstream/worker_client.h
@@ -43,16 +43,17 @@
 
 /** What a worker says about one task. */
 struct dff_task_report {
-	struct dff_task_id task;
+	/** Completed tasks: length of the result, bytes; else 0. */
+	int64_t result_length;
 	enum dff_task_state state;
-	/** Whether it was ever released. */
-	bool ran;
 	/** Checkpoints taken so far. */
 	int32_t checkpoints;
-	/** Ended tasks: object key, length and SHA-256 (hex) of the result's manifest; else empty.
-	 */
+	struct dff_task_id task;
+	/** Whether it was ever released. */
+	bool ran;
+	/** Completed tasks: object key of the result's manifest, and SHA-256 (hex) of the result;
+	 * else empty. */
 	struct dff_name result_key;
-	int64_t result_length;
 	char result_digest[65];
 };
 
--- a/tests/daemon/test-isolation.c
+++ b/tests/daemon/test-isolation.c
@@ -17,9 +17,9 @@
 struct isolation_case {
 	const char *what;
 	int64_t store_ms;
-	bool has_peers;
 	int64_t peer_ms;
 	int64_t now_ms;
+	bool has_peers;
 	bool isolated;
 };
 
@@ -31,16 +31,16 @@
 {
 	(void)state;
 	static const struct isolation_case cases[] = {
-		{"both answer", RECENT_MS, true, RECENT_MS, NOW_MS, false},
-		{"store down", OLD_MS, true, RECENT_MS, NOW_MS, false},
-		{"cut off from peers", RECENT_MS, true, OLD_MS, NOW_MS, false},
-		{"cut off from both", OLD_MS, true, OLD_MS, NOW_MS, true},
-		{"alone, store answers", RECENT_MS, false, 0, NOW_MS, false},
-		{"alone, store down", OLD_MS, false, 0, NOW_MS, true},
-		{"never heard anybody", 0, true, 0, NOW_MS, true},
-		{"just started in an outage", 0, true, 0, STARTED_MS + TIMEOUT_MS, false},
-		{"started in an outage, alone", 0, false, 0, STARTED_MS + TIMEOUT_MS, false},
-		{"a moment later", 0, false, 0, STARTED_MS + TIMEOUT_MS + 1, true},
+		{"both answer", RECENT_MS, RECENT_MS, NOW_MS, true, false},
+		{"store down", OLD_MS, RECENT_MS, NOW_MS, true, false},
+		{"cut off from peers", RECENT_MS, OLD_MS, NOW_MS, true, false},
+		{"cut off from both", OLD_MS, OLD_MS, NOW_MS, true, true},
+		{"alone, store answers", RECENT_MS, 0, NOW_MS, false, false},
+		{"alone, store down", OLD_MS, 0, NOW_MS, false, true},
+		{"never heard anybody", 0, 0, NOW_MS, true, true},
+		{"just started in an outage", 0, 0, STARTED_MS + TIMEOUT_MS, true, false},
+		{"started in an outage, alone", 0, 0, STARTED_MS + TIMEOUT_MS, false, false},
+		{"a moment later", 0, 0, STARTED_MS + TIMEOUT_MS + 1, false, true},
 	};
 	for (size_t i = 0; i < sizeof (cases) / sizeof (cases[0]); i++) {
 		const struct isolation_case *at = &cases[i];
--- a/tests/peer/test-shares.c
+++ b/tests/peer/test-shares.c
@@ -135,8 +135,8 @@
 }
 
 struct watcher_case {
-	enum dff_member_state state;
 	const char *region;
+	enum dff_member_state state;
 	bool counts;
 };
 
@@ -145,9 +145,9 @@
 {
 	(void)state;
 	static const struct watcher_case cases[] = {
-		{DFF_MEMBER_ALIVE, "here", true},       {DFF_MEMBER_SUSPECT, "here", true},
-		{DFF_MEMBER_LEAVING, "here", false},    {DFF_MEMBER_DEAD, "here", false},
-		{DFF_MEMBER_ALIVE, "elsewhere", false},
+		{"here", DFF_MEMBER_ALIVE, true},       {"here", DFF_MEMBER_SUSPECT, true},
+		{"here", DFF_MEMBER_LEAVING, false},    {"here", DFF_MEMBER_DEAD, false},
+		{"elsewhere", DFF_MEMBER_ALIVE, false},
 	};
 	struct dff_name here = dff_name_from ("here");
 	for (size_t i = 0; i < G_N_ELEMENTS (cases); i++) {
