daemon: a holder after the table was lost has slots for requests

Cause: after the platform was replaced by an empty one, epochs began again at 1. The holder refused its own grants as outdated, as the others did, but only the others work out their own when none are taken: 30 s and more later every request through the holder was still answered 503, and /readyz said 200. This was found by running three processes, killing the stand-in platform for 30 s and starting it anew. Change: a holder works out its grants like the others when its own are not taken. A lost table stays outside of the promises.

--- a/daemon/daemon_private.h
+++ b/daemon/daemon_private.h
@@ -102,7 +102,7 @@
 /** Splits the request slots of the region's workers over the live processes, when holder. */
 void dff_daemon_share_grants (struct dff_daemon *daemon);
 
-/** Works out this process's own grants when no holder has sent any for a while. */
+/** Works out this process's own grants when no holder's have been taken for a while. */
 void dff_daemon_share_without_holder (struct dff_daemon *daemon, int64_t now_ms);
 
 /** Chooses the workers that this process watches. */
--- a/tests/daemon/test-daemon-steps.c
+++ b/tests/daemon/test-daemon-steps.c
@@ -154,6 +154,39 @@
 	end (&fixture);
 }
 
+/* Makes the daemon holder of its cell, which has no workers to ask. */
+static void
+take_cell (struct fixture *fixture, const struct dff_daemon *daemon)
+{
+	dff_cell_set_pool (daemon->cell, daemon->pool);
+	dff_cell_set_instances (daemon->cell, NULL, 0);
+	for (int i = 0; i < 60000 && !dff_cell_is_holder (daemon->cell); i++) {
+		harness_step (fixture->harness);
+		dff_cell_tick (daemon->cell);
+	}
+	assert_true (dff_cell_is_holder (daemon->cell));
+}
+
+/* Symptom: every request through the holder is refused, and it says that it is ready. Sequence: the
+ * table is lost and starts anew, empty or from an old copy, so that epochs begin again at lower
+ * numbers; the process takes the cell, and refuses its own grants as outdated. Cause: a holder
+ * never worked out its grants in another way. Found with real processes. */
+static void
+test_slots_of_a_holder_whose_grants_are_outdated (void **state)
+{
+	(void)state;
+	struct fixture fixture;
+	begin (&fixture);
+	struct dff_daemon *daemon = &fixture.daemons[0];
+	daemon->grant_epoch = 7;
+	take_cell (&fixture, daemon);
+	assert_in_range (dff_cell_epoch (daemon->cell), 1, daemon->grant_epoch - 1);
+	daemon->grants_until_ms = fixture.harness->clock.now_ms;
+	dff_daemon_share_without_holder (daemon, fixture.harness->clock.now_ms);
+	assert_in_range (granted_slots (daemon), 1, ALL_SLOTS - 1);
+	end (&fixture);
+}
+
 /* Symptom: a worker that is shutting down gets new requests for the length of an outage. Sequence:
  * it says that it is leaving, the list does not yet, a process works out its own grants. Cause: the
  * share-out looked at the list alone. */
@@ -291,6 +324,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test (test_forgotten_watches_make_room),
 		cmocka_unit_test (test_slots_without_a_holder),
+		cmocka_unit_test (test_slots_of_a_holder_whose_grants_are_outdated),
 		cmocka_unit_test (test_leaving_worker_is_not_granted),
 		cmocka_unit_test (test_drain_waits_for_what_is_in_flight),
 		cmocka_unit_test (test_drain_ends_at_its_limit),
