entry: submissions that arrive together count for their team's bound

Cause: max_queued was compared with the jobs on record, and a job counted only once its row was committed, so that any number of jobs and batches that arrived within one commit passed. Change: they count from admission on, and no longer once they turn out not to be on record or to be repeated.

--- a/entry/batch_submit.c
+++ b/entry/batch_submit.c
@@ -26,6 +26,8 @@
 	int64_t revision;
 	/** Elements: struct dff_job_row *, owned. */
 	GPtrArray *jobs;
+	/** One a job: it counts for its team although it is not on record yet. */
+	bool *reserved;
 	guint next;
 	int32_t in_progress;
 	int32_t n_recorded;
@@ -42,9 +44,35 @@
 	dff_job_row_free (row);
 }
 
+/* Counted only once they are on record, the jobs of any number of batches that arrive together
+ * would pass the team's bound. */
+static void
+reserve_jobs (struct batch *batch)
+{
+	batch->reserved = g_new0 (bool, batch->jobs->len);
+	for (guint i = 0; i < batch->jobs->len; i++) {
+		const struct dff_job_spec *spec =
+			&((const struct dff_job_row *)batch->jobs->pdata[i])->spec;
+		batch->reserved[i] =
+			dff_team_quota_add (batch->call->entry->quota, &spec->id, &spec->team);
+	}
+}
+
+static void
+release_jobs (struct batch *batch)
+{
+	for (guint i = 0; i < batch->jobs->len && !batch->call->entry->closed; i++) {
+		const struct dff_job_row *job = batch->jobs->pdata[i];
+		if (batch->reserved[i])
+			dff_team_quota_remove (batch->call->entry->quota, &job->spec.id);
+	}
+}
+
 static void
 batch_free (struct batch *batch)
 {
+	release_jobs (batch);
+	g_free (batch->reserved);
 	g_ptr_array_unref (batch->jobs);
 	dff_call_unref (batch->call);
 	g_free (batch);
@@ -110,15 +138,17 @@
 
 struct job_write {
 	struct batch *batch;
-	const struct dff_job_row *job;
+	/** Of the job. */
+	guint index;
 };
 
 static void
-accept_job (struct batch *batch, const struct dff_job_row *job)
+accept_job (struct batch *batch, guint index)
 {
 	struct dff_entry *entry = batch->call->entry;
+	const struct dff_job_row *job = batch->jobs->pdata[index];
 	(*entry->counters.jobs_accepted)++;
-	dff_team_quota_add (entry->quota, &job->spec.id, &job->spec.team);
+	batch->reserved[index] = false;
 	if (batch->n_recorded <= HINTS_MAX)
 		dff_peer_send_hint (entry->options.peer, &job->spec.id);
 }
@@ -137,16 +167,17 @@
 	if (outcome == DFF_ENTRY_RECORD_CONFLICT)
 		batch->repeated = true;
 	if (outcome == DFF_ENTRY_RECORD_DONE && !batch->call->entry->closed)
-		accept_job (batch, write->job);
+		accept_job (batch, write->index);
 	record_window (batch);
 }
 
 static void
-record_job (struct batch *batch, const struct dff_job_row *job)
+record_job (struct batch *batch, guint index)
 {
+	const struct dff_job_row *job = batch->jobs->pdata[index];
 	struct job_write *pending = g_new0 (struct job_write, 1);
 	pending->batch = batch;
-	pending->job = job;
+	pending->index = index;
 	batch->in_progress++;
 	dff_call_record_job (batch->call, job, job_recorded, pending);
 }
@@ -156,7 +187,7 @@
 {
 	bool failed = batch->failure != DFF_ENTRY_RECORD_DONE || batch->call->entry->closed;
 	while (!failed && batch->next < batch->jobs->len && batch->in_progress < WINDOW)
-		record_job (batch, batch->jobs->pdata[batch->next++]);
+		record_job (batch, batch->next++);
 	if (batch->in_progress > 0)
 		return;
 	if (failed)
@@ -334,5 +365,6 @@
 	dff_digest_hex (body, batch->row.digest);
 	call->subject = batch->id;
 	name_jobs (batch);
+	reserve_jobs (batch);
 	record_batch (batch);
 }
--- a/entry/job_submit.c
+++ b/entry/job_submit.c
@@ -17,11 +17,16 @@
 	struct dff_job_row *row;
 	/** Hash of the Idempotency-Key; empty: none was given. */
 	struct dff_name hash;
+	/** It counts for its team although it is not on record yet. */
+	bool reserved;
 };
 
 static void
 submission_free (struct submission *submission)
 {
+	struct dff_entry *entry = submission->call->entry;
+	if (submission->reserved && !entry->closed)
+		dff_team_quota_remove (entry->quota, &submission->row->spec.id);
 	dff_job_row_free (submission->row);
 	dff_call_unref (submission->call);
 	g_free (submission);
@@ -97,7 +102,7 @@
 	const struct dff_job_spec *spec = &submission->row->spec;
 	submission->row->revision = revision;
 	(*entry->counters.jobs_accepted)++;
-	dff_team_quota_add (entry->quota, &spec->id, &spec->team);
+	submission->reserved = false;
 	dff_peer_send_hint (entry->options.peer, &spec->id);
 	dff_peer_send_watch (entry->options.peer, &spec->id);
 	dff_log (DFF_LOG_ENTRY, DFF_LOG_INFO, "Job accepted. job=%s team=%s", spec->id.data,
@@ -151,6 +156,9 @@
 	dff_trace_context_format (&call->span.context, traceparent);
 	g_string_assign (row->traceparent, traceparent);
 	call->subject = row->spec.id;
+	/* Counted only once they are on record, any number of jobs that arrive together would pass
+	 * the team's bound. */
+	submission->reserved = dff_team_quota_add (entry->quota, &row->spec.id, &row->spec.team);
 	record_job (submission);
 }
 
--- a/entry/team_quota.c
+++ b/entry/team_quota.c
@@ -53,13 +53,13 @@
 		g_hash_table_replace (quota->teams, dff_name_dup (team), GINT_TO_POINTER (count));
 }
 
-void
+bool
 dff_team_quota_add (struct dff_team_quota *quota,
 		    const struct dff_name *job,
 		    const struct dff_name *team)
 {
 	if (g_hash_table_contains (quota->jobs, job))
-		return;
+		return false;
 	struct counted_job *counted = g_new0 (struct counted_job, 1);
 	counted->id = *job;
 	counted->team = *team;
@@ -67,6 +67,7 @@
 	counted->position = quota->order.tail;
 	g_hash_table_insert (quota->jobs, &counted->id, counted);
 	change_count (quota, team, 1);
+	return true;
 }
 
 void
--- a/entry/team_quota.h
+++ b/entry/team_quota.h
@@ -1,6 +1,7 @@
 #ifndef DFF_ENTRY_TEAM_QUOTA_H
 #define DFF_ENTRY_TEAM_QUOTA_H
 
+#include <stdbool.h>
 #include <stdint.h>
 
 #include "common/cleanup.h"
@@ -23,8 +24,8 @@
 /** Returns: jobs of @team that are counted. */
 int32_t dff_team_quota_count (const struct dff_team_quota *quota, const struct dff_name *team);
 
-/** Counts a job; one that is counted already is left alone. */
-void dff_team_quota_add (struct dff_team_quota *quota,
+/** Counts a job; one that is counted already is left alone. Returns: whether it was not yet. */
+bool dff_team_quota_add (struct dff_team_quota *quota,
 			 const struct dff_name *job,
 			 const struct dff_name *team);
 
--- a/tests/entry/test-limits.c
+++ b/tests/entry/test-limits.c
@@ -278,6 +278,44 @@
 	harness_free (harness);
 }
 
+/* Symptom: a team has many times the jobs queued that it may have. Sequence: its submissions arrive
+ * together, jobs and batches. Cause: each was measured against the jobs on record, and none of the
+ * others was on record yet. */
+static void
+test_submissions_that_arrive_together_are_counted (void **state)
+{
+	(void)state;
+	static const char *const together[] = {
+		"Content-Length: 21\r\n\r\n{\"service\":\"archive\"}",
+		"Content-Type: application/jsonl\r\nBatch-Count: 4\r\nContent-Length: 88\r\n\r\n"
+		"{\"service\":\"archive\"}\n{\"service\":\"archive\"}\n"
+		"{\"service\":\"archive\"}\n{\"service\":\"archive\"}\n",
+	};
+	struct harness *harness = harness_new ();
+	struct harness_client *clients[6];
+	int accepted = 0;
+	harness_set_pool (harness);
+	for (size_t i = 0; i < G_N_ELEMENTS (clients); i++)
+		clients[i] = harness_connect (harness, 0);
+	for (size_t i = 0; i < G_N_ELEMENTS (clients); i++) {
+		send_text (clients[i], "POST /v1/jobs HTTP/1.1\r\n"
+				       "Authorization: Bearer casework-token\r\n");
+		send_text (clients[i], together[i % 2]);
+	}
+	for (size_t i = 0; i < G_N_ELEMENTS (clients); i++) {
+		assert_true (harness_client_wait (clients[i]));
+		int status = harness_client_status (clients[i]);
+		assert_true (status == 201 || status == 429);
+		accepted += status == 201 ? 1 + 3 * (int)(i % 2) : 0;
+		harness_client_free (clients[i]);
+	}
+	assert_in_range (accepted, 3, 6);
+	/* What was refused does not count. */
+	for (int i = accepted; i < 6; i++)
+		submit (harness);
+	harness_free (harness);
+}
+
 /** Rows that an answer of the table holds at the most. */
 #define FEW_ROWS 2
 
@@ -386,6 +424,7 @@
 		cmocka_unit_test (test_caller_that_hangs_up_frees_its_place),
 		cmocka_unit_test (test_requests_in_progress_are_bounded),
 		cmocka_unit_test (test_batch_of_thousands),
+		cmocka_unit_test (test_submissions_that_arrive_together_are_counted),
 		cmocka_unit_test (test_large_rows_are_read_again_in_smaller_shares),
 		cmocka_unit_test (test_jobs_too_large_for_a_row_are_refused),
 	};
