daemon: lay a comment of the slot shares out as the formatter wants it

Cause: the comment that came with the grants of a holder after a lost table was a column too wide, so that the landing step refused it. Change: the formatter's line breaks, no other character.

--- a/daemon/shares.c
+++ b/daemon/shares.c
@@ -155,8 +155,8 @@
 void
 dff_daemon_share_without_holder (struct dff_daemon *daemon, int64_t now_ms)
 {
-	/* A holder is granted slots by itself, unless its epoch is lower than one that it had grants
-	 * of: then the table was lost, and it must not wait for ever. */
+	/* A holder is granted slots by itself, unless its epoch is lower than one that it had
+	 * grants of: then the table was lost, and it must not wait for ever. */
 	if (now_ms < daemon->grants_until_ms || daemon->pool == NULL)
 		return;
 	g_autoptr (GArray) members = grant_members (daemon);
