cell: the holder deletes jobs and batches that ended longer ago than retention_s

Nothing deleted the rows of ended jobs, their keys and batches, so that the table and the reads of a take-over grew with every job there ever was. A row goes when it is older than retention_s (new setting, 7 days) by the wall clock and this holder has known it as ended for ten minutes of its monotonic clock. A batch's own row goes first, once all its jobs are old enough, then its jobs under the condition that it is absent, so that its counts add up as long as it is there. Rows of non-idempotent requests (attempt/HASH) are still kept for ever: they hold no time.

--- a/cell/cell.c
+++ b/cell/cell.c
@@ -12,6 +12,7 @@
 #define DEFAULT_MARGIN_MS 500
 #define DEFAULT_TASK_LEASE_MS 10000
 #define DEFAULT_BATCH_STALL_MS 600000
+#define DEFAULT_RETENTION_S (7 * 24 * 3600)
 
 void
 dff_cell_options_init (struct dff_cell_options *options)
@@ -22,6 +23,7 @@
 	options->lease_margin_ms = DEFAULT_MARGIN_MS;
 	options->task_lease_ms = DEFAULT_TASK_LEASE_MS;
 	options->batch_stall_ms = DEFAULT_BATCH_STALL_MS;
+	options->retention_s = DEFAULT_RETENTION_S;
 	dff_core_options_init (&options->core);
 }
 
@@ -60,6 +62,8 @@
 					       "Times a batch was without progress.");
 	m->batches_stalled = dff_metrics_gauge (metrics, "dff_cell_batches_stalled",
 						"Batches without progress now.");
+	m->expired = dff_metrics_counter (metrics, "dff_cell_jobs_expired_total",
+					  "Ended jobs whose rows were deleted after retention_s.");
 	m->bad_rows = dff_metrics_counter (metrics, "dff_cell_bad_rows_total",
 					   "Job rows that could not be read.");
 }
@@ -99,6 +103,7 @@
 	cell->agenda = g_sequence_new (g_free);
 	cell->calls = g_hash_table_new_full (NULL, NULL, g_free, NULL);
 	cell->recovery.found = g_array_new (FALSE, TRUE, sizeof (struct dff_cell_found));
+	dff_cell_retention_init (cell);
 	open_metrics (cell, options->metrics);
 	open_lease (cell);
 	return cell;
@@ -128,6 +133,7 @@
 	g_array_set_size (cell->events, 0);
 	g_hash_table_remove_all (cell->jobs);
 	dff_cell_batches_clear (cell);
+	dff_cell_retention_clear (cell);
 	g_sequence_remove_range (g_sequence_get_begin_iter (cell->agenda),
 				 g_sequence_get_end_iter (cell->agenda));
 	memset (cell->ended, 0, sizeof (cell->ended));
@@ -140,6 +146,7 @@
 dff_cell_free (struct dff_cell *cell)
 {
 	clear_tables (cell);
+	dff_cell_retention_free (cell);
 	dff_lease_free (cell->lease);
 	dff_pool_free (cell->pool);
 	g_rand_free (cell->rand);
@@ -290,6 +297,7 @@
 	dff_cell_batches_tick (cell);
 	decide (cell);
 	dff_cell_agenda_run (cell);
+	dff_cell_retention_tick (cell);
 }
 
 void
--- a/cell/cell_private.h
+++ b/cell/cell_private.h
@@ -145,6 +145,8 @@
 	int32_t tries;
 	int64_t sent_ms;
 	uint64_t ticket;
+	/** Of the row that is deleted. */
+	enum dff_outcome outcome;
 };
 
 enum dff_cell_due_type {
@@ -190,6 +192,30 @@
 	GArray *found;
 };
 
+/** The sweep that deletes rows of jobs that ended long ago. */
+struct dff_cell_retention {
+	/** How far the feed had read when, back to the time that a row has to be known for. */
+	GArray *notes;
+	/** Rows of the last page that may go, and the next one of them. */
+	GArray *expired;
+	guint next;
+	/** Revision of the last row that the sweep has read, and whether there may be more. */
+	int64_t cursor;
+	bool more;
+	/** Ended rows read in a row that are too young. */
+	int32_t n_young;
+	/** Calls whose answers are awaited. */
+	int32_t n_waiting;
+	int64_t due_ms;
+	/** struct dff_name of a batch to what the sweep knows of it. */
+	GHashTable *verdicts;
+	/** The batch whose jobs are being read. */
+	struct dff_name batch;
+	bool judging;
+	int64_t batch_revision;
+	int64_t batch_cursor;
+};
+
 /** A report that came while taking over, kept until the core is rebuilt. */
 struct dff_cell_found {
 	struct dff_name worker;
@@ -208,6 +234,7 @@
 	int64_t *bad_rows;
 	int64_t *batch_stalls;
 	int64_t *batches_stalled;
+	int64_t *expired;
 };
 
 struct dff_cell {
@@ -246,7 +273,8 @@
 	GHashTable *calls;
 	struct dff_cell_feed feed;
 	struct dff_cell_recovery recovery;
-	/** Rows that were found or became ended, by outcome. */
+	struct dff_cell_retention retention;
+	/** Rows that were found or became ended and are still there, by outcome. */
 	int64_t ended[DFF_OUTCOME_UNKNOWN + 1];
 	struct dff_cell_metrics metrics;
 };
@@ -427,6 +455,17 @@
 			       const struct dff_name *worker,
 			       const struct dff_worker_result *result);
 
+/* retention.c */
+
+void dff_cell_retention_init (struct dff_cell *cell);
+
+void dff_cell_retention_clear (struct dff_cell *cell);
+
+void dff_cell_retention_free (struct dff_cell *cell);
+
+/** Deletes rows whose retention is over, a few at a time. */
+void dff_cell_retention_tick (struct dff_cell *cell);
+
 /* spans.c */
 
 /** Ends the hop that the job is in. @outcome: static word. */
--- /dev/null
+++ b/cell/retention.c
@@ -0,0 +1,418 @@
+#include "cell/cell_private.h"
+
+#include <inttypes.h>
+#include <string.h>
+
+#include "common/log.h"
+
+/*
+ * Deletion of the rows of jobs that ended long ago; docs/decisions/retention.md gives the reasons.
+ * A sweep reads the region's job rows in order of revision, which for ended rows is the order of
+ * their ends, and stops among those that are too young. A batch goes as a whole: its own row first,
+ * which ends it for callers, then the rows of its jobs.
+ */
+
+/** Time for which this holder has to have known a row as ended, by its monotonic clock, ms. */
+#define SEEN_MIN_MS 600000
+/** Interval at which the feed's place is noted, ms. */
+#define NOTE_INTERVAL_MS 30000
+/** Wait between two sweeps, ms. */
+#define SWEEP_INTERVAL_MS 600000
+/** Units deleted at once, and the wait before the next ones, ms. */
+#define DELETE_UNITS 30
+#define DELETE_INTERVAL_MS 1000
+/** Wait between two reads about a batch, ms. */
+#define JUDGE_INTERVAL_MS 50
+/** A deletion that could not be sent for this long is left to the next sweep, ms. */
+#define DELETE_GIVE_UP_MS 5000
+/** Ended rows in a row that are too young before a sweep stops. One alone may have its time from a
+ * clock that was wrong. */
+#define YOUNG_MAX 64
+#define MS_PER_S 1000
+
+/** What the sweep knows of a batch. */
+enum verdict {
+	DFF_VERDICT_NONE,
+	DFF_VERDICT_KEPT,
+	/** Its own row is gone. */
+	DFF_VERDICT_GONE,
+};
+
+/** How far the feed had read at a time. */
+struct note {
+	int64_t at_ms;
+	int64_t cursor;
+};
+
+/** An ended row that may go. */
+struct expired {
+	struct dff_name id;
+	struct dff_name batch;
+	int64_t revision;
+	enum dff_outcome outcome;
+};
+
+void
+dff_cell_retention_init (struct dff_cell *cell)
+{
+	struct dff_cell_retention *retention = &cell->retention;
+	retention->notes = g_array_new (FALSE, TRUE, sizeof (struct note));
+	retention->expired = g_array_new (FALSE, TRUE, sizeof (struct expired));
+	retention->verdicts =
+		g_hash_table_new_full (dff_name_hash, dff_name_equal_func, g_free, NULL);
+	dff_cell_retention_clear (cell);
+}
+
+void
+dff_cell_retention_clear (struct dff_cell *cell)
+{
+	struct dff_cell_retention *retention = &cell->retention;
+	g_array_set_size (retention->notes, 0);
+	g_array_set_size (retention->expired, 0);
+	g_hash_table_remove_all (retention->verdicts);
+	retention->next = 0;
+	retention->cursor = 0;
+	retention->more = true;
+	retention->n_young = 0;
+	retention->n_waiting = 0;
+	retention->judging = false;
+	retention->due_ms = 0;
+}
+
+void
+dff_cell_retention_free (struct dff_cell *cell)
+{
+	g_array_unref (cell->retention.notes);
+	g_array_unref (cell->retention.expired);
+	g_hash_table_unref (cell->retention.verdicts);
+}
+
+/* Every row up to the feed's place was read by this holder, so that a row of such a revision has
+ * stood as it is since then. One note for each interval tells that of any number of rows. */
+static void
+take_note (struct dff_cell *cell)
+{
+	GArray *notes = cell->retention.notes;
+	int64_t now_ms = dff_cell_now_ms (cell);
+	if (notes->len > 0 &&
+	    now_ms < g_array_index (notes, struct note, notes->len - 1).at_ms + NOTE_INTERVAL_MS)
+		return;
+	struct note note = {.at_ms = now_ms, .cursor = cell->feed.cursor};
+	g_array_append_val (notes, note);
+	while (notes->len > 1 &&
+	       g_array_index (notes, struct note, 1).at_ms <= now_ms - SEEN_MIN_MS)
+		g_array_remove_index (notes, 0);
+}
+
+/* Returns: the revision up to which this holder has known rows for long enough; 0: none. */
+static int64_t
+seen_cursor (const struct dff_cell *cell)
+{
+	const struct note *first = &g_array_index (cell->retention.notes, struct note, 0);
+	return first->at_ms <= dff_cell_now_ms (cell) - SEEN_MIN_MS ? first->cursor : 0;
+}
+
+/* Both clocks have to agree: the wall clock, which may be wrong, says that the retention is over;
+ * the monotonic one, which knows nothing of earlier holders, that the end is no news. */
+static bool
+is_expired (const struct dff_cell *cell, const struct dff_job_row *row)
+{
+	int64_t age_ms = dff_clock_wall_ms (cell->options.clock) - row->ended_wall_ms;
+	return row->state == DFF_JOB_ROW_ENDED && row->ended_wall_ms > 0 &&
+	       age_ms >= (int64_t)cell->options.retention_s * MS_PER_S &&
+	       row->revision <= seen_cursor (cell) &&
+	       dff_cell_job_find (cell, &row->spec.id) == NULL;
+}
+
+static struct dff_cell_call *
+begin_call (struct dff_cell *cell, enum dff_cell_call_type type)
+{
+	cell->retention.n_waiting += 1;
+	return dff_cell_call_begin (cell, type);
+}
+
+/* Returns: whether the answer still counts. */
+static bool
+end_call (void *user, struct dff_cell_call *call)
+{
+	if (!dff_cell_call_end (user, call))
+		return false;
+	call->cell->retention.n_waiting -= 1;
+	return true;
+}
+
+/* A table that does not answer is left alone for a while. */
+static bool
+is_answered (struct dff_cell *cell, const struct dff_table_result *result)
+{
+	if (result->outcome == DFF_TABLE_OK)
+		return true;
+	cell->retention.due_ms = dff_cell_now_ms (cell) + DELETE_GIVE_UP_MS;
+	return false;
+}
+
+static void
+take_row (struct dff_cell *cell, const struct dff_table_row *table_row)
+{
+	struct dff_cell_retention *retention = &cell->retention;
+	DFF_AUTO (dff_job_row)
+	row = dff_job_row_decode (table_row->value, table_row->revision, NULL);
+	retention->cursor = table_row->revision;
+	if (row == NULL || row->state != DFF_JOB_ROW_ENDED)
+		return;
+	if (!is_expired (cell, row)) {
+		retention->n_young += 1;
+		return;
+	}
+	retention->n_young = 0;
+	struct expired expired = {
+		.id = row->spec.id,
+		.batch = row->batch,
+		.revision = row->revision,
+		.outcome = row->outcome,
+	};
+	g_array_append_val (retention->expired, expired);
+}
+
+static void
+on_page (void *user, const struct dff_table_result *result)
+{
+	struct dff_cell_call call;
+	if (!end_call (user, &call) || !is_answered (call.cell, result))
+		return;
+	struct dff_cell_retention *retention = &call.cell->retention;
+	for (size_t i = 0; i < result->n_rows; i++)
+		take_row (call.cell, &result->rows[i]);
+	retention->more = result->more && retention->n_young < YOUNG_MAX;
+}
+
+static void
+read_page (struct dff_cell *cell)
+{
+	struct dff_cell_retention *retention = &cell->retention;
+	const struct dff_table *table = cell->options.table;
+	struct dff_str prefix = {.data = cell->prefix->str, .len = cell->prefix->len};
+	g_array_set_size (retention->expired, 0);
+	retention->next = 0;
+	retention->due_ms = dff_cell_now_ms (cell) + DELETE_INTERVAL_MS;
+	table->scan (table->ctx, prefix, retention->cursor, DFF_CELL_PAGE_ROWS, on_page,
+		     begin_call (cell, DFF_CELL_CALL_SCAN));
+}
+
+/* What follows the last dot of "REGION.HASH". */
+static const char *
+hash_of (const struct dff_name *id)
+{
+	const char *dot = strrchr (id->data, '.');
+	return dot != NULL ? dot + 1 : id->data;
+}
+
+static GString *
+batch_key (const struct dff_cell *cell, const struct dff_name *batch)
+{
+	GString *key = g_string_new (NULL);
+	g_string_printf (key, "batch/%s/%s", cell->options.region.data, hash_of (batch));
+	return key;
+}
+
+static void
+set_verdict (struct dff_cell *cell, enum verdict verdict)
+{
+	struct dff_cell_retention *retention = &cell->retention;
+	retention->judging = false;
+	g_hash_table_insert (retention->verdicts, dff_name_dup (&retention->batch),
+			     GINT_TO_POINTER (verdict));
+}
+
+static void
+on_batch_deleted (void *user, enum dff_record_outcome outcome, int64_t revision)
+{
+	(void)revision;
+	struct dff_cell_call call;
+	if (end_call (user, &call))
+		set_verdict (call.cell,
+			     outcome == DFF_RECORD_DONE ? DFF_VERDICT_GONE : DFF_VERDICT_KEPT);
+}
+
+/* Deletes @key, and "idem/HASH" with it unless @hash is NULL, if @condition holds, and @key is
+ * still of @revision. */
+static void
+delete_rows (struct dff_cell *cell,
+	     const GString *key,
+	     int64_t revision,
+	     const char *hash,
+	     const struct dff_table_condition *condition,
+	     dff_record_func done,
+	     struct dff_cell_call *call)
+{
+	g_autofree char *idem = g_strconcat ("idem/", hash, NULL);
+	struct dff_table_condition conditions[] = {
+		{dff_lease_epoch_key (cell->lease), dff_lease_epoch_revision (cell->lease)},
+		{{key->str, key->len}, revision},
+		{.revision = 0},
+	};
+	const struct dff_table_write writes[] = {
+		{.key = {key->str, key->len}},
+		{.key = dff_str_from (idem)},
+	};
+	if (condition != NULL)
+		conditions[2] = *condition;
+	const struct dff_record_write record = {
+		.conditions = conditions,
+		.n_conditions = condition != NULL ? 3 : 2,
+		.writes = writes,
+		.n_writes = hash != NULL ? 2 : 1,
+		.give_up_ms = DELETE_GIVE_UP_MS,
+	};
+	call->ticket = dff_recorder_write (cell->options.recorder, &record, done, call);
+}
+
+static void
+on_batch_jobs (void *user, const struct dff_table_result *result)
+{
+	struct dff_cell_call call;
+	if (!end_call (user, &call) || !is_answered (call.cell, result))
+		return;
+	struct dff_cell *cell = call.cell;
+	struct dff_cell_retention *retention = &cell->retention;
+	for (size_t i = 0; i < result->n_rows; i++) {
+		const struct dff_table_row *found = &result->rows[i];
+		DFF_AUTO (dff_job_row)
+		row = dff_job_row_decode (found->value, found->revision, NULL);
+		retention->batch_cursor = found->revision;
+		if (row == NULL || !is_expired (cell, row)) {
+			set_verdict (cell, DFF_VERDICT_KEPT);
+			return;
+		}
+	}
+	if (result->more)
+		return;
+	g_autoptr (GString) key = batch_key (cell, &retention->batch);
+	delete_rows (cell, key, retention->batch_revision, hash_of (&retention->batch), NULL,
+		     on_batch_deleted, begin_call (cell, DFF_CELL_CALL_WRITE));
+}
+
+/* Reads the next page of the batch's jobs. */
+static void
+judge_jobs (struct dff_cell *cell)
+{
+	struct dff_cell_retention *retention = &cell->retention;
+	const struct dff_table *table = cell->options.table;
+	retention->due_ms = dff_cell_now_ms (cell) + JUDGE_INTERVAL_MS;
+	g_autoptr (GString) prefix = g_string_new (NULL);
+	g_string_printf (prefix, "job/%s/%s.", cell->options.region.data, retention->batch.data);
+	table->scan (table->ctx, (struct dff_str){prefix->str, prefix->len},
+		     retention->batch_cursor, DFF_CELL_PAGE_ROWS, on_batch_jobs,
+		     begin_call (cell, DFF_CELL_CALL_SCAN));
+}
+
+static void
+on_batch_row (void *user, const struct dff_table_result *result)
+{
+	struct dff_cell_call call;
+	if (!end_call (user, &call) || !is_answered (call.cell, result))
+		return;
+	struct dff_cell_retention *retention = &call.cell->retention;
+	if (result->n_rows == 0) {
+		set_verdict (call.cell, DFF_VERDICT_GONE);
+		return;
+	}
+	retention->judging = true;
+	retention->batch_revision = result->rows[0].revision;
+	retention->batch_cursor = 0;
+}
+
+static void
+judge_batch (struct dff_cell *cell, const struct dff_name *batch)
+{
+	const struct dff_table *table = cell->options.table;
+	g_autoptr (GString) key = batch_key (cell, batch);
+	const struct dff_str text = {key->str, key->len};
+	cell->retention.batch = *batch;
+	cell->retention.due_ms = dff_cell_now_ms (cell) + JUDGE_INTERVAL_MS;
+	table->get (table->ctx, &text, 1, on_batch_row, begin_call (cell, DFF_CELL_CALL_READ));
+}
+
+static void
+on_deleted (void *user, enum dff_record_outcome outcome, int64_t revision)
+{
+	(void)revision;
+	struct dff_cell_call call;
+	if (!end_call (user, &call) || outcome != DFF_RECORD_DONE)
+		return;
+	struct dff_cell *cell = call.cell;
+	*cell->metrics.expired += 1;
+	/* The counts are those of the rows, so that the next holder finds the same. */
+	if (cell->ended[call.outcome] > 0)
+		cell->ended[call.outcome] -= 1;
+}
+
+static void
+delete_job (struct dff_cell *cell, const struct expired *expired)
+{
+	struct dff_cell_call *call = begin_call (cell, DFF_CELL_CALL_WRITE);
+	g_autoptr (GString) key = dff_job_row_key (&expired->id);
+	call->outcome = expired->outcome;
+	if (dff_name_is_empty (&expired->batch)) {
+		delete_rows (cell, key, expired->revision, hash_of (&expired->id), NULL, on_deleted,
+			     call);
+		return;
+	}
+	/* The same batch may have been submitted anew since its row went. */
+	g_autoptr (GString) batch = batch_key (cell, &expired->batch);
+	const struct dff_table_condition absent = {.key = {batch->str, batch->len}};
+	delete_rows (cell, key, expired->revision, NULL, &absent, on_deleted, call);
+}
+
+static void
+delete_some (struct dff_cell *cell)
+{
+	struct dff_cell_retention *retention = &cell->retention;
+	int units = 0;
+	retention->due_ms = dff_cell_now_ms (cell) + DELETE_INTERVAL_MS;
+	while (retention->next < retention->expired->len && units < DELETE_UNITS) {
+		const struct expired *expired =
+			&g_array_index (retention->expired, struct expired, retention->next);
+		gpointer found = g_hash_table_lookup (retention->verdicts, &expired->batch);
+		enum verdict verdict = (enum verdict)GPOINTER_TO_INT (found);
+		bool single = dff_name_is_empty (&expired->batch);
+		if (!single && verdict == DFF_VERDICT_NONE) {
+			judge_batch (cell, &expired->batch);
+			return;
+		}
+		retention->next += 1;
+		if (!single && verdict == DFF_VERDICT_KEPT)
+			continue;
+		delete_job (cell, expired);
+		units += 1;
+	}
+}
+
+static void
+end_sweep (struct dff_cell *cell)
+{
+	struct dff_cell_retention *retention = &cell->retention;
+	g_hash_table_remove_all (retention->verdicts);
+	retention->cursor = 0;
+	retention->more = true;
+	retention->n_young = 0;
+	retention->due_ms = dff_cell_now_ms (cell) + SWEEP_INTERVAL_MS;
+}
+
+void
+dff_cell_retention_tick (struct dff_cell *cell)
+{
+	struct dff_cell_retention *retention = &cell->retention;
+	take_note (cell);
+	if (retention->n_waiting > 0 || dff_cell_now_ms (cell) < retention->due_ms ||
+	    seen_cursor (cell) == 0 || dff_recorder_is_open (cell->options.recorder))
+		return;
+	if (retention->judging)
+		judge_jobs (cell);
+	else if (retention->next < retention->expired->len)
+		delete_some (cell);
+	else if (retention->more)
+		read_page (cell);
+	else
+		end_sweep (cell);
+}
--- a/daemon/parts.c
+++ b/daemon/parts.c
@@ -149,6 +149,7 @@
 	cell.renew_ms = settings->cell_renew_ms;
 	cell.lease_margin_ms = settings->cell_margin_ms;
 	cell.task_lease_ms = settings->task_lease_ms;
+	cell.retention_s = settings->retention_s;
 	cell.callbacks = dff_daemon_cell_callbacks (daemon);
 	daemon->cell = dff_cell_new (&cell);
 }
--- a/daemon/settings_keys.c
+++ b/daemon/settings_keys.c
@@ -11,6 +11,8 @@
 #define CURVE_KEY_BYTES 32
 #define MINUTE_MS 60000
 #define HOUR_MS 3600000
+#define HOUR_S 3600
+#define YEAR_S 31536000
 
 #define MEMBER(name) .key = #name, .offset = offsetof (struct dff_settings, name)
 #define NAME(name, limit) MEMBER (name), .type = DFF_SETTING_NAME, .required = true, .max = (limit)
@@ -60,6 +62,9 @@
 	 .help = "The holder stops acting this long before its lease lapses."},
 	{INTEGER (task_lease_ms, 1000, HOUR_MS, 15000), .unit = "ms",
 	 .help = "Lease of tasks at workers."},
+	{INTEGER (retention_s, HOUR_S, YEAR_S, 604800), .unit = "s",
+	 .help = "Jobs, batches and their idempotency keys are forgotten this long after they "
+		 "ended. The same for all processes of a region."},
 	{INTEGER (watch_interval_ms, 50, MINUTE_MS, 1000), .unit = "ms",
 	 .help = "Least interval of renewals at each watched worker; longer for a process that "
 		 "watches many, as far as a quarter of *task_lease_ms*."},
--- a/include/cell/cell.h
+++ b/include/cell/cell.h
@@ -54,6 +54,8 @@
 	/** A batch is reported when none of its jobs has started or ended for this long and three
 	 * times the longest run time that its jobs declare. */
 	int32_t batch_stall_ms;
+	/** The rows of a job are deleted when it ended this long ago by the wall clock, s. */
+	int32_t retention_s;
 	struct dff_core_options core;
 };
 
--- a/include/common/clock.h
+++ b/include/common/clock.h
@@ -8,7 +8,8 @@
 /**
  * struct dff_clock:
  * @monotonic_ms: milliseconds that never go back and go on while the machine is suspended
- * @wall_ms: milliseconds since the Unix epoch, for display and spans only, never for decisions
+ * @wall_ms: milliseconds since the Unix epoch, for display, spans and retention only, as it may be
+ *   wrong or jump; docs/decisions/retention.md says why that does no harm there
  * @ctx: passed to both
  */
 struct dff_clock {
--- a/include/daemon/settings.h
+++ b/include/daemon/settings.h
@@ -46,6 +46,7 @@
 	int32_t cell_renew_ms;
 	int32_t cell_margin_ms;
 	int32_t task_lease_ms;
+	int32_t retention_s;
 	int32_t watch_interval_ms; /**< Interval of renewals at each watched worker. */
 	int32_t heartbeat_ms;
 	int32_t suspect_ms;
--- a/tests/cell/cell_harness.h
+++ b/tests/cell/cell_harness.h
@@ -12,7 +12,10 @@
 #define HARNESS_PROCESSES 3
 #define HARNESS_WORKERS 4
 #define HARNESS_MAX_JOBS 64
+/** Tests of hours may take longer steps. */
+#ifndef HARNESS_STEP_MS
 #define HARNESS_STEP_MS 20
+#endif
 #define HARNESS_REGION "region0"
 #define HARNESS_HASH "0123456789abcdef0123456789abcdef"
 
--- /dev/null
+++ b/tests/cell/test-retention.c
@@ -0,0 +1,420 @@
+#define HARNESS_STEP_MS 100
+
+#include "tests/cell/cell_promises.h"
+
+/* Rows of jobs that ended: when they go, and what stays. The rows are written as an entry and a
+ * former holder would have left them; nothing runs here. */
+
+#define DAY_MS (INT64_C (24) * 3600 * 1000)
+#define RETENTION_MS (7 * DAY_MS)
+#define YEAR_MS (365 * DAY_MS)
+/** Time for which a holder has to have known an end, and a sweep's interval on top. */
+#define SEEN_MS INT64_C (600000)
+#define SWEEP_MS INT64_C (600000)
+#define BATCH_HASH "00000000000000000000000000000bad"
+#define BATCH HARNESS_REGION "." BATCH_HASH
+
+/** What the wall clock is ahead of the virtual one. */
+static int64_t wall_ahead_ms;
+
+static int64_t
+wall_ms (void *ctx)
+{
+	return ((const struct dff_clock_virtual *)ctx)->now_ms + wall_ahead_ms;
+}
+
+/* With @n_processes, as each costs the test its time. */
+static void
+begin (struct harness *harness, int n_processes)
+{
+	wall_ahead_ms = YEAR_MS;
+	harness_init (harness, 1);
+	harness->clock.clock.wall_ms = wall_ms;
+	for (int i = n_processes; i < HARNESS_PROCESSES; i++)
+		harness_kill (harness, i);
+}
+
+static void
+commit (struct harness *harness, const struct dff_table_write *writes, size_t n_writes)
+{
+	const struct dff_table *table = &harness->entry->table;
+	const struct dff_table_txn txn = {
+		.write_id = dff_name_printf ("test.%d", ++harness->n_writes),
+		.writes = writes,
+		.n_writes = n_writes,
+	};
+	enum dff_table_outcome outcome = DFF_TABLE_UNCERTAIN;
+	table->commit (table->ctx, &txn, harness_written, &outcome);
+	assert_int_equal (outcome, DFF_TABLE_OK);
+}
+
+/* A row that ended @age_ms ago by the wall clock, or, with @age_ms negative, has not ended. */
+static void
+put_job (struct harness *harness, const struct dff_name *id, const char *batch, int64_t age_ms)
+{
+	DFF_AUTO (dff_job_row) row = dff_job_row_new ();
+	/* No worker has room for it, so that it waits unless it has ended. */
+	row->spec = fixture_spec (id->data, HARNESS_WORKERS, 8);
+	row->spec.region = dff_name_from (HARNESS_REGION);
+	if (*batch != '\0')
+		row->batch = dff_name_from (batch);
+	if (age_ms >= 0) {
+		row->state = DFF_JOB_ROW_ENDED;
+		row->outcome = DFF_OUTCOME_COMPLETED;
+		row->ended_wall_ms = dff_clock_wall_ms (&harness->clock.clock) - age_ms;
+	}
+	g_autoptr (GString) key = dff_job_row_key (id);
+	g_autoptr (GString) value = dff_job_row_encode (row);
+	g_autofree char *idem = g_strconcat ("idem/", strrchr (id->data, '.') + 1, NULL);
+	const struct dff_table_write writes[] = {
+		{{key->str, key->len}, {value->str, value->len}},
+		{dff_str_from (idem), {id->data, id->len}},
+	};
+	commit (harness, writes, *batch == '\0' ? 2 : 1);
+}
+
+static struct dff_name
+single_id (int index)
+{
+	return dff_name_printf (HARNESS_REGION ".%032x", (unsigned int)index);
+}
+
+static struct dff_name
+member_id (int index)
+{
+	return dff_name_printf (BATCH ".%d", index);
+}
+
+static void
+put_batch (struct harness *harness)
+{
+	static const char value[] =
+		"{\"team\":\"a\",\"manifest\":3,\"digest\":\"d\",\"accepted\":3}";
+	const struct dff_table_write writes[] = {
+		{dff_str_from ("batch/" HARNESS_REGION "/" BATCH_HASH), dff_str_from (value)},
+		{dff_str_from ("idem/" BATCH_HASH), dff_str_from (BATCH)},
+	};
+	commit (harness, writes, G_N_ELEMENTS (writes));
+}
+
+static bool
+exists (const struct harness *harness, const char *key)
+{
+	struct dff_table_row row;
+	return dff_memory_peek (harness->memory, dff_str_from (key), &row);
+}
+
+static bool
+job_exists (const struct harness *harness, const struct dff_name *id)
+{
+	g_autoptr (GString) key = dff_job_row_key (id);
+	return exists (harness, key->str);
+}
+
+static bool
+idem_exists (const struct harness *harness, const struct dff_name *id)
+{
+	g_autofree char *key = g_strconcat ("idem/", strrchr (id->data, '.') + 1, NULL);
+	return exists (harness, key);
+}
+
+static int
+count_singles (const struct harness *harness, int n_jobs)
+{
+	int found = 0;
+	for (int i = 0; i < n_jobs; i++) {
+		struct dff_name id = single_id (i);
+		assert_int_equal (job_exists (harness, &id), idem_exists (harness, &id));
+		found += job_exists (harness, &id);
+	}
+	return found;
+}
+
+/* Nobody asks a worker for what is written here. */
+static void
+take_workers_down (struct harness *harness)
+{
+	for (int i = 0; i < HARNESS_WORKERS; i++)
+		harness->fleet.workers[i].down = true;
+}
+
+static void
+test_rows_go_after_the_retention_and_not_before (void **state)
+{
+	(void)state;
+	struct harness harness;
+	begin (&harness, 1);
+	struct dff_name old = single_id (0);
+	struct dff_name young = single_id (1);
+	struct dff_name waiting = single_id (2);
+	take_workers_down (&harness);
+	put_job (&harness, &old, "", RETENTION_MS);
+	put_job (&harness, &young, "", RETENTION_MS - SEEN_MS - 2 * SWEEP_MS - DAY_MS);
+	put_job (&harness, &waiting, "", -1);
+	harness_run (&harness, SEEN_MS + SWEEP_MS);
+	assert_false (job_exists (&harness, &old));
+	assert_false (idem_exists (&harness, &old));
+	assert_true (job_exists (&harness, &young));
+	assert_true (idem_exists (&harness, &young));
+	assert_true (job_exists (&harness, &waiting));
+	const struct dff_cell *cell = harness.processes[harness_holder (&harness)].cell;
+	assert_int_equal (cell->ended[DFF_OUTCOME_COMPLETED], 1);
+	wall_ahead_ms += 2 * DAY_MS;
+	harness_run (&harness, 2 * SWEEP_MS);
+	assert_false (job_exists (&harness, &young));
+	assert_true (job_exists (&harness, &waiting));
+	assert_int_equal (cell->ended[DFF_OUTCOME_COMPLETED], 0);
+	harness_clear (&harness);
+}
+
+/* Symptom: everything that ended is forgotten at once, and a key that is still in use runs again.
+ * Sequence: a holder takes over whose wall clock is a year ahead. Cause: age by that clock alone.
+ */
+static void
+test_wall_clock_a_year_ahead (void **state)
+{
+	(void)state;
+	struct harness harness;
+	begin (&harness, 1);
+	struct dff_name ended = single_id (0);
+	struct dff_name waiting = single_id (1);
+	take_workers_down (&harness);
+	put_job (&harness, &ended, "", 0);
+	put_job (&harness, &waiting, "", -1);
+	wall_ahead_ms += YEAR_MS;
+	assert_true (harness_run_holder (&harness, 30000) < 30000);
+	harness_run (&harness, SEEN_MS - 1000);
+	assert_true (job_exists (&harness, &ended));
+	assert_true (idem_exists (&harness, &ended));
+	harness_run (&harness, 2 * SWEEP_MS);
+	assert_false (job_exists (&harness, &ended));
+	assert_true (job_exists (&harness, &waiting));
+	assert_true (idem_exists (&harness, &waiting));
+	harness_clear (&harness);
+}
+
+/* The same, with a holder that has held the cell for long. */
+static void
+test_end_that_is_news_stays (void **state)
+{
+	(void)state;
+	struct harness harness;
+	begin (&harness, 1);
+	assert_true (harness_run_holder (&harness, 30000) < 30000);
+	harness_run (&harness, SEEN_MS + 10000);
+	const struct dff_cell *cell = harness.processes[harness_holder (&harness)].cell;
+	while (cell->retention.due_ms > harness.clock.now_ms + 5000)
+		harness_step (&harness);
+	struct dff_name ended = single_id (0);
+	put_job (&harness, &ended, "", YEAR_MS);
+	int64_t put_ms = harness.clock.now_ms;
+	while (harness.clock.now_ms < put_ms + SEEN_MS) {
+		harness_step (&harness);
+		assert_true (job_exists (&harness, &ended));
+	}
+	harness_run (&harness, 2 * SWEEP_MS);
+	assert_false (job_exists (&harness, &ended));
+	harness_clear (&harness);
+}
+
+/* Symptom: a row goes without its idempotency key, or is left for ever. Sequence: the holder dies
+ * between two deletions, and another one takes over. Cause: two transactions, or a place in the
+ * sweep that died with its holder. */
+static void
+test_take_over_in_the_middle (void **state)
+{
+	(void)state;
+	struct harness harness;
+	begin (&harness, 2);
+	for (int i = 0; i < 200; i++) {
+		struct dff_name id = single_id (i);
+		put_job (&harness, &id, "", i % 2 == 0 ? RETENTION_MS : 0);
+	}
+	harness_run_holder (&harness, 30000);
+	int left = 200;
+	while (left == 200) {
+		harness_step (&harness);
+		left = count_singles (&harness, 200);
+	}
+	assert_true (left > 100);
+	harness_kill (&harness, harness_holder (&harness));
+	harness_run (&harness, SEEN_MS - 10000);
+	assert_int_equal (count_singles (&harness, 200), left);
+	harness_run (&harness, SWEEP_MS);
+	assert_int_equal (count_singles (&harness, 200), 100);
+	const struct dff_cell *cell = harness.processes[harness_holder (&harness)].cell;
+	assert_int_equal (cell->ended[DFF_OUTCOME_COMPLETED], 100);
+	harness_clear (&harness);
+}
+
+/* Symptom: a change that was answered is lost. Sequence: a row is written between the sweep's read
+ * and its deletion. Cause: the deletion not conditional on what was read. */
+static void
+test_row_that_changes_in_between_stays (void **state)
+{
+	(void)state;
+	struct harness harness;
+	begin (&harness, 1);
+	struct dff_name id = single_id (0);
+	put_job (&harness, &id, "", RETENTION_MS);
+	harness_run_holder (&harness, 30000);
+	struct dff_cell *cell = harness.processes[harness_holder (&harness)].cell;
+	while (cell->retention.expired->len == 0)
+		harness_step (&harness);
+	assert_true (job_exists (&harness, &id));
+	put_job (&harness, &id, "", RETENTION_MS);
+	harness_run (&harness, SEEN_MS - 10000);
+	assert_true (job_exists (&harness, &id));
+	harness_run (&harness, 2 * SWEEP_MS);
+	assert_false (job_exists (&harness, &id));
+	harness_clear (&harness);
+}
+
+/* Symptom: other writes wait while rows are deleted. Sequence: thousands of rows are due at once.
+ * Cause: no bound. */
+static void
+test_budget_is_kept (void **state)
+{
+	(void)state;
+	struct harness harness;
+	begin (&harness, 1);
+	for (int i = 0; i < 600; i++) {
+		struct dff_name id = single_id (i);
+		put_job (&harness, &id, "", RETENTION_MS);
+	}
+	harness_run_holder (&harness, 30000);
+	harness_run (&harness, SEEN_MS - 10000);
+	assert_int_equal (count_singles (&harness, 600), 600);
+	int before = 600;
+	int64_t idle_commits = 0;
+	for (int second = 0; second < 60; second++) {
+		int64_t commits = dff_memory_counts (harness.memory).commits;
+		harness_run (&harness, 1000);
+		int after = count_singles (&harness, 600);
+		commits = dff_memory_counts (harness.memory).commits - commits;
+		if (before == after)
+			idle_commits = MAX (idle_commits, commits);
+		assert_true (before - after <= 30);
+		assert_true (commits <= idle_commits + 1);
+		before = after;
+	}
+	assert_int_equal (before, 0);
+	harness_clear (&harness);
+}
+
+/* Symptom: a commit a second for nothing while the table is down, and a heap of them after.
+ * Sequence: the table fails during a sweep. Cause: deletions that go on with the breaker open. */
+static void
+test_open_breaker_stops_the_sweep (void **state)
+{
+	(void)state;
+	struct harness harness;
+	begin (&harness, 1);
+	for (int i = 0; i < 200; i++) {
+		struct dff_name id = single_id (i);
+		put_job (&harness, &id, "", RETENTION_MS);
+	}
+	harness_run_holder (&harness, 30000);
+	while (count_singles (&harness, 200) == 200)
+		harness_step (&harness);
+	int holder = harness_holder (&harness);
+	const struct dff_cell *cell = harness.processes[holder].cell;
+	while (!dff_recorder_is_open (harness.processes[holder].recorder)) {
+		harness.processes[holder].caller->faults.unavailable_permille = 1000;
+		harness_step (&harness);
+		assert_true (cell->retention.n_waiting <= 30);
+	}
+	guint next = cell->retention.next;
+	for (int step = 0; step < 100 && harness_holder (&harness) == holder; step++) {
+		harness_step (&harness);
+		if (harness_holder (&harness) == holder)
+			assert_int_equal (cell->retention.next, next);
+	}
+	harness.processes[holder].caller->faults.unavailable_permille = 0;
+	harness_run (&harness, SEEN_MS + 2 * SWEEP_MS);
+	assert_int_equal (count_singles (&harness, 200), 0);
+	harness_clear (&harness);
+}
+
+/* Symptom: a batch's counts no longer add up to what was accepted. Sequence: some jobs of a batch
+ * ended long ago, one has not. Cause: rows that go one by one. */
+static void
+test_batch_goes_as_a_whole (void **state)
+{
+	(void)state;
+	struct harness harness;
+	begin (&harness, 1);
+	take_workers_down (&harness);
+	put_batch (&harness);
+	for (int i = 0; i < 3; i++) {
+		struct dff_name id = member_id (i);
+		put_job (&harness, &id, BATCH, i == 2 ? 0 : RETENTION_MS);
+	}
+	harness_run (&harness, SEEN_MS + 2 * SWEEP_MS);
+	for (int i = 0; i < 3; i++) {
+		struct dff_name id = member_id (i);
+		assert_true (job_exists (&harness, &id));
+	}
+	assert_true (exists (&harness, "idem/" BATCH_HASH));
+	wall_ahead_ms += RETENTION_MS;
+	for (int64_t run_ms = 0; run_ms < 2 * SWEEP_MS; run_ms += 1000) {
+		harness_run (&harness, 1000);
+		bool batch = exists (&harness, "batch/" HARNESS_REGION "/" BATCH_HASH);
+		assert_int_equal (exists (&harness, "idem/" BATCH_HASH), batch);
+		for (int i = 0; batch && i < 3; i++) {
+			struct dff_name id = member_id (i);
+			assert_true (job_exists (&harness, &id));
+		}
+	}
+	assert_false (exists (&harness, "batch/" HARNESS_REGION "/" BATCH_HASH));
+	for (int i = 0; i < 3; i++) {
+		struct dff_name id = member_id (i);
+		assert_false (job_exists (&harness, &id));
+	}
+	harness_clear (&harness);
+}
+
+/* Symptom: jobs of a batch that was just accepted are gone. Sequence: a batch's row was deleted,
+ * and its key is used again before the rows of its jobs are. Cause: they went unconditionally. */
+static void
+test_batch_submitted_anew_keeps_its_rows (void **state)
+{
+	(void)state;
+	struct harness harness;
+	begin (&harness, 1);
+	take_workers_down (&harness);
+	for (int i = 0; i < 3; i++) {
+		struct dff_name id = member_id (i);
+		put_job (&harness, &id, BATCH, RETENTION_MS);
+	}
+	harness_run_holder (&harness, 30000);
+	struct dff_cell *cell = harness.processes[harness_holder (&harness)].cell;
+	while (g_hash_table_size (cell->retention.verdicts) == 0)
+		harness_step (&harness);
+	put_batch (&harness);
+	struct dff_name waiting = member_id (3);
+	put_job (&harness, &waiting, BATCH, -1);
+	harness_run (&harness, SEEN_MS + 2 * SWEEP_MS);
+	for (int i = 0; i < 4; i++) {
+		struct dff_name id = member_id (i);
+		assert_true (job_exists (&harness, &id));
+	}
+	harness_clear (&harness);
+}
+
+int
+main (void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test (test_rows_go_after_the_retention_and_not_before),
+		cmocka_unit_test (test_wall_clock_a_year_ahead),
+		cmocka_unit_test (test_end_that_is_news_stays),
+		cmocka_unit_test (test_take_over_in_the_middle),
+		cmocka_unit_test (test_row_that_changes_in_between_stays),
+		cmocka_unit_test (test_budget_is_kept),
+		cmocka_unit_test (test_open_breaker_stops_the_sweep),
+		cmocka_unit_test (test_batch_goes_as_a_whole),
+		cmocka_unit_test (test_batch_submitted_anew_keeps_its_rows),
+	};
+	return cmocka_run_group_tests (tests, NULL, NULL);
+}
