upstream: a job without a payload starts with an empty one

Cause: payload is optional in the callers' interface, but a start whose payload has no bytes was put on the wire as an empty body, which every worker refuses with 400. Change: no payload travels as {}. Text that is not JSON still sends nothing. Before: test-worker-wire, the start cannot be parsed; after: it can, with {}.

--- a/tests/upstream/test-worker-wire.c
+++ b/tests/upstream/test-worker-wire.c
@@ -50,6 +50,27 @@
 	}
 }
 
+/* Symptom: a job that was accepted without a payload, which it need not have, fails at its first
+ * attempt, and its workers are taken for faulty. Sequence: the start is put into JSON, the payload
+ * of no bytes is none, and the start goes out empty; every worker refuses it. Cause: all tests had
+ * a payload. */
+static void
+test_start_without_payload (void **state)
+{
+	(void)state;
+	struct dff_task_start start = {
+		.task = {dff_name_from ("j"), 1, 0},
+		.lease_ms = 1,
+	};
+	struct dff_task_start read;
+	g_autoptr (GString) out = g_string_new (NULL);
+	g_autoptr (GString) payload = g_string_new (NULL);
+	dff_worker_wire_append_start (out, &start);
+	struct dff_str body = {out->str, out->len};
+	assert_true (dff_worker_wire_parse_start (body, &read, payload));
+	assert_string_equal (payload->str, "{}");
+}
+
 /* Symptom: a caller's job starts a task that is not held, outside its gang. Sequence: a payload
  * closes its own object and adds "held":false behind it. Cause: text from outside was pasted into
  * the body. */
@@ -159,6 +180,7 @@
 		cmocka_unit_test (test_start_round_trip),
 		cmocka_unit_test (test_start_parse),
 		cmocka_unit_test (test_payload_cannot_add_keys),
+		cmocka_unit_test (test_start_without_payload),
 		cmocka_unit_test (test_command_parse),
 		cmocka_unit_test (test_renewal_parse),
 		cmocka_unit_test (test_answer_parse),
--- a/upstream/worker_wire.c
+++ b/upstream/worker_wire.c
@@ -122,12 +122,19 @@
 		start->resources.slots, start->resources.cores, start->resources.memory_gb);
 }
 
+/* Parsed, to be printed again: text pasted in as it is could close the object and add keys. */
+static json_t *
+parse_payload (struct dff_str text)
+{
+	if (text.len == 0)
+		return json_object ();
+	return json_loadb (text.data, text.len, JSON_DECODE_ANY, NULL);
+}
+
 void
 dff_worker_wire_append_start (GString *out, const struct dff_task_start *start)
 {
-	/* Parsed and printed again: text pasted in as it is could close the object and add keys. */
-	g_autoptr (json_t) payload =
-		json_loadb (start->payload.data, start->payload.len, JSON_DECODE_ANY, NULL);
+	g_autoptr (json_t) payload = parse_payload (start->payload);
 	if (payload == NULL)
 		return;
 	g_autofree char *text = json_dumps (payload, JSON_COMPACT | JSON_ENCODE_ANY);
