--- a/bench/fleet/load.c
+++ b/bench/fleet/load.c
@@ -113,6 +113,29 @@
 	json_decref (job);
 }
 
+/* Workers begin an answer with the id of the request that they ran, which the answer's header must
+ * name too: an answer cut short, or somebody else's, shows. */
+static bool
+is_own_answer (const struct dff_http_response *response)
+{
+	const char *id = evhttp_find_header (response->headers, "Request-Id");
+	if (id == NULL || response->body.len != ANSWER_BYTES)
+		return false;
+	size_t length = strlen (id);
+	return length < ANSWER_BYTES && memcmp (response->body.data, id, length) == 0 &&
+	       response->body.data[length] == '\n';
+}
+
+static void
+take_answer (struct fleet_caller *caller, const struct dff_http_response *response)
+{
+	bool own = is_own_answer (response);
+	if (!own)
+		fprintf (stderr, "fleet: %s: a wrong answer of %zu bytes\n", caller->tag.data,
+			 response->body.len);
+	end_caller (caller, own ? FLEET_ANSWERED : FLEET_FAILED);
+}
+
 static void
 answered (void *user, const struct dff_http_response *response)
 {
@@ -124,8 +147,7 @@
 	else if (is_job (caller->kind))
 		take_job (caller, response);
 	else
-		end_caller (caller,
-			    response->body.len == ANSWER_BYTES ? FLEET_ANSWERED : FLEET_FAILED);
+		take_answer (caller, response);
 }
 
 static char *
