tests: the harness of the entry in files by job

tests/entry/harness.c had grown to 656 lines with four jobs. The fake workers, what the holder does about jobs, and the callers' connections have files of their own; the processes stay.

--- a/tests/entry/harness.c
+++ b/tests/entry/harness.c
@@ -1,9 +1,5 @@
-#include "harness.h"
+#include "harness_private.h"
 
-#include <arpa/inet.h>
-#include <event2/buffer.h>
-#include <event2/bufferevent_ssl.h>
-#include <jansson.h>
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
@@ -12,18 +8,8 @@
 
 #include <cmocka.h>
 
-#include "cell/job_row.h"
-
-#define RESULT_CHUNK 8
 #define WORKERS 2
 
-struct harness_sent {
-	struct harness_answer answer;
-	int64_t deadline_ms;
-	dff_request_func done;
-	void *user;
-};
-
 static char *
 token_digest (const char *owner)
 {
@@ -49,102 +35,6 @@
 		casework, fleet, operator_digest);
 }
 
-static void
-request_worker (void *ctx,
-		const struct dff_name *address,
-		const struct dff_name *service,
-		const struct dff_name *request_id,
-		struct dff_str body,
-		struct dff_str traceparent,
-		int32_t deadline_ms,
-		dff_request_func done,
-		void *user)
-{
-	(void)address;
-	(void)service;
-	(void)request_id;
-	struct harness *harness = ctx;
-	g_snprintf (harness->traceparent, sizeof (harness->traceparent), "%.*s",
-		    (int)traceparent.len, traceparent.data);
-	struct harness_sent *sent = g_new0 (struct harness_sent, 1);
-	struct harness_answer *scripted = g_queue_pop_head (&harness->answers);
-	if (scripted != NULL) {
-		sent->answer = *scripted;
-		g_free (scripted);
-	} else {
-		sent->answer.outcome = DFF_WORKER_OK;
-		sent->answer.status = 200;
-		sent->answer.body = g_strndup (body.data, body.len);
-	}
-	bool runs = sent->answer.outcome == DFF_WORKER_OK ||
-		    sent->answer.outcome == DFF_WORKER_UNCERTAIN;
-	if (runs)
-		harness->n_run++;
-	if (runs && harness->on_run != NULL)
-		harness->on_run (harness->on_run_ctx, body);
-	sent->deadline_ms = harness->clock.now_ms + deadline_ms;
-	sent->done = done;
-	sent->user = user;
-	g_queue_push_tail (&harness->sent, sent);
-}
-
-static void
-answer_sent (struct harness_sent *sent)
-{
-	const char *body = sent->answer.body == NULL ? "" : sent->answer.body;
-	struct dff_request_result result = {
-		.outcome = sent->answer.outcome,
-		.status = sent->answer.status,
-		.body = dff_str_from (body),
-		.leaving = sent->answer.leaving,
-	};
-	sent->done (sent->user, &result);
-	g_free (sent->answer.body);
-	g_free (sent);
-}
-
-static void
-tick_workers (struct harness *harness)
-{
-	guint n = harness->sent.length;
-	for (guint i = 0; i < n; i++) {
-		struct harness_sent *sent = g_queue_pop_head (&harness->sent);
-		bool over = harness->clock.now_ms >= sent->deadline_ms;
-		if (sent->answer.held && !over) {
-			g_queue_push_tail (&harness->sent, sent);
-			continue;
-		}
-		if (sent->answer.held)
-			sent->answer.outcome = DFF_WORKER_UNCERTAIN;
-		answer_sent (sent);
-	}
-}
-
-void
-harness_next_answer (struct harness *harness, const struct harness_answer *answer)
-{
-	struct harness_answer *copy = g_memdup2 (answer, sizeof (*answer));
-	copy->body = g_strdup (answer->body);
-	g_queue_push_tail (&harness->answers, copy);
-}
-
-void
-harness_release (struct harness *harness, int status, const char *body)
-{
-	for (GList *link = harness->sent.head; link != NULL; link = link->next) {
-		struct harness_sent *sent = link->data;
-		if (!sent->answer.held)
-			continue;
-		sent->answer.held = false;
-		sent->answer.outcome = DFF_WORKER_OK;
-		sent->answer.status = status;
-		g_free (sent->answer.body);
-		sent->answer.body = g_strdup (body);
-		return;
-	}
-	fail_msg ("no request is held");
-}
-
 static void
 send_to_peer (void *ctx, const struct dff_instance *member, const uint8_t *data, size_t len)
 {
@@ -356,7 +246,7 @@
 	harness->memory = dff_memory_new (&memory);
 	harness->holder = dff_memory_open (harness->memory);
 	harness->skipped_offset = -1;
-	harness->workers.request = request_worker;
+	harness->workers.request = harness_request_worker;
 	harness->workers.ctx = harness;
 	g_queue_init (&harness->answers);
 	g_queue_init (&harness->sent);
@@ -396,9 +286,7 @@
 {
 	for (int i = 0; i < HARNESS_PROCESSES; i++)
 		harness_kill (harness, i);
-	struct harness_sent *sent;
-	while ((sent = g_queue_pop_head (&harness->sent)) != NULL)
-		answer_sent (sent);
+	harness_drop_sent (harness);
 	dff_memory_tick (harness->memory);
 	for (int64_t due_ms; (due_ms = dff_memory_next_due_ms (harness->memory)) != INT64_MAX;) {
 		harness->clock.now_ms = MAX (due_ms, harness->clock.now_ms);
@@ -424,7 +312,7 @@
 	event_base_loop (harness->base, EVLOOP_NONBLOCK);
 	harness->clock.now_ms++;
 	dff_memory_tick (harness->memory);
-	tick_workers (harness);
+	harness_tick_workers (harness);
 	for (int i = 0; i < HARNESS_PROCESSES; i++) {
 		const struct harness_process *process = &harness->processes[i];
 		if (process->entry == NULL)
@@ -473,184 +361,3 @@
 	}
 	tell_instances (harness);
 }
-
-static void
-check_committed (void *user, const struct dff_table_result *result)
-{
-	(void)user;
-	assert_int_equal (result->outcome, DFF_TABLE_OK);
-}
-
-static void
-check_put (void *user, const struct dff_object_result *result)
-{
-	(void)user;
-	assert_int_equal (result->outcome, DFF_OBJECT_OK);
-}
-
-void
-harness_put_object (struct harness *harness, const char *key, const char *text)
-{
-	harness->holder->objects.put (harness->holder, dff_str_from (key), dff_str_from (text),
-				      check_put, NULL);
-}
-
-static void
-write_result (struct harness *harness, struct dff_job_row *row, const char *result)
-{
-	size_t len = strlen (result);
-	g_autofree char *digest = g_compute_checksum_for_string (G_CHECKSUM_SHA256, result, -1);
-	json_t *chunks = json_array ();
-	for (size_t offset = 0; offset < len; offset += RESULT_CHUNK) {
-		g_autofree char *part = g_strndup (result + offset, RESULT_CHUNK);
-		g_autofree char *key = g_strdup_printf ("part/%s/%zu", row->spec.id.data, offset);
-		g_autofree char *part_digest =
-			g_compute_checksum_for_string (G_CHECKSUM_SHA256, part, -1);
-		if ((int64_t)offset != harness->skipped_offset)
-			harness_put_object (harness, key, part);
-		json_t *chunk =
-			json_pack ("{s:I,s:I,s:s,s:s}", "offset", (json_int_t)offset, "length",
-				   (json_int_t)strlen (part), "digest", part_digest, "key", key);
-		json_array_insert_new (chunks, 0, chunk);
-	}
-	json_t *manifest = json_pack ("{s:I,s:s,s:o}", "length", (json_int_t)len, "digest", digest,
-				      "chunks", chunks);
-	g_autofree char *text = json_dumps (manifest, JSON_COMPACT);
-	json_decref (manifest);
-	row->result.manifest_key = dff_name_printf ("m.%.40s", row->spec.id.data);
-	row->result.length = (int64_t)len;
-	g_strlcpy (row->result.digest, digest, sizeof (row->result.digest));
-	harness_put_object (harness, row->result.manifest_key.data, text);
-}
-
-void
-harness_end_job (struct harness *harness,
-		 const struct dff_name *job,
-		 enum dff_outcome outcome,
-		 const char *result)
-{
-	struct dff_table_row read;
-	g_autoptr (GString) key = dff_job_row_key (job);
-	struct dff_str key_text = {key->str, key->len};
-	assert_true (dff_memory_peek (harness->memory, key_text, &read));
-	DFF_AUTO (dff_job_row) row = dff_job_row_decode (read.value, read.revision, NULL);
-	row->state = DFF_JOB_ROW_ENDED;
-	row->outcome = outcome;
-	row->attempt = 1;
-	row->ended_wall_ms = harness->clock.now_ms;
-	if (result != NULL)
-		write_result (harness, row, result);
-	g_autoptr (GString) value = dff_job_row_encode (row);
-	struct dff_table_condition condition = {key_text, read.revision};
-	struct dff_table_write write = {key_text, {value->str, value->len}};
-	struct dff_table_txn txn = {
-		.write_id = dff_name_printf ("holder.%" G_GUINT64_FORMAT, ++harness->n_writes),
-		.conditions = &condition,
-		.n_conditions = 1,
-		.writes = &write,
-		.n_writes = 1,
-	};
-	harness->holder->table.commit (harness->holder, &txn, check_committed, NULL);
-}
-
-static void
-client_read (struct bufferevent *bev, void *ctx)
-{
-	struct harness_client *client = ctx;
-	struct evbuffer *input = bufferevent_get_input (bev);
-	size_t len = evbuffer_get_length (input);
-	g_string_append_len (client->received, (const char *)evbuffer_pullup (input, -1),
-			     (gssize)len);
-	evbuffer_drain (input, len);
-}
-
-static void
-client_event (struct bufferevent *bev, short what, void *ctx)
-{
-	(void)bev;
-	struct harness_client *client = ctx;
-	if (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR))
-		client->closed = true;
-}
-
-/* Takes @bev over. */
-static struct harness_client *
-connect_with (struct harness *harness, int process, struct bufferevent *bev)
-{
-	struct harness_client *client = g_new0 (struct harness_client, 1);
-	struct sockaddr_in address = {
-		.sin_family = AF_INET,
-		.sin_port = htons (dff_entry_port (harness->processes[process].entry)),
-		.sin_addr.s_addr = htonl (INADDR_LOOPBACK),
-	};
-	client->harness = harness;
-	client->received = g_string_new (NULL);
-	client->bev = bev;
-	bufferevent_setcb (client->bev, client_read, NULL, client_event, client);
-	bufferevent_enable (client->bev, EV_READ | EV_WRITE);
-	bufferevent_socket_connect (client->bev, (struct sockaddr *)&address, sizeof (address));
-	return client;
-}
-
-struct harness_client *
-harness_connect (struct harness *harness, int process)
-{
-	struct bufferevent *bev = bufferevent_socket_new (harness->base, -1, BEV_OPT_CLOSE_ON_FREE);
-	return connect_with (harness, process, bev);
-}
-
-struct harness_client *
-harness_connect_tls (struct harness *harness, int process, SSL_CTX *tls)
-{
-	struct bufferevent *bev =
-		bufferevent_openssl_socket_new (harness->base, -1, SSL_new (tls),
-						BUFFEREVENT_SSL_CONNECTING, BEV_OPT_CLOSE_ON_FREE);
-	return connect_with (harness, process, bev);
-}
-
-void
-harness_client_free (struct harness_client *client)
-{
-	bufferevent_free (client->bev);
-	g_string_free (client->received, TRUE);
-	g_free (client);
-}
-
-void
-harness_client_send (struct harness_client *client, const char *bytes, size_t len)
-{
-	bufferevent_write (client->bev, bytes, len);
-}
-
-bool
-harness_client_is_whole (const struct harness_client *client)
-{
-	static const char header[] = "\r\nContent-Length: ";
-	const char *end = strstr (client->received->str, "\r\n\r\n");
-	const char *length = strstr (client->received->str, header);
-	if (end == NULL || length == NULL || length > end)
-		return false;
-	size_t body = strtoul (length + strlen (header), NULL, 10);
-	return client->received->len >= (size_t)(end + 4 - client->received->str) + body;
-}
-
-bool
-harness_client_wait (struct harness_client *client)
-{
-	for (int64_t i = 0; i < HARNESS_TIMEOUT_MS; i++) {
-		if (harness_client_is_whole (client))
-			return true;
-		if (client->closed)
-			return false;
-		harness_step (client->harness);
-	}
-	fail_msg ("no response");
-	return false;
-}
-
-int
-harness_client_status (const struct harness_client *client)
-{
-	const char *space = strchr (client->received->str, ' ');
-	return space == NULL ? 0 : (int)strtol (space + 1, NULL, 10);
-}
