tests: the recorder with a table that answers, and with one that fails

Its fixture stands in recorder_fixture.c, the tests of lost answers, outages, silence and giving up in test-recorder-faults.c.

--- /dev/null
+++ b/tests/record/test-recorder-faults.c
@@ -0,0 +1,212 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+
+#include "recorder_fixture.h"
+
+/* Lost answers, outages, silence, and writers that give up. */
+
+/* Symptom: a job is refused, sent again by its caller, and runs twice; or it is accepted and is
+ * nowhere. Sequence: the answer to a commit is lost, before or after it took effect, or it takes
+ * effect later. Cause: the answer's loss says nothing about the effect; only the lookup of the
+ * write id does, which also bars a late write. */
+static void
+test_lost_answers (void **state)
+{
+	struct recorder_fixture *fixture = *state;
+	static const struct {
+		const char *key;
+		struct dff_memory_faults faults;
+		int32_t give_up_ms;
+		enum dff_record_outcome outcome;
+		int commits;
+	} cases[] = {
+		{"took-effect", {.lose_answers = 1}, 0, DFF_RECORD_DONE, 1},
+		{"took-effect-give-up", {.lose_answers = 1}, 10, DFF_RECORD_DONE, 1},
+		{"absent", {.lost_writes = 1}, 0, DFF_RECORD_DONE, 2},
+		{"absent-give-up", {.lost_writes = 1}, 10, DFF_RECORD_NOT_DONE, 1},
+		{"late", {.late_writes = 1, .late_ms = 300}, 0, DFF_RECORD_DONE, 2},
+		{"late-give-up", {.late_writes = 1, .late_ms = 300}, 10, DFF_RECORD_NOT_DONE, 1},
+		{"late-before-lookup", {.late_writes = 1, .late_ms = 5}, 10, DFF_RECORD_DONE, 1},
+	};
+	for (size_t i = 0; i < G_N_ELEMENTS (cases); i++) {
+		struct recorder_writer writer;
+		int64_t commits = dff_memory_counts (fixture->memory).commits;
+		int64_t rows = dff_memory_counts (fixture->memory).rows_written;
+		fixture->caller->faults = cases[i].faults;
+		recorder_write (fixture, &writer, cases[i].key, "v", cases[i].key, 0,
+				cases[i].give_up_ms);
+		recorder_run (fixture, 1000);
+		bool done = cases[i].outcome == DFF_RECORD_DONE;
+		assert_int_equal (writer.calls, 1);
+		assert_int_equal (writer.outcome, cases[i].outcome);
+		assert_true (recorder_row_is (fixture, cases[i].key, done ? "v" : NULL));
+		assert_int_equal (dff_memory_counts (fixture->memory).commits - commits,
+				  cases[i].commits);
+		assert_int_equal (dff_memory_counts (fixture->memory).rows_written - rows,
+				  done ? 1 : 0);
+	}
+}
+
+/* Symptom: a writer is told of a race that never was, and gives its work up. Sequence: a slow
+ * commit times out, a lookup bars its write id but its answer is lost, the commit arrives and is
+ * answered with a conflict. Cause: the conflict with the barred id was taken for a failed
+ * condition. */
+static void
+test_conflict_with_a_barred_write_id (void **state)
+{
+	struct recorder_fixture *fixture = *state;
+	struct recorder_writer writer;
+	fixture->caller->faults.delay_min_ms = 2000;
+	recorder_write (fixture, &writer, "k", "v", "k", 0, 0);
+	recorder_run (fixture, 50);
+	fixture->caller->faults.delay_min_ms = 10;
+	fixture->caller->faults.lose_permille = 1000;
+	recorder_run (fixture, 1900);
+	assert_int_equal (writer.calls, 0);
+	fixture->caller->faults.lose_permille = 0;
+	recorder_run (fixture, 6000);
+	assert_int_equal (writer.calls, 1);
+	assert_int_equal (writer.outcome, DFF_RECORD_DONE);
+	assert_true (recorder_row_is (fixture, "k", "v"));
+}
+
+static void
+test_outage_and_return (void **state)
+{
+	struct recorder_fixture *fixture = *state;
+	struct recorder_writer writers[4];
+	struct recorder_writer late;
+	static const char *const keys[] = {"a", "b", "c", "d"};
+	fixture->caller->faults.outage_until_ms = fixture->clock.now_ms + 10000;
+	for (int i = 0; i < 4; i++)
+		recorder_write (fixture, &writers[i], keys[i], "v", NULL, 0, i == 3 ? 5000 : 0);
+	recorder_run (fixture, 100);
+	assert_true (dff_recorder_is_open (fixture->recorder));
+	assert_true (dff_recorder_retry_after_s (fixture->recorder) >= 1);
+	/* A caller waits for the last one: it is told at once, not when its time is over. */
+	assert_int_equal (writers[3].calls, 1);
+	assert_int_equal (writers[3].outcome, DFF_RECORD_NOT_DONE);
+	recorder_write (fixture, &late, "late", "v", NULL, 0, 5000);
+	recorder_run (fixture, TICK_MS);
+	assert_int_equal (late.calls, 1);
+	assert_int_equal (late.outcome, DFF_RECORD_NOT_DONE);
+	recorder_run (fixture, 9000);
+	assert_int_equal (writers[0].calls, 0);
+	/* The breaker's tries back off: 200 ms doubling to 5 s, each between half and all of it. */
+	int64_t tries = *dff_metrics_counter (fixture->metrics, "dff_record_lookups_total", "");
+	assert_in_range (tries, 4, 9);
+	recorder_run (fixture, 7000);
+	assert_false (dff_recorder_is_open (fixture->recorder));
+	assert_string_equal (fixture->done_order->str, "a b c ");
+	assert_true (recorder_row_is (fixture, "d", NULL));
+	assert_true (recorder_row_is (fixture, "late", NULL));
+}
+
+/* Symptom: writers wait for ever. Sequence: the table takes the commit and the connection falls
+ * silent; lookups get no answer either. Cause: no answer is no failure unless somebody counts the
+ * time. */
+static void
+test_silence (void **state)
+{
+	struct recorder_fixture *fixture = *state;
+	struct recorder_writer writer;
+	struct recorder_writer waiting;
+	fixture->caller->faults.silent_until_ms = fixture->clock.now_ms + 5000;
+	recorder_write (fixture, &writer, "a", "v", NULL, 0, 0);
+	recorder_run (fixture, 10);
+	recorder_write (fixture, &waiting, "a", "w", NULL, 0, 4900);
+	recorder_run (fixture, 4000);
+	assert_true (dff_recorder_is_open (fixture->recorder));
+	assert_int_equal (writer.calls, 0);
+	assert_int_equal (waiting.outcome, DFF_RECORD_NOT_DONE);
+	recorder_run (fixture, 6000);
+	assert_int_equal (writer.calls, 1);
+	assert_int_equal (writer.outcome, DFF_RECORD_DONE);
+	assert_true (recorder_row_is (fixture, "a", "v"));
+	assert_false (dff_recorder_is_open (fixture->recorder));
+}
+
+/* Symptom: a caller is told "not run", and the job runs. Sequence: the caller's time is over while
+ * the commit is on its way; the commit takes effect. Cause: giving up was taken for undoing. */
+static void
+test_abandon_is_truthful (void **state)
+{
+	struct recorder_fixture *fixture = *state;
+	static const struct {
+		const char *key;
+		int64_t run_ms;
+		struct dff_memory_faults faults;
+		enum dff_abandon abandon;
+		bool written;
+	} cases[] = {
+		{"waiting", 0, {0}, DFF_ABANDON_NOT_DONE, false},
+		{"sent", 10, {.delay_min_ms = 50}, DFF_ABANDON_UNKNOWN, true},
+		{"unresolved", 10, {.lost_writes = 1}, DFF_ABANDON_UNKNOWN, false},
+		{"refused", 5, {.outage_until_ms = 1}, DFF_ABANDON_NOT_DONE, false},
+		{"in-outage", 100, {.outage_until_ms = INT64_MAX}, DFF_ABANDON_NOT_DONE, false},
+	};
+	for (size_t i = 0; i < G_N_ELEMENTS (cases); i++) {
+		struct recorder_writer writer;
+		fixture->caller->faults = cases[i].faults;
+		recorder_write (fixture, &writer, cases[i].key, "v", NULL, 0, 0);
+		if (cases[i].run_ms > TICK_MS)
+			recorder_run (fixture, cases[i].run_ms);
+		assert_int_equal (dff_recorder_abandon (fixture->recorder, writer.ticket),
+				  cases[i].abandon);
+		recorder_run (fixture, 1000);
+		assert_int_equal (writer.calls, 0);
+		assert_true (
+			recorder_row_is (fixture, cases[i].key, cases[i].written ? "v" : NULL));
+		assert_int_equal (dff_recorder_abandon (fixture->recorder, writer.ticket),
+				  DFF_ABANDON_UNKNOWN);
+	}
+}
+
+/* Abandons the writer that @user points to. */
+static void
+abandon_other (void *user, enum dff_record_outcome outcome, int64_t revision)
+{
+	struct recorder_writer *other = user;
+	assert_int_equal (outcome, DFF_RECORD_DONE);
+	assert_int_equal (revision, 1);
+	assert_int_equal (dff_recorder_abandon (other->fixture->recorder, other->ticket),
+			  DFF_ABANDON_UNKNOWN);
+}
+
+/* Two writes are confirmed together, and the first one's callback gives the second up. */
+static void
+test_abandon_of_a_confirmed_write (void **state)
+{
+	struct recorder_fixture *fixture = *state;
+	struct recorder_writer second;
+	struct dff_table_write row = {dff_str_from ("first"), dff_str_from ("v")};
+	struct dff_record_write write = {.writes = &row, .n_writes = 1};
+	dff_recorder_write (fixture->recorder, &write, abandon_other, &second);
+	recorder_write (fixture, &second, "second", "v", NULL, 0, 0);
+	recorder_run (fixture, 50);
+	assert_int_equal (second.calls, 0);
+	assert_true (recorder_row_is (fixture, "second", "v"));
+}
+
+int
+main (void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test_setup_teardown (test_lost_answers, recorder_setup,
+						 recorder_teardown),
+		cmocka_unit_test_setup_teardown (test_conflict_with_a_barred_write_id,
+						 recorder_setup, recorder_teardown),
+		cmocka_unit_test_setup_teardown (test_outage_and_return, recorder_setup,
+						 recorder_teardown),
+		cmocka_unit_test_setup_teardown (test_silence, recorder_setup, recorder_teardown),
+		cmocka_unit_test_setup_teardown (test_abandon_is_truthful, recorder_setup,
+						 recorder_teardown),
+		cmocka_unit_test_setup_teardown (test_abandon_of_a_confirmed_write, recorder_setup,
+						 recorder_teardown),
+	};
+	return cmocka_run_group_tests (tests, NULL, NULL);
+}
