--- a/tests/daemon/test-pool-follower.c
+++ b/tests/daemon/test-pool-follower.c
@@ -6,8 +6,8 @@
 #include <cmocka.h>
 
 #include "daemon/pool_follower.h"
-#include "platform/memory.h"
 #include "pool/pool_row.h"
+#include "tests/platform/memory_fixture.h"
 
 #define POLL_MS INT64_C (1000)
 
@@ -17,10 +17,7 @@
 	"\"teams\":[],\"services\":[],\"operators\":[]}"
 
 struct fixture {
-	struct dff_clock_virtual time;
-	struct dff_memory *memory;
-	struct dff_memory_caller *caller;
-	struct dff_metrics *metrics;
+	struct memory_fixture site;
 	struct dff_pool_follower *follower;
 	/** What the follower sees: the caller's table, with its rows counted. */
 	struct dff_table table;
@@ -67,7 +64,7 @@
 counted_get (void *ctx, const struct dff_str *keys, size_t n_keys, dff_table_func done, void *user)
 {
 	struct fixture *fixture = ctx;
-	const struct dff_table *table = &fixture->caller->table;
+	const struct dff_table *table = &fixture->site.caller->table;
 	table->get (table->ctx, keys, n_keys, count_rows, counted_new (fixture, done, user));
 }
 
@@ -80,7 +77,7 @@
 	      void *user)
 {
 	struct fixture *fixture = ctx;
-	const struct dff_table *table = &fixture->caller->table;
+	const struct dff_table *table = &fixture->site.caller->table;
 	table->scan (table->ctx, prefix, after, limit, count_rows,
 		     counted_new (fixture, done, user));
 }
@@ -89,17 +86,13 @@
 set_up (void **state)
 {
 	struct fixture *fixture = g_new0 (struct fixture, 1);
-	dff_clock_virtual_init (&fixture->time, 1000);
-	struct dff_memory_options memory = {.clock = &fixture->time.clock, .seed = 1};
-	fixture->memory = dff_memory_new (&memory);
-	fixture->caller = dff_memory_open (fixture->memory);
-	fixture->metrics = dff_metrics_new ();
+	memory_fixture_init (&fixture->site);
 	fixture->table =
 		(struct dff_table){.get = counted_get, .scan = counted_scan, .ctx = fixture};
 	struct dff_pool_follower_options options = {
 		.table = &fixture->table,
-		.clock = &fixture->time.clock,
-		.metrics = fixture->metrics,
+		.clock = &fixture->site.time.clock,
+		.metrics = fixture->site.metrics,
 		.poll_ms = POLL_MS,
 		.in_force = handle_in_force,
 		.ctx = fixture,
@@ -113,22 +106,24 @@
 tear_down (void **state)
 {
 	struct fixture *fixture = *state;
-	dff_memory_close (fixture->caller);
+	memory_fixture_close (&fixture->site);
 	dff_pool_follower_free (fixture->follower);
-	dff_memory_free (fixture->memory);
-	dff_metrics_free (fixture->metrics);
+	memory_fixture_clear (&fixture->site);
 	g_free (fixture);
 	return 0;
 }
 
+static void
+tick (void *user)
+{
+	struct fixture *fixture = user;
+	dff_pool_follower_tick (fixture->follower);
+}
+
 static void
 run_for (struct fixture *fixture, int64_t length_ms)
 {
-	for (int64_t end_ms = fixture->time.now_ms + length_ms; fixture->time.now_ms < end_ms;
-	     fixture->time.now_ms += 50) {
-		dff_memory_tick (fixture->memory);
-		dff_pool_follower_tick (fixture->follower);
-	}
+	memory_fixture_run (&fixture->site, length_ms, tick, fixture);
 }
 
 static void
@@ -141,7 +136,7 @@
 static void
 commit_pool (struct fixture *fixture, int64_t generation)
 {
-	struct dff_memory_caller *operator= dff_memory_open (fixture->memory);
+	struct dff_memory_caller *operator= dff_memory_open (fixture->site.memory);
 	g_autoptr (GString) value = dff_pool_row_encode (generation, dff_str_from (POOL));
 	struct dff_table_write write = {.key = dff_str_from (DFF_POOL_ROW_KEY),
 					.value = {value->str, value->len}};
@@ -203,7 +198,7 @@
 {
 	struct fixture *fixture = *state;
 	run_for (fixture, POLL_MS);
-	fixture->caller->faults.silent_until_ms = fixture->time.now_ms + 40000;
+	fixture->site.caller->faults.silent_until_ms = fixture->site.time.now_ms + 40000;
 	run_for (fixture, 5000);
 	commit_pool (fixture, 7);
 	run_for (fixture, 5000);
--- a/tests/platform/test-instance-watch.c
+++ b/tests/platform/test-instance-watch.c
@@ -5,16 +5,13 @@
 
 #include <cmocka.h>
 
+#include "memory_fixture.h"
 #include "platform/instance_watch.h"
-#include "platform/memory.h"
 
 #define POLL_MS 1000L
 
 struct fixture {
-	struct dff_clock_virtual time;
-	struct dff_memory *memory;
-	struct dff_memory_caller *caller;
-	struct dff_metrics *metrics;
+	struct memory_fixture site;
 	struct dff_instance_watch *watch;
 	int n_told;
 	size_t n_instances;
@@ -34,15 +31,11 @@
 set_up (void **state)
 {
 	struct fixture *fixture = g_new0 (struct fixture, 1);
-	dff_clock_virtual_init (&fixture->time, 1000);
-	struct dff_memory_options memory = {.clock = &fixture->time.clock, .seed = 1};
-	fixture->memory = dff_memory_new (&memory);
-	fixture->caller = dff_memory_open (fixture->memory);
-	fixture->metrics = dff_metrics_new ();
+	memory_fixture_init (&fixture->site);
 	struct dff_instance_watch_options options = {
-		.list = &fixture->caller->instances,
-		.clock = &fixture->time.clock,
-		.metrics = fixture->metrics,
+		.list = &fixture->site.caller->instances,
+		.clock = &fixture->site.time.clock,
+		.metrics = fixture->site.metrics,
 		.self = {.id = dff_name_from ("entry-1"), .role = DFF_INSTANCE_ENTRY},
 		.seed = 1,
 		.poll_ms = POLL_MS,
@@ -59,22 +52,24 @@
 tear_down (void **state)
 {
 	struct fixture *fixture = *state;
-	dff_memory_close (fixture->caller);
+	memory_fixture_close (&fixture->site);
 	dff_instance_watch_free (fixture->watch);
-	dff_memory_free (fixture->memory);
-	dff_metrics_free (fixture->metrics);
+	memory_fixture_clear (&fixture->site);
 	g_free (fixture);
 	return 0;
 }
 
+static void
+tick (void *user)
+{
+	struct fixture *fixture = user;
+	dff_instance_watch_tick (fixture->watch);
+}
+
 static void
 run_for (struct fixture *fixture, int64_t length_ms)
 {
-	for (int64_t end_ms = fixture->time.now_ms + length_ms; fixture->time.now_ms < end_ms;
-	     fixture->time.now_ms += 50) {
-		dff_memory_tick (fixture->memory);
-		dff_instance_watch_tick (fixture->watch);
-	}
+	memory_fixture_run (&fixture->site, length_ms, tick, fixture);
 }
 
 static void
@@ -98,11 +93,11 @@
 {
 	struct fixture *fixture = *state;
 	struct dff_instance worker = {.id = dff_name_from ("w1"), .role = DFF_INSTANCE_WORKER};
-	dff_memory_announce (fixture->memory, &worker, 0);
+	dff_memory_announce (fixture->site.memory, &worker, 0);
 	run_for (fixture, 3 * POLL_MS);
 	assert_int_equal (fixture->n_instances, 2);
 	int told = fixture->n_told;
-	fixture->caller->faults.outage_until_ms = fixture->time.now_ms + 60000;
+	fixture->site.caller->faults.outage_until_ms = fixture->site.time.now_ms + 60000;
 	run_for (fixture, 60000);
 	assert_int_equal (fixture->n_told, told);
 	run_for (fixture, 3 * POLL_MS);
@@ -116,10 +111,10 @@
 {
 	struct fixture *fixture = *state;
 	run_for (fixture, 2 * POLL_MS);
-	fixture->caller->faults.silent_until_ms = fixture->time.now_ms + 30000;
+	fixture->site.caller->faults.silent_until_ms = fixture->site.time.now_ms + 30000;
 	run_for (fixture, 30000);
 	struct dff_instance worker = {.id = dff_name_from ("w1"), .role = DFF_INSTANCE_WORKER};
-	dff_memory_announce (fixture->memory, &worker, 0);
+	dff_memory_announce (fixture->site.memory, &worker, 0);
 	run_for (fixture, 20000);
 	assert_int_equal (fixture->n_instances, 2);
 }
