include: doc comments where public items had none

About thirty public functions of common, client, daemon, entry, platform, record, standin and upstream had no comment; they say now what is copied, what is refused, and the units. dff_entry_drain said that every refusal is not_run, while one under an Idempotency-Key is unknown. Comments only.

--- a/include/client/call.h
+++ b/include/client/call.h
@@ -64,6 +64,7 @@
 	int64_t retry_after_s;
 };
 
+/** Returns: (transfer full): a response without status and body. */
 struct dff_call_response *dff_call_response_new (void);
 
 void dff_call_response_free (struct dff_call_response *response);
--- a/include/common/http_client.h
+++ b/include/common/http_client.h
@@ -37,8 +37,10 @@
 	struct ssl_ctx_st *tls;
 };
 
+/** Sets the defaults. */
 void dff_http_client_options_init (struct dff_http_client_options *options);
 
+/** Returns: (transfer full): a client without connections; @options is copied. */
 struct dff_http_client *dff_http_client_new (const struct dff_http_client_options *options);
 
 /** Drops requests in progress without calling back. Not to be called from a callback. */
--- a/include/common/log.h
+++ b/include/common/log.h
@@ -40,6 +40,8 @@
 /** Reads "debug", "info", "warning" or "error". Returns: false when it is none. */
 bool dff_log_level_parse (struct dff_str text, enum dff_log_level *level);
 
+/** Writes one line, prefixed by the part, when its level is written: a short sentence, then
+ * key=value pairs. */
 void dff_log (enum dff_log_part part, enum dff_log_level level, const char *format, ...)
 	G_GNUC_PRINTF (3, 4);
 
--- a/include/daemon/pool_follower.h
+++ b/include/daemon/pool_follower.h
@@ -33,12 +33,14 @@
 	void *ctx;
 };
 
+/** Returns: (transfer full): a follower without a pool. */
 struct dff_pool_follower *dff_pool_follower_new (const struct dff_pool_follower_options *options);
 
 void dff_pool_follower_free (struct dff_pool_follower *follower);
 
 DFF_DEFINE_CLEANUP (dff_pool_follower, dff_pool_follower_free);
 
+/** Polls the table when it is time to. */
 void dff_pool_follower_tick (struct dff_pool_follower *follower);
 
 /** Takes a file in from a peer or an operator. Returns: whether it is now in force. */
--- a/include/entry/entry.h
+++ b/include/entry/entry.h
@@ -55,12 +55,14 @@
 /** Returns: the port that it listens on, also where the settings say 0. */
 uint16_t dff_entry_port (const struct dff_entry *entry);
 
+/** Does what is due by the clock. To be called every few ms. */
 void dff_entry_tick (struct dff_entry *entry);
 
 /** The pool in force, borrowed until the next call; NULL: none yet, the process is unready. @text
  * is the file as applied. */
 void dff_entry_set_pool (struct dff_entry *entry, const struct dff_pool *pool, struct dff_str text);
 
+/** The instance list as it was read last: workers on it may get requests. Copied. */
 void dff_entry_set_instances (struct dff_entry *entry,
 			      const struct dff_instance *instances,
 			      size_t n_instances);
@@ -68,6 +70,8 @@
 /** A worker said itself that it is leaving: nothing new goes there from now on. */
 void dff_entry_worker_leaving (struct dff_entry *entry, const struct dff_name *worker);
 
+/** Replaces the request slots that this process may use, for @valid_ms from now; a set of an older
+ * @epoch is ignored. Copied. */
 void dff_entry_set_grants (struct dff_entry *entry,
 			   int64_t epoch,
 			   const struct dff_grant *grants,
@@ -85,8 +89,8 @@
  * still arrives is taken. */
 void dff_entry_set_leaving (struct dff_entry *entry);
 
-/** Second step: /readyz says no, new work is refused with 503 and not_run, what is in flight goes
- * on to its end. */
+/** Second step: new work is refused with 503 and not_run, or unknown under an Idempotency-Key; what
+ * is in flight goes on to its end. */
 void dff_entry_drain (struct dff_entry *entry);
 
 /** Returns: true once no request is in flight and no caller is connected. */
--- a/include/platform/http.h
+++ b/include/platform/http.h
@@ -31,6 +31,7 @@
 
 struct dff_http_table;
 
+/** Returns: (transfer full): nothing is sent before the first call. */
 struct dff_http_table *dff_http_table_new (const struct dff_http_service_options *options);
 
 void dff_http_table_free (struct dff_http_table *table);
--- a/include/platform/instance_watch.h
+++ b/include/platform/instance_watch.h
@@ -45,6 +45,7 @@
 
 DFF_DEFINE_CLEANUP (dff_instance_watch, dff_instance_watch_free);
 
+/** Polls and announces when it is time to. */
 void dff_instance_watch_tick (struct dff_instance_watch *watch);
 
 /** From now on this process is announced as leaving, at once and from then on. */
--- a/include/platform/memory.h
+++ b/include/platform/memory.h
@@ -38,6 +38,7 @@
 	struct dff_memory_limits limits;
 };
 
+/** Returns: (transfer full): a platform without rows, objects and instances; @options is copied. */
 struct dff_memory *dff_memory_new (const struct dff_memory_options *options);
 
 /** Every handle must have been closed. */
@@ -116,6 +117,7 @@
 			  const struct dff_instance *instance,
 			  int32_t ttl_ms);
 
+/** Takes an instance off the list, which shows it after the lag. */
 void dff_memory_remove_instance (struct dff_memory *memory, const struct dff_name *id);
 
 /** Calls that reached the platform (not refused by an outage), since it was made. */
@@ -132,6 +134,7 @@
 	int64_t lists;
 };
 
+/** Returns: the counts of all handles together. */
 struct dff_memory_counts dff_memory_counts (const struct dff_memory *memory);
 
 /**
--- a/include/record/recorder.h
+++ b/include/record/recorder.h
@@ -44,8 +44,10 @@
 /** Keys and values of one unit at the most; a larger one is refused at once as not recorded. */
 #define DFF_RECORD_MAX_UNIT_BYTES (512 << 10)
 
+/** Sets the defaults; table, clock, metrics and writer are left to the caller. */
 void dff_recorder_options_init (struct dff_recorder_options *options);
 
+/** Returns: (transfer full): @options is copied, what it points to is borrowed. */
 struct dff_recorder *dff_recorder_new (const struct dff_recorder_options *options);
 
 /** Drops waiting writes without calling back. The table must call back no more: close or free it
--- a/include/standin/memory_workers.h
+++ b/include/standin/memory_workers.h
@@ -35,6 +35,7 @@
 	int32_t late_ms;
 };
 
+/** Returns: (transfer full): without workers. @timeout_ms: of a call that is no short request. */
 struct dff_memory_workers *dff_memory_workers_new (const struct dff_clock *clock,
 						   int32_t timeout_ms);
 
--- a/include/standin/run_log.h
+++ b/include/standin/run_log.h
@@ -25,10 +25,12 @@
 
 DFF_DEFINE_CLEANUP (dff_run_log, dff_run_log_close);
 
+/** Appends the line of a short request that begins to run. */
 void dff_run_log_request (struct dff_run_log *log,
 			  const struct dff_name *id,
 			  const struct dff_name *tag);
 
+/** Appends the line of a task that begins to run. */
 void dff_run_log_task (struct dff_run_log *log,
 		       const struct dff_task_id *task,
 		       const struct dff_name *tag);
--- a/include/standin/worker.h
+++ b/include/standin/worker.h
@@ -34,6 +34,7 @@
 
 DFF_DEFINE_CLEANUP (dff_standin_worker, dff_standin_worker_free);
 
+/** Returns: its tasks, valid as long as @worker. */
 struct dff_worker_tasks *dff_standin_worker_tasks (struct dff_standin_worker *worker);
 
 /** Has @changed called when the next tick has something to do that was not known before. */
@@ -44,6 +45,7 @@
 /** Leaves: says so to whoever waits for a report, refuses what is new, ends what runs. */
 void dff_standin_worker_leave (struct dff_standin_worker *worker);
 
+/** Does what is due by its clock. */
 void dff_standin_worker_tick (struct dff_standin_worker *worker);
 
 /** Returns: monotonic ms of the next tick with something to do; INT64_MAX: none. */
--- a/include/standin/worker_tasks.h
+++ b/include/standin/worker_tasks.h
@@ -43,6 +43,7 @@
 	struct dff_worker_tasks_callbacks callbacks;
 };
 
+/** Returns: (transfer full): a worker without tasks; @options is copied. */
 struct dff_worker_tasks *dff_worker_tasks_new (const struct dff_worker_tasks_options *options);
 
 void dff_worker_tasks_free (struct dff_worker_tasks *tasks);
@@ -60,21 +61,28 @@
  * Returns: DFF_WORKER_OK, or DFF_WORKER_REFUSED when nothing was done.
  */
 
+/** Starts or, when held, prepares a task. Refused: accelerators in use, beyond the capacity, or a
+ * tombstone. The same start again is answered like the first. */
 enum dff_worker_outcome dff_worker_tasks_start (struct dff_worker_tasks *tasks,
 						const struct dff_task_start *start,
 						struct dff_task_report *report);
 
+/** Lets a held task run; one that runs or has ended is left as it is. Refused: never seen, or a
+ * tombstone. */
 enum dff_worker_outcome dff_worker_tasks_release (struct dff_worker_tasks *tasks,
 						  const struct dff_task_id *id,
 						  int64_t epoch,
 						  struct dff_task_report *report);
 
+/** Sets the share of its resources, 0 to 100 @percent, that a task which is held or runs may use.
+ */
 enum dff_worker_outcome dff_worker_tasks_throttle (struct dff_worker_tasks *tasks,
 						   const struct dff_task_id *id,
 						   int64_t epoch,
 						   int32_t percent,
 						   struct dff_task_report *report);
 
+/** Stops a task; one that is held or was never seen leaves a tombstone. */
 enum dff_worker_outcome dff_worker_tasks_stop (struct dff_worker_tasks *tasks,
 					       const struct dff_task_id *id,
 					       int64_t epoch,
@@ -108,6 +116,7 @@
 /** Returns: sequence of the last change. */
 int64_t dff_worker_tasks_sequence (const struct dff_worker_tasks *tasks);
 
+/** Returns: the options' incarnation, which goes into every answer. */
 int64_t dff_worker_tasks_incarnation (const struct dff_worker_tasks *tasks);
 
 /** The result is durable: the task completes if it still runs. */
@@ -125,16 +134,19 @@
 /** Takes a slot for a short request. Returns: false when none is free or the worker leaves. */
 bool dff_worker_tasks_begin_request (struct dff_worker_tasks *tasks);
 
+/** Gives the slot of a short request back. */
 void dff_worker_tasks_end_request (struct dff_worker_tasks *tasks);
 
 /** From now on new starts and requests are refused; what runs goes on. */
 void dff_worker_tasks_leave (struct dff_worker_tasks *tasks);
 
+/** Returns: whether dff_worker_tasks_leave() was called. */
 bool dff_worker_tasks_is_leaving (const struct dff_worker_tasks *tasks);
 
 /** Fault: every task fails as soon as it runs. */
 void dff_worker_tasks_set_fail_everything (struct dff_worker_tasks *tasks, bool fail);
 
+/** Returns: whether that fault is set. */
 bool dff_worker_tasks_fails_everything (const struct dff_worker_tasks *tasks);
 
 /** Returns: tasks held or running, and requests in progress. */
--- a/include/upstream/http_worker.h
+++ b/include/upstream/http_worker.h
@@ -24,8 +24,10 @@
 	int32_t renew_wait_ms;
 };
 
+/** Sets the timeouts: 500 ms for commands, 1000 ms for renewals and queries. */
 void dff_http_worker_options_init (struct dff_http_worker_options *options);
 
+/** Returns: (transfer full): @options is copied, its client is borrowed. */
 struct dff_http_worker *dff_http_worker_new (const struct dff_http_worker_options *options);
 
 /** The HTTP client must have been freed, or must have no call of this in progress. */
--- a/include/upstream/watcher.h
+++ b/include/upstream/watcher.h
@@ -48,8 +48,10 @@
 	void *ctx;
 };
 
+/** Sets the defaults of all times. */
 void dff_watcher_options_init (struct dff_watcher_options *options);
 
+/** Returns: (transfer full): a watcher without workers; @options is copied. */
 struct dff_watcher *dff_watcher_new (const struct dff_watcher_options *options);
 
 /** No callback of the worker client may come any more. */
--- a/include/upstream/worker_wire.h
+++ b/include/upstream/worker_wire.h
@@ -54,11 +54,13 @@
 bool
 dff_worker_wire_parse_start (struct dff_str body, struct dff_task_start *start, GString *payload);
 
+/** Appends the body of a command to a task. */
 void dff_worker_wire_append_command (GString *out, const struct dff_worker_command *command);
 
 /** Returns: false when malformed. */
 bool dff_worker_wire_parse_command (struct dff_str body, struct dff_worker_command *command);
 
+/** Appends the body of a renewal. */
 void dff_worker_wire_append_renewal (GString *out, const struct dff_worker_renewal *renewal);
 
 /** Returns: false when malformed. */
