cell: records of requests that ended longer ago than retention_s are deleted

"attempt/HASH", the record of a request that is not idempotent, stayed for ever and held no time. Open records are never deleted, as their request may be running. The notes of what the holder has known for ten minutes hold the table's revision in place of the feed's place, so that they tell of any row. Records of processes that died before the end, and those written before this change, stay.

--- a/cell/cell.c
+++ b/cell/cell.c
@@ -64,6 +64,9 @@
 						"Batches without progress now.");
 	m->expired = dff_metrics_counter (metrics, "dff_cell_jobs_expired_total",
 					  "Ended jobs whose rows were deleted after retention_s.");
+	m->attempts_expired =
+		dff_metrics_counter (metrics, "dff_cell_attempts_expired_total",
+				     "Records of requests that were deleted after retention_s.");
 	m->bad_rows = dff_metrics_counter (metrics, "dff_cell_bad_rows_total",
 					   "Job rows that could not be read.");
 }
@@ -104,6 +107,7 @@
 	cell->calls = g_hash_table_new_full (NULL, NULL, g_free, NULL);
 	cell->recovery.found = g_array_new (FALSE, TRUE, sizeof (struct dff_cell_found));
 	dff_cell_retention_init (cell);
+	dff_cell_attempts_init (cell);
 	open_metrics (cell, options->metrics);
 	open_lease (cell);
 	return cell;
@@ -134,6 +138,7 @@
 	g_hash_table_remove_all (cell->jobs);
 	dff_cell_batches_clear (cell);
 	dff_cell_retention_clear (cell);
+	dff_cell_attempts_clear (cell);
 	g_sequence_remove_range (g_sequence_get_begin_iter (cell->agenda),
 				 g_sequence_get_end_iter (cell->agenda));
 	memset (cell->ended, 0, sizeof (cell->ended));
@@ -147,6 +152,7 @@
 {
 	clear_tables (cell);
 	dff_cell_retention_free (cell);
+	dff_cell_attempts_free (cell);
 	dff_lease_free (cell->lease);
 	dff_pool_free (cell->pool);
 	g_rand_free (cell->rand);
@@ -298,6 +304,7 @@
 	decide (cell);
 	dff_cell_agenda_run (cell);
 	dff_cell_retention_tick (cell);
+	dff_cell_attempts_tick (cell);
 }
 
 void
--- a/cell/cell_private.h
+++ b/cell/cell_private.h
@@ -4,6 +4,7 @@
 #include "cell/cell.h"
 #include "cell/job_row.h"
 #include "cell/lease.h"
+#include "cell/retention.h"
 
 /*
  * The holder's tables and the parts that work on them. Callbacks of the table and of workers only
@@ -178,6 +179,8 @@
 /** The reading of job rows in order of revision. */
 struct dff_cell_feed {
 	int64_t cursor;
+	/** Revision of the table when every row was last read. */
+	int64_t seen;
 	int64_t due_ms;
 	bool reading;
 	bool hinted;
@@ -192,30 +195,6 @@
 	GArray *found;
 };
 
-/** The sweep that deletes rows of jobs that ended long ago. */
-struct dff_cell_retention {
-	/** How far the feed had read when, back to the time that a row has to be known for. */
-	GArray *notes;
-	/** Rows of the last page that may go, and the next one of them. */
-	GArray *expired;
-	guint next;
-	/** Revision of the last row that the sweep has read, and whether there may be more. */
-	int64_t cursor;
-	bool more;
-	/** Ended rows read in a row that are too young. */
-	int32_t n_young;
-	/** Calls whose answers are awaited. */
-	int32_t n_waiting;
-	int64_t due_ms;
-	/** struct dff_name of a batch to what the sweep knows of it. */
-	GHashTable *verdicts;
-	/** The batch whose jobs are being read. */
-	struct dff_name batch;
-	bool judging;
-	int64_t batch_revision;
-	int64_t batch_cursor;
-};
-
 /** A report that came while taking over, kept until the core is rebuilt. */
 struct dff_cell_found {
 	struct dff_name worker;
@@ -235,6 +214,7 @@
 	int64_t *batch_stalls;
 	int64_t *batches_stalled;
 	int64_t *expired;
+	int64_t *attempts_expired;
 };
 
 struct dff_cell {
@@ -274,6 +254,7 @@
 	struct dff_cell_feed feed;
 	struct dff_cell_recovery recovery;
 	struct dff_cell_retention retention;
+	struct dff_cell_attempts attempts;
 	/** Rows that were found or became ended and are still there, by outcome. */
 	int64_t ended[DFF_OUTCOME_UNKNOWN + 1];
 	struct dff_cell_metrics metrics;
@@ -455,17 +436,6 @@
 			       const struct dff_name *worker,
 			       const struct dff_worker_result *result);
 
-/* retention.c */
-
-void dff_cell_retention_init (struct dff_cell *cell);
-
-void dff_cell_retention_clear (struct dff_cell *cell);
-
-void dff_cell_retention_free (struct dff_cell *cell);
-
-/** Deletes rows whose retention is over, a few at a time. */
-void dff_cell_retention_tick (struct dff_cell *cell);
-
 /* spans.c */
 
 /** Ends the hop that the job is in. @outcome: static word. */
--- a/cell/feed.c
+++ b/cell/feed.c
@@ -100,6 +100,8 @@
 		feed->cursor = result->rows[i].revision;
 	}
 	bool more = result->more;
+	if (!more)
+		feed->seen = result->revision;
 	feed->due_ms = more || feed->hinted ? now_ms : now_ms + FEED_INTERVAL_MS;
 	feed->hinted = false;
 	if (!more && cell->phase == DFF_CELL_SCANNING)
--- a/cell/retention.c
+++ b/cell/retention.c
@@ -38,10 +38,10 @@
 	DFF_VERDICT_GONE,
 };
 
-/** How far the feed had read at a time. */
+/** What revision of the table the feed had seen at a time. */
 struct note {
 	int64_t at_ms;
-	int64_t cursor;
+	int64_t revision;
 };
 
 /** An ended row that may go. */
@@ -87,8 +87,8 @@
 	g_hash_table_unref (cell->retention.verdicts);
 }
 
-/* Every row up to the feed's place was read by this holder, so that a row of such a revision has
- * stood as it is since then. One note for each interval tells that of any number of rows. */
+/* A row whose revision is not above one that the table had at a time has stood as it is since then.
+ * One note for each interval tells that of any number of rows. */
 static void
 take_note (struct dff_cell *cell)
 {
@@ -97,30 +97,36 @@
 	if (notes->len > 0 &&
 	    now_ms < g_array_index (notes, struct note, notes->len - 1).at_ms + NOTE_INTERVAL_MS)
 		return;
-	struct note note = {.at_ms = now_ms, .cursor = cell->feed.cursor};
+	struct note note = {.at_ms = now_ms, .revision = cell->feed.seen};
 	g_array_append_val (notes, note);
 	while (notes->len > 1 &&
 	       g_array_index (notes, struct note, 1).at_ms <= now_ms - SEEN_MIN_MS)
 		g_array_remove_index (notes, 0);
 }
 
-/* Returns: the revision up to which this holder has known rows for long enough; 0: none. */
+/* Returns: the revision up to which rows have stood for long enough; 0: none. */
 static int64_t
-seen_cursor (const struct dff_cell *cell)
+seen_revision (const struct dff_cell *cell)
 {
 	const struct note *first = &g_array_index (cell->retention.notes, struct note, 0);
-	return first->at_ms <= dff_cell_now_ms (cell) - SEEN_MIN_MS ? first->cursor : 0;
+	return first->at_ms <= dff_cell_now_ms (cell) - SEEN_MIN_MS ? first->revision : 0;
+}
+
+/* The wall clock, which may be wrong, says that the retention is over; the monotonic one, which
+ * knows nothing of earlier holders, that the end is no news. */
+bool
+dff_cell_retention_is_over (const struct dff_cell *cell, int64_t ended_wall_ms, int64_t revision)
+{
+	int64_t age_ms = dff_clock_wall_ms (cell->options.clock) - ended_wall_ms;
+	return ended_wall_ms > 0 && age_ms >= (int64_t)cell->options.retention_s * MS_PER_S &&
+	       revision <= seen_revision (cell);
 }
 
-/* Both clocks have to agree: the wall clock, which may be wrong, says that the retention is over;
- * the monotonic one, which knows nothing of earlier holders, that the end is no news. */
 static bool
 is_expired (const struct dff_cell *cell, const struct dff_job_row *row)
 {
-	int64_t age_ms = dff_clock_wall_ms (cell->options.clock) - row->ended_wall_ms;
-	return row->state == DFF_JOB_ROW_ENDED && row->ended_wall_ms > 0 &&
-	       age_ms >= (int64_t)cell->options.retention_s * MS_PER_S &&
-	       row->revision <= seen_cursor (cell) &&
+	return row->state == DFF_JOB_ROW_ENDED &&
+	       dff_cell_retention_is_over (cell, row->ended_wall_ms, row->revision) &&
 	       dff_cell_job_find (cell, &row->spec.id) == NULL;
 }
 
@@ -405,7 +411,7 @@
 	struct dff_cell_retention *retention = &cell->retention;
 	take_note (cell);
 	if (retention->n_waiting > 0 || dff_cell_now_ms (cell) < retention->due_ms ||
-	    seen_cursor (cell) == 0 || dff_recorder_is_open (cell->options.recorder))
+	    seen_revision (cell) == 0 || dff_recorder_is_open (cell->options.recorder))
 		return;
 	if (retention->judging)
 		judge_jobs (cell);
--- /dev/null
+++ b/cell/retention.h
@@ -0,0 +1,78 @@
+#ifndef DFF_CELL_RETENTION_H
+#define DFF_CELL_RETENTION_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "common/str.h"
+
+/* The holder's sweeps over what ended long ago: docs/decisions/retention.md. */
+
+struct dff_cell;
+
+/** The sweep that deletes rows of jobs that ended long ago. */
+struct dff_cell_retention {
+	/** Revisions of the table that were seen when, back to the time that a row has to be known
+	 * for. */
+	GArray *notes;
+	/** Rows of the last page that may go, and the next one of them. */
+	GArray *expired;
+	guint next;
+	/** Revision of the last row that the sweep has read, and whether there may be more. */
+	int64_t cursor;
+	bool more;
+	/** Ended rows read in a row that are too young. */
+	int32_t n_young;
+	/** Calls whose answers are awaited. */
+	int32_t n_waiting;
+	int64_t due_ms;
+	/** struct dff_name of a batch to what the sweep knows of it. */
+	GHashTable *verdicts;
+	/** The batch whose jobs are being read. */
+	struct dff_name batch;
+	bool judging;
+	int64_t batch_revision;
+	int64_t batch_cursor;
+};
+
+/** The sweep that deletes records of requests. */
+struct dff_cell_attempts {
+	/** Rows of the last page that may go, and the next one of them. */
+	GArray *expired;
+	guint next;
+	int64_t cursor;
+	bool more;
+	int32_t n_young;
+	/** Calls whose answers are awaited. */
+	int32_t n_waiting;
+	int64_t due_ms;
+};
+
+/* retention.c */
+
+void dff_cell_retention_init (struct dff_cell *cell);
+
+void dff_cell_retention_clear (struct dff_cell *cell);
+
+void dff_cell_retention_free (struct dff_cell *cell);
+
+/** Deletes rows whose retention is over, a few at a time. */
+void dff_cell_retention_tick (struct dff_cell *cell);
+
+/** Whether a row of @revision that ended at @ended_wall_ms may go: both clocks have to agree. */
+bool
+dff_cell_retention_is_over (const struct dff_cell *cell, int64_t ended_wall_ms, int64_t revision);
+
+/* retention_attempts.c */
+
+void dff_cell_attempts_init (struct dff_cell *cell);
+
+void dff_cell_attempts_clear (struct dff_cell *cell);
+
+void dff_cell_attempts_free (struct dff_cell *cell);
+
+/** Deletes records of requests whose retention is over, if that is this holder's to do. */
+void dff_cell_attempts_tick (struct dff_cell *cell);
+
+#endif
--- a/daemon/settings_keys.c
+++ b/daemon/settings_keys.c
@@ -63,8 +63,8 @@
 	{INTEGER (task_lease_ms, 1000, HOUR_MS, 15000), .unit = "ms",
 	 .help = "Lease of tasks at workers."},
 	{INTEGER (retention_s, HOUR_S, YEAR_S, 604800), .unit = "s",
-	 .help = "Jobs, batches and their idempotency keys are forgotten this long after they "
-		 "ended. The same for all processes of a region."},
+	 .help = "Jobs, batches, records of requests and their idempotency keys are forgotten this "
+		 "long after they ended. The same for all processes of a region."},
 	{INTEGER (watch_interval_ms, 50, MINUTE_MS, 1000), .unit = "ms",
 	 .help = "Least interval of renewals at each watched worker; longer for a process that "
 		 "watches many, as far as a quarter of *task_lease_ms*."},
--- a/entry/attempt.c
+++ b/entry/attempt.c
@@ -47,11 +47,12 @@
 {
 	bool ended = request->state == DFF_REQUEST_ENDED;
 	enum dff_outcome outcome = ended ? request->answer->outcome : DFF_OUTCOME_NONE;
-	json_t *json = json_pack ("{s:s, s:s, s:s, s:s, s:s, s:I}", "request", request->id.data,
-				  "team", request->team.data, "digest", request->digest, "state",
-				  ended ? "ended" : "open", "outcome", dff_outcome_name (outcome),
-				  "deadline_ms",
-				  (json_int_t)MAX (0, request->deadline_ms - now_ms (request)));
+	json_t *json = json_pack (
+		"{s:s, s:s, s:s, s:s, s:s, s:I, s:I}", "request", request->id.data, "team",
+		request->team.data, "digest", request->digest, "state", ended ? "ended" : "open",
+		"outcome", dff_outcome_name (outcome), "deadline_ms",
+		(json_int_t)MAX (0, request->deadline_ms - now_ms (request)), "wall_ms",
+		(json_int_t)dff_clock_wall_ms (request->owner->entry->options.clock));
 	char *text = json_dumps (json, JSON_COMPACT);
 	json_decref (json);
 	return text;
--- a/tests/cell/test-retention.c
+++ b/tests/cell/test-retention.c
@@ -402,6 +402,75 @@
 	harness_clear (&harness);
 }
 
+#define ATTEMPT_HASH "0000000000000000000000000000000"
+
+/* A request's record @name, written @age_ms ago by the wall clock. */
+static void
+put_attempt (struct harness *harness, const char *name, const char *state, int64_t age_ms)
+{
+	g_autofree char *key = g_strconcat ("attempt/" ATTEMPT_HASH, name, NULL);
+	g_autofree char *value =
+		g_strdup_printf ("{\"state\":\"%s\",\"wall_ms\":%" G_GINT64_FORMAT "}", state,
+				 dff_clock_wall_ms (&harness->clock.clock) - age_ms);
+	const struct dff_table_write write = {dff_str_from (key), dff_str_from (value)};
+	commit (harness, &write, 1);
+}
+
+/* Symptom: a request that is not idempotent is sent twice. Sequence: its record goes while it is
+ * open, or within the retention. Cause: records deleted by age alone. */
+static void
+test_records_of_requests (void **state)
+{
+	(void)state;
+	struct harness harness;
+	begin (&harness, 1);
+	put_attempt (&harness, "1", "ended", RETENTION_MS);
+	put_attempt (&harness, "2", "open", YEAR_MS / 2);
+	put_attempt (&harness, "3", "ended", RETENTION_MS - DAY_MS);
+	assert_true (harness_run_holder (&harness, 30000) < 30000);
+	harness_run (&harness, SEEN_MS - 1000);
+	assert_true (exists (&harness, "attempt/" ATTEMPT_HASH "1"));
+	harness_run (&harness, 2 * SWEEP_MS);
+	assert_false (exists (&harness, "attempt/" ATTEMPT_HASH "1"));
+	assert_true (exists (&harness, "attempt/" ATTEMPT_HASH "2"));
+	assert_true (exists (&harness, "attempt/" ATTEMPT_HASH "3"));
+	harness_clear (&harness);
+}
+
+/* Symptom: as above. Sequence: a record changes between the sweep's read and its deletion. */
+static void
+test_record_that_changes_in_between_stays (void **state)
+{
+	(void)state;
+	struct harness harness;
+	begin (&harness, 1);
+	put_attempt (&harness, "1", "ended", RETENTION_MS);
+	harness_run_holder (&harness, 30000);
+	struct dff_cell *cell = harness.processes[harness_holder (&harness)].cell;
+	while (cell->attempts.expired->len == 0)
+		harness_step (&harness);
+	put_attempt (&harness, "1", "open", 0);
+	harness_run (&harness, SEEN_MS + 2 * SWEEP_MS);
+	assert_true (exists (&harness, "attempt/" ATTEMPT_HASH "1"));
+	harness_clear (&harness);
+}
+
+/* Symptom: every region's holder reads every record. Cause: no one is chosen. */
+static void
+test_records_are_left_to_the_first_region (void **state)
+{
+	(void)state;
+	struct harness harness;
+	begin (&harness, 1);
+	g_array_index (harness.pool.racks, struct dff_rack, 1).region = dff_name_from ("a");
+	dff_cell_set_pool (harness.processes[0].cell, &harness.pool);
+	put_attempt (&harness, "1", "ended", RETENTION_MS);
+	harness_run_holder (&harness, 30000);
+	harness_run (&harness, SEEN_MS + 2 * SWEEP_MS);
+	assert_true (exists (&harness, "attempt/" ATTEMPT_HASH "1"));
+	harness_clear (&harness);
+}
+
 int
 main (void)
 {
@@ -415,6 +484,9 @@
 		cmocka_unit_test (test_open_breaker_stops_the_sweep),
 		cmocka_unit_test (test_batch_goes_as_a_whole),
 		cmocka_unit_test (test_batch_submitted_anew_keeps_its_rows),
+		cmocka_unit_test (test_records_of_requests),
+		cmocka_unit_test (test_record_that_changes_in_between_stays),
+		cmocka_unit_test (test_records_are_left_to_the_first_region),
 	};
 	return cmocka_run_group_tests (tests, NULL, NULL);
 }
