--- a/docs/capacity/plots.gp
+++ b/docs/capacity/plots.gp
@@ -10,75 +10,75 @@
 set title 'core_bytes_by_workers' noenhanced
 set xlabel "workers"
 set ylabel "bytes of state"
-plot '< grep ^core_bytes_by_workers, points.csv' using 3:4 with points pt 7 ps 0.4 notitle, 79200.4 + 419.929 * x with lines notitle
+plot '< grep ^core_bytes_by_workers, points.csv' using 3:4 with points pt 7 ps 0.4 notitle, 76947.8 + 421.529 * x with lines notitle
 set title 'core_quiet_tick_us_by_workers' noenhanced
 set xlabel "workers"
 set ylabel "us a quiet tick"
-plot '< grep ^core_quiet_tick_us_by_workers, points.csv' using 3:4 with points pt 7 ps 0.4 notitle, 0.0313222 + -2.4445e-06 * x with lines notitle
+plot '< grep ^core_quiet_tick_us_by_workers, points.csv' using 3:4 with points pt 7 ps 0.4 notitle, 0.0259749 + -2.17503e-06 * x with lines notitle
 set title 'core_event_tick_us_by_workers' noenhanced
 set xlabel "workers"
 set ylabel "us a tick with an event"
-plot '< grep ^core_event_tick_us_by_workers, points.csv' using 3:4 with points pt 7 ps 0.4 notitle, 29.4922 + -0.000937991 * x with lines notitle
+plot '< grep ^core_event_tick_us_by_workers, points.csv' using 3:4 with points pt 7 ps 0.4 notitle, 23.9707 + 0.00161288 * x with lines notitle
 set title 'core_review_us_by_workers' noenhanced
 set xlabel "workers"
 set ylabel "us a review of the queue"
-plot '< grep ^core_review_us_by_workers, points.csv' using 3:4 with points pt 7 ps 0.4 notitle, 25.7717 + 0.0531932 * x with lines notitle
+plot '< grep ^core_review_us_by_workers, points.csv' using 3:4 with points pt 7 ps 0.4 notitle, 19.6072 + 0.0545521 * x with lines notitle
 set title 'core_bytes_by_tasks' noenhanced
 set xlabel "running tasks"
 set ylabel "bytes of state"
-plot '< grep ^core_bytes_by_tasks, points.csv' using 3:4 with points pt 7 ps 0.4 notitle, 14812.8 + 209.089 * x with lines notitle
+plot '< grep ^core_bytes_by_tasks, points.csv' using 3:4 with points pt 7 ps 0.4 notitle, 15462 + 212.51 * x with lines notitle
 set title 'core_quiet_tick_us_by_tasks' noenhanced
 set xlabel "running tasks"
 set ylabel "us a quiet tick"
-plot '< grep ^core_quiet_tick_us_by_tasks, points.csv' using 3:4 with points pt 7 ps 0.4 notitle, 0.0277544 + 2.61511e-07 * x with lines notitle
+plot '< grep ^core_quiet_tick_us_by_tasks, points.csv' using 3:4 with points pt 7 ps 0.4 notitle, 0.0235548 + 3.91741e-07 * x with lines notitle
 set title 'core_event_tick_us_by_tasks' noenhanced
 set xlabel "running tasks"
 set ylabel "us a tick with an event"
-plot '< grep ^core_event_tick_us_by_tasks, points.csv' using 3:4 with points pt 7 ps 0.4 notitle, 28.7235 + 0.000360501 * x with lines notitle
+plot '< grep ^core_event_tick_us_by_tasks, points.csv' using 3:4 with points pt 7 ps 0.4 notitle, 23.9071 + 0.00105715 * x with lines notitle
 set title 'core_review_us_by_tasks' noenhanced
 set xlabel "running tasks"
 set ylabel "us a review of the queue"
-plot '< grep ^core_review_us_by_tasks, points.csv' using 3:4 with points pt 7 ps 0.4 notitle, 118.465 + 0.0117395 * x with lines notitle
+plot '< grep ^core_review_us_by_tasks, points.csv' using 3:4 with points pt 7 ps 0.4 notitle, 110.444 + 0.0098584 * x with lines notitle
 set title 'core_bytes_by_teams' noenhanced
 set xlabel "teams"
 set ylabel "bytes of state"
-plot '< grep ^core_bytes_by_teams, points.csv' using 3:4 with points pt 7 ps 0.4 notitle, 245829 + 620.461 * x with lines notitle
+plot '< grep ^core_bytes_by_teams, points.csv' using 3:4 with points pt 7 ps 0.4 notitle, 245712 + 619.949 * x with lines notitle
 set title 'core_quiet_tick_us_by_teams' noenhanced
 set xlabel "teams"
 set ylabel "us a quiet tick"
-plot '< grep ^core_quiet_tick_us_by_teams, points.csv' using 3:4 with points pt 7 ps 0.4 notitle, 0.0275287 + -8.16299e-06 * x with lines notitle
+plot '< grep ^core_quiet_tick_us_by_teams, points.csv' using 3:4 with points pt 7 ps 0.4 notitle, 0.0286438 + -6.17918e-06 * x with lines notitle
 set title 'core_event_tick_us_by_teams' noenhanced
 set xlabel "teams"
 set ylabel "us a tick with an event"
-plot '< grep ^core_event_tick_us_by_teams, points.csv' using 3:4 with points pt 7 ps 0.4 notitle, 5.65235 + 0.183031 * x with lines notitle
+plot '< grep ^core_event_tick_us_by_teams, points.csv' using 3:4 with points pt 7 ps 0.4 notitle, 6.77197 + 0.170226 * x with lines notitle
 set title 'core_review_us_by_teams' noenhanced
 set xlabel "teams"
 set ylabel "us a review of the queue"
-plot '< grep ^core_review_us_by_teams, points.csv' using 3:4 with points pt 7 ps 0.4 notitle, 18.79 + 0.198139 * x with lines notitle
+plot '< grep ^core_review_us_by_teams, points.csv' using 3:4 with points pt 7 ps 0.4 notitle, 19.4308 + 0.190059 * x with lines notitle
 set title 'core_bytes_by_queued' noenhanced
 set xlabel "queued jobs"
 set ylabel "bytes of state"
-plot '< grep ^core_bytes_by_queued, points.csv' using 3:4 with points pt 7 ps 0.4 notitle, 23910.9 + 399.559 * x with lines notitle
+plot '< grep ^core_bytes_by_queued, points.csv' using 3:4 with points pt 7 ps 0.4 notitle, 22896.5 + 399.553 * x with lines notitle
 set title 'core_quiet_tick_us_by_queued' noenhanced
 set xlabel "queued jobs"
 set ylabel "us a quiet tick"
-plot '< grep ^core_quiet_tick_us_by_queued, points.csv' using 3:4 with points pt 7 ps 0.4 notitle, 0.0268734 + 7.74043e-08 * x with lines notitle
+plot '< grep ^core_quiet_tick_us_by_queued, points.csv' using 3:4 with points pt 7 ps 0.4 notitle, 0.027507 + -6.91954e-08 * x with lines notitle
 set title 'core_event_tick_us_by_queued' noenhanced
 set xlabel "queued jobs"
 set ylabel "us a tick with an event"
-plot '< grep ^core_event_tick_us_by_queued, points.csv' using 3:4 with points pt 7 ps 0.4 notitle, 27.596 + 6.11973e-05 * x with lines notitle
+plot '< grep ^core_event_tick_us_by_queued, points.csv' using 3:4 with points pt 7 ps 0.4 notitle, 29.5795 + -7.99927e-05 * x with lines notitle
 set title 'core_review_us_by_queued' noenhanced
 set xlabel "queued jobs"
 set ylabel "us a review of the queue"
-plot '< grep ^core_review_us_by_queued, points.csv' using 3:4 with points pt 7 ps 0.4 notitle, 56.8339 + 2.29368e-05 * x with lines notitle
+plot '< grep ^core_review_us_by_queued, points.csv' using 3:4 with points pt 7 ps 0.4 notitle, 49.5195 + -0.000139376 * x with lines notitle
 set title 'core_place_us_by_gang' noenhanced
 set xlabel "tasks of the gang"
 set ylabel "us until it is placed"
-plot '< grep ^core_place_us_by_gang, points.csv' using 3:4 with points pt 7 ps 0.4 notitle, 16.8015 + 0.639861 * x with lines notitle
+plot '< grep ^core_place_us_by_gang, points.csv' using 3:4 with points pt 7 ps 0.4 notitle, 11.8612 + 0.510866 * x with lines notitle
 set title 'core_lost_us_by_workers' noenhanced
 set xlabel "workers lost at once"
 set ylabel "us until shapes have their places again"
-plot '< grep ^core_lost_us_by_workers, points.csv' using 3:4 with points pt 7 ps 0.4 notitle, 1178.58 + -1.87728 * x with lines notitle
+plot '< grep ^core_lost_us_by_workers, points.csv' using 3:4 with points pt 7 ps 0.4 notitle, 1145.31 + -1.18837 * x with lines notitle
 unset multiplot
 set terminal svg size 1280,720 font ',9'
 set output 'pool.svg'
@@ -94,15 +94,15 @@
 set title 'pool_parse_us_by_teams' noenhanced
 set xlabel "teams"
 set ylabel "us to parse and check"
-plot '< grep ^pool_parse_us_by_teams, points.csv' using 3:4 with points pt 7 ps 0.4 notitle, 1459.8 + 13.0514 * x with lines notitle
+plot '< grep ^pool_parse_us_by_teams, points.csv' using 3:4 with points pt 7 ps 0.4 notitle, 1306.74 + 7.03712 * x with lines notitle
 set title 'pool_apply_us_by_teams' noenhanced
 set xlabel "teams"
 set ylabel "us to put in force"
-plot '< grep ^pool_apply_us_by_teams, points.csv' using 3:4 with points pt 7 ps 0.4 notitle, 248.419 + 2.04353 * x with lines notitle
+plot '< grep ^pool_apply_us_by_teams, points.csv' using 3:4 with points pt 7 ps 0.4 notitle, 385.064 + 1.92649 * x with lines notitle
 set title 'pool_state_bytes_by_teams' noenhanced
 set xlabel "teams"
 set ylabel "bytes of the parsed file"
-plot '< grep ^pool_state_bytes_by_teams, points.csv' using 3:4 with points pt 7 ps 0.4 notitle, 300141 + 330.624 * x with lines notitle
+plot '< grep ^pool_state_bytes_by_teams, points.csv' using 3:4 with points pt 7 ps 0.4 notitle, 300112 + 329.618 * x with lines notitle
 set title 'pool_file_bytes_by_workers' noenhanced
 set xlabel "workers"
 set ylabel "bytes of the file"
@@ -114,15 +114,15 @@
 set title 'pool_parse_us_by_workers' noenhanced
 set xlabel "workers"
 set ylabel "us to parse and check"
-plot '< grep ^pool_parse_us_by_workers, points.csv' using 3:4 with points pt 7 ps 0.4 notitle, 627.243 + 1.43892 * x with lines notitle
+plot '< grep ^pool_parse_us_by_workers, points.csv' using 3:4 with points pt 7 ps 0.4 notitle, 349.391 + 2.11486 * x with lines notitle
 set title 'pool_apply_us_by_workers' noenhanced
 set xlabel "workers"
 set ylabel "us to put in force"
-plot '< grep ^pool_apply_us_by_workers, points.csv' using 3:4 with points pt 7 ps 0.4 notitle, 74.6521 + 0.17132 * x with lines notitle
+plot '< grep ^pool_apply_us_by_workers, points.csv' using 3:4 with points pt 7 ps 0.4 notitle, 176.566 + 0.272532 * x with lines notitle
 set title 'pool_state_bytes_by_workers' noenhanced
 set xlabel "workers"
 set ylabel "bytes of the parsed file"
-plot '< grep ^pool_state_bytes_by_workers, points.csv' using 3:4 with points pt 7 ps 0.4 notitle, 37113.2 + 169.041 * x with lines notitle
+plot '< grep ^pool_state_bytes_by_workers, points.csv' using 3:4 with points pt 7 ps 0.4 notitle, 37185.1 + 169.024 * x with lines notitle
 unset multiplot
 set terminal svg size 1280,720 font ',9'
 set output 'recovery.svg'
@@ -138,11 +138,11 @@
 set title 'recovery_cpu_ms_by_live' noenhanced
 set xlabel "jobs on record that have not ended"
 set ylabel "ms of processor time"
-plot '< grep ^recovery_cpu_ms_by_live, points.csv' using 3:4 with points pt 7 ps 0.4 notitle, 2.26184 + 0.0103467 * x with lines notitle
+plot '< grep ^recovery_cpu_ms_by_live, points.csv' using 3:4 with points pt 7 ps 0.4 notitle, 1.61428 + 0.0273899 * x with lines notitle
 set title 'recovery_bytes_by_live' noenhanced
 set xlabel "jobs on record that have not ended"
 set ylabel "bytes of state"
-plot '< grep ^recovery_bytes_by_live, points.csv' using 3:4 with points pt 7 ps 0.4 notitle, 524774 + 1928.85 * x with lines notitle
+plot '< grep ^recovery_bytes_by_live, points.csv' using 3:4 with points pt 7 ps 0.4 notitle, 1.06834e+06 + 3088.04 * x with lines notitle
 set title 'recovery_ms_by_ended' noenhanced
 set xlabel "ended jobs on record"
 set ylabel "ms until the cell is held"
@@ -154,11 +154,11 @@
 set title 'recovery_cpu_ms_by_ended' noenhanced
 set xlabel "ended jobs on record"
 set ylabel "ms of processor time"
-plot '< grep ^recovery_cpu_ms_by_ended, points.csv' using 3:4 with points pt 7 ps 0.4 notitle, 2.23968 + 0.00721798 * x with lines notitle
+plot '< grep ^recovery_cpu_ms_by_ended, points.csv' using 3:4 with points pt 7 ps 0.4 notitle, 1.63234 + 0.00771145 * x with lines notitle
 set title 'recovery_bytes_by_ended' noenhanced
 set xlabel "ended jobs on record"
 set ylabel "bytes of state"
-plot '< grep ^recovery_bytes_by_ended, points.csv' using 3:4 with points pt 7 ps 0.4 notitle, 287131 + 0.455096 * x with lines notitle
+plot '< grep ^recovery_bytes_by_ended, points.csv' using 3:4 with points pt 7 ps 0.4 notitle, 286672 + 0.356209 * x with lines notitle
 set title 'recovery_row_bytes_by_gang' noenhanced
 set xlabel "tasks of the gang"
 set ylabel "bytes of the job's row"
@@ -170,27 +170,27 @@
 set title 'members_messages_per_s' noenhanced
 set xlabel "members"
 set ylabel "messages/s in and out"
-plot '< grep ^members_messages_per_s, points.csv' using 3:4 with points pt 7 ps 0.4 notitle, 16.5219 + -0.000417113 * x with lines notitle
+plot '< grep ^members_messages_per_s, points.csv' using 3:4 with points pt 7 ps 0.4 notitle, 16.5053 + -0.000287323 * x with lines notitle
 set title 'members_wire_bytes_per_s' noenhanced
 set xlabel "members"
 set ylabel "wire bytes/s in and out"
-plot '< grep ^members_wire_bytes_per_s, points.csv' using 3:4 with points pt 7 ps 0.4 notitle, 3093.49 + 0.116864 * x with lines notitle
+plot '< grep ^members_wire_bytes_per_s, points.csv' using 3:4 with points pt 7 ps 0.4 notitle, 3092.18 + 0.141504 * x with lines notitle
 set title 'members_payload_bytes_per_s' noenhanced
 set xlabel "members"
 set ylabel "bytes/s without CURVE and TCP"
-plot '< grep ^members_payload_bytes_per_s, points.csv' using 3:4 with points pt 7 ps 0.4 notitle, 796.942 + 0.174842 * x with lines notitle
+plot '< grep ^members_payload_bytes_per_s, points.csv' using 3:4 with points pt 7 ps 0.4 notitle, 797.938 + 0.181442 * x with lines notitle
 set title 'members_wire_bytes_per_s_worst' noenhanced
 set xlabel "members"
 set ylabel "wire bytes/s of the busiest"
-plot '< grep ^members_wire_bytes_per_s_worst, points.csv' using 3:4 with points pt 7 ps 0.4 notitle, 3425.57 + 2.07514 * x with lines notitle
+plot '< grep ^members_wire_bytes_per_s_worst, points.csv' using 3:4 with points pt 7 ps 0.4 notitle, 3345.6 + 3.00147 * x with lines notitle
 set title 'members_cpu_us_per_s' noenhanced
 set xlabel "members"
 set ylabel "us of processor time a second"
-plot '< grep ^members_cpu_us_per_s, points.csv' using 3:4 with points pt 7 ps 0.4 notitle, 5.91101 + 0.480059 * x with lines notitle
+plot '< grep ^members_cpu_us_per_s, points.csv' using 3:4 with points pt 7 ps 0.4 notitle, 8.62612 + 0.440814 * x with lines notitle
 set title 'members_messages_by_changes' noenhanced
 set xlabel "pool changes a minute (45 members)"
 set ylabel "messages/s in and out"
-plot '< grep ^members_messages_by_changes, points.csv' using 3:4 with points pt 7 ps 0.4 notitle, 16.8155 + 0.180158 * x with lines notitle
+plot '< grep ^members_messages_by_changes, points.csv' using 3:4 with points pt 7 ps 0.4 notitle, 16.8115 + 0.181292 * x with lines notitle
 unset multiplot
 set terminal svg size 1280,720 font ',9'
 set output 'watching.svg'
@@ -198,19 +198,19 @@
 set title 'watching_messages_per_s' noenhanced
 set xlabel "workers watched"
 set ylabel "messages/s in and out"
-plot '< grep ^watching_messages_per_s, points.csv' using 3:4 with points pt 7 ps 0.4 notitle, -1.57778 + 1.9119 * x with lines notitle
+plot '< grep ^watching_messages_per_s, points.csv' using 3:4 with points pt 7 ps 0.4 notitle, -1.43333 + 1.90957 * x with lines notitle
 set title 'watching_wire_bytes_per_s' noenhanced
 set xlabel "workers watched"
 set ylabel "wire bytes/s in and out"
-plot '< grep ^watching_wire_bytes_per_s, points.csv' using 3:4 with points pt 7 ps 0.4 notitle, -396.078 + 486.261 * x with lines notitle
+plot '< grep ^watching_wire_bytes_per_s, points.csv' using 3:4 with points pt 7 ps 0.4 notitle, -358.178 + 485.579 * x with lines notitle
 set title 'watching_payload_bytes_per_s' noenhanced
 set xlabel "workers watched"
 set ylabel "bytes/s without TCP"
-plot '< grep ^watching_payload_bytes_per_s, points.csv' using 3:4 with points pt 7 ps 0.4 notitle, -231.989 + 287.423 * x with lines notitle
+plot '< grep ^watching_payload_bytes_per_s, points.csv' using 3:4 with points pt 7 ps 0.4 notitle, -209.111 + 286.984 * x with lines notitle
 set title 'watching_cpu_percent' noenhanced
 set xlabel "workers watched"
 set ylabel "% of a core"
-plot '< grep ^watching_cpu_percent, points.csv' using 3:4 with points pt 7 ps 0.4 notitle, 0.558992 + 0.0150096 * x with lines notitle
+plot '< grep ^watching_cpu_percent, points.csv' using 3:4 with points pt 7 ps 0.4 notitle, 0.510857 + 0.016245 * x with lines notitle
 set title 'watching_messages_per_s_as_wired' noenhanced
 set xlabel "workers watched"
 set ylabel "messages/s in and out"
@@ -226,7 +226,7 @@
 set title 'watching_cpu_percent_as_wired' noenhanced
 set xlabel "workers watched"
 set ylabel "% of a core"
-plot '< grep ^watching_cpu_percent_as_wired, points.csv' using 3:4 with points pt 7 ps 0.4 notitle, 0.490261 + 0.00544269 * x with lines notitle
+plot '< grep ^watching_cpu_percent_as_wired, points.csv' using 3:4 with points pt 7 ps 0.4 notitle, 0.445076 + 0.00625644 * x with lines notitle
 set title 'watching_answer_bytes' noenhanced
 set xlabel "tasks reported"
 set ylabel "bytes of a worker's answer"
@@ -246,19 +246,19 @@
 set title 'connections_arrival_cpu_ms' noenhanced
 set xlabel "callers that connect and ask once"
 set ylabel "ms of processor time with that of the callers"
-plot '< grep ^connections_arrival_cpu_ms, points.csv' using 3:4 with points pt 7 ps 0.4 notitle, 0.669615 + 0.0416335 * x with lines notitle
+plot '< grep ^connections_arrival_cpu_ms, points.csv' using 3:4 with points pt 7 ps 0.4 notitle, -1.20953 + 0.0531427 * x with lines notitle
 set title 'connections_caller_bytes' noenhanced
 set xlabel "open callers"
 set ylabel "bytes of the daemon"
-plot '< grep ^connections_caller_bytes, points.csv' using 3:4 with points pt 7 ps 0.4 notitle, 3557.7 + 2253.86 * x with lines notitle
+plot '< grep ^connections_caller_bytes, points.csv' using 3:4 with points pt 7 ps 0.4 notitle, 3373.75 + 2253.76 * x with lines notitle
 set title 'connections_caller_cpu_percent' noenhanced
 set xlabel "open callers"
 set ylabel "% of a core"
-plot '< grep ^connections_caller_cpu_percent, points.csv' using 3:4 with points pt 7 ps 0.4 notitle, 0.524865 + 0.000319143 * x with lines notitle
+plot '< grep ^connections_caller_cpu_percent, points.csv' using 3:4 with points pt 7 ps 0.4 notitle, 0.65989 + 0.000347839 * x with lines notitle
 set title 'connections_upstream_bytes' noenhanced
 set xlabel "upstream connections"
 set ylabel "bytes of the client"
-plot '< grep ^connections_upstream_bytes, points.csv' using 3:4 with points pt 7 ps 0.4 notitle, 1618 + 1698.48 * x with lines notitle
+plot '< grep ^connections_upstream_bytes, points.csv' using 3:4 with points pt 7 ps 0.4 notitle, 1612 + 1698.3 * x with lines notitle
 unset multiplot
 set terminal svg size 1280,1200 font ',9'
 set output 'store.svg'
@@ -266,76 +266,76 @@
 set title 'store_idle_reads_per_s' noenhanced
 set xlabel "daemons"
 set ylabel "reads/s"
-plot '< grep ^store_idle_reads_per_s, points.csv' using 3:4 with points pt 7 ps 0.4 notitle, -0.625 + 3.525 * x with lines notitle
+plot '< grep ^store_idle_reads_per_s, points.csv' using 3:4 with points pt 7 ps 0.4 notitle, 0.2 + 3.3 * x with lines notitle
 set title 'store_idle_commits_per_s' noenhanced
 set xlabel "daemons"
 set ylabel "commits/s"
-plot '< grep ^store_idle_commits_per_s, points.csv' using 3:4 with points pt 7 ps 0.4 notitle, 1.5 + 0 * x with lines notitle
+plot '< grep ^store_idle_commits_per_s, points.csv' using 3:4 with points pt 7 ps 0.4 notitle, 1.65 + -0.05 * x with lines notitle
 set title 'store_idle_bytes_per_s' noenhanced
 set xlabel "daemons"
 set ylabel "bytes/s"
-plot '< grep ^store_idle_bytes_per_s, points.csv' using 3:4 with points pt 7 ps 0.4 notitle, 389.65 + 2548.75 * x with lines notitle
+plot '< grep ^store_idle_bytes_per_s, points.csv' using 3:4 with points pt 7 ps 0.4 notitle, 873.95 + 2091.85 * x with lines notitle
 set title 'store_idle_payload_bytes_per_s' noenhanced
 set xlabel "daemons"
 set ylabel "bytes/s without TCP"
-plot '< grep ^store_idle_payload_bytes_per_s, points.csv' using 3:4 with points pt 7 ps 0.4 notitle, 223.25 + 1612.75 * x with lines notitle
+plot '< grep ^store_idle_payload_bytes_per_s, points.csv' using 3:4 with points pt 7 ps 0.4 notitle, 509.95 + 1311.85 * x with lines notitle
 set title 'store_idle_cpu_percent' noenhanced
 set xlabel "daemons"
 set ylabel "% of a core"
-plot '< grep ^store_idle_cpu_percent, points.csv' using 3:4 with points pt 7 ps 0.4 notitle, 0.636493 + 0.261034 * x with lines notitle
+plot '< grep ^store_idle_cpu_percent, points.csv' using 3:4 with points pt 7 ps 0.4 notitle, 0.321547 + 0.330839 * x with lines notitle
 set title 'store_bytes_per_s_by_listed' noenhanced
 set xlabel "workers listed"
 set ylabel "bytes/s of one idle daemon"
-plot '< grep ^store_bytes_per_s_by_listed, points.csv' using 3:4 with points pt 7 ps 0.4 notitle, 2971.84 + 0.0369529 * x with lines notitle
+plot '< grep ^store_bytes_per_s_by_listed, points.csv' using 3:4 with points pt 7 ps 0.4 notitle, 2818.07 + -0.0064445 * x with lines notitle
 set title 'store_bytes_per_s_by_teams' noenhanced
 set xlabel "teams"
 set ylabel "bytes/s of one idle daemon"
-plot '< grep ^store_bytes_per_s_by_teams, points.csv' using 3:4 with points pt 7 ps 0.4 notitle, 3033.52 + 0.0803439 * x with lines notitle
+plot '< grep ^store_bytes_per_s_by_teams, points.csv' using 3:4 with points pt 7 ps 0.4 notitle, 2732 + 0 * x with lines notitle
 set title 'store_reads_by_jobs' noenhanced
 set xlabel "jobs"
 set ylabel "reads"
-plot '< grep ^store_reads_by_jobs, points.csv' using 3:4 with points pt 7 ps 0.4 notitle, 2.47385 + 0.865332 * x with lines notitle
+plot '< grep ^store_reads_by_jobs, points.csv' using 3:4 with points pt 7 ps 0.4 notitle, 1.85508 + 0.897591 * x with lines notitle
 set title 'store_commits_by_jobs' noenhanced
 set xlabel "jobs"
 set ylabel "commits and puts"
-plot '< grep ^store_commits_by_jobs, points.csv' using 3:4 with points pt 7 ps 0.4 notitle, 5.4354 + 2.23894 * x with lines notitle
+plot '< grep ^store_commits_by_jobs, points.csv' using 3:4 with points pt 7 ps 0.4 notitle, 5.22257 + 2.1979 * x with lines notitle
 set title 'store_rows_by_jobs' noenhanced
 set xlabel "jobs"
 set ylabel "rows written"
-plot '< grep ^store_rows_by_jobs, points.csv' using 3:4 with points pt 7 ps 0.4 notitle, 0.523431 + 4.01777 * x with lines notitle
+plot '< grep ^store_rows_by_jobs, points.csv' using 3:4 with points pt 7 ps 0.4 notitle, -0.12481 + 3.99495 * x with lines notitle
 set title 'store_reads_by_requests' noenhanced
 set xlabel "idempotent requests"
 set ylabel "reads"
-plot '< grep ^store_reads_by_requests, points.csv' using 3:4 with points pt 7 ps 0.4 notitle, 0.10539 + -0.0184412 * x with lines notitle
+plot '< grep ^store_reads_by_requests, points.csv' using 3:4 with points pt 7 ps 0.4 notitle, 0.984516 + 0.000241019 * x with lines notitle
 set title 'store_commits_by_requests' noenhanced
 set xlabel "idempotent requests"
 set ylabel "commits and puts"
-plot '< grep ^store_commits_by_requests, points.csv' using 3:4 with points pt 7 ps 0.4 notitle, 0.193513 + -0.00421903 * x with lines notitle
+plot '< grep ^store_commits_by_requests, points.csv' using 3:4 with points pt 7 ps 0.4 notitle, -0.0971076 + 0.0164109 * x with lines notitle
 set title 'store_rows_by_requests' noenhanced
 set xlabel "idempotent requests"
 set ylabel "rows written"
-plot '< grep ^store_rows_by_requests, points.csv' using 3:4 with points pt 7 ps 0.4 notitle, 0.193513 + -0.00421903 * x with lines notitle
+plot '< grep ^store_rows_by_requests, points.csv' using 3:4 with points pt 7 ps 0.4 notitle, -0.0971076 + 0.0164109 * x with lines notitle
 set title 'store_reads_by_other_requests' noenhanced
 set xlabel "non-idempotent requests"
 set ylabel "reads"
-plot '< grep ^store_reads_by_other_requests, points.csv' using 3:4 with points pt 7 ps 0.4 notitle, -0.845174 + 0.0586702 * x with lines notitle
+plot '< grep ^store_reads_by_other_requests, points.csv' using 3:4 with points pt 7 ps 0.4 notitle, 0.159336 + -0.0137872 * x with lines notitle
 set title 'store_commits_by_other_requests' noenhanced
 set xlabel "non-idempotent requests"
 set ylabel "commits and puts"
-plot '< grep ^store_commits_by_other_requests, points.csv' using 3:4 with points pt 7 ps 0.4 notitle, 2.9165 + 2.7153 * x with lines notitle
+plot '< grep ^store_commits_by_other_requests, points.csv' using 3:4 with points pt 7 ps 0.4 notitle, 3.50468 + 2.70601 * x with lines notitle
 set title 'store_rows_by_other_requests' noenhanced
 set xlabel "non-idempotent requests"
 set ylabel "rows written"
-plot '< grep ^store_rows_by_other_requests, points.csv' using 3:4 with points pt 7 ps 0.4 notitle, -0.0330528 + 2.01293 * x with lines notitle
+plot '< grep ^store_rows_by_other_requests, points.csv' using 3:4 with points pt 7 ps 0.4 notitle, 0.379681 + 2.0175 * x with lines notitle
 set title 'store_reads_by_pool_changes' noenhanced
 set xlabel "pool changes"
 set ylabel "reads"
-plot '< grep ^store_reads_by_pool_changes, points.csv' using 3:4 with points pt 7 ps 0.4 notitle, -0.36056 + 1.05169 * x with lines notitle
+plot '< grep ^store_reads_by_pool_changes, points.csv' using 3:4 with points pt 7 ps 0.4 notitle, -0.328905 + 1.05611 * x with lines notitle
 set title 'store_commits_by_pool_changes' noenhanced
 set xlabel "pool changes"
 set ylabel "commits and puts"
-plot '< grep ^store_commits_by_pool_changes, points.csv' using 3:4 with points pt 7 ps 0.4 notitle, -0.997867 + 1.04698 * x with lines notitle
+plot '< grep ^store_commits_by_pool_changes, points.csv' using 3:4 with points pt 7 ps 0.4 notitle, -0.258358 + 1.0134 * x with lines notitle
 set title 'store_rows_by_pool_changes' noenhanced
 set xlabel "pool changes"
 set ylabel "rows written"
-plot '< grep ^store_rows_by_pool_changes, points.csv' using 3:4 with points pt 7 ps 0.4 notitle, -0.997867 + 1.04698 * x with lines notitle
+plot '< grep ^store_rows_by_pool_changes, points.csv' using 3:4 with points pt 7 ps 0.4 notitle, -0.258358 + 1.0134 * x with lines notitle
