--- a/core/check.c
+++ b/core/check.c
@@ -107,9 +107,9 @@
 	for (guint i = 0; i < shape->parts->len; i++) {
 		const struct dff_core_part *part =
 			&g_array_index (shape->parts, struct dff_core_part, i);
-		struct dff_resources unit =
-			dff_core_worker_unit (dff_core_worker_at (core, part->worker));
-		dff_resources_add (&tallies[part->worker].bound, &unit, part->count);
+		struct dff_resources share = dff_core_worker_share (
+			dff_core_worker_at (core, part->worker), part->count);
+		dff_resources_add (&tallies[part->worker].bound, &share, 1);
 		packed += part->count;
 		claimed += part->claimed;
 		if (part->claimed < 0 || part->claimed > part->count)
--- a/core/claim.c
+++ b/core/claim.c
@@ -16,9 +16,8 @@
 struct dff_resources
 dff_core_beyond_units (const struct dff_core_worker *worker, const struct dff_core_job *job)
 {
-	struct dff_resources unit = dff_core_worker_unit (worker);
-	struct dff_resources rest = job->per_task;
-	dff_resources_add (&rest, &unit, -job->per_task.accelerators);
+	struct dff_resources share = dff_core_worker_share (worker, job->per_task.accelerators);
+	struct dff_resources rest = dff_resources_less (&job->per_task, &share);
 	return (struct dff_resources){
 		.slots = MAX (rest.slots, 0),
 		.cores = MAX (rest.cores, 0),
--- a/core/core_private.h
+++ b/core/core_private.h
@@ -673,8 +673,9 @@
 
 /* witness.c */
 
-/** Returns: what goes with one guaranteed accelerator of a worker. */
-struct dff_resources dff_core_worker_unit (const struct dff_core_worker *worker);
+/** What goes with @count accelerators of a worker in a shape's home: their part of cores and
+ * memory, and a slot each, or as many as the worker has. */
+struct dff_resources dff_core_worker_share (const struct dff_core_worker *worker, int32_t count);
 
 /** Makes the shapes of the pool's guarantees. Nothing claims the former ones any more. */
 void dff_core_set_shapes (struct dff_core *core, const struct dff_pool *pool);
--- a/core/witness.c
+++ b/core/witness.c
@@ -7,15 +7,24 @@
  * that can't be preempted is placed on them. "A team can always reclaim its shape" is then a
  * property of the tables that dff_core_check() verifies, not a hope. */
 
+/* Slots of a worker that go with @count of its accelerators, rounded up. */
+static int32_t
+slots_with (const struct dff_core_worker *worker, int32_t count)
+{
+	int32_t accelerators = MAX (worker->capacity.accelerators, 1);
+	int32_t slots = MIN (MAX (worker->capacity.slots, 0), accelerators);
+	return (count * slots + accelerators - 1) / accelerators;
+}
+
 struct dff_resources
-dff_core_worker_unit (const struct dff_core_worker *worker)
+dff_core_worker_share (const struct dff_core_worker *worker, int32_t count)
 {
 	int32_t shares = MAX (MAX (worker->capacity.accelerators, worker->capacity.slots), 1);
 	return (struct dff_resources){
-		.slots = worker->capacity.slots > 0,
-		.cores = worker->capacity.cores / shares,
-		.memory_gb = worker->capacity.memory_gb / shares,
-		.accelerators = 1,
+		.slots = slots_with (worker, count),
+		.cores = count * (worker->capacity.cores / shares),
+		.memory_gb = count * (worker->capacity.memory_gb / shares),
+		.accelerators = count,
 	};
 }
 
@@ -23,9 +32,9 @@
 bind_part (struct dff_core *core, const struct dff_core_part *part, int32_t sign)
 {
 	struct dff_core_worker *worker = dff_core_worker_at (core, part->worker);
-	struct dff_resources unit = dff_core_worker_unit (worker);
-	dff_resources_add (&worker->bound, &unit, sign * part->count);
-	dff_resources_add (&worker->homes, &unit, sign * part->count);
+	struct dff_resources share = dff_core_worker_share (worker, part->count);
+	dff_resources_add (&worker->bound, &share, sign);
+	dff_resources_add (&worker->homes, &share, sign);
 }
 
 /* Accelerators of a worker that a shape's home may still take. */
@@ -35,8 +44,13 @@
 	if (!dff_core_worker_usable (worker))
 		return 0;
 	struct dff_resources room = dff_resources_less (&worker->capacity, &worker->bound);
-	struct dff_resources unit = dff_core_worker_unit (worker);
-	return dff_resources_fits (&room, &unit, worker->capacity.accelerators);
+	struct dff_resources one = dff_core_worker_share (worker, 1);
+	one.slots = 0;
+	int32_t count = dff_resources_fits (&room, &one, worker->capacity.accelerators);
+	/* Where slots are kept for short requests, several accelerators share one slot. */
+	while (count > 0 && slots_with (worker, count) > room.slots)
+		count--;
+	return count;
 }
 
 void
