entry: listens through common/http_listen

bind_server in entry/entry.c took the address apart by itself, the third copy of it. dff_http_listen returns the bound socket now, which the entry needs for its port and for the drain, and all four servers use it.

--- a/bench/hop.c
+++ b/bench/hop.c
@@ -121,7 +121,7 @@
 	struct dff_name address;
 	evhttp_set_gencb (http, answer_bare, answer);
 	event_add (terminate, NULL);
-	bool bound = dff_http_listen (http, &any, &address);
+	bool bound = dff_http_listen (http, &any, &address) != NULL;
 	if (bound) {
 		printf ("listening %s\n", address.data);
 		fflush (stdout);
--- a/common/http_listen.c
+++ b/common/http_listen.c
@@ -21,21 +21,21 @@
 	return true;
 }
 
-bool
+struct evhttp_bound_socket *
 dff_http_listen (struct evhttp *http, const struct dff_name *address, struct dff_name *bound)
 {
 	char ip[INET_ADDRSTRLEN];
 	uint16_t port = 0;
 	if (!split_address (address, ip, &port))
-		return false;
+		return NULL;
 	struct evhttp_bound_socket *socket = evhttp_bind_socket_with_handle (http, ip, port);
 	if (socket == NULL)
-		return false;
+		return NULL;
 	struct sockaddr_in actual = {0};
 	socklen_t length = sizeof (actual);
 	if (getsockname (evhttp_bound_socket_get_fd (socket), (struct sockaddr *)&actual,
 			 &length) != 0)
-		return false;
+		return NULL;
 	*bound = dff_name_printf ("%s:%d", ip, ntohs (actual.sin_port));
-	return true;
+	return socket;
 }
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -6,6 +6,7 @@
 #include <netinet/in.h>
 #include <string.h>
 
+#include "common/http_listen.h"
 #include "entry/private.h"
 #include "entry/reply.h"
 #include "entry/route.h"
@@ -142,13 +143,8 @@
 bind_server (struct dff_entry *entry, GError **error)
 {
 	const struct dff_name *listen = &entry->options.settings->listen;
-	const char *colon = strrchr (listen->data, ':');
-	g_autofree char *address =
-		colon == NULL ? g_strdup ("") : g_strndup (listen->data, colon - listen->data);
-	guint64 port = 0;
-	if (colon != NULL && g_ascii_string_to_unsigned (colon + 1, 10, 0, 65535, &port, NULL))
-		entry->socket =
-			evhttp_bind_socket_with_handle (entry->http, address, (ev_uint16_t)port);
+	struct dff_name bound;
+	entry->socket = dff_http_listen (entry->http, listen, &bound);
 	if (entry->socket != NULL)
 		return true;
 	g_set_error (error, entry_error_quark (), 0, "Cannot listen on %s.", listen->data);
--- a/include/common/http_listen.h
+++ b/include/common/http_listen.h
@@ -2,7 +2,6 @@
 #define DFF_COMMON_HTTP_LISTEN_H
 
 #include <event2/http.h>
-#include <stdbool.h>
 
 #include "common/str.h"
 
@@ -11,8 +10,12 @@
  * @address: "IP:PORT", IPv4; port 0: any
  * @bound: (out): the address that is bound
  *
- * Binds @http. Returns: false when @address is malformed or cannot be bound.
+ * Binds @http.
+ *
+ * Returns: (nullable): the socket, owned by @http; NULL when @address is malformed or cannot be
+ * bound.
  */
-bool dff_http_listen (struct evhttp *http, const struct dff_name *address, struct dff_name *bound);
+struct evhttp_bound_socket *
+dff_http_listen (struct evhttp *http, const struct dff_name *address, struct dff_name *bound);
 
 #endif
--- a/tests/upstream/test-http-worker.c
+++ b/tests/upstream/test-http-worker.c
@@ -202,7 +202,7 @@
 		fixture_init (&fixture);
 		struct evhttp *http = evhttp_new (fixture.base);
 		struct dff_name any = dff_name_from ("127.0.0.1:0");
-		assert_true (dff_http_listen (http, &any, &fixture.address));
+		assert_non_null (dff_http_listen (http, &any, &fixture.address));
 		evhttp_set_gencb (http, serve_case, &cases[i]);
 		query (&fixture);
 		assert_int_equal (fixture.outcome, cases[i].outcome);
