tests: the pool fixture has every array of a team

Cause: dff_pool_copy () met a team without token digests and GLib printed 11,928 critical lines in test-cell alone, which would hide a real one. Change: the fixture makes the array. Conclusion: quiet tests.

--- a/tests/core/core_fixture.h
+++ b/tests/core/core_fixture.h
@@ -15,6 +15,7 @@
 fixture_pool_clear_team (gpointer data)
 {
 	struct dff_team *team = data;
+	g_array_unref (team->token_digests);
 	g_array_unref (team->guarantees);
 }
 
@@ -61,6 +62,7 @@
 {
 	struct dff_team team = {
 		.name = dff_name_from (name),
+		.token_digests = g_array_new (FALSE, TRUE, 1),
 		.guarantees = g_array_new (FALSE, TRUE, sizeof (struct dff_guarantee)),
 		.weight = 1,
 	};
