entry, peer: a process that takes a dead one's name is told from it

Change: each process draws a number when it starts; heartbeats carry it (3 bytes) and the ids of its requests begin with it, so any process sees that the maker of an id is gone. Measured: the new test is answered attempt_lost within 100 ms; with the comparison taken out it is not answered and fails. Conclusion: given up on, answered at once.

--- a/entry/request.c
+++ b/entry/request.c
@@ -238,9 +238,10 @@
 struct dff_name
 dff_request_id_new (struct dff_entry *entry)
 {
-	return dff_name_printf ("%.*s.%08x%08x", INSTANCE_MAX,
-				entry->options.settings->instance.data, g_rand_int (entry->rng),
-				g_rand_int (entry->rng));
+	return dff_name_printf ("%.*s.%04x%04x%08x", INSTANCE_MAX,
+				entry->options.settings->instance.data,
+				dff_peer_start (entry->options.peer),
+				g_rand_int (entry->rng) & 0xffff, g_rand_int (entry->rng));
 }
 
 void
--- a/entry/request_private.h
+++ b/entry/request_private.h
@@ -153,8 +153,8 @@
  * dff_request_owner_is_gone:
  * @id: of a request that this process does not have
  *
- * Returns: whether the process that made @id is known to be dead, or to have been replaced by this
- * one. Not known of ids that callers chose, nor of a process that another one replaced by name.
+ * Returns: whether the process that made @id is known to be dead, or to have been replaced by a
+ * process of the same name. Not known of ids that callers chose.
  */
 bool dff_request_owner_is_gone (struct dff_entry *entry, const struct dff_name *id);
 
--- a/entry/request_read.c
+++ b/entry/request_read.c
@@ -4,8 +4,17 @@
 #include "entry/request_private.h"
 #include "entry/route.h"
 
-/** Digits behind the instance in an id that a process made. */
+/** Digits behind the instance in an id that a process made, and how many of them tell its start. */
 #define ID_DIGITS 16
+#define START_DIGITS 4
+
+/** Who made an id. */
+struct id_maker {
+	/** The beginning of the instance's name. */
+	struct dff_str instance;
+	/** dff_peer_start() of the process; 0: not known. */
+	uint32_t start;
+};
 
 static void
 reply_in_progress (struct dff_call *call)
@@ -28,19 +37,21 @@
 	dff_reply_problem (call, &problem);
 }
 
-/* Reads the instance's part of an id that a process made. Returns false for other ids. */
+/* Reads who made an id. Returns false for ids that no process made. */
 static bool
-instance_part (const struct dff_name *id, struct dff_str *instance)
+id_maker (const struct dff_name *id, struct id_maker *maker)
 {
 	const char *dot = strrchr (id->data, '.');
 	if (dot == NULL || strlen (dot + 1) != ID_DIGITS)
 		return false;
-	instance->data = id->data;
-	instance->len = (size_t)(dot - id->data);
+	maker->instance.data = id->data;
+	maker->instance.len = (size_t)(dot - id->data);
+	char digits[START_DIGITS + 1] = "";
+	memcpy (digits, dot + 1, START_DIGITS);
+	maker->start = (uint32_t)g_ascii_strtoull (digits, NULL, 16);
 	return true;
 }
 
-/* Ids hold the beginning of the instance's name. */
 static bool
 is_instance (const struct dff_name *name, struct dff_str part)
 {
@@ -48,13 +59,24 @@
 }
 
 static bool
-is_alive (struct dff_entry *entry, struct dff_str instance)
+is_self (const struct dff_entry *entry, const struct id_maker *maker)
+{
+	return is_instance (&entry->options.settings->instance, maker->instance);
+}
+
+/* Symptom: who repeats a request of a process that was killed is held until the deadline and told
+ * to come back, for ever. Sequence: another process takes its name within seconds. Cause: the name
+ * is alive. The number that each process draws when it starts tells them apart. */
+static bool
+is_alive (struct dff_entry *entry, const struct id_maker *maker)
 {
 	const GArray *members = dff_peer_members (entry->options.peer);
 	for (guint i = 0; i < members->len; i++) {
 		const struct dff_member *member = &g_array_index (members, struct dff_member, i);
-		if (member->state != DFF_MEMBER_DEAD &&
-		    is_instance (&member->instance.id, instance))
+		bool replaced =
+			maker->start != 0 && member->start != 0 && member->start != maker->start;
+		if (member->state != DFF_MEMBER_DEAD && !replaced &&
+		    is_instance (&member->instance.id, maker->instance))
 			return true;
 	}
 	return false;
@@ -63,13 +85,11 @@
 bool
 dff_request_owner_is_gone (struct dff_entry *entry, const struct dff_name *id)
 {
-	struct dff_str instance;
-	if (!instance_part (id, &instance))
+	struct id_maker maker;
+	if (!id_maker (id, &maker))
 		return false;
 	/* A request of this process's own predecessor. */
-	if (is_instance (&entry->options.settings->instance, instance))
-		return true;
-	return !is_alive (entry, instance);
+	return is_self (entry, &maker) || !is_alive (entry, &maker);
 }
 
 /* No answer is kept: the request is in progress elsewhere, or lost, or was never there. */
@@ -77,11 +97,10 @@
 reply_without_answer (struct dff_call *call)
 {
 	struct dff_entry *entry = call->entry;
-	struct dff_str instance;
-	if (!instance_part (&call->subject, &instance) ||
-	    is_instance (&entry->options.settings->instance, instance))
+	struct id_maker maker;
+	if (!id_maker (&call->subject, &maker) || is_self (entry, &maker))
 		dff_reply_error (call, 404, "not_found", "No answer is kept under this id.");
-	else if (is_alive (entry, instance))
+	else if (is_alive (entry, &maker))
 		reply_in_progress (call);
 	else
 		reply_unknown (call);
--- a/include/peer/peer.h
+++ b/include/peer/peer.h
@@ -36,12 +36,19 @@
 	DFF_MEMBER_DEAD,
 };
 
+/** Two bytes in a heartbeat. Of 16,383 restarts one draws its predecessor's number and is taken for
+ * it. */
+#define DFF_MEMBER_START_MAX 16383
+
 struct dff_member {
 	struct dff_instance instance;
 	enum dff_member_state state;
 	int64_t pool_generation;
 	/** Epoch it says it holds its region's cell with; 0: none. */
 	int64_t holder_epoch;
+	/** Drawn when it started, 1 to DFF_MEMBER_START_MAX: another process of the same name has
+	 * another one; 0: not known. */
+	uint32_t start;
 	bool ready;
 	int64_t heard_ms;
 };
@@ -118,6 +125,9 @@
  */
 const GArray *dff_peer_members (const struct dff_peer *peer);
 
+/** Returns: what this process drew when it started, as its members entry has it. */
+uint32_t dff_peer_start (const struct dff_peer *peer);
+
 /** Returns: (nullable): the member of this region that says it is holder with the highest epoch. */
 const struct dff_member *dff_peer_holder (const struct dff_peer *peer);
 
--- a/peer/membership.c
+++ b/peer/membership.c
@@ -23,6 +23,8 @@
 	membership->options = *options;
 	membership->table = dff_member_table_new (&options->self);
 	membership->random = g_rand_new_with_seed ((guint32)(options->seed ^ options->seed >> 32));
+	membership->table->self->known.start =
+		(uint32_t)g_rand_int_range (membership->random, 1, DFF_MEMBER_START_MAX + 1);
 	membership->last_tick_ms = dff_clock_now_ms (options->clock);
 	membership->last_heartbeat_ms = DFF_TIME_NEVER;
 	membership->ring_changed = true;
--- a/peer/membership.h
+++ b/peer/membership.h
@@ -64,6 +64,9 @@
 /** Sets the generation that this process has in force; announced with the next tick. */
 void dff_membership_set_generation (struct dff_membership *membership, int64_t generation);
 
+/** Returns: what this process drew when it started. */
+uint32_t dff_membership_start (const struct dff_membership *membership);
+
 /** Appends every member, self included, in order of name. @out: elements: struct dff_member. */
 void dff_membership_list (const struct dff_membership *membership, GArray *out);
 
--- a/peer/membership_merge.c
+++ b/peer/membership_merge.c
@@ -37,6 +37,7 @@
 	known->ready = report->ready;
 	known->pool_generation = report->pool_generation;
 	known->holder_epoch = report->holder_epoch;
+	known->start = report->start;
 	if (relay)
 		dff_membership_relay (membership, entry);
 	if (differs)
--- a/peer/membership_query.c
+++ b/peer/membership_query.c
@@ -22,6 +22,7 @@
 			.state = state_of (entry),
 			.pool_generation = entry->known.pool_generation,
 			.holder_epoch = entry->known.holder_epoch,
+			.start = entry->known.start,
 			.ready = entry->known.ready,
 			.heard_ms = entry->heard_ms,
 		};
@@ -31,6 +32,12 @@
 	}
 }
 
+uint32_t
+dff_membership_start (const struct dff_membership *membership)
+{
+	return membership->table->self->known.start;
+}
+
 const struct dff_instance *
 dff_membership_find (const struct dff_membership *membership, const struct dff_name *id)
 {
--- a/peer/message.h
+++ b/peer/message.h
@@ -39,6 +39,8 @@
 	bool ready;
 	int64_t pool_generation;
 	int64_t holder_epoch;
+	/** Drawn by the member when it started; 0: not known. */
+	uint32_t start;
 };
 
 struct dff_heartbeat {
--- a/peer/message_decode.c
+++ b/peer/message_decode.c
@@ -39,6 +39,7 @@
 	report->ready = wire->ready;
 	report->pool_generation = wire->pool_generation;
 	report->holder_epoch = wire->holder_epoch;
+	report->start = wire->start;
 	return true;
 }
 
--- a/peer/message_encode.c
+++ b/peer/message_encode.c
@@ -32,6 +32,7 @@
 	wire->ready = report->ready;
 	wire->pool_generation = report->pool_generation;
 	wire->holder_epoch = report->holder_epoch;
+	wire->start = report->start;
 }
 
 static GByteArray *
--- a/peer/peer.c
+++ b/peer/peer.c
@@ -253,6 +253,12 @@
 	return peer->members;
 }
 
+uint32_t
+dff_peer_start (const struct dff_peer *peer)
+{
+	return dff_membership_start (peer->membership);
+}
+
 const struct dff_member *
 dff_peer_holder (const struct dff_peer *peer)
 {
--- a/peer/peer.pb-c.c
+++ b/peer/peer.pb-c.c
@@ -502,7 +502,7 @@
   assert(message->base.descriptor == &dff__peer__envelope__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor dff__peer__member_state__field_descriptors[8] =
+static const ProtobufCFieldDescriptor dff__peer__member_state__field_descriptors[9] =
 {
   {
     "id",
@@ -600,6 +600,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "start",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Dff__Peer__MemberState, start),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned dff__peer__member_state__field_indices_by_name[] = {
   7,   /* field[7] = holder_epoch */
@@ -610,11 +622,12 @@
   6,   /* field[6] = pool_generation */
   5,   /* field[5] = ready */
   2,   /* field[2] = sequence */
+  8,   /* field[8] = start */
 };
 static const ProtobufCIntRange dff__peer__member_state__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor dff__peer__member_state__descriptor =
 {
@@ -624,7 +637,7 @@
   "Dff__Peer__MemberState",
   "dff.peer",
   sizeof(Dff__Peer__MemberState),
-  8,
+  9,
   dff__peer__member_state__field_descriptors,
   dff__peer__member_state__field_indices_by_name,
   1,  dff__peer__member_state__number_ranges,
--- a/peer/peer.pb-c.h
+++ b/peer/peer.pb-c.h
@@ -53,10 +53,14 @@
   protobuf_c_boolean ready;
   int64_t pool_generation;
   int64_t holder_epoch;
+  /*
+   * Drawn when the process starts, 1 to 16383; tells it from an earlier one of the same name.
+   */
+  uint32_t start;
 };
 #define DFF__PEER__MEMBER_STATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&dff__peer__member_state__descriptor) \
-    , {0,NULL}, 0, 0, DFF__PEER__LIFE__ALIVE, 0, 0, 0, 0 }
+    , {0,NULL}, 0, 0, DFF__PEER__LIFE__ALIVE, 0, 0, 0, 0, 0 }
 
 
 struct  Dff__Peer__Heartbeat
--- a/tests/entry/harness.c
+++ b/tests/entry/harness.c
@@ -131,7 +131,7 @@
 	options.transport.send = send_to_peer;
 	options.transport.ctx = process;
 	options.callbacks = callbacks;
-	options.seed = 3;
+	options.seed = 3 + process->n_replaced;
 	process->peer = dff_peer_new (&options);
 }
 
@@ -202,7 +202,9 @@
 	process->tracer = dff_tracer_new (&harness->clock.clock, &process->name, 1 + index,
 					  keep_span, harness);
 	process->platform = dff_memory_open (harness->memory);
-	process->reads = dff_memory_open (harness->memory);
+	/* Its answers may still be on their way when the process is replaced. */
+	if (process->reads == NULL)
+		process->reads = dff_memory_open (harness->memory);
 	dff_recorder_options_init (&recorder);
 	recorder.table = &process->platform->table;
 	recorder.clock = &harness->clock.clock;
@@ -281,6 +283,15 @@
 	process->entry = NULL;
 }
 
+void
+harness_replace (struct harness *harness, int index)
+{
+	harness_kill (harness, index);
+	harness->processes[index].n_replaced++;
+	start_process (harness, index);
+	tell_instances (harness);
+}
+
 void
 harness_free (struct harness *harness)
 {
--- a/tests/entry/harness.h
+++ b/tests/entry/harness.h
@@ -29,6 +29,8 @@
 
 struct harness_process {
 	struct harness *harness;
+	/** Processes that had this name before. */
+	uint64_t n_replaced;
 	struct dff_name name;
 	struct dff_settings *settings;
 	struct dff_metrics *metrics;
@@ -107,6 +109,9 @@
 /** The process dies at once. */
 void harness_kill (struct harness *harness, int process);
 
+/** The process dies, and another one starts under its name at once. */
+void harness_replace (struct harness *harness, int process);
+
 /** What the next request meets. @body is copied. */
 void harness_next_answer (struct harness *harness, const struct harness_answer *answer);
 
--- a/tests/entry/test-failures.c
+++ b/tests/entry/test-failures.c
@@ -286,6 +286,34 @@
 	harness_free (harness);
 }
 
+/* Symptom: as above, for as long as the key is remembered. Sequence: the process dies with the
+ * request at a worker, and another one takes its name before it is missed. Cause: a name that is
+ * alive was taken for the process that made the request. */
+static void
+test_attempt_of_a_replaced_process_is_answered_at_once (void **state)
+{
+	(void)state;
+	struct harness *harness = harness_new ();
+	struct harness_answer held = {.outcome = DFF_WORKER_OK, .held = true};
+	harness_set_pool (harness);
+	harness_grant (harness, 1, 600000);
+	harness_next_answer (harness, &held);
+	struct harness_client *first = send_once (harness, 0);
+	harness_run (harness, 100);
+	assert_int_equal (harness->n_run, 1);
+	harness_replace (harness, 0);
+	harness_run (harness, 2000);
+	struct harness_client *again = send_once (harness, 1);
+	harness_run (harness, 100);
+	assert_true (harness_client_is_whole (again));
+	assert_int_equal (harness_client_status (again), 504);
+	assert_non_null (strstr (again->received->str, "\"code\":\"attempt_lost\""));
+	assert_int_equal (harness->n_run, 1);
+	harness_client_free (first);
+	harness_client_free (again);
+	harness_free (harness);
+}
+
 int
 main (void)
 {
@@ -296,6 +324,7 @@
 		cmocka_unit_test (test_end_with_everything_in_flight),
 		cmocka_unit_test (test_calls_over_tls),
 		cmocka_unit_test (test_attempt_of_a_dead_process_is_answered_at_once),
+		cmocka_unit_test (test_attempt_of_a_replaced_process_is_answered_at_once),
 	};
 	return cmocka_run_group_tests (tests, NULL, NULL);
 }
