--- a/bench/profile_pool.c
+++ b/bench/profile_pool.c
@@ -62,9 +62,7 @@
 {
 	fputs ("  ],\n  \"services\": [\n", out);
 	for (int i = 0; services[i] != NULL; i++) {
-		fprintf (out,
-			 "    {\"name\": \"%s\", \"request_slots\": 1, "
-			 "\"request_timeout_ms\": 30000}%s\n",
+		fprintf (out, "    {\"name\": \"%s\", \"request_timeout_ms\": 30000}%s\n",
 			 services[i], services[i + 1] != NULL ? "," : "");
 	}
 	fputs ("  ],\n  \"operators\": [\n    {\"name\": \"operator\", ", out);
--- a/core/core.c
+++ b/core/core.c
@@ -86,7 +86,7 @@
 }
 
 static void
-add_rack (struct dff_core *core, const struct dff_rack *declared, int32_t request_slots)
+add_rack (struct dff_core *core, const struct dff_rack *declared, int32_t set_aside)
 {
 	int32_t index = (int32_t)core->racks->len;
 	g_array_set_size (core->racks, core->racks->len + 1);
@@ -100,7 +100,7 @@
 		struct dff_core_worker *worker = dff_core_worker_at (core, worker_index);
 		worker->rack = index;
 		worker->capacity = declared->per_worker;
-		worker->capacity.slots -= request_slots;
+		worker->capacity.slots -= set_aside;
 		dff_core_worker_note_overload (worker);
 		dff_resources_add (&core->total, &worker->capacity, 1);
 		g_array_append_val (rack->workers, worker_index);
@@ -118,7 +118,7 @@
 	core->total = (struct dff_resources){0};
 	for (guint i = 0; i < pool->racks->len; i++) {
 		const struct dff_rack *rack = &g_array_index (pool->racks, struct dff_rack, i);
-		add_rack (core, rack, dff_pool_request_slots (pool, rack));
+		add_rack (core, rack, dff_pool_slots_set_aside (pool, rack));
 	}
 }
 
--- a/include/pool/pool.h
+++ b/include/pool/pool.h
@@ -47,8 +47,11 @@
 	struct dff_name name;
 	/** Teams that may use the service; empty: every team. Elements: struct dff_name. */
 	GArray *teams;
-	/** Slots set aside for short requests on every worker. */
+	/** Slots for short requests on every worker. */
 	int32_t request_slots;
+	/** Whether they are set aside, so that no job gets them; else requests get what jobs leave.
+	 */
+	bool sets_aside;
 	/** Longest time a short request may take, ms. */
 	int32_t request_timeout_ms;
 };
@@ -143,11 +146,15 @@
 /**
  * dff_pool_request_slots:
  *
- * Returns: slots of each worker of @rack that are kept for short requests and that no job gets: the
- * sum over the services, at most half of the worker's slots.
+ * Returns: slots of each worker of @rack that short requests may use, to be granted: the sum over
+ * the services, at most half of the worker's slots.
  */
 int32_t dff_pool_request_slots (const struct dff_pool *pool, const struct dff_rack *rack);
 
+/** Returns: how many of those no job gets: the sum over the services that set theirs aside, at most
+ * half of the worker's slots. */
+int32_t dff_pool_slots_set_aside (const struct dff_pool *pool, const struct dff_rack *rack);
+
 /** Returns: (nullable): the rack called @name. */
 const struct dff_rack *dff_pool_find_rack (const struct dff_pool *pool,
 					   const struct dff_name *name);
--- a/pool/pool.c
+++ b/pool/pool.c
@@ -159,15 +159,31 @@
 	return principal;
 }
 
-int32_t
-dff_pool_request_slots (const struct dff_pool *pool, const struct dff_rack *rack)
+static int32_t
+sum_slots (const struct dff_pool *pool, const struct dff_rack *rack, bool only_set_aside)
 {
 	int64_t slots = 0;
-	for (guint i = 0; i < pool->services->len; i++)
-		slots += g_array_index (pool->services, struct dff_service, i).request_slots;
+	for (guint i = 0; i < pool->services->len; i++) {
+		const struct dff_service *service =
+			&g_array_index (pool->services, struct dff_service, i);
+		if (service->sets_aside || !only_set_aside)
+			slots += service->request_slots;
+	}
 	return (int32_t)MIN (slots, rack->per_worker.slots / 2);
 }
 
+int32_t
+dff_pool_request_slots (const struct dff_pool *pool, const struct dff_rack *rack)
+{
+	return sum_slots (pool, rack, false);
+}
+
+int32_t
+dff_pool_slots_set_aside (const struct dff_pool *pool, const struct dff_rack *rack)
+{
+	return sum_slots (pool, rack, true);
+}
+
 const struct dff_rack *
 dff_pool_find_rack (const struct dff_pool *pool, const struct dff_name *name)
 {
--- a/tests/core/test-request-slots.c
+++ b/tests/core/test-request-slots.c
@@ -6,6 +6,7 @@
 struct slots_case {
 	int32_t services;
 	int32_t request_slots;
+	bool sets_aside;
 	/** Of the eight slots of the only worker, those that jobs get. */
 	int job_slots;
 };
@@ -19,7 +20,8 @@
 	struct dff_pool pool;
 	fixture_pool_init (&pool, 1, 1, 0);
 	fixture_pool_add_team (&pool, "a", 0, 0);
-	struct dff_service service = {.request_slots = test->request_slots};
+	struct dff_service service = {.request_slots = test->request_slots,
+				      .sets_aside = test->sets_aside};
 	for (int32_t i = 0; i < test->services; i++)
 		g_array_append_val (pool.services, service);
 	dff_core_set_pool (core, &pool, 0);
@@ -44,7 +46,8 @@
 {
 	(void)state;
 	static const struct slots_case cases[] = {
-		{0, 0, 8}, {1, 1, 7}, {2, 1, 6}, {1, 4, 4}, {4, 3, 4}, {100, 1024, 4},
+		{0, 0, true, 8}, {1, 1, true, 7},  {2, 1, true, 6},      {1, 4, true, 4},
+		{4, 3, true, 4}, {4, 1, false, 8}, {100, 1024, true, 4},
 	};
 	for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
 		assert_int_equal (count_starts (&cases[i]), cases[i].job_slots);
--- a/tests/pool/test-pool.c
+++ b/tests/pool/test-pool.c
@@ -297,10 +297,43 @@
 	}
 }
 
+struct slots_case {
+	const char *services;
+	int32_t granted;
+	int32_t set_aside;
+};
+
+static void
+test_request_slots (void **state)
+{
+	(void)state;
+	static const struct slots_case cases[] = {
+		{"", 0, 0},
+		{"{\"name\":\"a\"}", 1, 0},
+		{"{\"name\":\"a\"},{\"name\":\"b\",\"request_slots\":2}", 3, 2},
+		{"{\"name\":\"a\",\"request_slots\":0}", 0, 0},
+		{"{\"name\":\"a\",\"request_slots\":1024}", 4, 4},
+	};
+	for (size_t i = 0; i < G_N_ELEMENTS (cases); i++) {
+		g_autofree char *text = g_strdup_printf (
+			"{\"racks\":[" RACK ("r1", "x", 1, 8) "],\"teams\":[],\"services\":[%s],"
+							      "\"operators\":[]}",
+			cases[i].services);
+		g_autoptr (GError) error = NULL;
+		DFF_AUTO (dff_pool)
+		pool = dff_pool_parse (dff_str_from (text), "pool", NULL, &error);
+		assert_non_null (pool);
+		const struct dff_rack *rack = &g_array_index (pool->racks, struct dff_rack, 0);
+		assert_int_equal (dff_pool_request_slots (pool, rack), cases[i].granted);
+		assert_int_equal (dff_pool_slots_set_aside (pool, rack), cases[i].set_aside);
+	}
+}
+
 int
 main (void)
 {
 	const struct CMUnitTest tests[] = {
+		cmocka_unit_test (test_request_slots),
 		cmocka_unit_test (test_fields),
 		cmocka_unit_test (test_references),
 		cmocka_unit_test (test_packing),
