bench: what the holder's grants cost on the wire, against the size of a set

The members chapter now sends a steady set to eight others in the daemon's interval, in memory under the virtual clock, and counts what the holder sent.

--- a/bench/peer_traffic.c
+++ b/bench/peer_traffic.c
@@ -3,6 +3,9 @@
 #define SETTLE_MS 60000
 #define TICK_MS 50
 #define DATA_CENTRES 3
+/* As in daemon/daemon.c and daemon/shares.c. */
+#define GRANT_INTERVAL_S 2
+#define GRANT_VALID_MS 10000
 
 /** What a message costs beyond its payload on a CURVE connection over TCP and IP, in bytes: CURVE's
  * message frame 33, ZMTP 2, TCP and IP with time stamps 52, and as much for an acknowledgement. */
@@ -95,3 +98,32 @@
 	g_free (after);
 	return mean;
 }
+
+static double
+send_grants (struct fake_network *network, int32_t to, const GArray *grants)
+{
+	struct fake_node *holder = &network->nodes[0];
+	struct traffic before = sent_by (holder);
+	dff_peer_send_grants (holder->peer, &network->nodes[to].instance.id, 1,
+			      (const struct dff_grant *)(void *)grants->data, grants->len,
+			      GRANT_VALID_MS);
+	struct traffic after = sent_by (holder);
+	return (double)(after.bytes - before.bytes + (after.messages - before.messages) * OVERHEAD);
+}
+
+double
+peer_traffic_grants (struct fake_network *network, int32_t n_workers, int32_t seconds)
+{
+	g_autoptr (GArray) grants = g_array_new (FALSE, TRUE, sizeof (struct dff_grant));
+	for (int i = 0; i < n_workers; i++) {
+		struct dff_grant grant = {dff_name_printf ("r%d-w%d", i / 8 + 1, i % 8 + 1), 1};
+		g_array_append_val (grants, grant);
+	}
+	double bytes = 0;
+	for (int32_t second = 0; second < seconds; second += GRANT_INTERVAL_S) {
+		for (int32_t to = 1; to < network->n_nodes; to++)
+			bytes += send_grants (network, to, grants);
+		fake_network_run (network, GRANT_INTERVAL_S * (int64_t)1000);
+	}
+	return bytes / seconds;
+}
--- a/bench/peer_traffic.h
+++ b/bench/peer_traffic.h
@@ -31,4 +31,14 @@
 struct peer_traffic
 peer_traffic_measure (struct fake_network *network, int32_t n_changes, int32_t seconds);
 
+/**
+ * peer_traffic_grants:
+ * @n_workers: in the set of each member, which does not change
+ *
+ * Sends every other process its grants in the daemon's interval.
+ *
+ * Returns: wire bytes/s that the holder sends for grants.
+ */
+double peer_traffic_grants (struct fake_network *network, int32_t n_workers, int32_t seconds);
+
 #endif
--- a/bench/slopes/members.c
+++ b/bench/slopes/members.c
@@ -48,9 +48,24 @@
 	}
 }
 
+static void
+by_grants (struct slopes *slopes)
+{
+	static const struct slope_axes axes = {"members_grants_wire_bytes_per_s",
+					       "workers granted to each of 8 others",
+					       "wire bytes/s sent by the holder for grants"};
+	static const int32_t workers[] = {10, 40, 90, 160, 360};
+	for (size_t i = 0; i < G_N_ELEMENTS (workers); i++) {
+		DFF_AUTO (fake_network) network = peer_traffic_network (9);
+		slopes_add (slopes, &axes, workers[i],
+			    peer_traffic_grants (network, workers[i], MEASURE_S));
+	}
+}
+
 void
 slopes_members (struct slopes *slopes)
 {
 	by_members (slopes);
 	by_changes (slopes);
+	by_grants (slopes);
 }
