bench: what a change of a large pool costs at the store, against the daemons

The store chapter now applies a file of 120 teams to sites of one to nine daemons, with more than a poll's interval between changes, and gives the bytes between daemons and platform above the idle ones.

--- a/bench/slopes/store.c
+++ b/bench/slopes/store.c
@@ -12,6 +12,10 @@
 #define DAEMONS 3
 #define TEAMS 4
 #define SPACING_MS 20
+/* Longer than the interval at which daemons poll the pool's row. */
+#define POOL_SPACING_MS 1200
+#define POOL_CHANGES 4
+#define POOL_TEAMS 120
 #define SETTLE_MS 1000
 
 struct usage {
@@ -217,12 +221,39 @@
 	slopes_add (slopes, &work->rows, n, all.rows - idle.rows);
 }
 
+/** Bytes of one change of a large pool, against the daemons that have to hear of it. */
+static void
+pool_bytes (struct slopes *slopes)
+{
+	static const struct slope_axes bytes = {"store_bytes_of_pool_change_by_daemons", "daemons",
+						"wire bytes a pool change"};
+	static const int sizes[] = {1, 3, 5, 7, 9};
+	for (size_t i = 0; i < G_N_ELEMENTS (sizes); i++) {
+		struct site_options options = {sizes[i], 0, 360, POOL_TEAMS};
+		DFF_AUTO (site) site = site_new (&options);
+		site_run (site, SETTLE_MS);
+		double idle = usage_idle (site, POOL_SPACING_MS).wire_bytes;
+		struct usage before = usage_now (site);
+		int64_t start_us = g_get_monotonic_time ();
+		for (int change = 0; change < POOL_CHANGES; change++) {
+			send_pool (site, change);
+			site_run (site, POOL_SPACING_MS);
+		}
+		double took_ms = (double)(g_get_monotonic_time () - start_us) / 1e3;
+		struct usage after = usage_now (site);
+		double all = after.wire_bytes - before.wire_bytes;
+		double rest = idle * took_ms / POOL_SPACING_MS;
+		slopes_add (slopes, &bytes, sizes[i], (all - rest) / POOL_CHANGES);
+	}
+}
+
 void
 slopes_store (struct slopes *slopes)
 {
 	static const int sizes[] = {4, 8, 16, 32, 64};
 	idle_daemons (slopes);
 	idle_bytes (slopes);
+	pool_bytes (slopes);
 	for (size_t i = 0; i < G_N_ELEMENTS (works); i++) {
 		struct site_options options = {DAEMONS, WORKERS, 0, TEAMS};
 		DFF_AUTO (site) site = site_new (&options);
