pool: a row whose file a peer has brought is not read again from the table

The file now travels with the revision of its row, from the commit or the poll that had it, and the follower scans after that. The revision counts only when the file is in force; a newer row has a higher one and is read as before; 0 says that it is not known.

Across 45 processes the share of polls that come before the file was not measured.

Tests: a brought row is not read, that of an unreadable file and a newer one are (daemon/pool-follower), the revision reaches every member (peer/peer), a negative one is refused (peer/message).

--- a/bench/slopes/pool.c
+++ b/bench/slopes/pool.c
@@ -33,7 +33,7 @@
 	struct dff_message message = {
 		.sender = dff_name_from ("entry-1"),
 		.kind = DFF_MESSAGE_POOL_FILE,
-		.pool_file = {1, file},
+		.pool_file = {.generation = 1, .revision = 12345, .text = file},
 	};
 	g_autoptr (GByteArray) bytes = dff_message_encode (&message);
 	return bytes->len;
--- a/daemon/daemon_private.h
+++ b/daemon/daemon_private.h
@@ -87,7 +87,10 @@
 void dff_daemon_handle_pool_in_force (void *ctx, const struct dff_pool *pool, struct dff_str text);
 
 /** A pool file that is committed, told by an operator's request here or by a peer. */
-void dff_daemon_handle_pool_committed (void *ctx, int64_t generation, struct dff_str text);
+void dff_daemon_handle_pool_committed (void *ctx,
+				       int64_t generation,
+				       int64_t revision,
+				       struct dff_str text);
 
 /** The instance list changed: dff_instances_changed_func. */
 void
--- a/daemon/events.c
+++ b/daemon/events.c
@@ -12,15 +12,18 @@
 	daemon->pool = pool;
 	dff_entry_set_pool (daemon->entry, pool, text);
 	dff_cell_set_pool (daemon->cell, pool);
-	dff_peer_set_pool (daemon->peer, pool->generation, text);
+	dff_peer_set_pool (daemon->peer, pool->generation, pool->revision, text);
 	daemon->next_grants_ms = 0;
 }
 
 void
-dff_daemon_handle_pool_committed (void *ctx, int64_t generation, struct dff_str text)
+dff_daemon_handle_pool_committed (void *ctx,
+				  int64_t generation,
+				  int64_t revision,
+				  struct dff_str text)
 {
 	struct dff_daemon *daemon = ctx;
-	dff_pool_follower_offer (daemon->follower, generation, text);
+	dff_pool_follower_offer (daemon->follower, generation, revision, text);
 }
 
 static void
--- a/daemon/pool_follower.c
+++ b/daemon/pool_follower.c
@@ -14,7 +14,7 @@
 	struct dff_pool *pool;
 	GString *text;
 	int64_t generation;
-	/** Of the row as it was read last. */
+	/** Of the row as it was read last, here or by whoever brought the file. */
 	int64_t revision;
 	int64_t next_poll_ms;
 	int64_t polled_ms;
@@ -84,6 +84,7 @@
 bool
 dff_pool_follower_offer (struct dff_pool_follower *follower,
 			 int64_t generation,
+			 int64_t revision,
 			 struct dff_str text)
 {
 	/* Files arrive late and out of order. Symptom of taking an older one: a token that was
@@ -99,6 +100,9 @@
 			 generation, error->message);
 		return false;
 	}
+	/* Only where the file is in force: one that cannot be read here is looked for again. */
+	follower->revision = MAX (follower->revision, revision);
+	pool->revision = revision;
 	put_in_force (follower, pool, generation, text);
 	return true;
 }
@@ -117,7 +121,7 @@
 		return;
 	}
 	struct dff_str file = {text->str, text->len};
-	dff_pool_follower_offer (follower, generation, file);
+	dff_pool_follower_offer (follower, generation, row->revision, file);
 	g_string_free (text, TRUE);
 }
 
--- a/entry/pool_admin.c
+++ b/entry/pool_admin.c
@@ -67,13 +67,13 @@
 }
 
 static void
-reply_applied (struct application *application, int64_t generation)
+reply_applied (struct application *application, int64_t generation, int64_t revision)
 {
 	struct dff_call *call = application->call;
 	struct dff_entry *entry = call->entry;
 	struct dff_str text = {application->text->str, application->text->len};
 	if (entry->options.pool_committed != NULL && !entry->closed)
-		entry->options.pool_committed (entry->options.ctx, generation, text);
+		entry->options.pool_committed (entry->options.ctx, generation, revision, text);
 	set_etag (call, generation);
 	dff_reply_json (call, 200, json_pack ("{s:I}", "generation", (json_int_t)generation));
 	application_free (application);
@@ -82,14 +82,13 @@
 static void
 pool_recorded (void *user, enum dff_entry_record_outcome outcome, int64_t revision)
 {
-	(void)revision;
 	struct application *application = user;
 	struct dff_call *call = application->call;
 	if (outcome == DFF_ENTRY_RECORD_DONE) {
 		dff_log (DFF_LOG_ENTRY, DFF_LOG_INFO,
 			 "Pool file committed. generation=%" PRId64 " operator=%s",
 			 application->base + 1, call->principal.name.data);
-		reply_applied (application, application->base + 1);
+		reply_applied (application, application->base + 1, revision);
 		return;
 	}
 	if (outcome == DFF_ENTRY_RECORD_CONFLICT && !call->entry->closed) {
@@ -134,7 +133,7 @@
 	bool repeated =
 		generation == application->base + 1 && g_string_equal (application->text, recorded);
 	if (repeated)
-		reply_applied (application, generation);
+		reply_applied (application, generation, revision);
 	else if (generation != application->base)
 		reply_other_generation (application, generation);
 	else
--- a/include/daemon/pool_follower.h
+++ b/include/daemon/pool_follower.h
@@ -43,9 +43,17 @@
 /** Polls the table when it is time to. */
 void dff_pool_follower_tick (struct dff_pool_follower *follower);
 
-/** Takes a file in from a peer or an operator. Returns: whether it is now in force. */
+/**
+ * dff_pool_follower_offer:
+ * @revision: of the table's row that holds the file, which is then not read again; 0: not known
+ *
+ * Takes a file in from a peer or an operator.
+ *
+ * Returns: whether it is now in force.
+ */
 bool dff_pool_follower_offer (struct dff_pool_follower *follower,
 			      int64_t generation,
+			      int64_t revision,
 			      struct dff_str text);
 
 /** Returns: the generation in force, 0: none. */
--- a/include/entry/entry.h
+++ b/include/entry/entry.h
@@ -41,7 +41,10 @@
 	struct dff_cell *cell;
 	uint64_t seed;
 	/** An operator's PUT /v1/pool was committed: the daemon puts it in force here. */
-	void (*pool_committed) (void *ctx, int64_t generation, struct dff_str text);
+	void (*pool_committed) (void *ctx,
+				int64_t generation,
+				int64_t revision,
+				struct dff_str text);
 	void *ctx;
 };
 
--- a/include/peer/peer.h
+++ b/include/peer/peer.h
@@ -62,8 +62,12 @@
 struct dff_peer;
 
 struct dff_peer_callbacks {
-	/** A pool file newer than this process's; @text is the whole file. */
-	void (*pool_received) (void *ctx, int64_t generation, struct dff_str text);
+	/** A pool file newer than this process's; @text is the whole file, @revision that of its
+	 * row in the table, 0: not known. */
+	void (*pool_received) (void *ctx,
+			       int64_t generation,
+			       int64_t revision,
+			       struct dff_str text);
 	/** Rows changed by an entry, for the holder. */
 	void (*job_hint) (void *ctx, const struct dff_name *job);
 	/** A job somebody asked to watch has ended. */
@@ -118,8 +122,12 @@
 /** Tells the state that heartbeats carry. */
 void dff_peer_set_state (struct dff_peer *peer, bool ready, bool leaving, int64_t holder_epoch);
 
-/** Sets the pool in force here; it is offered to peers that are behind. @text is copied. */
-void dff_peer_set_pool (struct dff_peer *peer, int64_t generation, struct dff_str text);
+/** Sets the pool in force here; it is offered to peers that are behind, with the @revision of its
+ * row in the table, 0: not known. @text is copied. */
+void dff_peer_set_pool (struct dff_peer *peer,
+			int64_t generation,
+			int64_t revision,
+			struct dff_str text);
 
 /** Returns: elements: struct dff_member, self included, ordered by name; valid until the next call.
  */
--- a/include/pool/pool.h
+++ b/include/pool/pool.h
@@ -80,6 +80,8 @@
 struct dff_pool {
 	/** Count of accepted applications so far; 0 for a file that was never applied. */
 	int64_t generation;
+	/** Of the table's row that holds it; 0: not known. */
+	int64_t revision;
 	struct dff_weights weights;
 	GArray *teams;     /**< Elements: struct dff_team. */
 	GArray *services;  /**< Elements: struct dff_service. */
--- a/peer/message.h
+++ b/peer/message.h
@@ -54,6 +54,8 @@
 
 struct dff_pool_file {
 	int64_t generation;
+	/** Of the table's row; 0: not known. */
+	int64_t revision;
 	struct dff_str text;
 };
 
--- a/peer/message_decode.c
+++ b/peer/message_decode.c
@@ -80,9 +80,10 @@
 static bool
 decode_pool_file (const Dff__Peer__PoolFile *wire, struct dff_message *message)
 {
-	if (wire->generation <= 0)
+	if (wire->generation <= 0 || wire->revision < 0)
 		return false;
 	message->pool_file.generation = wire->generation;
+	message->pool_file.revision = wire->revision;
 	if (wire->deflated.len > 0)
 		return decode_deflated_pool_file (wire, message);
 	if (wire->text.len == 0)
--- a/peer/message_encode.c
+++ b/peer/message_encode.c
@@ -71,6 +71,7 @@
 {
 	Dff__Peer__PoolFile wire = DFF__PEER__POOL_FILE__INIT;
 	wire.generation = file->generation;
+	wire.revision = file->revision;
 	g_autoptr (GByteArray) deflated = dff_deflate (file->text);
 	wire.deflated.data = deflated->data;
 	wire.deflated.len = deflated->len;
--- a/peer/peer.c
+++ b/peer/peer.c
@@ -262,9 +262,9 @@
 }
 
 void
-dff_peer_set_pool (struct dff_peer *peer, int64_t generation, struct dff_str text)
+dff_peer_set_pool (struct dff_peer *peer, int64_t generation, int64_t revision, struct dff_str text)
 {
-	if (dff_pool_push_set (&peer->pool_push, generation, text))
+	if (dff_pool_push_set (&peer->pool_push, generation, revision, text))
 		dff_membership_set_generation (peer->membership, generation);
 }
 
--- a/peer/peer.pb-c.c
+++ b/peer/peer.pb-c.c
@@ -746,7 +746,7 @@
   (ProtobufCMessageInit) dff__peer__pool_request__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dff__peer__pool_file__field_descriptors[4] =
+static const ProtobufCFieldDescriptor dff__peer__pool_file__field_descriptors[5] =
 {
   {
     "generation",
@@ -796,17 +796,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "revision",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Dff__Peer__PoolFile, revision),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned dff__peer__pool_file__field_indices_by_name[] = {
   2,   /* field[2] = deflated */
   0,   /* field[0] = generation */
   3,   /* field[3] = length */
+  4,   /* field[4] = revision */
   1,   /* field[1] = text */
 };
 static const ProtobufCIntRange dff__peer__pool_file__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor dff__peer__pool_file__descriptor =
 {
@@ -816,7 +829,7 @@
   "Dff__Peer__PoolFile",
   "dff.peer",
   sizeof(Dff__Peer__PoolFile),
-  4,
+  5,
   dff__peer__pool_file__field_descriptors,
   dff__peer__pool_file__field_indices_by_name,
   1,  dff__peer__pool_file__number_ranges,
--- a/peer/peer.pb-c.h
+++ b/peer/peer.pb-c.h
@@ -105,10 +105,14 @@
    * Of the file as it is, in bytes.
    */
   uint32_t length;
+  /*
+   * Of the table's row that holds the file; 0: not known.
+   */
+  int64_t revision;
 };
 #define DFF__PEER__POOL_FILE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&dff__peer__pool_file__descriptor) \
-    , 0, {0,NULL}, {0,NULL}, 0 }
+    , 0, {0,NULL}, {0,NULL}, 0, 0 }
 
 
 struct  Dff__Peer__JobNotice
--- a/peer/pool_push.c
+++ b/peer/pool_push.c
@@ -20,7 +20,10 @@
 }
 
 bool
-dff_pool_push_set (struct dff_pool_push *push, int64_t generation, struct dff_str text)
+dff_pool_push_set (struct dff_pool_push *push,
+		   int64_t generation,
+		   int64_t revision,
+		   struct dff_str text)
 {
 	/* An older file may arrive late, or be read from a store that answers from the past.
 	 * Symptom: an accepted configuration reverts. */
@@ -28,6 +31,7 @@
 		return false;
 	dff_pool_push_clear (push);
 	push->generation = generation;
+	push->revision = revision;
 	push->text = g_bytes_new (text.data, text.len);
 	return true;
 }
@@ -72,6 +76,7 @@
 		return;
 	struct dff_message message = {.kind = DFF_MESSAGE_POOL_FILE};
 	message.pool_file.generation = push->generation;
+	message.pool_file.revision = push->revision;
 	message.pool_file.text.data = g_bytes_get_data (push->text, &message.pool_file.text.len);
 	dff_peer_send (peer, member, &message);
 }
@@ -83,7 +88,7 @@
 	if (file->generation <= push->generation)
 		return;
 	const struct dff_peer_callbacks *callbacks = &peer->options.callbacks;
-	callbacks->pool_received (callbacks->ctx, file->generation, file->text);
+	callbacks->pool_received (callbacks->ctx, file->generation, file->revision, file->text);
 	if (push->generation >= file->generation)
 		return;
 	/* This process cannot use the file (a newer program wrote it, say). It goes on saying that
--- a/peer/pool_push.h
+++ b/peer/pool_push.h
@@ -20,6 +20,7 @@
 struct dff_pool_push {
 	/** In force here; 0: none. */
 	int64_t generation;
+	int64_t revision;
 	GBytes *text;
 	/** Newest generation asked for, how often, and when to ask again. */
 	int64_t asked_generation;
@@ -31,7 +32,10 @@
 
 /** Takes over a generation put in force. Returns: false, and nothing changes, when it is not newer.
  */
-bool dff_pool_push_set (struct dff_pool_push *push, int64_t generation, struct dff_str text);
+bool dff_pool_push_set (struct dff_pool_push *push,
+			int64_t generation,
+			int64_t revision,
+			struct dff_str text);
 
 /** Asks for the newest generation that is known of when this process is behind. */
 void dff_pool_push_pursue (struct dff_peer *peer);
--- a/tests/daemon/test-pool-follower.c
+++ b/tests/daemon/test-pool-follower.c
@@ -147,6 +147,13 @@
 	dff_memory_close (operator);
 }
 
+static void
+take_revision (void *user, const struct dff_table_result *result)
+{
+	assert_int_equal (result->n_rows, 1);
+	*(int64_t *)user = result->rows[0].revision;
+}
+
 struct offer_case {
 	int64_t generation;
 	const char *text;
@@ -166,7 +173,7 @@
 		{0, POOL, false, 5}, {-1, POOL, false, 5}, {6, POOL, true, 6},
 	};
 	for (size_t i = 0; i < G_N_ELEMENTS (cases); i++) {
-		bool taken = dff_pool_follower_offer (fixture->follower, cases[i].generation,
+		bool taken = dff_pool_follower_offer (fixture->follower, cases[i].generation, 0,
 						      dff_str_from (cases[i].text));
 		assert_int_equal (taken, cases[i].taken);
 		assert_int_equal (dff_pool_follower_generation (fixture->follower),
@@ -178,6 +185,49 @@
 	assert_false (fixture->went_back);
 }
 
+/** The follower does not poll meanwhile. */
+static void
+let_be (void *user)
+{
+	(void)user;
+}
+
+static int64_t
+row_revision (struct fixture *fixture)
+{
+	int64_t revision = 0;
+	const struct dff_table *table = &fixture->site.caller->table;
+	struct dff_str key = dff_str_from (DFF_POOL_ROW_KEY);
+	table->get (table->ctx, &key, 1, take_revision, &revision);
+	memory_fixture_run (&fixture->site, POLL_MS / 4, let_be, NULL);
+	assert_true (revision > 0);
+	return revision;
+}
+
+/* Symptom: each process reads 58 KB of the table for each change of a large pool. Sequence: a peer
+ * brings the file, the next poll finds the row newer than the last that was read. Cause: the peer
+ * did not say which row it had brought. Here a row that is newer is still read, and so is the row
+ * of a file that could not be put in force. */
+static void
+test_a_brought_row_is_not_read_again (void **state)
+{
+	struct fixture *fixture = *state;
+	commit_pool (fixture, 4);
+	int64_t revision = row_revision (fixture);
+	assert_false (dff_pool_follower_offer (fixture->follower, 4, revision, dff_str_from ("{")));
+	run_for (fixture, 2 * POLL_MS);
+	assert_int_equal (fixture->rows_read, 1);
+	commit_pool (fixture, 5);
+	revision = row_revision (fixture);
+	assert_true (dff_pool_follower_offer (fixture->follower, 5, revision, dff_str_from (POOL)));
+	run_for (fixture, 5 * POLL_MS);
+	assert_int_equal (fixture->rows_read, 1);
+	commit_pool (fixture, 6);
+	run_for (fixture, 2 * POLL_MS);
+	assert_int_equal (fixture->rows_read, 2);
+	assert_int_equal (fixture->in_force, 6);
+}
+
 /* Symptom: a process keeps an old file for good. Sequence: the push of the new one is lost. Cause:
  * there was no other way for it to arrive. */
 static void
@@ -229,6 +279,8 @@
 main (void)
 {
 	const struct CMUnitTest tests[] = {
+		cmocka_unit_test_setup_teardown (test_a_brought_row_is_not_read_again, set_up,
+						 tear_down),
 		cmocka_unit_test_setup_teardown (test_never_goes_back, set_up, tear_down),
 		cmocka_unit_test_setup_teardown (test_polls_when_the_push_is_lost, set_up,
 						 tear_down),
--- a/tests/entry/harness.c
+++ b/tests/entry/harness.c
@@ -53,14 +53,15 @@
 	assert_non_null (pool);
 	pool->generation = generation;
 	dff_entry_set_pool (process->entry, pool, text);
-	dff_peer_set_pool (process->peer, generation, text);
+	dff_peer_set_pool (process->peer, generation, 0, text);
 	g_clear_pointer (&process->pool, dff_pool_free);
 	process->pool = pool;
 }
 
 static void
-pool_committed (void *ctx, int64_t generation, struct dff_str text)
+pool_committed (void *ctx, int64_t generation, int64_t revision, struct dff_str text)
 {
+	(void)revision;
 	apply_pool (ctx, generation, text);
 }
 
--- a/tests/peer/fake_transport.c
+++ b/tests/peer/fake_transport.c
@@ -65,14 +65,15 @@
 }
 
 static void
-pool_received (void *ctx, int64_t generation, struct dff_str text)
+pool_received (void *ctx, int64_t generation, int64_t revision, struct dff_str text)
 {
 	struct fake_node *node = ctx;
 	g_assert (text.len > 0);
 	if (generation <= node->generation)
 		node->generation_went_back = true;
 	node->generation = generation;
-	dff_peer_set_pool (node->peer, generation, text);
+	node->pool_revision = revision;
+	dff_peer_set_pool (node->peer, generation, revision, text);
 }
 
 static void
@@ -228,7 +229,7 @@
 {
 	g_autofree char *text = g_strdup_printf ("pool %" G_GINT64_FORMAT, generation);
 	node->generation = generation;
-	dff_peer_set_pool (node->peer, generation, dff_str_from (text));
+	dff_peer_set_pool (node->peer, generation, generation * 10, dff_str_from (text));
 }
 
 void
--- a/tests/peer/fake_transport.h
+++ b/tests/peer/fake_transport.h
@@ -23,6 +23,8 @@
 	bool paused;
 	/** Generation in force, as told by pool_received or fake_node_apply(). */
 	int64_t generation;
+	/** As told by pool_received; fake_node_apply() takes ten times the generation. */
+	int64_t pool_revision;
 	bool generation_went_back;
 	int64_t members_changed;
 	int64_t hints;
--- a/tests/peer/test-message.c
+++ b/tests/peer/test-message.c
@@ -118,6 +118,12 @@
 	message->pool_file.generation = 0;
 }
 
+static void
+bad_revision (struct dff_message *message)
+{
+	message->pool_file.revision = -1;
+}
+
 static void
 empty_file (struct dff_message *message)
 {
@@ -164,6 +170,7 @@
 		{"byte that no name has", DFF_MESSAGE_JOB_WATCH, bad_byte},
 		{"unknown outcome", DFF_MESSAGE_JOB_ENDED, bad_outcome},
 		{"generation 0", DFF_MESSAGE_POOL_FILE, bad_generation},
+		{"negative revision", DFF_MESSAGE_POOL_FILE, bad_revision},
 		{"empty pool file", DFF_MESSAGE_POOL_FILE, empty_file},
 		{"negative epoch", DFF_MESSAGE_GRANTS, bad_epoch},
 		{"negative age", DFF_MESSAGE_GRANTS, bad_age},
--- a/tests/peer/test-peer.c
+++ b/tests/peer/test-peer.c
@@ -74,8 +74,10 @@
 	DFF_AUTO (fake_network) network = started (9);
 	fake_node_apply (&network->nodes[3], 7);
 	fake_network_run (network, 300);
-	for (int32_t i = 0; i < 9; i++)
+	for (int32_t i = 0; i < 9; i++) {
 		assert_int_equal (network->nodes[i].generation, 7);
+		assert_int_equal (network->nodes[i].pool_revision, i == 3 ? 0 : 70);
+	}
 }
 
 static void
