--- a/cell/retention_attempts.c
+++ b/cell/retention_attempts.c
@@ -18,6 +18,9 @@
 #define DELETE_GIVE_UP_MS 5000
 /** Rows in a row that are too young before a sweep stops. */
 #define YOUNG_MAX 64
+/** Rows read at once: a sweep that finds nothing reads one page, and stays within the bytes that a
+ * process may spend on control. */
+#define PAGE_ROWS YOUNG_MAX
 
 struct expired {
 	struct dff_name hash;
@@ -117,8 +120,8 @@
 	g_array_set_size (attempts->expired, 0);
 	attempts->next = 0;
 	attempts->n_waiting += 1;
-	table->scan (table->ctx, dff_str_from (PREFIX), attempts->cursor, DFF_CELL_PAGE_ROWS,
-		     on_page, dff_cell_call_begin (cell, DFF_CELL_CALL_SCAN));
+	table->scan (table->ctx, dff_str_from (PREFIX), attempts->cursor, PAGE_ROWS, on_page,
+		     dff_cell_call_begin (cell, DFF_CELL_CALL_SCAN));
 }
 
 static void
