cell: what the core counts stands in the metrics

Found by reading the issues once more against /metrics. Change: five counters and three gauges, looked at once a second; counters add what is new, as a core begins at zero with each take-over. Conclusion: the alarms of the core can be watched without asking the holder.

--- a/cell/cell.c
+++ b/cell/cell.c
@@ -109,6 +109,7 @@
 	dff_cell_retention_init (cell);
 	dff_cell_attempts_init (cell);
 	open_metrics (cell, options->metrics);
+	dff_cell_core_metrics_init (cell, options->metrics);
 	open_lease (cell);
 	return cell;
 }
@@ -142,8 +143,10 @@
 	g_sequence_remove_range (g_sequence_get_begin_iter (cell->agenda),
 				 g_sequence_get_end_iter (cell->agenda));
 	memset (cell->ended, 0, sizeof (cell->ended));
-	if (cell->core != NULL)
-		dff_core_free (cell->core);
+	if (cell->core == NULL)
+		return;
+	dff_cell_core_metrics_end (cell);
+	dff_core_free (cell->core);
 	cell->core = NULL;
 }
 
@@ -305,6 +308,7 @@
 	dff_cell_agenda_run (cell);
 	dff_cell_retention_tick (cell);
 	dff_cell_attempts_tick (cell);
+	dff_cell_core_metrics_tick (cell);
 }
 
 void
--- a/cell/cell_private.h
+++ b/cell/cell_private.h
@@ -217,6 +217,21 @@
 	int64_t *attempts_expired;
 };
 
+/** What the core counts, as published. */
+struct dff_cell_core_metrics {
+	int64_t *reclaims;
+	int64_t *preemptions;
+	int64_t *moves;
+	int64_t *start_failures;
+	int64_t *retries;
+	int64_t *quarantined;
+	int64_t *guarantees_missing;
+	int64_t *fragmentation;
+	/** Of the core at the last look. */
+	struct dff_core_stats seen;
+	int64_t due_ms;
+};
+
 struct dff_cell {
 	struct dff_cell_options options;
 	struct dff_lease *lease;
@@ -258,8 +273,19 @@
 	/** Rows that were found or became ended and are still there, by outcome. */
 	int64_t ended[DFF_OUTCOME_UNKNOWN + 1];
 	struct dff_cell_metrics metrics;
+	struct dff_cell_core_metrics core_metrics;
 };
 
+/* core_metrics.c */
+
+void dff_cell_core_metrics_init (struct dff_cell *cell, struct dff_metrics *metrics);
+
+/** Publishes the core's counts once a second. The cell has a core. */
+void dff_cell_core_metrics_tick (struct dff_cell *cell);
+
+/** Publishes the last counts of a core that is about to go; what describes now goes to zero. */
+void dff_cell_core_metrics_end (struct dff_cell *cell);
+
 /* cell.c */
 
 int64_t dff_cell_now_ms (const struct dff_cell *cell);
--- a/tests/cell/test-cell.c
+++ b/tests/cell/test-cell.c
@@ -208,6 +208,34 @@
 	harness_clear (&harness);
 }
 
+/* Symptom: nobody sees that workers are set aside or attempts repeated unless they ask the holder's
+ * status, and a counter goes back at a take-over. Sequence: a worker's task fails, the job is tried
+ * again; the holder dies and the process takes the cell anew. Cause: the core's counts began at
+ * zero with each core and stood in no metric. */
+static void
+test_counts_of_the_core_are_published (void **state)
+{
+	(void)state;
+	struct harness harness;
+	begin (&harness, 14);
+	const int64_t *retries =
+		dff_metrics_counter (harness.metrics, "dff_core_retries_total", "");
+	harness_run (&harness, 2000);
+	assert_int_equal (*retries, 0);
+	int job = harness_submit (&harness, 1, true);
+	harness_run (&harness, 300);
+	for (int i = 0; i < HARNESS_WORKERS; i++)
+		fake_worker_restart (&harness.fleet.workers[i]);
+	assert_int_equal (harness_run_job (&harness, job, JOB_LIMIT_MS), DFF_OUTCOME_COMPLETED);
+	harness_run (&harness, 1500);
+	int64_t before = *retries;
+	assert_in_range (before, 1, 5);
+	dff_cell_drain (harness.processes[harness_holder (&harness)].cell);
+	harness_run (&harness, 10000);
+	assert_int_equal (*retries, before);
+	harness_clear (&harness);
+}
+
 static gint
 compare_ms (gconstpointer a, gconstpointer b)
 {
@@ -290,6 +318,7 @@
 		cmocka_unit_test (test_tasks_outlive_a_store_outage),
 		cmocka_unit_test (test_drain_hands_over_without_a_wait),
 		cmocka_unit_test (test_batch_without_progress_is_reported),
+		cmocka_unit_test (test_counts_of_the_core_are_published),
 		cmocka_unit_test (test_take_over_time_follows_the_lease),
 		cmocka_unit_test (test_write_of_a_former_holder_comes_too_late),
 	};
