bench: slopes makes the directory that it writes to

Change: the directory is made; where that fails, one line says so and the exit status is 1. Before, it ended with SIGTRAP.

--- a/bench/slopes/slopes.c
+++ b/bench/slopes/slopes.c
@@ -4,6 +4,7 @@
 #include <math.h>
 #include <stdbool.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 #include <time.h>
 
@@ -167,13 +168,20 @@
 	return fit;
 }
 
+/** Of a directory that the program makes. */
+#define DIRECTORY_MODE 0755
+
 static FILE *
 open_file (const char *directory, const char *name)
 {
 	g_autofree char *path = g_build_filename (directory, name, NULL);
-	FILE *file = fopen (path, "we");
-	if (file == NULL)
-		g_error ("%s: cannot be written", path);
+	FILE *file = NULL;
+	if (g_mkdir_with_parents (directory, DIRECTORY_MODE) == 0)
+		file = fopen (path, "we");
+	if (file == NULL) {
+		fprintf (stderr, "slopes: %s: cannot be written\n", path);
+		exit (EXIT_FAILURE);
+	}
 	return file;
 }
 
