backing: the services' interfaces leave the name platform/

Cause: platform/ is to hold the adapter to the users' platform alone; today it held the product's own interfaces to a table, an object store and an instance list, with their in-memory and HTTP forms. Conclusion: no behaviour changes.

--- a/platform/http_instance_list.c
+++ b/backing/http_instance_list.c
@@ -1,6 +1,6 @@
+#include "backing/http_service.h"
+#include "backing/instance_wire.h"
 #include "common/log.h"
-#include "platform/http_service.h"
-#include "platform/instance_wire.h"
 
 #define INSTANCES_PATH "/v1/instances"
 
--- a/platform/http_object_store.c
+++ b/backing/http_object_store.c
@@ -1,4 +1,4 @@
-#include "platform/http_service.h"
+#include "backing/http_service.h"
 
 #define OBJECTS_PATH "/v1/objects/"
 
--- a/platform/http_service.c
+++ b/backing/http_service.c
@@ -1,4 +1,4 @@
-#include "platform/http_service.h"
+#include "backing/http_service.h"
 
 #include <stdlib.h>
 #include <string.h>
--- a/platform/http_service.h
+++ b/backing/http_service.h
@@ -1,9 +1,9 @@
-#ifndef DFF_PLATFORM_HTTP_SERVICE_H
-#define DFF_PLATFORM_HTTP_SERVICE_H
+#ifndef DFF_BACKING_HTTP_SERVICE_H
+#define DFF_BACKING_HTTP_SERVICE_H
 
 #include <jansson.h>
 
-#include "platform/http.h"
+#include "backing/http.h"
 
 /* What the three HTTP services of the platform share: sending a call and keeping track of it. */
 
--- a/platform/http_table.c
+++ b/backing/http_table.c
@@ -1,6 +1,6 @@
+#include "backing/http_service.h"
+#include "backing/table_wire.h"
 #include "common/log.h"
-#include "platform/http_service.h"
-#include "platform/table_wire.h"
 
 struct dff_http_table {
 	struct dff_http_service service;
--- a/platform/instance_watch.c
+++ b/backing/instance_watch.c
@@ -1,4 +1,4 @@
-#include "platform/instance_watch.h"
+#include "backing/instance_watch.h"
 
 #include <glib.h>
 #include <string.h>
--- a/platform/instance_wire.c
+++ b/backing/instance_wire.c
@@ -1,8 +1,8 @@
-#include "platform/instance_wire.h"
+#include "backing/instance_wire.h"
 
 #include <string.h>
 
-#include "platform/table_wire.h"
+#include "backing/table_wire.h"
 
 static const char *const role_names[] = {
 	[DFF_INSTANCE_WORKER] = "worker",
--- a/platform/instance_wire.h
+++ b/backing/instance_wire.h
@@ -1,12 +1,12 @@
-#ifndef DFF_PLATFORM_INSTANCE_WIRE_H
-#define DFF_PLATFORM_INSTANCE_WIRE_H
+#ifndef DFF_BACKING_INSTANCE_WIRE_H
+#define DFF_BACKING_INSTANCE_WIRE_H
 
 #include <jansson.h>
 #include <stdbool.h>
 
-#include "platform/instance_list.h"
+#include "backing/instance_list.h"
 
-/* Instances as JSON, docs/PLATFORM.md; shared by the client and the stand-in. */
+/* Instances as JSON, docs/BACKING.md; shared by the client and the stand-in. */
 
 json_t *dff_instance_wire_to_json (const struct dff_instance *instance);
 
--- a/platform/memory.c
+++ b/backing/memory.c
@@ -1,9 +1,9 @@
-#include "platform/memory.h"
+#include "backing/memory.h"
 
-#include "platform/memory_call.h"
-#include "platform/memory_instances.h"
-#include "platform/memory_store.h"
-#include "platform/table_txn.h"
+#include "backing/memory_call.h"
+#include "backing/memory_instances.h"
+#include "backing/memory_store.h"
+#include "backing/table_txn.h"
 
 enum event_phase {
 	DFF_EVENT_EFFECT,
--- a/platform/memory_call.c
+++ b/backing/memory_call.c
@@ -1,6 +1,6 @@
-#include "platform/memory_call.h"
+#include "backing/memory_call.h"
 
-#include "platform/table_txn.h"
+#include "backing/table_txn.h"
 
 static void
 row_destroy (gpointer row)
--- a/platform/memory_call.h
+++ b/backing/memory_call.h
@@ -1,8 +1,8 @@
-#ifndef DFF_PLATFORM_MEMORY_CALL_H
-#define DFF_PLATFORM_MEMORY_CALL_H
+#ifndef DFF_BACKING_MEMORY_CALL_H
+#define DFF_BACKING_MEMORY_CALL_H
 
-#include "platform/memory_instances.h"
-#include "platform/memory_store.h"
+#include "backing/memory_instances.h"
+#include "backing/memory_store.h"
 
 /* Calls to the in-memory platform that are on their way: arguments, effect, answer. */
 
--- a/platform/memory_instances.c
+++ b/backing/memory_instances.c
@@ -1,4 +1,4 @@
-#include "platform/memory_instances.h"
+#include "backing/memory_instances.h"
 
 #include <string.h>
 
--- a/platform/memory_instances.h
+++ b/backing/memory_instances.h
@@ -1,9 +1,9 @@
-#ifndef DFF_PLATFORM_MEMORY_INSTANCES_H
-#define DFF_PLATFORM_MEMORY_INSTANCES_H
+#ifndef DFF_BACKING_MEMORY_INSTANCES_H
+#define DFF_BACKING_MEMORY_INSTANCES_H
 
 #include <glib.h>
 
-#include "platform/instance_list.h"
+#include "backing/instance_list.h"
 
 /* The in-memory instance list: changes become visible after a lag, instances expire. */
 
--- a/platform/memory_store.c
+++ b/backing/memory_store.c
@@ -1,4 +1,4 @@
-#include "platform/memory_store.h"
+#include "backing/memory_store.h"
 
 #include <string.h>
 
--- a/platform/memory_store.h
+++ b/backing/memory_store.h
@@ -1,11 +1,11 @@
-#ifndef DFF_PLATFORM_MEMORY_STORE_H
-#define DFF_PLATFORM_MEMORY_STORE_H
+#ifndef DFF_BACKING_MEMORY_STORE_H
+#define DFF_BACKING_MEMORY_STORE_H
 
 #include <glib.h>
 
-#include "platform/memory.h"
-#include "platform/object_store.h"
-#include "platform/table.h"
+#include "backing/memory.h"
+#include "backing/object_store.h"
+#include "backing/table.h"
 
 /* The data of the in-memory platform: rows, write ids and objects. Every call takes effect at once;
  * delay and faults are added by memory.c. */
--- a/platform/table_txn.c
+++ b/backing/table_txn.c
@@ -1,4 +1,4 @@
-#include "platform/table_txn.h"
+#include "backing/table_txn.h"
 
 #include <string.h>
 
--- a/platform/table_txn.h
+++ b/backing/table_txn.h
@@ -1,8 +1,8 @@
-#ifndef DFF_PLATFORM_TABLE_TXN_H
-#define DFF_PLATFORM_TABLE_TXN_H
+#ifndef DFF_BACKING_TABLE_TXN_H
+#define DFF_BACKING_TABLE_TXN_H
 
+#include "backing/table.h"
 #include "common/cleanup.h"
-#include "platform/table.h"
 
 /* Copies of transactions, for those that keep one past the call. */
 
--- a/platform/table_wire.c
+++ b/backing/table_wire.c
@@ -1,4 +1,4 @@
-#include "platform/table_wire.h"
+#include "backing/table_wire.h"
 
 struct dff_str
 dff_wire_str (const json_t *value)
--- a/platform/table_wire.h
+++ b/backing/table_wire.h
@@ -1,13 +1,13 @@
-#ifndef DFF_PLATFORM_TABLE_WIRE_H
-#define DFF_PLATFORM_TABLE_WIRE_H
+#ifndef DFF_BACKING_TABLE_WIRE_H
+#define DFF_BACKING_TABLE_WIRE_H
 
 #include <glib.h>
 #include <jansson.h>
 #include <stdbool.h>
 
-#include "platform/table.h"
+#include "backing/table.h"
 
-/* The table's calls and answers as JSON, docs/PLATFORM.md; shared by the client and the stand-in.
+/* The table's calls and answers as JSON, docs/BACKING.md; shared by the client and the stand-in.
  * Keys and values are UTF-8 text. */
 
 /** Borrows a JSON string's bytes; data NULL when @value is none. */
--- a/bench/slopes/recovery.c
+++ b/bench/slopes/recovery.c
@@ -1,8 +1,8 @@
+#include "backing/memory.h"
 #include "bench/slopes/core_load.h"
 #include "bench/slopes/slopes.h"
 #include "cell/cell.h"
 #include "cell/job_row.h"
-#include "platform/memory.h"
 #include "standin/memory_workers.h"
 
 /* A take-over against the jobs on record: time under a virtual clock, with a store whose calls take
--- a/bench/slopes/site.h
+++ b/bench/slopes/site.h
@@ -5,10 +5,10 @@
 #include <glib.h>
 #include <stdbool.h>
 
+#include "backing/memory.h"
 #include "bench/slopes/relay.h"
 #include "common/cleanup.h"
 #include "common/http_client.h"
-#include "platform/memory.h"
 
 /*
  * A whole site in one process and on one loop: the stand-in platform behind a counting relay,
--- a/bench/slopes/watching.c
+++ b/bench/slopes/watching.c
@@ -1,12 +1,12 @@
 #include <event2/event.h>
 #include <string.h>
 
+#include "backing/memory.h"
 #include "bench/slopes/relay.h"
 #include "bench/slopes/slopes.h"
 #include "common/event_loop.h"
 #include "peer/message.h"
 #include "peer/watch_share.h"
-#include "platform/memory.h"
 #include "standin/worker_server.h"
 #include "upstream/http_worker.h"
 #include "upstream/watcher.h"
--- a/bench/store-writes.c
+++ b/bench/store-writes.c
@@ -2,7 +2,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 
-#include "platform/memory.h"
+#include "backing/memory.h"
 #include "record/recorder.h"
 
 /* What group commit saves: jobs are accepted through the recorder into the in-memory table, whose
--- a/cell/lease.h
+++ b/cell/lease.h
@@ -4,11 +4,11 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "backing/table.h"
 #include "common/cleanup.h"
 #include "common/clock.h"
 #include "common/metrics.h"
 #include "common/str.h"
-#include "platform/table.h"
 
 /*
  * The lease of a cell: two rows, "cell/REGION/lease" {instance, counter} and "cell/REGION/epoch"
--- a/cell/lease_rows.h
+++ b/cell/lease_rows.h
@@ -5,8 +5,8 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "backing/table.h"
 #include "common/str.h"
-#include "platform/table.h"
 
 /** The rows of a cell's lease as read last, or as written since. */
 struct dff_lease_rows {
--- a/daemon/daemon_private.h
+++ b/daemon/daemon_private.h
@@ -4,6 +4,8 @@
 #include <event2/event.h>
 #include <stdio.h>
 
+#include "backing/http.h"
+#include "backing/instance_watch.h"
 #include "cell/cell.h"
 #include "common/clock.h"
 #include "common/http_client.h"
@@ -14,8 +16,6 @@
 #include "entry/entry.h"
 #include "peer/peer.h"
 #include "peer/zmq_transport.h"
-#include "platform/http.h"
-#include "platform/instance_watch.h"
 #include "record/recorder.h"
 #include "upstream/http_worker.h"
 #include "upstream/watcher.h"
--- a/entry/answer.c
+++ b/entry/answer.c
@@ -7,7 +7,7 @@
 #include "entry/private.h"
 
 #define PROBLEM_TYPE "application/problem+json"
-/** Workers answer in JSON (docs/PLATFORM.md). */
+/** Workers answer in JSON (docs/BACKING.md). */
 #define ANSWER_TYPE "application/json"
 
 struct dff_answer *
--- a/entry/request.h
+++ b/entry/request.h
@@ -4,10 +4,10 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "backing/instance_list.h"
 #include "common/cleanup.h"
 #include "common/str.h"
 #include "peer/peer.h"
-#include "platform/instance_list.h"
 
 /* Short requests: from the caller to a worker and back. */
 
--- a/entry/slots.h
+++ b/entry/slots.h
@@ -5,10 +5,10 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "backing/instance_list.h"
 #include "common/cleanup.h"
 #include "common/str.h"
 #include "peer/peer.h"
-#include "platform/instance_list.h"
 
 /*
  * Workers that short requests may be sent to, and the slots that this process was granted at each.
--- a/include/platform/http.h
+++ b/include/backing/http.h
@@ -1,16 +1,16 @@
-#ifndef DFF_PLATFORM_HTTP_H
-#define DFF_PLATFORM_HTTP_H
+#ifndef DFF_BACKING_HTTP_H
+#define DFF_BACKING_HTTP_H
 
 #include <glib.h>
 
+#include "backing/instance_list.h"
+#include "backing/object_store.h"
+#include "backing/table.h"
 #include "common/cleanup.h"
 #include "common/http_client.h"
-#include "platform/instance_list.h"
-#include "platform/object_store.h"
-#include "platform/table.h"
 
 /*
- * The platform over HTTP and JSON, as docs/PLATFORM.md describes it. A call that gets no answer
+ * The platform over HTTP and JSON, as docs/BACKING.md describes it. A call that gets no answer
  * within its timeout ends, and the connection it was on is not used again, so that a connection
  * that has gone silent is noticed within @timeout_ms of the next call on it and replaced.
  */
--- a/include/platform/instance_list.h
+++ b/include/backing/instance_list.h
@@ -1,5 +1,5 @@
-#ifndef DFF_PLATFORM_INSTANCE_LIST_H
-#define DFF_PLATFORM_INSTANCE_LIST_H
+#ifndef DFF_BACKING_INSTANCE_LIST_H
+#define DFF_BACKING_INSTANCE_LIST_H
 
 #include <stdbool.h>
 #include <stddef.h>
--- a/include/platform/instance_watch.h
+++ b/include/backing/instance_watch.h
@@ -1,13 +1,13 @@
-#ifndef DFF_PLATFORM_INSTANCE_WATCH_H
-#define DFF_PLATFORM_INSTANCE_WATCH_H
+#ifndef DFF_BACKING_INSTANCE_WATCH_H
+#define DFF_BACKING_INSTANCE_WATCH_H
 
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "backing/instance_list.h"
 #include "common/cleanup.h"
 #include "common/clock.h"
 #include "common/metrics.h"
-#include "platform/instance_list.h"
 
 /*
  * Follows the platform's instance list: polls it with jitter, keeps the last good list while it
--- a/include/platform/memory.h
+++ b/include/backing/memory.h
@@ -1,15 +1,15 @@
-#ifndef DFF_PLATFORM_MEMORY_H
-#define DFF_PLATFORM_MEMORY_H
+#ifndef DFF_BACKING_MEMORY_H
+#define DFF_BACKING_MEMORY_H
 
 #include <glib.h>
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "backing/instance_list.h"
+#include "backing/object_store.h"
+#include "backing/table.h"
 #include "common/cleanup.h"
 #include "common/clock.h"
-#include "platform/instance_list.h"
-#include "platform/object_store.h"
-#include "platform/table.h"
 
 /*
  * Table, object store and instance list in memory, with scripted faults, for tests and for the
--- a/include/platform/table.h
+++ b/include/backing/table.h
@@ -1,5 +1,5 @@
-#ifndef DFF_PLATFORM_TABLE_H
-#define DFF_PLATFORM_TABLE_H
+#ifndef DFF_BACKING_TABLE_H
+#define DFF_BACKING_TABLE_H
 
 #include <glib.h>
 #include <stdbool.h>
@@ -10,7 +10,7 @@
 /*
  * The platform's transactional table: rows of bytes under keys, each with the revision of its last
  * write. Every call is asynchronous and ends in exactly one callback, which may run before the call
- * returns. docs/PLATFORM.md states what is expected of it.
+ * returns. docs/BACKING.md states what is expected of it.
  */
 
 enum dff_table_outcome {
--- a/include/cell/cell.h
+++ b/include/cell/cell.h
@@ -5,13 +5,13 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "backing/instance_list.h"
+#include "backing/table.h"
 #include "common/cleanup.h"
 #include "common/clock.h"
 #include "common/metrics.h"
 #include "common/trace.h"
 #include "core/core.h"
-#include "platform/instance_list.h"
-#include "platform/table.h"
 #include "record/recorder.h"
 #include "upstream/worker_client.h"
 
--- a/include/daemon/pool_follower.h
+++ b/include/daemon/pool_follower.h
@@ -5,10 +5,10 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "backing/table.h"
 #include "common/cleanup.h"
 #include "common/clock.h"
 #include "common/metrics.h"
-#include "platform/table.h"
 #include "pool/pool.h"
 
 /*
--- a/include/entry/entry.h
+++ b/include/entry/entry.h
@@ -5,6 +5,9 @@
 #include <glib.h>
 #include <stdbool.h>
 
+#include "backing/instance_list.h"
+#include "backing/object_store.h"
+#include "backing/table.h"
 #include "cell/cell.h"
 #include "common/cleanup.h"
 #include "common/clock.h"
@@ -12,9 +15,6 @@
 #include "common/trace.h"
 #include "daemon/settings.h"
 #include "peer/peer.h"
-#include "platform/instance_list.h"
-#include "platform/object_store.h"
-#include "platform/table.h"
 #include "pool/pool.h"
 #include "record/recorder.h"
 #include "upstream/worker_client.h"
--- a/include/peer/peer.h
+++ b/include/peer/peer.h
@@ -5,11 +5,11 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "backing/instance_list.h"
 #include "cell/cell.h"
 #include "common/cleanup.h"
 #include "common/clock.h"
 #include "common/metrics.h"
-#include "platform/instance_list.h"
 
 /*
  * The system's processes among themselves: heartbeats and membership with suspicion before removal,
--- a/include/record/recorder.h
+++ b/include/record/recorder.h
@@ -5,10 +5,10 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "backing/table.h"
 #include "common/cleanup.h"
 #include "common/clock.h"
 #include "common/metrics.h"
-#include "platform/table.h"
 
 /*
  * Durable writes to the table: group commit, a budget of transactions a second, a circuit breaker
--- a/include/standin/worker.h
+++ b/include/standin/worker.h
@@ -5,9 +5,9 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "backing/object_store.h"
 #include "common/cleanup.h"
 #include "common/clock.h"
-#include "platform/object_store.h"
 #include "standin/run_log.h"
 #include "standin/worker_tasks.h"
 #include "upstream/worker_wire.h"
--- a/include/standin/worker_objects.h
+++ b/include/standin/worker_objects.h
@@ -5,13 +5,13 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "backing/object_store.h"
 #include "common/cleanup.h"
 #include "common/clock.h"
-#include "platform/object_store.h"
 #include "standin/worker_tasks.h"
 
 /*
- * Results and checkpoints of a stand-in worker in the object store, docs/PLATFORM.md. An object is
+ * Results and checkpoints of a stand-in worker in the object store, docs/BACKING.md. An object is
  * never written twice with different bytes. While the store is down, writes are tried again.
  *
  * Result: chunks "JOB:ATTEMPT:MEMBER/N", then the manifest "JOB:ATTEMPT:MEMBER". Checkpoint N of an
--- a/include/standin/worker_server.h
+++ b/include/standin/worker_server.h
@@ -9,7 +9,7 @@
 #include "standin/worker.h"
 
 /*
- * HTTP towards a stand-in worker: the paths of docs/PLATFORM.md, and POST /admin/faults
+ * HTTP towards a stand-in worker: the paths of docs/BACKING.md, and POST /admin/faults
  * {"silent": bool, "silence_open": bool, "slow_ms": N, "fail_everything": bool, "lose_answers": N,
  * "die": bool}, which replaces all faults; an absent key is false or 0.
  */
--- a/include/standin/worker_tasks.h
+++ b/include/standin/worker_tasks.h
@@ -12,7 +12,7 @@
 #include "upstream/worker_wire.h"
 
 /* The tasks of one stand-in worker as a state machine under a clock: what a worker must do
- * (docs/PLATFORM.md) without sockets, so that tests use the same in memory. */
+ * (docs/BACKING.md) without sockets, so that tests use the same in memory. */
 
 struct dff_worker_tasks;
 
--- a/include/upstream/http_worker.h
+++ b/include/upstream/http_worker.h
@@ -8,7 +8,7 @@
 #include "common/metrics.h"
 #include "upstream/worker_client.h"
 
-/* Workers met over HTTP and JSON (docs/PLATFORM.md, "Worker"). */
+/* Workers met over HTTP and JSON (docs/BACKING.md, "Worker"). */
 
 struct dff_http_worker;
 
--- a/include/upstream/worker_client.h
+++ b/include/upstream/worker_client.h
@@ -9,7 +9,7 @@
 
 /*
  * The conversation with workers, behind callbacks so that tests and other platforms can take its
- * place. Asynchronous: each call ends in exactly one callback. docs/PLATFORM.md states what is
+ * place. Asynchronous: each call ends in exactly one callback. docs/BACKING.md states what is
  * expected of a worker: a repeated start of the same (job, attempt, member) is the same start; a
  * stop of a task that was never seen leaves a tombstone that refuses its start from then on; a task
  * whose lease is not renewed in time is stopped by the worker itself; a held task does not run.
--- a/include/upstream/worker_wire.h
+++ b/include/upstream/worker_wire.h
@@ -8,7 +8,7 @@
 #include "common/cleanup.h"
 #include "upstream/worker_client.h"
 
-/* The JSON bodies of the conversation with workers, both ways, as docs/PLATFORM.md states them. */
+/* The JSON bodies of the conversation with workers, both ways, as docs/BACKING.md states them. */
 
 #define DFF_WORKER_PATH_START "/v1/tasks/start"
 #define DFF_WORKER_PATH_RELEASE "/v1/tasks/release"
--- a/record/group.c
+++ b/record/group.c
@@ -1,6 +1,6 @@
 #include "record/group.h"
 
-#include "platform/table_txn.h"
+#include "backing/table_txn.h"
 
 static size_t
 count_bytes (const struct dff_table_txn *txn)
--- a/record/key_locks.h
+++ b/record/key_locks.h
@@ -4,7 +4,7 @@
 #include <glib.h>
 #include <stdbool.h>
 
-#include "platform/table.h"
+#include "backing/table.h"
 
 /*
  * Which keys are read (by a condition) and written by transactions. Two writes to one key must not
--- a/standin/platform_faults.h
+++ b/standin/platform_faults.h
@@ -4,7 +4,7 @@
 #include <jansson.h>
 #include <stdbool.h>
 
-#include "platform/memory.h"
+#include "backing/memory.h"
 
 /* Faults and counters of the stand-in platform as JSON. */
 
--- a/standin/platform_handlers.c
+++ b/standin/platform_handlers.c
@@ -6,10 +6,10 @@
 #include <string.h>
 #include <sys/socket.h>
 
+#include "backing/instance_wire.h"
+#include "backing/table_wire.h"
 #include "common/digest.h"
 #include "common/log.h"
-#include "platform/instance_wire.h"
-#include "platform/table_wire.h"
 #include "standin/platform_faults.h"
 
 #define OBJECTS_PATH "/v1/objects/"
--- a/standin/platform_handlers.h
+++ b/standin/platform_handlers.h
@@ -5,7 +5,7 @@
 #include <jansson.h>
 #include <stdbool.h>
 
-#include "platform/memory.h"
+#include "backing/memory.h"
 #include "standin/platform_server.h"
 
 /* The requests that the stand-in platform answers. */
--- a/standin/platform_server.h
+++ b/standin/platform_server.h
@@ -10,7 +10,7 @@
 #include "common/str.h"
 
 /* The stand-in platform: the in-memory table, object store and instance list over HTTP and JSON, as
- * docs/PLATFORM.md describes it, with faults injected by POST /admin/faults. */
+ * docs/BACKING.md describes it, with faults injected by POST /admin/faults. */
 
 struct dff_platform_server;
 
--- a/standin/worker_main.c
+++ b/standin/worker_main.c
@@ -1,4 +1,4 @@
-/* dragonflyfold-standin-worker: a worker for demos and tests, as docs/PLATFORM.md describes it. */
+/* dragonflyfold-standin-worker: a worker for demos and tests, as docs/BACKING.md describes it. */
 
 #include <event2/event.h>
 #include <getopt.h>
@@ -7,10 +7,10 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "backing/http.h"
 #include "common/event_loop.h"
 #include "common/http_client.h"
 #include "common/log.h"
-#include "platform/http.h"
 #include "standin/worker_server.h"
 
 #define ANNOUNCE_INTERVAL_MS 1000
--- a/tests/platform/memory_fixture.h
+++ b/tests/backing/memory_fixture.h
@@ -1,8 +1,8 @@
 #ifndef DFF_TESTS_PLATFORM_MEMORY_FIXTURE_H
 #define DFF_TESTS_PLATFORM_MEMORY_FIXTURE_H
 
+#include "backing/memory.h"
 #include "common/metrics.h"
-#include "platform/memory.h"
 
 /* The platform in memory and one caller of it, under a virtual clock. */
 
--- a/tests/platform/test-http-platform.c
+++ b/tests/backing/test-http-platform.c
@@ -7,7 +7,7 @@
 #include <signal.h>
 #include <string.h>
 
-#include "platform/http.h"
+#include "backing/http.h"
 #include "standin/platform_server.h"
 
 /* The clients of the platform against the stand-in, both in this process on loopback. */
--- a/tests/platform/test-instance-watch.c
+++ b/tests/backing/test-instance-watch.c
@@ -5,8 +5,8 @@
 
 #include <cmocka.h>
 
+#include "backing/instance_watch.h"
 #include "memory_fixture.h"
-#include "platform/instance_watch.h"
 
 #define POLL_MS 1000L
 
--- a/tests/platform/test-memory.c
+++ b/tests/backing/test-memory.c
@@ -6,7 +6,7 @@
 #include <cmocka.h>
 #include <string.h>
 
-#include "platform/memory.h"
+#include "backing/memory.h"
 
 struct fixture {
 	struct dff_clock_virtual clock;
--- a/tests/cell/cell_harness.h
+++ b/tests/cell/cell_harness.h
@@ -1,8 +1,8 @@
 #ifndef DFF_TESTS_CELL_HARNESS_H
 #define DFF_TESTS_CELL_HARNESS_H
 
+#include "backing/memory.h"
 #include "cell/cell_private.h"
-#include "platform/memory.h"
 #include "tests/cell/fake_link.h"
 #include "tests/core/core_fixture.h"
 
--- a/tests/cell/test-lease.c
+++ b/tests/cell/test-lease.c
@@ -6,8 +6,8 @@
 #include <cmocka.h>
 #include <string.h>
 
+#include "backing/memory.h"
 #include "cell/lease.h"
-#include "platform/memory.h"
 
 #define N_PROCESSES 3
 #define STEP_MS 10
--- a/tests/daemon/test-pool-follower.c
+++ b/tests/daemon/test-pool-follower.c
@@ -7,7 +7,7 @@
 
 #include "daemon/pool_follower.h"
 #include "pool/pool_row.h"
-#include "tests/platform/memory_fixture.h"
+#include "tests/backing/memory_fixture.h"
 
 #define POLL_MS INT64_C (1000)
 
--- a/tests/entry/harness.h
+++ b/tests/entry/harness.h
@@ -7,11 +7,11 @@
 #include <openssl/ssl.h>
 #include <stdbool.h>
 
+#include "backing/memory.h"
 #include "cell/cell.h"
 #include "common/clock.h"
 #include "entry/entry.h"
 #include "peer/peer.h"
-#include "platform/memory.h"
 #include "record/recorder.h"
 #include "upstream/worker_client.h"
 
--- a/tests/record/recorder_fixture.h
+++ b/tests/record/recorder_fixture.h
@@ -1,7 +1,7 @@
 #ifndef DFF_TESTS_RECORD_RECORDER_FIXTURE_H
 #define DFF_TESTS_RECORD_RECORDER_FIXTURE_H
 
-#include "platform/memory.h"
+#include "backing/memory.h"
 #include "record/recorder.h"
 
 /* A recorder on a table in memory, under a virtual clock. */
--- a/tests/record/test-recorder-http.c
+++ b/tests/record/test-recorder-http.c
@@ -6,7 +6,7 @@
 #include <cmocka.h>
 #include <signal.h>
 
-#include "platform/http.h"
+#include "backing/http.h"
 #include "record/recorder.h"
 #include "standin/platform_server.h"
 
--- a/tests/record/test-recorder-seeds.c
+++ b/tests/record/test-recorder-seeds.c
@@ -6,7 +6,7 @@
 #include <cmocka.h>
 #include <string.h>
 
-#include "platform/memory.h"
+#include "backing/memory.h"
 #include "record/recorder.h"
 
 /* Random schedules of writes and faults, one for each seed. At the end of each the table must agree
--- a/tests/upstream/test-http-worker.c
+++ b/tests/upstream/test-http-worker.c
@@ -6,8 +6,8 @@
 #include <cmocka.h>
 #include <event2/buffer.h>
 
+#include "backing/memory.h"
 #include "common/http_listen.h"
-#include "platform/memory.h"
 #include "standin/worker_server.h"
 #include "upstream/http_worker.h"
 
--- a/tests/upstream/test-run-log.c
+++ b/tests/upstream/test-run-log.c
@@ -6,7 +6,7 @@
 #include <cmocka.h>
 #include <glib/gstdio.h>
 
-#include "platform/memory.h"
+#include "backing/memory.h"
 #include "standin/worker.h"
 
 /* Benches count executions by the run log: one line for each thing that begins to run, none for
--- a/tests/upstream/test-watcher.c
+++ b/tests/upstream/test-watcher.c
@@ -5,7 +5,7 @@
 
 #include <cmocka.h>
 
-#include "platform/memory.h"
+#include "backing/memory.h"
 #include "standin/memory_workers.h"
 #include "upstream/watcher.h"
 
--- a/tests/upstream/worker_fixture.h
+++ b/tests/upstream/worker_fixture.h
@@ -1,7 +1,7 @@
 #ifndef DFF_TESTS_UPSTREAM_WORKER_FIXTURE_H
 #define DFF_TESTS_UPSTREAM_WORKER_FIXTURE_H
 
-#include "platform/memory.h"
+#include "backing/memory.h"
 #include "standin/worker.h"
 
 /* A stand-in worker in memory, under a virtual clock that begins at 0. */
