holder: a watch waits until the ends it brought are on record

Cause: a worker answers a watch at once while it lists ends that are not acknowledged, so each end caused a burst of calls until its row was written. Change: the next watch is put off until then, 400 ms at most; three connections a worker in place of six.

--- a/fleet/fleet.c
+++ b/fleet/fleet.c
@@ -27,9 +27,11 @@
 #define CONFIG_STALE_MS 3000
 /** Age beyond which this process asks for no new connections, ms. */
 #define READY_STALE_MS 2500
-/** Connections to the store and to each worker at the most. */
+/** Connections to the store at the most. */
 #define STORE_CONNECTIONS 24
-#define WORKER_CONNECTIONS 6
+/** The same to each worker: one waits, the others carry orders, a few milliseconds each. Workers
+ * close what is idle for some seconds, and each new connection costs a handshake. */
+#define WORKER_CONNECTIONS 3
 /** Idle time after which a connection to a worker is closed, ms: each new one costs a handshake. */
 #define WORKER_IDLE_MS 60000
 /** How much earlier than its end by force a stopping process ends by itself, ms. */
--- a/holder/watch.c
+++ b/holder/watch.c
@@ -19,6 +19,9 @@
 /** Age of the last answer beyond which a worker's lease is not renewed, ms: an unanswered call may
  * still have renewed it, and each that does puts off the moment at which it has surely lapsed. */
 #define RENEW_WITHIN_MS 1700
+/** How long a watch is put off while ends wait to be on record, ms: the worker would answer at once
+ * with the same ends. */
+#define UNRECORDED_MAX_MS 400
 /** A worker's clock may be this much slower than ours. */
 #define CLOCK_DRIFT 0.02
 /** Margin for the moment at which a worker acts on its deadline, ms. */
@@ -249,6 +252,13 @@
 		send_watch (holder, worker, true);
 }
 
+static bool
+waits_for_record (const struct holder_worker *worker, int64_t now_ms)
+{
+	return worker->ended_seen > worker->ended_recorded &&
+	       now_ms < worker->next_watch_ms + UNRECORDED_MAX_MS;
+}
+
 static bool
 needs_watch (const struct holder_worker *worker)
 {
@@ -268,7 +278,8 @@
 		struct holder_worker *worker = value;
 		if (g_hash_table_size (worker->runs) > 0 && now_ms >= lapse_ms (holder, worker))
 			watch_lose_worker (holder, worker, "lease_lapsed");
-		if (needs_watch (worker) && now_ms >= worker->next_watch_ms)
+		if (needs_watch (worker) && now_ms >= worker->next_watch_ms &&
+		    !waits_for_record (worker, now_ms))
 			send_watch (holder, worker, false);
 	}
 }
