--- a/core/core.c
+++ b/core/core.c
@@ -7,8 +7,10 @@
 #define DEFAULT_START_TIMEOUT_MS 15000
 /* 4.3 s for urgent work, less deciding, recording, stopping and starting. */
 #define DEFAULT_CHECKPOINT_GRACE_MS 2500
-/** Gangs at once for which racks are kept. */
-#define MAX_GUARDS 1
+#define DEFAULT_MAX_GUARDS 1
+/** A backstop: keeping racks earlier cost more than it gave where jobs run for hours. */
+#define DEFAULT_GUARD_AFTER_MS 28800000
+#define DEFAULT_GUARD_GRACE_MS 600000
 /** Accelerators that count as a whole piece where no team has a guarantee. */
 #define DEFAULT_ADJACENT_UNIT 8
 
@@ -23,6 +25,9 @@
 	options->quarantine_ms = 0;
 	options->data_wait_ms = 0;
 	options->rack_wait_ms = 0;
+	options->guard_after_ms = DEFAULT_GUARD_AFTER_MS;
+	options->guard_grace_ms = DEFAULT_GUARD_GRACE_MS;
+	options->max_guards = DEFAULT_MAX_GUARDS;
 }
 
 static GArray *
@@ -52,7 +57,7 @@
 	core->estimators = dff_core_estimators_new ();
 	core->pending = array_new (sizeof (struct dff_command), NULL);
 	core->adjacent_unit = DEFAULT_ADJACENT_UNIT;
-	core->max_guards = MAX_GUARDS;
+	core->max_guards = options->max_guards;
 	return core;
 }
 
@@ -121,6 +126,11 @@
 static void
 set_racks (struct dff_core *core, const struct dff_pool *pool)
 {
+	/* Racks that are kept go with the racks: their gangs ask again. */
+	for (guint i = 0; i < core->racks->len; i++) {
+		if (dff_core_rack_at (core, (int32_t)i)->guard != NULL)
+			dff_core_unguard (core, dff_core_rack_at (core, (int32_t)i)->guard);
+	}
 	for (guint i = 0; i < core->workers->len; i++)
 		dff_core_worker_at (core, (int32_t)i)->rack = DFF_CORE_NONE;
 	g_array_set_size (core->racks, 0);
--- a/core/guard.c
+++ b/core/guard.c
@@ -4,9 +4,6 @@
  * free, and a gang that needs a rack whole would wait for ever. The racks that come free first are
  * kept: other work may be placed there only when it is gone by then (backfill), or more urgent. */
 
-/** Time past the expected one that racks are kept, ms. */
-#define GUARD_GRACE_MS 600000
-
 static int64_t
 rack_clear_ms (const struct dff_core *core,
 	       const struct dff_core_rack *rack,
@@ -132,7 +129,7 @@
 	for (guint i = 0; core->n_guards > 0 && i < core->racks->len; i++) {
 		const struct dff_core_rack *rack = dff_core_rack_at (core, (int32_t)i);
 		/* The estimates that it was chosen by were far off: choose again. */
-		if (rack->guard != NULL && rack->guard_ms + GUARD_GRACE_MS < core->now_ms)
+		if (rack->guard != NULL && rack->guard_ms + core->options.guard_grace_ms < core->now_ms)
 			dff_core_unguard (core, rack->guard);
 	}
 }
--- a/core/order.c
+++ b/core/order.c
@@ -9,9 +9,6 @@
 /** Age at which the score of a running job is computed anew, ms: thousands are compared when a
  * place is looked for, and the logarithms took three quarters of the time at the design size. */
 #define SCORE_AGE_MS 5000
-/** Wait after which racks are kept for a gang, ms: a backstop, because keeping racks earlier cost
- * more than it gave. */
-#define GUARD_AFTER_MS 28800000
 /** How much a team's share of the pool raises its scores. */
 #define FAIRNESS 0.25
 
@@ -157,7 +154,7 @@
 {
 	return job->gang > 1 && job->adjacency != DFF_ADJACENCY_NONE &&
 	       dff_core_job_accelerators (job) >= core->adjacent_unit / 2 &&
-	       core->now_ms - job->submitted_ms > GUARD_AFTER_MS;
+	       core->now_ms - job->submitted_ms > core->options.guard_after_ms;
 }
 
 void
--- a/holder/jobs.c
+++ b/holder/jobs.c
@@ -14,6 +14,12 @@
 #define QUARANTINE_MS 8000
 /** Wait that counts like a job's own run time in the core's order, ms: tasks run for seconds. */
 #define AGEING_MS 8000.0
+/** Wait after which racks are kept for a gang, and time past the expected one that they are kept, ms;
+ * gangs at once. Without it a gang that needs a rack nearly whole waits behind a stream of single
+ * tasks until the day ends. */
+#define GUARD_AFTER_MS 1500
+#define GUARD_GRACE_MS 15000
+#define GUARDS_MAX 2
 /** Rounds of the core in one turn of the loop: each answers commands of the one before. */
 #define ROUNDS_MAX 8
 /** How late an occurrence is begun on purpose, ms: clocks of workers and callers differ a little.
@@ -54,6 +60,9 @@
 	options.quarantine_ms = QUARANTINE_MS;
 	options.data_wait_ms = holder->options.data_wait_ms;
 	options.rack_wait_ms = holder->options.rack_wait_ms;
+	options.guard_after_ms = GUARD_AFTER_MS;
+	options.guard_grace_ms = GUARD_GRACE_MS;
+	options.max_guards = GUARDS_MAX;
 	holder->core = dff_core_new (&options);
 	holder->commands = g_array_new (FALSE, TRUE, sizeof (struct dff_command));
 	holder->jobs = g_hash_table_new_full (dff_name_hash, dff_name_equal_func, NULL, free_job);
--- a/include/core/core.h
+++ b/include/core/core.h
@@ -51,6 +51,12 @@
 	/** How long a gang that fits a rack waits for a whole one before it spreads, ms; 0: for
 	 * ever. */
 	int64_t rack_wait_ms;
+	/** Wait after which racks are kept for a gang, ms. */
+	int64_t guard_after_ms;
+	/** Time past the expected one that they are kept, ms. */
+	int64_t guard_grace_ms;
+	/** Gangs at once for which racks are kept. */
+	int32_t max_guards;
 };
 
 /** Fills in the defaults that docs/decisions/ gives reasons for. */
