core: a gang spreads where no rack can hold it; what is kept for others goes to those who wait beside an idle pool

Change: racks count with the workers that are up; after 1.2 s a job gets what is kept while half of the pool is idle; a patient core looks at its queue each second; urgent gangs spread after 1 s, others after 15 s.

--- a/completions/dragonflyfold.bash
+++ b/completions/dragonflyfold.bash
@@ -1,6 +1,6 @@
 # Bash completion of dragonflyfold.
 
-_dragonflyfold_commands='apply cancel check diff drain keygen result serve status submit trace'
+_dragonflyfold_commands='apply cancel check diff drain fleet keygen result serve status submit trace'
 _dragonflyfold_connection='--help --server --token --token-file --timeout --tls-ca'
 
 _dragonflyfold_options()
@@ -10,6 +10,7 @@
 	cancel) echo "--batch --team $_dragonflyfold_connection" ;;
 	check) echo '--settings --pool --reference --help' ;;
 	diff | drain) echo "$_dragonflyfold_connection" ;;
+	fleet) echo '--settings --check --help' ;;
 	keygen) echo 'peer token --help' ;;
 	result) echo "--wait --output $_dragonflyfold_connection" ;;
 	serve) echo '--settings --help' ;;
--- a/core/core.c
+++ b/core/core.c
@@ -1,7 +1,5 @@
 #include "core/core_private.h"
 
-#include <string.h>
-
 /* The core's outside: construction, the pool, events in, commands out. */
 
 #define DEFAULT_START_TIMEOUT_MS 15000
@@ -25,6 +23,8 @@
 	options->quarantine_ms = 0;
 	options->data_wait_ms = 0;
 	options->rack_wait_ms = 0;
+	options->urgent_rack_wait_ms = 0;
+	options->calm_wait_ms = 0;
 	options->guard_after_ms = DEFAULT_GUARD_AFTER_MS;
 	options->guard_grace_ms = DEFAULT_GUARD_GRACE_MS;
 	options->max_guards = DEFAULT_MAX_GUARDS;
@@ -49,6 +49,7 @@
 	core->racks = array_new (sizeof (struct dff_core_rack), dff_core_rack_clear);
 	core->teams = array_new (sizeof (struct dff_core_team), NULL);
 	core->regions = array_new (sizeof (struct dff_name), NULL);
+	core->labels = array_new (sizeof (struct dff_name), NULL);
 	core->shapes = array_new (sizeof (struct dff_core_shape), dff_core_shape_clear);
 	core->worker_index =
 		g_hash_table_new_full (dff_name_hash, dff_name_equal_func, g_free, NULL);
@@ -83,22 +84,28 @@
 	g_array_unref (core->racks);
 	g_array_unref (core->teams);
 	g_array_unref (core->regions);
+	g_array_unref (core->labels);
 	g_array_unref (core->shapes);
 	g_array_unref (core->pending);
 	g_free (core);
 }
 
 static void
-set_traits (struct dff_core_worker *worker, const struct dff_rack *declared, guint index)
+set_traits (struct dff_core *core,
+	    struct dff_core_worker *worker,
+	    const struct dff_rack *declared,
+	    guint index)
 {
 	worker->capacity = declared->per_worker;
-	memset (worker->labels, 0, sizeof (worker->labels));
+	for (size_t i = 0; i < DFF_WORKER_LABELS_MAX; i++)
+		worker->labels[i] = DFF_CORE_NONE;
 	if (declared->traits == NULL)
 		return;
 	const struct dff_worker_traits *traits =
 		&g_array_index (declared->traits, struct dff_worker_traits, index);
 	worker->capacity = traits->capacity;
-	memcpy (worker->labels, traits->labels, sizeof (worker->labels));
+	for (size_t i = 0; i < DFF_WORKER_LABELS_MAX; i++)
+		worker->labels[i] = dff_core_intern_label (core, &traits->labels[i]);
 }
 
 static void
@@ -108,6 +115,7 @@
 	g_array_set_size (core->racks, core->racks->len + 1);
 	struct dff_core_rack *rack = dff_core_rack_at (core, index);
 	rack->name = declared->name;
+	rack->label = dff_core_intern_label (core, &declared->name);
 	rack->region = dff_core_intern_region (core, &declared->region);
 	rack->workers = g_array_new (FALSE, FALSE, sizeof (int32_t));
 	for (guint i = 0; i < declared->workers->len; i++) {
@@ -115,7 +123,7 @@
 			core, &g_array_index (declared->workers, struct dff_name, i));
 		struct dff_core_worker *worker = dff_core_worker_at (core, worker_index);
 		worker->rack = index;
-		set_traits (worker, declared, i);
+		set_traits (core, worker, declared, i);
 		worker->capacity.slots -= set_aside;
 		dff_core_worker_note_overload (worker);
 		dff_resources_add (&core->total, &worker->capacity, 1);
@@ -143,8 +151,8 @@
 		for (guint j = 0; j < rack->workers->len; j++) {
 			struct dff_core_worker *worker = dff_core_worker_at (
 				core, g_array_index (rack->workers, int32_t, j));
-			worker->urgent_only =
-				wanted[rack->region] >= worker->capacity.accelerators;
+			worker->urgent_only = worker->capacity.accelerators > 0 &&
+					      wanted[rack->region] >= worker->capacity.accelerators;
 			if (!worker->urgent_only)
 				continue;
 			rack->urgent_first = true;
@@ -270,7 +278,13 @@
 		.gang = spec->gang,
 		.per_task = spec->per_task,
 		.adjacency = spec->adjacency,
+		.label = dff_core_find_label (core, &spec->label),
+		.data_rack = DFF_CORE_NONE,
+		.per_worker = spec->per_worker,
 	};
+	if (job.label == DFF_CORE_NONE && !dff_name_is_empty (&spec->label) &&
+	    !core->options.patient)
+		return (struct dff_admission){.reason = "never_runnable"};
 	if (!dff_name_is_empty (&spec->region) && job.region == DFF_CORE_NONE)
 		return (struct dff_admission){.reason = "unknown_region"};
 	const char *reason = refusal (core, &job);
--- a/core/core_private.h
+++ b/core/core_private.h
@@ -40,6 +40,13 @@
 /** Returns: the index of a region, DFF_CORE_NONE when no rack is in it. */
 int32_t dff_core_find_region (const struct dff_core *core, const struct dff_name *name);
 
+/** Returns: the index of a label, DFF_CORE_NONE when no worker or job has named it. */
+int32_t dff_core_find_label (const struct dff_core *core, const struct dff_name *name);
+
+/** Returns: the index of a label, which is added when it is new; DFF_CORE_NONE for the empty name.
+ */
+int32_t dff_core_intern_label (struct dff_core *core, const struct dff_name *name);
+
 /** Returns: the index of a region, which is added when it is new. */
 int32_t dff_core_intern_region (struct dff_core *core, const struct dff_name *name);
 
--- a/core/core_tables.h
+++ b/core/core_tables.h
@@ -43,7 +43,8 @@
 	int32_t rack;
 	enum dff_worker_state state;
 	struct dff_resources capacity;
-	struct dff_name labels[DFF_WORKER_LABELS_MAX];
+	/** Indices of its labels; DFF_CORE_NONE: no more. */
+	int32_t labels[DFF_WORKER_LABELS_MAX];
 	/** Leased to members of attempts. */
 	struct dff_resources used;
 	/** Held for jobs that wait until their victims are gone. */
@@ -76,6 +77,8 @@
 
 struct dff_core_rack {
 	struct dff_name name;
+	/** Index of its name among the labels. */
+	int32_t label;
 	int32_t region;
 	/** (nullable): the waiting gang that is to have this rack next, and when it may. */
 	struct dff_core_job *guard;
@@ -204,11 +207,14 @@
 	bool idempotent;
 	int64_t declared_ms;
 	int32_t max_attempts;
-	struct dff_name label;
-	struct dff_name data_rack;
-	struct dff_name spread_group;
+	/** Index of the label asked for, and of that of the rack with its data; DFF_CORE_NONE: any.
+	 */
+	int32_t label;
+	int32_t data_rack;
+	/** Hash of the spread group's name; with @per_worker 0 there is none. */
+	uint64_t spread_group;
 	int32_t per_worker;
-	double weight;
+	float weight;
 
 	enum dff_core_state state;
 	bool cancelled;
@@ -216,6 +222,8 @@
 	/** Whether it is placed beside a shape of its team that would hold it but for its pieces.
 	 */
 	bool entitled;
+	/** Whether it is being placed on what is otherwise kept for others. */
+	bool unkept;
 	/** Whether racks are kept for it. */
 	bool guarded;
 	/** Whether any attempt may have run. */
@@ -321,6 +329,7 @@
 	GArray *racks;   /**< Elements: struct dff_core_rack. */
 	GArray *teams;   /**< Elements: struct dff_core_team. */
 	GArray *regions; /**< Elements: struct dff_name. */
+	GArray *labels;  /**< Elements: struct dff_name. */
 	GArray *shapes;  /**< Elements: struct dff_core_shape, largest first. */
 	GHashTable *worker_index;
 	GHashTable *team_index;
--- a/core/order.c
+++ b/core/order.c
@@ -163,7 +163,8 @@
 	bool review = core->now_ms >= core->review_ms && g_hash_table_size (core->classes) > 0;
 	if (!core->dirty && !review)
 		return;
-	core->fresh = core->dirty;
+	/* What a job may use can depend on its wait alone: nothing need come free for that. */
+	core->fresh = core->dirty || core->options.patient;
 	core->dirty = false;
 	if (review) {
 		int32_t budget = DFF_CORE_EVICTION_LOOKS / (int32_t)(core->workers->len + 1);
--- a/core/place.c
+++ b/core/place.c
@@ -51,12 +51,12 @@
 }
 
 static bool
-has_label (const struct dff_core_worker *worker, const struct dff_name *label)
+has_label (const struct dff_core_worker *worker, int32_t label)
 {
-	if (dff_name_is_empty (label))
+	if (label == DFF_CORE_NONE)
 		return true;
 	for (size_t i = 0; i < DFF_WORKER_LABELS_MAX; i++) {
-		if (dff_name_equal (&worker->labels[i], label))
+		if (worker->labels[i] == label)
 			return true;
 	}
 	return false;
@@ -71,11 +71,31 @@
 	int32_t left = job->per_worker;
 	for (guint i = 0; i < worker->tenants->len; i++) {
 		const struct dff_core_job *tenant = g_ptr_array_index (worker->tenants, i);
-		left -= dff_name_equal (&tenant->spread_group, &job->spread_group);
+		left -= tenant->per_worker > 0 && tenant->spread_group == job->spread_group;
 	}
 	return CLAMP (left, 0, limit);
 }
 
+/* Whether a job has waited long enough, and the pool is idle enough, for it to get what is kept for
+ * others. Without this a job may wait for ever beside a pool that is nearly empty: for a rack that
+ * has lost a worker, or for workers that only urgent work gets. */
+static bool
+is_calm (const struct dff_core *core, const struct dff_core_job *job)
+{
+	if (core->options.calm_wait_ms == 0 ||
+	    core->now_ms - job->submitted_ms < core->options.calm_wait_ms)
+		return false;
+	struct dff_resources up = {0}, used = {0};
+	for (guint i = 0; i < core->workers->len; i++) {
+		const struct dff_core_worker *worker = dff_core_worker_at (core, (int32_t)i);
+		if (!dff_core_worker_usable (worker))
+			continue;
+		dff_resources_add (&up, &worker->capacity, 1);
+		dff_resources_add (&used, &worker->used, 1);
+	}
+	return used.accelerators * 2 <= up.accelerators && used.cores * 2 <= up.cores;
+}
+
 static int32_t
 worker_fits (const struct dff_core *core,
 	     int32_t index,
@@ -84,13 +104,14 @@
 	     int32_t limit)
 {
 	const struct dff_core_worker *worker = dff_core_worker_at (core, index);
-	if (!has_label (worker, &job->label))
+	if (!has_label (worker, job->label))
 		return 0;
 	if (!is_hypothetical (view))
 		limit = spread_limit (worker, job, limit);
 	else if (job->per_worker > 0)
 		limit = MIN (limit, job->per_worker);
-	if (limit == 0 || (worker->urgent_only && !job->urgent && !is_hypothetical (view)))
+	if (limit == 0 ||
+	    (worker->urgent_only && !job->urgent && !job->unkept && !is_hypothetical (view)))
 		return 0;
 	if (!is_hypothetical (view) &&
 	    (!dff_core_worker_usable (worker) || dff_core_job_avoids (job, index)))
@@ -206,10 +227,10 @@
 	if (is_hypothetical (view))
 		return true;
 	/* A job that leaves its data is several times as slow there: waiting a while pays. */
-	if (!dff_name_is_empty (&job->data_rack) && !dff_name_equal (&rack->name, &job->data_rack) &&
+	if (!job->unkept && job->data_rack != DFF_CORE_NONE && rack->label != job->data_rack &&
 	    core->now_ms - job->submitted_ms < core->options.data_wait_ms)
 		return false;
-	return !dff_core_rack_is_kept (core, rack, job);
+	return job->unkept || !dff_core_rack_is_kept (core, rack, job);
 }
 
 /* Whether the whole gang could be in one rack, by sums alone. */
@@ -235,7 +256,7 @@
 	    const struct dff_core_job *job)
 {
 	int32_t room = rack->free_accelerators;
-	if (!dff_name_is_empty (&job->data_rack) && dff_name_equal (&rack->name, &job->data_rack))
+	if (job->data_rack != DFF_CORE_NONE && rack->label == job->data_rack)
 		return NEAR_DATA;
 	if (job->urgent && rack->urgent_first)
 		return URGENT_FIRST;
@@ -410,6 +431,39 @@
 	return false;
 }
 
+/* Whether a rack could hold the gang if its workers that are up were empty. A rack that has lost a
+ * worker may never hold it again. */
+static bool
+fits_some_rack (const struct dff_core *core, const struct dff_core_job *job)
+{
+	for (guint i = 0; i < core->racks->len; i++) {
+		const struct dff_core_rack *rack = dff_core_rack_at (core, (int32_t)i);
+		int32_t fits = 0;
+		if (job->region != DFF_CORE_NONE && job->region != rack->region)
+			continue;
+		for (guint j = 0; j < rack->workers->len; j++) {
+			int32_t index = g_array_index (rack->workers, int32_t, j);
+			const struct dff_core_worker *worker = dff_core_worker_at (core, index);
+			if (core->options.patient && !dff_core_worker_usable (worker))
+				continue;
+			if (worker->urgent_only && !job->urgent)
+				continue;
+			fits += worker_fits (core, index, job, DFF_CORE_VIEW_EMPTY, job->gang);
+		}
+		if (fits >= job->gang)
+			return true;
+	}
+	return false;
+}
+
+static bool
+is_tired (const struct dff_core *core, const struct dff_core_job *job)
+{
+	int64_t wait_ms =
+		job->urgent ? core->options.urgent_rack_wait_ms : core->options.rack_wait_ms;
+	return wait_ms > 0 && core->now_ms - job->submitted_ms >= wait_ms;
+}
+
 static bool
 place (const struct dff_core *core,
        const struct dff_core_job *job,
@@ -422,10 +476,9 @@
 		return true;
 	if (job->adjacency == DFF_ADJACENCY_RACK)
 		return false;
-	bool tired = core->options.rack_wait_ms > 0 &&
-		     core->now_ms - job->submitted_ms >= core->options.rack_wait_ms;
 	/* A gang that fits a rack waits for a whole one; only larger ones spread. */
-	if (!tired && view != DFF_CORE_VIEW_EMPTY && place_in_rack (core, job, DFF_CORE_VIEW_EMPTY, workers))
+	if (view != DFF_CORE_VIEW_EMPTY && !job->unkept && !is_tired (core, job) &&
+	    fits_some_rack (core, job))
 		return false;
 	return place_in_neighbours (core, job, view, workers);
 }
@@ -438,12 +491,15 @@
 {
 	if (place (core, job, view, workers))
 		return true;
-	if (job->n_avoided == 0 || is_hypothetical (view))
+	if (is_hypothetical (view))
 		return false;
+	struct dff_core_job relaxed = *job;
 	/* Better a worker on which it failed once than none: the failure may not recur. */
-	struct dff_core_job unbiased = *job;
-	unbiased.n_avoided = 0;
-	return place (core, &unbiased, view, workers);
+	relaxed.n_avoided = 0;
+	if (job->n_avoided > 0 && place (core, &relaxed, view, workers))
+		return true;
+	relaxed.unkept = is_calm (core, job);
+	return relaxed.unkept && place (core, &relaxed, view, workers);
 }
 
 uint64_t
--- a/core/queue.c
+++ b/core/queue.c
@@ -33,13 +33,9 @@
 static guint32
 wants_of (const struct dff_core_job *job)
 {
-	guint32 hash = 0;
-	if (!dff_name_is_empty (&job->label))
-		hash += dff_name_hash (&job->label);
-	if (!dff_name_is_empty (&job->data_rack))
-		hash += dff_name_hash (&job->data_rack) * 31;
+	guint32 hash = (guint32)(job->label + 1) + (guint32)(job->data_rack + 1) * 31;
 	if (job->per_worker > 0)
-		hash += dff_name_hash (&job->spread_group) * 961;
+		hash += (guint32)job->spread_group * 961;
 	return hash;
 }
 
--- a/core/tables.c
+++ b/core/tables.c
@@ -1,5 +1,7 @@
 #include "core/core_private.h"
 
+#include <xxhash.h>
+
 #include <string.h>
 
 static int32_t
@@ -49,6 +51,26 @@
 	return DFF_CORE_NONE;
 }
 
+int32_t
+dff_core_find_label (const struct dff_core *core, const struct dff_name *name)
+{
+	for (guint i = 0; i < core->labels->len; i++) {
+		if (dff_name_equal (&g_array_index (core->labels, struct dff_name, i), name))
+			return (int32_t)i;
+	}
+	return DFF_CORE_NONE;
+}
+
+int32_t
+dff_core_intern_label (struct dff_core *core, const struct dff_name *name)
+{
+	int32_t index = dff_core_find_label (core, name);
+	if (index != DFF_CORE_NONE || dff_name_is_empty (name))
+		return index;
+	g_array_append_val (core->labels, *name);
+	return (int32_t)core->labels->len - 1;
+}
+
 int32_t
 dff_core_intern_region (struct dff_core *core, const struct dff_name *name)
 {
@@ -84,11 +106,11 @@
 	job->idempotent = spec->idempotent;
 	job->declared_ms = MAX (spec->declared_ms, 1);
 	job->max_attempts = spec->idempotent ? MAX (spec->max_attempts, 1) : 1;
-	job->label = spec->label;
-	job->data_rack = spec->data_rack;
-	job->spread_group = spec->spread_group;
+	job->label = dff_core_intern_label (core, &spec->label);
+	job->data_rack = dff_core_intern_label (core, &spec->data_rack);
+	job->spread_group = XXH3_64bits (spec->spread_group.data, spec->spread_group.len);
 	job->per_worker = spec->per_worker;
-	job->weight = spec->weight > 0.0 ? spec->weight : 1.0;
+	job->weight = spec->weight > 0.0 ? (float)spec->weight : 1.0F;
 	job->submitted_ms = core->now_ms;
 	job->estimator = dff_core_estimator_for (core, spec);
 	for (int32_t i = 0; i < DFF_CORE_AVOIDED_MAX; i++)
--- a/holder/holder.c
+++ b/holder/holder.c
@@ -16,7 +16,8 @@
 #define GANG_WAIT_MS 3000
 #define RETENTION_MS 150000
 #define DATA_WAIT_MS 4000
-#define RACK_WAIT_MS 0
+/** A gang on two racks holds three times as much for as long: better late than that. */
+#define RACK_WAIT_MS 15000
 
 void
 dff_holder_options_init (struct dff_holder_options *options)
--- a/holder/jobs.c
+++ b/holder/jobs.c
@@ -14,9 +14,14 @@
 #define QUARANTINE_MS 8000
 /** Wait that counts like a job's own run time in the core's order, ms: tasks run for seconds. */
 #define AGEING_MS 8000.0
-/** Wait after which racks are kept for a gang, and time past the expected one that they are kept, ms;
- * gangs at once. Without it a gang that needs a rack nearly whole waits behind a stream of single
- * tasks until the day ends. */
+/** How long an urgent gang waits for a whole rack, ms: a claim of a team's own accelerators is to
+ * have begun within about three seconds. */
+#define URGENT_RACK_WAIT_MS 1000
+/** Wait after which a job gets what is kept for others while half of the pool is idle, ms. */
+#define CALM_WAIT_MS 1200
+/** Wait after which racks are kept for a gang, and time past the expected one that they are kept,
+ * ms; gangs at once. Without it a gang that needs a rack nearly whole waits behind a stream of
+ * single tasks until the day ends. */
 #define GUARD_AFTER_MS 1500
 #define GUARD_GRACE_MS 15000
 #define GUARDS_MAX 2
@@ -63,6 +68,8 @@
 	options.quarantine_ms = QUARANTINE_MS;
 	options.data_wait_ms = holder->options.data_wait_ms;
 	options.rack_wait_ms = holder->options.rack_wait_ms;
+	options.urgent_rack_wait_ms = URGENT_RACK_WAIT_MS;
+	options.calm_wait_ms = CALM_WAIT_MS;
 	options.guard_after_ms = GUARD_AFTER_MS;
 	options.guard_grace_ms = GUARD_GRACE_MS;
 	options.max_guards = GUARDS_MAX;
--- a/include/core/core.h
+++ b/include/core/core.h
@@ -41,8 +41,8 @@
 	/** Jobs that no worker could hold wait for one, and lost or rejected attempts are repeated
 	 * without limit: the list of workers lags, so that today's answer may be wrong. */
 	bool patient;
-	/** Wait after which a job's score is divided by four, on top of its own estimate, ms; 0: what
-	 * the pool's weights say. */
+	/** Wait after which a job's score is divided by four, on top of its own estimate, ms; 0:
+	 * what the pool's weights say. */
 	double ageing_ms;
 	/** First stay of a worker in quarantine, ms; 0: the default. */
 	int64_t quarantine_ms;
@@ -51,6 +51,11 @@
 	/** How long a gang that fits a rack waits for a whole one before it spreads, ms; 0: for
 	 * ever. */
 	int64_t rack_wait_ms;
+	/** The same for urgent gangs. */
+	int64_t urgent_rack_wait_ms;
+	/** Wait after which a job gets room that is kept from it for the sake of others, as long as
+	 * less than half of the pool is in use, ms; 0: never. */
+	int64_t calm_wait_ms;
 	/** Wait after which racks are kept for a gang, ms. */
 	int64_t guard_after_ms;
 	/** Time past the expected one that they are kept, ms. */
