rows, front: callers of a store that does not answer are refused at once

Cause: while the store was silent each submission was written to it, its fate stayed open, and the caller was held until its time was up. Change: rows/health watches which calls are answered; while the path is silent the front sends nothing and answers 503 with Retry-After.

--- a/fleet/fleet.c
+++ b/fleet/fleet.c
@@ -17,6 +17,7 @@
 #include "platform/http_runner.h"
 #include "platform/ingress.h"
 #include "rows/follower.h"
+#include "rows/health.h"
 
 /** How long the store holds an answer about the configuration back, ms, and the time beyond it
  * after which the path counts as silent: a change is known here within their sum. */
@@ -53,6 +54,7 @@
 	struct dff_http_client *store_client;
 	struct dff_http_client *worker_client;
 	struct dff_http_rows *rows;
+	struct dff_rows_health *store;
 	struct dff_http_runner *runner;
 	struct dff_front *front;
 	struct dff_ingress *ingress;
@@ -174,6 +176,8 @@
 	fleet->store_client = client_new (fleet, STORE_CONNECTIONS, defaults.max_idle_ms);
 	fleet->worker_client = client_new (fleet, WORKER_CONNECTIONS, WORKER_IDLE_MS);
 	fleet->rows = dff_http_rows_new (fleet->store_client, &fleet->settings.store_address);
+	fleet->store = dff_rows_health_new (dff_http_rows_interface (fleet->rows), fleet->clock,
+					    fleet->metrics);
 	fleet->runner = dff_http_runner_new (fleet->worker_client);
 }
 
@@ -184,7 +188,7 @@
 	dff_holder_options_init (&options);
 	options.base = fleet->base;
 	options.clock = fleet->clock;
-	options.rows = dff_http_rows_interface (fleet->rows);
+	options.rows = dff_rows_health_interface (fleet->store);
 	options.runner = dff_http_runner_interface (fleet->runner);
 	options.metrics = fleet->metrics;
 	options.instance = dff_name_printf ("%.50s.%08x", fleet->settings.instance.data,
@@ -197,14 +201,23 @@
 	fleet->holder = dff_holder_new (&options);
 }
 
+static bool
+store_is_silent (void *ctx)
+{
+	struct dff_fleet *fleet = ctx;
+	return dff_rows_health_is_silent (fleet->store);
+}
+
 static void
 open_front (struct dff_fleet *fleet)
 {
 	struct dff_front_options front = {
 		.base = fleet->base,
 		.clock = fleet->clock,
-		.rows = dff_http_rows_interface (fleet->rows),
+		.rows = dff_rows_health_interface (fleet->store),
 		.metrics = fleet->metrics,
+		.store_is_silent = store_is_silent,
+		.ctx = fleet,
 	};
 	fleet->front = dff_front_new (&front);
 	struct dff_ingress_options ingress = {
@@ -219,7 +232,7 @@
 	struct dff_follower_options follower = {
 		.base = fleet->base,
 		.clock = fleet->clock,
-		.rows = dff_http_rows_interface (fleet->rows),
+		.rows = dff_rows_health_interface (fleet->store),
 		.table = DFF_TABLE_CONFIG,
 		.wait_ms = CONFIG_WAIT_MS,
 		.patience_ms = CONFIG_PATIENCE_MS,
@@ -320,6 +333,7 @@
 	g_clear_pointer (&fleet->worker_client, dff_http_client_free);
 	g_clear_pointer (&fleet->ingress, dff_ingress_free);
 	g_clear_pointer (&fleet->front, dff_front_free);
+	g_clear_pointer (&fleet->store, dff_rows_health_free);
 	g_clear_pointer (&fleet->rows, dff_http_rows_free);
 	g_clear_pointer (&fleet->runner, dff_http_runner_free);
 	g_clear_pointer (&fleet->config, dff_fleet_config_free);
--- a/front/front.c
+++ b/front/front.c
@@ -154,6 +154,29 @@
 	rows->commit (rows->ctx, &commit, done, request);
 }
 
+static void
+give_up_step (struct request *request)
+{
+	request_end (request, DFF_FRONT_UNAVAILABLE);
+}
+
+/* Begins a request. A store that does not answer would leave the fate of a write open until the
+ * caller's time is up: nothing is sent to it, so that the caller can be told at once that nothing was
+ * done, and when to come back. */
+static void
+request_begin (struct request *request, request_step_func step)
+{
+	const struct dff_front_options *options = &request->front->options;
+	if (!options->store_is_silent (options->ctx)) {
+		step (request);
+		return;
+	}
+	/* In the next turn of the loop: callbacks never come before the call returns. */
+	request->step = give_up_step;
+	request->retry = evtimer_new (options->base, handle_retry, request);
+	event_active (request->retry, EV_TIMEOUT, 0);
+}
+
 /* submit */
 
 static void submit_step (struct request *request);
@@ -210,7 +233,7 @@
 	struct request *request = request_new (front, &plan->id, reply);
 	g_string_free (request->value, TRUE);
 	request->value = dff_plan_encode (plan);
-	submit_step (request);
+	request_begin (request, submit_step);
 }
 
 /* Reads the rows of the job itself: what was submitted, and its cancellation. */
@@ -301,7 +324,7 @@
 		  const struct dff_name *job,
 		  const struct dff_front_reply *reply)
 {
-	cancel_find_step (request_new (front, job, reply));
+	request_begin (request_new (front, job, reply), cancel_find_step);
 }
 
 /* state */
@@ -380,7 +403,7 @@
 		      const struct dff_name *job,
 		      const struct dff_front_reply *reply)
 {
-	state_step (request_new (front, job, reply));
+	request_begin (request_new (front, job, reply), state_step);
 }
 
 /* waiting */
@@ -434,7 +457,7 @@
 {
 	struct request *request = request_new (front, class_name, reply);
 	g_string_assign (request->value, class_name->data);
-	waiting_step (request);
+	request_begin (request, waiting_step);
 }
 
 struct dff_front *
--- a/include/front/front.h
+++ b/include/front/front.h
@@ -22,6 +22,9 @@
 	const struct dff_clock *clock;
 	const struct dff_rows *rows;
 	struct dff_metrics *metrics;
+	/** Returns: whether the store does not answer now. */
+	bool (*store_is_silent) (void *ctx);
+	void *ctx;
 };
 
 struct dff_front *dff_front_new (const struct dff_front_options *options);
--- /dev/null
+++ b/include/rows/health.h
@@ -0,0 +1,33 @@
+#ifndef DFF_ROWS_HEALTH_H
+#define DFF_ROWS_HEALTH_H
+
+#include "common/cleanup.h"
+#include "common/clock.h"
+#include "common/metrics.h"
+#include "rows/rows.h"
+
+/*
+ * A store of rows that knows whether the store behind it answers this process. Calls pass through
+ * unchanged. The path counts as silent when a call had no answer for a while and nothing that was
+ * sent after it had one either; the next answer, a refusal included, ends that.
+ */
+
+struct dff_rows_health;
+
+/** Returns: (transfer full): a store in front of @rows, which is borrowed. */
+struct dff_rows_health *dff_rows_health_new (const struct dff_rows *rows,
+					     const struct dff_clock *clock,
+					     struct dff_metrics *metrics);
+
+/** To be called when no call is in progress, or none will call back any more. */
+void dff_rows_health_free (struct dff_rows_health *health);
+
+DFF_DEFINE_CLEANUP (dff_rows_health, dff_rows_health_free);
+
+/** Returns: (transfer none): the store to be called, valid as long as @health. */
+const struct dff_rows *dff_rows_health_interface (struct dff_rows_health *health);
+
+/** Returns: whether a call that is made now would most likely have no answer. */
+bool dff_rows_health_is_silent (struct dff_rows_health *health);
+
+#endif
