rows, holder: the return of a silent store is noticed at once

Change: while the store is silent one row is read each 150 ms; the timeout of a transaction is four times what the last took.

--- a/fleet/fleet.c
+++ b/fleet/fleet.c
@@ -176,8 +176,15 @@
 	fleet->store_client = client_new (fleet, STORE_CONNECTIONS, defaults.max_idle_ms);
 	fleet->worker_client = client_new (fleet, WORKER_CONNECTIONS, WORKER_IDLE_MS);
 	fleet->rows = dff_http_rows_new (fleet->store_client, &fleet->settings.store_address);
-	fleet->store = dff_rows_health_new (dff_http_rows_interface (fleet->rows), fleet->clock,
-					    fleet->metrics);
+	struct dff_rows_health_options health = {
+		.base = fleet->base,
+		.clock = fleet->clock,
+		.metrics = fleet->metrics,
+		.rows = dff_http_rows_interface (fleet->rows),
+		.probe_table = DFF_TABLE_CELL,
+		.probe_key = DFF_KEY_HOLDER,
+	};
+	fleet->store = dff_rows_health_new (&health);
 	fleet->runner = dff_http_runner_new (fleet->worker_client);
 }
 
--- a/holder/commit.c
+++ b/holder/commit.c
@@ -14,8 +14,11 @@
 #define ROWS_MAX (DFF_ROWS_COMMIT_MAX - 10)
 /** Bytes of one transaction, before encoding: the store takes 1 MB in base64. */
 #define BYTES_MAX 600000
-/** Timeout of a transaction, ms: beyond the answers of a store that is sixty times as slow. */
-#define TIMEOUT_MS 1500
+/** Timeout of a transaction, ms: a few times what the last one took. After one without an answer it is
+ * doubled up to the limit, which is beyond the answers of a store that is sixty times as slow. */
+#define TIMEOUT_MIN_MS 400
+#define TIMEOUT_TIMES 4
+#define TIMEOUT_MAX_MS 1500
 /** Pause after a transaction that was refused, doubled up to the limit, ms. */
 #define REFUSED_MIN_MS 20
 #define REFUSED_MAX_MS 300
@@ -173,6 +176,9 @@
 		holder->row_revision = result->revision;
 		holder->confirmed_ms = begun_ms;
 		holder->commit_wait_ms = REFUSED_MIN_MS;
+		holder->commit_timeout_ms =
+			(int32_t)CLAMP (TIMEOUT_TIMES * (now_ms - begun_ms), TIMEOUT_MIN_MS,
+					TIMEOUT_MAX_MS);
 		note_store (holder, false, result);
 		if (released) {
 			lease_stand_down (holder, "released");
@@ -196,6 +202,9 @@
 		note_unwritten (holder);
 		holder->next_commit_ms = now_ms + holder->commit_wait_ms;
 		holder->commit_wait_ms = MIN (holder->commit_wait_ms * 2, REFUSED_MAX_MS);
+		if (result->outcome == DFF_ROWS_UNKNOWN)
+			holder->commit_timeout_ms =
+				MIN (holder->commit_timeout_ms * 2, TIMEOUT_MAX_MS);
 		break;
 	}
 	holder_wake (holder);
@@ -364,7 +373,7 @@
 		.n_conditions = 1,
 		.writes = (const struct dff_rows_write *)(void *)writes->data,
 		.n_writes = writes->len,
-		.timeout_ms = TIMEOUT_MS};
+		.timeout_ms = holder->commit_timeout_ms};
 	holder->committing = true;
 	holder->commit_begun_ms = call->begun_ms;
 	(*holder->metrics.commits)++;
@@ -392,6 +401,7 @@
 	holder->next_commit_ms = 0;
 	holder->commit_begun_ms = 0;
 	holder->commit_wait_ms = REFUSED_MIN_MS;
+	holder->commit_timeout_ms = TIMEOUT_MIN_MS;
 	holder->waiting_due_ms = 0;
 	holder->store_lost = false;
 	g_ptr_array_set_size (holder->committed_jobs, 0);
--- a/holder/holder_private.h
+++ b/holder/holder_private.h
@@ -147,6 +147,7 @@
 	int64_t commit_begun_ms;
 	int64_t next_commit_ms;
 	int32_t commit_wait_ms;
+	int32_t commit_timeout_ms;
 	/** Elements: struct holder_job *, covered by the transaction in progress. */
 	GPtrArray *committed_jobs;
 	bool commit_covers_all;
--- a/include/rows/health.h
+++ b/include/rows/health.h
@@ -1,6 +1,8 @@
 #ifndef DFF_ROWS_HEALTH_H
 #define DFF_ROWS_HEALTH_H
 
+#include <event2/event.h>
+
 #include "common/cleanup.h"
 #include "common/clock.h"
 #include "common/metrics.h"
@@ -9,15 +11,25 @@
 /*
  * A store of rows that knows whether the store behind it answers this process. Calls pass through
  * unchanged. The path counts as silent when a call had no answer for a while and nothing that was
- * sent after it had one either; the next answer, a refusal included, ends that.
+ * sent after it had one either; the next answer, a refusal included, ends that. While it is silent,
+ * one small row is read again and again, so that its return is noticed at once.
  */
 
 struct dff_rows_health;
 
-/** Returns: (transfer full): a store in front of @rows, which is borrowed. */
-struct dff_rows_health *dff_rows_health_new (const struct dff_rows *rows,
-					     const struct dff_clock *clock,
-					     struct dff_metrics *metrics);
+struct dff_rows_health_options {
+	struct event_base *base;
+	const struct dff_clock *clock;
+	struct dff_metrics *metrics;
+	/** The store, borrowed. */
+	const struct dff_rows *rows;
+	/** Table and key that are read to see whether a silent store answers again. */
+	const char *probe_table;
+	const char *probe_key;
+};
+
+/** Returns: (transfer full): a store in front of another; @options is copied. */
+struct dff_rows_health *dff_rows_health_new (const struct dff_rows_health_options *options);
 
 /** To be called when no call is in progress, or none will call back any more. */
 void dff_rows_health_free (struct dff_rows_health *health);
--- a/rows/health.c
+++ b/rows/health.c
@@ -3,16 +3,21 @@
 #include <glib.h>
 #include <inttypes.h>
 
+#include "common/http_connection.h"
 #include "common/log.h"
 
 /** Time without an answer, beyond the wait that the call asks for, after which the path counts as
  * silent, ms: above the answers of a store that is sixty times as slow as usual. */
 #define SILENT_AFTER_MS 700
+/** Time between two probes of a silent store, and how long each may take, ms: its return is noticed
+ * within a fifth of a second, at a cost of some calls while nobody else is served. */
+#define PROBE_EVERY_MS 150
+#define PROBE_TIMEOUT_MS 1200
 
 struct dff_rows_health {
 	struct dff_rows interface;
-	const struct dff_rows *rows;
-	const struct dff_clock *clock;
+	struct dff_rows_health_options options;
+	struct event *probe;
 	/** Calls in progress, oldest first. Elements: struct call. */
 	GQueue calls;
 	/** When the last call was begun that has been answered. */
@@ -32,6 +37,13 @@
 	GList link;
 };
 
+static void
+schedule_probe (struct dff_rows_health *health)
+{
+	struct timeval interval = dff_timeval_from_ms (PROBE_EVERY_MS);
+	evtimer_add (health->probe, &interval);
+}
+
 static void
 set_silent (struct dff_rows_health *health, bool silent, int64_t since_ms)
 {
@@ -40,11 +52,15 @@
 	health->silent = silent;
 	*health->silent_gauge = silent;
 	*health->silences += silent;
+	if (silent)
+		schedule_probe (health);
+	else
+		evtimer_del (health->probe);
 	dff_log (DFF_LOG_RECORD, silent ? DFF_LOG_WARNING : DFF_LOG_INFO,
 		 "%s calls=%u unanswered_ms=%" PRId64,
 		 silent ? "Store does not answer." : "Store answers again.",
 		 g_queue_get_length (&health->calls),
-		 dff_clock_now_ms (health->clock) - since_ms);
+		 dff_clock_now_ms (health->options.clock) - since_ms);
 }
 
 static bool
@@ -64,7 +80,7 @@
 	if (result->answered) {
 		health->answered_begun_ms = MAX (health->answered_begun_ms, call->begun_ms);
 		set_silent (health, false, call->begun_ms);
-	} else if (is_unheard (health, call, dff_clock_now_ms (health->clock))) {
+	} else if (is_unheard (health, call, dff_clock_now_ms (health->options.clock))) {
 		set_silent (health, true, call->begun_ms);
 	}
 	g_free (call);
@@ -78,7 +94,7 @@
 	call->health = health;
 	call->done = done;
 	call->user = user;
-	call->begun_ms = dff_clock_now_ms (health->clock);
+	call->begun_ms = dff_clock_now_ms (health->options.clock);
 	call->due_ms = call->begun_ms + wait_ms + SILENT_AFTER_MS;
 	call->link.data = call;
 	g_queue_push_tail_link (&health->calls, &call->link);
@@ -89,7 +105,7 @@
 health_commit (void *ctx, const struct dff_rows_commit *commit, dff_rows_func done, void *user)
 {
 	struct dff_rows_health *health = ctx;
-	health->rows->commit (health->rows->ctx, commit, handle_result,
+	health->options.rows->commit (health->options.rows->ctx, commit, handle_result,
 			      call_new (health, 0, done, user));
 }
 
@@ -97,7 +113,7 @@
 health_get (void *ctx, const struct dff_rows_range *range, dff_rows_func done, void *user)
 {
 	struct dff_rows_health *health = ctx;
-	health->rows->get (health->rows->ctx, range, handle_result,
+	health->options.rows->get (health->options.rows->ctx, range, handle_result,
 			   call_new (health, 0, done, user));
 }
 
@@ -105,18 +121,38 @@
 health_feed (void *ctx, const struct dff_rows_feed *feed, dff_rows_func done, void *user)
 {
 	struct dff_rows_health *health = ctx;
-	health->rows->feed (health->rows->ctx, feed, handle_result,
+	health->options.rows->feed (health->options.rows->ctx, feed, handle_result,
 			    call_new (health, feed->wait_ms, done, user));
 }
 
+static void
+ignore_result (void *user, const struct dff_rows_result *result)
+{
+	(void)user;
+	(void)result;
+}
+
+static void
+handle_probe (evutil_socket_t fd, short events, void *ctx)
+{
+	(void)fd;
+	(void)events;
+	struct dff_rows_health *health = ctx;
+	struct dff_rows_range range = {.table = health->options.probe_table,
+				       .from = dff_str_from (health->options.probe_key),
+				       .limit = 1,
+				       .timeout_ms = PROBE_TIMEOUT_MS};
+	health_get (health, &range, ignore_result, NULL);
+	schedule_probe (health);
+}
+
 struct dff_rows_health *
-dff_rows_health_new (const struct dff_rows *rows,
-		     const struct dff_clock *clock,
-		     struct dff_metrics *metrics)
+dff_rows_health_new (const struct dff_rows_health_options *options)
 {
 	struct dff_rows_health *health = g_new0 (struct dff_rows_health, 1);
-	health->rows = rows;
-	health->clock = clock;
+	struct dff_metrics *metrics = options->metrics;
+	health->options = *options;
+	health->probe = evtimer_new (options->base, handle_probe, health);
 	health->answered_begun_ms = INT64_MIN;
 	health->silences = dff_metrics_counter (metrics, "dff_rows_silences_total",
 						"Times that the store stopped answering.");
@@ -137,6 +173,7 @@
 		g_queue_unlink (&health->calls, &call->link);
 		g_free (call);
 	}
+	event_free (health->probe);
 	g_free (health);
 }
 
@@ -149,7 +186,7 @@
 bool
 dff_rows_health_is_silent (struct dff_rows_health *health)
 {
-	int64_t now_ms = dff_clock_now_ms (health->clock);
+	int64_t now_ms = dff_clock_now_ms (health->options.clock);
 	for (GList *link = health->calls.head; link != NULL && !health->silent;
 	     link = link->next) {
 		const struct call *call = link->data;
