holder: a holder whose process has ended is not waited for

Cause: after a kill, and after all machines lost power, the others waited until the holder's row had stood still for 0.9 to 1.25 s. Change: the row names where the holder tells its name; who sees it stand still for 250 ms, or for the first time, asks. Nobody listening, or another life of the process, means that it has ended: the cell is taken at once. No answer means nothing.

--- a/fleet/fleet.c
+++ b/fleet/fleet.c
@@ -41,6 +41,10 @@
  * needs two checks a second apart to leave it out. */
 #define STOP_LINGER_MS 3000
 #define STOP_CHECK_MS 100
+/** Path at which a process tells its name, on the address for readiness, and the time that one who
+ * asks waits, ms. */
+#define INSTANCE_PATH "/instance"
+#define PRESENCE_TIMEOUT_MS 300
 /** Margin of a worker's longest lease that is left alone, ms. */
 #define LEASE_MARGIN_MS 500
 
@@ -53,6 +57,9 @@
 	struct dff_metrics *metrics;
 	struct dff_http_client *store_client;
 	struct dff_http_client *worker_client;
+	struct dff_http_client *peer_client;
+	/** Name of this life of the process. */
+	struct dff_name life;
 	struct dff_http_rows *rows;
 	struct dff_rows_health *store;
 	struct dff_http_runner *runner;
@@ -144,6 +151,65 @@
 	evhttp_send_reply (request, ready ? 200 : 503, NULL, NULL);
 }
 
+static void
+handle_instance (struct evhttp_request *request, void *ctx)
+{
+	const struct dff_fleet *fleet = ctx;
+	evbuffer_add (evhttp_request_get_output_buffer (request), fleet->life.data,
+		      fleet->life.len);
+	evhttp_send_reply (request, 200, NULL, NULL);
+}
+
+struct presence_call {
+	struct dff_name instance;
+	int64_t begun_ms;
+	dff_holder_presence_func done;
+	void *user;
+};
+
+static enum dff_holder_presence
+presence_of (const struct presence_call *call, const struct dff_http_response *response)
+{
+	int64_t took_ms = dff_clock_now_ms (dff_clock_system ()) - call->begun_ms;
+	if (response->outcome == DFF_HTTP_ANSWERED && response->status == 200) {
+		struct dff_str instance = {call->instance.data, call->instance.len};
+		return dff_str_equal (response->body, instance) ? DFF_HOLDER_PRESENT
+								: DFF_HOLDER_ENDED;
+	}
+	/* Refused before its time is up: nobody listens there. */
+	if (response->outcome == DFF_HTTP_UNSENT && took_ms < PRESENCE_TIMEOUT_MS / 2)
+		return DFF_HOLDER_ENDED;
+	return DFF_HOLDER_UNHEARD;
+}
+
+static void
+handle_presence (void *user, const struct dff_http_response *response)
+{
+	struct presence_call *call = user;
+	call->done (call->user, presence_of (call, response));
+	g_free (call);
+}
+
+static void
+ask_presence (void *ctx,
+	      const struct dff_name *address,
+	      const struct dff_name *instance,
+	      dff_holder_presence_func done,
+	      void *user)
+{
+	struct dff_fleet *fleet = ctx;
+	struct presence_call *call = g_new0 (struct presence_call, 1);
+	call->instance = *instance;
+	call->begun_ms = dff_clock_now_ms (fleet->clock);
+	call->done = done;
+	call->user = user;
+	struct dff_http_request request = {.address = *address,
+					   .method = EVHTTP_REQ_GET,
+					   .path = INSTANCE_PATH,
+					   .timeout_ms = PRESENCE_TIMEOUT_MS};
+	dff_http_client_send (fleet->peer_client, &request, handle_presence, call);
+}
+
 static void
 handle_metrics (struct evhttp_request *request, void *ctx)
 {
@@ -175,6 +241,7 @@
 	dff_http_client_options_init (&defaults);
 	fleet->store_client = client_new (fleet, STORE_CONNECTIONS, defaults.max_idle_ms);
 	fleet->worker_client = client_new (fleet, WORKER_CONNECTIONS, WORKER_IDLE_MS);
+	fleet->peer_client = client_new (fleet, 1, defaults.max_idle_ms);
 	fleet->rows = dff_http_rows_new (fleet->store_client, &fleet->settings.store_address);
 	struct dff_rows_health_options health = {
 		.base = fleet->base,
@@ -198,8 +265,10 @@
 	options.rows = dff_rows_health_interface (fleet->store);
 	options.runner = dff_http_runner_interface (fleet->runner);
 	options.metrics = fleet->metrics;
-	options.instance = dff_name_printf ("%.50s.%08x", fleet->settings.instance.data,
-					    randombytes_random ());
+	options.instance = fleet->life;
+	options.presence_address = fleet->settings.ready_address;
+	options.ask_presence = ask_presence;
+	options.presence_ctx = fleet;
 	options.read_upstream = dff_platform_read_upstream;
 	options.lease_ms = (int32_t)MIN (options.lease_ms,
 					 fleet->settings.worker_lease_max_ms - LEASE_MARGIN_MS);
@@ -267,6 +336,7 @@
 	fleet->metrics_http = evhttp_new (fleet->base);
 	dff_ingress_serve (fleet->ingress, fleet->front_http);
 	evhttp_set_gencb (fleet->ready_http, handle_ready, fleet);
+	evhttp_set_cb (fleet->ready_http, INSTANCE_PATH, handle_instance, fleet);
 	evhttp_set_cb (fleet->metrics_http, "/metrics", handle_metrics, fleet);
 	return listen_at (fleet->front_http, &fleet->settings.front_address, error) &&
 	       listen_at (fleet->ready_http, &fleet->settings.ready_address, error) &&
@@ -312,6 +382,8 @@
 	fleet->base = base;
 	fleet->clock = dff_clock_system ();
 	fleet->settings = *settings;
+	fleet->life = dff_name_printf ("%.50s.%08x", settings->instance.data,
+				       randombytes_random ());
 	fleet->metrics = dff_metrics_new ();
 	fleet->config_version = dff_metrics_gauge (fleet->metrics, "dff_fleet_config_version",
 						   "Version of the configuration in force.");
@@ -338,6 +410,7 @@
 	/* Drops the calls in progress without calling back. */
 	g_clear_pointer (&fleet->store_client, dff_http_client_free);
 	g_clear_pointer (&fleet->worker_client, dff_http_client_free);
+	g_clear_pointer (&fleet->peer_client, dff_http_client_free);
 	g_clear_pointer (&fleet->ingress, dff_ingress_free);
 	g_clear_pointer (&fleet->front, dff_front_free);
 	g_clear_pointer (&fleet->store, dff_rows_health_free);
--- a/holder/holder.c
+++ b/holder/holder.c
@@ -137,6 +137,7 @@
 	holder->waiting_in_flight = g_string_new (NULL);
 	holder->finished_names = g_hash_table_new (dff_name_hash, dff_name_equal_func);
 	holder->seen_revision = -1;
+	holder->ended_revision = -1;
 	open_metrics (holder);
 	holder->tick = evtimer_new (options->base, handle_tick, holder);
 	holder->work = event_new (options->base, -1, 0, handle_work, holder);
--- a/holder/holder_private.h
+++ b/holder/holder_private.h
@@ -138,6 +138,11 @@
 	int64_t seen_revision;
 	int64_t seen_since_ms;
 	int64_t read_took_ms;
+	bool asking_presence;
+	/** Revision of the row whose holder has ended; -1: none. */
+	int64_t ended_revision;
+	/** When the holder may be asked next whether it is there. */
+	int64_t next_ask_ms;
 	int64_t taken_ms;
 	/** Begin of the last transaction or read that showed this process as the holder. */
 	int64_t confirmed_ms;
@@ -223,6 +228,8 @@
 	int64_t epoch;
 	int64_t sequence;
 	struct dff_name instance;
+	/** Where the instance tells its name. */
+	struct dff_name address;
 	bool released;
 };
 
--- a/holder/lease.c
+++ b/holder/lease.c
@@ -15,6 +15,10 @@
 #define READ_EVERY_MS 300
 /** Timeout of a reading, ms: beyond the answers of a store that is fifty times as slow. */
 #define READ_TIMEOUT_MS 1200
+/** Standstill after which the holder is asked whether it is there, and time between two questions,
+ * ms: one sign of life is late. A process that sees the row for the first time asks at once. */
+#define ASK_AFTER_MS 250
+#define ASK_EVERY_MS 250
 /** Spread of the moments at which processes take over, ms: one is first, and its transaction ends
  * the others' attempts. */
 #define TAKE_SPREAD_MS 350
@@ -46,10 +50,10 @@
 GString *
 lease_encode (const struct dff_holder *holder, int64_t sequence, bool released)
 {
-	return dff_json_print (json_pack ("{s:I, s:I, s:s, s:b}", "epoch",
-					  (json_int_t)holder->epoch, "sequence",
-					  (json_int_t)sequence, "instance",
-					  holder->options.instance.data, "released", released));
+	return dff_json_print (json_pack (
+		"{s:I, s:I, s:s, s:s, s:b}", "epoch", (json_int_t)holder->epoch, "sequence",
+		(json_int_t)sequence, "instance", holder->options.instance.data, "address",
+		holder->options.presence_address.data, "released", released));
 }
 
 bool
@@ -59,6 +63,7 @@
 	row->epoch = dff_json_int (root, "epoch");
 	row->sequence = dff_json_int (root, "sequence");
 	row->instance = dff_json_name (root, "instance");
+	row->address = dff_json_name (root, "address");
 	row->released = dff_json_bool (root, "released");
 	json_decref (root);
 	return row->epoch > 0;
@@ -160,6 +165,47 @@
 	return (int64_t)(weight % (uint64_t)range_ms);
 }
 
+struct ask_call {
+	struct dff_holder *holder;
+	int64_t term;
+	int64_t revision;
+};
+
+static void
+handle_presence (void *user, enum dff_holder_presence presence)
+{
+	struct ask_call *call = user;
+	struct dff_holder *holder = call->holder;
+	int64_t revision = call->revision;
+	bool current = call->term == holder->term;
+	g_free (call);
+	holder->asking_presence = false;
+	if (!current || presence != DFF_HOLDER_ENDED)
+		return;
+	holder->ended_revision = revision;
+	holder->next_read_ms = 0;
+	holder_wake (holder);
+}
+
+/* A holder whose process has ended is not waited for. Its address tells: nobody listens there, or
+ * another life of the process does. One that is merely not heard may be well. */
+static void
+ask_presence (struct dff_holder *holder, const struct lease_row *lease, int64_t revision)
+{
+	int64_t now_ms = holder_now_ms (holder);
+	if (holder->asking_presence || dff_name_is_empty (&lease->address) ||
+	    now_ms < holder->next_ask_ms)
+		return;
+	holder->asking_presence = true;
+	holder->next_ask_ms = now_ms + ASK_EVERY_MS;
+	struct ask_call *call = g_new0 (struct ask_call, 1);
+	call->holder = holder;
+	call->term = holder->term;
+	call->revision = revision;
+	holder->options.ask_presence (holder->options.presence_ctx, &lease->address,
+				      &lease->instance, handle_presence, call);
+}
+
 /* A row that shows no change since @seen_since_ms. */
 static void
 judge_row (struct dff_holder *holder, const struct dff_row *row, int64_t begun_ms)
@@ -170,6 +216,7 @@
 	int64_t revision = row != NULL ? row->revision : 0;
 	int64_t now_ms = holder_now_ms (holder);
 	holder->read_took_ms = now_ms - begun_ms;
+	bool first = holder->seen_revision == -1;
 	if (revision != holder->seen_revision) {
 		holder->seen_revision = revision;
 		holder->seen_since_ms = now_ms;
@@ -181,6 +228,13 @@
 		patience_ms = 0;
 		reason = row == NULL ? "new" : "released";
 	}
+	if (row != NULL && revision == holder->ended_revision) {
+		patience_ms = 0;
+		still_ms = MAX (still_ms, 0);
+		reason = "ended";
+	} else if (row != NULL && (first || still_ms >= ASK_AFTER_MS)) {
+		ask_presence (holder, &lease, revision);
+	}
 	patience_ms += spread_ms (holder, lease.epoch + 1, TAKE_SPREAD_MS);
 	if (still_ms >= patience_ms)
 		take (holder, lease.epoch + 1, revision, reason);
--- a/include/holder/holder.h
+++ b/include/holder/holder.h
@@ -19,6 +19,18 @@
 
 struct dff_holder;
 
+/** What asking a process for its name has shown. */
+enum dff_holder_presence {
+	/** The process that was asked for answers. */
+	DFF_HOLDER_PRESENT,
+	/** Another process answers, or none listens there: the one asked for has ended. */
+	DFF_HOLDER_ENDED,
+	/** No answer: it may be cut off, frozen, or without power. */
+	DFF_HOLDER_UNHEARD,
+};
+
+typedef void (*dff_holder_presence_func) (void *user, enum dff_holder_presence presence);
+
 struct dff_holder_options {
 	struct event_base *base;
 	const struct dff_clock *clock;
@@ -29,6 +41,16 @@
 	struct dff_name instance;
 	/** Reads a row of DFF_TABLE_UPSTREAMS. Returns: false when it is none. */
 	bool (*read_upstream) (const struct dff_row *row, struct dff_upstream *upstream);
+	/** Where other processes may ask this one for its name. */
+	struct dff_name presence_address;
+	/** Asks the process at @address whether it is @instance; @done is called once, never before
+	 * the call returns. */
+	void (*ask_presence) (void *ctx,
+			      const struct dff_name *address,
+			      const struct dff_name *instance,
+			      dff_holder_presence_func done,
+			      void *user);
+	void *presence_ctx;
 	/** How long a worker's tasks go on without a word from the holder, ms. */
 	int32_t lease_ms;
 	/** Standstill of the holder's row after which another process takes over, ms. */
