holder, front: the keys of new jobs stand in a table that is read whole

Change: a submission or cancellation leaves its key in a small table in the same transaction; the holder reads it each 200 ms, fetches what it was not told of, and removes what it knows.

--- a/front/front.c
+++ b/front/front.c
@@ -144,12 +144,14 @@
 	const struct dff_rows *rows = request->front->options.rows;
 	struct dff_rows_condition condition = {.table = DFF_TABLE_JOBS,
 					       .key = {request->key->str, request->key->len}};
-	struct dff_rows_write write = {
-		.table = DFF_TABLE_JOBS, .key = condition.key, .value = value};
+	struct dff_rows_write writes[] = {
+		{.table = DFF_TABLE_JOBS, .key = condition.key, .value = value},
+		{.table = DFF_TABLE_INBOX, .key = condition.key, .value = dff_str_from ("{}")},
+	};
 	struct dff_rows_commit commit = {.conditions = &condition,
 					 .n_conditions = 1,
-					 .writes = &write,
-					 .n_writes = 1,
+					 .writes = writes,
+					 .n_writes = G_N_ELEMENTS (writes),
 					 .timeout_ms = request_timeout_ms (request)};
 	rows->commit (rows->ctx, &commit, done, request);
 }
--- a/holder/commit.c
+++ b/holder/commit.c
@@ -39,6 +39,8 @@
 	bool released;
 	/** Finished jobs whose rows it removes. */
 	guint n_removed;
+	/** (nullable): keys that it removes from the inbox. Elements: char *. */
+	GPtrArray *inbox;
 };
 
 void
@@ -165,6 +167,7 @@
 	int64_t begun_ms = call->begun_ms;
 	bool released = call->released;
 	guint n_removed = call->n_removed;
+	g_autoptr (GPtrArray) inbox = call->inbox;
 	bool current = call->term == holder->term;
 	g_free (call);
 	if (!current)
@@ -185,6 +188,8 @@
 			return;
 		}
 		drop_removed (holder, n_removed);
+		for (guint i = 0; i < inbox->len; i++)
+			g_hash_table_remove (holder->inbox_done, g_ptr_array_index (inbox, i));
 		note_written (holder);
 		break;
 	case DFF_ROWS_CONFLICT:
@@ -316,6 +321,20 @@
 	return count;
 }
 
+static void
+draft_inbox (struct dff_holder *holder, struct draft *draft, GPtrArray *keys)
+{
+	GHashTableIter iter;
+	gpointer key;
+	g_hash_table_iter_init (&iter, holder->inbox_done);
+	while (draft->writes->len < ROWS_MAX && g_hash_table_iter_next (&iter, &key, NULL)) {
+		struct dff_rows_write write = {
+			.table = DFF_TABLE_INBOX, .key = dff_str_from (key), .remove = true};
+		g_array_append_val (draft->writes, write);
+		g_ptr_array_add (keys, g_strdup (key));
+	}
+}
+
 static void
 draft_waiting (struct dff_holder *holder, struct draft *draft)
 {
@@ -357,6 +376,7 @@
 	call->term = holder->term;
 	call->begun_ms = holder_now_ms (holder);
 	call->released = released;
+	call->inbox = g_ptr_array_new_with_free_func (g_free);
 	holder->sequence++;
 	draft_write (&draft, DFF_TABLE_CELL, key,
 		     lease_encode (holder, holder->sequence, released));
@@ -365,6 +385,7 @@
 		draft_jobs (holder, &draft);
 		draft_waiting (holder, &draft);
 		call->n_removed = draft_removals (holder, &draft);
+		draft_inbox (holder, &draft, call->inbox);
 	}
 	struct dff_rows_condition condition = {
 		.table = DFF_TABLE_CELL, .key = key, .revision = holder->row_revision};
--- a/holder/holder.c
+++ b/holder/holder.c
@@ -66,6 +66,7 @@
 		recovery_work (holder);
 	if (holder->phase == DFF_HOLDER_HOLDING) {
 		jobs_work (holder);
+		inbox_work (holder);
 		runs_work (holder);
 		watch_work (holder);
 	}
--- a/holder/holder_private.h
+++ b/holder/holder_private.h
@@ -173,6 +173,12 @@
 	bool progress_read;
 	bool jobs_read;
 
+	/* holder/inbox.c */
+	bool reading_inbox;
+	int64_t next_inbox_ms;
+	/** Keys that are taken in and are to leave the inbox. Elements: char *. */
+	GHashTable *inbox_done;
+
 	/* holder/jobs.c */
 	struct dff_core *core;
 	GArray *commands;
@@ -295,6 +301,17 @@
 /** Forgets a job whose final state is on record. Returns: false while a unit of it is stopping. */
 bool jobs_release (struct dff_holder *holder, struct holder_job *job);
 
+/** Returns: whether what a key of DFF_TABLE_JOBS says is known. */
+bool jobs_know_key (struct dff_holder *holder, struct dff_str key);
+
+/* inbox.c */
+
+void inbox_begin (struct dff_holder *holder);
+void inbox_forget (struct dff_holder *holder);
+
+/** Reads what is to be taken in, when that is due. */
+void inbox_work (struct dff_holder *holder);
+
 /* workers.c */
 
 void workers_begin (struct dff_holder *holder);
--- /dev/null
+++ b/holder/inbox.c
@@ -0,0 +1,112 @@
+#include "holder/holder_private.h"
+
+#include <string.h>
+
+#include "common/log.h"
+
+/* New jobs and cancellations that the holder has not heard of. The feed tells of most within
+ * milliseconds; but the store may hold feeds back for a second while it serves reads. Symptom: jobs
+ * accepted in that second all begin late. So each submission also leaves its key in a small table,
+ * which is read whole several times a second, and from which the holder removes what it knows. */
+
+/** Time between two readings, ms: how late a job is known at worst. */
+#define READ_EVERY_MS 200
+#define READ_TIMEOUT_MS 1000
+#define READ_ROWS 200
+
+struct inbox_call {
+	struct dff_holder *holder;
+	int64_t term;
+};
+
+static struct inbox_call *
+call_new (struct dff_holder *holder)
+{
+	struct inbox_call *call = g_new0 (struct inbox_call, 1);
+	call->holder = holder;
+	call->term = holder->term;
+	return call;
+}
+
+/* Returns: (nullable): the holder, unless it has stood down since. */
+static struct dff_holder *
+call_end (struct inbox_call *call)
+{
+	struct dff_holder *holder = call->term == call->holder->term ? call->holder : NULL;
+	g_free (call);
+	return holder;
+}
+
+void
+inbox_begin (struct dff_holder *holder)
+{
+	holder->reading_inbox = false;
+	holder->next_inbox_ms = 0;
+	holder->inbox_done = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+}
+
+void
+inbox_forget (struct dff_holder *holder)
+{
+	g_clear_pointer (&holder->inbox_done, g_hash_table_unref);
+}
+
+static void
+handle_job_rows (void *user, const struct dff_rows_result *result)
+{
+	struct dff_holder *holder = call_end (user);
+	if (holder == NULL || result->outcome != DFF_ROWS_DONE)
+		return;
+	for (size_t i = 0; i < result->n_rows; i++)
+		jobs_handle_row (holder, &result->rows[i]);
+}
+
+/* Reads the rows of one job: its own and its cancellation. */
+static void
+read_job (struct dff_holder *holder, struct dff_str key)
+{
+	const struct dff_rows *rows = holder->options.rows;
+	g_autofree char *text = g_strndup (key.data, key.len);
+	text[strcspn (text, ".")] = '\0';
+	g_autofree char *to = g_strconcat (text, "/", NULL);
+	dff_log (DFF_LOG_CELL, DFF_LOG_INFO, "Job found that was not told. key=%.*s", (int)key.len,
+		 key.data);
+	struct dff_rows_range range = {.table = DFF_TABLE_JOBS,
+				       .from = dff_str_from (text),
+				       .to = dff_str_from (to),
+				       .limit = 2,
+				       .timeout_ms = READ_TIMEOUT_MS};
+	rows->get (rows->ctx, &range, handle_job_rows, call_new (holder));
+}
+
+static void
+handle_inbox (void *user, const struct dff_rows_result *result)
+{
+	struct dff_holder *holder = call_end (user);
+	if (holder == NULL)
+		return;
+	holder->reading_inbox = false;
+	if (result->outcome != DFF_ROWS_DONE)
+		return;
+	for (size_t i = 0; i < result->n_rows; i++) {
+		struct dff_str key = result->rows[i].key;
+		if (jobs_know_key (holder, key))
+			g_hash_table_add (holder->inbox_done, g_strndup (key.data, key.len));
+		else
+			read_job (holder, key);
+	}
+}
+
+void
+inbox_work (struct dff_holder *holder)
+{
+	int64_t now_ms = holder_now_ms (holder);
+	if (holder->reading_inbox || now_ms < holder->next_inbox_ms)
+		return;
+	holder->reading_inbox = true;
+	holder->next_inbox_ms = now_ms + READ_EVERY_MS;
+	struct dff_rows_range range = {
+		.table = DFF_TABLE_INBOX, .limit = READ_ROWS, .timeout_ms = READ_TIMEOUT_MS};
+	holder->options.rows->get (holder->options.rows->ctx, &range, handle_inbox,
+				   call_new (holder));
+}
--- a/holder/jobs.c
+++ b/holder/jobs.c
@@ -332,21 +332,41 @@
 	holder_wake (holder);
 }
 
+static bool
+split_cancel_key (struct dff_str *key)
+{
+	static const struct dff_str suffix = {DFF_KEY_CANCEL_SUFFIX,
+					      sizeof (DFF_KEY_CANCEL_SUFFIX) - 1};
+	if (key->len <= suffix.len ||
+	    memcmp (key->data + key->len - suffix.len, suffix.data, suffix.len) != 0)
+		return false;
+	key->len -= suffix.len;
+	return true;
+}
+
+bool
+jobs_know_key (struct dff_holder *holder, struct dff_str key)
+{
+	struct dff_name id;
+	bool cancel = split_cancel_key (&key);
+	if (!dff_name_parse (key, &id) || commit_is_finished (holder, &id))
+		return true;
+	const struct holder_job *job = g_hash_table_lookup (holder->jobs, &id);
+	return job != NULL &&
+	       (!cancel || job->cancelled || dff_job_state_is_final (job->progress->state));
+}
+
 void
 jobs_handle_row (void *ctx, const struct dff_row *row)
 {
 	struct dff_holder *holder = ctx;
-	static const struct dff_str suffix = {DFF_KEY_CANCEL_SUFFIX,
-					      sizeof (DFF_KEY_CANCEL_SUFFIX) - 1};
+	struct dff_str key = row->key;
 	if (row->removed)
 		return;
-	if (row->key.len > suffix.len &&
-	    memcmp (row->key.data + row->key.len - suffix.len, suffix.data, suffix.len) == 0) {
-		struct dff_str job = {row->key.data, row->key.len - suffix.len};
-		handle_cancel_row (holder, job);
-		return;
-	}
-	add_job (holder, row);
+	if (split_cancel_key (&key))
+		handle_cancel_row (holder, key);
+	else
+		add_job (holder, row);
 }
 
 void
--- a/holder/recovery.c
+++ b/holder/recovery.c
@@ -109,6 +109,7 @@
 	holder->dirty = g_hash_table_new (NULL, NULL);
 	jobs_begin (holder);
 	workers_begin (holder);
+	inbox_begin (holder);
 	read_progress (holder);
 }
 
@@ -133,6 +134,7 @@
 recovery_forget (struct dff_holder *holder)
 {
 	g_clear_pointer (&holder->jobs_follower, dff_follower_free);
+	inbox_forget (holder);
 	g_clear_pointer (&holder->recorded, g_hash_table_unref);
 	g_clear_pointer (&holder->dirty, g_hash_table_unref);
 }
