--- a/include/rows/health.h
+++ b/include/rows/health.h
@@ -11,7 +11,7 @@
 /*
  * A store of rows that knows whether the store behind it answers this process. Calls pass through
  * unchanged. The path counts as silent when a call had no answer for a while and nothing that was
- * sent after it had one either; the next answer, a refusal included, ends that. While it is silent,
+ * sent after it had one either; the next call that is served ends that. While it is silent,
  * one small row is read again and again, so that its return is noticed at once.
  */
 
--- a/include/rows/rows.h
+++ b/include/rows/rows.h
@@ -88,8 +88,6 @@
 /** Valid in the callback only. */
 struct dff_rows_result {
 	enum dff_rows_outcome outcome;
-	/** Whether the store has answered at all, be it with a refusal. */
-	bool answered;
 	/** The store's newest revision; after a commit, that of the rows written. */
 	int64_t revision;
 	const struct dff_row *rows;
--- a/rows/health.c
+++ b/rows/health.c
@@ -20,8 +20,8 @@
 	struct event *probe;
 	/** Calls in progress, oldest first. Elements: struct call. */
 	GQueue calls;
-	/** When the last call was begun that has been answered. */
-	int64_t answered_begun_ms;
+	/** When the last call was begun that has been served. */
+	int64_t served_begun_ms;
 	bool silent;
 	int64_t *silences;
 	int64_t *silent_gauge;
@@ -66,7 +66,16 @@
 static bool
 is_unheard (const struct dff_rows_health *health, const struct call *call, int64_t now_ms)
 {
-	return now_ms >= call->due_ms && health->answered_begun_ms <= call->begun_ms;
+	return now_ms >= call->due_ms && health->served_begun_ms <= call->begun_ms;
+}
+
+/* A refusal does not count: a store that is mostly silent refuses some calls half a second later.
+ */
+static bool
+is_served (enum dff_rows_outcome outcome)
+{
+	return outcome == DFF_ROWS_DONE || outcome == DFF_ROWS_CONFLICT ||
+	       outcome == DFF_ROWS_HISTORY_GONE;
 }
 
 static void
@@ -77,8 +86,8 @@
 	dff_rows_func done = call->done;
 	void *done_user = call->user;
 	g_queue_unlink (&health->calls, &call->link);
-	if (result->answered) {
-		health->answered_begun_ms = MAX (health->answered_begun_ms, call->begun_ms);
+	if (is_served (result->outcome)) {
+		health->served_begun_ms = MAX (health->served_begun_ms, call->begun_ms);
 		set_silent (health, false, call->begun_ms);
 	} else if (is_unheard (health, call, dff_clock_now_ms (health->options.clock))) {
 		set_silent (health, true, call->begun_ms);
@@ -106,7 +115,7 @@
 {
 	struct dff_rows_health *health = ctx;
 	health->options.rows->commit (health->options.rows->ctx, commit, handle_result,
-			      call_new (health, 0, done, user));
+				      call_new (health, 0, done, user));
 }
 
 static void
@@ -114,7 +123,7 @@
 {
 	struct dff_rows_health *health = ctx;
 	health->options.rows->get (health->options.rows->ctx, range, handle_result,
-			   call_new (health, 0, done, user));
+				   call_new (health, 0, done, user));
 }
 
 static void
@@ -122,7 +131,7 @@
 {
 	struct dff_rows_health *health = ctx;
 	health->options.rows->feed (health->options.rows->ctx, feed, handle_result,
-			    call_new (health, feed->wait_ms, done, user));
+				    call_new (health, feed->wait_ms, done, user));
 }
 
 static void
@@ -153,15 +162,13 @@
 	struct dff_metrics *metrics = options->metrics;
 	health->options = *options;
 	health->probe = evtimer_new (options->base, handle_probe, health);
-	health->answered_begun_ms = INT64_MIN;
+	health->served_begun_ms = INT64_MIN;
 	health->silences = dff_metrics_counter (metrics, "dff_rows_silences_total",
 						"Times that the store stopped answering.");
 	health->silent_gauge = dff_metrics_gauge (metrics, "dff_rows_silent",
 						  "1 while the store does not answer.");
-	health->interface = (struct dff_rows){.commit = health_commit,
-					      .get = health_get,
-					      .feed = health_feed,
-					      .ctx = health};
+	health->interface = (struct dff_rows){
+		.commit = health_commit, .get = health_get, .feed = health_feed, .ctx = health};
 	return health;
 }
 
@@ -187,8 +194,7 @@
 dff_rows_health_is_silent (struct dff_rows_health *health)
 {
 	int64_t now_ms = dff_clock_now_ms (health->options.clock);
-	for (GList *link = health->calls.head; link != NULL && !health->silent;
-	     link = link->next) {
+	for (GList *link = health->calls.head; link != NULL && !health->silent; link = link->next) {
 		const struct call *call = link->data;
 		if (is_unheard (health, call, now_ms))
 			set_silent (health, true, call->begun_ms);
