--- a/core/core.c
+++ b/core/core.c
@@ -6,6 +6,8 @@
 /* 4.3 s for urgent work, less deciding, recording, stopping and starting. */
 #define DEFAULT_CHECKPOINT_GRACE_MS 2500
 #define DEFAULT_MAX_GUARDS 1
+/** It is taken again from its checkpoint, after grace and restart. */
+#define DEFAULT_CHECKPOINT_LOSS_MS 5000
 /** A backstop: keeping racks earlier cost more than it gave where jobs run for hours. */
 #define DEFAULT_GUARD_AFTER_MS 28800000
 #define DEFAULT_GUARD_GRACE_MS 600000
@@ -28,6 +30,7 @@
 	options->guard_after_ms = DEFAULT_GUARD_AFTER_MS;
 	options->guard_grace_ms = DEFAULT_GUARD_GRACE_MS;
 	options->max_guards = DEFAULT_MAX_GUARDS;
+	options->checkpoint_loss_ms = DEFAULT_CHECKPOINT_LOSS_MS;
 	options->urgent_share = 0.0;
 }
 
--- a/core/reclaim.c
+++ b/core/reclaim.c
@@ -2,9 +2,6 @@
 
 /* Reclaim: which borrowing work gives way, and jobs that wait until it has. */
 
-/** Part of a checkpointable task's run that is lost all the same: it is taken again from its
- * checkpoint, after grace and restart, ms. */
-#define CHECKPOINT_LOSS_MS 5000
 /** How much lower a job's score has to be to take a borrower's place, and how long the borrower
  * has run at least since its last start, ms. */
 #define OVERTAKE_MARGIN 1.5
@@ -75,7 +72,7 @@
 	int64_t weight = (int64_t)dff_core_job_accelerators (job) * ACCELERATOR_SLOTS + job->gang;
 	int64_t age_ms = job->state == DFF_CORE_RUNNING ? core->now_ms - job->started_ms : 0;
 	if (job->checkpoint)
-		age_ms = MIN (age_ms, CHECKPOINT_LOSS_MS);
+		age_ms = MIN (age_ms, core->options.checkpoint_loss_ms);
 	/* What was preempted before is dearer, or the same job would give way for ever. */
 	return weight * (age_ms + 1000) * (1 + job->preemptions);
 }
--- a/holder/jobs.c
+++ b/holder/jobs.c
@@ -25,6 +25,9 @@
 #define GUARD_AFTER_MS 1500
 #define GUARD_GRACE_MS 15000
 #define GUARDS_MAX 2
+/** Run time lost by a task with checkpoints that is stopped, ms: a stop saves, and the restart takes
+ * some hundred milliseconds. */
+#define CHECKPOINT_LOSS_MS 300
 /** Share of the workers for urgent work only: an eighth more of it is in time on loaded days, and a
  * quarter less work is thrown away; a larger share costs the wide gangs of the other classes. */
 #define URGENT_SHARE 0.167
@@ -74,6 +77,7 @@
 	options.guard_grace_ms = GUARD_GRACE_MS;
 	options.max_guards = GUARDS_MAX;
 	options.urgent_share = URGENT_SHARE;
+	options.checkpoint_loss_ms = CHECKPOINT_LOSS_MS;
 	holder->core = dff_core_new (&options);
 	holder->commands = g_array_new (FALSE, TRUE, sizeof (struct dff_command));
 	holder->jobs = g_hash_table_new_full (dff_name_hash, dff_name_equal_func, NULL, free_job);
--- a/include/core/core.h
+++ b/include/core/core.h
@@ -62,6 +62,8 @@
 	int64_t guard_grace_ms;
 	/** Gangs at once for which racks are kept. */
 	int32_t max_guards;
+	/** Run time that is lost when a task with checkpoints is stopped and started again, ms. */
+	int64_t checkpoint_loss_ms;
 	/** Share of each region's accelerators, by whole workers, that only urgent work gets: it
 	 * then seldom waits until somebody's task has stopped. */
 	double urgent_share;
