core, holder: workers whose tasks stand still are left

Change: the holder compares each run's progress with its pace; when everything on a worker stands still, the core puts it into quarantine and starts anew elsewhere what saves or has run less than 4 s.

--- a/core/core.c
+++ b/core/core.c
@@ -6,6 +6,7 @@
 /* 4.3 s for urgent work, less deciding, recording, stopping and starting. */
 #define DEFAULT_CHECKPOINT_GRACE_MS 2500
 #define DEFAULT_MAX_GUARDS 1
+#define DEFAULT_STALL_LOSS_MS 60000
 /** It is taken again from its checkpoint, after grace and restart. */
 #define DEFAULT_CHECKPOINT_LOSS_MS 5000
 /** A backstop: keeping racks earlier cost more than it gave where jobs run for hours. */
@@ -31,6 +32,7 @@
 	options->guard_grace_ms = DEFAULT_GUARD_GRACE_MS;
 	options->max_guards = DEFAULT_MAX_GUARDS;
 	options->checkpoint_loss_ms = DEFAULT_CHECKPOINT_LOSS_MS;
+	options->stall_loss_ms = DEFAULT_STALL_LOSS_MS;
 	options->urgent_share = 0.0;
 }
 
@@ -339,6 +341,24 @@
 		dff_core_worker_set_state (core, index, event->worker_state);
 }
 
+static void
+handle_worker_stalled (struct dff_core *core, const struct dff_event *event)
+{
+	int32_t index = dff_core_find_worker (core, &event->worker);
+	if (index == DFF_CORE_NONE)
+		return;
+	dff_core_worker_suspect (core, index);
+	g_autoptr (GPtrArray) tenants =
+		g_ptr_array_copy (dff_core_worker_at (core, index)->tenants, NULL, NULL);
+	for (guint i = 0; i < tenants->len; i++) {
+		struct dff_core_job *tenant = g_ptr_array_index (tenants, i);
+		if (tenant->hold == DFF_CORE_HOLD_SOFT && tenant->state == DFF_CORE_RUNNING &&
+		    (tenant->checkpoint ||
+		     core->now_ms - tenant->started_ms <= core->options.stall_loss_ms))
+			dff_core_job_preempt (core, tenant);
+	}
+}
+
 static void
 handle_attempt_event (struct dff_core *core, const struct dff_event *event)
 {
@@ -376,6 +396,9 @@
 	case DFF_EVENT_WORKER_STATE:
 		handle_worker_event (core, event);
 		return;
+	case DFF_EVENT_WORKER_STALLED:
+		handle_worker_stalled (core, event);
+		return;
 	default:
 		handle_attempt_event (core, event);
 		return;
--- a/core/core_private.h
+++ b/core/core_private.h
@@ -248,6 +248,9 @@
 
 void dff_core_note_failure (struct dff_core *core, struct dff_core_job *job, int32_t worker);
 
+/** Puts a worker into quarantine whatever it did before, unless too many are. */
+void dff_core_worker_suspect (struct dff_core *core, int32_t worker);
+
 void dff_core_note_success (struct dff_core *core, int32_t worker);
 
 /** Whether a job has failed on a worker and should try another. */
--- a/core/quarantine.c
+++ b/core/quarantine.c
@@ -123,6 +123,15 @@
 		quarantine (core, worker);
 }
 
+void
+dff_core_worker_suspect (struct dff_core *core, int32_t index)
+{
+	struct dff_core_worker *worker = dff_core_worker_at (core, index);
+	if (worker->health == DFF_CORE_PROBING ||
+	    (worker->health == DFF_CORE_HEALTHY && may_quarantine (core)))
+		quarantine (core, worker);
+}
+
 void
 dff_core_note_success (struct dff_core *core, int32_t worker_index)
 {
--- a/holder/holder.c
+++ b/holder/holder.c
@@ -112,6 +112,9 @@
 	holder->metrics.lapsed_workers =
 		dff_metrics_counter (metrics, "dff_holder_workers_lost_total",
 				     "Workers whose runs were given up as over.");
+	holder->metrics.stalled_workers =
+		dff_metrics_counter (metrics, "dff_holder_workers_stalled_total",
+				     "Workers whose tasks stood still.");
 	holder->metrics.jobs_completed = dff_metrics_counter (
 		metrics, "dff_holder_jobs_completed_total", "Jobs that completed.");
 	holder->metrics.jobs_failed =
--- a/holder/holder_private.h
+++ b/holder/holder_private.h
@@ -82,6 +82,8 @@
 	int64_t ended_seen;
 	int64_t ended_pending;
 	int64_t ended_recorded;
+	/** When the core was told last that its tasks stand still. */
+	int64_t stalled_ms;
 	enum dff_worker_state state;
 	/** struct dff_name * (in the run) to struct holder_run. */
 	GHashTable *runs;
@@ -203,6 +205,7 @@
 		int64_t *starts_rejected;
 		int64_t *ends[DFF_RUN_ALONE + 1];
 		int64_t *lapsed_workers;
+		int64_t *stalled_workers;
 		int64_t *jobs_completed;
 		int64_t *jobs_failed;
 		int64_t *jobs_cancelled;
--- a/holder/jobs.c
+++ b/holder/jobs.c
@@ -28,6 +28,9 @@
 /** Run time lost by a task with checkpoints that is stopped, ms: a stop saves, and the restart takes
  * some hundred milliseconds. */
 #define CHECKPOINT_LOSS_MS 300
+/** Run time up to which tasks on a worker that stalls are started anew, ms: about what a stall lasts.
+ */
+#define STALL_LOSS_MS 4000
 /** Share of the workers for urgent work only: an eighth more of it is in time on loaded days, and a
  * quarter less work is thrown away; a larger share costs the wide gangs of the other classes. */
 #define URGENT_SHARE 0.167
@@ -78,6 +81,7 @@
 	options.max_guards = GUARDS_MAX;
 	options.urgent_share = URGENT_SHARE;
 	options.checkpoint_loss_ms = CHECKPOINT_LOSS_MS;
+	options.stall_loss_ms = STALL_LOSS_MS;
 	holder->core = dff_core_new (&options);
 	holder->commands = g_array_new (FALSE, TRUE, sizeof (struct dff_command));
 	holder->jobs = g_hash_table_new_full (dff_name_hash, dff_name_equal_func, NULL, free_job);
--- a/holder/watch.c
+++ b/holder/watch.c
@@ -22,6 +22,13 @@
 /** How long a watch is put off while ends wait to be on record, ms: the worker would answer at once
  * with the same ends. */
 #define UNRECORDED_MAX_MS 400
+/** Standstill of a task's progress that counts as a stall, ms, in general and before its first step,
+ * which may follow a restore and a wait for its gang; and in times of its pace so far. */
+#define STILL_MS 1200
+#define STILL_AT_START_MS 2500
+#define STILL_TIMES 5
+/** Time between two reports of a worker's stall, ms. */
+#define STALL_REPEAT_MS 3000
 /** A worker's clock may be this much slower than ours. */
 #define CLOCK_DRIFT 0.02
 /** Margin for the moment at which a worker acts on its deadline, ms. */
@@ -152,6 +159,45 @@
 	}
 }
 
+/* Whether a run has stood still for much longer than its progress so far lets expect. */
+static bool
+stands_still (const struct holder_run *run, int64_t now_ms)
+{
+	int64_t still_ms = now_ms - run->percent_ms;
+	int64_t pace_ms = run->percent > 0 ? (run->percent_ms - run->open_ms) / run->percent : 0;
+	int64_t patience_ms = run->percent > 0 ? STILL_MS : STILL_AT_START_MS;
+	return still_ms >= MAX (patience_ms, STILL_TIMES * pace_ms);
+}
+
+/* Symptom: everything on a worker takes seconds longer, urgent work too, though the worker answers.
+ * Sequence: its tasks stand still while it reports them as running. Cause: nobody looked at their
+ * progress. One run that stands still beside others that go on is its job's affair. */
+static void
+judge_progress (struct dff_holder *holder, struct holder_worker *worker)
+{
+	int64_t now_ms = holder_now_ms (holder);
+	guint n_open = 0, n_still = 0;
+	GHashTableIter iter;
+	gpointer value;
+	g_hash_table_iter_init (&iter, worker->runs);
+	while (g_hash_table_iter_next (&iter, NULL, &value)) {
+		const struct holder_run *run = value;
+		if (run->phase != DFF_RUN_PHASE_OPEN || run->percent < 0 || run->percent >= 100)
+			continue;
+		n_open++;
+		n_still += stands_still (run, now_ms);
+	}
+	if (n_still == 0 || n_still < n_open || now_ms - worker->stalled_ms < STALL_REPEAT_MS)
+		return;
+	worker->stalled_ms = now_ms;
+	(*holder->metrics.stalled_workers)++;
+	dff_log (DFF_LOG_UPSTREAM, DFF_LOG_WARNING, "Worker's tasks stand still. worker=%s runs=%u",
+		 worker->upstream.id.data, n_still);
+	struct dff_event event = {.type = DFF_EVENT_WORKER_STALLED,
+				  .worker = worker->upstream.id};
+	dff_core_handle_event (holder->core, &event, now_ms);
+}
+
 static void
 take_lists (struct dff_holder *holder,
 	    struct holder_worker *worker,
@@ -163,6 +209,7 @@
 	/* Ends settle runs: none of them may be looked at through @listed any more. */
 	take_ended (holder, worker, result);
 	take_unlisted (holder, worker, listed, begun_ms);
+	judge_progress (holder, worker);
 }
 
 static void
--- a/include/core/core.h
+++ b/include/core/core.h
@@ -62,6 +62,8 @@
 	int64_t guard_grace_ms;
 	/** Gangs at once for which racks are kept. */
 	int32_t max_guards;
+	/** Run time up to which a job without checkpoints is started anew when its worker stalls, ms. */
+	int64_t stall_loss_ms;
 	/** Run time that is lost when a task with checkpoints is stopped and started again, ms. */
 	int64_t checkpoint_loss_ms;
 	/** Share of each region's accelerators, by whole workers, that only urgent work gets: it
@@ -108,6 +110,9 @@
 	DFF_EVENT_TASK_STOPPED, /**< Proven stopped; @ran tells whether it ever ran. */
 	DFF_EVENT_TASK_LOST,    /**< Its lease has lapsed: it no longer runs, and may have run. */
 	DFF_EVENT_WORKER_STATE, /**< @worker, @worker_state. */
+	/** Tasks on a worker stand still: it goes to quarantine, and what has little to lose runs
+	 * elsewhere. @worker. */
+	DFF_EVENT_WORKER_STALLED,
 };
 
 /** State of an attempt found on record at take-over. */
