common: timers as an interface

Cause: follower, front and holder waited on libevent's timers, so that none of them could run under a virtual clock. Change: common/timer.h; dff_timers_from_base() gives libevent's.

--- a/fleet/fleet.c
+++ b/fleet/fleet.c
@@ -52,6 +52,7 @@
 
 struct dff_fleet {
 	struct event_base *base;
+	struct dff_timers timers;
 	const struct dff_clock *clock;
 	struct dff_fleet_settings settings;
 	struct dff_metrics *metrics;
@@ -244,8 +245,7 @@
 	fleet->peer_client = client_new (fleet, 1, defaults.max_idle_ms);
 	fleet->rows = dff_http_rows_new (fleet->store_client, &fleet->settings.store_address);
 	struct dff_rows_health_options health = {
-		.base = fleet->base,
-		.clock = fleet->clock,
+		.timers = &fleet->timers,
 		.metrics = fleet->metrics,
 		.rows = dff_http_rows_interface (fleet->rows),
 		.probe_table = DFF_TABLE_CELL,
@@ -260,8 +260,7 @@
 {
 	struct dff_holder_options options;
 	dff_holder_options_init (&options);
-	options.base = fleet->base;
-	options.clock = fleet->clock;
+	options.timers = &fleet->timers;
 	options.rows = dff_rows_health_interface (fleet->store);
 	options.runner = dff_http_runner_interface (fleet->runner);
 	options.metrics = fleet->metrics;
@@ -288,8 +287,7 @@
 open_front (struct dff_fleet *fleet)
 {
 	struct dff_front_options front = {
-		.base = fleet->base,
-		.clock = fleet->clock,
+		.timers = &fleet->timers,
 		.rows = dff_rows_health_interface (fleet->store),
 		.metrics = fleet->metrics,
 		.store_is_silent = store_is_silent,
@@ -306,8 +304,7 @@
 	};
 	fleet->ingress = dff_ingress_new (&ingress);
 	struct dff_follower_options follower = {
-		.base = fleet->base,
-		.clock = fleet->clock,
+		.timers = &fleet->timers,
 		.rows = dff_rows_health_interface (fleet->store),
 		.table = DFF_TABLE_CONFIG,
 		.wait_ms = CONFIG_WAIT_MS,
@@ -380,10 +377,11 @@
 {
 	DFF_AUTO (dff_fleet) fleet = g_new0 (struct dff_fleet, 1);
 	fleet->base = base;
-	fleet->clock = dff_clock_system ();
+	fleet->timers = dff_timers_from_base (base);
+	fleet->clock = fleet->timers.clock;
 	fleet->settings = *settings;
-	fleet->life = dff_name_printf ("%.50s.%08x", settings->instance.data,
-				       randombytes_random ());
+	fleet->life =
+		dff_name_printf ("%.50s.%08x", settings->instance.data, randombytes_random ());
 	fleet->metrics = dff_metrics_new ();
 	fleet->config_version = dff_metrics_gauge (fleet->metrics, "dff_fleet_config_version",
 						   "Version of the configuration in force.");
--- a/front/front.c
+++ b/front/front.c
@@ -4,7 +4,6 @@
 #include <stdio.h>
 #include <string.h>
 
-#include "common/http_connection.h"
 #include "common/log.h"
 #include "holder/tables.h"
 
@@ -46,7 +45,7 @@
 	int64_t begun_ms;
 	/** What is repeated after a pause. */
 	request_step_func step;
-	struct event *retry;
+	struct dff_timer *retry;
 	/** Writes whose fate is open. */
 	int32_t n_open;
 	int32_t n_refused;
@@ -63,7 +62,7 @@
 	request->job = *job;
 	request->value = g_string_new (NULL);
 	request->key = g_string_new (job->data);
-	request->begun_ms = dff_clock_now_ms (front->options.clock);
+	request->begun_ms = dff_clock_now_ms (front->options.timers->clock);
 	return request;
 }
 
@@ -75,7 +74,7 @@
 	(*front->unknown) += result->outcome == DFF_FRONT_UNKNOWN;
 	request->reply.done (request->reply.user, result);
 	if (request->retry != NULL)
-		event_free (request->retry);
+		dff_timer_free (request->retry);
 	g_string_free (request->value, TRUE);
 	g_string_free (request->key, TRUE);
 	g_free (request);
@@ -92,7 +91,7 @@
 request_left_ms (const struct request *request)
 {
 	return request->reply.deadline_ms - ANSWER_MS -
-	       dff_clock_now_ms (request->front->options.clock);
+	       dff_clock_now_ms (request->front->options.timers->clock);
 }
 
 static int32_t
@@ -102,10 +101,8 @@
 }
 
 static void
-handle_retry (evutil_socket_t fd, short events, void *ctx)
+handle_retry (void *ctx)
 {
-	(void)fd;
-	(void)events;
 	struct request *request = ctx;
 	request->step (request);
 }
@@ -121,9 +118,9 @@
 	}
 	request->step = step;
 	if (request->retry == NULL)
-		request->retry = evtimer_new (request->front->options.base, handle_retry, request);
-	struct timeval pause = dff_timeval_from_ms (RETRY_MS);
-	evtimer_add (request->retry, &pause);
+		request->retry =
+			dff_timer_new (request->front->options.timers, handle_retry, request);
+	dff_timer_start (request->retry, RETRY_MS);
 }
 
 /* Refused writes were not done: unless an earlier one is open, the caller learns it at once. */
@@ -163,8 +160,8 @@
 }
 
 /* Begins a request. A store that does not answer would leave the fate of a write open until the
- * caller's time is up: nothing is sent to it, so that the caller can be told at once that nothing was
- * done, and when to come back. */
+ * caller's time is up: nothing is sent to it, so that the caller can be told at once that nothing
+ * was done, and when to come back. */
 static void
 request_begin (struct request *request, request_step_func step)
 {
@@ -175,8 +172,8 @@
 	}
 	/* In the next turn of the loop: callbacks never come before the call returns. */
 	request->step = give_up_step;
-	request->retry = evtimer_new (options->base, handle_retry, request);
-	event_active (request->retry, EV_TIMEOUT, 0);
+	request->retry = dff_timer_new (options->timers, handle_retry, request);
+	dff_timer_start (request->retry, 0);
 }
 
 /* submit */
@@ -190,7 +187,7 @@
 		 "Job accepted. job=%s repeated=%d revision=%" PRId64 " took_ms=%" PRId64
 		 " open_writes=%d",
 		 request->job.data, repeated, revision,
-		 dff_clock_now_ms (request->front->options.clock) - request->begun_ms,
+		 dff_clock_now_ms (request->front->options.timers->clock) - request->begun_ms,
 		 request->n_open);
 }
 
@@ -277,7 +274,8 @@
 		dff_log (DFF_LOG_ENTRY, DFF_LOG_INFO,
 			 "Cancellation accepted. job=%s repeated=%d took_ms=%" PRId64,
 			 request->job.data, result->outcome == DFF_ROWS_CONFLICT,
-			 dff_clock_now_ms (request->front->options.clock) - request->begun_ms);
+			 dff_clock_now_ms (request->front->options.timers->clock) -
+				 request->begun_ms);
 		request_end (request, DFF_FRONT_OK);
 		return;
 	case DFF_ROWS_UNKNOWN:
--- a/holder/holder.c
+++ b/holder/holder.c
@@ -1,7 +1,5 @@
 #include "holder/holder_private.h"
 
-#include "common/http_connection.h"
-
 /** Time between looks at what is due, ms: while holding, what a start may be late by; else what a
  * take-over may. */
 #define TICK_HOLDING_MS 20
@@ -35,28 +33,25 @@
 int64_t
 holder_now_ms (const struct dff_holder *holder)
 {
-	return dff_clock_now_ms (holder->options.clock);
+	return dff_clock_now_ms (holder->options.timers->clock);
 }
 
 void
 holder_wake (struct dff_holder *holder)
 {
-	event_active (holder->work, 0, 0);
+	dff_timer_start (holder->work, 0);
 }
 
 static void
 schedule_tick (struct dff_holder *holder)
 {
 	bool idle = holder->phase == DFF_HOLDER_WATCHING;
-	struct timeval interval = dff_timeval_from_ms (idle ? TICK_WATCHING_MS : TICK_HOLDING_MS);
-	evtimer_add (holder->tick, &interval);
+	dff_timer_start (holder->tick, idle ? TICK_WATCHING_MS : TICK_HOLDING_MS);
 }
 
 static void
-handle_work (evutil_socket_t fd, short events, void *ctx)
+handle_work (void *ctx)
 {
-	(void)fd;
-	(void)events;
 	struct dff_holder *holder = ctx;
 	lease_work (holder);
 	if (holder->phase < DFF_HOLDER_READING)
@@ -74,9 +69,9 @@
 }
 
 static void
-handle_tick (evutil_socket_t fd, short events, void *ctx)
+handle_tick (void *ctx)
 {
-	handle_work (fd, events, ctx);
+	handle_work (ctx);
 	schedule_tick (ctx);
 }
 
@@ -112,9 +107,8 @@
 	holder->metrics.lapsed_workers =
 		dff_metrics_counter (metrics, "dff_holder_workers_lost_total",
 				     "Workers whose runs were given up as over.");
-	holder->metrics.stalled_workers =
-		dff_metrics_counter (metrics, "dff_holder_workers_stalled_total",
-				     "Workers whose tasks stood still.");
+	holder->metrics.stalled_workers = dff_metrics_counter (
+		metrics, "dff_holder_workers_stalled_total", "Workers whose tasks stood still.");
 	holder->metrics.jobs_completed = dff_metrics_counter (
 		metrics, "dff_holder_jobs_completed_total", "Jobs that completed.");
 	holder->metrics.jobs_failed =
@@ -143,8 +137,8 @@
 	holder->seen_revision = -1;
 	holder->ended_revision = -1;
 	open_metrics (holder);
-	holder->tick = evtimer_new (options->base, handle_tick, holder);
-	holder->work = event_new (options->base, -1, 0, handle_work, holder);
+	holder->tick = dff_timer_new (options->timers, handle_tick, holder);
+	holder->work = dff_timer_new (options->timers, handle_work, holder);
 	schedule_tick (holder);
 	return holder;
 }
@@ -154,8 +148,8 @@
 {
 	if (holder->phase >= DFF_HOLDER_READING)
 		lease_stand_down (holder, "stopped");
-	event_free (holder->tick);
-	event_free (holder->work);
+	dff_timer_free (holder->tick);
+	dff_timer_free (holder->work);
 	g_hash_table_unref (holder->finished_names);
 	g_array_unref (holder->teams);
 	g_ptr_array_unref (holder->committed_jobs);
--- a/holder/holder_private.h
+++ b/holder/holder_private.h
@@ -127,8 +127,8 @@
 	enum holder_phase phase;
 	/** Grows with each change of phase to WATCHING, to tell late answers. */
 	int64_t term;
-	struct event *tick;
-	struct event *work;
+	struct dff_timer *tick;
+	struct dff_timer *work;
 	bool resigning;
 
 	/* holder/lease.c */
--- a/holder/jobs.c
+++ b/holder/jobs.c
@@ -25,10 +25,11 @@
 #define GUARD_AFTER_MS 1500
 #define GUARD_GRACE_MS 15000
 #define GUARDS_MAX 2
-/** Run time lost by a task with checkpoints that is stopped, ms: a stop saves, and the restart takes
- * some hundred milliseconds. */
+/** Run time lost by a task with checkpoints that is stopped, ms: a stop saves, and the restart
+ * takes some hundred milliseconds. */
 #define CHECKPOINT_LOSS_MS 300
-/** Run time up to which tasks on a worker that stalls are started anew, ms: about what a stall lasts.
+/** Run time up to which tasks on a worker that stalls are started anew, ms: about what a stall
+ * lasts.
  */
 #define STALL_LOSS_MS 4000
 /** Share of the workers for urgent work only: an eighth more of it is in time on loaded days, and a
@@ -229,7 +230,7 @@
 	if (job->cancelled)
 		return;
 	g_autoptr (GArray) units = g_array_new (FALSE, FALSE, sizeof (struct dff_unit));
-	int64_t wall_ms = dff_clock_wall_ms (holder->options.clock) - DUE_MARGIN_MS;
+	int64_t wall_ms = dff_clock_wall_ms (holder->options.timers->clock) - DUE_MARGIN_MS;
 	job->due_ms = dff_progress_offer (job->progress, job->plan, wall_ms, units);
 	holder->next_due_ms = MIN (holder->next_due_ms, job->due_ms);
 	for (guint i = 0; i < units->len; i++)
@@ -565,7 +566,7 @@
 static void
 offer_due (struct dff_holder *holder)
 {
-	int64_t wall_ms = dff_clock_wall_ms (holder->options.clock) - DUE_MARGIN_MS;
+	int64_t wall_ms = dff_clock_wall_ms (holder->options.timers->clock) - DUE_MARGIN_MS;
 	if (holder->next_due_ms > wall_ms)
 		return;
 	holder->next_due_ms = INT64_MAX;
--- a/holder/recovery.c
+++ b/holder/recovery.c
@@ -32,8 +32,7 @@
 follow_jobs (struct dff_holder *holder)
 {
 	struct dff_follower_options options = {
-		.base = holder->options.base,
-		.clock = holder->options.clock,
+		.timers = holder->options.timers,
 		.rows = holder->options.rows,
 		.table = DFF_TABLE_JOBS,
 		.wait_ms = JOBS_WAIT_MS,
--- a/include/front/front.h
+++ b/include/front/front.h
@@ -1,11 +1,9 @@
 #ifndef DFF_FRONT_FRONT_H
 #define DFF_FRONT_FRONT_H
 
-#include <event2/event.h>
-
 #include "common/cleanup.h"
-#include "common/clock.h"
 #include "common/metrics.h"
+#include "common/timer.h"
 #include "graph/progress.h"
 #include "rows/rows.h"
 
@@ -18,8 +16,7 @@
 struct dff_front;
 
 struct dff_front_options {
-	struct event_base *base;
-	const struct dff_clock *clock;
+	const struct dff_timers *timers;
 	const struct dff_rows *rows;
 	struct dff_metrics *metrics;
 	/** Returns: whether the store does not answer now. */
--- a/include/holder/holder.h
+++ b/include/holder/holder.h
@@ -1,11 +1,9 @@
 #ifndef DFF_HOLDER_HOLDER_H
 #define DFF_HOLDER_HOLDER_H
 
-#include <event2/event.h>
-
 #include "common/cleanup.h"
-#include "common/clock.h"
 #include "common/metrics.h"
+#include "common/timer.h"
 #include "rows/rows.h"
 #include "upstream/runner.h"
 
@@ -32,8 +30,7 @@
 typedef void (*dff_holder_presence_func) (void *user, enum dff_holder_presence presence);
 
 struct dff_holder_options {
-	struct event_base *base;
-	const struct dff_clock *clock;
+	const struct dff_timers *timers;
 	const struct dff_rows *rows;
 	const struct dff_runner *runner;
 	struct dff_metrics *metrics;
--- a/include/rows/follower.h
+++ b/include/rows/follower.h
@@ -1,10 +1,8 @@
 #ifndef DFF_ROWS_FOLLOWER_H
 #define DFF_ROWS_FOLLOWER_H
 
-#include <event2/event.h>
-
 #include "common/cleanup.h"
-#include "common/clock.h"
+#include "common/timer.h"
 #include "rows/rows.h"
 
 /*
@@ -25,8 +23,7 @@
 };
 
 struct dff_follower_options {
-	struct event_base *base;
-	const struct dff_clock *clock;
+	const struct dff_timers *timers;
 	const struct dff_rows *rows;
 	const char *table;
 	/** How long the store may hold an answer back, ms: also how old the knowledge may be. */
--- a/include/rows/health.h
+++ b/include/rows/health.h
@@ -1,11 +1,9 @@
 #ifndef DFF_ROWS_HEALTH_H
 #define DFF_ROWS_HEALTH_H
 
-#include <event2/event.h>
-
 #include "common/cleanup.h"
-#include "common/clock.h"
 #include "common/metrics.h"
+#include "common/timer.h"
 #include "rows/rows.h"
 
 /*
@@ -18,8 +16,7 @@
 struct dff_rows_health;
 
 struct dff_rows_health_options {
-	struct event_base *base;
-	const struct dff_clock *clock;
+	const struct dff_timers *timers;
 	struct dff_metrics *metrics;
 	/** The store, borrowed. */
 	const struct dff_rows *rows;
--- a/rows/follower.c
+++ b/rows/follower.c
@@ -3,7 +3,6 @@
 #include <glib.h>
 #include <inttypes.h>
 
-#include "common/http_connection.h"
 #include "common/log.h"
 
 /** Rows of one reading: the store's own limit. */
@@ -15,7 +14,7 @@
 
 struct dff_follower {
 	struct dff_follower_options options;
-	struct event *retry;
+	struct dff_timer *retry;
 	/** The call in progress, to tell its callback that the follower is gone. */
 	struct call *call;
 	/** Revision up to which changes are known. */
@@ -42,7 +41,7 @@
 {
 	struct call *call = g_new0 (struct call, 1);
 	call->follower = follower;
-	call->begun_ms = dff_clock_now_ms (follower->options.clock);
+	call->begun_ms = dff_clock_now_ms (follower->options.timers->clock);
 	follower->call = call;
 	return call;
 }
@@ -68,8 +67,7 @@
 			 (int)result->outcome);
 	}
 	follower->lost = true;
-	struct timeval wait = dff_timeval_from_ms (follower->retry_ms);
-	evtimer_add (follower->retry, &wait);
+	dff_timer_start (follower->retry, follower->retry_ms);
 	follower->retry_ms = MIN (follower->retry_ms * 2, RETRY_MAX_MS);
 }
 
@@ -173,10 +171,8 @@
 }
 
 static void
-handle_retry (evutil_socket_t fd, short events, void *ctx)
+handle_retry (void *ctx)
 {
-	(void)fd;
-	(void)events;
 	follow (ctx);
 }
 
@@ -185,7 +181,7 @@
 {
 	struct dff_follower *follower = g_new0 (struct dff_follower, 1);
 	follower->options = *options;
-	follower->retry = evtimer_new (options->base, handle_retry, follower);
+	follower->retry = dff_timer_new (options->timers, handle_retry, follower);
 	follower->next_key = g_string_new (NULL);
 	follower->retry_ms = RETRY_MIN_MS;
 	follower->answered_ms = INT64_MIN;
@@ -198,7 +194,7 @@
 {
 	if (follower->call != NULL)
 		follower->call->follower = NULL;
-	event_free (follower->retry);
+	dff_timer_free (follower->retry);
 	g_string_free (follower->next_key, TRUE);
 	g_free (follower);
 }
@@ -214,5 +210,5 @@
 {
 	if (follower->answered_ms == INT64_MIN)
 		return INT64_MAX;
-	return dff_clock_now_ms (follower->options.clock) - follower->answered_ms;
+	return dff_clock_now_ms (follower->options.timers->clock) - follower->answered_ms;
 }
--- a/rows/health.c
+++ b/rows/health.c
@@ -3,7 +3,6 @@
 #include <glib.h>
 #include <inttypes.h>
 
-#include "common/http_connection.h"
 #include "common/log.h"
 
 /** Time without an answer, beyond the wait that the call asks for, after which the path counts as
@@ -17,7 +16,7 @@
 struct dff_rows_health {
 	struct dff_rows interface;
 	struct dff_rows_health_options options;
-	struct event *probe;
+	struct dff_timer *probe;
 	/** Calls in progress, oldest first. Elements: struct call. */
 	GQueue calls;
 	/** When the last call was begun that has been served. */
@@ -40,8 +39,7 @@
 static void
 schedule_probe (struct dff_rows_health *health)
 {
-	struct timeval interval = dff_timeval_from_ms (PROBE_EVERY_MS);
-	evtimer_add (health->probe, &interval);
+	dff_timer_start (health->probe, PROBE_EVERY_MS);
 }
 
 static void
@@ -55,12 +53,12 @@
 	if (silent)
 		schedule_probe (health);
 	else
-		evtimer_del (health->probe);
+		dff_timer_stop (health->probe);
 	dff_log (DFF_LOG_RECORD, silent ? DFF_LOG_WARNING : DFF_LOG_INFO,
 		 "%s calls=%u unanswered_ms=%" PRId64,
 		 silent ? "Store does not answer." : "Store answers again.",
 		 g_queue_get_length (&health->calls),
-		 dff_clock_now_ms (health->options.clock) - since_ms);
+		 dff_clock_now_ms (health->options.timers->clock) - since_ms);
 }
 
 static bool
@@ -89,7 +87,7 @@
 	if (is_served (result->outcome)) {
 		health->served_begun_ms = MAX (health->served_begun_ms, call->begun_ms);
 		set_silent (health, false, call->begun_ms);
-	} else if (is_unheard (health, call, dff_clock_now_ms (health->options.clock))) {
+	} else if (is_unheard (health, call, dff_clock_now_ms (health->options.timers->clock))) {
 		set_silent (health, true, call->begun_ms);
 	}
 	g_free (call);
@@ -103,7 +101,7 @@
 	call->health = health;
 	call->done = done;
 	call->user = user;
-	call->begun_ms = dff_clock_now_ms (health->options.clock);
+	call->begun_ms = dff_clock_now_ms (health->options.timers->clock);
 	call->due_ms = call->begun_ms + wait_ms + SILENT_AFTER_MS;
 	call->link.data = call;
 	g_queue_push_tail_link (&health->calls, &call->link);
@@ -142,10 +140,8 @@
 }
 
 static void
-handle_probe (evutil_socket_t fd, short events, void *ctx)
+handle_probe (void *ctx)
 {
-	(void)fd;
-	(void)events;
 	struct dff_rows_health *health = ctx;
 	struct dff_rows_range range = {.table = health->options.probe_table,
 				       .from = dff_str_from (health->options.probe_key),
@@ -161,7 +157,7 @@
 	struct dff_rows_health *health = g_new0 (struct dff_rows_health, 1);
 	struct dff_metrics *metrics = options->metrics;
 	health->options = *options;
-	health->probe = evtimer_new (options->base, handle_probe, health);
+	health->probe = dff_timer_new (options->timers, handle_probe, health);
 	health->served_begun_ms = INT64_MIN;
 	health->silences = dff_metrics_counter (metrics, "dff_rows_silences_total",
 						"Times that the store stopped answering.");
@@ -180,7 +176,7 @@
 		g_queue_unlink (&health->calls, &call->link);
 		g_free (call);
 	}
-	event_free (health->probe);
+	dff_timer_free (health->probe);
 	g_free (health);
 }
 
@@ -193,7 +189,7 @@
 bool
 dff_rows_health_is_silent (struct dff_rows_health *health)
 {
-	int64_t now_ms = dff_clock_now_ms (health->options.clock);
+	int64_t now_ms = dff_clock_now_ms (health->options.timers->clock);
 	for (GList *link = health->calls.head; link != NULL && !health->silent; link = link->next) {
 		const struct call *call = link->data;
 		if (is_unheard (health, call, now_ms))
