tests: one holder, its successors and the fronts under a virtual clock

Change: stand-ins in memory for the row store and the workers, with faults (silent, refusing, lost and late writes, held feeds, dropped history; workers cut, mute, hung, reborn, late orders), a site of three processes, 16 tests of the failures met or designed for, and random plays by seed.

--- /dev/null
+++ b/include/standin/memory_runner.h
@@ -0,0 +1,85 @@
+#ifndef DFF_STANDIN_MEMORY_RUNNER_H
+#define DFF_STANDIN_MEMORY_RUNNER_H
+
+#include "standin/virtual_loop.h"
+#include "upstream/runner.h"
+
+/* Workers in memory, under a virtual clock, with faults. They notice what must never happen: a task
+ * that runs twice at a time, one that starts after its end was acknowledged, work beyond a worker's
+ * accelerators. */
+
+struct dff_memory_runner;
+struct dff_memory_runner_client;
+
+/** What a task does. */
+struct dff_memory_task {
+	int32_t duration_ms;
+	/** Members that it waits for; 0: it runs by itself. */
+	int32_t gang;
+	int32_t accelerators;
+	bool fails;
+	bool saves;
+};
+
+struct dff_memory_runner_options {
+	struct dff_virtual_loop *loop;
+	/** Tells what a task does, by its name. */
+	struct dff_memory_task (*describe) (void *ctx, const struct dff_name *task);
+	void *ctx;
+	int32_t stop_grace_ms;
+	int32_t gang_wait_ms;
+};
+
+/** Faults of one worker, changed at any time. */
+struct dff_memory_worker_faults {
+	/** Calls do not arrive. */
+	bool cut;
+	/** Calls arrive, answers do not. */
+	bool mute;
+	/** Tasks stand still. */
+	bool hung;
+	/** Starts are refused, the worker being unhealthy. */
+	bool refuses;
+	/** All tasks fail at once. */
+	bool fails;
+	/** So many of the next orders have no answer and are carried out later. */
+	int32_t late_orders;
+	int32_t late_ms;
+};
+
+struct dff_memory_runner *dff_memory_runner_new (const struct dff_memory_runner_options *options);
+
+/** No call may be in progress that is still to call back. */
+void dff_memory_runner_free (struct dff_memory_runner *runner);
+
+DFF_DEFINE_CLEANUP (dff_memory_runner, dff_memory_runner_free);
+
+/** Adds a worker. Its clock runs at @clock_permille of the loop's. Returns: its faults. */
+struct dff_memory_worker_faults *dff_memory_runner_add (struct dff_memory_runner *runner,
+							const char *id,
+							const char *address,
+							int32_t accelerators,
+							int32_t clock_permille);
+
+/** Ends a life: everything there ends, and another life may come to its address. */
+void dff_memory_runner_kill (struct dff_memory_runner *runner, const char *id);
+
+/** Returns: (transfer none): the workers as one process reaches them. */
+struct dff_memory_runner_client *dff_memory_runner_client_new (struct dff_memory_runner *runner);
+
+const struct dff_runner *
+dff_memory_runner_client_interface (struct dff_memory_runner_client *client);
+
+/** The process of this client has ended: none of its calls calls back any more. */
+void dff_memory_runner_client_end (struct dff_memory_runner_client *client);
+
+/** Returns: (nullable): the first thing that must never happen, in words. */
+const char *dff_memory_runner_violation (const struct dff_memory_runner *runner);
+
+/** Returns: runs that are open, over all workers. */
+int32_t dff_memory_runner_n_open (const struct dff_memory_runner *runner);
+
+/** Returns: starts that were carried out, of tasks whose name begins with @prefix. */
+int32_t dff_memory_runner_n_starts (const struct dff_memory_runner *runner, const char *prefix);
+
+#endif
--- /dev/null
+++ b/tests/holder/site.c
@@ -0,0 +1,396 @@
+#include "tests/holder/site.h"
+
+#include <stdio.h>
+#include <string.h>
+
+/** Time of day at the start, ms since 1970, and on the machines' clock. */
+#define START_MS 1000000
+
+/* What a task of a job does, by the first character of the job's id. */
+static struct dff_memory_task
+describe (void *ctx, const struct dff_name *task)
+{
+	(void)ctx;
+	struct dff_memory_task what = {.duration_ms = 1000, .accelerators = 1};
+	switch (task->data[0]) {
+	case '1': /* long */
+		what.duration_ms = 6000;
+		break;
+	case '2': /* gang of 3 whole workers */
+		what.gang = 3;
+		what.accelerators = SITE_ACCELERATORS;
+		break;
+	case '3': /* fails */
+		what.fails = true;
+		break;
+	case '4': /* long and saves */
+		what.duration_ms = 6000;
+		what.saves = true;
+		break;
+	case '5': /* long gang of 2 */
+		what.duration_ms = 3000;
+		what.gang = 2;
+		what.accelerators = 4;
+		break;
+	case '6': /* a whole worker */
+		what.duration_ms = 2000;
+		what.accelerators = SITE_ACCELERATORS;
+		break;
+	default:
+		break;
+	}
+	return what;
+}
+
+static struct dff_name
+worker_id (const struct site *site, int index)
+{
+	return dff_name_printf ("w%d-%d", index, site->worker_lives[index]);
+}
+
+/* Value of a worker's row: "ADDRESS RACK LEAVING". */
+static bool
+read_upstream (const struct dff_row *row, struct dff_upstream *upstream)
+{
+	char address[32], rack[16];
+	int leaving;
+	g_autofree char *text = g_strndup (row->value.data, row->value.len);
+	*upstream = (struct dff_upstream){.remaining_ms = -1};
+	if (sscanf (text, "%31s %15s %d", address, rack, &leaving) != 3)
+		return false;
+	upstream->address = dff_name_from (address);
+	upstream->rack = dff_name_from (rack);
+	upstream->service = dff_name_from ("service");
+	upstream->capacity = (struct dff_resources){
+		.slots = 64, .cores = 32, .memory_gb = 64, .accelerators = SITE_ACCELERATORS};
+	upstream->leaving = leaving;
+	return dff_name_parse (row->key, &upstream->id);
+}
+
+void
+site_list_worker (struct site *site, int index, bool listed, bool leaving)
+{
+	struct dff_name id = worker_id (site, index);
+	struct dff_name address = dff_name_printf ("10.0.0.%d:1", index);
+	g_autofree char *value =
+		g_strdup_printf ("%s r%d %d", address.data, index / SITE_PER_RACK, leaving);
+	if (listed) {
+		dff_memory_rows_put (site->rows, DFF_TABLE_UPSTREAMS, id.data,
+				     dff_str_from (value));
+		return;
+	}
+	dff_memory_rows_remove (site->rows, DFF_TABLE_UPSTREAMS, id.data);
+}
+
+static void
+add_worker (struct site *site, int index)
+{
+	struct dff_name id = worker_id (site, index);
+	struct dff_name address = dff_name_printf ("10.0.0.%d:1", index);
+	/* Clocks up to 2% slow. */
+	site->workers[index] = dff_memory_runner_add (site->runner, id.data, address.data,
+						      SITE_ACCELERATORS, 1000 - index * 4);
+	site_list_worker (site, index, true, false);
+}
+
+void
+site_reborn_worker (struct site *site, int index)
+{
+	struct dff_name id = worker_id (site, index);
+	dff_memory_runner_kill (site->runner, id.data);
+	site_list_worker (site, index, false, false);
+	site->worker_lives[index]++;
+	add_worker (site, index);
+}
+
+struct presence {
+	dff_holder_presence_func done;
+	void *user;
+	enum dff_holder_presence presence;
+	struct site_process *asker;
+	int32_t lives;
+};
+
+static void
+answer_presence (void *user)
+{
+	struct presence *presence = user;
+	if (presence->asker->alive && presence->asker->lives == presence->lives)
+		presence->done (presence->user, presence->presence);
+	g_free (presence);
+}
+
+static void
+ask_presence (void *ctx,
+	      const struct dff_name *address,
+	      const struct dff_name *instance,
+	      dff_holder_presence_func done,
+	      void *user)
+{
+	struct site_process *asker = ctx;
+	struct site *site = asker->site;
+	struct presence *presence = g_new0 (struct presence, 1);
+	const struct site_process *asked = &site->processes[address->data[1] - '0'];
+	presence->done = done;
+	presence->user = user;
+	presence->asker = asker;
+	presence->lives = asker->lives;
+	presence->presence = asked->alive && dff_name_equal (&asked->instance, instance)
+				     ? DFF_HOLDER_PRESENT
+				     : DFF_HOLDER_ENDED;
+	dff_virtual_loop_after (site->loop, 2, answer_presence, presence);
+}
+
+static bool
+store_is_silent (void *ctx)
+{
+	struct site_process *process = ctx;
+	return dff_rows_health_is_silent (process->health);
+}
+
+static void
+open_health (struct site *site, struct site_process *process)
+{
+	struct dff_rows_health_options options = {
+		.timers = dff_virtual_loop_timers (site->loop),
+		.metrics = process->metrics,
+		.rows = dff_memory_rows_client_interface (process->rows),
+		.probe_table = DFF_TABLE_CELL,
+		.probe_key = DFF_KEY_HOLDER,
+	};
+	process->health = dff_rows_health_new (&options);
+}
+
+static void
+open_holder (struct site *site, struct site_process *process, int index)
+{
+	struct dff_holder_options options;
+	dff_holder_options_init (&options);
+	options.timers = dff_virtual_loop_timers (site->loop);
+	options.rows = dff_rows_health_interface (process->health);
+	options.runner = dff_memory_runner_client_interface (process->runner);
+	options.metrics = process->metrics;
+	options.instance = process->instance;
+	options.presence_address = dff_name_printf ("p%d", index);
+	options.ask_presence = ask_presence;
+	options.presence_ctx = process;
+	options.read_upstream = read_upstream;
+	process->holder = dff_holder_new (&options);
+	struct dff_holder_team team = {.name = dff_name_from ("team")};
+	dff_holder_set_teams (process->holder, &team, 1);
+}
+
+void
+site_start_process (struct site *site, int index)
+{
+	struct site_process *process = &site->processes[index];
+	process->site = site;
+	process->alive = true;
+	process->lives++;
+	process->instance = dff_name_printf ("p%d.%d", index, process->lives);
+	process->metrics = dff_metrics_new ();
+	process->rows = dff_memory_rows_client_new (site->rows);
+	process->runner = dff_memory_runner_client_new (site->runner);
+	open_health (site, process);
+	open_holder (site, process, index);
+	struct dff_front_options front = {
+		.timers = dff_virtual_loop_timers (site->loop),
+		.rows = dff_rows_health_interface (process->health),
+		.metrics = process->metrics,
+		.store_is_silent = store_is_silent,
+		.ctx = process,
+	};
+	process->front = dff_front_new (&front);
+}
+
+void
+site_kill_process (struct site *site, int index)
+{
+	struct site_process *process = &site->processes[index];
+	if (!process->alive)
+		return;
+	process->alive = false;
+	dff_memory_rows_client_end (process->rows);
+	dff_memory_runner_client_end (process->runner);
+	dff_holder_free (process->holder);
+	dff_front_free (process->front);
+	dff_rows_health_free (process->health);
+	dff_metrics_free (process->metrics);
+}
+
+void
+site_open (struct site *site)
+{
+	memset (site, 0, sizeof (*site));
+	site->loop = dff_virtual_loop_new (START_MS);
+	site->rows = dff_memory_rows_new (site->loop);
+	site->accepted = g_ptr_array_new_with_free_func (g_free);
+	struct dff_memory_runner_options options = {.loop = site->loop,
+						    .describe = describe,
+						    .stop_grace_ms = 400,
+						    .gang_wait_ms = 3000};
+	site->runner = dff_memory_runner_new (&options);
+	for (int i = 0; i < SITE_WORKERS; i++)
+		add_worker (site, i);
+	for (int i = 0; i < SITE_PROCESSES; i++)
+		site_start_process (site, i);
+	for (int i = 0; i < 200 && site_holder (site) < 0; i++)
+		site_run (site, 10);
+	assert_int_not_equal (site_holder (site), -1);
+	site_run (site, 200);
+}
+
+void
+site_close (struct site *site)
+{
+	for (int i = 0; i < SITE_PROCESSES; i++)
+		site_kill_process (site, i);
+	/* Calls in progress end by themselves. */
+	site_run (site, 30000);
+	const char *violation = dff_memory_runner_violation (site->runner);
+	if (violation != NULL)
+		fail_msg ("%s", violation);
+	dff_memory_runner_free (site->runner);
+	dff_memory_rows_free (site->rows);
+	g_ptr_array_unref (site->accepted);
+	dff_virtual_loop_free (site->loop);
+}
+
+void
+site_run (struct site *site, int64_t ms)
+{
+	dff_virtual_loop_run (site->loop, ms);
+}
+
+int
+site_holder (const struct site *site)
+{
+	for (int i = 0; i < SITE_PROCESSES; i++) {
+		if (site->processes[i].alive && dff_holder_is_holding (site->processes[i].holder))
+			return i;
+	}
+	return -1;
+}
+
+struct dff_plan *
+site_plan (const char *id, int32_t count, bool gang, int32_t accelerators)
+{
+	struct dff_plan *plan = dff_plan_new ();
+	plan->id = dff_name_from (id);
+	plan->team = dff_name_from ("team");
+	plan->class_name = dff_name_from ("class");
+	plan->service = dff_name_from ("service");
+	plan->priority = 1;
+	plan->max_attempts = 2;
+	struct dff_step *step = dff_plan_add_step (plan);
+	step->count = count;
+	step->gang = gang;
+	step->one_rack = gang;
+	step->checkpoint = id[0] == '4';
+	step->estimate_ms = 2000;
+	step->per_task = (struct dff_resources){
+		.slots = 1, .cores = 1, .memory_gb = 1, .accelerators = accelerators};
+	return plan;
+}
+
+struct answer {
+	bool done;
+	struct dff_front_result result;
+};
+
+static void
+handle_answer (void *user, const struct dff_front_result *result)
+{
+	struct answer *answer = user;
+	answer->done = true;
+	answer->result = *result;
+}
+
+static struct dff_front_reply
+reply_to (struct site *site, struct answer *answer)
+{
+	return (struct dff_front_reply){.deadline_ms = dff_virtual_loop_now_ms (site->loop) + 3000,
+					.done = handle_answer,
+					.user = answer};
+}
+
+static void
+wait_for (struct site *site, const struct answer *answer)
+{
+	for (int i = 0; i < 4000 && !answer->done; i++)
+		site_run (site, 1);
+	assert_true (answer->done);
+}
+
+enum dff_front_outcome
+site_submit (struct site *site, int process, struct dff_plan *plan)
+{
+	struct answer answer = {0};
+	struct dff_front_reply reply = reply_to (site, &answer);
+	dff_front_submit (site->processes[process].front, plan, &reply);
+	wait_for (site, &answer);
+	if (answer.result.outcome == DFF_FRONT_OK)
+		g_ptr_array_add (site->accepted, g_strdup (plan->id.data));
+	dff_plan_free (plan);
+	return answer.result.outcome;
+}
+
+enum dff_front_outcome
+site_cancel (struct site *site, int process, const char *id)
+{
+	struct answer answer = {0};
+	struct dff_front_reply reply = reply_to (site, &answer);
+	struct dff_name name = dff_name_from (id);
+	dff_front_cancel (site->processes[process].front, &name, &reply);
+	wait_for (site, &answer);
+	return answer.result.outcome;
+}
+
+const char *
+site_state (struct site *site, int process, const char *id)
+{
+	struct answer answer = {0};
+	struct dff_front_reply reply = reply_to (site, &answer);
+	struct dff_name name = dff_name_from (id);
+	dff_front_read_state (site->processes[process].front, &name, &reply);
+	wait_for (site, &answer);
+	if (answer.result.outcome == DFF_FRONT_NOT_FOUND)
+		return "gone";
+	if (answer.result.outcome != DFF_FRONT_OK)
+		return "unavailable";
+	return dff_job_state_name (answer.result.state);
+}
+
+int32_t
+site_waiting (struct site *site, int process)
+{
+	struct answer answer = {0};
+	struct dff_front_reply reply = reply_to (site, &answer);
+	struct dff_name name = dff_name_from ("class");
+	dff_front_count_waiting (site->processes[process].front, &name, &reply);
+	wait_for (site, &answer);
+	return answer.result.outcome == DFF_FRONT_OK ? answer.result.waiting : -1;
+}
+
+static int
+any_process (const struct site *site)
+{
+	for (int i = 0; i < SITE_PROCESSES; i++) {
+		if (site->processes[i].alive)
+			return i;
+	}
+	return -1;
+}
+
+int64_t
+site_until (struct site *site, const char *id, const char *state, int64_t limit_ms)
+{
+	int64_t begun_ms = dff_virtual_loop_now_ms (site->loop);
+	while (dff_virtual_loop_now_ms (site->loop) - begun_ms < limit_ms) {
+		int process = any_process (site);
+		if (process >= 0 && strcmp (site_state (site, process, id), state) == 0)
+			return dff_virtual_loop_now_ms (site->loop) - begun_ms;
+		site_run (site, 20);
+	}
+	return -1;
+}
--- /dev/null
+++ b/tests/holder/site.h
@@ -0,0 +1,87 @@
+#ifndef DFF_TESTS_HOLDER_SITE_H
+#define DFF_TESTS_HOLDER_SITE_H
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+
+#include <cmocka.h>
+
+#include "common/metrics.h"
+#include "front/front.h"
+#include "holder/holder.h"
+#include "holder/tables.h"
+#include "rows/health.h"
+#include "standin/memory_rows.h"
+#include "standin/memory_runner.h"
+
+/* A few processes with one store and some workers, under a virtual clock. Tasks are described by
+ * the first character of their job's id: see describe() in site.c. */
+
+#define SITE_PROCESSES 3
+#define SITE_WORKERS 6
+#define SITE_PER_RACK 3
+#define SITE_ACCELERATORS 8
+
+struct site_process {
+	struct site *site;
+	bool alive;
+	int32_t lives;
+	struct dff_name instance;
+	struct dff_metrics *metrics;
+	struct dff_memory_rows_client *rows;
+	struct dff_memory_runner_client *runner;
+	struct dff_rows_health *health;
+	struct dff_holder *holder;
+	struct dff_front *front;
+};
+
+struct site {
+	struct dff_virtual_loop *loop;
+	struct dff_memory_rows *rows;
+	struct dff_memory_runner *runner;
+	struct site_process processes[SITE_PROCESSES];
+	struct dff_memory_worker_faults *workers[SITE_WORKERS];
+	int32_t worker_lives[SITE_WORKERS];
+	/** Elements: char *: jobs whose acceptance was confirmed. */
+	GPtrArray *accepted;
+};
+
+/** Every process is started, and one of them holds the cell. */
+void site_open (struct site *site);
+
+/** Fails the test on anything that must never happen. */
+void site_close (struct site *site);
+
+void site_run (struct site *site, int64_t ms);
+
+void site_start_process (struct site *site, int index);
+void site_kill_process (struct site *site, int index);
+
+/** Returns: the index of the process that holds the cell; -1: none. */
+int site_holder (const struct site *site);
+
+/** Takes a worker from the list, or puts it there again. */
+void site_list_worker (struct site *site, int index, bool listed, bool leaving);
+
+/** Ends a worker's life; another one begins at its address. */
+void site_reborn_worker (struct site *site, int index);
+
+/** A plan of one step. */
+struct dff_plan *site_plan (const char *id, int32_t count, bool gang, int32_t accelerators);
+
+/** Submits through a process and runs until it is answered. Frees @plan. */
+enum dff_front_outcome site_submit (struct site *site, int process, struct dff_plan *plan);
+
+enum dff_front_outcome site_cancel (struct site *site, int process, const char *id);
+
+/** Returns: the state's name, "gone" for a job that is not known, "unavailable". */
+const char *site_state (struct site *site, int process, const char *id);
+
+/** Returns: the count of jobs not begun; -1: unavailable. */
+int32_t site_waiting (struct site *site, int process);
+
+/** Runs until a job has @state, for @limit_ms at most. Returns: the time that took; -1: never. */
+int64_t site_until (struct site *site, const char *id, const char *state, int64_t limit_ms);
+
+#endif
--- /dev/null
+++ b/tests/holder/test-holder-seeds.c
@@ -0,0 +1,275 @@
+#include "tests/holder/site.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* Random jobs, cancellations and faults by seed, in no order: processes killed and started, stores
+ * that are silent, refuse, lose or delay writes for some processes, workers cut off, reborn, hung,
+ * late. The workers notice what must never happen; after the faults every accepted job has to end
+ * as it should. DFF_SEED_FIRST and DFF_SEED_COUNT play others by hand. */
+
+#define SEED_FIRST 1
+#define SEED_COUNT 40
+/** Steps of a play, and the time between two, ms. */
+#define STEPS 60
+#define STEP_MS 300
+/** Time in which everything ends after the faults, ms: less than what has ended is kept for. */
+#define SETTLE_MS 90000
+/** Jobs at most: each id is used once. */
+#define JOBS_MAX 40
+
+struct play {
+	struct site site;
+	GRand *rand;
+	int n_jobs;
+	/** Elements: char *: jobs whose cancellation was confirmed, or may have taken effect. */
+	GPtrArray *cancelled;
+};
+
+static int
+pick (struct play *play, int count)
+{
+	return g_rand_int_range (play->rand, 0, count);
+}
+
+static int
+pick_live (struct play *play)
+{
+	int first = pick (play, SITE_PROCESSES);
+	for (int i = 0; i < SITE_PROCESSES; i++) {
+		if (play->site.processes[(first + i) % SITE_PROCESSES].alive)
+			return (first + i) % SITE_PROCESSES;
+	}
+	return -1;
+}
+
+static void
+submit (struct play *play)
+{
+	static const struct {
+		char kind;
+		int32_t count;
+		bool gang;
+		int32_t accelerators;
+	} kinds[] = {
+		{'a', 4, false, 1}, {'1', 3, false, 1}, {'2', 3, true, SITE_ACCELERATORS},
+		{'3', 1, false, 1}, {'4', 2, false, 1}, {'5', 2, true, 4},
+	};
+	int process = pick_live (play);
+	if (process < 0 || play->n_jobs == JOBS_MAX)
+		return;
+	int kind = pick (play, G_N_ELEMENTS (kinds));
+	g_autofree char *id = g_strdup_printf ("%cj%d", kinds[kind].kind, play->n_jobs++);
+	struct dff_plan *plan =
+		site_plan (id, kinds[kind].count, kinds[kind].gang, kinds[kind].accelerators);
+	plan->priority = pick (play, 3);
+	site_submit (&play->site, process, plan);
+}
+
+static void
+cancel (struct play *play)
+{
+	int process = pick_live (play);
+	if (process < 0 || play->site.accepted->len == 0)
+		return;
+	const char *id =
+		g_ptr_array_index (play->site.accepted, pick (play, (int)play->site.accepted->len));
+	enum dff_front_outcome outcome = site_cancel (&play->site, process, id);
+	if (outcome == DFF_FRONT_OK || outcome == DFF_FRONT_UNKNOWN)
+		g_ptr_array_add (play->cancelled, g_strdup (id));
+}
+
+static void
+break_process (struct play *play)
+{
+	int process = pick (play, SITE_PROCESSES);
+	if (play->site.processes[process].alive)
+		site_kill_process (&play->site, process);
+	else
+		site_start_process (&play->site, process);
+}
+
+static void
+break_store (struct play *play)
+{
+	int process = pick_live (play);
+	if (process < 0)
+		return;
+	struct dff_memory_rows_faults *faults =
+		dff_memory_rows_client_faults (play->site.processes[process].rows);
+	memset (faults, 0, sizeof (*faults));
+	switch (pick (play, 6)) {
+	case 0:
+		faults->silent = true;
+		return;
+	case 1:
+		faults->refuses = true;
+		return;
+	case 2:
+		faults->lost_permille = 400;
+		return;
+	case 3:
+		faults->late_permille = 400;
+		faults->late_ms = 100 + pick (play, 4000);
+		return;
+	case 4:
+		faults->feeds_held = true;
+		return;
+	default:
+		faults->delay_ms = 50 + pick (play, 300);
+		return;
+	}
+}
+
+static void
+heal_stores (struct play *play)
+{
+	for (int i = 0; i < SITE_PROCESSES; i++) {
+		if (play->site.processes[i].alive)
+			memset (dff_memory_rows_client_faults (play->site.processes[i].rows), 0,
+				sizeof (struct dff_memory_rows_faults));
+	}
+}
+
+static void
+break_worker (struct play *play)
+{
+	int index = pick (play, SITE_WORKERS);
+	struct dff_memory_worker_faults *faults = play->site.workers[index];
+	memset (faults, 0, sizeof (*faults));
+	switch (pick (play, 8)) {
+	case 0:
+		faults->cut = true;
+		return;
+	case 1:
+		faults->mute = true;
+		return;
+	case 2:
+		faults->hung = true;
+		return;
+	case 3:
+		faults->late_orders = 1 + pick (play, 4);
+		faults->late_ms = 500 + pick (play, 8000);
+		return;
+	case 4:
+		site_reborn_worker (&play->site, index);
+		return;
+	case 5:
+		site_list_worker (&play->site, index, true, true);
+		return;
+	case 6:
+		site_list_worker (&play->site, index, false, false);
+		return;
+	default:
+		faults->refuses = true;
+		return;
+	}
+}
+
+static void
+heal_workers (struct play *play)
+{
+	for (int i = 0; i < SITE_WORKERS; i++) {
+		memset (play->site.workers[i], 0, sizeof (struct dff_memory_worker_faults));
+		/* A worker that was said to leave has left; another comes. */
+		site_reborn_worker (&play->site, i);
+	}
+}
+
+static void
+step (struct play *play)
+{
+	int what = pick (play, 100);
+	if (what < 40)
+		submit (play);
+	else if (what < 46)
+		cancel (play);
+	else if (what < 56)
+		break_process (play);
+	else if (what < 70)
+		break_store (play);
+	else if (what < 78)
+		heal_stores (play);
+	else if (what < 90)
+		break_worker (play);
+	else if (what < 94)
+		dff_memory_rows_drop_history (play->site.rows);
+	site_run (&play->site, pick (play, STEP_MS));
+}
+
+static bool
+is_cancelled (const struct play *play, const char *id)
+{
+	for (guint i = 0; i < play->cancelled->len; i++) {
+		if (strcmp (g_ptr_array_index (play->cancelled, i), id) == 0)
+			return true;
+	}
+	return false;
+}
+
+static void
+check_end (struct play *play, guint seed, const char *id)
+{
+	const char *wanted = id[0] == '3' ? "failed" : "completed";
+	const char *state = site_state (&play->site, 0, id);
+	if (strcmp (state, wanted) == 0)
+		return;
+	/* The answer to a cancellation may have been lost. */
+	if (strcmp (state, "cancelled") == 0 && is_cancelled (play, id))
+		return;
+	fail_msg ("seed %u: job %s is %s, not %s", seed, id, state, wanted);
+}
+
+static void
+play_seed (guint seed)
+{
+	struct play play = {.rand = g_rand_new_with_seed (seed),
+			    .cancelled = g_ptr_array_new_with_free_func (g_free)};
+	site_open (&play.site);
+	dff_memory_rows_seed (play.site.rows, seed);
+	for (int i = 0; i < STEPS; i++)
+		step (&play);
+	heal_stores (&play);
+	for (int i = 0; i < SITE_PROCESSES; i++) {
+		if (!play.site.processes[i].alive)
+			site_start_process (&play.site, i);
+	}
+	heal_workers (&play);
+	site_run (&play.site, SETTLE_MS);
+	for (guint i = 0; i < play.site.accepted->len; i++)
+		check_end (&play, seed, g_ptr_array_index (play.site.accepted, i));
+	site_run (&play.site, 20000);
+	assert_int_equal (dff_memory_runner_n_open (play.site.runner), 0);
+	const char *violation = dff_memory_runner_violation (play.site.runner);
+	if (violation != NULL)
+		fail_msg ("seed %u: %s", seed, violation);
+	site_close (&play.site);
+	g_rand_free (play.rand);
+	g_ptr_array_unref (play.cancelled);
+}
+
+static guint
+number_from (const char *name, guint otherwise)
+{
+	const char *text = getenv (name);
+	return text != NULL ? (guint)strtoul (text, NULL, 10) : otherwise;
+}
+
+static void
+test_seeds (void **state)
+{
+	(void)state;
+	guint first = number_from ("DFF_SEED_FIRST", SEED_FIRST);
+	guint count = number_from ("DFF_SEED_COUNT", SEED_COUNT);
+	for (guint seed = first; seed < first + count; seed++)
+		play_seed (seed);
+}
+
+int
+main (void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test (test_seeds),
+	};
+	return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/holder/test-holder.c
@@ -0,0 +1,459 @@
+#include "tests/holder/site.h"
+
+#include <string.h>
+
+/* One holder, its successors and the fronts, over a store and workers with faults. */
+
+static void
+set_silent (struct site *site, bool silent)
+{
+	for (int i = 0; i < SITE_PROCESSES; i++)
+		dff_memory_rows_client_faults (site->processes[i].rows)->silent = silent;
+}
+
+static void
+test_jobs_complete (void **state)
+{
+	(void)state;
+	static const struct {
+		const char *id;
+		int32_t count;
+		bool gang;
+		int32_t accelerators;
+		int64_t limit_ms;
+	} cases[] = {
+		{"a1", 1, false, 1, 1300},
+		{"a2", 40, false, 1, 1500},
+		{"2", 3, true, SITE_ACCELERATORS, 1400},
+		{"5", 2, true, 4, 3400},
+	};
+	for (size_t i = 0; i < G_N_ELEMENTS (cases); i++) {
+		struct site site;
+		site_open (&site);
+		struct dff_plan *plan = site_plan (cases[i].id, cases[i].count, cases[i].gang,
+						   cases[i].accelerators);
+		assert_int_equal (site_submit (&site, 0, plan), DFF_FRONT_OK);
+		int64_t took_ms = site_until (&site, cases[i].id, "completed", 10000);
+		assert_in_range (took_ms, 1000, cases[i].limit_ms);
+		assert_int_equal (dff_memory_runner_n_starts (site.runner, cases[i].id),
+				  cases[i].count);
+		site_close (&site);
+	}
+}
+
+static void
+test_steps_and_occurrences (void **state)
+{
+	(void)state;
+	struct site site;
+	site_open (&site);
+	struct dff_plan *plan = site_plan ("a", 2, false, 1);
+	struct dff_step *second = dff_plan_add_step (plan);
+	second->per_task = dff_plan_step (plan, 0)->per_task;
+	int32_t first = 0;
+	g_array_append_val (second->after, first);
+	plan->timed = true;
+	plan->occurrences = 2;
+	plan->first_ms = dff_virtual_loop_now_ms (site.loop) + 2000;
+	plan->interval_ms = 5000;
+	site_submit (&site, 1, plan);
+	site_run (&site, 1900);
+	assert_int_equal (dff_memory_runner_n_starts (site.runner, "a"), 0);
+	site_run (&site, 600);
+	assert_int_equal (dff_memory_runner_n_starts (site.runner, "a.0.0"), 2);
+	assert_int_equal (dff_memory_runner_n_starts (site.runner, "a.0.1"), 0);
+	site_run (&site, 1000);
+	assert_int_equal (dff_memory_runner_n_starts (site.runner, "a.0.1"), 1);
+	assert_int_equal (dff_memory_runner_n_starts (site.runner, "a.1"), 0);
+	int64_t took_ms = site_until (&site, "a", "completed", 10000);
+	assert_in_range (took_ms, 5000, 6500);
+	assert_int_equal (dff_memory_runner_n_starts (site.runner, "a"), 6);
+	site_close (&site);
+}
+
+/* Symptom: a letter is drafted twice. Sequence: a submission's answer is lost; the caller sends it
+ * again through other processes, also after it was accepted. Cause: each was taken for a new job.
+ */
+static void
+test_one_job_however_often_sent (void **state)
+{
+	(void)state;
+	struct site site;
+	site_open (&site);
+	dff_memory_rows_client_faults (site.processes[0].rows)->lost_permille = 1000;
+	site_submit (&site, 0, site_plan ("a", 1, false, 1));
+	assert_int_equal (site_submit (&site, 1, site_plan ("a", 1, false, 1)), DFF_FRONT_OK);
+	site_until (&site, "a", "completed", 10000);
+	assert_int_equal (site_submit (&site, 2, site_plan ("a", 1, false, 1)), DFF_FRONT_OK);
+	site_run (&site, 3000);
+	assert_int_equal (dff_memory_runner_n_starts (site.runner, "a"), 1);
+	site_close (&site);
+}
+
+/* Symptom: jobs stand for seconds after the holder is gone. Sequence: its process is killed, or
+ * loses its path to the store. Cause: the others waited for the standstill of its row in every
+ * case. */
+static void
+test_take_over (void **state)
+{
+	(void)state;
+	static const struct {
+		bool killed;
+		bool refuses;
+		int64_t limit_ms;
+	} cases[] = {
+		{true, false, 900},
+		{false, false, 1900},
+		{false, true, 1900},
+	};
+	for (size_t i = 0; i < G_N_ELEMENTS (cases); i++) {
+		struct site site;
+		site_open (&site);
+		site_submit (&site, 0, site_plan ("1", 4, false, 1));
+		site_run (&site, 500);
+		int holder = site_holder (&site);
+		if (cases[i].killed) {
+			site_kill_process (&site, holder);
+		} else {
+			struct dff_memory_rows_faults *faults =
+				dff_memory_rows_client_faults (site.processes[holder].rows);
+			faults->silent = !cases[i].refuses;
+			faults->refuses = cases[i].refuses;
+		}
+		int64_t waited_ms = 0;
+		while (site_holder (&site) == holder || site_holder (&site) < 0) {
+			/* The former holder goes on until it learns of the other. */
+			if (!cases[i].killed && site_holder (&site) == holder &&
+			    dff_holder_is_holding (
+				    site.processes[(holder + 1) % SITE_PROCESSES].holder))
+				break;
+			if (!cases[i].killed &&
+			    dff_holder_is_holding (
+				    site.processes[(holder + 2) % SITE_PROCESSES].holder))
+				break;
+			site_run (&site, 10);
+			waited_ms += 10;
+			assert_in_range (waited_ms, 0, cases[i].limit_ms);
+		}
+		int other = (holder + 1) % SITE_PROCESSES;
+		site_submit (&site, other, site_plan ("b", 1, false, 1));
+		site_run (&site, 9000);
+		assert_string_equal (site_state (&site, other, "1"), "completed");
+		assert_string_equal (site_state (&site, other, "b"), "completed");
+		assert_int_equal (dff_memory_runner_n_starts (site.runner, "1"), 4);
+		site_close (&site);
+	}
+}
+
+/* Symptom: a task runs twice at a time. Sequence: its worker is cut off from the system and runs
+ * on; the task is started elsewhere before the worker's lease has lapsed on its own, slower clock.
+ */
+static void
+test_cut_off_worker (void **state)
+{
+	(void)state;
+	static const struct {
+		bool mute;
+		int64_t cut_ms;
+		/** Starts of the six tasks, one on each worker. */
+		int32_t n_starts;
+	} cases[] = {
+		{false, 4000, 6},
+		{true, 4000, 6},
+		{false, 15000, 7},
+		{true, 15000, 7},
+	};
+	for (size_t i = 0; i < G_N_ELEMENTS (cases); i++) {
+		struct site site;
+		site_open (&site);
+		struct dff_plan *plan = site_plan ("1", SITE_WORKERS, false, 1);
+		dff_plan_step (plan, 0)->per_worker = 1;
+		site_submit (&site, 0, plan);
+		site_run (&site, 400);
+		site.workers[SITE_WORKERS - 1]->cut = !cases[i].mute;
+		site.workers[SITE_WORKERS - 1]->mute = cases[i].mute;
+		site_run (&site, cases[i].cut_ms);
+		site.workers[SITE_WORKERS - 1]->cut = false;
+		site.workers[SITE_WORKERS - 1]->mute = false;
+		assert_int_not_equal (site_until (&site, "1", "completed", 20000), -1);
+		assert_int_equal (dff_memory_runner_n_starts (site.runner, "1"), cases[i].n_starts);
+		site_close (&site);
+	}
+}
+
+/* Symptom: work on a worker that crashed waits until its lease would have lapsed. Sequence: another
+ * life answers at its address. Cause: that answer was not taken as proof of the end. */
+static void
+test_reborn_worker (void **state)
+{
+	(void)state;
+	struct site site;
+	site_open (&site);
+	struct dff_plan *plan = site_plan ("1", SITE_WORKERS, false, 1);
+	dff_plan_step (plan, 0)->per_worker = 1;
+	site_submit (&site, 0, plan);
+	site_run (&site, 400);
+	site_reborn_worker (&site, 2);
+	site_run (&site, 2500);
+	assert_int_equal (dff_memory_runner_n_starts (site.runner, "1"), SITE_WORKERS + 1);
+	assert_in_range (site_until (&site, "1", "completed", 20000), 0, 7000);
+	site_close (&site);
+}
+
+/* Symptom: a task runs that nobody wants any more, or twice. Sequence: orders are unanswered and
+ * carried out seconds later, after newer ones. */
+static void
+test_late_orders (void **state)
+{
+	(void)state;
+	static const int32_t late_ms[] = {300, 1500, 6000};
+	for (size_t i = 0; i < G_N_ELEMENTS (late_ms); i++) {
+		struct site site;
+		site_open (&site);
+		for (int j = 0; j < SITE_WORKERS; j++) {
+			site.workers[j]->late_orders = 3;
+			site.workers[j]->late_ms = late_ms[i];
+		}
+		site_submit (&site, 0, site_plan ("a", 12, false, 1));
+		site_submit (&site, 1, site_plan ("5", 2, true, 4));
+		site_submit (&site, 1, site_plan ("1c", 6, false, 1));
+		site_run (&site, 1000);
+		assert_int_equal (site_cancel (&site, 2, "1c"), DFF_FRONT_OK);
+		assert_int_not_equal (site_until (&site, "a", "completed", 20000), -1);
+		assert_int_not_equal (site_until (&site, "5", "completed", 20000), -1);
+		assert_string_equal (site_state (&site, 0, "1c"), "cancelled");
+		site_run (&site, 8000);
+		assert_int_equal (dff_memory_runner_n_open (site.runner), 0);
+		site_close (&site);
+	}
+}
+
+/* Symptom: a job is lost, or runs twice. Sequence: the store carries out writes of which the answer
+ * is lost, some of them seconds later, while the holder changes. */
+static void
+test_lost_and_late_answers (void **state)
+{
+	(void)state;
+	struct site site;
+	site_open (&site);
+	for (int i = 0; i < SITE_PROCESSES; i++) {
+		struct dff_memory_rows_faults *faults =
+			dff_memory_rows_client_faults (site.processes[i].rows);
+		faults->lost_permille = 300;
+		faults->late_permille = 300;
+		faults->late_ms = 2000;
+	}
+	int accepted = 0;
+	for (int i = 0; i < 10; i++) {
+		g_autofree char *id = g_strdup_printf ("a%d", i);
+		accepted += site_submit (&site, i % SITE_PROCESSES, site_plan (id, 3, false, 1)) ==
+			    DFF_FRONT_OK;
+		if (i == 5)
+			site_kill_process (&site,
+					   site_holder (&site) >= 0 ? site_holder (&site) : 0);
+		if (i == 5)
+			for (int j = 0; j < SITE_PROCESSES; j++)
+				if (!site.processes[j].alive)
+					site_start_process (&site, j);
+	}
+	assert_in_range (accepted, 1, 10);
+	for (int i = 0; i < SITE_PROCESSES; i++)
+		memset (dff_memory_rows_client_faults (site.processes[i].rows), 0,
+			sizeof (struct dff_memory_rows_faults));
+	for (guint i = 0; i < site.accepted->len; i++)
+		assert_int_not_equal (site_until (&site, g_ptr_array_index (site.accepted, i),
+						  "completed", 20000),
+				      -1);
+	site_close (&site);
+}
+
+/* Symptom: callers wait until their time is up though nothing can be done for them. Cause: each
+ * submission was written to a store that does not answer. */
+static void
+test_silent_store (void **state)
+{
+	(void)state;
+	struct site site;
+	site_open (&site);
+	site_submit (&site, 0, site_plan ("1", 6, false, 1));
+	site_run (&site, 300);
+	set_silent (&site, true);
+	site_run (&site, 2500);
+	int64_t before_ms = dff_virtual_loop_now_ms (site.loop);
+	assert_int_equal (site_submit (&site, 1, site_plan ("b", 1, false, 1)),
+			  DFF_FRONT_UNAVAILABLE);
+	assert_in_range (dff_virtual_loop_now_ms (site.loop) - before_ms, 0, 5);
+	site_run (&site, 2000);
+	set_silent (&site, false);
+	site_run (&site, 300);
+	assert_string_equal (site_state (&site, 0, "b"), "gone");
+	assert_int_equal (site_submit (&site, 1, site_plan ("c", 1, false, 1)), DFF_FRONT_OK);
+	assert_int_not_equal (site_until (&site, "1", "completed", 5000), -1);
+	/* Leases were renewed all the while. */
+	assert_int_equal (dff_memory_runner_n_starts (site.runner, "1"), 6);
+	assert_int_not_equal (site_until (&site, "c", "completed", 5000), -1);
+	site_close (&site);
+}
+
+/* Symptom: jobs accepted in one second begin together, late. Cause: the store held its feeds back.
+ */
+static void
+test_held_feeds (void **state)
+{
+	(void)state;
+	struct site site;
+	site_open (&site);
+	for (int i = 0; i < SITE_PROCESSES; i++)
+		dff_memory_rows_client_faults (site.processes[i].rows)->feeds_held = true;
+	site_submit (&site, 0, site_plan ("a", 1, false, 1));
+	site_run (&site, 350);
+	assert_int_equal (dff_memory_runner_n_starts (site.runner, "a"), 1);
+	site_submit (&site, 0, site_plan ("1", 1, false, 1));
+	site_run (&site, 350);
+	assert_int_equal (site_cancel (&site, 1, "1"), DFF_FRONT_OK);
+	site_run (&site, 900);
+	assert_string_equal (site_state (&site, 2, "1"), "cancelled");
+	site_run (&site, 1000);
+	assert_int_equal (dff_memory_rows_count (site.rows, DFF_TABLE_INBOX), 0);
+	assert_int_equal (dff_memory_runner_n_open (site.runner), 0);
+	site_close (&site);
+}
+
+/* Symptom: a job that has ended runs again. Sequence: the store drops its history, so that the
+ * holder reads every job anew. Cause: a job that was over and forgotten looked like a new one. */
+static void
+test_dropped_history (void **state)
+{
+	(void)state;
+	struct site site;
+	site_open (&site);
+	site_submit (&site, 0, site_plan ("a", 3, false, 1));
+	site_until (&site, "a", "completed", 5000);
+	dff_memory_rows_drop_history (site.rows);
+	site_submit (&site, 1, site_plan ("b", 1, false, 1));
+	assert_int_not_equal (site_until (&site, "b", "completed", 5000), -1);
+	site_run (&site, 2000);
+	assert_int_equal (dff_memory_runner_n_starts (site.runner, "a"), 3);
+	site_close (&site);
+}
+
+static void
+test_failing_job (void **state)
+{
+	(void)state;
+	struct site site;
+	site_open (&site);
+	site_submit (&site, 0, site_plan ("3", 1, false, 1));
+	assert_int_not_equal (site_until (&site, "3", "failed", 8000), -1);
+	site_run (&site, 3000);
+	assert_int_equal (dff_memory_runner_n_starts (site.runner, "3"), 2);
+	site_close (&site);
+}
+
+/* Symptom: work on a worker that stands still takes as long as the worker likes. Sequence: the
+ * worker goes on answering, and lists its tasks as running. Cause: nobody looked at their progress.
+ */
+static void
+test_stalled_worker (void **state)
+{
+	(void)state;
+	struct site site;
+	site_open (&site);
+	struct dff_plan *plan = site_plan ("4", SITE_WORKERS, false, 1);
+	dff_plan_step (plan, 0)->per_worker = 1;
+	site_submit (&site, 0, plan);
+	site_run (&site, 2000);
+	site.workers[1]->hung = true;
+	/* The stalled task goes on elsewhere from what it saved, once the others have ended. */
+	assert_in_range (site_until (&site, "4", "completed", 20000), 8000, 10500);
+	assert_int_equal (dff_memory_runner_n_starts (site.runner, "4"), SITE_WORKERS + 1);
+	site_close (&site);
+}
+
+static void
+test_waiting_and_retention (void **state)
+{
+	(void)state;
+	struct site site;
+	site_open (&site);
+	/* Six whole workers: the seventh waits. */
+	for (int i = 0; i < SITE_WORKERS + 2; i++) {
+		g_autofree char *id = g_strdup_printf ("6%d", i);
+		site_submit (&site, i % SITE_PROCESSES,
+			     site_plan (id, 1, false, SITE_ACCELERATORS));
+	}
+	site_run (&site, 1200);
+	/* Some workers are kept for urgent work until the pool is calm. */
+	assert_in_range (site_waiting (&site, 0), 2, 3);
+	for (int i = 0; i < SITE_WORKERS + 2; i++) {
+		g_autofree char *id = g_strdup_printf ("6%d", i);
+		assert_int_not_equal (site_until (&site, id, "completed", 30000), -1);
+	}
+	site_run (&site, 1000);
+	assert_int_equal (site_waiting (&site, 1), 0);
+	assert_string_equal (site_state (&site, 1, "60"), "completed");
+	site_run (&site, 200000);
+	assert_string_equal (site_state (&site, 1, "60"), "gone");
+	assert_int_equal (dff_memory_rows_count (site.rows, DFF_TABLE_PROGRESS), 0);
+	site_close (&site);
+}
+
+/* Symptom: a stopping process leaves the cell without a holder for a second. */
+static void
+test_resign (void **state)
+{
+	(void)state;
+	struct site site;
+	site_open (&site);
+	site_submit (&site, 0, site_plan ("1", 4, false, 1));
+	site_run (&site, 300);
+	int holder = site_holder (&site);
+	dff_holder_resign (site.processes[holder].holder);
+	site_run (&site, 800);
+	assert_true (dff_holder_has_resigned (site.processes[holder].holder));
+	assert_int_not_equal (site_holder (&site), holder);
+	assert_int_not_equal (site_holder (&site), -1);
+	assert_int_not_equal (site_until (&site, "1", "completed", 9000), -1);
+	assert_int_equal (dff_memory_runner_n_starts (site.runner, "1"), 4);
+	site_close (&site);
+}
+
+static void
+test_leaving_worker (void **state)
+{
+	(void)state;
+	struct site site;
+	site_open (&site);
+	for (int i = 1; i < SITE_WORKERS; i++)
+		site_list_worker (&site, i, true, true);
+	site_run (&site, 1000);
+	site_submit (&site, 0, site_plan ("a", 8, false, 1));
+	site_submit (&site, 0, site_plan ("b", 1, false, 1));
+	assert_int_not_equal (site_until (&site, "a", "completed", 5000), -1);
+	assert_in_range (site_until (&site, "b", "completed", 5000), 500, 1500);
+	site_close (&site);
+}
+
+int
+main (void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test (test_jobs_complete),
+		cmocka_unit_test (test_steps_and_occurrences),
+		cmocka_unit_test (test_one_job_however_often_sent),
+		cmocka_unit_test (test_take_over),
+		cmocka_unit_test (test_cut_off_worker),
+		cmocka_unit_test (test_reborn_worker),
+		cmocka_unit_test (test_late_orders),
+		cmocka_unit_test (test_lost_and_late_answers),
+		cmocka_unit_test (test_silent_store),
+		cmocka_unit_test (test_held_feeds),
+		cmocka_unit_test (test_dropped_history),
+		cmocka_unit_test (test_failing_job),
+		cmocka_unit_test (test_stalled_worker),
+		cmocka_unit_test (test_waiting_and_retention),
+		cmocka_unit_test (test_resign),
+		cmocka_unit_test (test_leaving_worker),
+	};
+	return cmocka_run_group_tests (tests, NULL, NULL);
+}
