--- a/standin/memory_runner.c
+++ b/standin/memory_runner.c
@@ -271,7 +271,8 @@
 	struct worker *worker = user;
 	if (worker->dead)
 		return;
-	if (g_hash_table_size (worker->runs) > 0 && clock_of (worker) >= worker->deadline_ms)
+	/* The lease is the worker's, whether or not something runs there. */
+	if (worker->deadline_ms > 0 && clock_of (worker) >= worker->deadline_ms)
 		lapse (worker);
 	/* An end may take other runs with it: the walk begins anew after each. */
 	bool ended = true;
--- a/tests/holder/test-holder-seeds.c
+++ b/tests/holder/test-holder-seeds.c
@@ -12,8 +12,10 @@
  * shows what is decided. */
 
 /** Seeds that have failed: 1295, a gang that had completed was started again when the worker of one
- * member was lost before its end was heard. */
-static const guint failed_seeds[] = {1295};
+ * member was lost before its end was heard. 2109, a task that had ended on a worker cut off was
+ * started elsewhere after the worker's lease had lapsed, and its end acknowledged later: allowed,
+ * as the lapse came between; the stand-in had counted lapses only while something ran. */
+static const guint failed_seeds[] = {1295, 2109};
 
 #define SEED_FIRST 1
 #define SEED_COUNT 6
