--- /dev/null
+++ b/tests/graph/test-graph.c
@@ -0,0 +1,274 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+
+#include <cmocka.h>
+#include <string.h>
+
+#include "graph/progress.h"
+
+/* Plans and progress: what may run next, and that rows hold all of it. */
+
+static struct dff_step *
+add_step (struct dff_plan *plan, int32_t count, bool gang, int32_t after)
+{
+	struct dff_step *step = dff_plan_add_step (plan);
+	step->count = count;
+	step->gang = gang;
+	if (after >= 0)
+		g_array_append_val (step->after, after);
+	return step;
+}
+
+static struct dff_plan *
+plan_new (void)
+{
+	struct dff_plan *plan = dff_plan_new ();
+	plan->id = dff_name_from ("5c0e7a21d94b36f8");
+	plan->team = dff_name_from ("team");
+	plan->class_name = dff_name_from ("class");
+	plan->service = dff_name_from ("service");
+	plan->max_attempts = 3;
+	g_string_assign (plan->payload, "text \"with\" quotes, \n and \xc3\xa9");
+	return plan;
+}
+
+/* Returns: the names of the units offered, each followed by a space. */
+static GString *
+offer (struct dff_progress *progress, const struct dff_plan *plan, int64_t now_ms, int64_t *next_ms)
+{
+	g_autoptr (GArray) units = g_array_new (FALSE, FALSE, sizeof (struct dff_unit));
+	*next_ms = dff_progress_offer (progress, plan, now_ms, units);
+	GString *names = g_string_new (NULL);
+	for (guint i = 0; i < units->len; i++) {
+		struct dff_name name =
+			dff_unit_name (plan, &g_array_index (units, struct dff_unit, i));
+		g_string_append_printf (names, "%s ", name.data + strlen ("5c0e7a21d94b36f8."));
+	}
+	return names;
+}
+
+static void
+finish (struct dff_progress *progress,
+	const struct dff_plan *plan,
+	int32_t occurrence,
+	int32_t step,
+	int32_t index)
+{
+	struct dff_unit unit = {.occurrence = occurrence, .step = step, .index = index};
+	dff_progress_finish (progress, plan, &unit);
+}
+
+static void
+test_steps_follow_each_other (void **state)
+{
+	(void)state;
+	DFF_AUTO (dff_plan) plan = plan_new ();
+	add_step (plan, 2, false, -1);
+	add_step (plan, 3, true, 0);
+	add_step (plan, 1, false, -1);
+	DFF_AUTO (dff_progress) progress = dff_progress_new (plan);
+	int64_t next_ms;
+	g_autoptr (GString) first = offer (progress, plan, 0, &next_ms);
+	assert_string_equal (first->str, "0.0.0 0.0.1 0.2.0 ");
+	assert_int_equal (next_ms, INT64_MAX);
+	finish (progress, plan, 0, 0, 1);
+	g_autoptr (GString) none = offer (progress, plan, 0, &next_ms);
+	assert_string_equal (none->str, "");
+	finish (progress, plan, 0, 0, 0);
+	/* The same end again changes nothing. */
+	finish (progress, plan, 0, 0, 0);
+	g_autoptr (GString) second = offer (progress, plan, 0, &next_ms);
+	assert_string_equal (second->str, "0.1 ");
+	finish (progress, plan, 0, 1, -1);
+	assert_int_equal (progress->state, DFF_JOB_STATE_QUEUED);
+	finish (progress, plan, 0, 2, 0);
+	assert_int_equal (progress->state, DFF_JOB_STATE_COMPLETED);
+}
+
+static void
+test_occurrences_are_due (void **state)
+{
+	(void)state;
+	DFF_AUTO (dff_plan) plan = plan_new ();
+	add_step (plan, 1, false, -1);
+	plan->timed = true;
+	plan->occurrences = 3;
+	plan->first_ms = 10000;
+	plan->interval_ms = 500;
+	DFF_AUTO (dff_progress) progress = dff_progress_new (plan);
+	static const struct {
+		int64_t now_ms;
+		const char *offered;
+		int64_t next_ms;
+	} cases[] = {
+		{0, "", 10000},
+		{9999, "", 10000},
+		{10000, "0.0.0 ", 10500},
+		{10400, "", 10500},
+		{12000, "1.0.0 2.0.0 ", INT64_MAX},
+		{13000, "", INT64_MAX},
+	};
+	for (size_t i = 0; i < G_N_ELEMENTS (cases); i++) {
+		int64_t next_ms;
+		g_autoptr (GString) names = offer (progress, plan, cases[i].now_ms, &next_ms);
+		assert_string_equal (names->str, cases[i].offered);
+		assert_int_equal (next_ms, cases[i].next_ms);
+	}
+}
+
+static void
+test_plans_that_are_refused (void **state)
+{
+	(void)state;
+	static const struct {
+		int32_t count;
+		bool gang;
+		int32_t after;
+		int32_t occurrences;
+		bool accepted;
+	} cases[] = {
+		{1, false, -1, 1, true},
+		{0, false, -1, 1, false},
+		{DFF_STEP_TASKS_MAX, false, -1, 1, true},
+		{DFF_STEP_TASKS_MAX + 1, false, -1, 1, false},
+		{DFF_STEP_GANG_MAX, true, -1, 1, true},
+		{DFF_STEP_GANG_MAX + 1, true, -1, 1, false},
+		{1, false, 0, 1, false},
+		{1, false, -1, 0, false},
+		{1, false, -1, DFF_PLAN_OCCURRENCES_MAX + 1, false},
+	};
+	for (size_t i = 0; i < G_N_ELEMENTS (cases); i++) {
+		DFF_AUTO (dff_plan) plan = plan_new ();
+		add_step (plan, cases[i].count, cases[i].gang, cases[i].after);
+		plan->occurrences = cases[i].occurrences;
+		assert_int_equal (dff_plan_check (plan) == NULL, cases[i].accepted);
+	}
+	DFF_AUTO (dff_plan) empty = plan_new ();
+	assert_non_null (dff_plan_check (empty));
+}
+
+static void
+test_plan_row (void **state)
+{
+	(void)state;
+	DFF_AUTO (dff_plan) plan = plan_new ();
+	struct dff_step *step = add_step (plan, 7, true, -1);
+	step->per_task = (struct dff_resources){1, 13, 34, 8};
+	step->estimate_ms = 8500;
+	step->one_rack = true;
+	step->checkpoint = true;
+	step->label = dff_name_from ("a");
+	step->data_rack = dff_name_from ("r1-3");
+	step->per_worker = 2;
+	add_step (plan, 1, false, 0);
+	plan->priority = 2;
+	plan->timed = true;
+	plan->occurrences = 4;
+	plan->first_ms = INT64_C (1790000000000);
+	plan->interval_ms = 2000;
+	g_autoptr (GString) text = dff_plan_encode (plan);
+	DFF_AUTO (dff_plan) same = dff_plan_decode ((struct dff_str){text->str, text->len});
+	assert_non_null (same);
+	g_autoptr (GString) again = dff_plan_encode (same);
+	assert_string_equal (again->str, text->str);
+	assert_string_equal (same->payload->str, plan->payload->str);
+	assert_int_equal (same->first_ms, plan->first_ms);
+	assert_int_equal (dff_plan_step (same, 0)->per_worker, 2);
+	static const char *const broken[] = {"", "[]", "{}", "{\"id\":\"a\",\"steps\":[]}"};
+	for (size_t i = 0; i < G_N_ELEMENTS (broken); i++)
+		assert_null (dff_plan_decode (dff_str_from (broken[i])));
+}
+
+static void
+test_progress_row (void **state)
+{
+	(void)state;
+	DFF_AUTO (dff_plan) plan = plan_new ();
+	add_step (plan, 3, false, -1);
+	add_step (plan, 2, true, 0);
+	plan->occurrences = 2;
+	DFF_AUTO (dff_progress) progress = dff_progress_new (plan);
+	progress->state = DFF_JOB_STATE_RUNNING;
+	finish (progress, plan, 0, 0, 2);
+	struct dff_task *task = dff_progress_task (progress, 0, 0, 0);
+	task->state = DFF_TASK_ASSIGNED;
+	task->run = 4;
+	task->failures = 1;
+	task->worker = dff_name_from ("i-7f3a91c2");
+	struct dff_unit unit = {.index = 0};
+	dff_progress_save (progress, plan, &unit, dff_str_from ("00000bb8\"7a21d94b"));
+	g_autoptr (GString) text = dff_progress_encode (progress);
+	struct dff_str value = {text->str, text->len};
+	DFF_AUTO (dff_progress) same = dff_progress_decode (plan, value);
+	assert_non_null (same);
+	const struct dff_task *read = dff_progress_task (same, 0, 0, 0);
+	assert_int_equal (read->state, DFF_TASK_ASSIGNED);
+	assert_int_equal (read->run, 4);
+	assert_int_equal (read->failures, 1);
+	assert_string_equal (read->worker.data, "i-7f3a91c2");
+	assert_string_equal (read->checkpoint, "00000bb8\"7a21d94b");
+	assert_int_equal (dff_progress_step (same, 0, 0)->n_done, 1);
+	enum dff_job_state job_state;
+	assert_true (dff_progress_decode_state (value, &job_state));
+	assert_int_equal (job_state, DFF_JOB_STATE_RUNNING);
+	assert_false (dff_progress_decode_state (dff_str_from ("{}"), &job_state));
+	assert_null (dff_progress_decode (plan, dff_str_from ("{\"state\":\"x\"}")));
+}
+
+/* A checkpoint of any member is that of its gang: all must begin from the same. */
+static void
+test_gang_checkpoint (void **state)
+{
+	(void)state;
+	DFF_AUTO (dff_plan) plan = plan_new ();
+	add_step (plan, 3, true, -1);
+	DFF_AUTO (dff_progress) progress = dff_progress_new (plan);
+	struct dff_unit unit = {.index = -1};
+	dff_progress_save (progress, plan, &unit, dff_str_from ("c1"));
+	dff_progress_save (progress, plan, &unit, dff_str_from ("c2"));
+	for (int32_t i = 0; i < 3; i++)
+		assert_string_equal (dff_progress_task (progress, 0, 0, i)->checkpoint, "c2");
+}
+
+static void
+test_task_names (void **state)
+{
+	(void)state;
+	static const struct {
+		const char *text;
+		bool valid;
+	} cases[] = {
+		{"5c0e7a21d94b36f8.0.1.17", true},
+		{"5c0e.0.1", false},
+		{"", false},
+		{".0.1.2", false},
+		{"a.0.1.x", false},
+		{"a.0..2", false},
+		{"a.0.1.99999999999", false},
+	};
+	for (size_t i = 0; i < G_N_ELEMENTS (cases); i++) {
+		struct dff_task_ref ref;
+		bool valid = dff_task_ref_parse (dff_str_from (cases[i].text), &ref);
+		assert_int_equal (valid, cases[i].valid);
+		if (!valid)
+			continue;
+		struct dff_name name = dff_task_ref_name (&ref);
+		assert_string_equal (name.data, cases[i].text);
+	}
+}
+
+int
+main (void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test (test_steps_follow_each_other),
+		cmocka_unit_test (test_occurrences_are_due),
+		cmocka_unit_test (test_plans_that_are_refused),
+		cmocka_unit_test (test_plan_row),
+		cmocka_unit_test (test_progress_row),
+		cmocka_unit_test (test_gang_checkpoint),
+		cmocka_unit_test (test_task_names),
+	};
+	return cmocka_run_group_tests (tests, NULL, NULL);
+}
