--- a/common/log.c
+++ b/common/log.c
@@ -108,8 +108,8 @@
 		return 0;
 	}
 	if (output.dropped > 0) {
-		int length = snprintf (line, sizeof (line), "log: Lines dropped. count=%" PRId64 "\n",
-				       output.dropped);
+		int length = snprintf (line, sizeof (line),
+				       "log: Lines dropped. count=%" PRId64 "\n", output.dropped);
 		if (write (STDOUT_FILENO, line, (size_t)length) != length) {
 			output.dropped++;
 			return 0;
--- a/core/core.c
+++ b/core/core.c
@@ -141,7 +141,9 @@
 static void
 set_urgent_only (struct dff_core *core)
 {
-	g_autofree int32_t *wanted = g_new0 (int32_t, core->regions->len + 1);
+	g_autoptr (GArray) table = g_array_new (FALSE, TRUE, sizeof (int32_t));
+	g_array_set_size (table, core->regions->len + 1);
+	int32_t *wanted = (int32_t *)(void *)table->data;
 	for (guint i = 0; i < core->workers->len; i++) {
 		struct dff_core_worker *worker = dff_core_worker_at (core, (int32_t)i);
 		worker->urgent_only = false;
--- a/fleet/serve_fleet.c
+++ b/fleet/serve_fleet.c
@@ -3,7 +3,6 @@
 #include <glib.h>
 #include <signal.h>
 #include <stdio.h>
-#include <string.h>
 
 #include "client/command.h"
 #include "common/event_loop.h"
@@ -53,7 +52,7 @@
 	}
 	dff_log_set_level (fresh->log_level);
 	serve->settings->log_level = fresh->log_level;
-	bool same = memcmp (fresh, serve->settings, sizeof (*fresh)) == 0;
+	bool same = dff_fleet_settings_equal (fresh, serve->settings);
 	dff_log (DFF_LOG_SERVE, DFF_LOG_INFO, "Settings read again. restart_needed=%d", !same);
 }
 
--- a/fleet/settings.c
+++ b/fleet/settings.c
@@ -8,11 +8,11 @@
 G_DEFINE_QUARK (dff_fleet_settings_error, dff_fleet_settings_error)
 
 enum setting_type {
-	SETTING_NAME,
-	SETTING_ADDRESS,
-	SETTING_INT,
-	SETTING_NUMBER,
-	SETTING_LEVEL,
+	DFF_SETTING_NAME,
+	DFF_SETTING_ADDRESS,
+	DFF_SETTING_INT,
+	DFF_SETTING_NUMBER,
+	DFF_SETTING_LEVEL,
 };
 
 struct setting {
@@ -25,19 +25,19 @@
 #define FIELD(name) offsetof (struct dff_fleet_settings, name)
 
 static const struct setting settings_table[] = {
-	{"instance", SETTING_NAME, FIELD (instance), 0, 0},
-	{"data_centre", SETTING_NAME, FIELD (data_centre), 0, 0},
-	{"region", SETTING_NAME, FIELD (region), 0, 0},
-	{"front_address", SETTING_ADDRESS, FIELD (front_address), 0, 0},
-	{"ready_address", SETTING_ADDRESS, FIELD (ready_address), 0, 0},
-	{"metrics_address", SETTING_ADDRESS, FIELD (metrics_address), 0, 0},
-	{"store_address", SETTING_ADDRESS, FIELD (store_address), 0, 0},
-	{"worker_lease_max_ms", SETTING_INT, FIELD (worker_lease_max_ms), 1000, 3600000},
-	{"gang_wait_ms", SETTING_INT, FIELD (gang_wait_ms), 100, 600000},
-	{"far_factor", SETTING_NUMBER, FIELD (far_factor), 1, 1000},
-	{"retention_s", SETTING_INT, FIELD (retention_s), 1, 31536000},
-	{"stop_grace_s", SETTING_INT, FIELD (stop_grace_s), 1, 86400},
-	{"log_level", SETTING_LEVEL, FIELD (log_level), 0, 0},
+	{"instance", DFF_SETTING_NAME, FIELD (instance), 0, 0},
+	{"data_centre", DFF_SETTING_NAME, FIELD (data_centre), 0, 0},
+	{"region", DFF_SETTING_NAME, FIELD (region), 0, 0},
+	{"front_address", DFF_SETTING_ADDRESS, FIELD (front_address), 0, 0},
+	{"ready_address", DFF_SETTING_ADDRESS, FIELD (ready_address), 0, 0},
+	{"metrics_address", DFF_SETTING_ADDRESS, FIELD (metrics_address), 0, 0},
+	{"store_address", DFF_SETTING_ADDRESS, FIELD (store_address), 0, 0},
+	{"worker_lease_max_ms", DFF_SETTING_INT, FIELD (worker_lease_max_ms), 1000, 3600000},
+	{"gang_wait_ms", DFF_SETTING_INT, FIELD (gang_wait_ms), 100, 600000},
+	{"far_factor", DFF_SETTING_NUMBER, FIELD (far_factor), 1, 1000},
+	{"retention_s", DFF_SETTING_INT, FIELD (retention_s), 1, 31536000},
+	{"stop_grace_s", DFF_SETTING_INT, FIELD (stop_grace_s), 1, 86400},
+	{"log_level", DFF_SETTING_LEVEL, FIELD (log_level), 0, 0},
 };
 
 struct reader {
@@ -78,13 +78,14 @@
 {
 	double number = json_number_value (value);
 	bool whole = number == floor (number);
-	if (!json_is_number (value) || (setting->type == SETTING_INT && !whole) ||
+	if (!json_is_number (value) || (setting->type == DFF_SETTING_INT && !whole) ||
 	    number < setting->min || number > setting->max) {
 		fault (reader, setting->key, "expected a%s number from %g to %g",
-		       setting->type == SETTING_INT ? " whole" : "", setting->min, setting->max);
+		       setting->type == DFF_SETTING_INT ? " whole" : "", setting->min,
+		       setting->max);
 		return;
 	}
-	if (setting->type == SETTING_INT)
+	if (setting->type == DFF_SETTING_INT)
 		*(int64_t *)target = (int64_t)number;
 	else
 		*(double *)target = number;
@@ -98,23 +99,23 @@
 {
 	void *target = (char *)settings + setting->offset;
 	switch (setting->type) {
-	case SETTING_NAME:
+	case DFF_SETTING_NAME:
 		if (!json_is_string (value) || !dff_name_parse (text_of (value), target))
 			fault (reader, setting->key, "expected a name of 1 to %d characters",
 			       DFF_NAME_MAX);
 		return;
-	case SETTING_ADDRESS:
+	case DFF_SETTING_ADDRESS:
 		if (!json_is_string (value) || !dff_name_parse (text_of (value), target) ||
 		    !is_address (target))
 			fault (reader, setting->key, "expected \"IP:PORT\"");
 		return;
-	case SETTING_LEVEL:
+	case DFF_SETTING_LEVEL:
 		if (!json_is_string (value) || !dff_log_level_parse (text_of (value), target))
 			fault (reader, setting->key,
 			       "expected \"debug\", \"info\", \"warning\" or \"error\"");
 		return;
-	case SETTING_INT:
-	case SETTING_NUMBER:
+	case DFF_SETTING_INT:
+	case DFF_SETTING_NUMBER:
 		read_number (reader, setting, value, target);
 		return;
 	}
@@ -189,3 +190,35 @@
 		g_ptr_array_add (faults, g_strdup (g_ptr_array_index (found, i)));
 	return NULL;
 }
+
+static bool
+value_equal (const struct setting *setting, const char *one, const char *other)
+{
+	one += setting->offset;
+	other += setting->offset;
+	switch (setting->type) {
+	case DFF_SETTING_INT:
+		return *(const int64_t *)(const void *)one == *(const int64_t *)(const void *)other;
+	case DFF_SETTING_NUMBER:
+		return *(const double *)(const void *)one == *(const double *)(const void *)other;
+	case DFF_SETTING_LEVEL:
+		return *(const enum dff_log_level *)(const void *)one ==
+		       *(const enum dff_log_level *)(const void *)other;
+	case DFF_SETTING_NAME:
+	case DFF_SETTING_ADDRESS:
+	default:
+		return dff_name_equal ((const struct dff_name *)one,
+				       (const struct dff_name *)other);
+	}
+}
+
+bool
+dff_fleet_settings_equal (const struct dff_fleet_settings *one,
+			  const struct dff_fleet_settings *other)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS (settings_table); i++) {
+		if (!value_equal (&settings_table[i], (const char *)one, (const char *)other))
+			return false;
+	}
+	return true;
+}
--- a/graph/json.c
+++ b/graph/json.c
@@ -17,10 +17,11 @@
 {
 	const json_t *value = json_object_get (object, key);
 	struct dff_name name = {0};
-	if (json_is_string (value))
+	if (json_is_string (value)) {
 		dff_name_parse (
 			(struct dff_str){json_string_value (value), json_string_length (value)},
 			&name);
+	}
 	return name;
 }
 
--- a/graph/plan.c
+++ b/graph/plan.c
@@ -132,7 +132,7 @@
 	json_t *root = json_loadb (text.data, text.len, 0, NULL);
 	if (root == NULL)
 		return NULL;
-	DFF_AUTO (dff_plan) plan = dff_plan_new ();
+	struct dff_plan *plan = dff_plan_new ();
 	plan->id = dff_json_name (root, "id");
 	plan->team = dff_json_name (root, "team");
 	plan->class_name = dff_json_name (root, "class");
@@ -150,7 +150,8 @@
 	for (size_t i = 0; i < json_array_size (steps); i++)
 		decode_step (json_array_get (steps, i), dff_plan_add_step (plan));
 	json_decref (root);
-	if (dff_name_is_empty (&plan->id) || dff_plan_check (plan) != NULL)
-		return NULL;
-	return g_steal_pointer (&plan);
+	if (!dff_name_is_empty (&plan->id) && dff_plan_check (plan) == NULL)
+		return plan;
+	dff_plan_free (plan);
+	return NULL;
 }
--- a/graph/progress_row.c
+++ b/graph/progress_row.c
@@ -59,10 +59,11 @@
 name_of (const json_t *value)
 {
 	struct dff_name name = {0};
-	if (json_string_length (value) > 0)
+	if (json_string_length (value) > 0) {
 		dff_name_parse (
 			(struct dff_str){json_string_value (value), json_string_length (value)},
 			&name);
+	}
 	return name;
 }
 
--- a/include/core/core.h
+++ b/include/core/core.h
@@ -62,7 +62,8 @@
 	int64_t guard_grace_ms;
 	/** Gangs at once for which racks are kept. */
 	int32_t max_guards;
-	/** Run time up to which a job without checkpoints is started anew when its worker stalls, ms. */
+	/** Run time up to which a job without checkpoints is started anew when its worker stalls,
+	 * ms. */
 	int64_t stall_loss_ms;
 	/** Run time that is lost when a task with checkpoints is stopped and started again, ms. */
 	int64_t checkpoint_loss_ms;
--- a/include/fleet/settings.h
+++ b/include/fleet/settings.h
@@ -2,6 +2,7 @@
 #define DFF_FLEET_SETTINGS_H
 
 #include <glib.h>
+#include <stdbool.h>
 #include <stdint.h>
 
 #include "common/cleanup.h"
@@ -54,4 +55,8 @@
 struct dff_fleet_settings *
 dff_fleet_settings_load (const char *path, GPtrArray *faults, GError **error);
 
+/** Whether both say the same. */
+bool dff_fleet_settings_equal (const struct dff_fleet_settings *one,
+			       const struct dff_fleet_settings *other);
+
 #endif
--- a/include/holder/tables.h
+++ b/include/holder/tables.h
@@ -16,8 +16,8 @@
  * cancellation. */
 #define DFF_TABLE_JOBS "jobs"
 #define DFF_KEY_CANCEL_SUFFIX ".cancel"
-/** Keys of DFF_TABLE_JOBS that the holder has yet to take in: written with the row itself, removed by
- * the holder. Changes of a table may be told late; this table is read whole. */
+/** Keys of DFF_TABLE_JOBS that the holder has yet to take in: written with the row itself, removed
+ * by the holder. Changes of a table may be told late; this table is read whole. */
 #define DFF_TABLE_INBOX "inbox"
 /** How far each job is, by job; written by the holder alone. */
 #define DFF_TABLE_PROGRESS "progress"
--- a/include/pool/pool.h
+++ b/include/pool/pool.h
@@ -74,8 +74,8 @@
 	GArray *workers;
 	/** Capacity of each worker. */
 	struct dff_resources per_worker;
-	/** (nullable): what tells each worker from the others, parallel to @workers; without it they
-	 * are alike. Elements: struct dff_worker_traits. */
+	/** (nullable): what tells each worker from the others, parallel to @workers; without it
+	 * they are alike. Elements: struct dff_worker_traits. */
 	GArray *traits;
 };
 
--- a/standin/memory_rows.c
+++ b/standin/memory_rows.c
@@ -40,9 +40,9 @@
 };
 
 enum call_kind {
-	CALL_COMMIT,
-	CALL_GET,
-	CALL_FEED,
+	DFF_CALL_COMMIT,
+	DFF_CALL_GET,
+	DFF_CALL_FEED,
 };
 
 struct call {
@@ -209,7 +209,7 @@
 end_without_answer (void *user)
 {
 	struct call *call = user;
-	end_with (call, call->kind == CALL_COMMIT ? DFF_ROWS_UNKNOWN : DFF_ROWS_NOT_DONE);
+	end_with (call, call->kind == DFF_CALL_COMMIT ? DFF_ROWS_UNKNOWN : DFF_ROWS_NOT_DONE);
 }
 
 static void
@@ -344,11 +344,11 @@
 {
 	struct call *call = user;
 	struct dff_memory_rows *rows = call->client->rows;
-	if (call->kind == CALL_GET) {
+	if (call->kind == DFF_CALL_GET) {
 		answer_get (call);
 		return;
 	}
-	if (call->kind == CALL_FEED) {
+	if (call->kind == DFF_CALL_FEED) {
 		look_for_changes (call);
 		return;
 	}
@@ -390,15 +390,16 @@
 	}
 	if (faults->refuses) {
 		/* Refused, so that a commit is not done either. */
-		call->kind = CALL_GET;
+		call->kind = DFF_CALL_GET;
 		dff_virtual_loop_after (rows->loop, DELAY_MS, end_without_answer, call);
 		return;
 	}
-	if (call->kind == CALL_COMMIT && chance < faults->lost_permille) {
+	if (call->kind == DFF_CALL_COMMIT && chance < faults->lost_permille) {
 		lose_answer (call, 0);
 		return;
 	}
-	if (call->kind == CALL_COMMIT && chance < faults->lost_permille + faults->late_permille) {
+	if (call->kind == DFF_CALL_COMMIT &&
+	    chance < faults->lost_permille + faults->late_permille) {
 		lose_answer (call, faults->late_ms);
 		return;
 	}
@@ -439,7 +440,7 @@
 client_commit (void *ctx, const struct dff_rows_commit *commit, dff_rows_func done, void *user)
 {
 	g_assert_cmpuint (commit->n_conditions + commit->n_writes, <=, DFF_ROWS_COMMIT_MAX);
-	struct call *call = call_new (ctx, CALL_COMMIT, commit->timeout_ms, done, user);
+	struct call *call = call_new (ctx, DFF_CALL_COMMIT, commit->timeout_ms, done, user);
 	for (size_t i = 0; i < commit->n_conditions; i++) {
 		struct dff_rows_condition at = commit->conditions[i];
 		at.key = keep (call, at.key);
@@ -457,7 +458,7 @@
 static void
 client_get (void *ctx, const struct dff_rows_range *range, dff_rows_func done, void *user)
 {
-	struct call *call = call_new (ctx, CALL_GET, range->timeout_ms, done, user);
+	struct call *call = call_new (ctx, DFF_CALL_GET, range->timeout_ms, done, user);
 	call->table = g_strdup (range->table);
 	g_string_append_len (call->from, range->from.data, (gssize)range->from.len);
 	g_string_append_len (call->to, range->to.data, (gssize)range->to.len);
@@ -468,7 +469,7 @@
 static void
 client_feed (void *ctx, const struct dff_rows_feed *feed, dff_rows_func done, void *user)
 {
-	struct call *call = call_new (ctx, CALL_FEED, feed->timeout_ms, done, user);
+	struct call *call = call_new (ctx, DFF_CALL_FEED, feed->timeout_ms, done, user);
 	call->table = g_strdup (feed->table);
 	call->after = feed->after;
 	call->until_ms = dff_virtual_loop_now_ms (call->client->rows->loop) + feed->wait_ms;
--- a/standin/memory_runner.c
+++ b/standin/memory_runner.c
@@ -77,9 +77,9 @@
 };
 
 enum call_kind {
-	CALL_START,
-	CALL_STOP,
-	CALL_WATCH,
+	DFF_CALL_START,
+	DFF_CALL_STOP,
+	DFF_CALL_WATCH,
 };
 
 struct call {
@@ -379,16 +379,16 @@
 {
 	struct worker *worker = call->worker;
 	const char *wanted =
-		call->kind == CALL_WATCH ? call->watch.worker.data : call->order.worker.data;
-	int64_t epoch = call->kind == CALL_WATCH ? call->watch.epoch : call->order.epoch;
+		call->kind == DFF_CALL_WATCH ? call->watch.worker.data : call->order.worker.data;
+	int64_t epoch = call->kind == DFF_CALL_WATCH ? call->watch.epoch : call->order.epoch;
 	if (strcmp (worker->id, wanted) != 0)
 		return DFF_RUNNER_OTHER_LIFE;
 	if (epoch < worker->epoch)
 		return DFF_RUNNER_STALE_EPOCH;
 	worker->epoch = epoch;
-	if (call->kind == CALL_START)
+	if (call->kind == DFF_CALL_START)
 		return carry_out_start (worker, call);
-	if (call->kind == CALL_STOP)
+	if (call->kind == DFF_CALL_STOP)
 		return carry_out_stop (worker, call);
 	acknowledge (worker, call->watch.acknowledged);
 	worker->deadline_ms = MAX (worker->deadline_ms, call->watch.deadline_ms);
@@ -463,7 +463,7 @@
 					MAX (call->timeout_ms - now_ms, 0), end_unanswered, call);
 		return;
 	}
-	if (call->kind == CALL_WATCH && call->outcome == DFF_RUNNER_DONE) {
+	if (call->kind == DFF_CALL_WATCH && call->outcome == DFF_RUNNER_DONE) {
 		if (worker->ends->len == 0 && now_ms < call->until_ms) {
 			dff_virtual_loop_after (call->client->runner->options.loop, LOOK_MS, answer,
 						call);
@@ -504,7 +504,7 @@
 	struct dff_memory_runner *runner = call->client->runner;
 	int64_t now_ms = now_of (runner);
 	const struct dff_name *address =
-		call->kind == CALL_WATCH ? &call->watch.address : &call->order.address;
+		call->kind == DFF_CALL_WATCH ? &call->watch.address : &call->order.address;
 	call->worker = find_by_address (runner, address);
 	if (call->worker == NULL || call->worker->dead || call->worker->faults.cut) {
 		dff_virtual_loop_after (runner->options.loop, MAX (call->timeout_ms - now_ms, 0),
@@ -512,7 +512,7 @@
 		return;
 	}
 	struct dff_memory_worker_faults *faults = &call->worker->faults;
-	if (call->kind != CALL_WATCH && faults->late_orders > 0) {
+	if (call->kind != DFF_CALL_WATCH && faults->late_orders > 0) {
 		faults->late_orders--;
 		struct call *late = g_memdup2 (call, sizeof (*call));
 		dff_virtual_loop_after (runner->options.loop, faults->late_ms, arrive_late, late);
@@ -543,7 +543,7 @@
 		g_snprintf (call->checkpoint, sizeof (call->checkpoint), "%.*s",
 			    (int)order->checkpoint.len, order->checkpoint.data);
 		call->timeout_ms = now_ms + order->timeout_ms;
-	} else {
+	} else if (watch != NULL) {
 		call->watch = *watch;
 		call->timeout_ms = now_ms + watch->timeout_ms;
 		call->until_ms = now_ms + watch->wait_ms;
@@ -554,19 +554,19 @@
 static void
 client_start (void *ctx, const struct dff_run_order *order, dff_runner_func done, void *user)
 {
-	send_call (ctx, CALL_START, order, NULL, done, user);
+	send_call (ctx, DFF_CALL_START, order, NULL, done, user);
 }
 
 static void
 client_stop (void *ctx, const struct dff_run_order *order, dff_runner_func done, void *user)
 {
-	send_call (ctx, CALL_STOP, order, NULL, done, user);
+	send_call (ctx, DFF_CALL_STOP, order, NULL, done, user);
 }
 
 static void
 client_watch (void *ctx, const struct dff_run_watch *watch, dff_runner_func done, void *user)
 {
-	send_call (ctx, CALL_WATCH, NULL, watch, done, user);
+	send_call (ctx, DFF_CALL_WATCH, NULL, watch, done, user);
 }
 
 static void
--- a/tests/core/test-wants.c
+++ b/tests/core/test-wants.c
@@ -78,11 +78,12 @@
 		if (at->type != DFF_COMMAND_RECORD_START)
 			continue;
 		g_string_append_printf (starts, "%s%s@", starts->len > 0 ? " " : "", at->job.data);
-		for (guint j = 0; j < at->placements->len; j++)
+		for (guint j = 0; j < at->placements->len; j++) {
 			g_string_append_printf (
 				starts, "%s%s", j > 0 ? "," : "",
 				g_array_index (at->placements, struct dff_placement, j)
 					.worker.data);
+		}
 	}
 	g_assert_null (dff_core_check (site->core));
 	return starts;
--- a/tests/graph/test-graph.c
+++ b/tests/graph/test-graph.c
@@ -123,20 +123,20 @@
 	(void)state;
 	static const struct {
 		int32_t count;
-		bool gang;
 		int32_t after;
 		int32_t occurrences;
+		bool gang;
 		bool accepted;
 	} cases[] = {
-		{1, false, -1, 1, true},
-		{0, false, -1, 1, false},
-		{DFF_STEP_TASKS_MAX, false, -1, 1, true},
-		{DFF_STEP_TASKS_MAX + 1, false, -1, 1, false},
-		{DFF_STEP_GANG_MAX, true, -1, 1, true},
-		{DFF_STEP_GANG_MAX + 1, true, -1, 1, false},
-		{1, false, 0, 1, false},
-		{1, false, -1, 0, false},
-		{1, false, -1, DFF_PLAN_OCCURRENCES_MAX + 1, false},
+		{1, -1, 1, false, true},
+		{0, -1, 1, false, false},
+		{DFF_STEP_TASKS_MAX, -1, 1, false, true},
+		{DFF_STEP_TASKS_MAX + 1, -1, 1, false, false},
+		{DFF_STEP_GANG_MAX, -1, 1, true, true},
+		{DFF_STEP_GANG_MAX + 1, -1, 1, true, false},
+		{1, 0, 1, false, false},
+		{1, -1, 0, false, false},
+		{1, -1, DFF_PLAN_OCCURRENCES_MAX + 1, false, false},
 	};
 	for (size_t i = 0; i < G_N_ELEMENTS (cases); i++) {
 		DFF_AUTO (dff_plan) plan = plan_new ();
--- a/tests/holder/test-holder.c
+++ b/tests/holder/test-holder.c
@@ -153,15 +153,15 @@
 {
 	(void)state;
 	static const struct {
-		bool mute;
 		int64_t cut_ms;
 		/** Starts of the six tasks, one on each worker. */
 		int32_t n_starts;
+		bool mute;
 	} cases[] = {
-		{false, 4000, 6},
-		{true, 4000, 6},
-		{false, 15000, 7},
-		{true, 15000, 7},
+		{4000, 6, false},
+		{4000, 6, true},
+		{15000, 7, false},
+		{15000, 7, true},
 	};
 	for (size_t i = 0; i < G_N_ELEMENTS (cases); i++) {
 		struct site site;
@@ -279,19 +279,21 @@
 		if (i == 5)
 			site_kill_process (&site,
 					   site_holder (&site) >= 0 ? site_holder (&site) : 0);
-		if (i == 5)
+		if (i == 5) {
 			for (int j = 0; j < SITE_PROCESSES; j++)
 				if (!site.processes[j].alive)
 					site_start_process (&site, j);
+		}
 	}
 	assert_in_range (accepted, 1, 10);
 	for (int i = 0; i < SITE_PROCESSES; i++)
 		memset (dff_memory_rows_client_faults (site.processes[i].rows), 0,
 			sizeof (struct dff_memory_rows_faults));
-	for (guint i = 0; i < site.accepted->len; i++)
+	for (guint i = 0; i < site.accepted->len; i++) {
 		assert_int_not_equal (site_until (&site, g_ptr_array_index (site.accepted, i),
 						  "completed", 20000),
 				      -1);
+	}
 	site_close (&site);
 }
 
--- a/tests/platform/test-http.c
+++ b/tests/platform/test-http.c
@@ -99,13 +99,14 @@
 	answer->revision = result->revision;
 	answer->more = result->more;
 	g_string_truncate (answer->rows, 0);
-	for (size_t i = 0; i < result->n_rows; i++)
+	for (size_t i = 0; i < result->n_rows; i++) {
 		g_string_append_printf (answer->rows, "%.*s/%.*s=%.*s@%d%s ",
 					(int)result->rows[i].table.len, result->rows[i].table.data,
 					(int)result->rows[i].key.len, result->rows[i].key.data,
 					(int)result->rows[i].value.len, result->rows[i].value.data,
 					(int)result->rows[i].revision,
 					result->rows[i].removed ? " removed" : "");
+	}
 	event_base_loopbreak (answer->base);
 }
 
@@ -214,17 +215,19 @@
 	answer->outcome = result->outcome;
 	answer->clock_ms = result->clock_ms;
 	g_string_truncate (answer->lists, 0);
-	for (size_t i = 0; i < result->n_running; i++)
+	for (size_t i = 0; i < result->n_running; i++) {
 		g_string_append_printf (
 			answer->lists, "%.*s run %d from %.*s at %d; ",
 			(int)result->running[i].task.len, result->running[i].task.data,
 			result->running[i].run, (int)result->running[i].checkpoint.len,
 			result->running[i].checkpoint.data, result->running[i].percent);
-	for (size_t i = 0; i < result->n_ended; i++)
+	}
+	for (size_t i = 0; i < result->n_ended; i++) {
 		g_string_append_printf (
 			answer->lists, "%d %.*s run %d %s; ", (int)result->ended[i].number,
 			(int)result->ended[i].task.len, result->ended[i].task.data,
 			result->ended[i].run, dff_run_end_name (result->ended[i].end));
+	}
 	event_base_loopbreak (answer->base);
 }
 
--- /dev/null
+++ b/tests/platform/test-ingress.c
@@ -0,0 +1,255 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+
+#include <cmocka.h>
+#include <event2/buffer.h>
+#include <string.h>
+
+#include "common/event_loop.h"
+#include "common/http_client.h"
+#include "common/http_listen.h"
+#include "holder/tables.h"
+#include "platform/decode.h"
+#include "platform/ingress.h"
+#include "standin/memory_rows.h"
+
+/* What callers are told: each case is one call over loopback, answered from a store in memory. */
+
+#define CONFIG                                                                                     \
+	"{\"version\":7,\"routes\":[{\"name\":\"r-a\",\"host\":\"127.0.0.1\",\"path_prefix\":\"/"  \
+	"q/\","                                                                                    \
+	"\"service\":\"s\",\"priority\":1,\"max_attempts\":2},{\"name\":\"r-open\",\"host\":"      \
+	"\"127.0.0.1\",\"path_prefix\":\"/open/\",\"service\":\"s\",\"public\":true},{\"name\":"   \
+	"\"r-adv\",\"host\":\"127.0.0.1\",\"path_prefix\":\"/adv/"                                 \
+	"\",\"service\":\"s\",\"public\":true,"                                                    \
+	"\"recommendation\":{\"decide_ms\":1}}],\"tenants\":[{\"name\":\"t\",\"api_keys\":["       \
+	"\"key\"]}]}"
+#define JOB "{\"spec\":\"x\",\"steps\":[{\"count\":1,\"cpu\":500}]}"
+#define ID "5c0e7a21d94b36f8"
+
+struct fixture {
+	struct event_base *base;
+	struct dff_virtual_loop *loop;
+	struct dff_memory_rows *rows;
+	struct dff_memory_rows_client *store;
+	struct dff_metrics *metrics;
+	struct dff_front *front;
+	struct dff_ingress *ingress;
+	struct evhttp *http;
+	struct dff_name address;
+	struct dff_http_client *client;
+	struct dff_fleet_config *config;
+	bool silent;
+	bool answered;
+	int status;
+	GString *body;
+	char *retry_after;
+};
+
+static const struct dff_fleet_config *
+config_in_force (void *ctx)
+{
+	return ((struct fixture *)ctx)->config;
+}
+
+static bool
+store_is_silent (void *ctx)
+{
+	return ((struct fixture *)ctx)->silent;
+}
+
+static void
+fixture_open (struct fixture *fixture)
+{
+	*fixture = (struct fixture){.base = dff_event_base_new (),
+				    .loop = dff_virtual_loop_new (1000),
+				    .metrics = dff_metrics_new (),
+				    .body = g_string_new (NULL)};
+	fixture->rows = dff_memory_rows_new (fixture->loop);
+	fixture->store = dff_memory_rows_client_new (fixture->rows);
+	struct dff_front_options front = {
+		.timers = dff_virtual_loop_timers (fixture->loop),
+		.rows = dff_memory_rows_client_interface (fixture->store),
+		.metrics = fixture->metrics,
+		.store_is_silent = store_is_silent,
+		.ctx = fixture,
+	};
+	fixture->front = dff_front_new (&front);
+	struct dff_ingress_options ingress = {
+		.base = fixture->base,
+		.clock = dff_virtual_loop_clock (fixture->loop),
+		.front = fixture->front,
+		.metrics = fixture->metrics,
+		.config = config_in_force,
+		.ctx = fixture,
+	};
+	fixture->ingress = dff_ingress_new (&ingress);
+	fixture->http = evhttp_new (fixture->base);
+	dff_ingress_serve (fixture->ingress, fixture->http);
+	struct dff_name any = dff_name_from ("127.0.0.1:0");
+	assert_non_null (dff_http_listen (fixture->http, &any, &fixture->address));
+	struct dff_http_client_options client;
+	dff_http_client_options_init (&client);
+	client.base = fixture->base;
+	client.metrics = fixture->metrics;
+	fixture->client = dff_http_client_new (&client);
+	fixture->config = dff_platform_read_config (dff_str_from (CONFIG));
+}
+
+static void
+fixture_close (struct fixture *fixture)
+{
+	dff_http_client_free (fixture->client);
+	evhttp_free (fixture->http);
+	dff_ingress_free (fixture->ingress);
+	dff_front_free (fixture->front);
+	dff_memory_rows_free (fixture->rows);
+	dff_virtual_loop_free (fixture->loop);
+	if (fixture->config != NULL)
+		dff_fleet_config_free (fixture->config);
+	dff_metrics_free (fixture->metrics);
+	event_base_free (fixture->base);
+	g_string_free (fixture->body, TRUE);
+	g_free (fixture->retry_after);
+}
+
+static void
+handle_answer (void *user, const struct dff_http_response *response)
+{
+	struct fixture *fixture = user;
+	fixture->answered = true;
+	fixture->status = response->status;
+	g_string_truncate (fixture->body, 0);
+	g_string_append_len (fixture->body, response->body.data, (gssize)response->body.len);
+	g_free (fixture->retry_after);
+	fixture->retry_after =
+		response->headers != NULL
+			? g_strdup (evhttp_find_header (response->headers, "Retry-After"))
+			: NULL;
+}
+
+static void
+call (struct fixture *fixture,
+      enum evhttp_cmd_type method,
+      const char *path,
+      const char *key,
+      const char *body)
+{
+	struct dff_http_header headers[] = {
+		{"Dragonflyfold-Deadline-Ms", dff_str_from ("3000")},
+		{"Dragonflyfold-Credential", dff_str_from (key != NULL ? key : "")},
+	};
+	struct dff_http_request request = {.address = fixture->address,
+					   .method = method,
+					   .path = path,
+					   .headers = headers,
+					   .n_headers = key != NULL ? 2 : 1,
+					   .body = dff_str_from (body),
+					   .timeout_ms = 60000};
+	fixture->answered = false;
+	dff_http_client_send (fixture->client, &request, handle_answer, fixture);
+	/* The sockets go by the machine, everything that waits by the virtual clock. */
+	while (!fixture->answered) {
+		event_base_loop (fixture->base, EVLOOP_NONBLOCK);
+		dff_virtual_loop_run (fixture->loop, 1);
+	}
+}
+
+static void
+test_calls (void **state)
+{
+	(void)state;
+	static const struct {
+		enum evhttp_cmd_type method;
+		const char *path;
+		const char *key;
+		const char *body;
+		int status;
+		const char *answer;
+	} cases[] = {
+		{EVHTTP_REQ_GET, "/q/" ID, "key", "", 410, "{}"},
+		{EVHTTP_REQ_DELETE, "/q/" ID, "key", "", 410, "{}"},
+		{EVHTTP_REQ_POST, "/q/" ID, NULL, JOB, 401, "{}"},
+		{EVHTTP_REQ_POST, "/q/" ID, "other", JOB, 401, "{}"},
+		{EVHTTP_REQ_POST, "/none/" ID, "key", JOB, 404, "{}"},
+		{EVHTTP_REQ_POST, "/q/" ID, "key", "{", 400, "{}"},
+		{EVHTTP_REQ_POST, "/q/nothex", "key", JOB, 404, "{}"},
+		{EVHTTP_REQ_POST, "/adv/" ID, NULL, JOB, 503, "{}"},
+		{EVHTTP_REQ_GET, "/q/", "key", "", 200, "{\"waiting\":0}"},
+		{EVHTTP_REQ_POST, "/q/" ID, "key", JOB, 200, "{}"},
+		{EVHTTP_REQ_POST, "/q/" ID, "key", JOB, 200, "{}"},
+		{EVHTTP_REQ_GET, "/q/" ID, "key", "", 200, "{\"state\":\"queued\"}"},
+		{EVHTTP_REQ_DELETE, "/q/" ID, "key", "", 200, "{}"},
+		{EVHTTP_REQ_DELETE, "/q/" ID, "key", "", 200, "{}"},
+		{EVHTTP_REQ_GET, "/q/" ID, "key", "", 200, "{\"state\":\"cancelled\"}"},
+		{EVHTTP_REQ_POST, "/open/" ID, NULL, JOB, 200, "{}"},
+	};
+	struct fixture fixture;
+	fixture_open (&fixture);
+	for (size_t i = 0; i < G_N_ELEMENTS (cases); i++) {
+		call (&fixture, cases[i].method, cases[i].path, cases[i].key, cases[i].body);
+		assert_int_equal (fixture.status, cases[i].status);
+		assert_string_equal (fixture.body->str, cases[i].answer);
+		assert_int_equal (fixture.retry_after != NULL, cases[i].status == 503);
+	}
+	assert_int_equal (dff_ingress_n_open (fixture.ingress), 0);
+	fixture_close (&fixture);
+}
+
+/* Symptom: a caller is told that a request has not run, and it runs. Sequence: a write without an
+ * answer is followed by one that is refused. Cause: the refusal was taken for the fate of both. */
+static void
+test_refusals_are_true (void **state)
+{
+	(void)state;
+	struct fixture fixture;
+	fixture_open (&fixture);
+	struct dff_memory_rows_faults *faults = dff_memory_rows_client_faults (fixture.store);
+	faults->refuses = true;
+	int64_t before_ms = dff_virtual_loop_now_ms (fixture.loop);
+	call (&fixture, EVHTTP_REQ_POST, "/q/" ID, "key", JOB);
+	assert_int_equal (fixture.status, 503);
+	assert_non_null (fixture.retry_after);
+	assert_in_range (dff_virtual_loop_now_ms (fixture.loop) - before_ms, 0, 300);
+	assert_int_equal (dff_memory_rows_count (fixture.rows, DFF_TABLE_JOBS), 0);
+
+	faults->refuses = false;
+	faults->silent = true;
+	call (&fixture, EVHTTP_REQ_POST, "/q/" ID, "key", JOB);
+	assert_int_equal (fixture.status, 504);
+
+	fixture.silent = true;
+	before_ms = dff_virtual_loop_now_ms (fixture.loop);
+	call (&fixture, EVHTTP_REQ_POST, "/q/" ID, "key", JOB);
+	assert_int_equal (fixture.status, 503);
+	assert_in_range (dff_virtual_loop_now_ms (fixture.loop) - before_ms, 0, 100);
+
+	fixture.silent = false;
+	*faults = (struct dff_memory_rows_faults){.lost_permille = 1000};
+	call (&fixture, EVHTTP_REQ_POST, "/q/" ID, "key", JOB);
+	/* Written, but nothing says so: neither accepted nor refused. */
+	assert_int_equal (fixture.status, 504);
+	assert_int_equal (dff_memory_rows_count (fixture.rows, DFF_TABLE_JOBS), 1);
+	faults->lost_permille = 0;
+	call (&fixture, EVHTTP_REQ_POST, "/q/" ID, "key", JOB);
+	assert_int_equal (fixture.status, 200);
+	assert_int_equal (dff_memory_rows_count (fixture.rows, DFF_TABLE_JOBS), 1);
+
+	dff_fleet_config_free (fixture.config);
+	fixture.config = NULL;
+	call (&fixture, EVHTTP_REQ_POST, "/q/" ID, "key", JOB);
+	assert_int_equal (fixture.status, 503);
+	dff_virtual_loop_run (fixture.loop, 10000);
+	fixture_close (&fixture);
+}
+
+int
+main (void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test (test_calls),
+		cmocka_unit_test (test_refusals_are_true),
+	};
+	return cmocka_run_group_tests (tests, NULL, NULL);
+}
