--- a/fleet/fleet.c
+++ b/fleet/fleet.c
@@ -45,6 +45,11 @@
  * asks waits, ms. */
 #define INSTANCE_PATH "/instance"
 #define PRESENCE_TIMEOUT_MS 300
+/** Waits for room near a task's data, and for a whole rack, for each further run time that going
+ * elsewhere would take, ms: tasks run for some seconds. A gang on two racks also holds them for
+ * longer. */
+#define DATA_WAIT_MS 2000
+#define RACK_WAIT_MS 7500
 /** Margin of a worker's longest lease that is left alone, ms. */
 #define LEASE_MARGIN_MS 500
 
@@ -279,6 +284,8 @@
 	options.lease_ms = (int32_t)MIN (options.lease_ms,
 					 fleet->settings.worker_lease_max_ms - LEASE_MARGIN_MS);
 	options.gang_wait_ms = (int32_t)fleet->settings.gang_wait_ms;
+	options.data_wait_ms = (int64_t)(DATA_WAIT_MS * (fleet->settings.far_factor - 1.0));
+	options.rack_wait_ms = (int64_t)(RACK_WAIT_MS * (fleet->settings.far_factor - 1.0));
 	options.retention_ms = fleet->settings.retention_s * 1000 + options.retention_ms / 10;
 	fleet->holder = dff_holder_new (&options);
 }
