core: what a team is assured of goes before other teams' urgent work

Cause: urgent work never gave way, so that a team whose urgent jobs were within its own accelerators could wait behind another team's burst; the holder knew the figures and did not use them. Change: assured_accelerators of a team; its urgent jobs, as long as they need no more together, rank first and may take the place of urgent work of teams beyond theirs, ten times as dear a victim as other work. Test: wants: test_assured_team (fails first: nothing gives way).

--- a/core/core.c
+++ b/core/core.c
@@ -203,6 +203,7 @@
 	team->declared = true;
 	team->quota_accelerators = declared->quota_accelerators;
 	team->max_queued = declared->max_queued;
+	team->assured_accelerators = declared->assured_accelerators;
 	team->weight = MAX (declared->weight, 1);
 }
 
--- a/core/core_tables.h
+++ b/core/core_tables.h
@@ -122,6 +122,9 @@
 	bool declared;
 	int32_t quota_accelerators;
 	int32_t max_queued;
+	int32_t assured_accelerators;
+	/** Accelerators of its urgent jobs that have not ended. */
+	int32_t urgent_accelerators;
 	int32_t weight;
 	/** Jobs that have not ended. */
 	int32_t n_jobs;
@@ -303,6 +306,8 @@
 	double score;
 	/** Whether its head found no shape in this tick. */
 	bool unclaimable;
+	/** Whether its head is within what its team is assured of, when last ranked. */
+	bool assured;
 };
 
 /** What the pool's weights come to. */
@@ -395,6 +400,17 @@
 	return job->gang * job->per_task.accelerators;
 }
 
+/** Whether a job has a right to its accelerators: it is urgent, and all that its team has of that
+ * kind is within what the team is assured of. */
+static inline bool
+dff_core_job_is_assured (const struct dff_core *core, const struct dff_core_job *job)
+{
+	if (!job->urgent || job->team == DFF_CORE_NONE)
+		return false;
+	const struct dff_core_team *team = dff_core_team_at (core, job->team);
+	return team->urgent_accelerators <= team->assured_accelerators;
+}
+
 /** Work that may be started again may be preempted. A checkpoint alone is not enough: the task runs
  * on between its checkpoint and its stop, and a resumed job would repeat what it did in between. */
 static inline bool
--- a/core/order.c
+++ b/core/order.c
@@ -53,6 +53,8 @@
 	const struct dff_core_class *other = *(struct dff_core_class *const *)b;
 	if (one->key.urgent != other->key.urgent)
 		return one->key.urgent ? -1 : 1;
+	if (one->assured != other->assured)
+		return one->assured ? -1 : 1;
 	if (one->score != other->score)
 		return one->score < other->score ? -1 : 1;
 	return dff_core_compare_age (one->jobs.head->data, other->jobs.head->data);
@@ -70,6 +72,7 @@
 		const struct dff_core_team *team = dff_core_team_at (core, queue_class->key.team);
 		queue_class->score = dff_core_score (core, queue_class->jobs.head->data) *
 				     (1.0 + FAIRNESS * team_share (core, team));
+		queue_class->assured = dff_core_job_is_assured (core, queue_class->jobs.head->data);
 		g_ptr_array_add (ranked, queue_class);
 	}
 	g_ptr_array_sort (ranked, compare_ranks);
--- a/core/reclaim.c
+++ b/core/reclaim.c
@@ -10,6 +10,8 @@
 #define OVERTAKE_STEPS 10
 /** A gang that racks are kept for displaces jobs this many times narrower than it. */
 #define DISPLACE_WIDTHS 4
+/** How much dearer urgent work is to stop than other work: somebody waits for it. */
+#define URGENT_LOSS_TIMES 10
 /** Weight of a task without accelerators against one accelerator: a slot of a worker. */
 #define ACCELERATOR_SLOTS 8
 
@@ -53,8 +55,11 @@
 		return false;
 	if (job->hold == DFF_CORE_HOLD_CLAIM || job->entitled)
 		return true;
+	/* Symptom: a team does not get what is its own, because others' urgent work has come first.
+	 * Cause: urgent work never gave way, also where its team had more than it is assured of. */
 	if (tenant->urgent)
-		return false;
+		return dff_core_job_is_assured (core, job) &&
+		       !dff_core_job_is_assured (core, tenant);
 	return job->urgent || may_overtake (core, job, tenant);
 }
 
@@ -74,7 +79,8 @@
 	if (job->checkpoint)
 		age_ms = MIN (age_ms, core->options.checkpoint_loss_ms);
 	/* What was preempted before is dearer, or the same job would give way for ever. */
-	return weight * (age_ms + 1000) * (1 + job->preemptions);
+	int64_t times = (1 + job->preemptions) * (job->urgent ? URGENT_LOSS_TIMES : 1);
+	return weight * (age_ms + 1000) * times;
 }
 
 static bool
--- a/core/tables.c
+++ b/core/tables.c
@@ -122,8 +122,11 @@
 	job->link.data = job;
 	g_hash_table_insert (core->jobs, &job->id, job);
 	core->stats.queued++;
-	if (job->team != DFF_CORE_NONE)
-		dff_core_team_at (core, job->team)->n_jobs++;
+	if (job->team != DFF_CORE_NONE) {
+		struct dff_core_team *team = dff_core_team_at (core, job->team);
+		team->n_jobs++;
+		team->urgent_accelerators += job->urgent ? dff_core_job_accelerators (job) : 0;
+	}
 	dff_core_cover (core, job);
 	return job;
 }
@@ -143,8 +146,11 @@
 void
 dff_core_job_remove (struct dff_core *core, struct dff_core_job *job)
 {
-	if (job->team != DFF_CORE_NONE)
-		dff_core_team_at (core, job->team)->n_jobs--;
+	if (job->team != DFF_CORE_NONE) {
+		struct dff_core_team *team = dff_core_team_at (core, job->team);
+		team->n_jobs--;
+		team->urgent_accelerators -= job->urgent ? dff_core_job_accelerators (job) : 0;
+	}
 	g_hash_table_remove (core->jobs, &job->id);
 	dff_core_job_clear_attempt (job);
 	g_free (job);
--- a/holder/workers.c
+++ b/holder/workers.c
@@ -277,8 +277,11 @@
 add_teams (const struct dff_holder *holder, struct dff_pool *pool)
 {
 	for (guint i = 0; i < holder->teams->len; i++) {
+		const struct dff_holder_team *known =
+			&g_array_index (holder->teams, struct dff_holder_team, i);
 		struct dff_team team = {
-			.name = g_array_index (holder->teams, struct dff_holder_team, i).name,
+			.name = known->name,
+			.assured_accelerators = known->assured_accelerators,
 			.token_digests = g_array_new (FALSE, TRUE, 1),
 			.guarantees = g_array_new (FALSE, TRUE, sizeof (struct dff_guarantee)),
 			.weight = 1,
--- a/include/pool/pool.h
+++ b/include/pool/pool.h
@@ -37,6 +37,10 @@
 	GArray *guarantees;
 	/** Upper bound on accelerators in use at once, guarantee included; 0: none. */
 	int32_t quota_accelerators;
+	/** Accelerators, anywhere, that the team's urgent jobs have a right to: as long as they
+	 * need no more together, they go before other teams' urgent work and may take its place; 0:
+	 * none. */
+	int32_t assured_accelerators;
 	/** Jobs admitted and not ended, at the most. */
 	int32_t max_queued;
 	/** Share of what is borrowed, relative to other teams; at least 1. */
--- a/tests/core/test-wants.c
+++ b/tests/core/test-wants.c
@@ -224,6 +224,52 @@
 	}
 }
 
+/* Symptom: see dff_core_may_evict(). Sequence: another team's urgent work has filled the pool. */
+static void
+test_assured_team (void **state)
+{
+	(void)state;
+	static const struct {
+		int32_t assured;
+		/** Accelerators that team "a" claims, on one worker each. */
+		int32_t claimed;
+		bool starts;
+	} cases[] = {
+		{16, 16, true},
+		{16, 24, false},
+		{0, 8, false},
+	};
+	for (size_t i = 0; i < G_N_ELEMENTS (cases); i++) {
+		struct dff_core_options options = patient_options ();
+		struct site site;
+		site_open (&site, &options);
+		fixture_pool_add_team (&site.pool, "b", 0, 0);
+		g_array_index (site.pool.teams, struct dff_team, 0).assured_accelerators =
+			cases[i].assured;
+		dff_core_set_pool (site.core, &site.pool, site.now_ms);
+		struct dff_job_spec other = fixture_spec ("other", N_WORKERS, 8);
+		other.team = dff_name_from ("b");
+		other.adjacency = DFF_ADJACENCY_NONE;
+		other.urgent = true;
+		site_submit (&site, &other);
+		g_autoptr (GString) filled = site_pass (&site, 0);
+		assert_true (g_str_has_prefix (filled->str, "other@"));
+		struct dff_event recorded = {
+			.type = DFF_EVENT_ATTEMPT_RECORDED, .job = other.id, .attempt = 1};
+		dff_core_handle_event (site.core, &recorded, site.now_ms);
+		struct dff_job_spec claim = fixture_spec ("claim", cases[i].claimed / 8, 8);
+		claim.adjacency = DFF_ADJACENCY_NONE;
+		claim.urgent = true;
+		site_submit (&site, &claim);
+		g_autoptr (GString) none = site_pass (&site, 10);
+		assert_string_equal (none->str, "");
+		struct dff_core_stats stats;
+		dff_core_get_stats (site.core, &stats);
+		assert_int_equal (stats.preemptions, cases[i].starts);
+		site_close (&site);
+	}
+}
+
 /* Symptom: workers that rejected starts for want of room go to quarantine, and jobs give up after
  * eight rejections. Cause: a rejection for want of room was taken for a failure of the worker. */
 static void
@@ -260,6 +306,7 @@
 		cmocka_unit_test (test_data_rack),
 		cmocka_unit_test (test_urgent_share),
 		cmocka_unit_test (test_gang_of_a_lost_rack),
+		cmocka_unit_test (test_assured_team),
 		cmocka_unit_test (test_rejections),
 	};
 	return cmocka_run_group_tests (tests, NULL, NULL);
--- a/tests/holder/site.c
+++ b/tests/holder/site.c
@@ -5,10 +5,11 @@
 
 /* A process that is killed never gets its answers: the contexts of the calls that it had in
  * progress are lost with it, here as in reality. Everything else has to be freed. */
-const char *__lsan_default_suppressions (void);
+/* The name is the sanitizer's. */
+const char *__lsan_default_suppressions (void); // NOLINT(readability-identifier-naming)
 
 const char *
-__lsan_default_suppressions (void)
+__lsan_default_suppressions (void) // NOLINT(readability-identifier-naming)
 {
 	/* Where the contexts are made: in the holder, in followers, in fronts. */
 	return "leak:lease_work\nleak:take\nleak:judge_row\nleak:send_commit\nleak:read_progress\n"
