core, holder: what ends soon is not stopped

Change: the first member's progress goes to the core; time left follows it, and what has under 1.2 s left is four times as dear to stop. Test: wants: test_what_ends_soon_is_not_stopped.

--- a/common/setting.c
+++ b/common/setting.c
@@ -45,7 +45,8 @@
 	case DFF_SETTING_INTEGER:
 	case DFF_SETTING_NUMBER:
 		g_string_append_printf (out, "%s from %d to %d",
-					setting->type == DFF_SETTING_INTEGER ? "an integer" : "a number",
+					setting->type == DFF_SETTING_INTEGER ? "an integer"
+									     : "a number",
 					setting->min, setting->max);
 		if (setting->unit != NULL)
 			g_string_append_printf (out, " (%s)", setting->unit);
@@ -128,9 +129,7 @@
 }
 
 static bool
-assign_string (const struct dff_setting *setting,
-	       void *object,
-	       struct dff_str text)
+assign_string (const struct dff_setting *setting, void *object, struct dff_str text)
 {
 	void *member = member_of (setting, object);
 	switch (setting->type) {
@@ -157,9 +156,7 @@
 }
 
 static bool
-setting_assign (const struct dff_setting *setting,
-		    void *object,
-		    const json_t *value)
+setting_assign (const struct dff_setting *setting, void *object, const json_t *value)
 {
 	if (json_is_string (value)) {
 		struct dff_str text = {json_string_value (value), json_string_length (value)};
@@ -192,8 +189,7 @@
 }
 
 bool
-dff_setting_equal (const struct dff_setting *setting,
-		   const void *a, const void *b)
+dff_setting_equal (const struct dff_setting *setting, const void *a, const void *b)
 {
 	const void *left = member_of_const (setting, a);
 	const void *right = member_of_const (setting, b);
@@ -216,9 +212,7 @@
 }
 
 static void
-setting_copy (const struct dff_setting *setting,
-		  void *to,
-		  const void *from)
+setting_copy (const struct dff_setting *setting, void *to, const void *from)
 {
 	void *target = member_of (setting, to);
 	const void *source = member_of_const (setting, from);
@@ -288,8 +282,7 @@
 	va_start (args, format);
 	g_autofree char *message = g_strdup_vprintf (format, args);
 	va_end (args);
-	g_autofree char *full =
-		g_strdup_printf ("%s:%d: %s", reader->input->source, line, message);
+	g_autofree char *full = g_strdup_printf ("%s:%d: %s", reader->input->source, line, message);
 	if (!reader->failed)
 		g_set_error_literal (reader->error, DFF_SETTINGS_ERROR, (int)code, full);
 	reader->failed = true;
@@ -314,9 +307,9 @@
 
 void
 dff_setting_reader_report_at (struct dff_setting_reader *reader,
-			   const char *key,
-			   const char *format,
-			   ...)
+			      const char *key,
+			      const char *format,
+			      ...)
 {
 	va_list args;
 	va_start (args, format);
--- a/core/core_tables.h
+++ b/core/core_tables.h
@@ -218,6 +218,8 @@
 	uint64_t spread_group;
 	int32_t per_worker;
 	float weight;
+	/** How long its attempt takes by the progress last told, ms; 0: not told. */
+	int32_t told_ms;
 
 	enum dff_core_state state;
 	bool cancelled;
--- a/core/estimate.c
+++ b/core/estimate.c
@@ -14,6 +14,8 @@
 #define PRIOR_VARIANCE 1.0
 #define VARIANCE_MIN 0.01
 #define MIN_RUN_MS 1000
+/** Least time left of a run whose progress is told, ms. */
+#define TOLD_MIN_MS 50
 /** Below this probability of having run so long, the mean residual life is not computed. */
 #define SURVIVAL_MIN 1e-4
 
@@ -130,6 +132,8 @@
 	int64_t ran_ms = job->run_ms;
 	if (job->state == DFF_CORE_RUNNING || job->state == DFF_CORE_CHECKPOINTING)
 		ran_ms += core->now_ms - job->started_ms;
+	if (job->told_ms > 0 && job->state == DFF_CORE_RUNNING)
+		return MAX (job->told_ms - (core->now_ms - job->started_ms), TOLD_MIN_MS);
 	double deviation = job->log_deviation;
 	double whole = exp (job->log_mean + deviation * deviation / 2.0);
 	if (ran_ms <= 0)
--- a/core/lifecycle.c
+++ b/core/lifecycle.c
@@ -2,6 +2,9 @@
 
 #include <string.h>
 
+/** Progress that tells something of the whole, percent: less is mostly the time until it began. */
+#define PROGRESS_MIN 8
+
 /* The state machine of attempts. Commands go to core->pending and leave with the next tick. */
 
 struct dff_command *
@@ -351,6 +354,12 @@
 		gang_completed (core, job);
 		return;
 	}
+	if (event->type == DFF_EVENT_TASK_PROGRESS) {
+		if (job->state == DFF_CORE_RUNNING && event->percent >= PROGRESS_MIN)
+			job->told_ms = (int32_t)MIN (
+				(core->now_ms - job->started_ms) * 100 / event->percent, INT32_MAX);
+		return;
+	}
 	if (event->type == DFF_EVENT_TASK_STARTED) {
 		member_started (core, job, member);
 		return;
--- a/core/reclaim.c
+++ b/core/reclaim.c
@@ -10,6 +10,10 @@
 #define OVERTAKE_STEPS 10
 /** A gang that racks are kept for displaces jobs this many times narrower than it. */
 #define DISPLACE_WIDTHS 4
+/** Time left of a run below which it is this much dearer to stop, ms: a stop takes about as long.
+ */
+#define ENDS_SOON_MS 1200
+#define ENDS_SOON_TIMES 4
 /** How much dearer urgent work is to stop than other work: somebody waits for it. */
 #define URGENT_LOSS_TIMES 10
 /** Weight of a task without accelerators against one accelerator: a slot of a worker. */
@@ -79,8 +83,11 @@
 	if (job->checkpoint)
 		age_ms = MIN (age_ms, core->options.checkpoint_loss_ms);
 	/* What was preempted before is dearer, or the same job would give way for ever. */
+	/* What ends soon anyway is not worth stopping. */
+	bool ends_soon = job->told_ms > 0 && job->state == DFF_CORE_RUNNING &&
+			 dff_core_remaining_ms (core, job) < ENDS_SOON_MS;
 	int64_t times = (int64_t)(1 + job->preemptions) * (job->urgent ? URGENT_LOSS_TIMES : 1);
-	return weight * (age_ms + 1000) * times;
+	return weight * (age_ms + 1000) * times * (ends_soon ? ENDS_SOON_TIMES : 1);
 }
 
 static bool
--- a/core/tables.c
+++ b/core/tables.c
@@ -137,6 +137,7 @@
 	g_clear_pointer (&job->members, g_free);
 	g_clear_pointer (&job->placements, g_array_unref);
 	job->n_open = 0;
+	job->told_ms = 0;
 	job->n_started = 0;
 	job->released = false;
 	job->preempted = false;
--- a/holder/runs.c
+++ b/holder/runs.c
@@ -90,6 +90,19 @@
 	run->next_ms = holder_now_ms (holder);
 }
 
+/* The first member speaks for its gang. */
+static void
+tell_progress (struct dff_holder *holder, const struct holder_run *run)
+{
+	struct dff_event event = {.type = DFF_EVENT_TASK_PROGRESS,
+				  .job = run->unit->name,
+				  .attempt = run->attempt,
+				  .member = run->member,
+				  .percent = run->percent};
+	if (run->member == 0)
+		dff_core_handle_event (holder->core, &event, holder_now_ms (holder));
+}
+
 void
 run_note_open (struct dff_holder *holder, struct holder_run *run, const struct dff_run_open *open)
 {
@@ -101,6 +114,7 @@
 	if (open->percent != run->percent) {
 		run->percent = open->percent;
 		run->percent_ms = now_ms;
+		tell_progress (holder, run);
 	}
 	if (!run->ran)
 		jobs_note_started (holder, unit);
--- a/include/common/setting.h
+++ b/include/common/setting.h
@@ -9,8 +9,8 @@
 
 #include "common/str.h"
 
-/* Settings as tables of keys: reading, checking, reloading and the manual pages all follow a table. The
- * values go into a struct of whoever has the table. */
+/* Settings as tables of keys: reading, checking, reloading and the manual pages all follow a table.
+ * The values go into a struct of whoever has the table. */
 
 enum dff_setting_type {
 	DFF_SETTING_NAME,    /**< struct dff_name of @max bytes at the most. */
@@ -58,8 +58,8 @@
 GQuark dff_settings_error_quark (void);
 
 /** Returns: (nullable): the key called @key. */
-const struct dff_setting *
-dff_setting_table_find (const struct dff_setting_table *table, const char *key);
+const struct dff_setting *dff_setting_table_find (const struct dff_setting_table *table,
+						  const char *key);
 
 /** Sets every key of @object that has a default; its strings exist. */
 void dff_setting_table_assign_defaults (const struct dff_setting_table *table, void *object);
@@ -75,9 +75,9 @@
 
 /** Reports a fault at the line of a key, at the first where the file does not name it. */
 void dff_setting_reader_report_at (struct dff_setting_reader *reader,
-				const char *key,
-				const char *format,
-				...) G_GNUC_PRINTF (3, 4);
+				   const char *key,
+				   const char *format,
+				   ...) G_GNUC_PRINTF (3, 4);
 
 /** Returns: whether the file names the key. */
 bool dff_setting_reader_names (const struct dff_setting_reader *reader, const char *key);
--- a/include/core/core.h
+++ b/include/core/core.h
@@ -111,9 +111,10 @@
 	 * whatever was said of them before. */
 	DFF_EVENT_GANG_COMPLETED,
 	DFF_EVENT_TASK_FAILED,
-	DFF_EVENT_TASK_STOPPED, /**< Proven stopped; @ran tells whether it ever ran. */
-	DFF_EVENT_TASK_LOST,    /**< Its lease has lapsed: it no longer runs, and may have run. */
-	DFF_EVENT_WORKER_STATE, /**< @worker, @worker_state. */
+	DFF_EVENT_TASK_STOPPED,  /**< Proven stopped; @ran tells whether it ever ran. */
+	DFF_EVENT_TASK_LOST,     /**< Its lease has lapsed: it no longer runs, and may have run. */
+	DFF_EVENT_TASK_PROGRESS, /**< @percent of the task's work is done. */
+	DFF_EVENT_WORKER_STATE,  /**< @worker, @worker_state. */
 	/** Tasks on a worker stand still: it goes to quarantine, and what has little to lose runs
 	 * elsewhere. @worker. */
 	DFF_EVENT_WORKER_STALLED,
@@ -147,6 +148,7 @@
 	struct dff_name worker;
 	enum dff_worker_state worker_state;
 	bool ran;
+	int32_t percent;
 };
 
 enum dff_command_type {
--- a/tests/core/test-wants.c
+++ b/tests/core/test-wants.c
@@ -270,6 +270,61 @@
 	}
 }
 
+static void
+tell (struct site *site, const char *job, enum dff_event_type type, int32_t percent)
+{
+	struct dff_event event = {
+		.type = type, .job = dff_name_from (job), .attempt = 1, .percent = percent};
+	dff_core_handle_event (site->core, &event, site->now_ms);
+}
+
+/* Symptom: gangs are stopped within a second of their end, and begin again. Cause: what gives way
+ * was chosen by how long it had run, from estimates that are far off; workers tell how far each
+ * task is. */
+static void
+test_what_ends_soon_is_not_stopped (void **state)
+{
+	(void)state;
+	static const struct {
+		/** Progress of the younger job, which has run for 4 s; of the older, for 6 s: half.
+		 */
+		int32_t percent;
+		const char *stopped;
+	} cases[] = {
+		{10, "young"},
+		{95, "old"},
+	};
+	for (size_t i = 0; i < G_N_ELEMENTS (cases); i++) {
+		struct dff_core_options options = patient_options ();
+		struct site site;
+		site_open (&site, &options);
+		static const char *const names[] = {"old", "young"};
+		for (size_t j = 0; j < G_N_ELEMENTS (names); j++) {
+			struct dff_job_spec spec = fixture_spec (names[j], 2, 8);
+			spec.checkpoint = false;
+			site_submit (&site, &spec);
+			g_autoptr (GString) starts = site_pass (&site, 0);
+			tell (&site, names[j], DFF_EVENT_ATTEMPT_RECORDED, 0);
+			struct dff_event started = {
+				.type = DFF_EVENT_TASK_STARTED, .job = spec.id, .attempt = 1};
+			dff_core_handle_event (site.core, &started, site.now_ms);
+			started.member = 1;
+			dff_core_handle_event (site.core, &started, site.now_ms);
+			g_autoptr (GString) none = site_pass (&site, j == 0 ? 2000 : 4000);
+		}
+		tell (&site, "old", DFF_EVENT_TASK_PROGRESS, 50);
+		tell (&site, "young", DFF_EVENT_TASK_PROGRESS, cases[i].percent);
+		struct dff_job_spec urgent = fixture_spec ("urgent", 2, 8);
+		urgent.urgent = true;
+		site_submit (&site, &urgent);
+		g_autoptr (GString) none = site_pass (&site, 0);
+		assert_string_equal (none->str, "");
+		struct dff_name stopped = dff_name_from (cases[i].stopped);
+		assert_int_equal (dff_core_job_phase (site.core, &stopped), DFF_JOB_STOPPING);
+		site_close (&site);
+	}
+}
+
 /* Symptom: workers that rejected starts for want of room go to quarantine, and jobs give up after
  * eight rejections. Cause: a rejection for want of room was taken for a failure of the worker. */
 static void
@@ -307,6 +362,7 @@
 		cmocka_unit_test (test_urgent_share),
 		cmocka_unit_test (test_gang_of_a_lost_rack),
 		cmocka_unit_test (test_assured_team),
+		cmocka_unit_test (test_what_ends_soon_is_not_stopped),
 		cmocka_unit_test (test_rejections),
 	};
 	return cmocka_run_group_tests (tests, NULL, NULL);
