holder, graph: lists in pages, longer waits at many workers, rows that always fit

Cause: the list of workers was read 500 rows long, so that a site of more would have counted the rest as gone; a job with thousands of tasks in progress could have a row larger than the store takes, after which nothing of the holder could be recorded; a waiting call each second at each worker is the holder's largest cost at 350. Change: the list is read in pages; a row names each worker once, leaves out what has not begun, and checkpoints when it would be too long; 3,500 tasks a job at most; above 200 workers a call waits 2 s. Tests: graph: test_largest_row (fails first at 67,960 bytes).

--- a/graph/plan.c
+++ b/graph/plan.c
@@ -60,11 +60,15 @@
 		return "a job has too few or too many steps";
 	if (plan->occurrences < 1 || plan->occurrences > DFF_PLAN_OCCURRENCES_MAX)
 		return "a job recurs too often";
+	int64_t tasks = 0;
 	for (guint i = 0; i < plan->steps->len; i++) {
 		const char *fault = check_step (dff_plan_step (plan, (int32_t)i), (int32_t)i);
 		if (fault != NULL)
 			return fault;
+		tasks += dff_plan_step (plan, (int32_t)i)->count;
 	}
+	if (tasks * plan->occurrences > DFF_PLAN_TASKS_MAX)
+		return "a job has too many tasks";
 	return NULL;
 }
 
--- a/graph/progress_row.c
+++ b/graph/progress_row.c
@@ -4,11 +4,36 @@
 #include "graph/progress.h"
 
 /*
- * The row: {"state": NAME, "steps": [[POSITION, [TASK...]]...]}. POSITION counts steps over all
- * occurrences; steps of which nothing has begun are left out, as are all steps of a job that is
- * over. TASK is 1 for a task that is done, else [STATE, RUN, FAILURES, WORKER, CHECKPOINT].
+ * The row: {"state": NAME, "workers": [NAME...], "steps": [[POSITION, [TASK...]]...]}. POSITION
+ * counts steps over all occurrences; steps of which nothing has begun are left out, as are all
+ * steps of a job that is over. TASK is 0 for one that has not begun, 1 for one that is done, else
+ * [STATE, RUN, FAILURES, WORKER, CHECKPOINT], where WORKER counts in "workers" and CHECKPOINT is
+ * left out when there is none.
  */
 
+/** Length beyond which a row is written without checkpoints, bytes: in base64 it has to stay below
+ * what the store takes, or nothing of the holder could be recorded any more. */
+#define CHECKPOINTS_MAX_BYTES 44000
+
+/** Names of workers in the order of their first use. */
+struct worker_names {
+	json_t *list;
+	/** Name to its place plus one. */
+	GHashTable *places;
+};
+
+static int
+worker_place (struct worker_names *names, const struct dff_name *worker)
+{
+	gpointer place = g_hash_table_lookup (names->places, worker);
+	if (place != NULL)
+		return GPOINTER_TO_INT (place) - 1;
+	json_array_append_new (names->list, json_string (worker->data));
+	int count = (int)json_array_size (names->list);
+	g_hash_table_insert (names->places, (gpointer)worker, GINT_TO_POINTER (count));
+	return count - 1;
+}
+
 static bool
 task_has_begun (const struct dff_task *task)
 {
@@ -16,23 +41,28 @@
 }
 
 static json_t *
-encode_task (const struct dff_task *task)
+encode_task (const struct dff_task *task, struct worker_names *names, bool checkpoints)
 {
 	if (task->state == DFF_TASK_DONE)
 		return json_integer (1);
-	return json_pack ("[i, i, i, s, s]", (int)task->state, task->run, task->failures,
-			  task->worker.data, task->checkpoint != NULL ? task->checkpoint : "");
+	if (!task_has_begun (task))
+		return json_integer (0);
+	json_t *value = json_pack ("[i, i, i, i]", (int)task->state, task->run, task->failures,
+				   worker_place (names, &task->worker));
+	if (checkpoints && task->checkpoint != NULL)
+		json_array_append_new (value, json_string (task->checkpoint));
+	return value;
 }
 
 static json_t *
-encode_tasks (const struct dff_step_progress *step)
+encode_tasks (const struct dff_step_progress *step, struct worker_names *names, bool checkpoints)
 {
 	json_t *tasks = json_array ();
 	bool begun = false;
 	for (guint i = 0; i < step->tasks->len; i++) {
 		const struct dff_task *task = &g_array_index (step->tasks, struct dff_task, i);
 		begun |= task_has_begun (task);
-		json_array_append_new (tasks, encode_task (task));
+		json_array_append_new (tasks, encode_task (task, names, checkpoints));
 	}
 	if (begun)
 		return tasks;
@@ -40,19 +70,35 @@
 	return NULL;
 }
 
-GString *
-dff_progress_encode (const struct dff_progress *progress)
+static GString *
+encode (const struct dff_progress *progress, bool checkpoints)
 {
+	struct worker_names names = {.list = json_array (),
+				     .places =
+					     g_hash_table_new (dff_name_hash, dff_name_equal_func)};
 	json_t *steps = json_array ();
-	for (guint i = 0; i < progress->steps->len && !dff_job_state_is_final (progress->state);
-	     i++) {
-		json_t *tasks = encode_tasks (
-			&g_array_index (progress->steps, struct dff_step_progress, i));
+	bool final = dff_job_state_is_final (progress->state);
+	for (guint i = 0; i < progress->steps->len && !final; i++) {
+		json_t *tasks =
+			encode_tasks (&g_array_index (progress->steps, struct dff_step_progress, i),
+				      &names, checkpoints);
 		if (tasks != NULL)
 			json_array_append_new (steps, json_pack ("[i, o]", (int)i, tasks));
 	}
-	return dff_json_print (json_pack ("{s:s, s:o}", "state",
-					  dff_job_state_name (progress->state), "steps", steps));
+	g_hash_table_unref (names.places);
+	return dff_json_print (json_pack ("{s:s, s:o, s:o}", "state",
+					  dff_job_state_name (progress->state), "workers",
+					  names.list, "steps", steps));
+}
+
+GString *
+dff_progress_encode (const struct dff_progress *progress)
+{
+	GString *text = encode (progress, true);
+	if (text->len <= CHECKPOINTS_MAX_BYTES)
+		return text;
+	g_string_free (text, TRUE);
+	return encode (progress, false);
 }
 
 static struct dff_name
@@ -68,24 +114,29 @@
 }
 
 static void
-decode_task (const json_t *value, struct dff_task *task, struct dff_step_progress *step)
+decode_task (const json_t *value,
+	     const json_t *workers,
+	     struct dff_task *task,
+	     struct dff_step_progress *step)
 {
 	if (json_is_integer (value)) {
-		task->state = DFF_TASK_DONE;
-		step->n_done++;
+		bool done = json_integer_value (value) == 1;
+		task->state = done ? DFF_TASK_DONE : DFF_TASK_PENDING;
+		step->n_done += done;
 		return;
 	}
 	task->state = (enum dff_task_state)json_integer_value (json_array_get (value, 0));
 	task->run = (int32_t)json_integer_value (json_array_get (value, 1));
 	task->failures = (int32_t)json_integer_value (json_array_get (value, 2));
-	task->worker = name_of (json_array_get (value, 3));
+	task->worker = name_of (
+		json_array_get (workers, (size_t)json_integer_value (json_array_get (value, 3))));
 	const json_t *checkpoint = json_array_get (value, 4);
 	if (json_string_length (checkpoint) > 0)
 		task->checkpoint = g_strdup (json_string_value (checkpoint));
 }
 
 static bool
-decode_step (struct dff_progress *progress, const json_t *entry)
+decode_step (struct dff_progress *progress, const json_t *workers, const json_t *entry)
 {
 	json_int_t position = json_integer_value (json_array_get (entry, 0));
 	const json_t *tasks = json_array_get (entry, 1);
@@ -96,7 +147,7 @@
 	if (json_array_size (tasks) != step->tasks->len)
 		return false;
 	for (guint i = 0; i < step->tasks->len; i++)
-		decode_task (json_array_get (tasks, i),
+		decode_task (json_array_get (tasks, i), workers,
 			     &g_array_index (step->tasks, struct dff_task, i), step);
 	progress->n_steps_done += step->n_done == (int32_t)step->tasks->len;
 	return true;
@@ -119,8 +170,9 @@
 	DFF_AUTO (dff_progress) progress = dff_progress_new (plan);
 	bool valid = decode_state (root, &progress->state);
 	const json_t *steps = json_object_get (root, "steps");
+	const json_t *workers = json_object_get (root, "workers");
 	for (size_t i = 0; valid && i < json_array_size (steps); i++)
-		valid = decode_step (progress, json_array_get (steps, i));
+		valid = decode_step (progress, workers, json_array_get (steps, i));
 	json_decref (root);
 	return valid ? g_steal_pointer (&progress) : NULL;
 }
--- a/holder/holder_private.h
+++ b/holder/holder_private.h
@@ -194,6 +194,9 @@
 	GArray *teams;
 	bool pool_changed;
 	bool listing;
+	/** Workers seen on the pages read so far, and where the next page begins. */
+	GHashTable *list_seen;
+	GString *next_list_key;
 	bool listed_once;
 	int64_t next_list_ms;
 
--- a/holder/recovery.c
+++ b/holder/recovery.c
@@ -67,10 +67,7 @@
 		follow_jobs (holder);
 		return;
 	}
-	const struct dff_row *last = &result->rows[result->n_rows - 1];
-	g_string_truncate (holder->next_progress_key, 0);
-	g_string_append_len (holder->next_progress_key, last->key.data, (gssize)last->key.len);
-	g_string_append_c (holder->next_progress_key, ' ');
+	dff_rows_key_after (&result->rows[result->n_rows - 1], holder->next_progress_key);
 	read_progress (holder);
 }
 
--- a/holder/watch.c
+++ b/holder/watch.c
@@ -9,16 +9,20 @@
  * A worker that does not answer gets no renewal: its lease lapses at a time that is known here, and
  * only then what it ran may be started elsewhere. */
 
-/** How long a worker may hold its answer back, ms. */
+/** How long a worker may hold its answer back, ms: longer where there are many, because each answer
+ * costs the holder processor time; the workers' own limit is 2 s. */
 #define WAIT_MS 1000
+#define WAIT_LONG_MS 2000
+#define MANY_WORKERS 200
 /** Time for an answer beyond that, ms. */
 #define PATIENCE_MS 500
 /** Wait and timeout of calls to a worker that did not answer the last one, ms. */
 #define PROBE_TIMEOUT_MS 500
 #define PROBE_EVERY_MS 150
-/** Age of the last answer beyond which a worker's lease is not renewed, ms: an unanswered call may
- * still have renewed it, and each that does puts off the moment at which it has surely lapsed. */
-#define RENEW_WITHIN_MS 1700
+/** Age of the last answer, beyond the wait, after which a worker's lease is not renewed, ms: an
+ * unanswered call may still have renewed it, and each that does puts off the moment at which it has
+ * surely lapsed. */
+#define RENEW_WITHIN_MS 700
 /** How long a watch is put off while ends wait to be on record, ms: the worker would answer at once
  * with the same ends. */
 #define UNRECORDED_MAX_MS 400
@@ -50,11 +54,18 @@
 	worker->clock_read_ms = holder_now_ms (holder);
 }
 
+static int32_t
+wait_ms (const struct dff_holder *holder)
+{
+	return g_hash_table_size (holder->workers) > MANY_WORKERS ? WAIT_LONG_MS : WAIT_MS;
+}
+
 int64_t
 watch_deadline_ms (const struct dff_holder *holder, const struct holder_worker *worker)
 {
 	int64_t now_ms = holder_now_ms (holder);
-	if (worker->clock_ms == 0 || now_ms - worker->clock_read_ms > RENEW_WITHIN_MS ||
+	if (worker->clock_ms == 0 ||
+	    now_ms - worker->clock_read_ms > wait_ms (holder) + RENEW_WITHIN_MS ||
 	    !lease_may_renew (holder))
 		return 0;
 	return worker->clock_ms + (now_ms - worker->clock_read_ms) + holder->options.lease_ms;
@@ -271,8 +282,8 @@
 		.epoch = holder->epoch,
 		.acknowledged = worker->ended_recorded,
 		.deadline_ms = watch_deadline_ms (holder, worker),
-		.wait_ms = waits ? WAIT_MS : 0,
-		.timeout_ms = waits ? WAIT_MS + PATIENCE_MS : PROBE_TIMEOUT_MS,
+		.wait_ms = waits ? wait_ms (holder) : 0,
+		.timeout_ms = waits ? wait_ms (holder) + PATIENCE_MS : PROBE_TIMEOUT_MS,
 	};
 	worker->deadline_ms = MAX (worker->deadline_ms, watch.deadline_ms);
 	if (look)
--- a/holder/workers.c
+++ b/holder/workers.c
@@ -35,6 +35,9 @@
 {
 	holder->workers =
 		g_hash_table_new_full (dff_name_hash, dff_name_equal_func, NULL, free_worker);
+	holder->list_seen =
+		g_hash_table_new_full (dff_name_hash, dff_name_equal_func, g_free, NULL);
+	holder->next_list_key = g_string_new (NULL);
 	holder->listing = false;
 	holder->listed_once = false;
 	holder->next_list_ms = 0;
@@ -45,6 +48,9 @@
 workers_forget (struct dff_holder *holder)
 {
 	g_clear_pointer (&holder->workers, g_hash_table_unref);
+	g_clear_pointer (&holder->list_seen, g_hash_table_unref);
+	if (holder->next_list_key != NULL)
+		g_string_free (g_steal_pointer (&holder->next_list_key), TRUE);
 	*holder->metrics.open_runs = 0;
 }
 
@@ -167,6 +173,16 @@
 	}
 }
 
+/* Only a whole list tells which workers are missing. */
+static void
+begin_list (struct dff_holder *holder)
+{
+	g_hash_table_remove_all (holder->list_seen);
+	g_string_truncate (holder->next_list_key, 0);
+}
+
+static void read_list (struct dff_holder *holder);
+
 static void
 handle_list (void *user, const struct dff_rows_result *result)
 {
@@ -177,12 +193,10 @@
 	holder->listing = false;
 	int64_t now_ms = holder_now_ms (holder);
 	if (result->outcome != DFF_ROWS_DONE) {
+		begin_list (holder);
 		holder->next_list_ms = now_ms + LIST_RETRY_MS;
 		return;
 	}
-	holder->next_list_ms = now_ms + LIST_EVERY_MS;
-	g_autoptr (GHashTable) seen =
-		g_hash_table_new_full (dff_name_hash, dff_name_equal_func, g_free, NULL);
 	for (size_t i = 0; i < result->n_rows; i++) {
 		struct dff_upstream upstream = {0};
 		if (!holder->options.read_upstream (&result->rows[i], &upstream)) {
@@ -191,10 +205,17 @@
 				 (int)result->rows[i].key.len, result->rows[i].key.data);
 			continue;
 		}
-		g_hash_table_add (seen, dff_name_dup (&upstream.id));
+		g_hash_table_add (holder->list_seen, dff_name_dup (&upstream.id));
 		note_listed (holder, &upstream);
 	}
-	note_missing (holder, seen);
+	if (result->more) {
+		dff_rows_key_after (&result->rows[result->n_rows - 1], holder->next_list_key);
+		read_list (holder);
+		return;
+	}
+	note_missing (holder, holder->list_seen);
+	begin_list (holder);
+	holder->next_list_ms = now_ms + LIST_EVERY_MS;
 	holder->listed_once = true;
 	holder_wake (holder);
 }
@@ -204,7 +225,10 @@
 {
 	holder->listing = true;
 	struct dff_rows_range range = {
-		.table = DFF_TABLE_UPSTREAMS, .limit = LIST_ROWS, .timeout_ms = LIST_TIMEOUT_MS};
+		.table = DFF_TABLE_UPSTREAMS,
+		.from = {holder->next_list_key->str, holder->next_list_key->len},
+		.limit = LIST_ROWS,
+		.timeout_ms = LIST_TIMEOUT_MS};
 	holder->options.rows->get (holder->options.rows->ctx, &range, handle_list,
 				   holder_call_begin (holder, sizeof (struct holder_call)));
 }
--- a/include/rows/rows.h
+++ b/include/rows/rows.h
@@ -1,6 +1,7 @@
 #ifndef DFF_ROWS_ROWS_H
 #define DFF_ROWS_ROWS_H
 
+#include <glib.h>
 #include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
@@ -98,6 +99,9 @@
 
 typedef void (*dff_rows_func) (void *user, const struct dff_rows_result *result);
 
+/** Makes @key the least key above a row's: where the next page of a reading begins. */
+void dff_rows_key_after (const struct dff_row *row, GString *key);
+
 /** A store of rows; one client for all parts of a process. */
 struct dff_rows {
 	void (*commit) (void *ctx,
--- a/rows/follower.c
+++ b/rows/follower.c
@@ -109,11 +109,7 @@
 	follower->reading = result->more;
 	report_rows (follower, result);
 	if (result->more) {
-		const struct dff_row *last = &result->rows[result->n_rows - 1];
-		g_string_truncate (follower->next_key, 0);
-		g_string_append_len (follower->next_key, last->key.data, (gssize)last->key.len);
-		/* The least key above the last one: one more byte, the lowest that a key takes. */
-		g_string_append_c (follower->next_key, ' ');
+		dff_rows_key_after (&result->rows[result->n_rows - 1], follower->next_key);
 		follow (follower);
 		return;
 	}
--- a/tests/graph/test-graph.c
+++ b/tests/graph/test-graph.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include "graph/progress.h"
+#include "rows/rows.h"
 
 /* Plans and progress: what may run next, and that rows hold all of it. */
 
@@ -216,6 +217,35 @@
 	assert_null (dff_progress_decode (plan, dff_str_from ("{\"state\":\"x\"}")));
 }
 
+/* Symptom: the holder can record nothing any more. Sequence: a wide job that recurs has many tasks
+ * in progress at once, each with a checkpoint. Cause: its row is larger than the store takes, and
+ * every transaction that holds it is refused. */
+static void
+test_largest_row (void **state)
+{
+	(void)state;
+	DFF_AUTO (dff_plan) plan = plan_new ();
+	add_step (plan, DFF_STEP_TASKS_MAX, false, -1);
+	plan->occurrences = DFF_PLAN_TASKS_MAX / DFF_STEP_TASKS_MAX;
+	assert_null (dff_plan_check (plan));
+	DFF_AUTO (dff_progress) progress = dff_progress_new (plan);
+	for (int32_t i = 0; i < plan->occurrences * DFF_STEP_TASKS_MAX; i++) {
+		struct dff_task *task = dff_progress_task (progress, i / DFF_STEP_TASKS_MAX, 0,
+							   i % DFF_STEP_TASKS_MAX);
+		task->state = DFF_TASK_ASSIGNED;
+		task->run = 12;
+		task->worker = dff_name_printf ("i-7f3a91c2%d", i % 350);
+		task->checkpoint = g_strdup ("00000bb87a21d94b");
+	}
+	g_autoptr (GString) text = dff_progress_encode (progress);
+	g_autofree char *encoded = g_base64_encode ((const guchar *)text->str, text->len);
+	assert_in_range (strlen (encoded), 1, DFF_ROW_VALUE_MAX);
+	struct dff_str value = {text->str, text->len};
+	DFF_AUTO (dff_progress) same = dff_progress_decode (plan, value);
+	assert_string_equal (dff_progress_task (same, 3, 0, 7)->worker.data,
+			     dff_progress_task (progress, 3, 0, 7)->worker.data);
+}
+
 /* A checkpoint of any member is that of its gang: all must begin from the same. */
 static void
 test_gang_checkpoint (void **state)
@@ -267,6 +297,7 @@
 		cmocka_unit_test (test_plans_that_are_refused),
 		cmocka_unit_test (test_plan_row),
 		cmocka_unit_test (test_progress_row),
+		cmocka_unit_test (test_largest_row),
 		cmocka_unit_test (test_gang_checkpoint),
 		cmocka_unit_test (test_task_names),
 	};
