--- a/fleet/fleet.c
+++ b/fleet/fleet.c
@@ -9,6 +9,7 @@
 #include "common/http_connection.h"
 #include "common/http_listen.h"
 #include "common/log.h"
+#include "fleet/presence.h"
 #include "front/front.h"
 #include "holder/holder.h"
 #include "holder/tables.h"
@@ -41,10 +42,6 @@
  * needs two checks a second apart to leave it out. */
 #define STOP_LINGER_MS 3000
 #define STOP_CHECK_MS 100
-/** Path at which a process tells its name, on the address for readiness, and the time that one who
- * asks waits, ms. */
-#define INSTANCE_PATH "/instance"
-#define PRESENCE_TIMEOUT_MS 300
 /** Waits for room near a task's data, and for a whole rack, for each further run time that going
  * elsewhere would take, ms: tasks run for some seconds. A gang on two racks also holds them for
  * longer. */
@@ -63,7 +60,7 @@
 	struct dff_metrics *metrics;
 	struct dff_http_client *store_client;
 	struct dff_http_client *worker_client;
-	struct dff_http_client *peer_client;
+	struct dff_presence *presence;
 	/** Name of this life of the process. */
 	struct dff_name life;
 	struct dff_http_rows *rows;
@@ -157,72 +154,6 @@
 	evhttp_send_reply (request, ready ? 200 : 503, NULL, NULL);
 }
 
-static void
-handle_instance (struct evhttp_request *request, void *ctx)
-{
-	const struct dff_fleet *fleet = ctx;
-	/* The asker has read the holder's row just now: where this process cannot write, it can. */
-	if (dff_holder_is_helpless (fleet->holder)) {
-		evhttp_send_reply (request, 503, NULL, NULL);
-		return;
-	}
-	evbuffer_add (evhttp_request_get_output_buffer (request), fleet->life.data,
-		      fleet->life.len);
-	evhttp_send_reply (request, 200, NULL, NULL);
-}
-
-struct presence_call {
-	struct dff_name instance;
-	int64_t begun_ms;
-	dff_holder_presence_func done;
-	void *user;
-};
-
-static enum dff_holder_presence
-presence_of (const struct presence_call *call, const struct dff_http_response *response)
-{
-	int64_t took_ms = dff_clock_now_ms (dff_clock_system ()) - call->begun_ms;
-	if (response->outcome == DFF_HTTP_ANSWERED && response->status == 200) {
-		struct dff_str instance = {call->instance.data, call->instance.len};
-		return dff_str_equal (response->body, instance) ? DFF_HOLDER_PRESENT
-								: DFF_HOLDER_ENDED;
-	}
-	if (response->outcome == DFF_HTTP_ANSWERED && response->status == 503)
-		return DFF_HOLDER_ENDED;
-	/* Refused before its time is up: nobody listens there. */
-	if (response->outcome == DFF_HTTP_UNSENT && took_ms < PRESENCE_TIMEOUT_MS / 2)
-		return DFF_HOLDER_ENDED;
-	return DFF_HOLDER_UNHEARD;
-}
-
-static void
-handle_presence (void *user, const struct dff_http_response *response)
-{
-	struct presence_call *call = user;
-	call->done (call->user, presence_of (call, response));
-	g_free (call);
-}
-
-static void
-ask_presence (void *ctx,
-	      const struct dff_name *address,
-	      const struct dff_name *instance,
-	      dff_holder_presence_func done,
-	      void *user)
-{
-	struct dff_fleet *fleet = ctx;
-	struct presence_call *call = g_new0 (struct presence_call, 1);
-	call->instance = *instance;
-	call->begun_ms = dff_clock_now_ms (fleet->clock);
-	call->done = done;
-	call->user = user;
-	struct dff_http_request request = {.address = *address,
-					   .method = EVHTTP_REQ_GET,
-					   .path = INSTANCE_PATH,
-					   .timeout_ms = PRESENCE_TIMEOUT_MS};
-	dff_http_client_send (fleet->peer_client, &request, handle_presence, call);
-}
-
 static void
 handle_metrics (struct evhttp_request *request, void *ctx)
 {
@@ -254,7 +185,6 @@
 	dff_http_client_options_init (&defaults);
 	fleet->store_client = client_new (fleet, STORE_CONNECTIONS, defaults.max_idle_ms);
 	fleet->worker_client = client_new (fleet, WORKER_CONNECTIONS, WORKER_IDLE_MS);
-	fleet->peer_client = client_new (fleet, 1, defaults.max_idle_ms);
 	fleet->rows = dff_http_rows_new (fleet->store_client, &fleet->settings.store_address);
 	struct dff_rows_health_options health = {
 		.timers = &fleet->timers,
@@ -267,6 +197,16 @@
 	fleet->runner = dff_http_runner_new (fleet->worker_client);
 }
 
+static void
+open_presence (struct dff_fleet *fleet)
+{
+	struct dff_presence_options options = {.base = fleet->base,
+					       .clock = fleet->clock,
+					       .metrics = fleet->metrics,
+					       .life = fleet->life};
+	fleet->presence = dff_presence_new (&options);
+}
+
 static void
 open_holder (struct dff_fleet *fleet)
 {
@@ -278,8 +218,8 @@
 	options.metrics = fleet->metrics;
 	options.instance = fleet->life;
 	options.presence_address = fleet->settings.ready_address;
-	options.ask_presence = ask_presence;
-	options.presence_ctx = fleet;
+	options.ask_presence = dff_presence_ask;
+	options.presence_ctx = fleet->presence;
 	options.read_upstream = dff_platform_read_upstream;
 	options.lease_ms =
 		MIN (options.lease_ms, fleet->settings.worker_lease_max_ms - LEASE_MARGIN_MS);
@@ -289,6 +229,7 @@
 	options.retention_ms =
 		fleet->settings.retention_s * INT64_C (1000) + options.retention_ms / 10;
 	fleet->holder = dff_holder_new (&options);
+	dff_presence_set_holder (fleet->presence, fleet->holder);
 }
 
 static bool
@@ -348,7 +289,7 @@
 	fleet->metrics_http = evhttp_new (fleet->base);
 	dff_ingress_serve (fleet->ingress, fleet->front_http);
 	evhttp_set_gencb (fleet->ready_http, handle_ready, fleet);
-	evhttp_set_cb (fleet->ready_http, INSTANCE_PATH, handle_instance, fleet);
+	dff_presence_serve (fleet->presence, fleet->ready_http);
 	evhttp_set_cb (fleet->metrics_http, "/metrics", handle_metrics, fleet);
 	return listen_at (fleet->front_http, &fleet->settings.front_address, error) &&
 	       listen_at (fleet->ready_http, &fleet->settings.ready_address, error) &&
@@ -403,6 +344,7 @@
 	fleet->ready_gauge = dff_metrics_gauge (fleet->metrics, "dff_fleet_ready",
 						"1 while this process takes new connections.");
 	open_clients (fleet);
+	open_presence (fleet);
 	open_holder (fleet);
 	open_front (fleet);
 	if (!open_listeners (fleet, error))
@@ -423,7 +365,7 @@
 	/* Drops the calls in progress without calling back. */
 	g_clear_pointer (&fleet->store_client, dff_http_client_free);
 	g_clear_pointer (&fleet->worker_client, dff_http_client_free);
-	g_clear_pointer (&fleet->peer_client, dff_http_client_free);
+	g_clear_pointer (&fleet->presence, dff_presence_free);
 	g_clear_pointer (&fleet->ingress, dff_ingress_free);
 	g_clear_pointer (&fleet->front, dff_front_free);
 	g_clear_pointer (&fleet->store, dff_rows_health_free);
--- a/holder/holder_private.h
+++ b/holder/holder_private.h
@@ -321,11 +321,17 @@
 		enum dff_event_type type,
 		bool ran);
 
-/** Notes that a task has begun. */
-void jobs_note_started (struct dff_holder *holder, struct holder_unit *unit);
+/** Gives the core every unit of a job that may run now and was not given before. */
+void jobs_offer (struct dff_holder *holder, struct holder_job *job);
 
-/** Notes a failed run, once for a gang. */
-void jobs_note_failed (struct dff_holder *holder, struct holder_unit *unit, int32_t member);
+/** Has the core stop a job's units. */
+void jobs_cancel_units (struct dff_holder *holder, const struct holder_job *job);
+
+/** Ends a job; its units are the caller's affair. */
+void jobs_end (struct dff_holder *holder,
+	       struct holder_job *job,
+	       enum dff_job_state state,
+	       const char *reason);
 
 /** Forgets a job whose final state is on record. Returns: false while a unit of it is stopping. */
 bool jobs_release (struct dff_holder *holder, struct holder_job *job);
@@ -333,6 +339,22 @@
 /** Returns: whether what a key of DFF_TABLE_JOBS says is known. */
 bool jobs_know_key (struct dff_holder *holder, struct dff_str key);
 
+/* units.c */
+
+void unit_free (gpointer unit);
+
+/** Gives a unit to the core: as running where its runs are on record, else to be placed. */
+void units_give (struct dff_holder *holder, struct holder_job *job, const struct dff_unit *at);
+
+/** Carries out what the core says about a unit. */
+void units_carry_out (struct dff_holder *holder, const struct dff_command *command);
+
+/** Notes that a task of a unit has begun. */
+void unit_note_started (struct dff_holder *holder, struct holder_unit *unit);
+
+/** Notes a failed run, once for a gang. */
+void unit_note_failed (struct dff_holder *holder, struct holder_unit *unit, int32_t member);
+
 /* inbox.c */
 
 void inbox_begin (struct dff_holder *holder);
--- a/holder/runs.c
+++ b/holder/runs.c
@@ -117,7 +117,7 @@
 		tell_progress (holder, run);
 	}
 	if (!run->ran)
-		jobs_note_started (holder, unit);
+		unit_note_started (holder, unit);
 	run->ran = true;
 	if (run->phase != DFF_RUN_PHASE_STARTING)
 		return;
@@ -164,7 +164,7 @@
 		complete_unit (holder, run);
 		return;
 	case DFF_RUN_FAILED:
-		jobs_note_failed (holder, unit, run->member);
+		unit_note_failed (holder, unit, run->member);
 		run_settle (holder, run, DFF_EVENT_TASK_FAILED, true);
 		return;
 	case DFF_RUN_LAPSED:
@@ -210,7 +210,7 @@
 		run->ran = true;
 		run->open_ms = now_ms;
 		run->percent_ms = now_ms;
-		jobs_note_started (holder, run->unit);
+		unit_note_started (holder, run->unit);
 		jobs_emit (holder, &run->unit->name, run->attempt, run->member,
 			   DFF_EVENT_TASK_STARTED, true);
 		holder_wake (holder);
--- /dev/null
+++ b/holder/units.c
@@ -0,0 +1,281 @@
+#include "holder/holder_private.h"
+
+#include "common/log.h"
+
+/* Units between the graph and the decision core: a unit is given to the core, the core's commands become
+ * rows and runs, and its ends become progress. */
+
+/** Weights of the classes in the core's order, by priority. */
+static const double priority_weights[] = {4.0, 2.0, 1.0};
+
+void
+unit_free (gpointer data)
+{
+	struct holder_unit *unit = data;
+	g_free (unit->runs);
+	g_free (unit);
+}
+
+static double
+weight_of (const struct dff_plan *plan)
+{
+	int32_t last = (int32_t)G_N_ELEMENTS (priority_weights) - 1;
+	return priority_weights[CLAMP (plan->priority, 0, last)];
+}
+
+static struct dff_job_spec
+unit_spec (const struct holder_unit *unit)
+{
+	const struct dff_plan *plan = unit->job->plan;
+	const struct dff_step *step = dff_plan_step (plan, unit->unit.step);
+	int32_t first = MAX (unit->unit.index, 0);
+	const struct dff_task *task = dff_progress_task (unit->job->progress, unit->unit.occurrence,
+							 unit->unit.step, first);
+	struct dff_job_spec spec = {
+		.id = unit->name,
+		.team = plan->team,
+		.service = plan->class_name,
+		.region = plan->service,
+		.gang = unit->n_members,
+		.per_task = step->per_task,
+		.adjacency = step->gang && step->one_rack ? DFF_ADJACENCY_NEIGHBOURS
+							  : DFF_ADJACENCY_NONE,
+		.urgent = plan->priority == 0,
+		.checkpoint = step->checkpoint,
+		.idempotent = true,
+		.declared_ms = step->estimate_ms,
+		.max_attempts =
+			step->endless ? INT32_MAX : MAX (plan->max_attempts - task->failures, 1),
+		.label = step->label,
+		.per_worker = step->per_worker,
+		.weight = weight_of (plan),
+	};
+	if (!dff_name_is_empty (&step->data_rack))
+		spec.data_rack = workers_rack_name (&plan->service, &step->data_rack);
+	if (step->per_worker > 0) {
+		struct dff_unit whole = unit->unit;
+		whole.index = -1;
+		spec.spread_group = dff_unit_name (plan, &whole);
+	}
+	return spec;
+}
+
+static struct holder_unit *
+unit_new (struct dff_holder *holder, struct holder_job *job, const struct dff_unit *at)
+{
+	struct holder_unit *unit = g_new0 (struct holder_unit, 1);
+	struct dff_unit_tasks tasks = dff_unit_tasks (job->plan, at);
+	unit->name = dff_unit_name (job->plan, at);
+	unit->job = job;
+	unit->unit = *at;
+	unit->n_members = tasks.end - tasks.first;
+	unit->runs = g_new0 (struct holder_run *, (gsize)unit->n_members);
+	unit->base_run =
+		dff_progress_task (job->progress, at->occurrence, at->step, tasks.first)->run;
+	g_hash_table_replace (holder->units, &unit->name, unit);
+	return unit;
+}
+
+static struct dff_task *
+member_task (const struct holder_unit *unit, int32_t member)
+{
+	return dff_progress_task (unit->job->progress, unit->unit.occurrence, unit->unit.step,
+				  MAX (unit->unit.index, 0) + member);
+}
+
+/* Units whose tasks are on record as assigned go on where they are. */
+static void
+recover_unit (struct dff_holder *holder, struct holder_unit *unit, const struct dff_job_spec *spec)
+{
+	g_autoptr (GArray) placements = g_array_new (FALSE, TRUE, sizeof (struct dff_placement));
+	g_autoptr (GArray) running = g_array_new (FALSE, TRUE, sizeof (bool));
+	bool yes = true;
+	unit->base_run--;
+	unit->attempt = 1;
+	for (int32_t i = 0; i < unit->n_members; i++) {
+		const struct dff_task *task = member_task (unit, i);
+		/* Which accelerators a task has is the worker's affair: only their number counts,
+		 * so none is named. */
+		struct dff_placement placement = {.worker = task->worker};
+		g_array_append_val (placements, placement);
+		g_array_append_val (running, yes);
+	}
+	struct dff_recovered recovered = {
+		.attempt = 1, .open = true, .placements = placements, .running = running};
+	struct dff_event event = {
+		.type = DFF_EVENT_JOB_RECOVERED, .spec = spec, .recovered = &recovered};
+	dff_core_handle_event (holder->core, &event, holder_now_ms (holder));
+	for (int32_t i = 0; i < unit->n_members; i++) {
+		struct holder_worker *worker =
+			workers_intern (holder, &member_task (unit, i)->worker);
+		struct holder_run *run = run_new (holder, unit, i, worker, DFF_RUN_PHASE_OPEN);
+		run->run = member_task (unit, i)->run;
+		run->checkpoint = g_strdup (member_task (unit, i)->checkpoint);
+	}
+}
+
+void
+units_give (struct dff_holder *holder, struct holder_job *job, const struct dff_unit *at)
+{
+	struct holder_unit *unit = unit_new (holder, job, at);
+	struct dff_job_spec spec = unit_spec (unit);
+	if (member_task (unit, 0)->state == DFF_TASK_ASSIGNED) {
+		recover_unit (holder, unit, &spec);
+		return;
+	}
+	struct dff_event event = {.type = DFF_EVENT_JOB_SUBMITTED, .spec = &spec};
+	dff_core_handle_event (holder->core, &event, holder_now_ms (holder));
+}
+
+void
+unit_note_started (struct dff_holder *holder, struct holder_unit *unit)
+{
+	struct holder_job *job = unit->job;
+	if (job->progress->state != DFF_JOB_STATE_QUEUED)
+		return;
+	job->progress->state = DFF_JOB_STATE_RUNNING;
+	commit_mark (holder, job);
+	dff_histogram_observe (holder->metrics.job_wait, holder_now_ms (holder) - job->added_ms);
+	dff_log (DFF_LOG_CELL, DFF_LOG_INFO, "Job began. job=%s class=%s waited_ms=%" PRId64,
+		 job->id.data, job->plan->class_name.data, holder_now_ms (holder) - job->added_ms);
+}
+
+void
+unit_note_failed (struct dff_holder *holder, struct holder_unit *unit, int32_t member)
+{
+	int32_t failures = member_task (unit, member)->failures + 1;
+	for (int32_t i = 0; i < unit->n_members; i++)
+		member_task (unit, i)->failures = failures;
+	commit_mark (holder, unit->job);
+}
+
+static void
+record_start (struct dff_holder *holder,
+	      struct holder_unit *unit,
+	      const struct dff_command *command)
+{
+	unit->attempt = command->attempt;
+	for (int32_t i = 0; i < unit->n_members; i++) {
+		struct dff_task *task = member_task (unit, i);
+		task->state = DFF_TASK_ASSIGNED;
+		task->run = unit->base_run + command->attempt;
+		task->worker = g_array_index (command->placements, struct dff_placement, i).worker;
+	}
+	struct holder_ack ack = {.unit = unit->name, .attempt = command->attempt};
+	g_array_append_val (unit->job->acks, ack);
+	commit_mark (holder, unit->job);
+	const struct dff_task *task = member_task (unit, 0);
+	dff_log (DFF_LOG_CELL, DFF_LOG_INFO,
+		 "Unit placed. unit=%s run=%d tasks=%d worker=%s waited_ms=%" PRId64 " resumed=%d",
+		 unit->name.data, task->run, unit->n_members, task->worker.data,
+		 holder_now_ms (holder) - unit->job->added_ms, task->checkpoint != NULL);
+}
+
+static void
+start_task (struct dff_holder *holder, struct holder_unit *unit, const struct dff_command *command)
+{
+	struct holder_worker *worker = workers_find (holder, &command->placement.worker);
+	if (worker == NULL || worker->gone) {
+		jobs_emit (holder, &unit->name, command->attempt, command->member,
+			   DFF_EVENT_TASK_REJECTED, false);
+		return;
+	}
+	struct holder_run *run =
+		run_new (holder, unit, command->member, worker, DFF_RUN_PHASE_STARTING);
+	run->run = unit->base_run + command->attempt;
+	run->checkpoint = g_strdup (member_task (unit, command->member)->checkpoint);
+}
+
+static void
+stop_task (struct dff_holder *holder, struct holder_unit *unit, const struct dff_command *command)
+{
+	struct holder_run *run = unit->runs[command->member];
+	if (run != NULL)
+		run_stop (holder, run);
+	else
+		jobs_emit (holder, &unit->name, command->attempt, command->member,
+			   DFF_EVENT_TASK_STOPPED, false);
+}
+
+/* The recorded runs are over, and none is open. */
+static void
+clear_assignment (struct dff_holder *holder, struct holder_unit *unit)
+{
+	for (int32_t i = 0; i < unit->n_members; i++) {
+		struct dff_task *task = member_task (unit, i);
+		if (task->state == DFF_TASK_ASSIGNED)
+			task->state = DFF_TASK_PENDING;
+	}
+	commit_mark (holder, unit->job);
+}
+
+static void
+complete_unit (struct dff_holder *holder, struct holder_unit *unit)
+{
+	struct holder_job *job = unit->job;
+	unit_note_started (holder, unit);
+	dff_progress_finish (job->progress, job->plan, &unit->unit);
+	commit_mark (holder, job);
+	if (job->progress->state == DFF_JOB_STATE_COMPLETED)
+		jobs_end (holder, job, DFF_JOB_STATE_COMPLETED, "all_steps_done");
+}
+
+static void
+end_unit (struct dff_holder *holder, struct holder_unit *unit, const struct dff_command *command)
+{
+	struct holder_job *job = unit->job;
+	struct dff_unit at = unit->unit;
+	bool final = dff_job_state_is_final (job->progress->state);
+	bool endless = dff_plan_step (job->plan, at.step)->endless && !final;
+	if (endless || command->outcome != DFF_OUTCOME_COMPLETED)
+		clear_assignment (holder, unit);
+	else if (!final)
+		complete_unit (holder, unit);
+	bool failed = !endless && !final && command->outcome == DFF_OUTCOME_FAILED;
+	jobs_emit (holder, &unit->name, command->attempt, 0, DFF_EVENT_OUTCOME_RECORDED, false);
+	g_hash_table_remove (holder->units, &unit->name);
+	if (failed) {
+		jobs_end (holder, job, DFF_JOB_STATE_FAILED, command->reason);
+		jobs_cancel_units (holder, job);
+		return;
+	}
+	/* An endless unit is over only when its job is cancelled: it is given to the core anew. */
+	if (endless)
+		units_give (holder, job, &at);
+	else
+		jobs_offer (holder, job);
+}
+
+void
+units_carry_out (struct dff_holder *holder, const struct dff_command *command)
+{
+	struct holder_unit *unit = g_hash_table_lookup (holder->units, &command->job);
+	if (unit == NULL)
+		return;
+	switch (command->type) {
+	case DFF_COMMAND_RECORD_START:
+		record_start (holder, unit, command);
+		return;
+	case DFF_COMMAND_START_TASK:
+		start_task (holder, unit, command);
+		return;
+	case DFF_COMMAND_RELEASE_TASK:
+		/* A gang here begins by itself once its members are all present. */
+		return;
+	case DFF_COMMAND_CHECKPOINT_TASK:
+		/* A stop saves as well, so that there is nothing to wait for. */
+		jobs_emit (holder, &unit->name, command->attempt, command->member,
+			   DFF_EVENT_TASK_CHECKPOINTED, false);
+		return;
+	case DFF_COMMAND_STOP_TASK:
+		stop_task (holder, unit, command);
+		return;
+	case DFF_COMMAND_RECORD_RETRY:
+		clear_assignment (holder, unit);
+		return;
+	case DFF_COMMAND_RECORD_END:
+		end_unit (holder, unit, command);
+		return;
+	}
+}
+
