holder: a taking whose answer was lost is repeated at once

Cause: a process whose transaction to take the cell had no answer found its own row standing still and waited 0.9 s for itself. Change: a row that names this life of the process is taken again at once.

--- a/fleet/presence.c
+++ b/fleet/presence.c
@@ -63,10 +63,10 @@
 
 void
 dff_presence_ask (void *ctx,
-	      const struct dff_name *address,
-	      const struct dff_name *instance,
-	      dff_holder_presence_func done,
-	      void *user)
+		  const struct dff_name *address,
+		  const struct dff_name *instance,
+		  dff_holder_presence_func done,
+		  void *user)
 {
 	struct dff_presence *presence = ctx;
 	struct presence_call *call = g_new0 (struct presence_call, 1);
--- a/holder/lease.c
+++ b/holder/lease.c
@@ -204,10 +204,13 @@
 		patience_ms = 0;
 		reason = row == NULL ? "new" : "released";
 	}
-	if (row != NULL && revision == holder->ended_revision) {
+	bool own = row != NULL && dff_name_equal (&lease.instance, &holder->options.instance);
+	if (own || (row != NULL && revision == holder->ended_revision)) {
 		patience_ms = 0;
 		still_ms = MAX (still_ms, 0);
-		reason = "ended";
+		/* Its own, when the answer to an earlier taking was lost: nobody else acts on it.
+		 */
+		reason = own ? "own" : "ended";
 	} else if (row != NULL && (first || still_ms >= ASK_AFTER_MS)) {
 		ask_presence (holder, &lease, revision);
 	}
--- a/holder/units.c
+++ b/holder/units.c
@@ -2,8 +2,8 @@
 
 #include "common/log.h"
 
-/* Units between the graph and the decision core: a unit is given to the core, the core's commands become
- * rows and runs, and its ends become progress. */
+/* Units between the graph and the decision core: a unit is given to the core, the core's commands
+ * become rows and runs, and its ends become progress. */
 
 /** Weights of the classes in the core's order, by priority. */
 static const double priority_weights[] = {4.0, 2.0, 1.0};
@@ -278,4 +278,3 @@
 		return;
 	}
 }
-
--- a/include/fleet/presence.h
+++ b/include/fleet/presence.h
@@ -8,8 +8,8 @@
 #include "common/metrics.h"
 #include "holder/holder.h"
 
-/* A process tells its name to others that ask, and asks them. This is how a holder that has ended, or
- * cannot record, is told from one that is merely not heard. */
+/* A process tells its name to others that ask, and asks them. This is how a holder that has ended,
+ * or cannot record, is told from one that is merely not heard. */
 
 struct dff_presence;
 
