holder: a store slow for everybody is not one that the holder has lost

Cause: while the store is slow, a transaction takes longer than the holder waits for it. A conflict on its own row did not count as an answer either, so that it said so for longer than it was true.

Change: what the holder says of its store counts only where the asker's own last reading took less than 100 ms. A conflict on its own row is an answer. The stand-in of the store ends a slow call at its timeout and lets a commit take effect afterwards, as a platform does.

Bounds of a take-over where one process has lost its store are as they were.

--- a/fleet/presence.c
+++ b/fleet/presence.c
@@ -18,7 +18,7 @@
 handle_request (struct evhttp_request *request, void *ctx)
 {
 	const struct dff_presence *presence = ctx;
-	/* The asker has read the holder's row just now: where this process cannot write, it can. */
+	/* The asker has read the holder's row: whether it was quicker there, it knows. */
 	if (dff_holder_is_helpless (presence->options.holder)) {
 		evhttp_send_reply (request, 503, NULL, NULL);
 		return;
@@ -46,7 +46,7 @@
 								: DFF_HOLDER_ENDED;
 	}
 	if (response->outcome == DFF_HTTP_ANSWERED && response->status == 503)
-		return DFF_HOLDER_ENDED;
+		return DFF_HOLDER_HELPLESS;
 	/* Refused before its time is up: nobody listens there. */
 	if (response->outcome == DFF_HTTP_UNSENT && took_ms < PRESENCE_TIMEOUT_MS / 2)
 		return DFF_HOLDER_ENDED;
--- a/holder/commit.c
+++ b/holder/commit.c
@@ -195,6 +195,7 @@
 			return;
 		}
 		holder->confirmed_ms = begun_ms;
+		note_store (holder, false, result);
 		note_unwritten (holder);
 		break;
 	default:
--- a/holder/lease.c
+++ b/holder/lease.c
@@ -24,6 +24,10 @@
 #define TAKE_SPREAD_MS 350
 /** Readings that a slow store's answers stand for: signs of life arrive as late as they. */
 #define SLOW_READS 4
+/** A reading that took so long, ms, tells of a store that is slow for everybody: a holder that has
+ * no answers from it would have none elsewhere. Ten times what a reading takes; transactions are
+ * given up on when they take four times as long. */
+#define SLOW_READ_MS 100
 /** How long the holder goes on renewing workers' leases with no word from the store, ms. Longer
  * than the outages that are known, because tasks go on meanwhile; a process that takes over counts
  * on it for workers that it cannot reach. */
@@ -158,7 +162,10 @@
 	g_autofree struct ask_call *ask = user;
 	struct dff_holder *holder = ask->call.holder;
 	holder->asking_presence = false;
-	if (holder_call_end (&ask->call) == NULL || presence != DFF_HOLDER_ENDED)
+	if (holder_call_end (&ask->call) == NULL)
+		return;
+	if (presence != DFF_HOLDER_ENDED &&
+	    (presence != DFF_HOLDER_HELPLESS || holder->read_took_ms >= SLOW_READ_MS))
 		return;
 	holder->ended_revision = ask->revision;
 	holder->next_read_ms = 0;
--- a/include/holder/holder.h
+++ b/include/holder/holder.h
@@ -21,9 +21,10 @@
 enum dff_holder_presence {
 	/** The process that was asked for answers. */
 	DFF_HOLDER_PRESENT,
-	/** Another process answers, or none listens there, or the one asked for says that it cannot
-	 * record anything. */
+	/** Another process answers, or none listens there. */
 	DFF_HOLDER_ENDED,
+	/** The process that was asked for says that it cannot record anything. */
+	DFF_HOLDER_HELPLESS,
 	/** No answer: it may be cut off, frozen, or without power. */
 	DFF_HOLDER_UNHEARD,
 };
--- a/include/standin/memory_rows.h
+++ b/include/standin/memory_rows.h
@@ -29,7 +29,8 @@
 	/** The same, but they take effect this much later, ms. */
 	int32_t late_permille;
 	int32_t late_ms;
-	/** Time until an answer, ms. */
+	/** Time until a call takes effect and is answered, ms; unanswered where its timeout is
+	 * less. */
 	int32_t delay_ms;
 };
 
--- a/standin/memory_rows.c
+++ b/standin/memory_rows.c
@@ -360,9 +360,9 @@
 	call_end (call, &result);
 }
 
-/* A call whose answer is lost ends now for the caller, and later for the store. */
+/* A call whose answer is lost ends after @end_ms for the caller, after @effect_ms for the store. */
 static void
-lose_answer (struct call *call, int32_t effect_ms)
+lose_answer (struct call *call, int32_t effect_ms, int64_t end_ms)
 {
 	struct dff_memory_rows *rows = call->client->rows;
 	struct call *effect = g_memdup2 (call, sizeof (*call));
@@ -373,7 +373,7 @@
 	effect->to = g_string_new (NULL);
 	effect->table = NULL;
 	dff_virtual_loop_after (rows->loop, effect_ms, apply_late, effect);
-	dff_virtual_loop_after (rows->loop, BREAK_MS, end_without_answer, call);
+	dff_virtual_loop_after (rows->loop, end_ms, end_without_answer, call);
 }
 
 static void
@@ -395,16 +395,22 @@
 		return;
 	}
 	if (call->kind == DFF_CALL_COMMIT && chance < faults->lost_permille) {
-		lose_answer (call, 0);
+		lose_answer (call, 0, BREAK_MS);
 		return;
 	}
 	if (call->kind == DFF_CALL_COMMIT &&
 	    chance < faults->lost_permille + faults->late_permille) {
-		lose_answer (call, faults->late_ms);
+		lose_answer (call, faults->late_ms, BREAK_MS);
 		return;
 	}
 	int32_t delay_ms = faults->delay_ms > 0 ? faults->delay_ms : DELAY_MS;
-	dff_virtual_loop_after (rows->loop, delay_ms, carry_out, call);
+	int64_t left_ms = call->timeout_ms - now_ms;
+	if (delay_ms <= left_ms)
+		dff_virtual_loop_after (rows->loop, delay_ms, carry_out, call);
+	else if (call->kind == DFF_CALL_COMMIT)
+		lose_answer (call, delay_ms, left_ms);
+	else
+		dff_virtual_loop_after (rows->loop, left_ms, end_without_answer, call);
 }
 
 static struct call *
--- a/tests/holder/site.c
+++ b/tests/holder/site.c
@@ -151,10 +151,10 @@
 	presence->user = user;
 	presence->asker = asker;
 	presence->lives = asker->lives;
-	presence->presence = asked->alive && dff_name_equal (&asked->instance, instance) &&
-					     !dff_holder_is_helpless (asked->holder)
-				     ? DFF_HOLDER_PRESENT
-				     : DFF_HOLDER_ENDED;
+	presence->presence = DFF_HOLDER_ENDED;
+	if (asked->alive && dff_name_equal (&asked->instance, instance))
+		presence->presence = dff_holder_is_helpless (asked->holder) ? DFF_HOLDER_HELPLESS
+									    : DFF_HOLDER_PRESENT;
 	dff_virtual_loop_after (site->loop, 2, answer_presence, presence);
 }
 
--- a/tests/holder/test-holder.c
+++ b/tests/holder/test-holder.c
@@ -325,6 +325,40 @@
 	site_close (&site);
 }
 
+/* Symptom: for as long as the store is slow, one process after another takes the cell, and nothing
+ * is decided. Sequence: transactions take longer than the holder waits for them; it says that it
+ * cannot record anything, and the others believe it. Cause: they took a store that is slow for
+ * everybody for one that the holder alone has lost. */
+static void
+test_slow_store (void **state)
+{
+	(void)state;
+	/* Readings are quicker than the holder's transactions of many rows. */
+	static const struct {
+		int32_t write_ms;
+		int32_t read_ms;
+	} cases[] = {{450, 150}, {600, 200}, {800, 250}, {950, 320}, {950, 950}};
+	for (size_t i = 0; i < G_N_ELEMENTS (cases); i++) {
+		struct site site;
+		site_open (&site);
+		site_submit (&site, 0, site_plan ("1", 4, false, 1));
+		site_run (&site, 500);
+		int holder = site_holder (&site);
+		for (int j = 0; j < SITE_PROCESSES; j++)
+			dff_memory_rows_client_faults (site.processes[j].rows)->delay_ms =
+				j == holder ? cases[i].write_ms : cases[i].read_ms;
+		for (int waited_ms = 0; waited_ms < 8000; waited_ms += 10) {
+			site_run (&site, 10);
+			assert_int_equal (site_holder (&site), holder);
+		}
+		for (int j = 0; j < SITE_PROCESSES; j++)
+			dff_memory_rows_client_faults (site.processes[j].rows)->delay_ms = 0;
+		assert_int_not_equal (site_until (&site, "1", "completed", 9000), -1);
+		assert_int_equal (dff_memory_runner_n_starts (site.runner, "1"), 4);
+		site_close (&site);
+	}
+}
+
 /* Symptom: jobs accepted in one second begin together, late. Cause: the store held its feeds back.
  */
 static void
@@ -478,6 +512,7 @@
 		cmocka_unit_test (test_late_orders),
 		cmocka_unit_test (test_lost_and_late_answers),
 		cmocka_unit_test (test_silent_store),
+		cmocka_unit_test (test_slow_store),
 		cmocka_unit_test (test_held_feeds),
 		cmocka_unit_test (test_dropped_history),
 		cmocka_unit_test (test_failing_job),
