--- a/holder/holder_private.h
+++ b/holder/holder_private.h
@@ -155,10 +155,14 @@
 	int64_t next_commit_ms;
 	int32_t commit_wait_ms;
 	int32_t commit_timeout_ms;
+	bool store_lost;
+	int64_t store_lost_ms;
+	GHashTable *dirty;
+
+	/* holder/draft.c */
 	/** Elements: struct holder_job *, covered by the transaction in progress. */
 	GPtrArray *committed_jobs;
 	bool commit_covers_all;
-	GHashTable *dirty;
 	/** Jobs whose rows are to be removed. Elements: struct removal. */
 	GQueue finished;
 	/** The same by name, so that a reading of all rows does not bring one to life again. */
@@ -166,8 +170,6 @@
 	GString *waiting_recorded;
 	GString *waiting_in_flight;
 	int64_t waiting_due_ms;
-	bool store_lost;
-	int64_t store_lost_ms;
 
 	/* holder/recovery.c */
 	struct dff_follower *jobs_follower;
@@ -286,8 +288,33 @@
 
 void commit_forget (struct dff_holder *holder);
 
+/* draft.c */
+
+struct draft;
+
+/** Returns: (transfer full): a transaction with the holder's row and what has changed; with the row
+ * alone while rows are still read. */
+struct draft *draft_new (struct dff_holder *holder, bool released);
+
+void draft_free (struct draft *draft);
+
+DFF_DEFINE_CLEANUP (draft, draft_free);
+
+/** Returns: (transfer none). */
+const struct dff_rows_write *draft_writes (const struct draft *draft);
+
+size_t draft_n_writes (const struct draft *draft);
+
+/** It is on record: what waited for that is let go. */
+void draft_written (struct dff_holder *holder, const struct draft *draft);
+
+/** It may or may not be on record: its rows are written again. */
+void draft_unwritten (struct dff_holder *holder);
+
 /** Returns: whether a job is over and only waits to be removed. */
-bool commit_is_finished (const struct dff_holder *holder, const struct dff_name *job);
+bool draft_has_finished (const struct dff_holder *holder, const struct dff_name *job);
+
+void draft_forget (struct dff_holder *holder);
 
 /* recovery.c */
 
--- a/holder/jobs.c
+++ b/holder/jobs.c
@@ -168,7 +168,7 @@
 {
 	struct dff_name id;
 	if (!dff_name_parse (row->key, &id) || g_hash_table_contains (holder->jobs, &id) ||
-	    commit_is_finished (holder, &id))
+	    draft_has_finished (holder, &id))
 		return;
 	DFF_AUTO (dff_plan) plan = dff_plan_decode (row->value);
 	if (plan == NULL) {
@@ -236,7 +236,7 @@
 {
 	struct dff_name id;
 	bool cancel = split_cancel_key (&key);
-	if (!dff_name_parse (key, &id) || commit_is_finished (holder, &id))
+	if (!dff_name_parse (key, &id) || draft_has_finished (holder, &id))
 		return true;
 	const struct holder_job *job = g_hash_table_lookup (holder->jobs, &id);
 	return job != NULL &&
