rows: pages that have no answer are asked for again smaller, for longer

Cause: a new holder reads the table of jobs in pages of 500 rows and waited 1 s for each.

Change: after a page without an answer the next has half the rows, down to 25, and twice the time, up to 5 s; so for the reading of progress.

Test: test_slow_pages, which failed first.

--- a/holder/holder_private.h
+++ b/holder/holder_private.h
@@ -175,6 +175,7 @@
 	struct dff_follower *jobs_follower;
 	GHashTable *recorded;
 	GString *next_progress_key;
+	struct dff_rows_page progress_page;
 	bool progress_read;
 	bool jobs_read;
 
--- a/holder/recovery.c
+++ b/holder/recovery.c
@@ -6,7 +6,7 @@
  * runs where is on record, so that the workers need not be asked first: each run that is on record
  * counts as running until its worker says otherwise. */
 
-#define PAGE_ROWS 500
+/** Timeout of the first page, ms: beyond the answers of a store that is sixty times as slow. */
 #define READ_TIMEOUT_MS 1500
 /** How long the store holds back an answer about new jobs, ms: no job waits longer for it, and
  * silence of a connection shows after twice that. */
@@ -51,6 +51,7 @@
 	if (holder == NULL)
 		return;
 	if (result->outcome != DFF_ROWS_DONE) {
+		dff_rows_page_shrink (&holder->progress_page);
 		read_progress (holder);
 		return;
 	}
@@ -77,8 +78,8 @@
 	struct dff_rows_range range = {
 		.table = DFF_TABLE_PROGRESS,
 		.from = {holder->next_progress_key->str, holder->next_progress_key->len},
-		.limit = PAGE_ROWS,
-		.timeout_ms = READ_TIMEOUT_MS};
+		.limit = holder->progress_page.limit,
+		.timeout_ms = holder->progress_page.timeout_ms};
 	holder->options.rows->get (holder->options.rows->ctx, &range, handle_page,
 				   holder_call_begin (holder, sizeof (struct holder_call)));
 }
@@ -90,6 +91,7 @@
 	holder->progress_read = false;
 	holder->jobs_read = false;
 	g_string_truncate (holder->next_progress_key, 0);
+	dff_rows_page_init (&holder->progress_page, READ_TIMEOUT_MS);
 	holder->recorded =
 		g_hash_table_new_full (dff_name_hash, dff_name_equal_func, g_free, free_text);
 	commit_forget (holder);
--- a/include/standin/memory_rows.h
+++ b/include/standin/memory_rows.h
@@ -32,6 +32,8 @@
 	/** Time until a call takes effect and is answered, ms; unanswered where its timeout is
 	 * less. */
 	int32_t delay_ms;
+	/** Added for each row that a reading may return, us. */
+	int32_t row_us;
 };
 
 /** Returns: (transfer none): a client, with faults that may be changed at any time. */
--- a/rows/follower.c
+++ b/rows/follower.c
@@ -5,8 +5,6 @@
 
 #include "common/log.h"
 
-/** Rows of one reading: the store's own limit. */
-#define PAGE_ROWS 500
 /** Pause after a call that failed, doubled up to the limit, ms: a store that is down is not to be
  * asked in a tight loop, and its return is to be noticed within half a second. */
 #define RETRY_MIN_MS 50
@@ -22,6 +20,7 @@
 	/** Revision of the first page of a reading in progress. */
 	int64_t reading_revision;
 	GString *next_key;
+	struct dff_rows_page page;
 	bool reading;
 	bool ready;
 	bool lost;
@@ -99,6 +98,7 @@
 		return;
 	if (result->outcome != DFF_ROWS_DONE) {
 		follower->reading = false;
+		dff_rows_page_shrink (&follower->page);
 		retry_later (follower, result);
 		return;
 	}
@@ -115,6 +115,7 @@
 	}
 	follower->revision = follower->reading_revision;
 	follower->ready = true;
+	dff_rows_page_init (&follower->page, follower->options.patience_ms);
 	if (follower->options.sink.whole != NULL)
 		follower->options.sink.whole (follower->options.sink.ctx);
 	follow (follower);
@@ -151,8 +152,8 @@
 	const struct dff_follower_options *options = &follower->options;
 	if (follower->revision == 0) {
 		struct dff_rows_range range = {.table = options->table,
-					       .limit = PAGE_ROWS,
-					       .timeout_ms = options->patience_ms};
+					       .limit = follower->page.limit,
+					       .timeout_ms = follower->page.timeout_ms};
 		if (follower->reading)
 			range.from =
 				(struct dff_str){follower->next_key->str, follower->next_key->len};
@@ -181,6 +182,7 @@
 	follower->next_key = g_string_new (NULL);
 	follower->retry_ms = RETRY_MIN_MS;
 	follower->answered_ms = INT64_MIN;
+	dff_rows_page_init (&follower->page, options->patience_ms);
 	follow (follower);
 	return follower;
 }
--- a/standin/memory_rows.c
+++ b/standin/memory_rows.c
@@ -404,6 +404,10 @@
 		return;
 	}
 	int32_t delay_ms = faults->delay_ms > 0 ? faults->delay_ms : DELAY_MS;
+	if (call->kind == DFF_CALL_GET && faults->row_us > 0) {
+		int32_t n_rows = (int32_t)dff_memory_rows_count (rows, call->table);
+		delay_ms += MIN (n_rows, call->limit) * faults->row_us / 1000;
+	}
 	int64_t left_ms = call->timeout_ms - now_ms;
 	if (delay_ms <= left_ms)
 		dff_virtual_loop_after (rows->loop, delay_ms, carry_out, call);
--- a/tests/holder/test-holder.c
+++ b/tests/holder/test-holder.c
@@ -359,6 +359,34 @@
 	}
 }
 
+/* Symptom: after a take-over nothing is decided any more, for good. Sequence: the table of jobs has
+ * grown; a full page of it takes longer than the new holder waits for one. Cause: each further
+ * attempt asked for as much and waited as long. */
+static void
+test_slow_pages (void **state)
+{
+	(void)state;
+	struct site site;
+	site_open (&site);
+	for (int i = 0; i < 300; i++) {
+		g_autofree char *id = g_strdup_printf ("a%d", i);
+		assert_int_equal (
+			site_submit (&site, i % SITE_PROCESSES, site_plan (id, 1, false, 1)),
+			DFF_FRONT_OK);
+	}
+	site_run (&site, 3000);
+	int holder = site_holder (&site);
+	for (int i = 0; i < SITE_PROCESSES; i++)
+		dff_memory_rows_client_faults (site.processes[i].rows)->row_us = 6000;
+	site_kill_process (&site, holder);
+	site_run (&site, 12000);
+	assert_int_not_equal (site_holder (&site), -1);
+	int other = (holder + 1) % SITE_PROCESSES;
+	assert_int_equal (site_submit (&site, other, site_plan ("c", 1, false, 1)), DFF_FRONT_OK);
+	assert_int_not_equal (site_until (&site, "c", "completed", 20000), -1);
+	site_close (&site);
+}
+
 /* Symptom: jobs accepted in one second begin together, late. Cause: the store held its feeds back.
  */
 static void
@@ -513,6 +541,7 @@
 		cmocka_unit_test (test_lost_and_late_answers),
 		cmocka_unit_test (test_silent_store),
 		cmocka_unit_test (test_slow_store),
+		cmocka_unit_test (test_slow_pages),
 		cmocka_unit_test (test_held_feeds),
 		cmocka_unit_test (test_dropped_history),
 		cmocka_unit_test (test_failing_job),
