holder: until when former holders may renew leases is on record

Cause: after a take-over, what runs on workers that cannot be reached counts as running until 12 s and a lease later, since the former holder may renew for that long; each further take-over counted that anew, also where the former holder had surely ended. Change: a process that takes the cell knows when it first saw the row that it replaces: the former holder renews for 12 s after that at most. It asks the former holder until then; another life at its address, or the answer that it holds nothing, ends it. Holders before that one: the row carries the end, on the store's clock. A holder that lets go renews nothing from the sending on; one that has lost the store lets go when a process asks it to whose own reading was quick, in place of saying so.

--- a/fleet/presence.c
+++ b/fleet/presence.c
@@ -1,12 +1,14 @@
 #include "fleet/presence.h"
 
 #include <event2/buffer.h>
+#include <string.h>
 
 #include "common/http_client.h"
 
 /** Path at which a process tells its name, on the address for readiness, and the time that one who
  * asks waits, ms. */
 #define INSTANCE_PATH "/instance"
+#define QUERY_YIELD "yield"
 #define PRESENCE_TIMEOUT_MS 300
 /** Status of an answer whose body is the name of a process that does not hold the cell. */
 #define STATUS_IDLE 203
@@ -20,21 +22,13 @@
 handle_request (struct evhttp_request *request, void *ctx)
 {
 	const struct dff_presence *presence = ctx;
-	int status = HTTP_OK;
-	switch (dff_holder_tell_presence (presence->options.holder)) {
-	case DFF_HOLDER_HELPLESS:
-		/* The asker has read the holder's row: whether it was quicker there, it knows. */
-		evhttp_send_reply (request, HTTP_SERVUNAVAIL, NULL, NULL);
-		return;
-	case DFF_HOLDER_IDLE:
-		status = STATUS_IDLE;
-		break;
-	default:
-		break;
-	}
+	const char *query = evhttp_uri_get_query (evhttp_request_get_evhttp_uri (request));
+	bool yield = query != NULL && strcmp (query, QUERY_YIELD) == 0;
+	struct dff_holder *holder = presence->options.holder;
+	bool idle = dff_holder_answer_presence (holder, yield) == DFF_HOLDER_IDLE;
 	evbuffer_add (evhttp_request_get_output_buffer (request), presence->options.life.data,
 		      presence->options.life.len);
-	evhttp_send_reply (request, status, NULL, NULL);
+	evhttp_send_reply (request, idle ? STATUS_IDLE : HTTP_OK, NULL, NULL);
 }
 
 struct presence_call {
@@ -53,14 +47,12 @@
 	if (response->outcome == DFF_HTTP_ANSWERED && named) {
 		struct dff_str instance = {call->instance.data, call->instance.len};
 		if (!dff_str_equal (response->body, instance))
-			return DFF_HOLDER_ENDED;
+			return DFF_HOLDER_REPLACED;
 		return response->status == HTTP_OK ? DFF_HOLDER_PRESENT : DFF_HOLDER_IDLE;
 	}
-	if (response->outcome == DFF_HTTP_ANSWERED && response->status == HTTP_SERVUNAVAIL)
-		return DFF_HOLDER_HELPLESS;
 	/* Refused before its time is up: nobody listens there. */
 	if (response->outcome == DFF_HTTP_UNSENT && took_ms < PRESENCE_TIMEOUT_MS / 2)
-		return DFF_HOLDER_ENDED;
+		return DFF_HOLDER_REFUSED;
 	return DFF_HOLDER_UNHEARD;
 }
 
@@ -76,6 +68,7 @@
 dff_presence_ask (void *ctx,
 		  const struct dff_name *address,
 		  const struct dff_name *instance,
+		  bool yield,
 		  dff_holder_presence_func done,
 		  void *user)
 {
@@ -88,7 +81,8 @@
 	call->user = user;
 	struct dff_http_request request = {.address = *address,
 					   .method = EVHTTP_REQ_GET,
-					   .path = INSTANCE_PATH,
+					   .path = yield ? INSTANCE_PATH "?" QUERY_YIELD
+							 : INSTANCE_PATH,
 					   .timeout_ms = PRESENCE_TIMEOUT_MS};
 	dff_http_client_send (presence->client, &request, handle_response, call);
 }
@@ -115,7 +109,7 @@
 }
 
 void
-dff_presence_set_holder (struct dff_presence *presence, const struct dff_holder *holder)
+dff_presence_set_holder (struct dff_presence *presence, struct dff_holder *holder)
 {
 	presence->options.holder = holder;
 }
--- a/holder/commit.c
+++ b/holder/commit.c
@@ -96,7 +96,7 @@
 			lease_stand_down (holder, "epoch_raised");
 			return;
 		}
-		holder->confirmed_ms = begun_ms;
+		/* No confirmation: those who saw the row since count from its revision. */
 		note_store (holder, false, begun_ms, result);
 		draft_unwritten (holder);
 		break;
@@ -119,6 +119,7 @@
 {
 	struct commit_call *call = holder_call_begin (holder, sizeof (*call));
 	holder->sequence++;
+	holder->releasing |= released;
 	call->released = released;
 	call->draft = draft_new (holder, released);
 	struct dff_rows_condition condition = {.table = DFF_TABLE_CELL,
@@ -158,5 +159,6 @@
 	holder->commit_wait_ms = REFUSED_MIN_MS;
 	holder->commit_timeout_ms = TIMEOUT_MIN_MS;
 	holder->store_lost = false;
+	holder->releasing = false;
 	draft_forget (holder);
 }
--- a/holder/holder.c
+++ b/holder/holder.c
@@ -75,6 +75,7 @@
 	lease_work (holder);
 	if (holder->phase < DFF_HOLDER_READING)
 		return;
+	lease_ask_former (holder);
 	workers_work (holder);
 	if (holder->phase == DFF_HOLDER_READING)
 		recovery_work (holder);
@@ -220,18 +221,23 @@
 	return holder->phase == DFF_HOLDER_HOLDING;
 }
 
-enum dff_holder_presence
-dff_holder_tell_presence (const struct dff_holder *holder)
+static bool
+is_helpless (const struct dff_holder *holder)
 {
 	const struct dff_holder_options *options = &holder->options;
-	if (holder->phase < DFF_HOLDER_READING)
-		return DFF_HOLDER_IDLE;
-	if (!holder->store_lost || holder_now_ms (holder) - holder->store_lost_ms < HELPLESS_MS)
-		return DFF_HOLDER_PRESENT;
 	/* A process short of processor time has its large transactions late, but others answered.
 	 */
-	bool served = options->store_served_ms (options->store_ctx) > holder->lost_begun_ms;
-	return served ? DFF_HOLDER_PRESENT : DFF_HOLDER_HELPLESS;
+	return holder->phase >= DFF_HOLDER_READING && holder->store_lost &&
+	       holder_now_ms (holder) - holder->store_lost_ms >= HELPLESS_MS &&
+	       options->store_served_ms (options->store_ctx) <= holder->lost_begun_ms;
+}
+
+enum dff_holder_presence
+dff_holder_answer_presence (struct dff_holder *holder, bool yield)
+{
+	if (yield && is_helpless (holder))
+		lease_stand_down (holder, "store_lost");
+	return holder->phase == DFF_HOLDER_WATCHING ? DFF_HOLDER_IDLE : DFF_HOLDER_PRESENT;
 }
 
 bool
--- a/holder/holder_private.h
+++ b/holder/holder_private.h
@@ -9,6 +9,10 @@
 #include "holder/tables.h"
 #include "rows/follower.h"
 
+/** A worker's clock may be this much slower than ours: the platform's bound. */
+#define HOLDER_CLOCK_DRIFT 0.02
+#define HOLDER_CLOCK_UNKNOWN INT64_MIN
+
 enum holder_phase {
 	/** Another process holds the cell, or nobody does. */
 	DFF_HOLDER_WATCHING,
@@ -66,8 +70,8 @@
 	int64_t missing_since_ms;
 	/** When it will be gone, by its notice that it leaves; 0: not known. */
 	int64_t leaves_ms;
-	/** Revision of its entry in the list, and a time at which the entry had not been written last
-	 * yet: begin of the last reading that showed an older revision. */
+	/** Revision of its entry in the list, and a time at which the entry had not been written
+	 * last yet: begin of the last reading that showed an older revision. */
 	int64_t entry_revision;
 	int64_t entry_older_ms;
 	int64_t entry_read_ms;
@@ -150,8 +154,18 @@
 	int64_t seen_since_ms;
 	int64_t read_took_ms;
 	bool asking_presence;
-	/** Revision of the row whose holder has ended; -1: none. */
+	/** Revision of the row whose holder has ended or let go; -1: none. */
 	int64_t ended_revision;
+	/** Whether that holder surely renews nothing any more; nobody listening does not tell. */
+	bool ended_surely;
+	/** Until when the former holder, and those before it, may renew leases. */
+	int64_t former_until_ms;
+	int64_t earlier_until_ms;
+	/** The store's clock less this one, at the most; HOLDER_CLOCK_UNKNOWN: not told. */
+	int64_t store_ahead_ms;
+	struct dff_name former_instance;
+	struct dff_name former_address;
+	int64_t next_former_ask_ms;
 	/** When the process that said last that it decides was asked; its row had that revision. */
 	int64_t present_ms;
 	int64_t present_revision;
@@ -171,6 +185,8 @@
 	int64_t store_lost_ms;
 	/** Begin of the transaction that showed it. */
 	int64_t lost_begun_ms;
+	/** Whether a transaction that lets go of the cell was sent: it may be carried out late. */
+	bool releasing;
 	GHashTable *dirty;
 
 	/* holder/draft.c */
@@ -271,6 +287,9 @@
 /** Reads the holder's row, and takes the cell when it stands still. */
 void lease_work (struct dff_holder *holder);
 
+/** After a take-over, asks whether the former holder still is one. */
+void lease_ask_former (struct dff_holder *holder);
+
 /** Lets everything go: another process holds the cell, or may soon. */
 void lease_stand_down (struct dff_holder *holder, const char *reason);
 
@@ -284,6 +303,9 @@
 	/** Where the instance tells its name. */
 	struct dff_name address;
 	bool released;
+	/** Until when holders before this one may renew leases, on the store's clock, ms; 0: not
+	 * told. */
+	int64_t renewing_until_ms;
 };
 
 bool lease_decode (struct dff_str text, struct lease_row *row);
--- a/holder/lease.c
+++ b/holder/lease.c
@@ -37,16 +37,61 @@
  * than the outages that are known, because tasks go on meanwhile; a process that takes over counts
  * on it for workers that it cannot reach. */
 #define RENEW_UNCONFIRMED_MS 12000
-/** How much slower a worker's clock may run. */
-#define CLOCK_DRIFT 0.02
+/** Time between two questions to the former holder, ms. */
+#define ASK_FORMER_EVERY_MS 500
+/** By how much a former holder may have overestimated a worker's clock, and the worker be late to
+ * act on its deadline, ms. */
+#define FOREIGN_MARGIN_MS 150
+
+/* A holder renews leases only for some time after the begin of its last transaction that was
+ * carried out. A process that takes the cell has seen the row of that transaction, and takes it as
+ * it is; so it knows an end of these renewals, an earlier one if it learns that the holder has let
+ * go. Holders before that one may renew still: the row says how long. Symptom without it: at each
+ * of several take-overs in a row the same lost workers are waited for anew, until the job's time is
+ * up. */
+static void
+note_former (struct dff_holder *holder,
+	     const struct lease_row *lease,
+	     bool surely_over,
+	     const struct dff_rows_result *result,
+	     int64_t begun_ms)
+{
+	int64_t now_ms = holder_now_ms (holder);
+	holder->store_ahead_ms =
+		result->store_ms > 0 ? result->store_ms - begun_ms : HOLDER_CLOCK_UNKNOWN;
+	holder->former_instance = lease->instance;
+	holder->former_address = lease->address;
+	holder->next_former_ask_ms = now_ms + ASK_FORMER_EVERY_MS;
+	holder->former_until_ms =
+		surely_over ? now_ms : holder->seen_since_ms + RENEW_UNCONFIRMED_MS;
+	holder->earlier_until_ms = now_ms;
+	if (result->n_rows == 0) {
+		/* There was none. */
+		holder->former_until_ms = now_ms;
+		return;
+	}
+	bool told = result->store_ms > 0 && lease->renewing_until_ms > 0;
+	holder->earlier_until_ms = told ? lease->renewing_until_ms - (result->store_ms - now_ms)
+					: now_ms + RENEW_UNCONFIRMED_MS;
+}
+
+static int64_t
+renewing_until_ms (const struct dff_holder *holder)
+{
+	return MAX (holder->former_until_ms, holder->earlier_until_ms);
+}
 
 GString *
 lease_encode (const struct dff_holder *holder, int64_t sequence, bool released)
 {
+	/* 0 says that it is not known. */
+	bool told = holder->store_ahead_ms != HOLDER_CLOCK_UNKNOWN;
+	int64_t until_ms = told ? renewing_until_ms (holder) + holder->store_ahead_ms : 0;
 	return dff_json_print (json_pack (
-		"{s:I, s:I, s:s, s:s, s:b}", "epoch", (json_int_t)holder->epoch, "sequence",
+		"{s:I, s:I, s:s, s:s, s:b, s:I}", "epoch", (json_int_t)holder->epoch, "sequence",
 		(json_int_t)sequence, "instance", holder->options.instance.data, "address",
-		holder->options.presence_address.data, "released", released));
+		holder->options.presence_address.data, "released", released, "renewing_until",
+		(json_int_t)until_ms));
 }
 
 bool
@@ -58,6 +103,7 @@
 	row->instance = dff_json_name (root, "instance");
 	row->address = dff_json_name (root, "address");
 	row->released = dff_json_bool (root, "released");
+	row->renewing_until_ms = dff_json_int (root, "renewing_until");
 	json_decref (root);
 	return row->epoch > 0;
 }
@@ -65,14 +111,15 @@
 bool
 lease_may_renew (const struct dff_holder *holder)
 {
-	return holder_now_ms (holder) - holder->confirmed_ms < RENEW_UNCONFIRMED_MS;
+	return !holder->releasing &&
+	       holder_now_ms (holder) - holder->confirmed_ms < RENEW_UNCONFIRMED_MS;
 }
 
 int64_t
 lease_foreign_end_ms (const struct dff_holder *holder)
 {
-	double lease_ms = holder->options.lease_ms / (1.0 - CLOCK_DRIFT);
-	return holder->taken_ms + RENEW_UNCONFIRMED_MS + (int64_t)lease_ms;
+	double lease_ms = holder->options.lease_ms / (1.0 - HOLDER_CLOCK_DRIFT);
+	return renewing_until_ms (holder) + (int64_t)lease_ms + FOREIGN_MARGIN_MS;
 }
 
 void
@@ -125,9 +172,9 @@
 {
 	dff_log (DFF_LOG_CELL, DFF_LOG_INFO,
 		 "Taking the cell. epoch=%" PRId64 " reason=%s still_ms=%" PRId64
-		 " read_took_ms=%" PRId64,
+		 " read_took_ms=%" PRId64 " others_may_renew_ms=%" PRId64,
 		 epoch, reason, holder_now_ms (holder) - holder->seen_since_ms,
-		 holder->read_took_ms);
+		 holder->read_took_ms, renewing_until_ms (holder) - holder_now_ms (holder));
 	holder->phase = DFF_HOLDER_TAKING;
 	holder->epoch = epoch;
 	holder->sequence = 1;
@@ -174,16 +221,17 @@
 		holder->present_revision = ask->revision;
 		return;
 	}
-	if (presence != DFF_HOLDER_ENDED &&
-	    (presence != DFF_HOLDER_HELPLESS || holder->read_took_ms >= SLOW_READ_MS))
+	if (presence == DFF_HOLDER_UNHEARD)
 		return;
 	holder->ended_revision = ask->revision;
+	holder->ended_surely = presence != DFF_HOLDER_REFUSED;
 	holder->next_read_ms = 0;
 	holder_wake (holder);
 }
 
-/* A holder whose process has ended is not waited for. Its address tells: nobody listens there, or
- * another life of the process does. One that is merely not heard may be well. */
+/* A holder that has ended or let go is not waited for. Its address tells: nobody listens there, or
+ * another life of the process does, or it answers that it holds nothing; one that has lost a store
+ * that answers here lets go when it is asked to. One that is merely not heard may be well. */
 static void
 ask_presence (struct dff_holder *holder, const struct lease_row *lease, int64_t revision)
 {
@@ -195,14 +243,49 @@
 	holder->next_ask_ms = now_ms + ASK_EVERY_MS;
 	struct ask_call *ask = holder_call_begin (holder, sizeof (*ask));
 	ask->revision = revision;
+	bool yield = holder->read_took_ms < SLOW_READ_MS;
 	holder->options.ask_presence (holder->options.presence_ctx, &lease->address,
-				      &lease->instance, handle_presence, ask);
+				      &lease->instance, yield, handle_presence, ask);
+}
+
+static void
+handle_former_presence (void *user, enum dff_holder_presence presence)
+{
+	g_autofree struct holder_call *call = user;
+	struct dff_holder *holder = holder_call_end (call);
+	if (holder == NULL || (presence != DFF_HOLDER_IDLE && presence != DFF_HOLDER_REPLACED))
+		return;
+	int64_t now_ms = holder_now_ms (holder);
+	int64_t spared_ms = holder->former_until_ms - now_ms;
+	if (spared_ms <= 0)
+		return;
+	holder->former_until_ms = now_ms;
+	dff_log (DFF_LOG_CELL, DFF_LOG_INFO,
+		 "The former holder renews nothing any more. epoch=%" PRId64
+		 " former=%s reason=%s spared_ms=%" PRId64 " others_may_renew_ms=%" PRId64,
+		 holder->epoch, holder->former_instance.data,
+		 presence == DFF_HOLDER_IDLE ? "idle" : "replaced", spared_ms,
+		 renewing_until_ms (holder) - now_ms);
+}
+
+void
+lease_ask_former (struct dff_holder *holder)
+{
+	int64_t now_ms = holder_now_ms (holder);
+	if (now_ms >= holder->former_until_ms || now_ms < holder->next_former_ask_ms ||
+	    dff_name_is_empty (&holder->former_address))
+		return;
+	holder->next_former_ask_ms = now_ms + ASK_FORMER_EVERY_MS;
+	holder->options.ask_presence (holder->options.presence_ctx, &holder->former_address,
+				      &holder->former_instance, false, handle_former_presence,
+				      holder_call_begin (holder, sizeof (struct holder_call)));
 }
 
 /* A row that shows no change since @seen_since_ms. */
 static void
-judge_row (struct dff_holder *holder, const struct dff_row *row, int64_t begun_ms)
+judge_row (struct dff_holder *holder, const struct dff_rows_result *result, int64_t begun_ms)
 {
+	const struct dff_row *row = result->n_rows > 0 ? &result->rows[0] : NULL;
 	struct lease_row lease = {0};
 	if (row != NULL)
 		lease_decode (row->value, &lease);
@@ -225,7 +308,8 @@
 		reason = row == NULL ? "new" : "released";
 	}
 	bool own = row != NULL && dff_name_equal (&lease.instance, &holder->options.instance);
-	if (own || (row != NULL && revision == holder->ended_revision)) {
+	bool ended = row != NULL && revision == holder->ended_revision;
+	if (own || ended) {
 		patience_ms = 0;
 		still_ms = MAX (still_ms, 0);
 		/* Its own, when the answer to an earlier taking was lost: nobody else acts on it.
@@ -235,9 +319,11 @@
 		ask_presence (holder, &lease, revision);
 	}
 	patience_ms += spread_ms (holder, lease.epoch + 1, TAKE_SPREAD_MS);
-	if (still_ms >= patience_ms)
+	if (still_ms >= patience_ms) {
+		bool surely_over = own || lease.released || (ended && holder->ended_surely);
+		note_former (holder, &lease, surely_over, result, begun_ms);
 		take (holder, lease.epoch + 1, revision, reason);
-	else if (patience_ms - still_ms < READ_EVERY_MS)
+	} else if (patience_ms - still_ms < READ_EVERY_MS)
 		holder->next_read_ms = now_ms + MAX (patience_ms - still_ms, 1);
 }
 
@@ -259,7 +345,7 @@
 		return;
 	}
 	holder->next_read_ms = begun_ms + READ_EVERY_MS;
-	judge_row (holder, result->n_rows > 0 ? &result->rows[0] : NULL, begun_ms);
+	judge_row (holder, result, begun_ms);
 }
 
 void
--- a/holder/watch.c
+++ b/holder/watch.c
@@ -33,8 +33,6 @@
 #define STILL_TIMES 5
 /** Time between two reports of a worker's stall, ms. */
 #define STALL_REPEAT_MS 3000
-/** A worker's clock may be this much slower than ours. */
-#define CLOCK_DRIFT 0.02
 /** Margin for the moment at which a worker acts on its deadline, ms. */
 #define LAPSE_MARGIN_MS 100
 
@@ -77,7 +75,8 @@
 {
 	if (worker->clock_ms == 0 || worker->deadline_ms == 0)
 		return lease_foreign_end_ms (holder);
-	double left_ms = (double)(worker->deadline_ms - worker->clock_ms) / (1.0 - CLOCK_DRIFT);
+	double left_ms =
+		(double)(worker->deadline_ms - worker->clock_ms) / (1.0 - HOLDER_CLOCK_DRIFT);
 	return worker->clock_read_ms + (int64_t)ceil (left_ms) + LAPSE_MARGIN_MS;
 }
 
--- a/include/fleet/presence.h
+++ b/include/fleet/presence.h
@@ -20,7 +20,7 @@
 	/** Name of this life of the process. */
 	struct dff_name life;
 	/** (nullable): the holder of this process. */
-	const struct dff_holder *holder;
+	struct dff_holder *holder;
 };
 
 struct dff_presence *dff_presence_new (const struct dff_presence_options *options);
@@ -29,7 +29,7 @@
 
 DFF_DEFINE_CLEANUP (dff_presence, dff_presence_free);
 
-void dff_presence_set_holder (struct dff_presence *presence, const struct dff_holder *holder);
+void dff_presence_set_holder (struct dff_presence *presence, struct dff_holder *holder);
 
 /** Answers those who ask on @http. */
 void dff_presence_serve (struct dff_presence *presence, struct evhttp *http);
@@ -39,6 +39,7 @@
 void dff_presence_ask (void *ctx,
 		       const struct dff_name *address,
 		       const struct dff_name *instance,
+		       bool yield,
 		       dff_holder_presence_func done,
 		       void *user);
 
--- a/include/holder/holder.h
+++ b/include/holder/holder.h
@@ -21,12 +21,13 @@
 enum dff_holder_presence {
 	/** The process that was asked for answers, and decides for the cell. */
 	DFF_HOLDER_PRESENT,
-	/** The process that was asked for answers, and does not know of holding the cell. */
+	/** The process that was asked for answers, and neither holds the cell nor is about to: it
+	 * renews no leases. */
 	DFF_HOLDER_IDLE,
-	/** Another process answers, or none listens there. */
-	DFF_HOLDER_ENDED,
-	/** The process that was asked for says that it cannot record anything. */
-	DFF_HOLDER_HELPLESS,
+	/** Another life of the process answers: the one that was asked for has ended. */
+	DFF_HOLDER_REPLACED,
+	/** Nobody listens there. It has ended, or its machine cannot be reached. */
+	DFF_HOLDER_REFUSED,
 	/** No answer: it may be cut off, frozen, or without power. */
 	DFF_HOLDER_UNHEARD,
 };
@@ -44,11 +45,13 @@
 	bool (*read_upstream) (const struct dff_row *row, struct dff_upstream *upstream);
 	/** Where other processes may ask this one for its name. */
 	struct dff_name presence_address;
-	/** Asks the process at @address whether it is @instance; @done is called once, never before
-	 * the call returns. */
+	/** Asks the process at @address whether it is @instance, and to let go of the cell, with
+	 * @yield, if it cannot record anything; @done is called once, never before the call
+	 * returns. */
 	void (*ask_presence) (void *ctx,
 			      const struct dff_name *address,
 			      const struct dff_name *instance,
+			      bool yield,
 			      dff_holder_presence_func done,
 			      void *user);
 	void *presence_ctx;
@@ -95,9 +98,9 @@
 /** Returns: whether this process decides now. */
 bool dff_holder_is_holding (const struct dff_holder *holder);
 
-/** Returns: what to tell a process that asks after this one: HELPLESS where it holds the cell and
- * cannot record anything, so that another had better take it. */
-enum dff_holder_presence dff_holder_tell_presence (const struct dff_holder *holder);
+/** Returns: what to tell a process that asks after this one. @yield: the other one has a store that
+ * answers; if this one holds the cell and cannot record anything, it lets go of it. */
+enum dff_holder_presence dff_holder_answer_presence (struct dff_holder *holder, bool yield);
 
 /** Returns: whether there is nothing to let go of any more. */
 bool dff_holder_has_resigned (const struct dff_holder *holder);
--- a/include/rows/rows.h
+++ b/include/rows/rows.h
@@ -91,6 +91,8 @@
 	enum dff_rows_outcome outcome;
 	/** The store's newest revision; after a commit, that of the rows written. */
 	int64_t revision;
+	/** The store's steady clock when it answered, ms; 0: it did not tell. */
+	int64_t store_ms;
 	const struct dff_row *rows;
 	size_t n_rows;
 	/** Whether the range holds more rows than were returned. */
--- a/standin/memory_rows.c
+++ b/standin/memory_rows.c
@@ -8,6 +8,8 @@
 #define BREAK_MS 10
 /** How often a waiting feed looks for changes, ms. */
 #define FEED_LOOK_MS 5
+/** The store's steady clock less the machines', ms. */
+#define STORE_CLOCK_AHEAD_MS 777000
 
 struct dff_memory_rows {
 	struct dff_virtual_loop *loop;
@@ -64,6 +66,13 @@
 	GPtrArray *texts;
 };
 
+/* Another clock than the machines'. */
+static int64_t
+store_ms (const struct dff_memory_rows *rows)
+{
+	return dff_virtual_loop_now_ms (rows->loop) + STORE_CLOCK_AHEAD_MS;
+}
+
 static void
 string_free (gpointer string)
 {
@@ -253,6 +262,7 @@
 	}
 	struct dff_rows_result result = {.outcome = DFF_ROWS_CONFLICT,
 					 .revision = rows->revision,
+					 .store_ms = store_ms (rows),
 					 .rows = (const struct dff_row *)(void *)found->data,
 					 .n_rows = found->len};
 	call_end (call, &result);
@@ -288,6 +298,7 @@
 	g_tree_foreach (rows->rows, scan_row, &scan);
 	struct dff_rows_result result = {.outcome = DFF_ROWS_DONE,
 					 .revision = rows->revision,
+					 .store_ms = store_ms (rows),
 					 .rows = (const struct dff_row *)(void *)found->data,
 					 .n_rows = found->len,
 					 .more = scan.more};
@@ -334,6 +345,7 @@
 	struct dff_rows_result result = {
 		.outcome = DFF_ROWS_DONE,
 		.revision = call->client->faults.feeds_held ? call->after : rows->revision,
+		.store_ms = store_ms (rows),
 		.rows = (const struct dff_row *)(void *)found->data,
 		.n_rows = found->len};
 	call_end (call, &result);
@@ -356,7 +368,8 @@
 		answer_conflict (call);
 		return;
 	}
-	struct dff_rows_result result = {.outcome = DFF_ROWS_DONE, .revision = rows->revision};
+	struct dff_rows_result result = {
+		.outcome = DFF_ROWS_DONE, .revision = rows->revision, .store_ms = store_ms (rows)};
 	call_end (call, &result);
 }
 
--- a/standin/memory_runner.c
+++ b/standin/memory_runner.c
@@ -22,6 +22,8 @@
 	struct dff_runner interface;
 	struct dff_memory_runner *runner;
 	bool ended;
+	/** Ids of the workers that this process cannot reach. */
+	GHashTable *unreached;
 };
 
 /** What has happened to a task, over all workers. */
@@ -506,7 +508,8 @@
 	const struct dff_name *address =
 		call->kind == DFF_CALL_WATCH ? &call->watch.address : &call->order.address;
 	call->worker = find_by_address (runner, address);
-	if (call->worker == NULL || call->worker->dead || call->worker->faults.cut) {
+	if (call->worker == NULL || call->worker->dead || call->worker->faults.cut ||
+	    g_hash_table_contains (call->client->unreached, call->worker->id)) {
 		dff_virtual_loop_after (runner->options.loop, MAX (call->timeout_ms - now_ms, 0),
 					end_unanswered, call);
 		return;
@@ -581,13 +584,21 @@
 	g_free (worker);
 }
 
+static void
+free_client (gpointer data)
+{
+	struct dff_memory_runner_client *client = data;
+	g_hash_table_unref (client->unreached);
+	g_free (client);
+}
+
 struct dff_memory_runner *
 dff_memory_runner_new (const struct dff_memory_runner_options *options)
 {
 	struct dff_memory_runner *runner = g_new0 (struct dff_memory_runner, 1);
 	runner->options = *options;
 	runner->workers = g_ptr_array_new_with_free_func (free_worker);
-	runner->clients = g_ptr_array_new_with_free_func (g_free);
+	runner->clients = g_ptr_array_new_with_free_func (free_client);
 	runner->histories =
 		g_hash_table_new_full (dff_name_hash, dff_name_equal_func, g_free, g_free);
 	return runner;
@@ -639,6 +650,7 @@
 {
 	struct dff_memory_runner_client *client = g_new0 (struct dff_memory_runner_client, 1);
 	client->runner = runner;
+	client->unreached = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
 	client->interface = (struct dff_runner){
 		.start = client_start, .stop = client_stop, .watch = client_watch, .ctx = client};
 	g_ptr_array_add (runner->clients, client);
@@ -657,6 +669,15 @@
 	client->ended = true;
 }
 
+void
+dff_memory_runner_client_cut (struct dff_memory_runner_client *client, const char *id, bool cut)
+{
+	if (cut)
+		g_hash_table_add (client->unreached, g_strdup (id));
+	else
+		g_hash_table_remove (client->unreached, id);
+}
+
 const char *
 dff_memory_runner_violation (const struct dff_memory_runner *runner)
 {
--- a/tests/holder/site.c
+++ b/tests/holder/site.c
@@ -48,6 +48,9 @@
 		what.gang = 2;
 		what.accelerators = 4;
 		break;
+	case '7': /* very long */
+		what.duration_ms = 30000;
+		break;
 	case '6': /* a whole worker */
 		what.duration_ms = 2000;
 		what.accelerators = SITE_ACCELERATORS;
@@ -110,6 +113,13 @@
 	put_worker (site, index, true, remaining_ms);
 }
 
+void
+site_cut_worker_from (struct site *site, int index, int process, bool cut)
+{
+	struct dff_name id = worker_id (site, index);
+	dff_memory_runner_client_cut (site->processes[process].runner, id.data, cut);
+}
+
 void
 site_end_worker (struct site *site, int index)
 {
@@ -159,6 +169,7 @@
 ask_presence (void *ctx,
 	      const struct dff_name *address,
 	      const struct dff_name *instance,
+	      bool yield,
 	      dff_holder_presence_func done,
 	      void *user)
 {
@@ -170,9 +181,16 @@
 	presence->user = user;
 	presence->asker = asker;
 	presence->lives = asker->lives;
-	presence->presence = DFF_HOLDER_ENDED;
+	if (asked->unheard) {
+		presence->presence = DFF_HOLDER_UNHEARD;
+		dff_virtual_loop_after (site->loop, 300, answer_presence, presence);
+		return;
+	}
+	presence->presence = DFF_HOLDER_REFUSED;
+	if (asked->alive)
+		presence->presence = DFF_HOLDER_REPLACED;
 	if (asked->alive && dff_name_equal (&asked->instance, instance))
-		presence->presence = dff_holder_tell_presence (asked->holder);
+		presence->presence = dff_holder_answer_presence (asked->holder, yield);
 	dff_virtual_loop_after (site->loop, 2, answer_presence, presence);
 }
 
--- a/tests/holder/site.h
+++ b/tests/holder/site.h
@@ -26,6 +26,8 @@
 struct site_process {
 	struct site *site;
 	bool alive;
+	/** Whether other processes do not hear it. */
+	bool unheard;
 	int32_t lives;
 	struct dff_name instance;
 	struct dff_metrics *metrics;
@@ -67,6 +69,9 @@
 /** Has a worker tell that it leaves, and how long it will be there at least. */
 void site_announce_leaving (struct site *site, int index, int32_t remaining_ms);
 
+/** Has one process not reach a worker, until it is killed. */
+void site_cut_worker_from (struct site *site, int index, int process, bool cut);
+
 /** Ends a worker's life; its entry stays on the list. */
 void site_end_worker (struct site *site, int index);
 
--- a/tests/holder/test-holder-seeds.c
+++ b/tests/holder/test-holder-seeds.c
@@ -7,9 +7,10 @@
 
 /* Random jobs, cancellations and faults by seed, in no order: processes killed and started, stores
  * that are silent, refuse, lose or delay writes for some processes, workers cut off, reborn, hung,
- * late. The workers notice what must never happen; after the faults every accepted job has to end
- * as it should. DFF_SEED_FIRST and DFF_SEED_COUNT play others by hand, DFF_SEED_LOG
- * shows what is decided. */
+ * late; in the plays with paths, also processes that others do not hear, and workers that one
+ * process alone reaches or does not. The workers notice what must never happen; after the faults
+ * every accepted job has to end as it should. DFF_SEED_FIRST and DFF_SEED_COUNT play others by
+ * hand, DFF_SEED_LOG shows what is decided, DFF_SEED_TEST names one of the tests. */
 
 /** Seeds that have failed: 1295, a gang that had completed was started again when the worker of one
  * member was lost before its end was heard. 2109, a task that had ended on a worker cut off was
@@ -31,6 +32,8 @@
 	struct site site;
 	GRand *rand;
 	int n_jobs;
+	/** Whether paths between machines break too. */
+	bool paths;
 	/** Elements: char *: jobs whose cancellation was confirmed, or may have taken effect. */
 	GPtrArray *cancelled;
 };
@@ -185,9 +188,62 @@
 	}
 }
 
+static void
+break_path (struct play *play)
+{
+	int process = pick_live (play);
+	if (process < 0)
+		return;
+	int worker = pick (play, SITE_WORKERS);
+	switch (pick (play, 4)) {
+	case 0:
+		play->site.processes[process].unheard = true;
+		return;
+	case 1:
+		site_cut_worker_from (&play->site, worker, process, true);
+		return;
+	case 2:
+		/* This process alone reaches it. */
+		for (int i = 0; i < SITE_PROCESSES; i++) {
+			if (play->site.processes[i].alive)
+				site_cut_worker_from (&play->site, worker, i, i != process);
+		}
+		return;
+	default:
+		/* It reaches this worker alone, and no store. */
+		for (int i = 0; i < SITE_WORKERS; i++)
+			site_cut_worker_from (&play->site, i, process, i != worker);
+		play->site.processes[process].unheard = true;
+		dff_memory_rows_client_faults (play->site.processes[process].rows)->silent = true;
+		return;
+	}
+}
+
+static void
+heal_paths (struct play *play)
+{
+	for (int i = 0; i < SITE_PROCESSES; i++) {
+		play->site.processes[i].unheard = false;
+		for (int j = 0; j < SITE_WORKERS && play->site.processes[i].alive; j++)
+			site_cut_worker_from (&play->site, j, i, false);
+	}
+}
+
+static void
+step_paths (struct play *play)
+{
+	int what = pick (play, 100);
+	if (what < 25)
+		break_path (play);
+	else if (what < 32)
+		heal_paths (play);
+}
+
 static void
 step (struct play *play)
 {
+	if (play->paths)
+		step_paths (play);
 	int what = pick (play, 100);
 	if (what < 40)
 		submit (play);
@@ -230,15 +286,17 @@
 }
 
 static void
-play_seed (guint seed)
+play_seed (guint seed, bool paths)
 {
 	struct play play = {.rand = g_rand_new_with_seed (seed),
+			    .paths = paths,
 			    .cancelled = g_ptr_array_new_with_free_func (g_free)};
 	site_open (&play.site);
 	dff_memory_rows_seed (play.site.rows, seed);
 	for (int i = 0; i < STEPS; i++)
 		step (&play);
 	heal_stores (&play);
+	heal_paths (&play);
 	for (int i = 0; i < SITE_PROCESSES; i++) {
 		if (!play.site.processes[i].alive)
 			site_start_process (&play.site, i);
@@ -265,15 +323,28 @@
 }
 
 static void
-test_seeds (void **state)
+play_seeds (bool paths)
 {
-	(void)state;
-	for (size_t i = 0; i < G_N_ELEMENTS (failed_seeds); i++)
-		play_seed (failed_seeds[i]);
 	guint first = number_from ("DFF_SEED_FIRST", SEED_FIRST);
 	guint count = number_from ("DFF_SEED_COUNT", SEED_COUNT);
 	for (guint seed = first; seed < first + count; seed++)
-		play_seed (seed);
+		play_seed (seed, paths);
+}
+
+static void
+test_seeds (void **state)
+{
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS (failed_seeds); i++)
+		play_seed (failed_seeds[i], false);
+	play_seeds (false);
+}
+
+static void
+test_seeds_with_paths (void **state)
+{
+	(void)state;
+	play_seeds (true);
 }
 
 int
@@ -281,8 +352,11 @@
 {
 	if (getenv ("DFF_SEED_LOG") != NULL)
 		dff_log_init (DFF_LOG_INFO);
+	if (getenv ("DFF_SEED_TEST") != NULL)
+		cmocka_set_test_filter (getenv ("DFF_SEED_TEST"));
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test (test_seeds),
+		cmocka_unit_test (test_seeds_with_paths),
 	};
 	return cmocka_run_group_tests (tests, NULL, NULL);
 }
--- a/tests/holder/test-holder.c
+++ b/tests/holder/test-holder.c
@@ -181,6 +181,80 @@
 	}
 }
 
+/* Symptom: after a take-over, what runs on workers that cannot be reached begins elsewhere 19 s
+ * later, and at each further take-over that time begins anew. Sequence: holders are killed and
+ * start again while a worker is cut off. Cause: each holder took it that the former one goes on
+ * renewing for as long as it may, though another life of its process answered. */
+static void
+test_lost_worker_after_take_overs (void **state)
+{
+	(void)state;
+	static const struct {
+		int n_kills;
+		int64_t limit_ms;
+	} cases[] = {{1, 18000}, {2, 22500}};
+	for (size_t i = 0; i < G_N_ELEMENTS (cases); i++) {
+		struct site site;
+		site_open (&site);
+		struct dff_plan *plan = site_plan ("1", SITE_WORKERS, false, 1);
+		dff_plan_step (plan, 0)->per_worker = 1;
+		site_submit (&site, 0, plan);
+		site_run (&site, 400);
+		site.workers[SITE_WORKERS - 1]->cut = true;
+		int64_t begun_ms = dff_virtual_loop_now_ms (site.loop);
+		for (int j = 0; j < cases[i].n_kills; j++) {
+			int holder = site_holder (&site);
+			site_kill_process (&site, holder);
+			site_run (&site, 1500);
+			site_start_process (&site, holder);
+			site_run (&site, 3000);
+		}
+		assert_int_not_equal (site_until (&site, "1", "completed", 40000), -1);
+		assert_in_range (dff_virtual_loop_now_ms (site.loop) - begun_ms, 0,
+				 cases[i].limit_ms);
+		site_close (&site);
+	}
+}
+
+/* Symptom: a task runs twice at a time. Sequence: a holder loses the store and the other processes,
+ * and goes on renewing a worker that only it reaches; its successor is killed, and the next one
+ * knows that this successor has ended. Cause: only the last holder was thought of. */
+static void
+test_renewals_of_an_earlier_holder (void **state)
+{
+	(void)state;
+	struct site site;
+	site_open (&site);
+	site_submit (&site, 0, site_plan ("7", 1, false, 1));
+	site_run (&site, 400);
+	const char *where = dff_memory_runner_where (site.runner, "7.0.0.0");
+	assert_non_null (where);
+	int reached = where[1] - '0';
+	int first = site_holder (&site);
+	site.processes[first].unheard = true;
+	dff_memory_rows_client_faults (site.processes[first].rows)->silent = true;
+	for (int i = 0; i < SITE_PROCESSES; i++)
+		site_cut_worker_from (&site, reached, i, i != first);
+	/* The others would tell it of the higher epoch. */
+	for (int i = 0; i < SITE_WORKERS; i++)
+		site_cut_worker_from (&site, i, first, i != reached);
+	site_run (&site, 3000);
+	int second = (first + 1) % SITE_PROCESSES;
+	if (!dff_holder_is_holding (site.processes[second].holder))
+		second = (first + 2) % SITE_PROCESSES;
+	assert_true (dff_holder_is_holding (site.processes[second].holder));
+	site_kill_process (&site, second);
+	site_run (&site, 300);
+	site_start_process (&site, second);
+	site_cut_worker_from (&site, reached, second, true);
+	site_run (&site, 22000);
+	dff_memory_rows_client_faults (site.processes[first].rows)->silent = false;
+	site.processes[first].unheard = false;
+	assert_int_not_equal (site_until (&site, "7", "completed", 60000), -1);
+	assert_int_equal (dff_memory_runner_n_starts (site.runner, "7"), 2);
+	site_close (&site);
+}
+
 /* Symptom: work on a worker that crashed waits until its lease would have lapsed. Sequence: another
  * life answers at its address. Cause: that answer was not taken as proof of the end. */
 static void
@@ -613,6 +687,8 @@
 		cmocka_unit_test (test_one_job_however_often_sent),
 		cmocka_unit_test (test_take_over),
 		cmocka_unit_test (test_cut_off_worker),
+		cmocka_unit_test (test_lost_worker_after_take_overs),
+		cmocka_unit_test (test_renewals_of_an_earlier_holder),
 		cmocka_unit_test (test_reborn_worker),
 		cmocka_unit_test (test_gang_that_lost_a_worker_after_its_end),
 		cmocka_unit_test (test_late_orders),
