holder: a task weighs as its share of its job

The core goes by what a unit occupies for its weight; one of thirty tasks weighed as much as a job, though it earns nothing alone. Ruled out, measured and taken back: letting what ends soon end, racks kept for four gangs, queues by size of the job (docs/MEASURES-PLATFORM.md). Change: the weight of a task of a step is divided by the step's tasks.

--- a/holder/units.c
+++ b/holder/units.c
@@ -16,11 +16,15 @@
 	g_free (unit);
 }
 
+/* Symptom: jobs of wide gangs wait until a loaded day is over, and those of many single tasks of a
+ * lower priority go on. Cause: the core takes what occupies least for its weight first, and a task
+ * counted as much as a whole job, though it is only a share of one. */
 static double
-weight_of (const struct dff_plan *plan)
+weight_of (const struct dff_plan *plan, const struct dff_step *step)
 {
 	int32_t last = (int32_t)G_N_ELEMENTS (priority_weights) - 1;
-	return priority_weights[CLAMP (plan->priority, 0, last)];
+	int32_t units = step->gang ? 1 : MAX (step->count, 1);
+	return priority_weights[CLAMP (plan->priority, 0, last)] / units;
 }
 
 static struct dff_job_spec
@@ -48,7 +52,7 @@
 			step->endless ? INT32_MAX : MAX (plan->max_attempts - task->failures, 1),
 		.label = step->label,
 		.per_worker = step->per_worker,
-		.weight = weight_of (plan),
+		.weight = weight_of (plan, step),
 	};
 	if (!dff_name_is_empty (&step->data_rack))
 		spec.data_rack = workers_rack_name (&plan->service, &step->data_rack);
--- a/tests/holder/test-holder.c
+++ b/tests/holder/test-holder.c
@@ -616,6 +616,26 @@
 	site_close (&site);
 }
 
+/* Symptom: a job that needs a worker whole waits behind a later class of many single tasks.
+ * Sequence: both wait when all workers come free. Cause: each task weighed as much as a job. */
+static void
+test_many_tasks_weigh_as_one_job (void **state)
+{
+	(void)state;
+	struct site site;
+	site_open (&site);
+	int32_t n_all = SITE_WORKERS * SITE_ACCELERATORS;
+	site_submit (&site, 0, site_plan ("1", n_all, false, 1));
+	site_run (&site, 500);
+	struct dff_plan *many = site_plan ("a", 4 * n_all, false, 1);
+	many->priority = 2;
+	site_submit (&site, 0, many);
+	site_submit (&site, 0, site_plan ("6", 1, false, SITE_ACCELERATORS));
+	/* 5.5 s until the workers come free, and 2 s for itself. */
+	assert_in_range (site_until (&site, "6", "completed", 20000), 7000, 8100);
+	site_close (&site);
+}
+
 static void
 test_leaving_worker (void **state)
 {
@@ -703,6 +723,7 @@
 		cmocka_unit_test (test_stalled_worker),
 		cmocka_unit_test (test_waiting_and_retention),
 		cmocka_unit_test (test_resign),
+		cmocka_unit_test (test_many_tasks_weigh_as_one_job),
 		cmocka_unit_test (test_leaving_worker),
 		cmocka_unit_test (test_worker_that_leaves_soon),
 	};
