holder: the first page of jobs may take 3 s

Cause: a new holder reads jobs in pages of 500 rows with a timeout of 1 s; over a link of 2 Mbit/s such a page takes 1 to 2 s, was given up on, and asked for again in halves.

--- a/holder/recovery.c
+++ b/holder/recovery.c
@@ -12,6 +12,9 @@
  * silence of a connection shows after twice that. */
 #define JOBS_WAIT_MS 1000
 #define JOBS_PATIENCE_MS 1000
+/** Timeout of the first page of jobs, ms: 500 rows of 2 KB over a link of 2 Mbit/s take longer than
+ * that patience, and a page given up on has filled the link for nothing. */
+#define JOBS_PAGE_TIMEOUT_MS 3000
 
 static void
 handle_whole (void *ctx)
@@ -30,6 +33,7 @@
 		.table = DFF_TABLE_JOBS,
 		.wait_ms = JOBS_WAIT_MS,
 		.patience_ms = JOBS_PATIENCE_MS,
+		.page_timeout_ms = JOBS_PAGE_TIMEOUT_MS,
 		.sink = {.row = jobs_handle_row, .whole = handle_whole, .ctx = holder},
 	};
 	holder->jobs_follower = dff_follower_new (&options);
--- a/include/rows/follower.h
+++ b/include/rows/follower.h
@@ -30,6 +30,8 @@
 	int32_t wait_ms;
 	/** Time beyond @wait_ms after which a call is given up, ms. */
 	int32_t patience_ms;
+	/** Timeout of the first page while the table is read whole, ms; 0: @patience_ms. */
+	int32_t page_timeout_ms;
 	struct dff_follower_sink sink;
 };
 
--- a/rows/follower.c
+++ b/rows/follower.c
@@ -177,7 +177,8 @@
 		.timers = options->timers,
 		.rows = options->rows,
 		.table = options->table,
-		.timeout_ms = options->patience_ms,
+		.timeout_ms = options->page_timeout_ms > 0 ? options->page_timeout_ms
+							   : options->patience_ms,
 		.sink = {.row = handle_row,
 			 .page = handle_page,
 			 .whole = handle_whole,
