--- a/standin/memory_runner.c
+++ b/standin/memory_runner.c
@@ -1,22 +1,11 @@
-#include "standin/memory_runner.h"
+#include "standin/memory_runner_private.h"
 
 #include <string.h>
 
 /** Time until a call arrives, and until its answer does, ms. */
 #define WAY_MS 1
-/** How often a waiting watch looks for ends, and a worker at its deadline and gangs, ms. */
+/** How often a waiting watch looks for ends, ms. */
 #define LOOK_MS 5
-#define CHECK_MS 10
-
-struct dff_memory_runner {
-	struct dff_memory_runner_options options;
-	/** Elements: struct worker. */
-	GPtrArray *workers;
-	GPtrArray *clients;
-	/** Task to struct history. */
-	GHashTable *histories;
-	char *violation;
-};
 
 struct dff_memory_runner_client {
 	struct dff_runner interface;
@@ -26,58 +15,6 @@
 	GHashTable *unreached;
 };
 
-/** What has happened to a task, over all workers. */
-struct history {
-	int32_t n_starts;
-	int64_t last_start_ms;
-	/** Whether its end was acknowledged. */
-	bool noted;
-};
-
-struct worker {
-	struct dff_memory_runner *runner;
-	char *id;
-	char *address;
-	int32_t accelerators;
-	int32_t clock_permille;
-	bool dead;
-	struct dff_memory_worker_faults faults;
-	int64_t epoch;
-	int64_t deadline_ms;
-	/** When everything was killed last for want of a lease. */
-	int64_t lapsed_ms;
-	/** Task to struct run. */
-	GHashTable *runs;
-	/** Task to the highest run that was stopped or ended. */
-	GHashTable *refused;
-	/** Elements: struct end. */
-	GArray *ends;
-	int64_t n_ends;
-};
-
-struct run {
-	struct dff_name task;
-	int32_t run;
-	struct dff_memory_task what;
-	int64_t placed_ms;
-	/** Work done, ms, and when that was counted last. */
-	int64_t done_ms;
-	int64_t counted_ms;
-	/** Whether its gang is all there. */
-	bool begun;
-	/** When it is to be gone; 0: it is not being stopped. */
-	int64_t stopped_ms;
-};
-
-struct end {
-	int64_t number;
-	struct dff_name task;
-	int32_t run;
-	enum dff_run_end end;
-	int64_t at_ms;
-	char checkpoint[24];
-};
-
 enum call_kind {
 	DFF_CALL_START,
 	DFF_CALL_STOP,
@@ -98,284 +35,6 @@
 	enum dff_runner_outcome outcome;
 };
 
-static int64_t
-now_of (const struct dff_memory_runner *runner)
-{
-	return dff_virtual_loop_now_ms (runner->options.loop);
-}
-
-static int64_t
-clock_of (const struct worker *worker)
-{
-	return now_of (worker->runner) * worker->clock_permille / 1000;
-}
-
-static void G_GNUC_PRINTF (2, 3) violate (struct dff_memory_runner *runner, const char *format, ...)
-{
-	if (runner->violation != NULL)
-		return;
-	va_list args;
-	va_start (args, format);
-	g_autofree char *text = g_strdup_vprintf (format, args);
-	va_end (args);
-	runner->violation =
-		g_strdup_printf ("at %" G_GINT64_FORMAT " ms: %s", now_of (runner), text);
-}
-
-static struct history *
-history_of (struct dff_memory_runner *runner, const struct dff_name *task)
-{
-	struct history *history = g_hash_table_lookup (runner->histories, task);
-	if (history != NULL)
-		return history;
-	history = g_new0 (struct history, 1);
-	g_hash_table_insert (runner->histories, dff_name_dup (task), history);
-	return history;
-}
-
-static void
-refuse_from_now_on (struct worker *worker, const struct dff_name *task, int32_t run)
-{
-	int32_t before = GPOINTER_TO_INT (g_hash_table_lookup (worker->refused, task));
-	if (run > before)
-		g_hash_table_insert (worker->refused, dff_name_dup (task), GINT_TO_POINTER (run));
-}
-
-static void
-list_end (struct worker *worker, const struct run *run, enum dff_run_end how)
-{
-	struct end end = {.number = ++worker->n_ends,
-			  .task = run->task,
-			  .run = run->run,
-			  .end = how,
-			  .at_ms = now_of (worker->runner)};
-	if (run->what.saves && run->done_ms > 0)
-		g_snprintf (end.checkpoint, sizeof (end.checkpoint), "%" G_GINT64_FORMAT,
-			    run->done_ms);
-	g_array_append_val (worker->ends, end);
-	refuse_from_now_on (worker, &run->task, run->run);
-	g_hash_table_remove (worker->runs, &end.task);
-}
-
-static bool
-same_unit (const struct dff_name *one, const struct dff_name *other)
-{
-	const char *dot = strrchr (one->data, '.');
-	const char *other_dot = strrchr (other->data, '.');
-	size_t length = (size_t)(dot - one->data);
-	return length == (size_t)(other_dot - other->data) &&
-	       memcmp (one->data, other->data, length) == 0;
-}
-
-/* Members of a run's gang that are present on live workers. */
-static GPtrArray *
-gang_of (struct dff_memory_runner *runner, const struct run *run)
-{
-	GPtrArray *members = g_ptr_array_new ();
-	for (guint i = 0; i < runner->workers->len; i++) {
-		struct worker *worker = g_ptr_array_index (runner->workers, i);
-		GHashTableIter iter;
-		gpointer value;
-		g_hash_table_iter_init (&iter, worker->runs);
-		while (!worker->dead && g_hash_table_iter_next (&iter, NULL, &value)) {
-			const struct run *other = value;
-			if (other->run == run->run && same_unit (&other->task, &run->task))
-				g_ptr_array_add (members, value);
-		}
-	}
-	return members;
-}
-
-static struct worker *
-worker_of (struct dff_memory_runner *runner, const struct run *run)
-{
-	for (guint i = 0; i < runner->workers->len; i++) {
-		struct worker *worker = g_ptr_array_index (runner->workers, i);
-		if (g_hash_table_lookup (worker->runs, &run->task) == run)
-			return worker;
-	}
-	g_assert_not_reached ();
-}
-
-/* Ends the other members of a gang: all as @how. */
-static void
-end_gang (struct dff_memory_runner *runner, const struct run *run, enum dff_run_end how)
-{
-	if (run->what.gang == 0)
-		return;
-	g_autoptr (GPtrArray) members = gang_of (runner, run);
-	for (guint i = 0; i < members->len; i++) {
-		struct run *member = g_ptr_array_index (members, i);
-		if (member != run && member->begun)
-			list_end (worker_of (runner, member), member, how);
-	}
-}
-
-static void
-begin_when_whole (struct dff_memory_runner *runner, struct run *run)
-{
-	if (run->begun)
-		return;
-	if (run->what.gang > 0) {
-		g_autoptr (GPtrArray) members = gang_of (runner, run);
-		if ((int32_t)members->len < run->what.gang)
-			return;
-	}
-	run->begun = true;
-	run->counted_ms = now_of (runner);
-}
-
-/* Lets a run's work go on, and ends it when it is over. Returns: whether it has ended. */
-static bool
-work_run (struct worker *worker, struct run *run)
-{
-	struct dff_memory_runner *runner = worker->runner;
-	int64_t now_ms = now_of (runner);
-	if (run->stopped_ms > 0 && now_ms >= run->stopped_ms) {
-		end_gang (runner, run, DFF_RUN_BROKEN);
-		list_end (worker, run, DFF_RUN_STOPPED);
-		return true;
-	}
-	begin_when_whole (runner, run);
-	if (!run->begun) {
-		if (now_ms - run->placed_ms < runner->options.gang_wait_ms)
-			return false;
-		list_end (worker, run, DFF_RUN_ALONE);
-		return true;
-	}
-	if (!worker->faults.hung)
-		run->done_ms += now_ms - run->counted_ms;
-	run->counted_ms = now_ms;
-	if (run->what.fails || worker->faults.fails) {
-		end_gang (runner, run, DFF_RUN_BROKEN);
-		list_end (worker, run, DFF_RUN_FAILED);
-		return true;
-	}
-	if (run->done_ms < run->what.duration_ms)
-		return false;
-	end_gang (runner, run, DFF_RUN_COMPLETED);
-	list_end (worker, run, DFF_RUN_COMPLETED);
-	return true;
-}
-
-static void
-lapse (struct worker *worker)
-{
-	worker->lapsed_ms = now_of (worker->runner);
-	g_autoptr (GList) runs = g_hash_table_get_values (worker->runs);
-	for (GList *link = runs; link != NULL; link = link->next)
-		list_end (worker, link->data, DFF_RUN_LAPSED);
-}
-
-static void
-handle_check (void *user)
-{
-	struct worker *worker = user;
-	if (worker->dead)
-		return;
-	/* The lease is the worker's, whether or not something runs there. */
-	if (worker->deadline_ms > 0 && clock_of (worker) >= worker->deadline_ms)
-		lapse (worker);
-	/* An end may take other runs with it: the walk begins anew after each. */
-	bool ended = true;
-	while (ended) {
-		ended = false;
-		g_autoptr (GList) runs = g_hash_table_get_values (worker->runs);
-		for (GList *link = runs; link != NULL && !ended; link = link->next)
-			ended = work_run (worker, link->data);
-	}
-	dff_virtual_loop_after (worker->runner->options.loop, CHECK_MS, handle_check, worker);
-}
-
-static int32_t
-accelerators_used (const struct worker *worker)
-{
-	int32_t used = 0;
-	GHashTableIter iter;
-	gpointer value;
-	g_hash_table_iter_init (&iter, worker->runs);
-	while (g_hash_table_iter_next (&iter, NULL, &value))
-		used += ((struct run *)value)->what.accelerators;
-	return used;
-}
-
-static void
-check_start (struct worker *worker, const struct dff_name *task, int32_t number)
-{
-	struct dff_memory_runner *runner = worker->runner;
-	struct history *history = history_of (runner, task);
-	if (history->noted)
-		violate (runner, "%s run %d starts on %s after its end was acknowledged",
-			 task->data, number, worker->id);
-	for (guint i = 0; i < runner->workers->len; i++) {
-		const struct worker *other = g_ptr_array_index (runner->workers, i);
-		if (!other->dead && g_hash_table_contains (other->runs, task))
-			violate (runner, "%s run %d starts on %s beside another run on %s",
-				 task->data, number, worker->id, other->id);
-	}
-	history->n_starts++;
-	history->last_start_ms = now_of (runner);
-}
-
-static enum dff_runner_outcome
-carry_out_start (struct worker *worker, const struct call *call)
-{
-	const struct dff_run_order *order = &call->order;
-	const struct run *present = g_hash_table_lookup (worker->runs, &order->task);
-	if (clock_of (worker) >= order->deadline_ms)
-		return DFF_RUNNER_LATE;
-	worker->deadline_ms = MAX (worker->deadline_ms, order->deadline_ms);
-	if (present != NULL && present->run == order->run)
-		return DFF_RUNNER_DONE;
-	if (order->run <= GPOINTER_TO_INT (g_hash_table_lookup (worker->refused, &order->task)))
-		return DFF_RUNNER_OLD_RUN;
-	if (worker->faults.refuses)
-		return DFF_RUNNER_UNHEALTHY;
-	struct dff_memory_task what =
-		worker->runner->options.describe (worker->runner->options.ctx, &order->task);
-	if (accelerators_used (worker) + what.accelerators > worker->accelerators)
-		return DFF_RUNNER_NO_ROOM;
-	check_start (worker, &order->task, order->run);
-	struct run *run = g_new0 (struct run, 1);
-	run->task = order->task;
-	run->run = order->run;
-	run->what = what;
-	run->placed_ms = now_of (worker->runner);
-	run->counted_ms = run->placed_ms;
-	run->done_ms = g_ascii_strtoll (call->checkpoint, NULL, 10);
-	g_hash_table_insert (worker->runs, &run->task, run);
-	return DFF_RUNNER_DONE;
-}
-
-static enum dff_runner_outcome
-carry_out_stop (struct worker *worker, const struct call *call)
-{
-	struct run *run = g_hash_table_lookup (worker->runs, &call->order.task);
-	refuse_from_now_on (worker, &call->order.task, call->order.run);
-	if (run != NULL && run->run <= call->order.run && run->stopped_ms == 0)
-		run->stopped_ms = now_of (worker->runner) + worker->runner->options.stop_grace_ms;
-	return DFF_RUNNER_DONE;
-}
-
-/* Ends up to the acknowledged number are taken note of, unless the lease has lapsed since. */
-static void
-acknowledge (struct worker *worker, int64_t number)
-{
-	while (worker->ends->len > 0) {
-		struct end end = g_array_index (worker->ends, struct end, 0);
-		if (end.number > number)
-			return;
-		g_array_remove_index (worker->ends, 0);
-		if (end.end != DFF_RUN_COMPLETED || worker->lapsed_ms > end.at_ms)
-			continue;
-		struct history *history = history_of (worker->runner, &end.task);
-		if (history->last_start_ms > end.at_ms)
-			violate (worker->runner, "%s run %d had ended on %s, and was started after",
-				 end.task.data, end.run, worker->id);
-		history->noted = true;
-	}
-}
-
 static enum dff_runner_outcome
 carry_out (struct call *call)
 {
@@ -389,10 +48,10 @@
 		return DFF_RUNNER_STALE_EPOCH;
 	worker->epoch = epoch;
 	if (call->kind == DFF_CALL_START)
-		return carry_out_start (worker, call);
+		return memory_worker_start (worker, &call->order, call->checkpoint);
 	if (call->kind == DFF_CALL_STOP)
-		return carry_out_stop (worker, call);
-	acknowledge (worker, call->watch.acknowledged);
+		return memory_worker_stop (worker, &call->order);
+	memory_worker_acknowledge (worker, call->watch.acknowledged);
 	worker->deadline_ms = MAX (worker->deadline_ms, call->watch.deadline_ms);
 	return DFF_RUNNER_DONE;
 }
@@ -446,7 +105,7 @@
 	}
 	struct dff_runner_result result = {
 		.outcome = call->outcome,
-		.clock_ms = clock_of (worker),
+		.clock_ms = memory_worker_clock_ms (worker),
 		.running = (const struct dff_run_open *)(void *)running->data,
 		.n_running = running->len,
 		.ended = (const struct dff_run_ended *)(void *)ended->data,
@@ -459,7 +118,7 @@
 {
 	struct call *call = user;
 	const struct worker *worker = call->worker;
-	int64_t now_ms = now_of (call->client->runner);
+	int64_t now_ms = memory_runner_now_ms (call->client->runner);
 	if (worker->dead || worker->faults.cut || worker->faults.mute) {
 		dff_virtual_loop_after (call->client->runner->options.loop,
 					MAX (call->timeout_ms - now_ms, 0), end_unanswered, call);
@@ -474,7 +133,8 @@
 		answer_watch (call);
 		return;
 	}
-	struct dff_runner_result result = {.outcome = call->outcome, .clock_ms = clock_of (worker)};
+	struct dff_runner_result result = {.outcome = call->outcome,
+					   .clock_ms = memory_worker_clock_ms (worker)};
 	call_back (call, &result);
 }
 
@@ -504,7 +164,7 @@
 {
 	struct call *call = user;
 	struct dff_memory_runner *runner = call->client->runner;
-	int64_t now_ms = now_of (runner);
+	int64_t now_ms = memory_runner_now_ms (runner);
 	const struct dff_name *address =
 		call->kind == DFF_CALL_WATCH ? &call->watch.address : &call->order.address;
 	call->worker = find_by_address (runner, address);
@@ -536,7 +196,7 @@
 	   void *user)
 {
 	struct call *call = g_new0 (struct call, 1);
-	int64_t now_ms = now_of (client->runner);
+	int64_t now_ms = memory_runner_now_ms (client->runner);
 	call->client = client;
 	call->kind = kind;
 	call->done = done;
@@ -631,7 +291,7 @@
 	worker->refused = g_hash_table_new_full (dff_name_hash, dff_name_equal_func, g_free, NULL);
 	worker->ends = g_array_new (FALSE, FALSE, sizeof (struct end));
 	g_ptr_array_add (runner->workers, worker);
-	dff_virtual_loop_after (runner->options.loop, CHECK_MS, handle_check, worker);
+	memory_worker_begin (worker);
 	return &worker->faults;
 }
 
--- /dev/null
+++ b/standin/memory_runner_work.c
@@ -0,0 +1,293 @@
+#include "standin/memory_runner_private.h"
+
+#include <string.h>
+
+/* What workers do with the runs that they were told to start, and what must never happen there. */
+
+/** How often a worker looks at its deadline, its gangs and its tasks' work, ms. */
+#define CHECK_MS 10
+
+int64_t
+memory_runner_now_ms (const struct dff_memory_runner *runner)
+{
+	return dff_virtual_loop_now_ms (runner->options.loop);
+}
+
+int64_t
+memory_worker_clock_ms (const struct worker *worker)
+{
+	return memory_runner_now_ms (worker->runner) * worker->clock_permille / 1000;
+}
+
+static void G_GNUC_PRINTF (2, 3) violate (struct dff_memory_runner *runner, const char *format, ...)
+{
+	if (runner->violation != NULL)
+		return;
+	va_list args;
+	va_start (args, format);
+	g_autofree char *text = g_strdup_vprintf (format, args);
+	va_end (args);
+	runner->violation = g_strdup_printf ("at %" G_GINT64_FORMAT " ms: %s",
+					     memory_runner_now_ms (runner), text);
+}
+
+struct history *
+memory_runner_history (struct dff_memory_runner *runner, const struct dff_name *task)
+{
+	struct history *history = g_hash_table_lookup (runner->histories, task);
+	if (history != NULL)
+		return history;
+	history = g_new0 (struct history, 1);
+	g_hash_table_insert (runner->histories, dff_name_dup (task), history);
+	return history;
+}
+
+static void
+refuse_from_now_on (struct worker *worker, const struct dff_name *task, int32_t run)
+{
+	int32_t before = GPOINTER_TO_INT (g_hash_table_lookup (worker->refused, task));
+	if (run > before)
+		g_hash_table_insert (worker->refused, dff_name_dup (task), GINT_TO_POINTER (run));
+}
+
+static void
+list_end (struct worker *worker, const struct run *run, enum dff_run_end how)
+{
+	struct end end = {.number = ++worker->n_ends,
+			  .task = run->task,
+			  .run = run->run,
+			  .end = how,
+			  .at_ms = memory_runner_now_ms (worker->runner)};
+	if (run->what.saves && run->done_ms > 0)
+		g_snprintf (end.checkpoint, sizeof (end.checkpoint), "%" G_GINT64_FORMAT,
+			    run->done_ms);
+	g_array_append_val (worker->ends, end);
+	refuse_from_now_on (worker, &run->task, run->run);
+	g_hash_table_remove (worker->runs, &end.task);
+}
+
+static bool
+same_unit (const struct dff_name *one, const struct dff_name *other)
+{
+	const char *dot = strrchr (one->data, '.');
+	const char *other_dot = strrchr (other->data, '.');
+	size_t length = (size_t)(dot - one->data);
+	return length == (size_t)(other_dot - other->data) &&
+	       memcmp (one->data, other->data, length) == 0;
+}
+
+/* Members of a run's gang that are present on live workers. */
+static GPtrArray *
+gang_of (struct dff_memory_runner *runner, const struct run *run)
+{
+	GPtrArray *members = g_ptr_array_new ();
+	for (guint i = 0; i < runner->workers->len; i++) {
+		struct worker *worker = g_ptr_array_index (runner->workers, i);
+		GHashTableIter iter;
+		gpointer value;
+		g_hash_table_iter_init (&iter, worker->runs);
+		while (!worker->dead && g_hash_table_iter_next (&iter, NULL, &value)) {
+			const struct run *other = value;
+			if (other->run == run->run && same_unit (&other->task, &run->task))
+				g_ptr_array_add (members, value);
+		}
+	}
+	return members;
+}
+
+static struct worker *
+worker_of (struct dff_memory_runner *runner, const struct run *run)
+{
+	for (guint i = 0; i < runner->workers->len; i++) {
+		struct worker *worker = g_ptr_array_index (runner->workers, i);
+		if (g_hash_table_lookup (worker->runs, &run->task) == run)
+			return worker;
+	}
+	g_assert_not_reached ();
+}
+
+/* Ends the other members of a gang: all as @how. */
+static void
+end_gang (struct dff_memory_runner *runner, const struct run *run, enum dff_run_end how)
+{
+	if (run->what.gang == 0)
+		return;
+	g_autoptr (GPtrArray) members = gang_of (runner, run);
+	for (guint i = 0; i < members->len; i++) {
+		struct run *member = g_ptr_array_index (members, i);
+		if (member != run && member->begun)
+			list_end (worker_of (runner, member), member, how);
+	}
+}
+
+static void
+begin_when_whole (struct dff_memory_runner *runner, struct run *run)
+{
+	if (run->begun)
+		return;
+	if (run->what.gang > 0) {
+		g_autoptr (GPtrArray) members = gang_of (runner, run);
+		if ((int32_t)members->len < run->what.gang)
+			return;
+	}
+	run->begun = true;
+	run->counted_ms = memory_runner_now_ms (runner);
+}
+
+/* Lets a run's work go on, and ends it when it is over. Returns: whether it has ended. */
+static bool
+work_run (struct worker *worker, struct run *run)
+{
+	struct dff_memory_runner *runner = worker->runner;
+	int64_t now_ms = memory_runner_now_ms (runner);
+	if (run->stopped_ms > 0 && now_ms >= run->stopped_ms) {
+		end_gang (runner, run, DFF_RUN_BROKEN);
+		list_end (worker, run, DFF_RUN_STOPPED);
+		return true;
+	}
+	begin_when_whole (runner, run);
+	if (!run->begun) {
+		if (now_ms - run->placed_ms < runner->options.gang_wait_ms)
+			return false;
+		list_end (worker, run, DFF_RUN_ALONE);
+		return true;
+	}
+	if (!worker->faults.hung)
+		run->done_ms += now_ms - run->counted_ms;
+	run->counted_ms = now_ms;
+	if (run->what.fails || worker->faults.fails) {
+		end_gang (runner, run, DFF_RUN_BROKEN);
+		list_end (worker, run, DFF_RUN_FAILED);
+		return true;
+	}
+	if (run->done_ms < run->what.duration_ms)
+		return false;
+	end_gang (runner, run, DFF_RUN_COMPLETED);
+	list_end (worker, run, DFF_RUN_COMPLETED);
+	return true;
+}
+
+static void
+lapse (struct worker *worker)
+{
+	worker->lapsed_ms = memory_runner_now_ms (worker->runner);
+	g_autoptr (GList) runs = g_hash_table_get_values (worker->runs);
+	for (GList *link = runs; link != NULL; link = link->next)
+		list_end (worker, link->data, DFF_RUN_LAPSED);
+}
+
+static void
+handle_check (void *user)
+{
+	struct worker *worker = user;
+	if (worker->dead)
+		return;
+	/* The lease is the worker's, whether or not something runs there. */
+	if (worker->deadline_ms > 0 && memory_worker_clock_ms (worker) >= worker->deadline_ms)
+		lapse (worker);
+	/* An end may take other runs with it: the walk begins anew after each. */
+	bool ended = true;
+	while (ended) {
+		ended = false;
+		g_autoptr (GList) runs = g_hash_table_get_values (worker->runs);
+		for (GList *link = runs; link != NULL && !ended; link = link->next)
+			ended = work_run (worker, link->data);
+	}
+	dff_virtual_loop_after (worker->runner->options.loop, CHECK_MS, handle_check, worker);
+}
+
+static int32_t
+accelerators_used (const struct worker *worker)
+{
+	int32_t used = 0;
+	GHashTableIter iter;
+	gpointer value;
+	g_hash_table_iter_init (&iter, worker->runs);
+	while (g_hash_table_iter_next (&iter, NULL, &value))
+		used += ((struct run *)value)->what.accelerators;
+	return used;
+}
+
+static void
+check_start (struct worker *worker, const struct dff_name *task, int32_t number)
+{
+	struct dff_memory_runner *runner = worker->runner;
+	struct history *history = memory_runner_history (runner, task);
+	if (history->noted)
+		violate (runner, "%s run %d starts on %s after its end was acknowledged",
+			 task->data, number, worker->id);
+	for (guint i = 0; i < runner->workers->len; i++) {
+		const struct worker *other = g_ptr_array_index (runner->workers, i);
+		if (!other->dead && g_hash_table_contains (other->runs, task))
+			violate (runner, "%s run %d starts on %s beside another run on %s",
+				 task->data, number, worker->id, other->id);
+	}
+	history->n_starts++;
+	history->last_start_ms = memory_runner_now_ms (runner);
+}
+
+enum dff_runner_outcome
+memory_worker_start (struct worker *worker,
+		     const struct dff_run_order *order,
+		     const char *checkpoint)
+{
+	const struct run *present = g_hash_table_lookup (worker->runs, &order->task);
+	if (memory_worker_clock_ms (worker) >= order->deadline_ms)
+		return DFF_RUNNER_LATE;
+	worker->deadline_ms = MAX (worker->deadline_ms, order->deadline_ms);
+	if (present != NULL && present->run == order->run)
+		return DFF_RUNNER_DONE;
+	if (order->run <= GPOINTER_TO_INT (g_hash_table_lookup (worker->refused, &order->task)))
+		return DFF_RUNNER_OLD_RUN;
+	if (worker->faults.refuses)
+		return DFF_RUNNER_UNHEALTHY;
+	struct dff_memory_task what =
+		worker->runner->options.describe (worker->runner->options.ctx, &order->task);
+	if (accelerators_used (worker) + what.accelerators > worker->accelerators)
+		return DFF_RUNNER_NO_ROOM;
+	check_start (worker, &order->task, order->run);
+	struct run *run = g_new0 (struct run, 1);
+	run->task = order->task;
+	run->run = order->run;
+	run->what = what;
+	run->placed_ms = memory_runner_now_ms (worker->runner);
+	run->counted_ms = run->placed_ms;
+	run->done_ms = g_ascii_strtoll (checkpoint, NULL, 10);
+	g_hash_table_insert (worker->runs, &run->task, run);
+	return DFF_RUNNER_DONE;
+}
+
+enum dff_runner_outcome
+memory_worker_stop (struct worker *worker, const struct dff_run_order *order)
+{
+	struct run *run = g_hash_table_lookup (worker->runs, &order->task);
+	refuse_from_now_on (worker, &order->task, order->run);
+	if (run != NULL && run->run <= order->run && run->stopped_ms == 0)
+		run->stopped_ms = memory_runner_now_ms (worker->runner) +
+				  worker->runner->options.stop_grace_ms;
+	return DFF_RUNNER_DONE;
+}
+
+void
+memory_worker_acknowledge (struct worker *worker, int64_t number)
+{
+	while (worker->ends->len > 0) {
+		struct end end = g_array_index (worker->ends, struct end, 0);
+		if (end.number > number)
+			return;
+		g_array_remove_index (worker->ends, 0);
+		if (end.end != DFF_RUN_COMPLETED || worker->lapsed_ms > end.at_ms)
+			continue;
+		struct history *history = memory_runner_history (worker->runner, &end.task);
+		if (history->last_start_ms > end.at_ms)
+			violate (worker->runner, "%s run %d had ended on %s, and was started after",
+				 end.task.data, end.run, worker->id);
+		history->noted = true;
+	}
+}
+
+void
+memory_worker_begin (struct worker *worker)
+{
+	dff_virtual_loop_after (worker->runner->options.loop, CHECK_MS, handle_check, worker);
+}
