--- a/include/standin/memory_runner.h
+++ b/include/standin/memory_runner.h
@@ -74,9 +74,8 @@
 void dff_memory_runner_client_end (struct dff_memory_runner_client *client);
 
 /** Has a worker not be reached by this process alone. */
-void dff_memory_runner_client_cut (struct dff_memory_runner_client *client,
-				   const char *id,
-				   bool cut);
+void
+dff_memory_runner_client_cut (struct dff_memory_runner_client *client, const char *id, bool cut);
 
 /** Returns: (nullable): the first thing that must never happen, in words. */
 const char *dff_memory_runner_violation (const struct dff_memory_runner *runner);
--- a/tests/core/test-evacuation.c
+++ b/tests/core/test-evacuation.c
@@ -102,27 +102,27 @@
 {
 	(void)state;
 	static const struct {
-		int32_t gang;
-		bool checkpoint;
 		int64_t declared_ms;
+		int64_t leaves_in_ms;
+		int32_t gang;
 		/** Of the work at the notice, 500 ms after its start; 0: not told. */
 		int32_t percent;
-		int64_t leaves_in_ms;
 		int stops;
+		bool checkpoint;
 	} cases[] = {
-		{1, false, 60000, 0, 1800, 1},
-		{1, true, 60000, 0, 1800, 1},
+		{60000, 1800, 1, 0, 1, false},
+		{60000, 1800, 1, 0, 1, true},
 		/* All of a gang, once. */
-		{2, false, 60000, 0, 1800, 2},
+		{60000, 1800, 2, 0, 2, false},
 		/* 500 ms are left. */
-		{1, false, 60000, 50, 1800, 0},
-		{1, true, 60000, 50, 1800, 0},
-		{2, false, 60000, 50, 1800, 0},
+		{60000, 1800, 1, 50, 0, false},
+		{60000, 1800, 1, 50, 0, true},
+		{60000, 1800, 2, 50, 0, false},
 		/* 4.5 s are left. */
-		{1, false, 1000, 10, 1800, 1},
-		{1, false, 60000, 10, 7000, 0},
+		{1000, 1800, 1, 10, 1, false},
+		{60000, 7000, 1, 10, 0, false},
 		/* Nobody knows when it leaves. */
-		{1, false, 60000, 0, 0, 0},
+		{60000, 0, 1, 0, 0, false},
 	};
 	for (size_t i = 0; i < G_N_ELEMENTS (cases); i++) {
 		struct run run;
--- a/tests/holder/test-holder.c
+++ b/tests/holder/test-holder.c
@@ -145,6 +145,16 @@
 	}
 }
 
+/* Has a long task run on each worker. */
+static void
+run_one_a_worker (struct site *site)
+{
+	struct dff_plan *plan = site_plan ("1", SITE_WORKERS, false, 1);
+	dff_plan_step (plan, 0)->per_worker = 1;
+	site_submit (site, 0, plan);
+	site_run (site, 400);
+}
+
 /* Symptom: a task runs twice at a time. Sequence: its worker is cut off from the system and runs
  * on; the task is started elsewhere before the worker's lease has lapsed on its own, slower clock.
  */
@@ -166,10 +176,7 @@
 	for (size_t i = 0; i < G_N_ELEMENTS (cases); i++) {
 		struct site site;
 		site_open (&site);
-		struct dff_plan *plan = site_plan ("1", SITE_WORKERS, false, 1);
-		dff_plan_step (plan, 0)->per_worker = 1;
-		site_submit (&site, 0, plan);
-		site_run (&site, 400);
+		run_one_a_worker (&site);
 		site.workers[SITE_WORKERS - 1]->cut = !cases[i].mute;
 		site.workers[SITE_WORKERS - 1]->mute = cases[i].mute;
 		site_run (&site, cases[i].cut_ms);
@@ -196,10 +203,7 @@
 	for (size_t i = 0; i < G_N_ELEMENTS (cases); i++) {
 		struct site site;
 		site_open (&site);
-		struct dff_plan *plan = site_plan ("1", SITE_WORKERS, false, 1);
-		dff_plan_step (plan, 0)->per_worker = 1;
-		site_submit (&site, 0, plan);
-		site_run (&site, 400);
+		run_one_a_worker (&site);
 		site.workers[SITE_WORKERS - 1]->cut = true;
 		int64_t begun_ms = dff_virtual_loop_now_ms (site.loop);
 		for (int j = 0; j < cases[i].n_kills; j++) {
@@ -263,10 +267,7 @@
 	(void)state;
 	struct site site;
 	site_open (&site);
-	struct dff_plan *plan = site_plan ("1", SITE_WORKERS, false, 1);
-	dff_plan_step (plan, 0)->per_worker = 1;
-	site_submit (&site, 0, plan);
-	site_run (&site, 400);
+	run_one_a_worker (&site);
 	site_reborn_worker (&site, 2);
 	site_run (&site, 2500);
 	assert_int_equal (dff_memory_runner_n_starts (site.runner, "1"), SITE_WORKERS + 1);
