holder: a list from before an end is not taken for newer

A gang's end, told by one member's worker, ends the whole gang; the answer of another worker, which had listed the gang as running just before, arrives after that, and a stop was sent. Change: a run that no record has is stopped when the list was asked for after the last run there was known to be over; else the worker is asked again. Counter dff_holder_strays_total; the stand-in delays lists.

--- a/holder/holder.c
+++ b/holder/holder.c
@@ -129,6 +129,8 @@
 		metrics, "dff_holder_starts_rejected_total", "Starts that a worker rejected.");
 	holder->metrics.units_stopped = dff_metrics_counter (
 		metrics, "dff_holder_units_stopped_total", "Units told to stop before their end.");
+	holder->metrics.strays = dff_metrics_counter (metrics, "dff_holder_strays_total",
+						      "Runs that workers list and no record has.");
 	holder->metrics.lapsed_workers =
 		dff_metrics_counter (metrics, "dff_holder_workers_lost_total",
 				     "Workers whose runs were given up as over.");
--- a/holder/holder_private.h
+++ b/holder/holder_private.h
@@ -95,6 +95,8 @@
 	int64_t ended_seen;
 	int64_t ended_pending;
 	int64_t ended_recorded;
+	/** When a run there was last known to be over: lists asked for before that may show it. */
+	int64_t settled_ms;
 	/** When the core was told last that its tasks stand still. */
 	int64_t stalled_ms;
 	enum dff_worker_state state;
@@ -252,6 +254,7 @@
 		int64_t *starts;
 		int64_t *starts_rejected;
 		int64_t *units_stopped;
+		int64_t *strays;
 		int64_t *ends[DFF_RUN_ALONE + 1];
 		int64_t *lapsed_workers;
 		int64_t *stalled_workers;
--- a/holder/runs.c
+++ b/holder/runs.c
@@ -51,6 +51,7 @@
 run_forget (struct dff_holder *holder, struct holder_run *run)
 {
 	run_set_phase (holder, run, DFF_RUN_PHASE_OPEN);
+	run->worker->settled_ms = holder_now_ms (holder);
 	run->unit->runs[run->member] = NULL;
 	g_hash_table_remove (run->worker->runs, &run->task);
 	(*holder->metrics.open_runs)--;
@@ -364,6 +365,7 @@
 		const struct dff_name *task,
 		int32_t run)
 {
+	(*holder->metrics.strays)++;
 	dff_log (DFF_LOG_CELL, DFF_LOG_WARNING,
 		 "Stopping a run that is not on record. task=%s run=%d worker=%s epoch=%" PRId64,
 		 task->data, run, worker->upstream.id.data, holder->epoch);
--- a/holder/watch.c
+++ b/holder/watch.c
@@ -99,11 +99,28 @@
 	worker_set_state (holder, worker);
 }
 
+/* Symptom: the log says that a worker runs what nobody recorded. Sequence: a gang ends, and the
+ * answer of one member's worker shows it; another worker listed the gang just before, and its
+ * answer arrives after. Cause: an older list was taken for what is so. A newer one tells. */
+static void
+take_stray (struct dff_holder *holder,
+	    struct holder_worker *worker,
+	    const struct dff_name *task,
+	    int32_t run,
+	    int64_t begun_ms)
+{
+	if (begun_ms <= worker->settled_ms)
+		watch_look (holder, worker);
+	else
+		run_stop_stray (holder, worker, task, run);
+}
+
 static void
 take_running (struct dff_holder *holder,
 	      struct holder_worker *worker,
 	      const struct dff_runner_result *result,
-	      GHashTable *listed)
+	      GHashTable *listed,
+	      int64_t begun_ms)
 {
 	for (size_t i = 0; i < result->n_running; i++) {
 		const struct dff_run_open *open = &result->running[i];
@@ -112,7 +129,7 @@
 			continue;
 		struct holder_run *run = g_hash_table_lookup (worker->runs, &task);
 		if (run == NULL || run->run != open->run) {
-			run_stop_stray (holder, worker, &task, open->run);
+			take_stray (holder, worker, &task, open->run, begun_ms);
 			continue;
 		}
 		g_hash_table_add (listed, run);
@@ -212,7 +229,7 @@
 	    int64_t begun_ms)
 {
 	g_autoptr (GHashTable) listed = g_hash_table_new (NULL, NULL);
-	take_running (holder, worker, result, listed);
+	take_running (holder, worker, result, listed, begun_ms);
 	/* Ends settle runs: none of them may be looked at through @listed any more. */
 	take_ended (holder, worker, result);
 	take_unlisted (holder, worker, listed, begun_ms);
--- a/include/standin/memory_runner.h
+++ b/include/standin/memory_runner.h
@@ -36,6 +36,8 @@
 	bool cut;
 	/** Calls arrive, answers do not. */
 	bool mute;
+	/** Lists are so late, ms. */
+	int32_t answer_ms;
 	/** Tasks stand still. */
 	bool hung;
 	/** Starts are refused, the worker being unhealthy. */
--- a/standin/memory_runner.c
+++ b/standin/memory_runner.c
@@ -71,46 +71,90 @@
 	call_back (user, &result);
 }
 
+/* What a worker lists at one moment, on its way to who asked. */
+struct lists {
+	struct call *call;
+	GArray *running;
+	GArray *ended;
+	/** Texts that the lists point to. */
+	GPtrArray *texts;
+	struct dff_runner_result result;
+};
+
+static void
+deliver_lists (void *user)
+{
+	struct lists *lists = user;
+	call_back (lists->call, &lists->result);
+	g_array_unref (lists->running);
+	g_array_unref (lists->ended);
+	g_ptr_array_unref (lists->texts);
+	g_free (lists);
+}
+
+static const char *
+keep_text (struct lists *lists, char *text)
+{
+	g_ptr_array_add (lists->texts, text);
+	return text;
+}
+
+static void
+list_run (struct lists *lists, const struct run *run)
+{
+	const char *task = keep_text (lists, g_strndup (run->task.data, run->task.len));
+	bool saved = run->what.saves && run->done_ms > 0;
+	const char *checkpoint = keep_text (
+		lists, saved ? g_strdup_printf ("%" G_GINT64_FORMAT, run->done_ms) : g_strdup (""));
+	struct dff_run_open open = {
+		.task = dff_str_from (task),
+		.run = run->run,
+		.checkpoint = dff_str_from (checkpoint),
+		.percent = (int32_t)(run->done_ms * 100 / MAX (run->what.duration_ms, 1))};
+	g_array_append_val (lists->running, open);
+}
+
+static void
+list_ended (struct lists *lists, const struct end *end)
+{
+	const char *task = keep_text (lists, g_strndup (end->task.data, end->task.len));
+	struct dff_run_ended one = {
+		.number = end->number,
+		.task = dff_str_from (task),
+		.run = end->run,
+		.end = end->end,
+		.checkpoint = dff_str_from (keep_text (lists, g_strdup (end->checkpoint)))};
+	g_array_append_val (lists->ended, one);
+}
+
 static void
 answer_watch (struct call *call)
 {
 	struct worker *worker = call->worker;
-	g_autoptr (GArray) running = g_array_new (FALSE, FALSE, sizeof (struct dff_run_open));
-	g_autoptr (GArray) ended = g_array_new (FALSE, FALSE, sizeof (struct dff_run_ended));
-	g_autoptr (GPtrArray) texts = g_ptr_array_new_with_free_func (g_free);
+	struct lists *lists = g_new0 (struct lists, 1);
+	lists->call = call;
+	lists->running = g_array_new (FALSE, FALSE, sizeof (struct dff_run_open));
+	lists->ended = g_array_new (FALSE, FALSE, sizeof (struct dff_run_ended));
+	lists->texts = g_ptr_array_new_with_free_func (g_free);
 	GHashTableIter iter;
 	gpointer value;
 	g_hash_table_iter_init (&iter, worker->runs);
-	while (g_hash_table_iter_next (&iter, NULL, &value)) {
-		const struct run *run = value;
-		char *saved = run->what.saves && run->done_ms > 0
-				      ? g_strdup_printf ("%" G_GINT64_FORMAT, run->done_ms)
-				      : g_strdup ("");
-		g_ptr_array_add (texts, saved);
-		struct dff_run_open open = {
-			.task = {run->task.data, run->task.len},
-			.run = run->run,
-			.checkpoint = dff_str_from (saved),
-			.percent = (int32_t)(run->done_ms * 100 / MAX (run->what.duration_ms, 1))};
-		g_array_append_val (running, open);
-	}
-	for (guint i = 0; i < worker->ends->len; i++) {
-		const struct end *end = &g_array_index (worker->ends, struct end, i);
-		struct dff_run_ended one = {.number = end->number,
-					    .task = {end->task.data, end->task.len},
-					    .run = end->run,
-					    .end = end->end,
-					    .checkpoint = dff_str_from (end->checkpoint)};
-		g_array_append_val (ended, one);
-	}
-	struct dff_runner_result result = {
+	while (g_hash_table_iter_next (&iter, NULL, &value))
+		list_run (lists, value);
+	for (guint i = 0; i < worker->ends->len; i++)
+		list_ended (lists, &g_array_index (worker->ends, struct end, i));
+	lists->result = (struct dff_runner_result){
 		.outcome = call->outcome,
 		.clock_ms = memory_worker_clock_ms (worker),
-		.running = (const struct dff_run_open *)(void *)running->data,
-		.n_running = running->len,
-		.ended = (const struct dff_run_ended *)(void *)ended->data,
-		.n_ended = ended->len};
-	call_back (call, &result);
+		.running = (const struct dff_run_open *)(void *)lists->running->data,
+		.n_running = lists->running->len,
+		.ended = (const struct dff_run_ended *)(void *)lists->ended->data,
+		.n_ended = lists->ended->len};
+	if (worker->faults.answer_ms > 0)
+		dff_virtual_loop_after (call->client->runner->options.loop,
+					worker->faults.answer_ms, deliver_lists, lists);
+	else
+		deliver_lists (lists);
 }
 
 static void
--- a/tests/holder/test-holder.c
+++ b/tests/holder/test-holder.c
@@ -188,6 +188,37 @@
 	}
 }
 
+/* Symptom: the log tells of a run that nobody recorded, and a stop is sent for it. Sequence: a gang
+ * of two ends; the worker of one member says so, and the other's list from just before arrives
+ * after that. Cause: the list was taken for newer than it was. */
+static void
+test_late_lists (void **state)
+{
+	(void)state;
+	struct site site;
+	site_open (&site);
+	for (int i = 0; i < SITE_WORKERS; i++)
+		site.workers[i]->answer_ms = i % 2 == 0 ? 0 : 300;
+	/* Single tasks on each worker, of which some end just before the gang. */
+	for (int i = 0; i < 12; i++) {
+		g_autofree char *id = g_strdup_printf ("a%d", i);
+		struct dff_plan *plan = site_plan (id, SITE_WORKERS, false, 1);
+		dff_plan_step (plan, 0)->per_worker = 1;
+		int64_t begun_ms = dff_virtual_loop_now_ms (site.loop);
+		site_submit (&site, 0, plan);
+		site_run (&site, begun_ms + 30 - dff_virtual_loop_now_ms (site.loop));
+		if (i == 0)
+			site_submit (&site, 0, site_plan ("5", 2, true, 4));
+		site_run (&site, begun_ms + 250 - dff_virtual_loop_now_ms (site.loop));
+	}
+	site_run (&site, 20000);
+	int holder = site_holder (&site);
+	assert_int_equal (*dff_metrics_counter (site.processes[holder].metrics,
+						"dff_holder_strays_total", ""),
+			  0);
+	site_close (&site);
+}
+
 /* Symptom: after a take-over, what runs on workers that cannot be reached begins elsewhere 19 s
  * later, and at each further take-over that time begins anew. Sequence: holders are killed and
  * start again while a worker is cut off. Cause: each holder took it that the former one goes on
@@ -728,6 +759,7 @@
 		cmocka_unit_test (test_one_job_however_often_sent),
 		cmocka_unit_test (test_take_over),
 		cmocka_unit_test (test_cut_off_worker),
+		cmocka_unit_test (test_late_lists),
 		cmocka_unit_test (test_lost_worker_after_take_overs),
 		cmocka_unit_test (test_renewals_of_an_earlier_holder),
 		cmocka_unit_test (test_reborn_worker),
