holder: looks at the list of workers are spaced from their end

Cause: since the list is followed by its changes, a look was due 500 ms after the begin of the one before; on a slow store or link one followed another without a pause. Also: evacuation does not look at a member that holds no worker.

--- a/core/evacuate.c
+++ b/core/evacuate.c
@@ -18,6 +18,8 @@
 static void
 evacuate_from (struct dff_core *core, struct dff_core_job *job, int32_t worker)
 {
+	if (worker == DFF_CORE_NONE)
+		return;
 	const struct dff_core_worker *from = dff_core_worker_at (core, worker);
 	bool open = job->state == DFF_CORE_STARTING || job->state == DFF_CORE_RUNNING;
 	if (from->state != DFF_WORKER_LEAVING || from->leaves_ms == 0 || !open ||
--- a/holder/list.c
+++ b/holder/list.c
@@ -38,6 +38,13 @@
 	workers_note_listed (holder, &upstream, row->revision, begun_ms);
 }
 
+/* From the end of a look on: a slow store is not to be asked without a pause. */
+static void
+look_later (struct dff_holder *holder)
+{
+	holder->next_list_ms = holder_now_ms (holder) + LOOK_EVERY_MS;
+}
+
 static void
 handle_page (void *ctx, G_GNUC_UNUSED const struct dff_rows_result *result, int64_t begun_ms)
 {
@@ -52,7 +59,7 @@
 	take_row (holder, row, holder->list_page_ms);
 }
 
-/* Only a whole list tells which workers are missing. */
+/* What a whole list does not name is missing. */
 static void
 handle_whole (void *ctx, const struct dff_reading_end *end)
 {
@@ -67,6 +74,7 @@
 	}
 	g_hash_table_remove_all (holder->list_seen);
 	workers_sweep (holder);
+	look_later (holder);
 	holder->list_revision = end->revision;
 	holder->listed_once = true;
 	holder_wake (holder);
@@ -98,6 +106,7 @@
 		take_row (holder, &result->rows[i], call->begun_ms);
 	holder->list_revision = MAX (holder->list_revision, result->revision);
 	workers_sweep (holder);
+	look_later (holder);
 	holder_wake (holder);
 }
 
@@ -120,7 +129,6 @@
 	if (dff_reading_is_running (holder->list_reading) || holder->asking_list_changes ||
 	    now_ms < holder->next_list_ms)
 		return;
-	holder->next_list_ms = now_ms + LOOK_EVERY_MS;
 	if (holder->list_revision > 0 &&
 	    g_hash_table_size (holder->workers) >= holder->options.long_list)
 		ask_changes (holder);
