--- a/standin/memory_runner.c
+++ b/standin/memory_runner.c
@@ -150,11 +150,12 @@
 		.n_running = lists->running->len,
 		.ended = (const struct dff_run_ended *)(void *)lists->ended->data,
 		.n_ended = lists->ended->len};
-	if (worker->faults.answer_ms > 0)
-		dff_virtual_loop_after (call->client->runner->options.loop,
-					worker->faults.answer_ms, deliver_lists, lists);
-	else
+	if (worker->faults.answer_ms == 0) {
 		deliver_lists (lists);
+		return;
+	}
+	dff_virtual_loop_after (call->client->runner->options.loop, worker->faults.answer_ms,
+				deliver_lists, lists);
 }
 
 static void
