--- /dev/null
+++ b/tests/holder/test-holder-store.c
@@ -0,0 +1,375 @@
+#include "tests/holder/site.h"
+
+#include <string.h>
+
+/* The holder and its successors, over a store with faults. */
+
+static void
+set_silent (struct site *site, bool silent)
+{
+	for (int i = 0; i < SITE_PROCESSES; i++)
+		dff_memory_rows_client_faults (site->processes[i].rows)->silent = silent;
+}
+
+/* A process holds on to the cell for eight seconds, whatever it takes, and the job of four tasks
+ * that it has begun completes once its calls are quick again. */
+static void
+assert_holds_on (struct site *site, int holder)
+{
+	for (int waited_ms = 0; waited_ms < 8000; waited_ms += 10) {
+		site_run (site, 10);
+		assert_int_equal (site_holder (site), holder);
+	}
+	for (int i = 0; i < SITE_PROCESSES; i++) {
+		struct dff_memory_rows_faults *faults =
+			dff_memory_rows_client_faults (site->processes[i].rows);
+		faults->delay_ms = 0;
+		faults->commit_delay_ms = 0;
+	}
+	assert_int_not_equal (site_until (site, "1", "completed", 9000), -1);
+	assert_int_equal (dff_memory_runner_n_starts (site->runner, "1"), 4);
+}
+
+/* Symptom: jobs stand for seconds after the holder is gone. Sequence: its process is killed, or
+ * loses its path to the store. Cause: the others waited for the standstill of its row in every
+ * case. */
+static void
+test_take_over (void **state)
+{
+	(void)state;
+	static const struct {
+		bool killed;
+		bool refuses;
+		int64_t limit_ms;
+	} cases[] = {
+		{true, false, 900},
+		{false, false, 1300},
+		{false, true, 1300},
+	};
+	for (size_t i = 0; i < G_N_ELEMENTS (cases); i++) {
+		struct site site;
+		site_open (&site);
+		site_submit (&site, 0, site_plan ("1", 4, false, 1));
+		site_run (&site, 500);
+		int holder = site_holder (&site);
+		if (cases[i].killed) {
+			site_kill_process (&site, holder);
+		} else {
+			struct dff_memory_rows_faults *faults =
+				dff_memory_rows_client_faults (site.processes[holder].rows);
+			faults->silent = !cases[i].refuses;
+			faults->refuses = cases[i].refuses;
+		}
+		int64_t waited_ms = 0;
+		while (site_holder (&site) == holder || site_holder (&site) < 0) {
+			/* The former holder goes on until it learns of the other. */
+			if (!cases[i].killed && site_holder (&site) == holder &&
+			    dff_holder_is_holding (
+				    site.processes[(holder + 1) % SITE_PROCESSES].holder))
+				break;
+			if (!cases[i].killed &&
+			    dff_holder_is_holding (
+				    site.processes[(holder + 2) % SITE_PROCESSES].holder))
+				break;
+			site_run (&site, 10);
+			waited_ms += 10;
+			assert_in_range (waited_ms, 0, cases[i].limit_ms);
+		}
+		int other = (holder + 1) % SITE_PROCESSES;
+		site_submit (&site, other, site_plan ("b", 1, false, 1));
+		site_run (&site, 9000);
+		assert_string_equal (site_state (&site, other, "1"), "completed");
+		assert_string_equal (site_state (&site, other, "b"), "completed");
+		assert_int_equal (dff_memory_runner_n_starts (site.runner, "1"), 4);
+		site_close (&site);
+	}
+}
+
+/* Symptom: a job is lost, or runs twice. Sequence: the store carries out writes of which the answer
+ * is lost, some of them seconds later, while the holder changes. */
+static void
+test_lost_and_late_answers (void **state)
+{
+	(void)state;
+	struct site site;
+	site_open (&site);
+	for (int i = 0; i < SITE_PROCESSES; i++) {
+		struct dff_memory_rows_faults *faults =
+			dff_memory_rows_client_faults (site.processes[i].rows);
+		faults->lost_permille = 300;
+		faults->late_permille = 300;
+		faults->late_ms = 2000;
+	}
+	int accepted = 0;
+	for (int i = 0; i < 10; i++) {
+		g_autofree char *id = g_strdup_printf ("a%d", i);
+		accepted += site_submit (&site, i % SITE_PROCESSES, site_plan (id, 3, false, 1)) ==
+			    DFF_FRONT_OK;
+		if (i == 5)
+			site_kill_process (&site,
+					   site_holder (&site) >= 0 ? site_holder (&site) : 0);
+		if (i == 5) {
+			for (int j = 0; j < SITE_PROCESSES; j++)
+				if (!site.processes[j].alive)
+					site_start_process (&site, j);
+		}
+	}
+	assert_in_range (accepted, 1, 10);
+	for (int i = 0; i < SITE_PROCESSES; i++)
+		memset (dff_memory_rows_client_faults (site.processes[i].rows), 0,
+			sizeof (struct dff_memory_rows_faults));
+	for (guint i = 0; i < site.accepted->len; i++) {
+		assert_int_not_equal (site_until (&site, g_ptr_array_index (site.accepted, i),
+						  "completed", 20000),
+				      -1);
+	}
+	site_close (&site);
+}
+
+/* Symptom: callers wait until their time is up though nothing can be done for them. Cause: each
+ * submission was written to a store that does not answer. */
+static void
+test_silent_store (void **state)
+{
+	(void)state;
+	struct site site;
+	site_open (&site);
+	site_submit (&site, 0, site_plan ("1", 6, false, 1));
+	site_run (&site, 300);
+	set_silent (&site, true);
+	site_run (&site, 2500);
+	int64_t before_ms = dff_virtual_loop_now_ms (site.loop);
+	assert_int_equal (site_submit (&site, 1, site_plan ("b", 1, false, 1)),
+			  DFF_FRONT_UNAVAILABLE);
+	assert_in_range (dff_virtual_loop_now_ms (site.loop) - before_ms, 0, 5);
+	site_run (&site, 2000);
+	set_silent (&site, false);
+	site_run (&site, 300);
+	assert_string_equal (site_state (&site, 0, "b"), "gone");
+	assert_int_equal (site_submit (&site, 1, site_plan ("c", 1, false, 1)), DFF_FRONT_OK);
+	assert_int_not_equal (site_until (&site, "1", "completed", 5000), -1);
+	/* Leases were renewed all the while. */
+	assert_int_equal (dff_memory_runner_n_starts (site.runner, "1"), 6);
+	assert_int_not_equal (site_until (&site, "c", "completed", 5000), -1);
+	site_close (&site);
+}
+
+/* Symptom: for as long as the store is slow, one process after another takes the cell, and nothing
+ * is decided. Sequence: transactions take longer than the holder waits for them; it says that it
+ * cannot record anything, and the others believe it. Cause: they took a store that is slow for
+ * everybody for one that the holder alone has lost. */
+static void
+test_slow_store (void **state)
+{
+	(void)state;
+	/* Readings are quicker than the holder's transactions of many rows. */
+	static const struct {
+		int32_t write_ms;
+		int32_t read_ms;
+	} cases[] = {{450, 150}, {600, 200}, {800, 250}, {950, 320}, {950, 950}};
+	for (size_t i = 0; i < G_N_ELEMENTS (cases); i++) {
+		struct site site;
+		site_open (&site);
+		site_submit (&site, 0, site_plan ("1", 4, false, 1));
+		site_run (&site, 500);
+		int holder = site_holder (&site);
+		for (int j = 0; j < SITE_PROCESSES; j++)
+			dff_memory_rows_client_faults (site.processes[j].rows)->delay_ms =
+				j == holder ? cases[i].write_ms : cases[i].read_ms;
+		assert_holds_on (&site, holder);
+		site_close (&site);
+	}
+}
+
+/* Symptom: a new holder is relieved again before it has decided anything, and what runs on lost
+ * workers waits anew. Sequence: it is short of processor time after a take-over, so that a large
+ * transaction outlasts its timeout, while the others' readings are quick. Cause: the timeout alone
+ * counted as the loss of the store, though the store went on answering the same process; and the
+ * standstill of its row counted, though it said that it was there. */
+static void
+test_slow_holder (void **state)
+{
+	(void)state;
+	static const int32_t delays_ms[] = {450, 600, 700, 950};
+	for (size_t i = 0; i < G_N_ELEMENTS (delays_ms); i++) {
+		struct site site;
+		site_open (&site);
+		site_submit (&site, 0, site_plan ("1", 4, false, 1));
+		site_run (&site, 500);
+		int holder = site_holder (&site);
+		struct dff_memory_rows_faults *faults =
+			dff_memory_rows_client_faults (site.processes[holder].rows);
+		faults->delay_ms = 200;
+		faults->commit_delay_ms = delays_ms[i];
+		assert_holds_on (&site, holder);
+		site_close (&site);
+	}
+}
+
+/* Symptom: after a take-over nothing is decided any more, for good. Sequence: the table of jobs has
+ * grown; a full page of it takes longer than the new holder waits for one. Cause: each further
+ * attempt asked for as much and waited as long. */
+static void
+test_slow_pages (void **state)
+{
+	(void)state;
+	struct site site;
+	site_open (&site);
+	for (int i = 0; i < 300; i++) {
+		g_autofree char *id = g_strdup_printf ("a%d", i);
+		assert_int_equal (
+			site_submit (&site, i % SITE_PROCESSES, site_plan (id, 1, false, 1)),
+			DFF_FRONT_OK);
+	}
+	site_run (&site, 3000);
+	int holder = site_holder (&site);
+	for (int i = 0; i < SITE_PROCESSES; i++)
+		dff_memory_rows_client_faults (site.processes[i].rows)->row_us = 6000;
+	site_kill_process (&site, holder);
+	site_run (&site, 12000);
+	assert_int_not_equal (site_holder (&site), -1);
+	int other = (holder + 1) % SITE_PROCESSES;
+	assert_int_equal (site_submit (&site, other, site_plan ("c", 1, false, 1)), DFF_FRONT_OK);
+	assert_int_not_equal (site_until (&site, "c", "completed", 20000), -1);
+	site_close (&site);
+}
+
+/* Symptom: jobs accepted in one second begin together, late. Cause: the store held its feeds back.
+ */
+static void
+test_held_feeds (void **state)
+{
+	(void)state;
+	struct site site;
+	site_open (&site);
+	for (int i = 0; i < SITE_PROCESSES; i++)
+		dff_memory_rows_client_faults (site.processes[i].rows)->feeds_held = true;
+	site_submit (&site, 0, site_plan ("a", 1, false, 1));
+	site_run (&site, 350);
+	assert_int_equal (dff_memory_runner_n_starts (site.runner, "a"), 1);
+	site_submit (&site, 0, site_plan ("1", 1, false, 1));
+	site_run (&site, 350);
+	assert_int_equal (site_cancel (&site, 1, "1"), DFF_FRONT_OK);
+	site_run (&site, 900);
+	assert_string_equal (site_state (&site, 2, "1"), "cancelled");
+	site_run (&site, 1000);
+	assert_int_equal (dff_memory_rows_count (site.rows, DFF_TABLE_INBOX), 0);
+	assert_int_equal (dff_memory_runner_n_open (site.runner), 0);
+	site_close (&site);
+}
+
+/* Symptom: a worker that leaves gets new tasks for as long as the store holds changes back. Cause:
+ * what the feed did not tell was taken for what is so. */
+static void
+test_leaving_while_feeds_are_held (void **state)
+{
+	(void)state;
+	struct site site;
+	site_open (&site);
+	for (int i = 0; i < SITE_PROCESSES; i++)
+		dff_memory_rows_client_faults (site.processes[i].rows)->feeds_held = true;
+	for (int i = 1; i < SITE_WORKERS; i++)
+		site_list_worker (&site, i, true, true);
+	site_run (&site, 1100);
+	/* Each takes a worker whole, for two seconds: one at a time. */
+	site_submit (&site, 0, site_plan ("6", 3, false, SITE_ACCELERATORS));
+	site_run (&site, 1500);
+	assert_int_equal (dff_memory_runner_n_starts (site.runner, "6"), 1);
+	site_close (&site);
+}
+
+/* Symptom: a job that has ended runs again. Sequence: the store drops its history, so that the
+ * holder reads every job anew. Cause: a job that was over and forgotten looked like a new one. */
+static void
+test_dropped_history (void **state)
+{
+	(void)state;
+	struct site site;
+	site_open (&site);
+	site_submit (&site, 0, site_plan ("a", 3, false, 1));
+	site_until (&site, "a", "completed", 5000);
+	dff_memory_rows_drop_history (site.rows);
+	site_submit (&site, 1, site_plan ("b", 1, false, 1));
+	assert_int_not_equal (site_until (&site, "b", "completed", 5000), -1);
+	site_run (&site, 2000);
+	assert_int_equal (dff_memory_runner_n_starts (site.runner, "a"), 3);
+	site_close (&site);
+}
+
+/* Symptom: a stopping process leaves the cell without a holder for a second. */
+static void
+test_resign (void **state)
+{
+	(void)state;
+	struct site site;
+	site_open (&site);
+	site_submit (&site, 0, site_plan ("1", 4, false, 1));
+	site_run (&site, 300);
+	int holder = site_holder (&site);
+	dff_holder_resign (site.processes[holder].holder);
+	site_run (&site, 800);
+	assert_true (dff_holder_has_resigned (site.processes[holder].holder));
+	assert_int_not_equal (site_holder (&site), holder);
+	assert_int_not_equal (site_holder (&site), -1);
+	assert_int_not_equal (site_until (&site, "1", "completed", 9000), -1);
+	assert_int_equal (dff_memory_runner_n_starts (site.runner, "1"), 4);
+	site_close (&site);
+}
+
+/* Symptom: a task runs twice at a time. Sequence: a holder loses the store and the other processes,
+ * and goes on renewing a worker that only it reaches; its successor is killed, and the next one
+ * knows that this successor has ended. Cause: only the last holder was thought of. */
+static void
+test_renewals_of_an_earlier_holder (void **state)
+{
+	(void)state;
+	struct site site;
+	site_open (&site);
+	site_submit (&site, 0, site_plan ("7", 1, false, 1));
+	site_run (&site, 400);
+	const char *where = dff_memory_runner_where (site.runner, "7.0.0.0");
+	assert_non_null (where);
+	int reached = where[1] - '0';
+	int first = site_holder (&site);
+	site.processes[first].unheard = true;
+	dff_memory_rows_client_faults (site.processes[first].rows)->silent = true;
+	for (int i = 0; i < SITE_PROCESSES; i++)
+		site_cut_worker_from (&site, reached, i, i != first);
+	/* The others would tell it of the higher epoch. */
+	for (int i = 0; i < SITE_WORKERS; i++)
+		site_cut_worker_from (&site, i, first, i != reached);
+	site_run (&site, 3000);
+	int second = (first + 1) % SITE_PROCESSES;
+	if (!dff_holder_is_holding (site.processes[second].holder))
+		second = (first + 2) % SITE_PROCESSES;
+	assert_true (dff_holder_is_holding (site.processes[second].holder));
+	site_kill_process (&site, second);
+	site_run (&site, 300);
+	site_start_process (&site, second);
+	site_cut_worker_from (&site, reached, second, true);
+	site_run (&site, 22000);
+	dff_memory_rows_client_faults (site.processes[first].rows)->silent = false;
+	site.processes[first].unheard = false;
+	assert_int_not_equal (site_until (&site, "7", "completed", 60000), -1);
+	assert_int_equal (dff_memory_runner_n_starts (site.runner, "7"), 2);
+	site_close (&site);
+}
+
+int
+main (void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test (test_take_over),
+		cmocka_unit_test (test_lost_and_late_answers),
+		cmocka_unit_test (test_silent_store),
+		cmocka_unit_test (test_slow_store),
+		cmocka_unit_test (test_slow_holder),
+		cmocka_unit_test (test_slow_pages),
+		cmocka_unit_test (test_held_feeds),
+		cmocka_unit_test (test_leaving_while_feeds_are_held),
+		cmocka_unit_test (test_dropped_history),
+		cmocka_unit_test (test_resign),
+		cmocka_unit_test (test_renewals_of_an_earlier_holder),
+	};
+	return cmocka_run_group_tests (tests, NULL, NULL);
+}
