core: urgent work throws away a bounded amount of others' work

Cause: what is thrown away now is mostly gangs that have run for seconds on 26 cores a task, stopped for urgent jobs of a task or two; a task counted by its accelerators alone, so that they looked cheap. Hypothesis: urgent work that throws away at most a few times the work that it does itself loses less for everybody than it wins. Change: work is weighed in cores, an accelerator as many as go with it on the workers; the bound is four times the job's own work, except for what a team has a right to once that has waited for 1.2 s.

--- a/bench/load/load.c
+++ b/bench/load/load.c
@@ -243,10 +243,10 @@
 	for (guint i = 0; i < placements->len; i++) {
 		const struct dff_placement *at =
 			&g_array_index (placements, struct dff_placement, i);
-		if (i == 0)
-			first = worker_index (at) / per_rack;
-		else if (worker_index (at) / per_rack != first)
+		int rack = worker_index (at) / per_rack;
+		if (i > 0 && rack != first)
 			return true;
+		first = rack;
 	}
 	return false;
 }
--- a/bench/load/main.c
+++ b/bench/load/main.c
@@ -35,9 +35,16 @@
 	options->max_guards = 0;
 }
 
+static void
+without_evict_bound (struct dff_core_options *options)
+{
+	options->evict_work_times = 0.0;
+}
+
 static const struct variant variants[] = {
 	{"as it is", change_nothing},
 	{"no headroom", without_headroom},
+	{"any work thrown away", without_evict_bound},
 	{"no racks kept for gangs", without_guards},
 };
 
--- a/core/core_private.h
+++ b/core/core_private.h
@@ -436,9 +436,17 @@
 			 const struct dff_core_job *job,
 			 struct dff_core_job *tenant);
 
-/** Returns: work lost by preempting a job, accelerator-ms. */
+/** Returns: what a job occupies while it runs, cores. */
+int64_t dff_core_job_weight (const struct dff_core *core, const struct dff_core_job *job);
+
+/** Returns: work lost by preempting a job, core-ms. */
 int64_t dff_core_lost_work (const struct dff_core *core, const struct dff_core_job *job);
 
+/** Returns: work lost when a job gets @workers, core-ms; INT64_MAX: it cannot. */
+int64_t dff_core_total_evict_cost (const struct dff_core *core,
+				   const struct dff_core_job *job,
+				   const int32_t *workers);
+
 /** Returns: least work lost to make @times members of @job fit on a worker; INT64_MAX: never. */
 int64_t dff_core_evict_cost (const struct dff_core *core,
 			     const struct dff_core_worker *worker,
--- a/core/reclaim.c
+++ b/core/reclaim.c
@@ -16,8 +16,6 @@
 #define ENDS_SOON_TIMES 4
 /** How much dearer urgent work is to stop than other work: somebody waits for it. */
 #define URGENT_LOSS_TIMES 10
-/** Weight of a task without accelerators against one accelerator: a slot of a worker. */
-#define ACCELERATOR_SLOTS 8
 
 /* Small jobs in the racks kept for a gang move elsewhere rather than hold the gang up. */
 static bool
@@ -73,12 +71,22 @@
 	return job->preempted || job->cancelled || job->state == DFF_CORE_STOPPING;
 }
 
+/* An accelerator counts as many cores as go with it on the pool's workers, a slot as one. */
+int64_t
+dff_core_job_weight (const struct dff_core *core, const struct dff_core_job *job)
+{
+	int64_t accelerator_cores = core->total.cores / MAX (core->total.accelerators, 1);
+	int64_t task = (int64_t)job->per_task.accelerators * accelerator_cores +
+		       MAX (job->per_task.cores, job->per_task.slots);
+	return MAX (task, 1) * job->gang;
+}
+
 int64_t
 dff_core_lost_work (const struct dff_core *core, const struct dff_core_job *job)
 {
 	if (is_leaving (job))
 		return 0;
-	int64_t weight = (int64_t)dff_core_job_accelerators (job) * ACCELERATOR_SLOTS + job->gang;
+	int64_t weight = dff_core_job_weight (core, job);
 	int64_t age_ms = job->state == DFF_CORE_RUNNING ? core->now_ms - job->started_ms : 0;
 	if (job->checkpoint)
 		age_ms = MIN (age_ms, core->options.checkpoint_loss_ms);
@@ -169,6 +177,33 @@
 	return find_victims (core, worker, job, times, victims);
 }
 
+static int32_t
+times_on (const int32_t *workers, int32_t count, int32_t worker)
+{
+	int32_t times = 0;
+	for (int32_t i = 0; i < count; i++)
+		times += workers[i] == worker;
+	return times;
+}
+
+int64_t
+dff_core_total_evict_cost (const struct dff_core *core,
+			   const struct dff_core_job *job,
+			   const int32_t *workers)
+{
+	int64_t sum = 0;
+	for (int32_t i = 0; i < job->gang; i++) {
+		if (times_on (workers, i, workers[i]) > 0)
+			continue;
+		int64_t cost = dff_core_evict_cost (core, dff_core_worker_at (core, workers[i]),
+						    job, times_on (workers, job->gang, workers[i]));
+		if (cost == INT64_MAX)
+			return INT64_MAX;
+		sum += cost;
+	}
+	return sum;
+}
+
 static int
 compare_candidates (gconstpointer a, gconstpointer b)
 {
--- a/core/start.c
+++ b/core/start.c
@@ -26,6 +26,24 @@
 	return true;
 }
 
+/* Whether an urgent job would throw away more work than it is worth. Symptom without this: a small
+ * job that somebody waits for stops a wide gang that has run for seconds, and the gang does all of
+ * it again; more is lost for those who wait for the gang than is won. A team's right to its own
+ * accelerators goes before that, in time. */
+static bool
+costs_too_much (const struct dff_core *core, const struct dff_core_job *job, const int32_t *workers)
+{
+	const struct dff_core_options *options = &core->options;
+	if (options->evict_work_times <= 0.0)
+		return false;
+	if (dff_core_job_is_assured (core, job) &&
+	    core->now_ms - job->submitted_ms >= options->evict_any_after_ms)
+		return false;
+	double own = (double)dff_core_job_weight (core, job) * (double)job->estimate_ms;
+	double lost = (double)dff_core_total_evict_cost (core, job, workers);
+	return lost > options->evict_work_times * own;
+}
+
 /* Preemption for borrowing work looks at every tenant, so that it is tried for a few
  * only, and not for work without accelerators. */
 static bool
@@ -43,7 +61,8 @@
 	core->evictions_left -= !job->urgent;
 	job->score = dff_core_score (core, job);
 	job->score_ms = INT64_MIN / 2;
-	return dff_core_place (core, job, view, workers);
+	return dff_core_place (core, job, view, workers) &&
+	       !(job->urgent && costs_too_much (core, job, workers));
 }
 
 /* What did not fit before fits now only if something came free. */
--- a/holder/policy.c
+++ b/holder/policy.c
@@ -28,6 +28,14 @@
  * burst would have to wait for otherwise. Between 8 s and 50 s no difference was measured. */
 #define HEADROOM_DECAY_MS 20000
 
+/** Work that an urgent job may throw away, in times its own. Without a bound a seventh of the gangs
+ * that take seconds were stopped for room; at half of it more urgent jobs are late than gangs are
+ * saved. */
+#define EVICT_WORK_TIMES 4.0
+/** Wait after which a team's own urgent work throws away any, ms: it is to have begun within about
+ * three seconds, of which a stop takes a second at most. */
+#define EVICT_ANY_AFTER_MS 1200
+
 /** Weights of the classes in the core's order, by priority. */
 static const double priority_weights[] = {4.0, 2.0, 1.0};
 
@@ -44,6 +52,8 @@
 	options->guard_after_ms = GUARD_AFTER_MS;
 	options->guard_grace_ms = GUARD_GRACE_MS;
 	options->max_guards = GUARDS_MAX;
+	options->evict_work_times = EVICT_WORK_TIMES;
+	options->evict_any_after_ms = EVICT_ANY_AFTER_MS;
 	options->headroom_decay_ms = HEADROOM_DECAY_MS;
 	options->checkpoint_loss_ms = CHECKPOINT_LOSS_MS;
 	options->stall_loss_ms = STALL_LOSS_MS;
--- a/include/core/core.h
+++ b/include/core/core.h
@@ -67,6 +67,12 @@
 	int64_t stall_loss_ms;
 	/** Run time that is lost when a task with checkpoints is stopped and started again, ms. */
 	int64_t checkpoint_loss_ms;
+	/** Work that an urgent job may throw away to get its place, in times the work that it does
+	 * itself; 0: any. */
+	double evict_work_times;
+	/** Wait after which an urgent job whose team has a right to its accelerators throws away
+	 * any, ms. */
+	int64_t evict_any_after_ms;
 	/** Time constant with which headroom shrinks again, ms: the room that work of a priority
 	 * leaves free for work before it, see core/headroom.c. 0: none is left. */
 	int64_t headroom_decay_ms;
--- a/tests/core/test-headroom.c
+++ b/tests/core/test-headroom.c
@@ -38,7 +38,7 @@
 	static const struct {
 		/** Whole workers that urgent work has needed, and how long ago. */
 		int32_t needed;
-		int64_t ago_ms;
+		int32_t ago_ms;
 		/** Of four whole workers asked for by each priority. */
 		int32_t begun[DFF_CORE_TEST_PRIORITIES];
 	} cases[] = {
--- a/tests/holder/test-holder-seeds.c
+++ b/tests/holder/test-holder-seeds.c
@@ -36,11 +36,11 @@
 #define JOBS_MAX 40
 
 enum variant {
-	PLAY_PLAIN,
+	DFF_PLAY_PLAIN,
 	/** Paths between machines break too. */
-	PLAY_PATHS,
+	DFF_PLAY_PATHS,
 	/** Gangs fail, and little goes wrong but with the holder, its store and its lists. */
-	PLAY_FAILURES,
+	DFF_PLAY_FAILURES,
 };
 
 struct play {
@@ -93,7 +93,7 @@
 	int process = pick_live (play);
 	if (process < 0 || play->n_jobs == JOBS_MAX)
 		return;
-	bool fails = play->variant == PLAY_FAILURES;
+	bool fails = play->variant == DFF_PLAY_FAILURES;
 	int n_kinds = fails ? G_N_ELEMENTS (failing_kinds) : G_N_ELEMENTS (mixed_kinds);
 	const struct job_kind *kind = &(fails ? failing_kinds : mixed_kinds)[pick (play, n_kinds)];
 	g_autofree char *id = g_strdup_printf ("%cj%d", kind->kind, play->n_jobs++);
@@ -311,7 +311,7 @@
 static void
 step (struct play *play)
 {
-	if (play->variant == PLAY_PATHS)
+	if (play->variant == DFF_PLAY_PATHS)
 		step_paths (play);
 	int what = pick (play, 100);
 	if (what < 40)
@@ -363,7 +363,7 @@
 	site_open (&play.site);
 	dff_memory_rows_seed (play.site.rows, seed);
 	for (int i = 0; i < STEPS; i++) {
-		if (variant == PLAY_FAILURES)
+		if (variant == DFF_PLAY_FAILURES)
 			step_failures (&play);
 		else
 			step (&play);
@@ -409,15 +409,15 @@
 {
 	(void)state;
 	for (size_t i = 0; i < G_N_ELEMENTS (failed_seeds); i++)
-		play_seed (failed_seeds[i], PLAY_PLAIN);
-	play_seeds (PLAY_PLAIN);
+		play_seed (failed_seeds[i], DFF_PLAY_PLAIN);
+	play_seeds (DFF_PLAY_PLAIN);
 }
 
 static void
 test_seeds_with_paths (void **state)
 {
 	(void)state;
-	play_seeds (PLAY_PATHS);
+	play_seeds (DFF_PLAY_PATHS);
 }
 
 static void
@@ -425,8 +425,8 @@
 {
 	(void)state;
 	for (size_t i = 0; i < G_N_ELEMENTS (failed_seeds_with_failures); i++)
-		play_seed (failed_seeds_with_failures[i], PLAY_FAILURES);
-	play_seeds (PLAY_FAILURES);
+		play_seed (failed_seeds_with_failures[i], DFF_PLAY_FAILURES);
+	play_seeds (DFF_PLAY_FAILURES);
 }
 
 int
