--- a/bench/load/load.c
+++ b/bench/load/load.c
@@ -279,9 +279,9 @@
 		return;
 	int64_t ran_ms = play->now_ms - unit->begun_ms;
 	outcome_of (play, unit->job)->n_stopped++;
+	int64_t done_ms = (int64_t)((double)ran_ms / unit->times) / (unit->far ? FAR_TIMES : 1);
 	if (unit->job->checkpoint)
-		unit->saved_ms +=
-			(int64_t)((double)ran_ms / unit->times) / (unit->far ? FAR_TIMES : 1);
+		unit->saved_ms += done_ms;
 	else
 		play->figures->thrown_core_s += core_s (play, unit, ran_ms);
 }
