--- a/fleet/fleet.c
+++ b/fleet/fleet.c
@@ -47,6 +47,13 @@
  * longer. */
 #define DATA_WAIT_MS 2000
 #define RACK_WAIT_MS 7500
+/** What a take-over takes at a thousand workers and five thousand units: processor time of a whole
+ * core, ms, and what is read, kbit. Measured there: in place after 0.2 to 0.3 s with half a core
+ * and 200 Mbit/s, after 0.4 to 1.6 s with 0.12 of one and 20 Mbit/s. */
+#define TAKEOVER_PROCESSOR_MS 120.0
+#define TAKEOVER_KBITS 8000.0
+/** Less than this of either is taken for this, so that a process with none is merely last. */
+#define MEANS_MIN 0.001
 /** Margin of a worker's longest lease that is left alone, ms. */
 #define LEASE_MARGIN_MS 500
 
@@ -214,6 +221,14 @@
 	return dff_rows_health_served_ms (fleet->store);
 }
 
+static int64_t
+takeover_ms (const struct dff_fleet_settings *settings)
+{
+	double processor = settings->processor_share * settings->processor_speed;
+	return (int64_t)(TAKEOVER_PROCESSOR_MS / MAX (processor, MEANS_MIN) +
+			 TAKEOVER_KBITS / MAX (settings->link_mbps, MEANS_MIN));
+}
+
 static void
 open_holder (struct dff_fleet *fleet)
 {
@@ -229,6 +244,7 @@
 	options.presence_ctx = fleet->presence;
 	options.store_served_ms = store_served_ms;
 	options.store_ctx = fleet;
+	options.takeover_ms = takeover_ms (&fleet->settings);
 	options.read_upstream = dff_platform_read_upstream;
 	options.lease_ms =
 		MIN (options.lease_ms, fleet->settings.worker_lease_max_ms - LEASE_MARGIN_MS);
--- a/fleet/presence.c
+++ b/fleet/presence.c
@@ -1,14 +1,17 @@
 #include "fleet/presence.h"
 
 #include <event2/buffer.h>
-#include <string.h>
+#include <event2/keyvalq_struct.h>
+#include <inttypes.h>
 
 #include "common/http_client.h"
 
 /** Path at which a process tells its name, on the address for readiness, and the time that one who
  * asks waits, ms. */
 #define INSTANCE_PATH "/instance"
+/** Queries: to let go without a store, and to hand over to a process that takes so long, ms. */
 #define QUERY_YIELD "yield"
+#define QUERY_TAKEOVER "takeover"
 #define PRESENCE_TIMEOUT_MS 300
 /** Status of an answer whose body is the name of a process that does not hold the cell. */
 #define STATUS_IDLE 203
@@ -18,14 +21,41 @@
 	struct dff_http_client *client;
 };
 
+/* A query that is not understood asks for nothing. */
+static struct dff_holder_question
+read_question (const char *query)
+{
+	struct dff_holder_question question = {0};
+	struct evkeyvalq fields;
+	if (query == NULL || evhttp_parse_query_str (query, &fields) != 0)
+		return question;
+	const char *takeover = evhttp_find_header (&fields, QUERY_TAKEOVER);
+	question.yield = evhttp_find_header (&fields, QUERY_YIELD) != NULL;
+	question.takeover_ms = takeover != NULL ? g_ascii_strtoll (takeover, NULL, 10) : 0;
+	evhttp_clear_headers (&fields);
+	return question;
+}
+
+static GString *
+question_path (const struct dff_holder_question *question)
+{
+	GString *path = g_string_new (INSTANCE_PATH);
+	if (question->yield)
+		g_string_append (path, "?" QUERY_YIELD "=1");
+	if (question->takeover_ms > 0)
+		g_string_append_printf (path, "%c" QUERY_TAKEOVER "=%" PRId64,
+					question->yield ? '&' : '?', question->takeover_ms);
+	return path;
+}
+
 static void
 handle_request (struct evhttp_request *request, void *ctx)
 {
 	const struct dff_presence *presence = ctx;
 	const char *query = evhttp_uri_get_query (evhttp_request_get_evhttp_uri (request));
-	bool yield = query != NULL && strcmp (query, QUERY_YIELD) == 0;
+	struct dff_holder_question question = read_question (query);
 	struct dff_holder *holder = presence->options.holder;
-	bool idle = dff_holder_answer_presence (holder, yield) == DFF_HOLDER_IDLE;
+	bool idle = dff_holder_answer_presence (holder, &question) == DFF_HOLDER_IDLE;
 	evbuffer_add (evhttp_request_get_output_buffer (request), presence->options.life.data,
 		      presence->options.life.len);
 	evhttp_send_reply (request, idle ? STATUS_IDLE : HTTP_OK, NULL, NULL);
@@ -68,7 +98,7 @@
 dff_presence_ask (void *ctx,
 		  const struct dff_name *address,
 		  const struct dff_name *instance,
-		  bool yield,
+		  const struct dff_holder_question *question,
 		  dff_holder_presence_func done,
 		  void *user)
 {
@@ -79,12 +109,13 @@
 	call->begun_ms = dff_clock_now_ms (presence->options.clock);
 	call->done = done;
 	call->user = user;
+	GString *path = question_path (question);
 	struct dff_http_request request = {.address = *address,
 					   .method = EVHTTP_REQ_GET,
-					   .path = yield ? INSTANCE_PATH "?" QUERY_YIELD
-							 : INSTANCE_PATH,
+					   .path = path->str,
 					   .timeout_ms = PRESENCE_TIMEOUT_MS};
 	dff_http_client_send (presence->client, &request, handle_response, call);
+	g_string_free (path, TRUE);
 }
 
 struct dff_presence *
--- a/fleet/settings.c
+++ b/fleet/settings.c
@@ -12,6 +12,9 @@
 #define INTEGER(name, lowest, highest)                                                             \
 	MEMBER (name), .type = DFF_SETTING_INTEGER, .min = (lowest), .max = (highest)
 
+#define NUMBER(name, lowest, highest)                                                              \
+	MEMBER (name), .type = DFF_SETTING_NUMBER, .min = (lowest), .max = (highest)
+
 static const struct dff_setting settings_table[] = {
 	{NAME (instance), .help = "Name of this process; one life of it has a random ending."},
 	{NAME (data_centre), .help = "Data centre the process runs in, for its logs."},
@@ -37,6 +40,13 @@
 	 .help = "Time between SIGTERM and SIGKILL. The process ends by itself 1.2 s before that "
 		 "at "
 		 "the latest."},
+	{NUMBER (processor_share, 0, 1000000),
+	 .help = "Share of a core that the process may use. Of machines with different means the "
+		 "quicker ones decide."},
+	{NUMBER (processor_speed, 0, 1000000),
+	 .help = "How many times as fast as one core that share is."},
+	{NUMBER (link_mbps, 0, 1000000), .unit = "Mbit/s",
+	 .help = "What the machine's link carries."},
 	{MEMBER (log_level), .type = DFF_SETTING_LEVEL, .reloadable = true,
 	 .help = "Lowest level that is logged."},
 };
--- a/holder/commit.c
+++ b/holder/commit.c
@@ -144,7 +144,9 @@
 		return;
 	bool dirty = holder->dirty != NULL && g_hash_table_size (holder->dirty) > 0;
 	bool due = now_ms >= holder->commit_begun_ms + SIGN_EVERY_MS;
-	if (holder->resigning && !dirty)
+	/* What does not fit into the last transaction is not on record: the next holder hears of
+	 * those ends again, and no start of them was sent. */
+	if (holder->resigning || holder->handing_over)
 		send_commit (holder, true);
 	else if (dirty || due)
 		send_commit (holder, false);
--- a/holder/holder.c
+++ b/holder/holder.c
@@ -236,10 +236,11 @@
 }
 
 enum dff_holder_presence
-dff_holder_answer_presence (struct dff_holder *holder, bool yield)
+dff_holder_answer_presence (struct dff_holder *holder, const struct dff_holder_question *question)
 {
-	if (yield && is_helpless (holder))
+	if (question->yield && is_helpless (holder))
 		lease_stand_down (holder, "store_lost");
+	handover_answer (holder, question->takeover_ms);
 	return holder->phase == DFF_HOLDER_WATCHING ? DFF_HOLDER_IDLE : DFF_HOLDER_PRESENT;
 }
 
--- a/holder/holder_private.h
+++ b/holder/holder_private.h
@@ -176,10 +176,22 @@
 	/** When the holder may be asked next whether it is there. */
 	int64_t next_ask_ms;
 	int64_t taken_ms;
-	/** Begin of the last transaction or read that showed this process as the holder. */
-	int64_t confirmed_ms;
+
+	/* holder/handover.c */
+	/** The quickest take-over that is known, ms. */
+	int64_t least_takeover_ms;
+	/** Whether the cell is being let go of for a quicker process. */
+	bool handing_over;
+	/** Epoch of the holder that was seen last, and since when. */
+	int64_t seen_epoch;
+	int64_t seen_epoch_ms;
+	/** Epoch of the holder that was asked last to hand over, and when. */
+	int64_t relieved_epoch;
+	int64_t relieved_ms;
 
 	/* holder/commit.c */
+	/** Begin of the last transaction or read that showed this process as the holder. */
+	int64_t confirmed_ms;
 	bool committing;
 	int64_t commit_begun_ms;
 	int64_t next_commit_ms;
@@ -320,6 +332,10 @@
 	/** Until when holders before this one may renew leases, on the store's clock, ms; 0: not
 	 * told. */
 	int64_t renewing_until_ms;
+	/** What a take-over takes the holder, and the quickest process that is known, ms; 0: not
+	 * told. */
+	int64_t takeover_ms;
+	int64_t least_takeover_ms;
 };
 
 bool lease_decode (struct dff_str text, struct lease_row *row);
@@ -331,6 +347,25 @@
 /** Returns: when the tasks of a worker that has not answered in this epoch are over for sure. */
 int64_t lease_foreign_end_ms (const struct dff_holder *holder);
 
+/* handover.c */
+
+/** Returns: for how long this process leaves the cell to quicker ones, ms. @lease: the holder's
+ * row; its epoch is 0 where there is none. */
+int64_t handover_wait_ms (const struct dff_holder *holder, const struct lease_row *lease);
+
+/** Takes in the row of a holder that is alive. Returns: whether to ask it to hand over. */
+bool handover_is_due (struct dff_holder *holder, const struct lease_row *lease);
+
+/** Returns: whether a holder was asked for the cell just now, so that its row is to be read soon.
+ */
+bool handover_is_asked (const struct dff_holder *holder, const struct lease_row *lease);
+
+/** Takes in what is known of other processes, by the row that is about to be replaced. */
+void handover_note_row (struct dff_holder *holder, const struct lease_row *lease);
+
+/** Lets go of the cell if a process that asks for it is much quicker. */
+void handover_answer (struct dff_holder *holder, int64_t takeover_ms);
+
 /* commit.c */
 
 void commit_mark (struct dff_holder *holder, struct holder_job *job);
--- a/holder/lease.c
+++ b/holder/lease.c
@@ -13,6 +13,8 @@
 
 /** Time between two readings of the holder's row by the others, ms. */
 #define READ_EVERY_MS 300
+/** The same while the holder has been asked to hand over, ms: it takes a transaction to do so. */
+#define ASKED_READ_EVERY_MS 40
 /** Timeout of a reading, ms: beyond the answers of a store that is fifty times as slow. */
 #define READ_TIMEOUT_MS 1200
 /** Standstill after which the holder is asked whether it is there, and time between two questions,
@@ -88,10 +90,12 @@
 	bool told = holder->store_ahead_ms != HOLDER_CLOCK_UNKNOWN;
 	int64_t until_ms = told ? renewing_until_ms (holder) + holder->store_ahead_ms : 0;
 	return dff_json_print (json_pack (
-		"{s:I, s:I, s:s, s:s, s:b, s:I}", "epoch", (json_int_t)holder->epoch, "sequence",
-		(json_int_t)sequence, "instance", holder->options.instance.data, "address",
-		holder->options.presence_address.data, "released", released, "renewing_until",
-		(json_int_t)until_ms));
+		"{s:I, s:I, s:s, s:s, s:b, s:I, s:I, s:I}", "epoch", (json_int_t)holder->epoch,
+		"sequence", (json_int_t)sequence, "instance", holder->options.instance.data,
+		"address", holder->options.presence_address.data, "released", released,
+		"renewing_until", (json_int_t)until_ms, "takeover",
+		(json_int_t)holder->options.takeover_ms, "least_takeover",
+		(json_int_t)holder->least_takeover_ms));
 }
 
 bool
@@ -104,6 +108,8 @@
 	row->address = dff_json_name (root, "address");
 	row->released = dff_json_bool (root, "released");
 	row->renewing_until_ms = dff_json_int (root, "renewing_until");
+	row->takeover_ms = dff_json_int (root, "takeover");
+	row->least_takeover_ms = dff_json_int (root, "least_takeover");
 	json_decref (root);
 	return row->epoch > 0;
 }
@@ -131,6 +137,7 @@
 	holder->term++;
 	holder->seen_revision = -1;
 	holder->reading_row = false;
+	holder->handing_over = false;
 	recovery_forget (holder);
 	jobs_forget (holder);
 	workers_forget (holder);
@@ -233,7 +240,10 @@
  * another life of the process does, or it answers that it holds nothing; one that has lost a store
  * that answers here lets go when it is asked to. One that is merely not heard may be well. */
 static void
-ask_presence (struct dff_holder *holder, const struct lease_row *lease, int64_t revision)
+ask_presence (struct dff_holder *holder,
+	      const struct lease_row *lease,
+	      int64_t revision,
+	      bool relieve)
 {
 	int64_t now_ms = holder_now_ms (holder);
 	if (holder->asking_presence || dff_name_is_empty (&lease->address) ||
@@ -243,9 +253,12 @@
 	holder->next_ask_ms = now_ms + ASK_EVERY_MS;
 	struct ask_call *ask = holder_call_begin (holder, sizeof (*ask));
 	ask->revision = revision;
-	bool yield = holder->read_took_ms < SLOW_READ_MS;
+	struct dff_holder_question question = {
+		.yield = holder->read_took_ms < SLOW_READ_MS,
+		.takeover_ms = relieve ? holder->options.takeover_ms : 0,
+	};
 	holder->options.ask_presence (holder->options.presence_ctx, &lease->address,
-				      &lease->instance, yield, handle_presence, ask);
+				      &lease->instance, &question, handle_presence, ask);
 }
 
 static void
@@ -276,8 +289,9 @@
 	    dff_name_is_empty (&holder->former_address))
 		return;
 	holder->next_former_ask_ms = now_ms + ASK_FORMER_EVERY_MS;
+	struct dff_holder_question question = {0};
 	holder->options.ask_presence (holder->options.presence_ctx, &holder->former_address,
-				      &holder->former_instance, false, handle_former_presence,
+				      &holder->former_instance, &question, handle_former_presence,
 				      holder_call_begin (holder, sizeof (struct holder_call)));
 }
 
@@ -315,13 +329,22 @@
 		/* Its own, when the answer to an earlier taking was lost: nobody else acts on it.
 		 */
 		reason = own ? "own" : "ended";
-	} else if (row != NULL && (first || still_ms >= ASK_AFTER_MS)) {
-		ask_presence (holder, &lease, revision);
+	} else if (row != NULL && !lease.released) {
+		bool relieve = handover_is_due (holder, &lease);
+		if (first || relieve || still_ms >= ASK_AFTER_MS)
+			ask_presence (holder, &lease, revision, relieve);
 	}
-	patience_ms += spread_ms (holder, lease.epoch + 1, TAKE_SPREAD_MS);
+	bool asked = handover_is_asked (holder, &lease);
+	if (!own)
+		patience_ms += handover_wait_ms (holder, &lease);
+	if (!asked || !lease.released)
+		patience_ms += spread_ms (holder, lease.epoch + 1, TAKE_SPREAD_MS);
+	if (asked)
+		holder->next_read_ms = now_ms + ASKED_READ_EVERY_MS;
 	if (still_ms >= patience_ms) {
 		bool surely_over = own || lease.released || (ended && holder->ended_surely);
 		note_former (holder, &lease, surely_over, result, begun_ms);
+		handover_note_row (holder, &lease);
 		take (holder, lease.epoch + 1, revision, reason);
 	} else if (patience_ms - still_ms < READ_EVERY_MS)
 		holder->next_read_ms = now_ms + MAX (patience_ms - still_ms, 1);
--- a/include/fleet/presence.h
+++ b/include/fleet/presence.h
@@ -39,7 +39,7 @@
 void dff_presence_ask (void *ctx,
 		       const struct dff_name *address,
 		       const struct dff_name *instance,
-		       bool yield,
+		       const struct dff_holder_question *question,
 		       dff_holder_presence_func done,
 		       void *user);
 
--- a/include/fleet/settings.h
+++ b/include/fleet/settings.h
@@ -30,6 +30,11 @@
 	int32_t retention_s;
 	/** Time between the signal to stop and the end of the process, s. */
 	int32_t stop_grace_s;
+	/** Share of a core that the process may use, and how many times as fast one is. */
+	double processor_share;
+	double processor_speed;
+	/** Of the machine's link, Mbit/s. */
+	double link_mbps;
 	enum dff_log_level log_level;
 };
 
--- a/include/holder/holder.h
+++ b/include/holder/holder.h
@@ -32,6 +32,15 @@
 	DFF_HOLDER_UNHEARD,
 };
 
+/** What a process asks of the one that holds the cell, besides its name. */
+struct dff_holder_question {
+	/** To let go of the cell if it cannot record anything. */
+	bool yield;
+	/** To hand the cell over to the asker, which takes so long to take over, ms, if this one
+	 * takes much longer; 0: not asked for. */
+	int64_t takeover_ms;
+};
+
 typedef void (*dff_holder_presence_func) (void *user, enum dff_holder_presence presence);
 
 struct dff_holder_options {
@@ -45,19 +54,21 @@
 	bool (*read_upstream) (const struct dff_row *row, struct dff_upstream *upstream);
 	/** Where other processes may ask this one for its name. */
 	struct dff_name presence_address;
-	/** Asks the process at @address whether it is @instance, and to let go of the cell, with
-	 * @yield, if it cannot record anything; @done is called once, never before the call
-	 * returns. */
+	/** Asks the process at @address whether it is @instance, and what @question says; @done
+	 * is called once, never before the call returns. */
 	void (*ask_presence) (void *ctx,
 			      const struct dff_name *address,
 			      const struct dff_name *instance,
-			      bool yield,
+			      const struct dff_holder_question *question,
 			      dff_holder_presence_func done,
 			      void *user);
 	void *presence_ctx;
 	/** Returns: when the latest call to the store was begun that has been served. */
 	int64_t (*store_served_ms) (void *ctx);
 	void *store_ctx;
+	/** What a take-over takes on this machine, ms: processes that take longer than another one
+	 * leave the cell to it. */
+	int64_t takeover_ms;
 	/** How long a worker's tasks go on without a word from the holder, ms. */
 	int32_t lease_ms;
 	/** Standstill of the holder's row after which another process takes over, ms. */
@@ -100,9 +111,9 @@
 /** Returns: whether this process decides now. */
 bool dff_holder_is_holding (const struct dff_holder *holder);
 
-/** Returns: what to tell a process that asks after this one. @yield: the other one has a store that
- * answers; if this one holds the cell and cannot record anything, it lets go of it. */
-enum dff_holder_presence dff_holder_answer_presence (struct dff_holder *holder, bool yield);
+/** Returns: what to tell a process that asks after this one. Does what @question asks for. */
+enum dff_holder_presence dff_holder_answer_presence (struct dff_holder *holder,
+						     const struct dff_holder_question *question);
 
 /** Returns: whether there is nothing to let go of any more. */
 bool dff_holder_has_resigned (const struct dff_holder *holder);
--- a/tests/fleet/test-fleet-settings.c
+++ b/tests/fleet/test-fleet-settings.c
@@ -13,7 +13,8 @@
 	"\"front_address\":\"10.1.0.19:8521\",\"ready_address\":\"10.1.0.19:8523\","               \
 	"\"metrics_address\":\"10.1.0.19:9464\",\"store_address\":\"10.2.0.1:8524\","              \
 	"\"worker_lease_max_ms\":10000,\"gang_wait_ms\":3000,\"far_factor\":3,"                    \
-	"\"retention_s\":120,\"stop_grace_s\":6"
+	"\"retention_s\":120,\"stop_grace_s\":6,\"processor_share\":0.5,"                          \
+	"\"processor_speed\":1,\"link_mbps\":200"
 
 static void
 test_settings (void **state)
@@ -31,7 +32,7 @@
 		/* A missing key does not hide an unknown one. */
 		{"{" GOOD ",\"loglevel\":\"info\"}", 2, "loglevel: unknown key"},
 		{"{" GOOD ",\"log_level\":\"info\",\"gang_wait_ms\":1}", 1, "duplicate"},
-		{"{\"gang_wait_ms\":2.5,\"far_factor\":0,\"front_address\":\"x\"}", 13,
+		{"{\"gang_wait_ms\":2.5,\"far_factor\":0,\"front_address\":\"x\"}", 16,
 		 "gang_wait_ms: expected an integer"},
 		{"[]", 1, "expected an object"},
 		{"{", 1, ":1: syntax"},
@@ -78,7 +79,7 @@
 	g_autofree char *template = NULL;
 	assert_true (g_file_get_contents ("deploy/settings.json.in", &template, NULL, NULL));
 	g_autoptr (GRegex) text = g_regex_new ("\\{\\{(ip|port[^}]*)\\}\\}", 0, 0, NULL);
-	g_autoptr (GRegex) number = g_regex_new ("\\{\\{bounds[^}]*\\}\\}", 0, 0, NULL);
+	g_autoptr (GRegex) number = g_regex_new ("\\{\\{(bounds|limits)[^}]*\\}\\}", 0, 0, NULL);
 	g_autoptr (GRegex) address = g_regex_new ("\\{\\{(listen|platform)[^}]*\\}\\}", 0, 0, NULL);
 	g_autoptr (GRegex) name = g_regex_new ("\\{\\{[^}]*\\}\\}", 0, 0, NULL);
 	g_autofree char *one = g_regex_replace_literal (text, template, -1, 0, "10.0.0.1", 0, NULL);
--- a/tests/holder/site.c
+++ b/tests/holder/site.c
@@ -181,7 +181,7 @@
 ask_presence (void *ctx,
 	      const struct dff_name *address,
 	      const struct dff_name *instance,
-	      bool yield,
+	      const struct dff_holder_question *question,
 	      dff_holder_presence_func done,
 	      void *user)
 {
@@ -202,7 +202,7 @@
 	if (asked->alive)
 		presence->presence = DFF_HOLDER_REPLACED;
 	if (asked->alive && dff_name_equal (&asked->instance, instance))
-		presence->presence = dff_holder_answer_presence (asked->holder, yield);
+		presence->presence = dff_holder_answer_presence (asked->holder, question);
 	dff_virtual_loop_after (site->loop, 2, answer_presence, presence);
 }
 
@@ -245,6 +245,7 @@
 	options.instance = process->instance;
 	options.presence_address = dff_name_printf ("p%d", index);
 	options.ask_presence = ask_presence;
+	options.takeover_ms = site->takeover_ms[index];
 	/* Changes are read wherever there are some. */
 	options.long_list = 1;
 	options.presence_ctx = process;
--- a/tests/holder/site.h
+++ b/tests/holder/site.h
@@ -45,6 +45,8 @@
 	struct dff_memory_rows *rows;
 	struct dff_memory_runner *runner;
 	struct site_process processes[SITE_PROCESSES];
+	/** What a take-over takes each process, ms; from its next start on. */
+	int64_t takeover_ms[SITE_PROCESSES];
 	struct dff_memory_worker_faults *workers[SITE_WORKERS];
 	int32_t worker_lives[SITE_WORKERS];
 	/** Elements: char *: jobs whose acceptance was confirmed. */
--- a/tests/holder/test-holder-store.c
+++ b/tests/holder/test-holder-store.c
@@ -85,6 +85,44 @@
 	}
 }
 
+/* Symptom: a fleet whose machines differ stands for seconds at each take-over, and the cell goes
+ * round. Sequence: a small machine is the first to take the cell, is in place late and falls
+ * behind, and the next one takes its turn. Cause: it was left to chance who takes the cell. */
+static void
+test_quick_process_decides (void **state)
+{
+	(void)state;
+	struct site site;
+	site_open (&site);
+	for (int i = 0; i < SITE_PROCESSES; i++) {
+		site.takeover_ms[i] = i == 1 ? 200 : 1200;
+		site_kill_process (&site, i);
+	}
+	for (int i = 0; i < SITE_PROCESSES; i++)
+		site_start_process (&site, i);
+	/* All begin with a row that knows nothing of them: whoever is first, the quick one follows.
+	 */
+	site_run (&site, 5000);
+	assert_int_equal (site_holder (&site), 1);
+	assert_int_equal (site_submit (&site, 0, site_plan ("7", 4, false, 1)), DFF_FRONT_OK);
+	site_run (&site, 300);
+	site_kill_process (&site, 1);
+	/* The others leave it the time that they are slower by, and no more than that. */
+	int64_t waited_ms = 0;
+	for (; site_holder (&site) < 0 && waited_ms < 5000; waited_ms += 10)
+		site_run (&site, 10);
+	assert_in_range (waited_ms, 1000, 2200);
+	site_start_process (&site, 1);
+	for (waited_ms = 0; site_holder (&site) != 1 && waited_ms < 5000; waited_ms += 10)
+		site_run (&site, 10);
+	assert_in_range (waited_ms, 0, 3500);
+	site_run (&site, 8000);
+	assert_int_equal (site_holder (&site), 1);
+	assert_int_not_equal (site_until (&site, "7", "completed", 30000), -1);
+	assert_int_equal (dff_memory_runner_n_starts (site.runner, "7"), 4);
+	site_close (&site);
+}
+
 /* Symptom: a job is lost, or runs twice. Sequence: the store carries out writes of which the answer
  * is lost, some of them seconds later, while the holder changes. */
 static void
@@ -360,6 +398,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test (test_take_over),
+		cmocka_unit_test (test_quick_process_decides),
 		cmocka_unit_test (test_lost_and_late_answers),
 		cmocka_unit_test (test_silent_store),
 		cmocka_unit_test (test_slow_store),
