holder: a full answer about the list of workers is followed by the next at once

Cause: a look at the list of workers takes in one answer of the store, 500 rows at the most, twice a second; 3,000 workers write 2,000 rows a second. The stand-in's feed ends at the same bound.

--- a/holder/list.c
+++ b/holder/list.c
@@ -106,7 +106,11 @@
 		take_row (holder, &result->rows[i], call->begun_ms);
 	holder->list_revision = MAX (holder->list_revision, result->revision);
 	workers_sweep (holder);
-	look_later (holder);
+	/* Symptom: with thousands of workers, one that leaves is given new work for seconds.
+	 * Sequence: they write more entries between two looks than one answer holds, so that each
+	 * look ends further behind. Cause: a full answer was taken for the last one. */
+	if (result->n_rows < DFF_ROWS_ANSWER_MAX)
+		look_later (holder);
 	holder_wake (holder);
 }
 
--- a/include/rows/rows.h
+++ b/include/rows/rows.h
@@ -22,6 +22,8 @@
 #define DFF_ROW_VALUE_MAX 65536
 /** Writes and conditions in one transaction at the most: the store's limit. */
 #define DFF_ROWS_COMMIT_MAX 100
+/** Rows in one answer at the most; more follow from its revision on. */
+#define DFF_ROWS_ANSWER_MAX 500
 
 enum dff_rows_outcome {
 	DFF_ROWS_DONE,
--- a/rows/reading.c
+++ b/rows/reading.c
@@ -4,8 +4,8 @@
 
 #include "common/log.h"
 
-/** Rows of the largest page: the store's own limit. */
-#define PAGE_ROWS_MAX 500
+/** Rows of the largest page. */
+#define PAGE_ROWS_MAX DFF_ROWS_ANSWER_MAX
 /** Rows of the smallest, and the longest wait for one, ms: a full page of jobs has taken 1.4 s
  * where it takes 0.1 s otherwise, and one that is given up on each time ends in no reading at all.
  */
--- a/standin/memory_rows.c
+++ b/standin/memory_rows.c
@@ -305,10 +305,12 @@
 	call_end (call, &result);
 }
 
-static void
+/* Returns: the revision from which on there may be more. */
+static int64_t
 find_changes (const struct call *call, GArray *found)
 {
 	struct dff_memory_rows *rows = call->client->rows;
+	int64_t last = call->after;
 	for (guint i = 0; i < rows->changes->len; i++) {
 		const struct change *change = g_ptr_array_index (rows->changes, i);
 		struct dff_row row =
@@ -316,8 +318,12 @@
 		if (change->revision <= call->after ||
 		    !dff_str_equal (row.table, dff_str_from (call->table)))
 			continue;
+		if (found->len == DFF_ROWS_ANSWER_MAX)
+			return last;
+		last = change->revision;
 		g_array_append_val (found, row);
 	}
+	return rows->revision;
 }
 
 static void
@@ -336,18 +342,18 @@
 		return;
 	}
 	g_autoptr (GArray) found = g_array_new (FALSE, FALSE, sizeof (struct dff_row));
+	int64_t revision = call->after;
 	if (!call->client->faults.feeds_held)
-		find_changes (call, found);
+		revision = find_changes (call, found);
 	if (found->len == 0 && now_ms < call->until_ms) {
 		dff_virtual_loop_after (rows->loop, FEED_LOOK_MS, look_for_changes, call);
 		return;
 	}
-	struct dff_rows_result result = {
-		.outcome = DFF_ROWS_DONE,
-		.revision = call->client->faults.feeds_held ? call->after : rows->revision,
-		.store_ms = store_ms (rows),
-		.rows = (const struct dff_row *)(void *)found->data,
-		.n_rows = found->len};
+	struct dff_rows_result result = {.outcome = DFF_ROWS_DONE,
+					 .revision = revision,
+					 .store_ms = store_ms (rows),
+					 .rows = (const struct dff_row *)(void *)found->data,
+					 .n_rows = found->len};
 	call_end (call, &result);
 }
 
--- a/tests/holder/test-holder-workers.c
+++ b/tests/holder/test-holder-workers.c
@@ -14,6 +14,46 @@
 	site_run (site, 400);
 }
 
+/** Workers of a large fleet that only write their entries, and how often, ms. */
+#define LARGE_FLEET 900
+#define ENTRY_EVERY_MS 300
+
+static void
+write_entries (struct site *site, int turn)
+{
+	for (int i = 0; i < LARGE_FLEET; i++) {
+		g_autofree char *key = g_strdup_printf ("silent-%d", i);
+		g_autofree char *value = g_strdup_printf ("10.9.0.1:%d r9 0 %d", i + 1, turn);
+		dff_memory_rows_put (site->rows, DFF_TABLE_UPSTREAMS, key, dff_str_from (value));
+	}
+}
+
+/* Symptom: a worker that leaves is given new work for seconds after it has said so. Sequence: nine
+ * hundred workers write their entries three times a second; one answer of the store holds 500.
+ * Cause: after a full answer the holder waited for its next look, so that it fell behind. */
+static void
+test_leaving_in_large_fleet (void **state)
+{
+	(void)state;
+	struct site site;
+	site_open (&site);
+	for (int turn = 0; turn < 12; turn++) {
+		write_entries (&site, turn);
+		site_run (&site, ENTRY_EVERY_MS);
+	}
+	site_announce_leaving (&site, 0, 20000);
+	for (int turn = 12; turn < 16; turn++) {
+		write_entries (&site, turn);
+		site_run (&site, ENTRY_EVERY_MS);
+	}
+	struct dff_plan *plan = site_plan ("7", SITE_WORKERS, false, 1);
+	dff_plan_step (plan, 0)->per_worker = 1;
+	assert_int_equal (site_submit (&site, 0, plan), DFF_FRONT_OK);
+	site_run (&site, 1000);
+	assert_int_equal (dff_memory_runner_n_starts (site.runner, "7"), SITE_WORKERS - 1);
+	site_close (&site);
+}
+
 /* Symptom: a task runs twice at a time. Sequence: its worker is cut off from the system and runs
  * on; the task is started elsewhere before the worker's lease has lapsed on its own, slower clock.
  */
@@ -268,6 +308,7 @@
 main (void)
 {
 	const struct CMUnitTest tests[] = {
+		cmocka_unit_test (test_leaving_in_large_fleet),
 		cmocka_unit_test (test_cut_off_worker),
 		cmocka_unit_test (test_late_lists),
 		cmocka_unit_test (test_lost_worker_after_take_overs),
