--- a/fleet/fleet.c
+++ b/fleet/fleet.c
@@ -10,6 +10,7 @@
 #include "common/http_listen.h"
 #include "common/log.h"
 #include "fleet/presence.h"
+#include "fleet/relays.h"
 #include "front/front.h"
 #include "holder/holder.h"
 #include "holder/tables.h"
@@ -68,6 +69,7 @@
 	struct dff_http_client *store_client;
 	struct dff_http_client *worker_client;
 	struct dff_presence *presence;
+	struct dff_fleet_relays *relays;
 	/** Name of this life of the process. */
 	struct dff_name life;
 	struct dff_http_rows *rows;
@@ -214,6 +216,25 @@
 	fleet->presence = dff_presence_new (&options);
 }
 
+static bool
+open_relays (struct dff_fleet *fleet, GError **error)
+{
+	struct dff_fleet_relays_options options = {
+		.base = fleet->base,
+		.timers = &fleet->timers,
+		.metrics = fleet->metrics,
+		.direct = dff_http_runner_interface (fleet->runner),
+		.life = fleet->life,
+		.address = fleet->settings.relay_address,
+	};
+	fleet->relays = dff_fleet_relays_new (&options);
+	if (fleet->relays != NULL)
+		return true;
+	g_set_error (error, DFF_FLEET_ERROR, DFF_FLEET_ERROR_LISTEN, "cannot listen on %s",
+		     options.address.data);
+	return false;
+}
+
 static int64_t
 store_served_ms (void *ctx)
 {
@@ -236,7 +257,11 @@
 	dff_holder_options_init (&options);
 	options.timers = &fleet->timers;
 	options.rows = dff_rows_health_interface (fleet->store);
-	options.runner = dff_http_runner_interface (fleet->runner);
+	options.runner = dff_fleet_relays_runner (fleet->relays);
+	options.relay_address = fleet->settings.relay_address;
+	options.relay_follow = dff_fleet_relays_follow;
+	options.relay_want = dff_fleet_relays_want;
+	options.relay_ctx = fleet->relays;
 	options.metrics = fleet->metrics;
 	options.instance = fleet->life;
 	options.presence_address = fleet->settings.ready_address;
@@ -347,6 +372,7 @@
 		return;
 	}
 	fleet->stopping_since_ms = dff_clock_now_ms (fleet->clock);
+	dff_fleet_relays_leave (fleet->relays);
 	dff_holder_resign (fleet->holder);
 	struct timeval interval = dff_timeval_from_ms (STOP_CHECK_MS);
 	fleet->stop_check = event_new (fleet->base, -1, EV_PERSIST, handle_stop_check, fleet);
@@ -370,6 +396,8 @@
 						"1 while this process takes new connections.");
 	open_clients (fleet);
 	open_presence (fleet);
+	if (!open_relays (fleet, error))
+		return NULL;
 	open_holder (fleet);
 	open_front (fleet);
 	if (!open_listeners (fleet, error))
@@ -390,6 +418,7 @@
 	/* Drops the calls in progress without calling back. */
 	g_clear_pointer (&fleet->store_client, dff_http_client_free);
 	g_clear_pointer (&fleet->worker_client, dff_http_client_free);
+	g_clear_pointer (&fleet->relays, dff_fleet_relays_free);
 	g_clear_pointer (&fleet->presence, dff_presence_free);
 	g_clear_pointer (&fleet->ingress, dff_ingress_free);
 	g_clear_pointer (&fleet->front, dff_front_free);
--- a/fleet/settings.c
+++ b/fleet/settings.c
@@ -24,6 +24,8 @@
 	 .help = "Where the balancer asks whether the process takes new connections, and other "
 		 "processes ask for its name."},
 	{ADDRESS (metrics_address), .help = "Where the metrics are served, at _/metrics_."},
+	{ADDRESS (relay_address),
+	 .help = "Where other processes connect to carry calls to workers for this one."},
 	{ADDRESS (store_address), .help = "The platform's store."},
 	{INTEGER (worker_lease_max_ms, 1000, HOUR_MS), .unit = "ms",
 	 .help = "Longest lease that a worker grants. Leases are 7000 ms, or 500 ms less than "
--- a/holder/holder.c
+++ b/holder/holder.c
@@ -17,6 +17,9 @@
 #define HELPLESS_MS 300
 /** A shorter list is read whole in less than 0.1 s, and needs no second way. */
 #define LONG_LIST 100
+/** Below it the holder calls all workers itself: that keeps its connections and processor time far
+ * below what the smallest machine has, and orders take one hop. */
+#define RELAYS_FROM_WORKERS 150
 #define RETENTION_MS 150000
 #define DATA_WAIT_MS 4000
 /** A gang on two racks holds three times as much for as long: better late than that. */
@@ -30,6 +33,7 @@
 		.suspect_ms = SUSPECT_MS,
 		.gang_wait_ms = GANG_WAIT_MS,
 		.long_list = LONG_LIST,
+		.relays_from_workers = RELAYS_FROM_WORKERS,
 		.retention_ms = RETENTION_MS,
 		.data_wait_ms = DATA_WAIT_MS,
 		.rack_wait_ms = RACK_WAIT_MS,
--- a/holder/holder_private.h
+++ b/holder/holder_private.h
@@ -224,6 +224,10 @@
 	bool progress_read;
 	bool jobs_read;
 
+	/* holder/relays.c */
+	/** Processes that are to carry this one's calls. */
+	int32_t n_relays;
+
 	/* holder/inbox.c */
 	bool reading_inbox;
 	int64_t next_inbox_ms;
@@ -336,6 +340,9 @@
 	 * told. */
 	int64_t takeover_ms;
 	int64_t least_takeover_ms;
+	/** Where relays connect to the holder, and how many it wants. */
+	struct dff_name relay_address;
+	int32_t n_relays;
 };
 
 bool lease_decode (struct dff_str text, struct lease_row *row);
@@ -347,6 +354,19 @@
 /** Returns: when the tasks of a worker that has not answered in this epoch are over for sure. */
 int64_t lease_foreign_end_ms (const struct dff_holder *holder);
 
+/* relays.c */
+
+/** Another process holds the cell; @lease: its row. */
+void relays_follow (const struct dff_holder *holder, const struct lease_row *lease);
+
+/** This process has taken the cell; @n_relays: what the holder before it wanted. */
+void relays_begin (struct dff_holder *holder, int32_t n_relays);
+
+/** Goes by the number of workers as it is known now. */
+void relays_count (struct dff_holder *holder);
+
+void relays_forget (struct dff_holder *holder);
+
 /* handover.c */
 
 /** Returns: for how long this process leaves the cell to quicker ones, ms. @lease: the holder's
--- a/holder/lease.c
+++ b/holder/lease.c
@@ -39,6 +39,8 @@
  * than the outages that are known, because tasks go on meanwhile; a process that takes over counts
  * on it for workers that it cannot reach. */
 #define RENEW_UNCONFIRMED_MS 12000
+/** Relays that a row may ask for. */
+#define RELAYS_MAX 1000
 /** Time between two questions to the former holder, ms. */
 #define ASK_FORMER_EVERY_MS 500
 /** By how much a former holder may have overestimated a worker's clock, and the worker be late to
@@ -90,12 +92,13 @@
 	bool told = holder->store_ahead_ms != HOLDER_CLOCK_UNKNOWN;
 	int64_t until_ms = told ? renewing_until_ms (holder) + holder->store_ahead_ms : 0;
 	return dff_json_print (json_pack (
-		"{s:I, s:I, s:s, s:s, s:b, s:I, s:I, s:I}", "epoch", (json_int_t)holder->epoch,
-		"sequence", (json_int_t)sequence, "instance", holder->options.instance.data,
-		"address", holder->options.presence_address.data, "released", released,
-		"renewing_until", (json_int_t)until_ms, "takeover",
+		"{s:I, s:I, s:s, s:s, s:b, s:I, s:I, s:I, s:s, s:i}", "epoch",
+		(json_int_t)holder->epoch, "sequence", (json_int_t)sequence, "instance",
+		holder->options.instance.data, "address", holder->options.presence_address.data,
+		"released", released, "renewing_until", (json_int_t)until_ms, "takeover",
 		(json_int_t)holder->options.takeover_ms, "least_takeover",
-		(json_int_t)holder->least_takeover_ms));
+		(json_int_t)holder->least_takeover_ms, "relay", holder->options.relay_address.data,
+		"relays", holder->n_relays));
 }
 
 bool
@@ -110,6 +113,8 @@
 	row->renewing_until_ms = dff_json_int (root, "renewing_until");
 	row->takeover_ms = dff_json_int (root, "takeover");
 	row->least_takeover_ms = dff_json_int (root, "least_takeover");
+	row->relay_address = dff_json_name (root, "relay");
+	row->n_relays = (int32_t)CLAMP (dff_json_int (root, "relays"), 0, RELAYS_MAX);
 	json_decref (root);
 	return row->epoch > 0;
 }
@@ -138,6 +143,7 @@
 	holder->seen_revision = -1;
 	holder->reading_row = false;
 	holder->handing_over = false;
+	relays_forget (holder);
 	recovery_forget (holder);
 	jobs_forget (holder);
 	workers_forget (holder);
@@ -167,6 +173,7 @@
 	holder->row_revision = result->revision;
 	holder->taken_ms = holder_now_ms (holder);
 	holder->confirmed_ms = begun_ms;
+	relays_begin (holder, holder->n_relays);
 	(*holder->metrics.takeovers)++;
 	dff_log (DFF_LOG_CELL, DFF_LOG_INFO,
 		 "Took the cell. epoch=%" PRId64 " revision=%" PRId64 " took_ms=%" PRId64,
@@ -334,6 +341,8 @@
 		if (first || relieve || still_ms >= ASK_AFTER_MS)
 			ask_presence (holder, &lease, revision, relieve);
 	}
+	if (row != NULL && !own && !lease.released)
+		relays_follow (holder, &lease);
 	bool asked = handover_is_asked (holder, &lease);
 	if (!own)
 		patience_ms += handover_wait_ms (holder, &lease);
@@ -345,6 +354,7 @@
 		bool surely_over = own || lease.released || (ended && holder->ended_surely);
 		note_former (holder, &lease, surely_over, result, begun_ms);
 		handover_note_row (holder, &lease);
+		holder->n_relays = lease.n_relays;
 		take (holder, lease.epoch + 1, revision, reason);
 	} else if (patience_ms - still_ms < READ_EVERY_MS)
 		holder->next_read_ms = now_ms + MAX (patience_ms - still_ms, 1);
--- /dev/null
+++ b/holder/relays.c
@@ -0,0 +1,56 @@
+#include "holder/holder_private.h"
+
+/* Processes that carry calls to workers for the one that decides, see relay/dispatch.h: how many it
+ * wants, which the holder's row tells the others, and whose they are. */
+
+/** Workers that one relay serves: their calls take a tenth of a small machine's processor time. */
+#define WORKERS_PER_RELAY 48
+
+static void
+want (const struct dff_holder *holder, int32_t n_relays)
+{
+	if (holder->options.relay_want != NULL)
+		holder->options.relay_want (holder->options.relay_ctx, n_relays);
+}
+
+static void
+follow (const struct dff_holder *holder, const struct dff_name *address, int32_t n_relays)
+{
+	if (holder->options.relay_follow != NULL)
+		holder->options.relay_follow (holder->options.relay_ctx, address, n_relays);
+}
+
+void
+relays_follow (const struct dff_holder *holder, const struct lease_row *lease)
+{
+	follow (holder, &lease->relay_address, lease->n_relays);
+}
+
+void
+relays_begin (struct dff_holder *holder, int32_t n_relays)
+{
+	struct dff_name none = {0};
+	follow (holder, &none, 0);
+	holder->n_relays = n_relays;
+	want (holder, n_relays);
+}
+
+void
+relays_count (struct dff_holder *holder)
+{
+	int32_t n_workers = (int32_t)g_hash_table_size (holder->workers);
+	int32_t n_relays = 0;
+	if (n_workers >= holder->options.relays_from_workers)
+		n_relays = (n_workers + WORKERS_PER_RELAY - 1) / WORKERS_PER_RELAY;
+	if (n_relays == holder->n_relays)
+		return;
+	holder->n_relays = n_relays;
+	want (holder, n_relays);
+}
+
+void
+relays_forget (struct dff_holder *holder)
+{
+	holder->n_relays = 0;
+	want (holder, 0);
+}
--- a/holder/workers.c
+++ b/holder/workers.c
@@ -290,6 +290,7 @@
 		g_array_append_val (rack->traits, traits);
 	}
 	holder->pool_changed = false;
+	relays_count (holder);
 	dff_core_set_pool (holder->core, pool, holder_now_ms (holder));
 	for (guint i = 0; i < sorted->len; i++) {
 		tell_state (holder, g_ptr_array_index (sorted, i));
--- /dev/null
+++ b/include/common/address.h
@@ -0,0 +1,20 @@
+#ifndef DFF_COMMON_ADDRESS_H
+#define DFF_COMMON_ADDRESS_H
+
+#include <netinet/in.h>
+
+#include "common/str.h"
+
+/**
+ * dff_address_parse:
+ * @address: "IP:PORT", IPv4; port 0: any
+ * @parsed: (out): the same for the system's calls
+ *
+ * Returns: whether @address is one.
+ */
+bool dff_address_parse (const struct dff_name *address, struct sockaddr_in *parsed);
+
+/** Returns: "IP:PORT" that a socket is bound to; empty when it is not bound. */
+struct dff_name dff_address_of_socket (int fd);
+
+#endif
--- a/include/fleet/settings.h
+++ b/include/fleet/settings.h
@@ -19,6 +19,8 @@
 	struct dff_name front_address;
 	struct dff_name ready_address;
 	struct dff_name metrics_address;
+	/** Where processes connect that carry calls to workers for this one. */
+	struct dff_name relay_address;
 	struct dff_name store_address;
 	/** Longest lease that workers grant, ms. */
 	int32_t worker_lease_max_ms;
--- a/include/holder/holder.h
+++ b/include/holder/holder.h
@@ -54,6 +54,18 @@
 	bool (*read_upstream) (const struct dff_row *row, struct dff_upstream *upstream);
 	/** Where other processes may ask this one for its name. */
 	struct dff_name presence_address;
+	/** Where processes connect that carry calls to workers for this one while it decides, and
+	 * the calls of which it is told here; all empty where there is no such thing. */
+	struct dff_name relay_address;
+	/** Another process decides, and takes so many relays at @address; 0 and an empty address:
+	 * none does, or this one. */
+	void (*relay_follow) (void *ctx, const struct dff_name *address, int32_t n_relays);
+	/** Workers from which on calls to them go through relays. */
+	int32_t relays_from_workers;
+	/** This process decides and is served best by so many relays; 0: it does not, or by none.
+	 */
+	void (*relay_want) (void *ctx, int32_t n_relays);
+	void *relay_ctx;
 	/** Asks the process at @address whether it is @instance, and what @question says; @done
 	 * is called once, never before the call returns. */
 	void (*ask_presence) (void *ctx,
--- /dev/null
+++ b/relay/dispatch.c
@@ -0,0 +1,407 @@
+#include "relay/dispatch.h"
+
+#include <inttypes.h>
+
+#include "common/log.h"
+#include "common/rendezvous.h"
+#include "relay/message.h"
+
+/* Symptom without relays: one process has thousands of connections, of which each renewal, order
+ * and end costs a call over HTTP, and is out of processor time while more than a hundred others
+ * idle; orders of a gang's members go out seconds apart. With them it exchanges a few batches a
+ * second with each of some dozens of processes. */
+
+/** How long renewals are gathered before they are sent, ms: each message costs this process several
+ * calls to the system. Orders are sent at once, and take along what is there. */
+#define GATHER_MS 10
+/** Silence after which a relay is given up, ms: three times what it leaves between two messages at
+ * the most. Its workers are asked through others long before their leases lapse. */
+#define SILENT_MS 1000
+/** Time between two looks at who is silent, ms. */
+#define CHECK_EVERY_MS 100
+/** Calls to a worker without an answer, each through another relay, after which this process calls
+ * it itself. */
+#define DETOURS_MAX 3
+
+struct call {
+	dff_runner_func done;
+	void *user;
+	struct dff_name worker;
+};
+
+struct dff_dispatch_relay {
+	struct dff_dispatch *dispatch;
+	struct dff_relay_link link;
+	/** Empty until its first message. */
+	struct dff_name name;
+	bool leaving;
+	int64_t heard_ms;
+	struct relay_batch *batch;
+	/** uint64_t * (in the call's table) to struct call. */
+	GHashTable *calls;
+};
+
+struct dff_dispatch {
+	struct dff_runner interface;
+	struct dff_dispatch_options options;
+	/** Elements: struct dff_dispatch_relay *. */
+	GPtrArray *relays;
+	int32_t limit;
+	uint64_t next_id;
+	struct dff_timer *flush;
+	/** When what is gathered is due to be sent; 0: nothing is. */
+	int64_t flush_ms;
+	struct dff_timer *check;
+	int64_t checked_ms;
+	/** Calls without an answer, by worker: struct dff_name * to its count. */
+	GHashTable *detours;
+	int64_t *n_relays;
+	int64_t *n_relayed;
+	int64_t *n_direct;
+	int64_t *n_lost;
+};
+
+static int64_t
+now_ms (const struct dff_dispatch *dispatch)
+{
+	return dff_clock_now_ms (dispatch->options.timers->clock);
+}
+
+static void
+free_relay (gpointer data)
+{
+	struct dff_dispatch_relay *relay = data;
+	relay_batch_free (relay->batch);
+	g_hash_table_unref (relay->calls);
+	g_free (relay);
+}
+
+/* What a worker's calls without an answer say: the relay may be what does not reach it. */
+static void
+note_outcome (struct dff_dispatch *dispatch,
+	      const struct dff_name *worker,
+	      enum dff_runner_outcome outcome)
+{
+	if (outcome != DFF_RUNNER_UNKNOWN && outcome != DFF_RUNNER_UNSENT)
+		return;
+	guint detours = GPOINTER_TO_UINT (g_hash_table_lookup (dispatch->detours, worker));
+	g_hash_table_insert (dispatch->detours, dff_name_dup (worker),
+			     GUINT_TO_POINTER (detours + 1));
+}
+
+/* Returns: (nullable): the relay for a worker's next call; NULL: none. */
+static struct dff_dispatch_relay *
+choose (const struct dff_dispatch *dispatch, const struct dff_name *worker)
+{
+	guint detours = GPOINTER_TO_UINT (g_hash_table_lookup (dispatch->detours, worker));
+	if (detours % (DETOURS_MAX + 1) == DETOURS_MAX)
+		return NULL;
+	struct dff_name key = *worker;
+	if (detours > 0)
+		key = dff_name_printf ("%.50s.%u", worker->data, detours);
+	struct dff_dispatch_relay *best = NULL;
+	uint64_t best_weight = 0;
+	for (guint i = 0; i < dispatch->relays->len; i++) {
+		struct dff_dispatch_relay *relay = g_ptr_array_index (dispatch->relays, i);
+		if (relay->leaving || dff_name_is_empty (&relay->name))
+			continue;
+		uint64_t weight =
+			dff_rendezvous_weight ((struct dff_str){key.data, key.len}, &relay->name);
+		if (best == NULL || weight > best_weight) {
+			best = relay;
+			best_weight = weight;
+		}
+	}
+	return best;
+}
+
+static uint64_t
+add_call (struct dff_dispatch_relay *relay,
+	  const struct dff_name *worker,
+	  dff_runner_func done,
+	  void *user)
+{
+	struct dff_dispatch *dispatch = relay->dispatch;
+	struct call *call = g_new0 (struct call, 1);
+	call->done = done;
+	call->user = user;
+	call->worker = *worker;
+	uint64_t id = ++dispatch->next_id;
+	g_hash_table_insert (relay->calls, g_memdup2 (&id, sizeof (id)), call);
+	(*dispatch->n_relayed)++;
+	return id;
+}
+
+/* Never later than it is due already. */
+static void
+flush_within (struct dff_dispatch *dispatch, int32_t delay_ms)
+{
+	int64_t due_ms = now_ms (dispatch) + delay_ms;
+	if (dispatch->flush_ms > 0 && dispatch->flush_ms <= due_ms)
+		return;
+	dispatch->flush_ms = due_ms;
+	dff_timer_start (dispatch->flush, delay_ms);
+}
+
+static void
+send_order (struct dff_dispatch_relay *relay,
+	    Dff__Relay__Kind kind,
+	    const struct dff_run_order *order,
+	    dff_runner_func done,
+	    void *user)
+{
+	uint64_t id = add_call (relay, &order->worker, done, user);
+	relay_batch_add_order (relay->batch, id, kind, order);
+	flush_within (relay->dispatch, 0);
+}
+
+static void
+dispatch_start (void *ctx, const struct dff_run_order *order, dff_runner_func done, void *user)
+{
+	struct dff_dispatch *dispatch = ctx;
+	const struct dff_runner *direct = dispatch->options.direct;
+	struct dff_dispatch_relay *relay = choose (dispatch, &order->worker);
+	if (relay != NULL) {
+		send_order (relay, DFF__RELAY__KIND__START, order, done, user);
+		return;
+	}
+	(*dispatch->n_direct)++;
+	direct->start (direct->ctx, order, done, user);
+}
+
+static void
+dispatch_stop (void *ctx, const struct dff_run_order *order, dff_runner_func done, void *user)
+{
+	struct dff_dispatch *dispatch = ctx;
+	const struct dff_runner *direct = dispatch->options.direct;
+	struct dff_dispatch_relay *relay = choose (dispatch, &order->worker);
+	if (relay != NULL) {
+		send_order (relay, DFF__RELAY__KIND__STOP, order, done, user);
+		return;
+	}
+	(*dispatch->n_direct)++;
+	direct->stop (direct->ctx, order, done, user);
+}
+
+static void
+dispatch_watch (void *ctx, const struct dff_run_watch *watch, dff_runner_func done, void *user)
+{
+	struct dff_dispatch *dispatch = ctx;
+	const struct dff_runner *direct = dispatch->options.direct;
+	struct dff_dispatch_relay *relay = choose (dispatch, &watch->worker);
+	if (relay != NULL) {
+		uint64_t id = add_call (relay, &watch->worker, done, user);
+		relay_batch_add_watch (relay->batch, id, watch);
+		flush_within (dispatch, GATHER_MS);
+		return;
+	}
+	(*dispatch->n_direct)++;
+	direct->watch (direct->ctx, watch, done, user);
+}
+
+static void
+handle_flush (void *ctx)
+{
+	struct dff_dispatch *dispatch = ctx;
+	dispatch->flush_ms = 0;
+	for (guint i = 0; i < dispatch->relays->len; i++) {
+		struct dff_dispatch_relay *relay = g_ptr_array_index (dispatch->relays, i);
+		if (relay_batch_is_empty (relay->batch))
+			continue;
+		g_autoptr (GByteArray) bytes = relay_batch_pack (relay->batch);
+		relay->link.send (relay->link.ctx, bytes->data, bytes->len);
+	}
+}
+
+/* Ends what was under way through a relay that is no longer in the list. */
+static void
+end_calls (struct dff_dispatch_relay *relay)
+{
+	struct dff_dispatch *dispatch = relay->dispatch;
+	struct dff_runner_result result = {.outcome = DFF_RUNNER_UNKNOWN};
+	GHashTableIter iter;
+	gpointer value;
+	g_hash_table_iter_init (&iter, relay->calls);
+	while (g_hash_table_iter_next (&iter, NULL, &value)) {
+		struct call *call = value;
+		(*dispatch->n_lost)++;
+		call->done (call->user, &result);
+	}
+}
+
+static void
+drop_relay (struct dff_dispatch_relay *relay, const char *reason)
+{
+	struct dff_dispatch *dispatch = relay->dispatch;
+	g_ptr_array_remove_fast (dispatch->relays, relay);
+	*dispatch->n_relays = dispatch->relays->len;
+	dff_log (DFF_LOG_UPSTREAM, DFF_LOG_INFO,
+		 "Relay lost. relay=%s reason=%s calls=%u heard_ms_ago=%" PRId64 " relays=%u",
+		 relay->name.data, reason, g_hash_table_size (relay->calls),
+		 now_ms (dispatch) - relay->heard_ms, dispatch->relays->len);
+	end_calls (relay);
+	free_relay (relay);
+}
+
+/* Symptom: all relays are given up at once and every worker is asked anew. Sequence: this process
+ * stands still for a second or more while their messages wait to be read. Cause: its own pause was
+ * taken for their silence. So the time by which a look comes late does not count. */
+static void
+handle_check (void *ctx)
+{
+	struct dff_dispatch *dispatch = ctx;
+	int64_t now = now_ms (dispatch);
+	int64_t late_ms = MAX (now - dispatch->checked_ms - CHECK_EVERY_MS, 0);
+	dispatch->checked_ms = now;
+	dff_timer_start (dispatch->check, CHECK_EVERY_MS);
+	for (guint i = dispatch->relays->len; i > 0; i--) {
+		struct dff_dispatch_relay *relay = g_ptr_array_index (dispatch->relays, i - 1);
+		relay->heard_ms += late_ms;
+		if (now - relay->heard_ms < SILENT_MS)
+			continue;
+		relay->link.close (relay->link.ctx);
+		drop_relay (relay, "silent");
+	}
+}
+
+struct dff_dispatch_relay *
+dff_dispatch_add (struct dff_dispatch *dispatch, const struct dff_relay_link *link)
+{
+	if ((int32_t)dispatch->relays->len >= dispatch->limit) {
+		link->close (link->ctx);
+		return NULL;
+	}
+	struct dff_dispatch_relay *relay = g_new0 (struct dff_dispatch_relay, 1);
+	relay->dispatch = dispatch;
+	relay->link = *link;
+	relay->heard_ms = now_ms (dispatch);
+	relay->batch = relay_batch_new ();
+	relay->calls = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
+	g_ptr_array_add (dispatch->relays, relay);
+	*dispatch->n_relays = dispatch->relays->len;
+	return relay;
+}
+
+void
+dff_dispatch_remove (struct dff_dispatch_relay *relay)
+{
+	drop_relay (relay, "disconnected");
+}
+
+struct taken {
+	struct dff_dispatch *dispatch;
+	struct call *call;
+};
+
+static void
+take_result (void *user, const struct dff_runner_result *result)
+{
+	const struct taken *taken = user;
+	note_outcome (taken->dispatch, &taken->call->worker, result->outcome);
+	taken->call->done (taken->call->user, result);
+}
+
+static void
+take_answer (struct dff_dispatch_relay *relay, const Dff__Relay__Answer *answer)
+{
+	gpointer id = NULL, value = NULL;
+	if (!g_hash_table_steal_extended (relay->calls, &answer->id, &id, &value))
+		return;
+	struct taken taken = {.dispatch = relay->dispatch, .call = value};
+	relay_answer_read (answer, take_result, &taken);
+	g_free (id);
+	g_free (value);
+}
+
+void
+dff_dispatch_receive (struct dff_dispatch_relay *relay, const uint8_t *data, size_t len)
+{
+	Dff__Relay__Batch *batch = dff__relay__batch__unpack (NULL, len, data);
+	struct dff_name name = {0};
+	bool named = batch != NULL && batch->name.len > 0;
+	if (batch == NULL || (named && !relay_name_read (&batch->name, &name))) {
+		if (batch != NULL)
+			dff__relay__batch__free_unpacked (batch, NULL);
+		relay->link.close (relay->link.ctx);
+		drop_relay (relay, "unreadable");
+		return;
+	}
+	relay->heard_ms = now_ms (relay->dispatch);
+	if (named && dff_name_is_empty (&relay->name)) {
+		relay->name = name;
+		dff_log (DFF_LOG_UPSTREAM, DFF_LOG_INFO, "Relay connected. relay=%s relays=%u",
+			 name.data, relay->dispatch->relays->len);
+	}
+	relay->leaving |= batch->leaving;
+	for (size_t i = 0; i < batch->n_answers; i++)
+		take_answer (relay, batch->answers[i]);
+	dff__relay__batch__free_unpacked (batch, NULL);
+}
+
+void
+dff_dispatch_set_limit (struct dff_dispatch *dispatch, int32_t limit)
+{
+	dispatch->limit = limit;
+}
+
+int32_t
+dff_dispatch_n_relays (const struct dff_dispatch *dispatch)
+{
+	return (int32_t)dispatch->relays->len;
+}
+
+const struct dff_runner *
+dff_dispatch_interface (struct dff_dispatch *dispatch)
+{
+	return &dispatch->interface;
+}
+
+static void
+open_metrics (struct dff_dispatch *dispatch)
+{
+	struct dff_metrics *metrics = dispatch->options.metrics;
+	dispatch->n_relays = dff_metrics_gauge (metrics, "dff_relay_relays",
+						"Processes that carry calls for this one.");
+	dispatch->n_relayed = dff_metrics_counter (metrics, "dff_relay_calls_relayed_total",
+						   "Calls to workers through other processes.");
+	dispatch->n_direct = dff_metrics_counter (metrics, "dff_relay_calls_direct_total",
+						  "Calls to workers from this process.");
+	dispatch->n_lost = dff_metrics_counter (metrics, "dff_relay_calls_lost_total",
+						"Calls that were under way when their relay was "
+						"lost.");
+}
+
+struct dff_dispatch *
+dff_dispatch_new (const struct dff_dispatch_options *options)
+{
+	struct dff_dispatch *dispatch = g_new0 (struct dff_dispatch, 1);
+	dispatch->options = *options;
+	dispatch->interface = (struct dff_runner){.start = dispatch_start,
+						  .stop = dispatch_stop,
+						  .watch = dispatch_watch,
+						  .ctx = dispatch};
+	dispatch->relays = g_ptr_array_new ();
+	dispatch->detours =
+		g_hash_table_new_full (dff_name_hash, dff_name_equal_func, g_free, NULL);
+	open_metrics (dispatch);
+	dispatch->flush = dff_timer_new (options->timers, handle_flush, dispatch);
+	dispatch->check = dff_timer_new (options->timers, handle_check, dispatch);
+	dispatch->checked_ms = now_ms (dispatch);
+	dff_timer_start (dispatch->check, CHECK_EVERY_MS);
+	return dispatch;
+}
+
+void
+dff_dispatch_free (struct dff_dispatch *dispatch)
+{
+	for (guint i = 0; i < dispatch->relays->len; i++) {
+		struct dff_dispatch_relay *relay = g_ptr_array_index (dispatch->relays, i);
+		relay->link.close (relay->link.ctx);
+		free_relay (relay);
+	}
+	g_ptr_array_unref (dispatch->relays);
+	dff_timer_free (dispatch->flush);
+	dff_timer_free (dispatch->check);
+	g_hash_table_unref (dispatch->detours);
+	g_free (dispatch);
+}
--- /dev/null
+++ b/relay/relay.c
@@ -0,0 +1,163 @@
+#include "relay/relay.h"
+
+#include "common/log.h"
+#include "relay/message.h"
+
+/** How long answers are gathered before they are sent, ms: each message costs the other end a
+ * wake-up, and a task's end is known as much later. */
+#define GATHER_MS 10
+/** Time between two messages at the most, ms: a process that tells nothing is given up. */
+#define SIGN_EVERY_MS 300
+
+struct dff_relay {
+	struct dff_relay_options options;
+	struct dff_relay_link link;
+	bool connected;
+	/** Grows with each connection, to tell calls of an earlier one. */
+	int64_t connection;
+	struct relay_batch *batch;
+	struct dff_timer *gather;
+	struct dff_timer *sign;
+	int64_t *n_calls;
+};
+
+struct call {
+	struct dff_relay *relay;
+	int64_t connection;
+	uint64_t id;
+};
+
+static void
+send_batch (struct dff_relay *relay)
+{
+	g_autoptr (GByteArray) bytes = relay_batch_pack (relay->batch);
+	relay->link.send (relay->link.ctx, bytes->data, bytes->len);
+	dff_timer_start (relay->sign, SIGN_EVERY_MS);
+}
+
+static void
+handle_gather (void *ctx)
+{
+	struct dff_relay *relay = ctx;
+	if (relay->connected && !relay_batch_is_empty (relay->batch))
+		send_batch (relay);
+}
+
+static void
+handle_sign (void *ctx)
+{
+	struct dff_relay *relay = ctx;
+	if (relay->connected)
+		send_batch (relay);
+}
+
+static void
+handle_result (void *user, const struct dff_runner_result *result)
+{
+	g_autofree struct call *call = user;
+	struct dff_relay *relay = call->relay;
+	if (!relay->connected || call->connection != relay->connection)
+		return;
+	if (relay_batch_is_empty (relay->batch))
+		dff_timer_start (relay->gather, GATHER_MS);
+	relay_batch_add_answer (relay->batch, call->id, result);
+}
+
+static bool
+carry_out (struct dff_relay *relay, const Dff__Relay__Call *from)
+{
+	const struct dff_runner *runner = relay->options.runner;
+	struct dff_run_order order;
+	struct dff_run_watch watch;
+	if (!relay_call_read (from, &order, &watch))
+		return false;
+	struct call *call = g_new0 (struct call, 1);
+	call->relay = relay;
+	call->connection = relay->connection;
+	call->id = from->id;
+	(*relay->n_calls)++;
+	if (from->kind == DFF__RELAY__KIND__START)
+		runner->start (runner->ctx, &order, handle_result, call);
+	else if (from->kind == DFF__RELAY__KIND__STOP)
+		runner->stop (runner->ctx, &order, handle_result, call);
+	else
+		runner->watch (runner->ctx, &watch, handle_result, call);
+	return true;
+}
+
+static void
+fail (struct dff_relay *relay)
+{
+	dff_log (DFF_LOG_UPSTREAM, DFF_LOG_ERROR,
+		 "A message to this relay cannot be read. relay=%s", relay->options.name.data);
+	relay->link.close (relay->link.ctx);
+	dff_relay_disconnected (relay);
+}
+
+void
+dff_relay_receive (struct dff_relay *relay, const uint8_t *data, size_t len)
+{
+	Dff__Relay__Batch *batch = dff__relay__batch__unpack (NULL, len, data);
+	if (batch == NULL) {
+		fail (relay);
+		return;
+	}
+	bool readable = true;
+	for (size_t i = 0; i < batch->n_calls && readable; i++)
+		readable = carry_out (relay, batch->calls[i]);
+	dff__relay__batch__free_unpacked (batch, NULL);
+	if (!readable)
+		fail (relay);
+}
+
+void
+dff_relay_connected (struct dff_relay *relay, const struct dff_relay_link *link)
+{
+	relay->link = *link;
+	relay->connected = true;
+	relay->connection++;
+	/* Answers to an earlier connection are nothing to this one. */
+	relay_batch_free (relay->batch);
+	relay->batch = relay_batch_new ();
+	relay_batch_set_name (relay->batch, &relay->options.name);
+	send_batch (relay);
+	relay_batch_set_name (relay->batch, &(struct dff_name){0});
+}
+
+void
+dff_relay_disconnected (struct dff_relay *relay)
+{
+	relay->connected = false;
+	dff_timer_stop (relay->gather);
+	dff_timer_stop (relay->sign);
+}
+
+void
+dff_relay_leave (struct dff_relay *relay)
+{
+	relay_batch_set_leaving (relay->batch, true);
+	if (relay->connected)
+		send_batch (relay);
+}
+
+struct dff_relay *
+dff_relay_new (const struct dff_relay_options *options)
+{
+	struct dff_relay *relay = g_new0 (struct dff_relay, 1);
+	relay->options = *options;
+	relay->batch = relay_batch_new ();
+	relay->gather = dff_timer_new (options->timers, handle_gather, relay);
+	relay->sign = dff_timer_new (options->timers, handle_sign, relay);
+	relay->n_calls = dff_metrics_counter (options->metrics, "dff_relay_calls_carried_total",
+					      "Calls carried out for the process that decides.");
+	return relay;
+}
+
+void
+dff_relay_free (struct dff_relay *relay)
+{
+	relay_batch_free (relay->batch);
+	dff_timer_free (relay->gather);
+	dff_timer_free (relay->sign);
+	g_free (relay);
+}
--- a/tests/holder/site.c
+++ b/tests/holder/site.c
@@ -1,5 +1,7 @@
 #include "tests/holder/site.h"
 
+#include "tests/holder/site_relays.h"
+
 #include <stdio.h>
 #include <string.h>
 
@@ -16,7 +18,8 @@
 	       "leak:dff_reading_start\nleak:handle_retry\nleak:handle_page\n"
 	       "leak:lease_ask_former\nleak:ask_changes\nleak:inbox_work\nleak:read_job\n"
 	       "leak:send_watch\nleak:order_call_new\nleak:send_order\nleak:follow\n"
-	       "leak:request_new\nleak:request_retry\nleak:ask_presence\nleak:dff_front_\n";
+	       "leak:request_new\nleak:request_retry\nleak:ask_presence\nleak:carry_out\nleak:dff_"
+	       "front_\n";
 }
 
 /** Time of day at the start, ms since 1970, and on the machines' clock. */
@@ -241,6 +244,14 @@
 	options.timers = dff_virtual_loop_timers (site->loop);
 	options.rows = dff_rows_health_interface (process->health);
 	options.runner = dff_memory_runner_client_interface (process->runner);
+	if (site->relays) {
+		options.runner = site_relays_start (process);
+		options.relay_address = dff_name_printf ("p%d", index);
+		options.relays_from_workers = 1;
+		options.relay_follow = site_relays_follow;
+		options.relay_want = site_relays_want;
+		options.relay_ctx = process;
+	}
 	options.metrics = process->metrics;
 	options.instance = process->instance;
 	options.presence_address = dff_name_printf ("p%d", index);
@@ -290,15 +301,16 @@
 	dff_memory_rows_client_end (process->rows);
 	dff_memory_runner_client_end (process->runner);
 	dff_holder_free (process->holder);
+	if (site->relays)
+		site_relays_kill (process);
 	dff_front_free (process->front);
 	dff_rows_health_free (process->health);
 	dff_metrics_free (process->metrics);
 }
 
-void
-site_open (struct site *site)
+static void
+open_site (struct site *site)
 {
-	memset (site, 0, sizeof (*site));
 	site->loop = dff_virtual_loop_new (START_MS);
 	site->rows = dff_memory_rows_new (site->loop);
 	site->accepted = g_ptr_array_new_with_free_func (g_free);
@@ -318,6 +330,21 @@
 	site_run (site, 200);
 }
 
+void
+site_open (struct site *site)
+{
+	memset (site, 0, sizeof (*site));
+	open_site (site);
+}
+
+void
+site_open_with_relays (struct site *site)
+{
+	memset (site, 0, sizeof (*site));
+	site->relays = true;
+	open_site (site);
+}
+
 void
 site_close (struct site *site)
 {
--- a/tests/holder/site.h
+++ b/tests/holder/site.h
@@ -12,6 +12,7 @@
 #include "holder/holder.h"
 #include "holder/tables.h"
 #include "rows/health.h"
+#include "standin/memory_link.h"
 #include "standin/memory_rows.h"
 #include "standin/memory_runner.h"
 
@@ -35,12 +36,19 @@
 	struct dff_metrics *metrics;
 	struct dff_memory_rows_client *rows;
 	struct dff_memory_runner_client *runner;
+	/** With relays: both ends of this process, and its connection to the one that decides. */
+	struct dff_dispatch *dispatch;
+	struct dff_relay *relay;
+	struct dff_memory_link *link;
+	int linked_to;
 	struct dff_rows_health *health;
 	struct dff_holder *holder;
 	struct dff_front *front;
 };
 
 struct site {
+	/** Whether calls to workers go through the processes that do not decide. */
+	bool relays;
 	struct dff_virtual_loop *loop;
 	struct dff_memory_rows *rows;
 	struct dff_memory_runner *runner;
@@ -56,6 +64,12 @@
 /** Every process is started, and one of them holds the cell. */
 void site_open (struct site *site);
 
+/** The same, with calls to workers through relays. */
+void site_open_with_relays (struct site *site);
+
+/** Has messages of a process's connection as a relay be lost, until it has another. */
+void site_silence_relay (struct site *site, int process);
+
 /** Fails the test on anything that must never happen. */
 void site_close (struct site *site);
 
--- a/tests/holder/test-holder-seeds.c
+++ b/tests/holder/test-holder-seeds.c
@@ -8,11 +8,12 @@
 /* Random jobs, cancellations and faults by seed, in no order: processes killed and started, stores
  * that are silent, refuse, lose or delay writes for some processes, workers cut off, reborn, hung,
  * late; in the plays with paths, also processes that others do not hear, and workers that one
- * process alone reaches or does not; in the plays with failures, gangs that fail and holders that
- * are killed around each record and acknowledgement of it. The workers notice what must never
- * happen; after the faults every accepted job has to end as it should. DFF_SEED_FIRST and
- * DFF_SEED_COUNT play others by hand, DFF_SEED_LOG shows what is decided, DFF_SEED_TEST names one
- * of the tests. */
+ * process alone reaches or does not; in the plays with
+ * relays, calls to workers through other processes; in the plays with failures, gangs that fail and
+ * holders that are killed around each record and acknowledgement of it. The workers notice what
+ * must never happen; after the faults every accepted job has to end as it should. DFF_SEED_FIRST
+ * and DFF_SEED_COUNT play others by hand, DFF_SEED_LOG shows what is decided, DFF_SEED_TEST names
+ * one of the tests. */
 
 /** Seeds that have failed: 1295, a gang that had completed was started again when the worker of one
  * member was lost before its end was heard. 2109, a task that had ended on a worker cut off was
@@ -39,6 +40,8 @@
 	DFF_PLAY_PLAIN,
 	/** Paths between machines break too. */
 	DFF_PLAY_PATHS,
+	/** The same, with calls to workers through relays, which fall silent too. */
+	DFF_PLAY_RELAYS,
 	/** Gangs fail, and little goes wrong but with the holder, its store and its lists. */
 	DFF_PLAY_FAILURES,
 };
@@ -219,6 +222,10 @@
 	if (process < 0)
 		return;
 	int worker = pick (play, SITE_WORKERS);
+	if (play->variant == DFF_PLAY_RELAYS && pick (play, 2) == 0) {
+		site_silence_relay (&play->site, process);
+		return;
+	}
 	switch (pick (play, 4)) {
 	case 0:
 		play->site.processes[process].unheard = true;
@@ -311,7 +318,7 @@
 static void
 step (struct play *play)
 {
-	if (play->variant == DFF_PLAY_PATHS)
+	if (play->variant == DFF_PLAY_PATHS || play->variant == DFF_PLAY_RELAYS)
 		step_paths (play);
 	int what = pick (play, 100);
 	if (what < 40)
@@ -360,7 +367,10 @@
 	struct play play = {.rand = g_rand_new_with_seed (seed),
 			    .variant = variant,
 			    .cancelled = g_ptr_array_new_with_free_func (g_free)};
-	site_open (&play.site);
+	if (variant == DFF_PLAY_RELAYS)
+		site_open_with_relays (&play.site);
+	else
+		site_open (&play.site);
 	dff_memory_rows_seed (play.site.rows, seed);
 	for (int i = 0; i < STEPS; i++) {
 		if (variant == DFF_PLAY_FAILURES)
@@ -420,6 +430,13 @@
 	play_seeds (DFF_PLAY_PATHS);
 }
 
+static void
+test_seeds_with_relays (void **state)
+{
+	(void)state;
+	play_seeds (DFF_PLAY_RELAYS);
+}
+
 static void
 test_seeds_with_failures (void **state)
 {
@@ -439,6 +456,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test (test_seeds),
 		cmocka_unit_test (test_seeds_with_paths),
+		cmocka_unit_test (test_seeds_with_relays),
 		cmocka_unit_test (test_seeds_with_failures),
 	};
 	return cmocka_run_group_tests (tests, NULL, NULL);
--- a/tests/holder/test-holder-workers.c
+++ b/tests/holder/test-holder-workers.c
@@ -54,6 +54,40 @@
 	site_close (&site);
 }
 
+/* Symptom: tasks run twice, are lost or wait for seconds. Sequence: calls to workers go through
+ * other processes; one of these is killed or falls silent, and another is there or not. Cause: the
+ * calls that it carried never ended, or were taken for not sent. */
+static void
+test_relay_gone (void **state)
+{
+	(void)state;
+	static const struct {
+		bool killed;
+		bool both;
+	} cases[] = {{true, false}, {true, true}, {false, false}, {false, true}};
+	for (size_t i = 0; i < G_N_ELEMENTS (cases); i++) {
+		struct site site;
+		site_open_with_relays (&site);
+		int holder = site_holder (&site);
+		site_run (&site, 1500);
+		run_one_a_worker (&site);
+		for (int j = 1; j <= (cases[i].both ? 2 : 1); j++) {
+			int process = (holder + j) % SITE_PROCESSES;
+			if (cases[i].killed)
+				site_kill_process (&site, process);
+			else
+				site_silence_relay (&site, process);
+		}
+		site_submit (&site, holder, site_plan ("2", 3, true, SITE_ACCELERATORS));
+		assert_int_not_equal (site_until (&site, "1", "completed", 9000), -1);
+		assert_int_not_equal (site_until (&site, "2", "completed", 9000), -1);
+		assert_int_equal (dff_memory_runner_n_starts (site.runner, "1"), SITE_WORKERS);
+		assert_int_equal (dff_memory_runner_n_starts (site.runner, "2"), 3);
+		assert_int_equal (site_holder (&site), holder);
+		site_close (&site);
+	}
+}
+
 /* Symptom: a task runs twice at a time. Sequence: its worker is cut off from the system and runs
  * on; the task is started elsewhere before the worker's lease has lapsed on its own, slower clock.
  */
@@ -308,6 +342,7 @@
 main (void)
 {
 	const struct CMUnitTest tests[] = {
+		cmocka_unit_test (test_relay_gone),
 		cmocka_unit_test (test_leaving_in_large_fleet),
 		cmocka_unit_test (test_cut_off_worker),
 		cmocka_unit_test (test_late_lists),
--- /dev/null
+++ b/tests/relay/test-relay.c
@@ -0,0 +1,534 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+
+#include <cmocka.h>
+#include <event2/event.h>
+#include <string.h>
+
+#include "common/event_loop.h"
+#include "relay/stream.h"
+#include "standin/memory_link.h"
+#include "standin/memory_runner.h"
+
+/* Calls to workers through other processes: one that decides, three relays, a dozen workers, all in
+ * memory under a virtual clock; and the stream between them over loopback. */
+
+#define RELAYS 3
+#define WORKERS 12
+#define START_MS 1000000
+#define DEADLINE_MS 60000
+
+struct relay_process {
+	struct dff_memory_runner_client *client;
+	struct dff_relay *relay;
+	struct dff_memory_link *link;
+};
+
+/** A clock that may be ahead of the loop's: the process has stood still. */
+struct pausing_clock {
+	struct dff_clock clock;
+	const struct dff_clock *loop;
+	int64_t ahead_ms;
+};
+
+struct fixture {
+	struct dff_virtual_loop *loop;
+	struct pausing_clock clock;
+	struct dff_timers timers;
+	struct dff_metrics *metrics;
+	struct dff_memory_runner *runner;
+	struct dff_memory_runner_client *direct;
+	struct dff_dispatch *dispatch;
+	struct relay_process relays[RELAYS];
+};
+
+/** What became of a call. */
+struct outcome {
+	bool ended;
+	enum dff_runner_outcome outcome;
+	size_t n_running;
+	size_t n_ended;
+	enum dff_run_end end;
+	char checkpoint[32];
+	int64_t clock_ms;
+};
+
+static struct dff_memory_task
+describe (void *ctx, const struct dff_name *task)
+{
+	(void)ctx;
+	(void)task;
+	return (struct dff_memory_task){.duration_ms = 2000, .accelerators = 1, .saves = true};
+}
+
+static int64_t
+pausing_now_ms (void *ctx)
+{
+	const struct pausing_clock *clock = ctx;
+	return dff_clock_now_ms (clock->loop) + clock->ahead_ms;
+}
+
+static int64_t
+pausing_wall_ms (void *ctx)
+{
+	const struct pausing_clock *clock = ctx;
+	return dff_clock_wall_ms (clock->loop);
+}
+
+static struct dff_name
+worker_id (int index)
+{
+	return dff_name_printf ("w%d", index);
+}
+
+static struct dff_name
+worker_address (int index)
+{
+	return dff_name_printf ("10.0.0.%d:1", index + 1);
+}
+
+static void
+open_relay (struct fixture *fixture, int index)
+{
+	struct relay_process *process = &fixture->relays[index];
+	process->client = dff_memory_runner_client_new (fixture->runner);
+	struct dff_relay_options options = {
+		.timers = dff_virtual_loop_timers (fixture->loop),
+		.metrics = fixture->metrics,
+		.runner = dff_memory_runner_client_interface (process->client),
+		.name = dff_name_printf ("relay-%d", index)};
+	process->relay = dff_relay_new (&options);
+	process->link = dff_memory_link_new (fixture->loop, fixture->dispatch, process->relay);
+}
+
+static void
+open_fixture (struct fixture *fixture)
+{
+	memset (fixture, 0, sizeof (*fixture));
+	fixture->loop = dff_virtual_loop_new (START_MS);
+	fixture->metrics = dff_metrics_new ();
+	fixture->clock =
+		(struct pausing_clock){.clock = {pausing_now_ms, pausing_wall_ms, &fixture->clock},
+				       .loop = dff_virtual_loop_clock (fixture->loop)};
+	fixture->timers = *dff_virtual_loop_timers (fixture->loop);
+	fixture->timers.clock = &fixture->clock.clock;
+	struct dff_memory_runner_options runner = {.loop = fixture->loop,
+						   .describe = describe,
+						   .stop_grace_ms = 200,
+						   .gang_wait_ms = 3000,
+						   .max_attempts = 2};
+	fixture->runner = dff_memory_runner_new (&runner);
+	for (int i = 0; i < WORKERS; i++) {
+		struct dff_name id = worker_id (i), address = worker_address (i);
+		dff_memory_runner_add (fixture->runner, id.data, address.data, 8, 1000);
+	}
+	fixture->direct = dff_memory_runner_client_new (fixture->runner);
+	struct dff_dispatch_options dispatch = {
+		.timers = &fixture->timers,
+		.metrics = fixture->metrics,
+		.direct = dff_memory_runner_client_interface (fixture->direct)};
+	fixture->dispatch = dff_dispatch_new (&dispatch);
+	dff_dispatch_set_limit (fixture->dispatch, RELAYS);
+	for (int i = 0; i < RELAYS; i++)
+		open_relay (fixture, i);
+	dff_virtual_loop_run (fixture->loop, 10);
+	assert_int_equal (dff_dispatch_n_relays (fixture->dispatch), RELAYS);
+}
+
+static void
+close_fixture (struct fixture *fixture)
+{
+	for (int i = 0; i < RELAYS; i++)
+		dff_memory_link_free (fixture->relays[i].link);
+	/* Calls in progress end by themselves. */
+	dff_virtual_loop_run (fixture->loop, 30000);
+	for (int i = 0; i < RELAYS; i++)
+		dff_relay_free (fixture->relays[i].relay);
+	dff_dispatch_free (fixture->dispatch);
+	const char *violation = dff_memory_runner_violation (fixture->runner);
+	if (violation != NULL)
+		fail_msg ("%s", violation);
+	dff_memory_runner_free (fixture->runner);
+	dff_metrics_free (fixture->metrics);
+	dff_virtual_loop_free (fixture->loop);
+}
+
+static void
+handle_result (void *user, const struct dff_runner_result *result)
+{
+	struct outcome *outcome = user;
+	assert_false (outcome->ended);
+	outcome->ended = true;
+	outcome->outcome = result->outcome;
+	outcome->n_running = result->n_running;
+	outcome->n_ended = result->n_ended;
+	outcome->clock_ms = result->clock_ms;
+	if (result->n_ended > 0)
+		outcome->end = result->ended[0].end;
+	if (result->n_running > 0)
+		g_snprintf (outcome->checkpoint, sizeof (outcome->checkpoint), "%.*s",
+			    (int)result->running[0].checkpoint.len,
+			    result->running[0].checkpoint.data);
+}
+
+static struct dff_run_order
+order_for (int worker, int32_t run)
+{
+	return (struct dff_run_order){.worker = worker_id (worker),
+				      .address = worker_address (worker),
+				      .task = dff_name_printf ("job%d.0.0.0", worker),
+				      .run = run,
+				      .epoch = 1,
+				      .deadline_ms = START_MS + DEADLINE_MS,
+				      .payload = dff_str_from ("payload"),
+				      .checkpoint = dff_str_from (""),
+				      .timeout_ms = 200};
+}
+
+static void
+start (struct fixture *fixture, int worker, int32_t run, struct outcome *outcome)
+{
+	const struct dff_runner *runner = dff_dispatch_interface (fixture->dispatch);
+	struct dff_run_order order = order_for (worker, run);
+	*outcome = (struct outcome){0};
+	runner->start (runner->ctx, &order, handle_result, outcome);
+}
+
+static void
+stop (struct fixture *fixture, int worker, int32_t run, struct outcome *outcome)
+{
+	const struct dff_runner *runner = dff_dispatch_interface (fixture->dispatch);
+	struct dff_run_order order = order_for (worker, run);
+	*outcome = (struct outcome){0};
+	runner->stop (runner->ctx, &order, handle_result, outcome);
+}
+
+static void
+watch (struct fixture *fixture, int worker, int32_t wait_ms, struct outcome *outcome)
+{
+	const struct dff_runner *runner = dff_dispatch_interface (fixture->dispatch);
+	struct dff_run_watch watch = {.worker = worker_id (worker),
+				      .address = worker_address (worker),
+				      .epoch = 1,
+				      .deadline_ms = START_MS + DEADLINE_MS,
+				      .wait_ms = wait_ms,
+				      .timeout_ms = wait_ms + 500};
+	*outcome = (struct outcome){0};
+	runner->watch (runner->ctx, &watch, handle_result, outcome);
+}
+
+static int64_t
+counter (struct fixture *fixture, const char *name)
+{
+	return *dff_metrics_counter (fixture->metrics, name, "");
+}
+
+/* What a worker says comes back whole, and no call goes past the relays. */
+static void
+test_calls_and_answers (void **state)
+{
+	(void)state;
+	struct fixture fixture;
+	struct outcome outcomes[WORKERS], stopped;
+	open_fixture (&fixture);
+	for (int i = 0; i < WORKERS; i++)
+		start (&fixture, i, 1, &outcomes[i]);
+	dff_virtual_loop_run (fixture.loop, 100);
+	for (int i = 0; i < WORKERS; i++) {
+		assert_true (outcomes[i].ended);
+		assert_int_equal (outcomes[i].outcome, DFF_RUNNER_DONE);
+		assert_true (outcomes[i].clock_ms >= START_MS);
+	}
+	dff_virtual_loop_run (fixture.loop, 1000);
+	for (int i = 0; i < WORKERS; i++)
+		watch (&fixture, i, 0, &outcomes[i]);
+	dff_virtual_loop_run (fixture.loop, 100);
+	for (int i = 0; i < WORKERS; i++) {
+		assert_int_equal (outcomes[i].n_running, 1);
+		assert_int_not_equal (strlen (outcomes[i].checkpoint), 0);
+		watch (&fixture, i, 1500, &outcomes[i]);
+	}
+	stop (&fixture, 1, 1, &stopped);
+	dff_virtual_loop_run (fixture.loop, 1500);
+	assert_int_equal (outcomes[1].end, DFF_RUN_STOPPED);
+	for (int i = 2; i < WORKERS; i++) {
+		assert_int_equal (outcomes[i].n_ended, 1);
+		assert_int_equal (outcomes[i].end, DFF_RUN_COMPLETED);
+	}
+	start (&fixture, 2, 1, &outcomes[2]);
+	dff_virtual_loop_run (fixture.loop, 100);
+	assert_int_equal (outcomes[2].outcome, DFF_RUNNER_OLD_RUN);
+	assert_int_equal (counter (&fixture, "dff_relay_calls_direct_total"), 0);
+	close_fixture (&fixture);
+}
+
+/* Symptom: workers stay without word until their leases lapse, and what they run is lost. Sequence:
+ * the process that carries their calls is cut off, frozen, or gone. Cause: its calls never ended.
+ * They end as unknown within a second or so, and the next ones go through another process. */
+static void
+test_lost_relay (void **state)
+{
+	(void)state;
+	static const struct {
+		bool silent;
+		int64_t limit_ms;
+	} cases[] = {{true, 1300}, {false, 10}};
+	for (size_t c = 0; c < G_N_ELEMENTS (cases); c++) {
+		struct fixture fixture;
+		struct outcome outcomes[WORKERS], again[WORKERS];
+		open_fixture (&fixture);
+		for (int i = 0; i < WORKERS; i++)
+			watch (&fixture, i, 2000, &outcomes[i]);
+		dff_virtual_loop_run (fixture.loop, 50);
+		if (cases[c].silent)
+			dff_memory_link_silence (fixture.relays[0].link, true);
+		else
+			dff_memory_link_free (fixture.relays[0].link);
+		dff_virtual_loop_run (fixture.loop, cases[c].limit_ms);
+		int n_lost = 0;
+		for (int i = 0; i < WORKERS; i++) {
+			n_lost += outcomes[i].ended;
+			if (outcomes[i].ended)
+				assert_int_equal (outcomes[i].outcome, DFF_RUNNER_UNKNOWN);
+		}
+		assert_in_range (n_lost, 1, WORKERS - 1);
+		assert_int_equal (dff_dispatch_n_relays (fixture.dispatch), RELAYS - 1);
+		for (int i = 0; i < WORKERS; i++)
+			start (&fixture, i, 1, &again[i]);
+		dff_virtual_loop_run (fixture.loop, 50);
+		for (int i = 0; i < WORKERS; i++)
+			assert_int_equal (again[i].outcome, DFF_RUNNER_DONE);
+		if (!cases[c].silent)
+			fixture.relays[0].link = dff_memory_link_new (
+				fixture.loop, fixture.dispatch, fixture.relays[0].relay);
+		close_fixture (&fixture);
+	}
+}
+
+/* Symptom: a worker counts as lost though it serves. Sequence: the process that carries its calls
+ * does not reach it, others do. Cause: each call took the same way. */
+static void
+test_relay_that_does_not_reach_a_worker (void **state)
+{
+	(void)state;
+	struct fixture fixture;
+	open_fixture (&fixture);
+	for (int i = 0; i < RELAYS; i++) {
+		for (int j = 0; j < WORKERS; j++) {
+			struct dff_name id = worker_id (j);
+			dff_memory_runner_client_cut (fixture.relays[i].client, id.data, true);
+		}
+	}
+	struct outcome outcome;
+	int n_calls = 0;
+	do {
+		start (&fixture, 3, 1, &outcome);
+		dff_virtual_loop_run (fixture.loop, 500);
+		assert_true (outcome.ended);
+		n_calls++;
+	} while (outcome.outcome != DFF_RUNNER_DONE && n_calls < 10);
+	/* After three ways that fail it is called without a relay. */
+	assert_int_equal (n_calls, 4);
+	close_fixture (&fixture);
+}
+
+/* Symptom: the process that decides gives up all its relays at once and asks every worker anew.
+ * Sequence: it stands still for three seconds; its timers run before what has arrived is read.
+ * Cause: its own pause was taken for their silence. */
+static void
+test_own_pause (void **state)
+{
+	(void)state;
+	struct fixture fixture;
+	open_fixture (&fixture);
+	dff_virtual_loop_run (fixture.loop, 500);
+	fixture.clock.ahead_ms = 3000;
+	dff_virtual_loop_run (fixture.loop, 500);
+	assert_int_equal (dff_dispatch_n_relays (fixture.dispatch), RELAYS);
+	close_fixture (&fixture);
+}
+
+/* A process that is about to stop is given nothing new; what it has begun ends there. */
+static void
+test_leaving_relay (void **state)
+{
+	(void)state;
+	struct fixture fixture;
+	struct outcome outcomes[WORKERS], starts[WORKERS];
+	open_fixture (&fixture);
+	for (int i = 0; i < WORKERS; i++)
+		watch (&fixture, i, 1000, &outcomes[i]);
+	dff_virtual_loop_run (fixture.loop, 20);
+	dff_relay_leave (fixture.relays[0].relay);
+	dff_relay_leave (fixture.relays[1].relay);
+	dff_virtual_loop_run (fixture.loop, 20);
+	for (int i = 0; i < WORKERS; i++) {
+		struct dff_name id = worker_id (i);
+		dff_memory_runner_client_cut (fixture.relays[0].client, id.data, true);
+		dff_memory_runner_client_cut (fixture.relays[1].client, id.data, true);
+		start (&fixture, i, 1, &starts[i]);
+	}
+	dff_virtual_loop_run (fixture.loop, 100);
+	for (int i = 0; i < WORKERS; i++)
+		assert_int_equal (starts[i].outcome, DFF_RUNNER_DONE);
+	dff_virtual_loop_run (fixture.loop, 2000);
+	for (int i = 0; i < WORKERS; i++)
+		assert_int_equal (outcomes[i].outcome, DFF_RUNNER_DONE);
+	close_fixture (&fixture);
+}
+
+/* More than are wanted are turned away, and none is wanted where nobody decides. */
+static void
+test_limit (void **state)
+{
+	(void)state;
+	struct fixture fixture;
+	open_fixture (&fixture);
+	dff_memory_link_free (fixture.relays[0].link);
+	dff_dispatch_set_limit (fixture.dispatch, RELAYS - 1);
+	fixture.relays[0].link =
+		dff_memory_link_new (fixture.loop, fixture.dispatch, fixture.relays[0].relay);
+	dff_virtual_loop_run (fixture.loop, 20);
+	assert_false (dff_memory_link_is_up (fixture.relays[0].link));
+	assert_int_equal (dff_dispatch_n_relays (fixture.dispatch), RELAYS - 1);
+	close_fixture (&fixture);
+}
+
+/* Bytes that are no message end the connection and nothing else: random ones, and a relay's
+ * messages cut short or with a byte changed. Seeded. */
+static void
+test_unreadable_messages (void **state)
+{
+	(void)state;
+	/* A name, and an answer to a call that nobody made, as protobuf has them. */
+	static const uint8_t sound[] = {0x1a, 0x03, 'r',  '-',  '1',  0x12, 0x06,
+					0x08, 0x07, 0x10, 0x02, 0x18, 0x05};
+	g_autoptr (GRand) rand = g_rand_new_with_seed (20261203);
+	struct fixture fixture;
+	open_fixture (&fixture);
+	for (int i = 0; i < 3000; i++) {
+		uint8_t bytes[64];
+		size_t len = (size_t)g_rand_int_range (rand, 0, sizeof (bytes));
+		if (i % 3 == 0) {
+			for (size_t j = 0; j < len; j++)
+				bytes[j] = (uint8_t)g_rand_int (rand);
+		} else {
+			len = i % 3 == 1 ? MIN (len, sizeof (sound)) : sizeof (sound);
+			memcpy (bytes, sound, len);
+			if (i % 3 == 2)
+				bytes[g_rand_int_range (rand, 0, sizeof (sound))] =
+					(uint8_t)g_rand_int (rand);
+		}
+		dff_memory_link_inject (fixture.relays[0].link, bytes, len);
+		dff_virtual_loop_run (fixture.loop, 5);
+		dff_relay_receive (fixture.relays[1].relay, bytes, len);
+		dff_virtual_loop_run (fixture.loop, 5);
+		for (int j = 0; j < 2; j++) {
+			if (dff_memory_link_is_up (fixture.relays[j].link))
+				continue;
+			dff_memory_link_free (fixture.relays[j].link);
+			dff_virtual_loop_run (fixture.loop, 5);
+			fixture.relays[j].link = dff_memory_link_new (
+				fixture.loop, fixture.dispatch, fixture.relays[j].relay);
+		}
+	}
+	struct outcome outcome;
+	start (&fixture, 0, 1, &outcome);
+	dff_virtual_loop_run (fixture.loop, 100);
+	assert_int_equal (outcome.outcome, DFF_RUNNER_DONE);
+	close_fixture (&fixture);
+}
+
+struct stream_test {
+	struct event_base *base;
+	struct dff_stream *near;
+	struct dff_stream *far;
+	GString *received;
+	int n_messages;
+	bool connected;
+	bool ended;
+};
+
+static void
+handle_connected (void *ctx)
+{
+	((struct stream_test *)ctx)->connected = true;
+}
+
+static void
+handle_message (void *ctx, const uint8_t *data, size_t len)
+{
+	struct stream_test *test = ctx;
+	g_string_append_len (test->received, (const char *)data, (gssize)len);
+	test->n_messages++;
+}
+
+static void
+handle_end (void *ctx)
+{
+	((struct stream_test *)ctx)->ended = true;
+}
+
+static void
+handle_accept (void *ctx, evutil_socket_t fd)
+{
+	struct stream_test *test = ctx;
+	struct dff_stream_handlers handlers = {
+		.message = handle_message, .ended = handle_end, .ctx = test};
+	test->far = dff_stream_accept (test->base, fd, &handlers);
+}
+
+/* Messages arrive whole and in order, whatever their length; the end of one side is told to the
+ * other, and a length beyond the limit ends the connection. */
+static void
+test_stream (void **state)
+{
+	(void)state;
+	struct stream_test test = {.base = dff_event_base_new (), .received = g_string_new (NULL)};
+	struct dff_name any = dff_name_from ("127.0.0.1:0");
+	struct dff_stream_listener *listener =
+		dff_stream_listen (test.base, &any, handle_accept, &test);
+	struct dff_name address = dff_stream_listener_address (listener);
+	struct dff_stream_handlers handlers = {.connected = handle_connected,
+					       .message = handle_message,
+					       .ended = handle_end,
+					       .ctx = &test};
+	test.near = dff_stream_connect (test.base, &address, &handlers);
+	while (!test.connected || test.far == NULL)
+		event_base_loop (test.base, EVLOOP_ONCE);
+	g_autofree uint8_t *large = g_malloc (300000);
+	memset (large, 'x', 300000);
+	dff_stream_send (test.near, (const uint8_t *)"a", 1);
+	dff_stream_send (test.near, large, 0);
+	dff_stream_send (test.near, large, 300000);
+	dff_stream_send (test.near, (const uint8_t *)"z", 1);
+	while (test.n_messages < 4)
+		event_base_loop (test.base, EVLOOP_ONCE);
+	assert_int_equal (test.received->len, 300002);
+	assert_int_equal (test.received->str[0], 'a');
+	assert_int_equal (test.received->str[300001], 'z');
+	dff_stream_free (test.near);
+	while (!test.ended)
+		event_base_loop (test.base, EVLOOP_ONCE);
+	dff_stream_free (test.far);
+	dff_stream_listener_free (listener);
+	g_string_free (test.received, TRUE);
+	event_base_free (test.base);
+}
+
+int
+main (void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test (test_calls_and_answers),
+		cmocka_unit_test (test_lost_relay),
+		cmocka_unit_test (test_relay_that_does_not_reach_a_worker),
+		cmocka_unit_test (test_own_pause),
+		cmocka_unit_test (test_leaving_relay),
+		cmocka_unit_test (test_limit),
+		cmocka_unit_test (test_unreadable_messages),
+		cmocka_unit_test (test_stream),
+	};
+	return cmocka_run_group_tests (tests, NULL, NULL);
+}
