graph, core: gangs up to 256 tasks

Change: the core and the plan take 256; jobs of one row keep 128, DFF_JOB_GANG_MAX. Not measured by itself: one job in a thousand.

--- a/bench/backfill.c
+++ b/bench/backfill.c
@@ -55,7 +55,7 @@
 	    const struct dff_baseline_job *head,
 	    struct reservation *reservation)
 {
-	int32_t workers[DFF_GANG_MAX];
+	int32_t workers[DFF_JOB_GANG_MAX];
 	struct dff_cluster_view view = {.room = reservation->left};
 	if (!dff_cluster_place (&baseline->cluster, &view, &head->spec, workers))
 		return false;
@@ -92,7 +92,7 @@
 static void
 start_before_reservation (struct dff_baseline *baseline, struct dff_baseline_job *job)
 {
-	int32_t workers[DFF_GANG_MAX];
+	int32_t workers[DFF_JOB_GANG_MAX];
 	struct dff_cluster_view view = {.room = baseline->cluster.room};
 	if (dff_cluster_place (&baseline->cluster, &view, &job->spec, workers))
 		dff_baseline_start (baseline, job, workers);
@@ -105,7 +105,7 @@
 			  struct dff_baseline_job *job,
 			  const struct reservation *reservation)
 {
-	int32_t workers[DFF_GANG_MAX];
+	int32_t workers[DFF_JOB_GANG_MAX];
 	struct dff_cluster_view view = {.room = baseline->cluster.room, .limit = reservation->left};
 	struct dff_baseline_class *queue = job->queue;
 	if (queue->limited)
@@ -147,7 +147,7 @@
 dff_backfill_schedule (struct dff_baseline *baseline, int64_t now_ms)
 {
 	struct dff_cluster_view view = {.room = baseline->cluster.room};
-	int32_t workers[DFF_GANG_MAX];
+	int32_t workers[DFF_JOB_GANG_MAX];
 	struct dff_baseline_job *job;
 	dff_baseline_pass_begin (baseline);
 	while ((job = dff_baseline_pass_next (baseline)) != NULL) {
--- a/bench/fifo.c
+++ b/bench/fifo.c
@@ -6,7 +6,7 @@
 dff_fifo_schedule (struct dff_baseline *baseline, G_GNUC_UNUSED int64_t now_ms)
 {
 	struct dff_cluster_view view = {.room = baseline->cluster.room};
-	int32_t workers[DFF_GANG_MAX];
+	int32_t workers[DFF_JOB_GANG_MAX];
 	struct dff_baseline_job *job;
 	dff_baseline_pass_begin (baseline);
 	while ((job = dff_baseline_pass_next (baseline)) != NULL) {
--- a/bench/session.h
+++ b/bench/session.h
@@ -28,7 +28,7 @@
 	int line;
 	/** Job, worker or rack. */
 	struct dff_name subject;
-	/** For a submission. The gang may be larger than DFF_GANG_MAX. */
+	/** For a submission. The gang may be larger than DFF_JOB_GANG_MAX. */
 	struct dff_job_spec spec;
 	/** Time that the job really runs. */
 	int64_t actual_ms;
--- a/cell/job_row.c
+++ b/cell/job_row.c
@@ -315,7 +315,7 @@
 	spec->checkpoint = get_bool (object, "checkpoint");
 	spec->idempotent = get_bool (object, "idempotent");
 	spec->declared_ms = get_int64 (object, "declared_ms");
-	return !dff_name_is_empty (&spec->id) && spec->gang >= 1 && spec->gang <= DFF_GANG_MAX;
+	return !dff_name_is_empty (&spec->id) && spec->gang >= 1 && spec->gang <= DFF_JOB_GANG_MAX;
 }
 
 static bool
--- a/entry/job_json.c
+++ b/entry/job_json.c
@@ -23,7 +23,7 @@
 };
 
 static const struct int_field int_fields[] = {
-	{"gang", offsetof (struct dff_job_spec, gang), 1, DFF_GANG_MAX, 1},
+	{"gang", offsetof (struct dff_job_spec, gang), 1, DFF_JOB_GANG_MAX, 1},
 	{"accelerators", offsetof (struct dff_job_spec, per_task.accelerators), 0, 64, 0},
 	{"slots", offsetof (struct dff_job_spec, per_task.slots), 0, 1024, 1},
 	{"cores", offsetof (struct dff_job_spec, per_task.cores), 0, 4096, 1},
--- a/holder/units.c
+++ b/holder/units.c
@@ -6,6 +6,8 @@
 /* Units between the graph and the decision core: a unit is given to the core, the core's commands
  * become rows and runs, and its ends become progress. */
 
+G_STATIC_ASSERT (DFF_STEP_GANG_MAX <= DFF_GANG_MAX);
+
 void
 unit_free (gpointer data)
 {
--- a/include/core/job.h
+++ b/include/core/job.h
@@ -29,8 +29,10 @@
 				again. */
 };
 
-/** Largest gang, in tasks. */
-#define DFF_GANG_MAX 128
+/** Largest gang, in tasks: what a decision looks at for one unit. */
+#define DFF_GANG_MAX 256
+/** Largest gang of a job in one row of the table, with all its placements. */
+#define DFF_JOB_GANG_MAX 128
 
 struct dff_job_spec {
 	struct dff_name id;
--- a/include/graph/plan.h
+++ b/include/graph/plan.h
@@ -19,7 +19,7 @@
 #define DFF_PLAN_STEPS_MAX 64
 #define DFF_STEP_TASKS_MAX 512
 /** Tasks of a gang at the most: what the decision core places at once. */
-#define DFF_STEP_GANG_MAX 128
+#define DFF_STEP_GANG_MAX 256
 #define DFF_PLAN_OCCURRENCES_MAX 256
 /** Tasks over all steps and occurrences at the most. */
 #define DFF_PLAN_TASKS_MAX 3500
--- a/peer/message_decode.c
+++ b/peer/message_decode.c
@@ -109,7 +109,7 @@
 		return false;
 	if (!optional_name_from_wire (&wire->result_key, &report->result_key))
 		return false;
-	if (wire->attempt < 0 || wire->member < 0 || wire->member >= DFF_GANG_MAX)
+	if (wire->attempt < 0 || wire->member < 0 || wire->member >= DFF_JOB_GANG_MAX)
 		return false;
 	if (wire->state > DFF_TASK_REFUSED || wire->checkpoints < 0 || wire->result_length < 0)
 		return false;
--- a/upstream/worker_wire.c
+++ b/upstream/worker_wire.c
@@ -95,7 +95,7 @@
 {
 	return get_name (object, "job", &task->job) &&
 	       get_int32 (object, "attempt", 1, MAX_ATTEMPT, &task->attempt) &&
-	       get_int32 (object, "member", 0, DFF_GANG_MAX - 1, &task->member);
+	       get_int32 (object, "member", 0, DFF_JOB_GANG_MAX - 1, &task->member);
 }
 
 /* Names have a restricted alphabet, so that they need no escaping. */
