standin: a failed run's end that comes after its worker's lease has lapsed does not count

Trace: its second run fails at once on a worker that the holder cannot reach for ten seconds; the lease lapses (deadline 1005894 on the worker's clock), the run is given up and a third is placed; only then is the end heard and acknowledged.

--- a/standin/memory_runner_work.c
+++ b/standin/memory_runner_work.c
@@ -341,9 +341,11 @@
 		if (end.number > number)
 			return;
 		g_array_remove_index (worker->ends, 0);
-		if (end.end == DFF_RUN_FAILED)
+		/* Where the lease has lapsed since, the end was given up for lost in between. */
+		bool counts = worker->lapsed_ms <= end.at_ms;
+		if (end.end == DFF_RUN_FAILED && counts)
 			note_failure (worker, &end);
-		if (end.end == DFF_RUN_COMPLETED && worker->lapsed_ms <= end.at_ms)
+		if (end.end == DFF_RUN_COMPLETED && counts)
 			note_completion (worker, &end);
 	}
 }
--- a/tests/holder/test-holder-seeds.c
+++ b/tests/holder/test-holder-seeds.c
@@ -21,6 +21,11 @@
  * as the lapse came between; the stand-in had counted lapses only while something ran. */
 static const guint failed_seeds[] = {1295, 2109};
 
+/** The same with relays: 1189, a failed run's end was heard after its worker, cut off for ten
+ * seconds, had been given up and its lease had lapsed, and did not count: allowed, as for an end
+ * of work that is done; the stand-in had counted it. */
+static const guint failed_seeds_with_relays[] = {1189};
+
 /** The same with failures: 8, a gang was started after its last attempt, as the row did not tell
  * that the open run had failed; 130, its first failure counted twice; 148 and 187, a failure did
  * not count, as another member's start had no answer yet. */
@@ -434,6 +439,8 @@
 test_seeds_with_relays (void **state)
 {
 	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS (failed_seeds_with_relays); i++)
+		play_seed (failed_seeds_with_relays[i], DFF_PLAY_RELAYS);
 	play_seeds (DFF_PLAY_RELAYS);
 }
 
