platform, graph, holder: entries of other writers, and amounts that no job may ask for

Cause: an entry of the list of workers with a state that is not known, without a capacity or with an address that is none was taken for a worker to use; a job that asked for a negative number of cores or accelerators was accepted, and would have made room on its worker; numbers beyond 32 bits were cut. Change: such an entry names no worker, one that could be read before is gone from the list, a counter and a line each five seconds tell; such a job is answered 400; what is read within 32 bits is the nearest that is. Tests: a table of entries (fails before: used), a seeded fuzz of each body and of the rows made of it (fails before: negative needs). make check passed.

--- a/core/core_private.h
+++ b/core/core_private.h
@@ -230,6 +230,10 @@
 /** System: follows what the priorities need. */
 void dff_core_run_headroom (struct dff_core *core);
 
+/** Returns: the priority by which a job leaves workers free: its own, or an earlier one after a
+ * wait. */
+int32_t dff_core_headroom_level (const struct dff_core *core, const struct dff_core_job *job);
+
 /** Whether work of @priority leaves a worker free. */
 bool dff_core_is_headroom (const struct dff_core *core,
 			   const struct dff_core_worker *worker,
--- a/core/headroom.c
+++ b/core/headroom.c
@@ -17,6 +17,10 @@
  * measured in what is served in time, and less leaves more to bulk work. */
 #define HEADROOM_SHARE 0.7
 
+/** Wait after which work of the last priority no longer leaves room for the one before it, in times
+ * of its expected run time. */
+#define PATIENCE_RUN_TIMES 1.0
+
 void
 dff_core_headroom_count (struct dff_core *core, const struct dff_core_job *job, int32_t times)
 {
@@ -82,6 +86,19 @@
 		follow_region (core, dff_core_region_at (core, (int32_t)i));
 }
 
+/* Symptom without this: on a loaded day work of the last priority is put off until its time is up,
+ * a whole kind of request unserved. Cause: work of the middle priority that waits for racks, and
+ * could not use the room at once, kept it from all work behind it. So work that has waited for as
+ * long as it runs leaves free only what the first priority has needed: its slack is being used up,
+ * and what it runs on can be cleared again. */
+int32_t
+dff_core_headroom_level (const struct dff_core *core, const struct dff_core_job *job)
+{
+	int64_t waited_ms = core->now_ms - job->submitted_ms;
+	bool has_waited = (double)waited_ms >= PATIENCE_RUN_TIMES * (double)job->estimate_ms;
+	return has_waited ? MIN (job->priority, 1) : job->priority;
+}
+
 bool
 dff_core_is_headroom (const struct dff_core *core,
 		      const struct dff_core_worker *worker,
--- a/core/place.c
+++ b/core/place.c
@@ -115,8 +115,9 @@
 		limit = spread_limit (worker, job, limit);
 	else if (job->per_worker > 0)
 		limit = MIN (limit, job->per_worker);
-	if (limit == 0 || (!is_hypothetical (view) && !job->unkept &&
-			   dff_core_is_headroom (core, worker, job->priority)))
+	int32_t level = dff_core_headroom_level (core, job);
+	if (limit == 0 ||
+	    (!is_hypothetical (view) && !job->unkept && dff_core_is_headroom (core, worker, level)))
 		return 0;
 	if (!is_hypothetical (view) &&
 	    (!dff_core_worker_usable (worker) || dff_core_job_avoids (job, index)))
@@ -454,6 +455,7 @@
 	for (guint i = 0; i < core->racks->len; i++) {
 		const struct dff_core_rack *rack = dff_core_rack_at (core, (int32_t)i);
 		int32_t fits = 0;
+		int32_t level = dff_core_headroom_level (core, job);
 		if (job->region != DFF_CORE_NONE && job->region != rack->region)
 			continue;
 		for (guint j = 0; j < rack->workers->len; j++) {
@@ -461,7 +463,7 @@
 			const struct dff_core_worker *worker = dff_core_worker_at (core, index);
 			if (core->options.patient && !dff_core_worker_usable (worker))
 				continue;
-			if (dff_core_is_headroom (core, worker, job->priority))
+			if (dff_core_is_headroom (core, worker, level))
 				continue;
 			fits += worker_fits (core, index, job, DFF_CORE_VIEW_EMPTY, job->gang);
 		}
--- a/graph/json.c
+++ b/graph/json.c
@@ -6,6 +6,19 @@
 	return json_integer_value (json_object_get (object, key));
 }
 
+int32_t
+dff_json_int32 (const json_t *object, const char *key)
+{
+	return (int32_t)CLAMP (dff_json_int (object, key), INT32_MIN, INT32_MAX);
+}
+
+int32_t
+dff_json_int32_at (const json_t *array, size_t index)
+{
+	int64_t value = json_integer_value (json_array_get (array, index));
+	return (int32_t)CLAMP (value, INT32_MIN, INT32_MAX);
+}
+
 bool
 dff_json_bool (const json_t *object, const char *key)
 {
--- a/graph/json.h
+++ b/graph/json.h
@@ -12,6 +12,12 @@
 
 int64_t dff_json_int (const json_t *object, const char *key);
 
+/** The same within 32 bits: what is beyond them is the nearest that is not. */
+int32_t dff_json_int32 (const json_t *object, const char *key);
+
+/** Returns: an integer of an array, within 32 bits; 0 where there is none. */
+int32_t dff_json_int32_at (const json_t *array, size_t index);
+
 bool dff_json_bool (const json_t *object, const char *key);
 
 /** Returns: the empty name where the member is missing or no name. */
--- a/graph/plan.c
+++ b/graph/plan.c
@@ -10,6 +10,12 @@
 	g_array_unref (((struct dff_step *)data)->after);
 }
 
+/** Cores, GiB, accelerators or slots of a task at the most: beyond any worker's, and sums of a
+ * step's tasks stay within 32 bits. */
+#define AMOUNT_MAX 1000000
+/** Times at the most, ms: in the year 5138, and 256 times it is within 64 bits. */
+#define TIME_MAX_MS INT64_C (100000000000000)
+
 struct dff_plan *
 dff_plan_new (void)
 {
@@ -38,6 +44,28 @@
 	return dff_plan_step (plan, (int32_t)plan->steps->len - 1);
 }
 
+static bool
+amount_is_valid (int32_t amount)
+{
+	return amount >= 0 && amount <= AMOUNT_MAX;
+}
+
+/* What a task needs comes from callers. A negative amount would make room where there is none. */
+static bool
+needs_are_valid (const struct dff_step *step)
+{
+	const struct dff_resources *needs = &step->per_task;
+	return amount_is_valid (needs->slots) && amount_is_valid (needs->cores) &&
+	       amount_is_valid (needs->memory_gb) && amount_is_valid (needs->accelerators) &&
+	       amount_is_valid (step->per_worker);
+}
+
+static bool
+time_is_valid (int64_t time_ms)
+{
+	return time_ms >= 0 && time_ms <= TIME_MAX_MS;
+}
+
 static const char *
 check_step (const struct dff_step *step, int32_t index)
 {
@@ -45,6 +73,10 @@
 		return "a step has too few or too many tasks";
 	if (step->gang && step->count > DFF_STEP_GANG_MAX)
 		return "a gang is too large";
+	if (!needs_are_valid (step))
+		return "what a task needs is negative or too much";
+	if (!time_is_valid (step->estimate_ms))
+		return "an estimate is out of range";
 	for (guint i = 0; i < step->after->len; i++) {
 		int32_t before = g_array_index (step->after, int32_t, i);
 		if (before < 0 || before >= index)
@@ -60,6 +92,8 @@
 		return "a job has too few or too many steps";
 	if (plan->occurrences < 1 || plan->occurrences > DFF_PLAN_OCCURRENCES_MAX)
 		return "a job recurs too often";
+	if (!time_is_valid (plan->first_ms) || !time_is_valid (plan->interval_ms))
+		return "a time is out of range";
 	int64_t tasks = 0;
 	for (guint i = 0; i < plan->steps->len; i++) {
 		const char *fault = check_step (dff_plan_step (plan, (int32_t)i), (int32_t)i);
@@ -108,12 +142,12 @@
 static void
 decode_step (const json_t *object, struct dff_step *step)
 {
-	step->count = (int32_t)dff_json_int (object, "count");
+	step->count = dff_json_int32 (object, "count");
 	step->per_task = (struct dff_resources){
-		.slots = (int32_t)dff_json_int (object, "slots"),
-		.cores = (int32_t)dff_json_int (object, "cores"),
-		.memory_gb = (int32_t)dff_json_int (object, "memory_gb"),
-		.accelerators = (int32_t)dff_json_int (object, "accelerators"),
+		.slots = dff_json_int32 (object, "slots"),
+		.cores = dff_json_int32 (object, "cores"),
+		.memory_gb = dff_json_int32 (object, "memory_gb"),
+		.accelerators = dff_json_int32 (object, "accelerators"),
 	};
 	step->estimate_ms = dff_json_int (object, "estimate_ms");
 	step->gang = dff_json_bool (object, "gang");
@@ -122,10 +156,10 @@
 	step->endless = dff_json_bool (object, "endless");
 	step->label = dff_json_name (object, "label");
 	step->data_rack = dff_json_name (object, "data_rack");
-	step->per_worker = (int32_t)dff_json_int (object, "per_worker");
+	step->per_worker = dff_json_int32 (object, "per_worker");
 	const json_t *after = json_object_get (object, "after");
 	for (size_t i = 0; i < json_array_size (after); i++) {
-		int32_t before = (int32_t)json_integer_value (json_array_get (after, i));
+		int32_t before = dff_json_int32_at (after, i);
 		g_array_append_val (step->after, before);
 	}
 }
@@ -141,12 +175,12 @@
 	plan->team = dff_json_name (root, "team");
 	plan->class_name = dff_json_name (root, "class");
 	plan->service = dff_json_name (root, "service");
-	plan->priority = (int32_t)dff_json_int (root, "priority");
-	plan->max_attempts = (int32_t)dff_json_int (root, "max_attempts");
+	plan->priority = dff_json_int32 (root, "priority");
+	plan->max_attempts = dff_json_int32 (root, "max_attempts");
 	const json_t *payload = json_object_get (root, "payload");
 	g_string_append_len (plan->payload, json_string_value (payload),
 			     (gssize)json_string_length (payload));
-	plan->occurrences = (int32_t)dff_json_int (root, "occurrences");
+	plan->occurrences = dff_json_int32 (root, "occurrences");
 	plan->timed = dff_json_bool (root, "timed");
 	plan->first_ms = dff_json_int (root, "first_ms");
 	plan->interval_ms = dff_json_int (root, "interval_ms");
--- a/holder/holder.c
+++ b/holder/holder.c
@@ -140,6 +140,9 @@
 				     "Workers whose runs were given up as over.");
 	holder->metrics.stalled_workers = dff_metrics_counter (
 		metrics, "dff_holder_workers_stalled_total", "Workers whose tasks stood still.");
+	holder->metrics.unreadable_entries =
+		dff_metrics_counter (metrics, "dff_holder_unreadable_entries_total",
+				     "Entries of the list of workers that were not understood.");
 	holder->metrics.jobs_completed = dff_metrics_counter (
 		metrics, "dff_holder_jobs_completed_total", "Jobs that completed.");
 	holder->metrics.jobs_failed =
--- a/holder/holder_private.h
+++ b/holder/holder_private.h
@@ -261,6 +261,8 @@
 	/** Changes up to this revision are known; 0: the list is to be read whole. */
 	int64_t list_revision;
 	bool asking_list_changes;
+	/** When the log may tell next of an entry that cannot be read. */
+	int64_t next_unreadable_ms;
 
 	struct {
 		int64_t *takeovers;
@@ -274,6 +276,7 @@
 		int64_t *ends[DFF_RUN_ALONE + 1];
 		int64_t *lapsed_workers;
 		int64_t *stalled_workers;
+		int64_t *unreadable_entries;
 		int64_t *jobs_completed;
 		int64_t *jobs_failed;
 		int64_t *jobs_cancelled;
--- a/holder/list.c
+++ b/holder/list.c
@@ -18,6 +18,29 @@
 /** Timeout of the first page of the whole list, ms. */
 #define PAGE_TIMEOUT_MS 1500
 
+/** Time between two lines about entries that cannot be read, ms. */
+#define UNREADABLE_LINE_MS 5000
+
+/* An entry that cannot be read names no worker to use; the others hold. One that could be read
+ * before is no longer there. Workers write all the time, so that not each has a line in the log. */
+static void
+note_unreadable (struct dff_holder *holder, const struct dff_row *row)
+{
+	struct dff_name id;
+	int64_t now_ms = holder_now_ms (holder);
+	(*holder->metrics.unreadable_entries)++;
+	if (dff_name_parse (row->key, &id))
+		workers_note_unlisted (holder, &id);
+	if (now_ms < holder->next_unreadable_ms)
+		return;
+	holder->next_unreadable_ms = now_ms + UNREADABLE_LINE_MS;
+	dff_log (DFF_LOG_UPSTREAM, DFF_LOG_WARNING,
+		 "A worker's entry cannot be read. key=%.*s revision=%" PRId64
+		 " entries_so_far=%" PRId64,
+		 (int)row->key.len, row->key.data, row->revision,
+		 *holder->metrics.unreadable_entries);
+}
+
 static void
 take_row (struct dff_holder *holder, const struct dff_row *row, int64_t begun_ms)
 {
@@ -29,9 +52,7 @@
 		return;
 	}
 	if (!holder->options.read_upstream (row, &upstream)) {
-		dff_log (DFF_LOG_UPSTREAM, DFF_LOG_WARNING,
-			 "A worker's entry cannot be read. key=%.*s", (int)row->key.len,
-			 row->key.data);
+		note_unreadable (holder, row);
 		return;
 	}
 	g_hash_table_add (holder->list_seen, dff_name_dup (&upstream.id));
--- a/tests/platform/test-decode.c
+++ b/tests/platform/test-decode.c
@@ -5,6 +5,7 @@
 #include <cmocka.h>
 #include <string.h>
 
+#include "graph/progress.h"
 #include "platform/decode.h"
 
 /* The platform's bodies as its pages show them. */
@@ -20,6 +21,11 @@
 	"\"tenants\":[{\"name\":\"kaje80\",\"api_keys\":[\"d4a3\",\"3hh2\"],\"priority\":1,"
 	"\"guaranteed\":{\"gpu\":72}}]}";
 
+/** An entry of the list of workers. */
+#define UPSTREAM(state, address, capacity)                                                         \
+	"{\"service\":\"s\",\"address\":" address ",\"state\":" state ",\"capacity\":" capacity    \
+	",\"labels\":[\"a\",\"r1-3\"]}"
+
 static void
 test_config (void **state)
 {
@@ -91,9 +97,157 @@
 		assert_int_equal (upstream.leaving, cases[i].leaving);
 		assert_int_equal (upstream.remaining_ms, cases[i].remaining_ms);
 	}
-	struct dff_row bad = {.key = dff_str_from ("i-7"), .value = dff_str_from ("{}")};
+}
+
+/* Symptom: work goes to a worker that is not there, or is not meant to run any. Sequence: another
+ * program, or a newer version of one, writes an entry with a state or fields that are not known
+ * here. Cause: what was not understood was taken for its default. */
+static void
+test_upstream_of_another_writer (void **state)
+{
+	(void)state;
+	static const struct {
+		const char *key;
+		const char *value;
+		bool used;
+	} cases[] = {
+		{"i-1",
+		 UPSTREAM ("\"ready\"", "\"10.1.0.9:80\"", "{\"cpu\":1,\"mem_mb\":1,\"gpu\":1}"),
+		 true},
+		{"i-1",
+		 UPSTREAM ("\"frozen\"", "\"10.1.0.9:80\"", "{\"cpu\":1,\"mem_mb\":1,\"gpu\":1}"),
+		 false},
+		{"i-1", UPSTREAM ("null", "\"10.1.0.9:80\"", "{\"cpu\":1,\"mem_mb\":1,\"gpu\":1}"),
+		 false},
+		{"i-1", UPSTREAM ("7", "\"10.1.0.9:80\"", "{\"cpu\":1,\"mem_mb\":1,\"gpu\":1}"),
+		 false},
+		{"i-1", UPSTREAM ("\"ready\"", "\"nowhere\"", "{\"cpu\":1,\"mem_mb\":1,\"gpu\":1}"),
+		 false},
+		{"i-1",
+		 UPSTREAM ("\"ready\"", "\"10.1.0.9:0\"", "{\"cpu\":1,\"mem_mb\":1,\"gpu\":1}"),
+		 false},
+		{"i-1", UPSTREAM ("\"ready\"", "[]", "{\"cpu\":1,\"mem_mb\":1,\"gpu\":1}"), false},
+		{"i-1", UPSTREAM ("\"ready\"", "\"10.1.0.9:80\"", "{\"cpu\":1,\"mem_mb\":1}"),
+		 false},
+		{"i-1",
+		 UPSTREAM ("\"ready\"", "\"10.1.0.9:80\"", "{\"cpu\":1,\"mem_mb\":1,\"gpu\":-1}"),
+		 false},
+		{"i-1",
+		 UPSTREAM ("\"ready\"", "\"10.1.0.9:80\"",
+			   "{\"cpu\":\"1\",\"mem_mb\":1,\"gpu\":1}"),
+		 false},
+		{"i-1", UPSTREAM ("\"ready\"", "\"10.1.0.9:80\"", "8"), false},
+		{"i 1",
+		 UPSTREAM ("\"ready\"", "\"10.1.0.9:80\"", "{\"cpu\":1,\"mem_mb\":1,\"gpu\":1}"),
+		 false},
+		{"i-1", "{}", false},
+		{"i-1", "[]", false},
+		{"i-1", "null", false},
+		{"i-1", "", false},
+		{"i-1", "{\"state\":\"ready\"", false},
+		{"i-1", "\xff\xfe", false},
+	};
+	for (size_t i = 0; i < G_N_ELEMENTS (cases); i++) {
+		struct dff_row row = {.key = dff_str_from (cases[i].key),
+				      .value = dff_str_from (cases[i].value)};
+		struct dff_upstream upstream;
+		assert_int_equal (dff_platform_read_upstream (&row, &upstream), cases[i].used);
+	}
+}
+
+/** A body of each kind, as the platform has it. */
+static const char *const sound_bodies[] = {
+	UPSTREAM ("\"draining\",\"remaining_ms\":1800",
+		  "\"10.1.0.9:80\"",
+		  "{\"cpu\":16900,\"mem_mb\":32768,\"gpu\":8}"),
+	"{\"version\":7,\"routes\":[{\"name\":\"r\",\"host\":\"h\",\"path_prefix\":\"/p/\","
+	"\"service\":\"s\",\"priority\":1,\"max_attempts\":3,\"public\":false}],"
+	"\"tenants\":[{\"name\":\"t\",\"api_keys\":[\"k1\",\"k2\"],\"guaranteed\":{\"gpu\":8}}]}",
+	"{\"spec\":\"text\",\"steps\":[{\"count\":4,\"cpu\":500,\"mem_mb\":256,\"gpu\":1,"
+	"\"estimate_ms\":900,\"affinity\":\"r1\"},{\"count\":2,\"gang\":true,\"after\":[0]}],"
+	"\"repeat_count\":3,\"first_ms\":1790000000000,\"interval_ms\":2000}",
+};
+
+/* What a fuzzed plan may hold: nothing by which the sums of the core would leave their bounds. */
+static void
+check_plan (const struct dff_plan *plan)
+{
+	for (guint i = 0; i < plan->steps->len; i++) {
+		const struct dff_step *step = dff_plan_step (plan, (int32_t)i);
+		assert_in_range (step->count, 1, DFF_STEP_TASKS_MAX);
+		assert_in_range (step->per_task.accelerators, 0, 1000000);
+		assert_in_range (step->per_task.cores, 0, 1000000);
+		assert_in_range (step->per_task.memory_gb, 0, 1000000);
+	}
+}
+
+static void
+decode_all (struct dff_str text)
+{
+	const char *fault;
 	struct dff_upstream upstream;
-	assert_false (dff_platform_read_upstream (&bad, &upstream));
+	struct dff_row row = {.key = dff_str_from ("i-1"), .value = text};
+	if (dff_platform_read_upstream (&row, &upstream))
+		assert_true (upstream.capacity.accelerators >= 0 && upstream.capacity.cores >= 0);
+	DFF_AUTO (dff_fleet_config) config = dff_platform_read_config (text);
+	DFF_AUTO (dff_plan) plan = dff_platform_read_job (text, &fault);
+	if (plan == NULL)
+		return;
+	check_plan (plan);
+	/* What was accepted is written and read again by every process that follows. */
+	plan->id = dff_name_from ("job");
+	g_autoptr (GString) encoded = dff_plan_encode (plan);
+	DFF_AUTO (dff_plan) again = dff_plan_decode ((struct dff_str){encoded->str, encoded->len});
+	assert_non_null (again);
+	DFF_AUTO (dff_progress) progress = dff_progress_decode (again, text);
+}
+
+/* In place of a value: other types, huge and negative numbers, deep nesting, a name with NUL, the
+ * same key twice. */
+static const char *const replacements[] = {
+	"null",
+	"true",
+	"\"\"",
+	"\"x\"",
+	"-1",
+	"0",
+	"9223372036854775807",
+	"-9223372036854775808",
+	"1e300",
+	"[]",
+	"{}",
+	"[[[[[[[[[[]]]]]]]]]]",
+	"\"a\\u0000b\"",
+	"1,\"count\":2",
+	"2147483648",
+};
+
+/* Symptom: a process ends, or takes in what cannot be. Sequence: bodies that are cut short, have
+ * bytes changed, or values of other types and sizes. Seeded. */
+static void
+test_fuzzed_bodies (void **state)
+{
+	(void)state;
+	g_autoptr (GRand) rand = g_rand_new_with_seed (20261203);
+	for (int i = 0; i < 6000; i++) {
+		const char *sound = sound_bodies[i % (int)G_N_ELEMENTS (sound_bodies)];
+		g_autoptr (GString) body = g_string_new (sound);
+		int kind = g_rand_int_range (rand, 0, 3);
+		guint at = (guint)g_rand_int_range (rand, 0, (gint32)body->len);
+		if (kind == 0)
+			g_string_truncate (body, at);
+		if (kind == 1)
+			body->str[at] = (char)g_rand_int (rand);
+		const char *colon = strchr (body->str + (kind == 2 ? at : body->len), ':');
+		if (colon != NULL) {
+			gssize begin = colon + 1 - body->str;
+			gssize length = (gssize)strcspn (colon + 1, ",}]");
+			int which = g_rand_int_range (rand, 0, G_N_ELEMENTS (replacements));
+			g_string_erase (body, begin, length);
+			g_string_insert (body, begin, replacements[which]);
+		}
+		decode_all ((struct dff_str){body->str, body->len});
+	}
 }
 
 static void
@@ -133,6 +287,11 @@
 		"{\"steps\":[{\"count\":0}]}",
 		"{\"steps\":[{\"count\":1,\"after\":[0]}]}",
 		"{\"steps\":[{\"count\":257,\"gang\":true}]}",
+		"{\"steps\":[{\"count\":1,\"cpu\":-500}]}",
+		"{\"steps\":[{\"count\":1,\"gpu\":-8}]}",
+		"{\"steps\":[{\"count\":1,\"estimate_ms\":-1}]}",
+		"{\"steps\":[{\"count\":1}],\"repeat_count\":2,\"interval_ms\":"
+		"9223372036854775807}",
 	};
 	for (size_t i = 0; i < G_N_ELEMENTS (refused); i++) {
 		assert_null (dff_platform_read_job (dff_str_from (refused[i]), &fault));
@@ -146,6 +305,8 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test (test_config),
 		cmocka_unit_test (test_upstream),
+		cmocka_unit_test (test_upstream_of_another_writer),
+		cmocka_unit_test (test_fuzzed_bodies),
 		cmocka_unit_test (test_job),
 	};
 	return cmocka_run_group_tests (tests, NULL, NULL);
