--- a/bench/load/main.c
+++ b/bench/load/main.c
@@ -29,6 +29,12 @@
 	options->headroom_decay_ms = 0;
 }
 
+static void
+without_patience (struct dff_core_options *options)
+{
+	options->headroom_patience_times = 0.0;
+}
+
 static void
 without_guards (struct dff_core_options *options)
 {
@@ -44,6 +50,7 @@
 static const struct variant variants[] = {
 	{"as it is", change_nothing},
 	{"no headroom", without_headroom},
+	{"bulk work waits for ever", without_patience},
 	{"any work thrown away", without_evict_bound},
 	{"no racks kept for gangs", without_guards},
 };
--- a/core/core.c
+++ b/core/core.c
@@ -34,6 +34,7 @@
 	options->checkpoint_loss_ms = DEFAULT_CHECKPOINT_LOSS_MS;
 	options->stall_loss_ms = DEFAULT_STALL_LOSS_MS;
 	options->headroom_decay_ms = 0;
+	options->headroom_patience_times = 0.0;
 	options->evict_work_times = 0.0;
 	options->evict_any_after_ms = 0;
 }
--- a/core/headroom.c
+++ b/core/headroom.c
@@ -17,10 +17,6 @@
  * measured in what is served in time, and less leaves more to bulk work. */
 #define HEADROOM_SHARE 0.7
 
-/** Wait after which work of the last priority no longer leaves room for the one before it, in times
- * of its expected run time. */
-#define PATIENCE_RUN_TIMES 1.0
-
 void
 dff_core_headroom_count (struct dff_core *core, const struct dff_core_job *job, int32_t times)
 {
@@ -94,8 +90,9 @@
 int32_t
 dff_core_headroom_level (const struct dff_core *core, const struct dff_core_job *job)
 {
-	int64_t waited_ms = core->now_ms - job->submitted_ms;
-	bool has_waited = (double)waited_ms >= PATIENCE_RUN_TIMES * (double)job->estimate_ms;
+	double times = core->options.headroom_patience_times;
+	double waited_ms = (double)(core->now_ms - job->submitted_ms);
+	bool has_waited = times > 0.0 && waited_ms >= times * (double)job->estimate_ms;
 	return has_waited ? MIN (job->priority, 1) : job->priority;
 }
 
--- a/fleet/relays.c
+++ b/fleet/relays.c
@@ -221,9 +221,10 @@
 	relays->relay = dff_relay_new (&relay);
 	relays->listener =
 		dff_stream_listen (options->base, &options->address, handle_accept, relays);
-	if (relays->listener == NULL)
-		g_clear_pointer (&relays, dff_fleet_relays_free);
-	return relays;
+	if (relays->listener != NULL)
+		return relays;
+	dff_fleet_relays_free (relays);
+	return NULL;
 }
 
 void
--- a/holder/policy.c
+++ b/holder/policy.c
@@ -28,6 +28,12 @@
  * burst would have to wait for otherwise. Between 8 s and 50 s no difference was measured. */
 #define HEADROOM_DECAY_MS 20000
 
+/** Wait after which bulk work no longer leaves room for what waits before it, but for urgent work,
+ * in times its own run time: a third of what its objective allows, so that it can still be met. On
+ * a loaded fleet of a thousand workers twice as many bulk jobs end in time, a tenth fewer of the
+ * others, and a fifth more work is done in all. */
+#define HEADROOM_PATIENCE_TIMES 1.0
+
 /** Work that an urgent job may throw away, in times its own: without a bound a fifth more work is
  * thrown away than with it, a fifth more gangs are late, and urgent jobs gain a fiftieth. Between 2
  * and 6 the differences measured are within their errors. */
@@ -55,6 +61,7 @@
 	options->evict_work_times = EVICT_WORK_TIMES;
 	options->evict_any_after_ms = EVICT_ANY_AFTER_MS;
 	options->headroom_decay_ms = HEADROOM_DECAY_MS;
+	options->headroom_patience_times = HEADROOM_PATIENCE_TIMES;
 	options->checkpoint_loss_ms = CHECKPOINT_LOSS_MS;
 	options->stall_loss_ms = STALL_LOSS_MS;
 }
--- a/include/core/core.h
+++ b/include/core/core.h
@@ -76,6 +76,9 @@
 	/** Time constant with which headroom shrinks again, ms: the room that work of a priority
 	 * leaves free for work before it, see core/headroom.c. 0: none is left. */
 	int64_t headroom_decay_ms;
+	/** Wait after which work of the last priority leaves headroom for the first alone, in times
+	 * its expected run time; 0: never. */
+	double headroom_patience_times;
 };
 
 /** Fills in the defaults that docs/decisions/ gives reasons for. */
--- a/relay/dispatch.c
+++ b/relay/dispatch.c
@@ -22,6 +22,9 @@
 /** Calls to a worker without an answer, each through another relay, after which this process calls
  * it itself. */
 #define DETOURS_MAX 3
+/** Workers of which such calls are remembered; beyond it all are forgotten. Lives of workers come
+ * and go for months. */
+#define DETOURS_KEPT 4096
 
 struct call {
 	dff_runner_func done;
@@ -85,6 +88,8 @@
 	if (outcome != DFF_RUNNER_UNKNOWN && outcome != DFF_RUNNER_UNSENT)
 		return;
 	guint detours = GPOINTER_TO_UINT (g_hash_table_lookup (dispatch->detours, worker));
+	if (g_hash_table_size (dispatch->detours) >= DETOURS_KEPT)
+		g_hash_table_remove_all (dispatch->detours);
 	g_hash_table_insert (dispatch->detours, dff_name_dup (worker),
 			     GUINT_TO_POINTER (detours + 1));
 }
@@ -144,43 +149,37 @@
 }
 
 static void
-send_order (struct dff_dispatch_relay *relay,
+send_order (struct dff_dispatch *dispatch,
 	    Dff__Relay__Kind kind,
 	    const struct dff_run_order *order,
 	    dff_runner_func done,
 	    void *user)
 {
-	uint64_t id = add_call (relay, &order->worker, done, user);
-	relay_batch_add_order (relay->batch, id, kind, order);
-	flush_within (relay->dispatch, 0);
-}
-
-static void
-dispatch_start (void *ctx, const struct dff_run_order *order, dff_runner_func done, void *user)
-{
-	struct dff_dispatch *dispatch = ctx;
 	const struct dff_runner *direct = dispatch->options.direct;
 	struct dff_dispatch_relay *relay = choose (dispatch, &order->worker);
 	if (relay != NULL) {
-		send_order (relay, DFF__RELAY__KIND__START, order, done, user);
+		uint64_t id = add_call (relay, &order->worker, done, user);
+		relay_batch_add_order (relay->batch, id, kind, order);
+		flush_within (dispatch, 0);
 		return;
 	}
 	(*dispatch->n_direct)++;
-	direct->start (direct->ctx, order, done, user);
+	if (kind == DFF__RELAY__KIND__START)
+		direct->start (direct->ctx, order, done, user);
+	else
+		direct->stop (direct->ctx, order, done, user);
+}
+
+static void
+dispatch_start (void *ctx, const struct dff_run_order *order, dff_runner_func done, void *user)
+{
+	send_order (ctx, DFF__RELAY__KIND__START, order, done, user);
 }
 
 static void
 dispatch_stop (void *ctx, const struct dff_run_order *order, dff_runner_func done, void *user)
 {
-	struct dff_dispatch *dispatch = ctx;
-	const struct dff_runner *direct = dispatch->options.direct;
-	struct dff_dispatch_relay *relay = choose (dispatch, &order->worker);
-	if (relay != NULL) {
-		send_order (relay, DFF__RELAY__KIND__STOP, order, done, user);
-		return;
-	}
-	(*dispatch->n_direct)++;
-	direct->stop (direct->ctx, order, done, user);
+	send_order (ctx, DFF__RELAY__KIND__STOP, order, done, user);
 }
 
 static void
@@ -342,6 +341,8 @@
 dff_dispatch_set_limit (struct dff_dispatch *dispatch, int32_t limit)
 {
 	dispatch->limit = limit;
+	if (limit == 0)
+		g_hash_table_remove_all (dispatch->detours);
 }
 
 int32_t
--- a/relay/stream.c
+++ b/relay/stream.c
@@ -191,9 +191,10 @@
 	listener->listener = evconnlistener_new_bind (base, handle_accept, listener,
 						      LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, -1,
 						      (struct sockaddr *)&parsed, sizeof (parsed));
-	if (listener->listener == NULL)
-		g_clear_pointer (&listener, g_free);
-	return listener;
+	if (listener->listener != NULL)
+		return listener;
+	g_free (listener);
+	return NULL;
 }
 
 void
--- a/tests/bench/test-load.c
+++ b/tests/bench/test-load.c
@@ -81,6 +81,26 @@
 	assert_true (with.at_once > without.at_once - 0.02);
 }
 
+static void
+without_patience (struct dff_core_options *options)
+{
+	options->headroom_patience_times = 0.0;
+}
+
+/* Pattern: the same; gangs queue for racks, and bulk work behind them is put off until its
+ * objective has passed. With its patience half of it is in time, without a quarter; urgent work
+ * loses one job in a hundred. */
+static void
+test_bulk_under_load (void **state)
+{
+	(void)state;
+	struct means with = play (1.0, NULL);
+	struct means without = play (1.0, without_patience);
+	assert_true (with.in_time[DFF_LOAD_BULK] > without.in_time[DFF_LOAD_BULK] + 0.12);
+	assert_true (with.in_time[DFF_LOAD_URGENT] > without.in_time[DFF_LOAD_URGENT] - 0.02);
+	assert_true (with.thrown < 1.1 * without.thrown);
+}
+
 static void
 without_evict_bound (struct dff_core_options *options)
 {
@@ -106,6 +126,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test (test_headroom_under_load),
 		cmocka_unit_test (test_headroom_on_a_calm_day),
+		cmocka_unit_test (test_bulk_under_load),
 		cmocka_unit_test (test_bounded_evictions),
 	};
 	return cmocka_run_group_tests (tests, NULL, NULL);
--- a/tests/core/test-headroom.c
+++ b/tests/core/test-headroom.c
@@ -107,6 +107,40 @@
 	}
 }
 
+/* Symptom: a whole kind of request is never served on a loaded day. Sequence: gangs wait that need
+ * a rack whole and cannot have one yet; bulk work leaves them its room until its own time is up.
+ * Cause: it left free what waited before it for as long as that waited. */
+static void
+test_bulk_that_has_waited (void **state)
+{
+	(void)state;
+	static const struct {
+		double patience_times;
+		int64_t later_ms;
+		int32_t begun;
+	} cases[] = {
+		{0.0, 100000, 0},
+		/* Runs are expected to take a minute. */
+		{1.0, 50000, 0},
+		{1.0, 70000, 1},
+	};
+	for (size_t i = 0; i < G_N_ELEMENTS (cases); i++) {
+		struct dff_core_options options = headroom_options ();
+		options.headroom_decay_ms = 1000000;
+		options.headroom_patience_times = cases[i].patience_times;
+		struct site site;
+		site_open (&site, &options);
+		assert_int_equal (begin_tasks (&site, 2, 1, 8), 2);
+		/* Of the two workers left, 0.7 of what runs is one. */
+		assert_int_equal (begin_tasks (&site, 2, 2, 8), 1);
+		g_autoptr (GString) later = site_pass (&site, cases[i].later_ms);
+		g_auto (GStrv) placed = g_strsplit (later->str, "@", -1);
+		int32_t n_later = later->len > 0 ? (int32_t)g_strv_length (placed) - 1 : 0;
+		assert_int_equal (n_later, cases[i].begun);
+		site_close (&site);
+	}
+}
+
 int
 main (void)
 {
@@ -114,6 +148,7 @@
 		cmocka_unit_test (test_room_that_was_needed),
 		cmocka_unit_test (test_room_of_each_priority),
 		cmocka_unit_test (test_idle_pool),
+		cmocka_unit_test (test_bulk_that_has_waited),
 	};
 	return cmocka_run_group_tests_name ("core-headroom", tests, NULL, NULL);
 }
--- a/tests/platform/test-decode.c
+++ b/tests/platform/test-decode.c
@@ -290,8 +290,7 @@
 		"{\"steps\":[{\"count\":1,\"cpu\":-500}]}",
 		"{\"steps\":[{\"count\":1,\"gpu\":-8}]}",
 		"{\"steps\":[{\"count\":1,\"estimate_ms\":-1}]}",
-		"{\"steps\":[{\"count\":1}],\"repeat_count\":2,\"interval_ms\":"
-		"9223372036854775807}",
+		"{\"steps\":[{}],\"repeat_count\":2,\"interval_ms\":9223372036854775807}",
 	};
 	for (size_t i = 0; i < G_N_ELEMENTS (refused); i++) {
 		assert_null (dff_platform_read_job (dff_str_from (refused[i]), &fault));
--- a/tests/relay/test-relay.c
+++ b/tests/relay/test-relay.c
@@ -50,7 +50,7 @@
 	size_t n_running;
 	size_t n_ended;
 	enum dff_run_end end;
-	char checkpoint[32];
+	size_t checkpoint_len;
 	int64_t clock_ms;
 };
 
@@ -167,9 +167,7 @@
 	if (result->n_ended > 0)
 		outcome->end = result->ended[0].end;
 	if (result->n_running > 0)
-		g_snprintf (outcome->checkpoint, sizeof (outcome->checkpoint), "%.*s",
-			    (int)result->running[0].checkpoint.len,
-			    result->running[0].checkpoint.data);
+		outcome->checkpoint_len = result->running[0].checkpoint.len;
 }
 
 static struct dff_run_order
@@ -246,7 +244,7 @@
 	dff_virtual_loop_run (fixture.loop, 100);
 	for (int i = 0; i < WORKERS; i++) {
 		assert_int_equal (outcomes[i].n_running, 1);
-		assert_int_not_equal (strlen (outcomes[i].checkpoint), 0);
+		assert_int_not_equal (outcomes[i].checkpoint_len, 0);
 		watch (&fixture, i, 1500, &outcomes[i]);
 	}
 	stop (&fixture, 1, 1, &stopped);
@@ -497,8 +495,8 @@
 	test.near = dff_stream_connect (test.base, &address, &handlers);
 	while (!test.connected || test.far == NULL)
 		event_base_loop (test.base, EVLOOP_ONCE);
-	g_autofree uint8_t *large = g_malloc (300000);
-	memset (large, 'x', 300000);
+	static uint8_t large[300000];
+	memset (large, 'x', sizeof (large));
 	dff_stream_send (test.near, (const uint8_t *)"a", 1);
 	dff_stream_send (test.near, large, 0);
 	dff_stream_send (test.near, large, 300000);
