--- a/fleet/fleet.c
+++ b/fleet/fleet.c
@@ -9,9 +9,11 @@
 #include "common/http_connection.h"
 #include "common/http_listen.h"
 #include "common/log.h"
+#include "fleet/intake_link.h"
 #include "fleet/presence.h"
 #include "fleet/relays.h"
 #include "front/front.h"
+#include "front/intake.h"
 #include "holder/holder.h"
 #include "holder/tables.h"
 #include "platform/decode.h"
@@ -76,6 +78,8 @@
 	struct dff_rows_health *store;
 	struct dff_http_runner *runner;
 	struct dff_front *front;
+	struct dff_intake *intake;
+	struct dff_intake_link *intake_link;
 	struct dff_ingress *ingress;
 	struct dff_holder *holder;
 	struct dff_follower *config_follower;
@@ -235,6 +239,36 @@
 	return false;
 }
 
+static int64_t
+store_took_ms (void *ctx)
+{
+	const struct dff_fleet *fleet = ctx;
+	return dff_holder_store_took_ms (fleet->holder);
+}
+
+static void
+note_holder (void *ctx, const struct dff_name *address, bool self)
+{
+	const struct dff_fleet *fleet = ctx;
+	dff_intake_set_gatherer (fleet->intake, address, self);
+}
+
+static void
+open_intake (struct dff_fleet *fleet)
+{
+	fleet->intake_link = dff_intake_link_new (fleet->base, fleet->metrics);
+	struct dff_intake_options options = {
+		.timers = &fleet->timers,
+		.rows = dff_rows_health_interface (fleet->store),
+		.metrics = fleet->metrics,
+		.store_took_ms = store_took_ms,
+		.store_ctx = fleet,
+		.forward = dff_intake_link_forward,
+		.forward_ctx = fleet->intake_link,
+	};
+	fleet->intake = dff_intake_new (&options);
+}
+
 static int64_t
 store_served_ms (void *ctx)
 {
@@ -262,6 +296,8 @@
 	options.relay_follow = dff_fleet_relays_follow;
 	options.relay_want = dff_fleet_relays_want;
 	options.relay_ctx = fleet->relays;
+	options.note_holder = note_holder;
+	options.note_ctx = fleet;
 	options.metrics = fleet->metrics;
 	options.instance = fleet->life;
 	options.presence_address = fleet->settings.ready_address;
@@ -294,7 +330,7 @@
 {
 	struct dff_front_options front = {
 		.timers = &fleet->timers,
-		.rows = dff_rows_health_interface (fleet->store),
+		.rows = dff_intake_interface (fleet->intake),
 		.metrics = fleet->metrics,
 		.store_is_silent = store_is_silent,
 		.ctx = fleet,
@@ -340,6 +376,7 @@
 	dff_ingress_serve (fleet->ingress, fleet->front_http);
 	evhttp_set_gencb (fleet->ready_http, handle_ready, fleet);
 	dff_presence_serve (fleet->presence, fleet->ready_http);
+	dff_intake_link_serve (fleet->intake, fleet->ready_http);
 	evhttp_set_cb (fleet->metrics_http, "/metrics", handle_metrics, fleet);
 	return listen_at (fleet->front_http, &fleet->settings.front_address, error) &&
 	       listen_at (fleet->ready_http, &fleet->settings.ready_address, error) &&
@@ -398,6 +435,7 @@
 	open_presence (fleet);
 	if (!open_relays (fleet, error))
 		return NULL;
+	open_intake (fleet);
 	open_holder (fleet);
 	open_front (fleet);
 	if (!open_listeners (fleet, error))
@@ -420,6 +458,8 @@
 	g_clear_pointer (&fleet->worker_client, dff_http_client_free);
 	g_clear_pointer (&fleet->relays, dff_fleet_relays_free);
 	g_clear_pointer (&fleet->presence, dff_presence_free);
+	g_clear_pointer (&fleet->intake_link, dff_intake_link_free);
+	g_clear_pointer (&fleet->intake, dff_intake_free);
 	g_clear_pointer (&fleet->ingress, dff_ingress_free);
 	g_clear_pointer (&fleet->front, dff_front_free);
 	g_clear_pointer (&fleet->store, dff_rows_health_free);
--- /dev/null
+++ b/front/intake.c
@@ -0,0 +1,364 @@
+#include "front/intake.h"
+
+#include <inttypes.h>
+
+#include "common/log.h"
+#include "holder/tables.h"
+
+/** Answers of the store that take so long, ms, mean that transactions queue: ten times what one
+ * takes. */
+#define SLOW_MS 100
+/** How long rows go the other way after the store has turned this process away, ms. */
+#define REFUSED_FOR_MS 1500
+/** Rows in one transaction: each is a condition and two writes. */
+#define BATCH_ROWS 33
+/** Bytes of them, before encoding: the store takes 1 MB in base64. */
+#define BATCH_BYTES 600000
+/** Timeout of a transaction, ms: beyond that of a store that is sixty times as slow, with others
+ * queued before it. */
+#define BATCH_TIMEOUT_MS 1500
+/** Pause after a transaction that was turned away or has no answer, ms. */
+#define PAUSE_MS 60
+/** Least time worth another transaction, ms. */
+#define LEAST_MS 20
+/** Transactions that may be turned away before a row's callers are told: a store that is full takes
+ * the next, one that is down none. */
+#define REFUSALS_MAX 3
+/** How long rows go straight to the store after the process that gathers them did not take one, ms:
+ * it may be gone, and the next is known within that. */
+#define AVOID_MS 400
+
+/** A row that waits to be written, for one caller or more. */
+struct entry {
+	char *key;
+	GString *value;
+	int64_t deadline_ms;
+	/** Whether a transaction with it may still take effect. */
+	bool is_open;
+	int32_t n_refused;
+	/** Elements: struct waiter. */
+	GArray *waiters;
+};
+
+struct waiter {
+	dff_rows_func done;
+	void *user;
+};
+
+struct dff_intake {
+	struct dff_rows interface;
+	struct dff_intake_options options;
+	struct dff_name gatherer;
+	bool is_gatherer;
+	int64_t refused_until_ms;
+	int64_t avoid_until_ms;
+	/** Elements: struct entry *, the oldest first. */
+	GQueue waiting;
+	/** (nullable): those in the transaction in progress. */
+	GPtrArray *in_flight;
+	int64_t begun_ms;
+	struct dff_timer *work;
+	int64_t *forwarded;
+	int64_t *batches;
+	int64_t *batch_rows;
+};
+
+struct passed_call {
+	struct dff_intake *intake;
+	dff_rows_func done;
+	void *user;
+};
+
+static int64_t
+now_ms (const struct dff_intake *intake)
+{
+	return dff_clock_now_ms (intake->options.timers->clock);
+}
+
+static void
+free_entry (gpointer data)
+{
+	struct entry *entry = data;
+	g_free (entry->key);
+	g_string_free (entry->value, TRUE);
+	g_array_unref (entry->waiters);
+	g_free (entry);
+}
+
+static void
+end_entry (struct entry *entry, enum dff_rows_outcome outcome, int64_t revision)
+{
+	struct dff_rows_result result = {.outcome = outcome, .revision = revision};
+	for (guint i = 0; i < entry->waiters->len; i++) {
+		const struct waiter *waiter = &g_array_index (entry->waiters, struct waiter, i);
+		waiter->done (waiter->user, &result);
+	}
+	free_entry (entry);
+}
+
+/* Not done is said only of what no transaction can still bring about. */
+static void
+give_up (struct entry *entry)
+{
+	end_entry (entry, entry->is_open ? DFF_ROWS_UNKNOWN : DFF_ROWS_NOT_DONE, 0);
+}
+
+static bool
+is_among (const struct dff_rows_result *result, const char *key)
+{
+	for (size_t i = 0; i < result->n_rows; i++) {
+		if (result->rows[i].revision > 0 &&
+		    dff_str_equal (result->rows[i].key, dff_str_from (key)))
+			return true;
+	}
+	return false;
+}
+
+static void
+handle_batch (void *user, const struct dff_rows_result *result)
+{
+	struct dff_intake *intake = user;
+	g_autoptr (GPtrArray) entries = g_steal_pointer (&intake->in_flight);
+	dff_log (DFF_LOG_ENTRY, DFF_LOG_INFO,
+		 "Rows written together. rows=%u outcome=%d took_ms=%" PRId64 " waiting=%u",
+		 entries->len, (int)result->outcome, now_ms (intake) - intake->begun_ms,
+		 intake->waiting.length);
+	for (guint i = entries->len; i > 0; i--) {
+		struct entry *entry = g_ptr_array_index (entries, i - 1);
+		if (result->outcome == DFF_ROWS_DONE) {
+			end_entry (entry, DFF_ROWS_DONE, result->revision);
+		} else if (result->outcome == DFF_ROWS_CONFLICT && is_among (result, entry->key)) {
+			/* Written by an earlier transaction, or by another process. */
+			end_entry (entry, DFF_ROWS_CONFLICT, result->revision);
+		} else {
+			entry->is_open |= result->outcome == DFF_ROWS_UNKNOWN;
+			entry->n_refused += result->outcome == DFF_ROWS_NOT_DONE;
+			g_queue_push_head (&intake->waiting, entry);
+		}
+	}
+	bool settled = result->outcome == DFF_ROWS_DONE || result->outcome == DFF_ROWS_CONFLICT;
+	dff_timer_start (intake->work, settled ? 0 : PAUSE_MS);
+}
+
+static void
+send_batch (struct dff_intake *intake)
+{
+	struct dff_rows_condition conditions[BATCH_ROWS];
+	struct dff_rows_write writes[2 * BATCH_ROWS];
+	size_t n_rows = 0;
+	gsize bytes = 0;
+	intake->in_flight = g_ptr_array_new ();
+	while (n_rows < BATCH_ROWS && bytes < BATCH_BYTES && intake->waiting.length > 0) {
+		struct entry *entry = g_queue_pop_head (&intake->waiting);
+		struct dff_str key = dff_str_from (entry->key);
+		conditions[n_rows] =
+			(struct dff_rows_condition){.table = DFF_TABLE_JOBS, .key = key};
+		writes[2 * n_rows] =
+			(struct dff_rows_write){.table = DFF_TABLE_JOBS,
+						.key = key,
+						.value = {entry->value->str, entry->value->len}};
+		writes[2 * n_rows + 1] = (struct dff_rows_write){
+			.table = DFF_TABLE_INBOX, .key = key, .value = dff_str_from ("{}")};
+		bytes += entry->value->len;
+		n_rows++;
+		g_ptr_array_add (intake->in_flight, entry);
+	}
+	struct dff_rows_commit commit = {.conditions = conditions,
+					 .n_conditions = n_rows,
+					 .writes = writes,
+					 .n_writes = 2 * n_rows,
+					 .timeout_ms = BATCH_TIMEOUT_MS};
+	(*intake->batches)++;
+	(*intake->batch_rows) += (int64_t)n_rows;
+	intake->begun_ms = now_ms (intake);
+	intake->options.rows->commit (intake->options.rows->ctx, &commit, handle_batch, intake);
+}
+
+static void
+drop_hopeless (struct dff_intake *intake)
+{
+	int64_t latest_ms = now_ms (intake) + LEAST_MS;
+	for (guint n = intake->waiting.length; n > 0; n--) {
+		struct entry *entry = g_queue_pop_head (&intake->waiting);
+		bool refused = entry->n_refused >= REFUSALS_MAX && !entry->is_open;
+		if (entry->deadline_ms <= latest_ms || refused)
+			give_up (entry);
+		else
+			g_queue_push_tail (&intake->waiting, entry);
+	}
+}
+
+static void
+handle_work (void *ctx)
+{
+	struct dff_intake *intake = ctx;
+	drop_hopeless (intake);
+	if (intake->in_flight == NULL && intake->waiting.length > 0)
+		send_batch (intake);
+}
+
+/* The same row may be sent again while it waits or is being written: a second condition for it
+ * would keep a whole transaction from being carried out. */
+static struct entry *
+find_entry (const struct dff_intake *intake, struct dff_str key)
+{
+	for (guint i = 0; intake->in_flight != NULL && i < intake->in_flight->len; i++) {
+		struct entry *entry = g_ptr_array_index (intake->in_flight, i);
+		if (dff_str_equal (dff_str_from (entry->key), key))
+			return entry;
+	}
+	for (GList *link = intake->waiting.head; link != NULL; link = link->next) {
+		struct entry *entry = link->data;
+		if (dff_str_equal (dff_str_from (entry->key), key))
+			return entry;
+	}
+	return NULL;
+}
+
+void
+dff_intake_take (struct dff_intake *intake,
+		 const struct dff_intake_row *row,
+		 dff_rows_func done,
+		 void *user)
+{
+	struct waiter waiter = {.done = done, .user = user};
+	int64_t deadline_ms = now_ms (intake) + row->timeout_ms;
+	struct entry *entry = find_entry (intake, row->key);
+	if (entry == NULL) {
+		entry = g_new0 (struct entry, 1);
+		entry->key = g_strndup (row->key.data, row->key.len);
+		entry->value = g_string_new_len (row->value.data, (gssize)row->value.len);
+		entry->waiters = g_array_new (FALSE, FALSE, sizeof (struct waiter));
+		g_queue_push_tail (&intake->waiting, entry);
+	}
+	entry->deadline_ms = MAX (entry->deadline_ms, deadline_ms);
+	g_array_append_val (entry->waiters, waiter);
+	if (intake->in_flight == NULL)
+		dff_timer_start (intake->work, 0);
+}
+
+static struct passed_call *
+pass_call (struct dff_intake *intake, dff_rows_func done, void *user)
+{
+	struct passed_call *call = g_new0 (struct passed_call, 1);
+	*call = (struct passed_call){.intake = intake, .done = done, .user = user};
+	return call;
+}
+
+static void
+handle_direct (void *user, const struct dff_rows_result *result)
+{
+	g_autofree struct passed_call *call = user;
+	struct dff_intake *intake = call->intake;
+	if (result->outcome == DFF_ROWS_NOT_DONE)
+		intake->refused_until_ms = now_ms (intake) + REFUSED_FOR_MS;
+	call->done (call->user, result);
+}
+
+static void
+handle_forwarded (void *user, const struct dff_rows_result *result)
+{
+	g_autofree struct passed_call *call = user;
+	struct dff_intake *intake = call->intake;
+	if (result->outcome == DFF_ROWS_NOT_DONE)
+		intake->avoid_until_ms = now_ms (intake) + AVOID_MS;
+	call->done (call->user, result);
+}
+
+static bool
+goes_together (const struct dff_intake *intake)
+{
+	int64_t now = now_ms (intake);
+	if (!intake->is_gatherer &&
+	    (dff_name_is_empty (&intake->gatherer) || now < intake->avoid_until_ms))
+		return false;
+	return now < intake->refused_until_ms ||
+	       intake->options.store_took_ms (intake->options.store_ctx) >= SLOW_MS;
+}
+
+/* What a front writes: a row that must not exist, and its key in the inbox. */
+static bool
+is_job_row (const struct dff_rows_commit *commit)
+{
+	return commit->n_conditions == 1 && commit->n_writes == 2 &&
+	       commit->conditions[0].revision == 0 &&
+	       g_str_equal (commit->writes[0].table, DFF_TABLE_JOBS) &&
+	       g_str_equal (commit->writes[1].table, DFF_TABLE_INBOX);
+}
+
+static void
+intake_commit (void *ctx, const struct dff_rows_commit *commit, dff_rows_func done, void *user)
+{
+	struct dff_intake *intake = ctx;
+	const struct dff_rows *rows = intake->options.rows;
+	if (!is_job_row (commit) || !goes_together (intake)) {
+		rows->commit (rows->ctx, commit, handle_direct, pass_call (intake, done, user));
+		return;
+	}
+	struct dff_intake_row row = {.key = commit->writes[0].key,
+				     .value = commit->writes[0].value,
+				     .timeout_ms = commit->timeout_ms};
+	if (intake->is_gatherer) {
+		dff_intake_take (intake, &row, done, user);
+		return;
+	}
+	(*intake->forwarded)++;
+	intake->options.forward (intake->options.forward_ctx, &intake->gatherer, &row,
+				 handle_forwarded, pass_call (intake, done, user));
+}
+
+static void
+intake_get (void *ctx, const struct dff_rows_range *range, dff_rows_func done, void *user)
+{
+	const struct dff_rows *rows = ((struct dff_intake *)ctx)->options.rows;
+	rows->get (rows->ctx, range, done, user);
+}
+
+static void
+intake_feed (void *ctx, const struct dff_rows_feed *feed, dff_rows_func done, void *user)
+{
+	const struct dff_rows *rows = ((struct dff_intake *)ctx)->options.rows;
+	rows->feed (rows->ctx, feed, done, user);
+}
+
+void
+dff_intake_set_gatherer (struct dff_intake *intake, const struct dff_name *address, bool self)
+{
+	intake->gatherer = *address;
+	intake->is_gatherer = self;
+}
+
+const struct dff_rows *
+dff_intake_interface (struct dff_intake *intake)
+{
+	return &intake->interface;
+}
+
+struct dff_intake *
+dff_intake_new (const struct dff_intake_options *options)
+{
+	struct dff_intake *intake = g_new0 (struct dff_intake, 1);
+	intake->options = *options;
+	intake->interface = (struct dff_rows){
+		.commit = intake_commit, .get = intake_get, .feed = intake_feed, .ctx = intake};
+	intake->work = dff_timer_new (options->timers, handle_work, intake);
+	intake->forwarded = dff_metrics_counter (options->metrics, "dff_intake_forwarded_total",
+						 "Rows handed to the process that gathers them.");
+	intake->batches = dff_metrics_counter (options->metrics, "dff_intake_batches_total",
+					       "Transactions with rows of many callers.");
+	intake->batch_rows = dff_metrics_counter (options->metrics, "dff_intake_batch_rows_total",
+						  "Rows in these transactions.");
+	return intake;
+}
+
+void
+dff_intake_free (struct dff_intake *intake)
+{
+	g_queue_clear_full (&intake->waiting, free_entry);
+	if (intake->in_flight != NULL) {
+		g_ptr_array_set_free_func (intake->in_flight, free_entry);
+		g_ptr_array_unref (intake->in_flight);
+	}
+	dff_timer_free (intake->work);
+	g_free (intake);
+}
--- a/holder/commit.c
+++ b/holder/commit.c
@@ -75,6 +75,7 @@
 		return;
 	holder->committing = false;
 	int64_t now_ms = holder_now_ms (holder);
+	holder->commit_took_ms = now_ms - begun_ms;
 	switch (result->outcome) {
 	case DFF_ROWS_DONE:
 		holder->row_revision = result->revision;
@@ -160,6 +161,7 @@
 	holder->commit_begun_ms = 0;
 	holder->commit_wait_ms = REFUSED_MIN_MS;
 	holder->commit_timeout_ms = TIMEOUT_MIN_MS;
+	holder->commit_took_ms = 0;
 	holder->store_lost = false;
 	holder->releasing = false;
 	draft_forget (holder);
--- a/holder/holder.c
+++ b/holder/holder.c
@@ -225,6 +225,12 @@
 	holder_wake (holder);
 }
 
+int64_t
+dff_holder_store_took_ms (const struct dff_holder *holder)
+{
+	return holder->phase >= DFF_HOLDER_READING ? holder->commit_took_ms : holder->read_took_ms;
+}
+
 bool
 dff_holder_is_holding (const struct dff_holder *holder)
 {
--- a/holder/holder_private.h
+++ b/holder/holder_private.h
@@ -197,6 +197,8 @@
 	int64_t next_commit_ms;
 	int32_t commit_wait_ms;
 	int32_t commit_timeout_ms;
+	/** Of the last transaction, or how long it has had no answer. */
+	int64_t commit_took_ms;
 	bool store_lost;
 	int64_t store_lost_ms;
 	/** Begin of the transaction that showed it. */
--- a/holder/relays.c
+++ b/holder/relays.c
@@ -20,10 +20,18 @@
 		holder->options.relay_follow (holder->options.relay_ctx, address, n_relays);
 }
 
+static void
+note_holder (const struct dff_holder *holder, const struct dff_name *address, bool self)
+{
+	if (holder->options.note_holder != NULL)
+		holder->options.note_holder (holder->options.note_ctx, address, self);
+}
+
 void
 relays_follow (const struct dff_holder *holder, const struct lease_row *lease)
 {
 	follow (holder, &lease->relay_address, lease->n_relays);
+	note_holder (holder, &lease->address, false);
 }
 
 void
@@ -31,6 +39,7 @@
 {
 	struct dff_name none = {0};
 	follow (holder, &none, 0);
+	note_holder (holder, &none, true);
 	holder->n_relays = n_relays;
 	want (holder, n_relays);
 }
@@ -51,6 +60,8 @@
 void
 relays_forget (struct dff_holder *holder)
 {
+	struct dff_name none = {0};
 	holder->n_relays = 0;
 	want (holder, 0);
+	note_holder (holder, &none, false);
 }
--- /dev/null
+++ b/include/fleet/intake_link.h
@@ -0,0 +1,31 @@
+#ifndef DFF_FLEET_INTAKE_LINK_H
+#define DFF_FLEET_INTAKE_LINK_H
+
+#include <event2/http.h>
+
+#include "common/cleanup.h"
+#include "common/metrics.h"
+#include "front/intake.h"
+
+/* Rows on their way from one process to the one that gathers them, over HTTP on the address for
+ * readiness. */
+
+struct dff_intake_link;
+
+struct dff_intake_link *dff_intake_link_new (struct event_base *base, struct dff_metrics *metrics);
+
+void dff_intake_link_free (struct dff_intake_link *link);
+
+DFF_DEFINE_CLEANUP (dff_intake_link, dff_intake_link_free);
+
+/** dff_intake_options.forward, with the struct dff_intake_link as its context. */
+void dff_intake_link_forward (void *ctx,
+			      const struct dff_name *address,
+			      const struct dff_intake_row *row,
+			      dff_rows_func done,
+			      void *user);
+
+/** Passes rows that arrive on @http to @intake. */
+void dff_intake_link_serve (struct dff_intake *intake, struct evhttp *http);
+
+#endif
--- /dev/null
+++ b/include/front/intake.h
@@ -0,0 +1,63 @@
+#ifndef DFF_FRONT_INTAKE_H
+#define DFF_FRONT_INTAKE_H
+
+#include "common/cleanup.h"
+#include "common/metrics.h"
+#include "common/timer.h"
+#include "rows/rows.h"
+
+/*
+ * Rows of jobs and cancellations on their way to the store. Usually each process writes its own,
+ * one transaction a row. All lie in one part of the store, which carries out one transaction after
+ * another; where it is slow, or turns this process away, the rows of all processes go through one
+ * of them, the one that decides, which writes many in a transaction. A row is written only if it
+ * does not exist, so that it does no harm when both ways are taken.
+ */
+
+struct dff_intake;
+
+/** A row that must not exist yet. Borrowed for the length of a call. */
+struct dff_intake_row {
+	struct dff_str key;
+	struct dff_str value;
+	int32_t timeout_ms;
+};
+
+struct dff_intake_options {
+	const struct dff_timers *timers;
+	/** The store. */
+	const struct dff_rows *rows;
+	struct dff_metrics *metrics;
+	/** Returns: how long the store's answers take now, ms. */
+	int64_t (*store_took_ms) (void *ctx);
+	void *store_ctx;
+	/** Hands a row to the process at @address, which passes it to dff_intake_take(): DONE,
+	 * CONFLICT, NOT_DONE or UNKNOWN. @done is called once, never before the call returns. */
+	void (*forward) (void *ctx,
+			 const struct dff_name *address,
+			 const struct dff_intake_row *row,
+			 dff_rows_func done,
+			 void *user);
+	void *forward_ctx;
+};
+
+struct dff_intake *dff_intake_new (const struct dff_intake_options *options);
+
+/** Calls in progress are dropped without calling back. */
+void dff_intake_free (struct dff_intake *intake);
+
+DFF_DEFINE_CLEANUP (dff_intake, dff_intake_free);
+
+/** Returns: (transfer none): the store for a front; what is no row of a job goes straight there. */
+const struct dff_rows *dff_intake_interface (struct dff_intake *intake);
+
+/** Tells which process gathers rows: @address empty: none, or this one if @self. */
+void dff_intake_set_gatherer (struct dff_intake *intake, const struct dff_name *address, bool self);
+
+/** Writes a row together with others. */
+void dff_intake_take (struct dff_intake *intake,
+		      const struct dff_intake_row *row,
+		      dff_rows_func done,
+		      void *user);
+
+#endif
--- a/include/holder/holder.h
+++ b/include/holder/holder.h
@@ -60,6 +60,10 @@
 	/** Another process decides, and takes so many relays at @address; 0 and an empty address:
 	 * none does, or this one. */
 	void (*relay_follow) (void *ctx, const struct dff_name *address, int32_t n_relays);
+	/** Tells where the process that decides is asked for its name: @self: it is this one; else
+	 * an empty @address: it is not known. */
+	void (*note_holder) (void *ctx, const struct dff_name *address, bool self);
+	void *note_ctx;
 	/** Workers from which on calls to them go through relays. */
 	int32_t relays_from_workers;
 	/** This process decides and is served best by so many relays; 0: it does not, or by none.
@@ -120,6 +124,10 @@
 /** Lets go of the cell and does not take it again; for a process that is to stop. */
 void dff_holder_resign (struct dff_holder *holder);
 
+/** Returns: how long the store's last answer took, of a transaction while this process decides, of
+ * a small reading else, ms. */
+int64_t dff_holder_store_took_ms (const struct dff_holder *holder);
+
 /** Returns: whether this process decides now. */
 bool dff_holder_is_holding (const struct dff_holder *holder);
 
--- /dev/null
+++ b/tests/front/test-intake.c
@@ -0,0 +1,335 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+
+#include <cmocka.h>
+#include <string.h>
+
+#include "front/intake.h"
+#include "holder/tables.h"
+#include "standin/memory_rows.h"
+
+/* Rows of jobs that go through one process while the store is slow or turns others away: three
+ * processes over one store in memory, of which the first gathers, under a virtual clock. */
+
+#define PROCESSES 3
+#define START_MS 1000000
+#define TIMEOUT_MS 1000
+#define ROWS_MAX 200
+
+struct process {
+	struct fixture *fixture;
+	struct dff_memory_rows_client *client;
+	struct dff_intake *intake;
+};
+
+struct fixture {
+	struct dff_virtual_loop *loop;
+	struct dff_memory_rows *rows;
+	struct dff_metrics *metrics;
+	struct process processes[PROCESSES];
+	int64_t took_ms;
+	/** Whether nobody listens where the rows are gathered. */
+	bool gatherer_gone;
+};
+
+/** What became of a row. */
+struct outcome {
+	bool ended;
+	enum dff_rows_outcome outcome;
+};
+
+struct hop {
+	struct fixture *fixture;
+	char *key;
+	char *value;
+	int32_t timeout_ms;
+	dff_rows_func done;
+	void *user;
+};
+
+static int64_t
+store_took_ms (void *ctx)
+{
+	return ((struct process *)ctx)->fixture->took_ms;
+}
+
+static void
+arrive (void *user)
+{
+	struct hop *hop = user;
+	struct dff_intake_row row = {.key = dff_str_from (hop->key),
+				     .value = dff_str_from (hop->value),
+				     .timeout_ms = hop->timeout_ms};
+	if (hop->fixture->gatherer_gone) {
+		struct dff_rows_result result = {.outcome = DFF_ROWS_NOT_DONE};
+		hop->done (hop->user, &result);
+	} else {
+		dff_intake_take (hop->fixture->processes[0].intake, &row, hop->done, hop->user);
+	}
+	g_free (hop->key);
+	g_free (hop->value);
+	g_free (hop);
+}
+
+static void
+forward (void *ctx,
+	 const struct dff_name *address,
+	 const struct dff_intake_row *row,
+	 dff_rows_func done,
+	 void *user)
+{
+	struct process *process = ctx;
+	assert_string_equal (address->data, "p0");
+	struct hop *hop = g_new0 (struct hop, 1);
+	*hop = (struct hop){.fixture = process->fixture,
+			    .key = g_strndup (row->key.data, row->key.len),
+			    .value = g_strndup (row->value.data, row->value.len),
+			    .timeout_ms = row->timeout_ms,
+			    .done = done,
+			    .user = user};
+	dff_virtual_loop_after (process->fixture->loop, 1, arrive, hop);
+}
+
+static void
+open_fixture (struct fixture *fixture)
+{
+	memset (fixture, 0, sizeof (*fixture));
+	fixture->loop = dff_virtual_loop_new (START_MS);
+	fixture->rows = dff_memory_rows_new (fixture->loop);
+	fixture->metrics = dff_metrics_new ();
+	for (int i = 0; i < PROCESSES; i++) {
+		struct process *process = &fixture->processes[i];
+		process->fixture = fixture;
+		process->client = dff_memory_rows_client_new (fixture->rows);
+		struct dff_intake_options options = {
+			.timers = dff_virtual_loop_timers (fixture->loop),
+			.rows = dff_memory_rows_client_interface (process->client),
+			.metrics = fixture->metrics,
+			.store_took_ms = store_took_ms,
+			.store_ctx = process,
+			.forward = forward,
+			.forward_ctx = process};
+		process->intake = dff_intake_new (&options);
+		struct dff_name gatherer = dff_name_from ("p0");
+		dff_intake_set_gatherer (process->intake, &gatherer, i == 0);
+	}
+}
+
+static void
+close_fixture (struct fixture *fixture)
+{
+	dff_virtual_loop_run (fixture->loop, 30000);
+	for (int i = 0; i < PROCESSES; i++)
+		dff_intake_free (fixture->processes[i].intake);
+	dff_memory_rows_free (fixture->rows);
+	dff_metrics_free (fixture->metrics);
+	dff_virtual_loop_free (fixture->loop);
+}
+
+static struct dff_memory_rows_faults *
+faults_of (struct fixture *fixture, int process)
+{
+	return dff_memory_rows_client_faults (fixture->processes[process].client);
+}
+
+static void
+handle_result (void *user, const struct dff_rows_result *result)
+{
+	struct outcome *outcome = user;
+	assert_false (outcome->ended);
+	outcome->ended = true;
+	outcome->outcome = result->outcome;
+}
+
+static void
+write_row (struct fixture *fixture, int process, const char *key, struct outcome *outcome)
+{
+	const struct dff_rows *rows = dff_intake_interface (fixture->processes[process].intake);
+	struct dff_rows_condition condition = {.table = DFF_TABLE_JOBS, .key = dff_str_from (key)};
+	struct dff_rows_write writes[] = {
+		{.table = DFF_TABLE_JOBS, .key = condition.key, .value = dff_str_from ("job")},
+		{.table = DFF_TABLE_INBOX, .key = condition.key, .value = dff_str_from ("{}")}};
+	struct dff_rows_commit commit = {.conditions = &condition,
+					 .n_conditions = 1,
+					 .writes = writes,
+					 .n_writes = G_N_ELEMENTS (writes),
+					 .timeout_ms = TIMEOUT_MS};
+	*outcome = (struct outcome){0};
+	rows->commit (rows->ctx, &commit, handle_result, outcome);
+}
+
+static bool
+is_written (struct fixture *fixture, const char *key)
+{
+	return dff_memory_rows_peek (fixture->rows, DFF_TABLE_JOBS, key) != NULL &&
+	       dff_memory_rows_peek (fixture->rows, DFF_TABLE_INBOX, key) != NULL;
+}
+
+static int64_t
+counter (struct fixture *fixture, const char *name)
+{
+	return *dff_metrics_counter (fixture->metrics, name, "");
+}
+
+static const char *
+key_of (int index, char key[16])
+{
+	g_snprintf (key, 16, "job%d", index);
+	return key;
+}
+
+/* Symptom: for the seconds in which the store is slow nearly every job is turned away. Sequence:
+ * each process writes its own row, and the store carries out three transactions a second. Cause: a
+ * transaction held one row. */
+static void
+test_slow_store (void **state)
+{
+	(void)state;
+	static const struct {
+		int64_t took_ms;
+		int32_t delay_ms;
+		/** Transactions at the most in which sixty rows are written. */
+		int64_t batches;
+	} cases[] = {{10, 0, 0}, {300, 300, 3}};
+	for (size_t c = 0; c < G_N_ELEMENTS (cases); c++) {
+		struct fixture fixture;
+		struct outcome outcomes[60];
+		char key[16];
+		open_fixture (&fixture);
+		fixture.took_ms = cases[c].took_ms;
+		for (int i = 0; i < PROCESSES; i++)
+			faults_of (&fixture, i)->commit_delay_ms = cases[c].delay_ms;
+		for (int i = 0; i < 60; i++)
+			write_row (&fixture, i % PROCESSES, key_of (i, key), &outcomes[i]);
+		dff_virtual_loop_run (fixture.loop, TIMEOUT_MS);
+		for (int i = 0; i < 60; i++) {
+			assert_true (outcomes[i].ended);
+			assert_int_equal (outcomes[i].outcome, DFF_ROWS_DONE);
+			assert_true (is_written (&fixture, key_of (i, key)));
+		}
+		int64_t batched = cases[c].batches > 0 ? 60 : 0;
+		assert_int_equal (counter (&fixture, "dff_intake_batch_rows_total"), batched);
+		assert_in_range (counter (&fixture, "dff_intake_batches_total"), 0,
+				 cases[c].batches);
+		close_fixture (&fixture);
+	}
+}
+
+/* One row that is there already does not keep others of its transaction from being written; the
+ * same row sent twice is written once, and both are told. */
+static void
+test_rows_that_are_there (void **state)
+{
+	(void)state;
+	struct fixture fixture;
+	struct outcome outcomes[10], again;
+	char key[16];
+	open_fixture (&fixture);
+	fixture.took_ms = 300;
+	faults_of (&fixture, 0)->commit_delay_ms = 300;
+	dff_memory_rows_put (fixture.rows, DFF_TABLE_JOBS, "job4", dff_str_from ("before"));
+	for (int i = 0; i < 10; i++)
+		write_row (&fixture, i % PROCESSES, key_of (i, key), &outcomes[i]);
+	dff_virtual_loop_run (fixture.loop, 400);
+	/* While it is being written. */
+	write_row (&fixture, 1, "job7", &again);
+	dff_virtual_loop_run (fixture.loop, TIMEOUT_MS);
+	/* The gathering process's own, then the others', which find job4, then these without it. */
+	assert_int_equal (counter (&fixture, "dff_intake_batches_total"), 3);
+	for (int i = 0; i < 10; i++) {
+		assert_true (outcomes[i].ended);
+		assert_int_equal (outcomes[i].outcome, i == 4 ? DFF_ROWS_CONFLICT : DFF_ROWS_DONE);
+	}
+	assert_true (again.ended);
+	assert_true (again.outcome == DFF_ROWS_DONE || again.outcome == DFF_ROWS_CONFLICT);
+	assert_string_equal (dff_memory_rows_peek (fixture.rows, DFF_TABLE_JOBS, "job4")->str,
+			     "before");
+	close_fixture (&fixture);
+}
+
+/* A process that the store turns away has its rows written by another; one that is gone is not
+ * asked again at once, and a store that turns all away is not waited for. */
+static void
+test_refusals (void **state)
+{
+	(void)state;
+	static const struct {
+		bool gatherer_refused;
+		bool gatherer_gone;
+		enum dff_rows_outcome second;
+	} cases[] = {
+		{false, false, DFF_ROWS_DONE},
+		{true, false, DFF_ROWS_NOT_DONE},
+		{false, true, DFF_ROWS_NOT_DONE},
+	};
+	for (size_t c = 0; c < G_N_ELEMENTS (cases); c++) {
+		struct fixture fixture;
+		struct outcome first, second;
+		open_fixture (&fixture);
+		fixture.gatherer_gone = cases[c].gatherer_gone;
+		faults_of (&fixture, 1)->refuses = true;
+		faults_of (&fixture, 0)->refuses = cases[c].gatherer_refused;
+		write_row (&fixture, 1, "job", &first);
+		dff_virtual_loop_run (fixture.loop, 50);
+		assert_int_equal (first.outcome, DFF_ROWS_NOT_DONE);
+		write_row (&fixture, 1, "job", &second);
+		dff_virtual_loop_run (fixture.loop, 400);
+		assert_true (second.ended);
+		assert_int_equal (second.outcome, cases[c].second);
+		assert_int_equal (is_written (&fixture, "job"), second.outcome == DFF_ROWS_DONE);
+		close_fixture (&fixture);
+	}
+}
+
+/* Symptom: a caller is told that its job was not accepted, and the job runs. Sequence: transactions
+ * with rows of many callers take effect late, or without an answer, and later ones are turned away.
+ * Cause: not done was said of a row that an earlier transaction could still write. Seeded. */
+static void
+test_not_done_is_true (void **state)
+{
+	(void)state;
+	for (guint32 seed = 1; seed <= 60; seed++) {
+		g_autoptr (GRand) rand = g_rand_new_with_seed (seed);
+		struct fixture fixture;
+		struct outcome outcomes[ROWS_MAX];
+		char key[16];
+		open_fixture (&fixture);
+		fixture.took_ms = 300;
+		dff_memory_rows_seed (fixture.rows, seed);
+		for (int i = 0; i < ROWS_MAX; i++) {
+			struct dff_memory_rows_faults *faults = faults_of (&fixture, 0);
+			faults->refuses = g_rand_int_range (rand, 0, 4) == 0;
+			faults->lost_permille = g_rand_int_range (rand, 0, 600);
+			faults->late_permille = g_rand_int_range (rand, 0, 400);
+			faults->late_ms = g_rand_int_range (rand, 0, 4000);
+			faults->commit_delay_ms = g_rand_int_range (rand, 0, 500);
+			write_row (&fixture, g_rand_int_range (rand, 0, PROCESSES), key_of (i, key),
+				   &outcomes[i]);
+			dff_virtual_loop_run (fixture.loop, g_rand_int_range (rand, 0, 60));
+		}
+		dff_virtual_loop_run (fixture.loop, 20000);
+		for (int i = 0; i < ROWS_MAX; i++) {
+			assert_true (outcomes[i].ended);
+			bool written = is_written (&fixture, key_of (i, key));
+			if (outcomes[i].outcome == DFF_ROWS_DONE ||
+			    outcomes[i].outcome == DFF_ROWS_CONFLICT)
+				assert_true (written);
+			if (outcomes[i].outcome == DFF_ROWS_NOT_DONE && written)
+				fail_msg ("seed %u: row %d was said not to be written", seed, i);
+		}
+		close_fixture (&fixture);
+	}
+}
+
+int
+main (void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test (test_slow_store),
+		cmocka_unit_test (test_rows_that_are_there),
+		cmocka_unit_test (test_refusals),
+		cmocka_unit_test (test_not_done_is_true),
+	};
+	return cmocka_run_group_tests (tests, NULL, NULL);
+}
