--- a/holder/runs.c
+++ b/holder/runs.c
@@ -7,10 +7,9 @@
  * for the same, and a run that is to be stopped is over only when the worker has answered the stop
  * (it refuses the run from then on) and does not list it, or when the worker's lease has lapsed. */
 
-/** Timeout of a start or stop, ms: workers answer within a few. Both may be repeated, and a gang
- * waits for its last member: at three times this urgent gangs of which one start has no answer are
- * late. */
-#define ORDER_TIMEOUT_MS 120
+/** Timeout of a start or stop, ms: workers answer within a few, and where they or a relay are short of
+ * processor time within a few hundred. */
+#define ORDER_TIMEOUT_MS 400
 /** Pause before an order is repeated that was not sent, ms. */
 #define UNSENT_PAUSE_MS 100
 /** The same for one that was refused by an unhealthy worker or came late, ms. */
