relay: a relay owns the calls that it carries out

LeakSanitizer named contexts of calls whose process had ended (test_relay_gone, random plays with relays): each was freed by its answer alone. They are the relay's now and go with it. Under ASan and UBSan: test-relay, test-holder-workers and the random plays with relays pass.

--- a/include/relay/relay.h
+++ b/include/relay/relay.h
@@ -26,7 +26,7 @@
 
 struct dff_relay *dff_relay_new (const struct dff_relay_options *options);
 
-/** The runner's calls that are under way must have ended or be dropped by then. */
+/** The runner must have dropped its calls by then, or have none: they do not call back any more. */
 void dff_relay_free (struct dff_relay *relay);
 
 DFF_DEFINE_CLEANUP (dff_relay, dff_relay_free);
--- a/relay/relay.c
+++ b/relay/relay.c
@@ -15,6 +15,8 @@
 	bool connected;
 	/** Grows with each connection, to tell calls of an earlier one. */
 	int64_t connection;
+	/** Calls under way. Elements: struct call *. */
+	GHashTable *calls;
 	struct relay_batch *batch;
 	struct dff_timer *gather;
 	struct dff_timer *sign;
@@ -54,13 +56,14 @@
 static void
 handle_result (void *user, const struct dff_runner_result *result)
 {
-	g_autofree struct call *call = user;
+	struct call *call = user;
 	struct dff_relay *relay = call->relay;
-	if (!relay->connected || call->connection != relay->connection)
-		return;
-	if (relay_batch_is_empty (relay->batch))
-		dff_timer_start (relay->gather, GATHER_MS);
-	relay_batch_add_answer (relay->batch, call->id, result);
+	if (relay->connected && call->connection == relay->connection) {
+		if (relay_batch_is_empty (relay->batch))
+			dff_timer_start (relay->gather, GATHER_MS);
+		relay_batch_add_answer (relay->batch, call->id, result);
+	}
+	g_hash_table_remove (relay->calls, call);
 }
 
 static bool
@@ -75,6 +78,7 @@
 	call->relay = relay;
 	call->connection = relay->connection;
 	call->id = from->id;
+	g_hash_table_add (relay->calls, call);
 	(*relay->n_calls)++;
 	if (from->kind == DFF__RELAY__KIND__START)
 		runner->start (runner->ctx, &order, handle_result, call);
@@ -145,6 +149,7 @@
 {
 	struct dff_relay *relay = g_new0 (struct dff_relay, 1);
 	relay->options = *options;
+	relay->calls = g_hash_table_new_full (NULL, NULL, g_free, NULL);
 	relay->batch = relay_batch_new ();
 	relay->gather = dff_timer_new (options->timers, handle_gather, relay);
 	relay->sign = dff_timer_new (options->timers, handle_sign, relay);
@@ -156,6 +161,7 @@
 void
 dff_relay_free (struct dff_relay *relay)
 {
+	g_hash_table_unref (relay->calls);
 	relay_batch_free (relay->batch);
 	dff_timer_free (relay->gather);
 	dff_timer_free (relay->sign);
--- a/tests/holder/site.c
+++ b/tests/holder/site.c
@@ -18,7 +18,7 @@
 	       "leak:dff_reading_start\nleak:handle_retry\nleak:handle_page\n"
 	       "leak:lease_ask_former\nleak:ask_changes\nleak:inbox_work\nleak:read_job\n"
 	       "leak:send_watch\nleak:order_call_new\nleak:send_order\nleak:follow\n"
-	       "leak:request_new\nleak:request_retry\nleak:ask_presence\nleak:carry_out\nleak:dff_"
+	       "leak:request_new\nleak:request_retry\nleak:ask_presence\nleak:dff_"
 	       "front_\n";
 }
 
