--- a/fleet/intake_link.c
+++ b/fleet/intake_link.c
@@ -6,11 +6,9 @@
 #include "common/http_client.h"
 
 #define ROW_PATH "/row"
-/** Queries: the row's key, how long it may wait, ms. */
+/** Queries: the row's key, and how long it may wait, ms. */
 #define QUERY_KEY "key"
 #define QUERY_TIMEOUT "timeout"
-/** Whether it may have been written. */
-#define QUERY_UNSURE "unsure"
 /** Longest wait that is asked for, ms. */
 #define TIMEOUT_MAX_MS 10000
 /** Connections to the process that gathers, and the time that an answer may come after the row's
@@ -70,9 +68,9 @@
 	struct forwarded *forwarded = g_new0 (struct forwarded, 1);
 	forwarded->done = done;
 	forwarded->user = user;
-	g_autofree char *path = g_strdup_printf (
-		ROW_PATH "?" QUERY_KEY "=%.*s&" QUERY_TIMEOUT "=%d&" QUERY_UNSURE "=%d",
-		(int)row->key.len, row->key.data, row->timeout_ms, row->unsure);
+	g_autofree char *path =
+		g_strdup_printf (ROW_PATH "?" QUERY_KEY "=%.*s&" QUERY_TIMEOUT "=%d",
+				 (int)row->key.len, row->key.data, row->timeout_ms);
 	struct dff_http_request request = {.address = *address,
 					   .method = EVHTTP_REQ_POST,
 					   .path = path,
@@ -92,9 +90,8 @@
 	evhttp_send_reply (user, status, NULL, NULL);
 }
 
-/* Reads what the query says into @row, and the key, which it refers to, into @key. */
 static bool
-read_row (struct evhttp_request *request, struct dff_name *key, struct dff_intake_row *row)
+read_row (struct evhttp_request *request, struct dff_name *key, int32_t *timeout_ms)
 {
 	struct evkeyvalq fields;
 	const char *query = evhttp_uri_get_query (evhttp_request_get_evhttp_uri (request));
@@ -102,30 +99,29 @@
 		return false;
 	const char *name = evhttp_find_header (&fields, QUERY_KEY);
 	const char *timeout = evhttp_find_header (&fields, QUERY_TIMEOUT);
-	const char *unsure = evhttp_find_header (&fields, QUERY_UNSURE);
 	int64_t asked_ms = timeout != NULL ? g_ascii_strtoll (timeout, NULL, 10) : 0;
-	row->timeout_ms = (int32_t)CLAMP (asked_ms, 0, TIMEOUT_MAX_MS);
-	row->unsure = unsure != NULL && unsure[0] == '1';
-	bool valid = name != NULL && dff_name_parse (dff_str_from (name), key);
-	row->key = (struct dff_str){key->data, key->len};
+	*timeout_ms = (int32_t)CLAMP (asked_ms, 0, TIMEOUT_MAX_MS);
+	bool valid = name != NULL && dff_name_parse (dff_str_from (name), key) && *timeout_ms > 0;
 	evhttp_clear_headers (&fields);
-	return valid && row->timeout_ms > 0;
+	return valid;
 }
 
 static void
 handle_row (struct evhttp_request *request, void *ctx)
 {
 	struct dff_intake *intake = ctx;
-	struct dff_name key = {0};
-	struct dff_intake_row row = {0};
+	struct dff_name key;
+	int32_t timeout_ms;
 	struct evbuffer *input = evhttp_request_get_input_buffer (request);
 	size_t length = evbuffer_get_length (input);
 	if (evhttp_request_get_command (request) != EVHTTP_REQ_POST || length == 0 ||
-	    length > DFF_ROW_VALUE_MAX || !read_row (request, &key, &row)) {
+	    length > DFF_ROW_VALUE_MAX || !read_row (request, &key, &timeout_ms)) {
 		evhttp_send_reply (request, HTTP_BADREQUEST, NULL, NULL);
 		return;
 	}
-	row.value = (struct dff_str){(const char *)evbuffer_pullup (input, -1), length};
+	struct dff_intake_row row = {.key = {key.data, key.len},
+				     .value = {(const char *)evbuffer_pullup (input, -1), length},
+				     .timeout_ms = timeout_ms};
 	dff_intake_take (intake, &row, handle_written, request);
 }
 
--- a/front/intake.c
+++ b/front/intake.c
@@ -27,9 +27,6 @@
 /** How long rows go straight to the store after the process that gathers them did not take one, ms:
  * it may be gone, and the next is known within that. */
 #define AVOID_MS 400
-/** Rows that this process may have written, as many as are remembered: what is handed in to one in
- * many seconds. */
-#define UNSURE_KEPT 1024
 
 /** A row that waits to be written, for one caller or more. */
 struct entry {
@@ -38,8 +35,6 @@
 	int64_t deadline_ms;
 	/** Whether a transaction with it may still take effect. */
 	bool is_open;
-	/** Whether it may be there already. */
-	bool unsure;
 	int32_t n_refused;
 	/** Elements: struct waiter. */
 	GArray *waiters;
@@ -57,8 +52,6 @@
 	bool is_gatherer;
 	int64_t refused_until_ms;
 	int64_t avoid_until_ms;
-	/** Keys that a transaction of this process may have written. Elements: char *. */
-	GHashTable *unsure;
 	/** Elements: struct entry *, the oldest first. */
 	GQueue waiting;
 	/** (nullable): those in the transaction in progress. */
@@ -72,7 +65,6 @@
 
 struct passed_call {
 	struct dff_intake *intake;
-	char *key;
 	dff_rows_func done;
 	void *user;
 };
@@ -140,7 +132,6 @@
 			end_entry (entry, DFF_ROWS_CONFLICT, result->revision);
 		} else {
 			entry->is_open |= result->outcome == DFF_ROWS_UNKNOWN;
-			entry->unsure |= entry->is_open;
 			entry->n_refused += result->outcome == DFF_ROWS_NOT_DONE;
 			g_queue_push_head (&intake->waiting, entry);
 		}
@@ -149,46 +140,28 @@
 	dff_timer_start (intake->work, settled ? 0 : PAUSE_MS);
 }
 
-/* Takes the oldest rows out of those that wait. One that is there already keeps a whole transaction
- * from being carried out, so that those that may be go by themselves. */
-static GPtrArray *
-take_batch (struct dff_intake *intake)
-{
-	GPtrArray *batch = g_ptr_array_new ();
-	const struct entry *oldest = g_queue_peek_head (&intake->waiting);
-	gsize bytes = 0;
-	GList *next;
-	for (GList *link = intake->waiting.head; link != NULL; link = next) {
-		struct entry *entry = link->data;
-		next = link->next;
-		if (entry->unsure != oldest->unsure)
-			continue;
-		if (batch->len == BATCH_ROWS || bytes >= BATCH_BYTES)
-			break;
-		bytes += entry->value->len;
-		g_ptr_array_add (batch, entry);
-		g_queue_delete_link (&intake->waiting, link);
-	}
-	return batch;
-}
-
 static void
 send_batch (struct dff_intake *intake)
 {
 	struct dff_rows_condition conditions[BATCH_ROWS];
 	struct dff_rows_write writes[2 * BATCH_ROWS];
-	intake->in_flight = take_batch (intake);
-	size_t n_rows = intake->in_flight->len;
-	for (size_t i = 0; i < n_rows; i++) {
-		const struct entry *entry = g_ptr_array_index (intake->in_flight, i);
+	size_t n_rows = 0;
+	gsize bytes = 0;
+	intake->in_flight = g_ptr_array_new ();
+	while (n_rows < BATCH_ROWS && bytes < BATCH_BYTES && intake->waiting.length > 0) {
+		struct entry *entry = g_queue_pop_head (&intake->waiting);
 		struct dff_str key = dff_str_from (entry->key);
-		conditions[i] = (struct dff_rows_condition){.table = DFF_TABLE_JOBS, .key = key};
-		writes[2 * i] =
+		conditions[n_rows] =
+			(struct dff_rows_condition){.table = DFF_TABLE_JOBS, .key = key};
+		writes[2 * n_rows] =
 			(struct dff_rows_write){.table = DFF_TABLE_JOBS,
 						.key = key,
 						.value = {entry->value->str, entry->value->len}};
-		writes[2 * i + 1] = (struct dff_rows_write){
+		writes[2 * n_rows + 1] = (struct dff_rows_write){
 			.table = DFF_TABLE_INBOX, .key = key, .value = dff_str_from ("{}")};
+		bytes += entry->value->len;
+		n_rows++;
+		g_ptr_array_add (intake->in_flight, entry);
 	}
 	struct dff_rows_commit commit = {.conditions = conditions,
 					 .n_conditions = n_rows,
@@ -259,55 +232,37 @@
 		g_queue_push_tail (&intake->waiting, entry);
 	}
 	entry->deadline_ms = MAX (entry->deadline_ms, deadline_ms);
-	entry->unsure |= row->unsure;
 	g_array_append_val (entry->waiters, waiter);
 	if (intake->in_flight == NULL)
 		dff_timer_start (intake->work, 0);
 }
 
 static struct passed_call *
-pass_call (struct dff_intake *intake, struct dff_str key, dff_rows_func done, void *user)
+pass_call (struct dff_intake *intake, dff_rows_func done, void *user)
 {
 	struct passed_call *call = g_new0 (struct passed_call, 1);
-	*call = (struct passed_call){
-		.intake = intake, .key = g_strndup (key.data, key.len), .done = done, .user = user};
+	*call = (struct passed_call){.intake = intake, .done = done, .user = user};
 	return call;
 }
 
-/* Ends a call, and remembers a row that it may have written. */
-static void
-pass_result (struct passed_call *call, const struct dff_rows_result *result)
-{
-	GHashTable *unsure = call->intake->unsure;
-	if (g_hash_table_size (unsure) >= UNSURE_KEPT)
-		g_hash_table_remove_all (unsure);
-	if (result->outcome == DFF_ROWS_UNKNOWN)
-		g_hash_table_add (unsure, g_strdup (call->key));
-	if (result->outcome == DFF_ROWS_DONE || result->outcome == DFF_ROWS_CONFLICT)
-		g_hash_table_remove (unsure, call->key);
-	call->done (call->user, result);
-	g_free (call->key);
-	g_free (call);
-}
-
 static void
 handle_direct (void *user, const struct dff_rows_result *result)
 {
-	struct passed_call *call = user;
+	g_autofree struct passed_call *call = user;
 	struct dff_intake *intake = call->intake;
 	if (result->outcome == DFF_ROWS_NOT_DONE)
 		intake->refused_until_ms = now_ms (intake) + REFUSED_FOR_MS;
-	pass_result (call, result);
+	call->done (call->user, result);
 }
 
 static void
 handle_forwarded (void *user, const struct dff_rows_result *result)
 {
-	struct passed_call *call = user;
+	g_autofree struct passed_call *call = user;
 	struct dff_intake *intake = call->intake;
 	if (result->outcome == DFF_ROWS_NOT_DONE)
 		intake->avoid_until_ms = now_ms (intake) + AVOID_MS;
-	pass_result (call, result);
+	call->done (call->user, result);
 }
 
 static bool
@@ -336,28 +291,20 @@
 {
 	struct dff_intake *intake = ctx;
 	const struct dff_rows *rows = intake->options.rows;
-	if (!is_job_row (commit)) {
-		rows->commit (rows->ctx, commit, done, user);
-		return;
-	}
-	struct dff_str key = commit->writes[0].key;
-	if (!goes_together (intake)) {
-		rows->commit (rows->ctx, commit, handle_direct,
-			      pass_call (intake, key, done, user));
+	if (!is_job_row (commit) || !goes_together (intake)) {
+		rows->commit (rows->ctx, commit, handle_direct, pass_call (intake, done, user));
 		return;
 	}
-	g_autofree char *name = g_strndup (key.data, key.len);
-	struct dff_intake_row row = {.key = key,
+	struct dff_intake_row row = {.key = commit->writes[0].key,
 				     .value = commit->writes[0].value,
-				     .timeout_ms = commit->timeout_ms,
-				     .unsure = g_hash_table_contains (intake->unsure, name)};
+				     .timeout_ms = commit->timeout_ms};
 	if (intake->is_gatherer) {
 		dff_intake_take (intake, &row, done, user);
 		return;
 	}
 	(*intake->forwarded)++;
 	intake->options.forward (intake->options.forward_ctx, &intake->gatherer, &row,
-				 handle_forwarded, pass_call (intake, key, done, user));
+				 handle_forwarded, pass_call (intake, done, user));
 }
 
 static void
@@ -394,7 +341,6 @@
 	intake->options = *options;
 	intake->interface = (struct dff_rows){
 		.commit = intake_commit, .get = intake_get, .feed = intake_feed, .ctx = intake};
-	intake->unsure = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
 	intake->work = dff_timer_new (options->timers, handle_work, intake);
 	intake->forwarded = dff_metrics_counter (options->metrics, "dff_intake_forwarded_total",
 						 "Rows handed to the process that gathers them.");
@@ -414,6 +360,5 @@
 		g_ptr_array_unref (intake->in_flight);
 	}
 	dff_timer_free (intake->work);
-	g_hash_table_unref (intake->unsure);
 	g_free (intake);
 }
--- a/include/front/intake.h
+++ b/include/front/intake.h
@@ -21,8 +21,6 @@
 	struct dff_str key;
 	struct dff_str value;
 	int32_t timeout_ms;
-	/** Whether an earlier transaction, without an answer, may have written it. */
-	bool unsure;
 };
 
 struct dff_intake_options {
