--- a/holder/runs.c
+++ b/holder/runs.c
@@ -7,8 +7,8 @@
  * for the same, and a run that is to be stopped is over only when the worker has answered the stop
  * (it refuses the run from then on) and does not list it, or when the worker's lease has lapsed. */
 
-/** Timeout of a start or stop, ms: workers answer within a few, and where they or a relay are short of
- * processor time within a few hundred. */
+/** Timeout of a start or stop, ms: workers answer within a few, and where they or a relay are short
+ * of processor time within a few hundred. */
 #define ORDER_TIMEOUT_MS 400
 /** Pause before an order is repeated that was not sent, ms. */
 #define UNSENT_PAUSE_MS 100
