platform: each call is judged by one look at the configuration

Test: configuration_lapses_within_a_call, a configuration that is fresh for one question; it failed before (a crash), and passes. Looked through for the same: refuse() (asked again, NULL was handled), handle_ready(), lease, health, intake: the others read once or check what they read.

--- a/tests/platform/test-ingress.c
+++ b/tests/platform/test-ingress.c
@@ -40,6 +40,9 @@
 	struct dff_name address;
 	struct dff_http_client *client;
 	struct dff_fleet_config *config;
+	/** After being asked for so often in one call, the configuration is out of date. */
+	int32_t n_fresh;
+	int32_t n_asked;
 	bool silent;
 	bool answered;
 	int status;
@@ -50,7 +53,9 @@
 static const struct dff_fleet_config *
 config_in_force (void *ctx)
 {
-	return ((struct fixture *)ctx)->config;
+	struct fixture *fixture = ctx;
+	fixture->n_asked++;
+	return fixture->n_asked <= fixture->n_fresh ? fixture->config : NULL;
 }
 
 static bool
@@ -65,6 +70,7 @@
 	*fixture = (struct fixture){.base = dff_event_base_new (),
 				    .loop = dff_virtual_loop_new (1000),
 				    .metrics = dff_metrics_new (),
+				    .n_fresh = INT32_MAX,
 				    .body = g_string_new (NULL)};
 	fixture->rows = dff_memory_rows_new (fixture->loop);
 	fixture->store = dff_memory_rows_client_new (fixture->rows);
@@ -244,12 +250,50 @@
 	fixture_close (&fixture);
 }
 
+/* Symptom: a process ends by itself and breaks off every call that it holds. Sequence: it has not
+ * heard from the store for as long as its configuration may be used; a call is found to be allowed,
+ * and the bound passes before the log line about it asks for the configuration's version. Cause:
+ * what depends on the clock was asked for twice in one call, and the second answer was not looked
+ * at. Each call is judged by one look. */
+static void
+test_configuration_lapses_within_a_call (void **state)
+{
+	(void)state;
+	static const struct {
+		enum evhttp_cmd_type method;
+		int status;
+		const char *path;
+		const char *key;
+		const char *body;
+	} cases[] = {
+		{EVHTTP_REQ_POST, 200, "/q/" ID, "key", JOB},
+		{EVHTTP_REQ_GET, 200, "/q/" ID, "key", ""},
+		{EVHTTP_REQ_GET, 200, "/q/", "key", ""},
+		{EVHTTP_REQ_DELETE, 200, "/q/" ID, "key", ""},
+		{EVHTTP_REQ_POST, 400, "/q/" ID, "key", "{"},
+		{EVHTTP_REQ_POST, 401, "/q/" ID, "other", JOB},
+		{EVHTTP_REQ_POST, 404, "/none/" ID, "key", JOB},
+		{EVHTTP_REQ_PUT, 405, "/q/" ID, "key", JOB},
+	};
+	struct fixture fixture;
+	fixture_open (&fixture);
+	fixture.n_fresh = 1;
+	for (size_t i = 0; i < G_N_ELEMENTS (cases); i++) {
+		fixture.n_asked = 0;
+		call (&fixture, cases[i].method, cases[i].path, cases[i].key, cases[i].body);
+		assert_int_equal (fixture.status, cases[i].status);
+		assert_int_equal (fixture.n_asked, 1);
+	}
+	fixture_close (&fixture);
+}
+
 int
 main (void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test (test_calls),
 		cmocka_unit_test (test_refusals_are_true),
+		cmocka_unit_test (test_configuration_lapses_within_a_call),
 	};
 	return cmocka_run_group_tests (tests, NULL, NULL);
 }
