holder, platform: nothing is started in an evacuated data centre

Change: the requests are decoded in platform/ and put together by fleet/evacuations in every process, so that a new holder knows them; a worker there has a state of its own in the core, beside one that leaves; a recorded start that was not sent is withdrawn, an open one is settled by a stop; nothing is started by knowledge older than 4 s. A reading of the whole table after the store has dropped its history takes back what it does not show. What runs there goes on to its end.

--- a/fleet/fleet.c
+++ b/fleet/fleet.c
@@ -9,6 +9,7 @@
 #include "common/http_connection.h"
 #include "common/http_listen.h"
 #include "common/log.h"
+#include "fleet/evacuations.h"
 #include "fleet/intake_link.h"
 #include "fleet/presence.h"
 #include "fleet/relays.h"
@@ -82,8 +83,10 @@
 	struct dff_intake_link *intake_link;
 	struct dff_ingress *ingress;
 	struct dff_holder *holder;
+	/** Follows what operators put in force: the configuration, and evacuations. */
 	struct dff_follower *config_follower;
 	struct dff_fleet_config *config;
+	struct dff_evacuations *evacuations;
 	struct evhttp *front_http;
 	struct evhttp *ready_http;
 	struct evhttp *metrics_http;
@@ -118,11 +121,8 @@
 /* A process never goes back to an older configuration: an answer that was under way for long may
  * still bring one. */
 static void
-handle_config_row (void *ctx, const struct dff_row *row)
+take_config (struct dff_fleet *fleet, const struct dff_row *row)
 {
-	struct dff_fleet *fleet = ctx;
-	if (row->removed || !dff_str_equal (row->key, dff_str_from (DFF_KEY_CONFIG)))
-		return;
 	DFF_AUTO (dff_fleet_config) config = dff_platform_read_config (row->value);
 	if (config == NULL) {
 		dff_log (DFF_LOG_POOL, DFF_LOG_ERROR,
@@ -143,6 +143,59 @@
 	tell_teams (fleet);
 }
 
+static void
+handle_operator_row (void *ctx, const struct dff_row *row)
+{
+	struct dff_fleet *fleet = ctx;
+	struct dff_name data_centre;
+	switch (dff_platform_read_evacuation (row, &data_centre)) {
+	case DFF_PLATFORM_REQUEST_EVACUATION:
+		dff_evacuations_note (fleet->evacuations, &data_centre, !row->removed,
+				      row->revision, dff_follower_age_ms (fleet->config_follower));
+		return;
+	case DFF_PLATFORM_REQUEST_UNREADABLE:
+		if (!row->removed)
+			dff_evacuations_note_unreadable (fleet->evacuations, row->key,
+							 row->revision);
+		return;
+	case DFF_PLATFORM_REQUEST_OTHER:
+		if (!row->removed && dff_str_equal (row->key, dff_str_from (DFF_KEY_CONFIG)))
+			take_config (fleet, row);
+		return;
+	}
+}
+
+static void
+handle_operator_begin (void *ctx)
+{
+	const struct dff_fleet *fleet = ctx;
+	dff_evacuations_begin (fleet->evacuations);
+}
+
+static void
+handle_operator_whole (void *ctx)
+{
+	const struct dff_fleet *fleet = ctx;
+	dff_evacuations_whole (fleet->evacuations);
+}
+
+static void
+handle_evacuated (void *ctx, const struct dff_name *data_centres, size_t n_data_centres)
+{
+	const struct dff_fleet *fleet = ctx;
+	dff_holder_set_evacuated (fleet->holder, data_centres, n_data_centres);
+}
+
+/* Nothing is known before the first whole reading. */
+static int64_t
+evacuations_age_ms (void *ctx)
+{
+	const struct dff_fleet *fleet = ctx;
+	return dff_follower_is_ready (fleet->config_follower)
+		       ? dff_follower_age_ms (fleet->config_follower)
+		       : INT64_MAX;
+}
+
 static const struct dff_fleet_config *
 config_in_force (void *ctx)
 {
@@ -307,6 +360,8 @@
 	options.store_ctx = fleet;
 	options.takeover_ms = takeover_ms (&fleet->settings);
 	options.read_upstream = dff_platform_read_upstream;
+	options.evacuations_age_ms = evacuations_age_ms;
+	options.evacuations_ctx = fleet;
 	options.lease_ms =
 		MIN (options.lease_ms, fleet->settings.worker_lease_max_ms - LEASE_MARGIN_MS);
 	options.gang_wait_ms = fleet->settings.gang_wait_ms;
@@ -351,8 +406,14 @@
 		.table = DFF_TABLE_CONFIG,
 		.wait_ms = CONFIG_WAIT_MS,
 		.patience_ms = CONFIG_PATIENCE_MS,
-		.sink = {.row = handle_config_row, .ctx = fleet},
+		.sink = {.row = handle_operator_row,
+			 .begin = handle_operator_begin,
+			 .whole = handle_operator_whole,
+			 .ctx = fleet},
 	};
+	struct dff_evacuations_options evacuations = {
+		.metrics = fleet->metrics, .changed = handle_evacuated, .ctx = fleet};
+	fleet->evacuations = dff_evacuations_new (&evacuations);
 	fleet->config_follower = dff_follower_new (&follower);
 }
 
@@ -466,6 +527,7 @@
 	g_clear_pointer (&fleet->rows, dff_http_rows_free);
 	g_clear_pointer (&fleet->runner, dff_http_runner_free);
 	g_clear_pointer (&fleet->config, dff_fleet_config_free);
+	g_clear_pointer (&fleet->evacuations, dff_evacuations_free);
 	g_clear_pointer (&fleet->metrics, dff_metrics_free);
 	g_free (fleet);
 }
--- /dev/null
+++ b/holder/evacuation.c
@@ -0,0 +1,74 @@
+#include "holder/holder_private.h"
+
+#include "common/log.h"
+
+/* Data centres that are evacuated. Every process follows the operator's requests, whether it decides
+ * or not, so that a new holder knows them before its first start. Symptom without this: an operator
+ * empties a data centre for work on its power, and tasks are still started there.
+ *
+ * A start is held back in three places, because it passes through the store and over the network
+ * between decision and worker: the core places nothing there, a recorded start that has not left is
+ * withdrawn, and one whose fate is open is stopped instead of repeated. What runs there goes on to
+ * its end: it was started before, and what a stop throws away nobody gets. */
+
+/** Age of what is known of evacuations beyond which nothing is started, ms. Operators count on
+ * an evacuation after five seconds; an order may be on its way for some hundred ms. */
+#define KNOWN_MAX_MS 4000
+
+bool
+evacuation_covers (const struct dff_holder *holder, const struct holder_worker *worker)
+{
+	for (guint i = 0; i < holder->evacuated->len; i++) {
+		if (dff_name_equal (&g_array_index (holder->evacuated, struct dff_name, i),
+				    &worker->upstream.data_centre))
+			return true;
+	}
+	return false;
+}
+
+bool
+evacuation_allows_starts (const struct dff_holder *holder)
+{
+	const struct dff_holder_options *options = &holder->options;
+	return options->evacuations_age_ms == NULL ||
+	       options->evacuations_age_ms (options->evacuations_ctx) <= KNOWN_MAX_MS;
+}
+
+void
+evacuation_count (struct dff_holder *holder)
+{
+	int64_t n_runs = 0;
+	GHashTableIter iter;
+	gpointer value;
+	if (holder->evacuated->len == 0 && *holder->metrics.evacuated_runs == 0)
+		return;
+	g_hash_table_iter_init (&iter, holder->workers);
+	while (g_hash_table_iter_next (&iter, NULL, &value)) {
+		const struct holder_worker *worker = value;
+		if (evacuation_covers (holder, worker))
+			n_runs += g_hash_table_size (worker->runs);
+	}
+	if (n_runs == 0 && *holder->metrics.evacuated_runs > 0) {
+		dff_log (DFF_LOG_CELL, DFF_LOG_INFO,
+			 "Nothing runs in evacuated data centres. data_centres=%u epoch=%" PRId64,
+			 holder->evacuated->len, holder->epoch);
+	}
+	*holder->metrics.evacuated_runs = n_runs;
+}
+
+void
+dff_holder_set_evacuated (struct dff_holder *holder,
+			  const struct dff_name *data_centres,
+			  size_t n_data_centres)
+{
+	g_array_set_size (holder->evacuated, 0);
+	if (n_data_centres > 0)
+		g_array_append_vals (holder->evacuated, data_centres, (guint)n_data_centres);
+	if (holder->workers == NULL)
+		return;
+	GHashTableIter iter;
+	gpointer value;
+	g_hash_table_iter_init (&iter, holder->workers);
+	while (g_hash_table_iter_next (&iter, NULL, &value))
+		worker_set_state (holder, value);
+}
--- a/holder/holder.c
+++ b/holder/holder.c
@@ -91,6 +91,7 @@
 		inbox_work (holder);
 		runs_work (holder);
 		watch_work (holder);
+		evacuation_count (holder);
 	}
 	commit_work (holder);
 }
@@ -157,6 +158,12 @@
 		metrics, "dff_holder_job_wait_ms", "Time from taking a job in to its first start.");
 	holder->metrics.open_runs = dff_metrics_gauge (metrics, "dff_holder_open_runs",
 						       "Runs that are recorded and not over.");
+	holder->metrics.evacuated_runs =
+		dff_metrics_gauge (metrics, "dff_holder_evacuated_runs",
+				   "Runs that are open in evacuated data centres.");
+	holder->metrics.starts_withdrawn =
+		dff_metrics_counter (metrics, "dff_holder_starts_withdrawn_total",
+				     "Recorded starts withdrawn because of an evacuation.");
 	holder->metrics.open_jobs =
 		dff_metrics_gauge (metrics, "dff_holder_open_jobs", "Jobs that are not over.");
 }
@@ -167,6 +174,7 @@
 	struct dff_holder *holder = g_new0 (struct dff_holder, 1);
 	holder->options = *options;
 	holder->teams = g_array_new (FALSE, FALSE, sizeof (struct dff_holder_team));
+	holder->evacuated = g_array_new (FALSE, FALSE, sizeof (struct dff_name));
 	holder->committed_jobs = g_ptr_array_new ();
 	holder->waiting_recorded = g_string_new (NULL);
 	holder->waiting_in_flight = g_string_new (NULL);
@@ -190,6 +198,7 @@
 	dff_timer_free (holder->work);
 	g_hash_table_unref (holder->finished_names);
 	g_array_unref (holder->teams);
+	g_array_unref (holder->evacuated);
 	g_ptr_array_unref (holder->committed_jobs);
 	g_string_free (holder->waiting_recorded, TRUE);
 	g_string_free (holder->waiting_in_flight, TRUE);
--- a/holder/holder_private.h
+++ b/holder/holder_private.h
@@ -252,6 +252,10 @@
 	GArray *teams;
 	bool pool_changed;
 
+	/* holder/evacuation.c */
+	/** Data centres whose workers get nothing new. Elements: struct dff_name. */
+	GArray *evacuated;
+
 	/* holder/list.c */
 	struct dff_reading *list_reading;
 	/** When the page in progress was asked for. */
@@ -287,6 +291,8 @@
 		int64_t *is_holding;
 		int64_t *open_runs;
 		int64_t *open_jobs;
+		int64_t *evacuated_runs;
+		int64_t *starts_withdrawn;
 	} metrics;
 };
 
@@ -537,6 +543,17 @@
 /** Judges the workers that are not on the list, and forgets those that are gone. */
 void workers_sweep (struct dff_holder *holder);
 
+/* evacuation.c */
+
+/** Returns: whether a worker is to get nothing new, because its data centre is evacuated. */
+bool evacuation_covers (const struct dff_holder *holder, const struct holder_worker *worker);
+
+/** Returns: whether evacuations are known well enough to start anything. */
+bool evacuation_allows_starts (const struct dff_holder *holder);
+
+/** Counts what still runs in evacuated data centres. */
+void evacuation_count (struct dff_holder *holder);
+
 /* list.c */
 
 void list_begin (struct dff_holder *holder);
--- a/holder/workers.c
+++ b/holder/workers.c
@@ -57,7 +57,9 @@
 		return DFF_WORKER_DOWN;
 	if (!worker->listed && holder_now_ms (holder) - worker->missing_since_ms >= MISSING_MS)
 		return DFF_WORKER_DOWN;
-	return worker->upstream.leaving ? DFF_WORKER_LEAVING : DFF_WORKER_UP;
+	if (worker->upstream.leaving)
+		return DFF_WORKER_LEAVING;
+	return evacuation_covers (holder, worker) ? DFF_WORKER_EVACUATED : DFF_WORKER_UP;
 }
 
 static void
@@ -82,13 +84,14 @@
 		[DFF_WORKER_DOWN] = "down",
 		[DFF_WORKER_UP] = "up",
 		[DFF_WORKER_LEAVING] = "leaving",
+		[DFF_WORKER_EVACUATED] = "evacuated",
 	};
 	dff_log (DFF_LOG_UPSTREAM, DFF_LOG_INFO,
-		 "Worker %s. worker=%s address=%s was=%s listed=%d silent_calls=%d "
+		 "Worker %s. worker=%s data_centre=%s address=%s was=%s listed=%d silent_calls=%d "
 		 "remaining_ms=%" PRId64 " heard_ms_ago=%" PRId64 " runs=%u",
-		 names[state], worker->upstream.id.data, worker->upstream.address.data,
-		 names[worker->state], worker->listed, worker->n_silent,
-		 worker->upstream.remaining_ms,
+		 names[state], worker->upstream.id.data, worker->upstream.data_centre.data,
+		 worker->upstream.address.data, names[worker->state], worker->listed,
+		 worker->n_silent, worker->upstream.remaining_ms,
 		 worker->heard_ms > 0 ? holder_now_ms (holder) - worker->heard_ms : -1,
 		 g_hash_table_size (worker->runs));
 	worker->state = state;
@@ -189,6 +192,7 @@
 	g_clear_pointer (&holder->workers, g_hash_table_unref);
 	list_forget (holder);
 	*holder->metrics.open_runs = 0;
+	*holder->metrics.evacuated_runs = 0;
 }
 
 void
--- a/include/core/core.h
+++ b/include/core/core.h
@@ -95,6 +95,9 @@
 	DFF_WORKER_UP,
 	/** Runs what it has; gets nothing new. */
 	DFF_WORKER_LEAVING,
+	/** The same, because its data centre is evacuated: it stays, and gets work again when the
+	 * data centre is taken back. */
+	DFF_WORKER_EVACUATED,
 };
 
 /** Where one member of a gang runs. */
--- a/include/holder/holder.h
+++ b/include/holder/holder.h
@@ -85,6 +85,10 @@
 	/** What a take-over takes on this machine, ms: processes that take longer than another one
 	 * leave the cell to it. */
 	int64_t takeover_ms;
+	/** (nullable): returns how old is what is known of evacuations, ms: those asked for before
+	 * are known. Without it what dff_holder_set_evacuated() told last is always taken as so. */
+	int64_t (*evacuations_age_ms) (void *ctx);
+	void *evacuations_ctx;
 	/** How long a worker's tasks go on without a word from the holder, ms. */
 	int32_t lease_ms;
 	/** Standstill of the holder's row after which another process takes over, ms. */
@@ -121,6 +125,11 @@
 			   const struct dff_holder_team *teams,
 			   size_t n_teams);
 
+/** Tells which data centres are evacuated: their workers get nothing new. All others are not. */
+void dff_holder_set_evacuated (struct dff_holder *holder,
+			       const struct dff_name *data_centres,
+			       size_t n_data_centres);
+
 /** Lets go of the cell and does not take it again; for a process that is to stop. */
 void dff_holder_resign (struct dff_holder *holder);
 
--- a/include/rows/follower.h
+++ b/include/rows/follower.h
@@ -16,6 +16,9 @@
 struct dff_follower_sink {
 	/** A row was written, or, with row->removed, is gone. Rows repeat: act on the newest. */
 	void (*row) (void *ctx, const struct dff_row *row);
+	/** (nullable): the table is going to be read whole, once more if the store has dropped its
+	 * history. */
+	void (*begin) (void *ctx);
 	/** (nullable): the table was read whole; rows not reported since the reading began are
 	 * gone. */
 	void (*whole) (void *ctx);
--- a/include/standin/memory_runner.h
+++ b/include/standin/memory_runner.h
@@ -6,7 +6,8 @@
 
 /* Workers in memory, under a virtual clock, with faults. They notice what must never happen: a task
  * that runs twice at a time, one that starts after its end was acknowledged or after its failed
- * runs have used up its attempts, work beyond a worker's accelerators. */
+ * runs have used up its attempts, work beyond a worker's accelerators, a start where none is to
+ * come any more. */
 
 struct dff_memory_runner;
 struct dff_memory_runner_client;
@@ -52,6 +53,9 @@
 	/** So many of the next orders have no answer and are carried out later. */
 	int32_t late_orders;
 	int32_t late_ms;
+	/** Starts that arrive from then on and are not late ones must not be carried out; 0: they
+	 * may. */
+	int64_t closed_from_ms;
 };
 
 struct dff_memory_runner *dff_memory_runner_new (const struct dff_memory_runner_options *options);
--- a/include/upstream/runner.h
+++ b/include/upstream/runner.h
@@ -25,6 +25,8 @@
 	/** "IP:PORT". */
 	struct dff_name address;
 	struct dff_name service;
+	/** Data centre that it is in; empty: not said. */
+	struct dff_name data_centre;
 	struct dff_name rack;
 	struct dff_name labels[DFF_WORKER_LABELS_MAX];
 	struct dff_resources capacity;
--- a/rows/follower.c
+++ b/rows/follower.c
@@ -149,6 +149,8 @@
 {
 	const struct dff_follower_options *options = &follower->options;
 	if (follower->revision == 0) {
+		if (options->sink.begin != NULL)
+			options->sink.begin (options->sink.ctx);
 		dff_reading_start (follower->reading);
 		return;
 	}
--- a/standin/memory_runner.c
+++ b/standin/memory_runner.c
@@ -228,7 +228,11 @@
 					end_unanswered, call);
 		return;
 	}
+	bool is_start = call->kind == DFF_CALL_START;
+	bool was_there = is_start && g_hash_table_contains (call->worker->runs, &call->order.task);
 	call->outcome = carry_out (call);
+	if (is_start && !was_there && call->outcome == DFF_RUNNER_DONE)
+		memory_worker_check_open (call->worker, &call->order);
 	dff_virtual_loop_after (runner->options.loop, WAY_MS, answer, call);
 }
 
--- a/standin/memory_runner_private.h
+++ b/standin/memory_runner_private.h
@@ -91,6 +91,9 @@
 					     const struct dff_run_order *order,
 					     const char *checkpoint);
 
+/** Notes that a start which was not delayed has begun a run. */
+void memory_worker_check_open (const struct worker *worker, const struct dff_run_order *order);
+
 enum dff_runner_outcome memory_worker_stop (struct worker *worker,
 					    const struct dff_run_order *order);
 
--- a/standin/memory_runner_work.c
+++ b/standin/memory_runner_work.c
@@ -1,5 +1,7 @@
 #include "standin/memory_runner_private.h"
 
+#include <inttypes.h>
+
 #include <string.h>
 
 /* What workers do with the runs that they were told to start, and what must never happen there. */
@@ -302,6 +304,15 @@
 	return DFF_RUNNER_DONE;
 }
 
+void
+memory_worker_check_open (const struct worker *worker, const struct dff_run_order *order)
+{
+	int64_t from_ms = worker->faults.closed_from_ms;
+	if (from_ms > 0 && memory_runner_now_ms (worker->runner) >= from_ms)
+		violate (worker->runner, "%s run %d starts on %s, where none is to since %" PRId64,
+			 order->task.data, order->run, worker->id, from_ms);
+}
+
 enum dff_runner_outcome
 memory_worker_stop (struct worker *worker, const struct dff_run_order *order)
 {
--- a/tests/holder/site.c
+++ b/tests/holder/site.c
@@ -1,5 +1,6 @@
 #include "tests/holder/site.h"
 
+#include "platform/decode.h"
 #include "tests/holder/site_relays.h"
 
 #include <stdio.h>
@@ -95,6 +96,7 @@
 	upstream->remaining_ms = remaining_ms;
 	upstream->address = dff_name_from (address);
 	upstream->rack = dff_name_from (rack);
+	upstream->data_centre = dff_name_printf ("dc-%s", rack);
 	upstream->service = dff_name_from ("service");
 	upstream->capacity = (struct dff_resources){
 		.slots = 64, .cores = 32, .memory_gb = 64, .accelerators = SITE_ACCELERATORS};
@@ -142,6 +144,15 @@
 	dff_memory_runner_kill (site->runner, id.data);
 }
 
+/* Has a worker notice starts that come too late after its data centre was to be emptied. */
+static void
+close_worker (struct site *site, int index)
+{
+	int64_t evacuated_ms = site->evacuated_ms[index / SITE_PER_RACK];
+	site->workers[index]->closed_from_ms =
+		evacuated_ms > 0 ? evacuated_ms + SITE_EVACUATION_MS : 0;
+}
+
 static void
 add_worker (struct site *site, int index)
 {
@@ -151,6 +162,20 @@
 	site->workers[index] = dff_memory_runner_add (site->runner, id.data, address.data,
 						      SITE_ACCELERATORS, 1000 - index * 4);
 	site_list_worker (site, index, true, false);
+	close_worker (site, index);
+}
+
+void
+site_evacuate (struct site *site, int data_centre, bool requested)
+{
+	g_autofree char *key = g_strdup_printf ("evacuate/dc-r%d", data_centre);
+	if (requested)
+		dff_memory_rows_put (site->rows, DFF_TABLE_CONFIG, key, dff_str_from ("{}"));
+	else
+		dff_memory_rows_remove (site->rows, DFF_TABLE_CONFIG, key);
+	site->evacuated_ms[data_centre] = requested ? dff_virtual_loop_now_ms (site->loop) : 0;
+	for (int i = 0; i < SITE_WORKERS; i++)
+		close_worker (site, i);
 }
 
 void
@@ -236,6 +261,74 @@
 	process->health = dff_rows_health_new (&options);
 }
 
+static void
+handle_request_row (void *ctx, const struct dff_row *row)
+{
+	struct site_process *process = ctx;
+	struct dff_name data_centre;
+	if (dff_platform_read_evacuation (row, &data_centre) == DFF_PLATFORM_REQUEST_EVACUATION)
+		dff_evacuations_note (process->evacuations, &data_centre, !row->removed,
+				      row->revision, 0);
+}
+
+static void
+handle_requests_begin (void *ctx)
+{
+	dff_evacuations_begin (((struct site_process *)ctx)->evacuations);
+}
+
+static void
+handle_requests_whole (void *ctx)
+{
+	dff_evacuations_whole (((struct site_process *)ctx)->evacuations);
+}
+
+static void
+handle_evacuated (void *ctx, const struct dff_name *data_centres, size_t n_data_centres)
+{
+	dff_holder_set_evacuated (((struct site_process *)ctx)->holder, data_centres,
+				  n_data_centres);
+}
+
+static int64_t
+evacuations_age_ms (void *ctx)
+{
+	const struct site_process *process = ctx;
+	return process->requests != NULL && dff_follower_is_ready (process->requests)
+		       ? dff_follower_age_ms (process->requests)
+		       : INT64_MAX;
+}
+
+static void
+follow_requests (struct site *site, struct site_process *process)
+{
+	struct dff_evacuations_options options = {
+		.metrics = process->metrics, .changed = handle_evacuated, .ctx = process};
+	if (process->evacuations == NULL)
+		process->evacuations = dff_evacuations_new (&options);
+	struct dff_follower_options follower = {
+		.timers = dff_virtual_loop_timers (site->loop),
+		.rows = dff_rows_health_interface (process->health),
+		.table = DFF_TABLE_CONFIG,
+		.wait_ms = 500,
+		.patience_ms = 1000,
+		.sink = {.row = handle_request_row,
+			 .begin = handle_requests_begin,
+			 .whole = handle_requests_whole,
+			 .ctx = process},
+	};
+	process->requests = dff_follower_new (&follower);
+}
+
+void
+site_deafen (struct site *site, int process, bool deaf)
+{
+	struct site_process *deafened = &site->processes[process];
+	g_clear_pointer (&deafened->requests, dff_follower_free);
+	if (!deaf)
+		follow_requests (site, deafened);
+}
+
 static void
 open_holder (struct site *site, struct site_process *process, int index)
 {
@@ -263,6 +356,10 @@
 	options.store_served_ms = store_served_ms;
 	options.store_ctx = process;
 	options.read_upstream = read_upstream;
+	if (site->evacuates) {
+		options.evacuations_age_ms = evacuations_age_ms;
+		options.evacuations_ctx = process;
+	}
 	process->holder = dff_holder_new (&options);
 	struct dff_holder_team team = {.name = dff_name_from ("team")};
 	dff_holder_set_teams (process->holder, &team, 1);
@@ -281,6 +378,8 @@
 	process->runner = dff_memory_runner_client_new (site->runner);
 	open_health (site, process);
 	open_holder (site, process, index);
+	if (site->evacuates)
+		follow_requests (site, process);
 	struct dff_front_options front = {
 		.timers = dff_virtual_loop_timers (site->loop),
 		.rows = dff_rows_health_interface (process->health),
@@ -300,10 +399,12 @@
 	process->alive = false;
 	dff_memory_rows_client_end (process->rows);
 	dff_memory_runner_client_end (process->runner);
+	g_clear_pointer (&process->requests, dff_follower_free);
 	dff_holder_free (process->holder);
 	if (site->relays)
 		site_relays_kill (process);
 	dff_front_free (process->front);
+	g_clear_pointer (&process->evacuations, dff_evacuations_free);
 	dff_rows_health_free (process->health);
 	dff_metrics_free (process->metrics);
 }
@@ -345,6 +446,14 @@
 	open_site (site);
 }
 
+void
+site_open_with_evacuations (struct site *site)
+{
+	memset (site, 0, sizeof (*site));
+	site->evacuates = true;
+	open_site (site);
+}
+
 void
 site_close (struct site *site)
 {
--- a/tests/holder/site.h
+++ b/tests/holder/site.h
@@ -8,9 +8,11 @@
 #include <cmocka.h>
 
 #include "common/metrics.h"
+#include "fleet/evacuations.h"
 #include "front/front.h"
 #include "holder/holder.h"
 #include "holder/tables.h"
+#include "rows/follower.h"
 #include "rows/health.h"
 #include "standin/memory_link.h"
 #include "standin/memory_rows.h"
@@ -25,6 +27,10 @@
 #define SITE_ACCELERATORS 8
 /** Failed runs of each job's task after which the job has failed. */
 #define SITE_MAX_ATTEMPTS 2
+/** Each rack is a data centre of its own. */
+#define SITE_DATA_CENTRES (SITE_WORKERS / SITE_PER_RACK)
+/** Time after the request at which nothing is started in an evacuated data centre, ms. */
+#define SITE_EVACUATION_MS 5000
 
 struct site_process {
 	struct site *site;
@@ -44,11 +50,18 @@
 	struct dff_rows_health *health;
 	struct dff_holder *holder;
 	struct dff_front *front;
+	/** With evacuations: what operators put in force, as this process knows it. */
+	struct dff_follower *requests;
+	struct dff_evacuations *evacuations;
 };
 
 struct site {
 	/** Whether calls to workers go through the processes that do not decide. */
 	bool relays;
+	/** Whether processes follow requests to empty data centres. */
+	bool evacuates;
+	/** When each data centre was asked to be emptied; 0: it is not. */
+	int64_t evacuated_ms[SITE_DATA_CENTRES];
 	struct dff_virtual_loop *loop;
 	struct dff_memory_rows *rows;
 	struct dff_memory_runner *runner;
@@ -67,6 +80,15 @@
 /** The same, with calls to workers through relays. */
 void site_open_with_relays (struct site *site);
 
+/** The same, without relays, with operators that empty data centres. */
+void site_open_with_evacuations (struct site *site);
+
+/** Asks for a data centre to be emptied, or takes it back. */
+void site_evacuate (struct site *site, int data_centre, bool requested);
+
+/** Has a process hear no more of operators' requests, or follow them anew. */
+void site_deafen (struct site *site, int process, bool deaf);
+
 /** Has messages of a process's connection as a relay be lost, until it has another. */
 void site_silence_relay (struct site *site, int process);
 
--- /dev/null
+++ b/tests/holder/test-holder-evacuation.c
@@ -0,0 +1,194 @@
+#include "tests/holder/site.h"
+
+/* Data centres that operators empty: nothing is started there from the moment the holder knows it,
+ * and what runs there ends. Each rack of the site is a data centre; its workers notice starts that
+ * come more than five seconds after the request, which the site fails the test on when it is
+ * closed. */
+
+/** Where the tasks of a job of two go that has a whole worker for each. */
+#define FIRST 0
+#define SECOND 1
+
+/* Starts a job with one task a worker on so many workers. Returns: starts that were carried out
+ * within a second. */
+static int32_t
+starts_of (struct site *site, const char *id, int32_t count)
+{
+	struct dff_plan *plan = site_plan (id, count, false, 1);
+	dff_plan_step (plan, 0)->per_worker = 1;
+	assert_int_equal (site_submit (site, 0, plan), DFF_FRONT_OK);
+	site_run (site, 1000);
+	return dff_memory_runner_n_starts (site->runner, id);
+}
+
+/* Symptom: tasks are started in a data centre that an operator empties. Sequence: the requests of
+ * each case, in order; then a job with one task a worker. Cause: nobody read them. */
+static void
+test_orders_of_requests (void **state)
+{
+	(void)state;
+	enum what { END, ASK, BACK, DROP_HISTORY, TAKE_OVER, ASK_NOWHERE };
+	static const struct {
+		struct {
+			enum what what;
+			int data_centre;
+		} steps[6];
+		int32_t n_starts;
+	} cases[] = {
+		{{{ASK, FIRST}}, 3},
+		{{{ASK, FIRST}, {BACK, FIRST}}, 6},
+		{{{ASK, FIRST}, {ASK, SECOND}}, 0},
+		{{{ASK, FIRST}, {ASK, SECOND}, {BACK, FIRST}}, 3},
+		{{{ASK, FIRST}, {DROP_HISTORY, 0}}, 3},
+		{{{ASK, FIRST}, {DROP_HISTORY, 0}, {BACK, FIRST}}, 6},
+		{{{ASK, FIRST}, {BACK, FIRST}, {DROP_HISTORY, 0}}, 6},
+		{{{ASK, FIRST}, {TAKE_OVER, 0}}, 3},
+		{{{ASK, FIRST}, {TAKE_OVER, 0}, {BACK, FIRST}, {TAKE_OVER, 0}}, 6},
+		{{{ASK_NOWHERE, 0}}, 6},
+	};
+	for (size_t i = 0; i < G_N_ELEMENTS (cases); i++) {
+		struct site site;
+		site_open_with_evacuations (&site);
+		for (size_t j = 0; cases[i].steps[j].what != END; j++) {
+			int holder = site_holder (&site);
+			switch (cases[i].steps[j].what) {
+			case ASK:
+			case BACK:
+				site_evacuate (&site, cases[i].steps[j].data_centre,
+					       cases[i].steps[j].what == ASK);
+				break;
+			case DROP_HISTORY:
+				dff_memory_rows_drop_history (site.rows);
+				break;
+			case TAKE_OVER:
+				site_kill_process (&site, holder);
+				site_start_process (&site, holder);
+				break;
+			default:
+				dff_memory_rows_put (site.rows, DFF_TABLE_CONFIG,
+						     "evacuate/nowhere", dff_str_from ("{}"));
+				break;
+			}
+			site_run (&site, 2000);
+		}
+		assert_int_equal (starts_of (&site, "7", SITE_WORKERS), cases[i].n_starts);
+		site_close (&site);
+	}
+}
+
+/* Symptom: an evacuation that has ended while nobody could hear of it keeps a data centre empty for
+ * ever. Sequence: the store is silent for all; the request is removed, and the store drops its
+ * history. Cause: only changes were looked at. */
+static void
+test_ends_unheard (void **state)
+{
+	(void)state;
+	struct site site;
+	site_open_with_evacuations (&site);
+	site_evacuate (&site, FIRST, true);
+	site_run (&site, 1000);
+	for (int i = 0; i < SITE_PROCESSES; i++)
+		dff_memory_rows_client_faults (site.processes[i].rows)->silent = true;
+	site_run (&site, 3000);
+	site_evacuate (&site, FIRST, false);
+	dff_memory_rows_drop_history (site.rows);
+	for (int i = 0; i < SITE_PROCESSES; i++)
+		dff_memory_rows_client_faults (site.processes[i].rows)->silent = false;
+	site_run (&site, 4000);
+	assert_int_equal (starts_of (&site, "7", SITE_WORKERS), SITE_WORKERS);
+	site_close (&site);
+}
+
+/* Symptom: a task is started in an evacuated data centre, seconds after the request. Sequence: its
+ * start was recorded and sent, and had no answer; or a holder ended before it sent it. It is
+ * repeated after the request. Cause: only decisions were checked, not what had been decided. */
+static void
+test_recorded_starts (void **state)
+{
+	(void)state;
+	static const struct {
+		bool cut;
+		bool killed;
+	} cases[] = {{true, false}, {true, true}, {false, true}};
+	for (size_t i = 0; i < G_N_ELEMENTS (cases); i++) {
+		struct site site;
+		site_open_with_evacuations (&site);
+		int holder = site_holder (&site);
+		for (int j = 0; j < SITE_PER_RACK; j++)
+			site.workers[j]->cut = cases[i].cut;
+		struct dff_plan *plan = site_plan ("7", SITE_WORKERS, false, 1);
+		dff_plan_step (plan, 0)->per_worker = 1;
+		assert_int_equal (site_submit (&site, holder, plan), DFF_FRONT_OK);
+		site_run (&site, cases[i].cut ? 60 : 12);
+		site_evacuate (&site, FIRST, true);
+		if (cases[i].killed)
+			site_kill_process (&site, holder);
+		site_run (&site, SITE_EVACUATION_MS);
+		for (int j = 0; j < SITE_PER_RACK; j++)
+			site.workers[j]->cut = false;
+		site_run (&site, 4000);
+		site_evacuate (&site, FIRST, false);
+		if (cases[i].killed)
+			site_start_process (&site, holder);
+		assert_int_not_equal (site_until (&site, "7", "completed", 80000), -1);
+		site_close (&site);
+	}
+}
+
+/* Symptom: a process that has not heard of the operator's requests for long starts tasks by what
+ * it knows. Sequence: none of its questions about them is answered any more, while its transactions
+ * are carried out; a data centre is to be emptied. Cause: nobody asked how old the knowledge was.
+ */
+static void
+test_nothing_starts_unknowing (void **state)
+{
+	(void)state;
+	struct site site;
+	site_open_with_evacuations (&site);
+	int holder = site_holder (&site);
+	site_deafen (&site, holder, true);
+	site_evacuate (&site, FIRST, true);
+	site_run (&site, SITE_EVACUATION_MS);
+	assert_int_equal (starts_of (&site, "7", SITE_WORKERS), 0);
+	assert_int_equal (site_holder (&site), holder);
+	site_deafen (&site, holder, false);
+	site_run (&site, 1000);
+	assert_int_equal (dff_memory_runner_n_starts (site.runner, "7"), SITE_PER_RACK);
+	site_evacuate (&site, FIRST, false);
+	assert_int_not_equal (site_until (&site, "7", "completed", 60000), -1);
+	site_close (&site);
+}
+
+/* What runs in a data centre that is emptied goes on to its end, and its end is heard: nothing is
+ * started twice. */
+static void
+test_what_runs_ends (void **state)
+{
+	(void)state;
+	struct site site;
+	site_open_with_evacuations (&site);
+	assert_int_equal (starts_of (&site, "1", SITE_WORKERS), SITE_WORKERS);
+	site_evacuate (&site, FIRST, true);
+	site_evacuate (&site, SECOND, true);
+	assert_int_not_equal (site_until (&site, "1", "completed", 8000), -1);
+	assert_int_equal (dff_memory_runner_n_starts (site.runner, "1"), SITE_WORKERS);
+	/* The last data centre: what is handed in waits, and begins when one is taken back. */
+	assert_int_equal (starts_of (&site, "a", 2), 0);
+	assert_string_equal (site_state (&site, 0, "a"), "queued");
+	site_evacuate (&site, SECOND, false);
+	assert_int_not_equal (site_until (&site, "a", "completed", 5000), -1);
+	site_close (&site);
+}
+
+int
+main (void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test (test_orders_of_requests),
+		cmocka_unit_test (test_ends_unheard),
+		cmocka_unit_test (test_recorded_starts),
+		cmocka_unit_test (test_nothing_starts_unknowing),
+		cmocka_unit_test (test_what_runs_ends),
+	};
+	return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- a/tests/holder/test-holder-seeds.c
+++ b/tests/holder/test-holder-seeds.c
@@ -9,11 +9,12 @@
  * that are silent, refuse, lose or delay writes for some processes, workers cut off, reborn, hung,
  * late; in the plays with paths, also processes that others do not hear, and workers that one
  * process alone reaches or does not; in the plays with
- * relays, calls to workers through other processes; in the plays with failures, gangs that fail and
- * holders that are killed around each record and acknowledgement of it. The workers notice what
- * must never happen; after the faults every accepted job has to end as it should. DFF_SEED_FIRST
- * and DFF_SEED_COUNT play others by hand, DFF_SEED_LOG shows what is decided, DFF_SEED_TEST names
- * one of the tests. */
+ * relays, calls to workers through other processes; in the plays with evacuations, operators that
+ * empty data centres and take them back, with no start there from five seconds on; in the plays
+ * with failures, gangs that fail and holders that are killed around each record and acknowledgement
+ * of it. The workers notice what must never happen; after the faults every accepted job has to end
+ * as it should. DFF_SEED_FIRST and DFF_SEED_COUNT play others by hand, DFF_SEED_LOG shows what is
+ * decided, DFF_SEED_TEST names one of the tests. */
 
 /** Seeds that have failed: 1295, a gang that had completed was started again when the worker of one
  * member was lost before its end was heard. 2109, a task that had ended on a worker cut off was
@@ -47,6 +48,8 @@
 	DFF_PLAY_PATHS,
 	/** The same, with calls to workers through relays, which fall silent too. */
 	DFF_PLAY_RELAYS,
+	/** Operators empty data centres and take them back. */
+	DFF_PLAY_EVACUATIONS,
 	/** Gangs fail, and little goes wrong but with the holder, its store and its lists. */
 	DFF_PLAY_FAILURES,
 };
@@ -180,7 +183,7 @@
 {
 	int index = pick (play, SITE_WORKERS);
 	struct dff_memory_worker_faults *faults = play->site.workers[index];
-	memset (faults, 0, sizeof (*faults));
+	*faults = (struct dff_memory_worker_faults){.closed_from_ms = faults->closed_from_ms};
 	switch (pick (play, 8)) {
 	case 0:
 		faults->cut = true;
@@ -320,9 +323,24 @@
 	site_run (&play->site, pick (play, STEP_MS));
 }
 
+static void
+step_evacuations (struct play *play)
+{
+	int what = pick (play, 100);
+	int data_centre = pick (play, SITE_DATA_CENTRES);
+	if (what < 12)
+		site_evacuate (&play->site, data_centre, true);
+	else if (what < 22)
+		site_evacuate (&play->site, data_centre, false);
+	else if (what < 26)
+		dff_memory_rows_drop_history (play->site.rows);
+}
+
 static void
 step (struct play *play)
 {
+	if (play->variant == DFF_PLAY_EVACUATIONS)
+		step_evacuations (play);
 	if (play->variant == DFF_PLAY_PATHS || play->variant == DFF_PLAY_RELAYS)
 		step_paths (play);
 	int what = pick (play, 100);
@@ -374,6 +392,8 @@
 			    .cancelled = g_ptr_array_new_with_free_func (g_free)};
 	if (variant == DFF_PLAY_RELAYS)
 		site_open_with_relays (&play.site);
+	else if (variant == DFF_PLAY_EVACUATIONS)
+		site_open_with_evacuations (&play.site);
 	else
 		site_open (&play.site);
 	dff_memory_rows_seed (play.site.rows, seed);
@@ -390,6 +410,8 @@
 			site_start_process (&play.site, i);
 	}
 	heal_workers (&play);
+	for (int i = 0; variant == DFF_PLAY_EVACUATIONS && i < SITE_DATA_CENTRES; i++)
+		site_evacuate (&play.site, i, false);
 	site_run (&play.site, SETTLE_MS);
 	for (guint i = 0; i < play.site.accepted->len; i++)
 		check_end (&play, seed, g_ptr_array_index (play.site.accepted, i));
@@ -444,6 +466,13 @@
 	play_seeds (DFF_PLAY_RELAYS);
 }
 
+static void
+test_seeds_with_evacuations (void **state)
+{
+	(void)state;
+	play_seeds (DFF_PLAY_EVACUATIONS);
+}
+
 static void
 test_seeds_with_failures (void **state)
 {
@@ -464,6 +493,7 @@
 		cmocka_unit_test (test_seeds),
 		cmocka_unit_test (test_seeds_with_paths),
 		cmocka_unit_test (test_seeds_with_relays),
+		cmocka_unit_test (test_seeds_with_evacuations),
 		cmocka_unit_test (test_seeds_with_failures),
 	};
 	return cmocka_run_group_tests (tests, NULL, NULL);
--- a/tests/platform/test-decode.c
+++ b/tests/platform/test-decode.c
@@ -298,6 +298,42 @@
 	}
 }
 
+static void
+test_evacuations (void **state)
+{
+	(void)state;
+	/* Longer than any name. */
+	g_autofree char *endless = g_strnfill (300, 'x');
+	g_autofree char *endless_key = g_strconcat ("evacuate/", endless, NULL);
+	const struct {
+		const char *key;
+		const char *value;
+		enum dff_platform_request request;
+		const char *data_centre;
+	} cases[] = {
+		{"evacuate/zvolen-hala", "{}", DFF_PLATFORM_REQUEST_EVACUATION, "zvolen-hala"},
+		/* Whatever it says, and also when it has gone. */
+		{"evacuate/a", "{\"wave\":1}", DFF_PLATFORM_REQUEST_EVACUATION, "a"},
+		{"evacuate/a", "\xff", DFF_PLATFORM_REQUEST_EVACUATION, "a"},
+		{"evacuate/a", "", DFF_PLATFORM_REQUEST_EVACUATION, "a"},
+		{"evacuate/", "{}", DFF_PLATFORM_REQUEST_UNREADABLE, NULL},
+		{endless_key, "{}", DFF_PLATFORM_REQUEST_UNREADABLE, NULL},
+		{"evacuate", "{}", DFF_PLATFORM_REQUEST_OTHER, NULL},
+		{"config", "{}", DFF_PLATFORM_REQUEST_OTHER, NULL},
+		{"wave/1", "{}", DFF_PLATFORM_REQUEST_OTHER, NULL},
+		{"", "", DFF_PLATFORM_REQUEST_OTHER, NULL},
+	};
+	for (size_t i = 0; i < G_N_ELEMENTS (cases); i++) {
+		struct dff_row row = {.key = dff_str_from (cases[i].key),
+				      .value = dff_str_from (cases[i].value)};
+		struct dff_name data_centre;
+		assert_int_equal (dff_platform_read_evacuation (&row, &data_centre),
+				  cases[i].request);
+		if (cases[i].data_centre != NULL)
+			assert_string_equal (data_centre.data, cases[i].data_centre);
+	}
+}
+
 int
 main (void)
 {
@@ -307,6 +343,7 @@
 		cmocka_unit_test (test_upstream_of_another_writer),
 		cmocka_unit_test (test_fuzzed_bodies),
 		cmocka_unit_test (test_job),
+		cmocka_unit_test (test_evacuations),
 	};
 	return cmocka_run_group_tests (tests, NULL, NULL);
 }
