--- a/fleet/fleet.c
+++ b/fleet/fleet.c
@@ -13,6 +13,7 @@
 #include "fleet/intake_link.h"
 #include "fleet/presence.h"
 #include "fleet/relays.h"
+#include "fleet/state_link.h"
 #include "front/front.h"
 #include "front/intake.h"
 #include "holder/holder.h"
@@ -81,6 +82,7 @@
 	struct dff_front *front;
 	struct dff_intake *intake;
 	struct dff_intake_link *intake_link;
+	struct dff_state_link *state_link;
 	struct dff_ingress *ingress;
 	struct dff_holder *holder;
 	/** Follows what operators put in force: the configuration, and evacuations. */
@@ -304,6 +306,7 @@
 {
 	const struct dff_fleet *fleet = ctx;
 	dff_intake_set_gatherer (fleet->intake, address, self);
+	dff_state_link_set_decider (fleet->state_link, address, self);
 }
 
 static void
@@ -322,6 +325,14 @@
 	fleet->intake = dff_intake_new (&options);
 }
 
+static void
+open_state_link (struct dff_fleet *fleet)
+{
+	struct dff_state_link_options options = {
+		.base = fleet->base, .clock = fleet->clock, .metrics = fleet->metrics};
+	fleet->state_link = dff_state_link_new (&options);
+}
+
 static int64_t
 store_served_ms (void *ctx)
 {
@@ -371,6 +382,7 @@
 		fleet->settings.retention_s * INT64_C (1000) + options.retention_ms / 10;
 	fleet->holder = dff_holder_new (&options);
 	dff_presence_set_holder (fleet->presence, fleet->holder);
+	dff_state_link_set_holder (fleet->state_link, fleet->holder);
 }
 
 static bool
@@ -389,6 +401,8 @@
 		.metrics = fleet->metrics,
 		.store_is_silent = store_is_silent,
 		.ctx = fleet,
+		.ask_state = dff_state_link_ask,
+		.ask_ctx = fleet->state_link,
 	};
 	fleet->front = dff_front_new (&front);
 	struct dff_ingress_options ingress = {
@@ -438,6 +452,7 @@
 	evhttp_set_gencb (fleet->ready_http, handle_ready, fleet);
 	dff_presence_serve (fleet->presence, fleet->ready_http);
 	dff_intake_link_serve (fleet->intake, fleet->ready_http);
+	dff_state_link_serve (fleet->state_link, fleet->ready_http);
 	evhttp_set_cb (fleet->metrics_http, "/metrics", handle_metrics, fleet);
 	return listen_at (fleet->front_http, &fleet->settings.front_address, error) &&
 	       listen_at (fleet->ready_http, &fleet->settings.ready_address, error) &&
@@ -497,6 +512,7 @@
 	if (!open_relays (fleet, error))
 		return NULL;
 	open_intake (fleet);
+	open_state_link (fleet);
 	open_holder (fleet);
 	open_front (fleet);
 	if (!open_listeners (fleet, error))
@@ -520,6 +536,7 @@
 	g_clear_pointer (&fleet->relays, dff_fleet_relays_free);
 	g_clear_pointer (&fleet->presence, dff_presence_free);
 	g_clear_pointer (&fleet->intake_link, dff_intake_link_free);
+	g_clear_pointer (&fleet->state_link, dff_state_link_free);
 	g_clear_pointer (&fleet->intake, dff_intake_free);
 	g_clear_pointer (&fleet->ingress, dff_ingress_free);
 	g_clear_pointer (&fleet->front, dff_front_free);
--- a/front/front.c
+++ b/front/front.c
@@ -398,12 +398,29 @@
 	rows->get (rows->ctx, &range, handle_progress_row, request);
 }
 
+static void
+handle_asked_state (void *user, bool known, enum dff_job_state state)
+{
+	struct request *request = user;
+	if (known)
+		finish_state (request, state);
+	else
+		request_begin (request, state_step);
+}
+
+/* The process that decides knows of an end before its record can be read, and answers those that
+ * the store does not. What it cannot tell the rows do: it holds nothing of a job that is not taken
+ * in yet or was never handed in. */
 void
 dff_front_read_state (struct dff_front *front,
 		      const struct dff_name *job,
 		      const struct dff_front_reply *reply)
 {
-	request_begin (request_new (front, job, reply), state_step);
+	const struct dff_front_options *options = &front->options;
+	struct request *request = request_new (front, job, reply);
+	if (options->ask_state == NULL ||
+	    !options->ask_state (options->ask_ctx, job, handle_asked_state, request))
+		request_begin (request, state_step);
 }
 
 /* waiting */
--- a/holder/commit.c
+++ b/holder/commit.c
@@ -90,6 +90,7 @@
 			return;
 		}
 		draft_written (holder, draft);
+		looks_work (holder);
 		break;
 	case DFF_ROWS_CONFLICT:
 		(*holder->metrics.commit_conflicts)++;
--- a/holder/draft.c
+++ b/holder/draft.c
@@ -15,6 +15,8 @@
 
 struct removal {
 	struct dff_name job;
+	/** How it ended. */
+	enum dff_job_state state;
 	int64_t due_ms;
 };
 
@@ -51,13 +53,15 @@
 note_final (struct dff_holder *holder, struct holder_job *job)
 {
 	struct dff_name id = job->id;
+	enum dff_job_state state = job->recorded_state;
 	if (!jobs_release (holder, job))
 		return;
 	struct removal *removal = g_new0 (struct removal, 1);
 	removal->job = id;
+	removal->state = state;
 	removal->due_ms = holder_now_ms (holder) + holder->options.retention_ms;
 	g_queue_push_tail (&holder->finished, removal);
-	g_hash_table_add (holder->finished_names, &removal->job);
+	g_hash_table_insert (holder->finished_names, &removal->job, removal);
 }
 
 bool
@@ -66,6 +70,18 @@
 	return g_hash_table_contains (holder->finished_names, job);
 }
 
+bool
+draft_finished_state (const struct dff_holder *holder,
+		      const struct dff_name *job,
+		      enum dff_job_state *state)
+{
+	const struct removal *removal = g_hash_table_lookup (holder->finished_names, job);
+	if (removal == NULL)
+		return false;
+	*state = removal->state;
+	return true;
+}
+
 /* Rows in the transaction are on record unless they have changed again since. */
 static void
 note_written (struct dff_holder *holder)
@@ -73,6 +89,7 @@
 	g_autoptr (GPtrArray) final = g_ptr_array_new ();
 	for (guint i = 0; i < holder->committed_jobs->len; i++) {
 		struct holder_job *job = g_ptr_array_index (holder->committed_jobs, i);
+		job->recorded_state = job->drafted_state;
 		release_acks (holder, job);
 		if (!job->dirty && dff_job_state_is_final (job->progress->state))
 			g_ptr_array_add (final, job);
@@ -170,6 +187,7 @@
 		struct holder_job *job = key;
 		g_hash_table_iter_remove (&iter);
 		job->dirty = false;
+		job->drafted_state = job->progress->state;
 		for (guint i = 0; i < job->acks->len; i++)
 			g_array_index (job->acks, struct holder_ack, i).in_flight = true;
 		g_ptr_array_add (holder->committed_jobs, job);
--- a/holder/evacuation.c
+++ b/holder/evacuation.c
@@ -2,9 +2,9 @@
 
 #include "common/log.h"
 
-/* Data centres that are evacuated. Every process follows the operator's requests, whether it decides
- * or not, so that a new holder knows them before its first start. Symptom without this: an operator
- * empties a data centre for work on its power, and tasks are still started there.
+/* Data centres that are evacuated. Every process follows the operator's requests, whether it
+ * decides or not, so that a new holder knows them before its first start. Symptom without this: an
+ * operator empties a data centre for work on its power, and tasks are still started there.
  *
  * A start is held back in three places, because it passes through the store and over the network
  * between decision and worker: the core places nothing there, a recorded start that has not left is
--- a/holder/holder.c
+++ b/holder/holder.c
@@ -80,6 +80,7 @@
 {
 	struct dff_holder *holder = ctx;
 	lease_work (holder);
+	looks_work (holder);
 	if (holder->phase < DFF_HOLDER_READING)
 		return;
 	lease_ask_former (holder);
@@ -161,6 +162,9 @@
 	holder->metrics.evacuated_runs =
 		dff_metrics_gauge (metrics, "dff_holder_evacuated_runs",
 				   "Runs that are open in evacuated data centres.");
+	holder->metrics.looks_answered =
+		dff_metrics_counter (metrics, "dff_holder_looks_answered_total",
+				     "States told from memory, here or to other processes.");
 	holder->metrics.starts_withdrawn =
 		dff_metrics_counter (metrics, "dff_holder_starts_withdrawn_total",
 				     "Recorded starts withdrawn because of an evacuation.");
@@ -183,6 +187,7 @@
 	holder->ended_revision = -1;
 	holder->present_revision = -1;
 	open_metrics (holder);
+	looks_open (holder);
 	holder->tick = dff_timer_new (options->timers, handle_tick, holder);
 	holder->work = dff_timer_new (options->timers, handle_work, holder);
 	schedule_tick (holder);
@@ -196,6 +201,7 @@
 		lease_stand_down (holder, "stopped");
 	dff_timer_free (holder->tick);
 	dff_timer_free (holder->work);
+	looks_close (holder);
 	g_hash_table_unref (holder->finished_names);
 	g_array_unref (holder->teams);
 	g_array_unref (holder->evacuated);
--- a/holder/holder_private.h
+++ b/holder/holder_private.h
@@ -110,6 +110,9 @@
 	struct dff_progress *progress;
 	bool cancelled;
 	bool dirty;
+	/** States on record, and in the transaction in progress if it covers the job. */
+	enum dff_job_state recorded_state;
+	enum dff_job_state drafted_state;
 	/** Elements: struct holder_ack. */
 	GArray *acks;
 	int64_t added_ms;
@@ -213,12 +216,18 @@
 	bool commit_covers_all;
 	/** Jobs whose rows are to be removed. Elements: struct removal. */
 	GQueue finished;
-	/** The same by name, so that a reading of all rows does not bring one to life again. */
+	/** The same by name (struct dff_name * to struct removal), so that a reading of all rows
+	 * does not bring one to life again. */
 	GHashTable *finished_names;
 	GString *waiting_recorded;
 	GString *waiting_in_flight;
 	int64_t waiting_due_ms;
 
+	/* holder/looks.c */
+	/** Elements: struct look *, questions that wait for an answer. */
+	GQueue looks;
+	struct dff_timer *look_timer;
+
 	/* holder/recovery.c */
 	struct dff_follower *jobs_follower;
 	GHashTable *recorded;
@@ -292,6 +301,7 @@
 		int64_t *open_runs;
 		int64_t *open_jobs;
 		int64_t *evacuated_runs;
+		int64_t *looks_answered;
 		int64_t *starts_withdrawn;
 	} metrics;
 };
@@ -432,8 +442,23 @@
 /** Returns: whether a job is over and only waits to be removed. */
 bool draft_has_finished (const struct dff_holder *holder, const struct dff_name *job);
 
+/** Returns: whether a job is over and only waits to be removed. @state: (out): how it ended. */
+bool draft_finished_state (const struct dff_holder *holder,
+			   const struct dff_name *job,
+			   enum dff_job_state *state);
+
 void draft_forget (struct dff_holder *holder);
 
+/* looks.c */
+
+void looks_open (struct dff_holder *holder);
+
+/** Questions that wait are dropped. */
+void looks_close (struct dff_holder *holder);
+
+/** Answers what can be answered now. */
+void looks_work (struct dff_holder *holder);
+
 /* recovery.c */
 
 /** Reads everything that is on record, then holds. */
--- a/holder/jobs.c
+++ b/holder/jobs.c
@@ -152,6 +152,7 @@
 	struct holder_job *job = g_new0 (struct holder_job, 1);
 	job->id = id;
 	job->progress = progress != NULL ? progress : dff_progress_new (plan);
+	job->recorded_state = job->progress->state;
 	job->plan = g_steal_pointer (&plan);
 	job->acks = g_array_new (FALSE, TRUE, sizeof (struct holder_ack));
 	job->added_ms = holder_now_ms (holder);
--- a/include/front/front.h
+++ b/include/front/front.h
@@ -8,13 +8,17 @@
 #include "rows/rows.h"
 
 /*
- * What callers ask for, answered from the row store by any process: accept a job, cancel it, tell
- * its state. Nothing is kept between calls. A job is accepted when its row is committed; the id is
- * the caller's, so that the same submission through any processes, any number of times, is one job.
+ * What callers ask for, answered by any process: accept a job, cancel it, tell its state. The row
+ * store tells, and of a state first the process that decides, which has it in memory. Nothing is
+ * kept between calls. A job is accepted when its row is committed; the id is the caller's, so that
+ * the same submission through any processes, any number of times, is one job.
  */
 
 struct dff_front;
 
+/** @known: whether the process that was asked can tell. */
+typedef void (*dff_front_state_func) (void *user, bool known, enum dff_job_state state);
+
 struct dff_front_options {
 	const struct dff_timers *timers;
 	const struct dff_rows *rows;
@@ -22,6 +26,14 @@
 	/** Returns: whether the store does not answer now. */
 	bool (*store_is_silent) (void *ctx);
 	void *ctx;
+	/** (nullable): asks the process that decides for a job's state on record. Returns: false
+	 * when there is none to ask, and @done is not called; else it is, once and never before
+	 * the call returns. */
+	bool (*ask_state) (void *ctx,
+			   const struct dff_name *job,
+			   dff_front_state_func done,
+			   void *user);
+	void *ask_ctx;
 };
 
 struct dff_front *dff_front_new (const struct dff_front_options *options);
--- a/include/holder/holder.h
+++ b/include/holder/holder.h
@@ -4,6 +4,7 @@
 #include "common/cleanup.h"
 #include "common/metrics.h"
 #include "common/timer.h"
+#include "graph/progress.h"
 #include "rows/rows.h"
 #include "upstream/runner.h"
 
@@ -137,6 +138,27 @@
  * a small reading else, ms. */
 int64_t dff_holder_store_took_ms (const struct dff_holder *holder);
 
+/** What is on record of a job's state, as the process that decides knows it. */
+struct dff_holder_sight {
+	/** Whether it can tell: it decides, and holds the job. Else the rows tell. */
+	bool known;
+	enum dff_job_state state;
+};
+
+typedef void (*dff_holder_look_func) (void *user, const struct dff_holder_sight *sight);
+
+/**
+ * dff_holder_look:
+ *
+ * Asks for a job's state. Where an end is on its way to the record, the answer waits for it for a
+ * moment, a tenth of a second at the most. @done is called once, never before the call returns,
+ * unless the holder is freed before.
+ */
+void dff_holder_look (struct dff_holder *holder,
+		      const struct dff_name *job,
+		      dff_holder_look_func done,
+		      void *user);
+
 /** Returns: whether this process decides now. */
 bool dff_holder_is_holding (const struct dff_holder *holder);
 
