front: a line for each state that is told

What it buys: the time between a job's end and the moment at which its caller is told can be read from logs.

--- a/front/front.c
+++ b/front/front.c
@@ -49,6 +49,8 @@
 	/** Writes whose fate is open. */
 	int32_t n_open;
 	int32_t n_refused;
+	/** Of a question about a state: whether a row is read, as nobody could tell. */
+	bool reads_row;
 };
 
 static struct request *
@@ -337,6 +339,10 @@
 {
 	struct dff_front_result result = {.outcome = DFF_FRONT_OK, .state = state};
 	(*request->front->states)++;
+	dff_log (DFF_LOG_ENTRY, DFF_LOG_INFO,
+		 "State told. job=%s state=%s from=%s took_ms=%" PRId64, request->job.data,
+		 dff_job_state_name (state), request->reads_row ? "row" : "decider",
+		 dff_clock_now_ms (request->front->options.timers->clock) - request->begun_ms);
 	request_finish (request, &result);
 }
 
@@ -389,6 +395,7 @@
 state_step (struct request *request)
 {
 	const struct dff_rows *rows = request->front->options.rows;
+	request->reads_row = true;
 	g_autofree char *to = g_strconcat (request->job.data, "!", NULL);
 	struct dff_rows_range range = {.table = DFF_TABLE_PROGRESS,
 				       .from = {request->job.data, request->job.len},
