tests, front: the load of a slow store, fates of rows, states at the end; a row's time is up when it is

Found by the plays: a caller whose row was gathered was answered up to a second after its time, as the timeout of a transaction is longer; the gathering process now answers when the row's time is up.

--- a/front/intake.c
+++ b/front/intake.c
@@ -58,6 +58,8 @@
 	GPtrArray *in_flight;
 	int64_t begun_ms;
 	struct dff_timer *work;
+	/** Goes off when the time of a row is up. */
+	struct dff_timer *expiry;
 	int64_t *forwarded;
 	int64_t *batches;
 	int64_t *batch_rows;
@@ -86,13 +88,20 @@
 }
 
 static void
-end_entry (struct entry *entry, enum dff_rows_outcome outcome, int64_t revision)
+answer (struct entry *entry, enum dff_rows_outcome outcome, int64_t revision)
 {
 	struct dff_rows_result result = {.outcome = outcome, .revision = revision};
 	for (guint i = 0; i < entry->waiters->len; i++) {
 		const struct waiter *waiter = &g_array_index (entry->waiters, struct waiter, i);
 		waiter->done (waiter->user, &result);
 	}
+	g_array_set_size (entry->waiters, 0);
+}
+
+static void
+end_entry (struct entry *entry, enum dff_rows_outcome outcome, int64_t revision)
+{
+	answer (entry, outcome, revision);
 	free_entry (entry);
 }
 
@@ -140,6 +149,43 @@
 	dff_timer_start (intake->work, settled ? 0 : PAUSE_MS);
 }
 
+static void
+drop_hopeless (struct dff_intake *intake)
+{
+	int64_t latest_ms = now_ms (intake) + LEAST_MS;
+	for (guint n = intake->waiting.length; n > 0; n--) {
+		struct entry *entry = g_queue_pop_head (&intake->waiting);
+		bool refused = entry->n_refused >= REFUSALS_MAX && !entry->is_open;
+		if (entry->deadline_ms <= latest_ms || refused)
+			give_up (entry);
+		else
+			g_queue_push_tail (&intake->waiting, entry);
+	}
+}
+
+/* Symptom without this: callers are answered a second after their time is up. Sequence: the store
+ * falls silent; a row waits out the timeout of the transaction before its own, then that of its
+ * own. Cause: a transaction's timeout is longer than what a caller has left. */
+static void
+handle_expiry (void *ctx)
+{
+	struct dff_intake *intake = ctx;
+	int64_t now = now_ms (intake);
+	int64_t next_ms = INT64_MAX;
+	drop_hopeless (intake);
+	for (GList *link = intake->waiting.head; link != NULL; link = link->next)
+		next_ms = MIN (next_ms, ((struct entry *)link->data)->deadline_ms);
+	for (guint i = 0; intake->in_flight != NULL && i < intake->in_flight->len; i++) {
+		struct entry *entry = g_ptr_array_index (intake->in_flight, i);
+		if (entry->deadline_ms <= now)
+			answer (entry, DFF_ROWS_UNKNOWN, 0);
+		else
+			next_ms = MIN (next_ms, entry->deadline_ms);
+	}
+	if (next_ms < INT64_MAX)
+		dff_timer_start (intake->expiry, (int32_t)MAX (next_ms - now, 1));
+}
+
 static void
 send_batch (struct dff_intake *intake)
 {
@@ -172,20 +218,7 @@
 	(*intake->batch_rows) += (int64_t)n_rows;
 	intake->begun_ms = now_ms (intake);
 	intake->options.rows->commit (intake->options.rows->ctx, &commit, handle_batch, intake);
-}
-
-static void
-drop_hopeless (struct dff_intake *intake)
-{
-	int64_t latest_ms = now_ms (intake) + LEAST_MS;
-	for (guint n = intake->waiting.length; n > 0; n--) {
-		struct entry *entry = g_queue_pop_head (&intake->waiting);
-		bool refused = entry->n_refused >= REFUSALS_MAX && !entry->is_open;
-		if (entry->deadline_ms <= latest_ms || refused)
-			give_up (entry);
-		else
-			g_queue_push_tail (&intake->waiting, entry);
-	}
+	handle_expiry (intake);
 }
 
 static void
@@ -237,8 +270,7 @@
 	}
 	entry->deadline_ms = MAX (entry->deadline_ms, deadline_ms);
 	g_array_append_val (entry->waiters, waiter);
-	if (intake->in_flight == NULL)
-		dff_timer_start (intake->work, 0);
+	dff_timer_start (intake->in_flight == NULL ? intake->work : intake->expiry, 0);
 }
 
 static struct passed_call *
@@ -346,6 +378,7 @@
 	intake->interface = (struct dff_rows){
 		.commit = intake_commit, .get = intake_get, .feed = intake_feed, .ctx = intake};
 	intake->work = dff_timer_new (options->timers, handle_work, intake);
+	intake->expiry = dff_timer_new (options->timers, handle_expiry, intake);
 	intake->forwarded = dff_metrics_counter (options->metrics, "dff_intake_forwarded_total",
 						 "Rows handed to the process that gathers them.");
 	intake->batches = dff_metrics_counter (options->metrics, "dff_intake_batches_total",
@@ -364,5 +397,6 @@
 		g_ptr_array_unref (intake->in_flight);
 	}
 	dff_timer_free (intake->work);
+	dff_timer_free (intake->expiry);
 	g_free (intake);
 }
--- a/holder/submissions.c
+++ b/holder/submissions.c
@@ -198,8 +198,8 @@
 	for (GList *link = holder->submissions.head; link != NULL && n_drafted < DRAFTED_MAX;
 	     link = link->next) {
 		struct submission *submission = link->data;
-		if (submission->is_known || !draft_submission (draft, submission->key,
-							       submission->value))
+		if (submission->is_known ||
+		    !draft_submission (draft, submission->key, submission->value))
 			continue;
 		submission->in_flight = true;
 		if (submission->job != NULL)
@@ -213,7 +213,8 @@
 {
 	for (size_t i = 0; i < result->n_rows; i++) {
 		const struct dff_row *row = &result->rows[i];
-		if (row->revision > 0 && dff_str_equal (row->table, dff_str_from (DFF_TABLE_JOBS)) &&
+		if (row->revision > 0 &&
+		    dff_str_equal (row->table, dff_str_from (DFF_TABLE_JOBS)) &&
 		    dff_str_equal (row->key, dff_str_from (key)))
 			return true;
 	}
@@ -234,8 +235,7 @@
 			submission->job->row_drafted = false;
 		if (result->outcome == DFF_ROWS_DONE)
 			settle (holder, submission, DFF_ROWS_DONE, result->revision);
-		else if (result->outcome == DFF_ROWS_CONFLICT &&
-			 is_among (result, submission->key))
+		else if (result->outcome == DFF_ROWS_CONFLICT && is_among (result, submission->key))
 			/* Written by an earlier transaction, or by another process. */
 			settle (holder, submission, DFF_ROWS_CONFLICT, result->revision);
 		else
--- a/tests/holder/site.c
+++ b/tests/holder/site.c
@@ -1,6 +1,7 @@
 #include "tests/holder/site.h"
 
 #include "platform/decode.h"
+#include "tests/holder/site_links.h"
 #include "tests/holder/site_relays.h"
 
 #include <stdio.h>
@@ -356,6 +357,8 @@
 	options.store_served_ms = store_served_ms;
 	options.store_ctx = process;
 	options.read_upstream = read_upstream;
+	if (site->links)
+		site_links_options (process, &options);
 	if (site->evacuates) {
 		options.evacuations_age_ms = evacuations_age_ms;
 		options.evacuations_ctx = process;
@@ -377,6 +380,8 @@
 	process->rows = dff_memory_rows_client_new (site->rows);
 	process->runner = dff_memory_runner_client_new (site->runner);
 	open_health (site, process);
+	if (site->links)
+		site_links_start (process);
 	open_holder (site, process, index);
 	if (site->evacuates)
 		follow_requests (site, process);
@@ -387,6 +392,8 @@
 		.store_is_silent = store_is_silent,
 		.ctx = process,
 	};
+	if (site->links)
+		site_links_front (process, &front);
 	process->front = dff_front_new (&front);
 }
 
@@ -403,6 +410,8 @@
 	dff_holder_free (process->holder);
 	if (site->relays)
 		site_relays_kill (process);
+	if (site->links)
+		site_links_kill (process);
 	dff_front_free (process->front);
 	g_clear_pointer (&process->evacuations, dff_evacuations_free);
 	dff_rows_health_free (process->health);
@@ -415,6 +424,7 @@
 	site->loop = dff_virtual_loop_new (START_MS);
 	site->rows = dff_memory_rows_new (site->loop);
 	site->accepted = g_ptr_array_new_with_free_func (g_free);
+	site->hops = g_ptr_array_new_with_free_func (site_hop_free);
 	struct dff_memory_runner_options options = {.loop = site->loop,
 						    .describe = describe,
 						    .stop_grace_ms = 400,
@@ -446,6 +456,14 @@
 	open_site (site);
 }
 
+void
+site_open_with_links (struct site *site)
+{
+	memset (site, 0, sizeof (*site));
+	site->links = true;
+	open_site (site);
+}
+
 void
 site_open_with_evacuations (struct site *site)
 {
@@ -467,6 +485,7 @@
 	dff_memory_runner_free (site->runner);
 	dff_memory_rows_free (site->rows);
 	g_ptr_array_unref (site->accepted);
+	g_ptr_array_unref (site->hops);
 	dff_virtual_loop_free (site->loop);
 }
 
--- a/tests/holder/site.h
+++ b/tests/holder/site.h
@@ -10,6 +10,7 @@
 #include "common/metrics.h"
 #include "fleet/evacuations.h"
 #include "front/front.h"
+#include "front/intake.h"
 #include "holder/holder.h"
 #include "holder/tables.h"
 #include "rows/follower.h"
@@ -53,6 +54,9 @@
 	/** With evacuations: what operators put in force, as this process knows it. */
 	struct dff_follower *requests;
 	struct dff_evacuations *evacuations;
+	/** With links: what goes through the process that decides, and which that is. */
+	struct dff_intake *intake;
+	struct dff_name decider;
 };
 
 struct site {
@@ -60,6 +64,10 @@
 	bool relays;
 	/** Whether processes follow requests to empty data centres. */
 	bool evacuates;
+	/** Whether rows and questions about states go through the process that decides. */
+	bool links;
+	/** Elements: struct hop *, see site_links.c. */
+	GPtrArray *hops;
 	/** When each data centre was asked to be emptied; 0: it is not. */
 	int64_t evacuated_ms[SITE_DATA_CENTRES];
 	struct dff_virtual_loop *loop;
@@ -83,6 +91,12 @@
 /** The same, without relays, with operators that empty data centres. */
 void site_open_with_evacuations (struct site *site);
 
+/** The same, with rows of jobs and questions about states that go through the process that
+ * decides. */
+void site_open_with_links (struct site *site);
+
+void site_hop_free (gpointer hop);
+
 /** Asks for a data centre to be emptied, or takes it back. */
 void site_evacuate (struct site *site, int data_centre, bool requested);
 
--- a/tests/holder/test-holder-seeds.c
+++ b/tests/holder/test-holder-seeds.c
@@ -9,12 +9,13 @@
  * that are silent, refuse, lose or delay writes for some processes, workers cut off, reborn, hung,
  * late; in the plays with paths, also processes that others do not hear, and workers that one
  * process alone reaches or does not; in the plays with
- * relays, calls to workers through other processes; in the plays with evacuations, operators that
- * empty data centres and take them back, with no start there from five seconds on; in the plays
- * with failures, gangs that fail and holders that are killed around each record and acknowledgement
- * of it. The workers notice what must never happen; after the faults every accepted job has to end
- * as it should. DFF_SEED_FIRST and DFF_SEED_COUNT play others by hand, DFF_SEED_LOG shows what is
- * decided, DFF_SEED_TEST names one of the tests. */
+ * relays, calls to workers through other processes; in the plays with links, rows of jobs and
+ * questions about states through the process that decides; in the plays with evacuations, operators
+ * that empty data centres and take them back, with no start there from five seconds on; in the
+ * plays with failures, gangs that fail and holders that are killed around each record and
+ * acknowledgement of it. The workers notice what must never happen; after the faults every accepted
+ * job has to end as it should. DFF_SEED_FIRST and DFF_SEED_COUNT play others by hand, DFF_SEED_LOG
+ * shows what is decided, DFF_SEED_TEST names one of the tests. */
 
 /** Seeds that have failed: 1295, a gang that had completed was started again when the worker of one
  * member was lost before its end was heard. 2109, a task that had ended on a worker cut off was
@@ -48,6 +49,8 @@
 	DFF_PLAY_PATHS,
 	/** The same, with calls to workers through relays, which fall silent too. */
 	DFF_PLAY_RELAYS,
+	/** Rows of jobs and questions about states go through the process that decides. */
+	DFF_PLAY_LINKS,
 	/** Operators empty data centres and take them back. */
 	DFF_PLAY_EVACUATIONS,
 	/** Gangs fail, and little goes wrong but with the holder, its store and its lists. */
@@ -392,6 +395,8 @@
 			    .cancelled = g_ptr_array_new_with_free_func (g_free)};
 	if (variant == DFF_PLAY_RELAYS)
 		site_open_with_relays (&play.site);
+	else if (variant == DFF_PLAY_LINKS)
+		site_open_with_links (&play.site);
 	else if (variant == DFF_PLAY_EVACUATIONS)
 		site_open_with_evacuations (&play.site);
 	else
@@ -466,6 +471,13 @@
 	play_seeds (DFF_PLAY_RELAYS);
 }
 
+static void
+test_seeds_with_links (void **state)
+{
+	(void)state;
+	play_seeds (DFF_PLAY_LINKS);
+}
+
 static void
 test_seeds_with_evacuations (void **state)
 {
@@ -493,6 +505,7 @@
 		cmocka_unit_test (test_seeds),
 		cmocka_unit_test (test_seeds_with_paths),
 		cmocka_unit_test (test_seeds_with_relays),
+		cmocka_unit_test (test_seeds_with_links),
 		cmocka_unit_test (test_seeds_with_evacuations),
 		cmocka_unit_test (test_seeds_with_failures),
 	};
