--- a/core/core_private.h
+++ b/core/core_private.h
@@ -281,7 +281,8 @@
 /** Puts a worker into quarantine whatever it did before, unless too many are. */
 void dff_core_worker_suspect (struct dff_core *core, int32_t worker);
 
-void dff_core_note_success (struct dff_core *core, int32_t worker);
+/** A run that began at @started_ms has completed on a worker. */
+void dff_core_note_success (struct dff_core *core, int32_t worker, int64_t started_ms);
 
 /** Whether a job has failed on a worker and should try another. */
 bool dff_core_job_avoids (const struct dff_core_job *job, int32_t worker);
--- a/core/core_tables.h
+++ b/core/core_tables.h
@@ -71,6 +71,8 @@
 	int32_t streak;
 	/** Hash of the last of them; 0: none. */
 	guint last_failed;
+	/** When a run failed here last; 0: never. */
+	int64_t failed_ms;
 	/** Times in quarantine since it last was healthy. */
 	int32_t quarantines;
 	/** When its quarantine, or the wait for a probe, is over. */
--- a/core/lifecycle.c
+++ b/core/lifecycle.c
@@ -338,6 +338,13 @@
 		dff_core_attempt_stop (core, job, DFF_CORE_STOP_MEMBER);
 }
 
+/* An end may be heard before the start is. */
+static int64_t
+begun_ms (const struct dff_core *core, const struct dff_core_job *job)
+{
+	return job->state == DFF_CORE_STARTING ? core->now_ms : job->started_ms;
+}
+
 static void
 note_health (struct dff_core *core,
 	     struct dff_core_job *job,
@@ -345,7 +352,7 @@
 	     enum dff_core_member_state state)
 {
 	if (state == DFF_CORE_MEMBER_COMPLETED)
-		dff_core_note_success (core, worker);
+		dff_core_note_success (core, worker, begun_ms (core, job));
 	if (state == DFF_CORE_MEMBER_FAILED || state == DFF_CORE_MEMBER_START_FAILED)
 		dff_core_note_failure (core, job, worker);
 }
@@ -359,7 +366,7 @@
 		struct dff_core_member *member = &job->members[i];
 		member->ran = true;
 		if (member_is_open (member)) {
-			dff_core_note_success (core, member->worker);
+			dff_core_note_success (core, member->worker, begun_ms (core, job));
 			member_close (core, job, i, DFF_CORE_MEMBER_COMPLETED);
 		}
 		member->state = DFF_CORE_MEMBER_COMPLETED;
--- a/core/quarantine.c
+++ b/core/quarantine.c
@@ -106,6 +106,7 @@
 {
 	struct dff_core_worker *worker = dff_core_worker_at (core, worker_index);
 	bool blamed = job->n_avoided < JOB_BLAME_LIMIT;
+	worker->failed_ms = core->now_ms;
 	if (!has_failed_on (job, worker_index)) {
 		job->avoided[job->n_avoided % DFF_CORE_AVOIDED_MAX] = worker_index;
 		job->n_avoided++;
@@ -132,10 +133,16 @@
 		quarantine (core, worker);
 }
 
+/* Symptom without the look at the start: a worker that begins to fail what it starts is given
+ * dozens of tasks in a few seconds, each of which fails at once and makes room for the next.
+ * Sequence: it fails two and is set aside; a run that began before all this completes there, and it
+ * counts as sound again. Cause: that run says nothing of what is started now. */
 void
-dff_core_note_success (struct dff_core *core, int32_t worker_index)
+dff_core_note_success (struct dff_core *core, int32_t worker_index, int64_t started_ms)
 {
 	struct dff_core_worker *worker = dff_core_worker_at (core, worker_index);
+	if (started_ms < worker->failed_ms)
+		return;
 	worker->streak = 0;
 	worker->last_failed = 0;
 	bool suspect = worker->health != DFF_CORE_HEALTHY || worker->quarantines > 0;
--- a/tests/core/test-bad-workers.c
+++ b/tests/core/test-bad-workers.c
@@ -6,8 +6,12 @@
 #define N_WORKERS 4
 /** Jobs whose name begins so fail wherever they start. */
 #define BAD_PREFIX "bad"
+/** Jobs whose name begins so run until they are told to be done. */
+#define SLOW_PREFIX "slow"
 #define SECOND_MS INT64_C (1000)
 #define MINUTE_MS (60 * SECOND_MS)
+/** Tasks that run on the worker that fails later on, one on each of its accelerators. */
+#define N_BEFORE 8
 /** Different jobs that fail on a worker before it is set aside. */
 #define FAILURES_TO_QUARANTINE 2
 
@@ -28,7 +32,7 @@
 };
 
 static void
-begin (struct run *run)
+begin_with (struct run *run, int32_t accelerators)
 {
 	struct dff_core_options options;
 	dff_core_options_init (&options);
@@ -36,7 +40,7 @@
 	run->placed = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
 	run->starts = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
 	run->bad_starts = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
-	fixture_pool_init (&run->pool, 1, N_WORKERS, 1);
+	fixture_pool_init (&run->pool, 1, N_WORKERS, accelerators);
 	fixture_pool_add_team (&run->pool, "a", 0, 0);
 	dff_core_set_pool (run->core, &run->pool, 0);
 	for (int i = 0; i < N_WORKERS; i++) {
@@ -45,6 +49,12 @@
 	}
 }
 
+static void
+begin (struct run *run)
+{
+	begin_with (run, 1);
+}
+
 static void
 end (struct run *run)
 {
@@ -85,6 +95,8 @@
 	if (bad_job)
 		note (run->bad_starts, worker);
 	tell (run, DFF_EVENT_TASK_STARTED, command);
+	if (g_str_has_prefix (command->job.data, SLOW_PREFIX))
+		return;
 	tell (run, fails ? DFF_EVENT_TASK_FAILED : DFF_EVENT_TASK_COMPLETED, command);
 }
 
@@ -246,6 +258,41 @@
 	end (&run);
 }
 
+static void
+complete_slow (struct run *run, int index)
+{
+	struct dff_event event = {.type = DFF_EVENT_TASK_COMPLETED, .attempt = 1};
+	event.job = dff_name_printf (SLOW_PREFIX "%d", index);
+	dff_core_handle_event (run->core, &event, run->now_ms);
+}
+
+/* Symptom: a worker that begins to fail what it starts is given dozens of tasks in a few seconds,
+ * and a third of the urgent gangs meet one such worker in each of their two runs. Sequence: it runs
+ * several tasks; from some moment on it fails what it starts; what began before that completes
+ * there, one task a second. Cause: each of these ends was taken for a sign that it is sound. */
+static void
+test_runs_from_before (void **state)
+{
+	(void)state;
+	struct run run;
+	begin_with (&run, N_BEFORE);
+	for (int i = 0; i < N_BEFORE; i++) {
+		g_autofree char *id = g_strdup_printf (SLOW_PREFIX "%d", i);
+		submit (&run, id, 3);
+	}
+	settle (&run);
+	run.bad_worker = "w0";
+	assert_int_equal (count (run.starts, "w0"), N_BEFORE);
+	for (int i = 0; i < N_BEFORE; i++) {
+		let_jobs_come (&run, SECOND_MS);
+		complete_slow (&run, i);
+	}
+	let_jobs_come (&run, MINUTE_MS / 2);
+	assert_int_equal (count (run.starts, "w0") - N_BEFORE, FAILURES_TO_QUARANTINE);
+	assert_int_equal (run.n_failed, 0);
+	end (&run);
+}
+
 int
 main (void)
 {
@@ -254,6 +301,7 @@
 		cmocka_unit_test (test_job_that_fails_everywhere),
 		cmocka_unit_test (test_two_jobs_that_fail_everywhere),
 		cmocka_unit_test (test_many_jobs_that_fail_everywhere),
+		cmocka_unit_test (test_runs_from_before),
 	};
 	return cmocka_run_group_tests_name ("core-bad-workers", tests, NULL, NULL);
 }
--- a/tests/holder/test-holder-submissions.c
+++ b/tests/holder/test-holder-submissions.c
@@ -182,9 +182,9 @@
 }
 
 /* Symptom: a caller is told that its job was not done, and it runs. Sequence: the transaction with
- * the job is on its way to a slow store when the holder lets go of the cell; the caller's process is
- * refused by the store, so that nothing else settles it; the transaction is carried out. Cause: what
- * the holder had in flight was told as not done. */
+ * the job is on its way to a slow store when the holder lets go of the cell; the caller's process
+ * is refused by the store, so that nothing else settles it; the transaction is carried out. Cause:
+ * what the holder had in flight was told as not done. */
 static void
 stand_down_around (int64_t lead_ms)
 {
@@ -197,8 +197,7 @@
 	raise_epoch (&site);
 	site_run (&site, lead_ms);
 	faults_of (&site, other)->refuses = true;
-	enum dff_front_outcome outcome =
-		site_submit (&site, other, site_plan ("a", 1, false, 1));
+	enum dff_front_outcome outcome = site_submit (&site, other, site_plan ("a", 1, false, 1));
 	faults_of (&site, other)->refuses = false;
 	site_run (&site, 3000);
 	if (outcome == DFF_FRONT_UNAVAILABLE)
