--- a/core/quarantine.c
+++ b/core/quarantine.c
@@ -101,11 +101,25 @@
 	return core->stats.workers_quarantined < MAX (1, n_up / QUARANTINED_SHARE);
 }
 
+/* A worker that is at fault fails what it starts within moments; work that is at fault fails along
+ * the way. Symptom without the difference: urgent gangs, which have two runs, meet a worker that
+ * fails everything in both, because each such worker has to fail two of them before it is set
+ * aside. Work that has failed elsewhere tells nothing: it may be what fails at once. */
+static bool
+fails_at_once (const struct dff_core *core, const struct dff_core_job *job)
+{
+	double limit_ms = core->options.at_once_share * (double)job->estimate_ms;
+	bool started = job->state == DFF_CORE_RUNNING;
+	return limit_ms > 0.0 && job->n_avoided == 0 &&
+	       (!started || (double)(core->now_ms - job->started_ms) <= limit_ms);
+}
+
 void
 dff_core_note_failure (struct dff_core *core, struct dff_core_job *job, int32_t worker_index)
 {
 	struct dff_core_worker *worker = dff_core_worker_at (core, worker_index);
 	bool blamed = job->n_avoided < JOB_BLAME_LIMIT;
+	bool at_once = fails_at_once (core, job);
 	worker->failed_ms = core->now_ms;
 	if (!has_failed_on (job, worker_index)) {
 		job->avoided[job->n_avoided % DFF_CORE_AVOIDED_MAX] = worker_index;
@@ -119,7 +133,7 @@
 	if (!blamed || worker->health != DFF_CORE_HEALTHY || worker->last_failed == failed)
 		return;
 	worker->last_failed = failed;
-	worker->streak++;
+	worker->streak += at_once ? STREAK_LIMIT : 1;
 	if (worker->streak >= STREAK_LIMIT && may_quarantine (core))
 		quarantine (core, worker);
 }
--- a/holder/policy.c
+++ b/holder/policy.c
@@ -5,6 +5,10 @@
 #define START_TIMEOUT_MS 1500
 /** First stay in quarantine of a worker that fails what others complete, ms. */
 #define QUARANTINE_MS 8000
+/** Share of its expected run time within which a failed run is the worker's fault, of work that has
+ * not failed elsewhere: a worker that fails everything does so within some hundredths, work that
+ * is at fault seldom before a fifth. */
+#define AT_ONCE_SHARE 0.1
 /** Wait that counts like a job's own run time in the core's order, ms: tasks run for seconds. */
 #define AGEING_MS 8000.0
 /** How long an urgent gang waits for a whole rack, ms: a claim of a team's own accelerators is to
@@ -53,6 +57,7 @@
 	options->patient = true;
 	options->ageing_ms = AGEING_MS;
 	options->quarantine_ms = QUARANTINE_MS;
+	options->at_once_share = AT_ONCE_SHARE;
 	options->urgent_rack_wait_ms = URGENT_RACK_WAIT_MS;
 	options->calm_wait_ms = CALM_WAIT_MS;
 	options->guard_after_ms = GUARD_AFTER_MS;
--- a/include/core/core.h
+++ b/include/core/core.h
@@ -46,6 +46,9 @@
 	double ageing_ms;
 	/** First stay of a worker in quarantine, ms; 0: the default. */
 	int64_t quarantine_ms;
+	/** Share of its expected run time within which a run's failure counts as the worker's fault
+	 * alone; 0: time does not tell. */
+	double at_once_share;
 	/** How long a job waits for room near its data before it goes elsewhere, ms. */
 	int64_t data_wait_ms;
 	/** How long a gang that fits a rack waits for a whole one before it spreads, ms; 0: for
