--- a/core/quarantine.c
+++ b/core/quarantine.c
@@ -147,10 +147,10 @@
 		quarantine (core, worker);
 }
 
-/* Symptom without the look at the start: a worker that begins to fail what it starts is given dozens
- * of tasks in a few seconds, each of which fails at once and makes room for the next. Sequence: it
- * fails two and is set aside; a run that began before all this completes there, and it counts as
- * sound again. Cause: that run says nothing of what is started now. */
+/* Symptom without the look at the start: a worker that begins to fail what it starts is given
+ * dozens of tasks in a few seconds, each of which fails at once and makes room for the next.
+ * Sequence: it fails two and is set aside; a run that began before all this completes there, and it
+ * counts as sound again. Cause: that run says nothing of what is started now. */
 void
 dff_core_note_success (struct dff_core *core, int32_t worker_index, int64_t started_ms)
 {
--- a/tests/core/test-bad-workers.c
+++ b/tests/core/test-bad-workers.c
@@ -32,10 +32,11 @@
 };
 
 static void
-begin_with (struct run *run, int32_t accelerators)
+begin_with (struct run *run, int32_t accelerators, double at_once_share)
 {
 	struct dff_core_options options;
 	dff_core_options_init (&options);
+	options.at_once_share = at_once_share;
 	*run = (struct run){.core = dff_core_new (&options)};
 	run->placed = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
 	run->starts = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
@@ -52,7 +53,7 @@
 static void
 begin (struct run *run)
 {
-	begin_with (run, 1);
+	begin_with (run, 1, 0.0);
 }
 
 static void
@@ -275,7 +276,7 @@
 {
 	(void)state;
 	struct run run;
-	begin_with (&run, N_BEFORE);
+	begin_with (&run, N_BEFORE, 0.0);
 	for (int i = 0; i < N_BEFORE; i++) {
 		g_autofree char *id = g_strdup_printf (SLOW_PREFIX "%d", i);
 		submit (&run, id, 3);
@@ -293,6 +294,48 @@
 	end (&run);
 }
 
+/* Symptom: one urgent gang in nine fails, as it has two runs and meets a worker that fails all it
+ * starts in both. Sequence: a worker begins to fail what it starts, within moments; each such
+ * worker was given a second task before it was set aside. Cause: how soon a run failed was not
+ * looked at. A job that fails wherever it runs does not close the pool by that. */
+static void
+test_failures_at_once (void **state)
+{
+	(void)state;
+	struct run run;
+	begin_with (&run, 1, 0.1);
+	run.bad_worker = "w0";
+	let_jobs_come (&run, MINUTE_MS / 2);
+	assert_int_equal (count (run.starts, "w0"), 1);
+	assert_int_equal (run.n_failed, 0);
+	end (&run);
+	begin_with (&run, 1, 0.1);
+	submit (&run, "bad", N_WORKERS);
+	pass_time (&run, MINUTE_MS);
+	assert_in_range (workers_quarantined (&run), 0, 1);
+	assert_int_equal (g_hash_table_size (run.bad_starts), N_WORKERS);
+	assert_int_equal (run.n_failed, 1);
+	end (&run);
+}
+
+/* The same failures half-way through, as of work that is at fault, set no worker aside. */
+static void
+test_failures_along_the_way (void **state)
+{
+	(void)state;
+	struct run run;
+	begin_with (&run, 1, 0.1);
+	submit (&run, SLOW_PREFIX "0", 3);
+	settle (&run);
+	run.now_ms += MINUTE_MS;
+	struct dff_event event = {.type = DFF_EVENT_TASK_FAILED, .attempt = 1};
+	event.job = dff_name_from (SLOW_PREFIX "0");
+	dff_core_handle_event (run.core, &event, run.now_ms);
+	settle (&run);
+	assert_int_equal (workers_quarantined (&run), 0);
+	end (&run);
+}
+
 int
 main (void)
 {
@@ -302,6 +345,8 @@
 		cmocka_unit_test (test_two_jobs_that_fail_everywhere),
 		cmocka_unit_test (test_many_jobs_that_fail_everywhere),
 		cmocka_unit_test (test_runs_from_before),
+		cmocka_unit_test (test_failures_at_once),
+		cmocka_unit_test (test_failures_along_the_way),
 	};
 	return cmocka_run_group_tests_name ("core-bad-workers", tests, NULL, NULL);
 }
