--- a/fleet/fleet.c
+++ b/fleet/fleet.c
@@ -326,6 +326,7 @@
 		.timers = &fleet->timers,
 		.rows = dff_rows_health_interface (fleet->store),
 		.metrics = fleet->metrics,
+		.together_from_ms = 0,
 		.store_took_ms = store_took_ms,
 		.store_ctx = fleet,
 		.forward = dff_intake_link_forward,
--- a/fleet/intake_link.c
+++ b/fleet/intake_link.c
@@ -32,7 +32,7 @@
 };
 
 struct forwarded {
-	dff_rows_func done;
+	dff_intake_forward_func done;
 	void *user;
 };
 
@@ -53,15 +53,15 @@
 handle_response (void *user, const struct dff_http_response *response)
 {
 	g_autofree struct forwarded *forwarded = user;
-	struct dff_rows_result result = {.outcome = outcome_of (response)};
-	forwarded->done (forwarded->user, &result);
+	forwarded->done (forwarded->user, outcome_of (response),
+			 response->outcome == DFF_HTTP_ANSWERED);
 }
 
 void
 dff_intake_link_forward (void *ctx,
 			 const struct dff_name *address,
 			 const struct dff_intake_row *row,
-			 dff_rows_func done,
+			 dff_intake_forward_func done,
 			 void *user)
 {
 	struct dff_intake_link *link = ctx;
--- a/front/intake.c
+++ b/front/intake.c
@@ -5,9 +5,6 @@
 #include "common/log.h"
 #include "holder/tables.h"
 
-/** Answers of the store that take so long, ms, mean that transactions queue: ten times what one
- * takes. */
-#define SLOW_MS 100
 /** How long rows go the other way after the store has turned this process away, ms. */
 #define REFUSED_FOR_MS 1500
 /** Rows in one transaction: each is a condition and two writes. */
@@ -291,14 +288,17 @@
 	call->done (call->user, result);
 }
 
+/* One that was reached and did not take the row knows why: a row that goes straight to a store
+ * whose transactions queue makes them queue the longer. */
 static void
-handle_forwarded (void *user, const struct dff_rows_result *result)
+handle_forwarded (void *user, enum dff_rows_outcome outcome, bool reached)
 {
 	g_autofree struct passed_call *call = user;
 	struct dff_intake *intake = call->intake;
-	if (result->outcome == DFF_ROWS_NOT_DONE)
+	struct dff_rows_result result = {.outcome = outcome};
+	if (!reached)
 		intake->avoid_until_ms = now_ms (intake) + AVOID_MS;
-	call->done (call->user, result);
+	call->done (call->user, &result);
 }
 
 static bool
@@ -308,8 +308,9 @@
 	if (!intake->is_gatherer &&
 	    (dff_name_is_empty (&intake->gatherer) || now < intake->avoid_until_ms))
 		return false;
-	return now < intake->refused_until_ms ||
-	       intake->options.store_took_ms (intake->options.store_ctx) >= SLOW_MS;
+	return now < intake->refused_until_ms || intake->options.together_from_ms == 0 ||
+	       intake->options.store_took_ms (intake->options.store_ctx) >=
+		       intake->options.together_from_ms;
 }
 
 /* What a front writes: a row that must not exist, and its key in the inbox. */
--- a/holder/submissions.c
+++ b/holder/submissions.c
@@ -142,8 +142,7 @@
 		   dff_rows_func done,
 		   void *user)
 {
-	if (holder->phase != DFF_HOLDER_HOLDING || holder->store_lost || holder->resigning ||
-	    holder->handing_over)
+	if (holder->phase != DFF_HOLDER_HOLDING || holder->resigning || holder->handing_over)
 		return false;
 	struct waiter waiter = {.done = done, .user = user};
 	int64_t deadline_ms = holder_now_ms (holder) + from->timeout_ms;
@@ -159,7 +158,7 @@
 	return true;
 }
 
-/* Its time is up, or the store is lost. */
+/* Its time is up. */
 static void
 give_up (struct dff_holder *holder, struct submission *submission)
 {
@@ -177,10 +176,9 @@
 	for (GList *link = holder->submissions.head; link != NULL; link = next) {
 		struct submission *submission = link->data;
 		next = link->next;
-		bool closed = !submission->in_flight && !submission->is_open;
 		if (submission->is_known)
 			settle (holder, submission, DFF_ROWS_CONFLICT, 0);
-		else if (now_ms >= submission->deadline_ms || (holder->store_lost && closed))
+		else if (now_ms >= submission->deadline_ms)
 			give_up (holder, submission);
 	}
 }
--- a/include/fleet/intake_link.h
+++ b/include/fleet/intake_link.h
@@ -22,7 +22,7 @@
 void dff_intake_link_forward (void *ctx,
 			      const struct dff_name *address,
 			      const struct dff_intake_row *row,
-			      dff_rows_func done,
+			      dff_intake_forward_func done,
 			      void *user);
 
 /** Passes rows that arrive on @http to @intake. */
--- a/include/front/intake.h
+++ b/include/front/intake.h
@@ -7,12 +7,11 @@
 #include "rows/rows.h"
 
 /*
- * Rows of jobs and cancellations on their way to the store. Usually each process writes its own,
- * one transaction a row. All lie in one part of the store, which carries out one transaction after
- * another; where it is slow, or turns this process away, the rows of all processes go through one
- * of them, the one that decides, which writes many in a transaction, with its own where it can. A
- * row is written only if it
- * does not exist, so that it does no harm when both ways are taken.
+ * Rows of jobs and cancellations on their way to the store. All lie in one part of it, which
+ * carries out one transaction after another. So the rows of all processes go through one of them,
+ * the one that decides, which writes many in a transaction, with its own where it can; a process
+ * that cannot reach it writes its own, one transaction a row. A row is written only if it does not
+ * exist, so that it does no harm when both ways are taken.
  */
 
 struct dff_intake;
@@ -24,11 +23,17 @@
 	int32_t timeout_ms;
 };
 
+/** What became of a row that was handed on. @reached: whether the other process was. */
+typedef void (*dff_intake_forward_func) (void *user, enum dff_rows_outcome outcome, bool reached);
+
 struct dff_intake_options {
 	const struct dff_timers *timers;
 	/** The store. */
 	const struct dff_rows *rows;
 	struct dff_metrics *metrics;
+	/** Rows go through the process that decides when the store's answers take so long, ms; 0:
+	 * always. */
+	int32_t together_from_ms;
 	/** Returns: how long the store's answers take now, ms. */
 	int64_t (*store_took_ms) (void *ctx);
 	void *store_ctx;
@@ -37,7 +42,7 @@
 	void (*forward) (void *ctx,
 			 const struct dff_name *address,
 			 const struct dff_intake_row *row,
-			 dff_rows_func done,
+			 dff_intake_forward_func done,
 			 void *user);
 	void *forward_ctx;
 	/** (nullable): writes a row with the transactions of the process that decides, if it is
--- a/tests/front/test-intake.c
+++ b/tests/front/test-intake.c
@@ -44,7 +44,7 @@
 	char *key;
 	char *value;
 	int32_t timeout_ms;
-	dff_rows_func done;
+	dff_intake_forward_func done;
 	void *user;
 };
 
@@ -54,6 +54,21 @@
 	return ((struct process *)ctx)->fixture->took_ms;
 }
 
+static void
+end_hop (struct hop *hop, enum dff_rows_outcome outcome, bool reached)
+{
+	hop->done (hop->user, outcome, reached);
+	g_free (hop->key);
+	g_free (hop->value);
+	g_free (hop);
+}
+
+static void
+handle_taken (void *user, const struct dff_rows_result *result)
+{
+	end_hop (user, result->outcome, true);
+}
+
 static void
 arrive (void *user)
 {
@@ -61,22 +76,17 @@
 	struct dff_intake_row row = {.key = dff_str_from (hop->key),
 				     .value = dff_str_from (hop->value),
 				     .timeout_ms = hop->timeout_ms};
-	if (hop->fixture->gatherer_gone) {
-		struct dff_rows_result result = {.outcome = DFF_ROWS_NOT_DONE};
-		hop->done (hop->user, &result);
-	} else {
-		dff_intake_take (hop->fixture->processes[0].intake, &row, hop->done, hop->user);
-	}
-	g_free (hop->key);
-	g_free (hop->value);
-	g_free (hop);
+	if (hop->fixture->gatherer_gone)
+		end_hop (hop, DFF_ROWS_NOT_DONE, false);
+	else
+		dff_intake_take (hop->fixture->processes[0].intake, &row, handle_taken, hop);
 }
 
 static void
 forward (void *ctx,
 	 const struct dff_name *address,
 	 const struct dff_intake_row *row,
-	 dff_rows_func done,
+	 dff_intake_forward_func done,
 	 void *user)
 {
 	struct process *process = ctx;
@@ -106,6 +116,7 @@
 			.timers = dff_virtual_loop_timers (fixture->loop),
 			.rows = dff_memory_rows_client_interface (process->client),
 			.metrics = fixture->metrics,
+			.together_from_ms = 100,
 			.store_took_ms = store_took_ms,
 			.store_ctx = process,
 			.forward = forward,
--- a/tests/holder/site_links.c
+++ b/tests/holder/site_links.c
@@ -16,11 +16,12 @@
 	struct dff_name job;
 	GString *value;
 	int32_t timeout_ms;
-	dff_rows_func row_done;
+	dff_intake_forward_func row_done;
 	dff_front_state_func state_done;
 	void *user;
 	bool answered;
 	enum dff_rows_outcome outcome;
+	bool reached;
 	struct dff_holder_sight sight;
 };
 
@@ -60,9 +61,8 @@
 	if (hop->answered || !hop->asker->alive || hop->asker->lives != hop->asker_lives)
 		return;
 	hop->answered = true;
-	struct dff_rows_result result = {.outcome = hop->outcome};
 	if (hop->row_done != NULL)
-		hop->row_done (hop->user, &result);
+		hop->row_done (hop->user, hop->outcome, hop->reached);
 	else
 		hop->state_done (hop->user, hop->sight.known, hop->sight.state);
 }
@@ -72,6 +72,7 @@
 {
 	struct hop *hop = user;
 	hop->outcome = result->outcome;
+	hop->reached = true;
 	dff_virtual_loop_after (loop_of (hop), WAY_MS, deliver, hop);
 }
 
@@ -106,7 +107,7 @@
 forward_row (void *ctx,
 	     const struct dff_name *address,
 	     const struct dff_intake_row *row,
-	     dff_rows_func done,
+	     dff_intake_forward_func done,
 	     void *user)
 {
 	(void)address;
@@ -175,6 +176,7 @@
 		.timers = dff_virtual_loop_timers (process->site->loop),
 		.rows = dff_rows_health_interface (process->health),
 		.metrics = process->metrics,
+		.together_from_ms = 0,
 		.store_took_ms = store_took_ms,
 		.store_ctx = process,
 		.forward = forward_row,
