holder: a transaction is waited for as long as readings tell (measurement follows)

Cause: a transaction was given up on after 400 ms, or four times what the last one took; as a store turns slow the first ones are given up on though they are carried out, the next find the holder's row changed, and each keeps the others waiting. Change: the time is worked out while it waits, from the last reading too and from one in progress; a reading that is itself overdue leaves 400 ms.

--- a/holder/commit.c
+++ b/holder/commit.c
@@ -10,9 +10,9 @@
 
 /** Time between two signs of life, ms: a third of what makes the others suspicious. */
 #define SIGN_EVERY_MS 250
-/** Timeout of a transaction, ms: a few times what the last one took. After one without an answer it
- * is doubled up to the limit, which is beyond the answers of a store that is sixty times as slow.
- */
+/** Time after which a transaction without an answer is given up on, ms: a few times what the last
+ * one took, or a reading. After one without an answer it is doubled up to the limit, which is
+ * beyond the answers of a store that is sixty times as slow. */
 #define TIMEOUT_MIN_MS 400
 #define TIMEOUT_TIMES 4
 #define TIMEOUT_MAX_MS 1500
@@ -63,6 +63,25 @@
 	return NULL;
 }
 
+/* Symptom without the readings: as a store turns slow nothing is recorded for seconds. Sequence: a
+ * transaction takes longer than the last ones let expect and is given up on; the next one finds the
+ * holder's row changed by it, and so on; each of them keeps the others waiting. Cause: what shows
+ * that the store is slow, and not silent, was not looked at. A reading that is overdue itself shows
+ * that it may be silent. */
+static int64_t
+patience_ms (const struct dff_holder *holder)
+{
+	int64_t reading_ms = holder->read_took_ms;
+	if (holder->reading_inbox) {
+		int64_t age_ms = holder_now_ms (holder) - holder->inbox_begun_ms;
+		if (age_ms >= TIMEOUT_MIN_MS)
+			reading_ms = 0;
+		else
+			reading_ms = MAX (reading_ms, age_ms);
+	}
+	return MIN (MAX (holder->commit_timeout_ms, TIMEOUT_TIMES * reading_ms), TIMEOUT_MAX_MS);
+}
+
 /* Whether the holder's row is as this process wrote it, in its last transaction or, where the
  * answer was lost, in a later one. */
 static bool
@@ -78,15 +97,13 @@
 }
 
 static void
-handle_commit (void *user, const struct dff_rows_result *result)
+take_outcome (struct dff_holder *holder,
+	      const struct commit_call *commit,
+	      const struct dff_rows_result *result)
 {
-	g_autofree struct commit_call *commit = user;
-	DFF_AUTO (draft) draft = commit->draft;
-	struct dff_holder *holder = holder_call_end (&commit->call);
+	const struct draft *draft = commit->draft;
 	int64_t begun_ms = commit->call.begun_ms;
-	if (holder == NULL)
-		return;
-	holder->committing = false;
+	holder->commit_call = NULL;
 	submissions_note_commit (holder, result);
 	int64_t now_ms = holder_now_ms (holder);
 	holder->commit_took_ms = now_ms - begun_ms;
@@ -130,6 +147,24 @@
 	holder_wake (holder);
 }
 
+static void
+handle_commit (void *user, const struct dff_rows_result *result)
+{
+	g_autofree struct commit_call *commit = user;
+	DFF_AUTO (draft) draft = commit->draft;
+	struct dff_holder *holder = holder_call_end (&commit->call);
+	/* One that was given up on may be answered late. */
+	if (holder != NULL && holder->commit_call == commit)
+		take_outcome (holder, commit, result);
+}
+
+static void
+give_up (struct dff_holder *holder)
+{
+	struct dff_rows_result result = {.outcome = DFF_ROWS_UNKNOWN};
+	take_outcome (holder, holder->commit_call, &result);
+}
+
 static void
 send_commit (struct dff_holder *holder, bool released)
 {
@@ -142,8 +177,8 @@
 					 .n_conditions = draft_n_conditions (call->draft),
 					 .writes = draft_writes (call->draft),
 					 .n_writes = draft_n_writes (call->draft),
-					 .timeout_ms = holder->commit_timeout_ms};
-	holder->committing = true;
+					 .timeout_ms = TIMEOUT_MAX_MS};
+	holder->commit_call = call;
 	holder->commit_begun_ms = call->call.begun_ms;
 	(*holder->metrics.commits)++;
 	holder->options.rows->commit (holder->options.rows->ctx, &commit, handle_commit, call);
@@ -153,7 +188,9 @@
 commit_work (struct dff_holder *holder)
 {
 	int64_t now_ms = holder_now_ms (holder);
-	if (holder->committing || now_ms < holder->next_commit_ms)
+	if (holder->commit_call != NULL && now_ms - holder->commit_begun_ms >= patience_ms (holder))
+		give_up (holder);
+	if (holder->commit_call != NULL || now_ms < holder->next_commit_ms)
 		return;
 	bool dirty = holder->dirty != NULL && g_hash_table_size (holder->dirty) > 0;
 	bool due = now_ms >= holder->commit_begun_ms + SIGN_EVERY_MS;
@@ -168,7 +205,7 @@
 void
 commit_forget (struct dff_holder *holder)
 {
-	holder->committing = false;
+	holder->commit_call = NULL;
 	holder->next_commit_ms = 0;
 	holder->commit_begun_ms = 0;
 	holder->commit_wait_ms = REFUSED_MIN_MS;
--- a/holder/holder_private.h
+++ b/holder/holder_private.h
@@ -33,6 +33,7 @@
 	DFF_RUN_PHASE_STOPPING,
 };
 
+struct commit_call;
 struct holder_unit;
 struct holder_worker;
 
@@ -162,6 +163,7 @@
 	int64_t next_read_ms;
 	int64_t seen_revision;
 	int64_t seen_since_ms;
+	/** How long the last reading of the store took: of this row, or of the inbox. */
 	int64_t read_took_ms;
 	bool asking_presence;
 	/** Revision of the row whose holder has ended or let go; -1: none. */
@@ -198,7 +200,8 @@
 	/* holder/commit.c */
 	/** Begin of the last transaction or read that showed this process as the holder. */
 	int64_t confirmed_ms;
-	bool committing;
+	/** (nullable): the transaction in progress. */
+	struct commit_call *commit_call;
 	int64_t commit_begun_ms;
 	int64_t next_commit_ms;
 	int32_t commit_wait_ms;
@@ -248,6 +251,7 @@
 
 	/* holder/inbox.c */
 	bool reading_inbox;
+	int64_t inbox_begun_ms;
 	int64_t next_inbox_ms;
 	/** Keys that are taken in and are to leave the inbox. Elements: char *. */
 	GHashTable *inbox_done;
--- a/holder/inbox.c
+++ b/holder/inbox.c
@@ -68,6 +68,7 @@
 	holder->reading_inbox = false;
 	if (result->outcome != DFF_ROWS_DONE)
 		return;
+	holder->read_took_ms = holder_now_ms (holder) - call->begun_ms;
 	for (size_t i = 0; i < result->n_rows; i++) {
 		struct dff_str key = result->rows[i].key;
 		if (jobs_know_key (holder, key))
@@ -84,6 +85,7 @@
 	if (holder->reading_inbox || now_ms < holder->next_inbox_ms)
 		return;
 	holder->reading_inbox = true;
+	holder->inbox_begun_ms = now_ms;
 	holder->next_inbox_ms = now_ms + READ_EVERY_MS;
 	struct dff_rows_range range = {
 		.table = DFF_TABLE_INBOX, .limit = READ_ROWS, .timeout_ms = READ_TIMEOUT_MS};
