--- a/front/intake.c
+++ b/front/intake.c
@@ -21,6 +21,11 @@
 /** Transactions that may be turned away before a row's callers are told: a store that is full takes
  * the next, one that is down none. */
 #define REFUSALS_MAX 3
+/** Answers of the store that take so long, ms, mean that transactions queue: ten times what one
+ * takes. */
+#define SLOW_MS 100
+/** Time between two looks for a process that decides, ms, while rows wait for one. */
+#define HOLD_LOOK_MS 50
 /** How long rows go straight to the store after the process that gathers them did not take one, ms:
  * it may be gone, and the next is known within that. */
 #define AVOID_MS 400
@@ -42,6 +47,14 @@
 	void *user;
 };
 
+/** A row that waits for a process that decides. */
+struct held {
+	char *key;
+	GString *value;
+	int64_t deadline_ms;
+	struct waiter waiter;
+};
+
 struct dff_intake {
 	struct dff_rows interface;
 	struct dff_intake_options options;
@@ -54,6 +67,9 @@
 	/** (nullable): those in the transaction in progress. */
 	GPtrArray *in_flight;
 	int64_t begun_ms;
+	/** Elements: struct held *. */
+	GQueue held;
+	struct dff_timer *look;
 	struct dff_timer *work;
 	/** Goes off when the time of a row is up. */
 	struct dff_timer *expiry;
@@ -218,12 +234,49 @@
 	handle_expiry (intake);
 }
 
+static bool
+is_slow (const struct dff_intake *intake)
+{
+	return intake->options.store_took_ms (intake->options.store_ctx) >= SLOW_MS;
+}
+
+static void
+handle_recorded (void *user, const struct dff_rows_result *result)
+{
+	end_entry (user, result->outcome, result->revision);
+}
+
+/* Has the process that decides write rows that came before it did. */
+static void
+hand_over (struct dff_intake *intake)
+{
+	const struct dff_intake_options *options = &intake->options;
+	for (guint n = intake->waiting.length; options->record != NULL && n > 0; n--) {
+		struct entry *entry = g_queue_pop_head (&intake->waiting);
+		struct dff_intake_row row = {
+			.key = dff_str_from (entry->key),
+			.value = {entry->value->str, entry->value->len},
+			.timeout_ms = (int32_t)(entry->deadline_ms - now_ms (intake))};
+		if (entry->is_open ||
+		    !options->record (options->record_ctx, &row, handle_recorded, entry))
+			g_queue_push_tail (&intake->waiting, entry);
+	}
+}
+
+/* In a slow store, transactions beside the holder's own would only keep those waiting. */
 static void
 handle_work (void *ctx)
 {
 	struct dff_intake *intake = ctx;
 	drop_hopeless (intake);
-	if (intake->in_flight == NULL && intake->waiting.length > 0)
+	bool waits = intake->options.record != NULL && is_slow (intake);
+	if (waits)
+		hand_over (intake);
+	if (intake->in_flight != NULL || intake->waiting.length == 0)
+		return;
+	if (waits)
+		dff_timer_start (intake->work, PAUSE_MS);
+	else
 		send_batch (intake);
 }
 
@@ -313,6 +366,78 @@
 		       intake->options.together_from_ms;
 }
 
+static void
+pass_on (struct dff_intake *intake,
+	 const struct dff_intake_row *row,
+	 dff_rows_func done,
+	 void *user)
+{
+	if (intake->is_gatherer) {
+		dff_intake_take (intake, row, done, user);
+		return;
+	}
+	(*intake->forwarded)++;
+	intake->options.forward (intake->options.forward_ctx, &intake->gatherer, row,
+				 handle_forwarded, pass_call (intake, done, user));
+}
+
+static void
+free_held (gpointer data)
+{
+	struct held *held = data;
+	g_free (held->key);
+	g_string_free (held->value, TRUE);
+	g_free (held);
+}
+
+/* Symptom without this: a store that takes 400 ms for a transaction records nothing for five
+ * seconds. Sequence: the process that decides lets go of the cell; until the next one is known each
+ * row goes straight to the store, a dozen in half a second, and the one that takes the cell waits
+ * behind them until the store turns it away. Cause: what cannot be served was sent all the same. */
+static void
+hold (struct dff_intake *intake, const struct dff_intake_row *row, dff_rows_func done, void *user)
+{
+	struct held *held = g_new0 (struct held, 1);
+	held->key = g_strndup (row->key.data, row->key.len);
+	held->value = g_string_new_len (row->value.data, (gssize)row->value.len);
+	held->deadline_ms = now_ms (intake) + row->timeout_ms;
+	held->waiter = (struct waiter){.done = done, .user = user};
+	g_queue_push_tail (&intake->held, held);
+	dff_timer_start (intake->look, HOLD_LOOK_MS);
+}
+
+static void
+release (struct dff_intake *intake, struct held *held)
+{
+	int64_t left_ms = held->deadline_ms - now_ms (intake);
+	struct dff_intake_row row = {.key = dff_str_from (held->key),
+				     .value = {held->value->str, held->value->len},
+				     .timeout_ms = (int32_t)left_ms};
+	if (left_ms > LEAST_MS) {
+		pass_on (intake, &row, held->waiter.done, held->waiter.user);
+	} else {
+		struct dff_rows_result result = {.outcome = DFF_ROWS_NOT_DONE};
+		held->waiter.done (held->waiter.user, &result);
+	}
+	free_held (held);
+}
+
+static void
+handle_look (void *ctx)
+{
+	struct dff_intake *intake = ctx;
+	bool known = goes_together (intake);
+	for (guint n = intake->held.length; n > 0; n--) {
+		struct held *held = g_queue_pop_head (&intake->held);
+		if (known || held->deadline_ms <= now_ms (intake) + LEAST_MS)
+			release (intake, held);
+		else
+			g_queue_push_tail (&intake->held, held);
+	}
+	if (intake->held.length > 0)
+		dff_timer_start (intake->look, HOLD_LOOK_MS);
+}
+
 /* What a front writes: a row that must not exist, and its key in the inbox. */
 static bool
 is_job_row (const struct dff_rows_commit *commit)
@@ -328,20 +453,19 @@
 {
 	struct dff_intake *intake = ctx;
 	const struct dff_rows *rows = intake->options.rows;
-	if (!is_job_row (commit) || !goes_together (intake)) {
+	bool together = goes_together (intake);
+	bool holds = !together && intake->options.record != NULL && is_slow (intake);
+	if (!is_job_row (commit) || (!together && !holds)) {
 		rows->commit (rows->ctx, commit, handle_direct, pass_call (intake, done, user));
 		return;
 	}
 	struct dff_intake_row row = {.key = commit->writes[0].key,
 				     .value = commit->writes[0].value,
 				     .timeout_ms = commit->timeout_ms};
-	if (intake->is_gatherer) {
-		dff_intake_take (intake, &row, done, user);
-		return;
-	}
-	(*intake->forwarded)++;
-	intake->options.forward (intake->options.forward_ctx, &intake->gatherer, &row,
-				 handle_forwarded, pass_call (intake, done, user));
+	if (holds)
+		hold (intake, &row, done, user);
+	else
+		pass_on (intake, &row, done, user);
 }
 
 static void
@@ -380,6 +504,7 @@
 		.commit = intake_commit, .get = intake_get, .feed = intake_feed, .ctx = intake};
 	intake->work = dff_timer_new (options->timers, handle_work, intake);
 	intake->expiry = dff_timer_new (options->timers, handle_expiry, intake);
+	intake->look = dff_timer_new (options->timers, handle_look, intake);
 	intake->forwarded = dff_metrics_counter (options->metrics, "dff_intake_forwarded_total",
 						 "Rows handed to the process that gathers them.");
 	intake->batches = dff_metrics_counter (options->metrics, "dff_intake_batches_total",
@@ -399,5 +524,7 @@
 	}
 	dff_timer_free (intake->work);
 	dff_timer_free (intake->expiry);
+	dff_timer_free (intake->look);
+	g_queue_clear_full (&intake->held, free_held);
 	g_free (intake);
 }
--- a/holder/holder.c
+++ b/holder/holder.c
@@ -249,7 +249,7 @@
 int64_t
 dff_holder_store_took_ms (const struct dff_holder *holder)
 {
-	return holder->phase >= DFF_HOLDER_READING ? holder->commit_took_ms : holder->read_took_ms;
+	return MAX (holder->commit_took_ms, holder->read_took_ms);
 }
 
 bool
--- a/holder/lease.c
+++ b/holder/lease.c
@@ -26,9 +26,12 @@
  * after a take-over is relieved by one that will be as short of it. */
 #define PRESENT_FRESH_MS 600
 #define PRESENT_LIMIT_MS 3000
-/** Spread of the moments at which processes take over, ms: one is first, and its transaction ends
- * the others' attempts. */
+/** Spread of the moments at which processes take over, ms, and what it grows by in readings of a
+ * slow store: one is first, and its transaction, which takes as long as some readings, ends the
+ * others' attempts before they are made. Each attempt that is made all the same keeps the first
+ * waiting: in a store that takes 400 ms for each, five of them are two seconds. */
 #define TAKE_SPREAD_MS 350
+#define TAKE_SPREAD_READS 4
 /** Readings that a slow store's answers stand for: signs of life arrive as late as they. */
 #define SLOW_READS 4
 /** A reading that took so long, ms, tells of a store that is slow for everybody: a holder that has
@@ -348,7 +351,9 @@
 	if (!own)
 		patience_ms += handover_wait_ms (holder, &lease);
 	if (!asked || !lease.released)
-		patience_ms += spread_ms (holder, lease.epoch + 1, TAKE_SPREAD_MS);
+		patience_ms +=
+			spread_ms (holder, lease.epoch + 1,
+				   TAKE_SPREAD_MS + TAKE_SPREAD_READS * holder->read_took_ms);
 	if (asked)
 		holder->next_read_ms = now_ms + ASKED_READ_EVERY_MS;
 	if (still_ms >= patience_ms) {
