--- a/tests/front/test-intake.c
+++ b/tests/front/test-intake.c
@@ -31,6 +31,9 @@
 	int64_t took_ms;
 	/** Whether nobody listens where the rows are gathered. */
 	bool gatherer_gone;
+	/** Whether the first process writes rows with its own transactions; else it has none. */
+	bool records;
+	int32_t n_recorded;
 };
 
 /** What became of a row. */
@@ -101,8 +104,36 @@
 	dff_virtual_loop_after (process->fixture->loop, 1, arrive, hop);
 }
 
+struct record {
+	dff_rows_func done;
+	void *user;
+};
+
 static void
-open_fixture (struct fixture *fixture)
+end_record (void *user)
+{
+	struct record *record = user;
+	struct dff_rows_result result = {.outcome = DFF_ROWS_DONE};
+	record->done (record->user, &result);
+	g_free (record);
+}
+
+static bool
+record_row (void *ctx, const struct dff_intake_row *row, dff_rows_func done, void *user)
+{
+	struct process *process = ctx;
+	if (!process->fixture->records || process != &process->fixture->processes[0])
+		return false;
+	assert_true (row->timeout_ms > 0);
+	process->fixture->n_recorded++;
+	struct record *record = g_new0 (struct record, 1);
+	*record = (struct record){.done = done, .user = user};
+	dff_virtual_loop_after (process->fixture->loop, 1, end_record, record);
+	return true;
+}
+
+static void
+open_fixture_with (struct fixture *fixture, bool with_records)
 {
 	memset (fixture, 0, sizeof (*fixture));
 	fixture->loop = dff_virtual_loop_new (START_MS);
@@ -120,13 +151,21 @@
 			.store_took_ms = store_took_ms,
 			.store_ctx = process,
 			.forward = forward,
-			.forward_ctx = process};
+			.forward_ctx = process,
+			.record = with_records ? record_row : NULL,
+			.record_ctx = process};
 		process->intake = dff_intake_new (&options);
 		struct dff_name gatherer = dff_name_from ("p0");
 		dff_intake_set_gatherer (process->intake, &gatherer, i == 0);
 	}
 }
 
+static void
+open_fixture (struct fixture *fixture)
+{
+	open_fixture_with (fixture, false);
+}
+
 static void
 close_fixture (struct fixture *fixture)
 {
@@ -333,6 +372,72 @@
 	}
 }
 
+/* The load: a store that takes 400 ms for a transaction, as one that is eighty times slower does,
+ * and a row each 50 ms. */
+#define VERY_SLOW_MS 400
+#define ROW_EVERY_MS 50
+#define N_HELD 12
+
+/* Symptom: a slow store records nothing for five seconds. Sequence: the process that decides lets go
+ * of the cell; rows of all processes go straight to the store until the next one is known, and the
+ * one that takes the cell waits behind them. Cause: rows were sent though nobody could be served by
+ * that. They wait for a process that decides; one that does not come is told in time. */
+static void
+test_nobody_decides (void **state)
+{
+	(void)state;
+	static const struct {
+		/** When a process decides; 0: none does. */
+		int64_t decides_ms;
+		/** Whether the first process is told of before it has its means. */
+		bool told_before;
+		enum dff_rows_outcome outcome;
+		int32_t n_recorded;
+	} cases[] = {
+		{700, false, DFF_ROWS_DONE, N_HELD},
+		{700, true, DFF_ROWS_DONE, N_HELD},
+		{0, false, DFF_ROWS_NOT_DONE, 0},
+		{0, true, DFF_ROWS_NOT_DONE, 0},
+	};
+	for (size_t c = 0; c < G_N_ELEMENTS (cases); c++) {
+		struct fixture fixture;
+		struct outcome outcomes[N_HELD];
+		char key[16];
+		open_fixture_with (&fixture, true);
+		fixture.took_ms = VERY_SLOW_MS;
+		struct dff_name nobody = {0};
+		for (int i = 0; i < PROCESSES; i++) {
+			faults_of (&fixture, i)->commit_delay_ms = VERY_SLOW_MS;
+			if (!cases[c].told_before)
+				dff_intake_set_gatherer (fixture.processes[i].intake, &nobody,
+							 false);
+		}
+		for (int i = 0; i < N_HELD; i++) {
+			write_row (&fixture, i % PROCESSES, key_of (i, key), &outcomes[i]);
+			dff_virtual_loop_run (fixture.loop, ROW_EVERY_MS);
+		}
+		if (cases[c].decides_ms > 0) {
+			dff_virtual_loop_run (fixture.loop,
+					      cases[c].decides_ms - N_HELD * ROW_EVERY_MS);
+			struct dff_name first = dff_name_from ("p0");
+			fixture.records = true;
+			for (int i = 0; i < PROCESSES; i++)
+				dff_intake_set_gatherer (fixture.processes[i].intake, &first,
+							 i == 0);
+		}
+		dff_virtual_loop_run (fixture.loop, TIMEOUT_MS);
+		for (int i = 0; i < N_HELD; i++) {
+			assert_true (outcomes[i].ended);
+			assert_int_equal (outcomes[i].outcome, cases[c].outcome);
+		}
+		assert_int_equal (fixture.n_recorded, cases[c].n_recorded);
+		/* Nothing went to the store. */
+		assert_int_equal (dff_memory_rows_count (fixture.rows, DFF_TABLE_JOBS), 0);
+		assert_int_equal (counter (&fixture, "dff_intake_batches_total"), 0);
+		close_fixture (&fixture);
+	}
+}
+
 int
 main (void)
 {
@@ -341,6 +446,7 @@
 		cmocka_unit_test (test_rows_that_are_there),
 		cmocka_unit_test (test_refusals),
 		cmocka_unit_test (test_not_done_is_true),
+		cmocka_unit_test (test_nobody_decides),
 	};
 	return cmocka_run_group_tests (tests, NULL, NULL);
 }
