core: urgent work no longer shuns workers that are known to be slow

Not looked into further: whether a member's own pace shows in a gang's end, and what keeping off a third of the workers costs in stops.

--- a/core/core_private.h
+++ b/core/core_private.h
@@ -266,14 +266,6 @@
 /** Returns: the run time expected to be left. */
 int64_t dff_core_remaining_ms (const struct dff_core *core, const struct dff_core_job *job);
 
-/* pace.c */
-
-/** A job has completed in its only attempt, which ran for @ran_ms. */
-void dff_core_pace_learn (struct dff_core *core, const struct dff_core_job *job, int64_t ran_ms);
-
-/** Returns: whether runs take longer on a worker than elsewhere, as far as is known. */
-bool dff_core_worker_is_slow (const struct dff_core_worker *worker);
-
 /* evacuate.c */
 
 /** Stops what will not end before a worker leaves. */
--- a/core/core_tables.h
+++ b/core/core_tables.h
@@ -77,10 +77,6 @@
 	int32_t quarantines;
 	/** When its quarantine, or the wait for a probe, is over. */
 	int64_t health_due_ms;
-	/** How much longer than predicted runs take here, in natural logarithms, and of how many.
-	 */
-	float pace;
-	int32_t pace_runs;
 	/** Whether recovered rows claim the same accelerators. */
 	bool overlapping;
 	/** Elements: struct dff_core_job *, one for each member that holds a lease here. */
@@ -263,8 +259,6 @@
 	bool entitled;
 	/** Whether it is being placed on what is otherwise kept for others. */
 	bool unkept;
-	/** Whether it is being placed on workers that are not slow. */
-	bool shuns_slow;
 	/** Whether racks are kept for it. */
 	bool guarded;
 	/** Whether any attempt may have run. */
--- a/core/outcome.c
+++ b/core/outcome.c
@@ -122,7 +122,6 @@
 {
 	struct attempt_summary sum = summarise (job);
 	if (sum.completed == job->gang) {
-		dff_core_pace_learn (core, job, attempt_ms (core, job));
 		dff_core_estimate_learn (job, attempt_ms (core, job));
 		dff_core_job_end (core, job, DFF_OUTCOME_COMPLETED, "completed");
 		return;
--- a/core/place.c
+++ b/core/place.c
@@ -111,8 +111,6 @@
 	const struct dff_core_worker *worker = dff_core_worker_at (core, index);
 	if (!has_label (worker, job->label))
 		return 0;
-	if (job->shuns_slow && dff_core_worker_is_slow (worker))
-		return 0;
 	if (!is_hypothetical (view))
 		limit = spread_limit (worker, job, limit);
 	else if (job->per_worker > 0)
@@ -502,26 +500,12 @@
 	return place_in_neighbours (core, job, view, workers);
 }
 
-static bool
-place_on_quick (const struct dff_core *core,
-		const struct dff_core_job *job,
-		enum dff_core_view view,
-		int32_t *workers)
-{
-	struct dff_core_job picky = *job;
-	picky.shuns_slow = true;
-	return place (core, &picky, view, workers);
-}
-
 bool
 dff_core_place (const struct dff_core *core,
 		const struct dff_core_job *job,
 		enum dff_core_view view,
 		int32_t *workers)
 {
-	bool picks = core->options.urgent_shuns_slow && job->urgent && !is_hypothetical (view);
-	if (picks && place_on_quick (core, job, view, workers))
-		return true;
 	if (place (core, job, view, workers))
 		return true;
 	if (is_hypothetical (view))
--- a/include/core/core.h
+++ b/include/core/core.h
@@ -49,9 +49,6 @@
 	/** Share of its expected run time within which a run's failure counts as the worker's fault
 	 * alone; 0: time does not tell. */
 	double at_once_share;
-	/** Whether urgent work goes to workers that are not known to be slow, where there is room.
-	 */
-	bool urgent_shuns_slow;
 	/** How long a job waits for room near its data before it goes elsewhere, ms. */
 	int64_t data_wait_ms;
 	/** How long a gang that fits a rack waits for a whole one before it spreads, ms; 0: for
