--- a/fleet/fleet.c
+++ b/fleet/fleet.c
@@ -246,6 +246,20 @@
 	return dff_http_client_new (&options);
 }
 
+/* Symptom without this: for up to a second after the store's return callers are refused, as no
+ * configuration is known to be in force. Sequence: the store falls silent for seconds; the question
+ * in progress about the configuration was sent just before its return, and is waited for until its
+ * time is up. */
+static void
+handle_store_heard (void *ctx)
+{
+	const struct dff_fleet *fleet = ctx;
+	if (fleet->config_follower != NULL)
+		dff_follower_nudge (fleet->config_follower);
+	if (fleet->holder != NULL)
+		dff_holder_note_store_heard (fleet->holder);
+}
+
 static void
 open_clients (struct dff_fleet *fleet)
 {
@@ -260,6 +274,8 @@
 		.rows = dff_http_rows_interface (fleet->rows),
 		.probe_table = DFF_TABLE_CELL,
 		.probe_key = DFF_KEY_HOLDER,
+		.heard = handle_store_heard,
+		.heard_ctx = fleet,
 	};
 	fleet->store = dff_rows_health_new (&health);
 	fleet->runner = dff_http_runner_new (fleet->worker_client);
--- a/holder/commit.c
+++ b/holder/commit.c
@@ -165,6 +165,20 @@
 	take_outcome (holder, holder->commit_call, &result);
 }
 
+void
+dff_holder_note_store_heard (struct dff_holder *holder)
+{
+	if (holder->phase < DFF_HOLDER_READING)
+		return;
+	if (holder->commit_call != NULL)
+		give_up (holder);
+	holder->next_commit_ms = 0;
+	holder->commit_wait_ms = REFUSED_MIN_MS;
+	if (holder->jobs_follower != NULL)
+		dff_follower_nudge (holder->jobs_follower);
+	holder_wake (holder);
+}
+
 static void
 send_commit (struct dff_holder *holder, bool released)
 {
--- a/include/holder/holder.h
+++ b/include/holder/holder.h
@@ -134,6 +134,9 @@
 /** Lets go of the cell and does not take it again; for a process that is to stop. */
 void dff_holder_resign (struct dff_holder *holder);
 
+/** The store was silent and answers again: what waits for it is not to wait longer. */
+void dff_holder_note_store_heard (struct dff_holder *holder);
+
 /** Returns: how long the store's last answer took, of a small reading or, while this process
  * decides, of a transaction if that took longer, ms. */
 int64_t dff_holder_store_took_ms (const struct dff_holder *holder);
--- a/include/rows/follower.h
+++ b/include/rows/follower.h
@@ -46,6 +46,10 @@
 
 DFF_DEFINE_CLEANUP (dff_follower, dff_follower_free);
 
+/** Asks at once, instead of waiting for a call in progress: the store was silent and answers again,
+ * and a call from before may have been lost. */
+void dff_follower_nudge (struct dff_follower *follower);
+
 /** Returns: whether the table has been read whole at least once. */
 bool dff_follower_is_ready (const struct dff_follower *follower);
 
--- a/include/rows/health.h
+++ b/include/rows/health.h
@@ -23,6 +23,9 @@
 	/** Table and key that are read to see whether a silent store answers again. */
 	const char *probe_table;
 	const char *probe_key;
+	/** (nullable): a silent store answers again. */
+	void (*heard) (void *ctx);
+	void *heard_ctx;
 };
 
 /** Returns: (transfer full): a store in front of another; @options is copied. */
--- a/rows/follower.c
+++ b/rows/follower.c
@@ -167,6 +167,17 @@
 	follow (ctx);
 }
 
+void
+dff_follower_nudge (struct dff_follower *follower)
+{
+	if (dff_reading_is_running (follower->reading))
+		return;
+	if (follower->call != NULL)
+		follower->call->follower = NULL;
+	follower->retry_ms = RETRY_MIN_MS;
+	dff_timer_start (follower->retry, 0);
+}
+
 struct dff_follower *
 dff_follower_new (const struct dff_follower_options *options)
 {
--- a/tests/front/test-intake.c
+++ b/tests/front/test-intake.c
@@ -378,10 +378,10 @@
 #define ROW_EVERY_MS 50
 #define N_HELD 12
 
-/* Symptom: a slow store records nothing for five seconds. Sequence: the process that decides lets go
- * of the cell; rows of all processes go straight to the store until the next one is known, and the
- * one that takes the cell waits behind them. Cause: rows were sent though nobody could be served by
- * that. They wait for a process that decides; one that does not come is told in time. */
+/* Symptom: a slow store records nothing for five seconds. Sequence: the process that decides lets
+ * go of the cell; rows of all processes go straight to the store until the next one is known, and
+ * the one that takes the cell waits behind them. Cause: rows were sent though nobody could be
+ * served by that. They wait for a process that decides; one that does not come is told in time. */
 static void
 test_nobody_decides (void **state)
 {
@@ -442,10 +442,8 @@
 main (void)
 {
 	const struct CMUnitTest tests[] = {
-		cmocka_unit_test (test_slow_store),
-		cmocka_unit_test (test_rows_that_are_there),
-		cmocka_unit_test (test_refusals),
-		cmocka_unit_test (test_not_done_is_true),
+		cmocka_unit_test (test_slow_store),     cmocka_unit_test (test_rows_that_are_there),
+		cmocka_unit_test (test_refusals),       cmocka_unit_test (test_not_done_is_true),
 		cmocka_unit_test (test_nobody_decides),
 	};
 	return cmocka_run_group_tests (tests, NULL, NULL);
