--- a/tests/holder/site.c
+++ b/tests/holder/site.c
@@ -249,6 +249,15 @@
 	return dff_rows_health_served_ms (process->health);
 }
 
+static void
+handle_store_heard (void *ctx)
+{
+	struct site_process *process = ctx;
+	if (process->requests != NULL)
+		dff_follower_nudge (process->requests);
+	dff_holder_note_store_heard (process->holder);
+}
+
 static void
 open_health (struct site *site, struct site_process *process)
 {
@@ -258,6 +267,8 @@
 		.rows = dff_memory_rows_client_interface (process->rows),
 		.probe_table = DFF_TABLE_CELL,
 		.probe_key = DFF_KEY_HOLDER,
+		.heard = handle_store_heard,
+		.heard_ctx = process,
 	};
 	process->health = dff_rows_health_new (&options);
 }
--- a/tests/holder/test-holder-store.c
+++ b/tests/holder/test-holder-store.c
@@ -192,6 +192,83 @@
 	site_close (&site);
 }
 
+/* The load: a store that falls silent for some seconds, which clients notice, and answers again
+ * just after each question in progress was sent. */
+#define OUTAGE_MS 4200
+/** A probe of a silent store, and two transactions. */
+#define BACK_WITHIN_MS 300
+
+/* Symptom: jobs are accepted and begin only a second after the store's return. Sequence: the store
+ * is silent for seconds; the holder's transaction, and questions about jobs, were sent just before
+ * its return and are lost. Cause: they were waited for until their time was up. */
+static void
+test_back_at_once (void **state)
+{
+	(void)state;
+	for (int64_t more_ms = 0; more_ms < 1500; more_ms += 150) {
+		struct site site;
+		site_open (&site);
+		site_submit (&site, 0, site_plan ("1", 6, false, 1));
+		site_run (&site, 300);
+		set_silent (&site, true);
+		site_run (&site, OUTAGE_MS + more_ms);
+		set_silent (&site, false);
+		site_run (&site, BACK_WITHIN_MS);
+		for (int i = 0; i < SITE_PROCESSES; i++)
+			assert_false (dff_rows_health_is_silent (site.processes[i].health));
+		assert_int_equal (site_submit (&site, 1, site_plan ("b", 1, false, 1)),
+				  DFF_FRONT_OK);
+		site_run (&site, BACK_WITHIN_MS);
+		assert_int_equal (dff_memory_runner_n_starts (site.runner, "b"), 1);
+		site_close (&site);
+	}
+}
+
+/** What a transaction and a reading take in a store that is eighty times slower than usual, ms. */
+#define SUDDEN_COMMIT_MS 700
+#define SUDDEN_READ_MS 300
+
+/* Symptom: as the store turns slow nothing is recorded for seconds. Sequence: transactions that
+ * take longer than the last ones let expect are given up on, though they are carried out; each one
+ * after finds the holder's row changed. Cause: only the last transactions told how long to wait,
+ * and not the readings beside them. */
+static int64_t
+given_up_as_it_turns_slow (int64_t lead_ms)
+{
+	struct site site;
+	site_open (&site);
+	int holder = site_holder (&site);
+	const int64_t *unknown = dff_metrics_counter (site.processes[holder].metrics,
+						      "dff_holder_commits_unknown_total", "");
+	site_run (&site, lead_ms);
+	for (int i = 0; i < SITE_PROCESSES; i++) {
+		struct dff_memory_rows_faults *faults =
+			dff_memory_rows_client_faults (site.processes[i].rows);
+		faults->delay_ms = SUDDEN_READ_MS;
+		faults->commit_delay_ms = SUDDEN_COMMIT_MS;
+	}
+	site_run (&site, 6000);
+	assert_int_equal (site_holder (&site), holder);
+	int64_t given_up = *unknown;
+	site_close (&site);
+	return given_up;
+}
+
+/* Readings are made five times a second: where one has begun before the first slow transaction,
+ * none is given up on; else the first is, alone. */
+static void
+test_suddenly_slow (void **state)
+{
+	(void)state;
+	int64_t given_up = 0;
+	for (int i = 0; i < 10; i++) {
+		int64_t one = given_up_as_it_turns_slow (i * 25);
+		assert_in_range (one, 0, 1);
+		given_up += one;
+	}
+	assert_in_range (given_up, 0, 5);
+}
+
 /* Symptom: for as long as the store is slow, one process after another takes the cell, and nothing
  * is decided. Sequence: transactions take longer than the holder waits for them; it says that it
  * cannot record anything, and the others believe it. Cause: they took a store that is slow for
@@ -402,6 +479,8 @@
 		cmocka_unit_test (test_lost_and_late_answers),
 		cmocka_unit_test (test_silent_store),
 		cmocka_unit_test (test_slow_store),
+		cmocka_unit_test (test_back_at_once),
+		cmocka_unit_test (test_suddenly_slow),
 		cmocka_unit_test (test_slow_holder),
 		cmocka_unit_test (test_slow_pages),
 		cmocka_unit_test (test_held_feeds),
