--- a/core/core_tables.h
+++ b/core/core_tables.h
@@ -64,21 +64,21 @@
 	/** Share of its region's accelerators on workers before it, 0 to 1: the last workers are
 	 * the first to be left free. */
 	float headroom_rank;
-	/** Whether more is in use than the capacity: the pool shrank, or rows claimed too much. */
-	bool overloaded;
 	enum dff_core_health health;
 	/** Different jobs that failed here since the last success. */
 	int32_t streak;
 	/** Hash of the last of them; 0: none. */
 	guint last_failed;
-	/** When a run failed here last; 0: never. */
-	int64_t failed_ms;
 	/** Times in quarantine since it last was healthy. */
 	int32_t quarantines;
-	/** When its quarantine, or the wait for a probe, is over. */
-	int64_t health_due_ms;
+	/** Whether more is in use than the capacity: the pool shrank, or rows claimed too much. */
+	bool overloaded;
 	/** Whether recovered rows claim the same accelerators. */
 	bool overlapping;
+	/** When a run failed here last; 0: never. */
+	int64_t failed_ms;
+	/** When its quarantine, or the wait for a probe, is over. */
+	int64_t health_due_ms;
 	/** Elements: struct dff_core_job *, one for each member that holds a lease here. */
 	GPtrArray *tenants;
 };
