core: the file about workers that leave says so in its name

An evacuated data centre is another thing now than a worker that leaves: core/evacuate.c is core/leaving.c, its functions say what they review. Moves and names only; golden and property tests unchanged.

--- a/core/core.c
+++ b/core/core.c
@@ -318,7 +318,7 @@
 	dff_core_worker_set_state (core, index, event->worker_state);
 	struct dff_core_worker *worker = dff_core_worker_at (core, index);
 	worker->leaves_ms = event->leaves_in_ms > 0 ? core->now_ms + event->leaves_in_ms : 0;
-	dff_core_evacuate_worker (core, index);
+	dff_core_review_leaving_worker (core, index);
 }
 
 static void
--- a/core/core_private.h
+++ b/core/core_private.h
@@ -266,13 +266,13 @@
 /** Returns: the run time expected to be left. */
 int64_t dff_core_remaining_ms (const struct dff_core *core, const struct dff_core_job *job);
 
-/* evacuate.c */
+/* leaving.c */
 
 /** Stops what will not end before a worker leaves. */
-void dff_core_evacuate_worker (struct dff_core *core, int32_t worker);
+void dff_core_review_leaving_worker (struct dff_core *core, int32_t worker);
 
 /** Stops a job whose members hold workers if one of these leaves before its end. */
-void dff_core_evacuate_job (struct dff_core *core, struct dff_core_job *job);
+void dff_core_review_leaving_job (struct dff_core *core, struct dff_core_job *job);
 
 /* quarantine.c */
 
--- a/core/evacuate.c
+++ b/core/leaving.c
@@ -16,7 +16,7 @@
 }
 
 static void
-evacuate_from (struct dff_core *core, struct dff_core_job *job, int32_t worker)
+stop_unless_it_ends (struct dff_core *core, struct dff_core_job *job, int32_t worker)
 {
 	if (worker == DFF_CORE_NONE)
 		return;
@@ -29,18 +29,18 @@
 }
 
 void
-dff_core_evacuate_worker (struct dff_core *core, int32_t worker)
+dff_core_review_leaving_worker (struct dff_core *core, int32_t worker)
 {
 	/* What is stopped may leave the list. */
 	g_autoptr (GPtrArray) tenants =
 		g_ptr_array_copy (dff_core_worker_at (core, worker)->tenants, NULL, NULL);
 	for (guint i = 0; i < tenants->len; i++)
-		evacuate_from (core, g_ptr_array_index (tenants, i), worker);
+		stop_unless_it_ends (core, g_ptr_array_index (tenants, i), worker);
 }
 
 void
-dff_core_evacuate_job (struct dff_core *core, struct dff_core_job *job)
+dff_core_review_leaving_job (struct dff_core *core, struct dff_core_job *job)
 {
 	for (int32_t i = 0; i < job->gang; i++)
-		evacuate_from (core, job, job->members[i].worker);
+		stop_unless_it_ends (core, job, job->members[i].worker);
 }
--- a/core/lifecycle.c
+++ b/core/lifecycle.c
@@ -391,7 +391,7 @@
 		if (job->state == DFF_CORE_RUNNING && event->percent >= PROGRESS_MIN)
 			job->told_ms = (int32_t)MIN (
 				(core->now_ms - job->started_ms) * 100 / event->percent, INT32_MAX);
-		dff_core_evacuate_job (core, job);
+		dff_core_review_leaving_job (core, job);
 		return;
 	}
 	if (event->type == DFF_EVENT_TASK_STARTED) {
