core: nobody waits for a rack that takes nothing

Cause: a job waits some seconds for room in the rack with its data, also where that rack's data centre is evacuated or all its workers leave, so that none can come. Change: such a rack counts as none. Test: data_rack_is_closed, which failed before.

--- a/core/place.c
+++ b/core/place.c
@@ -500,6 +500,18 @@
 	return place_in_neighbours (core, job, view, workers);
 }
 
+/* Whether the rack with a job's data takes any new work. */
+static bool
+data_rack_is_open (const struct dff_core *core, const struct dff_core_job *job)
+{
+	for (guint i = 0; i < core->racks->len; i++) {
+		const struct dff_core_rack *rack = dff_core_rack_at (core, (int32_t)i);
+		if (rack->label == job->data_rack)
+			return rack->slots > 0;
+	}
+	return false;
+}
+
 bool
 dff_core_place (const struct dff_core *core,
 		const struct dff_core_job *job,
@@ -511,6 +523,13 @@
 	if (is_hypothetical (view))
 		return false;
 	struct dff_core_job relaxed = *job;
+	/* Nothing comes free on a rack whose workers all leave or are evacuated: to wait there is
+	 * time lost on top of what it takes elsewhere. */
+	if (job->data_rack != DFF_CORE_NONE && !data_rack_is_open (core, job)) {
+		relaxed.data_rack = DFF_CORE_NONE;
+		if (place (core, &relaxed, view, workers))
+			return true;
+	}
 	/* Better a worker on which it failed once than none: the failure may not recur. */
 	relaxed.n_avoided = 0;
 	if (job->n_avoided > 0 && place (core, &relaxed, view, workers))
--- a/tests/core/test-wants.c
+++ b/tests/core/test-wants.c
@@ -69,6 +69,45 @@
 	site_close (&site);
 }
 
+static void
+set_states (struct site *site, const char *first, const char *second, enum dff_worker_state state)
+{
+	fixture_worker_state (site->core, first, state);
+	fixture_worker_state (site->core, second, state);
+}
+
+/* Symptom: for seconds of an evacuation work waits for a rack that takes nothing, beside an idle
+ * pool. Sequence: its data centre is evacuated, or all its workers leave; a job's data is there.
+ * Cause: the wait for room near the data did not look at whether any can come. */
+static void
+test_data_rack_is_closed (void **state)
+{
+	(void)state;
+	static const enum dff_worker_state states[] = {DFF_WORKER_EVACUATED, DFF_WORKER_LEAVING,
+						       DFF_WORKER_DOWN};
+	for (size_t i = 0; i < G_N_ELEMENTS (states); i++) {
+		struct dff_core_options options = patient_options ();
+		options.data_wait_ms = 5000;
+		struct site site;
+		site_open (&site, &options);
+		set_states (&site, "w2", "w3", states[i]);
+		struct dff_job_spec spec = fixture_spec ("far", 1, 1);
+		spec.data_rack = dff_name_from ("r1");
+		site_submit (&site, &spec);
+		g_autoptr (GString) elsewhere = site_pass (&site, 0);
+		assert_true (g_str_has_prefix (elsewhere->str, "far@w"));
+		/* Taken back: the next one is near its data again. */
+		set_states (&site, "w2", "w3", DFF_WORKER_UP);
+		spec = fixture_spec ("near", 1, 1);
+		spec.data_rack = dff_name_from ("r1");
+		site_submit (&site, &spec);
+		g_autoptr (GString) near = site_pass (&site, 0);
+		assert_true (g_str_has_prefix (near->str, "near@w2") ||
+			     g_str_has_prefix (near->str, "near@w3"));
+		site_close (&site);
+	}
+}
+
 /* Symptom: at the end of a day a gang of eight whole workers does not run beside a pool of which
  * most is free. Sequence: one worker of each rack that could hold it has left, or is left free for
  * urgent work. Cause: the gang waited for a rack that would only have held it with all its workers.
@@ -246,6 +285,7 @@
 		cmocka_unit_test (test_label),
 		cmocka_unit_test (test_spread_group),
 		cmocka_unit_test (test_data_rack),
+		cmocka_unit_test (test_data_rack_is_closed),
 		cmocka_unit_test (test_gang_of_a_lost_rack),
 		cmocka_unit_test (test_assured_team),
 		cmocka_unit_test (test_what_ends_soon_is_not_stopped),
