--- a/fleet/fleet.c
+++ b/fleet/fleet.c
@@ -310,6 +310,20 @@
 	return false;
 }
 
+static bool
+store_is_silent (void *ctx)
+{
+	struct dff_fleet *fleet = ctx;
+	return dff_rows_health_is_silent (fleet->store);
+}
+
+static bool
+writes_elsewhere (void *ctx)
+{
+	const struct dff_fleet *fleet = ctx;
+	return dff_intake_writes_elsewhere (fleet->intake);
+}
+
 static int64_t
 store_took_ms (void *ctx)
 {
@@ -343,6 +357,7 @@
 		.rows = dff_rows_health_interface (fleet->store),
 		.metrics = fleet->metrics,
 		.together_from_ms = 0,
+		.store_is_silent = store_is_silent,
 		.store_took_ms = store_took_ms,
 		.store_ctx = fleet,
 		.forward = dff_intake_link_forward,
@@ -413,13 +428,6 @@
 	dff_state_link_set_holder (fleet->state_link, fleet->holder);
 }
 
-static bool
-store_is_silent (void *ctx)
-{
-	struct dff_fleet *fleet = ctx;
-	return dff_rows_health_is_silent (fleet->store);
-}
-
 static void
 open_front (struct dff_fleet *fleet)
 {
@@ -428,6 +436,7 @@
 		.rows = dff_intake_interface (fleet->intake),
 		.metrics = fleet->metrics,
 		.store_is_silent = store_is_silent,
+		.writes_elsewhere = writes_elsewhere,
 		.ctx = fleet,
 		.ask_state = dff_state_link_ask,
 		.ask_ctx = fleet->state_link,
--- a/front/front.c
+++ b/front/front.c
@@ -165,10 +165,10 @@
  * caller's time is up: nothing is sent to it, so that the caller can be told at once that nothing
  * was done, and when to come back. */
 static void
-request_begin (struct request *request, request_step_func step)
+request_begin_if (struct request *request, request_step_func step, bool may)
 {
 	const struct dff_front_options *options = &request->front->options;
-	if (!options->store_is_silent (options->ctx)) {
+	if (may) {
 		step (request);
 		return;
 	}
@@ -178,6 +178,28 @@
 	dff_timer_start (request->retry, 0);
 }
 
+static bool
+store_answers (const struct dff_front_options *options)
+{
+	return !options->store_is_silent (options->ctx);
+}
+
+static void
+request_begin (struct request *request, request_step_func step)
+{
+	request_begin_if (request, step, store_answers (&request->front->options));
+}
+
+/* The same for one that only writes: the store may answer the process that the row goes through. */
+static void
+request_begin_write (struct request *request, request_step_func step)
+{
+	const struct dff_front_options *options = &request->front->options;
+	bool elsewhere =
+		options->writes_elsewhere != NULL && options->writes_elsewhere (options->ctx);
+	request_begin_if (request, step, elsewhere || store_answers (options));
+}
+
 /* submit */
 
 static void submit_step (struct request *request);
@@ -234,7 +256,7 @@
 	struct request *request = request_new (front, &plan->id, reply);
 	g_string_free (request->value, TRUE);
 	request->value = dff_plan_encode (plan);
-	request_begin (request, submit_step);
+	request_begin_write (request, submit_step);
 }
 
 /* Reads the rows of the job itself: what was submitted, and its cancellation. */
@@ -296,6 +318,13 @@
 	write_row (request, dff_str_from ("{}"), handle_cancelled);
 }
 
+static void
+use_cancel_key (struct request *request)
+{
+	g_string_assign (request->key, request->job.data);
+	g_string_append (request->key, DFF_KEY_CANCEL_SUFFIX);
+}
+
 static void cancel_find_step (struct request *request);
 
 static void
@@ -310,8 +339,7 @@
 		request_end (request, DFF_FRONT_NOT_FOUND);
 		return;
 	}
-	g_string_assign (request->key, request->job.data);
-	g_string_append (request->key, DFF_KEY_CANCEL_SUFFIX);
+	use_cancel_key (request);
 	cancel_step (request);
 }
 
@@ -321,12 +349,29 @@
 	read_job_rows (request, handle_cancel_found);
 }
 
+/* What the process that decides holds was accepted: its row need not be looked for. */
+static void
+handle_asked_to_cancel (void *user, bool known, G_GNUC_UNUSED enum dff_job_state state)
+{
+	struct request *request = user;
+	if (!known) {
+		request_begin (request, cancel_find_step);
+		return;
+	}
+	use_cancel_key (request);
+	request_begin_write (request, cancel_step);
+}
+
 void
 dff_front_cancel (struct dff_front *front,
 		  const struct dff_name *job,
 		  const struct dff_front_reply *reply)
 {
-	request_begin (request_new (front, job, reply), cancel_find_step);
+	const struct dff_front_options *options = &front->options;
+	struct request *request = request_new (front, job, reply);
+	if (options->ask_state == NULL ||
+	    !options->ask_state (options->ask_ctx, job, handle_asked_to_cancel, request))
+		request_begin (request, cancel_find_step);
 }
 
 /* state */
--- a/front/intake.c
+++ b/front/intake.c
@@ -298,6 +298,41 @@
 	return NULL;
 }
 
+static void
+free_held (gpointer data)
+{
+	struct held *held = data;
+	g_free (held->key);
+	g_string_free (held->value, TRUE);
+	g_free (held);
+}
+
+/* Symptom without this: a store that takes 400 ms for a transaction records nothing for five
+ * seconds. Sequence: the process that decides lets go of the cell; until the next one is known each
+ * row goes straight to the store, a dozen in half a second, and the one that takes the cell waits
+ * behind them until the store turns it away. Cause: what cannot be served was sent all the same. */
+static void
+hold (struct dff_intake *intake, const struct dff_intake_row *row, dff_rows_func done, void *user)
+{
+	struct held *held = g_new0 (struct held, 1);
+	held->key = g_strndup (row->key.data, row->key.len);
+	held->value = g_string_new_len (row->value.data, (gssize)row->value.len);
+	held->deadline_ms = now_ms (intake) + row->timeout_ms;
+	held->waiter = (struct waiter){.done = done, .user = user};
+	g_queue_push_tail (&intake->held, held);
+	dff_timer_start (intake->look, HOLD_LOOK_MS);
+}
+
+/* In the next turn of the loop: callbacks never come before the call returns. */
+static void
+refuse (struct dff_intake *intake, const struct dff_intake_row *row, dff_rows_func done, void *user)
+{
+	struct dff_intake_row expired = *row;
+	expired.timeout_ms = 0;
+	hold (intake, &expired, done, user);
+	dff_timer_start (intake->look, 0);
+}
+
 void
 dff_intake_take (struct dff_intake *intake,
 		 const struct dff_intake_row *row,
@@ -308,6 +343,11 @@
 	struct waiter waiter = {.done = done, .user = user};
 	int64_t deadline_ms = now_ms (intake) + row->timeout_ms;
 	struct entry *entry = find_entry (intake, row->key);
+	if (entry == NULL && options->store_is_silent != NULL &&
+	    options->store_is_silent (options->store_ctx)) {
+		refuse (intake, row, done, user);
+		return;
+	}
 	if (entry == NULL && options->record != NULL &&
 	    options->record (options->record_ctx, row, done, user))
 		return;
@@ -381,31 +421,6 @@
 				 handle_forwarded, pass_call (intake, done, user));
 }
 
-static void
-free_held (gpointer data)
-{
-	struct held *held = data;
-	g_free (held->key);
-	g_string_free (held->value, TRUE);
-	g_free (held);
-}
-
-/* Symptom without this: a store that takes 400 ms for a transaction records nothing for five
- * seconds. Sequence: the process that decides lets go of the cell; until the next one is known each
- * row goes straight to the store, a dozen in half a second, and the one that takes the cell waits
- * behind them until the store turns it away. Cause: what cannot be served was sent all the same. */
-static void
-hold (struct dff_intake *intake, const struct dff_intake_row *row, dff_rows_func done, void *user)
-{
-	struct held *held = g_new0 (struct held, 1);
-	held->key = g_strndup (row->key.data, row->key.len);
-	held->value = g_string_new_len (row->value.data, (gssize)row->value.len);
-	held->deadline_ms = now_ms (intake) + row->timeout_ms;
-	held->waiter = (struct waiter){.done = done, .user = user};
-	g_queue_push_tail (&intake->held, held);
-	dff_timer_start (intake->look, HOLD_LOOK_MS);
-}
-
 static void
 release (struct dff_intake *intake, struct held *held)
 {
@@ -482,6 +497,12 @@
 	rows->feed (rows->ctx, feed, done, user);
 }
 
+bool
+dff_intake_writes_elsewhere (const struct dff_intake *intake)
+{
+	return !intake->is_gatherer && goes_together (intake);
+}
+
 void
 dff_intake_set_gatherer (struct dff_intake *intake, const struct dff_name *address, bool self)
 {
--- a/include/front/front.h
+++ b/include/front/front.h
@@ -26,6 +26,9 @@
 	/** Returns: whether the store does not answer now. */
 	bool (*store_is_silent) (void *ctx);
 	void *ctx;
+	/** (nullable): returns whether rows that are written now go through another process, which
+	 * the store may answer. */
+	bool (*writes_elsewhere) (void *ctx);
 	/** (nullable): asks the process that decides for a job's state on record. Returns: false
 	 * when there is none to ask, and @done is not called; else it is, once and never before
 	 * the call returns. */
--- a/include/front/intake.h
+++ b/include/front/intake.h
@@ -34,6 +34,8 @@
 	/** Rows go through the process that decides when the store's answers take so long, ms; 0:
 	 * always. */
 	int32_t together_from_ms;
+	/** (nullable): returns whether the store does not answer this process. */
+	bool (*store_is_silent) (void *ctx);
 	/** Returns: how long the store's answers take now, ms. */
 	int64_t (*store_took_ms) (void *ctx);
 	void *store_ctx;
@@ -68,7 +70,10 @@
 /** Tells which process gathers rows: @address empty: none, or this one if @self. */
 void dff_intake_set_gatherer (struct dff_intake *intake, const struct dff_name *address, bool self);
 
-/** Writes a row together with others. */
+/** Returns: whether rows that are written now go through another process. */
+bool dff_intake_writes_elsewhere (const struct dff_intake *intake);
+
+/** Writes a row together with others. A store that does not answer is not waited for. */
 void dff_intake_take (struct dff_intake *intake,
 		      const struct dff_intake_row *row,
 		      dff_rows_func done,
--- a/tests/holder/site_links.c
+++ b/tests/holder/site_links.c
@@ -143,6 +143,20 @@
 	return dff_holder_submit (process->holder, &submission, done, user);
 }
 
+static bool
+store_is_silent (void *ctx)
+{
+	const struct site_process *process = ctx;
+	return dff_rows_health_is_silent (process->health);
+}
+
+static bool
+writes_elsewhere (void *ctx)
+{
+	const struct site_process *process = ctx;
+	return dff_intake_writes_elsewhere (process->intake);
+}
+
 /* Everything goes through the process that decides, as in a store that is always slow. */
 static int64_t
 store_took_ms (void *ctx)
@@ -177,6 +191,7 @@
 		.rows = dff_rows_health_interface (process->health),
 		.metrics = process->metrics,
 		.together_from_ms = 0,
+		.store_is_silent = store_is_silent,
 		.store_took_ms = store_took_ms,
 		.store_ctx = process,
 		.forward = forward_row,
@@ -192,6 +207,7 @@
 site_links_front (struct site_process *process, struct dff_front_options *options)
 {
 	options->rows = dff_intake_interface (process->intake);
+	options->writes_elsewhere = writes_elsewhere;
 	options->ask_state = ask_state;
 	options->ask_ctx = process;
 }
--- a/tests/holder/test-holder-submissions.c
+++ b/tests/holder/test-holder-submissions.c
@@ -244,6 +244,43 @@
 	site_close (&site);
 }
 
+/* Symptom: callers of a process that the store does not hear are sent away, though others are
+ * served. Sequence: its path to the store is cut for seconds; a job is handed in, looked at, and
+ * another one cancelled there. Cause: nobody asked whether another process could do it. When
+ * nobody's store answers, they are told at once. */
+static void
+test_cut_off_process (void **state)
+{
+	(void)state;
+	struct site site;
+	site_open_with_links (&site);
+	int holder = site_holder (&site);
+	int other = (holder + 1) % SITE_PROCESSES;
+	assert_int_equal (site_submit (&site, holder, site_plan ("7", 1, false, 1)), DFF_FRONT_OK);
+	faults_of (&site, other)->silent = true;
+	site_run (&site, 2000);
+	assert_true (dff_rows_health_is_silent (site.processes[other].health));
+	assert_int_equal (site_submit (&site, other, site_plan ("a", 1, false, 1)), DFF_FRONT_OK);
+	assert_int_equal (site_cancel (&site, other, "7"), DFF_FRONT_OK);
+	site_run (&site, 1500);
+	assert_string_equal (site_state (&site, other, "a"), "completed");
+	assert_string_equal (site_state (&site, other, "7"), "cancelled");
+	for (int i = 0; i < SITE_PROCESSES; i++)
+		faults_of (&site, i)->silent = true;
+	site_run (&site, 1500);
+	for (int i = 0; i < SITE_PROCESSES; i++) {
+		int64_t begun_ms = dff_virtual_loop_now_ms (site.loop);
+		assert_int_equal (site_submit (&site, i, site_plan ("b", 1, false, 1)),
+				  DFF_FRONT_UNAVAILABLE);
+		assert_in_range (dff_virtual_loop_now_ms (site.loop) - begun_ms, 0, 100);
+	}
+	for (int i = 0; i < SITE_PROCESSES; i++)
+		faults_of (&site, i)->silent = false;
+	site_run (&site, 3000);
+	assert_string_equal (site_state (&site, holder, "b"), "gone");
+	site_close (&site);
+}
+
 int
 main (void)
 {
@@ -254,6 +291,7 @@
 		cmocka_unit_test (test_fates),
 		cmocka_unit_test (test_stood_down),
 		cmocka_unit_test (test_withdrawn_jobs),
+		cmocka_unit_test (test_cut_off_process),
 	};
 	return cmocka_run_group_tests (tests, NULL, NULL);
 }
