--- a/core/core.c
+++ b/core/core.c
@@ -25,7 +25,6 @@
 	options->ageing_ms = 0.0;
 	options->quarantine_ms = 0;
 	options->at_once_share = 0.0;
-	options->first_retry_at_once = false;
 	options->data_wait_ms = 0;
 	options->rack_wait_ms = 0;
 	options->urgent_rack_wait_ms = 0;
--- a/core/outcome.c
+++ b/core/outcome.c
@@ -91,16 +91,6 @@
 		dff_core_job_end (core, job, DFF_OUTCOME_FAILED, "task_failed");
 }
 
-/* Work that fails wherever it runs is not to be tried all the time; work that a worker has failed
- * loses by each moment. The first failure may be either, and costs one more run at the most. */
-static int64_t
-pause_ms (const struct dff_core *core, const struct dff_core_job *job)
-{
-	if (core->options.first_retry_at_once && job->failures <= 1)
-		return 0;
-	return (int64_t)DFF_CORE_RETRY_MIN_MS << MIN (job->failures, 6);
-}
-
 static void
 over_repeatable (struct dff_core *core, struct dff_core_job *job, const struct attempt_summary *sum)
 {
@@ -114,7 +104,9 @@
 		dff_core_job_end (core, job, DFF_OUTCOME_FAILED, "workers_lost");
 		return;
 	}
-	retry (core, job, sum->failed > 0 ? pause_ms (core, job) : 0);
+	int64_t wait_ms =
+		sum->failed > 0 ? (int64_t)DFF_CORE_RETRY_MIN_MS << MIN (job->failures, 6) : 0;
+	retry (core, job, wait_ms);
 }
 
 static int64_t
--- a/holder/policy.c
+++ b/holder/policy.c
@@ -58,7 +58,6 @@
 	options->ageing_ms = AGEING_MS;
 	options->quarantine_ms = QUARANTINE_MS;
 	options->at_once_share = AT_ONCE_SHARE;
-	options->first_retry_at_once = true;
 	options->urgent_rack_wait_ms = URGENT_RACK_WAIT_MS;
 	options->calm_wait_ms = CALM_WAIT_MS;
 	options->guard_after_ms = GUARD_AFTER_MS;
--- a/include/core/core.h
+++ b/include/core/core.h
@@ -49,8 +49,6 @@
 	/** Share of its expected run time within which a run's failure counts as the worker's fault
 	 * alone; 0: time does not tell. */
 	double at_once_share;
-	/** Whether a job that has failed once is placed again without a pause. */
-	bool first_retry_at_once;
 	/** How long a job waits for room near its data before it goes elsewhere, ms. */
 	int64_t data_wait_ms;
 	/** How long a gang that fits a rack waits for a whole one before it spreads, ms; 0: for
--- a/tests/core/test-bad-workers.c
+++ b/tests/core/test-bad-workers.c
@@ -345,32 +345,6 @@
 	end (&run);
 }
 
-/* Symptom: an urgent job that met one bad worker is late. Sequence: its run fails at once; it is
- * placed again half a second after, which is what its objective leaves it. Cause: a pause that is
- * meant for work that fails everywhere. That work still pauses from its second failure on. */
-static void
-test_pause_after_failures (void **state)
-{
-	(void)state;
-	static const struct {
-		bool at_once;
-		int starts;
-	} cases[] = {{false, 1}, {true, 2}};
-	for (size_t i = 0; i < G_N_ELEMENTS (cases); i++) {
-		struct run run;
-		struct dff_core_options options = default_options ();
-		options.first_retry_at_once = cases[i].at_once;
-		begin_with (&run, 1, options);
-		submit (&run, "bad", N_WORKERS);
-		settle (&run);
-		assert_int_equal (g_hash_table_size (run.bad_starts), cases[i].starts);
-		run.now_ms += 100;
-		settle (&run);
-		assert_int_equal (g_hash_table_size (run.bad_starts), cases[i].starts);
-		end (&run);
-	}
-}
-
 int
 main (void)
 {
@@ -382,7 +356,6 @@
 		cmocka_unit_test (test_runs_from_before),
 		cmocka_unit_test (test_failures_at_once),
 		cmocka_unit_test (test_failures_along_the_way),
-		cmocka_unit_test (test_pause_after_failures),
 	};
 	return cmocka_run_group_tests_name ("core-bad-workers", tests, NULL, NULL);
 }
