rows, holder, front: one copy of those who wait for a row; lint

holder/submissions.c and front/intake.c each had their own list of callers who wait for the fate of one write: rows/waiters.c.

--- a/fleet/evacuations.c
+++ b/fleet/evacuations.c
@@ -37,9 +37,9 @@
 		      int64_t age_ms)
 {
 	bool was = g_hash_table_contains (evacuations->requests, data_centre);
+	gpointer reading = GINT_TO_POINTER (evacuations->reading);
 	if (requested)
-		g_hash_table_replace (evacuations->requests, dff_name_dup (data_centre),
-				      GINT_TO_POINTER (evacuations->reading));
+		g_hash_table_replace (evacuations->requests, dff_name_dup (data_centre), reading);
 	else
 		g_hash_table_remove (evacuations->requests, data_centre);
 	if (was == requested)
--- a/front/intake.c
+++ b/front/intake.c
@@ -4,6 +4,7 @@
 
 #include "common/log.h"
 #include "holder/tables.h"
+#include "rows/waiters.h"
 
 /** How long rows go the other way after the store has turned this process away, ms. */
 #define REFUSED_FOR_MS 1500
@@ -38,21 +39,17 @@
 	/** Whether a transaction with it may still take effect. */
 	bool is_open;
 	int32_t n_refused;
-	/** Elements: struct waiter. */
+	/** Who waits for it, see rows/waiters.h. */
 	GArray *waiters;
 };
 
-struct waiter {
-	dff_rows_func done;
-	void *user;
-};
-
 /** A row that waits for a process that decides. */
 struct held {
 	char *key;
 	GString *value;
 	int64_t deadline_ms;
-	struct waiter waiter;
+	dff_rows_func done;
+	void *user;
 };
 
 struct dff_intake {
@@ -100,21 +97,10 @@
 	g_free (entry);
 }
 
-static void
-answer (struct entry *entry, enum dff_rows_outcome outcome, int64_t revision)
-{
-	struct dff_rows_result result = {.outcome = outcome, .revision = revision};
-	for (guint i = 0; i < entry->waiters->len; i++) {
-		const struct waiter *waiter = &g_array_index (entry->waiters, struct waiter, i);
-		waiter->done (waiter->user, &result);
-	}
-	g_array_set_size (entry->waiters, 0);
-}
-
 static void
 end_entry (struct entry *entry, enum dff_rows_outcome outcome, int64_t revision)
 {
-	answer (entry, outcome, revision);
+	dff_rows_waiters_answer (entry->waiters, outcome, revision);
 	free_entry (entry);
 }
 
@@ -191,7 +177,7 @@
 	for (guint i = 0; intake->in_flight != NULL && i < intake->in_flight->len; i++) {
 		struct entry *entry = g_ptr_array_index (intake->in_flight, i);
 		if (entry->deadline_ms <= now)
-			answer (entry, DFF_ROWS_UNKNOWN, 0);
+			dff_rows_waiters_answer (entry->waiters, DFF_ROWS_UNKNOWN, 0);
 		else
 			next_ms = MIN (next_ms, entry->deadline_ms);
 	}
@@ -318,7 +304,8 @@
 	held->key = g_strndup (row->key.data, row->key.len);
 	held->value = g_string_new_len (row->value.data, (gssize)row->value.len);
 	held->deadline_ms = now_ms (intake) + row->timeout_ms;
-	held->waiter = (struct waiter){.done = done, .user = user};
+	held->done = done;
+	held->user = user;
 	g_queue_push_tail (&intake->held, held);
 	dff_timer_start (intake->look, HOLD_LOOK_MS);
 }
@@ -340,7 +327,6 @@
 		 void *user)
 {
 	const struct dff_intake_options *options = &intake->options;
-	struct waiter waiter = {.done = done, .user = user};
 	int64_t deadline_ms = now_ms (intake) + row->timeout_ms;
 	struct entry *entry = find_entry (intake, row->key);
 	if (entry == NULL && options->store_is_silent != NULL &&
@@ -355,11 +341,11 @@
 		entry = g_new0 (struct entry, 1);
 		entry->key = g_strndup (row->key.data, row->key.len);
 		entry->value = g_string_new_len (row->value.data, (gssize)row->value.len);
-		entry->waiters = g_array_new (FALSE, FALSE, sizeof (struct waiter));
+		entry->waiters = dff_rows_waiters_new ();
 		g_queue_push_tail (&intake->waiting, entry);
 	}
 	entry->deadline_ms = MAX (entry->deadline_ms, deadline_ms);
-	g_array_append_val (entry->waiters, waiter);
+	dff_rows_waiters_add (entry->waiters, done, user);
 	dff_timer_start (intake->in_flight == NULL ? intake->work : intake->expiry, 0);
 }
 
@@ -429,10 +415,10 @@
 				     .value = {held->value->str, held->value->len},
 				     .timeout_ms = (int32_t)left_ms};
 	if (left_ms > LEAST_MS) {
-		pass_on (intake, &row, held->waiter.done, held->waiter.user);
+		pass_on (intake, &row, held->done, held->user);
 	} else {
 		struct dff_rows_result result = {.outcome = DFF_ROWS_NOT_DONE};
-		held->waiter.done (held->waiter.user, &result);
+		held->done (held->user, &result);
 	}
 	free_held (held);
 }
--- a/holder/lease.c
+++ b/holder/lease.c
@@ -350,10 +350,9 @@
 	bool asked = handover_is_asked (holder, &lease);
 	if (!own)
 		patience_ms += handover_wait_ms (holder, &lease);
+	int64_t range_ms = TAKE_SPREAD_MS + TAKE_SPREAD_READS * holder->read_took_ms;
 	if (!asked || !lease.released)
-		patience_ms +=
-			spread_ms (holder, lease.epoch + 1,
-				   TAKE_SPREAD_MS + TAKE_SPREAD_READS * holder->read_took_ms);
+		patience_ms += spread_ms (holder, lease.epoch + 1, range_ms);
 	if (asked)
 		holder->next_read_ms = now_ms + ASKED_READ_EVERY_MS;
 	if (still_ms >= patience_ms) {
--- a/holder/submissions.c
+++ b/holder/submissions.c
@@ -1,6 +1,7 @@
 #include "holder/holder_private.h"
 
 #include "common/log.h"
+#include "rows/waiters.h"
 
 /* Rows of jobs and of cancellations that are written with the holder's own transactions. A job that
  * is handed in this way is taken in and placed before its row is written, so that its acceptance
@@ -27,15 +28,10 @@
 	bool is_open;
 	/** Whether it was there when it came. */
 	bool is_known;
-	/** Elements: struct waiter. */
+	/** Who waits for its record, see rows/waiters.h. */
 	GArray *waiters;
 };
 
-struct waiter {
-	dff_rows_func done;
-	void *user;
-};
-
 static void
 free_submission (gpointer data)
 {
@@ -46,18 +42,6 @@
 	g_free (submission);
 }
 
-static void
-answer (struct submission *submission, enum dff_rows_outcome outcome, int64_t revision)
-{
-	struct dff_rows_result result = {.outcome = outcome, .revision = revision};
-	for (guint i = 0; i < submission->waiters->len; i++) {
-		const struct waiter *waiter =
-			&g_array_index (submission->waiters, struct waiter, i);
-		waiter->done (waiter->user, &result);
-	}
-	g_array_set_size (submission->waiters, 0);
-}
-
 /* It is on record. */
 static void
 settle (struct dff_holder *holder,
@@ -73,7 +57,7 @@
 		submission->job->provisional = false;
 	else
 		jobs_handle_row (holder, &row);
-	answer (submission, outcome, revision);
+	dff_rows_waiters_answer (submission->waiters, outcome, revision);
 	g_queue_remove (&holder->submissions, submission);
 	free_submission (submission);
 }
@@ -83,7 +67,7 @@
 withdraw (struct dff_holder *holder, struct submission *submission)
 {
 	struct holder_job *job = submission->job;
-	answer (submission, DFF_ROWS_NOT_DONE, 0);
+	dff_rows_waiters_answer (submission->waiters, DFF_ROWS_NOT_DONE, 0);
 	g_queue_remove (&holder->submissions, submission);
 	free_submission (submission);
 	if (job == NULL)
@@ -110,7 +94,7 @@
 	struct submission *submission = g_new0 (struct submission, 1);
 	submission->key = g_strndup (from->key.data, from->key.len);
 	submission->value = g_string_new_len (from->value.data, (gssize)from->value.len);
-	submission->waiters = g_array_new (FALSE, FALSE, sizeof (struct waiter));
+	submission->waiters = dff_rows_waiters_new ();
 	g_queue_push_tail (&holder->submissions, submission);
 	return submission;
 }
@@ -144,7 +128,6 @@
 {
 	if (holder->phase != DFF_HOLDER_HOLDING || holder->resigning || holder->handing_over)
 		return false;
-	struct waiter waiter = {.done = done, .user = user};
 	int64_t deadline_ms = holder_now_ms (holder) + from->timeout_ms;
 	struct submission *submission = find (holder, from->key);
 	if (submission == NULL)
@@ -152,7 +135,7 @@
 	if (submission == NULL)
 		return false;
 	submission->deadline_ms = MAX (submission->deadline_ms, deadline_ms);
-	g_array_append_val (submission->waiters, waiter);
+	dff_rows_waiters_add (submission->waiters, done, user);
 	(*holder->metrics.submissions)++;
 	holder_wake (holder);
 	return true;
@@ -165,7 +148,7 @@
 	if (!submission->in_flight && !submission->is_open)
 		withdraw (holder, submission);
 	else
-		answer (submission, DFF_ROWS_UNKNOWN, 0);
+		dff_rows_waiters_answer (submission->waiters, DFF_ROWS_UNKNOWN, 0);
 }
 
 void
@@ -262,7 +245,8 @@
 	while (!g_queue_is_empty (&holder->submissions)) {
 		struct submission *submission = g_queue_pop_head (&holder->submissions);
 		bool open = submission->in_flight || submission->is_open;
-		answer (submission, open ? DFF_ROWS_UNKNOWN : DFF_ROWS_NOT_DONE, 0);
+		dff_rows_waiters_answer (submission->waiters,
+					 open ? DFF_ROWS_UNKNOWN : DFF_ROWS_NOT_DONE, 0);
 		free_submission (submission);
 	}
 }
--- a/tests/fleet/test-evacuations.c
+++ b/tests/fleet/test-evacuations.c
@@ -10,15 +10,15 @@
 /* The set of data centres to be emptied, by what is heard of the operators' table. */
 
 enum step_type {
-	END,
+	DFF_STEP_END,
 	/** A request for the data centre @name is there, or was removed. */
-	THERE,
-	REMOVED,
+	DFF_STEP_THERE,
+	DFF_STEP_REMOVED,
 	/** One that cannot be read. */
-	UNREADABLE,
+	DFF_STEP_UNREADABLE,
 	/** The table is going to be read whole, and was. */
-	BEGIN,
-	WHOLE,
+	DFF_STEP_BEGIN,
+	DFF_STEP_WHOLE,
 };
 
 struct step {
@@ -59,14 +59,14 @@
 	if (step->name != NULL)
 		name = dff_name_from (step->name);
 	switch (step->type) {
-	case THERE:
-	case REMOVED:
-		dff_evacuations_note (evacuations, &name, step->type == THERE, 7, 0);
+	case DFF_STEP_THERE:
+	case DFF_STEP_REMOVED:
+		dff_evacuations_note (evacuations, &name, step->type == DFF_STEP_THERE, 7, 0);
 		return;
-	case UNREADABLE:
+	case DFF_STEP_UNREADABLE:
 		dff_evacuations_note_unreadable (evacuations, dff_str_from ("evacuate/"), 7);
 		return;
-	case BEGIN:
+	case DFF_STEP_BEGIN:
 		dff_evacuations_begin (evacuations);
 		return;
 	default:
@@ -85,23 +85,47 @@
 		int32_t times;
 		int64_t n_unreadable;
 	} cases[] = {
-		{{{BEGIN}, {WHOLE}}, "", 1, 0},
-		{{{BEGIN}, {THERE, "a"}, {WHOLE}}, "a ", 2, 0},
-		{{{BEGIN}, {WHOLE}, {THERE, "a"}, {THERE, "b"}}, "a b ", 3, 0},
+		{{{DFF_STEP_BEGIN}, {DFF_STEP_WHOLE}}, "", 1, 0},
+		{{{DFF_STEP_BEGIN}, {DFF_STEP_THERE, "a"}, {DFF_STEP_WHOLE}}, "a ", 2, 0},
+		{{{DFF_STEP_BEGIN}, {DFF_STEP_WHOLE}, {DFF_STEP_THERE, "a"}, {DFF_STEP_THERE, "b"}},
+		 "a b ",
+		 3,
+		 0},
 		/* Rows repeat. */
-		{{{BEGIN}, {WHOLE}, {THERE, "a"}, {THERE, "a"}, {REMOVED, "a"}, {REMOVED, "a"}},
+		{{{DFF_STEP_BEGIN},
+		  {DFF_STEP_WHOLE},
+		  {DFF_STEP_THERE, "a"},
+		  {DFF_STEP_THERE, "a"},
+		  {DFF_STEP_REMOVED, "a"},
+		  {DFF_STEP_REMOVED, "a"}},
 		 "",
 		 3,
 		 0},
 		/* Gone with the history; there still; asked for again meanwhile. */
-		{{{BEGIN}, {WHOLE}, {THERE, "a"}, {THERE, "b"}, {BEGIN}, {THERE, "b"}, {WHOLE}},
+		{{{DFF_STEP_BEGIN},
+		  {DFF_STEP_WHOLE},
+		  {DFF_STEP_THERE, "a"},
+		  {DFF_STEP_THERE, "b"},
+		  {DFF_STEP_BEGIN},
+		  {DFF_STEP_THERE, "b"},
+		  {DFF_STEP_WHOLE}},
 		 "b ",
 		 4,
 		 0},
 		/* Nothing is dropped while the table is read. */
-		{{{BEGIN}, {THERE, "a"}, {WHOLE}, {BEGIN}}, "a ", 2, 0},
+		{{{DFF_STEP_BEGIN}, {DFF_STEP_THERE, "a"}, {DFF_STEP_WHOLE}, {DFF_STEP_BEGIN}},
+		 "a ",
+		 2,
+		 0},
 		/* Told apart from those that can be read. */
-		{{{BEGIN}, {THERE, "a"}, {WHOLE}, {UNREADABLE}, {UNREADABLE}}, "a ", 2, 2},
+		{{{DFF_STEP_BEGIN},
+		  {DFF_STEP_THERE, "a"},
+		  {DFF_STEP_WHOLE},
+		  {DFF_STEP_UNREADABLE},
+		  {DFF_STEP_UNREADABLE}},
+		 "a ",
+		 2,
+		 2},
 	};
 	for (size_t i = 0; i < G_N_ELEMENTS (cases); i++) {
 		DFF_AUTO (dff_metrics) metrics = dff_metrics_new ();
@@ -109,7 +133,7 @@
 		struct dff_evacuations_options options = {
 			.metrics = metrics, .changed = handle_changed, .ctx = &told};
 		struct dff_evacuations *evacuations = dff_evacuations_new (&options);
-		for (size_t j = 0; cases[i].steps[j].type != END; j++)
+		for (size_t j = 0; cases[i].steps[j].type != DFF_STEP_END; j++)
 			carry_out (evacuations, &cases[i].steps[j]);
 		assert_string_equal (told.names->str, cases[i].names);
 		assert_int_equal (told.times, cases[i].times);
--- a/tests/front/test-intake.c
+++ b/tests/front/test-intake.c
@@ -375,7 +375,7 @@
 /* The load: a store that takes 400 ms for a transaction, as one that is eighty times slower does,
  * and a row each 50 ms. */
 #define VERY_SLOW_MS 400
-#define ROW_EVERY_MS 50
+#define ROW_EVERY_MS INT64_C (50)
 #define N_HELD 12
 
 /* Symptom: a slow store records nothing for five seconds. Sequence: the process that decides lets
--- a/tests/holder/test-holder-evacuation.c
+++ b/tests/holder/test-holder-evacuation.c
@@ -27,7 +27,14 @@
 test_orders_of_requests (void **state)
 {
 	(void)state;
-	enum what { END, ASK, BACK, DROP_HISTORY, TAKE_OVER, ASK_NOWHERE };
+	enum what {
+		DFF_STEP_END,
+		DFF_STEP_ASK,
+		DFF_STEP_BACK,
+		DFF_STEP_DROP_HISTORY,
+		DFF_STEP_TAKE_OVER,
+		DFF_STEP_ASK_NOWHERE
+	};
 	static const struct {
 		struct {
 			enum what what;
@@ -35,32 +42,36 @@
 		} steps[6];
 		int32_t n_starts;
 	} cases[] = {
-		{{{ASK, FIRST}}, 3},
-		{{{ASK, FIRST}, {BACK, FIRST}}, 6},
-		{{{ASK, FIRST}, {ASK, SECOND}}, 0},
-		{{{ASK, FIRST}, {ASK, SECOND}, {BACK, FIRST}}, 3},
-		{{{ASK, FIRST}, {DROP_HISTORY, 0}}, 3},
-		{{{ASK, FIRST}, {DROP_HISTORY, 0}, {BACK, FIRST}}, 6},
-		{{{ASK, FIRST}, {BACK, FIRST}, {DROP_HISTORY, 0}}, 6},
-		{{{ASK, FIRST}, {TAKE_OVER, 0}}, 3},
-		{{{ASK, FIRST}, {TAKE_OVER, 0}, {BACK, FIRST}, {TAKE_OVER, 0}}, 6},
-		{{{ASK_NOWHERE, 0}}, 6},
+		{{{DFF_STEP_ASK, FIRST}}, 3},
+		{{{DFF_STEP_ASK, FIRST}, {DFF_STEP_BACK, FIRST}}, 6},
+		{{{DFF_STEP_ASK, FIRST}, {DFF_STEP_ASK, SECOND}}, 0},
+		{{{DFF_STEP_ASK, FIRST}, {DFF_STEP_ASK, SECOND}, {DFF_STEP_BACK, FIRST}}, 3},
+		{{{DFF_STEP_ASK, FIRST}, {DFF_STEP_DROP_HISTORY, 0}}, 3},
+		{{{DFF_STEP_ASK, FIRST}, {DFF_STEP_DROP_HISTORY, 0}, {DFF_STEP_BACK, FIRST}}, 6},
+		{{{DFF_STEP_ASK, FIRST}, {DFF_STEP_BACK, FIRST}, {DFF_STEP_DROP_HISTORY, 0}}, 6},
+		{{{DFF_STEP_ASK, FIRST}, {DFF_STEP_TAKE_OVER, 0}}, 3},
+		{{{DFF_STEP_ASK, FIRST},
+		  {DFF_STEP_TAKE_OVER, 0},
+		  {DFF_STEP_BACK, FIRST},
+		  {DFF_STEP_TAKE_OVER, 0}},
+		 6},
+		{{{DFF_STEP_ASK_NOWHERE, 0}}, 6},
 	};
 	for (size_t i = 0; i < G_N_ELEMENTS (cases); i++) {
 		struct site site;
 		site_open_with_evacuations (&site);
-		for (size_t j = 0; cases[i].steps[j].what != END; j++) {
+		for (size_t j = 0; cases[i].steps[j].what != DFF_STEP_END; j++) {
 			int holder = site_holder (&site);
 			switch (cases[i].steps[j].what) {
-			case ASK:
-			case BACK:
+			case DFF_STEP_ASK:
+			case DFF_STEP_BACK:
 				site_evacuate (&site, cases[i].steps[j].data_centre,
-					       cases[i].steps[j].what == ASK);
+					       cases[i].steps[j].what == DFF_STEP_ASK);
 				break;
-			case DROP_HISTORY:
+			case DFF_STEP_DROP_HISTORY:
 				dff_memory_rows_drop_history (site.rows);
 				break;
-			case TAKE_OVER:
+			case DFF_STEP_TAKE_OVER:
 				site_kill_process (&site, holder);
 				site_start_process (&site, holder);
 				break;
--- a/tests/holder/test-holder-store.c
+++ b/tests/holder/test-holder-store.c
@@ -262,7 +262,7 @@
 	(void)state;
 	int64_t given_up = 0;
 	for (int i = 0; i < 10; i++) {
-		int64_t one = given_up_as_it_turns_slow (i * 25);
+		int64_t one = given_up_as_it_turns_slow (i * INT64_C (25));
 		assert_in_range (one, 0, 1);
 		given_up += one;
 	}
