--- a/holder/submissions.c
+++ b/holder/submissions.c
@@ -214,13 +214,14 @@
 		submission->in_flight = false;
 		if (submission->job != NULL)
 			submission->job->row_drafted = false;
-		if (result->outcome == DFF_ROWS_DONE)
-			settle (holder, submission, DFF_ROWS_DONE, result->revision);
-		else if (result->outcome == DFF_ROWS_CONFLICT && is_among (result, submission->key))
-			/* Written by an earlier transaction, or by another process. */
-			settle (holder, submission, DFF_ROWS_CONFLICT, result->revision);
-		else
-			submission->is_open |= result->outcome == DFF_ROWS_UNKNOWN;
+		/* One that is there was written by an earlier transaction, or by another process.
+		 */
+		bool settled =
+			result->outcome == DFF_ROWS_DONE || (result->outcome == DFF_ROWS_CONFLICT &&
+							     is_among (result, submission->key));
+		submission->is_open |= result->outcome == DFF_ROWS_UNKNOWN;
+		if (settled)
+			settle (holder, submission, result->outcome, result->revision);
 	}
 }
 
--- a/include/rows/waiters.h
+++ b/include/rows/waiters.h
@@ -13,7 +13,6 @@
 void dff_rows_waiters_add (GArray *waiters, dff_rows_func done, void *user);
 
 /** Tells each, and nobody waits any more. */
-void
-dff_rows_waiters_answer (GArray *waiters, enum dff_rows_outcome outcome, int64_t revision);
+void dff_rows_waiters_answer (GArray *waiters, enum dff_rows_outcome outcome, int64_t revision);
 
 #endif
