--- a/holder/commit.c
+++ b/holder/commit.c
@@ -212,7 +212,7 @@
 	 * those ends again, and no start of them was sent. */
 	if (holder->resigning || holder->handing_over)
 		send_commit (holder, true);
-	else if (dirty || due || submissions_wait (holder))
+	else if (dirty || due || submissions_are_waiting (holder))
 		send_commit (holder, false);
 }
 
--- a/holder/evacuation.c
+++ b/holder/evacuation.c
@@ -48,7 +48,7 @@
 		if (evacuation_covers (holder, worker))
 			n_runs += g_hash_table_size (worker->runs);
 	}
-	if (n_runs == 0 && *holder->metrics.evacuated_runs > 0) {
+	if (n_runs == 0 && *holder->metrics.evacuated_runs > 0 && holder->evacuated->len > 0) {
 		dff_log (DFF_LOG_CELL, DFF_LOG_INFO,
 			 "Nothing runs in evacuated data centres. data_centres=%u epoch=%" PRId64,
 			 holder->evacuated->len, holder->epoch);
--- a/holder/holder_private.h
+++ b/holder/holder_private.h
@@ -478,7 +478,7 @@
 void submissions_work (struct dff_holder *holder);
 
 /** Returns: whether a row waits to be written. */
-bool submissions_wait (const struct dff_holder *holder);
+bool submissions_are_waiting (const struct dff_holder *holder);
 
 /** Adds rows to a transaction that is being made. */
 void submissions_draft (struct dff_holder *holder, struct draft *draft);
--- a/holder/submissions.c
+++ b/holder/submissions.c
@@ -167,7 +167,7 @@
 }
 
 bool
-submissions_wait (const struct dff_holder *holder)
+submissions_are_waiting (const struct dff_holder *holder)
 {
 	return holder->submissions.length > 0;
 }
