--- a/holder/commit.c
+++ b/holder/commit.c
@@ -11,8 +11,8 @@
 /** Time between two signs of life, ms: a third of what makes the others suspicious. */
 #define SIGN_EVERY_MS 250
 /** Time after which a transaction without an answer is given up on, ms: a few times what the last
- * one took, or a reading. After one without an answer it is doubled up to the limit, which is
- * beyond the answers of a store that is sixty times as slow. */
+ * one took. After one without an answer it is doubled up to the limit, which is beyond the answers
+ * of a store that is sixty times as slow. */
 #define TIMEOUT_MIN_MS 400
 #define TIMEOUT_TIMES 4
 #define TIMEOUT_MAX_MS 1500
@@ -63,25 +63,6 @@
 	return NULL;
 }
 
-/* Symptom without the readings: as a store turns slow nothing is recorded for seconds. Sequence: a
- * transaction takes longer than the last ones let expect and is given up on; the next one finds the
- * holder's row changed by it, and so on; each of them keeps the others waiting. Cause: what shows
- * that the store is slow, and not silent, was not looked at. A reading that is overdue itself shows
- * that it may be silent. */
-static int64_t
-patience_ms (const struct dff_holder *holder)
-{
-	int64_t reading_ms = holder->read_took_ms;
-	if (holder->reading_inbox) {
-		int64_t age_ms = holder_now_ms (holder) - holder->inbox_begun_ms;
-		if (age_ms >= TIMEOUT_MIN_MS)
-			reading_ms = 0;
-		else
-			reading_ms = MAX (reading_ms, age_ms);
-	}
-	return MIN (MAX (holder->commit_timeout_ms, TIMEOUT_TIMES * reading_ms), TIMEOUT_MAX_MS);
-}
-
 /* Whether the holder's row is as this process wrote it, in its last transaction or, where the
  * answer was lost, in a later one. */
 static bool
@@ -202,7 +183,8 @@
 commit_work (struct dff_holder *holder)
 {
 	int64_t now_ms = holder_now_ms (holder);
-	if (holder->commit_call != NULL && now_ms - holder->commit_begun_ms >= patience_ms (holder))
+	if (holder->commit_call != NULL &&
+	    now_ms - holder->commit_begun_ms >= holder->commit_timeout_ms)
 		give_up (holder);
 	if (holder->commit_call != NULL || now_ms < holder->next_commit_ms)
 		return;
--- a/holder/holder_private.h
+++ b/holder/holder_private.h
@@ -251,7 +251,6 @@
 
 	/* holder/inbox.c */
 	bool reading_inbox;
-	int64_t inbox_begun_ms;
 	int64_t next_inbox_ms;
 	/** Keys that are taken in and are to leave the inbox. Elements: char *. */
 	GHashTable *inbox_done;
--- a/holder/inbox.c
+++ b/holder/inbox.c
@@ -85,7 +85,6 @@
 	if (holder->reading_inbox || now_ms < holder->next_inbox_ms)
 		return;
 	holder->reading_inbox = true;
-	holder->inbox_begun_ms = now_ms;
 	holder->next_inbox_ms = now_ms + READ_EVERY_MS;
 	struct dff_rows_range range = {
 		.table = DFF_TABLE_INBOX, .limit = READ_ROWS, .timeout_ms = READ_TIMEOUT_MS};
