holder: one line for each run that goes with its worker, and a counter of them

The line about a worker's end gave the number of its runs alone. Each run lost has a line with its worker, the proof that the worker is gone, whether its start was answered and for how long it was seen at work.

--- a/holder/holder.c
+++ b/holder/holder.c
@@ -141,6 +141,8 @@
 	holder->metrics.lapsed_workers =
 		dff_metrics_counter (metrics, "dff_holder_workers_lost_total",
 				     "Workers whose runs were given up as over.");
+	holder->metrics.runs_lost = dff_metrics_counter (metrics, "dff_holder_runs_lost_total",
+							 "Runs that ended with their worker.");
 	holder->metrics.stalled_workers = dff_metrics_counter (
 		metrics, "dff_holder_workers_stalled_total", "Workers whose tasks stood still.");
 	holder->metrics.unreadable_entries =
--- a/holder/holder_private.h
+++ b/holder/holder_private.h
@@ -303,6 +303,7 @@
 		int64_t *strays;
 		int64_t *ends[DFF_RUN_ALONE + 1];
 		int64_t *lapsed_workers;
+		int64_t *runs_lost;
 		int64_t *stalled_workers;
 		int64_t *unreadable_entries;
 		int64_t *jobs_completed;
--- a/holder/watch.c
+++ b/holder/watch.c
@@ -80,9 +80,28 @@
 	return worker->clock_read_ms + (int64_t)ceil (left_ms) + LAPSE_MARGIN_MS;
 }
 
+/* One line a run, so that one sees which tasks were there whenever workers end. */
+static void
+lose_run (struct dff_holder *holder, struct holder_run *run, const char *reason)
+{
+	const struct holder_worker *worker = run->worker;
+	dff_log (
+		DFF_LOG_CELL, DFF_LOG_WARNING,
+		"Run lost. task=%s run=%d worker=%s reason=%s ran=%d unanswered=%d open_ms=%" PRId64
+		" seen_ms=%" PRId64,
+		run->task.data, run->run, worker->upstream.id.data, reason, run->ran,
+		run->n_unanswered, holder_now_ms (holder) - run->open_ms,
+		MAX (worker->heard_ms - run->open_ms, 0));
+	(*holder->metrics.runs_lost)++;
+	run_settle (holder, run, DFF_EVENT_TASK_LOST, run->ran);
+}
+
 void
 watch_lose_worker (struct dff_holder *holder, struct holder_worker *worker, const char *reason)
 {
+	bool known = worker->gone && g_hash_table_size (worker->runs) == 0;
+	if (known)
+		return;
 	dff_log (DFF_LOG_UPSTREAM, DFF_LOG_WARNING,
 		 "Worker's runs are over. worker=%s reason=%s runs=%u heard_ms_ago=%" PRId64
 		 " deadline_ms=%" PRId64 " clock_ms=%" PRId64,
@@ -91,10 +110,8 @@
 		 worker->deadline_ms, worker->clock_ms);
 	(*holder->metrics.lapsed_workers)++;
 	g_autoptr (GList) runs = g_hash_table_get_values (worker->runs);
-	for (GList *link = runs; link != NULL; link = link->next) {
-		struct holder_run *run = link->data;
-		run_settle (holder, run, DFF_EVENT_TASK_LOST, run->ran);
-	}
+	for (GList *link = runs; link != NULL; link = link->next)
+		lose_run (holder, link->data, reason);
 	worker->gone = true;
 	worker_set_state (holder, worker);
 }
