tests: a task that crashes the workers that start it, failing

The stand-in's tasks can crash their workers now, the workers notice a third start after three crashes, and crashed workers come back in another life or not at all. In the stand-in, a gang's members elsewhere are broken also where the one that is gone had not noticed that all were there.

--- a/include/standin/memory_runner.h
+++ b/include/standin/memory_runner.h
@@ -7,7 +7,7 @@
 /* Workers in memory, under a virtual clock, with faults. They notice what must never happen: a task
  * that runs twice at a time, one that starts after its end was acknowledged or after its failed
  * runs have used up its attempts, work beyond a worker's accelerators, a start where none is to
- * come any more. */
+ * come any more, a third start after three workers have crashed under a task. */
 
 struct dff_memory_runner;
 struct dff_memory_runner_client;
@@ -21,6 +21,9 @@
 	/** Runs up to this number fail half-way. */
 	int32_t failing_runs;
 	bool saves;
+	/** Whether its runs crash their workers, and how long after their starts, ms. */
+	bool crashes;
+	int32_t crashes_after_ms;
 };
 
 #define DFF_MEMORY_TASK_ALWAYS_FAILS INT32_MAX
@@ -34,6 +37,8 @@
 	int32_t gang_wait_ms;
 	/** Failed runs of a task after which it must not be started again. */
 	int32_t max_attempts;
+	/** (nullable): told when a task has crashed its worker, whose life is over. */
+	void (*crashed) (void *ctx, const char *id);
 };
 
 /** Faults of one worker, changed at any time. */
@@ -97,6 +102,9 @@
 /** Returns: (nullable): the worker that runs @task now. */
 const char *dff_memory_runner_where (const struct dff_memory_runner *runner, const char *task);
 
+/** Returns: workers whose lives ended while they ran @task, whatever ended them. */
+int32_t dff_memory_runner_n_lives_ended (const struct dff_memory_runner *runner, const char *task);
+
 /** Returns: starts that were carried out, of tasks whose name begins with @prefix. */
 int32_t dff_memory_runner_n_starts (const struct dff_memory_runner *runner, const char *prefix);
 
--- a/standin/memory_runner.c
+++ b/standin/memory_runner.c
@@ -416,6 +416,14 @@
 	return NULL;
 }
 
+int32_t
+dff_memory_runner_n_lives_ended (const struct dff_memory_runner *runner, const char *task)
+{
+	struct dff_name name = dff_name_from (task);
+	const struct history *history = g_hash_table_lookup (runner->histories, &name);
+	return history != NULL ? history->n_lives_ended : 0;
+}
+
 int32_t
 dff_memory_runner_n_starts (const struct dff_memory_runner *runner, const char *prefix)
 {
--- a/standin/memory_runner_private.h
+++ b/standin/memory_runner_private.h
@@ -25,6 +25,11 @@
 	int32_t n_failures;
 	/** The same, since it. */
 	int32_t n_new_failures;
+	/** Workers that it has crashed, and its starts since the last that may be too many. */
+	int32_t n_crashes;
+	int32_t n_starts_after_crashes;
+	/** Workers whose lives ended while they ran it. */
+	int32_t n_lives_ended;
 };
 
 struct worker {
--- a/standin/memory_runner_work.c
+++ b/standin/memory_runner_work.c
@@ -10,6 +10,9 @@
 #define CHECK_MS 10
 /** A run that fails does so after one part in so many of its duration. */
 #define FAILS_AFTER 2
+/** Once so many workers have crashed under a task, so many more starts of it must not come. */
+#define CRASHES_MAX 3
+#define STARTS_AFTER_CRASHES_MAX 3
 
 int64_t
 memory_runner_now_ms (const struct dff_memory_runner *runner)
@@ -180,7 +183,9 @@
 	g_autoptr (GList) runs = g_hash_table_get_values (worker->runs);
 	for (GList *link = runs; link != NULL; link = link->next) {
 		const struct run *run = link->data;
-		if (!run->begun || run->what.gang == 0)
+		/* Members elsewhere may have begun before this one has noticed that all are there.
+		 */
+		if (run->what.gang == 0)
 			continue;
 		g_autoptr (GPtrArray) members = gang_of (worker->runner, run);
 		for (guint i = 0; i < members->len; i++) {
@@ -207,12 +212,41 @@
 {
 	break_gangs (worker);
 	worker->dead = true;
+	GHashTableIter iter;
+	gpointer value;
+	g_hash_table_iter_init (&iter, worker->runs);
+	while (g_hash_table_iter_next (&iter, NULL, &value)) {
+		const struct run *run = value;
+		memory_runner_history (worker->runner, &run->task)->n_lives_ended++;
+	}
+}
+
+/* Ends the worker's life if one of its tasks crashes it now. */
+static void
+crash (struct worker *worker)
+{
+	struct dff_memory_runner *runner = worker->runner;
+	int64_t now_ms = memory_runner_now_ms (runner);
+	GHashTableIter iter;
+	gpointer value;
+	g_hash_table_iter_init (&iter, worker->runs);
+	while (!worker->dead && g_hash_table_iter_next (&iter, NULL, &value)) {
+		const struct run *run = value;
+		if (!run->what.crashes || now_ms - run->placed_ms < run->what.crashes_after_ms)
+			continue;
+		memory_runner_history (runner, &run->task)->n_crashes++;
+		memory_worker_end (worker);
+		if (runner->options.crashed != NULL)
+			runner->options.crashed (runner->options.ctx, worker->id);
+	}
 }
 
 static void
 handle_check (void *user)
 {
 	struct worker *worker = user;
+	if (!worker->dead)
+		crash (worker);
 	if (worker->dead)
 		return;
 	/* The lease is the worker's, whether or not something runs there. */
@@ -252,6 +286,17 @@
 			 worker->id, history->n_failures);
 }
 
+static void
+check_crashes (const struct worker *worker, const struct dff_name *task, struct history *history)
+{
+	if (history->n_crashes < CRASHES_MAX)
+		return;
+	history->n_starts_after_crashes++;
+	if (history->n_starts_after_crashes >= STARTS_AFTER_CRASHES_MAX)
+		violate (worker->runner, "%s was started on %s, %d times since it has crashed %d",
+			 task->data, worker->id, history->n_starts_after_crashes, CRASHES_MAX);
+}
+
 static void
 check_start (struct worker *worker, const struct dff_name *task, int32_t number)
 {
@@ -269,6 +314,7 @@
 	history->n_failures += history->n_new_failures;
 	history->n_new_failures = 0;
 	check_attempts (worker, task, history);
+	check_crashes (worker, task, history);
 	history->n_starts++;
 	history->last_start_ms = memory_runner_now_ms (runner);
 }
--- a/tests/holder/site.c
+++ b/tests/holder/site.c
@@ -26,6 +26,8 @@
 
 /** Time of day at the start, ms since 1970, and on the machines' clock. */
 #define START_MS 1000000
+/** When crashed workers are back in another life, ms. */
+#define BACK_MS 3200
 
 /* What a task of a job does, by the first character of the job's id. */
 static struct dff_memory_task
@@ -68,6 +70,22 @@
 		what.failing_runs =
 			g_str_has_suffix (task->data, ".1") ? DFF_MEMORY_TASK_ALWAYS_FAILS : 0;
 		break;
+	case 'x': /* crashes its worker */
+		what.crashes = true;
+		what.crashes_after_ms = 10;
+		break;
+	case 'y': /* long gang of 2 whole workers, the last member crashes its worker */
+		what.duration_ms = 3000;
+		what.gang = 2;
+		what.accelerators = SITE_ACCELERATORS;
+		what.crashes = g_str_has_suffix (task->data, ".1");
+		what.crashes_after_ms = 10;
+		break;
+	case 'z': /* crashes its worker after a while */
+		what.duration_ms = 6000;
+		what.crashes = true;
+		what.crashes_after_ms = 2500;
+		break;
 	case '6': /* a whole worker */
 		what.duration_ms = 2000;
 		what.accelerators = SITE_ACCELERATORS;
@@ -189,6 +207,42 @@
 	add_worker (site, index);
 }
 
+struct crash {
+	struct site *site;
+	int index;
+	struct dff_name id;
+};
+
+static void
+lapse_entry (void *user)
+{
+	g_autofree struct crash *crash = user;
+	dff_memory_rows_remove (crash->site->rows, DFF_TABLE_UPSTREAMS, crash->id.data);
+}
+
+static void
+return_crashed (void *user)
+{
+	g_autofree struct crash *crash = user;
+	struct dff_name now = worker_id (crash->site, crash->index);
+	if (!dff_name_equal (&now, &crash->id))
+		return;
+	crash->site->worker_lives[crash->index]++;
+	add_worker (crash->site, crash->index);
+}
+
+static void
+handle_crash (void *ctx, const char *id)
+{
+	struct site *site = ctx;
+	struct crash crash = {.site = site, .index = id[1] - '0', .id = dff_name_from (id)};
+	dff_virtual_loop_after (site->loop, SITE_ENTRY_LAPSE_MS, lapse_entry,
+				g_memdup2 (&crash, sizeof (crash)));
+	if (site->back_ms > 0)
+		dff_virtual_loop_after (site->loop, site->back_ms, return_crashed,
+					g_memdup2 (&crash, sizeof (crash)));
+}
+
 struct presence {
 	dff_holder_presence_func done;
 	void *user;
@@ -433,6 +487,7 @@
 open_site (struct site *site)
 {
 	site->loop = dff_virtual_loop_new (START_MS);
+	site->back_ms = BACK_MS;
 	site->rows = dff_memory_rows_new (site->loop);
 	site->accepted = g_ptr_array_new_with_free_func (g_free);
 	site->hops = g_ptr_array_new_with_free_func (site_hop_free);
@@ -440,7 +495,9 @@
 						    .describe = describe,
 						    .stop_grace_ms = 400,
 						    .gang_wait_ms = 3000,
-						    .max_attempts = SITE_MAX_ATTEMPTS};
+						    .max_attempts = SITE_MAX_ATTEMPTS,
+						    .crashed = handle_crash,
+						    .ctx = site};
 	site->runner = dff_memory_runner_new (&options);
 	for (int i = 0; i < SITE_WORKERS; i++)
 		add_worker (site, i);
--- a/tests/holder/site.h
+++ b/tests/holder/site.h
@@ -32,6 +32,8 @@
 #define SITE_DATA_CENTRES (SITE_WORKERS / SITE_PER_RACK)
 /** Time after the request at which nothing is started in an evacuated data centre, ms. */
 #define SITE_EVACUATION_MS 5000
+/** When a crashed worker is taken from the list, ms: its entry lapses. */
+#define SITE_ENTRY_LAPSE_MS 4000
 
 struct site_process {
 	struct site *site;
@@ -78,6 +80,8 @@
 	int64_t takeover_ms[SITE_PROCESSES];
 	struct dff_memory_worker_faults *workers[SITE_WORKERS];
 	int32_t worker_lives[SITE_WORKERS];
+	/** When a worker that a task has crashed is back in another life, ms; 0: it is gone. */
+	int64_t back_ms;
 	/** Elements: char *: jobs whose acceptance was confirmed. */
 	GPtrArray *accepted;
 };
--- /dev/null
+++ b/tests/holder/test-holder-crashes.c
@@ -0,0 +1,148 @@
+#include "tests/holder/site.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/log.h"
+
+/* Tasks that crash the workers that start them. The workers notice a start too many. */
+
+/** Time by which such a job is over, ms: five crashes with the workers' leases to wait for, and
+ * take-overs between. */
+#define OVER_MS 120000
+/** Starts at the most: of a task under which three workers have crashed, two more. */
+#define STARTS_MAX 5
+
+struct crash_case {
+	const char *name;
+	const char *id;
+	int32_t count;
+	bool gang;
+	int32_t accelerators;
+	/** When a crashed worker is back; 0: never. */
+	int64_t back_ms;
+	bool endless;
+	/** Whether the process that decides is killed after each crash. */
+	bool taken_over;
+	/** Whether the first orders to each worker are not answered, and carried out late. */
+	bool unanswered;
+};
+
+static int32_t
+n_lives (const struct site *site)
+{
+	int32_t lives = 0;
+	for (int i = 0; i < SITE_WORKERS; i++)
+		lives += site->worker_lives[i];
+	return lives;
+}
+
+/* Has the holder be killed each time a crashed worker is back, until the job is over. */
+static void
+run_with_take_overs (struct site *site, const char *id)
+{
+	int32_t lives = n_lives (site);
+	for (int i = 0; i < OVER_MS / 100; i++) {
+		site_run (site, 100);
+		int holder = site_holder (site);
+		if (n_lives (site) == lives || holder < 0)
+			continue;
+		lives = n_lives (site);
+		site_kill_process (site, holder);
+		site_run (site, 700);
+		site_start_process (site, holder);
+		if (strcmp (site_state (site, holder, id), "failed") == 0)
+			return;
+	}
+}
+
+/* Symptom: one task takes a worker away each three seconds until the day ends, and with it whatever
+ * else runs there. Sequence: a worker crashes as it starts the task; another life answers at its
+ * address, or its lease lapses; the task is started on the next one, and so on. */
+static void
+test_task_that_crashes_its_workers (void **state)
+{
+	const struct crash_case *at = *state;
+	struct site site;
+	site_open (&site);
+	site.back_ms = at->back_ms;
+	for (int i = 0; i < SITE_WORKERS && at->unanswered; i++) {
+		site.workers[i]->late_orders = 1;
+		site.workers[i]->late_ms = 600;
+	}
+	struct dff_plan *plan = site_plan (at->id, at->count, at->gang, at->accelerators);
+	dff_plan_step (plan, 0)->endless = at->endless;
+	assert_int_equal (site_submit (&site, 0, plan), DFF_FRONT_OK);
+	if (at->taken_over)
+		run_with_take_overs (&site, at->id);
+	int64_t took_ms = site_until (&site, at->id, "failed", OVER_MS);
+	print_message ("starts %d crashes %d\n", dff_memory_runner_n_starts (site.runner, at->id),
+		       n_lives (&site));
+	const char *violation = dff_memory_runner_violation (site.runner);
+	if (violation != NULL)
+		fail_msg ("%s", violation);
+	assert_int_not_equal (took_ms, -1);
+	site_run (&site, 10000);
+	g_autofree char *task = g_strdup_printf ("%s.0.0.%d", at->id, at->count - 1);
+	/* To be given up, a job needs a task under which two workers have crashed. */
+	assert_in_range (dff_memory_runner_n_lives_ended (site.runner, task), 2, STARTS_MAX);
+	assert_in_range (dff_memory_runner_n_starts (site.runner, task), 2, STARTS_MAX);
+	site_close (&site);
+}
+
+static struct crash_case crash_cases[] = {
+	{.name = "single", .id = "x", .count = 1, .accelerators = 1, .back_ms = 3200},
+	{.name = "lease lapses", .id = "x", .count = 1, .accelerators = 1, .back_ms = 14000},
+	{.name = "workers are gone", .id = "x", .count = 1, .accelerators = 1, .back_ms = 0},
+	{.name = "endless",
+	 .id = "x",
+	 .count = 1,
+	 .accelerators = 1,
+	 .back_ms = 3200,
+	 .endless = true},
+	{.name = "late orders",
+	 .id = "x",
+	 .count = 1,
+	 .accelerators = 1,
+	 .back_ms = 3200,
+	 .unanswered = true},
+	{.name = "take-overs",
+	 .id = "x",
+	 .count = 1,
+	 .accelerators = 1,
+	 .back_ms = 3200,
+	 .taken_over = true},
+	/* The other member has not begun, or is broken. */
+	{.name = "gang", .id = "y", .count = 2, .gang = true, .accelerators = 8, .back_ms = 3200},
+	{.name = "gang, take-overs",
+	 .id = "y",
+	 .count = 2,
+	 .gang = true,
+	 .accelerators = 8,
+	 .back_ms = 3200,
+	 .taken_over = true},
+	/* It has been seen at work before. */
+	{.name = "late crash", .id = "z", .count = 1, .accelerators = 1, .back_ms = 3200},
+	{.name = "late crash, take-overs",
+	 .id = "z",
+	 .count = 1,
+	 .accelerators = 1,
+	 .back_ms = 3200,
+	 .taken_over = true},
+};
+
+int
+main (void)
+{
+	if (getenv ("DFF_SEED_LOG") != NULL)
+		dff_log_init (DFF_LOG_INFO);
+	if (getenv ("DFF_SEED_TEST") != NULL)
+		cmocka_set_test_filter (getenv ("DFF_SEED_TEST"));
+	struct CMUnitTest tests[G_N_ELEMENTS (crash_cases)];
+	for (size_t i = 0; i < G_N_ELEMENTS (tests); i++) {
+		tests[i] = (struct CMUnitTest){.name = crash_cases[i].name,
+					       .test_func = test_task_that_crashes_its_workers,
+					       .initial_state = &crash_cases[i]};
+	}
+	return cmocka_run_group_tests (tests, NULL, NULL);
+}
