holder, core: a task that crashes its workers is given up

Cause: only ends that a worker lists as failed cost a task one of its attempts. A run that goes with its worker has no such end, and the limit on lost runs that the core has for our own interface is switched off on the platform, since the same event also tells of workers that are cut off. The class: a repetition whose price is counted only where somebody is left to report it. Ruled out: a count that take-overs forget (eight runs in one epoch). Change: a worker's end counts points against the tasks that ran there, 2 where nothing was heard of the worker soon after the run had begun, else 1, and a job is given up at 5 (holder/blame.c). The points are in the job's row before the next start. A lapsed lease counts 1 until the worker answers again; a worker that has left as it said, and a start that went to a life already over, count nothing; a minute at work clears a task. Why this holds: every crash under a task counts at least 1, so that it is started five times at the most, also across take-overs, lost answers, as a gang's member that never began, with workers that come back after their lease or never.

--- a/core/core.c
+++ b/core/core.c
@@ -22,6 +22,7 @@
 	options->start_timeout_ms = DEFAULT_START_TIMEOUT_MS;
 	options->checkpoint_grace_ms = DEFAULT_CHECKPOINT_GRACE_MS;
 	options->patient = false;
+	options->blame_limit = 0;
 	options->ageing_ms = 0.0;
 	options->quarantine_ms = 0;
 	options->at_once_share = 0.0;
@@ -285,21 +286,29 @@
 	const char *reason = refusal (core, job);
 	if (!dff_name_is_empty (&spec->region) && job->region == DFF_CORE_NONE)
 		reason = "unknown_region";
-	if (reason != NULL)
+	if (dff_core_job_is_hopeless (core, job))
+		dff_core_job_end_hopeless (core, job);
+	else if (reason != NULL)
 		dff_core_job_give_up (core, job, reason);
 	else
 		dff_core_enqueue (core, job);
 }
 
 static void
-handle_job_event (struct dff_core *core, const struct dff_event *event)
+handle_known_job_event (struct dff_core *core, const struct dff_event *event)
 {
-	if (event->type == DFF_EVENT_JOB_CANCELLED) {
-		struct dff_core_job *job = dff_core_find_job (core, &event->job);
-		if (job != NULL)
-			dff_core_job_cancel (core, job);
+	struct dff_core_job *job = dff_core_find_job (core, &event->job);
+	if (job == NULL)
 		return;
-	}
+	if (event->type == DFF_EVENT_JOB_CANCELLED)
+		dff_core_job_cancel (core, job);
+	else
+		job->blame = (int8_t)CLAMP (event->blame, 0, INT8_MAX);
+}
+
+static void
+handle_job_event (struct dff_core *core, const struct dff_event *event)
+{
 	if (dff_core_find_job (core, &event->spec->id) != NULL)
 		return;
 	if (event->type == DFF_EVENT_JOB_RECOVERED) {
@@ -370,9 +379,12 @@
 	switch (event->type) {
 	case DFF_EVENT_JOB_SUBMITTED:
 	case DFF_EVENT_JOB_RECOVERED:
-	case DFF_EVENT_JOB_CANCELLED:
 		handle_job_event (core, event);
 		return;
+	case DFF_EVENT_JOB_CANCELLED:
+	case DFF_EVENT_JOB_BLAMED:
+		handle_known_job_event (core, event);
+		return;
 	case DFF_EVENT_WORKER_STATE:
 		handle_worker_event (core, event);
 		return;
--- a/core/core_private.h
+++ b/core/core_private.h
@@ -149,6 +149,12 @@
 		       enum dff_outcome outcome,
 		       const char *reason);
 
+/** Returns: whether too many workers have ended under it. */
+bool dff_core_job_is_hopeless (const struct dff_core *core, const struct dff_core_job *job);
+
+/** Ends a job that is hopeless and holds no attempt. */
+void dff_core_job_end_hopeless (struct dff_core *core, struct dff_core_job *job);
+
 /** Ends a job that holds no attempt: not_run when nothing of it ever ran, else failed. */
 void dff_core_job_give_up (struct dff_core *core, struct dff_core_job *job, const char *reason);
 
--- a/core/core_tables.h
+++ b/core/core_tables.h
@@ -276,6 +276,8 @@
 	bool wants_cover;
 	/** 0 to DFF_CORE_PRIORITIES - 1. */
 	int8_t priority;
+	/** Points against it for workers that ended under it. */
+	int8_t blame;
 	int32_t attempt;
 	/** Times that it was preempted after it may have run. */
 	int32_t preemptions;
--- a/core/outcome.c
+++ b/core/outcome.c
@@ -22,6 +22,22 @@
 	dff_core_job_end (core, job, outcome, reason);
 }
 
+/* Symptom: one job takes a worker away every few seconds, with all that runs there, and is never
+ * over. Cause: a run that goes with its worker is nobody's failure, so that it cost its job no
+ * attempt. Who shared a worker with such a job must not be ended for it: what counts against a job
+ * is weighed by whoever reports it, and survives a change of the process that decides. */
+bool
+dff_core_job_is_hopeless (const struct dff_core *core, const struct dff_core_job *job)
+{
+	return core->options.blame_limit > 0 && job->blame >= core->options.blame_limit;
+}
+
+void
+dff_core_job_end_hopeless (struct dff_core *core, struct dff_core_job *job)
+{
+	dff_core_job_end (core, job, DFF_OUTCOME_FAILED, "workers_crashed");
+}
+
 struct attempt_summary {
 	int32_t completed, failed, lost, start_failed;
 	bool any_ran;
@@ -134,7 +150,9 @@
 		dff_core_job_end (core, job, DFF_OUTCOME_CANCELLED, "cancelled");
 		return;
 	}
-	if (!sum.any_ran)
+	if (dff_core_job_is_hopeless (core, job))
+		dff_core_job_end_hopeless (core, job);
+	else if (!sum.any_ran)
 		over_unrun (core, job, &sum);
 	else
 		over_repeatable (core, job, &sum);
--- a/graph/progress.c
+++ b/graph/progress.c
@@ -210,6 +210,34 @@
 	dff_progress_task (progress, unit->occurrence, unit->step, index)->state = DFF_TASK_FAILED;
 }
 
+/* Symptom: a task is blamed twice for one worker. Sequence: a gang's member is lost with its
+ * worker, which is recorded; the process that decides ends before the other members are over; the
+ * next one finds the worker gone as well. */
+bool
+dff_progress_note_lost (struct dff_progress *progress, const struct dff_unit *unit, int32_t index)
+{
+	struct dff_task *task = dff_progress_task (progress, unit->occurrence, unit->step, index);
+	if (task->state != DFF_TASK_ASSIGNED)
+		return false;
+	task->state = DFF_TASK_LOST;
+	return true;
+}
+
+int32_t
+dff_progress_blame (const struct dff_progress *progress,
+		    const struct dff_plan *plan,
+		    const struct dff_unit *unit)
+{
+	struct dff_unit_tasks tasks = dff_unit_tasks (plan, unit);
+	int32_t blame = 0;
+	for (int32_t i = tasks.first; i < tasks.end; i++) {
+		const struct dff_task *task =
+			dff_progress_task (progress, unit->occurrence, unit->step, i);
+		blame = MAX (blame, task->blame);
+	}
+	return blame;
+}
+
 void
 dff_progress_save (struct dff_progress *progress,
 		   const struct dff_plan *plan,
--- a/graph/progress_row.c
+++ b/graph/progress_row.c
@@ -7,8 +7,8 @@
  * The row: {"state": NAME, "workers": [NAME...], "steps": [[POSITION, [TASK...]]...]}. POSITION
  * counts steps over all occurrences; steps of which nothing has begun are left out, as are all
  * steps of a job that is over. TASK is 0 for one that has not begun, 1 for one that is done, else
- * [STATE, RUN, FAILURES, WORKER, CHECKPOINT], where WORKER counts in "workers" and CHECKPOINT is
- * left out when there is none.
+ * [STATE, RUN, FAILURES, WORKER, CHECKPOINT, BLAME], where WORKER counts in "workers"; what is
+ * empty or 0 at the end is left out.
  */
 
 /** Length beyond which a row is written without checkpoints, bytes: in base64 it has to stay below
@@ -49,8 +49,11 @@
 		return json_integer (0);
 	json_t *value = json_pack ("[i, i, i, i]", (int)task->state, task->run, task->failures,
 				   worker_place (names, &task->worker));
-	if (checkpoints && task->checkpoint != NULL)
-		json_array_append_new (value, json_string (task->checkpoint));
+	const char *checkpoint = checkpoints && task->checkpoint != NULL ? task->checkpoint : "";
+	if (checkpoint[0] != '\0' || task->blame > 0)
+		json_array_append_new (value, json_string (checkpoint));
+	if (task->blame > 0)
+		json_array_append_new (value, json_integer (task->blame));
 	return value;
 }
 
@@ -133,6 +136,7 @@
 	const json_t *checkpoint = json_array_get (value, 4);
 	if (json_string_length (checkpoint) > 0)
 		task->checkpoint = g_strdup (json_string_value (checkpoint));
+	task->blame = (int32_t)json_integer_value (json_array_get (value, 5));
 }
 
 static bool
--- /dev/null
+++ b/holder/blame.c
@@ -0,0 +1,154 @@
+#include "holder/holder_private.h"
+
+#include "common/log.h"
+#include "holder/policy.h"
+
+/* Which tasks end the workers that start them. A worker that ends takes all its runs along, and
+ * mostly none of them is to blame, or one. So each run's task gets points, and the core gives a job
+ * up at a limit that a task which always ends its worker reaches soon, and others hardly ever:
+ *
+ * - Most for a run that had begun, and of whose worker nothing was heard soon after: what ends
+ *   workers does so as it starts. Less for what was seen at work there, for what a former holder
+ *   started, and for a start that nobody knows the fate of.
+ * - Little for a lease that has lapsed, because the worker may be cut off; nothing once it answers
+ *   again. But something: a worker that has crashed may be back after its lease, or never.
+ * - None where the worker has left as it said, or where the start was surely not carried out. A run
+ * that went on for long clears its task of what came before.
+ *
+ * The points are in the job's row, written before the task's next start: each process that decides
+ * counts on. Points for a lapsed lease are only taken back by the process that has given them. */
+
+/** How long after its start a run has to be seen at work to have survived it, ms. */
+#define SURVIVED_MS 300
+/** The same to clear its task, ms. */
+#define CLEARED_MS 60000
+/** Time within which a call reaches a worker that is there, and has its answer, ms. */
+#define ANSWER_MS 100
+
+const char *
+blame_loss_name (enum holder_loss loss)
+{
+	static const char *const names[] = {
+		[DFF_LOSS_OTHER_LIFE] = "other_life",
+		[DFF_LOSS_LEASE_LAPSED] = "lease_lapsed",
+	};
+	return names[loss];
+}
+
+/* Symptom without the look at the time: jobs that are started just as many workers have come back
+ * are given up. Cause: their starts had gone to lives that were over by then, and were on their way
+ * when another life answered. A worker that crashes over a start is away for longer. */
+static bool
+may_have_begun (const struct dff_holder *holder, const struct holder_run *run)
+{
+	if (run->ran || run->inherited)
+		return true;
+	/* It was sent when the worker had been gone for a while. */
+	int64_t silent_from_ms = run->worker->silent_from_ms;
+	if (silent_from_ms > 0 && run->sent_ms >= silent_from_ms + ANSWER_MS)
+		return false;
+	bool awaited = run->calling && run->sent_ms > 0 &&
+		       holder_now_ms (holder) - run->sent_ms >= ANSWER_MS;
+	return run->n_unanswered > 0 || awaited;
+}
+
+/* How long its worker was heard of since it was first known to be at work there, ms, on the
+ * worker's clock. */
+static int64_t
+seen_ms (const struct holder_run *run)
+{
+	return run->begun_clock_ms > 0 ? run->worker->clock_ms - run->begun_clock_ms : 0;
+}
+
+/* Whether it was there for as long as it had told that it would be. */
+static bool
+has_left (const struct dff_holder *holder, const struct holder_worker *worker)
+{
+	int64_t gone_ms =
+		worker->silent_from_ms > 0 ? worker->silent_from_ms : holder_now_ms (holder);
+	return worker->leaves_ms > 0 && gone_ms >= worker->leaves_ms - ANSWER_MS;
+}
+
+static int32_t
+points_for (const struct dff_holder *holder, const struct holder_run *run, enum holder_loss loss)
+{
+	if (has_left (holder, run->worker) || !may_have_begun (holder, run))
+		return 0;
+	bool fresh = run->ran && !run->inherited && seen_ms (run) < SURVIVED_MS;
+	return loss == DFF_LOSS_OTHER_LIFE && fresh ? DFF_POLICY_BLAME_FRESH
+						    : DFF_POLICY_BLAME_SEEN;
+}
+
+/* Has the core, and the row, go by what a task is blamed for now. */
+static void
+tell_blame (struct dff_holder *holder, struct holder_job *job, const struct dff_unit *at)
+{
+	struct dff_event event = {.type = DFF_EVENT_JOB_BLAMED,
+				  .job = dff_unit_name (job->plan, at),
+				  .blame = dff_progress_blame (job->progress, job->plan, at)};
+	dff_core_handle_event (holder->core, &event, holder_now_ms (holder));
+	commit_mark (holder, job);
+}
+
+static void
+remember_blamed (struct holder_worker *worker, const struct dff_name *task)
+{
+	if (worker->blamed == NULL)
+		worker->blamed = g_array_new (FALSE, FALSE, sizeof (struct dff_name));
+	g_array_append_val (worker->blamed, *task);
+}
+
+void
+blame_lost_run (struct dff_holder *holder, struct holder_run *run, enum holder_loss loss)
+{
+	const struct holder_unit *unit = run->unit;
+	struct holder_job *job = unit->job;
+	int32_t index = MAX (unit->unit.index, 0) + run->member;
+	struct dff_task *task =
+		dff_progress_task (job->progress, unit->unit.occurrence, unit->unit.step, index);
+	int32_t points = 0;
+	if (dff_progress_note_lost (job->progress, &unit->unit, index)) {
+		points = points_for (holder, run, loss);
+		task->blame = seen_ms (run) >= CLEARED_MS ? 0 : task->blame + points;
+		if (points > 0 && loss == DFF_LOSS_LEASE_LAPSED)
+			remember_blamed (run->worker, &run->task);
+		tell_blame (holder, job, &unit->unit);
+	}
+	dff_log (
+		DFF_LOG_CELL, DFF_LOG_WARNING,
+		"Run lost. task=%s run=%d worker=%s reason=%s ran=%d unanswered=%d open_ms=%" PRId64
+		" seen_ms=%" PRId64 " points=%d blame=%d",
+		run->task.data, run->run, run->worker->upstream.id.data, blame_loss_name (loss),
+		run->ran, run->n_unanswered, holder_now_ms (holder) - run->open_ms, seen_ms (run),
+		points, task->blame);
+}
+
+static void
+withdraw_from (struct dff_holder *holder, const struct dff_name *name)
+{
+	struct dff_task_ref ref;
+	if (!dff_task_ref_parse ((struct dff_str){name->data, name->len}, &ref))
+		return;
+	struct holder_job *job = g_hash_table_lookup (holder->jobs, &ref.job);
+	if (job == NULL || dff_job_state_is_final (job->progress->state))
+		return;
+	struct dff_task *task =
+		dff_progress_task (job->progress, ref.occurrence, ref.step, ref.index);
+	task->blame = MAX (task->blame - DFF_POLICY_BLAME_SEEN, 0);
+	bool gang = dff_plan_step (job->plan, ref.step)->gang;
+	struct dff_unit at = {
+		.occurrence = ref.occurrence, .step = ref.step, .index = gang ? -1 : ref.index};
+	dff_log (DFF_LOG_CELL, DFF_LOG_INFO, "Blame withdrawn. task=%s blame=%d", name->data,
+		 task->blame);
+	tell_blame (holder, job, &at);
+}
+
+void
+blame_withdraw (struct dff_holder *holder, struct holder_worker *worker)
+{
+	if (worker->blamed == NULL)
+		return;
+	g_autoptr (GArray) blamed = g_steal_pointer (&worker->blamed);
+	for (guint i = 0; i < blamed->len; i++)
+		withdraw_from (holder, &g_array_index (blamed, struct dff_name, i));
+}
--- a/holder/holder_private.h
+++ b/holder/holder_private.h
@@ -33,6 +33,14 @@
 	DFF_RUN_PHASE_STOPPING,
 };
 
+/** Why every run at a worker is over. */
+enum holder_loss {
+	/** Another life answers at its address. */
+	DFF_LOSS_OTHER_LIFE,
+	/** It was not heard for as long as its lease lasts. It may live on and be cut off. */
+	DFF_LOSS_LEASE_LAPSED,
+};
+
 struct commit_call;
 struct holder_unit;
 struct holder_worker;
@@ -57,6 +65,12 @@
 	bool calling;
 	/** Starts without an answer: any of them may still be carried out. */
 	int32_t n_unanswered;
+	/** Whether a former holder has recorded it as open, and may have sent it. */
+	bool inherited;
+	/** When its start was sent first; 0: not by this process. */
+	int64_t sent_ms;
+	/** The worker's clock when it was first known to be at work; 0: it is not. */
+	int64_t begun_clock_ms;
 	/** When the next call is due. */
 	int64_t next_ms;
 	/** When the worker answered the stop; 0: not yet. */
@@ -87,6 +101,9 @@
 	int64_t deadline_ms;
 	/** Begin of the last watch that was answered. */
 	int64_t heard_ms;
+	/** Since when calls have had no answer, for all that is known by now; 0: there was one
+	 * since. */
+	int64_t silent_from_ms;
 	/** Calls in a row without an answer. */
 	int32_t n_silent;
 	bool watching;
@@ -103,6 +120,8 @@
 	enum dff_worker_state state;
 	/** struct dff_name * (in the run) to struct holder_run. */
 	GHashTable *runs;
+	/** (nullable): tasks blamed for its lapsed lease. Elements: struct dff_name. */
+	GArray *blamed;
 };
 
 struct holder_job {
@@ -654,12 +673,26 @@
  */
 int64_t watch_deadline_ms (const struct dff_holder *holder, const struct holder_worker *worker);
 
-/** Takes in the clock of an answer. */
+/** Takes in the clock of an answer of the life in question; 0: it tells none. */
 void watch_note_clock (struct dff_holder *holder, struct holder_worker *worker, int64_t clock_ms);
 
+/** Takes in that a call which should have been answered from @from_ms on was not. */
+void watch_note_silent (struct holder_worker *worker, int64_t from_ms);
+
 /** Every run at a worker is over: its lease has lapsed or it is gone. */
 void
-watch_lose_worker (struct dff_holder *holder, struct holder_worker *worker, const char *reason);
+watch_lose_worker (struct dff_holder *holder, struct holder_worker *worker, enum holder_loss loss);
+
+/* blame.c */
+
+/** Returns: the name of a loss in the log. Static. */
+const char *blame_loss_name (enum holder_loss loss);
+
+/** Counts against a run's task that its worker is gone, before the run is settled. */
+void blame_lost_run (struct dff_holder *holder, struct holder_run *run, enum holder_loss loss);
+
+/** Takes back what counts for a worker's lapsed lease: its life goes on. */
+void blame_withdraw (struct dff_holder *holder, struct holder_worker *worker);
 
 /* runs.c */
 
--- a/holder/runs.c
+++ b/holder/runs.c
@@ -140,6 +140,15 @@
 		dff_core_handle_event (holder->core, &event, holder_now_ms (holder));
 }
 
+/* An answer of its worker has just told that it is there. */
+static void
+note_begun (struct holder_run *run)
+{
+	run->ran = true;
+	if (run->begun_clock_ms == 0)
+		run->begun_clock_ms = run->worker->clock_ms;
+}
+
 void
 run_note_open (struct dff_holder *holder, struct holder_run *run, const struct dff_run_open *open)
 {
@@ -155,7 +164,7 @@
 	}
 	if (!run->ran)
 		unit_note_started (holder, unit);
-	run->ran = true;
+	note_begun (run);
 	if (run->phase != DFF_RUN_PHASE_STARTING)
 		return;
 	run_set_phase (holder, run, DFF_RUN_PHASE_OPEN);
@@ -244,7 +253,7 @@
 	switch (result->outcome) {
 	case DFF_RUNNER_DONE:
 		run_set_phase (holder, run, DFF_RUN_PHASE_OPEN);
-		run->ran = true;
+		note_begun (run);
 		run->open_ms = now_ms;
 		run->percent_ms = now_ms;
 		unit_note_started (holder, run->unit);
@@ -284,6 +293,18 @@
 	watch_look (holder, run->worker);
 }
 
+/* The life that answered has not carried the order out. */
+static void
+note_other_life (struct dff_holder *holder,
+		 struct holder_worker *worker,
+		 const struct order_call *order)
+{
+	struct holder_run *run = g_hash_table_lookup (worker->runs, &order->task);
+	if (run != NULL && run->run == order->run)
+		run->calling = false;
+	watch_lose_worker (holder, worker, DFF_LOSS_OTHER_LIFE);
+}
+
 static void
 handle_order (void *user, const struct dff_runner_result *result)
 {
@@ -293,15 +314,17 @@
 		holder != NULL ? workers_find (holder, &order->worker) : NULL;
 	if (worker == NULL)
 		return;
+	if (result->outcome == DFF_RUNNER_OTHER_LIFE) {
+		note_other_life (holder, worker, order);
+		return;
+	}
 	watch_note_clock (holder, worker, result->clock_ms);
 	if (result->outcome == DFF_RUNNER_STALE_EPOCH) {
 		lease_stand_down (holder, "worker_saw_higher_epoch");
 		return;
 	}
-	if (result->outcome == DFF_RUNNER_OTHER_LIFE) {
-		watch_lose_worker (holder, worker, "other_life");
-		return;
-	}
+	if (result->outcome == DFF_RUNNER_UNKNOWN)
+		watch_note_silent (worker, order->call.begun_ms);
 	struct holder_run *run = g_hash_table_lookup (worker->runs, &order->task);
 	if (run == NULL || run->run != order->run)
 		return;
@@ -313,7 +336,7 @@
 	else if (!order->is_stop && result->outcome == DFF_RUNNER_UNKNOWN)
 		run->n_unanswered++;
 	else if (!order->is_stop && result->outcome == DFF_RUNNER_DONE)
-		run->ran = true;
+		note_begun (run);
 }
 
 static struct order_call *
@@ -347,6 +370,8 @@
 		if (order.deadline_ms == 0)
 			order.deadline_ms = worker->deadline_ms;
 		run->worker->deadline_ms = MAX (worker->deadline_ms, order.deadline_ms);
+		if (run->sent_ms == 0)
+			run->sent_ms = holder_now_ms (holder);
 		(*holder->metrics.starts)++;
 	}
 	struct order_call *call = order_call_new (holder, worker, is_stop);
--- a/holder/units.c
+++ b/holder/units.c
@@ -55,6 +55,7 @@
 		.idempotent = true,
 		.declared_ms = step->estimate_ms,
 		.max_attempts = attempts_left (unit),
+		.blame = dff_progress_blame (unit->job->progress, plan, &unit->unit),
 		.label = step->label,
 		.per_worker = step->per_worker,
 		.weight = dff_policy_weight (plan->priority, step->gang ? 1 : step->count),
@@ -89,13 +90,16 @@
 recover_run (struct dff_holder *holder, struct holder_unit *unit, int32_t member)
 {
 	const struct dff_task *task = member_task (unit, member);
-	if (task->state == DFF_TASK_FAILED) {
-		jobs_emit (holder, &unit->name, unit->attempt, member, DFF_EVENT_TASK_FAILED, true);
+	if (task->state == DFF_TASK_FAILED || task->state == DFF_TASK_LOST) {
+		enum dff_event_type type = task->state == DFF_TASK_FAILED ? DFF_EVENT_TASK_FAILED
+									  : DFF_EVENT_TASK_LOST;
+		jobs_emit (holder, &unit->name, unit->attempt, member, type, true);
 		return;
 	}
 	struct holder_worker *worker = workers_intern (holder, &task->worker);
 	struct holder_run *run = run_new (holder, unit, member, worker, DFF_RUN_PHASE_OPEN);
 	run->run = task->run;
+	run->inherited = true;
 	run->checkpoint = g_strdup (task->checkpoint);
 }
 
@@ -256,7 +260,9 @@
 	struct holder_job *job = unit->job;
 	struct dff_unit at = unit->unit;
 	bool final = dff_job_state_is_final (job->progress->state);
-	bool endless = dff_plan_step (job->plan, at.step)->endless && !final;
+	/* Work without end is given up for what it does to its workers alone. */
+	bool endless = dff_plan_step (job->plan, at.step)->endless && !final &&
+		       command->outcome != DFF_OUTCOME_FAILED;
 	if (endless || command->outcome != DFF_OUTCOME_COMPLETED)
 		clear_assignment (holder, unit);
 	else if (!final)
--- a/holder/watch.c
+++ b/holder/watch.c
@@ -41,17 +41,28 @@
 	struct dff_name worker;
 	/** Whether it is a look beside the waiting call. */
 	bool look;
+	/** How long the worker may hold its answer back. */
+	int32_t wait_ms;
 };
 
 void
 watch_note_clock (struct dff_holder *holder, struct holder_worker *worker, int64_t clock_ms)
 {
+	if (clock_ms > 0)
+		worker->silent_from_ms = 0;
 	if (clock_ms <= worker->clock_ms)
 		return;
 	worker->clock_ms = clock_ms;
 	worker->clock_read_ms = holder_now_ms (holder);
 }
 
+void
+watch_note_silent (struct holder_worker *worker, int64_t from_ms)
+{
+	if (worker->silent_from_ms == 0 || from_ms < worker->silent_from_ms)
+		worker->silent_from_ms = from_ms;
+}
+
 static int32_t
 wait_ms (const struct dff_holder *holder)
 {
@@ -80,24 +91,16 @@
 	return worker->clock_read_ms + (int64_t)ceil (left_ms) + LAPSE_MARGIN_MS;
 }
 
-/* One line a run, so that one sees which tasks were there whenever workers end. */
 static void
-lose_run (struct dff_holder *holder, struct holder_run *run, const char *reason)
+lose_run (struct dff_holder *holder, struct holder_run *run, enum holder_loss loss)
 {
-	const struct holder_worker *worker = run->worker;
-	dff_log (
-		DFF_LOG_CELL, DFF_LOG_WARNING,
-		"Run lost. task=%s run=%d worker=%s reason=%s ran=%d unanswered=%d open_ms=%" PRId64
-		" seen_ms=%" PRId64,
-		run->task.data, run->run, worker->upstream.id.data, reason, run->ran,
-		run->n_unanswered, holder_now_ms (holder) - run->open_ms,
-		MAX (worker->heard_ms - run->open_ms, 0));
+	blame_lost_run (holder, run, loss);
 	(*holder->metrics.runs_lost)++;
 	run_settle (holder, run, DFF_EVENT_TASK_LOST, run->ran);
 }
 
 void
-watch_lose_worker (struct dff_holder *holder, struct holder_worker *worker, const char *reason)
+watch_lose_worker (struct dff_holder *holder, struct holder_worker *worker, enum holder_loss loss)
 {
 	bool known = worker->gone && g_hash_table_size (worker->runs) == 0;
 	if (known)
@@ -105,13 +108,13 @@
 	dff_log (DFF_LOG_UPSTREAM, DFF_LOG_WARNING,
 		 "Worker's runs are over. worker=%s reason=%s runs=%u heard_ms_ago=%" PRId64
 		 " deadline_ms=%" PRId64 " clock_ms=%" PRId64,
-		 worker->upstream.id.data, reason, g_hash_table_size (worker->runs),
+		 worker->upstream.id.data, blame_loss_name (loss), g_hash_table_size (worker->runs),
 		 worker->heard_ms > 0 ? holder_now_ms (holder) - worker->heard_ms : -1,
 		 worker->deadline_ms, worker->clock_ms);
 	(*holder->metrics.lapsed_workers)++;
 	g_autoptr (GList) runs = g_hash_table_get_values (worker->runs);
 	for (GList *link = runs; link != NULL; link = link->next)
-		lose_run (holder, link->data, reason);
+		lose_run (holder, link->data, loss);
 	worker->gone = true;
 	worker_set_state (holder, worker);
 }
@@ -196,6 +199,7 @@
 			/* Recorded by a former holder that did not get to send it, or forgotten by
 			 * the worker: sent again, it tells which. */
 			run_set_phase (holder, run, DFF_RUN_PHASE_STARTING);
+			run->inherited = false;
 			run->next_ms = 0;
 		}
 	}
@@ -263,6 +267,7 @@
 	worker->heard_ms = MAX (worker->heard_ms, begun_ms);
 	worker->n_silent = 0;
 	worker->gone = false;
+	blame_withdraw (holder, worker);
 	worker_set_state (holder, worker);
 	take_lists (holder, worker, result, begun_ms);
 }
@@ -291,10 +296,11 @@
 		lease_stand_down (holder, "worker_saw_higher_epoch");
 		return;
 	case DFF_RUNNER_OTHER_LIFE:
-		watch_lose_worker (holder, worker, "other_life");
+		watch_lose_worker (holder, worker, DFF_LOSS_OTHER_LIFE);
 		worker->next_watch_ms = now_ms + PROBE_TIMEOUT_MS;
 		return;
 	default:
+		watch_note_silent (worker, watch->call.begun_ms + watch->wait_ms);
 		worker->n_silent++;
 		worker->next_watch_ms = now_ms + PROBE_EVERY_MS;
 		worker_set_state (holder, worker);
@@ -319,6 +325,7 @@
 		.timeout_ms = waits ? wait_ms (holder) + PATIENCE_MS : PROBE_TIMEOUT_MS,
 	};
 	worker->deadline_ms = MAX (worker->deadline_ms, watch.deadline_ms);
+	call->wait_ms = watch.wait_ms;
 	if (look)
 		worker->looking = true;
 	else
@@ -358,7 +365,7 @@
 	while (g_hash_table_iter_next (&iter, NULL, &value)) {
 		struct holder_worker *worker = value;
 		if (g_hash_table_size (worker->runs) > 0 && now_ms >= lapse_ms (holder, worker))
-			watch_lose_worker (holder, worker, "lease_lapsed");
+			watch_lose_worker (holder, worker, DFF_LOSS_LEASE_LAPSED);
 		if (needs_watch (worker) && now_ms >= worker->next_watch_ms &&
 		    !waits_for_record (worker, now_ms))
 			send_watch (holder, worker, false);
--- a/holder/workers.c
+++ b/holder/workers.c
@@ -20,6 +20,7 @@
 {
 	struct holder_worker *worker = data;
 	g_hash_table_unref (worker->runs);
+	g_clear_pointer (&worker->blamed, g_array_unref);
 	g_free (worker);
 }
 
--- a/include/core/core.h
+++ b/include/core/core.h
@@ -41,6 +41,9 @@
 	/** Jobs that no worker could hold wait for one, and lost or rejected attempts are repeated
 	 * without limit: the list of workers lags, so that today's answer may be wrong. */
 	bool patient;
+	/** Points against a job, for workers that ended under it, at which it is given up; 0: it
+	 * never is for that reason. */
+	int32_t blame_limit;
 	/** Wait after which a job's score is divided by four, on top of its own estimate, ms; 0:
 	 * what the pool's weights say. */
 	double ageing_ms;
@@ -114,6 +117,9 @@
 	DFF_EVENT_JOB_SUBMITTED, /**< A job's row is committed. @spec. */
 	DFF_EVENT_JOB_RECOVERED, /**< A row found at take-over. @spec, @recovered. */
 	DFF_EVENT_JOB_CANCELLED, /**< @job. */
+	/** @job, @blame: what counts against it now for workers that ended under it. Told before
+	 * the loss of the run that it is about. */
+	DFF_EVENT_JOB_BLAMED,
 	DFF_EVENT_ATTEMPT_RECORDED,
 	DFF_EVENT_ATTEMPT_REFUSED,
 	DFF_EVENT_OUTCOME_RECORDED,
@@ -165,6 +171,7 @@
 	enum dff_worker_state worker_state;
 	/** With DFF_WORKER_LEAVING: how long the worker is there still, ms; 0: not known. */
 	int64_t leaves_in_ms;
+	int32_t blame;
 	bool ran;
 	int32_t percent;
 };
--- a/include/core/job.h
+++ b/include/core/job.h
@@ -58,6 +58,9 @@
 	int64_t declared_ms;
 	/** Attempts at the most; 1 for work that is not idempotent. */
 	int32_t max_attempts;
+	/** What is on record against it for workers that ended under it, in points: see
+	 * dff_core_options. */
+	int32_t blame;
 	/** Label that each worker must have; empty: none. */
 	struct dff_name label;
 	/** Rack that the job's data is in; empty: none. Elsewhere it is slower. */
--- a/include/graph/progress.h
+++ b/include/graph/progress.h
@@ -43,13 +43,15 @@
 	/** The recorded run has failed, and that is counted. Members of its gang may not be over
 	 * yet. */
 	DFF_TASK_FAILED,
+	/** The same, lost with its worker: what that says of the task is in its blame. */
+	DFF_TASK_LOST,
 };
 
 /** Whether a run is on record that may not be over for all members of its unit. */
 static inline bool
 dff_task_state_is_open (enum dff_task_state state)
 {
-	return state == DFF_TASK_ASSIGNED || state == DFF_TASK_FAILED;
+	return state == DFF_TASK_ASSIGNED || state == DFF_TASK_FAILED || state == DFF_TASK_LOST;
 }
 
 struct dff_task {
@@ -58,6 +60,8 @@
 	int32_t run;
 	/** Runs that ended as failed: of a gang, those in which any member did. */
 	int32_t failures;
+	/** What counts against it for workers that ended while they ran it, in points. */
+	int32_t blame;
 	/** Worker of the open run. */
 	struct dff_name worker;
 	/** (nullable): what the last run saved last. */
@@ -141,6 +145,22 @@
 			  const struct dff_plan *plan,
 			  const struct dff_unit *unit);
 
+/**
+ * dff_progress_note_lost:
+ * @index: the task, of a unit whose run is on record
+ *
+ * Notes that the recorded run was lost with its worker.
+ *
+ * Returns: whether that is new. If not, its blame is on record already.
+ */
+bool
+dff_progress_note_lost (struct dff_progress *progress, const struct dff_unit *unit, int32_t index);
+
+/** Returns: the largest blame of a unit's tasks. */
+int32_t dff_progress_blame (const struct dff_progress *progress,
+			    const struct dff_plan *plan,
+			    const struct dff_unit *unit);
+
 /** Keeps what a task, or any member of its gang, saved. */
 void dff_progress_save (struct dff_progress *progress,
 			const struct dff_plan *plan,
--- /dev/null
+++ b/tests/core/test-blamed-jobs.c
@@ -0,0 +1,176 @@
+#include "core_fixture.h"
+
+#include <string.h>
+
+/* Jobs that are blamed for the ends of their workers. */
+
+#define N_RACKS 2
+#define PER_RACK 3
+#define ACCELERATORS 8
+#define BLAME_LIMIT 5
+
+struct fixture {
+	struct dff_core *core;
+	struct dff_pool pool;
+	GArray *commands;
+	int64_t now_ms;
+};
+
+static void
+begin (struct fixture *fixture, int32_t blame_limit)
+{
+	struct dff_core_options options;
+	dff_core_options_init (&options);
+	options.patient = true;
+	options.blame_limit = blame_limit;
+	*fixture = (struct fixture){
+		.core = dff_core_new (&options),
+		.commands = g_array_new (FALSE, TRUE, sizeof (struct dff_command)),
+	};
+	fixture_pool_init (&fixture->pool, N_RACKS, PER_RACK, ACCELERATORS);
+	fixture_pool_add_team (&fixture->pool, "a", 0, 0);
+	dff_core_set_pool (fixture->core, &fixture->pool, 0);
+	for (int i = 0; i < N_RACKS * PER_RACK; i++) {
+		g_autofree char *worker = g_strdup_printf ("w%d", i);
+		fixture_worker_state (fixture->core, worker, DFF_WORKER_UP);
+	}
+}
+
+static void
+end (struct fixture *fixture)
+{
+	g_array_unref (fixture->commands);
+	dff_core_free (fixture->core);
+	fixture_pool_clear (&fixture->pool);
+}
+
+static void
+submit (struct fixture *fixture, const char *id, int32_t gang, int32_t accelerators, int32_t blame)
+{
+	struct dff_job_spec spec = fixture_spec (id, gang, accelerators);
+	spec.blame = blame;
+	struct dff_event event = {.type = DFF_EVENT_JOB_SUBMITTED, .spec = &spec};
+	dff_core_handle_event (fixture->core, &event, fixture->now_ms);
+}
+
+static void
+tell (struct fixture *fixture,
+      const char *id,
+      int32_t attempt,
+      int32_t member,
+      enum dff_event_type type)
+{
+	struct dff_event event = {
+		.type = type, .job = dff_name_from (id), .attempt = attempt, .member = member};
+	dff_core_handle_event (fixture->core, &event, fixture->now_ms);
+}
+
+static void
+blame (struct fixture *fixture, const char *id, int32_t points)
+{
+	struct dff_event event = {
+		.type = DFF_EVENT_JOB_BLAMED, .job = dff_name_from (id), .blame = points};
+	dff_core_handle_event (fixture->core, &event, fixture->now_ms);
+}
+
+/* Returns: (nullable): the first command of a type about a job, in the next tick. */
+static const struct dff_command *
+next_command (struct fixture *fixture, const char *id, enum dff_command_type type)
+{
+	dff_core_tick (fixture->core, fixture->now_ms, fixture->commands);
+	for (guint i = 0; i < fixture->commands->len; i++) {
+		const struct dff_command *command =
+			&g_array_index (fixture->commands, struct dff_command, i);
+		if (command->type == type && strcmp (command->job.data, id) == 0)
+			return command;
+	}
+	return NULL;
+}
+
+/* Has the next attempt of a job be recorded, and so many of its members be started. */
+static void
+start_attempt (struct fixture *fixture, const char *id, int32_t attempt, int32_t n_started)
+{
+	assert_non_null (next_command (fixture, id, DFF_COMMAND_RECORD_START));
+	tell (fixture, id, attempt, 0, DFF_EVENT_ATTEMPT_RECORDED);
+	for (int32_t i = 0; i < n_started; i++)
+		tell (fixture, id, attempt, i, DFF_EVENT_TASK_STARTED);
+}
+
+/* A job is given up at the limit, at the end of the attempt; whether all of a gang had begun by
+ * then, or nothing had, makes no difference. */
+static void
+test_given_up_at_the_limit (void **state)
+{
+	(void)state;
+	static const struct {
+		int32_t limit;
+		int32_t gang;
+		int32_t n_started;
+		int32_t blame;
+		bool ends;
+	} cases[] = {
+		{BLAME_LIMIT, 1, 1, BLAME_LIMIT - 1, false}, {BLAME_LIMIT, 1, 1, BLAME_LIMIT, true},
+		{BLAME_LIMIT, 1, 0, BLAME_LIMIT, true},      {BLAME_LIMIT, 2, 1, BLAME_LIMIT, true},
+		{BLAME_LIMIT, 2, 2, BLAME_LIMIT + 1, true},  {0, 1, 1, BLAME_LIMIT, false},
+	};
+	for (size_t i = 0; i < G_N_ELEMENTS (cases); i++) {
+		struct fixture fixture;
+		begin (&fixture, cases[i].limit);
+		submit (&fixture, "j", cases[i].gang, ACCELERATORS, 0);
+		start_attempt (&fixture, "j", 1, cases[i].n_started);
+		blame (&fixture, "j", cases[i].blame);
+		for (int32_t j = 0; j < cases[i].gang; j++)
+			tell (&fixture, "j", 1, j, DFF_EVENT_TASK_LOST);
+		const struct dff_command *over =
+			next_command (&fixture, "j", DFF_COMMAND_RECORD_END);
+		assert_int_equal (over != NULL, cases[i].ends);
+		if (over != NULL) {
+			assert_int_equal (over->outcome, DFF_OUTCOME_FAILED);
+			assert_string_equal (over->reason, "workers_crashed");
+		}
+		end (&fixture);
+	}
+}
+
+/* Symptom: after a take-over a job that was to be given up is started once more. Sequence: the
+ * process that decides ends once the job's blame is on record, before its end is. */
+static void
+test_not_started_again_after_a_take_over (void **state)
+{
+	(void)state;
+	struct fixture fixture;
+	begin (&fixture, BLAME_LIMIT);
+	submit (&fixture, "j", 1, 1, BLAME_LIMIT);
+	const struct dff_command *over = next_command (&fixture, "j", DFF_COMMAND_RECORD_END);
+	assert_non_null (over);
+	assert_int_equal (over->outcome, DFF_OUTCOME_FAILED);
+	end (&fixture);
+}
+
+/* What is taken back does not count. */
+static void
+test_blame_that_is_taken_back (void **state)
+{
+	(void)state;
+	struct fixture fixture;
+	begin (&fixture, BLAME_LIMIT);
+	submit (&fixture, "j", 1, 1, 0);
+	start_attempt (&fixture, "j", 1, 1);
+	blame (&fixture, "j", BLAME_LIMIT);
+	blame (&fixture, "j", BLAME_LIMIT - 1);
+	tell (&fixture, "j", 1, 0, DFF_EVENT_TASK_LOST);
+	assert_non_null (next_command (&fixture, "j", DFF_COMMAND_RECORD_START));
+	end (&fixture);
+}
+
+int
+main (void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test (test_given_up_at_the_limit),
+		cmocka_unit_test (test_not_started_again_after_a_take_over),
+		cmocka_unit_test (test_blame_that_is_taken_back),
+	};
+	return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- a/tests/graph/test-graph.c
+++ b/tests/graph/test-graph.c
@@ -259,6 +259,46 @@
 	}
 }
 
+/* A run lost with its worker is noted once, the row tells so, and keeps what its task is blamed
+ * for. A unit is blamed like the worst of its tasks. */
+static void
+test_lost_runs (void **state)
+{
+	(void)state;
+	static const struct {
+		const char *checkpoint;
+		int32_t blame;
+	} cases[] = {{NULL, 0}, {NULL, 3}, {"00000bb8", 0}, {"00000bb8", 4}};
+	for (size_t i = 0; i < G_N_ELEMENTS (cases); i++) {
+		DFF_AUTO (dff_plan) plan = plan_new ();
+		add_step (plan, 2, true, -1);
+		DFF_AUTO (dff_progress) progress = dff_progress_new (plan);
+		struct dff_unit unit = {.index = -1};
+		for (int32_t j = 0; j < 2; j++) {
+			struct dff_task *task = dff_progress_task (progress, 0, 0, j);
+			task->state = DFF_TASK_ASSIGNED;
+			task->run = 1;
+		}
+		assert_true (dff_progress_note_lost (progress, &unit, 1));
+		assert_false (dff_progress_note_lost (progress, &unit, 1));
+		dff_progress_task (progress, 0, 0, 1)->blame = cases[i].blame;
+		if (cases[i].checkpoint != NULL)
+			dff_progress_save (progress, plan, &unit,
+					   dff_str_from (cases[i].checkpoint));
+		g_autoptr (GString) text = dff_progress_encode (progress);
+		DFF_AUTO (dff_progress)
+		same = dff_progress_decode (plan, (struct dff_str){text->str, text->len});
+		const struct dff_task *task = dff_progress_task (same, 0, 0, 1);
+		assert_int_equal (task->state, DFF_TASK_LOST);
+		assert_true (dff_task_state_is_open (task->state));
+		assert_int_equal (task->blame, cases[i].blame);
+		assert_int_equal (g_strcmp0 (task->checkpoint, cases[i].checkpoint), 0);
+		assert_int_equal (dff_progress_blame (same, plan, &unit), cases[i].blame);
+		assert_false (dff_progress_note_lost (same, &unit, 1));
+		assert_int_equal (dff_progress_task (same, 0, 0, 0)->state, DFF_TASK_ASSIGNED);
+	}
+}
+
 /* Symptom: the holder can record nothing any more. Sequence: a wide job that recurs has many tasks
  * in progress at once, each with a checkpoint. Cause: its row is larger than the store takes, and
  * every transaction that holds it is refused. */
@@ -340,6 +380,7 @@
 		cmocka_unit_test (test_plan_row),
 		cmocka_unit_test (test_progress_row),
 		cmocka_unit_test (test_failed_runs),
+		cmocka_unit_test (test_lost_runs),
 		cmocka_unit_test (test_largest_row),
 		cmocka_unit_test (test_gang_checkpoint),
 		cmocka_unit_test (test_task_names),
--- a/tests/holder/site.c
+++ b/tests/holder/site.c
@@ -86,6 +86,9 @@
 		what.crashes = true;
 		what.crashes_after_ms = 2500;
 		break;
+	case 'u': /* for minutes */
+		what.duration_ms = 100000;
+		break;
 	case '6': /* a whole worker */
 		what.duration_ms = 2000;
 		what.accelerators = SITE_ACCELERATORS;
