core: jobs that may have ended their workers are tried one at a time

What callers saw: jobs that were handed in beside one that crashes its workers needed as many runs, or, since it is given up, were given up with it. Cause: all that is lost with one worker is placed again at the same moment, by best fit and so together; whoever is there as the next worker ends looks like the one to blame. Change: from 2 points on a job goes where least else runs, no two of them to one worker until that has outlived the start by 1.5 s, and other jobs keep off it where there is another place. Figures: test_jobs_beside fails without it (a sound job is shown as failed). It changes nothing while no job has points.

--- /dev/null
+++ b/core/apart.c
@@ -0,0 +1,67 @@
+#include "core/core_private.h"
+
+/* Jobs that may have ended their workers are tried one at a time on each worker: where least else
+ * runs, and with nothing new beside them where there is another place, until the worker has
+ * outlived their start. Symptom without this: jobs that were started beside the one that crashes
+ * its workers are blamed, and given up, with it. Cause: all that was lost with one worker is placed
+ * again at the same moment, and so together; and whoever is there as the next worker ends looks
+ * like the one to blame. */
+
+/** How long after its start a job is on trial, ms: by then a worker that has ended is known to be
+ * silent. */
+#define TRIAL_MS 1500
+/** Puts workers with a job on trial behind all others. */
+#define BESIDE_TRIAL (1 << 28)
+
+void
+dff_core_job_set_blame (struct dff_core *core, struct dff_core_job *job, int32_t blame)
+{
+	core->n_apart -= dff_core_job_is_apart (core, job);
+	job->blame = (int8_t)CLAMP (blame, 0, INT8_MAX);
+	core->n_apart += dff_core_job_is_apart (core, job);
+}
+
+bool
+dff_core_job_is_apart (const struct dff_core *core, const struct dff_core_job *job)
+{
+	return core->options.blame_apart > 0 && job->blame >= core->options.blame_apart;
+}
+
+static bool
+is_on_trial (const struct dff_core *core, const struct dff_core_job *job)
+{
+	if (!dff_core_job_is_apart (core, job))
+		return false;
+	return job->state != DFF_CORE_RUNNING || core->now_ms - job->started_ms < TRIAL_MS;
+}
+
+static bool
+has_trial (const struct dff_core *core, const struct dff_core_worker *worker)
+{
+	for (guint i = 0; i < worker->tenants->len; i++) {
+		if (is_on_trial (core, g_ptr_array_index (worker->tenants, i)))
+			return true;
+	}
+	return false;
+}
+
+bool
+dff_core_apart_allows (const struct dff_core *core,
+		       const struct dff_core_worker *worker,
+		       const struct dff_core_job *job)
+{
+	return !dff_core_job_is_apart (core, job) || !has_trial (core, worker);
+}
+
+int32_t
+dff_core_apart_order (const struct dff_core *core,
+		      const struct dff_core_worker *worker,
+		      const struct dff_core_job *job,
+		      int32_t left)
+{
+	if (core->n_apart == 0)
+		return left;
+	if (dff_core_job_is_apart (core, job))
+		return -left;
+	return has_trial (core, worker) ? left + BESIDE_TRIAL : left;
+}
--- a/core/core.c
+++ b/core/core.c
@@ -23,6 +23,7 @@
 	options->checkpoint_grace_ms = DEFAULT_CHECKPOINT_GRACE_MS;
 	options->patient = false;
 	options->blame_limit = 0;
+	options->blame_apart = 0;
 	options->ageing_ms = 0.0;
 	options->quarantine_ms = 0;
 	options->at_once_share = 0.0;
@@ -303,7 +304,7 @@
 	if (event->type == DFF_EVENT_JOB_CANCELLED)
 		dff_core_job_cancel (core, job);
 	else
-		job->blame = (int8_t)CLAMP (event->blame, 0, INT8_MAX);
+		dff_core_job_set_blame (core, job, event->blame);
 }
 
 static void
--- a/core/core_private.h
+++ b/core/core_private.h
@@ -85,6 +85,25 @@
 void dff_core_worker_clear (gpointer worker);
 void dff_core_rack_clear (gpointer rack);
 
+/* apart.c */
+
+void dff_core_job_set_blame (struct dff_core *core, struct dff_core_job *job, int32_t blame);
+
+/** Whether a job is to be placed where least else runs. */
+bool dff_core_job_is_apart (const struct dff_core *core, const struct dff_core_job *job);
+
+/** Whether a job may be placed on a worker, for what else is on trial there. */
+bool dff_core_apart_allows (const struct dff_core *core,
+			    const struct dff_core_worker *worker,
+			    const struct dff_core_job *job);
+
+/** Returns: what a worker is chosen by for a job, least first, where @left is what it has left by
+ * best fit. */
+int32_t dff_core_apart_order (const struct dff_core *core,
+			      const struct dff_core_worker *worker,
+			      const struct dff_core_job *job,
+			      int32_t left);
+
 /* lifecycle.c */
 
 /** Appends a command about a job's attempt, to leave with the next tick. */
--- a/core/core_tables.h
+++ b/core/core_tables.h
@@ -330,7 +330,7 @@
 	int32_t guaranteed;
 	int32_t idempotent;
 	int32_t level;
-	/** Hash of what it asks of single workers: label, data, spread group. */
+	/** Hash of what it asks of single workers: label, data, spread group, least else there. */
 	guint32 wants;
 };
 
@@ -397,6 +397,8 @@
 	int32_t evictions_left;
 	/** Whether the queue is run because something came free, not only to look for victims. */
 	bool fresh;
+	/** Jobs that are placed where least else runs. */
+	int32_t n_apart;
 	int32_t n_guards;
 	int32_t max_guards;
 	/** Capacity declared. */
--- a/core/place.c
+++ b/core/place.c
@@ -120,7 +120,8 @@
 	    (!is_hypothetical (view) && !job->unkept && dff_core_is_headroom (core, worker, level)))
 		return 0;
 	if (!is_hypothetical (view) &&
-	    (!dff_core_worker_usable (worker) || dff_core_job_avoids (job, index)))
+	    (!dff_core_worker_usable (worker) || dff_core_job_avoids (job, index) ||
+	     !dff_core_apart_allows (core, worker, job)))
 		return 0;
 	if (!is_hypothetical (view) && dff_core_worker_on_trial (worker) &&
 	    worker->tenants->len > 0)
@@ -166,10 +167,11 @@
 			continue;
 		struct dff_resources room = dff_core_worker_room (core, worker, job, view);
 		/* Accelerators first: a task without any keeps off workers that have some left. */
-		struct candidate candidate = {.worker = index,
-					      .fits = fits,
-					      .left = room.accelerators * ACCELERATOR_FIRST +
-						      room.slots};
+		int32_t left = room.accelerators * ACCELERATOR_FIRST + room.slots;
+		struct candidate candidate = {
+			.worker = index,
+			.fits = fits,
+			.left = dff_core_apart_order (core, worker, job, left)};
 		g_array_append_val (out, candidate);
 	}
 }
@@ -286,6 +288,8 @@
 		return room;
 	}
 	int32_t piece = room % core->adjacent_unit;
+	if (dff_core_job_is_apart (core, job))
+		return WHOLE_BROKEN - room;
 	bool breaks = piece < dff_core_job_accelerators (job);
 	return breaks ? WHOLE_BROKEN + room : piece;
 }
--- a/core/queue.c
+++ b/core/queue.c
@@ -31,9 +31,11 @@
 }
 
 static guint32
-wants_of (const struct dff_core_job *job)
+wants_of (const struct dff_core *core, const struct dff_core_job *job)
 {
 	guint32 hash = (guint32)(job->label + 1) + (guint32)(job->data_rack + 1) * 31;
+	if (dff_core_job_is_apart (core, job))
+		hash += 29791;
 	if (job->per_worker > 0)
 		hash += (guint32)job->spread_group * 961;
 	return hash;
@@ -53,7 +55,7 @@
 	key.guaranteed = job->guaranteed;
 	key.idempotent = job->idempotent;
 	key.level = level_of (dff_core_remaining_ms (core, job));
-	key.wants = wants_of (job);
+	key.wants = wants_of (core, job);
 	struct dff_core_class *found = g_hash_table_lookup (core->classes, &key);
 	if (found != NULL)
 		return found;
--- a/core/tables.c
+++ b/core/tables.c
@@ -108,7 +108,7 @@
 	job->idempotent = spec->idempotent;
 	job->declared_ms = MAX (spec->declared_ms, 1);
 	job->max_attempts = spec->idempotent ? MAX (spec->max_attempts, 1) : 1;
-	job->blame = (int8_t)CLAMP (spec->blame, 0, INT8_MAX);
+	dff_core_job_set_blame (core, job, spec->blame);
 	job->label = dff_core_intern_label (core, &spec->label);
 	job->data_rack = dff_core_intern_label (core, &spec->data_rack);
 	job->spread_group = XXH3_64bits (spec->spread_group.data, spec->spread_group.len);
@@ -157,6 +157,7 @@
 		team->urgent_accelerators -= job->urgent ? dff_core_job_accelerators (job) : 0;
 	}
 	dff_core_headroom_count (core, job, -1);
+	dff_core_job_set_blame (core, job, 0);
 	g_hash_table_remove (core->jobs, &job->id);
 	dff_core_job_clear_attempt (job);
 	g_free (job);
--- a/include/core/core.h
+++ b/include/core/core.h
@@ -44,6 +44,8 @@
 	/** Points against a job, for workers that ended under it, at which it is given up; 0: it
 	 * never is for that reason. */
 	int32_t blame_limit;
+	/** Points at which it is placed where least else runs; 0: it never is for that reason. */
+	int32_t blame_apart;
 	/** Wait after which a job's score is divided by four, on top of its own estimate, ms; 0:
 	 * what the pool's weights say. */
 	double ageing_ms;
--- a/tests/core/test-blamed-jobs.c
+++ b/tests/core/test-blamed-jobs.c
@@ -8,6 +8,9 @@
 #define PER_RACK 3
 #define ACCELERATORS 8
 #define BLAME_LIMIT 5
+#define BLAME_APART 2
+/** When a job that has been started is not on trial any more, ms. */
+#define TRIAL_PASSED_MS 2000
 
 struct fixture {
 	struct dff_core *core;
@@ -23,6 +26,7 @@
 	dff_core_options_init (&options);
 	options.patient = true;
 	options.blame_limit = blame_limit;
+	options.blame_apart = BLAME_APART;
 	*fixture = (struct fixture){
 		.core = dff_core_new (&options),
 		.commands = g_array_new (FALSE, TRUE, sizeof (struct dff_command)),
@@ -148,6 +152,91 @@
 	end (&fixture);
 }
 
+static const char *
+placed_on (struct fixture *fixture, const char *id)
+{
+	const struct dff_command *command = next_command (fixture, id, DFF_COMMAND_RECORD_START);
+	return command != NULL
+		       ? g_array_index (command->placements, struct dff_placement, 0).worker.data
+		       : NULL;
+}
+
+/* Has a job of so many accelerators run on each of the first workers. */
+static void
+fill_workers (struct fixture *fixture, int32_t n_workers, int32_t accelerators)
+{
+	for (int32_t i = 0; i < n_workers; i++) {
+		g_autofree char *id = g_strdup_printf ("full%d", i);
+		submit (fixture, id, 1, accelerators, 0);
+		start_attempt (fixture, id, 1, 1);
+	}
+}
+
+/* A job that may have ended its workers goes where least else runs, other jobs where most does. */
+static void
+test_placed_where_least_runs (void **state)
+{
+	(void)state;
+	static const struct {
+		int32_t blame;
+		bool alone;
+	} cases[] = {{0, false}, {BLAME_APART - 1, false}, {BLAME_APART, true}};
+	for (size_t i = 0; i < G_N_ELEMENTS (cases); i++) {
+		struct fixture fixture;
+		begin (&fixture, BLAME_LIMIT);
+		fill_workers (&fixture, 2, ACCELERATORS - 1);
+		submit (&fixture, "j", 1, 1, cases[i].blame);
+		const char *worker = placed_on (&fixture, "j");
+		assert_non_null (worker);
+		bool alone = strcmp (worker, "w0") != 0 && strcmp (worker, "w1") != 0;
+		assert_int_equal (alone, cases[i].alone);
+		end (&fixture);
+	}
+}
+
+/* Two such jobs are not tried on one worker at a time. */
+static void
+test_tried_one_at_a_time (void **state)
+{
+	(void)state;
+	struct fixture fixture;
+	begin (&fixture, BLAME_LIMIT);
+	g_autoptr (GHashTable) workers =
+		g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+	for (int i = 0; i < N_RACKS * PER_RACK; i++) {
+		g_autofree char *id = g_strdup_printf ("j%d", i);
+		submit (&fixture, id, 1, 1, BLAME_APART);
+		assert_true (g_hash_table_add (workers, g_strdup (placed_on (&fixture, id))));
+	}
+	submit (&fixture, "more", 1, 1, BLAME_APART);
+	assert_null (placed_on (&fixture, "more"));
+	/* Its worker has outlived the first one's start. */
+	tell (&fixture, "j0", 1, 0, DFF_EVENT_ATTEMPT_RECORDED);
+	tell (&fixture, "j0", 1, 0, DFF_EVENT_TASK_STARTED);
+	fixture.now_ms = TRIAL_PASSED_MS;
+	assert_non_null (placed_on (&fixture, "more"));
+	end (&fixture);
+}
+
+static void
+test_others_keep_off_a_trial (void **state)
+{
+	(void)state;
+	struct fixture fixture;
+	begin (&fixture, BLAME_LIMIT);
+	submit (&fixture, "tried", 1, 1, BLAME_APART);
+	g_autofree char *tried_on = g_strdup (placed_on (&fixture, "tried"));
+	for (int i = 0; i < N_RACKS * PER_RACK - 1; i++) {
+		g_autofree char *id = g_strdup_printf ("j%d", i);
+		submit (&fixture, id, 1, ACCELERATORS, 0);
+		assert_string_not_equal (placed_on (&fixture, id), tried_on);
+	}
+	/* Where there is no other place, it is better than none. */
+	submit (&fixture, "last", 1, 1, 0);
+	assert_string_equal (placed_on (&fixture, "last"), tried_on);
+	end (&fixture);
+}
+
 /* What is taken back does not count. */
 static void
 test_blame_that_is_taken_back (void **state)
@@ -171,6 +260,9 @@
 		cmocka_unit_test (test_given_up_at_the_limit),
 		cmocka_unit_test (test_not_started_again_after_a_take_over),
 		cmocka_unit_test (test_blame_that_is_taken_back),
+		cmocka_unit_test (test_placed_where_least_runs),
+		cmocka_unit_test (test_tried_one_at_a_time),
+		cmocka_unit_test (test_others_keep_off_a_trial),
 	};
 	return cmocka_run_group_tests (tests, NULL, NULL);
 }
--- a/tests/holder/test-holder-crashes.c
+++ b/tests/holder/test-holder-crashes.c
@@ -14,6 +14,8 @@
 /** Starts at the most: of a task under which three workers have crashed, two more. */
 #define STARTS_MAX 5
 
+/** Jobs that crash their workers, and as many beside them. */
+#define N_BESIDE 4
 /** Times that a worker is lost under a task which is not to blame. */
 #define UNLUCKY_TIMES 6
 /** Time until the lease of a worker that is cut off has surely lapsed, ms. */
@@ -198,6 +200,33 @@
 	site_close (&site);
 }
 
+/* Symptom: jobs that were started beside one that crashes its workers are given up with it.
+ * Sequence: a few jobs are handed in together, some of which crash their workers; whatever was lost
+ * with one worker is placed again at the same moment. Cause: it was placed together, so that the
+ * same tasks were there whenever a worker ended. */
+static void
+test_jobs_beside (void **state)
+{
+	(void)state;
+	struct site site;
+	site_open (&site);
+	for (int i = 0; i < N_BESIDE; i++) {
+		g_autofree char *crashing = g_strdup_printf ("x%d", i);
+		g_autofree char *sound = g_strdup_printf ("a%d", i);
+		assert_int_equal (site_submit (&site, 0, site_plan (crashing, 1, false, 1)),
+				  DFF_FRONT_OK);
+		assert_int_equal (site_submit (&site, 0, site_plan (sound, 1, false, 1)),
+				  DFF_FRONT_OK);
+	}
+	for (int i = 0; i < N_BESIDE; i++) {
+		g_autofree char *crashing = g_strdup_printf ("x%d", i);
+		g_autofree char *sound = g_strdup_printf ("a%d", i);
+		assert_int_not_equal (site_until (&site, crashing, "failed", OVER_MS), -1);
+		assert_int_not_equal (site_until (&site, sound, "completed", OVER_MS), -1);
+	}
+	site_close (&site);
+}
+
 static struct unlucky_case unlucky_cases[] = {
 	{.name = "cut off", .id = "7", .end = WORKER_IS_CUT_OFF, .between_ms = 2000},
 	{.name = "workers leave", .id = "7", .end = WORKER_LEAVES, .between_ms = 2000},
@@ -212,7 +241,7 @@
 	if (getenv ("DFF_SEED_TEST") != NULL)
 		cmocka_set_test_filter (getenv ("DFF_SEED_TEST"));
 	size_t n_crashes = G_N_ELEMENTS (crash_cases);
-	struct CMUnitTest tests[G_N_ELEMENTS (crash_cases) + G_N_ELEMENTS (unlucky_cases)];
+	struct CMUnitTest tests[G_N_ELEMENTS (crash_cases) + G_N_ELEMENTS (unlucky_cases) + 1];
 	for (size_t i = 0; i < n_crashes; i++) {
 		tests[i] = (struct CMUnitTest){.name = crash_cases[i].name,
 					       .test_func = test_task_that_crashes_its_workers,
@@ -223,5 +252,6 @@
 							   .test_func = test_task_that_is_unlucky,
 							   .initial_state = &unlucky_cases[i]};
 	}
+	tests[G_N_ELEMENTS (tests) - 1] = (struct CMUnitTest)cmocka_unit_test (test_jobs_beside);
 	return cmocka_run_group_tests (tests, NULL, NULL);
 }
