--- a/include/standin/memory_runner.h
+++ b/include/standin/memory_runner.h
@@ -37,6 +37,8 @@
 	int32_t gang_wait_ms;
 	/** Failed runs of a task after which it must not be started again. */
 	int32_t max_attempts;
+	/** Workers start what they are told to, whether or not there is room for it. */
+	bool unguarded;
 	/** (nullable): told when a task has crashed its worker, whose life is over. */
 	void (*crashed) (void *ctx, const char *id);
 };
@@ -77,6 +79,11 @@
 							int32_t accelerators,
 							int32_t clock_permille);
 
+/** Changes what a worker has room for; what runs there goes on. A smaller room counts once whoever
+ * starts tasks had the time to learn of it. */
+void
+dff_memory_runner_resize (struct dff_memory_runner *runner, const char *id, int32_t accelerators);
+
 /** Ends a life: everything there ends, and another life may come to its address. */
 void dff_memory_runner_kill (struct dff_memory_runner *runner, const char *id);
 
--- a/standin/memory_runner.c
+++ b/standin/memory_runner.c
@@ -4,6 +4,10 @@
 
 /** Time until a call arrives, and until its answer does, ms. */
 #define WAY_MS 1
+/** Time until a smaller room counts, ms: three seconds, and the time between two entries of a
+ * worker.
+ */
+#define RESIZE_NOTICE_MS 4500
 /** How often a waiting watch looks for ends, ms. */
 #define LOOK_MS 5
 
@@ -344,14 +348,37 @@
 	return &worker->faults;
 }
 
-void
-dff_memory_runner_kill (struct dff_memory_runner *runner, const char *id)
+static struct worker *
+find_by_id (struct dff_memory_runner *runner, const char *id)
 {
 	for (guint i = 0; i < runner->workers->len; i++) {
 		struct worker *worker = g_ptr_array_index (runner->workers, i);
-		if (strcmp (worker->id, id) == 0 && !worker->dead)
-			memory_worker_end (worker);
+		if (strcmp (worker->id, id) == 0)
+			return worker;
+	}
+	return NULL;
+}
+
+void
+dff_memory_runner_resize (struct dff_memory_runner *runner, const char *id, int32_t accelerators)
+{
+	struct worker *worker = find_by_id (runner, id);
+	int64_t now_ms = memory_runner_now_ms (runner);
+	if (accelerators < worker->accelerators) {
+		bool former = now_ms < worker->former_until_ms;
+		worker->former_accelerators =
+			MAX (worker->accelerators, former ? worker->former_accelerators : 0);
+		worker->former_until_ms = now_ms + RESIZE_NOTICE_MS;
 	}
+	worker->accelerators = accelerators;
+}
+
+void
+dff_memory_runner_kill (struct dff_memory_runner *runner, const char *id)
+{
+	struct worker *worker = find_by_id (runner, id);
+	if (worker != NULL && !worker->dead)
+		memory_worker_end (worker);
 }
 
 struct dff_memory_runner_client *
--- a/standin/memory_runner_private.h
+++ b/standin/memory_runner_private.h
@@ -37,6 +37,9 @@
 	char *id;
 	char *address;
 	int32_t accelerators;
+	/** What it had room for before, until that does not count any more. */
+	int32_t former_accelerators;
+	int64_t former_until_ms;
 	int32_t clock_permille;
 	bool dead;
 	struct dff_memory_worker_faults faults;
--- a/standin/memory_runner_work.c
+++ b/standin/memory_runner_work.c
@@ -275,6 +275,18 @@
 	return used;
 }
 
+static void
+check_room (const struct worker *worker, const struct dff_name *task, int32_t accelerators)
+{
+	struct dff_memory_runner *runner = worker->runner;
+	bool former = memory_runner_now_ms (runner) < worker->former_until_ms;
+	int32_t room = MAX (worker->accelerators, former ? worker->former_accelerators : 0);
+	int32_t used = accelerators_used (worker);
+	if (used + accelerators > room)
+		violate (runner, "%s is started on %s, where %d of %d are in use", task->data,
+			 worker->id, used, room);
+}
+
 static void
 check_attempts (const struct worker *worker,
 		const struct dff_name *task,
@@ -336,8 +348,11 @@
 		return DFF_RUNNER_UNHEALTHY;
 	struct dff_memory_task what =
 		worker->runner->options.describe (worker->runner->options.ctx, &order->task);
-	if (accelerators_used (worker) + what.accelerators > worker->accelerators)
-		return DFF_RUNNER_NO_ROOM;
+	if (accelerators_used (worker) + what.accelerators > worker->accelerators) {
+		if (!worker->runner->options.unguarded)
+			return DFF_RUNNER_NO_ROOM;
+		check_room (worker, &order->task, what.accelerators);
+	}
 	check_start (worker, &order->task, order->run);
 	struct run *run = g_new0 (struct run, 1);
 	run->task = order->task;
--- a/tests/holder/site.c
+++ b/tests/holder/site.c
@@ -105,15 +105,16 @@
 	return dff_name_printf ("w%d-%d", index, site->worker_lives[index]);
 }
 
-/* Value of a worker's row: "ADDRESS RACK LEAVING REMAINING". */
+/* Value of a worker's row: "ADDRESS RACK LEAVING REMAINING ACCELERATORS". */
 static bool
 read_upstream (const struct dff_row *row, struct dff_upstream *upstream)
 {
 	char address[32], rack[16];
-	int leaving, remaining_ms;
+	int leaving, remaining_ms, accelerators = SITE_ACCELERATORS;
 	g_autofree char *text = g_strndup (row->value.data, row->value.len);
 	*upstream = (struct dff_upstream){.remaining_ms = -1};
-	if (sscanf (text, "%31s %15s %d %d", address, rack, &leaving, &remaining_ms) != 4)
+	if (sscanf (text, "%31s %15s %d %d %d", address, rack, &leaving, &remaining_ms,
+		    &accelerators) < 4)
 		return false;
 	upstream->remaining_ms = remaining_ms;
 	upstream->address = dff_name_from (address);
@@ -121,7 +122,7 @@
 	upstream->data_centre = dff_name_printf ("dc-%s", rack);
 	upstream->service = dff_name_from ("service");
 	upstream->capacity = (struct dff_resources){
-		.slots = 64, .cores = 32, .memory_gb = 64, .accelerators = SITE_ACCELERATORS};
+		.slots = 64, .cores = 32, .memory_gb = 64, .accelerators = accelerators};
 	upstream->leaving = leaving;
 	return dff_name_parse (row->key, &upstream->id);
 }
@@ -129,23 +130,61 @@
 static void
 put_worker (struct site *site, int index, bool leaving, int32_t remaining_ms)
 {
+	struct site_entry *entry = &site->entries[index];
+	entry->listed = true;
+	entry->leaving = leaving;
+	entry->remaining_ms = remaining_ms;
+	if (entry->held_back)
+		return;
 	struct dff_name id = worker_id (site, index);
 	struct dff_name address = dff_name_printf ("10.0.0.%d:1", index);
-	g_autofree char *value = g_strdup_printf ("%s r%d %d %d", address.data,
-						  index / SITE_PER_RACK, leaving, remaining_ms);
+	g_autofree char *value =
+		g_strdup_printf ("%s r%d %d %d %d", address.data, index / SITE_PER_RACK, leaving,
+				 remaining_ms, site->accelerators[index]);
 	dff_memory_rows_put (site->rows, DFF_TABLE_UPSTREAMS, id.data, dff_str_from (value));
 }
 
+/* Each worker that is there writes its entry anew. */
+static void
+write_entries (void *user)
+{
+	struct site *site = user;
+	for (int i = 0; i < SITE_WORKERS; i++) {
+		const struct site_entry *entry = &site->entries[i];
+		if (entry->listed)
+			put_worker (site, i, entry->leaving, entry->remaining_ms);
+	}
+	if (!site->closing)
+		dff_virtual_loop_after (site->loop, SITE_ENTRY_EVERY_MS, write_entries, site);
+}
+
+void
+site_hold_entries_back (struct site *site, int index, bool held_back)
+{
+	site->entries[index].held_back = held_back;
+}
+
 void
 site_list_worker (struct site *site, int index, bool listed, bool leaving)
 {
 	struct dff_name id = worker_id (site, index);
+	site->entries[index].listed = false;
 	if (listed)
 		put_worker (site, index, leaving, -1);
 	else
 		dff_memory_rows_remove (site->rows, DFF_TABLE_UPSTREAMS, id.data);
 }
 
+void
+site_resize_worker (struct site *site, int index, int32_t accelerators)
+{
+	struct dff_name id = worker_id (site, index);
+	site->accelerators[index] = accelerators;
+	dff_memory_runner_resize (site->runner, id.data, accelerators);
+	if (site->entries[index].listed)
+		put_worker (site, index, false, -1);
+}
+
 void
 site_announce_leaving (struct site *site, int index, int32_t remaining_ms)
 {
@@ -163,6 +202,7 @@
 site_end_worker (struct site *site, int index)
 {
 	struct dff_name id = worker_id (site, index);
+	site->entries[index].listed = false;
 	dff_memory_runner_kill (site->runner, id.data);
 }
 
@@ -180,6 +220,7 @@
 {
 	struct dff_name id = worker_id (site, index);
 	struct dff_name address = dff_name_printf ("10.0.0.%d:1", index);
+	site->accelerators[index] = SITE_ACCELERATORS;
 	/* Clocks up to 2% slow. */
 	site->workers[index] = dff_memory_runner_add (site->runner, id.data, address.data,
 						      SITE_ACCELERATORS, 1000 - index * 4);
@@ -239,6 +280,7 @@
 {
 	struct site *site = ctx;
 	struct crash crash = {.site = site, .index = id[1] - '0', .id = dff_name_from (id)};
+	site->entries[crash.index].listed = false;
 	dff_virtual_loop_after (site->loop, SITE_ENTRY_LAPSE_MS, lapse_entry,
 				g_memdup2 (&crash, sizeof (crash)));
 	if (site->back_ms > 0)
@@ -499,11 +541,14 @@
 						    .stop_grace_ms = 400,
 						    .gang_wait_ms = 3000,
 						    .max_attempts = SITE_MAX_ATTEMPTS,
+						    .unguarded = site->unguarded,
 						    .crashed = handle_crash,
 						    .ctx = site};
 	site->runner = dff_memory_runner_new (&options);
 	for (int i = 0; i < SITE_WORKERS; i++)
 		add_worker (site, i);
+	if (site->unguarded)
+		write_entries (site);
 	for (int i = 0; i < SITE_PROCESSES; i++)
 		site_start_process (site, i);
 	for (int i = 0; i < 200 && site_holder (site) < 0; i++)
@@ -535,6 +580,14 @@
 	open_site (site);
 }
 
+void
+site_open_unguarded (struct site *site)
+{
+	memset (site, 0, sizeof (*site));
+	site->unguarded = true;
+	open_site (site);
+}
+
 void
 site_open_with_evacuations (struct site *site)
 {
@@ -546,6 +599,7 @@
 void
 site_close (struct site *site)
 {
+	site->closing = true;
 	for (int i = 0; i < SITE_PROCESSES; i++)
 		site_kill_process (site, i);
 	/* Calls in progress end by themselves. */
--- a/tests/holder/site.h
+++ b/tests/holder/site.h
@@ -32,6 +32,8 @@
 #define SITE_DATA_CENTRES (SITE_WORKERS / SITE_PER_RACK)
 /** Time after the request at which nothing is started in an evacuated data centre, ms. */
 #define SITE_EVACUATION_MS 5000
+/** Time between two entries of a worker, ms. */
+#define SITE_ENTRY_EVERY_MS 1500
 /** When a crashed worker is taken from the list, ms: its entry lapses. */
 #define SITE_ENTRY_LAPSE_MS 4000
 
@@ -61,6 +63,15 @@
 	struct dff_name decider;
 };
 
+/** What a worker has written of itself last. */
+struct site_entry {
+	bool listed;
+	bool leaving;
+	int32_t remaining_ms;
+	/** Whether what it writes does not reach the store. */
+	bool held_back;
+};
+
 struct site {
 	/** Whether calls to workers go through the processes that do not decide. */
 	bool relays;
@@ -80,6 +91,13 @@
 	int64_t takeover_ms[SITE_PROCESSES];
 	struct dff_memory_worker_faults *workers[SITE_WORKERS];
 	int32_t worker_lives[SITE_WORKERS];
+	/** What each worker has room for. */
+	int32_t accelerators[SITE_WORKERS];
+	/** Whether workers start what they have no room for, and write their entries again and
+	 * again. */
+	bool unguarded;
+	struct site_entry entries[SITE_WORKERS];
+	bool closing;
 	/** When a worker that a task has crashed is back in another life, ms; 0: it is gone. */
 	int64_t back_ms;
 	/** Elements: char *: jobs whose acceptance was confirmed. */
@@ -92,6 +110,9 @@
 /** The same, with calls to workers through relays. */
 void site_open_with_relays (struct site *site);
 
+/** The same, without relays, with workers that start whatever they are told to. */
+void site_open_unguarded (struct site *site);
+
 /** The same, without relays, with operators that empty data centres. */
 void site_open_with_evacuations (struct site *site);
 
@@ -124,6 +145,12 @@
 /** Takes a worker from the list, or puts it there again. */
 void site_list_worker (struct site *site, int index, bool listed, bool leaving);
 
+/** Has a worker's room shrink or grow, and its entry tell so. */
+void site_resize_worker (struct site *site, int index, int32_t accelerators);
+
+/** Has what a worker writes of itself not reach the store. */
+void site_hold_entries_back (struct site *site, int index, bool held_back);
+
 /** Has a worker tell that it leaves, and how long it will be there at least. */
 void site_announce_leaving (struct site *site, int index, int32_t remaining_ms);
 
--- /dev/null
+++ b/tests/holder/test-holder-rooms.c
@@ -0,0 +1,88 @@
+#include "tests/holder/site.h"
+
+#include <stdlib.h>
+
+#include "common/log.h"
+
+/* Workers that start whatever they are told to, and whose room shrinks and grows. They notice a
+ * start that they have no room for, once whoever sent it had the time to learn of that. */
+
+/** By then a change of a worker's room is known, ms. */
+#define KNOWN_MS 2500
+/** By then it counts though it is not known, ms. */
+#define COUNTS_MS 5000
+
+static void
+resize_all (struct site *site, int32_t accelerators)
+{
+	for (int i = 0; i < SITE_WORKERS; i++)
+		site_resize_worker (site, i, accelerators);
+}
+
+/* What runs goes on, nothing is started beyond the smaller room, and all of it is used once it has
+ * grown again. */
+static void
+test_room_that_shrinks_and_grows (void **state)
+{
+	(void)state;
+	struct site site;
+	site_open_unguarded (&site);
+	int32_t n_all = SITE_WORKERS * SITE_ACCELERATORS;
+	site_submit (&site, 0, site_plan ("1", n_all, false, 1));
+	site_run (&site, 500);
+	int32_t n_running = dff_memory_runner_n_open (site.runner);
+	assert_in_range (n_running, n_all / 2, n_all);
+	resize_all (&site, 2);
+	site_run (&site, KNOWN_MS);
+	site_submit (&site, 0, site_plan ("7", n_all, false, 1));
+	site_run (&site, 1000);
+	assert_int_equal (dff_memory_runner_n_starts (site.runner, "7"), 0);
+	assert_int_equal (dff_memory_runner_n_open (site.runner), n_running);
+	site_run (&site, 10000);
+	assert_in_range (dff_memory_runner_n_open (site.runner), 1, 2 * SITE_WORKERS);
+	resize_all (&site, SITE_ACCELERATORS);
+	site_run (&site, 8000);
+	assert_in_range (dff_memory_runner_n_open (site.runner), n_all / 2, n_all);
+	site_close (&site);
+}
+
+/* Symptom: a worker that starts whatever it is told to gets more than it has room for. Sequence:
+ * its room shrinks while what it writes does not reach the store, or does not reach the process
+ * that decides; that process goes on by what it heard last. Cause: what a worker had said of itself
+ * was taken to be so for as long as the worker answered. */
+static void
+test_room_that_nobody_hears_of (void **state)
+{
+	(void)state;
+	struct site site;
+	site_open_unguarded (&site);
+	for (int i = 0; i < SITE_WORKERS - 1; i++) {
+		site_hold_entries_back (&site, i, true);
+		site_resize_worker (&site, i, 1);
+	}
+	site_run (&site, COUNTS_MS);
+	site_submit (&site, 0, site_plan ("a", SITE_ACCELERATORS, false, 1));
+	assert_in_range (site_until (&site, "a", "completed", 10000), 1000, 3500);
+	assert_null (dff_memory_runner_violation (site.runner));
+	/* Once they are heard, they are used, as far as they have room. */
+	for (int i = 0; i < SITE_WORKERS - 1; i++)
+		site_hold_entries_back (&site, i, false);
+	site_run (&site, KNOWN_MS);
+	site_submit (&site, 0, site_plan ("7", SITE_WORKERS * SITE_ACCELERATORS, false, 1));
+	site_run (&site, 4000);
+	assert_in_range (dff_memory_runner_n_open (site.runner), SITE_ACCELERATORS,
+			 SITE_ACCELERATORS + SITE_WORKERS - 1);
+	site_close (&site);
+}
+
+int
+main (void)
+{
+	if (getenv ("DFF_SEED_LOG") != NULL)
+		dff_log_init (DFF_LOG_INFO);
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test (test_room_that_shrinks_and_grows),
+		cmocka_unit_test (test_room_that_nobody_hears_of),
+	};
+	return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- a/tests/holder/test-holder-seeds.c
+++ b/tests/holder/test-holder-seeds.c
@@ -13,10 +13,11 @@
  * questions about states through the process that decides; in the plays with evacuations, operators
  * that empty data centres and take them back, with no start there from five seconds on; in the
  * plays with failures, gangs that fail and holders that are killed around each record and
- * acknowledgement of it; in the plays with crashes, tasks that crash the workers that start them.
- * The workers notice what must never happen; after the faults every accepted
- * job has to end as it should. DFF_SEED_FIRST and DFF_SEED_COUNT play others by hand, DFF_SEED_LOG
- * shows what is decided, DFF_SEED_TEST names one of the tests. */
+ * acknowledgement of it; in the plays with crashes, tasks that crash the workers that start them;
+ * in the plays with rooms, workers whose room shrinks and grows, and that start what they have no
+ * room for. The workers notice what must never happen; after the faults every accepted job has to
+ * end as it should. DFF_SEED_FIRST and DFF_SEED_COUNT play others by hand, DFF_SEED_LOG shows what
+ * is decided, DFF_SEED_TEST names one of the tests. */
 
 /** Seeds that have failed: 1295, a gang that had completed was started again when the worker of one
  * member was lost before its end was heard. 2109, a task that had ended on a worker cut off was
@@ -64,6 +65,8 @@
 	DFF_PLAY_FAILURES,
 	/** Some tasks crash the workers that start them. */
 	DFF_PLAY_CRASHES,
+	/** Workers' room shrinks and grows, and they start what they have no room for. */
+	DFF_PLAY_ROOMS,
 };
 
 struct play {
@@ -364,9 +367,22 @@
 		dff_memory_rows_drop_history (play->site.rows);
 }
 
+static void
+step_rooms (struct play *play)
+{
+	int what = pick (play, 100);
+	int worker = pick (play, SITE_WORKERS);
+	if (what < 15)
+		site_resize_worker (&play->site, worker, pick (play, SITE_ACCELERATORS));
+	else if (what < 22)
+		site_resize_worker (&play->site, worker, SITE_ACCELERATORS);
+}
+
 static void
 step (struct play *play)
 {
+	if (play->variant == DFF_PLAY_ROOMS)
+		step_rooms (play);
 	if (play->variant == DFF_PLAY_EVACUATIONS)
 		step_evacuations (play);
 	if (play->variant == DFF_PLAY_PATHS || play->variant == DFF_PLAY_RELAYS)
@@ -441,6 +457,8 @@
 		site_open_with_links (&play.site);
 	else if (variant == DFF_PLAY_EVACUATIONS)
 		site_open_with_evacuations (&play.site);
+	else if (variant == DFF_PLAY_ROOMS)
+		site_open_unguarded (&play.site);
 	else
 		site_open (&play.site);
 	dff_memory_rows_seed (play.site.rows, seed);
@@ -548,6 +566,13 @@
 	play_seeds (DFF_PLAY_CRASHES);
 }
 
+static void
+test_seeds_with_rooms (void **state)
+{
+	(void)state;
+	play_seeds (DFF_PLAY_ROOMS);
+}
+
 int
 main (void)
 {
@@ -563,6 +588,7 @@
 		cmocka_unit_test (test_seeds_with_evacuations),
 		cmocka_unit_test (test_seeds_with_failures),
 		cmocka_unit_test (test_seeds_with_crashes),
+		cmocka_unit_test (test_seeds_with_rooms),
 	};
 	return cmocka_run_group_tests (tests, NULL, NULL);
 }
