holder: workers that do not guard their room get nothing new without fresh word of it

What one would see: a worker gets more than it has room for. Cause: its room shrinks, and what it had said of itself before was taken to be so for as long as it answered, however old: what it writes may not reach the store, or the list may not reach the process that decides. Change: the configuration tells which services do not refuse what they have no room for; their workers get nothing new once their last entry is 3 s old. And no recorded start is sent, or repeated, to a worker that has less room by then than it was given (guarded or not). Why this holds: whoever shrinks a room counts with three seconds and one entry; a start relies on word that is 3 s old at the most.

--- a/core/tables.c
+++ b/core/tables.c
@@ -212,6 +212,17 @@
 		dff_core_rack_summarise (core, worker->rack);
 }
 
+bool
+dff_core_worker_has_room (const struct dff_core *core, const struct dff_name *name)
+{
+	int32_t index = dff_core_find_worker (core, name);
+	if (index == DFF_CORE_NONE)
+		return false;
+	const struct dff_core_worker *worker = dff_core_worker_at (core, index);
+	struct dff_resources unused = dff_resources_less (&worker->capacity, &worker->used);
+	return dff_resources_covered (&unused);
+}
+
 void
 dff_core_worker_note_overload (struct dff_core_worker *worker)
 {
--- a/fleet/fleet.c
+++ b/fleet/fleet.c
@@ -143,6 +143,9 @@
 	fleet->config = g_steal_pointer (&config);
 	*fleet->config_version = fleet->config->version;
 	tell_teams (fleet);
+	dff_holder_set_unguarded (fleet->holder,
+				  (const struct dff_name *)(void *)fleet->config->unguarded->data,
+				  fleet->config->unguarded->len);
 }
 
 static void
--- a/holder/holder.c
+++ b/holder/holder.c
@@ -185,6 +185,7 @@
 	holder->options = *options;
 	holder->teams = g_array_new (FALSE, FALSE, sizeof (struct dff_holder_team));
 	holder->evacuated = g_array_new (FALSE, FALSE, sizeof (struct dff_name));
+	holder->unguarded = g_array_new (FALSE, FALSE, sizeof (struct dff_name));
 	holder->committed_jobs = g_ptr_array_new ();
 	holder->waiting_recorded = g_string_new (NULL);
 	holder->waiting_in_flight = g_string_new (NULL);
@@ -213,6 +214,7 @@
 	g_hash_table_unref (holder->finished_names);
 	g_array_unref (holder->teams);
 	g_array_unref (holder->evacuated);
+	g_array_unref (holder->unguarded);
 	g_ptr_array_unref (holder->committed_jobs);
 	g_string_free (holder->waiting_recorded, TRUE);
 	g_string_free (holder->waiting_in_flight, TRUE);
--- a/holder/holder_private.h
+++ b/holder/holder_private.h
@@ -297,6 +297,10 @@
 	/** Data centres whose workers get nothing new. Elements: struct dff_name. */
 	GArray *evacuated;
 
+	/* holder/rooms.c */
+	/** Services whose workers start whatever they are told to. Elements: struct dff_name. */
+	GArray *unguarded;
+
 	/* holder/list.c */
 	struct dff_reading *list_reading;
 	/** When the page in progress was asked for. */
@@ -653,6 +657,17 @@
 /** Counts what still runs in evacuated data centres. */
 void evacuation_count (struct dff_holder *holder);
 
+/* rooms.c */
+
+/** Returns: whether it is known what room a worker has, or the worker sees to it itself. */
+bool rooms_are_known (const struct dff_holder *holder, const struct holder_worker *worker);
+
+/** Returns: whether a recorded start may be sent to a worker, for the room that it has by now. */
+bool rooms_allow_start (const struct dff_holder *holder, const struct holder_worker *worker);
+
+/** Judges workers of which nothing new was heard, where that matters. */
+void rooms_work (struct dff_holder *holder);
+
 /* list.c */
 
 void list_begin (struct dff_holder *holder);
--- a/holder/runs.c
+++ b/holder/runs.c
@@ -407,19 +407,19 @@
 	holder->options.runner->stop (holder->options.runner->ctx, &order, handle_order, call);
 }
 
-/* Symptom without this: a task begins in an evacuated data centre. Sequence: its start is recorded
- * and sent, the answer is lost, the data centre is evacuated, the start is repeated. A start that
- * may have arrived, or that a former holder may have sent, is settled by a stop: a worker that has
- * not seen the run refuses it from then on. */
+/* Symptom without this: a task begins in an evacuated data centre, or where there is no room for it
+ * any more. Sequence: its start is recorded and sent, the answer is lost, the data centre is
+ * evacuated or the worker's room shrinks, the start is repeated. A start that may have arrived, or
+ * that a former holder may have sent, is settled by a stop: a worker that has not seen the run
+ * refuses it from then on. */
 static void
-withdraw_start (struct dff_holder *holder, struct holder_run *run)
+withdraw_start (struct dff_holder *holder, struct holder_run *run, const char *reason)
 {
 	(*holder->metrics.starts_withdrawn)++;
 	dff_log (DFF_LOG_CELL, DFF_LOG_INFO,
-		 "Start withdrawn. task=%s run=%d worker=%s data_centre=%s reason=evacuated "
-		 "unanswered=%d",
+		 "Start withdrawn. task=%s run=%d worker=%s data_centre=%s reason=%s unanswered=%d",
 		 run->task.data, run->run, run->worker->upstream.id.data,
-		 run->worker->upstream.data_centre.data, run->n_unanswered);
+		 run->worker->upstream.data_centre.data, reason, run->n_unanswered);
 	run->unseen_event = DFF_EVENT_TASK_REJECTED;
 	run_stop (holder, run);
 }
@@ -433,7 +433,9 @@
 	    dff_name_is_empty (&worker->upstream.address) || worker->clock_ms == 0)
 		return;
 	if (run->phase == DFF_RUN_PHASE_STARTING && evacuation_covers (holder, worker))
-		withdraw_start (holder, run);
+		withdraw_start (holder, run, "evacuated");
+	else if (run->phase == DFF_RUN_PHASE_STARTING && !rooms_allow_start (holder, worker))
+		withdraw_start (holder, run, "room");
 	bool is_stop = run->phase == DFF_RUN_PHASE_STOPPING;
 	if (!is_stop && !evacuation_allows_starts (holder))
 		return;
--- a/holder/workers.c
+++ b/holder/workers.c
@@ -60,6 +60,8 @@
 		return DFF_WORKER_DOWN;
 	if (worker->upstream.leaving)
 		return DFF_WORKER_LEAVING;
+	if (!rooms_are_known (holder, worker))
+		return DFF_WORKER_UNSURE;
 	return evacuation_covers (holder, worker) ? DFF_WORKER_EVACUATED : DFF_WORKER_UP;
 }
 
@@ -82,10 +84,9 @@
 	if (state == worker->state)
 		return;
 	static const char *const names[] = {
-		[DFF_WORKER_DOWN] = "down",
-		[DFF_WORKER_UP] = "up",
-		[DFF_WORKER_LEAVING] = "leaving",
-		[DFF_WORKER_EVACUATED] = "evacuated",
+		[DFF_WORKER_DOWN] = "down",       [DFF_WORKER_UP] = "up",
+		[DFF_WORKER_LEAVING] = "leaving", [DFF_WORKER_EVACUATED] = "evacuated",
+		[DFF_WORKER_UNSURE] = "unsure",
 	};
 	dff_log (DFF_LOG_UPSTREAM, DFF_LOG_INFO,
 		 "Worker %s. worker=%s data_centre=%s address=%s was=%s listed=%d silent_calls=%d "
@@ -306,6 +307,7 @@
 workers_work (struct dff_holder *holder)
 {
 	list_work (holder);
+	rooms_work (holder);
 	if (holder->phase == DFF_HOLDER_HOLDING && holder->pool_changed)
 		workers_apply_pool (holder);
 }
--- a/include/core/core.h
+++ b/include/core/core.h
@@ -106,6 +106,8 @@
 	/** The same, because its data centre is evacuated: it stays, and gets work again when the
 	 * data centre is taken back. */
 	DFF_WORKER_EVACUATED,
+	/** The same, because nobody knows what room it has by now. */
+	DFF_WORKER_UNSURE,
 };
 
 /** Where one member of a gang runs. */
@@ -238,6 +240,9 @@
 /** Time of the next tick that may have something to do without a new event; INT64_MAX: none. */
 int64_t dff_core_next_wake_ms (const struct dff_core *core);
 
+/** Returns: whether a worker has room for all that it was given: it may have shrunk since. */
+bool dff_core_worker_has_room (const struct dff_core *core, const struct dff_name *worker);
+
 struct dff_core_stats {
 	/** Jobs by phase; @ended counts all since the core was made, so that the sum is what it was
 	 * given. */
--- a/include/fleet/config.h
+++ b/include/fleet/config.h
@@ -38,6 +38,9 @@
 
 struct dff_fleet_config {
 	int64_t version;
+	/** Services whose workers start whatever they are told to, with room for it or without.
+	 * Elements: struct dff_name. */
+	GArray *unguarded;
 	/** Elements: struct dff_fleet_class. */
 	GArray *classes;
 	/** Elements: struct dff_fleet_team. */
--- a/include/holder/holder.h
+++ b/include/holder/holder.h
@@ -131,6 +131,12 @@
 			       const struct dff_name *data_centres,
 			       size_t n_data_centres);
 
+/** Tells which services have workers that start whatever they are told to, with room for it or
+ * without. All others refuse what they have no room for. */
+void dff_holder_set_unguarded (struct dff_holder *holder,
+			       const struct dff_name *services,
+			       size_t n_services);
+
 /** Lets go of the cell and does not take it again; for a process that is to stop. */
 void dff_holder_resign (struct dff_holder *holder);
 
--- a/tests/holder/site.c
+++ b/tests/holder/site.c
@@ -476,6 +476,9 @@
 	process->holder = dff_holder_new (&options);
 	struct dff_holder_team team = {.name = dff_name_from ("team")};
 	dff_holder_set_teams (process->holder, &team, 1);
+	struct dff_name service = dff_name_from ("service");
+	if (site->unguarded)
+		dff_holder_set_unguarded (process->holder, &service, 1);
 }
 
 void
--- a/tests/holder/test-holder-seeds.c
+++ b/tests/holder/test-holder-seeds.c
@@ -39,6 +39,10 @@
  * not count, as another member's start had no answer yet. */
 static const guint failed_seeds_with_failures[] = {8, 130, 148, 187};
 
+/** The same with rooms: all five, a worker got more than it had room for, as the process that
+ * decides had not heard for long that its room had shrunk. */
+static const guint failed_seeds_with_rooms[] = {122, 129, 251, 297, 299};
+
 #define SEED_FIRST 1
 #define SEED_COUNT 6
 /** Steps of a play, and the time between two, ms. */
@@ -570,6 +574,8 @@
 test_seeds_with_rooms (void **state)
 {
 	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS (failed_seeds_with_rooms); i++)
+		play_seed (failed_seeds_with_rooms[i], DFF_PLAY_ROOMS);
 	play_seeds (DFF_PLAY_ROOMS);
 }
 
--- a/tests/platform/test-decode.c
+++ b/tests/platform/test-decode.c
@@ -17,7 +17,9 @@
 	"false},"
 	"{\"name\":\"r-ce\",\"host\":\"nony24.example\",\"path_prefix\":\"/pule252/deep/\","
 	"\"priority\":0,\"service\":\"huvo11a\",\"max_attempts\":4,\"public\":true,"
-	"\"recommendation\":{\"decide_ms\":5}}],\"services\":[{\"name\":\"huvo11a\"}],"
+	"\"recommendation\":{\"decide_ms\":5}}],\"services\":[{\"name\":\"huvo11a\",\"rejects_"
+	"overload\":"
+	"true},{\"name\":\"huvo11b\",\"rejects_overload\":false},{\"name\":\"huvo11c\"}],"
 	"\"tenants\":[{\"name\":\"kaje80\",\"api_keys\":[\"d4a3\",\"3hh2\"],\"priority\":1,"
 	"\"guaranteed\":{\"gpu\":72}}]}";
 
@@ -32,6 +34,9 @@
 	(void)state;
 	DFF_AUTO (dff_fleet_config) config = dff_platform_read_config (dff_str_from (config_text));
 	assert_int_equal (config->version, 7);
+	assert_int_equal (config->unguarded->len, 2);
+	assert_string_equal (g_array_index (config->unguarded, struct dff_name, 0).data, "huvo11b");
+	assert_string_equal (g_array_index (config->unguarded, struct dff_name, 1).data, "huvo11c");
 	static const struct {
 		const char *host;
 		const char *path;
