holder, tests: what a holder knows has a header of its own, and a site's workers a file

Evacuations and rooms each had a copy of the look for a name in a list and of the walk that judges all workers; there is one of each now, and one beginning of the tests that are played by hand.

--- a/holder/evacuation.c
+++ b/holder/evacuation.c
@@ -18,12 +18,7 @@
 bool
 evacuation_covers (const struct dff_holder *holder, const struct holder_worker *worker)
 {
-	for (guint i = 0; i < holder->evacuated->len; i++) {
-		if (dff_name_equal (&g_array_index (holder->evacuated, struct dff_name, i),
-				    &worker->upstream.data_centre))
-			return true;
-	}
-	return false;
+	return holder_names_have (holder->evacuated, &worker->upstream.data_centre);
 }
 
 bool
@@ -61,14 +56,7 @@
 			  const struct dff_name *data_centres,
 			  size_t n_data_centres)
 {
-	g_array_set_size (holder->evacuated, 0);
-	if (n_data_centres > 0)
-		g_array_append_vals (holder->evacuated, data_centres, (guint)n_data_centres);
-	if (holder->workers == NULL)
-		return;
-	GHashTableIter iter;
-	gpointer value;
-	g_hash_table_iter_init (&iter, holder->workers);
-	while (g_hash_table_iter_next (&iter, NULL, &value))
-		worker_set_state (holder, value);
+	holder_names_set (holder->evacuated, data_centres, n_data_centres);
+	if (holder->workers != NULL)
+		workers_judge (holder);
 }
--- a/holder/holder.c
+++ b/holder/holder.c
@@ -62,6 +62,24 @@
 	return call->term == call->holder->term ? call->holder : NULL;
 }
 
+void
+holder_names_set (GArray *array, const struct dff_name *names, size_t n_names)
+{
+	g_array_set_size (array, 0);
+	if (n_names > 0)
+		g_array_append_vals (array, names, (guint)n_names);
+}
+
+bool
+holder_names_have (const GArray *array, const struct dff_name *name)
+{
+	for (guint i = 0; i < array->len; i++) {
+		if (dff_name_equal (&g_array_index (array, struct dff_name, i), name))
+			return true;
+	}
+	return false;
+}
+
 void
 holder_wake (struct dff_holder *holder)
 {
--- a/holder/rooms.c
+++ b/holder/rooms.c
@@ -11,21 +11,10 @@
  * its entries, and less than whoever shrinks its room counts with. */
 #define SAID_MAX_MS 3000
 
-static bool
-is_unguarded (const struct dff_holder *holder, const struct dff_name *service)
-{
-	for (guint i = 0; i < holder->unguarded->len; i++) {
-		if (dff_name_equal (&g_array_index (holder->unguarded, struct dff_name, i),
-				    service))
-			return true;
-	}
-	return false;
-}
-
 bool
 rooms_are_known (const struct dff_holder *holder, const struct holder_worker *worker)
 {
-	return !is_unguarded (holder, &worker->upstream.service) ||
+	return !holder_names_have (holder->unguarded, &worker->upstream.service) ||
 	       holder_now_ms (holder) - worker->entry_changed_ms <= SAID_MAX_MS;
 }
 
@@ -36,16 +25,10 @@
 	       dff_core_worker_has_room (holder->core, &worker->upstream.id);
 }
 
-void
-rooms_work (struct dff_holder *holder)
+bool
+rooms_may_get_old (const struct dff_holder *holder)
 {
-	if (holder->unguarded->len == 0)
-		return;
-	GHashTableIter iter;
-	gpointer value;
-	g_hash_table_iter_init (&iter, holder->workers);
-	while (g_hash_table_iter_next (&iter, NULL, &value))
-		worker_set_state (holder, value);
+	return holder->unguarded->len > 0;
 }
 
 void
@@ -53,7 +36,5 @@
 			  const struct dff_name *services,
 			  size_t n_services)
 {
-	g_array_set_size (holder->unguarded, 0);
-	if (n_services > 0)
-		g_array_append_vals (holder->unguarded, services, (guint)n_services);
+	holder_names_set (holder->unguarded, services, n_services);
 }
--- a/holder/workers.c
+++ b/holder/workers.c
@@ -103,6 +103,16 @@
 	holder_wake (holder);
 }
 
+void
+workers_judge (struct dff_holder *holder)
+{
+	GHashTableIter iter;
+	gpointer value;
+	g_hash_table_iter_init (&iter, holder->workers);
+	while (g_hash_table_iter_next (&iter, NULL, &value))
+		worker_set_state (holder, value);
+}
+
 /* Whether what the core knows of a worker has changed. */
 static bool
 differs (const struct dff_upstream *one, const struct dff_upstream *other)
@@ -307,7 +317,8 @@
 workers_work (struct dff_holder *holder)
 {
 	list_work (holder);
-	rooms_work (holder);
+	if (rooms_may_get_old (holder))
+		workers_judge (holder);
 	if (holder->phase == DFF_HOLDER_HOLDING && holder->pool_changed)
 		workers_apply_pool (holder);
 }
--- a/tests/holder/site.h
+++ b/tests/holder/site.h
@@ -104,6 +104,10 @@
 	GPtrArray *accepted;
 };
 
+/** For tests that are played by hand: DFF_SEED_LOG shows what is decided, DFF_SEED_TEST names one
+ * of the tests. */
+void site_tests_begin (void);
+
 /** Every process is started, and one of them holds the cell. */
 void site_open (struct site *site);
 
--- /dev/null
+++ b/tests/holder/site_workers.c
@@ -0,0 +1,195 @@
+#include "tests/holder/site_workers.h"
+
+#include <stdio.h>
+
+/* The workers of a site: their lives, and what they write of themselves. */
+
+static struct dff_name
+worker_id (const struct site *site, int index)
+{
+	return dff_name_printf ("w%d-%d", index, site->worker_lives[index]);
+}
+
+/* Value of a worker's row: "ADDRESS RACK LEAVING REMAINING ACCELERATORS". */
+bool
+site_workers_read_upstream (const struct dff_row *row, struct dff_upstream *upstream)
+{
+	char address[32], rack[16];
+	int leaving, remaining_ms, accelerators = SITE_ACCELERATORS;
+	g_autofree char *text = g_strndup (row->value.data, row->value.len);
+	*upstream = (struct dff_upstream){.remaining_ms = -1};
+	if (sscanf (text, "%31s %15s %d %d %d", address, rack, &leaving, &remaining_ms,
+		    &accelerators) < 4)
+		return false;
+	upstream->remaining_ms = remaining_ms;
+	upstream->address = dff_name_from (address);
+	upstream->rack = dff_name_from (rack);
+	upstream->data_centre = dff_name_printf ("dc-%s", rack);
+	upstream->service = dff_name_from ("service");
+	upstream->capacity = (struct dff_resources){
+		.slots = 64, .cores = 32, .memory_gb = 64, .accelerators = accelerators};
+	upstream->leaving = leaving;
+	return dff_name_parse (row->key, &upstream->id);
+}
+
+static void
+put_worker (struct site *site, int index, bool leaving, int32_t remaining_ms)
+{
+	struct site_entry *entry = &site->entries[index];
+	entry->listed = true;
+	entry->leaving = leaving;
+	entry->remaining_ms = remaining_ms;
+	if (entry->held_back)
+		return;
+	struct dff_name id = worker_id (site, index);
+	struct dff_name address = dff_name_printf ("10.0.0.%d:1", index);
+	g_autofree char *value =
+		g_strdup_printf ("%s r%d %d %d %d", address.data, index / SITE_PER_RACK, leaving,
+				 remaining_ms, site->accelerators[index]);
+	dff_memory_rows_put (site->rows, DFF_TABLE_UPSTREAMS, id.data, dff_str_from (value));
+}
+
+/* Each worker that is there writes its entry anew. */
+void
+site_workers_write_entries (void *user)
+{
+	struct site *site = user;
+	for (int i = 0; i < SITE_WORKERS; i++) {
+		const struct site_entry *entry = &site->entries[i];
+		if (entry->listed)
+			put_worker (site, i, entry->leaving, entry->remaining_ms);
+	}
+	if (!site->closing)
+		dff_virtual_loop_after (site->loop, SITE_ENTRY_EVERY_MS, site_workers_write_entries,
+					site);
+}
+
+void
+site_hold_entries_back (struct site *site, int index, bool held_back)
+{
+	site->entries[index].held_back = held_back;
+}
+
+void
+site_list_worker (struct site *site, int index, bool listed, bool leaving)
+{
+	struct dff_name id = worker_id (site, index);
+	site->entries[index].listed = false;
+	if (listed)
+		put_worker (site, index, leaving, -1);
+	else
+		dff_memory_rows_remove (site->rows, DFF_TABLE_UPSTREAMS, id.data);
+}
+
+void
+site_resize_worker (struct site *site, int index, int32_t accelerators)
+{
+	struct dff_name id = worker_id (site, index);
+	site->accelerators[index] = accelerators;
+	dff_memory_runner_resize (site->runner, id.data, accelerators);
+	if (site->entries[index].listed)
+		put_worker (site, index, false, -1);
+}
+
+void
+site_announce_leaving (struct site *site, int index, int32_t remaining_ms)
+{
+	put_worker (site, index, true, remaining_ms);
+}
+
+void
+site_cut_worker_from (struct site *site, int index, int process, bool cut)
+{
+	struct dff_name id = worker_id (site, index);
+	dff_memory_runner_client_cut (site->processes[process].runner, id.data, cut);
+}
+
+void
+site_end_worker (struct site *site, int index)
+{
+	struct dff_name id = worker_id (site, index);
+	site->entries[index].listed = false;
+	dff_memory_runner_kill (site->runner, id.data);
+}
+
+/* Has a worker notice starts that come too late after its data centre was to be emptied. */
+static void
+close_worker (struct site *site, int index)
+{
+	int64_t evacuated_ms = site->evacuated_ms[index / SITE_PER_RACK];
+	site->workers[index]->closed_from_ms =
+		evacuated_ms > 0 ? evacuated_ms + SITE_EVACUATION_MS : 0;
+}
+
+void
+site_workers_add (struct site *site, int index)
+{
+	struct dff_name id = worker_id (site, index);
+	struct dff_name address = dff_name_printf ("10.0.0.%d:1", index);
+	site->accelerators[index] = SITE_ACCELERATORS;
+	/* Clocks up to 2% slow. */
+	site->workers[index] = dff_memory_runner_add (site->runner, id.data, address.data,
+						      SITE_ACCELERATORS, 1000 - index * 4);
+	site_list_worker (site, index, true, false);
+	close_worker (site, index);
+}
+
+void
+site_evacuate (struct site *site, int data_centre, bool requested)
+{
+	g_autofree char *key = g_strdup_printf ("evacuate/dc-r%d", data_centre);
+	if (requested)
+		dff_memory_rows_put (site->rows, DFF_TABLE_CONFIG, key, dff_str_from ("{}"));
+	else
+		dff_memory_rows_remove (site->rows, DFF_TABLE_CONFIG, key);
+	site->evacuated_ms[data_centre] = requested ? dff_virtual_loop_now_ms (site->loop) : 0;
+	for (int i = 0; i < SITE_WORKERS; i++)
+		close_worker (site, i);
+}
+
+void
+site_reborn_worker (struct site *site, int index)
+{
+	struct dff_name id = worker_id (site, index);
+	dff_memory_runner_kill (site->runner, id.data);
+	site_list_worker (site, index, false, false);
+	site->worker_lives[index]++;
+	site_workers_add (site, index);
+}
+
+struct crash {
+	struct site *site;
+	int index;
+	struct dff_name id;
+};
+
+static void
+lapse_entry (void *user)
+{
+	g_autofree struct crash *crash = user;
+	dff_memory_rows_remove (crash->site->rows, DFF_TABLE_UPSTREAMS, crash->id.data);
+}
+
+static void
+return_crashed (void *user)
+{
+	g_autofree struct crash *crash = user;
+	struct dff_name now = worker_id (crash->site, crash->index);
+	if (!dff_name_equal (&now, &crash->id))
+		return;
+	crash->site->worker_lives[crash->index]++;
+	site_workers_add (crash->site, crash->index);
+}
+
+void
+site_workers_handle_crash (void *ctx, const char *id)
+{
+	struct site *site = ctx;
+	struct crash crash = {.site = site, .index = id[1] - '0', .id = dff_name_from (id)};
+	site->entries[crash.index].listed = false;
+	dff_virtual_loop_after (site->loop, SITE_ENTRY_LAPSE_MS, lapse_entry,
+				g_memdup2 (&crash, sizeof (crash)));
+	if (site->back_ms > 0)
+		dff_virtual_loop_after (site->loop, site->back_ms, return_crashed,
+					g_memdup2 (&crash, sizeof (crash)));
+}
--- a/tests/holder/test-holder-crashes.c
+++ b/tests/holder/test-holder-crashes.c
@@ -1,10 +1,7 @@
 #include "tests/holder/site.h"
 
-#include <stdlib.h>
 #include <string.h>
 
-#include "common/log.h"
-
 /* Tasks that crash the workers that start them, and those that only look like it. The workers
  * notice a start too many. */
 
@@ -270,10 +267,7 @@
 int
 main (void)
 {
-	if (getenv ("DFF_SEED_LOG") != NULL)
-		dff_log_init (DFF_LOG_INFO);
-	if (getenv ("DFF_SEED_TEST") != NULL)
-		cmocka_set_test_filter (getenv ("DFF_SEED_TEST"));
+	site_tests_begin ();
 	size_t n_crashes = G_N_ELEMENTS (crash_cases);
 	struct CMUnitTest tests[G_N_ELEMENTS (crash_cases) + G_N_ELEMENTS (unlucky_cases) + 1];
 	for (size_t i = 0; i < n_crashes; i++) {
--- a/tests/holder/test-holder-rooms.c
+++ b/tests/holder/test-holder-rooms.c
@@ -1,9 +1,5 @@
 #include "tests/holder/site.h"
 
-#include <stdlib.h>
-
-#include "common/log.h"
-
 /* Workers that start whatever they are told to, and whose room shrinks and grows. They notice a
  * start that they have no room for, once whoever sent it had the time to learn of that. */
 
@@ -78,8 +74,7 @@
 int
 main (void)
 {
-	if (getenv ("DFF_SEED_LOG") != NULL)
-		dff_log_init (DFF_LOG_INFO);
+	site_tests_begin ();
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test (test_room_that_shrinks_and_grows),
 		cmocka_unit_test (test_room_that_nobody_hears_of),
--- a/tests/holder/test-holder-seeds.c
+++ b/tests/holder/test-holder-seeds.c
@@ -3,8 +3,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "common/log.h"
-
 /* Random jobs, cancellations and faults by seed, in no order: processes killed and started, stores
  * that are silent, refuse, lose or delay writes for some processes, workers cut off, reborn, hung,
  * late; in the plays with paths, also processes that others do not hear, and workers that one
@@ -582,10 +580,7 @@
 int
 main (void)
 {
-	if (getenv ("DFF_SEED_LOG") != NULL)
-		dff_log_init (DFF_LOG_INFO);
-	if (getenv ("DFF_SEED_TEST") != NULL)
-		cmocka_set_test_filter (getenv ("DFF_SEED_TEST"));
+	site_tests_begin ();
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test (test_seeds),
 		cmocka_unit_test (test_seeds_with_paths),
