--- a/holder/blame.c
+++ b/holder/blame.c
@@ -156,7 +156,7 @@
 		return;
 	struct dff_task *task =
 		dff_progress_task (job->progress, ref.occurrence, ref.step, ref.index);
-	task->blame = MAX (task->blame - DFF_POLICY_BLAME_SEEN, 0);
+	task->blame = MAX (task->blame - DFF_POLICY_BLAME_SEEN, task->fresh_blame);
 	bool gang = dff_plan_step (job->plan, ref.step)->gang;
 	struct dff_unit at = {
 		.occurrence = ref.occurrence, .step = ref.step, .index = gang ? -1 : ref.index};
