--- a/tests/holder/test-holder-crashes.c
+++ b/tests/holder/test-holder-crashes.c
@@ -26,11 +26,11 @@
 #define NOTICE_MS 1800
 
 enum worker_end {
-	WORKER_IS_CUT_OFF,
-	WORKER_LEAVES,
-	WORKER_CRASHES,
+	DFF_END_IS_CUT_OFF,
+	DFF_END_LEAVES,
+	DFF_END_CRASHES,
 	/** And the next one leaves, which the task is stopped for in time. */
-	WORKER_CRASHES_NEXT_LEAVES,
+	DFF_END_CRASHES_NEXT_LEAVES,
 };
 
 struct unlucky_case {
@@ -45,10 +45,10 @@
 	const char *name;
 	const char *id;
 	int32_t count;
-	bool gang;
 	int32_t accelerators;
 	/** When a crashed worker is back; 0: never. */
 	int64_t back_ms;
+	bool gang;
 	bool endless;
 	/** Whether the process that decides is killed after each crash. */
 	bool taken_over;
@@ -181,20 +181,20 @@
 {
 	int worker = wait_for_run (site, task, -1);
 	switch (end) {
-	case WORKER_IS_CUT_OFF:
+	case DFF_END_IS_CUT_OFF:
 		site->workers[worker]->cut = true;
 		site_run (site, LEASE_PASSED_MS);
 		site->workers[worker]->cut = false;
 		return;
-	case WORKER_LEAVES:
+	case DFF_END_LEAVES:
 		site_announce_leaving (site, worker, 500);
 		site_run (site, 500);
 		site_reborn_worker (site, worker);
 		return;
-	case WORKER_CRASHES:
+	case DFF_END_CRASHES:
 		site_reborn_worker (site, worker);
 		return;
-	case WORKER_CRASHES_NEXT_LEAVES:
+	case DFF_END_CRASHES_NEXT_LEAVES:
 		site_reborn_worker (site, worker);
 		worker = wait_for_run (site, task, worker);
 		site_run (site, AT_WORK_MS);
@@ -221,7 +221,7 @@
 		lose_worker_of (&site, task, at->end);
 	}
 	assert_int_not_equal (site_until (&site, at->id, "completed", 120000), -1);
-	bool twice = at->end == WORKER_CRASHES_NEXT_LEAVES;
+	bool twice = at->end == DFF_END_CRASHES_NEXT_LEAVES;
 	int32_t n_starts = (twice ? 2 : 1) * UNLUCKY_TIMES + 1;
 	assert_int_equal (dff_memory_runner_n_starts (site.runner, task), n_starts);
 	site_close (&site);
@@ -255,13 +255,13 @@
 }
 
 static struct unlucky_case unlucky_cases[] = {
-	{.name = "cut off", .id = "7", .end = WORKER_IS_CUT_OFF, .between_ms = 2000},
-	{.name = "workers leave", .id = "7", .end = WORKER_LEAVES, .between_ms = 2000},
+	{.name = "cut off", .id = "7", .end = DFF_END_IS_CUT_OFF, .between_ms = 2000},
+	{.name = "workers leave", .id = "7", .end = DFF_END_LEAVES, .between_ms = 2000},
 	{.name = "crashes, and sound ends between",
 	 .id = "7",
-	 .end = WORKER_CRASHES_NEXT_LEAVES,
+	 .end = DFF_END_CRASHES_NEXT_LEAVES,
 	 .between_ms = 0},
-	{.name = "crashes after long", .id = "u", .end = WORKER_CRASHES, .between_ms = 70000},
+	{.name = "crashes after long", .id = "u", .end = DFF_END_CRASHES, .between_ms = 70000},
 };
 
 int
--- a/tests/holder/test-holder-seeds.c
+++ b/tests/holder/test-holder-seeds.c
@@ -101,27 +101,27 @@
 
 struct job_kind {
 	char kind;
-	int32_t count;
 	bool gang;
+	int32_t count;
 	int32_t accelerators;
 };
 
 static const struct job_kind mixed_kinds[] = {
-	{'a', 4, false, 1}, {'1', 3, false, 1}, {'2', 3, true, SITE_ACCELERATORS},
-	{'3', 1, false, 1}, {'4', 2, false, 1}, {'5', 2, true, 4},
+	{'a', false, 4, 1}, {'1', false, 3, 1}, {'2', true, 3, SITE_ACCELERATORS},
+	{'3', false, 1, 1}, {'4', false, 2, 1}, {'5', true, 2, 4},
 };
 
 static const struct job_kind crashing_kinds[] = {
-	{'a', 4, false, 1}, {'1', 3, false, 1},
-	{'4', 2, false, 1}, {'5', 2, true, 4},
-	{'a', 1, false, 1}, {'x', 1, false, 1},
-	{'z', 1, false, 1}, {'y', 2, true, SITE_ACCELERATORS},
+	{'a', false, 4, 1}, {'1', false, 3, 1},
+	{'4', false, 2, 1}, {'5', true, 2, 4},
+	{'a', false, 1, 1}, {'x', false, 1, 1},
+	{'z', false, 1, 1}, {'y', true, 2, SITE_ACCELERATORS},
 };
 
 static const struct job_kind failing_kinds[] = {
-	{'8', 2, true, SITE_ACCELERATORS},
-	{'9', 2, true, SITE_ACCELERATORS},
-	{'3', 1, false, 1},
+	{'8', true, 2, SITE_ACCELERATORS},
+	{'9', true, 2, SITE_ACCELERATORS},
+	{'3', false, 1, 1},
 };
 
 static void
