--- a/core/queue.c
+++ b/core/queue.c
@@ -5,6 +5,9 @@
 
 /* Queues of jobs that are alike. */
 
+/** Tells jobs that are placed where least else runs from others in the hash of what they want. */
+#define APART_HASH 29791
+
 guint
 dff_core_class_key_hash (gconstpointer key)
 {
@@ -35,7 +38,7 @@
 {
 	guint32 hash = (guint32)(job->label + 1) + (guint32)(job->data_rack + 1) * 31;
 	if (dff_core_job_is_apart (core, job))
-		hash += 29791;
+		hash += APART_HASH;
 	if (job->per_worker > 0)
 		hash += (guint32)job->spread_group * 961;
 	return hash;
