--- a/tests/holder/site.c
+++ b/tests/holder/site.c
@@ -5,6 +5,7 @@
 #include "tests/holder/site_relays.h"
 #include "tests/holder/site_workers.h"
 
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -375,12 +376,21 @@
 }
 
 void
-site_tests_begin (void)
+site_tests_begin (const struct CMUnitTest *tests, size_t n_tests)
 {
+	const char *name = getenv ("DFF_SEED_TEST");
 	if (getenv ("DFF_SEED_LOG") != NULL)
 		dff_log_init (DFF_LOG_INFO);
-	if (getenv ("DFF_SEED_TEST") != NULL)
-		cmocka_set_test_filter (getenv ("DFF_SEED_TEST"));
+	if (name == NULL)
+		return;
+	cmocka_set_test_filter (name);
+	for (size_t i = 0; i < n_tests; i++) {
+		if (strcmp (tests[i].name, name) == 0)
+			return;
+	}
+	/* A filter that lets no test through would pass. */
+	fprintf (stderr, "No test is called %s.\n", name);
+	exit (EXIT_FAILURE);
 }
 
 void
--- a/tests/holder/site.h
+++ b/tests/holder/site.h
@@ -104,9 +104,9 @@
 	GPtrArray *accepted;
 };
 
-/** For tests that are played by hand: DFF_SEED_LOG shows what is decided, DFF_SEED_TEST names one
- * of the tests. */
-void site_tests_begin (void);
+/** For tests that are played by hand, or apart from each other: DFF_SEED_LOG shows what is decided,
+ * DFF_SEED_TEST names the one of @tests to be played. */
+void site_tests_begin (const struct CMUnitTest *tests, size_t n_tests);
 
 /** Every process is started, and one of them holds the cell. */
 void site_open (struct site *site);
--- a/tests/holder/test-holder-crashes.c
+++ b/tests/holder/test-holder-crashes.c
@@ -267,7 +267,6 @@
 int
 main (void)
 {
-	site_tests_begin ();
 	size_t n_crashes = G_N_ELEMENTS (crash_cases);
 	struct CMUnitTest tests[G_N_ELEMENTS (crash_cases) + G_N_ELEMENTS (unlucky_cases) + 1];
 	for (size_t i = 0; i < n_crashes; i++) {
@@ -281,5 +280,6 @@
 							   .initial_state = &unlucky_cases[i]};
 	}
 	tests[G_N_ELEMENTS (tests) - 1] = (struct CMUnitTest)cmocka_unit_test (test_jobs_beside);
+	site_tests_begin (tests, G_N_ELEMENTS (tests));
 	return cmocka_run_group_tests (tests, NULL, NULL);
 }
--- a/tests/holder/test-holder-rooms.c
+++ b/tests/holder/test-holder-rooms.c
@@ -74,10 +74,10 @@
 int
 main (void)
 {
-	site_tests_begin ();
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test (test_room_that_shrinks_and_grows),
 		cmocka_unit_test (test_room_that_nobody_hears_of),
 	};
+	site_tests_begin (tests, G_N_ELEMENTS (tests));
 	return cmocka_run_group_tests (tests, NULL, NULL);
 }
--- a/tests/holder/test-holder-seeds.c
+++ b/tests/holder/test-holder-seeds.c
@@ -580,7 +580,6 @@
 int
 main (void)
 {
-	site_tests_begin ();
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test (test_seeds),
 		cmocka_unit_test (test_seeds_with_paths),
@@ -591,5 +590,6 @@
 		cmocka_unit_test (test_seeds_with_crashes),
 		cmocka_unit_test (test_seeds_with_rooms),
 	};
+	site_tests_begin (tests, G_N_ELEMENTS (tests));
 	return cmocka_run_group_tests (tests, NULL, NULL);
 }
