core, holder: workers of unlike speed are told apart by what tasks of one step take

What a step takes in all tells nothing (estimates are off by half to nine tenths).

holder/pace.c tells the core what the whole of a run takes there, once a run. core/pace.c keeps that by step, bounded, and works out a belief for each worker; the spread of all is learned too, so that alike workers are never told apart. Urgent work is placed within limits of pace, the quickest first, then less quick.

--- a/core/core.c
+++ b/core/core.c
@@ -68,6 +68,7 @@
 	core->jobs = g_hash_table_new (dff_name_hash, dff_name_equal_func);
 	core->classes = dff_core_classes_new ();
 	core->estimators = dff_core_estimators_new ();
+	dff_core_pace_init (core);
 	core->pending = array_new (sizeof (struct dff_command), NULL);
 	core->adjacent_unit = DEFAULT_ADJACENT_UNIT;
 	core->max_guards = options->max_guards;
@@ -89,6 +90,7 @@
 	g_hash_table_unref (core->jobs);
 	g_hash_table_unref (core->classes);
 	g_hash_table_unref (core->estimators);
+	g_hash_table_unref (core->cohorts);
 	g_hash_table_unref (core->worker_index);
 	g_hash_table_unref (core->team_index);
 	g_array_unref (core->workers);
@@ -392,6 +394,9 @@
 	case DFF_EVENT_WORKER_RENEWED:
 		dff_core_worker_renew (core, &event->worker);
 		return;
+	case DFF_EVENT_TASK_PACE:
+		dff_core_note_pace (core, event);
+		return;
 	case DFF_EVENT_WORKER_STALLED:
 		handle_worker_stalled (core, event);
 		return;
@@ -407,6 +412,7 @@
 	core->now_ms = now_ms;
 	dff_core_run_deadlines (core);
 	dff_core_run_quarantine (core);
+	dff_core_run_pace (core);
 	dff_core_run_delayed (core);
 	dff_core_run_witnesses (core);
 	dff_core_run_reserved (core);
--- a/core/core_private.h
+++ b/core/core_private.h
@@ -306,7 +306,7 @@
 /** Puts a worker into quarantine whatever it did before, unless too many are. */
 void dff_core_worker_suspect (struct dff_core *core, int32_t worker);
 
-/** Forgets what was seen of a worker. */
+/** A worker is another one under the same name. */
 void dff_core_worker_renew (struct dff_core *core, const struct dff_name *id);
 
 /** A run that began at @started_ms has completed on a worker. */
@@ -499,4 +499,25 @@
 /** System: starts reserved jobs whose victims are gone. */
 void dff_core_run_reserved (struct dff_core *core);
 
+/* pace.c */
+
+void dff_core_pace_init (struct dff_core *core);
+
+/** Takes in what a task takes on a worker. */
+void dff_core_note_pace (struct dff_core *core, const struct dff_event *event);
+
+void dff_core_forget_pace (struct dff_core *core, int32_t worker);
+
+/** Judges all workers anew, every so often. */
+void dff_core_run_pace (struct dff_core *core);
+
+/** Returns: whether a worker is slower than a job is placed on for now. */
+bool dff_core_is_slower (const struct dff_core *core,
+			 const struct dff_core_worker *worker,
+			 const struct dff_core_job *job);
+
+/** Has a job be placed on quick workers only, on less quick ones with each call. Returns: false
+ * when any worker will do. */
+bool dff_core_limit_pace (const struct dff_core *core, struct dff_core_job *job);
+
 #endif
--- a/core/core_tables.h
+++ b/core/core_tables.h
@@ -75,6 +75,9 @@
 	bool overloaded;
 	/** Whether recovered rows claim the same accelerators. */
 	bool overlapping;
+	/** How long tasks are believed to take here, against the mean of all workers: thousandths
+	 * of the logarithm. */
+	int16_t pace;
 	/** When a run failed here last; 0: never. */
 	int64_t failed_ms;
 	/** When its quarantine, or the wait for a probe, is over. */
@@ -278,6 +281,8 @@
 	int8_t priority;
 	/** Points against it for workers that ended under it. */
 	int8_t blame;
+	/** Which limit of pace its workers have to keep as it is placed, from 1; 0: none. */
+	int8_t pace_limit;
 	int32_t attempt;
 	/** Times that it was preempted after it may have run. */
 	int32_t preemptions;
@@ -380,6 +385,13 @@
 	GHashTable *classes;
 	/** Learned run times by team and service. */
 	GHashTable *estimators;
+	/** What tasks of a step have taken where: gint64 * to struct cohort. */
+	GHashTable *cohorts;
+	/** Tasks in them. */
+	guint n_paces;
+	/** Variance of the workers' paces, as logarithms. */
+	float pace_variance;
+	int64_t pace_review_ms;
 	/** Queues by state; deadlines rise along each but @delayed. */
 	GQueue reserved;
 	GQueue starting;
--- a/core/place.c
+++ b/core/place.c
@@ -109,7 +109,8 @@
 	     int32_t limit)
 {
 	const struct dff_core_worker *worker = dff_core_worker_at (core, index);
-	if (!has_label (worker, job->label))
+	if (!has_label (worker, job->label) ||
+	    (!is_hypothetical (view) && dff_core_is_slower (core, worker, job)))
 		return 0;
 	if (!is_hypothetical (view))
 		limit = spread_limit (worker, job, limit);
@@ -516,13 +517,30 @@
 	return false;
 }
 
+/* Urgent work is late on a slow worker, and a gang takes as long as its slowest member. */
+static bool
+place_on_quicker (const struct dff_core *core,
+		  const struct dff_core_job *job,
+		  enum dff_core_view view,
+		  int32_t *workers)
+{
+	if (!job->urgent || is_hypothetical (view))
+		return false;
+	struct dff_core_job quicker = *job;
+	while (dff_core_limit_pace (core, &quicker)) {
+		if (place (core, &quicker, view, workers))
+			return true;
+	}
+	return false;
+}
+
 bool
 dff_core_place (const struct dff_core *core,
 		const struct dff_core_job *job,
 		enum dff_core_view view,
 		int32_t *workers)
 {
-	if (place (core, job, view, workers))
+	if (place_on_quicker (core, job, view, workers) || place (core, job, view, workers))
 		return true;
 	if (is_hypothetical (view))
 		return false;
--- a/core/quarantine.c
+++ b/core/quarantine.c
@@ -158,6 +158,7 @@
 	worker->last_failed = 0;
 	worker->quarantines = 0;
 	worker->failed_ms = 0;
+	dff_core_forget_pace (core, index);
 	if (worker->health != DFF_CORE_HEALTHY)
 		set_health (core, worker, DFF_CORE_HEALTHY);
 }
--- a/holder/holder_private.h
+++ b/holder/holder_private.h
@@ -425,6 +425,17 @@
 /** Takes back what counts for a worker's lapsed lease: its life goes on. */
 void blame_withdraw (struct dff_holder *holder, struct holder_worker *worker);
 
+/* pace.c */
+
+/** Takes in that a run has begun now, from its beginning or from where a checkpoint left it. */
+void pace_note_begun (struct holder_run *run);
+
+/** Takes in the progress that its worker has just listed. */
+void pace_note_progress (struct dff_holder *holder, struct holder_run *run);
+
+/** Takes in that it has just completed. */
+void pace_note_completed (struct dff_holder *holder, struct holder_run *run);
+
 /* runs.c */
 
 struct holder_run *run_new (struct dff_holder *holder,
--- a/holder/holder_tables.h
+++ b/holder/holder_tables.h
@@ -83,6 +83,11 @@
 	/** Progress last reported, and since when it has been that. */
 	int32_t percent;
 	int64_t percent_ms;
+	/** Where its progress is measured from, on the worker's clock; 0: not known yet. */
+	int64_t pace_clock_ms;
+	int32_t pace_percent;
+	/** Whether the core was told what the whole of it takes there. */
+	bool pace_told;
 };
 
 /** What holds when a call to a worker begins, to tell which life its answer is of. */
--- a/holder/lives.c
+++ b/holder/lives.c
@@ -64,6 +64,7 @@
 {
 	if (is_named (run, result)) {
 		run->begun_clock_ms = 0;
+		run->pace_clock_ms = 0;
 		return;
 	}
 	if (!may_still_start (run)) {
--- /dev/null
+++ b/holder/pace.c
@@ -0,0 +1,85 @@
+#include "holder/holder_private.h"
+
+/* What a task takes on its worker, by its progress there: told to the core once a run, which learns
+ * from it which workers are slow. Times are the worker's own. */
+
+/** Progress and time from which on they are told, percent and ms: progress comes in whole percents,
+ * and late by an answer's way. */
+#define PERCENT_MIN 8
+#define WORKED_MIN_MS 300
+
+void
+pace_note_begun (struct holder_run *run)
+{
+	/* What was there before, or goes on from a checkpoint, is measured from its first list. */
+	bool from_start = !run->inherited && run->checkpoint == NULL;
+	if (run->pace_clock_ms > 0 || (!from_start && run->percent < 0))
+		return;
+	run->pace_clock_ms = run->worker->clock_ms;
+	run->pace_percent = MAX (run->percent, 0);
+}
+
+/* The members of a gang begin to work when the last of them is there. */
+static int64_t
+waited_ms (const struct holder_run *run)
+{
+	int64_t last_ms = run->open_ms;
+	for (int32_t i = 0; i < run->unit->n_members; i++) {
+		const struct holder_run *member = run->unit->runs[i];
+		if (member != NULL)
+			last_ms = MAX (last_ms, member->open_ms);
+	}
+	return last_ms - run->open_ms;
+}
+
+/* Away from its data's rack a task takes longer everywhere. */
+static bool
+is_near_data (const struct holder_run *run)
+{
+	const struct dff_step *step = dff_plan_step (run->unit->job->plan, run->unit->unit.step);
+	return dff_name_is_empty (&step->data_rack) ||
+	       dff_name_equal (&step->data_rack, &run->worker->upstream.rack);
+}
+
+static uint64_t
+cohort_of (const struct holder_unit *unit)
+{
+	uint32_t part = ((uint32_t)unit->unit.occurrence << 8U) ^ (uint32_t)unit->unit.step;
+	return ((uint64_t)dff_name_hash (&unit->job->id) << 32U) | part;
+}
+
+static void
+tell (struct dff_holder *holder, struct holder_run *run, int32_t percent)
+{
+	if (run->pace_told || run->pace_clock_ms == 0)
+		return;
+	int64_t worked_ms = run->worker->clock_ms - run->pace_clock_ms;
+	if (run->pace_percent == 0)
+		worked_ms -= waited_ms (run);
+	int32_t done = percent - run->pace_percent;
+	if (done < PERCENT_MIN || worked_ms < WORKED_MIN_MS)
+		return;
+	run->pace_told = true;
+	if (!is_near_data (run))
+		return;
+	struct dff_event event = {.type = DFF_EVENT_TASK_PACE,
+				  .worker = run->worker->upstream.life.id,
+				  .cohort = cohort_of (run->unit),
+				  .whole_ms = worked_ms * 100 / done};
+	dff_core_handle_event (holder->core, &event, holder_now_ms (holder));
+}
+
+void
+pace_note_progress (struct dff_holder *holder, struct holder_run *run)
+{
+	/* A member that is done waits for the others. */
+	if (run->percent < 100)
+		tell (holder, run, run->percent);
+}
+
+void
+pace_note_completed (struct dff_holder *holder, struct holder_run *run)
+{
+	if (run->unit->n_members == 1)
+		tell (holder, run, 100);
+}
--- a/holder/runs.c
+++ b/holder/runs.c
@@ -156,6 +156,7 @@
 	run->ran = true;
 	if (run->begun_clock_ms == 0)
 		run->begun_clock_ms = run->worker->clock_ms;
+	pace_note_begun (run);
 }
 
 void
@@ -174,6 +175,7 @@
 	if (!run->ran)
 		unit_note_started (holder, unit);
 	note_begun (run);
+	pace_note_progress (holder, run);
 	if (run->phase != DFF_RUN_PHASE_STARTING)
 		return;
 	run_set_phase (holder, run, DFF_RUN_PHASE_OPEN);
@@ -217,6 +219,7 @@
 	blame_clear_ended (holder, run);
 	switch (ended->end) {
 	case DFF_RUN_COMPLETED:
+		pace_note_completed (holder, run);
 		complete_unit (holder, run);
 		return;
 	case DFF_RUN_FAILED:
--- a/include/core/core.h
+++ b/include/core/core.h
@@ -139,6 +139,8 @@
 	DFF_EVENT_TASK_STOPPED,  /**< Proven stopped; @ran tells whether it ever ran. */
 	DFF_EVENT_TASK_LOST,     /**< Its lease has lapsed: it no longer runs, and may have run. */
 	DFF_EVENT_TASK_PROGRESS, /**< @percent of the task's work is done. */
+	/** @worker, @cohort, @whole_ms. Told once a run, as soon as its progress tells. */
+	DFF_EVENT_TASK_PACE,
 	/** @worker, @worker_state, @leaves_in_ms. */
 	DFF_EVENT_WORKER_STATE,
 	/** The worker has started again: what was seen of it before does not count. @worker. */
@@ -180,6 +182,10 @@
 	int32_t blame;
 	bool ran;
 	int32_t percent;
+	/** The tasks of one step, which are alike. */
+	uint64_t cohort;
+	/** What the whole task takes on the worker, ms. */
+	int64_t whole_ms;
 };
 
 enum dff_command_type {
@@ -251,6 +257,10 @@
 	int64_t queued, starting, running, stopping, ended;
 	int64_t reclaims, preemptions, moves, start_failures, retries;
 	int64_t workers_up, workers_quarantined;
+	/** Spread of the workers' paces, as a deviation of logarithms of time. */
+	double pace_spread;
+	/** Tasks whose times are kept to tell. */
+	int64_t paces_kept;
 	int64_t accelerators_total, accelerators_free;
 	/** Guaranteed shapes that no longer fit on the workers that are up. */
 	int64_t witnesses_missing;
--- /dev/null
+++ b/tests/core/test-pace.c
@@ -0,0 +1,228 @@
+#include "core_fixture.h"
+
+#include <math.h>
+#include <stdlib.h>
+
+/* Workers of unlike speed in a nearly idle pool: single tasks go everywhere and tell how long they
+ * take; urgent gangs then come one at a time. A gang takes as long as its slowest member. */
+
+#define RACKS 6
+#define PER_RACK 6
+#define WORKERS (RACKS * PER_RACK)
+/** Steps of single tasks that are seen, one task a worker each. */
+#define STEPS 6
+#define TASK_MS 8000.0
+/** Tasks of a step are between a third shorter and a third longer than the mean. */
+#define UNEVEN 0.3
+#define GANGS 40
+#define MEMBERS 3
+
+struct pace_case {
+	const char *name;
+	/** Time that tasks take on the workers, in turn. */
+	double times[3];
+	/** Time of the slowest worker that a gang may meet. */
+	double worst;
+	/** Whether gangs are to be placed as if nothing had been seen. */
+	bool unchanged;
+	/** Of a step's tasks, one in so many takes seven times as long; 0: none. */
+	int tail;
+};
+
+struct pool {
+	struct dff_core *core;
+	struct dff_pool declared;
+	GArray *commands;
+	int64_t now_ms;
+};
+
+static void
+open_pool (struct pool *pool)
+{
+	struct dff_core_options options;
+	dff_core_options_init (&options);
+	options.patient = true;
+	pool->core = dff_core_new (&options);
+	pool->commands = g_array_new (FALSE, TRUE, sizeof (struct dff_command));
+	pool->now_ms = 1000;
+	fixture_pool_init (&pool->declared, RACKS, PER_RACK, 8);
+	fixture_pool_add_team (&pool->declared, "a", 0, 0);
+	dff_core_set_pool (pool->core, &pool->declared, pool->now_ms);
+	for (int i = 0; i < WORKERS; i++) {
+		struct dff_name name = dff_name_printf ("w%d", i);
+		fixture_worker_state (pool->core, name.data, DFF_WORKER_UP);
+	}
+}
+
+static void
+close_pool (struct pool *pool)
+{
+	fixture_pool_clear (&pool->declared);
+	g_array_unref (pool->commands);
+	dff_core_free (pool->core);
+}
+
+static void
+tell_pace (struct pool *pool, int worker, uint64_t step, double whole_ms)
+{
+	struct dff_event event = {.type = DFF_EVENT_TASK_PACE,
+				  .worker = dff_name_printf ("w%d", worker),
+				  .cohort = step,
+				  .whole_ms = (int64_t)whole_ms};
+	dff_core_handle_event (pool->core, &event, pool->now_ms);
+}
+
+static void
+pass (struct pool *pool, int64_t ms)
+{
+	pool->now_ms += ms;
+	dff_core_tick (pool->core, pool->now_ms, pool->commands);
+}
+
+static void
+see_steps (struct pool *pool, const struct pace_case *at)
+{
+	g_autoptr (GRand) rand = g_rand_new_with_seed (7);
+	for (int step = 0; step < STEPS; step++) {
+		double step_ms = TASK_MS * exp (g_rand_double_range (rand, -1.0, 1.0));
+		for (int i = 0; i < WORKERS; i++) {
+			double uneven = g_rand_double_range (rand, -UNEVEN, UNEVEN);
+			bool tail = at->tail > 0 && g_rand_int_range (rand, 0, at->tail) == 0;
+			tell_pace (pool, i, (uint64_t)step,
+				   step_ms * exp (uneven) * at->times[i % 3] * (tail ? 7.0 : 1.0));
+		}
+		pass (pool, 1000);
+	}
+}
+
+/* Places a gang and ends it. @names: (out): its workers, in order. */
+static void
+place_gang (struct pool *pool, int number, struct dff_name names[MEMBERS])
+{
+	g_autofree char *id = g_strdup_printf ("gang%d", number);
+	struct dff_job_spec spec = fixture_spec (id, MEMBERS, 8);
+	spec.urgent = true;
+	struct dff_event submitted = {.type = DFF_EVENT_JOB_SUBMITTED, .spec = &spec};
+	dff_core_handle_event (pool->core, &submitted, pool->now_ms);
+	pass (pool, 20);
+	assert_int_equal (pool->commands->len, 1);
+	const struct dff_command *start = &g_array_index (pool->commands, struct dff_command, 0);
+	assert_int_equal (start->type, DFF_COMMAND_RECORD_START);
+	for (guint i = 0; i < MEMBERS; i++)
+		names[i] = g_array_index (start->placements, struct dff_placement, i).worker;
+	static const enum dff_event_type ends[] = {
+		DFF_EVENT_JOB_CANCELLED, DFF_EVENT_ATTEMPT_RECORDED, DFF_EVENT_OUTCOME_RECORDED};
+	for (size_t i = 0; i < G_N_ELEMENTS (ends); i++) {
+		struct dff_event event = {.type = ends[i], .job = spec.id, .attempt = 1};
+		dff_core_handle_event (pool->core, &event, pool->now_ms);
+	}
+	pass (pool, 20);
+}
+
+static double
+worst_time (const struct pace_case *at, const struct dff_name names[MEMBERS])
+{
+	double worst = 0.0;
+	for (int i = 0; i < MEMBERS; i++)
+		worst = MAX (worst, at->times[atoi (names[i].data + 1) % 3]);
+	return worst;
+}
+
+/* The load: a few slow workers in every rack, room everywhere. Guards against urgent gangs being
+ * placed by room alone, so that most of them meet a slow worker; and against workers that are alike
+ * being taken for unlike. */
+static void
+test_gangs_by_pace (void **state)
+{
+	const struct pace_case *at = *state;
+	struct pool pool, unseen;
+	open_pool (&pool);
+	open_pool (&unseen);
+	see_steps (&pool, at);
+	for (int i = 0; i < GANGS; i++) {
+		struct dff_name names[MEMBERS], same[MEMBERS];
+		place_gang (&pool, i, names);
+		place_gang (&unseen, i, same);
+		assert_true (worst_time (at, names) <= at->worst);
+		for (int j = 0; at->unchanged && j < MEMBERS; j++)
+			assert_string_equal (names[j].data, same[j].data);
+	}
+	close_pool (&pool);
+	close_pool (&unseen);
+}
+
+static const struct pace_case cases[] = {
+	{.name = "a third is slow", .times = {0.6, 1.0, 1.6}, .worst = 1.0},
+	{.name = "a third is slow, with tails", .times = {0.6, 1.0, 1.6}, .worst = 1.0, .tail = 30},
+	{.name = "a third is a little quicker", .times = {0.8, 1.0, 1.25}, .worst = 1.0},
+	{.name = "all are alike", .times = {1.0, 1.0, 1.0}, .worst = 1.0, .unchanged = true},
+	{.name = "alike, with tails",
+	 .times = {1.0, 1.0, 1.0},
+	 .worst = 1.0,
+	 .unchanged = true,
+	 .tail = 30},
+	{.name = "nearly alike", .times = {1.0, 1.0, 1.1}, .worst = 1.1, .unchanged = true},
+};
+
+/* Guards against a worker's next life being believed slow for what the one before took. */
+static void
+test_renewed_worker (void **state)
+{
+	(void)state;
+	static const struct pace_case unlike = {.times = {0.6, 1.0, 1.6}};
+	struct pool pool, unseen;
+	open_pool (&pool);
+	open_pool (&unseen);
+	see_steps (&pool, &unlike);
+	for (int i = 0; i < WORKERS; i++) {
+		struct dff_event event = {.type = DFF_EVENT_WORKER_RENEWED,
+					  .worker = dff_name_printf ("w%d", i)};
+		dff_core_handle_event (pool.core, &event, pool.now_ms);
+	}
+	pass (&pool, 1000);
+	for (int i = 0; i < GANGS; i++) {
+		struct dff_name names[MEMBERS], same[MEMBERS];
+		place_gang (&pool, i, names);
+		place_gang (&unseen, i, same);
+		for (int j = 0; j < MEMBERS; j++)
+			assert_string_equal (names[j].data, same[j].data);
+	}
+	close_pool (&pool);
+	close_pool (&unseen);
+}
+
+/* Guards against steps without number being remembered for months. */
+static void
+test_memory_is_bounded (void **state)
+{
+	(void)state;
+	struct pool pool;
+	open_pool (&pool);
+	for (uint64_t step = 0; step < 4000; step++) {
+		for (int i = 0; i < WORKERS; i++)
+			tell_pace (&pool, i, step, TASK_MS);
+	}
+	struct dff_core_stats stats;
+	dff_core_get_stats (pool.core, &stats);
+	assert_in_range (stats.paces_kept, 1, 10000);
+	pass (&pool, 1000000);
+	pass (&pool, 1000);
+	dff_core_get_stats (pool.core, &stats);
+	assert_int_equal (stats.paces_kept, 0);
+	close_pool (&pool);
+}
+
+int
+main (void)
+{
+	struct CMUnitTest tests[G_N_ELEMENTS (cases) + 2] = {
+		cmocka_unit_test (test_renewed_worker),
+		cmocka_unit_test (test_memory_is_bounded),
+	};
+	for (size_t i = 0; i < G_N_ELEMENTS (cases); i++) {
+		tests[2 + i] = (struct CMUnitTest){.name = cases[i].name,
+						   .test_func = test_gangs_by_pace,
+						   .initial_state = (void *)&cases[i]};
+	}
+	return cmocka_run_group_tests (tests, NULL, NULL);
+}
