--- a/rows/health.c
+++ b/rows/health.c
@@ -24,6 +24,9 @@
 	bool silent;
 	int64_t *silences;
 	int64_t *silent_gauge;
+	int64_t *commits;
+	int64_t *gets;
+	int64_t *feeds;
 	struct dff_histogram *latency;
 };
 
@@ -118,6 +121,7 @@
 health_commit (void *ctx, const struct dff_rows_commit *commit, dff_rows_func done, void *user)
 {
 	struct dff_rows_health *health = ctx;
+	(*health->commits)++;
 	health->options.rows->commit (health->options.rows->ctx, commit, handle_result,
 				      call_new (health, 0, done, user));
 }
@@ -126,6 +130,7 @@
 health_get (void *ctx, const struct dff_rows_range *range, dff_rows_func done, void *user)
 {
 	struct dff_rows_health *health = ctx;
+	(*health->gets)++;
 	health->options.rows->get (health->options.rows->ctx, range, handle_result,
 				   call_new (health, 0, done, user));
 }
@@ -134,6 +139,7 @@
 health_feed (void *ctx, const struct dff_rows_feed *feed, dff_rows_func done, void *user)
 {
 	struct dff_rows_health *health = ctx;
+	(*health->feeds)++;
 	health->options.rows->feed (health->options.rows->ctx, feed, handle_result,
 				    call_new (health, feed->wait_ms, done, user));
 }
@@ -165,6 +171,12 @@
 	health->options = *options;
 	health->probe = dff_timer_new (options->timers, handle_probe, health);
 	health->served_begun_ms = INT64_MIN;
+	health->commits = dff_metrics_counter (metrics, "dff_rows_commits_total",
+					       "Transactions sent to the store.");
+	health->gets = dff_metrics_counter (metrics, "dff_rows_gets_total",
+					    "Pages of rows asked of the store.");
+	health->feeds = dff_metrics_counter (metrics, "dff_rows_feeds_total",
+					     "Questions for changes asked of the store.");
 	health->silences = dff_metrics_counter (metrics, "dff_rows_silences_total",
 						"Times that the store stopped answering.");
 	health->latency = dff_metrics_histogram (
