holder, fleet: a process that leaves the cell to quicker ones reads its row less often

A process whose take-over takes longer waits that much longer anyway (holder/handover.c), so its readings are put off by that, 1.5 s at the most, while the row goes on changing. One that does not reach the process that decides, or loses its connection as a relay, looks at once.

Counted in tests/holder/test-holder-store.c: readings in 20 s of an idle process 66 before at any speed; now 60-70, 20-28, 11-15, 10-13 for a take-over of 200, 700, 1,400 and 60,000 ms beside one of 200. Slow processes alone follow within 3 s at any phase (2.2 s before).

--- a/fleet/fleet.c
+++ b/fleet/fleet.c
@@ -294,6 +294,14 @@
 	fleet->presence = dff_presence_new (&options);
 }
 
+static void
+handle_decider_lost (void *ctx)
+{
+	const struct dff_fleet *fleet = ctx;
+	if (fleet->holder != NULL)
+		dff_holder_note_decider_lost (fleet->holder);
+}
+
 static bool
 open_relays (struct dff_fleet *fleet, GError **error)
 {
@@ -304,6 +312,8 @@
 		.direct = dff_http_runner_interface (fleet->runner),
 		.life = fleet->life,
 		.address = fleet->settings.relay_address,
+		.decider_lost = handle_decider_lost,
+		.ctx = fleet,
 	};
 	fleet->relays = dff_fleet_relays_new (&options);
 	if (fleet->relays != NULL)
@@ -367,6 +377,8 @@
 		.forward_ctx = fleet->intake_link,
 		.record = record_row,
 		.record_ctx = fleet,
+		.gatherer_lost = handle_decider_lost,
+		.lost_ctx = fleet,
 	};
 	fleet->intake = dff_intake_new (&options);
 }
@@ -375,7 +387,11 @@
 open_state_link (struct dff_fleet *fleet)
 {
 	struct dff_state_link_options options = {
-		.base = fleet->base, .clock = fleet->clock, .metrics = fleet->metrics};
+		.base = fleet->base,
+		.clock = fleet->clock,
+		.metrics = fleet->metrics,
+		.decider_lost = handle_decider_lost,
+		.ctx = fleet};
 	fleet->state_link = dff_state_link_new (&options);
 }
 
--- a/fleet/relays.c
+++ b/fleet/relays.c
@@ -150,6 +150,7 @@
 	struct dff_fleet_relays *relays = ctx;
 	drop_stream (relays);
 	pause_connecting (relays);
+	relays->options.decider_lost (relays->options.ctx);
 }
 
 static void
--- a/fleet/state_link.c
+++ b/fleet/state_link.c
@@ -52,6 +52,7 @@
 	if (!answered) {
 		(*link->unanswered)++;
 		link->avoid_until_ms = dff_clock_now_ms (link->options.clock) + AVOID_MS;
+		link->options.decider_lost (link->options.ctx);
 	}
 	question->done (question->user, known, state);
 }
--- a/front/intake.c
+++ b/front/intake.c
@@ -375,8 +375,11 @@
 	g_autofree struct passed_call *call = user;
 	struct dff_intake *intake = call->intake;
 	struct dff_rows_result result = {.outcome = outcome};
-	if (!reached)
+	if (!reached) {
 		intake->avoid_until_ms = now_ms (intake) + AVOID_MS;
+		if (intake->options.gatherer_lost != NULL)
+			intake->options.gatherer_lost (intake->options.lost_ctx);
+	}
 	call->done (call->user, &result);
 }
 
--- a/holder/holder_tables.h
+++ b/holder/holder_tables.h
@@ -228,6 +228,8 @@
 	int64_t row_revision;
 	int64_t sequence;
 	bool reading_row;
+	/** Begin of the last reading. */
+	int64_t row_read_ms;
 	int64_t next_read_ms;
 	int64_t seen_revision;
 	int64_t seen_since_ms;
--- a/holder/lease.c
+++ b/holder/lease.c
@@ -13,6 +13,9 @@
 
 /** Time between two readings of the holder's row by the others, ms. */
 #define READ_EVERY_MS 300
+/** What a process that leaves the cell to quicker ones adds to that at the most, ms: it also learns
+ * from the row who decides. */
+#define READ_RARELY_MAX_MS 1500
 /** The same while the holder has been asked to hand over, ms: it takes a transaction to do so. */
 #define ASKED_READ_EVERY_MS 40
 /** Timeout of a reading, ms: beyond the answers of a store that is fifty times as slow. */
@@ -306,6 +309,15 @@
 				      holder_call_begin (holder, sizeof (struct holder_call)));
 }
 
+/* A process that is to take the cell after quicker ones only need not notice as soon as they that the
+ * row stands still. Symptom without this: every process reads the row three times a second, and with
+ * some thousands of them the store has no readings left for anybody. */
+static int64_t
+read_pause_ms (const struct dff_holder *holder, const struct lease_row *lease)
+{
+	return READ_EVERY_MS + MIN (handover_wait_ms (holder, lease), READ_RARELY_MAX_MS);
+}
+
 /* A row that shows no change since @seen_since_ms. */
 static void
 judge_row (struct dff_holder *holder, const struct dff_rows_result *result, int64_t begun_ms)
@@ -318,6 +330,7 @@
 	int64_t now_ms = holder_now_ms (holder);
 	holder->read_took_ms = now_ms - begun_ms;
 	bool first = holder->seen_revision == -1;
+	bool lives = !first && row != NULL && revision != holder->seen_revision;
 	if (revision != holder->seen_revision) {
 		holder->seen_revision = revision;
 		holder->seen_since_ms = now_ms;
@@ -355,13 +368,15 @@
 		patience_ms += spread_ms (holder, lease.epoch + 1, range_ms);
 	if (asked)
 		holder->next_read_ms = now_ms + ASKED_READ_EVERY_MS;
+	else if (lives && !own && !lease.released)
+		holder->next_read_ms = begun_ms + read_pause_ms (holder, &lease);
 	if (still_ms >= patience_ms) {
 		bool surely_over = own || lease.released || (ended && holder->ended_surely);
 		note_former (holder, &lease, surely_over, result, begun_ms);
 		handover_note_row (holder, &lease);
 		holder->n_relays = lease.n_relays;
 		take (holder, lease.epoch + 1, revision, reason);
-	} else if (patience_ms - still_ms < READ_EVERY_MS)
+	} else if (!lives && patience_ms - still_ms < READ_EVERY_MS)
 		holder->next_read_ms = now_ms + MAX (patience_ms - still_ms, 1);
 }
 
@@ -394,6 +409,7 @@
 	    now_ms < holder->next_read_ms)
 		return;
 	holder->reading_row = true;
+	holder->row_read_ms = now_ms;
 	struct dff_rows_range range = {.table = DFF_TABLE_CELL,
 				       .from = dff_str_from (DFF_KEY_HOLDER),
 				       .to = dff_str_from (DFF_KEY_HOLDER "!"),
@@ -402,3 +418,12 @@
 	holder->options.rows->get (holder->options.rows->ctx, &range, handle_row,
 				   holder_call_begin (holder, sizeof (struct holder_call)));
 }
+
+void
+dff_holder_note_decider_lost (struct dff_holder *holder)
+{
+	if (holder->phase != DFF_HOLDER_WATCHING)
+		return;
+	holder->next_read_ms = MIN (holder->next_read_ms, holder->row_read_ms + READ_EVERY_MS);
+	holder_wake (holder);
+}
--- a/include/fleet/relays.h
+++ b/include/fleet/relays.h
@@ -22,6 +22,9 @@
 	/** Name of this life of the process. */
 	struct dff_name life;
 	struct dff_name address;
+	/** The connection to the process that decides has ended. */
+	void (*decider_lost) (void *ctx);
+	void *ctx;
 };
 
 /** Returns: (transfer full) (nullable): NULL when the address cannot be bound. */
--- a/include/fleet/state_link.h
+++ b/include/fleet/state_link.h
@@ -18,6 +18,9 @@
 	struct event_base *base;
 	const struct dff_clock *clock;
 	struct dff_metrics *metrics;
+	/** The process that decides has not answered. */
+	void (*decider_lost) (void *ctx);
+	void *ctx;
 };
 
 /** Returns: (transfer full): @options is copied. */
--- a/include/front/intake.h
+++ b/include/front/intake.h
@@ -55,6 +55,9 @@
 			dff_rows_func done,
 			void *user);
 	void *record_ctx;
+	/** (nullable): the process that gathers rows could not be reached. */
+	void (*gatherer_lost) (void *ctx);
+	void *lost_ctx;
 };
 
 struct dff_intake *dff_intake_new (const struct dff_intake_options *options);
--- a/include/holder/holder.h
+++ b/include/holder/holder.h
@@ -142,6 +142,10 @@
 /** Lets go of the cell and does not take it again; for a process that is to stop. */
 void dff_holder_resign (struct dff_holder *holder);
 
+/** The process that decides could not be reached, or has ended a connection: who decides now is
+ * looked up. */
+void dff_holder_note_decider_lost (struct dff_holder *holder);
+
 /** The store was silent and answers again: what waits for it is not to wait longer. */
 void dff_holder_note_store_heard (struct dff_holder *holder);
 
--- a/tests/front/test-intake.c
+++ b/tests/front/test-intake.c
@@ -31,6 +31,8 @@
 	int64_t took_ms;
 	/** Whether nobody listens where the rows are gathered. */
 	bool gatherer_gone;
+	/** Times that a process was told that the gatherer is not reached. */
+	int n_lost;
 	/** Whether the first process writes rows with its own transactions; else it has none. */
 	bool records;
 	int32_t n_recorded;
@@ -104,6 +106,13 @@
 	dff_virtual_loop_after (process->fixture->loop, 1, arrive, hop);
 }
 
+static void
+note_lost (void *ctx)
+{
+	struct fixture *fixture = ctx;
+	fixture->n_lost++;
+}
+
 struct record {
 	dff_rows_func done;
 	void *user;
@@ -152,6 +161,8 @@
 			.store_ctx = process,
 			.forward = forward,
 			.forward_ctx = process,
+			.gatherer_lost = note_lost,
+			.lost_ctx = fixture,
 			.record = with_records ? record_row : NULL,
 			.record_ctx = process};
 		process->intake = dff_intake_new (&options);
@@ -327,6 +338,7 @@
 		dff_virtual_loop_run (fixture.loop, 400);
 		assert_true (second.ended);
 		assert_int_equal (second.outcome, cases[c].second);
+		assert_int_equal (fixture.n_lost > 0, cases[c].gatherer_gone);
 		assert_int_equal (is_written (&fixture, "job"), second.outcome == DFF_ROWS_DONE);
 		close_fixture (&fixture);
 	}
--- a/tests/holder/test-holder-store.c
+++ b/tests/holder/test-holder-store.c
@@ -123,6 +123,106 @@
 	site_close (&site);
 }
 
+static int64_t
+n_readings (const struct site *site, int process)
+{
+	return *dff_metrics_counter (site->processes[process].metrics, "dff_rows_gets_total", "");
+}
+
+/* The load: a fleet of small machines beside a few large ones, in which nothing happens. Guards
+ * against readings of the store that grow with the fleet by three a second and machine: what a
+ * process reads that is not among the next to decide is counted. */
+static void
+test_readings_of_slow_processes (void **state)
+{
+	(void)state;
+	static const struct {
+		int64_t takeover_ms;
+		int64_t least;
+		int64_t most;
+	} cases[] = {
+		/* As quick as the one that decides: three a second. */
+		{200, 60, 70},
+		{700, 20, 28},
+		{1400, 11, 15},
+		{60000, 10, 13},
+	};
+	for (size_t i = 0; i < G_N_ELEMENTS (cases); i++) {
+		struct site site;
+		site_open (&site);
+		for (int j = 0; j < SITE_PROCESSES; j++) {
+			site.takeover_ms[j] = j == 1 ? 200 : cases[i].takeover_ms;
+			site_kill_process (&site, j);
+		}
+		site_start_process (&site, 1);
+		site_run (&site, 4000);
+		site_start_process (&site, 0);
+		site_run (&site, 4000);
+		int64_t before = n_readings (&site, 0);
+		site_run (&site, 20000);
+		assert_int_equal (site_holder (&site), 1);
+		assert_in_range (n_readings (&site, 0) - before, cases[i].least, cases[i].most);
+		site_close (&site);
+	}
+}
+
+/* Guards against callers' rows being sent to a process that is gone for as long as a slow process
+ * does not look who decides: one that does not reach it looks at once, and no more often than
+ * others. */
+static void
+test_lost_decider_is_looked_up (void **state)
+{
+	(void)state;
+	struct site site;
+	site_open (&site);
+	for (int i = 0; i < SITE_PROCESSES; i++) {
+		site.takeover_ms[i] = i == 1 ? 200 : 60000;
+		site_kill_process (&site, i);
+	}
+	site_start_process (&site, 1);
+	site_run (&site, 4000);
+	site_start_process (&site, 0);
+	site_run (&site, 4000);
+	for (int i = 0; i < 5; i++) {
+		int64_t before = n_readings (&site, 0);
+		for (int j = 0; j < 4; j++) {
+			dff_holder_note_decider_lost (site.processes[0].holder);
+			site_run (&site, 100);
+		}
+		assert_in_range (n_readings (&site, 0) - before, 1, 2);
+		site_run (&site, 1700);
+	}
+	site_close (&site);
+}
+
+/* Guards against a holder that nobody replaces because the others look rarely: whenever it ends,
+ * slow processes follow within their wait, one look more, and the spread. */
+static void
+test_slow_processes_follow (void **state)
+{
+	(void)state;
+	for (int phase_ms = 0; phase_ms < 1400; phase_ms += 200) {
+		struct site site;
+		site_open (&site);
+		for (int i = 0; i < SITE_PROCESSES; i++) {
+			site.takeover_ms[i] = i == 1 ? 200 : 1200;
+			site_kill_process (&site, i);
+		}
+		site_start_process (&site, 1);
+		site_run (&site, 4000);
+		site_start_process (&site, 0);
+		site_start_process (&site, 2);
+		site_run (&site, 3000 + phase_ms);
+		assert_int_equal (site_holder (&site), 1);
+		site_kill_process (&site, 1);
+		int64_t waited_ms = 0;
+		for (; site_holder (&site) < 0 && waited_ms < 6000; waited_ms += 10)
+			site_run (&site, 10);
+		assert_in_range (waited_ms, 500, 3000);
+		site_close (&site);
+	}
+}
+
 /* Symptom: a job is lost, or runs twice. Sequence: the store carries out writes of which the answer
  * is lost, some of them seconds later, while the holder changes. */
 static void
@@ -431,6 +531,9 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test (test_take_over),
 		cmocka_unit_test (test_quick_process_decides),
+		cmocka_unit_test (test_readings_of_slow_processes),
+		cmocka_unit_test (test_lost_decider_is_looked_up),
+		cmocka_unit_test (test_slow_processes_follow),
 		cmocka_unit_test (test_lost_and_late_answers),
 		cmocka_unit_test (test_silent_store),
 		cmocka_unit_test (test_slow_store),
