fleet, rows: how often a process asks for changes of the configuration goes by its bound

Cause: the question about the configuration is held back by the store for 500 ms wherever it is asked, 2 calls a second of each process; operators of the fleet count on a change after 5 s, others after 2 to 4. A change itself is answered at once; the wait is how old the knowledge may be. The process that decides goes on with 0.5 s, as it goes by the same table as to evacuations.

Ruled out: longer waits by number of machines (no process knows it), one feed for both tables (the store has a feed a table).

--- a/fleet/fleet.c
+++ b/fleet/fleet.c
@@ -25,15 +25,20 @@
 #include "rows/follower.h"
 #include "rows/health.h"
 
-/** How long the store holds an answer about the configuration back, ms, and the time beyond it
- * after which the path counts as silent: a change is known here within their sum. */
+/** How long the store holds an answer about the configuration back, ms: by the process that decides,
+ * which also goes by it as to evacuations, and by others at the least and at the most. */
 #define CONFIG_WAIT_MS 500
+#define CONFIG_WAIT_MAX_MS 2000
+/** The others' part of the time within which operators count on a change: what is known is up to
+ * two waits old. */
+#define CONFIG_WAIT_PART 4
+/** Time beyond the wait after which the path counts as silent, ms. */
 #define CONFIG_PATIENCE_MS 1000
-/** Age of the configuration beyond which nothing is decided by it, ms: a credential may have been
- * revoked, a class dropped. */
-#define CONFIG_STALE_MS 3000
-/** Age beyond which this process asks for no new connections, ms. */
-#define READY_STALE_MS 2500
+/** Age of the configuration, beyond two waits, from which on nothing is decided by it, ms: a
+ * credential may have been revoked, a class dropped; and from which on this process asks for no new
+ * connections. */
+#define CONFIG_STALE_MS 2000
+#define READY_STALE_MS 1500
 /** Connections to the store at the most. */
 #define STORE_CONNECTIONS 24
 /** The same to each worker: one waits, the others carry orders, a few milliseconds each. Workers
@@ -99,6 +104,21 @@
 	int64_t *ready_gauge;
 };
 
+/* Symptom without the look at the bound: processes that do nothing else make most of the calls to the
+ * store, two a second each. */
+static int32_t
+config_wait_ms (const struct dff_fleet *fleet)
+{
+	return CLAMP (fleet->settings.config_bound_ms / CONFIG_WAIT_PART, CONFIG_WAIT_MS,
+		      CONFIG_WAIT_MAX_MS);
+}
+
+static int64_t
+config_stale_ms (const struct dff_fleet *fleet)
+{
+	return 2 * config_wait_ms (fleet) + CONFIG_STALE_MS;
+}
+
 static bool
 is_stopping (const struct dff_fleet *fleet)
 {
@@ -205,7 +225,7 @@
 config_in_force (void *ctx)
 {
 	const struct dff_fleet *fleet = ctx;
-	if (fleet->config == NULL || dff_follower_age_ms (fleet->config_follower) > CONFIG_STALE_MS)
+	if (fleet->config == NULL || dff_follower_age_ms (fleet->config_follower) > config_stale_ms (fleet))
 		return NULL;
 	return fleet->config;
 }
@@ -215,7 +235,7 @@
 {
 	struct dff_fleet *fleet = ctx;
 	int64_t age_ms = dff_follower_age_ms (fleet->config_follower);
-	bool ready = !is_stopping (fleet) && fleet->config != NULL && age_ms <= READY_STALE_MS;
+	bool ready = !is_stopping (fleet) && fleet->config != NULL && age_ms <= 2 * config_wait_ms (fleet) + READY_STALE_MS;
 	if (ready != fleet->was_ready) {
 		dff_log (DFF_LOG_SERVE, DFF_LOG_INFO, "%s config_age_ms=%" PRId64 " stopping=%d",
 			 ready ? "Ready." : "Not ready.", age_ms, is_stopping (fleet));
@@ -350,6 +370,9 @@
 	const struct dff_fleet *fleet = ctx;
 	dff_intake_set_gatherer (fleet->intake, address, self);
 	dff_state_link_set_decider (fleet->state_link, address, self);
+	if (fleet->config_follower != NULL)
+		dff_follower_set_wait (fleet->config_follower,
+				       self ? CONFIG_WAIT_MS : config_wait_ms (fleet));
 }
 
 static bool
--- a/fleet/settings.c
+++ b/fleet/settings.c
@@ -30,6 +30,9 @@
 	{INTEGER (worker_lease_max_ms, 1000, HOUR_MS), .unit = "ms",
 	 .help = "Longest lease that a worker grants. Leases are 7000 ms, or 500 ms less than "
 		 "this."},
+	{INTEGER (config_bound_ms, 1, HOUR_MS), .unit = "ms",
+	 .help = "Time within which operators count on a change of the configuration being in "
+		 "force. The longer, the less often a process asks the store whether there is one."},
 	{INTEGER (gang_wait_ms, 100, 10 * MINUTE_MS), .unit = "ms",
 	 .help = "How long members of a gang wait for each other at a worker."},
 	{MEMBER (far_factor), .type = DFF_SETTING_NUMBER, .min = 1, .max = 1000,
--- a/include/fleet/settings.h
+++ b/include/fleet/settings.h
@@ -24,6 +24,7 @@
 	struct dff_name store_address;
 	/** Longest lease that workers grant, ms. */
 	int32_t worker_lease_max_ms;
+	int32_t config_bound_ms;
 	/** Longest wait of a gang's members for each other, ms. */
 	int32_t gang_wait_ms;
 	/** How many times as long a task takes away from its data, or a bound gang on two racks. */
--- a/include/rows/follower.h
+++ b/include/rows/follower.h
@@ -50,6 +50,9 @@
  * and a call from before may have been lost. */
 void dff_follower_nudge (struct dff_follower *follower);
 
+/** Changes how long the store may hold an answer back. A shorter wait is asked for at once. */
+void dff_follower_set_wait (struct dff_follower *follower, int32_t wait_ms);
+
 /** Returns: whether the table has been read whole at least once. */
 bool dff_follower_is_ready (const struct dff_follower *follower);
 
--- a/rows/follower.c
+++ b/rows/follower.c
@@ -178,6 +178,15 @@
 	dff_timer_start (follower->retry, 0);
 }
 
+void
+dff_follower_set_wait (struct dff_follower *follower, int32_t wait_ms)
+{
+	bool shorter = wait_ms < follower->options.wait_ms;
+	follower->options.wait_ms = wait_ms;
+	if (shorter && follower->ready)
+		dff_follower_nudge (follower);
+}
+
 struct dff_follower *
 dff_follower_new (const struct dff_follower_options *options)
 {
