--- a/tests/holder/test-holder-lives.c
+++ b/tests/holder/test-holder-lives.c
@@ -208,16 +208,80 @@
 	}
 }
 
+/** How long after a late start a cancelled job's task may run: a process is in touch again, and the
+ * worker stops it. */
+#define LATE_START_MAX_MS 3400
+
+struct late_case {
+	const char *name;
+	int32_t late_ms;
+	int32_t late_orders;
+	/** The process that has sent the start is removed for good, so long after it. */
+	int32_t removed_after_ms;
+	/** The job is cancelled before that, or by the one that follows. */
+	bool cancelled_before;
+	bool restarts;
+};
+
+/* Guards against a task that a worker starts late running on though its job was cancelled: the one
+ * that has sent the start may be gone for good, and nobody else have sent anything. */
+static void
+test_late_start_of_a_cancelled_job (void **state)
+{
+	(void)state;
+	static const struct late_case late_cases[] = {
+		{"start late", 2000, 1, 0, true, false},
+		{"start and stop late", 2500, 3, 0, true, false},
+		{"starter removed before", 3000, 1, 150, false, false},
+		{"starter removed after", 3000, 1, 600, true, false},
+		{"starter removed, start much later", 8000, 1, 300, true, false},
+		{"starter removed, worker starts again", 5000, 1, 300, true, true},
+	};
+	for (size_t i = 0; i < G_N_ELEMENTS (late_cases); i++) {
+		const struct late_case *at = &late_cases[i];
+		struct site site;
+		site_open_with_same_ids (&site, false);
+		site_run (&site, 1500);
+		int starter = site_holder (&site);
+		int other = (starter + 1) % SITE_PROCESSES;
+		for (int j = 0; j < SITE_WORKERS; j++) {
+			site.workers[j]->late_orders = at->late_orders;
+			site.workers[j]->late_ms = at->late_ms;
+		}
+		assert_int_equal (site_submit (&site, other, site_plan ("7", 4, false, 8)),
+				  DFF_FRONT_OK);
+		if (at->cancelled_before)
+			assert_int_equal (site_cancel (&site, other, "7"), DFF_FRONT_OK);
+		site_run (&site, at->removed_after_ms);
+		if (at->removed_after_ms > 0)
+			site_kill_process (&site, starter);
+		if (!at->cancelled_before)
+			assert_int_equal (site_cancel (&site, other, "7"), DFF_FRONT_OK);
+		if (at->restarts)
+			site_reborn_worker (&site, 0);
+		int64_t running_ms = 0;
+		for (int j = 0; j < 200; j++) {
+			site_run (&site, 100);
+			bool runs = dff_memory_runner_n_open (site.runner) > 0;
+			running_ms = runs ? running_ms + 100 : 0;
+			assert_in_range (running_ms, 0, LATE_START_MAX_MS);
+		}
+		assert_int_equal (dff_memory_runner_n_open (site.runner), 0);
+		site_close (&site);
+	}
+}
+
 int
 main (void)
 {
-	struct CMUnitTest tests[G_N_ELEMENTS (cases) + 3] = {
+	struct CMUnitTest tests[G_N_ELEMENTS (cases) + 4] = {
+		cmocka_unit_test (test_late_start_of_a_cancelled_job),
 		cmocka_unit_test (test_crashes_count),
 		cmocka_unit_test (test_sound_after_failures),
 		cmocka_unit_test (test_entry_of_another_writer),
 	};
 	for (size_t i = 0; i < G_N_ELEMENTS (cases); i++) {
-		tests[3 + i] = (struct CMUnitTest){.name = cases[i].name,
+		tests[4 + i] = (struct CMUnitTest){.name = cases[i].name,
 						   .test_func = test_worker_that_starts_again,
 						   .initial_state = (void *)&cases[i]};
 	}
