--- a/fleet/relays.c
+++ b/fleet/relays.c
@@ -218,7 +218,9 @@
 	struct dff_relay_options relay = {.timers = options->timers,
 					  .metrics = options->metrics,
 					  .runner = options->direct,
-					  .name = options->life};
+					  .name = options->life,
+					  .silent = options->decider_lost,
+					  .ctx = options->ctx};
 	relays->relay = dff_relay_new (&relay);
 	relays->listener =
 		dff_stream_listen (options->base, &options->address, handle_accept, relays);
--- a/include/relay/dispatch.h
+++ b/include/relay/dispatch.h
@@ -38,7 +38,8 @@
 /** Returns: (transfer none): the workers, valid as long as @dispatch. */
 const struct dff_runner *dff_dispatch_interface (struct dff_dispatch *dispatch);
 
-/** Sets how many relays are taken at the most; those beyond it are turned away. */
+/** Sets how many relays are taken at the most; those beyond it are turned away. With 0 those that
+ * are there are let go of, as this process does not decide any more. */
 void dff_dispatch_set_limit (struct dff_dispatch *dispatch, int32_t limit);
 
 /** Returns: how many relays there are. */
--- a/include/relay/relay.h
+++ b/include/relay/relay.h
@@ -22,6 +22,10 @@
 	const struct dff_runner *runner;
 	/** Name of this process, by which workers are shared out. */
 	struct dff_name name;
+	/** (nullable): nothing was heard of the process that decides for a while; told again and
+	 * again. */
+	void (*silent) (void *ctx);
+	void *ctx;
 };
 
 struct dff_relay *dff_relay_new (const struct dff_relay_options *options);
--- a/relay/dispatch.c
+++ b/relay/dispatch.c
@@ -337,12 +337,27 @@
 	dff__relay__batch__free_unpacked (batch, NULL);
 }
 
+/* Symptom without this: a new process that decides calls thousands of workers itself for a second.
+ * Sequence: the one before stands down; its relays stay with it until they look who decides now. */
+static void
+let_go (struct dff_dispatch *dispatch)
+{
+	while (dispatch->relays->len > 0) {
+		struct dff_dispatch_relay *relay =
+			g_ptr_array_index (dispatch->relays, dispatch->relays->len - 1);
+		relay->link.close (relay->link.ctx);
+		drop_relay (relay, "let_go");
+	}
+}
+
 void
 dff_dispatch_set_limit (struct dff_dispatch *dispatch, int32_t limit)
 {
 	dispatch->limit = limit;
-	if (limit == 0)
-		g_hash_table_remove_all (dispatch->detours);
+	if (limit > 0)
+		return;
+	g_hash_table_remove_all (dispatch->detours);
+	let_go (dispatch);
 }
 
 int32_t
--- a/relay/relay.c
+++ b/relay/relay.c
@@ -8,11 +8,16 @@
 #define GATHER_MS 10
 /** Time between two messages at the most, ms: a process that tells nothing is given up. */
 #define SIGN_EVERY_MS 300
+/** Silence of the process that decides after which somebody else may do so, ms: it renews the leases
+ * of each relay's workers several times a second. */
+#define SILENT_MS 700
 
 struct dff_relay {
 	struct dff_relay_options options;
 	struct dff_relay_link link;
 	bool connected;
+	/** When the other end was heard last. */
+	int64_t heard_ms;
 	/** Grows with each connection, to tell calls of an earlier one. */
 	int64_t connection;
 	/** Calls under way. Elements: struct call *. */
@@ -29,6 +34,12 @@
 	uint64_t id;
 };
 
+static int64_t
+now_ms (const struct dff_relay *relay)
+{
+	return dff_clock_now_ms (relay->options.timers->clock);
+}
+
 static void
 send_batch (struct dff_relay *relay)
 {
@@ -49,8 +60,11 @@
 handle_sign (void *ctx)
 {
 	struct dff_relay *relay = ctx;
-	if (relay->connected)
-		send_batch (relay);
+	if (!relay->connected)
+		return;
+	send_batch (relay);
+	if (now_ms (relay) - relay->heard_ms >= SILENT_MS && relay->options.silent != NULL)
+		relay->options.silent (relay->options.ctx);
 }
 
 static void
@@ -106,6 +120,7 @@
 		fail (relay);
 		return;
 	}
+	relay->heard_ms = now_ms (relay);
 	bool readable = true;
 	for (size_t i = 0; i < batch->n_calls && readable; i++)
 		readable = carry_out (relay, batch->calls[i]);
@@ -119,6 +134,7 @@
 {
 	relay->link = *link;
 	relay->connected = true;
+	relay->heard_ms = now_ms (relay);
 	relay->connection++;
 	/* Answers to an earlier connection are nothing to this one. */
 	relay_batch_free (relay->batch);
--- a/tests/relay/test-relay.c
+++ b/tests/relay/test-relay.c
@@ -41,6 +41,8 @@
 	struct dff_memory_runner_client *direct;
 	struct dff_dispatch *dispatch;
 	struct relay_process relays[RELAYS];
+	/** Times that a relay was told that it hears nothing. */
+	int n_silent;
 };
 
 /** What became of a call. */
@@ -89,6 +91,13 @@
 	return dff_name_printf ("10.0.0.%d:1", index + 1);
 }
 
+static void
+note_silent (void *ctx)
+{
+	struct fixture *fixture = ctx;
+	fixture->n_silent++;
+}
+
 static void
 open_relay (struct fixture *fixture, int index)
 {
@@ -98,7 +107,9 @@
 		.timers = dff_virtual_loop_timers (fixture->loop),
 		.metrics = fixture->metrics,
 		.runner = dff_memory_runner_client_interface (process->client),
-		.name = dff_name_printf ("relay-%d", index)};
+		.name = dff_name_printf ("relay-%d", index),
+		.silent = note_silent,
+		.ctx = fixture};
 	process->relay = dff_relay_new (&options);
 	process->link = dff_memory_link_new (fixture->loop, fixture->dispatch, process->relay);
 }
@@ -224,6 +235,38 @@
 	return *dff_metrics_counter (fixture->metrics, name, "");
 }
 
+/* Guards against relays that stay with a process which does not decide any more, so that the next
+ * one calls all workers itself: one that stands down lets go of them, and the silence of one that is
+ * frozen or cut off is noticed. */
+static void
+test_relays_leave_a_former_holder (void **state)
+{
+	(void)state;
+	struct fixture fixture;
+	struct outcome outcomes[WORKERS];
+	open_fixture (&fixture);
+	for (int i = 0; i < 10; i++) {
+		for (int j = 0; j < WORKERS; j++)
+			watch (&fixture, j, 0, &outcomes[j]);
+		dff_virtual_loop_run (fixture.loop, 200);
+	}
+	assert_int_equal (fixture.n_silent, 0);
+	dff_virtual_loop_run (fixture.loop, 1200);
+	assert_in_range (fixture.n_silent, RELAYS, 2 * RELAYS);
+	for (int j = 0; j < WORKERS; j++)
+		watch (&fixture, j, 1000, &outcomes[j]);
+	dff_virtual_loop_run (fixture.loop, 5);
+	dff_dispatch_set_limit (fixture.dispatch, 0);
+	for (int j = 0; j < WORKERS; j++) {
+		assert_true (outcomes[j].ended);
+		assert_int_equal (outcomes[j].outcome, DFF_RUNNER_UNKNOWN);
+	}
+	dff_virtual_loop_run (fixture.loop, 10);
+	for (int i = 0; i < RELAYS; i++)
+		assert_false (dff_memory_link_is_up (fixture.relays[i].link));
+	close_fixture (&fixture);
+}
+
 /* Guards against the lists of two lives of a worker being mixed on their way through a relay. */
 static void
 test_lists_tell_the_life (void **state)
@@ -552,6 +595,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test (test_calls_and_answers),
 		cmocka_unit_test (test_lists_tell_the_life),
+		cmocka_unit_test (test_relays_leave_a_former_holder),
 		cmocka_unit_test (test_lost_relay),
 		cmocka_unit_test (test_relay_that_does_not_reach_a_worker),
 		cmocka_unit_test (test_own_pause),
