--- a/core/pace.c
+++ b/core/pace.c
@@ -111,8 +111,7 @@
 	float weight = kept / (float)(TASK_VARIANCE * (1.0 + 1.0 / cohort->seen->len));
 	for (guint i = 0; i < cohort->seen->len; i++) {
 		const struct seen *seen = seen_at (cohort, i);
-		float difference =
-			CLAMP (seen->log_ms - median, -DIFFERENCE_MAX, DIFFERENCE_MAX);
+		float difference = CLAMP (seen->log_ms - median, -DIFFERENCE_MAX, DIFFERENCE_MAX);
 		sums[seen->worker].difference += difference * weight;
 		sums[seen->worker].weight += weight;
 	}
@@ -250,8 +249,7 @@
 		return;
 	float spread = total / (float)n_known;
 	core->pace_variance += (float)SPREAD_RATE * (spread - core->pace_variance);
-	core->pace_variance =
-		CLAMP (core->pace_variance, PRIOR_VARIANCE_MIN, PRIOR_VARIANCE_MAX);
+	core->pace_variance = CLAMP (core->pace_variance, PRIOR_VARIANCE_MIN, PRIOR_VARIANCE_MAX);
 }
 
 void
@@ -261,7 +259,9 @@
 		return;
 	core->pace_review_ms = core->now_ms + REVIEW_MS;
 	drop_old (core);
-	g_autofree struct sum *sums = g_new (struct sum, core->workers->len);
+	g_autoptr (GArray) table = g_array_new (FALSE, TRUE, sizeof (struct sum));
+	g_array_set_size (table, core->workers->len);
+	struct sum *sums = (struct sum *)(void *)table->data;
 	for (int32_t i = 0; i < PASSES; i++)
 		learn (core, sums);
 	learn_spread (core, sums);
--- a/fleet/fleet.c
+++ b/fleet/fleet.c
@@ -25,8 +25,8 @@
 #include "rows/follower.h"
 #include "rows/health.h"
 
-/** How long the store holds an answer about the configuration back, ms: by the process that decides,
- * which also goes by it as to evacuations, and by others at the least and at the most. */
+/** How long the store holds an answer about the configuration back, ms: by the process that
+ * decides, which also goes by it as to evacuations, and by others at the least and at the most. */
 #define CONFIG_WAIT_MS 500
 #define CONFIG_WAIT_MAX_MS 2000
 /** The others' part of the time within which operators count on a change: what is known is up to
@@ -104,8 +104,8 @@
 	int64_t *ready_gauge;
 };
 
-/* Symptom without the look at the bound: processes that do nothing else make most of the calls to the
- * store, two a second each. */
+/* Symptom without the look at the bound: processes that do nothing else make most of the calls to
+ * the store, two a second each. */
 static int32_t
 config_wait_ms (const struct dff_fleet *fleet)
 {
@@ -225,7 +225,8 @@
 config_in_force (void *ctx)
 {
 	const struct dff_fleet *fleet = ctx;
-	if (fleet->config == NULL || dff_follower_age_ms (fleet->config_follower) > config_stale_ms (fleet))
+	if (fleet->config == NULL ||
+	    dff_follower_age_ms (fleet->config_follower) > config_stale_ms (fleet))
 		return NULL;
 	return fleet->config;
 }
@@ -235,7 +236,8 @@
 {
 	struct dff_fleet *fleet = ctx;
 	int64_t age_ms = dff_follower_age_ms (fleet->config_follower);
-	bool ready = !is_stopping (fleet) && fleet->config != NULL && age_ms <= 2 * config_wait_ms (fleet) + READY_STALE_MS;
+	bool ready = !is_stopping (fleet) && fleet->config != NULL &&
+		     age_ms <= 2 * config_wait_ms (fleet) + READY_STALE_MS;
 	if (ready != fleet->was_ready) {
 		dff_log (DFF_LOG_SERVE, DFF_LOG_INFO, "%s config_age_ms=%" PRId64 " stopping=%d",
 			 ready ? "Ready." : "Not ready.", age_ms, is_stopping (fleet));
@@ -409,12 +411,11 @@
 static void
 open_state_link (struct dff_fleet *fleet)
 {
-	struct dff_state_link_options options = {
-		.base = fleet->base,
-		.clock = fleet->clock,
-		.metrics = fleet->metrics,
-		.decider_lost = handle_decider_lost,
-		.ctx = fleet};
+	struct dff_state_link_options options = {.base = fleet->base,
+						 .clock = fleet->clock,
+						 .metrics = fleet->metrics,
+						 .decider_lost = handle_decider_lost,
+						 .ctx = fleet};
 	fleet->state_link = dff_state_link_new (&options);
 }
 
--- a/fleet/settings.c
+++ b/fleet/settings.c
@@ -32,7 +32,8 @@
 		 "this."},
 	{INTEGER (config_bound_ms, 1, HOUR_MS), .unit = "ms",
 	 .help = "Time within which operators count on a change of the configuration being in "
-		 "force. The longer, the less often a process asks the store whether there is one."},
+		 "force. The longer, the less often a process asks the store whether there is "
+		 "one."},
 	{INTEGER (gang_wait_ms, 100, 10 * MINUTE_MS), .unit = "ms",
 	 .help = "How long members of a gang wait for each other at a worker."},
 	{MEMBER (far_factor), .type = DFF_SETTING_NUMBER, .min = 1, .max = 1000,
--- a/holder/blame.c
+++ b/holder/blame.c
@@ -80,7 +80,7 @@
 		return 0;
 	bool fresh = run->ran && !run->inherited && seen_ms (run) < SURVIVED_MS;
 	return loss != DFF_LOSS_LEASE_LAPSED && fresh ? DFF_POLICY_BLAME_FRESH
-						    : DFF_POLICY_BLAME_SEEN;
+						      : DFF_POLICY_BLAME_SEEN;
 }
 
 /* Has the core, and the row, go by what a task is blamed for now. */
@@ -125,9 +125,9 @@
 		DFF_LOG_CELL, DFF_LOG_WARNING,
 		"Run lost. task=%s run=%d worker=%s reason=%s ran=%d unanswered=%d open_ms=%" PRId64
 		" seen_ms=%" PRId64 " points=%d blame=%d",
-		run->task.data, run->run, run->worker->upstream.life.id.data, blame_loss_name (loss),
-		run->ran, run->n_unanswered, holder_now_ms (holder) - run->open_ms, seen_ms (run),
-		points, task->blame);
+		run->task.data, run->run, run->worker->upstream.life.id.data,
+		blame_loss_name (loss), run->ran, run->n_unanswered,
+		holder_now_ms (holder) - run->open_ms, seen_ms (run), points, task->blame);
 }
 
 void
--- a/holder/holder_private.h
+++ b/holder/holder_private.h
@@ -348,10 +348,8 @@
 			    int32_t run);
 
 /** A stop has ended. @done: the present life has answered it. */
-void lives_note_stop (struct holder_worker *worker,
-		      const struct dff_name *task,
-		      int32_t run,
-		      bool done);
+void
+lives_note_stop (struct holder_worker *worker, const struct dff_name *task, int32_t run, bool done);
 
 /** Returns: whether entry and answers of a worker are of the same life. */
 bool lives_are_sure (const struct holder_worker *worker);
--- a/holder/lease.c
+++ b/holder/lease.c
@@ -309,9 +309,9 @@
 				      holder_call_begin (holder, sizeof (struct holder_call)));
 }
 
-/* A process that is to take the cell after quicker ones only need not notice as soon as they that the
- * row stands still. Symptom without this: every process reads the row three times a second, and with
- * some thousands of them the store has no readings left for anybody. */
+/* A process that is to take the cell after quicker ones only need not notice as soon as they that
+ * the row stands still. Symptom without this: every process reads the row three times a second, and
+ * with some thousands of them the store has no readings left for anybody. */
 static int64_t
 read_pause_ms (const struct dff_holder *holder, const struct lease_row *lease)
 {
--- a/holder/lives.c
+++ b/holder/lives.c
@@ -22,11 +22,12 @@
 	if (now_ms < holder->next_odd_birth_ms)
 		return;
 	holder->next_odd_birth_ms = now_ms + ODD_LINE_MS;
-	dff_log (DFF_LOG_UPSTREAM, DFF_LOG_WARNING,
-		 "What a worker says of its start is not taken. worker=%s reason=%s born_ms=%" PRId64
-		 " known_born_ms=%" PRId64 " so_far=%" PRId64,
-		 worker->upstream.life.id.data, reason, born_ms, worker->upstream.life.born_ms,
-		 *holder->metrics.odd_births);
+	dff_log (
+		DFF_LOG_UPSTREAM, DFF_LOG_WARNING,
+		"What a worker says of its start is not taken. worker=%s reason=%s born_ms=%" PRId64
+		" known_born_ms=%" PRId64 " so_far=%" PRId64,
+		worker->upstream.life.id.data, reason, born_ms, worker->upstream.life.born_ms,
+		*holder->metrics.odd_births);
 }
 
 /* Whether an order that was sent to a life which is over may be carried out by the next one. What a
@@ -58,9 +59,7 @@
 /* What the next life does not name is over with the one before, but for a start that may still
  * arrive: that is settled by a stop, which the next life has to answer. */
 static void
-end_run (struct dff_holder *holder,
-	 struct holder_run *run,
-	 const struct dff_runner_result *result)
+end_run (struct dff_holder *holder, struct holder_run *run, const struct dff_runner_result *result)
 {
 	if (is_named (run, result)) {
 		run->begun_clock_ms = 0;
@@ -86,16 +85,12 @@
 		return;
 	if (worker->unanswered == NULL)
 		worker->unanswered = g_array_new (FALSE, FALSE, sizeof (struct lives_order));
-	struct lives_order order = {
-		.task = *task, .run = run, .noted_ms = holder_now_ms (holder)};
+	struct lives_order order = {.task = *task, .run = run, .noted_ms = holder_now_ms (holder)};
 	g_array_append_val (worker->unanswered, order);
 }
 
 void
-lives_note_stop (struct holder_worker *worker,
-		 const struct dff_name *task,
-		 int32_t run,
-		 bool done)
+lives_note_stop (struct holder_worker *worker, const struct dff_name *task, int32_t run, bool done)
 {
 	for (guint i = 0; worker->unanswered != NULL && i < worker->unanswered->len; i++) {
 		struct lives_order *order =
@@ -108,9 +103,9 @@
 }
 
 /* Symptom without this: a task runs again after its end, or beside its next run. Sequence: a start
- * has no answer, its repetition has; the worker starts again; it carries the first start out. Cause:
- * the next life knows nothing of the run, its epoch is the same, and the deadline is one of the
- * clock before. A stop has it refuse the run. */
+ * has no answer, its repetition has; the worker starts again; it carries the first start out.
+ * Cause: the next life knows nothing of the run, its epoch is the same, and the deadline is one of
+ * the clock before. A stop has it refuse the run. */
 static void
 bar_unanswered (struct dff_holder *holder, struct holder_worker *worker)
 {
@@ -130,8 +125,9 @@
 		order->calling = true;
 		run_bar (holder, worker, &order->task, order->run);
 	}
-	if (worker->unanswered->len == 0)
+	if (worker->unanswered->len == 0) {
 		g_clear_pointer (&worker->unanswered, g_array_unref);
+	}
 }
 
 static void
@@ -227,8 +223,7 @@
 struct lives_mark
 lives_mark (const struct dff_holder *holder, const struct holder_worker *worker)
 {
-	return (struct lives_mark){.n_lives = worker->n_lives,
-				   .begun_ms = holder_now_ms (holder)};
+	return (struct lives_mark){.n_lives = worker->n_lives, .begun_ms = holder_now_ms (holder)};
 }
 
 /* Nobody knows which life such lists are of. They count once everything that the known life was
@@ -314,8 +309,8 @@
 	if (order == DFF_LIFE_SAME)
 		return true;
 	int64_t now_ms = holder_now_ms (holder);
-	bool known = worker->next_entry != NULL &&
-		     worker->next_entry->upstream.life.born_ms == born_ms;
+	bool known =
+		worker->next_entry != NULL && worker->next_entry->upstream.life.born_ms == born_ms;
 	struct lives_entry entry = {.upstream = *upstream,
 				    .revision = revision,
 				    .begun_ms = begun_ms,
--- a/holder/watch.c
+++ b/holder/watch.c
@@ -109,7 +109,8 @@
 	dff_log (DFF_LOG_UPSTREAM, DFF_LOG_WARNING,
 		 "Worker's runs are over. worker=%s reason=%s runs=%u heard_ms_ago=%" PRId64
 		 " deadline_ms=%" PRId64 " clock_ms=%" PRId64,
-		 worker->upstream.life.id.data, blame_loss_name (loss), g_hash_table_size (worker->runs),
+		 worker->upstream.life.id.data, blame_loss_name (loss),
+		 g_hash_table_size (worker->runs),
 		 worker->heard_ms > 0 ? holder_now_ms (holder) - worker->heard_ms : -1,
 		 worker->deadline_ms, worker->clock_ms);
 	(*holder->metrics.lapsed_workers)++;
@@ -240,7 +241,8 @@
 	(*holder->metrics.stalled_workers)++;
 	dff_log (DFF_LOG_UPSTREAM, DFF_LOG_WARNING, "Worker's tasks stand still. worker=%s runs=%u",
 		 worker->upstream.life.id.data, n_still);
-	struct dff_event event = {.type = DFF_EVENT_WORKER_STALLED, .worker = worker->upstream.life.id};
+	struct dff_event event = {.type = DFF_EVENT_WORKER_STALLED,
+				  .worker = worker->upstream.life.id};
 	dff_core_handle_event (holder->core, &event, now_ms);
 }
 
--- a/relay/relay.c
+++ b/relay/relay.c
@@ -8,8 +8,8 @@
 #define GATHER_MS 10
 /** Time between two messages at the most, ms: a process that tells nothing is given up. */
 #define SIGN_EVERY_MS 300
-/** Silence of the process that decides after which somebody else may do so, ms: it renews the leases
- * of each relay's workers several times a second. */
+/** Silence of the process that decides after which somebody else may do so, ms: it renews the
+ * leases of each relay's workers several times a second. */
 #define SILENT_MS 700
 
 struct dff_relay {
--- a/tests/fleet/test-fleet-settings.c
+++ b/tests/fleet/test-fleet-settings.c
@@ -13,7 +13,8 @@
 	"\"front_address\":\"10.1.0.19:8521\",\"ready_address\":\"10.1.0.19:8523\","               \
 	"\"metrics_address\":\"10.1.0.19:9464\",\"relay_address\":\"10.1.0.19:7000\",\"store_"     \
 	"address\":\"10.2.0.1:8524\","                                                             \
-	"\"worker_lease_max_ms\":10000,\"config_bound_ms\":2000,\"gang_wait_ms\":3000,\"far_factor\":3,"                    \
+	"\"worker_lease_max_ms\":10000,\"config_bound_ms\":2000,\"gang_wait_ms\":3000,\"far_"      \
+	"factor\":3,"                                                                              \
 	"\"retention_s\":120,\"stop_grace_s\":6,\"processor_share\":0.5,"                          \
 	"\"processor_speed\":1,\"link_mbps\":200"
 
--- a/tests/holder/site_workers.c
+++ b/tests/holder/site_workers.c
@@ -47,11 +47,10 @@
 		return;
 	struct dff_name id = worker_id (site, index);
 	struct dff_name address = dff_name_printf ("10.0.0.%d:1", index);
-	g_autofree char *value =
-		g_strdup_printf ("%s r%d %d %d %d %" G_GINT64_FORMAT, address.data,
-				 index / SITE_PER_RACK, leaving, remaining_ms,
-				 site->accelerators[index],
-				 dff_memory_runner_born_ms (site->runner, id.data));
+	g_autofree char *value = g_strdup_printf (
+		"%s r%d %d %d %d %" G_GINT64_FORMAT, address.data, index / SITE_PER_RACK, leaving,
+		remaining_ms, site->accelerators[index],
+		dff_memory_runner_born_ms (site->runner, id.data));
 	dff_memory_rows_put (site->rows, DFF_TABLE_UPSTREAMS, id.data, dff_str_from (value));
 }
 
@@ -138,11 +137,10 @@
 	int32_t clock_permille = 1000 - index * 4;
 	site->accelerators[index] = accelerators;
 	site->workers[index] =
-		site->same_ids
-			? dff_memory_runner_add_born (site->runner, id.data, address.data,
-						      accelerators, clock_permille)
-			: dff_memory_runner_add (site->runner, id.data, address.data, accelerators,
-						 clock_permille);
+		site->same_ids ? dff_memory_runner_add_born (site->runner, id.data, address.data,
+							     accelerators, clock_permille)
+			       : dff_memory_runner_add (site->runner, id.data, address.data,
+							accelerators, clock_permille);
 	site_list_worker (site, index, true, false);
 	close_worker (site, index);
 }
--- a/tests/holder/test-holder-seeds.c
+++ b/tests/holder/test-holder-seeds.c
@@ -463,8 +463,7 @@
 	if (strcmp (state, wanted) == 0)
 		return;
 	bool crash = play->variant == DFF_PLAY_CRASHES || play->variant == DFF_PLAY_LIVES;
-	if (crash && strcmp (state, "failed") == 0 &&
-	    has_crashed_workers (play, id)) {
+	if (crash && strcmp (state, "failed") == 0 && has_crashed_workers (play, id)) {
 		play->n_unlucky++;
 		return;
 	}
--- a/tests/platform/test-http.c
+++ b/tests/platform/test-http.c
@@ -360,9 +360,8 @@
 	DFF_AUTO (dff_http_runner) runner = dff_http_runner_new (server.client);
 	const struct dff_runner *workers = dff_http_runner_interface (runner);
 	struct runner_answer answer = {.base = server.base, .lists = g_string_new (NULL)};
-	struct dff_run_watch watch = {.worker = dff_name_from ("i-7f"),
-				      .address = server.address,
-				      .timeout_ms = 5000};
+	struct dff_run_watch watch = {
+		.worker = dff_name_from ("i-7f"), .address = server.address, .timeout_ms = 5000};
 	server.status = 200;
 	for (size_t i = 0; i < G_N_ELEMENTS (cases); i++) {
 		server.body = cases[i].body;
@@ -378,10 +377,8 @@
 main (void)
 {
 	const struct CMUnitTest tests[] = {
-		cmocka_unit_test (test_start_of_a_life),
-		cmocka_unit_test (test_commit),
-		cmocka_unit_test (test_reading),
-		cmocka_unit_test (test_start),
+		cmocka_unit_test (test_start_of_a_life), cmocka_unit_test (test_commit),
+		cmocka_unit_test (test_reading),         cmocka_unit_test (test_start),
 		cmocka_unit_test (test_stop_and_watch),
 	};
 	return cmocka_run_group_tests (tests, NULL, NULL);
--- a/tests/relay/test-relay.c
+++ b/tests/relay/test-relay.c
@@ -236,8 +236,8 @@
 }
 
 /* Guards against relays that stay with a process which does not decide any more, so that the next
- * one calls all workers itself: one that stands down lets go of them, and the silence of one that is
- * frozen or cut off is noticed. */
+ * one calls all workers itself: one that stands down lets go of them, and the silence of one that
+ * is frozen or cut off is noticed. */
 static void
 test_relays_leave_a_former_holder (void **state)
 {
