core: how uneven tasks are is learned, beside how far workers differ

Hypothesis: a step's tasks differ there by more than the constant said, which was put down to workers, so that alike workers were told apart and gangs were placed by chance differences in place of by room. Both spreads now come from an analysis of variance over the same times; the runs of a gang are compared within one run alone, as one that is spread over two racks takes three times as long as a whole. New case in tests/core/test-pace.c: alike, very uneven tasks.

--- a/core/core_tables.h
+++ b/core/core_tables.h
@@ -389,8 +389,10 @@
 	GHashTable *cohorts;
 	/** Tasks in them. */
 	guint n_paces;
-	/** Variance of the workers' paces, as logarithms. */
+	/** Variance of the workers' paces, and of what tasks of one step take on one worker, as
+	 * logarithms. */
 	float pace_variance;
+	float task_variance;
 	int64_t pace_review_ms;
 	/** Queues by state; deadlines rise along each but @delayed. */
 	GQueue reserved;
--- a/core/pace.c
+++ b/core/pace.c
@@ -7,15 +7,15 @@
 /* Workers of unlike speed. No worker tells how fast it is. Tasks of one step are alike but for some
  * spread, so that what they take on different workers, set against the step's median, tells the
  * workers apart; what a step takes in all tells nothing, as run times are declared far off. Beliefs
- * are in logarithms of time: a worker's is normal around the mean of all, with a spread that is
- * learned from the workers that are known, so that where all are alike no worker counts as slow. */
+ * are in logarithms of time: a worker's is normal around the mean of all. How far workers differ,
+ * and how far tasks on one worker do, is learned from the same times: so where all workers are
+ * alike none counts as slow, however uneven the tasks are. */
 
-/** Spread of the tasks of a step, as a variance of logarithms. */
-#define TASK_VARIANCE 0.07
-/** The same of workers before anything is known, and its bounds. */
-#define PRIOR_VARIANCE 0.04
-#define PRIOR_VARIANCE_MIN 0.0004
-#define PRIOR_VARIANCE_MAX 0.5
+/** Spread of tasks and of workers before anything is known, as variances of logarithms, and their
+ * least: a worker's belief is worked out by both. */
+#define TASK_VARIANCE 0.07F
+#define WORKER_VARIANCE 0.0004F
+#define VARIANCE_MIN 0.0004F
 /** Difference to the median at the most: some tasks are several times as long as others, which is
  * not their workers' doing. */
 #define DIFFERENCE_MAX 0.8
@@ -37,7 +37,7 @@
 /** Workers that have to be known before their spread is learned. */
 #define KNOWN_MIN 12
 /** Weight of the workers' spread as it is now against what was learned before. */
-#define SPREAD_RATE 0.3
+#define SPREAD_RATE 0.3F
 
 /** Parts of a logarithm of 1 in a worker's pace, and the largest pace. */
 #define PACE_PARTS 1000.0F
@@ -97,10 +97,11 @@
 	return logs[cohort->seen->len / 2];
 }
 
-/** What was seen of a worker: the sum of weighted differences, and of their weights. */
+/** What was seen of a worker: differences to the medians of steps, faded by age. */
 struct sum {
-	float difference;
-	float weight;
+	float count;
+	float total;
+	float squares;
 };
 
 static void
@@ -108,12 +109,13 @@
 {
 	float median = cohort_median (core, cohort);
 	float kept = expf (-(float)(core->now_ms - cohort->last_ms) / FADE_MS);
-	float weight = kept / (float)(TASK_VARIANCE * (1.0 + 1.0 / cohort->seen->len));
 	for (guint i = 0; i < cohort->seen->len; i++) {
 		const struct seen *seen = seen_at (cohort, i);
+		struct sum *sum = &sums[seen->worker];
 		float difference = CLAMP (seen->log_ms - median, -DIFFERENCE_MAX, DIFFERENCE_MAX);
-		sums[seen->worker].difference += difference * weight;
-		sums[seen->worker].weight += weight;
+		sum->count += kept;
+		sum->total += difference * kept;
+		sum->squares += difference * difference * kept;
 	}
 }
 
@@ -190,13 +192,6 @@
 	worker->pace = 0;
 }
 
-/* What is believed of a worker by what was seen of it, and how far that may be off. */
-static float
-variance (const struct dff_core *core, const struct sum *sum)
-{
-	return 1.0F / (sum->weight + 1.0F / core->pace_variance);
-}
-
 static void
 drop_old (struct dff_core *core)
 {
@@ -225,31 +220,39 @@
 		if (cohort->seen->len >= COHORT_MIN)
 			add_cohort (core, cohort, sums);
 	}
+	float doubt = core->task_variance / core->pace_variance;
 	for (guint i = 0; i < core->workers->len; i++) {
-		float pace = sums[i].difference * variance (core, &sums[i]);
+		float pace = sums[i].total / (sums[i].count + doubt);
 		dff_core_worker_at (core, (int32_t)i)->pace =
 			(int16_t)lroundf (CLAMP (pace, -PACE_MAX, PACE_MAX) * PACE_PARTS);
 	}
 }
 
-/* The spread of the workers' true paces: of what is believed, and of how far that may be off. */
+/* Analysis of variance: how far tasks on one worker differ, and by how much more those on different
+ * workers do. */
 static void
 learn_spread (struct dff_core *core, const struct sum *sums)
 {
-	float total = 0.0F;
-	int32_t n_known = 0;
+	float within = 0.0F, n_within = 0.0F, between = 0.0F, n_between = 0.0F, n_known = 0.0F;
 	for (guint i = 0; i < core->workers->len; i++) {
-		float pace = pace_of (dff_core_worker_at (core, (int32_t)i));
-		if (sums[i].weight <= 0.0F)
+		const struct sum *sum = &sums[i];
+		if (sum->count <= 0.0F)
+			continue;
+		float of_mean = sum->total * sum->total / sum->count;
+		between += of_mean;
+		n_between += sum->count;
+		n_known += 1.0F;
+		if (sum->count <= 1.0F)
 			continue;
-		total += pace * pace + variance (core, &sums[i]);
-		n_known++;
+		within += sum->squares - of_mean;
+		n_within += sum->count - 1.0F;
 	}
-	if (n_known < KNOWN_MIN)
+	if (n_known < KNOWN_MIN || n_within < KNOWN_MIN)
 		return;
-	float spread = total / (float)n_known;
-	core->pace_variance += (float)SPREAD_RATE * (spread - core->pace_variance);
-	core->pace_variance = CLAMP (core->pace_variance, PRIOR_VARIANCE_MIN, PRIOR_VARIANCE_MAX);
+	core->task_variance = MAX (within / n_within, VARIANCE_MIN);
+	float spread = (between - n_known * core->task_variance) / n_between;
+	core->pace_variance += SPREAD_RATE * (spread - core->pace_variance);
+	core->pace_variance = MAX (core->pace_variance, VARIANCE_MIN);
 }
 
 void
@@ -294,5 +297,6 @@
 dff_core_pace_init (struct dff_core *core)
 {
 	core->cohorts = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, free_cohort);
-	core->pace_variance = PRIOR_VARIANCE;
+	core->task_variance = TASK_VARIANCE;
+	core->pace_variance = WORKER_VARIANCE;
 }
--- a/holder/pace.c
+++ b/holder/pace.c
@@ -41,10 +41,15 @@
 	       dff_name_equal (&step->data_rack, &run->worker->upstream.rack);
 }
 
+/* The tasks of one step; of a gang, of one run, as the next may be spread over racks and take
+ * longer as a whole. */
 static uint64_t
-cohort_of (const struct holder_unit *unit)
+cohort_of (const struct holder_run *run)
 {
+	const struct holder_unit *unit = run->unit;
 	uint32_t part = ((uint32_t)unit->unit.occurrence << 8U) ^ (uint32_t)unit->unit.step;
+	if (unit->n_members > 1)
+		part ^= (uint32_t)run->run << 24U;
 	return ((uint64_t)dff_name_hash (&unit->job->id) << 32U) | part;
 }
 
@@ -64,7 +69,7 @@
 		return;
 	struct dff_event event = {.type = DFF_EVENT_TASK_PACE,
 				  .worker = run->worker->upstream.life.id,
-				  .cohort = cohort_of (run->unit),
+				  .cohort = cohort_of (run),
 				  .whole_ms = worked_ms * 100 / done};
 	dff_core_handle_event (holder->core, &event, holder_now_ms (holder));
 }
--- a/tests/core/test-pace.c
+++ b/tests/core/test-pace.c
@@ -25,6 +25,8 @@
 	double worst;
 	/** Whether gangs are to be placed as if nothing had been seen. */
 	bool unchanged;
+	/** As UNEVEN; 0: that. */
+	double uneven;
 	/** Of a step's tasks, one in so many takes seven times as long; 0: none. */
 	int tail;
 };
@@ -83,10 +85,11 @@
 see_steps (struct pool *pool, const struct pace_case *at)
 {
 	g_autoptr (GRand) rand = g_rand_new_with_seed (7);
+	double spread = at->uneven > 0.0 ? at->uneven : UNEVEN;
 	for (int step = 0; step < STEPS; step++) {
 		double step_ms = TASK_MS * exp (g_rand_double_range (rand, -1.0, 1.0));
 		for (int i = 0; i < WORKERS; i++) {
-			double uneven = g_rand_double_range (rand, -UNEVEN, UNEVEN);
+			double uneven = g_rand_double_range (rand, -spread, spread);
 			bool tail = at->tail > 0 && g_rand_int_range (rand, 0, at->tail) == 0;
 			tell_pace (pool, i, (uint64_t)step,
 				   step_ms * exp (uneven) * at->times[i % 3] * (tail ? 7.0 : 1.0));
@@ -161,6 +164,11 @@
 	 .worst = 1.0,
 	 .unchanged = true,
 	 .tail = 30},
+	{.name = "alike, very uneven tasks",
+	 .times = {1.0, 1.0, 1.0},
+	 .worst = 1.0,
+	 .unchanged = true,
+	 .uneven = 0.9},
 	{.name = "nearly alike", .times = {1.0, 1.0, 1.1}, .worst = 1.1, .unchanged = true},
 };
 
