holder, front, fleet: a process that does not decide any more names the one that does

A process that does not decide answers 421 to a row or a question about a state, with the address of the one that does if it knows; nothing was done, so the row goes on there, or its own way to the store, in place of a refusal. A new holder tells the former one who follows it. What a peer says is a hint: the receiver decides or says 421 in turn, three times at most, and a row of the store that was asked for later goes before it.

Tests: test-intake, gatherer_that_was_replaced; test-holder-submissions, store_turns_holder_and_others_away, which fails without the word to the former holder.

--- a/common/address.c
+++ b/common/address.c
@@ -32,3 +32,15 @@
 		return none;
 	return dff_name_printf ("%s:%d", ip, ntohs (actual.sin_port));
 }
+
+bool
+dff_address_read (struct dff_str text, struct dff_name *address)
+{
+	struct sockaddr_in parsed;
+	*address = (struct dff_name){0};
+	if (dff_name_parse (text, address) && dff_address_parse (address, &parsed) &&
+	    parsed.sin_port != 0)
+		return true;
+	*address = (struct dff_name){0};
+	return false;
+}
--- a/fleet/fleet.c
+++ b/fleet/fleet.c
@@ -377,6 +377,20 @@
 				       self ? CONFIG_WAIT_MS : config_wait_ms (fleet));
 }
 
+static void
+handle_gatherer_moved (void *ctx, const struct dff_name *address)
+{
+	const struct dff_fleet *fleet = ctx;
+	dff_state_link_set_decider (fleet->state_link, address, false);
+}
+
+static void
+handle_decider_moved (void *ctx, const struct dff_name *address)
+{
+	const struct dff_fleet *fleet = ctx;
+	dff_intake_set_gatherer (fleet->intake, address, false);
+}
+
 static bool
 record_row (void *ctx, const struct dff_intake_row *row, dff_rows_func done, void *user)
 {
@@ -403,7 +417,8 @@
 		.record = record_row,
 		.record_ctx = fleet,
 		.gatherer_lost = handle_decider_lost,
-		.lost_ctx = fleet,
+		.gatherer_moved = handle_gatherer_moved,
+		.gatherer_ctx = fleet,
 	};
 	fleet->intake = dff_intake_new (&options);
 }
@@ -415,6 +430,7 @@
 						 .clock = fleet->clock,
 						 .metrics = fleet->metrics,
 						 .decider_lost = handle_decider_lost,
+						 .decider_moved = handle_decider_moved,
 						 .ctx = fleet};
 	fleet->state_link = dff_state_link_new (&options);
 }
--- a/fleet/intake_link.c
+++ b/fleet/intake_link.c
@@ -3,6 +3,7 @@
 #include <event2/buffer.h>
 #include <event2/keyvalq_struct.h>
 
+#include "common/address.h"
 #include "common/http_client.h"
 
 #define ROW_PATH "/row"
@@ -14,6 +15,9 @@
 /** Connections to the process that gathers, and the time that an answer may come after the row's
  * own time is up, ms. */
 #define CONNECTIONS 4
+/** Status of an answer of a process that does not decide; its body is the address of the one that
+ * does, or empty. */
+#define STATUS_MISDIRECTED 421
 #define ANSWER_MS 200
 
 /* What became of a row. */
@@ -31,7 +35,7 @@
 	struct dff_http_client *client;
 };
 
-struct forwarded {
+struct call {
 	dff_intake_forward_func done;
 	void *user;
 };
@@ -49,12 +53,25 @@
 	return DFF_ROWS_UNKNOWN;
 }
 
+static enum dff_intake_receiver
+receiver_of (const struct dff_http_response *response)
+{
+	if (response->outcome != DFF_HTTP_ANSWERED)
+		return DFF_INTAKE_UNREACHED;
+	return response->status == STATUS_MISDIRECTED ? DFF_INTAKE_MISDIRECTED : DFF_INTAKE_TAKEN;
+}
+
 static void
 handle_response (void *user, const struct dff_http_response *response)
 {
-	g_autofree struct forwarded *forwarded = user;
-	forwarded->done (forwarded->user, outcome_of (response),
-			 response->outcome == DFF_HTTP_ANSWERED);
+	g_autofree struct call *call = user;
+	struct dff_intake_forwarded forwarded = {.receiver = receiver_of (response),
+						 .outcome = outcome_of (response)};
+	if (forwarded.receiver == DFF_INTAKE_MISDIRECTED) {
+		forwarded.outcome = DFF_ROWS_NOT_DONE;
+		dff_address_read (response->body, &forwarded.decider);
+	}
+	call->done (call->user, &forwarded);
 }
 
 void
@@ -65,9 +82,9 @@
 			 void *user)
 {
 	struct dff_intake_link *link = ctx;
-	struct forwarded *forwarded = g_new0 (struct forwarded, 1);
-	forwarded->done = done;
-	forwarded->user = user;
+	struct call *call = g_new0 (struct call, 1);
+	call->done = done;
+	call->user = user;
 	g_autofree char *path =
 		g_strdup_printf (ROW_PATH "?" QUERY_KEY "=%.*s&" QUERY_TIMEOUT "=%d",
 				 (int)row->key.len, row->key.data, row->timeout_ms);
@@ -76,7 +93,7 @@
 					   .path = path,
 					   .body = row->value,
 					   .timeout_ms = row->timeout_ms + ANSWER_MS};
-	dff_http_client_send (link->client, &request, handle_response, forwarded);
+	dff_http_client_send (link->client, &request, handle_response, call);
 }
 
 static void
@@ -119,6 +136,13 @@
 		evhttp_send_reply (request, HTTP_BADREQUEST, NULL, NULL);
 		return;
 	}
+	if (!dff_intake_is_gatherer (intake)) {
+		const struct dff_name *gatherer = dff_intake_gatherer (intake);
+		evbuffer_add (evhttp_request_get_output_buffer (request), gatherer->data,
+			      gatherer->len);
+		evhttp_send_reply (request, STATUS_MISDIRECTED, NULL, NULL);
+		return;
+	}
 	struct dff_intake_row row = {.key = {key.data, key.len},
 				     .value = {(const char *)evbuffer_pullup (input, -1), length},
 				     .timeout_ms = timeout_ms};
--- a/fleet/presence.c
+++ b/fleet/presence.c
@@ -4,6 +4,7 @@
 #include <event2/keyvalq_struct.h>
 #include <inttypes.h>
 
+#include "common/address.h"
 #include "common/http_client.h"
 
 /** Path at which a process tells its name, on the address for readiness, and the time that one who
@@ -12,6 +13,9 @@
 /** Queries: to let go without a store, and to hand over to a process that takes so long, ms. */
 #define QUERY_YIELD "yield"
 #define QUERY_TAKEOVER "takeover"
+/** Where the asker is reached that has taken the cell, and its epoch. */
+#define QUERY_DECIDER "decider"
+#define QUERY_EPOCH "epoch"
 #define PRESENCE_TIMEOUT_MS 300
 /** Status of an answer whose body is the name of a process that does not hold the cell. */
 #define STATUS_IDLE 203
@@ -32,6 +36,11 @@
 	const char *takeover = evhttp_find_header (&fields, QUERY_TAKEOVER);
 	question.yield = evhttp_find_header (&fields, QUERY_YIELD) != NULL;
 	question.takeover_ms = takeover != NULL ? g_ascii_strtoll (takeover, NULL, 10) : 0;
+	const char *decider = evhttp_find_header (&fields, QUERY_DECIDER);
+	const char *epoch = evhttp_find_header (&fields, QUERY_EPOCH);
+	if (decider != NULL && epoch != NULL &&
+	    dff_address_read (dff_str_from (decider), &question.decider))
+		question.epoch = g_ascii_strtoll (epoch, NULL, 10);
 	evhttp_clear_headers (&fields);
 	return question;
 }
@@ -39,12 +48,17 @@
 static GString *
 question_path (const struct dff_holder_question *question)
 {
-	GString *path = g_string_new (INSTANCE_PATH);
+	GString *path = g_string_new (INSTANCE_PATH "?");
 	if (question->yield)
-		g_string_append (path, "?" QUERY_YIELD "=1");
+		g_string_append (path, QUERY_YIELD "=1&");
 	if (question->takeover_ms > 0)
-		g_string_append_printf (path, "%c" QUERY_TAKEOVER "=%" PRId64,
-					question->yield ? '&' : '?', question->takeover_ms);
+		g_string_append_printf (path, QUERY_TAKEOVER "=%" PRId64 "&",
+					question->takeover_ms);
+	if (!dff_name_is_empty (&question->decider))
+		g_string_append_printf (path, QUERY_DECIDER "=%s&" QUERY_EPOCH "=%" PRId64 "&",
+					question->decider.data, question->epoch);
+	/* The mark that is left over. */
+	g_string_truncate (path, path->len - 1);
 	return path;
 }
 
--- a/fleet/state_link.c
+++ b/fleet/state_link.c
@@ -3,6 +3,7 @@
 #include <event2/buffer.h>
 #include <event2/keyvalq_struct.h>
 
+#include "common/address.h"
 #include "common/http_client.h"
 
 #define STATE_PATH "/state"
@@ -15,6 +16,11 @@
 /** How long rows are read instead after a question without an answer, ms: the process may be gone,
  * and the next is known within that. */
 #define AVOID_MS 500
+/** Status of an answer of a process that does not decide; its body is the address of the one that
+ * does, or empty. */
+#define STATUS_MISDIRECTED 421
+/** Processes that are asked, one after the other, while each says that it does not decide. */
+#define ASKED_MAX 3
 
 struct dff_state_link {
 	struct dff_state_link_options options;
@@ -29,6 +35,8 @@
 
 struct question {
 	struct dff_state_link *link;
+	struct dff_name job;
+	int32_t n_asked;
 	dff_front_state_func done;
 	void *user;
 };
@@ -40,44 +48,82 @@
 	question->done (question->user, sight->known, sight->state);
 }
 
+static void ask (struct question *question);
+
+static bool
+is_reached (const struct dff_state_link *link)
+{
+	return !dff_name_is_empty (&link->decider) &&
+	       dff_clock_now_ms (link->options.clock) >= link->avoid_until_ms;
+}
+
+/* The process that was asked has not answered, or does not decide: it is left alone for a moment,
+ * unless it names another one. */
+static void
+leave_decider (struct dff_state_link *link, const struct dff_name *next)
+{
+	if (!dff_name_is_empty (next) && !dff_name_equal (next, &link->decider)) {
+		dff_state_link_set_decider (link, next, false);
+		link->options.decider_moved (link->options.ctx, next);
+	} else {
+		link->avoid_until_ms = dff_clock_now_ms (link->options.clock) + AVOID_MS;
+	}
+	link->options.decider_lost (link->options.ctx);
+}
+
 static void
 handle_response (void *user, const struct dff_http_response *response)
 {
-	g_autofree struct question *question = user;
+	struct question *question = user;
 	struct dff_state_link *link = question->link;
 	bool answered = response->outcome == DFF_HTTP_ANSWERED;
+	bool misdirected = answered && response->status == STATUS_MISDIRECTED;
 	enum dff_job_state state = DFF_JOB_STATE_QUEUED;
 	bool known = answered && response->status == HTTP_OK &&
 		     dff_job_state_parse (response->body, &state);
-	if (!answered) {
-		(*link->unanswered)++;
-		link->avoid_until_ms = dff_clock_now_ms (link->options.clock) + AVOID_MS;
-		link->options.decider_lost (link->options.ctx);
+	(*link->unanswered) += !answered;
+	if (!answered || misdirected) {
+		struct dff_name next = {0};
+		if (misdirected)
+			dff_address_read (response->body, &next);
+		leave_decider (link, &next);
+	}
+	if (misdirected && !link->is_decider && is_reached (link) &&
+	    question->n_asked < ASKED_MAX) {
+		ask (question);
+		return;
 	}
 	question->done (question->user, known, state);
+	g_free (question);
+}
+
+static void
+ask (struct question *question)
+{
+	struct dff_state_link *link = question->link;
+	g_autofree char *path =
+		g_strdup_printf (STATE_PATH "?" QUERY_JOB "=%s", question->job.data);
+	struct dff_http_request request = {.address = link->decider,
+					   .method = EVHTTP_REQ_GET,
+					   .path = path,
+					   .timeout_ms = ASK_TIMEOUT_MS};
+	question->n_asked++;
+	dff_http_client_send (link->client, &request, handle_response, question);
 }
 
 bool
 dff_state_link_ask (void *ctx, const struct dff_name *job, dff_front_state_func done, void *user)
 {
 	struct dff_state_link *link = ctx;
-	bool reached = !dff_name_is_empty (&link->decider) &&
-		       dff_clock_now_ms (link->options.clock) >= link->avoid_until_ms;
-	if (!link->is_decider && !reached)
+	if (!link->is_decider && !is_reached (link))
 		return false;
 	struct question *question = g_new0 (struct question, 1);
-	*question = (struct question){.link = link, .done = done, .user = user};
+	*question = (struct question){.link = link, .job = *job, .done = done, .user = user};
 	(*link->asked)++;
-	if (link->is_decider) {
+	if (link->is_decider)
 		dff_holder_look (link->holder, job, handle_sight, question);
-		return true;
-	}
-	g_autofree char *path = g_strdup_printf (STATE_PATH "?" QUERY_JOB "=%s", job->data);
-	struct dff_http_request request = {.address = link->decider,
-					   .method = EVHTTP_REQ_GET,
-					   .path = path,
-					   .timeout_ms = ASK_TIMEOUT_MS};
-	dff_http_client_send (link->client, &request, handle_response, question);
+	else
+		ask (question);
 	return true;
 }
 
@@ -113,6 +159,12 @@
 		evhttp_send_reply (request, HTTP_BADREQUEST, NULL, NULL);
 		return;
 	}
+	if (!link->is_decider) {
+		evbuffer_add (evhttp_request_get_output_buffer (request), link->decider.data,
+			      link->decider.len);
+		evhttp_send_reply (request, STATUS_MISDIRECTED, NULL, NULL);
+		return;
+	}
 	dff_holder_look (link->holder, &job, answer_sight, request);
 }
 
--- a/front/intake.c
+++ b/front/intake.c
@@ -25,6 +25,9 @@
 /** Answers of the store that take so long, ms, mean that transactions queue: ten times what one
  * takes. */
 #define SLOW_MS 100
+/** Processes that a row is handed to, one after the other, while each says that it does not decide.
+ */
+#define FORWARDS_MAX 3
 /** Time between two looks for a process that decides, ms, while rows wait for one. */
 #define HOLD_LOOK_MS 50
 /** How long rows go straight to the store after the process that gathers them did not take one, ms:
@@ -81,6 +84,17 @@
 	void *user;
 };
 
+/** A row that was handed on. */
+struct forward {
+	struct dff_intake *intake;
+	char *key;
+	GString *value;
+	int64_t deadline_ms;
+	int32_t n_tries;
+	dff_rows_func done;
+	void *user;
+};
+
 static int64_t
 now_ms (const struct dff_intake *intake)
 {
@@ -367,22 +381,6 @@
 	call->done (call->user, result);
 }
 
-/* One that was reached and did not take the row knows why: a row that goes straight to a store
- * whose transactions queue makes them queue the longer. */
-static void
-handle_forwarded (void *user, enum dff_rows_outcome outcome, bool reached)
-{
-	g_autofree struct passed_call *call = user;
-	struct dff_intake *intake = call->intake;
-	struct dff_rows_result result = {.outcome = outcome};
-	if (!reached) {
-		intake->avoid_until_ms = now_ms (intake) + AVOID_MS;
-		if (intake->options.gatherer_lost != NULL)
-			intake->options.gatherer_lost (intake->options.lost_ctx);
-	}
-	call->done (call->user, &result);
-}
-
 static bool
 goes_together (const struct dff_intake *intake)
 {
@@ -395,6 +393,90 @@
 		       intake->options.together_from_ms;
 }
 
+static void
+end_forward (struct forward *forward, enum dff_rows_outcome outcome)
+{
+	struct dff_rows_result result = {.outcome = outcome};
+	forward->done (forward->user, &result);
+	g_free (forward->key);
+	g_string_free (forward->value, TRUE);
+	g_free (forward);
+}
+
+/* A process that is not reached, or does not decide any more, is left alone for a moment, unless it
+ * names another one. */
+static void
+leave_gatherer (struct dff_intake *intake, const struct dff_name *next)
+{
+	const struct dff_intake_options *options = &intake->options;
+	bool moved = !dff_name_is_empty (next) && !dff_name_equal (next, &intake->gatherer);
+	if (moved) {
+		dff_intake_set_gatherer (intake, next, false);
+		if (options->gatherer_moved != NULL)
+			options->gatherer_moved (options->gatherer_ctx, next);
+	} else {
+		intake->avoid_until_ms = now_ms (intake) + AVOID_MS;
+	}
+	if (options->gatherer_lost != NULL)
+		options->gatherer_lost (options->gatherer_ctx);
+}
+
+static void handle_forwarded (void *user, const struct dff_intake_forwarded *forwarded);
+
+static void
+send_forward (struct forward *forward)
+{
+	struct dff_intake *intake = forward->intake;
+	struct dff_intake_row row = {.key = dff_str_from (forward->key),
+				     .value = {forward->value->str, forward->value->len},
+				     .timeout_ms =
+					     (int32_t)(forward->deadline_ms - now_ms (intake))};
+	forward->n_tries++;
+	(*intake->forwarded)++;
+	intake->options.forward (intake->options.forward_ctx, &intake->gatherer, &row,
+				 handle_forwarded, forward);
+}
+
+static void
+handle_own_way (void *user, const struct dff_rows_result *result)
+{
+	end_forward (user, result->outcome);
+}
+
+/* Nothing was done with the row: it goes to who decides now, or its own way. */
+static void
+forward_again (struct forward *forward)
+{
+	struct dff_intake *intake = forward->intake;
+	int64_t left_ms = forward->deadline_ms - now_ms (intake);
+	if (left_ms <= LEAST_MS || forward->n_tries >= FORWARDS_MAX) {
+		end_forward (forward, DFF_ROWS_NOT_DONE);
+		return;
+	}
+	if (!intake->is_gatherer && goes_together (intake)) {
+		send_forward (forward);
+		return;
+	}
+	struct dff_intake_row row = {.key = dff_str_from (forward->key),
+				     .value = {forward->value->str, forward->value->len},
+				     .timeout_ms = (int32_t)left_ms};
+	dff_intake_take (intake, &row, handle_own_way, forward);
+}
+
+/* One that was reached and did not take the row knows why: a row that goes straight to a store
+ * whose transactions queue makes them queue the longer. */
+static void
+handle_forwarded (void *user, const struct dff_intake_forwarded *forwarded)
+{
+	struct forward *forward = user;
+	if (forwarded->receiver != DFF_INTAKE_TAKEN)
+		leave_gatherer (forward->intake, &forwarded->decider);
+	if (forwarded->receiver != DFF_INTAKE_TAKEN && forwarded->outcome == DFF_ROWS_NOT_DONE)
+		forward_again (forward);
+	else
+		end_forward (forward, forwarded->outcome);
+}
+
 static void
 pass_on (struct dff_intake *intake,
 	 const struct dff_intake_row *row,
@@ -405,9 +487,15 @@
 		dff_intake_take (intake, row, done, user);
 		return;
 	}
-	(*intake->forwarded)++;
-	intake->options.forward (intake->options.forward_ctx, &intake->gatherer, row,
-				 handle_forwarded, pass_call (intake, done, user));
+	struct forward *forward = g_new0 (struct forward, 1);
+	*forward = (struct forward){
+		.intake = intake,
+		.key = g_strndup (row->key.data, row->key.len),
+		.value = g_string_new_len (row->value.data, (gssize)row->value.len),
+		.deadline_ms = now_ms (intake) + row->timeout_ms,
+		.done = done,
+		.user = user};
+	send_forward (forward);
 }
 
 static void
@@ -495,10 +583,24 @@
 void
 dff_intake_set_gatherer (struct dff_intake *intake, const struct dff_name *address, bool self)
 {
+	if (!dff_name_equal (address, &intake->gatherer))
+		intake->avoid_until_ms = 0;
 	intake->gatherer = *address;
 	intake->is_gatherer = self;
 }
 
+bool
+dff_intake_is_gatherer (const struct dff_intake *intake)
+{
+	return intake->is_gatherer;
+}
+
+const struct dff_name *
+dff_intake_gatherer (const struct dff_intake *intake)
+{
+	return &intake->gatherer;
+}
+
 const struct dff_rows *
 dff_intake_interface (struct dff_intake *intake)
 {
--- a/holder/holder.c
+++ b/holder/holder.c
@@ -306,6 +306,8 @@
 	if (question->yield && is_helpless (holder))
 		lease_stand_down (holder, "store_lost");
 	handover_answer (holder, question->takeover_ms);
+	if (!dff_name_is_empty (&question->decider))
+		relays_note_decider (holder, &question->decider, question->epoch);
 	return holder->phase == DFF_HOLDER_WATCHING ? DFF_HOLDER_IDLE : DFF_HOLDER_PRESENT;
 }
 
--- a/holder/holder_private.h
+++ b/holder/holder_private.h
@@ -81,8 +81,11 @@
 
 /* relays.c */
 
-/** Another process holds the cell; @lease: its row. */
-void relays_follow (const struct dff_holder *holder, const struct lease_row *lease);
+/** Another process holds the cell; @lease: its row, asked for at @begun_ms. */
+void relays_follow (struct dff_holder *holder, const struct lease_row *lease, int64_t begun_ms);
+
+/** A process says that it decides, at @address: a hint, as its row tells for sure. */
+void relays_note_decider (struct dff_holder *holder, const struct dff_name *address, int64_t epoch);
 
 /** This process has taken the cell; @n_relays: what the holder before it wanted. */
 void relays_begin (struct dff_holder *holder, int32_t n_relays);
--- a/holder/holder_tables.h
+++ b/holder/holder_tables.h
@@ -247,6 +247,9 @@
 	int64_t store_ahead_ms;
 	struct dff_name former_instance;
 	struct dff_name former_address;
+	/** Epoch of the process that decides, by its row or by itself, and when the latter was. */
+	int64_t decider_epoch;
+	int64_t decider_told_ms;
 	int64_t next_former_ask_ms;
 	/** When the process that said last that it decides was asked; its row had that revision. */
 	int64_t present_ms;
--- a/holder/lease.c
+++ b/holder/lease.c
@@ -158,6 +158,29 @@
 	*holder->metrics.is_holding = 0;
 }
 
+static void
+ignore_presence (void *user, enum dff_holder_presence presence)
+{
+	(void)presence;
+	g_free (user);
+}
+
+/* Symptom without this: while the store turns a third of the processes away, these send what they
+ * are given to a holder that they do not know to be replaced, for as long as that lasts. The former
+ * holder is told who follows it, and tells those who still come to it. */
+static void
+tell_former (struct dff_holder *holder)
+{
+	if (dff_name_is_empty (&holder->former_address) ||
+	    dff_name_equal (&holder->former_address, &holder->options.presence_address))
+		return;
+	struct dff_holder_question question = {.decider = holder->options.presence_address,
+					       .epoch = holder->epoch};
+	holder->options.ask_presence (holder->options.presence_ctx, &holder->former_address,
+				      &holder->former_instance, &question, ignore_presence,
+				      holder_call_begin (holder, sizeof (struct holder_call)));
+}
+
 static void
 handle_taken (void *user, const struct dff_rows_result *result)
 {
@@ -185,6 +208,7 @@
 	dff_log (DFF_LOG_CELL, DFF_LOG_INFO,
 		 "Took the cell. epoch=%" PRId64 " revision=%" PRId64 " took_ms=%" PRId64,
 		 holder->epoch, holder->row_revision, holder->taken_ms - begun_ms);
+	tell_former (holder);
 	recovery_begin (holder);
 }
 
@@ -359,7 +383,7 @@
 			ask_presence (holder, &lease, revision, relieve);
 	}
 	if (row != NULL && !own && !lease.released)
-		relays_follow (holder, &lease);
+		relays_follow (holder, &lease, begun_ms);
 	bool asked = handover_is_asked (holder, &lease);
 	if (!own)
 		patience_ms += handover_wait_ms (holder, &lease);
--- a/holder/relays.c
+++ b/holder/relays.c
@@ -1,5 +1,7 @@
 #include "holder/holder_private.h"
 
+#include "common/log.h"
+
 /* Processes that carry calls to workers for the one that decides, see relay/dispatch.h: how many it
  * wants, which the holder's row tells the others, and whose they are. */
 
@@ -28,12 +30,31 @@
 }
 
 void
-relays_follow (const struct dff_holder *holder, const struct lease_row *lease)
+relays_follow (struct dff_holder *holder, const struct lease_row *lease, int64_t begun_ms)
 {
+	/* A row that was asked for before another process told of itself. One that was asked for
+	 * after tells whether that was true. */
+	if (lease->epoch < holder->decider_epoch && begun_ms <= holder->decider_told_ms)
+		return;
+	holder->decider_epoch = lease->epoch;
 	follow (holder, &lease->relay_address, lease->n_relays);
 	note_holder (holder, &lease->address, false);
 }
 
+void
+relays_note_decider (struct dff_holder *holder, const struct dff_name *address, int64_t epoch)
+{
+	if (epoch <= holder->decider_epoch || holder->phase != DFF_HOLDER_WATCHING)
+		return;
+	dff_log (DFF_LOG_CELL, DFF_LOG_INFO,
+		 "Another process says that it decides. address=%s epoch=%" PRId64
+		 " known_epoch=%" PRId64,
+		 address->data, epoch, holder->decider_epoch);
+	holder->decider_epoch = epoch;
+	holder->decider_told_ms = holder_now_ms (holder);
+	note_holder (holder, address, false);
+}
+
 void
 relays_begin (struct dff_holder *holder, int32_t n_relays)
 {
@@ -41,6 +62,8 @@
 	follow (holder, &none, 0);
 	note_holder (holder, &none, true);
 	holder->n_relays = n_relays;
+	holder->decider_epoch = holder->epoch;
+	holder->decider_told_ms = holder_now_ms (holder);
 	want (holder, n_relays);
 }
 
--- a/include/common/address.h
+++ b/include/common/address.h
@@ -14,6 +14,10 @@
  */
 bool dff_address_parse (const struct dff_name *address, struct sockaddr_in *parsed);
 
+/** Reads an address from a text. @address: (out): empty when it is none. Returns: whether it is
+ * one. */
+bool dff_address_read (struct dff_str text, struct dff_name *address);
+
 /** Returns: "IP:PORT" that a socket is bound to; empty when it is not bound. */
 struct dff_name dff_address_of_socket (int fd);
 
--- a/include/front/intake.h
+++ b/include/front/intake.h
@@ -23,8 +23,27 @@
 	int32_t timeout_ms;
 };
 
-/** What became of a row that was handed on. @reached: whether the other process was. */
-typedef void (*dff_intake_forward_func) (void *user, enum dff_rows_outcome outcome, bool reached);
+/** Who a row that was handed on has come to. */
+enum dff_intake_receiver {
+	/** A process that has dealt with it. */
+	DFF_INTAKE_TAKEN,
+	/** One that does not decide, and did nothing. */
+	DFF_INTAKE_MISDIRECTED,
+	/** Nobody who answered. */
+	DFF_INTAKE_UNREACHED,
+};
+
+/** What became of a row that was handed on. */
+struct dff_intake_forwarded {
+	enum dff_intake_receiver receiver;
+	/** NOT_DONE where a process was misdirected to, or surely never reached. */
+	enum dff_rows_outcome outcome;
+	/** Who decides, as the receiver knows; empty: it does not. */
+	struct dff_name decider;
+};
+
+/** @forwarded: valid in the callback only. */
+typedef void (*dff_intake_forward_func) (void *user, const struct dff_intake_forwarded *forwarded);
 
 struct dff_intake_options {
 	const struct dff_timers *timers;
@@ -55,9 +74,12 @@
 			dff_rows_func done,
 			void *user);
 	void *record_ctx;
-	/** (nullable): the process that gathers rows could not be reached. */
+	/** (nullable): the process that gathers rows could not be reached, or does not decide any
+	 * more. */
 	void (*gatherer_lost) (void *ctx);
-	void *lost_ctx;
+	/** (nullable): it names another one, which is asked from now on. */
+	void (*gatherer_moved) (void *ctx, const struct dff_name *address);
+	void *gatherer_ctx;
 };
 
 struct dff_intake *dff_intake_new (const struct dff_intake_options *options);
@@ -73,6 +95,13 @@
 /** Tells which process gathers rows: @address empty: none, or this one if @self. */
 void dff_intake_set_gatherer (struct dff_intake *intake, const struct dff_name *address, bool self);
 
+/** Returns: whether this process gathers rows. */
+bool dff_intake_is_gatherer (const struct dff_intake *intake);
+
+/** Returns: (transfer none): the process that does, as far as is known; empty: none, or this one.
+ */
+const struct dff_name *dff_intake_gatherer (const struct dff_intake *intake);
+
 /** Returns: whether rows that are written now go through another process. */
 bool dff_intake_writes_elsewhere (const struct dff_intake *intake);
 
--- a/include/holder/holder.h
+++ b/include/holder/holder.h
@@ -40,6 +40,10 @@
 	/** To hand the cell over to the asker, which takes so long to take over, ms, if this one
 	 * takes much longer; 0: not asked for. */
 	int64_t takeover_ms;
+	/** The asker has taken the cell with this epoch, and is asked for its name there; empty: it
+	 * has not. */
+	struct dff_name decider;
+	int64_t epoch;
 };
 
 typedef void (*dff_holder_presence_func) (void *user, enum dff_holder_presence presence);
--- a/tests/front/test-intake.c
+++ b/tests/front/test-intake.c
@@ -31,6 +31,9 @@
 	int64_t took_ms;
 	/** Whether nobody listens where the rows are gathered. */
 	bool gatherer_gone;
+	/** Whether the process that gathered rows does not any more, and which it names. */
+	bool replaced;
+	struct dff_name next_gatherer;
 	/** Times that a process was told that the gatherer is not reached. */
 	int n_lost;
 	/** Whether the first process writes rows with its own transactions; else it has none. */
@@ -49,6 +52,7 @@
 	char *key;
 	char *value;
 	int32_t timeout_ms;
+	bool misdirected;
 	dff_intake_forward_func done;
 	void *user;
 };
@@ -60,9 +64,12 @@
 }
 
 static void
-end_hop (struct hop *hop, enum dff_rows_outcome outcome, bool reached)
+end_hop (struct hop *hop, enum dff_rows_outcome outcome, enum dff_intake_receiver receiver)
 {
-	hop->done (hop->user, outcome, reached);
+	struct dff_intake_forwarded forwarded = {.receiver = receiver, .outcome = outcome};
+	if (receiver == DFF_INTAKE_MISDIRECTED)
+		forwarded.decider = hop->fixture->next_gatherer;
+	hop->done (hop->user, &forwarded);
 	g_free (hop->key);
 	g_free (hop->value);
 	g_free (hop);
@@ -71,7 +78,7 @@
 static void
 handle_taken (void *user, const struct dff_rows_result *result)
 {
-	end_hop (user, result->outcome, true);
+	end_hop (user, result->outcome, DFF_INTAKE_TAKEN);
 }
 
 static void
@@ -82,7 +89,9 @@
 				     .value = dff_str_from (hop->value),
 				     .timeout_ms = hop->timeout_ms};
 	if (hop->fixture->gatherer_gone)
-		end_hop (hop, DFF_ROWS_NOT_DONE, false);
+		end_hop (hop, DFF_ROWS_NOT_DONE, DFF_INTAKE_UNREACHED);
+	else if (hop->misdirected)
+		end_hop (hop, DFF_ROWS_NOT_DONE, DFF_INTAKE_MISDIRECTED);
 	else
 		dff_intake_take (hop->fixture->processes[0].intake, &row, handle_taken, hop);
 }
@@ -95,12 +104,15 @@
 	 void *user)
 {
 	struct process *process = ctx;
-	assert_string_equal (address->data, "p0");
+	bool misdirected = process->fixture->replaced && strcmp (address->data, "p0") == 0;
+	assert_true (misdirected ||
+		     strcmp (address->data, process->fixture->replaced ? "p9" : "p0") == 0);
 	struct hop *hop = g_new0 (struct hop, 1);
 	*hop = (struct hop){.fixture = process->fixture,
 			    .key = g_strndup (row->key.data, row->key.len),
 			    .value = g_strndup (row->value.data, row->value.len),
 			    .timeout_ms = row->timeout_ms,
+			    .misdirected = misdirected,
 			    .done = done,
 			    .user = user};
 	dff_virtual_loop_after (process->fixture->loop, 1, arrive, hop);
@@ -162,7 +174,7 @@
 			.forward = forward,
 			.forward_ctx = process,
 			.gatherer_lost = note_lost,
-			.lost_ctx = fixture,
+			.gatherer_ctx = fixture,
 			.record = with_records ? record_row : NULL,
 			.record_ctx = process};
 		process->intake = dff_intake_new (&options);
@@ -344,6 +356,45 @@
 	}
 }
 
+/* Guards against callers being refused, while the store turns their process away, because rows go
+ * to a process that does not decide any more: it names the one that does, and the row goes there.
+ * One that names nobody is left alone, and nobody is asked in a circle. */
+static void
+test_gatherer_that_was_replaced (void **state)
+{
+	(void)state;
+	static const struct {
+		const char *next;
+		bool refuses;
+		enum dff_rows_outcome outcome;
+		int most_lost;
+	} cases[] = {
+		/* The next one is played by the same process. */
+		{"p9", true, DFF_ROWS_DONE, 1},
+		{"p9", false, DFF_ROWS_DONE, 1},
+		/* Its own way to the store. */
+		{"", false, DFF_ROWS_DONE, 1},
+		{"p0", false, DFF_ROWS_DONE, 1},
+		{"", true, DFF_ROWS_NOT_DONE, 1},
+	};
+	for (size_t c = 0; c < G_N_ELEMENTS (cases); c++) {
+		struct fixture fixture;
+		struct outcome outcome;
+		open_fixture (&fixture);
+		fixture.replaced = true;
+		fixture.took_ms = 500;
+		dff_name_parse (dff_str_from (cases[c].next), &fixture.next_gatherer);
+		faults_of (&fixture, 1)->refuses = cases[c].refuses;
+		write_row (&fixture, 1, "job", &outcome);
+		dff_virtual_loop_run (fixture.loop, 900);
+		assert_true (outcome.ended);
+		assert_int_equal (outcome.outcome, cases[c].outcome);
+		assert_int_equal (is_written (&fixture, "job"), cases[c].outcome == DFF_ROWS_DONE);
+		assert_in_range (fixture.n_lost, 1, cases[c].most_lost);
+		close_fixture (&fixture);
+	}
+}
+
 /* Symptom: a caller is told that its job was not accepted, and the job runs. Sequence: transactions
  * with rows of many callers take effect late, or without an answer, and later ones are turned away.
  * Cause: not done was said of a row that an earlier transaction could still write. Seeded. */
@@ -454,8 +505,11 @@
 main (void)
 {
 	const struct CMUnitTest tests[] = {
-		cmocka_unit_test (test_slow_store),     cmocka_unit_test (test_rows_that_are_there),
-		cmocka_unit_test (test_refusals),       cmocka_unit_test (test_not_done_is_true),
+		cmocka_unit_test (test_gatherer_that_was_replaced),
+		cmocka_unit_test (test_slow_store),
+		cmocka_unit_test (test_rows_that_are_there),
+		cmocka_unit_test (test_refusals),
+		cmocka_unit_test (test_not_done_is_true),
 		cmocka_unit_test (test_nobody_decides),
 	};
 	return cmocka_run_group_tests (tests, NULL, NULL);
--- a/tests/holder/site_links.c
+++ b/tests/holder/site_links.c
@@ -20,8 +20,7 @@
 	dff_front_state_func state_done;
 	void *user;
 	bool answered;
-	enum dff_rows_outcome outcome;
-	bool reached;
+	struct dff_intake_forwarded forwarded;
 	struct dff_holder_sight sight;
 };
 
@@ -40,7 +39,8 @@
 	hop->target = &asker->site->processes[asker->decider.data[1] - '0'];
 	hop->job = *job;
 	hop->user = user;
-	hop->outcome = DFF_ROWS_UNKNOWN;
+	hop->forwarded = (struct dff_intake_forwarded){.receiver = DFF_INTAKE_UNREACHED,
+						       .outcome = DFF_ROWS_UNKNOWN};
 	g_ptr_array_add (asker->site->hops, hop);
 	return hop;
 }
@@ -62,7 +62,7 @@
 		return;
 	hop->answered = true;
 	if (hop->row_done != NULL)
-		hop->row_done (hop->user, hop->outcome, hop->reached);
+		hop->row_done (hop->user, &hop->forwarded);
 	else
 		hop->state_done (hop->user, hop->sight.known, hop->sight.state);
 }
@@ -71,8 +71,8 @@
 handle_row_answer (void *user, const struct dff_rows_result *result)
 {
 	struct hop *hop = user;
-	hop->outcome = result->outcome;
-	hop->reached = true;
+	hop->forwarded.outcome = result->outcome;
+	hop->forwarded.receiver = DFF_INTAKE_TAKEN;
 	dff_virtual_loop_after (loop_of (hop), WAY_MS, deliver, hop);
 }
 
@@ -89,7 +89,7 @@
 {
 	struct hop *hop = user;
 	if (!hop->target->alive) {
-		hop->outcome = DFF_ROWS_NOT_DONE;
+		hop->forwarded.outcome = DFF_ROWS_NOT_DONE;
 		dff_virtual_loop_after (loop_of (hop), WAY_MS, deliver, hop);
 		return;
 	}
@@ -97,6 +97,14 @@
 		dff_holder_look (hop->target->holder, &hop->job, handle_sight, hop);
 		return;
 	}
+	if (!dff_intake_is_gatherer (hop->target->intake)) {
+		hop->forwarded = (struct dff_intake_forwarded){
+			.receiver = DFF_INTAKE_MISDIRECTED,
+			.outcome = DFF_ROWS_NOT_DONE,
+			.decider = *dff_intake_gatherer (hop->target->intake)};
+		dff_virtual_loop_after (loop_of (hop), WAY_MS, deliver, hop);
+		return;
+	}
 	struct dff_intake_row row = {.key = {hop->job.data, hop->job.len},
 				     .value = {hop->value->str, hop->value->len},
 				     .timeout_ms = hop->timeout_ms};
@@ -165,6 +173,20 @@
 	return 1000;
 }
 
+static void
+note_moved (void *ctx, const struct dff_name *address)
+{
+	struct site_process *process = ctx;
+	process->decider = *address;
+}
+
+static void
+note_lost (void *ctx)
+{
+	const struct site_process *process = ctx;
+	dff_holder_note_decider_lost (process->holder);
+}
+
 static void
 note_holder (void *ctx, const struct dff_name *address, bool self)
 {
@@ -198,6 +220,9 @@
 		.forward_ctx = process,
 		.record = record_row,
 		.record_ctx = process,
+		.gatherer_lost = note_lost,
+		.gatherer_moved = note_moved,
+		.gatherer_ctx = process,
 	};
 	process->intake = dff_intake_new (&options);
 	process->decider = (struct dff_name){0};
--- a/tests/holder/test-holder-submissions.c
+++ b/tests/holder/test-holder-submissions.c
@@ -281,10 +281,45 @@
 	site_close (&site);
 }
 
+/* Guards against processes that the store turns away being of no use to their callers for as long as
+ * that lasts, once another process decides: the former holder, turned away as well, was told who
+ * follows it, and tells them. */
+static void
+test_store_turns_holder_and_others_away (void **state)
+{
+	(void)state;
+	static const bool silent[] = {true, false};
+	for (size_t i = 0; i < G_N_ELEMENTS (silent); i++) {
+		struct site site;
+		site_open_with_links (&site);
+		int former = site_holder (&site);
+		int other = (former + 1) % SITE_PROCESSES;
+		int next = (former + 2) % SITE_PROCESSES;
+		int turned_away[] = {former, other};
+		for (size_t j = 0; j < G_N_ELEMENTS (turned_away); j++) {
+			struct dff_memory_rows_faults *faults = dff_memory_rows_client_faults (
+				site.processes[turned_away[j]].rows);
+			faults->silent = silent[i];
+			faults->refuses = !silent[i];
+		}
+		site_run (&site, 3000);
+		assert_int_equal (site_holder (&site), next);
+		assert_int_equal (site_submit (&site, other, site_plan ("a", 1, false, 1)),
+				  DFF_FRONT_OK);
+		assert_int_equal (site_submit (&site, former, site_plan ("b", 1, false, 1)),
+				  DFF_FRONT_OK);
+		site_run (&site, 2500);
+		assert_string_equal (site_state (&site, other, "a"), "completed");
+		assert_string_equal (site_state (&site, former, "b"), "completed");
+		site_close (&site);
+	}
+}
+
 int
 main (void)
 {
 	const struct CMUnitTest tests[] = {
+		cmocka_unit_test (test_store_turns_holder_and_others_away),
 		cmocka_unit_test (test_slow_store),
 		cmocka_unit_test (test_state_at_the_end),
 		cmocka_unit_test (test_state_is_on_record),
