--- a/fleet/fleet.c
+++ b/fleet/fleet.c
@@ -231,16 +231,30 @@
 	return fleet->config;
 }
 
+/* Symptom without the look at the store: for seconds a third of the callers is refused, and comes
+ * back a second later. Sequence: the store turns this process away, and it reaches nobody who
+ * decides; the balancer goes on sending callers until the configuration is old. */
+static bool
+is_ready (struct dff_fleet *fleet)
+{
+	bool served = !dff_rows_health_is_silent (fleet->store) ||
+		      dff_intake_writes_elsewhere (fleet->intake);
+	return !is_stopping (fleet) && fleet->config != NULL && served &&
+	       dff_follower_age_ms (fleet->config_follower) <=
+		       2 * config_wait_ms (fleet) + READY_STALE_MS;
+}
+
 static void
 handle_ready (struct evhttp_request *request, void *ctx)
 {
 	struct dff_fleet *fleet = ctx;
-	int64_t age_ms = dff_follower_age_ms (fleet->config_follower);
-	bool ready = !is_stopping (fleet) && fleet->config != NULL &&
-		     age_ms <= 2 * config_wait_ms (fleet) + READY_STALE_MS;
+	bool ready = is_ready (fleet);
 	if (ready != fleet->was_ready) {
-		dff_log (DFF_LOG_SERVE, DFF_LOG_INFO, "%s config_age_ms=%" PRId64 " stopping=%d",
-			 ready ? "Ready." : "Not ready.", age_ms, is_stopping (fleet));
+		dff_log (DFF_LOG_SERVE, DFF_LOG_INFO,
+			 "%s config_age_ms=%" PRId64 " store_silent=%d stopping=%d",
+			 ready ? "Ready." : "Not ready.",
+			 dff_follower_age_ms (fleet->config_follower),
+			 dff_rows_health_is_silent (fleet->store), is_stopping (fleet));
 	}
 	fleet->was_ready = ready;
 	*fleet->ready_gauge = ready;
