--- a/tests/core/test-pace.c
+++ b/tests/core/test-pace.c
@@ -23,12 +23,12 @@
 	double times[3];
 	/** Time of the slowest worker that a gang may meet. */
 	double worst;
-	/** Whether gangs are to be placed as if nothing had been seen. */
-	bool unchanged;
 	/** As UNEVEN; 0: that. */
 	double uneven;
 	/** Of a step's tasks, one in so many takes seven times as long; 0: none. */
 	int tail;
+	/** Whether gangs are to be placed as if nothing had been seen. */
+	bool unchanged;
 };
 
 struct pool {
--- a/tests/holder/test-holder-submissions.c
+++ b/tests/holder/test-holder-submissions.c
@@ -281,8 +281,8 @@
 	site_close (&site);
 }
 
-/* Guards against processes that the store turns away being of no use to their callers for as long as
- * that lasts, once another process decides: the former holder, turned away as well, was told who
+/* Guards against processes that the store turns away being of no use to their callers for as long
+ * as that lasts, once another process decides: the former holder, turned away as well, was told who
  * follows it, and tells them. */
 static void
 test_store_turns_holder_and_others_away (void **state)
@@ -297,8 +297,8 @@
 		int next = (former + 2) % SITE_PROCESSES;
 		int turned_away[] = {former, other};
 		for (size_t j = 0; j < G_N_ELEMENTS (turned_away); j++) {
-			struct dff_memory_rows_faults *faults = dff_memory_rows_client_faults (
-				site.processes[turned_away[j]].rows);
+			struct dff_memory_rows_faults *faults =
+				dff_memory_rows_client_faults (site.processes[turned_away[j]].rows);
 			faults->silent = silent[i];
 			faults->refuses = !silent[i];
 		}
