fleet: what operators have put in force has a module of its own, with its load as a test

The test counts the questions of an idle process in 20 s by the operators' bound (39 at 2 s and for the process that decides, 16 at 5 s, 10 at most), and asserts when a change is known and when knowledge is too old.

--- a/fleet/fleet.c
+++ b/fleet/fleet.c
@@ -9,7 +9,7 @@
 #include "common/http_connection.h"
 #include "common/http_listen.h"
 #include "common/log.h"
-#include "fleet/evacuations.h"
+#include "fleet/in_force.h"
 #include "fleet/intake_link.h"
 #include "fleet/presence.h"
 #include "fleet/relays.h"
@@ -22,23 +22,8 @@
 #include "platform/http_rows.h"
 #include "platform/http_runner.h"
 #include "platform/ingress.h"
-#include "rows/follower.h"
 #include "rows/health.h"
 
-/** How long the store holds an answer about the configuration back, ms: by the process that
- * decides, which also goes by it as to evacuations, and by others at the least and at the most. */
-#define CONFIG_WAIT_MS 500
-#define CONFIG_WAIT_MAX_MS 2000
-/** The others' part of the time within which operators count on a change: what is known is up to
- * two waits old. */
-#define CONFIG_WAIT_PART 4
-/** Time beyond the wait after which the path counts as silent, ms. */
-#define CONFIG_PATIENCE_MS 1000
-/** Age of the configuration, beyond two waits, from which on nothing is decided by it, ms: a
- * credential may have been revoked, a class dropped; and from which on this process asks for no new
- * connections. */
-#define CONFIG_STALE_MS 2000
-#define READY_STALE_MS 1500
 /** Connections to the store at the most. */
 #define STORE_CONNECTIONS 24
 /** The same to each worker: one waits, the others carry orders, a few milliseconds each. Workers
@@ -90,35 +75,16 @@
 	struct dff_state_link *state_link;
 	struct dff_ingress *ingress;
 	struct dff_holder *holder;
-	/** Follows what operators put in force: the configuration, and evacuations. */
-	struct dff_follower *config_follower;
-	struct dff_fleet_config *config;
-	struct dff_evacuations *evacuations;
+	struct dff_in_force *in_force;
 	struct evhttp *front_http;
 	struct evhttp *ready_http;
 	struct evhttp *metrics_http;
 	bool was_ready;
 	int64_t stopping_since_ms;
 	struct event *stop_check;
-	int64_t *config_version;
 	int64_t *ready_gauge;
 };
 
-/* Symptom without the look at the bound: processes that do nothing else make most of the calls to
- * the store, two a second each. */
-static int32_t
-config_wait_ms (const struct dff_fleet *fleet)
-{
-	return CLAMP (fleet->settings.config_bound_ms / CONFIG_WAIT_PART, CONFIG_WAIT_MS,
-		      CONFIG_WAIT_MAX_MS);
-}
-
-static int64_t
-config_stale_ms (const struct dff_fleet *fleet)
-{
-	return 2 * config_wait_ms (fleet) + CONFIG_STALE_MS;
-}
-
 static bool
 is_stopping (const struct dff_fleet *fleet)
 {
@@ -126,12 +92,12 @@
 }
 
 static void
-tell_teams (struct dff_fleet *fleet)
+tell_teams (const struct dff_fleet *fleet, const struct dff_fleet_config *config)
 {
 	g_autoptr (GArray) teams = g_array_new (FALSE, TRUE, sizeof (struct dff_holder_team));
-	for (guint i = 0; i < fleet->config->teams->len; i++) {
+	for (guint i = 0; i < config->teams->len; i++) {
 		const struct dff_fleet_team *from =
-			&g_array_index (fleet->config->teams, struct dff_fleet_team, i);
+			&g_array_index (config->teams, struct dff_fleet_team, i);
 		struct dff_holder_team team = {.name = from->name,
 					       .assured_accelerators = from->assured_accelerators};
 		g_array_append_val (teams, team);
@@ -140,68 +106,14 @@
 			      teams->len);
 }
 
-/* A process never goes back to an older configuration: an answer that was under way for long may
- * still bring one. */
 static void
-take_config (struct dff_fleet *fleet, const struct dff_row *row)
-{
-	DFF_AUTO (dff_fleet_config) config = dff_platform_read_config (row->value);
-	if (config == NULL) {
-		dff_log (DFF_LOG_POOL, DFF_LOG_ERROR,
-			 "Configuration cannot be read. revision=%" PRId64, row->revision);
-		return;
-	}
-	int64_t before = fleet->config != NULL ? fleet->config->version : 0;
-	if (config->version <= before)
-		return;
-	dff_log (DFF_LOG_POOL, DFF_LOG_INFO,
-		 "Configuration in force. version=%" PRId64 " before=%" PRId64 " revision=%" PRId64
-		 " classes=%u teams=%u",
-		 config->version, before, row->revision, config->classes->len, config->teams->len);
-	if (fleet->config != NULL)
-		dff_fleet_config_free (fleet->config);
-	fleet->config = g_steal_pointer (&config);
-	*fleet->config_version = fleet->config->version;
-	tell_teams (fleet);
-	dff_holder_set_unguarded (fleet->holder,
-				  (const struct dff_name *)(void *)fleet->config->unguarded->data,
-				  fleet->config->unguarded->len);
-}
-
-static void
-handle_operator_row (void *ctx, const struct dff_row *row)
-{
-	struct dff_fleet *fleet = ctx;
-	struct dff_name data_centre;
-	switch (dff_platform_read_evacuation (row, &data_centre)) {
-	case DFF_PLATFORM_REQUEST_EVACUATION:
-		dff_evacuations_note (fleet->evacuations, &data_centre, !row->removed,
-				      row->revision, dff_follower_age_ms (fleet->config_follower));
-		return;
-	case DFF_PLATFORM_REQUEST_UNREADABLE:
-		if (!row->removed)
-			dff_evacuations_note_unreadable (fleet->evacuations, row->key,
-							 row->revision);
-		return;
-	case DFF_PLATFORM_REQUEST_OTHER:
-		if (!row->removed && dff_str_equal (row->key, dff_str_from (DFF_KEY_CONFIG)))
-			take_config (fleet, row);
-		return;
-	}
-}
-
-static void
-handle_operator_begin (void *ctx)
-{
-	const struct dff_fleet *fleet = ctx;
-	dff_evacuations_begin (fleet->evacuations);
-}
-
-static void
-handle_operator_whole (void *ctx)
+handle_config (void *ctx, const struct dff_fleet_config *config)
 {
 	const struct dff_fleet *fleet = ctx;
-	dff_evacuations_whole (fleet->evacuations);
+	tell_teams (fleet, config);
+	dff_holder_set_unguarded (fleet->holder,
+				  (const struct dff_name *)(void *)config->unguarded->data,
+				  config->unguarded->len);
 }
 
 static void
@@ -211,24 +123,18 @@
 	dff_holder_set_evacuated (fleet->holder, data_centres, n_data_centres);
 }
 
-/* Nothing is known before the first whole reading. */
 static int64_t
 evacuations_age_ms (void *ctx)
 {
 	const struct dff_fleet *fleet = ctx;
-	return dff_follower_is_ready (fleet->config_follower)
-		       ? dff_follower_age_ms (fleet->config_follower)
-		       : INT64_MAX;
+	return dff_in_force_evacuations_age_ms (fleet->in_force);
 }
 
 static const struct dff_fleet_config *
 config_in_force (void *ctx)
 {
 	const struct dff_fleet *fleet = ctx;
-	if (fleet->config == NULL ||
-	    dff_follower_age_ms (fleet->config_follower) > config_stale_ms (fleet))
-		return NULL;
-	return fleet->config;
+	return dff_in_force_config (fleet->in_force);
 }
 
 /* Symptom without the look at the store: for seconds a third of the callers is refused, and comes
@@ -239,9 +145,7 @@
 {
 	bool served = !dff_rows_health_is_silent (fleet->store) ||
 		      dff_intake_writes_elsewhere (fleet->intake);
-	return !is_stopping (fleet) && fleet->config != NULL && served &&
-	       dff_follower_age_ms (fleet->config_follower) <=
-		       2 * config_wait_ms (fleet) + READY_STALE_MS;
+	return !is_stopping (fleet) && served && dff_in_force_is_fresh (fleet->in_force);
 }
 
 static void
@@ -252,8 +156,7 @@
 	if (ready != fleet->was_ready) {
 		dff_log (DFF_LOG_SERVE, DFF_LOG_INFO,
 			 "%s config_age_ms=%" PRId64 " store_silent=%d stopping=%d",
-			 ready ? "Ready." : "Not ready.",
-			 dff_follower_age_ms (fleet->config_follower),
+			 ready ? "Ready." : "Not ready.", dff_in_force_age_ms (fleet->in_force),
 			 dff_rows_health_is_silent (fleet->store), is_stopping (fleet));
 	}
 	fleet->was_ready = ready;
@@ -293,8 +196,8 @@
 handle_store_heard (void *ctx)
 {
 	const struct dff_fleet *fleet = ctx;
-	if (fleet->config_follower != NULL)
-		dff_follower_nudge (fleet->config_follower);
+	if (fleet->in_force != NULL)
+		dff_in_force_nudge (fleet->in_force);
 	if (fleet->holder != NULL)
 		dff_holder_note_store_heard (fleet->holder);
 }
@@ -386,9 +289,8 @@
 	const struct dff_fleet *fleet = ctx;
 	dff_intake_set_gatherer (fleet->intake, address, self);
 	dff_state_link_set_decider (fleet->state_link, address, self);
-	if (fleet->config_follower != NULL)
-		dff_follower_set_wait (fleet->config_follower,
-				       self ? CONFIG_WAIT_MS : config_wait_ms (fleet));
+	if (fleet->in_force != NULL)
+		dff_in_force_set_deciding (fleet->in_force, self);
 }
 
 static void
@@ -525,21 +427,16 @@
 		.ctx = fleet,
 	};
 	fleet->ingress = dff_ingress_new (&ingress);
-	struct dff_follower_options follower = {
+	struct dff_in_force_options in_force = {
 		.timers = &fleet->timers,
 		.rows = dff_rows_health_interface (fleet->store),
-		.table = DFF_TABLE_CONFIG,
-		.wait_ms = CONFIG_WAIT_MS,
-		.patience_ms = CONFIG_PATIENCE_MS,
-		.sink = {.row = handle_operator_row,
-			 .begin = handle_operator_begin,
-			 .whole = handle_operator_whole,
-			 .ctx = fleet},
+		.metrics = fleet->metrics,
+		.bound_ms = fleet->settings.config_bound_ms,
+		.config_changed = handle_config,
+		.evacuated = handle_evacuated,
+		.ctx = fleet,
 	};
-	struct dff_evacuations_options evacuations = {
-		.metrics = fleet->metrics, .changed = handle_evacuated, .ctx = fleet};
-	fleet->evacuations = dff_evacuations_new (&evacuations);
-	fleet->config_follower = dff_follower_new (&follower);
+	fleet->in_force = dff_in_force_new (&in_force);
 }
 
 static bool
@@ -614,8 +511,6 @@
 	fleet->life =
 		dff_name_printf ("%.50s.%08x", settings->instance.data, randombytes_random ());
 	fleet->metrics = dff_metrics_new ();
-	fleet->config_version = dff_metrics_gauge (fleet->metrics, "dff_fleet_config_version",
-						   "Version of the configuration in force.");
 	fleet->ready_gauge = dff_metrics_gauge (fleet->metrics, "dff_fleet_ready",
 						"1 while this process takes new connections.");
 	open_clients (fleet);
@@ -639,7 +534,7 @@
 	g_clear_pointer (&fleet->front_http, evhttp_free);
 	g_clear_pointer (&fleet->ready_http, evhttp_free);
 	g_clear_pointer (&fleet->metrics_http, evhttp_free);
-	g_clear_pointer (&fleet->config_follower, dff_follower_free);
+	g_clear_pointer (&fleet->in_force, dff_in_force_free);
 	g_clear_pointer (&fleet->holder, dff_holder_free);
 	/* Drops the calls in progress without calling back. */
 	g_clear_pointer (&fleet->store_client, dff_http_client_free);
@@ -654,8 +549,6 @@
 	g_clear_pointer (&fleet->store, dff_rows_health_free);
 	g_clear_pointer (&fleet->rows, dff_http_rows_free);
 	g_clear_pointer (&fleet->runner, dff_http_runner_free);
-	g_clear_pointer (&fleet->config, dff_fleet_config_free);
-	g_clear_pointer (&fleet->evacuations, dff_evacuations_free);
 	g_clear_pointer (&fleet->metrics, dff_metrics_free);
 	g_free (fleet);
 }
--- /dev/null
+++ b/fleet/in_force.c
@@ -0,0 +1,174 @@
+#include "fleet/in_force.h"
+
+#include <glib.h>
+#include <inttypes.h>
+
+#include "common/log.h"
+#include "fleet/evacuations.h"
+#include "holder/tables.h"
+#include "platform/decode.h"
+#include "rows/follower.h"
+
+/** How long the store holds an answer back, ms: by the process that decides, and by others at the
+ * least and at the most. */
+#define WAIT_MS 500
+#define WAIT_MAX_MS 2000
+/** The others' part of the time within which operators count on a change: what is known is up to
+ * two waits old. */
+#define WAIT_PART 4
+/** Time beyond the wait after which the path counts as silent, ms. */
+#define PATIENCE_MS 1000
+/** Age, beyond two waits, from which on nothing is decided by what is known, ms: a credential may
+ * have been revoked, a class dropped; and from which on it is not fresh. */
+#define STALE_MS 2000
+#define FRESH_MS 1500
+
+struct dff_in_force {
+	struct dff_in_force_options options;
+	struct dff_follower *follower;
+	struct dff_evacuations *evacuations;
+	/** (nullable) */
+	struct dff_fleet_config *config;
+	int64_t *version;
+};
+
+/* Symptom without the look at the bound: processes that do nothing else make most of the calls to
+ * the store, two a second each. */
+static int32_t
+wait_ms (const struct dff_in_force *in_force)
+{
+	return CLAMP (in_force->options.bound_ms / WAIT_PART, WAIT_MS, WAIT_MAX_MS);
+}
+
+/* A process never goes back to an older configuration: an answer that was under way for long may
+ * still bring one. */
+static void
+take_config (struct dff_in_force *in_force, const struct dff_row *row)
+{
+	DFF_AUTO (dff_fleet_config) config = dff_platform_read_config (row->value);
+	if (config == NULL) {
+		dff_log (DFF_LOG_POOL, DFF_LOG_ERROR,
+			 "Configuration cannot be read. revision=%" PRId64, row->revision);
+		return;
+	}
+	int64_t before = in_force->config != NULL ? in_force->config->version : 0;
+	if (config->version <= before)
+		return;
+	dff_log (DFF_LOG_POOL, DFF_LOG_INFO,
+		 "Configuration in force. version=%" PRId64 " before=%" PRId64 " revision=%" PRId64
+		 " classes=%u teams=%u",
+		 config->version, before, row->revision, config->classes->len, config->teams->len);
+	g_clear_pointer (&in_force->config, dff_fleet_config_free);
+	in_force->config = g_steal_pointer (&config);
+	*in_force->version = in_force->config->version;
+	in_force->options.config_changed (in_force->options.ctx, in_force->config);
+}
+
+static void
+handle_row (void *ctx, const struct dff_row *row)
+{
+	struct dff_in_force *in_force = ctx;
+	struct dff_name data_centre;
+	switch (dff_platform_read_evacuation (row, &data_centre)) {
+	case DFF_PLATFORM_REQUEST_EVACUATION:
+		dff_evacuations_note (in_force->evacuations, &data_centre, !row->removed,
+				      row->revision, dff_follower_age_ms (in_force->follower));
+		return;
+	case DFF_PLATFORM_REQUEST_UNREADABLE:
+		if (!row->removed)
+			dff_evacuations_note_unreadable (in_force->evacuations, row->key,
+							 row->revision);
+		return;
+	case DFF_PLATFORM_REQUEST_OTHER:
+		if (!row->removed && dff_str_equal (row->key, dff_str_from (DFF_KEY_CONFIG)))
+			take_config (in_force, row);
+		return;
+	}
+}
+
+static void
+handle_begin (void *ctx)
+{
+	const struct dff_in_force *in_force = ctx;
+	dff_evacuations_begin (in_force->evacuations);
+}
+
+static void
+handle_whole (void *ctx)
+{
+	const struct dff_in_force *in_force = ctx;
+	dff_evacuations_whole (in_force->evacuations);
+}
+
+const struct dff_fleet_config *
+dff_in_force_config (const struct dff_in_force *in_force)
+{
+	int64_t stale_ms = 2 * wait_ms (in_force) + STALE_MS;
+	return dff_in_force_age_ms (in_force) <= stale_ms ? in_force->config : NULL;
+}
+
+bool
+dff_in_force_is_fresh (const struct dff_in_force *in_force)
+{
+	int64_t fresh_ms = 2 * wait_ms (in_force) + FRESH_MS;
+	return in_force->config != NULL && dff_in_force_age_ms (in_force) <= fresh_ms;
+}
+
+int64_t
+dff_in_force_age_ms (const struct dff_in_force *in_force)
+{
+	return dff_follower_age_ms (in_force->follower);
+}
+
+int64_t
+dff_in_force_evacuations_age_ms (const struct dff_in_force *in_force)
+{
+	return dff_follower_is_ready (in_force->follower) ? dff_in_force_age_ms (in_force)
+							  : INT64_MAX;
+}
+
+void
+dff_in_force_nudge (struct dff_in_force *in_force)
+{
+	dff_follower_nudge (in_force->follower);
+}
+
+void
+dff_in_force_set_deciding (struct dff_in_force *in_force, bool deciding)
+{
+	dff_follower_set_wait (in_force->follower, deciding ? WAIT_MS : wait_ms (in_force));
+}
+
+struct dff_in_force *
+dff_in_force_new (const struct dff_in_force_options *options)
+{
+	struct dff_in_force *in_force = g_new0 (struct dff_in_force, 1);
+	in_force->options = *options;
+	in_force->version = dff_metrics_gauge (options->metrics, "dff_fleet_config_version",
+					       "Version of the configuration in force.");
+	struct dff_evacuations_options evacuations = {
+		.metrics = options->metrics, .changed = options->evacuated, .ctx = options->ctx};
+	in_force->evacuations = dff_evacuations_new (&evacuations);
+	struct dff_follower_options follower = {
+		.timers = options->timers,
+		.rows = options->rows,
+		.table = DFF_TABLE_CONFIG,
+		.wait_ms = WAIT_MS,
+		.patience_ms = PATIENCE_MS,
+		.sink = {.row = handle_row,
+			 .begin = handle_begin,
+			 .whole = handle_whole,
+			 .ctx = in_force},
+	};
+	in_force->follower = dff_follower_new (&follower);
+	return in_force;
+}
+
+void
+dff_in_force_free (struct dff_in_force *in_force)
+{
+	dff_follower_free (in_force->follower);
+	dff_evacuations_free (in_force->evacuations);
+	g_clear_pointer (&in_force->config, dff_fleet_config_free);
+	g_free (in_force);
+}
--- /dev/null
+++ b/tests/fleet/test-in-force.c
@@ -0,0 +1,165 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+
+#include <cmocka.h>
+#include <string.h>
+
+#include "fleet/in_force.h"
+#include "holder/tables.h"
+#include "rows/health.h"
+#include "standin/memory_rows.h"
+
+/* What operators put in force, followed in a store in memory under a virtual clock: how often it is
+ * asked, how soon a change is known, and how long what is known is gone by. */
+
+#define START_MS 1000000
+#define FIRST "{\"version\":3,\"routes\":[],\"services\":[],\"tenants\":[]}"
+#define SECOND "{\"version\":8,\"routes\":[],\"services\":[],\"tenants\":[]}"
+
+struct fixture {
+	struct dff_virtual_loop *loop;
+	struct dff_memory_rows *rows;
+	struct dff_memory_rows_client *client;
+	struct dff_metrics *metrics;
+	struct dff_rows_health *health;
+	struct dff_in_force *in_force;
+	int64_t version;
+	size_t n_evacuated;
+};
+
+static void
+handle_config (void *ctx, const struct dff_fleet_config *config)
+{
+	struct fixture *fixture = ctx;
+	fixture->version = config->version;
+}
+
+static void
+handle_evacuated (void *ctx, const struct dff_name *data_centres, size_t n_data_centres)
+{
+	struct fixture *fixture = ctx;
+	(void)data_centres;
+	fixture->n_evacuated = n_data_centres;
+}
+
+static void
+fixture_open (struct fixture *fixture, int32_t bound_ms)
+{
+	*fixture = (struct fixture){0};
+	fixture->loop = dff_virtual_loop_new (START_MS);
+	fixture->rows = dff_memory_rows_new (fixture->loop);
+	fixture->client = dff_memory_rows_client_new (fixture->rows);
+	fixture->metrics = dff_metrics_new ();
+	struct dff_rows_health_options health = {
+		.timers = dff_virtual_loop_timers (fixture->loop),
+		.metrics = fixture->metrics,
+		.rows = dff_memory_rows_client_interface (fixture->client),
+		.probe_table = DFF_TABLE_CELL,
+		.probe_key = DFF_KEY_HOLDER,
+	};
+	fixture->health = dff_rows_health_new (&health);
+	dff_memory_rows_put (fixture->rows, DFF_TABLE_CONFIG, DFF_KEY_CONFIG,
+			     dff_str_from (FIRST));
+	struct dff_in_force_options options = {
+		.timers = dff_virtual_loop_timers (fixture->loop),
+		.rows = dff_rows_health_interface (fixture->health),
+		.metrics = fixture->metrics,
+		.bound_ms = bound_ms,
+		.config_changed = handle_config,
+		.evacuated = handle_evacuated,
+		.ctx = fixture,
+	};
+	fixture->in_force = dff_in_force_new (&options);
+	dff_virtual_loop_run (fixture->loop, 100);
+	assert_int_equal (fixture->version, 3);
+}
+
+static void
+fixture_close (struct fixture *fixture)
+{
+	dff_in_force_free (fixture->in_force);
+	/* Calls in progress end by themselves. */
+	dff_virtual_loop_run (fixture->loop, 30000);
+	dff_rows_health_free (fixture->health);
+	dff_memory_rows_free (fixture->rows);
+	dff_metrics_free (fixture->metrics);
+	dff_virtual_loop_free (fixture->loop);
+}
+
+static int64_t
+n_questions (const struct fixture *fixture)
+{
+	return *dff_metrics_counter (fixture->metrics, "dff_rows_feeds_total", "");
+}
+
+/* The load: a process in which nothing happens. Guards against questions to the store that grow with
+ * the number of processes by two a second each, and against a change or its loss being known later
+ * for the sake of that. */
+static void
+test_questions_by_bound (void **state)
+{
+	(void)state;
+	static const struct {
+		int32_t bound_ms;
+		bool deciding;
+		int64_t least;
+		int64_t most;
+		/** How long nothing may be heard until what is known is not gone by. */
+		int64_t stale_ms;
+	} cases[] = {
+		{2000, false, 36, 42, 3000},  {2000, true, 36, 42, 3000},
+		{5000, false, 14, 17, 4500},  {5000, true, 36, 42, 4500},
+		{60000, false, 9, 11, 6000}, {100, false, 36, 42, 3000},
+	};
+	for (size_t i = 0; i < G_N_ELEMENTS (cases); i++) {
+		struct fixture fixture;
+		fixture_open (&fixture, cases[i].bound_ms);
+		dff_in_force_set_deciding (fixture.in_force, cases[i].deciding);
+		dff_virtual_loop_run (fixture.loop, 3000);
+		int64_t before = n_questions (&fixture);
+		dff_virtual_loop_run (fixture.loop, 20000);
+		assert_in_range (n_questions (&fixture) - before, cases[i].least, cases[i].most);
+		dff_memory_rows_put (fixture.rows, DFF_TABLE_CONFIG, DFF_KEY_CONFIG,
+				     dff_str_from (SECOND));
+		dff_virtual_loop_run (fixture.loop, 50);
+		assert_int_equal (fixture.version, 8);
+		assert_true (dff_in_force_is_fresh (fixture.in_force));
+		dff_memory_rows_client_faults (fixture.client)->silent = true;
+		dff_virtual_loop_run (fixture.loop, cases[i].stale_ms - 600);
+		assert_non_null (dff_in_force_config (fixture.in_force));
+		dff_virtual_loop_run (fixture.loop, 700);
+		assert_null (dff_in_force_config (fixture.in_force));
+		assert_false (dff_in_force_is_fresh (fixture.in_force));
+		fixture_close (&fixture);
+	}
+}
+
+/* Guards against a process that has just come to decide starting tasks by what it knew of evacuations
+ * at its former pace. */
+static void
+test_evacuation_as_it_comes_to_decide (void **state)
+{
+	(void)state;
+	struct fixture fixture;
+	fixture_open (&fixture, 60000);
+	dff_in_force_set_deciding (fixture.in_force, false);
+	dff_virtual_loop_run (fixture.loop, 9000);
+	dff_in_force_set_deciding (fixture.in_force, true);
+	dff_virtual_loop_run (fixture.loop, 600);
+	assert_in_range (dff_in_force_evacuations_age_ms (fixture.in_force), 0, 600);
+	dff_memory_rows_put (fixture.rows, DFF_TABLE_CONFIG, "evacuate/dc", dff_str_from ("{}"));
+	dff_virtual_loop_run (fixture.loop, 50);
+	assert_int_equal (fixture.n_evacuated, 1);
+	fixture_close (&fixture);
+}
+
+int
+main (void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test (test_questions_by_bound),
+		cmocka_unit_test (test_evacuation_as_it_comes_to_decide),
+	};
+	return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- a/tests/holder/test-holder-store.c
+++ b/tests/holder/test-holder-store.c
@@ -85,6 +85,18 @@
 	}
 }
 
+/* A site without processes, of which the second is quick and the others take longer to take over.
+ */
+static void
+open_with_quick_process (struct site *site, int64_t slow_ms)
+{
+	site_open (site);
+	for (int i = 0; i < SITE_PROCESSES; i++) {
+		site->takeover_ms[i] = i == 1 ? 200 : slow_ms;
+		site_kill_process (site, i);
+	}
+}
+
 /* Symptom: a fleet whose machines differ stands for seconds at each take-over, and the cell goes
  * round. Sequence: a small machine is the first to take the cell, is in place late and falls
  * behind, and the next one takes its turn. Cause: it was left to chance who takes the cell. */
@@ -93,11 +105,7 @@
 {
 	(void)state;
 	struct site site;
-	site_open (&site);
-	for (int i = 0; i < SITE_PROCESSES; i++) {
-		site.takeover_ms[i] = i == 1 ? 200 : 1200;
-		site_kill_process (&site, i);
-	}
+	open_with_quick_process (&site, 1200);
 	for (int i = 0; i < SITE_PROCESSES; i++)
 		site_start_process (&site, i);
 	/* All begin with a row that knows nothing of them: whoever is first, the quick one follows.
@@ -149,11 +157,7 @@
 	};
 	for (size_t i = 0; i < G_N_ELEMENTS (cases); i++) {
 		struct site site;
-		site_open (&site);
-		for (int j = 0; j < SITE_PROCESSES; j++) {
-			site.takeover_ms[j] = j == 1 ? 200 : cases[i].takeover_ms;
-			site_kill_process (&site, j);
-		}
+		open_with_quick_process (&site, cases[i].takeover_ms);
 		site_start_process (&site, 1);
 		site_run (&site, 4000);
 		site_start_process (&site, 0);
@@ -174,11 +178,7 @@
 {
 	(void)state;
 	struct site site;
-	site_open (&site);
-	for (int i = 0; i < SITE_PROCESSES; i++) {
-		site.takeover_ms[i] = i == 1 ? 200 : 60000;
-		site_kill_process (&site, i);
-	}
+	open_with_quick_process (&site, 60000);
 	site_start_process (&site, 1);
 	site_run (&site, 4000);
 	site_start_process (&site, 0);
@@ -203,11 +203,7 @@
 	(void)state;
 	for (int phase_ms = 0; phase_ms < 1400; phase_ms += 200) {
 		struct site site;
-		site_open (&site);
-		for (int i = 0; i < SITE_PROCESSES; i++) {
-			site.takeover_ms[i] = i == 1 ? 200 : 1200;
-			site_kill_process (&site, i);
-		}
+		open_with_quick_process (&site, 1200);
 		site_start_process (&site, 1);
 		site_run (&site, 4000);
 		site_start_process (&site, 0);
