holder: a false entry does not take a worker's address along

By reading: an entry that tells of a later life changed where the worker is called before the worker had confirmed it; one of another writer, with another worker's address, would have its runs taken for lost at the answer 421. Only the look that asks goes to the entry's address now. Cases added to test-holder-lives: addresses of another worker and of nobody.

--- a/holder/lives.c
+++ b/holder/lives.c
@@ -308,19 +308,17 @@
 	worker->entry_born_ms = MAX (born_ms, DFF_BORN_UNTOLD);
 	if (order == DFF_LIFE_SAME)
 		return true;
-	int64_t now_ms = holder_now_ms (holder);
 	bool known =
 		worker->next_entry != NULL && worker->next_entry->upstream.life.born_ms == born_ms;
 	struct lives_entry entry = {.upstream = *upstream,
 				    .revision = revision,
 				    .begun_ms = begun_ms,
-				    .noted_ms = known ? worker->next_entry->noted_ms : now_ms};
+				    .noted_ms = known ? worker->next_entry->noted_ms
+						      : holder_now_ms (holder)};
 	g_free (worker->next_entry);
 	worker->next_entry = g_memdup2 (&entry, sizeof (entry));
-	worker->upstream.address = upstream->address;
 	worker_set_state (holder, worker);
-	if (!known)
-		watch_look (holder, worker);
+	watch_look (holder, worker);
 	return false;
 }
 
--- a/holder/watch.c
+++ b/holder/watch.c
@@ -40,8 +40,10 @@
 	struct holder_call call;
 	struct dff_name worker;
 	struct lives_mark mark;
-	/** Whether it is a look beside the waiting call. */
+	/** Whether it is a look beside the waiting call, and where an entry says that the worker's
+	 * next life is. */
 	bool look;
+	bool at_next;
 	/** How long the worker may hold its answer back. */
 	int32_t wait_ms;
 };
@@ -305,13 +307,16 @@
 		lease_stand_down (holder, "worker_saw_higher_epoch");
 		return;
 	case DFF_RUNNER_OTHER_LIFE:
-		if (!present)
+		/* A call to a life that is over, or to where the worker is not. */
+		if (!present || watch->at_next)
 			return;
 		watch_lose_worker (holder, worker, DFF_LOSS_OTHER_LIFE);
 		worker->next_watch_ms = now_ms + PROBE_TIMEOUT_MS;
 		return;
 	default:
 		/* A call to a life that is over tells nothing about the next one. */
+		if (watch->at_next)
+			return;
 		worker->next_watch_ms = now_ms + PROBE_EVERY_MS;
 		if (!present)
 			return;
@@ -344,10 +349,12 @@
 	call->worker = worker->upstream.life.id;
 	call->mark = lives_mark (holder, worker);
 	call->look = look;
+	call->at_next = look && worker->next_entry != NULL;
 	bool waits = !look && worker->n_silent == 0 && worker->heard_ms > 0;
 	struct dff_run_watch watch = {
 		.worker = worker->upstream.life.id,
-		.address = worker->upstream.address,
+		.address = call->at_next ? worker->next_entry->upstream.address
+					 : worker->upstream.address,
 		.epoch = holder->epoch,
 		.acknowledged = acknowledged (worker, look),
 		.deadline_ms = watch_deadline_ms (holder, worker),
--- a/include/fleet/in_force.h
+++ b/include/fleet/in_force.h
@@ -35,8 +35,8 @@
 
 DFF_DEFINE_CLEANUP (dff_in_force, dff_in_force_free);
 
-/** Returns: (transfer none) (nullable): the configuration; NULL when none is known, or what is known
- * is too old to go by. */
+/** Returns: (transfer none) (nullable): the configuration; NULL when none is known, or what is
+ * known is too old to go by. */
 const struct dff_fleet_config *dff_in_force_config (const struct dff_in_force *in_force);
 
 /** Returns: whether a configuration is known that will not soon be too old. */
--- a/tests/fleet/test-in-force.c
+++ b/tests/fleet/test-in-force.c
@@ -59,8 +59,7 @@
 		.probe_key = DFF_KEY_HOLDER,
 	};
 	fixture->health = dff_rows_health_new (&health);
-	dff_memory_rows_put (fixture->rows, DFF_TABLE_CONFIG, DFF_KEY_CONFIG,
-			     dff_str_from (FIRST));
+	dff_memory_rows_put (fixture->rows, DFF_TABLE_CONFIG, DFF_KEY_CONFIG, dff_str_from (FIRST));
 	struct dff_in_force_options options = {
 		.timers = dff_virtual_loop_timers (fixture->loop),
 		.rows = dff_rows_health_interface (fixture->health),
@@ -93,9 +92,9 @@
 	return *dff_metrics_counter (fixture->metrics, "dff_rows_feeds_total", "");
 }
 
-/* The load: a process in which nothing happens. Guards against questions to the store that grow with
- * the number of processes by two a second each, and against a change or its loss being known later
- * for the sake of that. */
+/* The load: a process in which nothing happens. Guards against questions to the store that grow
+ * with the number of processes by two a second each, and against a change or its loss being known
+ * later for the sake of that. */
 static void
 test_questions_by_bound (void **state)
 {
@@ -108,8 +107,8 @@
 		/** How long nothing may be heard until what is known is not gone by. */
 		int64_t stale_ms;
 	} cases[] = {
-		{2000, false, 36, 42, 3000},  {2000, true, 36, 42, 3000},
-		{5000, false, 14, 17, 4500},  {5000, true, 36, 42, 4500},
+		{2000, false, 36, 42, 3000}, {2000, true, 36, 42, 3000},
+		{5000, false, 14, 17, 4500}, {5000, true, 36, 42, 4500},
 		{60000, false, 9, 11, 6000}, {100, false, 36, 42, 3000},
 	};
 	for (size_t i = 0; i < G_N_ELEMENTS (cases); i++) {
@@ -135,8 +134,8 @@
 	}
 }
 
-/* Guards against a process that has just come to decide starting tasks by what it knew of evacuations
- * at its former pace. */
+/* Guards against a process that has just come to decide starting tasks by what it knew of
+ * evacuations at its former pace. */
 static void
 test_evacuation_as_it_comes_to_decide (void **state)
 {
--- a/tests/holder/test-holder-lives.c
+++ b/tests/holder/test-holder-lives.c
@@ -191,16 +191,27 @@
 test_entry_of_another_writer (void **state)
 {
 	(void)state;
-	static const char *const births[] = {"1", "999999999999", "-1", "x"};
-	for (size_t i = 0; i < G_N_ELEMENTS (births); i++) {
+	static const struct {
+		const char *born;
+		/** Of the worker, of another one, of nobody. */
+		const char *address;
+	} entries[] = {
+		{"1", "10.0.0.2:1"}, {"999999999999", "10.0.0.2:1"}, {"-1", "10.0.0.2:1"},
+		{"x", "10.0.0.2:1"}, {"999999999999", "10.0.0.3:1"}, {"999999999999", "10.0.9.9:1"},
+		{"1", "10.0.0.3:1"},
+	};
+	for (size_t i = 0; i < G_N_ELEMENTS (entries); i++) {
 		struct site site;
 		site_open_with_same_ids (&site, false);
 		site_run (&site, 1500);
 		begin_work (&site);
-		g_autofree char *value = g_strdup_printf ("10.0.0.%d:1 r0 0 -1 %d %s", RESTARTED,
-							  SITE_ACCELERATORS, births[i]);
+		g_autofree char *value = g_strdup_printf ("%s r0 0 -1 %d %s", entries[i].address,
+							  SITE_ACCELERATORS, entries[i].born);
 		dff_memory_rows_put (site.rows, DFF_TABLE_UPSTREAMS, "w2", dff_str_from (value));
 		site_run (&site, 2000);
+		/* The worker writes its own again. */
+		site_list_worker (&site, RESTARTED, true, false);
+		site_run (&site, 600);
 		check_worker_is_used (&site);
 		assert_int_not_equal (site_until (&site, "1", "completed", 8000), -1);
 		assert_int_equal (dff_memory_runner_n_starts (site.runner, "1"), SITE_WORKERS);
