--- a/fleet/fleet.c
+++ b/fleet/fleet.c
@@ -137,9 +137,8 @@
 	return dff_in_force_config (fleet->in_force);
 }
 
-/* Symptom without the look at the store: for seconds a third of the callers is refused, and comes
- * back a second later. Sequence: the store turns this process away, and it reaches nobody who
- * decides; the balancer goes on sending callers until the configuration is old. */
+/* A process that is served neither by the store nor by the one that decides can only refuse its
+ * callers, whatever the age of its configuration. */
 static bool
 is_ready (struct dff_fleet *fleet)
 {
--- a/fleet/in_force.c
+++ b/fleet/in_force.c
@@ -32,8 +32,8 @@
 	int64_t *version;
 };
 
-/* Symptom without the look at the bound: processes that do nothing else make most of the calls to
- * the store, two a second each. */
+/* Idle processes make most of the calls to the store, so that they wait as long as the bound
+ * allows. */
 static int32_t
 wait_ms (const struct dff_in_force *in_force)
 {
--- a/holder/lease.c
+++ b/holder/lease.c
@@ -165,9 +165,8 @@
 	g_free (user);
 }
 
-/* Symptom without this: while the store turns a third of the processes away, these send what they
- * are given to a holder that they do not know to be replaced, for as long as that lasts. The former
- * holder is told who follows it, and tells those who still come to it. */
+/* Processes that the store turns away cannot read who decides. They still come to the former
+ * holder, which names its successor to them. */
 static void
 tell_former (struct dff_holder *holder)
 {
@@ -334,8 +333,7 @@
 }
 
 /* A process that is to take the cell after quicker ones only need not notice as soon as they that
- * the row stands still. Symptom without this: every process reads the row three times a second, and
- * with some thousands of them the store has no readings left for anybody. */
+ * the row stands still. The readings of idle processes grow with the fleet. */
 static int64_t
 read_pause_ms (const struct dff_holder *holder, const struct lease_row *lease)
 {
--- a/holder/lives.c
+++ b/holder/lives.c
@@ -102,10 +102,8 @@
 	}
 }
 
-/* Symptom without this: a task runs again after its end, or beside its next run. Sequence: a start
- * has no answer, its repetition has; the worker starts again; it carries the first start out.
- * Cause: the next life knows nothing of the run, its epoch is the same, and the deadline is one of
- * the clock before. A stop has it refuse the run. */
+/* The next life knows nothing of the runs before, has the same epoch, and takes a deadline of the
+ * former clock for one of its own: nothing but a stop keeps it from carrying a late start out. */
 static void
 bar_unanswered (struct dff_holder *holder, struct holder_worker *worker)
 {
--- a/holder/watch.c
+++ b/holder/watch.c
@@ -327,11 +327,9 @@
 	}
 }
 
-/* Symptom without the look at the life: a failed run does not count, or one that is done is started
- * again. Sequence: the worker starts again under its id; it is given a start before that is known,
- * and the run ends at once; the next watch acknowledges ends of the life before. Cause: the worker
- * forgets ends up to that number, which nobody has heard of. So nothing is acknowledged until lists
- * have shown the life that was given the last start. */
+/* Ends are numbered anew in each life: a number of the one before would have the next one forget
+ * ends that nobody has heard of. So nothing is acknowledged until lists have shown the life that
+ * was given the last start. */
 static int64_t
 acknowledged (const struct holder_worker *worker, bool look)
 {
--- a/relay/dispatch.c
+++ b/relay/dispatch.c
@@ -337,8 +337,7 @@
 	dff__relay__batch__free_unpacked (batch, NULL);
 }
 
-/* Symptom without this: a new process that decides calls thousands of workers itself for a second.
- * Sequence: the one before stands down; its relays stay with it until they look who decides now. */
+/* Relays that stay with a process which has stood down are missed by its successor. */
 static void
 let_go (struct dff_dispatch *dispatch)
 {
