fleet: readiness by the age of the configuration again

Hypothesis there: a process that neither the store nor the one that decides serves had better send its callers elsewhere.

What would serve both: not ready only where others are served, which a process does not know today.

--- a/fleet/fleet.c
+++ b/fleet/fleet.c
@@ -137,26 +137,15 @@
 	return dff_in_force_config (fleet->in_force);
 }
 
-/* A process that is served neither by the store nor by the one that decides can only refuse its
- * callers, whatever the age of its configuration. */
-static bool
-is_ready (struct dff_fleet *fleet)
-{
-	bool served = !dff_rows_health_is_silent (fleet->store) ||
-		      dff_intake_writes_elsewhere (fleet->intake);
-	return !is_stopping (fleet) && served && dff_in_force_is_fresh (fleet->in_force);
-}
-
 static void
 handle_ready (struct evhttp_request *request, void *ctx)
 {
 	struct dff_fleet *fleet = ctx;
-	bool ready = is_ready (fleet);
+	bool ready = !is_stopping (fleet) && dff_in_force_is_fresh (fleet->in_force);
 	if (ready != fleet->was_ready) {
-		dff_log (DFF_LOG_SERVE, DFF_LOG_INFO,
-			 "%s config_age_ms=%" PRId64 " store_silent=%d stopping=%d",
+		dff_log (DFF_LOG_SERVE, DFF_LOG_INFO, "%s config_age_ms=%" PRId64 " stopping=%d",
 			 ready ? "Ready." : "Not ready.", dff_in_force_age_ms (fleet->in_force),
-			 dff_rows_health_is_silent (fleet->store), is_stopping (fleet));
+			 is_stopping (fleet));
 	}
 	fleet->was_ready = ready;
 	*fleet->ready_gauge = ready;
