core, graph, platform: jobs carry their objective

The configuration's stretch and target_latency_ms were not read, and nothing knew when a job was first received.

No decision uses it yet. Rows without the members decode as jobs without an objective.

--- a/core/core.c
+++ b/core/core.c
@@ -79,9 +79,7 @@
 static void
 free_job (G_GNUC_UNUSED gpointer key, gpointer value, G_GNUC_UNUSED gpointer user)
 {
-	struct dff_core_job *job = value;
-	dff_core_job_clear_attempt (job);
-	g_free (job);
+	dff_core_job_free (value);
 }
 
 void
--- a/core/core_private.h
+++ b/core/core_private.h
@@ -56,6 +56,8 @@
 
 void dff_core_job_remove (struct dff_core *core, struct dff_core_job *job);
 
+void dff_core_job_free (struct dff_core_job *job);
+
 /** Drops the members and placements of the last attempt. */
 void dff_core_job_clear_attempt (struct dff_core_job *job);
 
@@ -288,6 +290,10 @@
 /** Estimates the run time of a job from past runs. */
 void dff_core_estimate (struct dff_core_job *job);
 
+/** Assesses whether a job that would start now meets its objective, by its estimated run time. */
+struct dff_objective_assessment dff_core_job_assess (const struct dff_core *core,
+						     const struct dff_core_job *job);
+
 /** Returns: the expected remaining run time, ms. */
 int64_t dff_core_remaining_ms (const struct dff_core *core, const struct dff_core_job *job);
 
--- a/core/core_tables.h
+++ b/core/core_tables.h
@@ -237,7 +237,8 @@
 	int32_t region;
 	int32_t gang;
 	struct dff_resources per_task;
-	enum dff_adjacency adjacency;
+	/** An enum dff_adjacency. */
+	uint8_t adjacency;
 	bool urgent;
 	bool guaranteed;
 	bool checkpoint;
@@ -272,8 +273,9 @@
 	bool ever_ran;
 	/** Whether the held members of the attempt were released to run. */
 	bool released;
-	enum dff_core_stop_cause stop_cause;
-	enum dff_core_hold hold;
+	/** An enum dff_core_stop_cause, and an enum dff_core_hold. */
+	uint8_t stop_cause;
+	uint8_t hold;
 	/** Shape that is claimed, with DFF_CORE_HOLD_CLAIM. */
 	int32_t shape;
 	/** Shape that covers it; DFF_CORE_NONE: none. Below: its link in the team's list of jobs
@@ -302,8 +304,8 @@
 	/** Estimated when it was last queued: median run time, and mean and standard deviation of
 	 * its logarithm. */
 	int64_t estimate_ms;
-	double log_mean;
-	double log_deviation;
+	float log_mean;
+	float log_deviation;
 	/** Run time that earlier attempts saved in checkpoints. */
 	int64_t run_ms;
 	/** Time spent in the queue before @queued_ms, the time at which it was last queued. */
@@ -314,6 +316,8 @@
 	double score;
 	int64_t score_ms;
 	int64_t submitted_ms;
+	/** (nullable): its objective, with its age at @submitted_ms; NULL without one. */
+	struct dff_objective *objective;
 	int64_t started_ms;
 	/** Deadline of the state: start timeout, checkpoint grace, repeated stop, backoff. */
 	int64_t deadline_ms;
--- a/core/estimate.c
+++ b/core/estimate.c
@@ -115,8 +115,22 @@
 void
 dff_core_estimate (struct dff_core_job *job)
 {
-	posterior (job, &job->log_mean, &job->log_deviation);
-	job->estimate_ms = (int64_t)exp (job->log_mean);
+	double mean, deviation;
+	posterior (job, &mean, &deviation);
+	job->log_mean = (float)mean;
+	job->log_deviation = (float)deviation;
+	job->estimate_ms = (int64_t)exp (mean);
+}
+
+struct dff_objective_assessment
+dff_core_job_assess (const struct dff_core *core, const struct dff_core_job *job)
+{
+	if (job->objective == NULL)
+		return (struct dff_objective_assessment){.prospect = DFF_PROSPECT_NONE};
+	struct dff_objective objective = *job->objective;
+	objective.age_ms += core->now_ms - job->submitted_ms;
+	return dff_objective_assess (&objective,
+				     (double)job->estimate_ms / (double)job->declared_ms);
 }
 
 /* Upper tail of the standard normal distribution. */
--- a/core/tables.c
+++ b/core/tables.c
@@ -115,6 +115,8 @@
 	job->per_worker = spec->per_worker;
 	job->weight = spec->weight > 0.0 ? (float)spec->weight : 1.0F;
 	job->submitted_ms = core->now_ms;
+	if (spec->objective != NULL)
+		job->objective = g_memdup2 (spec->objective, sizeof (*spec->objective));
 	job->estimator = dff_core_estimator_for (core, spec);
 	for (int32_t i = 0; i < DFF_CORE_AVOIDED_MAX; i++)
 		job->avoided[i] = DFF_CORE_NONE;
@@ -159,7 +161,14 @@
 	dff_core_headroom_count (core, job, -1);
 	dff_core_job_set_blame (core, job, 0);
 	g_hash_table_remove (core->jobs, &job->id);
+	dff_core_job_free (job);
+}
+
+void
+dff_core_job_free (struct dff_core_job *job)
+{
 	dff_core_job_clear_attempt (job);
+	g_free (job->objective);
 	g_free (job);
 }
 
--- a/graph/plan.c
+++ b/graph/plan.c
@@ -107,6 +107,24 @@
 	return NULL;
 }
 
+int64_t
+dff_plan_chain_ms (const struct dff_plan *plan, int32_t step)
+{
+	int64_t tails[DFF_PLAN_STEPS_MAX] = {0};
+	int64_t longest_ms = 0;
+	for (int32_t i = (int32_t)plan->steps->len - 1; i >= 0; i--) {
+		const struct dff_step *at = dff_plan_step (plan, i);
+		/* Later steps have raised the tails of those that they depend on already. */
+		tails[i] += at->estimate_ms;
+		longest_ms = MAX (longest_ms, tails[i]);
+		for (guint j = 0; j < at->after->len; j++) {
+			int32_t before = g_array_index (at->after, int32_t, j);
+			tails[before] = MAX (tails[before], tails[i]);
+		}
+	}
+	return step < 0 ? longest_ms : tails[step];
+}
+
 static json_t *
 encode_step (const struct dff_step *step)
 {
@@ -137,6 +155,12 @@
 		"payload", plan->payload->str, plan->payload->len, "steps", steps, "occurrences",
 		plan->occurrences, "timed", plan->timed, "first_ms", (json_int_t)plan->first_ms,
 		"interval_ms", (json_int_t)plan->interval_ms);
+	if (plan->stretch > 0.0) {
+		json_object_set_new (root, "stretch", json_real (plan->stretch));
+		json_object_set_new (root, "target_latency_ms",
+				     json_integer (plan->target_latency_ms));
+		json_object_set_new (root, "accepted_ms", json_integer (plan->accepted_ms));
+	}
 	return dff_json_print (root);
 }
 
@@ -178,6 +202,10 @@
 	plan->service = dff_json_name (root, "service");
 	plan->priority = dff_json_int32 (root, "priority");
 	plan->max_attempts = dff_json_int32 (root, "max_attempts");
+	/* Rows written by earlier versions have no objective. */
+	plan->stretch = MAX (json_number_value (json_object_get (root, "stretch")), 0.0);
+	plan->target_latency_ms = MAX (dff_json_int (root, "target_latency_ms"), 0);
+	plan->accepted_ms = MAX (dff_json_int (root, "accepted_ms"), 0);
 	const json_t *payload = json_object_get (root, "payload");
 	g_string_append_len (plan->payload, json_string_value (payload),
 			     (gssize)json_string_length (payload));
--- a/holder/units.c
+++ b/holder/units.c
@@ -35,6 +35,38 @@
 	return MAX (plan->max_attempts - before, 1);
 }
 
+/* The age of a job comes from the wall clock of the process that received it, which may differ
+ * from that of the holder. It is at least the time that the holder has known the job for. An
+ * occurrence that is due later counts from its due time. */
+static int64_t
+unit_age_ms (const struct dff_holder *holder, const struct holder_unit *unit)
+{
+	const struct dff_plan *plan = unit->job->plan;
+	int64_t known_ms = holder_now_ms (holder) - unit->job->added_ms;
+	int64_t due_ms = dff_plan_due_ms (plan, unit->unit.occurrence);
+	int64_t since_ms = MAX (plan->accepted_ms, due_ms);
+	if (since_ms <= 0)
+		return known_ms;
+	int64_t age_ms = dff_clock_wall_ms (holder->options.timers->clock) - since_ms;
+	return due_ms > 0 ? MAX (age_ms, 0) : MAX (age_ms, known_ms);
+}
+
+static struct dff_objective
+unit_objective (const struct dff_holder *holder, const struct holder_unit *unit)
+{
+	const struct dff_plan *plan = unit->job->plan;
+	/* A task that runs until it is cancelled has no time to complete in. */
+	if (dff_plan_step (plan, unit->unit.step)->endless)
+		return (struct dff_objective){0};
+	return (struct dff_objective){
+		.stretch = plan->stretch,
+		.target_ms = plan->target_latency_ms,
+		.chain_ms = dff_plan_chain_ms (plan, -1),
+		.tail_ms = dff_plan_chain_ms (plan, unit->unit.step),
+		.age_ms = unit_age_ms (holder, unit),
+	};
+}
+
 static struct dff_job_spec
 unit_spec (const struct holder_unit *unit)
 {
@@ -134,7 +166,9 @@
 units_submit (struct dff_holder *holder, struct holder_job *job, const struct dff_unit *at)
 {
 	struct holder_unit *unit = unit_new (holder, job, at);
+	struct dff_objective objective = unit_objective (holder, unit);
 	struct dff_job_spec spec = unit_spec (unit);
+	spec.objective = objective.stretch > 0.0 ? &objective : NULL;
 	if (dff_progress_task_state_is_open (member_task (unit, 0)->state)) {
 		recover_unit (holder, unit, &spec);
 		return;
--- a/include/core/job.h
+++ b/include/core/job.h
@@ -5,6 +5,7 @@
 #include <stdint.h>
 
 #include "common/str.h"
+#include "core/objective.h"
 #include "pool/pool.h"
 
 /* What a job asks for, and its outcomes. Shared by the decision core, the cell and the entry. */
@@ -72,6 +73,8 @@
 	/** Value of finishing early, per accelerator second, relative to other jobs; 0 counts as
 	 * 1. */
 	double weight;
+	/** (nullable): copied by the core; NULL: the job has no objective. */
+	const struct dff_objective *objective;
 };
 
 /** Returns: the outcome's name on the wire ("completed", "not_run", ...; "none" while it runs). */
--- a/include/fleet/config.h
+++ b/include/fleet/config.h
@@ -22,6 +22,10 @@
 	/** Priority of the class's jobs; 0 is the highest. */
 	int32_t priority;
 	int32_t max_attempts;
+	/** Objective of the class's jobs: a multiple of their longest chain of work, 0 without an
+	 * objective, and a constant part, ms. */
+	double stretch;
+	int64_t target_latency_ms;
 	/** Whether callers need no credential. */
 	bool anonymous;
 	/** Whether only workers recommended by an external adviser may run its tasks, which is not
--- a/include/graph/plan.h
+++ b/include/graph/plan.h
@@ -63,6 +63,11 @@
 	int32_t priority;
 	/** Number of failed runs of a task, or of a gang, at which the job fails. */
 	int32_t max_attempts;
+	/** Objective of the job's class; @stretch is 0 without one. See struct dff_objective. */
+	double stretch;
+	int64_t target_latency_ms;
+	/** When the job was first received, ms since 1970; 0: not known. */
+	int64_t accepted_ms;
 	/** Input of the tasks, as sent by the caller. */
 	GString *payload;
 	/** Elements: struct dff_step. */
@@ -98,6 +103,10 @@
  * Static. */
 const char *dff_plan_check (const struct dff_plan *plan);
 
+/** Returns: the sum of the estimates along the longest chain of steps that begins with @step and
+ * depends on it, ms; @step is -1 for the longest chain of the whole job. */
+int64_t dff_plan_chain_ms (const struct dff_plan *plan, int32_t step);
+
 /** Returns: (transfer full): the plan as JSON, as stored in its row. */
 GString *dff_plan_encode (const struct dff_plan *plan);
 
--- a/tests/graph/test-graph.c
+++ b/tests/graph/test-graph.c
@@ -152,6 +152,25 @@
 	assert_non_null (dff_plan_check (empty));
 }
 
+static void
+test_chain_is_the_longest_path (void **state)
+{
+	(void)state;
+	/* Step 1 follows step 0; step 2 stands alone; step 3 follows steps 1 and 2. */
+	DFF_AUTO (dff_plan) plan = plan_new ();
+	add_step (plan, 4, false, -1)->estimate_ms = 100;
+	add_step (plan, 2, true, 0)->estimate_ms = 30;
+	add_step (plan, 1, false, -1)->estimate_ms = 500;
+	struct dff_step *last = add_step (plan, 1, false, 1);
+	int32_t other = 2;
+	g_array_append_val (last->after, other);
+	last->estimate_ms = 7;
+	static const int64_t tails[] = {137, 37, 507, 7};
+	for (int32_t i = 0; i < (int32_t)G_N_ELEMENTS (tails); i++)
+		assert_int_equal (dff_plan_chain_ms (plan, i), tails[i]);
+	assert_int_equal (dff_plan_chain_ms (plan, -1), 507);
+}
+
 static void
 test_plan_row_round_trip (void **state)
 {
@@ -171,6 +190,9 @@
 	plan->occurrences = 4;
 	plan->first_ms = INT64_C (1790000000000);
 	plan->interval_ms = 2000;
+	plan->stretch = 1.5;
+	plan->target_latency_ms = 250;
+	plan->accepted_ms = INT64_C (1790000000123);
 	g_autoptr (GString) text = dff_plan_encode (plan);
 	DFF_AUTO (dff_plan) decoded = dff_plan_decode ((struct dff_str){text->str, text->len});
 	assert_non_null (decoded);
@@ -178,6 +200,9 @@
 	assert_string_equal (again->str, text->str);
 	assert_string_equal (decoded->payload->str, plan->payload->str);
 	assert_int_equal (decoded->first_ms, plan->first_ms);
+	assert_float_equal (decoded->stretch, 1.5, 0.0);
+	assert_int_equal (decoded->target_latency_ms, 250);
+	assert_int_equal (decoded->accepted_ms, plan->accepted_ms);
 	assert_int_equal (dff_plan_step (decoded, 0)->per_worker, 2);
 	static const char *const broken[] = {"", "[]", "{}", "{\"id\":\"a\",\"steps\":[]}"};
 	for (size_t i = 0; i < G_N_ELEMENTS (broken); i++)
@@ -384,6 +409,7 @@
 		cmocka_unit_test (test_steps_start_after_their_predecessors),
 		cmocka_unit_test (test_occurrences_start_when_due),
 		cmocka_unit_test (test_invalid_plans_are_refused),
+		cmocka_unit_test (test_chain_is_the_longest_path),
 		cmocka_unit_test (test_plan_row_round_trip),
 		cmocka_unit_test (test_progress_row_round_trip),
 		cmocka_unit_test (test_failed_gang_run_counts_once),
--- a/tests/platform/test-decode.c
+++ b/tests/platform/test-decode.c
@@ -61,6 +61,11 @@
 	assert_true (open->anonymous);
 	assert_true (open->needs_recommendation);
 	assert_int_equal (open->max_attempts, 4);
+	assert_float_equal (open->stretch, 0.0, 0.0);
+	const struct dff_fleet_class *bulk = dff_fleet_config_find_class (
+		config, dff_str_from ("nony24.example"), dff_str_from ("/pule252/"));
+	assert_float_equal (bulk->stretch, 3.0, 0.0);
+	assert_int_equal (bulk->target_latency_ms, 3000);
 	const struct dff_fleet_team *team =
 		dff_fleet_config_find_team (config, dff_str_from ("3hh2"));
 	assert_string_equal (team->name.data, "kaje80");
