front, holder: why a call was given up, and a job's end once it is recorded

Cause: the line of a call that was given up named neither its kind nor what decided it.

Change: the front returns the cause with its inputs (store silent, refused, deadline, unreadable; refusals, open writes); a job is counted and logged when its final state is recorded, with the time that took.

--- a/front/front.c
+++ b/front/front.c
@@ -30,6 +30,20 @@
 	int64_t *states;
 };
 
+static const char *const cause_names[] = {
+	[DFF_FRONT_CAUSE_NONE] = "none",
+	[DFF_FRONT_CAUSE_STORE_SILENT] = "store_silent",
+	[DFF_FRONT_CAUSE_REFUSED] = "refused",
+	[DFF_FRONT_CAUSE_DEADLINE] = "deadline",
+	[DFF_FRONT_CAUSE_UNREADABLE] = "unreadable",
+};
+
+const char *
+dff_front_cause_name (enum dff_front_cause cause)
+{
+	return cause_names[cause];
+}
+
 struct request;
 
 typedef void (*request_step_func) (struct request *request);
@@ -91,6 +105,19 @@
 	request_finish (request, &result);
 }
 
+/* Ends a request that was not done, or of which that is not known. */
+static void
+request_give_up (struct request *request,
+		 enum dff_front_outcome outcome,
+		 enum dff_front_cause cause)
+{
+	struct dff_front_result result = {.outcome = outcome,
+					  .cause = cause,
+					  .n_refused = request->n_refused,
+					  .n_unresolved = request->n_unresolved};
+	request_finish (request, &result);
+}
+
 static int64_t
 request_left_ms (const struct request *request)
 {
@@ -117,8 +144,10 @@
 request_retry (struct request *request, request_step_func step)
 {
 	if (request_left_ms (request) < RETRY_DELAY_MS + CALL_MIN_MS) {
-		request_end (request,
-			     request->n_unresolved > 0 ? DFF_FRONT_UNKNOWN : DFF_FRONT_UNAVAILABLE);
+		request_give_up (request,
+				 request->n_unresolved > 0 ? DFF_FRONT_UNKNOWN
+							   : DFF_FRONT_UNAVAILABLE,
+				 DFF_FRONT_CAUSE_DEADLINE);
 		return;
 	}
 	request->step = step;
@@ -135,7 +164,7 @@
 {
 	request->n_refused++;
 	if (request->n_unresolved == 0 && request->n_refused >= REFUSALS_MAX) {
-		request_end (request, DFF_FRONT_UNAVAILABLE);
+		request_give_up (request, DFF_FRONT_UNAVAILABLE, DFF_FRONT_CAUSE_REFUSED);
 		return;
 	}
 	request_retry (request, step);
@@ -162,7 +191,7 @@
 static void
 reject_step (struct request *request)
 {
-	request_end (request, DFF_FRONT_UNAVAILABLE);
+	request_give_up (request, DFF_FRONT_UNAVAILABLE, DFF_FRONT_CAUSE_STORE_SILENT);
 }
 
 /* Runs the first step of a request, or rejects the request if @allowed is false. When the store
@@ -439,7 +468,7 @@
 	}
 	dff_log (DFF_LOG_ENTRY, DFF_LOG_ERROR, "Cannot decode the progress row of a job. job=%s",
 		 request->job.data);
-	request_end (request, DFF_FRONT_UNAVAILABLE);
+	request_give_up (request, DFF_FRONT_UNAVAILABLE, DFF_FRONT_CAUSE_UNREADABLE);
 }
 
 static void
--- a/holder/draft.c
+++ b/holder/draft.c
@@ -94,7 +94,10 @@
 	g_autoptr (GPtrArray) final = g_ptr_array_new ();
 	for (guint i = 0; i < holder->committed_jobs->len; i++) {
 		struct holder_job *job = g_ptr_array_index (holder->committed_jobs, i);
+		bool was_final = dff_job_state_is_final (job->recorded_state);
 		job->recorded_state = job->drafted_state;
+		if (!was_final && dff_job_state_is_final (job->recorded_state))
+			jobs_note_recorded (holder, job);
 		release_acks (holder, job);
 		if (!job->dirty && dff_job_state_is_final (job->progress->state))
 			g_ptr_array_add (final, job);
--- a/holder/holder_private.h
+++ b/holder/holder_private.h
@@ -241,6 +241,9 @@
 void jobs_cancel_units (struct dff_holder *holder, const struct holder_job *job);
 
 /** Ends a job; the caller ends its units. */
+/** Counts and logs a job whose final state has just been recorded. */
+void jobs_note_recorded (struct dff_holder *holder, const struct holder_job *job);
+
 void jobs_end (struct dff_holder *holder,
 	       struct holder_job *job,
 	       enum dff_job_state state,
--- a/holder/holder_tables.h
+++ b/holder/holder_tables.h
@@ -196,6 +196,9 @@
 	 * contains the row. */
 	bool provisional;
 	bool row_drafted;
+	/** Why and when it ended; NULL: it has not. Static. */
+	const char *end_reason;
+	int64_t ended_ms;
 	/** Elements: struct holder_ack. */
 	GArray *acks;
 	int64_t added_ms;
--- a/holder/jobs.c
+++ b/holder/jobs.c
@@ -118,11 +118,24 @@
 	  const char *reason)
 {
 	job->progress->state = state;
+	job->end_reason = reason;
+	job->ended_ms = holder_now_ms (holder);
 	commit_mark_dirty (holder, job);
+}
+
+/* Counts and logs a job once its final state is recorded. Until then another holder may take over
+ * and end the job itself: the job would be counted and logged twice, at different times. */
+void
+jobs_note_recorded (struct dff_holder *holder, const struct holder_job *job)
+{
+	enum dff_job_state state = job->recorded_state;
+	int64_t now_ms = holder_now_ms (holder);
 	dff_log (DFF_LOG_CELL, DFF_LOG_INFO,
-		 "Job over. job=%s state=%s reason=%s class=%s team=%s held_ms=%" PRId64,
-		 job->id.data, dff_job_state_name (state), reason, job->plan->class_name.data,
-		 job->plan->team.data, holder_now_ms (holder) - job->added_ms);
+		 "Job over. job=%s state=%s reason=%s class=%s team=%s held_ms=%" PRId64
+		 " record_ms=%" PRId64,
+		 job->id.data, dff_job_state_name (state), job->end_reason,
+		 job->plan->class_name.data, job->plan->team.data, job->ended_ms - job->added_ms,
+		 now_ms - job->ended_ms);
 	(*holder->metrics.jobs_completed) += state == DFF_JOB_STATE_COMPLETED;
 	(*holder->metrics.jobs_failed) += state == DFF_JOB_STATE_FAILED;
 	(*holder->metrics.jobs_cancelled) += state == DFF_JOB_STATE_CANCELLED;
--- a/include/front/front.h
+++ b/include/front/front.h
@@ -57,8 +57,28 @@
 	DFF_FRONT_UNKNOWN,
 };
 
+/** Why a call ended as DFF_FRONT_UNAVAILABLE or DFF_FRONT_UNKNOWN. */
+enum dff_front_cause {
+	DFF_FRONT_CAUSE_NONE,
+	/** The store does not answer this process; nothing was sent to it. */
+	DFF_FRONT_CAUSE_STORE_SILENT,
+	/** The store, or the holder, refused each try. */
+	DFF_FRONT_CAUSE_REFUSED,
+	/** The caller's deadline passed. */
+	DFF_FRONT_CAUSE_DEADLINE,
+	/** A row cannot be decoded. */
+	DFF_FRONT_CAUSE_UNREADABLE,
+};
+
+/** Returns: the cause's name in logs ("store_silent", ...). Static. */
+const char *dff_front_cause_name (enum dff_front_cause cause);
+
 struct dff_front_result {
 	enum dff_front_outcome outcome;
+	enum dff_front_cause cause;
+	/** Number of refusals, and of writes that may still take effect, when the call ended. */
+	int32_t n_refused;
+	int32_t n_unresolved;
 	/** Answer of dff_front_read_state(). */
 	enum dff_job_state state;
 	/** Answer of dff_front_count_waiting(): number of jobs. */
--- a/tests/holder/test-holder-ends.c
+++ b/tests/holder/test-holder-ends.c
@@ -88,12 +88,42 @@
 	site_close (&site);
 }
 
+static int64_t
+n_completed (struct site *site, int process)
+{
+	return *dff_metrics_counter (site->processes[process].metrics,
+				     "dff_holder_jobs_completed_total", "");
+}
+
+/* Guards against counting and logging a job as ended before that is recorded, and again by the next
+ * holder: the task completes while the store does not answer, the holder is killed, and the next
+ * holder receives the completion once more. */
+static void
+test_completion_is_counted_when_recorded (void **state)
+{
+	(void)state;
+	struct site site;
+	site_open (&site);
+	site_submit (&site, 0, site_plan ("0", 1, false, 1));
+	site_run (&site, 500);
+	int holder = site_holder (&site);
+	dff_memory_rows_client_faults (site.processes[holder].rows)->silent = true;
+	site_run (&site, 1000);
+	assert_int_equal (n_completed (&site, holder), 0);
+	site_kill_process (&site, holder);
+	assert_int_not_equal (site_wait_for_state (&site, "0", "completed", 10000), -1);
+	site_run (&site, 200);
+	assert_int_equal (n_completed (&site, site_holder (&site)), 1);
+	site_close (&site);
+}
+
 int
 main (void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test (test_recorded_failure_counts_for_next_holder),
 		cmocka_unit_test (test_repeated_failure_counts_once),
+		cmocka_unit_test (test_completion_is_counted_when_recorded),
 	};
 	return cmocka_run_group_tests (tests, NULL, NULL);
 }
