core, holder: relative durations of workers outlive the holder

Cause: a new holder starts without the samples that its predecessor compared the workers by. Change: the core exports and imports relative durations; the holder records them in the row 'speeds' with its transactions while the workers differ, and reads it at a takeover.

--- a/core/core_tables.h
+++ b/core/core_tables.h
@@ -79,6 +79,13 @@
 	/** Estimated duration of tasks here relative to the mean of all workers: natural logarithm,
 	 * in thousandths. */
 	int16_t relative_duration;
+	/** Weight of the samples that @relative_duration was computed from. */
+	float duration_weight;
+	/** Relative duration that was imported, as the mean of samples that had the weight
+	 * @prior_weight at @prior_ms: natural logarithm. The weight is 0 without an import. */
+	float prior_mean;
+	float prior_weight;
+	int64_t prior_ms;
 	/** Time of the last failure of a run here; 0: never. */
 	int64_t failed_ms;
 	/** End of its quarantine, or of the wait for a probe. */
@@ -404,6 +411,10 @@
 	float worker_variance;
 	float task_variance;
 	int64_t duration_review_ms;
+	/** Whether @worker_variance and @task_variance were learned or imported. */
+	bool variances_known;
+	/** Whether a worker has an imported relative duration that still counts. */
+	bool has_priors;
 	/** Queues by state. Deadlines rise along each of them, except in @delayed. */
 	GQueue reserved;
 	GQueue starting;
--- a/core/relative_duration.c
+++ b/core/relative_duration.c
@@ -17,6 +17,8 @@
 #define TASK_VARIANCE 0.07F
 #define WORKER_VARIANCE 0.0004F
 #define VARIANCE_MIN 0.0004F
+/** Largest variance that is imported: the variance of samples that differ by a factor of e^10. */
+#define VARIANCE_MAX 100.0F
 /** Largest difference to the median that counts: some tasks take several times as long as others
  * whatever the worker. */
 #define DIFFERENCE_MAX 0.8
@@ -27,10 +29,9 @@
 /** Maximum number of samples in one peer group, and in all. */
 #define GROUP_MAX 256
 #define SAMPLES_MAX 8192
-/** Age at which a sample has lost two thirds of its weight, and age at which it is dropped, ms.
- * Workers may become slow and recover. */
+/** Age at which a sample has lost two thirds of its weight, ms: workers may become slow and
+ * recover. */
 #define DECAY_MS 30000
-#define EXPIRY_MS 120000
 /** Interval of updates, ms, and number of passes in each: a pass uses the relative durations that
  * the one before computed. */
 #define REVIEW_MS 500
@@ -99,6 +100,15 @@
 	return logs[group->samples->len / 2];
 }
 
+/* Returns: the share of its weight that a sample of an age has left. */
+static float
+weight_left (int64_t age_ms)
+{
+	if (age_ms > DFF_DURATION_EXPIRY_MS)
+		return 0.0F;
+	return expf (-(float)MAX (age_ms, 0) / DECAY_MS);
+}
+
 /** Sums of a worker's samples: differences to the medians of their peer groups, weighted by age. */
 struct sum {
 	float count;
@@ -110,7 +120,7 @@
 add_group (const struct dff_core *core, const struct peer_group *group, struct sum *sums)
 {
 	float median = group_median (core, group);
-	float weight = expf (-(float)(core->now_ms - group->last_ms) / DECAY_MS);
+	float weight = weight_left (core->now_ms - group->last_ms);
 	for (guint i = 0; i < group->samples->len; i++) {
 		const struct sample *sample = sample_at (group, i);
 		struct sum *sum = &sums[sample->worker];
@@ -192,6 +202,8 @@
 		remove_samples (core, value, index);
 	struct dff_core_worker *worker = dff_core_worker_at (core, index);
 	worker->relative_duration = 0;
+	worker->duration_weight = 0.0F;
+	worker->prior_weight = 0.0F;
 }
 
 static void
@@ -202,13 +214,40 @@
 	g_hash_table_iter_init (&iter, core->peer_groups);
 	while (g_hash_table_iter_next (&iter, NULL, &value)) {
 		const struct peer_group *group = value;
-		if (core->now_ms - group->last_ms <= EXPIRY_MS)
+		if (core->now_ms - group->last_ms <= DFF_DURATION_EXPIRY_MS)
 			continue;
 		core->n_durations -= group->samples->len;
 		g_hash_table_iter_remove (&iter);
 	}
 }
 
+static int16_t
+to_relative (float log_duration)
+{
+	return (int16_t)lroundf (CLAMP (log_duration, -LOG_MAX, LOG_MAX) * LOG_PARTS);
+}
+
+/* Adds the imported relative duration of a worker to the sum of its samples. */
+static void
+add_prior (const struct dff_core *core, const struct dff_core_worker *worker, struct sum *sum)
+{
+	float weight = worker->prior_weight * weight_left (core->now_ms - worker->prior_ms);
+	sum->count += weight;
+	sum->total += worker->prior_mean * weight;
+}
+
+static void
+drop_expired_priors (struct dff_core *core)
+{
+	core->has_priors = false;
+	for (guint i = 0; i < core->workers->len; i++) {
+		struct dff_core_worker *worker = dff_core_worker_at (core, (int32_t)i);
+		if (core->now_ms - worker->prior_ms > DFF_DURATION_EXPIRY_MS)
+			worker->prior_weight = 0.0F;
+		core->has_priors |= worker->prior_weight > 0.0F;
+	}
+}
+
 /* Computes the relative duration of all workers in one pass over the samples. */
 static void
 update_workers (struct dff_core *core, struct sum *sums)
@@ -224,14 +263,18 @@
 	}
 	float prior_weight = core->task_variance / core->worker_variance;
 	for (guint i = 0; i < core->workers->len; i++) {
-		float relative = sums[i].total / (sums[i].count + prior_weight);
-		dff_core_worker_at (core, (int32_t)i)->relative_duration =
-			(int16_t)lroundf (CLAMP (relative, -LOG_MAX, LOG_MAX) * LOG_PARTS);
+		struct dff_core_worker *worker = dff_core_worker_at (core, (int32_t)i);
+		struct sum sum = sums[i];
+		if (worker->prior_weight > 0.0F)
+			add_prior (core, worker, &sum);
+		worker->relative_duration = to_relative (sum.total / (sum.count + prior_weight));
+		worker->duration_weight = sum.count;
 	}
 }
 
 /* Analysis of variance: how far the durations of tasks on one worker differ, and by how much more
- * those on different workers do. */
+ * those on different workers do. Imported relative durations do not take part: their variances were
+ * imported with them. */
 static void
 update_variances (struct dff_core *core, const struct sum *sums)
 {
@@ -255,15 +298,19 @@
 	float spread = (between - n_sampled * core->task_variance) / n_between;
 	core->worker_variance += SPREAD_RATE * (spread - core->worker_variance);
 	core->worker_variance = MAX (core->worker_variance, VARIANCE_MIN);
+	core->variances_known = true;
 }
 
 void
 dff_core_run_durations (struct dff_core *core)
 {
-	if (core->now_ms < core->duration_review_ms || g_hash_table_size (core->peer_groups) == 0)
+	bool is_empty = g_hash_table_size (core->peer_groups) == 0 && !core->has_priors;
+	if (core->now_ms < core->duration_review_ms || is_empty)
 		return;
 	core->duration_review_ms = core->now_ms + REVIEW_MS;
 	drop_expired (core);
+	if (core->has_priors)
+		drop_expired_priors (core);
 	g_autoptr (GArray) table = g_array_new (FALSE, TRUE, sizeof (struct sum));
 	g_array_set_size (table, core->workers->len);
 	struct sum *sums = (struct sum *)(void *)table->data;
@@ -273,6 +320,117 @@
 	core->stats.duration_spread = sqrt (core->worker_variance);
 }
 
+static bool
+are_alike (const struct dff_core *core)
+{
+	return core->worker_variance <= (float)(ALIKE_SPREAD * ALIKE_SPREAD);
+}
+
+bool
+dff_core_export_durations (const struct dff_core *core,
+			   GArray *durations,
+			   struct dff_duration_variances *variances)
+{
+	g_array_set_size (durations, 0);
+	*variances = (struct dff_duration_variances){.workers = core->worker_variance,
+						     .tasks = core->task_variance};
+	if (are_alike (core))
+		return false;
+	for (guint i = 0; i < core->workers->len; i++) {
+		const struct dff_core_worker *worker = dff_core_worker_at (core, (int32_t)i);
+		if (worker->rack == DFF_CORE_NONE || worker->duration_weight <= 0.0F)
+			continue;
+		struct dff_worker_duration duration = {.worker = worker->name,
+						       .relative = worker->relative_duration,
+						       .weight = worker->duration_weight};
+		g_array_append_val (durations, duration);
+	}
+	return true;
+}
+
+static bool
+is_variance (float variance)
+{
+	return isfinite (variance) && variance >= VARIANCE_MIN && variance <= VARIANCE_MAX;
+}
+
+/* Whether what was exported can have been computed by a core. */
+static bool
+is_plausible (const struct dff_worker_duration *duration,
+	      const struct dff_duration_variances *variances)
+{
+	return is_variance (variances->workers) && is_variance (variances->tasks) &&
+	       isfinite (duration->weight) && duration->weight > 0.0F &&
+	       duration->weight <= SAMPLES_MAX &&
+	       ABS ((float)duration->relative) <= LOG_MAX * LOG_PARTS;
+}
+
+/* Returns: the mean of the samples that a relative duration was computed from. */
+static float
+mean_of_samples (const struct dff_worker_duration *duration,
+		 const struct dff_duration_variances *variances)
+{
+	float prior_weight = variances->tasks / variances->workers;
+	float mean = (float)duration->relative / LOG_PARTS * (duration->weight + prior_weight) /
+		     duration->weight;
+	return CLAMP (mean, (float)-DIFFERENCE_MAX, (float)DIFFERENCE_MAX);
+}
+
+void
+dff_core_age_duration (struct dff_worker_duration *duration,
+		       const struct dff_duration_variances *variances,
+		       int64_t age_ms)
+{
+	if (!is_plausible (duration, variances)) {
+		duration->relative = 0;
+		duration->weight = 0.0F;
+		return;
+	}
+	float mean = mean_of_samples (duration, variances);
+	duration->weight *= weight_left (age_ms);
+	float sum_weight = duration->weight + variances->tasks / variances->workers;
+	duration->relative = to_relative (mean * duration->weight / sum_weight);
+}
+
+static void
+import_variances (struct dff_core *core, const struct dff_duration_variances *variances)
+{
+	core->worker_variance = variances->workers;
+	core->task_variance = variances->tasks;
+	core->variances_known = true;
+	core->stats.duration_spread = sqrt (core->worker_variance);
+}
+
+bool
+dff_core_import_duration (struct dff_core *core,
+			  const struct dff_worker_duration *duration,
+			  const struct dff_duration_variances *variances,
+			  int64_t age_ms,
+			  int64_t now_ms)
+{
+	int32_t index = dff_core_find_worker (core, &duration->worker);
+	if (index == DFF_CORE_NONE)
+		return false;
+	struct dff_worker_duration aged = *duration;
+	dff_core_age_duration (&aged, variances, age_ms);
+	if (aged.weight <= 0.0F)
+		return true;
+	core->now_ms = now_ms;
+	if (!core->variances_known)
+		import_variances (core, variances);
+	struct dff_core_worker *worker = dff_core_worker_at (core, index);
+	worker->prior_mean = mean_of_samples (duration, variances);
+	worker->prior_weight = duration->weight;
+	worker->prior_ms = now_ms - MAX (age_ms, 0);
+	core->has_priors = true;
+	/* The next review adds the samples that the core has itself. */
+	if (worker->duration_weight > 0.0F)
+		return true;
+	worker->relative_duration = (int16_t)aged.relative;
+	worker->duration_weight = aged.weight;
+	return true;
+}
+
 /** Limits of relative duration for urgent work, in this order, in deviations from the mean. */
 static const float duration_limits[] = {-0.5F, 0.0F, 0.5F, 1.0F};
 
@@ -289,8 +447,7 @@
 bool
 dff_core_next_duration_limit (const struct dff_core *core, struct dff_core_job *job)
 {
-	if (core->worker_variance <= (float)(ALIKE_SPREAD * ALIKE_SPREAD) ||
-	    job->duration_limit >= (int8_t)G_N_ELEMENTS (duration_limits))
+	if (are_alike (core) || job->duration_limit >= (int8_t)G_N_ELEMENTS (duration_limits))
 		return false;
 	job->duration_limit++;
 	return true;
--- a/holder/draft.c
+++ b/holder/draft.c
@@ -1,11 +1,11 @@
 #include "holder/holder_private.h"
 
 /* Contents of one transaction of the holder, and the effect of its outcome on its rows: the
- * holder's row, changed jobs, counts of jobs that have not begun, and the removal of finished jobs
- * and inbox rows. */
+ * holder's row, changed jobs, counts of jobs that have not begun, the workers' speeds, and the
+ * removal of finished jobs and inbox rows. */
 
-/** Writes and conditions of one transaction: the store's limit, minus the counts and some
- * removals. */
+/** Writes and conditions of one transaction: the store's limit, minus the counts, the speeds and
+ * some removals. */
 #define ENTRIES_MAX (DFF_ROWS_COMMIT_MAX - 10)
 /** Size of one transaction before encoding, bytes: the store accepts 1 MB in base64. */
 #define BYTES_MAX 600000
@@ -201,6 +201,17 @@
 	return true;
 }
 
+bool
+draft_row (struct draft *draft, const char *table, const char *key, GString *value)
+{
+	if (draft->bytes + value->len > BYTES_MAX) {
+		draft_text (value);
+		return false;
+	}
+	draft_write (draft, table, dff_str_from (key), value);
+	return true;
+}
+
 /* The progress of a job must not be recorded before the job. */
 static void
 draft_jobs (struct dff_holder *holder, struct draft *draft)
@@ -308,6 +319,7 @@
 	submissions_draft (holder, draft);
 	draft_jobs (holder, draft);
 	draft_waiting (holder, draft);
+	speeds_draft (holder, draft);
 	draft_removals (holder, draft);
 	draft_inbox (holder, draft);
 	return draft;
@@ -354,11 +366,13 @@
 	for (guint i = 0; i < draft->inbox->len; i++)
 		g_hash_table_remove (holder->inbox_done, g_ptr_array_index (draft->inbox, i));
 	note_written (holder);
+	speeds_note_written (holder);
 }
 
 void
 draft_unwritten (struct dff_holder *holder)
 {
+	speeds_note_unwritten (holder);
 	for (guint i = 0; i < holder->committed_jobs->len; i++) {
 		struct holder_job *job = g_ptr_array_index (holder->committed_jobs, i);
 		for (guint j = 0; j < job->acks->len; j++)
--- a/holder/holder.c
+++ b/holder/holder.c
@@ -108,6 +108,7 @@
 	if (holder->phase == DFF_HOLDER_READING)
 		recovery_step (holder);
 	if (holder->phase == DFF_HOLDER_HOLDING) {
+		speeds_step (holder);
 		jobs_step (holder);
 		inbox_step (holder);
 		runs_step (holder);
@@ -201,6 +202,16 @@
 	holder->metrics.starts_withdrawn =
 		dff_metrics_counter (metrics, "dff_holder_starts_withdrawn_total",
 				     "Recorded starts withdrawn because of an evacuation.");
+	holder->metrics.speeds_recorded = dff_metrics_counter (
+		metrics, "dff_holder_speeds_recorded_total",
+		"Times that the relative durations of the workers were recorded.");
+	holder->metrics.speeds_taken_over =
+		dff_metrics_counter (metrics, "dff_holder_speeds_taken_over_total",
+				     "Workers whose relative duration was taken over from the "
+				     "former holder.");
+	holder->metrics.speeds_undecodable = dff_metrics_counter (
+		metrics, "dff_holder_speeds_undecodable_total",
+		"Recorded relative durations that could not be read at a takeover.");
 	holder->metrics.open_jobs =
 		dff_metrics_gauge (metrics, "dff_holder_open_jobs", "Jobs that are not over.");
 }
--- a/holder/holder_private.h
+++ b/holder/holder_private.h
@@ -152,6 +152,10 @@
 /** Adds a row that must not exist. Returns: false when it does not fit into the transaction. */
 bool draft_submission (struct draft *draft, const char *key, const GString *value);
 
+/** Adds a row. @value: (transfer full). Returns: false when it does not fit into the transaction.
+ */
+bool draft_row (struct draft *draft, const char *table, const char *key, GString *value);
+
 /** The transaction is recorded: everything that waits for this proceeds. */
 void draft_written (struct dff_holder *holder, const struct draft *draft);
 
@@ -451,6 +455,44 @@
 /** Handles the completion of a run. */
 void duration_note_completed (struct dff_holder *holder, struct holder_run *run);
 
+/* speeds.c */
+
+/** The row of DFF_KEY_SPEEDS. */
+struct speeds_row {
+	/** When it was written: wall clock, ms since the Unix epoch. */
+	int64_t written_ms;
+	struct dff_duration_variances variances;
+	/** Elements: struct speeds_entry. */
+	GArray *entries;
+};
+
+void speeds_row_init (struct speeds_row *row);
+
+void speeds_row_clear (struct speeds_row *row);
+
+/** Encodes a row of limited size, with the workers that differ most from the mean. Sorts
+ * @row->entries. Returns: (transfer full). */
+GString *speeds_encode (const struct speeds_row *row);
+
+/** Decodes a row into @row, which is initialized. Entries that cannot be read are left out.
+ * Returns: false when the row as a whole cannot be used. */
+bool speeds_decode (struct dff_str text, struct speeds_row *row);
+
+/** Called at a takeover: requests the row. The takeover does not wait for the answer. */
+void speeds_begin (struct dff_holder *holder);
+
+void speeds_reset (struct dff_holder *holder);
+
+/** Passes to the core what was read about workers whose incarnation has become known. */
+void speeds_step (struct dff_holder *holder);
+
+/** Adds the row to a transaction if it is due. */
+void speeds_draft (struct dff_holder *holder, struct draft *draft);
+
+/** Handles the outcome of a transaction: it is recorded, or it may not be. */
+void speeds_note_written (struct dff_holder *holder);
+void speeds_note_unwritten (struct dff_holder *holder);
+
 /* runs.c */
 
 struct holder_run *run_new (struct dff_holder *holder,
--- a/holder/holder_tables.h
+++ b/holder/holder_tables.h
@@ -203,6 +203,13 @@
 	int64_t due_ms;
 };
 
+/** What the row of DFF_KEY_SPEEDS holds of one worker. */
+struct speeds_entry {
+	struct dff_worker_duration duration;
+	/** Start of the worker's incarnation; DFF_START_UNREPORTED where workers report none. */
+	int64_t started_ms;
+};
+
 /** An attempt to acknowledge to the core once the job's row is written. */
 struct holder_ack {
 	struct dff_name unit;
@@ -317,6 +324,32 @@
 	GString *waiting_in_flight;
 	int64_t waiting_due_ms;
 
+	/* holder/speeds.c */
+	struct {
+		/** Whether the row is being read, and the number of reads so far. */
+		bool reading;
+		int32_t n_reads;
+		/** Workers of the row whose incarnation is not known yet, by name. Value: struct
+		 * speeds_entry. */
+		GHashTable *pending;
+		/** Variances in the row, and the local time to which the row applies. */
+		struct dff_duration_variances variances;
+		int64_t valid_ms;
+		/** Number of workers of the row whose relative duration was imported, and of those
+		 * that have restarted since. */
+		guint n_imported;
+		guint n_restarted;
+		/** (nullable): what is recorded, and what the current transaction contains. Value:
+		 * struct speeds_entry, by name. */
+		GHashTable *recorded;
+		GHashTable *in_flight;
+		/** When the row was last recorded, and is to be examined next. */
+		int64_t recorded_ms;
+		int64_t due_ms;
+		/** Delay after a transaction with the row that failed, ms. */
+		int64_t retry_delay_ms;
+	} speeds;
+
 	/* holder/submissions.c */
 	/** Rows that wait to be written, oldest first. Elements: struct submission *. */
 	GQueue submissions;
@@ -416,6 +449,9 @@
 		int64_t *queries_answered;
 		int64_t *submissions;
 		int64_t *starts_withdrawn;
+		int64_t *speeds_recorded;
+		int64_t *speeds_taken_over;
+		int64_t *speeds_undecodable;
 	} metrics;
 };
 
--- a/holder/recovery.c
+++ b/holder/recovery.c
@@ -3,7 +3,8 @@
 #include "common/log.h"
 
 /* State that a new holder reads before it schedules: the progress of every job, then every job.
- * The rows contain the placement of each run, so that the workers need not be asked first: each
+ * What its predecessor had learned of the workers' speeds is read beside it and not waited for. The
+ * rows contain the placement of each run, so that the workers need not be asked first: each
  * recorded run counts as running until its worker reports otherwise. */
 
 /** Timeout of the first page, ms: longer than the answers of a store that is sixty times as slow
@@ -95,6 +96,7 @@
 	workers_begin (holder);
 	inbox_begin (holder);
 	read_progress (holder);
+	speeds_begin (holder);
 }
 
 void
@@ -120,6 +122,7 @@
 	g_clear_pointer (&holder->jobs_subscription, dff_subscription_free);
 	g_clear_pointer (&holder->progress_scan, dff_scan_free);
 	inbox_reset (holder);
+	speeds_reset (holder);
 	g_clear_pointer (&holder->recorded, g_hash_table_unref);
 	g_clear_pointer (&holder->dirty, g_hash_table_unref);
 }
--- /dev/null
+++ b/holder/speeds.c
@@ -0,0 +1,446 @@
+#include "holder/holder_private.h"
+
+#include <jansson.h>
+#include <math.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/log.h"
+#include "graph/json.h"
+
+/* How fast the workers are, as found by the core, in one row, so that the next holder starts with
+ * it. The row is written with the holder's transactions, only while the workers differ in speed.
+ * At a takeover it is read beside the jobs. Each value is kept until the worker's first answer
+ * shows its incarnation: what is known of a former incarnation does not apply to the next. */
+
+/** Least interval between two writes of the row, ms. */
+#define WRITE_INTERVAL_MS 2000
+/** Interval at which changes are looked for, ms: the core's own interval of updates. */
+#define CHECK_INTERVAL_MS 500
+/** Age at which the row is written although it has not changed, ms: what it holds decays with its
+ * age. */
+#define REFRESH_MS 5000
+/** Longest delay after a transaction with the row that failed, ms: the delay is doubled each time.
+ */
+#define RETRY_DELAY_MAX_MS 32000
+/** Change of a worker's relative duration that is written, in standard deviations between workers.
+ */
+#define CHANGE_DEVIATIONS 0.1
+/** Size of the row, bytes: in base64 it has to stay below DFF_ROW_VALUE_MAX. */
+#define BYTES_MAX 44000
+/** Bytes of the row without its workers, at most. */
+#define FRAME_BYTES 200
+/** Timeout of a read, ms: as for the other reads of a takeover. */
+#define READ_TIMEOUT_MS 1500
+#define READS_MAX 3
+
+/** Units of the row's variances and weights in 1, and of relative durations in a logarithm of 1. */
+#define VARIANCE_PARTS 1e6
+#define WEIGHT_PARTS 100.0F
+#define LOG_PARTS 1000.0
+
+void
+speeds_row_init (struct speeds_row *row)
+{
+	*row = (struct speeds_row){.entries =
+					   g_array_new (FALSE, TRUE, sizeof (struct speeds_entry))};
+}
+
+void
+speeds_row_clear (struct speeds_row *row)
+{
+	g_clear_pointer (&row->entries, g_array_unref);
+}
+
+static const struct speeds_entry *
+entry_at (const struct speeds_row *row, guint index)
+{
+	return &g_array_index (row->entries, struct speeds_entry, index);
+}
+
+/* Sorts by difference from the mean, largest first. */
+static int
+compare_entries (gconstpointer a, gconstpointer b)
+{
+	const struct speeds_entry *one = a;
+	const struct speeds_entry *other = b;
+	int order = abs (other->duration.relative) - abs (one->duration.relative);
+	return order != 0 ? order
+			  : dff_name_compare (&one->duration.worker, &other->duration.worker);
+}
+
+static json_int_t
+encode_weight (float weight)
+{
+	return (json_int_t)lroundf (weight * WEIGHT_PARTS);
+}
+
+static json_int_t
+encode_variance (float variance)
+{
+	return (json_int_t)lround ((double)variance * VARIANCE_PARTS);
+}
+
+/* Returns: the size of an entry in the row, bytes. */
+static size_t
+entry_size (const struct speeds_entry *entry)
+{
+	int length =
+		g_snprintf (NULL, 0, "[\"%s\",%" G_GINT64_FORMAT ",%d,%" JSON_INTEGER_FORMAT "],",
+			    entry->duration.worker.data, entry->started_ms,
+			    entry->duration.relative, encode_weight (entry->duration.weight));
+	return (size_t)length;
+}
+
+static json_t *
+encode_entries (const struct speeds_row *row)
+{
+	json_t *workers = json_array ();
+	size_t bytes = FRAME_BYTES;
+	for (guint i = 0; i < row->entries->len; i++) {
+		const struct speeds_entry *entry = entry_at (row, i);
+		bytes += entry_size (entry);
+		if (bytes > BYTES_MAX)
+			break;
+		json_array_append_new (
+			workers, json_pack ("[s, I, i, I]", entry->duration.worker.data,
+					    (json_int_t)entry->started_ms, entry->duration.relative,
+					    encode_weight (entry->duration.weight)));
+	}
+	return workers;
+}
+
+GString *
+speeds_encode (const struct speeds_row *row)
+{
+	g_array_sort (row->entries, compare_entries);
+	return dff_json_print (json_pack (
+		"{s:I, s:I, s:I, s:o}", "written_ms", (json_int_t)row->written_ms,
+		"worker_variance", encode_variance (row->variances.workers), "task_variance",
+		encode_variance (row->variances.tasks), "workers", encode_entries (row)));
+}
+
+static bool
+decode_entry (const json_t *array, struct speeds_entry *entry)
+{
+	const json_t *name = json_array_get (array, 0);
+	struct dff_str text = {json_string_value (name), json_string_length (name)};
+	*entry = (struct speeds_entry){0};
+	if (!json_is_string (name) || !dff_name_parse (text, &entry->duration.worker))
+		return false;
+	entry->started_ms = json_integer_value (json_array_get (array, 1));
+	entry->duration.relative = dff_json_int32_at (array, 2);
+	entry->duration.weight = (float)dff_json_int32_at (array, 3) / WEIGHT_PARTS;
+	return entry->duration.weight > 0.0F;
+}
+
+static float
+decode_variance (const json_t *root, const char *key)
+{
+	return (float)((double)dff_json_int (root, key) / VARIANCE_PARTS);
+}
+
+static bool
+decode_root (const json_t *root, struct speeds_row *row)
+{
+	const json_t *workers = json_object_get (root, "workers");
+	row->written_ms = dff_json_int (root, "written_ms");
+	row->variances.workers = decode_variance (root, "worker_variance");
+	row->variances.tasks = decode_variance (root, "task_variance");
+	if (row->written_ms <= 0 || row->variances.workers <= 0.0F ||
+	    row->variances.tasks <= 0.0F || !json_is_array (workers))
+		return false;
+	for (size_t i = 0; i < json_array_size (workers); i++) {
+		struct speeds_entry entry;
+		if (decode_entry (json_array_get (workers, i), &entry))
+			g_array_append_val (row->entries, entry);
+	}
+	return true;
+}
+
+bool
+speeds_decode (struct dff_str text, struct speeds_row *row)
+{
+	json_t *root = json_loadb (text.data, text.len, 0, NULL);
+	bool decoded = decode_root (root, row);
+	json_decref (root);
+	return decoded;
+}
+
+static GHashTable *
+entry_table_new (void)
+{
+	return g_hash_table_new_full (dff_name_hash, dff_name_equal_func, NULL, g_free);
+}
+
+static void
+entry_table_add (GHashTable *table, const struct speeds_entry *entry)
+{
+	struct speeds_entry *copy = g_memdup2 (entry, sizeof (*entry));
+	g_hash_table_replace (table, &copy->duration.worker, copy);
+}
+
+/* Takeover. */
+
+static int64_t
+age_ms (const struct dff_holder *holder)
+{
+	return holder_now_ms (holder) - holder->speeds.valid_ms;
+}
+
+static void
+log_taken_over (struct dff_holder *holder)
+{
+	dff_log (DFF_LOG_CELL, DFF_LOG_INFO,
+		 "Speeds of workers taken over. epoch=%" PRId64
+		 " workers=%u restarted=%u unknown=%u age_ms=%" PRId64,
+		 holder->epoch, holder->speeds.n_imported, holder->speeds.n_restarted,
+		 g_hash_table_size (holder->speeds.pending), age_ms (holder));
+}
+
+/* Returns: whether nothing is left to do about an entry. */
+static bool
+apply_entry (struct dff_holder *holder, const struct speeds_entry *entry)
+{
+	const struct holder_worker *worker = workers_find (holder, &entry->duration.worker);
+	if (worker == NULL || worker->answered_ms == 0 || !incarnation_is_confirmed (worker))
+		return false;
+	if (worker->upstream.incarnation.started_ms != entry->started_ms) {
+		holder->speeds.n_restarted++;
+		return true;
+	}
+	if (!dff_core_import_duration (holder->core, &entry->duration, &holder->speeds.variances,
+				       age_ms (holder), holder_now_ms (holder)))
+		return false;
+	holder->speeds.n_imported++;
+	(*holder->metrics.speeds_taken_over)++;
+	return true;
+}
+
+void
+speeds_step (struct dff_holder *holder)
+{
+	GHashTable *pending = holder->speeds.pending;
+	if (g_hash_table_size (pending) == 0)
+		return;
+	GHashTableIter iter;
+	gpointer value;
+	g_hash_table_iter_init (&iter, pending);
+	while (g_hash_table_iter_next (&iter, NULL, &value)) {
+		if (apply_entry (holder, value))
+			g_hash_table_iter_remove (&iter);
+	}
+	bool expired = age_ms (holder) > DFF_DURATION_EXPIRY_MS;
+	if (g_hash_table_size (pending) > 0 && !expired)
+		return;
+	log_taken_over (holder);
+	g_hash_table_remove_all (pending);
+}
+
+static void
+handle_undecodable (struct dff_holder *holder, const struct dff_row *row)
+{
+	(*holder->metrics.speeds_undecodable)++;
+	dff_log (DFF_LOG_CELL, DFF_LOG_WARNING,
+		 "Recorded speeds of workers cannot be read. epoch=%" PRId64 " revision=%" PRId64
+		 " bytes=%zu",
+		 holder->epoch, row->revision, row->value.len);
+}
+
+static void
+take_over_row (struct dff_holder *holder, const struct dff_row *stored)
+{
+	struct speeds_row row;
+	speeds_row_init (&row);
+	if (!speeds_decode (stored->value, &row)) {
+		handle_undecodable (holder, stored);
+		speeds_row_clear (&row);
+		return;
+	}
+	int64_t written_ms_ago = dff_clock_wall_ms (holder->options.timers->clock) - row.written_ms;
+	holder->speeds.variances = row.variances;
+	holder->speeds.valid_ms = holder_now_ms (holder) - MAX (written_ms_ago, 0);
+	for (guint i = 0; i < row.entries->len; i++)
+		entry_table_add (holder->speeds.pending, entry_at (&row, i));
+	dff_log (DFF_LOG_CELL, DFF_LOG_INFO,
+		 "Recorded speeds of workers read. epoch=%" PRId64 " workers=%u age_ms=%" PRId64
+		 " spread=%.3f",
+		 holder->epoch, row.entries->len, written_ms_ago, sqrt (row.variances.workers));
+	speeds_row_clear (&row);
+	holder_wake (holder);
+}
+
+static void read_row (struct dff_holder *holder);
+
+static void
+handle_row (void *user, const struct dff_rows_result *result)
+{
+	g_autofree struct holder_call *call = user;
+	struct dff_holder *holder = holder_call_end (call);
+	if (holder == NULL)
+		return;
+	holder->speeds.reading = false;
+	if (result->outcome != DFF_ROWS_DONE) {
+		if (holder->speeds.n_reads < READS_MAX)
+			read_row (holder);
+		return;
+	}
+	if (result->n_rows > 0)
+		take_over_row (holder, &result->rows[0]);
+}
+
+static void
+read_row (struct dff_holder *holder)
+{
+	holder->speeds.reading = true;
+	holder->speeds.n_reads++;
+	struct dff_rows_range range = {.table = DFF_TABLE_CELL,
+				       .from = dff_str_from (DFF_KEY_SPEEDS),
+				       .to = dff_str_from (DFF_KEY_SPEEDS "!"),
+				       .limit = 1,
+				       .timeout_ms = READ_TIMEOUT_MS};
+	holder->options.rows->get (holder->options.rows->ctx, &range, handle_row,
+				   holder_call_begin (holder, sizeof (struct holder_call)));
+}
+
+void
+speeds_begin (struct dff_holder *holder)
+{
+	holder->speeds.pending = entry_table_new ();
+	holder->speeds.retry_delay_ms = WRITE_INTERVAL_MS;
+	read_row (holder);
+}
+
+void
+speeds_reset (struct dff_holder *holder)
+{
+	g_clear_pointer (&holder->speeds.pending, g_hash_table_unref);
+	g_clear_pointer (&holder->speeds.recorded, g_hash_table_unref);
+	g_clear_pointer (&holder->speeds.in_flight, g_hash_table_unref);
+	memset (&holder->speeds, 0, sizeof (holder->speeds));
+}
+
+/* Writes. */
+
+/* Adds the values that wait for their workers, so that the next holder gets them too. */
+static void
+add_pending (const struct dff_holder *holder, GHashTable *entries)
+{
+	GHashTableIter iter;
+	gpointer value;
+	g_hash_table_iter_init (&iter, holder->speeds.pending);
+	while (g_hash_table_iter_next (&iter, NULL, &value)) {
+		struct speeds_entry entry = *(const struct speeds_entry *)value;
+		dff_core_age_duration (&entry.duration, &holder->speeds.variances, age_ms (holder));
+		if (entry.duration.weight > 0.0F)
+			entry_table_add (entries, &entry);
+	}
+}
+
+/* Returns: (transfer full) (nullable): what is known now; NULL when the workers are alike. */
+static GHashTable *
+collect_entries (struct dff_holder *holder, struct dff_duration_variances *variances)
+{
+	g_autoptr (GArray) durations =
+		g_array_new (FALSE, FALSE, sizeof (struct dff_worker_duration));
+	if (!dff_core_export_durations (holder->core, durations, variances))
+		return NULL;
+	GHashTable *entries = entry_table_new ();
+	add_pending (holder, entries);
+	for (guint i = 0; i < durations->len; i++) {
+		struct speeds_entry entry = {
+			.duration = g_array_index (durations, struct dff_worker_duration, i)};
+		const struct holder_worker *worker = workers_find (holder, &entry.duration.worker);
+		if (worker == NULL)
+			continue;
+		entry.started_ms = worker->upstream.incarnation.started_ms;
+		entry_table_add (entries, &entry);
+	}
+	return entries;
+}
+
+/* Whether a worker has come or gone since the row was recorded, or its value has changed. */
+static bool
+has_changed (const struct dff_holder *holder,
+	     GHashTable *entries,
+	     const struct dff_duration_variances *variances)
+{
+	GHashTable *recorded = holder->speeds.recorded;
+	if (recorded == NULL || g_hash_table_size (recorded) != g_hash_table_size (entries))
+		return true;
+	double limit = CHANGE_DEVIATIONS * sqrt (variances->workers) * LOG_PARTS;
+	GHashTableIter iter;
+	gpointer key, value;
+	g_hash_table_iter_init (&iter, entries);
+	while (g_hash_table_iter_next (&iter, &key, &value)) {
+		const struct speeds_entry *entry = value;
+		const struct speeds_entry *before = g_hash_table_lookup (recorded, key);
+		if (before == NULL || before->started_ms != entry->started_ms ||
+		    abs (entry->duration.relative - before->duration.relative) > limit)
+			return true;
+	}
+	return false;
+}
+
+static GString *
+encode_table (const struct dff_holder *holder,
+	      GHashTable *entries,
+	      const struct dff_duration_variances *variances)
+{
+	struct speeds_row row;
+	speeds_row_init (&row);
+	row.written_ms = dff_clock_wall_ms (holder->options.timers->clock);
+	row.variances = *variances;
+	GHashTableIter iter;
+	gpointer value;
+	g_hash_table_iter_init (&iter, entries);
+	while (g_hash_table_iter_next (&iter, NULL, &value))
+		g_array_append_vals (row.entries, value, 1);
+	GString *text = speeds_encode (&row);
+	speeds_row_clear (&row);
+	return text;
+}
+
+void
+speeds_draft (struct dff_holder *holder, struct draft *draft)
+{
+	int64_t now_ms = holder_now_ms (holder);
+	/* What the former holder has recorded is not overwritten before it is read. */
+	if (holder->speeds.reading || now_ms < holder->speeds.due_ms)
+		return;
+	holder->speeds.due_ms = now_ms + CHECK_INTERVAL_MS;
+	struct dff_duration_variances variances;
+	g_autoptr (GHashTable) entries = collect_entries (holder, &variances);
+	bool old = now_ms - holder->speeds.recorded_ms >= REFRESH_MS;
+	if (entries == NULL || g_hash_table_size (entries) == 0 ||
+	    (!old && !has_changed (holder, entries, &variances)))
+		return;
+	if (!draft_row (draft, DFF_TABLE_CELL, DFF_KEY_SPEEDS,
+			encode_table (holder, entries, &variances)))
+		return;
+	holder->speeds.in_flight = g_steal_pointer (&entries);
+}
+
+void
+speeds_note_written (struct dff_holder *holder)
+{
+	if (holder->speeds.in_flight == NULL)
+		return;
+	g_clear_pointer (&holder->speeds.recorded, g_hash_table_unref);
+	holder->speeds.recorded = g_steal_pointer (&holder->speeds.in_flight);
+	holder->speeds.recorded_ms = holder_now_ms (holder);
+	holder->speeds.due_ms = holder->speeds.recorded_ms + WRITE_INTERVAL_MS;
+	holder->speeds.retry_delay_ms = WRITE_INTERVAL_MS;
+	(*holder->metrics.speeds_recorded)++;
+}
+
+/* A store that refuses the row refuses the whole transaction, so the next one goes without it. */
+void
+speeds_note_unwritten (struct dff_holder *holder)
+{
+	if (holder->speeds.in_flight == NULL)
+		return;
+	g_clear_pointer (&holder->speeds.in_flight, g_hash_table_unref);
+	holder->speeds.due_ms = holder_now_ms (holder) + holder->speeds.retry_delay_ms;
+	holder->speeds.retry_delay_ms = MIN (holder->speeds.retry_delay_ms * 2, RETRY_DELAY_MAX_MS);
+}
--- a/include/core/core.h
+++ b/include/core/core.h
@@ -254,6 +254,62 @@
 /** Returns: whether a worker's leases are within its capacity, which may have shrunk since. */
 bool dff_core_worker_within_capacity (const struct dff_core *core, const struct dff_name *worker);
 
+/** Age at which a sample of a worker's speed, or an imported relative duration, is dropped, ms. */
+#define DFF_DURATION_EXPIRY_MS 120000
+
+/** What is known about the speed of a worker. */
+struct dff_worker_duration {
+	struct dff_name worker;
+	/** Duration of tasks there relative to the mean of all workers: natural logarithm, in
+	 * thousandths. */
+	int32_t relative;
+	/** Weight of the samples that it was computed from: their number, less the older they are.
+	 */
+	float weight;
+};
+
+/** Variances of the logarithm of task durations: between workers, and of one step's tasks on one
+ * worker. */
+struct dff_duration_variances {
+	float workers;
+	float tasks;
+};
+
+/**
+ * dff_core_export_durations:
+ * @durations: elements: struct dff_worker_duration; emptied, then filled with every declared worker
+ *   that there are samples of
+ * @variances: (out): the variances that the relative durations were computed with
+ *
+ * Returns: whether the workers differ in speed; when they count as equally fast, nothing is filled
+ * in.
+ */
+bool dff_core_export_durations (const struct dff_core *core,
+				GArray *durations,
+				struct dff_duration_variances *variances);
+
+/**
+ * dff_core_import_duration:
+ * @variances: those that @duration was exported with
+ * @age_ms: time since the export
+ *
+ * Sets what a former core had learned about a worker. It counts as the samples that it was computed
+ * from, and decays as they do. The variances are taken over unless the core knows better ones.
+ *
+ * Returns: false when the worker is not known. Values that are out of range or too old are ignored.
+ */
+bool dff_core_import_duration (struct dff_core *core,
+			       const struct dff_worker_duration *duration,
+			       const struct dff_duration_variances *variances,
+			       int64_t age_ms,
+			       int64_t now_ms);
+
+/** Reduces what was exported to what is left of it after @age_ms. The weight is 0 when it is too
+ * old, or when a value is out of range. */
+void dff_core_age_duration (struct dff_worker_duration *duration,
+			    const struct dff_duration_variances *variances,
+			    int64_t age_ms);
+
 struct dff_core_stats {
 	/** Jobs by phase. @ended counts all since the core was created, so that the sum is the
 	 * number of jobs that the core was given. */
--- a/include/holder/tables.h
+++ b/include/holder/tables.h
@@ -9,10 +9,11 @@
 /** Entries that workers write about themselves, by worker. */
 #define DFF_TABLE_UPSTREAMS "upstreams"
 /** DFF_KEY_HOLDER: the holder and its epoch. DFF_KEY_WAITING: number of jobs that have not begun,
- * by class. */
+ * by class. DFF_KEY_SPEEDS: how fast workers were found to be, see holder/speeds.c. */
 #define DFF_TABLE_CELL "cell"
 #define DFF_KEY_HOLDER "holder"
 #define DFF_KEY_WAITING "waiting"
+#define DFF_KEY_SPEEDS "speeds"
 /** Accepted jobs, by job: what was submitted; immutable. JOB DFF_KEY_CANCEL_SUFFIX: its
  * cancellation. */
 #define DFF_TABLE_JOBS "jobs"
