core: what relative durations were computed from is kept beside the workers

Cause: test-capacity failed, a worker in the core had grown from 240 to 264 bytes. Change: weights and imported values are in a table of their own, which is empty until durations are reported or imported. Result: test-capacity, test-pace and test-core-golden pass.

--- a/core/core.c
+++ b/core/core.c
@@ -90,6 +90,7 @@
 	g_hash_table_unref (core->classes);
 	g_hash_table_unref (core->estimators);
 	g_hash_table_unref (core->peer_groups);
+	g_array_unref (core->duration_bases);
 	g_hash_table_unref (core->worker_index);
 	g_hash_table_unref (core->team_index);
 	g_array_unref (core->workers);
--- a/core/core_tables.h
+++ b/core/core_tables.h
@@ -79,13 +79,6 @@
 	/** Estimated duration of tasks here relative to the mean of all workers: natural logarithm,
 	 * in thousandths. */
 	int16_t relative_duration;
-	/** Weight of the samples that @relative_duration was computed from. */
-	float duration_weight;
-	/** Relative duration that was imported, as the mean of samples that had the weight
-	 * @prior_weight at @prior_ms: natural logarithm. The weight is 0 without an import. */
-	float prior_mean;
-	float prior_weight;
-	int64_t prior_ms;
 	/** Time of the last failure of a run here; 0: never. */
 	int64_t failed_ms;
 	/** End of its quarantine, or of the wait for a probe. */
@@ -94,6 +87,17 @@
 	GPtrArray *occupants;
 };
 
+/** What a worker's relative duration was computed from. */
+struct dff_core_duration_basis {
+	/** Weight of the samples and of the imported relative duration together. */
+	float weight;
+	/** Imported relative duration, as the mean of samples that had the weight @prior_weight at
+	 * @prior_ms: natural logarithm. The weight is 0 without an import. */
+	float prior_mean;
+	float prior_weight;
+	int64_t prior_ms;
+};
+
 struct dff_core_region {
 	struct dff_name name;
 	/** Accelerators of its declared workers. */
@@ -413,6 +417,9 @@
 	int64_t duration_review_ms;
 	/** Whether @worker_variance and @task_variance were learned or imported. */
 	bool variances_known;
+	/** By worker; shorter than @workers as long as nothing is known of the last ones. Elements:
+	 * struct dff_core_duration_basis. */
+	GArray *duration_bases;
 	/** Whether a worker has an imported relative duration that still counts. */
 	bool has_priors;
 	/** Queues by state. Deadlines rise along each of them, except in @delayed. */
--- a/core/relative_duration.c
+++ b/core/relative_duration.c
@@ -72,6 +72,20 @@
 	return (float)worker->relative_duration / LOG_PARTS;
 }
 
+static struct dff_core_duration_basis *
+basis_at (const struct dff_core *core, int32_t worker)
+{
+	return &g_array_index (core->duration_bases, struct dff_core_duration_basis, worker);
+}
+
+/* Adds the entries of workers that are new. */
+static void
+extend_bases (struct dff_core *core)
+{
+	if (core->duration_bases->len < core->workers->len)
+		g_array_set_size (core->duration_bases, core->workers->len);
+}
+
 static const struct sample *
 sample_at (const struct peer_group *group, guint index)
 {
@@ -202,8 +216,8 @@
 		remove_samples (core, value, index);
 	struct dff_core_worker *worker = dff_core_worker_at (core, index);
 	worker->relative_duration = 0;
-	worker->duration_weight = 0.0F;
-	worker->prior_weight = 0.0F;
+	if (index < (int32_t)core->duration_bases->len)
+		*basis_at (core, index) = (struct dff_core_duration_basis){0};
 }
 
 static void
@@ -229,22 +243,24 @@
 
 /* Adds the imported relative duration of a worker to the sum of its samples. */
 static void
-add_prior (const struct dff_core *core, const struct dff_core_worker *worker, struct sum *sum)
+add_prior (const struct dff_core *core,
+	   const struct dff_core_duration_basis *basis,
+	   struct sum *sum)
 {
-	float weight = worker->prior_weight * weight_left (core->now_ms - worker->prior_ms);
+	float weight = basis->prior_weight * weight_left (core->now_ms - basis->prior_ms);
 	sum->count += weight;
-	sum->total += worker->prior_mean * weight;
+	sum->total += basis->prior_mean * weight;
 }
 
 static void
 drop_expired_priors (struct dff_core *core)
 {
 	core->has_priors = false;
-	for (guint i = 0; i < core->workers->len; i++) {
-		struct dff_core_worker *worker = dff_core_worker_at (core, (int32_t)i);
-		if (core->now_ms - worker->prior_ms > DFF_DURATION_EXPIRY_MS)
-			worker->prior_weight = 0.0F;
-		core->has_priors |= worker->prior_weight > 0.0F;
+	for (guint i = 0; i < core->duration_bases->len; i++) {
+		struct dff_core_duration_basis *basis = basis_at (core, (int32_t)i);
+		if (core->now_ms - basis->prior_ms > DFF_DURATION_EXPIRY_MS)
+			basis->prior_weight = 0.0F;
+		core->has_priors |= basis->prior_weight > 0.0F;
 	}
 }
 
@@ -264,11 +280,12 @@
 	float prior_weight = core->task_variance / core->worker_variance;
 	for (guint i = 0; i < core->workers->len; i++) {
 		struct dff_core_worker *worker = dff_core_worker_at (core, (int32_t)i);
+		struct dff_core_duration_basis *basis = basis_at (core, (int32_t)i);
 		struct sum sum = sums[i];
-		if (worker->prior_weight > 0.0F)
-			add_prior (core, worker, &sum);
+		if (basis->prior_weight > 0.0F)
+			add_prior (core, basis, &sum);
 		worker->relative_duration = to_relative (sum.total / (sum.count + prior_weight));
-		worker->duration_weight = sum.count;
+		basis->weight = sum.count;
 	}
 }
 
@@ -309,6 +326,7 @@
 		return;
 	core->duration_review_ms = core->now_ms + REVIEW_MS;
 	drop_expired (core);
+	extend_bases (core);
 	if (core->has_priors)
 		drop_expired_priors (core);
 	g_autoptr (GArray) table = g_array_new (FALSE, TRUE, sizeof (struct sum));
@@ -336,13 +354,14 @@
 						     .tasks = core->task_variance};
 	if (are_alike (core))
 		return false;
-	for (guint i = 0; i < core->workers->len; i++) {
+	for (guint i = 0; i < core->duration_bases->len; i++) {
 		const struct dff_core_worker *worker = dff_core_worker_at (core, (int32_t)i);
-		if (worker->rack == DFF_CORE_NONE || worker->duration_weight <= 0.0F)
+		float weight = basis_at (core, (int32_t)i)->weight;
+		if (worker->rack == DFF_CORE_NONE || weight <= 0.0F)
 			continue;
 		struct dff_worker_duration duration = {.worker = worker->name,
 						       .relative = worker->relative_duration,
-						       .weight = worker->duration_weight};
+						       .weight = weight};
 		g_array_append_val (durations, duration);
 	}
 	return true;
@@ -418,16 +437,17 @@
 	core->now_ms = now_ms;
 	if (!core->variances_known)
 		import_variances (core, variances);
-	struct dff_core_worker *worker = dff_core_worker_at (core, index);
-	worker->prior_mean = mean_of_samples (duration, variances);
-	worker->prior_weight = duration->weight;
-	worker->prior_ms = now_ms - MAX (age_ms, 0);
+	extend_bases (core);
+	struct dff_core_duration_basis *basis = basis_at (core, index);
+	basis->prior_mean = mean_of_samples (duration, variances);
+	basis->prior_weight = duration->weight;
+	basis->prior_ms = now_ms - MAX (age_ms, 0);
 	core->has_priors = true;
 	/* The next review adds the samples that the core has itself. */
-	if (worker->duration_weight > 0.0F)
+	if (basis->weight > 0.0F)
 		return true;
-	worker->relative_duration = (int16_t)aged.relative;
-	worker->duration_weight = aged.weight;
+	basis->weight = aged.weight;
+	dff_core_worker_at (core, index)->relative_duration = (int16_t)aged.relative;
 	return true;
 }
 
@@ -458,6 +478,7 @@
 {
 	core->peer_groups =
 		g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, free_peer_group);
+	core->duration_bases = g_array_new (FALSE, TRUE, sizeof (struct dff_core_duration_basis));
 	core->task_variance = TASK_VARIANCE;
 	core->worker_variance = WORKER_VARIANCE;
 }
