tests: relative durations across changes of the holder

Cause: the failures that the recorded relative durations can meet had no tests. The stand-ins get workers of unequal speed, a key that the store refuses and one whose reads are not answered.

--- a/include/standin/memory_rows.h
+++ b/include/standin/memory_rows.h
@@ -22,6 +22,10 @@
 	bool silent;
 	/** Every call fails without an effect. */
 	bool refuses;
+	/** (nullable): commits that write a row with this key are refused. Static. */
+	const char *refused_key;
+	/** (nullable): reads from this key on take no effect and are not answered. Static. */
+	const char *silent_key;
 	/** Feeds report no changes. */
 	bool feeds_held;
 	/** Commits per thousand that take effect and whose answer is lost. */
--- a/include/standin/memory_runner.h
+++ b/include/standin/memory_runner.h
@@ -53,6 +53,8 @@
 	int32_t answer_ms;
 	/** Tasks make no progress. */
 	bool hung;
+	/** Duration of tasks relative to their nominal one, per thousand; 0: the nominal one. */
+	int32_t duration_permille;
 	/** Starts are refused with UNHEALTHY. */
 	bool refuses;
 	/** Every running task fails immediately. */
--- a/standin/memory_rows.c
+++ b/standin/memory_rows.c
@@ -395,6 +395,24 @@
 	dff_virtual_loop_schedule (rows->loop, end_ms, fail_unanswered, call);
 }
 
+static bool
+is_read_from (const struct call *call, const char *key)
+{
+	return key != NULL && call->kind == DFF_CALL_GET && strcmp (call->from->str, key) == 0;
+}
+
+static bool
+writes_key (const struct call *call, const char *key)
+{
+	for (guint i = 0; key != NULL && i < call->writes->len; i++) {
+		const struct dff_rows_write *write =
+			&g_array_index (call->writes, struct dff_rows_write, i);
+		if (dff_str_equal (write->key, dff_str_from (key)))
+			return true;
+	}
+	return false;
+}
+
 static void
 submit (struct call *call)
 {
@@ -402,12 +420,12 @@
 	const struct dff_memory_rows_faults *faults = &call->client->faults;
 	int64_t now_ms = dff_virtual_loop_now_ms (rows->loop);
 	int32_t chance = g_rand_int_range (rows->rand, 0, 1000);
-	if (faults->silent) {
+	if (faults->silent || is_read_from (call, faults->silent_key)) {
 		dff_virtual_loop_schedule (rows->loop, call->timeout_ms - now_ms, fail_unanswered,
 					   call);
 		return;
 	}
-	if (faults->refuses) {
+	if (faults->refuses || writes_key (call, faults->refused_key)) {
 		/* The call ends as a read, with NOT_DONE: a refused commit certainly has no effect.
 		 */
 		call->kind = DFF_CALL_GET;
--- a/standin/memory_runner_work.c
+++ b/standin/memory_runner_work.c
@@ -145,6 +145,16 @@
 	run->counted_ms = memory_runner_now_ms (runner);
 }
 
+static void
+count_work (const struct worker *worker, struct run *run, int64_t now_ms)
+{
+	int32_t permille = worker->faults.duration_permille;
+	int64_t worked_ms = (now_ms - run->counted_ms) * 1000 / (permille > 0 ? permille : 1000);
+	if (!worker->faults.hung)
+		run->done_ms += worked_ms;
+	run->counted_ms = now_ms;
+}
+
 /* Advances a run's work, and ends the run when it is due. Returns: whether it has ended. */
 static bool
 advance_run (struct worker *worker, struct run *run)
@@ -163,9 +173,7 @@
 		record_end (worker, run, DFF_RUN_GANG_TIMEOUT);
 		return true;
 	}
-	if (!worker->faults.hung)
-		run->done_ms += now_ms - run->counted_ms;
-	run->counted_ms = now_ms;
+	count_work (worker, run, now_ms);
 	bool fails = run->run <= run->spec.failing_runs &&
 		     run->done_ms >= run->spec.duration_ms / FAILS_AFTER;
 	if (fails || worker->faults.fails) {
--- a/tests/core/test-pace.c
+++ b/tests/core/test-pace.c
@@ -174,16 +174,253 @@
 	{.name = "nearly alike", .times = {1.0, 1.0, 1.1}, .worst = 1.1, .unchanged = true},
 };
 
+static void
+export_durations (const struct pool *pool,
+		  GArray *durations,
+		  struct dff_duration_variances *variances)
+{
+	assert_true (dff_core_export_durations (pool->core, durations, variances));
+	assert_int_equal (durations->len, WORKERS);
+}
+
+static void
+import_durations (struct pool *pool,
+		  const GArray *durations,
+		  const struct dff_duration_variances *variances,
+		  int64_t age_ms)
+{
+	for (guint i = 0; i < durations->len; i++)
+		assert_true (dff_core_import_duration (
+			pool->core, &g_array_index (durations, struct dff_worker_duration, i),
+			variances, age_ms, pool->now_ms));
+}
+
+static void
+send_unlike_steps (struct pool *pool, bool reversed)
+{
+	static const struct duration_case unlike = {.times = {0.6, 1.0, 1.6}};
+	static const struct duration_case swapped = {.times = {1.6, 1.0, 0.6}};
+	send_steps (pool, reversed ? &swapped : &unlike);
+}
+
+/* Returns: the number of gangs that got a worker of the slow third. */
+static int
+count_slow_gangs (struct pool *pool, int slow_third)
+{
+	int n_slow = 0;
+	for (int i = 0; i < GANGS; i++) {
+		struct dff_name names[MEMBERS];
+		bool slow = false;
+		place_gang (pool, i, names);
+		for (int j = 0; j < MEMBERS; j++)
+			slow |= atoi (names[j].data + 1) % 3 == slow_third;
+		n_slow += slow;
+	}
+	return n_slow;
+}
+
+struct import_case {
+	const char *name;
+	int64_t age_ms;
+	/** Time between the import and the first gang, ms. */
+	int64_t wait_ms;
+	/** Whether the imported values still count. */
+	bool counts;
+};
+
+/* Guards against a core that has to learn again what its predecessor knew, and against one that
+ * holds on to it for ever. */
+static void
+test_import (void **state)
+{
+	(void)state;
+	static const struct import_case import_cases[] = {
+		{"at once", 0, 0, true},
+		{"after a slow takeover", 5000, 0, true},
+		{"after the first review", 0, 600, true},
+		{"30 s later", 0, 30000, true},
+		{"30 s old, 30 s later", 30000, 30000, true},
+		{"too old", DFF_DURATION_EXPIRY_MS + 1, 0, false},
+		{"too old in the meantime", 60000, 61000, false},
+		{"too long ago", 0, DFF_DURATION_EXPIRY_MS + 600, false},
+		/* The clocks of the two processes differ. */
+		{"from the future", -5000, 0, true},
+	};
+	for (size_t i = 0; i < G_N_ELEMENTS (import_cases); i++) {
+		const struct import_case *at = &import_cases[i];
+		print_message ("%s\n", at->name);
+		struct pool former, pool, baseline;
+		open_pool (&former);
+		open_pool (&pool);
+		open_pool (&baseline);
+		send_unlike_steps (&former, false);
+		g_autoptr (GArray) durations =
+			g_array_new (FALSE, FALSE, sizeof (struct dff_worker_duration));
+		struct dff_duration_variances variances;
+		export_durations (&former, durations, &variances);
+		import_durations (&pool, durations, &variances, at->age_ms);
+		if (at->wait_ms > 0)
+			advance (&pool, at->wait_ms);
+		int n_slow = count_slow_gangs (&pool, 2);
+		if (at->counts)
+			assert_int_equal (n_slow, 0);
+		else
+			assert_int_equal (n_slow, count_slow_gangs (&baseline, 2));
+		close_pool (&former);
+		close_pool (&pool);
+		close_pool (&baseline);
+	}
+}
+
+/* Guards against values that change when they are handed on: the next core computes the same from
+ * them as the former did, and a third core the same again. */
+static void
+test_export_after_import (void **state)
+{
+	(void)state;
+	struct pool former, pool;
+	open_pool (&former);
+	open_pool (&pool);
+	send_unlike_steps (&former, false);
+	g_autoptr (GArray) durations =
+		g_array_new (FALSE, FALSE, sizeof (struct dff_worker_duration));
+	g_autoptr (GArray) again = g_array_new (FALSE, FALSE, sizeof (struct dff_worker_duration));
+	struct dff_duration_variances variances, variances_again;
+	export_durations (&former, durations, &variances);
+	import_durations (&pool, durations, &variances, 0);
+	for (int i = 0; i < 2; i++) {
+		export_durations (&pool, again, &variances_again);
+		assert_true (variances.workers == variances_again.workers);
+		assert_true (variances.tasks == variances_again.tasks);
+		for (guint j = 0; j < WORKERS; j++) {
+			const struct dff_worker_duration *one =
+				&g_array_index (durations, struct dff_worker_duration, j);
+			const struct dff_worker_duration *other =
+				&g_array_index (again, struct dff_worker_duration, j);
+			assert_string_equal (one->worker.data, other->worker.data);
+			assert_true (abs (one->relative - other->relative) <= 2);
+			assert_true (fabsf (one->weight - other->weight) <= one->weight / 100.0F);
+		}
+		/* The review computes the values anew. */
+		advance (&pool, 10);
+	}
+	close_pool (&former);
+	close_pool (&pool);
+}
+
+/* Guards against imported values that outweigh what the tasks show now: the workers that were fast
+ * have become slow. */
+static void
+test_samples_overrule_import (void **state)
+{
+	(void)state;
+	struct pool former, pool;
+	open_pool (&former);
+	open_pool (&pool);
+	send_unlike_steps (&former, false);
+	g_autoptr (GArray) durations =
+		g_array_new (FALSE, FALSE, sizeof (struct dff_worker_duration));
+	struct dff_duration_variances variances;
+	export_durations (&former, durations, &variances);
+	import_durations (&pool, durations, &variances, 0);
+	for (int i = 0; i < 5; i++)
+		send_unlike_steps (&pool, true);
+	advance (&pool, 1000);
+	assert_int_equal (count_slow_gangs (&pool, 0), 0);
+	close_pool (&former);
+	close_pool (&pool);
+}
+
+/* Guards against the export of fleets in which nothing was found. */
+static void
+test_export_of_alike_workers (void **state)
+{
+	(void)state;
+	static const struct duration_case alike = {.times = {1.0, 1.0, 1.0}};
+	struct pool pool;
+	open_pool (&pool);
+	g_autoptr (GArray) durations =
+		g_array_new (FALSE, FALSE, sizeof (struct dff_worker_duration));
+	struct dff_duration_variances variances;
+	assert_false (dff_core_export_durations (pool.core, durations, &variances));
+	send_steps (&pool, &alike);
+	assert_false (dff_core_export_durations (pool.core, durations, &variances));
+	assert_int_equal (durations->len, 0);
+	close_pool (&pool);
+}
+
+/* Guards against damaged values, which would make every worker slow, or none. */
+static void
+test_import_of_invalid_values (void **state)
+{
+	(void)state;
+	static const struct {
+		int32_t relative;
+		float weight;
+		struct dff_duration_variances variances;
+	} invalid[] = {{500, 0.0F, {0.16F, 0.07F}},      {500, -1.0F, {0.16F, 0.07F}},
+		       {500, NAN, {0.16F, 0.07F}},       {500, INFINITY, {0.16F, 0.07F}},
+		       {500, 1e9F, {0.16F, 0.07F}},      {500, 4.0F, {0.0F, 0.07F}},
+		       {500, 4.0F, {0.16F, 0.0F}},       {500, 4.0F, {-1.0F, 0.07F}},
+		       {500, 4.0F, {NAN, 0.07F}},        {500, 4.0F, {0.16F, INFINITY}},
+		       {500, 4.0F, {1e9F, 0.07F}},       {INT32_MAX, 4.0F, {0.16F, 0.07F}},
+		       {INT32_MIN, 4.0F, {0.16F, 0.07F}}};
+	for (size_t i = 0; i < G_N_ELEMENTS (invalid); i++) {
+		struct pool pool;
+		open_pool (&pool);
+		struct dff_worker_duration duration = {.worker = dff_name_from ("w1"),
+						       .relative = invalid[i].relative,
+						       .weight = invalid[i].weight};
+		dff_core_import_duration (pool.core, &duration, &invalid[i].variances, 0,
+					  pool.now_ms);
+		advance (&pool, 1000);
+		struct dff_core_stats stats;
+		dff_core_get_stats (pool.core, &stats);
+		assert_true (stats.duration_spread == 0.0);
+		close_pool (&pool);
+	}
+}
+
+/* Guards against dropping the value of a worker that the core does not know yet. */
+static void
+test_import_of_unknown_worker (void **state)
+{
+	(void)state;
+	struct pool pool;
+	open_pool (&pool);
+	struct dff_worker_duration duration = {
+		.worker = dff_name_from ("other"), .relative = 500, .weight = 4.0F};
+	struct dff_duration_variances variances = {0.16F, 0.07F};
+	assert_false (dff_core_import_duration (pool.core, &duration, &variances, 0, pool.now_ms));
+	close_pool (&pool);
+}
+
+/* Replaces a pool's core by one that has imported what it knew. */
+static void
+renew_pool (struct pool *pool)
+{
+	struct pool former = *pool;
+	g_autoptr (GArray) durations =
+		g_array_new (FALSE, FALSE, sizeof (struct dff_worker_duration));
+	struct dff_duration_variances variances;
+	export_durations (&former, durations, &variances);
+	open_pool (pool);
+	import_durations (pool, durations, &variances, 0);
+	close_pool (&former);
+}
+
 /* Guards against treating a restarted worker as slow because of its former incarnation. */
 static void
 test_restarted_worker (void **state)
 {
-	(void)state;
+	bool imported = *state != NULL;
 	static const struct duration_case unlike = {.times = {0.6, 1.0, 1.6}};
 	struct pool pool, baseline;
 	open_pool (&pool);
 	open_pool (&baseline);
 	send_steps (&pool, &unlike);
+	if (imported)
+		renew_pool (&pool);
 	for (int i = 0; i < WORKERS; i++) {
 		struct dff_event event = {.type = DFF_EVENT_WORKER_RESTARTED,
 					  .worker = dff_name_printf ("w%d", i)};
@@ -222,17 +459,30 @@
 	close_pool (&pool);
 }
 
+/** Number of tests that are not cases. */
+#define N_OTHER 9
+
 int
 main (void)
 {
-	struct CMUnitTest tests[G_N_ELEMENTS (cases) + 2] = {
+	static bool imported = true;
+	struct CMUnitTest tests[G_N_ELEMENTS (cases) + N_OTHER] = {
 		cmocka_unit_test (test_restarted_worker),
+		{.name = "test_restarted_worker, imported",
+		 .test_func = test_restarted_worker,
+		 .initial_state = &imported},
+		cmocka_unit_test (test_import),
+		cmocka_unit_test (test_export_after_import),
+		cmocka_unit_test (test_samples_overrule_import),
+		cmocka_unit_test (test_export_of_alike_workers),
+		cmocka_unit_test (test_import_of_invalid_values),
+		cmocka_unit_test (test_import_of_unknown_worker),
 		cmocka_unit_test (test_samples_are_bounded),
 	};
 	for (size_t i = 0; i < G_N_ELEMENTS (cases); i++) {
-		tests[2 + i] = (struct CMUnitTest){.name = cases[i].name,
-						   .test_func = test_gangs_avoid_slow_workers,
-						   .initial_state = (void *)&cases[i]};
+		tests[N_OTHER + i] = (struct CMUnitTest){.name = cases[i].name,
+							 .test_func = test_gangs_avoid_slow_workers,
+							 .initial_state = (void *)&cases[i]};
 	}
 	return cmocka_run_group_tests (tests, NULL, NULL);
 }
--- a/tests/holder/site.c
+++ b/tests/holder/site.c
@@ -366,7 +366,9 @@
 						    .crashed = site_workers_handle_crash,
 						    .ctx = site};
 	site->runner = dff_memory_runner_new (&options);
-	for (int i = 0; i < SITE_WORKERS; i++)
+	if (site->n_workers == 0)
+		site->n_workers = SITE_WORKERS;
+	for (int i = 0; i < site->n_workers; i++)
 		site_workers_add (site, i);
 	if (site->unenforced)
 		site_workers_write_entries (site);
@@ -436,6 +438,16 @@
 	open_site (site);
 }
 
+void
+site_open_with_durations (struct site *site, const int32_t duration_permille[SITE_PER_RACK])
+{
+	memset (site, 0, sizeof (*site));
+	site->same_ids = true;
+	site->n_workers = SITE_UNEQUAL_WORKERS;
+	memcpy (site->duration_permille, duration_permille, sizeof (site->duration_permille));
+	open_site (site);
+}
+
 void
 site_open_with_evacuations (struct site *site)
 {
--- a/tests/holder/site.h
+++ b/tests/holder/site.h
@@ -24,6 +24,8 @@
 
 #define SITE_PROCESSES 3
 #define SITE_WORKERS 6
+/** Number of workers of a site whose workers differ in speed: enough to compare them by. */
+#define SITE_UNEQUAL_WORKERS 18
 #define SITE_PER_RACK 3
 #define SITE_ACCELERATORS 8
 /** Number of failed runs of a task at which its job fails. */
@@ -75,6 +77,10 @@
 };
 
 struct site {
+	/** Number of workers, and the duration of tasks on those of each rack, in turn, relative to
+	 * the nominal one, per thousand; 0: the nominal one. */
+	int n_workers;
+	int32_t duration_permille[SITE_PER_RACK];
 	/** Whether calls to workers go through the other processes as relays. */
 	bool relays;
 	/** Whether processes subscribe to evacuation requests. */
@@ -84,24 +90,24 @@
 	/** Messages between processes. Elements: struct hop *, see site_links.c. */
 	GPtrArray *hops;
 	/** Time at which the evacuation of each data centre was requested, ms; 0: not requested. */
-	int64_t evacuated_ms[SITE_DATA_CENTRES];
+	int64_t evacuated_ms[SITE_UNEQUAL_WORKERS / SITE_PER_RACK];
 	struct dff_virtual_loop *loop;
 	struct dff_memory_rows *rows;
 	struct dff_memory_runner *runner;
 	struct site_process processes[SITE_PROCESSES];
 	/** Duration of a takeover by each process, ms; applies from its next start on. */
 	int64_t takeover_ms[SITE_PROCESSES];
-	struct dff_memory_worker_faults *workers[SITE_WORKERS];
-	int32_t worker_incarnations[SITE_WORKERS];
+	struct dff_memory_worker_faults *workers[SITE_UNEQUAL_WORKERS];
+	int32_t worker_incarnations[SITE_UNEQUAL_WORKERS];
 	/** Whether restarted workers keep their ids and report their start times. */
 	bool same_ids;
 	/** Accelerators of each worker's next incarnation; 0: the default. */
-	int32_t next_accelerators[SITE_WORKERS];
+	int32_t next_accelerators[SITE_UNEQUAL_WORKERS];
 	/** Accelerators of each worker. */
-	int32_t accelerators[SITE_WORKERS];
+	int32_t accelerators[SITE_UNEQUAL_WORKERS];
 	/** Whether workers do not enforce their capacity, and write their entries periodically. */
 	bool unenforced;
-	struct site_entry entries[SITE_WORKERS];
+	struct site_entry entries[SITE_UNEQUAL_WORKERS];
 	bool closing;
 	/** Time after which a worker that a task has crashed is restarted, ms; 0: never. */
 	int64_t restart_delay_ms;
@@ -125,6 +131,10 @@
 /** As site_open(), with restarted workers that keep their ids, with or without relays. */
 void site_open_with_same_ids (struct site *site, bool relays);
 
+/** As site_open_with_same_ids(), with SITE_UNEQUAL_WORKERS workers: tasks take as given for the
+ * workers of each rack, in turn, per thousand of the nominal duration. */
+void site_open_with_durations (struct site *site, const int32_t duration_permille[SITE_PER_RACK]);
+
 /** As site_open(), with evacuations of data centres. */
 void site_open_with_evacuations (struct site *site);
 
--- a/tests/holder/site_workers.c
+++ b/tests/holder/site_workers.c
@@ -1,6 +1,7 @@
 #include "tests/holder/site_workers.h"
 
 #include <stdio.h>
+#include <stdlib.h>
 
 /* The workers of a site: their incarnations and their entries in the store. */
 
@@ -59,7 +60,7 @@
 site_workers_write_entries (void *user)
 {
 	struct site *site = user;
-	for (int i = 0; i < SITE_WORKERS; i++) {
+	for (int i = 0; i < site->n_workers; i++) {
 		const struct site_entry *entry = &site->entries[i];
 		if (entry->listed)
 			put_worker (site, i, entry->leaving, entry->remaining_ms);
@@ -134,7 +135,7 @@
 	int32_t accelerators = site->next_accelerators[index] > 0 ? site->next_accelerators[index]
 								  : SITE_ACCELERATORS;
 	/* The clocks of the workers are up to 2% slow. */
-	int32_t clock_permille = 1000 - index * 4;
+	int32_t clock_permille = 1000 - index % SITE_WORKERS * 4;
 	site->accelerators[index] = accelerators;
 	site->workers[index] =
 		site->same_ids
@@ -142,6 +143,7 @@
 							    accelerators, clock_permille)
 			: dff_memory_runner_add (site->runner, id.data, address.data, accelerators,
 						 clock_permille);
+	site->workers[index]->duration_permille = site->duration_permille[index % SITE_PER_RACK];
 	site_list_worker (site, index, true, false);
 	set_start_deadline (site, index);
 }
@@ -155,7 +157,7 @@
 	else
 		dff_memory_rows_remove (site->rows, DFF_TABLE_CONFIG, key);
 	site->evacuated_ms[data_centre] = requested ? dff_virtual_loop_now_ms (site->loop) : 0;
-	for (int i = 0; i < SITE_WORKERS; i++)
+	for (int i = 0; i < site->n_workers; i++)
 		set_start_deadline (site, i);
 }
 
@@ -203,7 +205,7 @@
 site_workers_handle_crash (void *ctx, const char *id)
 {
 	struct site *site = ctx;
-	int index = id[1] - '0';
+	int index = atoi (id + 1);
 	struct crash crash = {.site = site,
 			      .index = index,
 			      .incarnation = site->worker_incarnations[index],
--- /dev/null
+++ b/tests/holder/test-holder-speeds.c
@@ -0,0 +1,487 @@
+#include "tests/holder/site.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "holder/holder_private.h"
+
+/* The relative durations of the workers across changes of the holder. In each rack, one worker is
+ * fast and one is slow, unless a test says otherwise. */
+
+static const int32_t unequal[SITE_PER_RACK] = {600, 1000, 1600};
+static const int32_t equal[SITE_PER_RACK] = {1000, 1000, 1000};
+
+/** Relative durations by the order of the workers in a rack, in thousandths of a logarithm. */
+static const int32_t relative[SITE_PER_RACK] = {-450, 0, 450};
+
+/** Time within which a holder that is killed is replaced, ms. */
+#define TAKEOVER_MAX_MS 1500
+/** Time that workers need to answer a new holder, ms. */
+#define ANSWER_MS 20
+/** Number of urgent single tasks and gangs that are placed after a takeover. */
+#define N_URGENT 6
+
+static int64_t
+count (const struct site *site, int process, const char *name)
+{
+	return *dff_metrics_counter (site->processes[process].metrics, name, "");
+}
+
+static const GString *
+peek_row (struct site *site)
+{
+	return dff_memory_rows_peek (site->rows, DFF_TABLE_CELL, DFF_KEY_SPEEDS);
+}
+
+/* Runs single tasks on all workers, until the holder can compare the workers. */
+static void
+learn (struct site *site)
+{
+	for (int i = 0; i < 4; i++) {
+		g_autofree char *id = g_strdup_printf ("1%d", i);
+		struct dff_plan *plan = site_plan (id, SITE_UNEQUAL_WORKERS, false, 1);
+		dff_plan_step (plan, 0)->per_worker = 1;
+		dff_plan_step (plan, 0)->estimate_ms = 6000;
+		assert_int_equal (site_submit (site, site_holder (site), plan), DFF_FRONT_OK);
+	}
+	site_run (site, 6000);
+}
+
+/* Kills the holder. Returns: the next holder, once it schedules. @took_ms: (out) (nullable). */
+static int
+replace_holder (struct site *site, int64_t *took_ms)
+{
+	site_kill_process (site, site_holder (site));
+	int64_t waited_ms = 0;
+	for (; site_holder (site) < 0; waited_ms++) {
+		assert_in_range (waited_ms, 0, TAKEOVER_MAX_MS);
+		site_run (site, 1);
+	}
+	if (took_ms != NULL)
+		*took_ms = waited_ms;
+	return site_holder (site);
+}
+
+/* Returns: the place in its rack of the worker that runs a task; -1: it does not run. */
+static int
+place_of (struct site *site, const char *task)
+{
+	const char *worker_id = dff_memory_runner_worker_of (site->runner, task);
+	return worker_id != NULL ? atoi (worker_id + 1) % SITE_PER_RACK : -1;
+}
+
+static void
+submit_urgent (struct site *site, int process, const char *id, int32_t n_tasks)
+{
+	struct dff_plan *plan = site_plan (id, n_tasks, n_tasks > 1, 4);
+	plan->priority = 0;
+	assert_int_equal (site_submit (site, process, plan), DFF_FRONT_OK);
+}
+
+/* Submits urgent work. Returns: how many of the units were placed without a slow worker: a unit is
+ * a single task or a gang of two. */
+static int
+place_urgent (struct site *site, int process, const char *prefix)
+{
+	int n_fast = 0;
+	for (int i = 0; i < N_URGENT; i++) {
+		bool gang = i % 2 == 1;
+		g_autofree char *id = g_strdup_printf ("%s%d", gang ? "5" : prefix, i);
+		g_autofree char *first = g_strdup_printf ("%s.0.0.0", id);
+		g_autofree char *second = g_strdup_printf ("%s.0.0.1", id);
+		submit_urgent (site, process, id, gang ? 2 : 1);
+		site_run (site, 100);
+		int worst = place_of (site, first);
+		assert_int_not_equal (worst, -1);
+		if (gang)
+			worst = MAX (worst, place_of (site, second));
+		n_fast += worst < SITE_PER_RACK - 1;
+		site_cancel (site, process, id);
+	}
+	return n_fast;
+}
+
+/* Guards against urgent work on slow workers after each change of the holder, because the next
+ * holder starts without what its predecessor had learned. Without the row, the same work gets slow
+ * workers. */
+static void
+test_next_holder_avoids_slow_workers (void **state)
+{
+	(void)state;
+	for (int recorded = 0; recorded < 2; recorded++) {
+		struct site site;
+		site_open_with_durations (&site, unequal);
+		learn (&site);
+		int holder = site_holder (&site);
+		assert_in_range (count (&site, holder, "dff_holder_speeds_recorded_total"), 1, 5);
+		assert_non_null (peek_row (&site));
+		if (recorded == 0)
+			dff_memory_rows_remove (site.rows, DFF_TABLE_CELL, DFF_KEY_SPEEDS);
+		int next = replace_holder (&site, NULL);
+		site_run (&site, ANSWER_MS);
+		assert_int_equal (count (&site, next, "dff_holder_speeds_taken_over_total"),
+				  recorded * SITE_UNEQUAL_WORKERS);
+		int n_fast = place_urgent (&site, next, "b");
+		if (recorded == 1)
+			assert_int_equal (n_fast, N_URGENT);
+		else
+			assert_in_range (n_fast, 0, N_URGENT - 1);
+		site_close (&site);
+	}
+}
+
+/* Guards against knowledge that is lost when a holder is killed shortly after its takeover, before
+ * its workers have answered or before it has compared them itself. */
+static void
+test_two_takeovers (void **state)
+{
+	(void)state;
+	static const int64_t between_ms[] = {0, 5, 100, 3000};
+	for (size_t i = 0; i < G_N_ELEMENTS (between_ms); i++) {
+		struct site site;
+		site_open_with_durations (&site, unequal);
+		learn (&site);
+		replace_holder (&site, NULL);
+		site_run (&site, between_ms[i]);
+		int last = replace_holder (&site, NULL);
+		site_run (&site, ANSWER_MS);
+		assert_int_equal (count (&site, last, "dff_holder_speeds_taken_over_total"),
+				  SITE_UNEQUAL_WORKERS);
+		assert_int_equal (place_urgent (&site, last, "b"), N_URGENT);
+		site_close (&site);
+	}
+}
+
+/* Returns: (transfer full): the row of a holder that has found the workers as they are. */
+static GString *
+row_text (struct site *site, int64_t age_ms)
+{
+	struct speeds_row row;
+	speeds_row_init (&row);
+	row.written_ms = dff_virtual_loop_now_ms (site->loop) - age_ms;
+	row.variances = (struct dff_duration_variances){.workers = 0.16F, .tasks = 0.07F};
+	for (int i = 0; i < SITE_UNEQUAL_WORKERS; i++) {
+		struct speeds_entry entry = {.duration = {.worker = dff_name_printf ("w%d", i),
+							  .relative = relative[i % SITE_PER_RACK],
+							  .weight = 4.0F}};
+		entry.started_ms =
+			dff_memory_runner_started_ms (site->runner, entry.duration.worker.data);
+		g_array_append_val (row.entries, entry);
+	}
+	GString *text = speeds_encode (&row);
+	speeds_row_clear (&row);
+	return text;
+}
+
+static void
+put_row (struct site *site, const char *text)
+{
+	dff_memory_rows_put (site->rows, DFF_TABLE_CELL, DFF_KEY_SPEEDS, dff_str_from (text));
+}
+
+/* Guards against a worker that counts as slow because its former incarnation was: it restarts
+ * before, during or after the takeover. */
+static void
+test_restarted_workers (void **state)
+{
+	(void)state;
+	static const struct {
+		/** When the slow workers restart, in relation to the kill of the holder. */
+		int64_t before_ms;
+		int64_t after_ms;
+		int64_t n_taken_over;
+	} cases[] = {
+		{200, 0, SITE_UNEQUAL_WORKERS / 3 * 2},
+		{0, 0, SITE_UNEQUAL_WORKERS / 3 * 2},
+		{0, TAKEOVER_MAX_MS + 100, SITE_UNEQUAL_WORKERS},
+	};
+	for (size_t i = 0; i < G_N_ELEMENTS (cases); i++) {
+		struct site site;
+		site_open_with_durations (&site, unequal);
+		site_run (&site, 1000);
+		g_autoptr (GString) text = row_text (&site, 0);
+		put_row (&site, text->str);
+		if (cases[i].after_ms > 0) {
+			replace_holder (&site, NULL);
+			site_run (&site, cases[i].after_ms);
+		}
+		for (int j = SITE_PER_RACK - 1; j < SITE_UNEQUAL_WORKERS; j += SITE_PER_RACK)
+			site_restart_worker (&site, j);
+		site_run (&site, cases[i].before_ms);
+		if (cases[i].after_ms == 0)
+			replace_holder (&site, NULL);
+		site_run (&site, 2000);
+		int holder = site_holder (&site);
+		assert_int_equal (count (&site, holder, "dff_holder_speeds_taken_over_total"),
+				  cases[i].n_taken_over);
+		/* What is recorded now does not contain the former incarnations. */
+		site_run (&site, 6000);
+		struct speeds_row row;
+		speeds_row_init (&row);
+		const GString *recorded = peek_row (&site);
+		assert_true (speeds_decode ((struct dff_str){recorded->str, recorded->len}, &row));
+		assert_int_equal (row.entries->len, SITE_UNEQUAL_WORKERS / 3 * 2);
+		speeds_row_clear (&row);
+		site_close (&site);
+	}
+}
+
+/* Guards against a value that is dropped because the worker is not listed when the row is read: it
+ * is kept, and handed on to the next holder, until the worker is known. */
+static void
+test_worker_becomes_known_later (void **state)
+{
+	(void)state;
+	for (int n_takeovers = 1; n_takeovers <= 2; n_takeovers++) {
+		struct site site;
+		site_open_with_durations (&site, unequal);
+		site_run (&site, 1000);
+		g_autoptr (GString) text = row_text (&site, 0);
+		put_row (&site, text->str);
+		site_list_worker (&site, 0, false, false);
+		for (int i = 0; i < n_takeovers; i++) {
+			replace_holder (&site, NULL);
+			site_run (&site, 1000);
+		}
+		int holder = site_holder (&site);
+		assert_int_equal (count (&site, holder, "dff_holder_speeds_taken_over_total"),
+				  SITE_UNEQUAL_WORKERS - 1);
+		site_list_worker (&site, 0, true, false);
+		site_run (&site, 1000);
+		assert_int_equal (count (&site, holder, "dff_holder_speeds_taken_over_total"),
+				  SITE_UNEQUAL_WORKERS);
+		site_close (&site);
+	}
+}
+
+#define WORKERS_MISSING "{\"written_ms\":1000000,\"worker_variance\":160000,\"task_variance\":70000"
+
+/* Guards against a takeover that fails, or a holder that takes over nonsense, because the row is
+ * damaged or of another build. */
+static void
+test_undecodable_rows (void **state)
+{
+	(void)state;
+	static const struct {
+		/** NULL: an older build has written no row. */
+		const char *text;
+		int64_t n_undecodable;
+	} cases[] = {
+		{NULL, 0},
+		{"", 1},
+		{"x", 1},
+		{"7", 1},
+		{"[]", 1},
+		{"{}", 1},
+		{"{\"workers\":[[\"w0\",0,-450,400]]}", 1},
+		{"{\"written_ms\":1,\"workers\":[[\"w0\",0,-450,400]]}", 1},
+		{WORKERS_MISSING "}", 1},
+		{WORKERS_MISSING ",\"workers\":7}", 1},
+		{WORKERS_MISSING ",\"workers\":{\"w0\":[0,-450,400]}}", 1},
+		{WORKERS_MISSING ",\"workers\":[[\"w0\",0,-450,40", 1},
+		/* Single entries that cannot be read are left out. */
+		{WORKERS_MISSING ",\"workers\":[]}", 0},
+		{WORKERS_MISSING ",\"workers\":[7,[],[\"w0\"],[1,2,3,4],[\"w 0\",0,-450,400]]}", 0},
+		{WORKERS_MISSING ",\"workers\":[[\"w0\",0,-450,0],[\"w1\",0,-450,-400]]}", 0},
+	};
+	for (size_t i = 0; i < G_N_ELEMENTS (cases); i++) {
+		struct site site;
+		site_open_with_durations (&site, unequal);
+		site_run (&site, 500);
+		if (cases[i].text != NULL)
+			put_row (&site, cases[i].text);
+		int next = replace_holder (&site, NULL);
+		site_run (&site, 500);
+		assert_int_equal (count (&site, next, "dff_holder_speeds_undecodable_total"),
+				  cases[i].n_undecodable);
+		assert_int_equal (count (&site, next, "dff_holder_speeds_taken_over_total"), 0);
+		site_submit (&site, next, site_plan ("a", 4, false, 1));
+		assert_int_not_equal (site_wait_for_state (&site, "a", "completed", 4000), -1);
+		site_close (&site);
+	}
+}
+
+/* Guards against a row of a newer build that is taken for damaged: unknown keys, and unknown values
+ * of a worker, are ignored. */
+static void
+test_row_of_newer_build (void **state)
+{
+	(void)state;
+	struct site site;
+	site_open_with_durations (&site, unequal);
+	site_run (&site, 500);
+	g_autoptr (GString) text = row_text (&site, 0);
+	g_string_replace (text, "{\"written_ms\"",
+			  "{\"format\":2,\"extra\":{\"a\":[1]},\"written_ms\"", 0);
+	g_string_replace (text, ",400]", ",400,\"x\",{}]", 0);
+	put_row (&site, text->str);
+	int next = replace_holder (&site, NULL);
+	site_run (&site, ANSWER_MS);
+	assert_int_equal (count (&site, next, "dff_holder_speeds_undecodable_total"), 0);
+	assert_int_equal (count (&site, next, "dff_holder_speeds_taken_over_total"),
+			  SITE_UNEQUAL_WORKERS);
+	assert_int_equal (place_urgent (&site, next, "b"), N_URGENT);
+	site_close (&site);
+}
+
+/* Guards against what was learned long ago being taken for what is the case now. */
+static void
+test_old_row (void **state)
+{
+	(void)state;
+	struct site site;
+	site_open_with_durations (&site, equal);
+	site_run (&site, 500);
+	g_autoptr (GString) text = row_text (&site, DFF_DURATION_EXPIRY_MS);
+	put_row (&site, text->str);
+	int next = replace_holder (&site, NULL);
+	site_run (&site, 8000);
+	assert_int_equal (count (&site, next, "dff_holder_speeds_recorded_total"), 0);
+	assert_string_equal (peek_row (&site)->str, text->str);
+	site_close (&site);
+}
+
+/* Guards against a store that refuses the row and with it everything else: the transactions that
+ * accept jobs and record starts and ends must go on without it. */
+static void
+test_store_refuses_row (void **state)
+{
+	(void)state;
+	struct site site;
+	site_open_with_durations (&site, unequal);
+	for (int i = 0; i < SITE_PROCESSES; i++)
+		dff_memory_rows_client_faults (site.processes[i].rows)->refused_key =
+			DFF_KEY_SPEEDS;
+	int holder = site_holder (&site);
+	learn (&site);
+	for (int i = 0; i < 8; i++) {
+		g_autofree char *id = g_strdup_printf ("a%d", i);
+		assert_int_equal (site_submit (&site, holder, site_plan (id, 4, false, 1)),
+				  DFF_FRONT_OK);
+		assert_in_range (site_wait_for_state (&site, id, "completed", 4000), 500, 1900);
+		assert_int_equal (site_holder (&site), holder);
+	}
+	assert_null (peek_row (&site));
+	assert_int_equal (count (&site, holder, "dff_holder_speeds_recorded_total"), 0);
+	replace_holder (&site, NULL);
+	site_close (&site);
+}
+
+/* Guards against a takeover that waits for the row: the store answers every read but this one, or
+ * this one late. The takeover takes no longer than without a row. What is answered late is still
+ * taken over. */
+static void
+test_store_does_not_answer_read (void **state)
+{
+	(void)state;
+	static const struct {
+		bool has_row;
+		const char *silent_key;
+	} cases[] = {{false, NULL}, {true, NULL}, {true, DFF_KEY_SPEEDS}};
+	int64_t usual_ms = 0;
+	for (size_t i = 0; i < G_N_ELEMENTS (cases); i++) {
+		struct site site;
+		site_open_with_durations (&site, unequal);
+		site_run (&site, 1000);
+		g_autoptr (GString) text = row_text (&site, 0);
+		if (cases[i].has_row)
+			put_row (&site, text->str);
+		for (int j = 0; j < SITE_PROCESSES; j++)
+			dff_memory_rows_client_faults (site.processes[j].rows)->silent_key =
+				cases[i].silent_key;
+		int64_t took_ms = 0;
+		int next = replace_holder (&site, &took_ms);
+		if (i == 0)
+			usual_ms = took_ms;
+		assert_in_range (took_ms, 0, usual_ms);
+		site_run (&site, 1000);
+		bool answered = cases[i].has_row && cases[i].silent_key == NULL;
+		assert_int_equal (count (&site, next, "dff_holder_speeds_taken_over_total"),
+				  answered ? SITE_UNEQUAL_WORKERS : 0);
+		dff_memory_rows_client_faults (site.processes[next].rows)->silent_key = NULL;
+		site_run (&site, 2000);
+		assert_int_equal (count (&site, next, "dff_holder_speeds_taken_over_total"),
+				  cases[i].has_row ? SITE_UNEQUAL_WORKERS : 0);
+		site_close (&site);
+	}
+}
+
+/* Guards against writes in fleets of equally fast workers, and against ones that repeat what is
+ * recorded: the row is written every two seconds at most. */
+static void
+test_writes (void **state)
+{
+	(void)state;
+	struct site site;
+	site_open_with_durations (&site, equal);
+	learn (&site);
+	site_run (&site, 10000);
+	assert_null (peek_row (&site));
+	site_close (&site);
+	site_open_with_durations (&site, unequal);
+	learn (&site);
+	int64_t n_before = count (&site, site_holder (&site), "dff_holder_speeds_recorded_total");
+	site_run (&site, 10000);
+	assert_in_range (count (&site, site_holder (&site), "dff_holder_speeds_recorded_total") -
+				 n_before,
+			 1, 5);
+	site_close (&site);
+}
+
+#define LARGE_FLEET 6000
+#define ROW_BYTES_MAX 44000
+
+/* The load: a fleet whose workers do not fit into the row. Guards against a row that the store
+ * refuses; the workers that differ most must be among those that are kept. */
+static void
+test_large_fleet (void **state)
+{
+	(void)state;
+	struct speeds_row row, decoded;
+	speeds_row_init (&row);
+	speeds_row_init (&decoded);
+	row.written_ms = INT64_C (1790000000123);
+	row.variances = (struct dff_duration_variances){.workers = 0.16F, .tasks = 0.07F};
+	for (int i = 0; i < LARGE_FLEET; i++) {
+		struct speeds_entry entry = {
+			.duration = {.worker = dff_name_printf ("data-centre-%d.rack-%d.worker-%d",
+								i % 3, i / 12, i),
+				     .relative = (i % 2 == 0 ? 1 : -1) * i / 10,
+				     .weight = 100.0F},
+			.started_ms = INT64_C (1790000000000) + i};
+		g_array_append_val (row.entries, entry);
+	}
+	g_autoptr (GString) text = speeds_encode (&row);
+	assert_in_range (text->len, ROW_BYTES_MAX * 9 / 10, ROW_BYTES_MAX);
+	assert_true (speeds_decode ((struct dff_str){text->str, text->len}, &decoded));
+	int32_t n_kept = (int32_t)decoded.entries->len;
+	assert_in_range (n_kept, 500, LARGE_FLEET);
+	for (int32_t i = 0; i < n_kept; i++) {
+		const struct speeds_entry *entry =
+			&g_array_index (decoded.entries, struct speeds_entry, (guint)i);
+		assert_in_range (abs (entry->duration.relative), (LARGE_FLEET - n_kept) / 10 - 1,
+				 LARGE_FLEET / 10);
+	}
+	speeds_row_clear (&row);
+	speeds_row_clear (&decoded);
+}
+
+int
+main (void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test (test_next_holder_avoids_slow_workers),
+		cmocka_unit_test (test_two_takeovers),
+		cmocka_unit_test (test_restarted_workers),
+		cmocka_unit_test (test_worker_becomes_known_later),
+		cmocka_unit_test (test_undecodable_rows),
+		cmocka_unit_test (test_row_of_newer_build),
+		cmocka_unit_test (test_old_row),
+		cmocka_unit_test (test_store_refuses_row),
+		cmocka_unit_test (test_store_does_not_answer_read),
+		cmocka_unit_test (test_writes),
+		cmocka_unit_test (test_large_fleet),
+	};
+	site_tests_begin (tests, G_N_ELEMENTS (tests));
+	return cmocka_run_group_tests (tests, NULL, NULL);
+}
