tests: random plays with workers of unequal speed

Change: a variant of the random plays in which workers differ in speed and restart, and the recorded relative durations are random, damaged, removed, refused or not answered.

--- a/tests/holder/test-holder-seeds.c
+++ b/tests/holder/test-holder-seeds.c
@@ -41,6 +41,9 @@
  * worker's next incarnation was asked to discard completions by a number of the previous one. */
 static const guint failed_seeds_with_lives[] = {40};
 
+/** Durations of the tasks on the workers of a rack, per thousand, where workers differ. */
+static const int32_t unequal[SITE_PER_RACK] = {600, 1000, 1600};
+
 #define SEED_FIRST 1
 #define SEED_COUNT 6
 /** Number of steps of a run, and the longest time between two steps, ms. */
@@ -77,6 +80,9 @@
 	DFF_VARIANT_CAPACITY,
 	/** Workers restart under the same id, and paths between machines break. */
 	DFF_VARIANT_RESTARTS,
+	/** Workers differ in speed and restart under the same id; the row of what was learned of
+	 * them is damaged, removed, refused or not answered. */
+	DFF_VARIANT_SPEEDS,
 };
 
 struct run {
@@ -406,9 +412,65 @@
 		*run->site.workers[worker] = faults;
 }
 
+/* Rows of DFF_KEY_SPEEDS that are damaged, or name workers that are not there. */
+static const char *const damaged_speeds[] = {
+	"",
+	"x",
+	"{\"written_ms\":1000000,\"worker_variance\":-1,\"task_variance\":0,\"workers\":{}}",
+	"{\"written_ms\":99999999,\"worker_variance\":900000000,\"task_variance\":1,"
+	"\"workers\":[[\"w0\",0,32000,800000],[\"w1\",-1,-900000,1],[\"w99\",5,7,100]]}",
+};
+
+/* Writes a valid row with random values; some are of former incarnations. */
+static void
+put_speeds (struct run *run)
+{
+	struct site *site = &run->site;
+	g_autoptr (GString) text = g_string_new (NULL);
+	g_string_printf (text, "{\"written_ms\":%" G_GINT64_FORMAT ",\"worker_variance\":%d,",
+			 dff_virtual_loop_now_ms (site->loop) - pick (run, 90000),
+			 10000 + pick (run, 400000));
+	g_string_append (text, "\"task_variance\":70000,\"workers\":[");
+	for (int i = 0; i < SITE_UNEQUAL_WORKERS; i++) {
+		struct dff_name id = dff_name_printf ("w%d", i);
+		int64_t started_ms = dff_memory_runner_started_ms (site->runner, id.data);
+		g_string_append_printf (text, "%s[\"%s\",%" G_GINT64_FORMAT ",%d,%d]",
+					i > 0 ? "," : "", id.data, started_ms - pick (run, 10) / 9,
+					pick (run, 1600) - 800, 1 + pick (run, 2000));
+	}
+	g_string_append (text, "]}");
+	dff_memory_rows_put (site->rows, DFF_TABLE_CELL, DFF_KEY_SPEEDS,
+			     (struct dff_str){text->str, text->len});
+}
+
+static void
+step_speeds (struct run *run)
+{
+	if (pick (run, 4) == 0)
+		put_speeds (run);
+	int roll = pick (run, 100);
+	if (roll < 6)
+		dff_memory_rows_put (
+			run->site.rows, DFF_TABLE_CELL, DFF_KEY_SPEEDS,
+			dff_str_from (damaged_speeds[pick (run, G_N_ELEMENTS (damaged_speeds))]));
+	else if (roll < 8)
+		dff_memory_rows_remove (run->site.rows, DFF_TABLE_CELL, DFF_KEY_SPEEDS);
+	else if (roll < 14)
+		site_restart_worker (&run->site, pick (run, SITE_UNEQUAL_WORKERS));
+	int process = pick_live (run);
+	if (process < 0 || roll < 80)
+		return;
+	struct dff_memory_rows_faults *faults =
+		dff_memory_rows_client_faults (run->site.processes[process].rows);
+	faults->refused_key = pick (run, 3) == 0 ? DFF_KEY_SPEEDS : NULL;
+	faults->silent_key = pick (run, 3) == 0 ? DFF_KEY_SPEEDS : NULL;
+}
+
 static void
 step (struct run *run)
 {
+	if (run->variant == DFF_VARIANT_SPEEDS)
+		step_speeds (run);
 	if (run->variant == DFF_VARIANT_CAPACITY)
 		step_capacity (run);
 	if (run->variant == DFF_VARIANT_EVACUATIONS)
@@ -493,6 +555,8 @@
 		site_open_unenforced (&run.site);
 	else if (variant == DFF_VARIANT_RESTARTS)
 		site_open_with_same_ids (&run.site, seed % 2 == 0);
+	else if (variant == DFF_VARIANT_SPEEDS)
+		site_open_with_durations (&run.site, unequal);
 	else
 		site_open (&run.site);
 	dff_memory_rows_seed (run.site.rows, seed);
@@ -618,6 +682,13 @@
 	run_seeds (DFF_VARIANT_RESTARTS);
 }
 
+static void
+test_seeds_with_speeds (void **state)
+{
+	(void)state;
+	run_seeds (DFF_VARIANT_SPEEDS);
+}
+
 int
 main (void)
 {
@@ -631,6 +702,7 @@
 		cmocka_unit_test (test_seeds_with_crashes),
 		cmocka_unit_test (test_seeds_with_rooms),
 		cmocka_unit_test (test_seeds_with_lives),
+		cmocka_unit_test (test_seeds_with_speeds),
 	};
 	site_tests_begin (tests, G_N_ELEMENTS (tests));
 	return cmocka_run_group_tests (tests, NULL, NULL);
