--- a/tests/compat/jobs.c
+++ b/tests/compat/jobs.c
@@ -4,7 +4,8 @@
 #include "graph/progress.h"
 #include "holder/holder_private.h"
 
-/* Rows of the holder of the fleet's cell: its lease, jobs and their progress. */
+/* Rows of the holder of the fleet's cell: its lease, jobs and their progress, and how fast its
+ * workers were found to be. */
 
 #define N_PROGRESS 5
 
@@ -221,9 +222,73 @@
 	assert_int_equal (row.n_relays, 3);
 }
 
+#define N_SPEEDS 2
+
+/* Row 1 is from a platform whose workers do not report their start times. */
+static const struct speeds_entry speeds[] = {
+	{{.worker = {.data = "dc1.r2.w7", .len = 9}, .relative = 470, .weight = 3.25F},
+	 INT64_C (1790000000123)},
+	{{.worker = {.data = "w1", .len = 2}, .relative = -511, .weight = 0.01F}, 1},
+	{{.worker = {.data = "w_2", .len = 3}, .relative = 0, .weight = 812.5F}, 77},
+};
+
+static GString *
+encode_speeds (size_t record)
+{
+	struct speeds_row row;
+	speeds_row_init (&row);
+	row.written_ms = INT64_C (1790000060123);
+	row.variances = (struct dff_duration_variances){.workers = 0.16F, .tasks = 0.0004F};
+	for (size_t i = 0; i < G_N_ELEMENTS (speeds); i++) {
+		struct speeds_entry entry = speeds[i];
+		if (record == 1)
+			entry.started_ms = DFF_START_UNREPORTED;
+		g_array_append_val (row.entries, entry);
+	}
+	GString *text = speeds_encode (&row);
+	speeds_row_clear (&row);
+	return text;
+}
+
+static const struct speeds_entry *
+find_speed (const struct speeds_row *row, const struct dff_name *worker)
+{
+	for (guint i = 0; i < row->entries->len; i++) {
+		const struct speeds_entry *entry =
+			&g_array_index (row->entries, struct speeds_entry, i);
+		if (dff_name_equal (&entry->duration.worker, worker))
+			return entry;
+	}
+	return NULL;
+}
+
+static void
+check_speeds (size_t record, struct dff_str bytes)
+{
+	struct speeds_row row;
+	speeds_row_init (&row);
+	assert_true (speeds_decode (bytes, &row));
+	assert_true (row.written_ms == INT64_C (1790000060123));
+	assert_true (row.variances.workers == 0.16F);
+	assert_true (row.variances.tasks == 0.0004F);
+	assert_int_equal (row.entries->len, G_N_ELEMENTS (speeds));
+	for (size_t i = 0; i < G_N_ELEMENTS (speeds); i++) {
+		const struct speeds_entry *entry = find_speed (&row, &speeds[i].duration.worker);
+		assert_non_null (entry);
+		assert_int_equal (entry->duration.relative, speeds[i].duration.relative);
+		assert_true (entry->duration.weight == speeds[i].duration.weight);
+		assert_true (entry->started_ms ==
+			     (record == 1 ? DFF_START_UNREPORTED : speeds[i].started_ms));
+	}
+	speeds_row_clear (&row);
+}
+
+/* The rows of "holder-speeds-newer.jsonl" have keys and values that this build does not know. */
 const struct compat_case compat_jobs[] = {
 	{"plan.jsonl", false, false, 1, encode_plan, check_plan},
 	{"progress.jsonl", false, false, N_PROGRESS, encode_progress, check_progress},
 	{"holder-lease.jsonl", false, false, 2, encode_lease, check_lease},
+	{"holder-speeds.jsonl", false, false, N_SPEEDS, encode_speeds, check_speeds},
+	{"holder-speeds-newer.jsonl", false, true, N_SPEEDS, encode_speeds, check_speeds},
 };
 const size_t compat_n_jobs = G_N_ELEMENTS (compat_jobs);
--- a/tests/core/test-pace.c
+++ b/tests/core/test-pace.c
@@ -189,10 +189,12 @@
 		  const struct dff_duration_variances *variances,
 		  int64_t age_ms)
 {
-	for (guint i = 0; i < durations->len; i++)
-		assert_true (dff_core_import_duration (
-			pool->core, &g_array_index (durations, struct dff_worker_duration, i),
-			variances, age_ms, pool->now_ms));
+	for (guint i = 0; i < durations->len; i++) {
+		const struct dff_worker_duration *duration =
+			&g_array_index (durations, struct dff_worker_duration, i);
+		assert_true (dff_core_import_duration (pool->core, duration, variances, age_ms,
+						       pool->now_ms));
+	}
 }
 
 static void
--- a/tests/holder/test-holder-seeds.c
+++ b/tests/holder/test-holder-seeds.c
@@ -449,14 +449,15 @@
 	if (pick (run, 4) == 0)
 		put_speeds (run);
 	int roll = pick (run, 100);
-	if (roll < 6)
-		dff_memory_rows_put (
-			run->site.rows, DFF_TABLE_CELL, DFF_KEY_SPEEDS,
-			dff_str_from (damaged_speeds[pick (run, G_N_ELEMENTS (damaged_speeds))]));
-	else if (roll < 8)
+	if (roll < 6) {
+		const char *text = damaged_speeds[pick (run, G_N_ELEMENTS (damaged_speeds))];
+		dff_memory_rows_put (run->site.rows, DFF_TABLE_CELL, DFF_KEY_SPEEDS,
+				     dff_str_from (text));
+	} else if (roll < 8) {
 		dff_memory_rows_remove (run->site.rows, DFF_TABLE_CELL, DFF_KEY_SPEEDS);
-	else if (roll < 14)
+	} else if (roll < 14) {
 		site_restart_worker (&run->site, pick (run, SITE_UNEQUAL_WORKERS));
+	}
 	int process = pick_live (run);
 	if (process < 0 || roll < 80)
 		return;
--- a/tests/holder/test-holder-speeds.c
+++ b/tests/holder/test-holder-speeds.c
@@ -18,6 +18,8 @@
 #define TAKEOVER_MAX_MS 1500
 /** Time that workers need to answer a new holder, ms. */
 #define ANSWER_MS 20
+/** Time after which the last read of the row without an answer ends, ms. */
+#define READS_END_MS 4500
 /** Number of urgent single tasks and gangs that are placed after a takeover. */
 #define N_URGENT 6
 
@@ -33,9 +35,9 @@
 	return dff_memory_rows_peek (site->rows, DFF_TABLE_CELL, DFF_KEY_SPEEDS);
 }
 
-/* Runs single tasks on all workers, until the holder can compare the workers. */
+/* Submits single tasks for all workers, by which the holder can compare the workers. */
 static void
-learn (struct site *site)
+submit_comparable (struct site *site)
 {
 	for (int i = 0; i < 4; i++) {
 		g_autofree char *id = g_strdup_printf ("1%d", i);
@@ -44,6 +46,12 @@
 		dff_plan_step (plan, 0)->estimate_ms = 6000;
 		assert_int_equal (site_submit (site, site_holder (site), plan), DFF_FRONT_OK);
 	}
+}
+
+static void
+learn (struct site *site)
+{
+	submit_comparable (site);
 	site_run (site, 6000);
 }
 
@@ -191,8 +199,8 @@
 		int64_t after_ms;
 		int64_t n_taken_over;
 	} cases[] = {
-		{200, 0, SITE_UNEQUAL_WORKERS / 3 * 2},
-		{0, 0, SITE_UNEQUAL_WORKERS / 3 * 2},
+		{200, 0, SITE_UNEQUAL_WORKERS - SITE_UNEQUAL_WORKERS / 3},
+		{0, 0, SITE_UNEQUAL_WORKERS - SITE_UNEQUAL_WORKERS / 3},
 		{0, TAKEOVER_MAX_MS + 100, SITE_UNEQUAL_WORKERS},
 	};
 	for (size_t i = 0; i < G_N_ELEMENTS (cases); i++) {
@@ -220,7 +228,8 @@
 		speeds_row_init (&row);
 		const GString *recorded = peek_row (&site);
 		assert_true (speeds_decode ((struct dff_str){recorded->str, recorded->len}, &row));
-		assert_int_equal (row.entries->len, SITE_UNEQUAL_WORKERS / 3 * 2);
+		assert_int_equal (row.entries->len,
+				  SITE_UNEQUAL_WORKERS - SITE_UNEQUAL_WORKERS / 3);
 		speeds_row_clear (&row);
 		site_close (&site);
 	}
@@ -406,6 +415,33 @@
 	}
 }
 
+/* Guards against a holder that overwrites what its predecessor had recorded before it has read it,
+ * and against one that never writes because the read is not answered. */
+static void
+test_row_is_read_before_written (void **state)
+{
+	(void)state;
+	struct site site;
+	site_open_with_durations (&site, unequal);
+	site_run (&site, 1000);
+	g_autoptr (GString) text = row_text (&site, 0);
+	put_row (&site, text->str);
+	for (int i = 0; i < SITE_PROCESSES; i++)
+		dff_memory_rows_client_faults (site.processes[i].rows)->silent_key = DFF_KEY_SPEEDS;
+	int next = replace_holder (&site, NULL);
+	submit_comparable (&site);
+	site_run (&site, READS_END_MS - 200);
+	GArray *durations = g_array_new (FALSE, FALSE, sizeof (struct dff_worker_duration));
+	struct dff_duration_variances variances;
+	assert_true (dff_core_export_durations (site.processes[next].holder->core, durations,
+						&variances));
+	g_array_unref (durations);
+	assert_string_equal (peek_row (&site)->str, text->str);
+	site_run (&site, 1000);
+	assert_string_not_equal (peek_row (&site)->str, text->str);
+	site_close (&site);
+}
+
 /* Guards against writes in fleets of equally fast workers, and against ones that repeat what is
  * recorded: the row is written every two seconds at most. */
 static void
@@ -479,6 +515,7 @@
 		cmocka_unit_test (test_old_row),
 		cmocka_unit_test (test_store_refuses_row),
 		cmocka_unit_test (test_store_does_not_answer_read),
+		cmocka_unit_test (test_row_is_read_before_written),
 		cmocka_unit_test (test_writes),
 		cmocka_unit_test (test_large_fleet),
 	};
