--- a/tests/holder/test-holder-speeds.c
+++ b/tests/holder/test-holder-speeds.c
@@ -464,6 +464,37 @@
 	site_close (&site);
 }
 
+/* Guards against values that seem older than they are, so that the next holder counts them for less
+ * than its predecessor did: in an idle fleet they do not change for a long time. They are no longer
+ * recorded when they have decayed. */
+static void
+test_unchanged_row_is_renewed (void **state)
+{
+	(void)state;
+	struct site site;
+	site_open_with_durations (&site, unequal);
+	site_run (&site, 1000);
+	g_autoptr (GString) text = row_text (&site, 0);
+	put_row (&site, text->str);
+	int next = replace_holder (&site, NULL);
+	for (int i = 0; i < 4; i++) {
+		site_run (&site, 6000);
+		struct speeds_row row;
+		speeds_row_init (&row);
+		const GString *recorded = peek_row (&site);
+		assert_true (speeds_decode ((struct dff_str){recorded->str, recorded->len}, &row));
+		assert_in_range (dff_virtual_loop_now_ms (site.loop) - row.written_ms, 0, 5500);
+		assert_int_equal (row.entries->len, SITE_UNEQUAL_WORKERS);
+		speeds_row_clear (&row);
+	}
+	assert_in_range (count (&site, next, "dff_holder_speeds_recorded_total"), 4, 9);
+	site_run (&site, DFF_DURATION_EXPIRY_MS);
+	int64_t n_before = count (&site, next, "dff_holder_speeds_recorded_total");
+	site_run (&site, 20000);
+	assert_int_equal (count (&site, next, "dff_holder_speeds_recorded_total"), n_before);
+	site_close (&site);
+}
+
 #define LARGE_FLEET 6000
 #define ROW_BYTES_MAX 44000
 
@@ -517,6 +548,7 @@
 		cmocka_unit_test (test_store_does_not_answer_read),
 		cmocka_unit_test (test_row_is_read_before_written),
 		cmocka_unit_test (test_writes),
+		cmocka_unit_test (test_unchanged_row_is_renewed),
 		cmocka_unit_test (test_large_fleet),
 	};
 	site_tests_begin (tests, G_N_ELEMENTS (tests));
