--- a/core/core_tables.h
+++ b/core/core_tables.h
@@ -87,6 +87,17 @@
 	GPtrArray *occupants;
 };
 
+/** What a worker's relative duration was computed from. */
+struct dff_core_duration_basis {
+	/** Weight of the samples and of the imported relative duration together. */
+	float weight;
+	/** Imported relative duration, as the mean of samples that had the weight @prior_weight at
+	 * @prior_ms: natural logarithm. The weight is 0 without an import. */
+	float prior_mean;
+	float prior_weight;
+	int64_t prior_ms;
+};
+
 struct dff_core_region {
 	struct dff_name name;
 	/** Accelerators of its declared workers. */
@@ -404,6 +415,13 @@
 	float worker_variance;
 	float task_variance;
 	int64_t duration_review_ms;
+	/** Whether @worker_variance and @task_variance were learned or imported. */
+	bool variances_known;
+	/** By worker; shorter than @workers as long as nothing is known of the last ones. Elements:
+	 * struct dff_core_duration_basis. */
+	GArray *duration_bases;
+	/** Whether a worker has an imported relative duration that still counts. */
+	bool has_priors;
 	/** Queues by state. Deadlines rise along each of them, except in @delayed. */
 	GQueue reserved;
 	GQueue starting;
