core, holder: the backoff after a failed attempt depends on its cause

Cause: a gang that loses a member waits 0.5 s, then 1.0 s, before it is placed again, also where the worker was at fault and the worker is already quarantined, and where its objective does not allow the wait.

Change: core/retry.c determines the backoff from the cause, the number of failures and of different workers, and the slack. A failure is attributed to a worker that is in quarantine after it if other work fails there too, or if it came early and work of the same team and service has completed before. From the second failure on at least 250 ms; from the third on, or on more than two workers, as before. Failed attempts on record count, so that the bound holds over a takeover. Counters, a histogram and a log line.

--- a/core/core_private.h
+++ b/core/core_private.h
@@ -287,6 +287,9 @@
 /** Updates the estimator with the run time of a completed job. */
 void dff_core_estimate_update (struct dff_core_job *job, int64_t run_ms);
 
+/** Whether jobs of the same team and service have completed. */
+bool dff_core_estimate_has_runs (const struct dff_core_job *job);
+
 /** Estimates the run time of a job from past runs. */
 void dff_core_estimate (struct dff_core_job *job);
 
@@ -307,7 +310,10 @@
 
 /* quarantine.c */
 
-void dff_core_note_failure (struct dff_core *core, struct dff_core_job *job, int32_t worker);
+/** Handles a failure of a task of @job on a worker. Returns: whether it is attributed to the
+ * worker: other work fails there too, or the failure came early in a run such as have completed
+ * elsewhere. The worker is in quarantine then. */
+bool dff_core_note_failure (struct dff_core *core, struct dff_core_job *job, int32_t worker);
 
 /** Quarantines a worker whatever its history, unless too many workers are quarantined already. */
 void dff_core_worker_try_quarantine (struct dff_core *core, int32_t worker);
--- a/core/core_tables.h
+++ b/core/core_tables.h
@@ -196,6 +196,8 @@
 	bool bound;
 	/** Whether it may have run. */
 	bool ran;
+	/** Whether its failure is attributed to its worker. */
+	bool attributed;
 };
 
 /** Why an attempt is stopped early. */
@@ -243,6 +245,8 @@
 	bool guaranteed;
 	bool checkpoint;
 	bool idempotent;
+	/** Number of failed attempts before the core was given the job. */
+	int8_t failures_before;
 	int64_t declared_ms;
 	int32_t max_attempts;
 	/** Index of the label asked for, and of the label of the rack that holds its data;
--- a/core/estimate.c
+++ b/core/estimate.c
@@ -93,6 +93,12 @@
 	predictor_learn (&estimator->actual, actual, rate);
 }
 
+bool
+dff_core_estimate_has_runs (const struct dff_core_job *job)
+{
+	return job->estimator->observations > 0;
+}
+
 /* Combines the predictors. Run times are assumed to be log-normally distributed. */
 static void
 posterior (const struct dff_core_job *job, double *mean, double *deviation)
--- a/core/lifecycle.c
+++ b/core/lifecycle.c
@@ -347,16 +347,28 @@
 	return job->state == DFF_CORE_STARTING ? core->now_ms : job->started_ms;
 }
 
+/* Whether the failure of another member of the attempt is attributed to the worker. */
+static bool
+is_attributed_already (const struct dff_core_job *job, int32_t worker)
+{
+	for (int32_t i = 0; i < job->gang; i++) {
+		if (job->members[i].worker == worker && job->members[i].attributed)
+			return true;
+	}
+	return false;
+}
+
 static void
 update_health (struct dff_core *core,
 	       struct dff_core_job *job,
-	       int32_t worker,
+	       struct dff_core_member *member,
 	       enum dff_core_member_state state)
 {
 	if (state == DFF_CORE_MEMBER_COMPLETED)
-		dff_core_note_success (core, worker, start_ms (core, job));
+		dff_core_note_success (core, member->worker, start_ms (core, job));
 	if (state == DFF_CORE_MEMBER_FAILED || state == DFF_CORE_MEMBER_START_FAILED)
-		dff_core_note_failure (core, job, worker);
+		member->attributed = dff_core_note_failure (core, job, member->worker) ||
+				     is_attributed_already (job, member->worker);
 }
 
 static void
@@ -419,7 +431,7 @@
 		job->n_started++;
 	member->ran = ran;
 	if (event->type != DFF_EVENT_TASK_REJECTED)
-		update_health (core, job, member->worker, state);
+		update_health (core, job, member, state);
 	member_close (core, job, event->member, state);
 	after_member_end (core, job, state == DFF_CORE_MEMBER_COMPLETED);
 }
--- a/core/outcome.c
+++ b/core/outcome.c
@@ -41,6 +41,8 @@
 
 struct attempt_summary {
 	int32_t completed, failed, lost, start_failed;
+	/** Number of failed members whose failure is attributed to their worker. */
+	int32_t attributed;
 	bool any_ran;
 	bool lost_ran;
 };
@@ -53,6 +55,7 @@
 		const struct dff_core_member *member = &job->members[i];
 		sum.completed += member->state == DFF_CORE_MEMBER_COMPLETED;
 		sum.failed += member->state == DFF_CORE_MEMBER_FAILED;
+		sum.attributed += member->state == DFF_CORE_MEMBER_FAILED && member->attributed;
 		sum.lost += member->state == DFF_CORE_MEMBER_LOST;
 		sum.start_failed += member->state == DFF_CORE_MEMBER_START_FAILED;
 		sum.any_ran |= member->ran;
@@ -62,10 +65,16 @@
 }
 
 static void
-retry (struct dff_core *core, struct dff_core_job *job, int64_t wait_ms)
+retry (struct dff_core *core,
+       struct dff_core_job *job,
+       int64_t wait_ms,
+       const struct dff_retry_input *input)
 {
 	core->stats.retries++;
-	dff_core_emit (core, DFF_COMMAND_RECORD_RETRY, job);
+	struct dff_command *command = dff_core_emit (core, DFF_COMMAND_RECORD_RETRY, job);
+	command->backoff_ms = wait_ms;
+	if (input != NULL)
+		command->retry = *input;
 	dff_core_job_clear_attempt (job);
 	if (wait_ms > 0) {
 		dff_core_delay (core, job, wait_ms);
@@ -82,7 +91,7 @@
 		       job->stop_cause == DFF_CORE_STOP_START_TIMEOUT;
 	bool sent = job->state != DFF_CORE_RECORDING;
 	if (!charged || !sent) {
-		retry (core, job, 0);
+		retry (core, job, 0, NULL);
 		return;
 	}
 	job->start_failures++;
@@ -92,7 +101,7 @@
 		dff_core_job_give_up (core, job, "start_failed");
 		return;
 	}
-	retry (core, job, DFF_CORE_RETRY_MIN_MS);
+	retry (core, job, DFF_CORE_RETRY_MIN_MS, NULL);
 }
 
 /* A job that is not idempotent and may have run is never started again. */
@@ -111,6 +120,29 @@
 		dff_core_job_end (core, job, DFF_OUTCOME_FAILED, "task_failed");
 }
 
+static enum dff_retry_cause
+retry_cause (const struct attempt_summary *sum)
+{
+	if (sum->failed > 0)
+		return sum->attributed == sum->failed ? DFF_RETRY_WORKER : DFF_RETRY_JOB;
+	return sum->lost > 0 ? DFF_RETRY_LOST : DFF_RETRY_NONE;
+}
+
+static void
+retry_after_run (struct dff_core *core, struct dff_core_job *job, const struct attempt_summary *sum)
+{
+	struct dff_retry_input input = {
+		.cause = retry_cause (sum),
+		.failures = job->failures + job->failures_before,
+		.n_workers = job->n_avoided,
+		.objective = dff_core_job_assess (core, job),
+	};
+	int64_t wait_ms = dff_retry_backoff_ms (&input);
+	if (!core->options.retry_by_cause)
+		wait_ms = sum->failed > 0 ? dff_retry_doubling_ms (job->failures) : 0;
+	retry (core, job, wait_ms, &input);
+}
+
 static void
 finish_idempotent (struct dff_core *core,
 		   struct dff_core_job *job,
@@ -127,9 +159,7 @@
 		dff_core_job_end (core, job, DFF_OUTCOME_FAILED, "workers_lost");
 		return;
 	}
-	int64_t wait_ms =
-		sum->failed > 0 ? (int64_t)DFF_CORE_RETRY_MIN_MS << MIN (job->failures, 6) : 0;
-	retry (core, job, wait_ms);
+	retry_after_run (core, job, sum);
 }
 
 static int64_t
--- a/core/quarantine.c
+++ b/core/quarantine.c
@@ -115,12 +115,14 @@
 	       (!started || (double)(core->now_ms - job->started_ms) <= limit_ms);
 }
 
-void
-dff_core_note_failure (struct dff_core *core, struct dff_core_job *job, int32_t worker_index)
+static void
+count_failure (struct dff_core *core,
+	       struct dff_core_job *job,
+	       int32_t worker_index,
+	       bool blamed,
+	       bool early)
 {
 	struct dff_core_worker *worker = dff_core_worker_at (core, worker_index);
-	bool blamed = job->n_avoided < JOB_BLAME_LIMIT;
-	bool early = is_early_failure (core, job);
 	worker->failed_ms = core->now_ms;
 	if (!has_failed_on (job, worker_index)) {
 		job->avoided[job->n_avoided % DFF_CORE_AVOIDED_MAX] = worker_index;
@@ -139,6 +141,20 @@
 		quarantine (core, worker);
 }
 
+bool
+dff_core_note_failure (struct dff_core *core, struct dff_core_job *job, int32_t worker_index)
+{
+	struct dff_core_worker *worker = dff_core_worker_at (core, worker_index);
+	bool blamed = job->n_avoided < JOB_BLAME_LIMIT;
+	bool early = is_early_failure (core, job);
+	bool others_failed = (worker->health != DFF_CORE_HEALTHY || worker->failure_streak > 0) &&
+			     worker->last_failed != dff_name_hash (&job->id);
+	/* An early failure may also be the work's fault, unless such work has completed before. */
+	bool shown = others_failed || (early && dff_core_estimate_has_runs (job));
+	count_failure (core, job, worker_index, blamed, early);
+	return blamed && shown && worker->health != DFF_CORE_HEALTHY;
+}
+
 void
 dff_core_worker_try_quarantine (struct dff_core *core, int32_t index)
 {
--- a/core/tables.c
+++ b/core/tables.c
@@ -108,6 +108,7 @@
 	job->idempotent = spec->idempotent;
 	job->declared_ms = MAX (spec->declared_ms, 1);
 	job->max_attempts = spec->idempotent ? MAX (spec->max_attempts, 1) : 1;
+	job->failures_before = (int8_t)CLAMP (spec->failures_before, 0, INT8_MAX);
 	dff_core_job_set_blame (core, job, spec->blame);
 	job->label = dff_core_intern_label (core, &spec->label);
 	job->data_rack = dff_core_intern_label (core, &spec->data_rack);
--- a/holder/holder_tables.h
+++ b/holder/holder_tables.h
@@ -220,6 +220,9 @@
 	int32_t attempt;
 	/** Last attempt for which a stop was requested. */
 	int32_t stopped_attempt;
+	/** When the first task of the last attempt failed or was lost; 0: none did, or the next
+	 * attempt is placed. */
+	int64_t failed_ms;
 	int32_t n_members;
 	/** One per member; NULL where no run is open. */
 	struct holder_run **runs;
@@ -416,6 +419,8 @@
 		int64_t *queries_answered;
 		int64_t *submissions;
 		int64_t *starts_withdrawn;
+		int64_t *retries[DFF_RETRY_LOST + 1];
+		struct dff_histogram *retry_delay;
 	} metrics;
 };
 
--- a/holder/runs.c
+++ b/holder/runs.c
@@ -114,6 +114,9 @@
 	struct dff_name name = unit->name;
 	int32_t attempt = run->attempt;
 	int32_t member = run->member;
+	bool failed = type == DFF_EVENT_TASK_FAILED || type == DFF_EVENT_TASK_LOST;
+	if (failed && unit->failed_ms == 0)
+		unit->failed_ms = holder_now_ms (holder);
 	run_remove (holder, run);
 	jobs_report (holder, &name, attempt, member, type, ran);
 	holder_wake (holder);
--- a/holder/units.c
+++ b/holder/units.c
@@ -23,6 +23,14 @@
 				  MAX (unit->unit.index, 0) + member);
 }
 
+/* Number of failed runs on record, without the open run. */
+static int32_t
+failures_before (const struct holder_unit *unit)
+{
+	return member_task (unit, 0)->failures -
+	       dff_progress_failure_counted (unit->job->progress, unit->job->plan, &unit->unit);
+}
+
 /* Number of failed runs that remain allowed, including the open run. */
 static int32_t
 attempts_left (const struct holder_unit *unit)
@@ -30,9 +38,7 @@
 	const struct dff_plan *plan = unit->job->plan;
 	if (dff_plan_step (plan, unit->unit.step)->endless)
 		return INT32_MAX;
-	int32_t before = member_task (unit, 0)->failures -
-			 dff_progress_failure_counted (unit->job->progress, plan, &unit->unit);
-	return MAX (plan->max_attempts - before, 1);
+	return MAX (plan->max_attempts - failures_before (unit), 1);
 }
 
 /* The age of a job comes from the wall clock of the process that received it, which may differ
@@ -87,6 +93,7 @@
 		.idempotent = true,
 		.declared_ms = step->estimate_ms,
 		.max_attempts = attempts_left (unit),
+		.failures_before = failures_before (unit),
 		.blame = dff_progress_max_blame (unit->job->progress, plan, &unit->unit),
 		.label = step->label,
 		.per_worker = step->per_worker,
@@ -210,6 +217,10 @@
 		task->run = unit->base_run + command->attempt;
 		task->worker = g_array_index (command->placements, struct dff_placement, i).worker;
 	}
+	if (unit->failed_ms > 0)
+		dff_histogram_observe (holder->metrics.retry_delay,
+				       holder_now_ms (holder) - unit->failed_ms);
+	unit->failed_ms = 0;
 	struct holder_ack ack = {.unit = unit->name, .attempt = command->attempt};
 	g_array_append_val (unit->job->acks, ack);
 	commit_mark_dirty (holder, unit->job);
@@ -277,6 +288,25 @@
 	commit_mark_dirty (holder, unit->job);
 }
 
+static void
+record_retry (struct dff_holder *holder,
+	      struct holder_unit *unit,
+	      const struct dff_command *command)
+{
+	clear_assignment (holder, unit);
+	const struct dff_retry_input *retry = &command->retry;
+	if (retry->cause == DFF_RETRY_NONE)
+		return;
+	(*holder->metrics.retries[retry->cause])++;
+	dff_log (DFF_LOG_CELL, DFF_LOG_INFO,
+		 "Unit is retried. unit=%s run=%d attributed=%s failures=%d workers=%d "
+		 "prospect=%s slack_ms=%" PRId64 " backoff_ms=%" PRId64,
+		 unit->name.data, unit->base_run + command->attempt,
+		 dff_retry_cause_name (retry->cause), retry->failures, retry->n_workers,
+		 dff_prospect_name (retry->objective.prospect), retry->objective.slack_ms,
+		 command->backoff_ms);
+}
+
 static void
 complete_unit (struct dff_holder *holder, struct holder_unit *unit)
 {
@@ -342,7 +372,7 @@
 		stop_task (holder, unit, command);
 		return;
 	case DFF_COMMAND_RECORD_RETRY:
-		clear_assignment (holder, unit);
+		record_retry (holder, unit, command);
 		return;
 	case DFF_COMMAND_RECORD_OUTCOME:
 		end_unit (holder, unit, command);
--- a/include/core/core.h
+++ b/include/core/core.h
@@ -7,6 +7,7 @@
 
 #include "common/cleanup.h"
 #include "core/job.h"
+#include "core/retry.h"
 #include "pool/pool.h"
 
 /*
@@ -88,6 +89,9 @@
 	/** Wait after which work of the lowest priority leaves headroom for the highest one only,
 	 * as a multiple of its expected run time; 0: never. */
 	double headroom_wait_ratio;
+	/** Whether the backoff after a failed attempt depends on its cause and on the job's
+	 * objective, see core/retry.h; else only on the number of failures. */
+	bool retry_by_cause;
 };
 
 /** Fills in the defaults; docs/decisions/ gives the reasons for them. */
@@ -198,7 +202,8 @@
 	DFF_COMMAND_CHECKPOINT_TASK,
 	DFF_COMMAND_STOP_TASK,
 	DFF_COMMAND_RECORD_OUTCOME, /**< @job, @attempt, @outcome, @reason. */
-	DFF_COMMAND_RECORD_RETRY,   /**< The attempt has ended and may be followed by another. */
+	DFF_COMMAND_RECORD_RETRY,   /**< The attempt has ended and may be followed by another.
+				       @retry, @backoff_ms. */
 };
 
 /** An output. Members that its type does not name are zero. */
@@ -213,6 +218,10 @@
 	 * next call. */
 	const GArray *placements;
 	enum dff_outcome outcome;
+	/** With RECORD_RETRY: why, the number of the job's failures and of the workers it has
+	 * failed on, and the backoff, ms. */
+	struct dff_retry_input retry;
+	int64_t backoff_ms;
 	/** Stable code of why a job ends or a task is stopped ("never_runnable",
 	 * "attempts_exhausted", "worker_leaving", ...). Static. */
 	const char *reason;
--- a/include/core/job.h
+++ b/include/core/job.h
@@ -60,6 +60,9 @@
 	int64_t declared_ms;
 	/** Maximum number of attempts; 1 for work that is not idempotent. */
 	int32_t max_attempts;
+	/** Number of failed attempts on record, beyond which @max_attempts counts. They only raise
+	 * the backoff. */
+	int32_t failures_before;
 	/** Recorded blame points, for workers that crashed under it: see dff_core_options. */
 	int32_t blame;
 	/** Label that each worker must have; empty: none. */
--- /dev/null
+++ b/include/core/retry.h
@@ -0,0 +1,53 @@
+#ifndef DFF_CORE_RETRY_H
+#define DFF_CORE_RETRY_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "core/objective.h"
+
+/* How soon a job is placed again after an attempt in which a task failed or was lost. Pure: no
+ * clock and no state of its own. */
+
+/** Why an attempt is followed by another. */
+enum dff_retry_cause {
+	/** No task failed: the attempt was preempted, or nothing ran. */
+	DFF_RETRY_NONE,
+	/** Tasks failed, each on a worker on which other work fails too. */
+	DFF_RETRY_WORKER,
+	/** Tasks failed, and nothing shows that a worker is at fault. */
+	DFF_RETRY_JOB,
+	/** No task failed, but some were lost with their workers. */
+	DFF_RETRY_LOST,
+};
+
+/** Smallest backoff after a failure that is not attributed to a worker, and after any failure of a
+ * job from its second one on, ms. */
+#define DFF_RETRY_MIN_MS 250
+
+struct dff_retry_input {
+	enum dff_retry_cause cause;
+	/** Number of the job's failed attempts, this one included. */
+	int32_t failures;
+	/** Number of different workers on which the job has failed. */
+	int32_t n_workers;
+	/** Whether the job can still meet its objective if it starts now. */
+	struct dff_objective_assessment objective;
+};
+
+/** Returns: the backoff after a failed attempt, ms, by the number of the job's failures alone:
+ * doubled for each one up to a limit. */
+int64_t dff_retry_doubling_ms (int32_t failures);
+
+/**
+ * dff_retry_backoff_ms:
+ *
+ * Returns: the time from the end of the attempt until the job is queued again, ms. Never more than
+ * dff_retry_doubling_ms(), and never 0 from the second failure on.
+ */
+int64_t dff_retry_backoff_ms (const struct dff_retry_input *input);
+
+/** Returns: the cause's name in logs and metrics ("worker", "job", "lost", "none"). Static. */
+const char *dff_retry_cause_name (enum dff_retry_cause cause);
+
+#endif
