core, holder: the place of a gang that lost a member is kept for it

Cause: while the other members of a failed gang are stopped, their workers come free one after the other, and other work takes them before the gang can be placed again.

Guaranteed work, assured work of other teams, and urgent work where the gang is not urgent use them nevertheless. The place is released when the gang is placed, ends or is cancelled. Such a gang is queued in a class of its own. Counters, and kept= in two log lines.

--- a/core/check.c
+++ b/core/check.c
@@ -9,6 +9,7 @@
 	struct dff_resources reserved;
 	struct dff_resources bound;
 	uint64_t leased;
+	int32_t n_kept;
 };
 
 static char *
@@ -40,6 +41,8 @@
 static char *
 check_worker (const struct dff_core_worker *worker, const struct tally *tally)
 {
+	if (worker->n_kept != tally->n_kept)
+		return g_strdup_printf ("kept places miscounted: worker=%s", worker->name.data);
 	if (worker->leased != tally->leased || !dff_resources_equal (&worker->used, &tally->used))
 		return g_strdup_printf ("leases differ from attempts: worker=%s",
 					worker->name.data);
@@ -154,6 +157,24 @@
 	return NULL;
 }
 
+/* A place is kept only until the next attempt: a gang never has more than it needs. */
+static char *
+check_kept_place (const struct dff_core *core,
+		  const struct dff_core_job *job,
+		  struct tally *tallies)
+{
+	if (job->state != DFF_CORE_STOPPING && job->state != DFF_CORE_QUEUED &&
+	    job->state != DFF_CORE_DELAYED)
+		return g_strdup_printf ("a place is kept for no next attempt: job=%s",
+					job->id.data);
+	for (guint i = 0; i < core->workers->len; i++)
+		tallies[i].n_kept += dff_core_kept_place_count (
+			core, job, dff_core_worker_at (core, (int32_t)i));
+	if (dff_core_kept_place_size (core, job) + job->n_open > job->gang)
+		return g_strdup_printf ("more is kept than the gang had: job=%s", job->id.data);
+	return NULL;
+}
+
 static char *
 check_jobs (const struct dff_core *core, struct tally *tallies)
 {
@@ -164,6 +185,8 @@
 	while (broken == NULL && g_hash_table_iter_next (&iter, NULL, &value)) {
 		const struct dff_core_job *job = value;
 		broken = check_phase (job);
+		if (broken == NULL && job->keeps_place)
+			broken = check_kept_place (core, job, tallies);
 		tally_holds (core, job, tallies);
 		if (broken == NULL && job->placements != NULL)
 			broken = tally_job (core, job, tallies);
--- a/core/core.c
+++ b/core/core.c
@@ -42,6 +42,7 @@
 	options->evict_work_ratio = 0.0;
 	options->evict_unlimited_after_ms = 0;
 	options->retry_by_cause = false;
+	options->keep_places = false;
 }
 
 static GArray *
@@ -87,6 +88,8 @@
 dff_core_free (struct dff_core *core)
 {
 	g_hash_table_foreach (core->jobs, free_job, NULL);
+	while (!g_queue_is_empty (&core->kept_places))
+		g_free (g_queue_pop_head_link (&core->kept_places)->data);
 	g_hash_table_unref (core->jobs);
 	g_hash_table_unref (core->classes);
 	g_hash_table_unref (core->estimators);
@@ -420,6 +423,7 @@
 	dff_core_run_reserved (core);
 	dff_core_run_rack_reservations (core);
 	dff_core_run_headroom (core);
+	dff_core_run_kept_places (core);
 	dff_core_run_queue (core);
 	dff_core_run_defrag (core);
 	g_array_set_size (commands, 0);
@@ -447,6 +451,7 @@
 	wake_ms = MIN (wake_ms, head_deadline (&core->stopping));
 	wake_ms = MIN (wake_ms, dff_core_quarantine_wake_ms (core));
 	wake_ms = MIN (wake_ms, dff_core_defrag_wake_ms (core));
+	wake_ms = MIN (wake_ms, dff_core_kept_places_wake_ms (core));
 	if (g_hash_table_size (core->classes) > 0)
 		wake_ms = MIN (wake_ms, core->review_ms);
 	for (const GList *link = core->delayed.head; link != NULL; link = link->next)
--- a/core/core_private.h
+++ b/core/core_private.h
@@ -123,8 +123,9 @@
 /** Puts a job without an attempt or reservation back into its queue. */
 void dff_core_job_requeue (struct dff_core *core, struct dff_core_job *job);
 
-/** Leases the workers in job->members and requests that the attempt is recorded. */
-void dff_core_attempt_begin (struct dff_core *core, struct dff_core_job *job);
+/** Leases the workers in job->members and requests that the attempt is recorded. Returns: that
+ * command. */
+struct dff_command *dff_core_attempt_begin (struct dff_core *core, struct dff_core_job *job);
 
 void dff_core_attempt_recorded (struct dff_core *core, struct dff_core_job *job);
 
@@ -266,6 +267,49 @@
 			   const struct dff_core_worker *worker,
 			   int32_t priority);
 
+/* kept_place.c */
+
+/** Keeps the place of a gang that is about to be stopped because member @ended, already closed, has
+ * not completed. */
+void dff_core_kept_place_open (struct dff_core *core, struct dff_core_job *job, int32_t ended);
+
+/** Handles the end of a further member. */
+void dff_core_kept_place_note_end (struct dff_core *core, struct dff_core_job *job, int32_t ended);
+
+/** Handles the end of the last member. @backoff_ms: time until the job is queued again. */
+void
+dff_core_kept_place_retry (struct dff_core *core, struct dff_core_job *job, int64_t backoff_ms);
+
+/** Releases the place that is kept for @job, if there is one. */
+void dff_core_kept_place_release (struct dff_core *core, struct dff_core_job *job);
+
+/** Returns: the number of members of @job whose places are free and kept. */
+int32_t dff_core_kept_place_size (const struct dff_core *core, const struct dff_core_job *job);
+
+/** As dff_core_kept_place_size(), on one worker. */
+int32_t dff_core_kept_place_count (const struct dff_core *core,
+				   const struct dff_core_job *job,
+				   const struct dff_core_worker *worker);
+
+/** Whether @job may use the place that is kept for @keeper: it has a right to its accelerators, or
+ * is urgent when the keeper is not. */
+bool dff_core_kept_place_yields (const struct dff_core *core,
+				 const struct dff_core_job *keeper,
+				 const struct dff_core_job *job);
+
+/** Returns: what is kept on a worker from @job. */
+struct dff_resources dff_core_kept_from (const struct dff_core *core,
+					 const struct dff_core_worker *worker,
+					 const struct dff_core_job *job);
+
+/** Releases what is kept for others on the workers of @job where it needs that. */
+void dff_core_kept_places_yield (struct dff_core *core, const struct dff_core_job *job);
+
+/** System: releases the places that have been kept for long enough. */
+void dff_core_run_kept_places (struct dff_core *core);
+
+int64_t dff_core_kept_places_wake_ms (const struct dff_core *core);
+
 /* start.c */
 
 bool dff_core_within_quota (const struct dff_core *core, const struct dff_core_job *job);
--- a/core/core_tables.h
+++ b/core/core_tables.h
@@ -42,6 +42,8 @@
 
 struct dff_core_worker {
 	struct dff_name name;
+	/** Number of free places that are kept here for members of gangs. */
+	int16_t n_kept;
 	/** Index of its rack; DFF_CORE_NONE when the pool does not declare the worker any more. */
 	int32_t rack;
 	enum dff_worker_state state;
@@ -247,6 +249,8 @@
 	bool idempotent;
 	/** Number of failed attempts before the core was given the job. */
 	int8_t failures_before;
+	/** Whether a place is kept for it, see core/kept_place.c. */
+	bool keeps_place;
 	int64_t declared_ms;
 	int32_t max_attempts;
 	/** Index of the label asked for, and of the label of the rack that holds its data;
@@ -414,6 +418,8 @@
 	GQueue checkpointing;
 	GQueue stopping;
 	GQueue delayed;
+	/** Elements: struct dff_core_kept_place *. */
+	GQueue kept_places;
 	/** Commands since the last tick. */
 	GArray *pending;
 	/** Whether something may be placed that could not be placed before. */
--- a/core/lifecycle.c
+++ b/core/lifecycle.c
@@ -133,7 +133,7 @@
 	dff_core_enqueue (core, job);
 }
 
-void
+struct dff_command *
 dff_core_attempt_begin (struct dff_core *core, struct dff_core_job *job)
 {
 	dff_core_set_state (core, job, DFF_CORE_RECORDING, INT64_MAX);
@@ -151,7 +151,9 @@
 			dff_core_pick_accelerators (worker, job->per_task.accelerators);
 		dff_core_lease (core, job, job->members[i].worker, placement->accelerators);
 	}
-	dff_core_emit (core, DFF_COMMAND_RECORD_START, job)->placements = job->placements;
+	struct dff_command *command = dff_core_emit (core, DFF_COMMAND_RECORD_START, job);
+	command->placements = job->placements;
+	return command;
 }
 
 void
@@ -330,14 +332,18 @@
 
 /* The end of one member may end the others: a gang runs whole or not at all. */
 static void
-after_member_end (struct dff_core *core, struct dff_core_job *job, bool completed)
+after_member_end (struct dff_core *core, struct dff_core_job *job, int32_t ended)
 {
+	dff_core_kept_place_note_end (core, job, ended);
 	if (job->n_open == 0) {
 		dff_core_attempt_finish (core, job);
 		return;
 	}
-	if (!completed && job->state != DFF_CORE_STOPPING)
-		dff_core_attempt_stop (core, job, DFF_CORE_STOP_MEMBER_ENDED);
+	if (job->members[ended].state == DFF_CORE_MEMBER_COMPLETED ||
+	    job->state == DFF_CORE_STOPPING)
+		return;
+	dff_core_kept_place_open (core, job, ended);
+	dff_core_attempt_stop (core, job, DFF_CORE_STOP_MEMBER_ENDED);
 }
 
 /* The end of a task may be received before its start. */
@@ -433,7 +439,7 @@
 	if (event->type != DFF_EVENT_TASK_REJECTED)
 		update_health (core, job, member, state);
 	member_close (core, job, event->member, state);
-	after_member_end (core, job, state == DFF_CORE_MEMBER_COMPLETED);
+	after_member_end (core, job, event->member);
 }
 
 void
@@ -442,6 +448,7 @@
 	if (job->cancelled || job->state == DFF_CORE_ENDING)
 		return;
 	job->cancelled = true;
+	dff_core_kept_place_release (core, job);
 	switch (job->state) {
 	case DFF_CORE_QUEUED:
 	case DFF_CORE_DELAYED:
--- a/core/outcome.c
+++ b/core/outcome.c
@@ -9,6 +9,7 @@
 		  const char *reason)
 {
 	dff_core_set_state (core, job, DFF_CORE_ENDING, INT64_MAX);
+	dff_core_kept_place_release (core, job);
 	dff_core_uncover (core, job);
 	struct dff_command *command = dff_core_emit (core, DFF_COMMAND_RECORD_OUTCOME, job);
 	command->outcome = outcome;
@@ -73,6 +74,8 @@
 	core->stats.retries++;
 	struct dff_command *command = dff_core_emit (core, DFF_COMMAND_RECORD_RETRY, job);
 	command->backoff_ms = wait_ms;
+	dff_core_kept_place_retry (core, job, wait_ms);
+	command->n_kept = dff_core_kept_place_size (core, job);
 	if (input != NULL)
 		command->retry = *input;
 	dff_core_job_clear_attempt (job);
--- a/core/place.c
+++ b/core/place.c
@@ -42,6 +42,8 @@
 		return dff_resources_less (&worker->capacity, &worker->witnesses);
 	struct dff_resources available = dff_resources_less (&worker->capacity, &worker->used);
 	available = dff_resources_less (&available, &worker->reserved);
+	struct dff_resources kept = dff_core_kept_from (core, worker, job);
+	available = dff_resources_less (&available, &kept);
 	for (guint i = 0; is_evicting (view) && i < worker->occupants->len; i++) {
 		struct dff_core_job *occupant = g_ptr_array_index (worker->occupants, i);
 		if (dff_core_may_evict (core, job, occupant))
@@ -118,7 +120,8 @@
 		limit = MIN (limit, job->per_worker);
 	int32_t level = dff_core_headroom_level (core, job);
 	if (limit == 0 || (!is_hypothetical (view) && !job->ignores_reservations &&
-			   dff_core_is_headroom (core, worker, level)))
+			   dff_core_is_headroom (core, worker, level) &&
+			   dff_core_kept_place_count (core, job, worker) == 0))
 		return 0;
 	if (!is_hypothetical (view) &&
 	    (!dff_core_worker_usable (worker) || dff_core_job_avoids (job, index) ||
--- a/core/queue.c
+++ b/core/queue.c
@@ -39,6 +39,9 @@
 	guint32 hash = (guint32)(job->label + 1) + (guint32)(job->data_rack + 1) * 31;
 	if (dff_core_job_is_isolated (core, job))
 		hash += ISOLATED_HASH;
+	/* A job that keeps a place fits where others like it do not. */
+	if (job->keeps_place)
+		hash += dff_name_hash (&job->id);
 	if (job->per_worker > 0)
 		hash += (guint32)job->spread_group * 961;
 	return hash;
--- a/core/reclaim.c
+++ b/core/reclaim.c
@@ -56,7 +56,8 @@
 		    const struct dff_core_job *job,
 		    struct dff_core_job *occupant)
 {
-	if (occupant->hold != DFF_CORE_HOLD_SOFT)
+	if (occupant->hold != DFF_CORE_HOLD_SOFT ||
+	    (occupant->keeps_place && !dff_core_kept_place_yields (core, occupant, job)))
 		return false;
 	if (job->hold == DFF_CORE_HOLD_CLAIM || job->entitled)
 		return true;
@@ -69,6 +70,15 @@
 	return job->urgent || may_overtake (core, job, occupant);
 }
 
+/* Whether an occupant that is ending leaves its capacity to @job. */
+static bool
+leaves_to (const struct dff_core *core,
+	   const struct dff_core_job *occupant,
+	   const struct dff_core_job *job)
+{
+	return !occupant->keeps_place || dff_core_kept_place_yields (core, occupant, job);
+}
+
 static bool
 is_ending (const struct dff_core_job *job)
 {
@@ -124,7 +134,8 @@
 	int64_t best_cost = INT64_MAX;
 	for (guint i = 0; i < worker->occupants->len; i++) {
 		struct dff_core_job *occupant = g_ptr_array_index (worker->occupants, i);
-		if (!is_ending (occupant) && !dff_core_may_evict (core, job, occupant))
+		if (is_ending (occupant) ? !leaves_to (core, occupant, job)
+					 : !dff_core_may_evict (core, job, occupant))
 			continue;
 		int64_t cost = dff_core_lost_work (core, occupant);
 		if (cost >= best_cost || !reduces_shortage (available, occupant) ||
@@ -289,7 +300,8 @@
 	return count;
 }
 
-/* Whether every member fits on what is not leased, and, with @less_reserved, not reserved. */
+/* Whether every member fits on what is neither leased nor kept for others and, with
+ * @less_reserved, not reserved. */
 static bool
 fits_now (const struct dff_core *core, const struct dff_core_job *job, bool less_reserved)
 {
@@ -300,6 +312,8 @@
 			dff_resources_less (&worker->capacity, &worker->used);
 		if (less_reserved)
 			available = dff_resources_less (&available, &worker->reserved);
+		struct dff_resources kept = dff_core_kept_from (core, worker, job);
+		available = dff_resources_less (&available, &kept);
 		int32_t times = members_on (job, job->members[i].worker);
 		if (dff_resources_fits (&available, &job->per_task, times) < times)
 			return false;
@@ -335,6 +349,22 @@
 	dff_core_attempt_reserve (core, job);
 }
 
+/* Returns: the number of members that are placed where a place is kept for the job. */
+static int32_t
+members_in_kept_place (const struct dff_core *core, const struct dff_core_job *job)
+{
+	int32_t count = 0;
+	for (int32_t i = 0; job->keeps_place && i < job->gang; i++) {
+		int32_t worker = job->members[i].worker;
+		int32_t before = 0;
+		for (int32_t j = 0; j < i; j++)
+			before += job->members[j].worker == worker;
+		count += before <
+			 dff_core_kept_place_count (core, job, dff_core_worker_at (core, worker));
+	}
+	return count;
+}
+
 void
 dff_core_take (struct dff_core *core,
 	       struct dff_core_job *job,
@@ -348,8 +378,11 @@
 	for (int32_t i = 0; i < job->gang; i++)
 		job->members[i].worker = workers[i];
 	dff_core_job_bind (core, job);
+	int32_t n_kept = members_in_kept_place (core, job);
+	dff_core_kept_place_release (core, job);
+	dff_core_kept_places_yield (core, job);
 	if (fits_now (core, job, true))
-		dff_core_attempt_begin (core, job);
+		dff_core_attempt_begin (core, job)->n_kept = n_kept;
 	else
 		reserve (core, job);
 }
--- a/core/tables.c
+++ b/core/tables.c
@@ -160,6 +160,7 @@
 		team->urgent_accelerators -= job->urgent ? dff_core_job_accelerators (job) : 0;
 	}
 	dff_core_headroom_count (core, job, -1);
+	dff_core_kept_place_release (core, job);
 	dff_core_job_set_blame (core, job, 0);
 	g_hash_table_remove (core->jobs, &job->id);
 	dff_core_job_free (job);
--- a/holder/holder.c
+++ b/holder/holder.c
@@ -213,6 +213,12 @@
 	holder->metrics.retry_delay = dff_metrics_histogram (
 		metrics, "dff_holder_retry_delay_ms",
 		"Time from the first failure or loss in an attempt to the placement of the next.");
+	holder->metrics.kept_tasks = dff_metrics_counter (
+		metrics, "dff_holder_kept_tasks_total",
+		"Tasks of gangs that lost a member whose places were kept for the next attempt.");
+	holder->metrics.kept_tasks_used =
+		dff_metrics_counter (metrics, "dff_holder_kept_tasks_used_total",
+				     "Tasks that were placed where a place was kept for them.");
 	holder->metrics.open_jobs =
 		dff_metrics_gauge (metrics, "dff_holder_open_jobs", "Jobs that are not over.");
 }
--- a/holder/holder_tables.h
+++ b/holder/holder_tables.h
@@ -421,6 +421,8 @@
 		int64_t *starts_withdrawn;
 		int64_t *retries[DFF_RETRY_LOST + 1];
 		struct dff_histogram *retry_delay;
+		int64_t *kept_tasks;
+		int64_t *kept_tasks_used;
 	} metrics;
 };
 
--- a/holder/units.c
+++ b/holder/units.c
@@ -221,14 +221,17 @@
 		dff_histogram_observe (holder->metrics.retry_delay,
 				       holder_now_ms (holder) - unit->failed_ms);
 	unit->failed_ms = 0;
+	(*holder->metrics.kept_tasks_used) += command->n_kept;
 	struct holder_ack ack = {.unit = unit->name, .attempt = command->attempt};
 	g_array_append_val (unit->job->acks, ack);
 	commit_mark_dirty (holder, unit->job);
 	const struct dff_task *task = member_task (unit, 0);
 	dff_log (DFF_LOG_CELL, DFF_LOG_INFO,
-		 "Unit placed. unit=%s run=%d tasks=%d worker=%s waited_ms=%" PRId64 " resumed=%d",
+		 "Unit placed. unit=%s run=%d tasks=%d worker=%s waited_ms=%" PRId64
+		 " resumed=%d kept=%d",
 		 unit->name.data, task->run, unit->n_members, task->worker.data,
-		 holder_now_ms (holder) - unit->job->added_ms, task->checkpoint != NULL);
+		 holder_now_ms (holder) - unit->job->added_ms, task->checkpoint != NULL,
+		 command->n_kept);
 }
 
 static void
@@ -298,13 +301,14 @@
 	if (retry->cause == DFF_RETRY_NONE)
 		return;
 	(*holder->metrics.retries[retry->cause])++;
+	(*holder->metrics.kept_tasks) += command->n_kept;
 	dff_log (DFF_LOG_CELL, DFF_LOG_INFO,
 		 "Unit is retried. unit=%s run=%d attributed=%s failures=%d workers=%d "
-		 "prospect=%s slack_ms=%" PRId64 " backoff_ms=%" PRId64,
+		 "prospect=%s slack_ms=%" PRId64 " backoff_ms=%" PRId64 " kept=%d",
 		 unit->name.data, unit->base_run + command->attempt,
 		 dff_retry_cause_name (retry->cause), retry->failures, retry->n_workers,
 		 dff_prospect_name (retry->objective.prospect), retry->objective.slack_ms,
-		 command->backoff_ms);
+		 command->backoff_ms, command->n_kept);
 }
 
 static void
--- a/include/core/core.h
+++ b/include/core/core.h
@@ -92,6 +92,9 @@
 	/** Whether the backoff after a failed attempt depends on its cause and on the job's
 	 * objective, see core/retry.h; else only on the number of failures. */
 	bool retry_by_cause;
+	/** Whether the workers of a gang that lost a member are kept for its next attempt, for at
+	 * most a second after its end, see core/kept_place.c. */
+	bool keep_places;
 };
 
 /** Fills in the defaults; docs/decisions/ gives the reasons for them. */
@@ -222,6 +225,9 @@
 	 * failed on, and the backoff, ms. */
 	struct dff_retry_input retry;
 	int64_t backoff_ms;
+	/** With RECORD_RETRY: number of tasks whose places are kept for the next attempt. With
+	 * RECORD_START: number of tasks that are placed there. */
+	int32_t n_kept;
 	/** Stable code of why a job ends or a task is stopped ("never_runnable",
 	 * "attempts_exhausted", "worker_leaving", ...). Static. */
 	const char *reason;
