tests: gangs that lose a member

Cause: the backoff by cause and the kept place had only the table of the pure module.

The random sessions and the schedules use both options for half of their seeds; the sessions with them have more failures, and also check that two attempts never overlap. Statistics of kept places.

--- a/core/kept_place.c
+++ b/core/kept_place.c
@@ -96,6 +96,7 @@
 			open || i == ended ? job->members[i].worker : DFF_CORE_NONE;
 	}
 	job->keeps_place = true;
+	core->stats.kept_places++;
 	g_queue_push_tail_link (&core->kept_places, &place->link);
 	dff_core_kept_place_note_end (core, job, ended);
 }
@@ -224,6 +225,16 @@
 	return dff_resources_fits (&available, &job->per_task, times) == times;
 }
 
+static bool
+holds_worker (const struct dff_core_kept_place *place, int32_t worker)
+{
+	for (int32_t i = 0; i < place->job->gang; i++) {
+		if (place->members[i].worker == worker)
+			return true;
+	}
+	return false;
+}
+
 static void
 yield_on (struct dff_core *core, const struct dff_core_job *job, int32_t worker)
 {
@@ -231,8 +242,11 @@
 		return;
 	for (GList *link = core->kept_places.head; link != NULL; link = link->next) {
 		struct dff_core_kept_place *place = link->data;
-		if (dff_core_kept_place_yields (core, place->job, job))
-			drop_worker (core, place, worker);
+		if (!dff_core_kept_place_yields (core, place->job, job) ||
+		    !holds_worker (place, worker))
+			continue;
+		drop_worker (core, place, worker);
+		core->stats.kept_places_lost++;
 	}
 }
 
--- a/core/reclaim.c
+++ b/core/reclaim.c
@@ -379,6 +379,7 @@
 		job->members[i].worker = workers[i];
 	dff_core_job_bind (core, job);
 	int32_t n_kept = members_in_kept_place (core, job);
+	core->stats.kept_places_used += n_kept > 0;
 	dff_core_kept_place_release (core, job);
 	dff_core_kept_places_yield (core, job);
 	if (fits_now (core, job, true))
--- a/include/core/core.h
+++ b/include/core/core.h
@@ -274,6 +274,9 @@
 	 * number of jobs that the core was given. */
 	int64_t queued, starting, running, stopping, ended;
 	int64_t reclaims, preemptions, moves, start_failures, retries;
+	/** Places that were kept for gangs; those used by the next attempt; and those that work
+	 * with a right to them took, in whole or in part. */
+	int64_t kept_places, kept_places_used, kept_places_lost;
 	int64_t workers_up, workers_quarantined;
 	/** Standard deviation of the workers' relative durations, as logarithms. */
 	double duration_spread;
--- a/tests/cell/cell_harness.h
+++ b/tests/cell/cell_harness.h
@@ -43,6 +43,8 @@
 	uint64_t seed;
 	/** Lease of the cells that are started from now on, ms; 0: the default. */
 	int32_t lease_ms;
+	/** Cells retry failed gangs by cause, and keep their places. */
+	bool retries_soon;
 	int n_starts;
 	/** Cells that are started from now on have not received an instance list. */
 	bool no_instance_list;
@@ -117,6 +119,8 @@
 	options.recorder = process->recorder;
 	options.seed = seed;
 	options.core.start_timeout_ms = 3000;
+	options.core.retry_by_cause = harness->retries_soon;
+	options.core.keep_places = harness->retries_soon;
 	process->cell = dff_cell_new (&options);
 	dff_cell_set_rank (process->cell, index);
 	dff_cell_set_pool (process->cell, &harness->pool);
@@ -155,10 +159,11 @@
 static inline void harness_check_start (void *ctx, const struct dff_task_id *task);
 
 static inline void
-harness_init (struct harness *harness, uint64_t seed)
+harness_init_with (struct harness *harness, uint64_t seed, bool retries_soon)
 {
 	memset (harness, 0, sizeof (*harness));
 	harness->seed = seed;
+	harness->retries_soon = retries_soon;
 	dff_clock_virtual_init (&harness->clock, 1000000);
 	const struct dff_memory_options options = {.clock = &harness->clock.clock, .seed = seed};
 	harness->memory = dff_memory_new (&options);
@@ -178,6 +183,12 @@
 		harness_start (harness, i);
 }
 
+static inline void
+harness_init (struct harness *harness, uint64_t seed)
+{
+	harness_init_with (harness, seed, false);
+}
+
 static inline void
 harness_clear (struct harness *harness)
 {
--- a/tests/cell/test-schedules.c
+++ b/tests/cell/test-schedules.c
@@ -6,6 +6,8 @@
  * go silent, restart, leave, refuse and fail. The harness checks the invariants after every step.
  * Then all faults are removed, and every accepted job must end.
  *
+ * In half of the schedules, failed gangs are retried by cause and their places are kept.
+ *
  * DFF_TEST_SEEDS=FIRST:LAST runs other seeds.
  */
 
@@ -236,7 +238,7 @@
 	struct schedule schedule = {0};
 	schedule.rand = g_rand_new_with_seed (seed);
 	struct harness *harness = &schedule.harness;
-	harness_init (harness, seed + 1);
+	harness_init_with (harness, seed + 1, seed / 2 % 2 == 1);
 	harness->fleet.checks_epochs = seed % 2 == 0;
 	harness->fleet.run_ms = pick (&schedule, 100, 4000);
 	while (harness->clock.now_ms < 1000000 + CHAOS_MS) {
--- a/tests/core/test-property.c
+++ b/tests/core/test-property.c
@@ -65,6 +65,9 @@
 	GPtrArray *tasks;
 	enum dff_worker_state states[N_WORKERS];
 	bool fault_free;
+	/** Whether failed gangs are retried by cause and their places are kept. In such
+	 * sessions more tasks fail, also after the faults, and more jobs may be retried. */
+	bool retries_soon;
 	int64_t events;
 	/** Number of jobs given to the current core. */
 	int64_t accepted;
@@ -150,6 +153,9 @@
 	}
 	for (guint i = 0; i < world->tasks->len; i++) {
 		const struct task *other = g_ptr_array_index (world->tasks, i);
+		if (other->alive && other->attempt != task->attempt &&
+		    dff_name_equal (&other->job, &task->job))
+			fail_msg ("two attempts at once: %s", task->job.data);
 		if (other->alive && other->worker == task->worker &&
 		    (other->accelerators & task->accelerators) != 0)
 			fail_msg ("leased twice: %s and %s", other->job.data, task->job.data);
@@ -168,7 +174,8 @@
 		return;
 	task->alive = false;
 	task->ended = true;
-	task->completed = !chance (world, 0.08);
+	task->completed =
+		world->retries_soon ? g_rand_double (world->rand) >= 0.2 : !chance (world, 0.08);
 	send_event (world, task, task->completed ? DFF_EVENT_TASK_COMPLETED : DFF_EVENT_TASK_FAILED,
 		    true, 300);
 }
@@ -381,11 +388,13 @@
 	g_autofree char *id = g_strdup_printf ("j%d", number);
 	row->spec = fixture_spec (id, gang, g_rand_int_range (world->rand, 0, gang > 4 ? 3 : 5));
 	row->spec.team = dff_name_from (g_rand_boolean (world->rand) ? "a" : "b");
-	row->spec.idempotent = g_rand_double (world->rand) < 0.6;
+	row->spec.idempotent = g_rand_double (world->rand) < (world->retries_soon ? 0.9 : 0.6);
 	row->spec.checkpoint = g_rand_boolean (world->rand);
 	row->spec.urgent = g_rand_double (world->rand) < 0.15;
 	row->spec.guaranteed = g_rand_double (world->rand) < 0.4;
 	row->spec.adjacency = (enum dff_adjacency)g_rand_int_range (world->rand, 0, 2);
+	static const struct dff_objective objective = {1.5, 250, 60000, 60000, 0};
+	row->spec.objective = world->retries_soon && row->spec.urgent ? &objective : NULL;
 	row->placements = g_array_new (FALSE, TRUE, sizeof (struct dff_placement));
 	g_hash_table_insert (world->rows, &row->spec.id, row);
 	g_ptr_array_add (world->order, row);
@@ -439,13 +448,19 @@
 	world->seen.moves += stats.moves;
 	world->seen.start_failures += stats.start_failures;
 	world->seen.retries += stats.retries;
+	world->seen.kept_places += stats.kept_places;
+	world->seen.kept_places_used += stats.kept_places_used;
+	world->seen.kept_places_lost += stats.kept_places_lost;
 }
 
 static struct dff_core *
-new_core (void)
+new_core (const struct world *world)
 {
 	struct dff_core_options options;
 	dff_core_options_init (&options);
+	options.retry_by_cause = world->retries_soon;
+	options.keep_places = world->retries_soon;
+	options.early_failure_share = world->retries_soon ? 0.1 : 0.0;
 	return dff_core_new (&options);
 }
 
@@ -457,7 +472,7 @@
 {
 	add_stats (world);
 	dff_core_free (world->core);
-	world->core = new_core ();
+	world->core = new_core (world);
 	world->accepted = 0;
 	dff_core_set_pool (world->core, &world->pools[world->pool], world->now_ms);
 	for (int i = 0; i < N_WORKERS; i++) {
@@ -563,7 +578,7 @@
 static void
 world_init (struct world *world, uint32_t seed)
 {
-	*world = (struct world){.rand = g_rand_new_with_seed (seed)};
+	*world = (struct world){.rand = g_rand_new_with_seed (seed), .retries_soon = seed % 2 == 0};
 	world->arrivals = g_sequence_new (g_free);
 	world->rows = g_hash_table_new (dff_name_hash, dff_name_equal_func);
 	world->order = g_ptr_array_new ();
@@ -575,7 +590,7 @@
 	world->pools[1].weights = (struct dff_weights){.completion = 0.3, .fragmentation = 0.7};
 	fixture_pool_add_team (&world->pools[1], "a", 3, 6);
 	fixture_pool_add_team (&world->pools[1], "b", 1, 24);
-	world->core = new_core ();
+	world->core = new_core (world);
 	dff_core_set_pool (world->core, &world->pools[0], 0);
 	for (int i = 0; i < N_WORKERS; i++)
 		set_worker (world, i, DFF_WORKER_UP);
@@ -630,6 +645,9 @@
 	assert_true (world.seen.preemptions > 0 && world.seen.retries > 0);
 	totals->reclaims += world.seen.reclaims;
 	totals->start_failures += world.seen.start_failures;
+	totals->kept_places += world.seen.kept_places;
+	totals->kept_places_used += world.seen.kept_places_used;
+	totals->kept_places_lost += world.seen.kept_places_lost;
 	int64_t events = world.events;
 	world_clear (&world);
 	return events;
@@ -645,7 +663,13 @@
 		events += run_session (seed, &totals);
 	assert_true (totals.reclaims > 0);
 	assert_true (totals.start_failures > 0);
-	print_message ("events and ticks: %" G_GINT64_FORMAT "\n", events);
+	assert_true (totals.kept_places_used > 0);
+	assert_true (totals.kept_places_lost > 0);
+	assert_true (totals.kept_places > totals.kept_places_used);
+	print_message ("events and ticks: %" G_GINT64_FORMAT ", kept places: %" G_GINT64_FORMAT
+		       ", used: %" G_GINT64_FORMAT ", lost: %" G_GINT64_FORMAT "\n",
+		       events, totals.kept_places, totals.kept_places_used,
+		       totals.kept_places_lost);
 }
 
 int
