tests/holder: retries around a faulty worker, a takeover and lost answers

Cause: the next attempt after a failed member was only tested in the core.

Change: a gang on a worker that fails everything starts again as soon as its other member is stopped; a holder killed during the backoff; lost answers of the store between the failure and the next attempt.

--- a/tests/holder/test-holder-ends.c
+++ b/tests/holder/test-holder-ends.c
@@ -8,6 +8,9 @@
 #define FAILING_TASK ".0.0.1"
 /** Time from a member's failure until it is recorded and acknowledged, ms. */
 #define RECORD_MS 150
+/** Longest time from a failure until the next attempt has started, ms: the other member's stop
+ * takes up to 400 ms; the rest is for reports, one transaction and the starts. */
+#define RETRY_MAX_MS 700
 
 static struct dff_memory_worker_faults *
 faults_of (struct site *site, const char *job, const char *task)
@@ -88,12 +91,90 @@
 	site_close (&site);
 }
 
+/* Guards against a gang that waits because of a faulty worker: its member failed at once on a
+ * worker that fails everything, work like it has completed elsewhere, and the pool is idle. The
+ * next attempt starts as soon as the other member has been stopped, on other workers. */
+static void
+test_failing_worker_does_not_delay (void **state)
+{
+	(void)state;
+	struct site site;
+	site_open (&site);
+	site_submit (&site, 0, site_plan ("a", 1, false, 1));
+	assert_int_not_equal (site_wait_for_state (&site, "a", "completed", 5000), -1);
+	struct dff_plan *plan = site_plan ("b", 2, true, SITE_ACCELERATORS);
+	site_submit (&site, 0, plan);
+	g_autofree char *name = g_strconcat ("b", FAILING_TASK, NULL);
+	for (int i = 0; i < 3000 && dff_memory_runner_worker_of (site.runner, name) == NULL; i++)
+		site_run (&site, 1);
+	faults_of (&site, "b", FAILING_TASK)->fails = true;
+	int elapsed_ms = 0;
+	while (dff_memory_runner_n_starts (site.runner, "b") < 4 && elapsed_ms < 3000) {
+		site_run (&site, 1);
+		elapsed_ms++;
+	}
+	assert_in_range (elapsed_ms, 1, RETRY_MAX_MS);
+	struct dff_metrics *metrics = site.processes[site_holder (&site)].metrics;
+	assert_int_equal (
+		*dff_metrics_counter (metrics, "dff_holder_retries_total{cause=\"worker\"}", ""),
+		1);
+	assert_int_not_equal (site_wait_for_state (&site, "b", "completed", 5000), -1);
+	assert_int_equal (dff_memory_runner_n_starts (site.runner, "b"), 4);
+	site_close (&site);
+}
+
+/* Guards against an attempt too many, or too few, when the holder is killed while a gang waits for
+ * its next attempt. */
+static void
+test_takeover_during_backoff (void **state)
+{
+	(void)state;
+	struct site site;
+	site_open (&site);
+	site_submit (&site, 0, site_plan ("9", 2, true, SITE_ACCELERATORS));
+	run_until_failed (&site, "9");
+	g_autofree char *name = g_strconcat ("9", HEALTHY_TASK, NULL);
+	for (int i = 0; i < 3000 && dff_memory_runner_worker_of (site.runner, name) != NULL; i++)
+		site_run (&site, 1);
+	site_run (&site, RECORD_MS);
+	assert_int_equal (dff_memory_runner_n_starts (site.runner, "9"), 2);
+	replace_holder (&site);
+	assert_int_not_equal (site_wait_for_state (&site, "9", "failed", 10000), -1);
+	site_run (&site, 3000);
+	assert_int_equal (dff_memory_runner_n_starts (site.runner, "9"), 2 * SITE_MAX_ATTEMPTS);
+	site_close (&site);
+}
+
+/* Guards against a next attempt that starts without its record, or never: the store carries out the
+ * transactions around the failure, and its answers are lost. */
+static void
+test_lost_answers_before_next_attempt (void **state)
+{
+	(void)state;
+	struct site site;
+	site_open (&site);
+	site_submit (&site, 0, site_plan ("8", 2, true, SITE_ACCELERATORS));
+	run_until_failed (&site, "8");
+	struct dff_memory_rows_faults *faults =
+		dff_memory_rows_client_faults (site.processes[site_holder (&site)].rows);
+	faults->lost_permille = 1000;
+	site_run (&site, 1500);
+	assert_int_equal (dff_memory_runner_n_starts (site.runner, "8"), 2);
+	faults->lost_permille = 0;
+	assert_int_not_equal (site_wait_for_state (&site, "8", "completed", 10000), -1);
+	assert_int_equal (dff_memory_runner_n_starts (site.runner, "8"), 2 * 2);
+	site_close (&site);
+}
+
 int
 main (void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test (test_recorded_failure_counts_for_next_holder),
 		cmocka_unit_test (test_repeated_failure_counts_once),
+		cmocka_unit_test (test_failing_worker_does_not_delay),
+		cmocka_unit_test (test_takeover_during_backoff),
+		cmocka_unit_test (test_lost_answers_before_next_attempt),
 	};
 	return cmocka_run_group_tests (tests, NULL, NULL);
 }
