--- a/core/kept_place.c
+++ b/core/kept_place.c
@@ -119,6 +119,16 @@
 	}
 }
 
+static void
+release_place (struct dff_core *core, struct dff_core_kept_place *place)
+{
+	for (int32_t i = 0; i < place->job->gang; i++)
+		drop_member (core, &place->members[i]);
+	place->job->keeps_place = false;
+	g_queue_unlink (&core->kept_places, &place->link);
+	g_free (place);
+}
+
 void
 dff_core_kept_place_retry (struct dff_core *core, struct dff_core_job *job, int64_t backoff_ms)
 {
@@ -133,14 +143,8 @@
 void
 dff_core_kept_place_release (struct dff_core *core, struct dff_core_job *job)
 {
-	if (!job->keeps_place)
-		return;
-	struct dff_core_kept_place *place = find_place (core, job);
-	for (int32_t i = 0; i < job->gang; i++)
-		drop_member (core, &place->members[i]);
-	job->keeps_place = false;
-	g_queue_unlink (&core->kept_places, &place->link);
-	g_free (place);
+	if (job->keeps_place)
+		release_place (core, find_place (core, job));
 }
 
 int32_t
@@ -269,7 +273,7 @@
 		next = link->next;
 		struct dff_core_kept_place *place = link->data;
 		if (place->until_ms <= core->now_ms)
-			dff_core_kept_place_release (core, place->job);
+			release_place (core, place);
 	}
 }
 
--- a/holder/holder.c
+++ b/holder/holder.c
@@ -206,10 +206,11 @@
 		[DFF_RETRY_JOB] = "dff_holder_retries_total{cause=\"job\"}",
 		[DFF_RETRY_LOST] = "dff_holder_retries_total{cause=\"lost\"}",
 	};
-	for (size_t i = DFF_RETRY_WORKER; i < G_N_ELEMENTS (retry_names); i++)
+	for (size_t i = DFF_RETRY_WORKER; i < G_N_ELEMENTS (retry_names); i++) {
 		holder->metrics.retries[i] = dff_metrics_counter (
 			metrics, retry_names[i],
 			"Attempts with a failed or lost task that are followed by another.");
+	}
 	holder->metrics.retry_delay = dff_metrics_histogram (
 		metrics, "dff_holder_retry_delay_ms",
 		"Time from the first failure or loss in an attempt to the placement of the next.");
--- a/tests/core/test-kept-place.c
+++ b/tests/core/test-kept-place.c
@@ -82,10 +82,11 @@
 append_start (const struct dff_command *command, GString *out)
 {
 	g_string_append_printf (out, " %s@", command->job.data);
-	for (guint i = 0; i < command->placements->len; i++)
+	for (guint i = 0; i < command->placements->len; i++) {
 		g_string_append_printf (
 			out, "%s%s", i > 0 ? "," : "",
 			g_array_index (command->placements, struct dff_placement, i).worker.data);
+	}
 	if (command->n_kept > 0)
 		g_string_append_printf (out, "/%d", command->n_kept);
 }
@@ -105,10 +106,11 @@
 			append_start (at, out);
 		if (at->type == DFF_COMMAND_STOP_TASK)
 			g_string_append_printf (out, " %s:stop", at->job.data);
-		if (at->type == DFF_COMMAND_RECORD_RETRY)
+		if (at->type == DFF_COMMAND_RECORD_RETRY) {
 			g_string_append_printf (out, " %s:retry %s %d", at->job.data,
 						dff_retry_cause_name (at->retry.cause),
 						(int)at->backoff_ms);
+		}
 		if (at->type == DFF_COMMAND_RECORD_OUTCOME)
 			g_string_append_printf (out, " %s:end", at->job.data);
 	}
@@ -395,21 +397,21 @@
 	(void)state;
 	static const struct {
 		const char *name;
-		bool gang_is_urgent;
 		const char *team;
-		bool urgent;
-		bool guaranteed;
 		/** Accelerators that both teams are assured of. */
 		int32_t assured;
+		bool gang_is_urgent;
+		bool urgent;
+		bool guaranteed;
 		bool starts;
 	} cases[] = {
-		{"same team", false, "a", false, false, 0, false},
-		{"other team", false, "b", false, false, 0, false},
-		{"urgent", false, "b", true, false, 0, true},
-		{"urgent against urgent", true, "b", true, false, 0, false},
-		{"assured", true, "b", true, false, ACCELERATORS, true},
-		{"assured, same team", true, "a", true, false, 3 * ACCELERATORS, false},
-		{"guaranteed", true, "b", false, true, 0, true},
+		{"same team", "a", 0, false, false, false, false},
+		{"other team", "b", 0, false, false, false, false},
+		{"urgent", "b", 0, false, true, false, true},
+		{"urgent against urgent", "b", 0, true, true, false, false},
+		{"assured", "b", ACCELERATORS, true, true, false, true},
+		{"assured, same team", "a", 3 * ACCELERATORS, true, true, false, false},
+		{"guaranteed", "b", 0, true, false, true, true},
 	};
 	for (size_t i = 0; i < G_N_ELEMENTS (cases); i++) {
 		struct play play;
