--- a/holder/holder.c
+++ b/holder/holder.c
@@ -212,6 +212,25 @@
 	holder->metrics.speeds_undecodable = dff_metrics_counter (
 		metrics, "dff_holder_speeds_undecodable_total",
 		"Recorded relative durations that could not be read at a takeover.");
+	static const char *const retry_names[DFF_RETRY_LOST + 1] = {
+		[DFF_RETRY_WORKER] = "dff_holder_retries_total{cause=\"worker\"}",
+		[DFF_RETRY_JOB] = "dff_holder_retries_total{cause=\"job\"}",
+		[DFF_RETRY_LOST] = "dff_holder_retries_total{cause=\"lost\"}",
+	};
+	for (size_t i = DFF_RETRY_WORKER; i < G_N_ELEMENTS (retry_names); i++) {
+		holder->metrics.retries[i] = dff_metrics_counter (
+			metrics, retry_names[i],
+			"Attempts with a failed or lost task that are followed by another.");
+	}
+	holder->metrics.retry_delay = dff_metrics_histogram (
+		metrics, "dff_holder_retry_delay_ms",
+		"Time from the first failure or loss in an attempt to the placement of the next.");
+	holder->metrics.kept_tasks = dff_metrics_counter (
+		metrics, "dff_holder_kept_tasks_total",
+		"Tasks of gangs that lost a member whose places were kept for the next attempt.");
+	holder->metrics.kept_tasks_used =
+		dff_metrics_counter (metrics, "dff_holder_kept_tasks_used_total",
+				     "Tasks that were placed where a place was kept for them.");
 	holder->metrics.open_jobs =
 		dff_metrics_gauge (metrics, "dff_holder_open_jobs", "Jobs that are not over.");
 }
--- a/holder/holder_tables.h
+++ b/holder/holder_tables.h
@@ -230,6 +230,9 @@
 	int32_t attempt;
 	/** Last attempt for which a stop was requested. */
 	int32_t stopped_attempt;
+	/** When the first task of the last attempt failed or was lost; 0: none did, or the next
+	 * attempt is placed. */
+	int64_t failed_ms;
 	int32_t n_members;
 	/** One per member; NULL where no run is open. */
 	struct holder_run **runs;
@@ -455,6 +458,10 @@
 		int64_t *speeds_recorded;
 		int64_t *speeds_taken_over;
 		int64_t *speeds_undecodable;
+		int64_t *retries[DFF_RETRY_LOST + 1];
+		struct dff_histogram *retry_delay;
+		int64_t *kept_tasks;
+		int64_t *kept_tasks_used;
 	} metrics;
 };
 
--- a/include/core/core.h
+++ b/include/core/core.h
@@ -7,6 +7,7 @@
 
 #include "common/cleanup.h"
 #include "core/job.h"
+#include "core/retry.h"
 #include "pool/pool.h"
 
 /*
@@ -88,6 +89,12 @@
 	/** Wait after which work of the lowest priority leaves headroom for the highest one only,
 	 * as a multiple of its expected run time; 0: never. */
 	double headroom_wait_ratio;
+	/** Whether the backoff after a failed attempt depends on its cause and on the job's
+	 * objective, see core/retry.h; else only on the number of failures. */
+	bool retry_by_cause;
+	/** Whether the workers of a gang that lost a member are kept for its next attempt, for at
+	 * most a second after its end, see core/kept_place.c. */
+	bool keep_places;
 };
 
 /** Fills in the defaults; docs/decisions/ gives the reasons for them. */
@@ -198,7 +205,8 @@
 	DFF_COMMAND_CHECKPOINT_TASK,
 	DFF_COMMAND_STOP_TASK,
 	DFF_COMMAND_RECORD_OUTCOME, /**< @job, @attempt, @outcome, @reason. */
-	DFF_COMMAND_RECORD_RETRY,   /**< The attempt has ended and may be followed by another. */
+	DFF_COMMAND_RECORD_RETRY,   /**< The attempt has ended and may be followed by another.
+				       @retry, @backoff_ms. */
 };
 
 /** An output. Members that its type does not name are zero. */
@@ -213,6 +221,13 @@
 	 * next call. */
 	const GArray *placements;
 	enum dff_outcome outcome;
+	/** With RECORD_RETRY: why, the number of the job's failures and of the workers it has
+	 * failed on, and the backoff, ms. */
+	struct dff_retry_input retry;
+	int64_t backoff_ms;
+	/** With RECORD_RETRY: number of tasks whose places are kept for the next attempt. With
+	 * RECORD_START: number of tasks that are placed there. */
+	int32_t n_kept;
 	/** Stable code of why a job ends or a task is stopped ("never_runnable",
 	 * "attempts_exhausted", "worker_leaving", ...). Static. */
 	const char *reason;
@@ -315,6 +330,9 @@
 	 * number of jobs that the core was given. */
 	int64_t queued, starting, running, stopping, ended;
 	int64_t reclaims, preemptions, moves, start_failures, retries;
+	/** Places that were kept for gangs; those used by the next attempt; and those that work
+	 * with a right to them took, in whole or in part. */
+	int64_t kept_places, kept_places_used, kept_places_lost;
 	int64_t workers_up, workers_quarantined;
 	/** Standard deviation of the workers' relative durations, as logarithms. */
 	double duration_spread;
