holder: failed reads of the recorded speeds are repeated for four seconds

Three failed reads in a row ended the reading, without a delay in between. A store that refuses reads for a moment used them up within milliseconds, and the row was then overwritten unread.

Failed reads are now repeated every 100 ms for four seconds from when the holder schedules, and giving up is logged. The stand-in store can refuse the reads of one key.

--- a/holder/holder_tables.h
+++ b/holder/holder_tables.h
@@ -332,9 +332,14 @@
 
 	/* holder/speeds.c */
 	struct {
-		/** Whether the row is being read, and the number of reads so far. */
+		/** Whether the row is still to be read, whether a read is in progress, and the
+		 * number of reads so far. */
 		bool reading;
+		bool read_in_flight;
 		int32_t n_reads;
+		/** When a failed read may be repeated, and until when it is; 0: not known yet. */
+		int64_t next_read_ms;
+		int64_t read_limit_ms;
 		/** Workers of the row whose incarnation is not known yet, by name. Value: struct
 		 * speeds_entry. */
 		GHashTable *pending;
--- a/holder/speeds.c
+++ b/holder/speeds.c
@@ -32,7 +32,10 @@
 #define FRAME_BYTES 200
 /** Timeout of a read, ms: as for the other reads of a takeover. */
 #define READ_TIMEOUT_MS 1500
-#define READS_MAX 3
+/** Delay after a read that failed, ms, and time for which failed reads are repeated while the
+ * holder schedules, ms: meanwhile it does not record what it learns itself. */
+#define READ_RETRY_MS 100
+#define READ_LIMIT_MS 4000
 
 /** Units of the row's variances and weights in 1, and of relative durations in a logarithm of 1. */
 #define VARIANCE_PARTS 1e6
@@ -217,8 +220,8 @@
 	return true;
 }
 
-void
-speeds_step (struct dff_holder *holder)
+static void
+apply_pending (struct dff_holder *holder)
 {
 	GHashTable *pending = holder->speeds.pending;
 	if (g_hash_table_size (pending) == 0)
@@ -270,8 +273,6 @@
 	holder_wake (holder);
 }
 
-static void read_row (struct dff_holder *holder);
-
 static void
 handle_row (void *user, const struct dff_rows_result *result)
 {
@@ -279,12 +280,12 @@
 	struct dff_holder *holder = holder_call_end (call);
 	if (holder == NULL)
 		return;
-	holder->speeds.reading = false;
+	holder->speeds.read_in_flight = false;
 	if (result->outcome != DFF_ROWS_DONE) {
-		if (holder->speeds.n_reads < READS_MAX)
-			read_row (holder);
+		holder->speeds.next_read_ms = holder_now_ms (holder) + READ_RETRY_MS;
 		return;
 	}
+	holder->speeds.reading = false;
 	if (result->n_rows > 0)
 		take_over_row (holder, &result->rows[0]);
 }
@@ -292,7 +293,7 @@
 static void
 read_row (struct dff_holder *holder)
 {
-	holder->speeds.reading = true;
+	holder->speeds.read_in_flight = true;
 	holder->speeds.n_reads++;
 	struct dff_rows_range range = {.table = DFF_TABLE_CELL,
 				       .from = dff_str_from (DFF_KEY_SPEEDS),
@@ -303,9 +304,37 @@
 				   holder_call_begin (holder, sizeof (struct holder_call)));
 }
 
+/* Repeats a read that failed, until the limit. */
+static void
+step_read (struct dff_holder *holder)
+{
+	int64_t now_ms = holder_now_ms (holder);
+	if (holder->speeds.read_limit_ms == 0)
+		holder->speeds.read_limit_ms = now_ms + READ_LIMIT_MS;
+	if (!holder->speeds.reading || holder->speeds.read_in_flight ||
+	    now_ms < holder->speeds.next_read_ms)
+		return;
+	if (now_ms < holder->speeds.read_limit_ms) {
+		read_row (holder);
+		return;
+	}
+	holder->speeds.reading = false;
+	dff_log (DFF_LOG_CELL, DFF_LOG_WARNING,
+		 "Recorded speeds of workers not read. epoch=%" PRId64 " reads=%d", holder->epoch,
+		 holder->speeds.n_reads);
+}
+
+void
+speeds_step (struct dff_holder *holder)
+{
+	step_read (holder);
+	apply_pending (holder);
+}
+
 void
 speeds_begin (struct dff_holder *holder)
 {
+	holder->speeds.reading = true;
 	holder->speeds.pending = entry_table_new ();
 	holder->speeds.retry_delay_ms = WRITE_INTERVAL_MS;
 	read_row (holder);
--- a/include/standin/memory_rows.h
+++ b/include/standin/memory_rows.h
@@ -26,6 +26,8 @@
 	const char *refused_key;
 	/** (nullable): reads from this key on take no effect and are not answered. Static. */
 	const char *silent_key;
+	/** (nullable): reads from this key on fail without an effect. Static. */
+	const char *refused_read_key;
 	/** Feeds report no changes. */
 	bool feeds_held;
 	/** Commits per thousand that take effect and whose answer is lost. */
--- a/standin/memory_rows.c
+++ b/standin/memory_rows.c
@@ -425,7 +425,8 @@
 					   call);
 		return;
 	}
-	if (faults->refuses || writes_key (call, faults->refused_key)) {
+	if (faults->refuses || is_read_from (call, faults->refused_read_key) ||
+	    writes_key (call, faults->refused_key)) {
 		/* The call ends as a read, with NOT_DONE: a refused commit certainly has no effect.
 		 */
 		call->kind = DFF_CALL_GET;
--- a/tests/holder/test-holder-speeds.c
+++ b/tests/holder/test-holder-speeds.c
@@ -20,6 +20,8 @@
 #define ANSWER_MS 20
 /** Time after which the last read of the row without an answer ends, ms. */
 #define READS_END_MS 4500
+/** Time for which a new holder tries to read the row, ms. */
+#define READ_LIMIT_MS 4000
 /** Number of urgent single tasks and gangs that are placed after a takeover. */
 #define N_URGENT 6
 
@@ -442,6 +444,39 @@
 	site_close (&site);
 }
 
+/* Guards against a row that is given up, and overwritten unread, because the store refuses its
+ * reads for a moment; and against one that is read for ever, and never written. */
+static void
+test_store_refuses_read (void **state)
+{
+	(void)state;
+	static const struct {
+		int64_t refused_ms;
+		bool taken_over;
+	} cases[] = {{300, true}, {READ_LIMIT_MS - 500, true}, {READ_LIMIT_MS + 1500, false}};
+	for (size_t i = 0; i < G_N_ELEMENTS (cases); i++) {
+		struct site site;
+		site_open_with_durations (&site, unequal);
+		site_run (&site, 1000);
+		g_autoptr (GString) text = row_text (&site, 0);
+		put_row (&site, text->str);
+		for (int j = 0; j < SITE_PROCESSES; j++)
+			dff_memory_rows_client_faults (site.processes[j].rows)->refused_read_key =
+				DFF_KEY_SPEEDS;
+		int next = replace_holder (&site, NULL);
+		submit_comparable (&site);
+		site_run (&site, cases[i].refused_ms);
+		assert_int_equal (count (&site, next, "dff_holder_speeds_taken_over_total"), 0);
+		dff_memory_rows_client_faults (site.processes[next].rows)->refused_read_key = NULL;
+		site_run (&site, 500);
+		assert_int_equal (count (&site, next, "dff_holder_speeds_taken_over_total"),
+				  cases[i].taken_over ? SITE_UNEQUAL_WORKERS : 0);
+		site_run (&site, 4000);
+		assert_string_not_equal (peek_row (&site)->str, text->str);
+		site_close (&site);
+	}
+}
+
 /* Guards against writes in fleets of equally fast workers, and against ones that repeat what is
  * recorded: the row is written every two seconds at most. */
 static void
@@ -547,6 +582,7 @@
 		cmocka_unit_test (test_store_refuses_row),
 		cmocka_unit_test (test_store_does_not_answer_read),
 		cmocka_unit_test (test_row_is_read_before_written),
+		cmocka_unit_test (test_store_refuses_read),
 		cmocka_unit_test (test_writes),
 		cmocka_unit_test (test_unchanged_row_is_renewed),
 		cmocka_unit_test (test_large_fleet),
