holder: an outage of the store no longer holds the recorded speeds back

Every failed transaction with the row doubled the delay until its next write, up to 32 s, also when the store failed whatever the transaction held. Each write of a row that really is refused was logged as a lost store.

The delay is now doubled only when, twice in succession, a transaction with the row fails and the next one without it does not. A failure without the row sets the delay back, and a conflict adds none. A refused transaction with the row does not count as a lost store; the next one without it shows that. The counter dff_holder_speeds_refused_total and one log line tell of a refused row.

--- a/holder/commit.c
+++ b/holder/commit.c
@@ -113,12 +113,15 @@
 		/* Does not count as a confirmation of the lease: other processes may have read the
 		 * row before, and count the time without a change from then. */
 		note_store (holder, false, begun_ms, result);
-		draft_unwritten (holder);
+		draft_unwritten (holder, result->outcome);
 		break;
 	default:
 		(*holder->metrics.commit_unknown) += result->outcome == DFF_ROWS_UNKNOWN;
-		note_store (holder, true, begun_ms, result);
-		draft_unwritten (holder);
+		/* The store may have refused the recorded speeds only: the next transaction goes
+		 * without them, and shows whether the store is lost. */
+		if (result->outcome != DFF_ROWS_NOT_DONE || !speeds_in_flight (holder))
+			note_store (holder, true, begun_ms, result);
+		draft_unwritten (holder, result->outcome);
 		holder->next_commit_ms = now_ms + holder->commit_wait_ms;
 		holder->commit_wait_ms = MIN (holder->commit_wait_ms * 2, RETRY_DELAY_MAX_MS);
 		if (result->outcome == DFF_ROWS_UNKNOWN)
--- a/holder/draft.c
+++ b/holder/draft.c
@@ -373,9 +373,9 @@
 }
 
 void
-draft_unwritten (struct dff_holder *holder)
+draft_unwritten (struct dff_holder *holder, enum dff_rows_outcome outcome)
 {
-	speeds_note_unwritten (holder);
+	speeds_note_unwritten (holder, outcome);
 	for (guint i = 0; i < holder->committed_jobs->len; i++) {
 		struct holder_job *job = g_ptr_array_index (holder->committed_jobs, i);
 		for (guint j = 0; j < job->acks->len; j++)
--- a/holder/holder.c
+++ b/holder/holder.c
@@ -212,6 +212,9 @@
 	holder->metrics.speeds_undecodable = dff_metrics_counter (
 		metrics, "dff_holder_speeds_undecodable_total",
 		"Recorded relative durations that could not be read at a takeover.");
+	holder->metrics.speeds_refused = dff_metrics_counter (
+		metrics, "dff_holder_speeds_refused_total",
+		"Transactions that failed because of the relative durations in them.");
 	static const char *const retry_names[DFF_RETRY_LOST + 1] = {
 		[DFF_RETRY_WORKER] = "dff_holder_retries_total{cause=\"worker\"}",
 		[DFF_RETRY_JOB] = "dff_holder_retries_total{cause=\"job\"}",
--- a/holder/holder_private.h
+++ b/holder/holder_private.h
@@ -160,7 +160,7 @@
 void draft_written (struct dff_holder *holder, const struct draft *draft);
 
 /** The transaction may or may not be recorded: its rows are written again. */
-void draft_unwritten (struct dff_holder *holder);
+void draft_unwritten (struct dff_holder *holder, enum dff_rows_outcome outcome);
 
 /** Returns: whether a job is completed and only waits for its removal. */
 bool draft_has_finished (const struct dff_holder *holder, const struct dff_name *job);
@@ -486,7 +486,8 @@
 
 void speeds_reset (struct dff_holder *holder);
 
-/** Passes to the core what was read about workers whose incarnation has become known. */
+/** Repeats a read that failed, and passes to the core what was read about workers whose incarnation
+ * has become known. */
 void speeds_step (struct dff_holder *holder);
 
 /** Adds the row to a transaction if it is due. */
@@ -494,7 +495,10 @@
 
 /** Handles the outcome of a transaction: it is recorded, or it may not be. */
 void speeds_note_written (struct dff_holder *holder);
-void speeds_note_unwritten (struct dff_holder *holder);
+void speeds_note_unwritten (struct dff_holder *holder, enum dff_rows_outcome outcome);
+
+/** Returns: whether the current transaction contains the row. */
+bool speeds_in_flight (const struct dff_holder *holder);
 
 /* runs.c */
 
--- a/holder/holder_tables.h
+++ b/holder/holder_tables.h
@@ -359,6 +359,11 @@
 		int64_t due_ms;
 		/** Delay after a transaction with the row that failed, ms. */
 		int64_t retry_delay_ms;
+		/** Whether the last transaction with the row failed and none without it has been
+		 * answered since, and how often in succession the next one without it did not
+		 * fail. */
+		bool suspect;
+		int32_t n_refused;
 	} speeds;
 
 	/* holder/submissions.c */
@@ -463,6 +468,7 @@
 		int64_t *speeds_recorded;
 		int64_t *speeds_taken_over;
 		int64_t *speeds_undecodable;
+		int64_t *speeds_refused;
 		int64_t *retries[DFF_RETRY_LOST + 1];
 		struct dff_histogram *retry_delay;
 		int64_t *kept_tasks;
--- a/holder/speeds.c
+++ b/holder/speeds.c
@@ -20,8 +20,7 @@
 /** Age at which the row is written although it has not changed, ms: what it holds decays with its
  * age. */
 #define REFRESH_MS 5000
-/** Longest delay after a transaction with the row that failed, ms: the delay is doubled each time.
- */
+/** Longest delay after a transaction that the row made fail, ms: the delay is doubled each time. */
 #define RETRY_DELAY_MAX_MS 32000
 /** Change of a worker's relative duration that is written, in standard deviations between workers.
  */
@@ -450,11 +449,38 @@
 	holder->speeds.in_flight = g_steal_pointer (&entries);
 }
 
+bool
+speeds_in_flight (const struct dff_holder *holder)
+{
+	return holder->speeds.in_flight != NULL;
+}
+
+/* The last transaction with the row failed and the next one without it did not. A single such case
+ * may be the end of an outage; if it happens again, the row is the cause. */
+static void
+note_refused (struct dff_holder *holder)
+{
+	holder->speeds.suspect = false;
+	if (++holder->speeds.n_refused == 1)
+		return;
+	(*holder->metrics.speeds_refused)++;
+	holder->speeds.retry_delay_ms = MIN (holder->speeds.retry_delay_ms * 2, RETRY_DELAY_MAX_MS);
+	if (holder->speeds.n_refused > 2)
+		return;
+	dff_log (DFF_LOG_CELL, DFF_LOG_WARNING,
+		 "Store refuses the speeds of workers. epoch=%" PRId64, holder->epoch);
+}
+
 void
 speeds_note_written (struct dff_holder *holder)
 {
-	if (holder->speeds.in_flight == NULL)
+	if (holder->speeds.in_flight == NULL) {
+		if (holder->speeds.suspect)
+			note_refused (holder);
 		return;
+	}
+	holder->speeds.suspect = false;
+	holder->speeds.n_refused = 0;
 	g_clear_pointer (&holder->speeds.recorded, g_hash_table_unref);
 	holder->speeds.recorded = g_steal_pointer (&holder->speeds.in_flight);
 	holder->speeds.recorded_ms = holder_now_ms (holder);
@@ -463,13 +489,21 @@
 	(*holder->metrics.speeds_recorded)++;
 }
 
-/* A store that refuses the row refuses the whole transaction, so the next one goes without it. */
+/* A store that refuses the row refuses the whole transaction, so the next one goes without it. If
+ * that one fails too, the row is not the cause: a conflict shows that the transaction with the row
+ * took effect and only its answer was lost. */
 void
-speeds_note_unwritten (struct dff_holder *holder)
-{
-	if (holder->speeds.in_flight == NULL)
-		return;
-	g_clear_pointer (&holder->speeds.in_flight, g_hash_table_unref);
-	holder->speeds.due_ms = holder_now_ms (holder) + holder->speeds.retry_delay_ms;
-	holder->speeds.retry_delay_ms = MIN (holder->speeds.retry_delay_ms * 2, RETRY_DELAY_MAX_MS);
+speeds_note_unwritten (struct dff_holder *holder, enum dff_rows_outcome outcome)
+{
+	bool conflict = outcome == DFF_ROWS_CONFLICT;
+	if (holder->speeds.in_flight != NULL) {
+		g_clear_pointer (&holder->speeds.in_flight, g_hash_table_unref);
+		int64_t delay_ms = conflict ? 0 : holder->speeds.retry_delay_ms;
+		holder->speeds.due_ms = holder_now_ms (holder) + delay_ms;
+		holder->speeds.suspect |= !conflict;
+	} else {
+		holder->speeds.suspect = false;
+		holder->speeds.n_refused = 0;
+		holder->speeds.retry_delay_ms = WRITE_INTERVAL_MS;
+	}
 }
--- a/tests/holder/test-holder-speeds.c
+++ b/tests/holder/test-holder-speeds.c
@@ -22,6 +22,8 @@
 #define READS_END_MS 4500
 /** Time for which a new holder tries to read the row, ms. */
 #define READ_LIMIT_MS 4000
+/** Duration of an outage of the store, ms. */
+#define OUTAGE_MS 20000
 /** Number of urgent single tasks and gangs that are placed after a takeover. */
 #define N_URGENT 6
 
@@ -352,8 +354,22 @@
 	site_close (&site);
 }
 
+/* Returns: whether the holder counts the store as lost at any time in the next @ms. */
+static bool
+loses_store (struct site *site, int64_t ms)
+{
+	const struct dff_holder *holder = site->processes[site_holder (site)].holder;
+	bool lost = false;
+	for (int64_t i = 0; i < ms; i++) {
+		site_run (site, 1);
+		lost |= holder->store_lost;
+	}
+	return lost;
+}
+
 /* Guards against a store that refuses the row and with it everything else: the transactions that
- * accept jobs and record starts and ends must go on without it. */
+ * accept jobs and record starts and ends must go on without it. The row is tried ever more rarely,
+ * and the store does not count as lost each time. */
 static void
 test_store_refuses_row (void **state)
 {
@@ -374,10 +390,49 @@
 	}
 	assert_null (peek_row (&site));
 	assert_int_equal (count (&site, holder, "dff_holder_speeds_recorded_total"), 0);
+	assert_false (loses_store (&site, 20000));
+	assert_in_range (count (&site, holder, "dff_holder_speeds_refused_total"), 3, 6);
 	replace_holder (&site, NULL);
 	site_close (&site);
 }
 
+/* Guards against a row that is held back long after an outage of the store, as if the row had been
+ * the cause of it. */
+static void
+test_row_is_written_after_outage (void **state)
+{
+	(void)state;
+	static const struct {
+		const char *name;
+		struct dff_memory_rows_faults faults;
+	} cases[] = {
+		{"refused", {.refuses = true}},
+		{"not answered", {.silent = true}},
+		{"answers lost", {.lost_permille = 1000}},
+	};
+	for (size_t i = 0; i < G_N_ELEMENTS (cases); i++) {
+		print_message ("%s\n", cases[i].name);
+		struct site site;
+		site_open_with_durations (&site, unequal);
+		learn (&site);
+		int holder = site_holder (&site);
+		for (int j = 0; j < SITE_PROCESSES; j++)
+			*dff_memory_rows_client_faults (site.processes[j].rows) = cases[i].faults;
+		site_run (&site, OUTAGE_MS);
+		assert_int_equal (site_holder (&site), holder);
+		int64_t n_before = count (&site, holder, "dff_holder_speeds_recorded_total");
+		/* The holder reaches the store before the others do, which would replace it. */
+		*dff_memory_rows_client_faults (site.processes[holder].rows) =
+			(struct dff_memory_rows_faults){0};
+		site_run (&site, 3000);
+		assert_int_equal (site_holder (&site), holder);
+		assert_int_not_equal (count (&site, holder, "dff_holder_speeds_recorded_total"),
+				      n_before);
+		assert_int_equal (count (&site, holder, "dff_holder_speeds_refused_total"), 0);
+		site_close (&site);
+	}
+}
+
 /* Guards against a takeover that waits for the row: the store answers every read but this one, or
  * this one late. The takeover takes no longer than without a row. What is answered late is still
  * taken over. */
@@ -580,6 +635,7 @@
 		cmocka_unit_test (test_row_of_newer_build),
 		cmocka_unit_test (test_old_row),
 		cmocka_unit_test (test_store_refuses_row),
+		cmocka_unit_test (test_row_is_written_after_outage),
 		cmocka_unit_test (test_store_does_not_answer_read),
 		cmocka_unit_test (test_row_is_read_before_written),
 		cmocka_unit_test (test_store_refuses_read),
