core: exported relative durations match the variances exported with them

A review learns the variances after it has computed the workers' relative durations. At the first one that compares the workers, the export held values near zero, computed with almost no variance between workers, beside the variance that had just been learned; the next core took the workers for alike.

The mean of each worker's samples is kept, and the export computes the values from it with the variances that it returns. Placement in the exporting core is unchanged.

--- a/core/core_tables.h
+++ b/core/core_tables.h
@@ -91,8 +91,10 @@
 
 /** What a worker's relative duration was computed from. */
 struct dff_core_duration_basis {
-	/** Weight of the samples and of the imported relative duration together. */
+	/** Weight of the samples and of the imported relative duration together, and their mean:
+	 * natural logarithm. */
 	float weight;
+	float mean;
 	/** Imported relative duration, as the mean of samples that had the weight @prior_weight at
 	 * @prior_ms: natural logarithm. The weight is 0 without an import. */
 	float prior_mean;
--- a/core/relative_duration.c
+++ b/core/relative_duration.c
@@ -286,6 +286,7 @@
 			add_prior (core, basis, &sum);
 		worker->relative_duration = to_relative (sum.total / (sum.count + prior_weight));
 		basis->weight = sum.count;
+		basis->mean = sum.count > 0.0F ? sum.total / sum.count : 0.0F;
 	}
 }
 
@@ -344,6 +345,15 @@
 	return core->worker_variance <= (float)(ALIKE_SPREAD * ALIKE_SPREAD);
 }
 
+/* Returns: the relative duration that follows from samples of a weight and mean. */
+static int16_t
+relative_from (float mean, float weight, const struct dff_duration_variances *variances)
+{
+	return to_relative (mean * weight / (weight + variances->tasks / variances->workers));
+}
+
+/* The values are computed with the variances that they are exported with: a review learns the
+ * variances after it has computed the workers' relative durations. */
 bool
 dff_core_export_durations (const struct dff_core *core,
 			   GArray *durations,
@@ -356,12 +366,13 @@
 		return false;
 	for (guint i = 0; i < core->duration_bases->len; i++) {
 		const struct dff_core_worker *worker = dff_core_worker_at (core, (int32_t)i);
-		float weight = basis_at (core, (int32_t)i)->weight;
-		if (worker->rack == DFF_CORE_NONE || weight <= 0.0F)
+		const struct dff_core_duration_basis *basis = basis_at (core, (int32_t)i);
+		if (worker->rack == DFF_CORE_NONE || basis->weight <= 0.0F)
 			continue;
-		struct dff_worker_duration duration = {.worker = worker->name,
-						       .relative = worker->relative_duration,
-						       .weight = weight};
+		struct dff_worker_duration duration = {
+			.worker = worker->name,
+			.relative = relative_from (basis->mean, basis->weight, variances),
+			.weight = basis->weight};
 		g_array_append_val (durations, duration);
 	}
 	return true;
@@ -407,8 +418,7 @@
 	}
 	float mean = mean_of_samples (duration, variances);
 	duration->weight *= weight_left (age_ms);
-	float sum_weight = duration->weight + variances->tasks / variances->workers;
-	duration->relative = to_relative (mean * duration->weight / sum_weight);
+	duration->relative = relative_from (mean, duration->weight, variances);
 }
 
 static void
@@ -447,6 +457,7 @@
 	if (basis->weight > 0.0F)
 		return true;
 	basis->weight = aged.weight;
+	basis->mean = basis->prior_mean;
 	dff_core_worker_at (core, index)->relative_duration = (int16_t)aged.relative;
 	return true;
 }
--- a/tests/core/test-pace.c
+++ b/tests/core/test-pace.c
@@ -274,6 +274,44 @@
 	}
 }
 
+/* Guards against an export whose values and variances are of different reviews: at the first one
+ * that compares the workers, the variance between them rises from next to nothing. The next core
+ * finds the workers as far apart as the former one does after further reviews. */
+static void
+test_export_after_one_review (void **state)
+{
+	(void)state;
+	struct pool former, pool;
+	open_pool (&former);
+	open_pool (&pool);
+	for (uint64_t step = 0; step < STEPS; step++) {
+		for (int i = 0; i < WORKERS; i++) {
+			static const double times[] = {0.6, 1.0, 1.6};
+			static const double uneven[] = {0.9, 1.0, 1.1};
+			send_duration (&former, i, step,
+				       TASK_MS * times[i % 3] * uneven[(i / 3 + (int)step) % 3]);
+		}
+	}
+	advance (&former, 1000);
+	g_autoptr (GArray) durations =
+		g_array_new (FALSE, FALSE, sizeof (struct dff_worker_duration));
+	struct dff_duration_variances variances;
+	export_durations (&former, durations, &variances);
+	import_durations (&pool, durations, &variances, 0);
+	export_durations (&pool, durations, &variances);
+	for (guint i = 0; i < durations->len; i++) {
+		static const int32_t expected[] = {-500, 0, 460};
+		const struct dff_worker_duration *duration =
+			&g_array_index (durations, struct dff_worker_duration, i);
+		int third = atoi (duration->worker.data + 1) % 3;
+		assert_in_range (duration->relative + 1000, expected[third] + 1000 - 60,
+				 expected[third] + 1000 + 60);
+	}
+	assert_int_equal (count_slow_gangs (&pool, 2), 0);
+	close_pool (&former);
+	close_pool (&pool);
+}
+
 /* Guards against values that change when they are handed on: the next core computes the same from
  * them as the former did, and a third core the same again. */
 static void
@@ -474,6 +512,7 @@
 		 .test_func = test_restarted_worker,
 		 .initial_state = &imported},
 		cmocka_unit_test (test_import),
+		cmocka_unit_test (test_export_after_one_review),
 		cmocka_unit_test (test_export_after_import),
 		cmocka_unit_test (test_samples_overrule_import),
 		cmocka_unit_test (test_export_of_alike_workers),
