tests/holder: random plays with unequal workers break and heal all of them

The plays with 18 workers of unequal speed broke, cut off and healed the first six only, and a worker that was broken took the nominal duration from then on.

All workers of the site are broken, cut off and healed, and a broken worker keeps its speed. The plays with six workers are as before.

--- a/tests/holder/test-holder-seeds.c
+++ b/tests/holder/test-holder-seeds.c
@@ -229,9 +229,10 @@
 static void
 break_worker (struct run *run)
 {
-	int index = pick (run, SITE_WORKERS);
+	int index = pick (run, run->site.n_workers);
 	struct dff_memory_worker_faults *faults = run->site.workers[index];
-	*faults = (struct dff_memory_worker_faults){.no_starts_from_ms = faults->no_starts_from_ms};
+	*faults = (struct dff_memory_worker_faults){.no_starts_from_ms = faults->no_starts_from_ms,
+						    .duration_permille = faults->duration_permille};
 	switch (pick (run, 8)) {
 	case 0:
 		faults->drops_calls = true;
@@ -264,7 +265,7 @@
 static void
 heal_workers (struct run *run)
 {
-	for (int i = 0; i < SITE_WORKERS; i++) {
+	for (int i = 0; i < run->site.n_workers; i++) {
 		site_hold_entries_back (&run->site, i, false);
 		memset (run->site.workers[i], 0, sizeof (struct dff_memory_worker_faults));
 		/* A worker that was listed as leaving has left, and another one replaces it. */
@@ -278,7 +279,7 @@
 	int process = pick_live (run);
 	if (process < 0)
 		return;
-	int worker = pick (run, SITE_WORKERS);
+	int worker = pick (run, run->site.n_workers);
 	if (run->variant == DFF_VARIANT_RELAYS && pick (run, 2) == 0) {
 		site_silence_relay (&run->site, process);
 		return;
@@ -299,7 +300,7 @@
 		return;
 	default:
 		/* The process reaches only this worker, and not the store. */
-		for (int i = 0; i < SITE_WORKERS; i++)
+		for (int i = 0; i < run->site.n_workers; i++)
 			site_cut_worker_from (&run->site, i, process, i != worker);
 		run->site.processes[process].isolated = true;
 		dff_memory_rows_client_faults (run->site.processes[process].rows)->silent = true;
@@ -312,7 +313,7 @@
 {
 	for (int i = 0; i < SITE_PROCESSES; i++) {
 		run->site.processes[i].isolated = false;
-		for (int j = 0; j < SITE_WORKERS && run->site.processes[i].alive; j++)
+		for (int j = 0; j < run->site.n_workers && run->site.processes[i].alive; j++)
 			site_cut_worker_from (&run->site, j, i, false);
 	}
 }
