holder, tests: the leak suppression for the read of recorded speeds covers only that

The suppression of read_row also hid leaks in functions of that name in other folders. The function is called read_recorded_speeds, and only that is suppressed.

Measured: test-holder-speeds passes (15 tests), also with the address and undefined behaviour sanitizers, without a leak.

--- a/holder/speeds.c
+++ b/holder/speeds.c
@@ -290,7 +290,7 @@
 }
 
 static void
-read_row (struct dff_holder *holder)
+read_recorded_speeds (struct dff_holder *holder)
 {
 	holder->speeds.read_in_flight = true;
 	holder->speeds.n_reads++;
@@ -314,7 +314,7 @@
 	    now_ms < holder->speeds.next_read_ms)
 		return;
 	if (now_ms < holder->speeds.read_limit_ms) {
-		read_row (holder);
+		read_recorded_speeds (holder);
 		return;
 	}
 	holder->speeds.reading = false;
@@ -336,7 +336,7 @@
 	holder->speeds.reading = true;
 	holder->speeds.pending = entry_table_new ();
 	holder->speeds.retry_delay_ms = WRITE_INTERVAL_MS;
-	read_row (holder);
+	read_recorded_speeds (holder);
 }
 
 void
--- a/tests/holder/site.c
+++ b/tests/holder/site.c
@@ -28,7 +28,7 @@
 	       "leak:lease_probe_former\nleak:request_changes\nleak:inbox_step\nleak:read_job\n"
 	       "leak:send_watch\nleak:order_call_new\nleak:send_order\nleak:follow\n"
 	       "leak:subscription\nleak:request_new\nleak:request_retry\nleak:probe_holder\n"
-	       "leak:dff_front_\nleak:read_row\n";
+	       "leak:dff_front_\nleak:read_recorded_speeds\n";
 }
 
 /** Start of the virtual clock, ms: as the time since 1970 and as the monotonic clock. */
