holder: the check of the recorded speeds compares what the row holds

Every 500 ms a hash table with one allocation per worker was built, and all workers were compared, also those left out of the row for its size: one of them with a changing value caused a write of the whole row every 2 s.

Entries are collected in an array. The record of the last write holds only what was encoded, with an index by name built once per write. A worker that is not in a truncated record counts as changed only if its difference from the mean exceeds the least one in the record by the limit.

Measured: test_changes_in_large_fleet fails when left-out workers count as changed (trial) and passes; test-holder-speeds (16 tests) and test-holder-seeds-with-speeds pass. The processor time was not measured.

--- a/holder/holder_private.h
+++ b/holder/holder_private.h
@@ -474,13 +474,23 @@
 void speeds_row_clear (struct speeds_row *row);
 
 /** Encodes a row of limited size, with the workers that differ most from the mean. Sorts
- * @row->entries. Returns: (transfer full). */
-GString *speeds_encode (const struct speeds_row *row);
+ * @row->entries by that, largest first, and drops the others. Returns: (transfer full). */
+GString *speeds_encode (struct speeds_row *row);
 
 /** Decodes a row into @row, which is initialized. Entries that cannot be read are left out.
  * Returns: false when the row as a whole cannot be used. */
 bool speeds_decode (struct dff_str text, struct speeds_row *row);
 
+/** Takes over the entries of a row that was encoded. @truncated: whether it has lost some by that.
+ */
+struct speeds_record *speeds_record_new (struct speeds_row *row, bool truncated);
+
+void speeds_record_free (struct speeds_record *record);
+
+/** Returns: whether a worker of the record is gone, has restarted or has another value in @row, or
+ * one of @row belongs into the record. */
+bool speeds_has_changed (const struct speeds_record *record, const struct speeds_row *row);
+
 /** Called at a takeover: requests the row. The takeover does not wait for the answer. */
 void speeds_begin (struct dff_holder *holder);
 
--- a/holder/holder_tables.h
+++ b/holder/holder_tables.h
@@ -213,6 +213,16 @@
 	int64_t started_ms;
 };
 
+/** What the row of DFF_KEY_SPEEDS holds. */
+struct speeds_record {
+	/** Elements: struct speeds_entry, by their difference from the mean, largest first. */
+	GArray *entries;
+	/** The same by name. */
+	GHashTable *by_name;
+	/** Whether workers were left out because of the size of the row. */
+	bool truncated;
+};
+
 /** An attempt to acknowledge to the core once the job's row is written. */
 struct holder_ack {
 	struct dff_name unit;
@@ -350,10 +360,9 @@
 		 * that have restarted since. */
 		guint n_imported;
 		guint n_restarted;
-		/** (nullable): what is recorded, and what the current transaction contains. Value:
-		 * struct speeds_entry, by name. */
-		GHashTable *recorded;
-		GHashTable *in_flight;
+		/** (nullable): what is recorded, and what the current transaction contains. */
+		struct speeds_record *recorded;
+		struct speeds_record *in_flight;
 		/** When the row was last recorded, and is to be examined next. */
 		int64_t recorded_ms;
 		int64_t due_ms;
--- a/holder/speeds.c
+++ b/holder/speeds.c
@@ -60,6 +60,18 @@
 	return &g_array_index (row->entries, struct speeds_entry, index);
 }
 
+/* Returns: (transfer full): the entries by name. They belong to the array, which must not grow. */
+static GHashTable *
+index_entries (const GArray *entries)
+{
+	GHashTable *by_name = g_hash_table_new (dff_name_hash, dff_name_equal_func);
+	for (guint i = 0; i < entries->len; i++) {
+		struct speeds_entry *entry = &g_array_index (entries, struct speeds_entry, i);
+		g_hash_table_replace (by_name, &entry->duration.worker, entry);
+	}
+	return by_name;
+}
+
 /* Sorts by difference from the mean, largest first. */
 static int
 compare_entries (gconstpointer a, gconstpointer b)
@@ -94,16 +106,26 @@
 	return (size_t)length;
 }
 
+/* Drops the entries from the first one on that does not fit into the row. */
+static void
+truncate_entries (struct speeds_row *row)
+{
+	size_t bytes = FRAME_BYTES;
+	for (guint i = 0; i < row->entries->len; i++) {
+		bytes += entry_size (entry_at (row, i));
+		if (bytes <= BYTES_MAX)
+			continue;
+		g_array_set_size (row->entries, i);
+		return;
+	}
+}
+
 static json_t *
 encode_entries (const struct speeds_row *row)
 {
 	json_t *workers = json_array ();
-	size_t bytes = FRAME_BYTES;
 	for (guint i = 0; i < row->entries->len; i++) {
 		const struct speeds_entry *entry = entry_at (row, i);
-		bytes += entry_size (entry);
-		if (bytes > BYTES_MAX)
-			break;
 		json_array_append_new (
 			workers, json_pack ("[s, I, i, I]", entry->duration.worker.data,
 					    (json_int_t)entry->started_ms, entry->duration.relative,
@@ -113,9 +135,10 @@
 }
 
 GString *
-speeds_encode (const struct speeds_row *row)
+speeds_encode (struct speeds_row *row)
 {
 	g_array_sort (row->entries, compare_entries);
+	truncate_entries (row);
 	return dff_json_print (json_pack (
 		"{s:I, s:I, s:I, s:o}", "written_ms", (json_int_t)row->written_ms,
 		"worker_variance", encode_variance (row->variances.workers), "task_variance",
@@ -343,38 +366,60 @@
 speeds_reset (struct dff_holder *holder)
 {
 	g_clear_pointer (&holder->speeds.pending, g_hash_table_unref);
-	g_clear_pointer (&holder->speeds.recorded, g_hash_table_unref);
-	g_clear_pointer (&holder->speeds.in_flight, g_hash_table_unref);
+	g_clear_pointer (&holder->speeds.recorded, speeds_record_free);
+	g_clear_pointer (&holder->speeds.in_flight, speeds_record_free);
 	memset (&holder->speeds, 0, sizeof (holder->speeds));
 }
 
 /* Writes. */
 
-/* Adds the values that wait for their workers, so that the next holder gets them too. */
+struct speeds_record *
+speeds_record_new (struct speeds_row *row, bool truncated)
+{
+	struct speeds_record *record = g_new0 (struct speeds_record, 1);
+	record->entries = g_steal_pointer (&row->entries);
+	record->by_name = index_entries (record->entries);
+	record->truncated = truncated;
+	return record;
+}
+
+void
+speeds_record_free (struct speeds_record *record)
+{
+	g_hash_table_unref (record->by_name);
+	g_array_unref (record->entries);
+	g_free (record);
+}
+
+/* Adds the values that wait for their workers, so that the next holder gets them too. What the core
+ * has learned of a worker since takes precedence. */
 static void
-add_pending (const struct dff_holder *holder, GHashTable *entries)
+add_pending (const struct dff_holder *holder, GArray *entries)
 {
+	if (g_hash_table_size (holder->speeds.pending) == 0)
+		return;
+	g_autoptr (GHashTable) learned = index_entries (entries);
+	g_autoptr (GArray) added = g_array_new (FALSE, FALSE, sizeof (struct speeds_entry));
 	GHashTableIter iter;
-	gpointer value;
+	gpointer key, value;
 	g_hash_table_iter_init (&iter, holder->speeds.pending);
-	while (g_hash_table_iter_next (&iter, NULL, &value)) {
+	while (g_hash_table_iter_next (&iter, &key, &value)) {
 		struct speeds_entry entry = *(const struct speeds_entry *)value;
 		dff_core_age_duration (&entry.duration, &holder->speeds.variances, age_ms (holder));
-		if (entry.duration.weight > 0.0F)
-			entry_table_add (entries, &entry);
+		if (entry.duration.weight > 0.0F && !g_hash_table_contains (learned, key))
+			g_array_append_val (added, entry);
 	}
+	g_array_append_vals (entries, added->data, added->len);
 }
 
-/* Returns: (transfer full) (nullable): what is known now; NULL when the workers are alike. */
-static GHashTable *
-collect_entries (struct dff_holder *holder, struct dff_duration_variances *variances)
+/* Fills in what is known now. Returns: false when the workers are alike or nothing is known. */
+static bool
+collect_entries (struct dff_holder *holder, struct speeds_row *row)
 {
 	g_autoptr (GArray) durations =
 		g_array_new (FALSE, FALSE, sizeof (struct dff_worker_duration));
-	if (!dff_core_export_durations (holder->core, durations, variances))
-		return NULL;
-	GHashTable *entries = entry_table_new ();
-	add_pending (holder, entries);
+	if (!dff_core_export_durations (holder->core, durations, &row->variances))
+		return false;
 	for (guint i = 0; i < durations->len; i++) {
 		struct speeds_entry entry = {
 			.duration = g_array_index (durations, struct dff_worker_duration, i)};
@@ -382,51 +427,61 @@
 		if (worker == NULL)
 			continue;
 		entry.started_ms = worker->upstream.incarnation.started_ms;
-		entry_table_add (entries, &entry);
+		g_array_append_val (row->entries, entry);
 	}
-	return entries;
+	add_pending (holder, row->entries);
+	return row->entries->len > 0;
 }
 
-/* Whether a worker has come or gone since the row was recorded, or its value has changed. */
-static bool
-has_changed (const struct dff_holder *holder,
-	     GHashTable *entries,
-	     const struct dff_duration_variances *variances)
+/* Returns: the difference from the mean beyond which a worker that is not in the record belongs
+ * into it: every worker does unless some were left out. */
+static double
+least_difference (const struct speeds_record *record, double limit)
 {
-	GHashTable *recorded = holder->speeds.recorded;
-	if (recorded == NULL || g_hash_table_size (recorded) != g_hash_table_size (entries))
-		return true;
-	double limit = CHANGE_DEVIATIONS * sqrt (variances->workers) * LOG_PARTS;
-	GHashTableIter iter;
-	gpointer key, value;
-	g_hash_table_iter_init (&iter, entries);
-	while (g_hash_table_iter_next (&iter, &key, &value)) {
-		const struct speeds_entry *entry = value;
-		const struct speeds_entry *before = g_hash_table_lookup (recorded, key);
-		if (before == NULL || before->started_ms != entry->started_ms ||
+	if (!record->truncated || record->entries->len == 0)
+		return -1.0;
+	const struct speeds_entry *last =
+		&g_array_index (record->entries, struct speeds_entry, record->entries->len - 1);
+	return abs (last->duration.relative) + limit;
+}
+
+bool
+speeds_has_changed (const struct speeds_record *record, const struct speeds_row *row)
+{
+	double limit = CHANGE_DEVIATIONS * sqrt (row->variances.workers) * LOG_PARTS;
+	double least = least_difference (record, limit);
+	guint n_found = 0;
+	for (guint i = 0; i < row->entries->len; i++) {
+		const struct speeds_entry *entry = entry_at (row, i);
+		const struct speeds_entry *before =
+			g_hash_table_lookup (record->by_name, &entry->duration.worker);
+		if (before == NULL && abs (entry->duration.relative) > least)
+			return true;
+		if (before == NULL)
+			continue;
+		n_found++;
+		if (before->started_ms != entry->started_ms ||
 		    abs (entry->duration.relative - before->duration.relative) > limit)
 			return true;
 	}
-	return false;
+	return n_found < record->entries->len;
 }
 
-static GString *
-encode_table (const struct dff_holder *holder,
-	      GHashTable *entries,
-	      const struct dff_duration_variances *variances)
+static bool
+is_due (const struct dff_holder *holder, const struct speeds_row *row)
 {
-	struct speeds_row row;
-	speeds_row_init (&row);
-	row.written_ms = dff_clock_wall_ms (holder->options.timers->clock);
-	row.variances = *variances;
-	GHashTableIter iter;
-	gpointer value;
-	g_hash_table_iter_init (&iter, entries);
-	while (g_hash_table_iter_next (&iter, NULL, &value))
-		g_array_append_vals (row.entries, value, 1);
-	GString *text = speeds_encode (&row);
-	speeds_row_clear (&row);
-	return text;
+	const struct speeds_record *recorded = holder->speeds.recorded;
+	return recorded == NULL ||
+	       holder_now_ms (holder) - holder->speeds.recorded_ms >= REFRESH_MS ||
+	       speeds_has_changed (recorded, row);
+}
+
+/* Returns: whether the row was added to the transaction. */
+static bool
+draft_entries (const struct dff_holder *holder, struct speeds_row *row, struct draft *draft)
+{
+	row->written_ms = dff_clock_wall_ms (holder->options.timers->clock);
+	return draft_row (draft, DFF_TABLE_CELL, DFF_KEY_SPEEDS, speeds_encode (row));
 }
 
 void
@@ -437,16 +492,15 @@
 	if (holder->speeds.reading || now_ms < holder->speeds.due_ms)
 		return;
 	holder->speeds.due_ms = now_ms + CHECK_INTERVAL_MS;
-	struct dff_duration_variances variances;
-	g_autoptr (GHashTable) entries = collect_entries (holder, &variances);
-	bool old = now_ms - holder->speeds.recorded_ms >= REFRESH_MS;
-	if (entries == NULL || g_hash_table_size (entries) == 0 ||
-	    (!old && !has_changed (holder, entries, &variances)))
-		return;
-	if (!draft_row (draft, DFF_TABLE_CELL, DFF_KEY_SPEEDS,
-			encode_table (holder, entries, &variances)))
-		return;
-	holder->speeds.in_flight = g_steal_pointer (&entries);
+	struct speeds_row row;
+	speeds_row_init (&row);
+	if (collect_entries (holder, &row) && is_due (holder, &row)) {
+		guint n_known = row.entries->len;
+		if (draft_entries (holder, &row, draft))
+			holder->speeds.in_flight =
+				speeds_record_new (&row, row.entries->len < n_known);
+	}
+	speeds_row_clear (&row);
 }
 
 bool
@@ -481,7 +535,7 @@
 	}
 	holder->speeds.suspect = false;
 	holder->speeds.n_refused = 0;
-	g_clear_pointer (&holder->speeds.recorded, g_hash_table_unref);
+	g_clear_pointer (&holder->speeds.recorded, speeds_record_free);
 	holder->speeds.recorded = g_steal_pointer (&holder->speeds.in_flight);
 	holder->speeds.recorded_ms = holder_now_ms (holder);
 	holder->speeds.due_ms = holder->speeds.recorded_ms + WRITE_INTERVAL_MS;
@@ -497,7 +551,7 @@
 {
 	bool conflict = outcome == DFF_ROWS_CONFLICT;
 	if (holder->speeds.in_flight != NULL) {
-		g_clear_pointer (&holder->speeds.in_flight, g_hash_table_unref);
+		g_clear_pointer (&holder->speeds.in_flight, speeds_record_free);
 		int64_t delay_ms = conflict ? 0 : holder->speeds.retry_delay_ms;
 		holder->speeds.due_ms = holder_now_ms (holder) + delay_ms;
 		holder->speeds.suspect |= !conflict;
--- a/tests/holder/test-holder-speeds.c
+++ b/tests/holder/test-holder-speeds.c
@@ -623,6 +623,66 @@
 	speeds_row_clear (&decoded);
 }
 
+/* Fills in a fleet too large for the row, in order of the difference from the mean. */
+static void
+fill_large_fleet (struct speeds_row *row)
+{
+	speeds_row_init (row);
+	row->variances = (struct dff_duration_variances){.workers = 0.16F, .tasks = 0.07F};
+	for (int i = 0; i < LARGE_FLEET; i++) {
+		struct speeds_entry entry = {
+			.duration = {.worker = dff_name_printf ("worker-%d", i),
+				     .relative = LARGE_FLEET - i,
+				     .weight = 100.0F},
+			.started_ms = 1};
+		g_array_append_val (row->entries, entry);
+	}
+}
+
+/* Guards against writes because of workers that are not in the row, and against changes of the
+ * others that are not written. */
+static void
+test_changes_in_large_fleet (void **state)
+{
+	(void)state;
+	static const struct {
+		const char *name;
+		int worker;
+		int32_t relative;
+		bool restarted;
+		bool changed;
+	} cases[] = {
+		{"none", 0, LARGE_FLEET, false, false},
+		{"in the row, little", 0, LARGE_FLEET - 30, false, false},
+		{"in the row", 0, LARGE_FLEET - 50, false, true},
+		{"in the row, restarted", 0, LARGE_FLEET, true, true},
+		{"left out", LARGE_FLEET - 1, 900, false, false},
+		{"left out, restarted", LARGE_FLEET - 1, 1, true, false},
+		{"left out, now among the largest", LARGE_FLEET - 1, LARGE_FLEET, false, true},
+		{"left out, now among the largest below", LARGE_FLEET - 1, -LARGE_FLEET, false,
+		 true},
+	};
+	for (size_t i = 0; i < G_N_ELEMENTS (cases); i++) {
+		print_message ("%s\n", cases[i].name);
+		struct speeds_row written, row;
+		fill_large_fleet (&written);
+		fill_large_fleet (&row);
+		g_string_free (speeds_encode (&written), TRUE);
+		assert_in_range (written.entries->len, 500, LARGE_FLEET - 1000);
+		struct speeds_record *record = speeds_record_new (&written, true);
+		struct speeds_entry *entry =
+			&g_array_index (row.entries, struct speeds_entry, (guint)cases[i].worker);
+		entry->duration.relative = cases[i].relative;
+		entry->started_ms += cases[i].restarted;
+		assert_int_equal (speeds_has_changed (record, &row), cases[i].changed);
+		g_array_remove_index (row.entries, 1);
+		assert_true (speeds_has_changed (record, &row));
+		speeds_record_free (record);
+		speeds_row_clear (&written);
+		speeds_row_clear (&row);
+	}
+}
+
 int
 main (void)
 {
@@ -642,6 +702,7 @@
 		cmocka_unit_test (test_writes),
 		cmocka_unit_test (test_unchanged_row_is_renewed),
 		cmocka_unit_test (test_large_fleet),
+		cmocka_unit_test (test_changes_in_large_fleet),
 	};
 	site_tests_begin (tests, G_N_ELEMENTS (tests));
 	return cmocka_run_group_tests (tests, NULL, NULL);
