core, holder: imported relative durations that are ignored do not count as taken over

dff_core_import_duration returned true for values that it ignores because they are out of range or too old, and dff_holder_speeds_taken_over_total counted them.

It returns an enum that tells unknown workers, ignored values and imports apart, and its comment names the clock. The log line of the takeover gives the number of ignored values.

Measured: test_value_out_of_range failed before (18 taken over, 12 expected) and passes; test-pace, test-holder-speeds and test-holder-seeds-with-speeds pass.

--- a/core/relative_duration.c
+++ b/core/relative_duration.c
@@ -430,7 +430,7 @@
 	core->stats.duration_spread = sqrt (core->worker_variance);
 }
 
-bool
+enum dff_duration_import
 dff_core_import_duration (struct dff_core *core,
 			  const struct dff_worker_duration *duration,
 			  const struct dff_duration_variances *variances,
@@ -439,11 +439,11 @@
 {
 	int32_t index = dff_core_find_worker (core, &duration->worker);
 	if (index == DFF_CORE_NONE)
-		return false;
+		return DFF_DURATION_IMPORT_UNKNOWN;
 	struct dff_worker_duration aged = *duration;
 	dff_core_age_duration (&aged, variances, age_ms);
 	if (aged.weight <= 0.0F)
-		return true;
+		return DFF_DURATION_IMPORT_IGNORED;
 	core->now_ms = now_ms;
 	if (!core->variances_known)
 		import_variances (core, variances);
@@ -455,11 +455,11 @@
 	core->has_priors = true;
 	/* The next review adds the samples that the core has itself. */
 	if (basis->weight > 0.0F)
-		return true;
+		return DFF_DURATION_IMPORT_DONE;
 	basis->weight = aged.weight;
 	basis->mean = basis->prior_mean;
 	dff_core_worker_at (core, index)->relative_duration = (int16_t)aged.relative;
-	return true;
+	return DFF_DURATION_IMPORT_DONE;
 }
 
 /** Limits of relative duration for urgent work, in this order, in deviations from the mean. */
--- a/holder/holder_tables.h
+++ b/holder/holder_tables.h
@@ -356,10 +356,11 @@
 		/** Variances in the row, and the local time to which the row applies. */
 		struct dff_duration_variances variances;
 		int64_t valid_ms;
-		/** Number of workers of the row whose relative duration was imported, and of those
-		 * that have restarted since. */
+		/** Number of workers of the row whose relative duration was imported, of those that
+		 * have restarted since, and of those whose value is out of range or too old. */
 		guint n_imported;
 		guint n_restarted;
+		guint n_ignored;
 		/** (nullable): what is recorded, and what the current transaction contains. */
 		struct speeds_record *recorded;
 		struct speeds_record *in_flight;
--- a/holder/speeds.c
+++ b/holder/speeds.c
@@ -218,9 +218,10 @@
 {
 	dff_log (DFF_LOG_CELL, DFF_LOG_INFO,
 		 "Speeds of workers taken over. epoch=%" PRId64
-		 " workers=%u restarted=%u unknown=%u age_ms=%" PRId64,
+		 " workers=%u restarted=%u ignored=%u unknown=%u age_ms=%" PRId64,
 		 holder->epoch, holder->speeds.n_imported, holder->speeds.n_restarted,
-		 g_hash_table_size (holder->speeds.pending), age_ms (holder));
+		 holder->speeds.n_ignored, g_hash_table_size (holder->speeds.pending),
+		 age_ms (holder));
 }
 
 /* Returns: whether nothing is left to do about an entry. */
@@ -234,11 +235,18 @@
 		holder->speeds.n_restarted++;
 		return true;
 	}
-	if (!dff_core_import_duration (holder->core, &entry->duration, &holder->speeds.variances,
-				       age_ms (holder), holder_now_ms (holder)))
+	switch (dff_core_import_duration (holder->core, &entry->duration, &holder->speeds.variances,
+					  age_ms (holder), holder_now_ms (holder))) {
+	case DFF_DURATION_IMPORT_UNKNOWN:
 		return false;
-	holder->speeds.n_imported++;
-	(*holder->metrics.speeds_taken_over)++;
+	case DFF_DURATION_IMPORT_IGNORED:
+		holder->speeds.n_ignored++;
+		return true;
+	case DFF_DURATION_IMPORT_DONE:
+		holder->speeds.n_imported++;
+		(*holder->metrics.speeds_taken_over)++;
+		return true;
+	}
 	return true;
 }
 
--- a/include/core/core.h
+++ b/include/core/core.h
@@ -303,21 +303,28 @@
 				GArray *durations,
 				struct dff_duration_variances *variances);
 
+enum dff_duration_import {
+	/** The worker is not known to the core. */
+	DFF_DURATION_IMPORT_UNKNOWN,
+	/** A value is out of range, or too old. */
+	DFF_DURATION_IMPORT_IGNORED,
+	DFF_DURATION_IMPORT_DONE,
+};
+
 /**
  * dff_core_import_duration:
  * @variances: those that @duration was exported with
- * @age_ms: time since the export
+ * @age_ms: time since the export; counts as 0 when negative
+ * @now_ms: time on the clock of dff_core_tick()
  *
  * Sets what a former core had learned about a worker. It counts as the samples that it was computed
  * from, and decays as they do. The variances are taken over unless the core knows better ones.
- *
- * Returns: false when the worker is not known. Values that are out of range or too old are ignored.
  */
-bool dff_core_import_duration (struct dff_core *core,
-			       const struct dff_worker_duration *duration,
-			       const struct dff_duration_variances *variances,
-			       int64_t age_ms,
-			       int64_t now_ms);
+enum dff_duration_import dff_core_import_duration (struct dff_core *core,
+						   const struct dff_worker_duration *duration,
+						   const struct dff_duration_variances *variances,
+						   int64_t age_ms,
+						   int64_t now_ms);
 
 /** Reduces what was exported to what is left of it after @age_ms. The weight is 0 when it is too
  * old, or when a value is out of range. */
--- a/tests/core/test-pace.c
+++ b/tests/core/test-pace.c
@@ -189,11 +189,13 @@
 		  const struct dff_duration_variances *variances,
 		  int64_t age_ms)
 {
+	bool expired = age_ms > DFF_DURATION_EXPIRY_MS;
 	for (guint i = 0; i < durations->len; i++) {
 		const struct dff_worker_duration *duration =
 			&g_array_index (durations, struct dff_worker_duration, i);
-		assert_true (dff_core_import_duration (pool->core, duration, variances, age_ms,
-						       pool->now_ms));
+		assert_int_equal (dff_core_import_duration (pool->core, duration, variances, age_ms,
+							    pool->now_ms),
+				  expired ? DFF_DURATION_IMPORT_IGNORED : DFF_DURATION_IMPORT_DONE);
 	}
 }
 
@@ -411,8 +413,9 @@
 		struct dff_worker_duration duration = {.worker = dff_name_from ("w1"),
 						       .relative = invalid[i].relative,
 						       .weight = invalid[i].weight};
-		dff_core_import_duration (pool.core, &duration, &invalid[i].variances, 0,
-					  pool.now_ms);
+		assert_int_equal (dff_core_import_duration (pool.core, &duration,
+							    &invalid[i].variances, 0, pool.now_ms),
+				  DFF_DURATION_IMPORT_IGNORED);
 		advance (&pool, 1000);
 		struct dff_core_stats stats;
 		dff_core_get_stats (pool.core, &stats);
@@ -431,7 +434,9 @@
 	struct dff_worker_duration duration = {
 		.worker = dff_name_from ("other"), .relative = 500, .weight = 4.0F};
 	struct dff_duration_variances variances = {0.16F, 0.07F};
-	assert_false (dff_core_import_duration (pool.core, &duration, &variances, 0, pool.now_ms));
+	assert_int_equal (
+		dff_core_import_duration (pool.core, &duration, &variances, 0, pool.now_ms),
+		DFF_DURATION_IMPORT_UNKNOWN);
 	close_pool (&pool);
 }
 
--- a/tests/holder/test-holder-speeds.c
+++ b/tests/holder/test-holder-speeds.c
@@ -267,6 +267,24 @@
 	}
 }
 
+/* Guards against values that are counted as taken over although the core ignores them. */
+static void
+test_value_out_of_range (void **state)
+{
+	(void)state;
+	struct site site;
+	site_open_with_durations (&site, unequal);
+	site_run (&site, 1000);
+	g_autoptr (GString) text = row_text (&site, 0);
+	assert_int_equal (g_string_replace (text, ",450,", ",45000,", 0), SITE_UNEQUAL_WORKERS / 3);
+	put_row (&site, text->str);
+	int next = replace_holder (&site, NULL);
+	site_run (&site, ANSWER_MS);
+	assert_int_equal (count (&site, next, "dff_holder_speeds_taken_over_total"),
+			  SITE_UNEQUAL_WORKERS - SITE_UNEQUAL_WORKERS / 3);
+	site_close (&site);
+}
+
 #define WORKERS_MISSING "{\"written_ms\":1000000,\"worker_variance\":160000,\"task_variance\":70000"
 
 /* Guards against a takeover that fails, or a holder that takes over nonsense, because the row is
@@ -691,6 +709,7 @@
 		cmocka_unit_test (test_two_takeovers),
 		cmocka_unit_test (test_restarted_workers),
 		cmocka_unit_test (test_worker_becomes_known_later),
+		cmocka_unit_test (test_value_out_of_range),
 		cmocka_unit_test (test_undecodable_rows),
 		cmocka_unit_test (test_row_of_newer_build),
 		cmocka_unit_test (test_old_row),
