holder: a worker that returns as another incarnation starts without its former one's record

A worker that is off the list for over 2.5 s loses its entry in the holder. When it came back restarted under the same id, its start had nothing to be compared with, so that the core was not told, and kept its failures and relative duration for the new incarnation.

The holder keeps the start of each worker that it removes, as long as the core keeps the worker, and reports a restart when the first answer after its return names another one.

--- a/holder/holder_private.h
+++ b/holder/holder_private.h
@@ -375,6 +375,11 @@
 /** Returns: whether a worker's entry and its answers are of the same incarnation. */
 bool incarnation_is_confirmed (const struct holder_worker *worker);
 
+/** Called before a worker that is no longer listed is removed: another incarnation of it may
+ * return.
+ */
+void incarnation_note_removed (struct dff_holder *holder, const struct holder_worker *worker);
+
 /* evacuation.c */
 
 /** Returns: whether a worker gets no new tasks because its data centre is evacuated. */
--- a/holder/holder_tables.h
+++ b/holder/holder_tables.h
@@ -444,6 +444,9 @@
 	int64_t next_unreadable_ms;
 
 	/* holder/incarnations.c */
+	/** Start of each worker that the holder has forgotten, by name: the core still knows what
+	 * it has learned of that incarnation. Key: struct dff_name *, value: gint64 *. */
+	GHashTable *former_starts;
 	/** Earliest time of the next log line about an invalid start time of a worker. */
 	int64_t next_invalid_start_ms;
 
--- a/holder/incarnations.c
+++ b/holder/incarnations.c
@@ -146,6 +146,35 @@
 	dff_core_handle_event (holder->core, &event, holder_now_ms (holder));
 }
 
+void
+incarnation_note_removed (struct dff_holder *holder, const struct holder_worker *worker)
+{
+	gint64 started_ms = worker->upstream.incarnation.started_ms;
+	if (dff_start_is_known (started_ms))
+		g_hash_table_replace (holder->former_starts,
+				      dff_name_dup (&worker->upstream.incarnation.id),
+				      g_memdup2 (&started_ms, sizeof (started_ms)));
+}
+
+/* Handles the first answer of a worker that may have been removed before. */
+static void
+compare_with_removed (struct dff_holder *holder, const struct holder_worker *worker)
+{
+	const struct dff_incarnation *incarnation = &worker->upstream.incarnation;
+	const gint64 *former_ms = g_hash_table_lookup (holder->former_starts, &incarnation->id);
+	if (former_ms == NULL)
+		return;
+	if (*former_ms != incarnation->started_ms) {
+		dff_log (DFF_LOG_UPSTREAM, DFF_LOG_WARNING,
+			 "Worker has returned as another incarnation. worker=%s born_ms=%" PRId64
+			 " before_born_ms=%" PRId64,
+			 incarnation->id.data, incarnation->started_ms, (int64_t)*former_ms);
+		(*holder->metrics.restarted_workers)++;
+		report_restart (holder, worker);
+	}
+	g_hash_table_remove (holder->former_starts, &incarnation->id);
+}
+
 /* Resets the state of the previous incarnation. Its clock does not apply to the next one: a
  * deadline that was sent to the previous incarnation may give the next one the longest possible
  * lease. */
@@ -277,6 +306,7 @@
 	if (!expected && reported) {
 		worker->upstream.incarnation.started_ms = result->started_ms;
 		worker->incarnation_known_ms = holder_now_ms (holder);
+		compare_with_removed (holder, worker);
 	}
 	drop_refuted_entry (worker, mark->begun_ms);
 	revoke_unanswered (holder, worker);
--- a/holder/workers.c
+++ b/holder/workers.c
@@ -190,6 +190,7 @@
 		if (worker->state == DFF_WORKER_DOWN && g_hash_table_size (worker->runs) == 0 &&
 		    !worker->watch_in_flight && !worker->query_in_flight) {
 			holder->pool_changed = true;
+			incarnation_note_removed (holder, worker);
 			g_hash_table_iter_remove (&iter);
 		}
 	}
@@ -200,6 +201,8 @@
 {
 	holder->workers =
 		g_hash_table_new_full (dff_name_hash, dff_name_equal_func, NULL, free_worker);
+	holder->former_starts =
+		g_hash_table_new_full (dff_name_hash, dff_name_equal_func, g_free, g_free);
 	holder->pool_changed = true;
 	list_begin (holder);
 }
@@ -210,6 +213,7 @@
 	/* The runs are freed with their workers. */
 	g_queue_init (&holder->pending_runs);
 	g_clear_pointer (&holder->workers, g_hash_table_unref);
+	g_clear_pointer (&holder->former_starts, g_hash_table_unref);
 	list_reset (holder);
 	*holder->metrics.open_runs = 0;
 	*holder->metrics.evacuated_runs = 0;
--- a/tests/holder/test-holder-speeds.c
+++ b/tests/holder/test-holder-speeds.c
@@ -22,6 +22,8 @@
 #define READS_END_MS 4500
 /** Time for which a new holder tries to read the row, ms. */
 #define READ_LIMIT_MS 4000
+/** Time after which the holder has forgotten a worker that is off the list, ms. */
+#define FORGOTTEN_MS 6000
 /** Duration of an outage of the store, ms. */
 #define OUTAGE_MS 20000
 /** Number of urgent single tasks and gangs that are placed after a takeover. */
@@ -239,6 +241,41 @@
 	}
 }
 
+/* Guards against what was learned of an incarnation being taken for the next one's, because the
+ * holder has forgotten the worker in between: it was off the list for a while. A worker that
+ * returns without a restart keeps its value. */
+static void
+test_worker_returns (void **state)
+{
+	(void)state;
+	for (int restarted = 0; restarted < 2; restarted++) {
+		struct site site;
+		site_open_with_durations (&site, unequal);
+		site_run (&site, 1000);
+		g_autoptr (GString) text = row_text (&site, 0);
+		put_row (&site, text->str);
+		int holder = replace_holder (&site, NULL);
+		site_run (&site, 1000);
+		const struct dff_name id = dff_name_from ("w2");
+		site_list_worker (&site, 2, false, false);
+		site_run (&site, FORGOTTEN_MS);
+		assert_null (workers_find (site.processes[holder].holder, &id));
+		if (restarted == 1)
+			site_restart_worker (&site, 2);
+		else
+			site_list_worker (&site, 2, true, false);
+		site_run (&site, 6000);
+		assert_int_equal (site_holder (&site), holder);
+		struct speeds_row row;
+		speeds_row_init (&row);
+		const GString *recorded = peek_row (&site);
+		assert_true (speeds_decode ((struct dff_str){recorded->str, recorded->len}, &row));
+		assert_int_equal (row.entries->len, SITE_UNEQUAL_WORKERS - restarted);
+		speeds_row_clear (&row);
+		site_close (&site);
+	}
+}
+
 /* Guards against a value that is dropped because the worker is not listed when the row is read: it
  * is kept, and handed on to the next holder, until the worker is known. */
 static void
@@ -708,6 +745,7 @@
 		cmocka_unit_test (test_next_holder_avoids_slow_workers),
 		cmocka_unit_test (test_two_takeovers),
 		cmocka_unit_test (test_restarted_workers),
+		cmocka_unit_test (test_worker_returns),
 		cmocka_unit_test (test_worker_becomes_known_later),
 		cmocka_unit_test (test_value_out_of_range),
 		cmocka_unit_test (test_undecodable_rows),
