--- a/holder/incarnations.c
+++ b/holder/incarnations.c
@@ -150,10 +150,11 @@
 incarnation_note_removed (struct dff_holder *holder, const struct holder_worker *worker)
 {
 	gint64 started_ms = worker->upstream.incarnation.started_ms;
-	if (dff_start_is_known (started_ms))
-		g_hash_table_replace (holder->former_starts,
-				      dff_name_dup (&worker->upstream.incarnation.id),
-				      g_memdup2 (&started_ms, sizeof (started_ms)));
+	if (!dff_start_is_known (started_ms))
+		return;
+	g_hash_table_replace (holder->former_starts,
+			      dff_name_dup (&worker->upstream.incarnation.id),
+			      g_memdup2 (&started_ms, sizeof (started_ms)));
 }
 
 /* Handles the first answer of a worker that may have been removed before. */
