core, holder: names around the recorded speeds

LOG_PARTS was defined in two files and BYTES_MAX meant two things in holder/, and it was not said that a larger value of the row is slower.

DFF_DURATION_LOG_PARTS is beside struct dff_worker_duration, the limit of the row is ROW_BYTES_MAX, and the module comment explains the name of the row.

--- a/core/relative_duration.c
+++ b/core/relative_duration.c
@@ -42,7 +42,7 @@
 #define SPREAD_RATE 0.3F
 
 /** Units of a worker's relative duration in a logarithm of 1, and its maximum as a logarithm. */
-#define LOG_PARTS 1000.0F
+#define LOG_PARTS ((float)DFF_DURATION_LOG_PARTS)
 #define LOG_MAX 30.0F
 
 /** Duration of a task of a peer group. */
--- a/holder/speeds.c
+++ b/holder/speeds.c
@@ -9,9 +9,10 @@
 #include "graph/json.h"
 
 /* How fast the workers are, as found by the core, in one row, so that the next holder starts with
- * it. The row is written with the holder's transactions, only while the workers differ in speed.
- * At a takeover it is read beside the jobs. Each value is kept until the worker's first answer
- * shows its incarnation: what is known of a former incarnation does not apply to the next. */
+ * it. The row is called speeds; its values are relative durations, so a larger one is slower. The
+ * row is written with the holder's transactions, only while the workers differ in speed. At a
+ * takeover it is read beside the jobs. Each value is kept until the worker's first answer shows its
+ * incarnation: what is known of a former incarnation does not apply to the next. */
 
 /** Least interval between two writes of the row, ms. */
 #define WRITE_INTERVAL_MS 2000
@@ -26,7 +27,7 @@
  */
 #define CHANGE_DEVIATIONS 0.1
 /** Size of the row, bytes: in base64 it has to stay below DFF_ROW_VALUE_MAX. */
-#define BYTES_MAX 44000
+#define ROW_BYTES_MAX 44000
 /** Bytes of the row without its workers, at most. */
 #define FRAME_BYTES 200
 /** Timeout of a read, ms: as for the other reads of a takeover. */
@@ -36,10 +37,9 @@
 #define READ_RETRY_MS 100
 #define READ_LIMIT_MS 4000
 
-/** Units of the row's variances and weights in 1, and of relative durations in a logarithm of 1. */
+/** Units of the row's variances and weights in 1. */
 #define VARIANCE_PARTS 1e6
 #define WEIGHT_PARTS 100.0F
-#define LOG_PARTS 1000.0
 
 void
 speeds_row_init (struct speeds_row *row)
@@ -113,7 +113,7 @@
 	size_t bytes = FRAME_BYTES;
 	for (guint i = 0; i < row->entries->len; i++) {
 		bytes += entry_size (entry_at (row, i));
-		if (bytes <= BYTES_MAX)
+		if (bytes <= ROW_BYTES_MAX)
 			continue;
 		g_array_set_size (row->entries, i);
 		return;
@@ -456,7 +456,7 @@
 bool
 speeds_has_changed (const struct speeds_record *record, const struct speeds_row *row)
 {
-	double limit = CHANGE_DEVIATIONS * sqrt (row->variances.workers) * LOG_PARTS;
+	double limit = CHANGE_DEVIATIONS * sqrt (row->variances.workers) * DFF_DURATION_LOG_PARTS;
 	double least = least_difference (record, limit);
 	guint n_found = 0;
 	for (guint i = 0; i < row->entries->len; i++) {
--- a/include/core/core.h
+++ b/include/core/core.h
@@ -272,11 +272,14 @@
 /** Age at which a sample of a worker's speed, or an imported relative duration, is dropped, ms. */
 #define DFF_DURATION_EXPIRY_MS 120000
 
+/** Units of a worker's relative duration in a logarithm of 1. */
+#define DFF_DURATION_LOG_PARTS 1000
+
 /** What is known about the speed of a worker. */
 struct dff_worker_duration {
 	struct dff_name worker;
 	/** Duration of tasks there relative to the mean of all workers: natural logarithm, in
-	 * thousandths. */
+	 * units of 1 / DFF_DURATION_LOG_PARTS. */
 	int32_t relative;
 	/** Weight of the samples that it was computed from: their number, less the older they are.
 	 */
