--- a/core/relative_duration.c
+++ b/core/relative_duration.c
@@ -42,7 +42,7 @@
 #define SPREAD_RATE 0.3F
 
 /** Units of a worker's relative duration in a logarithm of 1, and its maximum as a logarithm. */
-#define LOG_PARTS 1000.0F
+#define LOG_PARTS ((float)DFF_DURATION_LOG_PARTS)
 #define LOG_MAX 30.0F
 
 /** Duration of a task of a peer group. */
@@ -286,6 +286,7 @@
 			add_prior (core, basis, &sum);
 		worker->relative_duration = to_relative (sum.total / (sum.count + prior_weight));
 		basis->weight = sum.count;
+		basis->mean = sum.count > 0.0F ? sum.total / sum.count : 0.0F;
 	}
 }
 
@@ -344,6 +345,15 @@
 	return core->worker_variance <= (float)(ALIKE_SPREAD * ALIKE_SPREAD);
 }
 
+/* Returns: the relative duration that follows from samples of a weight and mean. */
+static int16_t
+relative_from (float mean, float weight, const struct dff_duration_variances *variances)
+{
+	return to_relative (mean * weight / (weight + variances->tasks / variances->workers));
+}
+
+/* The values are computed with the variances that they are exported with: a review learns the
+ * variances after it has computed the workers' relative durations. */
 bool
 dff_core_export_durations (const struct dff_core *core,
 			   GArray *durations,
@@ -356,12 +366,13 @@
 		return false;
 	for (guint i = 0; i < core->duration_bases->len; i++) {
 		const struct dff_core_worker *worker = dff_core_worker_at (core, (int32_t)i);
-		float weight = basis_at (core, (int32_t)i)->weight;
-		if (worker->rack == DFF_CORE_NONE || weight <= 0.0F)
+		const struct dff_core_duration_basis *basis = basis_at (core, (int32_t)i);
+		if (worker->rack == DFF_CORE_NONE || basis->weight <= 0.0F)
 			continue;
-		struct dff_worker_duration duration = {.worker = worker->name,
-						       .relative = worker->relative_duration,
-						       .weight = weight};
+		struct dff_worker_duration duration = {
+			.worker = worker->name,
+			.relative = relative_from (basis->mean, basis->weight, variances),
+			.weight = basis->weight};
 		g_array_append_val (durations, duration);
 	}
 	return true;
@@ -407,8 +418,7 @@
 	}
 	float mean = mean_of_samples (duration, variances);
 	duration->weight *= weight_left (age_ms);
-	float sum_weight = duration->weight + variances->tasks / variances->workers;
-	duration->relative = to_relative (mean * duration->weight / sum_weight);
+	duration->relative = relative_from (mean, duration->weight, variances);
 }
 
 static void
@@ -420,7 +430,7 @@
 	core->stats.duration_spread = sqrt (core->worker_variance);
 }
 
-bool
+enum dff_duration_import
 dff_core_import_duration (struct dff_core *core,
 			  const struct dff_worker_duration *duration,
 			  const struct dff_duration_variances *variances,
@@ -429,11 +439,11 @@
 {
 	int32_t index = dff_core_find_worker (core, &duration->worker);
 	if (index == DFF_CORE_NONE)
-		return false;
+		return DFF_DURATION_IMPORT_UNKNOWN;
 	struct dff_worker_duration aged = *duration;
 	dff_core_age_duration (&aged, variances, age_ms);
 	if (aged.weight <= 0.0F)
-		return true;
+		return DFF_DURATION_IMPORT_IGNORED;
 	core->now_ms = now_ms;
 	if (!core->variances_known)
 		import_variances (core, variances);
@@ -445,10 +455,11 @@
 	core->has_priors = true;
 	/* The next review adds the samples that the core has itself. */
 	if (basis->weight > 0.0F)
-		return true;
+		return DFF_DURATION_IMPORT_DONE;
 	basis->weight = aged.weight;
+	basis->mean = basis->prior_mean;
 	dff_core_worker_at (core, index)->relative_duration = (int16_t)aged.relative;
-	return true;
+	return DFF_DURATION_IMPORT_DONE;
 }
 
 /** Limits of relative duration for urgent work, in this order, in deviations from the mean. */
--- a/holder/holder_private.h
+++ b/holder/holder_private.h
@@ -160,7 +160,7 @@
 void draft_written (struct dff_holder *holder, const struct draft *draft);
 
 /** The transaction may or may not be recorded: its rows are written again. */
-void draft_unwritten (struct dff_holder *holder);
+void draft_unwritten (struct dff_holder *holder, enum dff_rows_outcome outcome);
 
 /** Returns: whether a job is completed and only waits for its removal. */
 bool draft_has_finished (const struct dff_holder *holder, const struct dff_name *job);
@@ -375,6 +375,11 @@
 /** Returns: whether a worker's entry and its answers are of the same incarnation. */
 bool incarnation_is_confirmed (const struct holder_worker *worker);
 
+/** Called before a worker that is no longer listed is removed: another incarnation of it may
+ * return.
+ */
+void incarnation_note_removed (struct dff_holder *holder, const struct holder_worker *worker);
+
 /* evacuation.c */
 
 /** Returns: whether a worker gets no new tasks because its data centre is evacuated. */
@@ -474,19 +479,30 @@
 void speeds_row_clear (struct speeds_row *row);
 
 /** Encodes a row of limited size, with the workers that differ most from the mean. Sorts
- * @row->entries. Returns: (transfer full). */
-GString *speeds_encode (const struct speeds_row *row);
+ * @row->entries by that, largest first, and drops the others. Returns: (transfer full). */
+GString *speeds_encode (struct speeds_row *row);
 
 /** Decodes a row into @row, which is initialized. Entries that cannot be read are left out.
  * Returns: false when the row as a whole cannot be used. */
 bool speeds_decode (struct dff_str text, struct speeds_row *row);
 
+/** Takes over the entries of a row that was encoded. @truncated: whether it has lost some by that.
+ */
+struct speeds_record *speeds_record_new (struct speeds_row *row, bool truncated);
+
+void speeds_record_free (struct speeds_record *record);
+
+/** Returns: whether a worker of the record is gone, has restarted or has another value in @row, or
+ * one of @row belongs into the record. */
+bool speeds_has_changed (const struct speeds_record *record, const struct speeds_row *row);
+
 /** Called at a takeover: requests the row. The takeover does not wait for the answer. */
 void speeds_begin (struct dff_holder *holder);
 
 void speeds_reset (struct dff_holder *holder);
 
-/** Passes to the core what was read about workers whose incarnation has become known. */
+/** Repeats a read that failed, and passes to the core what was read about workers whose incarnation
+ * has become known. */
 void speeds_step (struct dff_holder *holder);
 
 /** Adds the row to a transaction if it is due. */
@@ -494,7 +510,10 @@
 
 /** Handles the outcome of a transaction: it is recorded, or it may not be. */
 void speeds_note_written (struct dff_holder *holder);
-void speeds_note_unwritten (struct dff_holder *holder);
+void speeds_note_unwritten (struct dff_holder *holder, enum dff_rows_outcome outcome);
+
+/** Returns: whether the current transaction contains the row. */
+bool speeds_in_flight (const struct dff_holder *holder);
 
 /* runs.c */
 
--- a/holder/holder_tables.h
+++ b/holder/holder_tables.h
@@ -213,6 +213,16 @@
 	int64_t started_ms;
 };
 
+/** What the row of DFF_KEY_SPEEDS holds. */
+struct speeds_record {
+	/** Elements: struct speeds_entry, by their difference from the mean, largest first. */
+	GArray *entries;
+	/** The same by name. */
+	GHashTable *by_name;
+	/** Whether workers were left out because of the size of the row. */
+	bool truncated;
+};
+
 /** An attempt to acknowledge to the core once the job's row is written. */
 struct holder_ack {
 	struct dff_name unit;
@@ -332,28 +342,38 @@
 
 	/* holder/speeds.c */
 	struct {
-		/** Whether the row is being read, and the number of reads so far. */
+		/** Whether the row is still to be read, whether a read is in progress, and the
+		 * number of reads so far. */
 		bool reading;
+		bool read_in_flight;
 		int32_t n_reads;
+		/** When a failed read may be repeated, and until when it is; 0: not known yet. */
+		int64_t next_read_ms;
+		int64_t read_limit_ms;
 		/** Workers of the row whose incarnation is not known yet, by name. Value: struct
 		 * speeds_entry. */
 		GHashTable *pending;
 		/** Variances in the row, and the local time to which the row applies. */
 		struct dff_duration_variances variances;
 		int64_t valid_ms;
-		/** Number of workers of the row whose relative duration was imported, and of those
-		 * that have restarted since. */
+		/** Number of workers of the row whose relative duration was imported, of those that
+		 * have restarted since, and of those whose value is out of range or too old. */
 		guint n_imported;
 		guint n_restarted;
-		/** (nullable): what is recorded, and what the current transaction contains. Value:
-		 * struct speeds_entry, by name. */
-		GHashTable *recorded;
-		GHashTable *in_flight;
+		guint n_ignored;
+		/** (nullable): what is recorded, and what the current transaction contains. */
+		struct speeds_record *recorded;
+		struct speeds_record *in_flight;
 		/** When the row was last recorded, and is to be examined next. */
 		int64_t recorded_ms;
 		int64_t due_ms;
 		/** Delay after a transaction with the row that failed, ms. */
 		int64_t retry_delay_ms;
+		/** Whether the last transaction with the row failed and none without it has been
+		 * answered since, and how often in succession the next one without it did not
+		 * fail. */
+		bool suspect;
+		int32_t n_refused;
 	} speeds;
 
 	/* holder/submissions.c */
@@ -424,6 +444,9 @@
 	int64_t next_unreadable_ms;
 
 	/* holder/incarnations.c */
+	/** Start of each worker that the holder has forgotten, by name: the core still knows what
+	 * it has learned of that incarnation. Key: struct dff_name *, value: gint64 *. */
+	GHashTable *former_starts;
 	/** Earliest time of the next log line about an invalid start time of a worker. */
 	int64_t next_invalid_start_ms;
 
@@ -458,6 +481,7 @@
 		int64_t *speeds_recorded;
 		int64_t *speeds_taken_over;
 		int64_t *speeds_undecodable;
+		int64_t *speeds_refused;
 		int64_t *retries[DFF_RETRY_LOST + 1];
 		struct dff_histogram *retry_delay;
 		int64_t *kept_tasks;
--- a/holder/speeds.c
+++ b/holder/speeds.c
@@ -9,9 +9,10 @@
 #include "graph/json.h"
 
 /* How fast the workers are, as found by the core, in one row, so that the next holder starts with
- * it. The row is written with the holder's transactions, only while the workers differ in speed.
- * At a takeover it is read beside the jobs. Each value is kept until the worker's first answer
- * shows its incarnation: what is known of a former incarnation does not apply to the next. */
+ * it. The row is called speeds; its values are relative durations, so a larger one is slower. The
+ * row is written with the holder's transactions, only while the workers differ in speed. At a
+ * takeover it is read beside the jobs. Each value is kept until the worker's first answer shows its
+ * incarnation: what is known of a former incarnation does not apply to the next. */
 
 /** Least interval between two writes of the row, ms. */
 #define WRITE_INTERVAL_MS 2000
@@ -20,24 +21,25 @@
 /** Age at which the row is written although it has not changed, ms: what it holds decays with its
  * age. */
 #define REFRESH_MS 5000
-/** Longest delay after a transaction with the row that failed, ms: the delay is doubled each time.
- */
+/** Longest delay after a transaction that the row made fail, ms: the delay is doubled each time. */
 #define RETRY_DELAY_MAX_MS 32000
 /** Change of a worker's relative duration that is written, in standard deviations between workers.
  */
 #define CHANGE_DEVIATIONS 0.1
 /** Size of the row, bytes: in base64 it has to stay below DFF_ROW_VALUE_MAX. */
-#define BYTES_MAX 44000
+#define ROW_BYTES_MAX 44000
 /** Bytes of the row without its workers, at most. */
 #define FRAME_BYTES 200
 /** Timeout of a read, ms: as for the other reads of a takeover. */
 #define READ_TIMEOUT_MS 1500
-#define READS_MAX 3
+/** Delay after a read that failed, ms, and time for which failed reads are repeated while the
+ * holder schedules, ms: meanwhile it does not record what it learns itself. */
+#define READ_RETRY_MS 100
+#define READ_LIMIT_MS 4000
 
-/** Units of the row's variances and weights in 1, and of relative durations in a logarithm of 1. */
+/** Units of the row's variances and weights in 1. */
 #define VARIANCE_PARTS 1e6
 #define WEIGHT_PARTS 100.0F
-#define LOG_PARTS 1000.0
 
 void
 speeds_row_init (struct speeds_row *row)
@@ -58,6 +60,18 @@
 	return &g_array_index (row->entries, struct speeds_entry, index);
 }
 
+/* Returns: (transfer full): the entries by name. They belong to the array, which must not grow. */
+static GHashTable *
+index_entries (const GArray *entries)
+{
+	GHashTable *by_name = g_hash_table_new (dff_name_hash, dff_name_equal_func);
+	for (guint i = 0; i < entries->len; i++) {
+		struct speeds_entry *entry = &g_array_index (entries, struct speeds_entry, i);
+		g_hash_table_replace (by_name, &entry->duration.worker, entry);
+	}
+	return by_name;
+}
+
 /* Sorts by difference from the mean, largest first. */
 static int
 compare_entries (gconstpointer a, gconstpointer b)
@@ -92,16 +106,26 @@
 	return (size_t)length;
 }
 
+/* Drops the entries from the first one on that does not fit into the row. */
+static void
+truncate_entries (struct speeds_row *row)
+{
+	size_t bytes = FRAME_BYTES;
+	for (guint i = 0; i < row->entries->len; i++) {
+		bytes += entry_size (entry_at (row, i));
+		if (bytes <= ROW_BYTES_MAX)
+			continue;
+		g_array_set_size (row->entries, i);
+		return;
+	}
+}
+
 static json_t *
 encode_entries (const struct speeds_row *row)
 {
 	json_t *workers = json_array ();
-	size_t bytes = FRAME_BYTES;
 	for (guint i = 0; i < row->entries->len; i++) {
 		const struct speeds_entry *entry = entry_at (row, i);
-		bytes += entry_size (entry);
-		if (bytes > BYTES_MAX)
-			break;
 		json_array_append_new (
 			workers, json_pack ("[s, I, i, I]", entry->duration.worker.data,
 					    (json_int_t)entry->started_ms, entry->duration.relative,
@@ -111,9 +135,10 @@
 }
 
 GString *
-speeds_encode (const struct speeds_row *row)
+speeds_encode (struct speeds_row *row)
 {
 	g_array_sort (row->entries, compare_entries);
+	truncate_entries (row);
 	return dff_json_print (json_pack (
 		"{s:I, s:I, s:I, s:o}", "written_ms", (json_int_t)row->written_ms,
 		"worker_variance", encode_variance (row->variances.workers), "task_variance",
@@ -193,9 +218,10 @@
 {
 	dff_log (DFF_LOG_CELL, DFF_LOG_INFO,
 		 "Speeds of workers taken over. epoch=%" PRId64
-		 " workers=%u restarted=%u unknown=%u age_ms=%" PRId64,
+		 " workers=%u restarted=%u ignored=%u unknown=%u age_ms=%" PRId64,
 		 holder->epoch, holder->speeds.n_imported, holder->speeds.n_restarted,
-		 g_hash_table_size (holder->speeds.pending), age_ms (holder));
+		 holder->speeds.n_ignored, g_hash_table_size (holder->speeds.pending),
+		 age_ms (holder));
 }
 
 /* Returns: whether nothing is left to do about an entry. */
@@ -209,16 +235,23 @@
 		holder->speeds.n_restarted++;
 		return true;
 	}
-	if (!dff_core_import_duration (holder->core, &entry->duration, &holder->speeds.variances,
-				       age_ms (holder), holder_now_ms (holder)))
+	switch (dff_core_import_duration (holder->core, &entry->duration, &holder->speeds.variances,
+					  age_ms (holder), holder_now_ms (holder))) {
+	case DFF_DURATION_IMPORT_UNKNOWN:
 		return false;
-	holder->speeds.n_imported++;
-	(*holder->metrics.speeds_taken_over)++;
+	case DFF_DURATION_IMPORT_IGNORED:
+		holder->speeds.n_ignored++;
+		return true;
+	case DFF_DURATION_IMPORT_DONE:
+		holder->speeds.n_imported++;
+		(*holder->metrics.speeds_taken_over)++;
+		return true;
+	}
 	return true;
 }
 
-void
-speeds_step (struct dff_holder *holder)
+static void
+apply_pending (struct dff_holder *holder)
 {
 	GHashTable *pending = holder->speeds.pending;
 	if (g_hash_table_size (pending) == 0)
@@ -270,8 +303,6 @@
 	holder_wake (holder);
 }
 
-static void read_row (struct dff_holder *holder);
-
 static void
 handle_row (void *user, const struct dff_rows_result *result)
 {
@@ -279,20 +310,20 @@
 	struct dff_holder *holder = holder_call_end (call);
 	if (holder == NULL)
 		return;
-	holder->speeds.reading = false;
+	holder->speeds.read_in_flight = false;
 	if (result->outcome != DFF_ROWS_DONE) {
-		if (holder->speeds.n_reads < READS_MAX)
-			read_row (holder);
+		holder->speeds.next_read_ms = holder_now_ms (holder) + READ_RETRY_MS;
 		return;
 	}
+	holder->speeds.reading = false;
 	if (result->n_rows > 0)
 		take_over_row (holder, &result->rows[0]);
 }
 
 static void
-read_row (struct dff_holder *holder)
+read_recorded_speeds (struct dff_holder *holder)
 {
-	holder->speeds.reading = true;
+	holder->speeds.read_in_flight = true;
 	holder->speeds.n_reads++;
 	struct dff_rows_range range = {.table = DFF_TABLE_CELL,
 				       .from = dff_str_from (DFF_KEY_SPEEDS),
@@ -303,50 +334,100 @@
 				   holder_call_begin (holder, sizeof (struct holder_call)));
 }
 
+/* Repeats a read that failed, until the limit. */
+static void
+step_read (struct dff_holder *holder)
+{
+	int64_t now_ms = holder_now_ms (holder);
+	if (holder->speeds.read_limit_ms == 0)
+		holder->speeds.read_limit_ms = now_ms + READ_LIMIT_MS;
+	if (!holder->speeds.reading || holder->speeds.read_in_flight ||
+	    now_ms < holder->speeds.next_read_ms)
+		return;
+	if (now_ms < holder->speeds.read_limit_ms) {
+		read_recorded_speeds (holder);
+		return;
+	}
+	holder->speeds.reading = false;
+	dff_log (DFF_LOG_CELL, DFF_LOG_WARNING,
+		 "Recorded speeds of workers not read. epoch=%" PRId64 " reads=%d", holder->epoch,
+		 holder->speeds.n_reads);
+}
+
+void
+speeds_step (struct dff_holder *holder)
+{
+	step_read (holder);
+	apply_pending (holder);
+}
+
 void
 speeds_begin (struct dff_holder *holder)
 {
+	holder->speeds.reading = true;
 	holder->speeds.pending = entry_table_new ();
 	holder->speeds.retry_delay_ms = WRITE_INTERVAL_MS;
-	read_row (holder);
+	read_recorded_speeds (holder);
 }
 
 void
 speeds_reset (struct dff_holder *holder)
 {
 	g_clear_pointer (&holder->speeds.pending, g_hash_table_unref);
-	g_clear_pointer (&holder->speeds.recorded, g_hash_table_unref);
-	g_clear_pointer (&holder->speeds.in_flight, g_hash_table_unref);
+	g_clear_pointer (&holder->speeds.recorded, speeds_record_free);
+	g_clear_pointer (&holder->speeds.in_flight, speeds_record_free);
 	memset (&holder->speeds, 0, sizeof (holder->speeds));
 }
 
 /* Writes. */
 
-/* Adds the values that wait for their workers, so that the next holder gets them too. */
+struct speeds_record *
+speeds_record_new (struct speeds_row *row, bool truncated)
+{
+	struct speeds_record *record = g_new0 (struct speeds_record, 1);
+	record->entries = g_steal_pointer (&row->entries);
+	record->by_name = index_entries (record->entries);
+	record->truncated = truncated;
+	return record;
+}
+
+void
+speeds_record_free (struct speeds_record *record)
+{
+	g_hash_table_unref (record->by_name);
+	g_array_unref (record->entries);
+	g_free (record);
+}
+
+/* Adds the values that wait for their workers, so that the next holder gets them too. What the core
+ * has learned of a worker since takes precedence. */
 static void
-add_pending (const struct dff_holder *holder, GHashTable *entries)
+add_pending (const struct dff_holder *holder, GArray *entries)
 {
+	if (g_hash_table_size (holder->speeds.pending) == 0)
+		return;
+	g_autoptr (GHashTable) learned = index_entries (entries);
+	g_autoptr (GArray) added = g_array_new (FALSE, FALSE, sizeof (struct speeds_entry));
 	GHashTableIter iter;
-	gpointer value;
+	gpointer key, value;
 	g_hash_table_iter_init (&iter, holder->speeds.pending);
-	while (g_hash_table_iter_next (&iter, NULL, &value)) {
+	while (g_hash_table_iter_next (&iter, &key, &value)) {
 		struct speeds_entry entry = *(const struct speeds_entry *)value;
 		dff_core_age_duration (&entry.duration, &holder->speeds.variances, age_ms (holder));
-		if (entry.duration.weight > 0.0F)
-			entry_table_add (entries, &entry);
+		if (entry.duration.weight > 0.0F && !g_hash_table_contains (learned, key))
+			g_array_append_val (added, entry);
 	}
+	g_array_append_vals (entries, added->data, added->len);
 }
 
-/* Returns: (transfer full) (nullable): what is known now; NULL when the workers are alike. */
-static GHashTable *
-collect_entries (struct dff_holder *holder, struct dff_duration_variances *variances)
+/* Fills in what is known now. Returns: false when the workers are alike or nothing is known. */
+static bool
+collect_entries (struct dff_holder *holder, struct speeds_row *row)
 {
 	g_autoptr (GArray) durations =
 		g_array_new (FALSE, FALSE, sizeof (struct dff_worker_duration));
-	if (!dff_core_export_durations (holder->core, durations, variances))
-		return NULL;
-	GHashTable *entries = entry_table_new ();
-	add_pending (holder, entries);
+	if (!dff_core_export_durations (holder->core, durations, &row->variances))
+		return false;
 	for (guint i = 0; i < durations->len; i++) {
 		struct speeds_entry entry = {
 			.duration = g_array_index (durations, struct dff_worker_duration, i)};
@@ -354,51 +435,61 @@
 		if (worker == NULL)
 			continue;
 		entry.started_ms = worker->upstream.incarnation.started_ms;
-		entry_table_add (entries, &entry);
+		g_array_append_val (row->entries, entry);
 	}
-	return entries;
+	add_pending (holder, row->entries);
+	return row->entries->len > 0;
 }
 
-/* Whether a worker has come or gone since the row was recorded, or its value has changed. */
-static bool
-has_changed (const struct dff_holder *holder,
-	     GHashTable *entries,
-	     const struct dff_duration_variances *variances)
+/* Returns: the difference from the mean beyond which a worker that is not in the record belongs
+ * into it: every worker does unless some were left out. */
+static double
+least_difference (const struct speeds_record *record, double limit)
 {
-	GHashTable *recorded = holder->speeds.recorded;
-	if (recorded == NULL || g_hash_table_size (recorded) != g_hash_table_size (entries))
-		return true;
-	double limit = CHANGE_DEVIATIONS * sqrt (variances->workers) * LOG_PARTS;
-	GHashTableIter iter;
-	gpointer key, value;
-	g_hash_table_iter_init (&iter, entries);
-	while (g_hash_table_iter_next (&iter, &key, &value)) {
-		const struct speeds_entry *entry = value;
-		const struct speeds_entry *before = g_hash_table_lookup (recorded, key);
-		if (before == NULL || before->started_ms != entry->started_ms ||
+	if (!record->truncated || record->entries->len == 0)
+		return -1.0;
+	const struct speeds_entry *last =
+		&g_array_index (record->entries, struct speeds_entry, record->entries->len - 1);
+	return abs (last->duration.relative) + limit;
+}
+
+bool
+speeds_has_changed (const struct speeds_record *record, const struct speeds_row *row)
+{
+	double limit = CHANGE_DEVIATIONS * sqrt (row->variances.workers) * DFF_DURATION_LOG_PARTS;
+	double least = least_difference (record, limit);
+	guint n_found = 0;
+	for (guint i = 0; i < row->entries->len; i++) {
+		const struct speeds_entry *entry = entry_at (row, i);
+		const struct speeds_entry *before =
+			g_hash_table_lookup (record->by_name, &entry->duration.worker);
+		if (before == NULL && abs (entry->duration.relative) > least)
+			return true;
+		if (before == NULL)
+			continue;
+		n_found++;
+		if (before->started_ms != entry->started_ms ||
 		    abs (entry->duration.relative - before->duration.relative) > limit)
 			return true;
 	}
-	return false;
+	return n_found < record->entries->len;
 }
 
-static GString *
-encode_table (const struct dff_holder *holder,
-	      GHashTable *entries,
-	      const struct dff_duration_variances *variances)
+static bool
+is_due (const struct dff_holder *holder, const struct speeds_row *row)
 {
-	struct speeds_row row;
-	speeds_row_init (&row);
-	row.written_ms = dff_clock_wall_ms (holder->options.timers->clock);
-	row.variances = *variances;
-	GHashTableIter iter;
-	gpointer value;
-	g_hash_table_iter_init (&iter, entries);
-	while (g_hash_table_iter_next (&iter, NULL, &value))
-		g_array_append_vals (row.entries, value, 1);
-	GString *text = speeds_encode (&row);
-	speeds_row_clear (&row);
-	return text;
+	const struct speeds_record *recorded = holder->speeds.recorded;
+	return recorded == NULL ||
+	       holder_now_ms (holder) - holder->speeds.recorded_ms >= REFRESH_MS ||
+	       speeds_has_changed (recorded, row);
+}
+
+/* Returns: whether the row was added to the transaction. */
+static bool
+draft_entries (const struct dff_holder *holder, struct speeds_row *row, struct draft *draft)
+{
+	row->written_ms = dff_clock_wall_ms (holder->options.timers->clock);
+	return draft_row (draft, DFF_TABLE_CELL, DFF_KEY_SPEEDS, speeds_encode (row));
 }
 
 void
@@ -409,24 +500,50 @@
 	if (holder->speeds.reading || now_ms < holder->speeds.due_ms)
 		return;
 	holder->speeds.due_ms = now_ms + CHECK_INTERVAL_MS;
-	struct dff_duration_variances variances;
-	g_autoptr (GHashTable) entries = collect_entries (holder, &variances);
-	bool old = now_ms - holder->speeds.recorded_ms >= REFRESH_MS;
-	if (entries == NULL || g_hash_table_size (entries) == 0 ||
-	    (!old && !has_changed (holder, entries, &variances)))
+	struct speeds_row row;
+	speeds_row_init (&row);
+	if (collect_entries (holder, &row) && is_due (holder, &row)) {
+		guint n_known = row.entries->len;
+		if (draft_entries (holder, &row, draft))
+			holder->speeds.in_flight =
+				speeds_record_new (&row, row.entries->len < n_known);
+	}
+	speeds_row_clear (&row);
+}
+
+bool
+speeds_in_flight (const struct dff_holder *holder)
+{
+	return holder->speeds.in_flight != NULL;
+}
+
+/* The last transaction with the row failed and the next one without it did not. A single such case
+ * may be the end of an outage; if it happens again, the row is the cause. */
+static void
+note_refused (struct dff_holder *holder)
+{
+	holder->speeds.suspect = false;
+	if (++holder->speeds.n_refused == 1)
 		return;
-	if (!draft_row (draft, DFF_TABLE_CELL, DFF_KEY_SPEEDS,
-			encode_table (holder, entries, &variances)))
+	(*holder->metrics.speeds_refused)++;
+	holder->speeds.retry_delay_ms = MIN (holder->speeds.retry_delay_ms * 2, RETRY_DELAY_MAX_MS);
+	if (holder->speeds.n_refused > 2)
 		return;
-	holder->speeds.in_flight = g_steal_pointer (&entries);
+	dff_log (DFF_LOG_CELL, DFF_LOG_WARNING,
+		 "Store refuses the speeds of workers. epoch=%" PRId64, holder->epoch);
 }
 
 void
 speeds_note_written (struct dff_holder *holder)
 {
-	if (holder->speeds.in_flight == NULL)
+	if (holder->speeds.in_flight == NULL) {
+		if (holder->speeds.suspect)
+			note_refused (holder);
 		return;
-	g_clear_pointer (&holder->speeds.recorded, g_hash_table_unref);
+	}
+	holder->speeds.suspect = false;
+	holder->speeds.n_refused = 0;
+	g_clear_pointer (&holder->speeds.recorded, speeds_record_free);
 	holder->speeds.recorded = g_steal_pointer (&holder->speeds.in_flight);
 	holder->speeds.recorded_ms = holder_now_ms (holder);
 	holder->speeds.due_ms = holder->speeds.recorded_ms + WRITE_INTERVAL_MS;
@@ -434,13 +551,21 @@
 	(*holder->metrics.speeds_recorded)++;
 }
 
-/* A store that refuses the row refuses the whole transaction, so the next one goes without it. */
+/* A store that refuses the row refuses the whole transaction, so the next one goes without it. If
+ * that one fails too, the row is not the cause: a conflict shows that the transaction with the row
+ * took effect and only its answer was lost. */
 void
-speeds_note_unwritten (struct dff_holder *holder)
-{
-	if (holder->speeds.in_flight == NULL)
-		return;
-	g_clear_pointer (&holder->speeds.in_flight, g_hash_table_unref);
-	holder->speeds.due_ms = holder_now_ms (holder) + holder->speeds.retry_delay_ms;
-	holder->speeds.retry_delay_ms = MIN (holder->speeds.retry_delay_ms * 2, RETRY_DELAY_MAX_MS);
+speeds_note_unwritten (struct dff_holder *holder, enum dff_rows_outcome outcome)
+{
+	bool conflict = outcome == DFF_ROWS_CONFLICT;
+	if (holder->speeds.in_flight != NULL) {
+		g_clear_pointer (&holder->speeds.in_flight, speeds_record_free);
+		int64_t delay_ms = conflict ? 0 : holder->speeds.retry_delay_ms;
+		holder->speeds.due_ms = holder_now_ms (holder) + delay_ms;
+		holder->speeds.suspect |= !conflict;
+	} else {
+		holder->speeds.suspect = false;
+		holder->speeds.n_refused = 0;
+		holder->speeds.retry_delay_ms = WRITE_INTERVAL_MS;
+	}
 }
--- a/tests/holder/test-holder-speeds.c
+++ b/tests/holder/test-holder-speeds.c
@@ -20,6 +20,12 @@
 #define ANSWER_MS 20
 /** Time after which the last read of the row without an answer ends, ms. */
 #define READS_END_MS 4500
+/** Time for which a new holder tries to read the row, ms. */
+#define READ_LIMIT_MS 4000
+/** Time after which the holder has forgotten a worker that is off the list, ms. */
+#define FORGOTTEN_MS 6000
+/** Duration of an outage of the store, ms. */
+#define OUTAGE_MS 20000
 /** Number of urgent single tasks and gangs that are placed after a takeover. */
 #define N_URGENT 6
 
@@ -235,6 +241,41 @@
 	}
 }
 
+/* Guards against what was learned of an incarnation being taken for the next one's, because the
+ * holder has forgotten the worker in between: it was off the list for a while. A worker that
+ * returns without a restart keeps its value. */
+static void
+test_worker_returns (void **state)
+{
+	(void)state;
+	for (int restarted = 0; restarted < 2; restarted++) {
+		struct site site;
+		site_open_with_durations (&site, unequal);
+		site_run (&site, 1000);
+		g_autoptr (GString) text = row_text (&site, 0);
+		put_row (&site, text->str);
+		int holder = replace_holder (&site, NULL);
+		site_run (&site, 1000);
+		const struct dff_name id = dff_name_from ("w2");
+		site_list_worker (&site, 2, false, false);
+		site_run (&site, FORGOTTEN_MS);
+		assert_null (workers_find (site.processes[holder].holder, &id));
+		if (restarted == 1)
+			site_restart_worker (&site, 2);
+		else
+			site_list_worker (&site, 2, true, false);
+		site_run (&site, 6000);
+		assert_int_equal (site_holder (&site), holder);
+		struct speeds_row row;
+		speeds_row_init (&row);
+		const GString *recorded = peek_row (&site);
+		assert_true (speeds_decode ((struct dff_str){recorded->str, recorded->len}, &row));
+		assert_int_equal (row.entries->len, SITE_UNEQUAL_WORKERS - restarted);
+		speeds_row_clear (&row);
+		site_close (&site);
+	}
+}
+
 /* Guards against a value that is dropped because the worker is not listed when the row is read: it
  * is kept, and handed on to the next holder, until the worker is known. */
 static void
@@ -263,6 +304,24 @@
 	}
 }
 
+/* Guards against values that are counted as taken over although the core ignores them. */
+static void
+test_value_out_of_range (void **state)
+{
+	(void)state;
+	struct site site;
+	site_open_with_durations (&site, unequal);
+	site_run (&site, 1000);
+	g_autoptr (GString) text = row_text (&site, 0);
+	assert_int_equal (g_string_replace (text, ",450,", ",45000,", 0), SITE_UNEQUAL_WORKERS / 3);
+	put_row (&site, text->str);
+	int next = replace_holder (&site, NULL);
+	site_run (&site, ANSWER_MS);
+	assert_int_equal (count (&site, next, "dff_holder_speeds_taken_over_total"),
+			  SITE_UNEQUAL_WORKERS - SITE_UNEQUAL_WORKERS / 3);
+	site_close (&site);
+}
+
 #define WORKERS_MISSING "{\"written_ms\":1000000,\"worker_variance\":160000,\"task_variance\":70000"
 
 /* Guards against a takeover that fails, or a holder that takes over nonsense, because the row is
@@ -350,8 +409,22 @@
 	site_close (&site);
 }
 
+/* Returns: whether the holder counts the store as lost at any time in the next @ms. */
+static bool
+loses_store (struct site *site, int64_t ms)
+{
+	const struct dff_holder *holder = site->processes[site_holder (site)].holder;
+	bool lost = false;
+	for (int64_t i = 0; i < ms; i++) {
+		site_run (site, 1);
+		lost |= holder->store_lost;
+	}
+	return lost;
+}
+
 /* Guards against a store that refuses the row and with it everything else: the transactions that
- * accept jobs and record starts and ends must go on without it. */
+ * accept jobs and record starts and ends must go on without it. The row is tried ever more rarely,
+ * and the store does not count as lost each time. */
 static void
 test_store_refuses_row (void **state)
 {
@@ -372,10 +445,49 @@
 	}
 	assert_null (peek_row (&site));
 	assert_int_equal (count (&site, holder, "dff_holder_speeds_recorded_total"), 0);
+	assert_false (loses_store (&site, 20000));
+	assert_in_range (count (&site, holder, "dff_holder_speeds_refused_total"), 3, 6);
 	replace_holder (&site, NULL);
 	site_close (&site);
 }
 
+/* Guards against a row that is held back long after an outage of the store, as if the row had been
+ * the cause of it. */
+static void
+test_row_is_written_after_outage (void **state)
+{
+	(void)state;
+	static const struct {
+		const char *name;
+		struct dff_memory_rows_faults faults;
+	} cases[] = {
+		{"refused", {.refuses = true}},
+		{"not answered", {.silent = true}},
+		{"answers lost", {.lost_permille = 1000}},
+	};
+	for (size_t i = 0; i < G_N_ELEMENTS (cases); i++) {
+		print_message ("%s\n", cases[i].name);
+		struct site site;
+		site_open_with_durations (&site, unequal);
+		learn (&site);
+		int holder = site_holder (&site);
+		for (int j = 0; j < SITE_PROCESSES; j++)
+			*dff_memory_rows_client_faults (site.processes[j].rows) = cases[i].faults;
+		site_run (&site, OUTAGE_MS);
+		assert_int_equal (site_holder (&site), holder);
+		int64_t n_before = count (&site, holder, "dff_holder_speeds_recorded_total");
+		/* The holder reaches the store before the others do, which would replace it. */
+		*dff_memory_rows_client_faults (site.processes[holder].rows) =
+			(struct dff_memory_rows_faults){0};
+		site_run (&site, 3000);
+		assert_int_equal (site_holder (&site), holder);
+		assert_int_not_equal (count (&site, holder, "dff_holder_speeds_recorded_total"),
+				      n_before);
+		assert_int_equal (count (&site, holder, "dff_holder_speeds_refused_total"), 0);
+		site_close (&site);
+	}
+}
+
 /* Guards against a takeover that waits for the row: the store answers every read but this one, or
  * this one late. The takeover takes no longer than without a row. What is answered late is still
  * taken over. */
@@ -442,6 +554,39 @@
 	site_close (&site);
 }
 
+/* Guards against a row that is given up, and overwritten unread, because the store refuses its
+ * reads for a moment; and against one that is read for ever, and never written. */
+static void
+test_store_refuses_read (void **state)
+{
+	(void)state;
+	static const struct {
+		int64_t refused_ms;
+		bool taken_over;
+	} cases[] = {{300, true}, {READ_LIMIT_MS - 500, true}, {READ_LIMIT_MS + 1500, false}};
+	for (size_t i = 0; i < G_N_ELEMENTS (cases); i++) {
+		struct site site;
+		site_open_with_durations (&site, unequal);
+		site_run (&site, 1000);
+		g_autoptr (GString) text = row_text (&site, 0);
+		put_row (&site, text->str);
+		for (int j = 0; j < SITE_PROCESSES; j++)
+			dff_memory_rows_client_faults (site.processes[j].rows)->refused_read_key =
+				DFF_KEY_SPEEDS;
+		int next = replace_holder (&site, NULL);
+		submit_comparable (&site);
+		site_run (&site, cases[i].refused_ms);
+		assert_int_equal (count (&site, next, "dff_holder_speeds_taken_over_total"), 0);
+		dff_memory_rows_client_faults (site.processes[next].rows)->refused_read_key = NULL;
+		site_run (&site, 500);
+		assert_int_equal (count (&site, next, "dff_holder_speeds_taken_over_total"),
+				  cases[i].taken_over ? SITE_UNEQUAL_WORKERS : 0);
+		site_run (&site, 4000);
+		assert_string_not_equal (peek_row (&site)->str, text->str);
+		site_close (&site);
+	}
+}
+
 /* Guards against writes in fleets of equally fast workers, and against ones that repeat what is
  * recorded: the row is written every two seconds at most. */
 static void
@@ -533,6 +678,66 @@
 	speeds_row_clear (&decoded);
 }
 
+/* Fills in a fleet too large for the row, in order of the difference from the mean. */
+static void
+fill_large_fleet (struct speeds_row *row)
+{
+	speeds_row_init (row);
+	row->variances = (struct dff_duration_variances){.workers = 0.16F, .tasks = 0.07F};
+	for (int i = 0; i < LARGE_FLEET; i++) {
+		struct speeds_entry entry = {
+			.duration = {.worker = dff_name_printf ("worker-%d", i),
+				     .relative = LARGE_FLEET - i,
+				     .weight = 100.0F},
+			.started_ms = 1};
+		g_array_append_val (row->entries, entry);
+	}
+}
+
+/* Guards against writes because of workers that are not in the row, and against changes of the
+ * others that are not written. */
+static void
+test_changes_in_large_fleet (void **state)
+{
+	(void)state;
+	static const struct {
+		const char *name;
+		int worker;
+		int32_t relative;
+		bool restarted;
+		bool changed;
+	} cases[] = {
+		{"none", 0, LARGE_FLEET, false, false},
+		{"in the row, little", 0, LARGE_FLEET - 30, false, false},
+		{"in the row", 0, LARGE_FLEET - 50, false, true},
+		{"in the row, restarted", 0, LARGE_FLEET, true, true},
+		{"left out", LARGE_FLEET - 1, 900, false, false},
+		{"left out, restarted", LARGE_FLEET - 1, 1, true, false},
+		{"left out, now among the largest", LARGE_FLEET - 1, LARGE_FLEET, false, true},
+		{"left out, now among the largest below", LARGE_FLEET - 1, -LARGE_FLEET, false,
+		 true},
+	};
+	for (size_t i = 0; i < G_N_ELEMENTS (cases); i++) {
+		print_message ("%s\n", cases[i].name);
+		struct speeds_row written, row;
+		fill_large_fleet (&written);
+		fill_large_fleet (&row);
+		g_string_free (speeds_encode (&written), TRUE);
+		assert_in_range (written.entries->len, 500, LARGE_FLEET - 1000);
+		struct speeds_record *record = speeds_record_new (&written, true);
+		struct speeds_entry *entry =
+			&g_array_index (row.entries, struct speeds_entry, (guint)cases[i].worker);
+		entry->duration.relative = cases[i].relative;
+		entry->started_ms += cases[i].restarted;
+		assert_int_equal (speeds_has_changed (record, &row), cases[i].changed);
+		g_array_remove_index (row.entries, 1);
+		assert_true (speeds_has_changed (record, &row));
+		speeds_record_free (record);
+		speeds_row_clear (&written);
+		speeds_row_clear (&row);
+	}
+}
+
 int
 main (void)
 {
@@ -540,16 +745,21 @@
 		cmocka_unit_test (test_next_holder_avoids_slow_workers),
 		cmocka_unit_test (test_two_takeovers),
 		cmocka_unit_test (test_restarted_workers),
+		cmocka_unit_test (test_worker_returns),
 		cmocka_unit_test (test_worker_becomes_known_later),
+		cmocka_unit_test (test_value_out_of_range),
 		cmocka_unit_test (test_undecodable_rows),
 		cmocka_unit_test (test_row_of_newer_build),
 		cmocka_unit_test (test_old_row),
 		cmocka_unit_test (test_store_refuses_row),
+		cmocka_unit_test (test_row_is_written_after_outage),
 		cmocka_unit_test (test_store_does_not_answer_read),
 		cmocka_unit_test (test_row_is_read_before_written),
+		cmocka_unit_test (test_store_refuses_read),
 		cmocka_unit_test (test_writes),
 		cmocka_unit_test (test_unchanged_row_is_renewed),
 		cmocka_unit_test (test_large_fleet),
+		cmocka_unit_test (test_changes_in_large_fleet),
 	};
 	site_tests_begin (tests, G_N_ELEMENTS (tests));
 	return cmocka_run_group_tests (tests, NULL, NULL);
