core: assured work of another team is tried although that of the keeper's team did not fit

Cause: whether assured work may take a kept place depends on its team, but run_queue() noted work that did not fit without the team, and skipped work like it of all teams. Change: while a place is kept for a gang of the team, a class of assured work that does not fit is noted for its team alone. Result: test_other_team_is_tried_after_own fails before ("" instead of " q@w1") and passes after; all 11 tests of core-kept-place pass.

--- a/core/core_private.h
+++ b/core/core_private.h
@@ -297,6 +297,9 @@
 				 const struct dff_core_job *keeper,
 				 const struct dff_core_job *job);
 
+/** Whether a place is kept for a gang of @team. */
+bool dff_core_kept_places_of_team (const struct dff_core *core, int32_t team);
+
 /** Returns: what is kept on a worker from @job. */
 struct dff_resources dff_core_kept_from (const struct dff_core *core,
 					 const struct dff_core_worker *worker,
--- a/core/kept_place.c
+++ b/core/kept_place.c
@@ -193,6 +193,16 @@
 	return job->urgent && !keeper->urgent;
 }
 
+bool
+dff_core_kept_places_of_team (const struct dff_core *core, int32_t team)
+{
+	for (GList *link = core->kept_places.head; link != NULL; link = link->next) {
+		if (((const struct dff_core_kept_place *)link->data)->job->team == team)
+			return true;
+	}
+	return false;
+}
+
 struct dff_resources
 dff_core_kept_from (const struct dff_core *core,
 		    const struct dff_core_worker *worker,
--- a/core/order.c
+++ b/core/order.c
@@ -128,14 +128,46 @@
 }
 
 /* Hash of the properties, other than the team, that determine whether a job fits. */
-static guint
-shape_hash (const struct dff_core_class_key *key)
+static gpointer
+shape_hash (const struct dff_core_class *queue_class)
 {
-	struct dff_core_class_key shape = *key;
+	struct dff_core_class_key shape = queue_class->key;
 	shape.team = 0;
 	shape.estimate_level = 0;
 	shape.guaranteed = 0;
-	return dff_core_class_key_hash (&shape);
+	return GUINT_TO_POINTER (dff_core_class_key_hash (&shape));
+}
+
+/* As shape_hash(), for the class alone and others of its team with the same rights. Assured work
+ * may take kept places, but not those of its own team: where it does not fit, work of another team
+ * that is like it may. */
+static gpointer
+shape_hash_of_team (const struct dff_core_class *queue_class)
+{
+	struct dff_core_class_key shape = queue_class->key;
+	shape.team++;
+	shape.estimate_level = 0;
+	shape.guaranteed = 0;
+	return GUINT_TO_POINTER (dff_core_class_key_hash (&shape));
+}
+
+/* Whether work like that of a class did not fit, so that it does not have to be tried. */
+static bool
+is_known_not_to_fit (GHashTable *full, const struct dff_core_class *queue_class)
+{
+	return g_hash_table_contains (full, shape_hash (queue_class)) ||
+	       g_hash_table_contains (full, shape_hash_of_team (queue_class));
+}
+
+static void
+note_not_fitting (const struct dff_core *core,
+		  GHashTable *full,
+		  const struct dff_core_class *queue_class)
+{
+	bool by_team =
+		queue_class->assured && dff_core_kept_places_of_team (core, queue_class->key.team);
+	g_hash_table_add (full,
+			  by_team ? shape_hash_of_team (queue_class) : shape_hash (queue_class));
 }
 
 /* Whether a job may use capacity, under low load, that a younger one like it may not yet. */
@@ -189,16 +221,14 @@
 	g_autoptr (GHashTable) full = g_hash_table_new (NULL, NULL);
 	for (guint i = 0; i < ranked->len; i++) {
 		struct dff_core_class *queue_class = g_ptr_array_index (ranked, i);
-		struct dff_core_class_key key = queue_class->key;
-		gpointer shape = GUINT_TO_POINTER (shape_hash (&key));
-		if (g_hash_table_contains (full, shape) &&
+		if (is_known_not_to_fit (full, queue_class) &&
 		    !has_waited_for_low_load (core, queue_class->jobs.head->data))
 			continue;
 		if (!dff_core_within_quota (core, queue_class->jobs.head->data))
 			continue;
 		if (drain_class (core, queue_class))
 			continue;
-		g_hash_table_add (full, shape);
+		note_not_fitting (core, full, queue_class);
 		struct dff_core_job *head = queue_class->jobs.head->data;
 		if (needs_rack_reservation (core, head) && dff_core_reserve_racks (core, head))
 			dff_core_try_borrow (core, head);
--- a/tests/core/test-kept-place.c
+++ b/tests/core/test-kept-place.c
@@ -439,6 +439,42 @@
 	}
 }
 
+/* Guards against a team's assured work that is skipped because work of the keeper's own team, alike
+ * and ranked before it, may not take the kept place. */
+static void
+test_other_team_is_tried_after_own (void **state)
+{
+	(void)state;
+	struct play play;
+	play_open (&play, 1);
+	for (guint j = 0; j < play.pool.teams->len; j++)
+		g_array_index (play.pool.teams, struct dff_team, j).assured_accelerators =
+			4 * ACCELERATORS;
+	dff_core_set_pool (play.core, &play.pool, play.now_ms);
+	struct dff_job_spec gang = whole_workers ("g", 2);
+	gang.urgent = true;
+	lose_first_member (&play, &gang, " g@w0,w1");
+	expect (&play, 0, " g:stop");
+	struct dff_job_spec occupant = whole_workers ("x", 1);
+	occupant.urgent = true;
+	submit (&play, &occupant);
+	expect (&play, 0, " x@w0");
+	run_attempt (&play, "x", 1, 1);
+	report (&play, DFF_EVENT_TASK_STOPPED, "g", 1, 1);
+	expect (&play, STOP_MS, " g:retry job 500");
+	struct dff_job_spec own = whole_workers ("p", 1);
+	own.urgent = true;
+	/* Shorter work is ranked first. */
+	own.declared_ms = 5000;
+	submit (&play, &own);
+	struct dff_job_spec other = whole_workers ("q", 1);
+	other.team = dff_name_from ("b");
+	other.urgent = true;
+	submit (&play, &other);
+	expect (&play, 0, " q@w1");
+	play_close (&play);
+}
+
 /* A takeover between the failure and the next attempt: the new core knows the number of failed
  * attempts on record, and the next failure counts as the second. */
 static void
@@ -502,6 +538,7 @@
 		cmocka_unit_test (test_place_is_released),
 		cmocka_unit_test (test_place_is_released_when_stop_hangs),
 		cmocka_unit_test (test_who_takes_kept_place),
+		cmocka_unit_test (test_other_team_is_tried_after_own),
 		cmocka_unit_test (test_takeover_before_next_attempt),
 		cmocka_unit_test (test_refused_record_of_next_attempt),
 	};
