core: a failure that follows the end of another member is not attributed to its worker

Cause: a failure counted as early unless the job was in DFF_CORE_RUNNING, so that one during a stop or a checkpoint quarantined its worker however long the run was; and tasks that fail because their gang lost another task were blamed on their own workers, with no backoff. Change: a failure is early by the time since the attempt was released. One after another member has ended without completing is neither early nor attributed, and does not decide the cause of the retry while another failed first. Result: test_failure_after_another_end and test_late_failure_while_stopping fail before ("g:retry worker 0" in place of "job 500"; one worker in quarantine) and pass after.

--- a/core/core_private.h
+++ b/core/core_private.h
@@ -357,10 +357,15 @@
 
 /* quarantine.c */
 
-/** Handles a failure of a task of @job on a worker. Returns: whether it is attributed to the
- * worker: other work fails there too, or the failure came early in a run such as have completed
- * elsewhere. The worker is in quarantine then. */
-bool dff_core_note_failure (struct dff_core *core, struct dff_core_job *job, int32_t worker);
+/** Handles a failure of a task of @job on a worker. @follows: whether another task of the attempt
+ * ended before without completing. Returns: whether it is attributed to the worker: other work
+ * fails there too, or the failure came early in a run such as have completed elsewhere. The worker
+ * is in quarantine then. A failure that follows the end of another task shows nothing about its
+ * worker: the tasks of a gang fail when they lose one another. */
+bool dff_core_note_failure (struct dff_core *core,
+			    struct dff_core_job *job,
+			    int32_t worker,
+			    bool follows);
 
 /** Quarantines a worker whatever its history, unless too many workers are quarantined already. */
 void dff_core_worker_try_quarantine (struct dff_core *core, int32_t worker);
--- a/core/core_tables.h
+++ b/core/core_tables.h
@@ -211,6 +211,8 @@
 	bool ran;
 	/** Whether its failure is attributed to its worker. */
 	bool attributed;
+	/** Whether it failed after another member had ended without completing. */
+	bool follows;
 };
 
 /** Why an attempt is stopped early. */
--- a/core/lifecycle.c
+++ b/core/lifecycle.c
@@ -364,6 +364,19 @@
 	return false;
 }
 
+/* Whether a member of the attempt has ended without completing. */
+static bool
+has_lost_member (const struct dff_core_job *job)
+{
+	for (int32_t i = 0; i < job->gang; i++) {
+		enum dff_core_member_state state = job->members[i].state;
+		if (state == DFF_CORE_MEMBER_FAILED || state == DFF_CORE_MEMBER_LOST ||
+		    state == DFF_CORE_MEMBER_START_FAILED)
+			return true;
+	}
+	return false;
+}
+
 static void
 update_health (struct dff_core *core,
 	       struct dff_core_job *job,
@@ -372,9 +385,11 @@
 {
 	if (state == DFF_CORE_MEMBER_COMPLETED)
 		dff_core_note_success (core, member->worker, start_ms (core, job));
-	if (state == DFF_CORE_MEMBER_FAILED || state == DFF_CORE_MEMBER_START_FAILED)
-		member->attributed = dff_core_note_failure (core, job, member->worker) ||
-				     is_attributed_already (job, member->worker);
+	if (state != DFF_CORE_MEMBER_FAILED && state != DFF_CORE_MEMBER_START_FAILED)
+		return;
+	member->follows = has_lost_member (job);
+	member->attributed = dff_core_note_failure (core, job, member->worker, member->follows) ||
+			     is_attributed_already (job, member->worker);
 }
 
 static void
--- a/core/outcome.c
+++ b/core/outcome.c
@@ -42,8 +42,9 @@
 
 struct attempt_summary {
 	int32_t completed, failed, lost, start_failed;
-	/** Number of failed members whose failure is attributed to their worker. */
-	int32_t attributed;
+	/** Of @failed, those that did not follow the end of another member; of them, those whose
+	 * failure is attributed to their worker. */
+	int32_t failed_first, attributed;
 	bool any_ran;
 	bool lost_ran;
 };
@@ -55,8 +56,10 @@
 	for (int32_t i = 0; i < job->gang; i++) {
 		const struct dff_core_member *member = &job->members[i];
 		sum.completed += member->state == DFF_CORE_MEMBER_COMPLETED;
-		sum.failed += member->state == DFF_CORE_MEMBER_FAILED;
-		sum.attributed += member->state == DFF_CORE_MEMBER_FAILED && member->attributed;
+		bool failed = member->state == DFF_CORE_MEMBER_FAILED;
+		sum.failed += failed;
+		sum.failed_first += failed && !member->follows;
+		sum.attributed += failed && !member->follows && member->attributed;
 		sum.lost += member->state == DFF_CORE_MEMBER_LOST;
 		sum.start_failed += member->state == DFF_CORE_MEMBER_START_FAILED;
 		sum.any_ran |= member->ran;
@@ -126,8 +129,10 @@
 static enum dff_retry_cause
 retry_cause (const struct attempt_summary *sum)
 {
+	if (sum->attributed > 0 && sum->attributed == sum->failed_first)
+		return DFF_RETRY_WORKER;
 	if (sum->failed > 0)
-		return sum->attributed == sum->failed ? DFF_RETRY_WORKER : DFF_RETRY_JOB;
+		return DFF_RETRY_JOB;
 	return sum->lost > 0 ? DFF_RETRY_LOST : DFF_RETRY_NONE;
 }
 
--- a/core/quarantine.c
+++ b/core/quarantine.c
@@ -110,9 +110,8 @@
 is_early_failure (const struct dff_core *core, const struct dff_core_job *job)
 {
 	double limit_ms = core->options.early_failure_share * (double)job->estimate_ms;
-	bool started = job->state == DFF_CORE_RUNNING;
 	return limit_ms > 0.0 && job->n_avoided == 0 &&
-	       (!started || (double)(core->now_ms - job->started_ms) <= limit_ms);
+	       (!job->released || (double)(core->now_ms - job->started_ms) <= limit_ms);
 }
 
 static void
@@ -142,17 +141,20 @@
 }
 
 bool
-dff_core_note_failure (struct dff_core *core, struct dff_core_job *job, int32_t worker_index)
+dff_core_note_failure (struct dff_core *core,
+		       struct dff_core_job *job,
+		       int32_t worker_index,
+		       bool follows)
 {
 	struct dff_core_worker *worker = dff_core_worker_at (core, worker_index);
 	bool blamed = job->n_avoided < JOB_BLAME_LIMIT;
-	bool early = is_early_failure (core, job);
+	bool early = !follows && is_early_failure (core, job);
 	bool others_failed = (worker->health != DFF_CORE_HEALTHY || worker->failure_streak > 0) &&
 			     worker->last_failed != dff_name_hash (&job->id);
 	/* An early failure may also be the work's fault, unless such work has completed before. */
 	bool shown = others_failed || (early && dff_core_estimate_has_runs (job));
 	count_failure (core, job, worker_index, blamed, early);
-	return blamed && shown && worker->health != DFF_CORE_HEALTHY;
+	return blamed && shown && !follows && worker->health != DFF_CORE_HEALTHY;
 }
 
 void
--- a/include/core/retry.h
+++ b/include/core/retry.h
@@ -13,7 +13,7 @@
 enum dff_retry_cause {
 	/** No task failed: the attempt was preempted, or nothing ran. */
 	DFF_RETRY_NONE,
-	/** Tasks failed, each on a worker on which other work fails too. */
+	/** Tasks failed, and workers are shown to be at fault for those that failed first. */
 	DFF_RETRY_WORKER,
 	/** Tasks failed, and nothing shows that a worker is at fault. */
 	DFF_RETRY_JOB,
--- a/tests/core/test-kept-place.c
+++ b/tests/core/test-kept-place.c
@@ -286,6 +286,85 @@
 	play_close (&play);
 }
 
+/* Guards against blaming workers for tasks that fail because they lost another task of their gang,
+ * however long they ran or soon after the start. The worker of the second member stays in use. */
+static void
+test_failure_after_another_end (void **state)
+{
+	(void)state;
+	static const struct {
+		const char *name;
+		/** How the first member ends, how long after the start, and how long after that the
+		 * second one fails. */
+		enum dff_event_type first;
+		int ran_ms;
+		int later_ms;
+		const char *retry;
+		int quarantined;
+	} cases[] = {
+		{"lost late", DFF_EVENT_TASK_LOST, LATE_MS, 100, " g:retry job 500", 0},
+		{"lost early", DFF_EVENT_TASK_LOST, 300, 100, " g:retry job 500", 0},
+		{"failed late", DFF_EVENT_TASK_FAILED, LATE_MS, 100, " g:retry job 500", 0},
+		{"failed early", DFF_EVENT_TASK_FAILED, 300, 100, " g:retry worker 0", 1},
+		{"failed early, both at once", DFF_EVENT_TASK_FAILED, 300, 0, " g:retry worker 0",
+		 1},
+	};
+	for (size_t i = 0; i < G_N_ELEMENTS (cases); i++) {
+		struct play play;
+		play_open (&play, 2);
+		complete_one (&play);
+		struct dff_job_spec gang = whole_workers ("g", 2);
+		submit (&play, &gang);
+		expect (&play, 0, " g@w0,w1");
+		run_attempt (&play, "g", 1, 2);
+		play.now_ms += cases[i].ran_ms;
+		report (&play, cases[i].first, "g", 1, 0);
+		expect (&play, 0, " g:stop");
+		play.now_ms += cases[i].later_ms;
+		report (&play, DFF_EVENT_TASK_FAILED, "g", 1, 1);
+		g_autoptr (GString) got = advance (&play, 0);
+		if (!g_str_has_prefix (got->str, cases[i].retry))
+			fail_msg ("%s: \"%s\"", cases[i].name, got->str);
+		struct dff_core_stats stats;
+		dff_core_get_stats (play.core, &stats);
+		if (stats.workers_quarantined != cases[i].quarantined)
+			fail_msg ("%s: %d in quarantine", cases[i].name,
+				  (int)stats.workers_quarantined);
+		play_close (&play);
+	}
+}
+
+/* Guards against a failure that counts as early although the run was long, because the attempt is
+ * being stopped or saves a checkpoint when the task fails. */
+static void
+test_late_failure_while_stopping (void **state)
+{
+	(void)state;
+	static const enum dff_event_type orders[] = {DFF_EVENT_TASK_CHECKPOINTED,
+						     DFF_EVENT_TASK_FAILED};
+	for (size_t i = 0; i < G_N_ELEMENTS (orders); i++) {
+		struct play play;
+		play_open (&play, 1);
+		complete_one (&play);
+		occupy (&play, "y", " y@w0");
+		occupy (&play, "x", " x@w1");
+		play.now_ms += LATE_MS;
+		struct dff_job_spec urgent = whole_workers ("p", 2);
+		urgent.urgent = true;
+		submit (&play, &urgent);
+		g_string_free (advance (&play, 0), TRUE);
+		report (&play, orders[i], "x", 1, 0);
+		g_string_free (advance (&play, 0), TRUE);
+		report (&play, DFF_EVENT_TASK_FAILED, "x", 1, 0);
+		g_string_free (advance (&play, 0), TRUE);
+		struct dff_core_stats stats;
+		dff_core_get_stats (play.core, &stats);
+		assert_int_equal (stats.preemptions, 2);
+		assert_int_equal (stats.workers_quarantined, 0);
+		play_close (&play);
+	}
+}
+
 /* Guards against other work taking the workers that a gang's members leave one after the other. It
  * gets the one on which the member failed, and others that come free. */
 static void
@@ -534,6 +613,8 @@
 		cmocka_unit_test (test_attribution_needs_other_runs),
 		cmocka_unit_test (test_no_tight_loop),
 		cmocka_unit_test (test_several_members_fail),
+		cmocka_unit_test (test_failure_after_another_end),
+		cmocka_unit_test (test_late_failure_while_stopping),
 		cmocka_unit_test (test_next_attempt_uses_place),
 		cmocka_unit_test (test_place_is_released),
 		cmocka_unit_test (test_place_is_released_when_stop_hangs),
