core: the search for a place does not depend on the number of kept places

Cause: what is kept on a worker was counted anew for each candidate over all members of all kept places. Change: each worker with kept tasks has a list of places and their number of tasks there, in a table beside the workers; the place of a job is looked up by its name, the number of tasks it keeps is counted. The sizes of a job and of a worker stay as they were.

--- a/core/core.c
+++ b/core/core.c
@@ -70,6 +70,8 @@
 	core->team_index = g_hash_table_new_full (dff_name_hash, dff_name_equal_func, g_free, NULL);
 	core->jobs = g_hash_table_new (dff_name_hash, dff_name_equal_func);
 	core->classes = dff_core_classes_new ();
+	core->kept_by_job = g_hash_table_new (dff_name_hash, dff_name_equal_func);
+	core->kept_by_worker = dff_core_kept_by_worker_new ();
 	core->estimators = dff_core_estimators_new ();
 	dff_core_durations_init (core);
 	core->pending = array_new (sizeof (struct dff_command), NULL);
@@ -87,6 +89,8 @@
 void
 dff_core_free (struct dff_core *core)
 {
+	g_hash_table_unref (core->kept_by_job);
+	g_hash_table_unref (core->kept_by_worker);
 	g_hash_table_foreach (core->jobs, free_job, NULL);
 	while (!g_queue_is_empty (&core->kept_places))
 		g_free (g_queue_pop_head_link (&core->kept_places)->data);
--- a/core/core_private.h
+++ b/core/core_private.h
@@ -269,6 +269,8 @@
 
 /* kept_place.c */
 
+GHashTable *dff_core_kept_by_worker_new (void);
+
 /** Keeps the place of a gang that is about to be stopped because member @ended, already closed, has
  * not completed. */
 void dff_core_kept_place_open (struct dff_core *core, struct dff_core_job *job, int32_t ended);
--- a/core/core_tables.h
+++ b/core/core_tables.h
@@ -440,6 +440,10 @@
 	GQueue delayed;
 	/** Elements: struct dff_core_kept_place *. */
 	GQueue kept_places;
+	/** struct dff_name * (owned by the job) to struct dff_core_kept_place *. */
+	GHashTable *kept_by_job;
+	/** Index of a worker with @n_kept above 0 to GArray * of struct kept_share. */
+	GHashTable *kept_by_worker;
 	/** Commands since the last tick. */
 	GArray *pending;
 	/** Whether something may be placed that could not be placed before. */
--- a/core/kept_place.c
+++ b/core/kept_place.c
@@ -20,6 +20,8 @@
 
 struct dff_core_kept_place {
 	struct dff_core_job *job;
+	/** Number of @members that have ended and whose place is kept. */
+	int32_t n_freed;
 	int64_t until_ms;
 	/** Link in the core's @kept_places. */
 	GList link;
@@ -27,23 +29,87 @@
 	struct kept_member members[];
 };
 
+/** What a place keeps on one worker. A search for a place for other work compares thousands of
+ * workers: it must not depend on the number of places and of their members. */
+struct kept_share {
+	struct dff_core_kept_place *place;
+	/** Number of its members that have ended there. */
+	int32_t n_tasks;
+};
+
+GHashTable *
+dff_core_kept_by_worker_new (void)
+{
+	return g_hash_table_new_full (NULL, NULL, NULL, (GDestroyNotify)g_array_unref);
+}
+
 static struct dff_core_kept_place *
 find_place (const struct dff_core *core, const struct dff_core_job *job)
 {
-	for (GList *link = core->kept_places.head; link != NULL; link = link->next) {
-		struct dff_core_kept_place *place = link->data;
-		/* A search for a place uses copies of the job. */
-		if (dff_name_equal (&place->job->id, &job->id))
-			return place;
+	return g_hash_table_lookup (core->kept_by_job, &job->id);
+}
+
+static gpointer
+worker_key (const struct dff_core *core, const struct dff_core_worker *worker)
+{
+	return GINT_TO_POINTER ((int)(worker - dff_core_worker_at (core, 0)));
+}
+
+/* Returns: (nullable): the shares of all places on a worker. */
+static GArray *
+shares_on (const struct dff_core *core, const struct dff_core_worker *worker)
+{
+	if (worker->n_kept == 0)
+		return NULL;
+	return g_hash_table_lookup (core->kept_by_worker, worker_key (core, worker));
+}
+
+static void
+share_add (struct dff_core *core, struct dff_core_kept_place *place, int32_t index)
+{
+	struct dff_core_worker *worker = dff_core_worker_at (core, index);
+	GArray *shares = shares_on (core, worker);
+	if (shares == NULL) {
+		shares = g_array_new (FALSE, TRUE, sizeof (struct kept_share));
+		g_hash_table_insert (core->kept_by_worker, worker_key (core, worker), shares);
+	}
+	worker->n_kept++;
+	place->n_freed++;
+	for (guint i = 0; i < shares->len; i++) {
+		struct kept_share *share = &g_array_index (shares, struct kept_share, i);
+		if (share->place != place)
+			continue;
+		share->n_tasks++;
+		return;
+	}
+	struct kept_share share = {.place = place, .n_tasks = 1};
+	g_array_append_val (shares, share);
+}
+
+static void
+share_remove (struct dff_core *core, struct dff_core_kept_place *place, int32_t index)
+{
+	struct dff_core_worker *worker = dff_core_worker_at (core, index);
+	GArray *shares = shares_on (core, worker);
+	worker->n_kept--;
+	place->n_freed--;
+	for (guint i = 0; i < shares->len; i++) {
+		struct kept_share *share = &g_array_index (shares, struct kept_share, i);
+		if (share->place != place)
+			continue;
+		if (--share->n_tasks == 0)
+			g_array_remove_index (shares, i);
+		break;
 	}
-	return NULL;
+	if (shares->len == 0)
+		g_hash_table_remove (core->kept_by_worker, worker_key (core, worker));
 }
 
 static void
-drop_member (struct dff_core *core, struct kept_member *member)
+drop_member (struct dff_core *core, struct dff_core_kept_place *place, struct kept_member *member)
 {
 	if (member->freed) {
-		dff_core_worker_at (core, member->worker)->n_kept--;
+		share_remove (core, place, member->worker);
 		core->dirty = true;
 	}
 	*member = (struct kept_member){.worker = DFF_CORE_NONE};
@@ -54,17 +120,17 @@
 {
 	for (int32_t i = 0; i < place->job->gang; i++) {
 		if (place->members[i].worker == worker)
-			drop_member (core, &place->members[i]);
+			drop_member (core, place, &place->members[i]);
 	}
 }
 
 static void
-free_member (struct dff_core *core, struct kept_member *member)
+free_member (struct dff_core *core, struct dff_core_kept_place *place, struct kept_member *member)
 {
 	if (member->worker == DFF_CORE_NONE)
 		return;
 	member->freed = true;
-	dff_core_worker_at (core, member->worker)->n_kept++;
+	share_add (core, place, member->worker);
 }
 
 /* Whether the job will have another attempt, as far as is known before the end of this one. */
@@ -98,6 +164,7 @@
 	job->keeps_place = true;
 	core->stats.kept_places++;
 	g_queue_push_tail_link (&core->kept_places, &place->link);
+	g_hash_table_insert (core->kept_by_job, &job->id, place);
 	dff_core_kept_place_note_end (core, job, ended);
 }
 
@@ -114,7 +181,7 @@
 		drop_worker (core, place, job->members[ended].worker);
 		return;
 	default:
-		free_member (core, &place->members[ended]);
+		free_member (core, place, &place->members[ended]);
 		return;
 	}
 }
@@ -123,9 +190,10 @@
 release_place (struct dff_core *core, struct dff_core_kept_place *place)
 {
 	for (int32_t i = 0; i < place->job->gang; i++)
-		drop_member (core, &place->members[i]);
+		drop_member (core, place, &place->members[i]);
 	place->job->keeps_place = false;
 	g_queue_unlink (&core->kept_places, &place->link);
+	g_hash_table_remove (core->kept_by_job, &place->job->id);
 	g_free (place);
 }
 
@@ -150,24 +218,7 @@
 int32_t
 dff_core_kept_place_size (const struct dff_core *core, const struct dff_core_job *job)
 {
-	int32_t size = 0;
-	const struct dff_core_kept_place *place = job->keeps_place ? find_place (core, job) : NULL;
-	for (int32_t i = 0; place != NULL && i < job->gang; i++)
-		size += place->members[i].freed;
-	return size;
-}
-
-static int32_t
-count_kept (const struct dff_core *core,
-	    const struct dff_core_kept_place *place,
-	    const struct dff_core_worker *worker)
-{
-	int32_t count = 0;
-	for (int32_t i = 0; i < place->job->gang; i++) {
-		const struct kept_member *member = &place->members[i];
-		count += member->freed && dff_core_worker_at (core, member->worker) == worker;
-	}
-	return count;
+	return job->keeps_place ? find_place (core, job)->n_freed : 0;
 }
 
 int32_t
@@ -175,9 +226,14 @@
 			   const struct dff_core_job *job,
 			   const struct dff_core_worker *worker)
 {
-	const struct dff_core_kept_place *place =
-		job->keeps_place && worker->n_kept > 0 ? find_place (core, job) : NULL;
-	return place != NULL ? count_kept (core, place, worker) : 0;
+	const GArray *shares = job->keeps_place ? shares_on (core, worker) : NULL;
+	for (guint i = 0; shares != NULL && i < shares->len; i++) {
+		const struct kept_share *share = &g_array_index (shares, struct kept_share, i);
+		/* A search for a place uses copies of the job. */
+		if (dff_name_equal (&share->place->job->id, &job->id))
+			return share->n_tasks;
+	}
+	return 0;
 }
 
 bool
@@ -209,14 +265,25 @@
 		    const struct dff_core_job *job)
 {
 	struct dff_resources kept = {0};
-	if (worker->n_kept == 0)
-		return kept;
-	for (GList *link = core->kept_places.head; link != NULL; link = link->next) {
-		const struct dff_core_kept_place *place = link->data;
-		if (dff_name_equal (&place->job->id, &job->id) ||
-		    dff_core_kept_place_yields (core, place->job, job))
-			continue;
-		dff_resources_add (&kept, &place->job->per_task, count_kept (core, place, worker));
+	const GArray *shares = shares_on (core, worker);
+	for (guint i = 0; shares != NULL && i < shares->len; i++) {
+		const struct kept_share *share = &g_array_index (shares, struct kept_share, i);
+		const struct dff_core_job *keeper = share->place->job;
+		if (!dff_name_equal (&keeper->id, &job->id) &&
+		    !dff_core_kept_place_yields (core, keeper, job))
+			dff_resources_add (&kept, &keeper->per_task, share->n_tasks);
+	}
+	return kept;
+}
+
+static struct dff_resources
+kept_on (const struct dff_core *core, const struct dff_core_worker *worker)
+{
+	struct dff_resources kept = {0};
+	const GArray *shares = shares_on (core, worker);
+	for (guint i = 0; shares != NULL && i < shares->len; i++) {
+		const struct kept_share *share = &g_array_index (shares, struct kept_share, i);
+		dff_resources_add (&kept, &share->place->job->per_task, share->n_tasks);
 	}
 	return kept;
 }
@@ -228,11 +295,8 @@
 	const struct dff_core_worker *worker = dff_core_worker_at (core, index);
 	struct dff_resources available = dff_resources_less (&worker->capacity, &worker->used);
 	available = dff_resources_less (&available, &worker->reserved);
-	for (GList *link = core->kept_places.head; link != NULL; link = link->next) {
-		const struct dff_core_kept_place *place = link->data;
-		dff_resources_add (&available, &place->job->per_task,
-				   -count_kept (core, place, worker));
-	}
+	struct dff_resources kept = kept_on (core, worker);
+	available = dff_resources_less (&available, &kept);
 	int32_t times = 0;
 	for (int32_t i = 0; i < job->gang; i++)
 		times += job->members[i].worker == index;
--- a/tests/core/test-kept-place.c
+++ b/tests/core/test-kept-place.c
@@ -1,4 +1,5 @@
 #include <string.h>
+#include <time.h>
 
 #include "core_fixture.h"
 
@@ -554,6 +555,77 @@
 	play_close (&play);
 }
 
+/** Pool, gangs and queued work of test_cost_of_many_kept_places(). */
+#define LARGE_RACKS 3000
+#define LARGE_GANGS 120
+#define LARGE_GANG 40
+#define LARGE_TAKERS 4
+/** Limit of the processor time of one tick, ms. */
+#define TICK_MAX_MS 30
+
+static double
+processor_ms (void)
+{
+	return (double)clock () * 1000.0 / CLOCKS_PER_SEC;
+}
+
+/* Starts the gangs on all workers that are up, and lets the first member of each fail. */
+static void
+keep_many_places (struct play *play)
+{
+	for (int i = 0; i < LARGE_GANGS; i++) {
+		struct dff_name id = dff_name_printf ("g%d", i);
+		struct dff_job_spec gang = whole_workers (id.data, LARGE_GANG);
+		submit (play, &gang);
+	}
+	g_string_free (advance (play, 0), TRUE);
+	play->now_ms += LATE_MS;
+	for (int i = 0; i < LARGE_GANGS; i++) {
+		struct dff_name id = dff_name_printf ("g%d", i);
+		report (play, DFF_EVENT_ATTEMPT_RECORDED, id.data, 1, 0);
+		for (int j = 0; j < LARGE_GANG; j++)
+			report (play, DFF_EVENT_TASK_STARTED, id.data, 1, j);
+		report (play, DFF_EVENT_TASK_FAILED, id.data, 1, 0);
+		for (int j = 1; j < LARGE_GANG; j++)
+			report (play, DFF_EVENT_TASK_STOPPED, id.data, 1, j);
+	}
+}
+
+/* Guards against a search for a place whose cost grows with the number of kept places and their
+ * members: with 6,000 workers and places for dozens of gangs, a tick in which wide gangs of another
+ * team find no place takes a few milliseconds. */
+static void
+test_cost_of_many_kept_places (void **state)
+{
+	(void)state;
+	struct play play;
+	play_open (&play, LARGE_RACKS);
+	for (int i = LARGE_GANGS * LARGE_GANG; i < LARGE_RACKS * PER_RACK; i++) {
+		g_autofree char *worker = g_strdup_printf ("w%d", i);
+		fixture_worker_state (play.core, worker, DFF_WORKER_DOWN);
+	}
+	keep_many_places (&play);
+	/* The gangs wait for their backoff: no place is used meanwhile. */
+	double worst_ms = 0.0;
+	for (int i = 0; i < LARGE_TAKERS; i++) {
+		struct dff_name id = dff_name_printf ("p%d", i);
+		struct dff_job_spec taker = whole_workers (id.data, 4 * LARGE_GANG + i);
+		taker.team = dff_name_from ("b");
+		submit (&play, &taker);
+		double before_ms = processor_ms ();
+		dff_core_tick (play.core, play.now_ms, play.commands);
+		worst_ms = MAX (worst_ms, processor_ms () - before_ms);
+	}
+	struct dff_core_stats stats;
+	dff_core_get_stats (play.core, &stats);
+	print_message ("kept places: %d, processor time of a tick: %.1f ms\n",
+		       (int)stats.kept_places, worst_ms);
+	assert_int_equal (stats.kept_places, LARGE_GANGS);
+	assert_int_equal (stats.kept_places_used, 0);
+	assert_true (worst_ms < TICK_MAX_MS);
+	play_close (&play);
+}
+
 /* A takeover between the failure and the next attempt: the new core knows the number of failed
  * attempts on record, and the next failure counts as the second. */
 static void
@@ -620,6 +692,7 @@
 		cmocka_unit_test (test_place_is_released_when_stop_hangs),
 		cmocka_unit_test (test_who_takes_kept_place),
 		cmocka_unit_test (test_other_team_is_tried_after_own),
+		cmocka_unit_test (test_cost_of_many_kept_places),
 		cmocka_unit_test (test_takeover_before_next_attempt),
 		cmocka_unit_test (test_refused_record_of_next_attempt),
 	};
