core: a kept task opens no more of a headroom worker than itself

Cause: one kept task lifted the headroom check for its whole worker. Change: where work of the job's priority leaves the worker free, as many tasks fit as are kept there. Result: test_headroom_beside_kept_place fails before ("g@w0,w1,w3,w3" while one task is kept on w3) and passes after.

--- a/core/place.c
+++ b/core/place.c
@@ -119,9 +119,10 @@
 	else if (job->per_worker > 0)
 		limit = MIN (limit, job->per_worker);
 	int32_t level = dff_core_headroom_level (core, job);
-	if (limit == 0 || (!is_hypothetical (view) && !job->ignores_reservations &&
-			   dff_core_is_headroom (core, worker, level) &&
-			   dff_core_kept_place_count (core, job, worker) == 0))
+	if (!is_hypothetical (view) && !job->ignores_reservations &&
+	    dff_core_is_headroom (core, worker, level))
+		limit = MIN (limit, dff_core_kept_place_count (core, job, worker));
+	if (limit == 0)
 		return 0;
 	if (!is_hypothetical (view) &&
 	    (!dff_core_worker_usable (worker) || dff_core_job_avoids (job, index) ||
--- a/tests/core/test-kept-place.c
+++ b/tests/core/test-kept-place.c
@@ -33,6 +33,7 @@
 	options.early_failure_share = 0.1;
 	options.retry_by_cause = true;
 	options.keep_places = true;
+	options.headroom_decay_ms = 10000;
 	*play = (struct play){.core = dff_core_new (&options), .now_ms = 1000};
 	play->commands = g_array_new (FALSE, TRUE, sizeof (struct dff_command));
 	fixture_pool_init (&play->pool, n_racks, PER_RACK, ACCELERATORS);
@@ -626,6 +627,54 @@
 	play_close (&play);
 }
 
+/* Guards against one kept task that opens a whole worker of the headroom to its gang: the gang gets
+ * no more of such a worker than is kept there for it. */
+static void
+test_headroom_beside_kept_place (void **state)
+{
+	(void)state;
+	static const char *const occupants[] = {"x1", "x2", "y1", "y2", "v1", "v2", "z"};
+	static const char *const gone[] = {"y2", "v1", "v2"};
+	struct play play;
+	play_open (&play, 2);
+	for (size_t i = 0; i < G_N_ELEMENTS (occupants); i++) {
+		struct dff_job_spec spec = whole_workers (occupants[i], 1);
+		spec.per_task.accelerators = ACCELERATORS / 2;
+		spec.urgent = true;
+		submit (&play, &spec);
+		g_string_free (advance (&play, 0), TRUE);
+		run_attempt (&play, occupants[i], 1, 1);
+	}
+	for (size_t i = 0; i < G_N_ELEMENTS (gone); i++)
+		report (&play, DFF_EVENT_TASK_COMPLETED, gone[i], 1, 0);
+	expect (&play, 0, " y2:end v1:end v2:end");
+	struct dff_job_spec gang = whole_workers ("g", 4);
+	gang.per_task.accelerators = ACCELERATORS / 2;
+	gang.priority = 2;
+	submit (&play, &gang);
+	expect (&play, 0, " g@w1,w3,w2,w2");
+	run_attempt (&play, "g", 1, 4);
+	/* Work of the highest priority that waits: w2 and w3 become its headroom. */
+	struct dff_job_spec waiting = whole_workers ("p", 4);
+	waiting.region = dff_name_from ("region0");
+	waiting.weight = 0.001;
+	submit (&play, &waiting);
+	expect (&play, LATE_MS, "");
+	report (&play, DFF_EVENT_TASK_FAILED, "g", 1, 2);
+	expect (&play, 0, " g:stop g:stop g:stop");
+	report (&play, DFF_EVENT_TASK_STOPPED, "g", 1, 0);
+	report (&play, DFF_EVENT_TASK_STOPPED, "g", 1, 1);
+	report (&play, DFF_EVENT_TASK_STOPPED, "g", 1, 3);
+	expect (&play, STOP_MS, " g:retry job 500");
+	report (&play, DFF_EVENT_TASK_COMPLETED, "x1", 1, 0);
+	report (&play, DFF_EVENT_TASK_COMPLETED, "z", 1, 0);
+	/* One task fits on w0, w1 and w3 each. */
+	expect (&play, FIRST_BACKOFF_MS, " x1:end z:end");
+	report (&play, DFF_EVENT_TASK_COMPLETED, "x2", 1, 0);
+	expect (&play, 0, " x2:end g@w1,w0,w0,w3/2");
+	play_close (&play);
+}
+
 /* A takeover between the failure and the next attempt: the new core knows the number of failed
  * attempts on record, and the next failure counts as the second. */
 static void
@@ -692,6 +741,7 @@
 		cmocka_unit_test (test_place_is_released_when_stop_hangs),
 		cmocka_unit_test (test_who_takes_kept_place),
 		cmocka_unit_test (test_other_team_is_tried_after_own),
+		cmocka_unit_test (test_headroom_beside_kept_place),
 		cmocka_unit_test (test_cost_of_many_kept_places),
 		cmocka_unit_test (test_takeover_before_next_attempt),
 		cmocka_unit_test (test_refused_record_of_next_attempt),
