tests: sessions with retries by cause are added to those without

Cause: half of the seeds ran with the new options, which took them from the old ones, and in half of the sessions only a tenth of the jobs were not idempotent. Attempts were not counted. Change: every seed of the schedules and of the random sessions runs without and with the new options; six tenths of the jobs are idempotent, nine tenths in every second session with the new options. The sessions count the failed attempts of a job, also over a change of the core, against its attempts.

--- a/tests/cell/test-schedules.c
+++ b/tests/cell/test-schedules.c
@@ -6,7 +6,8 @@
  * go silent, restart, leave, refuse and fail. The harness checks the invariants after every step.
  * Then all faults are removed, and every accepted job must end.
  *
- * In half of the schedules, failed gangs are retried by cause and their places are kept.
+ * Each seed is run twice: the second time failed gangs are retried by cause and their places are
+ * kept.
  *
  * DFF_TEST_SEEDS=FIRST:LAST runs other seeds.
  */
@@ -233,12 +234,12 @@
 }
 
 static void
-run_schedule (uint32_t seed)
+run_schedule (uint32_t seed, bool retries_soon)
 {
 	struct schedule schedule = {0};
 	schedule.rand = g_rand_new_with_seed (seed);
 	struct harness *harness = &schedule.harness;
-	harness_init_with (harness, seed + 1, seed / 2 % 2 == 1);
+	harness_init_with (harness, seed + 1, retries_soon);
 	harness->fleet.checks_epochs = seed % 2 == 0;
 	harness->fleet.run_ms = pick (&schedule, 100, 4000);
 	while (harness->clock.now_ms < 1000000 + CHAOS_MS) {
@@ -284,7 +285,8 @@
 	}
 	for (uint32_t seed = first; seed < last; seed++) {
 		running_seed = seed;
-		run_schedule (seed);
+		run_schedule (seed, false);
+		run_schedule (seed, true);
 	}
 }
 
--- a/tests/core/test-property.c
+++ b/tests/core/test-property.c
@@ -10,6 +10,7 @@
 #define ACCELERATORS 4
 #define N_JOBS 260
 #define SEEDS 24
+#define MAX_ATTEMPTS 3
 
 /** What really happened to one member of one attempt. */
 struct task {
@@ -25,6 +26,10 @@
 	bool completed;
 	/** Whether its end was reported, so that a repeated stop gets the same answer. */
 	bool ended;
+	/** Whether an end was delivered to the core: the first one counts. */
+	bool end_delivered;
+	/** Whether that was a failure. */
+	bool failed;
 };
 
 /** What the store holds of one job, and what was observed of it. */
@@ -36,6 +41,9 @@
 	bool cancelled;
 	bool ended;
 	bool ever_ran;
+	/** Number of attempts with a failed task, and the last of them. */
+	int32_t n_failed;
+	int32_t failed_attempt;
 	GArray *placements;
 	enum dff_outcome outcome;
 };
@@ -65,10 +73,14 @@
 	GPtrArray *tasks;
 	enum dff_worker_state states[N_WORKERS];
 	bool fault_free;
-	/** Whether failed gangs are retried by cause and their places are kept. In such
-	 * sessions more tasks fail, also after the faults, and more jobs may be retried. */
+	/** Whether failed gangs are retried by cause and their places are kept. In such sessions
+	 * more tasks fail, also after the faults, and in half of them more jobs may be retried. */
 	bool retries_soon;
+	/** Share of the jobs that may be retried. */
+	double idempotent;
 	int64_t events;
+	/** Number of attempts with a failed task, of all jobs. */
+	int64_t failed_attempts;
 	/** Number of jobs given to the current core. */
 	int64_t accepted;
 	/** Sums over all cores, to detect sessions that test nothing. */
@@ -203,6 +215,8 @@
 {
 	struct row *row = g_hash_table_lookup (world->rows, &command->job);
 	assert_true (command->attempt > row->last_attempt);
+	if (row->n_failed >= MAX_ATTEMPTS)
+		fail_msg ("started after %d failed attempts: %s", row->n_failed, command->job.data);
 	row->last_attempt = command->attempt;
 	struct arrival answer = {.event = {.type = DFF_EVENT_ATTEMPT_REFUSED,
 					   .job = command->job,
@@ -388,7 +402,8 @@
 	g_autofree char *id = g_strdup_printf ("j%d", number);
 	row->spec = fixture_spec (id, gang, g_rand_int_range (world->rand, 0, gang > 4 ? 3 : 5));
 	row->spec.team = dff_name_from (g_rand_boolean (world->rand) ? "a" : "b");
-	row->spec.idempotent = g_rand_double (world->rand) < (world->retries_soon ? 0.9 : 0.6);
+	row->spec.idempotent = g_rand_double (world->rand) < world->idempotent;
+	row->spec.max_attempts = MAX_ATTEMPTS;
 	row->spec.checkpoint = g_rand_boolean (world->rand);
 	row->spec.urgent = g_rand_double (world->rand) < 0.15;
 	row->spec.guaranteed = g_rand_double (world->rand) < 0.4;
@@ -416,6 +431,18 @@
 	}
 }
 
+/* A new core is told of the failures in an open attempt that are on record. */
+static void
+report_failure (struct world *world, const struct task *task)
+{
+	struct dff_event event = {.type = DFF_EVENT_TASK_FAILED,
+				  .job = task->job,
+				  .attempt = task->attempt,
+				  .member = task->member,
+				  .ran = true};
+	dff_core_handle_event (world->core, &event, world->now_ms);
+}
+
 static void
 recover_row (struct world *world, const struct row *row)
 {
@@ -432,10 +459,22 @@
 						  .cancelled = row->cancelled,
 						  .placements = row->placements,
 						  .running = running};
+	/* The failures of attempts that are over count against the attempts left. */
+	struct dff_job_spec spec = row->spec;
+	bool open_failed = row->open && row->failed_attempt == row->attempt;
+	spec.failures_before = row->n_failed - open_failed;
+	spec.max_attempts = MAX (MAX_ATTEMPTS - spec.failures_before, 1);
 	struct dff_event event = {
-		.type = DFF_EVENT_JOB_RECOVERED, .spec = &row->spec, .recovered = &recovered};
+		.type = DFF_EVENT_JOB_RECOVERED, .spec = &spec, .recovered = &recovered};
 	dff_core_handle_event (world->core, &event, world->now_ms);
 	world->accepted++;
+	for (guint i = 0; open_failed && i < row->placements->len; i++) {
+		struct dff_command wanted = {
+			.job = row->spec.id, .attempt = row->attempt, .member = (int32_t)i};
+		const struct task *task = find_task (world, &wanted);
+		if (task != NULL && task->failed)
+			report_failure (world, task);
+	}
 }
 
 static void
@@ -538,6 +577,29 @@
 	}
 }
 
+/* Counts the attempts of a job in which a task failed, as the core has been told. */
+static void
+note_delivered (struct world *world, const struct dff_event *event)
+{
+	if (event->type != DFF_EVENT_TASK_COMPLETED && event->type != DFF_EVENT_TASK_FAILED &&
+	    event->type != DFF_EVENT_TASK_STOPPED && event->type != DFF_EVENT_TASK_LOST &&
+	    event->type != DFF_EVENT_TASK_START_FAILED && event->type != DFF_EVENT_TASK_REJECTED)
+		return;
+	struct dff_command wanted = {
+		.job = event->job, .attempt = event->attempt, .member = event->member};
+	struct task *task = find_task (world, &wanted);
+	struct row *row = g_hash_table_lookup (world->rows, &event->job);
+	if (task == NULL || task->end_delivered || !row->open || row->attempt != event->attempt)
+		return;
+	task->end_delivered = true;
+	task->failed = event->type == DFF_EVENT_TASK_FAILED;
+	if (!task->failed || row->failed_attempt == row->attempt)
+		return;
+	row->failed_attempt = row->attempt;
+	row->n_failed++;
+	world->failed_attempts++;
+}
+
 static void
 deliver (struct world *world, const struct arrival *arrival)
 {
@@ -550,6 +612,7 @@
 		on_finish (world, arrival->task);
 		return;
 	case DFF_ARRIVAL_EVENT:
+		note_delivered (world, &arrival->event);
 		dff_core_handle_event (world->core, &arrival->event, world->now_ms);
 		return;
 	}
@@ -576,9 +639,11 @@
 }
 
 static void
-world_init (struct world *world, uint32_t seed)
+world_init (struct world *world, uint32_t seed, bool retries_soon)
 {
-	*world = (struct world){.rand = g_rand_new_with_seed (seed), .retries_soon = seed % 2 == 0};
+	*world = (struct world){.rand = g_rand_new_with_seed (seed),
+				.retries_soon = retries_soon,
+				.idempotent = retries_soon && seed % 2 == 0 ? 0.9 : 0.6};
 	world->arrivals = g_sequence_new (g_free);
 	world->rows = g_hash_table_new (dff_name_hash, dff_name_equal_func);
 	world->order = g_ptr_array_new ();
@@ -615,10 +680,10 @@
 }
 
 static int64_t
-run_session (uint32_t seed, struct dff_core_stats *totals)
+run_session (uint32_t seed, bool retries_soon, struct dff_core_stats *totals)
 {
 	struct world world;
-	world_init (&world, seed);
+	world_init (&world, seed, retries_soon);
 	g_autoptr (GArray) commands = g_array_new (FALSE, TRUE, sizeof (struct dff_command));
 	for (int i = 0; i < N_JOBS; i++) {
 		submit (&world, i);
@@ -643,6 +708,7 @@
 	}
 	add_stats (&world);
 	assert_true (world.seen.preemptions > 0 && world.seen.retries > 0);
+	assert_true (!retries_soon || world.failed_attempts > 0);
 	totals->reclaims += world.seen.reclaims;
 	totals->start_failures += world.seen.start_failures;
 	totals->kept_places += world.seen.kept_places;
@@ -659,8 +725,10 @@
 	(void)state;
 	int64_t events = 0;
 	struct dff_core_stats totals = {0};
-	for (uint32_t seed = 1; seed <= SEEDS; seed++)
-		events += run_session (seed, &totals);
+	for (uint32_t seed = 1; seed <= SEEDS; seed++) {
+		events += run_session (seed, false, &totals);
+		events += run_session (seed, true, &totals);
+	}
 	assert_true (totals.reclaims > 0);
 	assert_true (totals.start_failures > 0);
 	assert_true (totals.kept_places_used > 0);
