--- a/tests/core/test-kept-place.c
+++ b/tests/core/test-kept-place.c
@@ -675,6 +675,72 @@
 	play_close (&play);
 }
 
+/* Guards against other work, which waited longer, taking the place of a gang that lost a member
+ * with its worker. The gang is queued without a wait and placed where its other member ran. */
+static void
+test_lost_member (void **state)
+{
+	(void)state;
+	struct play play;
+	play_open (&play, 2);
+	struct dff_job_spec gang = whole_workers ("g", 2);
+	submit (&play, &gang);
+	expect (&play, 0, " g@w0,w1");
+	run_attempt (&play, "g", 1, 2);
+	occupy (&play, "x", " x@w2");
+	occupy (&play, "y", " y@w3");
+	struct dff_job_spec waiting = whole_workers ("p", 1);
+	waiting.team = dff_name_from ("b");
+	submit (&play, &waiting);
+	expect (&play, LATE_MS, "");
+	fixture_worker_state (play.core, "w0", DFF_WORKER_DOWN);
+	report (&play, DFF_EVENT_TASK_LOST, "g", 1, 0);
+	expect (&play, 0, " g:stop");
+	report (&play, DFF_EVENT_TASK_STOPPED, "g", 1, 1);
+	expect (&play, STOP_MS, " g:retry lost 0");
+	const struct dff_command *retry = &g_array_index (play.commands, struct dff_command, 0);
+	assert_int_equal (retry->n_kept, 1);
+	report (&play, DFF_EVENT_TASK_COMPLETED, "x", 1, 0);
+	expect (&play, 0, " x:end p@w2");
+	report (&play, DFF_EVENT_TASK_COMPLETED, "y", 1, 0);
+	expect (&play, 0, " y:end g@w1,w3/1");
+	play_close (&play);
+}
+
+/* Guards against a reservation that takes a kept place, and a kept place that delays a reserved
+ * job. */
+static void
+test_place_beside_reservation (void **state)
+{
+	(void)state;
+	struct play play;
+	play_open (&play, 2);
+	struct dff_job_spec gang = whole_workers ("g", 2);
+	gang.urgent = true;
+	submit (&play, &gang);
+	expect (&play, 0, " g@w0,w1");
+	run_attempt (&play, "g", 1, 2);
+	struct dff_job_spec occupant = whole_workers ("x", 2);
+	occupant.checkpoint = false;
+	submit (&play, &occupant);
+	expect (&play, 0, " x@w2,w3");
+	run_attempt (&play, "x", 1, 2);
+	struct dff_job_spec urgent = whole_workers ("p", 2);
+	urgent.team = dff_name_from ("b");
+	urgent.urgent = true;
+	submit (&play, &urgent);
+	expect (&play, LATE_MS, " x:stop x:stop");
+	report (&play, DFF_EVENT_TASK_FAILED, "g", 1, 0);
+	expect (&play, 0, " g:stop");
+	report (&play, DFF_EVENT_TASK_STOPPED, "g", 1, 1);
+	expect (&play, 0, " g:retry job 500");
+	report (&play, DFF_EVENT_TASK_STOPPED, "x", 1, 0);
+	report (&play, DFF_EVENT_TASK_STOPPED, "x", 1, 1);
+	expect (&play, STOP_MS, " x:retry none 0 p@w2,w3");
+	expect (&play, FIRST_BACKOFF_MS - STOP_MS, " g@w0,w1/1");
+	play_close (&play);
+}
+
 /* A takeover between the failure and the next attempt: the new core knows the number of failed
  * attempts on record, and the next failure counts as the second. */
 static void
@@ -741,6 +807,8 @@
 		cmocka_unit_test (test_place_is_released_when_stop_hangs),
 		cmocka_unit_test (test_who_takes_kept_place),
 		cmocka_unit_test (test_other_team_is_tried_after_own),
+		cmocka_unit_test (test_lost_member),
+		cmocka_unit_test (test_place_beside_reservation),
 		cmocka_unit_test (test_headroom_beside_kept_place),
 		cmocka_unit_test (test_cost_of_many_kept_places),
 		cmocka_unit_test (test_takeover_before_next_attempt),
