holder: kept tasks and delays of retries are counted so that they can be compared

Cause: tasks whose places were kept after a refused start were not counted nor logged, but counted as used; and a placement counted before its record was written. Change: every retry that keeps places is counted and has its log line; the kept tasks that are used and the delay are counted once the placement is recorded.

--- a/holder/draft.c
+++ b/holder/draft.c
@@ -49,6 +49,7 @@
 	}
 	for (guint i = 0; i < acks->len; i++) {
 		const struct holder_ack *ack = &g_array_index (acks, struct holder_ack, i);
+		units_note_recorded (holder, ack);
 		jobs_report (holder, &ack->unit, ack->attempt, 0, DFF_EVENT_ATTEMPT_RECORDED,
 			     false);
 	}
--- a/holder/holder_private.h
+++ b/holder/holder_private.h
@@ -280,6 +280,9 @@
 /** Executes a command of the core. */
 void units_execute (struct dff_holder *holder, const struct dff_command *command);
 
+/** Counts a placement whose record is written. */
+void units_note_recorded (struct dff_holder *holder, const struct holder_ack *ack);
+
 /** Handles the first start of a task of a unit. */
 void unit_note_started (struct dff_holder *holder, struct holder_unit *unit);
 
--- a/holder/units.c
+++ b/holder/units.c
@@ -217,12 +217,14 @@
 		task->run = unit->base_run + command->attempt;
 		task->worker = g_array_index (command->placements, struct dff_placement, i).worker;
 	}
-	if (unit->failed_ms > 0)
-		dff_histogram_observe (holder->metrics.retry_delay,
-				       holder_now_ms (holder) - unit->failed_ms);
+	struct holder_ack ack = {
+		.unit = unit->name,
+		.attempt = command->attempt,
+		.n_kept = command->n_kept,
+		.retry_delay_ms =
+			unit->failed_ms > 0 ? holder_now_ms (holder) - unit->failed_ms : -1,
+	};
 	unit->failed_ms = 0;
-	(*holder->metrics.kept_tasks_used) += command->n_kept;
-	struct holder_ack ack = {.unit = unit->name, .attempt = command->attempt};
 	g_array_append_val (unit->job->acks, ack);
 	commit_mark_dirty (holder, unit->job);
 	const struct dff_task *task = member_task (unit, 0);
@@ -234,6 +236,14 @@
 		 command->n_kept);
 }
 
+void
+units_note_recorded (struct dff_holder *holder, const struct holder_ack *ack)
+{
+	if (ack->retry_delay_ms >= 0)
+		dff_histogram_observe (holder->metrics.retry_delay, ack->retry_delay_ms);
+	(*holder->metrics.kept_tasks_used) += ack->n_kept;
+}
+
 static void
 start_task (struct dff_holder *holder, struct holder_unit *unit, const struct dff_command *command)
 {
@@ -298,9 +308,11 @@
 {
 	clear_assignment (holder, unit);
 	const struct dff_retry_input *retry = &command->retry;
-	if (retry->cause == DFF_RETRY_NONE)
+	/* A preempted attempt that keeps nothing was logged when it was stopped. */
+	if (retry->cause == DFF_RETRY_NONE && command->n_kept == 0)
 		return;
-	(*holder->metrics.retries[retry->cause])++;
+	if (retry->cause != DFF_RETRY_NONE)
+		(*holder->metrics.retries[retry->cause])++;
 	(*holder->metrics.kept_tasks) += command->n_kept;
 	dff_log (DFF_LOG_CELL, DFF_LOG_INFO,
 		 "Unit is retried. unit=%s run=%d attributed=%s failures=%d workers=%d "
--- a/tests/holder/test-holder-ends.c
+++ b/tests/holder/test-holder-ends.c
@@ -120,6 +120,33 @@
 	site_close (&site);
 }
 
+static int64_t
+holder_counter (struct site *site, int process, const char *name)
+{
+	return *dff_metrics_counter (site->processes[process].metrics, name, "");
+}
+
+/* Guards against places that are used but not counted as kept: a worker refuses the start of one
+ * member, and the place of the other one is kept. */
+static void
+test_kept_after_refused_start (void **state)
+{
+	(void)state;
+	struct site site;
+	site_open (&site);
+	for (size_t i = 0; i < SITE_WORKERS; i += 2)
+		site.workers[i]->refuses = true;
+	site_submit (&site, 0, site_plan ("a", 2, true, SITE_ACCELERATORS));
+	assert_int_not_equal (site_wait_for_state (&site, "a", "completed", 20000), -1);
+	int holder = site_holder (&site);
+	int64_t kept = holder_counter (&site, holder, "dff_holder_kept_tasks_total");
+	int64_t used = holder_counter (&site, holder, "dff_holder_kept_tasks_used_total");
+	print_message ("kept: %d, used: %d\n", (int)kept, (int)used);
+	assert_true (kept > 0);
+	assert_true (used <= kept);
+	site_close (&site);
+}
+
 /* Guards against a gang that waits because of a faulty worker: its member failed at once on a
  * worker that fails everything, work like it has completed elsewhere, and the pool is idle. The
  * next attempt starts as soon as the other member has been stopped, on other workers. */
@@ -189,8 +216,14 @@
 	faults->lost_permille = 1000;
 	site_run (&site, 1500);
 	assert_int_equal (dff_memory_runner_n_starts (site.runner, "8"), 2);
+	/* A placement counts once it is recorded. */
+	int holder = site_holder (&site);
+	assert_int_equal (holder_counter (&site, holder, "dff_holder_kept_tasks_used_total"), 0);
 	faults->lost_permille = 0;
 	assert_int_not_equal (site_wait_for_state (&site, "8", "completed", 10000), -1);
+	assert_int_equal (site_holder (&site), holder);
+	assert_int_equal (holder_counter (&site, holder, "dff_holder_kept_tasks_total"), 1);
+	assert_int_equal (holder_counter (&site, holder, "dff_holder_kept_tasks_used_total"), 1);
 	assert_int_equal (dff_memory_runner_n_starts (site.runner, "8"), 2 * 2);
 	site_close (&site);
 }
@@ -202,6 +235,7 @@
 		cmocka_unit_test (test_recorded_failure_counts_for_next_holder),
 		cmocka_unit_test (test_repeated_failure_counts_once),
 		cmocka_unit_test (test_completion_is_counted_when_recorded),
+		cmocka_unit_test (test_kept_after_refused_start),
 		cmocka_unit_test (test_failing_worker_does_not_delay),
 		cmocka_unit_test (test_takeover_during_backoff),
 		cmocka_unit_test (test_lost_answers_before_next_attempt),
