core: bounds of the backoff are stated and tested for every cause

Cause: the comments left out that lost tasks and preempted attempts do not wait, and the test tried neither, and the cause DFF_RETRY_WORKER with every second slack only.

--- a/include/core/retry.h
+++ b/include/core/retry.h
@@ -27,7 +27,8 @@
 
 struct dff_retry_input {
 	enum dff_retry_cause cause;
-	/** Number of the job's failed attempts, this one included. */
+	/** Number of the job's attempts in which a task failed; with DFF_RETRY_WORKER and
+	 * DFF_RETRY_JOB this one included. */
 	int32_t failures;
 	/** Number of different workers on which the job has failed. */
 	int32_t n_workers;
@@ -43,7 +44,8 @@
  * dff_retry_backoff_ms:
  *
  * Returns: the time from the end of the attempt until the job is queued again, ms. Never more than
- * dff_retry_doubling_ms(), and never 0 from the second failure on.
+ * dff_retry_doubling_ms(); 0 with DFF_RETRY_NONE and DFF_RETRY_LOST. With the other causes at least
+ * DFF_RETRY_MIN_MS from the second failure on.
  */
 int64_t dff_retry_backoff_ms (const struct dff_retry_input *input);
 
--- a/tests/core/test-retry.c
+++ b/tests/core/test-retry.c
@@ -57,10 +57,24 @@
 	int64_t got = dff_retry_backoff_ms (input);
 	int64_t most = dff_retry_doubling_ms (input->failures);
 	assert_true (got >= 0 && got <= most);
+	if (input->cause == DFF_RETRY_NONE || input->cause == DFF_RETRY_LOST) {
+		assert_int_equal (got, 0);
+		return;
+	}
 	assert_true (input->failures < 2 || got >= DFF_RETRY_MIN_MS);
 	assert_true (input->n_workers <= 2 || input->failures < 2 || got == most);
 }
 
+static void
+check_all_causes (const struct dff_retry_input *input)
+{
+	for (int cause = DFF_RETRY_NONE; cause <= DFF_RETRY_LOST; cause++) {
+		struct dff_retry_input with_cause = *input;
+		with_cause.cause = (enum dff_retry_cause)cause;
+		check_bounds (&with_cause);
+	}
+}
+
 /* Whatever a failure is attributed to, and however urgent the job is: from the second failure on
  * there is a wait, never longer than without the rules, and the whole one on many workers. */
 static void
@@ -72,13 +86,10 @@
 		for (int32_t n_workers = 0; n_workers <= WORKERS_MAX; n_workers++) {
 			for (size_t i = 0; i < G_N_ELEMENTS (slacks); i++) {
 				struct dff_retry_input input = {
-					.cause = i % 2 == 0 ? DFF_RETRY_WORKER : DFF_RETRY_JOB,
 					.failures = failures,
 					.n_workers = n_workers,
 					.objective = {DFF_PROSPECT_IN_TIME, slacks[i]}};
-				check_bounds (&input);
-				input.cause = DFF_RETRY_JOB;
-				check_bounds (&input);
+				check_all_causes (&input);
 			}
 		}
 	}
