core: only kept places that are in the way yield

Cause: work that needed a victim on a worker released all kept places there that yield to it, also those of which it needs nothing. Change: a place yields only if its tasks use a resource of which too little is left, and only as long as that is so. Result: test_place_that_is_not_in_the_way fails before ("g@w0,w1" with nothing kept) and passes after.

--- a/core/kept_place.c
+++ b/core/kept_place.c
@@ -288,42 +288,61 @@
 	return kept;
 }
 
-/* Whether @job fits on a worker beside everything that is kept there. */
-static bool
-fits_beside_kept (const struct dff_core *core, const struct dff_core_job *job, int32_t index)
+/* Returns: what is left on a worker beside everything that is kept there once the members of @job
+ * are placed on it; negative where that is too little. */
+static struct dff_resources
+left_beside_kept (const struct dff_core *core, const struct dff_core_job *job, int32_t index)
 {
 	const struct dff_core_worker *worker = dff_core_worker_at (core, index);
-	struct dff_resources available = dff_resources_less (&worker->capacity, &worker->used);
-	available = dff_resources_less (&available, &worker->reserved);
+	struct dff_resources left = dff_resources_less (&worker->capacity, &worker->used);
+	left = dff_resources_less (&left, &worker->reserved);
 	struct dff_resources kept = kept_on (core, worker);
-	available = dff_resources_less (&available, &kept);
-	int32_t times = 0;
-	for (int32_t i = 0; i < job->gang; i++)
-		times += job->members[i].worker == index;
-	return dff_resources_fits (&available, &job->per_task, times) == times;
+	left = dff_resources_less (&left, &kept);
+	for (int32_t i = 0; i < job->gang; i++) {
+		if (job->members[i].worker == index)
+			dff_resources_add (&left, &job->per_task, -1);
+	}
+	return left;
 }
 
+/* Whether a task uses a resource of which too little is left. */
 static bool
-holds_worker (const struct dff_core_kept_place *place, int32_t worker)
+is_in_the_way (const struct dff_resources *per_task, const struct dff_resources *left)
 {
-	for (int32_t i = 0; i < place->job->gang; i++) {
-		if (place->members[i].worker == worker)
-			return true;
-	}
-	return false;
+	return (left->slots < 0 && per_task->slots > 0) ||
+	       (left->cores < 0 && per_task->cores > 0) ||
+	       (left->memory_gb < 0 && per_task->memory_gb > 0) ||
+	       (left->accelerators < 0 && per_task->accelerators > 0);
 }
 
+/* Returns: the number of members whose place on a worker is kept, or will be once they have
+ * stopped. */
+static int32_t
+members_kept_on (const struct dff_core_kept_place *place, int32_t worker)
+{
+	int32_t count = 0;
+	for (int32_t i = 0; i < place->job->gang; i++)
+		count += place->members[i].worker == worker;
+	return count;
+}
+
+/* The victims of @job are chosen to cover what is missing without the kept places that yield to it,
+ * so these have to yield although the victims hold more of the same resource. */
 static void
 yield_on (struct dff_core *core, const struct dff_core_job *job, int32_t worker)
 {
-	if (fits_beside_kept (core, job, worker))
-		return;
+	struct dff_resources left = left_beside_kept (core, job, worker);
 	for (GList *link = core->kept_places.head; link != NULL; link = link->next) {
+		if (dff_resources_covered (&left))
+			return;
 		struct dff_core_kept_place *place = link->data;
-		if (!dff_core_kept_place_yields (core, place->job, job) ||
-		    !holds_worker (place, worker))
+		const struct dff_core_job *keeper = place->job;
+		int32_t n_members = members_kept_on (place, worker);
+		if (n_members == 0 || !is_in_the_way (&keeper->per_task, &left) ||
+		    !dff_core_kept_place_yields (core, keeper, job))
 			continue;
 		drop_worker (core, place, worker);
+		dff_resources_add (&left, &keeper->per_task, n_members);
 		core->stats.kept_places_lost++;
 	}
 }
--- a/tests/core/test-kept-place.c
+++ b/tests/core/test-kept-place.c
@@ -627,6 +627,50 @@
 	play_close (&play);
 }
 
+/* Guards against the loss of a kept place that is not in the way: urgent work takes a worker whose
+ * accelerators other work holds, and the kept task needs none. */
+static void
+test_place_that_is_not_in_the_way (void **state)
+{
+	(void)state;
+	struct play play;
+	play_open (&play, 1);
+	struct dff_job_spec gang = whole_workers ("g", 2);
+	gang.per_task.accelerators = 0;
+	gang.spread_group = dff_name_from ("s");
+	gang.per_worker = 1;
+	submit (&play, &gang);
+	expect (&play, 0, " g@w0,w1");
+	run_attempt (&play, "g", 1, 2);
+	static const char *const occupants[] = {"y", "x"};
+	static const char *const starts[] = {" y@w0", " x@w1"};
+	for (size_t i = 0; i < G_N_ELEMENTS (occupants); i++) {
+		struct dff_job_spec spec = whole_workers (occupants[i], 1);
+		spec.checkpoint = false;
+		submit (&play, &spec);
+		expect (&play, 0, starts[i]);
+		run_attempt (&play, occupants[i], 1, 1);
+		play.now_ms += LATE_MS;
+	}
+	report (&play, DFF_EVENT_TASK_FAILED, "g", 1, 0);
+	expect (&play, 0, " g:stop");
+	report (&play, DFF_EVENT_TASK_STOPPED, "g", 1, 1);
+	expect (&play, 0, " g:retry job 500");
+	struct dff_job_spec urgent = whole_workers ("p", 1);
+	urgent.team = dff_name_from ("b");
+	urgent.urgent = true;
+	submit (&play, &urgent);
+	/* Less work is lost with x than with y. */
+	expect (&play, 0, " x:stop");
+	report (&play, DFF_EVENT_TASK_STOPPED, "x", 1, 0);
+	expect (&play, STOP_MS, " x:retry none 0 p@w1");
+	expect (&play, FIRST_BACKOFF_MS - STOP_MS, " g@w0,w1/1");
+	struct dff_core_stats stats;
+	dff_core_get_stats (play.core, &stats);
+	assert_int_equal (stats.kept_places_lost, 0);
+	play_close (&play);
+}
+
 /* Guards against one kept task that opens a whole worker of the headroom to its gang: the gang gets
  * no more of such a worker than is kept there for it. */
 static void
@@ -809,6 +853,7 @@
 		cmocka_unit_test (test_other_team_is_tried_after_own),
 		cmocka_unit_test (test_lost_member),
 		cmocka_unit_test (test_place_beside_reservation),
+		cmocka_unit_test (test_place_that_is_not_in_the_way),
 		cmocka_unit_test (test_headroom_beside_kept_place),
 		cmocka_unit_test (test_cost_of_many_kept_places),
 		cmocka_unit_test (test_takeover_before_next_attempt),
