core: early failures are attributed only where such work completed on another worker

Cause: "other runs of the same step succeeded elsewhere" was taken as any completed run of the team and service, also one on the very worker. Change: an estimator remembers whether its runs completed on several workers, and else on which one. Result: test_attribution_needs_runs_elsewhere fails before ("retry worker 0" for "job 500") and passes after; bad-workers, quarantine, property and holder-ends pass.

--- a/core/core_private.h
+++ b/core/core_private.h
@@ -336,8 +336,9 @@
 /** Updates the estimator with the run time of a completed job. */
 void dff_core_estimate_update (struct dff_core_job *job, int64_t run_ms);
 
-/** Whether jobs of the same team and service have completed. */
-bool dff_core_estimate_has_runs (const struct dff_core_job *job);
+/** Whether jobs of the same team and service have completed on other workers than @worker, at any
+ * time since the core was created. */
+bool dff_core_estimate_has_runs_elsewhere (const struct dff_core_job *job, int32_t worker);
 
 /** Estimates the run time of a job from past runs. */
 void dff_core_estimate (struct dff_core_job *job);
--- a/core/estimate.c
+++ b/core/estimate.c
@@ -29,6 +29,9 @@
 	struct dff_core_predictor ratio;
 	struct dff_core_predictor actual;
 	int32_t observations;
+	/** Worker of the first observation, and whether any was on another one. */
+	int32_t worker;
+	bool on_several_workers;
 };
 
 struct estimator_key {
@@ -81,10 +84,20 @@
 	predictor->variance = MAX (predictor->variance, VARIANCE_MIN);
 }
 
+static void
+note_workers (struct dff_core_estimator *estimator, const struct dff_core_job *job)
+{
+	if (estimator->observations == 0)
+		estimator->worker = job->members[0].worker;
+	for (int32_t i = 0; i < job->gang; i++)
+		estimator->on_several_workers |= job->members[i].worker != estimator->worker;
+}
+
 void
 dff_core_estimate_update (struct dff_core_job *job, int64_t run_ms)
 {
 	struct dff_core_estimator *estimator = job->estimator;
+	note_workers (estimator, job);
 	estimator->observations++;
 	double rate = MAX (1.0 / (estimator->observations + 1), LEARNING_RATE);
 	double actual = log ((double)MAX (run_ms, MIN_RUN_MS));
@@ -94,9 +107,11 @@
 }
 
 bool
-dff_core_estimate_has_runs (const struct dff_core_job *job)
+dff_core_estimate_has_runs_elsewhere (const struct dff_core_job *job, int32_t worker)
 {
-	return job->estimator->observations > 0;
+	const struct dff_core_estimator *estimator = job->estimator;
+	return estimator->observations > 0 &&
+	       (estimator->on_several_workers || estimator->worker != worker);
 }
 
 /* Combines the predictors. Run times are assumed to be log-normally distributed. */
--- a/core/quarantine.c
+++ b/core/quarantine.c
@@ -151,8 +151,10 @@
 	bool early = !follows && is_early_failure (core, job);
 	bool others_failed = (worker->health != DFF_CORE_HEALTHY || worker->failure_streak > 0) &&
 			     worker->last_failed != dff_name_hash (&job->id);
-	/* An early failure may also be the work's fault, unless such work has completed before. */
-	bool shown = others_failed || (early && dff_core_estimate_has_runs (job));
+	/* An early failure may also be the work's fault, unless such work has completed elsewhere.
+	 */
+	bool shown = others_failed ||
+		     (early && dff_core_estimate_has_runs_elsewhere (job, worker_index));
 	count_failure (core, job, worker_index, blamed, early);
 	return blamed && shown && !follows && worker->health != DFF_CORE_HEALTHY;
 }
--- a/tests/core/test-kept-place.c
+++ b/tests/core/test-kept-place.c
@@ -141,16 +141,18 @@
 	expect (play, 0, "");
 }
 
-/* Runs a job to its end, so that runs like those of the other jobs are known to complete. */
+/* Runs a gang to its end on two workers, so that runs like those of the other jobs are known to
+ * complete elsewhere than on any one worker. */
 static void
 complete_one (struct play *play)
 {
-	struct dff_job_spec spec = whole_workers ("first", 1);
+	struct dff_job_spec spec = whole_workers ("first", 2);
 	submit (play, &spec);
-	g_string_free (advance (play, 0), TRUE);
-	run_attempt (play, "first", 1, 1);
+	expect (play, 0, " first@w0,w1");
+	run_attempt (play, "first", 1, 2);
 	play->now_ms += 60000;
-	report (play, DFF_EVENT_TASK_COMPLETED, "first", 1, 0);
+	for (int i = 0; i < 2; i++)
+		report (play, DFF_EVENT_TASK_COMPLETED, "first", 1, i);
 	expect (play, 0, " first:end");
 	report (play, DFF_EVENT_OUTCOME_RECORDED, "first", 1, 0);
 }
@@ -176,6 +178,28 @@
 	report (play, DFF_EVENT_TASK_FAILED, gang->id.data, 1, 0);
 }
 
+/* Guards against blaming a worker because runs have completed on that very worker: they show
+ * nothing about other workers. */
+static void
+test_attribution_needs_runs_elsewhere (void **state)
+{
+	(void)state;
+	struct play play;
+	play_open (&play, 1);
+	fixture_worker_state (play.core, "w1", DFF_WORKER_DOWN);
+	struct dff_job_spec first = whole_workers ("first", 1);
+	submit (&play, &first);
+	expect (&play, 0, " first@w0");
+	run_attempt (&play, "first", 1, 1);
+	play.now_ms += 60000;
+	report (&play, DFF_EVENT_TASK_COMPLETED, "first", 1, 0);
+	expect (&play, 0, " first:end");
+	occupy (&play, "x", " x@w0");
+	report (&play, DFF_EVENT_TASK_FAILED, "x", 1, 0);
+	expect (&play, 300, " x:retry job 500");
+	play_close (&play);
+}
+
 /* Guards against a gang that waits because of a faulty worker: the other member is stopped in the
  * tick in which the failure is known, and the next attempt is decided in the tick in which that
  * member has ended, elsewhere. */
@@ -842,6 +866,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test (test_failing_worker_does_not_delay),
 		cmocka_unit_test (test_attribution_needs_other_runs),
+		cmocka_unit_test (test_attribution_needs_runs_elsewhere),
 		cmocka_unit_test (test_no_tight_loop),
 		cmocka_unit_test (test_several_members_fail),
 		cmocka_unit_test (test_failure_after_another_end),
