core: a released place leaves its job's class as it is, as stated

Cause: the class key of a job that keeps a place contains its name, and is not computed anew when the place is released. Change: a comment says so, and what it costs. Nothing else follows from it: the class is found by the key it was made with.

--- a/core/queue.c
+++ b/core/queue.c
@@ -39,7 +39,8 @@
 	guint32 hash = (guint32)(job->label + 1) + (guint32)(job->data_rack + 1) * 31;
 	if (dff_core_job_is_isolated (core, job))
 		hash += ISOLATED_HASH;
-	/* A job that keeps a place fits where others like it do not. */
+	/* A job that keeps a place fits where others like it do not. It stays in a class of its own
+	 * when the place is released while it is queued: it is then tried once more than needed. */
 	if (job->keeps_place)
 		hash += dff_name_hash (&job->id);
 	if (job->per_worker > 0)
