core: one definition each of the backoffs and of the workers a job may fail on

Cause: DFF_CORE_RETRY_MIN_MS and DFF_RETRY_MIN_MS, a second shift beside dff_retry_doubling_ms(), JOB_BLAME_LIMIT and WORKER_FAILURES_MAX stood for the same; the latter bounded two quantities, and first_backoff_ms() relied on the order of an enum. Change: one name each, in core/retry.h where others use it; the prospects are named. No value changes.

--- a/core/core_tables.h
+++ b/core/core_tables.h
@@ -11,9 +11,6 @@
 
 /** Time after which an unanswered STOP_TASK is sent again, ms. */
 #define DFF_CORE_STOP_REPEAT_MS 5000
-/** Backoff before a job is placed again after a refused record, ms: doubles up to a limit. */
-#define DFF_CORE_RETRY_MIN_MS 250
-#define DFF_CORE_RETRY_MAX_MS 15000
 /** Number of attempts that end proven not started before the job is ended. */
 #define DFF_CORE_START_FAILURES_MAX 8
 /** Time after which a reservation is cancelled when its victims have not ended, ms. */
--- a/core/lifecycle.c
+++ b/core/lifecycle.c
@@ -5,6 +5,8 @@
 /** Progress from which the total duration is projected, percent. A smaller one consists mostly of
  * the time until the task began. */
 #define PROGRESS_MIN 8
+/** Longest backoff after a refused record, ms. */
+#define REFUSED_BACKOFF_MAX_MS 15000
 
 /* The state machine of attempts. The next tick returns the commands in core->pending. */
 
@@ -234,9 +236,9 @@
 	}
 	/* A store that refuses one record probably refuses the next. Without a backoff the same job
 	 * would be placed and refused at every tick and keep its workers from others. */
-	int64_t wait_ms = (int64_t)DFF_CORE_RETRY_MIN_MS << MIN (job->refusals, 6);
+	int64_t wait_ms = dff_retry_doubling_ms (job->refusals);
 	job->refusals++;
-	dff_core_delay (core, job, MIN (wait_ms, DFF_CORE_RETRY_MAX_MS));
+	dff_core_delay (core, job, MIN (wait_ms, REFUSED_BACKOFF_MAX_MS));
 }
 
 void
--- a/core/outcome.c
+++ b/core/outcome.c
@@ -107,7 +107,7 @@
 		dff_core_job_give_up (core, job, "start_failed");
 		return;
 	}
-	retry (core, job, DFF_CORE_RETRY_MIN_MS, NULL);
+	retry (core, job, DFF_RETRY_MIN_MS, NULL);
 }
 
 /* A job that is not idempotent and may have run is never started again. */
--- a/core/quarantine.c
+++ b/core/quarantine.c
@@ -8,8 +8,6 @@
 
 /** Number of different jobs in a row that have to fail on a worker. */
 #define STREAK_LIMIT 2
-/** Failures on other workers after which a job's failures do not count against a worker. */
-#define JOB_BLAME_LIMIT 2
 /** At most one in this many of the workers that are up may be in quarantine; one always may. */
 #define QUARANTINED_SHARE 4
 #define QUARANTINE_MIN_MS 60000
@@ -147,7 +145,7 @@
 		       bool follows)
 {
 	struct dff_core_worker *worker = dff_core_worker_at (core, worker_index);
-	bool blamed = job->n_avoided < JOB_BLAME_LIMIT;
+	bool blamed = job->n_avoided < DFF_RETRY_BLAMED_WORKERS_MAX;
 	bool early = !follows && is_early_failure (core, job);
 	bool others_failed = (worker->health != DFF_CORE_HEALTHY || worker->failure_streak > 0) &&
 			     worker->last_failed != dff_name_hash (&job->id);
--- a/core/retry.c
+++ b/core/retry.c
@@ -4,9 +4,9 @@
 
 /** Number of doublings after which the backoff does not grow any more. */
 #define DOUBLINGS_MAX 6
-/** Number of failures, and of different workers they happened on, above which a job is taken to be
- * at fault itself, whatever the last failure is attributed to. */
-#define WORKER_FAILURES_MAX 2
+/** Number of failures above which a job is taken to be at fault itself, whatever the last failure
+ * is attributed to. */
+#define BLAMED_FAILURES_MAX 2
 /** A backoff takes at most one part in this many of the slack. The rest is for the wait for
  * capacity and for the start. */
 #define SLACK_PARTS 4
@@ -35,7 +35,7 @@
 first_backoff_ms (const struct dff_objective_assessment *objective)
 {
 	int64_t wait_ms = dff_retry_doubling_ms (1);
-	if (objective->prospect > DFF_PROSPECT_LATE)
+	if (objective->prospect == DFF_PROSPECT_MISSED || objective->prospect == DFF_PROSPECT_NONE)
 		return wait_ms;
 	return CLAMP (objective->slack_ms / SLACK_PARTS, 0, wait_ms);
 }
@@ -45,11 +45,11 @@
 {
 	if (input->cause == DFF_RETRY_NONE || input->cause == DFF_RETRY_LOST)
 		return 0;
-	bool by_worker =
-		input->cause == DFF_RETRY_WORKER && input->n_workers <= WORKER_FAILURES_MAX;
+	bool by_worker = input->cause == DFF_RETRY_WORKER &&
+			 input->n_workers <= DFF_RETRY_BLAMED_WORKERS_MAX;
 	if (input->failures <= 1)
 		return by_worker ? 0 : first_backoff_ms (&input->objective);
-	if (by_worker && input->failures <= WORKER_FAILURES_MAX)
+	if (by_worker && input->failures <= BLAMED_FAILURES_MAX)
 		return DFF_RETRY_MIN_MS;
 	return dff_retry_doubling_ms (input->failures);
 }
--- a/include/core/retry.h
+++ b/include/core/retry.h
@@ -21,9 +21,11 @@
 	DFF_RETRY_LOST,
 };
 
-/** Smallest backoff after a failure that is not attributed to a worker, and after any failure of a
- * job from its second one on, ms. */
+/** Smallest backoff after a refused record or start, and after a job's second and later failures,
+ * ms. */
 #define DFF_RETRY_MIN_MS 250
+/** Number of different workers up to which the failures of one job may count against them. */
+#define DFF_RETRY_BLAMED_WORKERS_MAX 2
 
 struct dff_retry_input {
 	enum dff_retry_cause cause;
@@ -36,8 +38,8 @@
 	struct dff_objective_assessment objective;
 };
 
-/** Returns: the backoff after a failed attempt, ms, by the number of the job's failures alone:
- * doubled for each one up to a limit. */
+/** Returns: DFF_RETRY_MIN_MS, doubled for each failure up to a limit: the backoff by the number of
+ * failures alone, ms. */
 int64_t dff_retry_doubling_ms (int32_t failures);
 
 /**
