core, holder: kept tasks and kept places are named and counted apart

Cause: names with "kept" stood for places, tasks or members; places of which work took several workers were counted as lost once for each worker. Change: n_kept_tasks, dff_core_kept_place_n_tasks() and kept_tasks= in the log lines count tasks; kept_places, kept_places_used and kept_places_lost count places.

--- a/core/check.c
+++ b/core/check.c
@@ -9,7 +9,7 @@
 	struct dff_resources reserved;
 	struct dff_resources bound;
 	uint64_t leased;
-	int32_t n_kept;
+	int32_t n_kept_tasks;
 };
 
 static char *
@@ -41,8 +41,8 @@
 static char *
 check_worker (const struct dff_core_worker *worker, const struct tally *tally)
 {
-	if (worker->n_kept != tally->n_kept)
-		return g_strdup_printf ("kept places miscounted: worker=%s", worker->name.data);
+	if (worker->n_kept_tasks != tally->n_kept_tasks)
+		return g_strdup_printf ("kept tasks miscounted: worker=%s", worker->name.data);
 	if (worker->leased != tally->leased || !dff_resources_equal (&worker->used, &tally->used))
 		return g_strdup_printf ("leases differ from attempts: worker=%s",
 					worker->name.data);
@@ -168,9 +168,9 @@
 		return g_strdup_printf ("a place is kept for no next attempt: job=%s",
 					job->id.data);
 	for (guint i = 0; i < core->workers->len; i++)
-		tallies[i].n_kept += dff_core_kept_place_count (
+		tallies[i].n_kept_tasks += dff_core_kept_place_n_tasks_on (
 			core, job, dff_core_worker_at (core, (int32_t)i));
-	if (dff_core_kept_place_size (core, job) + job->n_open > job->gang)
+	if (dff_core_kept_place_n_tasks (core, job) + job->n_open > job->gang)
 		return g_strdup_printf ("more is kept than the gang had: job=%s", job->id.data);
 	return NULL;
 }
--- a/core/core_private.h
+++ b/core/core_private.h
@@ -286,12 +286,12 @@
 void dff_core_kept_place_release (struct dff_core *core, struct dff_core_job *job);
 
 /** Returns: the number of members of @job whose places are free and kept. */
-int32_t dff_core_kept_place_size (const struct dff_core *core, const struct dff_core_job *job);
+int32_t dff_core_kept_place_n_tasks (const struct dff_core *core, const struct dff_core_job *job);
 
-/** As dff_core_kept_place_size(), on one worker. */
-int32_t dff_core_kept_place_count (const struct dff_core *core,
-				   const struct dff_core_job *job,
-				   const struct dff_core_worker *worker);
+/** As dff_core_kept_place_n_tasks(), on one worker. */
+int32_t dff_core_kept_place_n_tasks_on (const struct dff_core *core,
+					const struct dff_core_job *job,
+					const struct dff_core_worker *worker);
 
 /** Whether @job may use the place that is kept for @keeper: it has a right to its accelerators, or
  * is urgent when the keeper is not. */
--- a/core/core_tables.h
+++ b/core/core_tables.h
@@ -39,8 +39,8 @@
 
 struct dff_core_worker {
 	struct dff_name name;
-	/** Number of free places that are kept here for members of gangs. */
-	int16_t n_kept;
+	/** Number of tasks of gangs whose places are kept here and free. */
+	int16_t n_kept_tasks;
 	/** Index of its rack; DFF_CORE_NONE when the pool does not declare the worker any more. */
 	int32_t rack;
 	enum dff_worker_state state;
@@ -439,7 +439,7 @@
 	GQueue kept_places;
 	/** struct dff_name * (owned by the job) to struct dff_core_kept_place *. */
 	GHashTable *kept_by_job;
-	/** Index of a worker with @n_kept above 0 to GArray * of struct kept_share. */
+	/** Index of a worker with @n_kept_tasks above 0 to GArray * of struct kept_share. */
 	GHashTable *kept_by_worker;
 	/** Commands since the last tick. */
 	GArray *pending;
--- a/core/kept_place.c
+++ b/core/kept_place.c
@@ -21,8 +21,10 @@
 struct dff_core_kept_place {
 	struct dff_core_job *job;
 	/** Number of @members that have ended and whose place is kept. */
-	int32_t n_freed;
+	int32_t n_freed_members;
 	int64_t until_ms;
+	/** Whether other work has taken a part of it. */
+	bool taken;
 	/** Link in the core's @kept_places. */
 	GList link;
 	/** One for each member of the gang. */
@@ -59,7 +61,7 @@
 static GArray *
 shares_on (const struct dff_core *core, const struct dff_core_worker *worker)
 {
-	if (worker->n_kept == 0)
+	if (worker->n_kept_tasks == 0)
 		return NULL;
 	return g_hash_table_lookup (core->kept_by_worker, worker_key (core, worker));
 }
@@ -73,8 +75,8 @@
 		shares = g_array_new (FALSE, TRUE, sizeof (struct kept_share));
 		g_hash_table_insert (core->kept_by_worker, worker_key (core, worker), shares);
 	}
-	worker->n_kept++;
-	place->n_freed++;
+	worker->n_kept_tasks++;
+	place->n_freed_members++;
 	for (guint i = 0; i < shares->len; i++) {
 		struct kept_share *share = &g_array_index (shares, struct kept_share, i);
 		if (share->place != place)
@@ -91,8 +93,8 @@
 {
 	struct dff_core_worker *worker = dff_core_worker_at (core, index);
 	GArray *shares = shares_on (core, worker);
-	worker->n_kept--;
-	place->n_freed--;
+	worker->n_kept_tasks--;
+	place->n_freed_members--;
 	for (guint i = 0; i < shares->len; i++) {
 		struct kept_share *share = &g_array_index (shares, struct kept_share, i);
 		if (share->place != place)
@@ -216,15 +218,15 @@
 }
 
 int32_t
-dff_core_kept_place_size (const struct dff_core *core, const struct dff_core_job *job)
+dff_core_kept_place_n_tasks (const struct dff_core *core, const struct dff_core_job *job)
 {
-	return job->keeps_place ? find_place (core, job)->n_freed : 0;
+	return job->keeps_place ? find_place (core, job)->n_freed_members : 0;
 }
 
 int32_t
-dff_core_kept_place_count (const struct dff_core *core,
-			   const struct dff_core_job *job,
-			   const struct dff_core_worker *worker)
+dff_core_kept_place_n_tasks_on (const struct dff_core *core,
+				const struct dff_core_job *job,
+				const struct dff_core_worker *worker)
 {
 	const GArray *shares = job->keeps_place ? shares_on (core, worker) : NULL;
 	for (guint i = 0; shares != NULL && i < shares->len; i++) {
@@ -343,7 +345,8 @@
 			continue;
 		drop_worker (core, place, worker);
 		dff_resources_add (&left, &keeper->per_task, n_members);
-		core->stats.kept_places_lost++;
+		core->stats.kept_places_lost += !place->taken;
+		place->taken = true;
 	}
 }
 
--- a/core/outcome.c
+++ b/core/outcome.c
@@ -78,7 +78,7 @@
 	struct dff_command *command = dff_core_emit (core, DFF_COMMAND_RECORD_RETRY, job);
 	command->backoff_ms = wait_ms;
 	dff_core_kept_place_retry (core, job, wait_ms);
-	command->n_kept = dff_core_kept_place_size (core, job);
+	command->n_kept_tasks = dff_core_kept_place_n_tasks (core, job);
 	if (input != NULL)
 		command->retry = *input;
 	dff_core_job_clear_attempt (job);
--- a/core/place.c
+++ b/core/place.c
@@ -121,7 +121,7 @@
 	int32_t level = dff_core_headroom_level (core, job);
 	if (!is_hypothetical (view) && !job->ignores_reservations &&
 	    dff_core_is_headroom (core, worker, level))
-		limit = MIN (limit, dff_core_kept_place_count (core, job, worker));
+		limit = MIN (limit, dff_core_kept_place_n_tasks_on (core, job, worker));
 	if (limit == 0)
 		return 0;
 	if (!is_hypothetical (view) &&
--- a/core/reclaim.c
+++ b/core/reclaim.c
@@ -359,8 +359,8 @@
 		int32_t before = 0;
 		for (int32_t j = 0; j < i; j++)
 			before += job->members[j].worker == worker;
-		count += before <
-			 dff_core_kept_place_count (core, job, dff_core_worker_at (core, worker));
+		count += before < dff_core_kept_place_n_tasks_on (
+					  core, job, dff_core_worker_at (core, worker));
 	}
 	return count;
 }
@@ -378,12 +378,12 @@
 	for (int32_t i = 0; i < job->gang; i++)
 		job->members[i].worker = workers[i];
 	dff_core_job_bind (core, job);
-	int32_t n_kept = members_in_kept_place (core, job);
-	core->stats.kept_places_used += n_kept > 0;
+	int32_t n_kept_tasks = members_in_kept_place (core, job);
+	core->stats.kept_places_used += n_kept_tasks > 0;
 	dff_core_kept_place_release (core, job);
 	dff_core_kept_places_yield (core, job);
 	if (fits_now (core, job, true))
-		dff_core_attempt_begin (core, job)->n_kept = n_kept;
+		dff_core_attempt_begin (core, job)->n_kept_tasks = n_kept_tasks;
 	else
 		reserve (core, job);
 }
--- a/holder/holder_tables.h
+++ b/holder/holder_tables.h
@@ -218,7 +218,7 @@
 	struct dff_name unit;
 	int32_t attempt;
 	/** Number of tasks that are placed where a place was kept for them. */
-	int32_t n_kept;
+	int32_t n_kept_tasks;
 	/** Time from the failure of the attempt before to this placement, ms; -1: none failed. */
 	int64_t retry_delay_ms;
 	/** Whether the current transaction covers it. */
--- a/holder/units.c
+++ b/holder/units.c
@@ -220,7 +220,7 @@
 	struct holder_ack ack = {
 		.unit = unit->name,
 		.attempt = command->attempt,
-		.n_kept = command->n_kept,
+		.n_kept_tasks = command->n_kept_tasks,
 		.retry_delay_ms =
 			unit->failed_ms > 0 ? holder_now_ms (holder) - unit->failed_ms : -1,
 	};
@@ -230,10 +230,10 @@
 	const struct dff_task *task = member_task (unit, 0);
 	dff_log (DFF_LOG_CELL, DFF_LOG_INFO,
 		 "Unit placed. unit=%s run=%d tasks=%d worker=%s waited_ms=%" PRId64
-		 " resumed=%d kept=%d",
+		 " resumed=%d kept_tasks=%d",
 		 unit->name.data, task->run, unit->n_members, task->worker.data,
 		 holder_now_ms (holder) - unit->job->added_ms, task->checkpoint != NULL,
-		 command->n_kept);
+		 command->n_kept_tasks);
 }
 
 void
@@ -241,7 +241,7 @@
 {
 	if (ack->retry_delay_ms >= 0)
 		dff_histogram_observe (holder->metrics.retry_delay, ack->retry_delay_ms);
-	(*holder->metrics.kept_tasks_used) += ack->n_kept;
+	(*holder->metrics.kept_tasks_used) += ack->n_kept_tasks;
 }
 
 static void
@@ -309,18 +309,18 @@
 	clear_assignment (holder, unit);
 	const struct dff_retry_input *retry = &command->retry;
 	/* A preempted attempt that keeps nothing was logged when it was stopped. */
-	if (retry->cause == DFF_RETRY_NONE && command->n_kept == 0)
+	if (retry->cause == DFF_RETRY_NONE && command->n_kept_tasks == 0)
 		return;
 	if (retry->cause != DFF_RETRY_NONE)
 		(*holder->metrics.retries[retry->cause])++;
-	(*holder->metrics.kept_tasks) += command->n_kept;
+	(*holder->metrics.kept_tasks) += command->n_kept_tasks;
 	dff_log (DFF_LOG_CELL, DFF_LOG_INFO,
 		 "Unit is retried. unit=%s run=%d attributed=%s failures=%d workers=%d "
-		 "prospect=%s slack_ms=%" PRId64 " backoff_ms=%" PRId64 " kept=%d",
+		 "prospect=%s slack_ms=%" PRId64 " backoff_ms=%" PRId64 " kept_tasks=%d",
 		 unit->name.data, unit->base_run + command->attempt,
 		 dff_retry_cause_name (retry->cause), retry->failures, retry->n_workers,
 		 dff_prospect_name (retry->objective.prospect), retry->objective.slack_ms,
-		 command->backoff_ms, command->n_kept);
+		 command->backoff_ms, command->n_kept_tasks);
 }
 
 static void
--- a/include/core/core.h
+++ b/include/core/core.h
@@ -227,7 +227,7 @@
 	int64_t backoff_ms;
 	/** With RECORD_RETRY: number of tasks whose places are kept for the next attempt. With
 	 * RECORD_START: number of tasks that are placed there. */
-	int32_t n_kept;
+	int32_t n_kept_tasks;
 	/** Stable code of why a job ends or a task is stopped ("never_runnable",
 	 * "attempts_exhausted", "worker_leaving", ...). Static. */
 	const char *reason;
--- a/tests/core/test-kept-place.c
+++ b/tests/core/test-kept-place.c
@@ -89,8 +89,8 @@
 			out, "%s%s", i > 0 ? "," : "",
 			g_array_index (command->placements, struct dff_placement, i).worker.data);
 	}
-	if (command->n_kept > 0)
-		g_string_append_printf (out, "/%d", command->n_kept);
+	if (command->n_kept_tasks > 0)
+		g_string_append_printf (out, "/%d", command->n_kept_tasks);
 }
 
 /* Advances the time and ticks once. Returns: the commands about records and stops, in order:
@@ -252,9 +252,8 @@
 	play_close (&play);
 }
 
-/* Guards against a poisonous gang that uses up capacity in a tight loop: it fails at once wherever
- * it starts. From the second failure on there is a wait, and it never has more failed attempts than
- * it is allowed. */
+/* Guards against a gang that fails wherever it runs and uses up capacity in a tight loop. From the
+ * second failure on there is a wait, and it never has more failed attempts than it is allowed. */
 static void
 test_no_tight_loop (void **state)
 {
@@ -308,7 +307,7 @@
 	expect (&play, 100, " g:retry job 500");
 	const struct dff_command *retry = &g_array_index (play.commands, struct dff_command, 0);
 	assert_int_equal (retry->retry.failures, 1);
-	assert_int_equal (retry->n_kept, 0);
+	assert_int_equal (retry->n_kept_tasks, 0);
 	play_close (&play);
 }
 
@@ -767,7 +766,7 @@
 	report (&play, DFF_EVENT_TASK_STOPPED, "g", 1, 1);
 	expect (&play, STOP_MS, " g:retry lost 0");
 	const struct dff_command *retry = &g_array_index (play.commands, struct dff_command, 0);
-	assert_int_equal (retry->n_kept, 1);
+	assert_int_equal (retry->n_kept_tasks, 1);
 	report (&play, DFF_EVENT_TASK_COMPLETED, "x", 1, 0);
 	expect (&play, 0, " x:end p@w2");
 	report (&play, DFF_EVENT_TASK_COMPLETED, "y", 1, 0);
