--- a/tests/core/test-kept-place.c
+++ b/tests/core/test-kept-place.c
@@ -319,20 +319,19 @@
 	(void)state;
 	static const struct {
 		const char *name;
+		const char *retry;
 		/** How the first member ends, how long after the start, and how long after that the
 		 * second one fails. */
 		enum dff_event_type first;
 		int ran_ms;
 		int later_ms;
-		const char *retry;
 		int quarantined;
 	} cases[] = {
-		{"lost late", DFF_EVENT_TASK_LOST, LATE_MS, 100, " g:retry job 500", 0},
-		{"lost early", DFF_EVENT_TASK_LOST, 300, 100, " g:retry job 500", 0},
-		{"failed late", DFF_EVENT_TASK_FAILED, LATE_MS, 100, " g:retry job 500", 0},
-		{"failed early", DFF_EVENT_TASK_FAILED, 300, 100, " g:retry worker 0", 1},
-		{"failed early, both at once", DFF_EVENT_TASK_FAILED, 300, 0, " g:retry worker 0",
-		 1},
+		{"lost late", " g:retry job 500", DFF_EVENT_TASK_LOST, LATE_MS, 100, 0},
+		{"lost early", " g:retry job 500", DFF_EVENT_TASK_LOST, 300, 100, 0},
+		{"failed late", " g:retry job 500", DFF_EVENT_TASK_FAILED, LATE_MS, 100, 0},
+		{"failed early", " g:retry worker 0", DFF_EVENT_TASK_FAILED, 300, 100, 1},
+		{"both at once", " g:retry worker 0", DFF_EVENT_TASK_FAILED, 300, 0, 1},
 	};
 	for (size_t i = 0; i < G_N_ELEMENTS (cases); i++) {
 		struct play play;
