--- a/core/core_private.h
+++ b/core/core_private.h
@@ -269,6 +269,8 @@
 
 /* kept_place.c */
 
+GHashTable *dff_core_kept_by_worker_new (void);
+
 /** Keeps the place of a gang that is about to be stopped because member @ended, already closed, has
  * not completed. */
 void dff_core_kept_place_open (struct dff_core *core, struct dff_core_job *job, int32_t ended);
@@ -284,12 +286,12 @@
 void dff_core_kept_place_release (struct dff_core *core, struct dff_core_job *job);
 
 /** Returns: the number of members of @job whose places are free and kept. */
-int32_t dff_core_kept_place_size (const struct dff_core *core, const struct dff_core_job *job);
+int32_t dff_core_kept_place_n_tasks (const struct dff_core *core, const struct dff_core_job *job);
 
-/** As dff_core_kept_place_size(), on one worker. */
-int32_t dff_core_kept_place_count (const struct dff_core *core,
-				   const struct dff_core_job *job,
-				   const struct dff_core_worker *worker);
+/** As dff_core_kept_place_n_tasks(), on one worker. */
+int32_t dff_core_kept_place_n_tasks_on (const struct dff_core *core,
+					const struct dff_core_job *job,
+					const struct dff_core_worker *worker);
 
 /** Whether @job may use the place that is kept for @keeper: it has a right to its accelerators, or
  * is urgent when the keeper is not. */
@@ -297,6 +299,9 @@
 				 const struct dff_core_job *keeper,
 				 const struct dff_core_job *job);
 
+/** Whether a place is kept for a gang of @team. */
+bool dff_core_kept_places_of_team (const struct dff_core *core, int32_t team);
+
 /** Returns: what is kept on a worker from @job. */
 struct dff_resources dff_core_kept_from (const struct dff_core *core,
 					 const struct dff_core_worker *worker,
@@ -331,8 +336,9 @@
 /** Updates the estimator with the run time of a completed job. */
 void dff_core_estimate_update (struct dff_core_job *job, int64_t run_ms);
 
-/** Whether jobs of the same team and service have completed. */
-bool dff_core_estimate_has_runs (const struct dff_core_job *job);
+/** Whether jobs of the same team and service have completed on other workers than @worker, at any
+ * time since the core was created. */
+bool dff_core_estimate_has_runs_elsewhere (const struct dff_core_job *job, int32_t worker);
 
 /** Estimates the run time of a job from past runs. */
 void dff_core_estimate (struct dff_core_job *job);
@@ -354,10 +360,15 @@
 
 /* quarantine.c */
 
-/** Handles a failure of a task of @job on a worker. Returns: whether it is attributed to the
- * worker: other work fails there too, or the failure came early in a run such as have completed
- * elsewhere. The worker is in quarantine then. */
-bool dff_core_note_failure (struct dff_core *core, struct dff_core_job *job, int32_t worker);
+/** Handles a failure of a task of @job on a worker. @follows: whether another task of the attempt
+ * ended before without completing. Returns: whether it is attributed to the worker: other work
+ * fails there too, or the failure came early in a run such as have completed elsewhere. The worker
+ * is in quarantine then. A failure that follows the end of another task shows nothing about its
+ * worker: the tasks of a gang fail when they lose one another. */
+bool dff_core_note_failure (struct dff_core *core,
+			    struct dff_core_job *job,
+			    int32_t worker,
+			    bool follows);
 
 /** Quarantines a worker whatever its history, unless too many workers are quarantined already. */
 void dff_core_worker_try_quarantine (struct dff_core *core, int32_t worker);
--- a/core/core_tables.h
+++ b/core/core_tables.h
@@ -11,9 +11,6 @@
 
 /** Time after which an unanswered STOP_TASK is sent again, ms. */
 #define DFF_CORE_STOP_REPEAT_MS 5000
-/** Backoff before a job is placed again after a refused record, ms: doubles up to a limit. */
-#define DFF_CORE_RETRY_MIN_MS 250
-#define DFF_CORE_RETRY_MAX_MS 15000
 /** Number of attempts that end proven not started before the job is ended. */
 #define DFF_CORE_START_FAILURES_MAX 8
 /** Time after which a reservation is cancelled when its victims have not ended, ms. */
@@ -42,8 +39,8 @@
 
 struct dff_core_worker {
 	struct dff_name name;
-	/** Number of free places that are kept here for members of gangs. */
-	int16_t n_kept;
+	/** Number of tasks of gangs whose places are kept here and free. */
+	int16_t n_kept_tasks;
 	/** Index of its rack; DFF_CORE_NONE when the pool does not declare the worker any more. */
 	int32_t rack;
 	enum dff_worker_state state;
@@ -213,6 +210,8 @@
 	bool ran;
 	/** Whether its failure is attributed to its worker. */
 	bool attributed;
+	/** Whether it failed after another member had ended without completing. */
+	bool follows;
 };
 
 /** Why an attempt is stopped early. */
@@ -440,6 +439,10 @@
 	GQueue delayed;
 	/** Elements: struct dff_core_kept_place *. */
 	GQueue kept_places;
+	/** struct dff_name * (owned by the job) to struct dff_core_kept_place *. */
+	GHashTable *kept_by_job;
+	/** Index of a worker with @n_kept_tasks above 0 to GArray * of struct kept_share. */
+	GHashTable *kept_by_worker;
 	/** Commands since the last tick. */
 	GArray *pending;
 	/** Whether something may be placed that could not be placed before. */
--- a/core/lifecycle.c
+++ b/core/lifecycle.c
@@ -5,6 +5,8 @@
 /** Progress from which the total duration is projected, percent. A smaller one consists mostly of
  * the time until the task began. */
 #define PROGRESS_MIN 8
+/** Longest backoff after a refused record, ms. */
+#define REFUSED_BACKOFF_MAX_MS 15000
 
 /* The state machine of attempts. The next tick returns the commands in core->pending. */
 
@@ -234,9 +236,9 @@
 	}
 	/* A store that refuses one record probably refuses the next. Without a backoff the same job
 	 * would be placed and refused at every tick and keep its workers from others. */
-	int64_t wait_ms = (int64_t)DFF_CORE_RETRY_MIN_MS << MIN (job->refusals, 6);
+	int64_t wait_ms = dff_retry_doubling_ms (job->refusals);
 	job->refusals++;
-	dff_core_delay (core, job, MIN (wait_ms, DFF_CORE_RETRY_MAX_MS));
+	dff_core_delay (core, job, MIN (wait_ms, REFUSED_BACKOFF_MAX_MS));
 }
 
 void
@@ -364,6 +366,19 @@
 	return false;
 }
 
+/* Whether a member of the attempt has ended without completing. */
+static bool
+has_lost_member (const struct dff_core_job *job)
+{
+	for (int32_t i = 0; i < job->gang; i++) {
+		enum dff_core_member_state state = job->members[i].state;
+		if (state == DFF_CORE_MEMBER_FAILED || state == DFF_CORE_MEMBER_LOST ||
+		    state == DFF_CORE_MEMBER_START_FAILED)
+			return true;
+	}
+	return false;
+}
+
 static void
 update_health (struct dff_core *core,
 	       struct dff_core_job *job,
@@ -372,9 +387,11 @@
 {
 	if (state == DFF_CORE_MEMBER_COMPLETED)
 		dff_core_note_success (core, member->worker, start_ms (core, job));
-	if (state == DFF_CORE_MEMBER_FAILED || state == DFF_CORE_MEMBER_START_FAILED)
-		member->attributed = dff_core_note_failure (core, job, member->worker) ||
-				     is_attributed_already (job, member->worker);
+	if (state != DFF_CORE_MEMBER_FAILED && state != DFF_CORE_MEMBER_START_FAILED)
+		return;
+	member->follows = has_lost_member (job);
+	member->attributed = dff_core_note_failure (core, job, member->worker, member->follows) ||
+			     is_attributed_already (job, member->worker);
 }
 
 static void
--- a/include/core/retry.h
+++ b/include/core/retry.h
@@ -13,7 +13,7 @@
 enum dff_retry_cause {
 	/** No task failed: the attempt was preempted, or nothing ran. */
 	DFF_RETRY_NONE,
-	/** Tasks failed, each on a worker on which other work fails too. */
+	/** Tasks failed, and workers are shown to be at fault for those that failed first. */
 	DFF_RETRY_WORKER,
 	/** Tasks failed, and nothing shows that a worker is at fault. */
 	DFF_RETRY_JOB,
@@ -21,13 +21,16 @@
 	DFF_RETRY_LOST,
 };
 
-/** Smallest backoff after a failure that is not attributed to a worker, and after any failure of a
- * job from its second one on, ms. */
+/** Smallest backoff after a refused record or start, and after a job's second and later failures,
+ * ms. */
 #define DFF_RETRY_MIN_MS 250
+/** Number of different workers up to which the failures of one job may count against them. */
+#define DFF_RETRY_BLAMED_WORKERS_MAX 2
 
 struct dff_retry_input {
 	enum dff_retry_cause cause;
-	/** Number of the job's failed attempts, this one included. */
+	/** Number of the job's attempts in which a task failed; with DFF_RETRY_WORKER and
+	 * DFF_RETRY_JOB this one included. */
 	int32_t failures;
 	/** Number of different workers on which the job has failed. */
 	int32_t n_workers;
@@ -35,15 +38,16 @@
 	struct dff_objective_assessment objective;
 };
 
-/** Returns: the backoff after a failed attempt, ms, by the number of the job's failures alone:
- * doubled for each one up to a limit. */
+/** Returns: DFF_RETRY_MIN_MS, doubled for each failure up to a limit: the backoff by the number of
+ * failures alone, ms. */
 int64_t dff_retry_doubling_ms (int32_t failures);
 
 /**
  * dff_retry_backoff_ms:
  *
  * Returns: the time from the end of the attempt until the job is queued again, ms. Never more than
- * dff_retry_doubling_ms(), and never 0 from the second failure on.
+ * dff_retry_doubling_ms(); 0 with DFF_RETRY_NONE and DFF_RETRY_LOST. With the other causes at least
+ * DFF_RETRY_MIN_MS from the second failure on.
  */
 int64_t dff_retry_backoff_ms (const struct dff_retry_input *input);
 
--- a/tests/core/test-kept-place.c
+++ b/tests/core/test-kept-place.c
@@ -1,4 +1,5 @@
 #include <string.h>
+#include <time.h>
 
 #include "core_fixture.h"
 
@@ -32,6 +33,7 @@
 	options.early_failure_share = 0.1;
 	options.retry_by_cause = true;
 	options.keep_places = true;
+	options.headroom_decay_ms = 10000;
 	*play = (struct play){.core = dff_core_new (&options), .now_ms = 1000};
 	play->commands = g_array_new (FALSE, TRUE, sizeof (struct dff_command));
 	fixture_pool_init (&play->pool, n_racks, PER_RACK, ACCELERATORS);
@@ -87,8 +89,8 @@
 			out, "%s%s", i > 0 ? "," : "",
 			g_array_index (command->placements, struct dff_placement, i).worker.data);
 	}
-	if (command->n_kept > 0)
-		g_string_append_printf (out, "/%d", command->n_kept);
+	if (command->n_kept_tasks > 0)
+		g_string_append_printf (out, "/%d", command->n_kept_tasks);
 }
 
 /* Advances the time and ticks once. Returns: the commands about records and stops, in order:
@@ -139,16 +141,18 @@
 	expect (play, 0, "");
 }
 
-/* Runs a job to its end, so that runs like those of the other jobs are known to complete. */
+/* Runs a gang to its end on two workers, so that runs like those of the other jobs are known to
+ * complete elsewhere than on any one worker. */
 static void
 complete_one (struct play *play)
 {
-	struct dff_job_spec spec = whole_workers ("first", 1);
+	struct dff_job_spec spec = whole_workers ("first", 2);
 	submit (play, &spec);
-	g_string_free (advance (play, 0), TRUE);
-	run_attempt (play, "first", 1, 1);
+	expect (play, 0, " first@w0,w1");
+	run_attempt (play, "first", 1, 2);
 	play->now_ms += 60000;
-	report (play, DFF_EVENT_TASK_COMPLETED, "first", 1, 0);
+	for (int i = 0; i < 2; i++)
+		report (play, DFF_EVENT_TASK_COMPLETED, "first", 1, i);
 	expect (play, 0, " first:end");
 	report (play, DFF_EVENT_OUTCOME_RECORDED, "first", 1, 0);
 }
@@ -174,6 +178,28 @@
 	report (play, DFF_EVENT_TASK_FAILED, gang->id.data, 1, 0);
 }
 
+/* Guards against blaming a worker because runs have completed on that very worker: they show
+ * nothing about other workers. */
+static void
+test_attribution_needs_runs_elsewhere (void **state)
+{
+	(void)state;
+	struct play play;
+	play_open (&play, 1);
+	fixture_worker_state (play.core, "w1", DFF_WORKER_DOWN);
+	struct dff_job_spec first = whole_workers ("first", 1);
+	submit (&play, &first);
+	expect (&play, 0, " first@w0");
+	run_attempt (&play, "first", 1, 1);
+	play.now_ms += 60000;
+	report (&play, DFF_EVENT_TASK_COMPLETED, "first", 1, 0);
+	expect (&play, 0, " first:end");
+	occupy (&play, "x", " x@w0");
+	report (&play, DFF_EVENT_TASK_FAILED, "x", 1, 0);
+	expect (&play, 300, " x:retry job 500");
+	play_close (&play);
+}
+
 /* Guards against a gang that waits because of a faulty worker: the other member is stopped in the
  * tick in which the failure is known, and the next attempt is decided in the tick in which that
  * member has ended, elsewhere. */
@@ -226,9 +252,8 @@
 	play_close (&play);
 }
 
-/* Guards against a poisonous gang that uses up capacity in a tight loop: it fails at once wherever
- * it starts. From the second failure on there is a wait, and it never has more failed attempts than
- * it is allowed. */
+/* Guards against a gang that fails wherever it runs and uses up capacity in a tight loop. From the
+ * second failure on there is a wait, and it never has more failed attempts than it is allowed. */
 static void
 test_no_tight_loop (void **state)
 {
@@ -282,10 +307,88 @@
 	expect (&play, 100, " g:retry job 500");
 	const struct dff_command *retry = &g_array_index (play.commands, struct dff_command, 0);
 	assert_int_equal (retry->retry.failures, 1);
-	assert_int_equal (retry->n_kept, 0);
+	assert_int_equal (retry->n_kept_tasks, 0);
 	play_close (&play);
 }
 
+/* Guards against blaming workers for tasks that fail because they lost another task of their gang,
+ * however long they ran or soon after the start. The worker of the second member stays in use. */
+static void
+test_failure_after_another_end (void **state)
+{
+	(void)state;
+	static const struct {
+		const char *name;
+		const char *retry;
+		/** How the first member ends, how long after the start, and how long after that the
+		 * second one fails. */
+		enum dff_event_type first;
+		int ran_ms;
+		int later_ms;
+		int quarantined;
+	} cases[] = {
+		{"lost late", " g:retry job 500", DFF_EVENT_TASK_LOST, LATE_MS, 100, 0},
+		{"lost early", " g:retry job 500", DFF_EVENT_TASK_LOST, 300, 100, 0},
+		{"failed late", " g:retry job 500", DFF_EVENT_TASK_FAILED, LATE_MS, 100, 0},
+		{"failed early", " g:retry worker 0", DFF_EVENT_TASK_FAILED, 300, 100, 1},
+		{"both at once", " g:retry worker 0", DFF_EVENT_TASK_FAILED, 300, 0, 1},
+	};
+	for (size_t i = 0; i < G_N_ELEMENTS (cases); i++) {
+		struct play play;
+		play_open (&play, 2);
+		complete_one (&play);
+		struct dff_job_spec gang = whole_workers ("g", 2);
+		submit (&play, &gang);
+		expect (&play, 0, " g@w0,w1");
+		run_attempt (&play, "g", 1, 2);
+		play.now_ms += cases[i].ran_ms;
+		report (&play, cases[i].first, "g", 1, 0);
+		expect (&play, 0, " g:stop");
+		play.now_ms += cases[i].later_ms;
+		report (&play, DFF_EVENT_TASK_FAILED, "g", 1, 1);
+		g_autoptr (GString) got = advance (&play, 0);
+		if (!g_str_has_prefix (got->str, cases[i].retry))
+			fail_msg ("%s: \"%s\"", cases[i].name, got->str);
+		struct dff_core_stats stats;
+		dff_core_get_stats (play.core, &stats);
+		if (stats.workers_quarantined != cases[i].quarantined)
+			fail_msg ("%s: %d in quarantine", cases[i].name,
+				  (int)stats.workers_quarantined);
+		play_close (&play);
+	}
+}
+
+/* Guards against a failure that counts as early although the run was long, because the attempt is
+ * being stopped or saves a checkpoint when the task fails. */
+static void
+test_late_failure_while_stopping (void **state)
+{
+	(void)state;
+	static const enum dff_event_type orders[] = {DFF_EVENT_TASK_CHECKPOINTED,
+						     DFF_EVENT_TASK_FAILED};
+	for (size_t i = 0; i < G_N_ELEMENTS (orders); i++) {
+		struct play play;
+		play_open (&play, 1);
+		complete_one (&play);
+		occupy (&play, "y", " y@w0");
+		occupy (&play, "x", " x@w1");
+		play.now_ms += LATE_MS;
+		struct dff_job_spec urgent = whole_workers ("p", 2);
+		urgent.urgent = true;
+		submit (&play, &urgent);
+		g_string_free (advance (&play, 0), TRUE);
+		report (&play, orders[i], "x", 1, 0);
+		g_string_free (advance (&play, 0), TRUE);
+		report (&play, DFF_EVENT_TASK_FAILED, "x", 1, 0);
+		g_string_free (advance (&play, 0), TRUE);
+		struct dff_core_stats stats;
+		dff_core_get_stats (play.core, &stats);
+		assert_int_equal (stats.preemptions, 2);
+		assert_int_equal (stats.workers_quarantined, 0);
+		play_close (&play);
+	}
+}
+
 /* Guards against other work taking the workers that a gang's members leave one after the other. It
  * gets the one on which the member failed, and others that come free. */
 static void
@@ -439,6 +542,271 @@
 	}
 }
 
+/* Guards against a team's assured work that is skipped because work of the keeper's own team, alike
+ * and ranked before it, may not take the kept place. */
+static void
+test_other_team_is_tried_after_own (void **state)
+{
+	(void)state;
+	struct play play;
+	play_open (&play, 1);
+	for (guint j = 0; j < play.pool.teams->len; j++)
+		g_array_index (play.pool.teams, struct dff_team, j).assured_accelerators =
+			4 * ACCELERATORS;
+	dff_core_set_pool (play.core, &play.pool, play.now_ms);
+	struct dff_job_spec gang = whole_workers ("g", 2);
+	gang.urgent = true;
+	lose_first_member (&play, &gang, " g@w0,w1");
+	expect (&play, 0, " g:stop");
+	struct dff_job_spec occupant = whole_workers ("x", 1);
+	occupant.urgent = true;
+	submit (&play, &occupant);
+	expect (&play, 0, " x@w0");
+	run_attempt (&play, "x", 1, 1);
+	report (&play, DFF_EVENT_TASK_STOPPED, "g", 1, 1);
+	expect (&play, STOP_MS, " g:retry job 500");
+	struct dff_job_spec own = whole_workers ("p", 1);
+	own.urgent = true;
+	/* Shorter work is ranked first. */
+	own.declared_ms = 5000;
+	submit (&play, &own);
+	struct dff_job_spec other = whole_workers ("q", 1);
+	other.team = dff_name_from ("b");
+	other.urgent = true;
+	submit (&play, &other);
+	expect (&play, 0, " q@w1");
+	play_close (&play);
+}
+
+/** Pool, gangs and queued work of test_cost_of_many_kept_places(). */
+#define LARGE_RACKS 3000
+#define LARGE_GANGS 120
+#define LARGE_GANG 40
+#define LARGE_TAKERS 4
+/** Limit of the processor time of one tick, ms. */
+#define TICK_MAX_MS 30
+
+static double
+processor_ms (void)
+{
+	return (double)clock () * 1000.0 / CLOCKS_PER_SEC;
+}
+
+/* Starts the gangs on all workers that are up, and lets the first member of each fail. */
+static void
+keep_many_places (struct play *play)
+{
+	for (int i = 0; i < LARGE_GANGS; i++) {
+		struct dff_name id = dff_name_printf ("g%d", i);
+		struct dff_job_spec gang = whole_workers (id.data, LARGE_GANG);
+		submit (play, &gang);
+	}
+	g_string_free (advance (play, 0), TRUE);
+	play->now_ms += LATE_MS;
+	for (int i = 0; i < LARGE_GANGS; i++) {
+		struct dff_name id = dff_name_printf ("g%d", i);
+		report (play, DFF_EVENT_ATTEMPT_RECORDED, id.data, 1, 0);
+		for (int j = 0; j < LARGE_GANG; j++)
+			report (play, DFF_EVENT_TASK_STARTED, id.data, 1, j);
+		report (play, DFF_EVENT_TASK_FAILED, id.data, 1, 0);
+		for (int j = 1; j < LARGE_GANG; j++)
+			report (play, DFF_EVENT_TASK_STOPPED, id.data, 1, j);
+	}
+}
+
+/* Guards against a search for a place whose cost grows with the number of kept places and their
+ * members: with 6,000 workers and places for dozens of gangs, a tick in which wide gangs of another
+ * team find no place takes a few milliseconds. */
+static void
+test_cost_of_many_kept_places (void **state)
+{
+	(void)state;
+	struct play play;
+	play_open (&play, LARGE_RACKS);
+	for (int i = LARGE_GANGS * LARGE_GANG; i < LARGE_RACKS * PER_RACK; i++) {
+		g_autofree char *worker = g_strdup_printf ("w%d", i);
+		fixture_worker_state (play.core, worker, DFF_WORKER_DOWN);
+	}
+	keep_many_places (&play);
+	/* The gangs wait for their backoff: no place is used meanwhile. */
+	double worst_ms = 0.0;
+	for (int i = 0; i < LARGE_TAKERS; i++) {
+		struct dff_name id = dff_name_printf ("p%d", i);
+		struct dff_job_spec taker = whole_workers (id.data, 4 * LARGE_GANG + i);
+		taker.team = dff_name_from ("b");
+		submit (&play, &taker);
+		double before_ms = processor_ms ();
+		dff_core_tick (play.core, play.now_ms, play.commands);
+		worst_ms = MAX (worst_ms, processor_ms () - before_ms);
+	}
+	struct dff_core_stats stats;
+	dff_core_get_stats (play.core, &stats);
+	print_message ("kept places: %d, processor time of a tick: %.1f ms\n",
+		       (int)stats.kept_places, worst_ms);
+	assert_int_equal (stats.kept_places, LARGE_GANGS);
+	assert_int_equal (stats.kept_places_used, 0);
+	assert_true (worst_ms < TICK_MAX_MS);
+	play_close (&play);
+}
+
+/* Guards against the loss of a kept place that is not in the way: urgent work takes a worker whose
+ * accelerators other work holds, and the kept task needs none. */
+static void
+test_place_that_is_not_in_the_way (void **state)
+{
+	(void)state;
+	struct play play;
+	play_open (&play, 1);
+	struct dff_job_spec gang = whole_workers ("g", 2);
+	gang.per_task.accelerators = 0;
+	gang.spread_group = dff_name_from ("s");
+	gang.per_worker = 1;
+	submit (&play, &gang);
+	expect (&play, 0, " g@w0,w1");
+	run_attempt (&play, "g", 1, 2);
+	static const char *const occupants[] = {"y", "x"};
+	static const char *const starts[] = {" y@w0", " x@w1"};
+	for (size_t i = 0; i < G_N_ELEMENTS (occupants); i++) {
+		struct dff_job_spec spec = whole_workers (occupants[i], 1);
+		spec.checkpoint = false;
+		submit (&play, &spec);
+		expect (&play, 0, starts[i]);
+		run_attempt (&play, occupants[i], 1, 1);
+		play.now_ms += LATE_MS;
+	}
+	report (&play, DFF_EVENT_TASK_FAILED, "g", 1, 0);
+	expect (&play, 0, " g:stop");
+	report (&play, DFF_EVENT_TASK_STOPPED, "g", 1, 1);
+	expect (&play, 0, " g:retry job 500");
+	struct dff_job_spec urgent = whole_workers ("p", 1);
+	urgent.team = dff_name_from ("b");
+	urgent.urgent = true;
+	submit (&play, &urgent);
+	/* Less work is lost with x than with y. */
+	expect (&play, 0, " x:stop");
+	report (&play, DFF_EVENT_TASK_STOPPED, "x", 1, 0);
+	expect (&play, STOP_MS, " x:retry none 0 p@w1");
+	expect (&play, FIRST_BACKOFF_MS - STOP_MS, " g@w0,w1/1");
+	struct dff_core_stats stats;
+	dff_core_get_stats (play.core, &stats);
+	assert_int_equal (stats.kept_places_lost, 0);
+	play_close (&play);
+}
+
+/* Guards against one kept task that opens a whole worker of the headroom to its gang: the gang gets
+ * no more of such a worker than is kept there for it. */
+static void
+test_headroom_beside_kept_place (void **state)
+{
+	(void)state;
+	static const char *const occupants[] = {"x1", "x2", "y1", "y2", "v1", "v2", "z"};
+	static const char *const gone[] = {"y2", "v1", "v2"};
+	struct play play;
+	play_open (&play, 2);
+	for (size_t i = 0; i < G_N_ELEMENTS (occupants); i++) {
+		struct dff_job_spec spec = whole_workers (occupants[i], 1);
+		spec.per_task.accelerators = ACCELERATORS / 2;
+		spec.urgent = true;
+		submit (&play, &spec);
+		g_string_free (advance (&play, 0), TRUE);
+		run_attempt (&play, occupants[i], 1, 1);
+	}
+	for (size_t i = 0; i < G_N_ELEMENTS (gone); i++)
+		report (&play, DFF_EVENT_TASK_COMPLETED, gone[i], 1, 0);
+	expect (&play, 0, " y2:end v1:end v2:end");
+	struct dff_job_spec gang = whole_workers ("g", 4);
+	gang.per_task.accelerators = ACCELERATORS / 2;
+	gang.priority = 2;
+	submit (&play, &gang);
+	expect (&play, 0, " g@w1,w3,w2,w2");
+	run_attempt (&play, "g", 1, 4);
+	/* Work of the highest priority that waits: w2 and w3 become its headroom. */
+	struct dff_job_spec waiting = whole_workers ("p", 4);
+	waiting.region = dff_name_from ("region0");
+	waiting.weight = 0.001;
+	submit (&play, &waiting);
+	expect (&play, LATE_MS, "");
+	report (&play, DFF_EVENT_TASK_FAILED, "g", 1, 2);
+	expect (&play, 0, " g:stop g:stop g:stop");
+	report (&play, DFF_EVENT_TASK_STOPPED, "g", 1, 0);
+	report (&play, DFF_EVENT_TASK_STOPPED, "g", 1, 1);
+	report (&play, DFF_EVENT_TASK_STOPPED, "g", 1, 3);
+	expect (&play, STOP_MS, " g:retry job 500");
+	report (&play, DFF_EVENT_TASK_COMPLETED, "x1", 1, 0);
+	report (&play, DFF_EVENT_TASK_COMPLETED, "z", 1, 0);
+	/* One task fits on w0, w1 and w3 each. */
+	expect (&play, FIRST_BACKOFF_MS, " x1:end z:end");
+	report (&play, DFF_EVENT_TASK_COMPLETED, "x2", 1, 0);
+	expect (&play, 0, " x2:end g@w1,w0,w0,w3/2");
+	play_close (&play);
+}
+
+/* Guards against other work, which waited longer, taking the place of a gang that lost a member
+ * with its worker. The gang is queued without a wait and placed where its other member ran. */
+static void
+test_lost_member (void **state)
+{
+	(void)state;
+	struct play play;
+	play_open (&play, 2);
+	struct dff_job_spec gang = whole_workers ("g", 2);
+	submit (&play, &gang);
+	expect (&play, 0, " g@w0,w1");
+	run_attempt (&play, "g", 1, 2);
+	occupy (&play, "x", " x@w2");
+	occupy (&play, "y", " y@w3");
+	struct dff_job_spec waiting = whole_workers ("p", 1);
+	waiting.team = dff_name_from ("b");
+	submit (&play, &waiting);
+	expect (&play, LATE_MS, "");
+	fixture_worker_state (play.core, "w0", DFF_WORKER_DOWN);
+	report (&play, DFF_EVENT_TASK_LOST, "g", 1, 0);
+	expect (&play, 0, " g:stop");
+	report (&play, DFF_EVENT_TASK_STOPPED, "g", 1, 1);
+	expect (&play, STOP_MS, " g:retry lost 0");
+	const struct dff_command *retry = &g_array_index (play.commands, struct dff_command, 0);
+	assert_int_equal (retry->n_kept_tasks, 1);
+	report (&play, DFF_EVENT_TASK_COMPLETED, "x", 1, 0);
+	expect (&play, 0, " x:end p@w2");
+	report (&play, DFF_EVENT_TASK_COMPLETED, "y", 1, 0);
+	expect (&play, 0, " y:end g@w1,w3/1");
+	play_close (&play);
+}
+
+/* Guards against a reservation that takes a kept place, and a kept place that delays a reserved
+ * job. */
+static void
+test_place_beside_reservation (void **state)
+{
+	(void)state;
+	struct play play;
+	play_open (&play, 2);
+	struct dff_job_spec gang = whole_workers ("g", 2);
+	gang.urgent = true;
+	submit (&play, &gang);
+	expect (&play, 0, " g@w0,w1");
+	run_attempt (&play, "g", 1, 2);
+	struct dff_job_spec occupant = whole_workers ("x", 2);
+	occupant.checkpoint = false;
+	submit (&play, &occupant);
+	expect (&play, 0, " x@w2,w3");
+	run_attempt (&play, "x", 1, 2);
+	struct dff_job_spec urgent = whole_workers ("p", 2);
+	urgent.team = dff_name_from ("b");
+	urgent.urgent = true;
+	submit (&play, &urgent);
+	expect (&play, LATE_MS, " x:stop x:stop");
+	report (&play, DFF_EVENT_TASK_FAILED, "g", 1, 0);
+	expect (&play, 0, " g:stop");
+	report (&play, DFF_EVENT_TASK_STOPPED, "g", 1, 1);
+	expect (&play, 0, " g:retry job 500");
+	report (&play, DFF_EVENT_TASK_STOPPED, "x", 1, 0);
+	report (&play, DFF_EVENT_TASK_STOPPED, "x", 1, 1);
+	expect (&play, STOP_MS, " x:retry none 0 p@w2,w3");
+	expect (&play, FIRST_BACKOFF_MS - STOP_MS, " g@w0,w1/1");
+	play_close (&play);
+}
+
 /* A takeover between the failure and the next attempt: the new core knows the number of failed
  * attempts on record, and the next failure counts as the second. */
 static void
@@ -496,12 +864,21 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test (test_failing_worker_does_not_delay),
 		cmocka_unit_test (test_attribution_needs_other_runs),
+		cmocka_unit_test (test_attribution_needs_runs_elsewhere),
 		cmocka_unit_test (test_no_tight_loop),
 		cmocka_unit_test (test_several_members_fail),
+		cmocka_unit_test (test_failure_after_another_end),
+		cmocka_unit_test (test_late_failure_while_stopping),
 		cmocka_unit_test (test_next_attempt_uses_place),
 		cmocka_unit_test (test_place_is_released),
 		cmocka_unit_test (test_place_is_released_when_stop_hangs),
 		cmocka_unit_test (test_who_takes_kept_place),
+		cmocka_unit_test (test_other_team_is_tried_after_own),
+		cmocka_unit_test (test_lost_member),
+		cmocka_unit_test (test_place_beside_reservation),
+		cmocka_unit_test (test_place_that_is_not_in_the_way),
+		cmocka_unit_test (test_headroom_beside_kept_place),
+		cmocka_unit_test (test_cost_of_many_kept_places),
 		cmocka_unit_test (test_takeover_before_next_attempt),
 		cmocka_unit_test (test_refused_record_of_next_attempt),
 	};
