holder: the size of a recorded speed is that of its encoded entry

Cause: entry_size repeated the JSON format of an entry by hand; a change of one alone would have made the row too large or too small. Change: entries are encoded once, measured, and dropped from the first one on that does not fit.

--- a/holder/speeds.c
+++ b/holder/speeds.c
@@ -95,41 +95,37 @@
 	return (json_int_t)lround ((double)variance * VARIANCE_PARTS);
 }
 
-/* Returns: the size of an entry in the row, bytes. */
-static size_t
-entry_size (const struct speeds_entry *entry)
+static json_t *
+encode_entry (const struct speeds_entry *entry)
 {
-	int length =
-		g_snprintf (NULL, 0, "[\"%s\",%" G_GINT64_FORMAT ",%d,%" JSON_INTEGER_FORMAT "],",
-			    entry->duration.worker.data, entry->started_ms,
-			    entry->duration.relative, encode_weight (entry->duration.weight));
-	return (size_t)length;
+	return json_pack ("[s, I, i, I]", entry->duration.worker.data,
+			  (json_int_t)entry->started_ms, entry->duration.relative,
+			  encode_weight (entry->duration.weight));
 }
 
-/* Drops the entries from the first one on that does not fit into the row. */
-static void
-truncate_entries (struct speeds_row *row)
+/* Returns: the size of an encoded entry and its comma in the row, bytes. */
+static size_t
+encoded_size (const json_t *item)
 {
-	size_t bytes = FRAME_BYTES;
-	for (guint i = 0; i < row->entries->len; i++) {
-		bytes += entry_size (entry_at (row, i));
-		if (bytes <= ROW_BYTES_MAX)
-			continue;
-		g_array_set_size (row->entries, i);
-		return;
-	}
+	return json_dumpb (item, NULL, 0, JSON_COMPACT) + 1;
 }
 
+/* Returns: (transfer full): the entries as JSON. Drops those from the first one on that does not
+ * fit into the row. */
 static json_t *
-encode_entries (const struct speeds_row *row)
+encode_entries (struct speeds_row *row)
 {
 	json_t *workers = json_array ();
+	size_t bytes = FRAME_BYTES;
 	for (guint i = 0; i < row->entries->len; i++) {
-		const struct speeds_entry *entry = entry_at (row, i);
-		json_array_append_new (
-			workers, json_pack ("[s, I, i, I]", entry->duration.worker.data,
-					    (json_int_t)entry->started_ms, entry->duration.relative,
-					    encode_weight (entry->duration.weight)));
+		json_t *item = encode_entry (entry_at (row, i));
+		bytes += encoded_size (item);
+		if (bytes > ROW_BYTES_MAX) {
+			json_decref (item);
+			g_array_set_size (row->entries, i);
+			break;
+		}
+		json_array_append_new (workers, item);
 	}
 	return workers;
 }
@@ -138,7 +134,6 @@
 speeds_encode (struct speeds_row *row)
 {
 	g_array_sort (row->entries, compare_entries);
-	truncate_entries (row);
 	return dff_json_print (json_pack (
 		"{s:I, s:I, s:I, s:o}", "written_ms", (json_int_t)row->written_ms,
 		"worker_variance", encode_variance (row->variances.workers), "task_variance",
