holder: metrics are opened by subject

Cause: open_metrics had grown to about 110 lines. Change: a function each for the counters of runs, retries, the store, workers, speeds and jobs, for the gauges and for the histograms. Names and texts are as before; histograms keep their order.

--- a/holder/holder.c
+++ b/holder/holder.c
@@ -127,7 +127,7 @@
 }
 
 static void
-open_metrics (struct dff_holder *holder)
+open_run_counters (struct dff_holder *holder)
 {
 	struct dff_metrics *metrics = holder->options.metrics;
 	static const char *const end_names[DFF_RUN_GANG_TIMEOUT + 1] = {
@@ -141,6 +141,47 @@
 	for (size_t i = 0; i < G_N_ELEMENTS (end_names); i++)
 		holder->metrics.ends[i] = dff_metrics_counter (metrics, end_names[i],
 							       "Runs whose end a worker listed.");
+	holder->metrics.starts =
+		dff_metrics_counter (metrics, "dff_holder_starts_total", "Starts sent to workers.");
+	holder->metrics.starts_rejected = dff_metrics_counter (
+		metrics, "dff_holder_starts_rejected_total", "Starts that a worker rejected.");
+	holder->metrics.starts_withdrawn =
+		dff_metrics_counter (metrics, "dff_holder_starts_withdrawn_total",
+				     "Recorded starts withdrawn because of an evacuation.");
+	holder->metrics.units_stopped = dff_metrics_counter (
+		metrics, "dff_holder_units_stopped_total", "Units told to stop before their end.");
+	holder->metrics.runs_lost = dff_metrics_counter (metrics, "dff_holder_runs_lost_total",
+							 "Runs that ended with their worker.");
+	holder->metrics.orphans = dff_metrics_counter (metrics, "dff_holder_strays_total",
+						       "Runs that workers list and no record has.");
+}
+
+static void
+open_retry_counters (struct dff_holder *holder)
+{
+	struct dff_metrics *metrics = holder->options.metrics;
+	static const char *const retry_names[DFF_RETRY_LOST + 1] = {
+		[DFF_RETRY_WORKER] = "dff_holder_retries_total{cause=\"worker\"}",
+		[DFF_RETRY_JOB] = "dff_holder_retries_total{cause=\"job\"}",
+		[DFF_RETRY_LOST] = "dff_holder_retries_total{cause=\"lost\"}",
+	};
+	for (size_t i = DFF_RETRY_WORKER; i < G_N_ELEMENTS (retry_names); i++) {
+		holder->metrics.retries[i] = dff_metrics_counter (
+			metrics, retry_names[i],
+			"Attempts with a failed or lost task that are followed by another.");
+	}
+	holder->metrics.kept_tasks = dff_metrics_counter (
+		metrics, "dff_holder_kept_tasks_total",
+		"Tasks of gangs that lost a member whose places were kept for the next attempt.");
+	holder->metrics.kept_tasks_used =
+		dff_metrics_counter (metrics, "dff_holder_kept_tasks_used_total",
+				     "Tasks that were placed where a place was kept for them.");
+}
+
+static void
+open_store_counters (struct dff_holder *holder)
+{
+	struct dff_metrics *metrics = holder->options.metrics;
 	holder->metrics.takeovers = dff_metrics_counter (metrics, "dff_holder_takeovers_total",
 							 "Times that this process took the cell.");
 	holder->metrics.commits = dff_metrics_counter (metrics, "dff_holder_commits_total",
@@ -151,19 +192,18 @@
 	holder->metrics.commit_conflicts =
 		dff_metrics_counter (metrics, "dff_holder_commit_conflicts_total",
 				     "Transactions that found the holder's row changed.");
-	holder->metrics.starts =
-		dff_metrics_counter (metrics, "dff_holder_starts_total", "Starts sent to workers.");
-	holder->metrics.starts_rejected = dff_metrics_counter (
-		metrics, "dff_holder_starts_rejected_total", "Starts that a worker rejected.");
-	holder->metrics.units_stopped = dff_metrics_counter (
-		metrics, "dff_holder_units_stopped_total", "Units told to stop before their end.");
-	holder->metrics.orphans = dff_metrics_counter (metrics, "dff_holder_strays_total",
-						       "Runs that workers list and no record has.");
+	holder->metrics.submissions = dff_metrics_counter (
+		metrics, "dff_holder_submissions_total",
+		"Rows of callers to be written with the holder's own transactions.");
+}
+
+static void
+open_worker_counters (struct dff_holder *holder)
+{
+	struct dff_metrics *metrics = holder->options.metrics;
 	holder->metrics.lapsed_workers =
 		dff_metrics_counter (metrics, "dff_holder_workers_lost_total",
 				     "Workers whose runs were given up as over.");
-	holder->metrics.runs_lost = dff_metrics_counter (metrics, "dff_holder_runs_lost_total",
-							 "Runs that ended with their worker.");
 	holder->metrics.stalled_workers = dff_metrics_counter (
 		metrics, "dff_holder_workers_stalled_total", "Workers whose tasks stood still.");
 	holder->metrics.restarted_workers =
@@ -176,32 +216,12 @@
 	holder->metrics.unreadable_entries =
 		dff_metrics_counter (metrics, "dff_holder_unreadable_entries_total",
 				     "Entries of the list of workers that were not understood.");
-	holder->metrics.jobs_completed = dff_metrics_counter (
-		metrics, "dff_holder_jobs_completed_total", "Jobs that completed.");
-	holder->metrics.jobs_failed =
-		dff_metrics_counter (metrics, "dff_holder_jobs_failed_total", "Jobs that failed.");
-	holder->metrics.jobs_cancelled = dff_metrics_counter (
-		metrics, "dff_holder_jobs_cancelled_total", "Jobs that were cancelled.");
-	holder->metrics.is_holding = dff_metrics_gauge (
-		metrics, "dff_holder_is_holding", "1 while this process decides for the cell.");
-	holder->metrics.commit_latency = dff_metrics_histogram (
-		metrics, "dff_holder_commit_ms", "Time of the holder's transactions.");
-	holder->metrics.job_wait = dff_metrics_histogram (
-		metrics, "dff_holder_job_wait_ms", "Time from taking a job in to its first start.");
-	holder->metrics.open_runs = dff_metrics_gauge (metrics, "dff_holder_open_runs",
-						       "Runs that are recorded and not over.");
-	holder->metrics.evacuated_runs =
-		dff_metrics_gauge (metrics, "dff_holder_evacuated_runs",
-				   "Runs that are open in evacuated data centres.");
-	holder->metrics.queries_answered =
-		dff_metrics_counter (metrics, "dff_holder_looks_answered_total",
-				     "States told from memory, here or to other processes.");
-	holder->metrics.submissions = dff_metrics_counter (
-		metrics, "dff_holder_submissions_total",
-		"Rows of callers to be written with the holder's own transactions.");
-	holder->metrics.starts_withdrawn =
-		dff_metrics_counter (metrics, "dff_holder_starts_withdrawn_total",
-				     "Recorded starts withdrawn because of an evacuation.");
+}
+
+static void
+open_speeds_counters (struct dff_holder *holder)
+{
+	struct dff_metrics *metrics = holder->options.metrics;
 	holder->metrics.speeds_recorded = dff_metrics_counter (
 		metrics, "dff_holder_speeds_recorded_total",
 		"Times that the relative durations of the workers were recorded.");
@@ -215,27 +235,62 @@
 	holder->metrics.speeds_refused = dff_metrics_counter (
 		metrics, "dff_holder_speeds_refused_total",
 		"Transactions that failed because of the relative durations in them.");
-	static const char *const retry_names[DFF_RETRY_LOST + 1] = {
-		[DFF_RETRY_WORKER] = "dff_holder_retries_total{cause=\"worker\"}",
-		[DFF_RETRY_JOB] = "dff_holder_retries_total{cause=\"job\"}",
-		[DFF_RETRY_LOST] = "dff_holder_retries_total{cause=\"lost\"}",
-	};
-	for (size_t i = DFF_RETRY_WORKER; i < G_N_ELEMENTS (retry_names); i++) {
-		holder->metrics.retries[i] = dff_metrics_counter (
-			metrics, retry_names[i],
-			"Attempts with a failed or lost task that are followed by another.");
-	}
+}
+
+static void
+open_job_counters (struct dff_holder *holder)
+{
+	struct dff_metrics *metrics = holder->options.metrics;
+	holder->metrics.jobs_completed = dff_metrics_counter (
+		metrics, "dff_holder_jobs_completed_total", "Jobs that completed.");
+	holder->metrics.jobs_failed =
+		dff_metrics_counter (metrics, "dff_holder_jobs_failed_total", "Jobs that failed.");
+	holder->metrics.jobs_cancelled = dff_metrics_counter (
+		metrics, "dff_holder_jobs_cancelled_total", "Jobs that were cancelled.");
+	holder->metrics.queries_answered =
+		dff_metrics_counter (metrics, "dff_holder_looks_answered_total",
+				     "States told from memory, here or to other processes.");
+}
+
+static void
+open_gauges (struct dff_holder *holder)
+{
+	struct dff_metrics *metrics = holder->options.metrics;
+	holder->metrics.is_holding = dff_metrics_gauge (
+		metrics, "dff_holder_is_holding", "1 while this process decides for the cell.");
+	holder->metrics.open_jobs =
+		dff_metrics_gauge (metrics, "dff_holder_open_jobs", "Jobs that are not over.");
+	holder->metrics.open_runs = dff_metrics_gauge (metrics, "dff_holder_open_runs",
+						       "Runs that are recorded and not over.");
+	holder->metrics.evacuated_runs =
+		dff_metrics_gauge (metrics, "dff_holder_evacuated_runs",
+				   "Runs that are open in evacuated data centres.");
+}
+
+static void
+open_histograms (struct dff_holder *holder)
+{
+	struct dff_metrics *metrics = holder->options.metrics;
+	holder->metrics.commit_latency = dff_metrics_histogram (
+		metrics, "dff_holder_commit_ms", "Time of the holder's transactions.");
+	holder->metrics.job_wait = dff_metrics_histogram (
+		metrics, "dff_holder_job_wait_ms", "Time from taking a job in to its first start.");
 	holder->metrics.retry_delay = dff_metrics_histogram (
 		metrics, "dff_holder_retry_delay_ms",
 		"Time from the first failure or loss in an attempt to the placement of the next.");
-	holder->metrics.kept_tasks = dff_metrics_counter (
-		metrics, "dff_holder_kept_tasks_total",
-		"Tasks of gangs that lost a member whose places were kept for the next attempt.");
-	holder->metrics.kept_tasks_used =
-		dff_metrics_counter (metrics, "dff_holder_kept_tasks_used_total",
-				     "Tasks that were placed where a place was kept for them.");
-	holder->metrics.open_jobs =
-		dff_metrics_gauge (metrics, "dff_holder_open_jobs", "Jobs that are not over.");
+}
+
+static void
+open_metrics (struct dff_holder *holder)
+{
+	open_run_counters (holder);
+	open_retry_counters (holder);
+	open_store_counters (holder);
+	open_worker_counters (holder);
+	open_speeds_counters (holder);
+	open_job_counters (holder);
+	open_gauges (holder);
+	open_histograms (holder);
 }
 
 struct dff_holder *
