--- a/holder/commit.c
+++ b/holder/commit.c
@@ -77,6 +77,35 @@
 	return true;
 }
 
+static void
+note_done (struct dff_holder *holder, int64_t begun_ms, const struct dff_rows_result *result)
+{
+	int64_t duration_ms = holder->commit_duration_ms;
+	holder->row_revision = result->revision;
+	holder->confirmed_ms = begun_ms;
+	dff_histogram_observe (holder->metrics.commit_latency, duration_ms);
+	holder->commit_wait_ms = RETRY_DELAY_MIN_MS;
+	holder->commit_timeout_ms =
+		(int32_t)CLAMP (TIMEOUT_FACTOR * duration_ms, TIMEOUT_MIN_MS, TIMEOUT_MAX_MS);
+	note_store (holder, false, begun_ms, result);
+}
+
+/* Handles a transaction that was not carried out, or of which that is not known. */
+static void
+handle_failure (struct dff_holder *holder, int64_t begun_ms, const struct dff_rows_result *result)
+{
+	(*holder->metrics.commit_unknown) += result->outcome == DFF_ROWS_UNKNOWN;
+	/* The store may have refused the recorded speeds only: the next transaction goes without
+	 * them, and shows whether the store is lost. */
+	if (result->outcome != DFF_ROWS_NOT_DONE || !speeds_in_flight (holder))
+		note_store (holder, true, begun_ms, result);
+	draft_unwritten (holder, result->outcome);
+	holder->next_commit_ms = holder_now_ms (holder) + holder->commit_wait_ms;
+	holder->commit_wait_ms = MIN (holder->commit_wait_ms * 2, RETRY_DELAY_MAX_MS);
+	if (result->outcome == DFF_ROWS_UNKNOWN)
+		holder->commit_timeout_ms = MIN (holder->commit_timeout_ms * 2, TIMEOUT_MAX_MS);
+}
+
 static void
 apply_outcome (struct dff_holder *holder,
 	       const struct commit_call *commit,
@@ -86,17 +115,10 @@
 	int64_t begun_ms = commit->call.begun_ms;
 	holder->commit_call = NULL;
 	submissions_note_commit (holder, result);
-	int64_t now_ms = holder_now_ms (holder);
-	holder->commit_duration_ms = now_ms - begun_ms;
+	holder->commit_duration_ms = holder_now_ms (holder) - begun_ms;
 	switch (result->outcome) {
 	case DFF_ROWS_DONE:
-		holder->row_revision = result->revision;
-		holder->confirmed_ms = begun_ms;
-		dff_histogram_observe (holder->metrics.commit_latency, now_ms - begun_ms);
-		holder->commit_wait_ms = RETRY_DELAY_MIN_MS;
-		holder->commit_timeout_ms = (int32_t)CLAMP (TIMEOUT_FACTOR * (now_ms - begun_ms),
-							    TIMEOUT_MIN_MS, TIMEOUT_MAX_MS);
-		note_store (holder, false, begun_ms, result);
+		note_done (holder, begun_ms, result);
 		if (commit->released) {
 			lease_step_down (holder, "released");
 			return;
@@ -116,17 +138,7 @@
 		draft_unwritten (holder, result->outcome);
 		break;
 	default:
-		(*holder->metrics.commit_unknown) += result->outcome == DFF_ROWS_UNKNOWN;
-		/* The store may have refused the recorded speeds only: the next transaction goes
-		 * without them, and shows whether the store is lost. */
-		if (result->outcome != DFF_ROWS_NOT_DONE || !speeds_in_flight (holder))
-			note_store (holder, true, begun_ms, result);
-		draft_unwritten (holder, result->outcome);
-		holder->next_commit_ms = now_ms + holder->commit_wait_ms;
-		holder->commit_wait_ms = MIN (holder->commit_wait_ms * 2, RETRY_DELAY_MAX_MS);
-		if (result->outcome == DFF_ROWS_UNKNOWN)
-			holder->commit_timeout_ms =
-				MIN (holder->commit_timeout_ms * 2, TIMEOUT_MAX_MS);
+		handle_failure (holder, begun_ms, result);
 		break;
 	}
 	holder_wake (holder);
