holder: doc comments stand at their declarations

Cause: the comment of jobs_end stood above that of jobs_note_recorded. Change: moved; two others say what they mean.

--- a/holder/holder_private.h
+++ b/holder/holder_private.h
@@ -244,10 +244,10 @@
 /** Makes the core stop a job's units. */
 void jobs_cancel_units (struct dff_holder *holder, const struct holder_job *job);
 
-/** Ends a job; the caller ends its units. */
 /** Counts and logs a job whose final state has just been recorded. */
 void jobs_note_recorded (struct dff_holder *holder, const struct holder_job *job);
 
+/** Ends a job; the caller ends its units. */
 void jobs_end (struct dff_holder *holder,
 	       struct holder_job *job,
 	       enum dff_job_state state,
@@ -378,9 +378,8 @@
 /** Returns: whether a worker's entry and its answers are of the same incarnation. */
 bool incarnation_is_confirmed (const struct holder_worker *worker);
 
-/** Called before a worker that is no longer listed is removed: another incarnation of it may
- * return.
- */
+/** Called before a worker that is no longer listed is removed: it may return as another
+ * incarnation. */
 void incarnation_note_removed (struct dff_holder *holder, const struct holder_worker *worker);
 
 /* evacuation.c */
@@ -489,8 +488,8 @@
  * Returns: false when the row as a whole cannot be used. */
 bool speeds_decode (struct dff_str text, struct speeds_row *row);
 
-/** Takes over the entries of a row that was encoded. @truncated: whether it has lost some by that.
- */
+/** Takes over the entries of a row that was encoded. @truncated: whether speeds_encode() dropped
+ * some. */
 struct speeds_record *speeds_record_new (struct speeds_row *row, bool truncated);
 
 void speeds_record_free (struct speeds_record *record);
