core: an imported relative duration is called so

Cause: prior_weight named both the weight of the mean of all workers and that of an imported relative duration, and the quotient of the variances stood three times. Change: imported_*, has_imports, and common_mean_weight().

--- a/core/core_tables.h
+++ b/core/core_tables.h
@@ -92,11 +92,12 @@
 	 * natural logarithm. */
 	float weight;
 	float mean;
-	/** Imported relative duration, as the mean of samples that had the weight @prior_weight at
-	 * @prior_ms: natural logarithm. The weight is 0 without an import. */
-	float prior_mean;
-	float prior_weight;
-	int64_t prior_ms;
+	/** Imported relative duration, as the mean of samples that had the weight @imported_weight
+	 * at
+	 * @imported_ms: natural logarithm. The weight is 0 without an import. */
+	float imported_mean;
+	float imported_weight;
+	int64_t imported_ms;
 };
 
 struct dff_core_region {
@@ -430,7 +431,7 @@
 	 * struct dff_core_duration_basis. */
 	GArray *duration_bases;
 	/** Whether a worker has an imported relative duration that still counts. */
-	bool has_priors;
+	bool has_imports;
 	/** Queues by state. Deadlines rise along each of them, except in @delayed. */
 	GQueue reserved;
 	GQueue starting;
--- a/core/relative_duration.c
+++ b/core/relative_duration.c
@@ -13,7 +13,7 @@
  * counts as slow where all are alike, however uneven the tasks are. */
 
 /** Variances of the logarithms, of tasks and of workers, before there are samples, and the least
- * variance. Their quotient weighs a worker's samples against the mean. */
+ * variance. */
 #define TASK_VARIANCE 0.07F
 #define WORKER_VARIANCE 0.0004F
 #define VARIANCE_MIN 0.0004F
@@ -241,26 +241,33 @@
 	return (int16_t)lroundf (CLAMP (log_duration, -LOG_MAX, LOG_MAX) * LOG_PARTS);
 }
 
+/* Returns: the weight of the mean of all workers against a worker's own samples, in samples. */
+static float
+common_mean_weight (float task_variance, float worker_variance)
+{
+	return task_variance / worker_variance;
+}
+
 /* Adds the imported relative duration of a worker to the sum of its samples. */
 static void
-add_prior (const struct dff_core *core,
-	   const struct dff_core_duration_basis *basis,
-	   struct sum *sum)
+add_import (const struct dff_core *core,
+	    const struct dff_core_duration_basis *basis,
+	    struct sum *sum)
 {
-	float weight = basis->prior_weight * weight_left (core->now_ms - basis->prior_ms);
+	float weight = basis->imported_weight * weight_left (core->now_ms - basis->imported_ms);
 	sum->count += weight;
-	sum->total += basis->prior_mean * weight;
+	sum->total += basis->imported_mean * weight;
 }
 
 static void
-drop_expired_priors (struct dff_core *core)
+drop_expired_imports (struct dff_core *core)
 {
-	core->has_priors = false;
+	core->has_imports = false;
 	for (guint i = 0; i < core->duration_bases->len; i++) {
 		struct dff_core_duration_basis *basis = basis_at (core, (int32_t)i);
-		if (core->now_ms - basis->prior_ms > DFF_DURATION_EXPIRY_MS)
-			basis->prior_weight = 0.0F;
-		core->has_priors |= basis->prior_weight > 0.0F;
+		if (core->now_ms - basis->imported_ms > DFF_DURATION_EXPIRY_MS)
+			basis->imported_weight = 0.0F;
+		core->has_imports |= basis->imported_weight > 0.0F;
 	}
 }
 
@@ -277,14 +284,14 @@
 		if (group->samples->len >= GROUP_MIN)
 			add_group (core, group, sums);
 	}
-	float prior_weight = core->task_variance / core->worker_variance;
+	float mean_weight = common_mean_weight (core->task_variance, core->worker_variance);
 	for (guint i = 0; i < core->workers->len; i++) {
 		struct dff_core_worker *worker = dff_core_worker_at (core, (int32_t)i);
 		struct dff_core_duration_basis *basis = basis_at (core, (int32_t)i);
 		struct sum sum = sums[i];
-		if (basis->prior_weight > 0.0F)
-			add_prior (core, basis, &sum);
-		worker->relative_duration = to_relative (sum.total / (sum.count + prior_weight));
+		if (basis->imported_weight > 0.0F)
+			add_import (core, basis, &sum);
+		worker->relative_duration = to_relative (sum.total / (sum.count + mean_weight));
 		basis->weight = sum.count;
 		basis->mean = sum.count > 0.0F ? sum.total / sum.count : 0.0F;
 	}
@@ -322,14 +329,14 @@
 void
 dff_core_run_durations (struct dff_core *core)
 {
-	bool is_empty = g_hash_table_size (core->peer_groups) == 0 && !core->has_priors;
+	bool is_empty = g_hash_table_size (core->peer_groups) == 0 && !core->has_imports;
 	if (core->now_ms < core->duration_review_ms || is_empty)
 		return;
 	core->duration_review_ms = core->now_ms + REVIEW_MS;
 	drop_expired (core);
 	extend_bases (core);
-	if (core->has_priors)
-		drop_expired_priors (core);
+	if (core->has_imports)
+		drop_expired_imports (core);
 	g_autoptr (GArray) table = g_array_new (FALSE, TRUE, sizeof (struct sum));
 	g_array_set_size (table, core->workers->len);
 	struct sum *sums = (struct sum *)(void *)table->data;
@@ -349,7 +356,8 @@
 static int16_t
 relative_from (float mean, float weight, const struct dff_duration_variances *variances)
 {
-	return to_relative (mean * weight / (weight + variances->tasks / variances->workers));
+	float mean_weight = common_mean_weight (variances->tasks, variances->workers);
+	return to_relative (mean * weight / (weight + mean_weight));
 }
 
 /* The values are computed with the variances that they are exported with: a review learns the
@@ -400,8 +408,8 @@
 mean_of_samples (const struct dff_worker_duration *duration,
 		 const struct dff_duration_variances *variances)
 {
-	float prior_weight = variances->tasks / variances->workers;
-	float mean = (float)duration->relative / LOG_PARTS * (duration->weight + prior_weight) /
+	float mean_weight = common_mean_weight (variances->tasks, variances->workers);
+	float mean = (float)duration->relative / LOG_PARTS * (duration->weight + mean_weight) /
 		     duration->weight;
 	return CLAMP (mean, (float)-DIFFERENCE_MAX, (float)DIFFERENCE_MAX);
 }
@@ -449,15 +457,15 @@
 		import_variances (core, variances);
 	extend_bases (core);
 	struct dff_core_duration_basis *basis = basis_at (core, index);
-	basis->prior_mean = mean_of_samples (duration, variances);
-	basis->prior_weight = duration->weight;
-	basis->prior_ms = now_ms - MAX (age_ms, 0);
-	core->has_priors = true;
+	basis->imported_mean = mean_of_samples (duration, variances);
+	basis->imported_weight = duration->weight;
+	basis->imported_ms = now_ms - MAX (age_ms, 0);
+	core->has_imports = true;
 	/* The next review adds the samples that the core has itself. */
 	if (basis->weight > 0.0F)
 		return DFF_DURATION_IMPORT_DONE;
 	basis->weight = aged.weight;
-	basis->mean = basis->prior_mean;
+	basis->mean = basis->imported_mean;
 	dff_core_worker_at (core, index)->relative_duration = (int16_t)aged.relative;
 	return DFF_DURATION_IMPORT_DONE;
 }
