core: one definition of members that failed or were lost

Cause: the same three states were listed in lifecycle.c and in kept_place.c, as has_lost_member there although a lost member is only one of them; dff_core_kept_from did not say whose resources it returns. Change: dff_core_member_failed_or_lost(), dff_core_kept_for_others(), member_progressed() split off the handler of events; the comments of the kept place and of the attribution of failures are plainer.

--- a/core/core_private.h
+++ b/core/core_private.h
@@ -302,10 +302,10 @@
 /** Whether a place is kept for a gang of @team. */
 bool dff_core_kept_places_of_team (const struct dff_core *core, int32_t team);
 
-/** Returns: what is kept on a worker from @job. */
-struct dff_resources dff_core_kept_from (const struct dff_core *core,
-					 const struct dff_core_worker *worker,
-					 const struct dff_core_job *job);
+/** Returns: the resources on a worker that are kept for other jobs and that @job may not use. */
+struct dff_resources dff_core_kept_for_others (const struct dff_core *core,
+					       const struct dff_core_worker *worker,
+					       const struct dff_core_job *job);
 
 /** Releases what is kept for others on the workers of @job where it needs that. */
 void dff_core_kept_places_yield (struct dff_core *core, const struct dff_core_job *job);
@@ -362,9 +362,9 @@
 
 /** Handles a failure of a task of @job on a worker. @follows: whether another task of the attempt
  * ended before without completing. Returns: whether it is attributed to the worker: other work
- * fails there too, or the failure came early in a run such as have completed elsewhere. The worker
- * is in quarantine then. A failure that follows the end of another task shows nothing about its
- * worker: the tasks of a gang fail when they lose one another. */
+ * fails there too, or the failure came early and jobs of the same team and service have completed
+ * on other workers. The worker is in quarantine then. A failure that follows the end of another
+ * task shows nothing about its worker: the tasks of a gang fail when they lose one another. */
 bool dff_core_note_failure (struct dff_core *core,
 			    struct dff_core_job *job,
 			    int32_t worker,
--- a/core/core_tables.h
+++ b/core/core_tables.h
@@ -202,6 +202,14 @@
 	DFF_CORE_MEMBER_START_FAILED,
 };
 
+/** Whether a member has ended without completing, and not because it was stopped. */
+static inline bool
+dff_core_member_failed_or_lost (enum dff_core_member_state state)
+{
+	return state == DFF_CORE_MEMBER_FAILED || state == DFF_CORE_MEMBER_LOST ||
+	       state == DFF_CORE_MEMBER_START_FAILED;
+}
+
 struct dff_core_member {
 	int32_t worker;
 	enum dff_core_member_state state;
--- a/core/kept_place.c
+++ b/core/kept_place.c
@@ -2,8 +2,8 @@
 
 /* The place of a gang whose attempt ends because of one of its members. Its workers become free one
  * after the other, as their members stop; other work would take them before the gang can be placed
- * again. So those on which no member has failed are kept for the gang until its next attempt, for a
- * limited time. Work that has a right to the capacity gets it nevertheless. */
+ * again. The workers on which no member has failed are therefore kept for the gang until its next
+ * attempt, for a limited time. Work that has a right to the capacity gets it nevertheless. */
 
 /** Time from the end of the last member for which a place is kept, ms. */
 #define KEPT_MS 1000
@@ -176,16 +176,11 @@
 	if (!job->keeps_place)
 		return;
 	struct dff_core_kept_place *place = find_place (core, job);
-	switch (job->members[ended].state) {
-	case DFF_CORE_MEMBER_FAILED:
-	case DFF_CORE_MEMBER_LOST:
-	case DFF_CORE_MEMBER_START_FAILED:
-		drop_worker (core, place, job->members[ended].worker);
-		return;
-	default:
+	const struct dff_core_member *member = &job->members[ended];
+	if (dff_core_member_failed_or_lost (member->state))
+		drop_worker (core, place, member->worker);
+	else
 		free_member (core, place, &place->members[ended]);
-		return;
-	}
 }
 
 static void
@@ -262,9 +257,9 @@
 }
 
 struct dff_resources
-dff_core_kept_from (const struct dff_core *core,
-		    const struct dff_core_worker *worker,
-		    const struct dff_core_job *job)
+dff_core_kept_for_others (const struct dff_core *core,
+			  const struct dff_core_worker *worker,
+			  const struct dff_core_job *job)
 {
 	struct dff_resources kept = {0};
 	const GArray *shares = shares_on (core, worker);
--- a/core/lifecycle.c
+++ b/core/lifecycle.c
@@ -366,14 +366,11 @@
 	return false;
 }
 
-/* Whether a member of the attempt has ended without completing. */
 static bool
-has_lost_member (const struct dff_core_job *job)
+any_member_failed_or_lost (const struct dff_core_job *job)
 {
 	for (int32_t i = 0; i < job->gang; i++) {
-		enum dff_core_member_state state = job->members[i].state;
-		if (state == DFF_CORE_MEMBER_FAILED || state == DFF_CORE_MEMBER_LOST ||
-		    state == DFF_CORE_MEMBER_START_FAILED)
+		if (dff_core_member_failed_or_lost (job->members[i].state))
 			return true;
 	}
 	return false;
@@ -389,7 +386,7 @@
 		dff_core_note_success (core, member->worker, start_ms (core, job));
 	if (state != DFF_CORE_MEMBER_FAILED && state != DFF_CORE_MEMBER_START_FAILED)
 		return;
-	member->follows = has_lost_member (job);
+	member->follows = any_member_failed_or_lost (job);
 	member->attributed = dff_core_note_failure (core, job, member->worker, member->follows) ||
 			     is_attributed_already (job, member->worker);
 }
@@ -411,6 +408,15 @@
 	dff_core_attempt_finish (core, job);
 }
 
+static void
+member_progressed (struct dff_core *core, struct dff_core_job *job, int32_t percent)
+{
+	if (job->state == DFF_CORE_RUNNING && percent >= PROGRESS_MIN)
+		job->projected_ms =
+			(int32_t)MIN ((core->now_ms - job->started_ms) * 100 / percent, INT32_MAX);
+	dff_core_review_leaving_job (core, job);
+}
+
 void
 dff_core_handle_member_event (struct dff_core *core,
 			      struct dff_core_job *job,
@@ -425,10 +431,7 @@
 		return;
 	}
 	if (event->type == DFF_EVENT_TASK_PROGRESS) {
-		if (job->state == DFF_CORE_RUNNING && event->percent >= PROGRESS_MIN)
-			job->projected_ms = (int32_t)MIN (
-				(core->now_ms - job->started_ms) * 100 / event->percent, INT32_MAX);
-		dff_core_review_leaving_job (core, job);
+		member_progressed (core, job, event->percent);
 		return;
 	}
 	if (event->type == DFF_EVENT_TASK_STARTED) {
--- a/core/place.c
+++ b/core/place.c
@@ -42,7 +42,7 @@
 		return dff_resources_less (&worker->capacity, &worker->witnesses);
 	struct dff_resources available = dff_resources_less (&worker->capacity, &worker->used);
 	available = dff_resources_less (&available, &worker->reserved);
-	struct dff_resources kept = dff_core_kept_from (core, worker, job);
+	struct dff_resources kept = dff_core_kept_for_others (core, worker, job);
 	available = dff_resources_less (&available, &kept);
 	for (guint i = 0; is_evicting (view) && i < worker->occupants->len; i++) {
 		struct dff_core_job *occupant = g_ptr_array_index (worker->occupants, i);
--- a/core/reclaim.c
+++ b/core/reclaim.c
@@ -312,7 +312,7 @@
 			dff_resources_less (&worker->capacity, &worker->used);
 		if (less_reserved)
 			available = dff_resources_less (&available, &worker->reserved);
-		struct dff_resources kept = dff_core_kept_from (core, worker, job);
+		struct dff_resources kept = dff_core_kept_for_others (core, worker, job);
 		available = dff_resources_less (&available, &kept);
 		int32_t times = members_on (job, job->members[i].worker);
 		if (dff_resources_fits (&available, &job->per_task, times) < times)
