core: one function hashes the shape of a class

Cause: shape_hash and shape_hash_of_team repeated each other, and nothing said why the team was raised by 1; dff_core_job_add was 45 lines long. Change: shape_hash_for(), with the reason; set_spec() copies the specification.

--- a/core/order.c
+++ b/core/order.c
@@ -127,28 +127,31 @@
 	}
 }
 
-/* Hash of the properties, other than the team, that determine whether a job fits. */
+/* Hash of a team and of the other properties that determine whether a job fits. */
 static gpointer
-shape_hash (const struct dff_core_class *queue_class)
+shape_hash_for (const struct dff_core_class *queue_class, int32_t team)
 {
 	struct dff_core_class_key shape = queue_class->key;
-	shape.team = 0;
+	shape.team = team;
 	shape.estimate_level = 0;
 	shape.guaranteed = 0;
 	return GUINT_TO_POINTER (dff_core_class_key_hash (&shape));
 }
 
-/* As shape_hash(), for the class alone and others of its team with the same rights. Assured work
- * may take kept places, but not those of its own team: where it does not fit, work of another team
- * that is like it may. */
+/* The same hash for all teams. */
+static gpointer
+shape_hash (const struct dff_core_class *queue_class)
+{
+	return shape_hash_for (queue_class, 0);
+}
+
+/* The hash for the class's own team; team indices are raised by 1, as 0 stands for all teams.
+ * Assured work may take kept places, but not those of its own team: where it does not fit, work of
+ * another team that is like it may. */
 static gpointer
 shape_hash_of_team (const struct dff_core_class *queue_class)
 {
-	struct dff_core_class_key shape = queue_class->key;
-	shape.team++;
-	shape.estimate_level = 0;
-	shape.guaranteed = 0;
-	return GUINT_TO_POINTER (dff_core_class_key_hash (&shape));
+	return shape_hash_for (queue_class, queue_class->key.team + 1);
 }
 
 /* Whether work like that of a class did not fit, so that it does not have to be tried. */
--- a/core/tables.c
+++ b/core/tables.c
@@ -88,10 +88,9 @@
 	return g_hash_table_lookup (core->jobs, id);
 }
 
-struct dff_core_job *
-dff_core_job_add (struct dff_core *core, const struct dff_job_spec *spec)
+static void
+set_spec (struct dff_core *core, struct dff_core_job *job, const struct dff_job_spec *spec)
 {
-	struct dff_core_job *job = g_new0 (struct dff_core_job, 1);
 	job->id = spec->id;
 	job->team = dff_core_find_team (core, &spec->team);
 	job->region = dff_core_find_region (core, &spec->region);
@@ -115,9 +114,16 @@
 	job->spread_group = XXH3_64bits (spec->spread_group.data, spec->spread_group.len);
 	job->per_worker = spec->per_worker;
 	job->weight = spec->weight > 0.0 ? (float)spec->weight : 1.0F;
-	job->submitted_ms = core->now_ms;
 	if (spec->objective != NULL)
 		job->objective = g_memdup2 (spec->objective, sizeof (*spec->objective));
+}
+
+struct dff_core_job *
+dff_core_job_add (struct dff_core *core, const struct dff_job_spec *spec)
+{
+	struct dff_core_job *job = g_new0 (struct dff_core_job, 1);
+	set_spec (core, job, spec);
+	job->submitted_ms = core->now_ms;
 	job->estimator = dff_core_estimator_for (core, spec);
 	for (int32_t i = 0; i < DFF_CORE_AVOIDED_MAX; i++)
 		job->avoided[i] = DFF_CORE_NONE;
