core: plainer comments on objectives and retries

Cause: comments that needed a second reading, a number repeated in words, and names that did not say what they hold. Change: the factor is referred to by its name; late_limit_ms, worker_at_fault.

--- a/core/objective.c
+++ b/core/objective.c
@@ -31,9 +31,9 @@
 	int64_t end_ms = objective->age_ms + (int64_t)(ratio * (double)objective->tail_ms);
 	if (end_ms <= limit_ms)
 		return (struct dff_objective_assessment){DFF_PROSPECT_IN_TIME, limit_ms - end_ms};
-	int64_t late_ms = DFF_OBJECTIVE_LATE_FACTOR * limit_ms;
+	int64_t late_limit_ms = DFF_OBJECTIVE_LATE_FACTOR * limit_ms;
 	return (struct dff_objective_assessment){
-		.prospect = end_ms <= late_ms ? DFF_PROSPECT_LATE : DFF_PROSPECT_MISSED,
-		.slack_ms = late_ms - end_ms,
+		.prospect = end_ms <= late_limit_ms ? DFF_PROSPECT_LATE : DFF_PROSPECT_MISSED,
+		.slack_ms = late_limit_ms - end_ms,
 	};
 }
--- a/core/outcome.c
+++ b/core/outcome.c
@@ -68,6 +68,7 @@
 	return sum;
 }
 
+/* @input: (nullable): NULL when no task has run. */
 static void
 retry (struct dff_core *core,
        struct dff_core_job *job,
--- a/core/quarantine.c
+++ b/core/quarantine.c
@@ -149,12 +149,12 @@
 	bool early = !follows && is_early_failure (core, job);
 	bool others_failed = (worker->health != DFF_CORE_HEALTHY || worker->failure_streak > 0) &&
 			     worker->last_failed != dff_name_hash (&job->id);
-	/* An early failure may also be the work's fault, unless such work has completed elsewhere.
-	 */
-	bool shown = others_failed ||
-		     (early && dff_core_estimate_has_runs_elsewhere (job, worker_index));
+	/* The job may be at fault for an early failure, unless jobs like it have completed
+	 * elsewhere. */
+	bool worker_at_fault = others_failed ||
+			       (early && dff_core_estimate_has_runs_elsewhere (job, worker_index));
 	count_failure (core, job, worker_index, blamed, early);
-	return blamed && shown && !follows && worker->health != DFF_CORE_HEALTHY;
+	return blamed && worker_at_fault && !follows && worker->health != DFF_CORE_HEALTHY;
 }
 
 void
--- a/core/retry.c
+++ b/core/retry.c
@@ -30,7 +30,7 @@
 	return (int64_t)DFF_RETRY_MIN_MS << CLAMP (failures, 0, DOUBLINGS_MAX);
 }
 
-/* The objective of a missed job does not justify haste. */
+/* An earlier retry is of no use to an objective that is missed anyway. */
 static int64_t
 first_backoff_ms (const struct dff_objective_assessment *objective)
 {
--- a/include/core/objective.h
+++ b/include/core/objective.h
@@ -20,11 +20,11 @@
 	int64_t age_ms;
 };
 
-/** What a job can still achieve. Values rise with urgency lost: compare them with < and >. */
+/** What a job can still achieve, from best to worst; DFF_PROSPECT_NONE is the last. */
 enum dff_prospect {
 	/** It can complete within its objective. */
 	DFF_PROSPECT_IN_TIME,
-	/** It can complete late: within three times its objective. */
+	/** It can complete late: within DFF_OBJECTIVE_LATE_FACTOR times its objective. */
 	DFF_PROSPECT_LATE,
 	/** It will complete later than that. */
 	DFF_PROSPECT_MISSED,
@@ -39,7 +39,7 @@
 	int64_t slack_ms;
 };
 
-/** A job that completes within this many times its objective is late, not lost. */
+/** Multiple of its objective up to which a job is late; after that it has missed it. */
 #define DFF_OBJECTIVE_LATE_FACTOR 3
 
 /** Returns: the objective, ms after the submission. @ratio: expected duration of the work relative
