tests: one function reads the number of recorded workers

Cause: the decoding of the recorded row stood twice. Change: n_recorded_workers(); the checks are the same.

--- a/tests/holder/test-holder-speeds.c
+++ b/tests/holder/test-holder-speeds.c
@@ -41,6 +41,20 @@
 	return dff_memory_rows_peek (site->rows, DFF_TABLE_CELL, DFF_KEY_SPEEDS);
 }
 
+/* Returns: the number of workers in the recorded row. */
+static int
+n_recorded_workers (struct site *site)
+{
+	const GString *recorded = peek_row (site);
+	assert_non_null (recorded);
+	struct speeds_row row;
+	speeds_row_init (&row);
+	assert_true (speeds_decode ((struct dff_str){recorded->str, recorded->len}, &row));
+	int n_workers = (int)row.entries->len;
+	speeds_row_clear (&row);
+	return n_workers;
+}
+
 /* Submits single tasks for all workers, by which the holder can compare the workers. */
 static void
 submit_comparable (struct site *site)
@@ -230,13 +244,8 @@
 				  cases[i].n_taken_over);
 		/* What is recorded now does not contain the former incarnations. */
 		site_run (&site, 6000);
-		struct speeds_row row;
-		speeds_row_init (&row);
-		const GString *recorded = peek_row (&site);
-		assert_true (speeds_decode ((struct dff_str){recorded->str, recorded->len}, &row));
-		assert_int_equal (row.entries->len,
+		assert_int_equal (n_recorded_workers (&site),
 				  SITE_UNEQUAL_WORKERS - SITE_UNEQUAL_WORKERS / 3);
-		speeds_row_clear (&row);
 		site_close (&site);
 	}
 }
@@ -266,12 +275,7 @@
 			site_list_worker (&site, 2, true, false);
 		site_run (&site, 6000);
 		assert_int_equal (site_holder (&site), holder);
-		struct speeds_row row;
-		speeds_row_init (&row);
-		const GString *recorded = peek_row (&site);
-		assert_true (speeds_decode ((struct dff_str){recorded->str, recorded->len}, &row));
-		assert_int_equal (row.entries->len, SITE_UNEQUAL_WORKERS - restarted);
-		speeds_row_clear (&row);
+		assert_int_equal (n_recorded_workers (&site), SITE_UNEQUAL_WORKERS - restarted);
 		site_close (&site);
 	}
 }
@@ -324,8 +328,8 @@
 
 #define WORKERS_MISSING "{\"written_ms\":1000000,\"worker_variance\":160000,\"task_variance\":70000"
 
-/* Guards against a takeover that fails, or a holder that takes over nonsense, because the row is
- * damaged or of another build. */
+/* Guards against a takeover that fails, or a holder that takes over invalid values, because the row
+ * is damaged or of another build. */
 static void
 test_undecodable_rows (void **state)
 {
