core: a doc comment is wrapped evenly

Cause: a line of one word after the renaming of the imported values. Change: the comment is wrapped again.

--- a/core/core_tables.h
+++ b/core/core_tables.h
@@ -93,8 +93,7 @@
 	float weight;
 	float mean;
 	/** Imported relative duration, as the mean of samples that had the weight @imported_weight
-	 * at
-	 * @imported_ms: natural logarithm. The weight is 0 without an import. */
+	 * at @imported_ms: natural logarithm. The weight is 0 without an import. */
 	float imported_mean;
 	float imported_weight;
 	int64_t imported_ms;
