core: queued work can be ordered by what it can still achieve

Cause: queued work is ordered by occupancy over weight and by its wait. Work whose objective is missed takes capacity from work that can still be in time, and a class of interchangeable jobs ranks as a whole with its oldest job.

Change: dff_core_options.order selects the standing order (the default, also in the holder), least slack in bands, or value density. core/priority_order.c sorts the heads of the queue classes; urgent and assured work keep their place. Outside the standing order, classes are kept apart by prospect and priority, and a head whose prospect changes moves to another class.

The other orders are not tested yet.

--- a/core/core_private.h
+++ b/core/core_private.h
@@ -206,6 +206,10 @@
 /** Removes a job from the queue of its class, if it is in one. */
 void dff_core_dequeue (struct dff_core *core, struct dff_core_job *job);
 
+/** Moves queued jobs whose prospect has changed into the class of their new one. Otherwise the
+ * younger jobs of a class would rank with a head whose objective is missed. */
+void dff_core_split_classes (struct dff_core *core);
+
 /* order.c */
 
 /** Returns: the score of a job that borrows; lower scores are placed first. It rises with the
@@ -294,6 +298,15 @@
 struct dff_objective_assessment dff_core_job_assess (const struct dff_core *core,
 						     const struct dff_core_job *job);
 
+/** Returns: the prospect that a queued job ranks with, see dff_order_prospect(). */
+enum dff_prospect dff_core_job_ranks_as (const struct dff_core *core,
+					 const struct dff_core_job *job);
+
+/** Returns: the probability that a job that would start now completes within @factor times its
+ * objective; 0 without one. */
+double
+dff_core_job_chance (const struct dff_core *core, const struct dff_core_job *job, double factor);
+
 /** Returns: the expected remaining run time, ms. */
 int64_t dff_core_remaining_ms (const struct dff_core *core, const struct dff_core_job *job);
 
--- a/core/core_tables.h
+++ b/core/core_tables.h
@@ -347,18 +347,18 @@
 	int32_t estimate_level;
 	/** Hash of what a job asks of single workers: label, data rack, spread group, isolation. */
 	guint32 worker_constraints;
+	/** The prospect that its jobs rank with, and their priority; 0 in the standing order, which
+	 * does not consider them. */
+	int32_t prospect;
+	int32_t priority;
 };
 
 /** Queued jobs with equal keys, oldest first: only the head has to be tried. */
 struct dff_core_class {
 	struct dff_core_class_key key;
 	GQueue jobs;
-	/** Score of its head when last ranked. */
-	double score;
 	/** Whether no shape was found for its head in this tick. */
 	bool unclaimable;
-	/** Whether its head was within what its team is assured of when last ranked. */
-	bool assured;
 };
 
 /** Settings that follow from the pool's weights. */
--- a/core/estimate.c
+++ b/core/estimate.c
@@ -122,15 +122,48 @@
 	job->estimate_ms = (int64_t)exp (mean);
 }
 
+/* Returns: the objective of a job that has one, with its age now. */
+static struct dff_objective
+objective_now (const struct dff_core *core, const struct dff_core_job *job)
+{
+	struct dff_objective objective = *job->objective;
+	objective.age_ms += core->now_ms - job->submitted_ms;
+	return objective;
+}
+
+static double
+estimate_ratio (const struct dff_core_job *job)
+{
+	return (double)job->estimate_ms / (double)job->declared_ms;
+}
+
 struct dff_objective_assessment
 dff_core_job_assess (const struct dff_core *core, const struct dff_core_job *job)
 {
 	if (job->objective == NULL)
 		return (struct dff_objective_assessment){.prospect = DFF_PROSPECT_NONE};
-	struct dff_objective objective = *job->objective;
-	objective.age_ms += core->now_ms - job->submitted_ms;
-	return dff_objective_assess (&objective,
-				     (double)job->estimate_ms / (double)job->declared_ms);
+	struct dff_objective objective = objective_now (core, job);
+	return dff_objective_assess (&objective, estimate_ratio (job));
+}
+
+enum dff_prospect
+dff_core_job_ranks_as (const struct dff_core *core, const struct dff_core_job *job)
+{
+	enum dff_prospect prospect = dff_core_job_assess (core, job).prospect;
+	if (prospect == DFF_PROSPECT_NONE)
+		return prospect;
+	struct dff_objective objective = objective_now (core, job);
+	int64_t limit_ms = dff_objective_limit_ms (&objective, estimate_ratio (job));
+	return dff_order_prospect (prospect, objective.age_ms, limit_ms);
+}
+
+double
+dff_core_job_chance (const struct dff_core *core, const struct dff_core_job *job, double factor)
+{
+	if (job->objective == NULL)
+		return 0.0;
+	struct dff_objective objective = objective_now (core, job);
+	return dff_objective_chance (&objective, estimate_ratio (job), job->log_deviation, factor);
 }
 
 /* Upper tail of the standard normal distribution. */
--- a/core/objective.c
+++ b/core/objective.c
@@ -1,6 +1,7 @@
 #include "core/objective.h"
 
 #include <glib.h>
+#include <math.h>
 
 static const char *const prospect_names[] = {
 	[DFF_PROSPECT_IN_TIME] = "in_time",
@@ -37,3 +38,22 @@
 		.slack_ms = late_ms - end_ms,
 	};
 }
+
+/* A duration of ratio r keeps the objective if age + r tail <= factor (r stretch chain + target):
+ * from some r on, because longer work is given more time. */
+double
+dff_objective_chance (const struct dff_objective *objective,
+		      double ratio,
+		      double deviation,
+		      double factor)
+{
+	double over_ms = (double)objective->age_ms - factor * (double)objective->target_ms;
+	double spare_ms = factor * objective->stretch * (double)objective->chain_ms -
+			  (double)objective->tail_ms;
+	if (over_ms <= 0.0 && spare_ms >= 0.0)
+		return 1.0;
+	if (spare_ms <= 0.0 || ratio <= 0.0 || deviation <= 0.0)
+		return over_ms <= ratio * spare_ms ? 1.0 : 0.0;
+	double z = log (over_ms / (spare_ms * ratio)) / deviation;
+	return 0.5 * erfc (z / G_SQRT2);
+}
--- a/core/order.c
+++ b/core/order.c
@@ -47,36 +47,46 @@
 	return MAX (accelerators, slots) / team->weight;
 }
 
-static int
-compare_ranks (gconstpointer a, gconstpointer b)
+static struct dff_order_head
+head_of (const struct dff_core *core, struct dff_core_class *queue_class)
 {
-	const struct dff_core_class *one = *(struct dff_core_class *const *)a;
-	const struct dff_core_class *other = *(struct dff_core_class *const *)b;
-	if (one->key.urgent != other->key.urgent)
-		return one->key.urgent ? -1 : 1;
-	if (one->assured != other->assured)
-		return one->assured ? -1 : 1;
-	if (one->score != other->score)
-		return one->score < other->score ? -1 : 1;
-	return dff_core_compare_age (one->jobs.head->data, other->jobs.head->data);
+	const struct dff_core_job *job = queue_class->jobs.head->data;
+	const struct dff_core_team *team = dff_core_team_at (core, job->team);
+	struct dff_order_head head = {
+		.urgent = job->urgent,
+		.assured = dff_core_job_is_assured (core, job),
+		.priority = job->priority,
+		.prospect = (enum dff_prospect)queue_class->key.prospect,
+		.score = dff_core_score (core, job) * (1.0 + FAIRNESS * team_share (core, team)),
+		.submitted_ms = job->submitted_ms,
+		.id = &job->id,
+		.user = queue_class,
+	};
+	if (core->options.order == DFF_ORDER_STANDING || job->objective == NULL)
+		return head;
+	head.slack_ms = dff_core_job_assess (core, job).slack_ms;
+	head.expected_ms = job->estimate_ms;
+	if (core->options.order == DFF_ORDER_SLACK)
+		return head;
+	head.in_time_chance = dff_core_job_chance (core, job, 1.0);
+	head.late_chance = dff_core_job_chance (core, job, DFF_OBJECTIVE_LATE_FACTOR);
+	return head;
 }
 
-static GPtrArray *
+/* Returns: the classes in order; elements: struct dff_order_head. */
+static GArray *
 ranked_classes (struct dff_core *core)
 {
-	GPtrArray *ranked = g_ptr_array_sized_new (g_hash_table_size (core->classes));
+	GArray *ranked = g_array_sized_new (FALSE, FALSE, sizeof (struct dff_order_head),
+					    g_hash_table_size (core->classes));
 	GHashTableIter iter;
 	gpointer value;
 	g_hash_table_iter_init (&iter, core->classes);
 	while (g_hash_table_iter_next (&iter, NULL, &value)) {
-		struct dff_core_class *queue_class = value;
-		const struct dff_core_team *team = dff_core_team_at (core, queue_class->key.team);
-		queue_class->score = dff_core_score (core, queue_class->jobs.head->data) *
-				     (1.0 + FAIRNESS * team_share (core, team));
-		queue_class->assured = dff_core_job_is_assured (core, queue_class->jobs.head->data);
-		g_ptr_array_add (ranked, queue_class);
+		struct dff_order_head head = head_of (core, value);
+		g_array_append_val (ranked, head);
 	}
-	g_ptr_array_sort (ranked, compare_ranks);
+	dff_order_sort (core->options.order, ranked);
 	return ranked;
 }
 
@@ -135,6 +145,7 @@
 	shape.team = 0;
 	shape.estimate_level = 0;
 	shape.guaranteed = 0;
+	shape.prospect = 0;
 	return dff_core_class_key_hash (&shape);
 }
 
@@ -185,10 +196,12 @@
 		core->review_ms = core->now_ms + DFF_CORE_REVIEW_MS;
 	}
 	run_claims (core);
-	g_autoptr (GPtrArray) ranked = ranked_classes (core);
+	dff_core_split_classes (core);
+	g_autoptr (GArray) ranked = ranked_classes (core);
 	g_autoptr (GHashTable) full = g_hash_table_new (NULL, NULL);
 	for (guint i = 0; i < ranked->len; i++) {
-		struct dff_core_class *queue_class = g_ptr_array_index (ranked, i);
+		struct dff_core_class *queue_class =
+			g_array_index (ranked, struct dff_order_head, i).user;
 		struct dff_core_class_key key = queue_class->key;
 		gpointer shape = GUINT_TO_POINTER (shape_hash (&key));
 		if (g_hash_table_contains (full, shape) &&
--- a/core/queue.c
+++ b/core/queue.c
@@ -59,6 +59,10 @@
 	key.idempotent = job->idempotent;
 	key.estimate_level = estimate_level (dff_core_remaining_ms (core, job));
 	key.worker_constraints = constraints_hash (core, job);
+	if (core->options.order != DFF_ORDER_STANDING) {
+		key.prospect = (int32_t)dff_core_job_ranks_as (core, job);
+		key.priority = job->priority;
+	}
 	struct dff_core_class *found = g_hash_table_lookup (core->classes, &key);
 	if (found != NULL)
 		return found;
@@ -76,15 +80,10 @@
 	return dff_name_compare (&one->id, &other->id);
 }
 
-void
-dff_core_enqueue (struct dff_core *core, struct dff_core_job *job)
+static void
+insert_by_age (struct dff_core_class *queue_class, struct dff_core_job *job)
 {
-	g_assert (job->state == DFF_CORE_QUEUED && job->queue_class == NULL);
-	dff_core_estimate (job);
-	job->queued_ms = core->now_ms;
-	struct dff_core_class *queue_class = class_for (core, job);
 	job->queue_class = queue_class;
-	core->dirty = true;
 	/* Nearly every job is the newest; one that returns is usually the oldest. */
 	GList *before = queue_class->jobs.head;
 	if (before != NULL && dff_core_compare_age (before->data, job) <= 0) {
@@ -99,16 +98,59 @@
 		g_queue_insert_before_link (&queue_class->jobs, before, &job->link);
 }
 
-void
-dff_core_dequeue (struct dff_core *core, struct dff_core_job *job)
+static void
+remove_from_class (struct dff_core *core, struct dff_core_job *job)
 {
 	struct dff_core_class *queue_class = job->queue_class;
-	if (queue_class == NULL)
-		return;
 	g_queue_unlink (&queue_class->jobs, &job->link);
 	job->queue_class = NULL;
-	job->waited_ms += core->now_ms - job->queued_ms;
-	dff_core_release_racks (core, job);
 	if (g_queue_is_empty (&queue_class->jobs))
 		g_hash_table_remove (core->classes, &queue_class->key);
 }
+
+void
+dff_core_enqueue (struct dff_core *core, struct dff_core_job *job)
+{
+	g_assert (job->state == DFF_CORE_QUEUED && job->queue_class == NULL);
+	dff_core_estimate (job);
+	job->queued_ms = core->now_ms;
+	core->dirty = true;
+	insert_by_age (class_for (core, job), job);
+}
+
+void
+dff_core_dequeue (struct dff_core *core, struct dff_core_job *job)
+{
+	if (job->queue_class == NULL)
+		return;
+	remove_from_class (core, job);
+	job->waited_ms += core->now_ms - job->queued_ms;
+	dff_core_release_racks (core, job);
+}
+
+/* Moves the jobs at the head of a class whose prospect has changed. */
+static void
+split_class (struct dff_core *core, struct dff_core_class *queue_class)
+{
+	int32_t prospect = queue_class->key.prospect;
+	/* Moving the last job frees the class: read its length first. */
+	bool last = false;
+	while (!last) {
+		last = queue_class->jobs.length == 1;
+		struct dff_core_job *head = queue_class->jobs.head->data;
+		if ((int32_t)dff_core_job_ranks_as (core, head) == prospect)
+			return;
+		remove_from_class (core, head);
+		insert_by_age (class_for (core, head), head);
+	}
+}
+
+void
+dff_core_split_classes (struct dff_core *core)
+{
+	if (core->options.order == DFF_ORDER_STANDING)
+		return;
+	g_autoptr (GList) classes = g_hash_table_get_values (core->classes);
+	for (GList *link = classes; link != NULL; link = link->next)
+		split_class (core, link->data);
+}
--- a/include/core/core.h
+++ b/include/core/core.h
@@ -7,6 +7,7 @@
 
 #include "common/cleanup.h"
 #include "core/job.h"
+#include "core/priority_order.h"
 #include "pool/pool.h"
 
 /*
@@ -88,6 +89,8 @@
 	/** Wait after which work of the lowest priority leaves headroom for the highest one only,
 	 * as a multiple of its expected run time; 0: never. */
 	double headroom_wait_ratio;
+	/** How queued work is ordered within what its urgency and its team's rights give it. */
+	enum dff_order_way order;
 };
 
 /** Fills in the defaults; docs/decisions/ gives the reasons for them. */
--- a/include/core/objective.h
+++ b/include/core/objective.h
@@ -50,6 +50,20 @@
 struct dff_objective_assessment dff_objective_assess (const struct dff_objective *objective,
 						      double ratio);
 
+/**
+ * dff_objective_chance:
+ * @ratio: median of the expected duration of the work relative to the declared one
+ * @deviation: standard deviation of its logarithm
+ * @factor: multiple of the objective, at least 1
+ *
+ * Returns: the probability that work which starts now, and runs without interruption, completes
+ * within @factor times its objective; 0 to 1.
+ */
+double dff_objective_chance (const struct dff_objective *objective,
+			     double ratio,
+			     double deviation,
+			     double factor);
+
 /** Returns: the prospect's name in logs and metrics ("in_time", ...). Static. */
 const char *dff_prospect_name (enum dff_prospect prospect);
 
