core: what teams borrow can be divided by their weights

Cause: fairness between teams is a factor of at most 1.25 on their scores, so that one team's burst takes nearly all that comes free until its queue is empty.

Within a prospect, the places of one priority are dealt out first to teams within their share; other priorities keep their places, and nothing is refused. dff_core_get_queue_stats() returns the queue by prospect and the largest excess.

The other ways are not tested yet.

--- a/core/core.c
+++ b/core/core.c
@@ -42,6 +42,7 @@
 	options->evict_work_ratio = 0.0;
 	options->evict_unlimited_after_ms = 0;
 	options->order = DFF_ORDER_STANDING;
+	options->shares = DFF_SHARES_STANDING;
 }
 
 static GArray *
@@ -61,6 +62,7 @@
 	core->workers = array_new (sizeof (struct dff_core_worker), dff_core_worker_clear);
 	core->racks = array_new (sizeof (struct dff_core_rack), dff_core_rack_clear);
 	core->teams = array_new (sizeof (struct dff_core_team), NULL);
+	core->borrowing = array_new (sizeof (struct dff_core_borrowing), NULL);
 	core->regions = array_new (sizeof (struct dff_core_region), NULL);
 	core->labels = array_new (sizeof (struct dff_name), NULL);
 	core->shapes = array_new (sizeof (struct dff_core_shape), dff_core_shape_clear);
@@ -96,6 +98,7 @@
 	g_array_unref (core->workers);
 	g_array_unref (core->racks);
 	g_array_unref (core->teams);
+	g_array_unref (core->borrowing);
 	g_array_unref (core->regions);
 	g_array_unref (core->labels);
 	g_array_unref (core->shapes);
@@ -173,6 +176,7 @@
 	if (index == DFF_CORE_NONE) {
 		index = (int32_t)core->teams->len;
 		g_array_set_size (core->teams, core->teams->len + 1);
+		g_array_set_size (core->borrowing, core->teams->len);
 		dff_core_team_at (core, index)->name = declared->name;
 		g_hash_table_insert (core->team_index, dff_name_dup (&declared->name),
 				     GINT_TO_POINTER (index));
--- a/core/core_private.h
+++ b/core/core_private.h
@@ -270,6 +270,26 @@
 			   const struct dff_core_worker *worker,
 			   int32_t priority);
 
+/* team_shares.c */
+
+/** Adds @times members of a job to what its team holds. */
+void
+dff_core_borrowing_count (struct dff_core *core, const struct dff_core_job *job, int32_t times);
+
+/**
+ * dff_core_share_excess:
+ * @waits: array of one element per team: whether it has queued work of @priority
+ * @excess: (out): array of one element per team, see dff_shares_excess()
+ */
+void dff_core_share_excess (const struct dff_core *core,
+			    enum dff_shares_way way,
+			    int32_t priority,
+			    const bool *waits,
+			    double *excess);
+
+/** Sets the share levels of the heads of the queue; elements: struct dff_order_head. */
+void dff_core_set_share_levels (const struct dff_core *core, GArray *heads);
+
 /* start.c */
 
 bool dff_core_within_quota (const struct dff_core *core, const struct dff_core_job *job);
--- a/core/core_tables.h
+++ b/core/core_tables.h
@@ -158,6 +158,16 @@
 	GQueue uncovered;
 };
 
+/** What a team uses beyond what it is assured of. */
+struct dff_core_borrowing {
+	/** By priority: leased to its jobs, what it is assured of included. */
+	struct dff_resources held[DFF_CORE_PRIORITIES];
+	struct dff_shares_window accelerators[DFF_CORE_PRIORITIES];
+	struct dff_shares_window slots[DFF_CORE_PRIORITIES];
+	/** Time up to which the windows count @held. */
+	int64_t settled_ms;
+};
+
 struct dff_core_estimator;
 
 enum dff_core_state {
@@ -347,8 +357,8 @@
 	int32_t estimate_level;
 	/** Hash of what a job asks of single workers: label, data rack, spread group, isolation. */
 	guint32 worker_constraints;
-	/** The prospect that its jobs rank with, and their priority; 0 in the standing order, which
-	 * does not consider them. */
+	/** The prospect that its jobs rank with, and their priority; 0 where the order does not
+	 * consider them. */
 	int32_t prospect;
 	int32_t priority;
 };
@@ -384,6 +394,8 @@
 	GArray *workers; /**< Elements: struct dff_core_worker. */
 	GArray *racks;   /**< Elements: struct dff_core_rack. */
 	GArray *teams;   /**< Elements: struct dff_core_team. */
+	/** Elements: struct dff_core_borrowing, parallel to @teams. */
+	GArray *borrowing;
 	GArray *regions; /**< Elements: struct dff_core_region. */
 	GArray *labels;  /**< Elements: struct dff_name. */
 	GArray *shapes;  /**< Elements: struct dff_core_shape, largest first. */
--- a/core/order.c
+++ b/core/order.c
@@ -86,6 +86,7 @@
 		struct dff_order_head head = head_of (core, value);
 		g_array_append_val (ranked, head);
 	}
+	dff_core_set_share_levels (core, ranked);
 	dff_order_sort (core->options.order, ranked);
 	return ranked;
 }
--- a/core/queue.c
+++ b/core/queue.c
@@ -59,10 +59,11 @@
 	key.idempotent = job->idempotent;
 	key.estimate_level = estimate_level (dff_core_remaining_ms (core, job));
 	key.worker_constraints = constraints_hash (core, job);
-	if (core->options.order != DFF_ORDER_STANDING) {
+	if (core->options.order != DFF_ORDER_STANDING)
 		key.prospect = (int32_t)dff_core_job_ranks_as (core, job);
+	if (core->options.order != DFF_ORDER_STANDING ||
+	    core->options.shares != DFF_SHARES_STANDING)
 		key.priority = job->priority;
-	}
 	struct dff_core_class *found = g_hash_table_lookup (core->classes, &key);
 	if (found != NULL)
 		return found;
--- a/core/stats.c
+++ b/core/stats.c
@@ -41,3 +41,52 @@
 		return DFF_JOB_PHASE_ENDED;
 	}
 }
+
+static bool
+is_queued (const struct dff_core_job *job)
+{
+	return job->state == DFF_CORE_QUEUED || job->state == DFF_CORE_DELAYED ||
+	       job->state == DFF_CORE_RESERVED;
+}
+
+/* Notes the team furthest above its share of what a priority borrows. */
+static void
+note_excess (const struct dff_core *core,
+	     int32_t priority,
+	     const bool *waits,
+	     struct dff_core_queue_stats *stats)
+{
+	/* Where shares are not considered, accelerator time shows how uneven they are. */
+	enum dff_shares_way way = core->options.shares == DFF_SHARES_DOMINANT ? DFF_SHARES_DOMINANT
+									      : DFF_SHARES_DEFICIT;
+	g_autofree double *excess = g_new0 (double, core->teams->len);
+	dff_core_share_excess (core, way, priority, waits, excess);
+	for (guint i = 0; i < core->teams->len; i++) {
+		if (excess[i] <= stats->share_excess)
+			continue;
+		stats->share_excess = excess[i];
+		stats->share_team = dff_core_team_at (core, (int32_t)i)->name;
+		stats->share_priority = priority;
+	}
+}
+
+void
+dff_core_get_queue_stats (const struct dff_core *core, struct dff_core_queue_stats *stats)
+{
+	*stats = (struct dff_core_queue_stats){0};
+	guint n = core->teams->len;
+	g_autofree bool *waits = g_new0 (bool, (gsize)n *DFF_CORE_PRIORITIES);
+	GHashTableIter iter;
+	gpointer value;
+	g_hash_table_iter_init (&iter, core->jobs);
+	while (g_hash_table_iter_next (&iter, NULL, &value)) {
+		const struct dff_core_job *job = value;
+		if (!is_queued (job))
+			continue;
+		stats->prospects[dff_core_job_assess (core, job).prospect]++;
+		if (job->team != DFF_CORE_NONE)
+			waits[(guint)job->priority * n + (guint)job->team] = true;
+	}
+	for (int32_t i = 0; i < DFF_CORE_PRIORITIES; i++)
+		note_excess (core, i, &waits[(guint)i * n], stats);
+}
--- a/core/tables.c
+++ b/core/tables.c
@@ -275,6 +275,7 @@
 	g_ptr_array_add (worker->occupants, job);
 	if (job->team != DFF_CORE_NONE)
 		dff_resources_add (&dff_core_team_at (core, job->team)->used, &job->per_task, 1);
+	dff_core_borrowing_count (core, job, 1);
 }
 
 /* Adds the leases of one occupant to @leased. Returns: whether some were in @leased already. */
@@ -329,6 +330,7 @@
 		resolve_overlap (core, index);
 	if (job->team != DFF_CORE_NONE)
 		dff_resources_add (&dff_core_team_at (core, job->team)->used, &job->per_task, -1);
+	dff_core_borrowing_count (core, job, -1);
 	core->dirty = true;
 }
 
--- /dev/null
+++ b/core/team_shares.c
@@ -0,0 +1,118 @@
+#include "core/core_private.h"
+
+/* Accounting of what teams borrow, by priority, over a sliding window. A new core begins with an
+ * empty window. */
+
+static struct dff_core_borrowing *
+borrowing_at (const struct dff_core *core, int32_t team)
+{
+	return &g_array_index (core->borrowing, struct dff_core_borrowing, team);
+}
+
+/* Returns: the accelerators that a team uses by right: those assured to it, and the guaranteed
+ * shapes that its jobs claim. */
+static int32_t
+accelerators_by_right (const struct dff_core *core, int32_t team)
+{
+	int32_t sum = dff_core_team_at (core, team)->assured_accelerators;
+	for (int32_t i = 0; i < (int32_t)core->shapes->len; i++) {
+		const struct dff_core_shape *shape = dff_core_shape_at (core, i);
+		sum += shape->team == team ? shape->claimed : 0;
+	}
+	return sum;
+}
+
+/* Counts what a team has held since it was last settled. Its highest priorities use what it has a
+ * right to first. */
+static void
+settle (const struct dff_core *core, int32_t team, struct dff_core_borrowing *borrowing)
+{
+	if (borrowing->settled_ms >= core->now_ms)
+		return;
+	int32_t left = accelerators_by_right (core, team);
+	for (int32_t i = 0; i < DFF_CORE_PRIORITIES; i++) {
+		const struct dff_resources *held = &borrowing->held[i];
+		int32_t borrowed = MAX (held->accelerators - left, 0);
+		double part = held->accelerators > 0 ? (double)borrowed / held->accelerators : 1.0;
+		left -= held->accelerators - borrowed;
+		dff_shares_window_add (&borrowing->accelerators[i], borrowing->settled_ms,
+				       core->now_ms, borrowed);
+		dff_shares_window_add (&borrowing->slots[i], borrowing->settled_ms, core->now_ms,
+				       part * held->slots);
+	}
+	borrowing->settled_ms = core->now_ms;
+}
+
+void
+dff_core_borrowing_count (struct dff_core *core, const struct dff_core_job *job, int32_t times)
+{
+	if (job->team == DFF_CORE_NONE)
+		return;
+	struct dff_core_borrowing *borrowing = borrowing_at (core, job->team);
+	settle (core, job->team, borrowing);
+	dff_resources_add (&borrowing->held[job->priority], &job->per_task, times);
+}
+
+static double
+part_of (double unit_ms, int32_t units)
+{
+	return unit_ms / ((double)MAX (units, 1) * (double)DFF_SHARES_WINDOW_MS);
+}
+
+void
+dff_core_share_excess (const struct dff_core *core,
+		       enum dff_shares_way way,
+		       int32_t priority,
+		       const bool *waits,
+		       double *excess)
+{
+	guint n = core->teams->len;
+	g_autofree struct dff_shares_claimant *claimants = g_new0 (struct dff_shares_claimant, n);
+	for (guint i = 0; i < n; i++) {
+		struct dff_core_borrowing *borrowing = borrowing_at (core, (int32_t)i);
+		settle (core, (int32_t)i, borrowing);
+		double accelerator_ms =
+			dff_shares_window_sum (&borrowing->accelerators[priority], core->now_ms);
+		double slot_ms = dff_shares_window_sum (&borrowing->slots[priority], core->now_ms);
+		claimants[i] = (struct dff_shares_claimant){
+			.accelerator_ms = accelerator_ms,
+			.dominant = MAX (part_of (accelerator_ms, core->total.accelerators),
+					 part_of (slot_ms, core->total.slots)),
+			.weight = dff_core_team_at (core, (int32_t)i)->weight,
+			.waits = waits[i],
+		};
+	}
+	dff_shares_excess (way, claimants, n, excess);
+}
+
+static void
+set_levels (const struct dff_core *core, GArray *heads, int32_t priority)
+{
+	guint n = core->teams->len;
+	g_autofree bool *waits = g_new0 (bool, n);
+	g_autofree double *excess = g_new0 (double, n);
+	for (guint i = 0; i < heads->len; i++) {
+		const struct dff_order_head *head =
+			&g_array_index (heads, struct dff_order_head, i);
+		const struct dff_core_class *queue_class = head->user;
+		if (head->priority == priority && queue_class->key.team != DFF_CORE_NONE)
+			waits[queue_class->key.team] = true;
+	}
+	dff_core_share_excess (core, core->options.shares, priority, waits, excess);
+	for (guint i = 0; i < heads->len; i++) {
+		struct dff_order_head *head = &g_array_index (heads, struct dff_order_head, i);
+		const struct dff_core_class *queue_class = head->user;
+		if (head->priority == priority && queue_class->key.team != DFF_CORE_NONE)
+			head->share_level = dff_shares_level (core->options.shares,
+							      excess[queue_class->key.team]);
+	}
+}
+
+void
+dff_core_set_share_levels (const struct dff_core *core, GArray *heads)
+{
+	if (core->options.shares == DFF_SHARES_STANDING)
+		return;
+	for (int32_t priority = 0; priority < DFF_CORE_PRIORITIES; priority++)
+		set_levels (core, heads, priority);
+}
--- a/include/core/core.h
+++ b/include/core/core.h
@@ -8,6 +8,7 @@
 #include "common/cleanup.h"
 #include "core/job.h"
 #include "core/priority_order.h"
+#include "core/shares.h"
 #include "pool/pool.h"
 
 /*
@@ -91,6 +92,8 @@
 	double headroom_wait_ratio;
 	/** How queued work is ordered within what its urgency and its team's rights give it. */
 	enum dff_order_way order;
+	/** How what a priority borrows is divided between teams. */
+	enum dff_shares_way shares;
 };
 
 /** Fills in the defaults; docs/decisions/ gives the reasons for them. */
@@ -276,6 +279,20 @@
 
 void dff_core_get_stats (const struct dff_core *core, struct dff_core_stats *stats);
 
+/** The queue by what its jobs can still achieve, and between teams. */
+struct dff_core_queue_stats {
+	/** Number of queued jobs by enum dff_prospect. */
+	int64_t prospects[DFF_PROSPECT_NONE + 1];
+	/** By how much of its share the team furthest above its share is above it; 0: none is. Its
+	 * name, and the priority of the capacity that it borrows. */
+	double share_excess;
+	struct dff_name share_team;
+	int32_t share_priority;
+};
+
+/** Walks over all jobs. */
+void dff_core_get_queue_stats (const struct dff_core *core, struct dff_core_queue_stats *stats);
+
 enum dff_job_phase {
 	DFF_JOB_PHASE_UNKNOWN,
 	DFF_JOB_PHASE_QUEUED,
