core, holder: work whose objective is missed displaces nothing; gauges of the queue

Cause: a job that can no longer achieve anything preempts others, uses headroom after its wait and gets racks reserved as one that can. What the queue can still achieve is not visible.

Change: outside the standing order, a missed job uses free capacity only, until it competes as if in time; what a team is assured of is not touched. Gauges dff_holder_queued_units by prospect and dff_holder_share_excess_permille; the log line "Unit placed" has the prospect and the slack.

--- a/core/core_private.h
+++ b/core/core_private.h
@@ -276,6 +276,10 @@
 void
 dff_core_borrowing_count (struct dff_core *core, const struct dff_core_job *job, int32_t times);
 
+/** Whether a job, once started, would be within what its team is assured of, or is assured already.
+ */
+bool dff_core_is_by_right (const struct dff_core *core, const struct dff_core_job *job);
+
 /**
  * dff_core_share_excess:
  * @waits: array of one element per team: whether it has queued work of @priority
@@ -322,6 +326,11 @@
 enum dff_prospect dff_core_job_ranks_as (const struct dff_core *core,
 					 const struct dff_core_job *job);
 
+/** Whether a queued job yields to others: its objective is missed, and it has not waited so long
+ * yet that it competes as if in time. It uses free capacity only: it preempts nothing without a
+ * right to the capacity, and nothing is reserved for it. */
+bool dff_core_job_yields (const struct dff_core *core, const struct dff_core_job *job);
+
 /** Returns: the probability that a job that would start now completes within @factor times its
  * objective; 0 without one. */
 double
--- a/core/estimate.c
+++ b/core/estimate.c
@@ -157,6 +157,13 @@
 	return dff_order_prospect (prospect, objective.age_ms, limit_ms);
 }
 
+bool
+dff_core_job_yields (const struct dff_core *core, const struct dff_core_job *job)
+{
+	return core->options.order != DFF_ORDER_STANDING && job->queue_class != NULL &&
+	       job->queue_class->key.prospect == DFF_PROSPECT_MISSED;
+}
+
 double
 dff_core_job_chance (const struct dff_core *core, const struct dff_core_job *job, double factor)
 {
--- a/core/headroom.c
+++ b/core/headroom.c
@@ -93,7 +93,8 @@
 {
 	double times = core->options.headroom_wait_ratio;
 	double waited_ms = (double)(core->now_ms - job->submitted_ms);
-	bool has_waited = times > 0.0 && waited_ms >= times * (double)job->estimate_ms;
+	bool has_waited = times > 0.0 && waited_ms >= times * (double)job->estimate_ms &&
+			  !dff_core_job_yields (core, job);
 	return has_waited ? MIN (job->priority, 1) : job->priority;
 }
 
--- a/core/lifecycle.c
+++ b/core/lifecycle.c
@@ -151,7 +151,9 @@
 			dff_core_pick_accelerators (worker, job->per_task.accelerators);
 		dff_core_lease (core, job, job->members[i].worker, placement->accelerators);
 	}
-	dff_core_emit (core, DFF_COMMAND_RECORD_START, job)->placements = job->placements;
+	struct dff_command *command = dff_core_emit (core, DFF_COMMAND_RECORD_START, job);
+	command->placements = job->placements;
+	command->assessment = dff_core_job_assess (core, job);
 }
 
 void
--- a/core/order.c
+++ b/core/order.c
@@ -177,6 +177,7 @@
 needs_rack_reservation (const struct dff_core *core, const struct dff_core_job *job)
 {
 	return job->gang > 1 && job->adjacency != DFF_ADJACENCY_NONE &&
+	       !dff_core_job_yields (core, job) &&
 	       dff_core_job_accelerators (job) >= core->largest_rack_shape / 2 &&
 	       core->now_ms - job->submitted_ms > core->options.rack_reservation_delay_ms;
 }
--- a/core/queue.c
+++ b/core/queue.c
@@ -143,6 +143,8 @@
 			return;
 		remove_from_class (core, head);
 		insert_by_age (class_for (core, head), head);
+		if (dff_core_job_yields (core, head))
+			dff_core_release_racks (core, head);
 	}
 }
 
--- a/core/start.c
+++ b/core/start.c
@@ -60,6 +60,8 @@
 		return false;
 	if (!job->urgent && (core->evictions_left <= 0 || slots_only))
 		return false;
+	if (dff_core_job_yields (core, job) && !dff_core_is_by_right (core, job))
+		return false;
 	core->evictions_left -= !job->urgent;
 	job->score = dff_core_score (core, job);
 	job->score_ms = INT64_MIN / 2;
--- a/core/team_shares.c
+++ b/core/team_shares.c
@@ -53,6 +53,18 @@
 	dff_resources_add (&borrowing->held[job->priority], &job->per_task, times);
 }
 
+bool
+dff_core_is_by_right (const struct dff_core *core, const struct dff_core_job *job)
+{
+	if (dff_core_job_is_assured (core, job))
+		return true;
+	if (!job->urgent || job->team == DFF_CORE_NONE)
+		return false;
+	int32_t held = borrowing_at (core, job->team)->held[job->priority].accelerators;
+	return held + dff_core_job_accelerators (job) <=
+	       dff_core_team_at (core, job->team)->assured_accelerators;
+}
+
 static double
 part_of (double unit_ms, int32_t units)
 {
--- a/holder/holder.c
+++ b/holder/holder.c
@@ -221,6 +221,7 @@
 	holder->ended_revision = -1;
 	holder->active_revision = -1;
 	open_metrics (holder);
+	queue_gauges_open (holder);
 	queries_open (holder);
 	g_queue_init (&holder->submissions);
 	holder->tick_timer = dff_timer_new (options->timers, handle_tick, holder);
--- a/holder/holder_private.h
+++ b/holder/holder_private.h
@@ -202,6 +202,15 @@
 /** Answers the queries that can be answered now. */
 void queries_step (struct dff_holder *holder);
 
+/* queue_gauges.c */
+
+void queue_gauges_open (struct dff_holder *holder);
+
+/** Sets the gauges of the queue, when they are due. */
+void queue_gauges_step (struct dff_holder *holder);
+
+void queue_gauges_reset (struct dff_holder *holder);
+
 /* recovery.c */
 
 /** Reads all recorded state, after which the holder can schedule. */
--- a/holder/holder_tables.h
+++ b/holder/holder_tables.h
@@ -416,7 +416,11 @@
 		int64_t *queries_answered;
 		int64_t *submissions;
 		int64_t *starts_withdrawn;
+		int64_t *queued_units[DFF_PROSPECT_NONE + 1];
+		int64_t *share_excess;
 	} metrics;
+	/** Time at which the gauges of the queue are computed next. */
+	int64_t queue_gauges_due_ms;
 };
 
 #endif
--- a/holder/jobs.c
+++ b/holder/jobs.c
@@ -51,6 +51,7 @@
 	g_clear_pointer (&holder->withdrawn, g_ptr_array_unref);
 	g_clear_pointer (&holder->jobs, g_hash_table_unref);
 	*holder->metrics.open_jobs = 0;
+	queue_gauges_reset (holder);
 }
 
 void
@@ -337,4 +338,5 @@
 	}
 	remove_withdrawn (holder);
 	*holder->metrics.open_jobs = (int64_t)g_hash_table_size (holder->jobs);
+	queue_gauges_step (holder);
 }
--- a/holder/units.c
+++ b/holder/units.c
@@ -215,9 +215,11 @@
 	commit_mark_dirty (holder, unit->job);
 	const struct dff_task *task = member_task (unit, 0);
 	dff_log (DFF_LOG_CELL, DFF_LOG_INFO,
-		 "Unit placed. unit=%s run=%d tasks=%d worker=%s waited_ms=%" PRId64 " resumed=%d",
+		 "Unit placed. unit=%s run=%d tasks=%d worker=%s waited_ms=%" PRId64
+		 " resumed=%d prospect=%s slack_ms=%" PRId64,
 		 unit->name.data, task->run, unit->n_members, task->worker.data,
-		 holder_now_ms (holder) - unit->job->added_ms, task->checkpoint != NULL);
+		 holder_now_ms (holder) - unit->job->added_ms, task->checkpoint != NULL,
+		 dff_prospect_name (command->assessment.prospect), command->assessment.slack_ms);
 }
 
 static void
--- a/include/core/core.h
+++ b/include/core/core.h
@@ -219,6 +219,8 @@
 	 * next call. */
 	const GArray *placements;
 	enum dff_outcome outcome;
+	/** With DFF_COMMAND_RECORD_START: what the job can achieve when it starts now. */
+	struct dff_objective_assessment assessment;
 	/** Stable code of why a job ends or a task is stopped ("never_runnable",
 	 * "attempts_exhausted", "worker_leaving", ...). Static. */
 	const char *reason;
