--- a/bench/load/classes.c
+++ b/bench/load/classes.c
@@ -81,6 +81,7 @@
 				 .cores = 64,
 				 .classes = classes,
 				 .speed_spread = 0.2,
+				 .n_teams = 10,
 				 .n_classes = DFF_LOAD_MIXED_CLASSES,
 				 .length_ms = 45000,
 				 .drain_ms = 30000};
--- a/bench/load/jobs.c
+++ b/bench/load/jobs.c
@@ -20,11 +20,16 @@
 	return mean * exp (spread * normal (rand) - spread * spread / 2.0);
 }
 
+static bool
+in_burst (const struct dff_load_class *class, int64_t at_ms)
+{
+	return at_ms >= class->burst_from_ms && at_ms < class->burst_to_ms;
+}
+
 static double
 rate_at (const struct dff_load_class *class, int64_t at_ms)
 {
-	bool bursts = at_ms >= class->burst_from_ms && at_ms < class->burst_to_ms;
-	return class->per_s * (bursts ? class->burst_times : 1.0);
+	return class->per_s * (in_burst (class, at_ms) ? class->burst_times : 1.0);
 }
 
 static struct load_job
@@ -46,6 +51,8 @@
 		job.failing_runs++;
 	double declared_ms = log_normal (rand, (double)job.run_ms, class->estimate_spread);
 	job.declared_ms = (int64_t)MAX (declared_ms, 1.0);
+	/* Not drawn from @rand: the jobs of a seed do not depend on the number of teams. */
+	job.team = (int32_t)((uint32_t)(at_ms / ARRIVAL_STEP_MS) * 2654435761U >> 16);
 	return job;
 }
 
@@ -61,6 +68,8 @@
 			if (g_rand_double (rand) >= chance)
 				continue;
 			struct load_job job = draw_job (rand, class, i, at_ms);
+			bool bursts = class->burst_times > 1.0 && in_burst (class, at_ms);
+			job.team = bursts ? 0 : job.team % MAX (load->n_teams, 1);
 			g_array_append_val (jobs, job);
 		}
 	}
--- a/bench/load/jobs.h
+++ b/bench/load/jobs.h
@@ -7,6 +7,7 @@
 
 struct load_job {
 	size_t class_index;
+	int32_t team;
 	int64_t arrives_ms;
 	int32_t width;
 	int32_t accelerators;
--- a/bench/load/load.c
+++ b/bench/load/load.c
@@ -302,7 +302,10 @@
 	double objective_ms = class->stretch * (double)(job->run_ms + entry->failed_ms) +
 			      (double)class->target_ms;
 	bool in_time = (double)(play->now_ms - job->arrives_ms) <= objective_ms;
+	bool missed =
+		(double)(play->now_ms - job->arrives_ms) > DFF_OBJECTIVE_LATE_FACTOR * objective_ms;
 	outcome_of (play, job)->n_in_time += in_time;
+	outcome_of (play, job)->n_missed += missed;
 	outcome_of (play, job)->n_late += !in_time;
 	outcome_of (play, job)->n_open--;
 }
@@ -354,9 +357,15 @@
 	unit->entry = entry;
 	unit->width = class->gang ? job->width : 1;
 	g_hash_table_insert (play->units, &unit->name, unit);
+	struct dff_objective objective = {.stretch = class->stretch,
+					  .target_ms = class->target_ms,
+					  .chain_ms = job->declared_ms,
+					  .tail_ms = job->declared_ms,
+					  .age_ms = play->now_ms - job->arrives_ms};
 	struct dff_job_spec spec = {
+		.objective = &objective,
 		.id = unit->name,
-		.team = dff_name_from ("team"),
+		.team = dff_name_printf ("team%d", job->team),
 		.service = dff_name_from (class->name),
 		.region = dff_name_from ("region"),
 		.gang = unit->width,
@@ -395,13 +404,15 @@
 	const struct dff_load *load = play->load;
 	DFF_AUTO (dff_pool) pool = dff_pool_new ();
 	pool->weights = (struct dff_weights){.completion = 1.0};
-	struct dff_team team = {
-		.name = dff_name_from ("team"),
-		.token_digests = g_array_new (FALSE, TRUE, 1),
-		.guarantees = g_array_new (FALSE, TRUE, sizeof (struct dff_guarantee)),
-		.weight = 1,
-	};
-	g_array_append_val (pool->teams, team);
+	for (int32_t i = 0; i < MAX (load->n_teams, 1); i++) {
+		struct dff_team team = {
+			.name = dff_name_printf ("team%d", i),
+			.token_digests = g_array_new (FALSE, TRUE, 1),
+			.guarantees = g_array_new (FALSE, TRUE, sizeof (struct dff_guarantee)),
+			.weight = 1,
+		};
+		g_array_append_val (pool->teams, team);
+	}
 	for (int32_t i = 0; i < load->n_racks; i++) {
 		struct dff_rack rack = {
 			.name = dff_name_printf ("r%d", i),
--- a/bench/load/load.h
+++ b/bench/load/load.h
@@ -60,6 +60,9 @@
 	/** Deviation of worker speeds, as a share: a third of the workers are slower by it, a third
 	 * faster. */
 	double speed_spread;
+	/** Number of teams; the jobs are spread over them. Of the jobs of one class that arrive in
+	 * its burst, all are of the first team. 0 counts as 1. */
+	int32_t n_teams;
 	const struct dff_load_class *classes;
 	size_t n_classes;
 	/** Time in which jobs arrive, and time after it in which they may still end. */
@@ -73,10 +76,12 @@
 /** Results of a class's jobs. */
 struct dff_load_outcome {
 	int32_t n_jobs;
-	/** Ended within their objective, later, and not at all. */
+	/** Ended within their objective, later, and not at all; and those of @n_late that ended
+	 * after more than DFF_OBJECTIVE_LATE_FACTOR times their objective. */
 	int32_t n_in_time;
 	int32_t n_late;
 	int32_t n_open;
+	int32_t n_missed;
 	/** Started within 100 ms. */
 	int32_t n_at_once;
 	/** Runs preempted. */
