core: value density counts occupancy without the wait

Cause: the wait divides a score by its square, so old work that can only be late outweighed new work five times as valuable.

Change: the value density of work with an objective is its value over its occupancy; waiting enters by the slack. Work without an objective and work missed long ago keep the score with the wait.

--- a/core/order.c
+++ b/core/order.c
@@ -13,11 +13,18 @@
 /** Weight of a team's share of the pool in its scores. */
 #define FAIRNESS 0.25
 
-double
-dff_core_score (const struct dff_core *core, const struct dff_core_job *job)
+/* Returns: the expected occupancy of a job for its weight. */
+static double
+occupancy (const struct dff_core *core, const struct dff_core_job *job)
 {
 	double remaining_ms = (double)dff_core_remaining_ms (core, job);
 	double width = MAX (dff_core_job_accelerators (job), 1);
+	return remaining_ms * pow (width, core->policy.width_power) / job->weight;
+}
+
+double
+dff_core_score (const struct dff_core *core, const struct dff_core_job *job)
+{
 	double waited_ms = (double)job->waited_ms;
 	if (job->state == DFF_CORE_QUEUED)
 		waited_ms += (double)(core->now_ms - job->queued_ms);
@@ -25,7 +32,7 @@
 	/* The score of a job that has never run improves with its wait until it first runs. */
 	if (!job->ever_ran && job->state == DFF_CORE_QUEUED)
 		age += waited_ms / core->policy.first_turn_ms;
-	return remaining_ms * pow (width, core->policy.width_power) / (age * age * job->weight);
+	return occupancy (core, job) / (age * age);
 }
 
 double
@@ -68,6 +75,7 @@
 	head.expected_ms = job->estimate_ms;
 	if (core->options.order == DFF_ORDER_SLACK)
 		return head;
+	head.occupancy = occupancy (core, job);
 	head.in_time_chance = dff_core_job_chance (core, job, 1.0);
 	head.late_chance = dff_core_job_chance (core, job, DFF_OBJECTIVE_LATE_FACTOR);
 	return head;
--- a/core/priority_order.c
+++ b/core/priority_order.c
@@ -92,7 +92,7 @@
 	double pressure = 1.0;
 	if (head->prospect == DFF_PROSPECT_IN_TIME)
 		pressure = exp (-relative_slack (head) / SLACK_SCALE);
-	return head->score / (MAX (value, VALUE_MIN) * MAX (pressure, VALUE_MIN));
+	return head->occupancy / (MAX (value, VALUE_MIN) * MAX (pressure, VALUE_MIN));
 }
 
 static struct sort_key
--- a/include/core/priority_order.h
+++ b/include/core/priority_order.h
@@ -41,8 +41,10 @@
 	 * DFF_OBJECTIVE_LATE_FACTOR times that, when it starts now; 0 to 1. */
 	double in_time_chance;
 	double late_chance;
-	/** Lower scores go first. */
+	/** Lower scores go first: the occupancy, reduced by the wait. */
 	double score;
+	/** With an objective: expected occupancy for its weight. */
+	double occupancy;
 	/** How far its team is above its share of what the priority borrows, see
 	 * dff_shares_level(); 0: not above. */
 	int32_t share_level;
