--- a/bench/load/main.c
+++ b/bench/load/main.c
@@ -80,6 +80,13 @@
 	shares_by_deficit (options);
 }
 
+static void
+density_and_deficit (struct dff_core_options *options)
+{
+	order_by_density (options);
+	shares_by_deficit (options);
+}
+
 static void
 density_and_dominant (struct dff_core_options *options)
 {
@@ -98,6 +105,7 @@
 	{"shares by deficit", shares_by_deficit},
 	{"shares by dominant share", shares_by_dominant},
 	{"slack, deficit", slack_and_deficit},
+	{"value density, deficit", density_and_deficit},
 	{"value density, dominant", density_and_dominant},
 };
 
@@ -193,9 +201,10 @@
 static void
 print_usage (FILE *stream)
 {
-	fprintf (stream, "Usage: load [--times RATE] [--seeds N]\n"
+	fprintf (stream, "Usage: load [--times RATE] [--seeds N] [--match TEXT]\n"
 			 "Plays a minute of three classes on the decision core, at RATE times\n"
-			 "their usual rate (1.2), with N seeds (20).\n");
+			 "their usual rate (1.2), with N seeds (20): with the policy as it is,\n"
+			 "and with the variants whose name contains TEXT.\n");
 }
 
 int
@@ -203,10 +212,12 @@
 {
 	static const struct option long_options[] = {{"times", required_argument, NULL, 't'},
 						     {"seeds", required_argument, NULL, 's'},
+						     {"match", required_argument, NULL, 'm'},
 						     {"help", no_argument, NULL, 'h'},
 						     {0}};
 	double times = 1.2;
 	int n_seeds = 20;
+	const char *match = "";
 	int option;
 	while ((option = getopt_long (argc, argv, "h", long_options, NULL)) != -1) {
 		switch (option) {
@@ -216,6 +227,9 @@
 		case 's':
 			n_seeds = MAX ((int)g_ascii_strtoll (optarg, NULL, 10), 1);
 			break;
+		case 'm':
+			match = optarg;
+			break;
 		case 'h':
 			print_usage (stdout);
 			return EXIT_SUCCESS;
@@ -228,7 +242,10 @@
 		"value  difference\n");
 	g_autofree double *unchanged = g_new0 (double, (gsize)n_seeds);
 	g_autofree double *values = g_new0 (double, (gsize)n_seeds);
-	for (size_t i = 0; i < G_N_ELEMENTS (variants); i++)
+	for (size_t i = 0; i < G_N_ELEMENTS (variants); i++) {
+		if (i > 0 && strstr (variants[i].name, match) == NULL)
+			continue;
 		play_variant (&variants[i], times, n_seeds, i == 0 ? unchanged : values, unchanged);
+	}
 	return EXIT_SUCCESS;
 }
--- a/core/order.c
+++ b/core/order.c
@@ -73,9 +73,9 @@
 		return head;
 	head.slack_ms = dff_core_job_assess (core, job).slack_ms;
 	head.expected_ms = job->estimate_ms;
+	head.occupancy = occupancy (core, job);
 	if (core->options.order == DFF_ORDER_SLACK)
 		return head;
-	head.occupancy = occupancy (core, job);
 	head.in_time_chance = dff_core_job_chance (core, job, 1.0);
 	head.late_chance = dff_core_job_chance (core, job, DFF_OBJECTIVE_LATE_FACTOR);
 	return head;
--- a/core/priority_order.c
+++ b/core/priority_order.c
@@ -12,7 +12,7 @@
 /** Value below which no job is rated, so that its wait still moves it forward. */
 #define VALUE_MIN 0.02
 /** Slack, in multiples of the expected duration, over which the pressure to start falls by e. */
-#define SLACK_SCALE 2.0
+#define SLACK_SCALE 5.0
 
 /** Sort key of a head; lower keys go first. */
 struct sort_key {
@@ -85,8 +85,6 @@
 static double
 density_score (const struct dff_order_head *head)
 {
-	if (head->prospect == DFF_PROSPECT_NONE || head->prospect == DFF_PROSPECT_MISSED)
-		return head->score;
 	double value = head->in_time_chance +
 		       LATE_VALUE * MAX (head->late_chance - head->in_time_chance, 0.0);
 	double pressure = 1.0;
@@ -95,6 +93,21 @@
 	return head->occupancy / (MAX (value, VALUE_MIN) * MAX (pressure, VALUE_MIN));
 }
 
+static bool
+has_prospect (const struct dff_order_head *head)
+{
+	return head->prospect == DFF_PROSPECT_IN_TIME || head->prospect == DFF_PROSPECT_LATE;
+}
+
+/* The wait of work that can still earn its value is in the expected value and the slack: counted
+ * again in the score, it would put old work that is about to be missed before new work. */
+static double
+score_of (enum dff_order_way way, const struct dff_order_head *head)
+{
+	bool by_density = way == DFF_ORDER_VALUE_DENSITY && has_prospect (head);
+	return by_density ? density_score (head) : head->score;
+}
+
 static struct sort_key
 sort_key (enum dff_order_way way, const struct dff_order_head *head)
 {
@@ -102,7 +115,7 @@
 		.precedence = precedence (head),
 		.group = group_of (way, head),
 		.band = slack_band (way, head),
-		.score = way == DFF_ORDER_VALUE_DENSITY ? density_score (head) : head->score,
+		.score = score_of (way, head),
 	};
 }
 
