--- a/core/core_private.h
+++ b/core/core_private.h
@@ -280,16 +280,9 @@
  */
 bool dff_core_is_by_right (const struct dff_core *core, const struct dff_core_job *job);
 
-/**
- * dff_core_share_excess:
- * @waits: array of one element per team: whether it has queued work of @priority
- * @excess: (out): array of one element per team, see dff_shares_excess()
- */
-void dff_core_share_excess (const struct dff_core *core,
-			    enum dff_shares_way way,
-			    int32_t priority,
-			    const bool *waits,
-			    double *excess);
+/** Returns: (transfer full): what each team borrows of a priority, without who waits; elements:
+ * struct dff_shares_claimant, parallel to the teams. */
+GArray *dff_core_claimants_new (const struct dff_core *core, int32_t priority);
 
 /** Sets the share levels of the heads of the queue; elements: struct dff_order_head. */
 void dff_core_set_share_levels (const struct dff_core *core, GArray *heads);
--- a/core/queue.c
+++ b/core/queue.c
@@ -63,7 +63,7 @@
 		key.prospect = (int32_t)dff_core_job_ranks_as (core, job);
 	if (core->options.order != DFF_ORDER_STANDING ||
 	    core->options.shares != DFF_SHARES_STANDING)
-		key.priority = job->priority;
+		key.priority = (uint8_t)job->priority;
 	struct dff_core_class *found = g_hash_table_lookup (core->classes, &key);
 	if (found != NULL)
 		return found;
--- a/core/shares.c
+++ b/core/shares.c
@@ -1,6 +1,5 @@
 #include "core/shares.h"
 
-#include <glib.h>
 #include <math.h>
 
 #define SLICE_MS (DFF_SHARES_WINDOW_MS / DFF_SHARES_SLICES)
@@ -64,29 +63,61 @@
 	return claimant->weight > 0.0 ? MIN (claimant->weight, WEIGHT_MAX) : 1.0;
 }
 
-void
-dff_shares_excess (enum dff_shares_way way,
-		   const struct dff_shares_claimant *claimants,
-		   size_t n,
-		   double *excess)
+static struct dff_shares_claimant *
+claimant_at (const GArray *claimants, guint index)
+{
+	return &g_array_index (claimants, struct dff_shares_claimant, index);
+}
+
+struct totals {
+	double use;
+	double weight;
+};
+
+static struct totals
+add_up (enum dff_shares_way way, const GArray *claimants)
 {
-	double use = 0.0;
-	double weight = 0.0;
-	for (size_t i = 0; i < n; i++) {
-		excess[i] = 0.0;
-		use += use_of (way, &claimants[i]);
-		if (claimants[i].waits || use_of (way, &claimants[i]) > 0.0)
-			weight += weight_of (&claimants[i]);
+	struct totals totals = {0};
+	for (guint i = 0; i < claimants->len; i++) {
+		const struct dff_shares_claimant *claimant = claimant_at (claimants, i);
+		double use = use_of (way, claimant);
+		totals.use += use;
+		if (claimant->waits || use > 0.0)
+			totals.weight += weight_of (claimant);
 	}
-	bool lacks = false;
-	for (size_t i = 0; i < n; i++)
-		lacks = lacks || (claimants[i].waits && use_of (way, &claimants[i]) * weight <
-								use * weight_of (&claimants[i]));
-	if (way == DFF_SHARES_STANDING || !lacks)
-		return;
-	for (size_t i = 0; i < n; i++) {
-		double share = use * (weight_of (&claimants[i]) / weight);
-		excess[i] = MAX (use_of (way, &claimants[i]) / share - 1.0, 0.0);
+	return totals;
+}
+
+/* Returns: the share of a claimant that borrowed or waits. */
+static double
+share_of (const struct totals *totals, const struct dff_shares_claimant *claimant)
+{
+	return totals->use * (weight_of (claimant) / totals->weight);
+}
+
+static bool
+some_waiting_lacks (enum dff_shares_way way, const GArray *claimants, const struct totals *totals)
+{
+	for (guint i = 0; i < claimants->len; i++) {
+		const struct dff_shares_claimant *claimant = claimant_at (claimants, i);
+		if (claimant->waits && use_of (way, claimant) < share_of (totals, claimant))
+			return true;
+	}
+	return false;
+}
+
+void
+dff_shares_set_excess (enum dff_shares_way way, GArray *claimants)
+{
+	struct totals totals = add_up (way, claimants);
+	bool considered =
+		way != DFF_SHARES_STANDING && some_waiting_lacks (way, claimants, &totals);
+	for (guint i = 0; i < claimants->len; i++) {
+		struct dff_shares_claimant *claimant = claimant_at (claimants, i);
+		double use = use_of (way, claimant);
+		claimant->excess = 0.0;
+		if (considered && use > 0.0)
+			claimant->excess = MAX (use / share_of (&totals, claimant) - 1.0, 0.0);
 	}
 }
 
--- a/core/stats.c
+++ b/core/stats.c
@@ -53,18 +53,17 @@
 static void
 note_excess (const struct dff_core *core,
 	     int32_t priority,
-	     const bool *waits,
+	     GArray *claimants,
 	     struct dff_core_queue_stats *stats)
 {
 	/* Where shares are not considered, accelerator time shows how uneven they are. */
-	enum dff_shares_way way = core->options.shares == DFF_SHARES_DOMINANT ? DFF_SHARES_DOMINANT
-									      : DFF_SHARES_DEFICIT;
-	g_autofree double *excess = g_new0 (double, core->teams->len);
-	dff_core_share_excess (core, way, priority, waits, excess);
-	for (guint i = 0; i < core->teams->len; i++) {
-		if (excess[i] <= stats->share_excess)
+	bool dominant = core->options.shares == DFF_SHARES_DOMINANT;
+	dff_shares_set_excess (dominant ? DFF_SHARES_DOMINANT : DFF_SHARES_DEFICIT, claimants);
+	for (guint i = 0; i < claimants->len; i++) {
+		double excess = g_array_index (claimants, struct dff_shares_claimant, i).excess;
+		if (excess <= stats->share_excess)
 			continue;
-		stats->share_excess = excess[i];
+		stats->share_excess = excess;
 		stats->share_team = dff_core_team_at (core, (int32_t)i)->name;
 		stats->share_priority = priority;
 	}
@@ -74,8 +73,9 @@
 dff_core_get_queue_stats (const struct dff_core *core, struct dff_core_queue_stats *stats)
 {
 	*stats = (struct dff_core_queue_stats){0};
-	guint n = core->teams->len;
-	g_autofree bool *waits = g_new0 (bool, (gsize)n *DFF_CORE_PRIORITIES);
+	GArray *claimants[DFF_CORE_PRIORITIES];
+	for (int32_t i = 0; i < DFF_CORE_PRIORITIES; i++)
+		claimants[i] = dff_core_claimants_new (core, i);
 	GHashTableIter iter;
 	gpointer value;
 	g_hash_table_iter_init (&iter, core->jobs);
@@ -84,9 +84,14 @@
 		if (!is_queued (job))
 			continue;
 		stats->prospects[dff_core_job_assess (core, job).prospect]++;
-		if (job->team != DFF_CORE_NONE)
-			waits[(guint)job->priority * n + (guint)job->team] = true;
+		if (job->team == DFF_CORE_NONE)
+			continue;
+		struct dff_shares_claimant *claimant = &g_array_index (
+			claimants[job->priority], struct dff_shares_claimant, job->team);
+		claimant->waits = true;
+	}
+	for (int32_t i = 0; i < DFF_CORE_PRIORITIES; i++) {
+		note_excess (core, i, claimants[i], stats);
+		g_array_unref (claimants[i]);
 	}
-	for (int32_t i = 0; i < DFF_CORE_PRIORITIES; i++)
-		note_excess (core, i, &waits[(guint)i * n], stats);
 }
--- a/core/team_shares.c
+++ b/core/team_shares.c
@@ -85,52 +85,57 @@
 	return unit_ms / ((double)MAX (units, 1) * (double)DFF_SHARES_WINDOW_MS);
 }
 
-void
-dff_core_share_excess (const struct dff_core *core,
-		       enum dff_shares_way way,
-		       int32_t priority,
-		       const bool *waits,
-		       double *excess)
+GArray *
+dff_core_claimants_new (const struct dff_core *core, int32_t priority)
 {
-	guint n = core->teams->len;
-	g_autofree struct dff_shares_claimant *claimants = g_new0 (struct dff_shares_claimant, n);
-	for (guint i = 0; i < n; i++) {
-		struct dff_core_borrowing *borrowing = borrowing_at (core, (int32_t)i);
-		settle (core, (int32_t)i, borrowing);
+	GArray *claimants = g_array_sized_new (FALSE, FALSE, sizeof (struct dff_shares_claimant),
+					       core->teams->len);
+	for (int32_t i = 0; i < (int32_t)core->teams->len; i++) {
+		struct dff_core_borrowing *borrowing = borrowing_at (core, i);
+		settle (core, i, borrowing);
 		double accelerator_ms =
 			dff_shares_window_sum (&borrowing->accelerators[priority], core->now_ms);
 		double slot_ms = dff_shares_window_sum (&borrowing->slots[priority], core->now_ms);
-		claimants[i] = (struct dff_shares_claimant){
+		struct dff_shares_claimant claimant = {
 			.accelerator_ms = accelerator_ms,
 			.dominant = MAX (part_of (accelerator_ms, core->total.accelerators),
 					 part_of (slot_ms, core->total.slots)),
-			.weight = dff_core_team_at (core, (int32_t)i)->weight,
-			.waits = waits[i],
+			.weight = dff_core_team_at (core, i)->weight,
 		};
+		g_array_append_val (claimants, claimant);
 	}
-	dff_shares_excess (way, claimants, n, excess);
+	return claimants;
+}
+
+/* Returns: (nullable): the claimant of a head; NULL when the head has another priority. */
+static struct dff_shares_claimant *
+claimant_of (const struct dff_order_head *head, const GArray *claimants, int32_t priority)
+{
+	const struct dff_core_class *queue_class = head->user;
+	if (head->priority != priority || queue_class->key.team == DFF_CORE_NONE)
+		return NULL;
+	return &g_array_index (claimants, struct dff_shares_claimant, queue_class->key.team);
 }
 
 static void
 set_levels (const struct dff_core *core, GArray *heads, int32_t priority)
 {
-	guint n = core->teams->len;
-	g_autofree bool *waits = g_new0 (bool, n);
-	g_autofree double *excess = g_new0 (double, n);
+	g_autoptr (GArray) claimants = dff_core_claimants_new (core, priority);
 	for (guint i = 0; i < heads->len; i++) {
 		const struct dff_order_head *head =
 			&g_array_index (heads, struct dff_order_head, i);
-		const struct dff_core_class *queue_class = head->user;
-		if (head->priority == priority && queue_class->key.team != DFF_CORE_NONE)
-			waits[queue_class->key.team] = true;
+		struct dff_shares_claimant *claimant = claimant_of (head, claimants, priority);
+		if (claimant != NULL)
+			claimant->waits = true;
 	}
-	dff_core_share_excess (core, core->options.shares, priority, waits, excess);
+	dff_shares_set_excess (core->options.shares, claimants);
 	for (guint i = 0; i < heads->len; i++) {
 		struct dff_order_head *head = &g_array_index (heads, struct dff_order_head, i);
-		const struct dff_core_class *queue_class = head->user;
-		if (head->priority == priority && queue_class->key.team != DFF_CORE_NONE)
-			head->share_level = dff_shares_level (core->options.shares,
-							      excess[queue_class->key.team]);
+		const struct dff_shares_claimant *claimant =
+			claimant_of (head, claimants, priority);
+		if (claimant != NULL)
+			head->share_level =
+				dff_shares_level (core->options.shares, claimant->excess);
 	}
 }
 
--- a/include/core/shares.h
+++ b/include/core/shares.h
@@ -1,8 +1,8 @@
 #ifndef DFF_CORE_SHARES_H
 #define DFF_CORE_SHARES_H
 
+#include <glib.h>
 #include <stdbool.h>
-#include <stddef.h>
 #include <stdint.h>
 
 /* Shares of teams in the capacity that they borrow: their use in a sliding window, and how far it
@@ -52,20 +52,19 @@
 	double weight;
 	/** Whether it has queued work of the priority. */
 	bool waits;
+	/** Set by dff_shares_set_excess(): by how much of its share it is above its share; 0 when
+	 * it is not. */
+	double excess;
 };
 
 /**
- * dff_shares_excess:
- * @excess: (out): array of @n: by how much of its share each claimant is above its share; 0 when it
- *   is not
+ * dff_shares_set_excess:
+ * @claimants: elements: struct dff_shares_claimant
  *
- * What was borrowed is divided by weight among the claimants that borrowed or wait. Without one
- * that waits and has had less than its share nobody is above: nobody waits for nothing.
+ * Divides what was borrowed by weight among the claimants that borrowed or wait. Without one that
+ * waits and has had less than its share nobody is above: nobody waits for nothing.
  */
-void dff_shares_excess (enum dff_shares_way way,
-			const struct dff_shares_claimant *claimants,
-			size_t n,
-			double *excess);
+void dff_shares_set_excess (enum dff_shares_way way, GArray *claimants);
 
 /** Returns: the level by which heads of the queue are ordered, 0 to DFF_SHARES_LEVEL_MAX; 0: within
  * the share, with a tolerance. */
--- a/tests/core/test-priority-order.c
+++ b/tests/core/test-priority-order.c
@@ -126,23 +126,24 @@
 {
 	(void)state;
 	static const struct {
-		enum dff_prospect prospect;
 		int64_t age_ms;
 		int64_t limit_ms;
+		enum dff_prospect prospect;
 		enum dff_prospect ranks_as;
 	} cases[] = {
-		{DFF_PROSPECT_IN_TIME, 100000, 1000, DFF_PROSPECT_IN_TIME},
-		{DFF_PROSPECT_LATE, 100000, 1000, DFF_PROSPECT_LATE},
-		{DFF_PROSPECT_MISSED, 5999, 1000, DFF_PROSPECT_MISSED},
-		{DFF_PROSPECT_MISSED, 6000, 1000, DFF_PROSPECT_NONE},
-		{DFF_PROSPECT_MISSED, 1, 0, DFF_PROSPECT_NONE},
-		{DFF_PROSPECT_MISSED, INT64_MAX, INT64_MAX, DFF_PROSPECT_MISSED},
-		{DFF_PROSPECT_NONE, 0, 0, DFF_PROSPECT_NONE},
+		{100000, 1000, DFF_PROSPECT_IN_TIME, DFF_PROSPECT_IN_TIME},
+		{100000, 1000, DFF_PROSPECT_LATE, DFF_PROSPECT_LATE},
+		{5999, 1000, DFF_PROSPECT_MISSED, DFF_PROSPECT_MISSED},
+		{6000, 1000, DFF_PROSPECT_MISSED, DFF_PROSPECT_NONE},
+		{1, 0, DFF_PROSPECT_MISSED, DFF_PROSPECT_NONE},
+		{INT64_MAX, INT64_MAX, DFF_PROSPECT_MISSED, DFF_PROSPECT_MISSED},
+		{0, 0, DFF_PROSPECT_NONE, DFF_PROSPECT_NONE},
 	};
-	for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+	for (size_t i = 0; i < G_N_ELEMENTS (cases); i++) {
 		assert_int_equal (
 			dff_order_prospect (cases[i].prospect, cases[i].age_ms, cases[i].limit_ms),
 			cases[i].ranks_as);
+	}
 }
 
 int
--- a/tests/core/test-property.c
+++ b/tests/core/test-property.c
@@ -383,7 +383,7 @@
 	if (number % 3 == 0)
 		return;
 	row->objective = (struct dff_objective){.stretch = 1.0 + number % 4,
-						.target_ms = 500 * (number % 5),
+						.target_ms = INT64_C (500) * (number % 5),
 						.chain_ms = row->spec.declared_ms,
 						.tail_ms = row->spec.declared_ms,
 						.age_ms = INT64_C (1000) * (number % 97)};
--- a/tests/core/test-scarcity.c
+++ b/tests/core/test-scarcity.c
@@ -9,7 +9,7 @@
 #define ACCELERATORS 4
 #define N_ACCELERATORS (N_WORKERS * ACCELERATORS)
 #define STEP_MS 100
-#define RUN_MS 4000
+#define RUN_MS INT64_C (4000)
 /** Objective of the jobs here: 3 times the run time and 1 s. */
 #define LIMIT_MS (3 * RUN_MS + 1000)
 #define TEAMS_MAX 3
@@ -270,22 +270,22 @@
 {
 	(void)state;
 	static const struct {
-		enum dff_order_way order;
 		int64_t age_ms;
 		int64_t later_ms;
+		enum dff_order_way order;
 		int started;
 	} cases[] = {
-		{DFF_ORDER_STANDING, LIMIT_MS, 100, 0},
-		{DFF_ORDER_SLACK, LIMIT_MS, 100, 8},
-		{DFF_ORDER_VALUE_DENSITY, LIMIT_MS, 100, 8},
+		{LIMIT_MS, 100, DFF_ORDER_STANDING, 0},
+		{LIMIT_MS, 100, DFF_ORDER_SLACK, 8},
+		{LIMIT_MS, 100, DFF_ORDER_VALUE_DENSITY, 8},
 		/* In time for 3 s more, and the running tasks need 4 s. */
-		{DFF_ORDER_STANDING, LIMIT_MS - RUN_MS - 3000, 500, 0},
-		{DFF_ORDER_SLACK, LIMIT_MS - RUN_MS - 3000, 500, 8},
-		{DFF_ORDER_VALUE_DENSITY, LIMIT_MS - RUN_MS - 3000, 500, 8},
+		{LIMIT_MS - RUN_MS - 3000, 500, DFF_ORDER_STANDING, 0},
+		{LIMIT_MS - RUN_MS - 3000, 500, DFF_ORDER_SLACK, 8},
+		{LIMIT_MS - RUN_MS - 3000, 500, DFF_ORDER_VALUE_DENSITY, 8},
 		/* Missed. */
-		{DFF_ORDER_STANDING, 4 * LIMIT_MS, 100, 0},
-		{DFF_ORDER_SLACK, 4 * LIMIT_MS, 100, 8},
-		{DFF_ORDER_VALUE_DENSITY, 4 * LIMIT_MS, 100, 8},
+		{4 * LIMIT_MS, 100, DFF_ORDER_STANDING, 0},
+		{4 * LIMIT_MS, 100, DFF_ORDER_SLACK, 8},
+		{4 * LIMIT_MS, 100, DFF_ORDER_VALUE_DENSITY, 8},
 	};
 	for (size_t i = 0; i < G_N_ELEMENTS (cases); i++) {
 		struct stage stage;
@@ -338,9 +338,8 @@
 		stage_open (&stage, cases[i].order, DFF_SHARES_STANDING);
 		submit_tasks (&stage, "first", 0, 2 * N_ACCELERATORS, 0);
 		advance (&stage, 1000);
-		submit_tasks (&stage, "missed", 0, 1,
-			      (DFF_ORDER_MISSED_FACTOR - 2) * (int64_t)LIMIT_MS);
-		stream_until_started (&stage, "missed0", 10 * (int64_t)LIMIT_MS);
+		submit_tasks (&stage, "missed", 0, 1, (DFF_ORDER_MISSED_FACTOR - 2) * LIMIT_MS);
+		stream_until_started (&stage, "missed0", 10 * LIMIT_MS);
 		struct dff_name name = dff_name_from ("missed0");
 		const struct run *run = g_hash_table_lookup (stage.runs, &name);
 		int64_t waited_ms = run->started_ms - run->submitted_ms;
@@ -359,21 +358,21 @@
 {
 	(void)state;
 	static const struct {
-		enum dff_order_way order;
 		int64_t age_ms;
 		int32_t assured_accelerators;
+		enum dff_order_way order;
 		/** Of two urgent tasks: started while the pool is full of bulk work. */
 		int started;
 	} cases[] = {
-		{DFF_ORDER_STANDING, 4 * LIMIT_MS, 0, 2},
-		{DFF_ORDER_SLACK, 0, 0, 2},
-		{DFF_ORDER_SLACK, 4 * LIMIT_MS, 0, 0},
-		{DFF_ORDER_SLACK, 4 * LIMIT_MS, 2, 2},
+		{4 * LIMIT_MS, 0, DFF_ORDER_STANDING, 2},
+		{0, 0, DFF_ORDER_SLACK, 2},
+		{4 * LIMIT_MS, 0, DFF_ORDER_SLACK, 0},
+		{4 * LIMIT_MS, 2, DFF_ORDER_SLACK, 2},
 		/* Less is assured than its jobs ask for together. */
-		{DFF_ORDER_SLACK, 4 * LIMIT_MS, 1, 1},
-		{DFF_ORDER_SLACK, DFF_ORDER_MISSED_FACTOR * LIMIT_MS, 0, 2},
-		{DFF_ORDER_VALUE_DENSITY, 4 * LIMIT_MS, 0, 0},
-		{DFF_ORDER_VALUE_DENSITY, 4 * LIMIT_MS, 1, 1},
+		{4 * LIMIT_MS, 1, DFF_ORDER_SLACK, 1},
+		{DFF_ORDER_MISSED_FACTOR * LIMIT_MS, 0, DFF_ORDER_SLACK, 2},
+		{4 * LIMIT_MS, 0, DFF_ORDER_VALUE_DENSITY, 0},
+		{4 * LIMIT_MS, 1, DFF_ORDER_VALUE_DENSITY, 1},
 	};
 	for (size_t i = 0; i < G_N_ELEMENTS (cases); i++) {
 		struct stage stage;
@@ -443,7 +442,7 @@
 	spec.objective = &objective;
 	submit (stage, &spec);
 	struct run *run = g_hash_table_lookup (stage->runs, &id);
-	run->run_ms = RUN_MS / 2 + RUN_MS * (int64_t)(index * 37 % 41) / 41;
+	run->run_ms = RUN_MS / 2 + RUN_MS * (index * 37 % 41) / 41;
 }
 
 /* Guards against weights without effect: over a minute, a team of weight three gets three times as
@@ -585,7 +584,7 @@
 	spec.urgent = spec.priority == 0;
 	spec.gang = g_rand_boolean (rand) ? 1 : g_rand_int_range (rand, 2, N_ACCELERATORS + 1);
 	spec.adjacency = spec.gang > 1 ? DFF_ADJACENCY_NEIGHBOURS : DFF_ADJACENCY_NONE;
-	spec.declared_ms = g_rand_int_range (rand, 200, RUN_MS);
+	spec.declared_ms = g_rand_int_range (rand, 200, (gint32)RUN_MS);
 	objective.chain_ms = spec.declared_ms * g_rand_int_range (rand, 1, 3);
 	objective.tail_ms = spec.declared_ms;
 	spec.objective = g_rand_double (rand) < 0.7 ? &objective : NULL;
--- a/tests/core/test-team-shares.c
+++ b/tests/core/test-team-shares.c
@@ -56,6 +56,23 @@
 	assert_true (got > 3.0 * 0.94 * DFF_SHARES_WINDOW_MS && got <= 3.0 * DFF_SHARES_WINDOW_MS);
 }
 
+static void
+check_excess (const char *name,
+	      enum dff_shares_way way,
+	      const struct dff_shares_claimant *cases,
+	      const double *expected)
+{
+	g_autoptr (GArray) claimants =
+		g_array_new (FALSE, FALSE, sizeof (struct dff_shares_claimant));
+	g_array_append_vals (claimants, cases, CLAIMANTS_MAX);
+	dff_shares_set_excess (way, claimants);
+	for (guint i = 0; i < CLAIMANTS_MAX; i++) {
+		double got = g_array_index (claimants, struct dff_shares_claimant, i).excess;
+		if (!(fabs (got - expected[i]) <= EXACT))
+			fail_msg ("%s: way %d: %f", name, (int)way, got);
+	}
+}
+
 /* Guards against weights that are not sensible making shares senseless, and against teams that wait
  * for nothing. */
 static void
@@ -64,7 +81,7 @@
 	(void)state;
 	static const struct {
 		const char *name;
-		/** accelerator_ms, dominant, weight, waits. */
+		/* accelerator_ms, dominant, weight, waits */
 		struct dff_shares_claimant claimants[CLAIMANTS_MAX];
 		double deficit[CLAIMANTS_MAX];
 		double dominant[CLAIMANTS_MAX];
@@ -93,20 +110,12 @@
 		 {1.0, 0.0}},
 	};
 	for (size_t i = 0; i < G_N_ELEMENTS (cases); i++) {
-		double excess[CLAIMANTS_MAX];
-		dff_shares_excess (DFF_SHARES_DEFICIT, cases[i].claimants, CLAIMANTS_MAX, excess);
-		for (size_t j = 0; j < CLAIMANTS_MAX; j++) {
-			if (fabs (excess[j] - cases[i].deficit[j]) > EXACT)
-				fail_msg ("%s: deficit: %f", cases[i].name, excess[j]);
-		}
-		dff_shares_excess (DFF_SHARES_DOMINANT, cases[i].claimants, CLAIMANTS_MAX, excess);
-		for (size_t j = 0; j < CLAIMANTS_MAX; j++) {
-			if (fabs (excess[j] - cases[i].dominant[j]) > EXACT)
-				fail_msg ("%s: dominant: %f", cases[i].name, excess[j]);
-		}
-		dff_shares_excess (DFF_SHARES_STANDING, cases[i].claimants, CLAIMANTS_MAX, excess);
-		for (size_t j = 0; j < CLAIMANTS_MAX; j++)
-			assert_float_equal (excess[j], 0.0, EXACT);
+		check_excess (cases[i].name, DFF_SHARES_DEFICIT, cases[i].claimants,
+			      cases[i].deficit);
+		check_excess (cases[i].name, DFF_SHARES_DOMINANT, cases[i].claimants,
+			      cases[i].dominant);
+		static const double none[CLAIMANTS_MAX] = {0};
+		check_excess (cases[i].name, DFF_SHARES_STANDING, cases[i].claimants, none);
 	}
 }
 
