tests: the chance of keeping an objective

Cause: dff_objective_chance() had no test of its own.

Change: a table of cases in test-objective.

Result: test-objective passes; linter clean on it.

--- a/tests/core/test-objective.c
+++ b/tests/core/test-objective.c
@@ -43,11 +43,46 @@
 	}
 }
 
+/* Guards against a value density that rates work by a chance that it does not have. */
+static void
+test_chance (void **state)
+{
+	(void)state;
+	static const struct {
+		const char *name;
+		struct dff_objective objective;
+		double deviation;
+		double factor;
+		double chance;
+	} cases[] = {
+		/* stretch, target_ms, chain_ms, tail_ms, age_ms */
+		{"younger than its target", {1.5, 250, 2000, 2000, 250}, 1.0, 1.0, 1.0},
+		{"at the limit if it takes as long as expected",
+		 {1.5, 250, 2000, 2000, 1250},
+		 1.0,
+		 1.0,
+		 0.5},
+		{"one deviation past it", {1.5, 0, 2000, 2000, 2718}, 1.0, 1.0, 0.1587},
+		{"surely past it", {1.5, 0, 2000, 2000, 2718}, 0.0, 1.0, 0.0},
+		{"surely before it", {1.5, 0, 2000, 2000, 999}, 0.0, 1.0, 1.0},
+		{"late", {1.5, 250, 2000, 2000, 7750}, 1.0, 3.0, 0.5},
+		{"no time to spare", {1.0, 250, 2000, 2000, 300}, 1.0, 1.0, 0.0},
+		{"no chain", {3.0, 250, 0, 0, 300}, 1.0, 1.0, 0.0},
+	};
+	for (size_t i = 0; i < G_N_ELEMENTS (cases); i++) {
+		double got = dff_objective_chance (&cases[i].objective, 1.0, cases[i].deviation,
+						   cases[i].factor);
+		if (got < cases[i].chance - 1e-3 || got > cases[i].chance + 1e-3)
+			fail_msg ("%s: %f", cases[i].name, got);
+	}
+}
+
 int
 main (void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test (test_assessment),
+		cmocka_unit_test (test_chance),
 	};
 	return cmocka_run_group_tests (tests, NULL, NULL);
 }
