core, holder: units that would be late where they run are restarted elsewhere

Cause: a gang on slow workers runs to its end, and tasks that stand still are moved after fixed times, whatever their objective leaves.

Behind restarts_late of struct dff_core_options, on in holder/policy.c.

--- a/bench/load/load.c
+++ b/bench/load/load.c
@@ -337,6 +337,7 @@
 		return;
 	case DFF_COMMAND_RELEASE_TASK:
 	case DFF_COMMAND_RECORD_RETRY:
+	case DFF_COMMAND_REPORT_RESTART:
 		return;
 	}
 }
--- a/core/core.c
+++ b/core/core.c
@@ -41,6 +41,7 @@
 	options->headroom_wait_ratio = 0.0;
 	options->evict_work_ratio = 0.0;
 	options->evict_unlimited_after_ms = 0;
+	options->restarts_late = false;
 }
 
 static GArray *
--- a/core/core_private.h
+++ b/core/core_private.h
@@ -75,6 +75,12 @@
 		     int32_t worker,
 		     uint64_t accelerators);
 
+/** Adds @times @resources to what is in use on a worker. */
+void dff_core_worker_use (struct dff_core *core,
+			  struct dff_core_worker *worker,
+			  const struct dff_resources *resources,
+			  int32_t times);
+
 void dff_core_unlease (struct dff_core *core, struct dff_core_job *job, int32_t member);
 
 /** Updates whether leases or bound resources exceed the capacity, as after a pool change. */
@@ -305,6 +311,19 @@
 /** Preempts a job if one of its workers leaves before the job's expected end. */
 void dff_core_review_leaving_job (struct dff_core *core, struct dff_core_job *job);
 
+/* review_slow.c */
+
+/** Handles DFF_EVENT_TASK_PACE: restarts a job elsewhere that would be late where it runs. */
+void dff_core_review_pace (struct dff_core *core,
+			   struct dff_core_job *job,
+			   const struct dff_event *event);
+
+/** Handles DFF_EVENT_TASK_STANDING: restarts a job elsewhere that would be late if it waited for
+ * its progress to continue. */
+void dff_core_review_standing (struct dff_core *core,
+			       struct dff_core_job *job,
+			       const struct dff_event *event);
+
 /* quarantine.c */
 
 void dff_core_note_failure (struct dff_core *core, struct dff_core_job *job, int32_t worker);
@@ -318,7 +337,10 @@
 /** Handles a run, begun at @started_ms, that has completed on a worker. */
 void dff_core_note_success (struct dff_core *core, int32_t worker, int64_t started_ms);
 
-/** Whether a job has failed on a worker before and should be placed on another. */
+/** Adds a worker to those that a job avoids. */
+void dff_core_job_avoid (struct dff_core_job *job, int32_t worker);
+
+/** Whether a job has failed or was too slow on a worker and should be placed on another. */
 bool dff_core_job_avoids (const struct dff_core_job *job, int32_t worker);
 
 /** Whether a worker, back from quarantine, has no success yet. It gets one attempt at a time. */
@@ -515,6 +537,13 @@
 /** Handles the projected duration of a task on a worker. */
 void dff_core_handle_duration (struct dff_core *core, const struct dff_event *event);
 
+/** Returns: logarithm of a worker's expected durations relative to the mean of all workers. */
+float dff_core_relative_log (const struct dff_core *core, int32_t worker);
+
+/** Appends the durations of a peer group's tasks, as logarithms of ms on a worker of average speed.
+ * @logs: elements: float. */
+void dff_core_peer_logs (const struct dff_core *core, uint64_t peer_group, GArray *logs);
+
 void dff_core_reset_durations (struct dff_core *core, int32_t worker);
 
 /** System: updates the relative durations of all workers at an interval. */
--- a/core/core_tables.h
+++ b/core/core_tables.h
@@ -196,6 +196,13 @@
 	bool bound;
 	/** Whether it may have run. */
 	bool ran;
+	/** Whether its progress stands still, and its last reported progress, percent. */
+	bool stands;
+	int8_t percent;
+	/** Projected duration of the whole task on its worker, and least time from the job's
+	 * @started_ms to the task's end, ms; 0: not known. */
+	int32_t duration_ms;
+	int32_t least_end_ms;
 };
 
 /** Why an attempt is stopped early. */
@@ -216,6 +223,10 @@
 	DFF_CORE_PREEMPT_DEFRAG,
 	DFF_CORE_PREEMPT_WORKER_STALLED,
 	DFF_CORE_PREEMPT_WORKER_LEAVING,
+	/** It would be late where it runs, and in time elsewhere. */
+	DFF_CORE_PREEMPT_SLOW,
+	/** Its progress stands still, and it would be late if it waited longer. */
+	DFF_CORE_PREEMPT_STANDING,
 };
 
 /** On what terms a job holds its resources. */
@@ -243,6 +254,12 @@
 	bool guaranteed;
 	bool checkpoint;
 	bool idempotent;
+	/** Whether it was restarted for being late, or may have been under a former holder. */
+	bool restarted;
+	/** Number of @avoided workers that it was too slow on, and did not fail on. */
+	uint8_t n_too_slow;
+	/** Whether it was reported for its attempt that it is kept although it may be late. */
+	bool kept_reported;
 	int64_t declared_ms;
 	int32_t max_attempts;
 	/** Index of the label asked for, and of the label of the rack that holds its data;
@@ -297,7 +314,7 @@
 	int32_t losses;
 	int32_t start_failures;
 	int32_t refusals;
-	/** The last workers on which it failed. */
+	/** The last workers on which it failed or was too slow. */
 	int32_t avoided[DFF_CORE_AVOIDED_MAX];
 	int32_t n_avoided;
 	struct dff_core_estimator *estimator;
@@ -424,6 +441,9 @@
 	bool capacity_freed;
 	/** Number of jobs that are placed in isolation. */
 	int32_t n_isolated;
+	/** Number of searches for other workers for slow units since @restart_window_ms. */
+	int32_t n_restart_searches;
+	int64_t restart_window_ms;
 	int32_t n_rack_reservations;
 	int32_t max_rack_reservations;
 	/** Declared capacity. */
--- a/core/lifecycle.c
+++ b/core/lifecycle.c
@@ -49,6 +49,8 @@
 		[DFF_CORE_PREEMPT_DEFRAG] = "defragmentation",
 		[DFF_CORE_PREEMPT_WORKER_STALLED] = "worker_stalled",
 		[DFF_CORE_PREEMPT_WORKER_LEAVING] = "worker_leaving",
+		[DFF_CORE_PREEMPT_SLOW] = "slow",
+		[DFF_CORE_PREEMPT_STANDING] = "standing",
 	};
 	return job->stop_cause == DFF_CORE_STOP_PREEMPTED ? preempt_reasons[job->preempt_cause]
 							  : reasons[job->stop_cause];
@@ -396,6 +398,14 @@
 		dff_core_review_leaving_job (core, job);
 		return;
 	}
+	if (event->type == DFF_EVENT_TASK_PACE) {
+		dff_core_review_pace (core, job, event);
+		return;
+	}
+	if (event->type == DFF_EVENT_TASK_STANDING) {
+		dff_core_review_standing (core, job, event);
+		return;
+	}
 	if (event->type == DFF_EVENT_TASK_STARTED) {
 		member_started (core, job, member);
 		return;
--- a/core/place.c
+++ b/core/place.c
@@ -520,15 +520,15 @@
 	return false;
 }
 
-/* Tries the faster workers first: urgent work would be late on a slow worker, and a gang takes as
- * long as its slowest member. */
+/* Tries the faster workers first: urgent work, and work that was restarted for being late, would be
+ * late on a slow worker, and a gang takes as long as its slowest member. */
 static bool
 place_on_faster (const struct dff_core *core,
 		 const struct dff_core_job *job,
 		 enum dff_core_view view,
 		 int32_t *workers)
 {
-	if (!job->urgent || is_hypothetical (view))
+	if (!(job->urgent || job->n_too_slow > 0) || is_hypothetical (view))
 		return false;
 	struct dff_core_job faster = *job;
 	while (dff_core_next_duration_limit (core, &faster)) {
--- a/core/quarantine.c
+++ b/core/quarantine.c
@@ -73,7 +73,7 @@
 }
 
 static bool
-has_failed_on (const struct dff_core_job *job, int32_t worker)
+is_avoided (const struct dff_core_job *job, int32_t worker)
 {
 	for (int32_t i = 0; i < DFF_CORE_AVOIDED_MAX; i++) {
 		if (job->avoided[i] == worker)
@@ -82,10 +82,26 @@
 	return false;
 }
 
+void
+dff_core_job_avoid (struct dff_core_job *job, int32_t worker)
+{
+	if (is_avoided (job, worker))
+		return;
+	job->avoided[job->n_avoided % DFF_CORE_AVOIDED_MAX] = worker;
+	job->n_avoided++;
+}
+
+/* Returns: the number of different workers on which a job has failed. */
+static int32_t
+n_failed_on (const struct dff_core_job *job)
+{
+	return job->n_avoided - job->n_too_slow;
+}
+
 bool
 dff_core_job_avoids (const struct dff_core_job *job, int32_t worker)
 {
-	return job->n_avoided > 0 && has_failed_on (job, worker);
+	return job->n_avoided > 0 && is_avoided (job, worker);
 }
 
 /* Whether another worker may be quarantined. Guards against a batch of a few dozen jobs that fail
@@ -111,7 +127,7 @@
 {
 	double limit_ms = core->options.early_failure_share * (double)job->estimate_ms;
 	bool started = job->state == DFF_CORE_RUNNING;
-	return limit_ms > 0.0 && job->n_avoided == 0 &&
+	return limit_ms > 0.0 && n_failed_on (job) == 0 &&
 	       (!started || (double)(core->now_ms - job->started_ms) <= limit_ms);
 }
 
@@ -119,13 +135,10 @@
 dff_core_note_failure (struct dff_core *core, struct dff_core_job *job, int32_t worker_index)
 {
 	struct dff_core_worker *worker = dff_core_worker_at (core, worker_index);
-	bool blamed = job->n_avoided < JOB_BLAME_LIMIT;
+	bool blamed = n_failed_on (job) < JOB_BLAME_LIMIT;
 	bool early = is_early_failure (core, job);
 	worker->failed_ms = core->now_ms;
-	if (!has_failed_on (job, worker_index)) {
-		job->avoided[job->n_avoided % DFF_CORE_AVOIDED_MAX] = worker_index;
-		job->n_avoided++;
-	}
+	dff_core_job_avoid (job, worker_index);
 	if (worker->health == DFF_CORE_PROBING) {
 		quarantine (core, worker);
 		return;
--- a/core/relative_duration.c
+++ b/core/relative_duration.c
@@ -171,6 +171,24 @@
 	group->last_ms = core->now_ms;
 }
 
+float
+dff_core_relative_log (const struct dff_core *core, int32_t worker)
+{
+	return log_duration_of (dff_core_worker_at (core, worker));
+}
+
+void
+dff_core_peer_logs (const struct dff_core *core, uint64_t peer_group, GArray *logs)
+{
+	gint64 id = (gint64)peer_group;
+	const struct peer_group *group = g_hash_table_lookup (core->peer_groups, &id);
+	for (guint i = 0; group != NULL && i < group->samples->len; i++) {
+		const struct sample *sample = sample_at (group, i);
+		float log_ms = sample->log_ms - dff_core_relative_log (core, sample->worker);
+		g_array_append_val (logs, log_ms);
+	}
+}
+
 static void
 remove_samples (struct dff_core *core, struct peer_group *group, int32_t worker)
 {
--- a/core/tables.c
+++ b/core/tables.c
@@ -117,6 +117,7 @@
 	job->submitted_ms = core->now_ms;
 	if (spec->objective != NULL)
 		job->objective = g_memdup2 (spec->objective, sizeof (*spec->objective));
+	job->restarted = spec->started_before;
 	job->estimator = dff_core_estimator_for (core, spec);
 	for (int32_t i = 0; i < DFF_CORE_AVOIDED_MAX; i++)
 		job->avoided[i] = DFF_CORE_NONE;
@@ -148,6 +149,7 @@
 	job->released = false;
 	job->preempted = false;
 	job->stop_cause = DFF_CORE_STOP_NONE;
+	job->kept_reported = false;
 }
 
 void
@@ -249,11 +251,11 @@
 	return MAX (worker->capacity.accelerators - worker->used.accelerators, 0);
 }
 
-static void
-worker_use (struct dff_core *core,
-	    struct dff_core_worker *worker,
-	    const struct dff_resources *resources,
-	    int32_t times)
+void
+dff_core_worker_use (struct dff_core *core,
+		     struct dff_core_worker *worker,
+		     const struct dff_resources *resources,
+		     int32_t times)
 {
 	int32_t before = free_accelerators (worker);
 	dff_resources_add (&worker->used, resources, times);
@@ -271,7 +273,7 @@
 	struct dff_core_worker *worker = dff_core_worker_at (core, worker_index);
 	g_assert (worker->overlapping || (worker->leased & accelerators) == 0);
 	worker->leased |= accelerators;
-	worker_use (core, worker, &job->per_task, 1);
+	dff_core_worker_use (core, worker, &job->per_task, 1);
 	g_ptr_array_add (worker->occupants, job);
 	if (job->team != DFF_CORE_NONE)
 		dff_resources_add (&dff_core_team_at (core, job->team)->used, &job->per_task, 1);
@@ -321,7 +323,7 @@
 		&g_array_index (job->placements, struct dff_placement, member);
 	g_assert ((worker->leased & placement->accelerators) == placement->accelerators);
 	worker->leased &= ~placement->accelerators;
-	worker_use (core, worker, &job->per_task, -1);
+	dff_core_worker_use (core, worker, &job->per_task, -1);
 	g_ptr_array_remove_fast (worker->occupants, job);
 	if (worker->overloaded)
 		dff_core_worker_update_overload (worker);
--- a/holder/durations.c
+++ b/holder/durations.c
@@ -8,6 +8,9 @@
  * late by the transit time of an answer. */
 #define PERCENT_MIN 8
 #define WORKED_MIN_MS 300
+/** Least progress between two reports for an estimate of a task's pace, percent: it is off by up
+ * to a quarter then. */
+#define PACE_PERCENT_MIN 4
 
 void
 duration_note_started (struct holder_run *run)
@@ -76,6 +79,49 @@
 	dff_core_handle_event (holder->core, &event, holder_now_ms (holder));
 }
 
+uint64_t
+duration_peer_group (const struct holder_run *run)
+{
+	return peer_group_of (run);
+}
+
+/* The time until the first percent, in which the task starts or restores a checkpoint, shows
+ * nothing of its pace. Both ends of the measured progress are rounded down to whole percents. */
+static void
+measure_pace (const struct holder_run *run, struct dff_event *event)
+{
+	int64_t worked_ms = run->worker->clock_ms - run->pace_from_clock_ms;
+	int32_t done = run->percent - run->pace_from_percent;
+	if (run->pace_from_percent == 0 || done < 1 || worked_ms <= 0)
+		return;
+	event->least_duration_ms = worked_ms * 100 / (done + 1);
+	if (done >= PACE_PERCENT_MIN)
+		event->duration_ms = worked_ms * 100 / done;
+}
+
+void
+duration_note_percent (struct dff_holder *holder, struct holder_run *run)
+{
+	struct dff_event event = {.type = DFF_EVENT_TASK_PACE,
+				  .job = run->unit->name,
+				  .attempt = run->attempt,
+				  .member = run->member,
+				  .percent = run->percent,
+				  .peer_group = peer_group_of (run)};
+	measure_pace (run, &event);
+	if (run->pace_from_percent == 0 && run->percent > 0) {
+		run->pace_from_percent = run->percent;
+		run->pace_from_clock_ms = run->worker->clock_ms;
+	}
+	/* Between two reports a short task may do more than can be measured: the time since its
+	 * start is an upper bound then. */
+	int64_t since_start_ms = run->worker->clock_ms - run->measured_from_clock_ms;
+	if (event.duration_ms == 0 && run->measured_from_percent == 0 &&
+	    run->percent >= PERCENT_MIN)
+		event.duration_ms = (since_start_ms - waited_ms (run)) * 100 / run->percent;
+	dff_core_handle_event (holder->core, &event, holder_now_ms (holder));
+}
+
 void
 duration_note_progress (struct dff_holder *holder, struct holder_run *run)
 {
--- a/holder/holder.c
+++ b/holder/holder.c
@@ -125,6 +125,30 @@
 	schedule_tick (ctx);
 }
 
+/* The reasons for which a unit is kept without a report have no counter. */
+static void
+open_restart_metrics (struct dff_holder *holder)
+{
+	static const char *const names[DFF_RESTART_N_REASONS] = {
+		[DFF_RESTART_SLOW] = "dff_holder_units_restarted_total{reason=\"slow\"}",
+		[DFF_RESTART_STANDING] = "dff_holder_units_restarted_total{reason=\"standing\"}",
+		[DFF_RESTART_KEPT_NO_CAPACITY] =
+			"dff_holder_units_kept_late_total{reason=\"no_capacity\"}",
+		[DFF_RESTART_KEPT_LATE_ELSEWHERE] =
+			"dff_holder_units_kept_late_total{reason=\"late_elsewhere\"}",
+		[DFF_RESTART_KEPT_NO_GAIN] = "dff_holder_units_kept_late_total{reason=\"no_gain\"}",
+	};
+	for (size_t i = 0; i < G_N_ELEMENTS (names); i++) {
+		if (names[i] == NULL)
+			continue;
+		holder->metrics.restarts[i] =
+			dff_metrics_counter (holder->options.metrics, names[i],
+					     dff_restart_is_restart ((enum dff_restart_reason)i)
+						     ? "Units restarted on other workers."
+						     : "Units kept although they may be late.");
+	}
+}
+
 static void
 open_metrics (struct dff_holder *holder)
 {
@@ -165,6 +189,7 @@
 							 "Runs that ended with their worker.");
 	holder->metrics.stalled_workers = dff_metrics_counter (
 		metrics, "dff_holder_workers_stalled_total", "Workers whose tasks stood still.");
+	open_restart_metrics (holder);
 	holder->metrics.restarted_workers =
 		dff_metrics_counter (metrics, "dff_holder_restarted_workers_total",
 				     "Workers that have started again under their ids.");
--- a/holder/holder_private.h
+++ b/holder/holder_private.h
@@ -448,6 +448,12 @@
 /** Handles the progress that the worker has just reported. */
 void duration_note_progress (struct dff_holder *holder, struct holder_run *run);
 
+/** Reports a change of a run's progress, and its pace as far as it is known, to the core. */
+void duration_note_percent (struct dff_holder *holder, struct holder_run *run);
+
+/** Returns: the key of the tasks that take about as long as that of @run. */
+uint64_t duration_peer_group (const struct holder_run *run);
+
 /** Handles the completion of a run. */
 void duration_note_completed (struct dff_holder *holder, struct holder_run *run);
 
--- a/holder/holder_tables.h
+++ b/holder/holder_tables.h
@@ -92,6 +92,10 @@
 	int32_t measured_from_percent;
 	/** Whether the core was given the estimated duration of the run. */
 	bool duration_reported;
+	/** First progress above 0 and the worker's clock then, from which the run's pace is
+	 * measured; 0: none yet. */
+	int32_t pace_from_percent;
+	int64_t pace_from_clock_ms;
 };
 
 /** State at the start of a call to a worker, to determine which incarnation its answer belongs to.
@@ -401,6 +405,7 @@
 		int64_t *lapsed_workers;
 		int64_t *runs_lost;
 		int64_t *stalled_workers;
+		int64_t *restarts[DFF_RESTART_N_REASONS];
 		int64_t *unreadable_entries;
 		int64_t *restarted_workers;
 		int64_t *invalid_starts;
--- a/holder/policy.c
+++ b/holder/policy.c
@@ -74,6 +74,7 @@
 	options->headroom_wait_ratio = HEADROOM_WAIT_RATIO;
 	options->checkpoint_loss_ms = CHECKPOINT_LOSS_MS;
 	options->stall_restart_max_ms = STALL_RESTART_MAX_MS;
+	options->restarts_late = true;
 }
 
 /* Divides a job's weight among its units. The core prefers what occupies least for its weight: if
--- a/holder/runs.c
+++ b/holder/runs.c
@@ -170,7 +170,8 @@
 	if (open->checkpoint.len > 0)
 		dff_progress_save_checkpoint (unit->job->progress, unit->job->plan, &unit->unit,
 					      open->checkpoint);
-	if (open->percent != run->percent) {
+	bool progressed = open->percent != run->percent;
+	if (progressed) {
 		run->percent = open->percent;
 		run->percent_ms = now_ms;
 		report_progress (holder, run);
@@ -179,6 +180,8 @@
 		unit_note_started (holder, unit);
 	note_begun (run);
 	duration_note_progress (holder, run);
+	if (progressed && run->phase == DFF_RUN_PHASE_OPEN)
+		duration_note_percent (holder, run);
 	if (run->phase != DFF_RUN_PHASE_STARTING)
 		return;
 	run_set_phase (holder, run, DFF_RUN_PHASE_OPEN);
--- a/holder/units.c
+++ b/holder/units.c
@@ -99,6 +99,9 @@
 		whole.index = -1;
 		spec.spread_group = dff_unit_name (plan, &whole);
 	}
+	/* A run that is recorded as open continues and is no earlier one. */
+	bool open = dff_progress_task_state_is_open (member_task (unit, 0)->state);
+	spec.started_before = unit->base_run > (open ? 1 : 0);
 	return spec;
 }
 
@@ -317,6 +320,23 @@
 		jobs_submit_ready (holder, job);
 }
 
+static void
+report_restart (struct dff_holder *holder,
+		const struct holder_unit *unit,
+		const struct dff_command *command)
+{
+	const struct dff_restart_report *at = &command->restart;
+	bool restarts = dff_restart_is_restart (at->reason);
+	(*holder->metrics.restarts[at->reason])++;
+	dff_log (DFF_LOG_CELL, DFF_LOG_INFO,
+		 "Unit may be late. unit=%s run=%d worker=%s decision=%s reason=%s "
+		 "elapsed_ms=%" PRId64 " projected_ms=%" PRId64 " elsewhere_ms=%" PRId64
+		 " objective_ms=%" PRId64 " age_ms=%" PRId64,
+		 unit->name.data, unit->base_run + command->attempt, command->placement.worker.data,
+		 restarts ? "restart" : "keep", command->reason, at->elapsed_ms, at->projected_ms,
+		 at->elsewhere_ms, at->objective_ms, at->age_ms);
+}
+
 void
 units_execute (struct dff_holder *holder, const struct dff_command *command)
 {
@@ -347,5 +367,8 @@
 	case DFF_COMMAND_RECORD_OUTCOME:
 		end_unit (holder, unit, command);
 		return;
+	case DFF_COMMAND_REPORT_RESTART:
+		report_restart (holder, unit, command);
+		return;
 	}
 }
--- a/holder/watch.c
+++ b/holder/watch.c
@@ -221,6 +221,63 @@
 	return unchanged_ms >= MAX (limit_ms, STALL_FACTOR * ms_per_percent);
 }
 
+/* Whether a run has made no progress for longer than the reports of a busy worker explain. */
+static bool
+is_standing (const struct holder_run *run, int64_t now_ms)
+{
+	int64_t ms_per_percent =
+		run->percent > 0 ? (run->percent_ms - run->open_ms) / run->percent : 0;
+	int64_t least_ms = run->percent > 0
+				   ? dff_restart_least_standstill_ms (100 * ms_per_percent, false)
+				   : STALL_AT_START_MS;
+	return now_ms - run->percent_ms >= least_ms;
+}
+
+static bool
+shows_progress (const struct holder_run *run)
+{
+	return run->phase == DFF_RUN_PHASE_OPEN && run->percent >= 0 && run->percent < 100;
+}
+
+static void
+report_standing (struct dff_holder *holder, const struct holder_run *run, bool others_stand)
+{
+	int64_t now_ms = holder_now_ms (holder);
+	struct dff_event event = {.type = DFF_EVENT_TASK_STANDING,
+				  .job = run->unit->name,
+				  .attempt = run->attempt,
+				  .member = run->member,
+				  .percent = run->percent,
+				  .peer_group = duration_peer_group (run),
+				  .standing_ms = now_ms - run->percent_ms,
+				  .next_report_ms = wait_ms (holder),
+				  .worker_stands = others_stand};
+	dff_core_handle_event (holder->core, &event, now_ms);
+}
+
+/* Reports the runs that stand still to the core, which decides by their objectives how long that is
+ * tolerated. */
+static void
+check_standing (struct dff_holder *holder, const struct holder_worker *worker)
+{
+	int64_t now_ms = holder_now_ms (holder);
+	int64_t least_ms = dff_restart_least_standstill_ms (0, false);
+	int32_t n_progressing = 0;
+	GHashTableIter iter;
+	gpointer value;
+	g_hash_table_iter_init (&iter, worker->runs);
+	while (g_hash_table_iter_next (&iter, NULL, &value))
+		n_progressing += shows_progress (value) && !is_standing (value, now_ms);
+	g_hash_table_iter_init (&iter, worker->runs);
+	while (g_hash_table_iter_next (&iter, NULL, &value)) {
+		const struct holder_run *run = value;
+		if (!shows_progress (run) || now_ms - run->percent_ms < least_ms)
+			continue;
+		bool others_stand = n_progressing == !is_standing (run, now_ms);
+		report_standing (holder, run, others_stand);
+	}
+}
+
 /* Reports a worker on which all runs have stalled. Guards against tasks, urgent ones too, that take
  * seconds longer because the worker lists them as active although they make no progress. A stalled
  * run beside others that progress concerns its job alone. */
@@ -234,7 +291,7 @@
 	g_hash_table_iter_init (&iter, worker->runs);
 	while (g_hash_table_iter_next (&iter, NULL, &value)) {
 		const struct holder_run *run = value;
-		if (run->phase != DFF_RUN_PHASE_OPEN || run->percent < 0 || run->percent >= 100)
+		if (!shows_progress (run))
 			continue;
 		n_open++;
 		n_stalled += is_stalled (run, now_ms);
@@ -262,6 +319,7 @@
 	 * compared. */
 	apply_ended (holder, worker, result);
 	apply_unlisted (holder, worker, listed, begun_ms);
+	check_standing (holder, worker);
 	check_progress (holder, worker);
 }
 
--- a/include/core/core.h
+++ b/include/core/core.h
@@ -7,6 +7,7 @@
 
 #include "common/cleanup.h"
 #include "core/job.h"
+#include "core/restart.h"
 #include "pool/pool.h"
 
 /*
@@ -88,6 +89,9 @@
 	/** Wait after which work of the lowest priority leaves headroom for the highest one only,
 	 * as a multiple of its expected run time; 0: never. */
 	double headroom_wait_ratio;
+	/** Whether units that would be late where they run, and in time elsewhere, are restarted on
+	 * other workers, see core/review_slow.c. */
+	bool restarts_late;
 };
 
 /** Fills in the defaults; docs/decisions/ gives the reasons for them. */
@@ -141,6 +145,12 @@
 	DFF_EVENT_TASK_STOPPED,  /**< Proven stopped; @ran: whether it ever ran. */
 	DFF_EVENT_TASK_LOST,     /**< Its lease has expired: it no longer runs, and may have run. */
 	DFF_EVENT_TASK_PROGRESS, /**< @percent of the task's work is done. */
+	/** How fast a task is: @percent, @duration_ms, @least_duration_ms, @peer_group. Sent with
+	 * each report of its worker. */
+	DFF_EVENT_TASK_PACE,
+	/** A task's progress stands still: @standing_ms, @next_report_ms, @worker_stands,
+	 * @peer_group. Sent with each report of its worker. */
+	DFF_EVENT_TASK_STANDING,
 	/** @worker, @peer_group, @duration_ms. Sent once per run, when enough progress was
 	 * reported. */
 	DFF_EVENT_TASK_DURATION,
@@ -187,8 +197,16 @@
 	int32_t percent;
 	/** Identifies the tasks of one step, which take about equally long. */
 	uint64_t peer_group;
-	/** Projected duration of the whole task on the worker, ms. */
+	/** Projected duration of the whole task on the worker, ms; 0: not known. */
 	int64_t duration_ms;
+	/** Lower bound of that duration, ms; 0: not known. */
+	int64_t least_duration_ms;
+	/** Time since the task's progress last changed, and longest time until the worker's next
+	 * report, ms. */
+	int64_t standing_ms;
+	int64_t next_report_ms;
+	/** Whether all tasks on the worker stand still. */
+	bool worker_stands;
 };
 
 enum dff_command_type {
@@ -199,6 +217,22 @@
 	DFF_COMMAND_STOP_TASK,
 	DFF_COMMAND_RECORD_OUTCOME, /**< @job, @attempt, @outcome, @reason. */
 	DFF_COMMAND_RECORD_RETRY,   /**< The attempt has ended and may be followed by another. */
+	/** To be logged and counted: whether a unit that may be late is restarted. @job, @attempt,
+	 * @member, @placement, @reason, @restart. */
+	DFF_COMMAND_REPORT_RESTART,
+};
+
+/** A decision on a unit that may be late where it runs: see core/restart.h. */
+struct dff_restart_report {
+	enum dff_restart_reason reason;
+	/** Time since its start, its projected duration where it runs, ms, and the expected one
+	 * elsewhere; 0: not known. */
+	int64_t elapsed_ms;
+	int64_t projected_ms;
+	int64_t elsewhere_ms;
+	/** The objective, and the job's age, ms. */
+	int64_t objective_ms;
+	int64_t age_ms;
 };
 
 /** An output. Members that its type does not name are zero. */
@@ -216,6 +250,7 @@
 	/** Stable code of why a job ends or a task is stopped ("never_runnable",
 	 * "attempts_exhausted", "worker_leaving", ...). Static. */
 	const char *reason;
+	struct dff_restart_report restart;
 };
 
 /**
--- a/include/core/job.h
+++ b/include/core/job.h
@@ -75,6 +75,9 @@
 	double weight;
 	/** (nullable): copied by the core; NULL: the job has no objective. */
 	const struct dff_objective *objective;
+	/** Whether it was started before, so that it is not restarted for being late. Not set for a
+	 * job whose only run is the one that is recovered. */
+	bool started_before;
 };
 
 /** Returns: the outcome's name on the wire ("completed", "not_run", ...; "none" while it runs). */
--- a/tests/core/test-property.c
+++ b/tests/core/test-property.c
@@ -297,6 +297,8 @@
 	case DFF_COMMAND_RECORD_RETRY:
 		row->open = false;
 		return;
+	case DFF_COMMAND_REPORT_RESTART:
+		return;
 	case DFF_COMMAND_RECORD_OUTCOME:
 		on_record_end (world, command);
 		return;
