--- a/core/core_tables.h
+++ b/core/core_tables.h
@@ -199,8 +199,8 @@
 	/** Whether its progress stands still, and its last reported progress, percent. */
 	bool stands;
 	int8_t percent;
-	/** Projected duration of the whole task on its worker, and least time from the job's
-	 * @started_ms to the task's end, ms; 0: not known. */
+	/** Upper bound of the duration of the whole task on its worker, and least time from the
+	 * job's @started_ms to the task's end, ms; 0: not known. */
 	int32_t duration_ms;
 	int32_t least_end_ms;
 };
--- a/core/outcome.c
+++ b/core/outcome.c
@@ -116,6 +116,11 @@
 		   struct dff_core_job *job,
 		   const struct attempt_summary *sum)
 {
+	/* Runs that ended as stopped without an order of this core were stopped by a former holder,
+	 * and perhaps restarted for being late. */
+	if (sum->failed + sum->lost + sum->start_failed == 0 &&
+	    job->stop_cause != DFF_CORE_STOP_PREEMPTED)
+		job->restarted = true;
 	job->failures += sum->failed > 0;
 	job->losses += sum->failed == 0 && sum->lost > 0;
 	if (job->failures >= job->max_attempts) {
--- a/core/review_slow.c
+++ b/core/review_slow.c
@@ -64,12 +64,11 @@
 	if (percent != member->percent)
 		member->stands = false;
 	member->percent = (int8_t)percent;
-	/* The report of a task's end may be late, so that it only bounds the task's duration. */
-	bool estimated = event->duration_ms > 0 && (percent < 100 || member->duration_ms == 0);
-	if (estimated)
+	/* Tasks progress evenly: of the upper bounds the least is the nearest, and those of an
+	 * interval with a pause are too high. */
+	if (event->duration_ms > 0 &&
+	    (member->duration_ms == 0 || event->duration_ms < member->duration_ms))
 		member->duration_ms = bounded (event->duration_ms);
-	else if (member->duration_ms == 0)
-		member->duration_ms = bounded (event->least_duration_ms);
 	/* The task may be about to complete its next percent. */
 	int64_t left_ms = event->least_duration_ms * MAX (99 - percent, 0) / 100;
 	if (percent >= 100 || event->least_duration_ms > 0)
@@ -393,16 +392,6 @@
 		decide (&review);
 }
 
-static bool
-every_member_stands (const struct dff_core_job *job)
-{
-	for (int32_t i = 0; i < job->gang; i++) {
-		if (!job->members[i].stands)
-			return false;
-	}
-	return true;
-}
-
 void
 dff_core_review_standing (struct dff_core *core,
 			  struct dff_core_job *job,
@@ -427,7 +416,7 @@
 			 dff_restart_least_standstill_ms (review.input.typical_ms,
 							  review.input.standing_since_start);
 	/* Where all members of a gang stand still, no worker can be blamed for it. */
-	if (!member->stands || (job->gang > 1 && every_member_stands (job)))
+	if (!member->stands || (job->gang > 1 && !event->gang_progresses))
 		return;
 	if (decide (&review) && event->worker_stands)
 		dff_core_worker_try_quarantine (core, member->worker);
--- a/holder/durations.c
+++ b/holder/durations.c
@@ -8,8 +8,8 @@
  * late by the transit time of an answer. */
 #define PERCENT_MIN 8
 #define WORKED_MIN_MS 300
-/** Least progress between two reports for an estimate of a task's pace, percent: it is off by up
- * to a quarter then. */
+/** Least progress for an upper bound of a task's duration, percent: the bound is a third too high
+ * then. */
 #define PACE_PERCENT_MIN 4
 
 void
@@ -85,18 +85,46 @@
 	return peer_group_of (run);
 }
 
-/* The time until the first percent, in which the task starts or restores a checkpoint, shows
- * nothing of its pace. Both ends of the measured progress are rounded down to whole percents. */
+/* Notes the time since the progress last changed. The time until the first percent, in which the
+ * task starts or restores a checkpoint, shows nothing of its pace. */
+static void
+note_gap (struct holder_run *run)
+{
+	int64_t clock_ms = run->worker->clock_ms;
+	if (run->pace_from_percent == 0) {
+		run->pace_from_percent = run->percent;
+		run->pace_from_clock_ms = clock_ms;
+	} else {
+		run->pace_gap_ms = MAX (run->pace_gap_ms, clock_ms - run->pace_clock_ms);
+	}
+	run->pace_clock_ms = clock_ms;
+}
+
+/* Both ends of the measured progress are rounded down to whole percents. The longest gap is left
+ * out of the lower bound, so that one pause does not make a task look slow. */
 static void
 measure_pace (const struct holder_run *run, struct dff_event *event)
 {
-	int64_t worked_ms = run->worker->clock_ms - run->pace_from_clock_ms;
+	int64_t worked_ms = run->pace_clock_ms - run->pace_from_clock_ms;
 	int32_t done = run->percent - run->pace_from_percent;
-	if (run->pace_from_percent == 0 || done < 1 || worked_ms <= 0)
+	if (done < 1)
 		return;
-	event->least_duration_ms = worked_ms * 100 / (done + 1);
+	event->least_duration_ms = (worked_ms - run->pace_gap_ms) * 100 / (done + 1);
 	if (done >= PACE_PERCENT_MIN)
-		event->duration_ms = worked_ms * 100 / done;
+		event->duration_ms = worked_ms * 100 / (done - 1);
+}
+
+/* Bounds the duration by the time since the start, too: a short task may do much of its work
+ * before the first report. */
+static void
+bound_by_start (const struct holder_run *run, struct dff_event *event)
+{
+	if (run->measured_from_percent > 0 || run->percent < PERCENT_MIN)
+		return;
+	int64_t worked_ms = run->worker->clock_ms - run->measured_from_clock_ms - waited_ms (run);
+	int64_t duration_ms = worked_ms * 100 / run->percent;
+	if (event->duration_ms == 0 || duration_ms < event->duration_ms)
+		event->duration_ms = duration_ms;
 }
 
 void
@@ -108,17 +136,11 @@
 				  .member = run->member,
 				  .percent = run->percent,
 				  .peer_group = peer_group_of (run)};
-	measure_pace (run, &event);
-	if (run->pace_from_percent == 0 && run->percent > 0) {
-		run->pace_from_percent = run->percent;
-		run->pace_from_clock_ms = run->worker->clock_ms;
+	if (run->percent > 0) {
+		note_gap (run);
+		measure_pace (run, &event);
+		bound_by_start (run, &event);
 	}
-	/* Between two reports a short task may do more than can be measured: the time since its
-	 * start is an upper bound then. */
-	int64_t since_start_ms = run->worker->clock_ms - run->measured_from_clock_ms;
-	if (event.duration_ms == 0 && run->measured_from_percent == 0 &&
-	    run->percent >= PERCENT_MIN)
-		event.duration_ms = (since_start_ms - waited_ms (run)) * 100 / run->percent;
 	dff_core_handle_event (holder->core, &event, holder_now_ms (holder));
 }
 
--- a/holder/holder_tables.h
+++ b/holder/holder_tables.h
@@ -96,6 +96,10 @@
 	 * measured; 0: none yet. */
 	int32_t pace_from_percent;
 	int64_t pace_from_clock_ms;
+	/** The worker's clock when the progress last changed, and the longest time since then
+	 * between two changes, ms. */
+	int64_t pace_clock_ms;
+	int64_t pace_gap_ms;
 };
 
 /** State at the start of a call to a worker, to determine which incarnation its answer belongs to.
--- a/holder/watch.c
+++ b/holder/watch.c
@@ -239,6 +239,19 @@
 	return run->phase == DFF_RUN_PHASE_OPEN && run->percent >= 0 && run->percent < 100;
 }
 
+/* Whether another member of the run's gang has completed, or has progressed since this one did. */
+static bool
+gang_progresses (const struct holder_run *run)
+{
+	for (int32_t i = 0; i < run->unit->n_members; i++) {
+		const struct holder_run *member = run->unit->runs[i];
+		if (member != NULL && member != run &&
+		    (member->percent >= 100 || member->percent_ms > run->percent_ms))
+			return true;
+	}
+	return false;
+}
+
 static void
 report_standing (struct dff_holder *holder, const struct holder_run *run, bool others_stand)
 {
@@ -251,7 +264,8 @@
 				  .peer_group = duration_peer_group (run),
 				  .standing_ms = now_ms - run->percent_ms,
 				  .next_report_ms = wait_ms (holder),
-				  .worker_stands = others_stand};
+				  .worker_stands = others_stand,
+				  .gang_progresses = gang_progresses (run)};
 	dff_core_handle_event (holder->core, &event, now_ms);
 }
 
--- a/include/core/core.h
+++ b/include/core/core.h
@@ -149,7 +149,7 @@
 	 * each report of its worker. */
 	DFF_EVENT_TASK_PACE,
 	/** A task's progress stands still: @standing_ms, @next_report_ms, @worker_stands,
-	 * @peer_group. Sent with each report of its worker. */
+	 * @gang_progresses, @peer_group. Sent with each report of its worker. */
 	DFF_EVENT_TASK_STANDING,
 	/** @worker, @peer_group, @duration_ms. Sent once per run, when enough progress was
 	 * reported. */
@@ -197,7 +197,8 @@
 	int32_t percent;
 	/** Identifies the tasks of one step, which take about equally long. */
 	uint64_t peer_group;
-	/** Projected duration of the whole task on the worker, ms; 0: not known. */
+	/** Projected duration of the whole task on the worker, ms; with DFF_EVENT_TASK_PACE an
+	 * upper bound of it. 0: not known. */
 	int64_t duration_ms;
 	/** Lower bound of that duration, ms; 0: not known. */
 	int64_t least_duration_ms;
@@ -205,8 +206,10 @@
 	 * report, ms. */
 	int64_t standing_ms;
 	int64_t next_report_ms;
-	/** Whether all tasks on the worker stand still. */
+	/** Whether all tasks on the worker stand still, and whether another member of the gang has
+	 * progressed since this one did. */
 	bool worker_stands;
+	bool gang_progresses;
 };
 
 enum dff_command_type {
--- a/include/standin/memory_runner.h
+++ b/include/standin/memory_runner.h
@@ -53,6 +53,8 @@
 	int32_t answer_ms;
 	/** Tasks make no progress. */
 	bool hung;
+	/** Tasks take this many times as long; 0 counts as 1. */
+	int32_t slow_times;
 	/** Starts are refused with UNHEALTHY. */
 	bool refuses;
 	/** Every running task fails immediately. */
--- a/standin/memory_runner_work.c
+++ b/standin/memory_runner_work.c
@@ -163,9 +163,12 @@
 		record_end (worker, run, DFF_RUN_GANG_TIMEOUT);
 		return true;
 	}
+	int64_t worked_ms = now_ms - run->counted_ms;
+	int32_t times = MAX (worker->faults.slow_times, 1);
 	if (!worker->faults.hung)
-		run->done_ms += now_ms - run->counted_ms;
-	run->counted_ms = now_ms;
+		run->done_ms += worked_ms / times;
+	/* What is less than a millisecond of work counts at the next check. */
+	run->counted_ms = now_ms - (worker->faults.hung ? 0 : worked_ms % times);
 	bool fails = run->run <= run->spec.failing_runs &&
 		     run->done_ms >= run->spec.duration_ms / FAILS_AFTER;
 	if (fails || worker->faults.fails) {
--- a/tests/core/test-property.c
+++ b/tests/core/test-property.c
@@ -10,6 +10,10 @@
 #define ACCELERATORS 4
 #define N_JOBS 260
 #define SEEDS 24
+/** Number of tasks, of those started last, whose pace is reported at random. */
+#define REPORTED_TASKS 40
+/** Number of such reports after the faults have ended. */
+#define REPORTS_AFTER_FAULTS 3000
 
 /** What really happened to one member of one attempt. */
 struct task {
@@ -36,6 +40,8 @@
 	bool cancelled;
 	bool ended;
 	bool ever_ran;
+	/** Number of times that the current core restarted it for being late. */
+	int n_restarts;
 	GArray *placements;
 	enum dff_outcome outcome;
 };
@@ -65,6 +71,9 @@
 	GPtrArray *tasks;
 	enum dff_worker_state states[N_WORKERS];
 	bool fault_free;
+	/** Whether jobs have objectives, random paces are reported, and late jobs are restarted. */
+	bool restarts_late;
+	int n_restarts;
 	int64_t events;
 	/** Number of jobs given to the current core. */
 	int64_t accepted;
@@ -271,6 +280,18 @@
 	arrive (world, &answer, 300);
 }
 
+/* Guards against restarting a job again and again, or after a failure. */
+static void
+on_report_restart (struct world *world, struct row *row, const struct dff_command *command)
+{
+	if (!dff_restart_is_restart (command->restart.reason))
+		return;
+	assert_true (row->spec.idempotent && !row->spec.started_before);
+	assert_int_equal (row->n_restarts, 0);
+	row->n_restarts++;
+	world->n_restarts++;
+}
+
 static void
 execute (struct world *world, const struct dff_command *command)
 {
@@ -298,6 +319,7 @@
 		row->open = false;
 		return;
 	case DFF_COMMAND_REPORT_RESTART:
+		on_report_restart (world, row, command);
 		return;
 	case DFF_COMMAND_RECORD_OUTCOME:
 		on_record_end (world, command);
@@ -388,6 +410,11 @@
 	row->spec.urgent = g_rand_double (world->rand) < 0.15;
 	row->spec.guaranteed = g_rand_double (world->rand) < 0.4;
 	row->spec.adjacency = (enum dff_adjacency)g_rand_int_range (world->rand, 0, 2);
+	static const struct dff_objective objective = {3.0, 1000, 60000, 60000, 0};
+	if (world->restarts_late) {
+		row->spec.objective = &objective;
+		row->spec.priority = number % 3;
+	}
 	row->placements = g_array_new (FALSE, TRUE, sizeof (struct dff_placement));
 	g_hash_table_insert (world->rows, &row->spec.id, row);
 	g_ptr_array_add (world->order, row);
@@ -410,8 +437,10 @@
 }
 
 static void
-recover_row (struct world *world, const struct row *row)
+recover_row (struct world *world, struct row *row)
 {
+	row->n_restarts = 0;
+	row->spec.started_before = row->attempt > (row->open ? 1 : 0);
 	g_autoptr (GArray) running = g_array_new (FALSE, TRUE, sizeof (bool));
 	for (guint i = 0; i < row->placements->len; i++) {
 		struct dff_command wanted = {
@@ -444,10 +473,11 @@
 }
 
 static struct dff_core *
-new_core (void)
+new_core (const struct world *world)
 {
 	struct dff_core_options options;
 	dff_core_options_init (&options);
+	options.restarts_late = world->restarts_late;
 	return dff_core_new (&options);
 }
 
@@ -459,7 +489,7 @@
 {
 	add_stats (world);
 	dff_core_free (world->core);
-	world->core = new_core ();
+	world->core = new_core (world);
 	world->accepted = 0;
 	dff_core_set_pool (world->core, &world->pools[world->pool], world->now_ms);
 	for (int i = 0; i < N_WORKERS; i++) {
@@ -469,7 +499,7 @@
 		dff_core_handle_event (world->core, &event, world->now_ms);
 	}
 	for (guint i = 0; i < world->order->len; i++) {
-		const struct row *row = g_ptr_array_index (world->order, i);
+		struct row *row = g_ptr_array_index (world->order, i);
 		if (!row->ended)
 			recover_row (world, row);
 	}
@@ -525,6 +555,31 @@
 	}
 }
 
+/* Reports an arbitrary pace or standstill of a task, which may have ended. */
+static void
+report_pace (struct world *world)
+{
+	if (!world->restarts_late || world->tasks->len == 0)
+		return;
+	int32_t n_tasks = (int32_t)world->tasks->len;
+	int32_t index = g_rand_int_range (world->rand, MAX (n_tasks - REPORTED_TASKS, 0), n_tasks);
+	const struct task *task = g_ptr_array_index (world->tasks, index);
+	struct arrival arrival = {
+		.event = {.type = g_rand_boolean (world->rand) ? DFF_EVENT_TASK_PACE
+							       : DFF_EVENT_TASK_STANDING,
+			  .job = task->job,
+			  .attempt = task->attempt,
+			  .member = task->member,
+			  .percent = g_rand_int_range (world->rand, 0, 101),
+			  .duration_ms = g_rand_int_range (world->rand, 0, 120000),
+			  .least_duration_ms = g_rand_int_range (world->rand, 0, 900000),
+			  .standing_ms = g_rand_int_range (world->rand, 0, 60000),
+			  .next_report_ms = g_rand_int_range (world->rand, 0, 100000),
+			  .worker_stands = g_rand_boolean (world->rand),
+			  .gang_progresses = g_rand_boolean (world->rand)}};
+	arrive (world, &arrival, 300);
+}
+
 static void
 deliver (struct world *world, const struct arrival *arrival)
 {
@@ -563,9 +618,10 @@
 }
 
 static void
-world_init (struct world *world, uint32_t seed)
+world_init (struct world *world, uint32_t seed, bool restarts_late)
 {
-	*world = (struct world){.rand = g_rand_new_with_seed (seed)};
+	*world =
+		(struct world){.rand = g_rand_new_with_seed (seed), .restarts_late = restarts_late};
 	world->arrivals = g_sequence_new (g_free);
 	world->rows = g_hash_table_new (dff_name_hash, dff_name_equal_func);
 	world->order = g_ptr_array_new ();
@@ -577,7 +633,7 @@
 	world->pools[1].weights = (struct dff_weights){.completion = 0.3, .fragmentation = 0.7};
 	fixture_pool_add_team (&world->pools[1], "a", 3, 6);
 	fixture_pool_add_team (&world->pools[1], "b", 1, 24);
-	world->core = new_core ();
+	world->core = new_core (world);
 	dff_core_set_pool (world->core, &world->pools[0], 0);
 	for (int i = 0; i < N_WORKERS; i++)
 		set_worker (world, i, DFF_WORKER_UP);
@@ -602,16 +658,17 @@
 }
 
 static int64_t
-run_session (uint32_t seed, struct dff_core_stats *totals)
+run_session (uint32_t seed, bool restarts_late, struct dff_core_stats *totals, int *n_restarts)
 {
 	struct world world;
-	world_init (&world, seed);
+	world_init (&world, seed, restarts_late);
 	g_autoptr (GArray) commands = g_array_new (FALSE, TRUE, sizeof (struct dff_command));
 	for (int i = 0; i < N_JOBS; i++) {
 		submit (&world, i);
 		tick (&world, commands);
 		for (int j = g_rand_int_range (world.rand, 0, 12); j > 0; j--) {
 			inject_faults (&world);
+			report_pace (&world);
 			advance (&world, commands);
 		}
 	}
@@ -621,8 +678,10 @@
 	dff_core_set_pool (world.core, &world.pools[0], world.now_ms);
 	for (int i = 0; i < N_WORKERS; i++)
 		set_worker (&world, i, DFF_WORKER_UP);
-	for (int i = 0; i < 200000 && advance (&world, commands); i++)
-		continue;
+	for (int i = 0; i < 200000 && advance (&world, commands); i++) {
+		if (i < REPORTS_AFTER_FAULTS)
+			report_pace (&world);
+	}
 	for (guint i = 0; i < world.order->len; i++) {
 		const struct row *row = g_ptr_array_index (world.order, i);
 		if (!row->ended)
@@ -632,27 +691,48 @@
 	assert_true (world.seen.preemptions > 0 && world.seen.retries > 0);
 	totals->reclaims += world.seen.reclaims;
 	totals->start_failures += world.seen.start_failures;
+	*n_restarts += world.n_restarts;
 	int64_t events = world.events;
 	world_clear (&world);
 	return events;
 }
 
 static void
-test_sessions (void **state)
+run_sessions (bool restarts_late)
 {
-	(void)state;
 	int64_t events = 0;
+	int n_restarts = 0;
 	struct dff_core_stats totals = {0};
 	for (uint32_t seed = 1; seed <= SEEDS; seed++)
-		events += run_session (seed, &totals);
+		events += run_session (seed, restarts_late, &totals, &n_restarts);
 	assert_true (totals.reclaims > 0);
 	assert_true (totals.start_failures > 0);
-	print_message ("events and ticks: %" G_GINT64_FORMAT "\n", events);
+	assert_int_equal (n_restarts > 0, restarts_late);
+	print_message ("events and ticks: %" G_GINT64_FORMAT ", restarts: %d\n", events,
+		       n_restarts);
+}
+
+static void
+test_sessions (void **state)
+{
+	(void)state;
+	run_sessions (false);
+}
+
+/* The same with late jobs that are restarted, by reports that may be wrong. */
+static void
+test_sessions_with_restarts (void **state)
+{
+	(void)state;
+	run_sessions (true);
 }
 
 int
 main (void)
 {
-	const struct CMUnitTest tests[] = {cmocka_unit_test (test_sessions)};
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test (test_sessions),
+		cmocka_unit_test (test_sessions_with_restarts),
+	};
 	return cmocka_run_group_tests_name ("core-property", tests, NULL, NULL);
 }
--- a/tests/holder/site.c
+++ b/tests/holder/site.c
@@ -93,6 +93,11 @@
 		description.crashes = true;
 		description.crashes_after_ms = 2500;
 		break;
+	case 'g': /* long gang of 3 whole workers */
+		description.duration_ms = 6000;
+		description.gang = 3;
+		description.accelerators = SITE_ACCELERATORS;
+		break;
 	case 'u': /* 100 s */
 		description.duration_ms = 100000;
 		break;
