tests: the linter passes on the tests of restarts

Cause: 32-bit products that were widened, and loops without braces.

Change: constants of 64 bits, braces.

Result: clang-tidy prints nothing on both files; test-restart and test-restart-slow pass.

--- a/tests/core/test-restart-slow.c
+++ b/tests/core/test-restart-slow.c
@@ -329,7 +329,7 @@
 	submit (&run, &spec);
 	for (int i = 0; i < 4; i++) {
 		run.now_ms += 4000;
-		send_pace (&run, 4000 * (i + 1), one_slow, MEMBERS);
+		send_pace (&run, INT64_C (4000) * (i + 1), one_slow, MEMBERS);
 	}
 	assert_int_equal (run.n_starts, 2);
 	assert_int_equal (dff_core_job_phase (run.core, &spec.id), DFF_JOB_PHASE_RUNNING);
@@ -348,7 +348,7 @@
 	submit (&run, &spec);
 	for (int i = 0; i < 4; i++) {
 		run.now_ms += 3000;
-		send_pace (&run, 3000 * (i + 1), one_slow, MEMBERS);
+		send_pace (&run, INT64_C (3000) * (i + 1), one_slow, MEMBERS);
 	}
 	assert_int_equal (run.n_starts, 1);
 	assert_int_equal (run.n_reports, 1);
@@ -689,13 +689,15 @@
 		cmocka_unit_test (test_stopped_by_former_holder),
 	};
 	size_t n = 7;
-	for (size_t i = 0; i < G_N_ELEMENTS (slow_cases); i++)
+	for (size_t i = 0; i < G_N_ELEMENTS (slow_cases); i++) {
 		tests[n++] = (struct CMUnitTest){.name = slow_cases[i].name,
 						 .test_func = test_slow_gang,
 						 .initial_state = (void *)&slow_cases[i]};
-	for (size_t i = 0; i < G_N_ELEMENTS (standing_cases); i++)
+	}
+	for (size_t i = 0; i < G_N_ELEMENTS (standing_cases); i++) {
 		tests[n++] = (struct CMUnitTest){.name = standing_cases[i].name,
 						 .test_func = test_standing,
 						 .initial_state = (void *)&standing_cases[i]};
+	}
 	return cmocka_run_group_tests (tests, NULL, NULL);
 }
--- a/tests/core/test-restart.c
+++ b/tests/core/test-restart.c
@@ -173,11 +173,12 @@
 	input.declared_ms = input.declared_ms > 0 ? input.declared_ms : TASK_MS;
 	input.typical_ms = input.typical_ms == 0 ? TASK_MS : MAX (input.typical_ms, 0);
 	struct dff_restart_decision got = dff_restart_decide (&input);
-	if (got.reason != at->reason)
+	if (got.reason != at->reason) {
 		fail_msg ("%s: %s, kept %" G_GINT64_FORMAT " restarted %" G_GINT64_FORMAT
 			  " objective %" G_GINT64_FORMAT,
 			  at->name, dff_restart_reason_name (got.reason), got.kept_end_ms,
 			  got.restarted_end_ms, got.objective_ms);
+	}
 }
 
 static void
