core: units that may not be restarted are not estimated

Cause: the pace of each bulk task with an objective led to a sort of the durations of its step, up to 256, with each report.

Change: dff_restart_is_allowed () is asked first.

Result: test-restart, test-restart-slow, test-holder-restart and test-property pass.

--- a/core/restart.c
+++ b/core/restart.c
@@ -66,7 +66,13 @@
 		return DFF_RESTART_KEPT_FAILED;
 	if (input->restarted)
 		return DFF_RESTART_KEPT_RESTARTED;
-	return input->typical_ms > 0 ? DFF_RESTART_SLOW : DFF_RESTART_KEPT_UNKNOWN;
+	return DFF_RESTART_SLOW;
+}
+
+bool
+dff_restart_is_allowed (const struct dff_restart_input *input)
+{
+	return excluded (input) == DFF_RESTART_SLOW;
 }
 
 /* A unit that stands still is given until the report after which a restart would be too late. */
@@ -102,6 +108,8 @@
 dff_restart_decide (const struct dff_restart_input *input)
 {
 	struct dff_restart_decision decision = {.reason = excluded (input)};
+	if (decision.reason == DFF_RESTART_SLOW && input->typical_ms <= 0)
+		decision.reason = DFF_RESTART_KEPT_UNKNOWN;
 	if (decision.reason != DFF_RESTART_SLOW)
 		return decision;
 	const struct dff_objective *objective = input->objective;
--- a/core/review_slow.c
+++ b/core/review_slow.c
@@ -388,7 +388,7 @@
 	struct dff_objective objective;
 	struct review review = review_new (core, job, event, &objective);
 	review.input.remaining_ms = MAX (member->least_end_ms - elapsed_ms (core, job), 0);
-	if (estimate_typical (&review))
+	if (dff_restart_is_allowed (&review.input) && estimate_typical (&review))
 		decide (&review);
 }
 
@@ -402,6 +402,8 @@
 	struct dff_core_member *member = &job->members[event->member];
 	struct dff_objective objective;
 	struct review review = review_new (core, job, event, &objective);
+	if (!dff_restart_is_allowed (&review.input))
+		return;
 	review.standing = true;
 	/* Without any progress to go by, the learned run time only decides how long the standstill
 	 * is tolerated. */
--- a/include/core/restart.h
+++ b/include/core/restart.h
@@ -80,6 +80,10 @@
 	int64_t restarted_end_ms;
 };
 
+/** Returns: whether the kind of unit and its history allow a restart. Only @objective, @priority,
+ * @restarted and @failed are read. */
+bool dff_restart_is_allowed (const struct dff_restart_input *input);
+
 /** Decides. DFF_RESTART_KEPT_NO_CAPACITY is returned only where everything but the capacity and
  * the speed of the other workers calls for a restart. */
 struct dff_restart_decision dff_restart_decide (const struct dff_restart_input *input);
