core, holder: a standstill is counted from the start or the restore of a run

Cause: a run that never progresses was seen by its second report only, and one that resumes from a checkpoint counted as standing while it restored it.

Change: without any progress the standstill counts from the start of the run; until the first change of its progress the time to start is allowed for.

--- a/core/review_slow.c
+++ b/core/review_slow.c
@@ -411,7 +411,7 @@
 		review.typical_log = logf ((float)MAX (job->estimate_ms, 1));
 		review.input.typical_ms = job->estimate_ms;
 	}
-	review.input.standing_since_start = event->percent == 0;
+	review.input.standing_since_start = event->standing_since_start;
 	review.input.standing_ms = MIN (event->standing_ms, elapsed_ms (core, job));
 	review.input.next_report_ms = event->next_report_ms;
 	member->stands = review.input.standing_ms >=
--- a/holder/durations.c
+++ b/holder/durations.c
@@ -123,7 +123,7 @@
 		return;
 	int64_t worked_ms = run->worker->clock_ms - run->measured_from_clock_ms - waited_ms (run);
 	int64_t duration_ms = worked_ms * 100 / run->percent;
-	if (event->duration_ms == 0 || duration_ms < event->duration_ms)
+	if (duration_ms > 0 && (event->duration_ms == 0 || duration_ms < event->duration_ms))
 		event->duration_ms = duration_ms;
 }
 
--- a/holder/watch.c
+++ b/holder/watch.c
@@ -239,6 +239,14 @@
 	return run->phase == DFF_RUN_PHASE_OPEN && run->percent >= 0 && run->percent < 100;
 }
 
+/* A run that has reported no progress at all stands still since its start, also if the first report
+ * comes seconds later. */
+static int64_t
+standing_ms (const struct holder_run *run, int64_t now_ms)
+{
+	return now_ms - (run->percent > 0 ? run->percent_ms : run->open_ms);
+}
+
 /* Whether another member of the run's gang has completed, or has progressed since this one did. */
 static bool
 gang_progresses (const struct holder_run *run)
@@ -260,10 +268,10 @@
 				  .job = run->unit->name,
 				  .attempt = run->attempt,
 				  .member = run->member,
-				  .percent = run->percent,
 				  .peer_group = duration_peer_group (run),
-				  .standing_ms = now_ms - run->percent_ms,
+				  .standing_ms = standing_ms (run, now_ms),
 				  .next_report_ms = wait_ms (holder),
+				  .standing_since_start = run->percent == run->pace_from_percent,
 				  .worker_stands = others_stand,
 				  .gang_progresses = gang_progresses (run)};
 	dff_core_handle_event (holder->core, &event, now_ms);
@@ -285,7 +293,7 @@
 	g_hash_table_iter_init (&iter, worker->runs);
 	while (g_hash_table_iter_next (&iter, NULL, &value)) {
 		const struct holder_run *run = value;
-		if (!shows_progress (run) || now_ms - run->percent_ms < least_ms)
+		if (!shows_progress (run) || standing_ms (run, now_ms) < least_ms)
 			continue;
 		bool others_stand = n_progressing == !is_standing (run, now_ms);
 		report_standing (holder, run, others_stand);
--- a/include/core/core.h
+++ b/include/core/core.h
@@ -145,11 +145,11 @@
 	DFF_EVENT_TASK_STOPPED,  /**< Proven stopped; @ran: whether it ever ran. */
 	DFF_EVENT_TASK_LOST,     /**< Its lease has expired: it no longer runs, and may have run. */
 	DFF_EVENT_TASK_PROGRESS, /**< @percent of the task's work is done. */
-	/** How fast a task is: @percent, @duration_ms, @least_duration_ms, @peer_group. Sent with
-	 * each report of its worker. */
+	/** How fast a task is: @percent, @duration_ms, @least_duration_ms, @peer_group. Sent when
+	 * its progress has changed. */
 	DFF_EVENT_TASK_PACE,
-	/** A task's progress stands still: @standing_ms, @next_report_ms, @worker_stands,
-	 * @gang_progresses, @peer_group. Sent with each report of its worker. */
+	/** A task's progress stands still: @standing_ms, @standing_since_start, @next_report_ms,
+	 * @worker_stands, @gang_progresses, @peer_group. Sent with each report of its worker. */
 	DFF_EVENT_TASK_STANDING,
 	/** @worker, @peer_group, @duration_ms. Sent once per run, when enough progress was
 	 * reported. */
@@ -206,6 +206,8 @@
 	 * report, ms. */
 	int64_t standing_ms;
 	int64_t next_report_ms;
+	/** Whether it has not changed since the task started or resumed. */
+	bool standing_since_start;
 	/** Whether all tasks on the worker stand still, and whether another member of the gang has
 	 * progressed since this one did. */
 	bool worker_stands;
--- a/tests/core/test-property.c
+++ b/tests/core/test-property.c
@@ -575,6 +575,7 @@
 			  .least_duration_ms = g_rand_int_range (world->rand, 0, 900000),
 			  .standing_ms = g_rand_int_range (world->rand, 0, 60000),
 			  .next_report_ms = g_rand_int_range (world->rand, 0, 100000),
+			  .standing_since_start = g_rand_boolean (world->rand),
 			  .worker_stands = g_rand_boolean (world->rand),
 			  .gang_progresses = g_rand_boolean (world->rand)}};
 	arrive (world, &arrival, 300);
--- a/tests/core/test-restart-slow.c
+++ b/tests/core/test-restart-slow.c
@@ -183,23 +183,6 @@
 	tick (run);
 }
 
-static void
-send_standing (
-	struct run *run, int member, int64_t standing_ms, bool worker_stands, bool gang_progresses)
-{
-	struct dff_event event = {.type = DFF_EVENT_TASK_STANDING,
-				  .job = dff_name_from ("job"),
-				  .attempt = run->attempt,
-				  .member = member,
-				  .percent = 12,
-				  .standing_ms = standing_ms,
-				  .next_report_ms = 2000,
-				  .worker_stands = worker_stands,
-				  .gang_progresses = gang_progresses};
-	send_event (run, &event);
-	tick (run);
-}
-
 static bool
 runs_on (const struct run *run, const struct dff_name *worker, int gang)
 {
@@ -524,8 +507,9 @@
 	int n_standing;
 	int n_filled;
 	int32_t priority;
-	/** Whether the whole worker stands. */
+	/** Whether the whole worker stands, and whether the tasks have not progressed at all. */
 	bool worker_stands;
+	bool since_start;
 	/** Whether the objective is that of urgent work. */
 	bool urgent;
 	bool restarted;
@@ -553,6 +537,21 @@
 	 .standing_ms = 700,
 	 .ran_ms = 2200,
 	 .urgent = true},
+	{.name = "may still start",
+	 .standing_ms = 1300,
+	 .ran_ms = 1400,
+	 .gang = 1,
+	 .n_standing = 1,
+	 .since_start = true,
+	 .urgent = true},
+	{.name = "no progress since the start",
+	 .standing_ms = 1500,
+	 .ran_ms = 2200,
+	 .gang = 1,
+	 .n_standing = 1,
+	 .since_start = true,
+	 .urgent = true,
+	 .restarted = true},
 	{.name = "no free worker",
 	 .gang = 1,
 	 .n_standing = 1,
@@ -592,6 +591,22 @@
 	 .urgent = true},
 };
 
+static void
+send_standing (struct run *run, int member, const struct standing_case *at)
+{
+	struct dff_event event = {.type = DFF_EVENT_TASK_STANDING,
+				  .job = dff_name_from ("job"),
+				  .attempt = run->attempt,
+				  .member = member,
+				  .standing_ms = at->standing_ms,
+				  .next_report_ms = 2000,
+				  .standing_since_start = at->since_start,
+				  .worker_stands = at->worker_stands,
+				  .gang_progresses = at->n_standing < at->gang};
+	send_event (run, &event);
+	tick (run);
+}
+
 /* Guards against urgent work that waits on a worker without progress until it is late. */
 static void
 test_standing (void **state)
@@ -609,11 +624,11 @@
 	assert_int_equal (run.n_starts, 1);
 	struct dff_name stood = run.workers[0];
 	run.now_ms += at->ran_ms - at->standing_ms;
-	send_pace (&run, 1200, even, at->gang);
+	if (!at->since_start)
+		send_pace (&run, 1200, even, at->gang);
 	run.now_ms += at->standing_ms;
 	for (int i = 0; i < at->n_standing; i++)
-		send_standing (&run, i, at->standing_ms, at->worker_stands,
-			       at->n_standing < at->gang);
+		send_standing (&run, i, at);
 	assert_int_equal (run.n_starts, at->restarted ? 2 : 1);
 	if (at->restarted) {
 		assert_false (runs_on (&run, &stood, at->gang));
--- a/tests/holder/test-holder-restart.c
+++ b/tests/holder/test-holder-restart.c
@@ -74,6 +74,24 @@
 	}
 }
 
+/* Guards against waiting for two reports of a worker on which an urgent task never begins to
+ * progress: the first one shows it, if it comes late enough. */
+static void
+test_urgent_task_never_progresses (void **state)
+{
+	(void)state;
+	struct site site;
+	site_open (&site);
+	site_submit (&site, 0, plan_with ("1", 1, false, 0, 1.6));
+	site_run (&site, 30);
+	int stood = worker_of (&site, "1.0.0.0");
+	site.workers[stood]->hung = true;
+	assert_in_range (site_wait_for_state (&site, "1", "completed", 20000), 0, 8500);
+	assert_int_equal (restarts (&site, "standing"), 1);
+	assert_int_equal (dff_memory_runner_n_starts (site.runner, "1"), 2);
+	site_close (&site);
+}
+
 static void
 slow_rack (struct site *site, int rack, int32_t times)
 {
@@ -166,6 +184,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test (test_urgent_task_stands_still),
+		cmocka_unit_test (test_urgent_task_never_progresses),
 		cmocka_unit_test (test_slow_gang),
 		cmocka_unit_test (test_pause),
 		cmocka_unit_test (test_takeover_after_restart),
