core: place single tasks and choose victims by the shapes that arrive

Cause: single bulk tasks are spread over all racks, so that each urgent gang of whole workers stops dozens of them.

Change: core/shapes.c records the shapes that arrived recently and counts how many of them fit. shape_order places single tasks beside others of their kind, then in racks that no recorded gang fits, and last where an urgent shape would lose its last place; tasks with checkpoints begin next to the headroom, the others at the other end. shape_victims prefers, at about equal cost, fewer stopped tasks, and a task that has just saved. Both are options of the core, off by default, on in holder/policy.c. first_checkpoint_ms (not on) holds single bulk tasks back where urgent work is expected to stop them first.

--- a/core/core.c
+++ b/core/core.c
@@ -39,6 +39,9 @@
 	options->stall_restart_max_ms = DEFAULT_STALL_RESTART_MAX_MS;
 	options->headroom_decay_ms = 0;
 	options->headroom_wait_ratio = 0.0;
+	options->shape_order = false;
+	options->shape_victims = false;
+	options->first_checkpoint_ms = 0;
 	options->evict_work_ratio = 0.0;
 	options->evict_unlimited_after_ms = 0;
 }
@@ -163,6 +166,7 @@
 		add_rack (core, rack, dff_pool_dedicated_slots (pool, rack));
 	}
 	dff_core_headroom_rank (core);
+	core->shapes_review_ms = INT64_MIN;
 }
 
 static void
@@ -419,6 +423,7 @@
 	dff_core_run_reserved (core);
 	dff_core_run_rack_reservations (core);
 	dff_core_run_headroom (core);
+	dff_core_run_shapes (core);
 	dff_core_run_queue (core);
 	dff_core_run_defrag (core);
 	g_array_set_size (commands, 0);
--- a/core/core_private.h
+++ b/core/core_private.h
@@ -77,6 +77,13 @@
 
 void dff_core_unlease (struct dff_core *core, struct dff_core_job *job, int32_t member);
 
+/** Reserves resources of a worker for a job that waits for its victims, @times of -1 releases them.
+ */
+void dff_core_worker_reserve (struct dff_core *core,
+			      int32_t worker,
+			      const struct dff_resources *resources,
+			      int32_t times);
+
 /** Updates whether leases or bound resources exceed the capacity, as after a pool change. */
 void dff_core_worker_update_overload (struct dff_core_worker *worker);
 
@@ -266,6 +273,36 @@
 			   const struct dff_core_worker *worker,
 			   int32_t priority);
 
+/* shape_order.c */
+
+/** Records the shape of a job that has arrived. */
+void dff_core_note_shape (struct dff_core *core, const struct dff_core_job *job);
+
+/** System: lets recorded shapes decay, and counts again what fits. */
+void dff_core_run_shapes (struct dff_core *core);
+
+/** Whether a job is placed by the recorded shapes. */
+bool dff_core_has_shape_order (const struct dff_core *core, const struct dff_core_job *job);
+
+/** Returns: the sort key of a rack for a single task, lowest first; INT32_MAX: it does not fit. */
+int32_t dff_core_shape_rack_order (const struct dff_core *core,
+				   struct dff_core_rack *rack,
+				   const struct dff_core_job *job);
+
+/** Returns: the sort key of a worker in its rack, lowest first. @left is the key by best fit. */
+int32_t dff_core_shape_worker_order (const struct dff_core *core,
+				     const struct dff_core_worker *worker,
+				     const struct dff_core_job *job,
+				     int32_t left);
+
+/** Whether a single task waits because urgent work is expected to stop it on @worker before it has
+ * saved anything. */
+bool
+dff_core_shape_holds (const struct dff_core *core, const struct dff_core_job *job, int32_t worker);
+
+/** Fills in the gauges of what fits now. */
+void dff_core_shape_stats (const struct dff_core *core, struct dff_core_stats *stats);
+
 /* start.c */
 
 bool dff_core_within_quota (const struct dff_core *core, const struct dff_core_job *job);
@@ -488,6 +525,12 @@
 				   const struct dff_core_job *job,
 				   const int32_t *workers);
 
+/** Returns: number of tasks that are stopped by placing a job on @workers; INT32_MAX: it does not
+ * fit there. */
+int32_t dff_core_evicted_tasks (const struct dff_core *core,
+				const struct dff_core_job *job,
+				const int32_t *workers);
+
 /** Returns: least work lost to fit @times members of @job on a worker, core-ms; INT64_MAX: they
  * never fit. */
 int64_t dff_core_evict_cost (const struct dff_core *core,
--- a/core/core_tables.h
+++ b/core/core_tables.h
@@ -2,6 +2,7 @@
 #define DFF_CORE_CORE_TABLES_H
 
 #include "core/core.h"
+#include "core/shapes.h"
 
 /* Tables of the decision core. Entities refer to each other by index into their table. Jobs, which
  * are added and removed often, are referred to by pointer. */
@@ -45,6 +46,8 @@
 	/** Index of its rack; DFF_CORE_NONE when the pool does not declare the worker any more. */
 	int32_t rack;
 	enum dff_worker_state state;
+	/** Number of single tasks here that may be preempted: without and with checkpoints. */
+	int16_t n_singles[2];
 	/** Time at which it leaves, in DFF_WORKER_LEAVING; 0: not known. */
 	int64_t leaves_ms;
 	struct dff_resources capacity;
@@ -98,6 +101,35 @@
 	double headroom[DFF_CORE_PRIORITIES];
 	/** Time at which @headroom was last updated. */
 	int64_t headroom_ms;
+	/** Shapes of its work that arrived recently; parallel to its records: how many fit, in
+	 * units of dff_shape_units() and as gangs when last reviewed. */
+	struct dff_shapes shapes;
+	int64_t shape_units[DFF_SHAPES_MAX];
+	int64_t shape_gangs[DFF_SHAPES_MAX];
+	/** Bit i: record i is of urgent work, and at most one gang of it fits. */
+	uint64_t scarce_shapes;
+};
+
+/** What it means for the recorded shapes to place a single task in a rack. */
+struct dff_core_rack_choice {
+	/** Sort key of the rack, lowest first. */
+	int32_t order;
+	/** Bit i: fewer gangs of record i fit then. */
+	uint64_t lost;
+};
+
+/** The free capacity of a rack by shape, computed again when the rack has changed. */
+struct dff_core_rack_shapes {
+	bool is_stale;
+	struct dff_rack_fits fits;
+	/** Parallel to the records of the region: what is counted for the rack. */
+	int32_t units[DFF_SHAPES_MAX];
+	/** Whether a recorded gang fits. */
+	bool any_fits;
+	/** By accelerators of a task, and whether it saves checkpoints. Bit 2 * accelerators +
+	 * checkpoint of @known: the element is valid. */
+	struct dff_core_rack_choice choices[DFF_SHAPE_SIZES + 1][2];
+	uint32_t known;
 };
 
 struct dff_core_rack {
@@ -116,6 +148,7 @@
 	/** Accelerators and slots on usable workers. */
 	int32_t accelerators;
 	int32_t slots;
+	struct dff_core_rack_shapes shapes;
 };
 
 /** Accelerators of one worker in a witness placement. */
@@ -300,6 +333,8 @@
 	/** The last workers on which it failed. */
 	int32_t avoided[DFF_CORE_AVOIDED_MAX];
 	int32_t n_avoided;
+	/** Run time of its attempt at the last checkpoint that was reported, ms. */
+	int32_t saved_ms;
 	struct dff_core_estimator *estimator;
 	/** Estimated when it was last queued: median run time, and mean and standard deviation of
 	 * its logarithm. */
@@ -430,6 +465,8 @@
 	struct dff_resources total;
 	/** Accelerators of the largest guaranteed shape that fits a rack. */
 	int32_t largest_rack_shape;
+	/** Time of the next review of the recorded shapes. */
+	int64_t shapes_review_ms;
 	struct dff_core_stats stats;
 };
 
@@ -480,6 +517,15 @@
 	return team->urgent_accelerators <= team->assured_accelerators;
 }
 
+/** Whether a job is a single task that is placed by the recorded shapes: one that borrows and can
+ * wait. */
+static inline bool
+dff_core_job_is_single (const struct dff_core_job *job)
+{
+	return job->gang == 1 && job->per_task.accelerators > 0 && job->idempotent &&
+	       !job->urgent && !job->guaranteed;
+}
+
 /** A job may be preempted if it may be started again. A checkpoint alone is not enough: the task
  * keeps running between its checkpoint and its stop, and a resumed job would repeat what it did in
  * between. */
--- a/core/place.c
+++ b/core/place.c
@@ -15,6 +15,8 @@
 #define BREAKS_WHOLE_PIECE 1000000
 /** Sorts the rack that holds a job's data before all others. */
 #define NEAR_DATA (-2)
+/** Costs of stopping work that differ by less than this part of them count as equal. */
+#define EQUAL_COST_PARTS 16
 /** Sorts racks with headroom next. */
 #define HEADROOM_FIRST (-1)
 
@@ -173,7 +175,9 @@
 		struct candidate candidate = {
 			.worker = index,
 			.fits = fits,
-			.left = dff_core_isolation_order (core, worker, job, left)};
+			.left = dff_core_isolation_order (
+				core, worker, job,
+				dff_core_shape_worker_order (core, worker, job, left))};
 		g_array_append_val (out, candidate);
 	}
 }
@@ -273,13 +277,13 @@
  * Work that may not be preempted is placed beside other such work, because one such task keeps
  * gangs from a rack. */
 static int32_t
-rack_order (const struct dff_core *core,
-	    const struct dff_core_rack *rack,
-	    const struct dff_core_job *job)
+rack_order (const struct dff_core *core, struct dff_core_rack *rack, const struct dff_core_job *job)
 {
 	int32_t available = rack->free_accelerators;
 	if (job->data_rack != DFF_CORE_NONE && rack->label == job->data_rack)
 		return NEAR_DATA;
+	if (dff_core_has_shape_order (core, job))
+		return dff_core_shape_rack_order (core, rack, job);
 	if (job->priority == 0 && has_headroom (core, rack))
 		return HEADROOM_FIRST;
 	if (job->hold == DFF_CORE_HOLD_HARD) {
@@ -298,6 +302,28 @@
 	return breaks ? BREAKS_WHOLE_PIECE + available : piece;
 }
 
+/* Whether all workers of a rack are kept free by the job: the first one is ranked lowest. */
+static bool
+is_headroom_rack (const struct dff_core *core,
+		  const struct dff_core_rack *rack,
+		  const struct dff_core_job *job,
+		  int32_t level)
+{
+	if (job->ignores_reservations || rack->workers->len == 0)
+		return false;
+	int32_t first = g_array_index (rack->workers, int32_t, 0);
+	return dff_core_is_headroom (core, dff_core_worker_at (core, first), level);
+}
+
+/* Returns: the rack that is considered at a step. Tasks with checkpoints lose little when they are
+ * stopped, so they begin next to the headroom, and those without at the other end. */
+static int32_t
+rack_at_step (const struct dff_core *core, const struct dff_core_job *job, guint step)
+{
+	bool backwards = job->checkpoint && dff_core_has_shape_order (core, job);
+	return (int32_t)(backwards ? core->racks->len - 1 - step : step);
+}
+
 /* Places the gang in the rack that rack_order() prefers. */
 static bool
 place_in_rack (const struct dff_core *core,
@@ -307,14 +333,18 @@
 {
 	int32_t best = DFF_CORE_NONE;
 	int32_t best_order = INT32_MAX;
+	int32_t level = dff_core_headroom_level (core, job);
 	for (guint i = 0; i < core->racks->len; i++) {
-		const struct dff_core_rack *rack = dff_core_rack_at (core, (int32_t)i);
+		int32_t index = rack_at_step (core, job, i);
+		struct dff_core_rack *rack = dff_core_rack_at (core, index);
 		if (!rack_allows (core, job, rack, view) || !rack_may_hold (rack, job, view))
 			continue;
+		if (!is_hypothetical (view) && is_headroom_rack (core, rack, job, level))
+			continue;
 		int32_t order = rack_order (core, rack, job);
 		if (order >= best_order || rack_fits (core, rack, job, view) < job->gang)
 			continue;
-		best = (int32_t)i;
+		best = index;
 		best_order = order;
 	}
 	if (best == DFF_CORE_NONE)
@@ -324,6 +354,46 @@
 	return fill (candidates, workers, job->gang);
 }
 
+/* The best rack so far of those in which work would be stopped. */
+struct eviction {
+	/** Work lost, core-ms; -1: no rack fits. */
+	int64_t cost;
+	/** Least work lost in any rack. */
+	int64_t least;
+	/** Number of tasks stopped; -1: not counted yet. */
+	int32_t tasks;
+};
+
+/* Whether a rack is better than the best one so far: less work is lost, or about as much, with
+ * fewer tasks stopped. */
+static bool
+improves (const struct dff_core *core,
+	  const struct dff_core_job *job,
+	  struct eviction *best,
+	  const int32_t *best_workers,
+	  int64_t cost,
+	  const int32_t *workers)
+{
+	int64_t equal = best->least / EQUAL_COST_PARTS;
+	bool is_least = best->cost < 0 || cost < best->least;
+	if (best->cost < 0 || !core->options.shape_victims || cost < best->least - equal) {
+		bool better = best->cost < 0 || cost < best->cost;
+		*best = better ? (struct eviction){cost, cost, -1} : *best;
+		return better;
+	}
+	best->least = is_least ? cost : best->least;
+	if (cost > best->least + equal)
+		return false;
+	if (best->tasks < 0)
+		best->tasks = dff_core_evicted_tasks (core, job, best_workers);
+	int32_t tasks = dff_core_evicted_tasks (core, job, workers);
+	if (tasks > best->tasks || (tasks == best->tasks && cost >= best->cost))
+		return false;
+	best->cost = cost;
+	best->tasks = tasks;
+	return true;
+}
+
 /* Places the gang in the rack where least work is lost. */
 static bool
 evict_in_rack (const struct dff_core *core,
@@ -331,9 +401,9 @@
 	       enum dff_core_view view,
 	       int32_t *workers)
 {
-	int64_t best_cost = -1;
+	struct eviction best = {.cost = -1, .tasks = -1};
 	g_autoptr (GArray) candidates = g_array_new (FALSE, FALSE, sizeof (struct candidate));
-	for (guint i = 0; i < core->racks->len && best_cost != 0; i++) {
+	for (guint i = 0; i < core->racks->len && best.cost != 0; i++) {
 		const struct dff_core_rack *rack = dff_core_rack_at (core, (int32_t)i);
 		int32_t trial[DFF_GANG_MAX];
 		if (!rack_allows (core, job, rack, view) || !rack_may_hold (rack, job, view) ||
@@ -342,12 +412,10 @@
 		g_array_set_size (candidates, 0);
 		rack_candidates (core, rack, job, view, candidates);
 		int64_t cost = fill_evicting (core, job, candidates, trial);
-		if (cost < 0 || (best_cost >= 0 && cost >= best_cost))
-			continue;
-		best_cost = cost;
-		memcpy (workers, trial, sizeof (int32_t) * (gsize)job->gang);
+		if (cost >= 0 && improves (core, job, &best, workers, cost, trial))
+			memcpy (workers, trial, sizeof (int32_t) * (gsize)job->gang);
 	}
-	return best_cost >= 0;
+	return best.cost >= 0;
 }
 
 static bool
--- a/core/reclaim.c
+++ b/core/reclaim.c
@@ -16,6 +16,9 @@
 #define ENDS_SOON_FACTOR 4
 /** Factor by which urgent work costs more to stop than other work, because a user waits for it. */
 #define URGENT_LOSS_FACTOR 10
+/** Costs that differ by less than this part of them count as equal: the ages that they follow from
+ * are known to some hundred milliseconds. */
+#define EQUAL_COST_PARTS 16
 
 /* Whether a small job in the racks reserved for a gang is preempted: it can run elsewhere and must
  * not hold up the gang. */
@@ -111,6 +114,24 @@
 	       (shortage->accelerators < 0 && occupant->per_task.accelerators > 0);
 }
 
+/* Time since a task last saved a checkpoint, ms; since its start if it has not. */
+static int64_t
+unsaved_ms (const struct dff_core *core, const struct dff_core_job *job)
+{
+	return core->now_ms - job->started_ms - job->saved_ms;
+}
+
+/* Whether of two occupants with the same cost the first one is stopped: the one that has just saved
+ * a checkpoint. */
+static bool
+is_better_victim (const struct dff_core *core,
+		  const struct dff_core_job *one,
+		  const struct dff_core_job *other)
+{
+	return core->options.shape_victims && one->checkpoint && other->checkpoint &&
+	       unsaved_ms (core, one) < unsaved_ms (core, other);
+}
+
 /* Returns: the cheapest occupant, not yet in @victims, whose end reduces the shortage of the
  * worker; NULL: none. */
 static struct dff_core_job *
@@ -127,7 +148,9 @@
 		if (!is_ending (occupant) && !dff_core_may_evict (core, job, occupant))
 			continue;
 		int64_t cost = dff_core_lost_work (core, occupant);
-		if (cost >= best_cost || !reduces_shortage (available, occupant) ||
+		if (cost > best_cost || !reduces_shortage (available, occupant) ||
+		    (cost == best_cost &&
+		     (best == NULL || !is_better_victim (core, occupant, best))) ||
 		    g_ptr_array_find ((GPtrArray *)victims, occupant, NULL))
 			continue;
 		best = occupant;
@@ -139,14 +162,83 @@
 static void
 release_occupant (const struct dff_core_worker *worker,
 		  const struct dff_core_job *occupant,
-		  struct dff_resources *available)
+		  struct dff_resources *available,
+		  int32_t times)
 {
 	for (guint i = 0; i < worker->occupants->len; i++) {
 		if (g_ptr_array_index (worker->occupants, i) == occupant)
-			dff_resources_add (available, &occupant->per_task, 1);
+			dff_resources_add (available, &occupant->per_task, times);
 	}
 }
 
+/* Removes victims without which the members fit as well, the costliest first. @victims: by rising
+ * cost. Returns: the work that is not lost, core-ms. */
+static int64_t
+spare_victims (const struct dff_core *core,
+	       const struct dff_core_worker *worker,
+	       struct dff_resources *available,
+	       GPtrArray *victims)
+{
+	int64_t spared = 0;
+	for (guint i = victims->len; i-- > 0;) {
+		const struct dff_core_job *victim = g_ptr_array_index (victims, i);
+		struct dff_resources without = *available;
+		release_occupant (worker, victim, &without, -1);
+		if (!dff_resources_covered (&without))
+			continue;
+		*available = without;
+		spared += dff_core_lost_work (core, victim);
+		g_ptr_array_remove_index (victims, i);
+	}
+	return spared;
+}
+
+/* Returns: the cheapest occupant whose stop alone covers the shortage; NULL: none. */
+static struct dff_core_job *
+covering_victim (const struct dff_core *core,
+		 const struct dff_core_worker *worker,
+		 const struct dff_core_job *job,
+		 const struct dff_resources *shortage)
+{
+	struct dff_core_job *best = NULL;
+	int64_t best_cost = INT64_MAX;
+	for (guint i = 0; i < worker->occupants->len; i++) {
+		struct dff_core_job *occupant = g_ptr_array_index (worker->occupants, i);
+		struct dff_resources available = *shortage;
+		release_occupant (worker, occupant, &available, 1);
+		if (!dff_resources_covered (&available) ||
+		    (!is_ending (occupant) && !dff_core_may_evict (core, job, occupant)))
+			continue;
+		int64_t cost = dff_core_lost_work (core, occupant);
+		if (cost >= best_cost)
+			continue;
+		best = occupant;
+		best_cost = cost;
+	}
+	return best;
+}
+
+/* Replaces several victims by one whose stop frees all of the shape, if that costs no more.
+ * Returns: the cost, core-ms. */
+static int64_t
+merge_victims (const struct dff_core *core,
+	       const struct dff_core_worker *worker,
+	       const struct dff_core_job *job,
+	       const struct dff_resources *shortage,
+	       int64_t cost,
+	       GPtrArray *victims)
+{
+	struct dff_core_job *one = covering_victim (core, worker, job, shortage);
+	if (one == NULL)
+		return cost;
+	int64_t one_cost = dff_core_lost_work (core, one);
+	if (one_cost > cost + cost / EQUAL_COST_PARTS)
+		return cost;
+	g_ptr_array_set_size (victims, 0);
+	g_ptr_array_add (victims, one);
+	return one_cost;
+}
+
 /* Adds @victims until @times members fit. Returns: work lost, core-ms; INT64_MAX: never. */
 static int64_t
 find_victims (const struct dff_core *core,
@@ -158,6 +250,7 @@
 	struct dff_resources available =
 		dff_core_worker_available (core, worker, job, DFF_CORE_VIEW_FREE);
 	dff_resources_add (&available, &job->per_task, -times);
+	struct dff_resources shortage = available;
 	int64_t cost = 0;
 	while (!dff_resources_covered (&available)) {
 		struct dff_core_job *victim = next_victim (core, worker, job, &available, victims);
@@ -165,9 +258,14 @@
 			return INT64_MAX;
 		cost += dff_core_lost_work (core, victim);
 		g_ptr_array_add (victims, victim);
-		release_occupant (worker, victim, &available);
+		release_occupant (worker, victim, &available, 1);
 	}
-	return cost;
+	if (!core->options.shape_victims || victims->len < 2)
+		return cost;
+	cost -= spare_victims (core, worker, &available, victims);
+	if (victims->len < 2)
+		return cost;
+	return merge_victims (core, worker, job, &shortage, cost, victims);
 }
 
 int64_t
@@ -212,19 +310,47 @@
 	return true;
 }
 
-int64_t
-dff_core_total_evict_cost (const struct dff_core *core,
-			   const struct dff_core_job *job,
-			   const int32_t *workers)
+/* Collects the jobs that are stopped for a job on @workers. A gang counts once, on however many of
+ * the workers it runs. Returns: whether the job then fits. */
+static bool
+gather_all_victims (const struct dff_core *core,
+		    const struct dff_core_job *job,
+		    const int32_t *workers,
+		    GPtrArray *victims)
 {
-	/* A gang counts as a victim once, on however many of the workers it runs. */
-	g_autoptr (GPtrArray) victims = g_ptr_array_new ();
 	for (int32_t i = 0; i < job->gang; i++) {
 		bool is_first = count_on (workers, i, workers[i]) == 0;
 		int32_t times = count_on (workers, job->gang, workers[i]);
 		if (is_first && !gather_victims (core, job, workers[i], times, victims))
-			return INT64_MAX;
+			return false;
+	}
+	return true;
+}
+
+int32_t
+dff_core_evicted_tasks (const struct dff_core *core,
+			const struct dff_core_job *job,
+			const int32_t *workers)
+{
+	g_autoptr (GPtrArray) victims = g_ptr_array_new ();
+	if (!gather_all_victims (core, job, workers, victims))
+		return INT32_MAX;
+	int32_t tasks = 0;
+	for (guint i = 0; i < victims->len; i++) {
+		const struct dff_core_job *victim = g_ptr_array_index (victims, i);
+		tasks += is_ending (victim) ? 0 : victim->gang;
 	}
+	return tasks;
+}
+
+int64_t
+dff_core_total_evict_cost (const struct dff_core *core,
+			   const struct dff_core_job *job,
+			   const int32_t *workers)
+{
+	g_autoptr (GPtrArray) victims = g_ptr_array_new ();
+	if (!gather_all_victims (core, job, workers, victims))
+		return INT64_MAX;
 	int64_t sum = 0;
 	for (guint i = 0; i < victims->len; i++)
 		sum += dff_core_lost_work (core, g_ptr_array_index (victims, i));
@@ -330,8 +456,7 @@
 			preempt_on (core, job, worker);
 	}
 	for (int32_t i = 0; i < job->gang; i++)
-		dff_resources_add (&dff_core_worker_at (core, job->members[i].worker)->reserved,
-				   &job->per_task, 1);
+		dff_core_worker_reserve (core, job->members[i].worker, &job->per_task, 1);
 	dff_core_attempt_reserve (core, job);
 }
 
@@ -358,8 +483,7 @@
 drop_reserved (struct dff_core *core, const struct dff_core_job *job)
 {
 	for (int32_t i = 0; i < job->gang; i++)
-		dff_resources_add (&dff_core_worker_at (core, job->members[i].worker)->reserved,
-				   &job->per_task, -1);
+		dff_core_worker_reserve (core, job->members[i].worker, &job->per_task, -1);
 	core->dirty = true;
 }
 
--- a/core/start.c
+++ b/core/start.c
@@ -78,13 +78,19 @@
 	       dff_core_place (core, job, view, workers);
 }
 
+static bool
+place_free (struct dff_core *core, const struct dff_core_job *job, int32_t *workers)
+{
+	return place_if_freed (core, job, DFF_CORE_VIEW_FREE, workers) &&
+	       !dff_core_shape_holds (core, job, workers[0]);
+}
+
 static bool
 start_soft (struct dff_core *core, struct dff_core_job *job)
 {
 	int32_t workers[DFF_GANG_MAX];
 	job->hold = DFF_CORE_HOLD_SOFT;
-	if (!dff_core_place_probe (core, job, workers) &&
-	    !place_if_freed (core, job, DFF_CORE_VIEW_FREE, workers) &&
+	if (!dff_core_place_probe (core, job, workers) && !place_free (core, job, workers) &&
 	    !place_evicting (core, job, DFF_CORE_VIEW_EVICT, workers))
 		return false;
 	dff_core_take (core, job, workers, DFF_CORE_HOLD_SOFT, DFF_CORE_NONE);
--- a/core/tables.c
+++ b/core/tables.c
@@ -133,6 +133,7 @@
 		team->urgent_accelerators += job->urgent ? dff_core_job_accelerators (job) : 0;
 	}
 	dff_core_headroom_count (core, job, 1);
+	dff_core_note_shape (core, job);
 	dff_core_cover (core, job);
 	return job;
 }
@@ -144,6 +145,7 @@
 	g_clear_pointer (&job->placements, g_array_unref);
 	job->n_open = 0;
 	job->projected_ms = 0;
+	job->saved_ms = 0;
 	job->n_started = 0;
 	job->released = false;
 	job->preempted = false;
@@ -189,6 +191,7 @@
 dff_core_rack_summarise (struct dff_core *core, int32_t index)
 {
 	struct dff_core_rack *rack = dff_core_rack_at (core, index);
+	rack->shapes.is_stale = true;
 	rack->free_accelerators = 0;
 	rack->accelerators = 0;
 	rack->slots = 0;
@@ -257,9 +260,23 @@
 {
 	int32_t before = free_accelerators (worker);
 	dff_resources_add (&worker->used, resources, times);
+	if (worker->rack == DFF_CORE_NONE)
+		return;
+	struct dff_core_rack *rack = dff_core_rack_at (core, worker->rack);
+	rack->free_accelerators += free_accelerators (worker) - before;
+	rack->shapes.is_stale = true;
+}
+
+void
+dff_core_worker_reserve (struct dff_core *core,
+			 int32_t index,
+			 const struct dff_resources *resources,
+			 int32_t times)
+{
+	struct dff_core_worker *worker = dff_core_worker_at (core, index);
+	dff_resources_add (&worker->reserved, resources, times);
 	if (worker->rack != DFF_CORE_NONE)
-		dff_core_rack_at (core, worker->rack)->free_accelerators +=
-			free_accelerators (worker) - before;
+		dff_core_rack_at (core, worker->rack)->shapes.is_stale = true;
 }
 
 void
@@ -273,6 +290,7 @@
 	worker->leased |= accelerators;
 	worker_use (core, worker, &job->per_task, 1);
 	g_ptr_array_add (worker->occupants, job);
+	worker->n_singles[job->checkpoint] += dff_core_job_is_single (job);
 	if (job->team != DFF_CORE_NONE)
 		dff_resources_add (&dff_core_team_at (core, job->team)->used, &job->per_task, 1);
 }
@@ -323,6 +341,7 @@
 	worker->leased &= ~placement->accelerators;
 	worker_use (core, worker, &job->per_task, -1);
 	g_ptr_array_remove_fast (worker->occupants, job);
+	worker->n_singles[job->checkpoint] -= dff_core_job_is_single (job);
 	if (worker->overloaded)
 		dff_core_worker_update_overload (worker);
 	if (worker->overlapping)
--- a/holder/policy.c
+++ b/holder/policy.c
@@ -72,6 +72,8 @@
 	options->evict_unlimited_after_ms = EVICT_UNLIMITED_AFTER_MS;
 	options->headroom_decay_ms = HEADROOM_DECAY_MS;
 	options->headroom_wait_ratio = HEADROOM_WAIT_RATIO;
+	options->shape_order = true;
+	options->shape_victims = true;
 	options->checkpoint_loss_ms = CHECKPOINT_LOSS_MS;
 	options->stall_restart_max_ms = STALL_RESTART_MAX_MS;
 }
--- a/include/core/core.h
+++ b/include/core/core.h
@@ -88,6 +88,13 @@
 	/** Wait after which work of the lowest priority leaves headroom for the highest one only,
 	 * as a multiple of its expected run time; 0: never. */
 	double headroom_wait_ratio;
+	/** Whether single tasks are placed where the shapes that arrived recently lose least. */
+	bool shape_order;
+	/** Whether victims are chosen such that few runs are stopped for a shape. */
+	bool shape_victims;
+	/** Time from a task's start to its first checkpoint, ms: single tasks are not started where
+	 * urgent work is expected to stop them earlier; 0: they are started. */
+	int64_t first_checkpoint_ms;
 };
 
 /** Fills in the defaults; docs/decisions/ gives the reasons for them. */
