core, holder: urgent work waits with its slack before it stops others; gauges of what fits

Cause: urgent work stops other work at once, although it is short and capacity for more of it comes free within some hundred milliseconds.

Change: evict_delay_ms (500 ms, with an objective and slack beyond a stop and a start only). first_checkpoint_ms is on: single bulk tasks are not started where urgent work is expected before they have saved anything, until they have waited headroom_wait_ratio times their run time. The core learns when a task has saved a checkpoint.

--- a/bench/load/classes.h
+++ b/bench/load/classes.h
@@ -18,4 +18,14 @@
 struct dff_load dff_load_mixed (const struct dff_load_class classes[DFF_LOAD_MIXED_CLASSES],
 				uint32_t seed);
 
+/** Fills @classes with three classes that compete for too little capacity: single bulk tasks all
+ * over the racks, gangs of whole workers, and urgent gangs that arrive at twice their rate for six
+ * seconds. */
+void dff_load_contended_classes (struct dff_load_class classes[DFF_LOAD_MIXED_CLASSES],
+				 double times);
+
+/** Returns: a load of @classes on 44 racks with eight workers each. */
+struct dff_load dff_load_contended (const struct dff_load_class classes[DFF_LOAD_MIXED_CLASSES],
+				    uint32_t seed);
+
 #endif
--- a/bench/load/load.c
+++ b/bench/load/load.c
@@ -354,6 +354,10 @@
 	unit->entry = entry;
 	unit->width = class->gang ? job->width : 1;
 	g_hash_table_insert (play->units, &unit->name, unit);
+	const struct dff_objective objective = {.stretch = class->stretch,
+						.target_ms = class->target_ms,
+						.chain_ms = job->declared_ms,
+						.tail_ms = job->declared_ms};
 	struct dff_job_spec spec = {
 		.id = unit->name,
 		.team = dff_name_from ("team"),
@@ -372,6 +376,7 @@
 		.declared_ms = job->declared_ms,
 		.max_attempts = class->max_attempts,
 		.weight = dff_policy_weight (class->priority, n_units),
+		.objective = &objective,
 	};
 	struct dff_event event = {.type = DFF_EVENT_JOB_SUBMITTED, .spec = &spec};
 	dff_core_handle_event (play->core, &event, play->now_ms);
--- a/bench/load/main.c
+++ b/bench/load/main.c
@@ -48,12 +48,57 @@
 	options->evict_work_ratio = 0.0;
 }
 
+static void
+without_shape_order (struct dff_core_options *options)
+{
+	options->shape_order = false;
+}
+
+static void
+without_shape_victims (struct dff_core_options *options)
+{
+	options->shape_victims = false;
+}
+
+static void
+without_first_checkpoint (struct dff_core_options *options)
+{
+	options->first_checkpoint_ms = 0;
+}
+
+static void
+without_evict_delay (struct dff_core_options *options)
+{
+	options->evict_delay_ms = 0;
+}
+
+static void
+without_shapes (struct dff_core_options *options)
+{
+	without_shape_order (options);
+	without_shape_victims (options);
+	without_first_checkpoint (options);
+	without_evict_delay (options);
+}
+
+static void
+with_shape_gang_order (struct dff_core_options *options)
+{
+	options->shape_gang_order = true;
+}
+
 static const struct variant variants[] = {
 	{"as it is", change_nothing},
 	{"no headroom", without_headroom},
 	{"bulk work waits for ever", without_headroom_wait},
 	{"any work thrown away", without_evict_bound},
 	{"no racks kept for gangs", without_rack_reservations},
+	{"no order by shapes", without_shape_order},
+	{"no victims by shapes", without_shape_victims},
+	{"bulk work not held", without_first_checkpoint},
+	{"work stopped at once", without_evict_delay},
+	{"none of these four", without_shapes},
+	{"urgent order by shapes", with_shape_gang_order},
 };
 
 struct sums {
@@ -97,13 +142,19 @@
 }
 
 static void
-play_variant (const struct variant *variant, double times, int n_seeds)
+play_variant (const struct variant *variant, bool contended, double times, int n_seeds)
 {
 	struct sums sums = {0};
 	for (int seed = 1; seed <= n_seeds; seed++) {
 		struct dff_load_class classes[DFF_LOAD_MIXED_CLASSES];
-		dff_load_mixed_classes (classes, times);
-		struct dff_load load = dff_load_mixed (classes, (uint32_t)seed);
+		struct dff_load load;
+		if (contended) {
+			dff_load_contended_classes (classes, times);
+			load = dff_load_contended (classes, (uint32_t)seed);
+		} else {
+			dff_load_mixed_classes (classes, times);
+			load = dff_load_mixed (classes, (uint32_t)seed);
+		}
 		struct dff_core_options options;
 		dff_policy_core_options (&options, GANG_WAIT_MS);
 		options.rack_wait_ms = RACK_WAIT_MS;
@@ -121,19 +172,22 @@
 static void
 print_usage (FILE *stream)
 {
-	fprintf (stream, "Usage: load [--times RATE] [--seeds N]\n"
+	fprintf (stream, "Usage: load [--contended] [--times RATE] [--seeds N]\n"
 			 "Plays a minute of three classes on the decision core, at RATE times\n"
-			 "their usual rate (1.2), with N seeds (20).\n");
+			 "their usual rate (1.2), with N seeds (20). With --contended, three\n"
+			 "classes that compete for too little capacity.\n");
 }
 
 int
 main (int argc, char **argv)
 {
-	static const struct option long_options[] = {{"times", required_argument, NULL, 't'},
+	static const struct option long_options[] = {{"contended", no_argument, NULL, 'c'},
+						     {"times", required_argument, NULL, 't'},
 						     {"seeds", required_argument, NULL, 's'},
 						     {"help", no_argument, NULL, 'h'},
 						     {0}};
 	double times = 1.2;
+	bool contended = false;
 	int n_seeds = 20;
 	int option;
 	while ((option = getopt_long (argc, argv, "h", long_options, NULL)) != -1) {
@@ -141,6 +195,9 @@
 		case 't':
 			times = g_ascii_strtod (optarg, NULL);
 			break;
+		case 'c':
+			contended = true;
+			break;
 		case 's':
 			n_seeds = MAX ((int)g_ascii_strtoll (optarg, NULL, 10), 1);
 			break;
@@ -155,6 +212,6 @@
 	printf ("in time:                    urgent   gangs    bulk  at once  thrown  stopped   "
 		"value\n");
 	for (size_t i = 0; i < G_N_ELEMENTS (variants); i++)
-		play_variant (&variants[i], times, n_seeds);
+		play_variant (&variants[i], contended, times, n_seeds);
 	return EXIT_SUCCESS;
 }
--- a/core/core.c
+++ b/core/core.c
@@ -40,6 +40,8 @@
 	options->headroom_decay_ms = 0;
 	options->headroom_wait_ratio = 0.0;
 	options->shape_order = false;
+	options->shape_gang_order = false;
+	options->evict_delay_ms = 0;
 	options->shape_victims = false;
 	options->first_checkpoint_ms = 0;
 	options->evict_work_ratio = 0.0;
@@ -75,6 +77,7 @@
 	dff_core_durations_init (core);
 	core->pending = array_new (sizeof (struct dff_command), NULL);
 	core->largest_rack_shape = DEFAULT_LARGEST_RACK_SHAPE;
+	core->evictions_due_ms = INT64_MAX;
 	core->max_rack_reservations = options->max_rack_reservations;
 	return core;
 }
@@ -452,7 +455,7 @@
 	wake_ms = MIN (wake_ms, dff_core_quarantine_wake_ms (core));
 	wake_ms = MIN (wake_ms, dff_core_defrag_wake_ms (core));
 	if (g_hash_table_size (core->classes) > 0)
-		wake_ms = MIN (wake_ms, core->review_ms);
+		wake_ms = MIN (wake_ms, MIN (core->review_ms, core->evictions_due_ms));
 	for (const GList *link = core->delayed.head; link != NULL; link = link->next)
 		wake_ms = MIN (wake_ms, ((const struct dff_core_job *)link->data)->deadline_ms);
 	return wake_ms;
--- a/core/core_private.h
+++ b/core/core_private.h
@@ -289,6 +289,14 @@
 				   struct dff_core_rack *rack,
 				   const struct dff_core_job *job);
 
+/** Whether a job of the highest priority is placed by the recorded shapes. */
+bool dff_core_has_shape_gang_order (const struct dff_core *core, const struct dff_core_job *job);
+
+/** Returns: the sort key of a rack for a gang, lowest first; INT32_MAX: it does not fit. */
+int32_t dff_core_shape_gang_order (const struct dff_core *core,
+				   struct dff_core_rack *rack,
+				   const struct dff_core_job *job);
+
 /** Returns: the sort key of a worker in its rack, lowest first. @left is the key by best fit. */
 int32_t dff_core_shape_worker_order (const struct dff_core *core,
 				     const struct dff_core_worker *worker,
--- a/core/core_tables.h
+++ b/core/core_tables.h
@@ -46,8 +46,9 @@
 	/** Index of its rack; DFF_CORE_NONE when the pool does not declare the worker any more. */
 	int32_t rack;
 	enum dff_worker_state state;
-	/** Number of single tasks here that may be preempted: without and with checkpoints. */
-	int16_t n_singles[2];
+	/** Accelerators of single tasks here that may be preempted: without and with checkpoints.
+	 */
+	int16_t singles[2];
 	/** Time at which it leaves, in DFF_WORKER_LEAVING; 0: not known. */
 	int64_t leaves_ms;
 	struct dff_resources capacity;
@@ -282,6 +283,8 @@
 	 * DFF_CORE_NONE: any. */
 	int32_t label;
 	int32_t data_rack;
+	/** Run time of its attempt at the last checkpoint that was reported, ms. */
+	int32_t saved_ms;
 	/** Hash of the name of its spread group; without a group when @per_worker is 0. */
 	uint64_t spread_group;
 	int32_t per_worker;
@@ -333,8 +336,6 @@
 	/** The last workers on which it failed. */
 	int32_t avoided[DFF_CORE_AVOIDED_MAX];
 	int32_t n_avoided;
-	/** Run time of its attempt at the last checkpoint that was reported, ms. */
-	int32_t saved_ms;
 	struct dff_core_estimator *estimator;
 	/** Estimated when it was last queued: median run time, and mean and standard deviation of
 	 * its logarithm. */
@@ -454,6 +455,8 @@
 	/** Time of the next review of the queue, which runs even when nothing has changed. */
 	int64_t review_ms;
 	int32_t evictions_left;
+	/** Time at which an urgent job that waits for capacity to come free may stop other work. */
+	int64_t evictions_due_ms;
 	/** Whether capacity may have come free since the last run of the queue. Only then are jobs
 	 * placed on free capacity; otherwise only preemption is tried. */
 	bool capacity_freed;
@@ -526,6 +529,15 @@
 	       !job->urgent && !job->guaranteed;
 }
 
+static inline void
+dff_core_worker_count_single (struct dff_core_worker *worker,
+			      const struct dff_core_job *job,
+			      int32_t times)
+{
+	if (dff_core_job_is_single (job))
+		worker->singles[job->checkpoint] += (int16_t)(times * job->per_task.accelerators);
+}
+
 /** A job may be preempted if it may be started again. A checkpoint alone is not enough: the task
  * keeps running between its checkpoint and its stop, and a resumed job would repeat what it did in
  * between. */
--- a/core/lifecycle.c
+++ b/core/lifecycle.c
@@ -396,6 +396,12 @@
 		dff_core_review_leaving_job (core, job);
 		return;
 	}
+	if (event->type == DFF_EVENT_TASK_SAVED) {
+		if (job->state == DFF_CORE_RUNNING)
+			job->saved_ms =
+				(int32_t)MIN (core->now_ms - job->started_ms, INT32_MAX);
+		return;
+	}
 	if (event->type == DFF_EVENT_TASK_STARTED) {
 		member_started (core, job, member);
 		return;
--- a/core/order.c
+++ b/core/order.c
@@ -173,8 +173,9 @@
 dff_core_run_queue (struct dff_core *core)
 {
 	bool review = core->now_ms >= core->review_ms && g_hash_table_size (core->classes) > 0;
-	if (!core->dirty && !review)
+	if (!core->dirty && !review && core->now_ms < core->evictions_due_ms)
 		return;
+	core->evictions_due_ms = INT64_MAX;
 	/* With retry_without_limit the capacity that a job may use also depends on its wait: a job
 	 * may fit although nothing came free. */
 	core->capacity_freed = core->dirty || core->options.retry_without_limit;
--- a/core/place.c
+++ b/core/place.c
@@ -284,6 +284,8 @@
 		return NEAR_DATA;
 	if (dff_core_has_shape_order (core, job))
 		return dff_core_shape_rack_order (core, rack, job);
+	if (dff_core_has_shape_gang_order (core, job))
+		return dff_core_shape_gang_order (core, rack, job);
 	if (job->priority == 0 && has_headroom (core, rack))
 		return HEADROOM_FIRST;
 	if (job->hold == DFF_CORE_HOLD_HARD) {
--- a/core/queue.c
+++ b/core/queue.c
@@ -7,6 +7,8 @@
 
 /** Added to the constraints hash of isolated jobs. */
 #define ISOLATED_HASH 29791
+/** Added to that of single tasks with checkpoints, which may be started where others wait. */
+#define CHECKPOINT_HASH 923521
 
 guint
 dff_core_class_key_hash (gconstpointer key)
@@ -41,6 +43,8 @@
 		hash += ISOLATED_HASH;
 	if (job->per_worker > 0)
 		hash += (guint32)job->spread_group * 961;
+	if (job->checkpoint && core->options.first_checkpoint_ms > 0 && dff_core_job_is_single (job))
+		hash += CHECKPOINT_HASH;
 	return hash;
 }
 
--- a/core/shape_order.c
+++ b/core/shape_order.c
@@ -22,6 +22,7 @@
 #define KEY_LOSS (1 << 8)
 #define LOSS_SCALE 16.0
 #define LOSS_MAX 1023
+#define GANG_LOSS_MAX 65535
 #define LEFT_MAX (KEY_LOSS - 1)
 /** Sorts workers without such tasks after those with some. */
 #define HOLDS_NO_SINGLES (1 << 20)
@@ -29,7 +30,8 @@
 static bool
 uses_shapes (const struct dff_core *core)
 {
-	return core->options.shape_order || core->options.first_checkpoint_ms > 0;
+	return core->options.shape_order || core->options.shape_gang_order ||
+	       core->options.first_checkpoint_ms > 0;
 }
 
 void
@@ -158,7 +160,7 @@
 		const struct dff_core_worker *worker =
 			dff_core_worker_at (core, g_array_index (rack->workers, int32_t, i));
 		int32_t available = free_accelerators (worker);
-		bool at_holds = worker->n_singles[checkpoint] > 0;
+		bool at_holds = worker->singles[checkpoint] > 0;
 		if (available < accelerators || (*holds && !at_holds))
 			continue;
 		if (best != NULL && *holds == at_holds && available >= free_accelerators (best))
@@ -192,8 +194,10 @@
 	if (worker == NULL)
 		return (struct dff_core_rack_choice){.order = INT32_MAX};
 	int32_t available = free_accelerators (worker);
-	struct dff_shape_loss loss = dff_shapes_loss (&region->shapes, &rack->shapes.fits,
-						      available, accelerators, region->shape_gangs);
+	struct dff_rack_fits after = rack->shapes.fits;
+	dff_rack_fits_take (&after, available, accelerators);
+	struct dff_shape_loss loss =
+		dff_shapes_loss (&region->shapes, &rack->shapes.fits, &after, region->shape_gangs);
 	int32_t left = MIN (available - accelerators, LEFT_MAX);
 	return (struct dff_core_rack_choice){
 		.order = choice_key (&rack->shapes, holds, loss.weighted) + left,
@@ -231,13 +235,67 @@
 	return choice->order + (is_last ? KEY_LAST_PLACE : 0);
 }
 
+/* Takes the members of a gang from a rack, from the workers that are left with least first. */
+static void
+take_gang (const struct dff_core *core,
+	   const struct dff_core_rack *rack,
+	   const struct dff_core_job *job,
+	   struct dff_rack_fits *fits)
+{
+	int32_t accelerators = job->per_task.accelerators;
+	int32_t left = job->gang;
+	int32_t least = accelerators;
+	while (left > 0) {
+		int32_t next = INT32_MAX;
+		for (guint i = 0; i < rack->workers->len && left > 0; i++) {
+			int32_t available = free_accelerators (dff_core_worker_at (
+				core, g_array_index (rack->workers, int32_t, i)));
+			if (available > least)
+				next = MIN (next, available);
+			if (available != least)
+				continue;
+			int32_t members = MIN (available / accelerators, left);
+			dff_rack_fits_take (fits, available, members * accelerators);
+			left -= members;
+		}
+		if (next == INT32_MAX)
+			return;
+		least = next;
+	}
+}
+
+int32_t
+dff_core_shape_gang_order (const struct dff_core *core,
+			   struct dff_core_rack *rack,
+			   const struct dff_core_job *job)
+{
+	const struct dff_core_region *region = dff_core_region_at (core, rack->region);
+	refresh_rack (core, rack);
+	if (rack->shapes.fits.tasks[job->per_task.accelerators] < job->gang)
+		return INT32_MAX;
+	struct dff_rack_fits after = rack->shapes.fits;
+	take_gang (core, rack, job, &after);
+	struct dff_shape_loss loss =
+		dff_shapes_loss (&region->shapes, &rack->shapes.fits, &after, region->shape_gangs);
+	int32_t key = (int32_t)MIN (loss.weighted * LOSS_SCALE, GANG_LOSS_MAX);
+	return key * KEY_LOSS + MIN (rack->free_accelerators, LEFT_MAX);
+}
+
+bool
+dff_core_has_shape_gang_order (const struct dff_core *core, const struct dff_core_job *job)
+{
+	return core->options.shape_gang_order && job->urgent && job->per_task.accelerators > 0 &&
+	       job->per_task.accelerators <= DFF_SHAPE_SIZES && job->hold == DFF_CORE_HOLD_SOFT &&
+	       !dff_core_job_is_isolated (core, job);
+}
+
 int32_t
 dff_core_shape_worker_order (const struct dff_core *core,
 			     const struct dff_core_worker *worker,
 			     const struct dff_core_job *job,
 			     int32_t left)
 {
-	if (!dff_core_has_shape_order (core, job) || worker->n_singles[job->checkpoint] > 0)
+	if (!dff_core_has_shape_order (core, job) || worker->singles[job->checkpoint] > 0)
 		return left;
 	return left + HOLDS_NO_SINGLES;
 }
@@ -265,9 +323,10 @@
 	struct dff_core_rack *rack = dff_core_rack_at (core, worker->rack);
 	const struct dff_core_region *region = dff_core_region_at (core, rack->region);
 	refresh_rack (core, rack);
+	struct dff_rack_fits after = rack->shapes.fits;
+	dff_rack_fits_take (&after, free_accelerators (worker), job->per_task.accelerators);
 	struct dff_shape_loss loss =
-		dff_shapes_loss (&region->shapes, &rack->shapes.fits, free_accelerators (worker),
-				 job->per_task.accelerators, region->shape_gangs);
+		dff_shapes_loss (&region->shapes, &rack->shapes.fits, &after, region->shape_gangs);
 	for (int32_t i = 0; i < region->shapes.n_records; i++) {
 		const struct dff_shape_record *record = &region->shapes.records[i];
 		int64_t gangs = dff_shape_gangs (&record->shape, region->shape_units[i]);
@@ -277,3 +336,14 @@
 	}
 	return false;
 }
+
+void
+dff_core_shape_stats (const struct dff_core *core, struct dff_core_stats *stats)
+{
+	for (guint i = 0; i < core->racks->len; i++) {
+		struct dff_rack_fits fits = rack_fits (core, dff_core_rack_at (core, (int32_t)i));
+		for (int32_t j = 0; j < DFF_CORE_GANG_SIZES; j++)
+			stats->largest_gangs[j] = MAX (stats->largest_gangs[j],
+						       dff_shapes_largest_gang (&fits, 1, 1 << j));
+	}
+}
--- a/core/shapes.c
+++ b/core/shapes.c
@@ -118,16 +118,19 @@
 		fits->tasks[size] += MAX (free_accelerators, 0) / size;
 }
 
-static int32_t
-units_of (const struct dff_shape *shape, int32_t tasks)
+void
+dff_rack_fits_take (struct dff_rack_fits *fits, int32_t free_accelerators, int32_t taken)
 {
-	return shape->one_rack ? tasks / shape->tasks : tasks;
+	int32_t left = MAX (free_accelerators - taken, 0);
+	for (int32_t size = 1; size <= DFF_SHAPE_SIZES; size++)
+		fits->tasks[size] -= MAX (free_accelerators, 0) / size - left / size;
 }
 
 int32_t
 dff_shape_units (const struct dff_shape *shape, const struct dff_rack_fits *fits)
 {
-	return units_of (shape, fits->tasks[shape->accelerators]);
+	int32_t tasks = fits->tasks[shape->accelerators];
+	return shape->one_rack ? tasks / shape->tasks : tasks;
 }
 
 int64_t
@@ -173,19 +176,15 @@
 
 struct dff_shape_loss
 dff_shapes_loss (const struct dff_shapes *shapes,
-		 const struct dff_rack_fits *rack,
-		 int32_t free_accelerators,
-		 int32_t taken,
+		 const struct dff_rack_fits *before,
+		 const struct dff_rack_fits *after,
 		 const int64_t *gangs)
 {
 	struct dff_shape_loss loss = {0};
 	for (int32_t i = 0; i < shapes->n_records; i++) {
 		const struct dff_shape_record *record = &shapes->records[i];
 		const struct dff_shape *shape = &record->shape;
-		int32_t size = shape->accelerators;
-		int32_t tasks = free_accelerators / size - (free_accelerators - taken) / size;
-		int32_t units = units_of (shape, rack->tasks[size]) -
-				units_of (shape, rack->tasks[size] - tasks);
+		int32_t units = dff_shape_units (shape, before) - dff_shape_units (shape, after);
 		if (units == 0)
 			continue;
 		loss.lost |= UINT64_C (1) << i;
--- a/core/start.c
+++ b/core/start.c
@@ -4,6 +4,9 @@
 
 /** Wait after which urgent work that may not be preempted uses its own team's guarantee, ms. */
 #define OWN_GUARANTEE_DELAY_MS 2000
+/** Time from the decision to stop other work until an urgent job runs in its place, ms: a stop
+ * takes up to 900 ms and a start about 100. */
+#define EVICTION_MS 1000
 
 bool
 dff_core_within_quota (const struct dff_core *core, const struct dff_core_job *job)
@@ -46,6 +49,21 @@
 	return lost > options->evict_work_ratio * own;
 }
 
+/* Time for which an urgent job waits for capacity to come free, ms: as long as it can still stop
+ * other work and be in time. Urgent work is short, so that capacity for more of it comes free soon,
+ * whereas what is stopped at once has run in vain. */
+static int64_t
+evict_delay_ms (const struct dff_core *core, const struct dff_core_job *job)
+{
+	if (core->options.evict_delay_ms == 0 || !job->urgent)
+		return 0;
+	struct dff_objective_assessment assessment = dff_core_job_assess (core, job);
+	if (assessment.prospect != DFF_PROSPECT_IN_TIME)
+		return 0;
+	int64_t left_ms = core->options.evict_delay_ms - (core->now_ms - job->submitted_ms);
+	return CLAMP (assessment.slack_ms - EVICTION_MS, 0, MAX (left_ms, 0));
+}
+
 /* Preemption by borrowing work scans every occupant, so it is tried for a few jobs only, and not
  * for jobs without accelerators. */
 static bool
@@ -60,6 +78,12 @@
 		return false;
 	if (!job->urgent && (core->evictions_left <= 0 || slots_only))
 		return false;
+	int64_t delay_ms = evict_delay_ms (core, job);
+	if (delay_ms > 0) {
+		core->stats.eviction_delays++;
+		core->evictions_due_ms = MIN (core->evictions_due_ms, core->now_ms + delay_ms);
+		return false;
+	}
 	core->evictions_left -= !job->urgent;
 	job->score = dff_core_score (core, job);
 	job->score_ms = INT64_MIN / 2;
@@ -81,8 +105,11 @@
 static bool
 place_free (struct dff_core *core, const struct dff_core_job *job, int32_t *workers)
 {
-	return place_if_freed (core, job, DFF_CORE_VIEW_FREE, workers) &&
-	       !dff_core_shape_holds (core, job, workers[0]);
+	if (!place_if_freed (core, job, DFF_CORE_VIEW_FREE, workers))
+		return false;
+	bool holds = dff_core_shape_holds (core, job, workers[0]);
+	core->stats.bulk_holds += holds;
+	return !holds;
 }
 
 static bool
--- a/core/stats.c
+++ b/core/stats.c
@@ -13,6 +13,7 @@
 		stats->accelerators_free += rack->free_accelerators;
 		whole += (int64_t)(rack->free_accelerators / unit) * unit;
 	}
+	dff_core_shape_stats (core, stats);
 	if (stats->accelerators_free > 0)
 		stats->fragmentation = 1.0 - (double)whole / (double)stats->accelerators_free;
 }
--- a/core/tables.c
+++ b/core/tables.c
@@ -290,7 +290,7 @@
 	worker->leased |= accelerators;
 	worker_use (core, worker, &job->per_task, 1);
 	g_ptr_array_add (worker->occupants, job);
-	worker->n_singles[job->checkpoint] += dff_core_job_is_single (job);
+	dff_core_worker_count_single (worker, job, 1);
 	if (job->team != DFF_CORE_NONE)
 		dff_resources_add (&dff_core_team_at (core, job->team)->used, &job->per_task, 1);
 }
@@ -341,7 +341,7 @@
 	worker->leased &= ~placement->accelerators;
 	worker_use (core, worker, &job->per_task, -1);
 	g_ptr_array_remove_fast (worker->occupants, job);
-	worker->n_singles[job->checkpoint] -= dff_core_job_is_single (job);
+	dff_core_worker_count_single (worker, job, -1);
 	if (worker->overloaded)
 		dff_core_worker_update_overload (worker);
 	if (worker->overlapping)
--- a/graph/progress.c
+++ b/graph/progress.c
@@ -243,22 +243,25 @@
 	return blame;
 }
 
-void
+bool
 dff_progress_save_checkpoint (struct dff_progress *progress,
 			      const struct dff_plan *plan,
 			      const struct dff_unit *unit,
 			      struct dff_str checkpoint)
 {
+	bool is_new = false;
 	struct dff_unit_tasks tasks = dff_unit_tasks (plan, unit);
 	for (int32_t i = tasks.first; i < tasks.end; i++) {
 		struct dff_task *task =
 			dff_progress_task (progress, unit->occurrence, unit->step, i);
 		if (task->checkpoint != NULL &&
 		    dff_str_equal (dff_str_from (task->checkpoint), checkpoint))
-			return;
+			break;
+		is_new = true;
 		g_free (task->checkpoint);
 		task->checkpoint = g_strndup (checkpoint.data, checkpoint.len);
 	}
+	return is_new;
 }
 
 struct dff_name
--- a/holder/capacity.c
+++ b/holder/capacity.c
@@ -10,6 +10,8 @@
  * new tasks, ms. It spans two of the worker's entries. It is shorter than the time that whoever
  * shrinks a worker's capacity allows for the holder to take this into account. */
 #define REPORT_AGE_MAX_MS 3000
+/** Interval at which the free capacity is published, ms. */
+#define PUBLISH_INTERVAL_MS 1000
 
 bool
 capacity_is_known (const struct dff_holder *holder, const struct holder_worker *worker)
@@ -38,3 +40,31 @@
 {
 	holder_names_set (holder->unenforced, services, n_services);
 }
+
+void
+capacity_publish (struct dff_holder *holder)
+{
+	int64_t now_ms = holder_now_ms (holder);
+	if (now_ms < holder->capacity_due_ms)
+		return;
+	holder->capacity_due_ms = now_ms + PUBLISH_INTERVAL_MS;
+	struct dff_core_stats stats;
+	dff_core_get_stats (holder->core, &stats);
+	*holder->metrics.bulk_holds += stats.bulk_holds - holder->published.bulk_holds;
+	*holder->metrics.eviction_delays +=
+		stats.eviction_delays - holder->published.eviction_delays;
+	holder->published = stats;
+	*holder->metrics.free_accelerators = stats.accelerators_free;
+	for (int32_t i = 0; i < DFF_CORE_GANG_SIZES; i++)
+		*holder->metrics.largest_gangs[i] = stats.largest_gangs[i];
+}
+
+void
+capacity_clear_metrics (struct dff_holder *holder)
+{
+	holder->capacity_due_ms = 0;
+	holder->published = (struct dff_core_stats){0};
+	*holder->metrics.free_accelerators = 0;
+	for (int32_t i = 0; i < DFF_CORE_GANG_SIZES; i++)
+		*holder->metrics.largest_gangs[i] = 0;
+}
--- a/holder/holder.c
+++ b/holder/holder.c
@@ -113,6 +113,7 @@
 		runs_step (holder);
 		watch_step (holder);
 		evacuation_count (holder);
+		capacity_publish (holder);
 		submissions_step (holder);
 	}
 	commit_step (holder);
@@ -125,6 +126,28 @@
 	schedule_tick (ctx);
 }
 
+static void
+open_capacity_metrics (struct dff_holder *holder, struct dff_metrics *metrics)
+{
+	static const char *const names[DFF_CORE_GANG_SIZES] = {
+		"dff_holder_largest_gang_tasks{accelerators=\"1\"}",
+		"dff_holder_largest_gang_tasks{accelerators=\"2\"}",
+		"dff_holder_largest_gang_tasks{accelerators=\"4\"}",
+		"dff_holder_largest_gang_tasks{accelerators=\"8\"}",
+	};
+	holder->metrics.bulk_holds = dff_metrics_counter (
+		metrics, "dff_holder_bulk_holds_total",
+		"Times a single bulk task was not started where urgent work was expected.");
+	holder->metrics.eviction_delays = dff_metrics_counter (
+		metrics, "dff_holder_eviction_delays_total",
+		"Times an urgent job waited for free capacity before other work was stopped.");
+	holder->metrics.free_accelerators = dff_metrics_gauge (
+		metrics, "dff_holder_free_accelerators", "Accelerators that are free now.");
+	for (int32_t i = 0; i < DFF_CORE_GANG_SIZES; i++)
+		holder->metrics.largest_gangs[i] = dff_metrics_gauge (
+			metrics, names[i], "Tasks of the largest gang that fits one rack now.");
+}
+
 static void
 open_metrics (struct dff_holder *holder)
 {
@@ -192,6 +215,7 @@
 	holder->metrics.evacuated_runs =
 		dff_metrics_gauge (metrics, "dff_holder_evacuated_runs",
 				   "Runs that are open in evacuated data centres.");
+	open_capacity_metrics (holder, metrics);
 	holder->metrics.queries_answered =
 		dff_metrics_counter (metrics, "dff_holder_looks_answered_total",
 				     "States told from memory, here or to other processes.");
--- a/holder/holder_private.h
+++ b/holder/holder_private.h
@@ -391,6 +391,11 @@
  * without new reports. */
 bool capacity_can_expire (const struct dff_holder *holder);
 
+/** Publishes the free capacity and the largest gangs that fit it, at an interval. */
+void capacity_publish (struct dff_holder *holder);
+
+void capacity_clear_metrics (struct dff_holder *holder);
+
 /* list.c */
 
 void list_begin (struct dff_holder *holder);
--- a/holder/holder_tables.h
+++ b/holder/holder_tables.h
@@ -352,6 +352,10 @@
 	 */
 	GPtrArray *withdrawn;
 	int64_t next_due_ms;
+	/** Time at which the free capacity is published next. */
+	int64_t capacity_due_ms;
+	/** What was last published of the core's counters. */
+	struct dff_core_stats published;
 
 	/* holder/runs.c */
 	/** Runs for which calls may be due, oldest first. Elements: struct holder_run *. */
@@ -413,6 +417,10 @@
 		int64_t *open_runs;
 		int64_t *open_jobs;
 		int64_t *evacuated_runs;
+		int64_t *bulk_holds;
+		int64_t *eviction_delays;
+		int64_t *free_accelerators;
+		int64_t *largest_gangs[DFF_CORE_GANG_SIZES];
 		int64_t *queries_answered;
 		int64_t *submissions;
 		int64_t *starts_withdrawn;
--- a/holder/policy.c
+++ b/holder/policy.c
@@ -49,6 +49,13 @@
  * it has to have begun within about three seconds, of which a stop takes at most one. */
 #define EVICT_UNLIMITED_AFTER_MS 1200
 
+/** Time from the start of a task with checkpoints to its first checkpoint, ms: checkpoints are saved
+ * every 0.5 to 1 s. */
+#define FIRST_CHECKPOINT_MS 1000
+/** Longest wait of urgent work with slack for capacity to come free, ms: with the time of a stop it
+ * leaves half of the time in which a team gets its accelerators. */
+#define EVICT_DELAY_MS 500
+
 /** Weights of the classes in the core's order, by priority. */
 static const double priority_weights[] = {4.0, 2.0, 1.0};
 
@@ -74,6 +81,8 @@
 	options->headroom_wait_ratio = HEADROOM_WAIT_RATIO;
 	options->shape_order = true;
 	options->shape_victims = true;
+	options->first_checkpoint_ms = FIRST_CHECKPOINT_MS;
+	options->evict_delay_ms = EVICT_DELAY_MS;
 	options->checkpoint_loss_ms = CHECKPOINT_LOSS_MS;
 	options->stall_restart_max_ms = STALL_RESTART_MAX_MS;
 }
--- a/holder/runs.c
+++ b/holder/runs.c
@@ -167,9 +167,11 @@
 {
 	struct holder_unit *unit = run->unit;
 	int64_t now_ms = holder_now_ms (holder);
-	if (open->checkpoint.len > 0)
-		dff_progress_save_checkpoint (unit->job->progress, unit->job->plan, &unit->unit,
-					      open->checkpoint);
+	if (open->checkpoint.len > 0 &&
+	    dff_progress_save_checkpoint (unit->job->progress, unit->job->plan, &unit->unit,
+					  open->checkpoint))
+		jobs_report (holder, &unit->name, run->attempt, run->member, DFF_EVENT_TASK_SAVED,
+			     true);
 	if (open->percent != run->percent) {
 		run->percent = open->percent;
 		run->percent_ms = now_ms;
--- a/holder/workers.c
+++ b/holder/workers.c
@@ -213,6 +213,7 @@
 	list_reset (holder);
 	*holder->metrics.open_runs = 0;
 	*holder->metrics.evacuated_runs = 0;
+	capacity_clear_metrics (holder);
 }
 
 void
--- a/include/core/core.h
+++ b/include/core/core.h
@@ -90,6 +90,12 @@
 	double headroom_wait_ratio;
 	/** Whether single tasks are placed where the shapes that arrived recently lose least. */
 	bool shape_order;
+	/** Whether urgent work is placed in the rack where recorded shapes lose least, in place of
+	 * the first rack with headroom. */
+	bool shape_gang_order;
+	/** Longest time that an urgent job with slack waits for capacity to come free before it
+	 * stops other work, ms; 0: it does not wait. */
+	int64_t evict_delay_ms;
 	/** Whether victims are chosen such that few runs are stopped for a shape. */
 	bool shape_victims;
 	/** Time from a task's start to its first checkpoint, ms: single tasks are not started where
@@ -158,6 +164,7 @@
 	/** Tasks on a worker make no progress: the worker is quarantined, and its jobs that lose
 	 * little are restarted elsewhere. @worker. */
 	DFF_EVENT_WORKER_STALLED,
+	DFF_EVENT_TASK_SAVED, /**< The running task has saved a checkpoint. */
 };
 
 /** State of an attempt as recorded, found at a takeover. */
@@ -261,6 +268,9 @@
 /** Returns: whether a worker's leases are within its capacity, which may have shrunk since. */
 bool dff_core_worker_within_capacity (const struct dff_core *core, const struct dff_name *worker);
 
+/** Number of task sizes for which the largest gang is measured: 1, 2, 4 and 8 accelerators. */
+#define DFF_CORE_GANG_SIZES 4
+
 struct dff_core_stats {
 	/** Jobs by phase. @ended counts all since the core was created, so that the sum is the
 	 * number of jobs that the core was given. */
@@ -276,6 +286,12 @@
 	int64_t witnesses_missing;
 	/** Share of free accelerators that the largest guaranteed rack shape cannot use, 0 to 1. */
 	double fragmentation;
+	/** Times a single bulk task was not started where urgent work is expected to stop it, and
+	 * times an urgent job waited for free capacity before it stops other work. */
+	int64_t bulk_holds, eviction_delays;
+	/** Number of tasks of the largest gang that fits one rack now, by the accelerators of a
+	 * task: 1, 2, 4 and 8. */
+	int64_t largest_gangs[DFF_CORE_GANG_SIZES];
 };
 
 void dff_core_get_stats (const struct dff_core *core, struct dff_core_stats *stats);
--- a/include/core/shapes.h
+++ b/include/core/shapes.h
@@ -70,6 +70,9 @@
 /** Adds a worker with @free_accelerators to a rack. */
 void dff_rack_fits_add (struct dff_rack_fits *fits, int32_t free_accelerators);
 
+/** Takes @taken of the @free_accelerators of a worker of the rack. */
+void dff_rack_fits_take (struct dff_rack_fits *fits, int32_t free_accelerators, int32_t taken);
+
 /** Returns: what a rack contributes to a shape: gangs if it needs one rack, else tasks. */
 int32_t dff_shape_units (const struct dff_shape *shape, const struct dff_rack_fits *fits);
 
@@ -91,12 +94,11 @@
 /** Whether a recorded gang of more than one task fits a rack. */
 bool dff_shapes_any_fits (const struct dff_shapes *shapes, const struct dff_rack_fits *rack);
 
-/** Evaluates taking @taken accelerators of a worker with @free_accelerators in @rack. @gangs: what
- * dff_shapes_count() returned for all racks. */
+/** Evaluates a placement that leaves @after of @before in a rack. @gangs: what dff_shapes_count()
+ * returned for all racks. */
 struct dff_shape_loss dff_shapes_loss (const struct dff_shapes *shapes,
-				       const struct dff_rack_fits *rack,
-				       int32_t free_accelerators,
-				       int32_t taken,
+				       const struct dff_rack_fits *before,
+				       const struct dff_rack_fits *after,
 				       const int64_t *gangs);
 
 /** Whether fewer gangs of a record would be left than are expected to occupy capacity at the same
--- a/include/graph/progress.h
+++ b/include/graph/progress.h
@@ -170,8 +170,8 @@
 				const struct dff_unit *unit);
 
 /** Stores a checkpoint for all tasks of a unit. All members of a gang share the checkpoint that any
- * of them has saved. */
-void dff_progress_save_checkpoint (struct dff_progress *progress,
+ * of them has saved. Returns: whether it differs from the one stored. */
+bool dff_progress_save_checkpoint (struct dff_progress *progress,
 				   const struct dff_plan *plan,
 				   const struct dff_unit *unit,
 				   struct dff_str checkpoint);
