--- a/bench/load/main.c
+++ b/bench/load/main.c
@@ -172,22 +172,23 @@
 static void
 print_usage (FILE *stream)
 {
-	fprintf (stream, "Usage: load [--contended] [--times RATE] [--seeds N]\n"
+	fprintf (stream, "Usage: load [--contended] [--times RATE] [--seeds N] [--only TEXT]\n"
 			 "Plays a minute of three classes on the decision core, at RATE times\n"
 			 "their usual rate (1.2), with N seeds (20). With --contended, three\n"
-			 "classes that compete for too little capacity.\n");
+			 "classes that compete for too little capacity. With --only, only the\n"
+			 "variants whose names contain TEXT.\n");
 }
 
 int
 main (int argc, char **argv)
 {
-	static const struct option long_options[] = {{"contended", no_argument, NULL, 'c'},
-						     {"times", required_argument, NULL, 't'},
-						     {"seeds", required_argument, NULL, 's'},
-						     {"help", no_argument, NULL, 'h'},
-						     {0}};
+	static const struct option long_options[] = {
+		{"contended", no_argument, NULL, 'c'},   {"times", required_argument, NULL, 't'},
+		{"seeds", required_argument, NULL, 's'}, {"only", required_argument, NULL, 'o'},
+		{"help", no_argument, NULL, 'h'},        {0}};
 	double times = 1.2;
 	bool contended = false;
+	const char *only = "";
 	int n_seeds = 20;
 	int option;
 	while ((option = getopt_long (argc, argv, "h", long_options, NULL)) != -1) {
@@ -198,6 +199,9 @@
 		case 'c':
 			contended = true;
 			break;
+		case 'o':
+			only = optarg;
+			break;
 		case 's':
 			n_seeds = MAX ((int)g_ascii_strtoll (optarg, NULL, 10), 1);
 			break;
@@ -211,7 +215,10 @@
 	}
 	printf ("in time:                    urgent   gangs    bulk  at once  thrown  stopped   "
 		"value\n");
-	for (size_t i = 0; i < G_N_ELEMENTS (variants); i++)
+	for (size_t i = 0; i < G_N_ELEMENTS (variants); i++) {
+		if (strstr (variants[i].name, only) == NULL)
+			continue;
 		play_variant (&variants[i], contended, times, n_seeds);
+	}
 	return EXIT_SUCCESS;
 }
--- a/core/start.c
+++ b/core/start.c
@@ -102,14 +102,13 @@
 	       dff_core_place (core, job, view, workers);
 }
 
+/* Whether a task that could be placed waits, because urgent work is expected to stop it soon. */
 static bool
-place_free (struct dff_core *core, const struct dff_core_job *job, int32_t *workers)
+is_held (struct dff_core *core, const struct dff_core_job *job, const int32_t *workers)
 {
-	if (!place_if_freed (core, job, DFF_CORE_VIEW_FREE, workers))
-		return false;
 	bool holds = dff_core_shape_holds (core, job, workers[0]);
 	core->stats.bulk_holds += holds;
-	return !holds;
+	return holds;
 }
 
 static bool
@@ -117,9 +116,13 @@
 {
 	int32_t workers[DFF_GANG_MAX];
 	job->hold = DFF_CORE_HOLD_SOFT;
-	if (!dff_core_place_probe (core, job, workers) && !place_free (core, job, workers) &&
-	    !place_evicting (core, job, DFF_CORE_VIEW_EVICT, workers))
-		return false;
+	if (!dff_core_place_probe (core, job, workers)) {
+		bool fits = place_if_freed (core, job, DFF_CORE_VIEW_FREE, workers);
+		if (fits && is_held (core, job, workers))
+			return false;
+		if (!fits && !place_evicting (core, job, DFF_CORE_VIEW_EVICT, workers))
+			return false;
+	}
 	dff_core_take (core, job, workers, DFF_CORE_HOLD_SOFT, DFF_CORE_NONE);
 	return true;
 }
