--- a/core/lifecycle.c
+++ b/core/lifecycle.c
@@ -398,8 +398,7 @@
 	}
 	if (event->type == DFF_EVENT_TASK_SAVED) {
 		if (job->state == DFF_CORE_RUNNING)
-			job->saved_ms =
-				(int32_t)MIN (core->now_ms - job->started_ms, INT32_MAX);
+			job->saved_ms = (int32_t)MIN (core->now_ms - job->started_ms, INT32_MAX);
 		return;
 	}
 	if (event->type == DFF_EVENT_TASK_STARTED) {
--- a/core/queue.c
+++ b/core/queue.c
@@ -43,7 +43,8 @@
 		hash += ISOLATED_HASH;
 	if (job->per_worker > 0)
 		hash += (guint32)job->spread_group * 961;
-	if (job->checkpoint && core->options.first_checkpoint_ms > 0 && dff_core_job_is_single (job))
+	if (job->checkpoint && core->options.first_checkpoint_ms > 0 &&
+	    dff_core_job_is_single (job))
 		hash += CHECKPOINT_HASH;
 	return hash;
 }
--- a/core/shape_order.c
+++ b/core/shape_order.c
@@ -242,7 +242,7 @@
 	   const struct dff_core_job *job,
 	   struct dff_rack_fits *fits)
 {
-	int32_t accelerators = job->per_task.accelerators;
+	int32_t accelerators = MAX (job->per_task.accelerators, 1);
 	int32_t left = job->gang;
 	int32_t least = accelerators;
 	while (left > 0) {
--- a/holder/policy.c
+++ b/holder/policy.c
@@ -49,8 +49,8 @@
  * it has to have begun within about three seconds, of which a stop takes at most one. */
 #define EVICT_UNLIMITED_AFTER_MS 1200
 
-/** Time from the start of a task with checkpoints to its first checkpoint, ms: checkpoints are saved
- * every 0.5 to 1 s. */
+/** Time from the start of a task with checkpoints to its first checkpoint, ms: checkpoints are
+ * saved every 0.5 to 1 s. */
 #define FIRST_CHECKPOINT_MS 1000
 /** Longest wait of urgent work with slack for capacity to come free, ms: with the time of a stop it
  * leaves half of the time in which a team gets its accelerators. */
--- a/tests/core/test-shape-order.c
+++ b/tests/core/test-shape-order.c
@@ -7,7 +7,7 @@
 
 #define PER_RACK 4
 #define ACCELERATORS 8
-#define SECOND_MS 1000
+#define SECOND_MS INT64_C (1000)
 
 struct room {
 	struct dff_core *core;
@@ -369,22 +369,22 @@
 {
 	(void)state;
 	static const struct {
-		int arrivals;
-		bool checkpoint;
-		int32_t priority;
 		int64_t first_checkpoint_ms;
 		int64_t waited_ms;
+		int32_t arrivals;
+		int32_t priority;
+		bool checkpoint;
 		bool starts;
 	} cases[] = {
 		/* Forty gangs in the time constant of 20 s are two a second. */
-		{40, true, 2, 1000, 0, false},
-		{40, false, 2, 1000, 0, false},
-		{40, true, 1, 1000, 0, true},
-		{40, true, 2, 0, 0, true},
-		{40, true, 2, 1000, 6100, true},
-		{0, true, 2, 1000, 0, true},
+		{1000, 0, 40, 2, true, false},
+		{1000, 0, 40, 2, false, false},
+		{1000, 0, 40, 1, true, true},
+		{0, 0, 40, 2, true, true},
+		{1000, 6100, 40, 2, true, true},
+		{1000, 0, 0, 2, true, true},
 		/* Any arrival counts against the last place. */
-		{1, true, 2, 100, 0, false},
+		{100, 0, 1, 2, true, false},
 	};
 	for (size_t i = 0; i < G_N_ELEMENTS (cases); i++) {
 		struct dff_core_options options = shape_options ();
--- a/tests/core/test-shapes.c
+++ b/tests/core/test-shapes.c
@@ -90,7 +90,7 @@
 		dff_shapes_note (&shapes, &shape, 1000.0, tasks);
 	}
 	assert_int_equal (shapes.n_records, DFF_SHAPES_PER_PRIORITY);
-	assert_true (dff_shapes_decay (&shapes, 20 * DFF_SHAPES_DECAY_MS));
+	assert_true (dff_shapes_decay (&shapes, INT64_C (20) * DFF_SHAPES_DECAY_MS));
 	assert_int_equal (shapes.n_records, 0);
 	/* A clock that does not move, or is set back. */
 	assert_false (dff_shapes_decay (&shapes, 0));
@@ -124,8 +124,8 @@
 		 * are lost. */
 		bool whole, narrow;
 	} cases[] = {
-		{{8, 8, 8, 8}, 0, 1, true, true},  {{8, 8, 8, 7}, 3, 1, false, false},
-		{{8, 8, 8, 7}, 0, 1, false, false},  {{2, 2, 2, 2}, 0, 1, false, true},
+		{{8, 8, 8, 8}, 0, 1, true, true},   {{8, 8, 8, 7}, 3, 1, false, false},
+		{{8, 8, 8, 7}, 0, 1, false, false}, {{2, 2, 2, 2}, 0, 1, false, true},
 		{{3, 2, 2, 2}, 0, 1, false, false}, {{8, 8, 8, 8}, 0, 8, true, true},
 	};
 	for (size_t i = 0; i < G_N_ELEMENTS (cases); i++) {
