core, tests: random plays and invariants cover the recorded shapes

dff_core_check() compares the sums of single tasks and what fits in a rack with the leases. test-property plays its sessions a second time with all options of the shapes; test-shape-order covers the order of urgent gangs and the processor time of an eviction on 6,000 full workers.

--- a/core/check.c
+++ b/core/check.c
@@ -1,6 +1,7 @@
 #include "core/core_private.h"
 
 #include <inttypes.h>
+#include <string.h>
 
 /* Checks the invariants: recomputes the tables from the attempts and compares them. */
 
@@ -9,6 +10,8 @@
 	struct dff_resources reserved;
 	struct dff_resources bound;
 	uint64_t leased;
+	/** Accelerators of single tasks, without and with checkpoints. */
+	int32_t singles[2];
 };
 
 static char *
@@ -31,6 +34,8 @@
 						worker->name.data, job->id.data);
 		tally->leased |= mask;
 		dff_resources_add (&tally->used, &job->per_task, 1);
+		if (dff_core_job_is_single (job))
+			tally->singles[job->checkpoint] += job->per_task.accelerators;
 	}
 	if (open != job->n_open)
 		return g_strdup_printf ("open members miscounted: job=%s", job->id.data);
@@ -43,6 +48,8 @@
 	if (worker->leased != tally->leased || !dff_resources_equal (&worker->used, &tally->used))
 		return g_strdup_printf ("leases differ from attempts: worker=%s",
 					worker->name.data);
+	if (worker->singles[0] != tally->singles[0] || worker->singles[1] != tally->singles[1])
+		return g_strdup_printf ("single tasks miscounted: worker=%s", worker->name.data);
 	if (!worker->overlapping &&
 	    __builtin_popcountll (worker->leased) != worker->used.accelerators)
 		return g_strdup_printf ("accelerators miscounted: worker=%s", worker->name.data);
@@ -182,9 +189,12 @@
 			unused +=
 				MAX (worker->capacity.accelerators - worker->used.accelerators, 0);
 	}
-	if (unused == rack->free_accelerators)
-		return NULL;
-	return g_strdup_printf ("free accelerators miscounted: rack=%s", rack->name.data);
+	if (unused != rack->free_accelerators)
+		return g_strdup_printf ("free accelerators miscounted: rack=%s", rack->name.data);
+	struct dff_rack_fits fits = dff_core_rack_fits (core, rack);
+	if (!rack->shapes.is_stale && memcmp (&fits, &rack->shapes.fits, sizeof (fits)) != 0)
+		return g_strdup_printf ("fits miscounted: rack=%s", rack->name.data);
+	return NULL;
 }
 
 char *
--- a/core/core_private.h
+++ b/core/core_private.h
@@ -308,6 +308,10 @@
 bool
 dff_core_shape_holds (const struct dff_core *core, const struct dff_core_job *job, int32_t worker);
 
+/** Counts what fits on the free accelerators of a rack's usable workers. */
+struct dff_rack_fits dff_core_rack_fits (const struct dff_core *core,
+					 const struct dff_core_rack *rack);
+
 /** Fills in the gauges of what fits now. */
 void dff_core_shape_stats (const struct dff_core *core, struct dff_core_stats *stats);
 
--- a/core/shape_order.c
+++ b/core/shape_order.c
@@ -61,8 +61,8 @@
 		    0);
 }
 
-static struct dff_rack_fits
-rack_fits (const struct dff_core *core, const struct dff_core_rack *rack)
+struct dff_rack_fits
+dff_core_rack_fits (const struct dff_core *core, const struct dff_core_rack *rack)
 {
 	struct dff_rack_fits fits = {0};
 	for (guint i = 0; i < rack->workers->len; i++) {
@@ -101,7 +101,7 @@
 	struct dff_core_region *region = dff_core_region_at (core, rack->region);
 	at->is_stale = false;
 	at->known = 0;
-	at->fits = rack_fits (core, rack);
+	at->fits = dff_core_rack_fits (core, rack);
 	at->any_fits = dff_shapes_any_fits (&region->shapes, &at->fits);
 	for (int32_t i = 0; i < region->shapes.n_records; i++)
 		count_record (region, at, i);
@@ -341,7 +341,8 @@
 dff_core_shape_stats (const struct dff_core *core, struct dff_core_stats *stats)
 {
 	for (guint i = 0; i < core->racks->len; i++) {
-		struct dff_rack_fits fits = rack_fits (core, dff_core_rack_at (core, (int32_t)i));
+		struct dff_rack_fits fits =
+			dff_core_rack_fits (core, dff_core_rack_at (core, (int32_t)i));
 		for (int32_t j = 0; j < DFF_CORE_GANG_SIZES; j++)
 			stats->largest_gangs[j] = MAX (stats->largest_gangs[j],
 						       dff_shapes_largest_gang (&fits, 1, 1 << j));
--- a/tests/core/test-property.c
+++ b/tests/core/test-property.c
@@ -55,6 +55,10 @@
 
 struct world {
 	GRand *rand;
+	/** Whether the core decides by the recorded shapes, and jobs have priorities and
+	 * objectives. */
+	bool by_shape;
+	struct dff_objective objective;
 	struct dff_core *core;
 	struct dff_pool pools[2];
 	int pool;
@@ -386,6 +390,11 @@
 	row->spec.urgent = g_rand_double (world->rand) < 0.15;
 	row->spec.guaranteed = g_rand_double (world->rand) < 0.4;
 	row->spec.adjacency = (enum dff_adjacency)g_rand_int_range (world->rand, 0, 2);
+	if (world->by_shape) {
+		row->spec.region = dff_name_from ("region0");
+		row->spec.priority = row->spec.urgent ? 0 : g_rand_int_range (world->rand, 1, 3);
+		row->spec.objective = &world->objective;
+	}
 	row->placements = g_array_new (FALSE, TRUE, sizeof (struct dff_placement));
 	g_hash_table_insert (world->rows, &row->spec.id, row);
 	g_ptr_array_add (world->order, row);
@@ -439,13 +448,25 @@
 	world->seen.moves += stats.moves;
 	world->seen.start_failures += stats.start_failures;
 	world->seen.retries += stats.retries;
+	world->seen.eviction_delays += stats.eviction_delays;
+	world->seen.bulk_holds += stats.bulk_holds;
 }
 
 static struct dff_core *
-new_core (void)
+new_core (const struct world *world)
 {
 	struct dff_core_options options;
 	dff_core_options_init (&options);
+	if (world->by_shape) {
+		options.headroom_decay_ms = 20000;
+		options.headroom_wait_ratio = 1.0;
+		options.low_load_wait_ms = 1200;
+		options.shape_order = true;
+		options.shape_gang_order = true;
+		options.shape_victims = true;
+		options.first_checkpoint_ms = 1000;
+		options.evict_delay_ms = 500;
+	}
 	return dff_core_new (&options);
 }
 
@@ -457,7 +478,7 @@
 {
 	add_stats (world);
 	dff_core_free (world->core);
-	world->core = new_core ();
+	world->core = new_core (world);
 	world->accepted = 0;
 	dff_core_set_pool (world->core, &world->pools[world->pool], world->now_ms);
 	for (int i = 0; i < N_WORKERS; i++) {
@@ -561,9 +582,13 @@
 }
 
 static void
-world_init (struct world *world, uint32_t seed)
+world_init (struct world *world, uint32_t seed, bool by_shape)
 {
-	*world = (struct world){.rand = g_rand_new_with_seed (seed)};
+	*world = (struct world){
+		.rand = g_rand_new_with_seed (seed),
+		.by_shape = by_shape,
+		.objective = {
+			.stretch = 1.5, .target_ms = 250, .chain_ms = 60000, .tail_ms = 60000}};
 	world->arrivals = g_sequence_new (g_free);
 	world->rows = g_hash_table_new (dff_name_hash, dff_name_equal_func);
 	world->order = g_ptr_array_new ();
@@ -575,7 +600,7 @@
 	world->pools[1].weights = (struct dff_weights){.completion = 0.3, .fragmentation = 0.7};
 	fixture_pool_add_team (&world->pools[1], "a", 3, 6);
 	fixture_pool_add_team (&world->pools[1], "b", 1, 24);
-	world->core = new_core ();
+	world->core = new_core (world);
 	dff_core_set_pool (world->core, &world->pools[0], 0);
 	for (int i = 0; i < N_WORKERS; i++)
 		set_worker (world, i, DFF_WORKER_UP);
@@ -600,10 +625,10 @@
 }
 
 static int64_t
-run_session (uint32_t seed, struct dff_core_stats *totals)
+run_session (uint32_t seed, bool by_shape, struct dff_core_stats *totals)
 {
 	struct world world;
-	world_init (&world, seed);
+	world_init (&world, seed, by_shape);
 	g_autoptr (GArray) commands = g_array_new (FALSE, TRUE, sizeof (struct dff_command));
 	for (int i = 0; i < N_JOBS; i++) {
 		submit (&world, i);
@@ -630,6 +655,8 @@
 	assert_true (world.seen.preemptions > 0 && world.seen.retries > 0);
 	totals->reclaims += world.seen.reclaims;
 	totals->start_failures += world.seen.start_failures;
+	totals->eviction_delays += world.seen.eviction_delays;
+	totals->bulk_holds += world.seen.bulk_holds;
 	int64_t events = world.events;
 	world_clear (&world);
 	return events;
@@ -642,15 +669,31 @@
 	int64_t events = 0;
 	struct dff_core_stats totals = {0};
 	for (uint32_t seed = 1; seed <= SEEDS; seed++)
-		events += run_session (seed, &totals);
+		events += run_session (seed, false, &totals);
 	assert_true (totals.reclaims > 0);
 	assert_true (totals.start_failures > 0);
 	print_message ("events and ticks: %" G_GINT64_FORMAT "\n", events);
 }
 
+/* The same sessions with placement, victims, holds and delays by the recorded shapes: guards
+ * against a job that waits for ever, and against sums that differ from the leases. */
+static void
+test_sessions_by_shape (void **state)
+{
+	(void)state;
+	struct dff_core_stats totals = {0};
+	for (uint32_t seed = 1; seed <= SEEDS; seed++)
+		run_session (seed, true, &totals);
+	assert_true (totals.reclaims > 0);
+	assert_true (totals.start_failures > 0);
+	assert_true (totals.eviction_delays > 0);
+	assert_true (totals.bulk_holds > 0);
+}
+
 int
 main (void)
 {
-	const struct CMUnitTest tests[] = {cmocka_unit_test (test_sessions)};
+	const struct CMUnitTest tests[] = {cmocka_unit_test (test_sessions),
+					   cmocka_unit_test (test_sessions_by_shape)};
 	return cmocka_run_group_tests_name ("core-property", tests, NULL, NULL);
 }
--- a/tests/core/test-shape-order.c
+++ b/tests/core/test-shape-order.c
@@ -224,6 +224,40 @@
 	}
 }
 
+/* A small urgent gang must not break the whole rack that the next wide one needs. */
+static void
+test_order_of_urgent_gangs (void **state)
+{
+	(void)state;
+	static const struct {
+		bool by_shape;
+		const char *worker;
+	} cases[] = {{false, "w0"}, {true, "w5"}};
+	for (size_t i = 0; i < G_N_ELEMENTS (cases); i++) {
+		struct dff_core_options options = shape_options ();
+		options.headroom_decay_ms = 20000;
+		options.shape_gang_order = cases[i].by_shape;
+		struct room room;
+		room_open (&room, &options, 3);
+		label_workers (&room);
+		occupy (&room, 4, ACCELERATORS, true);
+		for (int j = 0; j < 3; j++)
+			record_urgent (&room, PER_RACK, 3);
+		struct dff_job_spec spec = spec_of ("next", 0, 2, ACCELERATORS);
+		submit (&room, &spec);
+		/* Enough urgent demand for headroom in all racks. */
+		struct dff_job_spec wide = spec_of ("wide", 0, 2 * PER_RACK, ACCELERATORS);
+		wide.label = dff_name_from ("none");
+		submit (&room, &wide);
+		advance (&room, 0);
+		const char *worker = worker_of (&room, "next");
+		if (g_strcmp0 (worker, cases[i].worker) != 0)
+			fail_msg ("case %zu: %s", i, worker);
+		unlabel_workers (&room);
+		room_close (&room);
+	}
+}
+
 /* Guards against refusing what would be placed: in a full pool the order starts as many tasks as
  * there is capacity for, also on the last place of an urgent shape. */
 static void
@@ -526,6 +560,34 @@
 	return took;
 }
 
+/* Returns: processor time of the placement of an urgent gang on 6,000 workers, all of them full of
+ * single tasks that may be stopped. */
+static double
+time_eviction (bool by_shape)
+{
+	struct dff_core_options options = shape_options ();
+	options.shape_victims = by_shape;
+	struct room room;
+	room_open (&room, &options, 1500);
+	for (int i = 0; i < 1500 * PER_RACK * 2; i++) {
+		g_autofree char *id = g_strdup_printf ("s%d", i);
+		struct dff_job_spec spec = spec_of (id, 2, 1, ACCELERATORS / 2);
+		submit (&room, &spec);
+	}
+	dff_core_tick (room.core, room.now_ms, room.commands);
+	assert_int_equal (count_commands (&room, DFF_COMMAND_RECORD_START), 1500 * PER_RACK * 2);
+	struct dff_job_spec gang = spec_of ("gang", 0, PER_RACK, ACCELERATORS);
+	submit (&room, &gang);
+	double begin = cpu_ms ();
+	dff_core_tick (room.core, ++room.now_ms, room.commands);
+	double took = cpu_ms () - begin;
+	struct dff_core_stats stats;
+	dff_core_get_stats (room.core, &stats);
+	assert_int_equal (stats.preemptions, 2 * PER_RACK);
+	room_close (&room);
+	return took;
+}
+
 /* Guards against a scan of all workers for each task: at 6,000 workers the tick would exceed its
  * processor time. The bound leaves room for a slow machine; it is compared with the time that the
  * same tick takes without the shapes. */
@@ -541,6 +603,11 @@
 	print_message ("300 tasks on 6,000 workers: %.2f ms, without shapes %.2f ms\n", least,
 		       plain);
 	assert_true (least < 3.0 * plain + 5.0);
+	least = time_eviction (true);
+	plain = time_eviction (false);
+	print_message ("an urgent gang on 6,000 full workers: %.2f ms, without shapes %.2f ms\n",
+		       least, plain);
+	assert_true (least < 3.0 * plain + 5.0);
 }
 
 int
@@ -548,6 +615,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test (test_candidates),
+		cmocka_unit_test (test_order_of_urgent_gangs),
 		cmocka_unit_test (test_full_pool),
 		cmocka_unit_test (test_rack_that_loses_workers),
 		cmocka_unit_test (test_victims),
