Review case 4: accepted jobs that last never run after the store was busy

A job is placed before its row is written and withdrawn when the store refuses the row. end_unit() submits the units of a withdrawn job that lasts again, so that the withdrawn job is never removed; when the client hands the job in again and is told 200, the row is passed over as known, and the job never starts.

The cases found before become 5 (finished tasks run twice) and 6 (a job is given up after five crashes).

--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,8 +1,9 @@
-"""A job that lasts is given up after five workers have crashed under it.
+"""Many tasks end on one worker within a second while the store is slow.
 
-Eight workers. The one that runs the job's task crashes, and starts again as another worker at the
-same address 4.5 s later; five times. No run ends "failed". Judged is LOST: a job that nobody has
-cancelled is shown as "failed" without cause (only ends "failed" count as attempts).
+Two workers run 1,200 tasks, more than 500 of them on one worker, and all end "done" within a
+second. The worker's answers list 500 ends at a time, and an end is acknowledged when it is
+recorded, which takes some hundred milliseconds in the slow store. Judged is TWICE: a start after a
+run of the task has ended "done", if that end is taken note of then or later.
 """
 
 import asyncio
@@ -13,76 +14,76 @@
 sys.path.insert(0, os.path.join(HERE, "../standin-2"))
 from deployment import BROKEN, HELD, NOT_RUN, now, run, trouble
 
-JOB = "5c0e7a21d94b36f8"
-TASK = JOB + ".0.0.0"
-N_WORKERS = 8
-N_CRASHES = 5
-RUNS_S = 3.0  # how long the task has run when its worker crashes
-DOWN_S = 4.5
-RESTART_MAX_S = 20.0  # longest wait for the task's next run
-WATCHED_S = 10.0
+N_JOBS = 3
+TASKS_PER_JOB = 400
+ENDS_FROM_S = 12.0  # after the first submission
+ENDS_SPREAD_S = 1.0
+SLOW_FROM_S = 11.0
+SLOW_S = 4.5
+SLOW_X = 60
 
 
-async def wait_for_run(site):
-    """Returns the worker that runs the task, or None if the job ends or nothing runs in time."""
-    until = now() + RESTART_MAX_S
-    while now() < until:
-        worker = site.worker_of(TASK)
-        if worker is not None:
-            return worker
-        if await site.state(JOB, quiet=True) in ("failed", "completed", "cancelled"):
-            return None
-        await asyncio.sleep(0.1)
-    return None
+async def slow_store(site):
+    site.record.add("store", f"answers take {SLOW_X} times as long from here")
+    site.store.slowness = SLOW_X
+    await asyncio.sleep(SLOW_S)
+    site.store.slowness = 1
+    site.record.add("store", "answers as usual")
 
 
-async def crash_repeatedly(site):
-    for _ in range(N_CRASHES):
-        worker = await wait_for_run(site)
-        if worker is None:
-            return
-        await asyncio.sleep(RUNS_S)
-        worker.crash()
-        await asyncio.sleep(DOWN_S)
-        await site.add_worker(worker.http.port)
+def starts_after_done(site):
+    """Returns the starts that break the rule, as texts."""
+    done = {}
+    for end in site.ends:
+        if end[4] == "done" and site.taken_at(end) is not None:
+            done.setdefault(end[2], end)
+    found = []
+    for at, worker, task, number in site.starts:
+        end = done.get(task)
+        if end is not None and at > end[0]:
+            found.append(
+                f"{task}: run {end[3]} ended done on {end[1]} (end {end[5]}), "
+                f"run {number} started on {worker} {at - end[0]:.3f} s later"
+            )
+    return found
 
 
 async def script(site):
-    site.behave = lambda task, number: (1e9, "done")
-    if not await site.start(N_WORKERS):
+    if not await site.start(2):
         return NOT_RUN
-    step = {
-        "count": 1,
-        "cpu": 4000,
-        "mem_mb": 2048,
-        "gpu": 1,
-        "estimate_ms": 60000,
-        "long_running": True,
-    }
-    if not await site.submit(JOB, {"spec": "serve", "steps": [step]}):
-        return NOT_RUN
-    if await wait_for_run(site) is None:
+    begin = now()
+
+    def behave(task, number):
+        if number > 1:
+            return 1.0, "done"
+        share = int(task.split(".")[3]) / TASKS_PER_JOB
+        return max(begin + ENDS_FROM_S + share * ENDS_SPREAD_S - now(), 1.0), "done"
+
+    site.behave = behave
+    jobs = [f"{i + 1:016x}" for i in range(N_JOBS)]
+    for job in jobs:
+        step = {"count": TASKS_PER_JOB, "estimate_ms": int(ENDS_FROM_S * 1000)}
+        if not await site.submit(job, {"spec": "count", "steps": [step]}):
+            return NOT_RUN
+    await asyncio.sleep(begin + SLOW_FROM_S - now())
+    running = [len(worker.running) for worker in site.workers]
+    site.record.add("script", f"running on the workers: {running}")
+    if sum(running) < N_JOBS * TASKS_PER_JOB or max(running) <= 500:
         return NOT_RUN
     if trouble():
-        await crash_repeatedly(site)
+        await slow_store(site)
     else:
-        await asyncio.sleep(N_CRASHES * (RUNS_S + DOWN_S))
-    until = now() + WATCHED_S
-    states = set()
-    while now() < until:
-        for machine in site.machines:
-            states.add(await site.state(JOB, machine))
-        await asyncio.sleep(1)
-    failed = sum(end[4] == "failed" for end in site.ends)
-    crashed = sum(end[4] == "crashed" for end in site.ends)
+        await asyncio.sleep(SLOW_S)
+    await asyncio.sleep(15)
+    states = [await site.state(job) for job in jobs]
+    found = starts_after_done(site)
+    for text in found:
+        site.record.add("TWICE", text)
     site.record.add(
         "script",
-        f"states {states}, {len(site.starts)} starts, ends failed {failed}, lost in crashes "
-        f"{crashed}, runs now on {site.worker_of(TASK) and site.worker_of(TASK).name}",
+        f"states {states}, {len(site.starts)} starts, {len(found)} of tasks that were done",
     )
-    if trouble() and crashed < N_CRASHES and "failed" not in states:
-        return NOT_RUN
-    return BROKEN if "failed" in states and failed == 0 else HELD
+    return BROKEN if found else HELD
 
 
 sys.exit(run(script, HERE))
--- a/review/standin-2/deployment.py
+++ b/review/standin-2/deployment.py
@@ -137,6 +137,7 @@
         self.http = HttpServer(self.handle, "127.0.0.1")
         self.slowness = 1  # every answer takes this many times as long
         self.part_lock = asyncio.Lock()
+        self.busy = False  # every call is answered with 503, and nothing is done
 
     def now_ms(self):
         return int((now() - self.started) * 1000)
@@ -236,6 +237,8 @@
         return self._answer(200, {"rows": rows})
 
     async def handle(self, method, path, query, headers, body):
+        if self.busy:
+            return 503, {}
         if path == "/api/rows-tx":
             # A part carries out one transaction after another.
             async with self.part_lock:
