--- a/review/standin-2/deployment.py
+++ b/review/standin-2/deployment.py
@@ -137,7 +137,8 @@
         self.http = HttpServer(self.handle, "127.0.0.1")
         self.slowness = 1  # every answer takes this many times as long
         self.part_lock = asyncio.Lock()
-        self.busy = False  # every call is answered with 503, and nothing is done
+        # Partitions whose calls are answered with 503, and nothing is done.
+        self.busy_parts = set()
 
     def now_ms(self):
         return int((now() - self.started) * 1000)
@@ -197,6 +198,16 @@
         )
         return self._answer(200, {})
 
+    def _parts_of(self, path, query, body):
+        """Returns the partitions that a call concerns. A feed concerns all those of its table."""
+        if path == "/api/rows-tx":
+            call = json.loads(body)
+            entries = call.get("expected_rev", []) + call.get("writes", [])
+            return {entry.get("part", "") for entry in entries + call.get("remove", [])}
+        if path == "/api/rows-feed":
+            return {part for table, part, _ in self.rows if table == query["table"]}
+        return {query.get("part", "")}
+
     def _get(self, query):
         limit = min(int(query.get("limit") or 500), 500)
         names = sorted(
@@ -237,7 +248,7 @@
         return self._answer(200, {"rows": rows})
 
     async def handle(self, method, path, query, headers, body):
-        if self.busy:
+        if self.busy_parts & self._parts_of(path, query, body):
             return 503, {}
         if path == "/api/rows-tx":
             # A part carries out one transaction after another.
