--- a/review/5/case.py
+++ b/review/5/case.py
@@ -19,7 +19,7 @@
 ENDS_FROM_S = 12.0  # after the first submission
 ENDS_SPREAD_S = 1.0
 SLOW_FROM_S = 11.0
-SLOW_S = 4.5
+SLOW_S = 4.0
 SLOW_X = 60
 
 
