holder: log runs that a worker does not list

A run that is in neither list of its worker's report is started again or taken for over, and nothing said so.

One line and a counter for each such run, with the number of ends in the report that left it out.

--- a/holder/holder.c
+++ b/holder/holder.c
@@ -154,6 +154,9 @@
 							 "Runs that ended with their worker.");
 	holder->metrics.orphans = dff_metrics_counter (metrics, "dff_holder_strays_total",
 						       "Runs that workers list and no record has.");
+	holder->metrics.unlisted_runs =
+		dff_metrics_counter (metrics, "dff_holder_runs_unlisted_total",
+				     "Runs on record that their worker does not list.");
 }
 
 static void
--- a/holder/holder_tables.h
+++ b/holder/holder_tables.h
@@ -463,6 +463,7 @@
 		int64_t *starts_rejected;
 		int64_t *units_stopped;
 		int64_t *orphans;
+		int64_t *unlisted_runs;
 		int64_t *ends[DFF_RUN_GANG_TIMEOUT + 1];
 		int64_t *lapsed_workers;
 		int64_t *runs_lost;
--- a/holder/watch.c
+++ b/holder/watch.c
@@ -182,11 +182,25 @@
 	}
 }
 
+static void
+note_unlisted (struct dff_holder *holder,
+	       const struct holder_run *run,
+	       const struct dff_runner_result *result)
+{
+	(*holder->metrics.unlisted_runs)++;
+	dff_log (DFF_LOG_CELL, DFF_LOG_INFO,
+		 "Run is not in the worker's report. task=%s run=%d worker=%s stopping=%d ran=%d "
+		 "inherited=%d listed_ends=%zu",
+		 run->task.data, run->run, run->worker->upstream.incarnation.id.data,
+		 run->phase == DFF_RUN_PHASE_STOPPING, run->ran, run->inherited, result->n_ended);
+}
+
 /* Handles runs that the worker lists neither as active nor as ended, in answer to a call that
  * began after the run became known there. */
 static void
 apply_unlisted (struct dff_holder *holder,
 		struct holder_worker *worker,
+		const struct dff_runner_result *result,
 		GHashTable *listed,
 		int64_t begun_ms)
 {
@@ -197,12 +211,14 @@
 			continue;
 		if (run->phase == DFF_RUN_PHASE_STOPPING && run->stopped_ms > 0 &&
 		    begun_ms >= run->stopped_ms) {
+			note_unlisted (holder, run, result);
 			run_end (holder, run, run->unlisted_event, run->ran);
 			continue;
 		}
 		if (run->phase == DFF_RUN_PHASE_OPEN && begun_ms > run->open_ms) {
 			/* A former holder recorded the run but did not send it, or the worker has
 			 * lost it: sending the start again shows which. */
+			note_unlisted (holder, run, result);
 			run_set_phase (holder, run, DFF_RUN_PHASE_STARTING);
 			run->inherited = false;
 			run->next_ms = 0;
@@ -261,7 +277,7 @@
 	/* Completions end runs: @listed may hold pointers to freed runs from here on, and is only
 	 * compared. */
 	apply_ended (holder, worker, result);
-	apply_unlisted (holder, worker, listed, begun_ms);
+	apply_unlisted (holder, worker, result, listed, begun_ms);
 	check_progress (holder, worker);
 }
 
