holder: a run missing from a full list of ends is not over

Cause: a worker lists the ends that are not acknowledged 500 at a time, and the holder took each report for whole. While the store is slow, more than 500 runs end on one worker before the first are recorded. The runs beyond them are in neither list, so the holder sent their starts again; the worker refused these as old, the runs were stopped, the next report left them out as well, and their tasks were placed anew. The completion was listed later, for a run number that was no longer on record, and was acknowledged. A run being stopped or taken over from a former holder went the same way.

Now the adapter says whether the list of ends is complete (fewer than the 500 that a worker lists), relays pass this on, and only a complete report shows that a run is over or lost. Ends left out are listed once those before them are acknowledged, so nothing waits for longer than the store takes. A relay of an earlier build does not say it: its lists count as incomplete, which delays the end of stopped runs until it is replaced.

--- a/holder/holder.c
+++ b/holder/holder.c
@@ -157,6 +157,9 @@
 	holder->metrics.unlisted_runs =
 		dff_metrics_counter (metrics, "dff_holder_runs_unlisted_total",
 				     "Runs on record that their worker does not list.");
+	holder->metrics.incomplete_reports =
+		dff_metrics_counter (metrics, "dff_holder_reports_incomplete_total",
+				     "Reports of workers that may leave out ended runs.");
 }
 
 static void
--- a/holder/holder_tables.h
+++ b/holder/holder_tables.h
@@ -171,6 +171,8 @@
 	int64_t ended_seen;
 	int64_t ended_in_flight;
 	int64_t ended_recorded;
+	/** Whether the worker's last report may leave out completions. */
+	bool report_incomplete;
 	/** When a run at the worker last became known as over: worker reports requested before
 	 * that may still list the run. */
 	int64_t settled_ms;
@@ -464,6 +466,7 @@
 		int64_t *units_stopped;
 		int64_t *orphans;
 		int64_t *unlisted_runs;
+		int64_t *incomplete_reports;
 		int64_t *ends[DFF_RUN_GANG_TIMEOUT + 1];
 		int64_t *lapsed_workers;
 		int64_t *runs_lost;
--- a/holder/watch.c
+++ b/holder/watch.c
@@ -266,6 +266,22 @@
 	dff_core_handle_event (holder->core, &event, now_ms);
 }
 
+static void
+note_completeness (struct dff_holder *holder,
+		   struct holder_worker *worker,
+		   const struct dff_runner_result *result)
+{
+	(*holder->metrics.incomplete_reports) += !result->ended_complete;
+	if (worker->report_incomplete == !result->ended_complete)
+		return;
+	worker->report_incomplete = !result->ended_complete;
+	dff_log (DFF_LOG_UPSTREAM, DFF_LOG_INFO,
+		 "Worker's report is %s. worker=%s listed_ends=%zu recorded=%" PRId64 " runs=%u",
+		 result->ended_complete ? "complete again" : "incomplete",
+		 worker->upstream.incarnation.id.data, result->n_ended, worker->ended_recorded,
+		 g_hash_table_size (worker->runs));
+}
+
 static void
 apply_lists (struct dff_holder *holder,
 	     struct holder_worker *worker,
@@ -277,7 +293,11 @@
 	/* Completions end runs: @listed may hold pointers to freed runs from here on, and is only
 	 * compared. */
 	apply_ended (holder, worker, result);
-	apply_unlisted (holder, worker, result, listed, begun_ms);
+	note_completeness (holder, worker, result);
+	/* While ends are left out of the report, an unlisted run may be among them. They are
+	 * reported once the listed ones are recorded and acknowledged. */
+	if (result->ended_complete)
+		apply_unlisted (holder, worker, result, listed, begun_ms);
 	check_progress (holder, worker);
 }
 
--- a/include/standin/memory_runner.h
+++ b/include/standin/memory_runner.h
@@ -37,6 +37,8 @@
 	int32_t gang_wait_ms;
 	/** Number of failed runs after which a task must not be started again. */
 	int32_t max_attempts;
+	/** Number of completions that a worker lists in one answer, oldest first; 0: all. */
+	int32_t listed_ends_max;
 	/** Workers accept starts beyond their capacity, each reported as a violation. */
 	bool unenforced;
 	/** (nullable): called when a task has crashed its worker, whose incarnation has ended. */
--- a/include/upstream/runner.h
+++ b/include/upstream/runner.h
@@ -124,11 +124,14 @@
 	int64_t clock_ms;
 	/** Start time of the incarnation that answered, as in struct dff_incarnation. */
 	int64_t started_ms;
-	/** Of a watch: all running tasks and all unacknowledged completions, in order. */
+	/** Of a watch: all running tasks, and the unacknowledged completions in order. */
 	const struct dff_run_active *running;
 	size_t n_running;
 	const struct dff_run_ended *ended;
 	size_t n_ended;
+	/** Of a watch: whether @ended holds all unacknowledged completions; otherwise it may hold
+	 * only the oldest, and a run in neither list may have ended. */
+	bool ended_complete;
 };
 
 typedef void (*dff_runner_func) (void *user, const struct dff_runner_result *result);
--- a/relay/message.c
+++ b/relay/message.c
@@ -178,6 +178,7 @@
 	answer->outcome = result->outcome;
 	answer->clock_ms = result->clock_ms;
 	answer->born_ms = result->started_ms;
+	answer->ended_complete = result->ended_complete;
 	if (result->n_running > 0)
 		add_running (batch, answer, result);
 	if (result->n_ended > 0)
@@ -294,6 +295,7 @@
 		.n_running = answer->n_running,
 		.ended = ended,
 		.n_ended = answer->n_ended,
+		.ended_complete = answer->ended_complete,
 	};
 	done (user, &result);
 }
--- a/relay/relay.pb-c.c
+++ b/relay/relay.pb-c.c
@@ -593,7 +593,7 @@
   (ProtobufCMessageInit) dff__relay__ended__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dff__relay__answer__field_descriptors[6] =
+static const ProtobufCFieldDescriptor dff__relay__answer__field_descriptors[7] =
 {
   {
     "id",
@@ -667,11 +667,24 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "ended_complete",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Dff__Relay__Answer, ended_complete),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned dff__relay__answer__field_indices_by_name[] = {
   5,   /* field[5] = born_ms */
   2,   /* field[2] = clock_ms */
   4,   /* field[4] = ended */
+  6,   /* field[6] = ended_complete */
   0,   /* field[0] = id */
   1,   /* field[1] = outcome */
   3,   /* field[3] = running */
@@ -679,7 +692,7 @@
 static const ProtobufCIntRange dff__relay__answer__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor dff__relay__answer__descriptor =
 {
@@ -689,7 +702,7 @@
   "Dff__Relay__Answer",
   "dff.relay",
   sizeof(Dff__Relay__Answer),
-  6,
+  7,
   dff__relay__answer__field_descriptors,
   dff__relay__answer__field_indices_by_name,
   1,  dff__relay__answer__number_ranges,
--- a/relay/relay.pb-c.h
+++ b/relay/relay.pb-c.h
@@ -117,10 +117,14 @@
    * Of struct dff_life.
    */
   int64_t born_ms;
+  /*
+   * Earlier builds do not set it: their lists of ends count as cut short.
+   */
+  protobuf_c_boolean ended_complete;
 };
 #define DFF__RELAY__ANSWER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&dff__relay__answer__descriptor) \
-    , 0, 0, 0, 0,NULL, 0,NULL, 0 }
+    , 0, 0, 0, 0,NULL, 0,NULL, 0, 0 }
 
 
 /*
--- a/standin/memory_runner.c
+++ b/standin/memory_runner.c
@@ -146,7 +146,9 @@
 	g_hash_table_iter_init (&iter, worker->runs);
 	while (g_hash_table_iter_next (&iter, NULL, &value))
 		list_run (listing, value);
-	for (guint i = 0; i < worker->ends->len; i++)
+	int32_t max = call->client->runner->options.listed_ends_max;
+	guint n_listed = max > 0 ? MIN (worker->ends->len, (guint)max) : worker->ends->len;
+	for (guint i = 0; i < n_listed; i++)
 		list_ended (listing, &g_array_index (worker->ends, struct end, i));
 	listing->result = (struct dff_runner_result){
 		.outcome = call->outcome,
@@ -156,7 +158,8 @@
 		.running = (const struct dff_run_active *)(void *)listing->running->data,
 		.n_running = listing->running->len,
 		.ended = (const struct dff_run_ended *)(void *)listing->ended->data,
-		.n_ended = listing->ended->len};
+		.n_ended = listing->ended->len,
+		.ended_complete = max == 0 || (int32_t)n_listed < max};
 	if (worker->faults.answer_ms == 0) {
 		deliver_listing (listing);
 		return;
--- a/tests/holder/site.c
+++ b/tests/holder/site.c
@@ -362,6 +362,7 @@
 						    .stop_grace_ms = 400,
 						    .gang_wait_ms = 3000,
 						    .max_attempts = SITE_MAX_ATTEMPTS,
+						    .listed_ends_max = site->listed_ends_max,
 						    .unenforced = site->unenforced,
 						    .crashed = site_workers_handle_crash,
 						    .ctx = site};
@@ -438,6 +439,16 @@
 	open_site (site);
 }
 
+void
+site_open_with_short_reports (struct site *site, int32_t listed_ends_max, bool relays)
+{
+	memset (site, 0, sizeof (*site));
+	site->same_ids = true;
+	site->relays = relays;
+	site->listed_ends_max = listed_ends_max;
+	open_site (site);
+}
+
 void
 site_open_with_durations (struct site *site, const int32_t duration_permille[SITE_PER_RACK])
 {
--- a/tests/holder/site.h
+++ b/tests/holder/site.h
@@ -83,6 +83,8 @@
 	int32_t duration_permille[SITE_PER_RACK];
 	/** Whether calls to workers go through the other processes as relays. */
 	bool relays;
+	/** Number of completions that workers list in one report; 0: all. */
+	int32_t listed_ends_max;
 	/** Whether processes subscribe to evacuation requests. */
 	bool with_evacuations;
 	/** Whether rows of jobs and state queries go through the holder. */
@@ -135,6 +137,10 @@
  * workers of each rack, in turn, per thousand of the nominal duration. */
 void site_open_with_durations (struct site *site, const int32_t duration_permille[SITE_PER_RACK]);
 
+/** As site_open_with_same_ids(), with workers that list up to @listed_ends_max completions in one
+ * report. */
+void site_open_with_short_reports (struct site *site, int32_t listed_ends_max, bool relays);
+
 /** As site_open(), with evacuations of data centres. */
 void site_open_with_evacuations (struct site *site);
 
--- a/tests/platform/test-http.c
+++ b/tests/platform/test-http.c
@@ -207,6 +207,7 @@
 	int64_t clock_ms;
 	int64_t started_ms;
 	GString *lists;
+	bool ended_complete;
 };
 
 static void
@@ -216,6 +217,7 @@
 	answer->outcome = result->outcome;
 	answer->clock_ms = result->clock_ms;
 	answer->started_ms = result->started_ms;
+	answer->ended_complete = result->ended_complete;
 	g_string_truncate (answer->lists, 0);
 	for (size_t i = 0; i < result->n_running; i++) {
 		g_string_append_printf (
@@ -336,6 +338,47 @@
 	server_close (&server);
 }
 
+/* Returns: (transfer full): a worker's report with @n_ended ended runs. */
+static char *
+report_with_ends (int n_ended)
+{
+	GString *body = g_string_new ("{\"clock_ms\":1,\"running\":[],\"ended_runs\":[");
+	for (int i = 1; i <= n_ended; i++)
+		g_string_append_printf (body, "%s[%d,\"5c0e.0.1.%d\",1,\"done\",\"\"]",
+					i > 1 ? "," : "", i, i);
+	g_string_append (body, "]}");
+	return g_string_free (body, FALSE);
+}
+
+/* Guards against taking a full list of ended runs for a complete one: workers list 500 at a time.
+ */
+static void
+test_full_list_of_ends (void **state)
+{
+	(void)state;
+	static const struct {
+		int n_ended;
+		bool ended_complete;
+	} cases[] = {{0, true}, {1, true}, {499, true}, {500, false}};
+	struct server server;
+	server_open (&server);
+	DFF_AUTO (dff_http_runner) runner = dff_http_runner_new (server.client);
+	const struct dff_runner *workers = dff_http_runner_interface (runner);
+	struct runner_answer answer = {.base = server.base, .lists = g_string_new (NULL)};
+	struct dff_run_watch watch = {
+		.worker = dff_name_from ("i-7f"), .address = server.address, .timeout_ms = 5000};
+	server.status = 200;
+	for (size_t i = 0; i < G_N_ELEMENTS (cases); i++) {
+		g_autofree char *body = report_with_ends (cases[i].n_ended);
+		server.body = body;
+		workers->watch (workers->ctx, &watch, handle_runner, &answer);
+		event_base_dispatch (server.base);
+		assert_int_equal (answer.ended_complete, cases[i].ended_complete);
+	}
+	g_string_free (answer.lists, TRUE);
+	server_close (&server);
+}
+
 /* Guards against treating a start time that cannot be decoded as a reported one. */
 static void
 test_incarnation_start (void **state)
@@ -377,9 +420,12 @@
 main (void)
 {
 	const struct CMUnitTest tests[] = {
-		cmocka_unit_test (test_incarnation_start), cmocka_unit_test (test_commit),
-		cmocka_unit_test (test_get_and_feed),      cmocka_unit_test (test_start),
+		cmocka_unit_test (test_incarnation_start),
+		cmocka_unit_test (test_commit),
+		cmocka_unit_test (test_get_and_feed),
+		cmocka_unit_test (test_start),
 		cmocka_unit_test (test_stop_and_watch),
+		cmocka_unit_test (test_full_list_of_ends),
 	};
 	return cmocka_run_group_tests (tests, NULL, NULL);
 }
--- a/tests/relay/test-relay.c
+++ b/tests/relay/test-relay.c
@@ -52,6 +52,7 @@
 	size_t n_running;
 	size_t n_ended;
 	enum dff_run_end end;
+	bool ended_complete;
 	size_t checkpoint_len;
 	int64_t clock_ms;
 	int64_t started_ms;
@@ -130,7 +131,8 @@
 						   .describe = describe,
 						   .stop_grace_ms = 200,
 						   .gang_wait_ms = 3000,
-						   .max_attempts = 2};
+						   .max_attempts = 2,
+						   .listed_ends_max = 1};
 	fixture->runner = dff_memory_runner_new (&runner);
 	for (int i = 0; i < WORKERS; i++) {
 		struct dff_name id = worker_id (i), address = worker_address (i);
@@ -176,6 +178,7 @@
 	outcome->outcome = result->outcome;
 	outcome->n_running = result->n_running;
 	outcome->n_ended = result->n_ended;
+	outcome->ended_complete = result->ended_complete;
 	outcome->clock_ms = result->clock_ms;
 	outcome->started_ms = result->started_ms;
 	if (result->n_ended > 0)
@@ -321,6 +324,7 @@
 	for (int i = 0; i < WORKERS; i++) {
 		assert_int_equal (outcomes[i].n_running, 1);
 		assert_int_not_equal (outcomes[i].checkpoint_len, 0);
+		assert_true (outcomes[i].ended_complete);
 		watch (&fixture, i, 1500, &outcomes[i]);
 	}
 	stop (&fixture, 1, 1, &stopped);
@@ -329,6 +333,7 @@
 	for (int i = 2; i < WORKERS; i++) {
 		assert_int_equal (outcomes[i].n_ended, 1);
 		assert_int_equal (outcomes[i].end, DFF_RUN_COMPLETED);
+		assert_false (outcomes[i].ended_complete);
 	}
 	start (&fixture, 2, 1, &outcomes[2]);
 	dff_virtual_loop_run (fixture.loop, 100);
