holder: completed runs left out of a report are no stall

Cause: the check for stalled workers looks at all open runs. One that has completed and does not fit into the list of ends stays open with its last progress, so that after 1.2 s all runs of its worker seem to stand still. The worker is set aside and work is moved off it, although nothing is wrong with it.

Only runs that the report lists as active count. In a complete report this changes nothing: an open run that it does not list is being started again.

test_unlisted_completions_are_no_stall failed before: 6 of 6 workers reported. 112 unit tests pass.

--- a/holder/watch.c
+++ b/holder/watch.c
@@ -237,11 +237,12 @@
 	return unchanged_ms >= MAX (limit_ms, STALL_FACTOR * ms_per_percent);
 }
 
-/* Reports a worker on which all runs have stalled. Guards against tasks, urgent ones too, that take
- * seconds longer because the worker lists them as active although they make no progress. A stalled
- * run beside others that progress concerns its job alone. */
+/* Reports a worker on which all listed runs have stalled; an unlisted one may have ended. Guards
+ * against tasks, urgent ones too, that take seconds longer because the worker lists them as active
+ * although they make no progress. A stalled run beside others that progress concerns its job alone.
+ */
 static void
-check_progress (struct dff_holder *holder, struct holder_worker *worker)
+check_progress (struct dff_holder *holder, struct holder_worker *worker, GHashTable *listed)
 {
 	int64_t now_ms = holder_now_ms (holder);
 	guint n_open = 0, n_stalled = 0;
@@ -250,6 +251,8 @@
 	g_hash_table_iter_init (&iter, worker->runs);
 	while (g_hash_table_iter_next (&iter, NULL, &value)) {
 		const struct holder_run *run = value;
+		if (!g_hash_table_contains (listed, run))
+			continue;
 		if (run->phase != DFF_RUN_PHASE_OPEN || run->percent < 0 || run->percent >= 100)
 			continue;
 		n_open++;
@@ -298,7 +301,7 @@
 	 * reported once the listed ones are recorded and acknowledged. */
 	if (result->ended_complete)
 		apply_unlisted (holder, worker, result, listed, begun_ms);
-	check_progress (holder, worker);
+	check_progress (holder, worker, listed);
 }
 
 static void
--- a/tests/holder/test-holder-reports.c
+++ b/tests/holder/test-holder-reports.c
@@ -15,6 +15,9 @@
 #define AFTER_END_MS 1250
 /** Duration of a transaction in a slow store, ms: short enough for the holder to keep the lease. */
 #define SLOW_COMMIT_MS 250
+/** Time for which transactions have no answer, ms: longer than a run may make no progress.
+ */
+#define UNRECORDED_MS 1800
 /** Longest time until the job has ended, ms: each report of a worker waits for a transaction. */
 #define END_LIMIT_MS 8000
 
@@ -65,6 +68,12 @@
 	assert_int_equal (site_submit (site, 0, plan), DFF_FRONT_OK);
 }
 
+static int64_t
+holder_counter (struct site *site, const char *name)
+{
+	return *dff_metrics_counter (site->processes[site_holder (site)].metrics, name, "");
+}
+
 static void
 apply_before_end (struct site *site, const struct report_case *test_case)
 {
@@ -111,6 +120,29 @@
 	site_close (&site);
 }
 
+/* Guards against setting a worker aside, and stopping its tasks, because runs that have completed
+ * make no progress while its report leaves them out. */
+static void
+test_unlisted_completions_are_no_stall (void **state)
+{
+	(void)state;
+	struct site site;
+	site_open_with_short_reports (&site, LISTED_ENDS_MAX, false);
+	assert_int_equal (site_submit (&site, 0, site_plan ("a", N_TASKS, false, 1)), DFF_FRONT_OK);
+	site_run (&site, BEFORE_END_MS);
+	int holder = site_holder (&site);
+	struct dff_memory_rows_faults *store =
+		dff_memory_rows_client_faults (site.processes[holder].rows);
+	store->lost_permille = 1000;
+	site_run (&site, UNRECORDED_MS);
+	store->lost_permille = 0;
+	assert_int_not_equal (site_wait_for_state (&site, "a", "completed", END_LIMIT_MS), -1);
+	assert_int_equal (site_holder (&site), holder);
+	assert_int_equal (holder_counter (&site, "dff_holder_workers_stalled_total"), 0);
+	assert_int_equal (holder_counter (&site, "dff_holder_units_stopped_total"), 0);
+	site_close (&site);
+}
+
 static const struct report_case cases[] = {
 	{.name = "open"},
 	{.name = "open, through relays", .relays = true},
@@ -125,11 +157,13 @@
 int
 main (void)
 {
-	struct CMUnitTest tests[G_N_ELEMENTS (cases)];
+	struct CMUnitTest tests[G_N_ELEMENTS (cases) + 1] = {
+		cmocka_unit_test (test_unlisted_completions_are_no_stall),
+	};
 	for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
-		tests[i] = (struct CMUnitTest){.name = cases[i].name,
-					       .test_func = test_unlisted_completions,
-					       .initial_state = (void *)&cases[i]};
+		tests[1 + i] = (struct CMUnitTest){.name = cases[i].name,
+						   .test_func = test_unlisted_completions,
+						   .initial_state = (void *)&cases[i]};
 	site_tests_begin (tests, G_N_ELEMENTS (tests));
 	return cmocka_run_group_tests (tests, NULL, NULL);
 }
