holder: an incomplete first report of a restarted worker loses no runs

Cause: when a worker restarts under its id, the runs that the first report of its next incarnation leaves out are given up as lost. The next incarnation may have carried out starts that a former holder had sent to the previous one and that were delayed. If more of them have ended than one report lists, the others are lost to the holder and placed again, and their completions are acknowledged afterwards.

Such a run is now settled like one whose start may still arrive: by a stop, which leaves what has ended as it is, and a complete report after it. Its completion counts if it is listed by then.

--- a/holder/incarnations.c
+++ b/holder/incarnations.c
@@ -58,8 +58,10 @@
 	return false;
 }
 
-/* A run that the next incarnation does not list has ended with the previous one, unless its start
- * may still arrive: such a start is settled by a stop, which the next incarnation has to answer. */
+/* A run that the next incarnation does not list has ended with the previous one, with two
+ * exceptions: its start may still arrive, or has been carried out by the next incarnation and its
+ * end is left out of the report. Either is settled by a stop, which the next incarnation has to
+ * answer. */
 static void
 end_run_after_restart (struct dff_holder *holder,
 		       struct holder_run *run,
@@ -70,7 +72,7 @@
 		run->measured_from_clock_ms = 0;
 		return;
 	}
-	if (!may_still_start (run)) {
+	if (result->ended_complete && !may_still_start (run)) {
 		watch_lose_run (holder, run, DFF_LOSS_RESTARTED);
 		return;
 	}
--- a/tests/holder/test-holder-reports.c
+++ b/tests/holder/test-holder-reports.c
@@ -18,6 +18,11 @@
 /** Time for which transactions have no answer, ms: longer than a run may make no progress.
  */
 #define UNRECORDED_MS 1800
+/** The worker that restarts, the time from the submission to its restart, and the delay of the
+ * orders that it carries out afterwards, ms. */
+#define RESTARTED_WORKER 2
+#define RESTART_MS 1900
+#define LATE_ORDER_MS 2500
 /** Longest time until the job has ended, ms: each report of a worker waits for a transaction. */
 #define END_LIMIT_MS 8000
 
@@ -143,6 +148,38 @@
 	site_close (&site);
 }
 
+/* Guards against starting tasks again that have completed on the next incarnation of their worker:
+ * it carries out starts that a former holder sent to the previous one, and more of them have ended
+ * there than its first report lists. */
+static void
+test_unlisted_completions_after_restart (void **state)
+{
+	(void)state;
+	struct site site;
+	site_open_with_short_reports (&site, LISTED_ENDS_MAX, false);
+	site.workers[RESTARTED_WORKER]->late_orders = TASKS_PER_WORKER;
+	site.workers[RESTARTED_WORKER]->late_ms = LATE_ORDER_MS;
+	int64_t begun_ms = dff_virtual_loop_now_ms (site.loop);
+	assert_int_equal (site_submit (&site, 0, site_plan ("a", N_TASKS, false, 1)), DFF_FRONT_OK);
+	site_run (&site, 20);
+	take_over (&site);
+	site_run (&site, begun_ms + RESTART_MS - dff_virtual_loop_now_ms (site.loop));
+	assert_int_equal (dff_memory_runner_n_starts (site.runner, "a"), N_TASKS);
+	site_restart_worker (&site, RESTARTED_WORKER);
+	site.workers[RESTARTED_WORKER]->drops_calls = true;
+	site_run (&site,
+		  begun_ms + LATE_ORDER_MS + TASK_MS + 100 - dff_virtual_loop_now_ms (site.loop));
+	/* The next incarnation has carried out the late orders. */
+	assert_int_equal (dff_memory_runner_n_starts (site.runner, "a"),
+			  N_TASKS + TASKS_PER_WORKER);
+	site.workers[RESTARTED_WORKER]->drops_calls = false;
+	int64_t ended_ms = site_wait_for_state (&site, "a", "completed", END_LIMIT_MS);
+	assert_int_equal (dff_memory_runner_n_starts (site.runner, "a"),
+			  N_TASKS + TASKS_PER_WORKER);
+	assert_int_not_equal (ended_ms, -1);
+	site_close (&site);
+}
+
 static const struct report_case cases[] = {
 	{.name = "open"},
 	{.name = "open, through relays", .relays = true},
@@ -157,11 +194,12 @@
 int
 main (void)
 {
-	struct CMUnitTest tests[G_N_ELEMENTS (cases) + 1] = {
+	struct CMUnitTest tests[G_N_ELEMENTS (cases) + 2] = {
 		cmocka_unit_test (test_unlisted_completions_are_no_stall),
+		cmocka_unit_test (test_unlisted_completions_after_restart),
 	};
 	for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
-		tests[1 + i] = (struct CMUnitTest){.name = cases[i].name,
+		tests[2 + i] = (struct CMUnitTest){.name = cases[i].name,
 						   .test_func = test_unlisted_completions,
 						   .initial_state = (void *)&cases[i]};
 	site_tests_begin (tests, G_N_ELEMENTS (tests));
