holder: start no run while the worker lists another one of its task

Cause: a worker started a former run late, in its next incarnation. The holder, which had just taken over, had a later run on record there. The report listed the former run and not the recorded one, so the holder sent a stop for the one and, 4 ms later, the start of the other: a run that is missing was taken for one to start, whatever else the report listed of its task. The former run may go on for as long as a stop takes.

A start now waits until the worker's last report lists no other run of its task. Such a run is stopped at each report, and its end answers the waiting call, so that the wait is a stop's.

The plays have workers that list one to three ends a report, jobs of up to twelve tasks, restarts, broken paths, with and without relays.

--- a/holder/holder_private.h
+++ b/holder/holder_private.h
@@ -535,6 +535,10 @@
 
 void run_stop (struct dff_holder *holder, struct holder_run *run);
 
+/** Returns: whether the worker's last report lists another run of the task as active, so that this
+ * one must not start yet. */
+bool run_is_obstructed (const struct holder_run *run);
+
 /** Sends the stop again to a worker's next incarnation, whether or not the previous one was sent a
  * stop. */
 void run_stop_again (struct dff_holder *holder, struct holder_run *run);
--- a/holder/holder_tables.h
+++ b/holder/holder_tables.h
@@ -68,6 +68,8 @@
 	 * it. */
 	int64_t open_ms;
 	bool order_in_flight;
+	/** When the worker last listed another run of the task as active; 0: it never did. */
+	int64_t other_listed_ms;
 	/** Number of start orders without an answer: each of them may still be carried out. */
 	int32_t n_unanswered;
 	/** Whether a former holder recorded the run as open, and may have sent its start. */
--- a/holder/runs.c
+++ b/holder/runs.c
@@ -132,6 +132,12 @@
 	run->next_ms = holder_now_ms (holder);
 }
 
+bool
+run_is_obstructed (const struct holder_run *run)
+{
+	return run->other_listed_ms > 0 && run->other_listed_ms >= run->worker->lists_ms;
+}
+
 void
 run_stop_again (struct dff_holder *holder, struct holder_run *run)
 {
@@ -489,7 +495,7 @@
 	else if (run->phase == DFF_RUN_PHASE_STARTING && !capacity_allows_start (holder, worker))
 		withdraw_start (holder, run, "room");
 	bool is_stop = run->phase == DFF_RUN_PHASE_STOPPING;
-	if (!is_stop && !evacuation_allows_starts (holder))
+	if (!is_stop && (run_is_obstructed (run) || !evacuation_allows_starts (holder)))
 		return;
 	/* A start whose deadline has passed on the worker's clock would only be refused. */
 	if (!is_stop && watch_deadline_ms (holder, worker) == 0 && run->n_unanswered == 0)
--- a/holder/watch.c
+++ b/holder/watch.c
@@ -154,6 +154,8 @@
 			continue;
 		struct holder_run *run = g_hash_table_lookup (worker->runs, &task);
 		if (run == NULL || run->run != open->run) {
+			if (run != NULL)
+				run->other_listed_ms = holder_now_ms (holder);
 			handle_orphan (holder, worker, &task, open->run, begun_ms);
 			continue;
 		}
@@ -215,7 +217,8 @@
 			run_end (holder, run, run->unlisted_event, run->ran);
 			continue;
 		}
-		if (run->phase == DFF_RUN_PHASE_OPEN && begun_ms > run->open_ms) {
+		if (run->phase == DFF_RUN_PHASE_OPEN && begun_ms > run->open_ms &&
+		    !run_is_obstructed (run)) {
 			/* A former holder recorded the run but did not send it, or the worker has
 			 * lost it: sending the start again shows which. */
 			note_unlisted (holder, run, result);
--- a/tests/holder/test-holder-seeds.c
+++ b/tests/holder/test-holder-seeds.c
@@ -41,6 +41,10 @@
  * worker's next incarnation was asked to discard completions by a number of the previous one. */
 static const guint failed_seeds_with_lives[] = {40};
 
+/** Failed seeds with short reports. 239: a former holder's run was started while its worker listed
+ * an earlier run of the task as active, which the worker had started late. */
+static const guint failed_seeds_with_reports[] = {239};
+
 /** Durations of the tasks on the workers of a rack, per thousand, where workers differ. */
 static const int32_t unequal[SITE_PER_RACK] = {600, 1000, 1600};
 
@@ -55,7 +59,9 @@
 /** Maximum number of jobs of a run; each id is used once. */
 #define JOBS_MAX 40
 /** Maximum number of tasks of a job. */
-#define TASKS_MAX 4
+#define TASKS_MAX 12
+/** Maximum number of completions in one report, where workers list few. */
+#define LISTED_ENDS_MAX 3
 
 enum variant {
 	DFF_VARIANT_PLAIN,
@@ -83,6 +89,9 @@
 	/** Workers differ in speed and restart under the same id; the row of what was learned of
 	 * them is damaged, removed, refused or not answered. */
 	DFF_VARIANT_SPEEDS,
+	/** As DFF_VARIANT_RESTARTS, with larger jobs and workers that list few completions in one
+	 * report. */
+	DFF_VARIANT_REPORTS,
 };
 
 struct run {
@@ -126,6 +135,12 @@
 	{'3', false, 1, 1}, {'4', false, 2, 1}, {'5', true, 2, 4},
 };
 
+/* Jobs whose tasks end together, several on each worker. */
+static const struct job_kind wide_kinds[] = {
+	{'a', false, TASKS_MAX, 1},        {'a', false, 3, 1},         {'1', false, TASKS_MAX, 1},
+	{'2', true, 3, SITE_ACCELERATORS}, {'4', false, TASKS_MAX, 1}, {'5', true, 2, 4},
+};
+
 static const struct job_kind crashing_kinds[] = {
 	{'a', false, 4, 1}, {'1', false, 3, 1},
 	{'4', false, 2, 1}, {'5', true, 2, 4},
@@ -153,6 +168,9 @@
 	} else if (run->variant == DFF_VARIANT_CRASHES) {
 		kinds = crashing_kinds;
 		n_kinds = G_N_ELEMENTS (crashing_kinds);
+	} else if (run->variant == DFF_VARIANT_REPORTS) {
+		kinds = wide_kinds;
+		n_kinds = G_N_ELEMENTS (wide_kinds);
 	}
 	const struct job_kind *kind = &kinds[pick (run, n_kinds)];
 	g_autofree char *id = g_strdup_printf ("%cj%d", kind->kind, run->n_jobs++);
@@ -477,10 +495,10 @@
 		step_capacity (run);
 	if (run->variant == DFF_VARIANT_EVACUATIONS)
 		step_evacuations (run);
-	if (run->variant == DFF_VARIANT_RESTARTS)
+	bool restarts = run->variant == DFF_VARIANT_RESTARTS || run->variant == DFF_VARIANT_REPORTS;
+	if (restarts)
 		step_restarts (run);
-	if (run->variant == DFF_VARIANT_PATHS || run->variant == DFF_VARIANT_RELAYS ||
-	    run->variant == DFF_VARIANT_RESTARTS)
+	if (run->variant == DFF_VARIANT_PATHS || run->variant == DFF_VARIANT_RELAYS || restarts)
 		step_paths (run);
 	int roll = pick (run, 100);
 	if (roll < 40)
@@ -530,7 +548,8 @@
 	const char *state = site_state (&run->site, 0, id);
 	if (strcmp (state, expected) == 0)
 		return;
-	bool crash = run->variant == DFF_VARIANT_CRASHES || run->variant == DFF_VARIANT_RESTARTS;
+	bool crash = run->variant == DFF_VARIANT_CRASHES || run->variant == DFF_VARIANT_RESTARTS ||
+		     run->variant == DFF_VARIANT_REPORTS;
 	if (crash && strcmp (state, "failed") == 0 && has_crashed_workers (run, id)) {
 		run->n_blameless++;
 		return;
@@ -557,6 +576,9 @@
 		site_open_unenforced (&run.site);
 	else if (variant == DFF_VARIANT_RESTARTS)
 		site_open_with_same_ids (&run.site, seed % 2 == 0);
+	else if (variant == DFF_VARIANT_REPORTS)
+		site_open_with_short_reports (&run.site, 1 + (int32_t)seed % LISTED_ENDS_MAX,
+					      seed % 2 == 0);
 	else if (variant == DFF_VARIANT_SPEEDS)
 		site_open_with_durations (&run.site, unequal);
 	else
@@ -691,6 +713,15 @@
 	run_seeds (DFF_VARIANT_SPEEDS);
 }
 
+static void
+test_seeds_with_reports (void **state)
+{
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS (failed_seeds_with_reports); i++)
+		run_seed (failed_seeds_with_reports[i], DFF_VARIANT_REPORTS);
+	run_seeds (DFF_VARIANT_REPORTS);
+}
+
 int
 main (void)
 {
@@ -705,6 +736,7 @@
 		cmocka_unit_test (test_seeds_with_rooms),
 		cmocka_unit_test (test_seeds_with_lives),
 		cmocka_unit_test (test_seeds_with_speeds),
+		cmocka_unit_test (test_seeds_with_reports),
 	};
 	site_tests_begin (tests, G_N_ELEMENTS (tests));
 	return cmocka_run_group_tests (tests, NULL, NULL);
