rows: a woken subscription forgets its call

Cause: dff_subscription_wake() detached the call in progress from the subscription, but the subscription kept its pointer to the call. A process that finds the store again wakes its subscriptions from within the answer that shows it. If that answer is the subscription's own, the call is freed right afterwards, and a second wake, or a step-down that frees the subscription, before the next call writes to freed memory.

Both now forget the call as they detach it.

--- a/rows/subscription.c
+++ b/rows/subscription.c
@@ -35,6 +35,15 @@
 
 static void follow (struct dff_subscription *subscription);
 
+/* Detaches the call in progress: its answer is ignored. */
+static void
+drop_call (struct dff_subscription *subscription)
+{
+	if (subscription->call != NULL)
+		subscription->call->subscription = NULL;
+	subscription->call = NULL;
+}
+
 static struct call *
 call_begin (struct dff_subscription *subscription)
 {
@@ -176,8 +185,7 @@
 {
 	if (dff_scan_is_running (subscription->scan))
 		return;
-	if (subscription->call != NULL)
-		subscription->call->subscription = NULL;
+	drop_call (subscription);
 	subscription->retry_ms = RETRY_MIN_MS;
 	dff_timer_start (subscription->retry, 0);
 }
@@ -218,8 +226,7 @@
 void
 dff_subscription_free (struct dff_subscription *subscription)
 {
-	if (subscription->call != NULL)
-		subscription->call->subscription = NULL;
+	drop_call (subscription);
 	dff_timer_free (subscription->retry);
 	dff_scan_free (subscription->scan);
 	g_free (subscription);
