relay, rows: what a callback may free is held while it is read

Cause: a worker's answer that a higher epoch has been seen makes the holder step down, which drops its relays. If the answer came through a relay, the relay was freed in the middle of its message, and the loop went on with the next answer and the freed table of calls. Scans and subscriptions went on in the same way when their sinks freed them.

Relays, streams, scans and subscriptions are reference counted, the one reference the owner's, the other the running function's; loops stop once the object is dropped.

--- a/relay/dispatch.c
+++ b/relay/dispatch.c
@@ -46,6 +46,9 @@
 	struct relay_batch *batch;
 	/** Calls in progress: uint64_t *, the id of a call, to struct call *. */
 	GHashTable *calls;
+	/** One reference until the relay is dropped, and one while a message from it is handled. */
+	grefcount refs;
+	bool dropped;
 };
 
 struct dff_dispatch {
@@ -76,9 +79,10 @@
 }
 
 static void
-free_relay (gpointer data)
+relay_unref (struct dff_dispatch_relay *relay)
 {
-	struct dff_dispatch_relay *relay = data;
+	if (!g_ref_count_dec (&relay->refs))
+		return;
 	relay_batch_free (relay->batch);
 	g_hash_table_unref (relay->calls);
 	g_free (relay);
@@ -245,8 +249,9 @@
 		 "Relay lost. relay=%s reason=%s calls=%u heard_ms_ago=%" PRId64 " relays=%u",
 		 relay->name.data, reason, g_hash_table_size (relay->calls),
 		 now_ms (dispatch) - relay->last_received_ms, dispatch->relays->len);
+	relay->dropped = true;
 	end_calls (relay);
-	free_relay (relay);
+	relay_unref (relay);
 }
 
 /* The time by which a check is late does not count as silence of the relays. Otherwise a pause of
@@ -261,6 +266,9 @@
 	dispatch->checked_ms = now;
 	dff_timer_start (dispatch->check, CHECK_INTERVAL_MS);
 	for (guint i = dispatch->relays->len; i > 0; i--) {
+		/* The callback of a call that ends with its relay may have dropped others. */
+		if (i > dispatch->relays->len)
+			continue;
 		struct dff_dispatch_relay *relay = g_ptr_array_index (dispatch->relays, i - 1);
 		relay->last_received_ms += late_ms;
 		if (now - relay->last_received_ms < RELAY_TIMEOUT_MS)
@@ -278,6 +286,7 @@
 		return NULL;
 	}
 	struct dff_dispatch_relay *relay = g_new0 (struct dff_dispatch_relay, 1);
+	g_ref_count_init (&relay->refs);
 	relay->dispatch = dispatch;
 	relay->link = *link;
 	relay->last_received_ms = now_ms (dispatch);
@@ -339,8 +348,11 @@
 			 name.data, relay->dispatch->relays->len);
 	}
 	relay->leaving |= batch->leaving;
-	for (size_t i = 0; i < batch->n_answers; i++)
+	/* An answer may make this process step down, which drops the relay. */
+	g_ref_count_inc (&relay->refs);
+	for (size_t i = 0; i < batch->n_answers && !relay->dropped; i++)
 		take_answer (relay, batch->answers[i]);
+	relay_unref (relay);
 	dff__relay__batch__free_unpacked (batch, NULL);
 }
 
@@ -419,7 +431,8 @@
 	for (guint i = 0; i < dispatch->relays->len; i++) {
 		struct dff_dispatch_relay *relay = g_ptr_array_index (dispatch->relays, i);
 		relay->link.close (relay->link.ctx);
-		free_relay (relay);
+		relay->dropped = true;
+		relay_unref (relay);
 	}
 	g_ptr_array_unref (dispatch->relays);
 	dff_timer_free (dispatch->flush);
--- a/relay/stream.c
+++ b/relay/stream.c
@@ -22,9 +22,8 @@
 struct dff_stream {
 	struct bufferevent *events;
 	struct dff_stream_handlers handlers;
-	/** Whether handle_read() is calling the message handler, and whether the handler has freed
-	 * the stream meanwhile. */
-	bool reading;
+	/** One reference until the stream is freed, and one while messages are handled. */
+	grefcount refs;
 	bool freed;
 };
 
@@ -56,27 +55,27 @@
 }
 
 static void
-stream_destroy (struct dff_stream *stream)
+stream_unref (struct dff_stream *stream)
 {
+	if (!g_ref_count_dec (&stream->refs))
+		return;
 	bufferevent_free (stream->events);
 	g_free (stream);
 }
 
-/* A handler may free the stream: the memory is released after the last handler has returned. */
 static void
 handle_read (struct bufferevent *events, void *ctx)
 {
 	(void)events;
 	struct dff_stream *stream = ctx;
 	bool within_limit = true;
-	stream->reading = true;
+	/* A handler may free the stream. */
+	g_ref_count_inc (&stream->refs);
 	while (!stream->freed && take_message (stream, &within_limit))
 		continue;
 	if (!stream->freed && !within_limit)
 		stream->handlers.ended (stream->handlers.ctx);
-	stream->reading = false;
-	if (stream->freed)
-		stream_destroy (stream);
+	stream_unref (stream);
 }
 
 static void
@@ -95,6 +94,7 @@
 stream_new (struct event_base *base, evutil_socket_t fd, const struct dff_stream_handlers *handlers)
 {
 	struct dff_stream *stream = g_new0 (struct dff_stream, 1);
+	g_ref_count_init (&stream->refs);
 	stream->handlers = *handlers;
 	stream->events = bufferevent_socket_new (base, fd, BEV_OPT_CLOSE_ON_FREE);
 	bufferevent_setcb (stream->events, handle_read, NULL, handle_event, stream);
@@ -145,8 +145,7 @@
 dff_stream_free (struct dff_stream *stream)
 {
 	stream->freed = true;
-	if (!stream->reading)
-		stream_destroy (stream);
+	stream_unref (stream);
 }
 
 void
--- a/rows/scan.c
+++ b/rows/scan.c
@@ -29,6 +29,9 @@
 	/** (nullable): the call in progress; detached from the scan when the scan is freed. */
 	struct call *call;
 	bool running;
+	/** One reference until the scan is freed, and one while a page is handled. */
+	grefcount refs;
+	bool freed;
 	int32_t page_limit;
 	int32_t timeout_ms;
 	int32_t retry_ms;
@@ -80,26 +83,25 @@
 	scan->result.n_pages++;
 	scan->result.n_rows += (int32_t)result->n_rows;
 	scan->retry_ms = RETRY_MIN_MS;
-	for (size_t i = 0; i < result->n_rows; i++)
+	for (size_t i = 0; i < result->n_rows && !scan->freed; i++)
 		sink->row (sink->ctx, &result->rows[i]);
 }
 
 static void
-handle_page (void *user, const struct dff_rows_result *result)
+apply_page (struct dff_scan *scan, const struct dff_rows_result *result, int64_t begun_ms)
 {
-	g_autofree struct call *call = user;
-	struct dff_scan *scan = call->scan;
-	if (scan == NULL)
-		return;
-	scan->call = NULL;
 	const struct dff_scan_sink *sink = &scan->options.sink;
 	if (sink->page != NULL)
-		sink->page (sink->ctx, result, call->begun_ms);
+		sink->page (sink->ctx, result, begun_ms);
+	if (scan->freed)
+		return;
 	if (result->outcome != DFF_ROWS_DONE) {
 		retry_later (scan);
 		return;
 	}
 	take_page (scan, result);
+	if (scan->freed)
+		return;
 	if (!result->more || result->n_rows == 0) {
 		finish (scan);
 		return;
@@ -108,6 +110,30 @@
 	read_page (scan);
 }
 
+static void
+scan_unref (struct dff_scan *scan)
+{
+	if (!g_ref_count_dec (&scan->refs))
+		return;
+	dff_timer_free (scan->retry);
+	g_string_free (scan->next_key, TRUE);
+	g_free (scan);
+}
+
+static void
+handle_page (void *user, const struct dff_rows_result *result)
+{
+	g_autofree struct call *call = user;
+	struct dff_scan *scan = call->scan;
+	if (scan == NULL)
+		return;
+	scan->call = NULL;
+	/* The sink may free the scan. */
+	g_ref_count_inc (&scan->refs);
+	apply_page (scan, result, call->begun_ms);
+	scan_unref (scan);
+}
+
 static void
 read_page (struct dff_scan *scan)
 {
@@ -133,6 +159,7 @@
 dff_scan_new (const struct dff_scan_options *options)
 {
 	struct dff_scan *scan = g_new0 (struct dff_scan, 1);
+	g_ref_count_init (&scan->refs);
 	scan->options = *options;
 	scan->retry = dff_timer_new (options->timers, handle_retry, scan);
 	scan->next_key = g_string_new (NULL);
@@ -144,9 +171,9 @@
 {
 	if (scan->call != NULL)
 		scan->call->scan = NULL;
-	dff_timer_free (scan->retry);
-	g_string_free (scan->next_key, TRUE);
-	g_free (scan);
+	dff_timer_stop (scan->retry);
+	scan->freed = true;
+	scan_unref (scan);
 }
 
 void
--- a/rows/subscription.c
+++ b/rows/subscription.c
@@ -21,6 +21,9 @@
 	/** Revision up to which changes have been reported; 0: the table has to be scanned. */
 	int64_t revision;
 	bool ready;
+	/** One reference until the subscription is freed, and one while its sink is called. */
+	grefcount refs;
+	bool freed;
 	/** Whether the last call failed; used to log only the first of several failures. */
 	bool failing;
 	int32_t retry_ms;
@@ -35,6 +38,15 @@
 
 static void follow (struct dff_subscription *subscription);
 
+static void
+subscription_unref (struct dff_subscription *subscription)
+{
+	if (!g_ref_count_dec (&subscription->refs))
+		return;
+	dff_timer_free (subscription->retry);
+	g_free (subscription);
+}
+
 /* Detaches the call in progress: its answer is ignored. */
 static void
 drop_call (struct dff_subscription *subscription)
@@ -100,7 +112,7 @@
 static void
 report_rows (struct dff_subscription *subscription, const struct dff_rows_result *result)
 {
-	for (size_t i = 0; i < result->n_rows; i++)
+	for (size_t i = 0; i < result->n_rows && !subscription->freed; i++)
 		subscription->options.sink.row (subscription->options.sink.ctx, &result->rows[i]);
 }
 
@@ -126,9 +138,12 @@
 	struct dff_subscription *subscription = ctx;
 	subscription->revision = result->revision;
 	subscription->ready = true;
+	g_ref_count_inc (&subscription->refs);
 	if (subscription->options.sink.end_snapshot != NULL)
 		subscription->options.sink.end_snapshot (subscription->options.sink.ctx);
-	follow (subscription);
+	if (!subscription->freed)
+		follow (subscription);
+	subscription_unref (subscription);
 }
 
 static void
@@ -153,8 +168,23 @@
 	}
 	record_success (subscription, begun_ms);
 	subscription->revision = MAX (subscription->revision, result->revision);
+	g_ref_count_inc (&subscription->refs);
 	report_rows (subscription, result);
-	follow (subscription);
+	if (!subscription->freed)
+		follow (subscription);
+	subscription_unref (subscription);
+}
+
+/* Reads the whole table. */
+static void
+begin_scan (struct dff_subscription *subscription)
+{
+	g_ref_count_inc (&subscription->refs);
+	if (subscription->options.sink.begin_snapshot != NULL)
+		subscription->options.sink.begin_snapshot (subscription->options.sink.ctx);
+	if (!subscription->freed)
+		dff_scan_start (subscription->scan);
+	subscription_unref (subscription);
 }
 
 static void
@@ -162,9 +192,7 @@
 {
 	const struct dff_subscription_options *options = &subscription->options;
 	if (subscription->revision == 0) {
-		if (options->sink.begin_snapshot != NULL)
-			options->sink.begin_snapshot (options->sink.ctx);
-		dff_scan_start (subscription->scan);
+		begin_scan (subscription);
 		return;
 	}
 	struct dff_rows_feed feed = {.table = options->table,
@@ -203,6 +231,7 @@
 dff_subscription_new (const struct dff_subscription_options *options)
 {
 	struct dff_subscription *subscription = g_new0 (struct dff_subscription, 1);
+	g_ref_count_init (&subscription->refs);
 	subscription->options = *options;
 	subscription->retry = dff_timer_new (options->timers, handle_retry, subscription);
 	subscription->retry_ms = RETRY_MIN_MS;
@@ -227,9 +256,10 @@
 dff_subscription_free (struct dff_subscription *subscription)
 {
 	drop_call (subscription);
-	dff_timer_free (subscription->retry);
+	dff_timer_stop (subscription->retry);
 	dff_scan_free (subscription->scan);
-	g_free (subscription);
+	subscription->freed = true;
+	subscription_unref (subscription);
 }
 
 bool
--- a/tests/holder/test-holder-seeds.c
+++ b/tests/holder/test-holder-seeds.c
@@ -38,8 +38,10 @@
 static const guint failed_seeds_with_rooms[] = {122, 129, 251, 297, 299};
 
 /** Failed seeds with restarts under the same id. 40: a failed run was not counted, because the
- * worker's next incarnation was asked to discard completions by a number of the previous one. */
-static const guint failed_seeds_with_lives[] = {40};
+ * worker's next incarnation was asked to discard completions by a number of the previous one. 234:
+ * the holder crashed, because a relay's answer made it step down and it went on reading the relay's
+ * message. */
+static const guint failed_seeds_with_lives[] = {40, 234};
 
 /** Failed seeds with short reports. 239: a former holder's run was started while its worker listed
  * an earlier run of the task as active, which the worker had started late. */
--- a/tests/relay/test-relay.c
+++ b/tests/relay/test-relay.c
@@ -7,6 +7,7 @@
 #include <string.h>
 
 #include "common/event_loop.h"
+#include "relay/message.h"
 #include "relay/stream.h"
 #include "standin/memory_link.h"
 #include "standin/memory_runner.h"
@@ -342,6 +343,62 @@
 	close_fixture (&fixture);
 }
 
+/** A call whose answer makes the holder step down, in place of the holder's handler. */
+struct ending_call {
+	struct fixture *fixture;
+	struct outcome outcome;
+};
+
+static void
+handle_result_and_step_down (void *user, const struct dff_runner_result *result)
+{
+	struct ending_call *call = user;
+	handle_result (&call->outcome, result);
+	dff_dispatch_set_limit (call->fixture->dispatch, 0);
+}
+
+/* Guards against reading a relay that is freed: the answer to a call makes this process step down,
+ * which drops the relay in the middle of its message. */
+static void
+test_step_down_within_a_message (void **state)
+{
+	(void)state;
+	static const Dff__Relay__Kind kinds[] = {DFF__RELAY__KIND__START, DFF__RELAY__KIND__STOP,
+						 DFF__RELAY__KIND__WATCH};
+	for (size_t k = 0; k < G_N_ELEMENTS (kinds); k++) {
+		struct fixture fixture;
+		struct ending_call calls[WORKERS];
+		open_fixture (&fixture);
+		const struct dff_runner *runner = dff_dispatch_interface (fixture.dispatch);
+		for (int i = 0; i < WORKERS; i++) {
+			struct dff_run_order order = order_for (i, 1);
+			struct dff_run_watch watch = {.worker = worker_id (i),
+						      .address = worker_address (i),
+						      .epoch = 1,
+						      .timeout_ms = 500};
+			calls[i] = (struct ending_call){.fixture = &fixture};
+			if (kinds[k] == DFF__RELAY__KIND__START)
+				runner->start (runner->ctx, &order, handle_result_and_step_down,
+					       &calls[i]);
+			else if (kinds[k] == DFF__RELAY__KIND__STOP)
+				runner->stop (runner->ctx, &order, handle_result_and_step_down,
+					      &calls[i]);
+			else
+				runner->watch (runner->ctx, &watch, handle_result_and_step_down,
+					       &calls[i]);
+		}
+		dff_virtual_loop_run (fixture.loop, 100);
+		int n_answered = 0;
+		for (int i = 0; i < WORKERS; i++) {
+			assert_true (calls[i].outcome.ended);
+			n_answered += calls[i].outcome.outcome == DFF_RUNNER_DONE;
+		}
+		assert_int_equal (n_answered, 1);
+		assert_int_equal (dff_dispatch_n_relays (fixture.dispatch), 0);
+		close_fixture (&fixture);
+	}
+}
+
 /* Guards against lost runs when a relay is isolated, frozen or gone: calls through it never end,
  * and the leases of its workers are not renewed and expire. The calls have to end as unknown within
  * 1.3 s, and the next ones have to go through another relay. */
@@ -602,6 +659,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test (test_calls_and_answers_arrive_whole),
 		cmocka_unit_test (test_answers_carry_the_incarnation),
+		cmocka_unit_test (test_step_down_within_a_message),
 		cmocka_unit_test (test_relays_leave_a_former_holder),
 		cmocka_unit_test (test_calls_through_a_lost_relay),
 		cmocka_unit_test (test_worker_out_of_reach_of_relays),
--- a/tests/rows/test-subscription.c
+++ b/tests/rows/test-subscription.c
@@ -8,8 +8,8 @@
 #include "rows/subscription.h"
 #include "standin/memory_rows.h"
 
-/* Subscriptions that are woken or freed from within their own callbacks. The sanitizer reports what
- * is read afterwards. */
+/* Subscriptions that are freed by their own sink, or woken while a call is answered, as a process
+ * does that steps down or finds the store again. The sanitizer reports what is read afterwards. */
 
 #define TABLE "table"
 #define START_MS 1000000
@@ -18,6 +18,12 @@
  * store counts as silent, and longer than the timeout of a probe. */
 #define SLOW_MS 1400
 
+enum callback {
+	CALLBACK_BEGIN_SNAPSHOT,
+	CALLBACK_ROW,
+	CALLBACK_END_SNAPSHOT,
+};
+
 struct fixture {
 	struct dff_virtual_loop *loop;
 	struct dff_metrics *metrics;
@@ -26,16 +32,40 @@
 	struct dff_rows_health *health;
 	/** (nullable): NULL once it is freed. */
 	struct dff_subscription *subscription;
+	/** Whether the callback @frees_in frees the subscription. */
+	bool frees;
+	enum callback frees_in;
+	int n_after_free;
 	int n_recoveries;
 	/** Whether the subscription is woken again after a recovery, or freed. */
 	bool woken_again;
 };
 
+static void
+handle_callback (struct fixture *fixture, enum callback callback)
+{
+	fixture->n_after_free += fixture->subscription == NULL && fixture->frees;
+	if (fixture->frees && callback == fixture->frees_in)
+		g_clear_pointer (&fixture->subscription, dff_subscription_free);
+}
+
+static void
+handle_begin (void *ctx)
+{
+	handle_callback (ctx, CALLBACK_BEGIN_SNAPSHOT);
+}
+
 static void
 handle_row (void *ctx, const struct dff_row *row)
 {
-	(void)ctx;
 	(void)row;
+	handle_callback (ctx, CALLBACK_ROW);
+}
+
+static void
+handle_end (void *ctx)
+{
+	handle_callback (ctx, CALLBACK_END_SNAPSHOT);
 }
 
 static void
@@ -93,7 +123,10 @@
 		.table = TABLE,
 		.wait_ms = 500,
 		.timeout_margin_ms = 1000,
-		.sink = {.row = handle_row, .ctx = fixture},
+		.sink = {.row = handle_row,
+			 .begin_snapshot = handle_begin,
+			 .end_snapshot = handle_end,
+			 .ctx = fixture},
 	};
 	fixture->subscription = dff_subscription_new (&options);
 }
@@ -110,6 +143,39 @@
 	dff_virtual_loop_free (fixture->loop);
 }
 
+/* Guards against going on with a subscription that its sink has freed, in each callback, in a scan
+ * and in a feed. */
+static void
+test_freed_by_its_sink (void **state)
+{
+	(void)state;
+	static const struct {
+		enum callback frees_in;
+		bool in_feed;
+	} cases[] = {
+		{CALLBACK_ROW, false},          {CALLBACK_ROW, true},
+		{CALLBACK_END_SNAPSHOT, false}, {CALLBACK_BEGIN_SNAPSHOT, true},
+		{CALLBACK_END_SNAPSHOT, true},
+	};
+	for (size_t i = 0; i < G_N_ELEMENTS (cases); i++) {
+		struct fixture fixture;
+		fixture_open (&fixture);
+		fixture.frees_in = cases[i].frees_in;
+		fixture.frees = !cases[i].in_feed;
+		dff_virtual_loop_run (fixture.loop, 300);
+		assert_true (cases[i].in_feed == (fixture.subscription != NULL));
+		fixture.frees = true;
+		/* A feed that starts before the dropped history leads to another snapshot. */
+		put_rows (&fixture);
+		if (cases[i].frees_in != CALLBACK_ROW)
+			dff_memory_rows_drop_history (fixture.rows);
+		dff_virtual_loop_run (fixture.loop, 3000);
+		assert_null (fixture.subscription);
+		assert_int_equal (fixture.n_after_free, 0);
+		fixture_close (&fixture);
+	}
+}
+
 /* Guards against writing to a call that is freed: the store answers again, which wakes the
  * subscription, with the answer to the subscription's own call; before it calls again it is woken
  * once more or freed. */
@@ -139,6 +205,7 @@
 main (void)
 {
 	const struct CMUnitTest tests[] = {
+		cmocka_unit_test (test_freed_by_its_sink),
 		cmocka_unit_test (test_woken_by_its_own_answer),
 	};
 	return cmocka_run_group_tests (tests, NULL, NULL);
