holder: units of a withdrawn job are not submitted again

Cause: a job whose row cannot be written in time is withdrawn: its units are cancelled, and it is removed once none is left. A unit of an endless job is submitted again whenever it ends while its job has no final state, and a withdrawn job never gets one. So the job stayed in memory, and when its row was written straight to the store, it was passed over as known.

Evidence: 'Unit placed. run=2' in the same millisecond as 'Job not taken in', and 603 times 'Job found that was not told' afterwards.

A unit of a cancelled or withdrawn job is not submitted again.

--- a/holder/units.c
+++ b/holder/units.c
@@ -340,8 +340,9 @@
 	struct holder_job *job = unit->job;
 	struct dff_unit at = unit->unit;
 	bool final = dff_job_state_is_final (job->progress->state);
-	/* An endless task fails only because of its blame for lost workers. */
-	bool endless = dff_plan_step (job->plan, at.step)->endless && !final &&
+	/* An endless task fails only because of its blame for lost workers. A withdrawn job has no
+	 * final state. */
+	bool endless = dff_plan_step (job->plan, at.step)->endless && !final && !job->cancelled &&
 		       command->outcome != DFF_OUTCOME_FAILED;
 	if (endless || command->outcome != DFF_OUTCOME_COMPLETED)
 		clear_assignment (holder, unit);
--- a/tests/holder/test-holder-submissions.c
+++ b/tests/holder/test-holder-submissions.c
@@ -11,6 +11,9 @@
  * usual. An urgent job with 2.5 s of work has an objective of 4 s, so that it can lose 0.5 s before
  * its start. SLOW_MS: duration of a transaction. */
 #define SLOW_MS 170
+/** Longest time from the acceptance of a job until its tasks have started, ms: two reads of the
+ * inbox and two transactions. */
+#define START_LIMIT_MS 1000
 /** Transactions before a start: the one in progress, and the one with the job in it. */
 #define TRANSACTIONS 2
 /** Delays of the messages and intervals of the loop, ms. */
@@ -247,6 +250,29 @@
 	site_close (&site);
 }
 
+/* Guards against an accepted job that never starts: its first submission was withdrawn because the
+ * store refused its row, its endless tasks were placed again in memory, and the row of the second
+ * submission was passed over as known. */
+static void
+test_withdrawn_endless_job (void **state)
+{
+	(void)state;
+	struct site site;
+	site_open_with_links (&site);
+	int other = (site_holder (&site) + 1) % SITE_PROCESSES;
+	for (int accepted = 0; accepted < 2; accepted++) {
+		struct dff_plan *plan = site_plan ("u", SITE_WORKERS, false, 1);
+		dff_plan_step (plan, 0)->endless = true;
+		for (int i = 0; i < SITE_PROCESSES; i++)
+			faults_of (&site, i)->refuses = accepted == 0;
+		assert_int_equal (site_submit (&site, other, plan) == DFF_FRONT_OK, accepted == 1);
+		site_run (&site, START_LIMIT_MS);
+		assert_int_equal (dff_memory_runner_n_active (site.runner),
+				  accepted * SITE_WORKERS);
+	}
+	site_close (&site);
+}
+
 /* Guards against refusing the callers of a process without a path to the store although other
  * processes are served: the path is cut for seconds; a job is submitted, its state is queried, and
  * another job is cancelled through this process. The process has to use another one. If no process
@@ -329,6 +355,7 @@
 		cmocka_unit_test (test_submission_outcomes),
 		cmocka_unit_test (test_submission_during_step_down),
 		cmocka_unit_test (test_withdrawn_jobs),
+		cmocka_unit_test (test_withdrawn_endless_job),
 		cmocka_unit_test (test_process_without_store),
 	};
 	return cmocka_run_group_tests (tests, NULL, NULL);
