relay: an empty list of ends of an earlier build counts as complete

Read in the diff: a holder beside relays of the former build took every report for incomplete, so that during an update stopped and unsent starts would have waited until the last relay was replaced.

An empty list is complete whoever reports it, and lists are empty once ends are acknowledged.

--- a/holder/watch.c
+++ b/holder/watch.c
@@ -300,8 +300,8 @@
 	 * compared. */
 	apply_ended (holder, worker, result);
 	note_completeness (holder, worker, result);
-	/* While ends are left out of the report, an unlisted run may be among them. They are
-	 * reported once the listed ones are recorded and acknowledged. */
+	/* An unlisted run may be among the ends that are left out, which the worker reports once
+	 * the listed ones are acknowledged. */
 	if (result->ended_complete)
 		apply_unlisted (holder, worker, result, listed, begun_ms);
 	check_progress (holder, worker, listed);
--- a/relay/message.c
+++ b/relay/message.c
@@ -295,7 +295,7 @@
 		.n_running = answer->n_running,
 		.ended = ended,
 		.n_ended = answer->n_ended,
-		.ended_complete = answer->ended_complete,
+		.ended_complete = answer->ended_complete || answer->n_ended == 0,
 	};
 	done (user, &result);
 }
--- a/relay/relay.pb-c.h
+++ b/relay/relay.pb-c.h
@@ -118,7 +118,7 @@
    */
   int64_t born_ms;
   /*
-   * Earlier builds do not set it: their lists of ends count as cut short.
+   * Not set by earlier builds: of their lists, only an empty one is known to be complete.
    */
   protobuf_c_boolean ended_complete;
 };
