--- a/rows/subscription.c
+++ b/rows/subscription.c
@@ -21,7 +21,7 @@
 	/** Revision up to which changes have been reported; 0: the table has to be scanned. */
 	int64_t revision;
 	bool ready;
-	/** One reference until the subscription is freed, and one while its sink is called. */
+	/** One reference until the subscription is freed, and one while an event is handled. */
 	grefcount refs;
 	bool freed;
 	/** Whether the last call failed; used to log only the first of several failures. */
@@ -147,12 +147,10 @@
 }
 
 static void
-handle_changes (void *user, const struct dff_rows_result *result)
+apply_changes (struct dff_subscription *subscription,
+	       const struct dff_rows_result *result,
+	       int64_t begun_ms)
 {
-	int64_t begun_ms;
-	struct dff_subscription *subscription = call_end (user, &begun_ms);
-	if (subscription == NULL)
-		return;
 	if (result->outcome == DFF_ROWS_HISTORY_GONE) {
 		dff_log (DFF_LOG_RECORD, DFF_LOG_INFO,
 			 "Store dropped the history; scanning table again. table=%s "
@@ -168,10 +166,20 @@
 	}
 	record_success (subscription, begun_ms);
 	subscription->revision = MAX (subscription->revision, result->revision);
-	g_ref_count_inc (&subscription->refs);
 	report_rows (subscription, result);
 	if (!subscription->freed)
 		follow (subscription);
+}
+
+static void
+handle_changes (void *user, const struct dff_rows_result *result)
+{
+	int64_t begun_ms;
+	struct dff_subscription *subscription = call_end (user, &begun_ms);
+	if (subscription == NULL)
+		return;
+	g_ref_count_inc (&subscription->refs);
+	apply_changes (subscription, result, begun_ms);
 	subscription_unref (subscription);
 }
 
@@ -179,12 +187,10 @@
 static void
 begin_scan (struct dff_subscription *subscription)
 {
-	g_ref_count_inc (&subscription->refs);
 	if (subscription->options.sink.begin_snapshot != NULL)
 		subscription->options.sink.begin_snapshot (subscription->options.sink.ctx);
 	if (!subscription->freed)
 		dff_scan_start (subscription->scan);
-	subscription_unref (subscription);
 }
 
 static void
@@ -205,7 +211,10 @@
 static void
 handle_retry (void *ctx)
 {
-	follow (ctx);
+	struct dff_subscription *subscription = ctx;
+	g_ref_count_inc (&subscription->refs);
+	follow (subscription);
+	subscription_unref (subscription);
 }
 
 void
--- a/tests/holder/test-holder-reports.c
+++ b/tests/holder/test-holder-reports.c
@@ -198,10 +198,11 @@
 		cmocka_unit_test (test_unlisted_completions_are_no_stall),
 		cmocka_unit_test (test_unlisted_completions_after_restart),
 	};
-	for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+	for (size_t i = 0; i < G_N_ELEMENTS (cases); i++) {
 		tests[2 + i] = (struct CMUnitTest){.name = cases[i].name,
 						   .test_func = test_unlisted_completions,
 						   .initial_state = (void *)&cases[i]};
+	}
 	site_tests_begin (tests, G_N_ELEMENTS (tests));
 	return cmocka_run_group_tests (tests, NULL, NULL);
 }
--- a/tests/holder/test-holder-seeds.c
+++ b/tests/holder/test-holder-seeds.c
@@ -568,6 +568,7 @@
 	struct run run = {.rand = g_rand_new_with_seed (seed),
 			  .variant = variant,
 			  .cancelled = g_ptr_array_new_with_free_func (g_free)};
+	int32_t listed_max = 1 + (int32_t)seed % LISTED_ENDS_MAX;
 	if (variant == DFF_VARIANT_RELAYS)
 		site_open_with_relays (&run.site);
 	else if (variant == DFF_VARIANT_LINKS)
@@ -579,8 +580,7 @@
 	else if (variant == DFF_VARIANT_RESTARTS)
 		site_open_with_same_ids (&run.site, seed % 2 == 0);
 	else if (variant == DFF_VARIANT_REPORTS)
-		site_open_with_short_reports (&run.site, 1 + (int32_t)seed % LISTED_ENDS_MAX,
-					      seed % 2 == 0);
+		site_open_with_short_reports (&run.site, listed_max, seed % 2 == 0);
 	else if (variant == DFF_VARIANT_SPEEDS)
 		site_open_with_durations (&run.site, unequal);
 	else
--- a/tests/holder/test-holder-step-down.c
+++ b/tests/holder/test-holder-step-down.c
@@ -69,19 +69,19 @@
 	struct site site;
 	site_open_with_relays (&site);
 	int holder = site_holder (&site);
+	struct dff_memory_rows_faults *store =
+		dff_memory_rows_client_faults (site.processes[holder].rows);
 	/* The messages go through the relays. */
 	site_run (&site, 500);
 	assert_int_equal (site_submit (&site, 0, site_plan ("a", N_TASKS, false, 1)), DFF_FRONT_OK);
 	while (dff_memory_runner_n_active (site.runner) < N_TASKS)
 		site_run (&site, 1);
 	int64_t begun_ms = dff_virtual_loop_now_ms (site.loop);
-	if (test_case->apply == lose_store)
-		dff_memory_rows_client_faults (site.processes[holder].rows)->silent = true;
+	store->silent = test_case->apply == lose_store;
 	site_run (&site, begun_ms + TASK_MS + at_ms - dff_virtual_loop_now_ms (site.loop));
 	test_case->apply (&site, holder);
 	site_run (&site, 1500);
-	if (test_case->apply == lose_store)
-		dff_memory_rows_client_faults (site.processes[holder].rows)->silent = false;
+	store->silent = false;
 	assert_int_not_equal (site_wait_for_state (&site, "a", "completed", END_LIMIT_MS), -1);
 	site_close (&site);
 }
@@ -106,10 +106,11 @@
 main (void)
 {
 	struct CMUnitTest tests[G_N_ELEMENTS (cases)];
-	for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+	for (size_t i = 0; i < G_N_ELEMENTS (cases); i++) {
 		tests[i] = (struct CMUnitTest){.name = cases[i].name,
 					       .test_func = test_step_down_around_answers,
 					       .initial_state = (void *)&cases[i]};
+	}
 	site_tests_begin (tests, G_N_ELEMENTS (tests));
 	return cmocka_run_group_tests (tests, NULL, NULL);
 }
--- a/tests/relay/test-relay.c
+++ b/tests/relay/test-relay.c
@@ -357,6 +357,27 @@
 	dff_dispatch_set_limit (call->fixture->dispatch, 0);
 }
 
+static void
+send_ending_call (struct fixture *fixture,
+		  int worker,
+		  Dff__Relay__Kind kind,
+		  struct ending_call *call)
+{
+	const struct dff_runner *runner = dff_dispatch_interface (fixture->dispatch);
+	struct dff_run_order order = order_for (worker, 1);
+	struct dff_run_watch watch = {.worker = worker_id (worker),
+				      .address = worker_address (worker),
+				      .epoch = 1,
+				      .timeout_ms = 500};
+	*call = (struct ending_call){.fixture = fixture};
+	if (kind == DFF__RELAY__KIND__START)
+		runner->start (runner->ctx, &order, handle_result_and_step_down, call);
+	else if (kind == DFF__RELAY__KIND__STOP)
+		runner->stop (runner->ctx, &order, handle_result_and_step_down, call);
+	else
+		runner->watch (runner->ctx, &watch, handle_result_and_step_down, call);
+}
+
 /* Guards against reading a relay that is freed: the answer to a call makes this process step down,
  * which drops the relay in the middle of its message. */
 static void
@@ -369,24 +390,8 @@
 		struct fixture fixture;
 		struct ending_call calls[WORKERS];
 		open_fixture (&fixture);
-		const struct dff_runner *runner = dff_dispatch_interface (fixture.dispatch);
-		for (int i = 0; i < WORKERS; i++) {
-			struct dff_run_order order = order_for (i, 1);
-			struct dff_run_watch watch = {.worker = worker_id (i),
-						      .address = worker_address (i),
-						      .epoch = 1,
-						      .timeout_ms = 500};
-			calls[i] = (struct ending_call){.fixture = &fixture};
-			if (kinds[k] == DFF__RELAY__KIND__START)
-				runner->start (runner->ctx, &order, handle_result_and_step_down,
-					       &calls[i]);
-			else if (kinds[k] == DFF__RELAY__KIND__STOP)
-				runner->stop (runner->ctx, &order, handle_result_and_step_down,
-					      &calls[i]);
-			else
-				runner->watch (runner->ctx, &watch, handle_result_and_step_down,
-					       &calls[i]);
-		}
+		for (int i = 0; i < WORKERS; i++)
+			send_ending_call (&fixture, i, kinds[k], &calls[i]);
 		dff_virtual_loop_run (fixture.loop, 100);
 		int n_answered = 0;
 		for (int i = 0; i < WORKERS; i++) {
--- a/tests/rows/test-subscription.c
+++ b/tests/rows/test-subscription.c
@@ -19,9 +19,9 @@
 #define SLOW_MS 1400
 
 enum callback {
-	CALLBACK_BEGIN_SNAPSHOT,
-	CALLBACK_ROW,
-	CALLBACK_END_SNAPSHOT,
+	DFF_CALLBACK_BEGIN_SNAPSHOT,
+	DFF_CALLBACK_ROW,
+	DFF_CALLBACK_END_SNAPSHOT,
 };
 
 struct fixture {
@@ -45,37 +45,39 @@
 handle_callback (struct fixture *fixture, enum callback callback)
 {
 	fixture->n_after_free += fixture->subscription == NULL && fixture->frees;
-	if (fixture->frees && callback == fixture->frees_in)
+	if (fixture->frees && callback == fixture->frees_in) {
 		g_clear_pointer (&fixture->subscription, dff_subscription_free);
+	}
 }
 
 static void
 handle_begin (void *ctx)
 {
-	handle_callback (ctx, CALLBACK_BEGIN_SNAPSHOT);
+	handle_callback (ctx, DFF_CALLBACK_BEGIN_SNAPSHOT);
 }
 
 static void
 handle_row (void *ctx, const struct dff_row *row)
 {
 	(void)row;
-	handle_callback (ctx, CALLBACK_ROW);
+	handle_callback (ctx, DFF_CALLBACK_ROW);
 }
 
 static void
 handle_end (void *ctx)
 {
-	handle_callback (ctx, CALLBACK_END_SNAPSHOT);
+	handle_callback (ctx, DFF_CALLBACK_END_SNAPSHOT);
 }
 
 static void
 handle_after_recovery (void *user)
 {
 	struct fixture *fixture = user;
-	if (fixture->woken_again)
+	if (fixture->woken_again) {
 		dff_subscription_wake (fixture->subscription);
-	else
-		g_clear_pointer (&fixture->subscription, dff_subscription_free);
+		return;
+	}
+	g_clear_pointer (&fixture->subscription, dff_subscription_free);
 }
 
 static void
@@ -153,9 +155,9 @@
 		enum callback frees_in;
 		bool in_feed;
 	} cases[] = {
-		{CALLBACK_ROW, false},          {CALLBACK_ROW, true},
-		{CALLBACK_END_SNAPSHOT, false}, {CALLBACK_BEGIN_SNAPSHOT, true},
-		{CALLBACK_END_SNAPSHOT, true},
+		{DFF_CALLBACK_ROW, false},          {DFF_CALLBACK_ROW, true},
+		{DFF_CALLBACK_END_SNAPSHOT, false}, {DFF_CALLBACK_BEGIN_SNAPSHOT, true},
+		{DFF_CALLBACK_END_SNAPSHOT, true},
 	};
 	for (size_t i = 0; i < G_N_ELEMENTS (cases); i++) {
 		struct fixture fixture;
@@ -167,7 +169,7 @@
 		fixture.frees = true;
 		/* A feed that starts before the dropped history leads to another snapshot. */
 		put_rows (&fixture);
-		if (cases[i].frees_in != CALLBACK_ROW)
+		if (cases[i].frees_in != DFF_CALLBACK_ROW)
 			dff_memory_rows_drop_history (fixture.rows);
 		dff_virtual_loop_run (fixture.loop, 3000);
 		assert_null (fixture.subscription);
