entry: random numbers are drawn in an order of the code's own

On arm64 test-sessions failed 6 of 6 times: the ids in the responses were not those of the golden files. dff_entry_random_hash() and dff_request_id_new() drew several random numbers in the argument list of one call, and C leaves open in which order arguments are evaluated: compilers for x86-64 begin with the last one, those for arm64 with the first.

The numbers are now drawn one after the other, in the order of the golden files, which stay as they are. No other argument list or initializer of the product, the stand-ins or the tests draws more than one.

Measured on x86-64, as this machine is none of the other kind: clang evaluates arguments from the first to the last, as on arm64.

--- a/entry/entry.c
+++ b/entry/entry.c
@@ -59,9 +59,12 @@
 struct dff_name
 dff_entry_random_hash (struct dff_entry *entry)
 {
-	return dff_name_printf ("%08x%08x%08x%08x", g_rand_int (entry->rng),
-				g_rand_int (entry->rng), g_rand_int (entry->rng),
-				g_rand_int (entry->rng));
+	/* C leaves the order in which arguments are evaluated open, and a seed has to give the same
+	 * hash on every machine. */
+	uint32_t words[4];
+	for (size_t i = G_N_ELEMENTS (words); i > 0; i--)
+		words[i - 1] = g_rand_int (entry->rng);
+	return dff_name_printf ("%08x%08x%08x%08x", words[0], words[1], words[2], words[3]);
 }
 
 static void
--- a/entry/request.c
+++ b/entry/request.c
@@ -238,10 +238,12 @@
 struct dff_name
 dff_request_id_new (struct dff_entry *entry)
 {
+	/* Drawn one after the other, as C leaves the order of arguments open. */
+	uint32_t low = g_rand_int (entry->rng);
+	uint32_t high = g_rand_int (entry->rng) & 0xffff;
 	return dff_name_printf ("%.*s.%04x%04x%08x", INSTANCE_MAX,
 				entry->options.settings->instance.data,
-				dff_peer_start_id (entry->options.peer),
-				g_rand_int (entry->rng) & 0xffff, g_rand_int (entry->rng));
+				dff_peer_start_id (entry->options.peer), high, low);
 }
 
 void
