common: one module for the connections of all servers of a process

What counts is what was sent and not handled yet, what was not read yet, and headers by the memory that they take once parsed (measured with the fleet's server: 28 bytes for each byte of headers of three bytes). Above the maximum the connection is closed that holds most times how long it has made no progress; never one whose request is being handled.

For serve this changes what callers see at the limit of connections. A new caller was refused as long as there were idle connections younger than the time for a request, ten seconds: clients that connect and send nothing kept all others out. Now the connection that has been idle, or has not completed its request, for longest is closed for the new one. With only requests that are being handled, the new caller's request gets 503 with Retry-After at once, not a closed connection.

An input buffer above the largest request closes its connection.

--- a/entry/call.c
+++ b/entry/call.c
@@ -33,8 +33,8 @@
 		evhttp_clear_headers (&call->query);
 	begin_span (call);
 	struct evhttp_connection *connection = evhttp_request_get_connection (request);
-	dff_connections_begin_request (entry->connections,
-				       evhttp_connection_get_bufferevent (connection));
+	call->rejected = !dff_connection_group_begin_request (
+		entry->callers, evhttp_connection_get_bufferevent (connection));
 	return call;
 }
 
@@ -64,8 +64,8 @@
 connection_closed (struct evhttp_connection *connection, void *ctx)
 {
 	struct dff_call *call = ctx;
-	dff_connections_remove (call->entry->connections,
-				evhttp_connection_get_bufferevent (connection));
+	dff_connection_group_remove (call->entry->callers,
+				     evhttp_connection_get_bufferevent (connection));
 	struct evhttp_request *request = call->request;
 	call->watched = false;
 	if (request != NULL) {
--- a/entry/call.h
+++ b/entry/call.h
@@ -28,6 +28,8 @@
 	struct evhttp_request *request;
 	/** The connection was lost before the answer. */
 	bool lost;
+	/** There are too many connections, or they hold too much, for the call to be handled. */
+	bool rejected;
 	/** A callback for the loss of the connection is set; it holds a reference. */
 	bool watched;
 	struct dff_principal principal;
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -14,8 +14,14 @@
 /** While draining, a connection without a request for this long is closed, ms. A request that was
  * already in transit has arrived by then and is answered. */
 #define DRAIN_IDLE_MS 500
+/** Idle time after which a keep-alive connection is closed, ms. */
+#define IDLE_TIMEOUT_MS 75000
 /** Maximum size of a request's line and headers, bytes. */
 #define MAX_HEADER_BYTES 16384
+/** Retry-After of a call that is refused for too many connections, s. */
+#define BUSY_RETRY_S 1
+/** Number of bodies of the largest size that callers may be sending at once. */
+#define LARGEST_BODIES 4
 
 static GQuark
 entry_error_quark (void)
@@ -77,6 +83,19 @@
 	dff_reply_error (call, 404, "not_found", "There is nothing under this path.");
 }
 
+static void
+refuse_overload (struct dff_call *call)
+{
+	const struct dff_problem problem = {.status = 503,
+					    .code = "too_many_connections",
+					    .outcome = dff_refusal_outcome (call),
+					    .retry_after_s = BUSY_RETRY_S,
+					    .detail = "Too many connections are open."};
+	(*call->entry->counters.refused_busy)++;
+	dff_call_set_header (call, "Connection", "close");
+	dff_reply_problem (call, &problem);
+}
+
 static char *
 decoded_path (struct evhttp_request *request)
 {
@@ -98,7 +117,9 @@
 	enum dff_route_match match =
 		dff_route_find (evhttp_request_get_command (request), path, &route, &call->subject);
 	(*entry->counters.calls)++;
-	if (match != DFF_ROUTE_FOUND)
+	if (call->rejected)
+		refuse_overload (call);
+	else if (match != DFF_ROUTE_FOUND)
 		refuse_route (call, match);
 	else if (dff_auth_check (call, route->audience))
 		route->handle (call);
@@ -119,7 +140,7 @@
 						      BEV_OPT_CLOSE_ON_FREE);
 		bufferevent_openssl_set_allow_dirty_shutdown (bev, 1);
 	}
-	dff_connections_add (entry->connections, bev);
+	dff_connection_group_add (entry->callers, bev);
 	return bev;
 }
 
@@ -148,8 +169,11 @@
 	const struct dff_name *listen = &entry->options.settings->listen;
 	struct dff_name bound;
 	entry->socket = dff_http_listen (entry->http, listen, &bound);
-	if (entry->socket != NULL)
+	if (entry->socket != NULL) {
+		struct evconnlistener *listener = evhttp_bound_socket_get_listener (entry->socket);
+		dff_connection_group_set_listener (entry->callers, listener);
 		return true;
+	}
 	g_set_error (error, entry_error_quark (), 0, "Cannot listen on %s.", listen->data);
 	return false;
 }
@@ -202,6 +226,27 @@
 		dff_metrics_gauge (metrics, "dff_entry_connections_open", "Callers' connections.");
 }
 
+static struct dff_connection_limits
+connection_limits (const struct dff_settings *settings)
+{
+	return (struct dff_connection_limits){
+		.max_connections = settings->max_connections,
+		.header_timeout_ms = settings->request_timeout_ms,
+		.request_timeout_ms = settings->request_timeout_ms,
+		.idle_timeout_ms = IDLE_TIMEOUT_MS,
+		.max_header_bytes = MAX_HEADER_BYTES,
+		.max_body_bytes = (size_t)settings->max_body_bytes,
+	};
+}
+
+/* Room for several bodies of the largest size that the settings allow. */
+static size_t
+max_held_bytes (const struct dff_settings *settings)
+{
+	return MAX (DFF_CONNECTIONS_BYTES_DEFAULT,
+		    (size_t)settings->max_body_bytes * LARGEST_BODIES);
+}
+
 struct dff_entry *
 dff_entry_new (const struct dff_entry_options *options, GError **error)
 {
@@ -212,7 +257,9 @@
 	entry->refs = 1;
 	entry->rng = g_rand_new_with_seed_array (seed, G_N_ELEMENTS (seed));
 	entry->pool_text = g_string_new (NULL);
-	entry->connections = dff_connections_new (options->clock);
+	struct dff_connection_limits limits = connection_limits (options->settings);
+	entry->connections = dff_connections_new (options->clock, DFF_CONNECTIONS_BYTES_DEFAULT);
+	entry->callers = dff_connections_add_group (entry->connections, &limits);
 	entry->deadlines = dff_deadlines_new ();
 	entry->quota = dff_team_quota_new ();
 	dff_core_options_init (&core);
@@ -269,17 +316,15 @@
 dff_entry_tick (struct dff_entry *entry)
 {
 	const struct dff_settings *settings = entry->options.settings;
-	struct dff_connection_limits limits = {
-		.max_connections = settings->max_connections,
-		.request_timeout_ms = settings->request_timeout_ms,
-	};
-	struct evconnlistener *listener = evhttp_bound_socket_get_listener (entry->socket);
-	*entry->counters.connections_closed +=
-		dff_connections_tick (entry->connections, &limits, listener);
-	*entry->counters.connections_open = dff_connections_count (entry->connections);
+	struct dff_connection_limits limits = connection_limits (settings);
+	dff_connection_group_set_limits (entry->callers, &limits);
+	dff_connections_set_max_bytes (entry->connections, max_held_bytes (settings));
+	dff_connections_tick (entry->connections);
+	*entry->counters.connections_closed = dff_connections_n_closed (entry->connections);
+	*entry->counters.connections_open = dff_connection_group_count (entry->callers);
 	evhttp_set_max_body_size (entry->http, settings->max_body_bytes);
 	if (entry->draining)
-		dff_connections_close_idle (entry->connections, DRAIN_IDLE_MS);
+		dff_connection_group_close_idle (entry->callers, DRAIN_IDLE_MS);
 	dff_deadlines_run (entry->deadlines, dff_entry_now_ms (entry));
 	dff_requests_tick (entry->requests);
 	dff_results_tick (entry->results);
@@ -353,7 +398,7 @@
 dff_entry_is_drained (const struct dff_entry *entry)
 {
 	return entry->draining && entry->n_calls == 0 &&
-	       dff_connections_count (entry->connections) == 0 &&
+	       dff_connection_group_count (entry->callers) == 0 &&
 	       dff_requests_is_idle (entry->requests);
 }
 
--- a/entry/entry_private.h
+++ b/entry/entry_private.h
@@ -7,9 +7,9 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "common/connections.h"
 #include "core/core.h"
 #include "entry/call.h"
-#include "entry/connection.h"
 #include "entry/deadline.h"
 #include "entry/entry.h"
 #include "entry/request.h"
@@ -45,6 +45,8 @@
 	struct evhttp_bound_socket *socket;
 	SSL_CTX *tls;
 	struct dff_connections *connections;
+	/** The connections of @http. */
+	struct dff_connection_group *callers;
 	struct dff_deadlines *deadlines;
 	const struct dff_pool *pool; /**< Borrowed. */
 	GString *pool_text;
--- a/entry/reply.c
+++ b/entry/reply.c
@@ -56,8 +56,8 @@
 	struct evhttp_connection *connection = evhttp_request_get_connection (request);
 	if (connection == NULL)
 		return;
-	dff_connections_end_request (entry->connections,
-				     evhttp_connection_get_bufferevent (connection));
+	dff_connection_group_end_request (entry->callers,
+					  evhttp_connection_get_bufferevent (connection));
 }
 
 /* Sends @buffer and takes ownership of it. */
--- a/entry/status.c
+++ b/entry/status.c
@@ -84,7 +84,7 @@
 	json_object_set_new (json, "cell", cell_json (entry));
 	json_object_set_new (json, "requests", requests_json (entry));
 	json_object_set_new (json, "connections",
-			     json_integer (dff_connections_count (entry->connections)));
+			     json_integer (dff_connection_group_count (entry->callers)));
 	json_object_set_new (json, "instances", members_json (entry));
 	dff_reply_json (call, 200, json);
 }
