fleet: requests that are sent ahead are read only once the answer is

Clients that sent many requests ahead and read no answer ended a process for want of memory, at the path that says ready, at paths that no route has, and at every other one: 128 of them with 4 MB each took 551 MB (ready, no route, peers' paths), 306 MB (a job's path), 155 MB (700 at the metrics, 1 MB each).

Cause: evhttp handles one request of a connection at a time, but reads on while the answer waits to be written, and buffers without a bound what the client sends ahead. serve has a bound for it, fleet had none: its three servers were plain evhttp.

--- a/fleet/fleet.c
+++ b/fleet/fleet.c
@@ -7,12 +7,12 @@
 
 #include "common/http_client.h"
 #include "common/http_connection.h"
-#include "common/http_listen.h"
 #include "common/log.h"
 #include "fleet/intake_link.h"
 #include "fleet/operator_state.h"
 #include "fleet/probe_link.h"
 #include "fleet/relays.h"
+#include "fleet/servers.h"
 #include "fleet/state_link.h"
 #include "front/front.h"
 #include "front/intake.h"
@@ -79,9 +79,7 @@
 	struct dff_ingress *ingress;
 	struct dff_holder *holder;
 	struct dff_operator_state *operator_state;
-	struct evhttp *front_http;
-	struct evhttp *ready_http;
-	struct evhttp *metrics_http;
+	struct dff_fleet_servers *servers;
 	bool was_ready;
 	int64_t stopping_since_ms;
 	struct event *stop_check;
@@ -430,10 +428,10 @@
 }
 
 static bool
-listen_at (struct evhttp *http, const struct dff_name *address, GError **error)
+listen_at (struct dff_http_server *server, const struct dff_name *address, GError **error)
 {
 	struct dff_name bound;
-	if (dff_http_listen (http, address, &bound) != NULL)
+	if (dff_http_server_listen (server, address, &bound))
 		return true;
 	g_set_error (error, DFF_FLEET_ERROR, DFF_FLEET_ERROR_LISTEN, "cannot listen on %s",
 		     address->data);
@@ -443,18 +441,24 @@
 static bool
 open_listeners (struct dff_fleet *fleet, GError **error)
 {
-	fleet->front_http = evhttp_new (fleet->base);
-	fleet->ready_http = evhttp_new (fleet->base);
-	fleet->metrics_http = evhttp_new (fleet->base);
-	dff_ingress_serve (fleet->ingress, fleet->front_http);
-	evhttp_set_gencb (fleet->ready_http, handle_ready, fleet);
-	dff_probe_link_serve (fleet->probe_link, fleet->ready_http);
-	dff_intake_link_serve (fleet->intake, fleet->ready_http);
-	dff_state_link_serve (fleet->state_link, fleet->ready_http);
-	evhttp_set_cb (fleet->metrics_http, "/metrics", handle_metrics, fleet);
-	return listen_at (fleet->front_http, &fleet->settings.front_address, error) &&
-	       listen_at (fleet->ready_http, &fleet->settings.ready_address, error) &&
-	       listen_at (fleet->metrics_http, &fleet->settings.metrics_address, error);
+	struct dff_fleet_servers_options options = {
+		.base = fleet->base, .timers = &fleet->timers, .metrics = fleet->metrics};
+	fleet->servers = dff_fleet_servers_new (&options);
+	struct dff_http_server *callers =
+		dff_fleet_servers_get (fleet->servers, DFF_FLEET_SERVER_CALLERS);
+	struct dff_http_server *peers =
+		dff_fleet_servers_get (fleet->servers, DFF_FLEET_SERVER_PEERS);
+	struct dff_http_server *metrics =
+		dff_fleet_servers_get (fleet->servers, DFF_FLEET_SERVER_METRICS);
+	dff_ingress_serve (fleet->ingress, callers);
+	dff_http_server_set_default (peers, handle_ready, fleet);
+	dff_probe_link_serve (fleet->probe_link, peers);
+	dff_intake_link_serve (fleet->intake, peers);
+	dff_state_link_serve (fleet->state_link, peers);
+	dff_http_server_add_path (metrics, "/metrics", handle_metrics, fleet);
+	return listen_at (callers, &fleet->settings.front_address, error) &&
+	       listen_at (peers, &fleet->settings.ready_address, error) &&
+	       listen_at (metrics, &fleet->settings.metrics_address, error);
 }
 
 static void
@@ -521,9 +525,7 @@
 {
 	if (fleet->stop_check != NULL)
 		event_free (fleet->stop_check);
-	g_clear_pointer (&fleet->front_http, evhttp_free);
-	g_clear_pointer (&fleet->ready_http, evhttp_free);
-	g_clear_pointer (&fleet->metrics_http, evhttp_free);
+	g_clear_pointer (&fleet->servers, dff_fleet_servers_free);
 	g_clear_pointer (&fleet->operator_state, dff_operator_state_free);
 	g_clear_pointer (&fleet->holder, dff_holder_free);
 	/* Drops the calls in progress without calling back. */
--- a/fleet/intake_link.c
+++ b/fleet/intake_link.c
@@ -151,9 +151,9 @@
 }
 
 void
-dff_intake_link_serve (struct dff_intake *intake, struct evhttp *http)
+dff_intake_link_serve (struct dff_intake *intake, struct dff_http_server *server)
 {
-	evhttp_set_cb (http, ROW_PATH, handle_row, intake);
+	dff_http_server_add_path (server, ROW_PATH, handle_row, intake);
 }
 
 struct dff_intake_link *
--- a/fleet/probe_link.c
+++ b/fleet/probe_link.c
@@ -163,7 +163,7 @@
 }
 
 void
-dff_probe_link_serve (struct dff_probe_link *link, struct evhttp *http)
+dff_probe_link_serve (struct dff_probe_link *link, struct dff_http_server *server)
 {
-	evhttp_set_cb (http, INSTANCE_PATH, handle_request, link);
+	dff_http_server_add_path (server, INSTANCE_PATH, handle_request, link);
 }
--- a/fleet/state_link.c
+++ b/fleet/state_link.c
@@ -171,9 +171,9 @@
 }
 
 void
-dff_state_link_serve (struct dff_state_link *link, struct evhttp *http)
+dff_state_link_serve (struct dff_state_link *link, struct dff_http_server *server)
 {
-	evhttp_set_cb (http, STATE_PATH, handle_query_request, link);
+	dff_http_server_add_path (server, STATE_PATH, handle_query_request, link);
 }
 
 void
--- a/include/fleet/intake_link.h
+++ b/include/fleet/intake_link.h
@@ -1,9 +1,8 @@
 #ifndef DFF_FLEET_INTAKE_LINK_H
 #define DFF_FLEET_INTAKE_LINK_H
 
-#include <event2/http.h>
-
 #include "common/cleanup.h"
+#include "common/http_server.h"
 #include "common/metrics.h"
 #include "front/intake.h"
 
@@ -25,6 +24,6 @@
 			      void *user);
 
 /** Passes rows that arrive on @http to @intake. */
-void dff_intake_link_serve (struct dff_intake *intake, struct evhttp *http);
+void dff_intake_link_serve (struct dff_intake *intake, struct dff_http_server *server);
 
 #endif
--- a/include/fleet/probe_link.h
+++ b/include/fleet/probe_link.h
@@ -1,10 +1,9 @@
 #ifndef DFF_FLEET_PROBE_LINK_H
 #define DFF_FLEET_PROBE_LINK_H
 
-#include <event2/http.h>
-
 #include "common/cleanup.h"
 #include "common/clock.h"
+#include "common/http_server.h"
 #include "common/metrics.h"
 #include "holder/holder.h"
 
@@ -33,7 +32,7 @@
 void dff_probe_link_set_local_holder (struct dff_probe_link *link, struct dff_holder *holder);
 
 /** Answers probes that arrive on @http. */
-void dff_probe_link_serve (struct dff_probe_link *link, struct evhttp *http);
+void dff_probe_link_serve (struct dff_probe_link *link, struct dff_http_server *server);
 
 /** Probes the process at @address and compares its incarnation with @incarnation. Implements
  * dff_holder_options.send_probe; @ctx is the struct dff_probe_link. */
--- /dev/null
+++ b/include/fleet/servers.h
@@ -0,0 +1,43 @@
+#ifndef DFF_FLEET_SERVERS_H
+#define DFF_FLEET_SERVERS_H
+
+#include <event2/event.h>
+#include <stdbool.h>
+
+#include "common/cleanup.h"
+#include "common/http_server.h"
+#include "common/metrics.h"
+#include "common/timer.h"
+
+/* HTTP servers of a process of the fleet: for callers, for readiness checks and the other
+ * processes, and for metrics. Their clients share the memory that is set aside for connections. */
+
+struct dff_fleet_servers;
+
+struct dff_fleet_servers_options {
+	struct event_base *base;
+	const struct dff_timers *timers;
+	struct dff_metrics *metrics;
+};
+
+enum dff_fleet_server {
+	DFF_FLEET_SERVER_CALLERS,
+	DFF_FLEET_SERVER_PEERS,
+	DFF_FLEET_SERVER_METRICS,
+	DFF_FLEET_N_SERVERS,
+};
+
+struct dff_fleet_servers *dff_fleet_servers_new (const struct dff_fleet_servers_options *options);
+
+/** Closes the servers and their connections; requests that are being handled are not answered. */
+void dff_fleet_servers_close (struct dff_fleet_servers *servers);
+
+void dff_fleet_servers_free (struct dff_fleet_servers *servers);
+
+DFF_DEFINE_CLEANUP (dff_fleet_servers, dff_fleet_servers_free);
+
+/** Returns: (transfer none): a server, to be given its handlers. */
+struct dff_http_server *dff_fleet_servers_get (struct dff_fleet_servers *servers,
+					       enum dff_fleet_server which);
+
+#endif
--- a/include/fleet/state_link.h
+++ b/include/fleet/state_link.h
@@ -2,10 +2,10 @@
 #define DFF_FLEET_STATE_LINK_H
 
 #include <event2/event.h>
-#include <event2/http.h>
 
 #include "common/cleanup.h"
 #include "common/clock.h"
+#include "common/http_server.h"
 #include "common/metrics.h"
 #include "front/front.h"
 #include "holder/holder.h"
@@ -49,6 +49,6 @@
 dff_state_link_query (void *ctx, const struct dff_name *job, dff_front_state_func done, void *user);
 
 /** Answers the queries of other processes. */
-void dff_state_link_serve (struct dff_state_link *link, struct evhttp *http);
+void dff_state_link_serve (struct dff_state_link *link, struct dff_http_server *server);
 
 #endif
--- a/include/platform/ingress.h
+++ b/include/platform/ingress.h
@@ -1,10 +1,9 @@
 #ifndef DFF_PLATFORM_INGRESS_H
 #define DFF_PLATFORM_INGRESS_H
 
-#include <event2/http.h>
-
 #include "common/cleanup.h"
 #include "common/clock.h"
+#include "common/http_server.h"
 #include "common/metrics.h"
 #include "fleet/config.h"
 #include "front/front.h"
@@ -34,7 +33,7 @@
 /** Returns: number of calls that have not been answered. */
 int32_t dff_ingress_n_open (const struct dff_ingress *ingress);
 
-/** Answers all requests that arrive on @http. */
-void dff_ingress_serve (struct dff_ingress *ingress, struct evhttp *http);
+/** Answers all requests that arrive at @server. */
+void dff_ingress_serve (struct dff_ingress *ingress, struct dff_http_server *server);
 
 #endif
--- a/tests/platform/test-ingress.c
+++ b/tests/platform/test-ingress.c
@@ -8,7 +8,6 @@
 
 #include "common/event_loop.h"
 #include "common/http_client.h"
-#include "common/http_listen.h"
 #include "holder/tables.h"
 #include "platform/decode.h"
 #include "platform/ingress.h"
@@ -37,7 +36,8 @@
 	struct dff_metrics *metrics;
 	struct dff_front *front;
 	struct dff_ingress *ingress;
-	struct evhttp *http;
+	struct dff_connections *connections;
+	struct dff_http_server *server;
 	struct dff_name address;
 	struct dff_http_client *client;
 	struct dff_fleet_config *config;
@@ -92,10 +92,20 @@
 		.ctx = fixture,
 	};
 	fixture->ingress = dff_ingress_new (&ingress);
-	fixture->http = evhttp_new (fixture->base);
-	dff_ingress_serve (fixture->ingress, fixture->http);
+	static const struct dff_connection_limits limits = {
+		.max_connections = 100,
+		.header_timeout_ms = 10000,
+		.request_timeout_ms = 10000,
+		.idle_timeout_ms = 10000,
+		.max_header_bytes = 16384,
+		.max_body_bytes = 262144,
+	};
+	fixture->connections =
+		dff_connections_new (dff_clock_system (), DFF_CONNECTIONS_BYTES_DEFAULT);
+	fixture->server = dff_http_server_new (fixture->base, fixture->connections, &limits);
+	dff_ingress_serve (fixture->ingress, fixture->server);
 	struct dff_name any = dff_name_from ("127.0.0.1:0");
-	assert_non_null (dff_http_listen (fixture->http, &any, &fixture->address));
+	assert_true (dff_http_server_listen (fixture->server, &any, &fixture->address));
 	struct dff_http_client_options client;
 	dff_http_client_options_init (&client);
 	client.base = fixture->base;
@@ -108,7 +118,8 @@
 fixture_close (struct fixture *fixture)
 {
 	dff_http_client_free (fixture->client);
-	evhttp_free (fixture->http);
+	dff_http_server_free (fixture->server);
+	dff_connections_free (fixture->connections);
 	dff_ingress_free (fixture->ingress);
 	dff_front_free (fixture->front);
 	dff_memory_rows_free (fixture->rows);
