fleet: bound the requests of other processes and at the metrics

A body far over every limit, announced or sent in chunks, was buffered whole at the listener for readiness and other processes and at that for metrics: 128 clients with 4 MB each took 555 MB (announced) and 214 MB (chunks). Only the listener for callers had a bound.

Cause: evhttp bounds neither headers nor bodies unless told to. Other processes send at most a row, 64 KB, and a scraper sends nothing; both bounds are set now, and 16 KB for headers.

--- a/fleet/servers.c
+++ b/fleet/servers.c
@@ -2,6 +2,10 @@
 
 #include <glib.h>
 
+#include "rows/rows.h"
+
+/** Maximum size of a request's line and headers, bytes. */
+#define HEADER_BYTES_MAX 16384
 /** Interval at which connections are checked, ms. */
 #define CHECK_INTERVAL_MS 200
 
@@ -31,8 +35,8 @@
 			.header_timeout_ms = INT32_MAX,
 			.request_timeout_ms = INT32_MAX,
 			.idle_timeout_ms = INT32_MAX,
-			.max_header_bytes = INT32_MAX,
-			.max_body_bytes = INT32_MAX,
+			.max_header_bytes = HEADER_BYTES_MAX,
+			.max_body_bytes = DFF_ROW_VALUE_MAX,
 		},
 	[DFF_FLEET_SERVER_METRICS] =
 		{
@@ -40,8 +44,8 @@
 			.header_timeout_ms = INT32_MAX,
 			.request_timeout_ms = INT32_MAX,
 			.idle_timeout_ms = INT32_MAX,
-			.max_header_bytes = INT32_MAX,
-			.max_body_bytes = INT32_MAX,
+			.max_header_bytes = HEADER_BYTES_MAX,
+			.max_body_bytes = 0,
 		},
 };
 
