common: a connection that evhttp has freed reads nothing more

The module holds a reference to each bufferevent until its next check. evhttp frees a connection after an answer that closes it, such as 413, and the client went on sending: libevent read that into the buffer of the freed connection, up to the largest request. Reading ends now with the first such bytes, and the check is made at once.

--- a/common/connections.c
+++ b/common/connections.c
@@ -387,6 +387,12 @@
 handle_input (struct evbuffer *buffer, const struct evbuffer_cb_info *info, void *ctx)
 {
 	struct connection *connection = ctx;
+	if (info->n_added > 0 && is_freed (connection)) {
+		/* The reference keeps the bufferevent reading. */
+		bufferevent_disable (connection->bev, EV_READ);
+		schedule_check (connection->group);
+		return;
+	}
 	if (info->n_added > 0 && connection->state == DFF_CONNECTION_IDLE)
 		set_state (connection, DFF_CONNECTION_RECEIVING);
 	if (connection->state == DFF_CONNECTION_RECEIVING) {
