fleet: callers' requests are bounded by the configuration's limits

The operators' configuration says how much one caller may send (max_header_bytes, max_body_bytes) and how long it may take (header_timeout_ms, idle_timeout_ms); nothing read it. The bounds were constants, a body of 1 MB for each connection and no times at all, and a chunk's size line had no bound: evhttp waits for its end. 128 clients took 181 MB with chunked bodies and 240 MB with endless lines; a connection with half a request stayed open for good.

The four members are decoded in platform/ and applied to the servers with each configuration. Headers have the first time, a whole request the sum of both. What a process can't grant is cut to its own maximum; what is missing has a default above what it had to be so far.

--- a/fleet/fleet.c
+++ b/fleet/fleet.c
@@ -112,6 +112,7 @@
 {
 	const struct dff_fleet *fleet = ctx;
 	set_teams (fleet, config);
+	dff_fleet_servers_set_caller_limits (fleet->servers, &config->caller_limits);
 	dff_holder_set_unenforced (fleet->holder,
 				   (const struct dff_name *)(void *)config->unenforced->data,
 				   config->unenforced->len);
--- a/fleet/servers.c
+++ b/fleet/servers.c
@@ -6,6 +6,15 @@
 
 /** Maximum size of a request's line and headers, bytes. */
 #define HEADER_BYTES_MAX 16384
+/** Limits of callers, if the configuration gives none, and the most that it may give: bytes and
+ * ms. */
+#define CALLER_HEADER_BYTES_DEFAULT 32768
+#define CALLER_HEADER_BYTES_MAX 65536
+#define CALLER_BODY_BYTES_DEFAULT (1 << 20)
+#define CALLER_BODY_BYTES_MAX (4 << 20)
+#define CALLER_HEADER_TIMEOUT_DEFAULT_MS 10000
+#define CALLER_IDLE_TIMEOUT_DEFAULT_MS 75000
+#define CALLER_TIMEOUT_MAX_MS 600000
 /** Interval at which connections are checked, ms. */
 #define CHECK_INTERVAL_MS 200
 
@@ -23,11 +32,12 @@
 	[DFF_FLEET_SERVER_CALLERS] =
 		{
 			.max_connections = INT32_MAX,
-			.header_timeout_ms = INT32_MAX,
-			.request_timeout_ms = INT32_MAX,
-			.idle_timeout_ms = INT32_MAX,
-			.max_header_bytes = 32768,
-			.max_body_bytes = 1 << 20,
+			.header_timeout_ms = CALLER_HEADER_TIMEOUT_DEFAULT_MS,
+			.request_timeout_ms =
+				CALLER_HEADER_TIMEOUT_DEFAULT_MS + CALLER_IDLE_TIMEOUT_DEFAULT_MS,
+			.idle_timeout_ms = CALLER_IDLE_TIMEOUT_DEFAULT_MS,
+			.max_header_bytes = CALLER_HEADER_BYTES_DEFAULT,
+			.max_body_bytes = CALLER_BODY_BYTES_DEFAULT,
 		},
 	[DFF_FLEET_SERVER_PEERS] =
 		{
@@ -68,6 +78,29 @@
 	dff_timer_start (servers->check, CHECK_INTERVAL_MS);
 }
 
+static int32_t
+limit_of (int64_t given, int32_t otherwise, int32_t most)
+{
+	return given > 0 ? (int32_t)MIN (given, most) : otherwise;
+}
+
+void
+dff_fleet_servers_set_caller_limits (struct dff_fleet_servers *servers,
+				     const struct dff_fleet_caller_limits *given)
+{
+	struct dff_connection_limits limits = initial_limits[DFF_FLEET_SERVER_CALLERS];
+	limits.max_header_bytes = (size_t)limit_of (
+		given->max_header_bytes, CALLER_HEADER_BYTES_DEFAULT, CALLER_HEADER_BYTES_MAX);
+	limits.max_body_bytes = (size_t)limit_of (given->max_body_bytes, CALLER_BODY_BYTES_DEFAULT,
+						  CALLER_BODY_BYTES_MAX);
+	limits.header_timeout_ms = limit_of (
+		given->header_timeout_ms, CALLER_HEADER_TIMEOUT_DEFAULT_MS, CALLER_TIMEOUT_MAX_MS);
+	limits.idle_timeout_ms = limit_of (given->idle_timeout_ms, CALLER_IDLE_TIMEOUT_DEFAULT_MS,
+					   CALLER_TIMEOUT_MAX_MS);
+	limits.request_timeout_ms = limits.header_timeout_ms + limits.idle_timeout_ms;
+	dff_http_server_set_limits (servers->servers[DFF_FLEET_SERVER_CALLERS], &limits);
+}
+
 struct dff_http_server *
 dff_fleet_servers_get (struct dff_fleet_servers *servers, enum dff_fleet_server which)
 {
--- a/include/fleet/config.h
+++ b/include/fleet/config.h
@@ -41,8 +41,20 @@
 	int32_t assured_accelerators;
 };
 
+/** What the operators let one caller send. Members that are 0 are not given. */
+struct dff_fleet_caller_limits {
+	/** Sizes of a request's line with its headers, and of its body, bytes. */
+	int64_t max_header_bytes;
+	int64_t max_body_bytes;
+	/** Time from a request's first byte to the end of its headers, and between two requests,
+	 * ms. */
+	int64_t header_timeout_ms;
+	int64_t idle_timeout_ms;
+};
+
 struct dff_fleet_config {
 	int64_t version;
+	struct dff_fleet_caller_limits caller_limits;
 	/** Services whose workers do not enforce their capacity: they start every task that they
 	 * are ordered to, whether it fits or not. Elements: struct dff_name. */
 	GArray *unenforced;
--- a/include/fleet/servers.h
+++ b/include/fleet/servers.h
@@ -8,6 +8,7 @@
 #include "common/http_server.h"
 #include "common/metrics.h"
 #include "common/timer.h"
+#include "fleet/config.h"
 
 /* HTTP servers of a process of the fleet: for callers, for readiness checks and the other
  * processes, and for metrics. Their clients share the memory that is set aside for connections. */
@@ -36,6 +37,11 @@
 
 DFF_DEFINE_CLEANUP (dff_fleet_servers, dff_fleet_servers_free);
 
+/** Applies the limits of the configuration in force. Those that are not given are set to their
+ * defaults, and those that a process cannot grant to its own maximum. */
+void dff_fleet_servers_set_caller_limits (struct dff_fleet_servers *servers,
+					  const struct dff_fleet_caller_limits *limits);
+
 /** Returns: (transfer none): a server, to be given its handlers. */
 struct dff_http_server *dff_fleet_servers_get (struct dff_fleet_servers *servers,
 					       enum dff_fleet_server which);
--- a/tests/platform/test-decode.c
+++ b/tests/platform/test-decode.c
@@ -23,6 +23,8 @@
 	"\"tenants\":[{\"name\":\"kaje80\",\"api_keys\":[\"d4a3\",\"3hh2\"],\"priority\":1,"
 	"\"guaranteed\":{\"gpu\":72}}]}";
 
+#define LIMITS(members) "{\"version\":1,\"limits\":{" members "}}"
+
 /** A row of the list of workers. */
 #define UPSTREAM(state, address, capacity)                                                         \
 	"{\"service\":\"s\",\"address\":" address ",\"state\":" state ",\"capacity\":" capacity    \
@@ -76,6 +78,31 @@
 	assert_null (dff_platform_read_config (dff_str_from ("{")));
 }
 
+/* Members that are missing or no positive numbers are not given. */
+static void
+test_caller_limits (void **state)
+{
+	(void)state;
+	static const struct {
+		const char *text;
+		struct dff_fleet_caller_limits limits;
+	} cases[] = {
+		{LIMITS ("\"max_header_bytes\":16384,\"max_body_bytes\":262144,"
+			 "\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000"),
+		 {16384, 262144, 3000, 15000}},
+		{LIMITS ("\"max_body_bytes\":1024"), {0, 1024, 0, 0}},
+		{LIMITS ("\"max_body_bytes\":-1,\"idle_timeout_ms\":\"15000\""), {0, 0, 0, 0}},
+		{"{\"version\":1}", {0, 0, 0, 0}},
+		{"{\"version\":1,\"limits\":7}", {0, 0, 0, 0}},
+	};
+	for (size_t i = 0; i < G_N_ELEMENTS (cases); i++) {
+		DFF_AUTO (dff_fleet_config)
+		config = dff_platform_read_config (dff_str_from (cases[i].text));
+		assert_memory_equal (&config->caller_limits, &cases[i].limits,
+				     sizeof (cases[i].limits));
+	}
+}
+
 static void
 test_upstream (void **state)
 {
@@ -356,6 +383,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test (test_config),
+		cmocka_unit_test (test_caller_limits),
 		cmocka_unit_test (test_upstream),
 		cmocka_unit_test (test_invalid_upstream_entries),
 		cmocka_unit_test (test_fuzzed_bodies),
