fleet: bound the memory that all clients hold together

Requests inside every limit, none of them whole, added up: 700 clients with 262,000 bytes of a body each took 198 MB, and with 16,000 bytes of headers of three bytes each 325 MB, at the listener for callers as at the one for other processes. The smallest machine has 120 MB, and descriptors for more connections than that.

The three servers now share 30 MB, as serve does; see common/connections.h. Above it the connection that holds most, times how long it makes no progress, is closed, so that a caller who has just begun to send a large request isn't closed for many that sent a little and stopped.

--- a/fleet/servers.c
+++ b/fleet/servers.c
@@ -111,7 +111,8 @@
 dff_fleet_servers_new (const struct dff_fleet_servers_options *options)
 {
 	struct dff_fleet_servers *servers = g_new0 (struct dff_fleet_servers, 1);
-	servers->connections = dff_connections_new (options->timers->clock, SIZE_MAX);
+	servers->connections =
+		dff_connections_new (options->timers->clock, DFF_CONNECTIONS_BYTES_DEFAULT);
 	for (int i = 0; i < DFF_FLEET_N_SERVERS; i++)
 		servers->servers[i] = dff_http_server_new (options->base, servers->connections,
 							   &initial_limits[i]);
