fleet: keep descriptors for the store, the workers and other processes

Clients that opened more connections than the process has descriptors, and sent nothing, or half a request, or kept the connection after an answer, took all of them. accept() then failed in a loop that kept a core busy, no ordinary caller was answered any more, and the process reached no worker and no other process. 400 clients did that to a process with 256 descriptors, at each of the three HTTP servers.

Cause: nothing bounded the number of connections, and no idle one was closed. Callers, and other processes together with the balancer's checks, may now take 5/16 each of the descriptors that the process may open, the metrics 1/64. At the bound the connection that has not completed a request for longest makes room for a new one. The bounds are above what other processes need on the largest deployment (585 machines with up to nine connections each, 16,384 descriptors) but for 145 connections, of which idle ones give way.

--- a/fleet/fleet.c
+++ b/fleet/fleet.c
@@ -5,6 +5,7 @@
 #include <inttypes.h>
 #include <sodium.h>
 
+#include "common/descriptors.h"
 #include "common/http_client.h"
 #include "common/http_connection.h"
 #include "common/log.h"
@@ -442,8 +443,10 @@
 static bool
 open_listeners (struct dff_fleet *fleet, GError **error)
 {
-	struct dff_fleet_servers_options options = {
-		.base = fleet->base, .timers = &fleet->timers, .metrics = fleet->metrics};
+	struct dff_fleet_servers_options options = {.base = fleet->base,
+						    .timers = &fleet->timers,
+						    .metrics = fleet->metrics,
+						    .max_descriptors = dff_max_descriptors ()};
 	fleet->servers = dff_fleet_servers_new (&options);
 	struct dff_http_server *callers =
 		dff_fleet_servers_get (fleet->servers, DFF_FLEET_SERVER_CALLERS);
--- a/fleet/servers.c
+++ b/fleet/servers.c
@@ -6,6 +6,11 @@
 
 /** Maximum size of a request's line and headers, bytes. */
 #define HEADER_BYTES_MAX 16384
+/** Limits of other processes and at the metrics, ms. Other processes keep idle connections for 10
+ * s.
+ */
+#define PEER_REQUEST_TIMEOUT_MS 10000
+#define PEER_IDLE_TIMEOUT_MS 75000
 /** Limits of callers, if the configuration gives none, and the most that it may give: bytes and
  * ms. */
 #define CALLER_HEADER_BYTES_DEFAULT 32768
@@ -15,11 +20,18 @@
 #define CALLER_HEADER_TIMEOUT_DEFAULT_MS 10000
 #define CALLER_IDLE_TIMEOUT_DEFAULT_MS 75000
 #define CALLER_TIMEOUT_MAX_MS 600000
+/** Shares of the process's descriptors that connections to each server may take. The rest is for
+ * the store, the workers, the relays and other processes. Of other processes, each has up to nine
+ * connections to the one that decides. */
+#define CALLERS_SHARE (5.0 / 16.0)
+#define PEERS_SHARE (5.0 / 16.0)
+#define METRICS_SHARE (1.0 / 64.0)
 /** Interval at which connections are checked, ms. */
 #define CHECK_INTERVAL_MS 200
 
 struct dff_fleet_servers {
 	struct dff_connections *connections;
+	int32_t max_descriptors;
 	/** NULL once they are closed. */
 	struct dff_http_server *servers[DFF_FLEET_N_SERVERS];
 	struct dff_timer *check;
@@ -28,10 +40,10 @@
 	int64_t *held_bytes;
 };
 
+/* Limits at the start, but for the numbers of connections. */
 static const struct dff_connection_limits initial_limits[DFF_FLEET_N_SERVERS] = {
 	[DFF_FLEET_SERVER_CALLERS] =
 		{
-			.max_connections = INT32_MAX,
 			.header_timeout_ms = CALLER_HEADER_TIMEOUT_DEFAULT_MS,
 			.request_timeout_ms =
 				CALLER_HEADER_TIMEOUT_DEFAULT_MS + CALLER_IDLE_TIMEOUT_DEFAULT_MS,
@@ -41,24 +53,37 @@
 		},
 	[DFF_FLEET_SERVER_PEERS] =
 		{
-			.max_connections = INT32_MAX,
-			.header_timeout_ms = INT32_MAX,
-			.request_timeout_ms = INT32_MAX,
-			.idle_timeout_ms = INT32_MAX,
+			.header_timeout_ms = PEER_REQUEST_TIMEOUT_MS,
+			.request_timeout_ms = PEER_REQUEST_TIMEOUT_MS,
+			.idle_timeout_ms = PEER_IDLE_TIMEOUT_MS,
 			.max_header_bytes = HEADER_BYTES_MAX,
 			.max_body_bytes = DFF_ROW_VALUE_MAX,
 		},
 	[DFF_FLEET_SERVER_METRICS] =
 		{
-			.max_connections = INT32_MAX,
-			.header_timeout_ms = INT32_MAX,
-			.request_timeout_ms = INT32_MAX,
-			.idle_timeout_ms = INT32_MAX,
+			.header_timeout_ms = PEER_REQUEST_TIMEOUT_MS,
+			.request_timeout_ms = PEER_REQUEST_TIMEOUT_MS,
+			.idle_timeout_ms = PEER_IDLE_TIMEOUT_MS,
 			.max_header_bytes = HEADER_BYTES_MAX,
 			.max_body_bytes = 0,
 		},
 };
 
+static const double descriptor_shares[DFF_FLEET_N_SERVERS] = {
+	[DFF_FLEET_SERVER_CALLERS] = CALLERS_SHARE,
+	[DFF_FLEET_SERVER_PEERS] = PEERS_SHARE,
+	[DFF_FLEET_SERVER_METRICS] = METRICS_SHARE,
+};
+
+static struct dff_connection_limits
+initial_limits_of (const struct dff_fleet_servers *servers, enum dff_fleet_server which)
+{
+	struct dff_connection_limits limits = initial_limits[which];
+	limits.max_connections =
+		MAX (1, (int32_t)(servers->max_descriptors * descriptor_shares[which]));
+	return limits;
+}
+
 static void
 update_metrics (const struct dff_fleet_servers *servers)
 {
@@ -88,7 +113,7 @@
 dff_fleet_servers_set_caller_limits (struct dff_fleet_servers *servers,
 				     const struct dff_fleet_caller_limits *given)
 {
-	struct dff_connection_limits limits = initial_limits[DFF_FLEET_SERVER_CALLERS];
+	struct dff_connection_limits limits = initial_limits_of (servers, DFF_FLEET_SERVER_CALLERS);
 	limits.max_header_bytes = (size_t)limit_of (
 		given->max_header_bytes, CALLER_HEADER_BYTES_DEFAULT, CALLER_HEADER_BYTES_MAX);
 	limits.max_body_bytes = (size_t)limit_of (given->max_body_bytes, CALLER_BODY_BYTES_DEFAULT,
@@ -113,9 +138,12 @@
 	struct dff_fleet_servers *servers = g_new0 (struct dff_fleet_servers, 1);
 	servers->connections =
 		dff_connections_new (options->timers->clock, DFF_CONNECTIONS_BYTES_DEFAULT);
-	for (int i = 0; i < DFF_FLEET_N_SERVERS; i++)
-		servers->servers[i] = dff_http_server_new (options->base, servers->connections,
-							   &initial_limits[i]);
+	servers->max_descriptors = options->max_descriptors;
+	for (int i = 0; i < DFF_FLEET_N_SERVERS; i++) {
+		struct dff_connection_limits limits = initial_limits_of (servers, i);
+		servers->servers[i] =
+			dff_http_server_new (options->base, servers->connections, &limits);
+	}
 	servers->n_open = dff_metrics_gauge (options->metrics, "dff_connections_open",
 					     "Connections that clients hold.");
 	servers->n_closed = dff_metrics_counter (
--- a/include/fleet/servers.h
+++ b/include/fleet/servers.h
@@ -19,6 +19,8 @@
 	struct event_base *base;
 	const struct dff_timers *timers;
 	struct dff_metrics *metrics;
+	/** Number of descriptors that the process may open. */
+	int32_t max_descriptors;
 };
 
 enum dff_fleet_server {
