relay: bound the memory of a decoded message

One message to the port of relays ended a process: 4 MB of empty calls, two bytes each, took 480 MB once decoded. The length of a message has a bound, 4 MB; what the decoder allocates had none.

relay_batch_unpack() decodes with an allocator that fails above 24 MB; the message then counts as malformed and ends the connection. The largest message of a relay with fifty workers, each with 500 ends listed, takes about 4 MB decoded (reckoned).

--- a/relay/dispatch.c
+++ b/relay/dispatch.c
@@ -331,12 +331,12 @@
 void
 dff_dispatch_receive (struct dff_dispatch_relay *relay, const uint8_t *data, size_t len)
 {
-	Dff__Relay__Batch *batch = dff__relay__batch__unpack (NULL, len, data);
+	Dff__Relay__Batch *batch = relay_batch_unpack (data, len, RELAY_UNPACKED_BYTES_MAX);
 	struct dff_name name = {0};
 	bool named = batch != NULL && batch->name.len > 0;
 	if (batch == NULL || (named && !relay_name_read (&batch->name, &name))) {
 		if (batch != NULL)
-			dff__relay__batch__free_unpacked (batch, NULL);
+			relay_batch_free_unpacked (batch);
 		relay->link.close (relay->link.ctx);
 		drop_relay (relay, "unreadable");
 		return;
@@ -353,7 +353,7 @@
 	for (size_t i = 0; i < batch->n_answers && !relay->dropped; i++)
 		take_answer (relay, batch->answers[i]);
 	relay_unref (relay);
-	dff__relay__batch__free_unpacked (batch, NULL);
+	relay_batch_free_unpacked (batch);
 }
 
 /* Disconnects all relays when this process steps down: the next holder needs them. */
--- a/relay/message.c
+++ b/relay/message.c
@@ -244,6 +244,44 @@
 	       relay_name_read (&call->address, &watch->address);
 }
 
+/* An allocator that fails when its total exceeds a maximum. */
+struct bounded_memory {
+	size_t left;
+};
+
+static void *
+bounded_alloc (void *ctx, size_t size)
+{
+	struct bounded_memory *memory = ctx;
+	if (size > memory->left)
+		return NULL;
+	memory->left -= size;
+	return g_malloc (size);
+}
+
+static void
+bounded_free (void *ctx, void *pointer)
+{
+	(void)ctx;
+	g_free (pointer);
+}
+
+Dff__Relay__Batch *
+relay_batch_unpack (const uint8_t *data, size_t len, size_t max_bytes)
+{
+	struct bounded_memory memory = {.left = max_bytes};
+	ProtobufCAllocator allocator = {
+		.alloc = bounded_alloc, .free = bounded_free, .allocator_data = &memory};
+	return dff__relay__batch__unpack (&allocator, len, data);
+}
+
+void
+relay_batch_free_unpacked (Dff__Relay__Batch *batch)
+{
+	ProtobufCAllocator allocator = {.alloc = bounded_alloc, .free = bounded_free};
+	dff__relay__batch__free_unpacked (batch, &allocator);
+}
+
 bool
 relay_call_read (const Dff__Relay__Call *call,
 		 struct dff_run_order *order,
--- a/relay/message.h
+++ b/relay/message.h
@@ -39,6 +39,24 @@
  * no answers; the sender's name and leaving flag stay. */
 GByteArray *relay_batch_pack (struct relay_batch *batch);
 
+/** Default of the memory that a decoded batch may take, bytes: several times what a relay with
+ * fifty workers sends at most. */
+#define RELAY_UNPACKED_BYTES_MAX (24 << 20)
+
+/**
+ * relay_batch_unpack:
+ * @max_bytes: maximum memory for the decoded batch
+ *
+ * Decodes a received batch. An empty call takes two bytes in a message and a hundred times as much
+ * in memory, so the length of the message is no bound.
+ *
+ * Returns: (nullable): NULL if the message is malformed or takes more than @max_bytes; to be freed
+ * with relay_batch_free_unpacked().
+ */
+Dff__Relay__Batch *relay_batch_unpack (const uint8_t *data, size_t len, size_t max_bytes);
+
+void relay_batch_free_unpacked (Dff__Relay__Batch *batch);
+
 /** Converts a call to @order or @watch, depending on its kind. The results refer to memory of
  * @call. Returns: whether the call's kind, times and names are valid. */
 bool relay_call_read (const Dff__Relay__Call *call,
--- a/relay/relay.c
+++ b/relay/relay.c
@@ -119,7 +119,7 @@
 void
 dff_relay_receive (struct dff_relay *relay, const uint8_t *data, size_t len)
 {
-	Dff__Relay__Batch *batch = dff__relay__batch__unpack (NULL, len, data);
+	Dff__Relay__Batch *batch = relay_batch_unpack (data, len, RELAY_UNPACKED_BYTES_MAX);
 	if (batch == NULL) {
 		handle_unreadable_message (relay);
 		return;
@@ -128,7 +128,7 @@
 	bool readable = true;
 	for (size_t i = 0; i < batch->n_calls && readable; i++)
 		readable = execute_call (relay, batch->calls[i]);
-	dff__relay__batch__free_unpacked (batch, NULL);
+	relay_batch_free_unpacked (batch);
 	if (!readable)
 		handle_unreadable_message (relay);
 }
--- a/tests/relay/test-relay.c
+++ b/tests/relay/test-relay.c
@@ -658,6 +658,38 @@
 	event_base_free (test.base);
 }
 
+/* Guards against a message that takes a hundred times its size once decoded, and against a decoder
+ * that does not survive a failed allocation: below the memory that a batch takes, at any maximum,
+ * it is rejected. */
+static void
+test_decoded_batch_is_bounded (void **state)
+{
+	(void)state;
+	const struct dff_run_active running = {.task = dff_str_from ("5c0e7a21d94b36f8.0.1.17"),
+					       .run = 2,
+					       .checkpoint = dff_str_from ("00000bb8")};
+	const struct dff_runner_result result = {
+		.outcome = DFF_RUNNER_DONE, .running = &running, .n_running = 1};
+	struct relay_batch *batch = relay_batch_new ();
+	for (uint64_t id = 1; id <= 20; id++)
+		relay_batch_add_answer (batch, id, &result);
+	g_autoptr (GByteArray) bytes = relay_batch_pack (batch);
+	relay_batch_free (batch);
+	size_t max_bytes = 0;
+	Dff__Relay__Batch *decoded = NULL;
+	while (decoded == NULL && max_bytes < RELAY_UNPACKED_BYTES_MAX)
+		decoded = relay_batch_unpack (bytes->data, bytes->len, ++max_bytes);
+	assert_non_null (decoded);
+	assert_int_equal (decoded->n_answers, 20);
+	assert_true (max_bytes > bytes->len);
+	relay_batch_free_unpacked (decoded);
+	static const uint8_t empty_call[] = {0x0a, 0x00};
+	g_autoptr (GByteArray) calls = g_byte_array_new ();
+	for (int i = 0; i < 500000; i++)
+		g_byte_array_append (calls, empty_call, sizeof (empty_call));
+	assert_null (relay_batch_unpack (calls->data, calls->len, RELAY_UNPACKED_BYTES_MAX));
+}
+
 int
 main (void)
 {
@@ -673,6 +705,7 @@
 		cmocka_unit_test (test_relay_limit),
 		cmocka_unit_test (test_unreadable_message_ends_the_connection),
 		cmocka_unit_test (test_stream_keeps_messages_whole),
+		cmocka_unit_test (test_decoded_batch_is_bounded),
 	};
 	return cmocka_run_group_tests (tests, NULL, NULL);
 }
