--- a/tests/platform/test-ingress.c
+++ b/tests/platform/test-ingress.c
@@ -28,6 +28,9 @@
 #define JOB "{\"spec\":\"x\",\"steps\":[{\"count\":1,\"cpu\":500}]}"
 #define ID "5c0e7a21d94b36f8"
 
+/** Time by the virtual clock after which a call counts as not answered, ms. */
+#define PATIENCE_MS 300000
+
 struct fixture {
 	struct event_base *base;
 	struct dff_virtual_loop *loop;
@@ -45,6 +48,8 @@
 	int32_t max_queries;
 	int32_t n_queries;
 	bool silent;
+	/** Time that callers say they wait, ms. */
+	const char *deadline;
 	bool answered;
 	int status;
 	GString *body;
@@ -72,6 +77,7 @@
 				    .loop = dff_virtual_loop_new (1000),
 				    .metrics = dff_metrics_new (),
 				    .max_queries = INT32_MAX,
+				    .deadline = "3000",
 				    .body = g_string_new (NULL)};
 	fixture->rows = dff_memory_rows_new (fixture->loop);
 	fixture->store = dff_memory_rows_client_new (fixture->rows);
@@ -155,7 +161,7 @@
       const char *body)
 {
 	struct dff_http_header headers[] = {
-		{"Dragonflyfold-Deadline-Ms", dff_str_from ("3000")},
+		{"Dragonflyfold-Deadline-Ms", dff_str_from (fixture->deadline)},
 		{"Dragonflyfold-Credential", dff_str_from (key != NULL ? key : "")},
 	};
 	struct dff_http_request request = {.address = fixture->address,
@@ -168,7 +174,9 @@
 	fixture->answered = false;
 	dff_http_client_send (fixture->client, &request, handle_answer, fixture);
 	/* Sockets run in real time, all timers by the virtual clock. */
-	while (!fixture->answered) {
+	int64_t until_ms = dff_virtual_loop_now_ms (fixture->loop) + PATIENCE_MS;
+	fixture->status = 0;
+	while (!fixture->answered && dff_virtual_loop_now_ms (fixture->loop) < until_ms) {
 		event_base_loop (fixture->base, EVLOOP_NONBLOCK);
 		dff_virtual_loop_run (fixture->loop, 1);
 	}
@@ -299,6 +307,36 @@
 	fixture_close (&fixture);
 }
 
+/* Guards against callers that keep their connections in use for weeks: the store does not answer,
+ * and a call is repeated for as long as its caller says that it waits. */
+static void
+test_far_deadlines_are_bounded (void **state)
+{
+	(void)state;
+	static const struct {
+		const char *deadline;
+		int64_t least_ms;
+		int64_t most_ms;
+	} cases[] = {
+		{"3000", 2000, 3000},         {"30000", 29000, 30000},
+		{"2147483647", 29000, 30000}, {"99999999999999999999", 2000, 3000},
+		{"-1", 2000, 3000},           {"soon", 2000, 3000},
+	};
+	struct fixture fixture;
+	fixture_open (&fixture);
+	dff_memory_rows_client_faults (fixture.store)->silent = true;
+	for (size_t i = 0; i < G_N_ELEMENTS (cases); i++) {
+		int64_t before_ms = dff_virtual_loop_now_ms (fixture.loop);
+		fixture.deadline = cases[i].deadline;
+		call (&fixture, EVHTTP_REQ_POST, "/q/" ID, "key", JOB);
+		assert_int_equal (fixture.status, 504);
+		assert_in_range (dff_virtual_loop_now_ms (fixture.loop) - before_ms,
+				 cases[i].least_ms, cases[i].most_ms);
+	}
+	assert_int_equal (dff_ingress_n_open (fixture.ingress), 0);
+	fixture_close (&fixture);
+}
+
 int
 main (void)
 {
@@ -306,6 +344,7 @@
 		cmocka_unit_test (test_calls),
 		cmocka_unit_test (test_refused_call_has_no_effect),
 		cmocka_unit_test (test_configuration_expires_within_call),
+		cmocka_unit_test (test_far_deadlines_are_bounded),
 	};
 	return cmocka_run_group_tests (tests, NULL, NULL);
 }
