--- a/tests/overload/site.c
+++ b/tests/overload/site.c
@@ -199,6 +199,12 @@
 	site->processes[number].pid = pid;
 }
 
+void
+site_pause_platform (const struct site *site, bool pause)
+{
+	kill (site->platform, pause ? SIGSTOP : SIGCONT);
+}
+
 uint16_t
 site_port (const struct site *site, int process, enum site_listener listener)
 {
--- a/tests/overload/site.h
+++ b/tests/overload/site.h
@@ -1,6 +1,7 @@
 #ifndef DFF_TESTS_OVERLOAD_SITE_H
 #define DFF_TESTS_OVERLOAD_SITE_H
 
+#include <stdbool.h>
 #include <stdint.h>
 #include <sys/types.h>
 
@@ -44,6 +45,9 @@
 
 uint16_t site_port (const struct site *site, int process, enum site_listener listener);
 
+/** Stops or continues the store and the workers. */
+void site_pause_platform (const struct site *site, bool pause);
+
 /** Returns: the process that decides about the jobs. */
 int site_holder (const struct site *site);
 
--- a/tests/overload/test-overload.c
+++ b/tests/overload/test-overload.c
@@ -25,6 +25,7 @@
 #define JOB_HEAD                                                                                   \
 	" " JOB_PATH " HTTP/1.1\r\nHost: " SITE_HOST                                               \
 	"\r\nDragonflyfold-Credential: " SITE_CREDENTIAL "\r\n"
+#define JOB_BODY "{\"spec\":\"x\",\"steps\":[{\"count\":1,\"cpu\":500}]}"
 #define LENGTH(bytes) "Content-Length: " G_STRINGIFY (bytes) "\r\n\r\n"
 #define CHUNKED "Transfer-Encoding: chunked\r\n\r\n"
 
@@ -56,6 +57,10 @@
 	int n_processes;
 	int max_descriptors;
 	int n_workers;
+	/** The store and the workers do not answer while the crowd sends. */
+	bool platform_paused;
+	/** The crowd connects to a process that does not decide. */
+	bool at_other_process;
 };
 
 #define HEAD(text) .head = (text), .head_len = sizeof (text) - 1
@@ -116,6 +121,21 @@
 	{"front-answered-and-kept",
 	 "connections that stay open after an answer take all descriptors", SITE_FRONT, BEYOND,
 	 HEAD ("GET" JOB_HEAD "\r\n")},
+	{"front-jobs-waiting", "whole requests that wait for the store add up", SITE_FRONT, MANY,
+	 HEAD ("POST" JOB_HEAD LENGTH_WITHIN JOB_BODY), PATTERN (" "),
+	 .bytes = SITE_BODY_MAX - (sizeof (JOB_BODY) - 1), .platform_paused = true},
+	{"ready-rows-forged", "rows that no process has sent end the one that decides", SITE_READY,
+	 .n_clients = 4,
+	 PATTERN ("POST /row?key=zz&timeout=1000 HTTP/1.1\r\nContent-Length: 1\r\n\r\nx"),
+	 .bytes = 6400, .n_processes = 2},
+	{"ready-takeover-forged",
+	 "requests to hand over, sent all the time, keep jobs from running", SITE_READY,
+	 .n_clients = 4, PATTERN ("GET /instance?yield=1&takeover=1 HTTP/1.1\r\n\r\n"),
+	 .bytes = 6400, .n_processes = 2},
+	{"ready-holder-forged", "a process that does not exist is taken for the one that decides",
+	 SITE_READY, .n_clients = 4,
+	 PATTERN ("GET /instance?decider=127.0.0.1:1&epoch=99999999 HTTP/1.1\r\n\r\n"),
+	 .bytes = 6400, .n_processes = 2, .at_other_process = true},
 	{"relay-messages-unfinished", "messages of relays, none of them whole, add up", SITE_RELAY,
 	 .n_clients = 64, HEAD ("\x00\x40\x00\x00"), PATTERN ("\x0a"), .bytes = MEGABYTES (4) - 1,
 	 .n_workers = 200},
@@ -136,6 +156,13 @@
 	return unit;
 }
 
+static int
+process_for (const struct site *site, const struct overload_case *overload)
+{
+	int holder = site_holder (site);
+	return overload->at_other_process ? (holder + 1) % overload->n_processes : holder;
+}
+
 static const struct overload_case *
 find_case (const char *name)
 {
@@ -162,7 +189,7 @@
 	struct site *site = site_new (&options);
 	GString *unit = repeat_pattern (overload);
 	struct crowd_options crowd_options = {
-		.port = site_port (site, site_holder (site), overload->listener),
+		.port = site_port (site, process_for (site, overload), overload->listener),
 		.n_clients = overload->n_clients,
 		.head = overload->head,
 		.head_len = overload->head_len,
@@ -170,8 +197,10 @@
 		.unit_len = unit->len,
 		.n_bytes = overload->bytes,
 	};
+	site_pause_platform (site, overload->platform_paused);
 	struct crowd *crowd = crowd_new (&crowd_options);
 	crowd_send (crowd);
+	site_pause_platform (site, false);
 	site_check (site);
 	crowd_free (crowd);
 	site_free (site);
@@ -191,8 +220,7 @@
 	struct site *site = site_new (&options);
 	g_autofree char *padding = g_strnfill (SITE_HEADER_MAX - 1000, 'x');
 	g_autofree char *body = g_strnfill (SITE_BODY_MAX, ' ');
-	static const char job[] = "{\"spec\":\"x\",\"steps\":[{\"count\":1,\"cpu\":500}]}";
-	memcpy (body, job, sizeof (job) - 1);
+	memcpy (body, JOB_BODY, sizeof (JOB_BODY) - 1);
 	g_autofree char *text = g_strdup_printf (
 		"POST" JOB_HEAD "Connection: close\r\nX-Padding: %s\r\n" LENGTH_WITHIN "%s",
 		padding, body);
