common: weigh the headers of a request by their lines

A request whose body was larger than the largest headers counted as if all of these had been used, 507 KB, and one of 400 bytes of headers as 12.8 KB: some sixty callers with large bodies at once would have met the memory bound of all clients, far fewer than ordinary callers may be while the store is slow.

The lines of the headers are counted as they arrive, 128 bytes each beside their own; so is their end, which the search for an empty line did before. A request of eight lines counts as 1 KB and its bytes.

--- a/common/connections.c
+++ b/common/connections.c
@@ -19,8 +19,10 @@
 /** Bytes beyond the largest request that a connection buffers: the frames of chunks, and the
  * beginning of the next request. */
 #define RECEIVE_MARGIN_BYTES 16384
-/** Memory for each byte of a request's headers: a header of three bytes takes three allocations. */
-#define HEADER_COST 32
+/** Memory for each line of a request's headers beside its bytes: it takes three allocations. */
+#define HEADER_LINE_BYTES 128
+/** Bytes of headers that are looked at together. */
+#define SCAN_BYTES 4096
 /** Memory of a connection itself, bytes, to weigh idle connections against others. */
 #define CONNECTION_BYTES 4096
 /** Number of connections above the limit that are accepted, to be closed at once, before accepting
@@ -42,6 +44,14 @@
 	DFF_CONNECTION_SENDING,
 };
 
+/** Progress of the request line and the headers that follow it. */
+struct header_scan {
+	size_t n_lines;
+	bool at_line_start;
+	/** Whether the empty line at their end has arrived. */
+	bool complete;
+};
+
 struct connection {
 	struct dff_connection_group *group;
 	/** Holds a reference. evhttp frees the bufferevent without a notification, and its address
@@ -50,7 +60,7 @@
 	enum connection_state state;
 	/** Start of the state; while sending, time of the last progress. */
 	int64_t state_since_ms;
-	bool headers_complete;
+	struct header_scan headers;
 	/** Bytes of the current request that evhttp has taken from the input buffer. */
 	size_t parsed_bytes;
 	/** Contribution to the total of all connections, bytes. */
@@ -200,9 +210,8 @@
 {
 	size_t buffered = evbuffer_get_length (bufferevent_get_input (connection->bev)) +
 			  evbuffer_get_length (bufferevent_get_output (connection->bev));
-	size_t parsed = connection->parsed_bytes;
-	size_t headers = MIN (parsed, connection->group->limits.max_header_bytes);
-	set_held (connection, buffered + parsed + headers * (HEADER_COST - 1));
+	size_t headers = connection->headers.n_lines * HEADER_LINE_BYTES;
+	set_held (connection, buffered + connection->parsed_bytes + headers);
 }
 
 /* bufferevent_free() clears the callbacks; a live connection always has those of evhttp. */
@@ -358,18 +367,34 @@
 	}
 }
 
-/* evhttp takes complete lines from the buffer as they arrive, so the empty line at the end of the
- * headers may be alone in it. */
-static bool
-holds_end_of_headers (const struct connection *connection, struct evbuffer *input)
+static void
+headers_reset (struct header_scan *headers)
 {
-	char start[2] = {0};
-	evbuffer_copyout (input, start, sizeof (start));
-	if (connection->parsed_bytes > 0 &&
-	    (start[0] == '\n' || (start[0] == '\r' && start[1] == '\n')))
-		return true;
-	return evbuffer_search (input, "\n\r\n", 3, NULL).pos >= 0 ||
-	       evbuffer_search (input, "\n\n", 2, NULL).pos >= 0;
+	*headers = (struct header_scan){.at_line_start = true};
+}
+
+/* Counts the lines of the headers in the bytes of @input from @offset on. */
+static void
+headers_scan (struct header_scan *headers, struct evbuffer *input, size_t offset)
+{
+	char bytes[SCAN_BYTES];
+	struct evbuffer_ptr position;
+	while (!headers->complete && offset < evbuffer_get_length (input)) {
+		evbuffer_ptr_set (input, &position, offset, EVBUFFER_PTR_SET);
+		ev_ssize_t n = evbuffer_copyout_from (input, &position, bytes, sizeof (bytes));
+		if (n <= 0)
+			return;
+		for (ev_ssize_t i = 0; i < n && !headers->complete; i++) {
+			if (bytes[i] == '\n') {
+				headers->complete = headers->at_line_start && headers->n_lines > 0;
+				headers->n_lines++;
+				headers->at_line_start = true;
+			} else if (bytes[i] != '\r') {
+				headers->at_line_start = false;
+			}
+		}
+		offset += (size_t)n;
+	}
 }
 
 /* evhttp leaves a body in the input buffer until it is complete, so the limit is above that of
@@ -396,8 +421,8 @@
 	if (info->n_added > 0 && connection->state == DFF_CONNECTION_IDLE)
 		set_state (connection, DFF_CONNECTION_RECEIVING);
 	if (connection->state == DFF_CONNECTION_RECEIVING) {
-		if (info->n_added > 0 && !connection->headers_complete)
-			connection->headers_complete = holds_end_of_headers (connection, buffer);
+		if (info->n_added > 0)
+			headers_scan (&connection->headers, buffer, info->orig_size);
 		connection->parsed_bytes += info->n_deleted;
 		if (is_oversized (connection, buffer))
 			reject (connection);
@@ -474,6 +499,7 @@
 	connection->group = group;
 	connection->bev = bev;
 	bufferevent_incref (bev);
+	headers_reset (&connection->headers);
 	set_state (connection, DFF_CONNECTION_IDLE);
 	bufferevent_set_timeouts (bev, NULL, &write_stall);
 	evbuffer_add_cb (bufferevent_get_input (bev), handle_input, connection);
@@ -527,7 +553,8 @@
 	struct evbuffer *input = bufferevent_get_input (bev);
 	bool more = evbuffer_get_length (input) > 0;
 	connection->parsed_bytes = 0;
-	connection->headers_complete = more && holds_end_of_headers (connection, input);
+	headers_reset (&connection->headers);
+	headers_scan (&connection->headers, input, 0);
 	set_state (connection, more ? DFF_CONNECTION_RECEIVING : DFF_CONNECTION_IDLE);
 	update_held (connection);
 	bufferevent_setwatermark (bev, EV_READ, 0, 0);
@@ -542,7 +569,7 @@
 		return connection->rejected || age_ms (connection) >= limits->idle_timeout_ms;
 	case DFF_CONNECTION_RECEIVING:
 		return connection->rejected || age_ms (connection) >= limits->request_timeout_ms ||
-		       (!connection->headers_complete &&
+		       (!connection->headers.complete &&
 			age_ms (connection) >= limits->header_timeout_ms);
 	default:
 		return false;
