tests/overload: clients that reconnect all the time, and a process that stops among them

Connections that are replaced without a pause while an ordinary job is served, and SIGTERM while the crowd doesn't read or sends half of its requests.

--- a/tests/overload/crowd.c
+++ b/tests/overload/crowd.c
@@ -4,8 +4,11 @@
 #include <errno.h>
 #include <glib.h>
 #include <poll.h>
+#include <signal.h>
 #include <stdbool.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
+#include <sys/wait.h>
 #include <unistd.h>
 
 /** Time without any progress after which the crowd stops sending, ms. */
@@ -24,6 +27,8 @@
 struct crowd {
 	struct crowd_options options;
 	struct client *clients;
+	/** Process that replaces the connections; 0: none. */
+	pid_t replacer;
 };
 
 static int
@@ -112,9 +117,33 @@
 		continue;
 }
 
+static void
+replace_client (struct crowd *crowd, struct client *client)
+{
+	close (client->fd);
+	*client = (struct client){.fd = connect_to (crowd->options.port)};
+	client_send (client, &crowd->options);
+}
+
+void
+crowd_start_replacing (struct crowd *crowd)
+{
+	crowd->replacer = fork ();
+	if (crowd->replacer != 0)
+		return;
+	prctl (PR_SET_PDEATHSIG, SIGKILL);
+	for (int i = 0; i < CROWD_REPLACED_MAX; i++)
+		replace_client (crowd, &crowd->clients[i % crowd->options.n_clients]);
+	_exit (0);
+}
+
 void
 crowd_free (struct crowd *crowd)
 {
+	if (crowd->replacer > 0) {
+		kill (crowd->replacer, SIGKILL);
+		waitpid (crowd->replacer, NULL, 0);
+	}
 	for (int i = 0; i < crowd->options.n_clients; i++)
 		close (crowd->clients[i].fd);
 	g_free (crowd->clients);
--- a/tests/overload/crowd.h
+++ b/tests/overload/crowd.h
@@ -28,6 +28,13 @@
  * for a while. */
 void crowd_send (struct crowd *crowd);
 
+/** Number of connections that a crowd replaces at most, see crowd_start_replacing(). */
+#define CROWD_REPLACED_MAX 200000
+
+/** Replaces one connection after the other by a new one that sends the head, until the crowd is
+ * freed or CROWD_REPLACED_MAX are replaced. */
+void crowd_start_replacing (struct crowd *crowd);
+
 /** Closes the connections. */
 void crowd_free (struct crowd *crowd);
 
--- a/tests/overload/site.c
+++ b/tests/overload/site.c
@@ -409,6 +409,23 @@
 	return site;
 }
 
+void
+site_stop (struct site *site, int number)
+{
+	struct process *process = &site->processes[number];
+	int status = 0;
+	kill (process->pid, SIGTERM);
+	for (int waited_ms = 0; waited_ms < PATIENCE_MS; waited_ms += POLL_MS) {
+		if (waitpid (process->pid, &status, WNOHANG) != 0) {
+			process->pid = 0;
+			assert_true (WIFEXITED (status) && WEXITSTATUS (status) == 0);
+			return;
+		}
+		g_usleep (POLL_MS * 1000);
+	}
+	fail_with_logs (site, "does not stop", number);
+}
+
 static void
 end_process (pid_t pid)
 {
--- a/tests/overload/site.h
+++ b/tests/overload/site.h
@@ -48,6 +48,9 @@
 /** Stops or continues the store and the workers. */
 void site_pause_platform (const struct site *site, bool pause);
 
+/** Stops a process gracefully. Fails the test unless it ends by itself. */
+void site_stop (struct site *site, int process);
+
 /** Returns: the process that decides about the jobs. */
 int site_holder (const struct site *site);
 
--- a/tests/overload/test-overload.c
+++ b/tests/overload/test-overload.c
@@ -61,6 +61,10 @@
 	bool platform_paused;
 	/** The crowd connects to a process that does not decide. */
 	bool at_other_process;
+	/** The crowd replaces its connections all the time. */
+	bool replaces;
+	/** The process is stopped while the crowd is connected. */
+	bool stops;
 };
 
 #define HEAD(text) .head = (text), .head_len = sizeof (text) - 1
@@ -136,6 +140,14 @@
 	 SITE_READY, .n_clients = 4,
 	 PATTERN ("GET /instance?decider=127.0.0.1:1&epoch=99999999 HTTP/1.1\r\n\r\n"),
 	 .bytes = 6400, .n_processes = 2, .at_other_process = true},
+	{"front-replaced", "clients that connect again and again keep ordinary ones out",
+	 SITE_FRONT, BEYOND, HEAD ("GET" JOB_HEAD), .replaces = true},
+	{"ready-replaced", "clients that connect again and again keep ordinary ones out",
+	 SITE_READY, BEYOND, HEAD ("GET /api/ready"), .replaces = true},
+	{"front-stop-answers-unread", "clients that do not read keep a process from stopping",
+	 SITE_FRONT, FLOOD, PATTERN ("GET" JOB_HEAD "\r\n"), .stops = true},
+	{"front-stop-half-sent", "clients that send half a request keep a process from stopping",
+	 SITE_FRONT, BEYOND, HEAD ("GET" JOB_HEAD), .stops = true},
 	{"relay-messages-unfinished", "messages of relays, none of them whole, add up", SITE_RELAY,
 	 .n_clients = 64, HEAD ("\x00\x40\x00\x00"), PATTERN ("\x0a"), .bytes = MEGABYTES (4) - 1,
 	 .n_workers = 200},
@@ -201,7 +213,11 @@
 	struct crowd *crowd = crowd_new (&crowd_options);
 	crowd_send (crowd);
 	site_pause_platform (site, false);
+	if (overload->replaces)
+		crowd_start_replacing (crowd);
 	site_check (site);
+	if (overload->stops)
+		site_stop (site, process_for (site, overload));
 	crowd_free (crowd);
 	site_free (site);
 	g_string_free (unit, TRUE);
