--- a/fleet/servers.c
+++ b/fleet/servers.c
@@ -161,8 +161,9 @@
 dff_fleet_servers_close (struct dff_fleet_servers *servers)
 {
 	dff_timer_stop (servers->check);
-	for (int i = 0; i < DFF_FLEET_N_SERVERS; i++)
+	for (int i = 0; i < DFF_FLEET_N_SERVERS; i++) {
 		g_clear_pointer (&servers->servers[i], dff_http_server_free);
+	}
 }
 
 void
--- a/tests/common/test-http-server.c
+++ b/tests/common/test-http-server.c
@@ -21,11 +21,13 @@
 #define HEADER_TIMEOUT_MS 1000
 #define REQUEST_TIMEOUT_MS 3000
 #define IDLE_TIMEOUT_MS 5000
+/** Far above all of them. */
+#define LONG_MS INT64_C (500000)
 #define MAX_CONNECTIONS 8
 #define MAX_BYTES 20000
 #define MAX_BODY_BYTES 16000
 /** Interval of the checks, ms. */
-#define TICK_MS 100
+#define TICK_MS INT64_C (100)
 /** Iterations of the event loop after which all that was sent has been read. */
 #define ITERATIONS 100
 
@@ -183,7 +185,7 @@
 		send_bytes (&fixture, fd, cases[i].second, 0);
 		was_answered (fd, "");
 		int64_t limit_ms = cases[i].closed_after_ms;
-		pass_time (&fixture, limit_ms > 0 ? limit_ms - TICK_MS : 100 * IDLE_TIMEOUT_MS);
+		pass_time (&fixture, limit_ms > 0 ? limit_ms - TICK_MS : LONG_MS);
 		if (is_closed (fd))
 			fail_msg ("%s: closed too early", cases[i].what);
 		pass_time (&fixture, limit_ms > 0 ? 2 * TICK_MS : 0);
@@ -203,7 +205,7 @@
 	struct fixture fixture;
 	fixture_open (&fixture);
 	int fd = client_with (&fixture, POST ("/", 9) "abc", 0);
-	fixture.clock.now_ms += 100 * REQUEST_TIMEOUT_MS;
+	fixture.clock.now_ms += LONG_MS;
 	dff_connections_tick (fixture.connections);
 	send_bytes (&fixture, fd, "defghi", 0);
 	assert_true (was_answered (fd, "200 OK"));
--- a/tests/overload/crowd.c
+++ b/tests/overload/crowd.c
@@ -27,6 +27,7 @@
 struct crowd {
 	struct crowd_options options;
 	struct client *clients;
+	struct pollfd *polls;
 	/** Process that replaces the connections; 0: none. */
 	pid_t replacer;
 };
@@ -52,6 +53,7 @@
 	struct crowd *crowd = g_new0 (struct crowd, 1);
 	crowd->options = *options;
 	crowd->clients = g_new0 (struct client, options->n_clients);
+	crowd->polls = g_new0 (struct pollfd, options->n_clients);
 	for (int i = 0; i < options->n_clients; i++)
 		crowd->clients[i].fd = connect_to (options->port);
 	return crowd;
@@ -94,8 +96,9 @@
 
 /* Returns: whether any client got rid of a byte. */
 static bool
-send_once (struct crowd *crowd, struct pollfd *polls)
+send_once (struct crowd *crowd)
 {
+	struct pollfd *polls = crowd->polls;
 	int n = crowd->options.n_clients;
 	bool progress = false;
 	for (int i = 0; i < n; i++)
@@ -112,8 +115,7 @@
 void
 crowd_send (struct crowd *crowd)
 {
-	g_autofree struct pollfd *polls = g_new0 (struct pollfd, crowd->options.n_clients);
-	while (send_once (crowd, polls))
+	while (send_once (crowd))
 		continue;
 }
 
@@ -146,6 +148,7 @@
 	}
 	for (int i = 0; i < crowd->options.n_clients; i++)
 		close (crowd->clients[i].fd);
+	g_free (crowd->polls);
 	g_free (crowd->clients);
 	g_free (crowd);
 }
--- a/tests/overload/site.c
+++ b/tests/overload/site.c
@@ -30,6 +30,7 @@
  * it takes, as it only tells a process that hangs from one that works. */
 #define PATIENCE_MS 60000
 #define POLL_MS 50
+#define US_PER_MS 1000UL
 /** Time for which a call waits for its answer, s. */
 #define CALL_TIMEOUT_S 5
 /** Ports are taken from below the range of which the kernel takes those of outgoing connections. */
@@ -293,7 +294,7 @@
 			fail_with_logs (site, "ended", number);
 		if (call_holds (process->ports[listener], text, what))
 			return;
-		g_usleep (POLL_MS * 1000);
+		g_usleep (POLL_MS * US_PER_MS);
 	}
 	fail_with_logs (site, text, number);
 }
@@ -311,7 +312,7 @@
 					IS_HOLDING))
 				return i;
 		}
-		g_usleep (POLL_MS * 1000);
+		g_usleep (POLL_MS * US_PER_MS);
 	}
 	fail_with_logs (site, "no process decides", 0);
 	return -1;
@@ -421,7 +422,7 @@
 			assert_true (WIFEXITED (status) && WEXITSTATUS (status) == 0);
 			return;
 		}
-		g_usleep (POLL_MS * 1000);
+		g_usleep (POLL_MS * US_PER_MS);
 	}
 	fail_with_logs (site, "does not stop", number);
 }
