holder: bound the memory of open jobs

One caller inside every limit ended the process that decides: 1,500 submissions of 140 bytes, each of 500 tasks that no worker can run, took 340 MB there (less than 300 of them the 120 MB of the smallest machine). They are on record by then, so each successor reads them and ends in the same way.

Cause: nothing bounded what is accepted. A task takes 780 bytes at the holder, a job as much and its row some times (measured: 800 jobs of 500 tasks, 4,000 of one task with a spec of 4,000 bytes).

The holder now counts the memory of its open jobs and refuses new ones above 48 MB, or above half of that for the jobs of one team, so that one team's callers don't keep the others out. It refuses before anything is written, and processes that forward to it don't write such rows themselves, so 503 still means that the job never runs; a job that was accepted before is still found. A process that knows no holder writes rows itself, which isn't bounded here.

--- a/holder/holder.c
+++ b/holder/holder.c
@@ -26,6 +26,10 @@
 /** A gang on two racks takes three times the worker time: a later start costs less than that. */
 #define RACK_WAIT_MS 15000
 
+/** Memory of open jobs above which new ones are refused, bytes: two fifths of the smallest
+ * machine's. */
+#define OPEN_JOBS_MAX_BYTES ((size_t)48 << 20)
+
 void
 dff_holder_options_init (struct dff_holder_options *options)
 {
@@ -37,6 +41,7 @@
 		.feed_min_workers = FEED_MIN_WORKERS,
 		.relay_min_workers = RELAY_MIN_WORKERS,
 		.retention_ms = RETENTION_MS,
+		.open_jobs_max_bytes = OPEN_JOBS_MAX_BYTES,
 		.locality_wait_ms = LOCALITY_WAIT_MS,
 		.rack_wait_ms = RACK_WAIT_MS,
 	};
@@ -201,6 +206,9 @@
 	holder->metrics.submissions = dff_metrics_counter (
 		metrics, "dff_holder_submissions_total",
 		"Rows of callers to be written with the holder's own transactions.");
+	holder->metrics.submissions_refused =
+		dff_metrics_counter (metrics, "dff_holder_submissions_refused_total",
+				     "Of these, jobs refused because too many are open.");
 }
 
 static void
--- a/holder/holder_private.h
+++ b/holder/holder_private.h
@@ -297,6 +297,21 @@
 /** Reads the inbox when that is due. */
 void inbox_step (struct dff_holder *holder);
 
+/* load.c */
+
+void load_begin (struct dff_holder *holder);
+void load_reset (struct dff_holder *holder);
+
+/** Counts a job whose row has @row_bytes bytes. */
+void load_add_job (struct dff_holder *holder, struct holder_job *job, size_t row_bytes);
+
+/** To be called before the job is freed. */
+void load_remove_job (struct dff_holder *holder, const struct holder_job *job);
+
+/** Returns: whether the new job that @row holds may be accepted. An unreadable row is left to the
+ * caller. */
+bool load_admits (struct dff_holder *holder, struct dff_str row);
+
 /* workers.c */
 
 void workers_begin (struct dff_holder *holder);
--- a/holder/holder_tables.h
+++ b/holder/holder_tables.h
@@ -206,6 +206,8 @@
 	/** Elements: struct holder_ack. */
 	GArray *acks;
 	int64_t added_ms;
+	/** Memory that it counts for, bytes, see holder/load.c. */
+	size_t load_bytes;
 	/** When the next occurrence is due, ms since 1970. */
 	int64_t due_ms;
 };
@@ -388,6 +390,12 @@
 	/** Rows that wait to be written, oldest first. Elements: struct submission *. */
 	GQueue submissions;
 
+	/* holder/load.c */
+	/** Memory of all jobs, bytes. */
+	size_t load_bytes;
+	/** struct dff_name *, a team, to size_t *, the memory of its jobs, bytes. */
+	GHashTable *load_by_team;
+
 	/* holder/queries.c */
 	/** State queries that wait for an answer. Elements: struct query *. */
 	GQueue queries;
@@ -487,6 +495,7 @@
 		int64_t *evacuated_runs;
 		int64_t *queries_answered;
 		int64_t *submissions;
+		int64_t *submissions_refused;
 		int64_t *starts_withdrawn;
 		int64_t *speeds_recorded;
 		int64_t *speeds_taken_over;
--- a/holder/jobs.c
+++ b/holder/jobs.c
@@ -39,6 +39,7 @@
 	holder->jobs = g_hash_table_new_full (dff_name_hash, dff_name_equal_func, NULL, free_job);
 	holder->units = g_hash_table_new_full (dff_name_hash, dff_name_equal_func, NULL, unit_free);
 	holder->withdrawn = g_ptr_array_new ();
+	load_begin (holder);
 	holder->next_due_ms = INT64_MAX;
 }
 
@@ -50,6 +51,7 @@
 	g_clear_pointer (&holder->units, g_hash_table_unref);
 	g_clear_pointer (&holder->withdrawn, g_ptr_array_unref);
 	g_clear_pointer (&holder->jobs, g_hash_table_unref);
+	load_reset (holder);
 	*holder->metrics.open_jobs = 0;
 }
 
@@ -186,6 +188,7 @@
 	job->acks = g_array_new (FALSE, TRUE, sizeof (struct holder_ack));
 	job->added_ms = holder_now_ms (holder);
 	g_hash_table_insert (holder->jobs, &job->id, job);
+	load_add_job (holder, job, row->value.len);
 	workers_declare_team (holder, &job->plan->team);
 	if (holder->phase != DFF_HOLDER_HOLDING)
 		return job;
@@ -198,6 +201,13 @@
 	return job;
 }
 
+static void
+remove_job (struct dff_holder *holder, struct holder_job *job)
+{
+	load_remove_job (holder, job);
+	g_hash_table_remove (holder->jobs, &job->id);
+}
+
 /* No decision about a provisional job was sent: its starts wait for a record that will not be
  * written. */
 void
@@ -222,7 +232,7 @@
 		if (!has_units (holder, job)) {
 			g_ptr_array_remove_index_fast (holder->withdrawn, i - 1);
 			g_hash_table_remove (holder->dirty, job);
-			g_hash_table_remove (holder->jobs, &job->id);
+			remove_job (holder, job);
 		}
 	}
 }
@@ -312,7 +322,7 @@
 	 * again. */
 	if (has_units (holder, job))
 		return false;
-	g_hash_table_remove (holder->jobs, &job->id);
+	remove_job (holder, job);
 	return true;
 }
 
--- a/holder/submissions.c
+++ b/holder/submissions.c
@@ -25,6 +25,8 @@
 	bool in_flight;
 	/** Whether a transaction with the row had no answer: the row may be recorded. */
 	bool outcome_unknown;
+	/** Whether the row is not to be written, as too many jobs are open. */
+	bool refused;
 	/** Whether the row existed when it was submitted. */
 	bool already_exists;
 	/** Callers that wait for the record, see rows/waiters.h. */
@@ -105,8 +107,9 @@
 	/* It is not known here whether a cancellation is recorded. */
 	bool is_job = !jobs_is_cancel_key (from->key);
 	bool known = is_job && jobs_key_is_applied (holder, from->key);
+	bool refused = is_job && !known && !load_admits (holder, from->value);
 	struct holder_job *job = NULL;
-	if (is_job && !known) {
+	if (is_job && !known && !refused) {
 		struct dff_row row = {.key = from->key, .value = from->value};
 		job = jobs_ingest (holder, &row);
 		if (job == NULL)
@@ -116,6 +119,7 @@
 	struct submission *submission = submission_new (holder, from);
 	submission->job = job;
 	submission->already_exists = known;
+	submission->refused = refused;
 	return submission;
 }
 
@@ -160,6 +164,8 @@
 		next = link->next;
 		if (submission->already_exists)
 			settle (holder, submission, DFF_ROWS_CONFLICT, 0);
+		else if (submission->refused)
+			withdraw (holder, submission);
 		else if (now_ms >= submission->deadline_ms)
 			expire (holder, submission);
 	}
@@ -178,7 +184,7 @@
 	for (GList *link = holder->submissions.head; link != NULL && n_drafted < DRAFTED_MAX;
 	     link = link->next) {
 		struct submission *submission = link->data;
-		if (submission->already_exists ||
+		if (submission->already_exists || submission->refused ||
 		    !draft_submission (draft, submission->key, submission->value))
 			continue;
 		submission->in_flight = true;
--- a/include/holder/holder.h
+++ b/include/holder/holder.h
@@ -105,6 +105,8 @@
 	int32_t gang_wait_ms;
 	/** Number of workers from which only changes of the worker list are read. */
 	guint feed_min_workers;
+	/** Memory of open jobs above which new ones are refused, bytes; of one team, half of it. */
+	size_t open_jobs_max_bytes;
 	/** Time for which completed jobs can be queried, ms. */
 	int64_t retention_ms;
 	/** Longest time that tasks wait for free capacity near their data, ms. */
--- a/tests/holder/site.c
+++ b/tests/holder/site.c
@@ -285,6 +285,8 @@
 	options.store_served_ms = store_served_ms;
 	options.store_ctx = process;
 	options.read_upstream = site_workers_read_upstream;
+	if (site->open_jobs_max_bytes > 0)
+		options.open_jobs_max_bytes = site->open_jobs_max_bytes;
 	if (site->links)
 		site_links_options (process, &options);
 	if (site->with_evacuations) {
@@ -422,6 +424,15 @@
 	open_site (site);
 }
 
+void
+site_open_with_job_limit (struct site *site, size_t open_jobs_max_bytes)
+{
+	memset (site, 0, sizeof (*site));
+	site->links = true;
+	site->open_jobs_max_bytes = open_jobs_max_bytes;
+	open_site (site);
+}
+
 void
 site_open_unenforced (struct site *site)
 {
--- a/tests/holder/site.h
+++ b/tests/holder/site.h
@@ -109,6 +109,8 @@
 	int32_t accelerators[SITE_UNEQUAL_WORKERS];
 	/** Whether workers do not enforce their capacity, and write their entries periodically. */
 	bool unenforced;
+	/** Limit of the memory of open jobs, bytes; 0: the default. */
+	size_t open_jobs_max_bytes;
 	struct site_entry entries[SITE_UNEQUAL_WORKERS];
 	bool closing;
 	/** Time after which a worker that a task has crashed is restarted, ms; 0: never. */
@@ -147,6 +149,9 @@
 /** As site_open(), with rows of jobs and state queries that go through the holder. */
 void site_open_with_links (struct site *site);
 
+/** As site_open_with_links(), with a limit of the memory of open jobs, bytes. */
+void site_open_with_job_limit (struct site *site, size_t open_jobs_max_bytes);
+
 void site_hop_free (gpointer hop);
 
 /** Requests the evacuation of a data centre, or withdraws the request. */
--- a/tests/holder/test-holder-submissions.c
+++ b/tests/holder/test-holder-submissions.c
@@ -344,6 +344,50 @@
 	}
 }
 
+static struct dff_plan *
+plan_of_team (const char *id, const char *team)
+{
+	struct dff_plan *plan = site_plan (id, 40, false, 1);
+	plan->team = dff_name_from (team);
+	return plan;
+}
+
+/* Guards against jobs that fill the memory of the holder, and then that of its successors: jobs of
+ * 40 tasks count for 35 kB, and one team may take half of the limit. A refused job is not on record
+ * and never runs; ended jobs make room for others. */
+static void
+test_jobs_beyond_the_limit_are_refused (void **state)
+{
+	(void)state;
+	static const struct {
+		const char *id;
+		const char *team;
+		enum dff_front_outcome outcome;
+	} cases[] = {
+		{"a1", "team", DFF_FRONT_OK},           {"a2", "team", DFF_FRONT_OK},
+		{"a3", "team", DFF_FRONT_UNAVAILABLE},  {"a1", "team", DFF_FRONT_OK},
+		{"b1", "other", DFF_FRONT_OK},          {"b2", "other", DFF_FRONT_OK},
+		{"b3", "other", DFF_FRONT_UNAVAILABLE}, {"c1", "third", DFF_FRONT_OK},
+		{"c2", "third", DFF_FRONT_UNAVAILABLE},
+	};
+	struct site site;
+	site_open_with_job_limit (&site, 180000);
+	int holder = site_holder (&site);
+	for (size_t i = 0; i < G_N_ELEMENTS (cases); i++) {
+		int process = (holder + (int)i) % SITE_PROCESSES;
+		enum dff_front_outcome outcome =
+			site_submit (&site, process, plan_of_team (cases[i].id, cases[i].team));
+		if (outcome != cases[i].outcome)
+			fail_msg ("%s: %d", cases[i].id, (int)outcome);
+	}
+	assert_int_equal (dff_memory_rows_count (site.rows, DFF_TABLE_JOBS), 5);
+	assert_int_equal (site_cancel (&site, holder, "a1"), DFF_FRONT_OK);
+	site_run (&site, 3000);
+	assert_int_equal (dff_memory_runner_n_starts (site.runner, "a3"), 0);
+	assert_int_equal (site_submit (&site, holder, plan_of_team ("a3", "team")), DFF_FRONT_OK);
+	site_close (&site);
+}
+
 int
 main (void)
 {
@@ -353,6 +397,7 @@
 		cmocka_unit_test (test_state_query_at_completion),
 		cmocka_unit_test (test_unrecorded_completion_is_not_reported),
 		cmocka_unit_test (test_submission_outcomes),
+		cmocka_unit_test (test_jobs_beyond_the_limit_are_refused),
 		cmocka_unit_test (test_submission_during_step_down),
 		cmocka_unit_test (test_withdrawn_jobs),
 		cmocka_unit_test (test_withdrawn_endless_job),
--- a/tests/overload/site.c
+++ b/tests/overload/site.c
@@ -52,7 +52,8 @@
 	"\"max_body_bytes\":262144,\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000},"
 	"\"services\":[{\"name\":\"studio\",\"rejects_overload\":true}],"
 	"\"tenants\":[{\"name\":\"tenant\",\"api_keys\":[\"" SITE_CREDENTIAL
-	"\"],\"priority\":1,\"guaranteed\":{\"gpu\":0}}]}";
+	"\"],\"priority\":1,\"guaranteed\":{\"gpu\":0}},{\"name\":\"crowd\",\"api_keys\":["
+	"\"" SITE_CROWD_CREDENTIAL "\"],\"priority\":1,\"guaranteed\":{\"gpu\":0}}]}";
 
 static const char worker_format[] =
 	"{\"service\":\"studio\",\"address\":\"127.0.1.%d:%u\",\"zone\":\"zone-a\",\"version\":"
--- a/tests/overload/site.h
+++ b/tests/overload/site.h
@@ -15,6 +15,8 @@
 /** Team, class and limits of the configuration in force. */
 #define SITE_HOST "site.example"
 #define SITE_CREDENTIAL "key-of-tenant"
+/** Credential of another team, without ordinary callers. */
+#define SITE_CROWD_CREDENTIAL "key-of-crowd"
 #define SITE_PATH "/queue/"
 #define SITE_BODY_MAX 262144
 #define SITE_HEADER_MAX 16384
--- a/tests/overload/test-overload.c
+++ b/tests/overload/test-overload.c
@@ -53,6 +53,8 @@
 	const char *pattern;
 	size_t pattern_len;
 	size_t bytes;
+	/** Number of different jobs that are sent after the head, instead of @pattern. */
+	int n_jobs;
 	/** 0: one process, as many descriptors as on the smallest machine, one worker. */
 	int n_processes;
 	int max_descriptors;
@@ -128,6 +130,10 @@
 	{"front-jobs-waiting", "whole requests that wait for the store add up", SITE_FRONT, MANY,
 	 HEAD ("POST" JOB_HEAD LENGTH_WITHIN JOB_BODY), PATTERN (" "),
 	 .bytes = SITE_BODY_MAX - (sizeof (JOB_BODY) - 1), .platform_paused = true},
+	{"front-jobs-many-tasks",
+	 "jobs of many tasks that no worker can run fill the memory of the "
+	 "process that decides",
+	 SITE_FRONT, .n_clients = 1, .n_jobs = 1500},
 	{"ready-rows-forged", "rows that no process has sent end the one that decides", SITE_READY,
 	 .n_clients = 4,
 	 PATTERN ("POST /row?key=zz&timeout=1000 HTTP/1.1\r\nContent-Length: 1\r\n\r\nx"),
@@ -159,9 +165,28 @@
 /** Descriptors on the machine with the least means. */
 #define DESCRIPTORS 3075
 
+/* Submissions of jobs that no worker can run, each of as many tasks as a step may have. */
+static GString *
+jobs_without_worker (int n_jobs)
+{
+	static const char body[] = "{\"spec\":\"x\",\"steps\":[{\"count\":500,\"cpu\":1000,"
+				   "\"requirements\":\"no-such-label\"}]}";
+	GString *unit = g_string_new (NULL);
+	for (int i = 0; i < n_jobs; i++)
+		g_string_append_printf (unit,
+					"POST " SITE_PATH
+					"00000000c0de%04x HTTP/1.1\r\nHost: " SITE_HOST
+					"\r\nDragonflyfold-Credential: " SITE_CROWD_CREDENTIAL
+					"\r\nContent-Length: %zu\r\n\r\n%s",
+					i, strlen (body), body);
+	return unit;
+}
+
 static GString *
 repeat_pattern (const struct overload_case *overload)
 {
+	if (overload->n_jobs > 0)
+		return jobs_without_worker (overload->n_jobs);
 	GString *unit = g_string_new (NULL);
 	while (overload->pattern_len > 0 && unit->len < MIN (UNIT_BYTES, overload->bytes))
 		g_string_append_len (unit, overload->pattern, (gssize)overload->pattern_len);
@@ -207,7 +232,7 @@
 		.head_len = overload->head_len,
 		.unit = unit->str,
 		.unit_len = unit->len,
-		.n_bytes = overload->bytes,
+		.n_bytes = overload->n_jobs > 0 ? unit->len : overload->bytes,
 	};
 	site_pause_platform (site, overload->platform_paused);
 	struct crowd *crowd = crowd_new (&crowd_options);
