relay: connections that send nothing give way to relays

The process that decides takes a few relays, one for 48 workers, and closed every further connection. Clients that connected to that port and sent nothing, or empty messages, took the places: until they were dropped a second later, or for good, the process carried all calls to workers itself.

A relay sends its name at once. At the limit a connection without a name is closed for a new one; one with a name is not. test_silent_connections_give_way is new and failed before. A client that sends a name is still taken for a relay: processes don't prove to each other who they are.

--- a/relay/dispatch.c
+++ b/relay/dispatch.c
@@ -278,10 +278,37 @@
 	}
 }
 
+/* Returns: (nullable): a connection that has not sent its name. */
+static struct dff_dispatch_relay *
+find_unnamed (const struct dff_dispatch *dispatch)
+{
+	for (guint i = 0; i < dispatch->relays->len; i++) {
+		struct dff_dispatch_relay *relay = g_ptr_array_index (dispatch->relays, i);
+		if (dff_name_is_empty (&relay->name))
+			return relay;
+	}
+	return NULL;
+}
+
+/* Returns: whether another relay may be added. A relay sends its name at once, so connections that
+ * have not sent one must not keep relays out. */
+static bool
+make_room (struct dff_dispatch *dispatch)
+{
+	if ((int32_t)dispatch->relays->len < dispatch->limit)
+		return true;
+	struct dff_dispatch_relay *unnamed = dispatch->limit > 0 ? find_unnamed (dispatch) : NULL;
+	if (unnamed == NULL)
+		return false;
+	unnamed->link.close (unnamed->link.ctx);
+	drop_relay (unnamed, "unnamed");
+	return true;
+}
+
 struct dff_dispatch_relay *
 dff_dispatch_add (struct dff_dispatch *dispatch, const struct dff_relay_link *link)
 {
-	if ((int32_t)dispatch->relays->len >= dispatch->limit) {
+	if (!make_room (dispatch)) {
 		link->close (link->ctx);
 		return NULL;
 	}
--- a/tests/relay/test-relay.c
+++ b/tests/relay/test-relay.c
@@ -536,6 +536,46 @@
 	close_fixture (&fixture);
 }
 
+static void
+ignore_message (void *ctx, const uint8_t *data, size_t len)
+{
+	(void)ctx;
+	(void)data;
+	(void)len;
+}
+
+static void
+count_close (void *ctx)
+{
+	(*(int *)ctx)++;
+}
+
+/* Guards against connections that send nothing and keep relays out: one gives way to a relay, none
+ * takes the place of a relay. */
+static void
+test_silent_connections_give_way (void **state)
+{
+	(void)state;
+	struct fixture fixture;
+	int n_closed = 0;
+	struct dff_relay_link silent = {
+		.send = ignore_message, .close = count_close, .ctx = &n_closed};
+	open_fixture (&fixture);
+	dff_dispatch_set_limit (fixture.dispatch, RELAYS);
+	dff_memory_link_free (fixture.relays[0].link);
+	dff_virtual_loop_run (fixture.loop, 20);
+	assert_non_null (dff_dispatch_add (fixture.dispatch, &silent));
+	fixture.relays[0].link =
+		dff_memory_link_new (fixture.loop, fixture.dispatch, fixture.relays[0].relay);
+	assert_int_equal (n_closed, 1);
+	dff_virtual_loop_run (fixture.loop, 20);
+	assert_true (dff_memory_link_is_up (fixture.relays[0].link));
+	assert_null (dff_dispatch_add (fixture.dispatch, &silent));
+	assert_int_equal (n_closed, 2);
+	assert_int_equal (dff_dispatch_n_relays (fixture.dispatch), RELAYS);
+	close_fixture (&fixture);
+}
+
 /* Bytes that are not a message end the connection and have no other effect: random bytes, and
  * messages of a relay that are truncated or have one byte changed. Seeded. */
 static void
@@ -703,6 +743,7 @@
 		cmocka_unit_test (test_own_pause_is_not_relay_silence),
 		cmocka_unit_test (test_stopping_relay_gets_no_calls),
 		cmocka_unit_test (test_relay_limit),
+		cmocka_unit_test (test_silent_connections_give_way),
 		cmocka_unit_test (test_unreadable_message_ends_the_connection),
 		cmocka_unit_test (test_stream_keeps_messages_whole),
 		cmocka_unit_test (test_decoded_batch_is_bounded),
