fleet: check connections twice a second, without probes

Each process woke up five times a second to check its connections, and made five system calls on the first request of each: probes of the client, as serve needs them for calls that wait for minutes. A call of the fleet is tried for 30 s at most, idle connections are closed by time, and what is urgent is closed at once, not at the next check. The checks are now 500 ms apart, and probes are set by serve alone.

--- a/common/connections.c
+++ b/common/connections.c
@@ -539,7 +539,7 @@
 		return true;
 	set_state (connection, DFF_CONNECTION_HANDLING);
 	bufferevent_setwatermark (bev, EV_READ, 0, READ_AHEAD_BYTES);
-	if (!connection->keepalive_enabled)
+	if (group->limits.keepalive_probes && !connection->keepalive_enabled)
 		enable_keepalive (connection);
 	return !connection->rejected;
 }
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -236,6 +236,7 @@
 		.idle_timeout_ms = IDLE_TIMEOUT_MS,
 		.max_header_bytes = MAX_HEADER_BYTES,
 		.max_body_bytes = (size_t)settings->max_body_bytes,
+		.keepalive_probes = true,
 	};
 }
 
--- a/fleet/servers.c
+++ b/fleet/servers.c
@@ -27,7 +27,7 @@
 #define PEERS_SHARE (5.0 / 16.0)
 #define METRICS_SHARE (1.0 / 64.0)
 /** Interval at which connections are checked, ms. */
-#define CHECK_INTERVAL_MS 200
+#define CHECK_INTERVAL_MS 500
 
 struct dff_fleet_servers {
 	struct dff_connections *connections;
--- a/include/common/connections.h
+++ b/include/common/connections.h
@@ -39,6 +39,9 @@
 	/** Maximum sizes of a request's line with its headers, and of its body, bytes. */
 	size_t max_header_bytes;
 	size_t max_body_bytes;
+	/** Whether clients are probed while their requests are handled. Not needed where that takes
+	 * some seconds at most. */
+	bool keepalive_probes;
 };
 
 /**
@@ -87,8 +90,8 @@
 
 int32_t dff_connection_group_count (const struct dff_connection_group *group);
 
-/** Removes the connections that are freed and closes those past a limit. To be called several times
- * a second. */
+/** Removes the connections that are freed and closes those past a limit. To be called at least
+ * twice a second. */
 void dff_connections_tick (struct dff_connections *connections);
 
 /** Returns: the number of connections closed so far for being slow, idle or too many. */
