--- a/common/connections.c
+++ b/common/connections.c
@@ -4,9 +4,10 @@
 #include <glib.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
-#include <string.h>
 #include <sys/socket.h>
 
+#include "common/header_scan.h"
+
 /** Interval at which connections are checked against their limits, ms. */
 #define SCAN_MS 50
 /** Longest time between two checks that counts as time of the clients, ms. After a pause of this
@@ -21,8 +22,6 @@
 #define RECEIVE_MARGIN_BYTES 16384
 /** Memory for each line of a request's headers beside its bytes: it takes three allocations. */
 #define HEADER_LINE_BYTES 128
-/** Bytes of headers that are looked at together. */
-#define SCAN_BYTES 4096
 /** Memory of a connection itself, bytes, to weigh idle connections against others. */
 #define CONNECTION_BYTES 4096
 /** Number of connections above the limit that are accepted, to be closed at once, before accepting
@@ -44,14 +43,6 @@
 	DFF_CONNECTION_SENDING,
 };
 
-/** Progress of the request line and the headers that follow it. */
-struct header_scan {
-	size_t n_lines;
-	bool at_line_start;
-	/** Whether the empty line at their end has arrived. */
-	bool complete;
-};
-
 struct connection {
 	struct dff_connection_group *group;
 	/** Holds a reference. evhttp frees the bufferevent without a notification, and its address
@@ -60,7 +51,7 @@
 	enum connection_state state;
 	/** Start of the state; while sending, time of the last progress. */
 	int64_t state_since_ms;
-	struct header_scan headers;
+	struct dff_header_scan headers;
 	/** Bytes of the current request that evhttp has taken from the input buffer. */
 	size_t parsed_bytes;
 	/** Contribution to the total of all connections, bytes. */
@@ -75,9 +66,11 @@
 	struct dff_connection_limits limits;
 	/** struct bufferevent * -> struct connection *, owned. */
 	GHashTable *by_bev;
+	/** Connections accepted above the limit, and connections closed for new ones, since
+	 * accepting was last resumed. */
 	int32_t n_overflow;
 	int32_t n_replaced;
-	/** (nullable) */
+	/** (nullable): NULL before the server listens. */
 	struct evconnlistener *listener;
 	/** Checks the group in the next iteration of the event loop. */
 	struct event *check;
@@ -367,36 +360,6 @@
 	}
 }
 
-static void
-headers_reset (struct header_scan *headers)
-{
-	*headers = (struct header_scan){.at_line_start = true};
-}
-
-/* Counts the lines of the headers in the bytes of @input from @offset on. */
-static void
-headers_scan (struct header_scan *headers, struct evbuffer *input, size_t offset)
-{
-	char bytes[SCAN_BYTES];
-	struct evbuffer_ptr position;
-	while (!headers->complete && offset < evbuffer_get_length (input)) {
-		evbuffer_ptr_set (input, &position, offset, EVBUFFER_PTR_SET);
-		ev_ssize_t n = evbuffer_copyout_from (input, &position, bytes, sizeof (bytes));
-		if (n <= 0)
-			return;
-		for (ev_ssize_t i = 0; i < n && !headers->complete; i++) {
-			if (bytes[i] == '\n') {
-				headers->complete = headers->at_line_start && headers->n_lines > 0;
-				headers->n_lines++;
-				headers->at_line_start = true;
-			} else if (bytes[i] != '\r') {
-				headers->at_line_start = false;
-			}
-		}
-		offset += (size_t)n;
-	}
-}
-
 /* evhttp leaves a body in the input buffer until it is complete, so the limit is above that of
  * bodies. It is not a watermark, because libevent calls back again and again while a buffer is at
  * its watermark. */
@@ -422,7 +385,7 @@
 		set_state (connection, DFF_CONNECTION_RECEIVING);
 	if (connection->state == DFF_CONNECTION_RECEIVING) {
 		if (info->n_added > 0)
-			headers_scan (&connection->headers, buffer, info->orig_size);
+			dff_header_scan_update (&connection->headers, buffer, info->orig_size);
 		connection->parsed_bytes += info->n_deleted;
 		if (is_oversized (connection, buffer))
 			reject (connection);
@@ -499,7 +462,7 @@
 	connection->group = group;
 	connection->bev = bev;
 	bufferevent_incref (bev);
-	headers_reset (&connection->headers);
+	dff_header_scan_reset (&connection->headers);
 	set_state (connection, DFF_CONNECTION_IDLE);
 	bufferevent_set_timeouts (bev, NULL, &write_stall);
 	evbuffer_add_cb (bufferevent_get_input (bev), handle_input, connection);
@@ -553,8 +516,8 @@
 	struct evbuffer *input = bufferevent_get_input (bev);
 	bool more = evbuffer_get_length (input) > 0;
 	connection->parsed_bytes = 0;
-	headers_reset (&connection->headers);
-	headers_scan (&connection->headers, input, 0);
+	dff_header_scan_reset (&connection->headers);
+	dff_header_scan_update (&connection->headers, input, 0);
 	set_state (connection, more ? DFF_CONNECTION_RECEIVING : DFF_CONNECTION_IDLE);
 	update_held (connection);
 	bufferevent_setwatermark (bev, EV_READ, 0, 0);
--- a/fleet/servers.c
+++ b/fleet/servers.c
@@ -6,9 +6,8 @@
 
 /** Maximum size of a request's line and headers, bytes. */
 #define HEADER_BYTES_MAX 16384
-/** Limits of other processes and at the metrics, ms. Other processes keep idle connections for 10
- * s.
- */
+/** Limits of other processes and at the metrics, ms; above the time for which other processes keep
+ * idle connections. */
 #define PEER_REQUEST_TIMEOUT_MS 10000
 #define PEER_IDLE_TIMEOUT_MS 75000
 /** Limits of callers, if the configuration gives none, and the most that it may give: bytes and
@@ -32,7 +31,6 @@
 struct dff_fleet_servers {
 	struct dff_connections *connections;
 	int32_t max_descriptors;
-	/** NULL once they are closed. */
 	struct dff_http_server *servers[DFF_FLEET_N_SERVERS];
 	struct dff_timer *check;
 	int64_t *n_open;
@@ -157,20 +155,12 @@
 	return servers;
 }
 
-void
-dff_fleet_servers_close (struct dff_fleet_servers *servers)
-{
-	dff_timer_stop (servers->check);
-	for (int i = 0; i < DFF_FLEET_N_SERVERS; i++) {
-		g_clear_pointer (&servers->servers[i], dff_http_server_free);
-	}
-}
-
 void
 dff_fleet_servers_free (struct dff_fleet_servers *servers)
 {
-	dff_fleet_servers_close (servers);
 	dff_timer_free (servers->check);
+	for (int i = 0; i < DFF_FLEET_N_SERVERS; i++)
+		dff_http_server_free (servers->servers[i]);
 	dff_connections_free (servers->connections);
 	g_free (servers);
 }
--- a/include/fleet/servers.h
+++ b/include/fleet/servers.h
@@ -33,8 +33,6 @@
 struct dff_fleet_servers *dff_fleet_servers_new (const struct dff_fleet_servers_options *options);
 
 /** Closes the servers and their connections; requests that are being handled are not answered. */
-void dff_fleet_servers_close (struct dff_fleet_servers *servers);
-
 void dff_fleet_servers_free (struct dff_fleet_servers *servers);
 
 DFF_DEFINE_CLEANUP (dff_fleet_servers, dff_fleet_servers_free);
--- a/tests/common/test-http-server.c
+++ b/tests/common/test-http-server.c
@@ -13,6 +13,7 @@
 
 #include "common/address.h"
 #include "common/event_loop.h"
+#include "common/header_scan.h"
 #include "common/http_server.h"
 
 /* Decides which connections are closed, under a virtual clock; only the bytes take their way
@@ -304,10 +305,48 @@
 	}
 }
 
+/* The end of the headers is found however the bytes are divided; what follows is ignored. */
+static void
+test_header_scan (void **state)
+{
+	(void)state;
+	static const struct {
+		const char *text;
+		size_t n_lines;
+		bool complete;
+	} cases[] = {
+		{"", 0, false},
+		{"GET / HTTP/1.1", 0, false},
+		{"GET / HTTP/1.1\r\n", 1, false},
+		{"GET / HTTP/1.1\r\na: b\r\n", 2, false},
+		{"GET / HTTP/1.1\r\na: b\r\n\r\n", 3, true},
+		{"GET / HTTP/1.1\na: b\n\n", 3, true},
+		{"GET / HTTP/1.1\r\n\r\nbody\n\nbody\n", 2, true},
+		{"\r\n\r\n", 2, true},
+	};
+	for (size_t i = 0; i < G_N_ELEMENTS (cases); i++) {
+		for (size_t step = 1; step <= 8; step++) {
+			struct evbuffer *input = evbuffer_new ();
+			struct dff_header_scan scan;
+			dff_header_scan_reset (&scan);
+			for (size_t at = 0; at < strlen (cases[i].text); at += step) {
+				size_t before = evbuffer_get_length (input);
+				evbuffer_add (input, cases[i].text + at,
+					      MIN (step, strlen (cases[i].text) - at));
+				dff_header_scan_update (&scan, input, before);
+			}
+			assert_int_equal (scan.n_lines, cases[i].n_lines);
+			assert_int_equal (scan.complete, cases[i].complete);
+			evbuffer_free (input);
+		}
+	}
+}
+
 int
 main (void)
 {
 	const struct CMUnitTest tests[] = {
+		cmocka_unit_test (test_header_scan),
 		cmocka_unit_test (test_time_limits),
 		cmocka_unit_test (test_own_pause_is_no_delay_of_clients),
 		cmocka_unit_test (test_idle_connections_give_way),
