--- a/tests/overload/test-overload.c
+++ b/tests/overload/test-overload.c
@@ -172,13 +172,14 @@
 	static const char body[] = "{\"spec\":\"x\",\"steps\":[{\"count\":500,\"cpu\":1000,"
 				   "\"requirements\":\"no-such-label\"}]}";
 	GString *unit = g_string_new (NULL);
-	for (int i = 0; i < n_jobs; i++)
+	for (int i = 0; i < n_jobs; i++) {
 		g_string_append_printf (unit,
 					"POST " SITE_PATH
 					"00000000c0de%04x HTTP/1.1\r\nHost: " SITE_HOST
 					"\r\nDragonflyfold-Credential: " SITE_CROWD_CREDENTIAL
 					"\r\nContent-Length: %zu\r\n\r\n%s",
 					i, strlen (body), body);
+	}
 	return unit;
 }
 
