fleet: a margin on the times of the configuration's limits

A caller may use a connection again after being idle for up to idle_timeout_ms, and connections were closed after exactly that: what it sends just within its time crosses the end of the connection. Both times have a second more now; callers that keep to their limits don't meet them.

--- a/fleet/servers.c
+++ b/fleet/servers.c
@@ -19,6 +19,8 @@
 #define CALLER_HEADER_TIMEOUT_DEFAULT_MS 10000
 #define CALLER_IDLE_TIMEOUT_DEFAULT_MS 75000
 #define CALLER_TIMEOUT_MAX_MS 600000
+/** Added to both times, ms: what a caller sends just within its time is still on its way then. */
+#define CALLER_TIMEOUT_MARGIN_MS 1000
 /** Shares of the process's descriptors that connections to each server may take. The rest is for
  * the store, the workers, the relays and other processes. Of other processes, each has up to nine
  * connections to the one that decides. */
@@ -120,6 +122,8 @@
 		given->header_timeout_ms, CALLER_HEADER_TIMEOUT_DEFAULT_MS, CALLER_TIMEOUT_MAX_MS);
 	limits.idle_timeout_ms = limit_of (given->idle_timeout_ms, CALLER_IDLE_TIMEOUT_DEFAULT_MS,
 					   CALLER_TIMEOUT_MAX_MS);
+	limits.header_timeout_ms += CALLER_TIMEOUT_MARGIN_MS;
+	limits.idle_timeout_ms += CALLER_TIMEOUT_MARGIN_MS;
 	limits.request_timeout_ms = limits.header_timeout_ms + limits.idle_timeout_ms;
 	dff_http_server_set_limits (servers->servers[DFF_FLEET_SERVER_CALLERS], &limits);
 }
