holder: a job on record is not refused for too many open ones

A caller could be told that a job never runs although it did: a process that knows no holder writes the row of a job itself; if its answer is lost, the caller repeats the call, and a holder that takes no more jobs and hasn't read that row yet answered 503. Cause: the bound of open jobs refused by what the holder knows alone.

A refused job is now looked up in the store first, four at once at most, so that a flood of refusals doesn't take its reads. Found, the answer is that it was accepted; not found, 503; without an answer of the store within the caller's time, 504. test_recorded_job_is_not_refused: failed before (503, and the job ran), passes now.

--- a/holder/holder_tables.h
+++ b/holder/holder_tables.h
@@ -389,6 +389,8 @@
 	/* holder/submissions.c */
 	/** Rows that wait to be written, oldest first. Elements: struct submission *. */
 	GQueue submissions;
+	/** Checks in progress whether refused jobs are on record. */
+	int32_t n_record_checks;
 
 	/* holder/load.c */
 	/** Memory of all jobs, bytes. */
--- a/holder/submissions.c
+++ b/holder/submissions.c
@@ -15,6 +15,11 @@
  * written with it. The limit leaves space for as many rows of other jobs. */
 #define DRAFTED_MAX 20
 
+/** Maximum number of checks at once whether refused jobs are on record, and the timeout of one, ms.
+ */
+#define RECORD_CHECKS_MAX 4
+#define RECORD_CHECK_TIMEOUT_MS 1000
+
 struct submission {
 	char *key;
 	GString *value;
@@ -25,8 +30,10 @@
 	bool in_flight;
 	/** Whether a transaction with the row had no answer: the row may be recorded. */
 	bool outcome_unknown;
-	/** Whether the row is not to be written, as too many jobs are open. */
+	/** Whether the row is not to be written, as too many jobs are open, and whether the store
+	 * has been asked whether it is on record all the same. */
 	bool refused;
+	bool being_checked;
 	/** Whether the row existed when it was submitted. */
 	bool already_exists;
 	/** Callers that wait for the record, see rows/waiters.h. */
@@ -144,11 +151,81 @@
 	return true;
 }
 
+/** A check whether a refused job is on record. */
+struct record_check {
+	struct holder_call call;
+	char *key;
+};
+
+static const struct dff_row *
+find_row (const struct dff_rows_result *result, const char *key)
+{
+	for (size_t i = 0; i < result->n_rows; i++) {
+		if (dff_str_equal (result->rows[i].key, dff_str_from (key)))
+			return &result->rows[i];
+	}
+	return NULL;
+}
+
+static void
+finish_refused (struct dff_holder *holder,
+		struct submission *submission,
+		enum dff_rows_outcome outcome)
+{
+	dff_rows_waiters_answer (submission->waiters, outcome, 0);
+	g_queue_remove (&holder->submissions, submission);
+	free_submission (submission);
+}
+
+static void
+handle_record_checked (void *user, const struct dff_rows_result *result)
+{
+	g_autofree struct record_check *check = user;
+	g_autofree char *key = check->key;
+	struct dff_holder *holder = holder_call_end (&check->call);
+	struct submission *submission = holder != NULL ? find (holder, dff_str_from (key)) : NULL;
+	if (holder != NULL)
+		holder->n_record_checks--;
+	if (submission == NULL || !submission->refused)
+		return;
+	const struct dff_row *row = find_row (result, key);
+	enum dff_rows_outcome outcome = DFF_ROWS_UNKNOWN;
+	if (result->outcome == DFF_ROWS_DONE)
+		outcome = row != NULL ? DFF_ROWS_CONFLICT : DFF_ROWS_NOT_DONE;
+	finish_refused (holder, submission, outcome);
+	if (row != NULL)
+		jobs_handle_row (holder, row);
+	holder_wake (holder);
+}
+
+/* Another process may have written the row of this job a moment ago, for an earlier call of the
+ * same caller: a refusal would claim that the job never runs. */
+static void
+check_record (struct dff_holder *holder, struct submission *submission)
+{
+	const struct dff_rows *rows = holder->options.rows;
+	if (submission->being_checked || holder->n_record_checks >= RECORD_CHECKS_MAX)
+		return;
+	submission->being_checked = true;
+	holder->n_record_checks++;
+	struct record_check *check = holder_call_begin (holder, sizeof (*check));
+	check->key = g_strdup (submission->key);
+	g_autofree char *to = g_strconcat (submission->key, "/", NULL);
+	struct dff_rows_range range = {.table = DFF_TABLE_JOBS,
+				       .from = dff_str_from (submission->key),
+				       .to = dff_str_from (to),
+				       .limit = 1,
+				       .timeout_ms = RECORD_CHECK_TIMEOUT_MS};
+	rows->get (rows->ctx, &range, handle_record_checked, check);
+}
+
 /* The submission's timeout has passed. */
 static void
 expire (struct dff_holder *holder, struct submission *submission)
 {
-	if (!submission->in_flight && !submission->outcome_unknown)
+	if (submission->refused)
+		finish_refused (holder, submission, DFF_ROWS_UNKNOWN);
+	else if (!submission->in_flight && !submission->outcome_unknown)
 		withdraw (holder, submission);
 	else
 		dff_rows_waiters_answer (submission->waiters, DFF_ROWS_UNKNOWN, 0);
@@ -164,10 +241,10 @@
 		next = link->next;
 		if (submission->already_exists)
 			settle (holder, submission, DFF_ROWS_CONFLICT, 0);
-		else if (submission->refused)
-			withdraw (holder, submission);
 		else if (now_ms >= submission->deadline_ms)
 			expire (holder, submission);
+		else if (submission->refused)
+			check_record (holder, submission);
 	}
 }
 
@@ -248,9 +325,11 @@
 void
 submissions_reset (struct dff_holder *holder)
 {
+	holder->n_record_checks = 0;
 	while (!g_queue_is_empty (&holder->submissions)) {
 		struct submission *submission = g_queue_pop_head (&holder->submissions);
-		bool open = submission->in_flight || submission->outcome_unknown;
+		bool open =
+			submission->in_flight || submission->outcome_unknown || submission->refused;
 		dff_rows_waiters_answer (submission->waiters,
 					 open ? DFF_ROWS_UNKNOWN : DFF_ROWS_NOT_DONE, 0);
 		free_submission (submission);
--- a/tests/holder/test-holder-submissions.c
+++ b/tests/holder/test-holder-submissions.c
@@ -388,6 +388,48 @@
 	site_close (&site);
 }
 
+/* Guards against telling a caller that a job never runs although it does: another process wrote its
+ * row while it knew no holder, the answer was lost, and the holder, which takes no more jobs and
+ * has not read the row yet, refuses the repeated call. */
+static void
+test_recorded_job_is_not_refused (void **state)
+{
+	(void)state;
+	static const struct {
+		bool recorded;
+		enum dff_front_outcome outcome;
+	} cases[] = {
+		{true, DFF_FRONT_OK},
+		{false, DFF_FRONT_UNAVAILABLE},
+	};
+	for (size_t i = 0; i < G_N_ELEMENTS (cases); i++) {
+		struct site site;
+		site_open_with_job_limit (&site, 180000);
+		int holder = site_holder (&site);
+		assert_int_equal (site_submit (&site, holder, plan_of_team ("a1", "team")),
+				  DFF_FRONT_OK);
+		assert_int_equal (site_submit (&site, holder, plan_of_team ("a2", "team")),
+				  DFF_FRONT_OK);
+		/* The holder's next look into the inbox takes longer than its callers' repeats. */
+		faults_of (&site, holder)->delay_ms = 300;
+		site_run (&site, 100);
+		struct dff_plan *plan = plan_of_team ("a3", "team");
+		GString *row = dff_plan_encode (plan);
+		struct dff_str value = {row->str, row->len};
+		if (cases[i].recorded) {
+			dff_memory_rows_put (site.rows, DFF_TABLE_JOBS, "a3", value);
+			dff_memory_rows_put (site.rows, DFF_TABLE_INBOX, "a3", dff_str_from ("{}"));
+		}
+		assert_int_equal (site_submit (&site, holder, plan), cases[i].outcome);
+		faults_of (&site, holder)->delay_ms = 0;
+		site_run (&site, 12000);
+		assert_int_equal (dff_memory_runner_n_starts (site.runner, "a3") > 0,
+				  cases[i].recorded);
+		g_string_free (row, TRUE);
+		site_close (&site);
+	}
+}
+
 int
 main (void)
 {
@@ -398,6 +440,7 @@
 		cmocka_unit_test (test_unrecorded_completion_is_not_reported),
 		cmocka_unit_test (test_submission_outcomes),
 		cmocka_unit_test (test_jobs_beyond_the_limit_are_refused),
+		cmocka_unit_test (test_recorded_job_is_not_refused),
 		cmocka_unit_test (test_submission_during_step_down),
 		cmocka_unit_test (test_withdrawn_jobs),
 		cmocka_unit_test (test_withdrawn_endless_job),
