fleet: memory bounds follow the machine; closed connections are logged; tests without sleeps

Clients may now hold a quarter and open jobs take two fifths of the machine's memory, as sysinfo says it, or of RLIMIT_RSS if that is less: on 120 MB the same figures as before. The tests set RLIMIT_RSS to the smallest machine's memory, as they set RLIMIT_NOFILE; crowds and bounds are untouched.

Closing a connection for a limit had a counter and no log line. There is one line a second at most for each listener, with the numbers by reason, and one with the limits of callers when a configuration sets them.

tests/overload slept between repeated calls, for a minute at most. They now wait for what the processes do: each call to the store's stand-in is an event, and so is the end of a process. A process that never answers is ended by the time limit of the test.

--- a/common/connections.c
+++ b/common/connections.c
@@ -6,6 +6,7 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include "common/connection_log.h"
 #include "common/header_scan.h"
 
 /** Interval at which connections are checked against their limits, ms. */
@@ -63,7 +64,9 @@
 
 struct dff_connection_group {
 	struct dff_connections *owner;
+	const char *name;
 	struct dff_connection_limits limits;
+	struct dff_connection_log log;
 	/** struct bufferevent * -> struct connection *, owned. */
 	GHashTable *by_bev;
 	/** Connections accepted above the limit, and connections closed for new ones, since
@@ -131,10 +134,12 @@
 
 struct dff_connection_group *
 dff_connections_add_group (struct dff_connections *connections,
+			   const char *name,
 			   const struct dff_connection_limits *limits)
 {
 	struct dff_connection_group *group = g_new0 (struct dff_connection_group, 1);
 	group->owner = connections;
+	group->name = name;
 	group->limits = *limits;
 	group->by_bev =
 		g_hash_table_new_full (g_direct_hash, g_direct_equal, NULL, connection_free);
@@ -245,11 +250,12 @@
 /* evhttp owns the connection, and provides no handle to it before the first request. An error of
  * the bufferevent makes evhttp free it. Not to be called while the connection itself reads. */
 static void
-close_connection (struct connection *connection)
+close_connection (struct connection *connection, enum dff_close_reason reason)
 {
 	struct dff_connection_group *group = connection->group;
 	struct bufferevent *bev = connection->bev;
 	group->owner->n_closed++;
+	dff_connection_log_close (&group->log, reason, age_ms (connection), connection->held_bytes);
 	bufferevent_incref (bev);
 	bufferevent_trigger_event (bev, BEV_EVENT_READING | BEV_EVENT_ERROR, 0);
 	dff_connection_group_remove (group, bev);
@@ -356,7 +362,7 @@
 			reject (reading);
 			return;
 		}
-		close_connection (largest);
+		close_connection (largest, DFF_CLOSE_MEMORY);
 	}
 }
 
@@ -447,7 +453,7 @@
 		struct connection *replaceable = find_replaceable (group);
 		if (replaceable == NULL)
 			return false;
-		close_connection (replaceable);
+		close_connection (replaceable, DFF_CLOSE_REPLACED);
 		group->n_replaced++;
 	}
 	return true;
@@ -504,6 +510,8 @@
 	bufferevent_setwatermark (bev, EV_READ, 0, READ_AHEAD_BYTES);
 	if (group->limits.keepalive_probes && !connection->keepalive_enabled)
 		enable_keepalive (connection);
+	if (connection->rejected)
+		dff_connection_log_refuse (&group->log);
 	return !connection->rejected;
 }
 
@@ -545,6 +553,14 @@
 	return connection->state == DFF_CONNECTION_IDLE && age_ms (connection) >= idle_ms;
 }
 
+static enum dff_close_reason
+reason_of (const struct connection *connection)
+{
+	if (connection->rejected)
+		return DFF_CLOSE_REJECTED;
+	return connection->state == DFF_CONNECTION_IDLE ? DFF_CLOSE_IDLE : DFF_CLOSE_SLOW;
+}
+
 /* Closes the connections past a limit, or those that have been idle for @idle_ms; -1: the former.
  */
 static void
@@ -560,8 +576,10 @@
 		if (matches)
 			g_ptr_array_add (matching, value);
 	}
-	for (guint i = 0; i < matching->len; i++)
-		close_connection (g_ptr_array_index (matching, i));
+	for (guint i = 0; i < matching->len; i++) {
+		struct connection *connection = g_ptr_array_index (matching, i);
+		close_connection (connection, reason_of (connection));
+	}
 }
 
 void
@@ -602,6 +620,9 @@
 		struct dff_connection_group *group = g_ptr_array_index (connections->groups, i);
 		group->n_overflow = 0;
 		check_group (group);
+		dff_connection_log_write (&group->log, group->name,
+					  dff_connection_group_count (group),
+					  connections->held_bytes, now_ms);
 	}
 }
 
--- a/common/http_server.c
+++ b/common/http_server.c
@@ -150,11 +150,12 @@
 struct dff_http_server *
 dff_http_server_new (struct event_base *base,
 		     struct dff_connections *connections,
+		     const char *clients,
 		     const struct dff_connection_limits *limits)
 {
 	struct dff_http_server *server = g_new0 (struct dff_http_server, 1);
 	server->http = evhttp_new (base);
-	server->group = dff_connections_add_group (connections, limits);
+	server->group = dff_connections_add_group (connections, clients, limits);
 	server->handlers = g_ptr_array_new_with_free_func (handler_free);
 	evhttp_set_bevcb (server->http, accept_connection, server);
 	evhttp_set_gencb (server->http, handle_unknown_path, server);
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -260,7 +260,7 @@
 	entry->pool_text = g_string_new (NULL);
 	struct dff_connection_limits limits = connection_limits (options->settings);
 	entry->connections = dff_connections_new (options->clock, DFF_CONNECTIONS_BYTES_DEFAULT);
-	entry->callers = dff_connections_add_group (entry->connections, &limits);
+	entry->callers = dff_connections_add_group (entry->connections, "callers", &limits);
 	entry->deadlines = dff_deadlines_new ();
 	entry->quota = dff_team_quota_new ();
 	dff_core_options_init (&core);
--- a/fleet/fleet.c
+++ b/fleet/fleet.c
@@ -5,10 +5,10 @@
 #include <inttypes.h>
 #include <sodium.h>
 
-#include "common/descriptors.h"
 #include "common/http_client.h"
 #include "common/http_connection.h"
 #include "common/log.h"
+#include "common/machine.h"
 #include "fleet/intake_link.h"
 #include "fleet/operator_state.h"
 #include "fleet/probe_link.h"
@@ -56,6 +56,9 @@
 /** Margin below the longest lease that a worker grants, ms. */
 #define LEASE_MARGIN_MS 500
 
+/** Share of the machine's memory above which new jobs are refused. */
+#define OPEN_JOBS_SHARE 0.4
+
 G_DEFINE_QUARK (dff_fleet_error, dff_fleet_error)
 
 struct dff_fleet {
@@ -389,6 +392,8 @@
 	options.rack_wait_ms = (int64_t)(RACK_WAIT_MS * (fleet->settings.far_factor - 1.0));
 	options.retention_ms =
 		fleet->settings.retention_s * INT64_C (1000) + options.retention_ms / 10;
+	options.open_jobs_max_bytes =
+		(size_t)((double)dff_machine_memory_bytes () * OPEN_JOBS_SHARE);
 	fleet->holder = dff_holder_new (&options);
 	dff_probe_link_set_local_holder (fleet->probe_link, fleet->holder);
 	dff_state_link_set_local_holder (fleet->state_link, fleet->holder);
@@ -446,7 +451,9 @@
 	struct dff_fleet_servers_options options = {.base = fleet->base,
 						    .timers = &fleet->timers,
 						    .metrics = fleet->metrics,
-						    .max_descriptors = dff_max_descriptors ()};
+						    .max_descriptors =
+							    dff_machine_max_descriptors (),
+						    .memory_bytes = dff_machine_memory_bytes ()};
 	fleet->servers = dff_fleet_servers_new (&options);
 	struct dff_http_server *callers =
 		dff_fleet_servers_get (fleet->servers, DFF_FLEET_SERVER_CALLERS);
--- a/fleet/servers.c
+++ b/fleet/servers.c
@@ -2,6 +2,7 @@
 
 #include <glib.h>
 
+#include "common/log.h"
 #include "rows/rows.h"
 
 /** Maximum size of a request's line and headers, bytes. */
@@ -27,6 +28,8 @@
 #define CALLERS_SHARE (5.0 / 16.0)
 #define PEERS_SHARE (5.0 / 16.0)
 #define METRICS_SHARE (1.0 / 64.0)
+/** Divisor of the machine's memory that gives what all clients together may hold. */
+#define MEMORY_DIVISOR 4
 /** Interval at which connections are checked, ms. */
 #define CHECK_INTERVAL_MS 500
 
@@ -69,6 +72,12 @@
 		},
 };
 
+static const char *const client_names[DFF_FLEET_N_SERVERS] = {
+	[DFF_FLEET_SERVER_CALLERS] = "callers",
+	[DFF_FLEET_SERVER_PEERS] = "peers",
+	[DFF_FLEET_SERVER_METRICS] = "metrics",
+};
+
 static const double descriptor_shares[DFF_FLEET_N_SERVERS] = {
 	[DFF_FLEET_SERVER_CALLERS] = CALLERS_SHARE,
 	[DFF_FLEET_SERVER_PEERS] = PEERS_SHARE,
@@ -126,6 +135,11 @@
 	limits.idle_timeout_ms += CALLER_TIMEOUT_MARGIN_MS;
 	limits.request_timeout_ms = limits.header_timeout_ms + limits.idle_timeout_ms;
 	dff_http_server_set_limits (servers->servers[DFF_FLEET_SERVER_CALLERS], &limits);
+	dff_log (DFF_LOG_SERVE, DFF_LOG_INFO,
+		 "Limits of callers in force. header_bytes=%zu body_bytes=%zu header_timeout_ms=%d "
+		 "idle_timeout_ms=%d connections=%d",
+		 limits.max_header_bytes, limits.max_body_bytes, limits.header_timeout_ms,
+		 limits.idle_timeout_ms, limits.max_connections);
 }
 
 struct dff_http_server *
@@ -138,13 +152,13 @@
 dff_fleet_servers_new (const struct dff_fleet_servers_options *options)
 {
 	struct dff_fleet_servers *servers = g_new0 (struct dff_fleet_servers, 1);
-	servers->connections =
-		dff_connections_new (options->timers->clock, DFF_CONNECTIONS_BYTES_DEFAULT);
+	servers->connections = dff_connections_new (options->timers->clock,
+						    options->memory_bytes / MEMORY_DIVISOR);
 	servers->max_descriptors = options->max_descriptors;
 	for (int i = 0; i < DFF_FLEET_N_SERVERS; i++) {
 		struct dff_connection_limits limits = initial_limits_of (servers, i);
-		servers->servers[i] =
-			dff_http_server_new (options->base, servers->connections, &limits);
+		servers->servers[i] = dff_http_server_new (options->base, servers->connections,
+							   client_names[i], &limits);
 	}
 	servers->n_open = dff_metrics_gauge (options->metrics, "dff_connections_open",
 					     "Connections that clients hold.");
--- a/holder/holder.c
+++ b/holder/holder.c
@@ -26,8 +26,7 @@
 /** A gang on two racks takes three times the worker time: a later start costs less than that. */
 #define RACK_WAIT_MS 15000
 
-/** Memory of open jobs above which new ones are refused, bytes: two fifths of the smallest
- * machine's. */
+/** Memory of open jobs above which new ones are refused, bytes. */
 #define OPEN_JOBS_MAX_BYTES ((size_t)48 << 20)
 
 void
--- a/include/common/connections.h
+++ b/include/common/connections.h
@@ -58,8 +58,14 @@
 
 DFF_DEFINE_CLEANUP (dff_connections, dff_connections_free);
 
-/** Returns: (transfer none): a group without connections, valid as long as @connections. */
+/**
+ * dff_connections_add_group:
+ * @name: who connects, for the log; static
+ *
+ * Returns: (transfer none): a group without connections, valid as long as @connections.
+ */
 struct dff_connection_group *dff_connections_add_group (struct dff_connections *connections,
+							const char *name,
 							const struct dff_connection_limits *limits);
 
 /** Sets new limits, which apply to open connections, too. */
--- a/include/common/http_server.h
+++ b/include/common/http_server.h
@@ -13,9 +13,11 @@
 
 typedef void (*dff_http_server_func) (struct evhttp_request *request, void *ctx);
 
-/** Returns: (transfer full): a server that does not listen yet. @connections has to outlive it. */
+/** Returns: (transfer full): a server that does not listen yet. @connections has to outlive it.
+ * @clients: who connects, for the log; static. */
 struct dff_http_server *dff_http_server_new (struct event_base *base,
 					     struct dff_connections *connections,
+					     const char *clients,
 					     const struct dff_connection_limits *limits);
 
 void dff_http_server_free (struct dff_http_server *server);
--- a/include/fleet/servers.h
+++ b/include/fleet/servers.h
@@ -21,6 +21,8 @@
 	struct dff_metrics *metrics;
 	/** Number of descriptors that the process may open. */
 	int32_t max_descriptors;
+	/** Memory of the machine, bytes. */
+	size_t memory_bytes;
 };
 
 enum dff_fleet_server {
--- a/tests/common/test-http-server.c
+++ b/tests/common/test-http-server.c
@@ -70,7 +70,8 @@
 	*fixture = (struct fixture){.base = dff_event_base_new (), .held = g_ptr_array_new ()};
 	dff_clock_virtual_init (&fixture->clock, 1000);
 	fixture->connections = dff_connections_new (&fixture->clock.clock, MAX_BYTES);
-	fixture->server = dff_http_server_new (fixture->base, fixture->connections, &limits);
+	fixture->server =
+		dff_http_server_new (fixture->base, fixture->connections, "clients", &limits);
 	dff_http_server_set_default (fixture->server, handle_request, fixture);
 	assert_true (dff_http_server_listen (fixture->server, &any, &fixture->address));
 }
--- a/tests/overload/platform.c
+++ b/tests/overload/platform.c
@@ -9,6 +9,7 @@
 #include <stdbool.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
 #include "common/clock.h"
 #include "common/event_loop.h"
@@ -29,6 +30,7 @@
 
 struct platform {
 	struct event_base *base;
+	int events_fd;
 	/** "TABLE\1PART\1KEY" -> struct row, with removed ones. */
 	GTree *rows;
 	json_int_t version;
@@ -80,6 +82,13 @@
 	return json_loadb ((const char *)evbuffer_pullup (input, -1), length, 0, NULL);
 }
 
+static void
+notify_call (const struct platform *platform)
+{
+	ssize_t n = write (platform->events_fd, "", 1);
+	(void)n;
+}
+
 static gint
 compare_names (gconstpointer a, gconstpointer b, gpointer user)
 {
@@ -259,6 +268,7 @@
 handle_transaction (struct evhttp_request *request, void *ctx)
 {
 	struct platform *platform = ctx;
+	notify_call (platform);
 	json_t *body = read_body (request);
 	json_t *present = json_array ();
 	bool holds = true;
@@ -286,6 +296,7 @@
 handle_get (struct evhttp_request *request, void *ctx)
 {
 	const struct platform *platform = ctx;
+	notify_call (platform);
 	struct evkeyvalq fields;
 	evhttp_parse_query_str (evhttp_uri_get_query (evhttp_request_get_evhttp_uri (request)),
 				&fields);
@@ -308,6 +319,7 @@
 handle_feed (struct evhttp_request *request, void *ctx)
 {
 	struct platform *platform = ctx;
+	notify_call (platform);
 	struct evkeyvalq fields;
 	evhttp_parse_query_str (evhttp_uri_get_query (evhttp_request_get_evhttp_uri (request)),
 				&fields);
@@ -413,6 +425,7 @@
 platform_run (const struct platform_options *options)
 {
 	struct platform platform = {.base = dff_event_base_new (),
+				    .events_fd = options->events_fd,
 				    .rows = g_tree_new_full (compare_names, NULL, g_free, row_free),
 				    .feeds = g_ptr_array_new (),
 				    .workers = g_hash_table_new (g_str_hash, g_str_equal)};
--- a/tests/overload/platform.h
+++ b/tests/overload/platform.h
@@ -13,6 +13,8 @@
 	/** Row of each worker, JSON. */
 	char *const *workers;
 	int n_workers;
+	/** Receives a byte for each call to the store, unless it is full. Non-blocking. */
+	int events_fd;
 };
 
 /** Serves until the process is killed. */
--- a/tests/overload/site.c
+++ b/tests/overload/site.c
@@ -5,6 +5,7 @@
 #include <glib.h>
 #include <glib/gstdio.h>
 #include <inttypes.h>
+#include <poll.h>
 #include <setjmp.h>
 #include <signal.h>
 #include <stdarg.h>
@@ -12,6 +13,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/pidfd.h>
 #include <sys/prctl.h>
 #include <sys/resource.h>
 #include <sys/socket.h>
@@ -26,11 +28,6 @@
 #define WORKERS_MAX 200
 /** The workers listen at 127.0.1.1 and the addresses after it. */
 #define WORKER_ADDRESSES 0x7f000100
-/** Time within which the processes have to be ready and a job has to be served, ms. Far above what
- * it takes, as it only tells a process that hangs from one that works. */
-#define PATIENCE_MS 60000
-#define POLL_MS 50
-#define US_PER_MS 1000UL
 /** Time for which a call waits for its answer, s. */
 #define CALL_TIMEOUT_S 5
 /** Ports are taken from below the range of which the kernel takes those of outgoing connections. */
@@ -70,7 +67,10 @@
 	"\"log_level\":\"info\"}";
 
 struct process {
+	/** 0: it has ended. */
 	pid_t pid;
+	/** Readable once the process has ended. */
+	int pidfd;
 	uint16_t ports[SITE_N_LISTENERS];
 };
 
@@ -79,6 +79,8 @@
 	char *folder;
 	pid_t platform;
 	uint16_t store_port;
+	/** Readable when a process has called the store since it was last read. */
+	int events_fd;
 	struct process processes[PROCESSES_MAX];
 	int n_jobs;
 };
@@ -132,9 +134,13 @@
 {
 	int n_workers = site->options.n_workers;
 	g_assert (n_workers <= WORKERS_MAX);
+	int events[2];
+	assert_int_equal (pipe2 (events, O_CLOEXEC | O_NONBLOCK), 0);
+	site->events_fd = events[0];
 	int worker_fds[WORKERS_MAX];
 	char *workers[WORKERS_MAX];
 	struct platform_options options = {.store_fd = bind_free_port (&site->store_port, 0),
+					   .events_fd = events[1],
 					   .config = config,
 					   .worker_fds = worker_fds,
 					   .workers = workers,
@@ -150,6 +156,7 @@
 	if (site->platform == 0)
 		platform_run (&options);
 	close (options.store_fd);
+	close (events[1]);
 	for (int i = 0; i < n_workers; i++) {
 		close (worker_fds[i]);
 		g_free (workers[i]);
@@ -185,8 +192,9 @@
 	const struct site_options *options = &site->options;
 	g_autofree char *settings = write_settings (site, number);
 	g_autofree char *log = log_path (site, number);
-	struct rlimit limit = {.rlim_cur = (rlim_t)options->max_descriptors,
-			       .rlim_max = (rlim_t)options->max_descriptors};
+	struct rlimit descriptors = {.rlim_cur = (rlim_t)options->max_descriptors,
+				     .rlim_max = (rlim_t)options->max_descriptors};
+	struct rlimit memory = {.rlim_cur = SITE_MEMORY_BYTES, .rlim_max = SITE_MEMORY_BYTES};
 	pid_t pid = fork_child ();
 	if (pid == 0) {
 		int fd = open (log, O_WRONLY | O_CREAT | O_TRUNC, 0600);
@@ -196,11 +204,14 @@
 		/* A process that ends drops its calls in progress together with what belongs to
 		 * them, which LeakSanitizer reports. */
 		setenv ("ASAN_OPTIONS", "quarantine_size_mb=1:detect_leaks=0", 1);
-		setrlimit (RLIMIT_NOFILE, &limit);
+		setrlimit (RLIMIT_NOFILE, &descriptors);
+		setrlimit (RLIMIT_RSS, &memory);
 		execl (options->program, options->program, "fleet", "--settings", settings, NULL);
 		_exit (127);
 	}
 	site->processes[number].pid = pid;
+	site->processes[number].pidfd = pidfd_open (pid, 0);
+	assert_true (site->processes[number].pidfd >= 0);
 }
 
 void
@@ -283,7 +294,22 @@
 	fail_msg ("process %d: %s", process, what);
 }
 
-/* Repeats a call until it is answered as expected. */
+/* Blocks until a process has called the store or has ended. Whatever the processes do shows in
+ * these calls: they follow the store all the time. */
+static void
+await_event (struct site *site)
+{
+	char bytes[4096];
+	struct pollfd polls[PROCESSES_MAX + 1] = {{.fd = site->events_fd, .events = POLLIN}};
+	for (int i = 0; i < site->options.n_processes; i++)
+		polls[i + 1] = (struct pollfd){.fd = site->processes[i].pidfd, .events = POLLIN};
+	poll (polls, (nfds_t)site->options.n_processes + 1, -1);
+	while (read (site->events_fd, bytes, sizeof (bytes)) > 0)
+		continue;
+}
+
+/* Repeats a call until it is answered as expected. A process that never does so is ended by the
+ * time limit of the test. */
 static void
 await_answer (struct site *site,
 	      int number,
@@ -292,14 +318,11 @@
 	      const char *what)
 {
 	struct process *process = &site->processes[number];
-	for (int waited_ms = 0; waited_ms < PATIENCE_MS; waited_ms += POLL_MS) {
+	while (!call_holds (process->ports[listener], text, what)) {
 		if (!process_lives (process))
 			fail_with_logs (site, "ended", number);
-		if (call_holds (process->ports[listener], text, what))
-			return;
-		g_usleep (POLL_MS * US_PER_MS);
+		await_event (site);
 	}
-	fail_with_logs (site, text, number);
 }
 
 #define GET_READY "GET /api/ready HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"
@@ -307,18 +330,18 @@
 #define IS_HOLDING "\ndff_holder_is_holding 1"
 
 int
-site_holder (const struct site *site)
+site_holder (struct site *site)
 {
-	for (int waited_ms = 0; waited_ms < PATIENCE_MS; waited_ms += POLL_MS) {
+	for (;;) {
 		for (int i = 0; i < site->options.n_processes; i++) {
+			if (!process_lives (&site->processes[i]))
+				fail_with_logs (site, "ended", i);
 			if (call_holds (site->processes[i].ports[SITE_METRICS], GET_METRICS,
 					IS_HOLDING))
 				return i;
 		}
-		g_usleep (POLL_MS * US_PER_MS);
+		await_event (site);
 	}
-	fail_with_logs (site, "no process decides", 0);
-	return -1;
 }
 
 /* A process that is not the holder must be able to ask it, too: each process serves a job. */
@@ -419,15 +442,10 @@
 	struct process *process = &site->processes[number];
 	int status = 0;
 	kill (process->pid, SIGTERM);
-	for (int waited_ms = 0; waited_ms < PATIENCE_MS; waited_ms += POLL_MS) {
-		if (waitpid (process->pid, &status, WNOHANG) != 0) {
-			process->pid = 0;
-			assert_true (WIFEXITED (status) && WEXITSTATUS (status) == 0);
-			return;
-		}
-		g_usleep (POLL_MS * US_PER_MS);
-	}
-	fail_with_logs (site, "does not stop", number);
+	assert_int_equal (waitpid (process->pid, &status, 0), process->pid);
+	process->pid = 0;
+	if (!WIFEXITED (status) || WEXITSTATUS (status) != 0)
+		fail_with_logs (site, "did not stop gracefully", number);
 }
 
 static void
@@ -447,10 +465,12 @@
 		g_autofree char *settings =
 			g_strdup_printf ("%s/settings-%d.json", site->folder, i);
 		end_process (site->processes[i].pid);
+		close (site->processes[i].pidfd);
 		g_unlink (log);
 		g_unlink (settings);
 	}
 	end_process (site->platform);
+	close (site->events_fd);
 	g_rmdir (site->folder);
 	g_free (site->folder);
 	g_free (site);
--- a/tests/overload/site.h
+++ b/tests/overload/site.h
@@ -54,7 +54,7 @@
 void site_stop (struct site *site, int process);
 
 /** Returns: the process that decides about the jobs. */
-int site_holder (const struct site *site);
+int site_holder (struct site *site);
 
 /** Sends a whole request to a process until it is answered with 200. */
 void site_submit (struct site *site, int process, const char *text);
--- a/tests/overload/test-overload.c
+++ b/tests/overload/test-overload.c
@@ -195,7 +195,7 @@
 }
 
 static int
-process_for (const struct site *site, const struct overload_case *overload)
+process_for (struct site *site, const struct overload_case *overload)
 {
 	int holder = site_holder (site);
 	return overload->at_other_process ? (holder + 1) % overload->n_processes : holder;
--- a/tests/platform/test-ingress.c
+++ b/tests/platform/test-ingress.c
@@ -108,7 +108,8 @@
 	};
 	fixture->connections =
 		dff_connections_new (dff_clock_system (), DFF_CONNECTIONS_BYTES_DEFAULT);
-	fixture->server = dff_http_server_new (fixture->base, fixture->connections, &limits);
+	fixture->server =
+		dff_http_server_new (fixture->base, fixture->connections, "callers", &limits);
 	dff_ingress_serve (fixture->ingress, fixture->server);
 	struct dff_name any = dff_name_from ("127.0.0.1:0");
 	assert_true (dff_http_server_listen (fixture->server, &any, &fixture->address));
